Contract of the core: events, actions, board, controllers, adapter tables

Cause: several parts are to be written side by side and need one contract. Conclusion: parts can be filled in behind the headers.

--- /dev/null
+++ b/libmangofork/board.h
@@ -0,0 +1,72 @@
+#ifndef MF_BOARD_H
+#define MF_BOARD_H
+
+#include "burn.h"
+#include "counter.h"
+#include "trace.h"
+#include "upstream.h"
+
+typedef struct MfRequests MfRequests; /* request.c */
+typedef struct MfQueue MfQueue;       /* queue.c */
+typedef struct MfDebts MfDebts;       /* debt.c */
+typedef struct MfSuspects MfSuspects; /* suspect.c */
+typedef struct MfCaches MfCaches;     /* prefix.c */
+typedef struct MfMembers MfMembers;   /* member.c */
+typedef struct MfClaims MfClaims;     /* claim.c */
+typedef struct MfConfsync MfConfsync; /* confsync.c */
+typedef struct MfNewsbook MfNewsbook; /* news.c */
+typedef struct MfShares MfShares;     /* share.c */
+typedef struct MfOrders MfOrders;     /* order.c */
+
+/* Which policy decides: ours, or the naive one that tests and benches compare with. */
+typedef struct MfPolicy MfPolicy; /* policy.h */
+
+/* What the process's settings tell the core. Times and counts have defaults in mf_core_options. */
+typedef struct
+{
+  MfOwner self;
+  char address[MF_ADDRESS_BYTES]; /* of the own peer port */
+  char data_centre[MF_NAME_BYTES];
+  uint64_t seed;
+  uint32_t requests_max;   /* held at once */
+  uint64_t drain_grace_us; /* work is still accepted this long after a shutdown begins */
+  uint64_t drain_limit_us; /* then the process ends whatever is left */
+  uint64_t digest_period_us;
+  uint32_t digest_bytes_max;
+  uint32_t links_max; /* peers heartbeats go to */
+  uint64_t load_period_us;
+  uint64_t platform_period_us;
+  uint64_t cold_start_us; /* before a majority of fresh voters may vote */
+  bool naive;
+} MfOptions;
+
+/* The blackboard: all that this instance knows. Controllers read any part of it and write their
+ * own. */
+typedef struct
+{
+  uint64_t now_us;
+  uint64_t wall_ms;
+  MfOptions options;
+  MfConfig *config; /* in force; NULL until one was accepted */
+  MfUpstream *upstreams;
+  uint32_t n_upstreams;
+  bool draining; /* no new work is taken */
+  bool ready;
+  uint64_t list_index;
+  MfCounters counters;
+  MfTrace *trace;
+  MfBurn *burn;
+  MfRequests *requests;
+  MfQueue *queue;
+  MfDebts *debts;
+  MfSuspects *suspects;
+  MfCaches *caches;
+  MfMembers *members;
+  MfClaims *claims;
+  MfConfsync *confsync;
+  MfNewsbook *newsbook;
+  MfShares *shares;
+  MfOrders *orders;
+} MfBoard;
+
+#endif
--- /dev/null
+++ b/libmangofork/confsync.c
@@ -0,0 +1,3 @@
+#include "core.h"
+
+const MfController mf_confsync_controller = { .name = "confsync" };
--- /dev/null
+++ b/libmangofork/debt.h
@@ -0,0 +1,12 @@
+#ifndef MF_DEBT_H
+#define MF_DEBT_H
+
+#include "core.h"
+
+/* Owes the upstream a cancel of one call; repeated until confirmed or the upstream restarted. */
+void mf_debt_add (MfCore *core, uint32_t upstream, uint64_t call_id, uint32_t attempt);
+/* Owes the upstream a cancel of all that a dead incarnation of an instance held there. */
+void mf_debt_add_owner (MfCore *core, uint32_t upstream, const MfOwner *owner);
+uint32_t mf_debt_count (const MfCore *core);
+
+#endif
--- /dev/null
+++ b/libmangofork/drain.c
@@ -0,0 +1,3 @@
+#include "core.h"
+
+const MfController mf_drain_controller = { .name = "drain" };
--- /dev/null
+++ b/libmangofork/peer.h
@@ -0,0 +1,170 @@
+#ifndef MF_PEER_H
+#define MF_PEER_H
+
+#include "types.h"
+
+/* Items of news in one digest, and bytes of one frame. */
+#define MF_NEWS_PER_DIGEST_MAX 64
+#define MF_FRAME_BYTES_MAX (2 * 1024 * 1024)
+#define MF_VOTERS_PER_KEY_MAX 7
+/* A recorded answer longer than this is not handed between instances. */
+#define MF_RECORDED_ANSWER_BYTES_MAX 16384
+
+/* The messages between instances. */
+typedef enum
+{
+  MF_PEER_DIGEST,     /* periodic: heartbeat, news, load, revision */
+  MF_PEER_CONFIG_ASK, /* asks for the text when its revision is above the asker's */
+  MF_PEER_CONFIG,     /* a text and its revision */
+  MF_PEER_CLAIM,      /* asks a vote for running a key once */
+  MF_PEER_VOTE,
+  MF_PEER_OUTCOME, /* what became of a claimed key */
+  MF_PEER_OUTCOME_ASK,
+  MF_PEER_ADMIT, /* a fresh incarnation asks to be let into a cell of voters */
+  MF_PEER_ADMITTED,
+  MF_PEER_MESSAGE_COUNT,
+} MfPeerMessageType;
+
+/* What an item of news is about. */
+typedef enum
+{
+  MF_NEWS_UPSTREAM_LEAVING, /* subject: hash of the upstream's name */
+  MF_NEWS_UPSTREAM_DEAD,    /* value: incarnation that died */
+  MF_NEWS_SUSPECT,          /* subject: digest of a request; value: deaths seen */
+  MF_NEWS_CONVICTED,        /* subject: digest of a request */
+  MF_NEWS_INSTANCE_DEAD,    /* subject: hash of the slot's name; value: dead incarnation */
+  MF_NEWS_FENCE,            /* subject: hash of the upstream's name; value: fencing number */
+  MF_NEWS_KIND_COUNT,
+} MfNewsKind;
+
+typedef struct
+{
+  MfNewsKind kind;
+  uint64_t subject;
+  uint64_t value;
+  uint32_t age_ms; /* since it was first noted, summed over hops */
+} MfNews;
+
+/* How much of one upstream an instance uses and wants. */
+typedef struct
+{
+  uint64_t upstream; /* hash of the name */
+  uint16_t slots_used;
+  uint16_t slots_wanted;
+} MfShare;
+
+#define MF_SHARES_PER_DIGEST_MAX 64
+
+typedef struct
+{
+  uint64_t sequence;
+  uint64_t config_revision;
+  uint64_t list_index;
+  bool leaving;
+  bool admitted;
+  MfNews news[MF_NEWS_PER_DIGEST_MAX];
+  uint32_t n_news;
+  MfShare shares[MF_SHARES_PER_DIGEST_MAX];
+  uint32_t n_shares;
+  const uint8_t *burn; /* encoded by mf_burn_pack; may be NULL */
+  uint32_t burn_bytes;
+} MfDigestMessage;
+
+typedef struct
+{
+  uint64_t revision;
+  const char *text; /* borrowed */
+  uint32_t text_bytes;
+} MfConfigMessage;
+
+/* The state of one key as a voter or a claimant knows it. */
+typedef enum
+{
+  MF_KEY_NONE,
+  MF_KEY_RUNNING,
+  MF_KEY_FINISHED,
+  MF_KEY_UNKNOWN,
+} MfKeyState;
+
+typedef struct
+{
+  uint64_t claim_id; /* pairs votes with the claim; the claimant's own */
+  uint8_t key[MF_DIGEST_BYTES];
+  uint64_t body_digest;
+  uint64_t minted_ms;
+  uint64_t epoch; /* of the set of voters */
+  MfOwner claimant;
+} MfClaimMessage;
+
+typedef struct
+{
+  uint64_t claim_id;
+  uint8_t key[MF_DIGEST_BYTES];
+  bool granted;
+  bool abstained;
+  bool body_differs;
+  MfOwner holder; /* who was granted it, when not granted now */
+  MfKeyState state;
+  MfOwner view[MF_VOTERS_PER_KEY_MAX]; /* highest incarnation known of each voter of the cell */
+  uint32_t n_view;
+} MfVoteMessage;
+
+typedef struct
+{
+  uint8_t key[MF_DIGEST_BYTES];
+  uint64_t body_digest;
+  MfOwner claimant;
+  MfKeyState state;
+  uint16_t status;
+  uint32_t code;            /* MfCode */
+  const char *content_type; /* borrowed; NULL when no answer is recorded */
+  const char *body;         /* borrowed */
+  uint32_t body_bytes;
+} MfOutcomeMessage;
+
+/* One record handed to a fresh voter. */
+typedef struct
+{
+  uint8_t key[MF_DIGEST_BYTES];
+  uint64_t body_digest;
+  MfOwner holder;
+  MfKeyState state;
+  uint32_t age_ms;
+} MfKeyRecord;
+
+typedef struct
+{
+  uint64_t admit_id;
+  uint64_t epoch;
+  MfOwner applicant;
+} MfAdmitMessage;
+
+typedef struct
+{
+  uint64_t admit_id;
+  bool agreed;
+  bool voter_admitted;          /* whether the answering voter is itself admitted */
+  uint64_t highest_incarnation; /* of the applicant's slot; the applicant must be above it */
+  MfOwner view[MF_VOTERS_PER_KEY_MAX];
+  uint32_t n_view;
+  const MfKeyRecord *records; /* borrowed */
+  uint32_t n_records;
+} MfAdmittedMessage;
+
+typedef struct
+{
+  MfPeerMessageType type;
+  union
+  {
+    MfDigestMessage digest;
+    uint64_t ask_revision; /* MF_PEER_CONFIG_ASK: the asker's own revision */
+    MfConfigMessage config;
+    MfClaimMessage claim;
+    MfVoteMessage vote;
+    MfOutcomeMessage outcome; /* MF_PEER_OUTCOME and MF_PEER_OUTCOME_ASK */
+    MfAdmitMessage admit;
+    MfAdmittedMessage admitted;
+  };
+} MfPeerMessage;
+
+#endif
--- /dev/null
+++ b/libmangofork/queue.c
@@ -0,0 +1,3 @@
+#include "core.h"
+
+const MfController mf_queue_controller = { .name = "queue" };
--- /dev/null
+++ b/libmangofork/trace.h
@@ -0,0 +1,66 @@
+#ifndef MF_TRACE_H
+#define MF_TRACE_H
+
+#include "code.h"
+
+#define MF_TRACE_NAME_BYTES 64
+
+/* What a step in the life of a request was. */
+typedef enum
+{
+  MF_TRACE_ARRIVED,
+  MF_TRACE_QUEUED,      /* value: requests before it */
+  MF_TRACE_PLACED,      /* upstream, other: prefill and decode; value: predicted first token, us */
+  MF_TRACE_ALTERNATIVE, /* upstream: an upstream not taken; value: its predicted first token, us */
+  MF_TRACE_CALLED,      /* value: MfCallKind */
+  MF_TRACE_PREFILLED,
+  MF_TRACE_IMPORTED,
+  MF_TRACE_FIRST_TOKEN,
+  MF_TRACE_BROKEN, /* value: tokens delivered */
+  MF_TRACE_RETRIED,
+  MF_TRACE_RESUMED,
+  MF_TRACE_HEDGED,
+  MF_TRACE_CLAIMED,
+  MF_TRACE_CANCELLED,
+  MF_TRACE_SUSPECTED,
+  MF_TRACE_ENDED, /* value: tokens delivered; code says how */
+  MF_TRACE_KIND_COUNT,
+} MfTraceKind;
+
+/* Who ended a request. */
+typedef enum
+{
+  MF_ENDED_BY_NOBODY,
+  MF_ENDED_BY_CALLER,
+  MF_ENDED_BY_UPSTREAM,
+  MF_ENDED_BY_INSTANCE,
+} MfEndedBy;
+
+typedef struct
+{
+  uint64_t request_id;
+  uint64_t at_us;
+  MfTraceKind kind;
+  uint32_t upstream; /* or MF_NONE */
+  uint32_t other;    /* or MF_NONE */
+  uint64_t value;
+  MfCode code;
+  uint8_t phase;    /* MfPhase */
+  uint8_t ended_by; /* MfEndedBy */
+} MfTraceStep;
+
+typedef struct MfTrace MfTrace;
+
+typedef void (*MfTraceFunc) (const MfTraceStep *step, void *data);
+
+/* A bounded ring of steps over all requests; the oldest are overwritten. */
+MfTrace *mf_trace_new (uint32_t n_steps);
+void mf_trace_free (MfTrace *trace);
+void mf_trace_note (MfTrace *trace, const MfTraceStep *step);
+/* Binds the caller-visible name to the request, so that it can be found by it. */
+void mf_trace_name (MfTrace *trace, uint64_t request_id, const char *name);
+/* Calls func for each remembered step of the request of that name, oldest first. Returns false when
+ * nothing is remembered. */
+bool mf_trace_foreach (const MfTrace *trace, const char *name, MfTraceFunc func, void *data);
+
+#endif
--- /dev/null
+++ b/libmangofork/types.c
@@ -0,0 +1,55 @@
+#include "types.h"
+
+#include <string.h>
+
+/* Returns the word a refusal carries for an outcome. */
+const char *
+mf_outcome_name (MfOutcome outcome)
+{
+  static const char *const names[] = {
+    [MF_OUTCOME_NOT_RUN] = "not-run",
+    [MF_OUTCOME_RAN] = "ran",
+    [MF_OUTCOME_UNKNOWN] = "unknown",
+  };
+
+  return names[outcome];
+}
+
+/* Returns the word operators use for a role. */
+const char *
+mf_role_name (MfRole role)
+{
+  static const char *const names[MF_ROLE_COUNT] = {
+    [MF_ROLE_PREFILL] = "prefill",
+    [MF_ROLE_DECODE] = "decode",
+    [MF_ROLE_PLAIN] = "plain",
+  };
+
+  return role < MF_ROLE_COUNT ? names[role] : "none";
+}
+
+/* Returns the word operators use for a class of requests. */
+const char *
+mf_class_name (MfClass class_)
+{
+  static const char *const names[MF_CLASS_COUNT] = {
+    [MF_CLASS_READ] = "read",
+    [MF_CLASS_ORDER] = "order",
+    [MF_CLASS_SUMMARY] = "summary",
+  };
+
+  return class_ < MF_CLASS_COUNT ? names[class_] : "none";
+}
+
+bool
+mf_name_set (char *dst, size_t dst_bytes, const char *src)
+{
+  size_t len = strlen (src);
+  bool whole = len < dst_bytes;
+
+  if (!whole)
+    len = dst_bytes - 1;
+  memcpy (dst, src, len);
+  dst[len] = '\0';
+  return whole;
+}
--- /dev/null
+++ b/libmangofork/types.h
@@ -0,0 +1,67 @@
+#ifndef MF_TYPES_H
+#define MF_TYPES_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* Bytes of a name, its closing NUL included. */
+#define MF_NAME_BYTES 48
+/* Bytes of an address such as "127.0.0.1:8000", its closing NUL included. */
+#define MF_ADDRESS_BYTES 64
+/* Tokens in one piece of engine memory. */
+#define MF_PIECE_TOKENS 2000
+/* Prefix hashes kept for one prompt, one for each whole piece from its start. */
+#define MF_PREFIX_HASHES_MAX 32
+/* Bytes of the digest of an idempotency key or an API key. */
+#define MF_DIGEST_BYTES 32
+/* "No such index" for upstreams, services, customers and pools. */
+#define MF_NONE UINT32_MAX
+
+#define MF_US_PER_MS UINT64_C (1000)
+#define MF_US_PER_S UINT64_C (1000000)
+
+#define MF_ARRAY_LEN(array) (sizeof (array) / sizeof ((array)[0]))
+
+/* What a refusal says about the work: whether any of it ran. */
+typedef enum
+{
+  MF_OUTCOME_NOT_RUN,
+  MF_OUTCOME_RAN,
+  MF_OUTCOME_UNKNOWN,
+} MfOutcome;
+
+/* What an upstream does. */
+typedef enum
+{
+  MF_ROLE_PREFILL,
+  MF_ROLE_DECODE,
+  MF_ROLE_PLAIN,
+  MF_ROLE_COUNT,
+} MfRole;
+
+/* How urgent a request is; the lower value goes first. */
+typedef enum
+{
+  MF_CLASS_READ,
+  MF_CLASS_ORDER,
+  MF_CLASS_SUMMARY,
+  MF_CLASS_COUNT,
+} MfClass;
+
+/* The incarnation of one instance: the name is its slot and outlives a restart, the number does
+ * not. A higher number is a later process. */
+typedef struct
+{
+  char name[MF_NAME_BYTES];
+  uint64_t incarnation;
+} MfOwner;
+
+const char *mf_outcome_name (MfOutcome outcome);
+const char *mf_role_name (MfRole role);
+const char *mf_class_name (MfClass class_);
+
+/* Copies a string into a fixed field, always closing it with NUL. Returns false when it was cut. */
+bool mf_name_set (char *dst, size_t dst_bytes, const char *src);
+
+#endif
