--- a/libmangofork/action.h
+++ b/libmangofork/action.h
@@ -61,7 +61,8 @@
   uint32_t max_tokens;      /* decode, resume: tokens still wanted */
   uint64_t prefill_call_id; /* decode: whose KV to import */
   uint64_t target_call_id;  /* cancel */
-  uint32_t target_attempt;  /* cancel: attempt of the call to free */
+  uint32_t target_attempt;  /* cancel: attempt of the call to free; resume: of the broken stream */
+  uint64_t cache_after;     /* load: number of the last cache event seen; 0 for none */
   MfOwner owner;            /* cancel_owner: whose work to free */
   uint32_t priority;        /* lower goes first */
   uint64_t cache_salt;      /* differs between customers */
--- a/libmangofork/adapter.h
+++ b/libmangofork/adapter.h
@@ -47,8 +47,9 @@
   /* State for one answer; on_event gets call events, on_report load and cache events. */
   void *(*begin) (const MfCallAction *call, MfCallEventFunc on_event, MfUpstreamEventFunc on_report,
                   void *data);
-  /* The answer ended with this status; emits the last event. */
-  void (*end) (void *state, uint16_t status, bool whole);
+  /* The answer ended with this status; emits the last event. A prefill's is CALL_PREFILLED, any
+   * other call's CALL_DONE or CALL_FAILED. status is 0 when no answer began. */
+  void (*end) (void *state, uint16_t status, bool whole, uint64_t now_us);
   void (*release) (void *state);
   /* The prefill engine's KV handle once prefilled; NULL before. Borrowed from state. */
   const char *(*kv_handle) (const void *state, size_t *handle_bytes);
--- /dev/null
+++ b/libmangofork/openai.c
@@ -0,0 +1,3 @@
+#include "adapter.h"
+
+const MfEngineAdapter mf_openai_adapter = { .name = "openai" };
--- /dev/null
+++ b/libmangofork/plain.c
@@ -0,0 +1,3 @@
+#include "adapter.h"
+
+const MfEngineAdapter mf_plain_adapter = { .name = "plain" };
