--- a/tests/fakes/engine_model.h
+++ b/tests/fakes/engine_model.h
@@ -129,16 +129,18 @@
 bool fake_engine_cancel (FakeEngine *engine, const FakeWorkId *id, uint64_t now_us);
 uint32_t fake_engine_cancel_owner (FakeEngine *engine, const MfOwner *owner, uint64_t now_us);
 
-/* When fake_engine_run is next due; UINT64_MAX when idle. */
+/* When fake_engine_run is next due; UINT64_MAX when idle. func must not call the engine back: it
+ * notes the event, and what follows from it is done after the run. */
 uint64_t fake_engine_next_us (const FakeEngine *engine);
 void fake_engine_run (FakeEngine *engine, uint64_t now_us, FakeEventFunc func, void *data);
 
 /* The load report as it stood load_lag_us ago; upstream is left to the caller. */
 void fake_engine_load (FakeEngine *engine, uint64_t now_us, MfLoadEvent *load);
-/* Cache events not handed out before, late and with gaps; at most max. Returns how many were
- * written; *first is the number of the first. */
-uint32_t fake_engine_cache_events (FakeEngine *engine, uint64_t now_us, uint64_t *first,
-                                   uint64_t *hashes, bool *stored, uint32_t max);
+/* Cache events numbered above after that have become visible, up to the next gap; at most max.
+ * Returns how many were written; *first is the number of the first. Numbers start from 1, and
+ * hashes are prefix hashes XOR the cache salt. */
+uint32_t fake_engine_cache_events (const FakeEngine *engine, uint64_t now_us, uint64_t after,
+                                   uint64_t *first, uint64_t *hashes, bool *stored, uint32_t max);
 
 FakeVerdict fake_engine_order (FakeEngine *engine, MfOrderKind kind, const char *value,
                                uint64_t fence, uint64_t now_us);
@@ -146,9 +148,9 @@
 /* Faults. */
 void fake_engine_kill (FakeEngine *engine, uint64_t now_us);
 void fake_engine_restart (FakeEngine *engine, uint64_t now_us);
-void fake_engine_stall (FakeEngine *engine, uint64_t until_us);
-void fake_engine_stall_link (FakeEngine *engine, uint64_t until_us);
-void fake_engine_slow (FakeEngine *engine, uint32_t factor_percent); /* 100 is full speed */
+void fake_engine_stall (FakeEngine *engine, uint64_t now_us, uint64_t until_us);
+void fake_engine_stall_link (FakeEngine *engine, uint64_t now_us, uint64_t until_us);
+void fake_engine_slow (FakeEngine *engine, uint32_t speed_percent); /* 100 is full */
 void fake_engine_leave (FakeEngine *engine);
 bool fake_engine_is_dead (const FakeEngine *engine);
 
--- /dev/null
+++ b/tests/test_engine_model.c
@@ -0,0 +1,183 @@
+#include "tests/fakes/engine_model.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+typedef struct
+{
+  uint64_t handle;
+  uint64_t until_us;
+  uint32_t n_tokens;
+  uint32_t n_expired;
+  uint32_t n_finished;
+  uint32_t n_died;
+} Seen;
+
+static const FakeEngineOptions base = {
+  .slots = 2,
+  .queue = 4,
+  .pieces = 10,
+  .cache_pieces = 4,
+  .prefill_tokens_per_s = 10000,
+  .step_us = 10000,
+  .kv_token_bytes = 1000,
+  .link_bytes_per_s = 100000000,
+  .result_life_us = 500000,
+  .load_lag_us = 50000,
+  .poison_digest = 666,
+};
+
+static void
+see (FakeEngine *engine, const FakeEvent *event, void *data)
+{
+  Seen *seen = data;
+
+  (void)engine;
+  if (event->type == FAKE_PREFILLED)
+    {
+      seen->handle = event->n;
+      seen->until_us = event->until_us;
+    }
+  seen->n_tokens += event->type == FAKE_TOKEN;
+  seen->n_expired += event->type == FAKE_EXPIRED;
+  seen->n_finished += event->type == FAKE_FINISHED;
+  seen->n_died += event->type == FAKE_DIED;
+}
+
+static FakeEngine *
+make (MfRole role)
+{
+  FakeEngineOptions options = base;
+
+  options.role = role;
+  return fake_engine_new (&options, 0);
+}
+
+static FakeWork
+work_of (uint64_t request_id)
+{
+  return (FakeWork){
+    .id = { .owner = { .name = "a", .incarnation = 1 }, .request_id = request_id },
+    .prompt_tokens = 1000,
+    .max_tokens = 100,
+    .answer_tokens = 5,
+  };
+}
+
+static void
+test_prefill_then_decode_gives_the_answer (void **state)
+{
+  FakeEngine *prefill = make (MF_ROLE_PREFILL);
+  FakeEngine *decode = make (MF_ROLE_DECODE);
+  FakeWork work = work_of (1);
+  Seen seen = { 0 };
+
+  (void)state;
+  assert_int_equal (fake_engine_prefill (prefill, &work, 0), FAKE_ACCEPTED);
+  assert_int_equal (fake_engine_next_us (prefill), 100000);
+  fake_engine_run (prefill, 100000, see, &seen);
+  assert_int_equal (seen.until_us, 600000);
+  assert_int_equal (fake_engine_decode (decode, &work, prefill, seen.handle, 100000),
+                    FAKE_ACCEPTED);
+  assert_int_equal (fake_engine_next_us (decode), 110000);
+  fake_engine_run (decode, 1000000, see, &seen);
+  fake_engine_run (prefill, 1000000, see, &seen);
+  assert_int_equal (seen.n_tokens, 5);
+  assert_int_equal (seen.n_finished, 1);
+  assert_int_equal (seen.n_expired, 0);
+  assert_int_equal (fake_engine_ledger (prefill)->wasted_prefill_tokens, 0);
+  assert_int_equal (fake_engine_ledger (prefill)->prefill_tokens, 1000);
+  fake_engine_free (prefill);
+  fake_engine_free (decode);
+}
+
+static void
+test_untaken_result_is_wasted (void **state)
+{
+  FakeEngine *prefill = make (MF_ROLE_PREFILL);
+  FakeWork work = work_of (1);
+  Seen seen = { 0 };
+
+  (void)state;
+  fake_engine_prefill (prefill, &work, 0);
+  fake_engine_run (prefill, 700000, see, &seen);
+  assert_int_equal (seen.n_expired, 1);
+  assert_int_equal (fake_engine_ledger (prefill)->wasted_prefill_tokens, 1000);
+  fake_engine_free (prefill);
+}
+
+static void
+test_stream_resumes_at_the_token_asked_for (void **state)
+{
+  FakeEngine *prefill = make (MF_ROLE_PREFILL);
+  FakeEngine *decode = make (MF_ROLE_DECODE);
+  FakeWork work = work_of (1);
+  Seen seen = { 0 };
+
+  (void)state;
+  fake_engine_prefill (prefill, &work, 0);
+  fake_engine_run (prefill, 100000, see, &seen);
+  fake_engine_decode (decode, &work, prefill, seen.handle, 100000);
+  fake_engine_run (decode, 130000, see, &seen);
+  assert_int_equal (seen.n_tokens, 2);
+  fake_engine_detach (decode, &work.id, 130000);
+  assert_int_equal (fake_engine_resume (decode, &work.id, 1, 140000), FAKE_ACCEPTED);
+  fake_engine_run (decode, 1000000, see, &seen);
+  assert_int_equal (seen.n_tokens, 6);
+  assert_int_equal (seen.n_finished, 1);
+  fake_engine_free (prefill);
+  fake_engine_free (decode);
+}
+
+static void
+test_poison_kills_and_frees_all (void **state)
+{
+  FakeEngine *prefill = make (MF_ROLE_PREFILL);
+  FakeWork work = work_of (1);
+  Seen seen = { 0 };
+
+  (void)state;
+  work.digest = 666;
+  fake_engine_prefill (prefill, &work, 0);
+  assert_true (fake_engine_is_dead (prefill));
+  fake_engine_run (prefill, 0, see, &seen);
+  assert_int_equal (seen.n_died, 1);
+  assert_int_equal (fake_engine_prefill (prefill, &work, 1), FAKE_GONE);
+  fake_engine_restart (prefill, 2);
+  work.digest = 1;
+  assert_int_equal (fake_engine_prefill (prefill, &work, 3), FAKE_ACCEPTED);
+  fake_engine_free (prefill);
+}
+
+static void
+test_load_report_lags (void **state)
+{
+  FakeEngine *prefill = make (MF_ROLE_PREFILL);
+  FakeWork work = work_of (1);
+  MfLoadEvent load;
+
+  (void)state;
+  fake_engine_prefill (prefill, &work, 100000);
+  fake_engine_load (prefill, 120000, &load);
+  assert_int_equal (load.slots_used, 0);
+  fake_engine_load (prefill, 150000, &load);
+  assert_int_equal (load.slots_used, 1);
+  fake_engine_free (prefill);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_prefill_then_decode_gives_the_answer),
+    cmocka_unit_test (test_untaken_result_is_wasted),
+    cmocka_unit_test (test_stream_resumes_at_the_token_asked_for),
+    cmocka_unit_test (test_poison_kills_and_frees_all),
+    cmocka_unit_test (test_load_report_lags),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
