--- /dev/null
+++ b/libmangofork/httpd.h
@@ -0,0 +1,31 @@
+#ifndef MF_HTTPD_H
+#define MF_HTTPD_H
+
+#include "error.h"
+
+#include <ev.h>
+#include <microhttpd.h>
+
+/* A libmicrohttpd daemon without a thread, run by a libev loop through its epoll descriptor. */
+typedef struct MfHttpd MfHttpd;
+
+typedef struct
+{
+  const char *address;
+  uint32_t connections_max;
+  uint32_t connections_per_address_max; /* 0 for no limit */
+  uint32_t idle_timeout_s;
+  size_t connection_bytes; /* memory of one connection */
+  MHD_AccessHandlerCallback on_access;
+  MHD_RequestCompletedCallback on_completed;  /* may be NULL */
+  MHD_NotifyConnectionCallback on_connection; /* may be NULL */
+  void *data;
+} MfHttpdOptions;
+
+MfHttpd *mf_httpd_new (struct ev_loop *loop, const MfHttpdOptions *options, MfError *error);
+void mf_httpd_free (MfHttpd *httpd);
+uint16_t mf_httpd_port (const MfHttpd *httpd);
+/* A connection has been resumed: the daemon runs before the loop next waits. */
+void mf_httpd_wake (MfHttpd *httpd);
+
+#endif
