Claims name themselves in votes, outcomes and records

Cause: a release must free exactly the claim it speaks of, and a cell that lost its memory must say before when. Change: claim ids and cold_ms in the peer messages; a key without a quorum is refused as unknown, since an earlier arrival of it may have run. Conclusion: messages carry what the safety argument needs.

--- a/libmangofork/code.h
+++ b/libmangofork/code.h
@@ -40,7 +40,7 @@
   X (POISON, 3005, 422, RAN, "poison", "this request has killed upstreams and is not run again")   \
   X (ANSWER_TOO_LARGE, 3006, 502, RAN, "answer-too-large", "the upstream's answer is too large")   \
   X (KEY_UNKNOWN, 4001, 409, UNKNOWN, "key-unknown", "what became of this key's call is unknown")  \
-  X (KEY_NO_QUORUM, 4002, 503, NOT_RUN, "key-no-quorum", "too few instances can vouch for a key")  \
+  X (KEY_NO_QUORUM, 4002, 503, UNKNOWN, "key-no-quorum", "too few instances can vouch for a key")  \
   X (KEY_BODY_DIFFERS, 4003, 422, NOT_RUN, "key-body-differs",                                     \
      "the key was used with another body")                                                         \
   X (KEY_TOO_OLD, 4004, 409, UNKNOWN, "key-too-old", "the key is older than keys are kept")        \
--- a/libmangofork/peer.h
+++ b/libmangofork/peer.h
@@ -104,6 +104,7 @@
   bool abstained;
   bool body_differs;
   MfOwner holder; /* who was granted it, when not granted now */
+  uint64_t holder_claim_id;
   MfKeyState state;
   MfOwner view[MF_VOTERS_PER_KEY_MAX]; /* highest incarnation known of each voter of the cell */
   uint32_t n_view;
@@ -114,6 +115,7 @@
   uint8_t key[MF_DIGEST_BYTES];
   uint64_t body_digest;
   MfOwner claimant;
+  uint64_t claim_id;
   MfKeyState state;
   uint16_t status;
   uint32_t code;            /* MfCode */
@@ -128,6 +130,7 @@
   uint8_t key[MF_DIGEST_BYTES];
   uint64_t body_digest;
   MfOwner holder;
+  uint64_t claim_id;
   MfKeyState state;
   uint32_t age_ms;
 } MfKeyRecord;
@@ -143,7 +146,8 @@
 {
   uint64_t admit_id;
   bool agreed;
-  bool voter_admitted;          /* whether the answering voter is itself admitted */
+  bool voter_admitted; /* whether the answering voter is itself admitted */
+  uint64_t cold_ms;    /* wall clock before which the cell forgot its keys; 0 when it has not */
   uint64_t highest_incarnation; /* of the applicant's slot; the applicant must be above it */
   MfOwner view[MF_VOTERS_PER_KEY_MAX];
   uint32_t n_view;
