Calls to upstreams: libcurl multi on libev, with the engine and plain adapters

Cause: the core's call actions need an adapter that speaks HTTP/1.1. A call whose answer is over the limit fails as too large.

--- a/libmangofork/event.h
+++ b/libmangofork/event.h
@@ -72,6 +72,7 @@
   bool leaving;             /* the upstream said it is leaving */
   bool connect_failed;      /* failed: no connection could be made */
   bool timed_out;           /* failed: the adapter's own time limit */
+  bool too_large;           /* failed: the answer exceeded the limit */
 } MfCallEvent;
 
 /* A load report; measured_us says when it was true. */
--- a/libmangofork/http_out.c
+++ b/libmangofork/http_out.c
@@ -1,54 +1,732 @@
 #include "http_out.h"
 
-MfHttpOut *
-mf_http_out_new (struct ev_loop *loop, const MfHttpOutHooks *hooks, void *data, MfError *error)
+#include "clock.h"
+
+#include <curl/curl.h>
+#include <ev.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <uthash.h>
+
+#define ANSWER_BYTES_MAX_DEFAULT (4 * 1024 * 1024)
+#define CONNECTIONS_MAX_DEFAULT 8192
+#define HOST_CONNECTIONS_MAX_DEFAULT 512
+#define IDLE_CONNECTIONS_MAX 512
+#define HEADER_LINE_BYTES_MAX 8192
+#define TIMEOUT_US_DEFAULT (10 * MF_US_PER_S)
+
+typedef struct Call Call;
+
+/* One call to an upstream. It is found in the table by its id until its last event or its abort;
+ * after that it only waits to be taken off libcurl. */
+struct Call
+{
+  uint64_t id;
+  MfHttpOut *out;
+  const MfEngineAdapter *adapter;
+  void *state;
+  CURL *easy;
+  struct curl_slist *headers;
+  MfHttpRequest request;
+  MfCallKind kind;
+  ev_timer first_byte_timer;
+  uint64_t answer_bytes;
+  uint16_t status;
+  bool added;     /* libcurl has it */
+  bool sent;      /* a byte of it may have left */
+  bool answering; /* a byte of the answer has come */
+  bool held;      /* libcurl has paused it */
+  bool hold;      /* it should be paused */
+  bool refused;
+  bool leaving;
+  bool timed_out;
+  bool too_large;
+  bool ended;
+  Call *next; /* in one of the lists of out */
+  UT_hash_handle hh;
+};
+
+/* What a prefill engine returned, kept until it is forgotten. */
+typedef struct
+{
+  uint64_t call_id;
+  char *text;
+  size_t text_bytes;
+  UT_hash_handle hh;
+} KvHandle;
+
+/* A socket that libcurl wants watched. */
+typedef struct
+{
+  ev_io io;
+  MfHttpOut *out;
+} Watch;
+
+struct MfHttpOut
+{
+  struct ev_loop *loop;
+  MfHttpOutHooks hooks;
+  void *data;
+  CURLM *multi;
+  ev_timer curl_timer;
+  ev_timer soon; /* runs what may not run inside libcurl or inside a start */
+  Call *calls;
+  Call *to_add;
+  Call *to_fail;
+  Call *to_free;
+  Call *to_hold;
+  KvHandle *kv_handles;
+  bool in_curl; /* libcurl is on the stack: it may not be given or robbed of a call */
+};
+
+static void
+emit (MfHttpOut *out, MfEvent *event)
+{
+  event->now_us = mf_clock_now_us ();
+  event->wall_ms = mf_clock_wall_ms ();
+  out->hooks.on_event (event, out->data);
+}
+
+static void
+kv_handle_free (MfHttpOut *out, KvHandle *handle)
+{
+  HASH_DEL (out->kv_handles, handle);
+  free (handle->text);
+  free (handle);
+}
+
+static KvHandle *
+kv_handle_find (MfHttpOut *out, uint64_t call_id)
+{
+  KvHandle *handle = NULL;
+
+  HASH_FIND (hh, out->kv_handles, &call_id, sizeof call_id, handle);
+  return handle;
+}
+
+static void
+kv_handle_keep (Call *call)
+{
+  size_t n;
+  const char *text = call->adapter->kv_handle (call->state, &n);
+  KvHandle *handle = calloc (1, sizeof *handle);
+
+  if (handle == NULL || text == NULL)
+    {
+      free (handle);
+      return;
+    }
+  handle->call_id = call->id;
+  handle->text = strndup (text, n);
+  handle->text_bytes = handle->text == NULL ? 0 : n;
+  HASH_ADD (hh, call->out->kv_handles, call_id, sizeof handle->call_id, handle);
+}
+
+/* Hands on an event that the adapter found, with what only the connection knows. */
+static void
+on_call_event (MfEventType type, const MfCallEvent *found, void *data)
+{
+  Call *call = data;
+  MfEvent event = { .type = type, .call = *found };
+  char *content_type = NULL;
+
+  if (call->ended)
+    return;
+  event.call.call_id = call->id;
+  event.call.refused = call->refused;
+  event.call.leaving = call->leaving;
+  event.call.sent = call->sent;
+  event.call.timed_out = call->timed_out;
+  event.call.too_large = call->too_large;
+  if (type == MF_EVENT_CALL_FAILED)
+    event.call.connect_failed = !call->sent && !call->timed_out;
+  if (type == MF_EVENT_CALL_DONE && call->easy != NULL)
+    curl_easy_getinfo (call->easy, CURLINFO_CONTENT_TYPE, &content_type);
+  event.call.content_type = content_type;
+  if (type == MF_EVENT_CALL_PREFILLED)
+    kv_handle_keep (call);
+  emit (call->out, &event);
+}
+
+static void
+on_report_event (const MfEvent *found, void *data)
+{
+  Call *call = data;
+  MfEvent event = *found;
+
+  if (!call->ended)
+    emit (call->out, &event);
+}
+
+static void
+call_free (Call *call)
+{
+  ev_timer_stop (call->out->loop, &call->first_byte_timer);
+  if (call->added)
+    curl_multi_remove_handle (call->out->multi, call->easy);
+  if (call->easy != NULL)
+    curl_easy_cleanup (call->easy);
+  curl_slist_free_all (call->headers);
+  if (call->state != NULL)
+    call->adapter->release (call->state);
+  mf_http_request_clear (&call->request);
+  free (call);
+}
+
+static void
+list_drop (Call **list, const Call *call)
+{
+  for (; *list != NULL; list = &(*list)->next)
+    {
+      if (*list != call)
+        continue;
+      *list = call->next;
+      return;
+    }
+}
+
+static void
+list_push (Call **list, Call *call)
+{
+  call->next = *list;
+  *list = call;
+}
+
+/* Takes a call out of the table and off every list: no event of it is handed on any more. */
+static void
+call_unlink (Call *call)
+{
+  MfHttpOut *out = call->out;
+
+  call->ended = true;
+  HASH_DEL (out->calls, call);
+  ev_timer_stop (out->loop, &call->first_byte_timer);
+  if (!call->added)
+    {
+      list_drop (&out->to_add, call);
+      list_drop (&out->to_fail, call);
+    }
+  list_drop (&out->to_hold, call);
+}
+
+/* Ends a call with its last event. */
+static void
+call_end (Call *call, bool whole)
+{
+  MfHttpOut *out = call->out;
+
+  ev_timer_stop (out->loop, &call->first_byte_timer);
+  if (call->state != NULL)
+    call->adapter->end (call->state, call->status, whole && !call->too_large, mf_clock_now_us ());
+  else
+    on_call_event (MF_EVENT_CALL_FAILED, &(MfCallEvent){ 0 }, call);
+  if (call->ended)
+    return;
+  call_unlink (call);
+  list_push (&out->to_free, call);
+}
+
+static void
+apply_hold (Call *call)
+{
+  if (!call->added || call->held == call->hold)
+    return;
+  call->held = call->hold;
+  curl_easy_pause (call->easy, call->hold ? CURLPAUSE_RECV : CURLPAUSE_CONT);
+}
+
+static void
+call_add (Call *call)
+{
+  if (curl_multi_add_handle (call->out->multi, call->easy) != CURLM_OK)
+    {
+      call_end (call, false);
+      return;
+    }
+  call->added = true;
+  ev_timer_start (call->out->loop, &call->first_byte_timer);
+}
+
+/* Reports each transfer that libcurl has finished. */
+static void
+read_messages (MfHttpOut *out)
+{
+  CURLMsg *message;
+  int n_left;
+
+  while ((message = curl_multi_info_read (out->multi, &n_left)) != NULL)
+    {
+      CURL *easy = message->easy_handle;
+      CURLcode result = message->data.result;
+      Call *call;
+
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      curl_easy_getinfo (easy, CURLINFO_PRIVATE, (char **)&call);
+      if (!call->ended)
+        call_end (call, result == CURLE_OK);
+    }
+}
+
+/* Does what had to wait until libcurl was off the stack. Each step may queue more. */
+static void
+settle (MfHttpOut *out)
+{
+  Call *call;
+
+  if (out->in_curl)
+    return;
+  read_messages (out);
+  while ((call = out->to_free) != NULL)
+    {
+      out->to_free = call->next;
+      call_free (call);
+    }
+  while ((call = out->to_hold) != NULL)
+    {
+      out->to_hold = call->next;
+      out->in_curl = true;
+      apply_hold (call);
+      out->in_curl = false;
+    }
+  while ((call = out->to_add) != NULL)
+    {
+      out->to_add = call->next;
+      call_add (call);
+    }
+  while ((call = out->to_fail) != NULL)
+    {
+      out->to_fail = call->next;
+      call_end (call, false);
+    }
+  if (out->to_free != NULL || out->to_hold != NULL || out->to_add != NULL)
+    ev_feed_event (out->loop, &out->soon, EV_TIMER);
+}
+
+static void
+run_curl (MfHttpOut *out, curl_socket_t fd, int mask)
+{
+  int n_running;
+
+  out->in_curl = true;
+  curl_multi_socket_action (out->multi, fd, mask, &n_running);
+  out->in_curl = false;
+  settle (out);
+}
+
+static void
+on_curl_timer (struct ev_loop *loop, ev_timer *timer, int events)
 {
   (void)loop;
-  (void)hooks;
-  (void)data;
-  mf_error_set (error, MF_CODE_INTERNAL, "not made yet");
-  return NULL;
+  (void)events;
+  run_curl (timer->data, CURL_SOCKET_TIMEOUT, 0);
 }
 
-void
-mf_http_out_free (MfHttpOut *out)
+static void
+on_soon (struct ev_loop *loop, ev_timer *timer, int events)
 {
-  (void)out;
+  (void)loop;
+  (void)events;
+  settle (timer->data);
 }
 
+static void
+on_ready (struct ev_loop *loop, ev_io *io, int events)
+{
+  Watch *watch = io->data;
+  int mask
+      = ((events & EV_READ) ? CURL_CSELECT_IN : 0) | ((events & EV_WRITE) ? CURL_CSELECT_OUT : 0);
+
+  (void)loop;
+  run_curl (watch->out, io->fd, mask);
+}
+
+static int
+on_curl_socket (CURL *easy, curl_socket_t fd, int what, void *data, void *socket_data)
+{
+  MfHttpOut *out = data;
+  Watch *watch = socket_data;
+  int events = ((what & CURL_POLL_IN) ? EV_READ : 0) | ((what & CURL_POLL_OUT) ? EV_WRITE : 0);
+
+  (void)easy;
+  if (watch != NULL)
+    ev_io_stop (out->loop, &watch->io);
+  if (what == CURL_POLL_REMOVE)
+    {
+      curl_multi_assign (out->multi, fd, NULL);
+      free (watch);
+      return 0;
+    }
+  if (watch == NULL)
+    {
+      watch = calloc (1, sizeof *watch);
+      if (watch == NULL)
+        return -1;
+      watch->out = out;
+      curl_multi_assign (out->multi, fd, watch);
+    }
+  ev_io_init (&watch->io, on_ready, fd, events);
+  watch->io.data = watch;
+  if (events != 0)
+    ev_io_start (out->loop, &watch->io);
+  return 0;
+}
+
+static int
+on_curl_wants_timer (CURLM *multi, long timeout_ms, void *data)
+{
+  MfHttpOut *out = data;
+
+  (void)multi;
+  ev_timer_stop (out->loop, &out->curl_timer);
+  if (timeout_ms < 0)
+    return 0;
+  ev_timer_set (&out->curl_timer, (double)timeout_ms / 1000.0, 0.0);
+  ev_timer_start (out->loop, &out->curl_timer);
+  return 0;
+}
+
+/* libcurl is connected and about to send: from here on, "not run" is no longer certain. */
+static int
+on_before_send (void *data, char *remote_ip, char *local_ip, int remote_port, int local_port)
+{
+  Call *call = data;
+
+  (void)remote_ip;
+  (void)local_ip;
+  (void)remote_port;
+  (void)local_port;
+  if (call->ended)
+    return CURL_PREREQFUNC_ABORT;
+  if (!call->sent)
+    {
+      call->sent = true;
+      on_call_event (MF_EVENT_CALL_SENT, &(MfCallEvent){ 0 }, call);
+    }
+  return call->ended ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
+static bool
+header_is (const char *line, size_t line_bytes, const char *header)
+{
+  size_t n = strlen (header);
+
+  return line_bytes >= n && strncasecmp (line, header, n) == 0;
+}
+
+static size_t
+on_header (char *line, size_t size, size_t n, void *data)
+{
+  Call *call = data;
+  size_t line_bytes = size * n;
+  long status = 0;
+
+  if (call->ended || line_bytes > HEADER_LINE_BYTES_MAX)
+    return 0;
+  if (!call->answering)
+    {
+      call->answering = true;
+      ev_timer_stop (call->out->loop, &call->first_byte_timer);
+    }
+  curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+  call->status = (uint16_t)status;
+  if (header_is (line, line_bytes, "Mangofork-Ran: no"))
+    call->refused = true;
+  if (header_is (line, line_bytes, "Mangofork-Leaving: yes"))
+    call->leaving = true;
+  return line_bytes;
+}
+
+static size_t
+on_body (char *data, size_t size, size_t n, void *user)
+{
+  Call *call = user;
+  size_t data_bytes = size * n;
+  bool streams = call->kind == MF_CALL_DECODE || call->kind == MF_CALL_RESUME;
+  MfError error = { 0 };
+
+  if (call->ended)
+    return 0;
+  call->answer_bytes += data_bytes;
+  if (!streams && call->answer_bytes > call->out->hooks.answer_bytes_max)
+    {
+      call->too_large = true;
+      return 0;
+    }
+  if (!call->adapter->feed (call->state, data, data_bytes, &error) || call->ended)
+    return 0;
+  return data_bytes;
+}
+
+static void
+on_first_byte_late (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  Call *call = timer->data;
+  MfHttpOut *out = call->out;
+
+  (void)loop;
+  (void)events;
+  call->timed_out = true;
+  call_end (call, false);
+  settle (out);
+}
+
+static bool
+add_header_lines (Call *call)
+{
+  char *rest = call->request.headers;
+  struct curl_slist *grown = curl_slist_append (NULL, "Expect:");
+
+  while (grown != NULL && rest != NULL && *rest != '\0')
+    {
+      char *line = strsep (&rest, "\n");
+      struct curl_slist *more = *line == '\0' ? grown : curl_slist_append (grown, line);
+
+      if (more == NULL)
+        curl_slist_free_all (grown);
+      grown = more;
+    }
+  call->headers = grown;
+  return grown != NULL;
+}
+
+static void
+set_method (CURL *easy, const MfHttpRequest *request)
+{
+  if (request->body != NULL || strcmp (request->method, "POST") == 0)
+    {
+      curl_easy_setopt (easy, CURLOPT_POST, 1L);
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDS, request->body != NULL ? request->body : "");
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)request->body_bytes);
+    }
+  if (strcmp (request->method, "HEAD") == 0)
+    curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
+  else
+    curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, request->method);
+}
+
+/* Sets the transfer up: no redirect, no proxy, HTTP/1.1, and nothing that libcurl would send again
+ * by itself when the call may not be repeated. */
+static bool
+set_transfer (Call *call, bool fresh_connection)
+{
+  CURL *easy = call->easy;
+
+  if (!add_header_lines (call))
+    return false;
+  set_method (easy, &call->request);
+  curl_easy_setopt (easy, CURLOPT_URL, call->request.url);
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
+  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt (easy, CURLOPT_FOLLOWLOCATION, 0L);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, fresh_connection ? 1L : 0L);
+  curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, fresh_connection ? 1L : 0L);
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_before_send);
+  curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, call);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
+  return true;
+}
+
+static bool
+call_prepare (Call *call, const MfCallAction *action, const MfCallMaterial *material)
+{
+  MfCallMaterial with_handle = material != NULL ? *material : (MfCallMaterial){ 0 };
+  KvHandle *handle = kv_handle_find (call->out, action->prefill_call_id);
+  MfError error = { 0 };
+
+  if (action->kind == MF_CALL_DECODE && handle != NULL)
+    {
+      with_handle.kv_handle = handle->text;
+      with_handle.kv_handle_bytes = handle->text_bytes;
+    }
+  if (call->adapter == NULL
+      || !call->adapter->build (action, &with_handle, &call->out->hooks.self, &call->request,
+                                &error))
+    return false;
+  call->state = call->adapter->begin (action, on_call_event, on_report_event, call);
+  call->easy = curl_easy_init ();
+  return call->state != NULL && call->easy != NULL && set_transfer (call, action->fresh_connection);
+}
+
+static const MfEngineAdapter *
+find_adapter (const MfCallAction *action)
+{
+  if (action->kind == MF_CALL_PLAIN)
+    return &mf_plain_adapter;
+  return mf_adapter_find (action->engine);
+}
+
+/* Starts a call. Whatever becomes of it, its last event comes later, from the loop. The material is
+ * borrowed for the duration of this function and may be NULL for calls that serve no request. */
 void
-mf_http_out_start (MfHttpOut *out, const MfCallAction *call, const MfCallMaterial *material)
+mf_http_out_start (MfHttpOut *out, const MfCallAction *action, const MfCallMaterial *material)
 {
-  (void)out;
-  (void)call;
-  (void)material;
+  Call *call = calloc (1, sizeof *call);
+  uint64_t timeout_us = action->timeout_us > 0 ? action->timeout_us : TIMEOUT_US_DEFAULT;
+
+  if (call == NULL)
+    abort ();
+  call->id = action->call_id;
+  call->out = out;
+  call->kind = action->kind;
+  call->adapter = find_adapter (action);
+  ev_timer_init (&call->first_byte_timer, on_first_byte_late, (double)timeout_us / 1e6, 0.0);
+  call->first_byte_timer.data = call;
+  HASH_ADD (hh, out->calls, id, sizeof call->id, call);
+  list_push (call_prepare (call, action, material) ? &out->to_add : &out->to_fail, call);
+  ev_feed_event (out->loop, &out->soon, EV_TIMER);
 }
 
+static Call *
+call_find (MfHttpOut *out, uint64_t call_id)
+{
+  Call *call = NULL;
+
+  HASH_FIND (hh, out->calls, &call_id, sizeof call_id, call);
+  return call;
+}
+
+/* Closes the call's connection. No event of it follows. Unknown calls are passed over. */
 void
 mf_http_out_abort (MfHttpOut *out, uint64_t call_id)
 {
-  (void)out;
-  (void)call_id;
+  Call *call = call_find (out, call_id);
+
+  if (call == NULL)
+    return;
+  call_unlink (call);
+  list_push (&out->to_free, call);
+  ev_feed_event (out->loop, &out->soon, EV_TIMER);
 }
 
+/* Stops or goes on reading the call's answer, so that a slow caller slows its upstream. */
 void
 mf_http_out_hold (MfHttpOut *out, uint64_t call_id, bool hold)
 {
-  (void)out;
-  (void)call_id;
-  (void)hold;
+  Call *call = call_find (out, call_id);
+
+  if (call == NULL || call->hold == hold)
+    return;
+  call->hold = hold;
+  list_drop (&out->to_hold, call);
+  if (hold)
+    {
+      apply_hold (call);
+      return;
+    }
+  if (!call->added)
+    return;
+  list_push (&out->to_hold, call);
+  ev_feed_event (out->loop, &out->soon, EV_TIMER);
 }
 
+/* Drops the KV handle that a prefill left under its call id. */
 void
 mf_http_out_forget (MfHttpOut *out, uint64_t call_id)
 {
-  (void)out;
-  (void)call_id;
+  KvHandle *handle = kv_handle_find (out, call_id);
+
+  if (handle != NULL)
+    kv_handle_free (out, handle);
 }
 
 uint32_t
 mf_http_out_count (const MfHttpOut *out)
 {
-  (void)out;
-  return 0;
+  return HASH_COUNT (out->calls);
+}
+
+static bool
+set_multi (MfHttpOut *out)
+{
+  CURLM *multi = out->multi;
+
+  return curl_multi_setopt (multi, CURLMOPT_SOCKETFUNCTION, on_curl_socket) == CURLM_OK
+         && curl_multi_setopt (multi, CURLMOPT_SOCKETDATA, out) == CURLM_OK
+         && curl_multi_setopt (multi, CURLMOPT_TIMERFUNCTION, on_curl_wants_timer) == CURLM_OK
+         && curl_multi_setopt (multi, CURLMOPT_TIMERDATA, out) == CURLM_OK
+         && curl_multi_setopt (multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING) == CURLM_OK
+         && curl_multi_setopt (multi, CURLMOPT_MAXCONNECTS, (long)IDLE_CONNECTIONS_MAX) == CURLM_OK
+         && curl_multi_setopt (multi, CURLMOPT_MAX_TOTAL_CONNECTIONS,
+                               (long)out->hooks.connections_max)
+                == CURLM_OK
+         && curl_multi_setopt (multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                               (long)out->hooks.host_connections_max)
+                == CURLM_OK;
+}
+
+/* Returns a handle owned by the caller, or NULL with error set. */
+MfHttpOut *
+mf_http_out_new (struct ev_loop *loop, const MfHttpOutHooks *hooks, void *data, MfError *error)
+{
+  MfHttpOut *out = calloc (1, sizeof *out);
+
+  if (out == NULL)
+    {
+      mf_error_set (error, MF_CODE_NO_MEMORY, "no memory for calls to upstreams");
+      return NULL;
+    }
+  out->loop = loop;
+  out->hooks = *hooks;
+  out->data = data;
+  if (out->hooks.answer_bytes_max == 0)
+    out->hooks.answer_bytes_max = ANSWER_BYTES_MAX_DEFAULT;
+  if (out->hooks.connections_max == 0)
+    out->hooks.connections_max = CONNECTIONS_MAX_DEFAULT;
+  if (out->hooks.host_connections_max == 0)
+    out->hooks.host_connections_max = HOST_CONNECTIONS_MAX_DEFAULT;
+  ev_timer_init (&out->curl_timer, on_curl_timer, 0.0, 0.0);
+  ev_timer_init (&out->soon, on_soon, 0.0, 0.0);
+  out->curl_timer.data = out;
+  out->soon.data = out;
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  out->multi = curl_multi_init ();
+  if (out->multi == NULL || !set_multi (out))
+    {
+      mf_error_set (error, MF_CODE_INTERNAL, "libcurl's multi interface could not be set up");
+      mf_http_out_free (out);
+      return NULL;
+    }
+  return out;
+}
+
+/* Closes every connection, without events, and frees the handle. Accepts NULL. */
+void
+mf_http_out_free (MfHttpOut *out)
+{
+  Call *call;
+  Call *next_call;
+  KvHandle *handle;
+  KvHandle *next_handle;
+
+  if (out == NULL)
+    return;
+  HASH_ITER (hh, out->calls, call, next_call)
+  {
+    call_unlink (call);
+    list_push (&out->to_free, call);
+  }
+  while ((call = out->to_free) != NULL)
+    {
+      out->to_free = call->next;
+      call_free (call);
+    }
+  HASH_ITER (hh, out->kv_handles, handle, next_handle) kv_handle_free (out, handle);
+  ev_timer_stop (out->loop, &out->curl_timer);
+  ev_timer_stop (out->loop, &out->soon);
+  ev_clear_pending (out->loop, &out->soon);
+  if (out->multi != NULL)
+    curl_multi_cleanup (out->multi);
+  ev_timer_stop (out->loop, &out->curl_timer);
+  curl_global_cleanup ();
+  free (out);
 }
