--- a/libmangofork/event.h
+++ b/libmangofork/event.h
@@ -21,7 +21,7 @@
   MF_EVENT_CACHE,          /* cache events of an upstream */
   MF_EVENT_TEXT,           /* a revision of the operators' text, from the platform */
   MF_EVENT_LIST,           /* the published list of instances */
-  MF_EVENT_PLATFORM_LOST,  /* a read of the platform failed */
+  MF_EVENT_PLATFORM_LOST,  /* a read of the platform failed; lost says which */
   MF_EVENT_PEER_UP,        /* an authenticated link to a peer */
   MF_EVENT_PEER_DOWN,
   MF_EVENT_PEER_MESSAGE,
@@ -114,15 +114,6 @@
   size_t text_bytes;
 } MfTextEvent;
 
-/* One instance as the platform publishes it. */
-typedef struct
-{
-  char name[MF_NAME_BYTES];
-  char address[MF_ADDRESS_BYTES]; /* of its peer port */
-  char data_centre[MF_NAME_BYTES];
-  bool leaving;
-} MfListed;
-
 typedef struct
 {
   uint64_t index;
@@ -130,6 +121,14 @@
   uint32_t n_listed;
 } MfListEvent;
 
+/* Which reads failed; neither set means both. */
+typedef struct
+{
+  bool text;
+  bool list;
+} MfLostEvent;
+
+/* A link that could not be made is reported as PEER_DOWN with link_id 0 and the peer's name. */
 typedef struct
 {
   uint32_t link_id;               /* given by the adapter; unique within this process */
@@ -152,6 +151,7 @@
     MfCacheEvent cache;
     MfTextEvent text;
     MfListEvent list;
+    MfLostEvent lost;
     MfPeerEvent peer;
   };
 } MfEvent;
--- a/libmangofork/peer.h
+++ b/libmangofork/peer.h
@@ -22,6 +22,8 @@
   MF_PEER_OUTCOME_ASK,
   MF_PEER_ADMIT, /* a fresh incarnation asks to be let into a cell of voters */
   MF_PEER_ADMITTED,
+  MF_PEER_LIST_ASK, /* asks for the list of instances when its index is above the asker's */
+  MF_PEER_LIST,
   MF_PEER_MESSAGE_COUNT,
 } MfPeerMessageType;
 
@@ -34,6 +36,8 @@
   MF_NEWS_CONVICTED,        /* subject: digest of a request */
   MF_NEWS_INSTANCE_DEAD,    /* subject: hash of the slot's name; value: dead incarnation */
   MF_NEWS_FENCE,            /* subject: hash of the upstream's name; value: fencing number */
+  MF_NEWS_INSTANCE_SUSPECT, /* as dead: it was not heard */
+  MF_NEWS_INSTANCE_ALIVE,   /* as dead: it was heard, or says so itself */
   MF_NEWS_KIND_COUNT,
 } MfNewsKind;
 
@@ -68,15 +72,36 @@
   uint32_t n_shares;
   const uint8_t *burn; /* encoded by mf_burn_pack; may be NULL */
   uint32_t burn_bytes;
+  bool guardian; /* the receiver pays this sender's debts when it dies */
 } MfDigestMessage;
 
 typedef struct
 {
   uint64_t revision;
-  const char *text; /* borrowed */
+  const char *text; /* borrowed; whole, or what changed between prefix and suffix of the base */
   uint32_t text_bytes;
+  uint64_t base_revision; /* 0 when text is whole */
+  uint32_t prefix_bytes;  /* of the base's text, kept before the change */
+  uint32_t suffix_bytes;  /* and after it */
+  uint64_t whole_hash;    /* of the whole text */
 } MfConfigMessage;
 
+/* One instance as the platform publishes it. */
+typedef struct
+{
+  char name[MF_NAME_BYTES];
+  char address[MF_ADDRESS_BYTES]; /* of its peer port */
+  char data_centre[MF_NAME_BYTES];
+  bool leaving;
+} MfListed;
+
+typedef struct
+{
+  uint64_t index;
+  const MfListed *listed; /* borrowed */
+  uint32_t n_listed;
+} MfListMessage;
+
 /* The state of one key as a voter or a claimant knows it. */
 typedef enum
 {
@@ -160,8 +185,10 @@
   MfPeerMessageType type;
   union
   {
-    MfDigestMessage digest;
-    uint64_t ask_revision; /* MF_PEER_CONFIG_ASK: the asker's own revision */
+    MfDigestMessage digest; /* every member of the union starts where this one does */
+    uint64_t ask_revision;  /* MF_PEER_CONFIG_ASK: the asker's own revision */
+    uint64_t ask_index;     /* MF_PEER_LIST_ASK: the asker's own index */
+    MfListMessage list;
     MfConfigMessage config;
     MfClaimMessage claim;
     MfVoteMessage vote;
