--- a/libmangofork/httpd.c
+++ b/libmangofork/httpd.c
@@ -105,6 +105,7 @@
         (unsigned)options->idle_timeout_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
         options->connection_bytes, MHD_OPTION_NOTIFY_COMPLETED, options->on_completed,
         options->data, MHD_OPTION_NOTIFY_CONNECTION, options->on_connection, options->data,
+        MHD_OPTION_URI_LOG_CALLBACK, options->on_uri, options->data,
         MHD_OPTION_SIGPIPE_HANDLED_BY_APP, 1, MHD_OPTION_END);
   if (httpd == NULL || httpd->daemon == NULL)
     {
--- a/libmangofork/httpd.h
+++ b/libmangofork/httpd.h
@@ -17,6 +17,7 @@
   uint32_t idle_timeout_s;
   size_t connection_bytes; /* memory of one connection */
   MHD_AccessHandlerCallback on_access;
+  void *(*on_uri) (void *data, const char *uri, struct MHD_Connection *connection); /* or NULL */
   MHD_RequestCompletedCallback on_completed;  /* may be NULL */
   MHD_NotifyConnectionCallback on_connection; /* may be NULL */
   void *data;
--- a/libmangofork/intake.h
+++ b/libmangofork/intake.h
@@ -10,11 +10,11 @@
 typedef struct
 {
   const char *method;
-  const char *path; /* with its query */
+  const char *path; /* without its query */
   const char *content_type;
   const char *authorization;
   const char *idempotency_key;
-  const char *request_name; /* X-Request-Id */
+  const char *request_name; /* X-Request-Id, or one made by the adapter; never NULL */
   const char *deadline_ms;  /* Mangofork-Deadline-Ms */
   const char *class_;       /* Mangofork-Class */
   const char *body;
@@ -33,7 +33,7 @@
 /* Whether a path is one of the model interface, and whether it is the chat form. */
 bool mf_intake_is_model_path (const char *path, bool *chat);
 /* Reads and checks a request. Returns false with error set when it is malformed; the intake's name
- * is set even then. request_id and missing names are made from request_id. */
+ * is set even then. */
 bool mf_intake_read (const MfIntakeSource *source, uint64_t request_id, MfIntake *intake,
                      MfError *error);
 /* Writes the chained hashes of the whole pieces of the prompt in a body, as the request event
