--- /dev/null
+++ b/libmangofork/server.c
@@ -0,0 +1,332 @@
+#include "server.h"
+
+#include "clock.h"
+#include "core.h"
+#include "http_in.h"
+#include "http_out.h"
+#include "logger.h"
+#include "platform.h"
+
+#include <ev.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdlib.h>
+
+struct MfServer
+{
+  MfSettings settings;
+  struct ev_loop *loop;
+  MfCore *core;
+  MfLogger *logger;
+  MfHttpIn *in;
+  MfHttpOut *out;
+  MfPlatform *platform;
+  ev_signal terminate;
+  ev_signal interrupt;
+  ev_timer tick;
+  ev_prepare before_wait;
+  uint64_t tick_us; /* when the armed tick is due */
+  uint64_t *failed; /* calls that could not start, to be reported after the step */
+  size_t n_failed;
+  size_t failed_size;
+};
+
+static void
+core_step (MfServer *server, MfEvent *event)
+{
+  event->now_us = mf_clock_now_us ();
+  event->wall_ms = mf_clock_wall_ms ();
+  mf_core_step (server->core, event);
+}
+
+/* Gives the core an event, and then the failures that its actions met at once. */
+static void
+server_step (MfServer *server, const MfEvent *event)
+{
+  MfEvent copy = *event;
+
+  core_step (server, &copy);
+  for (size_t i = 0; i < server->n_failed; i++)
+    {
+      MfEvent failed = { .type = MF_EVENT_CALL_FAILED, .call = { .call_id = server->failed[i] } };
+
+      core_step (server, &failed);
+    }
+  server->n_failed = 0;
+}
+
+static void
+on_event (const MfEvent *event, void *data)
+{
+  server_step (data, event);
+}
+
+/* Remembers a call that could not start, until the core may be stepped again. */
+static void
+call_fail (MfServer *server, uint64_t call_id)
+{
+  if (server->n_failed == server->failed_size)
+    {
+      size_t size = server->failed_size == 0 ? 64 : server->failed_size * 2;
+      uint64_t *failed = realloc (server->failed, size * sizeof *failed);
+
+      if (failed == NULL)
+        abort ();
+      server->failed = failed;
+      server->failed_size = size;
+    }
+  server->failed[server->n_failed++] = call_id;
+}
+
+static void
+call_start (MfServer *server, const MfCallAction *call)
+{
+  MfCallMaterial material = { 0 };
+  bool feeds = call->kind == MF_CALL_DECODE || call->kind == MF_CALL_RESUME;
+
+  if (call->request_id != 0 && !mf_http_in_material (server->in, call->request_id, &material)
+      && (feeds || call->kind == MF_CALL_PREFILL || call->kind == MF_CALL_PLAIN))
+    {
+      call_fail (server, call->call_id);
+      return;
+    }
+  mf_http_out_start (server->out, call, &material);
+  if (feeds)
+    mf_http_in_fed_by (server->in, call->request_id, call->call_id);
+}
+
+static void
+on_action (const MfAction *action, void *data)
+{
+  MfServer *server = data;
+
+  switch (action->type)
+    {
+    case MF_ACTION_CALL_START:
+      call_start (server, &action->call);
+      break;
+    case MF_ACTION_CALL_ABORT:
+      mf_http_out_abort (server->out, action->call_id);
+      break;
+    case MF_ACTION_CALL_FORGET:
+      mf_http_out_forget (server->out, action->call_id);
+      break;
+    case MF_ACTION_ANSWER_TOKENS:
+    case MF_ACTION_ANSWER_END:
+    case MF_ACTION_ANSWER_WHOLE:
+    case MF_ACTION_ANSWER_REFUSE:
+      mf_http_in_answer (server->in, action);
+      break;
+    case MF_ACTION_PLATFORM_TEXT:
+      mf_platform_read_text (server->platform, action->platform_index);
+      break;
+    case MF_ACTION_PLATFORM_LIST:
+      mf_platform_read_list (server->platform, action->platform_index);
+      break;
+    case MF_ACTION_LOG:
+      mf_logger_note (server->logger, &action->log);
+      break;
+    case MF_ACTION_EXIT:
+      ev_break (server->loop, EVBREAK_ALL);
+      break;
+    case MF_ACTION_PEER_OPEN:
+    case MF_ACTION_PEER_CLOSE:
+    case MF_ACTION_PEER_SEND:
+    case MF_ACTION_READY: /* the core keeps it on the board */
+    case MF_ACTION_COUNT:
+      break;
+    }
+}
+
+static void
+on_hold (uint64_t call_id, bool hold, void *data)
+{
+  MfServer *server = data;
+
+  mf_http_out_hold (server->out, call_id, hold);
+}
+
+static const MfConfig *
+on_config (void *data)
+{
+  const MfServer *server = data;
+
+  return server->core->board.config;
+}
+
+static void
+on_refused (MfCode code, void *data)
+{
+  MfServer *server = data;
+
+  server->core->board.counters.by_code[mf_code_index (code)]++;
+}
+
+static void
+tick_due (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  MfServer *server = watcher->data;
+  const MfEvent event = { .type = MF_EVENT_TICK };
+
+  (void)loop;
+  (void)events;
+  server->tick_us = UINT64_MAX;
+  server_step (server, &event);
+}
+
+/* Before the loop waits, the tick is set to when the core next wants it. */
+static void
+tick_arm (struct ev_loop *loop, ev_prepare *watcher, int events)
+{
+  MfServer *server = watcher->data;
+  uint64_t due_us = mf_core_next_us (server->core);
+  uint64_t now_us = mf_clock_now_us ();
+
+  (void)events;
+  if (due_us == server->tick_us)
+    return;
+  server->tick_us = due_us;
+  ev_timer_stop (loop, &server->tick);
+  if (due_us == UINT64_MAX)
+    return;
+  ev_now_update (loop);
+  ev_timer_set (&server->tick,
+                due_us > now_us ? (double)(due_us - now_us) / (double)MF_US_PER_S : 0, 0);
+  ev_timer_start (loop, &server->tick);
+}
+
+static void
+shutdown_asked (struct ev_loop *loop, ev_signal *watcher, int events)
+{
+  const MfEvent event = { .type = MF_EVENT_SHUTDOWN };
+
+  (void)loop;
+  (void)events;
+  server_step (watcher->data, &event);
+}
+
+static void
+server_watch (MfServer *server)
+{
+  ev_signal_init (&server->terminate, shutdown_asked, SIGTERM);
+  server->terminate.data = server;
+  ev_signal_start (server->loop, &server->terminate);
+  ev_signal_init (&server->interrupt, shutdown_asked, SIGINT);
+  server->interrupt.data = server;
+  ev_signal_start (server->loop, &server->interrupt);
+  ev_init (&server->tick, tick_due);
+  server->tick.data = server;
+  server->tick_us = UINT64_MAX;
+  ev_prepare_init (&server->before_wait, tick_arm);
+  server->before_wait.data = server;
+  ev_prepare_start (server->loop, &server->before_wait);
+}
+
+static bool
+callers_open (MfServer *server, MfError *error)
+{
+  const MfSettings *settings = &server->settings;
+  const MfHttpInOptions options = {
+    .listen = settings->listen,
+    .header_bytes_max = settings->header_bytes_max,
+    .body_bytes_max = settings->body_bytes_max,
+    .connections_max = settings->connections_max,
+    .connections_per_address_max = settings->connections_per_address_max,
+    .slow_sender_us = settings->slow_sender_us,
+    .caller_buffer_bytes = settings->caller_buffer_bytes,
+  };
+  const MfHttpInHooks hooks = {
+    .on_event = on_event,
+    .on_hold = on_hold,
+    .on_config = on_config,
+    .on_refused = on_refused,
+  };
+
+  server->in = mf_http_in_new (server->loop, &options, &hooks, server, error);
+  return server->in != NULL;
+}
+
+static bool
+upstreams_open (MfServer *server, MfError *error)
+{
+  const MfHttpOutHooks hooks = {
+    .self = server->settings.options.self,
+    .answer_bytes_max = server->settings.answer_bytes_max,
+    .on_event = on_event,
+  };
+
+  server->out = mf_http_out_new (server->loop, &hooks, server, error);
+  if (server->out == NULL)
+    return false;
+  server->platform = mf_platform_new (server->loop, &server->settings, on_event, server, error);
+  return server->platform != NULL;
+}
+
+static bool
+core_open (MfServer *server, MfError *error)
+{
+  MfOptions *options = &server->settings.options;
+
+  options->self.incarnation = mf_clock_wall_ms ();
+  randombytes_buf (&options->seed, sizeof options->seed);
+  server->core
+      = mf_core_new (options, mf_clock_now_us (), mf_clock_wall_ms (), on_action, server, error);
+  return server->core != NULL;
+}
+
+MfServer *
+mf_server_new (const MfSettings *settings, MfError *error)
+{
+  MfServer *server = calloc (1, sizeof *server);
+
+  if (server == NULL || sodium_init () < 0)
+    {
+      mf_error_set (error, MF_CODE_NO_MEMORY, "no memory for the server");
+      free (server);
+      return NULL;
+    }
+  signal (SIGPIPE, SIG_IGN);
+  server->settings = *settings;
+  server->loop = ev_loop_new (EVFLAG_AUTO);
+  server->logger = mf_logger_new (settings->log_level, settings->options.self.name, error);
+  if (server->loop == NULL || server->logger == NULL || !core_open (server, error)
+      || !upstreams_open (server, error) || !callers_open (server, error))
+    {
+      mf_error_set (error, MF_CODE_INTERNAL, "the event loop could not be made");
+      mf_server_free (server);
+      return NULL;
+    }
+  server_watch (server);
+  return server;
+}
+
+void
+mf_server_run (MfServer *server)
+{
+  const MfEvent first = { .type = MF_EVENT_TICK };
+
+  server_step (server, &first);
+  ev_run (server->loop, 0);
+}
+
+void
+mf_server_free (MfServer *server)
+{
+  if (server == NULL)
+    return;
+  mf_http_in_free (server->in);
+  mf_http_out_free (server->out);
+  mf_platform_free (server->platform);
+  mf_core_free (server->core);
+  mf_logger_free (server->logger);
+  if (server->loop != NULL)
+    {
+      ev_signal_stop (server->loop, &server->terminate);
+      ev_signal_stop (server->loop, &server->interrupt);
+      ev_timer_stop (server->loop, &server->tick);
+      ev_prepare_stop (server->loop, &server->before_wait);
+      ev_loop_destroy (server->loop);
+    }
+  free (server->failed);
+  free (server);
+}
