--- /dev/null
+++ b/tests/fakes/http.c
@@ -0,0 +1,392 @@
+#include "http.h"
+
+#include "libmangofork/buffer.h"
+#include "libmangofork/socket.h"
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define READ_BYTES 65536
+#define HEADER_VALUE_BYTES 256
+
+struct FakeConn
+{
+  FakeHttp *http;
+  ev_io readable;
+  ev_io writable;
+  MfBuffer in;
+  MfBuffer out;
+  bool busy;   /* a request is being answered */
+  bool broken; /* to be closed from the loop */
+  bool reset;  /* by a reset rather than an orderly end */
+  FakeConn *next;
+  FakeConn *previous;
+};
+
+struct FakeHttp
+{
+  struct ev_loop *loop;
+  char address[MF_ADDRESS_BYTES];
+  FakeHttpHooks hooks;
+  void *data;
+  ev_io accepting;
+  int fd; /* -1 while stopped */
+  uint16_t port;
+  FakeConn *conns;
+};
+
+static void
+conn_free (FakeConn *conn, bool reset)
+{
+  struct linger now = { .l_onoff = 1, .l_linger = 0 };
+  FakeHttp *http = conn->http;
+  int fd = conn->readable.fd;
+
+  ev_io_stop (http->loop, &conn->readable);
+  ev_io_stop (http->loop, &conn->writable);
+  if (conn->next != NULL)
+    conn->next->previous = conn->previous;
+  if (conn->previous != NULL)
+    conn->previous->next = conn->next;
+  else
+    http->conns = conn->next;
+  if (reset)
+    setsockopt (fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+  close (fd);
+  mf_buffer_clear (&conn->in);
+  mf_buffer_clear (&conn->out);
+  free (conn);
+}
+
+static void
+conn_lost (FakeConn *conn, bool reset)
+{
+  if (conn->busy)
+    conn->http->hooks.on_closed (conn, conn->http->data);
+  conn_free (conn, reset);
+}
+
+/* Writes what it can; what is left goes out when the socket takes it. */
+static void
+conn_flush (FakeConn *conn)
+{
+  while (mf_buffer_bytes (&conn->out) > 0)
+    {
+      ssize_t n = send (conn->readable.fd, mf_buffer_data (&conn->out),
+                        mf_buffer_bytes (&conn->out), MSG_NOSIGNAL | MSG_DONTWAIT);
+
+      if (n <= 0)
+        break;
+      mf_buffer_take (&conn->out, (size_t)n);
+    }
+  if (mf_buffer_bytes (&conn->out) > 0)
+    ev_io_start (conn->http->loop, &conn->writable);
+  else
+    ev_io_stop (conn->http->loop, &conn->writable);
+}
+
+void
+fake_conn_raw (FakeConn *conn, const char *data, size_t data_bytes)
+{
+  mf_buffer_add (&conn->out, data, data_bytes);
+  ev_feed_event (conn->http->loop, &conn->writable, EV_WRITE);
+}
+
+static void
+conn_next (FakeConn *conn)
+{
+  conn->busy = false;
+  if (mf_buffer_bytes (&conn->in) > 0)
+    ev_feed_event (conn->http->loop, &conn->readable, EV_READ);
+}
+
+void
+fake_conn_answer (FakeConn *conn, unsigned status, const char *headers, const char *body,
+                  size_t body_bytes)
+{
+  MfBuffer *out = &conn->out;
+
+  mf_buffer_add_text (out, "HTTP/1.1 ");
+  mf_buffer_add_number (out, status);
+  mf_buffer_add_text (out, " Status\r\n");
+  mf_buffer_add_text (out, headers);
+  mf_buffer_add_text (out, "Content-Length: ");
+  mf_buffer_add_number (out, body_bytes);
+  mf_buffer_add_text (out, "\r\n\r\n");
+  fake_conn_raw (conn, body, body_bytes);
+  conn_next (conn);
+}
+
+void
+fake_conn_begin (FakeConn *conn)
+{
+  static const char head[] = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n";
+
+  fake_conn_raw (conn, head, sizeof head - 1);
+}
+
+void
+fake_conn_send (FakeConn *conn, const char *data, size_t data_bytes)
+{
+  char size[24];
+
+  snprintf (size, sizeof size, "%zx\r\n", data_bytes);
+  mf_buffer_add_text (&conn->out, size);
+  fake_conn_raw (conn, data, data_bytes);
+  fake_conn_raw (conn, "\r\n", 2);
+}
+
+void
+fake_conn_end (FakeConn *conn)
+{
+  fake_conn_raw (conn, "0\r\n\r\n", 5);
+  conn_next (conn);
+}
+
+void
+fake_conn_close (FakeConn *conn, bool reset)
+{
+  conn->busy = false;
+  conn->broken = true;
+  conn->reset = reset;
+  ev_feed_event (conn->http->loop, &conn->readable, EV_READ);
+}
+
+/* Copies a header's value; "" when it is not there. */
+static void
+header_get (const char *head, const char *name, char *value)
+{
+  size_t name_bytes = strlen (name);
+  size_t n;
+
+  *value = '\0';
+  for (const char *line = strstr (head, "\r\n"); line != NULL; line = strstr (line, "\r\n"))
+    {
+      line += 2;
+      if (strncasecmp (line, name, name_bytes) != 0 || line[name_bytes] != ':')
+        continue;
+      line += name_bytes + 1;
+      line += strspn (line, " ");
+      n = strcspn (line, "\r\n");
+      n = n < HEADER_VALUE_BYTES ? n : HEADER_VALUE_BYTES - 1;
+      memcpy (value, line, n);
+      value[n] = '\0';
+      return;
+    }
+}
+
+void
+fake_query_get (const char *query, const char *key, char *value, size_t value_bytes)
+{
+  size_t key_bytes = strlen (key);
+
+  *value = '\0';
+  while (*query != '\0')
+    {
+      size_t n = strcspn (query, "&");
+
+      if (n > key_bytes && strncmp (query, key, key_bytes) == 0 && query[key_bytes] == '=')
+        {
+          n -= key_bytes + 1;
+          n = n < value_bytes ? n : value_bytes - 1;
+          memcpy (value, query + key_bytes + 1, n);
+          value[n] = '\0';
+          return;
+        }
+      query += n;
+      query += *query == '&';
+    }
+}
+
+/* Hands on a request whose head, closed by NUL, and body have arrived. */
+static void
+conn_request (FakeConn *conn, char *head, const char *body, size_t body_bytes)
+{
+  char request_id[HEADER_VALUE_BYTES];
+  char fence[HEADER_VALUE_BYTES];
+  char token[HEADER_VALUE_BYTES];
+  FakeHttpRequest request = {
+    .request_id = request_id,
+    .fence = fence,
+    .token = token,
+    .body = body,
+    .body_bytes = body_bytes,
+    .query = "",
+  };
+  char *rest = head;
+  char *query;
+
+  header_get (head, "X-Request-Id", request_id);
+  header_get (head, "X-Fence", fence);
+  header_get (head, "X-Consul-Token", token);
+  request.method = strsep (&rest, " ");
+  request.path = strsep (&rest, " ");
+  query = request.path != NULL ? strchr (request.path, '?') : NULL;
+  if (query != NULL)
+    {
+      *query = '\0';
+      request.query = query + 1;
+    }
+  conn->busy = true;
+  if (request.path == NULL)
+    fake_conn_answer (conn, 400, "", "", 0);
+  else
+    conn->http->hooks.on_request (conn, &request, conn->http->data);
+}
+
+/* Takes one whole request out of what has been read. Returns false when there is none. */
+static bool
+conn_parse (FakeConn *conn)
+{
+  const char *data = mf_buffer_data (&conn->in);
+  size_t data_bytes = mf_buffer_bytes (&conn->in);
+  const char *end = data_bytes == 0 ? NULL : memmem (data, data_bytes, "\r\n\r\n", 4);
+  char length[HEADER_VALUE_BYTES];
+  size_t head_bytes;
+  size_t body_bytes;
+  char *head;
+  char *body;
+
+  if (end == NULL)
+    return false;
+  head_bytes = (size_t)(end - data) + 4;
+  head = strndup (data, head_bytes);
+  header_get (head, "Content-Length", length);
+  body_bytes = strtoul (length, NULL, 10);
+  if (data_bytes < head_bytes + body_bytes)
+    {
+      free (head);
+      return false;
+    }
+  body = strndup (data + head_bytes, body_bytes);
+  mf_buffer_take (&conn->in, head_bytes + body_bytes);
+  conn_request (conn, head, body, body_bytes);
+  free (head);
+  free (body);
+  return true;
+}
+
+static void
+on_readable (struct ev_loop *loop, ev_io *io, int events)
+{
+  FakeConn *conn = io->data;
+  char data[READ_BYTES];
+  ssize_t n = recv (io->fd, data, sizeof data, MSG_DONTWAIT);
+
+  (void)loop;
+  (void)events;
+  if (n > 0)
+    mf_buffer_add (&conn->in, data, (size_t)n);
+  while (!conn->busy && !conn->broken && conn_parse (conn))
+    continue;
+  if (conn->broken)
+    conn_flush (conn);
+  if (conn->broken || n == 0 || (n < 0 && errno != EAGAIN))
+    conn_lost (conn, conn->reset);
+}
+
+static void
+on_writable (struct ev_loop *loop, ev_io *io, int events)
+{
+  (void)loop;
+  (void)events;
+  conn_flush (io->data);
+}
+
+static void
+on_accept (struct ev_loop *loop, ev_io *io, int events)
+{
+  FakeHttp *http = io->data;
+  int fd = accept4 (io->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  FakeConn *conn;
+  int one = 1;
+
+  (void)events;
+  if (fd < 0)
+    return;
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+  conn = calloc (1, sizeof *conn);
+  if (conn == NULL)
+    abort ();
+  conn->http = http;
+  conn->next = http->conns;
+  if (conn->next != NULL)
+    conn->next->previous = conn;
+  http->conns = conn;
+  ev_io_init (&conn->readable, on_readable, fd, EV_READ);
+  ev_io_init (&conn->writable, on_writable, fd, EV_WRITE);
+  conn->readable.data = conn;
+  conn->writable.data = conn;
+  ev_io_start (loop, &conn->readable);
+}
+
+void
+fake_http_start (FakeHttp *http)
+{
+  MfError error = { 0 };
+
+  if (http->fd >= 0)
+    return;
+  http->fd = mf_socket_listen (http->address, &error);
+  if (http->fd < 0)
+    {
+      fprintf (stderr, "fakes: %s\n", error.text);
+      exit (1);
+    }
+  http->port = mf_socket_port (http->fd);
+  snprintf (strrchr (http->address, ':'), 7, ":%u", http->port);
+  ev_io_init (&http->accepting, on_accept, http->fd, EV_READ);
+  http->accepting.data = http;
+  ev_io_start (http->loop, &http->accepting);
+}
+
+void
+fake_http_stop (FakeHttp *http)
+{
+  if (http->fd < 0)
+    return;
+  ev_io_stop (http->loop, &http->accepting);
+  close (http->fd);
+  http->fd = -1;
+  while (http->conns != NULL)
+    conn_lost (http->conns, true);
+}
+
+uint16_t
+fake_http_port (const FakeHttp *http)
+{
+  return http->port;
+}
+
+FakeHttp *
+fake_http_new (struct ev_loop *loop, const char *address, const FakeHttpHooks *hooks, void *data)
+{
+  FakeHttp *http = calloc (1, sizeof *http);
+
+  if (http == NULL)
+    abort ();
+  http->loop = loop;
+  http->hooks = *hooks;
+  http->data = data;
+  http->fd = -1;
+  mf_name_set (http->address, sizeof http->address, address);
+  fake_http_start (http);
+  return http;
+}
+
+void
+fake_http_free (FakeHttp *http)
+{
+  if (http == NULL)
+    return;
+  fake_http_stop (http);
+  free (http);
+}
--- /dev/null
+++ b/tests/fakes/plain_http.c
@@ -0,0 +1,299 @@
+#include "fakes.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+
+#define KEY_BYTES 128
+
+/* How often the order of one key has run. */
+typedef struct
+{
+  char key[KEY_BYTES];
+  uint64_t n_runs;
+  UT_hash_handle hh;
+} Run;
+
+/* One call that is being worked on. It runs to its end whether or not its caller stays. */
+typedef struct Pending Pending;
+struct Pending
+{
+  FakePlain *plain;
+  FakeConn *conn; /* NULL once the connection is gone */
+  ev_timer timer;
+  char key[KEY_BYTES]; /* "" for a read */
+  Pending *next;
+};
+
+/* What happens to the next calls. */
+typedef enum
+{
+  PLAIN_FAULT_NONE,
+  PLAIN_FAULT_DIE_BEFORE, /* the connection is reset and nothing runs */
+  PLAIN_FAULT_DIE_AFTER,  /* the call runs, then the connection is reset */
+  PLAIN_FAULT_CUT,        /* the call runs and half of its answer arrives */
+  PLAIN_FAULT_REFUSE,     /* no room: nothing runs */
+  PLAIN_FAULT_ERROR,      /* the call runs and fails */
+  PLAIN_FAULT_COUNT,
+} PlainFault;
+
+static const char *const fault_names[PLAIN_FAULT_COUNT] = {
+  [PLAIN_FAULT_NONE] = "none",           [PLAIN_FAULT_DIE_BEFORE] = "die-before",
+  [PLAIN_FAULT_DIE_AFTER] = "die-after", [PLAIN_FAULT_CUT] = "cut",
+  [PLAIN_FAULT_REFUSE] = "refuse",       [PLAIN_FAULT_ERROR] = "error",
+};
+
+struct FakePlain
+{
+  struct ev_loop *loop;
+  char name[MF_NAME_BYTES];
+  FakeHttp *http;
+  uint64_t work_us;
+  PlainFault fault;
+  uint64_t n_faults; /* calls it still befalls */
+  bool leaving;
+  bool silent;
+  uint64_t n_calls;
+  uint64_t n_reads;
+  uint64_t n_refused;
+  Run *runs;
+  Pending *pending;
+  FakePlain *next;
+};
+
+static void
+pending_free (Pending *pending)
+{
+  Pending **at = &pending->plain->pending;
+
+  while (*at != pending)
+    at = &(*at)->next;
+  *at = pending->next;
+  ev_timer_stop (pending->plain->loop, &pending->timer);
+  free (pending);
+}
+
+static uint64_t
+count_run (FakePlain *plain, const char *key)
+{
+  Run *run = NULL;
+
+  if (*key == '\0')
+    {
+      plain->n_reads++;
+      return 0;
+    }
+  HASH_FIND_STR (plain->runs, key, run);
+  if (run == NULL)
+    {
+      run = calloc (1, sizeof *run);
+      if (run == NULL)
+        abort ();
+      mf_name_set (run->key, sizeof run->key, key);
+      HASH_ADD_STR (plain->runs, key, run);
+    }
+  return ++run->n_runs;
+}
+
+static PlainFault
+take_fault (FakePlain *plain)
+{
+  if (plain->n_faults == 0)
+    return PLAIN_FAULT_NONE;
+  plain->n_faults--;
+  return plain->fault;
+}
+
+static void
+cut_answer (FakeConn *conn, const char *body)
+{
+  char half[512];
+  int n = snprintf (half, sizeof half, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%.8s",
+                    strlen (body), body);
+
+  fake_conn_raw (conn, half, (size_t)n);
+  fake_conn_close (conn, false);
+}
+
+/* The call has run; its answer goes out, whole or not. */
+static void
+on_worked (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  static const char headers[] = "Content-Type: application/json\r\n";
+  Pending *pending = timer->data;
+  FakePlain *plain = pending->plain;
+  FakeConn *conn = pending->conn;
+  PlainFault fault = take_fault (plain);
+  uint64_t n_runs = count_run (plain, pending->key);
+  char body[KEY_BYTES + MF_NAME_BYTES + 64];
+  int n;
+
+  (void)loop;
+  (void)events;
+  n = snprintf (body, sizeof body, "{\"by\":\"%s\",\"order\":\"%s\",\"run\":%llu}", plain->name,
+                pending->key, (unsigned long long)n_runs);
+  pending_free (pending);
+  if (conn == NULL)
+    return;
+  if (fault == PLAIN_FAULT_DIE_AFTER)
+    fake_conn_close (conn, true);
+  else if (fault == PLAIN_FAULT_CUT)
+    cut_answer (conn, body);
+  else
+    fake_conn_answer (conn, fault == PLAIN_FAULT_ERROR ? 500 : 200, headers, body, (size_t)n);
+}
+
+static void
+refuse (FakePlain *plain, FakeConn *conn)
+{
+  const char *headers = plain->leaving ? "Mangofork-Ran: no\r\nMangofork-Leaving: yes\r\n"
+                                       : "Mangofork-Ran: no\r\n";
+
+  plain->n_refused++;
+  fake_conn_answer (conn, 503, headers, "{}", 2);
+}
+
+static void
+on_request (FakeConn *conn, const FakeHttpRequest *request, void *data)
+{
+  FakePlain *plain = data;
+  bool is_order = strcmp (request->method, "POST") == 0;
+  json_object *body = is_order ? json_tokener_parse (request->body) : NULL;
+  Pending *pending;
+
+  plain->n_calls++;
+  if (plain->silent)
+    return;
+  if (plain->leaving || (plain->n_faults > 0 && plain->fault == PLAIN_FAULT_REFUSE))
+    {
+      take_fault (plain);
+      refuse (plain, conn);
+      return;
+    }
+  if (plain->n_faults > 0 && plain->fault == PLAIN_FAULT_DIE_BEFORE)
+    {
+      take_fault (plain);
+      fake_conn_close (conn, true);
+      return;
+    }
+  pending = calloc (1, sizeof *pending);
+  if (pending == NULL)
+    abort ();
+  pending->plain = plain;
+  pending->conn = conn;
+  if (is_order)
+    mf_name_set (pending->key, sizeof pending->key, fake_setting_text (body, "order", "unnamed"));
+  pending->next = plain->pending;
+  plain->pending = pending;
+  ev_timer_init (&pending->timer, on_worked, (double)plain->work_us / 1e6, 0.0);
+  pending->timer.data = pending;
+  ev_timer_start (plain->loop, &pending->timer);
+  json_object_put (body);
+}
+
+static void
+on_closed (FakeConn *conn, void *data)
+{
+  FakePlain *plain = data;
+
+  for (Pending *pending = plain->pending; pending != NULL; pending = pending->next)
+    {
+      if (pending->conn == conn)
+        pending->conn = NULL;
+    }
+}
+
+bool
+fake_plain_fault (FakePlain *plain, const char *kind, uint64_t value)
+{
+  for (PlainFault fault = PLAIN_FAULT_NONE; fault < PLAIN_FAULT_COUNT; fault++)
+    {
+      if (strcmp (kind, fault_names[fault]) != 0)
+        continue;
+      plain->fault = fault;
+      plain->n_faults = value;
+      return true;
+    }
+  if (strcmp (kind, "slow") == 0)
+    plain->work_us = value * MF_US_PER_MS;
+  else if (strcmp (kind, "leave") == 0)
+    plain->leaving = value != 0;
+  else if (strcmp (kind, "silent") == 0)
+    plain->silent = value != 0;
+  else if (strcmp (kind, "kill") == 0)
+    {
+      /* What it was working on dies with it. */
+      fake_http_stop (plain->http);
+      while (plain->pending != NULL)
+        pending_free (plain->pending);
+    }
+  else if (strcmp (kind, "restart") == 0)
+    fake_http_start (plain->http);
+  else
+    return false;
+  return true;
+}
+
+json_object *
+fake_plain_ledger (const FakePlain *plain)
+{
+  json_object *row = json_object_new_object ();
+  json_object *runs = json_object_new_object ();
+
+  for (const Run *run = plain->runs; run != NULL; run = run->hh.next)
+    fake_add_number (runs, run->key, run->n_runs);
+  fake_add_text (row, "name", plain->name);
+  fake_add_number (row, "calls", plain->n_calls);
+  fake_add_number (row, "reads", plain->n_reads);
+  fake_add_number (row, "refused", plain->n_refused);
+  json_object_object_add (row, "runs", runs);
+  return row;
+}
+
+FakePlain *
+fake_plain_new (struct ev_loop *loop, FakePlain **list, json_object *settings)
+{
+  static const FakeHttpHooks hooks = { .on_request = on_request, .on_closed = on_closed };
+  FakePlain *plain = calloc (1, sizeof *plain);
+
+  if (plain == NULL)
+    abort ();
+  plain->loop = loop;
+  mf_name_set (plain->name, sizeof plain->name, fake_setting_text (settings, "name", "plain"));
+  plain->work_us = fake_setting (settings, "work_ms", 2) * MF_US_PER_MS;
+  plain->http
+      = fake_http_new (loop, fake_setting_text (settings, "address", "127.0.0.1:0"), &hooks, plain);
+  plain->next = *list;
+  *list = plain;
+  return plain;
+}
+
+void
+fake_plain_free (FakePlain *plain)
+{
+  Run *run;
+  Run *next;
+
+  fake_http_free (plain->http);
+  while (plain->pending != NULL)
+    pending_free (plain->pending);
+  HASH_ITER (hh, plain->runs, run, next)
+  {
+    HASH_DEL (plain->runs, run);
+    free (run);
+  }
+  free (plain);
+}
+
+const char *
+fake_plain_name (const FakePlain *plain)
+{
+  return plain->name;
+}
+
+FakePlain *
+fake_plain_next (FakePlain *plain)
+{
+  return plain->next;
+}
