Operators' text and settings: read whole, every fault with its place

json-c gives no positions, so comments are blanked in place and a walk over the valid text finds the line and column of every fault by its path, together with keys given twice. Look-ups go through hash tables.

--- a/libmangofork/config.h
+++ b/libmangofork/config.h
@@ -5,6 +5,8 @@
 
 #define MF_TEXT_BYTES_MAX (1024 * 1024)
 #define MF_SERVICE_DEPENDS_MAX 8
+/* Services of one text. */
+#define MF_SERVICES_MAX 1024
 
 /* What a service is: tokens from a model through prefill and decode, or calls to a plain service.
  */
@@ -75,6 +77,9 @@
   char name[MF_NAME_BYTES];
 } MfVoter;
 
+/* Tables that make the look-ups below cost the same at any size. */
+typedef struct MfConfigIndex MfConfigIndex;
+
 /* The operators' text, checked whole. Immutable once built; owned by the board when in force. */
 typedef struct
 {
@@ -95,6 +100,7 @@
   uint64_t key_life_us;    /* how long a key's outcome is kept */
   uint64_t weight_store_bytes_per_s;
   bool allow_anonymous; /* callers without an API key are served */
+  MfConfigIndex *index;
 } MfConfig;
 
 /* Called for each fault of a text, in the order of their places. */
@@ -112,5 +118,6 @@
 uint32_t mf_config_find_path (const MfConfig *config, const char *path);
 uint32_t mf_config_find_customer (const MfConfig *config, const uint8_t digest[MF_DIGEST_BYTES]);
 uint32_t mf_config_find_upstream (const MfConfig *config, const char *name);
+uint32_t mf_config_find_service (const MfConfig *config, const char *name);
 
 #endif
--- /dev/null
+++ b/libmangofork/jsonc.c
@@ -0,0 +1,536 @@
+#include "jsonc.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <uthash.h>
+
+/* Bytes of the longest path: json-c bounds the depth, the scan bounds the keys. */
+#define PATH_BYTES (JSON_TOKENER_DEFAULT_DEPTH * (MF_JSONC_KEY_BYTES_MAX + 16))
+
+typedef struct
+{
+  MfError error;
+  char *path; /* NULL when the offset is known */
+  bool at_key;
+  size_t offset;
+  uint32_t next; /* another fault of the same path, or MF_NONE */
+} Fault;
+
+/* First fault of a path. */
+typedef struct
+{
+  const char *path;
+  uint32_t fault;
+  UT_hash_handle hh;
+} FaultPath;
+
+struct MfJsonc
+{
+  const char *original; /* borrowed */
+  char *text;           /* comments turned into spaces; offsets are those of the original */
+  size_t text_bytes;
+  json_object *root;
+  Fault *faults;
+  uint32_t n_faults;
+  uint32_t n_dropped;
+  FaultPath *paths;
+};
+
+/* A walk over a text that json-c has found valid. */
+typedef struct
+{
+  MfJsonc *jsonc;
+  size_t at;
+  char path[PATH_BYTES];
+  size_t path_bytes;
+} Scan;
+
+/* A key seen in the object being walked. */
+typedef struct SeenKey SeenKey;
+
+struct SeenKey
+{
+  const char *key;
+  SeenKey *older;
+  UT_hash_handle hh;
+};
+
+/* The keys seen in one object, the latest first. */
+typedef struct
+{
+  SeenKey *table;
+  SeenKey *latest;
+} Seen;
+
+static void
+fault_add (MfJsonc *jsonc, const char *path, bool at_key, size_t offset, MfCode code,
+           const char *text)
+{
+  Fault *faults;
+
+  if (jsonc->n_faults >= MF_JSONC_FAULTS_MAX)
+    {
+      jsonc->n_dropped++;
+      return;
+    }
+  faults = realloc (jsonc->faults, (jsonc->n_faults + 1) * sizeof *faults);
+  if (faults == NULL)
+    {
+      jsonc->n_dropped++;
+      return;
+    }
+  jsonc->faults = faults;
+  faults[jsonc->n_faults] = (Fault){
+    .path = path != NULL ? strdup (path) : NULL,
+    .at_key = at_key,
+    .offset = offset,
+    .next = MF_NONE,
+  };
+  mf_error_set (&faults[jsonc->n_faults].error, code, "%s", text);
+  jsonc->n_faults++;
+}
+
+/* Blanks comments out, keeping line ends. Returns the offset of a comment that never ends, or
+ * text_bytes. */
+static size_t
+comments_blank (char *text, size_t text_bytes)
+{
+  bool in_string = false;
+
+  for (size_t i = 0; i < text_bytes; i++)
+    {
+      size_t start = i;
+      bool block;
+
+      if (text[i] == '"')
+        in_string = !in_string;
+      else if (in_string && text[i] == '\\')
+        i++;
+      if (in_string || text[i] != '/' || i + 1 >= text_bytes)
+        continue;
+      if (text[i + 1] != '/' && text[i + 1] != '*')
+        continue;
+      block = text[i + 1] == '*';
+      text[i++] = ' ';
+      text[i++] = ' ';
+      while (i < text_bytes && (block ? text[i] != '*' || text[i + 1] != '/' : text[i] != '\n'))
+        {
+          if (text[i] != '\n')
+            text[i] = ' ';
+          i++;
+        }
+      if (!block)
+        continue;
+      if (i >= text_bytes)
+        return start;
+      text[i++] = ' ';
+      text[i] = ' ';
+    }
+  return text_bytes;
+}
+
+static void
+jsonc_parse (MfJsonc *jsonc)
+{
+  json_tokener *tokener;
+  enum json_tokener_error result;
+  size_t end;
+
+  tokener = json_tokener_new ();
+  if (tokener == NULL)
+    {
+      fault_add (jsonc, NULL, false, 0, MF_CODE_NO_MEMORY, "no memory to read the text");
+      return;
+    }
+  json_tokener_set_flags (tokener, JSON_TOKENER_STRICT | JSON_TOKENER_VALIDATE_UTF8);
+  /* The closing NUL tells json-c that the text ends. */
+  jsonc->root = json_tokener_parse_ex (tokener, jsonc->text, (int)jsonc->text_bytes + 1);
+  result = json_tokener_get_error (tokener);
+  end = json_tokener_get_parse_end (tokener);
+  if (end > jsonc->text_bytes)
+    end = jsonc->text_bytes;
+  if (result == json_tokener_continue)
+    fault_add (jsonc, NULL, false, end, MF_CODE_TEXT_SYNTAX, "the text ends early");
+  else if (result != json_tokener_success)
+    fault_add (jsonc, NULL, false, end, MF_CODE_TEXT_SYNTAX, json_tokener_error_desc (result));
+  else if (!json_object_is_type (jsonc->root, json_type_object))
+    fault_add (jsonc, NULL, false, 0, MF_CODE_TEXT_TYPE, "the text is not an object");
+  json_tokener_free (tokener);
+  if (jsonc->n_faults > 0 && jsonc->root != NULL)
+    {
+      json_object_put (jsonc->root);
+      jsonc->root = NULL;
+    }
+}
+
+MfJsonc *
+mf_jsonc_new (const char *text, size_t text_bytes)
+{
+  MfJsonc *jsonc = calloc (1, sizeof *jsonc);
+  const char *nul = text_bytes > 0 ? memchr (text, '\0', text_bytes) : NULL;
+  size_t open;
+
+  if (jsonc == NULL)
+    return NULL;
+  jsonc->original = text;
+  jsonc->text_bytes = text_bytes > (size_t)MF_TEXT_BYTES_MAX ? 0 : text_bytes;
+  jsonc->text = calloc (jsonc->text_bytes + 2, 1);
+  if (jsonc->text == NULL)
+    {
+      free (jsonc);
+      return NULL;
+    }
+  if (text_bytes > (size_t)MF_TEXT_BYTES_MAX)
+    {
+      fault_add (jsonc, NULL, false, 0, MF_CODE_TEXT_TOO_LARGE, "the text exceeds one megabyte");
+      return jsonc;
+    }
+  memcpy (jsonc->text, text, jsonc->text_bytes);
+  open = comments_blank (jsonc->text, jsonc->text_bytes);
+  if (nul != NULL)
+    fault_add (jsonc, NULL, false, (size_t)(nul - text), MF_CODE_TEXT_SYNTAX,
+               "the text holds a NUL byte");
+  else if (open < jsonc->text_bytes)
+    fault_add (jsonc, NULL, false, open, MF_CODE_TEXT_SYNTAX, "a comment never ends");
+  else
+    jsonc_parse (jsonc);
+  return jsonc;
+}
+
+/* Frees a text under check. Accepts NULL. */
+void
+mf_jsonc_free (MfJsonc *jsonc)
+{
+  if (jsonc == NULL)
+    return;
+  for (uint32_t i = 0; i < jsonc->n_faults; i++)
+    free (jsonc->faults[i].path);
+  free (jsonc->faults);
+  if (jsonc->root != NULL)
+    json_object_put (jsonc->root);
+  free (jsonc->text);
+  free (jsonc);
+}
+
+json_object *
+mf_jsonc_root (const MfJsonc *jsonc)
+{
+  return jsonc->root;
+}
+
+static void fault_format (MfJsonc *jsonc, const char *path, bool at_key, MfCode code,
+                          const char *format, va_list args) __attribute__ ((format (printf, 5, 0)));
+
+static void
+fault_format (MfJsonc *jsonc, const char *path, bool at_key, MfCode code, const char *format,
+              va_list args)
+{
+  char text[MF_ERROR_TEXT_BYTES];
+
+  vsnprintf (text, sizeof text, format, args);
+  fault_add (jsonc, path, at_key, 0, code, text);
+}
+
+void
+mf_jsonc_fault (MfJsonc *jsonc, const char *path, MfCode code, const char *format, ...)
+{
+  va_list args;
+
+  va_start (args, format);
+  fault_format (jsonc, path, false, code, format, args);
+  va_end (args);
+}
+
+void
+mf_jsonc_fault_key (MfJsonc *jsonc, const char *path, MfCode code, const char *format, ...)
+{
+  va_list args;
+
+  va_start (args, format);
+  fault_format (jsonc, path, true, code, format, args);
+  va_end (args);
+}
+
+static void
+scan_space (Scan *scan)
+{
+  scan->at += strspn (scan->jsonc->text + scan->at, " \t\r\n");
+}
+
+/* Passes over a string, its quotes included. */
+static void
+scan_string (Scan *scan)
+{
+  const char *text = scan->jsonc->text;
+
+  scan->at++;
+  while (text[scan->at] != '"' && text[scan->at] != '\0')
+    scan->at += text[scan->at] == '\\' && text[scan->at + 1] != '\0' ? 2 : 1;
+  if (text[scan->at] == '"')
+    scan->at++;
+}
+
+static FaultPath *
+path_find (const MfJsonc *jsonc, const char *path)
+{
+  FaultPath *row;
+
+  HASH_FIND_STR (jsonc->paths, path, row);
+  return row;
+}
+
+/* Gives the faults of the value at the scan's path their place. */
+static void
+scan_place (const Scan *scan, size_t key_offset, size_t value_offset)
+{
+  MfJsonc *jsonc = scan->jsonc;
+  const FaultPath *found = path_find (jsonc, scan->path);
+
+  if (found == NULL)
+    return;
+  for (uint32_t i = found->fault; i != MF_NONE; i = jsonc->faults[i].next)
+    jsonc->faults[i].offset = jsonc->faults[i].at_key ? key_offset : value_offset;
+}
+
+static void scan_value (Scan *scan, size_t key_offset);
+
+static void
+scan_path_cut (Scan *scan, size_t path_bytes)
+{
+  scan->path_bytes = path_bytes;
+  scan->path[path_bytes] = '\0';
+}
+
+static bool
+seen_has (const Seen *seen, const char *key, size_t key_bytes)
+{
+  SeenKey *row;
+
+  HASH_FIND (hh, seen->table, key, key_bytes, row);
+  return row != NULL;
+}
+
+static void
+seen_add (Seen *seen, const char *key, size_t key_bytes)
+{
+  SeenKey *row = calloc (1, sizeof *row);
+
+  if (row == NULL)
+    return;
+  row->key = key;
+  row->older = seen->latest;
+  seen->latest = row;
+  HASH_ADD_KEYPTR (hh, seen->table, key, key_bytes, row);
+}
+
+static void
+seen_clear (Seen *seen)
+{
+  HASH_CLEAR (hh, seen->table);
+  while (seen->latest != NULL)
+    {
+      SeenKey *row = seen->latest;
+
+      seen->latest = row->older;
+      free (row);
+    }
+}
+
+/* Notes a key of the object being walked; keys given twice are faults. */
+static void
+scan_key (Scan *scan, Seen *seen, size_t start, size_t key_bytes)
+{
+  MfJsonc *jsonc = scan->jsonc;
+  const char *key = jsonc->text + start + 1;
+
+  if (key_bytes > MF_JSONC_KEY_BYTES_MAX)
+    {
+      fault_add (jsonc, NULL, true, start, MF_CODE_TEXT_UNKNOWN_KEY, "the key is too long");
+      return;
+    }
+  if (memchr (key, '\\', key_bytes) != NULL)
+    fault_add (jsonc, NULL, true, start, MF_CODE_TEXT_SYNTAX, "keys take no escapes");
+  if (seen_has (seen, key, key_bytes))
+    {
+      char text[MF_ERROR_TEXT_BYTES];
+
+      snprintf (text, sizeof text, "the key \"%.*s\" is given twice", (int)key_bytes, key);
+      fault_add (jsonc, NULL, true, start, MF_CODE_TEXT_DUPLICATE, text);
+      return;
+    }
+  seen_add (seen, key, key_bytes);
+}
+
+static void
+scan_object (Scan *scan)
+{
+  const char *text = scan->jsonc->text;
+  size_t path_bytes = scan->path_bytes;
+  Seen seen = { 0 };
+
+  scan->at++;
+  for (scan_space (scan); text[scan->at] == '"'; scan_space (scan))
+    {
+      size_t start = scan->at;
+      size_t key_bytes;
+
+      scan_string (scan);
+      key_bytes = scan->at - start - 2;
+      scan_key (scan, &seen, start, key_bytes);
+      scan->path_bytes += (size_t)snprintf (
+          scan->path + path_bytes, sizeof scan->path - path_bytes, "%s%.*s",
+          path_bytes > 0 ? "." : "",
+          (int)(key_bytes < MF_JSONC_KEY_BYTES_MAX ? key_bytes : MF_JSONC_KEY_BYTES_MAX),
+          text + start + 1);
+      scan_space (scan);
+      scan->at++; /* the colon */
+      scan_value (scan, start);
+      scan_path_cut (scan, path_bytes);
+      scan_space (scan);
+      if (text[scan->at] == ',')
+        scan->at++;
+    }
+  if (text[scan->at] == '}')
+    scan->at++;
+  seen_clear (&seen);
+}
+
+static void
+scan_array (Scan *scan)
+{
+  const char *text = scan->jsonc->text;
+  size_t path_bytes = scan->path_bytes;
+  size_t index = 0;
+
+  scan->at++;
+  for (scan_space (scan); text[scan->at] != ']' && text[scan->at] != '\0'; scan_space (scan))
+    {
+      scan->path_bytes += (size_t)snprintf (scan->path + path_bytes, sizeof scan->path - path_bytes,
+                                            "[%zu]", index++);
+      scan_value (scan, scan->at);
+      scan_path_cut (scan, path_bytes);
+      scan_space (scan);
+      if (text[scan->at] == ',')
+        scan->at++;
+    }
+  if (text[scan->at] == ']')
+    scan->at++;
+}
+
+static void
+scan_value (Scan *scan, size_t key_offset)
+{
+  const char *text = scan->jsonc->text;
+
+  scan_space (scan);
+  scan_place (scan, key_offset, scan->at);
+  if (text[scan->at] == '{')
+    scan_object (scan);
+  else if (text[scan->at] == '[')
+    scan_array (scan);
+  else if (text[scan->at] == '"')
+    scan_string (scan);
+  else
+    scan->at += strcspn (text + scan->at, ",]} \t\r\n");
+}
+
+static void
+path_add (MfJsonc *jsonc, FaultPath *row)
+{
+  HASH_ADD_KEYPTR (hh, jsonc->paths, row->path, strlen (row->path), row);
+}
+
+/* Groups the faults by path, so that the scan finds them at once. */
+static void
+paths_index (MfJsonc *jsonc, FaultPath *rows)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < jsonc->n_faults; i++)
+    {
+      Fault *fault = &jsonc->faults[i];
+      FaultPath *row = fault->path != NULL ? path_find (jsonc, fault->path) : NULL;
+
+      if (row != NULL)
+        {
+          fault->next = row->fault;
+          row->fault = i;
+        }
+      else if (fault->path != NULL)
+        {
+          row = &rows[n++];
+          *row = (FaultPath){ .path = fault->path, .fault = i };
+          path_add (jsonc, row);
+        }
+    }
+}
+
+static int
+fault_compare (const void *a, const void *b)
+{
+  const Fault *left = a;
+  const Fault *right = b;
+
+  if (left->offset != right->offset)
+    return left->offset < right->offset ? -1 : 1;
+  return (int)left->error.code - (int)right->error.code;
+}
+
+/* Turns offsets into lines and columns; columns count characters, not bytes. */
+static void
+faults_number (MfJsonc *jsonc)
+{
+  uint32_t line = 1;
+  uint32_t column = 1;
+  size_t at = 0;
+
+  for (uint32_t i = 0; i < jsonc->n_faults; i++)
+    {
+      for (; at < jsonc->faults[i].offset; at++)
+        {
+          if (jsonc->original[at] == '\n')
+            {
+              line++;
+              column = 1;
+            }
+          else if (((unsigned char)jsonc->original[at] & 0xc0) != 0x80)
+            column++;
+        }
+      jsonc->faults[i].error.line = line;
+      jsonc->faults[i].error.column = column;
+    }
+}
+
+static void
+faults_place (MfJsonc *jsonc)
+{
+  Scan *scan = calloc (1, sizeof *scan);
+  FaultPath *rows = calloc (jsonc->n_faults + 1, sizeof *rows);
+
+  if (scan != NULL && rows != NULL)
+    {
+      scan->jsonc = jsonc;
+      paths_index (jsonc, rows);
+      scan_value (scan, 0);
+      HASH_CLEAR (hh, jsonc->paths);
+    }
+  free (rows);
+  free (scan);
+}
+
+uint32_t
+mf_jsonc_report (MfJsonc *jsonc, MfFaultFunc on_fault, void *data)
+{
+  if (jsonc->root != NULL)
+    faults_place (jsonc);
+  if (jsonc->n_faults == 0)
+    return 0;
+  qsort (jsonc->faults, jsonc->n_faults, sizeof *jsonc->faults, fault_compare);
+  faults_number (jsonc);
+  for (uint32_t i = 0; on_fault != NULL && i < jsonc->n_faults; i++)
+    on_fault (&jsonc->faults[i].error, data);
+  return jsonc->n_faults + jsonc->n_dropped;
+}
