--- /dev/null
+++ b/tests/loop_pump.c
@@ -0,0 +1,106 @@
+#include "loop_pump.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define TURNS_MAX 4000
+#define TURN_S 0.002
+
+static void
+turn_over (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  (void)watcher;
+  (void)events;
+  ev_break (loop, EVBREAK_ONE);
+}
+
+static void
+turn (struct ev_loop *loop)
+{
+  ev_timer timer;
+
+  ev_timer_init (&timer, turn_over, TURN_S, 0);
+  ev_timer_start (loop, &timer);
+  ev_run (loop, EVRUN_ONCE);
+  ev_timer_stop (loop, &timer);
+}
+
+bool
+loop_pump (struct ev_loop *loop, bool (*done) (void *data), void *data)
+{
+  for (int i = 0; i < TURNS_MAX; i++)
+    {
+      if (done (data))
+        return true;
+      turn (loop);
+    }
+  return done (data);
+}
+
+void
+loop_spin (struct ev_loop *loop, int n_turns)
+{
+  for (int i = 0; i < n_turns; i++)
+    turn (loop);
+}
+
+int
+loop_connect (uint16_t port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_port = htons (port),
+                                 .sin_addr = { .s_addr = htonl (INADDR_LOOPBACK) } };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  if (connect (fd, (struct sockaddr *)&address, sizeof address) != 0)
+    {
+      close (fd);
+      return -1;
+    }
+  fcntl (fd, F_SETFL, O_NONBLOCK);
+  return fd;
+}
+
+void
+loop_send (int fd, const char *data, size_t data_bytes)
+{
+  while (data_bytes > 0)
+    {
+      ssize_t n = send (fd, data, data_bytes, MSG_NOSIGNAL);
+
+      if (n <= 0)
+        return;
+      data += n;
+      data_bytes -= (size_t)n;
+    }
+}
+
+size_t
+loop_receive (struct ev_loop *loop, int fd, const char *needle, char *dst, size_t dst_bytes)
+{
+  size_t got = 0;
+
+  dst[0] = '\0';
+  for (int i = 0; i < TURNS_MAX && got + 1 < dst_bytes; i++)
+    {
+      ssize_t n = recv (fd, dst + got, dst_bytes - got - 1, 0);
+
+      if (n == 0 || (n < 0 && errno != EAGAIN))
+        break;
+      if (n < 0)
+        {
+          turn (loop);
+          continue;
+        }
+      got += (size_t)n;
+      dst[got] = '\0';
+      if (needle != NULL && strstr (dst, needle) != NULL)
+        break;
+    }
+  return got;
+}
