--- a/cli/main.c
+++ b/cli/main.c
@@ -1,17 +1,81 @@
-#include "libmangofork/code.h"
+#include "command.h"
+
+#include "libmangofork/types.h"
 
 #include <argp.h>
+#include <stdio.h>
+#include <string.h>
+
+typedef struct
+{
+  const char *name;
+  CommandFunc run;
+} Command;
+
+static const Command commands[] = {
+  { "serve", command_serve },
+};
+
+/* The command and what follows it. */
+typedef struct
+{
+  const Command *command;
+  int argc;
+  char **argv;
+} MainArguments;
 
 const char *argp_program_version = "mangofork 0.1.0";
 
+static const Command *
+command_find (const char *name)
+{
+  for (size_t i = 0; i < MF_ARRAY_LEN (commands); i++)
+    {
+      if (strcmp (commands[i].name, name) == 0)
+        return &commands[i];
+    }
+  return NULL;
+}
+
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  MainArguments *arguments = state->input;
+
+  switch (key)
+    {
+    case ARGP_KEY_ARG:
+      arguments->command = command_find (arg);
+      if (arguments->command == NULL)
+        argp_error (state, "no command \"%s\"", arg);
+      arguments->argc = state->argc - state->next + 1;
+      arguments->argv = state->argv + state->next - 1;
+      state->next = state->argc;
+      return 0;
+    case ARGP_KEY_NO_ARGS:
+      argp_usage (state);
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
 static const struct argp parser = {
-  .args_doc = "COMMAND",
-  .doc = "Routes callers' requests to prefill, decode and plain upstreams.",
+  .parser = parse_option,
+  .args_doc = "COMMAND [ARGUMENT...]",
+  .doc = "Routes callers' requests to prefill, decode and plain upstreams.\v"
+         "Commands:\n"
+         "  serve -c FILE    serve callers with these settings\n"
+         "\n"
+         "Each command takes --help. Exit codes: 0 done, 1 faulty, 2 wrong command line.",
 };
 
 int
 main (int argc, char **argv)
 {
-  argp_parse (&parser, argc, argv, 0, NULL, NULL);
-  return 0;
+  MainArguments arguments = { 0 };
+
+  argp_err_exit_status = EXIT_USAGE;
+  argp_parse (&parser, argc, argv, ARGP_IN_ORDER, NULL, &arguments);
+  return arguments.command->run (arguments.argc, arguments.argv);
 }
