--- /dev/null
+++ b/libmangofork/explain.h
@@ -0,0 +1,11 @@
+#ifndef MF_EXPLAIN_H
+#define MF_EXPLAIN_H
+
+#include "buffer.h"
+#include "core.h"
+
+/* Adds the life of the request of that name as a JSON object. Returns false, and adds nothing, when
+ * nothing is remembered of it. */
+bool mf_explain_render (const MfCore *core, const char *name, MfBuffer *out);
+
+#endif
--- /dev/null
+++ b/libmangofork/report.c
@@ -0,0 +1,9 @@
+#include "report.h"
+
+bool
+mf_report_render (const MfCore *core, MfBuffer *out)
+{
+  (void)core;
+  mf_buffer_add_text (out, "");
+  return !out->failed;
+}
--- /dev/null
+++ b/libmangofork/series.c
@@ -0,0 +1,3 @@
+#include "core.h"
+
+const MfController mf_series_controller = { .name = "series" };
--- /dev/null
+++ b/libmangofork/status.h
@@ -0,0 +1,10 @@
+#ifndef MF_STATUS_H
+#define MF_STATUS_H
+
+#include "buffer.h"
+#include "core.h"
+
+/* Adds the picture in force as a JSON object. Returns false when memory ran out. */
+bool mf_status_render (const MfCore *core, MfBuffer *out);
+
+#endif
