--- a/libmangofork/action.h
+++ b/libmangofork/action.h
@@ -55,7 +55,7 @@
   uint32_t upstream; /* index into the board's upstreams */
   const char *address;
   const char *engine;
-  uint64_t request_id; /* 0 for calls that serve no request */
+  uint64_t request_id; /* cancel: of the call to free; 0 for calls that serve no request */
   uint32_t attempt;
   uint32_t from_token;      /* prefill, decode, resume: tokens already delivered */
   uint32_t max_tokens;      /* decode, resume: tokens still wanted */
--- a/libmangofork/board.h
+++ b/libmangofork/board.h
@@ -3,20 +3,24 @@
 
 #include "burn.h"
 #include "counter.h"
+#include "service.h"
 #include "trace.h"
 #include "upstream.h"
 
-typedef struct MfRequests MfRequests; /* request.c */
-typedef struct MfQueue MfQueue;       /* queue.c */
-typedef struct MfDebts MfDebts;       /* debt.c */
-typedef struct MfSuspects MfSuspects; /* suspect.c */
-typedef struct MfCaches MfCaches;     /* prefix.c */
-typedef struct MfMembers MfMembers;   /* member.c */
-typedef struct MfClaims MfClaims;     /* claim.c */
-typedef struct MfConfsync MfConfsync; /* confsync.c */
-typedef struct MfNewsbook MfNewsbook; /* news.c */
-typedef struct MfShares MfShares;     /* share.c */
-typedef struct MfOrders MfOrders;     /* order.c */
+typedef struct MfPolls MfPolls;           /* upstream.c */
+typedef struct MfHealthBook MfHealthBook; /* health.c */
+typedef struct MfRequests MfRequests;     /* request.c */
+typedef struct MfQueue MfQueue;           /* queue.c */
+typedef struct MfDebts MfDebts;           /* debt.c */
+typedef struct MfDrain MfDrain;           /* drain.c */
+typedef struct MfSuspects MfSuspects;     /* suspect.c */
+typedef struct MfCaches MfCaches;         /* prefix.c */
+typedef struct MfMembers MfMembers;       /* member.c */
+typedef struct MfClaims MfClaims;         /* claim.c */
+typedef struct MfConfsync MfConfsync;     /* confsync.c */
+typedef struct MfNewsbook MfNewsbook;     /* news.c */
+typedef struct MfShares MfShares;         /* share.c */
+typedef struct MfOrders MfOrders;         /* order.c */
 
 /* Which policy decides: ours, or the naive one that tests and benches compare with. */
 typedef struct MfPolicy MfPolicy; /* policy.h */
@@ -50,15 +54,19 @@
   MfConfig *config; /* in force; NULL until one was accepted */
   MfUpstream *upstreams;
   uint32_t n_upstreams;
+  MfServices services;
   bool draining; /* no new work is taken */
   bool ready;
   uint64_t list_index;
   MfCounters counters;
   MfTrace *trace;
   MfBurn *burn;
+  MfPolls *polls;
+  MfHealthBook *health;
   MfRequests *requests;
   MfQueue *queue;
   MfDebts *debts;
+  MfDrain *drain;
   MfSuspects *suspects;
   MfCaches *caches;
   MfMembers *members;
--- /dev/null
+++ b/libmangofork/call.c
@@ -0,0 +1,226 @@
+#include "debt.h"
+#include "request.h"
+
+#include <stdlib.h>
+
+/* An engine that computes nothing for us in this long is given up. */
+#define FIRST_BYTE_US (10 * MF_US_PER_S)
+
+static void
+link_to_upstream (MfCore *core, MfCall *call)
+{
+  MfUpstream *row = &core->board.upstreams[call->upstream];
+
+  call->prev_upstream = NULL;
+  call->next_upstream = row->calls;
+  if (row->calls != NULL)
+    row->calls->prev_upstream = call;
+  row->calls = call;
+}
+
+static void
+unlink_from_upstream (MfCore *core, MfCall *call)
+{
+  MfUpstream *row = &core->board.upstreams[call->upstream];
+
+  if (call->prev_upstream != NULL)
+    call->prev_upstream->next_upstream = call->next_upstream;
+  else
+    row->calls = call->next_upstream;
+  if (call->next_upstream != NULL)
+    call->next_upstream->prev_upstream = call->prev_upstream;
+}
+
+static uint64_t
+call_timeout_us (const MfCore *core, const MfRequest *request)
+{
+  uint64_t left_us = request->deadline_us > core->board.now_us
+                         ? request->deadline_us - core->board.now_us
+                         : MF_US_PER_MS;
+
+  return left_us < FIRST_BYTE_US ? left_us : FIRST_BYTE_US;
+}
+
+static void
+emit_start (MfCore *core, const MfRequest *request, const MfCall *call)
+{
+  const MfUpstream *row = &core->board.upstreams[call->upstream];
+  uint32_t left
+      = request->max_tokens > request->delivered ? request->max_tokens - request->delivered : 0;
+  MfAction action = {
+    .type = MF_ACTION_CALL_START,
+    .call = { .call_id = call->id,
+              .kind = call->kind,
+              .upstream = call->upstream,
+              .address = row->config.address,
+              .engine = row->config.engine,
+              .request_id = request->id,
+              .attempt = call->attempt,
+              .from_token = request->delivered,
+              .max_tokens = left,
+              .prefill_call_id = request->prefill_call_id,
+              .target_attempt = call->attempt,
+              .priority = (uint32_t)request->class_,
+              .cache_salt = request->cache_salt,
+              .fresh_connection = !request->idempotent,
+              .timeout_us = call_timeout_us (core, request) },
+  };
+
+  mf_core_emit (core, &action);
+}
+
+static void
+count_held (MfCore *core, MfRequest *request, MfCall *call)
+{
+  MfUpstream *row = &core->board.upstreams[call->upstream];
+
+  call->pieces = request->pieces;
+  if (call->kind == MF_CALL_PREFILL)
+    call->pieces = (request->prompt_tokens + request->delivered) / MF_PIECE_TOKENS + 1;
+  call->held = true;
+  if (call->kind == MF_CALL_DECODE && request->reserved == call->upstream)
+    request->reserved = MF_NONE;
+  else
+    mf_upstream_take (core, call->upstream, call->pieces);
+  if (call->kind == MF_CALL_PREFILL)
+    {
+      call->prefill_tokens = request->prompt_tokens + request->delivered;
+      call->ahead_tokens
+          = mf_upstream_prefill_queue (row) + call->prefill_tokens - request->cached_tokens;
+      row->own_prefill_tokens += call->prefill_tokens;
+    }
+  call->suspect = request->suspect;
+  row->suspects += call->suspect;
+}
+
+/* Makes a call for the request and asks the adapters to start it. */
+MfCall *
+mf_call_start (MfCore *core, MfRequest *request, MfCallKind kind, uint32_t upstream)
+{
+  MfCall *call = calloc (1, sizeof *call);
+
+  if (call == NULL)
+    abort ();
+  call->id = mf_core_next_call_id (core);
+  call->kind = kind;
+  call->upstream = upstream;
+  call->attempt = kind == MF_CALL_RESUME ? request->attempt : ++request->attempt;
+  call->started_us = core->board.now_us;
+  call->request = request;
+  call->next = request->calls;
+  request->calls = call;
+  HASH_ADD (hh, core->board.requests->calls, id, sizeof call->id, call);
+  link_to_upstream (core, call);
+  count_held (core, request, call);
+  mf_request_note (core, request, MF_TRACE_CALLED, upstream, MF_NONE, kind);
+  emit_start (core, request, call);
+  return call;
+}
+
+MfCall *
+mf_call_find (const MfCore *core, uint64_t call_id)
+{
+  MfCall *call;
+
+  HASH_FIND (hh, core->board.requests->calls, &call_id, sizeof call_id, call);
+  return call;
+}
+
+void
+mf_call_end (MfCore *core, MfCall *call)
+{
+  MfUpstream *row = &core->board.upstreams[call->upstream];
+  MfCall **link = &call->request->calls;
+
+  while (*link != call)
+    link = &(*link)->next;
+  *link = call->next;
+  HASH_DEL (core->board.requests->calls, call);
+  unlink_from_upstream (core, call);
+  if (call->held)
+    mf_upstream_give (core, call->upstream, call->pieces);
+  if (call->kind == MF_CALL_PREFILL && !call->prefilled)
+    row->own_prefill_tokens -= call->prefill_tokens;
+  row->suspects -= call->suspect;
+  free (call);
+}
+
+static bool
+holds_memory (const MfCall *call)
+{
+  return call->kind == MF_CALL_PREFILL || call->kind == MF_CALL_DECODE
+         || call->kind == MF_CALL_RESUME;
+}
+
+void
+mf_call_abandon (MfCore *core, MfCall *call)
+{
+  MfRequest *request = call->request;
+  MfAction action = { .type = MF_ACTION_CALL_ABORT, .call_id = call->id };
+
+  mf_core_emit (core, &action);
+  if (call->sent && !call->prefilled && holds_memory (call))
+    mf_debt_add (core, call->upstream, request->id, call->id, call->attempt);
+  if (call->kind == MF_CALL_PREFILL && call->sent && !call->prefilled)
+    request->wasted_tokens += call->prefill_tokens;
+  if (call->sent)
+    request->n_unknown++;
+  mf_call_end (core, call);
+}
+
+void
+mf_call_clear_suspect (MfCore *core, MfRequest *request)
+{
+  for (MfCall *call = request->calls; call != NULL; call = call->next)
+    {
+      core->board.upstreams[call->upstream].suspects -= call->suspect;
+      call->suspect = false;
+    }
+  request->suspect = false;
+}
+
+void
+mf_call_abandon_all (MfCore *core, MfRequest *request)
+{
+  while (request->calls != NULL)
+    mf_call_abandon (core, request->calls);
+}
+
+void
+mf_call_drop_prefill (MfCore *core, MfRequest *request, bool imported)
+{
+  MfAction action = { .type = MF_ACTION_CALL_FORGET, .call_id = request->prefill_call_id };
+  MfUpstream *row;
+
+  if (request->prefill_call_id == 0)
+    return;
+  row = &core->board.upstreams[request->prefill_upstream];
+  mf_core_emit (core, &action);
+  row->transfer_bytes -= request->kv_bytes;
+  mf_upstream_give (core, request->prefill_upstream, request->prefill_pieces);
+  if (!imported)
+    {
+      mf_debt_add (core, request->prefill_upstream, request->id, request->prefill_call_id,
+                   request->prefill_attempt);
+      request->wasted_tokens += request->prompt_tokens + request->delivered;
+    }
+  request->prefill_call_id = 0;
+  request->kv_bytes = 0;
+}
+
+void
+mf_call_reserve (MfCore *core, MfRequest *request, uint32_t upstream)
+{
+  mf_call_unreserve (core, request);
+  request->reserved = upstream;
+  if (upstream != MF_NONE)
+    mf_upstream_take (core, upstream, request->pieces);
+}
+
+void
+mf_call_unreserve (MfCore *core, MfRequest *request)
+{
+  if (request->reserved != MF_NONE)
+    mf_upstream_give (core, request->reserved, request->pieces);
+  request->reserved = MF_NONE;
+}
--- a/libmangofork/core.h
+++ b/libmangofork/core.h
@@ -50,6 +50,7 @@
 void mf_core_set_config (MfCore *core, MfConfig *config);
 
 /* The controllers, each in its own file. */
+extern const MfController mf_service_controller;  /* service.c: services, pools, customers */
 extern const MfController mf_upstream_controller; /* upstream.c: table, load reports */
 extern const MfController mf_health_controller;   /* health.c */
 extern const MfController mf_prefix_controller;   /* prefix.c */
--- /dev/null
+++ b/libmangofork/finish.c
@@ -0,0 +1,217 @@
+#include "claim.h"
+#include "queue.h"
+
+static void
+note_end (MfCore *core, MfRequest *request, MfCode code, MfEndedBy by)
+{
+  MfBoard *board = &core->board;
+  const MfServiceRow *service = &board->services.rows[request->service];
+  MfTraceStep step = {
+    .request_id = request->id,
+    .at_us = board->now_us,
+    .kind = MF_TRACE_ENDED,
+    .upstream = MF_NONE,
+    .other = MF_NONE,
+    .value = request->delivered,
+    .code = code,
+    .phase = (uint8_t)request->phase,
+    .ended_by = (uint8_t)by,
+  };
+  MfBurnSample sample = {
+    .service = service->index_in_config,
+    .customer = request->customer == MF_NONE
+                    ? MF_NONE
+                    : board->services.customers[request->customer].index_in_config,
+    .code = code,
+    .outcome = mf_finish_outcome (request),
+    .refused = code != MF_CODE_OK && code != MF_CODE_DEPARTED && request->delivered == 0,
+    .departed = code == MF_CODE_DEPARTED,
+    .ttft_us = request->first_us > 0 ? request->first_us - request->arrived_us : 0,
+    .n_gaps = request->n_gaps,
+    .n_gaps_late = request->n_gaps_late,
+    .prefill_tokens = request->prefill_tokens,
+    .wasted_prefill_tokens = request->wasted_tokens,
+  };
+
+  mf_trace_note (board->trace, &step);
+  board->counters.by_code[mf_code_index (code)]++;
+  mf_counter_add (&board->counters, MF_COUNTER_WASTED_PREFILL_TOKENS, request->wasted_tokens);
+  if (code == MF_CODE_OK)
+    mf_counter_add (&board->counters, MF_COUNTER_ANSWERED, 1);
+  if (mf_burn_is_good (&service->config, &sample))
+    mf_counter_add (&board->counters, MF_COUNTER_GOOD, 1);
+  if (service->in_config)
+    mf_burn_note (board->burn, board->config, &sample, board->now_us);
+}
+
+/* What can be said about whether any of the work ran. Calls still open that were sent count as
+ * unknown. */
+MfOutcome
+mf_finish_outcome (const MfRequest *request)
+{
+  if (request->ran)
+    return MF_OUTCOME_RAN;
+  if (request->n_unknown > 0)
+    return MF_OUTCOME_UNKNOWN;
+  for (const MfCall *call = request->calls; call != NULL; call = call->next)
+    {
+      if (call->sent)
+        return MF_OUTCOME_UNKNOWN;
+    }
+  return MF_OUTCOME_NOT_RUN;
+}
+
+static void
+settle_claim (MfCore *core, MfRequest *request, const MfClaimResult *result)
+{
+  if (!request->claimed)
+    return;
+  request->claimed = false;
+  mf_claim_finish (core, request->id, result);
+}
+
+/* Releases all that the request holds, here and at upstreams. */
+static void
+release (MfCore *core, MfRequest *request)
+{
+  if (request->queued)
+    mf_queue_remove (core, request);
+  mf_call_abandon_all (core, request);
+  mf_call_drop_prefill (core, request, false);
+  mf_call_unreserve (core, request);
+  mf_queue_stir (core);
+}
+
+/* The answer is whole. The event is the last of its call. */
+void
+mf_finish_answered (MfCore *core, MfRequest *request, const MfEvent *event)
+{
+  bool plain = event != NULL && mf_request_service (core, request)->config.kind == MF_SERVICE_PLAIN;
+  MfAction action = {
+    .type = plain ? MF_ACTION_ANSWER_WHOLE : MF_ACTION_ANSWER_END,
+    .answer = { .request_id = request->id, .status = 200, .outcome = MF_OUTCOME_RAN },
+  };
+  MfClaimResult result = { .verdict = MF_CLAIM_ANSWERED, .outcome = MF_OUTCOME_RAN };
+
+  request->ran = true;
+  if (plain)
+    {
+      result.status = action.answer.status = event->call.status;
+      result.content_type = action.answer.content_type = event->call.content_type;
+      result.body = action.answer.data = event->call.data;
+      result.body_bytes = action.answer.data_bytes = event->call.data_bytes;
+    }
+  settle_claim (core, request, &result);
+  release (core, request);
+  if (!request->departed)
+    mf_core_emit (core, &action);
+  note_end (core, request, request->departed ? MF_CODE_DEPARTED : MF_CODE_OK, MF_ENDED_BY_UPSTREAM);
+  mf_request_remove (core, request);
+}
+
+/* An earlier run's recorded answer is given again. */
+void
+mf_finish_replayed (MfCore *core, MfRequest *request, const MfClaimResult *claim)
+{
+  MfAction action = {
+    .type = MF_ACTION_ANSWER_WHOLE,
+    .answer = { .request_id = request->id,
+                .status = claim->status,
+                .content_type = claim->content_type,
+                .data = claim->body,
+                .data_bytes = claim->body_bytes,
+                .outcome = MF_OUTCOME_RAN,
+                .replayed = true },
+  };
+
+  request->ran = true;
+  request->first_us = core->board.now_us;
+  mf_counter_add (&core->board.counters, MF_COUNTER_REPLAYS, 1);
+  mf_core_emit (core, &action);
+  note_end (core, request, MF_CODE_OK, MF_ENDED_BY_INSTANCE);
+  mf_request_remove (core, request);
+}
+
+static bool
+ended_by_upstream (MfCode code)
+{
+  return code >= MF_CODE_NO_UPSTREAM && code < MF_CODE_KEY_UNKNOWN;
+}
+
+/* Refuses the request. What it says about the work comes from the request's own history, but for
+ * codes that are about an earlier run. */
+void
+mf_finish_refused (MfCore *core, MfRequest *request, MfCode code, uint64_t retry_after_ms)
+{
+  const MfCodeInfo *info = mf_code_info (code);
+  MfOutcome outcome = mf_finish_outcome (request);
+  MfAction action = {
+    .type = MF_ACTION_ANSWER_REFUSE,
+    .answer = { .request_id = request->id,
+                .code = code,
+                .status = info->http_status,
+                .retry_after_ms = retry_after_ms },
+  };
+  MfClaimResult result = { .verdict = MF_CLAIM_UNKNOWN, .code = code };
+
+  if (code == MF_CODE_KEY_UNKNOWN || code == MF_CODE_KEY_TOO_OLD || code == MF_CODE_POISON)
+    outcome = info->outcome;
+  action.answer.outcome = result.outcome = outcome;
+  settle_claim (core, request, &result);
+  release (core, request);
+  if (!request->departed)
+    mf_core_emit (core, &action);
+  note_end (core, request, request->departed ? MF_CODE_DEPARTED : code,
+            ended_by_upstream (code) ? MF_ENDED_BY_UPSTREAM : MF_ENDED_BY_INSTANCE);
+  mf_request_remove (core, request);
+}
+
+/* The caller is gone: nothing is answered, and what it held is freed. */
+void
+mf_finish_departed (MfCore *core, MfRequest *request)
+{
+  MfClaimResult result = { .verdict = MF_CLAIM_UNKNOWN, .code = MF_CODE_DEPARTED };
+
+  result.outcome = mf_finish_outcome (request);
+  settle_claim (core, request, &result);
+  release (core, request);
+  note_end (core, request, MF_CODE_DEPARTED, MF_ENDED_BY_CALLER);
+  mf_request_remove (core, request);
+}
+
+void
+mf_finish_turned_away (MfCore *core, const MfRequestEvent *event, uint32_t service,
+                       uint32_t customer, MfCode code, uint64_t retry_after_ms)
+{
+  MfBoard *board = &core->board;
+  const MfCodeInfo *info = mf_code_info (code);
+  MfAction action = {
+    .type = MF_ACTION_ANSWER_REFUSE,
+    .answer = { .request_id = event->request_id,
+                .code = code,
+                .status = info->http_status,
+                .outcome = info->outcome,
+                .retry_after_ms = retry_after_ms },
+  };
+  MfTraceStep step = { .request_id = event->request_id,
+                       .at_us = board->now_us,
+                       .kind = MF_TRACE_ENDED,
+                       .upstream = MF_NONE,
+                       .other = MF_NONE,
+                       .code = code,
+                       .phase = MF_PHASE_ENDED,
+                       .ended_by = MF_ENDED_BY_INSTANCE };
+  MfBurnSample sample
+      = { .customer = customer, .code = code, .outcome = info->outcome, .refused = true };
+
+  mf_trace_note (board->trace, &step);
+  board->counters.by_code[mf_code_index (code)]++;
+  if (service != MF_NONE)
+    {
+      sample.service = board->services.rows[service].index_in_config;
+      if (customer != MF_NONE)
+        sample.customer = board->services.customers[customer].index_in_config;
+      mf_burn_note (board->burn, board->config, &sample, board->now_us);
+    }
+  mf_core_emit (core, &action);
+}
--- a/libmangofork/health.c
+++ b/libmangofork/health.c
@@ -1,3 +1,431 @@
-#include "core.h"
+#include "health.h"
 
-const MfController mf_health_controller = { .name = "health" };
+#include "debt.h"
+#include "news.h"
+#include "prefix.h"
+#include "queue.h"
+#include "suspect.h"
+
+#include <stdlib.h>
+
+#define FULL_WEIGHT_PPM 1000000
+#define LOOK_PERIOD_US (100 * MF_US_PER_MS)
+/* Failed connections in a row that mean death, and polls without an answer that mean a stall. */
+#define DEAD_AFTER_FAILURES 2
+#define STALLED_AFTER_POLLS 3
+/* Calls of a window of which at least half failed are an error burst. */
+#define WINDOW_US (2 * MF_US_PER_S)
+#define BURST_FAILURES_MIN 5
+/* Gray: slower than its pool's median by these. */
+#define SLOW_PERCENT 160
+#define SLOW_BACK_PERCENT 130
+#define GRAY_PERCENT 400
+#define SLOW_WEIGHT_PPM 150000
+#define GRAY_FLOOR_US (5 * MF_US_PER_MS)
+/* At most one in this many of a pool is ejected on suspicion. */
+#define EJECTED_DIVISOR 3
+#define PROBE_FIRST_US (1 * MF_US_PER_S)
+#define PROBE_DOUBLINGS_MAX 4
+/* Return: weight rises by this at each look. */
+#define SLOW_START_PPM 100000
+#define SLOW_START_STEP_PPM 30000
+#define MEDIAN_MAX MF_POOL_ACTIVE_MAX
+
+static void
+watch (MfUpstream *row)
+{
+  row->watched = true;
+}
+
+static bool
+may_eject (const MfCore *core, const MfUpstream *upstream)
+{
+  const MfPoolRow *pool = &core->board.services.pools[upstream->pool];
+  uint32_t n_out = 0;
+
+  for (uint32_t i = 0; i < pool->n_active; i++)
+    n_out += core->board.upstreams[pool->active[i]].health != MF_HEALTH_OK
+             && core->board.upstreams[pool->active[i]].health != MF_HEALTH_SLOW;
+  return pool->n_usable > 1 && (n_out + 1) * EJECTED_DIVISOR <= pool->n_members + 1;
+}
+
+/* Takes an upstream out of use on suspicion, unless too many of its pool are out already. */
+static void
+eject (MfCore *core, uint32_t upstream, MfCode reason)
+{
+  MfUpstream *row = &core->board.upstreams[upstream];
+  uint32_t doublings
+      = row->n_ejections < PROBE_DOUBLINGS_MAX ? row->n_ejections : PROBE_DOUBLINGS_MAX;
+
+  if (!row->in_config || row->health > MF_HEALTH_SLOW || !may_eject (core, row))
+    return;
+  row->n_ejections++;
+  row->probe_at_us = core->board.now_us + (PROBE_FIRST_US << doublings);
+  watch (row);
+  mf_upstream_set_health (core, upstream, MF_HEALTH_EJECTED, reason);
+}
+
+/* Its process is gone. What follows for its calls is done at the end of the step. */
+static void
+declare_dead (MfCore *core, uint32_t upstream)
+{
+  MfUpstream *row = &core->board.upstreams[upstream];
+  uint32_t doublings
+      = row->n_ejections < PROBE_DOUBLINGS_MAX ? row->n_ejections : PROBE_DOUBLINGS_MAX;
+
+  if (row->health == MF_HEALTH_DEAD)
+    return;
+  row->n_ejections++;
+  row->probe_at_us = core->board.now_us + (PROBE_FIRST_US << doublings);
+  row->died = true;
+  core->board.health->n_died++;
+  watch (row);
+  mf_upstream_set_health (core, upstream, MF_HEALTH_DEAD, MF_CODE_UPSTREAM_DIED);
+  mf_news_note (core, MF_NEWS_UPSTREAM_DEAD, row->name_hash, row->load.incarnation);
+}
+
+static void
+bring_back (MfCore *core, uint32_t upstream)
+{
+  MfUpstream *row = &core->board.upstreams[upstream];
+
+  row->slow_start_ppm = SLOW_START_PPM;
+  row->n_failures_in_row = 0;
+  row->n_window_failures = 0;
+  row->n_window_calls = 0;
+  row->token_gap_us = 0;
+  row->answer_us = 0;
+  watch (row);
+  mf_upstream_set_health (core, upstream, MF_HEALTH_OK, MF_CODE_OK);
+}
+
+static void
+note_leaving (MfCore *core, uint32_t upstream)
+{
+  MfUpstream *row = &core->board.upstreams[upstream];
+
+  if (row->health == MF_HEALTH_LEAVING)
+    return;
+  mf_upstream_set_health (core, upstream, MF_HEALTH_LEAVING, MF_CODE_NO_UPSTREAM);
+  mf_news_note (core, MF_NEWS_UPSTREAM_LEAVING, row->name_hash, 0);
+}
+
+/* A poll of its load report has ended. */
+void
+mf_health_note_poll (MfCore *core, uint32_t upstream, const MfEvent *event)
+{
+  MfUpstream *row = &core->board.upstreams[upstream];
+
+  if (event->type == MF_EVENT_CALL_DONE && event->call.status < 300)
+    {
+      row->n_failures_in_row = 0;
+      if (row->broke)
+        mf_suspect_upstream_lives (core, upstream);
+      row->broke = false;
+      if (row->health == MF_HEALTH_DEAD
+          || (row->health == MF_HEALTH_EJECTED && row->health_reason == MF_CODE_UPSTREAM_STALLED))
+        bring_back (core, upstream);
+      return;
+    }
+  row->n_failures_in_row++;
+  if (event->call.connect_failed && (row->broke || row->n_failures_in_row >= DEAD_AFTER_FAILURES))
+    declare_dead (core, upstream);
+  else if (event->call.timed_out && row->n_failures_in_row >= STALLED_AFTER_POLLS)
+    eject (core, upstream, MF_CODE_UPSTREAM_STALLED);
+}
+
+/* A load report came. Another incarnation means that the one before has died. */
+void
+mf_health_note_load (MfCore *core, uint32_t upstream, const MfLoadEvent *load)
+{
+  MfUpstream *row = &core->board.upstreams[upstream];
+
+  if (row->load_at_us != 0 && load->incarnation != row->load.incarnation)
+    {
+      row->died = true;
+      core->board.health->n_died++;
+      mf_news_note (core, MF_NEWS_UPSTREAM_DEAD, row->name_hash, row->load.incarnation);
+      mf_debt_upstream_restarted (core, upstream);
+      if (row->health == MF_HEALTH_LEAVING && !load->leaving)
+        bring_back (core, upstream);
+    }
+  if (load->leaving)
+    note_leaving (core, upstream);
+}
+
+static void
+note_window (MfCore *core, uint32_t upstream, bool failed)
+{
+  MfUpstream *row = &core->board.upstreams[upstream];
+
+  if (core->board.now_us - row->window_us > WINDOW_US)
+    {
+      row->window_us = core->board.now_us;
+      row->n_window_calls = 0;
+      row->n_window_failures = 0;
+    }
+  row->n_window_calls++;
+  row->n_window_failures += failed;
+  if (row->n_window_failures >= BURST_FAILURES_MIN
+      && row->n_window_failures * 2 >= row->n_window_calls)
+    eject (core, upstream, MF_CODE_UPSTREAM_ERROR);
+}
+
+/* A call on it ended. */
+void
+mf_health_note_call (MfCore *core, uint32_t upstream, const MfEvent *event)
+{
+  MfUpstream *row = &core->board.upstreams[upstream];
+  const MfCallEvent *call = &event->call;
+  bool failed = event->type == MF_EVENT_CALL_FAILED;
+
+  if (call->leaving)
+    {
+      note_leaving (core, upstream);
+      return;
+    }
+  if (call->refused)
+    return;
+  if (!failed)
+    {
+      row->n_failures_in_row = 0;
+      note_window (core, upstream, call->status >= 500);
+      return;
+    }
+  note_window (core, upstream, true);
+  if (call->connect_failed && ++row->n_failures_in_row >= DEAD_AFTER_FAILURES)
+    declare_dead (core, upstream);
+  else if (!call->timed_out)
+    {
+      row->broke = true;
+      mf_upstream_poll (core, upstream);
+    }
+}
+
+/* A call of this instance gave no sign of life for too long. */
+void
+mf_health_note_stall (MfCore *core, uint32_t upstream)
+{
+  eject (core, upstream, MF_CODE_UPSTREAM_STALLED);
+}
+
+static void
+mean (uint64_t *value, uint64_t sample, int divisor)
+{
+  if (*value == 0)
+    *value = sample;
+  else
+    *value = (uint64_t)((int64_t)*value + ((int64_t)sample - (int64_t)*value) / divisor);
+}
+
+/* A time between two tokens of one of its streams. */
+void
+mf_health_note_gap (MfCore *core, uint32_t upstream, uint64_t gap_us)
+{
+  mean (&core->board.upstreams[upstream].token_gap_us, gap_us, 64);
+}
+
+/* A prefill of so many tokens, those before it in the engine's queue among them. */
+void
+mf_health_note_prefill (MfCore *core, uint32_t upstream, uint64_t n_tokens, uint64_t taken_us)
+{
+  MfUpstream *row = &core->board.upstreams[upstream];
+
+  row->prefill_sum_tokens += n_tokens - row->prefill_sum_tokens / 16;
+  row->prefill_sum_us += taken_us - row->prefill_sum_us / 16;
+  if (row->prefill_sum_us > 0)
+    row->prefill_tokens_per_s = row->prefill_sum_tokens * MF_US_PER_S / row->prefill_sum_us + 1;
+}
+
+/* Its link carried a KV. */
+void
+mf_health_note_transfer (MfCore *core, uint32_t upstream, uint64_t n_bytes, uint64_t taken_us)
+{
+  MfUpstream *row = &core->board.upstreams[upstream];
+
+  if (taken_us > 0 && n_bytes > 0)
+    mean (&row->link_bytes_per_s,
+          (uint64_t)((double)n_bytes * (double)MF_US_PER_S / (double)taken_us), 16);
+}
+
+/* Its link held a KV up past its life. */
+void
+mf_health_note_transfer_stall (MfCore *core, uint32_t upstream)
+{
+  eject (core, upstream, MF_CODE_UPSTREAM_STALLED);
+}
+
+/* Time to a plain answer. */
+void
+mf_health_note_answer (MfCore *core, uint32_t upstream, uint64_t answer_us)
+{
+  mean (&core->board.upstreams[upstream].answer_us, answer_us, 16);
+}
+
+/* Share of full weight for new work. */
+uint32_t
+mf_health_weight_ppm (const MfCore *core, uint32_t upstream)
+{
+  const MfUpstream *row = &core->board.upstreams[upstream];
+
+  if (row->health == MF_HEALTH_SLOW)
+    return SLOW_WEIGHT_PPM < row->slow_start_ppm ? SLOW_WEIGHT_PPM : row->slow_start_ppm;
+  return row->slow_start_ppm;
+}
+
+/* What tells how fast the upstream is; lower is faster, 0 is not known. */
+static uint64_t
+slowness (const MfUpstream *row)
+{
+  if (row->role == MF_ROLE_DECODE)
+    return row->token_gap_us;
+  if (row->role == MF_ROLE_PLAIN)
+    return row->answer_us;
+  return row->prefill_tokens_per_s > 0 ? UINT64_C (10000000000) / row->prefill_tokens_per_s : 0;
+}
+
+static int
+compare_u64 (const void *a, const void *b)
+{
+  uint64_t x = *(const uint64_t *)a;
+  uint64_t y = *(const uint64_t *)b;
+
+  return x < y ? -1 : x > y;
+}
+
+static uint64_t
+pool_median (const MfCore *core, const MfPoolRow *pool)
+{
+  uint64_t values[MEDIAN_MAX];
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < pool->n_active; i++)
+    {
+      const MfUpstream *row = &core->board.upstreams[pool->active[i]];
+
+      if (mf_upstream_is_usable (row) && slowness (row) > 0)
+        values[n++] = slowness (row);
+    }
+  if (n < 3)
+    return 0;
+  qsort (values, n, sizeof values[0], compare_u64);
+  return values[(n - 1) / 2];
+}
+
+static void
+judge_speed (MfCore *core, uint32_t upstream, uint64_t median)
+{
+  MfUpstream *row = &core->board.upstreams[upstream];
+  uint64_t percent = slowness (row) * 100 / median;
+
+  if (slowness (row) == 0 || slowness (row) < median + GRAY_FLOOR_US)
+    percent = 100;
+  if (row->health <= MF_HEALTH_SLOW && percent >= GRAY_PERCENT)
+    eject (core, upstream, MF_CODE_UPSTREAM_STALLED);
+  else if (row->health == MF_HEALTH_OK && percent >= SLOW_PERCENT)
+    mf_upstream_set_health (core, upstream, MF_HEALTH_SLOW, MF_CODE_UPSTREAM_STALLED);
+  else if (row->health == MF_HEALTH_SLOW && percent <= SLOW_BACK_PERCENT)
+    mf_upstream_set_health (core, upstream, MF_HEALTH_OK, MF_CODE_OK);
+}
+
+/* Raises the weight of what returns, and lets what is out be tried again when its time has come. */
+static void
+look_at (MfCore *core, uint32_t upstream)
+{
+  MfUpstream *row = &core->board.upstreams[upstream];
+  bool polled = row->role != MF_ROLE_PLAIN;
+
+  if (row->health <= MF_HEALTH_SLOW)
+    {
+      row->slow_start_ppm += SLOW_START_STEP_PPM;
+      if (row->slow_start_ppm >= FULL_WEIGHT_PPM)
+        {
+          row->slow_start_ppm = FULL_WEIGHT_PPM;
+          row->watched = false;
+        }
+    }
+  else if (row->health == MF_HEALTH_LEAVING)
+    row->watched = false;
+  else if (core->board.now_us >= row->probe_at_us && (!polled || row->health == MF_HEALTH_EJECTED))
+    bring_back (core, upstream);
+}
+
+static void
+look (MfCore *core)
+{
+  MfServices *services = &core->board.services;
+
+  for (uint32_t i = 0; i < services->n_pools; i++)
+    {
+      MfPoolRow *pool = &services->pools[i];
+      uint32_t active[MF_POOL_ACTIVE_MAX];
+      uint32_t n_active = pool->n_active;
+      uint64_t median = pool_median (core, pool);
+
+      for (uint32_t j = 0; j < n_active; j++)
+        active[j] = pool->active[j];
+      for (uint32_t j = 0; j < n_active; j++)
+        {
+          if (core->board.upstreams[active[j]].watched)
+            look_at (core, active[j]);
+          if (median > 0)
+            judge_speed (core, active[j], median);
+        }
+    }
+}
+
+/* Ends what ran on upstreams found dead in this step. */
+static void
+settle_deaths (MfCore *core)
+{
+  core->board.health->n_died = 0;
+  for (uint32_t i = 0; i < core->board.n_upstreams; i++)
+    {
+      MfUpstream *row = &core->board.upstreams[i];
+
+      if (!row->died)
+        continue;
+      row->died = false;
+      row->broke = false;
+      mf_prefix_forget (core, i);
+      mf_request_upstream_died (core, i);
+      mf_suspect_upstream_died (core, i);
+    }
+}
+
+static void
+health_tick (MfCore *core)
+{
+  MfHealthBook *health = core->board.health;
+
+  if (health->n_died > 0)
+    settle_deaths (core);
+  if (core->board.now_us >= health->look_us)
+    {
+      health->look_us = core->board.now_us + LOOK_PERIOD_US;
+      look (core);
+    }
+  mf_core_wake_at (core, health->look_us);
+}
+
+static bool
+health_init (MfCore *core, MfError *error)
+{
+  core->board.health = calloc (1, sizeof *core->board.health);
+  if (core->board.health == NULL)
+    mf_error_set (error, MF_CODE_NO_MEMORY, "no memory for health");
+  return core->board.health != NULL;
+}
+
+static void
+health_finish (MfCore *core)
+{
+  free (core->board.health);
+}
+
+const MfController mf_health_controller = {
+  .name = "health",
+  .init = health_init,
+  .finish = health_finish,
+  .tick = health_tick,
+};
--- /dev/null
+++ b/libmangofork/life.c
@@ -0,0 +1,785 @@
+#include "claim.h"
+#include "debt.h"
+#include "health.h"
+#include "policy.h"
+#include "queue.h"
+#include "retry.h"
+#include "suspect.h"
+
+/* A stream without a token for this long is taken to be broken. */
+#define STALL_BASE_US (600 * MF_US_PER_MS)
+#define STALL_GAPS 12
+/* An engine that holds a broken stream answers a resume within this, or is not asked again. */
+#define RESUME_WAIT_US (250 * MF_US_PER_MS)
+/* A prefill is given up after this many times its predicted time, and no sooner than the least. */
+#define PREFILL_STALL_FACTOR 4
+#define PREFILL_STALL_MIN_US (1500 * MF_US_PER_MS)
+/* Between two looks for a free decode engine while a KV waits. */
+#define TRANSFER_LOOK_US (4 * MF_US_PER_MS)
+/* The time an import takes at least; a KV with less life left is given up. */
+#define IMPORT_MIN_US (10 * MF_US_PER_MS)
+#define IMPORT_GRACE_US (300 * MF_US_PER_MS)
+/* Tokens past the place where its upstream died that clear a suspect. */
+#define CLEAR_TOKENS 8
+#define CLAIMS_MAX 3
+#define HEDGE_MIN_US (10 * MF_US_PER_MS)
+#define HEDGE_ANSWERS 3
+
+/* One input to one request. */
+typedef struct
+{
+  MfCore *core;
+  MfRequest *request;
+  MfCall *call;         /* NULL unless it comes from a call */
+  const MfEvent *event; /* NULL for a timer and a claim */
+  const MfClaimResult *claim;
+} Step;
+
+typedef void (*Handler) (const Step *step);
+
+static uint64_t
+now_us (const Step *step)
+{
+  return step->core->board.now_us;
+}
+
+static uint64_t
+stall_us (const MfCore *core, const MfRequest *request)
+{
+  const MfServiceRow *service = mf_request_service (core, request);
+
+  return STALL_BASE_US + STALL_GAPS * service->config.tbt_target_us;
+}
+
+/* Sends the request back to its queue for another try, or refuses it when no try is left. */
+static void
+try_again (MfCore *core, MfRequest *request, MfCode code)
+{
+  uint64_t delay_us;
+
+  mf_call_abandon_all (core, request);
+  mf_call_drop_prefill (core, request, false);
+  mf_call_unreserve (core, request);
+  if (core->board.now_us >= request->deadline_us)
+    {
+      mf_finish_refused (core, request, MF_CODE_DEADLINE, 0);
+      return;
+    }
+  if (!mf_policy (core)->may_retry (core, request, &delay_us))
+    {
+      mf_finish_refused (core, request, code, mf_queue_retry_after_ms (core, request->service));
+      return;
+    }
+  request->n_retries++;
+  request->n_refused = 0;
+  request->not_before_us = core->board.now_us + delay_us;
+  mf_counter_add (&core->board.counters, MF_COUNTER_RETRIES, 1);
+  mf_request_note (core, request, MF_TRACE_RETRIED, request->last_upstream, MF_NONE,
+                   request->delivered);
+  mf_request_set_phase (request, MF_PHASE_QUEUED);
+  mf_queue_add_again (core, request);
+}
+
+/* The call is over without a whole answer. Returns whether it certainly ran nothing. */
+static bool
+end_failed (const Step *step)
+{
+  const MfCallEvent *event = &step->event->call;
+  MfCall *call = step->call;
+  MfRequest *request = step->request;
+  uint32_t upstream = call->upstream;
+  bool clean;
+  bool broke;
+
+  call->sent = call->sent || event->sent;
+  clean = !call->sent || event->refused || event->leaving;
+  broke = !clean && !event->timed_out && step->event->type == MF_EVENT_CALL_FAILED;
+  if (!clean)
+    {
+      request->n_unknown++;
+      if (call->kind == MF_CALL_PREFILL)
+        request->wasted_tokens += call->prefill_tokens;
+      if (call->kind != MF_CALL_PLAIN)
+        mf_debt_add (step->core, upstream, request->id, call->id, call->attempt);
+    }
+  request->last_upstream = upstream;
+  mf_call_end (step->core, call);
+  mf_health_note_call (step->core, upstream, step->event);
+  if (broke)
+    mf_suspect_broken (step->core, request, upstream);
+  return clean;
+}
+
+static void
+departed (const Step *step)
+{
+  mf_counter_add (&step->core->board.counters, MF_COUNTER_DEPARTED, 1);
+  mf_finish_departed (step->core, step->request);
+}
+
+static void
+claiming_departed (const Step *step)
+{
+  mf_claim_drop (step->core, step->request->id);
+  departed (step);
+}
+
+/* A keyed call that may have reached its upstream runs on, so that its outcome is known when the
+ * caller asks again. */
+static void
+sent_departed (const Step *step)
+{
+  if (!step->request->claimed)
+    {
+      departed (step);
+      return;
+    }
+  mf_counter_add (&step->core->board.counters, MF_COUNTER_DEPARTED, 1);
+  step->request->departed = true;
+}
+
+static void
+note_sent (const Step *step)
+{
+  step->call->sent = true;
+}
+
+static void
+connecting_sent (const Step *step)
+{
+  step->call->sent = true;
+  mf_request_set_phase (step->request, MF_PHASE_SENT);
+}
+
+static void
+queued_timer (const Step *step)
+{
+  MfRequest *request = step->request;
+
+  if (now_us (step) >= request->deadline_us)
+    mf_finish_refused (step->core, request, MF_CODE_DEADLINE,
+                       mf_queue_retry_after_ms (step->core, request->service));
+  else
+    mf_queue_stir (step->core);
+}
+
+static void
+claiming_timer (const Step *step)
+{
+  if (now_us (step) < step->request->deadline_us)
+    return;
+  mf_claim_drop (step->core, step->request->id);
+  mf_finish_refused (step->core, step->request, MF_CODE_KEY_NO_QUORUM, 1000);
+}
+
+static void
+claim_settled (const Step *step)
+{
+  static const MfCode codes[] = {
+    [MF_CLAIM_UNKNOWN] = MF_CODE_KEY_UNKNOWN,
+    [MF_CLAIM_NO_QUORUM] = MF_CODE_KEY_NO_QUORUM,
+    [MF_CLAIM_BODY_DIFFERS] = MF_CODE_KEY_BODY_DIFFERS,
+    [MF_CLAIM_TOO_OLD] = MF_CODE_KEY_TOO_OLD,
+  };
+  MfRequest *request = step->request;
+
+  mf_request_note (step->core, request, MF_TRACE_CLAIMED, MF_NONE, MF_NONE,
+                   (uint64_t)step->claim->verdict);
+  if (step->claim->verdict == MF_CLAIM_GRANTED)
+    {
+      request->claimed = true;
+      mf_request_set_phase (request, MF_PHASE_QUEUED);
+      mf_queue_add (step->core, request);
+    }
+  else if (step->claim->verdict == MF_CLAIM_ANSWERED && step->claim->status != 0)
+    mf_finish_replayed (step->core, request, step->claim);
+  else if (step->claim->verdict == MF_CLAIM_ANSWERED)
+    mf_finish_refused (step->core, request, MF_CODE_KEY_UNKNOWN, 0);
+  else
+    mf_finish_refused (step->core, request, codes[step->claim->verdict],
+                       step->claim->verdict == MF_CLAIM_NO_QUORUM ? 1000 : 0);
+}
+
+/* Sends the waiting KV to a decode engine, or waits for one while the KV lives. */
+static void
+try_transfer (MfCore *core, MfRequest *request)
+{
+  uint32_t upstream = request->reserved;
+
+  if (upstream == MF_NONE || !mf_upstream_is_usable (&core->board.upstreams[upstream]))
+    {
+      mf_call_unreserve (core, request);
+      upstream = mf_policy (core)->place_decode (core, request);
+    }
+  if (upstream != MF_NONE)
+    {
+      mf_call_start (core, request, MF_CALL_DECODE, upstream);
+      mf_request_check_at (core, request, request->kv_expires_us + IMPORT_GRACE_US);
+    }
+  else if (core->board.now_us + IMPORT_MIN_US >= request->kv_expires_us)
+    try_again (core, request, MF_CODE_QUEUE_FULL);
+  else
+    mf_request_check_at (core, request, core->board.now_us + TRANSFER_LOOK_US);
+}
+
+static void
+prefilled (const Step *step)
+{
+  MfRequest *request = step->request;
+  MfCall *call = step->call;
+  MfUpstream *row = &step->core->board.upstreams[call->upstream];
+
+  call->sent = true;
+  call->prefilled = true;
+  call->held = false;
+  request->ran = true;
+  request->prefill_call_id = call->id;
+  request->prefill_upstream = call->upstream;
+  request->prefill_attempt = call->attempt;
+  request->prefill_pieces = call->pieces;
+  request->kv_expires_us = step->event->call.expires_us;
+  request->kv_bytes = step->event->call.kv_bytes;
+  request->prefilled_us = now_us (step);
+  request->prefill_tokens += call->prefill_tokens;
+  row->transfer_bytes += request->kv_bytes;
+  row->own_prefill_tokens -= call->prefill_tokens;
+  row->kv_life_us = request->kv_expires_us - now_us (step);
+  mf_counter_add (&step->core->board.counters, MF_COUNTER_PREFILL_TOKENS, call->prefill_tokens);
+  mf_health_note_prefill (step->core, call->upstream, call->ahead_tokens,
+                          now_us (step) - call->started_us);
+  mf_request_note (step->core, request, MF_TRACE_PREFILLED, call->upstream, MF_NONE,
+                   request->kv_bytes);
+  mf_request_set_phase (request, MF_PHASE_TRANSFERRING);
+  try_transfer (step->core, request);
+}
+
+static void
+prefill_done (const Step *step)
+{
+  end_failed (step);
+  try_again (step->core, step->request, MF_CODE_UPSTREAM_ERROR);
+}
+
+static void
+prefill_failed (const Step *step)
+{
+  bool clean = end_failed (step);
+
+  if (step->event->call.refused)
+    step->core->board.upstreams[step->request->last_upstream].full = true;
+  try_again (step->core, step->request, clean ? MF_CODE_NO_UPSTREAM : MF_CODE_UPSTREAM_DIED);
+}
+
+static void
+refuse_deadline (const Step *step)
+{
+  mf_finish_refused (step->core, step->request, MF_CODE_DEADLINE, 0);
+}
+
+static void
+prefilling_timer (const Step *step)
+{
+  if (now_us (step) >= step->request->deadline_us)
+    {
+      refuse_deadline (step);
+      return;
+    }
+  step->request->last_upstream = step->request->calls->upstream;
+  mf_health_note_stall (step->core, step->request->last_upstream);
+  try_again (step->core, step->request, MF_CODE_UPSTREAM_STALLED);
+}
+
+/* The decode engine holds the KV: the prefill engine's part is over. */
+static void
+imported (const Step *step)
+{
+  MfRequest *request = step->request;
+
+  step->call->sent = true;
+  mf_health_note_transfer (step->core, request->prefill_upstream, request->kv_bytes,
+                           now_us (step) - step->call->started_us);
+  mf_call_drop_prefill (step->core, request, true);
+  mf_request_note (step->core, request, MF_TRACE_IMPORTED, step->call->upstream, MF_NONE, 0);
+  mf_request_set_phase (request, MF_PHASE_DECODING);
+  mf_request_check_at (step->core, request, now_us (step) + stall_us (step->core, request));
+}
+
+/* The stream of a call is broken: it goes on at the same engine when that can be, else elsewhere
+ * from a new prefill of the prompt and what was delivered. */
+static void
+recover_stream (const Step *step, MfCode code)
+{
+  MfCore *core = step->core;
+  MfRequest *request = step->request;
+  uint32_t upstream = step->call->upstream;
+  bool lives = mf_upstream_is_usable (&core->board.upstreams[upstream]);
+  bool timed_out = step->event->call.timed_out;
+
+  mf_request_note (core, request, MF_TRACE_BROKEN, upstream, MF_NONE, request->delivered);
+  if (mf_policy (core)->resumes && lives && !timed_out && request->phase == MF_PHASE_DECODING)
+    {
+      request->attempt = step->call->attempt;
+      request->last_upstream = upstream;
+      mf_call_end (core, step->call);
+      mf_health_note_call (core, upstream, step->event);
+      mf_suspect_broken (core, request, upstream);
+      mf_request_set_phase (request, MF_PHASE_RESUMING);
+      mf_call_start (core, request, MF_CALL_RESUME, upstream);
+      mf_request_check_at (core, request, now_us (step) + RESUME_WAIT_US);
+      return;
+    }
+  end_failed (step);
+  try_again (core, request, code);
+}
+
+static void
+note_tokens (MfCore *core, MfRequest *request, const MfCall *call, uint32_t n_tokens)
+{
+  uint64_t now = core->board.now_us;
+  const MfServiceRow *service = mf_request_service (core, request);
+  uint64_t gap_us;
+
+  if (request->first_us == 0)
+    {
+      request->first_us = now;
+      request->n_gaps += n_tokens - 1;
+      mf_request_note (core, request, MF_TRACE_FIRST_TOKEN, call->upstream, MF_NONE,
+                       now - request->arrived_us);
+    }
+  else
+    {
+      gap_us = (now - request->last_us) / n_tokens;
+      request->n_gaps += n_tokens;
+      request->n_gaps_late += gap_us > service->config.tbt_target_us ? n_tokens : 0;
+      if (call->started_us < request->last_us)
+        mf_health_note_gap (core, call->upstream, gap_us);
+    }
+  request->last_us = now;
+}
+
+/* Hands tokens on, when they are the next ones. Returns false when the request is no longer at this
+ * call, because tokens are missing. */
+static bool
+take_tokens (const Step *step)
+{
+  const MfCallEvent *event = &step->event->call;
+  MfRequest *request = step->request;
+  MfAction action = {
+    .type = MF_ACTION_ANSWER_TOKENS,
+    .answer = { .request_id = request->id,
+                .data = event->data,
+                .data_bytes = event->data_bytes,
+                .n_tokens = event->n_tokens },
+  };
+
+  if (event->n_tokens == 0 || event->first_index + event->n_tokens <= request->delivered)
+    return true;
+  if (event->first_index != request->delivered)
+    {
+      request->last_upstream = step->call->upstream;
+      try_again (step->core, request, MF_CODE_UPSTREAM_ERROR);
+      return false;
+    }
+  request->delivered += event->n_tokens;
+  request->ran = true;
+  note_tokens (step->core, request, step->call, event->n_tokens);
+  mf_counter_add (&step->core->board.counters, MF_COUNTER_TOKENS, event->n_tokens);
+  mf_core_emit (step->core, &action);
+  if (request->suspect && request->delivered >= request->cleared_at + CLEAR_TOKENS)
+    mf_suspect_clear (step->core, request);
+  mf_request_check_at (step->core, request, now_us (step) + stall_us (step->core, request));
+  return true;
+}
+
+static void
+decoding_tokens (const Step *step)
+{
+  take_tokens (step);
+}
+
+static void
+transferring_tokens (const Step *step)
+{
+  if (step->call->kind != MF_CALL_DECODE)
+    return;
+  imported (step);
+  take_tokens (step);
+}
+
+static void
+resuming_tokens (const Step *step)
+{
+  mf_counter_add (&step->core->board.counters, MF_COUNTER_RESUMES, 1);
+  mf_request_note (step->core, step->request, MF_TRACE_RESUMED, step->call->upstream, MF_NONE,
+                   step->request->delivered);
+  mf_request_set_phase (step->request, MF_PHASE_DECODING);
+  take_tokens (step);
+}
+
+static bool
+stream_is_whole (const Step *step)
+{
+  const MfCallEvent *event = &step->event->call;
+  const MfRequest *request = step->request;
+
+  if (event->refused || event->leaving || event->status >= 300)
+    return false;
+  return event->stopped || (request->max_tokens > 0 && request->delivered >= request->max_tokens);
+}
+
+static void
+finish_stream (const Step *step)
+{
+  MfRequest *request = step->request;
+  MfServiceRow *service = &step->core->board.services.rows[request->service];
+
+  mf_service_note_output (service, request->delivered);
+  if (request->suspect)
+    mf_suspect_clear (step->core, request);
+  mf_health_note_call (step->core, step->call->upstream, step->event);
+  mf_call_end (step->core, step->call);
+  mf_finish_answered (step->core, request, NULL);
+}
+
+static void
+decoding_done (const Step *step)
+{
+  if (step->call->kind == MF_CALL_PREFILL)
+    mf_call_end (step->core, step->call);
+  else if (stream_is_whole (step))
+    finish_stream (step);
+  else
+    recover_stream (step, MF_CODE_UPSTREAM_ERROR);
+}
+
+static void
+decoding_failed (const Step *step)
+{
+  if (step->call->kind == MF_CALL_PREFILL)
+    mf_call_end (step->core, step->call);
+  else
+    recover_stream (step, MF_CODE_UPSTREAM_DIED);
+}
+
+static void
+resuming_done (const Step *step)
+{
+  if (stream_is_whole (step))
+    finish_stream (step);
+  else
+    recover_stream (step, MF_CODE_UPSTREAM_ERROR);
+}
+
+/* A decode engine did not take the KV: another one may, while it lives. */
+static void
+transfer_refused (const Step *step)
+{
+  MfRequest *request = step->request;
+  uint32_t upstream = step->call->upstream;
+  bool lost = !step->event->call.refused && !step->event->call.leaving;
+
+  if (request->n_refused < MF_REFUSED_MAX)
+    request->refused[request->n_refused++] = upstream;
+  if (step->event->call.refused)
+    step->core->board.upstreams[upstream].full = true;
+  if (!end_failed (step) || (lost && step->event->type == MF_EVENT_CALL_DONE))
+    try_again (step->core, request, MF_CODE_UPSTREAM_DIED);
+  else
+    try_transfer (step->core, request);
+}
+
+static void
+transferring_done (const Step *step)
+{
+  if (step->call->kind == MF_CALL_PREFILL)
+    mf_call_end (step->core, step->call);
+  else if (stream_is_whole (step))
+    {
+      imported (step);
+      finish_stream (step);
+    }
+  else
+    transfer_refused (step);
+}
+
+static void
+transferring_failed (const Step *step)
+{
+  if (step->call->kind == MF_CALL_PREFILL)
+    mf_call_end (step->core, step->call);
+  else
+    transfer_refused (step);
+}
+
+static const MfCall *
+decode_call (const MfRequest *request)
+{
+  const MfCall *call = request->calls;
+
+  while (call != NULL && call->kind == MF_CALL_PREFILL)
+    call = call->next;
+  return call;
+}
+
+static void
+transferring_timer (const Step *step)
+{
+  MfRequest *request = step->request;
+  const MfCall *call = decode_call (request);
+
+  if (now_us (step) >= request->deadline_us)
+    refuse_deadline (step);
+  else if (call == NULL)
+    try_transfer (step->core, request);
+  else
+    {
+      mf_health_note_transfer_stall (step->core, request->prefill_upstream);
+      request->last_upstream = request->prefill_upstream;
+      try_again (step->core, request, MF_CODE_UPSTREAM_STALLED);
+    }
+}
+
+static void
+decoding_timer (const Step *step)
+{
+  MfRequest *request = step->request;
+  const MfCall *call = decode_call (request);
+
+  if (now_us (step) >= request->deadline_us)
+    {
+      refuse_deadline (step);
+      return;
+    }
+  if (call != NULL)
+    {
+      request->last_upstream = call->upstream;
+      mf_health_note_stall (step->core, call->upstream);
+    }
+  mf_request_note (step->core, request, MF_TRACE_BROKEN, request->last_upstream, MF_NONE,
+                   request->delivered);
+  try_again (step->core, request, MF_CODE_UPSTREAM_STALLED);
+}
+
+static void
+plain_done (const Step *step)
+{
+  MfRequest *request = step->request;
+  const MfCallEvent *event = &step->event->call;
+  MfServiceRow *service = &step->core->board.services.rows[request->service];
+  bool nothing_ran = event->refused || event->leaving;
+  uint64_t answer_us = now_us (step) - step->call->started_us;
+  uint64_t delay_us;
+
+  if (nothing_ran || (event->status >= 500 && request->idempotent))
+    {
+      if (nothing_ran || mf_policy (step->core)->may_retry (step->core, request, &delay_us))
+        {
+          end_failed (step);
+          if (request->calls == NULL)
+            try_again (step->core, request, MF_CODE_NO_UPSTREAM);
+          return;
+        }
+    }
+  if (event->status < 500)
+    {
+      mf_health_note_answer (step->core, step->call->upstream, answer_us);
+      service->answer_us += ((int64_t)answer_us - (int64_t)service->answer_us) / 16;
+    }
+  mf_health_note_call (step->core, step->call->upstream, step->event);
+  if (request->suspect)
+    mf_suspect_clear (step->core, request);
+  request->first_us = now_us (step);
+  mf_call_end (step->core, step->call);
+  mf_finish_answered (step->core, request, step->event);
+}
+
+static void
+plain_failed (const Step *step)
+{
+  MfRequest *request = step->request;
+  bool timed_out = step->event->call.timed_out;
+  bool clean = end_failed (step);
+
+  if (request->calls != NULL)
+    return;
+  if (clean || request->idempotent)
+    try_again (step->core, request, clean ? MF_CODE_NO_UPSTREAM : MF_CODE_UPSTREAM_DIED);
+  else
+    mf_finish_refused (step->core, request,
+                       timed_out ? MF_CODE_UPSTREAM_STALLED : MF_CODE_UPSTREAM_DIED, 0);
+}
+
+static void
+plain_timer (const Step *step)
+{
+  MfCore *core = step->core;
+  MfRequest *request = step->request;
+  uint32_t upstream;
+
+  if (now_us (step) >= request->deadline_us)
+    {
+      refuse_deadline (step);
+      return;
+    }
+  if (!mf_policy (core)->hedges || !request->idempotent || request->calls == NULL
+      || request->calls->next != NULL)
+    return;
+  request->last_upstream = request->calls->upstream;
+  upstream = mf_policy (core)->place_plain (core, request);
+  if (upstream == MF_NONE || upstream == request->last_upstream
+      || !mf_retry_may_hedge (core, request->service))
+    return;
+  mf_counter_add (&core->board.counters, MF_COUNTER_HEDGES, 1);
+  mf_request_note (core, request, MF_TRACE_HEDGED, upstream, request->last_upstream, 0);
+  mf_call_start (core, request, MF_CALL_PLAIN, upstream)->hedge = true;
+}
+
+/* Every pair that is not here is an event that came late or crossed another: it is dropped and
+ * counted. */
+static const Handler handlers[MF_PHASE_COUNT][MF_INPUT_COUNT] = {
+  [MF_PHASE_QUEUED] = {
+    [MF_INPUT_DEPARTED] = departed,
+    [MF_INPUT_TIMER] = queued_timer,
+  },
+  [MF_PHASE_CLAIMING] = {
+    [MF_INPUT_DEPARTED] = claiming_departed,
+    [MF_INPUT_CLAIM] = claim_settled,
+    [MF_INPUT_TIMER] = claiming_timer,
+  },
+  [MF_PHASE_PREFILLING] = {
+    [MF_INPUT_DEPARTED] = departed,
+    [MF_INPUT_CALL_SENT] = note_sent,
+    [MF_INPUT_PREFILLED] = prefilled,
+    [MF_INPUT_DONE] = prefill_done,
+    [MF_INPUT_FAILED] = prefill_failed,
+    [MF_INPUT_TIMER] = prefilling_timer,
+  },
+  [MF_PHASE_TRANSFERRING] = {
+    [MF_INPUT_DEPARTED] = departed,
+    [MF_INPUT_CALL_SENT] = note_sent,
+    [MF_INPUT_IMPORTED] = imported,
+    [MF_INPUT_TOKENS] = transferring_tokens,
+    [MF_INPUT_DONE] = transferring_done,
+    [MF_INPUT_FAILED] = transferring_failed,
+    [MF_INPUT_TIMER] = transferring_timer,
+  },
+  [MF_PHASE_DECODING] = {
+    [MF_INPUT_DEPARTED] = departed,
+    [MF_INPUT_CALL_SENT] = note_sent,
+    [MF_INPUT_TOKENS] = decoding_tokens,
+    [MF_INPUT_DONE] = decoding_done,
+    [MF_INPUT_FAILED] = decoding_failed,
+    [MF_INPUT_TIMER] = decoding_timer,
+  },
+  [MF_PHASE_RESUMING] = {
+    [MF_INPUT_DEPARTED] = departed,
+    [MF_INPUT_CALL_SENT] = note_sent,
+    [MF_INPUT_TOKENS] = resuming_tokens,
+    [MF_INPUT_DONE] = resuming_done,
+    [MF_INPUT_FAILED] = decoding_failed,
+    [MF_INPUT_TIMER] = decoding_timer,
+  },
+  [MF_PHASE_CONNECTING] = {
+    [MF_INPUT_DEPARTED] = departed,
+    [MF_INPUT_CALL_SENT] = connecting_sent,
+    [MF_INPUT_DONE] = plain_done,
+    [MF_INPUT_FAILED] = plain_failed,
+    [MF_INPUT_TIMER] = plain_timer,
+  },
+  [MF_PHASE_SENT] = {
+    [MF_INPUT_DEPARTED] = sent_departed,
+    [MF_INPUT_CALL_SENT] = note_sent,
+    [MF_INPUT_DONE] = plain_done,
+    [MF_INPUT_FAILED] = plain_failed,
+    [MF_INPUT_TIMER] = plain_timer,
+  },
+};
+
+bool
+mf_life_accepts (MfPhase phase, MfInput input)
+{
+  return handlers[phase][input] != NULL;
+}
+
+/* Puts a request through the state machine. Returns false when this input means nothing in its
+ * phase; the request may be gone afterwards. */
+bool
+mf_life_input (MfCore *core, MfRequest *request, MfInput input, MfCall *call, const MfEvent *event,
+               const MfClaimResult *claim)
+{
+  Step step = { .core = core, .request = request, .call = call, .event = event, .claim = claim };
+  Handler handler = handlers[request->phase][input];
+
+  if (handler == NULL)
+    return false;
+  handler (&step);
+  return true;
+}
+
+/* Starts a model request at the engines chosen for it. */
+void
+mf_life_start_model (MfCore *core, MfRequest *request, const MfPlacement *placement)
+{
+  uint64_t patience_us = placement->ttft_us * PREFILL_STALL_FACTOR;
+
+  if (patience_us < PREFILL_STALL_MIN_US)
+    patience_us = PREFILL_STALL_MIN_US;
+  mf_request_note (core, request, MF_TRACE_PLACED, placement->prefill, placement->decode,
+                   placement->ttft_us);
+  mf_request_set_phase (request, MF_PHASE_PREFILLING);
+  mf_call_reserve (core, request, placement->decode);
+  mf_call_start (core, request, MF_CALL_PREFILL, placement->prefill);
+  mf_request_check_at (core, request, core->board.now_us + patience_us);
+}
+
+/* Claims the key again when the grant went stale while the call waited. */
+static void
+claim_again (MfCore *core, MfRequest *request)
+{
+  MfClaimResult result = { .verdict = MF_CLAIM_UNKNOWN, .outcome = MF_OUTCOME_NOT_RUN };
+
+  if (mf_finish_outcome (request) != MF_OUTCOME_NOT_RUN || ++request->n_claims > CLAIMS_MAX)
+    {
+      mf_finish_refused (core, request, MF_CODE_KEY_NO_QUORUM, 1000);
+      return;
+    }
+  request->claimed = false;
+  mf_claim_finish (core, request->id, &result);
+  mf_request_set_phase (request, MF_PHASE_CLAIMING);
+  mf_claim_begin (core, request->id, request->key_digest, request->digest, request->key_minted_ms,
+                  request->deadline_us);
+}
+
+/* Starts a plain call at the upstream chosen for it. */
+void
+mf_life_start_plain (MfCore *core, MfRequest *request, uint32_t upstream)
+{
+  uint64_t usual_us = mf_request_service (core, request)->answer_us * HEDGE_ANSWERS;
+
+  if (request->claimed && !mf_claim_may_send (core, request->id))
+    {
+      claim_again (core, request);
+      return;
+    }
+  mf_request_set_phase (request, MF_PHASE_CONNECTING);
+  mf_call_start (core, request, MF_CALL_PLAIN, upstream);
+  mf_request_check_at (core, request,
+                       core->board.now_us + (usual_us > HEDGE_MIN_US ? usual_us : HEDGE_MIN_US));
+}
+
+/* Begins a request that has been admitted: a call that may not be repeated claims its key first. */
+void
+mf_life_begin (MfCore *core, MfRequest *request)
+{
+  bool plain = mf_request_service (core, request)->config.kind == MF_SERVICE_PLAIN;
+
+  if (plain && request->has_key && !request->idempotent)
+    {
+      mf_request_set_phase (request, MF_PHASE_CLAIMING);
+      mf_claim_begin (core, request->id, request->key_digest, request->digest,
+                      request->key_minted_ms, request->deadline_us);
+      return;
+    }
+  mf_request_set_phase (request, MF_PHASE_QUEUED);
+  mf_queue_add (core, request);
+}
--- /dev/null
+++ b/libmangofork/limit.h
@@ -0,0 +1,11 @@
+#ifndef MF_LIMIT_H
+#define MF_LIMIT_H
+
+#include "request.h"
+
+/* Counts one more request of the customer. Returns false when its limits are reached, with the time
+ * after which it may come back. */
+bool mf_limit_take (MfCore *core, uint32_t customer, uint64_t *retry_after_ms);
+void mf_limit_give (MfCore *core, const MfRequest *request);
+
+#endif
--- /dev/null
+++ b/libmangofork/place.c
@@ -0,0 +1,305 @@
+#include "health.h"
+#include "policy.h"
+#include "prefix.h"
+#include "retry.h"
+#include "share.h"
+
+/* Up to this many upstreams are all looked at; of more, this many are drawn. */
+#define SAMPLE_MAX 8
+#define FULL_WEIGHT_PPM 1000000
+/* Assumed until observed. */
+#define PREFILL_RATE_DEFAULT 50000
+#define KV_LIFE_DEFAULT_US (500 * MF_US_PER_MS)
+/* Work is kept in our own queue, where it can be reordered, rather than in an engine's. */
+#define PREFILL_WAIT_MAX_US (150 * MF_US_PER_MS)
+/* From this share of its slots on, an upstream is used within this instance's share only. */
+#define SHARED_FROM_PERCENT 85
+/* Orders leave this share of a plain upstream's slots to reads. */
+#define ORDER_SLOTS_PERCENT 75
+
+/* The upstreams of a pool that one decision looks at. */
+typedef struct
+{
+  uint32_t rows[SAMPLE_MAX];
+  uint32_t n_rows;
+} Sample;
+
+/* Draws candidates without looking at the whole pool. */
+static void
+draw (MfCore *core, uint32_t pool, Sample *sample)
+{
+  const MfPoolRow *row = &core->board.services.pools[pool];
+  uint32_t n = row->n_active;
+  uint32_t from;
+
+  sample->n_rows = n < SAMPLE_MAX ? n : SAMPLE_MAX;
+  if (n == 0)
+    return;
+  from = (uint32_t)mf_core_random_below (core, n);
+  for (uint32_t i = 0; i < sample->n_rows; i++)
+    sample->rows[i] = row->active[(from + i * (n / sample->n_rows)) % n];
+}
+
+static uint64_t
+prefill_rate (const MfUpstream *row)
+{
+  return row->prefill_tokens_per_s > 0 ? row->prefill_tokens_per_s : PREFILL_RATE_DEFAULT;
+}
+
+static uint64_t
+link_rate (const MfUpstream *row)
+{
+  if (row->link_bytes_per_s > 0)
+    return row->link_bytes_per_s;
+  return row->config.link_bytes_per_s > 0 ? row->config.link_bytes_per_s : UINT64_C (10000000000);
+}
+
+static uint64_t
+ratio_us (uint64_t n, uint64_t per_s)
+{
+  return (uint64_t)((double)n * (double)MF_US_PER_S / (double)per_s);
+}
+
+static uint64_t
+kv_bytes (const MfCore *core, const MfRequest *request)
+{
+  return mf_request_service (core, request)->config.kv_token_bytes
+         * (request->prompt_tokens + request->delivered);
+}
+
+static uint64_t
+transfer_us (const MfCore *core, const MfUpstream *row, const MfRequest *request)
+{
+  return ratio_us (kv_bytes (core, request) + row->transfer_bytes, link_rate (row));
+}
+
+/* Whether a suspect may run there: alone among suspects. */
+static bool
+suits_suspect (const MfUpstream *row, const MfRequest *request)
+{
+  return !request->suspect || row->suspects == 0;
+}
+
+/* Whether an upstream that is nearly full may take one more of ours. */
+static bool
+within_share (const MfCore *core, uint32_t upstream, uint32_t used)
+{
+  const MfUpstream *row = &core->board.upstreams[upstream];
+
+  return used * 100 < mf_upstream_slots (row) * SHARED_FROM_PERCENT
+         || row->own_slots < mf_share_limit (core, upstream);
+}
+
+static bool
+has_pieces (const MfUpstream *row, uint32_t pieces)
+{
+  uint32_t total = row->load.pieces_total > 0 ? row->load.pieces_total : row->config.pieces;
+  uint32_t each = row->own_slots > 0 ? row->own_pieces / row->own_slots : pieces;
+  int64_t free_now = total - row->own_pieces;
+
+  if (row->load_at_us > 0)
+    {
+      int64_t reported = (int64_t)row->load.pieces_free - (int64_t)row->own_since_report * each;
+
+      if (reported < free_now)
+        free_now = reported;
+    }
+  return total == 0 || free_now >= (int64_t)pieces;
+}
+
+static bool
+was_refused (const MfRequest *request, uint32_t upstream)
+{
+  for (uint32_t i = 0; i < request->n_refused; i++)
+    {
+      if (request->refused[i] == upstream)
+        return true;
+    }
+  return false;
+}
+
+static bool
+has_decode_room (const MfCore *core, const MfRequest *request, uint32_t upstream)
+{
+  const MfUpstream *row = &core->board.upstreams[upstream];
+  uint32_t used = mf_upstream_slots_used (row);
+
+  return mf_upstream_is_usable (row) && row->role == MF_ROLE_DECODE && !row->full
+         && used < mf_upstream_slots (row) && has_pieces (row, request->pieces)
+         && within_share (core, upstream, used) && suits_suspect (row, request)
+         && !was_refused (request, upstream);
+}
+
+/* The least loaded of a few decode engines with room, by the share of its slots in use. */
+static uint32_t
+place_decode (MfCore *core, MfRequest *request)
+{
+  uint32_t pool = mf_request_service (core, request)->config.decode_pool;
+  uint64_t best_load = UINT64_MAX;
+  uint32_t best = MF_NONE;
+  Sample sample;
+
+  draw (core, pool, &sample);
+  for (uint32_t i = 0; i < sample.n_rows; i++)
+    {
+      uint32_t upstream = sample.rows[i];
+      const MfUpstream *row = &core->board.upstreams[upstream];
+      uint64_t load;
+
+      if (!has_decode_room (core, request, upstream))
+        continue;
+      load = (uint64_t)(mf_upstream_slots_used (row) + 1) * FULL_WEIGHT_PPM
+             / mf_upstream_slots (row) * FULL_WEIGHT_PPM
+             / (mf_health_weight_ppm (core, upstream) + 1);
+      if (upstream == request->last_upstream)
+        load *= 2;
+      if (load < best_load)
+        {
+          best_load = load;
+          best = upstream;
+        }
+    }
+  return best;
+}
+
+/* Predicted time from now to the first token when the prompt is prefilled there; UINT64_MAX when it
+ * may not be, or when its KV would not be taken up within its life. */
+static uint64_t
+predict_us (const MfCore *core, const MfRequest *request, uint32_t upstream, uint64_t *wait_us,
+            uint32_t *cached)
+{
+  const MfUpstream *row = &core->board.upstreams[upstream];
+  uint32_t tokens = request->prompt_tokens + request->delivered;
+  uint64_t life_us = row->kv_life_us > 0 ? row->kv_life_us : KV_LIFE_DEFAULT_US;
+  uint64_t carry_us = transfer_us (core, row, request);
+
+  *wait_us = UINT64_MAX;
+  if (!mf_upstream_is_usable (row) || row->role != MF_ROLE_PREFILL || row->full
+      || !suits_suspect (row, request) || !has_pieces (row, tokens / MF_PIECE_TOKENS + 1)
+      || ratio_us (row->transfer_bytes, link_rate (row)) > life_us / 2)
+    return UINT64_MAX;
+  *cached = mf_prefix_cached_tokens (core, upstream, request);
+  if (*cached >= tokens)
+    *cached = tokens - 1;
+  *wait_us = ratio_us (mf_upstream_prefill_queue (row), prefill_rate (row));
+  return *wait_us + ratio_us (tokens - *cached, prefill_rate (row)) + carry_us
+         + mf_request_service (core, request)->config.tbt_target_us;
+}
+
+/* The prefill engine with the least predicted time to the first token, that would begin soon. */
+static uint32_t
+place_prefill (MfCore *core, MfRequest *request, uint64_t *ttft_us)
+{
+  uint32_t pool = mf_request_service (core, request)->config.prefill_pool;
+  uint64_t best_us = UINT64_MAX;
+  uint32_t best = MF_NONE;
+  Sample sample;
+
+  draw (core, pool, &sample);
+  for (uint32_t i = 0; i < sample.n_rows; i++)
+    {
+      uint32_t upstream = sample.rows[i];
+      uint32_t cached = 0;
+      uint64_t wait_us;
+      uint64_t us = predict_us (core, request, upstream, &wait_us, &cached);
+
+      if (us == UINT64_MAX || wait_us > PREFILL_WAIT_MAX_US)
+        continue;
+      us = us * FULL_WEIGHT_PPM / (mf_health_weight_ppm (core, upstream) + 1);
+      if (upstream == request->last_upstream)
+        us *= 2;
+      if (us < best_us)
+        {
+          best_us = us;
+          best = upstream;
+          request->cached_tokens = cached;
+        }
+    }
+  *ttft_us = best_us;
+  return best;
+}
+
+/* Decode room is secured first; only then is a prefill spent. */
+static MfPlaceResult
+place_model (MfCore *core, MfRequest *request, MfPlacement *placement)
+{
+  placement->decode = place_decode (core, request);
+  if (placement->decode == MF_NONE)
+    return MF_PLACE_WAIT;
+  placement->prefill = place_prefill (core, request, &placement->ttft_us);
+  return placement->prefill == MF_NONE ? MF_PLACE_WAIT : MF_PLACE_FOUND;
+}
+
+static uint32_t
+plain_slots (const MfCore *core, const MfRequest *request, uint32_t upstream)
+{
+  uint32_t slots = mf_share_limit (core, upstream);
+
+  if (request->class_ == MF_CLASS_READ || slots < 2)
+    return slots;
+  slots = slots * ORDER_SLOTS_PERCENT / 100;
+  return slots > 0 ? slots : 1;
+}
+
+/* The upstream with the least own work and the fastest answers. */
+static uint32_t
+place_plain (MfCore *core, MfRequest *request)
+{
+  uint32_t pool = mf_request_service (core, request)->config.plain_pool;
+  uint64_t best_load = UINT64_MAX;
+  uint32_t best = MF_NONE;
+  Sample sample;
+
+  draw (core, pool, &sample);
+  for (uint32_t i = 0; i < sample.n_rows; i++)
+    {
+      uint32_t upstream = sample.rows[i];
+      const MfUpstream *row = &core->board.upstreams[upstream];
+      uint64_t load;
+
+      if (!mf_upstream_is_usable (row) || !suits_suspect (row, request)
+          || row->own_slots >= plain_slots (core, request, upstream))
+        continue;
+      load = (uint64_t)(row->own_slots + 1) * (row->answer_us + MF_US_PER_MS) * 1000
+             / (mf_health_weight_ppm (core, upstream) / 1000 + 1);
+      if (upstream == request->last_upstream)
+        load *= 4;
+      if (load < best_load)
+        {
+          best_load = load;
+          best = upstream;
+        }
+    }
+  return best;
+}
+
+/* Time from placement to the first token when nothing waits, by the pool's usual rates. */
+static uint64_t
+unloaded_us (const MfCore *core, const MfRequest *request)
+{
+  const MfService *service = &mf_request_service (core, request)->config;
+  const MfPoolRow *pool;
+  const MfUpstream *row;
+
+  if (service->kind == MF_SERVICE_PLAIN)
+    return mf_request_service (core, request)->answer_us;
+  pool = &core->board.services.pools[service->prefill_pool];
+  if (pool->n_active == 0)
+    return 0;
+  row = &core->board.upstreams[pool->active[0]];
+  return ratio_us (request->prompt_tokens + request->delivered, prefill_rate (row))
+         + ratio_us (kv_bytes (core, request), link_rate (row)) + 2 * service->tbt_target_us;
+}
+
+const MfPolicy mf_place_policy = {
+  .name = "place",
+  .queues = true,
+  .resumes = true,
+  .hedges = true,
+  .isolates = true,
+  .place_model = place_model,
+  .place_decode = place_decode,
+  .place_plain = place_plain,
+  .may_retry = mf_retry_may,
+  .unloaded_us = unloaded_us,
+};
--- a/libmangofork/queue.c
+++ b/libmangofork/queue.c
@@ -1,3 +1,514 @@
-#include "core.h"
+#include "queue.h"
 
-const MfController mf_queue_controller = { .name = "queue" };
+#include "policy.h"
+#include "share.h"
+
+#include <stdlib.h>
+
+/* One turn in this many goes to a request that is already late, so that none starves. */
+#define LATE_TURN 16
+/* Tries to place in one step, over all services. */
+#define PLACE_TRIES_MAX 64
+/* A lower class goes first when its oldest has waited this share of its time. */
+#define STARVED_DIVISOR 2
+#define WANT_PERIOD_US (100 * MF_US_PER_MS)
+#define RETRY_AFTER_MIN_MS 200
+#define RETRY_AFTER_MAX_MS 60000
+/* The wait for work that comes back is looked at again after this. */
+#define DRAIN_GAP_MAX_US MF_US_PER_S
+
+/* The requests of one customer that wait for one service, oldest first. */
+typedef struct Lane
+{
+  MfHeapNode node; /* first member; its time is the lane's virtual time */
+  uint64_t key[2]; /* service, customer */
+  MfRequest *head;
+  MfRequest *tail;
+  uint32_t n_requests;
+  UT_hash_handle hh;
+} Lane;
+
+typedef struct
+{
+  MfRequest *head;
+  MfRequest *tail;
+  uint32_t n_requests;
+} List;
+
+typedef enum
+{
+  TIER_FRESH, /* may still meet its first-token target */
+  TIER_AGAIN, /* was served before and broke */
+  TIER_LATE,
+} Tier;
+
+typedef struct
+{
+  MfHeap lanes; /* those with requests, least virtual time first */
+  uint64_t virtual_time;
+  List again;
+  List late;
+  uint32_t n_fresh;
+  uint32_t n_turns;
+} ServiceQueue;
+
+struct MfQueue
+{
+  ServiceQueue *services;
+  uint32_t n_services;
+  Lane *lanes;
+  uint32_t n_requests;
+  bool stirred;
+  uint64_t want_us;
+};
+
+static void
+list_push (List *list, MfRequest *request)
+{
+  request->next = NULL;
+  request->prev = list->tail;
+  if (list->tail != NULL)
+    list->tail->next = request;
+  else
+    list->head = request;
+  list->tail = request;
+  list->n_requests++;
+}
+
+static void
+list_remove (List *list, MfRequest *request)
+{
+  if (request->prev != NULL)
+    request->prev->next = request->next;
+  else
+    list->head = request->next;
+  if (request->next != NULL)
+    request->next->prev = request->prev;
+  else
+    list->tail = request->prev;
+  request->prev = request->next = NULL;
+  list->n_requests--;
+}
+
+static ServiceQueue *
+service_queue (MfCore *core, uint32_t service)
+{
+  MfQueue *queue = core->board.queue;
+
+  if (service >= queue->n_services)
+    {
+      uint32_t n = core->board.services.n_rows;
+      ServiceQueue *services = realloc (queue->services, n * sizeof *services);
+
+      if (services == NULL)
+        abort ();
+      for (uint32_t i = queue->n_services; i < n; i++)
+        services[i] = (ServiceQueue){ 0 };
+      queue->services = services;
+      queue->n_services = n;
+    }
+  return &queue->services[service];
+}
+
+static Lane *
+lane_of (MfCore *core, const MfRequest *request)
+{
+  uint64_t key[2] = { request->service, request->customer };
+  Lane *lane;
+
+  HASH_FIND (hh, core->board.queue->lanes, key, sizeof key, lane);
+  if (lane != NULL)
+    return lane;
+  lane = calloc (1, sizeof *lane);
+  if (lane == NULL)
+    abort ();
+  lane->node.position = MF_HEAP_OUT;
+  lane->key[0] = key[0];
+  lane->key[1] = key[1];
+  HASH_ADD (hh, core->board.queue->lanes, key, sizeof lane->key, lane);
+  return lane;
+}
+
+static uint32_t
+weight_of (const MfCore *core, const MfRequest *request)
+{
+  uint32_t share = request->customer == MF_NONE
+                       ? 1
+                       : core->board.services.customers[request->customer].config.share;
+
+  return share > 0 ? share : 1;
+}
+
+/* Work in tokens, an output token counted as many prompt tokens, by the customer's weight. */
+static uint64_t
+cost_of (const MfCore *core, const MfRequest *request)
+{
+  uint64_t output = mf_service_output_tokens (mf_request_service (core, request));
+
+  return (1000 + request->prompt_tokens + output * 16) / weight_of (core, request);
+}
+
+static void
+lane_push (MfCore *core, ServiceQueue *queue, MfRequest *request)
+{
+  Lane *lane = lane_of (core, request);
+  List list = { .head = lane->head, .tail = lane->tail };
+
+  list_push (&list, request);
+  lane->head = list.head;
+  lane->tail = list.tail;
+  lane->n_requests++;
+  request->lane = lane;
+  queue->n_fresh++;
+  if (lane->node.position == MF_HEAP_OUT)
+    mf_heap_set (&queue->lanes, &lane->node,
+                 lane->node.at_us > queue->virtual_time ? lane->node.at_us : queue->virtual_time);
+}
+
+static void
+lane_remove (ServiceQueue *queue, MfRequest *request)
+{
+  Lane *lane = request->lane;
+  List list = { .head = lane->head, .tail = lane->tail };
+
+  list_remove (&list, request);
+  lane->head = list.head;
+  lane->tail = list.tail;
+  lane->n_requests--;
+  request->lane = NULL;
+  queue->n_fresh--;
+  if (lane->n_requests == 0)
+    mf_heap_remove (&queue->lanes, &lane->node);
+}
+
+void
+mf_queue_stir (MfCore *core)
+{
+  core->board.queue->stirred = true;
+}
+
+uint32_t
+mf_queue_length (const MfCore *core)
+{
+  return core->board.queue->n_requests;
+}
+
+uint32_t
+mf_queue_service_length (const MfCore *core, uint32_t service)
+{
+  const MfQueue *queue = core->board.queue;
+
+  if (service >= queue->n_services)
+    return 0;
+  return queue->services[service].n_fresh + queue->services[service].late.n_requests
+         + queue->services[service].again.n_requests;
+}
+
+/* The wait of a request behind n others, from how fast the queue drains. */
+static uint64_t
+wait_us (const MfCore *core, uint32_t service, uint32_t n)
+{
+  return core->board.services.rows[service].drain_gap_us * n;
+}
+
+/* When a refused caller should come back: when what waits now has gone. */
+uint64_t
+mf_queue_retry_after_ms (const MfCore *core, uint32_t service)
+{
+  uint64_t ms = wait_us (core, service, mf_queue_service_length (core, service)) / MF_US_PER_MS;
+
+  if (ms < RETRY_AFTER_MIN_MS)
+    return RETRY_AFTER_MIN_MS;
+  return ms < RETRY_AFTER_MAX_MS ? ms : RETRY_AFTER_MAX_MS;
+}
+
+/* The last moment at which a placement still meets the first-token target. */
+static uint64_t
+latest_start_us (const MfCore *core, const MfRequest *request)
+{
+  uint64_t target_us = mf_request_service (core, request)->config.ttft_target_us;
+  uint64_t needed_us = mf_policy (core)->unloaded_us (core, request);
+
+  if (target_us <= needed_us)
+    return 0;
+  return request->arrived_us + target_us - needed_us;
+}
+
+static void
+put (MfCore *core, MfRequest *request, Tier tier)
+{
+  ServiceQueue *queue = service_queue (core, request->service);
+
+  request->queue = (uint8_t)tier;
+  request->queued = true;
+  core->board.queue->n_requests++;
+  if (tier == TIER_FRESH)
+    lane_push (core, queue, request);
+  else
+    list_push (tier == TIER_AGAIN ? &queue->again : &queue->late, request);
+  mf_queue_stir (core);
+}
+
+void
+mf_queue_remove (MfCore *core, MfRequest *request)
+{
+  ServiceQueue *queue = service_queue (core, request->service);
+
+  if (request->queue == TIER_FRESH)
+    lane_remove (queue, request);
+  else
+    list_remove (request->queue == TIER_AGAIN ? &queue->again : &queue->late, request);
+  request->queued = false;
+  core->board.queue->n_requests--;
+}
+
+/* Puts a request among the late, or refuses it at once when its turn would not come in time: the
+ * late get one turn in LATE_TURN while others wait. */
+static void
+put_late (MfCore *core, MfRequest *request)
+{
+  const ServiceQueue *queue = service_queue (core, request->service);
+  uint64_t turns = queue->n_fresh > 0 ? LATE_TURN : 1;
+  uint64_t wait = wait_us (core, request->service, queue->late.n_requests + 1) * turns;
+
+  if (core->board.now_us + wait > request->deadline_us)
+    mf_finish_refused (core, request, MF_CODE_QUEUE_FULL,
+                       mf_queue_retry_after_ms (core, request->service));
+  else
+    put (core, request, TIER_LATE);
+}
+
+/* Whether the request's turn among its customer's would come too late for its first-token target,
+ * judged by how many customers share the drain. */
+static bool
+will_be_late (MfCore *core, const MfRequest *request)
+{
+  const ServiceQueue *queue = service_queue (core, request->service);
+  const Lane *lane = lane_of (core, request);
+  uint64_t n_lanes = queue->lanes.n_nodes > 0 ? queue->lanes.n_nodes : 1;
+  uint64_t wait = wait_us (core, request->service, (uint32_t)(lane->n_requests * n_lanes));
+
+  return lane->n_requests > 0 && core->board.now_us + wait > latest_start_us (core, request);
+}
+
+void
+mf_queue_add (MfCore *core, MfRequest *request)
+{
+  mf_request_note (core, request, MF_TRACE_QUEUED, MF_NONE, MF_NONE,
+                   mf_queue_service_length (core, request->service));
+  if (mf_policy (core)->queues && will_be_late (core, request))
+    put_late (core, request);
+  else
+    put (core, request, TIER_FRESH);
+}
+
+void
+mf_queue_add_again (MfCore *core, MfRequest *request)
+{
+  put (core, request, TIER_AGAIN);
+  if (request->not_before_us > core->board.now_us)
+    mf_request_check_at (core, request, request->not_before_us);
+}
+
+/* Places one request. Returns false when there is no room for it now. */
+static bool
+place (MfCore *core, MfRequest *request)
+{
+  const MfPolicy *policy = mf_policy (core);
+  MfPlacement placement = { .prefill = MF_NONE, .decode = MF_NONE };
+  uint32_t upstream;
+
+  if (request->suspect_pending || request->not_before_us > core->board.now_us)
+    return false;
+  if (mf_request_service (core, request)->config.kind == MF_SERVICE_PLAIN)
+    {
+      upstream = policy->place_plain (core, request);
+      if (upstream == MF_NONE)
+        return false;
+      mf_queue_remove (core, request);
+      mf_life_start_plain (core, request, upstream);
+      return true;
+    }
+  if (policy->place_model (core, request, &placement) != MF_PLACE_FOUND)
+    return false;
+  mf_queue_remove (core, request);
+  mf_life_start_model (core, request, &placement);
+  return true;
+}
+
+/* Learns how fast the queue drains, from the time between two placements while some wait. */
+static void
+note_drain (MfCore *core, uint32_t service, bool others_wait)
+{
+  MfServiceRow *row = &core->board.services.rows[service];
+  uint64_t gap_us = core->board.now_us - row->drain_last_us;
+
+  if (others_wait && row->drain_last_us > 0)
+    {
+      if (gap_us > DRAIN_GAP_MAX_US)
+        gap_us = DRAIN_GAP_MAX_US;
+      row->drain_gap_us += ((int64_t)gap_us - (int64_t)row->drain_gap_us) / 16;
+    }
+  row->drain_last_us = core->board.now_us;
+}
+
+/* Moves the heads that can no longer be in time to the late; returns the first that can. */
+static MfRequest *
+first_fresh (MfCore *core, ServiceQueue *queue)
+{
+  MfHeapNode *node;
+
+  while ((node = mf_heap_first (&queue->lanes)) != NULL)
+    {
+      MfRequest *request = ((Lane *)node)->head;
+
+      if (!mf_policy (core)->queues || latest_start_us (core, request) >= core->board.now_us)
+        return request;
+      mf_queue_remove (core, request);
+      put_late (core, request);
+    }
+  return NULL;
+}
+
+static bool
+place_fresh (MfCore *core, ServiceQueue *queue, MfRequest *request)
+{
+  Lane *lane = request->lane;
+  uint64_t cost = cost_of (core, request);
+
+  if (!place (core, request))
+    return false;
+  queue->virtual_time = lane->node.at_us;
+  lane->node.at_us += cost;
+  if (lane->node.position != MF_HEAP_OUT)
+    mf_heap_set (&queue->lanes, &lane->node, lane->node.at_us);
+  return true;
+}
+
+static bool
+place_again (MfCore *core, ServiceQueue *queue)
+{
+  MfRequest *request = queue->again.head;
+
+  while (request != NULL)
+    {
+      MfRequest *next = request->next;
+
+      if (place (core, request))
+        return true;
+      request = next;
+    }
+  return false;
+}
+
+/* Places the next request of one service. Returns false when none could be. */
+static bool
+place_next (MfCore *core, uint32_t service)
+{
+  ServiceQueue *queue = service_queue (core, service);
+  MfRequest *fresh;
+  bool late_turn;
+  bool placed;
+
+  if (place_again (core, queue))
+    return true;
+  fresh = first_fresh (core, queue);
+  late_turn = fresh == NULL || ++queue->n_turns % LATE_TURN == 0;
+  if (late_turn && queue->late.head != NULL)
+    placed = place (core, queue->late.head);
+  else
+    placed = fresh != NULL && place_fresh (core, service_queue (core, service), fresh);
+  if (placed)
+    note_drain (core, service, mf_queue_service_length (core, service) > 0);
+  else
+    queue->n_turns--;
+  return placed;
+}
+
+static bool
+is_starved (MfCore *core, uint32_t service)
+{
+  const ServiceQueue *queue = service_queue (core, service);
+  const MfHeapNode *node = mf_heap_first (&queue->lanes);
+  const MfRequest *oldest = node != NULL ? ((const Lane *)node)->head : queue->late.head;
+
+  return oldest != NULL
+         && (core->board.now_us - oldest->arrived_us) * STARVED_DIVISOR
+                > oldest->deadline_us - oldest->arrived_us;
+}
+
+/* Tries the services that are starved, then all by class. */
+static void
+queue_tick (MfCore *core)
+{
+  MfQueue *queue = core->board.queue;
+  uint32_t n_tries = 0;
+
+  if (!queue->stirred || queue->n_requests == 0)
+    return;
+  queue->stirred = false;
+  for (uint32_t i = 0; i < core->board.services.n_rows; i++)
+    {
+      if (is_starved (core, i) && place_next (core, i))
+        n_tries++;
+    }
+  for (int class_ = 0; class_ < MF_CLASS_COUNT; class_++)
+    {
+      for (uint32_t i = 0; i < core->board.services.n_rows; i++)
+        {
+          if (core->board.services.rows[i].config.class_ != (MfClass)class_)
+            continue;
+          while (n_tries < PLACE_TRIES_MAX && place_next (core, i))
+            n_tries++;
+        }
+    }
+  if (n_tries >= PLACE_TRIES_MAX)
+    {
+      queue->stirred = true;
+      mf_core_wake_at (core, core->board.now_us);
+    }
+}
+
+static void
+queue_handle (MfCore *core, const MfEvent *event)
+{
+  if (event->type == MF_EVENT_LOAD || event->type == MF_EVENT_TICK)
+    mf_queue_stir (core);
+}
+
+static bool
+queue_init (MfCore *core, MfError *error)
+{
+  core->board.queue = calloc (1, sizeof *core->board.queue);
+  if (core->board.queue == NULL)
+    mf_error_set (error, MF_CODE_NO_MEMORY, "no memory for the queue");
+  return core->board.queue != NULL;
+}
+
+static void
+queue_finish (MfCore *core)
+{
+  MfQueue *queue = core->board.queue;
+  Lane *lane;
+  Lane *next;
+
+  if (queue == NULL)
+    return;
+  HASH_ITER (hh, queue->lanes, lane, next)
+  {
+    HASH_DEL (queue->lanes, lane);
+    free (lane);
+  }
+  for (uint32_t i = 0; i < queue->n_services; i++)
+    mf_heap_clear (&queue->services[i].lanes);
+  free (queue->services);
+  free (queue);
+}
+
+const MfController mf_queue_controller = {
+  .name = "queue",
+  .init = queue_init,
+  .finish = queue_finish,
+  .handle = queue_handle,
+  .tick = queue_tick,
+};
--- a/libmangofork/request.h
+++ b/libmangofork/request.h
@@ -2,6 +2,9 @@
 #define MF_REQUEST_H
 
 #include "core.h"
+#include "heap.h"
+
+#include <uthash.h>
 
 /* Where a request is. */
 typedef enum
@@ -20,6 +23,21 @@
 
 const char *mf_phase_name (MfPhase phase);
 
+/* What can happen to one request; the columns of the table in life.c. */
+typedef enum
+{
+  MF_INPUT_DEPARTED,
+  MF_INPUT_CALL_SENT,
+  MF_INPUT_PREFILLED,
+  MF_INPUT_IMPORTED,
+  MF_INPUT_TOKENS,
+  MF_INPUT_DONE,
+  MF_INPUT_FAILED,
+  MF_INPUT_CLAIM, /* its claim was settled */
+  MF_INPUT_TIMER,
+  MF_INPUT_COUNT,
+} MfInput;
+
 /* What the claim controller found for a keyed call. */
 typedef enum
 {
@@ -46,4 +64,157 @@
  * before mf_claim_begin returns. */
 void mf_request_claim_settled (MfCore *core, uint64_t request_id, const MfClaimResult *result);
 
+typedef struct MfRequest MfRequest;
+
+/* One running call to an upstream for a request. */
+typedef struct MfCall
+{
+  uint64_t id;
+  MfCallKind kind;
+  uint32_t upstream;
+  uint32_t attempt;
+  uint32_t pieces; /* held there on its behalf */
+  uint32_t prefill_tokens;
+  uint64_t ahead_tokens; /* prefill: tokens to compute there, its own among them */
+  uint64_t started_us;
+  bool sent;
+  bool hedge;
+  bool suspect;   /* counted in its upstream's suspects */
+  bool held;      /* its pieces are counted at its upstream */
+  bool prefilled; /* its result is the request's now */
+  MfRequest *request;
+  struct MfCall *next;          /* of the request */
+  struct MfCall *prev_upstream; /* of the upstream */
+  struct MfCall *next_upstream;
+  UT_hash_handle hh;
+} MfCall;
+
+/* Tries a decode engine can refuse within one prefill's life, remembered so as not to ask again. */
+#define MF_REFUSED_MAX 8
+
+struct MfRequest
+{
+  MfHeapNode timer; /* first member: the heap's nodes are requests */
+  uint64_t id;
+  MfPhase phase;
+  uint32_t service;
+  uint32_t customer; /* MF_NONE: anonymous */
+  MfClass class_;
+  bool idempotent;
+  bool has_key;
+  bool claimed;       /* granted; owes mf_claim_finish */
+  bool departed;      /* the caller is gone, but the call runs on for its key's sake */
+  bool ran;           /* some of the work has certainly begun at an upstream */
+  uint32_t n_unknown; /* ended calls that may have run */
+  uint8_t key_digest[MF_DIGEST_BYTES];
+  uint64_t key_minted_ms;
+  uint64_t digest;
+  uint64_t cache_salt;
+  uint32_t prompt_tokens;
+  uint32_t max_tokens;
+  uint64_t prefix_hashes[MF_PREFIX_HASHES_MAX];
+  uint32_t n_prefix_hashes;
+
+  uint64_t arrived_us;
+  uint64_t deadline_us;
+  uint64_t check_us; /* when its phase wants a look; the heap may be earlier */
+  uint64_t first_us;
+  uint64_t last_us;
+  uint64_t not_before_us; /* backoff */
+  uint32_t n_gaps;
+  uint32_t n_gaps_late;
+  uint32_t delivered;
+  uint32_t attempt;
+  uint32_t n_retries;
+  uint32_t n_deaths; /* upstreams that died while they ran it */
+  bool suspect;
+  bool suspect_pending; /* whether its upstream died is not known yet */
+  uint8_t n_claims;
+  uint32_t cleared_at; /* tokens at which a suspect is cleared */
+
+  MfCall *calls;
+  uint32_t cached_tokens; /* of the prompt, at the prefill engine chosen last, as far as known */
+  uint32_t reserved;      /* decode upstream a slot is reserved on, or MF_NONE */
+  uint32_t pieces;
+  uint64_t prefill_call_id; /* whose KV waits; 0 for none */
+  uint32_t prefill_upstream;
+  uint32_t prefill_attempt;
+  uint32_t prefill_pieces;
+  uint64_t kv_expires_us;
+  uint64_t kv_bytes;
+  uint64_t prefilled_us;
+  uint32_t refused[MF_REFUSED_MAX];
+  uint32_t n_refused;
+  uint32_t last_upstream; /* the last that failed it; not tried next */
+
+  uint32_t prefill_tokens; /* computed for it over all attempts */
+  uint32_t wasted_tokens;
+
+  MfRequest *prev; /* of its queue */
+  MfRequest *next;
+  uint8_t queue; /* MfQueueTier */
+  bool queued;
+  void *lane;
+  UT_hash_handle hh;
+};
+
+MfRequest *mf_request_find (const MfCore *core, uint64_t request_id);
+uint32_t mf_request_count (const MfCore *core);
+void mf_request_foreach (MfCore *core, void (*func) (MfRequest *request, void *data), void *data);
+/* The upstream's process is gone: every call on it made before has failed. */
+void mf_request_upstream_died (MfCore *core, uint32_t upstream);
+/* Sets when MF_INPUT_TIMER comes next; the deadline may come before. */
+void mf_request_check_at (MfCore *core, MfRequest *request, uint64_t at_us);
+void mf_request_set_phase (MfRequest *request, MfPhase phase);
+const MfServiceRow *mf_request_service (const MfCore *core, const MfRequest *request);
+void mf_request_note (MfCore *core, const MfRequest *request, MfTraceKind kind, uint32_t upstream,
+                      uint32_t other, uint64_t value);
+/* Puts a request through the state machine. Returns false when this input means nothing in its
+ * phase; the request may be gone afterwards. */
+bool mf_life_input (MfCore *core, MfRequest *request, MfInput input, MfCall *call,
+                    const MfEvent *event, const MfClaimResult *claim);
+/* For tests: whether the table has a handler there. */
+bool mf_life_accepts (MfPhase phase, MfInput input);
+struct MfPlacement; /* policy.h */
+
+/* Starts a request that a place has been found for. */
+void mf_life_start_model (MfCore *core, MfRequest *request, const struct MfPlacement *placement);
+void mf_life_start_plain (MfCore *core, MfRequest *request, uint32_t upstream);
+/* Begins a request that has been admitted. */
+void mf_life_begin (MfCore *core, MfRequest *request);
+
+/* call.c */
+MfCall *mf_call_start (MfCore *core, MfRequest *request, MfCallKind kind, uint32_t upstream);
+/* The call is over by itself; frees it. */
+void mf_call_end (MfCore *core, MfCall *call);
+/* Closes the call's connection and owes the engine a cancel when it may hold memory for it. */
+void mf_call_abandon (MfCore *core, MfCall *call);
+/* Takes the mark of a suspect off its running calls. */
+void mf_call_clear_suspect (MfCore *core, MfRequest *request);
+void mf_call_abandon_all (MfCore *core, MfRequest *request);
+MfCall *mf_call_find (const MfCore *core, uint64_t call_id);
+/* Gives up the KV that waits at the prefill engine; when it was not imported it is wasted. */
+void mf_call_drop_prefill (MfCore *core, MfRequest *request, bool imported);
+void mf_call_unreserve (MfCore *core, MfRequest *request);
+void mf_call_reserve (MfCore *core, MfRequest *request, uint32_t upstream);
+
+/* finish.c: the terminal states. Each frees the request. */
+void mf_finish_answered (MfCore *core, MfRequest *request, const MfEvent *event);
+void mf_finish_refused (MfCore *core, MfRequest *request, MfCode code, uint64_t retry_after_ms);
+void mf_finish_departed (MfCore *core, MfRequest *request);
+void mf_finish_replayed (MfCore *core, MfRequest *request, const MfClaimResult *claim);
+MfOutcome mf_finish_outcome (const MfRequest *request);
+/* Refuses what never became a request. */
+void mf_finish_turned_away (MfCore *core, const MfRequestEvent *event, uint32_t service,
+                            uint32_t customer, MfCode code, uint64_t retry_after_ms);
+/* Takes the request out of every table and frees it. */
+void mf_request_remove (MfCore *core, MfRequest *request);
+
+struct MfRequests
+{
+  MfRequest *by_id;
+  MfCall *calls;
+  MfHeap timers;
+};
+
 #endif
--- /dev/null
+++ b/libmangofork/retry.c
@@ -0,0 +1,65 @@
+#include "retry.h"
+
+/* A retry costs 1000; each request earns a tenth of one, a hedge twentieth. The burst covers the
+ * streams of a whole engine. */
+#define TOKEN_MILLI 1000
+#define RETRY_EARN_MILLI 100
+#define RETRY_BURST_MILLI (64 * TOKEN_MILLI)
+#define HEDGE_EARN_MILLI 50
+#define HEDGE_BURST_MILLI (8 * TOKEN_MILLI)
+#define BACKOFF_BASE_US (5 * MF_US_PER_MS)
+#define BACKOFF_DOUBLINGS_MAX 7
+
+static void
+earn (MfBudget *budget, uint32_t n_milli, uint32_t burst_milli)
+{
+  budget->tokens_milli += n_milli;
+  if (budget->tokens_milli > burst_milli)
+    budget->tokens_milli = burst_milli;
+}
+
+static bool
+spend (MfBudget *budget)
+{
+  if (budget->tokens_milli < TOKEN_MILLI)
+    return false;
+  budget->tokens_milli -= TOKEN_MILLI;
+  return true;
+}
+
+/* A request of the service has been accepted. */
+void
+mf_retry_earn (MfCore *core, uint32_t service)
+{
+  MfServiceRow *row = &core->board.services.rows[service];
+
+  if (!row->budgets_filled)
+    {
+      row->retry.tokens_milli = RETRY_BURST_MILLI;
+      row->budgets_filled = true;
+    }
+  earn (&row->retry, RETRY_EARN_MILLI, RETRY_BURST_MILLI);
+  earn (&row->hedge, HEDGE_EARN_MILLI, HEDGE_BURST_MILLI);
+}
+
+/* Whether the budget allows the request one more try. The delay doubles with each and has full
+ * jitter from the core's own stream. The first try after a break goes at once. */
+bool
+mf_retry_may (MfCore *core, MfRequest *request, uint64_t *delay_us)
+{
+  MfServiceRow *row = &core->board.services.rows[request->service];
+  uint32_t doublings
+      = request->n_retries < BACKOFF_DOUBLINGS_MAX ? request->n_retries : BACKOFF_DOUBLINGS_MAX;
+
+  if (!spend (&row->retry))
+    return false;
+  *delay_us
+      = request->n_retries == 0 ? 0 : mf_core_random_below (core, BACKOFF_BASE_US << doublings);
+  return true;
+}
+
+bool
+mf_retry_may_hedge (MfCore *core, uint32_t service)
+{
+  return spend (&core->board.services.rows[service].hedge);
+}
