--- a/libmangofork/board.h
+++ b/libmangofork/board.h
@@ -19,6 +19,7 @@
 typedef struct MfClaims MfClaims;         /* claim.c */
 typedef struct MfConfsync MfConfsync;     /* confsync.c */
 typedef struct MfNewsbook MfNewsbook;     /* news.c */
+typedef struct MfDigests MfDigests;       /* digest.c */
 typedef struct MfShares MfShares;         /* share.c */
 typedef struct MfOrders MfOrders;         /* order.c */
 
@@ -57,6 +58,7 @@
   MfServices services;
   bool draining; /* no new work is taken */
   bool ready;
+  bool admitted; /* as a voter; claim.c */
   uint64_t list_index;
   MfCounters counters;
   MfTrace *trace;
@@ -73,6 +75,7 @@
   MfClaims *claims;
   MfConfsync *confsync;
   MfNewsbook *newsbook;
+  MfDigests *digests;
   MfShares *shares;
   MfOrders *orders;
 } MfBoard;
--- a/libmangofork/confsync.c
+++ b/libmangofork/confsync.c
@@ -1,3 +1,482 @@
-#include "core.h"
+#include "confsync.h"
 
-const MfController mf_confsync_controller = { .name = "confsync" };
+#include "digest.h"
+#include "member_row.h"
+#include "text_delta.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* How long a fresh instance asks peers before it believes the platform. */
+#define PEERS_FIRST_US (1500 * MF_US_PER_MS)
+/* An ask that was not answered by then goes to another peer. */
+#define ASK_LIMIT_US (700 * MF_US_PER_MS)
+/* Earlier texts kept, so that peers that hold them get only what changed. */
+#define OLD_TEXTS 3
+/* A faulty revision is asked for again only after this. */
+#define REFUSED_LIFE_US (60 * MF_US_PER_S)
+#define REFUSED_MAX 8
+/* Whole texts and lists handed to peers in one second. */
+#define SENDS_PER_S 8
+
+typedef struct
+{
+  uint64_t revision;
+  char *text;
+  size_t text_bytes;
+} Text;
+
+typedef struct
+{
+  uint64_t revision;
+  uint64_t until_us;
+} Refused;
+
+/* A question to a peer. */
+typedef struct
+{
+  uint64_t until_us; /* 0 when none is out */
+  uint64_t peer;     /* hash of the slot asked last */
+} Ask;
+
+struct MfConfsync
+{
+  MfPlatformReads reads;
+  Text candidate; /* from the platform, while peers are asked first */
+  Text old[OLD_TEXTS];
+  uint32_t next_old;
+  Refused refused[REFUSED_MAX];
+  uint32_t next_refused;
+  uint64_t decide_us; /* when the platform is believed whatever the peers say; 0 before a list */
+  bool whole;         /* the last difference did not fit: ask for the whole text */
+  Ask text_ask;
+  Ask list_ask;
+  uint64_t send_second;
+  uint32_t n_sent;
+};
+
+static uint64_t
+own_revision (const MfCore *core)
+{
+  return core->board.config != NULL ? core->board.config->revision : 0;
+}
+
+static bool
+text_set (Text *dst, uint64_t revision, const char *text, size_t text_bytes)
+{
+  char *copy = malloc (text_bytes + 1);
+
+  if (copy == NULL)
+    return false;
+  memcpy (copy, text, text_bytes);
+  copy[text_bytes] = '\0';
+  free (dst->text);
+  *dst = (Text){ .revision = revision, .text = copy, .text_bytes = text_bytes };
+  return true;
+}
+
+static void
+text_clear (Text *text)
+{
+  free (text->text);
+  *text = (Text){ 0 };
+}
+
+static bool
+is_refused (const MfCore *core, uint64_t revision)
+{
+  const MfConfsync *sync = core->board.confsync;
+
+  for (uint32_t i = 0; i < REFUSED_MAX; i++)
+    {
+      if (sync->refused[i].revision == revision && sync->refused[i].until_us > core->board.now_us)
+        return true;
+    }
+  return false;
+}
+
+static void
+refuse (MfCore *core, uint64_t revision)
+{
+  MfConfsync *sync = core->board.confsync;
+
+  sync->refused[sync->next_refused++ % REFUSED_MAX] = (Refused){
+    .revision = revision,
+    .until_us = core->board.now_us + REFUSED_LIFE_US,
+  };
+  mf_counter_add (&core->board.counters, MF_COUNTER_CONFIG_REFUSED, 1);
+  mf_core_log (core, "config", "text", "", "refused", "faulty");
+}
+
+static void
+ignore_fault (const MfError *fault, void *data)
+{
+  (void)fault;
+  (void)data;
+}
+
+/* Checks a text and puts it in force when it is sound and newer than the one in force. */
+static void
+offer_text (MfCore *core, uint64_t revision, const char *text, size_t text_bytes,
+            const char *source)
+{
+  MfConfsync *sync = core->board.confsync;
+  const MfConfig *old = core->board.config;
+  MfConfig *config;
+
+  if (revision < own_revision (core))
+    mf_counter_add (&core->board.counters, MF_COUNTER_CONFIG_STALE, 1);
+  if (revision <= own_revision (core) || is_refused (core, revision))
+    return;
+  config = mf_config_parse (text, text_bytes, revision, ignore_fault, NULL);
+  if (config == NULL)
+    {
+      refuse (core, revision);
+      return;
+    }
+  if (old != NULL)
+    text_set (&sync->old[sync->next_old++ % OLD_TEXTS], old->revision, old->text, old->text_bytes);
+  sync->whole = false;
+  sync->text_ask.until_us = 0;
+  mf_counter_add (&core->board.counters, MF_COUNTER_CONFIG_ACCEPTED, 1);
+  mf_core_log (core, "config", "text", "", "in force", source);
+  mf_core_set_config (core, config);
+  mf_digest_hurry (core);
+}
+
+/* Returns the linked neighbour to ask: one that has more than we do, another one than the last. */
+static MfMemberRow *
+better_peer (const MfCore *core, const Ask *ask, bool for_list)
+{
+  const MfMembers *members = core->board.members;
+  MfMemberRow *best = NULL;
+
+  for (uint32_t i = 0; i < MF_NEIGHBOURS_MAX; i++)
+    {
+      MfMemberRow *row = members->neighbours[i];
+
+      if (row == NULL || row->member.link_id == 0)
+        continue;
+      if (for_list ? row->list_index <= core->board.list_index
+                   : row->config_revision <= own_revision (core)
+                         || is_refused (core, row->config_revision))
+        continue;
+      if (best == NULL || best->name_hash == ask->peer
+          || (!for_list && row->config_revision > best->config_revision
+              && row->name_hash != ask->peer))
+        best = row;
+    }
+  return best;
+}
+
+static void
+ask_peers (MfCore *core, Ask *ask, bool for_list)
+{
+  MfPeerMessage message = { .type = for_list ? MF_PEER_LIST_ASK : MF_PEER_CONFIG_ASK };
+  MfMemberRow *row;
+
+  if (core->board.now_us < ask->until_us)
+    {
+      mf_core_wake_at (core, ask->until_us);
+      return;
+    }
+  row = better_peer (core, ask, for_list);
+  if (row == NULL)
+    {
+      ask->until_us = 0;
+      return;
+    }
+  if (for_list)
+    message.ask_index = core->board.list_index;
+  else
+    message.ask_revision = core->board.confsync->whole ? 0 : own_revision (core);
+  ask->peer = row->name_hash;
+  ask->until_us = core->board.now_us + ASK_LIMIT_US;
+  mf_member_send_row (core, row, &message);
+  mf_core_wake_at (core, ask->until_us);
+}
+
+/* Bounds what one second of asks can cost. */
+static bool
+may_send (MfCore *core)
+{
+  MfConfsync *sync = core->board.confsync;
+  uint64_t second = core->board.now_us / MF_US_PER_S;
+
+  if (second != sync->send_second)
+    {
+      sync->send_second = second;
+      sync->n_sent = 0;
+    }
+  return ++sync->n_sent <= SENDS_PER_S;
+}
+
+static void
+answer_config_ask (MfCore *core, const MfPeerEvent *peer)
+{
+  const MfConfig *config = core->board.config;
+  const MfConfsync *sync = core->board.confsync;
+  MfPeerMessage message = { .type = MF_PEER_CONFIG };
+
+  if (config == NULL || config->revision <= peer->message->ask_revision)
+    return;
+  message.config = (MfConfigMessage){
+    .revision = config->revision,
+    .text = config->text,
+    .text_bytes = (uint32_t)config->text_bytes,
+    .whole_hash = mf_text_hash (config->text, config->text_bytes),
+  };
+  for (uint32_t i = 0; i < OLD_TEXTS; i++)
+    {
+      const Text *old = &sync->old[i];
+
+      if (old->text == NULL || old->revision != peer->message->ask_revision)
+        continue;
+      mf_text_delta_make (old->text, old->text_bytes, config->text, config->text_bytes,
+                          &message.config);
+      message.config.base_revision = old->revision;
+      break;
+    }
+  if (message.config.base_revision != 0 || may_send (core))
+    mf_member_send (core, peer->peer.name, &message);
+}
+
+static void
+take_config (MfCore *core, const MfConfigMessage *message)
+{
+  MfConfsync *sync = core->board.confsync;
+  const MfConfig *own = core->board.config;
+  size_t text_bytes = message->text_bytes;
+  char *whole = NULL;
+
+  sync->text_ask.until_us = 0;
+  if (message->revision <= own_revision (core))
+    return;
+  if (message->base_revision != 0)
+    {
+      if (own != NULL && own->revision == message->base_revision)
+        whole = mf_text_delta_apply (own->text, own->text_bytes, message, &text_bytes);
+      sync->whole = whole == NULL;
+      if (whole == NULL)
+        return;
+    }
+  else if (message->text == NULL
+           || mf_text_hash (message->text, message->text_bytes) != message->whole_hash)
+    return;
+  offer_text (core, message->revision, whole != NULL ? whole : message->text, text_bytes, "peer");
+  free (whole);
+}
+
+static void
+answer_list_ask (MfCore *core, const MfPeerEvent *peer)
+{
+  const MfOptions *options = &core->board.options;
+  MfPeerMessage message = { .type = MF_PEER_LIST };
+  uint32_t n_listed = 0;
+  MfListed *listed;
+
+  if (core->board.list_index <= peer->message->ask_index || !may_send (core))
+    return;
+  listed = calloc (mf_member_count (core) + 1, sizeof *listed);
+  if (listed == NULL)
+    return;
+  for (const MfMemberRow *row = core->board.members->rows; row != NULL; row = row->hh.next)
+    {
+      MfListed *to = &listed[n_listed];
+
+      if (!row->member.listed)
+        continue;
+      mf_name_set (to->name, sizeof to->name, row->member.owner.name);
+      mf_name_set (to->address, sizeof to->address, row->member.address);
+      mf_name_set (to->data_centre, sizeof to->data_centre, row->member.data_centre);
+      to->leaving = row->member.state == MF_MEMBER_LEAVING;
+      n_listed++;
+    }
+  mf_name_set (listed[n_listed].name, sizeof listed->name, options->self.name);
+  mf_name_set (listed[n_listed].address, sizeof listed->address, options->address);
+  mf_name_set (listed[n_listed].data_centre, sizeof listed->data_centre, options->data_centre);
+  message.list = (MfListMessage){
+    .index = core->board.list_index,
+    .listed = listed,
+    .n_listed = n_listed + 1,
+  };
+  mf_member_send (core, peer->peer.name, &message);
+  free (listed);
+}
+
+/* Whether every neighbour has told its revision, so that waiting longer would teach nothing. */
+static bool
+peers_were_heard (const MfCore *core)
+{
+  const MfMembers *members = core->board.members;
+
+  for (uint32_t i = 0; i < MF_NEIGHBOURS_MAX; i++)
+    {
+      if (members->neighbours[i] != NULL && members->neighbours[i]->digest_us == 0)
+        return false;
+    }
+  return !members->choose;
+}
+
+static uint64_t
+peers_revision (const MfCore *core)
+{
+  const MfMembers *members = core->board.members;
+  uint64_t revision = 0;
+
+  for (uint32_t i = 0; i < MF_NEIGHBOURS_MAX; i++)
+    {
+      const MfMemberRow *row = members->neighbours[i];
+
+      if (row != NULL && row->config_revision > revision
+          && !is_refused (core, row->config_revision))
+        revision = row->config_revision;
+    }
+  return revision;
+}
+
+/* A fresh instance has no text. The platform may be stale, so peers are asked first; its text is
+ * read when they have none, and taken when they could not be heard in time. */
+static void
+decide_first (MfCore *core)
+{
+  MfConfsync *sync = core->board.confsync;
+  bool late;
+
+  if (core->board.config != NULL || sync->decide_us == 0)
+    return;
+  late = core->board.now_us >= sync->decide_us;
+  if (!late)
+    mf_core_wake_at (core, sync->decide_us);
+  if (!late && (!peers_were_heard (core) || peers_revision (core) > 0))
+    return;
+  if (sync->candidate.text == NULL)
+    {
+      sync->reads.want_text = true;
+      return;
+    }
+  if (peers_revision (core) <= sync->candidate.revision || late)
+    offer_text (core, sync->candidate.revision, sync->candidate.text, sync->candidate.text_bytes,
+                "platform");
+  text_clear (&sync->candidate);
+}
+
+static void
+handle_text (MfCore *core, const MfTextEvent *text)
+{
+  MfConfsync *sync = core->board.confsync;
+
+  mf_platform_reads_done (core, &sync->reads, &sync->reads.text, text->revision);
+  if (core->board.config == NULL && sync->decide_us > core->board.now_us)
+    text_set (&sync->candidate, text->revision, text->text, text->text_bytes);
+  else
+    offer_text (core, text->revision, text->text, text->text_bytes, "platform");
+}
+
+static void
+handle_list (MfCore *core, uint64_t index)
+{
+  MfConfsync *sync = core->board.confsync;
+
+  mf_platform_reads_done (core, &sync->reads, &sync->reads.list, index);
+  if (sync->decide_us == 0)
+    sync->decide_us = core->board.now_us + PEERS_FIRST_US;
+}
+
+static void
+handle_message (MfCore *core, const MfPeerEvent *peer)
+{
+  const MfPeerMessage *message = peer->message;
+
+  switch (message->type)
+    {
+    case MF_PEER_CONFIG_ASK:
+      answer_config_ask (core, peer);
+      break;
+    case MF_PEER_CONFIG:
+      take_config (core, &message->config);
+      break;
+    case MF_PEER_LIST_ASK:
+      answer_list_ask (core, peer);
+      break;
+    case MF_PEER_LIST:
+      core->board.confsync->list_ask.until_us = 0;
+      mf_member_apply_list (core, message->list.index, message->list.listed,
+                            message->list.n_listed);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+confsync_handle (MfCore *core, const MfEvent *event)
+{
+  MfConfsync *sync = core->board.confsync;
+
+  switch (event->type)
+    {
+    case MF_EVENT_TEXT:
+      handle_text (core, &event->text);
+      break;
+    case MF_EVENT_LIST:
+      handle_list (core, event->list.index);
+      break;
+    case MF_EVENT_PLATFORM_LOST:
+      mf_platform_reads_lost (core, &sync->reads, &event->lost);
+      if (sync->decide_us == 0)
+        sync->decide_us = core->board.now_us + PEERS_FIRST_US;
+      break;
+    case MF_EVENT_PEER_MESSAGE:
+      handle_message (core, &event->peer);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+confsync_tick (MfCore *core)
+{
+  MfConfsync *sync = core->board.confsync;
+
+  decide_first (core);
+  mf_platform_reads_tick (core, &sync->reads);
+  ask_peers (core, &sync->text_ask, false);
+  ask_peers (core, &sync->list_ask, true);
+}
+
+static bool
+confsync_init (MfCore *core, MfError *error)
+{
+  core->board.confsync = calloc (1, sizeof *core->board.confsync);
+  if (core->board.confsync == NULL)
+    {
+      mf_error_set (error, MF_CODE_NO_MEMORY, "no memory for the operators' text");
+      return false;
+    }
+  mf_platform_reads_init (core, &core->board.confsync->reads);
+  return true;
+}
+
+static void
+confsync_finish (MfCore *core)
+{
+  MfConfsync *sync = core->board.confsync;
+
+  if (sync == NULL)
+    return;
+  text_clear (&sync->candidate);
+  for (uint32_t i = 0; i < OLD_TEXTS; i++)
+    text_clear (&sync->old[i]);
+  free (sync);
+  core->board.confsync = NULL;
+}
+
+const MfController mf_confsync_controller = {
+  .name = "confsync",
+  .init = confsync_init,
+  .finish = confsync_finish,
+  .handle = confsync_handle,
+  .tick = confsync_tick,
+};
--- a/libmangofork/core.h
+++ b/libmangofork/core.h
@@ -62,6 +62,7 @@
 extern const MfController mf_confsync_controller; /* confsync.c */
 extern const MfController mf_member_controller;   /* member.c */
 extern const MfController mf_news_controller;     /* news.c */
+extern const MfController mf_digest_controller;   /* digest.c */
 extern const MfController mf_claim_controller;    /* claim.c */
 extern const MfController mf_share_controller;    /* share.c */
 extern const MfController mf_order_controller;    /* order.c */
--- /dev/null
+++ b/libmangofork/digest.c
@@ -0,0 +1,190 @@
+#include "digest.h"
+
+#include "guardian.h"
+#include "member_row.h"
+#include "news.h"
+#include "share.h"
+
+#include <stdlib.h>
+
+/* Digests sent out of turn: so many at once, then one each refill. */
+#define URGENT_BURST 5
+#define URGENT_REFILL_US (2 * MF_US_PER_S)
+#define URGENT_GAP_US (20 * MF_US_PER_MS)
+/* Upper bounds of encoded sizes. */
+#define FIXED_BYTES 64
+#define NEWS_BYTES 28
+#define SHARE_BYTES 16
+#define BURN_BYTES_MAX 1024
+/* All digests of one period together are at most this many times digest_bytes_max. */
+#define PERIOD_DIGESTS 2
+
+struct MfDigests
+{
+  uint64_t sequence;
+  uint64_t next_us;
+  uint64_t last_us;
+  bool hurry;
+  uint32_t n_urgent; /* that may still be sent out of turn */
+  uint64_t refill_us;
+};
+
+/* Sends digests at the end of this step instead of at the next period, as often as the rate of
+ * urgent digests allows. */
+void
+mf_digest_hurry (MfCore *core)
+{
+  if (core->board.digests != NULL)
+    core->board.digests->hurry = true;
+}
+
+/* Bytes that one digest may have, so that a period's digests together keep to their limit. */
+static uint32_t
+digest_bytes (const MfCore *core, uint32_t n_linked)
+{
+  uint32_t max = core->board.options.digest_bytes_max;
+  uint32_t part = PERIOD_DIGESTS * max / n_linked;
+
+  return part < max ? part : max;
+}
+
+static uint32_t
+count_linked (const MfCore *core)
+{
+  uint32_t n_linked = 0;
+
+  for (uint32_t i = 0; i < MF_NEIGHBOURS_MAX; i++)
+    {
+      const MfMemberRow *row = core->board.members->neighbours[i];
+
+      n_linked += row != NULL && row->member.link_id != 0;
+    }
+  return n_linked;
+}
+
+static void
+digest_send (MfCore *core, uint32_t neighbour, MfPeerMessage *message, uint32_t n_news_max)
+{
+  MfMemberRow *row = core->board.members->neighbours[neighbour];
+
+  message->digest.n_news = 0;
+  message->digest.guardian = row->guards_us;
+  mf_news_fill (core, neighbour, &message->digest, n_news_max);
+  mf_member_send_row (core, row, message);
+}
+
+/* What is the same in the digests to all neighbours. */
+static void
+digest_compose (MfCore *core, MfDigestMessage *digest, uint8_t *burn, uint32_t max_bytes)
+{
+  const MfConfig *config = core->board.config;
+  uint32_t burn_max = max_bytes / 4 < BURN_BYTES_MAX ? max_bytes / 4 : BURN_BYTES_MAX;
+  uint32_t n_shares_max;
+
+  digest->sequence = ++core->board.digests->sequence;
+  digest->config_revision = config != NULL ? config->revision : 0;
+  digest->list_index = core->board.list_index;
+  digest->leaving = core->board.draining;
+  digest->admitted = core->board.admitted;
+  digest->burn_bytes
+      = (uint32_t)mf_burn_pack (core->board.burn, core->board.now_us, burn, burn_max);
+  digest->burn = burn;
+  n_shares_max = max_bytes / 2 > FIXED_BYTES + digest->burn_bytes
+                     ? (max_bytes / 2 - FIXED_BYTES - digest->burn_bytes) / SHARE_BYTES
+                     : 1;
+  mf_share_fill (core, digest, n_shares_max);
+}
+
+static void
+send_all (MfCore *core, uint32_t n_linked)
+{
+  uint32_t max_bytes = digest_bytes (core, n_linked);
+  MfPeerMessage message = { .type = MF_PEER_DIGEST };
+  uint8_t burn[BURN_BYTES_MAX];
+  uint32_t n_bytes;
+
+  mf_guardian_choose (core);
+  digest_compose (core, &message.digest, burn, max_bytes);
+  n_bytes = FIXED_BYTES + message.digest.burn_bytes + message.digest.n_shares * SHARE_BYTES;
+  for (uint32_t i = 0; i < MF_NEIGHBOURS_MAX; i++)
+    {
+      const MfMemberRow *row = core->board.members->neighbours[i];
+
+      if (row != NULL && row->member.link_id != 0)
+        digest_send (core, i, &message,
+                     max_bytes > n_bytes + NEWS_BYTES ? (max_bytes - n_bytes) / NEWS_BYTES : 1);
+    }
+}
+
+static void
+urgent_refill (MfDigests *digests, uint64_t now_us)
+{
+  if (now_us < digests->refill_us)
+    return;
+  digests->refill_us = now_us + URGENT_REFILL_US;
+  if (digests->n_urgent < URGENT_BURST)
+    digests->n_urgent++;
+}
+
+static void
+digest_tick (MfCore *core)
+{
+  MfDigests *digests = core->board.digests;
+  uint64_t now_us = core->board.now_us;
+  uint32_t n_linked;
+
+  if (!digests->hurry && now_us < digests->next_us)
+    {
+      mf_core_wake_at (core, digests->next_us);
+      return;
+    }
+  n_linked = count_linked (core);
+  urgent_refill (digests, now_us);
+  if (n_linked == 0)
+    {
+      digests->hurry = false;
+      digests->next_us = now_us + core->board.options.digest_period_us;
+    }
+  else if (now_us >= digests->next_us
+           || (digests->n_urgent > 0 && now_us >= digests->last_us + URGENT_GAP_US))
+    {
+      if (now_us < digests->next_us)
+        digests->n_urgent--;
+      digests->hurry = false;
+      digests->last_us = now_us;
+      digests->next_us = now_us + core->board.options.digest_period_us;
+      send_all (core, n_linked);
+    }
+  else if (digests->n_urgent > 0)
+    mf_core_wake_at (core, digests->last_us + URGENT_GAP_US);
+  mf_core_wake_at (core, digests->next_us);
+}
+
+static bool
+digest_init (MfCore *core, MfError *error)
+{
+  core->board.digests = calloc (1, sizeof *core->board.digests);
+  if (core->board.digests == NULL)
+    {
+      mf_error_set (error, MF_CODE_NO_MEMORY, "no memory for digests");
+      return false;
+    }
+  core->board.digests->n_urgent = URGENT_BURST;
+  core->board.digests->next_us
+      = core->board.now_us + mf_core_random_below (core, core->board.options.digest_period_us);
+  return true;
+}
+
+static void
+digest_finish (MfCore *core)
+{
+  free (core->board.digests);
+  core->board.digests = NULL;
+}
+
+const MfController mf_digest_controller = {
+  .name = "digest",
+  .init = digest_init,
+  .finish = digest_finish,
+  .tick = digest_tick,
+};
--- a/libmangofork/frame.c
+++ b/libmangofork/frame.c
@@ -8,7 +8,6 @@
 #define KEY_TYPE 1
 #define KEY_BODY 2
 
-#define LENGTH_BYTES 4
 /* Containers inside containers; the messages need five. */
 #define DEPTH_MAX 8
 
@@ -392,7 +391,7 @@
 {
   const FieldTable *table = message_tables[message->type];
   const uint8_t *base = (const uint8_t *)&message->digest;
-  static const char length_space[LENGTH_BYTES];
+  static const char length_space[MF_FRAME_LENGTH_BYTES];
   msgpack_sbuffer buffer;
   msgpack_packer packer;
   size_t payload_bytes;
@@ -412,7 +411,7 @@
   msgpack_pack_uint32 (&packer, message->type);
   msgpack_pack_uint8 (&packer, KEY_BODY);
   pack_body (&packer, table, base);
-  payload_bytes = buffer.size - LENGTH_BYTES;
+  payload_bytes = buffer.size - MF_FRAME_LENGTH_BYTES;
   if (buffer.data == NULL || payload_bytes > MF_FRAME_BYTES_MAX)
     {
       mf_error_set (error, MF_CODE_PEER_FRAME, "a message of %zu bytes is too large",
@@ -420,8 +419,8 @@
       msgpack_sbuffer_destroy (&buffer);
       return NULL;
     }
-  for (int i = 0; i < LENGTH_BYTES; i++)
-    buffer.data[i] = (char)(payload_bytes >> (8 * (LENGTH_BYTES - 1 - i)));
+  for (int i = 0; i < MF_FRAME_LENGTH_BYTES; i++)
+    buffer.data[i] = (char)(payload_bytes >> (8 * (MF_FRAME_LENGTH_BYTES - 1 - i)));
   *frame_bytes = buffer.size;
   return (uint8_t *)msgpack_sbuffer_release (&buffer);
 }
--- a/libmangofork/frame.h
+++ b/libmangofork/frame.h
@@ -6,6 +6,8 @@
 
 /* Version of the messages between instances; a reader skips fields it does not know. */
 #define MF_FRAME_VERSION 1
+/* Bytes of the length before each payload. */
+#define MF_FRAME_LENGTH_BYTES 4
 
 /* Encodes a message as msgpack after a 4-byte big-endian length. Returns a buffer of *frame_bytes
  * owned by the caller, or NULL when memory ran out or the message is too large. */
--- /dev/null
+++ b/libmangofork/guardian.c
@@ -0,0 +1,167 @@
+#include "guardian.h"
+
+#include "debt.h"
+#include "rendezvous.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define GUARDIANS 3
+/* Work told of no later than this may still hold engine memory. */
+#define HELD_LIFE_US (60 * MF_US_PER_S)
+#define HELD_MAX 512
+/* With so few upstreams a guardian releases the dead one's work on all of them, and so also work
+ * that no digest had told of. */
+#define RELEASE_ALL_MAX 64
+
+/* An upstream that a guarded instance holds work on. */
+struct MfHeldWork
+{
+  uint64_t upstream; /* hash of its name */
+  uint64_t told_us;
+};
+
+static bool
+row_can_guard (const MfMemberRow *row)
+{
+  return row != NULL && row->member.link_id != 0 && row->member.state == MF_MEMBER_ALIVE
+         && !row->guards_us;
+}
+
+/* Returns the best neighbour that is no guardian yet; of another data centre when asked for. */
+static MfMemberRow *
+best_guardian (const MfCore *core, bool elsewhere)
+{
+  const MfMembers *members = core->board.members;
+  MfMemberRow *best = NULL;
+  uint64_t best_score = 0;
+
+  for (uint32_t i = 0; i < MF_NEIGHBOURS_MAX; i++)
+    {
+      MfMemberRow *row = members->neighbours[i];
+      uint64_t score;
+
+      if (!row_can_guard (row)
+          || (elsewhere && strcmp (row->member.data_centre, core->board.options.data_centre) == 0))
+        continue;
+      score = mf_rendezvous_score (row->name_hash, members->self_hash);
+      if (best == NULL || score > best_score)
+        {
+          best = row;
+          best_score = score;
+        }
+    }
+  return best;
+}
+
+/* Chooses the neighbours that pay this instance's debts when it dies, one of them in another data
+ * centre where there is one. */
+void
+mf_guardian_choose (MfCore *core)
+{
+  MfMembers *members = core->board.members;
+
+  for (uint32_t i = 0; i < MF_NEIGHBOURS_MAX; i++)
+    {
+      if (members->neighbours[i] != NULL)
+        members->neighbours[i]->guards_us = false;
+    }
+  for (uint32_t i = 0; i < GUARDIANS; i++)
+    {
+      MfMemberRow *row = i == 0 ? best_guardian (core, true) : NULL;
+
+      if (row == NULL)
+        row = best_guardian (core, false);
+      if (row == NULL)
+        return;
+      row->guards_us = true;
+    }
+}
+
+/* Returns the entry of an upstream, or the one to overwrite: a free or the oldest one. */
+static MfHeldWork *
+held_find (MfMemberRow *row, uint64_t upstream)
+{
+  MfHeldWork *oldest = &row->held[0];
+
+  for (uint32_t i = 0; i < row->n_held; i++)
+    {
+      if (row->held[i].upstream == upstream)
+        return &row->held[i];
+      if (row->held[i].told_us < oldest->told_us)
+        oldest = &row->held[i];
+    }
+  return row->n_held < HELD_MAX ? &row->held[row->n_held++] : oldest;
+}
+
+/* Remembers which upstreams a neighbour holds work on, when it made us its guardian. */
+void
+mf_guardian_take (MfCore *core, MfMemberRow *row, const MfDigestMessage *digest)
+{
+  if (!digest->guardian)
+    return;
+  if (row->held == NULL)
+    row->held = calloc (HELD_MAX, sizeof *row->held);
+  if (row->held == NULL)
+    return;
+  for (uint32_t i = 0; i < digest->n_shares; i++)
+    {
+      MfHeldWork *held;
+
+      if (digest->shares[i].slots_used == 0)
+        continue;
+      held = held_find (row, digest->shares[i].upstream);
+      held->upstream = digest->shares[i].upstream;
+      held->told_us = core->board.now_us;
+    }
+}
+
+static void
+release_all (MfCore *core, const MfOwner *owner)
+{
+  for (uint32_t i = 0; i < core->board.n_upstreams; i++)
+    {
+      const MfUpstream *upstream = &core->board.upstreams[i];
+
+      if (upstream->in_config && upstream->role != MF_ROLE_PLAIN)
+        mf_debt_add_owner (core, i, owner);
+    }
+}
+
+static void
+release_held (MfCore *core, const MfMemberRow *row, const MfOwner *owner)
+{
+  for (uint32_t i = 0; i < row->n_held; i++)
+    {
+      uint32_t upstream = mf_upstream_find (core, row->held[i].upstream);
+
+      if (upstream != MF_NONE && core->board.now_us - row->held[i].told_us < HELD_LIFE_US)
+        mf_debt_add_owner (core, upstream, owner);
+    }
+}
+
+/* Owes the upstreams the release of what a dead incarnation of a slot held. Releasing the work of
+ * an owner that lives after all costs that work once: the owner resumes its streams. */
+void
+mf_guardian_owner_died (MfCore *core, MfMemberRow *row, uint64_t incarnation)
+{
+  MfOwner owner = row->member.owner;
+
+  owner.incarnation = incarnation;
+  if (row->guarded && incarnation != 0)
+    {
+      if (core->board.n_upstreams <= RELEASE_ALL_MAX)
+        release_all (core, &owner);
+      else
+        release_held (core, row, &owner);
+    }
+  row->n_held = 0;
+}
+
+void
+mf_guardian_forget (MfMemberRow *row)
+{
+  free (row->held);
+  row->held = NULL;
+  row->n_held = 0;
+}
--- a/libmangofork/member.c
+++ b/libmangofork/member.c
@@ -1,35 +1,582 @@
-#include "member.h"
+#include "member_row.h"
 
+#include "digest.h"
+#include "guardian.h"
+#include "news.h"
+#include "rendezvous.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Digest periods without a word before a neighbour is suspected, and from then on before it is
+ * declared dead when nobody objects. */
+#define SUSPECT_PERIODS 5
+#define CONFIRM_PERIODS 5
+/* A gap between two turns that is longer than this many periods was a pause. */
+#define PAUSE_PERIODS 3
+#define PAUSE_MIN_US (500 * MF_US_PER_MS)
+#define DOUBT_MAX 7
+#define DOUBT_FALL_US (10 * MF_US_PER_S)
+#define REFUTED_MAX 5
+#define SWEEP_US (2 * MF_US_PER_S)
+/* A neighbour that we did not choose is one as long as its digests come. */
+#define UNCHOSEN_LIFE_US (10 * MF_US_PER_S)
+/* A link that carries no digests is closed when nothing used it for so long. */
+#define LINK_IDLE_US (30 * MF_US_PER_S)
+#define UNLISTED_LIFE_US (300 * MF_US_PER_S)
+/* Rows of slots that the list does not name, at most beyond those it does. */
+#define ROWS_MAX 4096
+
+static const char *const state_names[] = {
+  [MF_MEMBER_ALIVE] = "alive",
+  [MF_MEMBER_SUSPECT] = "suspect",
+  [MF_MEMBER_DEAD] = "dead",
+  [MF_MEMBER_LEAVING] = "leaving",
+};
+
+MfMemberRow *
+mf_member_row_by_hash (const MfCore *core, uint64_t name_hash)
+{
+  MfMemberRow *row;
+
+  HASH_FIND (hh, core->board.members->rows, &name_hash, sizeof name_hash, row);
+  return row;
+}
+
+MfMemberRow *
+mf_member_row (const MfCore *core, const char *name)
+{
+  return mf_member_row_by_hash (core, mf_hash_name (name));
+}
+
+MfMemberRow *
+mf_member_row_need (MfCore *core, const char *name)
+{
+  MfMembers *members = core->board.members;
+  uint64_t name_hash = mf_hash_name (name);
+  MfMemberRow *row = mf_member_row_by_hash (core, name_hash);
+
+  if (row != NULL || name_hash == members->self_hash || HASH_COUNT (members->rows) >= ROWS_MAX)
+    return row;
+  row = calloc (1, sizeof *row);
+  if (row == NULL)
+    return NULL;
+  mf_name_set (row->member.owner.name, sizeof row->member.owner.name, name);
+  row->name_hash = name_hash;
+  row->neighbour = MF_NONE;
+  row->unlisted_us = core->board.now_us;
+  HASH_ADD (hh, members->rows, name_hash, sizeof row->name_hash, row);
+  members->choose = true;
+  return row;
+}
+
+static void
+row_free (MfCore *core, MfMemberRow *row)
+{
+  mf_member_drop_neighbour (core, row);
+  mf_member_clear_pending (row);
+  mf_guardian_forget (row);
+  HASH_DEL (core->board.members->rows, row);
+  free (row);
+}
+
+/* Calls func for every other instance until it returns false. */
 void
 mf_member_foreach (const MfCore *core, MfMemberFunc func, void *data)
 {
-  (void)core;
-  (void)func;
-  (void)data;
+  for (const MfMemberRow *row = core->board.members->rows; row != NULL; row = row->hh.next)
+    {
+      if (!func (&row->member, data))
+        return;
+    }
 }
 
+/* Returns what is believed of a slot, or NULL when it is not known. */
 const MfMember *
 mf_member_find (const MfCore *core, const char *name)
 {
-  (void)core;
-  (void)name;
-  return NULL;
+  const MfMemberRow *row = mf_member_row (core, name);
+
+  return row != NULL ? &row->member : NULL;
 }
 
+/* Sends over the link to that slot; without one the message waits a short while for it to be
+ * opened. Returns false when it will not be sent. */
 bool
 mf_member_send (MfCore *core, const char *name, const MfPeerMessage *message)
 {
-  (void)core;
-  (void)name;
-  (void)message;
-  return false;
+  MfMemberRow *row = mf_member_row (core, name);
+
+  return row != NULL && mf_member_send_row (core, row, message);
 }
 
+/* Sends to every neighbour that is linked. */
 void
 mf_member_send_all (MfCore *core, const MfPeerMessage *message)
 {
-  (void)core;
-  (void)message;
+  MfMembers *members = core->board.members;
+
+  for (uint32_t i = 0; i < MF_NEIGHBOURS_MAX; i++)
+    {
+      if (members->neighbours[i] != NULL && members->neighbours[i]->member.link_id != 0)
+        mf_member_send_row (core, members->neighbours[i], message);
+    }
+}
+
+/* Whether a member counts when one of the live ones is made responsible for something. */
+bool
+mf_member_is_live (const MfMember *member)
+{
+  return member->state == MF_MEMBER_ALIVE || member->state == MF_MEMBER_SUSPECT;
+}
+
+/* How many live members go before this instance for a subject. */
+uint32_t
+mf_member_rank (const MfCore *core, uint64_t subject, const char *data_centre)
+{
+  const MfMembers *members = core->board.members;
+  uint64_t own_score = mf_rendezvous_score (members->self_hash, subject);
+  uint32_t rank = 0;
+
+  for (const MfMemberRow *row = members->rows; row != NULL; row = row->hh.next)
+    {
+      if (!mf_member_is_live (&row->member) || !row->member.listed
+          || (data_centre != NULL && strcmp (row->member.data_centre, data_centre) != 0))
+        continue;
+      rank += mf_rendezvous_score (row->name_hash, subject) > own_score;
+    }
+  return rank;
+}
+
+bool
+mf_member_has_majority (const MfCore *core)
+{
+  uint32_t n_listed = 1, n_live = 1;
+
+  for (const MfMemberRow *row = core->board.members->rows; row != NULL; row = row->hh.next)
+    {
+      n_listed += row->member.listed;
+      n_live += row->member.listed && row->member.state != MF_MEMBER_DEAD;
+    }
+  return 2 * n_live > n_listed;
+}
+
+uint32_t
+mf_member_count (const MfCore *core)
+{
+  return HASH_COUNT (core->board.members->rows);
+}
+
+uint64_t
+mf_member_paused_us (const MfCore *core)
+{
+  return core->board.members->paused_us;
+}
+
+void
+mf_member_set_state (MfCore *core, MfMemberRow *row, MfMemberState state, uint64_t evidence_us,
+                     const char *reason)
+{
+  MfMemberState old = row->member.state;
+
+  if (state == old)
+    return;
+  row->member.state = state;
+  row->state_us = evidence_us;
+  row->suspected_us = state == MF_MEMBER_SUSPECT ? core->board.now_us : 0;
+  if (state == MF_MEMBER_DEAD || old == MF_MEMBER_DEAD || state == MF_MEMBER_LEAVING)
+    core->board.members->choose = true;
+  mf_core_log (core, "peer", row->member.owner.name, state_names[old], state_names[state], reason);
+  if (state == MF_MEMBER_DEAD)
+    mf_guardian_owner_died (core, row, row->member.owner.incarnation);
+}
+
+/* An incarnation above the one known has taken the slot: the known one is dead, whatever was
+ * believed of it. */
+static void
+incarnation_raise (MfCore *core, MfMemberRow *row, uint64_t incarnation)
+{
+  uint64_t old = row->member.owner.incarnation;
+
+  if (old != 0)
+    {
+      mf_guardian_owner_died (core, row, old);
+      mf_news_note (core, MF_NEWS_INSTANCE_DEAD, row->name_hash, old);
+      mf_member_close (core, row);
+    }
+  row->member.owner.incarnation = incarnation;
+  row->member.admitted = false;
+  row->guarded = false;
+  row->guards_us = false;
+  row->config_revision = 0;
+  row->list_index = 0;
+  row->n_refuted = 0;
+}
+
+bool
+mf_member_hear (MfCore *core, MfMemberRow *row, uint64_t incarnation)
+{
+  bool was_known_dead = row->member.state == MF_MEMBER_DEAD;
+
+  if (incarnation < row->member.owner.incarnation)
+    return false;
+  if (incarnation > row->member.owner.incarnation)
+    {
+      was_known_dead |= row->member.owner.incarnation != 0;
+      incarnation_raise (core, row, incarnation);
+    }
+  row->member.heard_us = core->board.now_us;
+  row->n_refuted = 0;
+  if (row->member.state == MF_MEMBER_DEAD || row->member.state == MF_MEMBER_SUSPECT)
+    mf_member_set_state (core, row, MF_MEMBER_ALIVE, core->board.now_us, "heard");
+  if (was_known_dead)
+    mf_news_note (core, MF_NEWS_INSTANCE_ALIVE, row->name_hash, incarnation);
+  return true;
+}
+
+static uint64_t
+periods_us (const MfCore *core, const MfMemberRow *row, uint32_t n_periods)
+{
+  uint64_t periods = n_periods * core->board.options.digest_period_us;
+
+  return (periods * (1 + core->board.members->self_doubt)) << row->n_refuted;
+}
+
+/* News about this very process: when it is thought dead, it says that it lives. */
+static void
+take_news_of_self (MfCore *core, const MfNews *news)
+{
+  if (news->kind != MF_NEWS_INSTANCE_ALIVE && news->value == core->board.options.self.incarnation)
+    mf_news_note (core, MF_NEWS_INSTANCE_ALIVE, news->subject, news->value);
+}
+
+static void
+take_death (MfCore *core, MfMemberRow *row, const MfNews *news, uint64_t origin_us)
+{
+  if (news->value < row->member.owner.incarnation)
+    return;
+  if (row->neighbour != MF_NONE && row->member.link_id != 0
+      && row->member.heard_us + periods_us (core, row, SUSPECT_PERIODS) > core->board.now_us
+      && row->member.owner.incarnation == news->value)
+    {
+      mf_news_note (core, MF_NEWS_INSTANCE_ALIVE, news->subject, news->value);
+      return;
+    }
+  if (news->kind == MF_NEWS_INSTANCE_SUSPECT || origin_us < row->state_us)
+    return;
+  row->member.owner.incarnation = news->value;
+  mf_member_set_state (core, row, MF_MEMBER_DEAD, origin_us, "told");
+}
+
+void
+mf_member_take_news (MfCore *core, const MfNews *news, uint64_t origin_us)
+{
+  MfMemberRow *row = mf_member_row_by_hash (core, news->subject);
+
+  if (news->subject == core->board.members->self_hash)
+    {
+      take_news_of_self (core, news);
+      return;
+    }
+  if (row == NULL)
+    return;
+  if (news->kind != MF_NEWS_INSTANCE_ALIVE)
+    {
+      take_death (core, row, news, origin_us);
+      return;
+    }
+  if (news->value > row->member.owner.incarnation)
+    incarnation_raise (core, row, news->value);
+  else if (news->value < row->member.owner.incarnation || origin_us < row->state_us)
+    return;
+  if (row->member.state == MF_MEMBER_SUSPECT && row->n_refuted < REFUTED_MAX)
+    row->n_refuted++;
+  row->member.heard_us = core->board.now_us;
+  if (row->member.state == MF_MEMBER_DEAD || row->member.state == MF_MEMBER_SUSPECT)
+    mf_member_set_state (core, row, MF_MEMBER_ALIVE, origin_us, "told");
+}
+
+/* A process that was paused has heard nobody: it doubts itself and starts to listen afresh. */
+static void
+notice_pause (MfCore *core)
+{
+  MfMembers *members = core->board.members;
+  uint64_t now_us = core->board.now_us;
+  uint64_t limit_us = PAUSE_PERIODS * core->board.options.digest_period_us;
+  uint64_t gap_us = now_us - members->last_turn_us;
+
+  members->last_turn_us = now_us;
+  if (members->self_doubt > 0 && now_us >= members->doubt_us)
+    {
+      members->self_doubt--;
+      members->doubt_us = now_us + DOUBT_FALL_US;
+    }
+  if (gap_us <= (limit_us > PAUSE_MIN_US ? limit_us : PAUSE_MIN_US))
+    return;
+  mf_counter_add (&core->board.counters, MF_COUNTER_PAUSES, 1);
+  members->paused_us = now_us;
+  members->doubt_us = now_us + DOUBT_FALL_US;
+  if (members->self_doubt < DOUBT_MAX)
+    members->self_doubt++;
+  for (uint32_t i = 0; i < MF_NEIGHBOURS_MAX; i++)
+    {
+      MfMemberRow *row = members->neighbours[i];
+
+      if (row == NULL)
+        continue;
+      row->member.heard_us = now_us;
+      if (row->member.state == MF_MEMBER_SUSPECT)
+        mf_member_set_state (core, row, MF_MEMBER_ALIVE, now_us, "paused");
+    }
+}
+
+/* Takes in one row of the published list. */
+static void
+apply_listed (MfCore *core, const MfListed *listed)
+{
+  MfMemberRow *row = mf_member_row_need (core, listed->name);
+
+  if (row == NULL)
+    return;
+  row->member.listed = true;
+  row->unlisted_us = 0;
+  if (strcmp (row->member.address, listed->address) != 0)
+    row->open_us = 0;
+  mf_name_set (row->member.address, sizeof row->member.address, listed->address);
+  mf_name_set (row->member.data_centre, sizeof row->member.data_centre, listed->data_centre);
+  if (listed->leaving && row->member.state == MF_MEMBER_ALIVE)
+    mf_member_set_state (core, row, MF_MEMBER_LEAVING, core->board.now_us, "listed");
+  else if (!listed->leaving && row->member.state == MF_MEMBER_LEAVING && row->digest_us == 0)
+    mf_member_set_state (core, row, MF_MEMBER_ALIVE, core->board.now_us, "listed");
+}
+
+void
+mf_member_apply_list (MfCore *core, uint64_t index, const MfListed *listed, uint32_t n_listed)
+{
+  MfMembers *members = core->board.members;
+
+  if (index <= core->board.list_index)
+    return;
+  core->board.list_index = index;
+  for (MfMemberRow *row = members->rows; row != NULL; row = row->hh.next)
+    {
+      if (row->member.listed)
+        row->unlisted_us = core->board.now_us;
+      row->member.listed = false;
+    }
+  for (uint32_t i = 0; i < n_listed; i++)
+    apply_listed (core, &listed[i]);
+  members->choose = true;
+}
+
+static void
+handle_peer_up (MfCore *core, const MfPeerEvent *peer)
+{
+  MfMemberRow *row = mf_member_row_need (core, peer->peer.name);
+  MfAction close = { .type = MF_ACTION_PEER_CLOSE, .peer = { .link_id = peer->link_id } };
+
+  if (row == NULL || !mf_member_hear (core, row, peer->peer.incarnation))
+    {
+      mf_core_emit (core, &close);
+      return;
+    }
+  core->board.members->choose = true;
+  mf_member_link_up (core, row, peer);
+  if (core->board.members->announced)
+    return;
+  core->board.members->announced = true;
+  mf_news_note (core, MF_NEWS_INSTANCE_ALIVE, core->board.members->self_hash,
+                core->board.options.self.incarnation);
+}
+
+static void
+take_digest (MfCore *core, MfMemberRow *row, const MfDigestMessage *digest)
+{
+  row->digest_us = core->board.now_us;
+  row->config_revision = digest->config_revision;
+  row->list_index = digest->list_index;
+  row->member.admitted = digest->admitted;
+  row->guarded = digest->guardian;
+  mf_member_add_neighbour (core, row);
+  if (digest->leaving && row->member.state == MF_MEMBER_ALIVE)
+    mf_member_set_state (core, row, MF_MEMBER_LEAVING, core->board.now_us, "told");
+  mf_guardian_take (core, row, digest);
+}
+
+static void
+handle_peer_down (MfCore *core, const MfPeerEvent *peer)
+{
+  MfMemberRow *row = mf_member_row (core, peer->peer.name);
+
+  if (row == NULL)
+    return;
+  mf_member_link_down (core, row, peer->link_id);
+  if (peer->link_id == 0 && row->neighbour != MF_NONE && row->member.link_id == 0
+      && row->n_open_failures > 1 && row->member.state == MF_MEMBER_ALIVE)
+    row->member.heard_us = 0;
+  core->board.members->watch_us = 0;
+}
+
+static void
+member_handle (MfCore *core, const MfEvent *event)
+{
+  MfMemberRow *row;
+
+  notice_pause (core);
+  switch (event->type)
+    {
+    case MF_EVENT_LIST:
+      mf_member_apply_list (core, event->list.index, event->list.listed, event->list.n_listed);
+      break;
+    case MF_EVENT_PEER_UP:
+      handle_peer_up (core, &event->peer);
+      break;
+    case MF_EVENT_PEER_DOWN:
+      handle_peer_down (core, &event->peer);
+      break;
+    case MF_EVENT_PEER_MESSAGE:
+      row = mf_member_row (core, event->peer.peer.name);
+      if (row == NULL || !mf_member_hear (core, row, event->peer.peer.incarnation))
+        break;
+      row->used_us = core->board.now_us;
+      if (event->peer.message->type == MF_PEER_DIGEST)
+        take_digest (core, row, &event->peer.message->digest);
+      break;
+    default:
+      break;
+    }
+}
+
+/* A neighbour that is not heard is suspected; when nobody objects in time, it is declared dead. */
+static void
+watch_neighbour (MfCore *core, MfMemberRow *row)
+{
+  uint64_t now_us = core->board.now_us;
+  MfMemberState state = row->member.state;
+
+  if (state == MF_MEMBER_DEAD)
+    {
+      mf_member_drop_neighbour (core, row);
+      return;
+    }
+  if (!row->wanted && row->digest_us + UNCHOSEN_LIFE_US < now_us && state != MF_MEMBER_SUSPECT)
+    {
+      mf_member_drop_neighbour (core, row);
+      return;
+    }
+  if (row->member.link_id == 0 && row->wanted)
+    mf_member_open (core, row);
+  if (state != MF_MEMBER_SUSPECT
+      && now_us - row->member.heard_us >= periods_us (core, row, SUSPECT_PERIODS))
+    {
+      mf_member_set_state (core, row, MF_MEMBER_SUSPECT, now_us, "silent");
+      mf_news_note (core, MF_NEWS_INSTANCE_SUSPECT, row->name_hash, row->member.owner.incarnation);
+    }
+  else if (state == MF_MEMBER_SUSPECT
+           && now_us - row->suspected_us >= periods_us (core, row, CONFIRM_PERIODS))
+    {
+      mf_member_close (core, row);
+      mf_member_set_state (core, row, MF_MEMBER_DEAD, now_us, "silent");
+      mf_news_note (core, MF_NEWS_INSTANCE_DEAD, row->name_hash, row->member.owner.incarnation);
+      mf_member_drop_neighbour (core, row);
+    }
+}
+
+/* Closes idle links, forgets slots long gone from the list, and tries one dead member, so that a
+ * partition that ends is noticed. */
+static void
+sweep (MfCore *core)
+{
+  MfMembers *members = core->board.members;
+  uint64_t now_us = core->board.now_us;
+  MfMemberRow *row, *next, *dead = NULL;
+  uint32_t n_dead = 0;
+
+  HASH_ITER (hh, members->rows, row, next)
+  {
+    if (row->unlisted_us != 0 && row->member.link_id == 0 && row->neighbour == MF_NONE
+        && now_us - row->unlisted_us > UNLISTED_LIFE_US)
+      {
+        row_free (core, row);
+        continue;
+      }
+    if (row->neighbour == MF_NONE && row->member.link_id != 0
+        && row->used_us + LINK_IDLE_US < now_us)
+      mf_member_close (core, row);
+    if (row->member.state == MF_MEMBER_DEAD && row->member.listed
+        && mf_core_random_below (core, ++n_dead) == 0)
+      dead = row;
+  }
+  if (dead != NULL)
+    mf_member_open (core, dead);
+}
+
+static void
+member_tick (MfCore *core)
+{
+  MfMembers *members = core->board.members;
+  uint64_t now_us = core->board.now_us;
+
+  if (members->choose)
+    mf_member_choose (core);
+  if (now_us >= members->watch_us)
+    {
+      for (uint32_t i = 0; i < MF_NEIGHBOURS_MAX; i++)
+        {
+          if (members->neighbours[i] != NULL)
+            watch_neighbour (core, members->neighbours[i]);
+        }
+      members->watch_us = now_us + core->board.options.digest_period_us / 2;
+    }
+  if (now_us >= members->sweep_us)
+    {
+      sweep (core);
+      members->sweep_us = now_us + SWEEP_US / 2 + mf_core_random_below (core, SWEEP_US);
+    }
+  mf_core_wake_at (core, members->watch_us);
+  if (members->rows != NULL)
+    mf_core_wake_at (core, members->sweep_us);
+}
+
+static bool
+member_init (MfCore *core, MfError *error)
+{
+  MfMembers *members = calloc (1, sizeof *members);
+
+  if (members == NULL)
+    {
+      mf_error_set (error, MF_CODE_NO_MEMORY, "no memory for the members");
+      return false;
+    }
+  members->self_hash = mf_hash_name (core->board.options.self.name);
+  members->last_turn_us = core->board.now_us;
+  core->board.members = members;
+  return true;
+}
+
+static void
+member_finish (MfCore *core)
+{
+  MfMembers *members = core->board.members;
+  MfMemberRow *row, *next;
+
+  if (members == NULL)
+    return;
+  HASH_ITER (hh, members->rows, row, next)
+  {
+    mf_member_clear_pending (row);
+    mf_guardian_forget (row);
+    HASH_DEL (members->rows, row);
+    free (row);
+  }
+  free (members);
+  core->board.members = NULL;
 }
 
-const MfController mf_member_controller = { .name = "member" };
+const MfController mf_member_controller = {
+  .name = "member",
+  .init = member_init,
+  .finish = member_finish,
+  .handle = member_handle,
+  .tick = member_tick,
+};
--- a/libmangofork/share.c
+++ b/libmangofork/share.c
@@ -1,17 +1,418 @@
 #include "share.h"
 
+#include "digest.h"
+#include "member_row.h"
+#include "order.h"
+#include "rendezvous.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Instances whose share of one upstream is known, at most. */
+#define SHARERS_MAX 16
+/* A share that was not told again for so long has lapsed. */
+#define SHARER_LIFE_US (5 * MF_US_PER_S)
+#define SWEEP_US (500 * MF_US_PER_MS)
+/* A share that fell to nothing is told so many times more. */
+#define ZERO_REPEATS 2
+
+/* What another instance uses and wants of one upstream. */
+typedef struct
+{
+  uint64_t instance; /* hash of the slot's name */
+  uint64_t told_us;
+  uint16_t used;
+  uint16_t wanted;
+} Sharer;
+
+typedef struct
+{
+  Sharer *sharers; /* SHARERS_MAX of them, once any is known */
+  uint32_t n_sharers;
+  uint32_t limit;
+  uint32_t own_wanted;
+  uint16_t told_used;
+  uint16_t told_wanted;
+  uint8_t n_zero_told;
+} ShareRow;
+
+struct MfShares
+{
+  ShareRow *rows; /* one an upstream */
+  uint32_t n_rows;
+  uint32_t cursor;    /* where the next digest goes on */
+  uint32_t n_live;    /* live instances, this one included */
+  uint32_t n_unheard; /* of them, those whose shares are never told here */
+  uint64_t sweep_us;
+};
+
+static uint32_t
+own_demand (const MfCore *core, uint32_t upstream)
+{
+  uint32_t used = core->board.upstreams[upstream].own_slots;
+  uint32_t wanted = core->board.shares->rows[upstream].own_wanted;
+
+  return used > wanted ? used : wanted;
+}
+
+static uint32_t
+sharer_demand (const Sharer *sharer)
+{
+  return sharer->used > sharer->wanted ? sharer->used : sharer->wanted;
+}
+
+static uint32_t
+total_slots (const MfUpstream *upstream)
+{
+  return upstream->load_at_us != 0 && upstream->load.slots_total > 0 ? upstream->load.slots_total
+                                                                     : upstream->config.slots;
+}
+
+/* How many of those with more demand than level get one of the odd slots before this instance. */
+static uint32_t
+odd_rank (const MfCore *core, const ShareRow *row, uint64_t subject, uint32_t level)
+{
+  uint64_t own_score = mf_rendezvous_score (core->board.members->self_hash, subject);
+  uint32_t rank = 0;
+
+  for (uint32_t i = 0; i < row->n_sharers; i++)
+    {
+      rank += sharer_demand (&row->sharers[i]) > level
+              && mf_rendezvous_score (row->sharers[i].instance, subject) > own_score;
+    }
+  return rank;
+}
+
+/* When more is wanted than there is: the same level for all, those who want less get what they
+ * want, and what they leave raises the level. */
+static uint32_t
+max_min_share (const MfCore *core, uint32_t upstream, uint32_t n_slots)
+{
+  const ShareRow *row = &core->board.shares->rows[upstream];
+  uint32_t own = own_demand (core, upstream);
+  uint32_t level = 0, n_left = n_slots, n_open = 0;
+
+  for (uint32_t round = 0; round <= SHARERS_MAX; round++)
+    {
+      uint32_t next;
+
+      n_left = n_slots;
+      n_open = own > level;
+      n_left -= own > level ? 0 : own;
+      for (uint32_t i = 0; i < row->n_sharers; i++)
+        {
+          uint32_t demand = sharer_demand (&row->sharers[i]);
+
+          n_open += demand > level;
+          n_left -= demand > level ? 0 : demand;
+        }
+      if (n_open == 0)
+        return own;
+      next = n_left / n_open;
+      if (next <= level)
+        break;
+      level = next;
+    }
+  if (own <= level)
+    return own;
+  return level
+         + (odd_rank (core, row, core->board.upstreams[upstream].name_hash, level)
+            < n_left - level * n_open);
+}
+
+/* When all that is wanted fits: every instance with demand may grow by an equal part of the rest,
+ * so that together they cannot overrun it before they have heard of each other. */
+static uint32_t
+slack_share (const MfCore *core, uint32_t upstream, uint32_t n_slots, uint32_t demand)
+{
+  const ShareRow *row = &core->board.shares->rows[upstream];
+  uint32_t n_active = 1, part, odd;
+
+  for (uint32_t i = 0; i < row->n_sharers; i++)
+    n_active += sharer_demand (&row->sharers[i]) > 0;
+  part = (n_slots - demand) / n_active;
+  odd = (n_slots - demand) % n_active;
+  return own_demand (core, upstream) + part
+         + (odd_rank (core, row, core->board.upstreams[upstream].name_hash, 0) < odd);
+}
+
+/* Computes the limit that the request path reads. Slots that instances not heard of would get in
+ * equal parts are left to them. */
+static void
+limit_update (MfCore *core, uint32_t upstream)
+{
+  MfShares *shares = core->board.shares;
+  ShareRow *row = &shares->rows[upstream];
+  uint32_t n_slots = total_slots (&core->board.upstreams[upstream]);
+  uint32_t demand = own_demand (core, upstream);
+
+  if (shares->n_unheard > 0)
+    n_slots -= n_slots * shares->n_unheard / shares->n_live;
+  for (uint32_t i = 0; i < row->n_sharers; i++)
+    demand += sharer_demand (&row->sharers[i]);
+  row->limit = demand > n_slots ? max_min_share (core, upstream, n_slots)
+                                : slack_share (core, upstream, n_slots, demand);
+  if (row->limit == 0)
+    row->limit = 1;
+}
+
+/* How many of an upstream's slots this instance may hold at once. */
 uint32_t
 mf_share_limit (const MfCore *core, uint32_t upstream)
 {
-  return core->board.upstreams[upstream].config.slots;
+  const MfShares *shares = core->board.shares;
+
+  if (mf_order_holds (core, upstream))
+    return 0;
+  if (shares == NULL || upstream >= shares->n_rows)
+    return total_slots (&core->board.upstreams[upstream]);
+  return shares->rows[upstream].limit;
 }
 
+/* Says how many slots this instance would use of it if it had them. The fleet is told at once when
+ * an upstream is wanted anew or twice as much as told. */
 void
 mf_share_want (MfCore *core, uint32_t upstream, uint32_t n_slots)
 {
-  (void)core;
-  (void)upstream;
-  (void)n_slots;
+  MfShares *shares = core->board.shares;
+  ShareRow *row;
+
+  if (upstream >= shares->n_rows || shares->rows[upstream].own_wanted == n_slots)
+    return;
+  row = &shares->rows[upstream];
+  row->own_wanted = n_slots;
+  if (row->n_sharers > 0 && n_slots > 2 * row->told_wanted && n_slots > row->limit)
+    mf_digest_hurry (core);
+  limit_update (core, upstream);
+}
+
+static uint16_t
+clamp_u16 (uint32_t value)
+{
+  return value < UINT16_MAX ? (uint16_t)value : UINT16_MAX;
+}
+
+static void
+fill_one (MfCore *core, uint32_t upstream, MfDigestMessage *digest)
+{
+  ShareRow *row = &core->board.shares->rows[upstream];
+  const MfUpstream *state = &core->board.upstreams[upstream];
+
+  row->told_used = clamp_u16 (state->own_slots);
+  row->told_wanted = clamp_u16 (row->own_wanted);
+  if (row->told_used != 0 || row->told_wanted != 0)
+    row->n_zero_told = 0;
+  else if (row->n_zero_told < ZERO_REPEATS)
+    row->n_zero_told++;
+  digest->shares[digest->n_shares++] = (MfShare){
+    .upstream = state->name_hash,
+    .slots_used = row->told_used,
+    .slots_wanted = row->told_wanted,
+  };
+}
+
+static bool
+has_changed (const MfCore *core, uint32_t upstream)
+{
+  const ShareRow *row = &core->board.shares->rows[upstream];
+
+  return row->told_used != core->board.upstreams[upstream].own_slots
+         || row->told_wanted != row->own_wanted;
+}
+
+/* Whether an unchanged share is worth telling again. */
+static bool
+is_worth_repeating (const ShareRow *row)
+{
+  return row->told_used != 0 || row->told_wanted != 0 || row->n_zero_told < ZERO_REPEATS;
+}
+
+/* Writes at most max of this instance's own shares into a digest: those that changed first, the
+ * others in turn. */
+void
+mf_share_fill (MfCore *core, MfDigestMessage *digest, uint32_t max)
+{
+  MfShares *shares = core->board.shares;
+
+  if (max > MF_SHARES_PER_DIGEST_MAX)
+    max = MF_SHARES_PER_DIGEST_MAX;
+  for (uint32_t pass = 0; pass < 2; pass++)
+    {
+      for (uint32_t i = 0; i < shares->n_rows && digest->n_shares < max; i++)
+        {
+          uint32_t upstream = (shares->cursor + i) % shares->n_rows;
+          bool changed = has_changed (core, upstream);
+
+          if (pass == 0 ? !changed : changed || !is_worth_repeating (&shares->rows[upstream]))
+            continue;
+          fill_one (core, upstream, digest);
+          if (digest->n_shares == max)
+            shares->cursor = (upstream + 1) % shares->n_rows;
+        }
+    }
+}
+
+static Sharer *
+sharer_find (ShareRow *row, uint64_t instance)
+{
+  Sharer *oldest;
+
+  if (row->sharers == NULL)
+    row->sharers = calloc (SHARERS_MAX, sizeof *row->sharers);
+  if (row->sharers == NULL)
+    return NULL;
+  oldest = &row->sharers[0];
+  for (uint32_t i = 0; i < row->n_sharers; i++)
+    {
+      if (row->sharers[i].instance == instance)
+        return &row->sharers[i];
+      if (row->sharers[i].told_us < oldest->told_us)
+        oldest = &row->sharers[i];
+    }
+  return row->n_sharers < SHARERS_MAX ? &row->sharers[row->n_sharers++] : oldest;
+}
+
+static void
+take_digest (MfCore *core, uint64_t instance, const MfDigestMessage *digest)
+{
+  for (uint32_t i = 0; i < digest->n_shares; i++)
+    {
+      const MfShare *share = &digest->shares[i];
+      uint32_t upstream = mf_upstream_find (core, share->upstream);
+      Sharer *sharer;
+
+      if (upstream == MF_NONE || upstream >= core->board.shares->n_rows)
+        continue;
+      sharer = sharer_find (&core->board.shares->rows[upstream], instance);
+      if (sharer == NULL)
+        continue;
+      *sharer = (Sharer){
+        .instance = instance,
+        .told_us = core->board.now_us,
+        .used = share->slots_used,
+        .wanted = share->slots_wanted,
+      };
+      limit_update (core, upstream);
+    }
+}
+
+/* Drops the shares of the dead and those that have lapsed. */
+static void
+row_expire (MfCore *core, ShareRow *row)
+{
+  uint32_t n_kept = 0;
+
+  for (uint32_t i = 0; i < row->n_sharers; i++)
+    {
+      const MfMemberRow *member = mf_member_row_by_hash (core, row->sharers[i].instance);
+
+      if (member != NULL && member->member.state != MF_MEMBER_DEAD
+          && core->board.now_us - row->sharers[i].told_us < SHARER_LIFE_US)
+        row->sharers[n_kept++] = row->sharers[i];
+    }
+  row->n_sharers = n_kept;
+}
+
+static void
+count_members (MfCore *core)
+{
+  MfShares *shares = core->board.shares;
+
+  shares->n_live = 1;
+  shares->n_unheard = 0;
+  for (const MfMemberRow *row = core->board.members->rows; row != NULL; row = row->hh.next)
+    {
+      if (!mf_member_is_live (&row->member) || !row->member.listed)
+        continue;
+      shares->n_live++;
+      shares->n_unheard += row->digest_us == 0 || row->neighbour == MF_NONE;
+    }
+}
+
+static void
+rows_grow (MfShares *shares, uint32_t n_rows)
+{
+  ShareRow *rows;
+
+  if (n_rows <= shares->n_rows)
+    return;
+  rows = realloc (shares->rows, n_rows * sizeof *rows);
+  if (rows == NULL)
+    return;
+  memset (rows + shares->n_rows, 0, (n_rows - shares->n_rows) * sizeof *rows);
+  for (uint32_t i = shares->n_rows; i < n_rows; i++)
+    {
+      rows[i].n_zero_told = ZERO_REPEATS;
+      rows[i].limit = 1;
+    }
+  shares->rows = rows;
+  shares->n_rows = n_rows;
+}
+
+static void
+share_handle (MfCore *core, const MfEvent *event)
+{
+  const MfMemberRow *row;
+
+  rows_grow (core->board.shares, core->board.n_upstreams);
+  if (event->type != MF_EVENT_PEER_MESSAGE || event->peer.message->type != MF_PEER_DIGEST)
+    return;
+  row = mf_member_row (core, event->peer.peer.name);
+  if (row != NULL && row->member.owner.incarnation == event->peer.peer.incarnation)
+    take_digest (core, row->name_hash, &event->peer.message->digest);
+}
+
+static void
+share_tick (MfCore *core)
+{
+  MfShares *shares = core->board.shares;
+
+  if (core->board.now_us < shares->sweep_us)
+    return;
+  shares->sweep_us = core->board.now_us + SWEEP_US;
+  count_members (core);
+  for (uint32_t i = 0; i < shares->n_rows; i++)
+    {
+      row_expire (core, &shares->rows[i]);
+      limit_update (core, i);
+    }
+}
+
+static void
+share_config (MfCore *core)
+{
+  rows_grow (core->board.shares, core->board.n_upstreams);
+  core->board.shares->sweep_us = 0;
+}
+
+static bool
+share_init (MfCore *core, MfError *error)
+{
+  core->board.shares = calloc (1, sizeof *core->board.shares);
+  if (core->board.shares == NULL)
+    mf_error_set (error, MF_CODE_NO_MEMORY, "no memory for shares");
+  return core->board.shares != NULL;
+}
+
+static void
+share_finish (MfCore *core)
+{
+  MfShares *shares = core->board.shares;
+
+  if (shares == NULL)
+    return;
+  for (uint32_t i = 0; i < shares->n_rows; i++)
+    free (shares->rows[i].sharers);
+  free (shares->rows);
+  free (shares);
+  core->board.shares = NULL;
 }
 
-const MfController mf_share_controller = { .name = "share" };
+const MfController mf_share_controller = {
+  .name = "share",
+  .init = share_init,
+  .finish = share_finish,
+  .handle = share_handle,
+  .tick = share_tick,
+  .config = share_config,
+};
--- /dev/null
+++ b/tests/fakes/cores.c
@@ -0,0 +1,548 @@
+#include "cores.h"
+
+#include "libmangofork/frame.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define START_US (1000 * MF_US_PER_S)
+#define WALL_MS UINT64_C (1700000000000)
+#define LINKS_MAX 65536
+#define WATCH_US (60 * MF_US_PER_S)
+#define OPEN_TIMEOUT_US MF_US_PER_S
+
+/* Something that will happen to one incarnation of a slot. */
+typedef struct
+{
+  uint64_t at_us;
+  uint64_t sequence;
+  uint32_t slot;
+  uint64_t incarnation;
+  MfEvent event;
+  MfFrame *frame;
+  bool watch; /* a platform answer that was waiting for a change */
+  uint32_t watch_number;
+} Post;
+
+typedef struct
+{
+  MfCore *core;
+  uint64_t incarnation;
+  uint64_t paused_until_us;
+  FakePlatform platform;
+  uint32_t text_watch; /* number of the waiting read, 0 for none */
+  uint64_t bytes_out;
+  MfListed listed;
+} Slot;
+
+typedef struct
+{
+  uint32_t slots[2];
+  uint64_t incarnations[2];
+} Link;
+
+struct FakeCores
+{
+  FakeCoresOptions options;
+  uint64_t now_us;
+  uint64_t sequence;
+  Post **heap;
+  size_t n_heap, heap_size;
+  Slot *slots;
+  bool *cut; /* from * n_slots + to */
+  Link links[LINKS_MAX];
+  uint32_t n_links;
+  char *texts[64];
+  uint64_t revisions[64];
+  uint32_t n_texts;
+  uint32_t n_watches;
+  uint64_t n_platform_calls;
+};
+
+/* One slot as the action function's data. */
+typedef struct
+{
+  FakeCores *cores;
+  uint32_t slot;
+} Self;
+
+static bool
+is_before (const Post *a, const Post *b)
+{
+  return a->at_us != b->at_us ? a->at_us < b->at_us : a->sequence < b->sequence;
+}
+
+static void
+heap_push (FakeCores *cores, Post *post)
+{
+  size_t i = cores->n_heap++;
+
+  if (cores->n_heap > cores->heap_size)
+    {
+      cores->heap_size = 2 * cores->n_heap;
+      cores->heap = realloc (cores->heap, cores->heap_size * sizeof *cores->heap);
+    }
+  for (; i > 0 && is_before (post, cores->heap[(i - 1) / 2]); i = (i - 1) / 2)
+    cores->heap[i] = cores->heap[(i - 1) / 2];
+  cores->heap[i] = post;
+}
+
+static Post *
+heap_pop (FakeCores *cores)
+{
+  Post *first = cores->heap[0], *last = cores->heap[--cores->n_heap];
+  size_t i = 0;
+
+  for (size_t child; (child = 2 * i + 1) < cores->n_heap; i = child)
+    {
+      if (child + 1 < cores->n_heap && is_before (cores->heap[child + 1], cores->heap[child]))
+        child++;
+      if (!is_before (cores->heap[child], last))
+        break;
+      cores->heap[i] = cores->heap[child];
+    }
+  cores->heap[i] = last;
+  return first;
+}
+
+static Post *
+post (FakeCores *cores, uint32_t slot, uint64_t delay_us, const MfEvent *event)
+{
+  Post *it = calloc (1, sizeof *it);
+
+  it->at_us = cores->now_us + delay_us;
+  it->sequence = ++cores->sequence;
+  it->slot = slot;
+  it->incarnation = cores->slots[slot].incarnation;
+  it->event = *event;
+  heap_push (cores, it);
+  return it;
+}
+
+static void
+post_free (Post *it)
+{
+  if (it->frame != NULL)
+    mf_frame_clear (it->frame);
+  free (it->frame);
+  free (it);
+}
+
+static void
+slot_owner (const FakeCores *cores, uint32_t slot, MfOwner *owner)
+{
+  owner->incarnation = cores->slots[slot].incarnation;
+  snprintf (owner->name, sizeof owner->name, "n%u", slot);
+}
+
+static void
+post_peer (FakeCores *cores, uint32_t slot, uint32_t other, MfEventType type, uint32_t link_id,
+           uint64_t delay_us)
+{
+  MfEvent event = { .type = type, .peer = { .link_id = link_id } };
+
+  slot_owner (cores, other, &event.peer.peer);
+  if (type == MF_EVENT_PEER_UP)
+    memcpy (event.peer.address, cores->slots[other].listed.address, MF_ADDRESS_BYTES);
+  post (cores, slot, delay_us, &event);
+}
+
+static bool
+is_cut (const FakeCores *cores, uint32_t from, uint32_t to)
+{
+  return cores->cut[from * cores->options.n_slots + to];
+}
+
+static void
+peer_open (FakeCores *cores, uint32_t slot, const char *name)
+{
+  uint32_t other = (uint32_t)strtoul (name + 1, NULL, 10);
+  uint64_t delay_us = cores->options.delay_us;
+  Link *link = &cores->links[cores->n_links];
+
+  if (other >= cores->options.n_slots || is_cut (cores, slot, other) || is_cut (cores, other, slot)
+      || cores->slots[other].paused_until_us > cores->now_us)
+    post_peer (cores, slot, other, MF_EVENT_PEER_DOWN, 0, OPEN_TIMEOUT_US);
+  else if (cores->slots[other].core == NULL || cores->n_links + 1 == LINKS_MAX)
+    post_peer (cores, slot, other, MF_EVENT_PEER_DOWN, 0, 2 * delay_us);
+  else
+    {
+      *link = (Link){ .slots = { slot, other },
+                      .incarnations
+                      = { cores->slots[slot].incarnation, cores->slots[other].incarnation } };
+      cores->n_links++;
+      post_peer (cores, other, slot, MF_EVENT_PEER_UP, cores->n_links, delay_us);
+      post_peer (cores, slot, other, MF_EVENT_PEER_UP, cores->n_links, 2 * delay_us);
+    }
+}
+
+/* Returns the other end of a link, or -1 when that incarnation has ended. */
+static int64_t
+link_other (const FakeCores *cores, uint32_t slot, uint32_t link_id)
+{
+  const Link *link = &cores->links[link_id - 1];
+  uint32_t end = link->slots[0] == slot;
+
+  return cores->slots[link->slots[end]].incarnation == link->incarnations[end]
+             ? (int64_t)link->slots[end]
+             : -1;
+}
+
+static void
+peer_send (FakeCores *cores, uint32_t slot, const MfPeerAction *action)
+{
+  int64_t other = link_other (cores, slot, action->link_id);
+  MfError error = { 0 };
+  size_t n_bytes;
+  uint8_t *bytes = mf_frame_encode (action->message, &n_bytes, &error);
+  MfEvent event = { .type = MF_EVENT_PEER_MESSAGE, .peer = { .link_id = action->link_id } };
+  MfFrame *frame = calloc (1, sizeof *frame);
+
+  cores->slots[slot].bytes_out += n_bytes;
+  if (other < 0 || is_cut (cores, slot, (uint32_t)other)
+      || !mf_frame_decode (bytes + MF_FRAME_LENGTH_BYTES, n_bytes - MF_FRAME_LENGTH_BYTES, frame,
+                           &error))
+    free (frame);
+  else
+    {
+      slot_owner (cores, slot, &event.peer.peer);
+      event.peer.message = &frame->message;
+      post (cores, (uint32_t)other, cores->options.delay_us, &event)->frame = frame;
+    }
+  free (bytes);
+}
+
+static void
+fill_text (const FakeCores *cores, uint32_t slot, MfTextEvent *text)
+{
+  uint32_t i = cores->slots[slot].platform == FAKE_PLATFORM_STALE ? 0 : cores->n_texts - 1;
+
+  *text = (MfTextEvent){ cores->revisions[i], cores->texts[i], strlen (cores->texts[i]) };
+}
+
+static void
+platform_read (FakeCores *cores, uint32_t slot, const MfAction *action)
+{
+  MfEvent event = { .type = MF_EVENT_TEXT };
+  uint64_t delay_us = cores->options.delay_us;
+  Slot *self = &cores->slots[slot];
+  bool text = action->type == MF_ACTION_PLATFORM_TEXT;
+
+  cores->n_platform_calls++;
+  if (self->platform == FAKE_PLATFORM_DOWN || (text && cores->n_texts == 0))
+    {
+      event.type = MF_EVENT_PLATFORM_LOST;
+      event.lost = (MfLostEvent){ .text = text, .list = !text };
+      post (cores, slot, delay_us, &event);
+    }
+  else if (!text)
+    {
+      event.type = MF_EVENT_LIST;
+      event.list.index = 1;
+      post (cores, slot, action->platform_index >= 1 ? WATCH_US : delay_us, &event);
+    }
+  else
+    {
+      Post *it;
+
+      fill_text (cores, slot, &event.text);
+      it = post (cores, slot, action->platform_index >= event.text.revision ? WATCH_US : delay_us,
+                 &event);
+      it->watch = it->at_us == cores->now_us + WATCH_US;
+      it->watch_number = it->watch ? ++cores->n_watches : 0;
+      self->text_watch = it->watch_number;
+    }
+}
+
+static void
+on_action (const MfAction *action, void *data)
+{
+  const Self *self = data;
+  FakeCores *cores = self->cores;
+  int64_t other;
+
+  switch (action->type)
+    {
+    case MF_ACTION_PEER_OPEN:
+      peer_open (cores, self->slot, action->peer.name);
+      break;
+    case MF_ACTION_PEER_CLOSE:
+      other = link_other (cores, self->slot, action->peer.link_id);
+      if (other >= 0)
+        post_peer (cores, (uint32_t)other, self->slot, MF_EVENT_PEER_DOWN, action->peer.link_id,
+                   cores->options.delay_us);
+      break;
+    case MF_ACTION_PEER_SEND:
+      peer_send (cores, self->slot, &action->peer);
+      break;
+    case MF_ACTION_PLATFORM_TEXT:
+    case MF_ACTION_PLATFORM_LIST:
+      platform_read (cores, self->slot, action);
+      break;
+    case MF_ACTION_CALL_START:
+      if (cores->options.on_call != NULL)
+        cores->options.on_call (cores, self->slot, &action->call, cores->options.data);
+      break;
+    default:
+      break;
+    }
+}
+
+FakeCores *
+fake_cores_new (const FakeCoresOptions *options)
+{
+  FakeCores *cores = calloc (1, sizeof *cores);
+
+  cores->options = *options;
+  cores->now_us = START_US;
+  cores->slots = calloc (options->n_slots, sizeof *cores->slots);
+  cores->cut = calloc ((size_t)options->n_slots * options->n_slots, sizeof *cores->cut);
+  for (uint32_t i = 0; i < options->n_slots; i++)
+    {
+      MfListed *listed = &cores->slots[i].listed;
+
+      snprintf (listed->name, sizeof listed->name, "n%u", i);
+      snprintf (listed->address, sizeof listed->address, "127.0.0.1:%u", 10000 + i);
+      snprintf (listed->data_centre, sizeof listed->data_centre, "dc%u",
+                i % options->n_data_centres);
+    }
+  return cores;
+}
+
+static void
+slot_free (Slot *slot)
+{
+  Self *self = slot->core != NULL ? slot->core->action_data : NULL;
+
+  mf_core_free (slot->core);
+  free (self);
+  slot->core = NULL;
+}
+
+void
+fake_cores_free (FakeCores *cores)
+{
+  while (cores->n_heap > 0)
+    post_free (heap_pop (cores));
+  for (uint32_t i = 0; i < cores->options.n_slots; i++)
+    slot_free (&cores->slots[i]);
+  for (uint32_t i = 0; i < cores->n_texts; i++)
+    free (cores->texts[i]);
+  free (cores->heap);
+  free (cores->slots);
+  free (cores->cut);
+  free (cores);
+}
+
+void
+fake_cores_start (FakeCores *cores, uint32_t slot)
+{
+  Slot *it = &cores->slots[slot];
+  Self *self = calloc (1, sizeof *self);
+  MfError error = { 0 };
+  MfOptions options;
+
+  fake_cores_kill (cores, slot, false);
+  mf_core_options (&options);
+  it->incarnation = WALL_MS + cores->now_us / MF_US_PER_MS + ++cores->sequence;
+  it->paused_until_us = 0;
+  slot_owner (cores, slot, &options.self);
+  memcpy (options.address, it->listed.address, sizeof options.address);
+  memcpy (options.data_centre, it->listed.data_centre, sizeof options.data_centre);
+  options.seed = cores->options.seed * 1000 + slot + it->incarnation;
+  if (cores->options.links_max > 0)
+    options.links_max = cores->options.links_max;
+  *self = (Self){ cores, slot };
+  it->core = mf_core_new (&options, cores->now_us, WALL_MS + cores->now_us / MF_US_PER_MS,
+                          on_action, self, &error);
+}
+
+void
+fake_cores_kill (FakeCores *cores, uint32_t slot, bool silent)
+{
+  for (uint32_t i = 0; i < cores->n_links && !silent; i++)
+    {
+      const Link *link = &cores->links[i];
+      uint32_t end = link->slots[1] == slot;
+
+      if (cores->slots[slot].core == NULL || link->slots[end] != slot
+          || link->incarnations[end] != cores->slots[slot].incarnation
+          || link_other (cores, slot, i + 1) < 0)
+        continue;
+      post_peer (cores, link->slots[1 - end], slot, MF_EVENT_PEER_DOWN, i + 1,
+                 cores->options.delay_us);
+    }
+  slot_free (&cores->slots[slot]);
+}
+
+void
+fake_cores_pause (FakeCores *cores, uint32_t slot, uint64_t for_us)
+{
+  cores->slots[slot].paused_until_us = cores->now_us + for_us;
+}
+
+void
+fake_cores_cut (FakeCores *cores, uint32_t from, uint32_t to, bool cut)
+{
+  cores->cut[from * cores->options.n_slots + to] = cut;
+}
+
+void
+fake_cores_platform (FakeCores *cores, uint32_t slot, FakePlatform platform)
+{
+  cores->slots[slot].platform = platform;
+}
+
+void
+fake_cores_publish (FakeCores *cores, uint64_t revision, const char *text)
+{
+  MfEvent event = { .type = MF_EVENT_TEXT };
+
+  cores->revisions[cores->n_texts] = revision;
+  cores->texts[cores->n_texts++] = strdup (text);
+  for (uint32_t i = 0; i < cores->options.n_slots; i++)
+    {
+      if (cores->slots[i].text_watch == 0 || cores->slots[i].platform != FAKE_PLATFORM_UP)
+        continue;
+      cores->slots[i].text_watch = 0;
+      fill_text (cores, i, &event.text);
+      post (cores, i, cores->options.delay_us, &event);
+    }
+}
+
+static void
+step (FakeCores *cores, uint32_t slot, MfEvent *event)
+{
+  static const size_t list_max = 512;
+  MfListed *listed = NULL;
+
+  event->now_us = cores->now_us;
+  event->wall_ms = WALL_MS + cores->now_us / MF_US_PER_MS;
+  if (event->type == MF_EVENT_LIST)
+    {
+      listed = calloc (list_max, sizeof *listed);
+      event->list.n_listed = cores->options.n_slots;
+      event->list.listed = listed;
+      for (uint32_t i = 0; i < cores->options.n_slots; i++)
+        listed[i] = cores->slots[i].listed;
+    }
+  mf_core_step (cores->slots[slot].core, event);
+  free (listed);
+}
+
+void
+fake_cores_event (FakeCores *cores, uint32_t slot, MfEvent *event)
+{
+  step (cores, slot, event);
+}
+
+/* When a slot next has to be ticked. */
+static uint64_t
+slot_next_us (const Slot *slot)
+{
+  uint64_t next_us = slot->core != NULL ? mf_core_next_us (slot->core) : UINT64_MAX;
+
+  return next_us != UINT64_MAX && next_us < slot->paused_until_us ? slot->paused_until_us : next_us;
+}
+
+static void
+deliver (FakeCores *cores, Post *it)
+{
+  Slot *slot = &cores->slots[it->slot];
+
+  if (slot->core != NULL && slot->incarnation == it->incarnation
+      && slot->paused_until_us > cores->now_us)
+    {
+      it->at_us = slot->paused_until_us;
+      heap_push (cores, it);
+      return;
+    }
+  if (slot->core != NULL && slot->incarnation == it->incarnation
+      && (!it->watch || it->watch_number == slot->text_watch))
+    step (cores, it->slot, &it->event);
+  post_free (it);
+}
+
+void
+fake_cores_run (FakeCores *cores, uint64_t for_us)
+{
+  uint64_t end_us = cores->now_us + for_us;
+
+  for (;;)
+    {
+      MfEvent tick = { .type = MF_EVENT_TICK };
+      uint64_t next_us = cores->n_heap > 0 ? cores->heap[0]->at_us : UINT64_MAX;
+      uint32_t due = MF_NONE;
+
+      for (uint32_t i = 0; i < cores->options.n_slots; i++)
+        {
+          uint64_t slot_us = slot_next_us (&cores->slots[i]);
+
+          if (slot_us < next_us)
+            {
+              next_us = slot_us;
+              due = i;
+            }
+        }
+      if (next_us > end_us)
+        break;
+      if (next_us > cores->now_us)
+        cores->now_us = next_us;
+      if (due != MF_NONE)
+        step (cores, due, &tick);
+      else
+        deliver (cores, heap_pop (cores));
+    }
+  cores->now_us = end_us;
+}
+
+MfCore *
+fake_cores_core (FakeCores *cores, uint32_t slot)
+{
+  return cores->slots[slot].core;
+}
+
+uint64_t
+fake_cores_now_us (const FakeCores *cores)
+{
+  return cores->now_us;
+}
+
+uint64_t
+fake_cores_bytes_out (const FakeCores *cores, uint32_t slot)
+{
+  return cores->slots[slot].bytes_out;
+}
+
+uint64_t
+fake_cores_platform_calls (const FakeCores *cores)
+{
+  return cores->n_platform_calls;
+}
+
+char *
+fake_cores_text (uint32_t n_upstreams, uint32_t slots, const char *version, bool checks_fencing)
+{
+  size_t n_bytes = 1024 + 160 * (size_t)n_upstreams, at;
+  char *text = malloc (n_bytes);
+
+  at = (size_t)snprintf (
+      text, n_bytes,
+      "{\"services\":[{\"name\":\"s\",\"kind\":\"model\",\"model\":\"m\",\"class\":\"summary\","
+      "\"version\":\"%s\",\"prefill_pool\":\"p\",\"decode_pool\":\"d\",\"deadline_ms\":60000,"
+      "\"ttft_target_ms\":1500,\"tbt_target_ms\":30,\"kv_token_bytes\":131072,"
+      "\"expected_tokens\":200}],\"customers\":[],\"allow_anonymous\":true,\"pools\":["
+      "{\"name\":\"p\",\"role\":\"prefill\",\"upstreams\":[{\"name\":\"p0\",\"address\":"
+      "\"127.0.0.1:1\",\"data_centre\":\"dc0\",\"slots\":8,\"pieces\":200}]},"
+      "{\"name\":\"d\",\"role\":\"decode\",\"upstreams\":[",
+      version);
+  for (uint32_t i = 0; i < n_upstreams; i++)
+    at += (size_t)snprintf (text + at, n_bytes - at,
+                            "%s{\"name\":\"d%u\",\"address\":\"127.0.0.1:%u\",\"data_centre\":"
+                            "\"dc0\",\"slots\":%u,\"pieces\":200,\"checks_fencing\":%s}",
+                            i > 0 ? "," : "", i, 20000 + i, slots,
+                            checks_fencing ? "true" : "false");
+  snprintf (text + at, n_bytes - at, "]}]}");
+  return text;
+}
--- /dev/null
+++ b/tests/fakes/cores.h
@@ -0,0 +1,55 @@
+#ifndef FAKE_CORES_H
+#define FAKE_CORES_H
+
+#include "libmangofork/core.h"
+
+/* Several cores in one process under one virtual clock, with the links between them and the
+ * platform's reads; every message goes through the frame codec. Slots are named "n0", "n1", ... */
+typedef struct FakeCores FakeCores;
+
+typedef void (*FakeCallFunc) (FakeCores *cores, uint32_t slot, const MfCallAction *call,
+                              void *data);
+
+typedef struct
+{
+  uint32_t n_slots;
+  uint32_t n_data_centres;
+  uint32_t links_max; /* 0 for the default */
+  uint64_t delay_us;  /* one way, between instances and to the platform */
+  uint64_t seed;
+  FakeCallFunc on_call; /* calls to upstreams; may be NULL */
+  void *data;
+} FakeCoresOptions;
+
+/* What the platform answers to one slot. */
+typedef enum
+{
+  FAKE_PLATFORM_UP,
+  FAKE_PLATFORM_DOWN,
+  FAKE_PLATFORM_STALE, /* the first text that was published, for ever */
+} FakePlatform;
+
+FakeCores *fake_cores_new (const FakeCoresOptions *options);
+void fake_cores_free (FakeCores *cores);
+/* Starts a slot with a new incarnation, ending the one that runs. */
+void fake_cores_start (FakeCores *cores, uint32_t slot);
+/* Ends a slot; when silent its links stay up and say nothing, as when the machine loses power. */
+void fake_cores_kill (FakeCores *cores, uint32_t slot, bool silent);
+void fake_cores_pause (FakeCores *cores, uint32_t slot, uint64_t for_us);
+/* Drops everything that goes one way from a slot to another. */
+void fake_cores_cut (FakeCores *cores, uint32_t from, uint32_t to, bool cut);
+void fake_cores_platform (FakeCores *cores, uint32_t slot, FakePlatform platform);
+void fake_cores_publish (FakeCores *cores, uint64_t revision, const char *text);
+void fake_cores_event (FakeCores *cores, uint32_t slot, MfEvent *event);
+void fake_cores_run (FakeCores *cores, uint64_t for_us);
+
+MfCore *fake_cores_core (FakeCores *cores, uint32_t slot); /* NULL when it is not running */
+uint64_t fake_cores_now_us (const FakeCores *cores);
+uint64_t fake_cores_bytes_out (const FakeCores *cores, uint32_t slot);
+uint64_t fake_cores_platform_calls (const FakeCores *cores);
+/* A sound text with decode upstreams "d0", "d1", ... of so many slots each, and one service that
+ * wants a version of its model. The caller frees it. */
+char *fake_cores_text (uint32_t n_upstreams, uint32_t slots, const char *version,
+                       bool checks_fencing);
+
+#endif
--- a/tests/test_frame.c
+++ b/tests/test_frame.c
@@ -7,8 +7,6 @@
 
 #include <cmocka.h>
 
-#define LENGTH_BYTES 4
-
 static const MfKeyRecord key_records[] = {
   { .key = { 1, 2 },
     .body_digest = 7,
@@ -120,8 +118,8 @@
       uint8_t *bytes = encode (&messages[i], &n_bytes), *again;
       MfFrame frame;
 
-      assert_int_equal (bytes[2] << 8 | bytes[3], n_bytes - LENGTH_BYTES);
-      assert_true (decode (bytes + LENGTH_BYTES, n_bytes - LENGTH_BYTES, &frame));
+      assert_int_equal (bytes[2] << 8 | bytes[3], n_bytes - MF_FRAME_LENGTH_BYTES);
+      assert_true (decode (bytes + MF_FRAME_LENGTH_BYTES, n_bytes - MF_FRAME_LENGTH_BYTES, &frame));
       assert_int_equal (frame.message.type, messages[i].type);
       again = encode (&frame.message, &again_bytes);
       assert_int_equal (n_bytes, again_bytes);
@@ -140,7 +138,7 @@
   MfFrame frame;
 
   (void)state;
-  assert_true (decode (bytes + LENGTH_BYTES, n_bytes - LENGTH_BYTES, &frame));
+  assert_true (decode (bytes + MF_FRAME_LENGTH_BYTES, n_bytes - MF_FRAME_LENGTH_BYTES, &frame));
   memset (bytes, 0, n_bytes);
   assert_int_equal (frame.message.admitted.n_records, 2);
   assert_memory_equal (frame.message.admitted.records, key_records, sizeof key_records);
@@ -159,8 +157,8 @@
       uint8_t *bytes = encode (&messages[i], &n_bytes);
       MfFrame frame;
 
-      for (size_t cut = 0; cut < n_bytes - LENGTH_BYTES; cut++)
-        assert_false (decode (bytes + LENGTH_BYTES, cut, &frame));
+      for (size_t cut = 0; cut < n_bytes - MF_FRAME_LENGTH_BYTES; cut++)
+        assert_false (decode (bytes + MF_FRAME_LENGTH_BYTES, cut, &frame));
       free (bytes);
     }
 }
@@ -181,9 +179,10 @@
       for (size_t flip = 0; flip <= round % 3; flip++)
         {
           random = random * UINT64_C (6364136223846793005) + 1442695040888963407;
-          bytes[LENGTH_BYTES + (random >> 33) % (n_bytes - LENGTH_BYTES)] ^= 1 << (random >> 61);
+          bytes[MF_FRAME_LENGTH_BYTES + (random >> 33) % (n_bytes - MF_FRAME_LENGTH_BYTES)]
+              ^= 1 << (random >> 61);
         }
-      if (decode (bytes + LENGTH_BYTES, n_bytes - LENGTH_BYTES, &frame))
+      if (decode (bytes + MF_FRAME_LENGTH_BYTES, n_bytes - MF_FRAME_LENGTH_BYTES, &frame))
         mf_frame_clear (&frame);
       free (bytes);
     }
--- /dev/null
+++ b/tests/test_member.c
@@ -0,0 +1,266 @@
+#include "libmangofork/member_row.h"
+
+#include "fakes/cores.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define PERIOD_US (200 * MF_US_PER_MS)
+
+static FakeCores *
+fleet_new (uint32_t n_slots, uint32_t n_data_centres)
+{
+  const FakeCoresOptions options = {
+    .n_slots = n_slots,
+    .n_data_centres = n_data_centres,
+    .delay_us = MF_US_PER_MS,
+    .seed = 5,
+  };
+  FakeCores *cores = fake_cores_new (&options);
+  char *text = fake_cores_text (4, 20, "", true);
+
+  fake_cores_publish (cores, 1, text);
+  free (text);
+  for (uint32_t i = 0; i < n_slots; i++)
+    fake_cores_start (cores, i);
+  fake_cores_run (cores, 5 * MF_US_PER_S);
+  return cores;
+}
+
+static MfMemberState
+state_of (FakeCores *cores, uint32_t at, uint32_t of)
+{
+  char name[MF_NAME_BYTES];
+  const MfMember *member;
+
+  snprintf (name, sizeof name, "n%u", of);
+  member = mf_member_find (fake_cores_core (cores, at), name);
+  assert_non_null (member);
+  return member->state;
+}
+
+/* How many running slots hold another one to be in a state. */
+static uint32_t
+count_state (FakeCores *cores, uint32_t n_slots, uint32_t of, MfMemberState state)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < n_slots; i++)
+    n += i != of && fake_cores_core (cores, i) != NULL && state_of (cores, i, of) == state;
+  return n;
+}
+
+static void
+test_few_instances_link_to_all (void **state)
+{
+  FakeCores *cores = fleet_new (7, 3);
+
+  (void)state;
+  for (uint32_t i = 0; i < 7; i++)
+    {
+      assert_int_equal (fake_cores_core (cores, i)->board.members->n_neighbours, 6);
+      assert_int_equal (count_state (cores, 7, i, MF_MEMBER_ALIVE), 6);
+      assert_int_equal (fake_cores_core (cores, i)->board.counters.values[MF_COUNTER_PAUSES], 0);
+    }
+  fake_cores_free (cores);
+}
+
+/* Marks what a walk over the neighbours reaches. */
+static void
+walk (FakeCores *cores, uint32_t slot, bool *reached)
+{
+  const MfMembers *members = fake_cores_core (cores, slot)->board.members;
+
+  reached[slot] = true;
+  for (uint32_t i = 0; i < MF_NEIGHBOURS_MAX; i++)
+    {
+      uint32_t other;
+
+      if (members->neighbours[i] == NULL)
+        continue;
+      other = (uint32_t)strtoul (members->neighbours[i]->member.owner.name + 1, NULL, 10);
+      if (!reached[other])
+        walk (cores, other, reached);
+    }
+}
+
+static void
+test_many_instances_stay_connected_with_few_links (void **state)
+{
+  FakeCores *cores = fleet_new (60, 6);
+  uint32_t n_links = 0;
+  bool reached[60] = { false };
+
+  (void)state;
+  walk (cores, 0, reached);
+  for (uint32_t i = 0; i < 60; i++)
+    {
+      assert_true (reached[i]);
+      n_links += fake_cores_core (cores, i)->board.members->n_neighbours;
+    }
+  assert_in_range (n_links / 60, 5, 8);
+  fake_cores_free (cores);
+}
+
+static void
+test_death_is_known_everywhere (void **state)
+{
+  FakeCores *cores = fleet_new (30, 3);
+
+  (void)state;
+  fake_cores_kill (cores, 4, true);
+  fake_cores_run (cores, 3 * MF_US_PER_S);
+  assert_int_equal (count_state (cores, 30, 4, MF_MEMBER_DEAD), 29);
+  for (uint32_t i = 0; i < 30; i++)
+    {
+      if (i != 4)
+        assert_int_equal (count_state (cores, 30, i, MF_MEMBER_ALIVE), i == 4 ? 0 : 28);
+    }
+  fake_cores_start (cores, 4);
+  fake_cores_run (cores, 3 * MF_US_PER_S);
+  assert_int_equal (count_state (cores, 30, 4, MF_MEMBER_ALIVE), 29);
+  fake_cores_free (cores);
+}
+
+static void
+test_pause_shorter_than_suspicion_harms_nobody (void **state)
+{
+  FakeCores *cores = fleet_new (7, 3);
+  MfCore *core = fake_cores_core (cores, 2);
+
+  (void)state;
+  fake_cores_pause (cores, 2, 1500 * MF_US_PER_MS);
+  fake_cores_run (cores, 1600 * MF_US_PER_MS);
+  assert_int_equal (core->board.counters.values[MF_COUNTER_PAUSES], 1);
+  assert_true (mf_member_paused_us (core) != 0);
+  fake_cores_run (cores, 2 * MF_US_PER_S);
+  for (uint32_t i = 0; i < 7; i++)
+    assert_int_equal (count_state (cores, 7, i, MF_MEMBER_ALIVE), 6);
+  fake_cores_free (cores);
+}
+
+/* The one that was paused was thought dead; it does not think so of the others, and is believed
+ * alive again. */
+static void
+test_paused_instance_doubts_itself_and_comes_back (void **state)
+{
+  FakeCores *cores = fleet_new (7, 3);
+
+  (void)state;
+  fake_cores_pause (cores, 2, 10 * MF_US_PER_S);
+  fake_cores_run (cores, 5 * MF_US_PER_S);
+  assert_int_equal (count_state (cores, 7, 2, MF_MEMBER_DEAD), 6);
+  fake_cores_run (cores, 5 * MF_US_PER_S + PERIOD_US / 2);
+  for (uint32_t i = 0; i < 7; i++)
+    {
+      if (i != 2)
+        assert_int_equal (state_of (cores, 2, i), MF_MEMBER_ALIVE);
+    }
+  fake_cores_run (cores, 5 * MF_US_PER_S);
+  assert_int_equal (count_state (cores, 7, 2, MF_MEMBER_ALIVE), 6);
+  fake_cores_free (cores);
+}
+
+static void
+test_one_way_cut_kills_nobody (void **state)
+{
+  FakeCores *cores = fleet_new (7, 3);
+
+  (void)state;
+  fake_cores_cut (cores, 1, 2, true);
+  for (uint32_t second = 0; second < 20; second++)
+    {
+      fake_cores_run (cores, MF_US_PER_S);
+      assert_int_equal (count_state (cores, 7, 1, MF_MEMBER_DEAD), 0);
+      assert_int_equal (count_state (cores, 7, 2, MF_MEMBER_DEAD), 0);
+    }
+  fake_cores_free (cores);
+}
+
+static void
+cut_halves (FakeCores *cores, uint32_t n_slots, bool cut)
+{
+  for (uint32_t i = 0; i < n_slots; i++)
+    {
+      for (uint32_t j = 0; j < n_slots; j++)
+        {
+          if ((i < n_slots / 2) != (j < n_slots / 2))
+            fake_cores_cut (cores, i, j, cut);
+        }
+    }
+}
+
+static uint64_t
+bytes_out (FakeCores *cores, uint32_t n_slots)
+{
+  uint64_t n_bytes = 0;
+
+  for (uint32_t i = 0; i < n_slots; i++)
+    n_bytes += fake_cores_bytes_out (cores, i);
+  return n_bytes;
+}
+
+static void
+test_partition_heals_without_a_storm (void **state)
+{
+  const uint32_t n_slots = 24;
+  FakeCores *cores = fleet_new (n_slots, 3);
+  uint64_t n_bytes;
+
+  (void)state;
+  cut_halves (cores, n_slots, true);
+  fake_cores_run (cores, 120 * MF_US_PER_S);
+  assert_int_equal (count_state (cores, n_slots, 0, MF_MEMBER_DEAD), n_slots / 2);
+  assert_int_equal (mf_member_has_majority (fake_cores_core (cores, 0)), false);
+  cut_halves (cores, n_slots, false);
+  n_bytes = bytes_out (cores, n_slots);
+  fake_cores_run (cores, 15 * MF_US_PER_S);
+  for (uint32_t i = 0; i < n_slots; i++)
+    assert_int_equal (count_state (cores, n_slots, i, MF_MEMBER_ALIVE), n_slots - 1);
+  n_bytes = (bytes_out (cores, n_slots) - n_bytes) / n_slots / 15;
+  assert_in_range (n_bytes, 1, 23000);
+  fake_cores_free (cores);
+}
+
+static void
+test_message_waits_for_its_link (void **state)
+{
+  FakeCores *cores = fleet_new (30, 3);
+  MfPeerMessage message = { .type = MF_PEER_CONFIG_ASK, .ask_revision = 0 };
+  MfMemberRow *row = fake_cores_core (cores, 0)->board.members->rows;
+
+  (void)state;
+  while (row->member.link_id != 0)
+    row = row->hh.next;
+  assert_true (mf_member_send (fake_cores_core (cores, 0), row->member.owner.name, &message));
+  assert_int_equal (row->n_pending, 1);
+  fake_cores_run (cores, 10 * MF_US_PER_MS);
+  assert_int_equal (row->n_pending, 0);
+  assert_true (row->member.link_id != 0);
+  fake_cores_run (cores, 60 * MF_US_PER_S);
+  assert_int_equal (row->member.link_id, 0);
+  assert_false (mf_member_send (fake_cores_core (cores, 0), "nobody", &message));
+  fake_cores_free (cores);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_few_instances_link_to_all),
+    cmocka_unit_test (test_many_instances_stay_connected_with_few_links),
+    cmocka_unit_test (test_death_is_known_everywhere),
+    cmocka_unit_test (test_pause_shorter_than_suspicion_harms_nobody),
+    cmocka_unit_test (test_paused_instance_doubts_itself_and_comes_back),
+    cmocka_unit_test (test_one_way_cut_kills_nobody),
+    cmocka_unit_test (test_partition_heals_without_a_storm),
+    cmocka_unit_test (test_message_waits_for_its_link),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
