Links to other instances: mutual proof of a shared key, sealed frames, bounded

Both sides prove the key over a transcript that takes in both ephemeral keys, slot names, incarnations and addresses; frames are sealed with libsodium's secretstream. Links are found by id through a hash table, so a message costs nothing that grows with the fleet.

--- /dev/null
+++ b/libmangofork/peer_link.c
@@ -0,0 +1,583 @@
+#include "peer_link.h"
+
+#include "buffer.h"
+#include "frame.h"
+#include "peer_auth.h"
+#include "socket.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <ev.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <uthash.h>
+#include <utlist.h>
+
+/* A handshake must be over by then. */
+#define HANDSHAKE_LIMIT_S 3.0
+/* Links that are not yet authenticated, and links in all. */
+#define HALF_OPEN_MAX 64
+#define LINKS_MAX 1024
+/* Unsent bytes of a link; a peer that takes them more slowly loses it. */
+#define UNSENT_BYTES_MAX ((size_t)2 * MF_FRAME_BYTES_MAX)
+/* Sent bytes may stay unacknowledged this long. */
+#define UNACKED_LIMIT_MS 10000
+#define READ_BYTES 65536
+#define LENGTH_BYTES 4
+#define SEAL_BYTES crypto_secretstream_xchacha20poly1305_ABYTES
+
+typedef enum
+{
+  LINK_CONNECTING,
+  LINK_HELLO, /* waits for the other side's hello */
+  LINK_PROOF, /* responder: waits for the initiator's proof */
+  LINK_UP,
+  LINK_CLOSED,
+} LinkState;
+
+typedef struct Link Link;
+
+struct Link
+{
+  MfPeerLinks *links;
+  uint32_t id;
+  int fd;
+  LinkState state;
+  bool failed; /* closes as soon as the loop runs */
+  MfPeerAuth auth;
+  char expected[MF_NAME_BYTES];
+  MfBuffer in;
+  MfBuffer out;
+  ev_io read;
+  ev_io write;
+  ev_timer limit;
+  Link *prev;
+  Link *next;
+  UT_hash_handle hh; /* by id, while up */
+};
+
+struct MfPeerLinks
+{
+  struct ev_loop *loop;
+  MfPeerLinkOptions options;
+  char address[MF_ADDRESS_BYTES];
+  void (*on_event) (const MfEvent *event, void *data);
+  void *data;
+  int fd;
+  ev_io accept;
+  ev_prepare reap;
+  Link *open;
+  Link *up;
+  Link *closed; /* to be freed once no function of theirs runs */
+  uint32_t n_open;
+  uint32_t n_half_open;
+  uint32_t last_id;
+  MfPeerLinkStats stats;
+};
+
+/* Takes a link out of use; the memory is freed later. */
+static void
+link_close (Link *link)
+{
+  MfPeerLinks *links = link->links;
+
+  if (link->state == LINK_CLOSED)
+    return;
+  if (link->state == LINK_UP)
+    HASH_DEL (links->up, link);
+  else
+    links->n_half_open--;
+  link->state = LINK_CLOSED;
+  ev_io_stop (links->loop, &link->read);
+  ev_io_stop (links->loop, &link->write);
+  ev_timer_stop (links->loop, &link->limit);
+  if (link->fd >= 0)
+    close (link->fd);
+  DL_DELETE (links->open, link);
+  DL_APPEND (links->closed, link);
+  links->n_open--;
+}
+
+static void
+link_emit (Link *link, MfEventType type, const MfPeerMessage *message)
+{
+  MfEvent event = { .type = type,
+                    .peer = { .link_id = link->id, .peer = link->auth.peer, .message = message } };
+
+  mf_name_set (event.peer.address, sizeof event.peer.address, link->auth.peer_address);
+  link->links->on_event (&event, link->links->data);
+}
+
+/* Closes a link and tells the core. */
+static void
+link_lose (Link *link)
+{
+  MfEvent event = { .type = MF_EVENT_PEER_DOWN };
+  LinkState state = link->state;
+
+  if (state == LINK_CLOSED)
+    return;
+  link_close (link);
+  if (state == LINK_UP)
+    {
+      link_emit (link, MF_EVENT_PEER_DOWN, NULL);
+      return;
+    }
+  link->links->stats.refused++;
+  if (link->expected[0] == '\0')
+    return;
+  mf_name_set (event.peer.peer.name, sizeof event.peer.peer.name, link->expected);
+  link->links->on_event (&event, link->links->data);
+}
+
+/* Has a link closed from the loop, where the core may be told. */
+static void
+link_fail_later (Link *link)
+{
+  link->failed = true;
+  ev_timer_stop (link->links->loop, &link->limit);
+  ev_timer_set (&link->limit, 0, 0);
+  ev_timer_start (link->links->loop, &link->limit);
+}
+
+/* Writes what the socket takes now and watches for room when some is left. */
+static void
+link_flush (Link *link)
+{
+  while (mf_buffer_bytes (&link->out) > 0)
+    {
+      ssize_t n = send (link->fd, mf_buffer_data (&link->out), mf_buffer_bytes (&link->out),
+                        MSG_NOSIGNAL | MSG_DONTWAIT);
+
+      if (n < 0 && errno == EINTR)
+        continue;
+      if (n < 0 && errno == EAGAIN)
+        {
+          ev_io_start (link->links->loop, &link->write);
+          return;
+        }
+      if (n < 0)
+        {
+          link_fail_later (link);
+          return;
+        }
+      link->links->stats.bytes_out += (uint64_t)n;
+      mf_buffer_take (&link->out, (size_t)n);
+    }
+  ev_io_stop (link->links->loop, &link->write);
+}
+
+/* Sends one frame: its length and its payload. */
+static void
+frame_send (Link *link, const void *payload, size_t payload_bytes)
+{
+  uint32_t length = htonl ((uint32_t)payload_bytes);
+
+  if (link->failed)
+    return;
+  mf_buffer_add (&link->out, &length, sizeof length);
+  mf_buffer_add (&link->out, payload, payload_bytes);
+  if (link->out.failed || mf_buffer_bytes (&link->out) > UNSENT_BYTES_MAX)
+    {
+      link_fail_later (link);
+      return;
+    }
+  link_flush (link);
+}
+
+static void
+payload_send (Link *link, MfBuffer *payload)
+{
+  frame_send (link, mf_buffer_data (payload), mf_buffer_bytes (payload));
+}
+
+/* Of two links between the same processes both sides keep the one that the instance with the lower
+ * name began, and of two begun by the same one the later. Returns whether the new one is kept. */
+static bool
+link_outranks (const Link *link, const Link *other)
+{
+  const char *self = link->links->options.self.name;
+  bool lower_self = strcmp (self, link->auth.peer.name) < 0;
+
+  if (link->auth.peer.incarnation != other->auth.peer.incarnation)
+    return link->auth.peer.incarnation > other->auth.peer.incarnation;
+  return link->auth.initiator == other->auth.initiator || link->auth.initiator == lower_self;
+}
+
+/* The other side has proved itself. */
+static void
+link_up (Link *link)
+{
+  MfPeerLinks *links = link->links;
+  Link *other;
+  Link *next;
+
+  for (other = links->open; other != NULL; other = next)
+    {
+      next = other->next;
+      if (other == link || other->state != LINK_UP
+          || strcmp (other->auth.peer.name, link->auth.peer.name) != 0)
+        continue;
+      if (!link_outranks (link, other))
+        {
+          link_close (link);
+          return;
+        }
+      link_lose (other);
+      next = links->open;
+      if (link->state == LINK_CLOSED)
+        return;
+    }
+  links->n_half_open--;
+  link->state = LINK_UP;
+  HASH_ADD (hh, links->up, id, sizeof link->id, link);
+  ev_timer_stop (links->loop, &link->limit);
+  link_emit (link, MF_EVENT_PEER_UP, NULL);
+}
+
+/* Takes one payload of the handshake. Returns false when the link must end. */
+static bool
+handshake_take (Link *link, const uint8_t *payload, size_t payload_bytes)
+{
+  const MfPeerLinkOptions *options = &link->links->options;
+  MfBuffer answer = { 0 };
+  MfError error = { 0 };
+  bool good;
+
+  if (link->state == LINK_PROOF)
+    good = mf_peer_auth_finish (&link->auth, payload, payload_bytes, &error);
+  else if (link->auth.initiator)
+    good = mf_peer_auth_confirm (&link->auth, options, link->expected, payload, payload_bytes,
+                                 &answer, &error);
+  else
+    good = mf_peer_auth_respond (&link->auth, options, payload, payload_bytes, &answer, &error);
+  if (good && mf_buffer_bytes (&answer) > 0)
+    payload_send (link, &answer);
+  mf_buffer_clear (&answer);
+  if (!good)
+    return false;
+  if (link->state == LINK_HELLO && !link->auth.initiator)
+    link->state = LINK_PROOF;
+  else
+    link_up (link);
+  return true;
+}
+
+/* Takes one sealed frame. Returns false when the link must end: a broken seal means that the bytes
+ * are not the peer's. A message that cannot be read is dropped and counted. */
+static bool
+message_take (Link *link, const uint8_t *sealed, size_t sealed_bytes)
+{
+  MfPeerLinkStats *stats = &link->links->stats;
+  uint8_t *payload;
+  unsigned long long payload_bytes = 0;
+  unsigned char tag = 0;
+  MfFrame frame = { 0 };
+  MfError error = { 0 };
+  bool good;
+
+  payload = sealed_bytes < SEAL_BYTES ? NULL : malloc (sealed_bytes - SEAL_BYTES + 1);
+  good = payload != NULL
+         && crypto_secretstream_xchacha20poly1305_pull (&link->auth.pull, payload, &payload_bytes,
+                                                        &tag, sealed, sealed_bytes, NULL, 0)
+                == 0;
+  if (!good)
+    stats->frames_bad++;
+  else if (!mf_frame_decode (payload, (size_t)payload_bytes, &frame, &error))
+    stats->frames_bad++;
+  else
+    {
+      stats->frames_in++;
+      link_emit (link, MF_EVENT_PEER_MESSAGE, &frame.message);
+      mf_frame_clear (&frame);
+    }
+  free (payload);
+  return good;
+}
+
+/* Takes the frames that have arrived whole. Returns false when the link must end. */
+static bool
+frames_take (Link *link)
+{
+  while (link->state != LINK_CLOSED && mf_buffer_bytes (&link->in) >= LENGTH_BYTES)
+    {
+      const uint8_t *data = (const uint8_t *)mf_buffer_data (&link->in);
+      size_t max
+          = link->state == LINK_UP ? MF_FRAME_BYTES_MAX + SEAL_BYTES : MF_PEER_HELLO_BYTES_MAX;
+      uint32_t length;
+
+      memcpy (&length, data, sizeof length);
+      length = ntohl (length);
+      if (length > max)
+        {
+          link->links->stats.frames_bad++;
+          return false;
+        }
+      if (mf_buffer_bytes (&link->in) < LENGTH_BYTES + (size_t)length)
+        return true;
+      if (!(link->state == LINK_UP ? message_take (link, data + LENGTH_BYTES, length)
+                                   : handshake_take (link, data + LENGTH_BYTES, length)))
+        return false;
+      mf_buffer_take (&link->in, LENGTH_BYTES + (size_t)length);
+    }
+  return true;
+}
+
+static void
+link_readable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  Link *link = watcher->data;
+  char data[READ_BYTES];
+  ssize_t n = recv (link->fd, data, sizeof data, MSG_DONTWAIT);
+
+  (void)loop;
+  (void)events;
+  if (n < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  if (n > 0)
+    mf_buffer_add (&link->in, data, (size_t)n);
+  if (n <= 0 || link->in.failed || !frames_take (link))
+    link_lose (link);
+}
+
+static void
+link_writable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  Link *link = watcher->data;
+  int fault = 0;
+  socklen_t fault_bytes = sizeof fault;
+  MfBuffer hello = { 0 };
+  MfError error = { 0 };
+
+  (void)loop;
+  (void)events;
+  if (link->state != LINK_CONNECTING)
+    {
+      link_flush (link);
+      return;
+    }
+  getsockopt (link->fd, SOL_SOCKET, SO_ERROR, &fault, &fault_bytes);
+  if (fault != 0
+      || !mf_peer_auth_begin (&link->auth, &link->links->options, link->expected, &hello, &error))
+    {
+      mf_buffer_clear (&hello);
+      link_lose (link);
+      return;
+    }
+  link->state = LINK_HELLO;
+  ev_io_start (link->links->loop, &link->read);
+  payload_send (link, &hello);
+  mf_buffer_clear (&hello);
+}
+
+static void
+link_limit (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  link_lose (watcher->data);
+}
+
+/* Makes a link; a descriptor below 0 makes one that fails as soon as the loop runs. */
+static Link *
+link_new (MfPeerLinks *links, int fd, LinkState state)
+{
+  Link *link = calloc (1, sizeof *link);
+  int one = 1;
+  unsigned unacked_ms = UNACKED_LIMIT_MS;
+
+  if (link == NULL)
+    {
+      if (fd >= 0)
+        close (fd);
+      return NULL;
+    }
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms, sizeof unacked_ms);
+  link->links = links;
+  link->id = ++links->last_id;
+  link->fd = fd;
+  link->state = state;
+  ev_io_init (&link->read, link_readable, fd, EV_READ);
+  link->read.data = link;
+  ev_io_init (&link->write, link_writable, fd, EV_WRITE);
+  link->write.data = link;
+  ev_timer_init (&link->limit, link_limit, fd < 0 ? 0 : HANDSHAKE_LIMIT_S, 0);
+  link->limit.data = link;
+  ev_timer_start (links->loop, &link->limit);
+  DL_APPEND (links->open, link);
+  links->n_open++;
+  links->n_half_open++;
+  return link;
+}
+
+static void
+links_accept (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  MfPeerLinks *links = watcher->data;
+  int fd = accept4 (links->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  Link *link;
+
+  (void)events;
+  if (fd < 0)
+    return;
+  if (links->n_half_open >= HALF_OPEN_MAX || links->n_open >= LINKS_MAX)
+    {
+      links->stats.refused++;
+      close (fd);
+      return;
+    }
+  link = link_new (links, fd, LINK_HELLO);
+  if (link != NULL)
+    ev_io_start (loop, &link->read);
+}
+
+/* Frees links that closed, now that none of their functions runs. */
+static void
+links_reap (struct ev_loop *loop, ev_prepare *watcher, int events)
+{
+  MfPeerLinks *links = watcher->data;
+  Link *link;
+  Link *next;
+
+  (void)loop;
+  (void)events;
+  DL_FOREACH_SAFE (links->closed, link, next)
+  {
+    DL_DELETE (links->closed, link);
+    mf_buffer_clear (&link->in);
+    mf_buffer_clear (&link->out);
+    sodium_memzero (&link->auth, sizeof link->auth);
+    free (link);
+  }
+}
+
+MfPeerLinks *
+mf_peer_links_new (struct ev_loop *loop, const MfPeerLinkOptions *options,
+                   void (*on_event) (const MfEvent *event, void *data), void *data, MfError *error)
+{
+  MfPeerLinks *links = calloc (1, sizeof *links);
+
+  if (links == NULL)
+    {
+      mf_error_set (error, MF_CODE_NO_MEMORY, "no memory for the peer links");
+      return NULL;
+    }
+  links->fd = mf_socket_listen (options->listen, error);
+  if (links->fd < 0)
+    {
+      free (links);
+      return NULL;
+    }
+  links->loop = loop;
+  links->options = *options;
+  mf_name_set (links->address, sizeof links->address, options->address);
+  links->options.address = links->address;
+  links->on_event = on_event;
+  links->data = data;
+  ev_io_init (&links->accept, links_accept, links->fd, EV_READ);
+  links->accept.data = links;
+  ev_io_start (loop, &links->accept);
+  ev_prepare_init (&links->reap, links_reap);
+  links->reap.data = links;
+  ev_prepare_start (loop, &links->reap);
+  return links;
+}
+
+void
+mf_peer_links_free (MfPeerLinks *links)
+{
+  if (links == NULL)
+    return;
+  while (links->open != NULL)
+    link_close (links->open);
+  links_reap (links->loop, &links->reap, 0);
+  ev_io_stop (links->loop, &links->accept);
+  ev_prepare_stop (links->loop, &links->reap);
+  close (links->fd);
+  sodium_memzero (&links->options.keys, sizeof links->options.keys);
+  free (links);
+}
+
+uint16_t
+mf_peer_links_port (const MfPeerLinks *links)
+{
+  return mf_socket_port (links->fd);
+}
+
+void
+mf_peer_links_set_keys (MfPeerLinks *links, const MfPeerKeys *keys)
+{
+  links->options.keys = *keys;
+}
+
+const MfPeerLinkStats *
+mf_peer_links_stats (const MfPeerLinks *links)
+{
+  return &links->stats;
+}
+
+/* Connects to a peer; the outcome is reported as an event. */
+void
+mf_peer_links_open (MfPeerLinks *links, const char *name, const char *address)
+{
+  MfError error = { 0 };
+  int fd = links->n_open < LINKS_MAX ? mf_socket_connect (address, &error) : -1;
+  Link *link = link_new (links, fd, LINK_CONNECTING);
+
+  if (link == NULL)
+    return;
+  mf_name_set (link->expected, sizeof link->expected, name);
+  if (fd >= 0)
+    ev_io_start (links->loop, &link->write);
+}
+
+static Link *
+links_find (MfPeerLinks *links, uint32_t link_id)
+{
+  Link *link;
+
+  HASH_FIND (hh, links->up, &link_id, sizeof link_id, link);
+  return link;
+}
+
+/* Closes a link without an event. */
+void
+mf_peer_links_close (MfPeerLinks *links, uint32_t link_id)
+{
+  Link *link = links_find (links, link_id);
+
+  if (link != NULL)
+    link_close (link);
+}
+
+/* Seals a message and sends it. Messages to links that are gone are passed over. */
+void
+mf_peer_links_send (MfPeerLinks *links, uint32_t link_id, const MfPeerMessage *message)
+{
+  Link *link = links_find (links, link_id);
+  MfError error = { 0 };
+  size_t frame_bytes = 0;
+  uint8_t *frame;
+  uint8_t *sealed;
+
+  if (link == NULL)
+    return;
+  frame = mf_frame_encode (message, &frame_bytes, &error);
+  sealed = frame == NULL ? NULL : malloc (frame_bytes + SEAL_BYTES);
+  if (sealed != NULL)
+    {
+      unsigned long long sealed_bytes = 0;
+
+      crypto_secretstream_xchacha20poly1305_push (&link->auth.push, sealed, &sealed_bytes,
+                                                  frame + LENGTH_BYTES, frame_bytes - LENGTH_BYTES,
+                                                  NULL, 0, 0);
+      links->stats.frames_out++;
+      frame_send (link, sealed, (size_t)sealed_bytes);
+    }
+  free (sealed);
+  free (frame);
+}
