--- a/libmangofork/server.c
+++ b/libmangofork/server.c
@@ -1,10 +1,12 @@
 #include "server.h"
 
+#include "admin.h"
 #include "clock.h"
 #include "core.h"
 #include "http_in.h"
 #include "http_out.h"
 #include "logger.h"
+#include "peer_link.h"
 #include "platform.h"
 
 #include <ev.h>
@@ -21,8 +23,11 @@
   MfHttpIn *in;
   MfHttpOut *out;
   MfPlatform *platform;
+  MfPeerLinks *links; /* NULL when no key is set */
+  MfAdmin *admin;
   ev_signal terminate;
   ev_signal interrupt;
+  ev_signal hang_up;
   ev_timer tick;
   ev_prepare before_wait;
   uint64_t tick_us; /* when the armed tick is due */
@@ -95,6 +100,19 @@
     mf_http_in_fed_by (server->in, call->request_id, call->call_id);
 }
 
+static void
+peer_act (MfServer *server, const MfAction *action)
+{
+  const MfPeerAction *peer = &action->peer;
+
+  if (action->type == MF_ACTION_PEER_OPEN)
+    mf_peer_links_open (server->links, peer->name, peer->address);
+  else if (action->type == MF_ACTION_PEER_CLOSE)
+    mf_peer_links_close (server->links, peer->link_id);
+  else
+    mf_peer_links_send (server->links, peer->link_id, peer->message);
+}
+
 static void
 on_action (const MfAction *action, void *data)
 {
@@ -132,6 +150,9 @@
     case MF_ACTION_PEER_OPEN:
     case MF_ACTION_PEER_CLOSE:
     case MF_ACTION_PEER_SEND:
+      if (server->links != NULL)
+        peer_act (server, action);
+      break;
     case MF_ACTION_READY: /* the core keeps it on the board */
     case MF_ACTION_COUNT:
       break;
@@ -205,9 +226,53 @@
   server_step (watcher->data, &event);
 }
 
+/* Reads the key files again, so that keys are changed without a restart. */
+static void
+keys_asked (struct ev_loop *loop, ev_signal *watcher, int events)
+{
+  MfServer *server = watcher->data;
+  MfPeerKeys keys;
+  MfError error = { 0 };
+  MfLogAction log = { .subject = "keys", .name = server->settings.peer_key_file, .to = "in force" };
+
+  (void)loop;
+  (void)events;
+  if (server->links == NULL)
+    return;
+  if (mf_peer_keys_read (server->settings.peer_key_file, server->settings.peer_key_old_file, &keys,
+                         &error))
+    mf_peer_links_set_keys (server->links, &keys);
+  else
+    {
+      log.to = "unchanged";
+      log.reason = error.text;
+    }
+  mf_logger_note (server->logger, &log);
+}
+
+/* Counters that the adapters keep are shown with the core's own. */
+static void
+counters_refresh (void *data)
+{
+  MfServer *server = data;
+  uint64_t *values = server->core->board.counters.values;
+  const MfPeerLinkStats *stats;
+
+  if (server->links == NULL)
+    return;
+  stats = mf_peer_links_stats (server->links);
+  values[MF_COUNTER_PEER_FRAMES_IN] = stats->frames_in;
+  values[MF_COUNTER_PEER_FRAMES_OUT] = stats->frames_out;
+  values[MF_COUNTER_PEER_FRAMES_BAD] = stats->frames_bad;
+  values[MF_COUNTER_PEER_BYTES_OUT] = stats->bytes_out;
+}
+
 static void
 server_watch (MfServer *server)
 {
+  ev_signal_init (&server->hang_up, keys_asked, SIGHUP);
+  server->hang_up.data = server;
+  ev_signal_start (server->loop, &server->hang_up);
   ev_signal_init (&server->terminate, shutdown_asked, SIGTERM);
   server->terminate.data = server;
   ev_signal_start (server->loop, &server->terminate);
@@ -262,11 +327,48 @@
   return server->platform != NULL;
 }
 
+/* Without a key file there are no links, and this instance stands alone. */
+static bool
+peers_open (MfServer *server, MfError *error)
+{
+  const MfSettings *settings = &server->settings;
+  MfPeerLinkOptions options = {
+    .listen = settings->peer,
+    .address = settings->options.address,
+    .self = settings->options.self,
+  };
+
+  if (settings->peer_key_file[0] == '\0')
+    return true;
+  if (!mf_peer_keys_read (settings->peer_key_file, settings->peer_key_old_file, &options.keys,
+                          error))
+    return false;
+  server->links = mf_peer_links_new (server->loop, &options, on_event, server, error);
+  sodium_memzero (&options.keys, sizeof options.keys);
+  return server->links != NULL;
+}
+
+static bool
+admin_open (MfServer *server, MfError *error)
+{
+  const MfAdminOptions options = {
+    .listen = server->settings.admin,
+    .on_refresh = counters_refresh,
+    .data = server,
+  };
+
+  server->admin = mf_admin_new (server->loop, &options, server->core, error);
+  return server->admin != NULL;
+}
+
 static bool
 core_open (MfServer *server, MfError *error)
 {
   MfOptions *options = &server->settings.options;
 
+  if (options->address[0] == '\0')
+    mf_name_set (options->address, sizeof options->address, server->settings.peer);
+
   options->self.incarnation = mf_clock_wall_ms ();
   randombytes_buf (&options->seed, sizeof options->seed);
   server->core
@@ -290,7 +392,8 @@
   server->loop = ev_loop_new (EVFLAG_AUTO);
   server->logger = mf_logger_new (settings->log_level, settings->options.self.name, error);
   if (server->loop == NULL || server->logger == NULL || !core_open (server, error)
-      || !upstreams_open (server, error) || !callers_open (server, error))
+      || !upstreams_open (server, error) || !peers_open (server, error)
+      || !admin_open (server, error) || !callers_open (server, error))
     {
       mf_error_set (error, MF_CODE_INTERNAL, "the event loop could not be made");
       mf_server_free (server);
@@ -315,6 +418,8 @@
   if (server == NULL)
     return;
   mf_http_in_free (server->in);
+  mf_admin_free (server->admin);
+  mf_peer_links_free (server->links);
   mf_http_out_free (server->out);
   mf_platform_free (server->platform);
   mf_core_free (server->core);
@@ -323,6 +428,7 @@
     {
       ev_signal_stop (server->loop, &server->terminate);
       ev_signal_stop (server->loop, &server->interrupt);
+      ev_signal_stop (server->loop, &server->hang_up);
       ev_timer_stop (server->loop, &server->tick);
       ev_prepare_stop (server->loop, &server->before_wait);
       ev_loop_destroy (server->loop);
