Burn over paired windows, merged from peers; the life of a request by name

Peers are told counts since the start, in turn and within the digest's bytes: a digest that is lost or repeated changes nothing.

--- a/libmangofork/burn.c
+++ b/libmangofork/burn.c
@@ -1,31 +1,338 @@
 #include "burn.h"
 
+#include "upstream.h"
+
 #include <stdlib.h>
+#include <string.h>
+
+#include <msgpack.h>
+#include <uthash.h>
+#include <xxhash.h>
+
+#define US_PER_MINUTE (60 * MF_US_PER_S)
+#define RINGS 4
+#define RING_SLOTS 13
+/* Rows one instance keeps: customers, with room for services. Further ones are not counted. */
+#define ROWS_MAX 4096
+#define PEERS_MAX 128
+/* Rows of peers whose last counts are remembered. */
+#define BASELINES_MAX 65536
+#define PEER_LIFE_US (UINT64_C (24) * 60 * US_PER_MINUTE)
+/* Unchanged rows sent again with each digest, in turn. */
+#define REPEATS 2
+#define PACK_VERSION 1
+#define ROW_NUMBERS (3 * MF_SLI_COUNT + 3)
+#define ROW_FIELDS (2 + ROW_NUMBERS)
+
+typedef struct
+{
+  uint32_t total[MF_SLI_COUNT];
+  uint32_t bad[MF_SLI_COUNT];
+  uint64_t allowed_ppm[MF_SLI_COUNT];
+  uint32_t good;
+  uint32_t refused;
+  uint32_t departed;
+  uint32_t epoch; /* which stretch of time it counts */
+} Bucket;
+
+typedef struct
+{
+  Bucket buckets[RINGS][RING_SLOTS];
+} Windows;
+
+typedef struct
+{
+  uint64_t key; /* of kind and name_hash */
+  MfBurnKind kind;
+  uint64_t name_hash;
+  MfBurnCounts counts; /* since the start */
+  bool changed;        /* since it was last packed */
+  Windows own;
+  Windows *peers; /* NULL until a peer has told of it */
+  UT_hash_handle hh;
+} Row;
+
+/* A row as a peer last told it. */
+typedef struct
+{
+  uint64_t key; /* of the peer's slot and the row */
+  uint64_t incarnation;
+  MfBurnCounts counts;
+  UT_hash_handle hh;
+} Baseline;
 
 struct MfBurn
 {
-  uint64_t n_samples;
+  Row *rows[ROWS_MAX];
+  uint32_t n_rows;
+  Row *table;
+  uint32_t next_changed; /* where packing goes on */
+  uint32_t next_repeat;
+  Baseline *baselines;
+  MfBurnPeer peers[PEERS_MAX];
+  uint32_t n_peers;
+  uint64_t started_us;
+  uint64_t missed;
 };
 
+static const uint64_t ring_widths_us[RINGS]
+    = { 30 * MF_US_PER_S, 5 * US_PER_MINUTE, 30 * US_PER_MINUTE, 120 * US_PER_MINUTE };
+
+/* The ring a window is summed from and its length in buckets. */
+static const struct
+{
+  const char *name;
+  uint32_t ring;
+  uint32_t n;
+} windows[MF_WINDOW_COUNT] = {
+  [MF_WINDOW_5M] = { "5m", 0, 10 }, [MF_WINDOW_30M] = { "30m", 1, 6 },
+  [MF_WINDOW_1H] = { "1h", 1, 12 }, [MF_WINDOW_2H] = { "2h", 2, 4 },
+  [MF_WINDOW_6H] = { "6h", 2, 12 }, [MF_WINDOW_1D] = { "1d", 3, 12 },
+};
+
+const MfBurnAlert mf_burn_alerts[MF_BURN_ALERTS] = {
+  { MF_WINDOW_5M, MF_WINDOW_1H, 14.4, "page" },
+  { MF_WINDOW_30M, MF_WINDOW_6H, 6, "page" },
+  { MF_WINDOW_2H, MF_WINDOW_1D, 3, "ticket" },
+};
+
+const char *
+mf_sli_name (MfSli sli)
+{
+  static const char *const names[MF_SLI_COUNT] = {
+    [MF_SLI_TTFT] = "ttft",
+    [MF_SLI_TBT] = "tbt",
+    [MF_SLI_AVAILABILITY] = "availability",
+  };
+
+  return sli < MF_SLI_COUNT ? names[sli] : "none";
+}
+
+const char *
+mf_window_name (MfWindow window)
+{
+  return window < MF_WINDOW_COUNT ? windows[window].name : "start";
+}
+
+uint64_t
+mf_window_us (MfWindow window)
+{
+  return windows[window].n * ring_widths_us[windows[window].ring];
+}
+
 MfBurn *
 mf_burn_new (void)
 {
   return calloc (1, sizeof (MfBurn));
 }
 
+/* Accepts NULL. */
 void
 mf_burn_free (MfBurn *burn)
 {
+  Baseline *baseline;
+  Baseline *next;
+
+  if (burn == NULL)
+    return;
+  baseline = burn->baselines;
+  HASH_CLEAR (hh, burn->baselines);
+  for (; baseline != NULL; baseline = next)
+    {
+      next = baseline->hh.next;
+      free (baseline);
+    }
+  HASH_CLEAR (hh, burn->table);
+  for (uint32_t i = 0; i < burn->n_rows; i++)
+    {
+      free (burn->rows[i]->peers);
+      free (burn->rows[i]);
+    }
   free (burn);
 }
 
+/* One key for a pair; two pairs that share one are not met with in practice. */
+static uint64_t
+pair_key (uint64_t first, uint64_t second)
+{
+  const uint64_t pair[] = { first, second };
+
+  return XXH3_64bits (pair, sizeof pair);
+}
+
+static Row *
+row_find (const MfBurn *burn, MfBurnKind kind, uint64_t name_hash)
+{
+  uint64_t key = pair_key (kind, name_hash);
+  Row *row;
+
+  HASH_FIND (hh, burn->table, &key, sizeof key, row);
+  return row;
+}
+
+static void
+row_index (MfBurn *burn, Row *row)
+{
+  HASH_ADD (hh, burn->table, key, sizeof row->key, row);
+}
+
+/* Finds or makes a row; NULL when there is no room. */
+static Row *
+row_need (MfBurn *burn, MfBurnKind kind, uint64_t name_hash)
+{
+  Row *row = row_find (burn, kind, name_hash);
+
+  if (row != NULL || burn->n_rows >= ROWS_MAX)
+    return row;
+  row = calloc (1, sizeof *row);
+  if (row == NULL)
+    return NULL;
+  row->key = pair_key (kind, name_hash);
+  row->kind = kind;
+  row->name_hash = name_hash;
+  row_index (burn, row);
+  burn->rows[burn->n_rows++] = row;
+  return row;
+}
+
+static void
+counts_add (MfBurnCounts *dst, const MfBurnCounts *src)
+{
+  for (uint32_t sli = 0; sli < MF_SLI_COUNT; sli++)
+    {
+      dst->total[sli] += src->total[sli];
+      dst->bad[sli] += src->bad[sli];
+      dst->allowed_ppm[sli] += src->allowed_ppm[sli];
+    }
+  dst->good += src->good;
+  dst->refused += src->refused;
+  dst->departed += src->departed;
+}
+
+static void
+bucket_add (Bucket *bucket, uint32_t epoch, const MfBurnCounts *counts)
+{
+  if (bucket->epoch != epoch)
+    *bucket = (Bucket){ .epoch = epoch };
+  for (uint32_t sli = 0; sli < MF_SLI_COUNT; sli++)
+    {
+      bucket->total[sli] += (uint32_t)counts->total[sli];
+      bucket->bad[sli] += (uint32_t)counts->bad[sli];
+      bucket->allowed_ppm[sli] += counts->allowed_ppm[sli];
+    }
+  bucket->good += (uint32_t)counts->good;
+  bucket->refused += (uint32_t)counts->refused;
+  bucket->departed += (uint32_t)counts->departed;
+}
+
+static void
+windows_add (Windows *dst, const MfBurnCounts *counts, uint64_t now_us)
+{
+  for (uint32_t ring = 0; ring < RINGS; ring++)
+    {
+      uint32_t epoch = (uint32_t)(now_us / ring_widths_us[ring]);
+
+      bucket_add (&dst->buckets[ring][epoch % RING_SLOTS], epoch, counts);
+    }
+}
+
+/* Sums the running bucket and the n before it. */
+static void
+windows_sum (const Windows *src, MfWindow window, uint64_t now_us, MfBurnCounts *counts)
+{
+  uint32_t ring = windows[window].ring;
+  uint32_t epoch = (uint32_t)(now_us / ring_widths_us[ring]);
+
+  for (uint32_t i = 0; i < RING_SLOTS; i++)
+    {
+      const Bucket *bucket = &src->buckets[ring][i];
+
+      if (bucket->epoch > epoch || epoch - bucket->epoch > windows[window].n)
+        continue;
+      for (uint32_t sli = 0; sli < MF_SLI_COUNT; sli++)
+        {
+          counts->total[sli] += bucket->total[sli];
+          counts->bad[sli] += bucket->bad[sli];
+          counts->allowed_ppm[sli] += bucket->allowed_ppm[sli];
+        }
+      counts->good += bucket->good;
+      counts->refused += bucket->refused;
+      counts->departed += bucket->departed;
+    }
+}
+
+/* Whether the code says that the caller's own request was at fault. */
+static bool
+code_is_callers (MfCode code)
+{
+  return code >= MF_CODE_BAD_JSON && code < MF_CODE_QUEUE_FULL;
+}
+
+static void
+count_sli (MfBurnCounts *counts, MfSli sli, bool bad, uint32_t objective_ppm)
+{
+  counts->total[sli]++;
+  counts->bad[sli] += bad;
+  counts->allowed_ppm[sli] += 1000000 - objective_ppm;
+}
+
+/* Says how one request counts. A departed caller's, and one that was the caller's own fault, count
+ * for no objective; an honest refusal is counted apart. */
+static void
+sample_count (const MfService *service, const MfBurnSample *sample, MfBurnCounts *counts)
+{
+  bool answered = sample->code == MF_CODE_OK;
+
+  if (sample->departed)
+    counts->departed++;
+  if (sample->departed || code_is_callers (sample->code))
+    return;
+  if (!answered && sample->refused && sample->outcome == MF_OUTCOME_NOT_RUN)
+    {
+      counts->refused++;
+      return;
+    }
+  count_sli (counts, MF_SLI_AVAILABILITY, !answered, service->objective_availability_ppm);
+  if (!answered)
+    return;
+  count_sli (counts, MF_SLI_TTFT, sample->ttft_us > service->ttft_target_us,
+             service->objective_ttft_ppm);
+  if (sample->n_gaps > 0)
+    count_sli (counts, MF_SLI_TBT, (uint64_t)sample->n_gaps_late * 20 > sample->n_gaps,
+               service->objective_tbt_ppm);
+  counts->good += mf_burn_is_good (service, sample);
+}
+
+static void
+row_note (MfBurn *burn, MfBurnKind kind, const char *name, const MfBurnCounts *counts,
+          uint64_t now_us)
+{
+  Row *row = row_need (burn, kind, mf_hash_name (name));
+
+  if (row == NULL)
+    {
+      burn->missed++;
+      return;
+    }
+  counts_add (&row->counts, counts);
+  windows_add (&row->own, counts, now_us);
+  row->changed = true;
+}
+
+/* Counts how one request ended, for its service and its customer. */
 void
 mf_burn_note (MfBurn *burn, const MfConfig *config, const MfBurnSample *sample, uint64_t now_us)
 {
-  (void)config;
-  (void)sample;
-  (void)now_us;
-  burn->n_samples++;
+  MfBurnCounts counts = { 0 };
+
+  if (burn->started_us == 0)
+    burn->started_us = now_us;
+  if (config == NULL || sample->service >= config->n_services)
+    return;
+  sample_count (&config->services[sample->service], sample, &counts);
+  row_note (burn, MF_BURN_SERVICE, config->services[sample->service].name, &counts, now_us);
+  if (sample->customer < config->n_customers)
+    row_note (burn, MF_BURN_CUSTOMER, config->customers[sample->customer].name, &counts, now_us);
 }
 
 bool
@@ -36,23 +343,309 @@
   return (uint64_t)sample->n_gaps_late * 20 <= sample->n_gaps;
 }
 
+void
+mf_burn_counts (const MfBurn *burn, MfBurnKind kind, uint64_t name_hash, MfWindow window,
+                bool with_peers, uint64_t now_us, MfBurnCounts *counts)
+{
+  const Row *row = row_find (burn, kind, name_hash);
+
+  *counts = (MfBurnCounts){ 0 };
+  if (row == NULL)
+    return;
+  if (window >= MF_WINDOW_COUNT)
+    {
+      *counts = row->counts;
+      return;
+    }
+  windows_sum (&row->own, window, now_us, counts);
+  if (with_peers && row->peers != NULL)
+    windows_sum (row->peers, window, now_us, counts);
+}
+
+double
+mf_burn_rate (const MfBurnCounts *counts, MfSli sli)
+{
+  if (counts->allowed_ppm[sli] == 0)
+    return 0;
+  return (double)counts->bad[sli] * 1e6 / (double)counts->allowed_ppm[sli];
+}
+
+void
+mf_burn_foreach_peer (const MfBurn *burn, MfBurnPeerFunc func, void *data)
+{
+  for (uint32_t i = 0; i < burn->n_peers; i++)
+    {
+      if (!func (&burn->peers[i], data))
+        return;
+    }
+}
+
+uint64_t
+mf_burn_missed (const MfBurn *burn)
+{
+  return burn->missed;
+}
+
+uint64_t
+mf_burn_started_us (const MfBurn *burn)
+{
+  return burn->started_us;
+}
+
+/* The numbers of a row in the order they are packed. */
+static void
+counts_to_array (const MfBurnCounts *counts, uint64_t array[ROW_NUMBERS])
+{
+  uint32_t n = 0;
+
+  for (uint32_t sli = 0; sli < MF_SLI_COUNT; sli++)
+    {
+      array[n++] = counts->total[sli];
+      array[n++] = counts->bad[sli];
+      array[n++] = counts->allowed_ppm[sli];
+    }
+  array[n++] = counts->good;
+  array[n++] = counts->refused;
+  array[n] = counts->departed;
+}
+
+static void
+counts_from_array (MfBurnCounts *counts, const uint64_t array[ROW_NUMBERS])
+{
+  uint32_t n = 0;
+
+  for (uint32_t sli = 0; sli < MF_SLI_COUNT; sli++)
+    {
+      counts->total[sli] = array[n++];
+      counts->bad[sli] = array[n++];
+      counts->allowed_ppm[sli] = array[n++];
+    }
+  counts->good = array[n++];
+  counts->refused = array[n++];
+  counts->departed = array[n];
+}
+
+/* Appends a row when it fits. */
+static bool
+pack_row (msgpack_sbuffer *packed, const Row *row, size_t max_bytes)
+{
+  size_t start = packed->size;
+  uint64_t numbers[ROW_NUMBERS];
+  msgpack_packer packer;
+
+  msgpack_packer_init (&packer, packed, msgpack_sbuffer_write);
+  msgpack_pack_array (&packer, ROW_FIELDS);
+  msgpack_pack_uint32 (&packer, row->kind);
+  msgpack_pack_uint64 (&packer, row->name_hash);
+  counts_to_array (&row->counts, numbers);
+  for (size_t i = 0; i < MF_ARRAY_LEN (numbers); i++)
+    msgpack_pack_uint64 (&packer, numbers[i]);
+  if (packed->size <= max_bytes)
+    return true;
+  packed->size = start;
+  return false;
+}
+
+/* Packs the changed rows in turn, so that each gets its share of a digest that is too small. */
+static void
+pack_changed (MfBurn *burn, msgpack_sbuffer *packed, size_t max_bytes)
+{
+  for (uint32_t i = 0; i < burn->n_rows; i++)
+    {
+      Row *row = burn->rows[burn->next_changed % burn->n_rows];
+
+      if (row->changed && !pack_row (packed, row, max_bytes))
+        return;
+      row->changed = false;
+      burn->next_changed = (burn->next_changed + 1) % burn->n_rows;
+    }
+}
+
 size_t
 mf_burn_pack (MfBurn *burn, uint64_t now_us, uint8_t *dst, size_t max_bytes)
 {
-  (void)burn;
-  (void)now_us;
-  (void)dst;
-  (void)max_bytes;
-  return 0;
+  msgpack_sbuffer packed;
+  msgpack_packer packer;
+  size_t n_bytes;
+
+  if (burn->started_us == 0 || burn->n_rows == 0)
+    return 0;
+  msgpack_sbuffer_init (&packed);
+  msgpack_packer_init (&packer, &packed, msgpack_sbuffer_write);
+  msgpack_pack_array (&packer, 2);
+  msgpack_pack_uint32 (&packer, PACK_VERSION);
+  msgpack_pack_uint64 (&packer, now_us - burn->started_us);
+  n_bytes = packed.size;
+  pack_changed (burn, &packed, max_bytes);
+  for (uint32_t i = 0; i < REPEATS && packed.size < max_bytes; i++)
+    pack_row (&packed, burn->rows[burn->next_repeat++ % burn->n_rows], max_bytes);
+  n_bytes = packed.size > n_bytes && packed.size <= max_bytes ? packed.size : 0;
+  if (n_bytes > 0)
+    memcpy (dst, packed.data, n_bytes);
+  msgpack_sbuffer_destroy (&packed);
+  return n_bytes;
+}
+
+static MfBurnPeer *
+peer_need (MfBurn *burn, const MfOwner *owner, uint64_t now_us)
+{
+  MfBurnPeer *free_peer = NULL;
+
+  for (uint32_t i = 0; i < burn->n_peers; i++)
+    {
+      MfBurnPeer *peer = &burn->peers[i];
+
+      if (strcmp (peer->owner.name, owner->name) == 0)
+        return peer;
+      if (now_us - peer->last_us > PEER_LIFE_US)
+        free_peer = peer;
+    }
+  if (burn->n_peers < PEERS_MAX)
+    free_peer = &burn->peers[burn->n_peers++];
+  if (free_peer != NULL)
+    *free_peer = (MfBurnPeer){ .owner = *owner, .first_us = now_us };
+  return free_peer;
+}
+
+static Baseline *
+baseline_find (const MfBurn *burn, uint64_t key)
+{
+  Baseline *baseline;
+
+  HASH_FIND (hh, burn->baselines, &key, sizeof key, baseline);
+  return baseline;
+}
+
+static Baseline *
+baseline_need (MfBurn *burn, uint64_t key)
+{
+  Baseline *baseline = baseline_find (burn, key);
+
+  if (baseline != NULL || HASH_COUNT (burn->baselines) >= BASELINES_MAX)
+    return baseline;
+  baseline = calloc (1, sizeof *baseline);
+  if (baseline == NULL)
+    return NULL;
+  baseline->key = key;
+  HASH_ADD (hh, burn->baselines, key, sizeof baseline->key, baseline);
+  return baseline;
+}
+
+/* A peer's digest while it is taken in. */
+typedef struct
+{
+  MfBurn *burn;
+  const MfOwner *owner;
+  uint64_t now_us;
+  bool from_start; /* the peer began counting after this instance did */
+} Merge;
+
+/* Adds what a row has grown by since the peer last told of it. */
+static void
+merge_row (const Merge *merge, MfBurnKind kind, uint64_t name_hash, const MfBurnCounts *counts)
+{
+  MfBurn *burn = merge->burn;
+  Row *row = row_need (burn, kind, name_hash);
+  uint64_t key = pair_key (mf_hash_name (merge->owner->name), pair_key (kind, name_hash));
+  Baseline *baseline = baseline_need (burn, key);
+  uint64_t before[ROW_NUMBERS];
+  uint64_t after[ROW_NUMBERS];
+  MfBurnCounts grown;
+  bool known;
+
+  if (row != NULL && row->peers == NULL)
+    row->peers = calloc (1, sizeof *row->peers);
+  if (row == NULL || row->peers == NULL || baseline == NULL)
+    {
+      burn->missed++;
+      return;
+    }
+  known = baseline->incarnation == merge->owner->incarnation;
+  counts_to_array (known ? &baseline->counts : &(MfBurnCounts){ 0 }, before);
+  counts_to_array (counts, after);
+  for (size_t i = 0; i < MF_ARRAY_LEN (after); i++)
+    after[i] = after[i] > before[i] ? after[i] - before[i] : 0;
+  counts_from_array (&grown, after);
+  if (known || merge->from_start)
+    windows_add (row->peers, &grown, merge->now_us);
+  baseline->incarnation = merge->owner->incarnation;
+  baseline->counts = *counts;
+}
+
+static bool
+number_read (const msgpack_object *object, uint64_t *number)
+{
+  if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+    return false;
+  *number = object->via.u64;
+  return true;
+}
+
+/* Takes in one packed row; false when it is malformed. */
+static bool
+merge_packed (const Merge *merge, const msgpack_object *object)
+{
+  uint64_t numbers[ROW_FIELDS];
+  MfBurnCounts counts;
+
+  if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size < ROW_FIELDS)
+    return false;
+  for (uint32_t i = 0; i < ROW_FIELDS; i++)
+    {
+      if (!number_read (&object->via.array.ptr[i], &numbers[i]))
+        return false;
+    }
+  if (numbers[0] >= MF_BURN_KIND_COUNT)
+    return true; /* of a later release */
+  counts_from_array (&counts, numbers + 2);
+  merge_row (merge, (MfBurnKind)numbers[0], numbers[1], &counts);
+  return true;
+}
+
+/* Reads the head of a digest: version and age. */
+static bool
+merge_head (Merge *merge, const msgpack_object *object)
+{
+  uint64_t version;
+  uint64_t age_us;
+  const MfBurn *burn = merge->burn;
+
+  if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size < 2
+      || !number_read (&object->via.array.ptr[0], &version)
+      || !number_read (&object->via.array.ptr[1], &age_us) || version != PACK_VERSION)
+    return false;
+  merge->from_start = burn->started_us != 0 && merge->now_us - burn->started_us >= age_us;
+  return true;
 }
 
 bool
 mf_burn_merge (MfBurn *burn, const MfOwner *peer, const uint8_t *src, size_t src_bytes,
                uint64_t now_us)
 {
-  (void)burn;
-  (void)peer;
-  (void)src;
-  (void)now_us;
-  return src_bytes == 0;
+  Merge merge = { .burn = burn, .owner = peer, .now_us = now_us };
+  msgpack_unpacked unpacked;
+  MfBurnPeer *known;
+  size_t at = 0;
+  bool good;
+
+  if (src_bytes == 0)
+    return true;
+  if (burn->started_us == 0)
+    burn->started_us = now_us;
+  msgpack_unpacked_init (&unpacked);
+  good
+      = msgpack_unpack_next (&unpacked, (const char *)src, src_bytes, &at) == MSGPACK_UNPACK_SUCCESS
+        && merge_head (&merge, &unpacked.data);
+  known = good ? peer_need (burn, peer, now_us) : NULL;
+  if (known != NULL)
+    {
+      known->owner.incarnation = peer->incarnation;
+      known->last_us = now_us;
+    }
+  while (good && known != NULL && at < src_bytes)
+    good = msgpack_unpack_next (&unpacked, (const char *)src, src_bytes, &at)
+               == MSGPACK_UNPACK_SUCCESS
+           && merge_packed (&merge, &unpacked.data);
+  msgpack_unpacked_destroy (&unpacked);
+  return good;
 }
--- a/libmangofork/trace.h
+++ b/libmangofork/trace.h
@@ -34,6 +34,7 @@
   MF_ENDED_BY_CALLER,
   MF_ENDED_BY_UPSTREAM,
   MF_ENDED_BY_INSTANCE,
+  MF_ENDED_BY_COUNT,
 } MfEndedBy;
 
 typedef struct
@@ -59,8 +60,15 @@
 void mf_trace_note (MfTrace *trace, const MfTraceStep *step);
 /* Binds the caller-visible name to the request, so that it can be found by it. */
 void mf_trace_name (MfTrace *trace, uint64_t request_id, const char *name);
-/* Calls func for each remembered step of the request of that name, oldest first. Returns false when
+/* Calls func for each remembered step of the request of that name, oldest first. A name that a
+ * caller used again names several requests, the latest of which come last. Returns false when
  * nothing is remembered. */
 bool mf_trace_foreach (const MfTrace *trace, const char *name, MfTraceFunc func, void *data);
 
+/* How many requests were ended by whom, in which MfPhase. Counts all, also those forgotten. */
+uint64_t mf_trace_ended (const MfTrace *trace, MfEndedBy by, uint8_t phase);
+
+const char *mf_trace_kind_name (MfTraceKind kind);
+const char *mf_ended_by_name (MfEndedBy by);
+
 #endif
