--- a/cli/command.h
+++ b/cli/command.h
@@ -1,7 +1,7 @@
 #ifndef CLI_COMMAND_H
 #define CLI_COMMAND_H
 
-#include <stddef.h>
+#include "libmangofork/error.h"
 
 /* Exit codes of every command. */
 #define EXIT_FAULTY 1 /* the text or settings have faults, or the request failed */
@@ -11,9 +11,13 @@
 typedef int (*CommandFunc) (int argc, char **argv);
 
 int command_serve (int argc, char **argv);
+int command_check (int argc, char **argv);
+int command_digest (int argc, char **argv);
 
 /* Reads a whole file or, for "-", standard input. Prints a message and returns NULL when it cannot;
  * the caller frees the text. */
 char *command_read_file (const char *path, size_t *text_bytes);
+/* Prints one fault of the text in the file whose path is data; an MfFaultFunc. */
+void command_print_fault (const MfError *fault, void *data);
 
 #endif
--- a/cli/file.c
+++ b/cli/file.c
@@ -49,3 +49,10 @@
     fclose (file);
   return text;
 }
+
+void
+command_print_fault (const MfError *fault, void *data)
+{
+  fprintf (stderr, "%s:%u:%u: %d %s: %s\n", (const char *)data, fault->line, fault->column,
+           (int)fault->code, mf_code_info (fault->code)->name, fault->text);
+}
--- a/cli/main.c
+++ b/cli/main.c
@@ -14,6 +14,8 @@
 
 static const Command commands[] = {
   { "serve", command_serve },
+  { "check", command_check },
+  { "digest", command_digest },
 };
 
 /* The command and what follows it. */
@@ -66,6 +68,8 @@
   .doc = "Routes callers' requests to prefill, decode and plain upstreams.\v"
          "Commands:\n"
          "  serve -c FILE    serve callers with these settings\n"
+         "  check FILE       check the operators' text or the settings\n"
+         "  digest           print the digest of the API key on standard input\n"
          "\n"
          "Each command takes --help. Exit codes: 0 done, 1 faulty, 2 wrong command line.",
 };
--- a/cli/serve.c
+++ b/cli/serve.c
@@ -42,13 +42,6 @@
   .doc = "Serves callers until SIGTERM or SIGINT. SIGHUP reads the key files again.",
 };
 
-static void
-print_fault (const MfError *fault, void *data)
-{
-  fprintf (stderr, "%s:%u:%u: %d: %s\n", (const char *)data, fault->line, fault->column,
-           (int)fault->code, fault->text);
-}
-
 int
 command_serve (int argc, char **argv)
 {
@@ -64,7 +57,8 @@
   text = command_read_file (arguments.path, &text_bytes);
   if (text == NULL)
     return EXIT_FAULTY;
-  good = mf_settings_parse (text, text_bytes, &settings, print_fault, (void *)arguments.path);
+  good = mf_settings_parse (text, text_bytes, &settings, command_print_fault,
+                            (void *)arguments.path);
   free (text);
   if (!good)
     return EXIT_FAULTY;
