--- a/libmangofork/order.c
+++ b/libmangofork/order.c
@@ -1,5 +1,3 @@
-#include "order.h"
-
 #include "member.h"
 #include "news.h"
 #include "rendezvous.h"
@@ -69,19 +67,15 @@
   uint32_t n_calls;
 };
 
-/* Whether an upstream is to be given no work. */
-bool
-mf_order_holds (const MfCore *core, uint32_t upstream)
+/* Keeps work off an upstream that serves another model than its pool's, or that is being emptied
+ * for an order. */
+static void
+hold_update (MfCore *core, uint32_t upstream)
 {
-  const MfOrders *orders = core->board.orders;
-  const OrderRow *row;
+  const OrderRow *row = &core->board.orders->rows[upstream];
 
-  if (orders == NULL || upstream >= orders->n_rows)
-    return false;
-  row = &orders->rows[upstream];
-  if (!row->differs || row->kind == MF_ORDER_ADAPTER)
-    return false;
-  return row->kind == MF_ORDER_MODEL || row->chosen;
+  core->board.upstreams[upstream].held = row->differs && row->kind != MF_ORDER_ADAPTER
+                                         && (row->kind == MF_ORDER_MODEL || row->chosen);
 }
 
 static Desired
@@ -177,6 +171,7 @@
   row->issuer_us = 0;
   if (now_us - row->ordered_us > BACKOFF_MAX_US)
     row->backoff_us = 0;
+  hold_update (core, upstream);
 }
 
 /* How far the choice has gone: loads in the fleet, and upstreams of each pool not in service. */
@@ -235,11 +230,14 @@
 }
 
 static void
-row_choose (MfCore *core, OrderRow *row, bool chosen)
+row_choose (MfCore *core, uint32_t upstream, bool chosen)
 {
+  OrderRow *row = &core->board.orders->rows[upstream];
+
   if (chosen && !row->chosen)
     row->chosen_us = core->board.now_us;
   row->chosen = chosen;
+  hold_update (core, upstream);
 }
 
 /* Gives turns to upstreams that differ. Every instance computes the same turns from the same
@@ -268,7 +266,7 @@
       turns->pool_busy[core->board.upstreams[upstream].config.pool]++;
     }
   for (uint32_t i = 0; i < orders->n_rows; i++)
-    row_choose (core, &orders->rows[i], taken[i]);
+    row_choose (core, i, taken[i]);
 }
 
 static bool
--- a/libmangofork/share.c
+++ b/libmangofork/share.c
@@ -2,7 +2,6 @@
 
 #include "digest.h"
 #include "member_row.h"
-#include "order.h"
 #include "rendezvous.h"
 
 #include <stdlib.h>
@@ -84,7 +83,8 @@
 }
 
 /* When more is wanted than there is: the same level for all, those who want less get what they
- * want, and what they leave raises the level. */
+ * want, and what they leave raises the level. Who is below it may grow halfway to it, as not all
+ * demand is known before it is met. */
 static uint32_t
 max_min_share (const MfCore *core, uint32_t upstream, uint32_t n_slots)
 {
@@ -162,8 +162,6 @@
 {
   const MfShares *shares = core->board.shares;
 
-  if (mf_order_holds (core, upstream))
-    return 0;
   if (shares == NULL || upstream >= shares->n_rows)
     return total_slots (&core->board.upstreams[upstream]);
   return shares->rows[upstream].limit;
--- a/libmangofork/share.h
+++ b/libmangofork/share.h
@@ -4,7 +4,7 @@
 #include "core.h"
 
 /* How many of an upstream's slots this instance may hold at once, from what the others use and
- * want. At least 1 for a live upstream; 0 while an order waits for the upstream to be idle. */
+ * want. At least 1. */
 uint32_t mf_share_limit (const MfCore *core, uint32_t upstream);
 /* Says how many slots this instance would use of it if it had them. */
 void mf_share_want (MfCore *core, uint32_t upstream, uint32_t n_slots);
--- a/libmangofork/upstream.c
+++ b/libmangofork/upstream.c
@@ -36,7 +36,7 @@
 bool
 mf_upstream_is_usable (const MfUpstream *upstream)
 {
-  return upstream->in_config && upstream->health <= MF_HEALTH_SLOW;
+  return upstream->in_config && upstream->health <= MF_HEALTH_SLOW && !upstream->held;
 }
 
 /* How many requests it holds at once, by its own word when it gave it. */
--- a/libmangofork/upstream.h
+++ b/libmangofork/upstream.h
@@ -60,6 +60,7 @@
   uint32_t n_window_calls;
   uint32_t n_window_failures;
   bool full;    /* refused since the last report */
+  bool held;    /* given no work, for an order; order.c */
   bool broke;   /* a call broke; whether it died is not known yet */
   bool died;    /* its death is dealt with at the end of this step */
   bool watched; /* health looks at it periodically */
--- /dev/null
+++ b/tests/test_news.c
@@ -0,0 +1,261 @@
+#include "libmangofork/member_row.h"
+#include "libmangofork/news.h"
+#include "libmangofork/suspect.h"
+
+#include "fakes/cores.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+/* What the calls of a fleet asked of upstream 0. */
+typedef struct
+{
+  uint64_t released_us; /* first time a dead owner's work was released */
+  uint32_t n_released;
+  uint64_t incarnation; /* whose */
+  bool answers;         /* the upstreams answer */
+} Calls;
+
+static void
+on_call (FakeCores *cores, uint32_t slot, const MfCallAction *call, void *data)
+{
+  Calls *calls = data;
+
+  (void)slot;
+  if (call->kind != MF_CALL_CANCEL_OWNER)
+    return;
+  if (calls->n_released++ == 0)
+    calls->released_us = fake_cores_now_us (cores);
+  calls->incarnation = call->owner.incarnation;
+}
+
+static FakeCores *
+fleet_new (uint32_t n_slots, uint32_t n_upstreams, Calls *calls)
+{
+  const FakeCoresOptions options = {
+    .n_slots = n_slots,
+    .n_data_centres = 3,
+    .delay_us = MF_US_PER_MS,
+    .seed = 7,
+    .on_call = on_call,
+    .data = calls,
+  };
+  FakeCores *cores = fake_cores_new (&options);
+  char *text = fake_cores_text (n_upstreams, 20, "", true);
+
+  fake_cores_publish (cores, 1, text);
+  free (text);
+  for (uint32_t i = 0; i < n_slots; i++)
+    fake_cores_start (cores, i);
+  fake_cores_run (cores, 5 * MF_US_PER_S);
+  return cores;
+}
+
+/* Upstreams that answered a load report are in use; a later report tells that one is leaving. */
+static void
+report (FakeCores *cores, uint32_t slot, const char *name, bool leaving)
+{
+  MfCore *core = fake_cores_core (cores, slot);
+  uint32_t upstream = mf_upstream_find (core, mf_hash_name (name));
+  MfEvent event = { .type = MF_EVENT_LOAD,
+                    .load = { .upstream = upstream,
+                              .incarnation = 1,
+                              .measured_us = fake_cores_now_us (cores),
+                              .slots_total = 20,
+                              .pieces_total = 200,
+                              .pieces_free = 200,
+                              .leaving = leaving,
+                              .role = MF_ROLE_DECODE,
+                              .model = "m" } };
+
+  assert_int_not_equal (upstream, MF_NONE);
+  fake_cores_event (cores, slot, &event);
+}
+
+static uint32_t
+count_usable (FakeCores *cores, uint32_t n_slots, const char *name)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < n_slots; i++)
+    {
+      MfCore *core = fake_cores_core (cores, i);
+      const MfUpstream *row;
+
+      if (core == NULL)
+        continue;
+      row = &core->board.upstreams[mf_upstream_find (core, mf_hash_name (name))];
+      n += mf_upstream_is_usable (row);
+    }
+  return n;
+}
+
+static void
+test_leaving_upstream_is_unused_everywhere (void **state)
+{
+  static const uint32_t sizes[] = { 7, 60 };
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (sizes); i++)
+    {
+      Calls calls = { 0 };
+      FakeCores *cores = fleet_new (sizes[i], 4, &calls);
+
+      for (uint32_t slot = 0; slot < sizes[i]; slot++)
+        report (cores, slot, "d1", false);
+      assert_int_equal (count_usable (cores, sizes[i], "d1"), sizes[i]);
+      report (cores, 3, "d1", true);
+      fake_cores_run (cores, 3 * MF_US_PER_S);
+      assert_int_equal (count_usable (cores, sizes[i], "d1"), 0);
+      fake_cores_free (cores);
+    }
+}
+
+static void
+test_each_item_is_told_once (void **state)
+{
+  Calls calls = { 0 };
+  FakeCores *cores = fleet_new (7, 4, &calls);
+  MfCore *core = fake_cores_core (cores, 0);
+  uint64_t n_bytes, n_idle = 0;
+
+  (void)state;
+  fake_cores_run (cores, 30 * MF_US_PER_S);
+  n_idle = fake_cores_bytes_out (cores, 0);
+  fake_cores_run (cores, 10 * MF_US_PER_S);
+  n_idle = fake_cores_bytes_out (cores, 0) - n_idle;
+  n_bytes = fake_cores_bytes_out (cores, 0);
+  for (uint32_t i = 0; i < 100; i++)
+    {
+      mf_news_note (core, MF_NEWS_SUSPECT, 77, 1);
+      fake_cores_run (cores, 100 * MF_US_PER_MS);
+    }
+  n_bytes = fake_cores_bytes_out (cores, 0) - n_bytes;
+  assert_true (n_bytes < n_idle + 6 * 40);
+  fake_cores_free (cores);
+}
+
+/* More news than a digest holds: the urgent goes first, all of it arrives, and no digest exceeds
+ * its limit. */
+static void
+test_flood_is_bounded_and_urgent_goes_first (void **state)
+{
+  Calls calls = { 0 };
+  FakeCores *cores = fleet_new (7, 4, &calls);
+  MfCore *core = fake_cores_core (cores, 0);
+  uint64_t n_bytes;
+
+  (void)state;
+  for (uint32_t i = 0; i < 500; i++)
+    mf_news_note (core, MF_NEWS_SUSPECT, 1000 + i, 1);
+  mf_news_note (core, MF_NEWS_UPSTREAM_LEAVING, mf_hash_name ("d1"), 0);
+  for (uint32_t slot = 0; slot < 7; slot++)
+    report (cores, slot, "d1", false);
+  n_bytes = fake_cores_bytes_out (cores, 0);
+  fake_cores_run (cores, 500 * MF_US_PER_MS);
+  assert_int_equal (count_usable (cores, 7, "d1"), 1); /* only the one that was told nothing */
+  fake_cores_run (cores, 9500 * MF_US_PER_MS);
+  n_bytes = fake_cores_bytes_out (cores, 0) - n_bytes;
+  assert_true (n_bytes / 10 < 23000);
+  assert_int_equal (core->board.counters.values[MF_COUNTER_NEWS_DROPPED], 0);
+  for (uint32_t i = 0; i < 2000; i++)
+    mf_news_note (core, MF_NEWS_SUSPECT, 10000 + i, 1);
+  assert_true (core->board.counters.values[MF_COUNTER_NEWS_DROPPED] > 0);
+  fake_cores_free (cores);
+}
+
+/* Power is lost: the links say nothing. The engines' work is released by guardians in time. */
+static void
+test_work_of_a_dead_instance_is_released (void **state)
+{
+  static const uint32_t sizes[] = { 2, 7, 60 };
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (sizes); i++)
+    {
+      Calls calls = { 0 };
+      FakeCores *cores = fleet_new (sizes[i], 4, &calls);
+      uint64_t incarnation = fake_cores_core (cores, 1)->board.options.self.incarnation;
+      uint64_t died_us = fake_cores_now_us (cores);
+
+      assert_int_equal (calls.n_released, 0);
+      fake_cores_kill (cores, 1, true);
+      fake_cores_run (cores, 10 * MF_US_PER_S);
+      assert_true (calls.n_released >= 5); /* one prefill and four decode engines */
+      assert_true (calls.released_us - died_us <= 5 * MF_US_PER_S);
+      assert_int_equal (calls.incarnation, incarnation);
+      fake_cores_free (cores);
+    }
+}
+
+static void
+test_replacement_releases_at_once (void **state)
+{
+  Calls calls = { 0 };
+  FakeCores *cores = fleet_new (7, 4, &calls);
+  uint64_t incarnation = fake_cores_core (cores, 1)->board.options.self.incarnation;
+  uint64_t died_us = fake_cores_now_us (cores);
+
+  (void)state;
+  fake_cores_start (cores, 1);
+  fake_cores_run (cores, 3 * MF_US_PER_S);
+  assert_true (calls.n_released >= 5);
+  assert_true (calls.released_us - died_us <= MF_US_PER_S);
+  assert_int_equal (calls.incarnation, incarnation);
+  fake_cores_free (cores);
+}
+
+/* With many upstreams only those it told its guardians of are asked. */
+static void
+test_only_told_upstreams_are_released_when_there_are_many (void **state)
+{
+  Calls calls = { 0 };
+  FakeCores *cores = fleet_new (7, 200, &calls);
+  MfCore *core = fake_cores_core (cores, 1);
+
+  (void)state;
+  for (uint32_t i = 0; i < 40; i++)
+    core->board.upstreams[2 * i].own_slots = 3;
+  fake_cores_run (cores, 3 * MF_US_PER_S);
+  fake_cores_kill (cores, 1, true);
+  fake_cores_run (cores, 3 * MF_US_PER_S);
+  assert_in_range (calls.n_released, 40, 3 * 40 * 3);
+  fake_cores_free (cores);
+}
+
+static void
+test_wrong_suspicion_releases_and_recovers (void **state)
+{
+  Calls calls = { 0 };
+  FakeCores *cores = fleet_new (7, 4, &calls);
+  const MfMember *member;
+
+  (void)state;
+  fake_cores_pause (cores, 1, 5 * MF_US_PER_S);
+  fake_cores_run (cores, 10 * MF_US_PER_S);
+  assert_true (calls.n_released >= 5);
+  member = mf_member_find (fake_cores_core (cores, 0), "n1");
+  assert_int_equal (member->state, MF_MEMBER_ALIVE);
+  fake_cores_free (cores);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_leaving_upstream_is_unused_everywhere),
+    cmocka_unit_test (test_each_item_is_told_once),
+    cmocka_unit_test (test_flood_is_bounded_and_urgent_goes_first),
+    cmocka_unit_test (test_work_of_a_dead_instance_is_released),
+    cmocka_unit_test (test_replacement_releases_at_once),
+    cmocka_unit_test (test_only_told_upstreams_are_released_when_there_are_many),
+    cmocka_unit_test (test_wrong_suspicion_releases_and_recovers),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
