--- a/libmangofork/http_out.c
+++ b/libmangofork/http_out.c
@@ -1,10 +1,8 @@
 #include "http_out.h"
 
 #include "clock.h"
+#include "multi.h"
 
-#include <curl/curl.h>
-#include <ev.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -57,28 +55,18 @@
   UT_hash_handle hh;
 } KvHandle;
 
-/* A socket that libcurl wants watched. */
-typedef struct
-{
-  ev_io io;
-  MfHttpOut *out;
-} Watch;
-
 struct MfHttpOut
 {
   struct ev_loop *loop;
   MfHttpOutHooks hooks;
   void *data;
-  CURLM *multi;
-  ev_timer curl_timer;
-  ev_timer soon; /* runs what may not run inside libcurl or inside a start */
+  MfMulti *multi;
   Call *calls;
   Call *to_add;
   Call *to_fail;
   Call *to_free;
-  Call *to_hold;
+  Call *to_unhold;
   KvHandle *kv_handles;
-  bool in_curl; /* libcurl is on the stack: it may not be given or robbed of a call */
 };
 
 static void
@@ -165,7 +153,7 @@
 {
   ev_timer_stop (call->out->loop, &call->first_byte_timer);
   if (call->added)
-    curl_multi_remove_handle (call->out->multi, call->easy);
+    mf_multi_remove (call->out->multi, call->easy);
   if (call->easy != NULL)
     curl_easy_cleanup (call->easy);
   curl_slist_free_all (call->headers);
@@ -208,7 +196,7 @@
       list_drop (&out->to_add, call);
       list_drop (&out->to_fail, call);
     }
-  list_drop (&out->to_hold, call);
+  list_drop (&out->to_unhold, call);
 }
 
 /* Ends a call with its last event. */
@@ -228,19 +216,10 @@
   list_push (&out->to_free, call);
 }
 
-static void
-apply_hold (Call *call)
-{
-  if (!call->added || call->held == call->hold)
-    return;
-  call->held = call->hold;
-  curl_easy_pause (call->easy, call->hold ? CURLPAUSE_RECV : CURLPAUSE_CONT);
-}
-
 static void
 call_add (Call *call)
 {
-  if (curl_multi_add_handle (call->out->multi, call->easy) != CURLM_OK)
+  if (!mf_multi_add (call->out->multi, call->easy))
     {
       call_end (call, false);
       return;
@@ -249,47 +228,42 @@
   ev_timer_start (call->out->loop, &call->first_byte_timer);
 }
 
-/* Reports each transfer that libcurl has finished. */
 static void
-read_messages (MfHttpOut *out)
+on_done (CURL *easy, CURLcode result, void *data)
 {
-  CURLMsg *message;
-  int n_left;
-
-  while ((message = curl_multi_info_read (out->multi, &n_left)) != NULL)
-    {
-      CURL *easy = message->easy_handle;
-      CURLcode result = message->data.result;
-      Call *call;
+  Call *call;
 
-      if (message->msg != CURLMSG_DONE)
-        continue;
-      curl_easy_getinfo (easy, CURLINFO_PRIVATE, (char **)&call);
-      if (!call->ended)
-        call_end (call, result == CURLE_OK);
-    }
+  (void)data;
+  curl_easy_getinfo (easy, CURLINFO_PRIVATE, (char **)&call);
+  if (!call->ended)
+    call_end (call, result == CURLE_OK);
 }
 
-/* Does what had to wait until libcurl was off the stack. Each step may queue more. */
 static void
-settle (MfHttpOut *out)
+free_ended (MfHttpOut *out)
 {
   Call *call;
 
-  if (out->in_curl)
-    return;
-  read_messages (out);
   while ((call = out->to_free) != NULL)
     {
       out->to_free = call->next;
       call_free (call);
     }
-  while ((call = out->to_hold) != NULL)
+}
+
+/* Does what had to wait until libcurl was off the stack. Each step may queue more. */
+static void
+on_settle (void *data)
+{
+  MfHttpOut *out = data;
+  Call *call;
+
+  free_ended (out);
+  while ((call = out->to_unhold) != NULL)
     {
-      out->to_hold = call->next;
-      out->in_curl = true;
-      apply_hold (call);
-      out->in_curl = false;
+      out->to_unhold = call->next;
+      call->held = false;
+      mf_multi_unpause (out->multi, call->easy);
     }
   while ((call = out->to_add) != NULL)
     {
@@ -301,91 +275,8 @@
       out->to_fail = call->next;
       call_end (call, false);
     }
-  if (out->to_free != NULL || out->to_hold != NULL || out->to_add != NULL)
-    ev_feed_event (out->loop, &out->soon, EV_TIMER);
-}
-
-static void
-run_curl (MfHttpOut *out, curl_socket_t fd, int mask)
-{
-  int n_running;
-
-  out->in_curl = true;
-  curl_multi_socket_action (out->multi, fd, mask, &n_running);
-  out->in_curl = false;
-  settle (out);
-}
-
-static void
-on_curl_timer (struct ev_loop *loop, ev_timer *timer, int events)
-{
-  (void)loop;
-  (void)events;
-  run_curl (timer->data, CURL_SOCKET_TIMEOUT, 0);
-}
-
-static void
-on_soon (struct ev_loop *loop, ev_timer *timer, int events)
-{
-  (void)loop;
-  (void)events;
-  settle (timer->data);
-}
-
-static void
-on_ready (struct ev_loop *loop, ev_io *io, int events)
-{
-  Watch *watch = io->data;
-  int mask
-      = ((events & EV_READ) ? CURL_CSELECT_IN : 0) | ((events & EV_WRITE) ? CURL_CSELECT_OUT : 0);
-
-  (void)loop;
-  run_curl (watch->out, io->fd, mask);
-}
-
-static int
-on_curl_socket (CURL *easy, curl_socket_t fd, int what, void *data, void *socket_data)
-{
-  MfHttpOut *out = data;
-  Watch *watch = socket_data;
-  int events = ((what & CURL_POLL_IN) ? EV_READ : 0) | ((what & CURL_POLL_OUT) ? EV_WRITE : 0);
-
-  (void)easy;
-  if (watch != NULL)
-    ev_io_stop (out->loop, &watch->io);
-  if (what == CURL_POLL_REMOVE)
-    {
-      curl_multi_assign (out->multi, fd, NULL);
-      free (watch);
-      return 0;
-    }
-  if (watch == NULL)
-    {
-      watch = calloc (1, sizeof *watch);
-      if (watch == NULL)
-        return -1;
-      watch->out = out;
-      curl_multi_assign (out->multi, fd, watch);
-    }
-  ev_io_init (&watch->io, on_ready, fd, events);
-  watch->io.data = watch;
-  if (events != 0)
-    ev_io_start (out->loop, &watch->io);
-  return 0;
-}
-
-static int
-on_curl_wants_timer (CURLM *multi, long timeout_ms, void *data)
-{
-  MfHttpOut *out = data;
-
-  (void)multi;
-  ev_timer_stop (out->loop, &out->curl_timer);
-  if (timeout_ms < 0)
-    return 0;
-  ev_timer_set (&out->curl_timer, (double)timeout_ms / 1000.0, 0.0);
-  ev_timer_start (out->loop, &out->curl_timer);
-  return 0;
+  if (out->to_free != NULL || out->to_unhold != NULL || out->to_add != NULL)
+    mf_multi_wake (out->multi);
 }
 
 /* libcurl is connected and about to send: from here on, "not run" is no longer certain. */
@@ -464,13 +355,12 @@
 on_first_byte_late (struct ev_loop *loop, ev_timer *timer, int events)
 {
   Call *call = timer->data;
-  MfHttpOut *out = call->out;
 
   (void)loop;
   (void)events;
   call->timed_out = true;
   call_end (call, false);
-  settle (out);
+  mf_multi_wake (call->out->multi);
 }
 
 static bool
@@ -516,14 +406,10 @@
 
   if (!add_header_lines (call))
     return false;
+  mf_multi_set_common (easy);
   set_method (easy, &call->request);
   curl_easy_setopt (easy, CURLOPT_URL, call->request.url);
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, call->headers);
-  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
-  curl_easy_setopt (easy, CURLOPT_FOLLOWLOCATION, 0L);
-  curl_easy_setopt (easy, CURLOPT_PROXY, "");
-  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, fresh_connection ? 1L : 0L);
   curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, fresh_connection ? 1L : 0L);
   curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, on_before_send);
@@ -583,7 +469,7 @@
   call->first_byte_timer.data = call;
   HASH_ADD (hh, out->calls, id, sizeof call->id, call);
   list_push (call_prepare (call, action, material) ? &out->to_add : &out->to_fail, call);
-  ev_feed_event (out->loop, &out->soon, EV_TIMER);
+  mf_multi_wake (out->multi);
 }
 
 static Call *
@@ -605,7 +491,7 @@
     return;
   call_unlink (call);
   list_push (&out->to_free, call);
-  ev_feed_event (out->loop, &out->soon, EV_TIMER);
+  mf_multi_wake (out->multi);
 }
 
 /* Stops or goes on reading the call's answer, so that a slow caller slows its upstream. */
@@ -614,19 +500,19 @@
 {
   Call *call = call_find (out, call_id);
 
-  if (call == NULL || call->hold == hold)
+  if (call == NULL || !call->added)
     return;
-  call->hold = hold;
-  list_drop (&out->to_hold, call);
-  if (hold)
+  list_drop (&out->to_unhold, call);
+  if (hold && !call->held)
     {
-      apply_hold (call);
-      return;
+      call->held = true;
+      curl_easy_pause (call->easy, CURLPAUSE_RECV);
+    }
+  else if (!hold && call->held)
+    {
+      list_push (&out->to_unhold, call);
+      mf_multi_wake (out->multi);
     }
-  if (!call->added)
-    return;
-  list_push (&out->to_hold, call);
-  ev_feed_event (out->loop, &out->soon, EV_TIMER);
 }
 
 /* Drops the KV handle that a prefill left under its call id. */
@@ -645,29 +531,21 @@
   return HASH_COUNT (out->calls);
 }
 
-static bool
-set_multi (MfHttpOut *out)
+static void
+set_limits (MfHttpOut *out)
 {
-  CURLM *multi = out->multi;
+  CURLM *multi = mf_multi_handle (out->multi);
 
-  return curl_multi_setopt (multi, CURLMOPT_SOCKETFUNCTION, on_curl_socket) == CURLM_OK
-         && curl_multi_setopt (multi, CURLMOPT_SOCKETDATA, out) == CURLM_OK
-         && curl_multi_setopt (multi, CURLMOPT_TIMERFUNCTION, on_curl_wants_timer) == CURLM_OK
-         && curl_multi_setopt (multi, CURLMOPT_TIMERDATA, out) == CURLM_OK
-         && curl_multi_setopt (multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING) == CURLM_OK
-         && curl_multi_setopt (multi, CURLMOPT_MAXCONNECTS, (long)IDLE_CONNECTIONS_MAX) == CURLM_OK
-         && curl_multi_setopt (multi, CURLMOPT_MAX_TOTAL_CONNECTIONS,
-                               (long)out->hooks.connections_max)
-                == CURLM_OK
-         && curl_multi_setopt (multi, CURLMOPT_MAX_HOST_CONNECTIONS,
-                               (long)out->hooks.host_connections_max)
-                == CURLM_OK;
+  curl_multi_setopt (multi, CURLMOPT_MAXCONNECTS, (long)IDLE_CONNECTIONS_MAX);
+  curl_multi_setopt (multi, CURLMOPT_MAX_TOTAL_CONNECTIONS, (long)out->hooks.connections_max);
+  curl_multi_setopt (multi, CURLMOPT_MAX_HOST_CONNECTIONS, (long)out->hooks.host_connections_max);
 }
 
 /* Returns a handle owned by the caller, or NULL with error set. */
 MfHttpOut *
 mf_http_out_new (struct ev_loop *loop, const MfHttpOutHooks *hooks, void *data, MfError *error)
 {
+  static const MfMultiHooks multi_hooks = { .on_done = on_done, .on_settle = on_settle };
   MfHttpOut *out = calloc (1, sizeof *out);
 
   if (out == NULL)
@@ -684,18 +562,13 @@
     out->hooks.connections_max = CONNECTIONS_MAX_DEFAULT;
   if (out->hooks.host_connections_max == 0)
     out->hooks.host_connections_max = HOST_CONNECTIONS_MAX_DEFAULT;
-  ev_timer_init (&out->curl_timer, on_curl_timer, 0.0, 0.0);
-  ev_timer_init (&out->soon, on_soon, 0.0, 0.0);
-  out->curl_timer.data = out;
-  out->soon.data = out;
-  curl_global_init (CURL_GLOBAL_DEFAULT);
-  out->multi = curl_multi_init ();
-  if (out->multi == NULL || !set_multi (out))
+  out->multi = mf_multi_new (loop, &multi_hooks, out, error);
+  if (out->multi == NULL)
     {
-      mf_error_set (error, MF_CODE_INTERNAL, "libcurl's multi interface could not be set up");
-      mf_http_out_free (out);
+      free (out);
       return NULL;
     }
+  set_limits (out);
   return out;
 }
 
@@ -715,18 +588,8 @@
     call_unlink (call);
     list_push (&out->to_free, call);
   }
-  while ((call = out->to_free) != NULL)
-    {
-      out->to_free = call->next;
-      call_free (call);
-    }
+  free_ended (out);
   HASH_ITER (hh, out->kv_handles, handle, next_handle) kv_handle_free (out, handle);
-  ev_timer_stop (out->loop, &out->curl_timer);
-  ev_timer_stop (out->loop, &out->soon);
-  ev_clear_pending (out->loop, &out->soon);
-  if (out->multi != NULL)
-    curl_multi_cleanup (out->multi);
-  ev_timer_stop (out->loop, &out->curl_timer);
-  curl_global_cleanup ();
+  mf_multi_free (out->multi);
   free (out);
 }
--- /dev/null
+++ b/libmangofork/multi.c
@@ -0,0 +1,220 @@
+#include "multi.h"
+
+#include <stdlib.h>
+
+struct MfMulti
+{
+  struct ev_loop *loop;
+  MfMultiHooks hooks;
+  void *data;
+  CURLM *handle;
+  ev_timer timer; /* libcurl's own time-out */
+  ev_timer soon;  /* fed, never started: settles from the loop */
+  bool in_curl;   /* libcurl is on the stack */
+};
+
+/* A socket that libcurl wants watched. */
+typedef struct
+{
+  ev_io io;
+  MfMulti *multi;
+} Watch;
+
+/* Reports each transfer that has ended, then what had to wait for libcurl to be off the stack. */
+static void
+settle (MfMulti *multi)
+{
+  CURLMsg *message;
+  int n_left;
+
+  if (multi->in_curl)
+    return;
+  while ((message = curl_multi_info_read (multi->handle, &n_left)) != NULL)
+    {
+      if (message->msg == CURLMSG_DONE)
+        multi->hooks.on_done (message->easy_handle, message->data.result, multi->data);
+    }
+  if (multi->hooks.on_settle != NULL)
+    multi->hooks.on_settle (multi->data);
+}
+
+static void
+run (MfMulti *multi, curl_socket_t fd, int mask)
+{
+  int n_running;
+
+  multi->in_curl = true;
+  curl_multi_socket_action (multi->handle, fd, mask, &n_running);
+  multi->in_curl = false;
+  settle (multi);
+}
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void)loop;
+  (void)events;
+  run (timer->data, CURL_SOCKET_TIMEOUT, 0);
+}
+
+static void
+on_soon (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void)loop;
+  (void)events;
+  settle (timer->data);
+}
+
+static void
+on_ready (struct ev_loop *loop, ev_io *io, int events)
+{
+  Watch *watch = io->data;
+  int mask
+      = ((events & EV_READ) ? CURL_CSELECT_IN : 0) | ((events & EV_WRITE) ? CURL_CSELECT_OUT : 0);
+
+  (void)loop;
+  run (watch->multi, io->fd, mask);
+}
+
+/* libcurl wants another set of events on a socket. */
+static int
+on_wants_socket (CURL *easy, curl_socket_t fd, int what, void *data, void *socket_data)
+{
+  MfMulti *multi = data;
+  Watch *watch = socket_data;
+  int events = ((what & CURL_POLL_IN) ? EV_READ : 0) | ((what & CURL_POLL_OUT) ? EV_WRITE : 0);
+
+  (void)easy;
+  if (watch != NULL)
+    ev_io_stop (multi->loop, &watch->io);
+  if (what == CURL_POLL_REMOVE)
+    {
+      curl_multi_assign (multi->handle, fd, NULL);
+      free (watch);
+      return 0;
+    }
+  if (watch == NULL)
+    {
+      watch = calloc (1, sizeof *watch);
+      if (watch == NULL)
+        return -1;
+      watch->multi = multi;
+      curl_multi_assign (multi->handle, fd, watch);
+    }
+  ev_io_init (&watch->io, on_ready, fd, events);
+  watch->io.data = watch;
+  if (events != 0)
+    ev_io_start (multi->loop, &watch->io);
+  return 0;
+}
+
+static int
+on_wants_timer (CURLM *handle, long timeout_ms, void *data)
+{
+  MfMulti *multi = data;
+
+  (void)handle;
+  ev_timer_stop (multi->loop, &multi->timer);
+  if (timeout_ms < 0)
+    return 0;
+  ev_timer_set (&multi->timer, (double)timeout_ms / 1000.0, 0.0);
+  ev_timer_start (multi->loop, &multi->timer);
+  return 0;
+}
+
+static bool
+set_callbacks (MfMulti *multi)
+{
+  CURLM *handle = multi->handle;
+
+  return curl_multi_setopt (handle, CURLMOPT_SOCKETFUNCTION, on_wants_socket) == CURLM_OK
+         && curl_multi_setopt (handle, CURLMOPT_SOCKETDATA, multi) == CURLM_OK
+         && curl_multi_setopt (handle, CURLMOPT_TIMERFUNCTION, on_wants_timer) == CURLM_OK
+         && curl_multi_setopt (handle, CURLMOPT_TIMERDATA, multi) == CURLM_OK
+         && curl_multi_setopt (handle, CURLMOPT_PIPELINING, (long)CURLPIPE_NOTHING) == CURLM_OK;
+}
+
+/* Returns a handle owned by the caller, or NULL with error set. */
+MfMulti *
+mf_multi_new (struct ev_loop *loop, const MfMultiHooks *hooks, void *data, MfError *error)
+{
+  MfMulti *multi = calloc (1, sizeof *multi);
+
+  if (multi == NULL)
+    {
+      mf_error_set (error, MF_CODE_NO_MEMORY, "no memory for transfers");
+      return NULL;
+    }
+  multi->loop = loop;
+  multi->hooks = *hooks;
+  multi->data = data;
+  ev_timer_init (&multi->timer, on_timer, 0.0, 0.0);
+  ev_timer_init (&multi->soon, on_soon, 0.0, 0.0);
+  multi->timer.data = multi;
+  multi->soon.data = multi;
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  multi->handle = curl_multi_init ();
+  if (multi->handle == NULL || !set_callbacks (multi))
+    {
+      mf_error_set (error, MF_CODE_INTERNAL, "libcurl's multi interface could not be set up");
+      mf_multi_free (multi);
+      return NULL;
+    }
+  return multi;
+}
+
+void
+mf_multi_free (MfMulti *multi)
+{
+  if (multi == NULL)
+    return;
+  curl_multi_cleanup (multi->handle);
+  ev_timer_stop (multi->loop, &multi->timer);
+  ev_clear_pending (multi->loop, &multi->soon);
+  curl_global_cleanup ();
+  free (multi);
+}
+
+CURLM *
+mf_multi_handle (MfMulti *multi)
+{
+  return multi->handle;
+}
+
+/* Starts a transfer. Not from within a callback of libcurl. */
+bool
+mf_multi_add (MfMulti *multi, CURL *easy)
+{
+  return curl_multi_add_handle (multi->handle, easy) == CURLM_OK;
+}
+
+/* Ends a transfer without a report. Not from within a callback of libcurl. */
+void
+mf_multi_remove (MfMulti *multi, CURL *easy)
+{
+  curl_multi_remove_handle (multi->handle, easy);
+}
+
+void
+mf_multi_unpause (MfMulti *multi, CURL *easy)
+{
+  multi->in_curl = true;
+  curl_easy_pause (easy, CURLPAUSE_CONT);
+  multi->in_curl = false;
+}
+
+void
+mf_multi_wake (MfMulti *multi)
+{
+  ev_feed_event (multi->loop, &multi->soon, EV_TIMER);
+}
+
+void
+mf_multi_set_common (CURL *easy)
+{
+  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt (easy, CURLOPT_FOLLOWLOCATION, 0L);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+}
