--- a/libmangofork/http_out.c
+++ b/libmangofork/http_out.c
@@ -8,7 +8,7 @@
 #include <strings.h>
 #include <uthash.h>
 
-#define ANSWER_BYTES_MAX_DEFAULT (4 * 1024 * 1024)
+#define ANSWER_BYTES_MAX_DEFAULT UINT64_C (4194304)
 #define CONNECTIONS_MAX_DEFAULT 8192
 #define HOST_CONNECTIONS_MAX_DEFAULT 512
 #define IDLE_CONNECTIONS_MAX 512
@@ -78,9 +78,8 @@
 }
 
 static void
-kv_handle_free (MfHttpOut *out, KvHandle *handle)
+kv_handle_free (KvHandle *handle)
 {
-  HASH_DEL (out->kv_handles, handle);
   free (handle->text);
   free (handle);
 }
@@ -521,8 +520,10 @@
 {
   KvHandle *handle = kv_handle_find (out, call_id);
 
-  if (handle != NULL)
-    kv_handle_free (out, handle);
+  if (handle == NULL)
+    return;
+  HASH_DEL (out->kv_handles, handle);
+  kv_handle_free (handle);
 }
 
 uint32_t
@@ -579,7 +580,6 @@
   Call *call;
   Call *next_call;
   KvHandle *handle;
-  KvHandle *next_handle;
 
   if (out == NULL)
     return;
@@ -589,7 +589,15 @@
     list_push (&out->to_free, call);
   }
   free_ended (out);
-  HASH_ITER (hh, out->kv_handles, handle, next_handle) kv_handle_free (out, handle);
+  handle = out->kv_handles;
+  HASH_CLEAR (hh, out->kv_handles);
+  while (handle != NULL)
+    {
+      KvHandle *next = handle->hh.next;
+
+      kv_handle_free (handle);
+      handle = next;
+    }
   mf_multi_free (out->multi);
   free (out);
 }
--- a/libmangofork/openai.c
+++ b/libmangofork/openai.c
@@ -8,7 +8,7 @@
 #include <string.h>
 
 /* Bytes of one line of a stream. */
-#define LINE_BYTES_MAX (1024 * 1024)
+#define LINE_BYTES_MAX ((size_t)1024 * 1024)
 #define CACHE_EVENTS_MAX 4096
 #define WORK_ID_BYTES 160
 
--- a/tests/fakes/engine_http.c
+++ b/tests/fakes/engine_http.c
@@ -91,6 +91,24 @@
   free (work);
 }
 
+/* Forgets all work; what is connected is reset. */
+static void
+drop_all (FakeEngineHttp *engine)
+{
+  Work *work = engine->works;
+
+  HASH_CLEAR (hh, engine->works);
+  while (work != NULL)
+    {
+      Work *next = work->hh.next;
+
+      if (work->conn != NULL)
+        fake_conn_close (work->conn, true);
+      free (work);
+      work = next;
+    }
+}
+
 static void
 format_rid (char *rid, const FakeWorkId *id)
 {
@@ -425,8 +443,6 @@
   for (size_t i = 0; i < MF_ARRAY_LEN (orders); i++)
     {
       FakeVerdict verdict;
-      Work *work;
-      Work *next;
 
       if (strcmp (request->path, orders[i].path) != 0)
         continue;
@@ -434,11 +450,8 @@
       verdict = fake_engine_order (engine->model, orders[i].kind,
                                    fake_setting_text (body, orders[i].field, ""),
                                    strtoull (request->fence, NULL, 10), fake_now_us ());
-      HASH_ITER (hh, engine->works, work, next)
-      {
-        if (verdict == FAKE_ACCEPTED)
-          work_cut (engine, work);
-      }
+      if (verdict == FAKE_ACCEPTED)
+        drop_all (engine);
       answer_status (conn, verdict == FAKE_ACCEPTED ? 200 : 412);
       return true;
     }
@@ -553,11 +566,8 @@
 static void
 on_death (FakeEngineHttp *engine)
 {
-  Work *work;
-  Work *next;
-
   fake_http_stop (engine->http);
-  HASH_ITER (hh, engine->works, work, next) work_drop (engine, work);
+  drop_all (engine);
   if (engine->restart_us == 0)
     return;
   ev_timer_stop (engine->loop, &engine->restart);
@@ -748,11 +758,8 @@
 void
 fake_engine_http_free (FakeEngineHttp *engine)
 {
-  Work *work;
-  Work *next;
-
   fake_http_free (engine->http);
-  HASH_ITER (hh, engine->works, work, next) work_drop (engine, work);
+  drop_all (engine);
   ev_timer_stop (engine->loop, &engine->due);
   ev_timer_stop (engine->loop, &engine->restart);
   fake_engine_free (engine->model);
--- a/tests/fakes/fakes.h
+++ b/tests/fakes/fakes.h
@@ -30,6 +30,7 @@
 
 FakePlatform *fake_platform_new (struct ev_loop *loop, json_object *settings);
 void fake_platform_free (FakePlatform *platform);
+uint16_t fake_platform_port (const FakePlatform *platform);
 json_object *fake_platform_ledger (const FakePlatform *platform);
 bool fake_platform_fault (FakePlatform *platform, const char *kind, uint64_t value);
 /* Publishes a new revision of the text, or a new list of instances (a JSON array). */
--- a/tests/fakes/http.c
+++ b/tests/fakes/http.c
@@ -356,8 +356,13 @@
   ev_io_stop (http->loop, &http->accepting);
   close (http->fd);
   http->fd = -1;
-  while (http->conns != NULL)
-    conn_lost (http->conns, true);
+  for (FakeConn *conn = http->conns; conn != NULL;)
+    {
+      FakeConn *next = conn->next;
+
+      conn_lost (conn, true);
+      conn = next;
+    }
 }
 
 uint16_t
--- a/tests/fakes/main.c
+++ b/tests/fakes/main.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define FILE_BYTES_MAX (2 * 1024 * 1024)
+#define FILE_BYTES_MAX ((size_t)2 * 1024 * 1024)
 
 /* All stand-ins, and the port through which a test reads their ledgers and scripts their faults:
  * GET /ledger; POST /fault?target=NAME&kind=KIND&value=N; POST /text and POST /list with a body. */
@@ -18,34 +18,6 @@
   FakePlatform *platform;
 } Fakes;
 
-uint64_t
-fake_setting (json_object *settings, const char *key, uint64_t otherwise)
-{
-  json_object *value = json_object_object_get (settings, key);
-
-  return value == NULL ? otherwise : json_object_get_uint64 (value);
-}
-
-const char *
-fake_setting_text (json_object *settings, const char *key, const char *otherwise)
-{
-  json_object *value = json_object_object_get (settings, key);
-
-  return json_object_is_type (value, json_type_string) ? json_object_get_string (value) : otherwise;
-}
-
-void
-fake_add_number (json_object *object, const char *key, uint64_t value)
-{
-  json_object_object_add (object, key, json_object_new_uint64 (value));
-}
-
-void
-fake_add_text (json_object *object, const char *key, const char *value)
-{
-  json_object_object_add (object, key, json_object_new_string (value));
-}
-
 static json_object *
 ledger_json (Fakes *fakes)
 {
--- a/tests/fakes/plain_http.c
+++ b/tests/fakes/plain_http.c
@@ -62,6 +62,22 @@
   FakePlain *next;
 };
 
+static void
+pending_drop_all (FakePlain *plain)
+{
+  Pending *pending = plain->pending;
+
+  plain->pending = NULL;
+  while (pending != NULL)
+    {
+      Pending *next = pending->next;
+
+      ev_timer_stop (plain->loop, &pending->timer);
+      free (pending);
+      pending = next;
+    }
+}
+
 static void
 pending_free (Pending *pending)
 {
@@ -74,6 +90,18 @@
   free (pending);
 }
 
+static Run *
+run_add (FakePlain *plain, const char *key)
+{
+  Run *run = calloc (1, sizeof *run);
+
+  if (run == NULL)
+    abort ();
+  mf_name_set (run->key, sizeof run->key, key);
+  HASH_ADD_STR (plain->runs, key, run);
+  return run;
+}
+
 static uint64_t
 count_run (FakePlain *plain, const char *key)
 {
@@ -86,13 +114,7 @@
     }
   HASH_FIND_STR (plain->runs, key, run);
   if (run == NULL)
-    {
-      run = calloc (1, sizeof *run);
-      if (run == NULL)
-        abort ();
-      mf_name_set (run->key, sizeof run->key, key);
-      HASH_ADD_STR (plain->runs, key, run);
-    }
+    run = run_add (plain, key);
   return ++run->n_runs;
 }
 
@@ -225,8 +247,7 @@
     {
       /* What it was working on dies with it. */
       fake_http_stop (plain->http);
-      while (plain->pending != NULL)
-        pending_free (plain->pending);
+      pending_drop_all (plain);
     }
   else if (strcmp (kind, "restart") == 0)
     fake_http_start (plain->http);
@@ -272,17 +293,18 @@
 void
 fake_plain_free (FakePlain *plain)
 {
-  Run *run;
-  Run *next;
+  Run *run = plain->runs;
 
   fake_http_free (plain->http);
-  while (plain->pending != NULL)
-    pending_free (plain->pending);
-  HASH_ITER (hh, plain->runs, run, next)
-  {
-    HASH_DEL (plain->runs, run);
-    free (run);
-  }
+  pending_drop_all (plain);
+  HASH_CLEAR (hh, plain->runs);
+  while (run != NULL)
+    {
+      Run *next = run->hh.next;
+
+      free (run);
+      run = next;
+    }
   free (plain);
 }
 
--- a/tests/fakes/platform_http.c
+++ b/tests/fakes/platform_http.c
@@ -384,3 +384,9 @@
   key_clear (&platform->list);
   free (platform);
 }
+
+uint16_t
+fake_platform_port (const FakePlatform *platform)
+{
+  return fake_http_port (platform->http);
+}
