--- a/libmangofork/share.c
+++ b/libmangofork/share.c
@@ -30,6 +30,7 @@
   uint32_t n_sharers;
   uint32_t limit;
   uint32_t own_wanted;
+  uint64_t wanted_us; /* when more was wanted than before */
   uint16_t told_used;
   uint16_t told_wanted;
   uint8_t n_zero_told;
@@ -136,6 +137,28 @@
          + (odd_rank (core, row, core->board.upstreams[upstream].name_hash, 0) < odd);
 }
 
+/* How many slots this instance may hold by what is in use now: an equal part of the free ones is
+ * left to everyone who wants more. Until the others can have heard what this instance wants, and it
+ * of them, everyone alive may want more. */
+static uint32_t
+free_share (const MfCore *core, uint32_t upstream, uint32_t n_slots)
+{
+  const MfShares *shares = core->board.shares;
+  const ShareRow *row = &shares->rows[upstream];
+  uint32_t own_used = core->board.upstreams[upstream].own_slots;
+  uint32_t used = own_used, n_hungry = 1;
+  bool unheard = core->board.now_us < row->wanted_us + 2 * core->board.options.digest_period_us;
+
+  for (uint32_t i = 0; i < row->n_sharers; i++)
+    {
+      used += row->sharers[i].used;
+      n_hungry += row->sharers[i].wanted > row->sharers[i].used;
+    }
+  if (unheard && shares->n_live > n_hungry)
+    n_hungry = shares->n_live;
+  return used < n_slots ? own_used + (n_slots - used + n_hungry - 1) / n_hungry : own_used;
+}
+
 /* Computes the limit that the request path reads. Slots that instances not heard of would get in
  * equal parts are left to them. */
 static void
@@ -145,6 +168,7 @@
   ShareRow *row = &shares->rows[upstream];
   uint32_t n_slots = total_slots (&core->board.upstreams[upstream]);
   uint32_t demand = own_demand (core, upstream);
+  uint32_t limit;
 
   if (shares->n_unheard > 0)
     n_slots -= n_slots * shares->n_unheard / shares->n_live;
@@ -152,6 +176,9 @@
     demand += sharer_demand (&row->sharers[i]);
   row->limit = demand > n_slots ? max_min_share (core, upstream, n_slots)
                                 : slack_share (core, upstream, n_slots, demand);
+  limit = free_share (core, upstream, n_slots);
+  if (row->limit > limit)
+    row->limit = limit;
   if (row->limit == 0)
     row->limit = 1;
 }
@@ -178,6 +205,8 @@
   if (upstream >= shares->n_rows || shares->rows[upstream].own_wanted == n_slots)
     return;
   row = &shares->rows[upstream];
+  if (n_slots > row->own_wanted)
+    row->wanted_us = core->board.now_us;
   row->own_wanted = n_slots;
   if (row->n_sharers > 0 && n_slots > 2 * row->told_wanted && n_slots > row->limit)
     mf_digest_hurry (core);
