Status, explanations and a series of what the counters did

Status names the text in force, its source and age, the fault of the last text that was refused, each service's state and which dependency is the cause, every upstream's health and why, instances, debts and suspects. An explanation is the remembered life of all requests of one name. The series keeps 240 points of 2 s and 240 of 60 s.

--- a/libmangofork/board.h
+++ b/libmangofork/board.h
@@ -22,6 +22,7 @@
 typedef struct MfDigests MfDigests;       /* digest.c */
 typedef struct MfShares MfShares;         /* share.c */
 typedef struct MfOrders MfOrders;         /* order.c */
+typedef struct MfSeries MfSeries;         /* series.c */
 
 /* Which policy decides: ours, or the naive one that tests and benches compare with. */
 typedef struct MfPolicy MfPolicy; /* policy.h */
@@ -45,6 +46,19 @@
   bool naive;
 } MfOptions;
 
+/* Where the text in force came from, and what became of the last one that was refused. Written by
+ * confsync.c. */
+typedef struct
+{
+  uint64_t accepted_us;
+  char source[MF_NAME_BYTES]; /* "platform" or "peer" */
+  uint64_t refused_revision;  /* 0 for none */
+  uint64_t refused_us;
+  MfError refused_fault;      /* the first of its faults */
+  uint64_t platform_heard_us; /* last answer of the platform; 0 for never */
+  uint64_t platform_lost_us;  /* last read of it that failed; 0 for never */
+} MfConfigState;
+
 /* The blackboard: all that this instance knows. Controllers read any part of it and write their
  * own. */
 typedef struct
@@ -53,6 +67,7 @@
   uint64_t wall_ms;
   MfOptions options;
   MfConfig *config; /* in force; NULL until one was accepted */
+  MfConfigState config_state;
   MfUpstream *upstreams;
   uint32_t n_upstreams;
   MfServices services;
@@ -78,6 +93,7 @@
   MfDigests *digests;
   MfShares *shares;
   MfOrders *orders;
+  MfSeries *series;
 } MfBoard;
 
 #endif
--- a/libmangofork/confsync.c
+++ b/libmangofork/confsync.c
@@ -96,10 +96,14 @@
 }
 
 static void
-refuse (MfCore *core, uint64_t revision)
+refuse (MfCore *core, uint64_t revision, const MfError *fault)
 {
   MfConfsync *sync = core->board.confsync;
+  MfConfigState *state = &core->board.config_state;
 
+  state->refused_revision = revision;
+  state->refused_us = core->board.now_us;
+  state->refused_fault = *fault;
   sync->refused[sync->next_refused++ % REFUSED_MAX] = (Refused){
     .revision = revision,
     .until_us = core->board.now_us + REFUSED_LIFE_US,
@@ -109,10 +113,12 @@
 }
 
 static void
-ignore_fault (const MfError *fault, void *data)
+keep_first_fault (const MfError *fault, void *data)
 {
-  (void)fault;
-  (void)data;
+  MfError *first = data;
+
+  if (!mf_error_is_set (first))
+    *first = *fault;
 }
 
 /* Checks a text and puts it in force when it is sound and newer than the one in force. */
@@ -122,16 +128,17 @@
 {
   MfConfsync *sync = core->board.confsync;
   const MfConfig *old = core->board.config;
+  MfError fault = { 0 };
   MfConfig *config;
 
   if (revision < own_revision (core))
     mf_counter_add (&core->board.counters, MF_COUNTER_CONFIG_STALE, 1);
   if (revision <= own_revision (core) || is_refused (core, revision))
     return;
-  config = mf_config_parse (text, text_bytes, revision, ignore_fault, NULL);
+  config = mf_config_parse (text, text_bytes, revision, keep_first_fault, &fault);
   if (config == NULL)
     {
-      refuse (core, revision);
+      refuse (core, revision, &fault);
       return;
     }
   if (old != NULL)
@@ -140,6 +147,8 @@
   sync->text_ask.until_us = 0;
   mf_counter_add (&core->board.counters, MF_COUNTER_CONFIG_ACCEPTED, 1);
   mf_core_log (core, "config", "text", "", "in force", source);
+  core->board.config_state.accepted_us = core->board.now_us;
+  mf_name_set (core->board.config_state.source, MF_NAME_BYTES, source);
   mf_core_set_config (core, config);
   mf_digest_hurry (core);
 }
@@ -417,12 +426,15 @@
   switch (event->type)
     {
     case MF_EVENT_TEXT:
+      core->board.config_state.platform_heard_us = core->board.now_us;
       handle_text (core, &event->text);
       break;
     case MF_EVENT_LIST:
+      core->board.config_state.platform_heard_us = core->board.now_us;
       handle_list (core, event->list.index);
       break;
     case MF_EVENT_PLATFORM_LOST:
+      core->board.config_state.platform_lost_us = core->board.now_us;
       mf_platform_reads_lost (core, &sync->reads, &event->lost);
       if (sync->decide_us == 0)
         sync->decide_us = core->board.now_us + PEERS_FIRST_US;
--- a/libmangofork/core.c
+++ b/libmangofork/core.c
@@ -1,5 +1,7 @@
 #include "core.h"
 
+#include "series.h"
+
 #include <stdlib.h>
 
 /* Steps of requests remembered for `mangofork explain`. */
@@ -10,6 +12,7 @@
   &mf_news_controller,     &mf_health_controller,  &mf_prefix_controller,   &mf_suspect_controller,
   &mf_share_controller,    &mf_claim_controller,   &mf_request_controller,  &mf_queue_controller,
   &mf_debt_controller,     &mf_order_controller,   &mf_drain_controller,    &mf_digest_controller,
+  &mf_series_controller,
 };
 
 static uint64_t
--- a/libmangofork/suspect.c
+++ b/libmangofork/suspect.c
@@ -242,6 +242,19 @@
   return HASH_COUNT (core->board.suspects->by_digest);
 }
 
+void
+mf_suspect_foreach (const MfCore *core, MfSuspectFunc func, void *data)
+{
+  const Suspect *suspect = core->board.suspects->by_digest;
+
+  for (; suspect != NULL; suspect = suspect->hh.next)
+    {
+      if (core->board.now_us - suspect->at_us <= KEPT_US
+          && !func (suspect->digest, suspect->n_deaths, suspect->convicted, suspect->at_us, data))
+        return;
+    }
+}
+
 /* Lets go of what has waited long enough. */
 static void
 suspect_tick (MfCore *core)
--- a/libmangofork/suspect.h
+++ b/libmangofork/suspect.h
@@ -17,4 +17,10 @@
 void mf_suspect_clear (MfCore *core, MfRequest *request);
 uint32_t mf_suspect_count (const MfCore *core);
 
+typedef bool (*MfSuspectFunc) (uint64_t digest, uint32_t n_deaths, bool convicted, uint64_t at_us,
+                               void *data);
+
+/* Calls func for each digest that is suspected or convicted, until it returns false. */
+void mf_suspect_foreach (const MfCore *core, MfSuspectFunc func, void *data);
+
 #endif
