A caller that names no token limit leaves it to the engine

Cause: a completion without max_tokens was sent to the decode engine with a limit of 0 and ended after one token. Change: the limit is left out of the engine's request when the caller gave none.

--- a/libmangofork/openai.c
+++ b/libmangofork/openai.c
@@ -116,6 +116,14 @@
   json_object_object_add (body, "kv_transfer_params", transfer);
 }
 
+/* A caller that names no limit leaves it to the engine. */
+static void
+add_max_tokens (json_object *body, const MfCallAction *call)
+{
+  if (call->max_tokens > 0)
+    json_object_object_add (body, "max_tokens", json_object_new_int64 (call->max_tokens));
+}
+
 static bool
 add_decode (json_object *body, const MfCallAction *call, const MfCallMaterial *material)
 {
@@ -123,7 +131,7 @@
 
   if (transfer == NULL)
     return false;
-  json_object_object_add (body, "max_tokens", json_object_new_int64 (call->max_tokens));
+  add_max_tokens (body, call);
   json_object_object_add (body, "stream", json_object_new_boolean (true));
   json_object_object_add (body, "kv_transfer_params", transfer);
   return true;
@@ -173,7 +181,7 @@
   if (call->kind == MF_CALL_RESUME)
     {
       json_object_object_add (body, "from_token", json_object_new_int64 (call->from_token));
-      json_object_object_add (body, "max_tokens", json_object_new_int64 (call->max_tokens));
+      add_max_tokens (body, call);
     }
   return body;
 }
