--- a/libmangofork/trace.c
+++ b/libmangofork/trace.c
@@ -219,7 +219,7 @@
 }
 
 uint64_t
-mf_trace_ended (const MfTrace *trace, MfEndedBy by, uint8_t phase)
+mf_trace_ended (const MfTrace *trace, MfEndedBy by, uint32_t phase)
 {
   return by < MF_ENDED_BY_COUNT && phase < PHASES_MAX ? trace->ended[by][phase] : 0;
 }
