One death counts once for a request whose stream broke and could not be resumed

Cause: when a decode engine died, its streams broke, and the resume that was tried at the same engine broke as well; both breaks waited for the verdict on the engine, and its one death was counted twice, which convicted innocent requests. Change: one break for each request and upstream waits at a time. Conclusion: a conviction again takes two deaths.

--- a/libmangofork/suspect.c
+++ b/libmangofork/suspect.c
@@ -132,14 +132,28 @@
   return !suspect->convicted;
 }
 
+/* Whether a break of this request at this upstream already waits. */
+static bool
+has_break (const MfSuspects *suspects, uint64_t request_id, uint32_t upstream)
+{
+  for (uint32_t i = 0; i < suspects->n_breaks; i++)
+    {
+      if (suspects->breaks[i].request_id == request_id && suspects->breaks[i].upstream == upstream)
+        return true;
+    }
+  return false;
+}
+
 /* Until it is known whether the upstream died, the request waits: were it the cause, the next
- * upstream would die before the first death was counted. */
+ * upstream would die before the first death was counted. A stream that breaks and then cannot be
+ * resumed has met one death, not two. */
 void
 mf_suspect_broken (MfCore *core, MfRequest *request, uint32_t upstream)
 {
   MfSuspects *suspects = core->board.suspects;
 
-  if (core->board.options.naive || request->digest == 0)
+  if (core->board.options.naive || request->digest == 0
+      || has_break (suspects, request->id, upstream))
     return;
   if (suspects->n_breaks == BREAKS_MAX)
     suspects->breaks[0] = suspects->breaks[--suspects->n_breaks];
