--- a/cli/command.h
+++ b/cli/command.h
@@ -13,6 +13,9 @@
 int command_serve (int argc, char **argv);
 int command_check (int argc, char **argv);
 int command_digest (int argc, char **argv);
+int command_status (int argc, char **argv);
+int command_report (int argc, char **argv);
+int command_explain (int argc, char **argv);
 
 /* Reads a whole file or, for "-", standard input. Prints a message and returns NULL when it cannot;
  * the caller frees the text. */
--- a/cli/main.c
+++ b/cli/main.c
@@ -13,9 +13,8 @@
 } Command;
 
 static const Command commands[] = {
-  { "serve", command_serve },
-  { "check", command_check },
-  { "digest", command_digest },
+  { "serve", command_serve },   { "check", command_check },     { "status", command_status },
+  { "report", command_report }, { "explain", command_explain }, { "digest", command_digest },
 };
 
 /* The command and what follows it. */
@@ -69,6 +68,9 @@
          "Commands:\n"
          "  serve -c FILE    serve callers with these settings\n"
          "  check FILE       check the operators' text or the settings\n"
+         "  status URL       show the picture in force at an instance\n"
+         "  report URL       report service-level burn\n"
+         "  explain URL ID   tell the life of one request\n"
          "  digest           print the digest of the API key on standard input\n"
          "\n"
          "Each command takes --help. Exit codes: 0 done, 1 faulty, 2 wrong command line.",
--- /dev/null
+++ b/cli/page.c
@@ -0,0 +1,73 @@
+#include "page.h"
+
+#include <argp.h>
+
+static const struct argp_option html_options[] = {
+  { .name = "json", .key = 'j', .doc = "Print the page as JSON" },
+  { .name = "html", .key = 'h', .arg = "FILE", .doc = "Write a page with plots to FILE" },
+  { 0 },
+};
+
+static const struct argp_option json_options[] = {
+  { .name = "json", .key = 'j', .doc = "Print the page as JSON" },
+  { 0 },
+};
+
+typedef struct
+{
+  const PageCommand *command;
+  PageArguments *arguments;
+} Parsing;
+
+static error_t
+parse_positional (const Parsing *parsing, char *arg, struct argp_state *state)
+{
+  PageArguments *arguments = parsing->arguments;
+
+  if (arguments->url == NULL)
+    arguments->url = arg;
+  else if (parsing->command->takes_request && arguments->request == NULL)
+    arguments->request = arg;
+  else
+    argp_error (state, "too many arguments");
+  return 0;
+}
+
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  const Parsing *parsing = state->input;
+
+  switch (key)
+    {
+    case 'j':
+      parsing->arguments->json = true;
+      return 0;
+    case 'h':
+      parsing->arguments->html = arg;
+      return 0;
+    case ARGP_KEY_ARG:
+      return parse_positional (parsing, arg, state);
+    case ARGP_KEY_END:
+      if (parsing->arguments->url == NULL
+          || (parsing->command->takes_request && parsing->arguments->request == NULL))
+        argp_error (state, "%s needs %s", parsing->command->name, parsing->command->args_doc);
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+void
+page_parse (const PageCommand *command, int argc, char **argv, PageArguments *arguments)
+{
+  const struct argp parser = {
+    .options = command->takes_html ? html_options : json_options,
+    .parser = parse_option,
+    .args_doc = command->args_doc,
+    .doc = command->doc,
+  };
+  Parsing parsing = { .command = command, .arguments = arguments };
+
+  argp_parse (&parser, argc, argv, 0, NULL, &parsing);
+}
--- /dev/null
+++ b/cli/plot.h
@@ -0,0 +1,39 @@
+#ifndef CLI_PLOT_H
+#define CLI_PLOT_H
+
+#include "libmangofork/buffer.h"
+
+#define PLOT_LINES_MAX 6
+#define PLOT_POINTS_MAX 512
+
+/* One line of a plot, over the plot's points. */
+typedef struct
+{
+  const char *name;
+  double values[PLOT_POINTS_MAX];
+} PlotLine;
+
+typedef struct
+{
+  const char *title;
+  const char *unit;
+  const char *note; /* below the title; may be NULL */
+  double least_top; /* the vertical axis reaches at least this far */
+  bool stacked;     /* lines are areas, each on top of the one before */
+  double ages_s[PLOT_POINTS_MAX];
+  uint32_t n_points;
+  PlotLine lines[PLOT_LINES_MAX];
+  uint32_t n_lines;
+} Plot;
+
+/* Adds a plot as an inline SVG figure with its legend. */
+void plot_write (const Plot *plot, MfBuffer *out);
+/* Colour of the i-th line. */
+const char *plot_colour (uint32_t i);
+
+/* Adds formatted text. */
+void plot_print (MfBuffer *out, const char *format, ...) __attribute__ ((format (printf, 2, 3)));
+/* Adds text with the characters that HTML gives a meaning replaced. */
+void plot_escaped (MfBuffer *out, const char *text);
+
+#endif
--- /dev/null
+++ b/cli/report_html.c
@@ -0,0 +1,354 @@
+#include "report_html.h"
+
+#include "fetch.h"
+#include "plot.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define AGE_BYTES 24
+
+static const char *const windows[] = { "5m", "1h", "30m", "6h", "2h", "1d" };
+#define N_WINDOWS (sizeof windows / sizeof windows[0])
+
+/* Burn at which the alert of each window's pair fires. */
+static const double alert_rates[N_WINDOWS] = { 14.4, 14.4, 6, 6, 3, 3 };
+
+static const char style[]
+    = "<style>\n"
+      "body{font:15px/1.45 system-ui,sans-serif;color:#1d2530;background:#f6f7f9;margin:0 auto;"
+      "max-width:1240px;padding:1.5rem}\n"
+      "h1{font-size:1.5rem;margin:0 0 .2rem}h2{font-size:1.1rem;margin:1.6rem 0 .5rem}\n"
+      "p{margin:.2rem 0}small{color:#5b6675}\n"
+      ".warn{background:#fdecea;border-left:4px solid #a83246;padding:.4rem .8rem;margin:.5rem 0}\n"
+      "table{border-collapse:collapse;background:#fff;width:100%;font-variant-numeric:"
+      "tabular-nums}\n"
+      "th,td{padding:.3rem .6rem;border-bottom:1px solid #e3e7ec;text-align:right}\n"
+      "th{font-weight:600;color:#5b6675;font-size:.85rem}\n"
+      "th.l,td.l{text-align:left}\n"
+      "td.hot{background:#f4c7c3;font-weight:600}td.warm{background:#fbe7c6}\n"
+      ".plots{display:grid;grid-template-columns:repeat(auto-fit,minmax(420px,1fr));gap:1rem}\n"
+      "figure{background:#fff;margin:0;padding:.8rem 1rem;border:1px solid #e3e7ec;"
+      "border-radius:6px}\n"
+      "figcaption{margin-bottom:.4rem}svg{width:100%;height:auto}\n"
+      "svg text{font:11px system-ui,sans-serif;fill:#5b6675}.grid{stroke:#e3e7ec}\n"
+      ".legend span{margin-right:1rem;font-size:.85rem}.legend i{display:inline-block;width:.8rem;"
+      "height:.8rem;border-radius:2px;margin-right:.35rem;vertical-align:-1px}\n"
+      ".none{color:#5b6675;padding:3rem 0;text-align:center}\n"
+      "</style>\n";
+
+static void
+write_head (json_object *report, MfBuffer *out)
+{
+  json_object *instance = fetch_object (report, "instance");
+  char age[AGE_BYTES];
+
+  plot_print (out, "<!doctype html><html lang=en><meta charset=utf-8>"
+                   "<meta name=viewport content=\"width=device-width\">"
+                   "<title>mangofork report: ");
+  plot_escaped (out, fetch_text (instance, "name"));
+  plot_print (out, "</title>\n");
+  mf_buffer_add_text (out, style);
+  plot_print (out, "<h1>Service levels, as seen by ");
+  plot_escaped (out, fetch_text (instance, "name"));
+  fetch_age (age, sizeof age, report, "counting_since_s");
+  plot_print (out, "</h1><p>data centre ");
+  plot_escaped (out, fetch_text (instance, "data_centre"));
+  plot_print (out, ", revision %llu of the operators' text, counting since %s ago%s</p>\n",
+              (unsigned long long)fetch_number (report, "revision"), age,
+              fetch_bool (instance, "ready") ? "" : " <b>(not ready)</b>");
+}
+
+/* Says whose counts are in the burn rates and whose are not. */
+static void
+write_coverage (json_object *report, MfBuffer *out)
+{
+  size_t n_missing = fetch_length (report, "missing");
+  char age[AGE_BYTES];
+
+  plot_print (out, "<p>Burn rates cover this instance");
+  for (size_t i = 0; i < fetch_length (report, "merged"); i++)
+    {
+      json_object *peer = fetch_element (report, "merged", i);
+
+      fetch_age (age, sizeof age, peer, "since_s");
+      plot_print (out, ", ");
+      plot_escaped (out, fetch_text (peer, "instance"));
+      plot_print (out, " (since %s ago)", age);
+    }
+  plot_print (out, ". Instances keep nothing: a window holds what they saw of it.</p>\n");
+  if (n_missing == 0)
+    return;
+  plot_print (out, "<p class=warn>Missing from the burn rates:");
+  for (size_t i = 0; i < n_missing; i++)
+    {
+      plot_print (out, " ");
+      plot_escaped (out, json_object_get_string (fetch_element (report, "missing", i)));
+    }
+  plot_print (out, "</p>\n");
+}
+
+static void
+write_objective (const char *name, json_object *objective, MfBuffer *out)
+{
+  json_object *table = fetch_object (objective, "windows");
+
+  plot_print (out, "<tr><td class=l>");
+  plot_escaped (out, name);
+  plot_print (out, "<td class=l>%s", fetch_text (objective, "objective"));
+  if (fetch_number (objective, "objective_ppm") > 0)
+    plot_print (out, "<td>%g%%", fetch_real (objective, "objective_ppm") / 10000);
+  else
+    plot_print (out, "<td>");
+  if (fetch_number (objective, "target_us") > 0)
+    plot_print (out, "<td>%g ms", fetch_real (objective, "target_us") / 1000);
+  else
+    plot_print (out, "<td>");
+  for (size_t i = 0; i < N_WINDOWS; i++)
+    {
+      json_object *window = fetch_object (table, windows[i]);
+      double burn = fetch_real (window, "burn");
+      const char *heat = burn > 1 ? " class=warm" : "";
+
+      if (burn >= alert_rates[i])
+        heat = " class=hot";
+      plot_print (out, "<td%s title=\"%llu of %llu missed\">%.2f", heat,
+                  (unsigned long long)fetch_number (window, "bad"),
+                  (unsigned long long)fetch_number (window, "total"), burn);
+    }
+  plot_print (out, "<td class=l>");
+  for (size_t i = 0; i < fetch_length (objective, "alerts"); i++)
+    plot_print (out, "%s%s", i > 0 ? ", " : "",
+                json_object_get_string (fetch_element (objective, "alerts", i)));
+  plot_print (out, "\n");
+}
+
+static void
+write_burn (json_object *report, const char *list, const char *name_key, const char *title,
+            MfBuffer *out)
+{
+  if (fetch_length (report, list) == 0)
+    return;
+  plot_print (out,
+              "<h2>%s</h2><p><small>Speed at which the error budget is spent: 1 spends it exactly "
+              "over the objective's period. An alert fires while both windows of its pair burn at "
+              "14.4, 6 or 3 and more.</small></p>"
+              "<table><tr><th class=l>%s<th class=l>objective<th>aim<th>target",
+              title, name_key);
+  for (size_t i = 0; i < N_WINDOWS; i++)
+    plot_print (out, "<th>%s", windows[i]);
+  plot_print (out, "<th class=l>alert\n");
+  for (size_t i = 0; i < fetch_length (report, list); i++)
+    {
+      json_object *row = fetch_element (report, list, i);
+
+      for (size_t k = 0; k < fetch_length (row, "objectives"); k++)
+        write_objective (k == 0 ? fetch_text (row, name_key) : "",
+                         fetch_element (row, "objectives", k), out);
+    }
+  plot_print (out, "</table>\n");
+}
+
+static void
+write_counts (json_object *report, MfBuffer *out)
+{
+  static const char *const keys[] = { "answered", "good", "refused", "failed", "departed" };
+
+  plot_print (out, "<h2>Requests of this instance</h2><table><tr><th class=l>service<th>answered"
+                   "<th>good<th>refused, not run<th>failed<th>caller left\n");
+  for (size_t i = 0; i < fetch_length (report, "services"); i++)
+    {
+      json_object *row = fetch_element (report, "services", i);
+
+      plot_print (out, "<tr><td class=l>");
+      plot_escaped (out, fetch_text (row, "service"));
+      for (size_t k = 0; k < sizeof keys / sizeof keys[0]; k++)
+        plot_print (out, "<td>%llu", (unsigned long long)fetch_number (row, keys[k]));
+      plot_print (out, "\n");
+    }
+  plot_print (out, "</table>\n");
+}
+
+static void
+write_ends (json_object *report, MfBuffer *out)
+{
+  if (fetch_length (report, "ends") > 0)
+    plot_print (out, "<h2>Ends other than an answer</h2><table><tr><th class=l>code<th class=l>"
+                     "name<th class=l>meaning<th>requests\n");
+  for (size_t i = 0; i < fetch_length (report, "ends"); i++)
+    {
+      json_object *row = fetch_element (report, "ends", i);
+
+      plot_print (out, "<tr><td class=l>%llu<td class=l>%s<td class=l>%s<td>%llu\n",
+                  (unsigned long long)fetch_number (row, "code"), fetch_text (row, "name"),
+                  fetch_text (row, "summary"), (unsigned long long)fetch_number (row, "count"));
+    }
+  plot_print (out,
+              "%s<h2>Who ended them, and when</h2><table><tr><th class=l>ended by"
+              "<th class=l>phase<th>requests\n",
+              fetch_length (report, "ends") > 0 ? "</table>\n" : "");
+  for (size_t i = 0; i < fetch_length (report, "ended_by"); i++)
+    {
+      json_object *row = fetch_element (report, "ended_by", i);
+
+      plot_print (out, "<tr><td class=l>%s<td class=l>%s<td>%llu\n", fetch_text (row, "ended_by"),
+                  fetch_text (row, "phase"), (unsigned long long)fetch_number (row, "count"));
+    }
+  plot_print (out, "</table>\n");
+}
+
+/* The points that plots are drawn from: the fine ones while they reach back to the start. */
+static const char *
+series_of (json_object *series)
+{
+  size_t n_coarse = fetch_length (series, "coarse");
+  json_object *fine = fetch_element (series, "fine", 0);
+  json_object *coarse = fetch_element (series, "coarse", 0);
+
+  if (n_coarse < 10 || fetch_real (fine, "age_s") >= fetch_real (coarse, "age_s"))
+    return "fine";
+  return "coarse";
+}
+
+/* Begins a plot over all points of the series. */
+static void
+plot_begin (Plot *plot, json_object *series, const char *title, const char *unit, const char *note)
+{
+  const char *key = series_of (series);
+  size_t n = fetch_length (series, key);
+
+  memset (plot, 0, sizeof *plot);
+  plot->title = title;
+  plot->unit = unit;
+  plot->note = note;
+  plot->n_points = (uint32_t)(n < PLOT_POINTS_MAX ? n : PLOT_POINTS_MAX);
+  for (uint32_t i = 0; i < plot->n_points; i++)
+    plot->ages_s[i] = fetch_real (fetch_element (series, key, i), "age_s");
+}
+
+static json_object *
+point_at (json_object *series, uint32_t i)
+{
+  return fetch_element (series, series_of (series), i);
+}
+
+/* Adds a line of what happened a second, or of how things stood. */
+static void
+plot_add (Plot *plot, json_object *series, const char *name, const char *key, bool per_second)
+{
+  PlotLine *line = &plot->lines[plot->n_lines++];
+
+  line->name = name;
+  for (uint32_t i = 0; i < plot->n_points; i++)
+    {
+      json_object *point = point_at (series, i);
+      double length_s = per_second ? fetch_real (point, "length_s") : 1;
+
+      line->values[i] = length_s > 0 ? fetch_real (point, key) / length_s : 0;
+    }
+}
+
+/* Adds a line of one number as a share of another, in per cent. */
+static void
+plot_add_share (Plot *plot, json_object *series, const char *name, const char *role,
+                const char *part, const char *whole)
+{
+  PlotLine *line = &plot->lines[plot->n_lines++];
+
+  line->name = name;
+  for (uint32_t i = 0; i < plot->n_points; i++)
+    {
+      json_object *point = point_at (series, i);
+      double all;
+
+      if (role != NULL)
+        point = fetch_object (point, role);
+      all = fetch_real (point, whole);
+      line->values[i] = all > 0 ? 100 * fetch_real (point, part) / all : 0;
+    }
+}
+
+/* Adds a line for each of the codes that ended most requests. */
+static void
+plot_add_ends (Plot *plot, json_object *series, json_object *report)
+{
+  for (size_t k = 0; k < fetch_length (report, "ends") && plot->n_lines < PLOT_LINES_MAX; k++)
+    {
+      PlotLine *line = &plot->lines[plot->n_lines++];
+
+      line->name = fetch_text (fetch_element (report, "ends", k), "name");
+      for (uint32_t i = 0; i < plot->n_points; i++)
+        {
+          json_object *point = point_at (series, i);
+          double length_s = fetch_real (point, "length_s");
+
+          line->values[i]
+              = length_s > 0 ? fetch_real (fetch_object (point, "ends"), line->name) / length_s : 0;
+        }
+    }
+}
+
+static void
+write_plots (json_object *report, Plot *plot, MfBuffer *out)
+{
+  json_object *series = fetch_object (report, "series");
+
+  plot_print (out, "<h2>This instance over time</h2><div class=plots>\n");
+  plot_begin (plot, series, "Goodput", "requests a second",
+              "good: whole, first token and 95 in 100 gaps within target");
+  plot_add (plot, series, "offered", "requests", true);
+  plot_add (plot, series, "answered", "answered", true);
+  plot_add (plot, series, "good", "good", true);
+  plot_write (plot, out);
+
+  plot_begin (plot, series, "Ends other than an answer", "requests a second, stacked",
+              "by result code; docs/ERRORS.md says what to do on each");
+  plot->stacked = true;
+  plot_add_ends (plot, series, report);
+  plot_write (plot, out);
+
+  plot_begin (plot, series, "Wasted prefill", "per cent of tokens prefilled",
+              "computed for a KV that no decode took up");
+  plot->least_top = 2;
+  plot_add_share (plot, series, "wasted", NULL, "wasted_tokens", "prefill_tokens");
+  plot_write (plot, out);
+
+  plot_begin (plot, series, "Queue", "requests",
+              "held by this instance at the end of each stretch");
+  plot->least_top = 4;
+  plot_add (plot, series, "in flight", "in_flight", false);
+  plot_add (plot, series, "of them queued", "queued", false);
+  plot_add (plot, series, "cancels owed", "debts", false);
+  plot_write (plot, out);
+
+  plot_begin (plot, series, "Engine occupancy", "per cent of slots in use",
+              "over the upstreams this instance uses, whoever uses them");
+  plot->least_top = 100;
+  plot_add_share (plot, series, "prefill", "prefill", "used", "slots");
+  plot_add_share (plot, series, "decode", "decode", "used", "slots");
+  plot_add_share (plot, series, "plain", "plain", "used", "slots");
+  plot_write (plot, out);
+
+  plot_begin (plot, series, "Tokens", "a second", NULL);
+  plot_add (plot, series, "handed to callers", "tokens", true);
+  plot_add (plot, series, "prefilled", "prefill_tokens", true);
+  plot_write (plot, out);
+  plot_print (out, "</div>\n");
+}
+
+void
+report_html (json_object *report, MfBuffer *out)
+{
+  Plot *plot = calloc (1, sizeof *plot);
+
+  write_head (report, out);
+  write_coverage (report, out);
+  write_burn (report, "services", "service", "Burn by service", out);
+  if (plot != NULL)
+    write_plots (report, plot, out);
+  write_counts (report, out);
+  write_ends (report, out);
+  write_burn (report, "customers", "customer", "Burn by customer, the fastest first", out);
+  plot_print (out, "</html>\n");
+  free (plot);
+}
--- a/tests/test_report.c
+++ b/tests/test_report.c
@@ -58,7 +58,7 @@
   assert_int_equal (
       json_object_array_length (one_core_at (report, "services.1.objectives.1.alerts")), 3);
   json_object_put (report);
-  one_core_wait (one, 12 * 60 * MF_US_PER_S);
+  one_core_wait (one, UINT64_C (12) * 60 * MF_US_PER_S);
   one_core_request (one, "b", "/orders/1", ONE_ANSWERS, MF_US_PER_MS);
   report = report_of (one);
   assert_int_equal (
