--- a/cli/explain.c
+++ b/cli/explain.c
@@ -21,7 +21,9 @@
   fetch_age (age, sizeof age, request, "age_s");
   printf ("\nrequest %llu, begun %s ago", (unsigned long long)fetch_number (request, "request_id"),
           age);
-  if (strcmp (fetch_text (request, "state"), "ended") == 0)
+  if (fetch_object (request, "code") != NULL && fetch_number (request, "code") == 0)
+    printf (", answered whole");
+  else if (strcmp (fetch_text (request, "state"), "ended") == 0)
     printf (", ended by the %s while %s: %llu %s, %s", fetch_text (request, "ended_by"),
             fetch_text (request, "phase"), (unsigned long long)fetch_number (request, "code"),
             fetch_text (request, "name"), fetch_text (request, "summary"));
--- a/cli/plot.c
+++ b/cli/plot.c
@@ -166,7 +166,9 @@
                     y_of (line > 0 ? height_at (plot, line - 1, i) : 0, top));
     }
   else
-    plot_print (out, "<polyline fill=none stroke=\"%s\" stroke-width=2 points=\"", colour);
+    /* Later lines are thinner, so that one that covers an earlier one does not hide it. */
+    plot_print (out, "<polyline fill=none stroke=\"%s\" stroke-width=%g points=\"", colour,
+                plot->n_lines == 1 ? 2.0 : 1.5 + 1.5 * (plot->n_lines - 1 - line));
   for (uint32_t i = 0; i < plot->n_points; i++)
     plot_print (out, "%.1f,%.1f ", x_of (plot, i), y_of (height_at (plot, line, i), top));
   plot_print (out, "\"/>");
--- a/cli/report.c
+++ b/cli/report.c
@@ -56,7 +56,14 @@
     snprintf (allowed, sizeof allowed, "%.2f%%", fetch_real (objective, "objective_ppm") / 10000);
   printf ("%-20.20s %-12s %8s %8s", name, fetch_text (objective, "objective"), allowed, target);
   for (size_t i = 0; i < sizeof windows / sizeof windows[0]; i++)
-    printf (" %7.2f", fetch_real (fetch_object (table, windows[i]), "burn"));
+    {
+      json_object *window = fetch_object (table, windows[i]);
+
+      if (fetch_number (window, "total") > 0)
+        printf (" %7.2f", fetch_real (window, "burn"));
+      else
+        printf (" %7s", "-");
+    }
   printf ("  ");
   for (size_t i = 0; i < fetch_length (objective, "alerts"); i++)
     printf ("%s%s", i > 0 ? "," : "",
@@ -110,7 +117,7 @@
               fetch_text (row, "summary"));
     }
   if (fetch_length (report, "ended_by") > 0)
-    printf ("\n%-10s %-14s %9s\n", "ENDED BY", "PHASE", "REQUESTS");
+    printf ("\n%-10s %-14s %9s\n", "ENDED BY", "IN PHASE", "REQUESTS");
   for (size_t i = 0; i < fetch_length (report, "ended_by"); i++)
     {
       json_object *row = fetch_element (report, "ended_by", i);
--- a/cli/report_html.c
+++ b/cli/report_html.c
@@ -1,8 +1,10 @@
 #include "report_html.h"
 
+#include "bars.h"
 #include "fetch.h"
 #include "plot.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -26,10 +28,11 @@
       "th,td{padding:.3rem .6rem;border-bottom:1px solid #e3e7ec;text-align:right}\n"
       "th{font-weight:600;color:#5b6675;font-size:.85rem}\n"
       "th.l,td.l{text-align:left}\n"
-      "td.hot{background:#f4c7c3;font-weight:600}td.warm{background:#fbe7c6}\n"
+      "td.idle{color:#9aa4b1}td.hot{background:#f4c7c3;font-weight:600}td.warm{background:#fbe7c6}"
+      "\n"
       ".plots{display:grid;grid-template-columns:repeat(auto-fit,minmax(420px,1fr));gap:1rem}\n"
       "figure{background:#fff;margin:0;padding:.8rem 1rem;border:1px solid #e3e7ec;"
-      "border-radius:6px}\n"
+      "border-radius:6px}figure.wide{margin-top:1rem}\n"
       "figcaption{margin-bottom:.4rem}svg{width:100%;height:auto}\n"
       "svg text{font:11px system-ui,sans-serif;fill:#5b6675}.grid{stroke:#e3e7ec}\n"
       ".legend span{margin-right:1rem;font-size:.85rem}.legend i{display:inline-block;width:.8rem;"
@@ -110,6 +113,12 @@
       double burn = fetch_real (window, "burn");
       const char *heat = burn > 1 ? " class=warm" : "";
 
+      if (fetch_number (window, "total") == 0)
+        {
+          plot_print (out, "<td class=idle title=\"no requests\">&ndash;");
+          continue;
+        }
+
       if (burn >= alert_rates[i])
         heat = " class=hot";
       plot_print (out, "<td%s title=\"%llu of %llu missed\">%.2f", heat,
@@ -149,6 +158,34 @@
   plot_print (out, "</table>\n");
 }
 
+/* Draws the burn of every service's objectives that had requests in the last hour. */
+static void
+write_bars (json_object *report, MfBuffer *out)
+{
+  Bars bars = { 0 };
+
+  for (size_t i = 0; i < fetch_length (report, "services"); i++)
+    {
+      json_object *row = fetch_element (report, "services", i);
+
+      for (size_t k = 0; k < fetch_length (row, "objectives") && bars.n_bars < BARS_MAX; k++)
+        {
+          json_object *objective = fetch_element (row, "objectives", k);
+          json_object *table = fetch_object (objective, "windows");
+          Bar *bar = &bars.bars[bars.n_bars];
+
+          if (fetch_number (fetch_object (table, "1h"), "total") == 0)
+            continue;
+          bars.n_bars++;
+          bar->short_burn = fetch_real (fetch_object (table, "5m"), "burn");
+          bar->long_burn = fetch_real (fetch_object (table, "1h"), "burn");
+          snprintf (bar->label, sizeof bar->label, "%.40s %s", fetch_text (row, "service"),
+                    fetch_text (objective, "objective"));
+        }
+    }
+  bars_write (&bars, out);
+}
+
 static void
 write_counts (json_object *report, MfBuffer *out)
 {
@@ -184,7 +221,8 @@
                   fetch_text (row, "summary"), (unsigned long long)fetch_number (row, "count"));
     }
   plot_print (out,
-              "%s<h2>Who ended them, and when</h2><table><tr><th class=l>ended by"
+              "%s<h2>Who ended requests without an answer, and in which phase</h2><table><tr><th "
+              "class=l>ended by"
               "<th class=l>phase<th>requests\n",
               fetch_length (report, "ends") > 0 ? "</table>\n" : "");
   for (size_t i = 0; i < fetch_length (report, "ended_by"); i++)
@@ -344,6 +382,7 @@
   write_head (report, out);
   write_coverage (report, out);
   write_burn (report, "services", "service", "Burn by service", out);
+  write_bars (report, out);
   if (plot != NULL)
     write_plots (report, plot, out);
   write_counts (report, out);
--- a/libmangofork/explain.c
+++ b/libmangofork/explain.c
@@ -32,6 +32,21 @@
   return kind < MF_CALL_COUNT ? names[kind] : "call";
 }
 
+static const char *
+verdict_name (uint64_t verdict)
+{
+  static const char *const names[] = {
+    [MF_CLAIM_GRANTED] = "granted",
+    [MF_CLAIM_ANSWERED] = "answered before",
+    [MF_CLAIM_UNKNOWN] = "an earlier run's fate is unknown",
+    [MF_CLAIM_NO_QUORUM] = "too few votes",
+    [MF_CLAIM_BODY_DIFFERS] = "used before with another body",
+    [MF_CLAIM_TOO_OLD] = "older than keys are kept",
+  };
+
+  return verdict < MF_ARRAY_LEN (names) ? names[verdict] : "settled";
+}
+
 /* Says in a sentence what a step was. */
 static void
 step_text (const MfCore *core, const MfTraceStep *step, char *text)
@@ -83,7 +98,7 @@
       snprintf (text, TEXT_BYTES, "sent to %s as well: %s is slow", upstream, other);
       return;
     case MF_TRACE_CLAIMED:
-      snprintf (text, TEXT_BYTES, "claim of its key settled");
+      snprintf (text, TEXT_BYTES, "claim of its key: %s", verdict_name (n));
       return;
     case MF_TRACE_CANCELLED:
       snprintf (text, TEXT_BYTES, "cancel owed to %s", upstream);
@@ -93,6 +108,11 @@
                 upstream, n);
       return;
     case MF_TRACE_ENDED:
+      if (step->code == MF_CODE_OK)
+        {
+          snprintf (text, TEXT_BYTES, "answered whole, %" PRIu64 " tokens delivered", n);
+          return;
+        }
       snprintf (text, TEXT_BYTES, "ended by the %s while %s: %d %s, %" PRIu64 " tokens delivered",
                 mf_ended_by_name (step->ended_by), mf_phase_name (step->phase), (int)step->code,
                 mf_code_info (step->code)->name, n);
--- a/libmangofork/metrics.c
+++ b/libmangofork/metrics.c
@@ -84,7 +84,7 @@
   add_head (out, "mangofork_ended_total", "counter", "requests ended, by result code");
   mf_code_foreach (add_code, &output);
   add_head (out, "mangofork_ended_by_total", "counter",
-            "requests ended, by who ended them in which phase");
+            "requests ended without an answer, by whom in which phase");
   for (uint32_t by = MF_ENDED_BY_CALLER; by < MF_ENDED_BY_COUNT; by++)
     {
       for (uint32_t phase = 0; phase < MF_PHASE_COUNT; phase++)
--- a/libmangofork/trace.c
+++ b/libmangofork/trace.c
@@ -147,7 +147,7 @@
   slot->step = *step;
   slot->previous = life->last;
   life->last = trace->sequence;
-  if (step->kind == MF_TRACE_ENDED && step->ended_by < MF_ENDED_BY_COUNT
+  if (step->kind == MF_TRACE_ENDED && step->code != MF_CODE_OK && step->ended_by < MF_ENDED_BY_COUNT
       && step->phase < PHASES_MAX)
     trace->ended[step->ended_by][step->phase]++;
 }
--- a/libmangofork/trace.h
+++ b/libmangofork/trace.h
@@ -65,7 +65,8 @@
  * nothing is remembered. */
 bool mf_trace_foreach (const MfTrace *trace, const char *name, MfTraceFunc func, void *data);
 
-/* How many requests were ended by whom, in which MfPhase. Counts all, also those forgotten. */
+/* How many requests were ended without an answer by whom, in which MfPhase. Counts all, also those
+ * forgotten. */
 uint64_t mf_trace_ended (const MfTrace *trace, MfEndedBy by, uint32_t phase);
 
 const char *mf_trace_kind_name (MfTraceKind kind);
