--- a/libmangofork/burn.c
+++ b/libmangofork/burn.c
@@ -103,6 +103,7 @@
     [MF_SLI_TTFT] = "ttft",
     [MF_SLI_TBT] = "tbt",
     [MF_SLI_AVAILABILITY] = "availability",
+    [MF_SLI_REFUSALS] = "refusals",
   };
 
   return sli < MF_SLI_COUNT ? names[sli] : "none";
@@ -282,16 +283,17 @@
 sample_count (const MfService *service, const MfBurnSample *sample, MfBurnCounts *counts)
 {
   bool answered = sample->code == MF_CODE_OK;
+  bool refused;
 
   if (sample->departed)
     counts->departed++;
   if (sample->departed || code_is_callers (sample->code))
     return;
-  if (!answered && sample->refused && sample->outcome == MF_OUTCOME_NOT_RUN)
-    {
-      counts->refused++;
-      return;
-    }
+  refused = !answered && sample->refused && sample->outcome == MF_OUTCOME_NOT_RUN;
+  count_sli (counts, MF_SLI_REFUSALS, refused, service->objective_availability_ppm);
+  counts->refused += refused;
+  if (refused)
+    return;
   count_sli (counts, MF_SLI_AVAILABILITY, !answered, service->objective_availability_ppm);
   if (!answered)
     return;
--- a/libmangofork/burn.h
+++ b/libmangofork/burn.h
@@ -30,12 +30,14 @@
  * program, the bench and the report share this definition. */
 bool mf_burn_is_good (const MfService *service, const MfBurnSample *sample);
 
-/* What is promised of a service, each with an objective of its own. */
+/* What is promised of a service, each with an error budget of its own. Failures and honest refusals
+ * are told apart; both are held against the objective for availability. */
 typedef enum
 {
   MF_SLI_TTFT,
   MF_SLI_TBT,
-  MF_SLI_AVAILABILITY,
+  MF_SLI_AVAILABILITY, /* accepted and then answered in full */
+  MF_SLI_REFUSALS,     /* not refused */
   MF_SLI_COUNT,
 } MfSli;
 
--- a/libmangofork/report.c
+++ b/libmangofork/report.c
@@ -28,6 +28,7 @@
     case MF_SLI_TBT:
       return (Objective){ service->objective_tbt_ppm, service->tbt_target_us };
     case MF_SLI_AVAILABILITY:
+    case MF_SLI_REFUSALS:
     case MF_SLI_COUNT:
       break;
     }
--- a/tests/test_burn.c
+++ b/tests/test_burn.c
@@ -94,6 +94,8 @@
   assert_int_equal (counts.bad[MF_SLI_AVAILABILITY], 1);
   assert_int_equal (counts.total[MF_SLI_TTFT], 9);
   assert_int_equal (counts.refused, 3);
+  assert_int_equal (counts.bad[MF_SLI_REFUSALS], 3);
+  assert_int_equal (counts.total[MF_SLI_REFUSALS], 13);
   assert_int_equal (counts.departed, 2);
   assert_int_equal (counts.good, 9);
   mf_burn_free (burn);
