--- a/libmangofork/settings.c
+++ b/libmangofork/settings.c
@@ -3,6 +3,8 @@
 #include "core.h"
 #include "field.h"
 
+#include <string.h>
+
 #define HOUR_MS UINT64_C (3600000)
 #define COUNT_MAX 1000000
 #define BYTES_MAX (UINT64_C (1) << 30)
@@ -96,6 +98,19 @@
   mf_core_options (&settings->options);
 }
 
+static bool
+log_level_is_known (const char *level)
+{
+  static const char *const levels[] = { "trace", "debug", "info", "notice", "warn", "error" };
+
+  for (size_t i = 0; i < MF_ARRAY_LEN (levels); i++)
+    {
+      if (strcmp (levels[i], level) == 0)
+        return true;
+    }
+  return false;
+}
+
 bool
 mf_settings_parse (const char *text, size_t text_bytes, MfSettings *settings, MfFaultFunc on_fault,
                    void *data)
@@ -108,6 +123,9 @@
   settings_default (settings);
   if (mf_jsonc_root (jsonc) != NULL)
     mf_field_read (jsonc, "", mf_jsonc_root (jsonc), &settings_table, 0, settings);
+  if (!log_level_is_known (settings->log_level))
+    mf_jsonc_fault (jsonc, "log_level", MF_CODE_TEXT_RANGE,
+                    "\"log_level\" is not one of trace, debug, info, notice, warn, error");
   if (settings->options.drain_limit_us < settings->options.drain_grace_us)
     mf_jsonc_fault (jsonc, "drain", MF_CODE_TEXT_RANGE, "\"limit_ms\" is below \"grace_ms\"");
   mf_name_set (settings->options.address, sizeof settings->options.address, settings->peer);
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -72,6 +72,7 @@
       faults_of ("{ " NEEDED ", \"limits\": { \"body_bytes_max\": 1, \"x\": 2 } }", &settings), 2);
   assert_int_equal (
       faults_of ("{ " NEEDED ", \"drain\": { \"grace_ms\": 9, \"limit_ms\": 8 } }", &settings), 1);
+  assert_int_equal (faults_of ("{ " NEEDED ", \"log_level\": \"loud\" }", &settings), 1);
   assert_int_equal (faults_of ("{ " NEEDED ", \"load_period_s\": 1 }", &settings), 1);
 }
 
