Idempotency keys: claims by a quorum of a fixed small cell of voters

Cause: a call that may not be repeated must run at most once wherever its caller sends it again, with nothing durable and instances replaced at any time. A fresh voter votes only once a quorum of the others shows its incarnation and has handed its keys over; a claimant discards votes of incarnations another vote knows to be replaced.

--- a/libmangofork/peer.h
+++ b/libmangofork/peer.h
@@ -176,10 +176,15 @@
   uint64_t highest_incarnation; /* of the applicant's slot; the applicant must be above it */
   MfOwner view[MF_VOTERS_PER_KEY_MAX];
   uint32_t n_view;
+  uint32_t part; /* an answer too large for one frame comes in parts, from 0 */
+  uint32_t n_parts;
   const MfKeyRecord *records; /* borrowed */
   uint32_t n_records;
 } MfAdmittedMessage;
 
+/* Records in one part of an answer. */
+#define MF_RECORDS_PER_PART_MAX 4096
+
 typedef struct
 {
   MfPeerMessageType type;
--- /dev/null
+++ b/libmangofork/voter.c
@@ -0,0 +1,455 @@
+#include "voter.h"
+
+#include "member.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define ADMIT_PERIOD_FIRST_US (100 * MF_US_PER_MS)
+#define ADMIT_PERIOD_MAX_US (2 * MF_US_PER_S)
+/* How far the clocks that mint keys may be ahead. */
+#define CLOCK_SKEW_MS 2000
+
+static bool
+owner_equal (const MfOwner *a, const MfOwner *b)
+{
+  return a->incarnation == b->incarnation && strcmp (a->name, b->name) == 0;
+}
+
+static void
+view_raise (MfVoterState *voter, const MfOwner *owner)
+{
+  uint32_t i = mf_cell_find (&voter->cell, owner->name);
+
+  if (i != MF_NONE && owner->incarnation > voter->view[i])
+    voter->view[i] = owner->incarnation;
+}
+
+static uint32_t
+view_copy (const MfVoterState *voter, MfOwner *dst)
+{
+  for (uint32_t i = 0; i < voter->cell.n; i++)
+    {
+      memcpy (dst[i].name, voter->cell.names[i], MF_NAME_BYTES);
+      dst[i].incarnation = voter->view[i];
+    }
+  return voter->cell.n;
+}
+
+static uint64_t
+view_of (const MfOwner *view, uint32_t n_view, const char *name)
+{
+  for (uint32_t i = 0; i < n_view; i++)
+    {
+      if (strcmp (view[i].name, name) == 0)
+        return view[i].incarnation;
+    }
+  return 0;
+}
+
+/* Whether the cell kept all but at most one of its voters, so that a quorum of either cell shares a
+ * voter with every quorum of the other. */
+static bool
+cell_is_near (const MfCell *before, const MfCell *after)
+{
+  uint32_t n_common = 0;
+
+  for (uint32_t i = 0; i < after->n; i++)
+    n_common += mf_cell_find (before, after->names[i]) != MF_NONE;
+  return n_common + 1 >= before->n && n_common + 1 >= after->n
+         && before->n + after->n <= 2 * n_common + 1;
+}
+
+static void
+answers_clear (MfVoterState *voter)
+{
+  for (uint32_t i = 0; i < MF_VOTERS_PER_KEY_MAX; i++)
+    voter->answer_from[i] = 0;
+}
+
+void
+mf_voter_init (MfVoterState *voter, MfKeybook *book, uint64_t now_us)
+{
+  *voter = (MfVoterState){ .book = book, .index = MF_NONE, .born_us = now_us };
+}
+
+/* Takes over the incarnations known of those voters that stay in the cell. */
+static void
+cell_replace (MfCore *core, MfVoterState *voter, const MfCell *cell)
+{
+  uint64_t view[MF_VOTERS_PER_KEY_MAX] = { 0 };
+
+  for (uint32_t i = 0; i < cell->n; i++)
+    {
+      uint32_t old = mf_cell_find (&voter->cell, cell->names[i]);
+
+      view[i] = old != MF_NONE ? voter->view[old] : 0;
+    }
+  voter->cell = *cell;
+  memcpy (voter->view, view, sizeof view);
+  voter->index = mf_cell_find (cell, core->board.options.self.name);
+  view_raise (voter, &core->board.options.self);
+  answers_clear (voter);
+}
+
+static void
+become_admitted (MfCore *core, MfVoterState *voter, uint64_t cold_ms)
+{
+  voter->admitted = true;
+  voter->cold_ms = cold_ms;
+  if (cold_ms != 0)
+    voter->opaque_from_us = core->board.now_us + voter->key_life_us;
+  mf_core_log (core, "voter", core->board.options.self.name, "fresh", "admitted",
+               cold_ms != 0 ? "cold start" : "handed over");
+}
+
+void
+mf_voter_config (MfCore *core, MfVoterState *voter)
+{
+  const MfConfig *config = core->board.config;
+  uint32_t index = mf_cell_of_voter (config, core->board.options.self.name);
+  MfCell cell = { .n = 0 };
+  bool near;
+
+  voter->key_life_us = config->key_life_us;
+  if (voter->configured && voter->epoch == mf_cell_epoch (config))
+    return;
+  if (index != MF_NONE)
+    mf_cell_members (config, index, &cell);
+  near = voter->configured && voter->index != MF_NONE && cell_is_near (&voter->cell, &cell);
+  voter->configured = true;
+  voter->epoch = mf_cell_epoch (config);
+  cell_replace (core, voter, &cell);
+  voter->admitted = voter->index != MF_NONE && near && voter->admitted;
+  voter->next_admit_us = core->board.now_us;
+  voter->admit_period_us = ADMIT_PERIOD_FIRST_US;
+  if (!near)
+    voter->born_us = core->board.now_us;
+  if (voter->cell.n == 1)
+    become_admitted (core, voter, core->board.wall_ms);
+}
+
+/* Sends a request to be admitted to every voter of the cell that has not agreed yet. */
+static void
+admission_ask (MfCore *core, MfVoterState *voter)
+{
+  MfPeerMessage message = {
+    .type = MF_PEER_ADMIT,
+    .admit
+    = { .admit_id = voter->admit_id, .epoch = voter->epoch, .applicant = core->board.options.self },
+  };
+
+  for (uint32_t i = 0; i < voter->cell.n; i++)
+    {
+      bool agreed = voter->answer_from[i] != 0 && voter->answers[i].agreed;
+
+      if (i != voter->index && !agreed)
+        mf_member_send (core, voter->cell.names[i], &message);
+    }
+}
+
+void
+mf_voter_tick (MfCore *core, MfVoterState *voter)
+{
+  uint64_t now_us = core->board.now_us;
+
+  if (voter->cold_ms != 0 && now_us >= voter->opaque_from_us)
+    voter->cold_ms = 0;
+  if (voter->index == MF_NONE || voter->admitted)
+    return;
+  if (now_us >= voter->next_admit_us)
+    {
+      voter->admit_id++;
+      voter->next_admit_us = now_us + voter->admit_period_us;
+      voter->admit_period_us *= 2;
+      if (voter->admit_period_us > ADMIT_PERIOD_MAX_US)
+        voter->admit_period_us = ADMIT_PERIOD_MAX_US;
+      admission_ask (core, voter);
+    }
+  mf_core_wake_at (core, voter->next_admit_us);
+}
+
+void
+mf_voter_see (MfVoterState *voter, const MfOwner *peer)
+{
+  view_raise (voter, peer);
+}
+
+/* Whether this voter's memory covers the whole life of the key up to now. */
+static bool
+remembers (const MfCore *core, const MfVoterState *voter, const MfClaimMessage *claim)
+{
+  uint64_t now_ms = core->board.wall_ms;
+
+  if (claim->minted_ms == 0)
+    return core->board.now_us >= voter->opaque_from_us;
+  if (claim->minted_ms > now_ms + CLOCK_SKEW_MS)
+    return false;
+  if (claim->minted_ms + voter->key_life_us / MF_US_PER_MS < now_ms)
+    return false;
+  return voter->cold_ms == 0 || claim->minted_ms > voter->cold_ms + CLOCK_SKEW_MS;
+}
+
+static bool
+grant (MfCore *core, MfVoterState *voter, const MfClaimMessage *claim)
+{
+  MfKeyEntry *entry = mf_keybook_add (voter->book, claim->key, core->board.now_us);
+
+  if (entry == NULL)
+    return false;
+  entry->body_digest = claim->body_digest;
+  entry->holder = claim->claimant;
+  entry->claim_id = claim->claim_id;
+  return true;
+}
+
+void
+mf_voter_vote (MfCore *core, MfVoterState *voter, const MfClaimMessage *claim, MfVoteMessage *vote)
+{
+  MfKeyEntry *entry = mf_keybook_find (voter->book, claim->key);
+
+  *vote = (MfVoteMessage){ .claim_id = claim->claim_id };
+  memcpy (vote->key, claim->key, MF_DIGEST_BYTES);
+  vote->n_view = view_copy (voter, vote->view);
+  if (entry != NULL)
+    {
+      vote->granted = !entry->inherited && entry->state == MF_KEY_RUNNING
+                      && entry->claim_id == claim->claim_id && voter->admitted
+                      && voter->epoch == claim->epoch
+                      && owner_equal (&entry->holder, &claim->claimant);
+      vote->holder = entry->holder;
+      vote->holder_claim_id = entry->claim_id;
+      vote->state = entry->state;
+      vote->body_differs = entry->body_digest != claim->body_digest;
+      return;
+    }
+  vote->abstained = !voter->admitted || voter->epoch != claim->epoch
+                    || !remembers (core, voter, claim) || !grant (core, voter, claim);
+  vote->granted = !vote->abstained;
+}
+
+/* The answer to one request to be admitted, sent a part at a time. */
+typedef struct
+{
+  MfCore *core;
+  uint32_t cell;
+  const char *to;
+  MfPeerMessage message;
+  MfKeyRecord *records;
+} Handover;
+
+static bool
+handover_count (const MfKeyEntry *entry, void *data)
+{
+  Handover *handover = data;
+
+  if (mf_cell_of_key (handover->core->board.config, entry->key) == handover->cell)
+    handover->message.admitted.n_records++;
+  return true;
+}
+
+static void
+handover_send (Handover *handover)
+{
+  mf_member_send (handover->core, handover->to, &handover->message);
+  handover->message.admitted.part++;
+  handover->message.admitted.n_records = 0;
+}
+
+static bool
+handover_add (const MfKeyEntry *entry, void *data)
+{
+  Handover *handover = data;
+  MfAdmittedMessage *answer = &handover->message.admitted;
+  MfKeyRecord *record = &handover->records[answer->n_records];
+
+  if (mf_cell_of_key (handover->core->board.config, entry->key) != handover->cell)
+    return true;
+  *record = (MfKeyRecord){
+    .body_digest = entry->body_digest,
+    .holder = entry->holder,
+    .claim_id = entry->claim_id,
+    .state = entry->state,
+    .age_ms = (uint32_t)((handover->core->board.now_us - entry->noted_us) / MF_US_PER_MS),
+  };
+  memcpy (record->key, entry->key, MF_DIGEST_BYTES);
+  if (++answer->n_records == MF_RECORDS_PER_PART_MAX && answer->part + 1 < answer->n_parts)
+    handover_send (handover);
+  return true;
+}
+
+/* Sends every key of the cell, so that no vote given here is forgotten by the applicant. */
+static void
+handover_run (Handover *handover, const MfKeybook *book)
+{
+  MfAdmittedMessage *answer = &handover->message.admitted;
+
+  mf_keybook_foreach (book, handover_count, handover);
+  answer->n_parts = (answer->n_records + MF_RECORDS_PER_PART_MAX - 1) / MF_RECORDS_PER_PART_MAX;
+  if (answer->n_parts == 0)
+    answer->n_parts = 1;
+  answer->n_records = 0;
+  answer->records = handover->records;
+  mf_keybook_foreach (book, handover_add, handover);
+  handover_send (handover);
+}
+
+void
+mf_voter_admit (MfCore *core, MfVoterState *voter, const MfAdmitMessage *admit)
+{
+  uint32_t i = mf_cell_find (&voter->cell, admit->applicant.name);
+  Handover handover = {
+    .core = core,
+    .to = admit->applicant.name,
+    .message = { .type = MF_PEER_ADMITTED,
+                 .admitted = { .admit_id = admit->admit_id,
+                               .voter_admitted = voter->admitted,
+                               .cold_ms = voter->cold_ms,
+                               .n_parts = 1 } },
+  };
+  MfAdmittedMessage *answer = &handover.message.admitted;
+
+  if (i == MF_NONE || voter->index == MF_NONE || admit->epoch != voter->epoch)
+    return;
+  answer->highest_incarnation = voter->view[i];
+  answer->agreed = voter->admitted && admit->applicant.incarnation >= voter->view[i];
+  if (answer->agreed)
+    voter->view[i] = admit->applicant.incarnation;
+  answer->n_view = view_copy (voter, answer->view);
+  if (!answer->agreed)
+    {
+      handover_send (&handover);
+      return;
+    }
+  handover.cell = mf_cell_of_voter (core->board.config, core->board.options.self.name);
+  handover.records = calloc (MF_RECORDS_PER_PART_MAX, sizeof *handover.records);
+  if (handover.records == NULL)
+    return;
+  handover_run (&handover, voter->book);
+  free (handover.records);
+}
+
+/* Takes over what another voter remembers. An entry that is there already stays, but is granted to
+ * nobody again. Returns false when it could not be kept. */
+static bool
+inherit (MfCore *core, MfVoterState *voter, const MfKeyRecord *record)
+{
+  MfKeyEntry *entry = mf_keybook_find (voter->book, record->key);
+
+  if (entry == NULL)
+    {
+      entry = mf_keybook_add (voter->book, record->key, core->board.now_us);
+      if (entry == NULL)
+        return false;
+      entry->body_digest = record->body_digest;
+      entry->holder = record->holder;
+      entry->claim_id = record->claim_id;
+      entry->state = record->state;
+    }
+  if (!owner_equal (&entry->holder, &core->board.options.self))
+    entry->inherited = true;
+  return true;
+}
+
+/* Counts the answers that no other answer contradicts: an answer from an incarnation that another
+ * one knows to be replaced is void. */
+static uint32_t
+answers_count (const MfVoterState *voter)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < voter->cell.n; i++)
+    {
+      bool valid = voter->answer_from[i] != 0 && voter->answers[i].agreed;
+
+      for (uint32_t k = 0; k < voter->cell.n && valid; k++)
+        {
+          const MfAdmittedMessage *other = &voter->answers[k];
+
+          if (voter->answer_from[k] != 0
+              && view_of (other->view, other->n_view, voter->cell.names[i]) > voter->answer_from[i])
+            valid = false;
+        }
+      n += valid;
+    }
+  return n;
+}
+
+/* Whether so many voters have forgotten their votes that admission cannot be had: enough of the
+ * cell answers, and yet this voter has waited for the whole of its cold start. */
+static bool
+cell_is_cold (const MfCore *core, const MfVoterState *voter)
+{
+  uint32_t n_answers = 1;
+
+  if (core->board.now_us < voter->born_us + core->board.options.cold_start_us)
+    return false;
+  for (uint32_t i = 0; i < voter->cell.n; i++)
+    n_answers += voter->answer_from[i] != 0;
+  return n_answers >= voter->cell.quorum;
+}
+
+/* Merges what the counted answers told: incarnations, and the cell's own cold start. */
+static void
+answers_merge (MfCore *core, MfVoterState *voter)
+{
+  uint64_t cold_ms = 0;
+
+  for (uint32_t i = 0; i < voter->cell.n; i++)
+    {
+      const MfAdmittedMessage *answer = &voter->answers[i];
+
+      if (voter->answer_from[i] == 0)
+        continue;
+      for (uint32_t k = 0; k < answer->n_view; k++)
+        view_raise (voter, &answer->view[k]);
+      if (answer->cold_ms > cold_ms)
+        cold_ms = answer->cold_ms;
+    }
+  become_admitted (core, voter, cold_ms);
+}
+
+/* Whether this part follows the last one read of the same answer; the first starts an answer. */
+static bool
+part_is_next (MfVoterState *voter, uint32_t i, const MfAdmittedMessage *answer)
+{
+  if (answer->part == 0)
+    {
+      voter->parts_of[i] = answer->admit_id;
+      voter->next_part[i] = 0;
+    }
+  if (voter->parts_of[i] != answer->admit_id || voter->next_part[i] != answer->part)
+    return false;
+  voter->next_part[i]++;
+  return true;
+}
+
+void
+mf_voter_admitted (MfCore *core, MfVoterState *voter, const MfOwner *from,
+                   const MfAdmittedMessage *answer)
+{
+  uint32_t i = mf_cell_find (&voter->cell, from->name);
+  uint32_t needed = voter->cell.quorum < voter->cell.n ? voter->cell.quorum : voter->cell.n - 1;
+
+  if (voter->admitted || voter->index == MF_NONE || i == MF_NONE || i == voter->index)
+    return;
+  if (answer->highest_incarnation > core->board.options.self.incarnation)
+    return;
+  if (!part_is_next (voter, i, answer))
+    return;
+  for (uint32_t k = 0; k < answer->n_records; k++)
+    {
+      if (!inherit (core, voter, &answer->records[k]))
+        return;
+    }
+  if (answer->part + 1 < answer->n_parts)
+    return;
+  voter->answers[i] = *answer;
+  voter->answers[i].records = NULL;
+  voter->answers[i].n_records = 0;
+  voter->answer_from[i] = from->incarnation;
+  if (answers_count (voter) >= needed)
+    answers_merge (core, voter);
+  else if (cell_is_cold (core, voter))
+    become_admitted (core, voter, core->board.wall_ms);
+}
