--- a/libmangofork/claim.c
+++ b/libmangofork/claim.c
@@ -144,7 +144,6 @@
   if (state == MF_KEY_FINISHED && recorded->body != NULL)
     {
       result.verdict = MF_CLAIM_ANSWERED;
-      mf_counter_add (&core->board.counters, MF_COUNTER_REPLAYS, 1);
       settle (core, claim, &result);
       return;
     }
@@ -412,7 +411,7 @@
 {
   MfClaims *claims = core->board.claims;
   Claim *claim = calloc (1, sizeof *claim);
-  MfClaimResult result = { .verdict = MF_CLAIM_NO_QUORUM, .code = MF_CODE_NO_MEMORY };
+  MfClaimResult result = { .verdict = MF_CLAIM_NO_QUORUM, .outcome = MF_OUTCOME_UNKNOWN };
 
   if (claim == NULL)
     {
--- a/libmangofork/life.c
+++ b/libmangofork/life.c
@@ -163,12 +163,23 @@
     mf_queue_stir (step->core);
 }
 
+/* Counts what an earlier arrival of the same key did, or may have done, as this request's own. */
+static void
+count_earlier_run (MfRequest *request, MfOutcome outcome)
+{
+  if (outcome == MF_OUTCOME_RAN)
+    request->ran = true;
+  else if (outcome == MF_OUTCOME_UNKNOWN)
+    request->n_unknown++;
+}
+
 static void
 claiming_timer (const Step *step)
 {
   if (now_us (step) < step->request->deadline_us)
     return;
   mf_claim_drop (step->core, step->request->id);
+  count_earlier_run (step->request, MF_OUTCOME_UNKNOWN);
   mf_finish_refused (step->core, step->request, MF_CODE_KEY_NO_QUORUM, 1000);
 }
 
@@ -193,11 +204,15 @@
     }
   else if (step->claim->verdict == MF_CLAIM_ANSWERED && step->claim->status != 0)
     mf_finish_replayed (step->core, request, step->claim);
-  else if (step->claim->verdict == MF_CLAIM_ANSWERED)
-    mf_finish_refused (step->core, request, MF_CODE_KEY_UNKNOWN, 0);
   else
-    mf_finish_refused (step->core, request, codes[step->claim->verdict],
-                       step->claim->verdict == MF_CLAIM_NO_QUORUM ? 1000 : 0);
+    {
+      MfCode code = step->claim->verdict == MF_CLAIM_ANSWERED ? MF_CODE_KEY_UNKNOWN
+                                                              : codes[step->claim->verdict];
+
+      count_earlier_run (request, step->claim->outcome);
+      mf_finish_refused (step->core, request, code,
+                         step->claim->verdict == MF_CLAIM_NO_QUORUM ? 1000 : 0);
+    }
 }
 
 /* Sends the waiting KV to a decode engine, or waits for one while the KV lives. */
--- a/tests/fakes/cores.c
+++ b/tests/fakes/cores.c
@@ -284,6 +284,11 @@
       if (cores->options.on_call != NULL)
         cores->options.on_call (cores, self->slot, &action->call, cores->options.data);
       break;
+    case MF_ACTION_ANSWER_WHOLE:
+    case MF_ACTION_ANSWER_REFUSE:
+      if (cores->options.on_answer != NULL)
+        cores->options.on_answer (cores, self->slot, action, cores->options.data);
+      break;
     default:
       break;
     }
--- a/tests/fakes/cores.h
+++ b/tests/fakes/cores.h
@@ -10,6 +10,9 @@
 typedef void (*FakeCallFunc) (FakeCores *cores, uint32_t slot, const MfCallAction *call,
                               void *data);
 
+typedef void (*FakeAnswerFunc) (FakeCores *cores, uint32_t slot, const MfAction *action,
+                                void *data);
+
 typedef struct
 {
   uint32_t n_slots;
@@ -17,7 +20,8 @@
   uint32_t links_max; /* 0 for the default */
   uint64_t delay_us;  /* one way, between instances and to the platform */
   uint64_t seed;
-  FakeCallFunc on_call; /* calls to upstreams; may be NULL */
+  FakeCallFunc on_call;     /* calls to upstreams; may be NULL */
+  FakeAnswerFunc on_answer; /* whole answers and refusals; may be NULL */
   void *data;
 } FakeCoresOptions;
 
