A placement names its second best; convictions are the instance's own decision

explain tells beside each placement the prefill engine that came second and its predicted first token. Refusals for a conviction or for want of upstreams were counted as ended by an upstream; no upstream ended them.

--- a/libmangofork/explain.c
+++ b/libmangofork/explain.c
@@ -65,12 +65,14 @@
       snprintf (text, TEXT_BYTES, "queued behind %" PRIu64 " others", n);
       return;
     case MF_TRACE_PLACED:
+      if (step->other == MF_NONE)
+        other = "an engine chosen when its KV is ready";
       snprintf (text, TEXT_BYTES, "placed: prefill on %s, decode on %s, first token in %.1f ms",
                 upstream, other, ms);
       return;
     case MF_TRACE_ALTERNATIVE:
-      snprintf (text, TEXT_BYTES, "not taken: %s with %s, first token in %.1f ms", upstream, other,
-                ms);
+      snprintf (text, TEXT_BYTES, "second best, not taken: prefill on %s, first token in %.1f ms",
+                upstream, ms);
       return;
     case MF_TRACE_CALLED:
       snprintf (text, TEXT_BYTES, "%s sent to %s", call_name (n), upstream);
--- a/libmangofork/finish.c
+++ b/libmangofork/finish.c
@@ -132,10 +132,13 @@
   mf_request_remove (core, request);
 }
 
+/* Whether a code blames an upstream. A conviction, and that none is left, are this instance's own
+ * decisions. */
 static bool
 ended_by_upstream (MfCode code)
 {
-  return code >= MF_CODE_NO_UPSTREAM && code < MF_CODE_KEY_UNKNOWN;
+  return code == MF_CODE_UPSTREAM_DIED || code == MF_CODE_UPSTREAM_ERROR
+         || code == MF_CODE_UPSTREAM_STALLED || code == MF_CODE_ANSWER_TOO_LARGE;
 }
 
 /* Refuses the request. What it says about the work comes from the request's own history, but for
--- a/libmangofork/life.c
+++ b/libmangofork/life.c
@@ -741,6 +741,9 @@
     patience_us = PREFILL_STALL_MIN_US;
   mf_request_note (core, request, MF_TRACE_PLACED, placement->prefill, placement->decode,
                    placement->ttft_us);
+  if (request->runner_up_us > 0)
+    mf_request_note (core, request, MF_TRACE_ALTERNATIVE, request->runner_up, MF_NONE,
+                     request->runner_up_us);
   mf_request_set_phase (request, MF_PHASE_PREFILLING);
   mf_call_reserve (core, request, placement->decode);
   mf_call_start (core, request, MF_CALL_PREFILL, placement->prefill);
--- a/libmangofork/place.c
+++ b/libmangofork/place.c
@@ -186,6 +186,16 @@
          + mf_request_service (core, request)->config.tbt_target_us;
 }
 
+/* Remembers the second best prefill engine, so that a placement can be explained. */
+static void
+note_runner_up (MfRequest *request, uint32_t upstream, uint64_t us)
+{
+  if (upstream == MF_NONE || (request->runner_up_us != 0 && request->runner_up_us <= us))
+    return;
+  request->runner_up = upstream;
+  request->runner_up_us = us;
+}
+
 /* The prefill engine with the least predicted time to the first token, that would begin soon. */
 static uint32_t
 place_prefill (MfCore *core, MfRequest *request, uint64_t *ttft_us)
@@ -195,6 +205,7 @@
   uint32_t best = MF_NONE;
   Sample sample;
 
+  request->runner_up_us = 0;
   draw (core, pool, &sample);
   for (uint32_t i = 0; i < sample.n_rows; i++)
     {
@@ -210,10 +221,13 @@
         us *= 2;
       if (us < best_us)
         {
+          note_runner_up (request, best, best_us);
           best_us = us;
           best = upstream;
           request->cached_tokens = cached;
         }
+      else
+        note_runner_up (request, upstream, us);
     }
   *ttft_us = best_us;
   return best;
--- a/libmangofork/request.h
+++ b/libmangofork/request.h
@@ -133,6 +133,8 @@
   uint32_t cleared_at; /* tokens at which a suspect is cleared */
 
   MfCall *calls;
+  uint32_t runner_up;     /* prefill engine that was second best when it was placed */
+  uint64_t runner_up_us;  /* its predicted time to the first token; 0 for none */
   uint32_t cached_tokens; /* of the prompt, at the prefill engine chosen last, as far as known */
   uint32_t reserved;      /* decode upstream a slot is reserved on, or MF_NONE */
   uint32_t pieces;
