A new fleet serves its first orders; handovers in parts over the wire

Cause: the demo's first order was refused 4002: a fresh cell waited 10 s and then refused opaque keys for their life. And the part numbers of a handover were not in the frame, so that a large one counted as whole after its first part: the codec had no row for them and no test had more than one part. Change: a cell that finds no memory anywhere takes itself for new after cold_start_ms (4 s), sooner when every voter answers; half of an even cell hands everything to the other half; claims wait while their voters are being admitted; rows for part, n_parts and opaque_wait_ms. The test of the cold start asserted that opaque keys are refused after a whole cell was lost; that is the policy given up here. In its place: refused when some voters survive, and minted keys refused when none does.

--- a/libmangofork/claim.c
+++ b/libmangofork/claim.c
@@ -10,8 +10,9 @@
 #define RETRY_US (50 * MF_US_PER_MS)
 /* An earlier run's outcome is asked for again after so long. */
 #define ASK_US (100 * MF_US_PER_MS)
-/* Voters get so long to tell the outcome of a holder that is dead. */
-#define DEAD_HOLDER_US (300 * MF_US_PER_MS)
+/* Voters get so long to tell the outcome of a holder that is dead, or the answer of a call that is
+ * known to have run. */
+#define LAST_WORD_US (300 * MF_US_PER_MS)
 /* Two claims that split the votes both give way for a random time up to this. */
 #define BACKOFF_US (20 * MF_US_PER_MS)
 /* A claim finds its quorum within this or is refused. */
@@ -49,6 +50,7 @@
   ClaimState state;
   MfOwner holder;
   uint64_t holder_claim_id;
+  bool ran; /* waiting: the earlier run is over, but its answer has not been found */
   MfCell cell;
   Ballot ballots[MF_VOTERS_PER_KEY_MAX];
   UT_hash_handle by_request;
@@ -509,18 +511,22 @@
   claim_due (core, claim, core->board.now_us + mf_core_random_below (core, BACKOFF_US) + 1);
 }
 
-/* Takes what the own records tell of the key when this instance holds it itself. Returns whether
- * that settled or restarted the claim. */
-static bool
-waiting_look (MfCore *core, Claim *claim)
+/* Takes what is told of the earlier run. A voter may know that it is over without having its
+ * answer, which another may still have. */
+static void
+waiting_take (MfCore *core, Claim *claim, MfKeyState state, const MfClaimResult *result)
 {
-  MfKeyEntry *entry = mf_keybook_find (&core->board.claims->book, claim->key);
+  if (state == MF_KEY_FINISHED && result->body == NULL
+      && core->board.now_us < claim->waiting_since_us + LAST_WORD_US)
+    claim->ran = true;
+  else if (state == MF_KEY_FINISHED || state == MF_KEY_UNKNOWN)
+    settle_recorded (core, claim, state, result);
+}
 
-  if (entry != NULL && entry->state != MF_KEY_RUNNING)
-    {
-      settle_recorded (core, claim, entry->state, &entry->result);
-      return true;
-    }
+/* Claims again when this instance holds the key itself by a claim that it has given up. */
+static bool
+waiting_restart (MfCore *core, Claim *claim)
+{
   if (!is_self (core, &claim->holder)
       || find_claim (core->board.claims, claim->holder_claim_id) != NULL)
     return false;
@@ -529,35 +535,63 @@
   return true;
 }
 
+/* Ends a wait that has lasted long enough. Returns whether it did. */
+static bool
+waiting_end (MfCore *core, Claim *claim)
+{
+  uint64_t now_us = core->board.now_us;
+  bool last_word = now_us >= claim->waiting_since_us + LAST_WORD_US;
+
+  if (now_us < claim->deadline_us
+      && !(last_word && (claim->ran || holder_is_dead (core, &claim->holder))))
+    return false;
+  settle_plainly (core, claim, MF_CLAIM_UNKNOWN, MF_CODE_KEY_UNKNOWN,
+                  claim->ran ? MF_OUTCOME_RAN : MF_OUTCOME_UNKNOWN);
+  return true;
+}
+
 static void
 waiting_tick (MfCore *core, Claim *claim)
 {
-  uint64_t now_us = core->board.now_us;
+  MfKeyEntry *entry = mf_keybook_find (&core->board.claims->book, claim->key);
+  uint64_t request_id = claim->request_id;
   MfPeerMessage message = {
     .type = MF_PEER_OUTCOME_ASK,
     .outcome = { .claimant = claim->holder, .claim_id = claim->holder_claim_id },
   };
 
-  if (waiting_look (core, claim))
+  if (entry != NULL)
+    waiting_take (core, claim, entry->state, &entry->result);
+  if (find_request (core->board.claims, request_id) != claim || waiting_end (core, claim))
+    return;
+  if ((entry == NULL || entry->state == MF_KEY_RUNNING) && waiting_restart (core, claim))
     return;
-  if (now_us >= claim->deadline_us
-      || (holder_is_dead (core, &claim->holder)
-          && now_us >= claim->waiting_since_us + DEAD_HOLDER_US))
-    {
-      settle_plainly (core, claim, MF_CLAIM_UNKNOWN, MF_CODE_KEY_UNKNOWN, MF_OUTCOME_UNKNOWN);
-      return;
-    }
   memcpy (message.outcome.key, claim->key, MF_DIGEST_BYTES);
   if (mf_cell_find (&claim->cell, claim->holder.name) == MF_NONE && !is_self (core, &claim->holder))
     mf_member_send (core, claim->holder.name, &message);
   send_to_cell (core, &claim->cell, &message);
-  claim_due (core, claim, now_us + ASK_US);
+  claim_due (core, claim, core->board.now_us + ASK_US);
+}
+
+/* Whether a quorum of the cell can be reached, though some of it may still be fresh. */
+static bool
+cell_answers (const Claim *claim)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < claim->cell.n; i++)
+    n += claim->ballots[i].voted;
+  return n >= claim->cell.quorum;
 }
 
+/* A claim with too few voters in reach is refused early, so that the caller can go elsewhere; one
+ * whose voters are about to be admitted waits for them. */
 static void
 voting_tick (MfCore *core, Claim *claim)
 {
-  if (core->board.now_us < claim->voting_until_us && core->board.now_us < claim->deadline_us)
+  uint64_t now_us = core->board.now_us;
+
+  if (now_us < claim->deadline_us && (now_us < claim->voting_until_us || cell_answers (claim)))
     {
       claim_ask (core, claim);
       return;
@@ -664,9 +698,9 @@
     if (claim->state != CLAIM_WAITING || claim->holder_claim_id != outcome->claim_id
         || memcmp (claim->key, outcome->key, MF_DIGEST_BYTES) != 0)
       continue;
-    if (outcome->state == MF_KEY_FINISHED || outcome->state == MF_KEY_UNKNOWN)
-      settle_recorded (core, claim, outcome->state, &result);
-    else if (outcome->state == MF_KEY_NONE && strcmp (from->name, claim->holder.name) == 0
+    if (outcome->state != MF_KEY_NONE)
+      waiting_take (core, claim, outcome->state, &result);
+    else if (strcmp (from->name, claim->holder.name) == 0
              && from->incarnation == claim->holder.incarnation)
       claim_yield (core, claim);
   }
@@ -785,6 +819,12 @@
   core->board.claims = NULL;
 }
 
+MfVoterState *
+mf_claim_voter (const MfCore *core)
+{
+  return &core->board.claims->voter;
+}
+
 static void
 claims_config (MfCore *core)
 {
--- a/libmangofork/core.c
+++ b/libmangofork/core.c
@@ -58,7 +58,7 @@
     .links_max = 8,
     .load_period_us = 100 * MF_US_PER_MS,
     .platform_period_us = 5 * MF_US_PER_S,
-    .cold_start_us = 10 * MF_US_PER_S,
+    .cold_start_us = 4 * MF_US_PER_S,
   };
 }
 
--- a/libmangofork/frame.c
+++ b/libmangofork/frame.c
@@ -181,6 +181,9 @@
   FIELD_COUNTED (4, MfAdmittedMessage, view, n_view, ARRAY, MF_VOTERS_PER_KEY_MAX, &owner_table),
   FIELD_COUNTED (5, MfAdmittedMessage, records, n_records, LIST, 0, &record_table),
   FIELD (6, MfAdmittedMessage, cold_ms, U64),
+  FIELD (7, MfAdmittedMessage, opaque_wait_ms, U64),
+  FIELD (8, MfAdmittedMessage, part, U32),
+  FIELD (9, MfAdmittedMessage, n_parts, U32),
 };
 TABLE (admitted, MfAdmittedMessage);
 
--- a/libmangofork/peer.h
+++ b/libmangofork/peer.h
@@ -171,8 +171,9 @@
 {
   uint64_t admit_id;
   bool agreed;
-  bool voter_admitted; /* whether the answering voter is itself admitted */
-  uint64_t cold_ms;    /* wall clock before which the cell forgot its keys; 0 when it has not */
+  bool voter_admitted;     /* whether the answering voter is itself admitted */
+  uint64_t cold_ms;        /* wall clock before which the cell forgot its keys; 0 when it has not */
+  uint64_t opaque_wait_ms; /* until opaque keys are voted on again */
   uint64_t highest_incarnation; /* of the applicant's slot; the applicant must be above it */
   MfOwner view[MF_VOTERS_PER_KEY_MAX];
   uint32_t n_view;
--- a/libmangofork/voter.c
+++ b/libmangofork/voter.c
@@ -6,9 +6,9 @@
 #include <string.h>
 
 #define ADMIT_PERIOD_FIRST_US (100 * MF_US_PER_MS)
-#define ADMIT_PERIOD_MAX_US (2 * MF_US_PER_S)
+#define ADMIT_PERIOD_MAX_US MF_US_PER_S
 /* How far the clocks that mint keys may be ahead. */
-#define CLOCK_SKEW_MS 2000
+#define CLOCK_SKEW_MS 1000
 
 static bool
 owner_equal (const MfOwner *a, const MfOwner *b)
@@ -93,14 +93,14 @@
 }
 
 static void
-become_admitted (MfCore *core, MfVoterState *voter, uint64_t cold_ms)
+become_admitted (MfCore *core, MfVoterState *voter, uint64_t cold_ms, uint64_t opaque_wait_us,
+                 const char *reason)
 {
   voter->admitted = true;
   voter->cold_ms = cold_ms;
-  if (cold_ms != 0)
-    voter->opaque_from_us = core->board.now_us + voter->key_life_us;
-  mf_core_log (core, "voter", core->board.options.self.name, "fresh", "admitted",
-               cold_ms != 0 ? "cold start" : "handed over");
+  voter->cold_until_us = core->board.now_us + voter->key_life_us;
+  voter->opaque_from_us = core->board.now_us + opaque_wait_us;
+  mf_core_log (core, "voter", core->board.options.self.name, "fresh", "admitted", reason);
 }
 
 void
@@ -126,7 +126,67 @@
   if (!near)
     voter->born_us = core->board.now_us;
   if (voter->cell.n == 1)
-    become_admitted (core, voter, core->board.wall_ms);
+    become_admitted (core, voter, core->board.wall_ms, voter->key_life_us, "alone in its cell");
+}
+
+/* Merges what the answers told: incarnations, and the cell's own cold start. */
+static void
+answers_merge (MfCore *core, MfVoterState *voter, const char *reason)
+{
+  uint64_t cold_ms = 0;
+  uint64_t opaque_wait_ms = 0;
+
+  for (uint32_t i = 0; i < voter->cell.n; i++)
+    {
+      const MfAdmittedMessage *answer = &voter->answers[i];
+
+      if (voter->answer_from[i] == 0)
+        continue;
+      for (uint32_t k = 0; k < answer->n_view; k++)
+        view_raise (voter, &answer->view[k]);
+      if (answer->cold_ms > cold_ms)
+        cold_ms = answer->cold_ms;
+      if (answer->opaque_wait_ms > opaque_wait_ms)
+        opaque_wait_ms = answer->opaque_wait_ms;
+    }
+  become_admitted (core, voter, cold_ms, opaque_wait_ms * MF_US_PER_MS, reason);
+}
+
+/* Whether the voter that answered holds keys from before this cell's latest beginning. */
+static bool
+remembers_more (const MfCore *core, const MfAdmittedMessage *answer)
+{
+  uint64_t cold_ms = core->board.options.cold_start_us / MF_US_PER_MS;
+
+  return answer->agreed && (answer->opaque_wait_ms == 0 || answer->opaque_wait_ms > cold_ms);
+}
+
+/* Admits this voter although a quorum that could admit it is gone, on the ground that the processes
+ * which filled the lost slots are dead by now:
+ * - the voters that remember are so many that every quorum had one of them: nothing is forgotten;
+ * - nobody that can be reached remembers: the cell takes itself for new;
+ * - else some keys may be forgotten, and none from before is voted on. */
+static void
+start_cold (MfCore *core, MfVoterState *voter)
+{
+  uint64_t age_us = core->board.now_us - voter->born_us;
+  uint64_t cold_us = core->board.options.cold_start_us;
+  uint32_t n_answers = 1;
+  uint32_t n_remember = 0;
+
+  for (uint32_t i = 0; i < voter->cell.n; i++)
+    {
+      n_answers += voter->answer_from[i] != 0;
+      n_remember += voter->answer_from[i] != 0 && remembers_more (core, &voter->answers[i]);
+    }
+  if (n_answers < voter->cell.quorum)
+    return;
+  if (n_remember == 0 && age_us >= (n_answers == voter->cell.n ? cold_us / 4 : cold_us))
+    become_admitted (core, voter, core->board.wall_ms, cold_us, "new cell");
+  else if (age_us >= cold_us && n_remember > voter->cell.n - voter->cell.quorum)
+    answers_merge (core, voter, "handed over by the survivors");
+  else if (age_us >= cold_us)
+    become_admitted (core, voter, core->board.wall_ms, voter->key_life_us, "cold start");
 }
 
 /* Sends a request to be admitted to every voter of the cell that has not agreed yet. */
@@ -153,12 +213,15 @@
 {
   uint64_t now_us = core->board.now_us;
 
-  if (voter->cold_ms != 0 && now_us >= voter->opaque_from_us)
+  if (voter->cold_ms != 0 && now_us >= voter->cold_until_us)
     voter->cold_ms = 0;
   if (voter->index == MF_NONE || voter->admitted)
     return;
   if (now_us >= voter->next_admit_us)
     {
+      start_cold (core, voter);
+      if (voter->admitted)
+        return;
       voter->admit_id++;
       voter->next_admit_us = now_us + voter->admit_period_us;
       voter->admit_period_us *= 2;
@@ -294,6 +357,14 @@
   handover_send (handover);
 }
 
+static uint64_t
+opaque_wait_ms (const MfCore *core, const MfVoterState *voter)
+{
+  uint64_t now_us = core->board.now_us;
+
+  return now_us < voter->opaque_from_us ? (voter->opaque_from_us - now_us) / MF_US_PER_MS + 1 : 0;
+}
+
 void
 mf_voter_admit (MfCore *core, MfVoterState *voter, const MfAdmitMessage *admit)
 {
@@ -305,6 +376,7 @@
                  .admitted = { .admit_id = admit->admit_id,
                                .voter_admitted = voter->admitted,
                                .cold_ms = voter->cold_ms,
+                               .opaque_wait_ms = opaque_wait_ms (core, voter),
                                .n_parts = 1 } },
   };
   MfAdmittedMessage *answer = &handover.message.admitted;
@@ -375,40 +447,6 @@
   return n;
 }
 
-/* Whether so many voters have forgotten their votes that admission cannot be had: enough of the
- * cell answers, and yet this voter has waited for the whole of its cold start. */
-static bool
-cell_is_cold (const MfCore *core, const MfVoterState *voter)
-{
-  uint32_t n_answers = 1;
-
-  if (core->board.now_us < voter->born_us + core->board.options.cold_start_us)
-    return false;
-  for (uint32_t i = 0; i < voter->cell.n; i++)
-    n_answers += voter->answer_from[i] != 0;
-  return n_answers >= voter->cell.quorum;
-}
-
-/* Merges what the counted answers told: incarnations, and the cell's own cold start. */
-static void
-answers_merge (MfCore *core, MfVoterState *voter)
-{
-  uint64_t cold_ms = 0;
-
-  for (uint32_t i = 0; i < voter->cell.n; i++)
-    {
-      const MfAdmittedMessage *answer = &voter->answers[i];
-
-      if (voter->answer_from[i] == 0)
-        continue;
-      for (uint32_t k = 0; k < answer->n_view; k++)
-        view_raise (voter, &answer->view[k]);
-      if (answer->cold_ms > cold_ms)
-        cold_ms = answer->cold_ms;
-    }
-  become_admitted (core, voter, cold_ms);
-}
-
 /* Whether this part follows the last one read of the same answer; the first starts an answer. */
 static bool
 part_is_next (MfVoterState *voter, uint32_t i, const MfAdmittedMessage *answer)
@@ -449,7 +487,5 @@
   voter->answers[i].n_records = 0;
   voter->answer_from[i] = from->incarnation;
   if (answers_count (voter) >= needed)
-    answers_merge (core, voter);
-  else if (cell_is_cold (core, voter))
-    become_admitted (core, voter, core->board.wall_ms);
+    answers_merge (core, voter, "handed over");
 }
--- a/libmangofork/voter.h
+++ b/libmangofork/voter.h
@@ -18,6 +18,7 @@
   bool configured;
   bool admitted;
   uint64_t cold_ms;        /* keys minted before may be forgotten; 0 when none are */
+  uint64_t cold_until_us;  /* then every such key is too old anyway */
   uint64_t opaque_from_us; /* opaque keys are voted on from then */
   uint64_t key_life_us;
   uint64_t born_us;
@@ -31,6 +32,9 @@
   uint64_t answer_from[MF_VOTERS_PER_KEY_MAX];      /* incarnation that answered; 0 for none */
 } MfVoterState;
 
+/* This instance's own; owned by the claim controller. */
+MfVoterState *mf_claim_voter (const MfCore *core);
+
 void mf_voter_init (MfVoterState *voter, MfKeybook *book, uint64_t now_us);
 /* A text is in force: finds the cell, and asks to be admitted when it is another one. */
 void mf_voter_config (MfCore *core, MfVoterState *voter);
