--- a/tests/fakes/cores.c
+++ b/tests/fakes/cores.c
@@ -1,22 +1,25 @@
 #include "cores.h"
 
 #include "libmangofork/frame.h"
+#include "libmangofork/heap.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #define START_US (1000 * MF_US_PER_S)
 #define WALL_MS UINT64_C (1700000000000)
 #define LINKS_MAX 65536
 #define WATCH_US (60 * MF_US_PER_S)
 #define OPEN_TIMEOUT_US MF_US_PER_S
+#define ORDER_BITS 24
 
 /* Something that will happen to one incarnation of a slot. */
 typedef struct
 {
+  MfHeapNode node; /* first member */
   uint64_t at_us;
-  uint64_t sequence;
   uint32_t slot;
   uint64_t incarnation;
   MfEvent event;
@@ -33,6 +36,7 @@
   FakePlatform platform;
   uint32_t text_watch; /* number of the waiting read, 0 for none */
   uint64_t bytes_out;
+  uint64_t n_messages;
   MfListed listed;
 } Slot;
 
@@ -47,8 +51,7 @@
   FakeCoresOptions options;
   uint64_t now_us;
   uint64_t sequence;
-  Post **heap;
-  size_t n_heap, heap_size;
+  MfHeap heap;
   Slot *slots;
   bool *cut; /* from * n_slots + to */
   Link links[LINKS_MAX];
@@ -58,6 +61,7 @@
   uint32_t n_texts;
   uint32_t n_watches;
   uint64_t n_platform_calls;
+  uint64_t timed_ns; /* spent in slot 0 and its codec */
 };
 
 /* One slot as the action function's data. */
@@ -67,43 +71,12 @@
   uint32_t slot;
 } Self;
 
-static bool
-is_before (const Post *a, const Post *b)
-{
-  return a->at_us != b->at_us ? a->at_us < b->at_us : a->sequence < b->sequence;
-}
-
+/* Equal times keep their order: they are the order of messages on a link. */
 static void
-heap_push (FakeCores *cores, Post *post)
-{
-  size_t i = cores->n_heap++;
-
-  if (cores->n_heap > cores->heap_size)
-    {
-      cores->heap_size = 2 * cores->n_heap;
-      cores->heap = realloc (cores->heap, cores->heap_size * sizeof (Post *));
-    }
-  for (; i > 0 && is_before (post, cores->heap[(i - 1) / 2]); i = (i - 1) / 2)
-    cores->heap[i] = cores->heap[(i - 1) / 2];
-  cores->heap[i] = post;
-}
-
-static Post *
-heap_pop (FakeCores *cores)
+heap_push (FakeCores *cores, Post *it, uint64_t at_us)
 {
-  Post *first = cores->heap[0], *last = cores->heap[--cores->n_heap];
-  size_t i = 0;
-
-  for (size_t child; (child = 2 * i + 1) < cores->n_heap; i = child)
-    {
-      if (child + 1 < cores->n_heap && is_before (cores->heap[child + 1], cores->heap[child]))
-        child++;
-      if (!is_before (cores->heap[child], last))
-        break;
-      cores->heap[i] = cores->heap[child];
-    }
-  cores->heap[i] = last;
-  return first;
+  it->at_us = at_us;
+  mf_heap_set (&cores->heap, &it->node, (at_us << ORDER_BITS) + ++cores->sequence);
 }
 
 static Post *
@@ -111,12 +84,11 @@
 {
   Post *it = calloc (1, sizeof *it);
 
-  it->at_us = cores->now_us + delay_us;
-  it->sequence = ++cores->sequence;
+  it->node.position = MF_HEAP_OUT;
   it->slot = slot;
   it->incarnation = cores->slots[slot].incarnation;
   it->event = *event;
-  heap_push (cores, it);
+  heap_push (cores, it, cores->now_us + delay_us);
   return it;
 }
 
@@ -129,6 +101,15 @@
   free (it);
 }
 
+static uint64_t
+clock_ns (void)
+{
+  struct timespec time;
+
+  clock_gettime (CLOCK_MONOTONIC, &time);
+  return (uint64_t)time.tv_sec * UINT64_C (1000000000) + (uint64_t)time.tv_nsec;
+}
+
 static void
 slot_owner (const FakeCores *cores, uint32_t slot, MfOwner *owner)
 {
@@ -198,8 +179,10 @@
   uint8_t *bytes = mf_frame_encode (action->message, &n_bytes, &error);
   MfEvent event = { .type = MF_EVENT_PEER_MESSAGE, .peer = { .link_id = action->link_id } };
   MfFrame *frame = calloc (1, sizeof *frame);
+  uint64_t begun_ns = clock_ns ();
 
   cores->slots[slot].bytes_out += n_bytes;
+  cores->slots[slot].n_messages++;
   if (other < 0 || is_cut (cores, slot, (uint32_t)other)
       || !mf_frame_decode (bytes + MF_FRAME_LENGTH_BYTES, n_bytes - MF_FRAME_LENGTH_BYTES, frame,
                            &error))
@@ -208,6 +191,8 @@
     {
       slot_owner (cores, slot, &event.peer.peer);
       event.peer.message = &frame->message;
+      if (other == 0)
+        cores->timed_ns += clock_ns () - begun_ns;
       post (cores, (uint32_t)other, cores->options.delay_us, &event)->frame = frame;
     }
   free (bytes);
@@ -328,13 +313,18 @@
 void
 fake_cores_free (FakeCores *cores)
 {
-  while (cores->n_heap > 0)
-    post_free (heap_pop (cores));
+  Post *it;
+
+  while ((it = (Post *)mf_heap_first (&cores->heap)) != NULL)
+    {
+      mf_heap_remove (&cores->heap, &it->node);
+      post_free (it);
+    }
+  mf_heap_clear (&cores->heap);
   for (uint32_t i = 0; i < cores->options.n_slots; i++)
     slot_free (&cores->slots[i]);
   for (uint32_t i = 0; i < cores->n_texts; i++)
     free (cores->texts[i]);
-  free (cores->heap);
   free (cores->slots);
   free (cores->cut);
   free (cores);
@@ -421,6 +411,7 @@
 {
   static const size_t list_max = 512;
   MfListed *listed = NULL;
+  uint64_t begun_ns;
 
   event->now_us = cores->now_us;
   event->wall_ms = WALL_MS + cores->now_us / MF_US_PER_MS;
@@ -432,7 +423,10 @@
       for (uint32_t i = 0; i < cores->options.n_slots; i++)
         listed[i] = cores->slots[i].listed;
     }
+  begun_ns = clock_ns ();
   mf_core_step (cores->slots[slot].core, event);
+  if (slot == 0)
+    cores->timed_ns += clock_ns () - begun_ns;
   free (listed);
 }
 
@@ -459,8 +453,7 @@
   if (slot->core != NULL && slot->incarnation == it->incarnation
       && slot->paused_until_us > cores->now_us)
     {
-      it->at_us = slot->paused_until_us;
-      heap_push (cores, it);
+      heap_push (cores, it, slot->paused_until_us);
       return;
     }
   if (slot->core != NULL && slot->incarnation == it->incarnation
@@ -477,7 +470,8 @@
   for (;;)
     {
       MfEvent tick = { .type = MF_EVENT_TICK };
-      uint64_t next_us = cores->n_heap > 0 ? cores->heap[0]->at_us : UINT64_MAX;
+      Post *it = (Post *)mf_heap_first (&cores->heap);
+      uint64_t next_us = it != NULL ? it->at_us : UINT64_MAX;
       uint32_t due = MF_NONE;
 
       for (uint32_t i = 0; i < cores->options.n_slots; i++)
@@ -497,7 +491,10 @@
       if (due != MF_NONE)
         step (cores, due, &tick);
       else
-        deliver (cores, heap_pop (cores));
+        {
+          mf_heap_remove (&cores->heap, &it->node);
+          deliver (cores, it);
+        }
     }
   cores->now_us = end_us;
 }
@@ -521,33 +518,19 @@
 }
 
 uint64_t
-fake_cores_platform_calls (const FakeCores *cores)
+fake_cores_messages_out (const FakeCores *cores, uint32_t slot)
 {
-  return cores->n_platform_calls;
+  return cores->slots[slot].n_messages;
+}
+
+uint64_t
+fake_cores_timed_ns (const FakeCores *cores)
+{
+  return cores->timed_ns;
 }
 
-char *
-fake_cores_text (uint32_t n_upstreams, uint32_t slots, const char *version, bool checks_fencing)
-{
-  size_t n_bytes = 1024 + 160 * (size_t)n_upstreams, at;
-  char *text = malloc (n_bytes);
-
-  at = (size_t)snprintf (
-      text, n_bytes,
-      "{\"services\":[{\"name\":\"s\",\"kind\":\"model\",\"model\":\"m\",\"class\":\"summary\","
-      "\"version\":\"%s\",\"prefill_pool\":\"p\",\"decode_pool\":\"d\",\"deadline_ms\":60000,"
-      "\"ttft_target_ms\":1500,\"tbt_target_ms\":30,\"kv_token_bytes\":131072,"
-      "\"expected_tokens\":200}],\"customers\":[],\"allow_anonymous\":true,\"pools\":["
-      "{\"name\":\"p\",\"role\":\"prefill\",\"upstreams\":[{\"name\":\"p0\",\"address\":"
-      "\"127.0.0.1:1\",\"data_centre\":\"dc0\",\"slots\":8,\"pieces\":200}]},"
-      "{\"name\":\"d\",\"role\":\"decode\",\"upstreams\":[",
-      version);
-  for (uint32_t i = 0; i < n_upstreams; i++)
-    at += (size_t)snprintf (text + at, n_bytes - at,
-                            "%s{\"name\":\"d%u\",\"address\":\"127.0.0.1:%u\",\"data_centre\":"
-                            "\"dc0\",\"slots\":%u,\"pieces\":200,\"checks_fencing\":%s}",
-                            i > 0 ? "," : "", i, 20000 + i, slots,
-                            checks_fencing ? "true" : "false");
-  snprintf (text + at, n_bytes - at, "]}]}");
-  return text;
+uint64_t
+fake_cores_platform_calls (const FakeCores *cores)
+{
+  return cores->n_platform_calls;
 }
--- a/tests/fakes/cores.h
+++ b/tests/fakes/cores.h
@@ -51,9 +51,8 @@
 uint64_t fake_cores_now_us (const FakeCores *cores);
 uint64_t fake_cores_bytes_out (const FakeCores *cores, uint32_t slot);
 uint64_t fake_cores_platform_calls (const FakeCores *cores);
-/* A sound text with decode upstreams "d0", "d1", ... of so many slots each, and one service that
- * wants a version of its model. The caller frees it. */
-char *fake_cores_text (uint32_t n_upstreams, uint32_t slots, const char *version,
-                       bool checks_fencing);
+uint64_t fake_cores_messages_out (const FakeCores *cores, uint32_t slot);
+/* Time that slot 0's steps and its codec took, for benches. */
+uint64_t fake_cores_timed_ns (const FakeCores *cores);
 
 #endif
--- a/tests/test_confsync.c
+++ b/tests/test_confsync.c
@@ -2,6 +2,7 @@
 #include "libmangofork/text_delta.h"
 
 #include "fakes/cores.h"
+#include "fakes/text.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -29,7 +30,8 @@
 static void
 publish (FakeCores *cores, uint64_t revision, uint32_t n_upstreams)
 {
-  char *text = fake_cores_text (n_upstreams, 20, "", true);
+  char *text = fake_text (&(FakeTextOptions){
+      .n_upstreams = n_upstreams, .slots = 20, .version = "", .checks_fencing = true });
 
   fake_cores_publish (cores, revision, text);
   free (text);
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -1,6 +1,7 @@
 #include "libmangofork/member_row.h"
 
 #include "fakes/cores.h"
+#include "fakes/text.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -22,7 +23,8 @@
     .seed = 5,
   };
   FakeCores *cores = fake_cores_new (&options);
-  char *text = fake_cores_text (4, 20, "", true);
+  char *text = fake_text (
+      &(FakeTextOptions){ .n_upstreams = 4, .slots = 20, .version = "", .checks_fencing = true });
 
   fake_cores_publish (cores, 1, text);
   free (text);
--- a/tests/test_news.c
+++ b/tests/test_news.c
@@ -3,6 +3,7 @@
 #include "libmangofork/suspect.h"
 
 #include "fakes/cores.h"
+#include "fakes/text.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -46,7 +47,8 @@
     .data = calls,
   };
   FakeCores *cores = fake_cores_new (&options);
-  char *text = fake_cores_text (n_upstreams, 20, "", true);
+  char *text = fake_text (&(FakeTextOptions){
+      .n_upstreams = n_upstreams, .slots = 20, .version = "", .checks_fencing = true });
 
   fake_cores_publish (cores, 1, text);
   free (text);
@@ -71,7 +73,7 @@
                               .pieces_free = 200,
                               .leaving = leaving,
                               .role = MF_ROLE_DECODE,
-                              .model = "m" } };
+                              .model = "m0" } };
 
   assert_int_not_equal (upstream, MF_NONE);
   fake_cores_event (cores, slot, &event);
--- a/tests/test_order.c
+++ b/tests/test_order.c
@@ -1,6 +1,7 @@
 #include "libmangofork/member.h"
 
 #include "fakes/cores.h"
+#include "fakes/text.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -88,7 +89,8 @@
     .on_call = on_call,
     .data = fleet,
   };
-  char *text = fake_cores_text (n_engines, 20, "v1", checks_fencing);
+  char *text = fake_text (&(FakeTextOptions){
+      .n_upstreams = n_engines, .slots = 20, .version = "v1", .checks_fencing = checks_fencing });
 
   *fleet = (Fleet){
     .cores = fake_cores_new (&options),
@@ -107,7 +109,10 @@
 static void
 publish (Fleet *fleet, uint64_t revision, const char *version)
 {
-  char *text = fake_cores_text (fleet->n_engines, 20, version, fleet->checks_fencing);
+  char *text = fake_text (&(FakeTextOptions){ .n_upstreams = fleet->n_engines,
+                                              .slots = 20,
+                                              .version = version,
+                                              .checks_fencing = fleet->checks_fencing });
 
   fake_cores_publish (fleet->cores, revision, text);
   free (text);
@@ -126,7 +131,7 @@
                               .pieces_total = 200,
                               .pieces_free = 200,
                               .role = MF_ROLE_DECODE,
-                              .model = "m",
+                              .model = "m0",
                               .loading = engine->loaded_us != 0,
                               .fence_seen = engine->fence_seen } };
   char name[MF_NAME_BYTES];
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -2,6 +2,7 @@
 #include "libmangofork/share.h"
 
 #include "fakes/cores.h"
+#include "fakes/text.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -31,7 +32,8 @@
 {
   const FakeCoresOptions options
       = { .n_slots = N, .n_data_centres = 3, .delay_us = MF_US_PER_MS, .seed = 8 };
-  char *text = fake_cores_text (1, SLOTS, "", true);
+  char *text = fake_text (&(FakeTextOptions){
+      .n_upstreams = 1, .slots = SLOTS, .version = "", .checks_fencing = true });
 
   *engine = (Engine){ .cores = fake_cores_new (&options) };
   fake_cores_publish (engine->cores, 1, text);
