Control costs: an index of upstreams, shares only of those in use, asks only after news

Each share in a digest was looked up by a walk over 2,400 upstreams, each digest walked over all shares, each step over all neighbours. Change: upstreams are found through a hash table; shares are kept for the pools' subsets in use; neighbours are asked after news from them. As issuer of orders an instance polls its upstreams that it does not use.

--- a/bench/control.c
+++ b/bench/control.c
@@ -12,6 +12,7 @@
 #include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 /* The target size. */
 #define INSTANCES 380
@@ -78,10 +79,12 @@
     .n_services = SERVICES,
     .n_upstreams = scaled (ENGINES, n_instances) + SERVICES,
     .n_customers = scaled (CUSTOMERS, n_instances),
-    .slots = revision % 2 == 0 ? 20 : 21,
+    .slots = 20,
   };
   char *text = fake_text (&options);
+  char *place = strstr (text, "\"share\":1");
 
+  place[strlen ("\"share\":")] = (char)('1' + revision % 9);
   fake_cores_publish (cores, revision, text);
   free (text);
 }
--- a/libmangofork/board.h
+++ b/libmangofork/board.h
@@ -70,6 +70,8 @@
   MfConfigState config_state;
   MfUpstream *upstreams;
   uint32_t n_upstreams;
+  uint32_t *upstream_index; /* by name's hash; upstream_index.c */
+  uint32_t upstream_index_mask;
   MfServices services;
   bool draining; /* no new work is taken */
   bool ready;
--- a/libmangofork/confsync.c
+++ b/libmangofork/confsync.c
@@ -51,6 +51,7 @@
   bool whole;         /* the last difference did not fit: ask for the whole text */
   Ask text_ask;
   Ask list_ask;
+  bool look; /* something may have changed that asks wait for */
   uint64_t send_second;
   uint32_t n_sent;
 };
@@ -423,6 +424,7 @@
 {
   MfConfsync *sync = core->board.confsync;
 
+  sync->look |= event->type == MF_EVENT_PEER_MESSAGE || event->type == MF_EVENT_PEER_UP;
   switch (event->type)
     {
     case MF_EVENT_TEXT:
@@ -454,6 +456,9 @@
 
   decide_first (core);
   mf_platform_reads_tick (core, &sync->reads);
+  if (!sync->look && sync->text_ask.until_us == 0 && sync->list_ask.until_us == 0)
+    return;
+  sync->look = false;
   ask_peers (core, &sync->text_ask, false);
   ask_peers (core, &sync->list_ask, true);
 }
--- a/libmangofork/order.c
+++ b/libmangofork/order.c
@@ -26,6 +26,11 @@
  * be brought to the desired state does not keep the others from theirs. */
 #define TURN_MS (300 * UINT64_C (1000))
 #define CALLS_MAX 64
+/* An instance polls few upstreams for its own use. As issuer it looks after all of its upstreams:
+ * so many are gone through at a time, and those without a recent report are polled. */
+#define LOOK_US (500 * MF_US_PER_MS)
+#define LOOK_ROWS 16
+#define LOOK_LIFE_US (10 * MF_US_PER_S)
 
 /* What the text wants of an engine. */
 typedef struct
@@ -63,6 +68,8 @@
   uint32_t n_rows;
   uint32_t n_differ;
   uint64_t check_us;
+  uint64_t look_us;
+  uint32_t look_row;
   OrderCall calls[CALLS_MAX];
   uint32_t n_calls;
 };
@@ -377,6 +384,8 @@
     }
   if (row->issuer_us == 0)
     row->issuer_us = core->board.now_us;
+  if (state->load_at_us + MF_US_PER_S < core->board.now_us)
+    mf_upstream_poll (core, upstream);
   if (!may_order (core, state, row))
     return;
   held = core->board.now_us < row->next_us;
@@ -454,11 +463,34 @@
     call_ended (orders, event->call.call_id);
 }
 
+/* Polls those of the next few upstreams that this instance is the issuer of and does not use. */
+static void
+look (MfCore *core)
+{
+  MfOrders *orders = core->board.orders;
+
+  for (uint32_t i = 0; i < LOOK_ROWS && i < orders->n_rows; i++)
+    {
+      uint32_t upstream = orders->look_row++ % orders->n_rows;
+      const MfUpstream *state = &core->board.upstreams[upstream];
+
+      if (state->in_config && state->role != MF_ROLE_PLAIN
+          && state->load_at_us + LOOK_LIFE_US < core->board.now_us
+          && mf_member_rank (core, state->name_hash, NULL) == 0)
+        mf_upstream_poll (core, upstream);
+    }
+}
+
 static void
 order_tick (MfCore *core)
 {
   MfOrders *orders = core->board.orders;
 
+  if (core->board.now_us >= orders->look_us)
+    {
+      orders->look_us = core->board.now_us + LOOK_US;
+      look (core);
+    }
   if (orders->n_differ == 0 || core->board.config == NULL)
     return;
   if (core->board.now_us >= orders->check_us)
--- a/libmangofork/share.c
+++ b/libmangofork/share.c
@@ -34,13 +34,16 @@
   uint16_t told_used;
   uint16_t told_wanted;
   uint8_t n_zero_told;
+  bool watched;
 } ShareRow;
 
 struct MfShares
 {
   ShareRow *rows; /* one an upstream */
   uint32_t n_rows;
-  uint32_t cursor;    /* where the next digest goes on */
+  uint32_t *watched; /* rows that this instance uses or has told of */
+  uint32_t n_watched;
+  uint32_t cursor;    /* among the watched, where the next digest goes on */
   uint32_t n_live;    /* live instances, this one included */
   uint32_t n_unheard; /* of them, those whose shares are never told here */
   uint64_t sweep_us;
@@ -194,6 +197,15 @@
   return shares->rows[upstream].limit;
 }
 
+static void
+watch (MfShares *shares, uint32_t upstream)
+{
+  if (shares->rows[upstream].watched)
+    return;
+  shares->rows[upstream].watched = true;
+  shares->watched[shares->n_watched++] = upstream;
+}
+
 /* Says how many slots this instance would use of it if it had them. The fleet is told at once when
  * an upstream is wanted anew or twice as much as told. */
 void
@@ -205,6 +217,7 @@
   if (upstream >= shares->n_rows || shares->rows[upstream].own_wanted == n_slots)
     return;
   row = &shares->rows[upstream];
+  watch (shares, upstream);
   if (n_slots > row->own_wanted)
     row->wanted_us = core->board.now_us;
   row->own_wanted = n_slots;
@@ -265,16 +278,17 @@
     max = MF_SHARES_PER_DIGEST_MAX;
   for (uint32_t pass = 0; pass < 2; pass++)
     {
-      for (uint32_t i = 0; i < shares->n_rows && digest->n_shares < max; i++)
+      for (uint32_t i = 0; i < shares->n_watched && digest->n_shares < max; i++)
         {
-          uint32_t upstream = (shares->cursor + i) % shares->n_rows;
+          uint32_t at = (shares->cursor + i) % shares->n_watched;
+          uint32_t upstream = shares->watched[at];
           bool changed = has_changed (core, upstream);
 
           if (pass == 0 ? !changed : changed || !is_worth_repeating (&shares->rows[upstream]))
             continue;
           fill_one (core, upstream, digest);
           if (digest->n_shares == max)
-            shares->cursor = (upstream + 1) % shares->n_rows;
+            shares->cursor = (at + 1) % shares->n_watched;
         }
     }
 }
@@ -319,7 +333,8 @@
         .used = share->slots_used,
         .wanted = share->slots_wanted,
       };
-      limit_update (core, upstream);
+      if (core->board.shares->rows[upstream].watched)
+        limit_update (core, upstream);
     }
 }
 
@@ -356,13 +371,44 @@
     }
 }
 
+/* Watches the pools' subsets in use, and what was told of until it was told to be free. Their
+ * number does not grow with the fleet. */
+static void
+watch_again (MfCore *core)
+{
+  MfShares *shares = core->board.shares;
+  const MfServices *services = &core->board.services;
+  uint32_t n_before = shares->n_watched;
+
+  shares->n_watched = 0;
+  for (uint32_t i = 0; i < n_before; i++)
+    {
+      uint32_t upstream = shares->watched[i];
+
+      shares->rows[upstream].watched = false;
+      if (is_worth_repeating (&shares->rows[upstream])
+          || core->board.upstreams[upstream].own_slots > 0)
+        watch (shares, upstream);
+    }
+  for (uint32_t i = 0; i < services->n_pools; i++)
+    {
+      for (uint32_t k = 0; k < services->pools[i].n_active; k++)
+        watch (shares, services->pools[i].active[k]);
+    }
+}
+
 static void
 rows_grow (MfShares *shares, uint32_t n_rows)
 {
+  uint32_t *watched;
   ShareRow *rows;
 
   if (n_rows <= shares->n_rows)
     return;
+  watched = realloc (shares->watched, n_rows * sizeof *watched);
+  if (watched == NULL)
+    return;
+  shares->watched = watched;
   rows = realloc (shares->rows, n_rows * sizeof *rows);
   if (rows == NULL)
     return;
@@ -398,10 +444,11 @@
     return;
   shares->sweep_us = core->board.now_us + SWEEP_US;
   count_members (core);
-  for (uint32_t i = 0; i < shares->n_rows; i++)
+  watch_again (core);
+  for (uint32_t i = 0; i < shares->n_watched; i++)
     {
-      row_expire (core, &shares->rows[i]);
-      limit_update (core, i);
+      row_expire (core, &shares->rows[shares->watched[i]]);
+      limit_update (core, shares->watched[i]);
     }
 }
 
@@ -431,6 +478,7 @@
   for (uint32_t i = 0; i < shares->n_rows; i++)
     free (shares->rows[i].sharers);
   free (shares->rows);
+  free (shares->watched);
   free (shares);
   core->board.shares = NULL;
 }
--- a/libmangofork/upstream.c
+++ b/libmangofork/upstream.c
@@ -203,17 +203,6 @@
                mf_code_info (reason)->name);
 }
 
-uint32_t
-mf_upstream_find (const MfCore *core, uint64_t name_hash)
-{
-  for (uint32_t i = 0; i < core->board.n_upstreams; i++)
-    {
-      if (core->board.upstreams[i].name_hash == name_hash)
-        return i;
-    }
-  return MF_NONE;
-}
-
 static void
 add_member (MfPoolRow *pool, uint32_t row)
 {
@@ -284,6 +273,7 @@
       apply_one (core, row, &config->upstreams[i], i);
     }
   free (known);
+  mf_upstream_index_build (core);
   for (uint32_t i = 0; i < board->services.n_pools; i++)
     rank_members (core, &board->services.pools[i]);
   mf_upstream_refresh_pools (core);
@@ -463,6 +453,7 @@
 {
   free (core->board.polls);
   free (core->board.upstreams);
+  free (core->board.upstream_index);
 }
 
 const MfController mf_upstream_controller = {
--- a/libmangofork/upstream.h
+++ b/libmangofork/upstream.h
@@ -73,6 +73,8 @@
 
 /* Brings the table in line with the text now in force. */
 void mf_upstream_apply_config (MfCore *core);
+/* After rows were added; upstream_index.c. */
+void mf_upstream_index_build (MfCore *core);
 /* Returns the row of that name's hash, or MF_NONE. */
 uint32_t mf_upstream_find (const MfCore *core, uint64_t name_hash);
 /* What another instance learnt. Never empties a pool by hearsay alone. */
