--- a/libmangofork/logger.c
+++ b/libmangofork/logger.c
@@ -3,7 +3,6 @@
 #include "buffer.h"
 
 #include <log4c.h>
-#include <log4c/appender_type_stream.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -41,6 +40,18 @@
   .format = layout_format,
 };
 
+static int
+appender_append (log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+  (void)appender;
+  return fputs (event->evt_rendered_msg, stderr);
+}
+
+static const log4c_appender_type_t appender_type = {
+  .name = "mangofork",
+  .append = appender_append,
+};
+
 MfLogger *
 mf_logger_new (const char *level, const char *instance, MfError *error)
 {
@@ -53,9 +64,9 @@
     }
   mf_name_set (logger->instance, sizeof logger->instance, instance);
   logger->category = log4c_category_get ("mangofork");
-  logger->appender = log4c_appender_get ("stderr");
+  logger->appender = log4c_appender_get ("mangofork");
   logger->layout = log4c_layout_get ("mangofork");
-  log4c_appender_set_type (logger->appender, &log4c_appender_type_stream);
+  log4c_appender_set_type (logger->appender, &appender_type);
   log4c_layout_set_type (logger->layout, &layout_type);
   log4c_layout_set_udata (logger->layout, logger);
   log4c_appender_set_layout (logger->appender, logger->layout);
@@ -80,7 +91,7 @@
 static void
 key_add (MfBuffer *line, const char *key, const char *value)
 {
-  if (value == NULL)
+  if (value == NULL || value[0] == '\0')
     return;
   mf_buffer_add_text (line, " ");
   mf_buffer_add_text (line, key);
