--- /dev/null
+++ b/bench/relay.c
@@ -0,0 +1,525 @@
+#include "relay_client.h"
+#include "relay_upstream.h"
+
+#include "libmangofork/server.h"
+#include "libmangofork/socket.h"
+
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <time.h>
+#include <unistd.h>
+
+#define OPEN_STREAMS 1000
+#define TTFT_TARGET_MS 0.5
+#define TOKENS_TARGET 200000.0
+/* Growth that the allocator's own unevenness may cause over the whole run. */
+#define GROWTH_TARGET_KB 1024
+#define MEMORY_CALLERS 64
+#define BODY_BYTES 512
+
+/* What is run. Times are in microseconds. */
+typedef struct
+{
+  uint64_t seed;
+  bool quick;
+  uint32_t n_probes;
+  uint32_t n_requests;
+  uint32_t n_tokens;
+} Options;
+
+typedef struct
+{
+  uint16_t callers;
+  uint16_t admin;
+  uint16_t peer;
+  uint16_t prefill;
+  uint16_t decode;
+  uint16_t platform;
+  uint16_t copier;
+} Ports;
+
+typedef struct
+{
+  Options options;
+  Ports ports;
+  struct ev_loop *loop;
+  pid_t upstream;
+  pid_t server;
+  pid_t copier;
+} Bench;
+
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  Options *options = state->input;
+
+  if (key == 's')
+    options->seed = strtoull (arg, NULL, 10);
+  else if (key == 'q')
+    options->quick = true;
+  else
+    return ARGP_ERR_UNKNOWN;
+  return 0;
+}
+
+static const struct argp_option argp_options[] = {
+  { .name = "seed", .key = 's', .arg = "N", .doc = "Seed of the run" },
+  { .name = "quick", .key = 'q', .doc = "A tenth of the work" },
+  { 0 },
+};
+static const struct argp parser = {
+  .options = argp_options,
+  .parser = parse_option,
+  .doc = "Measures what the process adds to a direct connection.",
+};
+
+static uint16_t
+port_free (void)
+{
+  MfError error = { 0 };
+  int fd = mf_socket_listen ("127.0.0.1:0", &error);
+  uint16_t port = mf_socket_port (fd);
+
+  close (fd);
+  return port;
+}
+
+static void
+address_set (char address[MF_ADDRESS_BYTES], uint16_t port)
+{
+  snprintf (address, MF_ADDRESS_BYTES, "127.0.0.1:%u", port);
+}
+
+/* The life of the child that is measured. */
+static void
+server_run (const Bench *bench)
+{
+  static const char text[]
+      = "{\"name\":\"bench-1\",\"data_centre\":\"a\",\"listen\":\"127.0.0.1:1\","
+        "\"admin\":\"127.0.0.1:1\",\"peer\":\"127.0.0.1:1\","
+        "\"platform\":{\"address\":\"127.0.0.1:1\"}}";
+  MfSettings settings;
+  MfError error = { 0 };
+  MfServer *server;
+
+  if (!mf_settings_parse (text, sizeof text - 1, &settings, NULL, NULL))
+    exit (1);
+  address_set (settings.listen, bench->ports.callers);
+  address_set (settings.admin, bench->ports.admin);
+  address_set (settings.peer, bench->ports.peer);
+  address_set (settings.platform, bench->ports.platform);
+  settings.options.drain_grace_us = 0;
+  server = mf_server_new (&settings, &error);
+  if (server == NULL)
+    {
+      fprintf (stderr, "relay: %s\n", error.text);
+      exit (1);
+    }
+  mf_server_run (server);
+  mf_server_free (server);
+}
+
+static void
+children_start (Bench *bench)
+{
+  bench->upstream = fork ();
+  if (bench->upstream == 0)
+    {
+      relay_upstream_run (bench->ports.prefill, bench->ports.decode, bench->ports.platform);
+      exit (0);
+    }
+  bench->copier = fork ();
+  if (bench->copier == 0)
+    {
+      relay_copier_run (bench->ports.copier, bench->ports.decode);
+      exit (0);
+    }
+  usleep (200000);
+  bench->server = fork ();
+  if (bench->server == 0)
+    {
+      server_run (bench);
+      exit (0);
+    }
+}
+
+static void
+children_stop (Bench *bench)
+{
+  pid_t children[] = { bench->server, bench->copier, bench->upstream };
+
+  for (size_t i = 0; i < MF_ARRAY_LEN (children); i++)
+    {
+      kill (children[i], SIGTERM);
+      waitpid (children[i], NULL, 0);
+    }
+}
+
+/* Seconds of processor time a child has used. */
+static double
+cpu_s (pid_t pid)
+{
+  clockid_t clock;
+  struct timespec used = { 0 };
+
+  if (clock_getcpuclockid (pid, &clock) == 0)
+    clock_gettime (clock, &used);
+  return (double)used.tv_sec + (double)used.tv_nsec / 1e9;
+}
+
+static long
+resident_kb (pid_t pid)
+{
+  char path[64];
+  long pages = 0;
+  long resident = 0;
+  FILE *file;
+
+  snprintf (path, sizeof path, "/proc/%d/statm", (int)pid);
+  file = fopen (path, "r");
+  if (file == NULL || fscanf (file, "%ld %ld", &pages, &resident) != 2)
+    resident = 0;
+  if (file != NULL)
+    fclose (file);
+  return resident * (sysconf (_SC_PAGESIZE) / 1024);
+}
+
+/* A body that asks for tokens; directly, it stands for the decode after a prefill. */
+static void
+body_write (char body[BODY_BYTES], bool direct, bool stream, uint32_t n_tokens, uint32_t gap_us)
+{
+  snprintf (body, BODY_BYTES,
+            "{\"model\":\"m\",\"prompt\":\"a short prompt\",\"max_tokens\":%u,\"stream\":%s,"
+            "\"bench_gap_us\":%u%s}",
+            n_tokens, stream ? "true" : "false", gap_us,
+            direct ? ",\"kv_transfer_params\":{\"do_remote_prefill\":true}" : "");
+}
+
+static void
+on_broken (RelayClient *client, void *data)
+{
+  (void)client;
+  (void)data;
+  fprintf (stderr, "relay: a connection broke\n");
+  exit (1);
+}
+
+/* Many streams at once. */
+typedef struct
+{
+  struct ev_loop *loop;
+  RelayClient *clients[OPEN_STREAMS];
+  uint32_t n_clients;
+  uint32_t n_first;
+  uint32_t n_done;
+  uint32_t wait_first;
+} Streams;
+
+static void
+streams_first (RelayClient *client, void *data)
+{
+  Streams *streams = data;
+
+  (void)client;
+  if (++streams->n_first == streams->wait_first)
+    ev_break (streams->loop, EVBREAK_ALL);
+}
+
+static void
+streams_done (RelayClient *client, void *data)
+{
+  Streams *streams = data;
+
+  (void)client;
+  if (++streams->n_done == streams->n_clients)
+    ev_break (streams->loop, EVBREAK_ALL);
+}
+
+static void
+streams_begin (Streams *streams, struct ev_loop *loop, uint16_t port, const char *body)
+{
+  static const RelayHooks hooks
+      = { .on_first = streams_first, .on_done = streams_done, .on_broken = on_broken };
+
+  streams->loop = loop;
+  streams->n_clients = OPEN_STREAMS;
+  for (uint32_t i = 0; i < OPEN_STREAMS; i++)
+    {
+      streams->clients[i] = relay_client_new (loop, port, &hooks, streams);
+      relay_client_send (streams->clients[i], body, true);
+    }
+}
+
+/* Ends the connections and returns the tokens that arrived. */
+static uint64_t
+streams_end (Streams *streams)
+{
+  uint64_t n_tokens = 0;
+
+  for (uint32_t i = 0; i < streams->n_clients; i++)
+    {
+      n_tokens += relay_client_tokens (streams->clients[i]);
+      relay_client_free (streams->clients[i]);
+    }
+  return n_tokens;
+}
+
+/* One probe after another on one connection; directly, a prefill and then a decode. */
+typedef struct
+{
+  struct ev_loop *loop;
+  RelayClient *prefill; /* NULL through the process */
+  RelayClient *decode;
+  char body[BODY_BYTES];
+  double begun_s;
+  double *first_ms;
+  uint32_t n_probes;
+  uint32_t n_taken;
+} Probe;
+
+static void
+probe_send (Probe *probe)
+{
+  probe->begun_s = relay_clock_s ();
+  if (probe->prefill != NULL)
+    relay_client_send (probe->prefill, probe->body, false);
+  else
+    relay_client_send (probe->decode, probe->body, true);
+}
+
+static void
+probe_first (RelayClient *client, void *data)
+{
+  Probe *probe = data;
+
+  if (client == probe->decode && probe->n_taken < probe->n_probes)
+    probe->first_ms[probe->n_taken++] = (relay_clock_s () - probe->begun_s) * 1000;
+}
+
+static void
+probe_done (RelayClient *client, void *data)
+{
+  Probe *probe = data;
+
+  if (client == probe->prefill)
+    relay_client_send (probe->decode, probe->body, true);
+  else
+    ev_break (probe->loop, EVBREAK_ALL);
+}
+
+static void
+probe_open (Probe *probe, const Bench *bench, bool direct)
+{
+  static const RelayHooks hooks
+      = { .on_first = probe_first, .on_done = probe_done, .on_broken = on_broken };
+
+  *probe = (Probe){ .loop = bench->loop, .n_probes = bench->options.n_probes };
+  probe->first_ms = calloc (probe->n_probes, sizeof *probe->first_ms);
+  body_write (probe->body, direct, true, 2, 0);
+  if (direct)
+    probe->prefill = relay_client_new (bench->loop, bench->ports.prefill, &hooks, probe);
+  probe->decode = relay_client_new (bench->loop,
+                                    direct ? bench->ports.decode : bench->ports.callers, &hooks,
+                                    probe);
+}
+
+static int
+compare (const void *a, const void *b)
+{
+  double left = *(const double *)a;
+  double right = *(const double *)b;
+
+  return (left > right) - (left < right);
+}
+
+static double
+quantile (const Probe *probe, double share)
+{
+  return probe->first_ms[(uint32_t)(share * (double)(probe->n_taken - 1))];
+}
+
+static void
+probe_close (Probe *probe)
+{
+  if (probe->prefill != NULL)
+    relay_client_free (probe->prefill);
+  relay_client_free (probe->decode);
+  free (probe->first_ms);
+}
+
+static void
+result (const char *name, double value, double target, bool met)
+{
+  printf ("RESULT %s %.3f %.3f %s\n", name, value, target, met ? "met" : "missed");
+}
+
+/* First-token times, the two ways in turns, while many streams are open. */
+static double
+measure_ttft (Bench *bench)
+{
+  Streams *streams = calloc (1, sizeof *streams);
+  Probe probes[2];
+  char body[BODY_BYTES];
+  double added_ms;
+
+  streams->wait_first = OPEN_STREAMS;
+  body_write (body, false, true, 1000000, 50000);
+  streams_begin (streams, bench->loop, bench->ports.callers, body);
+  ev_run (bench->loop, 0);
+  probe_open (&probes[0], bench, false);
+  probe_open (&probes[1], bench, true);
+  for (uint32_t i = 0; i < 2 * bench->options.n_probes; i++)
+    {
+      probe_send (&probes[i % 2]);
+      ev_run (bench->loop, 0);
+    }
+  for (int i = 0; i < 2; i++)
+    {
+      qsort (probes[i].first_ms, probes[i].n_taken, sizeof (double), compare);
+      printf ("first token, %s, %u open streams: p50 %.3f ms, p99 %.3f ms (%u probes)\n",
+              i == 0 ? "through the process" : "direct", OPEN_STREAMS, quantile (&probes[i], 0.5),
+              quantile (&probes[i], 0.99), probes[i].n_taken);
+    }
+  printf ("added at p50: %.3f ms\n", quantile (&probes[0], 0.5) - quantile (&probes[1], 0.5));
+  added_ms = quantile (&probes[0], 0.99) - quantile (&probes[1], 0.99);
+  probe_close (&probes[0]);
+  probe_close (&probes[1]);
+  streams_end (streams);
+  free (streams);
+  return added_ms;
+}
+
+/* Tokens that one core of a child carries a second, over streams that run to their end. */
+static double
+measure_tokens (Bench *bench, bool direct, uint32_t gap_us, const char *what)
+{
+  Streams *streams = calloc (1, sizeof *streams);
+  pid_t pid = direct ? bench->copier : bench->server;
+  uint64_t wanted = (uint64_t)OPEN_STREAMS * bench->options.n_tokens;
+  char body[BODY_BYTES];
+  double cpu = cpu_s (pid);
+  double wall = relay_clock_s ();
+  double rate;
+  uint64_t n_tokens;
+
+  body_write (body, direct, true, bench->options.n_tokens, gap_us);
+  streams_begin (streams, bench->loop, direct ? bench->ports.copier : bench->ports.callers, body);
+  ev_run (bench->loop, 0);
+  cpu = cpu_s (pid) - cpu;
+  wall = relay_clock_s () - wall;
+  n_tokens = streams_end (streams);
+  free (streams);
+  rate = (double)n_tokens / cpu;
+  printf ("%s, %s: %llu of %llu tokens in %.2f s, %.2f s of processor time, %.0f tokens/s a core\n",
+          what, direct ? "bare copy" : "through the process", (unsigned long long)n_tokens,
+          (unsigned long long)wanted, wall, cpu, rate);
+  return n_tokens == wanted ? rate : 0;
+}
+
+/* Requests one after another on several connections. */
+typedef struct
+{
+  struct ev_loop *loop;
+  char bodies[2][BODY_BYTES]; /* whole and streamed */
+  uint32_t n_wanted;
+  uint32_t n_sent;
+  uint32_t n_done;
+} Volley;
+
+static void
+volley_next (RelayClient *client, Volley *volley)
+{
+  bool stream = volley->n_sent % 2 == 1;
+
+  if (volley->n_sent == volley->n_wanted)
+    return;
+  relay_client_send (client, volley->bodies[stream], stream);
+  volley->n_sent++;
+}
+
+static void
+volley_done (RelayClient *client, void *data)
+{
+  Volley *volley = data;
+
+  if (++volley->n_done == volley->n_wanted)
+    ev_break (volley->loop, EVBREAK_ALL);
+  volley_next (client, volley);
+}
+
+static void
+volley_run (Bench *bench, uint32_t n_requests)
+{
+  static const RelayHooks hooks = { .on_done = volley_done, .on_broken = on_broken };
+  Volley volley = { .loop = bench->loop, .n_wanted = n_requests };
+  RelayClient *clients[MEMORY_CALLERS];
+
+  body_write (volley.bodies[0], false, false, 2, 0);
+  body_write (volley.bodies[1], false, true, 2, 0);
+  for (int i = 0; i < MEMORY_CALLERS; i++)
+    {
+      clients[i] = relay_client_new (bench->loop, bench->ports.callers, &hooks, &volley);
+      volley_next (clients[i], &volley);
+    }
+  ev_run (bench->loop, 0);
+  for (int i = 0; i < MEMORY_CALLERS; i++)
+    relay_client_free (clients[i]);
+}
+
+static long
+measure_memory (Bench *bench)
+{
+  uint32_t n = bench->options.n_requests;
+  long before;
+  long after;
+  double cpu;
+
+  volley_run (bench, n / 5);
+  before = resident_kb (bench->server);
+  cpu = cpu_s (bench->server);
+  volley_run (bench, n);
+  after = resident_kb (bench->server);
+  cpu = cpu_s (bench->server) - cpu;
+  printf ("memory: %ld kB after %u requests, %ld kB after %u more; %.1f us of processor time a "
+          "request\n",
+          before, n / 5, after, n, cpu / n * 1e6);
+  return after - before;
+}
+
+int
+main (int argc, char **argv)
+{
+  Bench bench = { .options = { .seed = 1 } };
+  double ttft_ms;
+  double paced;
+  double flood;
+  long growth_kb;
+
+  argp_parse (&parser, argc, argv, 0, NULL, &bench.options);
+  bench.options.n_probes = bench.options.quick ? 300 : 3000;
+  bench.options.n_requests = bench.options.quick ? 10000 : 100000;
+  bench.options.n_tokens = bench.options.quick ? 100 : 1000;
+  bench.ports = (Ports){ port_free (), port_free (), port_free (), port_free (),
+                         port_free (), port_free (), port_free () };
+  signal (SIGPIPE, SIG_IGN);
+  children_start (&bench);
+  bench.loop = ev_loop_new (EVFLAG_AUTO);
+  usleep (1500000);
+  growth_kb = measure_memory (&bench);
+  ttft_ms = measure_ttft (&bench);
+  measure_tokens (&bench, true, 10000, "a token every 10 ms on each stream");
+  paced = measure_tokens (&bench, false, 10000, "a token every 10 ms on each stream");
+  measure_tokens (&bench, true, 0, "tokens as fast as they go");
+  flood = measure_tokens (&bench, false, 0, "tokens as fast as they go");
+  children_stop (&bench);
+  ev_loop_destroy (bench.loop);
+  result ("relay_ttft_added_p99_ms", ttft_ms, TTFT_TARGET_MS, ttft_ms <= TTFT_TARGET_MS);
+  result ("relay_tokens_per_core_paced", paced, TOKENS_TARGET, paced >= TOKENS_TARGET);
+  result ("relay_tokens_per_core_flood", flood, TOKENS_TARGET, flood >= TOKENS_TARGET);
+  result ("relay_growth_kb", (double)growth_kb, GROWTH_TARGET_KB, growth_kb <= GROWTH_TARGET_KB);
+  return 0;
+}
