A grant is looked at again when the first byte is about to leave

Cause: a process paused between the start of a keyed call and the first byte on its connection sent the call on a grant of any age. Change: the event before the first byte checks the grant's age; a stale call is closed unsent and its key claimed again. Conclusion: what is left is a pause between that look and the write itself, which harms only when it outlasts the key's life.

--- a/libmangofork/life.c
+++ b/libmangofork/life.c
@@ -144,11 +144,22 @@
   step->call->sent = true;
 }
 
+static void claim_again (MfCore *core, MfRequest *request);
+
+/* The call is about to leave. Where the process was paused since the grant, it must not. */
 static void
 connecting_sent (const Step *step)
 {
+  MfRequest *request = step->request;
+
+  if (request->claimed && !mf_claim_may_send (step->core, request->id))
+    {
+      mf_call_abandon_all (step->core, request);
+      claim_again (step->core, request);
+      return;
+    }
   step->call->sent = true;
-  mf_request_set_phase (step->request, MF_PHASE_SENT);
+  mf_request_set_phase (request, MF_PHASE_SENT);
 }
 
 static void
--- a/tests/test_claim.c
+++ b/tests/test_claim.c
@@ -590,29 +590,39 @@
   mf_core_step (core, &event);
 }
 
+/* What a core asked of its order desk. */
+typedef struct
+{
+  uint32_t n_calls;
+  uint32_t n_aborted;
+  uint64_t call_id;
+} Asked;
+
 static void
-ignore_action (const MfAction *action, void *data)
+note_call (const MfAction *action, void *data)
 {
-  uint32_t *n_calls = data;
+  Asked *asked = data;
 
   if (action->type == MF_ACTION_CALL_START && action->call.kind == MF_CALL_PLAIN)
-    ++*n_calls;
+    {
+      asked->n_calls++;
+      asked->call_id = action->call.call_id;
+    }
+  asked->n_aborted += action->type == MF_ACTION_CALL_ABORT;
 }
 
-/* n1 voted, was replaced, and the replacement is known to a later voter: the old vote is void. */
-static void
-test_vote_of_a_replaced_voter_does_not_count (void **state)
+/* A core that is no voter itself and has one keyed order, which waits for votes. */
+static MfCore *
+outsider_new (Asked *asked, uint8_t key[MF_DIGEST_BYTES])
 {
   MfOptions options;
   MfError error = { 0 };
-  uint32_t n_calls = 0;
   MfEvent event = { .type = MF_EVENT_TEXT, .now_us = 1, .wall_ms = 1700000000000 };
   MfCore *core;
 
-  (void)state;
   mf_core_options (&options);
   mf_name_set (options.self.name, sizeof options.self.name, "outsider");
-  core = mf_core_new (&options, 1, event.wall_ms, ignore_action, &n_calls, &error);
+  core = mf_core_new (&options, 1, event.wall_ms, note_call, asked, &error);
   event.text = (MfTextEvent){ .revision = 1, .text = text, .text_bytes = strlen (text) };
   mf_core_step (core, &event);
   event.type = MF_EVENT_REQUEST;
@@ -620,16 +630,54 @@
                                     .name = "order",
                                     .path = "/orders",
                                     .method = "POST",
+                                    .has_deadline = true,
+                                    .deadline_us = 600 * MF_US_PER_S,
                                     .has_key = true,
                                     .key_digest = { 'k' },
                                     .key_minted_ms = event.wall_ms };
   mf_core_step (core, &event);
-  deliver_vote (core, "n1", 5, 5, event.request.key_digest);
-  deliver_vote (core, "n2", 5, 6, event.request.key_digest);
-  deliver_vote (core, "n3", 5, 5, event.request.key_digest);
-  assert_int_equal (n_calls, 0);
-  deliver_vote (core, "n4", 5, 5, event.request.key_digest);
-  assert_int_equal (n_calls, 1);
+  memcpy (key, event.request.key_digest, MF_DIGEST_BYTES);
+  return core;
+}
+
+/* n1 voted, was replaced, and the replacement is known to a later voter: the old vote is void. */
+static void
+test_vote_of_a_replaced_voter_does_not_count (void **state)
+{
+  Asked asked = { 0 };
+  uint8_t key[MF_DIGEST_BYTES];
+  MfCore *core = outsider_new (&asked, key);
+
+  (void)state;
+  deliver_vote (core, "n1", 5, 5, key);
+  deliver_vote (core, "n2", 5, 6, key);
+  deliver_vote (core, "n3", 5, 5, key);
+  assert_int_equal (asked.n_calls, 0);
+  deliver_vote (core, "n4", 5, 5, key);
+  assert_int_equal (asked.n_calls, 1);
+  mf_core_free (core);
+}
+
+/* The process is paused between the grant and the first byte: the byte is held back, and the call
+ * waits for votes again. */
+static void
+test_grant_that_went_stale_sends_nothing (void **state)
+{
+  Asked asked = { 0 };
+  uint8_t key[MF_DIGEST_BYTES];
+  MfCore *core = outsider_new (&asked, key);
+  MfEvent event = { .type = MF_EVENT_CALL_SENT, .now_us = 60 * MF_US_PER_S };
+
+  (void)state;
+  deliver_vote (core, "n1", 5, 5, key);
+  deliver_vote (core, "n2", 5, 5, key);
+  deliver_vote (core, "n3", 5, 5, key);
+  assert_int_equal (asked.n_calls, 1);
+  event.wall_ms = core->board.wall_ms;
+  event.call.call_id = asked.call_id;
+  mf_core_step (core, &event);
+  assert_int_equal (asked.n_aborted, 1);
+  assert_int_equal (asked.n_calls, 1);
   mf_core_free (core);
 }
 
@@ -686,6 +734,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_cells_are_small_and_cover_all_voters),
     cmocka_unit_test (test_vote_of_a_replaced_voter_does_not_count),
+    cmocka_unit_test (test_grant_that_went_stale_sends_nothing),
     DESK_TEST (test_same_key_at_two_instances_runs_once),
     DESK_TEST (test_finished_key_is_answered_after_its_instance_died),
     DESK_TEST (test_key_of_a_dead_claimant_is_unknown),
