--- a/cli/status.c
+++ b/cli/status.c
@@ -136,6 +136,10 @@
     }
   if (n_healthy > HEALTHY_SHOWN)
     printf ("and %zu more that are ok\n", n_healthy - HEALTHY_SHOWN);
+  if (fetch_number (status, "upstreams_total") > fetch_length (status, "upstreams"))
+    printf ("and %llu more of the text, that this instance does not use\n",
+            (unsigned long long)fetch_number (status, "upstreams_total")
+                - (unsigned long long)fetch_length (status, "upstreams"));
 }
 
 static void
--- a/libmangofork/field.c
+++ b/libmangofork/field.c
@@ -10,11 +10,16 @@
 void
 mf_path_member (char dst[MF_PATH_BYTES], const char *path, const char *key)
 {
-  const char *dot = path[0] != '\0' && key[0] != '\0' ? "." : "";
-  int len = snprintf (dst, MF_PATH_BYTES, "%s%s%s", path, dot, key);
+  size_t path_bytes = strnlen (path, MF_PATH_BYTES - 1);
+  size_t key_bytes = strlen (key);
 
-  if (len < 0)
-    dst[0] = '\0';
+  memcpy (dst, path, path_bytes);
+  if (path_bytes > 0 && key_bytes > 0 && path_bytes < MF_PATH_BYTES - 1)
+    dst[path_bytes++] = '.';
+  if (key_bytes > MF_PATH_BYTES - 1 - path_bytes)
+    key_bytes = MF_PATH_BYTES - 1 - path_bytes;
+  memcpy (dst + path_bytes, key, key_bytes);
+  dst[path_bytes + key_bytes] = '\0';
 }
 
 void
--- a/libmangofork/jsonc.c
+++ b/libmangofork/jsonc.c
@@ -58,9 +58,15 @@
   UT_hash_handle hh;
 };
 
-/* The keys seen in one object, the latest first. */
+/* The keys seen in one object: the first few in a row, further ones in a table, so that neither
+ * many small objects nor one large one is slow. */
+#define SEEN_FIRST 24
+
 typedef struct
 {
+  const char *first[SEEN_FIRST];
+  size_t first_bytes[SEEN_FIRST];
+  uint32_t n_first;
   SeenKey *table;
   SeenKey *latest;
 } Seen;
@@ -287,7 +293,7 @@
 scan_place (const Scan *scan, size_t key_offset, size_t value_offset)
 {
   MfJsonc *jsonc = scan->jsonc;
-  const FaultPath *found = path_find (jsonc, scan->path);
+  const FaultPath *found = jsonc->paths != NULL ? path_find (jsonc, scan->path) : NULL;
 
   if (found == NULL)
     return;
@@ -304,11 +310,39 @@
   scan->path[path_bytes] = '\0';
 }
 
+/* Paths are only kept while there are faults to be placed. */
+static void
+scan_path_add_key (Scan *scan, const char *key, size_t key_bytes)
+{
+  size_t left = sizeof scan->path - scan->path_bytes;
+
+  if (scan->jsonc->paths == NULL)
+    return;
+  if (key_bytes > MF_JSONC_KEY_BYTES_MAX)
+    key_bytes = MF_JSONC_KEY_BYTES_MAX;
+  scan->path_bytes += (size_t)snprintf (scan->path + scan->path_bytes, left, "%s%.*s",
+                                        scan->path_bytes > 0 ? "." : "", (int)key_bytes, key);
+}
+
+static void
+scan_path_add_index (Scan *scan, size_t index)
+{
+  size_t left = sizeof scan->path - scan->path_bytes;
+
+  if (scan->jsonc->paths != NULL)
+    scan->path_bytes += (size_t)snprintf (scan->path + scan->path_bytes, left, "[%zu]", index);
+}
+
 static bool
 seen_has (const Seen *seen, const char *key, size_t key_bytes)
 {
   SeenKey *row;
 
+  for (uint32_t i = 0; i < seen->n_first; i++)
+    {
+      if (seen->first_bytes[i] == key_bytes && memcmp (seen->first[i], key, key_bytes) == 0)
+        return true;
+    }
   HASH_FIND (hh, seen->table, key, key_bytes, row);
   return row != NULL;
 }
@@ -316,8 +350,15 @@
 static void
 seen_add (Seen *seen, const char *key, size_t key_bytes)
 {
-  SeenKey *row = calloc (1, sizeof *row);
+  SeenKey *row;
 
+  if (seen->n_first < SEEN_FIRST)
+    {
+      seen->first[seen->n_first] = key;
+      seen->first_bytes[seen->n_first++] = key_bytes;
+      return;
+    }
+  row = calloc (1, sizeof *row);
   if (row == NULL)
     return;
   row->key = key;
@@ -369,8 +410,11 @@
 {
   const char *text = scan->jsonc->text;
   size_t path_bytes = scan->path_bytes;
-  Seen seen = { 0 };
+  Seen seen;
 
+  seen.n_first = 0;
+  seen.table = NULL;
+  seen.latest = NULL;
   scan->at++;
   for (scan_space (scan); text[scan->at] == '"'; scan_space (scan))
     {
@@ -380,11 +424,7 @@
       scan_string (scan);
       key_bytes = scan->at - start - 2;
       scan_key (scan, &seen, start, key_bytes);
-      scan->path_bytes += (size_t)snprintf (
-          scan->path + path_bytes, sizeof scan->path - path_bytes, "%s%.*s",
-          path_bytes > 0 ? "." : "",
-          (int)(key_bytes < MF_JSONC_KEY_BYTES_MAX ? key_bytes : MF_JSONC_KEY_BYTES_MAX),
-          text + start + 1);
+      scan_path_add_key (scan, text + start + 1, key_bytes);
       scan_space (scan);
       scan->at++; /* the colon */
       scan_value (scan, start);
@@ -408,8 +448,7 @@
   scan->at++;
   for (scan_space (scan); text[scan->at] != ']' && text[scan->at] != '\0'; scan_space (scan))
     {
-      scan->path_bytes += (size_t)snprintf (scan->path + path_bytes, sizeof scan->path - path_bytes,
-                                            "[%zu]", index++);
+      scan_path_add_index (scan, index++);
       scan_value (scan, scan->at);
       scan_path_cut (scan, path_bytes);
       scan_space (scan);
--- a/libmangofork/status.c
+++ b/libmangofork/status.c
@@ -6,6 +6,8 @@
 #include "render.h"
 #include "suspect.h"
 
+#include <stdlib.h>
+
 /* Suspected and convicted requests listed. */
 #define SUSPECTS_SHOWN 100
 
@@ -147,21 +149,45 @@
   return object;
 }
 
+/* Marks the upstreams that this instance uses, a bounded number a pool. */
+static void
+mark_used (const MfCore *core, bool *used)
+{
+  const MfServices *services = &core->board.services;
+
+  for (uint32_t i = 0; i < services->n_pools; i++)
+    {
+      for (uint32_t k = 0; services->pools[i].in_config && k < services->pools[i].n_active; k++)
+        used[services->pools[i].active[k]] = true;
+    }
+}
+
+/* Lists the upstreams that this instance uses and those it knows to be faulty; of the others it
+ * knows no more than the text says. */
 static void
 add_upstreams (const MfCore *core, json_object *status)
 {
   json_object *upstreams = json_object_new_array ();
+  bool *used = calloc ((size_t)core->board.n_upstreams + 1, sizeof *used);
+  uint32_t n_total = 0;
 
-  for (uint32_t role = 0; role < MF_ROLE_COUNT; role++)
+  if (used != NULL)
+    mark_used (core, used);
+  for (uint32_t role = 0; used != NULL && role < MF_ROLE_COUNT; role++)
     {
       for (uint32_t i = 0; i < core->board.n_upstreams; i++)
         {
           const MfUpstream *upstream = &core->board.upstreams[i];
 
-          if (upstream->in_config && (uint32_t)upstream->role == role)
+          if (!upstream->in_config || (uint32_t)upstream->role != role)
+            continue;
+          n_total++;
+          if (used[i] || upstream->health != MF_HEALTH_OK)
             json_object_array_add (upstreams, upstream_object (core, upstream));
         }
     }
+  free (used);
+  mf_render_number (status, "upstreams_total", n_total);
   json_object_object_add (status, "upstreams", upstreams);
 }
 
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -8,7 +8,7 @@
 
 #include <cmocka.h>
 
-#define FAULTS_MAX 32
+#define FAULTS_MAX 64
 
 typedef struct
 {
@@ -223,6 +223,23 @@
     assert_true (faults.faults[i].line >= faults.faults[i - 1].line);
 }
 
+/* Keys given twice are found among few keys and among many. */
+static void
+test_duplicate_among_many_keys (void **state)
+{
+  char text[8192] = "{ \"services\": [], \"pools\": [], ";
+  Faults faults;
+
+  (void)state;
+  for (uint32_t i = 0; i < 30; i++)
+    snprintf (text + strlen (text), sizeof text - strlen (text), "\"k%u\": 1,%s", i % 29,
+              i == 28 ? "\n" : "");
+  snprintf (text + strlen (text), sizeof text - strlen (text), "\n\"k28\": 1 }");
+  assert_null (parse (text, &faults));
+  assert_true (has_fault (&faults, MF_CODE_TEXT_DUPLICATE, 2, 1));
+  assert_true (has_fault (&faults, MF_CODE_TEXT_DUPLICATE, 3, 1));
+}
+
 static void
 test_too_large (void **state)
 {
@@ -271,9 +288,13 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_example_is_read), cmocka_unit_test (test_lookups),
-    cmocka_unit_test (test_bad_texts),       cmocka_unit_test (test_all_faults_at_once),
-    cmocka_unit_test (test_too_large),       cmocka_unit_test (test_cut_and_changed_texts),
+    cmocka_unit_test (test_example_is_read),
+    cmocka_unit_test (test_lookups),
+    cmocka_unit_test (test_bad_texts),
+    cmocka_unit_test (test_all_faults_at_once),
+    cmocka_unit_test (test_duplicate_among_many_keys),
+    cmocka_unit_test (test_too_large),
+    cmocka_unit_test (test_cut_and_changed_texts),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
