Relays before peer ports, and an advertised peer address

Cause: a cut link between two instances cannot be tried without something on the path, and an instance behind a forwarder is reached at another address than the one it listens on. Change: peers.address in the settings is what other instances are told, with the listening address as default; the stand-ins host relays that cut or hold links by who opened them.

--- a/libmangofork/settings.c
+++ b/libmangofork/settings.c
@@ -37,6 +37,7 @@
 static const MfFieldTable platform_table = { platform_fields, MF_ARRAY_LEN (platform_fields) };
 
 static const MfField peers_fields[] = {
+  ADDRESS_FIELD ("address", options.address, false),
   STRING_FIELD ("key_file", peer_key_file, 0, false),
   STRING_FIELD ("old_key_file", peer_key_old_file, 0, false),
   NUMBER_FIELD ("links_max", MF_FIELD_U32, options.links_max, 1, 64, 1),
@@ -128,7 +129,8 @@
                     "\"log_level\" is not one of trace, debug, info, notice, warn, error");
   if (settings->options.drain_limit_us < settings->options.drain_grace_us)
     mf_jsonc_fault (jsonc, "drain", MF_CODE_TEXT_RANGE, "\"limit_ms\" is below \"grace_ms\"");
-  mf_name_set (settings->options.address, sizeof settings->options.address, settings->peer);
+  if (settings->options.address[0] == '\0')
+    mf_name_set (settings->options.address, sizeof settings->options.address, settings->peer);
   good = mf_jsonc_report (jsonc, on_fault, data) == 0;
   mf_jsonc_free (jsonc);
   return good;
--- a/tests/fakes/fakes.h
+++ b/tests/fakes/fakes.h
@@ -9,6 +9,7 @@
 typedef struct FakeEngineHttp FakeEngineHttp; /* engine_http.c */
 typedef struct FakePlain FakePlain;           /* plain_http.c */
 typedef struct FakePlatform FakePlatform;     /* platform_http.c */
+typedef struct FakeRelay FakeRelay;           /* relay.c: stands before an instance's peer port */
 
 uint64_t fake_now_us (void);
 
@@ -37,6 +38,12 @@
 void fake_platform_set_text (FakePlatform *platform, const char *text);
 bool fake_platform_set_list (FakePlatform *platform, const char *list);
 
+FakeRelay *fake_relay_new (struct ev_loop *loop, FakeRelay **list, json_object *settings);
+void fake_relay_free (FakeRelay *relay);
+const char *fake_relay_name (const FakeRelay *relay);
+FakeRelay *fake_relay_next (FakeRelay *relay);
+bool fake_relay_fault (FakeRelay *relay, const char *kind, const char *from);
+
 void fake_add_number (json_object *object, const char *key, uint64_t value);
 void fake_add_text (json_object *object, const char *key, const char *value);
 
--- a/tests/fakes/main.c
+++ b/tests/fakes/main.c
@@ -8,7 +8,8 @@
 #define FILE_BYTES_MAX ((size_t)2 * 1024 * 1024)
 
 /* All stand-ins, and the port through which a test reads their ledgers and scripts their faults:
- * GET /ledger; POST /fault?target=NAME&kind=KIND&value=N; POST /text and POST /list with a body. */
+ * GET /ledger; POST /fault?target=NAME&kind=KIND&value=N&from=NAME; POST /text and POST /list with
+ * a body. */
 typedef struct
 {
   struct ev_loop *loop;
@@ -16,6 +17,7 @@
   FakeEngineHttp *engines;
   FakePlain *plains;
   FakePlatform *platform;
+  FakeRelay *relays;
 } Fakes;
 
 static json_object *
@@ -43,6 +45,7 @@
   char target[MF_NAME_BYTES];
   char kind[MF_NAME_BYTES];
   char value_text[24];
+  char from[MF_NAME_BYTES];
   uint64_t value;
 
   fake_query_get (query, "target", target, sizeof target);
@@ -57,6 +60,12 @@
       if (strcmp (fake_engine_http_name (engine), target) == 0)
         return fake_engine_http_fault (engine, kind, value);
     }
+  fake_query_get (query, "from", from, sizeof from);
+  for (FakeRelay *relay = fakes->relays; relay != NULL; relay = fake_relay_next (relay))
+    {
+      if (strcmp (fake_relay_name (relay), target) == 0)
+        return fake_relay_fault (relay, kind, from);
+    }
   for (FakePlain *plain = fakes->plains; plain != NULL; plain = fake_plain_next (plain))
     {
       if (strcmp (fake_plain_name (plain), target) == 0)
@@ -150,11 +159,14 @@
   static const FakeHttpHooks hooks = { .on_request = on_request, .on_closed = on_closed };
   json_object *engines = json_object_object_get (settings, "engines");
   json_object *plains = json_object_object_get (settings, "plain");
+  json_object *relays = json_object_object_get (settings, "relays");
 
   for (size_t i = 0; engines != NULL && i < json_object_array_length (engines); i++)
     fake_engine_http_new (fakes->loop, &fakes->engines, json_object_array_get_idx (engines, i));
   for (size_t i = 0; plains != NULL && i < json_object_array_length (plains); i++)
     fake_plain_new (fakes->loop, &fakes->plains, json_object_array_get_idx (plains, i));
+  for (size_t i = 0; relays != NULL && i < json_object_array_length (relays); i++)
+    fake_relay_new (fakes->loop, &fakes->relays, json_object_array_get_idx (relays, i));
   start_platform (fakes, json_object_object_get (settings, "platform"));
   fakes->control = fake_http_new (
       fakes->loop, fake_setting_text (settings, "control", "127.0.0.1:0"), &hooks, fakes);
@@ -180,6 +192,13 @@
       fakes->plains = fake_plain_next (plain);
       fake_plain_free (plain);
     }
+  while (fakes->relays != NULL)
+    {
+      FakeRelay *relay = fakes->relays;
+
+      fakes->relays = fake_relay_next (relay);
+      fake_relay_free (relay);
+    }
   fake_platform_free (fakes->platform);
 }
 
