--- /dev/null
+++ b/tests/test_process_config.c
@@ -0,0 +1,133 @@
+#include "fleet.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <signal.h>
+
+static const char revision_name[] = "mangofork_config_revision";
+
+static double
+revision (Fleet *fleet, int instance)
+{
+  return fleet_counter (fleet, instance, revision_name);
+}
+
+static bool
+all_passed (Fleet *fleet, void *data)
+{
+  const double *passed = data;
+
+  for (int i = 1; i <= FLEET_INSTANCES; i++)
+    {
+      if (revision (fleet, i) <= *passed)
+        return false;
+    }
+  return true;
+}
+
+static void
+assert_served (Fleet *fleet, int instance)
+{
+  Caller *caller = fleet_complete (fleet, instance, "served", 5);
+
+  caller_finish (caller);
+  assert_true (caller_is_whole (caller));
+}
+
+static void
+test_new_text_is_in_force_everywhere (void **state)
+{
+  Fleet *fleet = *state;
+  double before = revision (fleet, 1);
+
+  fleet_publish_target (fleet, 31);
+  fleet_until (fleet, all_passed, &before);
+  assert_served (fleet, 1);
+}
+
+static void
+test_text_never_reverts (void **state)
+{
+  Fleet *fleet = *state;
+  double before = revision (fleet, 1);
+  double accepted;
+
+  fleet_publish_target (fleet, 31);
+  fleet_until (fleet, all_passed, &before);
+  accepted = revision (fleet, 1);
+  fleet_fault (fleet, "platform", "revert", 1);
+  fleet_pass (fleet, 1500);
+  fleet_signal (fleet, 1, SIGKILL);
+  fleet_start (fleet, 1);
+  fleet_until_ready (fleet, 1);
+  for (int i = 1; i <= FLEET_INSTANCES; i++)
+    assert_true (revision (fleet, i) >= accepted);
+  assert_served (fleet, 1);
+}
+
+static bool
+has_refused (Fleet *fleet, void *data)
+{
+  (void)data;
+  for (int i = 1; i <= FLEET_INSTANCES; i++)
+    {
+      if (fleet_counter (fleet, i, "mangofork_config_refused_total") > 0)
+        return true;
+    }
+  return false;
+}
+
+static void
+test_faulty_text_changes_nothing (void **state)
+{
+  Fleet *fleet = *state;
+  double before = revision (fleet, 1);
+
+  fleet_publish (fleet, "{ \"services\": 7 }");
+  fleet_until (fleet, has_refused, NULL);
+  for (int i = 1; i <= FLEET_INSTANCES; i++)
+    {
+      assert_true (revision (fleet, i) == before);
+      assert_served (fleet, i);
+    }
+  fleet_publish_target (fleet, 32);
+  fleet_until (fleet, all_passed, &before);
+}
+
+static void
+test_platform_down_stops_nothing (void **state)
+{
+  Fleet *fleet = *state;
+  double before = revision (fleet, 1);
+
+  fleet_fault (fleet, "platform", "down", 0);
+  fleet_pass (fleet, 1000);
+  for (int i = 1; i <= FLEET_INSTANCES; i++)
+    assert_served (fleet, i);
+  fleet_signal (fleet, 2, SIGKILL);
+  fleet_start (fleet, 2);
+  fleet_until_ready (fleet, 2);
+  assert_true (revision (fleet, 2) == before);
+  assert_served (fleet, 2);
+  fleet_fault (fleet, "platform", "up", 0);
+  fleet_publish_target (fleet, 33);
+  fleet_until (fleet, all_passed, &before);
+}
+
+int
+main (int argc, char **argv)
+{
+#define FLEET_TEST(name) cmocka_unit_test_setup_teardown (name, fleet_setup, fleet_teardown)
+  const struct CMUnitTest tests[] = {
+    FLEET_TEST (test_new_text_is_in_force_everywhere),
+    FLEET_TEST (test_text_never_reverts),
+    FLEET_TEST (test_faulty_text_changes_nothing),
+    FLEET_TEST (test_platform_down_stops_nothing),
+  };
+
+  if (argc > 1)
+    cmocka_set_test_filter (argv[1]);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_process_streams.c
@@ -0,0 +1,267 @@
+#include "fleet.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#define STREAMS 9
+#define LONG_TOKENS 4000
+
+/* Streams spread over the instances, each waited for until it has begun. */
+typedef struct
+{
+  Caller *callers[STREAMS];
+  unsigned n;
+  unsigned n_tokens;
+} Streams;
+
+static bool
+have_begun (Fleet *fleet, void *data)
+{
+  const Streams *streams = data;
+
+  (void)fleet;
+  for (unsigned i = 0; i < streams->n; i++)
+    {
+      if (!caller_has_tokens (streams->callers[i], 3))
+        return false;
+    }
+  return true;
+}
+
+/* Starts streams at one instance, or at all when instance is 0. */
+static void
+begin (Fleet *fleet, Streams *streams, int instance, unsigned n, unsigned n_tokens)
+{
+  char tag[16];
+
+  streams->n = n;
+  for (unsigned i = 0; i < n; i++)
+    {
+      snprintf (tag, sizeof tag, "s%u", i);
+      streams->callers[i] = fleet_complete (
+          fleet, instance != 0 ? instance : (int)(i % FLEET_INSTANCES) + 1, tag, n_tokens);
+    }
+  fleet_until (fleet, have_begun, streams);
+}
+
+static void
+assert_all_whole (Streams *streams)
+{
+  for (unsigned i = 0; i < streams->n; i++)
+    {
+      caller_finish (streams->callers[i]);
+      if (!caller_is_whole (streams->callers[i]))
+        print_error ("stream %u ended with: %s\n", i, caller_tail (streams->callers[i]));
+      assert_true (caller_is_whole (streams->callers[i]));
+    }
+}
+
+static void
+leave_all (Streams *streams)
+{
+  for (unsigned i = 0; i < streams->n; i++)
+    caller_leave (streams->callers[i]);
+}
+
+static void
+test_streams_outlive_their_engine (void **state)
+{
+  Fleet *fleet = *state;
+  Streams streams;
+
+  begin (fleet, &streams, 0, STREAMS, 120);
+  fleet_fault (fleet, "p1", "kill", 0);
+  fleet_pass (fleet, 100);
+  fleet_fault (fleet, "d1", "kill", 0);
+  assert_all_whole (&streams);
+  assert_int_equal (fleet_sum (fleet, "engines", "deaths"), 2);
+  fleet_until_free (fleet);
+}
+
+static void
+test_streams_outlive_a_slow_and_a_stalled_engine (void **state)
+{
+  Fleet *fleet = *state;
+  Streams streams;
+
+  begin (fleet, &streams, 0, STREAMS, 120);
+  fleet_fault (fleet, "d1", "stall", 8000);
+  fleet_fault (fleet, "d2", "slow", 20);
+  assert_all_whole (&streams);
+  fleet_until_free (fleet);
+}
+
+static void
+test_memory_of_a_killed_instance_is_freed (void **state)
+{
+  Fleet *fleet = *state;
+  Streams streams;
+
+  begin (fleet, &streams, 1, 5, LONG_TOKENS);
+  assert_true (fleet_held (fleet) >= 5);
+  fleet_signal (fleet, 1, SIGKILL);
+  fleet_until_free (fleet);
+  assert_true (fleet_sum (fleet, "engines", "owner_cancels") > 0);
+  fleet_start (fleet, 1);
+  fleet_until_ready (fleet, 1);
+  begin (fleet, &streams, 0, STREAMS, 20);
+  assert_all_whole (&streams);
+}
+
+static void
+test_paused_instance_owes_its_callers_whole_answers (void **state)
+{
+  Fleet *fleet = *state;
+  Streams streams;
+
+  begin (fleet, &streams, 1, 3, 600);
+  fleet_signal (fleet, 1, SIGSTOP);
+  fleet_pass (fleet, 6000);
+  fleet_signal (fleet, 1, SIGCONT);
+  assert_all_whole (&streams);
+  fleet_until_free (fleet);
+}
+
+static bool
+has_prefilled (Fleet *fleet, void *data)
+{
+  const uint64_t *n = data;
+
+  return fleet_sum (fleet, "engines", "prefills") >= *n;
+}
+
+static void
+test_departed_callers_hold_no_memory (void **state)
+{
+  Fleet *fleet = *state;
+  uint64_t n_prefills = 1;
+  Streams streams;
+
+  begin (fleet, &streams, 0, 3, LONG_TOKENS);
+  leave_all (&streams);
+  for (unsigned i = 1; i <= 3; i++)
+    {
+      char prefill[] = "p1";
+
+      prefill[1] = (char)('0' + i);
+      fleet_fault (fleet, prefill, "stall", 700);
+    }
+  n_prefills += fleet_sum (fleet, "engines", "prefills");
+  streams.callers[0] = fleet_complete (fleet, 1, "prefilling", LONG_TOKENS);
+  fleet_until (fleet, has_prefilled, &n_prefills);
+  caller_leave (streams.callers[0]);
+  /* More than the engines decode at once, so that some leave while they are queued. */
+  for (unsigned i = 0; i < 90; i++)
+    fleet_complete (fleet, (int)(i % FLEET_INSTANCES) + 1, "queued", LONG_TOKENS);
+  fleet_pass (fleet, 1500);
+  fleet_leave_all (fleet);
+  fleet_until_free (fleet);
+  begin (fleet, &streams, 0, STREAMS, 20);
+  assert_all_whole (&streams);
+}
+
+static void
+test_shutdown_cuts_off_no_stream (void **state)
+{
+  Fleet *fleet = *state;
+  Streams streams;
+  Caller *late;
+
+  begin (fleet, &streams, 1, 6, 250);
+  fleet_signal (fleet, 1, SIGTERM);
+  fleet_pass (fleet, 600);
+  late = fleet_complete (fleet, 1, "late", 10);
+  caller_finish (late);
+  assert_int_not_equal (caller_status (late), 200);
+  if (caller_status (late) != 0)
+    assert_string_equal (caller_outcome (late), "not-run");
+  assert_all_whole (&streams);
+  assert_int_equal (fleet_exit_code (fleet, 1), 0);
+  fleet_until_free (fleet);
+}
+
+static void
+test_half_the_instances_are_replaced (void **state)
+{
+  Fleet *fleet = *state;
+  Streams streams;
+  Streams staying;
+
+  begin (fleet, &staying, 3, 3, 400);
+  begin (fleet, &streams, 1, 2, 60);
+  fleet_signal (fleet, 1, SIGTERM);
+  fleet_signal (fleet, 2, SIGKILL);
+  assert_all_whole (&streams);
+  assert_int_equal (fleet_exit_code (fleet, 1), 0);
+  fleet_start (fleet, 1);
+  fleet_start (fleet, 2);
+  fleet_until_ready (fleet, 1);
+  fleet_until_ready (fleet, 2);
+  begin (fleet, &streams, 0, STREAMS, 20);
+  assert_all_whole (&streams);
+  assert_all_whole (&staying);
+  fleet_until_free (fleet);
+}
+
+static void
+test_poison_costs_two_deaths_and_no_innocent (void **state)
+{
+  Fleet *fleet = *state;
+  Streams streams;
+
+  begin (fleet, &streams, 0, STREAMS, 300);
+  for (int i = 0; i < 6; i++)
+    {
+      Caller *poison = fleet_prompt (fleet, i % FLEET_INSTANCES + 1, "POISON");
+
+      caller_finish (poison);
+      assert_int_not_equal (caller_status (poison), 200);
+      assert_string_not_equal (caller_outcome (poison), "not-run");
+      fleet_pass (fleet, 300);
+    }
+  assert_true (fleet_sum (fleet, "engines", "deaths") <= 2);
+  assert_all_whole (&streams);
+}
+
+static void
+test_leaving_engine_gets_no_new_work (void **state)
+{
+  Fleet *fleet = *state;
+  Streams streams;
+  uint64_t n_refused;
+
+  begin (fleet, &streams, 0, STREAMS, 30);
+  fleet_fault (fleet, "d2", "leave", 0);
+  assert_all_whole (&streams);
+  fleet_pass (fleet, 3000);
+  n_refused = fleet_sum (fleet, "engines", "refused");
+  begin (fleet, &streams, 0, STREAMS, 30);
+  assert_all_whole (&streams);
+  assert_int_equal (fleet_sum (fleet, "engines", "refused"), n_refused);
+}
+
+int
+main (int argc, char **argv)
+{
+#define FLEET_TEST(name) cmocka_unit_test_setup_teardown (name, fleet_setup, fleet_teardown)
+  const struct CMUnitTest tests[] = {
+    FLEET_TEST (test_streams_outlive_their_engine),
+    FLEET_TEST (test_streams_outlive_a_slow_and_a_stalled_engine),
+    FLEET_TEST (test_memory_of_a_killed_instance_is_freed),
+    FLEET_TEST (test_paused_instance_owes_its_callers_whole_answers),
+    FLEET_TEST (test_departed_callers_hold_no_memory),
+    FLEET_TEST (test_shutdown_cuts_off_no_stream),
+    FLEET_TEST (test_half_the_instances_are_replaced),
+    FLEET_TEST (test_poison_costs_two_deaths_and_no_innocent),
+    FLEET_TEST (test_leaving_engine_gets_no_new_work),
+  };
+
+  if (argc > 1)
+    cmocka_set_test_filter (argv[1]);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
