A graceful shutdown waits until callers have taken their last bytes

Cause: the core reports that it is done when it has handed over the last token, and the process ended at once, with that token and the end of the stream still in the server's buffers. Change: after the core is done the process ends once no answer is being taken, bounded by the time for shutting down.

--- a/libmangofork/server.c
+++ b/libmangofork/server.c
@@ -30,7 +30,10 @@
   ev_signal hang_up;
   ev_timer tick;
   ev_prepare before_wait;
+  ev_prepare before_end;
   uint64_t tick_us; /* when the armed tick is due */
+  bool ending;      /* the core is done; callers may still be taking their answers */
+  uint64_t end_us;  /* when the process ends whatever is left */
   uint64_t *failed; /* calls that could not start, to be reported after the step */
   size_t n_failed;
   size_t failed_size;
@@ -145,7 +148,7 @@
       mf_logger_note (server->logger, &action->log);
       break;
     case MF_ACTION_EXIT:
-      ev_break (server->loop, EVBREAK_ALL);
+      server->ending = true;
       break;
     case MF_ACTION_PEER_OPEN:
     case MF_ACTION_PEER_CLOSE:
@@ -195,6 +198,19 @@
   server_step (server, &event);
 }
 
+/* Ends the loop once the core is done and every caller has taken the last byte of its answer, or
+ * the time for shutting down is over. */
+static void
+end_when_taken (struct ev_loop *loop, ev_prepare *watcher, int events)
+{
+  const MfServer *server = watcher->data;
+
+  (void)events;
+  if (server->ending
+      && (mf_http_in_count (server->in) == 0 || mf_clock_now_us () >= server->end_us))
+    ev_break (loop, EVBREAK_ALL);
+}
+
 /* Before the loop waits, the tick is set to when the core next wants it. */
 static void
 tick_arm (struct ev_loop *loop, ev_prepare *watcher, int events)
@@ -220,10 +236,13 @@
 shutdown_asked (struct ev_loop *loop, ev_signal *watcher, int events)
 {
   const MfEvent event = { .type = MF_EVENT_SHUTDOWN };
+  MfServer *server = watcher->data;
 
   (void)loop;
   (void)events;
-  server_step (watcher->data, &event);
+  if (server->end_us == 0)
+    server->end_us = mf_clock_now_us () + server->settings.options.drain_limit_us;
+  server_step (server, &event);
 }
 
 /* Reads the key files again, so that keys are changed without a restart. */
@@ -285,6 +304,9 @@
   ev_prepare_init (&server->before_wait, tick_arm);
   server->before_wait.data = server;
   ev_prepare_start (server->loop, &server->before_wait);
+  ev_prepare_init (&server->before_end, end_when_taken);
+  server->before_end.data = server;
+  ev_prepare_start (server->loop, &server->before_end);
 }
 
 static bool
@@ -431,6 +453,7 @@
       ev_signal_stop (server->loop, &server->hang_up);
       ev_timer_stop (server->loop, &server->tick);
       ev_prepare_stop (server->loop, &server->before_wait);
+      ev_prepare_stop (server->loop, &server->before_end);
       ev_loop_destroy (server->loop);
     }
   free (server->failed);
