The test of a stale grant can fail

Cause: the test added with the look before the first byte passed with that look taken out: the service's deadline of 3 s closed the call at the same moment. Change: the test's text has a deadline of 600 s; the texts of the test share one template. Conclusion: the look is covered now.

--- a/tests/test_claim.c
+++ b/tests/test_claim.c
@@ -45,25 +45,19 @@
   uint64_t random;
 } Desk;
 
-static const char text[]
-    = "{ \"services\": [ { \"name\": \"orders\", \"kind\": \"plain\", \"path\": \"/orders\","
-      "  \"class\": \"order\", \"pool\": \"ordering\", \"deadline_ms\": 3000 } ],"
-      "  \"pools\": [ { \"name\": \"ordering\", \"role\": \"plain\", \"upstreams\": ["
-      "  { \"name\": \"o1\", \"address\": \"127.0.0.1:9010\", \"data_centre\": \"dc0\","
-      "    \"slots\": 1000 } ] } ],"
-      "  \"allow_anonymous\": true,"
-      "  \"idempotency\": { \"voters\": [\"n0\", \"n1\", \"n2\", \"n3\", \"n4\"],"
-      "    \"voters_per_key\": 5, \"key_life_s\": 900 } }";
-
-static const char text_of_four[]
-    = "{ \"services\": [ { \"name\": \"orders\", \"kind\": \"plain\", \"path\": \"/orders\","
-      "  \"class\": \"order\", \"pool\": \"ordering\", \"deadline_ms\": 3000 } ],"
-      "  \"pools\": [ { \"name\": \"ordering\", \"role\": \"plain\", \"upstreams\": ["
-      "  { \"name\": \"o1\", \"address\": \"127.0.0.1:9010\", \"data_centre\": \"dc0\","
-      "    \"slots\": 1000 } ] } ],"
-      "  \"allow_anonymous\": true,"
-      "  \"idempotency\": { \"voters\": [\"n0\", \"n1\", \"n2\", \"n3\"],"
-      "    \"voters_per_key\": 4, \"key_life_s\": 900 } }";
+#define TEXT(deadline_ms, voters, per_key)                                                         \
+  "{ \"services\": [ { \"name\": \"orders\", \"kind\": \"plain\", \"path\": \"/orders\","          \
+  "  \"class\": \"order\", \"pool\": \"ordering\", \"deadline_ms\": " #deadline_ms " } ],"         \
+  "  \"pools\": [ { \"name\": \"ordering\", \"role\": \"plain\", \"upstreams\": ["                 \
+  "  { \"name\": \"o1\", \"address\": \"127.0.0.1:9010\", \"data_centre\": \"dc0\","               \
+  "    \"slots\": 1000 } ] } ],"                                                                   \
+  "  \"allow_anonymous\": true,"                                                                   \
+  "  \"idempotency\": { \"voters\": [" voters "], \"voters_per_key\": " #per_key                   \
+  ", \"key_life_s\": 900 } }"
+
+static const char text[] = TEXT (3000, "\"n0\", \"n1\", \"n2\", \"n3\", \"n4\"", 5);
+static const char text_of_four[] = TEXT (3000, "\"n0\", \"n1\", \"n2\", \"n3\"", 4);
+static const char patient_text[] = TEXT (600000, "\"n0\", \"n1\", \"n2\", \"n3\", \"n4\"", 5);
 
 static void
 on_call (FakeCores *cores, uint32_t slot, const MfCallAction *call, void *data)
@@ -623,15 +617,14 @@
   mf_core_options (&options);
   mf_name_set (options.self.name, sizeof options.self.name, "outsider");
   core = mf_core_new (&options, 1, event.wall_ms, note_call, asked, &error);
-  event.text = (MfTextEvent){ .revision = 1, .text = text, .text_bytes = strlen (text) };
+  event.text
+      = (MfTextEvent){ .revision = 1, .text = patient_text, .text_bytes = strlen (patient_text) };
   mf_core_step (core, &event);
   event.type = MF_EVENT_REQUEST;
   event.request = (MfRequestEvent){ .request_id = 1,
                                     .name = "order",
                                     .path = "/orders",
                                     .method = "POST",
-                                    .has_deadline = true,
-                                    .deadline_us = 600 * MF_US_PER_S,
                                     .has_key = true,
                                     .key_digest = { 'k' },
                                     .key_minted_ms = event.wall_ms };
