--- a/libmangofork/voter.c
+++ b/libmangofork/voter.c
@@ -97,6 +97,7 @@
                  const char *reason)
 {
   voter->admitted = true;
+  core->board.admitted = true;
   voter->cold_ms = cold_ms;
   voter->cold_until_us = core->board.now_us + voter->key_life_us;
   voter->opaque_from_us = core->board.now_us + opaque_wait_us;
@@ -121,6 +122,7 @@
   voter->epoch = mf_cell_epoch (config);
   cell_replace (core, voter, &cell);
   voter->admitted = voter->index != MF_NONE && near && voter->admitted;
+  core->board.admitted = voter->admitted;
   voter->next_admit_us = core->board.now_us;
   voter->admit_period_us = ADMIT_PERIOD_FIRST_US;
   if (!near)
--- a/tests/test_claim.c
+++ b/tests/test_claim.c
@@ -1,4 +1,5 @@
 #include "libmangofork/cell.h"
+#include "libmangofork/member.h"
 #include "libmangofork/voter.h"
 
 #include "fakes/cores.h"
@@ -311,6 +312,24 @@
     }
 }
 
+/* Whether an instance votes is shown to operators and told to peers; a fresh one does not at once.
+ */
+static void
+test_admission_is_shown (void **state)
+{
+  Desk *desk = *state;
+  const MfMember *member;
+
+  assert_true (fake_cores_core (desk->cores, 1)->board.admitted);
+  fake_cores_start (desk->cores, 1);
+  assert_false (fake_cores_core (desk->cores, 1)->board.admitted);
+  desk_run (desk, 2 * MF_US_PER_S);
+  assert_true (fake_cores_core (desk->cores, 1)->board.admitted);
+  member = mf_member_find (fake_cores_core (desk->cores, 0), "n1");
+  assert_non_null (member);
+  assert_true (member->admitted);
+}
+
 /* Too few voters are left to have met every quorum: what they remember is still told, and a key
  * that may have been forgotten is not run. */
 static void
@@ -734,6 +753,7 @@
     DESK_TEST (test_key_with_another_body_is_refused),
     DESK_TEST (test_minority_refuses_and_majority_runs),
     DESK_TEST (test_rolling_replacement_forgets_nothing),
+    DESK_TEST (test_admission_is_shown),
     DESK_TEST (test_cold_start_refuses_keys_from_before),
     DESK_TEST (test_whole_cell_lost_refuses_minted_keys_from_before),
     DESK_TEST (test_survivors_of_half_the_cell_hand_everything_over),
