--- a/libmangofork/prefix.c
+++ b/libmangofork/prefix.c
@@ -110,6 +110,16 @@
     store (core->board.caches, upstream, request->prefix_hashes[i] ^ request->cache_salt);
 }
 
+uint64_t
+mf_prefix_last_event (const MfCore *core, uint32_t upstream)
+{
+  const MfCaches *caches = core->board.caches;
+
+  if (upstream >= caches->n_sources || caches->sources[upstream].next_event == 0)
+    return 0;
+  return caches->sources[upstream].next_event - 1;
+}
+
 void
 mf_prefix_forget (MfCore *core, uint32_t upstream)
 {
--- a/libmangofork/prefix.h
+++ b/libmangofork/prefix.h
@@ -8,6 +8,8 @@
 uint32_t mf_prefix_cached_tokens (const MfCore *core, uint32_t upstream, const MfRequest *request);
 /* The upstream has just computed the request's prompt. */
 void mf_prefix_note (MfCore *core, uint32_t upstream, const MfRequest *request);
+/* Number of the last cache event seen of it; 0 for none. */
+uint64_t mf_prefix_last_event (const MfCore *core, uint32_t upstream);
 /* The upstream restarted: its cache is empty. */
 void mf_prefix_forget (MfCore *core, uint32_t upstream);
 
--- a/libmangofork/upstream.c
+++ b/libmangofork/upstream.c
@@ -2,6 +2,7 @@
 
 #include "debt.h"
 #include "health.h"
+#include "prefix.h"
 #include "queue.h"
 
 #include <xxhash.h>
@@ -325,6 +326,7 @@
               .upstream = upstream,
               .address = row->config.address,
               .engine = row->config.engine,
+              .cache_after = mf_prefix_last_event (core, upstream),
               .timeout_us = POLL_TIMEOUT_US },
   };
 
