--- a/bench/policy.c
+++ b/bench/policy.c
@@ -133,7 +133,7 @@
     .n_prefill = trial->deployment->n_prefill,
     .decode = engine,
     .n_decode = trial->deployment->n_decode,
-    .plain = { .workers = 4, .serve_us = 40 * MF_US_PER_MS, .speed_percent = 100 },
+    .plain = { .workers = 8, .serve_us = 40 * MF_US_PER_MS, .speed_percent = 100 },
     .n_plain = 3,
     .model_deadline_us = 60 * MF_US_PER_S,
     .expected_tokens = 200,
@@ -172,6 +172,7 @@
   request->answer_tokens = 1 + (uint32_t)fmin (
                                    deployment->answer_mean * exp (0.6 * normal (state) - 0.18),
                                    1500);
+  request->max_tokens = 1500;
   request->digest = 1 + (uint64_t)(uniform (state) * 1e15);
   request->n_prefix_hashes = request->prompt_tokens / MF_PIECE_TOKENS;
   if (request->n_prefix_hashes > MF_PREFIX_HASHES_MAX)
@@ -212,7 +213,7 @@
 {
   uint64_t state = trial->seed;
   uint64_t end_us = rig_now_us (rig) + trial->length_us;
-  double plain_per_s = 300 * trial->load;
+  double plain_per_s = 600 * trial->load;
   RigRequest request;
 
   for (uint64_t at_us = rig_now_us (rig); at_us < end_us;)
@@ -333,7 +334,14 @@
         ttfts_ms[n_ttfts++] = (double)(request->first_us - request->sent_us) / 1000;
       whole_work += rig_is_whole (request) ? work / window_s : 0;
       if (!is_good (request))
-        continue;
+        {
+          if (getenv ("POLICY_BAD") != NULL)
+            printf ("  bad %u at %.3f prompt %u code %u ttft %.0f tokens %u late %u/%u end %.3f\n", i,
+                    (double)request->sent_us / 1e6, request->prompt_tokens, request->code,
+                    (double)(request->first_us - request->sent_us) / 1e3, request->n_tokens,
+                    request->n_gaps_late, request->n_gaps, (double)request->ended_us / 1e6);
+          continue;
+        }
       figures->n_good++;
       figures->good_work += work / window_s;
     }
@@ -368,6 +376,24 @@
   start_us = rig_now_us (rig);
   send_all (rig, trial, per_s);
   rig_run (rig, start_us + trial->length_us / 2);
+  for (int k = 0; k < 5 && getenv ("POLICY_CODES") != NULL; k++)
+    {
+      uint32_t used = 0;
+      for (uint32_t i = trial->deployment->n_prefill; i < trial->deployment->n_prefill + trial->deployment->n_decode; i++)
+        {
+          MfLoadEvent load;
+          fake_engine_load (rig_engine (rig, i), rig_now_us (rig) + 50000, &load);
+          used += load.slots_used;
+        }
+      printf ("  used %u:", used);
+      for (uint32_t c = 0; c < N_CORES; c++)
+        {
+          const MfPoolRow *w = &rig_core (rig, c)->board.services.pools[1];
+          printf (" own %u coming %u window %u;", w->n_own, w->n_coming, w->window_milli);
+        }
+      printf ("\n");
+      rig_run (rig, rig_now_us (rig) + 200000);
+    }
   strike (rig, trial);
   rig_run (rig, start_us + trial->length_us + 70 * MF_US_PER_S);
   count (rig, trial, per_s, prefill_limits, &figures);
@@ -392,6 +418,8 @@
       for (uint32_t c = 0; c < N_CORES; c++)
         {
           const MfCounters *k = &rig_core (rig, c)->board.counters;
+          const MfPoolRow *w = &rig_core (rig, c)->board.services.pools[1];
+          printf ("  core %u waits %llu mean %.1f ms\n", c, (unsigned long long)w->n_waits, w->n_waits ? (double)w->sum_wait_us / (double)w->n_waits / 1000 : 0);
           printf ("  core %u: retries %llu resumes %llu late %llu ejections %llu hedges %llu\n", c,
                   (unsigned long long)k->values[MF_COUNTER_RETRIES],
                   (unsigned long long)k->values[MF_COUNTER_RESUMES],
@@ -402,6 +430,8 @@
       for (uint32_t i = 0; i < trial->deployment->n_prefill + trial->deployment->n_decode; i++)
         {
           const FakeLedger *l = fake_engine_ledger (rig_engine (rig, i));
+          const MfUpstream *u = &rig_core (rig, 0)->board.upstreams[i];
+          printf ("  row %u rate %llu link %llu MB/s gap %llu window %u own %u gap_drain %llu\n", i, (unsigned long long)u->prefill_tokens_per_s, (unsigned long long)u->link_bytes_per_s / 1000000, (unsigned long long)u->token_gap_us, rig_core (rig, 0)->board.services.pools[1].window_milli, rig_core (rig, 0)->board.services.pools[1].n_own, (unsigned long long)rig_core (rig, 0)->board.services.rows[0].drain_gap_us);
           printf ("  engine %u: prefill %llu cached %llu wasted %llu tokens %llu refused %llu busy %.3f\n", i,
                   (unsigned long long)l->prefill_tokens, (unsigned long long)l->cached_tokens,
                   (unsigned long long)l->wasted_prefill_tokens, (unsigned long long)l->tokens,
@@ -419,6 +449,7 @@
   static const double loads[] = { 0.5, 0.8, 1.0, 1.3, 2.0 };
   Trial trial = { .seed = 1, .length_us = 60 * MF_US_PER_S };
   double only_load = 0;
+  const char *only = NULL;
 
   for (int i = 1; i < argc; i++)
     {
@@ -426,12 +457,16 @@
         trial.length_us = 30 * MF_US_PER_S;
       else if (strcmp (argv[i], "--seed") == 0 && i + 1 < argc)
         trial.seed = strtoull (argv[++i], NULL, 10);
+      else if (strcmp (argv[i], "--only") == 0 && i + 1 < argc)
+        only = argv[++i];
       else if (strcmp (argv[i], "--load") == 0 && i + 1 < argc)
         only_load = strtod (argv[++i], NULL);
     }
   for (size_t d = 0; d < MF_ARRAY_LEN (deployments); d++)
     {
       trial.deployment = &deployments[d];
+      if (only != NULL && strcmp (only, trial.deployment->name) != 0)
+        continue;
       for (size_t l = 0; l < MF_ARRAY_LEN (loads); l++)
         {
           if (only_load != 0 && only_load != loads[l])
--- a/libmangofork/call.c
+++ b/libmangofork/call.c
@@ -1,5 +1,6 @@
 #include "debt.h"
 #include "request.h"
+#include "window.h"
 
 #include <stdlib.h>
 
@@ -224,3 +225,41 @@
     mf_upstream_give (core, request->reserved, request->pieces);
   request->reserved = MF_NONE;
 }
+
+static MfPoolRow *
+window_pool (MfCore *core, const MfRequest *request)
+{
+  const MfService *service = &mf_request_service (core, request)->config;
+  uint32_t pool = service->kind == MF_SERVICE_MODEL ? service->decode_pool : service->plain_pool;
+
+  return &core->board.services.pools[pool];
+}
+
+void
+mf_call_enter (MfCore *core, MfRequest *request)
+{
+  MfPoolRow *pool = window_pool (core, request);
+
+  request->in_window = true;
+  request->coming = true;
+  pool->n_coming++;
+  mf_window_take (pool);
+}
+
+/* The request is in its slot. */
+void
+mf_call_arrived (MfCore *core, MfRequest *request)
+{
+  if (request->coming)
+    window_pool (core, request)->n_coming--;
+  request->coming = false;
+}
+
+void
+mf_call_leave (MfCore *core, MfRequest *request)
+{
+  mf_call_arrived (core, request);
+  if (request->in_window)
+    mf_window_give (window_pool (core, request));
+  request->in_window = false;
+}
--- a/libmangofork/finish.c
+++ b/libmangofork/finish.c
@@ -79,6 +79,8 @@
   mf_call_abandon_all (core, request);
   mf_call_drop_prefill (core, request, false);
   mf_call_unreserve (core, request);
+  mf_call_leave (core, request);
+  mf_queue_end_wait (core, request);
   mf_queue_stir (core);
 }
 
--- a/libmangofork/health.c
+++ b/libmangofork/health.c
@@ -19,6 +19,9 @@
 /* Gray: slower than its pool's median by these. */
 #define SLOW_PERCENT 160
 #define SLOW_BACK_PERCENT 130
+/* Rates of prefill engines and plain services are noisier than gaps between tokens. */
+#define NOISY_SLOW_PERCENT 250
+#define TRANSFER_STALLS_MAX 3
 #define GRAY_PERCENT 400
 #define SLOW_WEIGHT_PPM 150000
 #define GRAY_FLOOR_US (5 * MF_US_PER_MS)
@@ -222,7 +225,16 @@
 void
 mf_health_note_gap (MfCore *core, uint32_t upstream, uint64_t gap_us)
 {
-  mean (&core->board.upstreams[upstream].token_gap_us, gap_us, 64);
+  MfUpstream *row = &core->board.upstreams[upstream];
+
+  mean (&row->token_gap_us, gap_us, 64);
+  mean (&core->board.services.pools[row->pool].token_gap_us, gap_us, 256);
+}
+
+static uint64_t
+rate_per_s (uint64_t n, uint64_t taken_us)
+{
+  return (uint64_t)((double)n * (double)MF_US_PER_S / (double)taken_us);
 }
 
 /* A prefill of so many tokens, those before it in the engine's queue among them. */
@@ -234,7 +246,7 @@
   row->prefill_sum_tokens += n_tokens - row->prefill_sum_tokens / 16;
   row->prefill_sum_us += taken_us - row->prefill_sum_us / 16;
   if (row->prefill_sum_us > 0)
-    row->prefill_tokens_per_s = row->prefill_sum_tokens * MF_US_PER_S / row->prefill_sum_us + 1;
+    row->prefill_tokens_per_s = rate_per_s (row->prefill_sum_tokens, row->prefill_sum_us) + 1;
 }
 
 /* Its link carried a KV. */
@@ -243,16 +255,19 @@
 {
   MfUpstream *row = &core->board.upstreams[upstream];
 
-  if (taken_us > 0 && n_bytes > 0)
-    mean (&row->link_bytes_per_s,
-          (uint64_t)((double)n_bytes * (double)MF_US_PER_S / (double)taken_us), 16);
+  row->n_transfer_stalls = 0;
+  row->link_sum_bytes += n_bytes - row->link_sum_bytes / 16;
+  row->link_sum_us += taken_us - row->link_sum_us / 16;
+  if (row->link_sum_us > 0 && row->link_sum_bytes > 0)
+    row->link_bytes_per_s = rate_per_s (row->link_sum_bytes, row->link_sum_us);
 }
 
 /* Its link held a KV up past its life. */
 void
 mf_health_note_transfer_stall (MfCore *core, uint32_t upstream)
 {
-  eject (core, upstream, MF_CODE_UPSTREAM_STALLED);
+  if (++core->board.upstreams[upstream].n_transfer_stalls >= TRANSFER_STALLS_MAX)
+    eject (core, upstream, MF_CODE_UPSTREAM_STALLED);
 }
 
 /* Time to a plain answer. */
@@ -322,7 +337,8 @@
     percent = 100;
   if (row->health <= MF_HEALTH_SLOW && percent >= GRAY_PERCENT)
     eject (core, upstream, MF_CODE_UPSTREAM_STALLED);
-  else if (row->health == MF_HEALTH_OK && percent >= SLOW_PERCENT)
+  else if (row->health == MF_HEALTH_OK
+           && percent >= (row->role == MF_ROLE_DECODE ? SLOW_PERCENT : NOISY_SLOW_PERCENT))
     mf_upstream_set_health (core, upstream, MF_HEALTH_SLOW, MF_CODE_UPSTREAM_STALLED);
   else if (row->health == MF_HEALTH_SLOW && percent <= SLOW_BACK_PERCENT)
     mf_upstream_set_health (core, upstream, MF_HEALTH_OK, MF_CODE_OK);
--- a/libmangofork/life.c
+++ b/libmangofork/life.c
@@ -5,6 +5,7 @@
 #include "queue.h"
 #include "retry.h"
 #include "suspect.h"
+#include "window.h"
 
 /* A stream without a token for this long is taken to be broken. */
 #define STALL_BASE_US (600 * MF_US_PER_MS)
@@ -22,6 +23,8 @@
 /* Tokens past the place where its upstream died that clear a suspect. */
 #define CLEAR_TOKENS 8
 #define CLAIMS_MAX 3
+/* An upstream that refused is not asked again for this long, unless one of our own leaves it. */
+#define FULL_US (40 * MF_US_PER_MS)
 #define HEDGE_MIN_US (10 * MF_US_PER_MS)
 #define HEDGE_ANSWERS 3
 
@@ -51,15 +54,30 @@
   return STALL_BASE_US + STALL_GAPS * service->config.tbt_target_us;
 }
 
+static MfPoolRow *
+decode_pool (MfCore *core, const MfRequest *request)
+{
+  return &core->board.services.pools[mf_request_service (core, request)->config.decode_pool];
+}
+
+static void
+let_go (MfCore *core, MfRequest *request)
+{
+  mf_call_abandon_all (core, request);
+  mf_call_drop_prefill (core, request, false);
+  mf_call_unreserve (core, request);
+  mf_call_leave (core, request);
+  mf_queue_end_wait (core, request);
+  request->n_refused = 0;
+}
+
 /* Sends the request back to its queue for another try, or refuses it when no try is left. */
 static void
 try_again (MfCore *core, MfRequest *request, MfCode code)
 {
   uint64_t delay_us;
 
-  mf_call_abandon_all (core, request);
-  mf_call_drop_prefill (core, request, false);
-  mf_call_unreserve (core, request);
+  let_go (core, request);
   if (core->board.now_us >= request->deadline_us)
     {
       mf_finish_refused (core, request, MF_CODE_DEADLINE, 0);
@@ -67,11 +85,11 @@
     }
   if (!mf_policy (core)->may_retry (core, request, &delay_us))
     {
-      mf_finish_refused (core, request, code, mf_queue_retry_after_ms (core, request->service));
+      mf_finish_refused (core, request, code,
+                         mf_queue_retry_after_ms (core, request->service));
       return;
     }
   request->n_retries++;
-  request->n_refused = 0;
   request->not_before_us = core->board.now_us + delay_us;
   mf_counter_add (&core->board.counters, MF_COUNTER_RETRIES, 1);
   mf_request_note (core, request, MF_TRACE_RETRIED, request->last_upstream, MF_NONE,
@@ -80,6 +98,28 @@
   mf_queue_add_again (core, request);
 }
 
+/* An engine had no room and ran nothing: the request waits for its turn again, which is no retry. */
+static void
+back_to_queue (MfCore *core, MfRequest *request)
+{
+  if (!mf_policy (core)->queues)
+    {
+      try_again (core, request, MF_CODE_QUEUE_FULL);
+      return;
+    }
+  let_go (core, request);
+  request->not_before_us = 0;
+  mf_request_set_phase (request, MF_PHASE_QUEUED);
+  mf_queue_add_again (core, request);
+}
+
+/* The upstream has refused for want of room. */
+static void
+note_full (MfCore *core, uint32_t upstream)
+{
+  core->board.upstreams[upstream].full_until_us = core->board.now_us + FULL_US;
+}
+
 /* The call is over without a whole answer. Returns whether it certainly ran nothing. */
 static bool
 end_failed (const Step *step)
@@ -226,9 +266,9 @@
     }
 }
 
-/* Sends the waiting KV to a decode engine, or waits for one while the KV lives. */
-static void
-try_transfer (MfCore *core, MfRequest *request)
+/* Sends the waiting KV to a decode engine when there is one. Returns false when it still waits. */
+bool
+mf_life_try_transfer (MfCore *core, MfRequest *request)
 {
   uint32_t upstream = request->reserved;
 
@@ -237,15 +277,28 @@
       mf_call_unreserve (core, request);
       upstream = mf_policy (core)->place_decode (core, request);
     }
-  if (upstream != MF_NONE)
+  if (upstream == MF_NONE)
+    return false;
+  mf_queue_end_wait (core, request);
+  mf_call_start (core, request, MF_CALL_DECODE, upstream);
+  mf_request_check_at (core, request, request->kv_expires_us + IMPORT_GRACE_US);
+  return true;
+}
+
+/* Sends the KV on, or waits for room while it lives. */
+static void
+transfer_or_wait (MfCore *core, MfRequest *request)
+{
+  if (!request->waits && mf_life_try_transfer (core, request))
+    return;
+  if (core->board.now_us + IMPORT_MIN_US >= request->kv_expires_us)
     {
-      mf_call_start (core, request, MF_CALL_DECODE, upstream);
-      mf_request_check_at (core, request, request->kv_expires_us + IMPORT_GRACE_US);
+      mf_window_note_loss (decode_pool (core, request));
+      try_again (core, request, MF_CODE_QUEUE_FULL);
+      return;
     }
-  else if (core->board.now_us + IMPORT_MIN_US >= request->kv_expires_us)
-    try_again (core, request, MF_CODE_QUEUE_FULL);
-  else
-    mf_request_check_at (core, request, core->board.now_us + TRANSFER_LOOK_US);
+  mf_queue_wait_transfer (core, request);
+  mf_request_check_at (core, request, core->board.now_us + TRANSFER_LOOK_US);
 }
 
 static void
@@ -276,24 +329,22 @@
   mf_request_note (step->core, request, MF_TRACE_PREFILLED, call->upstream, MF_NONE,
                    request->kv_bytes);
   mf_request_set_phase (request, MF_PHASE_TRANSFERRING);
-  try_transfer (step->core, request);
-}
-
-static void
-prefill_done (const Step *step)
-{
-  end_failed (step);
-  try_again (step->core, step->request, MF_CODE_UPSTREAM_ERROR);
+  transfer_or_wait (step->core, request);
 }
 
 static void
 prefill_failed (const Step *step)
 {
+  bool refused = step->event->call.refused;
   bool clean = end_failed (step);
 
-  if (step->event->call.refused)
-    step->core->board.upstreams[step->request->last_upstream].full = true;
-  try_again (step->core, step->request, clean ? MF_CODE_NO_UPSTREAM : MF_CODE_UPSTREAM_DIED);
+  if (refused)
+    {
+      note_full (step->core, step->request->last_upstream);
+      back_to_queue (step->core, step->request);
+    }
+  else
+    try_again (step->core, step->request, clean ? MF_CODE_NO_UPSTREAM : MF_CODE_UPSTREAM_DIED);
 }
 
 static void
@@ -324,6 +375,9 @@
   step->call->sent = true;
   mf_health_note_transfer (step->core, request->prefill_upstream, request->kv_bytes,
                            now_us (step) - step->call->started_us);
+  mf_window_note_wait (decode_pool (step->core, request),
+                       step->call->started_us - request->prefilled_us);
+  mf_call_arrived (step->core, request);
   mf_call_drop_prefill (step->core, request, true);
   mf_request_note (step->core, request, MF_TRACE_IMPORTED, step->call->upstream, MF_NONE, 0);
   mf_request_set_phase (request, MF_PHASE_DECODING);
@@ -503,15 +557,15 @@
   MfRequest *request = step->request;
   uint32_t upstream = step->call->upstream;
   bool lost = !step->event->call.refused && !step->event->call.leaving;
+  bool clean = end_failed (step);
 
-  if (request->n_refused < MF_REFUSED_MAX)
-    request->refused[request->n_refused++] = upstream;
+  request->n_refused++;
   if (step->event->call.refused)
-    step->core->board.upstreams[upstream].full = true;
-  if (!end_failed (step) || (lost && step->event->type == MF_EVENT_CALL_DONE))
+    note_full (step->core, upstream);
+  if (!clean || (lost && step->event->type == MF_EVENT_CALL_DONE))
     try_again (step->core, request, MF_CODE_UPSTREAM_DIED);
   else
-    try_transfer (step->core, request);
+    transfer_or_wait (step->core, request);
 }
 
 static void
@@ -556,7 +610,7 @@
   if (now_us (step) >= request->deadline_us)
     refuse_deadline (step);
   else if (call == NULL)
-    try_transfer (step->core, request);
+    transfer_or_wait (step->core, request);
   else
     {
       mf_health_note_transfer_stall (step->core, request->prefill_upstream);
@@ -601,7 +655,9 @@
       if (nothing_ran || mf_policy (step->core)->may_retry (step->core, request, &delay_us))
         {
           end_failed (step);
-          if (request->calls == NULL)
+          if (request->calls == NULL && event->refused)
+            back_to_queue (step->core, request);
+          else if (request->calls == NULL)
             try_again (step->core, request, MF_CODE_NO_UPSTREAM);
           return;
         }
@@ -609,6 +665,8 @@
   if (event->status < 500)
     {
       mf_health_note_answer (step->core, step->call->upstream, answer_us);
+      mf_window_note_answer (&step->core->board.services.pools[service->config.plain_pool],
+                             answer_us);
       service->answer_us += ((int64_t)answer_us - (int64_t)service->answer_us) / 16;
     }
   mf_health_note_call (step->core, step->call->upstream, step->event);
@@ -676,7 +734,7 @@
     [MF_INPUT_DEPARTED] = departed,
     [MF_INPUT_CALL_SENT] = note_sent,
     [MF_INPUT_PREFILLED] = prefilled,
-    [MF_INPUT_DONE] = prefill_done,
+    [MF_INPUT_DONE] = prefill_failed,
     [MF_INPUT_FAILED] = prefill_failed,
     [MF_INPUT_TIMER] = prefilling_timer,
   },
@@ -756,6 +814,7 @@
     mf_request_note (core, request, MF_TRACE_ALTERNATIVE, request->runner_up, MF_NONE,
                      request->runner_up_us);
   mf_request_set_phase (request, MF_PHASE_PREFILLING);
+  mf_call_enter (core, request);
   mf_call_reserve (core, request, placement->decode);
   mf_call_start (core, request, MF_CALL_PREFILL, placement->prefill);
   mf_request_check_at (core, request, core->board.now_us + patience_us);
@@ -791,6 +850,7 @@
       return;
     }
   mf_request_set_phase (request, MF_PHASE_CONNECTING);
+  mf_call_enter (core, request);
   mf_call_start (core, request, MF_CALL_PLAIN, upstream);
   mf_request_check_at (core, request,
                        core->board.now_us + (usual_us > HEDGE_MIN_US ? usual_us : HEDGE_MIN_US));
--- a/libmangofork/place.c
+++ b/libmangofork/place.c
@@ -1,8 +1,10 @@
 #include "health.h"
 #include "policy.h"
 #include "prefix.h"
+#include "queue.h"
 #include "retry.h"
 #include "share.h"
+#include "window.h"
 
 /* Up to this many upstreams are all looked at; of more, this many are drawn. */
 #define SAMPLE_MAX 8
@@ -12,6 +14,10 @@
 #define KV_LIFE_DEFAULT_US (500 * MF_US_PER_MS)
 /* Work is kept in our own queue, where it can be reordered, rather than in an engine's. */
 #define PREFILL_WAIT_MAX_US (150 * MF_US_PER_MS)
+/* More than one slot in this many free: there are slots to spare. */
+#define SPARE_DIVISOR 30
+/* The time a KV is planned to wait for its slot. */
+#define WAIT_PLANNED_US (100 * MF_US_PER_MS)
 /* From this share of its slots on, an upstream is used within this instance's share only. */
 #define SHARED_FROM_PERCENT 85
 /* Orders leave this share of a plain upstream's slots to reads. */
@@ -107,27 +113,16 @@
   return total == 0 || free_now >= (int64_t)pieces;
 }
 
-static bool
-was_refused (const MfRequest *request, uint32_t upstream)
-{
-  for (uint32_t i = 0; i < request->n_refused; i++)
-    {
-      if (request->refused[i] == upstream)
-        return true;
-    }
-  return false;
-}
-
 static bool
 has_decode_room (const MfCore *core, const MfRequest *request, uint32_t upstream)
 {
   const MfUpstream *row = &core->board.upstreams[upstream];
   uint32_t used = mf_upstream_slots_used (row);
 
-  return mf_upstream_is_usable (row) && row->role == MF_ROLE_DECODE && !row->full
-         && used < mf_upstream_slots (row) && has_pieces (row, request->pieces)
-         && within_share (core, upstream, used) && suits_suspect (row, request)
-         && !was_refused (request, upstream);
+  return mf_upstream_is_usable (row) && row->role == MF_ROLE_DECODE
+         && row->full_until_us <= core->board.now_us && used < mf_upstream_slots (row)
+         && has_pieces (row, request->pieces) && within_share (core, upstream, used)
+         && suits_suspect (row, request);
 }
 
 /* The least loaded of a few decode engines with room, by the share of its slots in use. */
@@ -174,8 +169,9 @@
   uint64_t carry_us = transfer_us (core, row, request);
 
   *wait_us = UINT64_MAX;
-  if (!mf_upstream_is_usable (row) || row->role != MF_ROLE_PREFILL || row->full
-      || !suits_suspect (row, request) || !has_pieces (row, tokens / MF_PIECE_TOKENS + 1)
+  if (!mf_upstream_is_usable (row) || row->role != MF_ROLE_PREFILL
+      || row->full_until_us > core->board.now_us || !suits_suspect (row, request)
+      || !has_pieces (row, tokens / MF_PIECE_TOKENS + 1)
       || ratio_us (row->transfer_bytes, link_rate (row)) > life_us / 2)
     return UINT64_MAX;
   *cached = mf_prefix_cached_tokens (core, upstream, request);
@@ -233,12 +229,73 @@
   return best;
 }
 
-/* Decode room is secured first; only then is a prefill spent. */
+/* Decode slots of the pool that are free by the reports, less those that requests of ours are on
+ * the way to. Judged by a sample when the pool is large. */
+static int64_t
+free_slots (MfCore *core, uint32_t pool, int64_t *n_slots)
+{
+  const MfPoolRow *row = &core->board.services.pools[pool];
+  int64_t n_free = 0;
+  Sample sample;
+
+  *n_slots = 0;
+  draw (core, pool, &sample);
+  for (uint32_t i = 0; i < sample.n_rows; i++)
+    {
+      const MfUpstream *upstream = &core->board.upstreams[sample.rows[i]];
+
+      if (!mf_upstream_is_usable (upstream))
+        continue;
+      *n_slots += mf_upstream_slots (upstream);
+      n_free += (int64_t)mf_upstream_slots (upstream) - mf_upstream_slots_used (upstream);
+    }
+  if (sample.n_rows > 0)
+    {
+      n_free = n_free * row->n_active / sample.n_rows;
+      *n_slots = *n_slots * row->n_active / sample.n_rows;
+    }
+  return n_free - row->n_coming;
+}
+
+/* Time from placement to the first token when nothing waits, by the pool's usual rates. */
+static uint64_t
+unloaded_us (const MfCore *core, const MfRequest *request)
+{
+  const MfService *service = &mf_request_service (core, request)->config;
+  const MfPoolRow *pool;
+  const MfUpstream *row;
+
+  if (service->kind == MF_SERVICE_PLAIN)
+    return mf_request_service (core, request)->answer_us;
+  pool = &core->board.services.pools[service->prefill_pool];
+  if (pool->n_active == 0)
+    return 0;
+  row = &core->board.upstreams[pool->active[0]];
+  return ratio_us (request->prompt_tokens + request->delivered, prefill_rate (row))
+         + ratio_us (kv_bytes (core, request), link_rate (row)) + 2 * service->tbt_target_us;
+}
+
+/* Whether one more request may be on its way to a pool that is nearly full: within the window, and
+ * not while a KV of ours already waits there. */
+static bool
+may_come (const MfCore *core, const MfPoolRow *pool)
+{
+  return mf_queue_transfer_wait_us (core) <= WAIT_PLANNED_US / 2 && mf_window_allows (pool);
+}
+
+/* Decode room first; only then is a prefill spent. While the pool has slots to spare, the engines
+ * are chosen together and the slot is kept. When it is nearly full, requests start towards slots
+ * that are about to be free; the KV's life is what they may wait. */
 static MfPlaceResult
 place_model (MfCore *core, MfRequest *request, MfPlacement *placement)
 {
-  placement->decode = place_decode (core, request);
-  if (placement->decode == MF_NONE)
+  uint32_t pool = mf_request_service (core, request)->config.decode_pool;
+  int64_t n_slots;
+  int64_t n_free = free_slots (core, pool, &n_slots);
+
+  if (n_free * SPARE_DIVISOR > n_slots)
+    placement->decode = place_decode (core, request);
+  if (placement->decode == MF_NONE && !may_come (core, &core->board.services.pools[pool]))
     return MF_PLACE_WAIT;
   placement->prefill = place_prefill (core, request, &placement->ttft_us);
   return placement->prefill == MF_NONE ? MF_PLACE_WAIT : MF_PLACE_FOUND;
@@ -264,6 +321,8 @@
   uint32_t best = MF_NONE;
   Sample sample;
 
+  if (!mf_window_allows (&core->board.services.pools[pool]))
+    return MF_NONE;
   draw (core, pool, &sample);
   for (uint32_t i = 0; i < sample.n_rows; i++)
     {
@@ -287,24 +346,6 @@
   return best;
 }
 
-/* Time from placement to the first token when nothing waits, by the pool's usual rates. */
-static uint64_t
-unloaded_us (const MfCore *core, const MfRequest *request)
-{
-  const MfService *service = &mf_request_service (core, request)->config;
-  const MfPoolRow *pool;
-  const MfUpstream *row;
-
-  if (service->kind == MF_SERVICE_PLAIN)
-    return mf_request_service (core, request)->answer_us;
-  pool = &core->board.services.pools[service->prefill_pool];
-  if (pool->n_active == 0)
-    return 0;
-  row = &core->board.upstreams[pool->active[0]];
-  return ratio_us (request->prompt_tokens + request->delivered, prefill_rate (row))
-         + ratio_us (kv_bytes (core, request), link_rate (row)) + 2 * service->tbt_target_us;
-}
-
 const MfPolicy mf_place_policy = {
   .name = "place",
   .queues = true,
--- a/libmangofork/queue.c
+++ b/libmangofork/queue.c
@@ -9,6 +9,7 @@
 #define LATE_TURN 16
 /* Tries to place in one step, over all services. */
 #define PLACE_TRIES_MAX 64
+#define AGAIN_TRIES_MAX 4
 /* A lower class goes first when its oldest has waited this share of its time. */
 #define STARVED_DIVISOR 2
 #define WANT_PERIOD_US (100 * MF_US_PER_MS)
@@ -58,6 +59,7 @@
   uint32_t n_services;
   Lane *lanes;
   uint32_t n_requests;
+  List transfers; /* KVs that wait for a decode engine */
   bool stirred;
   uint64_t want_us;
 };
@@ -302,14 +304,60 @@
     put (core, request, TIER_FRESH);
 }
 
+/* A caller who has seen tokens goes first, and so does one whose first token may still be in time. */
 void
 mf_queue_add_again (MfCore *core, MfRequest *request)
 {
-  put (core, request, TIER_AGAIN);
+  bool urgent = request->delivered > 0 || !mf_policy (core)->queues
+                || latest_start_us (core, request) >= core->board.now_us;
+
+  put (core, request, urgent ? TIER_AGAIN : TIER_LATE);
   if (request->not_before_us > core->board.now_us)
     mf_request_check_at (core, request, request->not_before_us);
 }
 
+void
+mf_queue_wait_transfer (MfCore *core, MfRequest *request)
+{
+  if (request->waits)
+    return;
+  request->waits = true;
+  list_push (&core->board.queue->transfers, request);
+}
+
+void
+mf_queue_end_wait (MfCore *core, MfRequest *request)
+{
+  if (!request->waits)
+    return;
+  request->waits = false;
+  list_remove (&core->board.queue->transfers, request);
+}
+
+uint64_t
+mf_queue_transfer_wait_us (const MfCore *core)
+{
+  const MfRequest *oldest = core->board.queue->transfers.head;
+
+  return oldest == NULL ? 0 : core->board.now_us - oldest->prefilled_us;
+}
+
+/* Sends waiting KVs on, the oldest first, while there is room. */
+static void
+place_transfers (MfCore *core)
+{
+  MfRequest *request = core->board.queue->transfers.head;
+
+  while (request != NULL)
+    {
+      MfRequest *next = request->next;
+
+      if (!mf_life_try_transfer (core, request))
+        return;
+      request = next;
+    }
+}
+
 /* Places one request. Returns false when there is no room for it now. */
 static bool
 place (MfCore *core, MfRequest *request)
@@ -389,6 +437,7 @@
 place_again (MfCore *core, ServiceQueue *queue)
 {
   MfRequest *request = queue->again.head;
+  uint32_t n_tries = 0;
 
   while (request != NULL)
     {
@@ -396,6 +445,8 @@
 
       if (place (core, request))
         return true;
+      if (++n_tries == AGAIN_TRIES_MAX)
+        return false;
       request = next;
     }
   return false;
@@ -444,9 +495,13 @@
   MfQueue *queue = core->board.queue;
   uint32_t n_tries = 0;
 
-  if (!queue->stirred || queue->n_requests == 0)
+  if (!queue->stirred)
     return;
   queue->stirred = false;
+  if (queue->transfers.head != NULL)
+    place_transfers (core);
+  if (queue->n_requests == 0)
+    return;
   for (uint32_t i = 0; i < core->board.services.n_rows; i++)
     {
       if (is_starved (core, i) && place_next (core, i))
--- a/libmangofork/request.h
+++ b/libmangofork/request.h
@@ -89,9 +89,6 @@
   UT_hash_handle hh;
 } MfCall;
 
-/* Tries a decode engine can refuse within one prefill's life, remembered so as not to ask again. */
-#define MF_REFUSED_MAX 8
-
 struct MfRequest
 {
   MfHeapNode timer; /* first member: the heap's nodes are requests */
@@ -136,7 +133,10 @@
   uint32_t runner_up;     /* prefill engine that was second best when it was placed */
   uint64_t runner_up_us;  /* its predicted time to the first token; 0 for none */
   uint32_t cached_tokens; /* of the prompt, at the prefill engine chosen last, as far as known */
-  uint32_t reserved;      /* decode upstream a slot is reserved on, or MF_NONE */
+  bool in_window; /* counted in its pool's window */
+  bool coming;    /* counted as coming to its pool */
+  bool waits;     /* its KV waits for a decode engine, in the queue's list of those */
+  uint32_t reserved; /* decode upstream a slot is reserved on, or MF_NONE */
   uint32_t pieces;
   uint64_t prefill_call_id; /* whose KV waits; 0 for none */
   uint32_t prefill_upstream;
@@ -145,8 +145,7 @@
   uint64_t kv_expires_us;
   uint64_t kv_bytes;
   uint64_t prefilled_us;
-  uint32_t refused[MF_REFUSED_MAX];
-  uint32_t n_refused;
+  uint32_t n_refused;     /* by decode engines, of the KV that waits */
   uint32_t last_upstream; /* the last that failed it; not tried next */
 
   uint32_t prefill_tokens; /* computed for it over all attempts */
@@ -182,6 +181,8 @@
 /* Starts a request that a place has been found for. */
 void mf_life_start_model (MfCore *core, MfRequest *request, const struct MfPlacement *placement);
 void mf_life_start_plain (MfCore *core, MfRequest *request, uint32_t upstream);
+/* Sends the waiting KV to a decode engine when there is one. Returns false when it still waits. */
+bool mf_life_try_transfer (MfCore *core, MfRequest *request);
 /* Begins a request that has been admitted. */
 void mf_life_begin (MfCore *core, MfRequest *request);
 
@@ -198,6 +199,10 @@
 /* Gives up the KV that waits at the prefill engine; when it was not imported it is wasted. */
 void mf_call_drop_prefill (MfCore *core, MfRequest *request, bool imported);
 void mf_call_unreserve (MfCore *core, MfRequest *request);
+/* Counts the request in its pool's window, or takes it out. */
+void mf_call_enter (MfCore *core, MfRequest *request);
+void mf_call_leave (MfCore *core, MfRequest *request);
+void mf_call_arrived (MfCore *core, MfRequest *request);
 void mf_call_reserve (MfCore *core, MfRequest *request, uint32_t upstream);
 
 /* finish.c: the terminal states. Each frees the request. */
--- a/libmangofork/upstream.c
+++ b/libmangofork/upstream.c
@@ -95,7 +95,7 @@
 
   row->own_slots--;
   row->own_pieces -= pieces;
-  row->full = false;
+  row->full_until_us = 0;
   note_change (row, core->board.now_us, -1);
   mf_queue_stir (core);
 }
@@ -376,7 +376,6 @@
   row->load = *load;
   row->load_at_us = core->board.now_us;
   row->role = load->role;
-  row->full = false;
   row->own_prefill_at_report = row->own_prefill_tokens;
   row->own_since_report = changes_since (row, load->measured_us);
 }
--- a/libmangofork/upstream.h
+++ b/libmangofork/upstream.h
@@ -41,6 +41,9 @@
   uint64_t prefill_tokens_per_s;  /* observed */
   uint64_t prefill_sum_tokens;    /* decaying sums that the rate comes from */
   uint64_t prefill_sum_us;
+  uint64_t link_sum_bytes;
+  uint64_t link_sum_us;
+  uint32_t n_transfer_stalls; /* since its link last carried a KV in time */
   uint64_t kv_life_us;       /* observed time its prefills' KV lives */
   uint64_t token_gap_us;     /* observed between tokens */
   uint64_t answer_us;        /* plain: observed time to the whole answer */
@@ -59,8 +62,8 @@
   uint64_t window_us;      /* start of the window the next two count in */
   uint32_t n_window_calls;
   uint32_t n_window_failures;
-  bool full;    /* refused since the last report */
   bool held;    /* given no work, for an order; order.c */
+  uint64_t full_until_us; /* it refused for want of room: not asked before this */
   bool broke;   /* a call broke; whether it died is not known yet */
   bool died;    /* its death is dealt with at the end of this step */
   bool watched; /* health looks at it periodically */
--- /dev/null
+++ b/libmangofork/window.c
@@ -0,0 +1,85 @@
+#include "window.h"
+
+#define MILLI 1000
+#define WINDOW_MIN_MILLI MILLI
+/* A wait for a decode slot that means too many at once, and what it takes off the window. */
+#define WAIT_HIGH_US (60 * MF_US_PER_MS)
+#define FALL_DIVISOR 40
+#define LOSS_DIVISOR 16
+/* Plain answers this much slower than the fastest mean seen mean that calls wait there. */
+#define SLOWER_PERCENT 120
+#define PLAIN_RISE_MILLI 60
+#define PLAIN_FALL_MILLI 120
+/* The fastest mean is forgotten slowly, by this share of it at each answer. */
+#define BASE_FORGET 4096
+
+bool
+mf_window_allows (const MfPoolRow *pool)
+{
+  return pool->n_own * MILLI < pool->window_milli || pool->n_own == 0;
+}
+
+/* Counts one more request there. One that went in beside the window, because there was room, widens
+ * it. */
+void
+mf_window_take (MfPoolRow *pool)
+{
+  pool->n_own++;
+  if (pool->window_milli < pool->n_own * MILLI)
+    pool->window_milli = pool->n_own * MILLI;
+}
+
+void
+mf_window_give (MfPoolRow *pool)
+{
+  pool->n_own--;
+}
+
+static void
+narrow (MfPoolRow *pool, uint32_t by_milli)
+{
+  pool->window_milli = pool->window_milli > WINDOW_MIN_MILLI + by_milli
+                           ? pool->window_milli - by_milli
+                           : WINDOW_MIN_MILLI;
+}
+
+/* Widens the window only while it is what holds requests back. */
+static void
+widen (MfPoolRow *pool, uint32_t by_milli)
+{
+  if ((pool->n_own + 1) * MILLI >= pool->window_milli)
+    pool->window_milli += by_milli;
+}
+
+/* Narrows by a share of the window, so that wide ones give up more and instances grow alike. */
+void
+mf_window_note_wait (MfPoolRow *pool, uint64_t wait_us)
+{
+  pool->n_waits++;
+  pool->sum_wait_us += wait_us;
+  if (wait_us > WAIT_HIGH_US)
+    narrow (pool, pool->window_milli / FALL_DIVISOR);
+}
+
+void
+mf_window_note_loss (MfPoolRow *pool)
+{
+  narrow (pool, pool->window_milli / LOSS_DIVISOR);
+}
+
+/* Keeps the window where answers are hardly slower than the fastest they have been. */
+void
+mf_window_note_answer (MfPoolRow *pool, uint64_t answer_us)
+{
+  if (pool->answer_us == 0)
+    pool->answer_us = answer_us;
+  pool->answer_us
+      = (uint64_t)((int64_t)pool->answer_us + ((int64_t)answer_us - (int64_t)pool->answer_us) / 16);
+  pool->base_us += pool->base_us / BASE_FORGET + 1;
+  if (pool->base_us == 1 || pool->answer_us < pool->base_us)
+    pool->base_us = pool->answer_us;
+  if (pool->answer_us * 100 > pool->base_us * SLOWER_PERCENT)
+    narrow (pool, PLAIN_FALL_MILLI);
+  else
+    widen (pool, PLAIN_RISE_MILLI);
+}
--- a/tests/fakes/rig.c
+++ b/tests/fakes/rig.c
@@ -698,6 +698,10 @@
     case MF_ACTION_PEER_SEND:
       peer_send (rig, &action->peer);
       break;
+    case MF_ACTION_LOG:
+      if (getenv ("RIG_LOG") != NULL)
+        printf ("    %.3f core %u %s %s %s -> %s (%s)\n", (double)rig->now_us / 1e6, rig->acting, action->log.subject, action->log.name, action->log.from, action->log.to, action->log.reason);
+      break;
     case MF_ACTION_EXIT:
       rig->exited[rig->acting] = true;
       break;
@@ -1046,7 +1050,7 @@
     .has_deadline = request->deadline_us > 0,
     .deadline_us = request->deadline_us,
     .prompt_tokens = request->prompt_tokens,
-    .max_tokens = request->answer_tokens,
+    .max_tokens = request->max_tokens > 0 ? request->max_tokens : request->answer_tokens,
     .digest = request->digest,
     .n_prefix_hashes = request->n_prefix_hashes,
   };
--- a/tests/fakes/rig.h
+++ b/tests/fakes/rig.h
@@ -31,6 +31,7 @@
   uint32_t customer;
   uint32_t prompt_tokens;
   uint32_t answer_tokens;
+  uint32_t max_tokens; /* 0: answer_tokens */
   uint64_t prefix_hashes[MF_PREFIX_HASHES_MAX];
   uint32_t n_prefix_hashes;
   uint64_t deadline_us; /* 0: the service's own */
