--- a/libmangofork/health.c
+++ b/libmangofork/health.c
@@ -96,8 +96,13 @@
   row->n_failures_in_row = 0;
   row->n_window_failures = 0;
   row->n_window_calls = 0;
+  row->silent = false;
   row->token_gap_us = 0;
   row->answer_us = 0;
+  row->prefill_sum_tokens = 0;
+  row->prefill_sum_us = 0;
+  row->prefill_tokens_per_s = 0;
+  row->n_transfer_stalls = 0;
   watch (row);
   mf_upstream_set_health (core, upstream, MF_HEALTH_OK, MF_CODE_OK);
 }
@@ -126,7 +131,7 @@
         mf_suspect_upstream_lives (core, upstream);
       row->broke = false;
       if (row->health == MF_HEALTH_DEAD
-          || (row->health == MF_HEALTH_EJECTED && row->health_reason == MF_CODE_UPSTREAM_STALLED))
+          || (row->health == MF_HEALTH_EJECTED && row->silent))
         bring_back (core, upstream);
       return;
     }
@@ -134,7 +139,10 @@
   if (event->call.connect_failed && (row->broke || row->n_failures_in_row >= DEAD_AFTER_FAILURES))
     declare_dead (core, upstream);
   else if (event->call.timed_out && row->n_failures_in_row >= STALLED_AFTER_POLLS)
-    eject (core, upstream, MF_CODE_UPSTREAM_STALLED);
+    {
+      eject (core, upstream, MF_CODE_UPSTREAM_STALLED);
+      row->silent = row->health == MF_HEALTH_EJECTED;
+    }
 }
 
 /* A load report came. Another incarnation means that the one before has died. */
--- a/libmangofork/place.c
+++ b/libmangofork/place.c
@@ -14,8 +14,10 @@
 #define KV_LIFE_DEFAULT_US (500 * MF_US_PER_MS)
 /* Work is kept in our own queue, where it can be reordered, rather than in an engine's. */
 #define PREFILL_WAIT_MAX_US (150 * MF_US_PER_MS)
-/* More than one slot in this many free: there are slots to spare. */
-#define SPARE_DIVISOR 30
+/* Slots free beyond one in this many, and beyond a few that other instances may take before a report
+ * shows it, are to spare. */
+#define SPARE_DIVISOR 20
+#define SPARE_MIN 2
 /* The time a KV is planned to wait for its slot. */
 #define WAIT_PLANNED_US (100 * MF_US_PER_MS)
 /* From this share of its slots on, an upstream is used within this instance's share only. */
@@ -293,7 +295,7 @@
   int64_t n_slots;
   int64_t n_free = free_slots (core, pool, &n_slots);
 
-  if (n_free * SPARE_DIVISOR > n_slots)
+  if (n_free > n_slots / SPARE_DIVISOR + SPARE_MIN)
     placement->decode = place_decode (core, request);
   if (placement->decode == MF_NONE && !may_come (core, &core->board.services.pools[pool]))
     return MF_PLACE_WAIT;
--- a/libmangofork/upstream.h
+++ b/libmangofork/upstream.h
@@ -64,6 +64,7 @@
   uint32_t n_window_failures;
   bool held;    /* given no work, for an order; order.c */
   uint64_t full_until_us; /* it refused for want of room: not asked before this */
+  bool silent; /* ejected because its polls were not answered */
   bool broke;   /* a call broke; whether it died is not known yet */
   bool died;    /* its death is dealt with at the end of this step */
   bool watched; /* health looks at it periodically */
--- a/libmangofork/window.c
+++ b/libmangofork/window.c
@@ -8,10 +8,10 @@
 #define LOSS_DIVISOR 16
 /* Plain answers this much slower than the fastest mean seen mean that calls wait there. */
 #define SLOWER_PERCENT 120
-#define PLAIN_RISE_MILLI 60
-#define PLAIN_FALL_MILLI 120
-/* The fastest mean is forgotten slowly, by this share of it at each answer. */
-#define BASE_FORGET 4096
+#define PLAIN_RISE_MILLI 20
+#define PLAIN_FALL_DIVISOR 64
+#define MEAN_DIVISOR 32
+#define IDLE_DIVISOR 4
 
 bool
 mf_window_allows (const MfPoolRow *pool)
@@ -67,19 +67,22 @@
   narrow (pool, pool->window_milli / LOSS_DIVISOR);
 }
 
-/* Keeps the window where answers are hardly slower than the fastest they have been. */
+/* Keeps the window where answers are hardly slower than the fastest they have been. What they take
+ * when hardly any are out is taken as it is. */
 void
 mf_window_note_answer (MfPoolRow *pool, uint64_t answer_us)
 {
+  int64_t step;
+
   if (pool->answer_us == 0)
     pool->answer_us = answer_us;
-  pool->answer_us
-      = (uint64_t)((int64_t)pool->answer_us + ((int64_t)answer_us - (int64_t)pool->answer_us) / 16);
-  pool->base_us += pool->base_us / BASE_FORGET + 1;
-  if (pool->base_us == 1 || pool->answer_us < pool->base_us)
+  step = ((int64_t)answer_us - (int64_t)pool->answer_us) / MEAN_DIVISOR;
+  pool->answer_us = (uint64_t)((int64_t)pool->answer_us + step);
+  if (pool->base_us == 0 || pool->answer_us < pool->base_us
+      || pool->n_own * IDLE_DIVISOR * MILLI < pool->window_milli)
     pool->base_us = pool->answer_us;
   if (pool->answer_us * 100 > pool->base_us * SLOWER_PERCENT)
-    narrow (pool, PLAIN_FALL_MILLI);
+    narrow (pool, pool->window_milli / PLAIN_FALL_DIVISOR);
   else
     widen (pool, PLAIN_RISE_MILLI);
 }
