--- a/bench/policy.c
+++ b/bench/policy.c
@@ -11,7 +11,7 @@
  * virtual time. */
 
 #define WARM_US (10 * MF_US_PER_S)
-#define N_CORES 6
+#define N_CORES n_cores
 #define PREFIX_GROUPS 8
 #define SLOTS 20
 
@@ -67,6 +67,8 @@
   double ttft_p99_ms;
 } Figures;
 
+static uint32_t n_cores = 6;
+
 static const Deployment deployments[] = {
   { .name = "supply",
     .n_prefill = 3,
@@ -389,7 +391,9 @@
       for (uint32_t c = 0; c < N_CORES; c++)
         {
           const MfPoolRow *w = &rig_core (rig, c)->board.services.pools[1];
+          const MfPoolRow *q = &rig_core (rig, c)->board.services.pools[2];
           printf (" own %u coming %u window %u;", w->n_own, w->n_coming, w->window_milli);
+          printf (" P%u/%u/%llu/%llu", q->n_own, q->window_milli, (unsigned long long)q->answer_us,  (unsigned long long)q->base_us);
         }
       printf ("\n");
       rig_run (rig, rig_now_us (rig) + 200000);
@@ -408,6 +412,8 @@
           figures.n_broken, figures.held);
   if (getenv ("POLICY_CODES") != NULL)
     {
+      for (uint32_t i = 0; i < 3; i++)
+        printf ("  plain runs %llu\n", (unsigned long long)rig_plain (rig, i)->n_runs);
       uint32_t by_code[10000] = { 0 };
       for (uint32_t i = 0; i < rig_request_count (rig); i++)
         if (rig_request (rig, i)->service == 0)
@@ -418,7 +424,9 @@
       for (uint32_t c = 0; c < N_CORES; c++)
         {
           const MfCounters *k = &rig_core (rig, c)->board.counters;
-          const MfPoolRow *w = &rig_core (rig, c)->board.services.pools[1];
+          const MfPoolRow *w = &rig_core (rig, c)->board.services.pools[2];
+          printf ("  plain core %u window %u own %u answer %llu base %llu drain %llu\n", c, w->window_milli, w->n_own, (unsigned long long)w->answer_us, (unsigned long long)w->base_us, (unsigned long long)rig_core (rig, c)->board.services.rows[1].drain_gap_us);
+          w = &rig_core (rig, c)->board.services.pools[1];
           printf ("  core %u waits %llu mean %.1f ms\n", c, (unsigned long long)w->n_waits, w->n_waits ? (double)w->sum_wait_us / (double)w->n_waits / 1000 : 0);
           printf ("  core %u: retries %llu resumes %llu late %llu ejections %llu hedges %llu\n", c,
                   (unsigned long long)k->values[MF_COUNTER_RETRIES],
@@ -457,6 +465,8 @@
         trial.length_us = 30 * MF_US_PER_S;
       else if (strcmp (argv[i], "--seed") == 0 && i + 1 < argc)
         trial.seed = strtoull (argv[++i], NULL, 10);
+      else if (strcmp (argv[i], "--cores") == 0 && i + 1 < argc)
+        n_cores = (uint32_t)atoi (argv[++i]);
       else if (strcmp (argv[i], "--only") == 0 && i + 1 < argc)
         only = argv[++i];
       else if (strcmp (argv[i], "--load") == 0 && i + 1 < argc)
--- a/libmangofork/call.c
+++ b/libmangofork/call.c
@@ -236,14 +236,14 @@
 }
 
 void
-mf_call_enter (MfCore *core, MfRequest *request)
+mf_call_enter (MfCore *core, MfRequest *request, bool spare)
 {
   MfPoolRow *pool = window_pool (core, request);
 
   request->in_window = true;
   request->coming = true;
   pool->n_coming++;
-  mf_window_take (pool);
+  mf_window_take (pool, spare);
 }
 
 /* The request is in its slot. */
--- a/libmangofork/life.c
+++ b/libmangofork/life.c
@@ -814,7 +814,7 @@
     mf_request_note (core, request, MF_TRACE_ALTERNATIVE, request->runner_up, MF_NONE,
                      request->runner_up_us);
   mf_request_set_phase (request, MF_PHASE_PREFILLING);
-  mf_call_enter (core, request);
+  mf_call_enter (core, request, placement->decode != MF_NONE);
   mf_call_reserve (core, request, placement->decode);
   mf_call_start (core, request, MF_CALL_PREFILL, placement->prefill);
   mf_request_check_at (core, request, core->board.now_us + patience_us);
@@ -850,7 +850,7 @@
       return;
     }
   mf_request_set_phase (request, MF_PHASE_CONNECTING);
-  mf_call_enter (core, request);
+  mf_call_enter (core, request, false);
   mf_call_start (core, request, MF_CALL_PLAIN, upstream);
   mf_request_check_at (core, request,
                        core->board.now_us + (usual_us > HEDGE_MIN_US ? usual_us : HEDGE_MIN_US));
--- a/libmangofork/naive.c
+++ b/libmangofork/naive.c
@@ -33,6 +33,14 @@
   return next_in_turn (core, mf_request_service (core, request)->config.decode_pool);
 }
 
+static bool
+has_spare (MfCore *core, const MfRequest *request)
+{
+  (void)core;
+  (void)request;
+  return true;
+}
+
 static uint32_t
 place_plain (MfCore *core, MfRequest *request)
 {
@@ -59,6 +67,7 @@
   .name = "naive",
   .place_model = place_model,
   .place_decode = place_decode,
+  .has_spare = has_spare,
   .place_plain = place_plain,
   .may_retry = may_retry,
   .unloaded_us = unloaded_us,
--- a/libmangofork/place.c
+++ b/libmangofork/place.c
@@ -18,6 +18,8 @@
  * shows it, are to spare. */
 #define SPARE_DIVISOR 20
 #define SPARE_MIN 2
+/* The same for requests that are late already. */
+#define LATE_SPARE_DIVISOR 12
 /* The time a KV is planned to wait for its slot. */
 #define WAIT_PLANNED_US (100 * MF_US_PER_MS)
 /* From this share of its slots on, an upstream is used within this instance's share only. */
@@ -285,6 +287,20 @@
   return mf_queue_transfer_wait_us (core) <= WAIT_PLANNED_US / 2 && mf_window_allows (pool);
 }
 
+/* Whether there is room to spare, that requests in time will not need soon. */
+static bool
+has_spare (MfCore *core, const MfRequest *request)
+{
+  const MfService *service = &mf_request_service (core, request)->config;
+  int64_t n_slots;
+  int64_t n_free;
+
+  if (service->kind == MF_SERVICE_PLAIN)
+    return true;
+  n_free = free_slots (core, service->decode_pool, &n_slots);
+  return n_free > n_slots / LATE_SPARE_DIVISOR + SPARE_MIN;
+}
+
 /* Decode room first; only then is a prefill spent. While the pool has slots to spare, the engines
  * are chosen together and the slot is kept. When it is nearly full, requests start towards slots
  * that are about to be free; the KV's life is what they may wait. */
@@ -356,6 +372,7 @@
   .isolates = true,
   .place_model = place_model,
   .place_decode = place_decode,
+  .has_spare = has_spare,
   .place_plain = place_plain,
   .may_retry = mf_retry_may,
   .unloaded_us = unloaded_us,
--- a/libmangofork/policy.h
+++ b/libmangofork/policy.h
@@ -27,6 +27,8 @@
   MfPlaceResult (*place_model) (MfCore *core, MfRequest *request, MfPlacement *placement);
   /* Where to decode a prefill that waits; MF_NONE: nowhere now. */
   uint32_t (*place_decode) (MfCore *core, MfRequest *request);
+  /* Whether there is room to spare, that requests in time will not need. */
+  bool (*has_spare) (MfCore *core, const MfRequest *request);
   /* MF_NONE: nowhere now. */
   uint32_t (*place_plain) (MfCore *core, MfRequest *request);
   /* Whether one more try may be made, and after how long. */
--- a/libmangofork/queue.c
+++ b/libmangofork/queue.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 
 /* One turn in this many goes to a request that is already late, so that none starves. */
-#define LATE_TURN 16
+#define LATE_TURN 32
 /* Tries to place in one step, over all services. */
 #define PLACE_TRIES_MAX 64
 #define AGAIN_TRIES_MAX 4
@@ -464,7 +464,9 @@
   if (place_again (core, queue))
     return true;
   fresh = first_fresh (core, queue);
-  late_turn = fresh == NULL || ++queue->n_turns % LATE_TURN == 0;
+  late_turn = ++queue->n_turns % LATE_TURN == 0;
+  if (fresh == NULL && queue->late.head != NULL)
+    late_turn = late_turn || mf_policy (core)->has_spare (core, queue->late.head);
   if (late_turn && queue->late.head != NULL)
     placed = place (core, queue->late.head);
   else
--- a/libmangofork/request.h
+++ b/libmangofork/request.h
@@ -200,7 +200,7 @@
 void mf_call_drop_prefill (MfCore *core, MfRequest *request, bool imported);
 void mf_call_unreserve (MfCore *core, MfRequest *request);
 /* Counts the request in its pool's window, or takes it out. */
-void mf_call_enter (MfCore *core, MfRequest *request);
+void mf_call_enter (MfCore *core, MfRequest *request, bool spare);
 void mf_call_leave (MfCore *core, MfRequest *request);
 void mf_call_arrived (MfCore *core, MfRequest *request);
 void mf_call_reserve (MfCore *core, MfRequest *request, uint32_t upstream);
--- a/libmangofork/service.h
+++ b/libmangofork/service.h
@@ -41,6 +41,8 @@
   uint32_t turn;         /* round robin */
   uint64_t token_gap_us; /* usual gap, over its members */
   uint64_t answer_us; /* plain: recent mean time to the answer */
+  uint32_t n_answers;
+  bool narrowed; /* plain: its window has met its limit once */
   uint64_t base_us;   /* plain: the least that mean has been of late */
   uint32_t n_own;     /* requests this instance keeps there */
   uint32_t n_coming;  /* of them, those on the way to a decode slot */
--- a/libmangofork/upstream.c
+++ b/libmangofork/upstream.c
@@ -4,6 +4,7 @@
 #include "health.h"
 #include "prefix.h"
 #include "queue.h"
+#include "window.h"
 
 #include <xxhash.h>
 #include <stdlib.h>
@@ -242,6 +243,17 @@
   add_member (&core->board.services.pools[upstream->pool], row);
 }
 
+static uint32_t
+pool_slots (const MfCore *core, uint32_t pool)
+{
+  const MfPoolRow *row = &core->board.services.pools[pool];
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < row->n_members && i < MF_POOL_ACTIVE_MAX; i++)
+    n += core->board.upstreams[row->members[i]].config.slots;
+  return n;
+}
+
 /* Brings the table in line with the text now in force. Known names keep their rows, found through a
  * sorted index. */
 void
@@ -276,7 +288,11 @@
   free (known);
   mf_upstream_index_build (core);
   for (uint32_t i = 0; i < board->services.n_pools; i++)
-    rank_members (core, &board->services.pools[i]);
+    {
+      rank_members (core, &board->services.pools[i]);
+      if (board->services.pools[i].role == MF_ROLE_PLAIN)
+        mf_window_begin (&board->services.pools[i], pool_slots (core, i));
+    }
   mf_upstream_refresh_pools (core);
 }
 
--- a/libmangofork/window.c
+++ b/libmangofork/window.c
@@ -12,7 +12,20 @@
 #define PLAIN_FALL_DIVISOR 64
 #define MEAN_DIVISOR 32
 #define IDLE_DIVISOR 4
+/* The first window is small, so that the first answers are seen unhindered; it rises faster until it
+ * has been narrowed once. */
+#define BEGIN_DIVISOR 16
+#define BEGIN_RISE_MILLI 100
 
+/* Begins with a part of what the pool's upstreams hold. */
+void
+mf_window_begin (MfPoolRow *pool, uint32_t n_slots)
+{
+  if (pool->window_milli == 0)
+    pool->window_milli = n_slots * MILLI / BEGIN_DIVISOR + WINDOW_MIN_MILLI;
+}
+
+/* Whether one more may be kept there. */
 bool
 mf_window_allows (const MfPoolRow *pool)
 {
@@ -22,10 +35,10 @@
 /* Counts one more request there. One that went in beside the window, because there was room, widens
  * it. */
 void
-mf_window_take (MfPoolRow *pool)
+mf_window_take (MfPoolRow *pool, bool spare)
 {
   pool->n_own++;
-  if (pool->window_milli < pool->n_own * MILLI)
+  if (spare && pool->window_milli < pool->n_own * MILLI)
     pool->window_milli = pool->n_own * MILLI;
 }
 
@@ -72,17 +85,20 @@
 void
 mf_window_note_answer (MfPoolRow *pool, uint64_t answer_us)
 {
-  int64_t step;
+  uint32_t divisor = pool->n_answers < MEAN_DIVISOR ? pool->n_answers + 1 : MEAN_DIVISOR;
+  int64_t step = ((int64_t)answer_us - (int64_t)pool->answer_us) / (int64_t)divisor;
 
-  if (pool->answer_us == 0)
-    pool->answer_us = answer_us;
-  step = ((int64_t)answer_us - (int64_t)pool->answer_us) / MEAN_DIVISOR;
   pool->answer_us = (uint64_t)((int64_t)pool->answer_us + step);
+  if (++pool->n_answers < MEAN_DIVISOR)
+    return;
   if (pool->base_us == 0 || pool->answer_us < pool->base_us
       || pool->n_own * IDLE_DIVISOR * MILLI < pool->window_milli)
     pool->base_us = pool->answer_us;
   if (pool->answer_us * 100 > pool->base_us * SLOWER_PERCENT)
-    narrow (pool, pool->window_milli / PLAIN_FALL_DIVISOR);
+    {
+      narrow (pool, pool->window_milli / PLAIN_FALL_DIVISOR);
+      pool->narrowed = true;
+    }
   else
-    widen (pool, PLAIN_RISE_MILLI);
+    widen (pool, pool->narrowed ? PLAIN_RISE_MILLI : BEGIN_RISE_MILLI);
 }
--- a/libmangofork/window.h
+++ b/libmangofork/window.h
@@ -5,8 +5,9 @@
 
 /* How many requests this instance keeps at one pool at once. Several instances use the same
  * engines without asking each other; each finds its part by what it sees of the waiting there. */
+void mf_window_begin (MfPoolRow *pool, uint32_t n_slots);
 bool mf_window_allows (const MfPoolRow *pool);
-void mf_window_take (MfPoolRow *pool);
+void mf_window_take (MfPoolRow *pool, bool spare);
 void mf_window_give (MfPoolRow *pool);
 /* A request got its place after waiting so long for it, though there seemed to be room. */
 void mf_window_note_wait (MfPoolRow *pool, uint64_t wait_us);
