--- a/bench/policy.c
+++ b/bench/policy.c
@@ -11,7 +11,11 @@
  * virtual time. */
 
 #define WARM_US (10 * MF_US_PER_S)
-#define N_CORES n_cores
+#define N_CORES 6
+#define N_LOADS 5
+#define LOAD_ONE 2
+#define LOAD_TWO 4
+#define FAULT_LOAD 0.8
 #define PREFIX_GROUPS 8
 #define SLOTS 20
 
@@ -34,6 +38,7 @@
   FAULT_DEATH,
   FAULT_GRAY,
   FAULT_LINK,
+  FAULT_COUNT,
 } Fault;
 
 typedef struct
@@ -52,7 +57,7 @@
   uint32_t n_good;
   uint32_t n_whole;
   uint32_t n_refused;
-  uint32_t n_broken; /* promises broken: garbled, answered twice, never answered */
+  uint32_t n_broken;   /* promises broken: garbled, answered twice, never answered */
   double offered_work; /* of the resource that limits, as a share of its capacity */
   double good_work;
   double wasted_share;
@@ -67,7 +72,7 @@
   double ttft_p99_ms;
 } Figures;
 
-static uint32_t n_cores = 6;
+static const double loads[N_LOADS] = { 0.5, 0.8, 1.0, 1.3, 2.0 };
 
 static const Deployment deployments[] = {
   { .name = "supply",
@@ -161,8 +166,7 @@
 static void
 draw_model (const Deployment *deployment, uint64_t *state, RigRequest *request)
 {
-  double prompt
-      = deployment->prompt_median * exp (deployment->prompt_sigma * normal (state));
+  double prompt = deployment->prompt_median * exp (deployment->prompt_sigma * normal (state));
   uint32_t group = (uint32_t)(uniform (state) * PREFIX_GROUPS);
   uint32_t shared = uniform (state) < 0.5 ? 1 + group % 2 : 0;
 
@@ -171,9 +175,8 @@
   request->customer = 1 + (uint32_t)(uniform (state) * deployment->n_customers);
   request->prompt_tokens
       = (uint32_t)fmin (fmax (prompt, 30), deployment->prompt_max) + shared * MF_PIECE_TOKENS;
-  request->answer_tokens = 1 + (uint32_t)fmin (
-                                   deployment->answer_mean * exp (0.6 * normal (state) - 0.18),
-                                   1500);
+  request->answer_tokens
+      = 1 + (uint32_t)fmin (deployment->answer_mean * exp (0.6 * normal (state) - 0.18), 1500);
   request->max_tokens = 1500;
   request->digest = 1 + (uint64_t)(uniform (state) * 1e15);
   request->n_prefix_hashes = request->prompt_tokens / MF_PIECE_TOKENS;
@@ -295,8 +298,8 @@
       return;
     }
   figures->n_orders_twice += request->n_runs > 1;
-  figures->n_orders_lost += !rig_is_whole (request) && request->outcome == MF_OUTCOME_NOT_RUN
-                            && request->n_runs > 0;
+  figures->n_orders_lost
+      += !rig_is_whole (request) && request->outcome == MF_OUTCOME_NOT_RUN && request->n_runs > 0;
 }
 
 static void
@@ -336,14 +339,7 @@
         ttfts_ms[n_ttfts++] = (double)(request->first_us - request->sent_us) / 1000;
       whole_work += rig_is_whole (request) ? work / window_s : 0;
       if (!is_good (request))
-        {
-          if (getenv ("POLICY_BAD") != NULL)
-            printf ("  bad %u at %.3f prompt %u code %u ttft %.0f tokens %u late %u/%u end %.3f\n", i,
-                    (double)request->sent_us / 1e6, request->prompt_tokens, request->code,
-                    (double)(request->first_us - request->sent_us) / 1e3, request->n_tokens,
-                    request->n_gaps_late, request->n_gaps, (double)request->ended_us / 1e6);
-          continue;
-        }
+        continue;
       figures->n_good++;
       figures->good_work += work / window_s;
     }
@@ -378,26 +374,6 @@
   start_us = rig_now_us (rig);
   send_all (rig, trial, per_s);
   rig_run (rig, start_us + trial->length_us / 2);
-  for (int k = 0; k < 5 && getenv ("POLICY_CODES") != NULL; k++)
-    {
-      uint32_t used = 0;
-      for (uint32_t i = trial->deployment->n_prefill; i < trial->deployment->n_prefill + trial->deployment->n_decode; i++)
-        {
-          MfLoadEvent load;
-          fake_engine_load (rig_engine (rig, i), rig_now_us (rig) + 50000, &load);
-          used += load.slots_used;
-        }
-      printf ("  used %u:", used);
-      for (uint32_t c = 0; c < N_CORES; c++)
-        {
-          const MfPoolRow *w = &rig_core (rig, c)->board.services.pools[1];
-          const MfPoolRow *q = &rig_core (rig, c)->board.services.pools[2];
-          printf (" own %u coming %u window %u;", w->n_own, w->n_coming, w->window_milli);
-          printf (" P%u/%u/%llu/%llu", q->n_own, q->window_milli, (unsigned long long)q->answer_us,  (unsigned long long)q->base_us);
-        }
-      printf ("\n");
-      rig_run (rig, rig_now_us (rig) + 200000);
-    }
   strike (rig, trial);
   rig_run (rig, start_us + trial->length_us + 70 * MF_US_PER_S);
   count (rig, trial, per_s, prefill_limits, &figures);
@@ -405,58 +381,122 @@
           "good/capacity %.3f wasted %.4f ttft99 %6.0f read99 %5.1f lost %u twice %u broken %u "
           "held %u\n",
           trial->deployment->name, trial->naive ? "naive" : "ours", trial->load,
-          faults[trial->fault], per_s, figures.n_offered, (double)figures.n_good / figures.n_offered,
-          (double)figures.n_whole / figures.n_offered,
+          faults[trial->fault], per_s, figures.n_offered,
+          (double)figures.n_good / figures.n_offered, (double)figures.n_whole / figures.n_offered,
           (double)figures.n_refused / figures.n_offered, figures.good_work, figures.wasted_share,
           figures.ttft_p99_ms, figures.read_p99_ms, figures.n_reads_lost, figures.n_orders_twice,
           figures.n_broken, figures.held);
-  if (getenv ("POLICY_CODES") != NULL)
+  fflush (stdout);
+  rig_free (rig);
+  return figures;
+}
+
+/* Everything that was measured, by deployment, load or fault, and policy. */
+typedef struct
+{
+  Figures loads[MF_ARRAY_LEN (deployments)][N_LOADS][2];
+  Figures faults[MF_ARRAY_LEN (deployments)][FAULT_COUNT][2];
+} Results;
+
+static void
+result (const char *deployment, const char *name, double value, const char *op, double target)
+{
+  bool met = op[0] == '<' ? value <= target : value >= target;
+
+  printf ("RESULT policy.%s.%s %.4f %s%.4g %s\n", deployment, name, value, op, target,
+          met ? "met" : "missed");
+}
+
+static double
+ratio (double ours, double naive)
+{
+  return naive > 0 ? ours / naive : 99;
+}
+
+static void
+report_loads (const char *name, Figures figures[N_LOADS][2])
+{
+  const Figures *one = &figures[LOAD_ONE][0];
+  const Figures *two = &figures[LOAD_TWO][0];
+  double worst_waste = 0;
+  uint32_t n_broken = 0;
+  uint32_t n_twice = 0;
+  uint32_t n_lost = 0;
+
+  for (int l = 0; l < N_LOADS; l++)
     {
-      for (uint32_t i = 0; i < 3; i++)
-        printf ("  plain runs %llu\n", (unsigned long long)rig_plain (rig, i)->n_runs);
-      uint32_t by_code[10000] = { 0 };
-      for (uint32_t i = 0; i < rig_request_count (rig); i++)
-        if (rig_request (rig, i)->service == 0)
-          by_code[rig_request (rig, i)->code]++;
-      for (uint32_t i = 0; i < 10000; i++)
-        if (by_code[i] > 0)
-          printf ("  code %u: %u\n", i, by_code[i]);
-      for (uint32_t c = 0; c < N_CORES; c++)
-        {
-          const MfCounters *k = &rig_core (rig, c)->board.counters;
-          const MfPoolRow *w = &rig_core (rig, c)->board.services.pools[2];
-          printf ("  plain core %u window %u own %u answer %llu base %llu drain %llu\n", c, w->window_milli, w->n_own, (unsigned long long)w->answer_us, (unsigned long long)w->base_us, (unsigned long long)rig_core (rig, c)->board.services.rows[1].drain_gap_us);
-          w = &rig_core (rig, c)->board.services.pools[1];
-          printf ("  core %u waits %llu mean %.1f ms\n", c, (unsigned long long)w->n_waits, w->n_waits ? (double)w->sum_wait_us / (double)w->n_waits / 1000 : 0);
-          printf ("  core %u: retries %llu resumes %llu late %llu ejections %llu hedges %llu\n", c,
-                  (unsigned long long)k->values[MF_COUNTER_RETRIES],
-                  (unsigned long long)k->values[MF_COUNTER_RESUMES],
-                  (unsigned long long)k->values[MF_COUNTER_LATE_DROPPED],
-                  (unsigned long long)k->values[MF_COUNTER_EJECTIONS],
-                  (unsigned long long)k->values[MF_COUNTER_HEDGES]);
-        }
-      for (uint32_t i = 0; i < trial->deployment->n_prefill + trial->deployment->n_decode; i++)
+      if (l <= LOAD_ONE && figures[l][0].wasted_share > worst_waste)
+        worst_waste = figures[l][0].wasted_share;
+      n_broken += figures[l][0].n_broken + figures[l][0].held;
+      n_twice += figures[l][0].n_orders_twice;
+      n_lost += figures[l][0].n_orders_lost;
+    }
+  result (name, "goodput_at_1.0_of_offered", one->good_work / one->offered_work, ">=", 0.95);
+  result (name, "goodput_at_1.0_over_naive", ratio (one->good_work, figures[LOAD_ONE][1].good_work),
+          ">=", 1.5);
+  result (name, "goodput_at_2.0_of_capacity", two->good_work, ">=", 0.9);
+  result (name, "goodput_at_2.0_over_1.3",
+          ratio (two->good_work, figures[LOAD_TWO - 1][0].good_work), ">=", 0.97);
+  result (name, "wasted_prefill_up_to_1.0", worst_waste, "<=", 0.01);
+  result (name, "wasted_prefill_at_2.0", two->wasted_share, "<=", 0.03);
+  result (name, "wasted_prefill_at_2.0_over_naive",
+          ratio (two->wasted_share, figures[LOAD_TWO][1].wasted_share), "<=", 0.1);
+  result (name, "read_p99_at_2.0_over_unloaded",
+          ratio (two->read_p99_ms, figures[0][0].read_p99_ms), "<=", 2);
+  result (name, "orders_twice", n_twice, "<=", 0);
+  result (name, "orders_lost", n_lost, "<=", 0);
+  result (name, "promises_broken_and_memory_held", n_broken, "<=", 0);
+}
+
+static void
+report_faults (const char *name, Figures figures[FAULT_COUNT][2])
+{
+  static const char *const names[] = { "", "burst", "death", "gray", "link" };
+  char text[64];
+
+  for (int f = FAULT_BURST; f < FAULT_COUNT; f++)
+    {
+      snprintf (text, sizeof text, "%s_goodput_of_offered", names[f]);
+      result (name, text, figures[f][0].good_work / figures[f][0].offered_work, ">=", 0.9);
+      snprintf (text, sizeof text, "%s_goodput_over_naive", names[f]);
+      result (name, text, ratio (figures[f][0].good_work, figures[f][1].good_work), ">=", 1);
+      snprintf (text, sizeof text, "%s_broken_and_held", names[f]);
+      result (name, text, figures[f][0].n_broken + figures[f][0].held, "<=", 0);
+    }
+}
+
+static void
+measure (Trial trial, const char *only, Results *results)
+{
+  for (size_t d = 0; d < MF_ARRAY_LEN (deployments); d++)
+    {
+      trial.deployment = &deployments[d];
+      if (only != NULL && strcmp (only, trial.deployment->name) != 0)
+        continue;
+      for (int naive = 0; naive < 2; naive++)
         {
-          const FakeLedger *l = fake_engine_ledger (rig_engine (rig, i));
-          const MfUpstream *u = &rig_core (rig, 0)->board.upstreams[i];
-          printf ("  row %u rate %llu link %llu MB/s gap %llu window %u own %u gap_drain %llu\n", i, (unsigned long long)u->prefill_tokens_per_s, (unsigned long long)u->link_bytes_per_s / 1000000, (unsigned long long)u->token_gap_us, rig_core (rig, 0)->board.services.pools[1].window_milli, rig_core (rig, 0)->board.services.pools[1].n_own, (unsigned long long)rig_core (rig, 0)->board.services.rows[0].drain_gap_us);
-          printf ("  engine %u: prefill %llu cached %llu wasted %llu tokens %llu refused %llu busy %.3f\n", i,
-                  (unsigned long long)l->prefill_tokens, (unsigned long long)l->cached_tokens,
-                  (unsigned long long)l->wasted_prefill_tokens, (unsigned long long)l->tokens,
-                  (unsigned long long)l->refused, (double)l->busy_us / (double)trial->length_us);
+          trial.naive = naive;
+          trial.fault = FAULT_NONE;
+          for (int l = 0; l < N_LOADS; l++)
+            {
+              trial.load = loads[l];
+              results->loads[d][l][naive] = run_trial (&trial);
+            }
+          trial.load = FAULT_LOAD;
+          for (int f = FAULT_BURST; f < FAULT_COUNT; f++)
+            {
+              trial.fault = (Fault)f;
+              results->faults[d][f][naive] = run_trial (&trial);
+            }
         }
     }
-  fflush (stdout);
-  rig_free (rig);
-  return figures;
 }
 
 int
 main (int argc, char **argv)
 {
-  static const double loads[] = { 0.5, 0.8, 1.0, 1.3, 2.0 };
+  static Results results;
   Trial trial = { .seed = 1, .length_us = 60 * MF_US_PER_S };
-  double only_load = 0;
   const char *only = NULL;
 
   for (int i = 1; i < argc; i++)
@@ -465,28 +505,16 @@
         trial.length_us = 30 * MF_US_PER_S;
       else if (strcmp (argv[i], "--seed") == 0 && i + 1 < argc)
         trial.seed = strtoull (argv[++i], NULL, 10);
-      else if (strcmp (argv[i], "--cores") == 0 && i + 1 < argc)
-        n_cores = (uint32_t)atoi (argv[++i]);
       else if (strcmp (argv[i], "--only") == 0 && i + 1 < argc)
         only = argv[++i];
-      else if (strcmp (argv[i], "--load") == 0 && i + 1 < argc)
-        only_load = strtod (argv[++i], NULL);
     }
+  measure (trial, only, &results);
   for (size_t d = 0; d < MF_ARRAY_LEN (deployments); d++)
     {
-      trial.deployment = &deployments[d];
-      if (only != NULL && strcmp (only, trial.deployment->name) != 0)
+      if (only != NULL && strcmp (only, deployments[d].name) != 0)
         continue;
-      for (size_t l = 0; l < MF_ARRAY_LEN (loads); l++)
-        {
-          if (only_load != 0 && only_load != loads[l])
-            continue;
-          trial.load = loads[l];
-          trial.naive = false;
-          run_trial (&trial);
-          trial.naive = true;
-          run_trial (&trial);
-        }
+      report_loads (deployments[d].name, results.loads[d]);
+      report_faults (deployments[d].name, results.faults[d]);
     }
   return 0;
 }
--- a/libmangofork/health.c
+++ b/libmangofork/health.c
@@ -130,8 +130,7 @@
       if (row->broke)
         mf_suspect_upstream_lives (core, upstream);
       row->broke = false;
-      if (row->health == MF_HEALTH_DEAD
-          || (row->health == MF_HEALTH_EJECTED && row->silent))
+      if (row->health == MF_HEALTH_DEAD || (row->health == MF_HEALTH_EJECTED && row->silent))
         bring_back (core, upstream);
       return;
     }
--- a/libmangofork/life.c
+++ b/libmangofork/life.c
@@ -85,8 +85,7 @@
     }
   if (!mf_policy (core)->may_retry (core, request, &delay_us))
     {
-      mf_finish_refused (core, request, code,
-                         mf_queue_retry_after_ms (core, request->service));
+      mf_finish_refused (core, request, code, mf_queue_retry_after_ms (core, request->service));
       return;
     }
   request->n_retries++;
@@ -98,7 +97,8 @@
   mf_queue_add_again (core, request);
 }
 
-/* An engine had no room and ran nothing: the request waits for its turn again, which is no retry. */
+/* An engine had no room and ran nothing: the request waits for its turn again, which is no retry.
+ */
 static void
 back_to_queue (MfCore *core, MfRequest *request)
 {
--- a/libmangofork/place.c
+++ b/libmangofork/place.c
@@ -14,18 +14,16 @@
 #define KV_LIFE_DEFAULT_US (500 * MF_US_PER_MS)
 /* Work is kept in our own queue, where it can be reordered, rather than in an engine's. */
 #define PREFILL_WAIT_MAX_US (150 * MF_US_PER_MS)
-/* Slots free beyond one in this many, and beyond a few that other instances may take before a report
- * shows it, are to spare. */
+/* Slots free beyond one in this many, and beyond a few that other instances may take before a
+ * report shows it, are to spare. */
 #define SPARE_DIVISOR 20
 #define SPARE_MIN 2
 /* The same for requests that are late already. */
 #define LATE_SPARE_DIVISOR 12
 /* The time a KV is planned to wait for its slot. */
 #define WAIT_PLANNED_US (100 * MF_US_PER_MS)
-/* From this share of its slots on, an upstream is used within this instance's share only. */
-#define SHARED_FROM_PERCENT 85
-/* Orders leave this share of a plain upstream's slots to reads. */
-#define ORDER_SLOTS_PERCENT 75
+/* Reads may take so many times this instance's share of an upstream. */
+#define READ_SHARES 3
 
 /* The upstreams of a pool that one decision looks at. */
 typedef struct
@@ -90,16 +88,6 @@
   return !request->suspect || row->suspects == 0;
 }
 
-/* Whether an upstream that is nearly full may take one more of ours. */
-static bool
-within_share (const MfCore *core, uint32_t upstream, uint32_t used)
-{
-  const MfUpstream *row = &core->board.upstreams[upstream];
-
-  return used * 100 < mf_upstream_slots (row) * SHARED_FROM_PERCENT
-         || row->own_slots < mf_share_limit (core, upstream);
-}
-
 static bool
 has_pieces (const MfUpstream *row, uint32_t pieces)
 {
@@ -125,8 +113,7 @@
 
   return mf_upstream_is_usable (row) && row->role == MF_ROLE_DECODE
          && row->full_until_us <= core->board.now_us && used < mf_upstream_slots (row)
-         && has_pieces (row, request->pieces) && within_share (core, upstream, used)
-         && suits_suspect (row, request);
+         && has_pieces (row, request->pieces) && suits_suspect (row, request);
 }
 
 /* The least loaded of a few decode engines with room, by the share of its slots in use. */
@@ -319,15 +306,18 @@
   return placement->prefill == MF_NONE ? MF_PLACE_WAIT : MF_PLACE_FOUND;
 }
 
+/* Reads pass the window and the share, up to what an upstream holds: the answers they slow down
+ * narrow the windows of all instances, and so make orders give way. */
 static uint32_t
 plain_slots (const MfCore *core, const MfRequest *request, uint32_t upstream)
 {
-  uint32_t slots = mf_share_limit (core, upstream);
+  const MfUpstream *row = &core->board.upstreams[upstream];
+  uint32_t share = mf_share_limit (core, upstream);
 
-  if (request->class_ == MF_CLASS_READ || slots < 2)
-    return slots;
-  slots = slots * ORDER_SLOTS_PERCENT / 100;
-  return slots > 0 ? slots : 1;
+  if (request->class_ != MF_CLASS_READ)
+    return share;
+  return share * READ_SHARES < mf_upstream_slots (row) ? share * READ_SHARES
+                                                       : mf_upstream_slots (row);
 }
 
 /* The upstream with the least own work and the fastest answers. */
@@ -339,7 +329,7 @@
   uint32_t best = MF_NONE;
   Sample sample;
 
-  if (!mf_window_allows (&core->board.services.pools[pool]))
+  if (request->class_ != MF_CLASS_READ && !mf_window_allows (&core->board.services.pools[pool]))
     return MF_NONE;
   draw (core, pool, &sample);
   for (uint32_t i = 0; i < sample.n_rows; i++)
--- a/libmangofork/queue.c
+++ b/libmangofork/queue.c
@@ -12,6 +12,8 @@
 #define AGAIN_TRIES_MAX 4
 /* A lower class goes first when its oldest has waited this share of its time. */
 #define STARVED_DIVISOR 2
+/* It does so one time in this many, so that what is urgent keeps its part. */
+#define STARVED_TURN 16
 #define WANT_PERIOD_US (100 * MF_US_PER_MS)
 #define RETRY_AFTER_MIN_MS 200
 #define RETRY_AFTER_MAX_MS 60000
@@ -61,6 +63,7 @@
   uint32_t n_requests;
   List transfers; /* KVs that wait for a decode engine */
   bool stirred;
+  uint32_t n_turns;
   uint64_t want_us;
 };
 
@@ -304,7 +307,8 @@
     put (core, request, TIER_FRESH);
 }
 
-/* A caller who has seen tokens goes first, and so does one whose first token may still be in time. */
+/* A caller who has seen tokens goes first, and so does one whose first token may still be in time.
+ */
 void
 mf_queue_add_again (MfCore *core, MfRequest *request)
 {
@@ -506,7 +510,7 @@
     return;
   for (uint32_t i = 0; i < core->board.services.n_rows; i++)
     {
-      if (is_starved (core, i) && place_next (core, i))
+      if (is_starved (core, i) && queue->n_turns++ % STARVED_TURN == 0 && place_next (core, i))
         n_tries++;
     }
   for (int class_ = 0; class_ < MF_CLASS_COUNT; class_++)
--- a/libmangofork/request.h
+++ b/libmangofork/request.h
@@ -133,10 +133,10 @@
   uint32_t runner_up;     /* prefill engine that was second best when it was placed */
   uint64_t runner_up_us;  /* its predicted time to the first token; 0 for none */
   uint32_t cached_tokens; /* of the prompt, at the prefill engine chosen last, as far as known */
-  bool in_window; /* counted in its pool's window */
-  bool coming;    /* counted as coming to its pool */
-  bool waits;     /* its KV waits for a decode engine, in the queue's list of those */
-  uint32_t reserved; /* decode upstream a slot is reserved on, or MF_NONE */
+  bool in_window;         /* counted in its pool's window */
+  bool coming;            /* counted as coming to its pool */
+  bool waits;             /* its KV waits for a decode engine, in the queue's list of those */
+  uint32_t reserved;      /* decode upstream a slot is reserved on, or MF_NONE */
   uint32_t pieces;
   uint64_t prefill_call_id; /* whose KV waits; 0 for none */
   uint32_t prefill_upstream;
--- a/libmangofork/upstream.h
+++ b/libmangofork/upstream.h
@@ -44,10 +44,10 @@
   uint64_t link_sum_bytes;
   uint64_t link_sum_us;
   uint32_t n_transfer_stalls; /* since its link last carried a KV in time */
-  uint64_t kv_life_us;       /* observed time its prefills' KV lives */
-  uint64_t token_gap_us;     /* observed between tokens */
-  uint64_t answer_us;        /* plain: observed time to the whole answer */
-  uint64_t link_bytes_per_s; /* observed, from its transfers */
+  uint64_t kv_life_us;        /* observed time its prefills' KV lives */
+  uint64_t token_gap_us;      /* observed between tokens */
+  uint64_t answer_us;         /* plain: observed time to the whole answer */
+  uint64_t link_bytes_per_s;  /* observed, from its transfers */
   uint32_t n_failures_in_row;
   uint32_t slow_start_ppm; /* share of full weight while it returns */
   uint64_t probe_at_us;
@@ -62,12 +62,12 @@
   uint64_t window_us;      /* start of the window the next two count in */
   uint32_t n_window_calls;
   uint32_t n_window_failures;
-  bool held;    /* given no work, for an order; order.c */
+  bool held;              /* given no work, for an order; order.c */
   uint64_t full_until_us; /* it refused for want of room: not asked before this */
-  bool silent; /* ejected because its polls were not answered */
-  bool broke;   /* a call broke; whether it died is not known yet */
-  bool died;    /* its death is dealt with at the end of this step */
-  bool watched; /* health looks at it periodically */
+  bool silent;            /* ejected because its polls were not answered */
+  bool broke;             /* a call broke; whether it died is not known yet */
+  bool died;              /* its death is dealt with at the end of this step */
+  bool watched;           /* health looks at it periodically */
   uint32_t n_ejections;
   uint32_t suspects;   /* running suspected requests */
   uint64_t fence_last; /* highest fencing number known for it */
--- a/libmangofork/window.c
+++ b/libmangofork/window.c
@@ -12,8 +12,8 @@
 #define PLAIN_FALL_DIVISOR 64
 #define MEAN_DIVISOR 32
 #define IDLE_DIVISOR 4
-/* The first window is small, so that the first answers are seen unhindered; it rises faster until it
- * has been narrowed once. */
+/* The first window is small, so that the first answers are seen unhindered; it rises faster until
+ * it has been narrowed once. */
 #define BEGIN_DIVISOR 16
 #define BEGIN_RISE_MILLI 100
 
--- a/tests/fakes/rig.c
+++ b/tests/fakes/rig.c
@@ -18,12 +18,12 @@
 
 typedef enum
 {
-  DUE_CORE_EVENT,  /* an event for a core */
-  DUE_CALL,        /* a call reaches its upstream */
-  DUE_ABORT,       /* the end of a call's connection reaches it */
-  DUE_ENGINE,      /* an engine has something to do */
-  DUE_PLAIN,       /* a plain call is done */
-  DUE_TIMEOUT,     /* the adapter's own time limit */
+  DUE_CORE_EVENT, /* an event for a core */
+  DUE_CALL,       /* a call reaches its upstream */
+  DUE_ABORT,      /* the end of a call's connection reaches it */
+  DUE_ENGINE,     /* an engine has something to do */
+  DUE_PLAIN,      /* a plain call is done */
+  DUE_TIMEOUT,    /* the adapter's own time limit */
 } DueType;
 
 typedef struct
@@ -336,8 +336,8 @@
       due = call_event (rig, call, MF_EVENT_CALL_TOKENS, event->at_us + rig->options.hop_us);
       due->event.call.first_index = (uint32_t)event->n;
       due->event.call.n_tokens = 1;
-      snprintf (due->data, sizeof due->data, "%llu:%llu",
-                (unsigned long long)call->call.request_id, (unsigned long long)event->n);
+      snprintf (due->data, sizeof due->data, "%llu:%llu", (unsigned long long)call->call.request_id,
+                (unsigned long long)event->n);
       break;
     case FAKE_FINISHED:
       end_call (rig, call, MF_EVENT_CALL_DONE, &(MfCallEvent){ .status = 200, .stopped = true });
@@ -398,10 +398,10 @@
   else
     {
       prefill = call_find (rig, (uint32_t)call->key[0], call->call.prefill_call_id);
-      verdict = prefill == NULL ? FAKE_GONE
-                                : fake_engine_decode (engine, &work,
-                                                      rig->engines[prefill->kv_engine],
-                                                      prefill->kv_handle, rig->now_us);
+      verdict = prefill == NULL
+                    ? FAKE_GONE
+                    : fake_engine_decode (engine, &work, rig->engines[prefill->kv_engine],
+                                          prefill->kv_handle, rig->now_us);
     }
   if (verdict == FAKE_ACCEPTED)
     request->ran = true;
@@ -428,10 +428,9 @@
   due->event.cache.incarnation = incarnation;
   due->event.cache.hashes = due->hashes;
   due->event.cache.stored = due->stored;
-  due->event.cache.n
-      = fake_engine_cache_events (rig->engines[engine], rig->now_us,
-                                  call->call.cache_after, &due->event.cache.first,
-                                  due->hashes, due->stored, CACHE_EVENTS_MAX);
+  due->event.cache.n = fake_engine_cache_events (rig->engines[engine], rig->now_us,
+                                                 call->call.cache_after, &due->event.cache.first,
+                                                 due->hashes, due->stored, CACHE_EVENTS_MAX);
   end_call (rig, call, MF_EVENT_CALL_DONE, &(MfCallEvent){ .status = 200 });
 }
 
@@ -698,10 +697,6 @@
     case MF_ACTION_PEER_SEND:
       peer_send (rig, &action->peer);
       break;
-    case MF_ACTION_LOG:
-      if (getenv ("RIG_LOG") != NULL)
-        printf ("    %.3f core %u %s %s %s -> %s (%s)\n", (double)rig->now_us / 1e6, rig->acting, action->log.subject, action->log.name, action->log.from, action->log.to, action->log.reason);
-      break;
     case MF_ACTION_EXIT:
       rig->exited[rig->acting] = true;
       break;
@@ -912,8 +907,7 @@
       (unsigned long long)o->prefill.kv_token_bytes, o->expected_tokens);
 
   len += add_upstreams (text + len, size - len, "prefill", "prefill", 'p', o->n_prefill,
-                        o->prefill.slots, o->prefill.pieces,
-                        o->prefill.link_bytes_per_s / 1000000);
+                        o->prefill.slots, o->prefill.pieces, o->prefill.link_bytes_per_s / 1000000);
   len += (size_t)snprintf (text + len, size - len, ",");
   len += add_upstreams (text + len, size - len, "decode", "decode", 'd', o->n_decode,
                         o->decode.slots, o->decode.pieces, 0);
