One exchange with a caller is a module of its own

Change: exchange.c holds a request and its answer, http_in.c the connections and what the library calls; hash tables use the shared hash. No behaviour changed; its tests pass as they stood.

--- /dev/null
+++ b/libmangofork/exchange.c
@@ -0,0 +1,383 @@
+#include "exchange.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+/* Bytes handed to the library at once for one streamed answer. */
+#define STREAM_BLOCK_BYTES 16384
+
+MfExchange *
+mf_exchange_new (MfExchanges *set, struct MHD_Connection *connection, int fd, uint64_t id,
+                 const char *uri)
+{
+  MfExchange *exchange = calloc (1, sizeof *exchange);
+
+  if (exchange == NULL)
+    return NULL;
+  set->n_exchanges++;
+  exchange->set = set;
+  exchange->connection = connection;
+  exchange->fd = fd;
+  exchange->id = id;
+  exchange->begun_s = ev_now (set->loop);
+  exchange->uri = strdup (uri);
+  exchange->path = strndup (uri, strcspn (uri, "?"));
+  if (exchange->uri != NULL && exchange->path != NULL)
+    return exchange;
+  mf_exchange_free (exchange);
+  return NULL;
+}
+
+void
+mf_exchange_resume (MfExchange *exchange)
+{
+  if (!exchange->suspended)
+    return;
+  exchange->suspended = false;
+  MHD_resume_connection (exchange->connection);
+  mf_httpd_wake (exchange->set->httpd);
+}
+
+void
+mf_exchange_suspend (MfExchange *exchange)
+{
+  exchange->suspended = true;
+  MHD_suspend_connection (exchange->connection);
+}
+
+/* Forgets what only a running request needs. */
+static void
+exchange_ungive (MfExchange *exchange)
+{
+  if (!exchange->given)
+    return;
+  exchange->given = false;
+  HASH_DEL (exchange->set->given, exchange);
+  mf_buffer_clear (&exchange->body);
+  mf_buffer_clear (&exchange->delivered);
+}
+
+/* Tells the core that the caller of a running request has gone. */
+void
+mf_exchange_depart (MfExchange *exchange)
+{
+  MfEvent event = { .type = MF_EVENT_DEPARTED, .departed_id = exchange->id };
+
+  exchange->departed = true;
+  if (!exchange->given)
+    return;
+  exchange_ungive (exchange);
+  if (!exchange->set->closing)
+    exchange->set->hooks.on_event (&event, exchange->set->data);
+}
+
+void
+mf_exchange_free (MfExchange *exchange)
+{
+  MfExchanges *set = exchange->set;
+
+  exchange_ungive (exchange);
+  if (exchange->response != NULL)
+    MHD_destroy_response (exchange->response);
+  mf_buffer_clear (&exchange->body);
+  mf_buffer_clear (&exchange->delivered);
+  mf_buffer_clear (&exchange->out);
+  free (exchange->uri);
+  free (exchange->path);
+  free (exchange);
+  set->n_exchanges--;
+}
+
+MfExchange *
+mf_exchange_find (const MfExchanges *set, uint64_t id)
+{
+  MfExchange *exchange;
+
+  HASH_FIND (hh, set->given, &id, sizeof id, exchange);
+  return exchange;
+}
+
+/* Pauses the call that feeds a caller who takes its answer slowly, and has it go on once half of
+ * what was held back is taken. */
+static void
+exchange_pace (MfExchange *exchange)
+{
+  MfExchanges *set = exchange->set;
+  size_t unsent = mf_buffer_bytes (&exchange->out);
+  bool hold = exchange->held ? unsent > set->options.caller_buffer_bytes / 2
+                             : unsent > set->options.caller_buffer_bytes;
+
+  if (hold == exchange->held || exchange->call_id == 0 || !exchange->given)
+    return;
+  exchange->held = hold;
+  set->hooks.on_hold (exchange->call_id, hold, set->data);
+}
+
+/* Hands the library the next bytes of a streamed answer. */
+static ssize_t
+stream_read (void *cls, uint64_t at, char *dst, size_t dst_bytes)
+{
+  MfExchange *exchange = cls;
+  size_t n = mf_buffer_bytes (&exchange->out);
+
+  (void)at;
+  if (exchange->departed || exchange->out.failed)
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  if (n == 0 && exchange->ended)
+    return exchange->cut ? MHD_CONTENT_READER_END_WITH_ERROR : MHD_CONTENT_READER_END_OF_STREAM;
+  if (n == 0)
+    {
+      mf_exchange_suspend (exchange);
+      return 0;
+    }
+  if (n > dst_bytes)
+    n = dst_bytes;
+  memcpy (dst, mf_buffer_data (&exchange->out), n);
+  mf_buffer_take (&exchange->out, n);
+  exchange_pace (exchange);
+  return (ssize_t)n;
+}
+
+static void
+header_add (MfExchange *exchange, const char *name, const char *value)
+{
+  if (value != NULL && value[0] != '\0')
+    MHD_add_response_header (exchange->response, name, value);
+}
+
+/* Begins a streamed answer. */
+static void
+response_stream (MfExchange *exchange)
+{
+  exchange->streaming = true;
+  exchange->status = MHD_HTTP_OK;
+  exchange->response = MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES,
+                                                          stream_read, exchange, NULL);
+  if (exchange->response == NULL)
+    {
+      exchange->departed = true;
+      return;
+    }
+  header_add (exchange, "Content-Type", "text/event-stream");
+  header_add (exchange, "Cache-Control", "no-cache");
+  header_add (exchange, "X-Request-Id", exchange->intake.name);
+}
+
+/* Makes a whole answer of bytes that are copied. */
+static void
+response_whole (MfExchange *exchange, uint16_t status, const char *content_type, const void *body,
+                size_t body_bytes)
+{
+  exchange->status = status;
+  exchange->ended = true;
+  exchange->response
+      = MHD_create_response_from_buffer (body_bytes, (void *)body, MHD_RESPMEM_MUST_COPY);
+  if (exchange->response == NULL)
+    {
+      exchange->departed = true;
+      return;
+    }
+  header_add (exchange, "Content-Type", content_type);
+  header_add (exchange, "X-Request-Id", exchange->intake.name);
+}
+
+/* Makes the answer of a refusal. */
+static void
+response_problem (MfExchange *exchange, const MfAnswerAction *refusal, const char *detail)
+{
+  const MfCodeInfo *info = mf_code_info (refusal->code);
+  uint64_t retry_after_s = mf_answer_retry_after_s (refusal->retry_after_ms);
+  MfBuffer body = { 0 };
+  char number[24];
+
+  mf_answer_problem (&body, refusal, exchange->intake.name, detail);
+  response_whole (exchange, refusal->status != 0 ? refusal->status : info->http_status,
+                  "application/problem+json", mf_buffer_data (&body), mf_buffer_bytes (&body));
+  mf_buffer_clear (&body);
+  if (exchange->response == NULL)
+    return;
+  header_add (exchange, "Mangofork-Outcome", mf_outcome_name (refusal->outcome));
+  snprintf (number, sizeof number, "%d", (int)info->code);
+  header_add (exchange, "Mangofork-Code", number);
+  snprintf (number, sizeof number, "%llu", (unsigned long long)retry_after_s);
+  if (retry_after_s != 0)
+    header_add (exchange, "Retry-After", number);
+  if (refusal->code == MF_CODE_NO_CUSTOMER)
+    header_add (exchange, "WWW-Authenticate", "Bearer");
+}
+
+/* Refuses a request that never reached the core. */
+void
+mf_exchange_refuse (MfExchange *exchange, const MfError *error)
+{
+  MfAnswerAction refusal = { .code = error->code, .outcome = MF_OUTCOME_NOT_RUN };
+
+  if (exchange->intake.name[0] == '\0')
+    mf_name_set (exchange->intake.name, sizeof exchange->intake.name, exchange->made_name);
+  response_problem (exchange, &refusal, error->text);
+  mf_buffer_clear (&exchange->body);
+  exchange->set->hooks.on_refused (error->code, exchange->set->data);
+}
+
+/* Queues the answer that was made, or closes the connection when there can be none. */
+enum MHD_Result
+mf_exchange_queue (MfExchange *exchange)
+{
+  struct MHD_Response *response = exchange->response;
+  enum MHD_Result result;
+
+  if (exchange->departed || response == NULL)
+    return MHD_NO;
+  exchange->response = NULL;
+  result = MHD_queue_response (exchange->connection, exchange->status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+/* Something new is in the answer: has the library fetch it. */
+static void
+exchange_push (MfExchange *exchange)
+{
+  if (!exchange->in_handler)
+    mf_exchange_resume (exchange);
+}
+
+/* Gives the core a request that is whole. */
+void
+mf_exchange_give (MfExchange *exchange)
+{
+  MfExchanges *set = exchange->set;
+  MfEvent event = { .type = MF_EVENT_REQUEST, .request = exchange->intake.request };
+
+  exchange->shape = (MfAnswerShape){
+    .chat = exchange->intake.chat,
+    .name = exchange->intake.name,
+    .model = exchange->intake.model,
+    .created_s = (uint64_t)ev_now (set->loop),
+    .prompt_tokens = event.request.prompt_tokens,
+    .max_tokens = event.request.max_tokens,
+  };
+  exchange->given = true;
+  HASH_ADD (hh, set->given, id, sizeof exchange->id, exchange);
+  set->hooks.on_event (&event, set->data);
+}
+
+/* The list of models is answered from the text in force. */
+bool
+mf_exchange_answer_models (MfExchange *exchange)
+{
+  MfBuffer body = { 0 };
+
+  if (strcmp (exchange->path, "/v1/models") != 0 || strcmp (exchange->method, "GET") != 0)
+    return false;
+  mf_answer_models (&body, exchange->set->hooks.on_config (exchange->set->data));
+  response_whole (exchange, MHD_HTTP_OK, "application/json", mf_buffer_data (&body),
+                  mf_buffer_bytes (&body));
+  mf_buffer_clear (&body);
+  return true;
+}
+
+/* Answers a request that will never be whole, past the library, which can queue no answer while a
+ * body is arriving. The connection is of no more use. */
+void
+mf_exchange_reject (MfExchange *exchange, MfCode code)
+{
+  const MfCodeInfo *info = mf_code_info (code);
+  MfAnswerAction refusal = { .code = code, .outcome = MF_OUTCOME_NOT_RUN };
+  MfBuffer body = { 0 };
+  char head[256];
+  int head_bytes;
+
+  mf_answer_problem (&body, &refusal, exchange->made_name, NULL);
+  head_bytes = snprintf (head, sizeof head,
+                         "HTTP/1.1 %u %s\r\nContent-Type: application/problem+json\r\n"
+                         "Mangofork-Outcome: not-run\r\nMangofork-Code: %d\r\n"
+                         "Content-Length: %zu\r\nConnection: close\r\n\r\n",
+                         info->http_status, info->name, (int)code, mf_buffer_bytes (&body));
+  if (send (exchange->fd, head, (size_t)head_bytes, MSG_DONTWAIT | MSG_NOSIGNAL | MSG_MORE) > 0)
+    send (exchange->fd, mf_buffer_data (&body), mf_buffer_bytes (&body),
+          MSG_DONTWAIT | MSG_NOSIGNAL);
+  mf_buffer_clear (&body);
+  shutdown (exchange->fd, SHUT_RDWR);
+  exchange->departed = true;
+  exchange->set->hooks.on_refused (code, exchange->set->data);
+}
+
+static void
+answer_tokens (MfExchange *exchange, const MfAnswerAction *answer)
+{
+  bool first = exchange->n_tokens == 0;
+
+  exchange->n_tokens += answer->n_tokens;
+  mf_buffer_add (&exchange->delivered, answer->data, answer->data_bytes);
+  if (!exchange->intake.request.stream)
+    return;
+  mf_answer_chunk (&exchange->out, &exchange->shape, first, answer->data, answer->data_bytes);
+  if (!exchange->streaming)
+    response_stream (exchange);
+  exchange_pace (exchange);
+}
+
+static void
+answer_end (MfExchange *exchange)
+{
+  MfBuffer body = { 0 };
+
+  if (exchange->intake.request.stream)
+    {
+      mf_answer_chunk_end (&exchange->out, &exchange->shape, exchange->n_tokens);
+      if (!exchange->streaming)
+        response_stream (exchange);
+      exchange->ended = true;
+      return;
+    }
+  mf_answer_whole (&body, &exchange->shape, mf_buffer_data (&exchange->delivered),
+                   mf_buffer_bytes (&exchange->delivered), exchange->n_tokens);
+  response_whole (exchange, MHD_HTTP_OK, "application/json", mf_buffer_data (&body),
+                  mf_buffer_bytes (&body));
+  if (body.failed || exchange->delivered.failed)
+    exchange->departed = true;
+  mf_buffer_clear (&body);
+}
+
+static void
+answer_whole (MfExchange *exchange, const MfAnswerAction *answer)
+{
+  response_whole (exchange, answer->status, answer->content_type, answer->data, answer->data_bytes);
+  if (answer->replayed && exchange->response != NULL)
+    header_add (exchange, "Mangofork-Replayed", "yes");
+}
+
+static void
+answer_refuse (MfExchange *exchange, const MfAnswerAction *answer)
+{
+  if (!exchange->streaming)
+    {
+      response_problem (exchange, answer, NULL);
+      return;
+    }
+  mf_answer_chunk_refuse (&exchange->out, answer, exchange->intake.name);
+  exchange->ended = true;
+  exchange->cut = true;
+}
+
+void
+mf_exchange_answer (MfExchange *exchange, const MfAction *action)
+{
+  if (exchange->ended)
+    return;
+  if (action->type == MF_ACTION_ANSWER_TOKENS)
+    answer_tokens (exchange, &action->answer);
+  else if (action->type == MF_ACTION_ANSWER_END)
+    answer_end (exchange);
+  else if (action->type == MF_ACTION_ANSWER_WHOLE)
+    answer_whole (exchange, &action->answer);
+  else
+    answer_refuse (exchange, &action->answer);
+  if (exchange->ended)
+    exchange_ungive (exchange);
+  if (exchange->response != NULL || exchange->streaming || exchange->departed)
+    exchange_push (exchange);
+}
--- a/libmangofork/peer_link.c
+++ b/libmangofork/peer_link.c
@@ -4,6 +4,7 @@
 #include "frame.h"
 #include "peer_auth.h"
 #include "socket.h"
+#include "table.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -13,7 +14,6 @@
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
-#include "table.h"
 #include <utlist.h>
 
 /* A handshake must be over by then. */
