Tests with real processes: keyed orders under kills, pauses and cut links

Cause: what the protocol's model and the tests of cores say about keys has to hold between processes, sockets and signals as well. Change: test_process_orders kills, pauses and isolates instances in mid-order, holds links one way, breaks connections before and after a run, and reads from the stand-ins' ledgers how often each key ran.

--- /dev/null
+++ b/tests/test_process_orders.c
@@ -0,0 +1,356 @@
+#include "fleet.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <signal.h>
+#include <string.h>
+
+#define SLOW_MS 1500
+
+static void
+each_plain (Fleet *fleet, const char *kind, unsigned value)
+{
+  fleet_fault (fleet, "o1", kind, value);
+  fleet_fault (fleet, "o2", kind, value);
+  fleet_fault (fleet, "o3", kind, value);
+}
+
+static bool
+has_arrived (Fleet *fleet, void *data)
+{
+  const uint64_t *n = data;
+
+  return fleet_sum (fleet, "plain", "calls") >= *n;
+}
+
+/* Sends an order and waits until an upstream has it, before it has run. */
+static Caller *
+begin (Fleet *fleet, int instance, const char *order)
+{
+  uint64_t n_calls = fleet_sum (fleet, "plain", "calls") + 1;
+  Caller *caller = fleet_order (fleet, instance, order, order);
+
+  fleet_until (fleet, has_arrived, &n_calls);
+  return caller;
+}
+
+static Caller *
+run (Fleet *fleet, int instance, const char *order)
+{
+  Caller *caller = fleet_order (fleet, instance, order, order);
+
+  caller_finish (caller);
+  return caller;
+}
+
+static bool
+has_run (Fleet *fleet, void *data)
+{
+  return fleet_runs (fleet, data) > 0;
+}
+
+/* What any answer to a key may be: the run's own answer, or a refusal that does not deny it. */
+static void
+assert_honest (Fleet *fleet, Caller *caller, const char *order)
+{
+  if (caller_status (caller) == 200)
+    assert_non_null (strstr (caller_body (caller), order));
+  else if (strcmp (caller_outcome (caller), "not-run") == 0)
+    assert_int_equal (fleet_runs (fleet, order), 0);
+  else
+    assert_string_not_equal (caller_outcome (caller), "");
+  assert_true (fleet_runs (fleet, order) <= 1);
+}
+
+static int
+setup (void **state)
+{
+  if (fleet_setup (state) != 0)
+    return -1;
+  for (int i = 1; i <= FLEET_INSTANCES; i++)
+    fleet_until_voting (*state, i);
+  return 0;
+}
+
+static void
+test_resent_order_gets_the_first_answer (void **state)
+{
+  Fleet *fleet = *state;
+  Caller *first = run (fleet, 1, "a");
+
+  assert_int_equal (caller_status (first), 200);
+  for (int i = 1; i <= FLEET_INSTANCES; i++)
+    {
+      Caller *again = run (fleet, i, "a");
+
+      assert_int_equal (caller_status (again), 200);
+      assert_string_equal (caller_body (again), caller_body (first));
+    }
+  assert_int_equal (fleet_runs (fleet, "a"), 1);
+}
+
+static void
+test_resent_order_waits_for_the_run (void **state)
+{
+  Fleet *fleet = *state;
+  Caller *first;
+  Caller *second;
+  Caller *third;
+
+  each_plain (fleet, "slow", SLOW_MS);
+  first = begin (fleet, 1, "b");
+  second = fleet_order (fleet, 2, "b", "b");
+  third = fleet_order (fleet, 3, "b", "b");
+  caller_finish (first);
+  caller_finish (second);
+  caller_finish (third);
+  assert_int_equal (caller_status (first), 200);
+  assert_honest (fleet, second, "b");
+  assert_honest (fleet, third, "b");
+  assert_int_equal (fleet_runs (fleet, "b"), 1);
+}
+
+static void
+test_instance_killed_in_mid_order (void **state)
+{
+  Fleet *fleet = *state;
+  Caller *second;
+  Caller *third;
+
+  each_plain (fleet, "slow", SLOW_MS);
+  begin (fleet, 1, "c");
+  fleet_signal (fleet, 1, SIGKILL);
+  second = fleet_order (fleet, 2, "c", "c");
+  caller_finish (second);
+  third = run (fleet, 3, "c");
+  fleet_until (fleet, has_run, "c");
+  assert_honest (fleet, second, "c");
+  assert_honest (fleet, third, "c");
+  fleet_start (fleet, 1);
+  fleet_until_ready (fleet, 1);
+  fleet_until_voting (fleet, 1);
+  assert_honest (fleet, run (fleet, 1, "c"), "c");
+}
+
+static void
+test_instance_paused_in_mid_order_wakes_late (void **state)
+{
+  Fleet *fleet = *state;
+  Caller *first;
+  Caller *second;
+
+  each_plain (fleet, "slow", SLOW_MS);
+  first = begin (fleet, 1, "d");
+  fleet_signal (fleet, 1, SIGSTOP);
+  second = fleet_order (fleet, 2, "d", "d");
+  fleet_pass (fleet, 4000);
+  fleet_signal (fleet, 1, SIGCONT);
+  caller_finish (first);
+  caller_finish (second);
+  assert_honest (fleet, first, "d");
+  assert_honest (fleet, second, "d");
+  assert_honest (fleet, run (fleet, 3, "d"), "d");
+}
+
+/* The pause falls anywhere between the arrival of the order and its call. */
+static void
+test_instance_paused_around_the_send (void **state)
+{
+  static const char *const orders[] = { "e0", "e1", "e2", "e3", "e4", "e5" };
+  Fleet *fleet = *state;
+
+  for (unsigned i = 0; i < MF_ARRAY_LEN (orders); i++)
+    {
+      Caller *first = fleet_order (fleet, 1, orders[i], orders[i]);
+      Caller *second;
+
+      fleet_pass (fleet, i);
+      fleet_signal (fleet, 1, SIGSTOP);
+      second = fleet_order (fleet, 2, orders[i], orders[i]);
+      fleet_pass (fleet, 1500);
+      fleet_signal (fleet, 1, SIGCONT);
+      caller_finish (first);
+      caller_finish (second);
+      assert_honest (fleet, first, orders[i]);
+      assert_honest (fleet, second, orders[i]);
+    }
+}
+
+static void
+assert_refused_as_unknown (Caller *caller)
+{
+  assert_int_equal (caller_status (caller), 503);
+  assert_string_equal (caller_outcome (caller), "unknown");
+}
+
+/* The minority runs nothing, and cannot say that the other side ran nothing either. */
+static void
+test_minority_refuses_and_runs_nothing (void **state)
+{
+  Fleet *fleet = *state;
+  Caller *alone;
+  Caller *joined;
+
+  fleet_isolate (fleet, 3, true);
+  alone = run (fleet, 3, "f");
+  assert_refused_as_unknown (alone);
+  assert_int_equal (fleet_runs (fleet, "f"), 0);
+  joined = run (fleet, 1, "f");
+  assert_int_equal (caller_status (joined), 200);
+  assert_int_equal (fleet_runs (fleet, "f"), 1);
+  assert_refused_as_unknown (run (fleet, 3, "f"));
+  fleet_isolate (fleet, 3, false);
+  fleet_until_voting (fleet, 3);
+  assert_honest (fleet, run (fleet, 3, "f"), "f");
+}
+
+static void
+test_partition_in_mid_order (void **state)
+{
+  Fleet *fleet = *state;
+  Caller *first;
+  Caller *second;
+
+  each_plain (fleet, "slow", SLOW_MS);
+  first = begin (fleet, 3, "g");
+  fleet_isolate (fleet, 3, true);
+  second = run (fleet, 1, "g");
+  caller_finish (first);
+  assert_int_equal (caller_status (first), 200);
+  assert_honest (fleet, second, "g");
+  fleet_isolate (fleet, 3, false);
+  fleet_until_voting (fleet, 3);
+  assert_honest (fleet, run (fleet, 2, "g"), "g");
+}
+
+static void
+test_link_held_one_way (void **state)
+{
+  static const char *const kinds[] = { "hold-in", "hold-out" };
+  static const char *const orders[] = { "h0", "h1" };
+  Fleet *fleet = *state;
+
+  for (unsigned i = 0; i < MF_ARRAY_LEN (kinds); i++)
+    {
+      Caller *first;
+      Caller *second;
+
+      for (int other = 2; other <= FLEET_INSTANCES; other++)
+        {
+          fleet_link (fleet, other, kinds[i], 1);
+          fleet_link (fleet, 1, kinds[i], other);
+        }
+      first = fleet_order (fleet, 1, orders[i], orders[i]);
+      second = fleet_order (fleet, 2, orders[i], orders[i]);
+      caller_finish (first);
+      caller_finish (second);
+      assert_honest (fleet, first, orders[i]);
+      assert_honest (fleet, second, orders[i]);
+      fleet_isolate (fleet, 1, false);
+      fleet_until_voting (fleet, 1);
+      assert_honest (fleet, run (fleet, 1, orders[i]), orders[i]);
+    }
+}
+
+static void
+test_upstream_breaks_off_an_order (void **state)
+{
+  static const char *const kinds[] = { "die-before", "die-after", "cut" };
+  static const char *const orders[] = { "i0", "i1", "i2" };
+  Fleet *fleet = *state;
+
+  for (unsigned i = 0; i < MF_ARRAY_LEN (kinds); i++)
+    {
+      Caller *first;
+
+      each_plain (fleet, kinds[i], 1);
+      first = run (fleet, 1, orders[i]);
+      assert_int_not_equal (caller_status (first), 200);
+      assert_string_not_equal (caller_outcome (first), "not-run");
+      each_plain (fleet, "none", 0);
+      assert_honest (fleet, run (fleet, 2, orders[i]), orders[i]);
+    }
+}
+
+static void
+test_order_without_a_key_is_not_repeated (void **state)
+{
+  Fleet *fleet = *state;
+  Caller *caller;
+
+  each_plain (fleet, "die-after", 1);
+  caller = fleet_order (fleet, 1, "j", NULL);
+  caller_finish (caller);
+  assert_string_not_equal (caller_outcome (caller), "not-run");
+  assert_int_equal (fleet_runs (fleet, "j"), 1);
+}
+
+static void
+test_refused_order_runs_elsewhere (void **state)
+{
+  Fleet *fleet = *state;
+
+  fleet_fault (fleet, "o1", "leave", 1);
+  fleet_fault (fleet, "o2", "refuse", 1);
+  assert_int_equal (caller_status (run (fleet, 1, "k")), 200);
+  assert_int_equal (fleet_runs (fleet, "k"), 1);
+}
+
+static void
+test_reads_outlive_their_upstream (void **state)
+{
+  Fleet *fleet = *state;
+  Caller *callers[12];
+
+  fleet_fault (fleet, "o1", "kill", 0);
+  fleet_fault (fleet, "o2", "die-before", 3);
+  for (unsigned i = 0; i < MF_ARRAY_LEN (callers); i++)
+    callers[i] = fleet_read (fleet, (int)(i % FLEET_INSTANCES) + 1, "/stock/drawer");
+  for (unsigned i = 0; i < MF_ARRAY_LEN (callers); i++)
+    {
+      caller_finish (callers[i]);
+      assert_int_equal (caller_status (callers[i]), 200);
+    }
+}
+
+static void
+test_shutdown_cuts_off_no_order (void **state)
+{
+  Fleet *fleet = *state;
+  Caller *first;
+
+  each_plain (fleet, "slow", SLOW_MS);
+  first = begin (fleet, 1, "l");
+  fleet_signal (fleet, 1, SIGTERM);
+  caller_finish (first);
+  assert_int_equal (caller_status (first), 200);
+  assert_int_equal (fleet_exit_code (fleet, 1), 0);
+  assert_honest (fleet, run (fleet, 2, "l"), "l");
+}
+
+int
+main (int argc, char **argv)
+{
+#define FLEET_TEST(name) cmocka_unit_test_setup_teardown (name, setup, fleet_teardown)
+  const struct CMUnitTest tests[] = {
+    FLEET_TEST (test_resent_order_gets_the_first_answer),
+    FLEET_TEST (test_resent_order_waits_for_the_run),
+    FLEET_TEST (test_instance_killed_in_mid_order),
+    FLEET_TEST (test_instance_paused_in_mid_order_wakes_late),
+    FLEET_TEST (test_instance_paused_around_the_send),
+    FLEET_TEST (test_minority_refuses_and_runs_nothing),
+    FLEET_TEST (test_partition_in_mid_order),
+    FLEET_TEST (test_link_held_one_way),
+    FLEET_TEST (test_upstream_breaks_off_an_order),
+    FLEET_TEST (test_order_without_a_key_is_not_repeated),
+    FLEET_TEST (test_refused_order_runs_elsewhere),
+    FLEET_TEST (test_reads_outlive_their_upstream),
+    FLEET_TEST (test_shutdown_cuts_off_no_order),
+  };
+
+  if (argc > 1)
+    cmocka_set_test_filter (argv[1]);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
