Soak: real processes under faults two at a time; forgotten keys refused at once

Cause: nothing ran the whole system for long under mixed faults. The first run found that a key no voter could vouch for any more waited for its whole deadline (10 s) before its refusal, though the refusal was certain at once. Change: bench/soak with three instances and stand-ins, kills, freezes, cuts, engines that die, stall, slow down and leave, an order desk that dies, a platform down or stale; answers held against ledgers. Conclusion: refused when certain; the soak stays as a measurement.

--- /dev/null
+++ b/bench/soak.c
@@ -0,0 +1,524 @@
+#include "tests/fleet.h"
+
+#include "libmangofork/clock.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <cmocka.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Three instances and their stand-ins as real processes, under steady work and faults that come two
+ * at a time: kills, freezes, cuts both ways and one way, dying, stalled, slow and leaving engines,
+ * an order desk that dies before or after it ran, a platform that is down or stale, callers that
+ * leave. In the end every answer is held against the stand-ins' ledgers. */
+
+#define SECONDS 60
+#define SECONDS_QUICK 15
+#define WARM_MS 2000
+#define TURN_MS 40
+#define FAULT_US (900 * MF_US_PER_MS)
+#define FAULTS_AT_ONCE 2
+#define SENT_MAX 8192
+#define ORDERS_MAX 2048
+#define ARRIVALS_MAX 6
+#define TOKENS 60
+
+typedef enum
+{
+  SENT_STREAM,
+  SENT_ORDER,
+  SENT_READ,
+} SentKind;
+
+/* One call of a caller. */
+typedef struct
+{
+  Caller *caller;
+  SentKind kind;
+  int instance;
+  unsigned life; /* of the instance when it was sent */
+  unsigned order;
+  bool left;
+  bool seen; /* its end has been taken in */
+} Sent;
+
+typedef struct
+{
+  char key[40];
+  unsigned n_arrivals;
+  unsigned n_open;
+  unsigned n_not_run;
+  bool done;
+} Order;
+
+/* A fault, and what ends it. */
+typedef struct
+{
+  unsigned kind;
+  unsigned target;
+  uint64_t until_us; /* 0 when the place is free */
+} Fault;
+
+typedef struct
+{
+  Fleet *fleet;
+  uint64_t random;
+  uint64_t began_us;
+  unsigned seconds;
+  Sent sent[SENT_MAX];
+  unsigned n_sent;
+  Order orders[ORDERS_MAX];
+  unsigned n_orders;
+  Fault faults[FAULTS_AT_ONCE];
+  uint64_t next_fault_us;
+  unsigned n_faults;
+  unsigned lives[FLEET_INSTANCES + 1];
+  bool down[FLEET_INSTANCES + 1];
+  unsigned n_whole;
+  unsigned n_refused;
+  unsigned n_broken;
+  unsigned n_lost_with_instance;
+  unsigned n_left;
+} Soak;
+
+static uint64_t
+draw (Soak *soak, uint64_t bound)
+{
+  uint64_t z = (soak->random += UINT64_C (0x9e3779b97f4a7c15));
+
+  z = (z ^ (z >> 30)) * UINT64_C (0xbf58476d1ce4e5b9);
+  z = (z ^ (z >> 27)) * UINT64_C (0x94d049bb133111eb);
+  return (z ^ (z >> 31)) % bound;
+}
+
+/* Returns an instance that runs, or 0. The balancer does not send to one that is down. */
+static int
+pick_instance (Soak *soak)
+{
+  int instance = (int)draw (soak, FLEET_INSTANCES) + 1;
+
+  for (int i = 0; i < FLEET_INSTANCES; i++)
+    {
+      if (!soak->down[instance])
+        return instance;
+      instance = instance % FLEET_INSTANCES + 1;
+    }
+  return 0;
+}
+
+static void
+sent_add (Soak *soak, Caller *caller, SentKind kind, int instance, unsigned order)
+{
+  soak->sent[soak->n_sent++] = (Sent){ .caller = caller,
+                                       .kind = kind,
+                                       .instance = instance,
+                                       .life = soak->lives[instance],
+                                       .order = order };
+}
+
+static void
+send_order (Soak *soak, unsigned number)
+{
+  Order *order = &soak->orders[number];
+  int instance = pick_instance (soak);
+  char name[16];
+
+  if (instance == 0)
+    return;
+  snprintf (name, sizeof name, "o%u", number);
+  order->n_arrivals++;
+  order->n_open++;
+  sent_add (soak, fleet_order (soak->fleet, instance, name, order->key), SENT_ORDER, instance,
+            number);
+}
+
+/* A new order, whose key is a UUIDv7 minted now. */
+static void
+new_order (Soak *soak)
+{
+  Order *order = &soak->orders[soak->n_orders];
+  uint64_t now_ms = mf_clock_wall_ms ();
+
+  if (soak->n_orders == ORDERS_MAX)
+    return;
+  snprintf (order->key, sizeof order->key, "%08x-%04x-7%03x-8%03x-%012llx",
+            (unsigned)(now_ms >> 16), (unsigned)(now_ms & 0xffff), (unsigned)draw (soak, 0x1000),
+            (unsigned)draw (soak, 0x1000), (unsigned long long)draw (soak, UINT64_C (1) << 48));
+  send_order (soak, soak->n_orders++);
+}
+
+/* An order that is not known to be placed is sent again, as its caller would, also while its first
+ * call still runs. */
+static void
+send_again (Soak *soak)
+{
+  unsigned number;
+
+  if (soak->n_orders == 0)
+    return;
+  number = soak->n_orders - 1 - (unsigned)draw (soak, soak->n_orders < 20 ? soak->n_orders : 20);
+  if (!soak->orders[number].done && soak->orders[number].n_arrivals < ARRIVALS_MAX)
+    send_order (soak, number);
+}
+
+static void
+send_stream (Soak *soak)
+{
+  int instance = pick_instance (soak);
+  char tag[16];
+
+  if (instance == 0)
+    return;
+  snprintf (tag, sizeof tag, "t%u", soak->n_sent);
+  sent_add (soak, fleet_complete (soak->fleet, instance, tag, 1 + (unsigned)draw (soak, TOKENS)),
+            SENT_STREAM, instance, 0);
+}
+
+static void
+send_something (Soak *soak)
+{
+  int instance;
+
+  if (soak->n_sent + 8 >= SENT_MAX)
+    return;
+  send_stream (soak);
+  if (draw (soak, 3) == 0)
+    new_order (soak);
+  if (draw (soak, 3) == 0)
+    send_again (soak);
+  instance = pick_instance (soak);
+  if (instance != 0 && draw (soak, 3) == 0)
+    sent_add (soak, fleet_read (soak->fleet, instance, "/stock/7"), SENT_READ, instance, 0);
+}
+
+typedef struct
+{
+  char letter; /* of the stand-ins it is for, which are numbered; 0 for the platform */
+  const char *begin;
+  const char *end; /* NULL when it ends by itself */
+  unsigned value;
+} StandInFault;
+
+static const StandInFault stand_in_faults[] = {
+  { 'd', "kill", NULL, 0 },       { 'p', "kill", NULL, 0 },     { 'd', "stall", NULL, 2500 },
+  { 'p', "stall", NULL, 2500 },   { 'd', "slow", "slow", 25 },  { 'p', "stall-link", NULL, 1500 },
+  { 'd', "leave", "restart", 0 }, { 'o', "slow", "slow", 400 }, { 'o', "kill", "restart", 0 },
+  { 0, "down", "up", 0 },         { 0, "stale", "up", 0 },
+};
+
+enum
+{
+  FAULT_KILL,
+  FAULT_FREEZE,
+  FAULT_ISOLATE,
+  FAULT_ONE_WAY,
+  FAULT_STAND_IN,
+};
+
+static bool
+is_busy (const Soak *soak, unsigned kind, unsigned target)
+{
+  for (unsigned i = 0; i < FAULTS_AT_ONCE; i++)
+    {
+      const Fault *fault = &soak->faults[i];
+      bool process = fault->kind <= FAULT_FREEZE && kind <= FAULT_FREEZE;
+
+      if (fault->until_us != 0 && (process || fault->kind == kind) && fault->target == target)
+        return true;
+    }
+  return false;
+}
+
+static unsigned
+next_of (unsigned instance)
+{
+  return instance % FLEET_INSTANCES + 1;
+}
+
+static void
+stand_in_fault (Soak *soak, const Fault *fault, bool begin)
+{
+  const StandInFault *row = &stand_in_faults[fault->kind - FAULT_STAND_IN];
+  char target[16];
+
+  if (!begin && row->end == NULL)
+    return;
+  if (row->letter == 0)
+    mf_name_set (target, sizeof target, "platform");
+  else
+    snprintf (target, sizeof target, "%c%u", row->letter, fault->target);
+  if (begin)
+    fleet_fault (soak->fleet, target, row->begin, row->value);
+  else
+    fleet_fault (soak->fleet, target, row->end, row->letter == 'o' ? 0 : 100);
+}
+
+static void
+fault_print (const Soak *soak, const Fault *fault, const char *what)
+{
+  static const char *const names[] = { "kill", "freeze", "isolate", "one-way cut" };
+  const StandInFault *row = &stand_in_faults[fault->kind - FAULT_STAND_IN];
+  bool stand_in = fault->kind >= FAULT_STAND_IN;
+
+  print_message ("%.2f s: %s %s of %c%u\n",
+                 (double)(mf_clock_now_us () - soak->began_us) / (double)MF_US_PER_S, what,
+                 stand_in ? row->begin : names[fault->kind],
+                 !stand_in          ? 'n'
+                 : row->letter != 0 ? row->letter
+                                    : '-',
+                 fault->target);
+}
+
+static void
+fault_begin (Soak *soak, const Fault *fault)
+{
+  int instance = (int)fault->target;
+
+  fault_print (soak, fault, "begin");
+
+  if (fault->kind == FAULT_KILL)
+    {
+      soak->down[instance] = true;
+      soak->lives[instance]++;
+      fleet_signal (soak->fleet, instance, SIGKILL);
+    }
+  else if (fault->kind == FAULT_FREEZE)
+    fleet_signal (soak->fleet, instance, SIGSTOP);
+  else if (fault->kind == FAULT_ISOLATE)
+    fleet_isolate (soak->fleet, instance, true);
+  else if (fault->kind == FAULT_ONE_WAY)
+    fleet_link (soak->fleet, instance, "cut", (int)next_of (fault->target));
+  else
+    stand_in_fault (soak, fault, true);
+}
+
+static void
+fault_end (Soak *soak, Fault *fault)
+{
+  int instance = (int)fault->target;
+
+  fault_print (soak, fault, "end");
+  fault->until_us = 0;
+  if (fault->kind == FAULT_KILL)
+    {
+      fleet_start (soak->fleet, instance);
+      fleet_until_ready (soak->fleet, instance);
+      soak->down[instance] = false;
+    }
+  else if (fault->kind == FAULT_FREEZE)
+    fleet_signal (soak->fleet, instance, SIGCONT);
+  else if (fault->kind == FAULT_ISOLATE)
+    fleet_isolate (soak->fleet, instance, false);
+  else if (fault->kind == FAULT_ONE_WAY)
+    fleet_link (soak->fleet, instance, "pass", (int)next_of (fault->target));
+  else
+    stand_in_fault (soak, fault, false);
+}
+
+static void
+faults_turn (Soak *soak, bool more)
+{
+  uint64_t now_us = mf_clock_now_us ();
+
+  for (unsigned i = 0; i < FAULTS_AT_ONCE; i++)
+    {
+      Fault *fault = &soak->faults[i];
+
+      if (fault->until_us != 0 && (now_us >= fault->until_us || !more))
+        fault_end (soak, fault);
+      if (!more || fault->until_us != 0 || now_us < soak->next_fault_us)
+        continue;
+      fault->kind = (unsigned)draw (soak, FAULT_STAND_IN + MF_ARRAY_LEN (stand_in_faults));
+      fault->target = 1 + (unsigned)draw (soak, FLEET_INSTANCES);
+      if (is_busy (soak, fault->kind, fault->target))
+        continue;
+      fault->until_us = now_us + (300 + draw (soak, 2700)) * MF_US_PER_MS;
+      soak->next_fault_us = now_us + draw (soak, FAULT_US);
+      soak->n_faults++;
+      fault_begin (soak, fault);
+    }
+}
+
+static void
+order_ended (Soak *soak, const Sent *sent)
+{
+  Order *order = &soak->orders[sent->order];
+
+  order->n_open--;
+  if (caller_status (sent->caller) == 200)
+    order->done = true;
+  order->n_not_run += strcmp (caller_outcome (sent->caller), "not-run") == 0;
+}
+
+/* Counts how a call ended. A call whose instance was killed under it ends as it may. */
+static void
+take_end (Soak *soak, Sent *sent)
+{
+  bool whole = sent->kind == SENT_STREAM ? caller_is_whole (sent->caller)
+                                         : caller_status (sent->caller) == 200;
+
+  sent->seen = true;
+  if (sent->kind == SENT_ORDER)
+    order_ended (soak, sent);
+  if (sent->left)
+    soak->n_left++;
+  else if (whole)
+    soak->n_whole++;
+  else if (sent->life != soak->lives[sent->instance])
+    soak->n_lost_with_instance++;
+  else if (strstr (caller_body (sent->caller), "urn:mangofork:code:") != NULL)
+    {
+      soak->n_refused++;
+      print_message ("%.2f s: refused by entry-%d: %s\n",
+                     (double)(mf_clock_now_us () - soak->began_us) / (double)MF_US_PER_S,
+                     sent->instance, caller_tail (sent->caller));
+    }
+  else
+    {
+      soak->n_broken++;
+      print_message ("broken at entry-%d, kind %d, status %u: %s\n", sent->instance, sent->kind,
+                     caller_status (sent->caller), caller_tail (sent->caller));
+    }
+}
+
+static void
+ends_turn (Soak *soak)
+{
+  for (unsigned i = 0; i < soak->n_sent; i++)
+    {
+      Sent *sent = &soak->sent[i];
+
+      if (sent->seen)
+        continue;
+      if (sent->kind == SENT_STREAM && draw (soak, 400) == 0)
+        {
+          sent->left = !caller_has_ended (sent->caller);
+          caller_leave (sent->caller);
+        }
+      if (caller_has_ended (sent->caller))
+        take_end (soak, sent);
+    }
+}
+
+static bool
+all_ended (Fleet *fleet, void *data)
+{
+  Soak *soak = data;
+
+  (void)fleet;
+  ends_turn (soak);
+  for (unsigned i = 0; i < soak->n_sent; i++)
+    {
+      if (!soak->sent[i].seen)
+        return false;
+    }
+  return true;
+}
+
+static void
+result (const char *name, uint64_t value, uint64_t target, bool at_least)
+{
+  bool met = at_least ? value >= target : value <= target;
+
+  printf ("RESULT %s %llu %llu %s\n", name, (unsigned long long)value, (unsigned long long)target,
+          met ? "met" : "missed");
+}
+
+static void
+report (Soak *soak)
+{
+  unsigned n_twice = 0;
+  unsigned n_untrue = 0;
+  unsigned n_ran = 0;
+  uint64_t n_ended = soak->n_whole + soak->n_refused + soak->n_broken;
+
+  for (unsigned i = 0; i < soak->n_orders; i++)
+    {
+      const Order *order = &soak->orders[i];
+      char name[16];
+      uint64_t runs;
+
+      snprintf (name, sizeof name, "o%u", i);
+      runs = fleet_runs (soak->fleet, name);
+      n_ran += runs > 0;
+      n_twice += runs > 1;
+      n_untrue += (order->done && runs == 0) || (runs > 0 && order->n_not_run == order->n_arrivals);
+    }
+  printf ("%u faults; %u calls: %u whole, %u refused, %u broken, %u lost with a killed instance, "
+          "%u left; %u orders, %u ran\n",
+          soak->n_faults, soak->n_sent, soak->n_whole, soak->n_refused, soak->n_broken,
+          soak->n_lost_with_instance, soak->n_left, soak->n_orders, n_ran);
+  result ("soak_orders_run_twice", n_twice, 0, false);
+  result ("soak_refusals_untrue", n_untrue, 0, false);
+  result ("soak_answers_broken", soak->n_broken, 0, false);
+  result ("soak_memory_held_at_end", fleet_held (soak->fleet), 0, false);
+  result ("soak_whole_ppm", n_ended == 0 ? 0 : soak->n_whole * UINT64_C (1000000) / n_ended, 990000,
+          true);
+}
+
+static void
+soak_run (void **state)
+{
+  Soak *soak = *state;
+  uint64_t end_us;
+
+  for (int i = 1; i <= FLEET_INSTANCES; i++)
+    fleet_until_voting (soak->fleet, i);
+  fleet_pass (soak->fleet, WARM_MS);
+  soak->began_us = mf_clock_now_us ();
+  end_us = soak->began_us + soak->seconds * MF_US_PER_S;
+  while (mf_clock_now_us () < end_us)
+    {
+      send_something (soak);
+      faults_turn (soak, true);
+      fleet_pass (soak->fleet, TURN_MS);
+      ends_turn (soak);
+    }
+  faults_turn (soak, false);
+  fleet_until (soak->fleet, all_ended, soak);
+  fleet_until_free (soak->fleet);
+  report (soak);
+}
+
+static int
+soak_setup (void **state)
+{
+  Soak *soak = *state;
+
+  return fleet_setup ((void **)&soak->fleet);
+}
+
+static int
+soak_teardown (void **state)
+{
+  Soak *soak = *state;
+
+  return fleet_teardown ((void **)&soak->fleet);
+}
+
+int
+main (int argc, char **argv)
+{
+  static Soak soak = { .random = 1, .seconds = SECONDS };
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_prestate_setup_teardown (soak_run, soak_setup, soak_teardown, &soak),
+  };
+
+  for (int i = 1; i < argc; i++)
+    {
+      if (strcmp (argv[i], "--quick") == 0)
+        soak.seconds = SECONDS_QUICK;
+      else if (strcmp (argv[i], "--seed") == 0 && i + 1 < argc)
+        soak.random = strtoull (argv[++i], NULL, 10);
+      else
+        {
+          fprintf (stderr, "usage: %s [--seed N] [--quick]\n", argv[0]);
+          return 2;
+        }
+    }
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/libmangofork/claim.c
+++ b/libmangofork/claim.c
@@ -276,11 +276,13 @@
   const MfVoteMessage *refusal = NULL;
   uint32_t n_granted = 0;
   uint32_t n_refused = 0;
+  uint32_t n_forgotten = 0;
 
   for (uint32_t i = 0; i < claim->cell.n; i++)
     {
       const Ballot *ballot = &claim->ballots[i];
 
+      n_forgotten += ballot->voted && ballot->vote.forgotten;
       if (!ballot->voted || ballot->vote.abstained)
         continue;
       if (ballot->vote.granted)
@@ -306,6 +308,11 @@
       else
         claim_wait (core, claim, refusal);
     }
+  else if (n_forgotten > claim->cell.n - claim->cell.quorum)
+    {
+      release (core, claim->key, &claim->cell, claim->claim_id);
+      settle_plainly (core, claim, MF_CLAIM_UNKNOWN, MF_CODE_KEY_UNKNOWN, MF_OUTCOME_UNKNOWN);
+    }
 }
 
 static void
--- a/libmangofork/frame.c
+++ b/libmangofork/frame.c
@@ -150,6 +150,7 @@
   FIELD_MAX (6, MfVoteMessage, state, ENUM, MF_KEY_UNKNOWN + 1),
   FIELD_COUNTED (7, MfVoteMessage, view, n_view, ARRAY, MF_VOTERS_PER_KEY_MAX, &owner_table),
   FIELD (8, MfVoteMessage, holder_claim_id, U64),
+  FIELD (9, MfVoteMessage, forgotten, BOOL),
 };
 TABLE (vote, MfVoteMessage);
 
--- a/libmangofork/peer.h
+++ b/libmangofork/peer.h
@@ -127,6 +127,7 @@
   uint8_t key[MF_DIGEST_BYTES];
   bool granted;
   bool abstained;
+  bool forgotten; /* abstained for good: the voter cannot vouch for so old a key */
   bool body_differs;
   MfOwner holder; /* who was granted it, when not granted now */
   uint64_t holder_claim_id;
--- a/libmangofork/voter.c
+++ b/libmangofork/voter.c
@@ -288,8 +288,10 @@
       vote->body_differs = entry->body_digest != claim->body_digest;
       return;
     }
-  vote->abstained = !voter->admitted || voter->epoch != claim->epoch
-                    || !remembers (core, voter, claim) || !grant (core, voter, claim);
+  vote->abstained = !voter->admitted || voter->epoch != claim->epoch;
+  vote->forgotten = !vote->abstained && !remembers (core, voter, claim);
+  if (vote->forgotten || (!vote->abstained && !grant (core, voter, claim)))
+    vote->abstained = true;
   vote->granted = !vote->abstained;
 }
 
