A frame's truth value of a wrong type is refused before it is read

Cause: scripts/fuzz, UBSan: a number where a truth value is due was loaded as one before its type was looked at; the frame was refused all the same. Linter faults of the bench and the fakes. Conclusion: found by the fuzz target, kept by tests/test_frame.

--- a/bench/control.c
+++ b/bench/control.c
@@ -96,6 +96,9 @@
   MfBoard *board = &core->board;
   uint32_t n_used = board->n_upstreams < STREAMS ? board->n_upstreams : STREAMS;
 
+  if (n_used == 0)
+    return;
+
   for (uint32_t i = 0; i < board->n_upstreams; i++)
     board->upstreams[i].own_slots = 0;
   for (uint32_t i = 0; i < STREAMS; i++)
@@ -111,7 +114,7 @@
 static void
 run_second (FakeCores *cores, uint32_t n_instances, uint32_t second)
 {
-  uint32_t teller = second * 7 % n_instances;
+  uint32_t teller = n_instances > 0 ? second * 7 % n_instances : 0;
 
   for (uint32_t i = 0; i < n_instances; i++)
     place_streams (fake_cores_core (cores, i), second);
@@ -133,6 +136,7 @@
 measure_steady (FakeCores *cores, uint32_t seconds, Row *row)
 {
   uint64_t bytes = 0, messages = 0, timed_ns = fake_cores_timed_ns (cores);
+  uint32_t n = row->n_instances > 0 ? row->n_instances : 1;
 
   for (uint32_t i = 0; i < row->n_instances; i++)
     {
@@ -147,9 +151,9 @@
       messages += fake_cores_messages_out (cores, i);
       row->n_neighbours += fake_cores_core (cores, i)->board.members->n_neighbours;
     }
-  row->n_neighbours = (row->n_neighbours + row->n_instances / 2) / row->n_instances;
-  row->bytes_per_s = (double)bytes / seconds / row->n_instances;
-  row->messages_per_s = (double)messages / seconds / row->n_instances;
+  row->n_neighbours = (row->n_neighbours + n / 2) / n;
+  row->bytes_per_s = (double)bytes / seconds / n;
+  row->messages_per_s = (double)messages / seconds / n;
   row->cpu_us_per_s = (double)(fake_cores_timed_ns (cores) - timed_ns) / 1e3 / seconds;
 }
 
@@ -178,7 +182,7 @@
 measure_reports (FakeCores *cores, Row *row)
 {
   MfCore *core = fake_cores_core (cores, 0);
-  const uint32_t n_reports = 20000;
+  const uint32_t n_reports = core->board.n_upstreams > 0 ? 20000 : 0;
   uint64_t timed_ns = fake_cores_timed_ns (cores);
 
   for (uint32_t i = 0; i < n_reports; i++)
--- a/libmangofork/frame.c
+++ b/libmangofork/frame.c
@@ -546,12 +546,15 @@
 static bool
 unpack_number (const msgpack_object *object, const Field *field, uint8_t *at)
 {
-  uint64_t value = object->via.u64;
-  uint32_t u32 = (uint32_t)value;
-  uint16_t u16 = (uint16_t)value;
+  uint64_t value;
+  uint32_t u32;
+  uint16_t u16;
 
   if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
     return false;
+  value = object->via.u64;
+  u32 = (uint32_t)value;
+  u16 = (uint16_t)value;
   switch (field->kind)
     {
     case FIELD_U16:
@@ -646,8 +649,10 @@
   switch (field->kind)
     {
     case FIELD_BOOL:
+      if (object->type != MSGPACK_OBJECT_BOOLEAN)
+        return false;
       *(bool *)at = object->via.boolean;
-      return object->type == MSGPACK_OBJECT_BOOLEAN;
+      return true;
     case FIELD_DIGEST:
       if (object->type != MSGPACK_OBJECT_BIN || object->via.bin.size != MF_DIGEST_BYTES)
         return false;
--- a/tests/fakes/cores.c
+++ b/tests/fakes/cores.c
@@ -490,7 +490,7 @@
         cores->now_us = next_us;
       if (due != MF_NONE)
         step (cores, due, &tick);
-      else
+      else if (it != NULL)
         {
           mf_heap_remove (&cores->heap, &it->node);
           deliver (cores, it);
--- a/tests/test_frame.c
+++ b/tests/test_frame.c
@@ -207,6 +207,19 @@
   assert_int_equal (error.code, MF_CODE_PEER_VERSION);
 }
 
+/* Found by the fuzz target: a number where a truth value is due was read as one. */
+static void
+test_values_of_a_wrong_type_are_refused (void **state)
+{
+  static const uint8_t bool_is_number[] = { 0x83, 0, 1, 1, MF_PEER_DIGEST, 2, 0x81, 3, 0xcc, 0xf7 };
+  static const uint8_t number_is_bool[] = { 0x83, 0, 1, 1, MF_PEER_DIGEST, 2, 0x81, 0, 0xc3 };
+  MfFrame frame;
+
+  (void)state;
+  assert_false (decode (bool_is_number, sizeof bool_is_number, &frame));
+  assert_false (decode (number_is_bool, sizeof number_is_bool, &frame));
+}
+
 static void
 test_promised_counts_allocate_nothing (void **state)
 {
@@ -229,6 +242,7 @@
     cmocka_unit_test (test_truncation_at_each_byte_is_an_error),
     cmocka_unit_test (test_bit_flips_are_survived),
     cmocka_unit_test (test_unknown_fields_are_skipped),
+    cmocka_unit_test (test_values_of_a_wrong_type_are_refused),
     cmocka_unit_test (test_promised_counts_allocate_nothing),
   };
 
