--- a/libmangofork/burn.c
+++ b/libmangofork/burn.c
@@ -22,7 +22,8 @@
 #define REPEATS 2
 #define PACK_VERSION 1
 #define ROW_NUMBERS (3 * MF_SLI_COUNT + 3)
-#define ROW_FIELDS (2 + ROW_NUMBERS)
+#define ROW_HEAD 3 /* kind, hash of the name, age */
+#define ROW_FIELDS (ROW_HEAD + ROW_NUMBERS)
 
 typedef struct
 {
@@ -46,6 +47,7 @@
   MfBurnKind kind;
   uint64_t name_hash;
   MfBurnCounts counts; /* since the start */
+  uint64_t first_us;   /* own first request counted; 0 for none */
   bool changed;        /* since it was last packed */
   Windows own;
   Windows *peers; /* NULL until a peer has told of it */
@@ -122,9 +124,13 @@
 }
 
 MfBurn *
-mf_burn_new (void)
+mf_burn_new (uint64_t now_us)
 {
-  return calloc (1, sizeof (MfBurn));
+  MfBurn *burn = calloc (1, sizeof *burn);
+
+  if (burn != NULL)
+    burn->started_us = now_us;
+  return burn;
 }
 
 /* Accepts NULL. */
@@ -316,6 +322,8 @@
       burn->missed++;
       return;
     }
+  if (row->first_us == 0)
+    row->first_us = now_us;
   counts_add (&row->counts, counts);
   windows_add (&row->own, counts, now_us);
   row->changed = true;
@@ -327,8 +335,6 @@
 {
   MfBurnCounts counts = { 0 };
 
-  if (burn->started_us == 0)
-    burn->started_us = now_us;
   if (config == NULL || sample->service >= config->n_services)
     return;
   sample_count (&config->services[sample->service], sample, &counts);
@@ -429,7 +435,7 @@
 
 /* Appends a row when it fits. */
 static bool
-pack_row (msgpack_sbuffer *packed, const Row *row, size_t max_bytes)
+pack_row (msgpack_sbuffer *packed, const Row *row, uint64_t now_us, size_t max_bytes)
 {
   size_t start = packed->size;
   uint64_t numbers[ROW_NUMBERS];
@@ -439,6 +445,7 @@
   msgpack_pack_array (&packer, ROW_FIELDS);
   msgpack_pack_uint32 (&packer, row->kind);
   msgpack_pack_uint64 (&packer, row->name_hash);
+  msgpack_pack_uint64 (&packer, now_us - row->first_us);
   counts_to_array (&row->counts, numbers);
   for (size_t i = 0; i < MF_ARRAY_LEN (numbers); i++)
     msgpack_pack_uint64 (&packer, numbers[i]);
@@ -450,13 +457,13 @@
 
 /* Packs the changed rows in turn, so that each gets its share of a digest that is too small. */
 static void
-pack_changed (MfBurn *burn, msgpack_sbuffer *packed, size_t max_bytes)
+pack_changed (MfBurn *burn, msgpack_sbuffer *packed, uint64_t now_us, size_t max_bytes)
 {
   for (uint32_t i = 0; i < burn->n_rows; i++)
     {
       Row *row = burn->rows[burn->next_changed % burn->n_rows];
 
-      if (row->changed && !pack_row (packed, row, max_bytes))
+      if (row->changed && !pack_row (packed, row, now_us, max_bytes))
         return;
       row->changed = false;
       burn->next_changed = (burn->next_changed + 1) % burn->n_rows;
@@ -470,17 +477,20 @@
   msgpack_packer packer;
   size_t n_bytes;
 
-  if (burn->started_us == 0 || burn->n_rows == 0)
+  if (burn->n_rows == 0)
     return 0;
   msgpack_sbuffer_init (&packed);
   msgpack_packer_init (&packer, &packed, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, 2);
   msgpack_pack_uint32 (&packer, PACK_VERSION);
-  msgpack_pack_uint64 (&packer, now_us - burn->started_us);
   n_bytes = packed.size;
-  pack_changed (burn, &packed, max_bytes);
+  pack_changed (burn, &packed, now_us, max_bytes);
   for (uint32_t i = 0; i < REPEATS && packed.size < max_bytes; i++)
-    pack_row (&packed, burn->rows[burn->next_repeat++ % burn->n_rows], max_bytes);
+    {
+      const Row *row = burn->rows[burn->next_repeat++ % burn->n_rows];
+
+      if (row->first_us != 0)
+        pack_row (&packed, row, now_us, max_bytes);
+    }
   n_bytes = packed.size > n_bytes && packed.size <= max_bytes ? packed.size : 0;
   if (n_bytes > 0)
     memcpy (dst, packed.data, n_bytes);
@@ -539,12 +549,14 @@
   MfBurn *burn;
   const MfOwner *owner;
   uint64_t now_us;
-  bool from_start; /* the peer began counting after this instance did */
 } Merge;
 
-/* Adds what a row has grown by since the peer last told of it. */
+/* Adds what a row has grown by since the peer last told of it. A row heard of for the first time
+ * counts whole when the peer began it within this instance's life, age_us ago; else its history is
+ * older than this instance, and only what comes from now on is added. */
 static void
-merge_row (const Merge *merge, MfBurnKind kind, uint64_t name_hash, const MfBurnCounts *counts)
+merge_row (const Merge *merge, MfBurnKind kind, uint64_t name_hash, uint64_t age_us,
+           const MfBurnCounts *counts)
 {
   MfBurn *burn = merge->burn;
   Row *row = row_need (burn, kind, name_hash);
@@ -568,7 +580,7 @@
   for (size_t i = 0; i < MF_ARRAY_LEN (after); i++)
     after[i] = after[i] > before[i] ? after[i] - before[i] : 0;
   counts_from_array (&grown, after);
-  if (known || merge->from_start)
+  if (known || merge->now_us - burn->started_us >= age_us)
     windows_add (row->peers, &grown, merge->now_us);
   baseline->incarnation = merge->owner->incarnation;
   baseline->counts = *counts;
@@ -599,24 +611,8 @@
     }
   if (numbers[0] >= MF_BURN_KIND_COUNT)
     return true; /* of a later release */
-  counts_from_array (&counts, numbers + 2);
-  merge_row (merge, (MfBurnKind)numbers[0], numbers[1], &counts);
-  return true;
-}
-
-/* Reads the head of a digest: version and age. */
-static bool
-merge_head (Merge *merge, const msgpack_object *object)
-{
-  uint64_t version;
-  uint64_t age_us;
-  const MfBurn *burn = merge->burn;
-
-  if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size < 2
-      || !number_read (&object->via.array.ptr[0], &version)
-      || !number_read (&object->via.array.ptr[1], &age_us) || version != PACK_VERSION)
-    return false;
-  merge->from_start = burn->started_us != 0 && merge->now_us - burn->started_us >= age_us;
+  counts_from_array (&counts, numbers + ROW_HEAD);
+  merge_row (merge, (MfBurnKind)numbers[0], numbers[1], numbers[2], &counts);
   return true;
 }
 
@@ -626,18 +622,17 @@
 {
   Merge merge = { .burn = burn, .owner = peer, .now_us = now_us };
   msgpack_unpacked unpacked;
+  uint64_t version = 0;
   MfBurnPeer *known;
   size_t at = 0;
   bool good;
 
   if (src_bytes == 0)
     return true;
-  if (burn->started_us == 0)
-    burn->started_us = now_us;
   msgpack_unpacked_init (&unpacked);
   good
       = msgpack_unpack_next (&unpacked, (const char *)src, src_bytes, &at) == MSGPACK_UNPACK_SUCCESS
-        && merge_head (&merge, &unpacked.data);
+        && number_read (&unpacked.data, &version) && version == PACK_VERSION;
   known = good ? peer_need (burn, peer, now_us) : NULL;
   if (known != NULL)
     {
--- a/libmangofork/burn.h
+++ b/libmangofork/burn.h
@@ -21,7 +21,8 @@
 
 typedef struct MfBurn MfBurn;
 
-MfBurn *mf_burn_new (void);
+/* Counts from now on. */
+MfBurn *mf_burn_new (uint64_t now_us);
 void mf_burn_free (MfBurn *burn);
 void mf_burn_note (MfBurn *burn, const MfConfig *config, const MfBurnSample *sample,
                    uint64_t now_us);
@@ -107,7 +108,7 @@
 void mf_burn_foreach_peer (const MfBurn *burn, MfBurnPeerFunc func, void *data);
 /* Rows of peers that found no room and are missing from the sums. */
 uint64_t mf_burn_missed (const MfBurn *burn);
-/* When counting began; 0 before the first request. */
+/* When counting began. */
 uint64_t mf_burn_started_us (const MfBurn *burn);
 
 /* Encodes this instance's rows that changed since the last call, for the digest to peers, at most
--- a/libmangofork/core.c
+++ b/libmangofork/core.c
@@ -81,7 +81,7 @@
   core->wake_us = now_us;
   random_seed (core, options->seed);
   core->board.trace = mf_trace_new (TRACE_STEPS);
-  core->board.burn = mf_burn_new ();
+  core->board.burn = mf_burn_new (now_us);
   if (core->board.trace == NULL || core->board.burn == NULL)
     {
       mf_error_set (error, MF_CODE_NO_MEMORY, "no memory for the core");
--- a/tests/test_burn.c
+++ b/tests/test_burn.c
@@ -74,7 +74,7 @@
 static void
 test_refusals_and_departures_are_apart (void **state)
 {
-  MfBurn *burn = mf_burn_new ();
+  MfBurn *burn = mf_burn_new (START_US);
   MfBurnSample refused
       = { .code = MF_CODE_QUEUE_FULL, .outcome = MF_OUTCOME_NOT_RUN, .refused = true };
   MfBurnSample failed = { .code = MF_CODE_DEADLINE, .outcome = MF_OUTCOME_RAN, .refused = true };
@@ -104,7 +104,7 @@
 static void
 test_windows_forget (void **state)
 {
-  MfBurn *burn = mf_burn_new ();
+  MfBurn *burn = mf_burn_new (START_US);
   MfBurnSample late = good_sample ();
   MfBurnCounts counts;
 
@@ -131,8 +131,8 @@
 static void
 test_peers_merge_exactly (void **state)
 {
-  MfBurn *here = mf_burn_new ();
-  MfBurn *there = mf_burn_new ();
+  MfBurn *here = mf_burn_new (START_US);
+  MfBurn *there = mf_burn_new (START_US);
   MfOwner owner = { .name = "entry-2", .incarnation = 7 };
   uint8_t digest[2048];
   size_t n;
@@ -152,7 +152,7 @@
   assert_int_equal (counts_of (here, MF_WINDOW_5M, true, START_US + 8).total[MF_SLI_TTFT], 11);
   assert_int_equal (counts_of (here, MF_WINDOW_5M, false, START_US + 8).total[MF_SLI_TTFT], 1);
   mf_burn_free (there);
-  there = mf_burn_new ();
+  there = mf_burn_new (START_US);
   owner.incarnation = 8;
   note (there, good_sample (), 4, START_US + 9);
   n = mf_burn_pack (there, START_US + 9, digest, sizeof digest);
@@ -162,12 +162,43 @@
   mf_burn_free (here);
 }
 
+/* A peer that began earlier, or counted while this instance was idle, loses nothing; nor does a row
+ * that comes later. */
+static void
+test_an_idle_instance_takes_the_first_counts (void **state)
+{
+  MfBurn *here = mf_burn_new (START_US + 10);
+  MfBurn *there = mf_burn_new (START_US);
+  MfOwner owner = { .name = "entry-2", .incarnation = 7 };
+  uint8_t digest[2048];
+  MfBurnSample sample = good_sample ();
+  MfBurnCounts counts;
+  size_t n;
+
+  (void)state;
+  sample.customer = MF_NONE;
+  note (there, sample, 3, START_US + 20);
+  n = mf_burn_pack (there, START_US + 30, digest, sizeof digest);
+  assert_true (mf_burn_merge (here, &owner, digest, n, START_US + 30));
+  assert_int_equal (counts_of (here, MF_WINDOW_5M, true, START_US + 40).total[MF_SLI_TTFT], 3);
+  sample.customer = 0;
+  note (there, sample, 2, START_US + 50);
+  n = mf_burn_pack (there, START_US + 60, digest, sizeof digest);
+  assert_true (mf_burn_merge (here, &owner, digest, n, START_US + 60));
+  assert_int_equal (counts_of (here, MF_WINDOW_5M, true, START_US + 70).total[MF_SLI_TTFT], 5);
+  mf_burn_counts (here, MF_BURN_CUSTOMER, mf_hash_name ("c"), MF_WINDOW_5M, true, START_US + 70,
+                  &counts);
+  assert_int_equal (counts.total[MF_SLI_TTFT], 2);
+  mf_burn_free (there);
+  mf_burn_free (here);
+}
+
 /* What a peer counted before this instance began is not told as if it were new. */
 static void
 test_a_fresh_instance_takes_no_history (void **state)
 {
-  MfBurn *here = mf_burn_new ();
-  MfBurn *there = mf_burn_new ();
+  MfBurn *here = mf_burn_new (START_US + MINUTE_US);
+  MfBurn *there = mf_burn_new (START_US);
   MfOwner owner = { .name = "entry-2", .incarnation = 7 };
   uint8_t digest[2048];
   size_t n;
@@ -189,8 +220,8 @@
 static void
 test_malformed_digests_are_ignored (void **state)
 {
-  MfBurn *here = mf_burn_new ();
-  MfBurn *there = mf_burn_new ();
+  MfBurn *here = mf_burn_new (START_US);
+  MfBurn *there = mf_burn_new (START_US);
   MfOwner owner = { .name = "entry-2", .incarnation = 7 };
   uint8_t digest[2048];
   uint8_t *copy;
@@ -227,8 +258,8 @@
   {
     N = 2400
   };
-  MfBurn *here = mf_burn_new ();
-  MfBurn *there = mf_burn_new ();
+  MfBurn *here = mf_burn_new (START_US);
+  MfBurn *there = mf_burn_new (START_US);
   MfOwner owner = { .name = "entry-2", .incarnation = 7 };
   MfCustomer *customers = calloc (N, sizeof *customers);
   MfConfig config
@@ -276,6 +307,7 @@
     cmocka_unit_test (test_refusals_and_departures_are_apart),
     cmocka_unit_test (test_windows_forget),
     cmocka_unit_test (test_peers_merge_exactly),
+    cmocka_unit_test (test_an_idle_instance_takes_the_first_counts),
     cmocka_unit_test (test_a_fresh_instance_takes_no_history),
     cmocka_unit_test (test_malformed_digests_are_ignored),
     cmocka_unit_test (test_many_customers_fit_small_digests),
