--- a/bench/relay_upstream.c
+++ b/bench/relay_upstream.c
@@ -17,6 +17,8 @@
 #define SLOTS 8000
 #define PIECES 100000
 #define COPY_BYTES 65536
+/* Steps by which the streams' first gaps are spread, so that their tokens do not come in step. */
+#define PHASES 97
 #define KV_HANDLE                                                                                  \
   "{\"usage\":{\"total_tokens\":1},\"choices\":[{\"index\":0,\"text\":\"\"}],\"kv_transfer_"       \
   "params\":{\"do_remote_prefill\":true,"                                                          \
@@ -46,6 +48,7 @@
   struct ev_loop *loop;
   const char *role;
   Stream *streams;
+  uint64_t n_streams; /* begun so far */
 };
 
 static void
@@ -127,7 +130,9 @@
   upstream->streams = stream;
   fake_conn_begin (conn);
   fake_conn_send (conn, ": imported\n\n", 12);
-  ev_timer_init (&stream->timer, stream_due, (double)gap_us / 1e6, (double)gap_us / 1e6);
+  ev_timer_init (&stream->timer, stream_due,
+                 (double)gap_us / 1e6 * (double)(1 + upstream->n_streams++ % PHASES) / PHASES,
+                 (double)gap_us / 1e6);
   stream->timer.data = stream;
   if (gap_us > 0 && stream->left > 1)
     {
