Calls that begin or end, and new requests, go before running streams' tokens

Cause: a request takes several turns of the loop to its first token, and in each it waited behind the tokens of all streams ready in that turn.

--- a/libmangofork/httpd.c
+++ b/libmangofork/httpd.c
@@ -78,6 +78,7 @@
 
   ev_io_init (&httpd->readable, httpd_readable, info->epoll_fd, EV_READ);
   httpd->readable.data = httpd;
+  ev_set_priority (&httpd->readable, EV_MAXPRI); /* new requests go before tokens */
   ev_io_start (httpd->loop, &httpd->readable);
   ev_init (&httpd->timeout, httpd_timeout);
   httpd->timeout.data = httpd;
--- a/libmangofork/multi.c
+++ b/libmangofork/multi.c
@@ -150,6 +150,9 @@
   multi->data = data;
   ev_timer_init (&multi->timer, on_timer, 0.0, 0.0);
   ev_timer_init (&multi->soon, on_soon, 0.0, 0.0);
+  /* A call that begins or ends goes before the tokens of those that run. */
+  ev_set_priority (&multi->timer, EV_MAXPRI);
+  ev_set_priority (&multi->soon, EV_MAXPRI);
   multi->timer.data = multi;
   multi->soon.data = multi;
   curl_global_init (CURL_GLOBAL_DEFAULT);
