--- a/libmangofork/server.c
+++ b/libmangofork/server.c
@@ -359,9 +359,18 @@
     .address = settings->options.address,
     .self = settings->options.self,
   };
+  const MfLogAction alone = {
+    .subject = "peer",
+    .name = settings->options.self.name,
+    .to = "alone",
+    .reason = "no key file is set, so there are no links",
+  };
 
   if (settings->peer_key_file[0] == '\0')
-    return true;
+    {
+      mf_logger_note (server->logger, &alone);
+      return true;
+    }
   if (!mf_peer_keys_read (settings->peer_key_file, settings->peer_key_old_file, &options.keys,
                           error))
     return false;
