A leaving upstream that stays or returns is used again; links heal sooner

An upstream was taken back from leaving only in the step in which its incarnation changed; news of its leaving that arrived after that step took it out for good, and a fresh instance that heard the news never took it back. After a partition links were tried again after up to 5 s, so that claims found no quorum for up to 6 s. Change: news of leaving names the incarnation, and one that was replaced says nothing; a load report 2 s after the last sign of leaving takes the upstream back, a plain service is tried after 30 s; links are tried again within 1 s. Ruled out: the engines' reports, which were right.

--- a/libmangofork/health.c
+++ b/libmangofork/health.c
@@ -27,6 +27,11 @@
 #define GRAY_FLOOR_US (5 * MF_US_PER_MS)
 /* At most one in this many of a pool is ejected on suspicion. */
 #define EJECTED_DIVISOR 3
+/* A load report so much later than the last sign of leaving, and without it, means that the
+ * upstream stays. One without reports is tried again after a while; its own reply says when it
+ * still leaves. */
+#define LEAVING_STALE_US (2 * MF_US_PER_S)
+#define LEAVING_TRIAL_US (30 * MF_US_PER_S)
 #define PROBE_FIRST_US (1 * MF_US_PER_S)
 #define PROBE_DOUBLINGS_MAX 4
 /* Return: weight rises by this at each look. */
@@ -112,10 +117,12 @@
 {
   MfUpstream *row = &core->board.upstreams[upstream];
 
+  row->leaving_at_us = core->board.now_us;
+  watch (row);
   if (row->health == MF_HEALTH_LEAVING)
     return;
   mf_upstream_set_health (core, upstream, MF_HEALTH_LEAVING, MF_CODE_NO_UPSTREAM);
-  mf_news_note (core, MF_NEWS_UPSTREAM_LEAVING, row->name_hash, 0);
+  mf_news_note (core, MF_NEWS_UPSTREAM_LEAVING, row->name_hash, row->load.incarnation);
 }
 
 /* A poll of its load report has ended. */
@@ -161,6 +168,9 @@
     }
   if (load->leaving)
     note_leaving (core, upstream);
+  else if (row->health == MF_HEALTH_LEAVING
+           && load->measured_us >= row->leaving_at_us + LEAVING_STALE_US)
+    bring_back (core, upstream);
 }
 
 static void
@@ -368,7 +378,10 @@
         }
     }
   else if (row->health == MF_HEALTH_LEAVING)
-    row->watched = false;
+    {
+      if (!polled && core->board.now_us >= row->leaving_at_us + LEAVING_TRIAL_US)
+        bring_back (core, upstream);
+    }
   else if (core->board.now_us >= row->probe_at_us && (!polled || row->health == MF_HEALTH_EJECTED))
     bring_back (core, upstream);
 }
--- a/libmangofork/member_link.c
+++ b/libmangofork/member_link.c
@@ -9,9 +9,9 @@
 #include <string.h>
 
 /* An open that has not ended by then has failed. */
-#define OPEN_LIMIT_US (2 * MF_US_PER_S)
+#define OPEN_LIMIT_US MF_US_PER_S
 #define OPEN_BACKOFF_MIN_US (200 * MF_US_PER_MS)
-#define OPEN_BACKOFF_MAX_US (5 * MF_US_PER_S)
+#define OPEN_BACKOFF_MAX_US MF_US_PER_S
 /* How long a message waits for its link. */
 #define PENDING_LIFE_US (2 * MF_US_PER_S)
 
--- a/libmangofork/news.c
+++ b/libmangofork/news.c
@@ -50,7 +50,7 @@
 
   (void)origin_us;
   if (upstream != MF_NONE)
-    mf_upstream_note_leaving (core, upstream);
+    mf_upstream_note_leaving (core, upstream, news->value);
 }
 
 static void
--- a/libmangofork/peer.h
+++ b/libmangofork/peer.h
@@ -30,7 +30,7 @@
 /* What an item of news is about. */
 typedef enum
 {
-  MF_NEWS_UPSTREAM_LEAVING, /* subject: hash of the upstream's name */
+  MF_NEWS_UPSTREAM_LEAVING, /* subject: hash of the upstream's name; value: its incarnation */
   MF_NEWS_UPSTREAM_DEAD,    /* value: incarnation that died */
   MF_NEWS_SUSPECT,          /* subject: digest of a request; value: deaths seen */
   MF_NEWS_CONVICTED,        /* subject: digest of a request */
--- a/libmangofork/upstream.c
+++ b/libmangofork/upstream.c
@@ -296,14 +296,19 @@
   mf_upstream_refresh_pools (core);
 }
 
-/* Another instance learnt that it is leaving. */
+/* Another instance learnt that this incarnation of it is leaving; 0 where it has none. News of an
+ * incarnation that has been replaced says nothing. */
 void
-mf_upstream_note_leaving (MfCore *core, uint32_t upstream)
+mf_upstream_note_leaving (MfCore *core, uint32_t upstream, uint64_t incarnation)
 {
   MfUpstream *row = &core->board.upstreams[upstream];
 
-  if (row->health != MF_HEALTH_DEAD)
-    mf_upstream_set_health (core, upstream, MF_HEALTH_LEAVING, MF_CODE_NO_UPSTREAM);
+  if (row->health == MF_HEALTH_DEAD
+      || (row->load_at_us != 0 && incarnation != 0 && row->load.incarnation != incarnation))
+    return;
+  row->leaving_at_us = core->board.now_us;
+  row->watched = true;
+  mf_upstream_set_health (core, upstream, MF_HEALTH_LEAVING, MF_CODE_NO_UPSTREAM);
 }
 
 /* Another instance saw this incarnation die. That alone takes nothing out of use: it makes this
--- a/libmangofork/upstream.h
+++ b/libmangofork/upstream.h
@@ -30,6 +30,7 @@
   MfHealth health;
   MfCode health_reason;
   uint64_t health_since_us;
+  uint64_t leaving_at_us; /* last sign that it is leaving */
   MfLoadEvent load;    /* the last report */
   uint64_t load_at_us; /* when it was received; 0 for never */
   bool load_asked;
@@ -82,7 +83,7 @@
 /* Returns the row of that name's hash, or MF_NONE. */
 uint32_t mf_upstream_find (const MfCore *core, uint64_t name_hash);
 /* What another instance learnt. Never empties a pool by hearsay alone. */
-void mf_upstream_note_leaving (MfCore *core, uint32_t upstream);
+void mf_upstream_note_leaving (MfCore *core, uint32_t upstream, uint64_t incarnation);
 void mf_upstream_note_dead (MfCore *core, uint32_t upstream, uint64_t incarnation);
 
 /* Whether the row may be given new work at all. */
--- a/tests/test_news.c
+++ b/tests/test_news.c
@@ -118,6 +118,34 @@
     }
 }
 
+/* An upstream that was leaving and stays, or came back as another incarnation, is used again, also
+ * when late news of its leaving arrives. */
+static void
+test_upstream_that_stays_is_used_again (void **state)
+{
+  Calls calls = { 0 };
+  FakeCores *cores = fleet_new (3, 4, &calls);
+  MfCore *core = fake_cores_core (cores, 0);
+  uint32_t upstream = mf_upstream_find (core, mf_hash_name ("d1"));
+
+  (void)state;
+  for (uint32_t slot = 0; slot < 3; slot++)
+    report (cores, slot, "d1", false);
+  report (cores, 0, "d1", true);
+  fake_cores_run (cores, MF_US_PER_S);
+  report (cores, 1, "d1", false);
+  assert_int_equal (count_usable (cores, 3, "d1"), 0);
+  fake_cores_run (cores, 3 * MF_US_PER_S);
+  for (uint32_t slot = 0; slot < 3; slot++)
+    report (cores, slot, "d1", false);
+  assert_int_equal (count_usable (cores, 3, "d1"), 3);
+  mf_upstream_note_leaving (core, upstream, 77);
+  assert_int_equal (count_usable (cores, 3, "d1"), 3);
+  mf_upstream_note_leaving (core, upstream, 1);
+  assert_int_equal (count_usable (cores, 3, "d1"), 2);
+  fake_cores_free (cores);
+}
+
 static void
 test_each_item_is_told_once (void **state)
 {
@@ -251,6 +279,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_leaving_upstream_is_unused_everywhere),
+    cmocka_unit_test (test_upstream_that_stays_is_used_again),
     cmocka_unit_test (test_each_item_is_told_once),
     cmocka_unit_test (test_flood_is_bounded_and_urgent_goes_first),
     cmocka_unit_test (test_work_of_a_dead_instance_is_released),
