--- a/libmangofork/upstream.h
+++ b/libmangofork/upstream.h
@@ -31,8 +31,8 @@
   MfCode health_reason;
   uint64_t health_since_us;
   uint64_t leaving_at_us; /* last sign that it is leaving */
-  MfLoadEvent load;    /* the last report */
-  uint64_t load_at_us; /* when it was received; 0 for never */
+  MfLoadEvent load;       /* the last report */
+  uint64_t load_at_us;    /* when it was received; 0 for never */
   bool load_asked;
   uint32_t own_slots; /* in use by this instance's calls */
   uint32_t own_pieces;
