Frames: the tables of fields and the check of payloads in files of their own

Change: frame_table.c says how each message is written, frame_check.c whether a payload may be handed to the library. No change of behaviour.

--- /dev/null
+++ b/libmangofork/frame_table.c
@@ -0,0 +1,164 @@
+#include "frame_table.h"
+
+#define FIELD(number, type, member, kind_)                                                         \
+  {                                                                                                \
+    .key = (number), .kind = MF_FIELD_##kind_, .offset = offsetof (type, member)                   \
+  }
+#define FIELD_MAX(number, type, member, kind_, max_)                                               \
+  {                                                                                                \
+    .key = (number), .kind = MF_FIELD_##kind_, .offset = offsetof (type, member), .max = (max_)    \
+  }
+#define FIELD_COUNTED(number, type, member, count_, kind_, max_, table_)                           \
+  {                                                                                                \
+    .key = (number), .kind = MF_FIELD_##kind_, .offset = offsetof (type, member),                  \
+    .count = offsetof (type, count_), .max = (max_), .items = (table_)                             \
+  }
+#define FIELD_OWNER(number, type, member)                                                          \
+  {                                                                                                \
+    .key = (number), .kind = MF_FIELD_STRUCT, .offset = offsetof (type, member),                   \
+    .items = &owner_table                                                                          \
+  }
+#define TABLE(name, type)                                                                          \
+  static const MfFrameTable name##_table = { .fields = name##_fields,                              \
+                                             .n_fields = MF_ARRAY_LEN (name##_fields),             \
+                                             .bytes = sizeof (type) }
+
+static const MfFrameField owner_fields[] = {
+  FIELD_MAX (0, MfOwner, name, NAME, MF_NAME_BYTES),
+  FIELD (1, MfOwner, incarnation, U64),
+};
+TABLE (owner, MfOwner);
+
+static const MfFrameField news_fields[] = {
+  FIELD_MAX (0, MfNews, kind, ENUM, MF_NEWS_KIND_COUNT),
+  FIELD (1, MfNews, subject, U64),
+  FIELD (2, MfNews, value, U64),
+  FIELD (3, MfNews, age_ms, U32),
+};
+TABLE (news, MfNews);
+
+static const MfFrameField share_fields[] = {
+  FIELD (0, MfShare, upstream, U64),
+  FIELD (1, MfShare, slots_used, U16),
+  FIELD (2, MfShare, slots_wanted, U16),
+};
+TABLE (share, MfShare);
+
+static const MfFrameField record_fields[] = {
+  FIELD (0, MfKeyRecord, key, DIGEST),  FIELD (1, MfKeyRecord, body_digest, U64),
+  FIELD_OWNER (2, MfKeyRecord, holder), FIELD_MAX (3, MfKeyRecord, state, ENUM, MF_KEY_UNKNOWN + 1),
+  FIELD (4, MfKeyRecord, age_ms, U32),  FIELD (5, MfKeyRecord, claim_id, U64),
+};
+TABLE (record, MfKeyRecord);
+
+static const MfFrameField listed_fields[] = {
+  FIELD_MAX (0, MfListed, name, NAME, MF_NAME_BYTES),
+  FIELD_MAX (1, MfListed, address, NAME, MF_ADDRESS_BYTES),
+  FIELD_MAX (2, MfListed, data_centre, NAME, MF_NAME_BYTES),
+  FIELD (3, MfListed, leaving, BOOL),
+};
+TABLE (listed, MfListed);
+
+static const MfFrameField digest_fields[] = {
+  FIELD (0, MfDigestMessage, sequence, U64),
+  FIELD (1, MfDigestMessage, config_revision, U64),
+  FIELD (2, MfDigestMessage, list_index, U64),
+  FIELD (3, MfDigestMessage, leaving, BOOL),
+  FIELD (4, MfDigestMessage, admitted, BOOL),
+  FIELD_COUNTED (5, MfDigestMessage, news, n_news, ARRAY, MF_NEWS_PER_DIGEST_MAX, &news_table),
+  FIELD_COUNTED (6, MfDigestMessage, shares, n_shares, ARRAY, MF_SHARES_PER_DIGEST_MAX,
+                 &share_table),
+  FIELD_COUNTED (7, MfDigestMessage, burn, burn_bytes, BYTES, 0, NULL),
+  FIELD (8, MfDigestMessage, guardian, BOOL),
+};
+TABLE (digest, MfDigestMessage);
+
+static const MfFrameField ask_fields[] = { { .key = 0, .kind = MF_FIELD_U64 } };
+static const MfFrameTable ask_table = { .fields = ask_fields, .n_fields = 1, .bytes = 8 };
+
+static const MfFrameField config_fields[] = {
+  FIELD (0, MfConfigMessage, revision, U64),
+  FIELD_COUNTED (1, MfConfigMessage, text, text_bytes, BYTES, 0, NULL),
+  FIELD (2, MfConfigMessage, base_revision, U64),
+  FIELD (3, MfConfigMessage, prefix_bytes, U32),
+  FIELD (4, MfConfigMessage, suffix_bytes, U32),
+  FIELD (5, MfConfigMessage, whole_hash, U64),
+};
+TABLE (config, MfConfigMessage);
+
+static const MfFrameField claim_fields[] = {
+  FIELD (0, MfClaimMessage, claim_id, U64),    FIELD (1, MfClaimMessage, key, DIGEST),
+  FIELD (2, MfClaimMessage, body_digest, U64), FIELD (3, MfClaimMessage, minted_ms, U64),
+  FIELD (4, MfClaimMessage, epoch, U64),       FIELD_OWNER (5, MfClaimMessage, claimant),
+};
+TABLE (claim, MfClaimMessage);
+
+static const MfFrameField vote_fields[] = {
+  FIELD (0, MfVoteMessage, claim_id, U64),
+  FIELD (1, MfVoteMessage, key, DIGEST),
+  FIELD (2, MfVoteMessage, granted, BOOL),
+  FIELD (3, MfVoteMessage, abstained, BOOL),
+  FIELD (4, MfVoteMessage, body_differs, BOOL),
+  FIELD_OWNER (5, MfVoteMessage, holder),
+  FIELD_MAX (6, MfVoteMessage, state, ENUM, MF_KEY_UNKNOWN + 1),
+  FIELD_COUNTED (7, MfVoteMessage, view, n_view, ARRAY, MF_VOTERS_PER_KEY_MAX, &owner_table),
+  FIELD (8, MfVoteMessage, holder_claim_id, U64),
+  FIELD (9, MfVoteMessage, forgotten, BOOL),
+};
+TABLE (vote, MfVoteMessage);
+
+static const MfFrameField outcome_fields[] = {
+  FIELD (0, MfOutcomeMessage, key, DIGEST),
+  FIELD (1, MfOutcomeMessage, body_digest, U64),
+  FIELD_OWNER (2, MfOutcomeMessage, claimant),
+  FIELD_MAX (3, MfOutcomeMessage, state, ENUM, MF_KEY_UNKNOWN + 1),
+  FIELD (4, MfOutcomeMessage, status, U16),
+  FIELD (5, MfOutcomeMessage, code, U32),
+  FIELD (6, MfOutcomeMessage, content_type, STRING),
+  FIELD_COUNTED (7, MfOutcomeMessage, body, body_bytes, BYTES, 0, NULL),
+  FIELD (8, MfOutcomeMessage, claim_id, U64),
+};
+TABLE (outcome, MfOutcomeMessage);
+
+static const MfFrameField admit_fields[] = {
+  FIELD (0, MfAdmitMessage, admit_id, U64),
+  FIELD (1, MfAdmitMessage, epoch, U64),
+  FIELD_OWNER (2, MfAdmitMessage, applicant),
+};
+TABLE (admit, MfAdmitMessage);
+
+static const MfFrameField admitted_fields[] = {
+  FIELD (0, MfAdmittedMessage, admit_id, U64),
+  FIELD (1, MfAdmittedMessage, agreed, BOOL),
+  FIELD (2, MfAdmittedMessage, voter_admitted, BOOL),
+  FIELD (3, MfAdmittedMessage, highest_incarnation, U64),
+  FIELD_COUNTED (4, MfAdmittedMessage, view, n_view, ARRAY, MF_VOTERS_PER_KEY_MAX, &owner_table),
+  FIELD_COUNTED (5, MfAdmittedMessage, records, n_records, LIST, 0, &record_table),
+  FIELD (6, MfAdmittedMessage, cold_ms, U64),
+  FIELD (7, MfAdmittedMessage, opaque_wait_ms, U64),
+  FIELD (8, MfAdmittedMessage, part, U32),
+  FIELD (9, MfAdmittedMessage, n_parts, U32),
+};
+TABLE (admitted, MfAdmittedMessage);
+
+static const MfFrameField list_fields[] = {
+  FIELD (0, MfListMessage, index, U64),
+  FIELD_COUNTED (1, MfListMessage, listed, n_listed, LIST, 0, &listed_table),
+};
+TABLE (list, MfListMessage);
+
+/* The members of the message's union all start at the same place. */
+static const MfFrameTable *const message_tables[MF_PEER_MESSAGE_COUNT] = {
+  [MF_PEER_DIGEST] = &digest_table,       [MF_PEER_CONFIG_ASK] = &ask_table,
+  [MF_PEER_CONFIG] = &config_table,       [MF_PEER_CLAIM] = &claim_table,
+  [MF_PEER_VOTE] = &vote_table,           [MF_PEER_OUTCOME] = &outcome_table,
+  [MF_PEER_OUTCOME_ASK] = &outcome_table, [MF_PEER_ADMIT] = &admit_table,
+  [MF_PEER_ADMITTED] = &admitted_table,   [MF_PEER_LIST_ASK] = &ask_table,
+  [MF_PEER_LIST] = &list_table,
+};
+
+const MfFrameTable *
+mf_frame_table (MfPeerMessageType type)
+{
+  return message_tables[type];
+}
