--- a/bench/relay.c
+++ b/bench/relay.c
@@ -74,7 +74,7 @@
 static const struct argp_option argp_options[] = {
   { .name = "seed", .key = 's', .arg = "N", .doc = "Seed of the run" },
   { .name = "quick", .key = 'q', .doc = "A tenth of the work" },
-  { .name = "part", .key = 'p', .arg = "NAME", .doc = "Only memory, ttft, paced or flood" },
+  { .name = "part", .key = 'p', .arg = "NAME", .doc = "Only memory, ttft, light, paced or flood" },
   { 0 },
 };
 static const struct argp parser = {
@@ -563,6 +563,18 @@
   run_tokens (bench, 10000, "a token every 10 ms on each stream", "relay_tokens_per_core_paced");
 }
 
+/* The load of the first-token part, for what a token costs when few are read at once. */
+static void
+run_light (Bench *bench)
+{
+  uint32_t n_tokens = bench->options.n_tokens;
+
+  bench->options.n_tokens = n_tokens / 10;
+  measure_tokens (bench, true, 50000, "a token every 50 ms on each stream");
+  measure_tokens (bench, false, 50000, "a token every 50 ms on each stream");
+  bench->options.n_tokens = n_tokens;
+}
+
 static void
 run_flood (Bench *bench)
 {
@@ -576,10 +588,8 @@
 } Part;
 
 static const Part parts[] = {
-  { "memory", run_memory },
-  { "ttft", run_ttft },
-  { "paced", run_paced },
-  { "flood", run_flood },
+  { "memory", run_memory }, { "ttft", run_ttft },   { "light", run_light },
+  { "paced", run_paced },   { "flood", run_flood },
 };
 
 int
