--- a/libmangofork/server.c
+++ b/libmangofork/server.c
@@ -13,6 +13,7 @@
 #include <signal.h>
 #include <sodium.h>
 #include <stdlib.h>
+#include <sys/resource.h>
 
 struct MfServer
 {
@@ -407,6 +408,18 @@
   return server->core != NULL;
 }
 
+/* Connections of callers and to upstreams may be many more than the usual soft limit. */
+static void
+descriptors_raise (void)
+{
+  struct rlimit limit;
+
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0)
+    return;
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit (RLIMIT_NOFILE, &limit);
+}
+
 MfServer *
 mf_server_new (const MfSettings *settings, MfError *error)
 {
@@ -419,6 +432,7 @@
       return NULL;
     }
   signal (SIGPIPE, SIG_IGN);
+  descriptors_raise ();
   server->settings = *settings;
   server->loop = ev_loop_new (EVFLAG_AUTO);
   server->logger = mf_logger_new (settings->log_level, settings->options.self.name, error);
