--- a/tests/fakes/rig.c
+++ b/tests/fakes/rig.c
@@ -1,8 +1,8 @@
 #include "rig.h"
 
 #include "libmangofork/frame.h"
+#include "libmangofork/table.h"
 
-#include <uthash.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
