A stalled link is told from a slow one; windows shrink with their pool

Cause: a KV on a stalled link was given up 300 ms after its life, and three in a row ejected the prefill engine; each instance learnt it alone. A decode engine's death left the windows as wide as before.

--- a/libmangofork/call.c
+++ b/libmangofork/call.c
@@ -187,17 +187,40 @@
     mf_call_abandon (core, request->calls);
 }
 
+/* The KV that waits goes onto its prefill engine's link. */
+void
+mf_call_begin_transfer (MfCore *core, MfRequest *request)
+{
+  MfUpstream *row = &core->board.upstreams[request->prefill_upstream];
+
+  mf_call_end_transfer (core, request);
+  request->carried = true;
+  row->transfer_bytes += request->kv_bytes;
+  if (row->n_transfers++ == 0)
+    row->transfer_at_us = core->board.now_us;
+}
+
+void
+mf_call_end_transfer (MfCore *core, MfRequest *request)
+{
+  MfUpstream *row = &core->board.upstreams[request->prefill_upstream];
+
+  if (!request->carried)
+    return;
+  request->carried = false;
+  row->transfer_bytes -= request->kv_bytes;
+  row->n_transfers--;
+}
+
 void
 mf_call_drop_prefill (MfCore *core, MfRequest *request, bool imported)
 {
   MfAction action = { .type = MF_ACTION_CALL_FORGET, .call_id = request->prefill_call_id };
-  MfUpstream *row;
 
   if (request->prefill_call_id == 0)
     return;
-  row = &core->board.upstreams[request->prefill_upstream];
+  mf_call_end_transfer (core, request);
   mf_core_emit (core, &action);
-  row->transfer_bytes -= request->kv_bytes;
   mf_upstream_give (core, request->prefill_upstream, request->prefill_pieces);
   if (!imported)
     {
--- a/libmangofork/health.c
+++ b/libmangofork/health.c
@@ -21,7 +21,6 @@
 #define SLOW_BACK_PERCENT 130
 /* Rates of prefill engines and plain services are noisier than gaps between tokens. */
 #define NOISY_SLOW_PERCENT 250
-#define TRANSFER_STALLS_MAX 3
 #define GRAY_PERCENT 400
 #define SLOW_WEIGHT_PPM 150000
 #define GRAY_FLOOR_US (5 * MF_US_PER_MS)
@@ -107,7 +106,6 @@
   row->prefill_sum_tokens = 0;
   row->prefill_sum_us = 0;
   row->prefill_tokens_per_s = 0;
-  row->n_transfer_stalls = 0;
   watch (row);
   mf_upstream_set_health (core, upstream, MF_HEALTH_OK, MF_CODE_OK);
 }
@@ -272,7 +270,7 @@
 {
   MfUpstream *row = &core->board.upstreams[upstream];
 
-  row->n_transfer_stalls = 0;
+  row->transfer_at_us = core->board.now_us;
   row->link_sum_bytes += n_bytes - row->link_sum_bytes / 16;
   row->link_sum_us += taken_us - row->link_sum_us / 16;
   if (row->link_sum_us > 0 && row->link_sum_bytes > 0)
@@ -283,8 +281,7 @@
 void
 mf_health_note_transfer_stall (MfCore *core, uint32_t upstream)
 {
-  if (++core->board.upstreams[upstream].n_transfer_stalls >= TRANSFER_STALLS_MAX)
-    eject (core, upstream, MF_CODE_UPSTREAM_STALLED);
+  eject (core, upstream, MF_CODE_UPSTREAM_STALLED);
 }
 
 /* Time to a plain answer. */
--- a/libmangofork/life.c
+++ b/libmangofork/life.c
@@ -19,7 +19,11 @@
 #define TRANSFER_LOOK_US (4 * MF_US_PER_MS)
 /* The time an import takes at least; a KV with less life left is given up. */
 #define IMPORT_MIN_US (10 * MF_US_PER_MS)
-#define IMPORT_GRACE_US (300 * MF_US_PER_MS)
+/* A link that carried nothing of ours for this long, and this many times what the KV should take,
+ * is stalled. */
+#define CARRY_PATIENCE_US (150 * MF_US_PER_MS)
+#define CARRY_FACTOR 2
+#define CARRY_RATE_MIN 1e9
 /* Tokens past the place where its upstream died that clear a suspect. */
 #define CLEAR_TOKENS 8
 #define CLAIMS_MAX 3
@@ -266,6 +270,17 @@
     }
 }
 
+/* How long a transfer may take before its link is looked at. */
+static uint64_t
+carry_patience_us (const MfCore *core, const MfRequest *request)
+{
+  const MfUpstream *row = &core->board.upstreams[request->prefill_upstream];
+  double rate = row->link_bytes_per_s > 0 ? (double)row->link_bytes_per_s : CARRY_RATE_MIN;
+  double bytes = (double)(row->transfer_bytes + request->kv_bytes);
+
+  return CARRY_PATIENCE_US + (uint64_t)(CARRY_FACTOR * bytes / rate * (double)MF_US_PER_S);
+}
+
 /* Sends the waiting KV to a decode engine when there is one. Returns false when it still waits. */
 bool
 mf_life_try_transfer (MfCore *core, MfRequest *request)
@@ -281,7 +296,8 @@
     return false;
   mf_queue_end_wait (core, request);
   mf_call_start (core, request, MF_CALL_DECODE, upstream);
-  mf_request_check_at (core, request, request->kv_expires_us + IMPORT_GRACE_US);
+  mf_call_begin_transfer (core, request);
+  mf_request_check_at (core, request, core->board.now_us + carry_patience_us (core, request));
   return true;
 }
 
@@ -320,7 +336,6 @@
   request->kv_bytes = step->event->call.kv_bytes;
   request->prefilled_us = now_us (step);
   request->prefill_tokens += call->prefill_tokens;
-  row->transfer_bytes += request->kv_bytes;
   row->own_prefill_tokens -= call->prefill_tokens;
   row->kv_life_us = request->kv_expires_us - now_us (step);
   mf_counter_add (&step->core->board.counters, MF_COUNTER_PREFILL_TOKENS, call->prefill_tokens);
@@ -613,6 +628,16 @@
     transfer_or_wait (step->core, request);
   else
     {
+      const MfUpstream *row = &step->core->board.upstreams[request->prefill_upstream];
+      uint64_t moved_us
+          = row->transfer_at_us > call->started_us ? row->transfer_at_us : call->started_us;
+      uint64_t stalled_us = moved_us + carry_patience_us (step->core, request);
+
+      if (now_us (step) < stalled_us)
+        {
+          mf_request_check_at (step->core, request, stalled_us);
+          return;
+        }
       mf_health_note_transfer_stall (step->core, request->prefill_upstream);
       request->last_upstream = request->prefill_upstream;
       try_again (step->core, request, MF_CODE_UPSTREAM_STALLED);
--- a/libmangofork/request.c
+++ b/libmangofork/request.c
@@ -72,10 +72,13 @@
 }
 
 /* Sets when MF_INPUT_TIMER comes next; the deadline may come before. Later times cost nothing until
- * the earlier one has come. */
+ * the earlier one has come. A time that has passed is moved on, so that no request can keep the
+ * core busy in one step. */
 void
 mf_request_check_at (MfCore *core, MfRequest *request, uint64_t at_us)
 {
+  if (at_us <= core->board.now_us)
+    at_us = core->board.now_us + 1;
   request->check_us = at_us;
   if (request->timer.at_us > at_us)
     mf_heap_set (&core->board.requests->timers, &request->timer, at_us);
--- a/libmangofork/request.h
+++ b/libmangofork/request.h
@@ -135,6 +135,7 @@
   uint32_t cached_tokens; /* of the prompt, at the prefill engine chosen last, as far as known */
   bool in_window;         /* counted in its pool's window */
   bool coming;            /* counted as coming to its pool */
+  bool carried;           /* its KV is on its prefill engine's link */
   bool waits;             /* its KV waits for a decode engine, in the queue's list of those */
   uint32_t reserved;      /* decode upstream a slot is reserved on, or MF_NONE */
   uint32_t pieces;
@@ -198,6 +199,8 @@
 MfCall *mf_call_find (const MfCore *core, uint64_t call_id);
 /* Gives up the KV that waits at the prefill engine; when it was not imported it is wasted. */
 void mf_call_drop_prefill (MfCore *core, MfRequest *request, bool imported);
+void mf_call_begin_transfer (MfCore *core, MfRequest *request);
+void mf_call_end_transfer (MfCore *core, MfRequest *request);
 void mf_call_unreserve (MfCore *core, MfRequest *request);
 /* Counts the request in its pool's window, or takes it out. */
 void mf_call_enter (MfCore *core, MfRequest *request, bool spare);
--- a/libmangofork/upstream.c
+++ b/libmangofork/upstream.c
@@ -186,6 +186,17 @@
     fill_active (core, &core->board.services.pools[i]);
 }
 
+static uint32_t
+pool_slots (const MfCore *core, uint32_t pool)
+{
+  const MfPoolRow *row = &core->board.services.pools[pool];
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < row->n_members && i < MF_POOL_ACTIVE_MAX; i++)
+    n += core->board.upstreams[row->members[i]].config.slots;
+  return n;
+}
+
 /* Changes an upstream's health, with a log line when it is another. */
 void
 mf_upstream_set_health (MfCore *core, uint32_t upstream, MfHealth health, MfCode reason)
@@ -195,6 +206,9 @@
 
   if (before == health)
     return;
+  if (row->role == MF_ROLE_DECODE && before <= MF_HEALTH_SLOW && health > MF_HEALTH_SLOW)
+    mf_window_lose (&core->board.services.pools[row->pool], mf_upstream_slots (row),
+                    pool_slots (core, row->pool));
   row->health = health;
   row->health_reason = reason;
   row->health_since_us = core->board.now_us;
@@ -243,17 +257,6 @@
   add_member (&core->board.services.pools[upstream->pool], row);
 }
 
-static uint32_t
-pool_slots (const MfCore *core, uint32_t pool)
-{
-  const MfPoolRow *row = &core->board.services.pools[pool];
-  uint32_t n = 0;
-
-  for (uint32_t i = 0; i < row->n_members && i < MF_POOL_ACTIVE_MAX; i++)
-    n += core->board.upstreams[row->members[i]].config.slots;
-  return n;
-}
-
 /* Brings the table in line with the text now in force. Known names keep their rows, found through a
  * sorted index. */
 void
--- a/libmangofork/upstream.h
+++ b/libmangofork/upstream.h
@@ -44,11 +44,10 @@
   uint64_t prefill_sum_us;
   uint64_t link_sum_bytes;
   uint64_t link_sum_us;
-  uint32_t n_transfer_stalls; /* since its link last carried a KV in time */
-  uint64_t kv_life_us;        /* observed time its prefills' KV lives */
-  uint64_t token_gap_us;      /* observed between tokens */
-  uint64_t answer_us;         /* plain: observed time to the whole answer */
-  uint64_t link_bytes_per_s;  /* observed, from its transfers */
+  uint64_t kv_life_us;       /* observed time its prefills' KV lives */
+  uint64_t token_gap_us;     /* observed between tokens */
+  uint64_t answer_us;        /* plain: observed time to the whole answer */
+  uint64_t link_bytes_per_s; /* observed, from its transfers */
   uint32_t n_failures_in_row;
   uint32_t slow_start_ppm; /* share of full weight while it returns */
   uint64_t probe_at_us;
@@ -60,6 +59,8 @@
   uint64_t load_due_us;
   struct MfCall *calls;    /* this instance's running calls on it */
   uint64_t transfer_bytes; /* own KV now on its link */
+  uint32_t n_transfers;    /* own transfers on its link */
+  uint64_t transfer_at_us; /* when the first of them began, or the last one ended */
   uint64_t window_us;      /* start of the window the next two count in */
   uint32_t n_window_calls;
   uint32_t n_window_failures;
--- a/libmangofork/window.c
+++ b/libmangofork/window.c
@@ -74,6 +74,13 @@
     narrow (pool, pool->window_milli / FALL_DIVISOR);
 }
 
+void
+mf_window_lose (MfPoolRow *pool, uint32_t n_slots, uint32_t n_slots_before)
+{
+  if (n_slots_before > 0)
+    narrow (pool, (uint32_t)((uint64_t)pool->window_milli * n_slots / n_slots_before));
+}
+
 void
 mf_window_note_loss (MfPoolRow *pool)
 {
--- a/libmangofork/window.h
+++ b/libmangofork/window.h
@@ -11,6 +11,8 @@
 void mf_window_give (MfPoolRow *pool);
 /* A request got its place after waiting so long for it, though there seemed to be room. */
 void mf_window_note_wait (MfPoolRow *pool, uint64_t wait_us);
+/* Some of the pool's slots are out of use. */
+void mf_window_lose (MfPoolRow *pool, uint32_t n_slots, uint32_t n_slots_before);
 /* A request lost its work to waiting. */
 void mf_window_note_loss (MfPoolRow *pool);
 /* A plain call was answered in this time. */
