--- a/bench/policy.c
+++ b/bench/policy.c
@@ -114,23 +114,13 @@
 static void
 rig_options (const Trial *trial, RigOptions *options)
 {
-  FakeEngineOptions engine = {
-    .slots = SLOTS,
-    .queue = 16,
-    .pieces = 160,
-    .prefill_tokens_per_s = 40000,
-    .prefill_base_us = 8000,
-    .step_us = 12000,
-    .step_stream_us = 500,
-    .kv_token_bytes = 131072,
-    .link_bytes_per_s = UINT64_C (10000000000),
-    .result_life_us = 800 * MF_US_PER_MS,
-    .load_lag_us = 50 * MF_US_PER_MS,
-    .cache_lag_us = 200 * MF_US_PER_MS,
-    .cache_gap_ppm = 20000,
-    .seed = trial->seed,
-  };
+  FakeEngineOptions engine;
 
+  rig_engine_options (MF_ROLE_PREFILL, trial->seed, &engine);
+  engine.slots = SLOTS;
+  engine.queue = 16;
+  engine.pieces = 160;
+  engine.cache_gap_ppm = 20000;
   *options = (RigOptions){
     .seed = trial->seed,
     .naive = trial->naive,
@@ -145,7 +135,6 @@
     .model_deadline_us = 60 * MF_US_PER_S,
     .expected_tokens = 200,
   };
-  options->prefill.role = MF_ROLE_PREFILL;
   options->prefill.cache_pieces = 60;
   options->decode.role = MF_ROLE_DECODE;
 }
--- a/tests/fakes/rig.c
+++ b/tests/fakes/rig.c
@@ -954,6 +954,25 @@
   rig->core_due_us[index] = rig->now_us;
 }
 
+/* An engine of the sizes that the tests and the bench share. */
+void
+rig_engine_options (MfRole role, uint64_t seed, FakeEngineOptions *options)
+{
+  *options = (FakeEngineOptions){
+    .role = role,
+    .prefill_tokens_per_s = 40000,
+    .prefill_base_us = 8 * MF_US_PER_MS,
+    .step_us = 12 * MF_US_PER_MS,
+    .step_stream_us = 500,
+    .kv_token_bytes = 131072,
+    .link_bytes_per_s = UINT64_C (10000000000),
+    .result_life_us = 800 * MF_US_PER_MS,
+    .load_lag_us = 50 * MF_US_PER_MS,
+    .cache_lag_us = 200 * MF_US_PER_MS,
+    .seed = seed,
+  };
+}
+
 Rig *
 rig_new (const RigOptions *options)
 {
--- a/tests/fakes/rig.h
+++ b/tests/fakes/rig.h
@@ -73,6 +73,8 @@
   uint32_t expected_tokens;
 } RigOptions;
 
+/* An engine without slots, queue, pieces and cache, which are the caller's to set. */
+void rig_engine_options (MfRole role, uint64_t seed, FakeEngineOptions *options);
 Rig *rig_new (const RigOptions *options);
 void rig_free (Rig *rig);
 uint64_t rig_now_us (const Rig *rig);
--- a/tests/test_walk.c
+++ b/tests/test_walk.c
@@ -26,24 +26,13 @@
 static void
 walk_options (uint64_t seed, bool naive, RigOptions *options)
 {
-  FakeEngineOptions engine = {
-    .slots = 8,
-    .queue = 8,
-    .pieces = 40,
-    .prefill_tokens_per_s = 40000,
-    .prefill_base_us = 8000,
-    .step_us = 12000,
-    .step_stream_us = 500,
-    .kv_token_bytes = 131072,
-    .link_bytes_per_s = UINT64_C (10000000000),
-    .result_life_us = 800 * MF_US_PER_MS,
-    .load_lag_us = 50 * MF_US_PER_MS,
-    .cache_lag_us = 200 * MF_US_PER_MS,
-    .cache_gap_ppm = 100000,
-    .cache_pieces = 10,
-    .seed = seed,
-  };
+  FakeEngineOptions engine;
 
+  rig_engine_options (MF_ROLE_PREFILL, seed, &engine);
+  engine.slots = 8;
+  engine.queue = 8;
+  engine.pieces = 40;
+  engine.cache_gap_ppm = 100000;
   *options = (RigOptions){
     .seed = seed,
     .naive = naive,
@@ -58,9 +47,8 @@
     .model_deadline_us = 30 * MF_US_PER_S,
     .expected_tokens = 40,
   };
-  options->prefill.role = MF_ROLE_PREFILL;
   options->decode.role = MF_ROLE_DECODE;
-  options->decode.cache_pieces = 0;
+  options->prefill.cache_pieces = 10;
 }
 
 static void
