A pool lost a moment ago is waited for; suspicion never empties one

Change: when the last usable upstream of a pool goes, the ejected ones are used again; for 3 s after that requests are queued instead of refused. Status and metrics show the service as down at once. Conclusion: refused when the pool stays down, not when it blinks.

--- a/libmangofork/health.c
+++ b/libmangofork/health.c
@@ -110,6 +110,24 @@
   mf_upstream_set_health (core, upstream, MF_HEALTH_OK, MF_CODE_OK);
 }
 
+void
+mf_health_last_resort (MfCore *core, uint32_t pool)
+{
+  const MfPoolRow *row = &core->board.services.pools[pool];
+  uint32_t suspected[MF_POOL_ACTIVE_MAX];
+  uint32_t n = 0;
+
+  if (row->n_usable > 0)
+    return;
+  for (uint32_t i = 0; i < row->n_active; i++)
+    {
+      if (core->board.upstreams[row->active[i]].health == MF_HEALTH_EJECTED)
+        suspected[n++] = row->active[i];
+    }
+  for (uint32_t i = 0; i < n; i++)
+    bring_back (core, suspected[i]);
+}
+
 static void
 note_leaving (MfCore *core, uint32_t upstream)
 {
--- a/libmangofork/request.c
+++ b/libmangofork/request.c
@@ -188,7 +188,7 @@
     return MF_CODE_DRAINING;
   if (mf_request_count (core) >= core->board.options.requests_max)
     return MF_CODE_OVER_LIMIT;
-  if (!mf_service_is_up (core, service, &code))
+  if (!mf_service_may_wait (core, service, &code))
     return code;
   return mf_limit_take (core, customer, retry_after_ms) ? MF_CODE_OK : MF_CODE_CUSTOMER_LIMIT;
 }
--- a/libmangofork/service.c
+++ b/libmangofork/service.c
@@ -6,6 +6,8 @@
 #include <string.h>
 
 /* Weight of one observation in a running mean: 1 in 16. */
+/* A pool without a usable upstream for so long is down, and requests for it are refused. */
+#define OUTAGE_GRACE_US (3 * MF_US_PER_S)
 #define MEAN_SHIFT 4
 
 static void *
@@ -203,27 +205,28 @@
 }
 
 static bool
-pool_is_up (const MfCore *core, uint32_t pool)
+pool_is_up (const MfCore *core, uint32_t pool, uint64_t grace_us)
 {
   const MfPoolRow *row;
 
   if (pool == MF_NONE)
     return true;
   row = &core->board.services.pools[pool];
-  return row->n_usable > 0;
+  return row->n_usable > 0 || (row->down_us > 0 && core->board.now_us < row->down_us + grace_us);
 }
 
 static bool
-pools_are_up (const MfCore *core, const MfService *service)
+pools_are_up (const MfCore *core, const MfService *service, uint64_t grace_us)
 {
-  return pool_is_up (core, service->prefill_pool) && pool_is_up (core, service->decode_pool)
-         && pool_is_up (core, service->plain_pool);
+  return pool_is_up (core, service->prefill_pool, grace_us)
+         && pool_is_up (core, service->decode_pool, grace_us)
+         && pool_is_up (core, service->plain_pool, grace_us);
 }
 
 /* The dependencies are followed without recursion; the checked text has no cycle, and what is
  * visited twice costs only time. */
 static bool
-dependencies_are_up (const MfCore *core, uint32_t service)
+dependencies_are_up (const MfCore *core, uint32_t service, uint64_t grace_us)
 {
   uint32_t stack[MF_SERVICE_DEPENDS_MAX * MF_SERVICE_DEPENDS_MAX];
   uint32_t n_stack = 1;
@@ -235,7 +238,7 @@
 
       for (uint32_t i = 0; i < config->n_depends; i++)
         {
-          if (!pools_are_up (core, &core->board.services.rows[config->depends[i]].config))
+          if (!pools_are_up (core, &core->board.services.rows[config->depends[i]].config, grace_us))
             return false;
           if (n_stack < MF_ARRAY_LEN (stack))
             stack[n_stack++] = config->depends[i];
@@ -244,14 +247,25 @@
   return true;
 }
 
+static MfCode
+missing_within (const MfCore *core, uint32_t service, uint64_t grace_us)
+{
+  if (!pools_are_up (core, &core->board.services.rows[service].config, grace_us))
+    return MF_CODE_NO_UPSTREAM;
+  return dependencies_are_up (core, service, grace_us) ? MF_CODE_OK : MF_CODE_DEPENDENCY_DOWN;
+}
+
 bool
 mf_service_is_up (const MfCore *core, uint32_t service, MfCode *missing)
 {
-  *missing = MF_CODE_OK;
-  if (!pools_are_up (core, &core->board.services.rows[service].config))
-    *missing = MF_CODE_NO_UPSTREAM;
-  else if (!dependencies_are_up (core, service))
-    *missing = MF_CODE_DEPENDENCY_DOWN;
+  *missing = missing_within (core, service, 0);
+  return *missing == MF_CODE_OK;
+}
+
+bool
+mf_service_may_wait (const MfCore *core, uint32_t service, MfCode *missing)
+{
+  *missing = missing_within (core, service, OUTAGE_GRACE_US);
   return *missing == MF_CODE_OK;
 }
 
--- a/libmangofork/service.h
+++ b/libmangofork/service.h
@@ -38,6 +38,7 @@
   uint32_t *active; /* of them, those this instance uses: a bounded subset */
   uint32_t n_active;
   uint32_t n_usable;     /* active members that may be given work */
+  uint64_t down_us;      /* when the last usable one was lost; 0 while there is one */
   uint32_t turn;         /* round robin */
   uint64_t token_gap_us; /* usual gap, over its members */
   uint64_t answer_us;    /* plain: recent mean time to the answer */
@@ -86,6 +87,9 @@
 /* Whether every pool that the service and what it depends on need has a usable upstream. Sets
  * *missing to the code of a refusal when not. */
 bool mf_service_is_up (const MfCore *core, uint32_t service, MfCode *missing);
+/* The same, but pools that were lost a moment ago count as up: a request can wait for one to come
+ * back sooner than its caller can. */
+bool mf_service_may_wait (const MfCore *core, uint32_t service, MfCode *missing);
 /* Output length to plan for. */
 uint32_t mf_service_output_tokens (const MfServiceRow *service);
 void mf_service_note_output (MfServiceRow *service, uint32_t n_tokens);
--- a/libmangofork/upstream.c
+++ b/libmangofork/upstream.c
@@ -176,6 +176,10 @@
           pool->n_usable += usable;
         }
     }
+  if (pool->n_usable > 0)
+    pool->down_us = 0;
+  else if (pool->down_us == 0)
+    pool->down_us = core->board.now_us;
 }
 
 /* Brings the pools' subsets in line after a change of health. */
@@ -217,6 +221,8 @@
   mf_upstream_refresh_pools (core);
   mf_core_log (core, "upstream", row->config.name, mf_health_name (before), mf_health_name (health),
                mf_code_info (reason)->name);
+  if (row->pool != MF_NONE)
+    mf_health_last_resort (core, row->pool);
 }
 
 static void
