The test of a reverting platform counts accepted texts

Cause: with the guard against older revisions taken out, peers handed the newer text back within the second that the test waited, and the test passed. Change: no instance may accept any text while the platform serves the older one. Before and after: guard out, test passed before and fails now; guard in, it passes. Conclusion: the test now sees a revert however short.

--- a/tests/test_process_config.c
+++ b/tests/test_process_config.c
@@ -14,6 +14,16 @@
   return fleet_counter (fleet, instance, revision_name);
 }
 
+static double
+count_accepted (Fleet *fleet)
+{
+  double n = 0;
+
+  for (int i = 1; i <= FLEET_INSTANCES; i++)
+    n += fleet_counter (fleet, i, "mangofork_config_accepted_total");
+  return n;
+}
+
 static bool
 all_passed (Fleet *fleet, void *data)
 {
@@ -53,12 +63,15 @@
   Fleet *fleet = *state;
   double before = revision (fleet, 1);
   double accepted;
+  double n_accepted;
 
   fleet_publish_target (fleet, 31);
   fleet_until (fleet, all_passed, &before);
   accepted = revision (fleet, 1);
+  n_accepted = count_accepted (fleet);
   fleet_fault (fleet, "platform", "revert", 1);
   fleet_pass (fleet, 1500);
+  assert_true (count_accepted (fleet) == n_accepted);
   fleet_signal (fleet, 1, SIGKILL);
   fleet_start (fleet, 1);
   fleet_until_ready (fleet, 1);
