--- a/tests/fakes/engine_http.c
+++ b/tests/fakes/engine_http.c
@@ -646,6 +646,12 @@
     fake_engine_slow (engine->model, (uint32_t)value);
   else if (strcmp (kind, "leave") == 0)
     fake_engine_leave (engine->model);
+  else if (strcmp (kind, "drop") == 0)
+    {
+      /* Connections are reset; what they fed lives on. */
+      fake_http_stop (engine->http);
+      fake_http_start (engine->http);
+    }
   else if (strcmp (kind, "silent") == 0)
     engine->silent = value != 0;
   else
--- a/tests/test_process_streams.c
+++ b/tests/test_process_streams.c
@@ -83,6 +83,25 @@
   fleet_until_free (fleet);
 }
 
+static void
+test_streams_outlive_their_connections (void **state)
+{
+  Fleet *fleet = *state;
+  Streams streams;
+  double n_resumes = 0;
+
+  begin (fleet, &streams, 0, STREAMS, 120);
+  fleet_fault (fleet, "d1", "drop", 0);
+  fleet_fault (fleet, "d2", "drop", 0);
+  fleet_fault (fleet, "d3", "drop", 0);
+  assert_all_whole (&streams);
+  for (int i = 1; i <= FLEET_INSTANCES; i++)
+    n_resumes += fleet_counter (fleet, i, "mangofork_resumes_total");
+  assert_true (n_resumes > 0);
+  assert_int_equal (fleet_sum (fleet, "engines", "deaths"), 0);
+  fleet_until_free (fleet);
+}
+
 static void
 test_streams_outlive_a_slow_and_a_stalled_engine (void **state)
 {
@@ -251,6 +270,7 @@
 #define FLEET_TEST(name) cmocka_unit_test_setup_teardown (name, fleet_setup, fleet_teardown)
   const struct CMUnitTest tests[] = {
     FLEET_TEST (test_streams_outlive_their_engine),
+    FLEET_TEST (test_streams_outlive_their_connections),
     FLEET_TEST (test_streams_outlive_a_slow_and_a_stalled_engine),
     FLEET_TEST (test_memory_of_a_killed_instance_is_freed),
     FLEET_TEST (test_paused_instance_owes_its_callers_whole_answers),
