Late requests wait for one spare slot in 7

Cause: at 1.0 load a late request that took a slot was followed by requests in time that found none. Change: one in 7 instead of one in 12 and 2 more.

--- a/libmangofork/place.c
+++ b/libmangofork/place.c
@@ -19,7 +19,7 @@
 #define SPARE_DIVISOR 20
 #define SPARE_MIN 2
 /* The same for requests that are late already. */
-#define LATE_SPARE_DIVISOR 12
+#define LATE_SPARE_DIVISOR 7
 /* The time a KV is planned to wait for its slot. */
 #define WAIT_PLANNED_US (100 * MF_US_PER_MS)
 /* Reads may take so many times this instance's share of an upstream. */
