One death is counted once for a digest, and an innocent stays innocent

Reads of one path share a digest; when the upstream under several of them died, each counted a death of its own, and the digest was convicted by one death for ten minutes. Change: a death counts once for a digest; a second one counts only where the suspect ran apart from others; a digest that has run to its end is cleared for as long as suspicions are kept. Ruled out: the digests of streams, which differ.

--- a/libmangofork/suspect.c
+++ b/libmangofork/suspect.c
@@ -22,6 +22,9 @@
   uint64_t digest;
   uint32_t n_deaths;
   bool convicted;
+  bool cleared;      /* has run to its end: what dies under it now dies of something else */
+  uint32_t upstream; /* of the last death counted, and when */
+  uint64_t death_us;
   uint64_t at_us;
   UT_hash_handle hh;
 } Suspect;
@@ -31,6 +34,7 @@
   uint64_t request_id;
   uint64_t digest;
   uint32_t upstream;
+  bool alone; /* it ran as a suspect, apart from others */
   uint64_t at_us;
 } Break;
 
@@ -114,7 +118,7 @@
 {
   Suspect *suspect = find_or_add (core, digest);
 
-  if (n_deaths > suspect->n_deaths)
+  if (n_deaths > suspect->n_deaths && !suspect->cleared)
     suspect->n_deaths = n_deaths;
   if (convicted)
     convict (core, suspect);
@@ -161,6 +165,7 @@
     .request_id = request->id,
     .digest = request->digest,
     .upstream = upstream,
+    .alone = request->suspect,
     .at_us = core->board.now_us,
   };
   request->suspect_pending = true;
@@ -178,25 +183,38 @@
   mf_queue_stir (core);
 }
 
+/* Whether this death is told of already, or tells nothing: many requests of one digest may run on
+ * an upstream that dies; a second death counts only where the suspect ran apart from others; and
+ * one that has run to its end before is no cause of deaths. */
+static bool
+is_known_death (const MfCore *core, const Suspect *suspect, const Break *broken)
+{
+  bool same = suspect->upstream == broken->upstream && suspect->death_us == core->board.now_us;
+
+  return suspect->cleared || (suspect->n_deaths > 0 && (same || !broken->alone));
+}
+
 static void
 count_death (MfCore *core, const Break *broken)
 {
   Suspect *suspect = find_or_add (core, broken->digest);
   MfRequest *request = mf_request_find (core, broken->request_id);
 
-  suspect->n_deaths++;
+  if (!is_known_death (core, suspect, broken))
+    {
+      suspect->n_deaths++;
+      suspect->upstream = broken->upstream;
+      suspect->death_us = core->board.now_us;
+      mf_news_note (core, suspect->n_deaths >= DEATHS_MAX ? MF_NEWS_CONVICTED : MF_NEWS_SUSPECT,
+                    suspect->digest, suspect->n_deaths);
+    }
   if (request != NULL)
     {
-      request->suspect = true;
+      request->suspect = suspect->n_deaths > 0;
       request->n_deaths = suspect->n_deaths;
     }
   if (suspect->n_deaths >= DEATHS_MAX)
-    {
-      mf_news_note (core, MF_NEWS_CONVICTED, suspect->digest, suspect->n_deaths);
-      convict (core, suspect);
-    }
-  else
-    mf_news_note (core, MF_NEWS_SUSPECT, suspect->digest, suspect->n_deaths);
+    convict (core, suspect);
 }
 
 /* Takes the breaks at an upstream off the list one by one. */
@@ -246,14 +264,31 @@
   request->n_deaths = 0;
   if (suspect == NULL || suspect->convicted)
     return;
-  HASH_DEL (core->board.suspects->by_digest, suspect);
-  free (suspect);
+  suspect->n_deaths = 0;
+  suspect->cleared = true;
 }
 
+static bool
+count_one (uint64_t digest, uint32_t n_deaths, bool convicted, uint64_t at_us, void *data)
+{
+  uint32_t *n = data;
+
+  (void)digest;
+  (void)n_deaths;
+  (void)convicted;
+  (void)at_us;
+  ++*n;
+  return true;
+}
+
+/* Returns how many are suspected or convicted. */
 uint32_t
 mf_suspect_count (const MfCore *core)
 {
-  return HASH_COUNT (core->board.suspects->by_digest);
+  uint32_t n = 0;
+
+  mf_suspect_foreach (core, count_one, &n);
+  return n;
 }
 
 void
@@ -263,7 +298,7 @@
 
   for (; suspect != NULL; suspect = suspect->hh.next)
     {
-      if (core->board.now_us - suspect->at_us <= KEPT_US
+      if (core->board.now_us - suspect->at_us <= KEPT_US && suspect->n_deaths > 0
           && !func (suspect->digest, suspect->n_deaths, suspect->convicted, suspect->at_us, data))
         return;
     }
