Suspicion is at most 16 times slower, however often it was wrong

Cause: a process that was paused often and whose suspicions were refuted often waited up to 256 times as long, far beyond the 5 s for dead instances' work. Change: one limit for both together. Conclusion: tests/test_member and test_news pass.

--- a/libmangofork/member.c
+++ b/libmangofork/member.c
@@ -18,6 +18,8 @@
 #define DOUBT_MAX 7
 #define DOUBT_FALL_US (10 * MF_US_PER_S)
 #define REFUTED_MAX 5
+/* Doubt and refuted suspicions together make suspicion at most so many times slower. */
+#define PATIENCE_MAX 16
 #define SWEEP_US (2 * MF_US_PER_S)
 /* A neighbour that we did not choose is one as long as its digests come. */
 #define UNCHOSEN_LIFE_US (10 * MF_US_PER_S)
@@ -237,9 +239,11 @@
 static uint64_t
 periods_us (const MfCore *core, const MfMemberRow *row, uint32_t n_periods)
 {
-  uint64_t periods = n_periods * core->board.options.digest_period_us;
+  uint64_t patience = (uint64_t)(1 + core->board.members->self_doubt) << row->n_refuted;
 
-  return (periods * (1 + core->board.members->self_doubt)) << row->n_refuted;
+  if (patience > PATIENCE_MAX)
+    patience = PATIENCE_MAX;
+  return n_periods * core->board.options.digest_period_us * patience;
 }
 
 /* News about this very process: when it is thought dead, it says that it lives. */
