A pause of the process blames no upstream; quiet services earn retries by time

One retry a second is earned by time alone. Figures: test_pause_blames_no_upstream fails without the change.

--- a/libmangofork/board.h
+++ b/libmangofork/board.h
@@ -65,6 +65,7 @@
 {
   uint64_t now_us;
   uint64_t wall_ms;
+  uint64_t woke_us; /* end of the last pause of this process; 0 for none */
   MfOptions options;
   MfConfig *config; /* in force; NULL until one was accepted */
   MfConfigState config_state;
--- a/libmangofork/life.c
+++ b/libmangofork/life.c
@@ -27,6 +27,8 @@
 /* Tokens past the place where its upstream died that clear a suspect. */
 #define CLEAR_TOKENS 8
 #define CLAIMS_MAX 3
+/* Time to read what came in during a pause, before anything is called stalled. */
+#define WOKE_GRACE_US (100 * MF_US_PER_MS)
 /* An upstream that refused is not asked again for this long, unless one of our own leaves it. */
 #define FULL_US (40 * MF_US_PER_MS)
 #define HEDGE_MIN_US (10 * MF_US_PER_MS)
@@ -58,6 +60,27 @@
   return STALL_BASE_US + STALL_GAPS * service->config.tbt_target_us;
 }
 
+/* Whether this process was paused after that time: what seems to have taken long may have come in
+ * meanwhile, and no upstream is to blame. */
+static bool
+spans_pause (const MfCore *core, uint64_t since_us)
+{
+  return core->board.woke_us > since_us;
+}
+
+/* Gives a request more time when this process has only just woken: its answer may be waiting to be
+ * read. Returns whether it did. */
+static bool
+bear_with_pause (const Step *step)
+{
+  MfCore *core = step->core;
+
+  if (core->board.woke_us == 0 || now_us (step) >= core->board.woke_us + WOKE_GRACE_US)
+    return false;
+  mf_request_check_at (core, step->request, now_us (step) + stall_us (core, step->request));
+  return true;
+}
+
 static MfPoolRow *
 decode_pool (MfCore *core, const MfRequest *request)
 {
@@ -339,8 +362,9 @@
   row->own_prefill_tokens -= call->prefill_tokens;
   row->kv_life_us = request->kv_expires_us - now_us (step);
   mf_counter_add (&step->core->board.counters, MF_COUNTER_PREFILL_TOKENS, call->prefill_tokens);
-  mf_health_note_prefill (step->core, call->upstream, call->ahead_tokens,
-                          now_us (step) - call->started_us);
+  if (!spans_pause (step->core, call->started_us))
+    mf_health_note_prefill (step->core, call->upstream, call->ahead_tokens,
+                            now_us (step) - call->started_us);
   mf_request_note (step->core, request, MF_TRACE_PREFILLED, call->upstream, MF_NONE,
                    request->kv_bytes);
   mf_request_set_phase (request, MF_PHASE_TRANSFERRING);
@@ -376,6 +400,8 @@
       refuse_deadline (step);
       return;
     }
+  if (bear_with_pause (step))
+    return;
   step->request->last_upstream = step->request->calls->upstream;
   mf_health_note_stall (step->core, step->request->last_upstream);
   try_again (step->core, step->request, MF_CODE_UPSTREAM_STALLED);
@@ -388,8 +414,9 @@
   MfRequest *request = step->request;
 
   step->call->sent = true;
-  mf_health_note_transfer (step->core, request->prefill_upstream, request->kv_bytes,
-                           now_us (step) - step->call->started_us);
+  if (!spans_pause (step->core, step->call->started_us))
+    mf_health_note_transfer (step->core, request->prefill_upstream, request->kv_bytes,
+                             now_us (step) - step->call->started_us);
   mf_window_note_wait (decode_pool (step->core, request),
                        step->call->started_us - request->prefilled_us);
   mf_call_arrived (step->core, request);
@@ -446,7 +473,7 @@
       gap_us = (now - request->last_us) / n_tokens;
       request->n_gaps += n_tokens;
       request->n_gaps_late += gap_us > service->config.tbt_target_us ? n_tokens : 0;
-      if (call->started_us < request->last_us)
+      if (call->started_us < request->last_us && !spans_pause (core, request->last_us))
         mf_health_note_gap (core, call->upstream, gap_us);
     }
   request->last_us = now;
@@ -626,7 +653,7 @@
     refuse_deadline (step);
   else if (call == NULL)
     transfer_or_wait (step->core, request);
-  else
+  else if (!bear_with_pause (step))
     {
       const MfUpstream *row = &step->core->board.upstreams[request->prefill_upstream];
       uint64_t moved_us
@@ -655,6 +682,8 @@
       refuse_deadline (step);
       return;
     }
+  if (bear_with_pause (step))
+    return;
   if (call != NULL)
     {
       request->last_upstream = call->upstream;
@@ -687,7 +716,7 @@
           return;
         }
     }
-  if (event->status < 500)
+  if (event->status < 500 && !spans_pause (step->core, step->call->started_us))
     {
       mf_health_note_answer (step->core, step->call->upstream, answer_us);
       mf_window_note_answer (&step->core->board.services.pools[service->config.plain_pool],
--- a/libmangofork/retry.c
+++ b/libmangofork/retry.c
@@ -7,6 +7,8 @@
 #define RETRY_BURST_MILLI (64 * TOKEN_MILLI)
 #define HEDGE_EARN_MILLI 50
 #define HEDGE_BURST_MILLI (8 * TOKEN_MILLI)
+/* One more retry is earned by time alone, so that a quiet service recovers too. */
+#define RETRY_PERIOD_US MF_US_PER_S
 #define BACKOFF_BASE_US (5 * MF_US_PER_MS)
 #define BACKOFF_DOUBLINGS_MAX 7
 
@@ -18,6 +20,17 @@
     budget->tokens_milli = burst_milli;
 }
 
+static void
+earn_by_time (MfBudget *budget, uint64_t now_us)
+{
+  uint64_t n_periods = (now_us - budget->earned_us) / RETRY_PERIOD_US;
+
+  budget->earned_us += n_periods * RETRY_PERIOD_US;
+  if (n_periods > RETRY_BURST_MILLI / TOKEN_MILLI)
+    n_periods = RETRY_BURST_MILLI / TOKEN_MILLI;
+  earn (budget, (uint32_t)n_periods * TOKEN_MILLI, RETRY_BURST_MILLI);
+}
+
 static bool
 spend (MfBudget *budget)
 {
@@ -51,6 +64,7 @@
   uint32_t doublings
       = request->n_retries < BACKOFF_DOUBLINGS_MAX ? request->n_retries : BACKOFF_DOUBLINGS_MAX;
 
+  earn_by_time (&row->retry, core->board.now_us);
   if (!spend (&row->retry))
     return false;
   *delay_us
--- a/libmangofork/service.h
+++ b/libmangofork/service.h
@@ -9,6 +9,7 @@
 typedef struct
 {
   uint32_t tokens_milli;
+  uint64_t earned_us; /* up to when time has paid */
 } MfBudget;
 
 /* One service, over all texts that named it. Rows keep their index while the process lives. */
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -281,6 +281,32 @@
   mf_core_free (bench.core);
 }
 
+/* The process sleeps for 5 s under a stream: the engine is not blamed and the stream goes on. A
+ * silence while it is awake is a stall. */
+static void
+test_pause_blames_no_upstream (void **state)
+{
+  MfEvent tick = { .type = MF_EVENT_TICK };
+  MfRequest *found;
+  Bench bench;
+
+  (void)state;
+  begin (&bench);
+  bring (&bench, MF_PHASE_DECODING);
+  found = mf_request_find (bench.core, 1);
+  bench.now_us += 5 * MF_US_PER_S;
+  step (&bench, &tick);
+  assert_int_equal (found->phase, MF_PHASE_DECODING);
+  assert_int_equal (bench.core->board.upstreams[1].health, MF_HEALTH_OK);
+  for (uint32_t i = 0; i < 30; i++)
+    {
+      bench.now_us += 100 * MF_US_PER_MS;
+      step (&bench, &tick);
+    }
+  assert_true (found->phase != MF_PHASE_DECODING);
+  mf_core_free (bench.core);
+}
+
 int
 main (void)
 {
@@ -289,6 +315,7 @@
     cmocka_unit_test (test_late_and_crossed_tokens_are_dropped),
     cmocka_unit_test (test_cancel_is_repeated_until_confirmed),
     cmocka_unit_test (test_order_is_sent_again_only_when_nothing_left),
+    cmocka_unit_test (test_pause_blames_no_upstream),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
