--- a/libmangofork/claim.c
+++ b/libmangofork/claim.c
@@ -592,13 +592,17 @@
 }
 
 /* A claim with too few voters in reach is refused early, so that the caller can go elsewhere; one
- * whose voters are about to be admitted waits for them. */
+ * whose voters are about to be admitted waits for them. Time in which this process was paused does
+ * not count. */
 static void
 voting_tick (MfCore *core, Claim *claim)
 {
   uint64_t now_us = core->board.now_us;
+  uint64_t until_us = claim->voting_until_us;
 
-  if (now_us < claim->deadline_us && (now_us < claim->voting_until_us || cell_answers (claim)))
+  if (core->board.woke_us > 0 && until_us < core->board.woke_us + VOTING_US)
+    until_us = core->board.woke_us + VOTING_US;
+  if (now_us < claim->deadline_us && (now_us < until_us || cell_answers (claim)))
     {
       claim_ask (core, claim);
       return;
--- a/tests/test_claim.c
+++ b/tests/test_claim.c
@@ -670,6 +670,25 @@
   mf_core_free (core);
 }
 
+/* The process is paused while it waits for votes: the voters get their time afterwards. */
+static void
+test_pause_gives_voters_their_time (void **state)
+{
+  Asked asked = { 0 };
+  uint8_t key[MF_DIGEST_BYTES];
+  MfCore *core = outsider_new (&asked, key);
+  MfEvent event = { .type = MF_EVENT_TICK, .now_us = 10 * MF_US_PER_S };
+
+  (void)state;
+  event.wall_ms = core->board.wall_ms;
+  mf_core_step (core, &event);
+  deliver_vote (core, "n1", 5, 5, key);
+  deliver_vote (core, "n2", 5, 5, key);
+  deliver_vote (core, "n3", 5, 5, key);
+  assert_int_equal (asked.n_calls, 1);
+  mf_core_free (core);
+}
+
 /* The process is paused between the grant and the first byte: the byte is held back, and the call
  * waits for votes again. */
 static void
@@ -747,6 +766,7 @@
     cmocka_unit_test (test_cells_are_small_and_cover_all_voters),
     cmocka_unit_test (test_vote_of_a_replaced_voter_does_not_count),
     cmocka_unit_test (test_grant_that_went_stale_sends_nothing),
+    cmocka_unit_test (test_pause_gives_voters_their_time),
     DESK_TEST (test_same_key_at_two_instances_runs_once),
     DESK_TEST (test_finished_key_is_answered_after_its_instance_died),
     DESK_TEST (test_key_of_a_dead_claimant_is_unknown),
