Claims: the table and the wait for an earlier run in files of their own

Change: claim_table.c (rows, settling, releasing), claim_wait.c (outcomes of earlier runs), claim.c (votes and the interface); one private header. Nothing else is changed. Conclusion: each file has one job.

--- /dev/null
+++ b/libmangofork/claim_wait.c
@@ -0,0 +1,198 @@
+#include "claim_row.h"
+
+#include "member.h"
+
+#include <string.h>
+
+/* Voters get so long to tell the outcome of a holder that is dead, or the answer of a call that is
+ * known to have run. */
+#define LAST_WORD_US (300 * MF_US_PER_MS)
+/* Two claims that split the votes both give way for a random time up to this. */
+#define BACKOFF_US (20 * MF_US_PER_MS)
+
+/* Gives the outcome to the requests of this instance that waited for it. */
+void
+mf_claim_settle_waiters (MfCore *core, const MfKeyEntry *entry)
+{
+  MfClaim *claim;
+  MfClaim *next;
+
+  HASH_ITER (by_request, core->board.claims->by_request, claim, next)
+  {
+    if (claim->state == MF_CLAIM_WAITING && memcmp (claim->key, entry->key, MF_DIGEST_BYTES) == 0)
+      mf_claim_settle_recorded (core, claim, entry->state, &entry->result);
+  }
+}
+
+/* Whether the incarnation that holds a key can no longer tell. */
+static bool
+holder_is_dead (const MfCore *core, const MfOwner *holder)
+{
+  const MfMember *member = mf_member_find (core, holder->name);
+
+  if (strcmp (holder->name, core->board.options.self.name) == 0)
+    return holder->incarnation != core->board.options.self.incarnation;
+  return member != NULL
+         && (member->owner.incarnation > holder->incarnation || member->state == MF_MEMBER_DEAD);
+}
+
+/* Claims again after a random while. */
+static void
+claim_yield (MfCore *core, MfClaim *claim)
+{
+  claim->state = MF_CLAIM_YIELDING;
+  mf_claim_due (core, claim, core->board.now_us + mf_core_random_below (core, BACKOFF_US) + 1);
+}
+
+/* Takes what is told of the earlier run. A voter may know that it is over without having its
+ * answer, which another may still have. */
+static void
+waiting_take (MfCore *core, MfClaim *claim, MfKeyState state, const MfClaimResult *result)
+{
+  if (state == MF_KEY_FINISHED && result->body == NULL
+      && core->board.now_us < claim->waiting_since_us + LAST_WORD_US)
+    claim->ran = true;
+  else if (state == MF_KEY_FINISHED || state == MF_KEY_UNKNOWN)
+    mf_claim_settle_recorded (core, claim, state, result);
+}
+
+/* Claims again when this instance holds the key itself by a claim that it has given up. */
+static bool
+waiting_restart (MfCore *core, MfClaim *claim)
+{
+  if (!mf_claim_is_own (core, &claim->holder)
+      || mf_claim_find (core->board.claims, claim->holder_claim_id) != NULL)
+    return false;
+  mf_claim_release (core, claim->key, &claim->cell, claim->holder_claim_id);
+  claim_yield (core, claim);
+  return true;
+}
+
+/* Ends a wait that has lasted long enough. Returns whether it did. */
+static bool
+waiting_end (MfCore *core, MfClaim *claim)
+{
+  uint64_t now_us = core->board.now_us;
+  bool last_word = now_us >= claim->waiting_since_us + LAST_WORD_US;
+
+  if (now_us < claim->deadline_us
+      && !(last_word && (claim->ran || holder_is_dead (core, &claim->holder))))
+    return false;
+  mf_claim_settle (core, claim, MF_CLAIM_UNKNOWN, MF_CODE_KEY_UNKNOWN,
+                   claim->ran ? MF_OUTCOME_RAN : MF_OUTCOME_UNKNOWN);
+  return true;
+}
+
+void
+mf_claim_wait_tick (MfCore *core, MfClaim *claim)
+{
+  MfKeyEntry *entry = mf_keybook_find (&core->board.claims->book, claim->key);
+  uint64_t request_id = claim->request_id;
+  MfPeerMessage message = {
+    .type = MF_PEER_OUTCOME_ASK,
+    .outcome = { .claimant = claim->holder, .claim_id = claim->holder_claim_id },
+  };
+
+  if (entry != NULL)
+    waiting_take (core, claim, entry->state, &entry->result);
+  if (mf_claim_of_request (core->board.claims, request_id) != claim || waiting_end (core, claim))
+    return;
+  if ((entry == NULL || entry->state == MF_KEY_RUNNING) && waiting_restart (core, claim))
+    return;
+  memcpy (message.outcome.key, claim->key, MF_DIGEST_BYTES);
+  if (mf_cell_find (&claim->cell, claim->holder.name) == MF_NONE
+      && !mf_claim_is_own (core, &claim->holder))
+    mf_member_send (core, claim->holder.name, &message);
+  mf_claim_tell_cell (core, &claim->cell, &message);
+  mf_claim_due (core, claim, core->board.now_us + MF_CLAIM_ASK_US);
+}
+
+/* A claimant speaks of its own claim only. */
+static void
+outcome_take (MfCore *core, const MfOwner *from, const MfOutcomeMessage *outcome)
+{
+  MfClaims *claims = core->board.claims;
+  MfKeyEntry *entry = mf_keybook_find (&claims->book, outcome->key);
+  MfClaimResult result = {
+    .status = outcome->status,
+    .code = (MfCode)outcome->code,
+    .outcome = outcome->state == MF_KEY_FINISHED ? MF_OUTCOME_RAN : MF_OUTCOME_UNKNOWN,
+    .content_type = outcome->content_type,
+    .body = outcome->body,
+    .body_bytes = outcome->body_bytes,
+  };
+  bool is_holder = strcmp (from->name, outcome->claimant.name) == 0
+                   && from->incarnation == outcome->claimant.incarnation;
+
+  if (entry == NULL || entry->claim_id != outcome->claim_id
+      || entry->holder.incarnation != outcome->claimant.incarnation
+      || strcmp (entry->holder.name, outcome->claimant.name) != 0)
+    return;
+  if (outcome->state == MF_KEY_NONE && is_holder && !mf_claim_is_own (core, &entry->holder))
+    mf_keybook_remove (&claims->book, entry);
+  else if (outcome->state == MF_KEY_FINISHED || outcome->state == MF_KEY_UNKNOWN)
+    mf_keybook_finish (&claims->book, entry, outcome->state, &result);
+}
+
+/* Serves the requests here that wait for this key. */
+static void
+outcome_serve (MfCore *core, const MfOwner *from, const MfOutcomeMessage *outcome)
+{
+  MfClaimResult result = {
+    .status = outcome->status,
+    .code = (MfCode)outcome->code,
+    .outcome = MF_OUTCOME_RAN,
+    .content_type = outcome->content_type,
+    .body = outcome->body,
+    .body_bytes = outcome->body_bytes,
+  };
+  MfClaim *claim;
+  MfClaim *next;
+
+  HASH_ITER (by_request, core->board.claims->by_request, claim, next)
+  {
+    if (claim->state != MF_CLAIM_WAITING || claim->holder_claim_id != outcome->claim_id
+        || memcmp (claim->key, outcome->key, MF_DIGEST_BYTES) != 0)
+      continue;
+    if (outcome->state != MF_KEY_NONE)
+      waiting_take (core, claim, outcome->state, &result);
+    else if (strcmp (from->name, claim->holder.name) == 0
+             && from->incarnation == claim->holder.incarnation)
+      claim_yield (core, claim);
+  }
+}
+
+void
+mf_claim_take_outcome (MfCore *core, const MfOwner *from, const MfOutcomeMessage *outcome)
+{
+  outcome_take (core, from, outcome);
+  outcome_serve (core, from, outcome);
+}
+
+/* Tells what this instance knows of a claim, as its claimant or as a voter. A claimant that has
+ * given it up says so to the whole cell again, in case a voter missed it. */
+void
+mf_claim_answer_ask (MfCore *core, const MfOwner *from, const MfOutcomeMessage *ask)
+{
+  MfClaims *claims = core->board.claims;
+  MfKeyEntry *entry = mf_keybook_find (&claims->book, ask->key);
+  bool is_holder = mf_claim_is_own (core, &ask->claimant);
+  MfPeerMessage message = {
+    .type = MF_PEER_OUTCOME,
+    .outcome = { .claimant = ask->claimant, .claim_id = ask->claim_id, .state = MF_KEY_NONE },
+  };
+  MfCell cell;
+
+  if (entry != NULL && entry->claim_id == ask->claim_id)
+    mf_claim_fill_outcome (entry, &message);
+  else if (is_holder && mf_claim_find (claims, ask->claim_id) != NULL)
+    message.outcome.state = MF_KEY_RUNNING;
+  else if (is_holder && core->board.config != NULL && mf_cell_count (core->board.config) > 0)
+    {
+      mf_cell_members (core->board.config, mf_cell_of_key (core->board.config, ask->key), &cell);
+      mf_claim_release (core, ask->key, &cell, ask->claim_id);
+    }
+  memcpy (message.outcome.key, ask->key, MF_DIGEST_BYTES);
+  if (is_holder || message.outcome.state != MF_KEY_NONE)
+    mf_member_send (core, from->name, &message);
+}
