A resume that never left still owes the engine a cancel

Cause: test_streams_outlive_their_connections failed once under ASan, waiting 60 s in vain. A broken stream is held by its engine for a resume; when the resume was given up before a byte of it had left (its connection was slow), no cancel was owed, and the engine kept the memory for the stream's life. Change: giving up a resume, sent or not, owes the cancel. Figures: test_resume_that_never_left_is_owed_a_cancel fails without the change and passes with it. That it is the cause of that one failure is inferred from the code, not traced. Conclusion: a hole in the promise on engine memory is closed.

--- a/libmangofork/call.c
+++ b/libmangofork/call.c
@@ -160,7 +160,7 @@
   MfAction action = { .type = MF_ACTION_CALL_ABORT, .call_id = call->id };
 
   mf_core_emit (core, &action);
-  if (call->sent && !call->prefilled && holds_memory (call))
+  if ((call->sent || call->kind == MF_CALL_RESUME) && !call->prefilled && holds_memory (call))
     mf_debt_add (core, call->upstream, request->id, call->id, call->attempt);
   if (call->kind == MF_CALL_PREFILL && call->sent && !call->prefilled)
     request->wasted_tokens += call->prefill_tokens;
--- a/libmangofork/life.c
+++ b/libmangofork/life.c
@@ -166,9 +166,10 @@
       request->n_unknown++;
       if (call->kind == MF_CALL_PREFILL)
         request->wasted_tokens += call->prefill_tokens;
-      if (call->kind != MF_CALL_PLAIN)
-        mf_debt_add (step->core, upstream, request->id, call->id, call->attempt);
     }
+  /* What a resume would have continued is held by the engine even if the resume never left. */
+  if (call->kind == MF_CALL_RESUME || (!clean && call->kind != MF_CALL_PLAIN))
+    mf_debt_add (step->core, upstream, request->id, call->id, call->attempt);
   request->last_upstream = upstream;
   mf_call_end (step->core, call);
   mf_health_note_call (step->core, upstream, step->event);
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -307,6 +307,27 @@
   mf_core_free (bench.core);
 }
 
+/* A stream broke, and the call that should resume it never left: the engine holds it all the same,
+ * and is owed a cancel. */
+static void
+test_resume_that_never_left_is_owed_a_cancel (void **state)
+{
+  MfEvent departed = { .type = MF_EVENT_DEPARTED, .departed_id = 1 };
+  Bench bench;
+
+  (void)state;
+  begin (&bench);
+  bring (&bench, MF_PHASE_RESUMING);
+  step (&bench, &departed);
+  assert_int_equal (mf_debt_count (bench.core), 1);
+  mf_core_free (bench.core);
+  begin (&bench);
+  bring (&bench, MF_PHASE_RESUMING);
+  call_step (&bench, MF_EVENT_CALL_FAILED, MF_CALL_RESUME, (MfCallEvent){ .timed_out = true });
+  assert_int_equal (mf_debt_count (bench.core), 1);
+  mf_core_free (bench.core);
+}
+
 int
 main (void)
 {
@@ -316,6 +337,7 @@
     cmocka_unit_test (test_cancel_is_repeated_until_confirmed),
     cmocka_unit_test (test_order_is_sent_again_only_when_nothing_left),
     cmocka_unit_test (test_pause_blames_no_upstream),
+    cmocka_unit_test (test_resume_that_never_left_is_owed_a_cancel),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
