--- a/libmangofork/claim.c
+++ b/libmangofork/claim.c
@@ -378,8 +378,7 @@
 {
   MfPeerMessage message = { .type = MF_PEER_VOTE };
 
-  if (strcmp (from->name, claim->claimant.name) != 0
-      || from->incarnation != claim->claimant.incarnation)
+  if (!mf_owner_equal (from, &claim->claimant))
     return;
   mf_voter_vote (core, &core->board.claims->voter, claim, &message.vote);
   mf_member_send (core, from->name, &message);
@@ -409,8 +408,7 @@
     mf_claim_take_outcome (core, from, &message->outcome);
   else if (message->type == MF_PEER_OUTCOME_ASK)
     mf_claim_answer_ask (core, from, &message->outcome);
-  else if (message->type == MF_PEER_ADMIT && strcmp (from->name, message->admit.applicant.name) == 0
-           && from->incarnation == message->admit.applicant.incarnation)
+  else if (message->type == MF_PEER_ADMIT && mf_owner_equal (from, &message->admit.applicant))
     mf_voter_admit (core, &core->board.claims->voter, &message->admit);
   else if (message->type == MF_PEER_ADMITTED)
     mf_voter_admitted (core, &core->board.claims->voter, from, &message->admitted);
--- a/libmangofork/claim_table.c
+++ b/libmangofork/claim_table.c
@@ -96,8 +96,7 @@
 bool
 mf_claim_is_own (const MfCore *core, const MfOwner *owner)
 {
-  return owner->incarnation == core->board.options.self.incarnation
-         && strcmp (owner->name, core->board.options.self.name) == 0;
+  return mf_owner_equal (owner, &core->board.options.self);
 }
 
 void
--- a/libmangofork/claim_wait.c
+++ b/libmangofork/claim_wait.c
@@ -121,8 +121,7 @@
     .body = outcome->body,
     .body_bytes = outcome->body_bytes,
   };
-  bool is_holder = strcmp (from->name, outcome->claimant.name) == 0
-                   && from->incarnation == outcome->claimant.incarnation;
+  bool is_holder = mf_owner_equal (from, &outcome->claimant);
 
   if (entry == NULL || entry->claim_id != outcome->claim_id
       || entry->holder.incarnation != outcome->claimant.incarnation
@@ -156,8 +155,7 @@
       continue;
     if (outcome->state != MF_KEY_NONE)
       waiting_take (core, claim, outcome->state, &result);
-    else if (strcmp (from->name, claim->holder.name) == 0
-             && from->incarnation == claim->holder.incarnation)
+    else if (mf_owner_equal (from, &claim->holder))
       claim_yield (core, claim);
   }
 }
--- a/libmangofork/types.c
+++ b/libmangofork/types.c
@@ -53,3 +53,9 @@
   dst[len] = '\0';
   return whole;
 }
+
+bool
+mf_owner_equal (const MfOwner *a, const MfOwner *b)
+{
+  return a->incarnation == b->incarnation && strcmp (a->name, b->name) == 0;
+}
--- a/libmangofork/types.h
+++ b/libmangofork/types.h
@@ -57,6 +57,9 @@
   uint64_t incarnation;
 } MfOwner;
 
+/* Whether both are the same process. */
+bool mf_owner_equal (const MfOwner *a, const MfOwner *b);
+
 const char *mf_outcome_name (MfOutcome outcome);
 const char *mf_role_name (MfRole role);
 const char *mf_class_name (MfClass class_);
--- a/libmangofork/voter.c
+++ b/libmangofork/voter.c
@@ -10,12 +10,6 @@
 /* How far the clocks that mint keys may be ahead. */
 #define CLOCK_SKEW_MS 1000
 
-static bool
-owner_equal (const MfOwner *a, const MfOwner *b)
-{
-  return a->incarnation == b->incarnation && strcmp (a->name, b->name) == 0;
-}
-
 static void
 view_raise (MfVoterState *voter, const MfOwner *owner)
 {
@@ -281,7 +275,7 @@
       vote->granted = !entry->inherited && entry->state == MF_KEY_RUNNING
                       && entry->claim_id == claim->claim_id && voter->admitted
                       && voter->epoch == claim->epoch
-                      && owner_equal (&entry->holder, &claim->claimant);
+                      && mf_owner_equal (&entry->holder, &claim->claimant);
       vote->holder = entry->holder;
       vote->holder_claim_id = entry->claim_id;
       vote->state = entry->state;
@@ -422,7 +416,7 @@
       entry->claim_id = record->claim_id;
       entry->state = record->state;
     }
-  if (!owner_equal (&entry->holder, &core->board.options.self))
+  if (!mf_owner_equal (&entry->holder, &core->board.options.self))
     entry->inherited = true;
   return true;
 }
