--- a/cli/main.c
+++ b/cli/main.c
@@ -15,6 +15,7 @@
 static const Command commands[] = {
   { "serve", command_serve },   { "check", command_check },     { "status", command_status },
   { "report", command_report }, { "explain", command_explain }, { "digest", command_digest },
+  { "relay", command_relay },
 };
 
 /* The command and what follows it. */
@@ -67,6 +68,7 @@
   .doc = "Routes callers' requests to prefill, decode and plain upstreams.\v"
          "Commands:\n"
          "  serve -c FILE    serve callers with these settings\n"
+         "  relay            serve the routes of the platform's configuration\n"
          "  check FILE       check the operators' text or the settings\n"
          "  status URL       show the picture in force at an instance\n"
          "  report URL       report service-level burn\n"
--- /dev/null
+++ b/libmangofork/relay/budget.h
@@ -0,0 +1,27 @@
+#ifndef MF_RELAY_BUDGET_H
+#define MF_RELAY_BUDGET_H
+
+#include "libmangofork/types.h"
+
+/* Parts a window is counted in. */
+#define MF_BUDGET_PARTS 20
+
+/* Repeats that this instance may send to one service. Instances do not talk about it: each keeps to
+ * the ratio for the requests it has itself, so that the sum keeps to it as well. */
+typedef struct
+{
+  uint64_t window_us;
+  double ratio;
+  uint32_t floor; /* repeats allowed whatever the requests */
+  uint64_t part_begun_us;
+  uint32_t part;
+  uint32_t n_requests[MF_BUDGET_PARTS];
+  uint32_t n_repeats[MF_BUDGET_PARTS];
+} MfBudget;
+
+void mf_budget_init (MfBudget *budget, uint64_t window_us, double ratio, uint32_t floor);
+void mf_budget_note_request (MfBudget *budget, uint64_t now_us);
+/* Takes one repeat; returns false, and takes none, when the window has had its share. */
+bool mf_budget_take (MfBudget *budget, uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/libmangofork/relay/caller.c
@@ -0,0 +1,664 @@
+#include "caller.h"
+
+#include "libmangofork/clock.h"
+#include "libmangofork/socket.h"
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define READ_BYTES 16384
+/* Bytes kept of requests that a caller sends before it has the answer to an earlier one. */
+#define AHEAD_BYTES_MAX 65536
+/* A caller that has so much unread is not sent more until it has read. */
+#define UNREAD_BYTES_MAX 262144
+/* Connections taken in one turn of the loop. */
+#define ACCEPTS_MAX 64
+/* After a request that cannot be read, what still comes is read for so long, that the answer is not
+ * lost to a reset. */
+#define LINGER_US (500 * MF_US_PER_MS)
+
+struct MfDoor
+{
+  struct ev_loop *loop;
+  const MfDialect *dialect;
+  const MfDoorUser *user;
+  void *data;
+  int fd;
+  ev_io acceptor;
+  MfDoorLimits limits;
+  MfCaller *callers;
+  uint32_t n_callers;
+  bool retired;
+};
+
+typedef enum
+{
+  CALLER_READING,  /* between requests, or in one */
+  CALLER_WAITING,  /* its request is being served */
+  CALLER_ANSWERED, /* the answer is being written */
+  CALLER_LINGERING,
+} CallerState;
+
+struct MfCaller
+{
+  MfDoor *door;
+  MfCaller *next;
+  MfCaller *prev;
+  int fd;
+  CallerState state;
+  ev_io reader;
+  ev_io writer;
+  ev_timer timer;
+  MfMessage message;
+  MfBuffer body;
+  MfBuffer ahead; /* read, and not yet looked at */
+  MfBuffer out;
+  void *job;
+  uint64_t begun_us;
+  uint64_t read_us;
+  uint64_t timer_us; /* when the timer is due */
+  bool chunked;
+  bool closing; /* the connection ends with the answer */
+  bool told_full;
+  bool lost;  /* a write failed; the loop finds the caller gone */
+  bool freed; /* memory goes once the outermost call returns */
+  uint32_t depth;
+};
+
+static void caller_advance (MfCaller *caller);
+
+static void
+caller_close (MfCaller *caller)
+{
+  if (caller->fd < 0)
+    return;
+  ev_io_stop (caller->door->loop, &caller->reader);
+  ev_io_stop (caller->door->loop, &caller->writer);
+  ev_timer_stop (caller->door->loop, &caller->timer);
+  close (caller->fd);
+  caller->fd = -1;
+  caller->freed = true;
+  caller->door->n_callers--;
+  if (caller->prev != NULL)
+    caller->prev->next = caller->next;
+  else
+    caller->door->callers = caller->next;
+  if (caller->next != NULL)
+    caller->next->prev = caller->prev;
+}
+
+static void
+caller_enter (MfCaller *caller)
+{
+  caller->depth++;
+}
+
+static void
+caller_leave (MfCaller *caller)
+{
+  if (--caller->depth > 0 || !caller->freed)
+    return;
+  mf_message_clear (&caller->message);
+  mf_buffer_clear (&caller->body);
+  mf_buffer_clear (&caller->ahead);
+  mf_buffer_clear (&caller->out);
+  free (caller);
+}
+
+/* The connection is gone while its request was being served. */
+static void
+caller_depart (MfCaller *caller)
+{
+  bool was_served = caller->state == CALLER_WAITING;
+
+  caller_close (caller);
+  if (was_served)
+    caller->door->user->departed (caller->door->data, caller);
+}
+
+static void
+timer_set (MfCaller *caller, uint64_t after_us)
+{
+  ev_timer_stop (caller->door->loop, &caller->timer);
+  if (after_us == 0)
+    return;
+  ev_timer_set (&caller->timer, (double)after_us / (double)MF_US_PER_S, 0.);
+  ev_timer_start (caller->door->loop, &caller->timer);
+}
+
+/* The connection has failed under a write. Its user is told from the loop, as it may be calling. */
+static void
+caller_lose (MfCaller *caller)
+{
+  caller->lost = true;
+  mf_buffer_clear (&caller->out);
+  ev_io_stop (caller->door->loop, &caller->reader);
+  ev_io_stop (caller->door->loop, &caller->writer);
+  ev_timer_stop (caller->door->loop, &caller->timer);
+  ev_timer_set (&caller->timer, 0., 0.);
+  ev_timer_start (caller->door->loop, &caller->timer);
+}
+
+static void
+out_flush (MfCaller *caller)
+{
+  if (caller->lost)
+    return;
+  if (caller->out.failed)
+    {
+      caller_lose (caller);
+      return;
+    }
+  while (caller->fd >= 0 && mf_buffer_bytes (&caller->out) > 0)
+    {
+      ssize_t n_sent = send (caller->fd, mf_buffer_data (&caller->out),
+                             mf_buffer_bytes (&caller->out), MSG_NOSIGNAL);
+
+      if (n_sent < 0 && errno == EINTR)
+        continue;
+      if (n_sent < 0 && errno == EAGAIN)
+        {
+          ev_io_start (caller->door->loop, &caller->writer);
+          return;
+        }
+      if (n_sent < 0)
+        {
+          caller_lose (caller);
+          return;
+        }
+      mf_buffer_take (&caller->out, (size_t)n_sent);
+    }
+  if (caller->fd >= 0)
+    ev_io_stop (caller->door->loop, &caller->writer);
+}
+
+/* The answer has been written: goes on to the next request or closes. */
+static void
+answer_settle (MfCaller *caller)
+{
+  if (caller->fd < 0 || caller->lost || caller->state != CALLER_ANSWERED
+      || mf_buffer_bytes (&caller->out) > 0)
+    return;
+  if (caller->closing)
+    {
+      shutdown (caller->fd, SHUT_WR);
+      caller->state = CALLER_LINGERING;
+      timer_set (caller, LINGER_US);
+      return;
+    }
+  caller->state = CALLER_READING;
+  mf_message_reset (&caller->message);
+  mf_buffer_clear (&caller->body);
+  timer_set (caller, caller->door->limits.idle_timeout_us);
+}
+
+static const char *
+status_phrase (uint32_t status)
+{
+  switch (status)
+    {
+#define STATUS_CASE(number, name, phrase)                                                          \
+  case number:                                                                                     \
+    return #phrase;
+      HTTP_STATUS_MAP (STATUS_CASE)
+#undef STATUS_CASE
+    default:
+      return "Status";
+    }
+}
+
+static void
+answer_head (MfCaller *caller, uint32_t status, const MfBuffer *headers)
+{
+  char line[96];
+
+  snprintf (line, sizeof line, "HTTP/1.1 %u %s\r\n", status, status_phrase (status));
+  mf_buffer_add_text (&caller->out, line);
+  if (headers != NULL)
+    mf_buffer_add (&caller->out, mf_buffer_data (headers), mf_buffer_bytes (headers));
+  if (caller->door->retired || !http_should_keep_alive (&caller->message.parser)
+      || caller->message.fault != MF_CODE_OK)
+    caller->closing = true;
+  if (caller->closing)
+    mf_buffer_add_text (&caller->out, "Connection: close\r\n");
+}
+
+void
+mf_caller_reply (MfCaller *caller, uint32_t status, const MfBuffer *headers, const char *body,
+                 size_t body_bytes)
+{
+  char line[64];
+  bool is_head = caller->message.parser.method == HTTP_HEAD;
+
+  caller_enter (caller);
+  answer_head (caller, status, headers);
+  /* The length of what a HEAD leaves out is not known here. */
+  if (!is_head && status != 204 && status != 304)
+    {
+      snprintf (line, sizeof line, "Content-Length: %zu\r\n", body_bytes);
+      mf_buffer_add_text (&caller->out, line);
+    }
+  mf_buffer_add_text (&caller->out, "\r\n");
+  if (!is_head)
+    mf_buffer_add (&caller->out, body, body_bytes);
+  caller->state = CALLER_ANSWERED;
+  caller->job = NULL;
+  out_flush (caller);
+  answer_settle (caller);
+  caller_advance (caller);
+  caller_leave (caller);
+}
+
+void
+mf_caller_begin (MfCaller *caller, uint32_t status, const MfBuffer *headers)
+{
+  caller_enter (caller);
+  caller->chunked = caller->message.parser.http_minor > 0;
+  if (!caller->chunked)
+    caller->closing = true;
+  answer_head (caller, status, headers);
+  if (caller->chunked)
+    mf_buffer_add_text (&caller->out, "Transfer-Encoding: chunked\r\n");
+  mf_buffer_add_text (&caller->out, "\r\n");
+  out_flush (caller);
+  caller_leave (caller);
+}
+
+void
+mf_caller_write (MfCaller *caller, const char *bytes, size_t n_bytes)
+{
+  char line[24];
+
+  if (n_bytes == 0 || caller->fd < 0 || caller->lost)
+    return;
+  caller_enter (caller);
+  if (caller->chunked)
+    {
+      snprintf (line, sizeof line, "%zx\r\n", n_bytes);
+      mf_buffer_add_text (&caller->out, line);
+    }
+  mf_buffer_add (&caller->out, bytes, n_bytes);
+  if (caller->chunked)
+    mf_buffer_add_text (&caller->out, "\r\n");
+  out_flush (caller);
+  if (caller->fd >= 0 && mf_buffer_bytes (&caller->out) > UNREAD_BYTES_MAX && !caller->told_full)
+    {
+      caller->told_full = true;
+      caller->door->user->writable (caller->door->data, caller, false);
+    }
+  caller_leave (caller);
+}
+
+void
+mf_caller_end (MfCaller *caller)
+{
+  caller_enter (caller);
+  if (caller->chunked)
+    mf_buffer_add_text (&caller->out, "0\r\n\r\n");
+  caller->state = CALLER_ANSWERED;
+  caller->job = NULL;
+  out_flush (caller);
+  answer_settle (caller);
+  caller_advance (caller);
+  caller_leave (caller);
+}
+
+void
+mf_caller_abort (MfCaller *caller)
+{
+  struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+
+  caller_enter (caller);
+  caller->job = NULL;
+  caller->state = CALLER_ANSWERED;
+  if (caller->fd >= 0 && !caller->chunked)
+    setsockopt (caller->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  caller_close (caller);
+  caller_leave (caller);
+}
+
+/* Refuses what cannot be read; nothing that follows on the connection is looked at. */
+static void
+caller_refuse (MfCaller *caller, MfCode code)
+{
+  const MfCodeInfo *info = mf_code_info (code);
+
+  caller->door->user->refused (caller->door->data, code);
+  caller->closing = true;
+  mf_buffer_clear (&caller->ahead);
+  mf_caller_reply (caller, info->http_status, NULL, info->summary, strlen (info->summary));
+}
+
+static bool
+on_head (MfMessage *message, void *data)
+{
+  MfCaller *caller = data;
+  static const char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
+  uint64_t length = message->parser.content_length;
+
+  if (length != UINT64_MAX && caller->door->limits.body_bytes_max > 0
+      && length > caller->door->limits.body_bytes_max)
+    {
+      message->fault = MF_CODE_BODY_TOO_LARGE;
+      return true;
+    }
+  if (mf_head_count (&message->head, MF_WORD_EXPECT_CONTINUE) > 0 && message->parser.http_minor > 0)
+    mf_buffer_add (&caller->out, go_on, sizeof go_on - 1);
+  return true;
+}
+
+static void
+on_body (MfMessage *message, const char *bytes, size_t n_bytes, void *data)
+{
+  MfCaller *caller = data;
+
+  mf_buffer_add (&caller->body, bytes, n_bytes);
+  if (caller->body.failed)
+    message->fault = MF_CODE_NO_MEMORY;
+  else if (caller->door->limits.body_bytes_max > 0
+           && mf_buffer_bytes (&caller->body) > caller->door->limits.body_bytes_max)
+    message->fault = MF_CODE_BODY_TOO_LARGE;
+}
+
+static const MfMessageEvents message_events = { .head = on_head, .body = on_body };
+
+/* What is wrong with the head of a request that HTTP's own rules allow to be read. */
+static MfCode
+request_check (const MfCaller *caller)
+{
+  const MfMessage *message = &caller->message;
+  uint32_t n_hosts = mf_head_count (&message->head, MF_WORD_HOST);
+
+  if (n_hosts > 1 || (n_hosts == 0 && message->parser.http_minor > 0))
+    return MF_CODE_BAD_HEADER;
+  if (message->head.target_bytes == 0 || mf_head_text (&message->head, 0)[0] != '/')
+    return MF_CODE_BAD_HEADER;
+  return MF_CODE_OK;
+}
+
+/* Reads requests from what has come, until one is to be served. */
+static void
+caller_advance (MfCaller *caller)
+{
+  while (caller->fd >= 0 && caller->state == CALLER_READING && mf_buffer_bytes (&caller->ahead) > 0)
+    {
+      MfMessage *message = &caller->message;
+      bool had_begun = message->begun;
+      bool had_head = message->head_done;
+      size_t taken;
+
+      message->head_bytes_max = caller->door->limits.header_bytes_max;
+      taken = mf_message_feed (message, mf_buffer_data (&caller->ahead),
+                               mf_buffer_bytes (&caller->ahead));
+      mf_buffer_take (&caller->ahead, taken);
+      if (!had_begun)
+        caller->begun_us = mf_clock_now_us ();
+      if (message->fault == MF_CODE_OK && message->done)
+        message->fault = request_check (caller);
+      if (message->fault != MF_CODE_OK)
+        {
+          caller_refuse (caller, message->fault);
+          return;
+        }
+      if (!message->done)
+        {
+          if (!had_begun || (!had_head && message->head_done))
+            timer_set (caller, caller->door->limits.header_timeout_us);
+          out_flush (caller);
+          continue;
+        }
+      timer_set (caller, 0);
+      caller->read_us = mf_clock_now_us ();
+      caller->state = CALLER_WAITING;
+      caller->chunked = false;
+      caller->told_full = false;
+      caller->door->user->request (caller->door->data, caller);
+    }
+}
+
+static void
+on_readable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  MfCaller *caller = watcher->data;
+  char bytes[READ_BYTES];
+  ssize_t n_read = read (caller->fd, bytes, sizeof bytes);
+
+  (void)loop;
+  (void)events;
+  if (n_read < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  caller_enter (caller);
+  if (n_read <= 0)
+    caller_depart (caller);
+  else if (caller->state != CALLER_LINGERING && !caller->closing)
+    {
+      mf_buffer_add (&caller->ahead, bytes, (size_t)n_read);
+      if (caller->state != CALLER_READING && mf_buffer_bytes (&caller->ahead) > AHEAD_BYTES_MAX)
+        caller_depart (caller);
+      caller_advance (caller);
+    }
+  caller_leave (caller);
+}
+
+static void
+on_writable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  MfCaller *caller = watcher->data;
+
+  (void)loop;
+  (void)events;
+  caller_enter (caller);
+  out_flush (caller);
+  if (caller->fd >= 0 && caller->told_full && mf_buffer_bytes (&caller->out) == 0
+      && caller->state == CALLER_WAITING)
+    {
+      caller->told_full = false;
+      caller->door->user->writable (caller->door->data, caller, true);
+    }
+  answer_settle (caller);
+  caller_advance (caller);
+  caller_leave (caller);
+}
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  MfCaller *caller = watcher->data;
+
+  (void)loop;
+  (void)events;
+  caller_enter (caller);
+  if (caller->lost)
+    caller_depart (caller);
+  else if (caller->state == CALLER_READING && caller->message.begun)
+    {
+      caller->message.fault = MF_CODE_SLOW_SENDER;
+      caller_refuse (caller, MF_CODE_SLOW_SENDER);
+    }
+  else
+    caller_close (caller);
+  caller_leave (caller);
+}
+
+static void
+caller_open (MfDoor *door, int fd)
+{
+  MfCaller *caller = calloc (1, sizeof *caller);
+  int one = 1;
+
+  if (caller == NULL)
+    {
+      close (fd);
+      return;
+    }
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+  caller->door = door;
+  caller->fd = fd;
+  caller->next = door->callers;
+  if (door->callers != NULL)
+    door->callers->prev = caller;
+  door->callers = caller;
+  door->n_callers++;
+  mf_message_init (&caller->message, HTTP_REQUEST, door->dialect, &message_events, caller);
+  ev_io_init (&caller->reader, on_readable, fd, EV_READ);
+  ev_io_init (&caller->writer, on_writable, fd, EV_WRITE);
+  ev_init (&caller->timer, on_timer);
+  caller->reader.data = caller;
+  caller->writer.data = caller;
+  caller->timer.data = caller;
+  ev_io_start (door->loop, &caller->reader);
+  timer_set (caller, door->limits.idle_timeout_us);
+}
+
+static void
+on_acceptable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  MfDoor *door = watcher->data;
+
+  (void)loop;
+  (void)events;
+  for (uint32_t i = 0; i < ACCEPTS_MAX; i++)
+    {
+      int fd = accept4 (door->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+      if (fd < 0)
+        return;
+      if (door->n_callers >= door->limits.callers_max)
+        close (fd);
+      else
+        caller_open (door, fd);
+    }
+}
+
+MfDoor *
+mf_door_new (struct ev_loop *loop, const char *address, const MfDialect *dialect,
+             const MfDoorUser *user, void *data, MfError *error)
+{
+  MfDoor *door = calloc (1, sizeof *door);
+
+  if (door == NULL)
+    {
+      mf_error_set (error, MF_CODE_NO_MEMORY, "no memory for a door");
+      return NULL;
+    }
+  *door = (MfDoor){ .loop = loop, .dialect = dialect, .user = user, .data = data };
+  door->fd = mf_socket_listen (address, error);
+  if (door->fd < 0)
+    {
+      free (door);
+      return NULL;
+    }
+  ev_io_init (&door->acceptor, on_acceptable, door->fd, EV_READ);
+  door->acceptor.data = door;
+  ev_io_start (loop, &door->acceptor);
+  return door;
+}
+
+void
+mf_door_free (MfDoor *door)
+{
+  if (door == NULL)
+    return;
+  mf_door_shut (door);
+  while (door->callers != NULL)
+    {
+      MfCaller *caller = door->callers;
+
+      caller_enter (caller);
+      caller_close (caller);
+      caller_leave (caller);
+    }
+  free (door);
+}
+
+void
+mf_door_limit (MfDoor *door, const MfDoorLimits *limits)
+{
+  door->limits = *limits;
+}
+
+uint32_t
+mf_door_n_callers (const MfDoor *door)
+{
+  return door->n_callers;
+}
+
+void
+mf_door_retire (MfDoor *door)
+{
+  door->retired = true;
+}
+
+void
+mf_door_close_idle (MfDoor *door)
+{
+  MfCaller *next;
+
+  for (MfCaller *caller = door->callers; caller != NULL; caller = next)
+    {
+      next = caller->next;
+      if (caller->state != CALLER_READING || caller->message.begun)
+        continue;
+      caller_enter (caller);
+      caller_close (caller);
+      caller_leave (caller);
+    }
+}
+
+void
+mf_door_shut (MfDoor *door)
+{
+  if (door->fd < 0)
+    return;
+  ev_io_stop (door->loop, &door->acceptor);
+  close (door->fd);
+  door->fd = -1;
+}
+
+const MfHead *
+mf_caller_head (const MfCaller *caller)
+{
+  return &caller->message.head;
+}
+
+const char *
+mf_caller_method (const MfCaller *caller)
+{
+  return http_method_str (caller->message.parser.method);
+}
+
+const MfBuffer *
+mf_caller_body (const MfCaller *caller)
+{
+  return &caller->body;
+}
+
+uint64_t
+mf_caller_begun_us (const MfCaller *caller)
+{
+  return caller->begun_us;
+}
+
+uint64_t
+mf_caller_read_us (const MfCaller *caller)
+{
+  return caller->read_us;
+}
+
+void
+mf_caller_attach (MfCaller *caller, void *job)
+{
+  caller->job = job;
+}
+
+void *
+mf_caller_job (const MfCaller *caller)
+{
+  return caller->job;
+}
--- /dev/null
+++ b/libmangofork/relay/caller.h
@@ -0,0 +1,69 @@
+#ifndef MF_RELAY_CALLER_H
+#define MF_RELAY_CALLER_H
+
+#include "message.h"
+
+#include <ev.h>
+
+typedef struct MfCaller MfCaller;
+typedef struct MfDoor MfDoor;
+
+/* What serves the requests that come through a door. */
+typedef struct
+{
+  /* A request has come whole. It is answered with one of the calls below, now or later. */
+  void (*request) (void *data, MfCaller *caller);
+  /* The caller has left before its answer was whole; caller is not used afterwards. */
+  void (*departed) (void *data, MfCaller *caller);
+  /* The caller can, or can no longer, take more of a stream. */
+  void (*writable) (void *data, MfCaller *caller, bool can_write);
+  /* The relay itself refuses this request, which cannot be read. */
+  void (*refused) (void *data, MfCode code);
+} MfDoorUser;
+
+/* Limits of a door; they may change while it is open. */
+typedef struct
+{
+  uint64_t header_bytes_max;
+  uint64_t body_bytes_max;
+  uint64_t header_timeout_us;
+  uint64_t idle_timeout_us;
+  uint32_t callers_max;
+} MfDoorLimits;
+
+/* Opens a door at an address. The user and its data are borrowed. */
+MfDoor *mf_door_new (struct ev_loop *loop, const char *address, const MfDialect *dialect,
+                     const MfDoorUser *user, void *data, MfError *error);
+void mf_door_free (MfDoor *door);
+void mf_door_limit (MfDoor *door, const MfDoorLimits *limits);
+uint32_t mf_door_n_callers (const MfDoor *door);
+/* From now on, connections close after the answer that is due on them. */
+void mf_door_retire (MfDoor *door);
+/* Closes the connections on which nothing is due. */
+void mf_door_close_idle (MfDoor *door);
+/* Takes no further connection. */
+void mf_door_shut (MfDoor *door);
+
+/* The request that waits for its answer. */
+const MfHead *mf_caller_head (const MfCaller *caller);
+const char *mf_caller_method (const MfCaller *caller);
+const MfBuffer *mf_caller_body (const MfCaller *caller);
+/* When the first byte and when the last byte of the request was read. */
+uint64_t mf_caller_begun_us (const MfCaller *caller);
+uint64_t mf_caller_read_us (const MfCaller *caller);
+/* What the answer will be given to: the user's own. */
+void mf_caller_attach (MfCaller *caller, void *job);
+void *mf_caller_job (const MfCaller *caller);
+
+/* Answers in one piece. headers holds whole lines, or is NULL. */
+void mf_caller_reply (MfCaller *caller, uint32_t status, const MfBuffer *headers, const char *body,
+                      size_t body_bytes);
+/* Answers piece by piece. The answer ends whole with mf_caller_end, or broken with mf_caller_abort.
+ */
+void mf_caller_begin (MfCaller *caller, uint32_t status, const MfBuffer *headers);
+void mf_caller_write (MfCaller *caller, const char *bytes, size_t n_bytes);
+void mf_caller_end (MfCaller *caller);
+/* Closes the connection so that the answer cannot look whole. */
+void mf_caller_abort (MfCaller *caller);
+
+#endif
--- /dev/null
+++ b/libmangofork/relay/dialect.h
@@ -0,0 +1,62 @@
+#ifndef MF_RELAY_DIALECT_H
+#define MF_RELAY_DIALECT_H
+
+#include "libmangofork/buffer.h"
+
+/* What a header means to the relay. The names that stand for these meanings on the wire belong to
+ * the deployment's dialect. */
+typedef enum
+{
+  MF_WORD_REQUEST_ID,      /* names one try of a caller; upstreams echo it */
+  MF_WORD_SEAL,            /* an upstream's mark on its own answers */
+  MF_WORD_NOT_RUN,         /* in an answer: the upstream did not run the request */
+  MF_WORD_DEADLINE,        /* milliseconds that are left for the answer */
+  MF_WORD_EXPECT_UPSTREAM, /* the only upstream process that may run the request */
+  MF_WORD_PROMPT_SIZE,     /* "prompt tokens,output tokens at most" */
+  MF_WORD_LAST_EVENT,      /* a stream goes on after this event */
+  MF_WORD_STAGE,           /* asks for the prompt to be read only */
+  MF_WORD_KV_SOURCE,       /* engine memory the request goes on from */
+  MF_WORD_ENGINE_PRIORITY, /* rank of the request in an engine */
+  MF_WORD_ENGINE_CONTROL,  /* any other header by which only a router steers an engine */
+  MF_WORD_HOST,
+  MF_WORD_CONTENT_LENGTH,
+  MF_WORD_CONTENT_TYPE,
+  MF_WORD_CONTENT_ENCODING,
+  MF_WORD_KEEP_ALIVE,
+  MF_WORD_EXPECT_CONTINUE,
+  MF_WORD_CONNECTION,
+  MF_WORD_HOP, /* any other header that concerns one connection only */
+  MF_WORD_OTHER,
+} MfWord;
+
+/* One name on the wire and what it means. */
+typedef struct
+{
+  const char *name;
+  MfWord word;
+} MfDialectName;
+
+/* How an engine tells that it has read a prompt. */
+typedef struct
+{
+  char handle[64]; /* names the memory at the engine */
+  uint32_t tokens;
+} MfPrefillAnswer;
+
+/* The wire of one deployment: names of headers, and the forms of the calls that engines take. */
+typedef struct
+{
+  const MfDialectName *names; /* the first name of a meaning is the one that is written */
+  uint32_t n_names;
+  const char *stage_prefill;       /* value of MF_WORD_STAGE that asks for the prompt only */
+  const char *release_path;  /* a DELETE of this path and a handle frees it */
+  /* Reads an engine's answer to a prefill; returns false when it names no handle. */
+  bool (*read_prefill) (const char *body, size_t body_bytes, MfPrefillAnswer *answer);
+} MfDialect;
+
+/* What a header of this name means; MF_WORD_OTHER when it is not known. */
+MfWord mf_dialect_word (const MfDialect *dialect, const char *name, size_t name_bytes);
+/* The name that is written for a meaning; NULL when the dialect has none. */
+const char *mf_dialect_name (const MfDialect *dialect, MfWord word);
+
+#endif
--- /dev/null
+++ b/libmangofork/relay/events.c
@@ -0,0 +1,100 @@
+#include "events.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Bytes of one event at most; an engine's are below 3 KB. */
+#define EVENT_BYTES_MAX 262144
+
+/* The id an event gives; returns false when it gives none that is a number. */
+static bool
+event_id (const char *event, size_t event_bytes, uint64_t *id)
+{
+  size_t at = 0;
+
+  while (at < event_bytes)
+    {
+      const char *line = event + at;
+      const char *newline = memchr (line, '\n', event_bytes - at);
+      size_t line_bytes = newline == NULL ? event_bytes - at : (size_t)(newline - line);
+
+      if (line_bytes > 3 && memcmp (line, "id:", 3) == 0)
+        {
+          char number[24] = { 0 };
+          size_t skip = line[3] == ' ' ? 4 : 3;
+
+          if (line_bytes - skip >= sizeof number || line[skip] < '0' || line[skip] > '9')
+            return false;
+          memcpy (number, line + skip, line_bytes - skip);
+          *id = strtoull (number, NULL, 10);
+          return true;
+        }
+      at += line_bytes + 1;
+    }
+  return false;
+}
+
+/* The length of the first event, its blank line included; 0 when none is whole. */
+static size_t
+event_bytes (const char *bytes, size_t n_bytes)
+{
+  for (size_t i = 0; i + 1 < n_bytes; i++)
+    {
+      if (bytes[i] != '\n')
+        continue;
+      if (bytes[i + 1] == '\n')
+        return i + 2;
+      if (i + 2 < n_bytes && bytes[i + 1] == '\r' && bytes[i + 2] == '\n')
+        return i + 3;
+    }
+  return 0;
+}
+
+void
+mf_events_feed (MfEvents *events, const char *bytes, size_t n_bytes, MfBuffer *out)
+{
+  size_t whole;
+
+  mf_buffer_add (&events->partial, bytes, n_bytes);
+  if (mf_buffer_bytes (&events->partial) > EVENT_BYTES_MAX)
+    events->partial.failed = true;
+  while (
+      (whole = event_bytes (mf_buffer_data (&events->partial), mf_buffer_bytes (&events->partial)))
+      > 0)
+    {
+      uint64_t id = 0;
+      bool has_id = event_id (mf_buffer_data (&events->partial), whole, &id);
+
+      if (!has_id || !events->has_last || id > events->last_id)
+        {
+          events->has_gap
+              = events->has_gap || (has_id && events->has_last && id != events->last_id + 1);
+          mf_buffer_add (out, mf_buffer_data (&events->partial), whole);
+          events->n_events++;
+          if (has_id)
+            {
+              events->last_id = id;
+              events->has_last = true;
+            }
+        }
+      mf_buffer_take (&events->partial, whole);
+    }
+}
+
+void
+mf_events_cut (MfEvents *events)
+{
+  mf_buffer_clear (&events->partial);
+}
+
+bool
+mf_events_at_boundary (const MfEvents *events)
+{
+  return mf_buffer_bytes (&events->partial) == 0 && !events->partial.failed;
+}
+
+void
+mf_events_clear (MfEvents *events)
+{
+  mf_buffer_clear (&events->partial);
+}
--- /dev/null
+++ b/libmangofork/relay/job.c
@@ -0,0 +1,605 @@
+#include "job_row.h"
+
+#include "refuse.h"
+
+#include "libmangofork/clock.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+
+/* Requests held at once. At 60 KB each, the largest of the sites, this is half of the smallest
+ * instance's memory. */
+#define JOBS_MAX 700
+/* Callers of a stream leave after a pause of two seconds, four objectives or eight pauses,
+ * whichever is longest (the platform's page on its clients). */
+#define LEAVE_MIN_US (2 * MF_US_PER_S)
+#define LEAVE_OBJECTIVES 4
+#define LEAVE_GAPS 8
+/* Requests that wait for room look for it this often, besides whenever some comes free. */
+#define WAKE_EVERY_S 0.02
+/* An answer that came after its deadline by no more than this was in time at the upstream. */
+#define DEADLINE_SLACK_US (10 * MF_US_PER_MS)
+
+uint32_t
+mf_jobs_random (MfJobs *jobs)
+{
+  jobs->random ^= jobs->random << 13;
+  jobs->random ^= jobs->random >> 7;
+  jobs->random ^= jobs->random << 17;
+  return (uint32_t)(jobs->random >> 32);
+}
+
+MfServiceBudget *
+mf_jobs_budget (MfJobs *jobs, const char *service)
+{
+  MfServiceBudget *budget;
+
+  for (uint32_t i = 0; i < jobs->n_budgets; i++)
+    {
+      if (strcmp (jobs->budgets[i].service, service) == 0)
+        return &jobs->budgets[i];
+    }
+  if (jobs->n_budgets == MF_JOBS_SERVICES_MAX)
+    return &jobs->budgets[MF_JOBS_SERVICES_MAX - 1];
+  budget = &jobs->budgets[jobs->n_budgets++];
+  mf_name_set (budget->service, sizeof budget->service, service);
+  mf_budget_init (&budget->budget, jobs->budget_window_us, jobs->budget_ratio, jobs->budget_floor);
+  return budget;
+}
+
+void
+mf_job_answer_clear (MfJobAnswer *answer)
+{
+  mf_buffer_clear (&answer->headers);
+  mf_buffer_clear (&answer->body);
+  *answer = (MfJobAnswer){ 0 };
+}
+
+/* Whether the request may run a second time. */
+bool
+mf_job_may_repeat (const MfJob *job)
+{
+  return job->route->kind == MF_ROUTE_IDEMPOTENT
+         || (job->route->kind == MF_ROUTE_STREAMING && job->route->resumable);
+}
+
+/* Takes a repeat from the budget of the request's service. */
+bool
+mf_job_take_repeat (MfJob *job)
+{
+  MfServiceBudget *budget = mf_jobs_budget (job->jobs, job->service->name);
+  bool allowed = mf_budget_take (&budget->budget, mf_clock_now_us ());
+
+  job->jobs->counters.counts[allowed ? MF_RELAY_COUNT_REPEATS : MF_RELAY_COUNT_REPEATS_DENIED]++;
+  return allowed;
+}
+
+static void
+job_free (MfJob *job)
+{
+  MfJobs *jobs = job->jobs;
+
+  ev_timer_stop (jobs->loop, &job->timer);
+  mf_job_cancel (job);
+  mf_job_release_memory (job);
+  if (job->prev != NULL)
+    job->prev->next = job->next;
+  else
+    jobs->first = job->next;
+  if (job->next != NULL)
+    job->next->prev = job->prev;
+  jobs->n_jobs--;
+  mf_job_answer_clear (&job->answer);
+  mf_job_answer_clear (&job->held);
+  mf_events_clear (&job->events);
+  mf_routes_unref (job->routes);
+  free (job);
+}
+
+/* Counts and logs the end of a request. */
+static void
+job_note_end (MfJob *job, MfCode code, uint32_t status, const char *why)
+{
+  MfJobs *jobs = job->jobs;
+  uint64_t now_us = mf_clock_now_us ();
+  uint64_t took_us = now_us - job->begun_us;
+
+  jobs->counters.by_code[mf_code_index (code)]++;
+  if (job->waited_us > 0)
+    mf_relay_observe (&jobs->counters.waited, job->waited_us);
+  if (code == MF_CODE_OK && job->first_event_us > 0)
+    mf_relay_observe (&jobs->counters.first_event, job->first_event_us - job->begun_us);
+  else if (code == MF_CODE_OK)
+    mf_relay_observe (&jobs->counters.answer, took_us);
+  mf_lines_add (
+      jobs->lines, "request.end",
+      "id=%s route=%s service=%s code=%d status=%u why=\"%s\" took_ms=%.1f "
+      "first_event_ms=%.1f waited_ms=%.1f sends=%u runs=%u prefills=%u events=%llu "
+      "last_upstream=%s left_ms=%lld config=%llu",
+      job->id, job->route->name, job->service->name, (int)code, status, why, (double)took_us / 1e3,
+      job->first_event_us > 0 ? (double)(job->first_event_us - job->begun_us) / 1e3 : 0.,
+      (double)job->waited_us / 1e3, job->n_arrivals, job->n_runs, job->n_prefills,
+      (unsigned long long)job->events.n_events, job->target != NULL ? job->target->info.id : "none",
+      ((long long)job->deadline_us - (long long)now_us) / 1000,
+      (unsigned long long)job->routes->version);
+}
+
+/* Gives the caller a whole answer of an upstream. */
+void
+mf_job_reply (MfJob *job, MfJobAnswer *answer)
+{
+  MfCaller *caller = job->caller;
+
+  job->jobs->counters.counts[MF_RELAY_COUNT_ANSWERED]++;
+  job_note_end (job, MF_CODE_OK, answer->status, "answered");
+  job->caller = NULL;
+  if (caller != NULL)
+    mf_caller_reply (caller, answer->status, &answer->headers, mf_buffer_data (&answer->body),
+                     mf_buffer_bytes (&answer->body));
+  job_free (job);
+}
+
+/* Ends a stream whole, or any request that has nothing more to tell its caller. */
+static void
+job_end_stream (MfJob *job)
+{
+  MfCaller *caller = job->caller;
+
+  job->jobs->counters.counts[MF_RELAY_COUNT_ANSWERED]++;
+  job_note_end (job, MF_CODE_OK, 200, "answered");
+  job->caller = NULL;
+  if (caller != NULL)
+    mf_caller_end (caller);
+  job_free (job);
+}
+
+static void
+headers_add_retry_after (MfBuffer *headers, uint64_t retry_after_us)
+{
+  char line[48];
+
+  snprintf (line, sizeof line, "Retry-After: %.3f\r\n", (double)retry_after_us / 1e6);
+  mf_buffer_add_text (headers, line);
+}
+
+/* Answers with an error of the relay's own. */
+static void
+job_reply_error (MfJob *job, uint32_t status, MfCode code, bool may_return)
+{
+  const MfCodeInfo *info = mf_code_info (code);
+  uint64_t now_us = mf_clock_now_us ();
+  MfCaller *caller = job->caller;
+  MfBuffer headers = { 0 };
+  char body[160];
+
+  if (caller == NULL)
+    return;
+  job->caller = NULL;
+  mf_buffer_add_text (&headers, "Content-Type: application/json\r\n");
+  if (may_return && job->deadline_us > now_us)
+    headers_add_retry_after (&headers, mf_refuse_retry_after_us (&(MfRefusal){
+                                           .code = code,
+                                           .left_us = job->deadline_us - now_us,
+                                           .objective_us = job->route->target_latency_us,
+                                           .point = mf_jobs_random (job->jobs),
+                                       }));
+  snprintf (body, sizeof body, "{\"code\": %d, \"name\": \"%s\", \"message\": \"%s\"}\n", (int)code,
+            info->name, info->summary);
+  mf_caller_reply (caller, status, &headers, body, strlen (body));
+  mf_buffer_clear (&headers);
+}
+
+/* Refuses a request that has not run and will not: the caller may send it again. */
+void
+mf_job_refuse (MfJob *job, MfCode code, const char *why)
+{
+  if (job->head_sent || (job->n_runs > 0 && !mf_job_may_repeat (job)))
+    {
+      mf_job_finish (job, code, why);
+      return;
+    }
+  if (job->held.status != 0)
+    {
+      mf_job_reply (job, &job->held);
+      return;
+    }
+  job->jobs->counters.counts[MF_RELAY_COUNT_REFUSED]++;
+  job_note_end (job, code, 503, why);
+  job_reply_error (job, 503, code, true);
+  job_free (job);
+}
+
+/* Ends a request that may have run and has no whole answer. */
+void
+mf_job_finish (MfJob *job, MfCode code, const char *why)
+{
+  uint32_t status = mf_code_info (code)->http_status;
+
+  if (code == MF_CODE_OK)
+    {
+      job_end_stream (job);
+      return;
+    }
+  if (!job->head_sent && job->held.status != 0)
+    {
+      mf_job_reply (job, &job->held);
+      return;
+    }
+  /* 503 promises that it has not run. */
+  if (status == 503)
+    status = 502;
+  job->jobs->counters.counts[MF_RELAY_COUNT_FAILED]++;
+  job_note_end (job, code, job->head_sent ? 0 : status, why);
+  if (job->head_sent && job->caller != NULL)
+    {
+      MfCaller *caller = job->caller;
+
+      job->caller = NULL;
+      mf_caller_abort (caller);
+    }
+  else
+    job_reply_error (job, status, code, false);
+  job_free (job);
+}
+
+/* Sets the timer to what is due first. */
+void
+mf_job_set_timer (MfJob *job)
+{
+  uint64_t now_us = mf_clock_now_us ();
+  uint64_t due_us = job->deadline_us;
+
+  if (job->try_due_us > 0 && job->try_due_us < due_us)
+    due_us = job->try_due_us;
+  if (job->phase == MF_JOB_WAITING && job->give_up_us < due_us)
+    due_us = job->give_up_us;
+  ev_timer_stop (job->jobs->loop, &job->timer);
+  ev_timer_set (&job->timer, due_us > now_us ? (double)(due_us - now_us) / 1e6 : 0., 0.);
+  ev_timer_start (job->jobs->loop, &job->timer);
+}
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  MfJob *job = watcher->data;
+  uint64_t now_us = mf_clock_now_us ();
+
+  (void)loop;
+  (void)events;
+  if (now_us >= job->deadline_us)
+    {
+      if (job->n_runs == 0 && (job->phase == MF_JOB_WAITING || job->phase == MF_JOB_PREFILL))
+        mf_job_refuse (job, MF_CODE_QUEUE_FULL, "the deadline passed before it ran");
+      else
+        mf_job_finish (job, MF_CODE_DEADLINE, "the deadline passed");
+      return;
+    }
+  if (job->phase == MF_JOB_WAITING && now_us >= job->give_up_us)
+    {
+      mf_job_refuse (job, MF_CODE_QUEUE_FULL, "no room came free in time");
+      return;
+    }
+  if (job->try_due_us > 0 && now_us >= job->try_due_us)
+    {
+      job->try_due_us = 0;
+      mf_job_try_expired (job);
+      return;
+    }
+  mf_job_set_timer (job);
+}
+
+/* Reads "prompt,output" token counts. */
+static void
+job_read_size (MfJob *job, const MfHead *head)
+{
+  char text[48];
+  char *comma;
+
+  if (!mf_head_copy (head, MF_WORD_PROMPT_SIZE, text, sizeof text))
+    return;
+  job->prompt_tokens = strtoull (text, &comma, 10);
+  if (*comma == ',')
+    job->output_tokens = strtoull (comma + 1, NULL, 10);
+}
+
+static void
+job_read_times (MfJob *job, const MfHead *head)
+{
+  const MfRoute *route = job->route;
+  uint64_t left_ms = 0;
+  uint64_t leave_us = LEAVE_MIN_US;
+
+  job->deadline_us = job->begun_us + route->timeout_us;
+  if (mf_head_number (head, MF_WORD_DEADLINE, &left_ms)
+      && left_ms * MF_US_PER_MS < route->timeout_us)
+    job->deadline_us = job->begun_us + left_ms * MF_US_PER_MS;
+  if (route->target_latency_us * LEAVE_OBJECTIVES > leave_us)
+    leave_us = route->target_latency_us * LEAVE_OBJECTIVES;
+  if (route->target_gap_us * LEAVE_GAPS > leave_us)
+    leave_us = route->target_gap_us * LEAVE_GAPS;
+  job->give_up_us = job->deadline_us;
+  if (route->kind == MF_ROUTE_STREAMING && job->begun_us + leave_us < job->deadline_us)
+    job->give_up_us = job->begun_us + leave_us;
+}
+
+static MfJob *
+job_new (MfJobs *jobs, MfCaller *caller, const MfRoute *route, uint32_t service)
+{
+  const MfHead *head = mf_caller_head (caller);
+  MfJob *job = calloc (1, sizeof *job);
+
+  if (job == NULL)
+    return NULL;
+  job->jobs = jobs;
+  job->caller = caller;
+  job->routes = mf_routes_ref (jobs->routes);
+  job->route = route;
+  job->service = &jobs->routes->services[service];
+  job->is_engine = job->service->is_engine;
+  job->is_head = strcmp (mf_caller_method (caller), "HEAD") == 0;
+  job->begun_us = mf_caller_begun_us (caller);
+  job->resume_asked = mf_head_count (head, MF_WORD_LAST_EVENT) > 0;
+  job->next = jobs->first;
+  if (jobs->first != NULL)
+    jobs->first->prev = job;
+  jobs->first = job;
+  jobs->n_jobs++;
+  ev_init (&job->timer, on_timer);
+  job->timer.data = job;
+  if (!mf_head_copy (head, MF_WORD_REQUEST_ID, job->id, sizeof job->id))
+    job->id[0] = '\0';
+  job_read_size (job, head);
+  job_read_times (job, head);
+  mf_caller_attach (caller, job);
+  return job;
+}
+
+/* Answers a request that no job was made for. */
+static void
+caller_reply_code (MfJobs *jobs, MfCaller *caller, MfCode code, bool may_return)
+{
+  const MfCodeInfo *info = mf_code_info (code);
+  const MfHead *head = mf_caller_head (caller);
+  MfBuffer headers = { 0 };
+  char id[MF_JOB_ID_BYTES] = "";
+  uint64_t left_ms = 0;
+  uint64_t retry_us = 0;
+
+  mf_head_copy (head, MF_WORD_REQUEST_ID, id, sizeof id);
+  mf_head_number (head, MF_WORD_DEADLINE, &left_ms);
+  jobs->counters.by_code[mf_code_index (code)]++;
+  jobs->counters.counts[MF_RELAY_COUNT_REFUSED]++;
+  if (may_return)
+    {
+      retry_us = mf_refuse_retry_after_us (&(MfRefusal){
+          .code = code,
+          .left_us = left_ms * MF_US_PER_MS,
+          .point = mf_jobs_random (jobs),
+      });
+      headers_add_retry_after (&headers, retry_us);
+    }
+  mf_lines_add (jobs->lines, "request.refused",
+                "id=%s code=%d status=%u why=\"%s\" config=%llu requests=%u retry_after_ms=%llu",
+                id, (int)code, info->http_status, info->summary,
+                (unsigned long long)(jobs->routes != NULL ? jobs->routes->version : 0),
+                jobs->n_jobs, (unsigned long long)(retry_us / 1000));
+  mf_caller_reply (caller, info->http_status, &headers, info->summary, strlen (info->summary));
+  mf_buffer_clear (&headers);
+}
+
+static void
+on_request (void *data, MfCaller *caller)
+{
+  MfJobs *jobs = data;
+  const MfHead *head = mf_caller_head (caller);
+  const MfRoute *route;
+  size_t host_bytes = 0;
+  const char *host = mf_head_value (head, MF_WORD_HOST, &host_bytes);
+  const char *target = mf_head_text (head, 0);
+  size_t path_bytes = head->target_bytes;
+  const char *query = memchr (target, '?', path_bytes);
+  uint32_t service;
+  MfJob *job;
+
+  jobs->counters.counts[MF_RELAY_COUNT_REQUESTS]++;
+  if (jobs->routes == NULL)
+    {
+      caller_reply_code (jobs, caller, MF_CODE_NO_CONFIG, true);
+      return;
+    }
+  if (query != NULL)
+    path_bytes = (size_t)(query - target);
+  route = mf_routes_find (jobs->routes, host == NULL ? "" : host, host_bytes, target, path_bytes);
+  if (route == NULL)
+    {
+      caller_reply_code (jobs, caller, MF_CODE_NO_SERVICE, false);
+      return;
+    }
+  service = mf_route_choose (route, mf_jobs_random (jobs));
+  if (service == MF_NONE)
+    {
+      caller_reply_code (jobs, caller, MF_CODE_NO_UPSTREAM, true);
+      return;
+    }
+  if (jobs->n_jobs >= jobs->jobs_max)
+    {
+      caller_reply_code (jobs, caller, MF_CODE_OVER_LIMIT, true);
+      return;
+    }
+  job = job_new (jobs, caller, route, service);
+  if (job == NULL)
+    {
+      caller_reply_code (jobs, caller, MF_CODE_NO_MEMORY, true);
+      return;
+    }
+  mf_budget_note_request (&mf_jobs_budget (jobs, job->service->name)->budget, mf_clock_now_us ());
+  if (jobs->no_streams_after_us > 0 && route->kind == MF_ROUTE_STREAMING
+      && mf_clock_now_us () >= jobs->no_streams_after_us)
+    {
+      mf_job_refuse (job, MF_CODE_DRAINING, "the instance ends before the stream would");
+      return;
+    }
+  mf_job_advance (job);
+}
+
+/* The caller has left. An order that an upstream has begun is let run to its end, as stopping it
+ * midway helps nobody; anything else is stopped. */
+static void
+on_departed (void *data, MfCaller *caller)
+{
+  MfJobs *jobs = data;
+  MfJob *job = mf_caller_job (caller);
+
+  if (job == NULL)
+    return;
+  jobs->counters.counts[MF_RELAY_COUNT_DEPARTED]++;
+  job->caller = NULL;
+  if (job->route->kind == MF_ROUTE_NON_IDEMPOTENT && job->link != NULL
+      && mf_link_has_sent (job->link))
+    return;
+  job_note_end (job, MF_CODE_DEPARTED, 0, "the caller left");
+  job_free (job);
+}
+
+static void
+on_writable (void *data, MfCaller *caller, bool can_write)
+{
+  MfJob *job = mf_caller_job (caller);
+
+  (void)data;
+  if (job == NULL || job->link == NULL)
+    return;
+  mf_link_hold (job->link, !can_write);
+  /* The upstream's silence is then the caller's doing. */
+  job->try_due_us = 0;
+}
+
+static void
+on_refused (void *data, MfCode code)
+{
+  MfJobs *jobs = data;
+
+  jobs->counters.counts[MF_RELAY_COUNT_UNREADABLE]++;
+  jobs->counters.by_code[mf_code_index (code)]++;
+  mf_lines_add (jobs->lines, "request.unreadable", "code=%d why=\"%s\"", (int)code,
+                mf_code_info (code)->summary);
+}
+
+const MfDoorUser mf_job_door_user = {
+  .request = on_request,
+  .departed = on_departed,
+  .writable = on_writable,
+  .refused = on_refused,
+};
+
+/* Services that had no room for a request in this turn. */
+#define FULL_SERVICES_MAX 16
+
+typedef struct
+{
+  const MfRouteService *services[FULL_SERVICES_MAX];
+  uint32_t n_services;
+} FullServices;
+
+static bool
+is_full (const FullServices *full, const MfRouteService *service)
+{
+  for (uint32_t i = 0; i < full->n_services; i++)
+    {
+      if (full->services[i] == service)
+        return true;
+    }
+  return false;
+}
+
+/* The request that is next: first those that can still be in time, then the oldest. */
+static MfJob *
+waiting_next (const MfJobs *jobs, const FullServices *full, uint64_t now_us)
+{
+  MfJob *best = NULL;
+  bool best_late = false;
+
+  for (MfJob *job = jobs->first; job != NULL; job = job->next)
+    {
+      bool late = now_us > job->begun_us + job->route->target_latency_us;
+
+      if (job->phase != MF_JOB_WAITING || is_full (full, job->service))
+        continue;
+      if (best == NULL || (best_late && !late)
+          || (best_late == late && job->begun_us < best->begun_us))
+        {
+          best = job;
+          best_late = late;
+        }
+    }
+  return best;
+}
+
+void
+mf_jobs_wake (MfJobs *jobs)
+{
+  uint64_t now_us = mf_clock_now_us ();
+  FullServices full = { 0 };
+  MfJob *job;
+
+  while (full.n_services < FULL_SERVICES_MAX && (job = waiting_next (jobs, &full, now_us)) != NULL)
+    {
+      const MfRouteService *service = job->service;
+      uint32_t n_jobs = jobs->n_jobs;
+
+      job->waited_us += now_us - job->waiting_since_us;
+      job->waiting_since_us = now_us;
+      mf_job_advance (job);
+      if (jobs->n_jobs == n_jobs && job->phase == MF_JOB_WAITING)
+        full.services[full.n_services++] = service;
+    }
+  if (full.n_services > 0 && !ev_is_active (&jobs->wake))
+    ev_timer_again (jobs->loop, &jobs->wake);
+  else if (full.n_services == 0)
+    ev_timer_stop (jobs->loop, &jobs->wake);
+}
+
+static void
+on_wake (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  mf_jobs_wake (watcher->data);
+}
+
+void
+mf_jobs_init (MfJobs *jobs, struct ev_loop *loop, const MfDialect *dialect, MfLines *lines)
+{
+  jobs->loop = loop;
+  jobs->dialect = dialect;
+  jobs->lines = lines;
+  jobs->jobs_max = JOBS_MAX;
+  jobs->targets.loop = loop;
+  jobs->targets.dialect = dialect;
+  if (getrandom (&jobs->random, sizeof jobs->random, 0) != sizeof jobs->random)
+    jobs->random = mf_clock_now_us ();
+  jobs->random |= 1;
+  ev_init (&jobs->wake, on_wake);
+  jobs->wake.repeat = WAKE_EVERY_S;
+  jobs->wake.data = jobs;
+}
+
+void
+mf_jobs_clear (MfJobs *jobs)
+{
+  ev_timer_stop (jobs->loop, &jobs->wake);
+  while (jobs->first != NULL)
+    job_free (jobs->first);
+  mf_targets_clear (&jobs->targets);
+  mf_routes_unref (jobs->routes);
+  jobs->routes = NULL;
+}
+
+void
+mf_jobs_configure (MfJobs *jobs, MfRoutes *routes)
+{
+  mf_routes_unref (jobs->routes);
+  jobs->routes = routes;
+}
--- /dev/null
+++ b/libmangofork/relay/job.h
@@ -0,0 +1,59 @@
+#ifndef MF_RELAY_JOB_H
+#define MF_RELAY_JOB_H
+
+#include "budget.h"
+#include "caller.h"
+#include "events.h"
+#include "line.h"
+#include "place.h"
+#include "relay_counters.h"
+
+/* Bytes of a request's id, its closing NUL included. */
+#define MF_JOB_ID_BYTES 128
+
+typedef struct MfJob MfJob;
+
+/* Most services whose repeats are counted apart; a further one shares the last one's budget. */
+#define MF_JOBS_SERVICES_MAX 64
+
+/* The repeats of one service. */
+typedef struct
+{
+  char service[MF_NAME_BYTES];
+  MfBudget budget;
+} MfServiceBudget;
+
+/* What the requests of one instance share. */
+typedef struct
+{
+  struct ev_loop *loop;
+  const MfDialect *dialect;
+  MfLines *lines;
+  MfTargets targets;
+  MfRoutes *routes; /* in force; NULL while none is known */
+  MfServiceBudget budgets[MF_JOBS_SERVICES_MAX];
+  uint32_t n_budgets;
+  uint64_t budget_window_us;
+  double budget_ratio;
+  uint32_t budget_floor;
+  MfJob *first;
+  uint32_t n_jobs;
+  uint32_t jobs_max;
+  ev_timer wake;                /* requests that wait for room look again */
+  uint64_t random;              /* state of the generator */
+  uint64_t no_streams_after_us; /* while shutting down; 0: not */
+  MfRelayCounters counters;
+} MfJobs;
+
+void mf_jobs_init (MfJobs *jobs, struct ev_loop *loop, const MfDialect *dialect, MfLines *lines);
+void mf_jobs_clear (MfJobs *jobs);
+/* Puts a configuration in force; takes over the reference. */
+void mf_jobs_configure (MfJobs *jobs, MfRoutes *routes);
+/* Requests that wait look at once whether they can go on. */
+void mf_jobs_wake (MfJobs *jobs);
+uint32_t mf_jobs_random (MfJobs *jobs);
+
+/* The doors of callers are opened with this user and the MfJobs as its data. */
+extern const MfDoorUser mf_job_door_user;
+
+#endif
--- /dev/null
+++ b/libmangofork/relay/job_place.c
@@ -0,0 +1,185 @@
+#include "job_row.h"
+
+#include "libmangofork/clock.h"
+
+/* Prefilled memory is taken up to this part of its retention; the rest is for the way. */
+#define MEMORY_USE_PERCENT 80
+
+/* What is asked of the placing for this request. */
+static MfPlaceAsk
+job_ask (const MfJob *job, MfRole role)
+{
+  MfPlaceAsk ask = {
+    .service = job->service->name,
+    .role = role,
+    .tokens
+    = role == MF_ROLE_PREFILL ? job->prompt_tokens : job->prompt_tokens + job->output_tokens,
+    .traits = job->service,
+    .n_avoid = job->n_avoid,
+    .memory_data_centre = role == MF_ROLE_DECODE && job->memory_target != NULL
+                              ? job->memory_target->info.data_centre
+                              : NULL,
+    .point = mf_jobs_random (job->jobs),
+  };
+
+  for (uint32_t i = 0; i < job->n_avoid; i++)
+    ask.avoid[i] = job->avoid[i];
+  return ask;
+}
+
+static void
+job_wait (MfJob *job)
+{
+  if (job->phase != MF_JOB_WAITING || job->waiting_since_us == 0)
+    {
+      job->phase = MF_JOB_WAITING;
+      job->waiting_since_us = mf_clock_now_us ();
+      job->jobs->counters.counts[MF_RELAY_COUNT_WAITED]++;
+    }
+  mf_job_set_timer (job);
+  if (!ev_is_active (&job->jobs->wake))
+    ev_timer_again (job->jobs->loop, &job->jobs->wake);
+}
+
+/* No upstream is left to try. */
+static void
+job_run_out (MfJob *job, bool any_alive)
+{
+  if (job->n_runs > 0)
+    mf_job_finish (job, MF_CODE_UPSTREAM_DIED, "no other upstream is left to try");
+  else if (any_alive)
+    mf_job_refuse (job, MF_CODE_QUEUE_FULL, "every upstream declined");
+  else
+    mf_job_refuse (job, MF_CODE_NO_UPSTREAM, "the service has no upstream");
+}
+
+static void
+job_place_plain (MfJob *job)
+{
+  MfPlaceAsk ask = job_ask (job, MF_ROLE_PLAIN);
+  bool any_alive = false;
+  MfTarget *target = mf_place_choose (&job->jobs->targets, &ask, mf_clock_now_us (), &any_alive);
+
+  if (target == NULL)
+    job_run_out (job, any_alive);
+  else
+    mf_job_send (job, target, false);
+}
+
+/* Whether a decode engine has room for this request, as far as this instance sees. */
+static bool
+has_room (const MfJob *job, const MfTarget *target, uint64_t now_us)
+{
+  uint64_t tokens = job->prompt_tokens + job->output_tokens;
+  uint64_t capacity = job->service->kv_capacity_tokens;
+
+  if (target->full_until_us > now_us)
+    return false;
+  if (target->n_active == 0)
+    return true;
+  if (target->info.slots > 0 && target->n_active >= target->info.slots)
+    return false;
+  return capacity == 0 || target->active_tokens + tokens <= capacity;
+}
+
+/* Drops memory that an engine no longer keeps. */
+static void
+job_check_memory (MfJob *job, uint64_t now_us)
+{
+  uint64_t keep_us = job->service->kv_retention_us * MEMORY_USE_PERCENT / 100;
+
+  if (job->memory_target == NULL || now_us - job->memory_us <= keep_us)
+    return;
+  job->jobs->counters.counts[MF_RELAY_COUNT_PREFILLS_WASTED]++;
+  mf_job_release_memory (job);
+}
+
+static void
+job_place_engine (MfJob *job)
+{
+  MfTargets *targets = &job->jobs->targets;
+  uint64_t now_us = mf_clock_now_us ();
+  bool any_alive = false;
+  bool any_prefill = false;
+  MfPlaceAsk ask;
+  MfTarget *decode;
+  MfTarget *prefill;
+
+  job_check_memory (job, now_us);
+  ask = job_ask (job, MF_ROLE_DECODE);
+  decode = mf_place_choose (targets, &ask, now_us, &any_alive);
+  if (decode == NULL && !any_alive)
+    {
+      job_run_out (job, false);
+      return;
+    }
+  if (decode == NULL)
+    {
+      /* All have declined or failed: they are asked anew once there may be room. */
+      job->n_avoid = 0;
+      job_wait (job);
+      return;
+    }
+  if (!has_room (job, decode, now_us))
+    {
+      job_wait (job);
+      return;
+    }
+  if (job->memory_target != NULL)
+    {
+      mf_job_send (job, decode, false);
+      return;
+    }
+  ask = job_ask (job, MF_ROLE_PREFILL);
+  prefill = mf_place_choose (targets, &ask, now_us, &any_prefill);
+  if (prefill != NULL && prefill->suspect_until_us <= now_us)
+    mf_job_send (job, prefill, true);
+  else
+    mf_job_send (job, decode, false);
+}
+
+void
+mf_job_advance (MfJob *job)
+{
+  if (job->is_engine)
+    job_place_engine (job);
+  else
+    job_place_plain (job);
+}
+
+void
+mf_job_try_expired (MfJob *job)
+{
+  MfTarget *target = job->target;
+  bool any_alive = false;
+  MfPlaceAsk ask;
+
+  if (job->phase == MF_JOB_WAITING)
+    {
+      mf_job_advance (job);
+      return;
+    }
+  ask = job_ask (job, target->info.role);
+  if (job->n_avoid < MF_PLACE_AVOID_MAX)
+    ask.avoid[ask.n_avoid++] = target;
+  if (job->phase != MF_JOB_PREFILL
+      && (!mf_job_may_repeat (job) || job->n_runs >= job->route->attempts_max))
+    {
+      mf_job_set_timer (job);
+      return;
+    }
+  if (mf_place_choose (&job->jobs->targets, &ask, mf_clock_now_us (), &any_alive) == NULL
+      || !mf_job_take_repeat (job))
+    {
+      mf_job_set_timer (job);
+      return;
+    }
+  mf_lines_add (job->jobs->lines, "request.moved",
+                "id=%s from=%s why=\"no answer in time\" waited_ms=%.1f in_flight=%u", job->id,
+                target->info.id, (double)(mf_clock_now_us () - job->sent_us) / 1e3,
+                target->n_active);
+  mf_target_failed (target, false, mf_clock_now_us ());
+  mf_job_avoid (job, target);
+  mf_job_cancel (job);
+  mf_job_advance (job);
+}
--- /dev/null
+++ b/libmangofork/relay/job_row.h
@@ -0,0 +1,99 @@
+#ifndef MF_RELAY_JOB_ROW_H
+#define MF_RELAY_JOB_ROW_H
+
+#include "job.h"
+
+/* Where a request stands. */
+typedef enum
+{
+  MF_JOB_WAITING,   /* for room at an upstream */
+  MF_JOB_PREFILL,   /* an engine reads its prompt */
+  MF_JOB_RUNNING,   /* sent to the upstream that is to answer it */
+  MF_JOB_STREAMING, /* the head of its answer has gone to the caller */
+} MfJobPhase;
+
+/* An answer kept until it is known that no better one comes. */
+typedef struct
+{
+  uint32_t status; /* 0: none */
+  MfBuffer headers;
+  MfBuffer body;
+  bool sealed;
+  bool not_run;
+  bool encoded;
+} MfJobAnswer;
+
+/* One request of a caller. Shared by the files job*.c only. */
+struct MfJob
+{
+  MfJobs *jobs;
+  MfJob *next;
+  MfJob *prev;
+  MfCaller *caller; /* NULL once it has left */
+  MfRoutes *routes; /* the configuration it came under */
+  const MfRoute *route;
+  const MfRouteService *service;
+  bool is_engine;
+  bool is_head;
+  char id[MF_JOB_ID_BYTES];
+  uint64_t begun_us;
+  uint64_t deadline_us; /* the caller's or the route's, whichever is first */
+  uint64_t give_up_us;  /* a stream's caller leaves without a first event by then */
+  uint64_t prompt_tokens;
+  uint64_t output_tokens;
+
+  MfJobPhase phase;
+  ev_timer timer;
+  uint64_t try_due_us; /* the upstream is given up for another then; 0: never */
+  uint64_t waiting_since_us;
+  uint64_t waited_us;
+
+  MfLink *link;
+  MfTarget *target;
+  uint64_t target_tokens;
+  uint64_t sent_us;
+  MfJobAnswer answer; /* of the exchange under way */
+  MfJobAnswer held;   /* a failure of an upstream, for want of a better answer */
+
+  MfPrefillAnswer memory;
+  MfTarget *memory_target; /* holds the prompt; NULL: none does */
+  uint64_t memory_us;      /* when it was read */
+  bool memory_used;
+  uint32_t n_prefills;
+
+  const MfTarget *avoid[MF_PLACE_AVOID_MAX];
+  uint32_t n_avoid;
+  uint32_t n_arrivals; /* sends of the run that reached an upstream */
+  uint32_t n_runs;     /* of these, those that may have run */
+  uint32_t n_unreached;
+
+  bool head_sent;
+  bool resume_asked; /* the caller's own request goes on after an event */
+  MfEvents events;
+  uint64_t first_event_us;
+  uint64_t last_event_us;
+};
+
+/* job.c */
+void mf_job_finish (MfJob *job, MfCode code, const char *why);
+void mf_job_refuse (MfJob *job, MfCode code, const char *why);
+void mf_job_reply (MfJob *job, MfJobAnswer *answer);
+void mf_job_set_timer (MfJob *job);
+void mf_job_answer_clear (MfJobAnswer *answer);
+bool mf_job_may_repeat (const MfJob *job);
+bool mf_job_take_repeat (MfJob *job);
+MfServiceBudget *mf_jobs_budget (MfJobs *jobs, const char *service);
+
+/* job_place.c: decides what a request does next. */
+void mf_job_advance (MfJob *job);
+/* The upstream given up for another did not answer in time. */
+void mf_job_try_expired (MfJob *job);
+
+/* job_send.c: one exchange with an upstream. */
+bool mf_job_send (MfJob *job, MfTarget *target, bool prefill);
+/* Ends the exchange under way without hearing its end. */
+void mf_job_cancel (MfJob *job);
+void mf_job_release_memory (MfJob *job);
+void mf_job_avoid (MfJob *job, const MfTarget *target);
+
+#endif
--- /dev/null
+++ b/libmangofork/relay/line.c
@@ -0,0 +1,240 @@
+#include "line.h"
+
+#include "libmangofork/buffer.h"
+#include "libmangofork/clock.h"
+
+#include <errno.h>
+#include <log4c.h>
+#include <poll.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#define LINE_BYTES 1024
+/* Lines a second about requests, twice what an instance serves at the sites' heaviest. */
+#define REQUEST_LINES_PER_S 120
+/* Lines a second about changes of state. */
+#define STATE_LINES_PER_S 60
+/* Bytes that wait for a slow reader. */
+#define WAITING_BYTES_MAX 65536
+/* Lines are written together at this interval, to save calls. */
+#define FLUSH_EVERY_S 0.25
+
+/* How many lines of one kind may still be written in this second. */
+typedef struct
+{
+  uint32_t per_s;
+  uint32_t n_left;
+  uint64_t second;
+} Allowance;
+
+struct MfLines
+{
+  struct ev_loop *loop;
+  ev_timer timer;
+  int fd;
+  char instance[MF_NAME_BYTES];
+  log4c_category_t *category;
+  log4c_appender_t *appender;
+  MfBuffer waiting;
+  Allowance requests;
+  Allowance states;
+  uint64_t n_dropped;
+  uint64_t n_dropped_told;
+};
+
+static int
+appender_append (log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+  MfLines *lines = log4c_appender_get_udata (appender);
+
+  mf_buffer_add_text (&lines->waiting, event->evt_rendered_msg);
+  return 0;
+}
+
+static const log4c_appender_type_t appender_type = {
+  .name = "mangofork-lines",
+  .append = appender_append,
+};
+
+static const char *
+layout_format (const log4c_layout_t *layout, const log4c_logging_event_t *event)
+{
+  (void)layout;
+  return event->evt_msg;
+}
+
+static const log4c_layout_type_t layout_type = {
+  .name = "mangofork-lines",
+  .format = layout_format,
+};
+
+/* Writes what the reader takes at once. */
+static void
+lines_flush (MfLines *lines)
+{
+  struct pollfd ready = { .fd = lines->fd, .events = POLLOUT };
+
+  while (mf_buffer_bytes (&lines->waiting) > 0 && poll (&ready, 1, 0) == 1
+         && (ready.revents & POLLOUT) != 0)
+    {
+      size_t n_bytes = mf_buffer_bytes (&lines->waiting);
+      /* A pipe that is ready takes this much without waiting. */
+      ssize_t n_written
+          = write (lines->fd, mf_buffer_data (&lines->waiting), n_bytes < 4096 ? n_bytes : 4096);
+
+      if (n_written <= 0)
+        break;
+      mf_buffer_take (&lines->waiting, (size_t)n_written);
+    }
+  if (lines->waiting.failed)
+    mf_buffer_clear (&lines->waiting);
+}
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  MfLines *lines = watcher->data;
+
+  (void)events;
+  if (lines->n_dropped != lines->n_dropped_told)
+    {
+      uint64_t n_more = lines->n_dropped - lines->n_dropped_told;
+
+      lines->n_dropped_told = lines->n_dropped;
+      mf_lines_state (lines, "log.dropped", "lines=%llu", (unsigned long long)n_more);
+    }
+  lines_flush (lines);
+  ev_timer_stop (loop, watcher);
+}
+
+static bool
+allowance_take (Allowance *allowance, uint64_t now_us)
+{
+  uint64_t second = now_us / MF_US_PER_S;
+
+  if (allowance->second != second)
+    {
+      allowance->second = second;
+      allowance->n_left = allowance->per_s;
+    }
+  if (allowance->n_left == 0)
+    return false;
+  allowance->n_left--;
+  return true;
+}
+
+static void
+lines_write (MfLines *lines, const char *event, const char *pairs)
+{
+  char line[LINE_BYTES + 256];
+  uint64_t wall_ms = mf_clock_wall_ms ();
+  time_t wall_s = (time_t)(wall_ms / 1000);
+  struct tm utc;
+  char stamp[32];
+
+  gmtime_r (&wall_s, &utc);
+  strftime (stamp, sizeof stamp, "%Y-%m-%dT%H:%M:%S", &utc);
+  snprintf (line, sizeof line, "time=%s.%03uZ instance=%s event=%s %s\n", stamp,
+            (unsigned int)(wall_ms % 1000), lines->instance, event, pairs);
+  log4c_category_log (lines->category, LOG4C_PRIORITY_INFO, "%s", line);
+  if (!ev_is_active (&lines->timer))
+    {
+      ev_timer_set (&lines->timer, FLUSH_EVERY_S, 0.);
+      ev_timer_start (lines->loop, &lines->timer);
+    }
+}
+
+static void lines_try (MfLines *lines, Allowance *allowance, const char *event, const char *format,
+                       va_list args) __attribute__ ((format (printf, 4, 0)));
+
+static void
+lines_try (MfLines *lines, Allowance *allowance, const char *event, const char *format,
+           va_list args)
+{
+  char pairs[LINE_BYTES];
+
+  if (!allowance_take (allowance, mf_clock_now_us ())
+      || mf_buffer_bytes (&lines->waiting) > WAITING_BYTES_MAX)
+    {
+      lines->n_dropped++;
+      return;
+    }
+  vsnprintf (pairs, sizeof pairs, format, args);
+  lines_write (lines, event, pairs);
+}
+
+void
+mf_lines_add (MfLines *lines, const char *event, const char *format, ...)
+{
+  va_list args;
+
+  va_start (args, format);
+  lines_try (lines, &lines->requests, event, format, args);
+  va_end (args);
+}
+
+void
+mf_lines_state (MfLines *lines, const char *event, const char *format, ...)
+{
+  va_list args;
+
+  va_start (args, format);
+  lines_try (lines, &lines->states, event, format, args);
+  va_end (args);
+}
+
+uint64_t
+mf_lines_dropped (const MfLines *lines)
+{
+  return lines->n_dropped;
+}
+
+MfLines *
+mf_lines_new (struct ev_loop *loop, const char *instance, int fd, MfError *error)
+{
+  MfLines *lines = calloc (1, sizeof *lines);
+  log4c_layout_t *layout;
+
+  if (lines == NULL)
+    {
+      mf_error_set (error, MF_CODE_NO_MEMORY, "no memory for the log");
+      return NULL;
+    }
+  *lines = (MfLines){
+    .loop = loop,
+    .fd = fd,
+    .requests = { .per_s = REQUEST_LINES_PER_S },
+    .states = { .per_s = STATE_LINES_PER_S },
+  };
+  mf_name_set (lines->instance, sizeof lines->instance, instance);
+  ev_timer_init (&lines->timer, on_timer, FLUSH_EVERY_S, 0.);
+  lines->timer.data = lines;
+  lines->category = log4c_category_get ("mangofork-lines");
+  lines->appender = log4c_appender_get ("mangofork-lines");
+  layout = log4c_layout_get ("mangofork-lines");
+  log4c_appender_set_type (lines->appender, &appender_type);
+  log4c_appender_set_udata (lines->appender, lines);
+  log4c_layout_set_type (layout, &layout_type);
+  log4c_appender_set_layout (lines->appender, layout);
+  log4c_category_set_appender (lines->category, lines->appender);
+  log4c_category_set_additivity (lines->category, 0);
+  log4c_category_set_priority (lines->category, LOG4C_PRIORITY_INFO);
+  return lines;
+}
+
+void
+mf_lines_free (MfLines *lines)
+{
+  if (lines == NULL)
+    return;
+  lines_flush (lines);
+  ev_timer_stop (lines->loop, &lines->timer);
+  log4c_category_set_appender (lines->category, NULL);
+  log4c_appender_set_udata (lines->appender, NULL);
+  mf_buffer_clear (&lines->waiting);
+  free (lines);
+}
--- /dev/null
+++ b/libmangofork/relay/link.c
@@ -0,0 +1,491 @@
+#include "link.h"
+
+#include "libmangofork/clock.h"
+#include "libmangofork/socket.h"
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+/* Bytes read from a connection at a time; an event of a stream is below 3 KB. */
+#define READ_BYTES 16384
+/* Bytes of a request's id, as in MfLinkCall.echo_id. */
+#define ECHO_BYTES 128
+/* Part of the idle time a peer names that is used: the close must not cross a request. */
+#define IDLE_SHARE_PERCENT 60
+/* Probes of a silent connection: first after, then every second, so many. A peer that is gone is
+ * then found within four seconds. */
+#define PROBE_IDLE_S 1
+#define PROBE_EVERY_S 1
+#define PROBE_COUNT 3
+
+typedef enum
+{
+  LINK_CONNECTING,
+  LINK_BUSY,
+  LINK_IDLE,
+  LINK_ENDING, /* its end is reported from the loop */
+} LinkState;
+
+struct MfLink
+{
+  MfLinkPool *pool;
+  MfLink *next_idle;
+  MfLink *prev_idle;
+  int fd;
+  LinkState state;
+  ev_io reader;
+  ev_io writer;
+  ev_timer timer; /* connecting: time-out; idle: close; ending: at once */
+  MfMessage message;
+  MfBuffer out;
+  const MfLinkUser *user;
+  void *data;
+  char echo_id[ECHO_BYTES];
+  bool head_only;
+  bool foreign;     /* the answer being read belongs to another request */
+  bool was_foreign; /* some answer on this connection did */
+  bool has_sent;
+  bool reused;
+  bool in_event;  /* the user is being called */
+  bool cancelled; /* by the user, while it was being called */
+  uint64_t connect_begun_us;
+  uint64_t idle_since_us;
+  uint64_t keep_us; /* how long it may be idle */
+  const char *why;
+};
+
+static void
+link_free (MfLink *link)
+{
+  ev_io_stop (link->pool->loop, &link->reader);
+  ev_io_stop (link->pool->loop, &link->writer);
+  ev_timer_stop (link->pool->loop, &link->timer);
+  if (link->fd >= 0)
+    close (link->fd);
+  mf_message_clear (&link->message);
+  mf_buffer_clear (&link->out);
+  link->pool->n_links--;
+  free (link);
+}
+
+static void
+idle_remove (MfLink *link)
+{
+  MfLinkPool *pool = link->pool;
+
+  if (link->prev_idle != NULL)
+    link->prev_idle->next_idle = link->next_idle;
+  else
+    pool->idle = link->next_idle;
+  if (link->next_idle != NULL)
+    link->next_idle->prev_idle = link->prev_idle;
+  link->next_idle = NULL;
+  link->prev_idle = NULL;
+  pool->n_idle--;
+}
+
+/* Reports the end and frees the link. */
+static void
+link_end (MfLink *link, MfLinkEnd end, const char *why)
+{
+  const MfLinkUser *user = link->user;
+  void *data = link->data;
+
+  link_free (link);
+  user->end (data, end, why);
+}
+
+static void
+link_fail (MfLink *link, const char *why)
+{
+  link_end (link, link->has_sent ? MF_LINK_BROKEN : MF_LINK_UNREACHED, why);
+}
+
+/* Reports a failure from the loop, as the user must not be called while it calls. */
+static void
+link_fail_later (MfLink *link, const char *why)
+{
+  link->state = LINK_ENDING;
+  link->why = why;
+  ev_io_stop (link->pool->loop, &link->reader);
+  ev_io_stop (link->pool->loop, &link->writer);
+  ev_timer_stop (link->pool->loop, &link->timer);
+  ev_timer_set (&link->timer, 0., 0.);
+  ev_timer_start (link->pool->loop, &link->timer);
+}
+
+/* Keeps the connection for the next request, or closes it when that would not be safe. */
+static void
+link_keep (MfLink *link, bool surplus)
+{
+  MfLinkPool *pool = link->pool;
+  char named[64];
+  uint64_t keep_us = pool->idle_default_us;
+
+  if (mf_head_copy (&link->message.head, MF_WORD_KEEP_ALIVE, named, sizeof named))
+    {
+      const char *timeout = strstr (named, "timeout=");
+
+      if (timeout != NULL)
+        keep_us = strtoull (timeout + 8, NULL, 10) * MF_US_PER_S * IDLE_SHARE_PERCENT / 100;
+    }
+  if (surplus || link->was_foreign || mf_buffer_bytes (&link->out) > 0 || keep_us == 0
+      || !http_should_keep_alive (&link->message.parser) || pool->n_idle >= pool->n_idle_max)
+    {
+      link_free (link);
+      return;
+    }
+  mf_message_reset (&link->message);
+  mf_buffer_clear (&link->out);
+  link->state = LINK_IDLE;
+  link->user = NULL;
+  link->keep_us = keep_us;
+  link->idle_since_us = mf_clock_now_us ();
+  link->next_idle = pool->idle;
+  if (pool->idle != NULL)
+    pool->idle->prev_idle = link;
+  pool->idle = link;
+  pool->n_idle++;
+  ev_io_start (pool->loop, &link->reader);
+  ev_timer_stop (pool->loop, &link->timer);
+  ev_timer_set (&link->timer, (double)keep_us / (double)MF_US_PER_S, 0.);
+  ev_timer_start (pool->loop, &link->timer);
+}
+
+/* The answer to this request is whole. */
+static void
+link_finish (MfLink *link, bool surplus)
+{
+  const MfLinkUser *user = link->user;
+  void *data = link->data;
+
+  link_keep (link, surplus);
+  user->end (data, MF_LINK_WHOLE, "answered");
+}
+
+static bool
+on_head (MfMessage *message, void *data)
+{
+  MfLink *link = data;
+  char id[ECHO_BYTES];
+
+  link->foreign = link->echo_id[0] != '\0'
+                  && mf_head_copy (&message->head, MF_WORD_REQUEST_ID, id, sizeof id)
+                  && strcmp (id, link->echo_id) != 0;
+  if (link->foreign)
+    {
+      link->was_foreign = true;
+      return true;
+    }
+  link->user->head (link->data, &message->head, message->parser.status_code);
+  return !link->head_only;
+}
+
+static void
+on_body (MfMessage *message, const char *bytes, size_t n_bytes, void *data)
+{
+  MfLink *link = data;
+
+  (void)message;
+  if (!link->foreign && !link->cancelled)
+    link->user->body (link->data, bytes, n_bytes);
+}
+
+static const MfMessageEvents message_events = { .head = on_head, .body = on_body };
+
+/* Reads the answers in some bytes. Returns false when the link is gone. */
+static bool
+link_feed (MfLink *link, const char *bytes, size_t n_bytes)
+{
+  size_t at = 0;
+
+  while (at < n_bytes)
+    {
+      link->in_event = true;
+      at += mf_message_feed (&link->message, bytes + at, n_bytes - at);
+      link->in_event = false;
+      if (link->cancelled)
+        {
+          link_free (link);
+          return false;
+        }
+      if (link->message.fault != MF_CODE_OK)
+        {
+          link_fail (link, "the answer is not HTTP");
+          return false;
+        }
+      if (!link->message.done)
+        return true;
+      if (link->foreign)
+        {
+          mf_message_reset (&link->message);
+          link->foreign = false;
+          continue;
+        }
+      link_finish (link, at < n_bytes);
+      return false;
+    }
+  return true;
+}
+
+/* The peer has closed or the connection has failed. */
+static void
+link_closed (MfLink *link, bool clean)
+{
+  bool whole;
+
+  link->in_event = true;
+  whole = clean && !link->foreign && mf_message_finish (&link->message);
+  link->in_event = false;
+  if (link->cancelled)
+    link_free (link);
+  else if (whole)
+    link_end (link, MF_LINK_WHOLE, "answered");
+  else
+    link_fail (link, clean ? "the upstream closed the connection" : "the connection was reset");
+}
+
+static void
+on_readable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  MfLink *link = watcher->data;
+  char bytes[READ_BYTES];
+  ssize_t n_read = read (link->fd, bytes, sizeof bytes);
+
+  (void)loop;
+  (void)events;
+  if (n_read < 0 && (errno == EAGAIN || errno == EINTR))
+    return;
+  if (link->state == LINK_IDLE)
+    {
+      /* Closed, or an answer that nobody asked for. */
+      idle_remove (link);
+      link_free (link);
+      return;
+    }
+  if (n_read <= 0)
+    {
+      link_closed (link, n_read == 0);
+      return;
+    }
+  link_feed (link, bytes, (size_t)n_read);
+}
+
+/* Writes what is left of the request. Returns false on a failed connection. */
+static bool
+link_flush (MfLink *link)
+{
+  while (mf_buffer_bytes (&link->out) > 0)
+    {
+      ssize_t n_sent = send (link->fd, mf_buffer_data (&link->out), mf_buffer_bytes (&link->out),
+                             MSG_NOSIGNAL);
+
+      if (n_sent < 0 && errno == EINTR)
+        continue;
+      if (n_sent < 0 && errno == EAGAIN)
+        {
+          ev_io_start (link->pool->loop, &link->writer);
+          return true;
+        }
+      if (n_sent < 0)
+        return false;
+      link->has_sent = true;
+      mf_buffer_take (&link->out, (size_t)n_sent);
+    }
+  ev_io_stop (link->pool->loop, &link->writer);
+  return true;
+}
+
+static void
+on_writable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  MfLink *link = watcher->data;
+  int fault = 0;
+  socklen_t fault_bytes = sizeof fault;
+
+  (void)loop;
+  (void)events;
+  if (link->state == LINK_CONNECTING)
+    {
+      if (getsockopt (link->fd, SOL_SOCKET, SO_ERROR, &fault, &fault_bytes) != 0 || fault != 0)
+        {
+          link_fail (link, "the connection was refused");
+          return;
+        }
+      link->state = LINK_BUSY;
+      link->pool->round_trip_us = mf_clock_now_us () - link->connect_begun_us;
+      ev_timer_stop (link->pool->loop, &link->timer);
+      ev_io_start (link->pool->loop, &link->reader);
+    }
+  /* A peer may answer and close before it has read all; its answer is read first. */
+  if (!link_flush (link))
+    {
+      ev_io_stop (link->pool->loop, &link->writer);
+      if (!link->has_sent)
+        link_fail (link, "the connection was reset");
+    }
+}
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  MfLink *link = watcher->data;
+
+  (void)loop;
+  (void)events;
+  switch (link->state)
+    {
+    case LINK_IDLE:
+      idle_remove (link);
+      link_free (link);
+      return;
+    case LINK_CONNECTING:
+      link_fail (link, "connecting took too long");
+      return;
+    default:
+      link_fail (link, link->why);
+      return;
+    }
+}
+
+/* Makes the kernel find out about a peer that is gone without a word. */
+static void
+socket_watch_peer (int fd, uint64_t unacked_timeout_us)
+{
+  int one = 1;
+  int idle_s = PROBE_IDLE_S;
+  int every_s = PROBE_EVERY_S;
+  int count = PROBE_COUNT;
+  unsigned int timeout_ms = (unsigned int)(unacked_timeout_us / MF_US_PER_MS);
+
+  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof one);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof idle_s);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &every_s, sizeof every_s);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof count);
+  if (timeout_ms > 0)
+    setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
+}
+
+/* Opens a connection; its failure, if at once, is reported from the loop. */
+static MfLink *
+link_open (MfLinkPool *pool)
+{
+  MfLink *link = calloc (1, sizeof *link);
+  MfError error = { 0 };
+
+  if (link == NULL)
+    return NULL;
+  link->pool = pool;
+  link->fd = mf_socket_connect (pool->address, &error);
+  link->state = LINK_CONNECTING;
+  link->connect_begun_us = mf_clock_now_us ();
+  pool->n_links++;
+  pool->n_connects++;
+  mf_message_init (&link->message, HTTP_RESPONSE, pool->dialect, &message_events, link);
+  ev_timer_init (&link->timer, on_timer, (double)pool->connect_timeout_us / (double)MF_US_PER_S,
+                 0.);
+  link->timer.data = link;
+  ev_init (&link->reader, on_readable);
+  ev_init (&link->writer, on_writable);
+  link->reader.data = link;
+  link->writer.data = link;
+  if (link->fd < 0)
+    {
+      link_fail_later (link, "no connection could be opened");
+      return link;
+    }
+  socket_watch_peer (link->fd, pool->unacked_timeout_us);
+  ev_io_set (&link->reader, link->fd, EV_READ);
+  ev_io_set (&link->writer, link->fd, EV_WRITE);
+  ev_io_start (pool->loop, &link->writer);
+  ev_timer_start (pool->loop, &link->timer);
+  return link;
+}
+
+/* Takes the connection that was used last, unless it has been idle for too long. */
+static MfLink *
+idle_take (MfLinkPool *pool, uint64_t idle_max_us)
+{
+  MfLink *link = pool->idle;
+  uint64_t now_us;
+
+  if (link == NULL)
+    return NULL;
+  now_us = mf_clock_now_us ();
+  if (now_us - link->idle_since_us > link->keep_us
+      || (idle_max_us > 0 && now_us - link->idle_since_us > idle_max_us))
+    return NULL;
+  idle_remove (link);
+  ev_timer_stop (pool->loop, &link->timer);
+  link->state = LINK_BUSY;
+  link->reused = true;
+  return link;
+}
+
+MfLink *
+mf_link_start (MfLinkPool *pool, const MfLinkCall *call)
+{
+  MfLink *link = idle_take (pool, call->idle_max_us);
+
+  if (link == NULL)
+    link = link_open (pool);
+  if (link == NULL)
+    return NULL;
+  link->user = call->user;
+  link->data = call->data;
+  link->has_sent = false;
+  link->foreign = false;
+  link->head_only = call->head_only;
+  link->echo_id[0] = '\0';
+  if (call->echo_id != NULL && strlen (call->echo_id) < sizeof link->echo_id)
+    memcpy (link->echo_id, call->echo_id, strlen (call->echo_id) + 1);
+  mf_buffer_add (&link->out, call->head, call->head_bytes);
+  mf_buffer_add (&link->out, call->body, call->body_bytes);
+  if (link->out.failed)
+    link_fail_later (link, "memory ran out");
+  else if (link->state == LINK_BUSY && !link_flush (link) && !link->has_sent)
+    link_fail_later (link, "the connection was reset");
+  return link;
+}
+
+void
+mf_link_cancel (MfLink *link)
+{
+  if (link->in_event)
+    link->cancelled = true;
+  else
+    link_free (link);
+}
+
+void
+mf_link_hold (MfLink *link, bool held)
+{
+  if (link->state != LINK_BUSY)
+    return;
+  if (held)
+    ev_io_stop (link->pool->loop, &link->reader);
+  else
+    ev_io_start (link->pool->loop, &link->reader);
+}
+
+bool
+mf_link_has_sent (const MfLink *link)
+{
+  return link->has_sent;
+}
+
+void
+mf_link_pool_close (MfLinkPool *pool)
+{
+  while (pool->idle != NULL)
+    {
+      MfLink *link = pool->idle;
+
+      idle_remove (link);
+      link_free (link);
+    }
+}
--- /dev/null
+++ b/libmangofork/relay/link.h
@@ -0,0 +1,70 @@
+#ifndef MF_RELAY_LINK_H
+#define MF_RELAY_LINK_H
+
+#include "message.h"
+
+#include <ev.h>
+
+typedef struct MfLink MfLink;
+
+/* How an exchange on a connection ended. */
+typedef enum
+{
+  MF_LINK_WHOLE,     /* the answer came whole */
+  MF_LINK_UNREACHED, /* no byte of the request has left */
+  MF_LINK_BROKEN,    /* some of it has left; the answer did not come whole */
+} MfLinkEnd;
+
+/* What an exchange tells its user; never from within mf_link_start. */
+typedef struct
+{
+  /* The head of the answer to this request. */
+  void (*head) (void *data, const MfHead *head, uint32_t status);
+  void (*body) (void *data, const char *bytes, size_t n_bytes);
+  /* The link is gone for the user when this is called. why names the cause in plain words. */
+  void (*end) (void *data, MfLinkEnd end, const char *why);
+} MfLinkUser;
+
+/* The connections to one address. */
+typedef struct
+{
+  struct ev_loop *loop;
+  const MfDialect *dialect;
+  char address[MF_ADDRESS_BYTES];
+  MfLink *idle; /* the last used first */
+  uint32_t n_idle;
+  uint32_t n_idle_max;
+  uint32_t n_links;         /* idle ones included */
+  uint64_t idle_default_us; /* an idle connection is kept this long when the peer names no time */
+  uint64_t connect_timeout_us;
+  uint64_t unacked_timeout_us; /* the peer must acknowledge what it is sent within this time */
+  uint64_t n_connects;
+  uint64_t round_trip_us; /* of the last connection's establishment */
+} MfLinkPool;
+
+/* One request to send. All is copied. */
+typedef struct
+{
+  const MfLinkUser *user;
+  void *data;
+  const char *head;
+  size_t head_bytes;
+  const char *body;
+  size_t body_bytes;
+  const char *echo_id;  /* answers that name another request are passed over; NULL: none does */
+  uint64_t idle_max_us; /* a connection that was idle for longer is not used; 0: any */
+  bool head_only;       /* a HEAD request */
+} MfLinkCall;
+
+/* Sends a request on an idle connection or a new one. NULL without memory or descriptors. */
+MfLink *mf_link_start (MfLinkPool *pool, const MfLinkCall *call);
+/* Ends the exchange and closes its connection; the user hears nothing more. */
+void mf_link_cancel (MfLink *link);
+/* Stops or goes on reading the answer, for a caller that reads slowly. */
+void mf_link_hold (MfLink *link, bool held);
+/* Whether a byte of the request may have left. */
+bool mf_link_has_sent (const MfLink *link);
+/* Closes the idle connections. */
+void mf_link_pool_close (MfLinkPool *pool);
+
+#endif
--- /dev/null
+++ b/libmangofork/relay/message.c
@@ -0,0 +1,344 @@
+#include "message.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+/* A byte that RFC 9110 allows in the name of a header. */
+static bool
+is_token (unsigned char byte)
+{
+  return (byte >= '0' && byte <= '9') || (byte >= 'a' && byte <= 'z')
+         || (byte >= 'A' && byte <= 'Z')
+         || (byte != '\0' && strchr ("!#$%&'*+-.^_`|~", byte) != NULL);
+}
+
+static int
+message_fail (MfMessage *message, MfCode code)
+{
+  if (message->fault == MF_CODE_OK)
+    message->fault = code;
+  return -1;
+}
+
+static int
+head_append (MfMessage *message, const char *bytes, size_t n_bytes)
+{
+  MfBuffer *text = &message->head.text;
+
+  if (message->head_bytes_max > 0 && mf_buffer_bytes (text) + n_bytes > message->head_bytes_max)
+    return message_fail (message, MF_CODE_HEADERS_TOO_LARGE);
+  mf_buffer_add (text, bytes, n_bytes);
+  return text->failed ? message_fail (message, MF_CODE_NO_MEMORY) : 0;
+}
+
+static int
+on_target (http_parser *parser, const char *bytes, size_t n_bytes)
+{
+  MfMessage *message = parser->data;
+
+  message->head.target_bytes += (uint32_t)n_bytes;
+  return head_append (message, bytes, n_bytes);
+}
+
+/* Gives the header that has just ended its meaning. */
+static void
+field_close (MfMessage *message)
+{
+  MfHead *head = &message->head;
+  MfHeadField *field;
+
+  if (!message->in_value || head->n_fields == 0)
+    return;
+  field = &head->fields[head->n_fields - 1];
+  while (field->value_bytes > 0
+         && strchr (" \t", mf_head_text (head, field->value_at)[field->value_bytes - 1]) != NULL)
+    field->value_bytes--;
+  field->word
+      = mf_dialect_word (message->dialect, mf_head_text (head, field->name_at), field->name_bytes);
+  message->in_value = false;
+}
+
+static int
+on_field (http_parser *parser, const char *bytes, size_t n_bytes)
+{
+  MfMessage *message = parser->data;
+  MfHead *head = &message->head;
+
+  for (size_t i = 0; i < n_bytes; i++)
+    {
+      if (!is_token ((unsigned char)bytes[i]))
+        return message_fail (message, MF_CODE_BAD_HEADER);
+    }
+  if (message->in_value || head->n_fields == 0)
+    {
+      field_close (message);
+      if (head->n_fields == MF_HEAD_FIELDS_MAX)
+        return message_fail (message, MF_CODE_HEADERS_TOO_LARGE);
+      head->fields[head->n_fields++]
+          = (MfHeadField){ .name_at = (uint32_t)mf_buffer_bytes (&head->text),
+                           .word = MF_WORD_OTHER };
+    }
+  head->fields[head->n_fields - 1].name_bytes += (uint32_t)n_bytes;
+  return head_append (message, bytes, n_bytes);
+}
+
+static int
+on_value (http_parser *parser, const char *bytes, size_t n_bytes)
+{
+  MfMessage *message = parser->data;
+  MfHead *head = &message->head;
+  MfHeadField *field;
+
+  if (head->n_fields == 0)
+    return message_fail (message, MF_CODE_BAD_HEADER);
+  field = &head->fields[head->n_fields - 1];
+  if (!message->in_value)
+    field->value_at = (uint32_t)mf_buffer_bytes (&head->text);
+  message->in_value = true;
+  field->value_bytes += (uint32_t)n_bytes;
+  return head_append (message, bytes, n_bytes);
+}
+
+static int
+on_head_done (http_parser *parser)
+{
+  MfMessage *message = parser->data;
+
+  if (message->head_done) /* trailers */
+    return 0;
+  field_close (message);
+  message->head_done = true;
+  if (parser->type == HTTP_RESPONSE && parser->status_code < 200)
+    return 0;
+  if (message->events->head != NULL && !message->events->head (message, message->data))
+    return 1;
+  return 0;
+}
+
+static int
+on_body (http_parser *parser, const char *bytes, size_t n_bytes)
+{
+  MfMessage *message = parser->data;
+
+  if (message->events->body != NULL)
+    message->events->body (message, bytes, n_bytes, message->data);
+  return 0;
+}
+
+static void
+head_empty (MfHead *head)
+{
+  head->text.start = 0;
+  head->text.end = 0;
+  head->text.failed = false;
+  head->target_bytes = 0;
+  head->n_fields = 0;
+}
+
+static int
+on_done (http_parser *parser)
+{
+  MfMessage *message = parser->data;
+
+  if (parser->type == HTTP_RESPONSE && parser->status_code < 200)
+    {
+      head_empty (&message->head);
+      message->head_done = false;
+      return 0;
+    }
+  message->done = true;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static const http_parser_settings parser_settings = {
+  .on_url = on_target,
+  .on_header_field = on_field,
+  .on_header_value = on_value,
+  .on_headers_complete = on_head_done,
+  .on_body = on_body,
+  .on_message_complete = on_done,
+};
+
+void
+mf_message_init (MfMessage *message, enum http_parser_type type, const MfDialect *dialect,
+                 const MfMessageEvents *events, void *data)
+{
+  *message = (MfMessage){ .dialect = dialect, .events = events, .data = data };
+  http_parser_init (&message->parser, type);
+  message->parser.data = message;
+}
+
+void
+mf_message_reset (MfMessage *message)
+{
+  enum http_parser_type type = message->parser.type;
+
+  head_empty (&message->head);
+  message->begun = false;
+  message->head_done = false;
+  message->done = false;
+  message->in_value = false;
+  message->fault = MF_CODE_OK;
+  http_parser_init (&message->parser, type);
+  message->parser.data = message;
+}
+
+void
+mf_message_clear (MfMessage *message)
+{
+  mf_buffer_clear (&message->head.text);
+}
+
+/* The product's code for what the parser found wrong. */
+static MfCode
+parser_fault (enum http_errno fault)
+{
+  switch (fault)
+    {
+    case HPE_HEADER_OVERFLOW:
+      return MF_CODE_HEADERS_TOO_LARGE;
+    case HPE_INVALID_CONTENT_LENGTH:
+    case HPE_UNEXPECTED_CONTENT_LENGTH:
+    case HPE_INVALID_CHUNK_SIZE:
+    case HPE_INVALID_TRANSFER_ENCODING:
+      return MF_CODE_BAD_LENGTH;
+    default:
+      return MF_CODE_BAD_HEADER;
+    }
+}
+
+size_t
+mf_message_feed (MfMessage *message, const char *bytes, size_t n_bytes)
+{
+  size_t taken;
+  enum http_errno fault;
+
+  if (message->done || message->fault != MF_CODE_OK || n_bytes == 0)
+    return 0;
+  message->begun = true;
+  taken = http_parser_execute (&message->parser, &parser_settings, bytes, n_bytes);
+  fault = HTTP_PARSER_ERRNO (&message->parser);
+  if (message->done)
+    return taken;
+  if (fault != HPE_OK && message->fault == MF_CODE_OK)
+    message->fault = parser_fault (fault);
+  /* CONNECT and the like end the parser's work without a message. */
+  if (message->parser.upgrade != 0 && message->fault == MF_CODE_OK && taken < n_bytes)
+    message->fault = MF_CODE_BAD_HEADER;
+  return taken;
+}
+
+bool
+mf_message_finish (MfMessage *message)
+{
+  if (message->done)
+    return true;
+  if (message->fault != MF_CODE_OK || !message->head_done)
+    return false;
+  http_parser_execute (&message->parser, &parser_settings, "", 0);
+  return message->done;
+}
+
+const char *
+mf_head_text (const MfHead *head, uint32_t at)
+{
+  return mf_buffer_data (&head->text) + at;
+}
+
+const char *
+mf_head_value (const MfHead *head, MfWord word, size_t *value_bytes)
+{
+  for (uint32_t i = 0; i < head->n_fields; i++)
+    {
+      if (head->fields[i].word != word)
+        continue;
+      *value_bytes = head->fields[i].value_bytes;
+      return mf_head_text (head, head->fields[i].value_at);
+    }
+  return NULL;
+}
+
+bool
+mf_head_copy (const MfHead *head, MfWord word, char *dst, size_t dst_bytes)
+{
+  size_t value_bytes = 0;
+  const char *value = mf_head_value (head, word, &value_bytes);
+
+  if (value == NULL || value_bytes >= dst_bytes)
+    return false;
+  memcpy (dst, value, value_bytes);
+  dst[value_bytes] = '\0';
+  return true;
+}
+
+bool
+mf_head_number (const MfHead *head, MfWord word, uint64_t *number)
+{
+  char text[24];
+  char *end;
+
+  if (!mf_head_copy (head, word, text, sizeof text) || text[0] < '0' || text[0] > '9')
+    return false;
+  *number = strtoull (text, &end, 10);
+  return *end == '\0' || *end == '.';
+}
+
+uint32_t
+mf_head_count (const MfHead *head, MfWord word)
+{
+  uint32_t n_found = 0;
+
+  for (uint32_t i = 0; i < head->n_fields; i++)
+    n_found += head->fields[i].word == word;
+  return n_found;
+}
+
+/* Whether a comma-separated list holds a name, in any case. */
+static bool
+list_holds (const char *list, size_t list_bytes, const char *name, size_t name_bytes)
+{
+  size_t at = 0;
+
+  while (at < list_bytes)
+    {
+      size_t end = at;
+      size_t from = at;
+
+      while (end < list_bytes && list[end] != ',')
+        end++;
+      at = end + 1;
+      while (from < end && (list[from] == ' ' || list[from] == '\t'))
+        from++;
+      while (end > from && (list[end - 1] == ' ' || list[end - 1] == '\t'))
+        end--;
+      if (end - from == name_bytes && strncasecmp (list + from, name, name_bytes) == 0)
+        return true;
+    }
+  return false;
+}
+
+bool
+mf_head_is_hop (const MfHead *head, const MfHeadField *field)
+{
+  for (uint32_t i = 0; i < head->n_fields; i++)
+    {
+      const MfHeadField *list = &head->fields[i];
+
+      if (list->word == MF_WORD_CONNECTION
+          && list_holds (mf_head_text (head, list->value_at), list->value_bytes,
+                         mf_head_text (head, field->name_at), field->name_bytes))
+        return true;
+    }
+  return false;
+}
+
+void
+mf_head_write (MfBuffer *out, const char *name, const char *value, size_t value_bytes)
+{
+  mf_buffer_add_text (out, name);
+  mf_buffer_add_text (out, ": ");
+  mf_buffer_add (out, value, value_bytes);
+  mf_buffer_add_text (out, "\r\n");
+}
--- /dev/null
+++ b/libmangofork/relay/place.c
@@ -0,0 +1,159 @@
+#include "place.h"
+
+#include <string.h>
+
+/* What a plain answer takes where nothing has been seen yet: the work of the sites' services. */
+#define PLAIN_FALLBACK_US 15000.
+/* What reading one prompt token takes where nothing has been seen yet. */
+#define TOKEN_FALLBACK_US 18.
+/* What an answer from another data centre costs beside its time: bytes between data centres are
+ * priced at about two per cent of a plain request's worth. */
+#define FAR_COST_US 4000.
+/* Engine memory takes twice the link between data centres; a decode is worth this much waiting. */
+#define FAR_MEMORY_SHARE 0.08
+/* Requests at one upstream that this instance sees stand for more that it does not. */
+#define UNSEEN_FACTOR 2.
+/* An upstream that fails every time is this much worse than its time says. */
+#define FAILURE_FACTOR 12.
+
+static bool
+is_avoided (const MfPlaceAsk *ask, const MfTarget *target)
+{
+  for (uint32_t i = 0; i < ask->n_avoid; i++)
+    {
+      if (ask->avoid[i] == target)
+        return true;
+    }
+  return false;
+}
+
+static bool
+is_candidate (const MfTarget *target, const MfPlaceAsk *ask)
+{
+  return !target->info.leaving && target->info.role == ask->role
+         && strcmp (target->info.service, ask->service) == 0;
+}
+
+/* Time since the last sign of life of an upstream that owes an answer. */
+static double
+silence_us (const MfTarget *target, uint64_t now_us)
+{
+  return target->n_active > 0 ? (double)(now_us - target->silent_since_us) : 0.;
+}
+
+static double
+plain_cost_us (const MfTarget *target, uint64_t now_us)
+{
+  double answer_us = mf_target_answer_us (target, PLAIN_FALLBACK_US, now_us);
+  double silent_us = silence_us (target, now_us);
+  uint32_t slots = target->info.slots > 0 ? target->info.slots : 1;
+
+  if (silent_us > answer_us)
+    answer_us = silent_us;
+  return answer_us * (1. + UNSEEN_FACTOR * target->n_active / slots)
+         + (target->is_near ? 0. : FAR_COST_US);
+}
+
+static double
+prefill_cost_us (const MfTarget *target, const MfPlaceAsk *ask, uint64_t now_us)
+{
+  double us_per_token = target->us_per_token > 0. ? target->us_per_token : TOKEN_FALLBACK_US;
+  double silent_us = silence_us (target, now_us);
+  double cost_us = us_per_token * (double)(target->active_tokens + ask->tokens);
+
+  return (silent_us > cost_us ? silent_us : cost_us) + (target->is_near ? 0. : FAR_COST_US);
+}
+
+/* Decodes are compared by how full the upstream is, as a share of its slots or its memory. */
+static double
+decode_cost (const MfTarget *target, const MfPlaceAsk *ask, uint64_t now_us)
+{
+  uint32_t slots = target->info.slots > 0 ? target->info.slots : 1;
+  double slot_share = (double)(target->n_active + 1) / slots;
+  double memory_share = 0.;
+  double share;
+
+  if (ask->traits != NULL && ask->traits->kv_capacity_tokens > 0)
+    memory_share
+        = (double)(target->active_tokens + ask->tokens) / (double)ask->traits->kv_capacity_tokens;
+  share = slot_share > memory_share ? slot_share : memory_share;
+  if (ask->memory_data_centre != NULL
+          ? strcmp (ask->memory_data_centre, target->info.data_centre) != 0
+          : !target->is_near)
+    share += FAR_MEMORY_SHARE;
+  if (target->full_until_us > now_us)
+    share += 1.;
+  /* A second without an event from streams that run there is no pause any more. */
+  if (silence_us (target, now_us) > (double)MF_US_PER_S)
+    share += 2.;
+  return share * (double)MF_US_PER_S;
+}
+
+double
+mf_place_cost_us (const MfTarget *target, const MfPlaceAsk *ask, uint64_t now_us)
+{
+  double cost_us;
+
+  switch (ask->role)
+    {
+    case MF_ROLE_PREFILL:
+      cost_us = prefill_cost_us (target, ask, now_us);
+      break;
+    case MF_ROLE_DECODE:
+      cost_us = decode_cost (target, ask, now_us);
+      break;
+    default:
+      cost_us = plain_cost_us (target, now_us);
+      break;
+    }
+  return cost_us * (1. + FAILURE_FACTOR * mf_target_failure_share (target, now_us));
+}
+
+MfTarget *
+mf_place_choose (const MfTargets *targets, const MfPlaceAsk *ask, uint64_t now_us, bool *any_alive)
+{
+  MfTarget *best = NULL;
+  MfTarget *suspect = NULL;
+  double best_us = 0.;
+  uint32_t n_equal = 0;
+
+  *any_alive = false;
+  for (MfTarget *target = targets->first; target != NULL; target = target->next)
+    {
+      double cost_us;
+
+      if (!is_candidate (target, ask))
+        continue;
+      *any_alive = true;
+      if (is_avoided (ask, target))
+        continue;
+      if (target->suspect_until_us > now_us)
+        {
+          if (suspect == NULL || target->suspect_until_us < suspect->suspect_until_us)
+            suspect = target;
+          continue;
+        }
+      cost_us = mf_place_cost_us (target, ask, now_us);
+      if (best == NULL || cost_us < best_us * 0.999)
+        {
+          best = target;
+          best_us = cost_us;
+          n_equal = 1;
+        }
+      else if (cost_us <= best_us * 1.001 && ask->point % ++n_equal == 0)
+        best = target;
+    }
+  return best != NULL ? best : suspect;
+}
+
+bool
+mf_place_has_role (const MfTargets *targets, const char *service, MfRole role)
+{
+  for (const MfTarget *target = targets->first; target != NULL; target = target->next)
+    {
+      if (target->info.role == role && !target->info.leaving
+          && strcmp (target->info.service, service) == 0)
+        return true;
+    }
+  return false;
+}
--- /dev/null
+++ b/libmangofork/relay/place.h
@@ -0,0 +1,32 @@
+#ifndef MF_RELAY_PLACE_H
+#define MF_RELAY_PLACE_H
+
+#include "route.h"
+#include "target.h"
+
+/* Upstreams one request keeps away from; more tries than that are not made. */
+#define MF_PLACE_AVOID_MAX 6
+
+/* What is to be placed. */
+typedef struct
+{
+  const char *service;
+  MfRole role;
+  uint64_t tokens; /* of the prompt for a prefill, of prompt and answer for a decode */
+  const MfRouteService *traits;
+  const MfTarget *avoid[MF_PLACE_AVOID_MAX]; /* already tried */
+  uint32_t n_avoid;
+  const char *memory_data_centre; /* where the engine memory lies that it goes on from, or NULL */
+  uint32_t point;                 /* uniform; decides between equals */
+} MfPlaceAsk;
+
+/* Chooses the upstream that is expected to answer first. NULL when none is usable; any_alive then
+ * tells whether one of the role is known at all that is not leaving. */
+MfTarget *mf_place_choose (const MfTargets *targets, const MfPlaceAsk *ask, uint64_t now_us,
+                           bool *any_alive);
+/* How long the answer is expected to take there, in microseconds. */
+double mf_place_cost_us (const MfTarget *target, const MfPlaceAsk *ask, uint64_t now_us);
+/* Whether some upstream of the service has this role and is not leaving. */
+bool mf_place_has_role (const MfTargets *targets, const char *service, MfRole role);
+
+#endif
--- /dev/null
+++ b/libmangofork/relay/refuse.h
@@ -0,0 +1,19 @@
+#ifndef MF_RELAY_REFUSE_H
+#define MF_RELAY_REFUSE_H
+
+#include "libmangofork/code.h"
+
+/* What is known when a request is refused. */
+typedef struct
+{
+  MfCode code;
+  uint64_t left_us;      /* until the caller gives up */
+  uint64_t objective_us; /* the route's target latency */
+  uint64_t room_us;      /* when room is expected; 0: not known */
+  uint32_t point;        /* uniform; spreads the returns */
+} MfRefusal;
+
+/* When a caller that is refused had best come back, in microseconds from now. */
+uint64_t mf_refuse_retry_after_us (const MfRefusal *refusal);
+
+#endif
--- /dev/null
+++ b/libmangofork/relay/relay.h
@@ -0,0 +1,71 @@
+#ifndef MF_RELAY_RELAY_H
+#define MF_RELAY_RELAY_H
+
+#include "job.h"
+
+/* Bytes of a path, its closing NUL included. */
+#define MF_RELAY_PATH_BYTES 256
+
+/* What a process of the relay is told. Times are bounds that the deployment sets. */
+typedef struct
+{
+  char name[MF_NAME_BYTES];
+  char data_centre[MF_NAME_BYTES];
+  char listen[MF_ADDRESS_BYTES];  /* callers */
+  char ready[MF_ADDRESS_BYTES];   /* the balancer asks here whether callers may come */
+  char metrics[MF_ADDRESS_BYTES]; /* counters; "" for none */
+  char store[MF_ADDRESS_BYTES];   /* the platform's store */
+  uint64_t memory_bytes;          /* the process may use; 0: not told */
+  uint32_t files_max;             /* descriptors; 0: not told */
+  uint64_t contact_us;            /* after a fault ends, all must be in order again within this */
+  uint64_t drain_us;              /* an upstream that leaves gets no request later than this */
+  uint64_t grace_us;              /* from SIGTERM to SIGKILL */
+  double retry_ratio;             /* repeats for each request */
+  uint64_t retry_window_us;       /* that they are counted in */
+  uint32_t retry_slack;           /* repeats allowed besides, to all instances together */
+} MfRelaySettings;
+
+typedef struct MfRelay MfRelay;
+
+/* Where configurations and upstreams are learnt from. */
+typedef struct
+{
+  /* Starts to read; calls mf_relay_configure, mf_relay_upstream and the like from the loop. */
+  void *(*start) (MfRelay *relay, struct ev_loop *loop, const MfRelaySettings *settings,
+                  MfError *error);
+  /* The settings were read again. */
+  void (*renew) (void *source, const MfRelaySettings *settings);
+  void (*stop) (void *source);
+} MfRelaySource;
+
+/* What a deployment brings: its wire, its source, and how its settings are read. */
+typedef struct
+{
+  const MfDialect *dialect;
+  const MfRelaySource *source;
+  bool (*read_settings) (const char *path, MfRelaySettings *settings, MfError *error);
+} MfRelayDeployment;
+
+/* path names the settings, which are read again on SIGHUP. NULL with error set when it cannot
+ * start. */
+MfRelay *mf_relay_new (const MfRelayDeployment *deployment, const char *path, MfError *error);
+/* Serves until SIGTERM or SIGINT, and then until the requests it has are answered. */
+void mf_relay_run (MfRelay *relay);
+void mf_relay_free (MfRelay *relay);
+
+/* For sources. Puts a configuration in force unless it is older than the one that is; takes over
+ * the reference. */
+void mf_relay_configure (MfRelay *relay, MfRoutes *routes);
+void mf_relay_upstream (MfRelay *relay, const MfTargetInfo *info);
+/* An upstream is listed no longer. While the source has just come back, it is kept for a while. */
+void mf_relay_upstream_gone (MfRelay *relay, const char *id, const char *why);
+/* A full list of upstreams begins and ends; those not named in it are gone. */
+void mf_relay_list_begin (MfRelay *relay);
+void mf_relay_list_end (MfRelay *relay);
+/* The source answers, or has ceased to. */
+void mf_relay_source_up (MfRelay *relay);
+void mf_relay_source_down (MfRelay *relay, const char *why);
+MfLines *mf_relay_lines (MfRelay *relay);
+MfRelayCounters *mf_relay_counters (MfRelay *relay);
+
+#endif
--- /dev/null
+++ b/libmangofork/relay/route.c
@@ -0,0 +1,104 @@
+#include "route.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+MfRoutes *
+mf_routes_new (uint32_t n_routes, uint32_t n_services)
+{
+  MfRoutes *routes = calloc (1, sizeof *routes);
+
+  if (routes == NULL)
+    return NULL;
+  *routes = (MfRoutes){
+    .routes = calloc (n_routes + 1, sizeof *routes->routes),
+    .services = calloc (n_services + 1, sizeof *routes->services),
+    .n_routes = n_routes,
+    .n_services = n_services,
+    .n_refs = 1,
+  };
+  if (routes->routes != NULL && routes->services != NULL)
+    return routes;
+  mf_routes_unref (routes);
+  return NULL;
+}
+
+MfRoutes *
+mf_routes_ref (MfRoutes *routes)
+{
+  routes->n_refs++;
+  return routes;
+}
+
+void
+mf_routes_unref (MfRoutes *routes)
+{
+  if (routes == NULL || --routes->n_refs > 0)
+    return;
+  for (uint32_t i = 0; routes->routes != NULL && i < routes->n_routes; i++)
+    {
+      free (routes->routes[i].name);
+      free (routes->routes[i].host);
+      free (routes->routes[i].path_prefix);
+      free (routes->routes[i].shares);
+    }
+  for (uint32_t i = 0; routes->services != NULL && i < routes->n_services; i++)
+    free (routes->services[i].name);
+  free (routes->routes);
+  free (routes->services);
+  free (routes);
+}
+
+uint32_t
+mf_routes_service (const MfRoutes *routes, const char *name)
+{
+  for (uint32_t i = 0; i < routes->n_services; i++)
+    {
+      if (strcmp (routes->services[i].name, name) == 0)
+        return i;
+    }
+  return MF_NONE;
+}
+
+const MfRoute *
+mf_routes_find (const MfRoutes *routes, const char *host, size_t host_bytes, const char *path,
+                size_t path_bytes)
+{
+  const MfRoute *best = NULL;
+  const char *colon = memchr (host, ':', host_bytes);
+
+  if (colon != NULL)
+    host_bytes = (size_t)(colon - host);
+  for (uint32_t i = 0; i < routes->n_routes; i++)
+    {
+      const MfRoute *route = &routes->routes[i];
+
+      if (route->host_bytes != host_bytes || route->prefix_bytes > path_bytes
+          || (best != NULL && best->prefix_bytes >= route->prefix_bytes))
+        continue;
+      if (memcmp (route->path_prefix, path, route->prefix_bytes) == 0
+          && strncasecmp (route->host, host, host_bytes) == 0)
+        best = route;
+    }
+  return best;
+}
+
+uint32_t
+mf_route_choose (const MfRoute *route, uint32_t point)
+{
+  uint64_t total = 0;
+
+  for (uint32_t i = 0; i < route->n_shares; i++)
+    total += route->shares[i].weight;
+  if (total == 0)
+    return route->n_shares > 0 ? route->shares[0].service : MF_NONE;
+  total = (uint64_t)point * total >> 32;
+  for (uint32_t i = 0; i < route->n_shares; i++)
+    {
+      if (total < route->shares[i].weight)
+        return route->shares[i].service;
+      total -= route->shares[i].weight;
+    }
+  return route->shares[route->n_shares - 1].service;
+}
--- /dev/null
+++ b/libmangofork/relay/target.c
@@ -0,0 +1,258 @@
+#include "target.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Weight of one observation in a moving average; ten requests make a new picture. */
+#define AVERAGE_WEIGHT 0.15
+/* What was seen of an upstream counts half after this time, as slow and failing ones recover within
+ * seconds. */
+#define MEMORY_HALF_US (3. * (double)MF_US_PER_S)
+/* An upstream that cannot be reached is left alone for this long, doubled with each failure. */
+#define SUSPECT_FIRST_US (300 * MF_US_PER_MS)
+#define SUSPECT_MAX_US (2400 * MF_US_PER_MS)
+#define SUSPECT_DOUBLINGS 3
+/* Idle connections kept to one upstream; the busiest plain service of the sites needs three. */
+#define IDLE_LINKS_MAX 8
+/* An upstream that names no idle time may close at once; one second is the least it could name. */
+#define IDLE_DEFAULT_US (500 * MF_US_PER_MS)
+/* Round trips are below 50 ms between regions; a lost opening packet is sent again after a second.
+ */
+#define CONNECT_TIMEOUT_US (250 * MF_US_PER_MS)
+
+static void
+target_free (MfTarget *target)
+{
+  mf_link_pool_close (&target->pool);
+  free (target);
+}
+
+MfTarget *
+mf_target_ref (MfTarget *target)
+{
+  target->n_refs++;
+  return target;
+}
+
+void
+mf_target_unref (MfTarget *target)
+{
+  if (--target->n_refs == 0)
+    target_free (target);
+}
+
+MfTarget *
+mf_targets_find (const MfTargets *targets, const char *id)
+{
+  for (MfTarget *target = targets->first; target != NULL; target = target->next)
+    {
+      if (strcmp (target->info.id, id) == 0)
+        return target;
+    }
+  return NULL;
+}
+
+static void
+target_drop (MfTargets *targets, MfTarget *dropped)
+{
+  for (MfTarget **place = &targets->first; *place != NULL; place = &(*place)->next)
+    {
+      if (*place != dropped)
+        continue;
+      *place = dropped->next;
+      targets->n_targets--;
+      mf_link_pool_close (&dropped->pool);
+      dropped->pool.n_idle_max = 0;
+      dropped->listed = false;
+      mf_target_unref (dropped);
+      return;
+    }
+}
+
+static MfTarget *
+target_add (MfTargets *targets, const MfTargetInfo *info)
+{
+  MfTarget *target = calloc (1, sizeof *target);
+
+  if (target == NULL)
+    return NULL;
+  target->info = *info;
+  target->pool = (MfLinkPool){
+    .loop = targets->loop,
+    .dialect = targets->dialect,
+    .n_idle_max = IDLE_LINKS_MAX,
+    .idle_default_us = IDLE_DEFAULT_US,
+    .connect_timeout_us = CONNECT_TIMEOUT_US,
+    .unacked_timeout_us = targets->unacked_timeout_us,
+  };
+  memcpy (target->pool.address, info->address, sizeof target->pool.address);
+  target->is_near = strcmp (info->data_centre, targets->data_centre) == 0;
+  target->n_refs = 1;
+  target->next = targets->first;
+  targets->first = target;
+  targets->n_targets++;
+  return target;
+}
+
+bool
+mf_targets_update (MfTargets *targets, const MfTargetInfo *info)
+{
+  MfTarget *target = mf_targets_find (targets, info->id);
+  bool changed;
+
+  if (target != NULL
+      && (strcmp (target->info.address, info->address) != 0 || target->info.born_ms != info->born_ms
+          || strcmp (target->info.service, info->service) != 0))
+    {
+      target_drop (targets, target);
+      target = NULL;
+    }
+  changed = target == NULL;
+  if (target == NULL)
+    target = target_add (targets, info);
+  if (target == NULL)
+    return false;
+  changed = changed || target->info.leaving != info->leaving || target->info.role != info->role
+            || target->unlisted_us != 0;
+  target->info = *info;
+  target->listed = true;
+  target->unlisted_us = 0;
+  return changed;
+}
+
+bool
+mf_targets_remove (MfTargets *targets, const char *id, bool at_once, uint64_t now_us)
+{
+  MfTarget *target = mf_targets_find (targets, id);
+
+  if (target == NULL)
+    return false;
+  if (at_once)
+    target_drop (targets, target);
+  else if (target->unlisted_us == 0)
+    target->unlisted_us = now_us;
+  else
+    return false;
+  return true;
+}
+
+uint32_t
+mf_targets_expire (MfTargets *targets, uint64_t before_us)
+{
+  uint32_t n_dropped = 0;
+  MfTarget *next;
+
+  for (MfTarget *target = targets->first; target != NULL; target = next)
+    {
+      next = target->next;
+      if (target->unlisted_us == 0 || target->unlisted_us > before_us)
+        continue;
+      target_drop (targets, target);
+      n_dropped++;
+    }
+  return n_dropped;
+}
+
+void
+mf_targets_begin_list (MfTargets *targets)
+{
+  for (MfTarget *target = targets->first; target != NULL; target = target->next)
+    target->listed = false;
+}
+
+void
+mf_targets_clear (MfTargets *targets)
+{
+  while (targets->first != NULL)
+    target_drop (targets, targets->first);
+}
+
+void
+mf_target_begin (MfTarget *target, uint64_t tokens, uint64_t now_us)
+{
+  if (target->n_active++ == 0)
+    target->silent_since_us = now_us;
+  target->active_tokens += tokens;
+}
+
+void
+mf_target_end (MfTarget *target, uint64_t tokens)
+{
+  target->n_active--;
+  target->active_tokens -= tokens;
+}
+
+void
+mf_target_alive (MfTarget *target, uint64_t now_us)
+{
+  target->silent_since_us = now_us;
+  target->n_failures = 0;
+  target->suspect_until_us = 0;
+}
+
+/* How much an observation of this time still counts, 0 to 1. */
+static double
+memory_weight (uint64_t seen_us, uint64_t now_us)
+{
+  return exp2 (-(double)(now_us - seen_us) / MEMORY_HALF_US);
+}
+
+static void
+average_add (double *average, double value)
+{
+  *average = *average <= 0. ? value : *average + AVERAGE_WEIGHT * (value - *average);
+}
+
+void
+mf_target_answered (MfTarget *target, uint64_t answer_us, uint64_t now_us)
+{
+  mf_target_alive (target, now_us);
+  average_add (&target->answer_us, (double)answer_us);
+  target->answered_us = now_us;
+  target->failure_share = mf_target_failure_share (target, now_us) * (1. - AVERAGE_WEIGHT);
+  target->failed_us = now_us;
+}
+
+void
+mf_target_read (MfTarget *target, uint64_t tokens, uint64_t read_us, uint64_t now_us)
+{
+  if (tokens > 0)
+    average_add (&target->us_per_token, (double)read_us / (double)tokens);
+  mf_target_answered (target, read_us, now_us);
+}
+
+void
+mf_target_failed (MfTarget *target, bool unreachable, uint64_t now_us)
+{
+  double share = mf_target_failure_share (target, now_us);
+  uint32_t doublings;
+
+  target->failure_share = share + AVERAGE_WEIGHT * (1. - share);
+  target->failed_us = now_us;
+  if (!unreachable)
+    return;
+  doublings = target->n_failures < SUSPECT_DOUBLINGS ? target->n_failures : SUSPECT_DOUBLINGS;
+  target->n_failures++;
+  target->suspect_until_us = now_us + (SUSPECT_FIRST_US << doublings);
+  if (target->suspect_until_us > now_us + SUSPECT_MAX_US)
+    target->suspect_until_us = now_us + SUSPECT_MAX_US;
+  mf_link_pool_close (&target->pool);
+}
+
+double
+mf_target_failure_share (const MfTarget *target, uint64_t now_us)
+{
+  return target->failure_share * memory_weight (target->failed_us, now_us);
+}
+
+double
+mf_target_answer_us (const MfTarget *target, double fallback_us, uint64_t now_us)
+{
+  double weight;
+
+  if (target->answer_us <= 0.)
+    return fallback_us;
+  weight = memory_weight (target->answered_us, now_us);
+  return target->answer_us * weight + fallback_us * (1. - weight);
+}
--- /dev/null
+++ b/libmangofork/relay/target.h
@@ -0,0 +1,89 @@
+#ifndef MF_RELAY_TARGET_H
+#define MF_RELAY_TARGET_H
+
+#include "link.h"
+
+/* Bytes of an upstream's id, its closing NUL included. */
+#define MF_TARGET_ID_BYTES 64
+
+/* What discovery says of one upstream process. */
+typedef struct
+{
+  char id[MF_TARGET_ID_BYTES];
+  char service[MF_NAME_BYTES];
+  char address[MF_ADDRESS_BYTES];
+  char data_centre[MF_NAME_BYTES];
+  MfRole role;
+  bool leaving;
+  uint32_t slots;
+  uint64_t born_ms; /* wall clock of its start; 0 when not told */
+} MfTargetInfo;
+
+/* One upstream process, and what this instance has seen of it. */
+typedef struct MfTarget MfTarget;
+struct MfTarget
+{
+  MfTargetInfo info;
+  MfLinkPool pool;
+  MfTarget *next;
+  bool is_near;           /* in this instance's data centre */
+  bool listed;            /* discovery names it */
+  uint64_t unlisted_us;   /* when it ceased to be listed while discovery was away; 0: it did not */
+  uint32_t n_active;      /* requests of this instance there */
+  uint64_t active_tokens; /* their prompts and answers */
+  uint64_t silent_since_us; /* with requests there: the last sign of life */
+  double answer_us;         /* moving average of answers; 0: none yet */
+  double us_per_token;      /* of prompts, queueing included; 0: none yet */
+  uint64_t answered_us;     /* when these were last renewed */
+  double failure_share;     /* moving average, 0 to 1 */
+  uint64_t failed_us;       /* when it was last renewed */
+  uint32_t n_failures;      /* in a row, to reach it or to get an answer */
+  uint64_t suspect_until_us;
+  uint64_t full_until_us; /* it refused for want of room */
+  uint32_t n_refs;
+};
+
+/* All upstreams known, in one list, in no order. */
+typedef struct
+{
+  struct ev_loop *loop;
+  const MfDialect *dialect;
+  char data_centre[MF_NAME_BYTES];
+  MfTarget *first;
+  uint32_t n_targets;
+  uint64_t unacked_timeout_us;
+} MfTargets;
+
+/* Adds an upstream, or renews what is known of it. A process that was started anew, or has moved,
+ * begins without a past. Returns what was done: whether anything changed. */
+bool mf_targets_update (MfTargets *targets, const MfTargetInfo *info);
+/* Discovery no longer names it. Unless at once, it stays in use until mf_targets_expire. */
+bool mf_targets_remove (MfTargets *targets, const char *id, bool at_once, uint64_t now_us);
+/* Drops what was removed, not at once, before this time. */
+uint32_t mf_targets_expire (MfTargets *targets, uint64_t before_us);
+MfTarget *mf_targets_find (const MfTargets *targets, const char *id);
+/* Marks all as not seen, before a full list is read. */
+void mf_targets_begin_list (MfTargets *targets);
+void mf_targets_clear (MfTargets *targets);
+
+/* A target that requests use stays in memory until the last lets go of it. */
+MfTarget *mf_target_ref (MfTarget *target);
+void mf_target_unref (MfTarget *target);
+
+/* A request with so many tokens begins or ends there. */
+void mf_target_begin (MfTarget *target, uint64_t tokens, uint64_t now_us);
+void mf_target_end (MfTarget *target, uint64_t tokens);
+/* A sign of life. */
+void mf_target_alive (MfTarget *target, uint64_t now_us);
+/* It answered in good order after so long. */
+void mf_target_answered (MfTarget *target, uint64_t answer_us, uint64_t now_us);
+/* It read a prompt of so many tokens, queueing included. */
+void mf_target_read (MfTarget *target, uint64_t tokens, uint64_t read_us, uint64_t now_us);
+/* It answered with a failure, or not at all. */
+void mf_target_failed (MfTarget *target, bool unreachable, uint64_t now_us);
+/* The share of failures as it counts now: it fades with time. */
+double mf_target_failure_share (const MfTarget *target, uint64_t now_us);
+/* What an answer takes there by all that was seen; unseen targets are given fallback_us. */
+double mf_target_answer_us (const MfTarget *target, double fallback_us, uint64_t now_us);
+
+#endif
