--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -163,7 +163,7 @@
   if (job->n_avoid < MF_PLACE_AVOID_MAX)
     ask.avoid[ask.n_avoid++] = target;
   if (job->phase != MF_JOB_PREFILL
-      && (!mf_job_may_repeat (job) || job->n_runs >= job->route->attempts_max))
+      && (!mf_job_may_repeat (job) || job->n_runs + 1 >= job->route->attempts_max))
     {
       mf_job_set_timer (job);
       return;
@@ -180,6 +180,12 @@
                 target->n_active);
   mf_target_failed (target, false, mf_clock_now_us ());
   mf_job_avoid (job, target);
+  /* What was sent and is given up may have run. */
+  if (job->phase != MF_JOB_PREFILL && mf_link_has_sent (job->link))
+    {
+      job->n_arrivals++;
+      job->n_runs++;
+    }
   mf_job_cancel (job);
   mf_job_advance (job);
 }
