A released handle keeps its engine in memory; a waiting request is not looked at after it ended

Cause: front processes of the grown deployments ended with a memory fault: the call that frees an engine's handle used the connections of an engine that discovery had dropped meanwhile, and the walk over waiting requests compared counts that another request's start had evened out.

--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -91,6 +91,7 @@
   if (job->next != NULL)
     job->next->prev = job->prev;
   jobs->n_jobs--;
+  jobs->n_ended++;
   mf_job_answer_clear (&job->answer);
   mf_job_answer_clear (&job->held);
   mf_events_clear (&job->events);
@@ -547,12 +548,12 @@
   while (full.n_services < FULL_SERVICES_MAX && (job = waiting_next (jobs, &full, now_us)) != NULL)
     {
       const MfRouteService *service = job->service;
-      uint32_t n_jobs = jobs->n_jobs;
+      uint64_t n_ended = jobs->n_ended;
 
       job->waited_us += now_us - job->waiting_since_us;
       job->waiting_since_us = now_us;
       mf_job_advance (job);
-      if (jobs->n_jobs == n_jobs && job->phase == MF_JOB_WAITING)
+      if (jobs->n_ended == n_ended && job->phase == MF_JOB_WAITING)
         full.services[full.n_services++] = service;
     }
   if (full.n_services > 0 && !ev_is_active (&jobs->wake))
--- a/libmangofork/relay/job.h
+++ b/libmangofork/relay/job.h
@@ -38,6 +38,7 @@
   uint32_t budget_floor;
   MfJob *first;
   uint32_t n_jobs;
+  uint64_t n_ended; /* requests, since the start */
   uint32_t jobs_max;
   ev_timer wake;                /* requests that wait for room look again */
   uint64_t random;              /* state of the generator */
--- a/libmangofork/relay/job_send.c
+++ b/libmangofork/relay/job_send.c
@@ -59,9 +59,9 @@
 static void
 on_released (void *data, MfLinkEnd end, const char *why)
 {
-  (void)data;
   (void)end;
   (void)why;
+  mf_target_unref (data);
 }
 
 static void
@@ -102,11 +102,15 @@
       snprintf (path, sizeof path, "%s%s", job->jobs->dialect->release_path, job->memory.handle);
       snprintf (head, sizeof head, "DELETE %s HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\n\r\n",
                 path, target->info.address);
-      mf_link_start (&target->pool, &(MfLinkCall){
-                                        .user = &release_user,
-                                        .head = head,
-                                        .head_bytes = strlen (head),
-                                    });
+      /* The exchange keeps the reference until it ends. */
+      if (mf_link_start (&target->pool, &(MfLinkCall){
+                                            .user = &release_user,
+                                            .data = target,
+                                            .head = head,
+                                            .head_bytes = strlen (head),
+                                        })
+          != NULL)
+        return;
     }
   mf_target_unref (target);
 }
