Instances tell each other their load; engines are filled up to their memory

Cause: each instance saw only its own requests at the engines. Ruled out: the prefill engines (two thirds idle), the callers' repeats.

--- a/libmangofork/relay/dialect.h
+++ b/libmangofork/relay/dialect.h
@@ -13,6 +13,7 @@
   MF_WORD_DEADLINE,        /* milliseconds that are left for the answer */
   MF_WORD_EXPECT_UPSTREAM, /* the only upstream process that may run the request */
   MF_WORD_PROMPT_SIZE,     /* "prompt tokens,output tokens at most" */
+  MF_WORD_ANSWER_HINT,     /* tokens the caller expects of the answer */
   MF_WORD_LAST_EVENT,      /* a stream goes on after this event */
   MF_WORD_STAGE,           /* asks for the prompt to be read only */
   MF_WORD_KV_SOURCE,       /* engine memory the request goes on from */
@@ -48,7 +49,7 @@
 {
   const MfDialectName *names; /* the first name of a meaning is the one that is written */
   uint32_t n_names;
-  const char *stage_prefill;       /* value of MF_WORD_STAGE that asks for the prompt only */
+  const char *stage_prefill; /* value of MF_WORD_STAGE that asks for the prompt only */
   const char *release_path;  /* a DELETE of this path and a handle frees it */
   /* Reads an engine's answer to a prefill; returns false when it names no handle. */
   bool (*read_prefill) (const char *body, size_t body_bytes, MfPrefillAnswer *answer);
--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -83,6 +83,7 @@
 
   ev_timer_stop (jobs->loop, &job->timer);
   mf_job_cancel (job);
+  mf_job_reserve (job, NULL);
   mf_job_release_memory (job);
   if (job->prev != NULL)
     job->prev->next = job->next;
@@ -114,17 +115,18 @@
     mf_relay_observe (&jobs->counters.first_event, job->first_event_us - job->begun_us);
   else if (code == MF_CODE_OK)
     mf_relay_observe (&jobs->counters.answer, took_us);
-  mf_lines_add (
-      jobs->lines, "request.end",
-      "id=%s route=%s service=%s code=%d status=%u why=\"%s\" took_ms=%.1f "
-      "first_event_ms=%.1f waited_ms=%.1f sends=%u runs=%u prefills=%u events=%llu "
-      "last_upstream=%s left_ms=%lld config=%llu",
-      job->id, job->route->name, job->service->name, (int)code, status, why, (double)took_us / 1e3,
-      job->first_event_us > 0 ? (double)(job->first_event_us - job->begun_us) / 1e3 : 0.,
-      (double)job->waited_us / 1e3, job->n_arrivals, job->n_runs, job->n_prefills,
-      (unsigned long long)job->events.n_events, job->target != NULL ? job->target->info.id : "none",
-      ((long long)job->deadline_us - (long long)now_us) / 1000,
-      (unsigned long long)job->routes->version);
+  mf_lines_add (jobs->lines, "request.end",
+                "id=%s route=%s service=%s code=%d status=%u why=\"%s\" took_ms=%.1f "
+                "first_event_ms=%.1f waited_ms=%.1f sends=%u runs=%u prefills=%u events=%llu "
+                "last_upstream=%s left_ms=%lld config=%llu",
+                job->id, job->route->name, job->service->name, (int)code, status, why,
+                (double)took_us / 1e3,
+                job->first_event_us > 0 ? (double)(job->first_event_us - job->begun_us) / 1e3 : 0.,
+                (double)job->waited_us / 1e3, job->n_arrivals, job->n_runs, job->n_prefills,
+                (unsigned long long)job->events.n_events,
+                job->last_upstream[0] != '\0' ? job->last_upstream : "none",
+                ((long long)job->deadline_us - (long long)now_us) / 1000,
+                (unsigned long long)job->routes->version);
 }
 
 /* Gives the caller a whole answer of an upstream. */
@@ -297,12 +299,16 @@
 {
   char text[48];
   char *comma;
+  uint64_t hint_tokens = 0;
 
   if (!mf_head_copy (head, MF_WORD_PROMPT_SIZE, text, sizeof text))
     return;
   job->prompt_tokens = strtoull (text, &comma, 10);
   if (*comma == ',')
     job->output_tokens = strtoull (comma + 1, NULL, 10);
+  mf_head_number (head, MF_WORD_ANSWER_HINT, &hint_tokens);
+  job->memory_tokens = mf_load_memory_tokens (
+      job->prompt_tokens, hint_tokens, (uint64_t)job->jobs->answer_tokens, job->output_tokens);
 }
 
 static void
@@ -538,6 +544,13 @@
   return best;
 }
 
+void
+mf_jobs_load_changed (MfJobs *jobs)
+{
+  if (jobs->peers != NULL)
+    mf_peers_touch (jobs->peers);
+}
+
 void
 mf_jobs_wake (MfJobs *jobs)
 {
--- a/libmangofork/relay/job.h
+++ b/libmangofork/relay/job.h
@@ -4,7 +4,7 @@
 #include "budget.h"
 #include "caller.h"
 #include "events.h"
-#include "line.h"
+#include "load.h"
 #include "place.h"
 #include "relay_counters.h"
 
@@ -30,7 +30,10 @@
   const MfDialect *dialect;
   MfLines *lines;
   MfTargets targets;
-  MfRoutes *routes; /* in force; NULL while none is known */
+  MfPeers *peers;       /* NULL: this instance is alone */
+  bool others_stale;    /* what the other instances have is to be looked at again */
+  double answer_tokens; /* moving average of engines' answers; 0: none yet */
+  MfRoutes *routes;     /* in force; NULL while none is known */
   MfServiceBudget budgets[MF_JOBS_SERVICES_MAX];
   uint32_t n_budgets;
   uint64_t budget_window_us;
@@ -53,6 +56,8 @@
 /* Requests that wait look at once whether they can go on. */
 void mf_jobs_wake (MfJobs *jobs);
 uint32_t mf_jobs_random (MfJobs *jobs);
+/* What this instance has at the engines has changed. */
+void mf_jobs_load_changed (MfJobs *jobs);
 
 /* The doors of callers are opened with this user and the MfJobs as its data. */
 extern const MfDoorUser mf_job_door_user;
--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -12,8 +12,7 @@
   MfPlaceAsk ask = {
     .service = job->service->name,
     .role = role,
-    .tokens
-    = role == MF_ROLE_PREFILL ? job->prompt_tokens : job->prompt_tokens + job->output_tokens,
+    .tokens = role == MF_ROLE_PREFILL ? job->prompt_tokens : job->memory_tokens,
     .traits = job->service,
     .n_avoid = job->n_avoid,
     .memory_data_centre = role == MF_ROLE_DECODE && job->memory_target != NULL
@@ -66,22 +65,6 @@
     mf_job_send (job, target, false);
 }
 
-/* Whether a decode engine has room for this request, as far as this instance sees. */
-static bool
-has_room (const MfJob *job, const MfTarget *target, uint64_t now_us)
-{
-  uint64_t tokens = job->prompt_tokens + job->output_tokens;
-  uint64_t capacity = job->service->kv_capacity_tokens;
-
-  if (target->full_until_us > now_us)
-    return false;
-  if (target->n_active == 0)
-    return true;
-  if (target->info.slots > 0 && target->n_active >= target->info.slots)
-    return false;
-  return capacity == 0 || target->active_tokens + tokens <= capacity;
-}
-
 /* Drops memory that an engine no longer keeps. */
 static void
 job_check_memory (MfJob *job, uint64_t now_us)
@@ -94,48 +77,74 @@
   mf_job_release_memory (job);
 }
 
-static void
-job_place_engine (MfJob *job)
+/* The decode engine for this request: the one that keeps room for it, or the one with most room.
+ * Waits or ends the request, and returns NULL, when there is none. */
+static MfTarget *
+job_choose_decode (MfJob *job, uint64_t now_us)
 {
-  MfTargets *targets = &job->jobs->targets;
-  uint64_t now_us = mf_clock_now_us ();
+  MfJobs *jobs = job->jobs;
   bool any_alive = false;
-  bool any_prefill = false;
   MfPlaceAsk ask;
   MfTarget *decode;
-  MfTarget *prefill;
 
-  job_check_memory (job, now_us);
+  if (job->room != NULL)
+    {
+      MfTarget *room = job->room;
+      bool usable = room->listed && !room->info.leaving && room->suspect_until_us <= now_us
+                    && room->full_until_us <= now_us;
+
+      for (uint32_t i = 0; usable && i < job->n_avoid; i++)
+        usable = job->avoid[i] != room;
+      if (usable)
+        return room;
+      mf_job_reserve (job, NULL);
+    }
+  if (jobs->others_stale)
+    mf_load_refresh (&jobs->targets, jobs->peers, now_us);
+  jobs->others_stale = false;
   ask = job_ask (job, MF_ROLE_DECODE);
-  decode = mf_place_choose (targets, &ask, now_us, &any_alive);
+  decode = mf_place_choose (&jobs->targets, &ask, now_us, &any_alive);
   if (decode == NULL && !any_alive)
     {
       job_run_out (job, false);
-      return;
+      return NULL;
     }
+  if (decode != NULL && mf_load_fits (decode, job->service, job->memory_tokens, now_us))
+    return decode;
+  /* When all have declined or failed they are asked anew once there may be room. */
   if (decode == NULL)
+    job->n_avoid = 0;
+  job_wait (job);
+  return NULL;
+}
+
+static void
+job_place_engine (MfJob *job)
+{
+  uint64_t now_us = mf_clock_now_us ();
+  bool any_prefill = false;
+  MfPlaceAsk ask;
+  MfTarget *decode;
+  MfTarget *prefill;
+
+  job_check_memory (job, now_us);
+  decode = job_choose_decode (job, now_us);
+  if (decode == NULL)
+    return;
+  if (job->memory_target != NULL)
     {
-      /* All have declined or failed: they are asked anew once there may be room. */
-      job->n_avoid = 0;
-      job_wait (job);
-      return;
-    }
-  if (!has_room (job, decode, now_us))
-    {
-      job_wait (job);
+      mf_job_send (job, decode, false);
       return;
     }
-  if (job->memory_target != NULL)
+  ask = job_ask (job, MF_ROLE_PREFILL);
+  prefill = mf_place_choose (&job->jobs->targets, &ask, now_us, &any_prefill);
+  if (prefill == NULL || prefill->suspect_until_us > now_us)
     {
       mf_job_send (job, decode, false);
       return;
     }
-  ask = job_ask (job, MF_ROLE_PREFILL);
-  prefill = mf_place_choose (targets, &ask, now_us, &any_prefill);
-  if (prefill != NULL && prefill->suspect_until_us <= now_us)
-    mf_job_send (job, prefill, true);
-  else
-    mf_job_send (job, decode, false);
+  mf_job_reserve (job, decode);
+  mf_job_send (job, prefill, true);
 }
 
 void
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -40,7 +40,8 @@
   uint64_t deadline_us; /* the caller's or the route's, whichever is first */
   uint64_t give_up_us;  /* a stream's caller leaves without a first event by then */
   uint64_t prompt_tokens;
-  uint64_t output_tokens;
+  uint64_t output_tokens; /* at most */
+  uint64_t memory_tokens; /* engine memory it is reckoned to need */
 
   MfJobPhase phase;
   ev_timer timer;
@@ -51,6 +52,7 @@
   MfLink *link;
   MfTarget *target;
   uint64_t target_tokens;
+  char last_upstream[MF_TARGET_ID_BYTES]; /* for the log */
   uint64_t sent_us;
   MfJobAnswer answer; /* of the exchange under way */
   MfJobAnswer held;   /* a failure of an upstream, for want of a better answer */
@@ -61,6 +63,8 @@
   bool memory_used;
   uint32_t n_prefills;
 
+  MfTarget *room; /* the engine that keeps room for it; NULL: none does */
+
   const MfTarget *avoid[MF_PLACE_AVOID_MAX];
   uint32_t n_avoid;
   uint32_t n_arrivals; /* sends of the run that reached an upstream */
@@ -94,6 +98,8 @@
 /* Ends the exchange under way without hearing its end. */
 void mf_job_cancel (MfJob *job);
 void mf_job_release_memory (MfJob *job);
+/* Keeps room at an engine, in place of any kept before; NULL gives it back. */
+void mf_job_reserve (MfJob *job, MfTarget *target);
 void mf_job_avoid (MfJob *job, const MfTarget *target);
 
 #endif
--- a/libmangofork/relay/job_send.c
+++ b/libmangofork/relay/job_send.c
@@ -36,6 +36,22 @@
     job->avoid[job->n_avoid++] = target;
 }
 
+void
+mf_job_reserve (MfJob *job, MfTarget *target)
+{
+  if (job->room == target)
+    return;
+  if (job->room != NULL)
+    {
+      mf_target_unreserve (job->room, job->memory_tokens);
+      mf_target_unref (job->room);
+    }
+  job->room = target;
+  if (target != NULL)
+    mf_target_reserve (mf_target_ref (target), job->memory_tokens);
+  mf_jobs_load_changed (job->jobs);
+}
+
 /* Lets go of the upstream. */
 static void
 job_leave_target (MfJob *job)
@@ -45,6 +61,8 @@
   mf_target_end (job->target, job->target_tokens);
   mf_target_unref (job->target);
   job->target = NULL;
+  if (job->is_engine)
+    mf_jobs_load_changed (job->jobs);
 }
 
 void
@@ -103,12 +121,13 @@
       snprintf (head, sizeof head, "DELETE %s HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\n\r\n",
                 path, target->info.address);
       /* The exchange keeps the reference until it ends. */
-      if (mf_link_start (&target->pool, &(MfLinkCall){
-                                            .user = &release_user,
-                                            .data = target,
-                                            .head = head,
-                                            .head_bytes = strlen (head),
-                                        })
+      if (mf_link_start (&target->pool,
+                         &(MfLinkCall){
+                             .user = &release_user,
+                             .data = target,
+                             .head = head,
+                             .head_bytes = strlen (head),
+                         })
           != NULL)
         return;
     }
@@ -241,8 +260,13 @@
 
   job_write_head (job, target, prefill, &head);
   job->target = mf_target_ref (target);
-  job->target_tokens = prefill ? job->prompt_tokens : job->prompt_tokens + job->output_tokens;
+  mf_name_set (job->last_upstream, sizeof job->last_upstream, target->info.id);
+  job->target_tokens = prefill ? job->prompt_tokens : job->memory_tokens;
+  if (!prefill)
+    mf_job_reserve (job, NULL);
   mf_target_begin (target, job->target_tokens, now_us);
+  if (job->is_engine)
+    mf_jobs_load_changed (jobs);
   job->phase = prefill ? MF_JOB_PREFILL : job->head_sent ? MF_JOB_STREAMING : MF_JOB_RUNNING;
   job->waiting_since_us = 0;
   job->sent_us = now_us;
--- /dev/null
+++ b/libmangofork/relay/load.c
@@ -0,0 +1,83 @@
+#include "load.h"
+
+#include <math.h>
+
+/* Part of an answer that is reckoned into a request's memory: on average half of it is there, and a
+ * few requests are near their end at once. */
+#define ANSWER_SHARE 0.7
+/* Part of an engine's memory that is filled; the rest is for answers longer than expected. */
+#define FILL_SHARE 0.97
+
+uint64_t
+mf_load_memory_tokens (uint64_t prompt_tokens, uint64_t hint_tokens, uint64_t typical_tokens,
+                       uint64_t max_tokens)
+{
+  double answer = typical_tokens > 0 ? (double)typical_tokens : (double)max_tokens / 2.;
+
+  /* The estimate is right at the median and often far off: it is drawn towards what is usual. */
+  if (hint_tokens > 0)
+    answer = sqrt (answer * (double)hint_tokens);
+  if (answer > (double)max_tokens)
+    answer = (double)max_tokens;
+  return prompt_tokens + (uint64_t)(answer * ANSWER_SHARE);
+}
+
+bool
+mf_load_fits (const MfTarget *target, const MfRouteService *traits, uint64_t tokens,
+              uint64_t now_us)
+{
+  uint64_t capacity = (uint64_t)((double)traits->kv_capacity_tokens * FILL_SHARE);
+
+  if (target->full_until_us > now_us)
+    return false;
+  if (mf_target_load (target) == 0)
+    return true;
+  if (target->info.slots > 0 && mf_target_load (target) >= target->info.slots)
+    return false;
+  return capacity == 0 || mf_target_load_tokens (target) + tokens <= capacity;
+}
+
+void
+mf_load_fill (const MfTargets *targets, MfLoadReport *report)
+{
+  for (const MfTarget *target = targets->first; target != NULL; target = target->next)
+    {
+      uint32_t n_own = target->n_active + target->n_reserved;
+
+      if (n_own == 0 || target->info.role == MF_ROLE_PLAIN
+          || report->n_entries == MF_LOAD_ENTRIES_MAX)
+        continue;
+      report->entries[report->n_entries++] = (MfLoadEntry){
+        .upstream = target->id_hash,
+        .n_active = n_own,
+        .tokens = (uint32_t)(target->active_tokens + target->reserved_tokens),
+      };
+    }
+}
+
+static void
+entry_add (void *data, const MfLoadEntry *entry)
+{
+  MfTargets *targets = data;
+
+  for (MfTarget *target = targets->first; target != NULL; target = target->next)
+    {
+      if (target->id_hash != entry->upstream)
+        continue;
+      target->n_others += entry->n_active;
+      target->others_tokens += entry->tokens;
+      return;
+    }
+}
+
+void
+mf_load_refresh (MfTargets *targets, const MfPeers *peers, uint64_t now_us)
+{
+  for (MfTarget *target = targets->first; target != NULL; target = target->next)
+    {
+      target->n_others = 0;
+      target->others_tokens = 0;
+    }
+  if (peers != NULL)
+    mf_peers_foreach (peers, now_us, entry_add, targets);
+}
--- a/libmangofork/relay/place.c
+++ b/libmangofork/relay/place.c
@@ -59,7 +59,7 @@
 {
   double us_per_token = target->us_per_token > 0. ? target->us_per_token : TOKEN_FALLBACK_US;
   double silent_us = silence_us (target, now_us);
-  double cost_us = us_per_token * (double)(target->active_tokens + ask->tokens);
+  double cost_us = us_per_token * (double)(mf_target_load_tokens (target) + ask->tokens);
 
   return (silent_us > cost_us ? silent_us : cost_us) + (target->is_near ? 0. : FAR_COST_US);
 }
@@ -69,7 +69,7 @@
 decode_cost (const MfTarget *target, const MfPlaceAsk *ask, uint64_t now_us)
 {
   uint32_t slots = target->info.slots > 0 ? target->info.slots : 1;
-  double slot_share = (double)(target->n_active + 1) / slots;
+  double slot_share = (double)(mf_target_load (target) + 1) / slots;
   double memory_share = 0.;
   double share;
 
--- a/libmangofork/relay/place.h
+++ b/libmangofork/relay/place.h
@@ -12,7 +12,7 @@
 {
   const char *service;
   MfRole role;
-  uint64_t tokens; /* of the prompt for a prefill, of prompt and answer for a decode */
+  uint64_t tokens; /* of the prompt for a prefill, of all its engine memory for a decode */
   const MfRouteService *traits;
   const MfTarget *avoid[MF_PLACE_AVOID_MAX]; /* already tried */
   uint32_t n_avoid;
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -65,6 +65,27 @@
   bool idle_closed;
 };
 
+static void
+on_load_fill (void *data, MfLoadReport *report)
+{
+  MfRelay *relay = data;
+
+  mf_load_fill (&relay->jobs.targets, report);
+}
+
+static void
+on_load_changed (void *data)
+{
+  MfRelay *relay = data;
+
+  relay->jobs.others_stale = true;
+}
+
+static const MfPeersUser peers_user = {
+  .fill = on_load_fill,
+  .changed = on_load_changed,
+};
+
 static void
 ready_judge (MfRelay *relay)
 {
@@ -317,6 +338,8 @@
     }
   relay->settings = settings;
   settings_apply (relay);
+  if (relay->jobs.peers != NULL)
+    mf_peers_seed (relay->jobs.peers, settings.seeds);
   relay->deployment->source->renew (relay->source, &relay->settings);
   mf_lines_state (relay->lines, "settings.applied", "store=%s", settings.store);
 }
@@ -358,6 +381,8 @@
       if (n_dropped > 0)
         mf_lines_state (relay->lines, "upstream.expired", "upstreams=%u", n_dropped);
     }
+  /* What a silent peer told ceases to hold with time. */
+  relay->jobs.others_stale = true;
   if (relay->drain_begun_us > 0)
     drain_step (relay);
 }
@@ -414,6 +439,14 @@
   if (relay->door == NULL)
     return false;
   limits_apply (relay);
+  if (settings->peers[0] != '\0')
+    {
+      relay->jobs.peers
+          = mf_peers_new (relay->loop, settings->peers, &peers_user, relay, relay->lines, error);
+      if (relay->jobs.peers == NULL)
+        return false;
+      mf_peers_seed (relay->jobs.peers, settings->seeds);
+    }
   if (settings->metrics[0] == '\0')
     return true;
   relay->metrics_door
@@ -497,6 +530,7 @@
   if (relay->source != NULL)
     relay->deployment->source->stop (relay->source);
   mf_jobs_clear (&relay->jobs);
+  mf_peers_free (relay->jobs.peers);
   mf_door_free (relay->door);
   mf_door_free (relay->ready_door);
   mf_door_free (relay->metrics_door);
--- a/libmangofork/relay/relay.h
+++ b/libmangofork/relay/relay.h
@@ -14,6 +14,8 @@
   char listen[MF_ADDRESS_BYTES];  /* callers */
   char ready[MF_ADDRESS_BYTES];   /* the balancer asks here whether callers may come */
   char metrics[MF_ADDRESS_BYTES]; /* counters; "" for none */
+  char peers[MF_ADDRESS_BYTES];   /* other instances; empty: they are not talked to */
+  char seeds[256];                /* addresses of some instances, comma-separated */
   char store[MF_ADDRESS_BYTES];   /* the platform's store */
   uint64_t memory_bytes;          /* the process may use; 0: not told */
   uint32_t files_max;             /* descriptors; 0: not told */
--- a/libmangofork/relay/target.c
+++ b/libmangofork/relay/target.c
@@ -1,5 +1,7 @@
 #include "target.h"
 
+#include "load_report.h"
+
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
@@ -88,6 +90,7 @@
   };
   memcpy (target->pool.address, info->address, sizeof target->pool.address);
   target->is_near = strcmp (info->data_centre, targets->data_centre) == 0;
+  target->id_hash = mf_load_hash (info->id);
   target->n_refs = 1;
   target->next = targets->first;
   targets->first = target;
@@ -183,6 +186,32 @@
   target->active_tokens -= tokens;
 }
 
+void
+mf_target_reserve (MfTarget *target, uint64_t tokens)
+{
+  target->n_reserved++;
+  target->reserved_tokens += tokens;
+}
+
+void
+mf_target_unreserve (MfTarget *target, uint64_t tokens)
+{
+  target->n_reserved--;
+  target->reserved_tokens -= tokens;
+}
+
+uint32_t
+mf_target_load (const MfTarget *target)
+{
+  return target->n_active + target->n_reserved + target->n_others;
+}
+
+uint64_t
+mf_target_load_tokens (const MfTarget *target)
+{
+  return target->active_tokens + target->reserved_tokens + target->others_tokens;
+}
+
 void
 mf_target_alive (MfTarget *target, uint64_t now_us)
 {
--- a/libmangofork/relay/target.h
+++ b/libmangofork/relay/target.h
@@ -30,7 +30,12 @@
   bool listed;            /* discovery names it */
   uint64_t unlisted_us;   /* when it ceased to be listed while discovery was away; 0: it did not */
   uint32_t n_active;      /* requests of this instance there */
-  uint64_t active_tokens; /* their prompts and answers */
+  uint64_t active_tokens; /* their engine memory when they end */
+  uint32_t n_reserved;    /* requests of this instance that are about to come */
+  uint64_t reserved_tokens;
+  uint32_t n_others; /* requests of other instances, as these have told */
+  uint64_t others_tokens;
+  uint64_t id_hash;         /* under which instances name it to each other */
   uint64_t silent_since_us; /* with requests there: the last sign of life */
   double answer_us;         /* moving average of answers; 0: none yet */
   double us_per_token;      /* of prompts, queueing included; 0: none yet */
@@ -73,6 +78,12 @@
 /* A request with so many tokens begins or ends there. */
 void mf_target_begin (MfTarget *target, uint64_t tokens, uint64_t now_us);
 void mf_target_end (MfTarget *target, uint64_t tokens);
+/* Keeps room for a request that will come there; given back before it comes. */
+void mf_target_reserve (MfTarget *target, uint64_t tokens);
+void mf_target_unreserve (MfTarget *target, uint64_t tokens);
+/* All that is there or about to be, of all instances, as far as this one knows. */
+uint32_t mf_target_load (const MfTarget *target);
+uint64_t mf_target_load_tokens (const MfTarget *target);
 /* A sign of life. */
 void mf_target_alive (MfTarget *target, uint64_t now_us);
 /* It answered in good order after so long. */
