--- a/libmangofork/relay/place.c
+++ b/libmangofork/relay/place.c
@@ -74,8 +74,8 @@
   double share;
 
   if (ask->traits != NULL && ask->traits->kv_capacity_tokens > 0)
-    memory_share
-        = (double)(target->active_tokens + ask->tokens) / (double)ask->traits->kv_capacity_tokens;
+    memory_share = (double)(mf_target_load_tokens (target) + ask->tokens)
+                   / (double)ask->traits->kv_capacity_tokens;
   share = slot_share > memory_share ? slot_share : memory_share;
   if (ask->memory_data_centre != NULL
           ? strcmp (ask->memory_data_centre, target->info.data_centre) != 0
