--- /dev/null
+++ b/libmangofork/relay/dispatch.c
@@ -0,0 +1,355 @@
+#include "dispatch.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A grant that its asker's load never showed is taken for lost after this time: a few round trips
+ * and turns of its loop. */
+#define PENDING_US (500 * MF_US_PER_MS)
+/* Services that had no room in one run; further ones are looked at again. */
+#define FULL_SERVICES_MAX 16
+
+typedef struct Waiting Waiting;
+struct Waiting
+{
+  Waiting *next;
+  uint64_t asker;
+  MfAsk ask;
+  uint64_t begun_us; /* of the caller's request, by this instance's clock */
+};
+
+/* A grant to another instance that its load does not show yet. */
+typedef struct Pending Pending;
+struct Pending
+{
+  Pending *next; /* in the order they were given */
+  uint64_t asker;
+  MfGrant grant;
+  uint64_t prompt_tokens;
+  uint64_t memory_tokens;
+  uint64_t given_us;
+};
+
+struct MfDispatch
+{
+  MfTargets *targets;
+  const MfDispatchUser *user;
+  void *data;
+  Waiting *waiting;
+  uint32_t n_waiting;
+  Pending *pending;
+  uint32_t point;
+};
+
+MfDispatch *
+mf_dispatch_new (MfTargets *targets, const MfDispatchUser *user, void *data)
+{
+  MfDispatch *dispatch = calloc (1, sizeof *dispatch);
+
+  if (dispatch == NULL)
+    return NULL;
+  *dispatch = (MfDispatch){ .targets = targets, .user = user, .data = data };
+  return dispatch;
+}
+
+void
+mf_dispatch_free (MfDispatch *dispatch)
+{
+  if (dispatch == NULL)
+    return;
+  while (dispatch->waiting != NULL)
+    mf_dispatch_drop (dispatch, dispatch->waiting->asker);
+  while (dispatch->pending != NULL)
+    mf_dispatch_drop (dispatch, dispatch->pending->asker);
+  free (dispatch);
+}
+
+void
+mf_dispatch_ask (MfDispatch *dispatch, uint64_t asker, const MfAsk *ask, uint64_t now_us)
+{
+  Waiting *waiting;
+
+  mf_dispatch_cancel (dispatch, asker, ask->id);
+  waiting = calloc (1, sizeof *waiting);
+  if (waiting == NULL)
+    return;
+  waiting->asker = asker;
+  waiting->ask = *ask;
+  waiting->begun_us = now_us > ask->age_us ? now_us - ask->age_us : 0;
+  waiting->next = dispatch->waiting;
+  dispatch->waiting = waiting;
+  dispatch->n_waiting++;
+}
+
+static void
+waiting_remove (MfDispatch *dispatch, Waiting **place)
+{
+  Waiting *waiting = *place;
+
+  *place = waiting->next;
+  dispatch->n_waiting--;
+  free (waiting);
+}
+
+void
+mf_dispatch_cancel (MfDispatch *dispatch, uint64_t asker, uint64_t id)
+{
+  for (Waiting **place = &dispatch->waiting; *place != NULL; place = &(*place)->next)
+    {
+      if ((*place)->asker != asker || (*place)->ask.id != id)
+        continue;
+      waiting_remove (dispatch, place);
+      return;
+    }
+}
+
+void
+mf_dispatch_drop (MfDispatch *dispatch, uint64_t asker)
+{
+  Waiting **waiting = &dispatch->waiting;
+  Pending **pending = &dispatch->pending;
+
+  while (*waiting != NULL)
+    {
+      if ((*waiting)->asker == asker)
+        waiting_remove (dispatch, waiting);
+      else
+        waiting = &(*waiting)->next;
+    }
+  while (*pending != NULL)
+    {
+      Pending *gone = *pending;
+
+      if (gone->asker != asker)
+        {
+          pending = &gone->next;
+          continue;
+        }
+      *pending = gone->next;
+      free (gone);
+    }
+}
+
+void
+mf_dispatch_seen (MfDispatch *dispatch, uint64_t asker, uint64_t id)
+{
+  bool known = false;
+  Pending **place = &dispatch->pending;
+
+  for (const Pending *pending = dispatch->pending; pending != NULL && !known;
+       pending = pending->next)
+    known = pending->asker == asker && pending->grant.id == id;
+  while (known && *place != NULL)
+    {
+      Pending *pending = *place;
+
+      if (pending->asker != asker)
+        {
+          place = &pending->next;
+          continue;
+        }
+      known = pending->grant.id != id;
+      *place = pending->next;
+      free (pending);
+    }
+}
+
+static MfTarget *
+target_by_hash (const MfTargets *targets, uint64_t hash)
+{
+  for (MfTarget *target = targets->first; target != NULL; target = target->next)
+    {
+      if (target->id_hash == hash)
+        return target;
+    }
+  return NULL;
+}
+
+static void
+load_add (const MfTargets *targets, uint64_t hash, uint64_t tokens)
+{
+  MfTarget *target = hash == 0 ? NULL : target_by_hash (targets, hash);
+
+  if (target == NULL)
+    return;
+  target->n_others++;
+  target->others_tokens += tokens;
+}
+
+void
+mf_dispatch_add_pending (const MfDispatch *dispatch, uint64_t now_us)
+{
+  for (const Pending *pending = dispatch->pending; pending != NULL; pending = pending->next)
+    {
+      if (now_us - pending->given_us > PENDING_US)
+        continue;
+      load_add (dispatch->targets, pending->grant.decode, pending->memory_tokens);
+      load_add (dispatch->targets, pending->grant.prefill, pending->prompt_tokens);
+    }
+}
+
+/* Forgets grants that were lost on their way. */
+static void
+pending_expire (MfDispatch *dispatch, uint64_t now_us)
+{
+  Pending **place = &dispatch->pending;
+
+  while (*place != NULL)
+    {
+      Pending *pending = *place;
+
+      if (now_us - pending->given_us <= PENDING_US)
+        {
+          place = &pending->next;
+          continue;
+        }
+      *place = pending->next;
+      free (pending);
+    }
+}
+
+static MfPlaceAsk
+place_ask (MfDispatch *dispatch, const MfAsk *ask, const MfRouteService *traits, MfRole role)
+{
+  MfPlaceAsk place = {
+    .service = ask->service,
+    .role = role,
+    .tokens = role == MF_ROLE_PREFILL ? ask->prompt_tokens : ask->memory_tokens,
+    .traits = traits,
+    .n_avoid = ask->n_avoid,
+    .data_centre = ask->data_centre,
+    .point = dispatch->point++,
+  };
+
+  memcpy (place.avoid, ask->avoid, sizeof place.avoid);
+  return place;
+}
+
+/* Whether one ask goes before another: those that can be in time first, then the older. */
+static bool
+goes_before (const Waiting *one, const Waiting *other, uint64_t now_us)
+{
+  bool one_late = now_us > one->begun_us + one->ask.objective_us;
+  bool other_late = now_us > other->begun_us + other->ask.objective_us;
+
+  if (one_late != other_late)
+    return other_late;
+  return one->begun_us < other->begun_us;
+}
+
+typedef struct
+{
+  char services[FULL_SERVICES_MAX][MF_NAME_BYTES];
+  uint32_t n_services;
+} FullServices;
+
+static bool
+is_full (const FullServices *full, const char *service)
+{
+  for (uint32_t i = 0; i < full->n_services; i++)
+    {
+      if (strcmp (full->services[i], service) == 0)
+        return true;
+    }
+  return false;
+}
+
+static Waiting **
+waiting_next (MfDispatch *dispatch, const FullServices *full, uint64_t now_us)
+{
+  Waiting **best = NULL;
+
+  for (Waiting **place = &dispatch->waiting; *place != NULL; place = &(*place)->next)
+    {
+      if (!is_full (full, (*place)->ask.service)
+          && (best == NULL || goes_before (*place, *best, now_us)))
+        best = place;
+    }
+  return best;
+}
+
+/* Finds places for an ask. Returns false when no engine has room. */
+static bool
+grant_make (MfDispatch *dispatch, const MfAsk *ask, MfGrant *grant, uint64_t now_us)
+{
+  const MfRouteService *traits = dispatch->user->traits (dispatch->data, ask->service);
+  MfPlaceAsk place;
+  MfTarget *decode;
+  MfTarget *prefill;
+  bool any_alive = false;
+
+  if (traits == NULL)
+    return false;
+  place = place_ask (dispatch, ask, traits, MF_ROLE_DECODE);
+  decode = mf_place_choose (dispatch->targets, &place, now_us, &any_alive);
+  if (decode == NULL || !mf_load_fits (decode, traits, ask->memory_tokens, now_us))
+    return false;
+  *grant = (MfGrant){ .id = ask->id, .decode = decode->id_hash };
+  if (ask->has_memory)
+    return true;
+  place = place_ask (dispatch, ask, traits, MF_ROLE_PREFILL);
+  prefill = mf_place_choose (dispatch->targets, &place, now_us, &any_alive);
+  if (prefill != NULL && prefill->suspect_until_us <= now_us)
+    grant->prefill = prefill->id_hash;
+  return true;
+}
+
+/* Notes a grant to another instance; this one's own show in the loads at once. */
+static void
+pending_add (MfDispatch *dispatch, const Waiting *waiting, const MfGrant *grant, uint64_t now_us)
+{
+  Pending **place = &dispatch->pending;
+  Pending *pending;
+
+  if (waiting->asker == MF_DISPATCH_SELF || (pending = calloc (1, sizeof *pending)) == NULL)
+    return;
+  *pending = (Pending){
+    .asker = waiting->asker,
+    .grant = *grant,
+    .prompt_tokens = waiting->ask.prompt_tokens,
+    .memory_tokens = waiting->ask.memory_tokens,
+    .given_us = now_us,
+  };
+  while (*place != NULL)
+    place = &(*place)->next;
+  *place = pending;
+  load_add (dispatch->targets, grant->decode, pending->memory_tokens);
+  load_add (dispatch->targets, grant->prefill, pending->prompt_tokens);
+}
+
+uint32_t
+mf_dispatch_run (MfDispatch *dispatch, uint64_t now_us)
+{
+  FullServices full = { 0 };
+  Waiting **place;
+
+  pending_expire (dispatch, now_us);
+  while (full.n_services < FULL_SERVICES_MAX
+         && (place = waiting_next (dispatch, &full, now_us)) != NULL)
+    {
+      Waiting *waiting = *place;
+      uint64_t asker = waiting->asker;
+      MfGrant grant;
+
+      if (now_us > waiting->begun_us + waiting->ask.patience_us)
+        {
+          waiting_remove (dispatch, place);
+          continue;
+        }
+      if (!grant_make (dispatch, &waiting->ask, &grant, now_us))
+        {
+          memcpy (full.services[full.n_services++], waiting->ask.service, MF_NAME_BYTES);
+          continue;
+        }
+      pending_add (dispatch, waiting, &grant, now_us);
+      waiting_remove (dispatch, place);
+      dispatch->user->grant (dispatch->data, asker, &grant);
+    }
+  return dispatch->n_waiting;
+}
+
+uint32_t
+mf_dispatch_n_waiting (const MfDispatch *dispatch)
+{
+  return dispatch->n_waiting;
+}
--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -82,6 +82,7 @@
   MfJobs *jobs = job->jobs;
 
   ev_timer_stop (jobs->loop, &job->timer);
+  mf_job_unask (job);
   mf_job_cancel (job);
   mf_job_reserve (job, NULL);
   mf_job_release_memory (job);
@@ -501,49 +502,6 @@
   .refused = on_refused,
 };
 
-/* Services that had no room for a request in this turn. */
-#define FULL_SERVICES_MAX 16
-
-typedef struct
-{
-  const MfRouteService *services[FULL_SERVICES_MAX];
-  uint32_t n_services;
-} FullServices;
-
-static bool
-is_full (const FullServices *full, const MfRouteService *service)
-{
-  for (uint32_t i = 0; i < full->n_services; i++)
-    {
-      if (full->services[i] == service)
-        return true;
-    }
-  return false;
-}
-
-/* The request that is next: first those that can still be in time, then the oldest. */
-static MfJob *
-waiting_next (const MfJobs *jobs, const FullServices *full, uint64_t now_us)
-{
-  MfJob *best = NULL;
-  bool best_late = false;
-
-  for (MfJob *job = jobs->first; job != NULL; job = job->next)
-    {
-      bool late = now_us > job->begun_us + job->route->target_latency_us;
-
-      if (job->phase != MF_JOB_WAITING || is_full (full, job->service))
-        continue;
-      if (best == NULL || (best_late && !late)
-          || (best_late == late && job->begun_us < best->begun_us))
-        {
-          best = job;
-          best_late = late;
-        }
-    }
-  return best;
-}
-
 void
 mf_jobs_load_changed (MfJobs *jobs)
 {
@@ -551,30 +509,39 @@
     mf_peers_touch (jobs->peers);
 }
 
+/* Gives the places that are free to the requests that wait, of all instances that asked this one.
+ */
 void
 mf_jobs_wake (MfJobs *jobs)
 {
   uint64_t now_us = mf_clock_now_us ();
-  FullServices full = { 0 };
-  MfJob *job;
+  uint32_t n_waiting;
 
-  while (full.n_services < FULL_SERVICES_MAX && (job = waiting_next (jobs, &full, now_us)) != NULL)
+  if (mf_dispatch_n_waiting (jobs->dispatch) == 0)
+    return;
+  if (jobs->others_stale)
     {
-      const MfRouteService *service = job->service;
-      uint64_t n_ended = jobs->n_ended;
-
-      job->waited_us += now_us - job->waiting_since_us;
-      job->waiting_since_us = now_us;
-      mf_job_advance (job);
-      if (jobs->n_ended == n_ended && job->phase == MF_JOB_WAITING)
-        full.services[full.n_services++] = service;
+      mf_load_reset (&jobs->targets);
+      if (jobs->peers != NULL)
+        mf_peers_foreach (jobs->peers, now_us, mf_load_add, &jobs->targets);
+      mf_dispatch_add_pending (jobs->dispatch, now_us);
+      jobs->others_stale = false;
     }
-  if (full.n_services > 0 && !ev_is_active (&jobs->wake))
+  n_waiting = mf_dispatch_run (jobs->dispatch, now_us);
+  if (n_waiting > 0 && !ev_is_active (&jobs->wake))
     ev_timer_again (jobs->loop, &jobs->wake);
-  else if (full.n_services == 0)
+  else if (n_waiting == 0)
     ev_timer_stop (jobs->loop, &jobs->wake);
 }
 
+void
+mf_jobs_wake_later (MfJobs *jobs)
+{
+  ev_timer_stop (jobs->loop, &jobs->wake_now);
+  ev_timer_set (&jobs->wake_now, 0., 0.);
+  ev_timer_start (jobs->loop, &jobs->wake_now);
+}
+
 static void
 on_wake (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -598,14 +565,19 @@
   ev_init (&jobs->wake, on_wake);
   jobs->wake.repeat = WAKE_EVERY_S;
   jobs->wake.data = jobs;
+  ev_init (&jobs->wake_now, on_wake);
+  jobs->wake_now.data = jobs;
+  jobs->dispatch = mf_dispatch_new (&jobs->targets, &mf_job_dispatch_user, jobs);
 }
 
 void
 mf_jobs_clear (MfJobs *jobs)
 {
   ev_timer_stop (jobs->loop, &jobs->wake);
+  ev_timer_stop (jobs->loop, &jobs->wake_now);
   while (jobs->first != NULL)
     job_free (jobs->first);
+  mf_dispatch_free (jobs->dispatch);
   mf_targets_clear (&jobs->targets);
   mf_routes_unref (jobs->routes);
   jobs->routes = NULL;
--- a/libmangofork/relay/job.h
+++ b/libmangofork/relay/job.h
@@ -4,7 +4,7 @@
 #include "budget.h"
 #include "caller.h"
 #include "events.h"
-#include "load.h"
+#include "peers.h"
 #include "place.h"
 #include "relay_counters.h"
 
@@ -30,10 +30,13 @@
   const MfDialect *dialect;
   MfLines *lines;
   MfTargets targets;
-  MfPeers *peers;       /* NULL: this instance is alone */
-  bool others_stale;    /* what the other instances have is to be looked at again */
-  double answer_tokens; /* moving average of engines' answers; 0: none yet */
-  MfRoutes *routes;     /* in force; NULL while none is known */
+  MfDispatch *dispatch;
+  uint64_t last_ask_id;
+  MfRelayMessage message; /* room for one that is sent; too large for the stack */
+  MfPeers *peers;         /* NULL: this instance is alone */
+  bool others_stale;      /* what the other instances have is to be looked at again */
+  double answer_tokens;   /* moving average of engines' answers; 0: none yet */
+  MfRoutes *routes;       /* in force; NULL while none is known */
   MfServiceBudget budgets[MF_JOBS_SERVICES_MAX];
   uint32_t n_budgets;
   uint64_t budget_window_us;
@@ -44,6 +47,7 @@
   uint64_t n_ended; /* requests, since the start */
   uint32_t jobs_max;
   ev_timer wake;                /* requests that wait for room look again */
+  ev_timer wake_now;            /* the same, at the next turn of the loop */
   uint64_t random;              /* state of the generator */
   uint64_t no_streams_after_us; /* while shutting down; 0: not */
   MfRelayCounters counters;
@@ -58,6 +62,14 @@
 uint32_t mf_jobs_random (MfJobs *jobs);
 /* What this instance has at the engines has changed. */
 void mf_jobs_load_changed (MfJobs *jobs);
+/* A message that is no report has come from another instance. */
+void mf_jobs_take_message (MfJobs *jobs, uint64_t peer, const MfRelayMessage *message);
+/* Another instance is gone. */
+void mf_jobs_peer_gone (MfJobs *jobs, uint64_t peer);
+/* The same as mf_jobs_wake, from the loop. */
+void mf_jobs_wake_later (MfJobs *jobs);
+
+extern const MfDispatchUser mf_job_dispatch_user;
 
 /* The doors of callers are opened with this user and the MfJobs as its data. */
 extern const MfDoorUser mf_job_door_user;
--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -18,6 +18,7 @@
     .memory_data_centre = role == MF_ROLE_DECODE && job->memory_target != NULL
                               ? job->memory_target->info.data_centre
                               : NULL,
+    .data_centre = job->jobs->targets.data_centre,
     .point = mf_jobs_random (job->jobs),
   };
 
@@ -26,20 +27,6 @@
   return ask;
 }
 
-static void
-job_wait (MfJob *job)
-{
-  if (job->phase != MF_JOB_WAITING || job->waiting_since_us == 0)
-    {
-      job->phase = MF_JOB_WAITING;
-      job->waiting_since_us = mf_clock_now_us ();
-      job->jobs->counters.counts[MF_RELAY_COUNT_WAITED]++;
-    }
-  mf_job_set_timer (job);
-  if (!ev_is_active (&job->jobs->wake))
-    ev_timer_again (job->jobs->loop, &job->jobs->wake);
-}
-
 /* No upstream is left to try. */
 static void
 job_run_out (MfJob *job, bool any_alive)
@@ -77,74 +64,80 @@
   mf_job_release_memory (job);
 }
 
-/* The decode engine for this request: the one that keeps room for it, or the one with most room.
- * Waits or ends the request, and returns NULL, when there is none. */
+/* The engine that keeps room for this request, if it can still be used; else its room is given
+ * back. */
 static MfTarget *
-job_choose_decode (MfJob *job, uint64_t now_us)
+job_use_room (MfJob *job, uint64_t now_us)
 {
-  MfJobs *jobs = job->jobs;
+  MfTarget *room = job->room;
+  bool usable = room != NULL && room->listed && !room->info.leaving
+                && room->suspect_until_us <= now_us && room->full_until_us <= now_us;
+
+  for (uint32_t i = 0; usable && i < job->n_avoid; i++)
+    usable = job->avoid[i] != room->id_hash;
+  if (usable)
+    return room;
+  mf_job_reserve (job, NULL);
+  return NULL;
+}
+
+/* The engine that is to read the prompt: the one that was granted, or the best that is known here.
+ */
+static MfTarget *
+job_choose_prefill (MfJob *job, uint64_t now_us)
+{
+  MfTargets *targets = &job->jobs->targets;
+  MfPlaceAsk ask = job_ask (job, MF_ROLE_PREFILL);
   bool any_alive = false;
-  MfPlaceAsk ask;
-  MfTarget *decode;
+  MfTarget *prefill;
 
-  if (job->room != NULL)
+  for (MfTarget *target = targets->first; target != NULL; target = target->next)
     {
-      MfTarget *room = job->room;
-      bool usable = room->listed && !room->info.leaving && room->suspect_until_us <= now_us
-                    && room->full_until_us <= now_us;
+      bool usable = target->id_hash == job->granted_prefill && !target->info.leaving
+                    && target->info.role == MF_ROLE_PREFILL && target->suspect_until_us <= now_us;
 
       for (uint32_t i = 0; usable && i < job->n_avoid; i++)
-        usable = job->avoid[i] != room;
+        usable = job->avoid[i] != target->id_hash;
       if (usable)
-        return room;
-      mf_job_reserve (job, NULL);
+        return target;
     }
-  if (jobs->others_stale)
-    mf_load_refresh (&jobs->targets, jobs->peers, now_us);
-  jobs->others_stale = false;
-  ask = job_ask (job, MF_ROLE_DECODE);
-  decode = mf_place_choose (&jobs->targets, &ask, now_us, &any_alive);
-  if (decode == NULL && !any_alive)
-    {
-      job_run_out (job, false);
-      return NULL;
-    }
-  if (decode != NULL && mf_load_fits (decode, job->service, job->memory_tokens, now_us))
-    return decode;
-  /* When all have declined or failed they are asked anew once there may be room. */
-  if (decode == NULL)
-    job->n_avoid = 0;
-  job_wait (job);
-  return NULL;
+  prefill = mf_place_choose (targets, &ask, now_us, &any_alive);
+  return prefill != NULL && prefill->suspect_until_us <= now_us ? prefill : NULL;
 }
 
 static void
 job_place_engine (MfJob *job)
 {
+  MfTargets *targets = &job->jobs->targets;
   uint64_t now_us = mf_clock_now_us ();
-  bool any_prefill = false;
-  MfPlaceAsk ask;
   MfTarget *decode;
   MfTarget *prefill;
 
+  if (!mf_place_has_role (targets, job->service->name, MF_ROLE_DECODE))
+    {
+      job_run_out (job, false);
+      return;
+    }
   job_check_memory (job, now_us);
-  decode = job_choose_decode (job, now_us);
+  decode = job_use_room (job, now_us);
   if (decode == NULL)
-    return;
-  if (job->memory_target != NULL)
     {
-      mf_job_send (job, decode, false);
+      /* When many have declined or failed they are asked anew. */
+      if (job->n_avoid == MF_PLACE_AVOID_MAX)
+        job->n_avoid = 0;
+      mf_job_ask_room (job);
       return;
     }
-  ask = job_ask (job, MF_ROLE_PREFILL);
-  prefill = mf_place_choose (&job->jobs->targets, &ask, now_us, &any_prefill);
-  if (prefill == NULL || prefill->suspect_until_us > now_us)
+  if (job->memory_target != NULL)
     {
       mf_job_send (job, decode, false);
       return;
     }
-  mf_job_reserve (job, decode);
-  mf_job_send (job, prefill, true);
+  prefill = job_choose_prefill (job, now_us);
+  if (prefill == NULL)
+    mf_job_send (job, decode, false);
+  else
+    mf_job_send (job, prefill, true);
 }
 
 void
@@ -165,12 +158,12 @@
 
   if (job->phase == MF_JOB_WAITING)
     {
-      mf_job_advance (job);
+      mf_job_ask_expired (job);
       return;
     }
   ask = job_ask (job, target->info.role);
   if (job->n_avoid < MF_PLACE_AVOID_MAX)
-    ask.avoid[ask.n_avoid++] = target;
+    ask.avoid[ask.n_avoid++] = target->id_hash;
   if (job->phase != MF_JOB_PREFILL
       && (!mf_job_may_repeat (job) || job->n_runs + 1 >= job->route->attempts_max))
     {
--- /dev/null
+++ b/libmangofork/relay/job_room.c
@@ -0,0 +1,246 @@
+#include "job_row.h"
+
+#include "libmangofork/clock.h"
+
+#include <string.h>
+
+/* The instance that decides for all answers an ask at once, if only that it is queued: a few round
+ * trips between data centres and turns of a small instance's loop. */
+#define ANSWER_US (80 * MF_US_PER_MS)
+
+static MfJob *
+job_by_ask (const MfJobs *jobs, uint64_t ask_id)
+{
+  for (MfJob *job = jobs->first; job != NULL; job = job->next)
+    {
+      if (job->ask_id == ask_id && job->phase == MF_JOB_WAITING)
+        return job;
+    }
+  return NULL;
+}
+
+static MfTarget *
+target_by_hash (const MfTargets *targets, uint64_t hash)
+{
+  for (MfTarget *target = targets->first; target != NULL; target = target->next)
+    {
+      if (target->id_hash == hash && hash != 0)
+        return target;
+    }
+  return NULL;
+}
+
+/* What is asked for this request. */
+static MfAsk
+ask_make (MfJob *job, uint64_t now_us)
+{
+  MfAsk ask = {
+    .id = ++job->jobs->last_ask_id,
+    .prompt_tokens = job->prompt_tokens,
+    .memory_tokens = job->memory_tokens,
+    .has_memory = job->memory_target != NULL,
+    .age_us = now_us - job->begun_us,
+    .objective_us = job->route->target_latency_us,
+    .patience_us = job->give_up_us - job->begun_us,
+    .n_avoid = job->n_avoid,
+  };
+
+  memcpy (ask.service, job->service->name, strnlen (job->service->name, sizeof ask.service - 1));
+  memcpy (ask.data_centre, job->jobs->targets.data_centre, sizeof ask.data_centre);
+  memcpy (ask.avoid, job->avoid, sizeof ask.avoid);
+  return ask;
+}
+
+/* Asks this instance itself. */
+static void
+ask_here (MfJob *job)
+{
+  MfJobs *jobs = job->jobs;
+  uint64_t now_us = mf_clock_now_us ();
+  MfAsk ask = ask_make (job, now_us);
+
+  job->ask_id = ask.id;
+  job->asked = MF_DISPATCH_SELF;
+  job->try_due_us = 0;
+  mf_dispatch_ask (jobs->dispatch, MF_DISPATCH_SELF, &ask, now_us);
+  mf_job_set_timer (job);
+  mf_jobs_wake_later (jobs);
+}
+
+/* Takes back an ask that was not answered. */
+void
+mf_job_unask (MfJob *job)
+{
+  MfJobs *jobs = job->jobs;
+
+  if (job->ask_id == 0)
+    return;
+  if (job->asked == MF_DISPATCH_SELF)
+    mf_dispatch_cancel (jobs->dispatch, MF_DISPATCH_SELF, job->ask_id);
+  else
+    {
+      jobs->message.kind = MF_RELAY_MESSAGE_CANCEL;
+      jobs->message.grant.id = job->ask_id;
+      mf_peers_send (jobs->peers, job->asked, &jobs->message);
+    }
+  job->ask_id = 0;
+}
+
+void
+mf_job_ask_room (MfJob *job)
+{
+  MfJobs *jobs = job->jobs;
+  uint64_t now_us = mf_clock_now_us ();
+  uint64_t leader = jobs->peers == NULL ? MF_DISPATCH_SELF
+                                        : mf_peers_leader (jobs->peers, job->service->name, now_us);
+
+  mf_job_unask (job);
+  if (job->phase != MF_JOB_WAITING || job->waiting_since_us == 0)
+    {
+      job->phase = MF_JOB_WAITING;
+      job->waiting_since_us = now_us;
+    }
+  if (leader == MF_DISPATCH_SELF)
+    {
+      ask_here (job);
+      return;
+    }
+  jobs->message.kind = MF_RELAY_MESSAGE_ASK;
+  jobs->message.ask = ask_make (job, now_us);
+  job->ask_id = jobs->message.ask.id;
+  job->asked = leader;
+  job->try_due_us = now_us + ANSWER_US;
+  if (mf_peers_send (jobs->peers, leader, &jobs->message))
+    mf_job_set_timer (job);
+  else
+    ask_here (job);
+}
+
+/* The instance that was asked does not answer: this one decides for itself. */
+void
+mf_job_ask_expired (MfJob *job)
+{
+  MfJobs *jobs = job->jobs;
+
+  mf_lines_state (jobs->lines, "dispatch.unanswered", "id=%s waited_ms=%.1f", job->id,
+                  (double)(mf_clock_now_us () - job->waiting_since_us) / 1e3);
+  mf_peers_distrust (jobs->peers, job->asked);
+  mf_job_unask (job);
+  ask_here (job);
+}
+
+/* Goes on with the engines that a grant names, as far as this instance can use them. */
+static void
+job_granted (MfJob *job, const MfGrant *grant)
+{
+  MfTargets *targets = &job->jobs->targets;
+  MfTarget *decode = target_by_hash (targets, grant->decode);
+  uint64_t now_us = mf_clock_now_us ();
+
+  job->ask_id = 0;
+  job->try_due_us = 0;
+  job->waited_us += now_us - job->waiting_since_us;
+  job->granted_prefill = grant->prefill;
+  if (decode != NULL && !decode->info.leaving)
+    mf_job_reserve (job, decode);
+  mf_job_advance (job);
+}
+
+static void
+on_grant (void *data, uint64_t asker, const MfGrant *grant)
+{
+  MfJobs *jobs = data;
+  MfJob *job;
+
+  if (asker != MF_DISPATCH_SELF)
+    {
+      jobs->message.kind = MF_RELAY_MESSAGE_GRANT;
+      jobs->message.grant = *grant;
+      mf_peers_send (jobs->peers, asker, &jobs->message);
+      return;
+    }
+  job = job_by_ask (jobs, grant->id);
+  if (job != NULL)
+    job_granted (job, grant);
+}
+
+static const MfRouteService *
+on_traits (void *data, const char *service)
+{
+  MfJobs *jobs = data;
+  uint32_t index = jobs->routes == NULL ? MF_NONE : mf_routes_service (jobs->routes, service);
+
+  return index == MF_NONE ? NULL : &jobs->routes->services[index];
+}
+
+const MfDispatchUser mf_job_dispatch_user = {
+  .grant = on_grant,
+  .traits = on_traits,
+};
+
+/* Tells an asker whose ask could not be granted at once that it is kept. */
+static void
+ask_take (MfJobs *jobs, uint64_t peer, const MfAsk *ask)
+{
+  uint64_t id = ask->id;
+  uint32_t n_before = mf_dispatch_n_waiting (jobs->dispatch);
+
+  mf_dispatch_ask (jobs->dispatch, peer, ask, mf_clock_now_us ());
+  mf_jobs_wake (jobs);
+  if (mf_dispatch_n_waiting (jobs->dispatch) <= n_before)
+    return;
+  jobs->message.kind = MF_RELAY_MESSAGE_QUEUED;
+  jobs->message.grant.id = id;
+  mf_peers_send (jobs->peers, peer, &jobs->message);
+}
+
+void
+mf_jobs_take_message (MfJobs *jobs, uint64_t peer, const MfRelayMessage *message)
+{
+  MfJob *job;
+
+  switch (message->kind)
+    {
+    case MF_RELAY_MESSAGE_ASK:
+      ask_take (jobs, peer, &message->ask);
+      return;
+    case MF_RELAY_MESSAGE_CANCEL:
+      mf_dispatch_cancel (jobs->dispatch, peer, message->grant.id);
+      return;
+    case MF_RELAY_MESSAGE_SEEN:
+      mf_dispatch_seen (jobs->dispatch, peer, message->grant.id);
+      jobs->others_stale = true;
+      return;
+    case MF_RELAY_MESSAGE_QUEUED:
+      job = job_by_ask (jobs, message->grant.id);
+      if (job == NULL || job->asked != peer)
+        return;
+      job->try_due_us = 0;
+      mf_job_set_timer (job);
+      return;
+    case MF_RELAY_MESSAGE_GRANT:
+      mf_peers_note_grant (jobs->peers, peer, message->grant.id);
+      job = job_by_ask (jobs, message->grant.id);
+      if (job != NULL && job->asked == peer)
+        job_granted (job, &message->grant);
+      /* The place shows in the load, or is free again. */
+      mf_jobs_load_changed (jobs);
+      return;
+    default:
+      return;
+    }
+}
+
+void
+mf_jobs_peer_gone (MfJobs *jobs, uint64_t peer)
+{
+  mf_dispatch_drop (jobs->dispatch, peer);
+  jobs->others_stale = true;
+  for (MfJob *job = jobs->first; job != NULL; job = job->next)
+    {
+      if (job->phase != MF_JOB_WAITING || job->ask_id == 0 || job->asked != peer)
+        continue;
+      job->ask_id = 0;
+      ask_here (job);
+    }
+}
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -65,7 +65,11 @@
 
   MfTarget *room; /* the engine that keeps room for it; NULL: none does */
 
-  const MfTarget *avoid[MF_PLACE_AVOID_MAX];
+  uint64_t ask_id;          /* of the ask for room that waits for its answer; 0: none */
+  uint64_t asked;           /* the instance that was asked */
+  uint64_t granted_prefill; /* hash of the engine that is to read the prompt */
+
+  uint64_t avoid[MF_PLACE_AVOID_MAX]; /* hashes of upstreams that declined or failed */
   uint32_t n_avoid;
   uint32_t n_arrivals; /* sends of the run that reached an upstream */
   uint32_t n_runs;     /* of these, those that may have run */
@@ -88,6 +92,11 @@
 bool mf_job_take_repeat (MfJob *job);
 MfServiceBudget *mf_jobs_budget (MfJobs *jobs, const char *service);
 
+/* job_room.c: asks for room at an engine, here or at the instance that decides for all. */
+void mf_job_ask_room (MfJob *job);
+void mf_job_unask (MfJob *job);
+void mf_job_ask_expired (MfJob *job);
+
 /* job_place.c: decides what a request does next. */
 void mf_job_advance (MfJob *job);
 /* The upstream given up for another did not answer in time. */
--- a/libmangofork/relay/job_send.c
+++ b/libmangofork/relay/job_send.c
@@ -33,7 +33,7 @@
 mf_job_avoid (MfJob *job, const MfTarget *target)
 {
   if (job->n_avoid < MF_PLACE_AVOID_MAX)
-    job->avoid[job->n_avoid++] = target;
+    job->avoid[job->n_avoid++] = target->id_hash;
 }
 
 void
--- a/libmangofork/relay/load.c
+++ b/libmangofork/relay/load.c
@@ -1,12 +1,16 @@
 #include "load.h"
 
 #include <math.h>
+#include <string.h>
+#include <xxhash.h>
 
 /* Part of an answer that is reckoned into a request's memory: on average half of it is there, and a
  * few requests are near their end at once. */
 #define ANSWER_SHARE 0.7
 /* Part of an engine's memory that is filled; the rest is for answers longer than expected. */
 #define FILL_SHARE 0.97
+/* Upstreams without requests are told of from this share of failures on. */
+#define FAILURE_TOLD_PERCENT 10
 
 uint64_t
 mf_load_memory_tokens (uint64_t prompt_tokens, uint64_t hint_tokens, uint64_t typical_tokens,
@@ -37,47 +41,60 @@
   return capacity == 0 || mf_target_load_tokens (target) + tokens <= capacity;
 }
 
+uint64_t
+mf_load_hash (const char *name)
+{
+  uint64_t hash = XXH3_64bits (name, strlen (name));
+
+  return hash != 0 ? hash : 1;
+}
+
 void
-mf_load_fill (const MfTargets *targets, MfLoadReport *report)
+mf_load_fill (const MfTargets *targets, MfLoadReport *report, uint64_t now_us)
 {
   for (const MfTarget *target = targets->first; target != NULL; target = target->next)
     {
       uint32_t n_own = target->n_active + target->n_reserved;
+      uint32_t failure_percent = (uint32_t)(mf_target_failure_share (target, now_us) * 100.);
 
-      if (n_own == 0 || target->info.role == MF_ROLE_PLAIN
+      if (target->info.role == MF_ROLE_PLAIN
+          || (n_own == 0 && failure_percent < FAILURE_TOLD_PERCENT)
           || report->n_entries == MF_LOAD_ENTRIES_MAX)
         continue;
       report->entries[report->n_entries++] = (MfLoadEntry){
         .upstream = target->id_hash,
         .n_active = n_own,
         .tokens = (uint32_t)(target->active_tokens + target->reserved_tokens),
+        .failure_percent = failure_percent,
       };
     }
 }
 
-static void
-entry_add (void *data, const MfLoadEntry *entry)
+void
+mf_load_reset (MfTargets *targets)
 {
-  MfTargets *targets = data;
-
   for (MfTarget *target = targets->first; target != NULL; target = target->next)
     {
-      if (target->id_hash != entry->upstream)
-        continue;
-      target->n_others += entry->n_active;
-      target->others_tokens += entry->tokens;
-      return;
+      target->n_others = 0;
+      target->others_tokens = 0;
+      target->others_failure_share = 0.;
     }
 }
 
 void
-mf_load_refresh (MfTargets *targets, const MfPeers *peers, uint64_t now_us)
+mf_load_add (void *data, const MfLoadEntry *entry)
 {
+  MfTargets *targets = data;
+  double failure_share = entry->failure_percent < 100 ? entry->failure_percent / 100. : 1.;
+
   for (MfTarget *target = targets->first; target != NULL; target = target->next)
     {
-      target->n_others = 0;
-      target->others_tokens = 0;
+      if (target->id_hash != entry->upstream)
+        continue;
+      target->n_others += entry->n_active;
+      target->others_tokens += entry->tokens;
+      if (failure_share > target->others_failure_share)
+        target->others_failure_share = failure_share;
+      return;
     }
-  if (peers != NULL)
-    mf_peers_foreach (peers, now_us, entry_add, targets);
 }
--- a/libmangofork/relay/load.h
+++ b/libmangofork/relay/load.h
@@ -1,7 +1,7 @@
 #ifndef MF_RELAY_LOAD_H
 #define MF_RELAY_LOAD_H
 
-#include "peers.h"
+#include "load_report.h"
 #include "route.h"
 #include "target.h"
 
@@ -18,8 +18,10 @@
 bool mf_load_fits (const MfTarget *target, const MfRouteService *traits, uint64_t tokens,
                    uint64_t now_us);
 /* Fills a report with what this instance has at the engines. */
-void mf_load_fill (const MfTargets *targets, MfLoadReport *report);
-/* Renews what the other instances have at each engine. */
-void mf_load_refresh (MfTargets *targets, const MfPeers *peers, uint64_t now_us);
+void mf_load_fill (const MfTargets *targets, MfLoadReport *report, uint64_t now_us);
+/* Forgets what the other instances have at each upstream, before it is added anew. */
+void mf_load_reset (MfTargets *targets);
+/* Adds what another instance has told of one upstream; data is the MfTargets. */
+void mf_load_add (void *data, const MfLoadEntry *entry);
 
 #endif
--- a/libmangofork/relay/load_report.h
+++ b/libmangofork/relay/load_report.h
@@ -1,25 +1,23 @@
 #ifndef MF_RELAY_LOAD_REPORT_H
 #define MF_RELAY_LOAD_REPORT_H
 
-#include "libmangofork/buffer.h"
-#include "libmangofork/error.h"
+#include "libmangofork/types.h"
 
-/* Engines one report names; an instance uses fewer at once. */
+/* Upstreams one report names; an instance uses fewer at once. */
 #define MF_LOAD_ENTRIES_MAX 128
 /* Other instances one report names. */
 #define MF_LOAD_MEMBERS_MAX 400
-/* Bytes of a report's payload at most. */
-#define MF_LOAD_REPORT_BYTES_MAX 65536
 
-/* What one instance has at one engine. */
+/* What one instance has at one upstream, and what it thinks of it. */
 typedef struct
 {
-  uint64_t upstream; /* hash of its id */
-  uint32_t n_active; /* requests there or about to be */
-  uint32_t tokens;   /* their engine memory, when they end */
+  uint64_t upstream;        /* hash of its id */
+  uint32_t n_active;        /* requests there or about to be */
+  uint32_t tokens;          /* the engine memory they are reckoned to need */
+  uint32_t failure_percent; /* of the requests sent there lately */
 } MfLoadEntry;
 
-/* What an instance tells the others, as often as it changes and at each heartbeat. */
+/* What an instance tells the others. */
 typedef struct
 {
   char address[MF_ADDRESS_BYTES]; /* of the sender's port for instances */
@@ -30,11 +28,7 @@
   uint32_t n_members;
 } MfLoadReport;
 
-/* The hash under which reports name an upstream. */
-uint64_t mf_load_hash (const char *upstream_id);
-/* Adds a report as a frame: 4 bytes of length, then msgpack. */
-void mf_load_report_encode (const MfLoadReport *report, MfBuffer *out);
-/* Reads the payload of a frame; fields that are not known are passed over. */
-bool mf_load_report_decode (const char *payload, size_t payload_bytes, MfLoadReport *report);
+/* The hash under which instances name upstreams and each other; never 0. */
+uint64_t mf_load_hash (const char *name);
 
 #endif
--- a/libmangofork/relay/peers.c
+++ b/libmangofork/relay/peers.c
@@ -14,14 +14,24 @@
 /* Other instances that are kept in touch with. */
 #define PEERS_MAX 128
 #define READ_BYTES 8192
-/* Changes are told together, one report a millisecond over all peers and at most this often. */
-#define TELL_MIN_US (8 * MF_US_PER_MS)
-#define TELL_PER_PEER_US (1 * MF_US_PER_MS)
+/* Changes are told together, this often at most. */
+#define TELL_EVERY_US (4 * MF_US_PER_MS)
+/* Up to so many peers are all told of each change. */
+#define SMALL_FLEET 12
+/* A peer that was asked to decide is told of each change for so long. */
+#define LEADER_US (5 * MF_US_PER_S)
+/* A peer that did not answer is not asked for so long. */
+#define DISTRUST_US (2 * MF_US_PER_S)
+/* Odd number that spreads the ranks of instances (2^64 divided by the golden ratio). */
+#define RANK_FACTOR UINT64_C (0x9e3779b97f4a7c15)
 /* A report that changes nothing still goes out this often, a little less so in large fleets. */
 #define HEARTBEAT_MIN_US (400 * MF_US_PER_MS)
 #define HEARTBEAT_PER_PEER_US (12 * MF_US_PER_MS)
-/* What a peer told holds for this many of its heartbeats. */
-#define HEARTBEATS_KEPT 3
+/* A peer that is not heard after this part of its heartbeat is not asked to decide. */
+#define FRESH_PERCENT 180
+/* What a peer told is reckoned with for so long after it fell silent: while it is only cut off, its
+ * streams go on at the engines, and they last about as long. */
+#define KEEP_US (5 * MF_US_PER_S)
 /* A peer that cannot be reached is tried again after this time, doubled to the last. */
 #define REDIAL_FIRST_US (100 * MF_US_PER_MS)
 #define REDIAL_MAX_US (2 * MF_US_PER_S)
@@ -41,6 +51,7 @@
 {
   MfPeers *peers;
   char address[MF_ADDRESS_BYTES];
+  uint64_t hash;
   bool is_seed;
   int fd; /* the connection reports go out on; -1: none */
   bool connected;
@@ -51,8 +62,13 @@
   uint64_t seen_us; /* reached or heard */
   uint64_t members_told_us;
   uint64_t dialled_us;
+  uint64_t told_us;
+  uint64_t leader_us;     /* when it was last asked to decide */
+  uint64_t distrusted_us; /* until then it is not asked */
+  uint64_t grant_id;      /* the last grant of its that was taken */
+  bool grant_told;
   uint64_t heard_us;
-  uint64_t keep_us; /* what it told holds so long */
+  uint64_t fresh_us; /* it is due to be heard within this time */
   MfLoadEntry *entries;
   uint32_t n_entries;
 } Peer;
@@ -85,7 +101,10 @@
   Incoming *incoming;
   uint64_t told_us;
   uint64_t members_changed_us;
-  MfLoadReport *report; /* room for one; too large for the stack */
+  MfRelayMessage in; /* room for one that came and one that goes; too large for the stack */
+  MfRelayMessage out;
+  bool closing;
+  uint64_t hash; /* of the own address */
 };
 
 static Peer *
@@ -157,12 +176,27 @@
   return scaled > HEARTBEAT_MIN_US ? scaled : HEARTBEAT_MIN_US;
 }
 
-/* Fills the report that goes out now. */
 static void
-report_make (MfPeers *peers, bool with_members)
+peer_put (MfPeers *peers, Peer *peer, const MfBuffer *frames)
+{
+  if (!peer->connected)
+    return;
+  if (mf_buffer_bytes (&peer->out) > WAITING_BYTES_MAX)
+    {
+      peer_hang_up (peers, peer);
+      return;
+    }
+  mf_buffer_add (&peer->out, mf_buffer_data (frames), mf_buffer_bytes (frames));
+  peer_flush (peers, peer);
+}
+
+/* Writes a report of what this instance has now. */
+static void
+report_write (MfPeers *peers, bool with_members, MfBuffer *frame)
 {
-  MfLoadReport *report = peers->report;
+  MfLoadReport *report = &peers->out.report;
 
+  peers->out.kind = MF_RELAY_MESSAGE_REPORT;
   memcpy (report->address, peers->address, sizeof report->address);
   report->heartbeat_ms = (uint32_t)(heartbeat_us (peers) / MF_US_PER_MS);
   report->n_entries = 0;
@@ -174,49 +208,63 @@
         continue;
       memcpy (report->members[report->n_members++], peers->list[i]->address, MF_ADDRESS_BYTES);
     }
+  mf_relay_message_encode (&peers->out, frame);
 }
 
+/* Tells a peer that the report after this includes a grant of its. */
 static void
-peer_send (MfPeers *peers, Peer *peer, const MfBuffer *frame)
+seen_put (MfPeers *peers, Peer *peer)
 {
-  if (!peer->connected)
+  MfBuffer frame = { 0 };
+
+  if (peer->grant_told)
     return;
-  if (mf_buffer_bytes (&peer->out) > WAITING_BYTES_MAX)
-    {
-      peer_hang_up (peers, peer);
-      return;
-    }
-  mf_buffer_add (&peer->out, mf_buffer_data (frame), mf_buffer_bytes (frame));
-  peer_flush (peers, peer);
+  peer->grant_told = true;
+  peers->out.kind = MF_RELAY_MESSAGE_SEEN;
+  peers->out.grant.id = peer->grant_id;
+  mf_relay_message_encode (&peers->out, &frame);
+  peer_put (peers, peer, &frame);
+  mf_buffer_clear (&frame);
 }
 
-/* Tells all peers; those that do not know of the last change of members are told these as well. */
+/* Whether a peer is to be told now: at its heartbeat, and of changes when it decides for this
+ * instance or the fleet is small. */
+static bool
+is_due (const MfPeers *peers, const Peer *peer, bool changed, uint64_t now_us)
+{
+  if (!peer->connected)
+    return false;
+  if (now_us - peer->told_us >= heartbeat_us (peers))
+    return true;
+  return changed && (peers->n_peers <= SMALL_FLEET || now_us - peer->leader_us < LEADER_US);
+}
+
+/* Tells the peers that are due; those that do not know of the last change of members are told these
+ * as well. */
 static void
-peers_tell (MfPeers *peers)
+peers_tell (MfPeers *peers, bool changed)
 {
   uint64_t now_us = mf_clock_now_us ();
   MfBuffer plain = { 0 };
   MfBuffer full = { 0 };
 
   peers->told_us = now_us;
-  report_make (peers, false);
-  mf_load_report_encode (peers->report, &plain);
   for (uint32_t i = 0; i < peers->n_peers; i++)
     {
       Peer *peer = peers->list[i];
       bool wants = peer->members_told_us <= peers->members_changed_us
                    && now_us - peer->members_told_us >= MEMBERS_EVERY_US;
+      MfBuffer *frame = wants ? &full : &plain;
 
-      if (!peer->connected)
+      if (!is_due (peers, peer, changed, now_us))
         continue;
-      if (wants && mf_buffer_bytes (&full) == 0)
-        {
-          report_make (peers, true);
-          mf_load_report_encode (peers->report, &full);
-        }
+      if (mf_buffer_bytes (frame) == 0)
+        report_write (peers, wants, frame);
       if (wants)
         peer->members_told_us = now_us;
-      peer_send (peers, peer, wants ? &full : &plain);
+      peer->told_us = now_us;
+      seen_put (peers, peer);
+      peer_put (peers, peer, frame);
     }
   mf_buffer_clear (&plain);
   mf_buffer_clear (&full);
@@ -227,26 +275,97 @@
 {
   (void)events;
   ev_timer_stop (loop, watcher);
-  peers_tell (watcher->data);
+  peers_tell (watcher->data, true);
 }
 
 void
 mf_peers_touch (MfPeers *peers)
 {
   uint64_t now_us = mf_clock_now_us ();
-  uint64_t pause_us = TELL_PER_PEER_US * peers->n_peers;
-  uint64_t due_us;
+  uint64_t due_us = peers->told_us + TELL_EVERY_US;
 
   if (peers->n_peers == 0 || ev_is_active (&peers->tell))
     return;
-  if (pause_us < TELL_MIN_US)
-    pause_us = TELL_MIN_US;
-  due_us = peers->told_us + pause_us;
   /* What happens in one turn of the loop is told together. */
   ev_timer_set (&peers->tell, due_us > now_us ? (double)(due_us - now_us) / 1e6 : 0.0005, 0.);
   ev_timer_start (peers->loop, &peers->tell);
 }
 
+static Peer *
+peer_by_hash (const MfPeers *peers, uint64_t hash)
+{
+  for (uint32_t i = 0; i < peers->n_peers; i++)
+    {
+      if (peers->list[i]->hash == hash)
+        return peers->list[i];
+    }
+  return NULL;
+}
+
+bool
+mf_peers_send (MfPeers *peers, uint64_t hash, const MfRelayMessage *message)
+{
+  Peer *peer = peer_by_hash (peers, hash);
+  MfBuffer frame = { 0 };
+
+  if (peer == NULL || !peer->connected)
+    return false;
+  mf_relay_message_encode (message, &frame);
+  peer_put (peers, peer, &frame);
+  mf_buffer_clear (&frame);
+  return peer->connected;
+}
+
+static bool
+is_heard (const Peer *peer, uint64_t now_us)
+{
+  return peer->heard_us > 0 && now_us - peer->heard_us <= peer->fresh_us;
+}
+
+uint64_t
+mf_peers_leader (MfPeers *peers, const char *service, uint64_t now_us)
+{
+  uint64_t salt = mf_load_hash (service);
+  Peer *best = NULL;
+  uint64_t best_rank = (peers->hash ^ salt) * RANK_FACTOR;
+
+  for (uint32_t i = 0; i < peers->n_peers; i++)
+    {
+      Peer *peer = peers->list[i];
+      uint64_t rank = (peer->hash ^ salt) * RANK_FACTOR;
+
+      if (rank <= best_rank || !peer->connected || !is_heard (peer, now_us)
+          || peer->distrusted_us > now_us)
+        continue;
+      best = peer;
+      best_rank = rank;
+    }
+  if (best == NULL)
+    return MF_DISPATCH_SELF;
+  best->leader_us = now_us;
+  return best->hash;
+}
+
+void
+mf_peers_distrust (MfPeers *peers, uint64_t hash)
+{
+  Peer *peer = peer_by_hash (peers, hash);
+
+  if (peer != NULL)
+    peer->distrusted_us = mf_clock_now_us () + DISTRUST_US;
+}
+
+void
+mf_peers_note_grant (MfPeers *peers, uint64_t hash, uint64_t grant_id)
+{
+  Peer *peer = peer_by_hash (peers, hash);
+
+  if (peer == NULL)
+    return;
+  peer->grant_id = grant_id;
+  peer->grant_told = false;
+}
+
 static void
 on_peer_writable (struct ev_loop *loop, ev_io *watcher, int events)
 {
@@ -268,7 +387,8 @@
       peer->redial_us = 0;
       peer->seen_us = mf_clock_now_us ();
       peer->members_told_us = 0;
-      mf_peers_touch (peers);
+      peer->told_us = 0;
+      peers_tell (peers, false);
     }
   peer_flush (peers, peer);
 }
@@ -307,6 +427,8 @@
   if (peers->n_peers == PEERS_MAX || (peer = calloc (1, sizeof *peer)) == NULL)
     return NULL;
   peer->peers = peers;
+  peer->hash = mf_load_hash (address);
+  peer->grant_told = true;
   mf_name_set (peer->address, sizeof peer->address, address);
   peer->is_seed = is_seed;
   peer->fd = -1;
@@ -355,7 +477,7 @@
     }
   peer->heard_us = now_us;
   peer->seen_us = now_us;
-  peer->keep_us = (uint64_t)report->heartbeat_ms * MF_US_PER_MS * HEARTBEATS_KEPT;
+  peer->fresh_us = (uint64_t)report->heartbeat_ms * MF_US_PER_MS * FRESH_PERCENT / 100;
   /* It lives, so it is worth dialling at once. */
   if (peer->fd < 0 && peer->redial_at_us > now_us + REDIAL_FIRST_US)
     peer->redial_at_us = now_us;
@@ -392,13 +514,13 @@
   Peer *peer = has_successor (incoming) ? NULL : peer_find (peers, incoming->address);
 
   /* A process that ends drops its requests at the engines with it. */
-  if (peer != NULL && peer->heard_us > 0)
+  if (peer != NULL && peer->heard_us > 0 && !peers->closing)
     {
       mf_lines_state (peers->lines, "peer.closed", "peer=%s entries=%u", peer->address,
                       peer->n_entries);
       peer->n_entries = 0;
       peer->heard_us = 0;
-      peers->user->changed (peers->data);
+      peers->user->gone (peers->data, peer->hash);
     }
   for (Incoming **place = &peers->incoming; *place != NULL; place = &(*place)->next)
     {
@@ -425,15 +547,20 @@
       size_t n_bytes = (size_t)bytes[0] << 24 | (size_t)bytes[1] << 16 | (size_t)bytes[2] << 8
                        | (size_t)bytes[3];
 
-      if (n_bytes > MF_LOAD_REPORT_BYTES_MAX)
+      if (n_bytes > MF_RELAY_MESSAGE_BYTES_MAX)
         return false;
       if (mf_buffer_bytes (&incoming->in) < 4 + n_bytes)
         return true;
-      if (!mf_load_report_decode ((const char *)bytes + 4, n_bytes, peers->report))
+      if (!mf_relay_message_decode ((const char *)bytes + 4, n_bytes, &peers->in))
         return false;
       mf_buffer_take (&incoming->in, 4 + n_bytes);
-      memcpy (incoming->address, peers->report->address, sizeof incoming->address);
-      report_take (peers, peers->report);
+      if (peers->in.kind == MF_RELAY_MESSAGE_REPORT)
+        {
+          memcpy (incoming->address, peers->in.report.address, sizeof incoming->address);
+          report_take (peers, &peers->in.report);
+        }
+      else if (incoming->address[0] != '\0')
+        peers->user->message (peers->data, mf_load_hash (incoming->address), &peers->in);
     }
   return !incoming->in.failed;
 }
@@ -510,8 +637,7 @@
       else if (peer->fd >= 0 && !peer->connected && now_us - peer->dialled_us > CONNECT_US)
         peer_hang_up (peers, peer);
     }
-  if (now_us - peers->told_us >= heartbeat_us (peers))
-    peers_tell (peers);
+  peers_tell (peers, false);
 }
 
 MfPeers *
@@ -520,10 +646,9 @@
 {
   MfPeers *peers = calloc (1, sizeof *peers);
 
-  if (peers == NULL || (peers->report = calloc (1, sizeof *peers->report)) == NULL)
+  if (peers == NULL)
     {
       mf_error_set (error, MF_CODE_NO_MEMORY, "no memory for the peers");
-      free (peers);
       return NULL;
     }
   peers->loop = loop;
@@ -531,10 +656,10 @@
   peers->data = data;
   peers->lines = lines;
   mf_name_set (peers->address, sizeof peers->address, address);
+  peers->hash = mf_load_hash (address);
   peers->fd = mf_socket_listen (address, error);
   if (peers->fd < 0)
     {
-      free (peers->report);
       free (peers);
       return NULL;
     }
@@ -554,6 +679,7 @@
 {
   if (peers == NULL)
     return;
+  peers->closing = true;
   ev_timer_stop (peers->loop, &peers->tick);
   ev_timer_stop (peers->loop, &peers->tell);
   ev_io_stop (peers->loop, &peers->acceptor);
@@ -562,7 +688,6 @@
     incoming_close (peers->incoming);
   for (uint32_t i = 0; i < peers->n_peers; i++)
     peer_free (peers, peers->list[i]);
-  free (peers->report);
   free (peers);
 }
 
@@ -574,7 +699,7 @@
     {
       const Peer *peer = peers->list[i];
 
-      if (peer->heard_us == 0 || now_us - peer->heard_us > peer->keep_us)
+      if (peer->heard_us == 0 || now_us - peer->heard_us > KEEP_US)
         continue;
       for (uint32_t j = 0; j < peer->n_entries; j++)
         func (data, &peer->entries[j]);
@@ -587,7 +712,6 @@
   uint32_t n_heard = 1;
 
   for (uint32_t i = 0; i < peers->n_peers; i++)
-    n_heard += peers->list[i]->heard_us > 0
-               && now_us - peers->list[i]->heard_us <= peers->list[i]->keep_us;
+    n_heard += is_heard (peers->list[i], now_us);
   return n_heard;
 }
--- a/libmangofork/relay/peers.h
+++ b/libmangofork/relay/peers.h
@@ -2,7 +2,7 @@
 #define MF_RELAY_PEERS_H
 
 #include "line.h"
-#include "load_report.h"
+#include "relay_message.h"
 
 /* The other instances: each tells all others what it has at the engines. What they tell is advice
  * for placing only; nothing that must hold depends on it. */
@@ -14,6 +14,10 @@
   void (*fill) (void *data, MfLoadReport *report);
   /* What the others have has changed. */
   void (*changed) (void *data);
+  /* A message other than a report has come; peers are named by the hash of their address. */
+  void (*message) (void *data, uint64_t peer, const MfRelayMessage *message);
+  /* A peer has closed its connection or has not been heard for long. */
+  void (*gone) (void *data, uint64_t peer);
 } MfPeersUser;
 
 /* Listens at an address, which is also the one others are told. NULL with error set. */
@@ -28,6 +32,14 @@
 /* Calls func for each entry that another instance has told and that still holds. */
 void mf_peers_foreach (const MfPeers *peers, uint64_t now_us,
                        void (*func) (void *data, const MfLoadEntry *entry), void *data);
+/* Sends a message; false when the peer is not connected. */
+bool mf_peers_send (MfPeers *peers, uint64_t peer, const MfRelayMessage *message);
+/* The instance that decides for all about a service: a peer, or 0 for this one. */
+uint64_t mf_peers_leader (MfPeers *peers, const char *service, uint64_t now_us);
+/* The peer did not answer: it decides for nobody here for a while. */
+void mf_peers_distrust (MfPeers *peers, uint64_t peer);
+/* The next report to this peer will show this grant of its. */
+void mf_peers_note_grant (MfPeers *peers, uint64_t peer, uint64_t grant_id);
 /* Instances heard of lately, this one included. */
 uint32_t mf_peers_count (const MfPeers *peers, uint64_t now_us);
 
--- a/libmangofork/relay/place.c
+++ b/libmangofork/relay/place.c
@@ -21,7 +21,7 @@
 {
   for (uint32_t i = 0; i < ask->n_avoid; i++)
     {
-      if (ask->avoid[i] == target)
+      if (ask->avoid[i] == target->id_hash)
         return true;
     }
   return false;
@@ -34,6 +34,13 @@
          && strcmp (target->info.service, ask->service) == 0;
 }
 
+/* Whether it is in the data centre of the instance that sends. */
+static bool
+is_near (const MfTarget *target, const MfPlaceAsk *ask)
+{
+  return strcmp (target->info.data_centre, ask->data_centre) == 0;
+}
+
 /* Time since the last sign of life of an upstream that owes an answer. */
 static double
 silence_us (const MfTarget *target, uint64_t now_us)
@@ -42,7 +49,7 @@
 }
 
 static double
-plain_cost_us (const MfTarget *target, uint64_t now_us)
+plain_cost_us (const MfTarget *target, const MfPlaceAsk *ask, uint64_t now_us)
 {
   double answer_us = mf_target_answer_us (target, PLAIN_FALLBACK_US, now_us);
   double silent_us = silence_us (target, now_us);
@@ -51,7 +58,7 @@
   if (silent_us > answer_us)
     answer_us = silent_us;
   return answer_us * (1. + UNSEEN_FACTOR * target->n_active / slots)
-         + (target->is_near ? 0. : FAR_COST_US);
+         + (is_near (target, ask) ? 0. : FAR_COST_US);
 }
 
 static double
@@ -61,7 +68,7 @@
   double silent_us = silence_us (target, now_us);
   double cost_us = us_per_token * (double)(mf_target_load_tokens (target) + ask->tokens);
 
-  return (silent_us > cost_us ? silent_us : cost_us) + (target->is_near ? 0. : FAR_COST_US);
+  return (silent_us > cost_us ? silent_us : cost_us) + (is_near (target, ask) ? 0. : FAR_COST_US);
 }
 
 /* Decodes are compared by how full the upstream is, as a share of its slots or its memory. */
@@ -79,7 +86,7 @@
   share = slot_share > memory_share ? slot_share : memory_share;
   if (ask->memory_data_centre != NULL
           ? strcmp (ask->memory_data_centre, target->info.data_centre) != 0
-          : !target->is_near)
+          : !is_near (target, ask))
     share += FAR_MEMORY_SHARE;
   if (target->full_until_us > now_us)
     share += 1.;
@@ -93,6 +100,7 @@
 mf_place_cost_us (const MfTarget *target, const MfPlaceAsk *ask, uint64_t now_us)
 {
   double cost_us;
+  double failure_share;
 
   switch (ask->role)
     {
@@ -103,10 +111,13 @@
       cost_us = decode_cost (target, ask, now_us);
       break;
     default:
-      cost_us = plain_cost_us (target, now_us);
+      cost_us = plain_cost_us (target, ask, now_us);
       break;
     }
-  return cost_us * (1. + FAILURE_FACTOR * mf_target_failure_share (target, now_us));
+  failure_share = mf_target_failure_share (target, now_us);
+  if (target->others_failure_share > failure_share)
+    failure_share = target->others_failure_share;
+  return cost_us * (1. + FAILURE_FACTOR * failure_share);
 }
 
 MfTarget *
--- a/libmangofork/relay/place.h
+++ b/libmangofork/relay/place.h
@@ -14,8 +14,9 @@
   MfRole role;
   uint64_t tokens; /* of the prompt for a prefill, of all its engine memory for a decode */
   const MfRouteService *traits;
-  const MfTarget *avoid[MF_PLACE_AVOID_MAX]; /* already tried */
+  uint64_t avoid[MF_PLACE_AVOID_MAX]; /* hashes of those already tried */
   uint32_t n_avoid;
+  const char *data_centre;        /* of the instance that sends the request */
   const char *memory_data_centre; /* where the engine memory lies that it goes on from, or NULL */
   uint32_t point;                 /* uniform; decides between equals */
 } MfPlaceAsk;
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -70,7 +70,7 @@
 {
   MfRelay *relay = data;
 
-  mf_load_fill (&relay->jobs.targets, report);
+  mf_load_fill (&relay->jobs.targets, report, mf_clock_now_us ());
 }
 
 static void
@@ -79,11 +79,30 @@
   MfRelay *relay = data;
 
   relay->jobs.others_stale = true;
+  mf_jobs_wake (&relay->jobs);
+}
+
+static void
+on_peer_message (void *data, uint64_t peer, const MfRelayMessage *message)
+{
+  MfRelay *relay = data;
+
+  mf_jobs_take_message (&relay->jobs, peer, message);
+}
+
+static void
+on_peer_gone (void *data, uint64_t peer)
+{
+  MfRelay *relay = data;
+
+  mf_jobs_peer_gone (&relay->jobs, peer);
 }
 
 static const MfPeersUser peers_user = {
   .fill = on_load_fill,
   .changed = on_load_changed,
+  .message = on_peer_message,
+  .gone = on_peer_gone,
 };
 
 static void
--- /dev/null
+++ b/libmangofork/relay/relay_message.c
@@ -0,0 +1,269 @@
+#include "relay_message.h"
+
+#include <msgpack.h>
+#include <string.h>
+
+/* Members of the arrays that messages are; the first is always the kind. */
+#define REPORT_MEMBERS 5
+#define ENTRY_MEMBERS 4
+#define ASK_MEMBERS 11
+#define GRANT_MEMBERS 4
+#define ID_MEMBERS 2
+
+static int
+buffer_write (void *data, const char *bytes, size_t n_bytes)
+{
+  MfBuffer *out = data;
+
+  mf_buffer_add (out, bytes, n_bytes);
+  return out->failed ? -1 : 0;
+}
+
+static void
+pack_text (msgpack_packer *packer, const char *text)
+{
+  msgpack_pack_str_with_body (packer, text, strlen (text));
+}
+
+static void
+report_pack (msgpack_packer *packer, const MfRelayMessage *message)
+{
+  const MfLoadReport *report = &message->report;
+
+  msgpack_pack_array (packer, REPORT_MEMBERS);
+  msgpack_pack_uint32 (packer, message->kind);
+  pack_text (packer, report->address);
+  msgpack_pack_uint32 (packer, report->heartbeat_ms);
+  msgpack_pack_array (packer, report->n_entries);
+  for (uint32_t i = 0; i < report->n_entries; i++)
+    {
+      msgpack_pack_array (packer, ENTRY_MEMBERS);
+      msgpack_pack_uint64 (packer, report->entries[i].upstream);
+      msgpack_pack_uint32 (packer, report->entries[i].n_active);
+      msgpack_pack_uint32 (packer, report->entries[i].tokens);
+      msgpack_pack_uint32 (packer, report->entries[i].failure_percent);
+    }
+  msgpack_pack_array (packer, report->n_members);
+  for (uint32_t i = 0; i < report->n_members; i++)
+    pack_text (packer, report->members[i]);
+}
+
+static void
+ask_pack (msgpack_packer *packer, const MfRelayMessage *message)
+{
+  const MfAsk *ask = &message->ask;
+
+  msgpack_pack_array (packer, ASK_MEMBERS);
+  msgpack_pack_uint32 (packer, message->kind);
+  msgpack_pack_uint64 (packer, ask->id);
+  pack_text (packer, ask->service);
+  pack_text (packer, ask->data_centre);
+  msgpack_pack_uint64 (packer, ask->prompt_tokens);
+  msgpack_pack_uint64 (packer, ask->memory_tokens);
+  msgpack_pack_uint32 (packer, ask->has_memory);
+  msgpack_pack_uint64 (packer, ask->age_us);
+  msgpack_pack_uint64 (packer, ask->objective_us);
+  msgpack_pack_uint64 (packer, ask->patience_us);
+  msgpack_pack_array (packer, ask->n_avoid);
+  for (uint32_t i = 0; i < ask->n_avoid; i++)
+    msgpack_pack_uint64 (packer, ask->avoid[i]);
+}
+
+static void
+grant_pack (msgpack_packer *packer, const MfRelayMessage *message)
+{
+  msgpack_pack_array (packer, GRANT_MEMBERS);
+  msgpack_pack_uint32 (packer, message->kind);
+  msgpack_pack_uint64 (packer, message->grant.id);
+  msgpack_pack_uint64 (packer, message->grant.decode);
+  msgpack_pack_uint64 (packer, message->grant.prefill);
+}
+
+static void
+id_pack (msgpack_packer *packer, const MfRelayMessage *message)
+{
+  msgpack_pack_array (packer, ID_MEMBERS);
+  msgpack_pack_uint32 (packer, message->kind);
+  msgpack_pack_uint64 (packer, message->grant.id);
+}
+
+static bool
+read_number (const msgpack_object *object, uint64_t max, uint64_t *number)
+{
+  if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER || object->via.u64 > max)
+    return false;
+  *number = object->via.u64;
+  return true;
+}
+
+static bool
+read_u32 (const msgpack_object *object, uint32_t *number)
+{
+  uint64_t value = 0;
+
+  if (!read_number (object, UINT32_MAX, &value))
+    return false;
+  *number = (uint32_t)value;
+  return true;
+}
+
+static bool
+read_text (const msgpack_object *object, char *dst, size_t dst_bytes)
+{
+  if (object->type != MSGPACK_OBJECT_STR || object->via.str.size >= dst_bytes)
+    return false;
+  memcpy (dst, object->via.str.ptr, object->via.str.size);
+  dst[object->via.str.size] = '\0';
+  return strlen (dst) == object->via.str.size;
+}
+
+static bool
+read_array (const msgpack_object *object, uint32_t n_max)
+{
+  return object->type == MSGPACK_OBJECT_ARRAY && object->via.array.size <= n_max;
+}
+
+static bool
+entry_read (const msgpack_object *row, MfLoadEntry *entry)
+{
+  return row->type == MSGPACK_OBJECT_ARRAY && row->via.array.size >= ENTRY_MEMBERS
+         && read_number (&row->via.array.ptr[0], UINT64_MAX, &entry->upstream)
+         && read_u32 (&row->via.array.ptr[1], &entry->n_active)
+         && read_u32 (&row->via.array.ptr[2], &entry->tokens)
+         && read_u32 (&row->via.array.ptr[3], &entry->failure_percent);
+}
+
+static bool
+report_read (const msgpack_object *members, MfRelayMessage *message)
+{
+  MfLoadReport *report = &message->report;
+  const msgpack_object *entries = &members[3];
+  const msgpack_object *others = &members[4];
+
+  report->n_entries = 0;
+  report->n_members = 0;
+  if (!read_text (&members[1], report->address, sizeof report->address)
+      || !read_u32 (&members[2], &report->heartbeat_ms)
+      || !read_array (entries, MF_LOAD_ENTRIES_MAX) || !read_array (others, MF_LOAD_MEMBERS_MAX))
+    return false;
+  for (uint32_t i = 0; i < entries->via.array.size; i++)
+    {
+      if (!entry_read (&entries->via.array.ptr[i], &report->entries[i]))
+        return false;
+      report->n_entries++;
+    }
+  for (uint32_t i = 0; i < others->via.array.size; i++)
+    {
+      if (!read_text (&others->via.array.ptr[i], report->members[i], MF_ADDRESS_BYTES))
+        return false;
+      report->n_members++;
+    }
+  return true;
+}
+
+static bool
+ask_read (const msgpack_object *members, MfRelayMessage *message)
+{
+  MfAsk *ask = &message->ask;
+  const msgpack_object *avoid = &members[10];
+  uint64_t has_memory = 0;
+
+  ask->n_avoid = 0;
+  if (!read_number (&members[1], UINT64_MAX, &ask->id)
+      || !read_text (&members[2], ask->service, sizeof ask->service)
+      || !read_text (&members[3], ask->data_centre, sizeof ask->data_centre)
+      || !read_number (&members[4], UINT32_MAX, &ask->prompt_tokens)
+      || !read_number (&members[5], UINT32_MAX, &ask->memory_tokens)
+      || !read_number (&members[6], 1, &has_memory)
+      || !read_number (&members[7], UINT64_MAX / 2, &ask->age_us)
+      || !read_number (&members[8], UINT64_MAX / 4, &ask->objective_us)
+      || !read_number (&members[9], UINT64_MAX / 4, &ask->patience_us)
+      || !read_array (avoid, MF_PLACE_AVOID_MAX))
+    return false;
+  ask->has_memory = has_memory != 0;
+  for (uint32_t i = 0; i < avoid->via.array.size; i++)
+    {
+      if (!read_number (&avoid->via.array.ptr[i], UINT64_MAX, &ask->avoid[i]))
+        return false;
+      ask->n_avoid++;
+    }
+  return true;
+}
+
+static bool
+grant_read (const msgpack_object *members, MfRelayMessage *message)
+{
+  return read_number (&members[1], UINT64_MAX, &message->grant.id)
+         && read_number (&members[2], UINT64_MAX, &message->grant.decode)
+         && read_number (&members[3], UINT64_MAX, &message->grant.prefill);
+}
+
+static bool
+id_read (const msgpack_object *members, MfRelayMessage *message)
+{
+  return read_number (&members[1], UINT64_MAX, &message->grant.id);
+}
+
+/* How one kind of message is written and read. */
+typedef struct
+{
+  uint32_t n_members;
+  void (*pack) (msgpack_packer *packer, const MfRelayMessage *message);
+  bool (*read) (const msgpack_object *members, MfRelayMessage *message);
+} KindCodec;
+
+static const KindCodec codecs[] = {
+  [MF_RELAY_MESSAGE_REPORT] = { REPORT_MEMBERS, report_pack, report_read },
+  [MF_RELAY_MESSAGE_ASK] = { ASK_MEMBERS, ask_pack, ask_read },
+  [MF_RELAY_MESSAGE_GRANT] = { GRANT_MEMBERS, grant_pack, grant_read },
+  [MF_RELAY_MESSAGE_QUEUED] = { ID_MEMBERS, id_pack, id_read },
+  [MF_RELAY_MESSAGE_CANCEL] = { ID_MEMBERS, id_pack, id_read },
+  [MF_RELAY_MESSAGE_SEEN] = { ID_MEMBERS, id_pack, id_read },
+};
+
+void
+mf_relay_message_encode (const MfRelayMessage *message, MfBuffer *out)
+{
+  MfBuffer payload = { 0 };
+  msgpack_packer packer;
+  uint8_t length[4];
+  size_t n_bytes;
+
+  msgpack_packer_init (&packer, &payload, buffer_write);
+  codecs[message->kind].pack (&packer, message);
+  n_bytes = mf_buffer_bytes (&payload);
+  for (uint32_t i = 0; i < sizeof length; i++)
+    length[i] = (uint8_t)(n_bytes >> (24 - 8 * i));
+  if (payload.failed)
+    out->failed = true;
+  mf_buffer_add (out, length, sizeof length);
+  mf_buffer_add (out, mf_buffer_data (&payload), n_bytes);
+  mf_buffer_clear (&payload);
+}
+
+static bool
+message_read (const msgpack_object *object, MfRelayMessage *message)
+{
+  uint64_t kind = 0;
+
+  if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size == 0
+      || !read_number (&object->via.array.ptr[0], MF_ARRAY_LEN (codecs) - 1, &kind)
+      || codecs[kind].read == NULL || object->via.array.size < codecs[kind].n_members)
+    return false;
+  message->kind = (MfRelayMessageKind)kind;
+  return codecs[kind].read (object->via.array.ptr, message);
+}
+
+bool
+mf_relay_message_decode (const char *payload, size_t payload_bytes, MfRelayMessage *message)
+{
+  msgpack_unpacked unpacked;
+  size_t at = 0;
+  bool good;
+
+  msgpack_unpacked_init (&unpacked);
+  good = msgpack_unpack_next (&unpacked, payload, payload_bytes, &at) == MSGPACK_UNPACK_SUCCESS
+         && message_read (&unpacked.data, message);
+  msgpack_unpacked_destroy (&unpacked);
+  return good;
+}
--- /dev/null
+++ b/libmangofork/relay/relay_message.h
@@ -0,0 +1,34 @@
+#ifndef MF_RELAY_RELAY_MESSAGE_H
+#define MF_RELAY_RELAY_MESSAGE_H
+
+#include "dispatch.h"
+
+/* Bytes of a frame's payload at most. */
+#define MF_RELAY_MESSAGE_BYTES_MAX 65536
+
+/* What instances tell each other. */
+typedef enum
+{
+  MF_RELAY_MESSAGE_REPORT = 1, /* what the sender has at the engines */
+  MF_RELAY_MESSAGE_ASK = 2,    /* for a place at an engine */
+  MF_RELAY_MESSAGE_GRANT = 3,  /* of a place */
+  MF_RELAY_MESSAGE_QUEUED = 4, /* there is no place yet; the ask is kept */
+  MF_RELAY_MESSAGE_CANCEL = 5, /* of an ask */
+  MF_RELAY_MESSAGE_SEEN = 6,   /* the next report includes this grant and those before it */
+} MfRelayMessageKind;
+
+typedef struct
+{
+  MfRelayMessageKind kind;
+  MfLoadReport report; /* REPORT */
+  MfAsk ask;           /* ASK */
+  MfGrant grant;       /* GRANT; of QUEUED, CANCEL and SEEN its id only */
+} MfRelayMessage;
+
+/* Adds a message as a frame: 4 bytes of length, then msgpack. */
+void mf_relay_message_encode (const MfRelayMessage *message, MfBuffer *out);
+/* Reads the payload of a frame; members after those that are known are passed over. Returns false
+ * when it is malformed. */
+bool mf_relay_message_decode (const char *payload, size_t payload_bytes, MfRelayMessage *message);
+
+#endif
--- a/libmangofork/relay/target.c
+++ b/libmangofork/relay/target.c
@@ -89,7 +89,6 @@
     .unacked_timeout_us = targets->unacked_timeout_us,
   };
   memcpy (target->pool.address, info->address, sizeof target->pool.address);
-  target->is_near = strcmp (info->data_centre, targets->data_centre) == 0;
   target->id_hash = mf_load_hash (info->id);
   target->n_refs = 1;
   target->next = targets->first;
--- a/libmangofork/relay/target.h
+++ b/libmangofork/relay/target.h
@@ -26,7 +26,6 @@
   MfTargetInfo info;
   MfLinkPool pool;
   MfTarget *next;
-  bool is_near;           /* in this instance's data centre */
   bool listed;            /* discovery names it */
   uint64_t unlisted_us;   /* when it ceased to be listed while discovery was away; 0: it did not */
   uint32_t n_active;      /* requests of this instance there */
@@ -35,14 +34,15 @@
   uint64_t reserved_tokens;
   uint32_t n_others; /* requests of other instances, as these have told */
   uint64_t others_tokens;
-  uint64_t id_hash;         /* under which instances name it to each other */
-  uint64_t silent_since_us; /* with requests there: the last sign of life */
-  double answer_us;         /* moving average of answers; 0: none yet */
-  double us_per_token;      /* of prompts, queueing included; 0: none yet */
-  uint64_t answered_us;     /* when these were last renewed */
-  double failure_share;     /* moving average, 0 to 1 */
-  uint64_t failed_us;       /* when it was last renewed */
-  uint32_t n_failures;      /* in a row, to reach it or to get an answer */
+  double others_failure_share; /* the worst that another instance has seen */
+  uint64_t id_hash;            /* under which instances name it to each other */
+  uint64_t silent_since_us;    /* with requests there: the last sign of life */
+  double answer_us;            /* moving average of answers; 0: none yet */
+  double us_per_token;         /* of prompts, queueing included; 0: none yet */
+  uint64_t answered_us;        /* when these were last renewed */
+  double failure_share;        /* moving average, 0 to 1 */
+  uint64_t failed_us;          /* when it was last renewed */
+  uint32_t n_failures;         /* in a row, to reach it or to get an answer */
   uint64_t suspect_until_us;
   uint64_t full_until_us; /* it refused for want of room */
   uint32_t n_refs;
