Callers are refused before they leave, and those that come back late go behind

Cause: a request that waited for room was refused when its caller had just left, so that it could not come back; one that did come back took the place of one that could still be in time. Ruled out: more callers refused at once (they come back looking fresh and take places of others).

--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -17,6 +17,11 @@
 #define LEAVE_MIN_US (2 * MF_US_PER_S)
 #define LEAVE_OBJECTIVES 4
 #define LEAVE_GAPS 8
+/* The refusal reaches the caller this long before it leaves, and it can still come back. */
+#define LEAVE_SPARE_US (300 * MF_US_PER_MS)
+/* First tries of callers give at least this part of the route's time; a shorter time shows a caller
+ * that has waited elsewhere before, whose objective has been missed already. */
+#define FIRST_TRY_PERCENT 84
 /* Requests that wait for room look for it this often, besides whenever some comes free. */
 #define WAKE_EVERY_S 0.02
 /* An answer that came after its deadline by no more than this was in time at the upstream. */
@@ -320,16 +325,19 @@
   uint64_t leave_us = LEAVE_MIN_US;
 
   job->deadline_us = job->begun_us + route->timeout_us;
+  job->asked_us = job->begun_us;
   if (mf_head_number (head, MF_WORD_DEADLINE, &left_ms)
       && left_ms * MF_US_PER_MS < route->timeout_us)
     job->deadline_us = job->begun_us + left_ms * MF_US_PER_MS;
+  if (left_ms > 0 && left_ms * MF_US_PER_MS < route->timeout_us * FIRST_TRY_PERCENT / 100)
+    job->asked_us -= route->timeout_us * FIRST_TRY_PERCENT / 100 - left_ms * MF_US_PER_MS;
   if (route->target_latency_us * LEAVE_OBJECTIVES > leave_us)
     leave_us = route->target_latency_us * LEAVE_OBJECTIVES;
   if (route->target_gap_us * LEAVE_GAPS > leave_us)
     leave_us = route->target_gap_us * LEAVE_GAPS;
   job->give_up_us = job->deadline_us;
   if (route->kind == MF_ROUTE_STREAMING && job->begun_us + leave_us < job->deadline_us)
-    job->give_up_us = job->begun_us + leave_us;
+    job->give_up_us = job->begun_us + leave_us - LEAVE_SPARE_US;
 }
 
 static MfJob *
--- a/libmangofork/relay/job_room.c
+++ b/libmangofork/relay/job_room.c
@@ -39,9 +39,9 @@
     .prompt_tokens = job->prompt_tokens,
     .memory_tokens = job->memory_tokens,
     .has_memory = job->memory_target != NULL,
-    .age_us = now_us - job->begun_us,
+    .age_us = now_us - job->asked_us,
     .objective_us = job->route->target_latency_us,
-    .patience_us = job->give_up_us - job->begun_us,
+    .patience_us = job->give_up_us - job->asked_us,
     .n_avoid = job->n_avoid,
   };
 
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -37,6 +37,7 @@
   bool is_head;
   char id[MF_JOB_ID_BYTES];
   uint64_t begun_us;
+  uint64_t asked_us;    /* when the caller first asked, as far as its deadline shows */
   uint64_t deadline_us; /* the caller's or the route's, whichever is first */
   uint64_t give_up_us;  /* a stream's caller leaves without a first event by then */
   uint64_t prompt_tokens;
