--- a/libmangofork/relay/load.c
+++ b/libmangofork/relay/load.c
@@ -6,7 +6,7 @@
 
 /* Part of an answer that is reckoned into a request's memory: on average half of it is there, and a
  * few requests are near their end at once. */
-#define ANSWER_SHARE 0.7
+#define ANSWER_SHARE 0.6
 /* Part of an engine's memory that is filled; the rest is for answers longer than expected. */
 #define FILL_SHARE 0.97
 /* Upstreams without requests are told of from this share of failures on. */
