Requests whose prompt has been read go first; long answers are reckoned as they grow

Cause: a request that an engine declined after its prompt was read went to the end of the queue, and its memory lapsed there; an answer longer than expected was reckoned too small until its engine put it back.

--- a/libmangofork/relay/dispatch.c
+++ b/libmangofork/relay/dispatch.c
@@ -225,13 +225,16 @@
   return place;
 }
 
-/* Whether one ask goes before another: those that can be in time first, then the older. */
+/* Whether one ask goes before another: first those whose prompt has been read, as an engine keeps
+ * it for a moment only; then those that can be in time; then the older. */
 static bool
 goes_before (const Waiting *one, const Waiting *other, uint64_t now_us)
 {
   bool one_late = now_us > one->begun_us + one->ask.objective_us;
   bool other_late = now_us > other->begun_us + other->ask.objective_us;
 
+  if (one->ask.has_memory != other->ask.has_memory)
+    return one->ask.has_memory;
   if (one_late != other_late)
     return other_late;
   return one->begun_us < other->begun_us;
--- a/libmangofork/relay/events.c
+++ b/libmangofork/relay/events.c
@@ -81,6 +81,18 @@
     }
 }
 
+void
+mf_events_count (MfEvents *events, const char *bytes, size_t n_bytes)
+{
+  for (size_t i = 0; i < n_bytes; i++)
+    {
+      if (bytes[i] == '\r')
+        continue;
+      events->n_events += bytes[i] == '\n' && events->after_newline;
+      events->after_newline = bytes[i] == '\n' && !events->after_newline;
+    }
+}
+
 void
 mf_events_cut (MfEvents *events)
 {
--- a/libmangofork/relay/events.h
+++ b/libmangofork/relay/events.h
@@ -12,10 +12,13 @@
   bool has_last;
   bool has_gap; /* an event came whose id does not follow */
   uint64_t n_events;
+  bool after_newline; /* while events are only counted */
 } MfEvents;
 
 /* Adds bytes of the stream, and to out the events that are whole and new. */
 void mf_events_feed (MfEvents *events, const char *bytes, size_t n_bytes, MfBuffer *out);
+/* Counts the events in bytes that are passed on as they are. */
+void mf_events_count (MfEvents *events, const char *bytes, size_t n_bytes);
 /* Forgets the event that was cut off, before the stream goes on elsewhere. */
 void mf_events_cut (MfEvents *events);
 /* Whether the stream stands between two events. */
--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -24,8 +24,8 @@
 #define FIRST_TRY_PERCENT 84
 /* Requests that wait for room look for it this often, besides whenever some comes free. */
 #define WAKE_EVERY_S 0.02
-/* An answer that came after its deadline by no more than this was in time at the upstream. */
-#define DEADLINE_SLACK_US (10 * MF_US_PER_MS)
+/* Weight of one answer's length in the moving average; answers differ by half their length. */
+#define ANSWER_WEIGHT 0.05
 
 uint32_t
 mf_jobs_random (MfJobs *jobs)
@@ -54,6 +54,17 @@
   return budget;
 }
 
+void
+mf_jobs_note_answer (MfJobs *jobs, uint64_t tokens)
+{
+  if (tokens == 0)
+    return;
+  if (jobs->answer_tokens <= 0.)
+    jobs->answer_tokens = (double)tokens;
+  else
+    jobs->answer_tokens += ANSWER_WEIGHT * ((double)tokens - jobs->answer_tokens);
+}
+
 void
 mf_job_answer_clear (MfJobAnswer *answer)
 {
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -91,6 +91,8 @@
 void mf_job_answer_clear (MfJobAnswer *answer);
 bool mf_job_may_repeat (const MfJob *job);
 bool mf_job_take_repeat (MfJob *job);
+/* An engine's answer has come to so many tokens. */
+void mf_jobs_note_answer (MfJobs *jobs, uint64_t tokens);
 MfServiceBudget *mf_jobs_budget (MfJobs *jobs, const char *service);
 
 /* job_room.c: asks for room at an engine, here or at the instance that decides for all. */
--- a/libmangofork/relay/job_send.c
+++ b/libmangofork/relay/job_send.c
@@ -374,6 +374,18 @@
     job->answer.body.failed = true;
 }
 
+/* Reckons with what the answer has come to, once that is more than was expected. */
+static void
+job_grow (MfJob *job)
+{
+  uint64_t tokens = job->prompt_tokens + job->events.n_events * job->service->event_tokens;
+
+  if (tokens <= job->target_tokens)
+    return;
+  mf_target_grow (job->target, tokens - job->target_tokens);
+  job->target_tokens = tokens;
+}
+
 /* Gives the caller what has come of a stream. */
 static void
 on_run_body (void *data, const char *bytes, size_t n_bytes)
@@ -397,8 +409,11 @@
       mf_events_feed (&job->events, bytes, n_bytes, &whole);
       mf_caller_write (job->caller, mf_buffer_data (&whole), mf_buffer_bytes (&whole));
       mf_buffer_clear (&whole);
+      job_grow (job);
       return;
     }
+  mf_events_count (&job->events, bytes, n_bytes);
+  job_grow (job);
   mf_caller_write (job->caller, bytes, n_bytes);
 }
 
@@ -559,6 +574,7 @@
       else
         {
           mf_target_answered (target, job->first_event_us - job->sent_us, mf_clock_now_us ());
+          mf_jobs_note_answer (jobs, job->events.n_events * job->service->event_tokens);
           mf_job_finish (job, MF_CODE_OK, "answered");
         }
     }
--- a/libmangofork/relay/route.h
+++ b/libmangofork/relay/route.h
@@ -44,6 +44,7 @@
   bool is_engine;
   uint32_t engine_slots;
   uint64_t kv_capacity_tokens;
+  uint32_t event_tokens;    /* tokens of an answer in one event of its stream; 0: not told */
   uint64_t kv_retention_us; /* prefilled memory is kept this long for its decode */
 } MfRouteService;
 
--- a/libmangofork/relay/target.c
+++ b/libmangofork/relay/target.c
@@ -185,6 +185,12 @@
   target->active_tokens -= tokens;
 }
 
+void
+mf_target_grow (MfTarget *target, uint64_t tokens)
+{
+  target->active_tokens += tokens;
+}
+
 void
 mf_target_reserve (MfTarget *target, uint64_t tokens)
 {
--- a/libmangofork/relay/target.h
+++ b/libmangofork/relay/target.h
@@ -78,6 +78,8 @@
 /* A request with so many tokens begins or ends there. */
 void mf_target_begin (MfTarget *target, uint64_t tokens, uint64_t now_us);
 void mf_target_end (MfTarget *target, uint64_t tokens);
+/* A request there has come to need so many more. */
+void mf_target_grow (MfTarget *target, uint64_t tokens);
 /* Keeps room for a request that will come there; given back before it comes. */
 void mf_target_reserve (MfTarget *target, uint64_t tokens);
 void mf_target_unreserve (MfTarget *target, uint64_t tokens);
