--- a/libmangofork/relay/dispatch.c
+++ b/libmangofork/relay/dispatch.c
@@ -9,13 +9,17 @@
 /* Services that had no room in one run; further ones are looked at again. */
 #define FULL_SERVICES_MAX 16
 
+/* A request that wants more than this part of an engine's memory waits for it beside the others. */
+#define OVERSIZED_PART 2
+
 typedef struct Waiting Waiting;
 struct Waiting
 {
   Waiting *next;
   uint64_t asker;
   MfAsk ask;
-  uint64_t begun_us; /* of the caller's request, by this instance's clock */
+  uint64_t begun_us;       /* of the caller's request, by this instance's clock */
+  uint64_t passed_over_us; /* the run that found no room for it alone */
 };
 
 /* A grant to another instance that its load does not show yet. */
@@ -218,6 +222,7 @@
     .traits = traits,
     .n_avoid = ask->n_avoid,
     .data_centre = ask->data_centre,
+    .must_fit = role == MF_ROLE_DECODE,
     .point = dispatch->point++,
   };
 
@@ -264,7 +269,7 @@
 
   for (Waiting **place = &dispatch->waiting; *place != NULL; place = &(*place)->next)
     {
-      if (!is_full (full, (*place)->ask.service)
+      if ((*place)->passed_over_us != now_us && !is_full (full, (*place)->ask.service)
           && (best == NULL || goes_before (*place, *best, now_us)))
         best = place;
     }
@@ -285,7 +290,7 @@
     return false;
   place = place_ask (dispatch, ask, traits, MF_ROLE_DECODE);
   decode = mf_place_choose (dispatch->targets, &place, now_us, &any_alive);
-  if (decode == NULL || !mf_load_fits (decode, traits, ask->memory_tokens, now_us))
+  if (decode == NULL)
     return false;
   *grant = (MfGrant){ .id = ask->id, .decode = decode->id_hash };
   if (ask->has_memory)
@@ -297,6 +302,16 @@
   return true;
 }
 
+/* Whether an ask wants so much of an engine that it must not hold up the others. */
+static bool
+is_oversized (const MfDispatch *dispatch, const MfAsk *ask)
+{
+  const MfRouteService *traits = dispatch->user->traits (dispatch->data, ask->service);
+
+  return traits != NULL && traits->kv_capacity_tokens > 0
+         && ask->memory_tokens * OVERSIZED_PART > traits->kv_capacity_tokens;
+}
+
 /* Notes a grant to another instance; this one's own show in the loads at once. */
 static void
 pending_add (MfDispatch *dispatch, const Waiting *waiting, const MfGrant *grant, uint64_t now_us)
@@ -341,6 +356,9 @@
         }
       if (!grant_make (dispatch, &waiting->ask, &grant, now_us))
         {
+          waiting->passed_over_us = now_us;
+          if (is_oversized (dispatch, &waiting->ask))
+            continue;
           memcpy (full.services[full.n_services++], waiting->ask.service, MF_NAME_BYTES);
           continue;
         }
--- a/libmangofork/relay/place.c
+++ b/libmangofork/relay/place.c
@@ -1,5 +1,7 @@
 #include "place.h"
 
+#include "load.h"
+
 #include <string.h>
 
 /* What a plain answer takes where nothing has been seen yet: the work of the sites' services. */
@@ -136,7 +138,8 @@
       if (!is_candidate (target, ask))
         continue;
       *any_alive = true;
-      if (is_avoided (ask, target))
+      if (is_avoided (ask, target)
+          || (ask->must_fit && !mf_load_fits (target, ask->traits, ask->tokens, now_us)))
         continue;
       if (target->suspect_until_us > now_us)
         {
--- /dev/null
+++ b/tests/fakes/wire.c
@@ -0,0 +1,225 @@
+#include "wire.h"
+
+#include "libmangofork/socket.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+struct FakeWireConn
+{
+  FakeWire *wire;
+  FakeWireConn *next;
+  int fd;
+  ev_io reader;
+  size_t n_bytes;
+  char bytes[FAKE_WIRE_REQUEST_BYTES];
+};
+
+struct FakeWire
+{
+  struct ev_loop *loop;
+  FakeWireFunc on_request;
+  void *data;
+  int fd;
+  ev_io acceptor;
+  char address[MF_ADDRESS_BYTES];
+  FakeWireConn *conns;
+  FakeWireConn *last_conn;
+  uint32_t n_requests;
+  uint32_t n_conns;
+  uint32_t n_left;
+  char last[FAKE_WIRE_REQUEST_BYTES];
+};
+
+bool
+fake_wire_header (const char *text, const char *name, char *value, size_t value_bytes)
+{
+  size_t name_bytes = strlen (name);
+
+  for (const char *line = strstr (text, "\r\n"); line != NULL && line[2] != '\r';
+       line = strstr (line + 2, "\r\n"))
+    {
+      const char *end = strstr (line + 2, "\r\n");
+
+      if (strncasecmp (line + 2, name, name_bytes) != 0 || line[2 + name_bytes] != ':'
+          || end == NULL)
+        continue;
+      snprintf (value, value_bytes, "%.*s", (int)(end - (line + 4 + name_bytes)),
+                line + 4 + name_bytes);
+      return true;
+    }
+  return false;
+}
+
+static void
+conn_free (FakeWireConn *conn)
+{
+  FakeWire *wire = conn->wire;
+
+  for (FakeWireConn **place = &wire->conns; *place != NULL; place = &(*place)->next)
+    {
+      if (*place != conn)
+        continue;
+      *place = conn->next;
+      break;
+    }
+  if (wire->last_conn == conn)
+    wire->last_conn = NULL;
+  ev_io_stop (wire->loop, &conn->reader);
+  close (conn->fd);
+  free (conn);
+}
+
+/* Length of the first request that is whole; 0 when none is. */
+static size_t
+request_bytes (const FakeWireConn *conn)
+{
+  const char *end = strstr (conn->bytes, "\r\n\r\n");
+  char length[24];
+  size_t n_bytes;
+
+  if (end == NULL)
+    return 0;
+  n_bytes = (size_t)(end + 4 - conn->bytes);
+  if (fake_wire_header (conn->bytes, "Content-Length", length, sizeof length))
+    n_bytes += strtoul (length, NULL, 10);
+  return n_bytes <= conn->n_bytes ? n_bytes : 0;
+}
+
+static void
+on_readable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  FakeWireConn *conn = watcher->data;
+  FakeWire *wire = conn->wire;
+  ssize_t n_read
+      = read (conn->fd, conn->bytes + conn->n_bytes, sizeof conn->bytes - conn->n_bytes - 1);
+  size_t n_bytes;
+
+  (void)loop;
+  (void)events;
+  if (n_read <= 0)
+    {
+      wire->n_left++;
+      conn_free (conn);
+      return;
+    }
+  conn->n_bytes += (size_t)n_read;
+  conn->bytes[conn->n_bytes] = '\0';
+  n_bytes = request_bytes (conn);
+  if (n_bytes == 0)
+    return;
+  wire->n_requests++;
+  wire->last_conn = conn;
+  memcpy (wire->last, conn->bytes, n_bytes);
+  wire->last[n_bytes] = '\0';
+  conn->n_bytes -= n_bytes;
+  memmove (conn->bytes, conn->bytes + n_bytes, conn->n_bytes + 1);
+  wire->on_request (conn, wire->last, wire->data);
+}
+
+static void
+on_acceptable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  FakeWire *wire = watcher->data;
+  int fd = accept (wire->fd, NULL, NULL);
+  FakeWireConn *conn;
+
+  (void)events;
+  if (fd < 0)
+    return;
+  conn = calloc (1, sizeof *conn);
+  if (conn == NULL)
+    abort ();
+  conn->wire = wire;
+  conn->fd = fd;
+  conn->next = wire->conns;
+  wire->conns = conn;
+  wire->n_conns++;
+  ev_io_init (&conn->reader, on_readable, fd, EV_READ);
+  conn->reader.data = conn;
+  ev_io_start (loop, &conn->reader);
+}
+
+FakeWire *
+fake_wire_new (struct ev_loop *loop, FakeWireFunc on_request, void *data)
+{
+  FakeWire *wire = calloc (1, sizeof *wire);
+  MfError error = { 0 };
+
+  if (wire == NULL)
+    abort ();
+  *wire = (FakeWire){ .loop = loop, .on_request = on_request, .data = data };
+  wire->fd = mf_socket_listen ("127.0.0.1:0", &error);
+  snprintf (wire->address, sizeof wire->address, "127.0.0.1:%u", mf_socket_port (wire->fd));
+  ev_io_init (&wire->acceptor, on_acceptable, wire->fd, EV_READ);
+  wire->acceptor.data = wire;
+  ev_io_start (loop, &wire->acceptor);
+  return wire;
+}
+
+void
+fake_wire_free (FakeWire *wire)
+{
+  while (wire->conns != NULL)
+    conn_free (wire->conns);
+  ev_io_stop (wire->loop, &wire->acceptor);
+  close (wire->fd);
+  free (wire);
+}
+
+const char *
+fake_wire_address (const FakeWire *wire)
+{
+  return wire->address;
+}
+
+uint32_t
+fake_wire_n_requests (const FakeWire *wire)
+{
+  return wire->n_requests;
+}
+
+uint32_t
+fake_wire_n_conns (const FakeWire *wire)
+{
+  return wire->n_conns;
+}
+
+uint32_t
+fake_wire_n_left (const FakeWire *wire)
+{
+  return wire->n_left;
+}
+
+const char *
+fake_wire_last (const FakeWire *wire)
+{
+  return wire->last;
+}
+
+FakeWireConn *
+fake_wire_last_conn (const FakeWire *wire)
+{
+  return wire->last_conn;
+}
+
+void
+fake_wire_send (FakeWireConn *conn, const char *bytes)
+{
+  if (send (conn->fd, bytes, strlen (bytes), MSG_NOSIGNAL) < 0)
+    perror ("fake wire");
+}
+
+void
+fake_wire_close (FakeWireConn *conn, bool reset)
+{
+  struct linger hard = { .l_onoff = 1, .l_linger = 0 };
+
+  if (reset)
+    setsockopt (conn->fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+  conn_free (conn);
+}
--- /dev/null
+++ b/tests/test_budget.c
@@ -0,0 +1,89 @@
+#include "libmangofork/relay/budget.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+
+#include <cmocka.h>
+
+#define WINDOW_US (10 * MF_US_PER_S)
+#define RATIO 0.2
+#define FLOOR 2
+
+/* Instances that do not talk to each other keep to the bound of all together, in any window. */
+static void
+test_any_window_of_any_instances_keeps_to_the_ratio (void **state)
+{
+  enum
+  {
+    N_INSTANCES = 6,
+    N_STEPS = 600,
+  };
+  static uint32_t repeats[N_STEPS];
+  static uint32_t requests[N_STEPS];
+  MfBudget budgets[N_INSTANCES];
+  uint32_t window = (uint32_t)(WINDOW_US / (100 * MF_US_PER_MS));
+
+  (void)state;
+  for (uint32_t i = 0; i < N_INSTANCES; i++)
+    mf_budget_init (&budgets[i], WINDOW_US, RATIO, FLOOR);
+  for (uint32_t step = 0; step < N_STEPS; step++)
+    {
+      uint64_t now_us = MF_US_PER_S + step * 100 * MF_US_PER_MS;
+
+      for (uint32_t i = 0; i < N_INSTANCES; i++)
+        {
+          /* Load comes and goes, and every request wants to be repeated three times. */
+          uint32_t n_requests = (step / 37 + i) % 4;
+
+          for (uint32_t k = 0; k < n_requests; k++)
+            {
+              mf_budget_note_request (&budgets[i], now_us);
+              requests[step]++;
+              for (uint32_t tries = 0; tries < 3; tries++)
+                repeats[step] += mf_budget_take (&budgets[i], now_us);
+            }
+        }
+    }
+  for (uint32_t from = 0; from + window <= N_STEPS; from++)
+    {
+      uint32_t n_repeats = 0;
+      uint32_t n_requests = 0;
+      uint32_t n_before = 0;
+
+      for (uint32_t step = from; step < from + window; step++)
+        {
+          n_repeats += repeats[step];
+          n_requests += requests[step];
+          n_before += step >= window ? requests[step - window] : 0;
+        }
+      if (n_before > n_requests)
+        n_requests = n_before;
+      /* The deployments' bound: 40 for all instances and two for each. */
+      assert_true (n_repeats <= RATIO * n_requests + 40 + FLOOR * N_INSTANCES);
+    }
+}
+
+static void
+test_floor_without_requests (void **state)
+{
+  MfBudget budget;
+
+  (void)state;
+  mf_budget_init (&budget, WINDOW_US, RATIO, FLOOR);
+  assert_true (mf_budget_take (&budget, MF_US_PER_S));
+  assert_true (mf_budget_take (&budget, MF_US_PER_S));
+  assert_false (mf_budget_take (&budget, MF_US_PER_S));
+  assert_false (mf_budget_take (&budget, MF_US_PER_S + WINDOW_US - MF_US_PER_S));
+  assert_true (mf_budget_take (&budget, 2 * MF_US_PER_S + WINDOW_US));
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_any_window_of_any_instances_keeps_to_the_ratio),
+    cmocka_unit_test (test_floor_without_requests),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_job.c
@@ -0,0 +1,663 @@
+#include "libmangofork/relay/job.h"
+
+#include "platform/platform.h"
+
+#include "fakes/wire.h"
+#include "loop_pump.h"
+
+#include <fcntl.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#define PORT 21741
+#define ADDRESS "127.0.0.1:21741"
+#define N_WIRES 4
+#define SEAL "X-Response-Seal: s\r\n"
+
+/* What an upstream does with each request. */
+typedef void (*Act) (FakeWireConn *conn, const char *text, const char *id);
+
+typedef struct
+{
+  FakeWire *wire;
+  Act act;
+} Upstream;
+
+/* Callers' door, requests and upstreams on one loop. */
+typedef struct
+{
+  struct ev_loop *loop;
+  MfLines *lines;
+  int lines_fd;
+  MfJobs jobs;
+  MfDoor *door;
+  Upstream upstreams[N_WIRES];
+  char got[8192];
+} Town;
+
+static void
+on_request (FakeWireConn *conn, const char *text, void *data)
+{
+  Upstream *upstream = data;
+  char id[64] = "";
+
+  fake_wire_header (text, "X-Attempt-Id", id, sizeof id);
+  upstream->act (conn, text, id);
+}
+
+static void
+answer (FakeWireConn *conn, const char *id, const char *status, const char *headers,
+        const char *body)
+{
+  char text[2048];
+
+  snprintf (text, sizeof text, "HTTP/1.1 %s\r\nX-Attempt-Id: %s\r\n%sContent-Length: %zu\r\n\r\n%s",
+            status, id, headers, strlen (body), body);
+  fake_wire_send (conn, text);
+}
+
+static void
+act_good (FakeWireConn *conn, const char *text, const char *id)
+{
+  (void)text;
+  answer (conn, id, "200 OK", SEAL, "good");
+}
+
+static void
+act_decline (FakeWireConn *conn, const char *text, const char *id)
+{
+  (void)text;
+  answer (conn, id, "503 Service Unavailable", "X-Not-Executed: 1\r\n", "");
+}
+
+static void
+act_fail (FakeWireConn *conn, const char *text, const char *id)
+{
+  (void)text;
+  answer (conn, id, "500 Internal Server Error", SEAL, "bad");
+}
+
+static void
+act_unsealed (FakeWireConn *conn, const char *text, const char *id)
+{
+  (void)text;
+  answer (conn, id, "200 OK", "", "forged");
+}
+
+static void
+act_encoded (FakeWireConn *conn, const char *text, const char *id)
+{
+  (void)text;
+  answer (conn, id, "200 OK", SEAL "Content-Encoding: gzip\r\n", "zzz");
+}
+
+static void
+act_reset (FakeWireConn *conn, const char *text, const char *id)
+{
+  (void)text;
+  (void)id;
+  fake_wire_close (conn, true);
+}
+
+static void
+act_mute (FakeWireConn *conn, const char *text, const char *id)
+{
+  (void)conn;
+  (void)text;
+  (void)id;
+}
+
+static void
+act_prefill (FakeWireConn *conn, const char *text, const char *id)
+{
+  char stage[16] = "";
+
+  if (strncmp (text, "DELETE ", 7) == 0)
+    {
+      answer (conn, id, "200 OK", "", "");
+      return;
+    }
+  assert_true (fake_wire_header (text, "X-Stage", stage, sizeof stage));
+  assert_string_equal (stage, "prefill");
+  answer (conn, id, "200 OK", "", "{\"kvHandle\":\"h1\",\"tokens\":10,\"version\":1}");
+}
+
+#define STREAM_HEAD                                                                                \
+  "HTTP/1.1 200 OK\r\nX-Attempt-Id: t\r\n" SEAL                                                    \
+  "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+static void
+act_stream (FakeWireConn *conn, const char *text, const char *id)
+{
+  char last[16] = "0";
+
+  (void)id;
+  fake_wire_header (text, "Last-Event-Id", last, sizeof last);
+  fake_wire_send (conn, STREAM_HEAD);
+  if (strcmp (last, "0") == 0)
+    fake_wire_send (conn, "f\r\nid: 1\ndata: a\n\n\r\n");
+  fake_wire_send (conn, "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n");
+}
+
+/* Breaks off within the second event. */
+static void
+act_stream_breaks (FakeWireConn *conn, const char *text, const char *id)
+{
+  (void)text;
+  (void)id;
+  fake_wire_send (conn, STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n6\r\nid: 2\n\r\n");
+  fake_wire_close (conn, true);
+}
+
+static void
+act_stream_hangs (FakeWireConn *conn, const char *text, const char *id)
+{
+  (void)text;
+  (void)id;
+  fake_wire_send (conn, STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n");
+}
+
+/* Routes by their prefixes: /read/ and /order/ at the plain service "shop", /llm/ and /once/ at the
+ * engines, the latter not resumable. */
+static MfRoutes *
+routes_make (void)
+{
+  static const char text[]
+      = "{\"version\":1,\"routes\":["
+        "{\"name\":\"read\",\"host\":\"h\",\"pathPrefix\":\"/read/\",\"kind\":\"idempotent\","
+        "\"timeoutMs\":600,\"targetLatencyMs\":100,\"service\":\"shop\",\"maxAttempts\":2},"
+        "{\"name\":\"order\",\"host\":\"h\",\"pathPrefix\":\"/order/\",\"kind\":\"non_idempotent\","
+        "\"timeoutMs\":600,\"targetLatencyMs\":100,\"service\":\"shop\",\"maxAttempts\":1},"
+        "{\"name\":\"llm\",\"host\":\"h\",\"pathPrefix\":\"/llm/\",\"kind\":\"streaming\","
+        "\"timeoutMs\":3000,\"targetLatencyMs\":300,\"targetGapMs\":100,\"service\":\"engines\","
+        "\"maxAttempts\":2,\"resumable\":true},"
+        "{\"name\":\"once\",\"host\":\"h\",\"pathPrefix\":\"/once/\",\"kind\":\"streaming\","
+        "\"timeoutMs\":600,\"targetLatencyMs\":300,\"targetGapMs\":100,\"service\":\"engines\","
+        "\"maxAttempts\":1}],\"services\":[{\"name\":\"shop\"},{\"name\":\"engines\",\"engine\":{"
+        "\"slots\":4,\"kvCapacityTokens\":100000,\"kvRetentionS\":0.5,\"stride\":10}}],"
+        "\"limits\":{}}";
+  MfError error = { 0 };
+  MfRoutes *routes = platform_decode_config (text, strlen (text), &error);
+
+  assert_non_null (routes);
+  return routes;
+}
+
+static void
+town_begin (Town *town)
+{
+  MfError error = { 0 };
+
+  memset (town, 0, sizeof *town);
+  town->loop = ev_loop_new (0);
+  town->lines_fd = open ("/dev/null", O_WRONLY);
+  town->lines = mf_lines_new (town->loop, "t", town->lines_fd, &error);
+  assert_non_null (town->lines);
+  mf_jobs_init (&town->jobs, town->loop, &platform_dialect, town->lines);
+  town->jobs.budget_window_us = 10 * MF_US_PER_S;
+  town->jobs.budget_ratio = 0.2;
+  town->jobs.budget_floor = 2;
+  mf_jobs_configure (&town->jobs, routes_make ());
+  town->door = mf_door_new (town->loop, ADDRESS, &platform_dialect, &mf_job_door_user, &town->jobs,
+                            &error);
+  assert_non_null (town->door);
+  mf_door_limit (town->door, &(MfDoorLimits){
+                                 .header_bytes_max = 16384,
+                                 .body_bytes_max = 65536,
+                                 .header_timeout_us = MF_US_PER_S,
+                                 .idle_timeout_us = 5 * MF_US_PER_S,
+                                 .callers_max = 100,
+                             });
+}
+
+static void
+town_end (Town *town)
+{
+  mf_door_free (town->door);
+  mf_jobs_clear (&town->jobs);
+  for (uint32_t i = 0; i < N_WIRES; i++)
+    {
+      if (town->upstreams[i].wire != NULL)
+        fake_wire_free (town->upstreams[i].wire);
+    }
+  mf_lines_free (town->lines);
+  close (town->lines_fd);
+  ev_loop_destroy (town->loop);
+}
+
+/* Adds an upstream; the first of a role is preferred as it stands in this data centre. */
+static void
+upstream_add (Town *town, uint32_t index, MfRole role, Act act)
+{
+  MfTargetInfo info = { .role = role, .slots = 4, .born_ms = 1 };
+
+  town->upstreams[index]
+      = (Upstream){ .wire = fake_wire_new (town->loop, on_request, &town->upstreams[index]),
+                    .act = act };
+  snprintf (info.id, sizeof info.id, "u%u", index);
+  mf_name_set (info.service, sizeof info.service, role == MF_ROLE_PLAIN ? "shop" : "engines");
+  mf_name_set (info.address, sizeof info.address, fake_wire_address (town->upstreams[index].wire));
+  mf_name_set (info.data_centre, sizeof info.data_centre, index == 0 || index == 2 ? "" : "far");
+  mf_targets_update (&town->jobs.targets, &info);
+}
+
+static uint32_t
+n_requests (const Town *town, uint32_t index)
+{
+  return fake_wire_n_requests (town->upstreams[index].wire);
+}
+
+/* Sends a request and reads its whole answer. */
+static void
+call (Town *town, const char *method, const char *path)
+{
+  char text[512];
+  int fd = loop_connect (PORT);
+
+  assert_true (fd >= 0);
+  snprintf (text, sizeof text,
+            "%s %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: t\r\nX-Deadline-Ms: 3000\r\n"
+            "X-Token-Count: 100,40\r\nX-Kv-Source: 10.0.0.1:1/x\r\nX-Expect-Instance: forged\r\n"
+            "Connection: close\r\nContent-Length: 2\r\n\r\nhi",
+            method, path);
+  loop_send (fd, text, strlen (text));
+  loop_receive (town->loop, fd, NULL, town->got, sizeof town->got);
+  close (fd);
+}
+
+static void
+assert_status (const Town *town, const char *status)
+{
+  assert_memory_equal (town->got, "HTTP/1.1 ", 9);
+  assert_memory_equal (town->got + 9, status, 3);
+}
+
+static void
+test_answer_is_passed_on (void **state)
+{
+  Town town;
+  char value[64];
+
+  (void)state;
+  town_begin (&town);
+  upstream_add (&town, 0, MF_ROLE_PLAIN, act_good);
+  call (&town, "POST", "/order/1?q=2");
+  assert_status (&town, "200");
+  assert_non_null (strstr (town.got, SEAL));
+  assert_non_null (strstr (town.got, "\r\n\r\ngood"));
+  assert_memory_equal (fake_wire_last (town.upstreams[0].wire), "POST /order/1?q=2 HTTP/1.1\r\n",
+                       28);
+  assert_true (fake_wire_header (fake_wire_last (town.upstreams[0].wire), "X-Expect-Instance",
+                                 value, sizeof value));
+  assert_string_equal (value, "u0");
+  /* What only a router may set is not taken from callers; the route's time bounds the deadline. */
+  assert_false (fake_wire_header (fake_wire_last (town.upstreams[0].wire), "X-Kv-Source", value,
+                                  sizeof value));
+  assert_true (fake_wire_header (fake_wire_last (town.upstreams[0].wire), "X-Deadline-Ms", value,
+                                 sizeof value));
+  assert_in_range (atoi (value), 500, 601);
+  town_end (&town);
+}
+
+static void
+test_order_that_may_have_run_is_not_sent_again (void **state)
+{
+  static const Act acts[] = { act_reset, act_unsealed, act_encoded, act_mute, act_fail };
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (acts); i++)
+    {
+      Town town;
+
+      town_begin (&town);
+      upstream_add (&town, 0, MF_ROLE_PLAIN, acts[i]);
+      upstream_add (&town, 1, MF_ROLE_PLAIN, act_good);
+      call (&town, "POST", "/order/1");
+      assert_int_equal (town.got[9], '5');
+      assert_memory_not_equal (town.got + 9, "503", 3);
+      assert_int_equal (n_requests (&town, 0), 1);
+      assert_int_equal (n_requests (&town, 1), 0);
+      town_end (&town);
+    }
+}
+
+static void
+test_order_that_was_declined_runs_elsewhere (void **state)
+{
+  Town town;
+
+  (void)state;
+  town_begin (&town);
+  upstream_add (&town, 0, MF_ROLE_PLAIN, act_decline);
+  upstream_add (&town, 1, MF_ROLE_PLAIN, act_good);
+  call (&town, "POST", "/order/1");
+  assert_status (&town, "200");
+  assert_int_equal (n_requests (&town, 0), 1);
+  assert_int_equal (n_requests (&town, 1), 1);
+  town_end (&town);
+}
+
+static void
+test_declined_everywhere_is_refused_with_a_time (void **state)
+{
+  Town town;
+
+  (void)state;
+  town_begin (&town);
+  upstream_add (&town, 0, MF_ROLE_PLAIN, act_decline);
+  call (&town, "POST", "/order/1");
+  assert_status (&town, "503");
+  assert_non_null (strstr (town.got, "Retry-After: "));
+  town_end (&town);
+}
+
+static void
+test_refusals_without_upstream_or_route (void **state)
+{
+  Town town;
+
+  (void)state;
+  town_begin (&town);
+  call (&town, "POST", "/order/1");
+  assert_status (&town, "503");
+  call (&town, "POST", "/nothing/1");
+  assert_status (&town, "404");
+  mf_routes_unref (town.jobs.routes);
+  town.jobs.routes = NULL;
+  call (&town, "POST", "/nothing/1");
+  assert_status (&town, "503");
+  town_end (&town);
+}
+
+static void
+test_read_is_tried_elsewhere (void **state)
+{
+  static const Act acts[]
+      = { act_reset, act_unsealed, act_encoded, act_mute, act_fail, act_decline };
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (acts); i++)
+    {
+      Town town;
+
+      town_begin (&town);
+      upstream_add (&town, 0, MF_ROLE_PLAIN, acts[i]);
+      upstream_add (&town, 1, MF_ROLE_PLAIN, act_good);
+      call (&town, "GET", "/read/1");
+      assert_status (&town, "200");
+      town_end (&town);
+    }
+}
+
+/* No more upstreams than the route allows, and the last failure is the upstream's own. */
+static void
+test_read_fails_in_the_end (void **state)
+{
+  Town town;
+
+  (void)state;
+  town_begin (&town);
+  upstream_add (&town, 0, MF_ROLE_PLAIN, act_fail);
+  upstream_add (&town, 1, MF_ROLE_PLAIN, act_fail);
+  upstream_add (&town, 2, MF_ROLE_PLAIN, act_fail);
+  call (&town, "GET", "/read/1");
+  assert_status (&town, "500");
+  assert_non_null (strstr (town.got, SEAL));
+  assert_int_equal (n_requests (&town, 0) + n_requests (&town, 1) + n_requests (&town, 2), 2);
+  town_end (&town);
+}
+
+static void
+test_repeats_keep_to_the_budget (void **state)
+{
+  Town town;
+
+  (void)state;
+  town_begin (&town);
+  upstream_add (&town, 0, MF_ROLE_PLAIN, act_fail);
+  upstream_add (&town, 1, MF_ROLE_PLAIN, act_fail);
+  for (uint32_t i = 0; i < 20; i++)
+    call (&town, "GET", "/read/1");
+  assert_in_range (n_requests (&town, 0) + n_requests (&town, 1), 22, 26);
+  town_end (&town);
+}
+
+static void
+test_prompt_is_read_and_decoded_apart (void **state)
+{
+  Town town;
+  char value[64];
+  char expected[128];
+
+  (void)state;
+  town_begin (&town);
+  upstream_add (&town, 0, MF_ROLE_PREFILL, act_prefill);
+  upstream_add (&town, 1, MF_ROLE_DECODE, act_stream);
+  call (&town, "POST", "/once/1");
+  assert_status (&town, "200");
+  assert_non_null (strstr (town.got, "id: 2\ndata: b\n\n"));
+  assert_non_null (strstr (town.got, "\r\n0\r\n\r\n"));
+  assert_true (fake_wire_header (fake_wire_last (town.upstreams[1].wire), "X-Kv-Source", value,
+                                 sizeof value));
+  snprintf (expected, sizeof expected, "%s/h1", fake_wire_address (town.upstreams[0].wire));
+  assert_string_equal (value, expected);
+  loop_spin (town.loop, 10);
+  assert_int_equal (n_requests (&town, 0), 1);
+  assert_int_equal (town.jobs.n_jobs, 0);
+  town_end (&town);
+}
+
+static void
+test_decode_reads_the_prompt_when_no_engine_does_that_alone (void **state)
+{
+  Town town;
+
+  (void)state;
+  town_begin (&town);
+  upstream_add (&town, 1, MF_ROLE_DECODE, act_stream);
+  call (&town, "POST", "/once/1");
+  assert_status (&town, "200");
+  assert_non_null (strstr (town.got, "\r\n0\r\n\r\n"));
+  town_end (&town);
+}
+
+/* The memory of a prompt that no engine decodes is given back. */
+static void
+test_unused_memory_is_released (void **state)
+{
+  Town town;
+
+  (void)state;
+  town_begin (&town);
+  upstream_add (&town, 0, MF_ROLE_PREFILL, act_prefill);
+  upstream_add (&town, 1, MF_ROLE_DECODE, act_decline);
+  call (&town, "POST", "/once/1");
+  assert_status (&town, "503");
+  loop_spin (town.loop, 20);
+  assert_memory_equal (fake_wire_last (town.upstreams[0].wire), "DELETE /kv-handle/h1 ", 21);
+  town_end (&town);
+}
+
+static void
+test_broken_stream_goes_on_after_its_last_event (void **state)
+{
+  Town town;
+  char value[16] = "";
+  const char *first;
+
+  (void)state;
+  town_begin (&town);
+  upstream_add (&town, 0, MF_ROLE_DECODE, act_stream_breaks);
+  upstream_add (&town, 1, MF_ROLE_DECODE, act_stream);
+  call (&town, "POST", "/llm/1");
+  assert_status (&town, "200");
+  first = strstr (town.got, "id: 1\ndata: a\n\n");
+  assert_non_null (first);
+  assert_null (strstr (first + 1, "id: 1"));
+  assert_non_null (strstr (first, "id: 2\ndata: b\n\n"));
+  assert_non_null (strstr (first, "\r\n0\r\n\r\n"));
+  assert_true (fake_wire_header (fake_wire_last (town.upstreams[1].wire), "Last-Event-Id", value,
+                                 sizeof value));
+  assert_string_equal (value, "1");
+  town_end (&town);
+}
+
+static void
+test_silent_stream_goes_on_elsewhere (void **state)
+{
+  Town town;
+
+  (void)state;
+  town_begin (&town);
+  upstream_add (&town, 0, MF_ROLE_DECODE, act_stream_hangs);
+  upstream_add (&town, 1, MF_ROLE_DECODE, act_stream);
+  call (&town, "POST", "/llm/1");
+  assert_status (&town, "200");
+  assert_non_null (strstr (town.got, "id: 2\ndata: b\n\n"));
+  assert_int_equal (fake_wire_n_left (town.upstreams[0].wire), 1);
+  town_end (&town);
+}
+
+static void
+test_broken_stream_that_cannot_go_on_does_not_look_whole (void **state)
+{
+  Town town;
+
+  (void)state;
+  town_begin (&town);
+  upstream_add (&town, 0, MF_ROLE_DECODE, act_stream_breaks);
+  upstream_add (&town, 1, MF_ROLE_DECODE, act_stream);
+  call (&town, "POST", "/once/1");
+  assert_status (&town, "200");
+  assert_null (strstr (town.got, "\r\n0\r\n\r\n"));
+  assert_int_equal (n_requests (&town, 1), 0);
+  town_end (&town);
+}
+
+static bool
+nobody_is_served (void *data)
+{
+  return ((Town *)data)->jobs.n_jobs == 0;
+}
+
+/* Stops the work of callers who leave in each phase, while nothing and while events arrive. */
+static void
+test_departed_caller_stops_its_work (void **state)
+{
+  static const Act acts[] = { act_mute, act_stream_hangs };
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (acts); i++)
+    {
+      static const char text[] = "POST /once/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: t\r\n\r\n";
+      Town town;
+      int fd;
+
+      town_begin (&town);
+      upstream_add (&town, 0, MF_ROLE_DECODE, acts[i]);
+      fd = loop_connect (PORT);
+      loop_send (fd, text, strlen (text));
+      loop_spin (town.loop, 20);
+      assert_int_equal (n_requests (&town, 0), 1);
+      close (fd);
+      assert_true (loop_pump (town.loop, nobody_is_served, &town));
+      loop_spin (town.loop, 20);
+      assert_int_equal (fake_wire_n_left (town.upstreams[0].wire), 1);
+      town_end (&town);
+    }
+}
+
+static void
+test_unreachable_upstream_costs_no_request (void **state)
+{
+  Town town;
+
+  (void)state;
+  town_begin (&town);
+  upstream_add (&town, 0, MF_ROLE_PLAIN, act_good);
+  upstream_add (&town, 1, MF_ROLE_PLAIN, act_good);
+  fake_wire_free (town.upstreams[0].wire);
+  town.upstreams[0].wire = NULL;
+  call (&town, "POST", "/order/1");
+  assert_status (&town, "200");
+  assert_int_equal (n_requests (&town, 1), 1);
+  town_end (&town);
+}
+
+static void
+test_deadline_ends_what_does_not_answer (void **state)
+{
+  Town town;
+
+  (void)state;
+  town_begin (&town);
+  upstream_add (&town, 0, MF_ROLE_DECODE, act_mute);
+  call (&town, "POST", "/once/1");
+  assert_status (&town, "504");
+  assert_null (strstr (town.got, "Retry-After"));
+  town_end (&town);
+}
+
+/* Ten callers want four slots: all are answered, never five at once. */
+static void
+test_requests_wait_for_room (void **state)
+{
+  static const char text[] = "POST /llm/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: t\r\n\r\n";
+  Town town;
+  int fds[10];
+
+  (void)state;
+  town_begin (&town);
+  upstream_add (&town, 0, MF_ROLE_DECODE, act_stream_hangs);
+  for (size_t i = 0; i < MF_ARRAY_LEN (fds); i++)
+    {
+      fds[i] = loop_connect (PORT);
+      loop_send (fds[i], text, strlen (text));
+      loop_spin (town.loop, 5);
+    }
+  assert_int_equal (n_requests (&town, 0), 4);
+  town.upstreams[0].act = act_stream;
+  for (size_t i = 0; i < 4; i++)
+    close (fds[i]);
+  for (size_t i = 4; i < MF_ARRAY_LEN (fds); i++)
+    {
+      loop_receive (town.loop, fds[i], "\r\n0\r\n\r\n", town.got, sizeof town.got);
+      assert_status (&town, "200");
+      close (fds[i]);
+    }
+  assert_int_equal (n_requests (&town, 0), 10);
+  town_end (&town);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_answer_is_passed_on),
+    cmocka_unit_test (test_order_that_may_have_run_is_not_sent_again),
+    cmocka_unit_test (test_order_that_was_declined_runs_elsewhere),
+    cmocka_unit_test (test_declined_everywhere_is_refused_with_a_time),
+    cmocka_unit_test (test_refusals_without_upstream_or_route),
+    cmocka_unit_test (test_read_is_tried_elsewhere),
+    cmocka_unit_test (test_read_fails_in_the_end),
+    cmocka_unit_test (test_repeats_keep_to_the_budget),
+    cmocka_unit_test (test_prompt_is_read_and_decoded_apart),
+    cmocka_unit_test (test_decode_reads_the_prompt_when_no_engine_does_that_alone),
+    cmocka_unit_test (test_unused_memory_is_released),
+    cmocka_unit_test (test_broken_stream_goes_on_after_its_last_event),
+    cmocka_unit_test (test_silent_stream_goes_on_elsewhere),
+    cmocka_unit_test (test_broken_stream_that_cannot_go_on_does_not_look_whole),
+    cmocka_unit_test (test_departed_caller_stops_its_work),
+    cmocka_unit_test (test_unreachable_upstream_costs_no_request),
+    cmocka_unit_test (test_deadline_ends_what_does_not_answer),
+    cmocka_unit_test (test_requests_wait_for_room),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_link.c
@@ -0,0 +1,294 @@
+#include "libmangofork/relay/link.h"
+
+#include "platform/platform.h"
+
+#include "fakes/wire.h"
+#include "loop_pump.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define REQUEST "POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: mine\r\nContent-Length: 2\r\n\r\n"
+#define ANSWER(id, body)                                                                           \
+  "HTTP/1.1 200 OK\r\nX-Attempt-Id: " id                                                           \
+  "\r\nKeep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\n" body
+
+/* One exchange and what its user has heard. */
+typedef struct
+{
+  struct ev_loop *loop;
+  FakeWire *wire;
+  MfLinkPool pool;
+  const char *script; /* what the upstream answers */
+  bool close_after;
+  bool reset_after;
+  uint32_t n_heads;
+  uint32_t status;
+  char body[256];
+  uint32_t n_ends;
+  MfLinkEnd end;
+} Exchange;
+
+static void
+on_request (FakeWireConn *conn, const char *text, void *data)
+{
+  Exchange *exchange = data;
+
+  (void)text;
+  if (exchange->script != NULL)
+    fake_wire_send (conn, exchange->script);
+  if (exchange->close_after || exchange->reset_after)
+    fake_wire_close (conn, exchange->reset_after);
+}
+
+static void
+on_head (void *data, const MfHead *head, uint32_t status)
+{
+  Exchange *exchange = data;
+
+  (void)head;
+  exchange->n_heads++;
+  exchange->status = status;
+}
+
+static void
+on_body (void *data, const char *bytes, size_t n_bytes)
+{
+  Exchange *exchange = data;
+  size_t had = strlen (exchange->body);
+
+  snprintf (exchange->body + had, sizeof exchange->body - had, "%.*s", (int)n_bytes, bytes);
+}
+
+static void
+on_end (void *data, MfLinkEnd end, const char *why)
+{
+  Exchange *exchange = data;
+
+  (void)why;
+  exchange->n_ends++;
+  exchange->end = end;
+}
+
+static const MfLinkUser user = { .head = on_head, .body = on_body, .end = on_end };
+
+static void
+exchange_begin (Exchange *exchange, const char *script)
+{
+  *exchange = (Exchange){ .loop = ev_loop_new (0), .script = script };
+  exchange->wire = fake_wire_new (exchange->loop, on_request, exchange);
+  exchange->pool = (MfLinkPool){
+    .loop = exchange->loop,
+    .dialect = &platform_dialect,
+    .n_idle_max = 4,
+    .connect_timeout_us = 200 * MF_US_PER_MS,
+  };
+  mf_name_set (exchange->pool.address, sizeof exchange->pool.address,
+               fake_wire_address (exchange->wire));
+}
+
+static void
+exchange_end (Exchange *exchange)
+{
+  mf_link_pool_close (&exchange->pool);
+  fake_wire_free (exchange->wire);
+  ev_loop_destroy (exchange->loop);
+}
+
+static bool
+has_ended (void *data)
+{
+  return ((Exchange *)data)->n_ends > 0;
+}
+
+static MfLink *
+start (Exchange *exchange, const char *echo_id)
+{
+  exchange->n_heads = 0;
+  exchange->n_ends = 0;
+  exchange->body[0] = '\0';
+  return mf_link_start (&exchange->pool, &(MfLinkCall){
+                                             .user = &user,
+                                             .data = exchange,
+                                             .head = REQUEST,
+                                             .head_bytes = strlen (REQUEST),
+                                             .body = "hi",
+                                             .body_bytes = 2,
+                                             .echo_id = echo_id,
+                                         });
+}
+
+static void
+run (Exchange *exchange, const char *echo_id)
+{
+  assert_non_null (start (exchange, echo_id));
+  assert_int_equal (exchange->n_ends, 0);
+  assert_true (loop_pump (exchange->loop, has_ended, exchange));
+  assert_int_equal (exchange->n_ends, 1);
+}
+
+static void
+test_kept_connection_is_used_again (void **state)
+{
+  Exchange exchange;
+
+  (void)state;
+  exchange_begin (&exchange, ANSWER ("mine", "ok"));
+  run (&exchange, "mine");
+  assert_int_equal (exchange.end, MF_LINK_WHOLE);
+  assert_string_equal (exchange.body, "ok");
+  assert_int_equal (exchange.pool.n_idle, 1);
+  run (&exchange, "mine");
+  assert_int_equal (fake_wire_n_conns (exchange.wire), 1);
+  assert_int_equal (fake_wire_n_requests (exchange.wire), 2);
+  exchange_end (&exchange);
+}
+
+/* A late answer to an earlier request stands before the right one. */
+static void
+test_answer_to_another_request_is_passed_over (void **state)
+{
+  Exchange exchange;
+
+  (void)state;
+  exchange_begin (&exchange, ANSWER ("other", "no") ANSWER ("mine", "ok"));
+  run (&exchange, "mine");
+  assert_int_equal (exchange.end, MF_LINK_WHOLE);
+  assert_int_equal (exchange.n_heads, 1);
+  assert_string_equal (exchange.body, "ok");
+  assert_int_equal (exchange.pool.n_idle, 0);
+  exchange_end (&exchange);
+}
+
+static void
+test_surplus_answer_closes_the_connection (void **state)
+{
+  Exchange exchange;
+
+  (void)state;
+  exchange_begin (&exchange, ANSWER ("mine", "ok") ANSWER ("mine", "no"));
+  run (&exchange, "mine");
+  assert_int_equal (exchange.end, MF_LINK_WHOLE);
+  assert_string_equal (exchange.body, "ok");
+  assert_int_equal (exchange.pool.n_idle, 0);
+  exchange_end (&exchange);
+}
+
+static void
+test_bytes_on_an_idle_connection_close_it (void **state)
+{
+  Exchange exchange;
+
+  (void)state;
+  exchange_begin (&exchange, ANSWER ("mine", "ok"));
+  run (&exchange, "mine");
+  assert_int_equal (exchange.pool.n_idle, 1);
+  fake_wire_send (fake_wire_last_conn (exchange.wire), ANSWER ("mine", "no"));
+  loop_spin (exchange.loop, 20);
+  assert_int_equal (exchange.pool.n_idle, 0);
+  run (&exchange, "mine");
+  assert_string_equal (exchange.body, "ok");
+  assert_int_equal (fake_wire_n_conns (exchange.wire), 2);
+  exchange_end (&exchange);
+}
+
+static void
+test_broken_answers (void **state)
+{
+  static const char *const scripts[] = {
+    "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Le",
+    "",
+  };
+  Exchange exchange;
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (scripts); i++)
+    {
+      exchange_begin (&exchange, scripts[i]);
+      exchange.close_after = true;
+      run (&exchange, "mine");
+      assert_int_equal (exchange.end, MF_LINK_BROKEN);
+      exchange_end (&exchange);
+    }
+  exchange_begin (&exchange, "nonsense\r\n\r\n");
+  run (&exchange, "mine");
+  assert_int_equal (exchange.end, MF_LINK_BROKEN);
+  exchange_end (&exchange);
+}
+
+/* An answer without length ends with its connection, unless that is reset. */
+static void
+test_answer_without_length (void **state)
+{
+  Exchange exchange;
+
+  (void)state;
+  exchange_begin (&exchange, "HTTP/1.1 200 OK\r\nX-Attempt-Id: mine\r\n\r\nwhole");
+  exchange.close_after = true;
+  run (&exchange, "mine");
+  assert_int_equal (exchange.end, MF_LINK_WHOLE);
+  assert_string_equal (exchange.body, "whole");
+  exchange_end (&exchange);
+  exchange_begin (&exchange, "HTTP/1.1 200 OK\r\nX-Attempt-Id: mine\r\n\r\nwhole");
+  exchange.reset_after = true;
+  run (&exchange, "mine");
+  assert_int_equal (exchange.end, MF_LINK_BROKEN);
+  exchange_end (&exchange);
+}
+
+static void
+test_nobody_listens (void **state)
+{
+  Exchange exchange;
+
+  (void)state;
+  exchange_begin (&exchange, NULL);
+  mf_name_set (exchange.pool.address, sizeof exchange.pool.address, "127.0.0.1:1");
+  run (&exchange, "mine");
+  assert_int_equal (exchange.end, MF_LINK_UNREACHED);
+  exchange_end (&exchange);
+}
+
+static void
+test_cancel_closes_the_connection (void **state)
+{
+  Exchange exchange;
+  MfLink *link;
+
+  (void)state;
+  exchange_begin (&exchange, NULL);
+  link = start (&exchange, "mine");
+  loop_spin (exchange.loop, 20);
+  assert_int_equal (fake_wire_n_requests (exchange.wire), 1);
+  assert_true (mf_link_has_sent (link));
+  mf_link_cancel (link);
+  loop_spin (exchange.loop, 20);
+  assert_int_equal (fake_wire_n_left (exchange.wire), 1);
+  assert_int_equal (exchange.n_ends, 0);
+  assert_int_equal (exchange.pool.n_links, 0);
+  exchange_end (&exchange);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_kept_connection_is_used_again),
+    cmocka_unit_test (test_answer_to_another_request_is_passed_over),
+    cmocka_unit_test (test_surplus_answer_closes_the_connection),
+    cmocka_unit_test (test_bytes_on_an_idle_connection_close_it),
+    cmocka_unit_test (test_broken_answers),
+    cmocka_unit_test (test_answer_without_length),
+    cmocka_unit_test (test_nobody_listens),
+    cmocka_unit_test (test_cancel_closes_the_connection),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_peers.c
@@ -0,0 +1,273 @@
+#include "libmangofork/relay/peers.h"
+
+#include "libmangofork/clock.h"
+
+#include "loop_pump.h"
+
+#include <fcntl.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#define N 4
+#define FIRST_PORT 21751
+
+typedef struct
+{
+  MfPeers *peers;
+  char address[MF_ADDRESS_BYTES];
+  uint32_t n_active; /* what it reports of the engine 7 */
+  MfRelayMessage last;
+  uint64_t last_peer;
+  uint32_t n_messages;
+  uint32_t n_gone;
+} Node;
+
+typedef struct
+{
+  struct ev_loop *loop;
+  MfLines *lines;
+  int lines_fd;
+  Node nodes[N];
+} Fleet;
+
+static void
+on_fill (void *data, MfLoadReport *report)
+{
+  const Node *node = data;
+
+  report->entries[report->n_entries++] = (MfLoadEntry){ .upstream = 7, .n_active = node->n_active };
+}
+
+static void
+on_changed (void *data)
+{
+  (void)data;
+}
+
+static void
+on_message (void *data, uint64_t peer, const MfRelayMessage *message)
+{
+  Node *node = data;
+
+  node->last = *message;
+  node->last_peer = peer;
+  node->n_messages++;
+}
+
+static void
+on_gone (void *data, uint64_t peer)
+{
+  Node *node = data;
+
+  (void)peer;
+  node->n_gone++;
+}
+
+static const MfPeersUser user = {
+  .fill = on_fill,
+  .changed = on_changed,
+  .message = on_message,
+  .gone = on_gone,
+};
+
+static void
+node_begin (Fleet *fleet, uint32_t index)
+{
+  Node *node = &fleet->nodes[index];
+  MfError error = { 0 };
+
+  node->n_active = index + 1;
+  snprintf (node->address, sizeof node->address, "127.0.0.1:%u", FIRST_PORT + index);
+  node->peers = mf_peers_new (fleet->loop, node->address, &user, node, fleet->lines, &error);
+  assert_non_null (node->peers);
+  mf_peers_seed (node->peers, fleet->nodes[0].address);
+}
+
+static void
+fleet_begin (Fleet *fleet)
+{
+  MfError error = { 0 };
+
+  memset (fleet, 0, sizeof *fleet);
+  fleet->loop = ev_loop_new (0);
+  fleet->lines_fd = open ("/dev/null", O_WRONLY);
+  fleet->lines = mf_lines_new (fleet->loop, "t", fleet->lines_fd, &error);
+  assert_non_null (fleet->lines);
+  for (uint32_t i = 0; i < N; i++)
+    node_begin (fleet, i);
+}
+
+static void
+fleet_end (Fleet *fleet)
+{
+  for (uint32_t i = 0; i < N; i++)
+    mf_peers_free (fleet->nodes[i].peers);
+  mf_lines_free (fleet->lines);
+  close (fleet->lines_fd);
+  ev_loop_destroy (fleet->loop);
+}
+
+static void
+entry_sum (void *data, const MfLoadEntry *entry)
+{
+  *(uint32_t *)data += entry->n_active;
+}
+
+/* Whether each instance that runs has heard what all others have. */
+static bool
+all_have_heard (void *data)
+{
+  Fleet *fleet = data;
+  uint32_t total = 0;
+
+  for (uint32_t i = 0; i < N; i++)
+    total += fleet->nodes[i].peers != NULL ? fleet->nodes[i].n_active : 0;
+  for (uint32_t i = 0; i < N; i++)
+    {
+      uint32_t sum = fleet->nodes[i].n_active;
+
+      if (fleet->nodes[i].peers == NULL)
+        continue;
+      mf_peers_foreach (fleet->nodes[i].peers, mf_clock_now_us (), entry_sum, &sum);
+      if (sum != total)
+        return false;
+    }
+  return true;
+}
+
+static void
+test_instances_find_each_other_by_one_seed (void **state)
+{
+  Fleet fleet;
+
+  (void)state;
+  fleet_begin (&fleet);
+  assert_true (loop_pump (fleet.loop, all_have_heard, &fleet));
+  for (uint32_t i = 0; i < N; i++)
+    assert_int_equal (mf_peers_count (fleet.nodes[i].peers, mf_clock_now_us ()), N);
+  fleet.nodes[2].n_active = 50;
+  mf_peers_touch (fleet.nodes[2].peers);
+  assert_true (loop_pump (fleet.loop, all_have_heard, &fleet));
+  fleet_end (&fleet);
+}
+
+/* All name the same instance, which names itself. */
+static void
+test_one_instance_decides (void **state)
+{
+  Fleet fleet;
+  uint64_t leader = 0;
+  uint32_t n_self = 0;
+  uint32_t asker = 0;
+
+  (void)state;
+  fleet_begin (&fleet);
+  assert_true (loop_pump (fleet.loop, all_have_heard, &fleet));
+  for (uint32_t i = 0; i < N; i++)
+    {
+      uint64_t named = mf_peers_leader (fleet.nodes[i].peers, "llm", mf_clock_now_us ());
+
+      n_self += named == MF_DISPATCH_SELF;
+      if (named == MF_DISPATCH_SELF)
+        continue;
+      assert_true (leader == 0 || leader == named);
+      leader = named;
+      asker = i;
+    }
+  assert_int_equal (n_self, 1);
+  /* One that does not answer is passed over by whom it left waiting. */
+  mf_peers_distrust (fleet.nodes[asker].peers, leader);
+  assert_int_not_equal (mf_peers_leader (fleet.nodes[asker].peers, "llm", mf_clock_now_us ()),
+                        leader);
+  fleet_end (&fleet);
+}
+
+static bool
+has_message (void *data)
+{
+  return ((Node *)data)->n_messages > 0;
+}
+
+static void
+test_messages_name_their_sender (void **state)
+{
+  Fleet fleet;
+  MfRelayMessage message = { .kind = MF_RELAY_MESSAGE_GRANT, .grant = { 5, 6, 7 } };
+
+  (void)state;
+  fleet_begin (&fleet);
+  assert_true (loop_pump (fleet.loop, all_have_heard, &fleet));
+  assert_true (
+      mf_peers_send (fleet.nodes[1].peers, mf_load_hash (fleet.nodes[3].address), &message));
+  assert_true (loop_pump (fleet.loop, has_message, &fleet.nodes[3]));
+  assert_int_equal (fleet.nodes[3].last_peer, mf_load_hash (fleet.nodes[1].address));
+  assert_int_equal (fleet.nodes[3].last.grant.decode, 6);
+  assert_false (mf_peers_send (fleet.nodes[1].peers, 12345, &message));
+  fleet_end (&fleet);
+}
+
+static bool
+is_gone_everywhere (void *data)
+{
+  const Fleet *fleet = data;
+
+  return fleet->nodes[0].n_gone == 1 && fleet->nodes[2].n_gone == 1 && fleet->nodes[3].n_gone == 1;
+}
+
+/* What an instance had at the engines ends with it, and it is back when it is started again. */
+static void
+test_an_instance_ends_and_comes_back (void **state)
+{
+  Fleet fleet;
+
+  (void)state;
+  fleet_begin (&fleet);
+  assert_true (loop_pump (fleet.loop, all_have_heard, &fleet));
+  mf_peers_free (fleet.nodes[1].peers);
+  fleet.nodes[1].peers = NULL;
+  assert_true (loop_pump (fleet.loop, is_gone_everywhere, &fleet));
+  assert_true (loop_pump (fleet.loop, all_have_heard, &fleet));
+  node_begin (&fleet, 1);
+  assert_true (loop_pump (fleet.loop, all_have_heard, &fleet));
+  fleet_end (&fleet);
+}
+
+/* Bytes of anybody close their own connection and change nothing. */
+static void
+test_foreign_bytes (void **state)
+{
+  Fleet fleet;
+  char got[16];
+  int fd;
+
+  (void)state;
+  fleet_begin (&fleet);
+  assert_true (loop_pump (fleet.loop, all_have_heard, &fleet));
+  fd = loop_connect (FIRST_PORT);
+  loop_send (fd, "GET / HTTP/1.1\r\n\r\n", 18);
+  assert_int_equal (loop_receive (fleet.loop, fd, NULL, got, sizeof got), 0);
+  close (fd);
+  assert_true (all_have_heard (&fleet));
+  fleet_end (&fleet);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_instances_find_each_other_by_one_seed),
+    cmocka_unit_test (test_one_instance_decides),
+    cmocka_unit_test (test_messages_name_their_sender),
+    cmocka_unit_test (test_an_instance_ends_and_comes_back),
+    cmocka_unit_test (test_foreign_bytes),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_place.c
@@ -0,0 +1,175 @@
+#include "libmangofork/relay/place.h"
+
+#include "libmangofork/relay/load.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define NOW_US (100 * MF_US_PER_S)
+
+static const MfRouteService engine = {
+  .name = "llm",
+  .is_engine = true,
+  .engine_slots = 12,
+  .kv_capacity_tokens = 100000,
+};
+
+/* Three upstreams of one role, one in each of three data centres. */
+typedef struct
+{
+  MfTargets targets;
+  MfTarget rows[3];
+} Fleet;
+
+static void
+fleet_make (Fleet *fleet, MfRole role)
+{
+  static const char *const centres[] = { "a", "b", "c" };
+
+  memset (fleet, 0, sizeof *fleet);
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      MfTarget *target = &fleet->rows[i];
+
+      target->info.role = role;
+      target->info.slots = 6;
+      mf_name_set (target->info.service, sizeof target->info.service, "llm");
+      mf_name_set (target->info.data_centre, sizeof target->info.data_centre, centres[i]);
+      mf_name_set (target->info.id, sizeof target->info.id, centres[i]);
+      target->id_hash = mf_load_hash (centres[i]);
+      target->next = fleet->targets.first;
+      fleet->targets.first = target;
+    }
+}
+
+/* Which of the three is chosen; -1 for none. */
+static int
+choose (const Fleet *fleet, MfPlaceAsk ask)
+{
+  bool any_alive = false;
+  const MfTarget *target;
+
+  ask.service = "llm";
+  ask.role = fleet->rows[0].info.role;
+  ask.traits = &engine;
+  ask.data_centre = "b";
+  target = mf_place_choose (&fleet->targets, &ask, NOW_US, &any_alive);
+  return target == NULL ? -1 : (int)(target - fleet->rows);
+}
+
+static void
+test_plain_requests_stay_near (void **state)
+{
+  Fleet fleet;
+
+  (void)state;
+  fleet_make (&fleet, MF_ROLE_PLAIN);
+  assert_int_equal (choose (&fleet, (MfPlaceAsk){ 0 }), 1);
+  mf_target_begin (&fleet.rows[1], 0, NOW_US);
+  assert_int_not_equal (choose (&fleet, (MfPlaceAsk){ 0 }), 1);
+}
+
+static void
+test_slow_failing_and_silent_upstreams_are_left (void **state)
+{
+  Fleet fleet;
+
+  (void)state;
+  fleet_make (&fleet, MF_ROLE_PLAIN);
+  for (uint32_t i = 0; i < 10; i++)
+    mf_target_answered (&fleet.rows[1], 80 * MF_US_PER_MS, NOW_US);
+  assert_int_not_equal (choose (&fleet, (MfPlaceAsk){ 0 }), 1);
+  fleet_make (&fleet, MF_ROLE_PLAIN);
+  mf_target_failed (&fleet.rows[1], false, NOW_US);
+  assert_int_not_equal (choose (&fleet, (MfPlaceAsk){ 0 }), 1);
+  fleet_make (&fleet, MF_ROLE_DECODE);
+  mf_target_begin (&fleet.rows[1], 100, NOW_US - 2 * MF_US_PER_S);
+  assert_int_not_equal (choose (&fleet, (MfPlaceAsk){ 0 }), 1);
+  /* What another instance has seen counts as well. */
+  fleet_make (&fleet, MF_ROLE_DECODE);
+  fleet.rows[1].others_failure_share = 0.5;
+  assert_int_not_equal (choose (&fleet, (MfPlaceAsk){ 0 }), 1);
+}
+
+static void
+test_leaving_and_tried_upstreams_are_not_chosen (void **state)
+{
+  Fleet fleet;
+  MfPlaceAsk ask = { .n_avoid = 1 };
+
+  (void)state;
+  fleet_make (&fleet, MF_ROLE_PLAIN);
+  fleet.rows[1].info.leaving = true;
+  ask.avoid[0] = fleet.rows[0].id_hash;
+  assert_int_equal (choose (&fleet, ask), 2);
+  fleet.rows[2].info.leaving = true;
+  assert_int_equal (choose (&fleet, ask), -1);
+}
+
+static void
+test_suspects_only_when_there_is_no_other (void **state)
+{
+  Fleet fleet;
+
+  (void)state;
+  fleet_make (&fleet, MF_ROLE_PLAIN);
+  fleet.rows[1].suspect_until_us = NOW_US + 1;
+  assert_int_not_equal (choose (&fleet, (MfPlaceAsk){ 0 }), 1);
+  fleet.rows[0].suspect_until_us = NOW_US + 3;
+  fleet.rows[2].suspect_until_us = NOW_US + 2;
+  assert_int_equal (choose (&fleet, (MfPlaceAsk){ 0 }), 1);
+}
+
+static void
+test_decodes_go_where_memory_is_free (void **state)
+{
+  Fleet fleet;
+
+  (void)state;
+  fleet_make (&fleet, MF_ROLE_DECODE);
+  mf_target_begin (&fleet.rows[0], 60000, NOW_US);
+  fleet.rows[1].n_others = 1;
+  fleet.rows[1].others_tokens = 70000;
+  assert_int_equal (choose (&fleet, (MfPlaceAsk){ .tokens = 8000 }), 2);
+}
+
+static void
+test_decodes_go_where_their_memory_lies (void **state)
+{
+  Fleet fleet;
+
+  (void)state;
+  fleet_make (&fleet, MF_ROLE_DECODE);
+  assert_int_equal (choose (&fleet, (MfPlaceAsk){ .tokens = 8000, .memory_data_centre = "c" }), 2);
+}
+
+static void
+test_prompts_go_to_the_shortest_queue (void **state)
+{
+  Fleet fleet;
+
+  (void)state;
+  fleet_make (&fleet, MF_ROLE_PREFILL);
+  mf_target_begin (&fleet.rows[1], 20000, NOW_US);
+  mf_target_reserve (&fleet.rows[0], 3000);
+  assert_int_equal (choose (&fleet, (MfPlaceAsk){ .tokens = 5000 }), 2);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_plain_requests_stay_near),
+    cmocka_unit_test (test_slow_failing_and_silent_upstreams_are_left),
+    cmocka_unit_test (test_leaving_and_tried_upstreams_are_not_chosen),
+    cmocka_unit_test (test_suspects_only_when_there_is_no_other),
+    cmocka_unit_test (test_decodes_go_where_memory_is_free),
+    cmocka_unit_test (test_decodes_go_where_their_memory_lies),
+    cmocka_unit_test (test_prompts_go_to_the_shortest_queue),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_platform_decode.c
@@ -0,0 +1,199 @@
+#include "platform/platform.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define ENTRY                                                                                      \
+  "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":64," \
+  "\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":4,\"born\":1781418871288"
+
+static bool
+entry_reads (const char *text, MfTargetInfo *info)
+{
+  MfError error = { 0 };
+  bool good = platform_decode_upstream ("i-1", text, strlen (text), info, &error);
+
+  assert_int_equal (good, !mf_error_is_set (&error));
+  return good;
+}
+
+static void
+test_entry (void **state)
+{
+  MfTargetInfo info;
+
+  (void)state;
+  assert_true (entry_reads (ENTRY "}", &info));
+  assert_string_equal (info.id, "i-1");
+  assert_string_equal (info.service, "s");
+  assert_string_equal (info.address, "10.0.0.9:80");
+  assert_string_equal (info.data_centre, "z");
+  assert_int_equal (info.role, MF_ROLE_PLAIN);
+  assert_int_equal (info.slots, 64);
+  assert_int_equal (info.born_ms, 1781418871288);
+  assert_false (info.leaving);
+  assert_true (entry_reads (ENTRY ",\"stage\":\"prefill\",\"new\":{}}", &info));
+  assert_int_equal (info.role, MF_ROLE_PREFILL);
+  assert_true (entry_reads (ENTRY ",\"stage\":\"decode\"}", &info));
+  assert_int_equal (info.role, MF_ROLE_DECODE);
+}
+
+/* Entries of other writers name no upstream. */
+static void
+test_entries_that_cannot_be_used (void **state)
+{
+  static const char *const texts[] = {
+    "",
+    "null",
+    "[]",
+    "{}",
+    ENTRY,
+    ENTRY "} x",
+    ENTRY ",\"stage\":\"other\"}",
+    ENTRY ",\"stage\":1}",
+    ENTRY ",\"born\":\"soon\"}",
+    ENTRY ",\"born\":1.5}",
+    "{\"service\":1,\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":1,\"state\":\"ready\","
+    "\"sequence\":4}",
+    "{\"service\":\"s\",\"address\":\"10.0.0.9\",\"zone\":\"z\",\"slots\":1,\"state\":\"ready\","
+    "\"sequence\":4}",
+    "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":1,\"state\":\"gone\","
+    "\"sequence\":4}",
+    "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":-1,"
+    "\"state\":\"ready\",\"sequence\":4}",
+    "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":1,"
+    "\"state\":\"ready\"}",
+    "{\"service\":\"s\\u0000t\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":1,"
+    "\"state\":\"ready\",\"sequence\":4}",
+  };
+  MfTargetInfo info;
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (texts); i++)
+    assert_false (entry_reads (texts[i], &info));
+}
+
+static void
+test_leaving (void **state)
+{
+  MfTargetInfo info;
+
+  (void)state;
+  assert_true (entry_reads ("{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\","
+                            "\"slots\":1,\"state\":\"draining\",\"sequence\":4}",
+                            &info));
+  assert_true (info.leaving);
+}
+
+#define SERVICES                                                                                   \
+  "\"services\":[{\"name\":\"llm\",\"maxConnections\":360,\"engine\":{\"slots\":64,"               \
+  "\"kvCapacityTokens\":100125,\"kvRetentionS\":0.5,\"stride\":58}},{\"name\":\"shop\","           \
+  "\"maxConnections\":96}]"
+#define LIMITS                                                                                     \
+  "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,"        \
+  "\"idleTimeoutMs\":15000}"
+
+static MfRoutes *
+config_read (const char *routes, MfError *error)
+{
+  char text[4096];
+
+  snprintf (text, sizeof text, "{\"version\":7,\"routes\":[%s]," SERVICES "," LIMITS "}", routes);
+  return platform_decode_config (text, strlen (text), error);
+}
+
+static void
+test_config (void **state)
+{
+  MfError error = { 0 };
+  MfRoutes *routes = config_read (
+      "{\"name\":\"r1\",\"host\":\"h\",\"pathPrefix\":\"/a/\",\"kind\":\"streaming\","
+      "\"timeoutMs\":14000,\"targetLatencyMs\":900,\"priority\":1,\"service\":\"llm\","
+      "\"maxAttempts\":2,\"resumable\":true,\"targetGapMs\":300},"
+      "{\"name\":\"r2\",\"host\":\"h\",\"pathPrefix\":\"/b/\",\"kind\":\"non_idempotent\","
+      "\"timeoutMs\":600,\"targetLatencyMs\":100,\"trafficSplit\":[{\"service\":\"shop\","
+      "\"weight\":90},{\"service\":\"llm\",\"weight\":10}],\"maxAttempts\":1}",
+      &error);
+
+  (void)state;
+  assert_non_null (routes);
+  assert_int_equal (routes->version, 7);
+  assert_int_equal (routes->routes[0].kind, MF_ROUTE_STREAMING);
+  assert_int_equal (routes->routes[0].timeout_us, 14 * MF_US_PER_S);
+  assert_int_equal (routes->routes[0].target_gap_us, 300 * MF_US_PER_MS);
+  assert_int_equal (routes->routes[0].attempts_max, 2);
+  assert_true (routes->routes[0].resumable);
+  assert_int_equal (routes->routes[1].kind, MF_ROUTE_NON_IDEMPOTENT);
+  assert_int_equal (routes->routes[1].n_shares, 2);
+  assert_int_equal (routes->routes[1].shares[0].service, 1);
+  assert_true (routes->services[0].is_engine);
+  assert_false (routes->services[1].is_engine);
+  assert_int_equal (routes->services[0].kv_retention_us, 500 * MF_US_PER_MS);
+  assert_int_equal (routes->services[0].event_tokens, 58);
+  assert_int_equal (routes->limits.header_timeout_us, 3 * MF_US_PER_S);
+  mf_routes_unref (routes);
+}
+
+static void
+test_config_with_faults (void **state)
+{
+  static const char *const faulty[] = {
+    "{\"name\":\"r\",\"host\":\"h\",\"pathPrefix\":\"/a/\",\"kind\":\"some\",\"service\":\"llm\"}",
+    "{\"name\":\"r\",\"host\":\"h\",\"kind\":\"idempotent\",\"service\":\"llm\"}",
+    "{\"name\":\"r\",\"host\":\"h\",\"pathPrefix\":\"/a/\",\"kind\":\"idempotent\","
+    "\"service\":\"nobody\"}",
+    "7",
+  };
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (faulty); i++)
+    {
+      MfError error = { 0 };
+
+      assert_null (config_read (faulty[i], &error));
+      assert_true (mf_error_is_set (&error));
+      assert_true (error.text[0] != '\0');
+    }
+  for (size_t i = 0; i < 3; i++)
+    {
+      static const char *const texts[] = { "{", "{\"version\":1}", "{\"routes\":[]}" };
+      MfError error = { 0 };
+
+      assert_null (platform_decode_config (texts[i], strlen (texts[i]), &error));
+      assert_true (mf_error_is_set (&error));
+    }
+}
+
+static void
+test_prefill_answer (void **state)
+{
+  static const char good[] = "{\"kvHandle\":\"3fa0\",\"tokens\":1460,\"version\":1}";
+  MfPrefillAnswer answer;
+
+  (void)state;
+  assert_true (platform_dialect.read_prefill (good, strlen (good), &answer));
+  assert_string_equal (answer.handle, "3fa0");
+  assert_int_equal (answer.tokens, 1460);
+  assert_false (platform_dialect.read_prefill (good, strlen (good) - 1, &answer));
+  assert_false (platform_dialect.read_prefill ("{\"kvHandle\":7}", 14, &answer));
+  assert_false (platform_dialect.read_prefill ("", 0, &answer));
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_entry),
+    cmocka_unit_test (test_entries_that_cannot_be_used),
+    cmocka_unit_test (test_leaving),
+    cmocka_unit_test (test_config),
+    cmocka_unit_test (test_config_with_faults),
+    cmocka_unit_test (test_prefill_answer),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_platform_settings.c
@@ -0,0 +1,87 @@
+#include "platform/platform.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define NEEDED                                                                                     \
+  "node=front-1\nzone=z-a\nlisten.front=10.1.0.35:8144\nlisten.readiness=10.1.0.35:8140\n"         \
+  "provider.address=10.200.1.7:8142\n"
+
+static bool
+reads (const char *text, MfRelaySettings *settings, MfError *error)
+{
+  *error = (MfError){ 0 };
+  return platform_settings_parse (text, strlen (text), settings, error);
+}
+
+static void
+test_all_of_the_page (void **state)
+{
+  static const char text[]
+      = NEEDED "unknown=1\nno line\nlisten.control=10.1.0.35:8146\ninternalPorts=7660,7675\n"
+               "seeds=10.1.0.35:8146,10.2.0.28:8146\nlimits.memoryMb=110\nlimits.maxFds=4100\n"
+               "bounds.contactMs=3500.5\nbounds.drainMs=2000\nbounds.graceS=8.5\r\n"
+               "bounds.retryBudgetRatio=0.25\nbounds.budgetWindowS=12\nbounds.retryBudgetSlack=52";
+  MfRelaySettings settings;
+  MfError error;
+
+  (void)state;
+  assert_true (reads (text, &settings, &error));
+  assert_string_equal (settings.name, "front-1");
+  assert_string_equal (settings.data_centre, "z-a");
+  assert_string_equal (settings.metrics, "10.1.0.35:7660");
+  assert_string_equal (settings.peers, "10.1.0.35:8146");
+  assert_string_equal (settings.seeds, "10.1.0.35:8146,10.2.0.28:8146");
+  assert_int_equal (settings.memory_bytes, 110 << 20);
+  assert_int_equal (settings.contact_us, 3500500);
+  assert_int_equal (settings.grace_us, 8500000);
+  assert_int_equal (settings.retry_window_us, 12 * MF_US_PER_S);
+  assert_int_equal (settings.retry_slack, 52);
+  assert_true (settings.retry_ratio > 0.249 && settings.retry_ratio < 0.251);
+}
+
+static void
+test_bounds_may_be_missing (void **state)
+{
+  MfRelaySettings settings;
+  MfError error;
+
+  (void)state;
+  assert_true (reads (NEEDED, &settings, &error));
+  assert_int_equal (settings.contact_us, 3 * MF_US_PER_S);
+  assert_string_equal (settings.peers, "");
+  assert_string_equal (settings.metrics, "");
+}
+
+static void
+test_faults_name_their_key (void **state)
+{
+  MfRelaySettings settings;
+  MfError error;
+
+  (void)state;
+  assert_false (reads ("node=a\n", &settings, &error));
+  assert_int_equal (error.code, MF_CODE_TEXT_MISSING);
+  assert_non_null (strstr (error.text, "zone"));
+  assert_false (reads (NEEDED "bounds.graceS=soon\n", &settings, &error));
+  assert_int_equal (error.code, MF_CODE_TEXT_TYPE);
+  assert_non_null (strstr (error.text, "bounds.graceS"));
+  assert_false (reads (NEEDED "bounds.graceS=-1\n", &settings, &error));
+  assert_false (reads (NEEDED "bounds.graceS=nan\n", &settings, &error));
+  assert_false (platform_settings_read ("/nowhere/settings.conf", &settings, &error));
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_all_of_the_page),
+    cmocka_unit_test (test_bounds_may_be_missing),
+    cmocka_unit_test (test_faults_name_their_key),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_relay_message.c
@@ -0,0 +1,142 @@
+#include "libmangofork/relay/relay_message.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+static MfRelayMessage sent;
+static MfRelayMessage got;
+
+/* Sends the message in sent through its frame into got. */
+static void
+pass (void)
+{
+  MfBuffer frame = { 0 };
+  const uint8_t *bytes;
+
+  mf_relay_message_encode (&sent, &frame);
+  bytes = (const uint8_t *)mf_buffer_data (&frame);
+  assert_int_equal (mf_buffer_bytes (&frame) - 4, (size_t)bytes[2] << 8 | bytes[3]);
+  memset (&got, 0xaa, sizeof got);
+  assert_true (
+      mf_relay_message_decode ((const char *)bytes + 4, mf_buffer_bytes (&frame) - 4, &got));
+  assert_int_equal (got.kind, sent.kind);
+  /* Nothing that is cut short is taken. */
+  for (size_t n_bytes = 0; n_bytes < mf_buffer_bytes (&frame) - 4; n_bytes++)
+    {
+      static MfRelayMessage cut;
+      char *copy = malloc (n_bytes + 1);
+
+      assert_non_null (copy);
+      memcpy (copy, bytes + 4, n_bytes);
+      assert_false (mf_relay_message_decode (copy, n_bytes, &cut));
+      free (copy);
+    }
+  mf_buffer_clear (&frame);
+}
+
+static void
+test_report (void **state)
+{
+  (void)state;
+  sent = (MfRelayMessage){ .kind = MF_RELAY_MESSAGE_REPORT };
+  mf_name_set (sent.report.address, MF_ADDRESS_BYTES, "10.0.0.1:99");
+  sent.report.heartbeat_ms = 400;
+  sent.report.n_entries = 2;
+  sent.report.entries[0] = (MfLoadEntry){ UINT64_MAX, 3, 24000, 0 };
+  sent.report.entries[1] = (MfLoadEntry){ 1, 0, 0, 55 };
+  sent.report.n_members = 1;
+  mf_name_set (sent.report.members[0], MF_ADDRESS_BYTES, "10.0.0.2:99");
+  pass ();
+  assert_string_equal (got.report.address, "10.0.0.1:99");
+  assert_int_equal (got.report.n_entries, 2);
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      assert_int_equal (got.report.entries[i].upstream, sent.report.entries[i].upstream);
+      assert_int_equal (got.report.entries[i].n_active, sent.report.entries[i].n_active);
+      assert_int_equal (got.report.entries[i].tokens, sent.report.entries[i].tokens);
+      assert_int_equal (got.report.entries[i].failure_percent,
+                        sent.report.entries[i].failure_percent);
+    }
+  assert_int_equal (got.report.n_members, 1);
+  assert_string_equal (got.report.members[0], "10.0.0.2:99");
+}
+
+static void
+test_ask (void **state)
+{
+  (void)state;
+  sent = (MfRelayMessage){
+    .kind = MF_RELAY_MESSAGE_ASK,
+    .ask = {
+      .id = 7, .service = "llm", .data_centre = "a", .prompt_tokens = 5000, .memory_tokens = 7400,
+      .has_memory = true, .age_us = 12, .objective_us = 900000, .patience_us = 3300000,
+      .avoid = { 5, 6 }, .n_avoid = 2,
+    },
+  };
+  pass ();
+  assert_memory_equal (&got.ask.avoid, &sent.ask.avoid, 2 * sizeof sent.ask.avoid[0]);
+  assert_string_equal (got.ask.service, "llm");
+  assert_true (got.ask.has_memory);
+  assert_int_equal (got.ask.patience_us, 3300000);
+  assert_int_equal (got.ask.n_avoid, 2);
+}
+
+static void
+test_grant_and_ids (void **state)
+{
+  static const MfRelayMessageKind kinds[]
+      = { MF_RELAY_MESSAGE_QUEUED, MF_RELAY_MESSAGE_CANCEL, MF_RELAY_MESSAGE_SEEN };
+
+  (void)state;
+  sent = (MfRelayMessage){ .kind = MF_RELAY_MESSAGE_GRANT, .grant = { 9, 8, 7 } };
+  pass ();
+  assert_memory_equal (&got.grant, &sent.grant, sizeof sent.grant);
+  for (size_t i = 0; i < MF_ARRAY_LEN (kinds); i++)
+    {
+      sent = (MfRelayMessage){ .kind = kinds[i], .grant = { .id = 3 } };
+      pass ();
+      assert_int_equal (got.grant.id, 3);
+    }
+}
+
+/* Bytes of anybody are refused or read, never trusted. */
+static void
+test_any_bytes (void **state)
+{
+  uint64_t random = 88172645463325252ULL;
+  char bytes[64];
+
+  (void)state;
+  for (uint32_t round = 0; round < 20000; round++)
+    {
+      for (size_t i = 0; i < sizeof bytes; i++)
+        {
+          random ^= random << 13;
+          random ^= random >> 7;
+          random ^= random << 17;
+          bytes[i] = (char)random;
+        }
+      /* Most begin like a message, so that the members are reached. */
+      bytes[0] = (char)(0x90 | (random & 15));
+      bytes[1] = (char)(random >> 8 & 7);
+      if (mf_relay_message_decode (bytes, sizeof bytes, &got))
+        assert_in_range (got.kind, MF_RELAY_MESSAGE_REPORT, MF_RELAY_MESSAGE_SEEN);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_report),
+    cmocka_unit_test (test_ask),
+    cmocka_unit_test (test_grant_and_ids),
+    cmocka_unit_test (test_any_bytes),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_route.c
@@ -0,0 +1,99 @@
+#include "libmangofork/relay/route.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+static void
+route_set (MfRoute *route, const char *host, const char *prefix)
+{
+  route->name = strdup (prefix);
+  route->host = strdup (host);
+  route->path_prefix = strdup (prefix);
+  route->host_bytes = (uint32_t)strlen (host);
+  route->prefix_bytes = (uint32_t)strlen (prefix);
+}
+
+static MfRoutes *
+routes_new (void)
+{
+  MfRoutes *routes = mf_routes_new (3, 2);
+
+  assert_non_null (routes);
+  route_set (&routes->routes[0], "a.example", "/x/");
+  route_set (&routes->routes[1], "a.example", "/x/y/");
+  route_set (&routes->routes[2], "b.example", "/x/");
+  routes->services[0].name = strdup ("one");
+  routes->services[1].name = strdup ("two");
+  return routes;
+}
+
+static const MfRoute *
+find (const MfRoutes *routes, const char *host, const char *path)
+{
+  return mf_routes_find (routes, host, strlen (host), path, strlen (path));
+}
+
+static void
+test_longest_prefix_of_the_host (void **state)
+{
+  MfRoutes *routes = routes_new ();
+
+  (void)state;
+  assert_ptr_equal (find (routes, "a.example", "/x/1"), &routes->routes[0]);
+  assert_ptr_equal (find (routes, "a.example", "/x/y/1"), &routes->routes[1]);
+  assert_ptr_equal (find (routes, "A.Example:8080", "/x/y/"), &routes->routes[1]);
+  assert_ptr_equal (find (routes, "b.example", "/x/y/1"), &routes->routes[2]);
+  assert_null (find (routes, "a.example", "/x"));
+  assert_null (find (routes, "a.example", "/X/1"));
+  assert_null (find (routes, "c.example", "/x/1"));
+  assert_null (find (routes, "", "/x/1"));
+  mf_routes_unref (routes);
+}
+
+static void
+test_weights (void **state)
+{
+  MfRouteShare shares[2] = { { .service = 0, .weight = 90 }, { .service = 1, .weight = 10 } };
+  MfRoute route = { .shares = shares, .n_shares = 2 };
+  uint32_t n_second = 0;
+
+  (void)state;
+  for (uint32_t i = 0; i < 1000; i++)
+    n_second += mf_route_choose (&route, i * 4294967U) == 1;
+  assert_in_range (n_second, 90, 110);
+  shares[0].weight = 0;
+  assert_int_equal (mf_route_choose (&route, 0), 1);
+  shares[1].weight = 0;
+  assert_int_equal (mf_route_choose (&route, UINT32_MAX), 0);
+  route.n_shares = 0;
+  assert_int_equal (mf_route_choose (&route, 7), MF_NONE);
+}
+
+static void
+test_a_version_lasts_as_long_as_its_requests (void **state)
+{
+  MfRoutes *routes = routes_new ();
+  MfRoutes *held = mf_routes_ref (routes);
+
+  (void)state;
+  mf_routes_unref (routes);
+  assert_int_equal (mf_routes_service (held, "two"), 1);
+  assert_int_equal (mf_routes_service (held, "three"), MF_NONE);
+  mf_routes_unref (held);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_longest_prefix_of_the_host),
+    cmocka_unit_test (test_weights),
+    cmocka_unit_test (test_a_version_lasts_as_long_as_its_requests),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_target.c
@@ -0,0 +1,146 @@
+#include "libmangofork/relay/target.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define NOW_US (100 * MF_US_PER_S)
+
+static MfTargetInfo
+info_make (const char *id, const char *address)
+{
+  MfTargetInfo info = { .role = MF_ROLE_PLAIN, .slots = 6, .born_ms = 1 };
+
+  mf_name_set (info.id, sizeof info.id, id);
+  mf_name_set (info.service, sizeof info.service, "shop");
+  mf_name_set (info.address, sizeof info.address, address);
+  return info;
+}
+
+static void
+test_a_process_started_anew_has_no_past (void **state)
+{
+  MfTargets targets = { 0 };
+  MfTargetInfo info = info_make ("u1", "127.0.0.1:1");
+
+  (void)state;
+  assert_true (mf_targets_update (&targets, &info));
+  assert_false (mf_targets_update (&targets, &info));
+  mf_target_failed (mf_targets_find (&targets, "u1"), true, NOW_US);
+  assert_int_equal (mf_targets_find (&targets, "u1")->n_failures, 1);
+  info.born_ms = 2;
+  assert_true (mf_targets_update (&targets, &info));
+  assert_int_equal (mf_targets_find (&targets, "u1")->n_failures, 0);
+  assert_int_equal (targets.n_targets, 1);
+  info.leaving = true;
+  assert_true (mf_targets_update (&targets, &info));
+  mf_targets_clear (&targets);
+}
+
+static void
+test_missing_entries_are_kept_while_asked (void **state)
+{
+  MfTargets targets = { 0 };
+  MfTargetInfo one = info_make ("u1", "127.0.0.1:1");
+  MfTargetInfo two = info_make ("u2", "127.0.0.1:2");
+
+  (void)state;
+  mf_targets_update (&targets, &one);
+  mf_targets_update (&targets, &two);
+  assert_true (mf_targets_remove (&targets, "u1", false, NOW_US));
+  assert_true (mf_targets_remove (&targets, "u2", false, NOW_US));
+  assert_false (mf_targets_remove (&targets, "u3", false, NOW_US));
+  assert_int_equal (targets.n_targets, 2);
+  /* u2 is back before the time is over. */
+  assert_true (mf_targets_update (&targets, &two));
+  assert_int_equal (mf_targets_expire (&targets, NOW_US - 1), 0);
+  assert_int_equal (mf_targets_expire (&targets, NOW_US), 1);
+  assert_null (mf_targets_find (&targets, "u1"));
+  assert_non_null (mf_targets_find (&targets, "u2"));
+  assert_true (mf_targets_remove (&targets, "u2", true, NOW_US));
+  assert_int_equal (targets.n_targets, 0);
+}
+
+static void
+test_requests_outlast_their_upstream (void **state)
+{
+  MfTargets targets = { 0 };
+  MfTargetInfo info = info_make ("u1", "127.0.0.1:1");
+  MfTarget *target;
+
+  (void)state;
+  mf_targets_update (&targets, &info);
+  target = mf_target_ref (mf_targets_find (&targets, "u1"));
+  mf_target_begin (target, 10, NOW_US);
+  mf_targets_remove (&targets, "u1", true, NOW_US);
+  assert_false (target->listed);
+  mf_target_end (target, 10);
+  mf_target_unref (target);
+}
+
+static void
+test_failures_fade (void **state)
+{
+  MfTarget target = { 0 };
+
+  (void)state;
+  for (uint32_t i = 0; i < 20; i++)
+    mf_target_failed (&target, false, NOW_US);
+  assert_true (mf_target_failure_share (&target, NOW_US) > 0.9);
+  assert_true (mf_target_failure_share (&target, NOW_US + 3 * MF_US_PER_S) < 0.5);
+  assert_true (mf_target_failure_share (&target, NOW_US + 30 * MF_US_PER_S) < 0.01);
+}
+
+static void
+test_suspicion_grows_to_a_bound_and_ends_with_a_sign_of_life (void **state)
+{
+  MfTarget target = { 0 };
+  uint64_t first_us;
+
+  (void)state;
+  mf_target_failed (&target, true, NOW_US);
+  first_us = target.suspect_until_us - NOW_US;
+  mf_target_failed (&target, true, NOW_US);
+  assert_int_equal (target.suspect_until_us - NOW_US, 2 * first_us);
+  for (uint32_t i = 0; i < 20; i++)
+    mf_target_failed (&target, true, NOW_US);
+  assert_true (target.suspect_until_us - NOW_US <= 3 * MF_US_PER_S);
+  mf_target_alive (&target, NOW_US);
+  assert_int_equal (target.suspect_until_us, 0);
+  assert_int_equal (target.n_failures, 0);
+}
+
+static void
+test_load_is_that_of_all_instances (void **state)
+{
+  MfTarget target = { .n_others = 3, .others_tokens = 300 };
+
+  (void)state;
+  mf_target_begin (&target, 100, NOW_US);
+  mf_target_reserve (&target, 50);
+  assert_int_equal (mf_target_load (&target), 5);
+  assert_int_equal (mf_target_load_tokens (&target), 450);
+  mf_target_grow (&target, 7);
+  mf_target_unreserve (&target, 50);
+  assert_int_equal (mf_target_load_tokens (&target), 407);
+  mf_target_end (&target, 107);
+  assert_int_equal (mf_target_load_tokens (&target), 300);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_a_process_started_anew_has_no_past),
+    cmocka_unit_test (test_missing_entries_are_kept_while_asked),
+    cmocka_unit_test (test_requests_outlast_their_upstream),
+    cmocka_unit_test (test_failures_fade),
+    cmocka_unit_test (test_suspicion_grows_to_a_bound_and_ends_with_a_sign_of_life),
+    cmocka_unit_test (test_load_is_that_of_all_instances),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
