An engine that could not be reached is promised to nobody

When none had room, the choice fell back to one that could not be reached; the grant was refused by its own instance and asked for again in the same turn of the loop, without end. The instance starved and saw its callers leave too late. Ruled out: the departure itself (test_job covers each phase). Change: no grant of an engine under suspicion; a granted engine that cannot be used is avoided in the next ask, so that each ask gets further. Test: test_dispatch test_unreachable_engines_are_not_promised, fails without the change.

--- a/libmangofork/relay/dispatch.c
+++ b/libmangofork/relay/dispatch.c
@@ -290,7 +290,8 @@
     return false;
   place = place_ask (dispatch, ask, traits, MF_ROLE_DECODE);
   decode = mf_place_choose (dispatch->targets, &place, now_us, &any_alive);
-  if (decode == NULL)
+  /* One that could not be reached is not promised to anybody. */
+  if (decode == NULL || decode->suspect_until_us > now_us)
     return false;
   *grant = (MfGrant){ .id = ask->id, .decode = decode->id_hash };
   if (ask->has_memory)
--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -67,16 +67,18 @@
 /* The engine that keeps room for this request, if it can still be used; else its room is given
  * back. */
 static MfTarget *
-job_use_room (MfJob *job, uint64_t now_us)
+job_use_room (MfJob *job)
 {
   MfTarget *room = job->room;
-  bool usable = room != NULL && room->listed && !room->info.leaving
-                && room->suspect_until_us <= now_us && room->full_until_us <= now_us;
+  bool usable = room != NULL && room->listed && !room->info.leaving;
 
   for (uint32_t i = 0; usable && i < job->n_avoid; i++)
     usable = job->avoid[i] != room->id_hash;
   if (usable)
     return room;
+  /* The instance that decides may not know yet; the same engine is not asked for again. */
+  if (room != NULL)
+    mf_job_avoid (job, room);
   mf_job_reserve (job, NULL);
   return NULL;
 }
@@ -119,7 +121,7 @@
       return;
     }
   job_check_memory (job, now_us);
-  decode = job_use_room (job, now_us);
+  decode = job_use_room (job);
   if (decode == NULL)
     {
       /* When many have declined or failed they are asked anew. */
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -255,6 +255,25 @@
   room_end (&room);
 }
 
+/* Nobody is sent to an engine that could not be reached, however much room it seems to have. */
+static void
+test_unreachable_engines_are_not_promised (void **state)
+{
+  Room room;
+  MfAsk wanted = ask_make (1, 0, 8000);
+
+  (void)state;
+  room_begin (&room);
+  for (uint32_t i = 0; i < N_ENGINES; i++)
+    mf_target_begin (&room.engines[i], CAPACITY_TOKENS, NOW_US);
+  mf_target_end (&room.engines[1], CAPACITY_TOKENS);
+  room.engines[1].suspect_until_us = NOW_US + MF_US_PER_S;
+  ask (&room, 7, &wanted);
+  assert_int_equal (mf_dispatch_run (room.dispatch, NOW_US), 1);
+  assert_int_equal (room.n_given, 0);
+  room_end (&room);
+}
+
 static void
 test_callers_that_have_left_are_not_served (void **state)
 {
@@ -316,6 +335,7 @@
     cmocka_unit_test (test_grants_count_until_the_askers_load_shows_them),
     cmocka_unit_test (test_lost_grants_and_gone_askers_free_their_places),
     cmocka_unit_test (test_oversized_request_holds_up_nobody),
+    cmocka_unit_test (test_unreachable_engines_are_not_promised),
     cmocka_unit_test (test_callers_that_have_left_are_not_served),
     cmocka_unit_test (test_services_do_not_hold_up_each_other),
     cmocka_unit_test (test_memory_is_reckoned_between_hint_and_usual),
