--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -416,6 +416,19 @@
   mf_buffer_clear (&headers);
 }
 
+/* Whether this instance may end before it has the answer to a request that begins now. */
+static bool
+ends_too_soon (const MfJobs *jobs, const MfRoute *route)
+{
+  uint64_t now_us = mf_clock_now_us ();
+
+  if (jobs->ends_us == 0)
+    return false;
+  if (route->kind == MF_ROUTE_STREAMING)
+    return now_us >= jobs->no_streams_after_us;
+  return now_us + route->timeout_us > jobs->ends_us;
+}
+
 static void
 on_request (void *data, MfCaller *caller)
 {
@@ -462,10 +475,9 @@
       return;
     }
   mf_budget_note_request (&mf_jobs_budget (jobs, job->service->name)->budget, mf_clock_now_us ());
-  if (jobs->no_streams_after_us > 0 && route->kind == MF_ROUTE_STREAMING
-      && mf_clock_now_us () >= jobs->no_streams_after_us)
+  if (ends_too_soon (jobs, route))
     {
-      mf_job_refuse (job, MF_CODE_DRAINING, "the instance ends before the stream would");
+      mf_job_refuse (job, MF_CODE_DRAINING, "the instance ends before the answer would");
       return;
     }
   mf_job_advance (job);
--- a/libmangofork/relay/job.h
+++ b/libmangofork/relay/job.h
@@ -50,6 +50,7 @@
   ev_timer wake_now;            /* the same, at the next turn of the loop */
   uint64_t random;              /* state of the generator */
   uint64_t no_streams_after_us; /* while shutting down; 0: not */
+  uint64_t ends_us;             /* when the process ends at the latest; 0: it does not */
   MfRelayCounters counters;
 } MfJobs;
 
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -28,6 +28,9 @@
 #define DRAIN_IDLE_US (2500 * MF_US_PER_MS)
 /* Streams are begun until so much of the grace is over, as the longest of them need the rest. */
 #define DRAIN_STREAMS_PERCENT 40
+/* New connections are taken until so much of the grace is over. The balancer sends none any more,
+ * but for checks of its own; what comes later could be cut by the end. */
+#define DRAIN_SHUT_PERCENT 70
 /* The process ends by itself this long before it would be killed. */
 #define DRAIN_SPARE_US (250 * MF_US_PER_MS)
 
@@ -379,6 +382,8 @@
       relay->idle_closed = true;
       mf_door_close_idle (relay->door);
     }
+  if (past_us >= relay->settings.grace_us * DRAIN_SHUT_PERCENT / 100)
+    mf_door_shut (relay->door);
   if ((relay->idle_closed && relay->jobs.n_jobs == 0 && mf_door_n_callers (relay->door) == 0)
       || past_us >= limit_us)
     ev_break (relay->loop, EVBREAK_ALL);
@@ -418,6 +423,7 @@
   relay->drain_begun_us = mf_clock_now_us ();
   relay->jobs.no_streams_after_us
       = relay->drain_begun_us + relay->settings.grace_us * DRAIN_STREAMS_PERCENT / 100;
+  relay->jobs.ends_us = relay->drain_begun_us + relay->settings.grace_us - DRAIN_SPARE_US;
   mf_lines_state (relay->lines, "stop", "signal=%d requests=%u callers=%u", watcher->signum,
                   relay->jobs.n_jobs, mf_door_n_callers (relay->door));
   mf_door_retire (relay->door);
@@ -546,6 +552,10 @@
 {
   if (relay == NULL)
     return;
+  ev_timer_stop (relay->loop, &relay->tick);
+  ev_signal_stop (relay->loop, &relay->on_hup);
+  ev_signal_stop (relay->loop, &relay->on_term);
+  ev_signal_stop (relay->loop, &relay->on_int);
   if (relay->source != NULL)
     relay->deployment->source->stop (relay->source);
   mf_jobs_clear (&relay->jobs);
