--- /dev/null
+++ b/bench/relay_soak.c
@@ -0,0 +1,822 @@
+#include "soak_upstream.h"
+
+#include "platform/platform.h"
+#include "tests/fakes/fakes.h"
+#include "tests/fakes/store.h"
+
+#include "libmangofork/clock.h"
+
+#include <argp.h>
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+/* Relay instances as real processes, before upstreams and a store of this process, under faults
+ * that come in overlapping series: instances are killed, stopped in order, paused and told to read
+ * their settings; upstreams misbehave, are cut off one way or both, leave and start anew; the store
+ * is away in every way; configurations follow each other. Callers keep their connections until they
+ * break. What callers and upstreams see is held against the promises. */
+
+#define INSTANCES_MAX 16
+#define CALLERS_MAX 256
+#define UPSTREAMS 9
+#define PROXIES (UPSTREAMS + 1)
+#define FAULTS_AT_ONCE 3
+/* Ports of one run; runs of neighbouring seeds go side by side. */
+#define FIRST_PORT 20000
+#define PORTS_PER_RUN 120
+#define PROXY_OFFSET 100
+#define RUNS_SIDE_BY_SIDE 50
+#define IDS_MAX 65536
+#define ID_BYTES 40
+/* Time to settle at the start, and without faults at the end. */
+#define WARM_US (1500 * MF_US_PER_MS)
+#define CALM_US (6 * MF_US_PER_S)
+#define DRAIN_BOUND_US (2200 * MF_US_PER_MS)
+/* Of the requests of the calm end, so many of a hundred are served. */
+#define CALM_SERVED_PERCENT 95
+
+typedef enum
+{
+  KIND_ORDER,
+  KIND_READ,
+  KIND_ONCE,
+  KIND_STREAM,
+  KIND_COUNT,
+} Kind;
+
+/* How one kind of request is sent, and how often it may run. */
+typedef struct
+{
+  const char *method;
+  const char *path;
+  uint32_t runs_max;
+} KindRow;
+
+static const KindRow kinds[KIND_COUNT] = {
+  [KIND_ORDER] = { "POST", "/order/1", 1 },
+  [KIND_READ] = { "GET", "/read/1", 2 },
+  [KIND_ONCE] = { "POST", "/once/1", 1 },
+  [KIND_STREAM] = { "POST", "/llm/1", 2 },
+};
+
+typedef struct
+{
+  char id[ID_BYTES];
+  Kind kind;
+  bool refused; /* the caller was told that it has not run */
+} Sent;
+
+typedef struct
+{
+  pid_t pid; /* 0: not running */
+  uint32_t port;
+  bool paused;
+} Instance;
+
+typedef struct Soak Soak;
+
+typedef struct
+{
+  Soak *soak;
+  int fd; /* -1: not connected */
+  uint32_t instance;
+  ev_io io;
+  ev_timer timer; /* the next request, or when the caller leaves */
+  bool waiting;
+  bool leaves;
+  uint32_t sent;
+  MfMessage message;
+  MfBuffer body;
+} Caller;
+
+typedef struct FaultKind FaultKind;
+
+typedef struct
+{
+  const FaultKind *kind; /* NULL: free */
+  uint32_t target;
+  uint64_t until_us;
+} Fault;
+
+/* A kind of fault; end is NULL when it ends by itself. */
+struct FaultKind
+{
+  const char *name;
+  void (*begin) (Soak *soak, uint32_t target);
+  void (*end) (Soak *soak, uint32_t target);
+  bool disturbs; /* instances may be late to learn what the store says */
+};
+
+struct Soak
+{
+  struct ev_loop *loop;
+  uint64_t random;
+  uint64_t seed;
+  uint32_t first_port;
+  uint32_t seconds;
+  uint32_t n_instances;
+  uint32_t n_callers;
+  char directory[64];
+  Instance instances[INSTANCES_MAX];
+  SoakLedger *ledger;
+  SoakUpstream *upstreams[UPSTREAMS];
+  uint32_t lives[UPSTREAMS];
+  uint64_t drained_us[UPSTREAMS];
+  FakeRelay *proxies;
+  FakeRelay *proxy[PROXIES]; /* the last stands before the store */
+  FakeStore *store;
+  uint32_t version;
+  Caller callers[CALLERS_MAX];
+  Sent sent[IDS_MAX];
+  uint32_t n_sent;
+  Fault faults[FAULTS_AT_ONCE];
+  uint64_t next_fault_us;
+  uint64_t began_us;
+  uint64_t disturbed_us;
+  uint32_t n_faults;
+  uint32_t n_whole;
+  uint32_t n_refused;
+  uint32_t n_failed;
+  uint32_t n_broken;
+  uint32_t n_left;
+  uint32_t n_calm;
+  uint32_t n_calm_served;
+  uint32_t n_violations;
+  ev_timer tick;
+};
+
+static void caller_next (Caller *caller);
+
+static uint32_t
+draw (Soak *soak, uint32_t bound)
+{
+  soak->random ^= soak->random << 13;
+  soak->random ^= soak->random >> 7;
+  soak->random ^= soak->random << 17;
+  return (uint32_t)(soak->random >> 33) % bound;
+}
+
+static void
+violation (Soak *soak, const char *what, const char *id)
+{
+  soak->n_violations++;
+  printf ("VIOLATION at %.3f s: %s (%s)\n",
+          (double)(mf_clock_now_us () - soak->began_us) / (double)MF_US_PER_S, what, id);
+}
+
+static void
+instance_start (Soak *soak, uint32_t index)
+{
+  Instance *instance = &soak->instances[index];
+  char path[128];
+  char log[128];
+
+  snprintf (path, sizeof path, "%s/%u.conf", soak->directory, index);
+  snprintf (log, sizeof log, "%s/%u.log", soak->directory, index);
+  instance->paused = false;
+  instance->pid = fork ();
+  if (instance->pid != 0)
+    return;
+  dup2 (open (log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600), STDOUT_FILENO);
+  execl (MANGOFORK, "mangofork", "relay", "-s", path, (char *)NULL);
+  _exit (127);
+}
+
+static void
+settings_write (Soak *soak, uint32_t index)
+{
+  Instance *instance = &soak->instances[index];
+  char path[128];
+  FILE *file;
+
+  instance->port = soak->first_port + index * 4;
+  snprintf (path, sizeof path, "%s/%u.conf", soak->directory, index);
+  file = fopen (path, "w");
+  if (file == NULL)
+    abort ();
+  fprintf (file,
+           "node=i%u\nzone=z\nlisten.front=127.0.0.1:%u\nlisten.readiness=127.0.0.1:%u\n"
+           "listen.control=127.0.0.1:%u\nseeds=127.0.0.1:%u,127.0.0.1:%u\n"
+           "provider.address=127.0.0.1:%u\nbounds.contactMs=1500\nbounds.graceS=3\n",
+           index, instance->port, instance->port + 1, instance->port + 2, soak->first_port + 2,
+           soak->first_port + 6, soak->first_port + PROXY_OFFSET + UPSTREAMS);
+  fclose (file);
+}
+
+static void
+upstream_publish (Soak *soak, uint32_t index, const char *state)
+{
+  char id[ID_BYTES];
+  char address[MF_ADDRESS_BYTES];
+  const char *role = index < 3 ? "" : index < 5 ? "prefill" : "decode";
+
+  snprintf (id, sizeof id, "u%u-%u", index, soak->lives[index]);
+  snprintf (address, sizeof address, "127.0.0.1:%u", soak->first_port + PROXY_OFFSET + index);
+  fake_store_put_upstream (soak->store, id, index < 3 ? "shop" : "engines", address, role, state);
+}
+
+static void
+upstream_renew (Soak *soak, uint32_t index)
+{
+  char id[ID_BYTES];
+
+  snprintf (id, sizeof id, "servers/u%u-%u", index, soak->lives[index]);
+  fake_store_remove (soak->store, id);
+  soak->lives[index]++;
+  snprintf (id, sizeof id, "u%u-%u", index, soak->lives[index]);
+  soak_upstream_restart (soak->upstreams[index], id);
+  upstream_publish (soak, index, "ready");
+}
+
+static void
+config_publish (Soak *soak)
+{
+  char text[2048];
+
+  soak->version += 1 + draw (soak, 5);
+  snprintf (
+      text, sizeof text,
+      "{\"version\":%u,\"routes\":["
+      "{\"name\":\"read\",\"host\":\"h\",\"pathPrefix\":\"/read/\",\"kind\":\"idempotent\","
+      "\"timeoutMs\":1000,\"targetLatencyMs\":200,\"service\":\"shop\",\"maxAttempts\":2},"
+      "{\"name\":\"order\",\"host\":\"h\",\"pathPrefix\":\"/order/\",\"kind\":\"non_idempotent\","
+      "\"timeoutMs\":1000,\"targetLatencyMs\":200,\"service\":\"shop\",\"maxAttempts\":1},"
+      "{\"name\":\"llm\",\"host\":\"h\",\"pathPrefix\":\"/llm/\",\"kind\":\"streaming\","
+      "\"timeoutMs\":4000,\"targetLatencyMs\":500,\"targetGapMs\":200,\"service\":\"engines\","
+      "\"maxAttempts\":2,\"resumable\":true},"
+      "{\"name\":\"once\",\"host\":\"h\",\"pathPrefix\":\"/once/\",\"kind\":\"streaming\","
+      "\"timeoutMs\":2000,\"targetLatencyMs\":500,\"targetGapMs\":200,\"service\":\"engines\","
+      "\"maxAttempts\":1},"
+      "{\"name\":\"n%u\",\"host\":\"h\",\"pathPrefix\":\"/n%u/\",\"kind\":\"idempotent\","
+      "\"timeoutMs\":1000,\"service\":\"shop\",\"maxAttempts\":1}],"
+      "\"services\":[{\"name\":\"shop\"},{\"name\":\"engines\",\"engine\":{\"slots\":6,"
+      "\"kvCapacityTokens\":100000,\"kvRetentionS\":0.5,\"stride\":10}}],"
+      "\"limits\":{\"idleTimeoutMs\":5000,\"headerTimeoutMs\":2000}}",
+      soak->version, soak->version, soak->version);
+  fake_store_put (soak->store, "op/config", text);
+}
+
+static void
+caller_hang_up (Caller *caller)
+{
+  if (caller->fd < 0)
+    return;
+  ev_io_stop (caller->soak->loop, &caller->io);
+  close (caller->fd);
+  caller->fd = -1;
+}
+
+/* Waits a little before the next request. */
+static void
+caller_rest (Caller *caller)
+{
+  caller->waiting = false;
+  ev_timer_stop (caller->soak->loop, &caller->timer);
+  ev_timer_set (&caller->timer, 0.01 + draw (caller->soak, 120) * 0.001, 0.);
+  ev_timer_start (caller->soak->loop, &caller->timer);
+}
+
+/* Whether the body of a whole answer is the one of this request. */
+static bool
+body_is_right (const Caller *caller)
+{
+  const Sent *sent = &caller->soak->sent[caller->sent];
+  char expected[SOAK_EVENTS * 64] = "";
+  size_t n_bytes = 0;
+
+  if (sent->kind == KIND_ORDER || sent->kind == KIND_READ)
+    n_bytes = (size_t)snprintf (expected, sizeof expected, "answer to %s", sent->id);
+  for (uint32_t i = 1; i <= SOAK_EVENTS && (sent->kind == KIND_ONCE || sent->kind == KIND_STREAM);
+       i++)
+    n_bytes += (size_t)snprintf (expected + n_bytes, sizeof expected - n_bytes,
+                                 "id: %u\ndata: %s\n\n", i, sent->id);
+  return mf_buffer_bytes (&caller->body) == n_bytes
+         && memcmp (mf_buffer_data (&caller->body), expected, n_bytes) == 0;
+}
+
+static bool
+is_calm (const Soak *soak, uint64_t margin_us)
+{
+  uint64_t end_us = soak->began_us + soak->seconds * MF_US_PER_S;
+
+  return mf_clock_now_us () + CALM_US > end_us + margin_us;
+}
+
+/* The answer has come whole, or the connection has ended without one. */
+static void
+caller_settle (Caller *caller, bool whole)
+{
+  Soak *soak = caller->soak;
+  Sent *sent = &soak->sent[caller->sent];
+  uint32_t status = whole ? caller->message.parser.status_code : 0;
+
+  /* The faults have ended three seconds before. */
+  if (is_calm (soak, 3 * MF_US_PER_S))
+    {
+      soak->n_calm++;
+      soak->n_calm_served += status == 200;
+    }
+  if (!whole)
+    soak->n_broken++;
+  else if (status == 200)
+    {
+      soak->n_whole++;
+      if (!body_is_right (caller))
+        violation (soak, "an answer is not the one of its request", sent->id);
+    }
+  else if (status == 503)
+    {
+      soak->n_refused++;
+      sent->refused = true;
+    }
+  else if (status >= 400 && status < 500)
+    violation (soak, "a proper request was denied", sent->id);
+  else
+    soak->n_failed++;
+  if (!whole || !http_should_keep_alive (&caller->message.parser))
+    caller_hang_up (caller);
+  caller_rest (caller);
+}
+
+static void
+on_body (MfMessage *message, const char *bytes, size_t n_bytes, void *data)
+{
+  Caller *caller = data;
+
+  (void)message;
+  mf_buffer_add (&caller->body, bytes, n_bytes);
+}
+
+static const MfMessageEvents message_events = { .body = on_body };
+
+static void
+on_readable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  Caller *caller = watcher->data;
+  char bytes[8192];
+  ssize_t n_read = recv (caller->fd, bytes, sizeof bytes, 0);
+
+  (void)loop;
+  (void)events;
+  if (n_read < 0 && errno == EAGAIN)
+    return;
+  if (n_read <= 0)
+    {
+      if (caller->waiting)
+        caller_settle (caller, false);
+      else
+        caller_hang_up (caller);
+      return;
+    }
+  if (!caller->waiting)
+    {
+      violation (caller->soak, "bytes without a request", "");
+      caller_hang_up (caller);
+      return;
+    }
+  mf_message_feed (&caller->message, bytes, (size_t)n_read);
+  if (caller->message.fault != MF_CODE_OK)
+    {
+      violation (caller->soak, "an answer is not HTTP", caller->soak->sent[caller->sent].id);
+      caller_settle (caller, false);
+    }
+  else if (caller->message.done)
+    caller_settle (caller, true);
+}
+
+static bool
+caller_connect (Caller *caller)
+{
+  Soak *soak = caller->soak;
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_addr = { .s_addr = htonl (INADDR_LOOPBACK) } };
+
+  if (caller->fd >= 0)
+    return true;
+  caller->instance = draw (soak, soak->n_instances);
+  address.sin_port = htons ((uint16_t)soak->instances[caller->instance].port);
+  caller->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (connect (caller->fd, (struct sockaddr *)&address, sizeof address) != 0)
+    {
+      close (caller->fd);
+      caller->fd = -1;
+      return false;
+    }
+  fcntl (caller->fd, F_SETFL, O_NONBLOCK);
+  ev_io_init (&caller->io, on_readable, caller->fd, EV_READ);
+  caller->io.data = caller;
+  ev_io_start (soak->loop, &caller->io);
+  return true;
+}
+
+static void
+caller_send (Caller *caller)
+{
+  Soak *soak = caller->soak;
+  char text[512];
+  Sent *sent;
+  int n_bytes;
+
+  if (soak->n_sent == IDS_MAX)
+    abort ();
+  caller->sent = soak->n_sent;
+  sent = &soak->sent[soak->n_sent++];
+  sent->kind = (Kind)draw (soak, KIND_COUNT);
+  snprintf (sent->id, sizeof sent->id, "r%u", caller->sent);
+  n_bytes = snprintf (text, sizeof text,
+                      "%s %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 4000\r\n"
+                      "X-Token-Count: 100,80\r\nX-Pin-Ms: 7\r\nContent-Length: 2\r\n\r\nhi",
+                      kinds[sent->kind].method, kinds[sent->kind].path, sent->id);
+  mf_message_reset (&caller->message);
+  mf_buffer_clear (&caller->body);
+  caller->waiting = true;
+  caller->leaves = draw (soak, 100) < 6;
+  ev_timer_stop (soak->loop, &caller->timer);
+  ev_timer_set (&caller->timer, caller->leaves ? draw (soak, 200) * 0.001 : 5., 0.);
+  ev_timer_start (soak->loop, &caller->timer);
+  if (send (caller->fd, text, (size_t)n_bytes, MSG_NOSIGNAL) != n_bytes)
+    caller_settle (caller, false);
+}
+
+static void
+caller_next (Caller *caller)
+{
+  if (caller_connect (caller))
+    caller_send (caller);
+  else
+    caller_rest (caller);
+}
+
+static void
+on_caller_timer (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  Caller *caller = watcher->data;
+
+  (void)loop;
+  (void)events;
+  if (!caller->waiting)
+    {
+      caller_next (caller);
+      return;
+    }
+  if (!caller->leaves && !caller->soak->instances[caller->instance].paused
+      && is_calm (caller->soak, 0))
+    violation (caller->soak, "no answer for five seconds", caller->soak->sent[caller->sent].id);
+  caller->soak->n_left++;
+  caller_hang_up (caller);
+  caller_rest (caller);
+}
+
+static void
+instance_signal (Soak *soak, uint32_t target, int signal)
+{
+  Instance *instance = &soak->instances[target % soak->n_instances];
+
+  if (instance->pid > 0)
+    kill (instance->pid, signal);
+}
+
+static void
+begin_kill (Soak *soak, uint32_t target)
+{
+  instance_signal (soak, target, SIGKILL);
+}
+
+static void
+begin_term (Soak *soak, uint32_t target)
+{
+  instance_signal (soak, target, SIGTERM);
+}
+
+static void
+begin_pause (Soak *soak, uint32_t target)
+{
+  soak->instances[target % soak->n_instances].paused = true;
+  instance_signal (soak, target, SIGSTOP);
+}
+
+static void
+end_pause (Soak *soak, uint32_t target)
+{
+  soak->instances[target % soak->n_instances].paused = false;
+  instance_signal (soak, target, SIGCONT);
+}
+
+static void
+begin_hup (Soak *soak, uint32_t target)
+{
+  instance_signal (soak, target, SIGHUP);
+}
+
+static void
+begin_mood (Soak *soak, uint32_t target)
+{
+  soak_upstream_mood (soak->upstreams[target % UPSTREAMS],
+                      (SoakMood)(1 + draw (soak, SOAK_MOOD_COUNT - 1)));
+}
+
+static void
+end_mood (Soak *soak, uint32_t target)
+{
+  soak_upstream_mood (soak->upstreams[target % UPSTREAMS], SOAK_GOOD);
+}
+
+static void
+begin_cut (Soak *soak, uint32_t target)
+{
+  static const char *const ways[] = { "cut", "hold-in", "hold-out" };
+
+  fake_relay_fault (soak->proxy[target % PROXIES], ways[draw (soak, MF_ARRAY_LEN (ways))], "");
+}
+
+static void
+end_cut (Soak *soak, uint32_t target)
+{
+  fake_relay_fault (soak->proxy[target % PROXIES], "pass", "");
+}
+
+static void
+begin_restart (Soak *soak, uint32_t target)
+{
+  upstream_renew (soak, target % UPSTREAMS);
+}
+
+static void
+begin_drain (Soak *soak, uint32_t target)
+{
+  soak->drained_us[target % UPSTREAMS] = mf_clock_now_us ();
+  upstream_publish (soak, target % UPSTREAMS, "draining");
+}
+
+static void
+end_drain (Soak *soak, uint32_t target)
+{
+  uint32_t index = target % UPSTREAMS;
+  uint64_t since_us = soak->drained_us[index];
+  uint64_t last_us = soak_upstream_last_arrival_us (soak->upstreams[index]);
+
+  if (since_us > soak->disturbed_us + 3 * MF_US_PER_S && last_us > since_us + DRAIN_BOUND_US)
+    violation (soak, "a request reached an upstream long after it began to leave", "");
+  upstream_renew (soak, index);
+}
+
+static void
+begin_store (Soak *soak, uint32_t target)
+{
+  (void)target;
+  fake_store_mood (soak->store, (FakeStoreMood)(1 + draw (soak, FAKE_STORE_SILENT)));
+}
+
+static void
+end_store (Soak *soak, uint32_t target)
+{
+  (void)target;
+  if (draw (soak, 2) == 0)
+    fake_store_forget (soak->store);
+  fake_store_mood (soak->store, FAKE_STORE_SERVES);
+}
+
+static void
+begin_config (Soak *soak, uint32_t target)
+{
+  (void)target;
+  config_publish (soak);
+}
+
+static const FaultKind fault_kinds[] = {
+  { "kill", begin_kill, NULL, true },        { "term", begin_term, NULL, true },
+  { "pause", begin_pause, end_pause, true }, { "hup", begin_hup, NULL, false },
+  { "mood", begin_mood, end_mood, false },   { "cut", begin_cut, end_cut, true },
+  { "restart", begin_restart, NULL, false }, { "drain", begin_drain, end_drain, false },
+  { "store", begin_store, end_store, true }, { "config", begin_config, NULL, false },
+};
+
+/* Starts instances that have ended anew. */
+static void
+instances_reap (Soak *soak)
+{
+  for (uint32_t i = 0; i < soak->n_instances; i++)
+    {
+      Instance *instance = &soak->instances[i];
+      int status = 0;
+
+      if (instance->pid <= 0 || waitpid (instance->pid, &status, WNOHANG) != instance->pid)
+        continue;
+      if (!(WIFSIGNALED (status) && WTERMSIG (status) == SIGKILL)
+          && !(WIFEXITED (status) && WEXITSTATUS (status) == 0))
+        violation (soak, "an instance ended by itself", "");
+      instance_start (soak, i);
+    }
+}
+
+static void
+faults_step (Soak *soak, uint64_t now_us)
+{
+  for (uint32_t i = 0; i < FAULTS_AT_ONCE; i++)
+    {
+      Fault *fault = &soak->faults[i];
+
+      if (fault->kind != NULL && (now_us >= fault->until_us || is_calm (soak, 0)))
+        {
+          if (fault->kind->end != NULL)
+            fault->kind->end (soak, fault->target);
+          if (fault->kind->disturbs)
+            soak->disturbed_us = now_us;
+          fault->kind = NULL;
+        }
+      if (fault->kind != NULL || now_us < soak->next_fault_us || is_calm (soak, 0)
+          || now_us < soak->began_us + WARM_US)
+        continue;
+      *fault = (Fault){
+        .kind = &fault_kinds[draw (soak, MF_ARRAY_LEN (fault_kinds))],
+        .target = draw (soak, 1000),
+        .until_us = now_us + (200 + draw (soak, 2300)) * MF_US_PER_MS,
+      };
+      if (fault->kind->begin == begin_drain)
+        fault->until_us = now_us + 3 * MF_US_PER_S;
+      if (fault->kind->disturbs)
+        soak->disturbed_us = fault->until_us;
+      soak->next_fault_us = now_us + (50 + draw (soak, 500)) * MF_US_PER_MS;
+      soak->n_faults++;
+      fault->kind->begin (soak, fault->target);
+    }
+}
+
+static void
+on_tick (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  Soak *soak = watcher->data;
+  uint64_t now_us = mf_clock_now_us ();
+
+  (void)events;
+  instances_reap (soak);
+  faults_step (soak, now_us);
+  if (now_us >= soak->began_us + soak->seconds * MF_US_PER_S)
+    ev_break (loop, EVBREAK_ALL);
+}
+
+static void
+town_build (Soak *soak)
+{
+  static const MfRole roles[UPSTREAMS]
+      = { MF_ROLE_PLAIN,  MF_ROLE_PLAIN,  MF_ROLE_PLAIN,  MF_ROLE_PREFILL, MF_ROLE_PREFILL,
+          MF_ROLE_DECODE, MF_ROLE_DECODE, MF_ROLE_DECODE, MF_ROLE_DECODE };
+
+  soak->ledger = soak_ledger_new ();
+  soak->store = fake_store_new (soak->loop);
+  for (uint32_t i = 0; i < PROXIES; i++)
+    {
+      json_object *settings = json_object_new_object ();
+      char id[ID_BYTES];
+      char address[MF_ADDRESS_BYTES];
+
+      snprintf (id, sizeof id, "u%u-0", i);
+      snprintf (address, sizeof address, "127.0.0.1:%u", soak->first_port + PROXY_OFFSET + i);
+      if (i < UPSTREAMS)
+        soak->upstreams[i]
+            = soak_upstream_new (soak->loop, soak->ledger, roles[i], id, soak->seed + i);
+      json_object_object_add (settings, "address", json_object_new_string (address));
+      json_object_object_add (
+          settings, "to",
+          json_object_new_string (i < UPSTREAMS ? soak_upstream_address (soak->upstreams[i])
+                                                : fake_store_address (soak->store)));
+      soak->proxy[i] = fake_relay_new (soak->loop, &soak->proxies, settings);
+      json_object_put (settings);
+      if (i < UPSTREAMS)
+        upstream_publish (soak, i, "ready");
+    }
+  config_publish (soak);
+  for (uint32_t i = 0; i < soak->n_instances; i++)
+    {
+      settings_write (soak, i);
+      instance_start (soak, i);
+    }
+  for (uint32_t i = 0; i < soak->n_callers; i++)
+    {
+      Caller *caller = &soak->callers[i];
+
+      caller->soak = soak;
+      caller->fd = -1;
+      mf_message_init (&caller->message, HTTP_RESPONSE, &platform_dialect, &message_events, caller);
+      ev_timer_init (&caller->timer, on_caller_timer, 1., 0.);
+      caller->timer.data = caller;
+      ev_timer_start (soak->loop, &caller->timer);
+    }
+}
+
+/* Stops the callers and lets what they leave behind end; then holds all against the ledger. */
+static void
+town_judge (Soak *soak)
+{
+  uint64_t until_us = mf_clock_now_us () + 800 * MF_US_PER_MS;
+
+  for (uint32_t i = 0; i < soak->n_callers; i++)
+    {
+      ev_timer_stop (soak->loop, &soak->callers[i].timer);
+      caller_hang_up (&soak->callers[i]);
+    }
+  while (mf_clock_now_us () < until_us)
+    ev_run (soak->loop, EVRUN_ONCE);
+  for (uint32_t i = 0; i < UPSTREAMS; i++)
+    {
+      if (soak_upstream_n_active (soak->upstreams[i]) > 0)
+        violation (soak, "an upstream works for callers who left", "");
+    }
+  if (soak_ledger_n_wrong (soak->ledger) > 0)
+    violation (soak, "what only a router may set came from a caller", "");
+  for (uint32_t i = 0; i < soak->n_sent; i++)
+    {
+      const Sent *sent = &soak->sent[i];
+      uint32_t n_runs = soak_ledger_runs (soak->ledger, sent->id);
+
+      if (n_runs > kinds[sent->kind].runs_max)
+        violation (soak, "a request ran more often than it may", sent->id);
+      if (sent->refused && n_runs > 0 && kinds[sent->kind].runs_max == 1)
+        violation (soak, "a refused request has run", sent->id);
+    }
+  if (soak->n_calm_served * 100 < soak->n_calm * CALM_SERVED_PERCENT)
+    violation (soak, "too few were served once the faults had ended", "");
+}
+
+static void
+town_end (Soak *soak)
+{
+  for (uint32_t i = 0; i < soak->n_instances; i++)
+    {
+      kill (soak->instances[i].pid, SIGKILL);
+      waitpid (soak->instances[i].pid, NULL, 0);
+    }
+}
+
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  Soak *soak = state->input;
+
+  switch (key)
+    {
+    case 's':
+      soak->seed = strtoull (arg, NULL, 10);
+      return 0;
+    case 't':
+      soak->seconds = (uint32_t)strtoul (arg, NULL, 10);
+      return 0;
+    case 'n':
+      soak->n_instances = (uint32_t)strtoul (arg, NULL, 10);
+      if (soak->n_instances < 2 || soak->n_instances > INSTANCES_MAX)
+        argp_error (state, "from 2 to %d instances", INSTANCES_MAX);
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static const struct argp_option options[] = {
+  { .name = "seed", .key = 's', .arg = "N", .doc = "Faults and requests are drawn from it" },
+  { .name = "seconds", .key = 't', .arg = "N", .doc = "Length, the calm end included" },
+  { .name = "instances", .key = 'n', .arg = "N", .doc = "Relay processes" },
+  { 0 },
+};
+
+static const struct argp parser = {
+  .options = options,
+  .parser = parse_option,
+  .doc = "Runs relay instances under faults and holds the promises against what is seen.",
+};
+
+int
+main (int argc, char **argv)
+{
+  static Soak soak = { .seed = 1, .seconds = 20, .n_instances = 4, .n_callers = 48 };
+
+  argp_parse (&parser, argc, argv, 0, NULL, &soak);
+  signal (SIGPIPE, SIG_IGN);
+  setvbuf (stdout, NULL, _IOLBF, 0);
+  soak.loop = ev_default_loop (0);
+  soak.first_port = FIRST_PORT + (uint32_t)(soak.seed % RUNS_SIDE_BY_SIDE) * PORTS_PER_RUN;
+  soak.random = soak.seed * UINT64_C (0x9e3779b97f4a7c15) + 1;
+  snprintf (soak.directory, sizeof soak.directory, "/tmp/relay-soak-XXXXXX");
+  if (mkdtemp (soak.directory) == NULL)
+    return EXIT_FAILURE;
+  soak.began_us = mf_clock_now_us ();
+  town_build (&soak);
+  ev_timer_init (&soak.tick, on_tick, 0.02, 0.02);
+  soak.tick.data = &soak;
+  ev_timer_start (soak.loop, &soak.tick);
+  ev_run (soak.loop, 0);
+  town_judge (&soak);
+  town_end (&soak);
+  printf ("seed %llu: %u faults, %u requests: %u whole, %u refused, %u failed, %u broken, %u left; "
+          "calm end %u of %u; %u violations; logs in %s\n",
+          (unsigned long long)soak.seed, soak.n_faults, soak.n_sent, soak.n_whole, soak.n_refused,
+          soak.n_failed, soak.n_broken, soak.n_left, soak.n_calm_served, soak.n_calm,
+          soak.n_violations, soak.directory);
+  return soak.n_violations == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/bench/soak_upstream.c
@@ -0,0 +1,360 @@
+#include "soak_upstream.h"
+
+#include "tests/fakes/wire.h"
+
+#include "libmangofork/clock.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define RUNS_MAX 65536
+#define ACTIVE_MAX 512
+#define ID_BYTES 40
+/* Parts of the requests, in percent, that an upstream of a bad mood treats badly. */
+#define BAD_PERCENT 60
+
+typedef struct
+{
+  char id[ID_BYTES];
+  uint32_t n_runs;
+} RunRow;
+
+struct SoakLedger
+{
+  RunRow rows[RUNS_MAX];
+  uint32_t n_rows;
+  uint32_t n_wrong;
+};
+
+/* One request at work. */
+typedef struct
+{
+  SoakUpstream *upstream;
+  FakeWireConn *conn; /* NULL: free */
+  char id[ID_BYTES];
+  ev_timer timer;
+  uint32_t next_event; /* of a stream; counts from 1 */
+  bool doubles;
+} Run;
+
+struct SoakUpstream
+{
+  struct ev_loop *loop;
+  FakeWire *wire;
+  SoakLedger *ledger;
+  MfRole role;
+  char id[ID_BYTES];
+  SoakMood mood;
+  uint64_t random;
+  Run runs[ACTIVE_MAX];
+  uint64_t last_arrival_us;
+};
+
+SoakLedger *
+soak_ledger_new (void)
+{
+  SoakLedger *ledger = calloc (1, sizeof *ledger);
+
+  if (ledger == NULL)
+    abort ();
+  return ledger;
+}
+
+void
+soak_ledger_free (SoakLedger *ledger)
+{
+  free (ledger);
+}
+
+uint32_t
+soak_ledger_runs (const SoakLedger *ledger, const char *id)
+{
+  for (uint32_t i = 0; i < ledger->n_rows; i++)
+    {
+      if (strcmp (ledger->rows[i].id, id) == 0)
+        return ledger->rows[i].n_runs;
+    }
+  return 0;
+}
+
+uint32_t
+soak_ledger_n_wrong (const SoakLedger *ledger)
+{
+  return ledger->n_wrong;
+}
+
+static void
+ledger_add (SoakLedger *ledger, const char *id)
+{
+  for (uint32_t i = ledger->n_rows; i-- > 0;)
+    {
+      if (strcmp (ledger->rows[i].id, id) != 0)
+        continue;
+      ledger->rows[i].n_runs++;
+      return;
+    }
+  if (ledger->n_rows == RUNS_MAX)
+    abort ();
+  snprintf (ledger->rows[ledger->n_rows].id, ID_BYTES, "%s", id);
+  ledger->rows[ledger->n_rows++].n_runs = 1;
+}
+
+static void
+send_plain (const Run *run, const char *status, const char *headers, const char *body)
+{
+  char text[512];
+
+  snprintf (text, sizeof text, "HTTP/1.1 %s\r\nX-Attempt-Id: %s\r\n%sContent-Length: %zu\r\n\r\n%s",
+            status, run->id, headers, strlen (body), body);
+  fake_wire_send (run->conn, text);
+}
+
+static void
+run_end (Run *run)
+{
+  ev_timer_stop (run->upstream->loop, &run->timer);
+  run->conn = NULL;
+}
+
+/* One step of a stream. Returns whether it goes on. */
+static bool
+stream_step (Run *run)
+{
+  char event[64];
+  char chunk[128];
+
+  snprintf (event, sizeof event, "id: %u\ndata: %s\n\n", run->next_event, run->id);
+  snprintf (chunk, sizeof chunk, "%zx\r\n%s\r\n", strlen (event), event);
+  fake_wire_send (run->conn, chunk);
+  if (run->next_event++ < SOAK_EVENTS)
+    return true;
+  fake_wire_send (run->conn, "0\r\n\r\n");
+  return false;
+}
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  Run *run = watcher->data;
+  char body[64];
+
+  (void)events;
+  if (run->upstream->role == MF_ROLE_DECODE)
+    {
+      if (stream_step (run))
+        {
+          ev_timer_set (&run->timer, 0.02, 0.);
+          ev_timer_start (loop, &run->timer);
+          return;
+        }
+    }
+  else if (run->upstream->role == MF_ROLE_PREFILL)
+    send_plain (run, "200 OK", "", "{\"kvHandle\":\"h\",\"tokens\":10,\"version\":1}");
+  else
+    {
+      snprintf (body, sizeof body, "answer to %s", run->id);
+      send_plain (run, "200 OK", "X-Response-Seal: s\r\n", body);
+      if (run->doubles)
+        send_plain (run, "200 OK", "X-Response-Seal: s\r\n", body);
+    }
+  run_end (run);
+}
+
+static uint32_t
+draw (SoakUpstream *upstream, uint32_t bound)
+{
+  upstream->random ^= upstream->random << 13;
+  upstream->random ^= upstream->random >> 7;
+  upstream->random ^= upstream->random << 17;
+  return (uint32_t)(upstream->random >> 33) % bound;
+}
+
+static Run *
+run_new (SoakUpstream *upstream, FakeWireConn *conn, const char *id)
+{
+  for (uint32_t i = 0; i < ACTIVE_MAX; i++)
+    {
+      Run *run = &upstream->runs[i];
+
+      if (run->conn != NULL)
+        continue;
+      *run = (Run){ .upstream = upstream, .conn = conn, .next_event = 1 };
+      snprintf (run->id, sizeof run->id, "%s", id);
+      ev_timer_init (&run->timer, on_timer, 0., 0.);
+      run->timer.data = run;
+      return run;
+    }
+  abort ();
+}
+
+static void
+run_begin (Run *run, double after_s)
+{
+  if (run->upstream->role == MF_ROLE_DECODE)
+    fake_wire_send (run->conn,
+                    "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n"
+                    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+  ev_timer_set (&run->timer, after_s, 0.);
+  ev_timer_start (run->upstream->loop, &run->timer);
+}
+
+/* Treats a request as the mood says. Returns whether it is done with. */
+static bool
+run_badly (SoakUpstream *upstream, Run *run)
+{
+  FakeWireConn *conn = run->conn;
+
+  switch (upstream->mood)
+    {
+    case SOAK_DECLINES:
+      send_plain (run, "503 Service Unavailable", "X-Not-Executed: 1\r\n", "");
+      run_end (run);
+      return true;
+    case SOAK_FAILS:
+      ledger_add (upstream->ledger, run->id);
+      send_plain (run, "500 Internal Server Error", "X-Response-Seal: s\r\n", "failed");
+      run_end (run);
+      return true;
+    case SOAK_RESETS:
+      ledger_add (upstream->ledger, run->id);
+      run_end (run);
+      fake_wire_close (conn, true);
+      return true;
+    case SOAK_MUTE:
+      ledger_add (upstream->ledger, run->id);
+      return true;
+    default:
+      run->doubles = upstream->mood == SOAK_DOUBLES;
+      return false;
+    }
+}
+
+static void
+on_request (FakeWireConn *conn, const char *text, void *data)
+{
+  SoakUpstream *upstream = data;
+  char id[ID_BYTES] = "";
+  char expected[ID_BYTES] = "";
+  char last[16] = "0";
+  char value[64];
+  bool prefill = fake_wire_header (text, "X-Stage", value, sizeof value);
+  Run *run;
+
+  fake_wire_header (text, "X-Attempt-Id", id, sizeof id);
+  fake_wire_header (text, "X-Expect-Instance", expected, sizeof expected);
+  fake_wire_header (text, "Last-Event-Id", last, sizeof last);
+  run = run_new (upstream, conn, id);
+  if (strncmp (text, "DELETE ", 7) == 0)
+    {
+      send_plain (run, "200 OK", "", "");
+      run_end (run);
+      return;
+    }
+  if (strcmp (expected, upstream->id) != 0 || prefill != (upstream->role == MF_ROLE_PREFILL))
+    {
+      send_plain (run, "421 Misdirected Request", "", "");
+      run_end (run);
+      return;
+    }
+  if (fake_wire_header (text, "X-Pin-Ms", value, sizeof value))
+    upstream->ledger->n_wrong++;
+  upstream->last_arrival_us = mf_clock_now_us ();
+  if (upstream->role == MF_ROLE_PREFILL)
+    {
+      run_begin (run, 0.005);
+      return;
+    }
+  if (draw (upstream, 100) < BAD_PERCENT && run_badly (upstream, run))
+    return;
+  ledger_add (upstream->ledger, id);
+  run->next_event = (uint32_t)strtoul (last, NULL, 10) + 1;
+  run_begin (run, upstream->mood == SOAK_SLOW ? 0.15 : 0.003 + draw (upstream, 8) * 0.001);
+}
+
+static void
+on_left (FakeWireConn *conn, void *data)
+{
+  SoakUpstream *upstream = data;
+
+  for (uint32_t i = 0; i < ACTIVE_MAX; i++)
+    {
+      if (upstream->runs[i].conn == conn)
+        run_end (&upstream->runs[i]);
+    }
+}
+
+SoakUpstream *
+soak_upstream_new (struct ev_loop *loop, SoakLedger *ledger, MfRole role, const char *id,
+                   uint64_t seed)
+{
+  SoakUpstream *upstream = calloc (1, sizeof *upstream);
+
+  if (upstream == NULL)
+    abort ();
+  upstream->loop = loop;
+  upstream->ledger = ledger;
+  upstream->role = role;
+  upstream->random = seed * 2 + 1;
+  snprintf (upstream->id, sizeof upstream->id, "%s", id);
+  upstream->wire = fake_wire_new (loop, on_request, upstream);
+  fake_wire_on_left (upstream->wire, on_left);
+  return upstream;
+}
+
+static void
+runs_end (SoakUpstream *upstream)
+{
+  for (uint32_t i = 0; i < ACTIVE_MAX; i++)
+    {
+      FakeWireConn *conn = upstream->runs[i].conn;
+
+      if (conn == NULL)
+        continue;
+      run_end (&upstream->runs[i]);
+      fake_wire_close (conn, true);
+    }
+}
+
+void
+soak_upstream_free (SoakUpstream *upstream)
+{
+  runs_end (upstream);
+  fake_wire_free (upstream->wire);
+  free (upstream);
+}
+
+const char *
+soak_upstream_address (const SoakUpstream *upstream)
+{
+  return fake_wire_address (upstream->wire);
+}
+
+void
+soak_upstream_restart (SoakUpstream *upstream, const char *id)
+{
+  runs_end (upstream);
+  snprintf (upstream->id, sizeof upstream->id, "%s", id);
+}
+
+void
+soak_upstream_mood (SoakUpstream *upstream, SoakMood mood)
+{
+  upstream->mood = mood;
+}
+
+uint32_t
+soak_upstream_n_active (const SoakUpstream *upstream)
+{
+  uint32_t n_active = 0;
+
+  for (uint32_t i = 0; i < ACTIVE_MAX; i++)
+    n_active += upstream->runs[i].conn != NULL;
+  return n_active;
+}
+
+uint64_t
+soak_upstream_last_arrival_us (const SoakUpstream *upstream)
+{
+  return upstream->last_arrival_us;
+}
--- a/tests/fakes/wire.c
+++ b/tests/fakes/wire.c
@@ -23,6 +23,7 @@
 {
   struct ev_loop *loop;
   FakeWireFunc on_request;
+  void (*on_left) (FakeWireConn *conn, void *data);
   void *data;
   int fd;
   ev_io acceptor;
@@ -104,6 +105,8 @@
   if (n_read <= 0)
     {
       wire->n_left++;
+      if (wire->on_left != NULL)
+        wire->on_left (conn, wire->data);
       conn_free (conn);
       return;
     }
@@ -161,6 +164,12 @@
   return wire;
 }
 
+void
+fake_wire_on_left (FakeWire *wire, void (*func) (FakeWireConn *conn, void *data))
+{
+  wire->on_left = func;
+}
+
 void
 fake_wire_free (FakeWire *wire)
 {
--- a/tests/fakes/wire.h
+++ b/tests/fakes/wire.h
@@ -18,6 +18,8 @@
 
 /* Listens at a free port of the loopback address. */
 FakeWire *fake_wire_new (struct ev_loop *loop, FakeWireFunc on_request, void *data);
+/* Calls func, with the data of on_request, when the other side has closed a connection. */
+void fake_wire_on_left (FakeWire *wire, void (*func) (FakeWireConn *conn, void *data));
 void fake_wire_free (FakeWire *wire);
 const char *fake_wire_address (const FakeWire *wire);
 uint32_t fake_wire_n_requests (const FakeWire *wire);
