Each instance takes its part of the slack in repeats; grants are logged

Cause: an instance could repeat two requests in ten seconds whatever the deployment allows; prompts whose engine broke off were refused for want of budget though the common slack was hardly used. Change: the slack of the settings over the instances that are known, one while an instance has not run for a whole window; a request that still waits when it ends tells how long; grants have a log line. Test: test_budget test_parts_of_the_slack.

--- a/libmangofork/relay/budget.c
+++ b/libmangofork/relay/budget.c
@@ -1,9 +1,14 @@
 #include "budget.h"
 
+/* Part of the common slack that is handed out; the rest is for instances that are not known. */
+#define SLACK_PERCENT 90
+/* Repeats of an instance that does not know its part yet. */
+#define FLOOR_MIN 1
+
 void
-mf_budget_init (MfBudget *budget, uint64_t window_us, double ratio, uint32_t floor)
+mf_budget_init (MfBudget *budget, uint64_t window_us, double ratio)
 {
-  *budget = (MfBudget){ .window_us = window_us, .ratio = ratio, .floor = floor };
+  *budget = (MfBudget){ .window_us = window_us, .ratio = ratio };
 }
 
 /* Moves on to the part of the window that now is in. */
@@ -33,7 +38,7 @@
 }
 
 bool
-mf_budget_take (MfBudget *budget, uint64_t now_us)
+mf_budget_take (MfBudget *budget, uint32_t floor, uint64_t now_us)
 {
   uint64_t n_requests = 0;
   uint64_t n_repeats = 0;
@@ -44,8 +49,19 @@
       n_requests += budget->n_requests[i];
       n_repeats += budget->n_repeats[i];
     }
-  if ((double)(n_repeats + 1) > budget->ratio * (double)n_requests + (double)budget->floor)
+  if ((double)(n_repeats + 1) > budget->ratio * (double)n_requests + (double)floor)
     return false;
   budget->n_repeats[budget->part]++;
   return true;
 }
+
+uint32_t
+mf_budget_floor (uint32_t slack, uint32_t n_instances, uint64_t uptime_us, uint64_t window_us)
+{
+  uint32_t part;
+
+  if (uptime_us < window_us || n_instances == 0)
+    return FLOOR_MIN;
+  part = slack * SLACK_PERCENT / 100 / n_instances;
+  return part > FLOOR_MIN ? part : FLOOR_MIN;
+}
--- a/libmangofork/relay/budget.h
+++ b/libmangofork/relay/budget.h
@@ -12,16 +12,20 @@
 {
   uint64_t window_us;
   double ratio;
-  uint32_t floor; /* repeats allowed whatever the requests */
   uint64_t part_begun_us;
   uint32_t part;
   uint32_t n_requests[MF_BUDGET_PARTS];
   uint32_t n_repeats[MF_BUDGET_PARTS];
 } MfBudget;
 
-void mf_budget_init (MfBudget *budget, uint64_t window_us, double ratio, uint32_t floor);
+void mf_budget_init (MfBudget *budget, uint64_t window_us, double ratio);
 void mf_budget_note_request (MfBudget *budget, uint64_t now_us);
-/* Takes one repeat; returns false, and takes none, when the window has had its share. */
-bool mf_budget_take (MfBudget *budget, uint64_t now_us);
+/* Takes one repeat; returns false, and takes none, when the window has had its share. floor repeats
+ * are allowed whatever the requests. */
+bool mf_budget_take (MfBudget *budget, uint32_t floor, uint64_t now_us);
+/* This instance's part of the repeats that all instances together may send whatever their requests.
+ * One that has not run for a whole window does not know what it sent before it was started anew. */
+uint32_t mf_budget_floor (uint32_t slack, uint32_t n_instances, uint64_t uptime_us,
+                          uint64_t window_us);
 
 #endif
--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -50,7 +50,7 @@
     return &jobs->budgets[MF_JOBS_SERVICES_MAX - 1];
   budget = &jobs->budgets[jobs->n_budgets++];
   mf_name_set (budget->service, sizeof budget->service, service);
-  mf_budget_init (&budget->budget, jobs->budget_window_us, jobs->budget_ratio, jobs->budget_floor);
+  mf_budget_init (&budget->budget, jobs->budget_window_us, jobs->budget_ratio);
   return budget;
 }
 
@@ -81,12 +81,22 @@
          || (job->route->kind == MF_ROUTE_STREAMING && job->route->resumable);
 }
 
+/* This instance's part of the slack in repeats. */
+static uint32_t
+jobs_floor (const MfJobs *jobs)
+{
+  uint32_t n_instances = jobs->peers == NULL ? 1 : mf_peers_known (jobs->peers);
+
+  return mf_budget_floor (jobs->budget_slack, n_instances, mf_clock_now_us () - jobs->began_us,
+                          jobs->budget_window_us);
+}
+
 /* Takes a repeat from the budget of the request's service. */
 bool
 mf_job_take_repeat (MfJob *job)
 {
   MfServiceBudget *budget = mf_jobs_budget (job->jobs, job->service->name);
-  bool allowed = mf_budget_take (&budget->budget, mf_clock_now_us ());
+  bool allowed = mf_budget_take (&budget->budget, jobs_floor (job->jobs), mf_clock_now_us ());
 
   job->jobs->counters.counts[allowed ? MF_RELAY_COUNT_REPEATS : MF_RELAY_COUNT_REPEATS_DENIED]++;
   return allowed;
@@ -126,6 +136,8 @@
   uint64_t took_us = now_us - job->begun_us;
 
   jobs->counters.by_code[mf_code_index (code)]++;
+  if (job->phase == MF_JOB_WAITING && job->waiting_since_us > 0)
+    job->waited_us += now_us - job->waiting_since_us;
   if (job->waited_us > 0)
     mf_relay_observe (&jobs->counters.waited, job->waited_us);
   if (code == MF_CODE_OK && job->first_event_us > 0)
@@ -585,6 +597,7 @@
 mf_jobs_init (MfJobs *jobs, struct ev_loop *loop, const MfDialect *dialect, MfLines *lines)
 {
   jobs->loop = loop;
+  jobs->began_us = mf_clock_now_us ();
   jobs->dialect = dialect;
   jobs->lines = lines;
   jobs->jobs_max = JOBS_MAX;
--- a/libmangofork/relay/job.h
+++ b/libmangofork/relay/job.h
@@ -41,7 +41,8 @@
   uint32_t n_budgets;
   uint64_t budget_window_us;
   double budget_ratio;
-  uint32_t budget_floor;
+  uint32_t budget_slack; /* repeats allowed to all instances together, whatever their requests */
+  uint64_t began_us;
   MfJob *first;
   uint32_t n_jobs;
   uint64_t n_ended; /* requests, since the start */
--- a/libmangofork/relay/job_room.c
+++ b/libmangofork/relay/job_room.c
@@ -137,9 +137,18 @@
   MfTarget *decode = target_by_hash (targets, grant->decode);
   uint64_t now_us = mf_clock_now_us ();
 
+  mf_lines_add (job->jobs->lines, "request.granted",
+                "id=%s decode=%s by=%s waited_ms=%.1f load=%u load_tokens=%llu tokens=%llu",
+                job->id, decode != NULL ? decode->info.id : "unknown",
+                job->asked == MF_DISPATCH_SELF ? "self" : "peer",
+                (double)(now_us - job->waiting_since_us) / 1e3,
+                decode != NULL ? mf_target_load (decode) : 0,
+                (unsigned long long)(decode != NULL ? mf_target_load_tokens (decode) : 0),
+                (unsigned long long)job->memory_tokens);
   job->ask_id = 0;
   job->try_due_us = 0;
   job->waited_us += now_us - job->waiting_since_us;
+  job->waiting_since_us = now_us;
   job->granted_prefill = grant->prefill;
   if (decode != NULL && !decode->info.leaving)
     mf_job_reserve (job, decode);
--- a/libmangofork/relay/peers.c
+++ b/libmangofork/relay/peers.c
@@ -715,3 +715,9 @@
     n_heard += is_heard (peers->list[i], now_us);
   return n_heard;
 }
+
+uint32_t
+mf_peers_known (const MfPeers *peers)
+{
+  return peers->n_peers + 1;
+}
--- a/libmangofork/relay/peers.h
+++ b/libmangofork/relay/peers.h
@@ -40,6 +40,8 @@
 void mf_peers_distrust (MfPeers *peers, uint64_t peer);
 /* The next report to this peer will show this grant of its. */
 void mf_peers_note_grant (MfPeers *peers, uint64_t peer, uint64_t grant_id);
+/* Instances that are known, heard of lately or not, this one included. */
+uint32_t mf_peers_known (const MfPeers *peers);
 /* Instances heard of lately, this one included. */
 uint32_t mf_peers_count (const MfPeers *peers, uint64_t now_us);
 
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -14,9 +14,6 @@
 #define RETURN_US (2300 * MF_US_PER_MS)
 /* A shorter absence of the store lets no entry lapse. */
 #define AWAY_MIN_US (1 * MF_US_PER_S)
-/* Repeats an instance may send whatever its requests: the bound of all instances together grows by
- * two with each. */
-#define RETRY_FLOOR 2
 /* Housekeeping: expired upstreams, drain, changed settings. */
 #define TICK_S 0.1
 /* Descriptors for other than callers: files, listeners, upstreams. */
@@ -338,7 +335,7 @@
 {
   relay->jobs.budget_window_us = relay->settings.retry_window_us;
   relay->jobs.budget_ratio = relay->settings.retry_ratio;
-  relay->jobs.budget_floor = RETRY_FLOOR;
+  relay->jobs.budget_slack = relay->settings.retry_slack;
   if (relay->door != NULL)
     limits_apply (relay);
 }
--- a/tests/test_budget.c
+++ b/tests/test_budget.c
@@ -25,7 +25,7 @@
 
   (void)state;
   for (uint32_t i = 0; i < N_INSTANCES; i++)
-    mf_budget_init (&budgets[i], WINDOW_US, RATIO, FLOOR);
+    mf_budget_init (&budgets[i], WINDOW_US, RATIO);
   for (uint32_t step = 0; step < N_STEPS; step++)
     {
       uint64_t now_us = MF_US_PER_S + step * 100 * MF_US_PER_MS;
@@ -40,7 +40,7 @@
               mf_budget_note_request (&budgets[i], now_us);
               requests[step]++;
               for (uint32_t tries = 0; tries < 3; tries++)
-                repeats[step] += mf_budget_take (&budgets[i], now_us);
+                repeats[step] += mf_budget_take (&budgets[i], FLOOR, now_us);
             }
         }
     }
@@ -69,12 +69,37 @@
   MfBudget budget;
 
   (void)state;
-  mf_budget_init (&budget, WINDOW_US, RATIO, FLOOR);
-  assert_true (mf_budget_take (&budget, MF_US_PER_S));
-  assert_true (mf_budget_take (&budget, MF_US_PER_S));
-  assert_false (mf_budget_take (&budget, MF_US_PER_S));
-  assert_false (mf_budget_take (&budget, MF_US_PER_S + WINDOW_US - MF_US_PER_S));
-  assert_true (mf_budget_take (&budget, 2 * MF_US_PER_S + WINDOW_US));
+  mf_budget_init (&budget, WINDOW_US, RATIO);
+  assert_true (mf_budget_take (&budget, FLOOR, MF_US_PER_S));
+  assert_true (mf_budget_take (&budget, FLOOR, MF_US_PER_S));
+  assert_false (mf_budget_take (&budget, FLOOR, MF_US_PER_S));
+  assert_false (mf_budget_take (&budget, FLOOR, MF_US_PER_S + WINDOW_US - MF_US_PER_S));
+  assert_true (mf_budget_take (&budget, FLOOR, 2 * MF_US_PER_S + WINDOW_US));
+}
+
+/* The parts of all instances together, and of all of them started anew within a window, keep to
+ * what is common, in deployments of any size. */
+static void
+test_parts_of_the_slack (void **state)
+{
+  static const uint32_t sizes[][2] = { { 6, 52 }, { 7, 54 }, { 84, 208 }, { 300, 640 } };
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (sizes); i++)
+    {
+      uint32_t n_instances = sizes[i][0];
+      uint32_t slack = sizes[i][1];
+      uint32_t settled = mf_budget_floor (slack, n_instances, WINDOW_US, WINDOW_US);
+      uint32_t fresh = mf_budget_floor (slack, 1, WINDOW_US - 1, WINDOW_US);
+
+      assert_true (settled * n_instances <= slack);
+      assert_true (fresh * n_instances <= slack);
+      assert_true (settled >= 1);
+    }
+  /* Where the slack leaves room, a fleet that is started anew has room as well. */
+  assert_true (mf_budget_floor (52, 6, WINDOW_US, WINDOW_US) * 6
+                   + mf_budget_floor (52, 6, 0, WINDOW_US) * 6
+               <= 52);
 }
 
 int
@@ -83,6 +108,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_any_window_of_any_instances_keeps_to_the_ratio),
     cmocka_unit_test (test_floor_without_requests),
+    cmocka_unit_test (test_parts_of_the_slack),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -202,7 +202,9 @@
   mf_jobs_init (&town->jobs, town->loop, &platform_dialect, town->lines);
   town->jobs.budget_window_us = 10 * MF_US_PER_S;
   town->jobs.budget_ratio = 0.2;
-  town->jobs.budget_floor = 2;
+  town->jobs.budget_slack = 2;
+  /* It has run for longer than the window. */
+  town->jobs.began_us = 0;
   mf_jobs_configure (&town->jobs, routes_make ());
   town->door = mf_door_new (town->loop, ADDRESS, &platform_dialect, &mf_job_door_user, &town->jobs,
                             &error);
