The soak starts ended instances anew: its loop collected them unseen

The default loop of libev collects child processes, so the soak never saw an instance end and started none again. Change: a loop of its own; a calm end without requests is a violation.

--- a/bench/relay_soak.c
+++ b/bench/relay_soak.c
@@ -741,6 +741,8 @@
       if (sent->refused && n_runs > 0 && kinds[sent->kind].runs_max == 1)
         violation (soak, "a refused request has run", sent->id);
     }
+  if (soak->n_calm == 0)
+    violation (soak, "nobody was served once the faults had ended", "");
   if (soak->n_calm_served * 100 < soak->n_calm * CALM_SERVED_PERCENT)
     violation (soak, "too few were served once the faults had ended", "");
 }
@@ -799,7 +801,8 @@
   argp_parse (&parser, argc, argv, 0, NULL, &soak);
   signal (SIGPIPE, SIG_IGN);
   setvbuf (stdout, NULL, _IOLBF, 0);
-  soak.loop = ev_default_loop (0);
+  /* Not the default loop, which would collect the instances that have ended. */
+  soak.loop = ev_loop_new (0);
   soak.first_port = FIRST_PORT + (uint32_t)(soak.seed % RUNS_SIDE_BY_SIDE) * PORTS_PER_RUN;
   soak.random = soak.seed * UINT64_C (0x9e3779b97f4a7c15) + 1;
   snprintf (soak.directory, sizeof soak.directory, "/tmp/relay-soak-XXXXXX");
