A stream that could not be whole before its caller gives up is not begun

Change: the time an answer takes is learnt for each token; a request with less than half of what its answer is expected to take is refused at once, or when waiting, at its latest beginning. Test: test_job test_stream_without_time_is_refused_at_once.

--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -24,6 +24,9 @@
 #define FIRST_TRY_PERCENT 84
 /* Requests that wait for room look for it this often, besides whenever some comes free. */
 #define WAKE_EVERY_S 0.02
+/* Part of the expected time of an answer without which it is not begun: half of the answers are
+ * shorter than expected, few by more than this. */
+#define NEEDED_SHARE 0.5
 /* Weight of one answer's length in the moving average; answers differ by half their length. */
 #define ANSWER_WEIGHT 0.05
 
@@ -55,14 +58,20 @@
 }
 
 void
-mf_jobs_note_answer (MfJobs *jobs, uint64_t tokens)
+mf_jobs_note_answer (MfJobs *jobs, uint64_t tokens, uint64_t took_us)
 {
+  double token_us;
+
   if (tokens == 0)
     return;
+  token_us = (double)took_us / (double)tokens;
   if (jobs->answer_tokens <= 0.)
-    jobs->answer_tokens = (double)tokens;
-  else
-    jobs->answer_tokens += ANSWER_WEIGHT * ((double)tokens - jobs->answer_tokens);
+    {
+      jobs->answer_tokens = (double)tokens;
+      jobs->token_us = token_us;
+    }
+  jobs->answer_tokens += ANSWER_WEIGHT * ((double)tokens - jobs->answer_tokens);
+  jobs->token_us += ANSWER_WEIGHT * (token_us - jobs->token_us);
 }
 
 void
@@ -336,10 +345,19 @@
   if (*comma == ',')
     job->output_tokens = strtoull (comma + 1, NULL, 10);
   mf_head_number (head, MF_WORD_ANSWER_HINT, &hint_tokens);
+  job->answer_tokens
+      = mf_load_answer_tokens (hint_tokens, (uint64_t)job->jobs->answer_tokens, job->output_tokens);
   job->memory_tokens = mf_load_memory_tokens (
       job->prompt_tokens, hint_tokens, (uint64_t)job->jobs->answer_tokens, job->output_tokens);
 }
 
+/* The least time a whole answer is reckoned to take; 0 before any has been seen. */
+static uint64_t
+job_needs_us (const MfJob *job)
+{
+  return (uint64_t)((double)job->answer_tokens * job->jobs->token_us * NEEDED_SHARE);
+}
+
 static void
 job_read_times (MfJob *job, const MfHead *head)
 {
@@ -361,6 +379,14 @@
   job->give_up_us = job->deadline_us;
   if (route->kind == MF_ROUTE_STREAMING && job->begun_us + leave_us < job->deadline_us)
     job->give_up_us = job->begun_us + leave_us - LEAVE_SPARE_US;
+  if (job->is_engine && job->begun_us + job_needs_us (job) < job->deadline_us)
+    {
+      uint64_t latest_us = job->deadline_us - job_needs_us (job);
+
+      job->give_up_us = latest_us < job->give_up_us ? latest_us : job->give_up_us;
+    }
+  else if (job->is_engine)
+    job->give_up_us = job->begun_us;
 }
 
 static MfJob *
@@ -492,6 +518,11 @@
       mf_job_refuse (job, MF_CODE_DRAINING, "the instance ends before the answer would");
       return;
     }
+  if (job->is_engine && job->give_up_us <= job->begun_us)
+    {
+      mf_job_refuse (job, MF_CODE_QUEUE_FULL, "the answer would not be whole in time");
+      return;
+    }
   mf_job_advance (job);
 }
 
--- a/libmangofork/relay/job.h
+++ b/libmangofork/relay/job.h
@@ -35,8 +35,9 @@
   MfRelayMessage message; /* room for one that is sent; too large for the stack */
   MfPeers *peers;         /* NULL: this instance is alone */
   bool others_stale;      /* what the other instances have is to be looked at again */
-  double answer_tokens;   /* moving average of engines' answers; 0: none yet */
-  MfRoutes *routes;       /* in force; NULL while none is known */
+  double token_us;      /* moving average of an answer's time for each of its tokens; 0: none yet */
+  double answer_tokens; /* moving average of engines' answers; 0: none yet */
+  MfRoutes *routes;     /* in force; NULL while none is known */
   MfServiceBudget budgets[MF_JOBS_SERVICES_MAX];
   uint32_t n_budgets;
   uint64_t budget_window_us;
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -42,6 +42,7 @@
   uint64_t give_up_us;  /* a stream's caller leaves without a first event by then */
   uint64_t prompt_tokens;
   uint64_t output_tokens; /* at most */
+  uint64_t answer_tokens; /* that are expected */
   uint64_t memory_tokens; /* engine memory it is reckoned to need */
 
   MfJobPhase phase;
@@ -91,8 +92,8 @@
 void mf_job_answer_clear (MfJobAnswer *answer);
 bool mf_job_may_repeat (const MfJob *job);
 bool mf_job_take_repeat (MfJob *job);
-/* An engine's answer has come to so many tokens. */
-void mf_jobs_note_answer (MfJobs *jobs, uint64_t tokens);
+/* An engine's answer has come to so many tokens, and taken so long. */
+void mf_jobs_note_answer (MfJobs *jobs, uint64_t tokens, uint64_t took_us);
 MfServiceBudget *mf_jobs_budget (MfJobs *jobs, const char *service);
 
 /* job_room.c: asks for room at an engine, here or at the instance that decides for all. */
--- a/libmangofork/relay/job_send.c
+++ b/libmangofork/relay/job_send.c
@@ -574,7 +574,8 @@
       else
         {
           mf_target_answered (target, job->first_event_us - job->sent_us, mf_clock_now_us ());
-          mf_jobs_note_answer (jobs, job->events.n_events * job->service->event_tokens);
+          mf_jobs_note_answer (jobs, job->events.n_events * job->service->event_tokens,
+                               mf_clock_now_us () - job->sent_us);
           mf_job_finish (job, MF_CODE_OK, "answered");
         }
     }
--- a/libmangofork/relay/load.c
+++ b/libmangofork/relay/load.c
@@ -13,8 +13,7 @@
 #define FAILURE_TOLD_PERCENT 10
 
 uint64_t
-mf_load_memory_tokens (uint64_t prompt_tokens, uint64_t hint_tokens, uint64_t typical_tokens,
-                       uint64_t max_tokens)
+mf_load_answer_tokens (uint64_t hint_tokens, uint64_t typical_tokens, uint64_t max_tokens)
 {
   double answer = typical_tokens > 0 ? (double)typical_tokens : (double)max_tokens / 2.;
 
@@ -23,7 +22,16 @@
     answer = sqrt (answer * (double)hint_tokens);
   if (answer > (double)max_tokens)
     answer = (double)max_tokens;
-  return prompt_tokens + (uint64_t)(answer * ANSWER_SHARE);
+  return (uint64_t)answer;
+}
+
+uint64_t
+mf_load_memory_tokens (uint64_t prompt_tokens, uint64_t hint_tokens, uint64_t typical_tokens,
+                       uint64_t max_tokens)
+{
+  uint64_t answer = mf_load_answer_tokens (hint_tokens, typical_tokens, max_tokens);
+
+  return prompt_tokens + (uint64_t)((double)answer * ANSWER_SHARE);
 }
 
 bool
--- a/libmangofork/relay/load.h
+++ b/libmangofork/relay/load.h
@@ -14,6 +14,8 @@
  * for none; typical_tokens is what answers were lately; max_tokens is the most it may be. */
 uint64_t mf_load_memory_tokens (uint64_t prompt_tokens, uint64_t hint_tokens,
                                 uint64_t typical_tokens, uint64_t max_tokens);
+/* Tokens an answer is expected to have, between the caller's estimate and what is usual. */
+uint64_t mf_load_answer_tokens (uint64_t hint_tokens, uint64_t typical_tokens, uint64_t max_tokens);
 /* Whether an engine has room for a request of so many tokens, beside what is there. */
 bool mf_load_fits (const MfTarget *target, const MfRouteService *traits, uint64_t tokens,
                    uint64_t now_us);
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -542,6 +542,26 @@
   town_end (&town);
 }
 
+/* A stream that could not be whole before its caller gives up is refused at once and not begun. */
+static void
+test_stream_without_time_is_refused_at_once (void **state)
+{
+  Town town;
+
+  (void)state;
+  town_begin (&town);
+  upstream_add (&town, 0, MF_ROLE_DECODE, act_stream);
+  town.jobs.answer_tokens = 40.;
+  town.jobs.token_us = 200. * (double)MF_US_PER_MS;
+  call (&town, "POST", "/llm/1");
+  assert_status (&town, "503");
+  assert_int_equal (n_requests (&town, 0), 0);
+  town.jobs.token_us = 10. * (double)MF_US_PER_MS;
+  call (&town, "POST", "/llm/1");
+  assert_status (&town, "200");
+  town_end (&town);
+}
+
 static bool
 nobody_is_served (void *data)
 {
@@ -655,6 +675,7 @@
     cmocka_unit_test (test_broken_stream_goes_on_after_its_last_event),
     cmocka_unit_test (test_silent_stream_goes_on_elsewhere),
     cmocka_unit_test (test_broken_stream_that_cannot_go_on_does_not_look_whole),
+    cmocka_unit_test (test_stream_without_time_is_refused_at_once),
     cmocka_unit_test (test_departed_caller_stops_its_work),
     cmocka_unit_test (test_unreachable_upstream_costs_no_request),
     cmocka_unit_test (test_deadline_ends_what_does_not_answer),
