--- a/libmangofork/relay/relay_counters.c
+++ b/libmangofork/relay/relay_counters.c
@@ -49,6 +49,28 @@
   mf_buffer_add_text (out, line);
 }
 
+/* Where the ends with each code are rendered from and to. */
+typedef struct
+{
+  const MfRelayCounters *counters;
+  MfBuffer *out;
+} CodeRender;
+
+static bool
+code_render (const MfCodeInfo *info, void *data)
+{
+  const CodeRender *render = data;
+  size_t index = mf_code_index (info->code);
+  char line[128];
+
+  if (index >= MF_ARRAY_LEN (render->counters->by_code) || render->counters->by_code[index] == 0)
+    return true;
+  snprintf (line, sizeof line, "mangofork_relay_ends_total{name=\"%s\"} %llu\n", info->name,
+            (unsigned long long)render->counters->by_code[index]);
+  mf_buffer_add_text (render->out, line);
+  return true;
+}
+
 void
 mf_relay_counters_render (const MfRelayCounters *counters, MfBuffer *out)
 {
@@ -63,14 +85,7 @@
                 counter_names[i].name, (unsigned long long)counters->counts[i]);
       mf_buffer_add_text (out, line);
     }
-  for (uint32_t i = 0; i < MF_ARRAY_LEN (counters->by_code); i++)
-    {
-      if (counters->by_code[i] == 0)
-        continue;
-      snprintf (line, sizeof line, "mangofork_relay_ends_total{code_index=\"%u\"} %llu\n", i,
-                (unsigned long long)counters->by_code[i]);
-      mf_buffer_add_text (out, line);
-    }
+  mf_code_foreach (code_render, &(CodeRender){ .counters = counters, .out = out });
   histogram_render (&counters->answer, "answer", out);
   histogram_render (&counters->first_event, "first_event", out);
   histogram_render (&counters->waited, "waited", out);
