A place must let the first event be in time

Cause: in a burst the oldest request that could still be in time went first, and 'in time' was its age when it got its place. Ruled out: capacity alone (the engines served as many requests; they served the wrong ones). Change: the time from a place to the first event is learnt; a request counts as in time for as long as that still fits its objective.

--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -29,6 +29,8 @@
 #define NEEDED_SHARE 0.5
 /* Weight of one answer's length in the moving average; answers differ by half their length. */
 #define ANSWER_WEIGHT 0.05
+/* Weight of one first event's time; it changes with the load within seconds. */
+#define FIRST_WEIGHT 0.1
 
 uint32_t
 mf_jobs_random (MfJobs *jobs)
@@ -57,6 +59,14 @@
   return budget;
 }
 
+void
+mf_jobs_note_first (MfJobs *jobs, uint64_t took_us)
+{
+  if (jobs->first_us <= 0.)
+    jobs->first_us = (double)took_us;
+  jobs->first_us += FIRST_WEIGHT * ((double)took_us - jobs->first_us);
+}
+
 void
 mf_jobs_note_answer (MfJobs *jobs, uint64_t tokens, uint64_t took_us)
 {
--- a/libmangofork/relay/job.h
+++ b/libmangofork/relay/job.h
@@ -36,6 +36,7 @@
   MfPeers *peers;         /* NULL: this instance is alone */
   bool others_stale;      /* what the other instances have is to be looked at again */
   double token_us;      /* moving average of an answer's time for each of its tokens; 0: none yet */
+  double first_us;      /* moving average from a granted place to the first event; 0: none yet */
   double answer_tokens; /* moving average of engines' answers; 0: none yet */
   MfRoutes *routes;     /* in force; NULL while none is known */
   MfServiceBudget budgets[MF_JOBS_SERVICES_MAX];
--- a/libmangofork/relay/job_room.c
+++ b/libmangofork/relay/job_room.c
@@ -7,6 +7,8 @@
 /* The instance that decides for all answers an ask at once, if only that it is queued: a few round
  * trips between data centres and turns of a small instance's loop. */
 #define ANSWER_US (80 * MF_US_PER_MS)
+/* First events take up to so many times their average; most then come in time. */
+#define FIRST_FACTOR 1.4
 
 static MfJob *
 job_by_ask (const MfJobs *jobs, uint64_t ask_id)
@@ -30,6 +32,16 @@
   return NULL;
 }
 
+/* The age at which a place still lets the first event be in time. */
+static uint64_t
+start_objective_us (const MfJob *job)
+{
+  uint64_t first_us = (uint64_t)(job->jobs->first_us * FIRST_FACTOR);
+  uint64_t objective_us = job->route->target_latency_us;
+
+  return objective_us > first_us ? objective_us - first_us : 0;
+}
+
 /* What is asked for this request. */
 static MfAsk
 ask_make (MfJob *job, uint64_t now_us)
@@ -40,7 +52,7 @@
     .memory_tokens = job->memory_tokens,
     .has_memory = job->memory_target != NULL,
     .age_us = now_us - job->asked_us,
-    .objective_us = job->route->target_latency_us,
+    .objective_us = start_objective_us (job),
     .patience_us = job->give_up_us - job->asked_us,
     .n_avoid = job->n_avoid,
   };
@@ -150,6 +162,7 @@
   job->waited_us += now_us - job->waiting_since_us;
   job->waiting_since_us = now_us;
   job->granted_prefill = grant->prefill;
+  job->granted_us = now_us;
   if (decode != NULL && !decode->info.leaving)
     mf_job_reserve (job, decode);
   mf_job_advance (job);
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -69,6 +69,7 @@
 
   uint64_t ask_id;          /* of the ask for room that waits for its answer; 0: none */
   uint64_t asked;           /* the instance that was asked */
+  uint64_t granted_us;      /* when it got its place; 0: it has none yet */
   uint64_t granted_prefill; /* hash of the engine that is to read the prompt */
 
   uint64_t avoid[MF_PLACE_AVOID_MAX]; /* hashes of upstreams that declined or failed */
@@ -92,6 +93,8 @@
 void mf_job_answer_clear (MfJobAnswer *answer);
 bool mf_job_may_repeat (const MfJob *job);
 bool mf_job_take_repeat (MfJob *job);
+/* The first event of a stream has come so long after its place was granted. */
+void mf_jobs_note_first (MfJobs *jobs, uint64_t took_us);
 /* An engine's answer has come to so many tokens, and taken so long. */
 void mf_jobs_note_answer (MfJobs *jobs, uint64_t tokens, uint64_t took_us);
 MfServiceBudget *mf_jobs_budget (MfJobs *jobs, const char *service);
--- a/libmangofork/relay/job_send.c
+++ b/libmangofork/relay/job_send.c
@@ -401,7 +401,11 @@
     }
   mf_target_alive (job->target, now_us);
   if (job->first_event_us == 0)
-    job->first_event_us = now_us;
+    {
+      job->first_event_us = now_us;
+      if (job->granted_us > 0)
+        mf_jobs_note_first (job->jobs, now_us - job->granted_us);
+    }
   job->last_event_us = now_us;
   if (job->route->resumable)
     {
