Callers come back later when the store is away; a burst is played against the dispatcher

Change: an instance that has no configuration 0.3 s after its start names two seconds, within what callers wait. Tests: test_refuse test_without_configuration; test_dispatch plays a burst of twice the engines' capacity and holds the callers served in time against those of the order before.

--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -451,6 +451,7 @@
       retry_us = mf_refuse_retry_after_us (&(MfRefusal){
           .code = code,
           .left_us = left_ms * MF_US_PER_MS,
+          .uptime_us = mf_clock_now_us () - jobs->began_us,
           .point = mf_jobs_random (jobs),
       });
       headers_add_retry_after (&headers, retry_us);
--- a/libmangofork/relay/refuse.c
+++ b/libmangofork/relay/refuse.c
@@ -4,6 +4,10 @@
 #define LEFT_PART 3
 /* An instance that has just started knows its configuration within a few reads of the platform. */
 #define START_US (150 * MF_US_PER_MS)
+/* One that has none after this time does not reach the platform's store, whose absences last
+ * seconds. */
+#define STARTED_US (300 * MF_US_PER_MS)
+#define STORE_AWAY_US (2 * MF_US_PER_S)
 /* A service without upstreams gets one no sooner than discovery tells of it. */
 #define NO_UPSTREAM_US (400 * MF_US_PER_MS)
 /* Room is looked for again after this part of the objective when it is not known when it comes. */
@@ -15,7 +19,7 @@
   switch (refusal->code)
     {
     case MF_CODE_NO_CONFIG:
-      return START_US;
+      return refusal->uptime_us < STARTED_US ? START_US : STORE_AWAY_US;
     case MF_CODE_DRAINING:
       return 0; /* another instance takes it now */
     case MF_CODE_NO_UPSTREAM:
--- a/libmangofork/relay/refuse.h
+++ b/libmangofork/relay/refuse.h
@@ -9,6 +9,7 @@
   MfCode code;
   uint64_t left_us;      /* until the caller gives up */
   uint64_t objective_us; /* the route's target latency */
+  uint64_t uptime_us;    /* of this process */
   uint64_t room_us;      /* when room is expected; 0: not known */
   uint32_t point;        /* uniform; spreads the returns */
 } MfRefusal;
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -40,6 +40,10 @@
 {
   Room *room = data;
 
+  /* This instance's own grants show in its loads at once. */
+  if (asker == MF_DISPATCH_SELF)
+    mf_target_begin (&room->engines[grant->decode - 1], 8000, NOW_US);
+
   assert_in_range (room->n_given, 0, MF_ARRAY_LEN (room->given) - 1);
   room->given[room->n_given++] = (Given){ .asker = asker, .grant = *grant };
 }
@@ -312,6 +316,74 @@
   room_end (&room);
 }
 
+#define STEP_US (10 * MF_US_PER_MS)
+#define N_CALLS 400
+
+/* One stream of a burst. */
+typedef struct
+{
+  uint64_t begun_us;
+  uint64_t granted_us; /* 0: waits */
+  uint32_t engine;
+} Call;
+
+/* Plays a burst of twice what the engines can take, for five seconds: each stream needs 8,000
+ * tokens for three seconds, and its first event comes first_us after its place. Returns how many
+ * callers get it within the objective when asks name this latest age for a place. */
+static uint32_t
+burst_in_time (uint64_t first_us, uint64_t latest_age_us)
+{
+  static Call calls[N_CALLS];
+  Room room;
+  uint32_t n_calls = 0;
+  uint32_t n_taken = 0;
+  uint32_t n_in_time = 0;
+
+  room_begin (&room);
+  memset (calls, 0, sizeof calls);
+  for (uint64_t now_us = NOW_US; now_us < NOW_US + 9 * MF_US_PER_S; now_us += STEP_US)
+    {
+      /* Nine streams a second fill four engines of seven places; twice that come. */
+      if (now_us < NOW_US + 5 * MF_US_PER_S && (now_us - NOW_US) * 18 / MF_US_PER_S >= n_calls)
+        {
+          MfAsk wanted = ask_make (++n_calls, 0, 8000);
+
+          wanted.objective_us = latest_age_us;
+          calls[n_calls - 1].begun_us = now_us;
+          mf_dispatch_ask (room.dispatch, MF_DISPATCH_SELF, &wanted, now_us);
+        }
+      for (uint32_t i = 0; i < n_calls; i++)
+        {
+          if (calls[i].granted_us > 0 && calls[i].granted_us + 3 * MF_US_PER_S == now_us)
+            mf_target_end (&room.engines[calls[i].engine], 8000);
+        }
+      mf_dispatch_run (room.dispatch, now_us);
+      for (; n_taken < room.n_given; n_taken++)
+        {
+          Call *call = &calls[room.given[n_taken].grant.id - 1];
+
+          call->granted_us = now_us;
+          call->engine = (uint32_t)room.given[n_taken].grant.decode - 1;
+          n_in_time += now_us + first_us <= call->begun_us + OBJECTIVE_US;
+        }
+    }
+  room_end (&room);
+  return n_in_time;
+}
+
+/* Places go to those that can still be in time when their prompt has been read, not to those that
+ * are about to be late: more callers are served within their objective. */
+static void
+test_burst_serves_more_in_time_when_reading_is_reckoned_with (void **state)
+{
+  uint64_t first_us = 250 * MF_US_PER_MS;
+  uint32_t before = burst_in_time (first_us, OBJECTIVE_US);
+  uint32_t after = burst_in_time (first_us, OBJECTIVE_US - first_us);
+
+  (void)state;
+  assert_true (after > before + before / 5);
+}
+
 static void
 test_memory_is_reckoned_between_hint_and_usual (void **state)
 {
@@ -338,6 +410,7 @@
     cmocka_unit_test (test_unreachable_engines_are_not_promised),
     cmocka_unit_test (test_callers_that_have_left_are_not_served),
     cmocka_unit_test (test_services_do_not_hold_up_each_other),
+    cmocka_unit_test (test_burst_serves_more_in_time_when_reading_is_reckoned_with),
     cmocka_unit_test (test_memory_is_reckoned_between_hint_and_usual),
   };
 
--- a/tests/test_refuse.c
+++ b/tests/test_refuse.c
@@ -51,6 +51,22 @@
   assert_int_equal (mf_refuse_retry_after_us (&refusal), 0);
 }
 
+/* An instance that has just started is asked again at once; one that has none for longer cannot
+ * reach the store, and a caller that comes back only once had better come later. */
+static void
+test_without_configuration (void **state)
+{
+  MfRefusal refusal = { .code = MF_CODE_NO_CONFIG, .left_us = 14 * MF_US_PER_S };
+  uint64_t first_us = mf_refuse_retry_after_us (&refusal);
+
+  (void)state;
+  assert_true (first_us <= 200 * MF_US_PER_MS);
+  refusal.uptime_us = MF_US_PER_S;
+  assert_true (mf_refuse_retry_after_us (&refusal) >= MF_US_PER_S);
+  refusal.left_us = 600 * MF_US_PER_MS;
+  assert_int_equal (mf_refuse_retry_after_us (&refusal), 200 * MF_US_PER_MS);
+}
+
 int
 main (void)
 {
@@ -58,6 +74,7 @@
     cmocka_unit_test (test_no_longer_than_callers_wait),
     cmocka_unit_test (test_returns_are_spread),
     cmocka_unit_test (test_another_instance_takes_it_at_once),
+    cmocka_unit_test (test_without_configuration),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
