--- a/libmangofork/relay/caller.c
+++ b/libmangofork/relay/caller.c
@@ -118,7 +118,7 @@
   bool was_served = caller->state == CALLER_WAITING;
 
   caller_close (caller);
-  if (was_served)
+  if (was_served && caller->door->user->departed != NULL)
     caller->door->user->departed (caller->door->data, caller);
 }
 
@@ -290,7 +290,8 @@
   if (caller->fd >= 0 && mf_buffer_bytes (&caller->out) > UNREAD_BYTES_MAX && !caller->told_full)
     {
       caller->told_full = true;
-      caller->door->user->writable (caller->door->data, caller, false);
+      if (caller->door->user->writable != NULL)
+        caller->door->user->writable (caller->door->data, caller, false);
     }
   caller_leave (caller);
 }
@@ -459,7 +460,8 @@
       && caller->state == CALLER_WAITING)
     {
       caller->told_full = false;
-      caller->door->user->writable (caller->door->data, caller, true);
+      if (caller->door->user->writable != NULL)
+        caller->door->user->writable (caller->door->data, caller, true);
     }
   answer_settle (caller);
   caller_advance (caller);
--- a/libmangofork/relay/caller.h
+++ b/libmangofork/relay/caller.h
@@ -8,7 +8,7 @@
 typedef struct MfCaller MfCaller;
 typedef struct MfDoor MfDoor;
 
-/* What serves the requests that come through a door. */
+/* What serves the requests that come through a door. departed and writable may be NULL. */
 typedef struct
 {
   /* A request has come whole. It is answered with one of the calls below, now or later. */
--- a/libmangofork/relay/dispatch.c
+++ b/libmangofork/relay/dispatch.c
@@ -158,26 +158,16 @@
     }
 }
 
-static MfTarget *
-target_by_hash (const MfTargets *targets, uint64_t hash)
-{
-  for (MfTarget *target = targets->first; target != NULL; target = target->next)
-    {
-      if (target->id_hash == hash)
-        return target;
-    }
-  return NULL;
-}
-
+/* Adds a grant that its asker's load does not show yet. */
 static void
-load_add (const MfTargets *targets, uint64_t hash, uint64_t tokens)
+pending_show (const MfDispatch *dispatch, const Pending *pending)
 {
-  MfTarget *target = hash == 0 ? NULL : target_by_hash (targets, hash);
-
-  if (target == NULL)
-    return;
-  target->n_others++;
-  target->others_tokens += tokens;
+  mf_load_add (dispatch->targets, &(MfLoadEntry){ .upstream = pending->grant.decode,
+                                                  .n_active = 1,
+                                                  .tokens = (uint32_t)pending->memory_tokens });
+  mf_load_add (dispatch->targets, &(MfLoadEntry){ .upstream = pending->grant.prefill,
+                                                  .n_active = 1,
+                                                  .tokens = (uint32_t)pending->prompt_tokens });
 }
 
 void
@@ -185,10 +175,8 @@
 {
   for (const Pending *pending = dispatch->pending; pending != NULL; pending = pending->next)
     {
-      if (now_us - pending->given_us > PENDING_US)
-        continue;
-      load_add (dispatch->targets, pending->grant.decode, pending->memory_tokens);
-      load_add (dispatch->targets, pending->grant.prefill, pending->prompt_tokens);
+      if (now_us - pending->given_us <= PENDING_US)
+        pending_show (dispatch, pending);
     }
 }
 
@@ -332,8 +320,7 @@
   while (*place != NULL)
     place = &(*place)->next;
   *place = pending;
-  load_add (dispatch->targets, grant->decode, pending->memory_tokens);
-  load_add (dispatch->targets, grant->prefill, pending->prompt_tokens);
+  pending_show (dispatch, pending);
 }
 
 uint32_t
--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -70,11 +70,9 @@
 job_use_room (MfJob *job)
 {
   MfTarget *room = job->room;
-  bool usable = room != NULL && room->listed && !room->info.leaving;
 
-  for (uint32_t i = 0; usable && i < job->n_avoid; i++)
-    usable = job->avoid[i] != room->id_hash;
-  if (usable)
+  if (room != NULL && room->listed && !room->info.leaving
+      && !mf_place_avoids (job->avoid, job->n_avoid, room))
     return room;
   /* The instance that decides may not know yet; the same engine is not asked for again. */
   if (room != NULL)
@@ -93,16 +91,11 @@
   bool any_alive = false;
   MfTarget *prefill;
 
-  for (MfTarget *target = targets->first; target != NULL; target = target->next)
-    {
-      bool usable = target->id_hash == job->granted_prefill && !target->info.leaving
-                    && target->info.role == MF_ROLE_PREFILL && target->suspect_until_us <= now_us;
-
-      for (uint32_t i = 0; usable && i < job->n_avoid; i++)
-        usable = job->avoid[i] != target->id_hash;
-      if (usable)
-        return target;
-    }
+  prefill = mf_targets_by_hash (targets, job->granted_prefill);
+  if (prefill != NULL && prefill->info.role == MF_ROLE_PREFILL && !prefill->info.leaving
+      && prefill->suspect_until_us <= now_us
+      && !mf_place_avoids (job->avoid, job->n_avoid, prefill))
+    return prefill;
   prefill = mf_place_choose (targets, &ask, now_us, &any_alive);
   return prefill != NULL && prefill->suspect_until_us <= now_us ? prefill : NULL;
 }
--- a/libmangofork/relay/job_room.c
+++ b/libmangofork/relay/job_room.c
@@ -21,17 +21,6 @@
   return NULL;
 }
 
-static MfTarget *
-target_by_hash (const MfTargets *targets, uint64_t hash)
-{
-  for (MfTarget *target = targets->first; target != NULL; target = target->next)
-    {
-      if (target->id_hash == hash && hash != 0)
-        return target;
-    }
-  return NULL;
-}
-
 /* The age at which a place still lets the first event be in time. */
 static uint64_t
 start_objective_us (const MfJob *job)
@@ -146,7 +135,7 @@
 job_granted (MfJob *job, const MfGrant *grant)
 {
   MfTargets *targets = &job->jobs->targets;
-  MfTarget *decode = target_by_hash (targets, grant->decode);
+  MfTarget *decode = mf_targets_by_hash (targets, grant->decode);
   uint64_t now_us = mf_clock_now_us ();
 
   mf_lines_add (job->jobs->lines, "request.granted",
--- a/libmangofork/relay/job_send.c
+++ b/libmangofork/relay/job_send.c
@@ -82,25 +82,7 @@
   mf_target_unref (data);
 }
 
-static void
-on_release_head (void *data, const MfHead *head, uint32_t status)
-{
-  (void)data;
-  (void)head;
-  (void)status;
-}
-
-static void
-on_release_body (void *data, const char *bytes, size_t n_bytes)
-{
-  (void)data;
-  (void)bytes;
-  (void)n_bytes;
-}
-
 static const MfLinkUser release_user = {
-  .head = on_release_head,
-  .body = on_release_body,
   .end = on_released,
 };
 
--- a/libmangofork/relay/link.c
+++ b/libmangofork/relay/link.c
@@ -181,7 +181,8 @@
       link->was_foreign = true;
       return true;
     }
-  link->user->head (link->data, &message->head, message->parser.status_code);
+  if (link->user->head != NULL)
+    link->user->head (link->data, &message->head, message->parser.status_code);
   return !link->head_only;
 }
 
@@ -191,7 +192,7 @@
   MfLink *link = data;
 
   (void)message;
-  if (!link->foreign && !link->cancelled)
+  if (!link->foreign && !link->cancelled && link->user->body != NULL)
     link->user->body (link->data, bytes, n_bytes);
 }
 
--- a/libmangofork/relay/link.h
+++ b/libmangofork/relay/link.h
@@ -15,7 +15,7 @@
   MF_LINK_BROKEN,    /* some of it has left; the answer did not come whole */
 } MfLinkEnd;
 
-/* What an exchange tells its user; never from within mf_link_start. */
+/* What an exchange tells its user; never from within mf_link_start. head and body may be NULL. */
 typedef struct
 {
   /* The head of the answer to this request. */
--- a/libmangofork/relay/load.c
+++ b/libmangofork/relay/load.c
@@ -92,17 +92,13 @@
 void
 mf_load_add (void *data, const MfLoadEntry *entry)
 {
-  MfTargets *targets = data;
+  MfTarget *target = mf_targets_by_hash (data, entry->upstream);
   double failure_share = entry->failure_percent < 100 ? entry->failure_percent / 100. : 1.;
 
-  for (MfTarget *target = targets->first; target != NULL; target = target->next)
-    {
-      if (target->id_hash != entry->upstream)
-        continue;
-      target->n_others += entry->n_active;
-      target->others_tokens += entry->tokens;
-      if (failure_share > target->others_failure_share)
-        target->others_failure_share = failure_share;
-      return;
-    }
+  if (target == NULL)
+    return;
+  target->n_others += entry->n_active;
+  target->others_tokens += entry->tokens;
+  if (failure_share > target->others_failure_share)
+    target->others_failure_share = failure_share;
 }
--- a/libmangofork/relay/place.c
+++ b/libmangofork/relay/place.c
@@ -18,12 +18,12 @@
 /* An upstream that fails every time is this much worse than its time says. */
 #define FAILURE_FACTOR 12.
 
-static bool
-is_avoided (const MfPlaceAsk *ask, const MfTarget *target)
+bool
+mf_place_avoids (const uint64_t *avoid, uint32_t n_avoid, const MfTarget *target)
 {
-  for (uint32_t i = 0; i < ask->n_avoid; i++)
+  for (uint32_t i = 0; i < n_avoid; i++)
     {
-      if (ask->avoid[i] == target->id_hash)
+      if (avoid[i] == target->id_hash)
         return true;
     }
   return false;
@@ -138,7 +138,7 @@
       if (!is_candidate (target, ask))
         continue;
       *any_alive = true;
-      if (is_avoided (ask, target)
+      if (mf_place_avoids (ask->avoid, ask->n_avoid, target)
           || (ask->must_fit && !mf_load_fits (target, ask->traits, ask->tokens, now_us)))
         continue;
       if (target->suspect_until_us > now_us)
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -157,21 +157,6 @@
   mf_buffer_clear (&text);
 }
 
-static void
-on_departed (void *data, MfCaller *caller)
-{
-  (void)data;
-  (void)caller;
-}
-
-static void
-on_writable (void *data, MfCaller *caller, bool can_write)
-{
-  (void)data;
-  (void)caller;
-  (void)can_write;
-}
-
 static void
 on_refused (void *data, MfCode code)
 {
@@ -182,15 +167,11 @@
 
 static const MfDoorUser ready_user = {
   .request = on_ready_request,
-  .departed = on_departed,
-  .writable = on_writable,
   .refused = on_refused,
 };
 
 static const MfDoorUser metrics_user = {
   .request = on_metrics_request,
-  .departed = on_departed,
-  .writable = on_writable,
   .refused = on_refused,
 };
 
--- a/libmangofork/relay/target.c
+++ b/libmangofork/relay/target.c
@@ -55,6 +55,17 @@
   return NULL;
 }
 
+MfTarget *
+mf_targets_by_hash (const MfTargets *targets, uint64_t hash)
+{
+  for (MfTarget *target = targets->first; target != NULL; target = target->next)
+    {
+      if (target->id_hash == hash)
+        return target;
+    }
+  return NULL;
+}
+
 static void
 target_drop (MfTargets *targets, MfTarget *dropped)
 {
--- a/libmangofork/relay/target.h
+++ b/libmangofork/relay/target.h
@@ -67,6 +67,8 @@
 /* Drops what was removed, not at once, before this time. */
 uint32_t mf_targets_expire (MfTargets *targets, uint64_t before_us);
 MfTarget *mf_targets_find (const MfTargets *targets, const char *id);
+/* The upstream that instances name to each other by this hash; NULL when it is not known here. */
+MfTarget *mf_targets_by_hash (const MfTargets *targets, uint64_t hash);
 /* Marks all as not seen, before a full list is read. */
 void mf_targets_begin_list (MfTargets *targets);
 void mf_targets_clear (MfTargets *targets);
