Settings are looked at without a signal; a peer whose connection broke is told as gone; fleets of 512

Tests: test_relay test_settings_are_read_again; test_peers. test_shutdown once failed in 50 ms in which a request was rightly served: it now asks when no answer could come any more.

--- a/libmangofork/relay/load_report.h
+++ b/libmangofork/relay/load_report.h
@@ -6,7 +6,7 @@
 /* Upstreams one report names; an instance uses fewer at once. */
 #define MF_LOAD_ENTRIES_MAX 128
 /* Other instances one report names. */
-#define MF_LOAD_MEMBERS_MAX 400
+#define MF_LOAD_MEMBERS_MAX 512
 
 /* What one instance has at one upstream, and what it thinks of it. */
 typedef struct
--- a/libmangofork/relay/peers.c
+++ b/libmangofork/relay/peers.c
@@ -12,7 +12,7 @@
 #include <unistd.h>
 
 /* Other instances that are kept in touch with. */
-#define PEERS_MAX 128
+#define PEERS_MAX 512
 #define READ_BYTES 8192
 /* Changes are told together, this often at most. */
 #define TELL_EVERY_US (4 * MF_US_PER_MS)
@@ -67,6 +67,8 @@
   uint64_t distrusted_us; /* until then it is not asked */
   uint64_t grant_id;      /* the last grant of its that was taken */
   bool grant_told;
+  bool lost;      /* the connection to it broke; its user is told from the loop */
+  bool told_gone; /* its user has been told, and nothing was heard since */
   uint64_t heard_us;
   uint64_t fresh_us; /* it is due to be heard within this time */
   MfLoadEntry *entries;
@@ -126,6 +128,8 @@
   ev_io_stop (peers->loop, &peer->writer);
   close (peer->fd);
   peer->fd = -1;
+  /* What it was asked on this connection may not have come to it. */
+  peer->lost = peer->lost || peer->connected;
   peer->connected = false;
   mf_buffer_clear (&peer->out);
   peer->redial_us = peer->redial_us == 0 ? REDIAL_FIRST_US : peer->redial_us * 2;
@@ -458,6 +462,17 @@
     }
 }
 
+/* Tells the user once that a peer is gone, until it is heard again. */
+static void
+peer_gone (MfPeers *peers, Peer *peer)
+{
+  peer->lost = false;
+  if (peer->told_gone || peers->closing)
+    return;
+  peer->told_gone = true;
+  peers->user->gone (peers->data, peer->hash);
+}
+
 /* Takes a report in place of the peer's last one. */
 static void
 report_take (MfPeers *peers, const MfLoadReport *report)
@@ -476,6 +491,7 @@
                       peers->n_peers);
     }
   peer->heard_us = now_us;
+  peer->told_gone = false;
   peer->seen_us = now_us;
   peer->fresh_us = (uint64_t)report->heartbeat_ms * MF_US_PER_MS * FRESH_PERCENT / 100;
   /* It lives, so it is worth dialling at once. */
@@ -520,7 +536,7 @@
                       peer->n_entries);
       peer->n_entries = 0;
       peer->heard_us = 0;
-      peers->user->gone (peers->data, peer->hash);
+      peer_gone (peers, peer);
     }
   for (Incoming **place = &peers->incoming; *place != NULL; place = &(*place)->next)
     {
@@ -626,6 +642,8 @@
     {
       Peer *peer = peers->list[i];
 
+      if (peer->lost)
+        peer_gone (peers, peer);
       if (!peer->is_seed && peer->fd < 0 && now_us - peer->seen_us > FORGET_US
           && peer->redial_us >= REDIAL_MAX_US)
         {
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/resource.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 /* Upstreams whose entries lapsed while the platform's store was away are back within two seconds of
@@ -16,6 +17,8 @@
 #define AWAY_MIN_US (1 * MF_US_PER_S)
 /* Housekeeping: expired upstreams, drain, changed settings. */
 #define TICK_S 0.1
+/* The settings file is looked at this often. */
+#define SETTINGS_EVERY_US (1 * MF_US_PER_S)
 /* Descriptors for other than callers: files, listeners, upstreams. */
 #define FILES_RESERVED 700
 /* Memory one caller may take: its buffers and its request. */
@@ -63,6 +66,8 @@
   uint64_t keep_until_us;  /* upstreams that are missing are kept until then */
   uint64_t drain_begun_us; /* 0: not shutting down */
   bool idle_closed;
+  uint64_t settings_seen_us;        /* when the file was last looked at */
+  struct timespec settings_changed; /* when it was last written */
 };
 
 static void
@@ -322,14 +327,11 @@
 }
 
 static void
-on_hup (struct ev_loop *loop, ev_signal *watcher, int events)
+settings_reread (MfRelay *relay)
 {
-  MfRelay *relay = watcher->data;
   MfRelaySettings settings = { 0 };
   MfError error = { 0 };
 
-  (void)loop;
-  (void)events;
   if (!relay->deployment->read_settings (relay->path, &settings, &error))
     {
       mf_lines_state (relay->lines, "settings.faulty", "code=%d why=\"%s\"", (int)error.code,
@@ -344,6 +346,32 @@
   mf_lines_state (relay->lines, "settings.applied", "store=%s", settings.store);
 }
 
+static void
+on_hup (struct ev_loop *loop, ev_signal *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  settings_reread (watcher->data);
+}
+
+/* Settings may change without a signal: looks at the file now and then. */
+static void
+settings_watch (MfRelay *relay, uint64_t now_us)
+{
+  struct stat file;
+
+  if (now_us - relay->settings_seen_us < SETTINGS_EVERY_US)
+    return;
+  relay->settings_seen_us = now_us;
+  if (stat (relay->path, &file) != 0
+      || (file.st_mtim.tv_sec == relay->settings_changed.tv_sec
+          && file.st_mtim.tv_nsec == relay->settings_changed.tv_nsec))
+    return;
+  if (relay->settings_changed.tv_sec != 0)
+    settings_reread (relay);
+  relay->settings_changed = file.st_mtim;
+}
+
 /* One step of the shutdown: first the balancer is told, then idle connections close, then the
  * process ends, at the latest before it would be killed. */
 static void
@@ -383,6 +411,7 @@
       if (n_dropped > 0)
         mf_lines_state (relay->lines, "upstream.expired", "upstreams=%u", n_dropped);
     }
+  settings_watch (relay, now_us);
   /* What a silent peer told ceases to hold with time. */
   relay->jobs.others_stale = true;
   if (relay->drain_begun_us > 0)
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -334,6 +334,8 @@
   kept = loop_connect (PORT);
   assert_true (loop_pump (stage.loop, cannot_connect, &stage));
   assert_int_equal (status_of (&stage, READY_PORT, "/ready"), 503);
+  /* For some moments more an answer would still come before the end. */
+  loop_spin (stage.loop, 100);
   loop_send (kept, late, strlen (late));
   loop_receive (stage.loop, kept, NULL, stage.got, sizeof stage.got);
   assert_true (stage.got[0] == '\0' || strncmp (stage.got, "HTTP/1.1 503", 12) == 0);
@@ -347,6 +349,7 @@
 {
   Stage stage;
   FakeStore *other;
+  uint32_t n_before;
   FILE *file;
 
   (void)state;
@@ -365,6 +368,17 @@
   raise (SIGHUP);
   loop_spin (stage.loop, 300);
   assert_true (fake_store_n_calls (other) > 0);
+  /* Without a signal it takes a look at the file. */
+  file = fopen (SETTINGS, "w");
+  assert_non_null (file);
+  fprintf (file,
+           "node=n1\nzone=z\nlisten.front=127.0.0.1:%d\nlisten.readiness=127.0.0.1:%d\n"
+           "provider.address=%s\nbounds.contactMs=400\n",
+           PORT, READY_PORT, fake_store_address (stage.store));
+  fclose (file);
+  n_before = fake_store_n_calls (stage.store);
+  loop_spin (stage.loop, 900);
+  assert_true (fake_store_n_calls (stage.store) > n_before);
   /* Faulty settings change nothing. */
   file = fopen (SETTINGS, "w");
   assert_non_null (file);
