A second SIGTERM does not end a process in another way while it is ending

Cause: a soak of a build that was broken on purpose (orders sent again) reported one instance that ended by itself, 40 ms after its last line. The soak did not say how; a second SIGTERM in the moment in which its watcher had been stopped would do it, and series of them were drawn. Change: the signals are held back while the process ends; the soak says how an instance ended. Test: test_relay test_shutdown, ended by the signal without the change.

--- a/bench/relay_soak.c
+++ b/bench/relay_soak.c
@@ -611,7 +611,12 @@
         continue;
       if (!(WIFSIGNALED (status) && WTERMSIG (status) == SIGKILL)
           && !(WIFEXITED (status) && WEXITSTATUS (status) == 0))
-        violation (soak, "an instance ended by itself", "");
+        {
+          char how[ID_BYTES];
+
+          snprintf (how, sizeof how, "instance %u, status %x", i, (unsigned int)status);
+          violation (soak, "an instance ended by itself", how);
+        }
       instance_start (soak, i);
     }
 }
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -437,6 +437,20 @@
   ready_judge (relay);
 }
 
+/* Holds back, or lets in, the signals that the loop takes. A second SIGTERM must not end the
+ * process in another way while it is ending. */
+static void
+signals_hold (bool held)
+{
+  sigset_t signals;
+
+  sigemptyset (&signals);
+  sigaddset (&signals, SIGTERM);
+  sigaddset (&signals, SIGINT);
+  sigaddset (&signals, SIGHUP);
+  sigprocmask (held ? SIG_BLOCK : SIG_UNBLOCK, &signals, NULL);
+}
+
 static void
 signals_start (MfRelay *relay)
 {
@@ -453,6 +467,7 @@
   ev_timer_init (&relay->tick, on_tick, TICK_S, TICK_S);
   relay->tick.data = relay;
   ev_timer_start (relay->loop, &relay->tick);
+  signals_hold (false);
 }
 
 static bool
@@ -559,6 +574,7 @@
 {
   if (relay == NULL)
     return;
+  signals_hold (true);
   ev_timer_stop (relay->loop, &relay->tick);
   ev_signal_stop (relay->loop, &relay->on_hup);
   ev_signal_stop (relay->loop, &relay->on_term);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -342,6 +342,9 @@
   close (kept);
   mf_relay_run (stage.relay);
   stage_end (&stage);
+  /* A signal that comes while the process ends does not end it in another way. */
+  raise (SIGTERM);
+  signal (SIGTERM, SIG_IGN);
 }
 
 static void
