--- a/bench/relay_soak.c
+++ b/bench/relay_soak.c
@@ -826,5 +826,8 @@
           (unsigned long long)soak.seed, soak.n_faults, soak.n_sent, soak.n_whole, soak.n_refused,
           soak.n_failed, soak.n_broken, soak.n_left, soak.n_calm_served, soak.n_calm,
           soak.n_violations, soak.directory);
+  /* As the test runner reads it. */
+  printf (soak.n_violations == 0 ? "[       OK ] soak_%llu\n" : "[  FAILED  ] soak_%llu\n",
+          (unsigned long long)soak.seed);
   return soak.n_violations == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/libmangofork/relay/peers.c
+++ b/libmangofork/relay/peers.c
@@ -41,8 +41,10 @@
 #define UNACKED_US (1500 * MF_US_PER_MS)
 /* Connecting takes no longer. */
 #define CONNECT_US (1 * MF_US_PER_S)
-/* Members are told at the start of a connection and when they change, this often at most. */
-#define MEMBERS_EVERY_US (1 * MF_US_PER_S)
+/* In fleets of up to so many every instance tells the members, in larger ones the seeds and one of
+ * so many others. */
+#define MEMBERS_TOLD_BY_ALL 24
+#define MEMBERS_TOLD_BY_PART 16
 /* Bytes that may wait for a peer that does not read; its connection is then made anew. */
 #define WAITING_BYTES_MAX 65536
 #define TICK_S 0.05
@@ -60,7 +62,7 @@
   uint64_t redial_at_us;
   uint64_t redial_us;
   uint64_t seen_us; /* reached or heard */
-  uint64_t members_told_us;
+  bool members_told;
   uint64_t dialled_us;
   uint64_t told_us;
   uint64_t leader_us;     /* when it was last asked to decide */
@@ -102,7 +104,7 @@
   uint32_t n_peers;
   Incoming *incoming;
   uint64_t told_us;
-  uint64_t members_changed_us;
+  bool is_seed;      /* this instance is one */
   MfRelayMessage in; /* room for one that came and one that goes; too large for the stack */
   MfRelayMessage out;
   bool closing;
@@ -243,8 +245,18 @@
   return changed && (peers->n_peers <= SMALL_FLEET || now_us - peer->leader_us < LEADER_US);
 }
 
-/* Tells the peers that are due; those that do not know of the last change of members are told these
- * as well. */
+/* Whether a peer is told the members when it is reached. Who starts anew learns them from a seed,
+ * and is then known to all whom it reaches; a few others tell them as well, as seeds may be away.
+ */
+static bool
+tells_members (const MfPeers *peers, const Peer *peer)
+{
+  return peers->is_seed || peers->n_peers <= MEMBERS_TOLD_BY_ALL
+         || (peer->hash ^ peers->hash) % MEMBERS_TOLD_BY_PART == 0;
+}
+
+/* Tells the peers that are due; with its first report on a connection, a peer is told the members.
+ */
 static void
 peers_tell (MfPeers *peers, bool changed)
 {
@@ -256,16 +268,14 @@
   for (uint32_t i = 0; i < peers->n_peers; i++)
     {
       Peer *peer = peers->list[i];
-      bool wants = peer->members_told_us <= peers->members_changed_us
-                   && now_us - peer->members_told_us >= MEMBERS_EVERY_US;
+      bool wants = !peer->members_told && tells_members (peers, peer);
       MfBuffer *frame = wants ? &full : &plain;
 
       if (!is_due (peers, peer, changed, now_us))
         continue;
       if (mf_buffer_bytes (frame) == 0)
         report_write (peers, wants, frame);
-      if (wants)
-        peer->members_told_us = now_us;
+      peer->members_told = true;
       peer->told_us = now_us;
       seen_put (peers, peer);
       peer_put (peers, peer, frame);
@@ -390,7 +400,7 @@
       peer->connected = true;
       peer->redial_us = 0;
       peer->seen_us = mf_clock_now_us ();
-      peer->members_told_us = 0;
+      peer->members_told = false;
       peer->told_us = 0;
       peers_tell (peers, false);
     }
@@ -437,7 +447,6 @@
   peer->is_seed = is_seed;
   peer->fd = -1;
   peers->list[peers->n_peers++] = peer;
-  peers->members_changed_us = mf_clock_now_us ();
   return peer;
 }
 
@@ -455,6 +464,7 @@
         {
           memcpy (address, at, n_bytes);
           address[n_bytes] = '\0';
+          peers->is_seed = peers->is_seed || strcmp (address, peers->address) == 0;
           peer_add (peers, address, true);
         }
       at += n_bytes;
@@ -486,7 +496,6 @@
     return;
   if (peer->heard_us == 0)
     {
-      peers->members_changed_us = now_us;
       mf_lines_state (peers->lines, "peer.heard", "peer=%s peers=%u", peer->address,
                       peers->n_peers);
     }
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -247,9 +247,12 @@
 {
   uint64_t now_us = mf_clock_now_us ();
   bool keep = now_us < relay->keep_until_us;
+  char name[MF_TARGET_ID_BYTES];
 
-  if (mf_targets_remove (&relay->jobs.targets, id, !keep, now_us))
-    mf_lines_state (relay->lines, "upstream.gone", "upstream=%s why=\"%s\" kept_ms=%llu", id, why,
+  /* The id may stand in what is removed. */
+  mf_name_set (name, sizeof name, id);
+  if (mf_targets_remove (&relay->jobs.targets, name, !keep, now_us))
+    mf_lines_state (relay->lines, "upstream.gone", "upstream=%s why=\"%s\" kept_ms=%llu", name, why,
                     (unsigned long long)(keep ? (relay->keep_until_us - now_us) / 1000 : 0));
 }
 
--- a/libmangofork/relay/relay_message.c
+++ b/libmangofork/relay/relay_message.c
@@ -1,5 +1,7 @@
 #include "relay_message.h"
 
+#include "libmangofork/frame_table.h"
+
 #include <msgpack.h>
 #include <string.h>
 
@@ -261,6 +263,9 @@
   size_t at = 0;
   bool good;
 
+  /* The library allocates what the head of a container promises. */
+  if (!mf_frame_is_sound ((const uint8_t *)payload, payload_bytes))
+    return false;
   msgpack_unpacked_init (&unpacked);
   good = msgpack_unpack_next (&unpacked, payload, payload_bytes, &at) == MSGPACK_UNPACK_SUCCESS
          && message_read (&unpacked.data, message);
