Both sends of a repeat count against the budget

Ruled out: the load report of peers (the parts of seven instances add up to 42 of 54). Change: every send but the first prefill and the first run is charged when it is sent; what was taken before is used up first, what did not arrive is given back. Seven tenths of the slack are handed out. Test: test_job test_both_sends_of_a_repeat_count, fails without the charge.

--- a/libmangofork/relay/budget.c
+++ b/libmangofork/relay/budget.c
@@ -1,7 +1,7 @@
 #include "budget.h"
 
 /* Part of the common slack that is handed out; the rest is for instances that are not known. */
-#define SLACK_PERCENT 90
+#define SLACK_PERCENT 70
 /* Repeats of an instance that does not know its part yet. */
 #define FLOOR_MIN 1
 
@@ -55,6 +55,13 @@
   return true;
 }
 
+void
+mf_budget_charge (MfBudget *budget, uint64_t now_us)
+{
+  budget_turn (budget, now_us);
+  budget->n_repeats[budget->part]++;
+}
+
 uint32_t
 mf_budget_floor (uint32_t slack, uint32_t n_instances, uint64_t uptime_us, uint64_t window_us)
 {
--- a/libmangofork/relay/budget.h
+++ b/libmangofork/relay/budget.h
@@ -23,6 +23,8 @@
 /* Takes one repeat; returns false, and takes none, when the window has had its share. floor repeats
  * are allowed whatever the requests. */
 bool mf_budget_take (MfBudget *budget, uint32_t floor, uint64_t now_us);
+/* Counts a repeat that is sent without having been taken before. */
+void mf_budget_charge (MfBudget *budget, uint64_t now_us);
 /* This instance's part of the repeats that all instances together may send whatever their requests.
  * One that has not run for a whole window does not know what it sent before it was started anew. */
 uint32_t mf_budget_floor (uint32_t slack, uint32_t n_instances, uint64_t uptime_us,
--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -117,10 +117,25 @@
   MfServiceBudget *budget = mf_jobs_budget (job->jobs, job->service->name);
   bool allowed = mf_budget_take (&budget->budget, jobs_floor (job->jobs), mf_clock_now_us ());
 
+  job->n_prepaid += allowed;
   job->jobs->counters.counts[allowed ? MF_RELAY_COUNT_REPEATS : MF_RELAY_COUNT_REPEATS_DENIED]++;
   return allowed;
 }
 
+void
+mf_job_note_send (MfJob *job, bool prefill)
+{
+  uint32_t n_before = prefill ? job->n_prefill_sends++ : job->n_run_sends++;
+
+  job->is_repeat = n_before > 0;
+  if (!job->is_repeat)
+    return;
+  if (job->n_prepaid > 0)
+    job->n_prepaid--;
+  else
+    mf_budget_charge (&mf_jobs_budget (job->jobs, job->service->name)->budget, mf_clock_now_us ());
+}
+
 static void
 job_free (MfJob *job)
 {
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -74,6 +74,10 @@
 
   uint64_t avoid[MF_PLACE_AVOID_MAX]; /* hashes of upstreams that declined or failed */
   uint32_t n_avoid;
+  uint32_t n_prefill_sends;
+  uint32_t n_run_sends;
+  uint32_t n_prepaid;  /* repeats taken from the budget and not sent yet */
+  bool is_repeat;      /* the send under way is one */
   uint32_t n_arrivals; /* sends of the run that reached an upstream */
   uint32_t n_runs;     /* of these, those that may have run */
   uint32_t n_unreached;
@@ -93,6 +97,8 @@
 void mf_job_answer_clear (MfJobAnswer *answer);
 bool mf_job_may_repeat (const MfJob *job);
 bool mf_job_take_repeat (MfJob *job);
+/* Counts a send: all but the first prefill and the first run of a request are repeats. */
+void mf_job_note_send (MfJob *job, bool prefill);
 /* The first event of a stream has come so long after its place was granted. */
 void mf_jobs_note_first (MfJobs *jobs, uint64_t took_us);
 /* An engine's answer has come to so many tokens, and taken so long. */
--- a/libmangofork/relay/job_send.c
+++ b/libmangofork/relay/job_send.c
@@ -251,6 +251,7 @@
     mf_jobs_load_changed (jobs);
   job->phase = prefill ? MF_JOB_PREFILL : job->head_sent ? MF_JOB_STREAMING : MF_JOB_RUNNING;
   job->waiting_since_us = 0;
+  mf_job_note_send (job, prefill);
   job->sent_us = now_us;
   job->last_event_us = now_us;
   job->try_due_us = job_try_due_us (job, target, prefill, now_us);
@@ -467,6 +468,13 @@
 job_unreached (MfJob *job, MfTarget *target, const char *why)
 {
   job->jobs->counters.counts[MF_RELAY_COUNT_UNREACHED]++;
+  /* It did not arrive: the next send takes its place. */
+  if (job->is_repeat)
+    job->n_prepaid++;
+  else if (target->info.role == MF_ROLE_PREFILL)
+    job->n_prefill_sends--;
+  else
+    job->n_run_sends--;
   mf_target_failed (target, true, mf_clock_now_us ());
   mf_lines_state (job->jobs->lines, "upstream.unreached",
                   "upstream=%s address=%s id=%s why=\"%s\" failures=%u suspect_ms=%llu",
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -430,6 +430,27 @@
   town_end (&town);
 }
 
+/* A stream that goes on elsewhere is two repeats where its prompt is read apart. */
+static void
+test_both_sends_of_a_repeat_count (void **state)
+{
+  Town town;
+  uint32_t n_sends;
+
+  (void)state;
+  town_begin (&town);
+  town.jobs.budget_slack = 6;
+  upstream_add (&town, 0, MF_ROLE_PREFILL, act_prefill);
+  upstream_add (&town, 1, MF_ROLE_DECODE, act_stream_breaks);
+  upstream_add (&town, 2, MF_ROLE_DECODE, act_stream_breaks);
+  for (uint32_t i = 0; i < 20; i++)
+    call (&town, "POST", "/llm/1");
+  n_sends = n_requests (&town, 0) + n_requests (&town, 1) + n_requests (&town, 2);
+  /* A fifth of the requests, 70 in 100 of the slack, and the second send of the last repeat. */
+  assert_in_range (n_sends, 20 * 2 + 6, 20 * 2 + 4 + 4 + 1);
+  town_end (&town);
+}
+
 static void
 test_prompt_is_read_and_decoded_apart (void **state)
 {
@@ -669,6 +690,7 @@
     cmocka_unit_test (test_read_is_tried_elsewhere),
     cmocka_unit_test (test_read_fails_in_the_end),
     cmocka_unit_test (test_repeats_keep_to_the_budget),
+    cmocka_unit_test (test_both_sends_of_a_repeat_count),
     cmocka_unit_test (test_prompt_is_read_and_decoded_apart),
     cmocka_unit_test (test_decode_reads_the_prompt_when_no_engine_does_that_alone),
     cmocka_unit_test (test_unused_memory_is_released),
