Engine memory that was taken is not gone on from again

A stream that broke within the retention of its prompt's memory went on from the handle that its first decode engine had taken, which the second one declines: an arrival for nothing. Change: memory that was taken is forgotten; the prompt is read again.

--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -52,14 +52,19 @@
     mf_job_send (job, target, false);
 }
 
-/* Drops memory that an engine no longer keeps. */
+/* Drops memory that an engine no longer keeps: it was taken, or has lapsed. */
 static void
 job_check_memory (MfJob *job, uint64_t now_us)
 {
   uint64_t keep_us = job->service->kv_retention_us * MEMORY_USE_PERCENT / 100;
 
-  if (job->memory_target == NULL || now_us - job->memory_us <= keep_us)
+  if (job->memory_target == NULL || (!job->memory_used && now_us - job->memory_us <= keep_us))
     return;
+  if (job->memory_used)
+    {
+      mf_job_release_memory (job);
+      return;
+    }
   job->jobs->counters.counts[MF_RELAY_COUNT_PREFILLS_WASTED]++;
   mf_job_release_memory (job);
 }
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -448,6 +448,8 @@
   n_sends = n_requests (&town, 0) + n_requests (&town, 1) + n_requests (&town, 2);
   /* A fifth of the requests, 70 in 100 of the slack, and the second send of the last repeat. */
   assert_in_range (n_sends, 20 * 2 + 6, 20 * 2 + 4 + 4 + 1);
+  /* Memory that was taken is not gone on from again. */
+  assert_true (n_requests (&town, 0) > 20);
   town_end (&town);
 }
 
