--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -172,6 +172,7 @@
   jobs->counters.by_code[mf_code_index (code)]++;
   if (job->phase == MF_JOB_WAITING && job->waiting_since_us > 0)
     job->waited_us += now_us - job->waiting_since_us;
+  jobs->counters.counts[MF_RELAY_COUNT_WAITED] += job->waited_us > 0;
   if (job->waited_us > 0)
     mf_relay_observe (&jobs->counters.waited, job->waited_us);
   if (code == MF_CODE_OK && job->first_event_us > 0)
--- a/libmangofork/relay/link.c
+++ b/libmangofork/relay/link.c
@@ -49,10 +49,8 @@
   bool foreign;     /* the answer being read belongs to another request */
   bool was_foreign; /* some answer on this connection did */
   bool has_sent;
-  bool reused;
   bool in_event;  /* the user is being called */
   bool cancelled; /* by the user, while it was being called */
-  uint64_t connect_begun_us;
   uint64_t idle_since_us;
   uint64_t keep_us; /* how long it may be idle */
   const char *why;
@@ -318,7 +316,6 @@
           return;
         }
       link->state = LINK_BUSY;
-      link->pool->round_trip_us = mf_clock_now_us () - link->connect_begun_us;
       ev_timer_stop (link->pool->loop, &link->timer);
       ev_io_start (link->pool->loop, &link->reader);
     }
@@ -383,7 +380,6 @@
   link->pool = pool;
   link->fd = mf_socket_connect (pool->address, &error);
   link->state = LINK_CONNECTING;
-  link->connect_begun_us = mf_clock_now_us ();
   pool->n_links++;
   pool->n_connects++;
   mf_message_init (&link->message, HTTP_RESPONSE, pool->dialect, &message_events, link);
@@ -423,7 +419,6 @@
   idle_remove (link);
   ev_timer_stop (pool->loop, &link->timer);
   link->state = LINK_BUSY;
-  link->reused = true;
   return link;
 }
 
--- a/libmangofork/relay/link.h
+++ b/libmangofork/relay/link.h
@@ -39,7 +39,6 @@
   uint64_t connect_timeout_us;
   uint64_t unacked_timeout_us; /* the peer must acknowledge what it is sent within this time */
   uint64_t n_connects;
-  uint64_t round_trip_us; /* of the last connection's establishment */
 } MfLinkPool;
 
 /* One request to send. All is copied. */
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -141,7 +141,7 @@
   MfRelayCounters *counters = &relay->jobs.counters;
   MfBuffer headers = { 0 };
   MfBuffer text = { 0 };
-  char line[256];
+  char line[512];
   uint64_t n_connects = 0;
 
   for (const MfTarget *target = relay->jobs.targets.first; target != NULL; target = target->next)
@@ -151,9 +151,12 @@
   mf_relay_counters_render (counters, &text);
   snprintf (line, sizeof line,
             "mangofork_relay_requests_in_flight %u\nmangofork_relay_callers %u\n"
+            "mangofork_relay_instances %u\n"
             "mangofork_relay_upstreams %u\nmangofork_relay_config_version %llu\n"
             "mangofork_relay_log_lines_dropped_total %llu\n",
-            relay->jobs.n_jobs, mf_door_n_callers (relay->door), relay->jobs.targets.n_targets,
+            relay->jobs.n_jobs, mf_door_n_callers (relay->door),
+            relay->jobs.peers != NULL ? mf_peers_count (relay->jobs.peers, mf_clock_now_us ()) : 1,
+            relay->jobs.targets.n_targets,
             (unsigned long long)(relay->jobs.routes != NULL ? relay->jobs.routes->version : 0),
             (unsigned long long)mf_lines_dropped (relay->lines));
   mf_buffer_add_text (&text, line);
--- a/libmangofork/relay/relay.h
+++ b/libmangofork/relay/relay.h
@@ -20,7 +20,6 @@
   uint64_t memory_bytes;          /* the process may use; 0: not told */
   uint32_t files_max;             /* descriptors; 0: not told */
   uint64_t contact_us;            /* after a fault ends, all must be in order again within this */
-  uint64_t drain_us;              /* an upstream that leaves gets no request later than this */
   uint64_t grace_us;              /* from SIGTERM to SIGKILL */
   double retry_ratio;             /* repeats for each request */
   uint64_t retry_window_us;       /* that they are counted in */
