State that was written and never read is gone

Found on the last reading of the change: the time a request was read, whether a caller's own request goes on after an event, and the time of a stream's last event were set on each request or event and used by nobody.

--- a/libmangofork/relay/caller.c
+++ b/libmangofork/relay/caller.c
@@ -61,7 +61,6 @@
   MfBuffer out;
   void *job;
   uint64_t begun_us;
-  uint64_t read_us;
   uint64_t timer_us; /* when the timer is due */
   bool chunked;
   bool closing; /* the connection ends with the answer */
@@ -415,7 +414,6 @@
           continue;
         }
       timer_set (caller, 0);
-      caller->read_us = mf_clock_now_us ();
       caller->state = CALLER_WAITING;
       caller->chunked = false;
       caller->told_full = false;
@@ -647,12 +645,6 @@
   return caller->begun_us;
 }
 
-uint64_t
-mf_caller_read_us (const MfCaller *caller)
-{
-  return caller->read_us;
-}
-
 void
 mf_caller_attach (MfCaller *caller, void *job)
 {
--- a/libmangofork/relay/caller.h
+++ b/libmangofork/relay/caller.h
@@ -48,9 +48,8 @@
 const MfHead *mf_caller_head (const MfCaller *caller);
 const char *mf_caller_method (const MfCaller *caller);
 const MfBuffer *mf_caller_body (const MfCaller *caller);
-/* When the first byte and when the last byte of the request was read. */
+/* When the first byte of the request was read. */
 uint64_t mf_caller_begun_us (const MfCaller *caller);
-uint64_t mf_caller_read_us (const MfCaller *caller);
 /* What the answer will be given to: the user's own. */
 void mf_caller_attach (MfCaller *caller, void *job);
 void *mf_caller_job (const MfCaller *caller);
--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -431,7 +431,6 @@
   job->is_engine = job->service->is_engine;
   job->is_head = strcmp (mf_caller_method (caller), "HEAD") == 0;
   job->begun_us = mf_caller_begun_us (caller);
-  job->resume_asked = mf_head_count (head, MF_WORD_LAST_EVENT) > 0;
   job->next = jobs->first;
   if (jobs->first != NULL)
     jobs->first->prev = job;
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -83,10 +83,8 @@
   uint32_t n_unreached;
 
   bool head_sent;
-  bool resume_asked; /* the caller's own request goes on after an event */
   MfEvents events;
   uint64_t first_event_us;
-  uint64_t last_event_us;
 };
 
 /* job.c */
--- a/libmangofork/relay/job_send.c
+++ b/libmangofork/relay/job_send.c
@@ -253,7 +253,6 @@
   job->waiting_since_us = 0;
   mf_job_note_send (job, prefill);
   job->sent_us = now_us;
-  job->last_event_us = now_us;
   job->try_due_us = job_try_due_us (job, target, prefill, now_us);
   mf_job_answer_clear (&job->answer);
   job->link = mf_link_start (&target->pool, &(MfLinkCall){
@@ -389,7 +388,6 @@
       if (job->granted_us > 0)
         mf_jobs_note_first (job->jobs, now_us - job->granted_us);
     }
-  job->last_event_us = now_us;
   if (job->route->resumable)
     {
       job->try_due_us = now_us + job->route->target_gap_us * SILENT_GAPS;
