What upstreams say of themselves is believed: leaving, and pauses

Cause: nothing read the header by which an upstream says that it is about to stop, nor the time that a 503 names; an upstream that refused for want of room was asked again after 120 ms, by whatever instance. Change: each answer's head is shown to the owner of its connection. A process that says it is leaving gets nothing more that is not sent yet; the belief outlasts its entry and ends with the next process of that id. A pause closes the upstream to this instance for the time named, bounded to 300 s; a time that cannot be read is logged and passed over. When all have asked for one, plain requests are refused at once with the time at which the first ends, streams wait for it if their callers do. An instance that decides for others is told which engines an asker cannot use; an engine that the asker does not know yet is avoided instead of being granted again and again. Frees of engine memory to an engine that has asked for a pause are left to the memory's own end, with a log line.

--- a/libmangofork/relay/dialect.c
+++ b/libmangofork/relay/dialect.c
@@ -12,6 +12,7 @@
   { "Last-Event-ID", MF_WORD_LAST_EVENT },
   { "Connection", MF_WORD_CONNECTION },
   { "Keep-Alive", MF_WORD_KEEP_ALIVE },
+  { "Retry-After", MF_WORD_RETRY_AFTER },
   { "Expect", MF_WORD_EXPECT_CONTINUE },
   { "Transfer-Encoding", MF_WORD_HOP },
   { "TE", MF_WORD_HOP },
--- a/libmangofork/relay/dialect.h
+++ b/libmangofork/relay/dialect.h
@@ -11,6 +11,7 @@
   MF_WORD_REQUEST_ID,      /* names one try of a caller; upstreams echo it */
   MF_WORD_SEAL,            /* an upstream's mark on its own answers */
   MF_WORD_NOT_RUN,         /* in an answer: the upstream did not run the request */
+  MF_WORD_LEAVING,         /* in an answer: the upstream is about to stop, unless "0" */
   MF_WORD_DEADLINE,        /* milliseconds that are left for the answer */
   MF_WORD_EXPECT_UPSTREAM, /* the only upstream process that may run the request */
   MF_WORD_PROMPT_SIZE,     /* "prompt tokens,output tokens at most" */
@@ -25,6 +26,7 @@
   MF_WORD_CONTENT_TYPE,
   MF_WORD_CONTENT_ENCODING,
   MF_WORD_KEEP_ALIVE,
+  MF_WORD_RETRY_AFTER, /* in a refusal: seconds, maybe with a fraction */
   MF_WORD_EXPECT_CONTINUE,
   MF_WORD_CONNECTION,
   MF_WORD_HOP, /* any other header that concerns one connection only */
--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -196,12 +196,14 @@
   job->caller = NULL;
   mf_buffer_add_text (&headers, "Content-Type: application/json\r\n");
   if (may_return && job->deadline_us > now_us)
-    headers_add_retry_after (&headers, mf_refuse_retry_after_us (&(MfRefusal){
-                                           .code = code,
-                                           .left_us = job->deadline_us - now_us,
-                                           .objective_us = job->route->target_latency_us,
-                                           .point = mf_jobs_random (job->jobs),
-                                       }));
+    headers_add_retry_after (&headers,
+                             mf_refuse_retry_after_us (&(MfRefusal){
+                                 .code = code,
+                                 .left_us = job->deadline_us - now_us,
+                                 .objective_us = job->route->target_latency_us,
+                                 .room_us = job->opens_us > now_us ? job->opens_us - now_us : 0,
+                                 .point = mf_jobs_random (job->jobs),
+                             }));
   snprintf (body, sizeof body, "{\"code\": %d, \"name\": \"%s\", \"message\": \"%s\"}\n", (int)code,
             info->name, info->summary);
   mf_caller_reply (caller, status, &headers, body, strlen (body));
--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -41,15 +41,28 @@
     mf_job_refuse (job, MF_CODE_NO_UPSTREAM, "the service has no upstream");
 }
 
+/* Whether all upstreams of a role have asked this instance for a pause; notes when the first of
+ * them ends. */
+static bool
+job_all_paused (MfJob *job, MfRole role, uint64_t now_us)
+{
+  job->opens_us = mf_place_opens_us (&job->jobs->targets, job->service->name, role, now_us);
+  return job->opens_us > now_us;
+}
+
 static void
 job_place_plain (MfJob *job)
 {
   MfPlaceAsk ask = job_ask (job, MF_ROLE_PLAIN);
   bool any_alive = false;
-  MfTarget *target = mf_place_choose (&job->jobs->targets, &ask, mf_clock_now_us (), &any_alive);
+  uint64_t now_us = mf_clock_now_us ();
+  MfTarget *target = mf_place_choose (&job->jobs->targets, &ask, now_us, &any_alive);
 
   if (target == NULL)
-    job_run_out (job, any_alive);
+    {
+      job_all_paused (job, MF_ROLE_PLAIN, now_us);
+      job_run_out (job, any_alive);
+    }
   else
     mf_job_send (job, target, false);
 }
@@ -69,16 +82,16 @@
 /* The engine that keeps room for this request, if it can still be used; else its room is given
  * back. */
 static MfTarget *
-job_use_room (MfJob *job)
+job_use_room (MfJob *job, uint64_t now_us)
 {
   MfTarget *room = job->room;
 
-  if (room != NULL && room->listed && !room->info.leaving
+  if (room != NULL && room->listed && mf_target_takes (room, now_us)
       && !mf_place_avoids (job->avoid, job->n_avoid, room))
     return room;
   /* The instance that decides may not know yet; the same engine is not asked for again. */
   if (room != NULL)
-    mf_job_avoid (job, room);
+    mf_job_avoid (job, room->id_hash);
   mf_job_reserve (job, NULL);
   return NULL;
 }
@@ -94,7 +107,7 @@
   MfTarget *prefill;
 
   prefill = mf_targets_by_hash (targets, job->granted_prefill);
-  if (prefill != NULL && prefill->info.role == MF_ROLE_PREFILL && !prefill->info.leaving
+  if (prefill != NULL && prefill->info.role == MF_ROLE_PREFILL && mf_target_takes (prefill, now_us)
       && prefill->suspect_until_us <= now_us
       && !mf_place_avoids (job->avoid, job->n_avoid, prefill))
     return prefill;
@@ -102,6 +115,23 @@
   return prefill != NULL && prefill->suspect_until_us <= now_us ? prefill : NULL;
 }
 
+/* All decode engines have asked for a pause: waits for the first to end, or ends the request when
+ * that is too late. */
+static void
+job_wait_paused (MfJob *job, uint64_t now_us)
+{
+  if (job->opens_us >= job->give_up_us)
+    {
+      job_run_out (job, true);
+      return;
+    }
+  if (job->waiting_since_us == 0)
+    job->waiting_since_us = now_us;
+  job->phase = MF_JOB_WAITING;
+  job->try_due_us = job->opens_us;
+  mf_job_set_timer (job);
+}
+
 static void
 job_place_engine (MfJob *job)
 {
@@ -116,15 +146,18 @@
       return;
     }
   job_check_memory (job, now_us);
-  decode = job_use_room (job);
+  decode = job_use_room (job, now_us);
   if (decode == NULL)
     {
       /* When all have declined or failed, or many, they are asked anew. */
-      if (job->n_avoid == MF_PLACE_AVOID_MAX
+      if (job->n_avoid == MF_JOB_AVOID_MAX
           || !mf_place_has_role (targets, job->service->name, MF_ROLE_DECODE, job->avoid,
                                  job->n_avoid))
         job->n_avoid = 0;
-      mf_job_ask_room (job);
+      if (job_all_paused (job, MF_ROLE_DECODE, now_us))
+        job_wait_paused (job, now_us);
+      else
+        mf_job_ask_room (job);
       return;
     }
   if (job->memory_target != NULL)
@@ -161,8 +194,10 @@
     {
       if (job->repeat_id != 0)
         mf_job_repeat_denied (job);
-      else
+      else if (job->ask_id != 0)
         mf_job_ask_expired (job);
+      else
+        mf_job_advance (job);
       return;
     }
   ask = job_ask (job, target->info.role);
@@ -185,7 +220,7 @@
                 target->info.id, (double)(mf_clock_now_us () - job->sent_us) / 1e3,
                 target->n_active);
   mf_target_failed (target, false, mf_clock_now_us ());
-  mf_job_avoid (job, target);
+  mf_job_avoid (job, target->id_hash);
   /* What was sent and is given up may have run. */
   if (job->phase != MF_JOB_PREFILL && mf_link_has_sent (job->link))
     {
--- a/libmangofork/relay/job_room.c
+++ b/libmangofork/relay/job_room.c
@@ -34,6 +34,22 @@
   return objective_us > first_us ? objective_us - first_us : 0;
 }
 
+/* Adds the engines that take nothing of this instance, as far as they fit: the instance that
+ * decides does not know what they have told this one. */
+static void
+ask_avoid_unusable (const MfJob *job, MfAsk *ask, uint64_t now_us)
+{
+  for (const MfTarget *target = job->jobs->targets.first;
+       target != NULL && ask->n_avoid < MF_PLACE_AVOID_MAX; target = target->next)
+    {
+      if (target->info.role == MF_ROLE_DECODE && !target->info.leaving
+          && !mf_target_takes (target, now_us)
+          && strcmp (target->info.service, job->service->name) == 0
+          && !mf_place_avoids (ask->avoid, ask->n_avoid, target))
+        ask->avoid[ask->n_avoid++] = target->id_hash;
+    }
+}
+
 /* What is asked for this request. A stream that broke off goes before those that have not begun:
  * its caller has been promised the rest. */
 static MfAsk
@@ -53,7 +69,8 @@
 
   memcpy (ask.service, job->service->name, strnlen (job->service->name, sizeof ask.service - 1));
   memcpy (ask.data_centre, job->jobs->targets.data_centre, sizeof ask.data_centre);
-  memcpy (ask.avoid, job->avoid, sizeof ask.avoid);
+  memcpy (ask.avoid, job->avoid, sizeof job->avoid);
+  ask_avoid_unusable (job, &ask, now_us);
   return ask;
 }
 
@@ -163,8 +180,10 @@
   job->waiting_since_us = now_us;
   job->granted_prefill = grant->prefill;
   job->granted_us = now_us;
-  if (decode != NULL && !decode->info.leaving)
+  if (decode != NULL && mf_target_takes (decode, now_us))
     mf_job_reserve (job, decode);
+  else
+    mf_job_avoid (job, grant->decode);
   mf_job_advance (job);
 }
 
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -3,6 +3,10 @@
 
 #include "job.h"
 
+/* Upstreams that a request keeps away from by itself; what an ask of it names besides are those
+ * that this instance cannot use. */
+#define MF_JOB_AVOID_MAX 6
+
 /* Where a request stands. */
 typedef enum
 {
@@ -73,6 +77,8 @@
   bool memory_used;
   uint32_t n_prefills;
 
+  uint64_t opens_us; /* when the first upstream takes requests again; 0: not known */
+
   MfTarget *room; /* the engine that keeps room for it; NULL: none does */
 
   uint64_t ask_id;          /* of the ask for room that waits for its answer; 0: none */
@@ -81,7 +87,7 @@
   uint64_t granted_us;      /* when it got its place; 0: it has none yet */
   uint64_t granted_prefill; /* hash of the engine that is to read the prompt */
 
-  uint64_t avoid[MF_PLACE_AVOID_MAX]; /* hashes of upstreams that declined or failed */
+  uint64_t avoid[MF_JOB_AVOID_MAX]; /* hashes of upstreams that declined or failed */
   uint32_t n_avoid;
   uint32_t n_prefill_sends;
   uint32_t n_run_sends;
@@ -131,6 +137,6 @@
 void mf_job_cancel (MfJob *job);
 void mf_job_release_memory (MfJob *job);
 void mf_job_reserve (MfJob *job, MfTarget *target);
-void mf_job_avoid (MfJob *job, const MfTarget *target);
+void mf_job_avoid (MfJob *job, uint64_t id_hash);
 
 #endif
--- a/libmangofork/relay/job_send.c
+++ b/libmangofork/relay/job_send.c
@@ -29,12 +29,13 @@
 /* Connections that failed before anything left cost nothing but time; more are not tried. */
 #define UNREACHED_MAX 5
 
-/* Keeps the request from an upstream that has declined or failed it. */
+/* Keeps the request from an upstream, named by its hash, that has declined or failed it, or that
+ * this instance cannot use. */
 void
-mf_job_avoid (MfJob *job, const MfTarget *target)
+mf_job_avoid (MfJob *job, uint64_t id_hash)
 {
-  if (job->n_avoid < MF_PLACE_AVOID_MAX)
-    job->avoid[job->n_avoid++] = target->id_hash;
+  if (job->n_avoid < MF_JOB_AVOID_MAX)
+    job->avoid[job->n_avoid++] = id_hash;
 }
 
 /* Keeps room at an engine, in place of any kept before; NULL gives it back. */
@@ -100,7 +101,11 @@
   if (target == NULL)
     return;
   job->memory_target = NULL;
-  if (!job->memory_used && target->listed)
+  if (!job->memory_used && target->paused_until_us > mf_clock_now_us ())
+    mf_lines_add (job->jobs->lines, "memory.left",
+                  "id=%s upstream=%s handle=%s why=\"the engine asked for a pause\"", job->id,
+                  target->info.id, job->memory.handle);
+  else if (!job->memory_used && target->listed)
     {
       snprintf (path, sizeof path, "%s%s", job->jobs->dialect->release_path, job->memory.handle);
       snprintf (head, sizeof head, "DELETE %s HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\n\r\n",
@@ -432,7 +437,7 @@
       mf_job_finish (job, MF_CODE_DEPARTED, "declined, and the caller has left");
       return;
     }
-  mf_job_avoid (job, target);
+  mf_job_avoid (job, target->id_hash);
   mf_job_repeat_or_end (job, &(MfJobDenied){
                                  .code = MF_CODE_RETRY_BUDGET,
                                  .why = "declined, and the retry budget is spent",
@@ -452,7 +457,7 @@
       mf_job_finish (job, MF_CODE_DEPARTED, why);
       return;
     }
-  mf_job_avoid (job, target);
+  mf_job_avoid (job, target->id_hash);
   mf_events_cut (&job->events);
   if (!mf_job_may_repeat (job) || (job->head_sent && !job->events.has_last)
       || job->n_runs >= job->route->attempts_max)
@@ -494,7 +499,7 @@
       mf_job_finish (job, MF_CODE_DEPARTED, why);
       return;
     }
-  mf_job_avoid (job, target);
+  mf_job_avoid (job, target->id_hash);
   if (++job->n_unreached > UNREACHED_MAX)
     mf_job_refuse (job, MF_CODE_NO_UPSTREAM, why);
   else
@@ -538,7 +543,7 @@
       mf_job_answer_clear (&job->held);
       job->held = *answer;
       *answer = (MfJobAnswer){ 0 };
-      mf_job_avoid (job, target);
+      mf_job_avoid (job, target->id_hash);
       mf_job_advance (job);
       return;
     }
@@ -639,7 +644,7 @@
       mf_lines_add (job->jobs->lines, "request.broken",
                     "id=%s upstream=%s stage=prefill status=%u why=\"%s\"", job->id,
                     target->info.id, answer->status, why);
-      mf_job_avoid (job, target);
+      mf_job_avoid (job, target->id_hash);
       mf_job_repeat_or_end (job, &(MfJobDenied){
                                      .code = MF_CODE_RETRY_BUDGET,
                                      .why = "the prompt was not read",
--- a/libmangofork/relay/job_stage.c
+++ b/libmangofork/relay/job_stage.c
@@ -58,7 +58,7 @@
 static bool
 is_engine_of (const MfTarget *target, const MfRouteService *service)
 {
-  return !target->info.leaving && target->info.role != MF_ROLE_PLAIN
+  return !mf_target_is_leaving (target) && target->info.role != MF_ROLE_PLAIN
          && strcmp (target->info.service, service->name) == 0;
 }
 
@@ -121,8 +121,8 @@
       uint32_t n_engines;
 
       if (!is_engine_of (target, service) || target->info.role != from
-          || target->stage_until_us > now_us || mf_target_is_suspect (target, now_us)
-          || target->n_orders_failed >= ORDERS_FAILED_MAX)
+          || target->stage_until_us > now_us || !mf_target_takes (target, now_us)
+          || mf_target_is_suspect (target, now_us) || target->n_orders_failed >= ORDERS_FAILED_MAX)
         continue;
       n_engines = n_of_stage (jobs, service, from, target->info.data_centre, now_us);
       if (best != NULL
--- a/libmangofork/relay/link.c
+++ b/libmangofork/relay/link.c
@@ -169,8 +169,11 @@
 on_head (MfMessage *message, void *data)
 {
   MfLink *link = data;
+  MfLinkPool *pool = link->pool;
   char id[ECHO_BYTES];
 
+  if (pool->heard != NULL)
+    pool->heard (pool->owner, &message->head, message->parser.status_code);
   link->foreign = link->echo_id[0] != '\0'
                   && mf_head_copy (&message->head, MF_WORD_REQUEST_ID, id, sizeof id)
                   && strcmp (id, link->echo_id) != 0;
--- a/libmangofork/relay/link.h
+++ b/libmangofork/relay/link.h
@@ -39,6 +39,9 @@
   uint64_t connect_timeout_us;
   uint64_t unacked_timeout_us; /* the peer must acknowledge what it is sent within this time */
   uint64_t n_connects;
+  /* Told of the head of each answer that comes from the address, to whatever call; may be NULL. */
+  void (*heard) (void *owner, const MfHead *head, uint32_t status);
+  void *owner;
 } MfLinkPool;
 
 /* One request to send. All is copied. */
--- a/libmangofork/relay/message.c
+++ b/libmangofork/relay/message.c
@@ -1,5 +1,6 @@
 #include "message.h"
 
+#include <float.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -295,6 +296,20 @@
   return *end == '\0' || *end == '.';
 }
 
+/* Reads that value as seconds, which may have a fraction. Returns false when it is missing,
+ * negative or no number. */
+bool
+mf_head_seconds (const MfHead *head, MfWord word, double *seconds)
+{
+  char text[32];
+  char *end;
+
+  if (!mf_head_copy (head, word, text, sizeof text) || text[0] < '0' || text[0] > '9')
+    return false;
+  *seconds = strtod (text, &end);
+  return *end == '\0' && *seconds <= DBL_MAX;
+}
+
 /* How often a header of this meaning stands in the head. */
 uint32_t
 mf_head_count (const MfHead *head, MfWord word)
--- a/libmangofork/relay/message.h
+++ b/libmangofork/relay/message.h
@@ -65,6 +65,7 @@
 const char *mf_head_value (const MfHead *head, MfWord word, size_t *value_bytes);
 bool mf_head_copy (const MfHead *head, MfWord word, char *dst, size_t dst_bytes);
 bool mf_head_number (const MfHead *head, MfWord word, uint64_t *number);
+bool mf_head_seconds (const MfHead *head, MfWord word, double *seconds);
 uint32_t mf_head_count (const MfHead *head, MfWord word);
 const char *mf_head_text (const MfHead *head, uint32_t at);
 bool mf_head_is_hop (const MfHead *head, const MfHeadField *field);
--- a/libmangofork/relay/place.c
+++ b/libmangofork/relay/place.c
@@ -33,8 +33,8 @@
 static bool
 is_candidate (const MfTarget *target, const MfPlaceAsk *ask, uint64_t now_us)
 {
-  return !target->info.leaving && target->info.role == ask->role && target->stage_until_us <= now_us
-         && strcmp (target->info.service, ask->service) == 0;
+  return !mf_target_is_leaving (target) && target->info.role == ask->role
+         && target->stage_until_us <= now_us && strcmp (target->info.service, ask->service) == 0;
 }
 
 /* Whether it is in the data centre of the instance that sends. */
@@ -142,7 +142,7 @@
       if (!is_candidate (target, ask, now_us))
         continue;
       *any_alive = true;
-      if (mf_place_avoids (ask->avoid, ask->n_avoid, target)
+      if (!mf_target_takes (target, now_us) || mf_place_avoids (ask->avoid, ask->n_avoid, target)
           || (ask->must_fit && !mf_load_fits (target, ask->traits, ask->tokens, now_us)))
         continue;
       if (mf_target_is_suspect (target, now_us))
@@ -171,10 +171,30 @@
 {
   for (const MfTarget *target = targets->first; target != NULL; target = target->next)
     {
-      if (target->info.role == role && !target->info.leaving
+      if (target->info.role == role && !mf_target_is_leaving (target)
           && strcmp (target->info.service, service) == 0
           && !mf_place_avoids (avoid, n_avoid, target))
         return true;
     }
   return false;
 }
+
+/* When the first upstream of this role takes requests of this instance again, on its monotonic
+ * clock; 0 when one does now, or when all are leaving. */
+uint64_t
+mf_place_opens_us (const MfTargets *targets, const char *service, MfRole role, uint64_t now_us)
+{
+  uint64_t opens_us = 0;
+
+  for (const MfTarget *target = targets->first; target != NULL; target = target->next)
+    {
+      if (target->info.role != role || mf_target_is_leaving (target)
+          || strcmp (target->info.service, service) != 0)
+        continue;
+      if (target->paused_until_us <= now_us)
+        return 0;
+      if (opens_us == 0 || target->paused_until_us < opens_us)
+        opens_us = target->paused_until_us;
+    }
+  return opens_us;
+}
--- a/libmangofork/relay/place.h
+++ b/libmangofork/relay/place.h
@@ -4,8 +4,8 @@
 #include "route.h"
 #include "target.h"
 
-/* Upstreams one request keeps away from; more tries than that are not made. */
-#define MF_PLACE_AVOID_MAX 6
+/* Upstreams that one request or ask keeps away from. */
+#define MF_PLACE_AVOID_MAX 16
 
 /* What is to be placed. */
 typedef struct
@@ -28,5 +28,7 @@
 double mf_place_cost_us (const MfTarget *target, const MfPlaceAsk *ask, uint64_t now_us);
 bool mf_place_has_role (const MfTargets *targets, const char *service, MfRole role,
                         const uint64_t *avoid, uint32_t n_avoid);
+uint64_t mf_place_opens_us (const MfTargets *targets, const char *service, MfRole role,
+                            uint64_t now_us);
 
 #endif
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -522,6 +522,7 @@
   mf_name_set (relay->jobs.targets.data_centre, sizeof relay->jobs.targets.data_centre,
                relay->settings.data_centre);
   mf_name_set (relay->jobs.instance, sizeof relay->jobs.instance, relay->settings.name);
+  relay->jobs.targets.lines = relay->lines;
   relay->jobs.targets.unacked_timeout_us = relay->settings.contact_us;
   settings_apply (relay);
   if (relay->lines == NULL || !doors_open (relay, error))
--- a/libmangofork/relay/target.c
+++ b/libmangofork/relay/target.c
@@ -2,6 +2,8 @@
 
 #include "load_report.h"
 
+#include "libmangofork/clock.h"
+
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
@@ -25,6 +27,9 @@
  */
 #define CONNECT_TIMEOUT_US (250 * MF_US_PER_MS)
 
+/* An upstream that asks for a longer pause is asked again after this time. */
+#define PAUSE_MAX_S 300.
+
 static void
 target_free (MfTarget *target)
 {
@@ -89,6 +94,50 @@
     }
 }
 
+/* Takes from the head of an answer what its upstream says of itself. */
+static void
+on_heard (void *owner, const MfHead *head, uint32_t status)
+{
+  MfTarget *target = owner;
+  char value[32] = "";
+  double pause_s = 0.;
+
+  if (mf_head_count (head, MF_WORD_LEAVING) > 0
+      && !(mf_head_copy (head, MF_WORD_LEAVING, value, sizeof value) && strcmp (value, "0") == 0))
+    mf_target_says_leaving (target);
+  if (status != 503 || mf_head_count (head, MF_WORD_RETRY_AFTER) == 0)
+    return;
+  if (mf_head_seconds (head, MF_WORD_RETRY_AFTER, &pause_s))
+    {
+      mf_target_pause (target, pause_s, mf_clock_now_us ());
+      return;
+    }
+  mf_head_copy (head, MF_WORD_RETRY_AFTER, value, sizeof value);
+  if (target->targets->lines != NULL)
+    mf_lines_state (target->targets->lines, "upstream.pause_unreadable", "upstream=%s value=\"%s\"",
+                    target->info.id, value);
+}
+
+/* Whether the process of an entry has said that it is about to stop. Where one of the two names no
+ * time of birth, they are taken for the same process. */
+static bool
+has_departed (const MfTargets *targets, const MfTarget *target)
+{
+  uint32_t n_kept = targets->n_departures < MF_TARGETS_DEPARTURES_MAX ? targets->n_departures
+                                                                      : MF_TARGETS_DEPARTURES_MAX;
+
+  for (uint32_t i = 0; i < n_kept; i++)
+    {
+      const MfDeparture *departure = &targets->departures[i];
+
+      if (departure->id_hash == target->id_hash
+          && (departure->born_ms == target->info.born_ms || departure->born_ms == 0
+              || target->info.born_ms == 0))
+        return true;
+    }
+  return false;
+}
+
 static MfTarget *
 target_add (MfTargets *targets, const MfTargetInfo *info)
 {
@@ -104,9 +153,13 @@
     .idle_default_us = IDLE_DEFAULT_US,
     .connect_timeout_us = CONNECT_TIMEOUT_US,
     .unacked_timeout_us = targets->unacked_timeout_us,
+    .heard = on_heard,
+    .owner = target,
   };
+  target->targets = targets;
   memcpy (target->pool.address, info->address, sizeof target->pool.address);
   target->id_hash = mf_load_hash (info->id);
+  target->said_leaving = has_departed (targets, target);
   target->n_refs = 1;
   target->next = targets->first;
   targets->first = target;
@@ -267,6 +320,54 @@
   return target->active_tokens + target->reserved_tokens + target->others_tokens;
 }
 
+/* Whether it is about to stop, by discovery or by its own word. */
+bool
+mf_target_is_leaving (const MfTarget *target)
+{
+  return target->info.leaving || target->said_leaving;
+}
+
+/* Whether it takes requests of this instance: it is not leaving and has not asked for a pause. */
+bool
+mf_target_takes (const MfTarget *target, uint64_t now_us)
+{
+  return !mf_target_is_leaving (target) && target->paused_until_us <= now_us;
+}
+
+/* The process says that it is about to stop. That outlasts its entry in discovery and ends with the
+ * next process of this id. */
+void
+mf_target_says_leaving (MfTarget *target)
+{
+  MfTargets *targets = target->targets;
+
+  if (target->said_leaving)
+    return;
+  target->said_leaving = true;
+  targets->departures[targets->n_departures++ % MF_TARGETS_DEPARTURES_MAX]
+      = (MfDeparture){ .id_hash = target->id_hash, .born_ms = target->info.born_ms };
+  if (targets->lines != NULL)
+    mf_lines_state (targets->lines, "upstream.leaving",
+                    "upstream=%s service=%s listed_leaving=%s in_flight=%u", target->info.id,
+                    target->info.service, target->info.leaving ? "yes" : "no", target->n_active);
+}
+
+/* The process wants no requests of this instance for so many seconds. */
+void
+mf_target_pause (MfTarget *target, double pause_s, uint64_t now_us)
+{
+  double bounded_s = pause_s < PAUSE_MAX_S ? pause_s : PAUSE_MAX_S;
+  uint64_t until_us = now_us + (uint64_t)(bounded_s * (double)MF_US_PER_S);
+
+  if (until_us <= target->paused_until_us)
+    return;
+  target->paused_until_us = until_us;
+  if (target->targets->lines != NULL)
+    mf_lines_state (target->targets->lines, "upstream.paused",
+                    "upstream=%s service=%s asked_s=%.3f pause_s=%.3f in_flight=%u",
+                    target->info.id, target->info.service, pause_s, bounded_s, target->n_active);
+}
+
 /* Whether requests are to be kept from it: this instance avoids it, another met a different process
  * in its place, or several others cannot reach it and fewer get answers. */
 bool
--- a/libmangofork/relay/target.h
+++ b/libmangofork/relay/target.h
@@ -1,6 +1,7 @@
 #ifndef MF_RELAY_TARGET_H
 #define MF_RELAY_TARGET_H
 
+#include "line.h"
 #include "link.h"
 
 /* Bytes of an upstream's id, its closing NUL included. */
@@ -21,8 +22,10 @@
 
 /* One upstream process, and what this instance has seen of it. */
 typedef struct MfTarget MfTarget;
+typedef struct MfTargets MfTargets;
 struct MfTarget
 {
+  MfTargets *targets;
   MfTargetInfo info;
   MfLinkPool pool;
   MfTarget *next;
@@ -51,22 +54,38 @@
   uint64_t suspect_until_us;
   bool replaced;            /* why it is suspect: another process answers in its place */
   uint64_t full_until_us;   /* it refused for want of room */
+  bool said_leaving;        /* its answers say that it is about to stop */
+  uint64_t paused_until_us; /* it asked this instance for no requests until then */
   MfRole stage_ordered;     /* what it was ordered to become */
   uint64_t stage_until_us;  /* until then it takes nothing, as it changes; 0: no order */
   uint32_t n_orders_failed; /* that it has refused, or that changed nothing */
   uint32_t n_refs;
 };
 
-/* All upstreams known, in one list, in no order. */
+/* A process that has said that it is about to stop. */
 typedef struct
 {
+  uint64_t id_hash;
+  uint64_t born_ms;
+} MfDeparture;
+
+/* Departures remembered; a process stops within seconds of its notice, and a replaced pool is
+ * smaller than this. */
+#define MF_TARGETS_DEPARTURES_MAX 512
+
+/* All upstreams known, in one list, in no order. */
+struct MfTargets
+{
+  MfLines *lines; /* NULL: nothing is logged */
   struct ev_loop *loop;
   const MfDialect *dialect;
   char data_centre[MF_NAME_BYTES];
   MfTarget *first;
   uint32_t n_targets;
   uint64_t unacked_timeout_us;
-} MfTargets;
+  MfDeparture departures[MF_TARGETS_DEPARTURES_MAX]; /* the oldest is overwritten */
+  uint32_t n_departures;                             /* ever noted */
+};
 
 bool mf_targets_update (MfTargets *targets, const MfTargetInfo *info);
 bool mf_targets_remove (MfTargets *targets, const char *id, bool at_once, uint64_t now_us);
@@ -86,11 +105,15 @@
 void mf_target_unreserve (MfTarget *target, uint64_t tokens);
 uint32_t mf_target_load (const MfTarget *target);
 uint64_t mf_target_load_tokens (const MfTarget *target);
+bool mf_target_is_leaving (const MfTarget *target);
+bool mf_target_takes (const MfTarget *target, uint64_t now_us);
 bool mf_target_is_suspect (const MfTarget *target, uint64_t now_us);
 void mf_target_alive (MfTarget *target, uint64_t now_us);
 void mf_target_answered (MfTarget *target, uint64_t answer_us, uint64_t now_us);
 void mf_target_read (MfTarget *target, uint64_t tokens, uint64_t read_us, uint64_t now_us);
 void mf_target_failed (MfTarget *target, bool unreachable, uint64_t now_us);
+void mf_target_says_leaving (MfTarget *target);
+void mf_target_pause (MfTarget *target, double pause_s, uint64_t now_us);
 void mf_target_replaced (MfTarget *target, uint64_t until_us);
 double mf_target_failure_share (const MfTarget *target, uint64_t now_us);
 double mf_target_answer_us (const MfTarget *target, double fallback_us, uint64_t now_us);
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -477,6 +477,181 @@
     }
 }
 
+static void
+act_good_leaving (FakeWireConn *conn, const char *text, const char *id)
+{
+  (void)text;
+  town_answer (conn, id, "200 OK", TOWN_SEAL "Server-Leaving: 1\r\n", "good");
+}
+
+static void
+act_decline_leaving (FakeWireConn *conn, const char *text, const char *id)
+{
+  (void)text;
+  town_answer (conn, id, "503 Service Unavailable", "X-Not-Executed: 1\r\nServer-Leaving: 1\r\n",
+               "");
+}
+
+static void
+act_pause (FakeWireConn *conn, const char *text, const char *id)
+{
+  (void)text;
+  town_answer (conn, id, "503 Service Unavailable", "X-Not-Executed: 1\r\nRetry-After: 0.3\r\n",
+               "");
+}
+
+static const char *pause_value;
+
+static void
+act_pause_with_value (FakeWireConn *conn, const char *text, const char *id)
+{
+  char headers[96];
+
+  (void)text;
+  snprintf (headers, sizeof headers, "X-Not-Executed: 1\r\nRetry-After: %s\r\n", pause_value);
+  town_answer (conn, id, "503 Service Unavailable", headers, "");
+}
+
+/* One answer tells, good or not, at once and for all that is not sent yet. */
+static void
+test_upstream_that_says_it_leaves_gets_no_more (void **state)
+{
+  static const TownAct acts[] = { act_good_leaving, act_decline_leaving };
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (acts); i++)
+    {
+      Town town;
+
+      town_begin (&town, ev_loop_new (0), PORT);
+      town_add (&town, 0, MF_ROLE_PLAIN, acts[i]);
+      town_add (&town, 1, MF_ROLE_PLAIN, act_good);
+      for (uint32_t n = 0; n < 5; n++)
+        {
+          call (&town, "POST", "/order/1");
+          assert_status (&town, "200");
+        }
+      assert_int_equal (town_n_requests (&town, 0), 1);
+      town.upstreams[1].act = act_good_leaving;
+      call (&town, "POST", "/order/1");
+      call (&town, "POST", "/order/1");
+      assert_status (&town, "503");
+      assert_int_equal (town_n_requests (&town, 0), 1);
+      town_done (&town);
+    }
+}
+
+/* The engine that reads prompts says so: later prompts are read elsewhere. */
+static void
+act_prefill_leaving (FakeWireConn *conn, const char *text, const char *id)
+{
+  (void)text;
+  town_answer (conn, id, "200 OK", "Server-Leaving: 1\r\n",
+               "{\"kvHandle\":\"h1\",\"tokens\":10,\"version\":1}");
+}
+
+static void
+test_engine_that_says_it_leaves_gets_no_more (void **state)
+{
+  Town town;
+
+  (void)state;
+  town_begin (&town, ev_loop_new (0), PORT);
+  town_add (&town, 0, MF_ROLE_PREFILL, act_prefill_leaving);
+  town_add (&town, 1, MF_ROLE_PREFILL, town_prefill);
+  town_add (&town, 2, MF_ROLE_DECODE, act_stream);
+  for (uint32_t n = 0; n < 4; n++)
+    {
+      call (&town, "POST", "/llm/1");
+      assert_status (&town, "200");
+    }
+  assert_int_equal (town_n_requests (&town, 0), 1);
+  assert_int_equal (town_n_requests (&town, 1), 3);
+  town_done (&town);
+}
+
+/* A pause is kept to: other upstreams take the requests; without any, callers are told when. */
+static void
+test_upstream_that_asks_for_a_pause_gets_it (void **state)
+{
+  Town town;
+  const char *after;
+
+  (void)state;
+  town_begin (&town, ev_loop_new (0), PORT);
+  town.jobs.budget_slack = 20;
+  town_add (&town, 0, MF_ROLE_PLAIN, act_pause);
+  call (&town, "POST", "/order/1");
+  assert_status (&town, "503");
+  town.upstreams[0].act = act_good;
+  call (&town, "POST", "/order/1");
+  assert_status (&town, "503");
+  after = strstr (town.got, "Retry-After: ");
+  assert_non_null (after);
+  assert_in_range ((int)(atof (after + 13) * 1000.), 150, 450);
+  assert_int_equal (town_n_requests (&town, 0), 1);
+  town_add (&town, 1, MF_ROLE_PLAIN, act_good);
+  call (&town, "POST", "/order/1");
+  assert_status (&town, "200");
+  assert_int_equal (town_n_requests (&town, 0), 1);
+  loop_spin (town.loop, 320);
+  town.upstreams[1].act = act_pause;
+  call (&town, "POST", "/order/1");
+  assert_status (&town, "200");
+  assert_int_equal (town_n_requests (&town, 0), 2);
+  town_done (&town);
+}
+
+/* Streams wait for the first pause to end when their callers have the time. */
+static void
+test_streams_wait_for_the_end_of_a_pause (void **state)
+{
+  Town town;
+  uint32_t n_before;
+
+  (void)state;
+  town_begin (&town, ev_loop_new (0), PORT);
+  town_add (&town, 0, MF_ROLE_DECODE, act_pause);
+  call (&town, "POST", "/llm/1");
+  assert_status (&town, "503");
+  town.upstreams[0].act = act_stream;
+  n_before = town_n_requests (&town, 0);
+  call (&town, "POST", "/llm/1");
+  assert_status (&town, "200");
+  assert_int_equal (town_n_requests (&town, 0), n_before + 1);
+  pause_value = "60";
+  town.upstreams[0].act = act_pause_with_value;
+  call (&town, "POST", "/llm/1");
+  assert_status (&town, "503");
+  call (&town, "POST", "/llm/1");
+  assert_status (&town, "503");
+  assert_int_equal (town_n_requests (&town, 0), n_before + 2);
+  town_done (&town);
+}
+
+static void
+test_pauses_that_cannot_be_read_are_passed_over (void **state)
+{
+  static const char *const values[]
+      = { "", "-1", "soon", "Fri, 04 Dec 2026 10:00:00 GMT", "1e400", "0", "1s", "nan" };
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (values); i++)
+    {
+      Town town;
+
+      town_begin (&town, ev_loop_new (0), PORT);
+      town_add (&town, 0, MF_ROLE_PLAIN, act_pause_with_value);
+      pause_value = values[i];
+      call (&town, "POST", "/order/1");
+      assert_status (&town, "503");
+      town.upstreams[0].act = act_good;
+      call (&town, "POST", "/order/1");
+      assert_status (&town, "200");
+      town_done (&town);
+    }
+}
+
 static void
 test_unreachable_upstream_costs_no_request (void **state)
 {
@@ -561,6 +736,11 @@
     cmocka_unit_test (test_broken_stream_that_cannot_go_on_does_not_look_whole),
     cmocka_unit_test (test_stream_without_time_is_refused_at_once),
     cmocka_unit_test (test_departed_caller_stops_its_work),
+    cmocka_unit_test (test_upstream_that_says_it_leaves_gets_no_more),
+    cmocka_unit_test (test_engine_that_says_it_leaves_gets_no_more),
+    cmocka_unit_test (test_upstream_that_asks_for_a_pause_gets_it),
+    cmocka_unit_test (test_streams_wait_for_the_end_of_a_pause),
+    cmocka_unit_test (test_pauses_that_cannot_be_read_are_passed_over),
     cmocka_unit_test (test_unreachable_upstream_costs_no_request),
     cmocka_unit_test (test_deadline_ends_what_does_not_answer),
     cmocka_unit_test (test_requests_wait_for_room),
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -109,6 +109,28 @@
   assert_int_equal (choose (&fleet, ask), -1);
 }
 
+/* Not even as the last one left: the pause is asked for by an upstream that cannot take more. */
+static void
+test_paused_upstreams_are_not_chosen (void **state)
+{
+  Fleet fleet;
+
+  (void)state;
+  fleet_make (&fleet, MF_ROLE_PLAIN);
+  fleet.rows[1].paused_until_us = NOW_US + 2000;
+  assert_int_not_equal (choose (&fleet, (MfPlaceAsk){ 0 }), 1);
+  assert_int_equal (mf_place_opens_us (&fleet.targets, "llm", MF_ROLE_PLAIN, NOW_US), 0);
+  fleet.rows[0].paused_until_us = NOW_US + 1000;
+  fleet.rows[2].paused_until_us = NOW_US + 3000;
+  assert_int_equal (choose (&fleet, (MfPlaceAsk){ 0 }), -1);
+  assert_int_equal (mf_place_opens_us (&fleet.targets, "llm", MF_ROLE_PLAIN, NOW_US),
+                    NOW_US + 1000);
+  fleet.rows[0].said_leaving = true;
+  assert_int_equal (mf_place_opens_us (&fleet.targets, "llm", MF_ROLE_PLAIN, NOW_US),
+                    NOW_US + 2000);
+  assert_int_equal (mf_place_opens_us (&fleet.targets, "none", MF_ROLE_PLAIN, NOW_US), 0);
+}
+
 static void
 test_suspects_only_when_there_is_no_other (void **state)
 {
@@ -165,6 +187,7 @@
     cmocka_unit_test (test_plain_requests_stay_near),
     cmocka_unit_test (test_slow_failing_and_silent_upstreams_are_left),
     cmocka_unit_test (test_leaving_and_tried_upstreams_are_not_chosen),
+    cmocka_unit_test (test_paused_upstreams_are_not_chosen),
     cmocka_unit_test (test_suspects_only_when_there_is_no_other),
     cmocka_unit_test (test_decodes_go_where_memory_is_free),
     cmocka_unit_test (test_decodes_go_where_their_memory_lies),
--- a/tests/test_target.c
+++ b/tests/test_target.c
@@ -2,6 +2,7 @@
 
 #include <setjmp.h>
 #include <stdarg.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -135,6 +136,85 @@
   assert_int_equal (target.n_failures, 0);
 }
 
+/* What a process says of its own end outlasts its entry, and ends with the next process of its id.
+ */
+static void
+test_a_process_that_said_it_leaves_is_not_used_again (void **state)
+{
+  MfTargets targets = { 0 };
+  MfTargetInfo info = info_make ("u1", "127.0.0.1:1");
+
+  (void)state;
+  mf_targets_update (&targets, &info);
+  assert_true (mf_target_takes (mf_targets_find (&targets, "u1"), NOW_US));
+  mf_target_says_leaving (mf_targets_find (&targets, "u1"));
+  assert_false (mf_target_takes (mf_targets_find (&targets, "u1"), NOW_US));
+  mf_targets_update (&targets, &info);
+  assert_true (mf_target_is_leaving (mf_targets_find (&targets, "u1")));
+  mf_targets_remove (&targets, "u1", true, NOW_US);
+  mf_targets_update (&targets, &info);
+  assert_true (mf_target_is_leaving (mf_targets_find (&targets, "u1")));
+  /* An entry that names no birth is no proof of a new process. */
+  mf_targets_remove (&targets, "u1", true, NOW_US);
+  info.born_ms = 0;
+  mf_targets_update (&targets, &info);
+  assert_true (mf_target_is_leaving (mf_targets_find (&targets, "u1")));
+  info.born_ms = 2;
+  mf_targets_update (&targets, &info);
+  assert_false (mf_target_is_leaving (mf_targets_find (&targets, "u1")));
+  mf_targets_clear (&targets);
+}
+
+/* More departures than are remembered push out the oldest only. */
+static void
+test_departures_are_bounded (void **state)
+{
+  MfTargets targets = { 0 };
+  char id[16];
+
+  (void)state;
+  for (uint32_t i = 0; i < MF_TARGETS_DEPARTURES_MAX + 5; i++)
+    {
+      MfTargetInfo info;
+
+      snprintf (id, sizeof id, "u%u", i);
+      info = info_make (id, "127.0.0.1:1");
+      mf_targets_update (&targets, &info);
+      mf_target_says_leaving (mf_targets_find (&targets, id));
+      mf_targets_remove (&targets, id, true, NOW_US);
+    }
+  for (uint32_t i = 5; i < MF_TARGETS_DEPARTURES_MAX + 5; i++)
+    {
+      MfTargetInfo info;
+
+      snprintf (id, sizeof id, "u%u", i);
+      info = info_make (id, "127.0.0.1:1");
+      mf_targets_update (&targets, &info);
+      assert_true (mf_target_is_leaving (mf_targets_find (&targets, id)));
+    }
+  mf_targets_clear (&targets);
+}
+
+static void
+test_pauses_are_bounded_and_never_shortened (void **state)
+{
+  MfTargets targets = { 0 };
+  MfTargetInfo info = info_make ("u1", "127.0.0.1:1");
+  MfTarget *target;
+
+  (void)state;
+  mf_targets_update (&targets, &info);
+  target = mf_targets_find (&targets, "u1");
+  mf_target_pause (target, 1.5, NOW_US);
+  mf_target_pause (target, 0.2, NOW_US);
+  assert_false (mf_target_takes (target, NOW_US + 1499 * MF_US_PER_MS));
+  assert_true (mf_target_takes (target, NOW_US + 1500 * MF_US_PER_MS));
+  mf_target_pause (target, 1e300, NOW_US);
+  assert_false (mf_target_takes (target, NOW_US + 60 * MF_US_PER_S));
+  assert_true (mf_target_takes (target, NOW_US + 3600 * MF_US_PER_S));
+  mf_targets_clear (&targets);
+}
+
 static void
 test_load_is_that_of_all_instances (void **state)
 {
@@ -162,6 +242,9 @@
     cmocka_unit_test (test_requests_outlast_their_upstream),
     cmocka_unit_test (test_failures_fade),
     cmocka_unit_test (test_suspicion_grows_to_a_bound_and_ends_with_a_sign_of_life),
+    cmocka_unit_test (test_a_process_that_said_it_leaves_is_not_used_again),
+    cmocka_unit_test (test_departures_are_bounded),
+    cmocka_unit_test (test_pauses_are_bounded_and_never_shortened),
     cmocka_unit_test (test_load_is_that_of_all_instances),
   };
 
