Answers without end are bounded in bytes and in time, and bytes are no progress

Cause, found by looking at each reader of upstreams' bytes: a stream's silence was measured from its last byte, so that one that sent a byte now and then was kept to its deadline; an event without an end was kept or passed on to the deadline; an answer beyond 4 MB was read to its end; a hundred of them at once could take 400 MB on an instance of 88; a call that frees engine memory, or an order, had no time-out at all. Change: progress of a stream that may go on elsewhere is an event; an event beyond 256 KB, an answer beyond 4 MB and a prefill's answer beyond 64 KB close the connection at once; answers kept whole keep to a quarter of the process's memory together, the largest is cut; calls that nobody waits for end after 2 s. A link that is cancelled while it is read leaves its pool at once, which may be gone before the link. Tests: test_job_send, 8 over real sockets, 13 kinds of bytes without end each for orders, reads and prompts. Three are red on the code before (trickling stream, release without end, memory); the others are held by deadlines and would notice.

--- a/libmangofork/relay/events.c
+++ b/libmangofork/relay/events.c
@@ -88,18 +88,31 @@
 {
   for (size_t i = 0; i < n_bytes; i++)
     {
+      events->open_bytes++;
       if (bytes[i] == '\r')
         continue;
-      events->n_events += bytes[i] == '\n' && events->after_newline;
+      if (bytes[i] == '\n' && events->after_newline)
+        {
+          events->n_events++;
+          events->open_bytes = 0;
+        }
       events->after_newline = bytes[i] == '\n' && !events->after_newline;
     }
 }
 
+/* Whether more bytes have come without the end of an event than any event has. */
+bool
+mf_events_is_endless (const MfEvents *events)
+{
+  return events->partial.failed || events->open_bytes > EVENT_BYTES_MAX;
+}
+
 /* Forgets the event that was cut off, before the stream goes on elsewhere. */
 void
 mf_events_cut (MfEvents *events)
 {
   mf_buffer_clear (&events->partial);
+  events->open_bytes = 0;
 }
 
 /* Whether the stream stands between two events. */
--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -12,6 +12,8 @@
 /* Requests held at once. At 60 KB each, the largest of the sites, this is half of the smallest
  * instance's memory. */
 #define JOBS_MAX 700
+/* Bytes of answers kept at once where the process is not told how much memory it has. */
+#define ANSWERS_BYTES_MAX (64 * 1024 * 1024)
 /* Callers of a stream leave after a pause of two seconds, four objectives or eight pauses,
  * whichever is longest (the platform's page on its clients). */
 #define LEAVE_MIN_US (2 * MF_US_PER_S)
@@ -637,6 +639,7 @@
   jobs->dialect = dialect;
   jobs->lines = lines;
   jobs->jobs_max = JOBS_MAX;
+  jobs->answer_bytes_max = ANSWERS_BYTES_MAX;
   jobs->targets.loop = loop;
   jobs->targets.dialect = dialect;
   if (getrandom (&jobs->random, sizeof jobs->random, 0) != sizeof jobs->random)
--- a/libmangofork/relay/job.h
+++ b/libmangofork/relay/job.h
@@ -74,6 +74,7 @@
   uint32_t n_jobs;
   uint64_t n_ended; /* requests, since the start */
   uint32_t jobs_max;
+  uint64_t answer_bytes_max;    /* that the answers kept may come to together */
   ev_timer wake;                /* requests that wait for room look again */
   ev_timer wake_now;            /* the same, at the next turn of the loop */
   uint64_t random;              /* state of the generator */
--- a/libmangofork/relay/job_send.c
+++ b/libmangofork/relay/job_send.c
@@ -26,6 +26,13 @@
 #define ORDER_IDLE_MAX_US (2 * MF_US_PER_S)
 /* Bytes of an answer that is kept whole before it goes to the caller. */
 #define ANSWER_BYTES_MAX (4 * 1024 * 1024)
+/* The same of an answer to a prefill, which names the memory and no more. */
+#define PREFILL_BYTES_MAX (64 * 1024)
+/* Answers below this size are not counted towards what all requests together may keep: callers'
+ * number bounds them. */
+#define ANSWER_BYTES_SMALL (64 * 1024)
+/* A call that frees engine memory is given up after this time: what it frees lapses by itself. */
+#define RELEASE_US (2 * MF_US_PER_S)
 /* Connections that failed before anything left cost nothing but time; more are not tried. */
 #define UNREACHED_MAX 5
 
@@ -117,6 +124,7 @@
                              .data = target,
                              .head = head,
                              .head_bytes = strlen (head),
+                             .timeout_us = RELEASE_US,
                          })
           != NULL)
         return;
@@ -236,6 +244,9 @@
   return 0;
 }
 
+static void on_prefill_end (void *data, MfLinkEnd end, const char *why);
+static void on_run_end (void *data, MfLinkEnd end, const char *why);
+
 static const MfLinkUser prefill_user;
 static const MfLinkUser run_user;
 
@@ -355,15 +366,57 @@
   mf_caller_begin (job->caller, status, &job->answer.headers);
 }
 
+/* Ends an exchange whose answer is not worth reading on: the upstream's connection is closed. */
+static void
+job_cut (MfJob *job, const char *why)
+{
+  bool is_prefill = job->phase == MF_JOB_PREFILL;
+
+  mf_link_cancel (job->link);
+  if (is_prefill)
+    on_prefill_end (job, MF_LINK_BROKEN, why);
+  else
+    on_run_end (job, MF_LINK_BROKEN, why);
+}
+
+/* Of the requests with an answer on its way, the one that keeps most of it; NULL while all that is
+ * kept together is less than what is allowed. */
+static MfJob *
+jobs_find_greediest (const MfJobs *jobs)
+{
+  MfJob *most = NULL;
+  uint64_t total_bytes = 0;
+
+  for (MfJob *job = jobs->first; job != NULL; job = job->next)
+    {
+      size_t n_bytes = mf_buffer_bytes (&job->answer.body);
+
+      total_bytes += n_bytes + mf_buffer_bytes (&job->held.body);
+      if (job->link != NULL && (most == NULL || n_bytes > mf_buffer_bytes (&most->answer.body)))
+        most = job;
+    }
+  return total_bytes > jobs->answer_bytes_max ? most : NULL;
+}
+
 static void
 on_answer_body (void *data, const char *bytes, size_t n_bytes)
 {
   MfJob *job = data;
+  MfBuffer *body = &job->answer.body;
+  size_t limit_bytes = job->phase == MF_JOB_PREFILL ? PREFILL_BYTES_MAX : ANSWER_BYTES_MAX;
+  MfJob *greediest;
 
-  if (mf_buffer_bytes (&job->answer.body) + n_bytes <= ANSWER_BYTES_MAX)
-    mf_buffer_add (&job->answer.body, bytes, n_bytes);
-  else
-    job->answer.body.failed = true;
+  if (mf_buffer_bytes (body) + n_bytes > limit_bytes)
+    {
+      job_cut (job, "the answer is too large to keep");
+      return;
+    }
+  mf_buffer_add (body, bytes, n_bytes);
+  if (mf_buffer_bytes (body) < ANSWER_BYTES_SMALL)
+    return;
+  greediest = jobs_find_greediest (job->jobs);
+  if (greediest != NULL)
+    job_cut (greediest, "the answers that are kept have come to more than is allowed");
 }
 
 /* Reckons with what the answer has come to, once that is more than was expected. */
@@ -400,16 +453,21 @@
     }
   if (job->route->resumable)
     {
-      job->try_due_us = now_us + job->route->target_gap_us * SILENT_GAPS;
       mf_events_feed (&job->events, bytes, n_bytes, &whole);
+      /* Bytes that end no event are no progress. */
+      if (mf_buffer_bytes (&whole) > 0)
+        job->try_due_us = now_us + job->route->target_gap_us * SILENT_GAPS;
       mf_caller_write (job->caller, mf_buffer_data (&whole), mf_buffer_bytes (&whole));
       mf_buffer_clear (&whole);
-      job_grow (job);
-      return;
     }
-  mf_events_count (&job->events, bytes, n_bytes);
+  else
+    {
+      mf_events_count (&job->events, bytes, n_bytes);
+      mf_caller_write (job->caller, bytes, n_bytes);
+    }
   job_grow (job);
-  mf_caller_write (job->caller, bytes, n_bytes);
+  if (mf_events_is_endless (&job->events))
+    job_cut (job, "an event has no end");
 }
 
 /* The upstream declined: the request has not run there. */
@@ -521,7 +579,7 @@
   job->n_runs++;
   if (answer->body.failed)
     {
-      mf_job_finish (job, MF_CODE_ANSWER_TOO_LARGE, "the answer is too large to keep");
+      mf_job_finish (job, MF_CODE_NO_MEMORY, "no memory to keep the answer");
       return;
     }
   if (answer_is_good (answer))
--- a/libmangofork/relay/job_stage.c
+++ b/libmangofork/relay/job_stage.c
@@ -15,6 +15,8 @@
  * longer. */
 #define PREFILL_ENDS_US (1 * MF_US_PER_S)
 #define DECODE_ENDS_US (6 * MF_US_PER_S)
+/* An order is answered at once; one that is not may have been taken. */
+#define ORDER_US (2 * MF_US_PER_S)
 /* One of so many engines changes at a time: what the change brings shows before the next. */
 #define CHANGING_PART 8
 /* An engine that refused so many orders, or did not follow them, is left as it is. */
@@ -235,6 +237,7 @@
                                                   .head_bytes = (size_t)head_bytes,
                                                   .body = mf_buffer_data (&body),
                                                   .body_bytes = mf_buffer_bytes (&body),
+                                                  .timeout_us = ORDER_US,
                                               });
   mf_buffer_clear (&body);
   if (order->link != NULL)
--- a/libmangofork/relay/link.c
+++ b/libmangofork/relay/link.c
@@ -51,22 +51,33 @@
   bool has_sent;
   bool in_event;  /* the user is being called */
   bool cancelled; /* by the user, while it was being called */
+  uint64_t timeout_us;
   uint64_t idle_since_us;
   uint64_t keep_us; /* how long it may be idle */
   const char *why;
 };
 
+/* Takes the link out of its pool, which may be gone before the link is. */
 static void
-link_free (MfLink *link)
+link_detach (MfLink *link)
 {
+  if (link->pool == NULL)
+    return;
   ev_io_stop (link->pool->loop, &link->reader);
   ev_io_stop (link->pool->loop, &link->writer);
   ev_timer_stop (link->pool->loop, &link->timer);
+  link->pool->n_links--;
+  link->pool = NULL;
+}
+
+static void
+link_free (MfLink *link)
+{
+  link_detach (link);
   if (link->fd >= 0)
     close (link->fd);
   mf_message_clear (&link->message);
   mf_buffer_clear (&link->out);
-  link->pool->n_links--;
   free (link);
 }
 
@@ -302,6 +313,18 @@
   return true;
 }
 
+/* Starts the time within which the answer must be whole, if there is one. */
+static void
+link_set_timeout (MfLink *link)
+{
+  ev_timer_stop (link->pool->loop, &link->timer);
+  if (link->timeout_us == 0)
+    return;
+  link->why = "no whole answer in time";
+  ev_timer_set (&link->timer, (double)link->timeout_us / (double)MF_US_PER_S, 0.);
+  ev_timer_start (link->pool->loop, &link->timer);
+}
+
 static void
 on_writable (struct ev_loop *loop, ev_io *watcher, int events)
 {
@@ -319,8 +342,8 @@
           return;
         }
       link->state = LINK_BUSY;
-      ev_timer_stop (link->pool->loop, &link->timer);
       ev_io_start (link->pool->loop, &link->reader);
+      link_set_timeout (link);
     }
   /* A peer may answer and close before it has read all; its answer is read first. */
   if (!link_flush (link))
@@ -440,6 +463,7 @@
   link->has_sent = false;
   link->foreign = false;
   link->head_only = call->head_only;
+  link->timeout_us = call->timeout_us;
   link->echo_id[0] = '\0';
   if (call->echo_id != NULL && strlen (call->echo_id) < sizeof link->echo_id)
     memcpy (link->echo_id, call->echo_id, strlen (call->echo_id) + 1);
@@ -447,8 +471,12 @@
   mf_buffer_add (&link->out, call->body, call->body_bytes);
   if (link->out.failed)
     link_fail_later (link, "memory ran out");
-  else if (link->state == LINK_BUSY && !link_flush (link) && !link->has_sent)
-    link_fail_later (link, "the connection was reset");
+  else if (link->state == LINK_BUSY)
+    {
+      link_set_timeout (link);
+      if (!link_flush (link) && !link->has_sent)
+        link_fail_later (link, "the connection was reset");
+    }
   return link;
 }
 
@@ -456,10 +484,13 @@
 void
 mf_link_cancel (MfLink *link)
 {
-  if (link->in_event)
-    link->cancelled = true;
-  else
-    link_free (link);
+  if (!link->in_event)
+    {
+      link_free (link);
+      return;
+    }
+  link->cancelled = true;
+  link_detach (link);
 }
 
 /* Stops or goes on reading the answer, for a caller that reads slowly. */
--- a/libmangofork/relay/link.h
+++ b/libmangofork/relay/link.h
@@ -56,6 +56,7 @@
   const char *echo_id;  /* answers that name another request are passed over; NULL: none does */
   uint64_t idle_max_us; /* a connection that was idle for longer is not used; 0: any */
   bool head_only;       /* a HEAD request */
+  uint64_t timeout_us;  /* the whole exchange, once connected; 0: its user sees to it */
 } MfLinkCall;
 
 MfLink *mf_link_start (MfLinkPool *pool, const MfLinkCall *call);
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -23,6 +23,8 @@
 #define FILES_RESERVED 700
 /* Memory one caller may take: its buffers and its request. */
 #define CALLER_BYTES 100000
+/* Part of the process's memory that the answers kept whole may take together. */
+#define ANSWERS_MEMORY_PART 4
 /* While shutting down, callers' idle connections are closed once the balancer has had time to learn
  * of it: it asks every second and believes the second miss. */
 #define DRAIN_IDLE_US (2500 * MF_US_PER_MS)
@@ -300,6 +302,8 @@
   relay->jobs.budget_slack = relay->settings.retry_slack;
   relay->jobs.orders_fenced = relay->settings.orders_fenced;
   relay->jobs.order_turn_us = relay->settings.order_turn_us;
+  if (relay->settings.memory_bytes > 0)
+    relay->jobs.answer_bytes_max = relay->settings.memory_bytes / ANSWERS_MEMORY_PART;
   if (relay->door != NULL)
     limits_apply (relay);
 }
--- a/tests/fakes/wire.c
+++ b/tests/fakes/wire.c
@@ -2,6 +2,7 @@
 
 #include "libmangofork/socket.h"
 
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -9,12 +10,18 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+/* Pieces of a flood sent in one turn of the loop. */
+#define FLOOD_PIECES 16
+
 struct FakeWireConn
 {
   FakeWire *wire;
   FakeWireConn *next;
   int fd;
   ev_io reader;
+  ev_io writer;
+  const char *flood; /* sent without end; NULL: nothing is */
+  size_t flood_at;
   size_t n_bytes;
   char bytes[FAKE_WIRE_REQUEST_BYTES];
 };
@@ -71,10 +78,44 @@
   if (wire->last_conn == conn)
     wire->last_conn = NULL;
   ev_io_stop (wire->loop, &conn->reader);
+  ev_io_stop (wire->loop, &conn->writer);
   close (conn->fd);
   free (conn);
 }
 
+static void
+conn_left (FakeWireConn *conn)
+{
+  conn->wire->n_left++;
+  if (conn->wire->on_left != NULL)
+    conn->wire->on_left (conn, conn->wire->data);
+  conn_free (conn);
+}
+
+static void
+on_writable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  FakeWireConn *conn = watcher->data;
+  size_t n_bytes = strlen (conn->flood);
+
+  (void)loop;
+  (void)events;
+  for (uint32_t i = 0; i < FLOOD_PIECES; i++)
+    {
+      ssize_t n_sent = send (conn->fd, conn->flood + conn->flood_at, n_bytes - conn->flood_at,
+                             MSG_NOSIGNAL | MSG_DONTWAIT);
+
+      if (n_sent < 0 && errno == EAGAIN)
+        return;
+      if (n_sent < 0)
+        {
+          conn_left (conn);
+          return;
+        }
+      conn->flood_at = (conn->flood_at + (size_t)n_sent) % n_bytes;
+    }
+}
+
 /* Length of the first request that is whole; 0 when none is. */
 static size_t
 request_bytes (const FakeWireConn *conn)
@@ -104,10 +145,7 @@
   (void)events;
   if (n_read <= 0)
     {
-      wire->n_left++;
-      if (wire->on_left != NULL)
-        wire->on_left (conn, wire->data);
-      conn_free (conn);
+      conn_left (conn);
       return;
     }
   conn->n_bytes += (size_t)n_read;
@@ -143,7 +181,9 @@
   wire->conns = conn;
   wire->n_conns++;
   ev_io_init (&conn->reader, on_readable, fd, EV_READ);
+  ev_io_init (&conn->writer, on_writable, fd, EV_WRITE);
   conn->reader.data = conn;
+  conn->writer.data = conn;
   ev_io_start (loop, &conn->reader);
 }
 
@@ -223,6 +263,13 @@
     perror ("fake wire");
 }
 
+void
+fake_wire_flood (FakeWireConn *conn, const char *piece)
+{
+  conn->flood = piece;
+  ev_io_start (conn->wire->loop, &conn->writer);
+}
+
 void
 fake_wire_close (FakeWireConn *conn, bool reset)
 {
--- a/tests/fakes/wire.h
+++ b/tests/fakes/wire.h
@@ -32,6 +32,8 @@
 FakeWireConn *fake_wire_last_conn (const FakeWire *wire);
 
 void fake_wire_send (FakeWireConn *conn, const char *bytes);
+/* Sends a piece again and again, as fast as it is taken, until the other side closes. */
+void fake_wire_flood (FakeWireConn *conn, const char *piece);
 void fake_wire_close (FakeWireConn *conn, bool reset);
 
 /* Copies the value of a header of a request; returns false when it has none. */
--- /dev/null
+++ b/tests/test_job_send.c
@@ -0,0 +1,364 @@
+#include "libmangofork/relay/job_row.h"
+
+#include "libmangofork/clock.h"
+
+#include "loop_pump.h"
+#include "town.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#define PORT 21801
+#define N_CALLERS 20
+/* The longest route takes 3 s. */
+#define ANSWERED_US (4 * MF_US_PER_S)
+/* A stream that makes no progress must have gone on elsewhere by then: half of its route
+ * time. */
+#define STALL_US (1500 * MF_US_PER_MS)
+
+#define PLAIN_HEAD "HTTP/1.1 200 OK\r\nX-Attempt-Id: t\r\n" TOWN_SEAL
+#define JUNK                                                                                       \
+  "zzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzz" \
+  "zz"                                                                                             \
+  "zzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzzz" \
+  "zz"
+
+/* How an upstream that is in trouble answers: a beginning, and then a piece without end. */
+typedef struct
+{
+  const char *begin;
+  const char *piece;
+} Flood;
+
+static const Flood floods[] = {
+  { "", JUNK },                                                         /* no HTTP at all */
+  { "HTTP/1.1 200 ", JUNK },                                            /* a reason */
+  { "HTTP/1.1 200 OK\r\nX-A: ", JUNK },                                 /* a header's value */
+  { "HTTP/1.1 200 OK\r\n", JUNK },                                      /* a header's name */
+  { "HTTP/1.1 200 OK\r\n", "X-A: b\r\n" },                              /* headers */
+  { PLAIN_HEAD "\r\n", JUNK },                                          /* a body without length */
+  { PLAIN_HEAD "Content-Length: 99999999999\r\n\r\n", JUNK },           /* one with a length */
+  { PLAIN_HEAD "Transfer-Encoding: chunked\r\n\r\n", "1\r\nz\r\n" },    /* chunks */
+  { PLAIN_HEAD "Transfer-Encoding: chunked\r\n\r\n1;x=", JUNK },        /* an extension */
+  { PLAIN_HEAD "Transfer-Encoding: chunked\r\n\r\n0\r\nX: ", JUNK },    /* a trailer */
+  { PLAIN_HEAD "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n" }, /* trailers */
+  { "", "HTTP/1.1 102 Processing\r\n\r\n" },                            /* interim answers */
+  { "",
+    "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nContent-Length: 1\r\n\r\nz" }, /* others' answers */
+};
+
+static const Flood *flood;
+
+static void
+act_flood (FakeWireConn *conn, const char *text, const char *id)
+{
+  (void)text;
+  (void)id;
+  fake_wire_send (conn, flood->begin);
+  fake_wire_flood (conn, flood->piece);
+}
+
+static void
+act_flood_on_release (FakeWireConn *conn, const char *text, const char *id)
+{
+  if (strncmp (text, "DELETE ", 7) == 0)
+    act_flood (conn, text, id);
+  else
+    town_prefill (conn, text, id);
+}
+
+static void
+act_good (FakeWireConn *conn, const char *text, const char *id)
+{
+  (void)text;
+  town_answer (conn, id, "200 OK", TOWN_SEAL, "good");
+}
+
+static void
+act_stream (FakeWireConn *conn, const char *text, const char *id)
+{
+  (void)text;
+  (void)id;
+  fake_wire_send (conn, TOWN_STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n");
+}
+
+static int
+call_begin (const Town *town, const char *method, const char *path)
+{
+  char text[256];
+  int fd = loop_connect (PORT);
+
+  assert_true (fd >= 0);
+  snprintf (text, sizeof text,
+            "%s %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: t\r\nX-Token-Count: 100,40\r\n"
+            "Connection: close\r\nContent-Length: 2\r\n\r\nhi",
+            method, path);
+  loop_send (fd, text, strlen (text));
+  loop_spin (town->loop, 1);
+  return fd;
+}
+
+/* Reads a whole answer. A flood makes turns of the loop short, so that time bounds it. */
+static void
+call (Town *town, const char *method, const char *path)
+{
+  int fd = call_begin (town, method, path);
+  uint64_t until_us = mf_clock_now_us () + ANSWERED_US;
+  size_t n_got = 0;
+  ssize_t n_read = -1;
+
+  while (n_read != 0 && mf_clock_now_us () < until_us)
+    {
+      loop_spin (town->loop, 1);
+      n_read = read (fd, town->got + n_got, sizeof town->got - 1 - n_got);
+      n_got += n_read > 0 ? (size_t)n_read : 0;
+    }
+  town->got[n_got] = '\0';
+  assert_int_equal (n_read, 0);
+  close (fd);
+}
+
+static void
+town_done (Town *town)
+{
+  struct ev_loop *loop = town->loop;
+
+  town_end (town);
+  ev_loop_destroy (loop);
+}
+
+static bool
+nobody_is_served (void *data)
+{
+  return ((Town *)data)->jobs.n_jobs == 0;
+}
+
+static bool
+has_left (void *data)
+{
+  return fake_wire_n_left (((Town *)data)->upstreams[0].wire) > 0;
+}
+
+/* An order ends without a promise, by its deadline at the latest; the connection is closed. */
+static void
+test_bytes_without_end_end_an_order (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (floods); i++)
+    {
+      Town town;
+
+      flood = &floods[i];
+      town_begin (&town, ev_loop_new (0), PORT);
+      town_add (&town, 0, MF_ROLE_PLAIN, act_flood);
+      town_add (&town, 1, MF_ROLE_PLAIN, act_good);
+      call (&town, "POST", "/order/1");
+      assert_memory_equal (town.got, "HTTP/1.1 50", 11);
+      assert_memory_not_equal (town.got + 9, "503", 3);
+      assert_int_equal (town_n_requests (&town, 1), 0);
+      assert_true (loop_pump (town.loop, has_left, &town));
+      town_done (&town);
+    }
+}
+
+/* What may run again is answered by another upstream. */
+static void
+test_reads_leave_bytes_without_end (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (floods); i++)
+    {
+      Town town;
+
+      flood = &floods[i];
+      town_begin (&town, ev_loop_new (0), PORT);
+      town_add (&town, 0, MF_ROLE_PLAIN, act_flood);
+      town_add (&town, 1, MF_ROLE_PLAIN, act_good);
+      call (&town, "GET", "/read/1");
+      assert_memory_equal (town.got, "HTTP/1.1 200", 12);
+      assert_non_null (strstr (town.got, "good"));
+      town_done (&town);
+    }
+}
+
+/* The same of an engine that is to read a prompt: another one reads it. */
+static void
+test_prompts_leave_bytes_without_end (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (floods); i++)
+    {
+      Town town;
+
+      flood = &floods[i];
+      town_begin (&town, ev_loop_new (0), PORT);
+      town_add (&town, 0, MF_ROLE_PREFILL, act_flood);
+      town_add (&town, 1, MF_ROLE_PREFILL, town_prefill);
+      town_add (&town, 2, MF_ROLE_DECODE, act_stream);
+      call (&town, "POST", "/llm/1");
+      assert_memory_equal (town.got, "HTTP/1.1 200", 12);
+      assert_non_null (strstr (town.got, "id: 1\ndata: a\n\n"));
+      town_done (&town);
+    }
+}
+
+/* A stream that may go on elsewhere does so; one that may not does not look whole. Nothing of the
+ * event without end reaches the first caller. */
+static void
+test_events_without_end_end_the_stream (void **state)
+{
+  static const Flood endless = { TOWN_STREAM_HEAD, "c8\r\n" JUNK "\r\n" };
+  Town town;
+  int fd;
+
+  (void)state;
+  flood = &endless;
+  town_begin (&town, ev_loop_new (0), PORT);
+  town_add (&town, 0, MF_ROLE_DECODE, act_flood);
+  town_add (&town, 1, MF_ROLE_DECODE, act_stream);
+  /* No event has come, so that it cannot go on. */
+  call (&town, "POST", "/llm/1");
+  assert_null (strstr (town.got, JUNK));
+  assert_null (strstr (town.got, "\r\n0\r\n\r\n"));
+  fd = call_begin (&town, "POST", "/once/1");
+  for (uint32_t i = 0; i < 200 && !nobody_is_served (&town); i++)
+    {
+      loop_spin (town.loop, 1);
+      while (read (fd, town.got, sizeof town.got) > 0)
+        ;
+    }
+  assert_int_equal (town.jobs.n_jobs, 0);
+  assert_true (loop_pump (town.loop, has_left, &town));
+  close (fd);
+  town_done (&town);
+}
+
+/* The upstream may be forgotten by discovery while it floods its last request. */
+static void
+test_forgotten_upstream_floods (void **state)
+{
+  static const Flood endless = { TOWN_STREAM_HEAD, "c8\r\n" JUNK "\r\n" };
+  Town town;
+  int fd;
+
+  (void)state;
+  flood = &endless;
+  town_begin (&town, ev_loop_new (0), PORT);
+  town_add (&town, 0, MF_ROLE_DECODE, act_flood);
+  fd = call_begin (&town, "POST", "/llm/1");
+  while (town_n_requests (&town, 0) == 0)
+    loop_spin (town.loop, 1);
+  mf_targets_remove (&town.jobs.targets, "u0", true, mf_clock_now_us ());
+  assert_true (loop_pump (town.loop, nobody_is_served, &town));
+  close (fd);
+  town_done (&town);
+}
+
+/* Bytes that end no event are no progress: the stream goes on elsewhere, as after silence. */
+static void
+test_stream_that_trickles_goes_on_elsewhere (void **state)
+{
+  static const char text[] = "POST /llm/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: t\r\n"
+                             "Connection: close\r\n\r\n";
+  Town town;
+  uint64_t until_us;
+  int fd;
+
+  (void)state;
+  town_begin (&town, ev_loop_new (0), PORT);
+  town_add (&town, 0, MF_ROLE_DECODE, town_stream_hangs);
+  town_add (&town, 1, MF_ROLE_DECODE, act_stream);
+  fd = loop_connect (PORT);
+  loop_send (fd, text, strlen (text));
+  until_us = mf_clock_now_us () + STALL_US;
+  while (mf_clock_now_us () < until_us && town_n_requests (&town, 1) == 0)
+    {
+      FakeWireConn *conn;
+
+      loop_spin (town.loop, 5);
+      conn = fake_wire_last_conn (town.upstreams[0].wire);
+      if (conn != NULL)
+        fake_wire_send (conn, "1\r\nd\r\n");
+    }
+  assert_int_equal (town_n_requests (&town, 1), 1);
+  close (fd);
+  town_done (&town);
+}
+
+/* An engine that answers the freeing of its memory without end is left after a while. */
+static void
+test_release_without_end_is_given_up (void **state)
+{
+  static const Flood interim = { "", "HTTP/1.1 102 Processing\r\n\r\n" };
+  Town town;
+  uint64_t until_us = mf_clock_now_us () + 4 * MF_US_PER_S;
+
+  (void)state;
+  flood = &interim;
+  town_begin (&town, ev_loop_new (0), PORT);
+  town_add (&town, 0, MF_ROLE_PREFILL, act_flood_on_release);
+  town_add (&town, 1, MF_ROLE_DECODE, town_decline);
+  call (&town, "POST", "/once/1");
+  while (mf_clock_now_us () < until_us && !has_left (&town))
+    loop_spin (town.loop, 1);
+  assert_true (has_left (&town));
+  town_done (&town);
+}
+
+/* Many large answers at once keep to what they may take together; small ones beside them come. */
+static void
+test_answers_keep_to_the_memory_there_is (void **state)
+{
+  static const Flood body = { PLAIN_HEAD "Content-Length: 2000000\r\n\r\n", JUNK };
+  static const uint64_t limit_bytes = 1024 * 1024;
+  Town town;
+  int fds[N_CALLERS];
+  uint64_t most_bytes = 0;
+
+  (void)state;
+  flood = &body;
+  town_begin (&town, ev_loop_new (0), PORT);
+  town.jobs.answer_bytes_max = limit_bytes;
+  town_add (&town, 0, MF_ROLE_PLAIN, act_flood);
+  for (uint32_t i = 0; i < N_CALLERS; i++)
+    fds[i] = call_begin (&town, "POST", "/order/1");
+  while (!nobody_is_served (&town))
+    {
+      uint64_t kept_bytes = 0;
+
+      loop_spin (town.loop, 1);
+      for (const MfJob *job = town.jobs.first; job != NULL; job = job->next)
+        kept_bytes += mf_buffer_bytes (&job->answer.body);
+      most_bytes = kept_bytes > most_bytes ? kept_bytes : most_bytes;
+    }
+  assert_in_range (most_bytes, 1, limit_bytes + 65536);
+  for (uint32_t i = 0; i < N_CALLERS; i++)
+    close (fds[i]);
+  town.upstreams[0].act = act_good;
+  call (&town, "POST", "/order/1");
+  assert_memory_equal (town.got, "HTTP/1.1 200", 12);
+  town_done (&town);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_bytes_without_end_end_an_order),
+    cmocka_unit_test (test_reads_leave_bytes_without_end),
+    cmocka_unit_test (test_prompts_leave_bytes_without_end),
+    cmocka_unit_test (test_events_without_end_end_the_stream),
+    cmocka_unit_test (test_forgotten_upstream_floods),
+    cmocka_unit_test (test_stream_that_trickles_goes_on_elsewhere),
+    cmocka_unit_test (test_release_without_end_is_given_up),
+    cmocka_unit_test (test_answers_keep_to_the_memory_there_is),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
