A few instances of each data centre read the store and tell the others

Ruled out: longer waits and longer grouping alone (calls still grow with the fleet, and new engines are known later); telling only that something has changed (a call an instance and change stays). Change: where a data centre has eight instances in touch, the two of highest rank read, wait for a fifth of the bound on changes, and pass on each answer as items with their revisions and its age. The others apply what goes on from what they know. Age counts by the clock that never stands still, and time on the way shows in the least difference between two clocks; who knows nothing newer than half of the bound reads for itself, spread out. Entries kept after an absence of the store are kept by those who are told, too. Feeds are taken only from the host that their sender names. Tests: test_feed (8, one plays 59 instances, with one and both readers falling silent: a tenth of the calls, nobody later than the bound), test_relay (2, over sockets), test_relay_message. Between data centres no more than before.

--- a/libmangofork/relay/job.h
+++ b/libmangofork/relay/job.h
@@ -52,7 +52,10 @@
   uint64_t last_ask_id;
   MfRelayMessage message; /* room for one that is sent; too large for the stack */
   MfPeers *peers;         /* NULL: this instance is alone */
-  bool others_stale;      /* what the other instances have is to be looked at again */
+  /* Takes what another instance has read of the platform's store; NULL: nobody does. */
+  void (*take_feed) (void *data, uint64_t peer, const MfFeed *feed);
+  void *take_feed_data;
+  bool others_stale;    /* what the other instances have is to be looked at again */
   double token_us;      /* moving average of an answer's time for each of its tokens; 0: none yet */
   double first_us;      /* moving average from a granted place to the first event; 0: none yet */
   double answer_tokens; /* moving average of engines' answers; 0: none yet */
--- a/libmangofork/relay/job_room.c
+++ b/libmangofork/relay/job_room.c
@@ -269,6 +269,10 @@
       /* The place shows in the load, or is free again. */
       mf_jobs_load_changed (jobs);
       return;
+    case MF_RELAY_MESSAGE_FEED:
+      if (jobs->take_feed != NULL)
+        jobs->take_feed (jobs->take_feed_data, peer, &message->feed);
+      return;
     case MF_RELAY_MESSAGE_REPEAT:
     case MF_RELAY_MESSAGE_ALLOW:
       mf_jobs_take_repeat_message (jobs, peer, message);
--- a/libmangofork/relay/load_report.h
+++ b/libmangofork/relay/load_report.h
@@ -44,6 +44,7 @@
 {
   char address[MF_ADDRESS_BYTES]; /* of the sender's port for instances */
   uint32_t heartbeat_ms;          /* the next comes within this time */
+  uint16_t data_centre;           /* hash of the sender's */
   MfLoadEntry entries[MF_LOAD_ENTRIES_MAX];
   uint32_t n_entries;
   MfLeaderVote votes[MF_LOAD_VOTES_MAX];
--- a/libmangofork/relay/peers.c
+++ b/libmangofork/relay/peers.c
@@ -3,6 +3,7 @@
 #include "libmangofork/clock.h"
 #include "libmangofork/socket.h"
 
+#include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -241,6 +242,7 @@
     }
   memcpy (peer->entries, report->entries, report->n_entries * sizeof *peer->entries);
   peer->n_entries = report->n_entries;
+  peer->data_centre = report->data_centre;
   memcpy (peer->votes, report->votes, sizeof peer->votes);
   peer->n_votes = report->n_votes;
   peers->user->changed (peers->data);
@@ -286,6 +288,23 @@
   free (incoming);
 }
 
+/* Whether a connection comes from the host that its reports name: what a feed tells is acted on,
+ * not only weighed. */
+static bool
+incoming_is_from_its_address (const MfPeerIncoming *incoming)
+{
+  struct sockaddr_in from = { 0 };
+  socklen_t from_bytes = sizeof from;
+  char host[INET_ADDRSTRLEN] = "";
+  size_t host_bytes;
+
+  if (getpeername (incoming->fd, (struct sockaddr *)&from, &from_bytes) != 0
+      || inet_ntop (AF_INET, &from.sin_addr, host, sizeof host) == NULL)
+    return false;
+  host_bytes = strlen (host);
+  return strncmp (incoming->address, host, host_bytes) == 0 && incoming->address[host_bytes] == ':';
+}
+
 /* Takes the frames that are whole. Returns false when what came is no frame. */
 static bool
 incoming_take (MfPeerIncoming *incoming)
@@ -310,7 +329,9 @@
           memcpy (incoming->address, peers->in.report.address, sizeof incoming->address);
           report_take (peers, &peers->in.report);
         }
-      else if (incoming->address[0] != '\0')
+      else if (incoming->address[0] != '\0'
+               && (peers->in.kind != MF_RELAY_MESSAGE_FEED
+                   || incoming_is_from_its_address (incoming)))
         peers->user->message (peers->data, mf_load_hash (incoming->address), &peers->in);
     }
   return !incoming->in.failed;
@@ -443,6 +464,7 @@
     incoming_close (peers->incoming);
   for (uint32_t i = 0; i < peers->n_peers; i++)
     peer_free (peers, peers->list[i]);
+  mf_feed_clear (&peers->in.feed);
   free (peers);
 }
 
--- a/libmangofork/relay/peers.h
+++ b/libmangofork/relay/peers.h
@@ -22,6 +22,7 @@
 
 MfPeers *mf_peers_new (struct ev_loop *loop, const char *address, const MfPeersUser *user,
                        void *data, MfLines *lines, MfError *error);
+void mf_peers_stand (MfPeers *peers, const char *data_centre);
 void mf_peers_free (MfPeers *peers);
 void mf_peers_seed (MfPeers *peers, const char *addresses);
 void mf_peers_touch (MfPeers *peers);
@@ -34,6 +35,8 @@
 bool mf_peers_leads (MfPeers *peers, const char *service, uint64_t now_us);
 void mf_peers_distrust (MfPeers *peers, uint64_t peer);
 void mf_peers_note_grant (MfPeers *peers, uint64_t peer, uint64_t grant_id);
+void mf_peers_send_near (MfPeers *peers, const MfRelayMessage *message);
+MfFeedStanding mf_peers_standing (const MfPeers *peers, uint64_t now_us);
 uint32_t mf_peers_known (const MfPeers *peers);
 uint32_t mf_peers_count (const MfPeers *peers, uint64_t now_us);
 
--- a/libmangofork/relay/peers_lead.c
+++ b/libmangofork/relay/peers_lead.c
@@ -103,3 +103,30 @@
   if (peer != NULL)
     peer->distrusted_us = mf_clock_now_us () + DISTRUST_US;
 }
+
+/* The data centre that this instance stands in. */
+void
+mf_peers_stand (MfPeers *peers, const char *data_centre)
+{
+  peers->data_centre = (uint16_t)mf_load_hash (data_centre);
+}
+
+/* Where this instance stands among those of its data centre that are in touch. */
+MfFeedStanding
+mf_peers_standing (const MfPeers *peers, uint64_t now_us)
+{
+  MfFeedStanding standing = { .n_instances = 1 };
+  uint64_t own_rank = peers->hash * RANK_FACTOR;
+
+  for (uint32_t i = 0; i < peers->n_peers; i++)
+    {
+      const MfPeer *peer = peers->list[i];
+
+      if (peer->data_centre != peers->data_centre || !peer->connected
+          || !mf_peer_is_heard (peer, now_us))
+        continue;
+      standing.n_instances++;
+      standing.rank += peer->hash * RANK_FACTOR > own_rank;
+    }
+  return standing;
+}
--- a/libmangofork/relay/peers_row.h
+++ b/libmangofork/relay/peers_row.h
@@ -42,6 +42,7 @@
   uint32_t n_entries;
   MfLeaderVote votes[MF_LOAD_VOTES_MAX];
   uint32_t n_votes;
+  uint16_t data_centre; /* hash of its name, as it told */
 } MfPeer;
 
 /* A connection that another instance has made to tell its reports. */
@@ -76,6 +77,7 @@
   MfRelayMessage out;
   bool closing;
   uint64_t hash;                        /* of the own address */
+  uint16_t data_centre;                 /* hash of the own one's name */
   uint64_t services[MF_LOAD_VOTES_MAX]; /* hashes of those that a leader was asked for */
   uint32_t n_services;
 };
--- a/libmangofork/relay/peers_tell.c
+++ b/libmangofork/relay/peers_tell.c
@@ -57,6 +57,7 @@
   peers->out.kind = MF_RELAY_MESSAGE_REPORT;
   memcpy (report->address, peers->address, sizeof report->address);
   report->heartbeat_ms = (uint32_t)(heartbeat_us (peers) / MF_US_PER_MS);
+  report->data_centre = peers->data_centre;
   report->n_entries = 0;
   report->n_members = 0;
   report->n_votes = 0;
@@ -184,6 +185,21 @@
   return peer->connected;
 }
 
+/* Sends a message to all peers of the same data centre. */
+void
+mf_peers_send_near (MfPeers *peers, const MfRelayMessage *message)
+{
+  MfBuffer frame = { 0 };
+
+  mf_relay_message_encode (message, &frame);
+  for (uint32_t i = 0; i < peers->n_peers; i++)
+    {
+      if (peers->list[i]->heard_us > 0 && peers->list[i]->data_centre == peers->data_centre)
+        peer_put (peers, peers->list[i], &frame);
+    }
+  mf_buffer_clear (&frame);
+}
+
 /* Tells one peer what this instance has now. */
 void
 mf_peer_tell (MfPeers *peers, MfPeer *peer)
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -68,6 +68,7 @@
   uint64_t keep_until_us;  /* upstreams that are missing are kept until then */
   uint64_t drain_begun_us; /* 0: not shutting down */
   bool idle_closed;
+  MfFollow follow;
   uint64_t settings_seen_us;        /* when the file was last looked at */
   struct timespec settings_changed; /* when it was last written */
 };
@@ -267,6 +268,79 @@
   relay->source_seen_us = now_us;
 }
 
+/* Whether this instance reads the source for itself, for others too, or is told. */
+MfFeedRole
+mf_relay_role (MfRelay *relay)
+{
+  MfFeedStanding standing = { .n_instances = 1 };
+
+  if (relay->jobs.peers != NULL)
+    standing = mf_peers_standing (relay->jobs.peers, mf_clock_now_us ());
+  return mf_feed_role (&standing);
+}
+
+/* How long the source may be left alone, as others tell what it holds; 0: it is to be read now. */
+uint64_t
+mf_relay_rest_us (MfRelay *relay, MfFeedRole role)
+{
+  return mf_follow_rest_us (&relay->follow, role, mf_clock_awake_us (),
+                            mf_jobs_random (&relay->jobs));
+}
+
+/* How long a call to the source waits for changes; alone_us where nobody else depends on it. */
+uint64_t
+mf_relay_wait_us (const MfRelay *relay, MfFeedRole role, uint64_t alone_us)
+{
+  return mf_follow_wait_us (&relay->follow, role, alone_us);
+}
+
+/* A time between none and this, by chance. */
+uint64_t
+mf_relay_spread_us (MfRelay *relay, uint64_t most_us)
+{
+  return most_us * (uint64_t)mf_jobs_random (&relay->jobs) >> 32;
+}
+
+/* The source has been read, by a call that took so long and could wait for changes for so long;
+ * what it brought is passed on where others are told by this instance. */
+void
+mf_relay_source_read (MfRelay *relay, MfFeed *feed, uint64_t took_us, uint64_t wait_us)
+{
+  uint64_t now_us = mf_clock_now_us ();
+  MfRelayMessage *message = &relay->jobs.message;
+
+  feed->sent_us = mf_clock_awake_us ();
+  feed->as_of_us = feed->sent_us - mf_feed_way_us (took_us, wait_us);
+  feed->keep_us = relay->keep_until_us > now_us ? relay->keep_until_us - now_us : 0;
+  mf_follow_note (&relay->follow, feed->as_of_us);
+  if (relay->jobs.peers == NULL || mf_relay_role (relay) != MF_FEED_READER)
+    return;
+  message->kind = MF_RELAY_MESSAGE_FEED;
+  message->feed = *feed;
+  mf_peers_send_near (relay->jobs.peers, message);
+  /* The values stay the source's. */
+  message->feed.values = (MfBuffer){ 0 };
+}
+
+/* Another instance tells what it has read. */
+static void
+on_feed (void *data, uint64_t peer, const MfFeed *feed)
+{
+  MfRelay *relay = data;
+  uint64_t now_us = mf_clock_now_us ();
+  uint64_t as_of_us = mf_follow_as_of_us (&relay->follow, peer, feed, mf_clock_awake_us ());
+
+  if (relay->source == NULL)
+    return;
+  if (now_us + feed->keep_us > relay->keep_until_us && feed->keep_us > 0
+      && feed->keep_us <= RETURN_US)
+    relay->keep_until_us = now_us + feed->keep_us;
+  if (!relay->deployment->source->feed (relay->source, feed) || as_of_us == 0)
+    return;
+  mf_follow_note (&relay->follow, as_of_us);
+  mf_relay_source_up (relay);
+}
+
 /* The source has ceased to answer; what is known stays in force. */
 void
 mf_relay_source_down (MfRelay *relay, const char *why)
@@ -302,6 +376,7 @@
   relay->jobs.budget_slack = relay->settings.retry_slack;
   relay->jobs.orders_fenced = relay->settings.orders_fenced;
   relay->jobs.order_turn_us = relay->settings.order_turn_us;
+  relay->follow.bound_us = relay->settings.change_us;
   if (relay->settings.memory_bytes > 0)
     relay->jobs.answer_bytes_max = relay->settings.memory_bytes / ANSWERS_MEMORY_PART;
   if (relay->door != NULL)
@@ -476,7 +551,10 @@
                                         &relay->jobs, relay->lines, error);
       if (relay->jobs.peers == NULL)
         return false;
+      mf_peers_stand (relay->jobs.peers, settings->data_centre);
       mf_peers_seed (relay->jobs.peers, settings->seeds);
+      relay->jobs.take_feed = on_feed;
+      relay->jobs.take_feed_data = relay;
     }
   if (settings->metrics[0] == '\0')
     return true;
--- a/libmangofork/relay/relay.h
+++ b/libmangofork/relay/relay.h
@@ -1,6 +1,7 @@
 #ifndef MF_RELAY_RELAY_H
 #define MF_RELAY_RELAY_H
 
+#include "feed.h"
 #include "job.h"
 
 /* Bytes of a path, its closing NUL included. */
@@ -19,6 +20,7 @@
   char store[MF_ADDRESS_BYTES];   /* the platform's store */
   uint64_t memory_bytes;          /* the process may use; 0: not told */
   uint32_t files_max;             /* descriptors; 0: not told */
+  uint64_t change_us;             /* within which a change at the store must be acted on */
   uint64_t contact_us;            /* after a fault ends, all must be in order again within this */
   uint64_t grace_us;              /* from SIGTERM to SIGKILL */
   double retry_ratio;             /* repeats for each request */
@@ -38,6 +40,9 @@
                   MfError *error);
   /* The settings were read again. */
   void (*renew) (void *source, const MfRelaySettings *settings);
+  /* Applies what another instance has read. Returns whether all up to its last revision is known
+   * now, so that nothing need be read for it. */
+  bool (*feed) (void *source, const MfFeed *feed);
   void (*stop) (void *source);
 } MfRelaySource;
 
@@ -59,6 +64,11 @@
 void mf_relay_list_begin (MfRelay *relay);
 void mf_relay_list_end (MfRelay *relay);
 void mf_relay_source_up (MfRelay *relay);
+MfFeedRole mf_relay_role (MfRelay *relay);
+uint64_t mf_relay_rest_us (MfRelay *relay, MfFeedRole role);
+uint64_t mf_relay_wait_us (const MfRelay *relay, MfFeedRole role, uint64_t alone_us);
+uint64_t mf_relay_spread_us (MfRelay *relay, uint64_t most_us);
+void mf_relay_source_read (MfRelay *relay, MfFeed *feed, uint64_t took_us, uint64_t wait_us);
 void mf_relay_source_down (MfRelay *relay, const char *why);
 MfLines *mf_relay_lines (MfRelay *relay);
 MfRelayCounters *mf_relay_counters (MfRelay *relay);
--- a/libmangofork/relay/relay_message.c
+++ b/libmangofork/relay/relay_message.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 /* Members of the arrays that messages are; the first is always the kind. */
-#define REPORT_MEMBERS 6
+#define REPORT_MEMBERS 7
 #define VOTE_MEMBERS 2
 #define ENTRY_MEMBERS 6
 #define ASK_MEMBERS 11
@@ -14,6 +14,8 @@
 #define ID_MEMBERS 2
 #define REPEAT_MEMBERS 5
 #define ALLOW_MEMBERS 3
+#define FEED_MEMBERS 7
+#define FEED_ITEM_MEMBERS 4
 /* A repeat is a prompt that is read again and a run. */
 #define REPEAT_SENDS_MAX 2
 
@@ -62,6 +64,7 @@
       msgpack_pack_uint64 (packer, report->votes[i].service);
       msgpack_pack_uint64 (packer, report->votes[i].leader);
     }
+  msgpack_pack_uint16 (packer, report->data_centre);
 }
 
 static void
@@ -123,6 +126,32 @@
   msgpack_pack_uint32 (packer, message->repeat.allowed);
 }
 
+static void
+feed_pack (msgpack_packer *packer, const MfRelayMessage *message)
+{
+  const MfFeed *feed = &message->feed;
+
+  msgpack_pack_array (packer, FEED_MEMBERS);
+  msgpack_pack_uint32 (packer, message->kind);
+  msgpack_pack_uint64 (packer, feed->from_revision);
+  msgpack_pack_uint64 (packer, feed->to_revision);
+  msgpack_pack_uint64 (packer, feed->sent_us);
+  msgpack_pack_uint64 (packer, feed->as_of_us);
+  msgpack_pack_uint64 (packer, feed->keep_us);
+  msgpack_pack_array (packer, feed->n_items);
+  for (uint32_t i = 0; i < feed->n_items; i++)
+    {
+      const MfFeedItem *item = &feed->items[i];
+
+      msgpack_pack_array (packer, FEED_ITEM_MEMBERS);
+      pack_text (packer, item->key);
+      msgpack_pack_uint64 (packer, item->revision);
+      msgpack_pack_uint32 (packer, item->removed);
+      msgpack_pack_bin_with_body (packer, mf_buffer_data (&feed->values) + item->value_at,
+                                  item->value_bytes);
+    }
+}
+
 static bool
 read_number (const msgpack_object *object, uint64_t max, uint64_t *number)
 {
@@ -202,6 +231,7 @@
   const msgpack_object *entries = &members[3];
   const msgpack_object *others = &members[4];
   const msgpack_object *votes = &members[5];
+  uint64_t data_centre = 0;
 
   report->n_entries = 0;
   report->n_members = 0;
@@ -209,8 +239,10 @@
   if (!read_text (&members[1], report->address, sizeof report->address)
       || !read_u32 (&members[2], &report->heartbeat_ms)
       || !read_array (entries, MF_LOAD_ENTRIES_MAX) || !read_array (others, MF_LOAD_MEMBERS_MAX)
-      || !read_array (votes, MF_LOAD_VOTES_MAX))
+      || !read_array (votes, MF_LOAD_VOTES_MAX)
+      || !read_number (&members[6], UINT16_MAX, &data_centre))
     return false;
+  report->data_centre = (uint16_t)data_centre;
   for (uint32_t i = 0; i < entries->via.array.size; i++)
     {
       if (!entry_read (&entries->via.array.ptr[i], &report->entries[i]))
@@ -291,6 +323,39 @@
          && read_flag (&members[2], &message->repeat.allowed);
 }
 
+static bool
+feed_read (const msgpack_object *members, MfRelayMessage *message)
+{
+  MfFeed *feed = &message->feed;
+  const msgpack_object *items = &members[6];
+
+  mf_feed_begin (feed, 0);
+  if (!read_number (&members[1], UINT64_MAX, &feed->from_revision)
+      || !read_number (&members[2], UINT64_MAX, &feed->to_revision)
+      || !read_number (&members[3], INT64_MAX, &feed->sent_us)
+      || !read_number (&members[4], INT64_MAX, &feed->as_of_us)
+      || !read_number (&members[5], UINT32_MAX, &feed->keep_us)
+      || !read_array (items, MF_FEED_ITEMS_MAX))
+    return false;
+  for (uint32_t i = 0; i < items->via.array.size; i++)
+    {
+      const msgpack_object *row = &items->via.array.ptr[i];
+      char key[MF_FEED_KEY_BYTES];
+      uint64_t revision = 0;
+      bool removed = false;
+
+      if (row->type != MSGPACK_OBJECT_ARRAY || row->via.array.size < FEED_ITEM_MEMBERS
+          || !read_text (&row->via.array.ptr[0], key, sizeof key)
+          || !read_number (&row->via.array.ptr[1], UINT64_MAX, &revision)
+          || !read_flag (&row->via.array.ptr[2], &removed)
+          || row->via.array.ptr[3].type != MSGPACK_OBJECT_BIN
+          || !mf_feed_add (feed, key, revision, removed, row->via.array.ptr[3].via.bin.ptr,
+                           row->via.array.ptr[3].via.bin.size))
+        return false;
+    }
+  return true;
+}
+
 /* How one kind of message is written and read. */
 typedef struct
 {
@@ -308,6 +373,7 @@
   [MF_RELAY_MESSAGE_SEEN] = { ID_MEMBERS, id_pack, id_read },
   [MF_RELAY_MESSAGE_REPEAT] = { REPEAT_MEMBERS, repeat_pack, repeat_read },
   [MF_RELAY_MESSAGE_ALLOW] = { ALLOW_MEMBERS, allow_pack, allow_read },
+  [MF_RELAY_MESSAGE_FEED] = { FEED_MEMBERS, feed_pack, feed_read },
 };
 
 /* Adds a message as a frame: 4 bytes of length, then msgpack. */
--- a/libmangofork/relay/relay_message.h
+++ b/libmangofork/relay/relay_message.h
@@ -2,6 +2,7 @@
 #define MF_RELAY_RELAY_MESSAGE_H
 
 #include "dispatch.h"
+#include "feed.h"
 
 /* Bytes of a frame's payload at most. */
 #define MF_RELAY_MESSAGE_BYTES_MAX 65536
@@ -17,6 +18,7 @@
   MF_RELAY_MESSAGE_SEEN = 6,   /* the next report includes this grant and those before it */
   MF_RELAY_MESSAGE_REPEAT = 7, /* may a request of this service be repeated */
   MF_RELAY_MESSAGE_ALLOW = 8,  /* the answer to that */
+  MF_RELAY_MESSAGE_FEED = 9,   /* what the sender has read of the platform's store */
 } MfRelayMessageKind;
 
 /* A repeat that is asked for, or the answer. */
@@ -35,6 +37,7 @@
   MfLoadReport report; /* REPORT */
   MfAsk ask;           /* ASK */
   MfRepeatAsk repeat;  /* REPEAT, ALLOW */
+  MfFeed feed;         /* FEED */
   MfGrant grant;       /* GRANT; of QUEUED, CANCEL and SEEN its id only */
 } MfRelayMessage;
 
--- a/tests/fakes/store.c
+++ b/tests/fakes/store.c
@@ -384,6 +384,12 @@
   store->forgotten = store->revision;
 }
 
+uint64_t
+fake_store_revision (const FakeStore *store)
+{
+  return store->revision;
+}
+
 uint32_t
 fake_store_n_calls (const FakeStore *store)
 {
--- a/tests/fakes/store.h
+++ b/tests/fakes/store.h
@@ -32,6 +32,7 @@
 void fake_store_mood (FakeStore *store, FakeStoreMood mood);
 /* Drops the history: watches from before get 410. */
 void fake_store_forget (FakeStore *store);
+uint64_t fake_store_revision (const FakeStore *store);
 uint32_t fake_store_n_calls (const FakeStore *store);
 /* Writes an upstream's entry under servers/ID. role is "", "prefill" or "decode"; state is "ready"
  * or "draining". */
--- /dev/null
+++ b/tests/test_feed.c
@@ -0,0 +1,284 @@
+#include "libmangofork/relay/feed.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define NOW_US (100 * MF_US_PER_S)
+#define BOUND_US (4 * MF_US_PER_S)
+#define ALONE_US (3750 * MF_US_PER_MS)
+
+/* A data centre of a large fleet, its readers first. */
+#define N_INSTANCES 59
+#define STEP_US (10 * MF_US_PER_MS)
+#define WAY_US (2 * MF_US_PER_MS)
+#define PLAYED_US (60 * MF_US_PER_S)
+/* The store changes this often on a day of releases. */
+#define CHANGE_US (700 * MF_US_PER_MS)
+
+static void
+test_items_come_back_as_they_were_added (void **state)
+{
+  MfFeed feed = { 0 };
+
+  (void)state;
+  mf_feed_begin (&feed, 7);
+  assert_true (mf_feed_add (&feed, "a", 8, false, "one", 3));
+  assert_true (mf_feed_add (&feed, "b", 9, true, "", 0));
+  assert_true (mf_feed_add (&feed, "c", 10, false, "three", 5));
+  assert_int_equal (feed.n_items, 3);
+  assert_int_equal (feed.from_revision, 7);
+  assert_string_equal (feed.items[2].key, "c");
+  assert_memory_equal (mf_buffer_data (&feed.values) + feed.items[2].value_at, "three", 5);
+  assert_int_equal (feed.items[1].value_bytes, 0);
+  mf_feed_begin (&feed, 10);
+  assert_int_equal (feed.n_items, 0);
+  mf_feed_clear (&feed);
+}
+
+static void
+test_feeds_are_bounded (void **state)
+{
+  static char large[1024 * 1024];
+  char key[MF_FEED_KEY_BYTES + 1];
+  MfFeed feed = { 0 };
+
+  (void)state;
+  memset (key, 'k', sizeof key);
+  key[MF_FEED_KEY_BYTES] = '\0';
+  mf_feed_begin (&feed, 1);
+  assert_false (mf_feed_add (&feed, "config", 2, false, large, sizeof large));
+  assert_false (mf_feed_add (&feed, key, 2, false, "", 0));
+  for (uint32_t i = 0; i < MF_FEED_ITEMS_MAX; i++)
+    assert_true (mf_feed_add (&feed, "k", i + 2, false, "v", 1));
+  assert_false (mf_feed_add (&feed, "k", 1000, false, "v", 1));
+  mf_feed_clear (&feed);
+}
+
+static void
+test_few_read_for_many (void **state)
+{
+  (void)state;
+  assert_int_equal (mf_feed_role (&(MfFeedStanding){ .n_instances = 1 }), MF_FEED_ALONE);
+  assert_int_equal (mf_feed_role (&(MfFeedStanding){ .n_instances = 7, .rank = 0 }), MF_FEED_ALONE);
+  assert_int_equal (mf_feed_role (&(MfFeedStanding){ .n_instances = 8, .rank = 1 }),
+                    MF_FEED_READER);
+  assert_int_equal (mf_feed_role (&(MfFeedStanding){ .n_instances = 8, .rank = 2 }),
+                    MF_FEED_FOLLOWER);
+}
+
+/* A feed that was held up on its way is as old as it was held up, whatever the clocks show. */
+static void
+test_time_on_the_way_counts (void **state)
+{
+  MfFollow follow = { .bound_us = BOUND_US };
+  MfFeed feed = { .sent_us = 5000000, .as_of_us = 4900000 };
+
+  (void)state;
+  assert_int_equal (mf_follow_as_of_us (&follow, 1, &feed, NOW_US), NOW_US - 100000);
+  feed = (MfFeed){ .sent_us = 6000000, .as_of_us = 6000000 };
+  assert_int_equal (mf_follow_as_of_us (&follow, 1, &feed, NOW_US + 1800000), NOW_US + 1000000);
+  /* Another sender has a clock of its own. */
+  feed.sent_us = 77;
+  feed.as_of_us = 70;
+  assert_int_equal (mf_follow_as_of_us (&follow, 2, &feed, NOW_US), NOW_US - 7);
+  /* A sender whose clock begins anew is believed from its second feed on. */
+  feed = (MfFeed){ .sent_us = 1000, .as_of_us = 1000 };
+  assert_int_equal (mf_follow_as_of_us (&follow, 1, &feed, NOW_US + 3000000), 0);
+  feed = (MfFeed){ .sent_us = 2000, .as_of_us = 2000 };
+  assert_int_equal (mf_follow_as_of_us (&follow, 1, &feed, NOW_US + 3001000), NOW_US + 3001000);
+  /* What lies in the sender's future is nonsense. */
+  feed = (MfFeed){ .sent_us = 2000, .as_of_us = 3000 };
+  assert_int_equal (mf_follow_as_of_us (&follow, 1, &feed, NOW_US + 3001000), 0);
+}
+
+/* Answers that a process finds after it stood still are as old as its call may be. */
+static void
+test_answers_found_late_are_old (void **state)
+{
+  (void)state;
+  assert_int_equal (mf_feed_way_us (3000, 800000), 3000);
+  assert_in_range (mf_feed_way_us (800000, 800000), 1, 400000);
+  assert_int_equal (mf_feed_way_us (5000000, 800000), 5000000);
+}
+
+static void
+test_followers_rest_while_they_are_told (void **state)
+{
+  MfFollow follow = { .bound_us = BOUND_US };
+  uint64_t rest_us;
+
+  (void)state;
+  assert_int_equal (mf_follow_rest_us (&follow, MF_FEED_FOLLOWER, NOW_US, 0), 0);
+  mf_follow_note (&follow, NOW_US);
+  mf_follow_note (&follow, NOW_US - 500);
+  assert_int_equal (follow.as_of_us, NOW_US);
+  rest_us = mf_follow_rest_us (&follow, MF_FEED_FOLLOWER, NOW_US, 0);
+  assert_in_range (rest_us, BOUND_US / 4, BOUND_US * 6 / 10);
+  assert_true (mf_follow_rest_us (&follow, MF_FEED_FOLLOWER, NOW_US, UINT32_MAX) < rest_us);
+  assert_int_equal (mf_follow_rest_us (&follow, MF_FEED_FOLLOWER, NOW_US + rest_us, 0), 0);
+  assert_int_equal (mf_follow_rest_us (&follow, MF_FEED_READER, NOW_US, 0), 0);
+  assert_int_equal (mf_follow_rest_us (&follow, MF_FEED_ALONE, NOW_US, 0), 0);
+}
+
+static void
+test_readers_ask_more_often (void **state)
+{
+  MfFollow follow = { .bound_us = BOUND_US };
+
+  (void)state;
+  assert_int_equal (mf_follow_wait_us (&follow, MF_FEED_ALONE, ALONE_US), ALONE_US);
+  assert_int_equal (mf_follow_wait_us (&follow, MF_FEED_FOLLOWER, ALONE_US), ALONE_US);
+  assert_in_range (mf_follow_wait_us (&follow, MF_FEED_READER, ALONE_US), 1, BOUND_US / 4);
+}
+
+/* One instance of the played data centre. */
+typedef struct
+{
+  MfFollow follow;
+  MfFeedRole role;
+  bool down;            /* reads nothing, tells nothing */
+  uint64_t call_due_us; /* a call under way is answered then; 0: none is */
+  uint64_t called_us;
+  uint64_t wake_us;  /* resting until then */
+  uint64_t known_us; /* all changes made before then are known, in truth */
+} Instance;
+
+typedef struct
+{
+  Instance instances[N_INSTANCES];
+  uint32_t n_calls;
+  uint64_t oldest_us; /* the worst age of what a sound instance knew */
+} Centre;
+
+static void
+instance_answered (Centre *centre, Instance *reader, uint64_t now_us)
+{
+  MfFeed feed = { .sent_us = now_us,
+                  .as_of_us = now_us
+                              - mf_feed_way_us (
+                                  now_us - reader->called_us,
+                                  mf_follow_wait_us (&reader->follow, reader->role, ALONE_US)) };
+
+  reader->call_due_us = 0;
+  reader->known_us = now_us - WAY_US;
+  mf_follow_note (&reader->follow, feed.as_of_us);
+  for (uint32_t i = 0; reader->role == MF_FEED_READER && i < N_INSTANCES; i++)
+    {
+      Instance *other = &centre->instances[i];
+
+      if (other->role != MF_FEED_FOLLOWER || other->down)
+        continue;
+      other->known_us = reader->known_us > other->known_us ? reader->known_us : other->known_us;
+      mf_follow_note (&other->follow,
+                      mf_follow_as_of_us (&other->follow, (uint64_t)(reader - centre->instances),
+                                          &feed, now_us + WAY_US));
+    }
+}
+
+static void
+instance_step (Centre *centre, Instance *instance, uint64_t now_us)
+{
+  uint64_t wait_us = mf_follow_wait_us (&instance->follow, instance->role, ALONE_US);
+  uint64_t change_us = (now_us / CHANGE_US + 1) * CHANGE_US;
+  uint64_t rest_us;
+
+  if (instance->down)
+    return;
+  if (instance->call_due_us > 0)
+    {
+      if (now_us >= instance->call_due_us)
+        instance_answered (centre, instance, now_us);
+      return;
+    }
+  if (now_us < instance->wake_us)
+    return;
+  rest_us = mf_follow_rest_us (&instance->follow, instance->role, now_us,
+                               (uint32_t)(instance - centre->instances) * 72000000U);
+  if (rest_us > 0)
+    {
+      instance->wake_us = now_us + rest_us;
+      return;
+    }
+  centre->n_calls++;
+  instance->called_us = now_us;
+  /* What changed since the last answer is told at once. */
+  if (now_us / CHANGE_US > instance->known_us / CHANGE_US)
+    change_us = now_us;
+  instance->call_due_us
+      = (change_us < now_us + wait_us ? change_us : now_us + wait_us) + 2 * WAY_US;
+}
+
+/* Plays the data centre; its first n_down readers fall silent after a third of the time. */
+static void
+centre_play (Centre *centre, bool with_readers, uint32_t n_down)
+{
+  memset (centre, 0, sizeof *centre);
+  for (uint32_t i = 0; i < N_INSTANCES; i++)
+    {
+      MfFeedStanding standing = { .n_instances = with_readers ? N_INSTANCES : 1, .rank = i };
+
+      centre->instances[i].follow.bound_us = BOUND_US;
+      centre->instances[i].role = mf_feed_role (&standing);
+      centre->instances[i].known_us = NOW_US;
+    }
+  for (uint64_t now_us = NOW_US; now_us < NOW_US + PLAYED_US; now_us += STEP_US)
+    {
+      for (uint32_t i = 0; i < N_INSTANCES; i++)
+        {
+          Instance *instance = &centre->instances[i];
+          uint64_t age_us = now_us - instance->known_us;
+          uint64_t missed_us = now_us / CHANGE_US * CHANGE_US;
+
+          instance->down = i < n_down && now_us > NOW_US + PLAYED_US / 3;
+          instance_step (centre, instance, now_us);
+          /* Only a change that was missed makes knowledge old. */
+          if (instance->down || instance->known_us >= missed_us)
+            continue;
+          if (age_us > centre->oldest_us)
+            centre->oldest_us = age_us;
+        }
+    }
+}
+
+/* Where each instance reads, calls grow as instances times changes; with readers they do not, and
+ * nobody acts on a change later than its bound, also when one reader falls silent, or both. */
+static void
+test_readers_spare_the_store (void **state)
+{
+  static Centre centre;
+  uint32_t n_alone;
+
+  (void)state;
+  centre_play (&centre, false, 0);
+  n_alone = centre.n_calls;
+  centre_play (&centre, true, 0);
+  assert_true (centre.n_calls * 10 < n_alone);
+  assert_true (centre.oldest_us < BOUND_US);
+  centre_play (&centre, true, 1);
+  assert_true (centre.n_calls * 10 < n_alone);
+  assert_true (centre.oldest_us < BOUND_US);
+  centre_play (&centre, true, 2);
+  assert_true (centre.oldest_us < BOUND_US);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_items_come_back_as_they_were_added),
+    cmocka_unit_test (test_feeds_are_bounded),
+    cmocka_unit_test (test_few_read_for_many),
+    cmocka_unit_test (test_time_on_the_way_counts),
+    cmocka_unit_test (test_answers_found_late_are_old),
+    cmocka_unit_test (test_followers_rest_while_they_are_told),
+    cmocka_unit_test (test_readers_ask_more_often),
+    cmocka_unit_test (test_readers_spare_the_store),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -1,5 +1,6 @@
 #include "libmangofork/relay/relay.h"
 
+#include "libmangofork/clock.h"
 #include "platform/platform.h"
 
 #include "fakes/store.h"
@@ -20,6 +21,12 @@
 #define PORT 21761
 #define READY_PORT 21762
 #define METRICS_PORT 21763
+/* The first tried for instances. */
+#define PEER_PORT 21821
+#define N_PEERS 8
+#define CHANGE_MS 1000
+/* As the relay ranks the instances of a data centre. */
+#define RANK_FACTOR UINT64_C (0x9e3779b97f4a7c15)
 #define SETTINGS "relay-test.conf"
 
 /* A relay with its store and two upstreams of one plain service, on one loop. */
@@ -72,8 +79,9 @@
                            state);
 }
 
+/* peers is the address for other instances; empty: there are none. */
 static void
-stage_begin (Stage *stage)
+stage_begin_with (Stage *stage, const char *peers)
 {
   MfError error = { 0 };
   FILE *file = fopen (SETTINGS, "w");
@@ -84,8 +92,10 @@
   assert_non_null (file);
   fprintf (file,
            "node=n1\nzone=z\nlisten.front=127.0.0.1:%d\nlisten.readiness=127.0.0.1:%d\n"
-           "internalPorts=%d,%d\nprovider.address=%s\nbounds.contactMs=400\nbounds.graceS=3\n",
-           PORT, READY_PORT, METRICS_PORT, METRICS_PORT + 1, fake_store_address (stage->store));
+           "internalPorts=%d,%d\nprovider.address=%s\nbounds.contactMs=400\nbounds.graceS=3\n"
+           "bounds.drainMs=%d\nlisten.control=%s\n",
+           PORT, READY_PORT, METRICS_PORT, METRICS_PORT + 1, fake_store_address (stage->store),
+           CHANGE_MS, peers);
   fclose (file);
   for (unsigned i = 0; i < 2; i++)
     stage->upstreams[i] = fake_wire_new (stage->loop, on_upstream, stage);
@@ -94,6 +104,12 @@
   assert_non_null (stage->relay);
 }
 
+static void
+stage_begin (Stage *stage)
+{
+  stage_begin_with (stage, "");
+}
+
 static void
 stage_end (Stage *stage)
 {
@@ -300,6 +316,206 @@
   stage_end (&stage);
 }
 
+/* Eight instances more in the data centre of the relay. */
+typedef struct
+{
+  Stage stage;
+  MfPeers *peers[N_PEERS];
+  MfFeedRole role; /* the relay's */
+} Centre;
+
+static void
+on_peer_fill (void *data, MfLoadReport *report)
+{
+  (void)data;
+  (void)report;
+}
+
+static void
+on_peer_changed (void *data)
+{
+  (void)data;
+}
+
+static void
+on_peer_message (void *data, uint64_t peer, const MfRelayMessage *message)
+{
+  Centre *centre = data;
+
+  (void)peer;
+  if (message->kind == MF_RELAY_MESSAGE_FEED)
+    centre->role = MF_FEED_READER;
+}
+
+static void
+on_peer_gone (void *data, uint64_t peer)
+{
+  (void)data;
+  (void)peer;
+}
+
+static const MfPeersUser peers_user = {
+  .fill = on_peer_fill,
+  .changed = on_peer_changed,
+  .message = on_peer_message,
+  .gone = on_peer_gone,
+};
+
+static bool
+all_are_in_touch (void *data)
+{
+  const Centre *centre = data;
+
+  for (uint32_t i = 0; i < N_PEERS; i++)
+    {
+      if (mf_peers_standing (centre->peers[i], mf_clock_now_us ()).n_instances != N_PEERS + 1)
+        return false;
+    }
+  return true;
+}
+
+/* The relay's address decides by its rank whether it reads for others or is told. */
+static void
+centre_begin (Centre *centre, MfFeedRole role)
+{
+  MfError error = { 0 };
+  char seed[MF_ADDRESS_BYTES];
+
+  memset (centre, 0, sizeof *centre);
+  for (int port = PEER_PORT; centre->role != role; port += N_PEERS + 1)
+    {
+      uint32_t n_first = 0;
+      uint64_t own;
+
+      snprintf (seed, sizeof seed, "127.0.0.1:%d", port);
+      own = mf_load_hash (seed) * RANK_FACTOR;
+      for (int i = 1; i <= N_PEERS; i++)
+        {
+          char other[MF_ADDRESS_BYTES];
+
+          snprintf (other, sizeof other, "127.0.0.1:%d", port + i);
+          n_first += mf_load_hash (other) * RANK_FACTOR > own;
+        }
+      centre->role
+          = mf_feed_role (&(MfFeedStanding){ .n_instances = N_PEERS + 1, .rank = n_first });
+    }
+  stage_begin_with (&centre->stage, seed);
+  for (int i = 0; i < N_PEERS; i++)
+    {
+      char address[MF_ADDRESS_BYTES];
+
+      snprintf (address, sizeof address, "127.0.0.1:%d", atoi (strchr (seed, ':') + 1) + i + 1);
+      centre->peers[i] = mf_peers_new (centre->stage.loop, address, &peers_user, centre,
+                                       mf_relay_lines (centre->stage.relay), &error);
+      assert_non_null (centre->peers[i]);
+      mf_peers_stand (centre->peers[i], "z");
+      mf_peers_seed (centre->peers[i], seed);
+    }
+  centre->role = MF_FEED_ALONE;
+  config_put (&centre->stage, 1, "/a/");
+  upstream_put (&centre->stage, 0, "ready");
+  wait_for (&centre->stage, PORT, "/a/1", 200);
+  assert_true (loop_pump (centre->stage.loop, all_are_in_touch, centre));
+}
+
+static void
+centre_end (Centre *centre)
+{
+  for (uint32_t i = 0; i < N_PEERS; i++)
+    mf_peers_free (centre->peers[i]);
+  stage_end (&centre->stage);
+}
+
+/* Tells the relay, as a reader, that all up to a revision is as in the feed. */
+static void
+feed_send (Centre *centre, MfFeed *feed, uint64_t to_revision)
+{
+  static MfRelayMessage message;
+
+  message.kind = MF_RELAY_MESSAGE_FEED;
+  message.feed = *feed;
+  message.feed.to_revision = to_revision;
+  message.feed.sent_us = mf_clock_awake_us ();
+  message.feed.as_of_us = message.feed.sent_us;
+  mf_peers_send_near (centre->peers[0], &message);
+}
+
+/* While it is told, the relay leaves the store alone and acts on what it is told; when it is told
+ * no more, or has missed something, it reads for itself within the bound. */
+static void
+test_who_is_told_leaves_the_store_alone (void **state)
+{
+  Centre centre;
+  Stage *stage = &centre.stage;
+  MfFeed feed = { 0 };
+  MfFeed missed = { 0 };
+  char value[256];
+  uint64_t revision;
+  uint64_t until_us;
+  uint32_t n_calls;
+
+  (void)state;
+  centre_begin (&centre, MF_FEED_FOLLOWER);
+  revision = fake_store_revision (stage->store);
+  mf_feed_begin (&feed, revision);
+  /* Its last call ends within 300 ms. */
+  for (uint32_t i = 0; i < 10; i++)
+    {
+      feed_send (&centre, &feed, revision);
+      loop_spin (stage->loop, 50);
+    }
+  n_calls = fake_store_n_calls (stage->store);
+  until_us = mf_clock_now_us () + 1200 * MF_US_PER_MS;
+  while (mf_clock_now_us () < until_us)
+    {
+      feed_send (&centre, &feed, revision);
+      loop_spin (stage->loop, 50);
+    }
+  assert_int_equal (fake_store_n_calls (stage->store), n_calls);
+  assert_int_equal (status_of (stage, PORT, "/a/1"), 200);
+  snprintf (value, sizeof value,
+            "{\"service\":\"s\",\"address\":\"%s\",\"zone\":\"z\",\"version\":1,\"slots\":4,"
+            "\"state\":\"draining\",\"coldRemainingMs\":0,\"sequence\":2}",
+            fake_wire_address (stage->upstreams[0]));
+  assert_true (mf_feed_add (&feed, "servers/u0", revision + 1, false, value, strlen (value)));
+  feed_send (&centre, &feed, revision + 1);
+  wait_for (stage, PORT, "/a/1", 503);
+  assert_int_equal (fake_store_n_calls (stage->store), n_calls);
+  /* The reader falls silent. */
+  until_us = mf_clock_now_us () + CHANGE_MS * MF_US_PER_MS;
+  while (mf_clock_now_us () < until_us && fake_store_n_calls (stage->store) == n_calls)
+    loop_spin (stage->loop, 5);
+  assert_true (fake_store_n_calls (stage->store) > n_calls);
+  /* A feed that goes on from what the relay has not heard of. */
+  mf_feed_begin (&missed, revision + 7);
+  for (uint32_t i = 0; i < 10; i++)
+    {
+      feed_send (&centre, &missed, revision + 8);
+      loop_spin (stage->loop, 50);
+    }
+  /* The store's own revision of what was told before it, and what the relay reads. */
+  upstream_put (stage, 0, "draining");
+  upstream_put (stage, 1, "ready");
+  wait_for (stage, PORT, "/a/1", 200);
+  mf_feed_clear (&feed);
+  mf_feed_clear (&missed);
+  centre_end (&centre);
+}
+
+/* The first of a data centre read, and tell the others what they have read. */
+static void
+test_who_reads_tells_the_others (void **state)
+{
+  Centre centre;
+
+  (void)state;
+  centre_begin (&centre, MF_FEED_READER);
+  upstream_put (&centre.stage, 1, "ready");
+  loop_spin (centre.stage.loop, 400);
+  assert_int_equal (centre.role, MF_FEED_READER);
+  centre_end (&centre);
+}
+
 static bool
 cannot_connect (void *data)
 {
@@ -403,6 +619,8 @@
     cmocka_unit_test (test_lists_have_pages),
     cmocka_unit_test (test_the_store_is_away_in_every_way),
     cmocka_unit_test (test_lapsed_entries_are_kept_for_a_while),
+    cmocka_unit_test (test_who_is_told_leaves_the_store_alone),
+    cmocka_unit_test (test_who_reads_tells_the_others),
     cmocka_unit_test (test_shutdown),
     cmocka_unit_test (test_settings_are_read_again),
   };
--- a/tests/test_relay_message.c
+++ b/tests/test_relay_message.c
@@ -21,6 +21,7 @@
   bytes = (const uint8_t *)mf_buffer_data (&frame);
   assert_int_equal (mf_buffer_bytes (&frame) - 4, (size_t)bytes[2] << 8 | bytes[3]);
   memset (&got, 0xaa, sizeof got);
+  got.feed.values = (MfBuffer){ 0 };
   assert_true (
       mf_relay_message_decode ((const char *)bytes + 4, mf_buffer_bytes (&frame) - 4, &got));
   assert_int_equal (got.kind, sent.kind);
@@ -118,6 +119,7 @@
   char bytes[64];
 
   (void)state;
+  got = (MfRelayMessage){ 0 };
   for (uint32_t round = 0; round < 20000; round++)
     {
       for (size_t i = 0; i < sizeof bytes; i++)
@@ -129,10 +131,11 @@
         }
       /* Most begin like a message, so that the members are reached. */
       bytes[0] = (char)(0x90 | (random & 15));
-      bytes[1] = (char)(random >> 8 & 7);
+      bytes[1] = (char)(random >> 8 & 15);
       if (mf_relay_message_decode (bytes, sizeof bytes, &got))
-        assert_in_range (got.kind, MF_RELAY_MESSAGE_REPORT, MF_RELAY_MESSAGE_SEEN);
+        assert_in_range (got.kind, MF_RELAY_MESSAGE_REPORT, MF_RELAY_MESSAGE_FEED);
     }
+  mf_feed_clear (&got.feed);
 }
 
 static void
@@ -152,13 +155,40 @@
   assert_true (got.repeat.allowed);
 }
 
+static void
+test_feed (void **state)
+{
+  (void)state;
+  sent = (MfRelayMessage){ .kind = MF_RELAY_MESSAGE_FEED };
+  mf_feed_begin (&sent.feed, 17);
+  sent.feed.to_revision = 19;
+  sent.feed.sent_us = 5000;
+  sent.feed.as_of_us = 4000;
+  sent.feed.keep_us = 2300000;
+  assert_true (mf_feed_add (&sent.feed, "a/b", 18, false, "v\0w", 3));
+  assert_true (mf_feed_add (&sent.feed, "a/c", 19, true, "", 0));
+  pass ();
+  assert_int_equal (got.feed.from_revision, 17);
+  assert_int_equal (got.feed.to_revision, 19);
+  assert_int_equal (got.feed.sent_us, 5000);
+  assert_int_equal (got.feed.as_of_us, 4000);
+  assert_int_equal (got.feed.keep_us, 2300000);
+  assert_int_equal (got.feed.n_items, 2);
+  assert_string_equal (got.feed.items[0].key, "a/b");
+  assert_int_equal (got.feed.items[0].revision, 18);
+  assert_memory_equal (mf_buffer_data (&got.feed.values) + got.feed.items[0].value_at, "v\0w", 3);
+  assert_true (got.feed.items[1].removed);
+  mf_feed_clear (&got.feed);
+  mf_feed_clear (&sent.feed);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_report),    cmocka_unit_test (test_repeats),
     cmocka_unit_test (test_ask),       cmocka_unit_test (test_grant_and_ids),
-    cmocka_unit_test (test_any_bytes),
+    cmocka_unit_test (test_any_bytes), cmocka_unit_test (test_feed),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
