Who is told of the store's return looks for it seldom

Change: an instance that readers tell of changes pauses for a quarter to half of the bound on changes after a failed call; readers pause for 50 to 400 ms as before. Test: test_feed (test_followers_look_for_the_store_seldom).

--- a/libmangofork/relay/feed.c
+++ b/libmangofork/relay/feed.c
@@ -20,6 +20,12 @@
 /* A reader's call waits for changes for this part of the bound: two may be lost before anybody is
  * late. */
 #define READ_WAIT_PERCENT 20
+/* Pauses between failed calls, doubled from the first to the last. */
+#define RETRY_FIRST_US (50 * MF_US_PER_MS)
+#define RETRY_MAX_US (400 * MF_US_PER_MS)
+/* The same of an instance that readers tell of the store's return, as a part of the bound. The
+ * rules on changes hold again some seconds after that. */
+#define RETRY_FOLLOWER_PERCENT 50
 /* An answer of the store is on its way for this time at most; sixty times what it usually takes. */
 #define ANSWER_WAY_US (250 * MF_US_PER_MS)
 /* Bytes of the values of one feed; a frame holds them and their keys. */
@@ -152,6 +158,23 @@
   return stale_us - spread_us - age_us;
 }
 
+/* The pause after a failed call to the store, when the pause before was last_us, 0 for none.
+ * Readers look for its return often, and tell the others of it. */
+uint64_t
+mf_follow_retry_us (const MfFollow *follow, MfFeedRole role, uint64_t last_us, uint32_t point)
+{
+  uint64_t most_us = RETRY_MAX_US;
+  uint64_t next_us = last_us == 0 ? RETRY_FIRST_US : last_us * 2;
+
+  if (role == MF_FEED_FOLLOWER)
+    {
+      most_us = follow->bound_us * RETRY_FOLLOWER_PERCENT / 100;
+      /* All have failed at once, and none is waited for. */
+      next_us = most_us / 2 + ((most_us / 2) * (uint64_t)point >> 32);
+    }
+  return next_us < most_us ? next_us : most_us;
+}
+
 /* How long a call to the store waits for changes; alone_us where nobody else depends on it. */
 uint64_t
 mf_follow_wait_us (const MfFollow *follow, MfFeedRole role, uint64_t alone_us)
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -294,6 +294,15 @@
   return mf_follow_wait_us (&relay->follow, role, alone_us);
 }
 
+/* The pause after a failed call to the source, when the one before was last_us; is_known tells that
+ * a whole picture has been read once. */
+uint64_t
+mf_relay_retry_us (MfRelay *relay, bool is_known, uint64_t last_us)
+{
+  return mf_follow_retry_us (&relay->follow, is_known ? mf_relay_role (relay) : MF_FEED_ALONE,
+                             last_us, mf_jobs_random (&relay->jobs));
+}
+
 /* A time between none and this, by chance. */
 uint64_t
 mf_relay_spread_us (MfRelay *relay, uint64_t most_us)
--- a/libmangofork/relay/relay.h
+++ b/libmangofork/relay/relay.h
@@ -67,6 +67,7 @@
 MfFeedRole mf_relay_role (MfRelay *relay);
 uint64_t mf_relay_rest_us (MfRelay *relay, MfFeedRole role);
 uint64_t mf_relay_wait_us (const MfRelay *relay, MfFeedRole role, uint64_t alone_us);
+uint64_t mf_relay_retry_us (MfRelay *relay, bool is_known, uint64_t last_us);
 uint64_t mf_relay_spread_us (MfRelay *relay, uint64_t most_us);
 void mf_relay_source_read (MfRelay *relay, MfFeed *feed, uint64_t took_us, uint64_t wait_us);
 void mf_relay_source_down (MfRelay *relay, const char *why);
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -136,6 +136,29 @@
   assert_in_range (mf_follow_wait_us (&follow, MF_FEED_READER, ALONE_US), 1, BOUND_US / 4);
 }
 
+/* Who is told of the store's return need not look for it often; who tells must. */
+static void
+test_followers_look_for_the_store_seldom (void **state)
+{
+  MfFollow follow = { .bound_us = BOUND_US };
+  uint64_t pause_us = 0;
+
+  (void)state;
+  for (uint32_t i = 0; i < 10; i++)
+    {
+      uint64_t next_us = mf_follow_retry_us (&follow, MF_FEED_READER, pause_us, 0);
+
+      assert_in_range (next_us, pause_us, 400 * MF_US_PER_MS);
+      pause_us = next_us;
+    }
+  assert_int_equal (mf_follow_retry_us (&follow, MF_FEED_ALONE, 0, 0), 50 * MF_US_PER_MS);
+  for (uint32_t point = 0; point < 4; point++)
+    assert_in_range (mf_follow_retry_us (&follow, MF_FEED_FOLLOWER, 0, point * (UINT32_MAX / 4)),
+                     BOUND_US / 8, BOUND_US / 2);
+  assert_true (mf_follow_retry_us (&follow, MF_FEED_FOLLOWER, 0, UINT32_MAX)
+               > mf_follow_retry_us (&follow, MF_FEED_FOLLOWER, 0, 0));
+}
+
 /* One instance of the played data centre. */
 typedef struct
 {
@@ -277,6 +300,7 @@
     cmocka_unit_test (test_answers_found_late_are_old),
     cmocka_unit_test (test_followers_rest_while_they_are_told),
     cmocka_unit_test (test_readers_ask_more_often),
+    cmocka_unit_test (test_followers_look_for_the_store_seldom),
     cmocka_unit_test (test_readers_spare_the_store),
   };
 
