--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -132,11 +132,16 @@
 void mf_job_advance (MfJob *job);
 void mf_job_try_expired (MfJob *job);
 
-/* job_send.c: one exchange with an upstream. */
+/* job_send.c: begins an exchange with an upstream, and ends it without its answer. */
 bool mf_job_send (MfJob *job, MfTarget *target, bool prefill);
 void mf_job_cancel (MfJob *job);
 void mf_job_release_memory (MfJob *job);
 void mf_job_reserve (MfJob *job, MfTarget *target);
 void mf_job_avoid (MfJob *job, uint64_t id_hash);
+void mf_job_leave_target (MfJob *job);
+
+/* job_answer.c: what comes back from an upstream, to a prefill and to a run. */
+extern const MfLinkUser mf_job_prefill_user;
+extern const MfLinkUser mf_job_run_user;
 
 #endif
