Answers that name a request are passed over by calls that have none

Cause, found by looking for late second copies on every kind of call: a call that frees engine memory and an order to an engine carry no id, and took the first answer that came on their connection. A second copy of an earlier answer was read as the engine's word on the order, which was then taken for followed, and the engine for changing. Change: an answer that names a request is foreign to a call without an id, as it is to one with another. Test: test_link, test_answer_with_an_id_to_a_call_without_one_is_passed_over, red before. test_job, test_job_answer, test_job_stage, test_relay pass.

--- a/libmangofork/relay/link.c
+++ b/libmangofork/relay/link.c
@@ -185,8 +185,9 @@
 
   if (pool->heard != NULL)
     pool->heard (pool->owner, &message->head, message->parser.status_code);
-  link->foreign = link->echo_id[0] != '\0'
-                  && mf_head_copy (&message->head, MF_WORD_REQUEST_ID, id, sizeof id)
+  /* An upstream echoes the id that it was sent: what names any other, or names one where none was
+   * sent, answers another request. */
+  link->foreign = mf_head_copy (&message->head, MF_WORD_REQUEST_ID, id, sizeof id) && id[0] != '\0'
                   && strcmp (id, link->echo_id) != 0;
   if (link->foreign)
     {
--- a/libmangofork/relay/link.h
+++ b/libmangofork/relay/link.h
@@ -53,7 +53,7 @@
   size_t head_bytes;
   const char *body;
   size_t body_bytes;
-  const char *echo_id;  /* answers that name another request are passed over; NULL: none does */
+  const char *echo_id;  /* answers that name another request are passed over; NULL: it has no id */
   uint64_t idle_max_us; /* a connection that was idle for longer is not used; 0: any */
   bool head_only;       /* a HEAD request */
   uint64_t timeout_us;  /* the whole exchange, once connected; 0: its user sees to it */
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -276,6 +276,23 @@
   exchange_end (&exchange);
 }
 
+/* A call without an id, such as one that frees memory, gets no answer that names another request;
+ * an upstream has no id to echo for it. */
+static void
+test_answer_with_an_id_to_a_call_without_one_is_passed_over (void **state)
+{
+  Exchange exchange;
+
+  (void)state;
+  exchange_begin (&exchange,
+                  ANSWER ("late", "no") "HTTP/1.1 202 Accepted\r\nContent-Length: 2\r\n\r\nok");
+  run (&exchange, NULL);
+  assert_int_equal (exchange.end, MF_LINK_WHOLE);
+  assert_int_equal (exchange.status, 202);
+  assert_string_equal (exchange.body, "ok");
+  exchange_end (&exchange);
+}
+
 int
 main (void)
 {
@@ -288,6 +305,7 @@
     cmocka_unit_test (test_answer_without_length),
     cmocka_unit_test (test_nobody_listens),
     cmocka_unit_test (test_cancel_closes_the_connection),
+    cmocka_unit_test (test_answer_with_an_id_to_a_call_without_one_is_passed_over),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
