Engines that check no fences are ordered as well, by fences that only rise

Change: the highest fence that anybody has used is told in the reports; who begins to lead outgrows it, and who hears of a higher one than its own begins anew. Where fences are not checked the first order also waits for one that may still be on its way, 2.5 s more: an order of the instance before arrives at the latest 3.7 s after the votes have moved, the first of the next one 8 s after it; the turn is 3 s.

--- a/libmangofork/relay/job_lead.c
+++ b/libmangofork/relay/job_lead.c
@@ -7,9 +7,6 @@
 /* Calls of mf_jobs_lead that are further apart show that the machine stood still: what was believed
  * of the others before is then too old to lead by. */
 #define LATE_US (300 * MF_US_PER_MS)
-/* Bits of a fence that tell instances apart; the others are the milliseconds at which it began to
- * lead. */
-#define FENCE_OWN_BITS 10
 
 /* What this instance leads about a service; NULL when it has not looked at it. */
 MfLead *
@@ -36,14 +33,19 @@
   return lead;
 }
 
-/* Begins to lead: what was seen before is another instance's. */
+/* Begins to lead: what was seen before is another instance's. The fence outgrows all that are
+ * known, whatever this machine's time of day is. */
 static void
 lead_begin (const MfJobs *jobs, MfLead *lead, uint64_t now_us)
 {
-  uint64_t own = mf_load_hash (jobs->instance) & ((1U << FENCE_OWN_BITS) - 1);
+  uint64_t own = mf_load_hash (jobs->instance) & ((1U << MF_FENCE_OWN_BITS) - 1);
+  uint64_t begun_ms = mf_clock_wall_ms ();
+  uint64_t known_ms = mf_peers_fence (jobs->peers, lead->service) >> MF_FENCE_OWN_BITS;
 
+  if (known_ms >= begun_ms)
+    begun_ms = known_ms + 1;
   lead->led_since_us = now_us;
-  lead->fence = mf_clock_wall_ms () << FENCE_OWN_BITS | own;
+  lead->fence = begun_ms << MF_FENCE_OWN_BITS | own;
   mf_budget_init (&lead->pool, jobs->budget_window_us, 0.);
   mf_stage_reset (&lead->trend);
 }
@@ -70,7 +72,8 @@
           lead->led_since_us = 0;
           continue;
         }
-      if (lead->led_since_us == 0)
+      /* Who hears of orders that are younger than its lead begins anew. */
+      if (lead->led_since_us == 0 || mf_peers_fence (jobs->peers, service->name) > lead->fence)
         lead_begin (jobs, lead, now_us);
       mf_jobs_refresh (jobs, now_us);
       mf_jobs_balance_stages (jobs, lead, service, now_us);
--- a/libmangofork/relay/job_stage.c
+++ b/libmangofork/relay/job_stage.c
@@ -15,6 +15,8 @@
  * longer. */
 #define PREFILL_ENDS_US (1 * MF_US_PER_S)
 #define DECODE_ENDS_US (6 * MF_US_PER_S)
+/* A connection to an engine is made within this time, on a slow machine too. */
+#define CONNECT_US (500 * MF_US_PER_MS)
 /* An order is answered at once; one that is not may have been taken. */
 #define ORDER_US (2 * MF_US_PER_S)
 /* One of so many engines changes at a time: what the change brings shows before the next. */
@@ -227,6 +229,7 @@
     = service->stage_change_us + (role == MF_ROLE_DECODE ? PREFILL_ENDS_US : DECODE_ENDS_US),
   };
   jobs->orders = order;
+  mf_peers_note_fence (jobs->peers, service->name, lead->fence);
   lead->ordered_us = now_us;
   target->stage_ordered = role;
   target->stage_until_us = now_us + order->away_us;
@@ -259,6 +262,17 @@
     }
 }
 
+/* How long an instance leads before its first order: whoever led before has ceased to order by
+ * then, for the platform's turn. Engines that do not check fences take an order of its that is
+ * still on its way, so that this is waited for as well. */
+static uint64_t
+first_order_us (const MfJobs *jobs)
+{
+  uint64_t wait_us = jobs->order_turn_us + mf_peers_fresh_us (jobs->peers) + YIELD_US;
+
+  return jobs->orders_fenced ? wait_us : wait_us + ORDER_US + CONNECT_US;
+}
+
 /* Balances the stages of a service's engines, which this instance leads. */
 void
 mf_jobs_balance_stages (MfJobs *jobs, MfLead *lead, const MfRouteService *service, uint64_t now_us)
@@ -268,7 +282,7 @@
   MfRole role;
   MfTarget *target;
 
-  if (!jobs->orders_fenced || service->stage_change_us == 0)
+  if (service->stage_change_us == 0)
     return;
   orders_check (jobs, now_us);
   view = view_make (jobs, service, now_us);
@@ -276,8 +290,7 @@
   /* The instance that led before has ceased to order, and all have told whom they follow. */
   if (move == MF_STAGE_STAY
       || n_changing (jobs, service, now_us) * CHANGING_PART >= view.n_prefill + view.n_decode
-      || now_us - lead->led_since_us
-             < jobs->order_turn_us + mf_peers_fresh_us (jobs->peers) + YIELD_US
+      || now_us - lead->led_since_us < first_order_us (jobs)
       || now_us - lead->ordered_us < ORDER_EVERY_US)
     return;
   role = move == MF_STAGE_TO_DECODE ? MF_ROLE_DECODE : MF_ROLE_PREFILL;
--- a/libmangofork/relay/load_report.h
+++ b/libmangofork/relay/load_report.h
@@ -37,6 +37,7 @@
 {
   uint64_t service; /* hash of its name */
   uint64_t leader;  /* hash of the instance's address */
+  uint64_t fence;   /* the highest of an order for this service that the sender knows of; 0: none */
 } MfLeaderVote;
 
 /* What an instance tells the others. */
--- a/libmangofork/relay/peers.c
+++ b/libmangofork/relay/peers.c
@@ -245,6 +245,8 @@
   peer->data_centre = report->data_centre;
   memcpy (peer->votes, report->votes, sizeof peer->votes);
   peer->n_votes = report->n_votes;
+  for (uint32_t i = 0; i < report->n_votes; i++)
+    mf_peers_hear_fence (peers, report->votes[i].service, report->votes[i].fence);
   peers->user->changed (peers->data);
 }
 
--- a/libmangofork/relay/peers.h
+++ b/libmangofork/relay/peers.h
@@ -8,6 +8,10 @@
  * for placing only; nothing that must hold depends on it. */
 typedef struct MfPeers MfPeers;
 
+/* A fence of orders is the time of day at which their sender began to lead, in milliseconds, above
+ * so many bits that tell instances apart. */
+#define MF_FENCE_OWN_BITS 10
+
 typedef struct
 {
   /* Fills the entries of a report with what this instance has now. */
@@ -33,6 +37,8 @@
 uint64_t mf_peers_leader (MfPeers *peers, const char *service, uint64_t now_us);
 uint64_t mf_peers_fresh_us (const MfPeers *peers);
 bool mf_peers_leads (MfPeers *peers, const char *service, uint64_t now_us);
+uint64_t mf_peers_fence (const MfPeers *peers, const char *service);
+void mf_peers_note_fence (MfPeers *peers, const char *service, uint64_t fence);
 void mf_peers_distrust (MfPeers *peers, uint64_t peer);
 void mf_peers_note_grant (MfPeers *peers, uint64_t peer, uint64_t grant_id);
 void mf_peers_send_near (MfPeers *peers, const MfRelayMessage *message);
--- a/libmangofork/relay/peers_lead.c
+++ b/libmangofork/relay/peers_lead.c
@@ -4,6 +4,8 @@
 
 /* A peer that did not answer is not asked for so long. */
 #define DISTRUST_US (2 * MF_US_PER_S)
+/* Machines' times of day differ by less, also when they jump. */
+#define FENCE_AHEAD_MS (UINT64_C (3600) * 1000)
 /* Odd number that spreads the ranks of instances (2^64 divided by the golden ratio). */
 #define RANK_FACTOR UINT64_C (0x9e3779b97f4a7c15)
 
@@ -48,6 +50,43 @@
     peers->services[peers->n_services++] = service_hash;
 }
 
+/* Somebody has given an order with this fence. One far ahead of the time of day is nobody's. */
+void
+mf_peers_hear_fence (MfPeers *peers, uint64_t service_hash, uint64_t fence)
+{
+  if (fence >> MF_FENCE_OWN_BITS > mf_clock_wall_ms () + FENCE_AHEAD_MS)
+    return;
+  for (uint32_t i = 0; i < peers->n_services; i++)
+    {
+      if (peers->services[i] == service_hash && fence > peers->fences[i])
+        peers->fences[i] = fence;
+    }
+}
+
+/* This instance gives an order with this fence; the others are told. */
+void
+mf_peers_note_fence (MfPeers *peers, const char *service, uint64_t fence)
+{
+  uint64_t service_hash = mf_load_hash (service);
+
+  service_note (peers, service_hash);
+  mf_peers_hear_fence (peers, service_hash, fence);
+}
+
+/* The highest fence of an order for a service that is known here; 0: none is. */
+uint64_t
+mf_peers_fence (const MfPeers *peers, const char *service)
+{
+  uint64_t service_hash = mf_load_hash (service);
+
+  for (uint32_t i = 0; i < peers->n_services; i++)
+    {
+      if (peers->services[i] == service_hash)
+        return peers->fences[i];
+    }
+  return 0;
+}
+
 /* The instance that decides for all about a service: a peer, or 0 for this one. */
 uint64_t
 mf_peers_leader (MfPeers *peers, const char *service, uint64_t now_us)
--- a/libmangofork/relay/peers_row.h
+++ b/libmangofork/relay/peers_row.h
@@ -79,6 +79,7 @@
   uint64_t hash;                        /* of the own address */
   uint16_t data_centre;                 /* hash of the own one's name */
   uint64_t services[MF_LOAD_VOTES_MAX]; /* hashes of those that a leader was asked for */
+  uint64_t fences[MF_LOAD_VOTES_MAX];   /* the highest of orders for these, by anybody */
   uint32_t n_services;
 };
 
@@ -95,5 +96,6 @@
 /* peers_lead.c: who decides for all. */
 bool mf_peer_is_heard (const MfPeer *peer, uint64_t now_us);
 MfPeer *mf_peers_find_leader (const MfPeers *peers, uint64_t service_hash, uint64_t now_us);
+void mf_peers_hear_fence (MfPeers *peers, uint64_t service_hash, uint64_t fence);
 
 #endif
--- a/libmangofork/relay/peers_tell.c
+++ b/libmangofork/relay/peers_tell.c
@@ -69,6 +69,7 @@
       report->votes[report->n_votes++] = (MfLeaderVote){
         .service = peers->services[i],
         .leader = leader != NULL ? leader->hash : peers->hash,
+        .fence = peers->fences[i],
       };
     }
   for (uint32_t i = 0; with_members && i < peers->n_peers; i++)
--- a/libmangofork/relay/relay_message.c
+++ b/libmangofork/relay/relay_message.c
@@ -7,7 +7,7 @@
 
 /* Members of the arrays that messages are; the first is always the kind. */
 #define REPORT_MEMBERS 7
-#define VOTE_MEMBERS 2
+#define VOTE_MEMBERS 3
 #define ENTRY_MEMBERS 6
 #define ASK_MEMBERS 11
 #define GRANT_MEMBERS 4
@@ -63,6 +63,7 @@
       msgpack_pack_array (packer, VOTE_MEMBERS);
       msgpack_pack_uint64 (packer, report->votes[i].service);
       msgpack_pack_uint64 (packer, report->votes[i].leader);
+      msgpack_pack_uint64 (packer, report->votes[i].fence);
     }
   msgpack_pack_uint16 (packer, report->data_centre);
 }
@@ -221,7 +222,8 @@
 {
   return row->type == MSGPACK_OBJECT_ARRAY && row->via.array.size >= VOTE_MEMBERS
          && read_number (&row->via.array.ptr[0], UINT64_MAX, &vote->service)
-         && read_number (&row->via.array.ptr[1], UINT64_MAX, &vote->leader);
+         && read_number (&row->via.array.ptr[1], UINT64_MAX, &vote->leader)
+         && read_number (&row->via.array.ptr[2], UINT64_MAX, &vote->fence);
 }
 
 static bool
--- a/tests/test_job_answer.c
+++ b/tests/test_job_answer.c
@@ -14,7 +14,7 @@
 
 #include <cmocka.h>
 
-#define PORT 21801
+#define PORT 21811
 #define N_CALLERS 20
 /* The longest route takes 3 s. */
 #define ANSWERED_US (4 * MF_US_PER_S)
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -17,6 +17,7 @@
 
 #define N 4
 #define FIRST_PORT 21751
+#define FENCE 4711
 
 typedef struct
 {
@@ -232,6 +233,36 @@
   fleet_end (&fleet);
 }
 
+static bool
+all_know_the_fence (void *data)
+{
+  Fleet *fleet = data;
+
+  for (uint32_t i = 0; i < N; i++)
+    {
+      if (mf_peers_fence (fleet->nodes[i].peers, "llm") != FENCE)
+        return false;
+    }
+  return true;
+}
+
+/* Whoever leads next knows of the last order, also from those that were told of it. */
+static void
+test_fences_are_told_to_all (void **state)
+{
+  Fleet fleet;
+
+  (void)state;
+  fleet_begin (&fleet);
+  assert_true (loop_pump (fleet.loop, all_have_heard, &fleet));
+  n_leading (&fleet);
+  mf_peers_note_fence (fleet.nodes[0].peers, "llm", FENCE);
+  mf_peers_note_fence (fleet.nodes[0].peers, "llm", FENCE - 1);
+  mf_peers_note_fence (fleet.nodes[1].peers, "llm", UINT64_MAX);
+  assert_true (loop_pump (fleet.loop, all_know_the_fence, &fleet));
+  fleet_end (&fleet);
+}
+
 static bool
 has_message (void *data)
 {
@@ -311,6 +342,7 @@
     cmocka_unit_test (test_messages_name_their_sender),
     cmocka_unit_test (test_an_instance_ends_and_comes_back),
     cmocka_unit_test (test_foreign_bytes),
+    cmocka_unit_test (test_fences_are_told_to_all),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
