--- a/tests/test_job_room.c
+++ b/tests/test_job_room.c
@@ -222,6 +222,35 @@
   assert_in_range (n_repeats_of_ten (true, town_stream_breaks, true), 2, SLACK);
 }
 
+/* An engine that the instance which decides knows first is granted to one that does not know it
+ * yet: that one asks for another at once, and not for the same again and again. */
+static void
+test_engine_that_the_asker_does_not_know_is_avoided (void **state)
+{
+  Fleet fleet;
+  uint32_t leader;
+  uint32_t asker;
+  int running;
+  int asking;
+  char got[1024];
+
+  (void)state;
+  fleet_begin (&fleet, 1, town_stream_hangs);
+  leader = leader_find (&fleet);
+  asker = (leader + 1) % N;
+  /* The engine that all know has one request, the other none. */
+  running = call_begin (&fleet, asker);
+  town_know (&fleet.towns[leader], "new", MF_ROLE_DECODE, "127.0.0.1:1");
+  asking = call_begin (&fleet, asker);
+  loop_receive (fleet.loop, asking, "data: a", got, sizeof got);
+  assert_non_null (strstr (got, "data: a"));
+  assert_in_range (fleet.towns[asker].jobs.last_ask_id, 2, 3);
+  close (running);
+  close (asking);
+  loop_spin (fleet.loop, 10);
+  fleet_end (&fleet);
+}
+
 int
 main (void)
 {
@@ -229,6 +258,7 @@
     cmocka_unit_test (test_waiting_requests_ask_the_next_leader),
     cmocka_unit_test (test_leader_gives_repeats_that_others_do_not_use),
     cmocka_unit_test (test_repeats_of_two_sends_keep_to_what_is_common),
+    cmocka_unit_test (test_engine_that_the_asker_does_not_know_is_avoided),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_platform_settings.c
+++ b/tests/test_platform_settings.c
@@ -23,7 +23,8 @@
   static const char text[]
       = NEEDED "unknown=1\nno line\nlisten.control=10.1.0.35:8146\ninternalPorts=7660,7675\n"
                "seeds=10.1.0.35:8146,10.2.0.28:8146\nlimits.memoryMb=110\nlimits.maxFds=4100\n"
-               "bounds.contactMs=3500.5\nbounds.drainMs=2000\nbounds.graceS=8.5\r\n"
+               "bounds.contactMs=3500.5\nbounds.drainMs=2000\nbounds.configApplyMs=1500\nbounds."
+               "graceS=8.5\r\n"
                "bounds.retryBudgetRatio=0.25\nbounds.budgetWindowS=12\nbounds.retryBudgetSlack=52\n"
                "bounds.fenceRequired=true\nbounds.leaseMs=2500";
   MfRelaySettings settings;
@@ -39,6 +40,7 @@
   assert_int_equal (settings.memory_bytes, 110 << 20);
   assert_int_equal (settings.contact_us, 3500500);
   assert_int_equal (settings.grace_us, 8500000);
+  assert_int_equal (settings.change_us, 1500 * MF_US_PER_MS);
   assert_true (settings.orders_fenced);
   assert_int_equal (settings.order_turn_us, 2500000);
   assert_int_equal (settings.retry_window_us, 12 * MF_US_PER_S);
@@ -53,8 +55,13 @@
   MfError error;
 
   (void)state;
+  /* The lower of two bounds, in either order. */
+  assert_true (
+      reads (NEEDED "bounds.configApplyMs=3000\nbounds.drainMs=4000\n", &settings, &error));
+  assert_int_equal (settings.change_us, 3 * MF_US_PER_S);
   assert_true (reads (NEEDED, &settings, &error));
   assert_int_equal (settings.contact_us, 3 * MF_US_PER_S);
+  assert_int_equal (settings.change_us, 2 * MF_US_PER_S);
   assert_string_equal (settings.peers, "");
   assert_string_equal (settings.metrics, "");
 }
