An engine that declines with nothing there is asked ever more seldom, and for prompts last

Cause: an engine that has been ordered to change its stage declines for seconds. Change: a refusal for want of room by an upstream where nobody has anything doubles the time for which it is not asked, from 120 ms to 1.9 s, until it answers; prefill engines that have just declined are asked last. Tests: test_target, test_place, both red before.

--- a/libmangofork/relay/job_answer.c
+++ b/libmangofork/relay/job_answer.c
@@ -4,8 +4,6 @@
 
 /* A stream that may go on elsewhere does so after a pause of so many times the longest in order. */
 #define SILENT_GAPS 3
-/* An engine that declined for want of room is not asked by others for so long. */
-#define FULL_US (120 * MF_US_PER_MS)
 /* An upstream that is another than was meant is gone; discovery tells within this time. */
 #define MISDIRECTED_US (3 * MF_US_PER_S)
 /* Bytes of an answer that is kept whole before it goes to the caller. */
@@ -191,7 +189,7 @@
       mf_jobs_load_changed (job->jobs);
     }
   else
-    target->full_until_us = now_us + FULL_US;
+    mf_target_declined (target, now_us);
   mf_lines_add (job->jobs->lines, "request.declined",
                 "id=%s upstream=%s status=%u in_flight=%u tokens=%llu memory_age_ms=%.1f", job->id,
                 target->info.id, job->answer.status, target->n_active,
--- a/libmangofork/relay/place.c
+++ b/libmangofork/relay/place.c
@@ -71,6 +71,9 @@
   double silent_us = silence_us (target, now_us);
   double cost_us = us_per_token * (double)(mf_target_load_tokens (target) + ask->tokens);
 
+  /* It takes no prompt now; where all are so, the one that may take one first is asked. */
+  if (target->full_until_us > now_us)
+    cost_us += (double)MF_US_PER_S + (double)(target->full_until_us - now_us);
   return (silent_us > cost_us ? silent_us : cost_us) + (is_near (target, ask) ? 0. : FAR_COST_US);
 }
 
--- a/libmangofork/relay/target.c
+++ b/libmangofork/relay/target.c
@@ -30,6 +30,12 @@
 /* An upstream that asks for a longer pause is asked again after this time. */
 #define PAUSE_MAX_S 300.
 
+/* An upstream that declined for want of room is not asked by others for so long; doubled each time,
+ * up to the last, while it declines with nothing there: an engine that changes its stage does so
+ * for seconds, and who has just started does not know of the order. */
+#define FULL_US (120 * MF_US_PER_MS)
+#define FULL_DOUBLINGS 4
+
 static void
 target_free (MfTarget *target)
 {
@@ -414,11 +420,22 @@
   *average = *average <= 0. ? value : *average + AVERAGE_WEIGHT * (value - *average);
 }
 
+/* It declined a request for want of room. */
+void
+mf_target_declined (MfTarget *target, uint64_t now_us)
+{
+  uint32_t doublings = target->n_declined < FULL_DOUBLINGS ? target->n_declined : FULL_DOUBLINGS;
+
+  target->n_declined = mf_target_load (target) == 0 ? target->n_declined + 1 : 0;
+  target->full_until_us = now_us + (target->n_declined > 0 ? FULL_US << doublings : FULL_US);
+}
+
 /* It answered in good order after so long. */
 void
 mf_target_answered (MfTarget *target, uint64_t answer_us, uint64_t now_us)
 {
   mf_target_alive (target, now_us);
+  target->n_declined = 0;
   average_add (&target->answer_us, (double)answer_us);
   target->answered_us = now_us;
   target->failure_share = mf_target_failure_share (target, now_us) * (1. - AVERAGE_WEIGHT);
--- a/libmangofork/relay/target.h
+++ b/libmangofork/relay/target.h
@@ -54,6 +54,7 @@
   uint64_t suspect_until_us;
   bool replaced;            /* why it is suspect: another process answers in its place */
   uint64_t full_until_us;   /* it refused for want of room */
+  uint32_t n_declined;      /* requests in a row that it refused with nothing there */
   bool said_leaving;        /* its answers say that it is about to stop */
   uint64_t paused_until_us; /* it asked this instance for no requests until then */
   MfRole stage_ordered;     /* what it was ordered to become */
@@ -114,6 +115,7 @@
 void mf_target_failed (MfTarget *target, bool unreachable, uint64_t now_us);
 void mf_target_says_leaving (MfTarget *target);
 void mf_target_pause (MfTarget *target, double pause_s, uint64_t now_us);
+void mf_target_declined (MfTarget *target, uint64_t now_us);
 void mf_target_replaced (MfTarget *target, uint64_t until_us);
 double mf_target_failure_share (const MfTarget *target, uint64_t now_us);
 double mf_target_answer_us (const MfTarget *target, double fallback_us, uint64_t now_us);
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -180,6 +180,23 @@
   assert_int_equal (choose (&fleet, (MfPlaceAsk){ .tokens = 5000 }), 2);
 }
 
+/* One that has just declined a prompt is asked last. */
+static void
+test_prompts_leave_engines_that_declined (void **state)
+{
+  Fleet fleet;
+
+  (void)state;
+  fleet_make (&fleet, MF_ROLE_PREFILL);
+  fleet.rows[1].full_until_us = NOW_US + 1;
+  mf_target_begin (&fleet.rows[0], 20000, NOW_US);
+  mf_target_begin (&fleet.rows[2], 20000, NOW_US);
+  assert_int_not_equal (choose (&fleet, (MfPlaceAsk){ .tokens = 5000 }), 1);
+  fleet.rows[0].full_until_us = NOW_US + 2000;
+  fleet.rows[2].full_until_us = NOW_US + 2000;
+  assert_int_equal (choose (&fleet, (MfPlaceAsk){ .tokens = 5000 }), 1);
+}
+
 int
 main (void)
 {
@@ -192,6 +209,7 @@
     cmocka_unit_test (test_decodes_go_where_memory_is_free),
     cmocka_unit_test (test_decodes_go_where_their_memory_lies),
     cmocka_unit_test (test_prompts_go_to_the_shortest_queue),
+    cmocka_unit_test (test_prompts_leave_engines_that_declined),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_target.c
+++ b/tests/test_target.c
@@ -215,6 +215,31 @@
   mf_targets_clear (&targets);
 }
 
+/* An engine that declines with nothing there is busy with something else, and is asked ever more
+ * seldom, within bounds; one that is full has room again as soon as a request ends. */
+static void
+test_who_declines_while_idle_is_asked_seldom (void **state)
+{
+  MfTarget target = { 0 };
+  uint64_t first_us;
+
+  (void)state;
+  mf_target_declined (&target, NOW_US);
+  first_us = target.full_until_us - NOW_US;
+  mf_target_declined (&target, NOW_US);
+  assert_int_equal (target.full_until_us - NOW_US, 2 * first_us);
+  for (uint32_t i = 0; i < 40; i++)
+    mf_target_declined (&target, NOW_US);
+  assert_in_range (target.full_until_us - NOW_US, MF_US_PER_S, 2 * MF_US_PER_S);
+  mf_target_answered (&target, 1000, NOW_US);
+  mf_target_declined (&target, NOW_US);
+  assert_int_equal (target.full_until_us - NOW_US, first_us);
+  target.n_others = 3;
+  mf_target_declined (&target, NOW_US);
+  mf_target_declined (&target, NOW_US);
+  assert_int_equal (target.full_until_us - NOW_US, first_us);
+}
+
 static void
 test_load_is_that_of_all_instances (void **state)
 {
@@ -245,6 +270,7 @@
     cmocka_unit_test (test_a_process_that_said_it_leaves_is_not_used_again),
     cmocka_unit_test (test_departures_are_bounded),
     cmocka_unit_test (test_pauses_are_bounded_and_never_shortened),
+    cmocka_unit_test (test_who_declines_while_idle_is_asked_seldom),
     cmocka_unit_test (test_load_is_that_of_all_instances),
   };
 
