Two names say what they do

mf_peers_set_data_centre, and job_note_pauses in place of a question whose answer one of its users did not want.

--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -41,13 +41,12 @@
     mf_job_refuse (job, MF_CODE_NO_UPSTREAM, "the service has no upstream");
 }
 
-/* Whether all upstreams of a role have asked this instance for a pause; notes when the first of
- * them ends. */
-static bool
-job_all_paused (MfJob *job, MfRole role, uint64_t now_us)
+/* Notes when the first upstream of a role takes requests again, where all have asked for a pause.
+ */
+static void
+job_note_pauses (MfJob *job, MfRole role, uint64_t now_us)
 {
   job->opens_us = mf_place_opens_us (&job->jobs->targets, job->service->name, role, now_us);
-  return job->opens_us > now_us;
 }
 
 static void
@@ -60,7 +59,7 @@
 
   if (target == NULL)
     {
-      job_all_paused (job, MF_ROLE_PLAIN, now_us);
+      job_note_pauses (job, MF_ROLE_PLAIN, now_us);
       job_run_out (job, any_alive);
     }
   else
@@ -154,7 +153,8 @@
           || !mf_place_has_role (targets, job->service->name, MF_ROLE_DECODE, job->avoid,
                                  job->n_avoid))
         job->n_avoid = 0;
-      if (job_all_paused (job, MF_ROLE_DECODE, now_us))
+      job_note_pauses (job, MF_ROLE_DECODE, now_us);
+      if (job->opens_us > 0)
         job_wait_paused (job, now_us);
       else
         mf_job_ask_room (job);
--- a/libmangofork/relay/peers_lead.c
+++ b/libmangofork/relay/peers_lead.c
@@ -145,7 +145,7 @@
 
 /* The data centre that this instance stands in. */
 void
-mf_peers_stand (MfPeers *peers, const char *data_centre)
+mf_peers_set_data_centre (MfPeers *peers, const char *data_centre)
 {
   peers->data_centre = (uint16_t)mf_load_hash (data_centre);
 }
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -560,7 +560,7 @@
                                         &relay->jobs, relay->lines, error);
       if (relay->jobs.peers == NULL)
         return false;
-      mf_peers_stand (relay->jobs.peers, settings->data_centre);
+      mf_peers_set_data_centre (relay->jobs.peers, settings->data_centre);
       mf_peers_seed (relay->jobs.peers, settings->seeds);
       relay->jobs.take_feed = on_feed;
       relay->jobs.take_feed_data = relay;
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -408,7 +408,7 @@
       centre->peers[i] = mf_peers_new (centre->stage.loop, address, &peers_user, centre,
                                        mf_relay_lines (centre->stage.relay), &error);
       assert_non_null (centre->peers[i]);
-      mf_peers_stand (centre->peers[i], "z");
+      mf_peers_set_data_centre (centre->peers[i], "z");
       mf_peers_seed (centre->peers[i], seed);
     }
   centre->role = MF_FEED_ALONE;
