--- a/tests/fakes/fakes.h
+++ b/tests/fakes/fakes.h
@@ -43,6 +43,8 @@
 const char *fake_relay_name (const FakeRelay *relay);
 FakeRelay *fake_relay_next (FakeRelay *relay);
 bool fake_relay_fault (FakeRelay *relay, const char *kind, const char *from);
+/* Resets its links and refuses new ones, as if nothing listened there; or takes them again. */
+void fake_relay_refuse (FakeRelay *relay, bool refuses);
 
 void fake_add_number (json_object *object, const char *key, uint64_t value);
 void fake_add_text (json_object *object, const char *key, const char *value);
--- a/tests/fakes/relay.c
+++ b/tests/fakes/relay.c
@@ -61,6 +61,7 @@
 {
   struct ev_loop *loop;
   char name[MF_NAME_BYTES];
+  char address[MF_ADDRESS_BYTES];
   char to[MF_ADDRESS_BYTES];
   ev_io accepting;
   RuleRow rules[RULES_MAX];
@@ -254,24 +255,57 @@
   return true;
 }
 
-FakeRelay *
-fake_relay_new (struct ev_loop *loop, FakeRelay **list, json_object *settings)
+static void
+relay_listen (FakeRelay *relay)
 {
-  FakeRelay *relay = calloc (1, sizeof *relay);
   MfError error = { 0 };
-  int fd = mf_socket_listen (fake_setting_text (settings, "address", "127.0.0.1:0"), &error);
+  int fd = mf_socket_listen (relay->address, &error);
 
-  if (relay == NULL || fd < 0)
+  if (fd < 0)
     {
       fprintf (stderr, "fakes: %s\n", error.text);
       exit (1);
     }
+  ev_io_init (&relay->accepting, on_accept, fd, EV_READ);
+  relay->accepting.data = relay;
+  ev_io_start (relay->loop, &relay->accepting);
+}
+
+void
+fake_relay_refuse (FakeRelay *relay, bool refuses)
+{
+  static const struct linger hard = { .l_onoff = 1, .l_linger = 0 };
+
+  if (refuses == (relay->accepting.fd < 0))
+    return;
+  if (!refuses)
+    {
+      relay_listen (relay);
+      return;
+    }
+  ev_io_stop (relay->loop, &relay->accepting);
+  close (relay->accepting.fd);
+  relay->accepting.fd = -1;
+  while (relay->pairs != NULL)
+    {
+      setsockopt (relay->pairs->opener.readable.fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+      pair_close (relay->pairs);
+    }
+}
+
+FakeRelay *
+fake_relay_new (struct ev_loop *loop, FakeRelay **list, json_object *settings)
+{
+  FakeRelay *relay = calloc (1, sizeof *relay);
+
+  if (relay == NULL)
+    abort ();
   relay->loop = loop;
+  mf_name_set (relay->address, sizeof relay->address,
+               fake_setting_text (settings, "address", "127.0.0.1:0"));
   mf_name_set (relay->name, sizeof relay->name, fake_setting_text (settings, "name", "relay"));
   mf_name_set (relay->to, sizeof relay->to, fake_setting_text (settings, "to", ""));
-  ev_io_init (&relay->accepting, on_accept, fd, EV_READ);
-  relay->accepting.data = relay;
-  ev_io_start (loop, &relay->accepting);
+  relay_listen (relay);
   relay->next = *list;
   *list = relay;
   return relay;
@@ -287,8 +321,11 @@
       pair_close (pair);
       pair = next;
     }
-  ev_io_stop (relay->loop, &relay->accepting);
-  close (relay->accepting.fd);
+  if (relay->accepting.fd >= 0)
+    {
+      ev_io_stop (relay->loop, &relay->accepting);
+      close (relay->accepting.fd);
+    }
   free (relay);
 }
 
--- a/tests/fakes/wire.c
+++ b/tests/fakes/wire.c
@@ -187,23 +187,51 @@
   ev_io_start (loop, &conn->reader);
 }
 
+static void
+wire_listen (FakeWire *wire, const char *address)
+{
+  MfError error = { 0 };
+
+  wire->fd = mf_socket_listen (address, &error);
+  if (wire->fd < 0)
+    abort ();
+  ev_io_init (&wire->acceptor, on_acceptable, wire->fd, EV_READ);
+  wire->acceptor.data = wire;
+  ev_io_start (wire->loop, &wire->acceptor);
+}
+
 FakeWire *
 fake_wire_new (struct ev_loop *loop, FakeWireFunc on_request, void *data)
 {
   FakeWire *wire = calloc (1, sizeof *wire);
-  MfError error = { 0 };
 
   if (wire == NULL)
     abort ();
   *wire = (FakeWire){ .loop = loop, .on_request = on_request, .data = data };
-  wire->fd = mf_socket_listen ("127.0.0.1:0", &error);
+  wire_listen (wire, "127.0.0.1:0");
   snprintf (wire->address, sizeof wire->address, "127.0.0.1:%u", mf_socket_port (wire->fd));
-  ev_io_init (&wire->acceptor, on_acceptable, wire->fd, EV_READ);
-  wire->acceptor.data = wire;
-  ev_io_start (loop, &wire->acceptor);
   return wire;
 }
 
+void
+fake_wire_shut (FakeWire *wire)
+{
+  if (wire->fd < 0)
+    return;
+  ev_io_stop (wire->loop, &wire->acceptor);
+  close (wire->fd);
+  wire->fd = -1;
+  while (wire->conns != NULL)
+    fake_wire_close (wire->conns, true);
+}
+
+void
+fake_wire_open (FakeWire *wire)
+{
+  if (wire->fd < 0)
+    wire_listen (wire, wire->address);
+}
+
 void
 fake_wire_on_left (FakeWire *wire, void (*func) (FakeWireConn *conn, void *data))
 {
@@ -215,8 +243,11 @@
 {
   while (wire->conns != NULL)
     conn_free (wire->conns);
-  ev_io_stop (wire->loop, &wire->acceptor);
-  close (wire->fd);
+  if (wire->fd >= 0)
+    {
+      ev_io_stop (wire->loop, &wire->acceptor);
+      close (wire->fd);
+    }
   free (wire);
 }
 
--- a/tests/fakes/wire.h
+++ b/tests/fakes/wire.h
@@ -21,6 +21,10 @@
 /* Calls func, with the data of on_request, when the other side has closed a connection. */
 void fake_wire_on_left (FakeWire *wire, void (*func) (FakeWireConn *conn, void *data));
 void fake_wire_free (FakeWire *wire);
+/* Resets all connections and refuses new ones, as a process that has crashed does. */
+void fake_wire_shut (FakeWire *wire);
+/* Takes connections again, at the same address. */
+void fake_wire_open (FakeWire *wire);
 const char *fake_wire_address (const FakeWire *wire);
 uint32_t fake_wire_n_requests (const FakeWire *wire);
 uint32_t fake_wire_n_conns (const FakeWire *wire);
--- a/tests/soak/relay_soak.c
+++ b/tests/soak/relay_soak.c
@@ -39,6 +39,11 @@
 #define WARM_US (1500 * MF_US_PER_MS)
 #define CALM_US (6 * MF_US_PER_S)
 #define DRAIN_BOUND_US (2200 * MF_US_PER_MS)
+/* An upstream that has crashed is back after this time. */
+#define CRASH_DOWN_S 2.
+#define CONTACT_MS 1500
+/* Sends of a request that crashes upstreams, from CONTACT_MS after it has crashed the third on. */
+#define LATE_SENDS_MAX 3
 /* Of the requests of the calm end, so many of a hundred are served. */
 #define CALM_SERVED_PERCENT 95
 
@@ -71,6 +76,7 @@
   char id[ID_BYTES];
   Kind kind;
   bool refused; /* the caller was told that it has not run */
+  bool crashes;
 } Sent;
 
 typedef struct
@@ -91,6 +97,7 @@
   ev_timer timer; /* the next request, or when the caller leaves */
   bool waiting;
   bool leaves;
+  bool crashes; /* sends one request that crashes upstreams again and again */
   uint32_t sent;
   MfMessage message;
   MfBuffer body;
@@ -123,6 +130,8 @@
   uint32_t seconds;
   uint32_t n_instances;
   uint32_t n_callers;
+  uint32_t n_crashers;
+  bool faultless;
   char directory[64];
   Instance instances[INSTANCES_MAX];
   SoakLedger *ledger;
@@ -148,6 +157,8 @@
   uint32_t n_left;
   uint32_t n_calm;
   uint32_t n_calm_served;
+  uint32_t n_owed;
+  uint32_t n_owed_served;
   uint32_t n_violations;
   ev_timer tick;
 };
@@ -204,9 +215,9 @@
   fprintf (file,
            "node=i%u\nzone=z\nlisten.front=127.0.0.1:%u\nlisten.readiness=127.0.0.1:%u\n"
            "listen.control=127.0.0.1:%u\nseeds=127.0.0.1:%u,127.0.0.1:%u\n"
-           "provider.address=127.0.0.1:%u\nbounds.contactMs=1500\nbounds.graceS=3\n",
+           "provider.address=127.0.0.1:%u\nbounds.contactMs=%u\nbounds.graceS=3\n",
            index, instance->port, instance->port + 1, instance->port + 2, soak->first_port + 2,
-           soak->first_port + 6, soak->first_port + PROXY_OFFSET + UPSTREAMS);
+           soak->first_port + 6, soak->first_port + PROXY_OFFSET + UPSTREAMS, CONTACT_MS);
   fclose (file);
 }
 
@@ -222,6 +233,7 @@
   fake_store_put_upstream (soak->store, id, index < 3 ? "shop" : "engines", address, role, state);
 }
 
+/* An upstream starts anew: with a new id, and its old entry gone. */
 static void
 upstream_renew (Soak *soak, uint32_t index)
 {
@@ -235,6 +247,19 @@
   upstream_publish (soak, index, "ready");
 }
 
+static void
+on_upstream_down (void *data, SoakUpstream *upstream, bool down)
+{
+  Soak *soak = data;
+  uint32_t index = 0;
+
+  while (soak->upstreams[index] != upstream)
+    index++;
+  fake_relay_refuse (soak->proxy[index], down);
+  if (!down)
+    upstream_renew (soak, index);
+}
+
 static void
 config_publish (Soak *soak)
 {
@@ -317,8 +342,10 @@
   Sent *sent = &soak->sent[caller->sent];
   uint32_t status = whole ? caller->message.parser.status_code : 0;
 
+  soak->n_owed += !sent->crashes;
+  soak->n_owed_served += !sent->crashes && status == 200;
   /* The faults have ended three seconds before. */
-  if (is_calm (soak, 3 * MF_US_PER_S))
+  if (is_calm (soak, 3 * MF_US_PER_S) && !sent->crashes)
     {
       soak->n_calm++;
       soak->n_calm_served += status == 200;
@@ -397,13 +424,17 @@
   Soak *soak = caller->soak;
   struct sockaddr_in address
       = { .sin_family = AF_INET, .sin_addr = { .s_addr = htonl (INADDR_LOOPBACK) } };
+  struct sockaddr_in own = address;
 
   if (caller->fd >= 0)
     return true;
+  /* Each caller has a host of its own. */
+  own.sin_addr.s_addr = htonl (INADDR_LOOPBACK + 1 + (uint32_t)(caller - soak->callers));
   caller->instance = draw (soak, soak->n_instances);
   address.sin_port = htons ((uint16_t)soak->instances[caller->instance].port);
   caller->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  if (connect (caller->fd, (struct sockaddr *)&address, sizeof address) != 0)
+  if (bind (caller->fd, (struct sockaddr *)&own, sizeof own) != 0
+      || connect (caller->fd, (struct sockaddr *)&address, sizeof address) != 0)
     {
       close (caller->fd);
       caller->fd = -1;
@@ -420,7 +451,9 @@
 caller_send (Caller *caller)
 {
   Soak *soak = caller->soak;
+  uint32_t index = (uint32_t)(caller - soak->callers);
   char text[512];
+  char body[16];
   Sent *sent;
   int n_bytes;
 
@@ -428,16 +461,19 @@
     abort ();
   caller->sent = soak->n_sent;
   sent = &soak->sent[soak->n_sent++];
-  sent->kind = (Kind)draw (soak, KIND_COUNT);
+  sent->crashes = caller->crashes;
+  sent->kind = caller->crashes ? (Kind)(index % KIND_COUNT) : (Kind)draw (soak, KIND_COUNT);
   snprintf (sent->id, sizeof sent->id, "r%u", caller->sent);
-  n_bytes = snprintf (text, sizeof text,
-                      "%s %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 4000\r\n"
-                      "X-Token-Count: 100,80\r\nX-Pin-Ms: 7\r\nContent-Length: 2\r\n\r\nhi",
-                      kinds[sent->kind].method, kinds[sent->kind].path, sent->id);
+  snprintf (body, sizeof body, caller->crashes ? SOAK_CRASH "%u" : "hi%u", index);
+  n_bytes
+      = snprintf (text, sizeof text,
+                  "%s %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 4000\r\n"
+                  "X-Token-Count: 100,80\r\nX-Pin-Ms: 7\r\nContent-Length: %zu\r\n\r\n%s",
+                  kinds[sent->kind].method, kinds[sent->kind].path, sent->id, strlen (body), body);
   mf_message_reset (&caller->message);
   mf_buffer_clear (&caller->body);
   caller->waiting = true;
-  caller->leaves = draw (soak, 100) < 6;
+  caller->leaves = draw (soak, 100) < 6 && !caller->crashes;
   ev_timer_stop (soak->loop, &caller->timer);
   ev_timer_set (&caller->timer, caller->leaves ? draw (soak, 200) * 0.001 : 5., 0.);
   ev_timer_start (soak->loop, &caller->timer);
@@ -662,7 +698,8 @@
 
   (void)events;
   instances_reap (soak);
-  faults_step (soak, now_us);
+  if (!soak->faultless)
+    faults_step (soak, now_us);
   if (now_us >= soak->began_us + soak->seconds * MF_US_PER_S)
     ev_break (loop, EVBREAK_ALL);
 }
@@ -694,9 +731,13 @@
                                                 : fake_store_address (soak->store)));
       soak->proxy[i] = fake_relay_new (soak->loop, &soak->proxies, settings);
       json_object_put (settings);
-      if (i < UPSTREAMS)
-        upstream_publish (soak, i, "ready");
+      if (i >= UPSTREAMS)
+        continue;
+      upstream_publish (soak, i, "ready");
+      if (soak->n_crashers > 0)
+        soak_upstream_crashes (soak->upstreams[i], CRASH_DOWN_S, on_upstream_down, soak);
     }
+  soak_ledger_set_grace (soak->ledger, CONTACT_MS * MF_US_PER_MS);
   config_publish (soak);
   for (uint32_t i = 0; i < soak->n_instances; i++)
     {
@@ -709,6 +750,7 @@
 
       caller->soak = soak;
       caller->fd = -1;
+      caller->crashes = i < soak->n_crashers;
       mf_message_init (&caller->message, HTTP_RESPONSE, &platform_dialect, &message_events, caller);
       ev_timer_init (&caller->timer, on_caller_timer, 1., 0.);
       caller->timer.data = caller;
@@ -746,6 +788,15 @@
       if (sent->refused && n_runs > 0 && kinds[sent->kind].runs_max == 1)
         violation (soak, "a refused request has run", sent->id);
     }
+  for (uint32_t i = 0; i < soak->n_crashers; i++)
+    {
+      SoakCrasher crasher = soak_ledger_crasher (soak->ledger, i);
+
+      printf ("crasher %u: %u crashes, %u arrivals, %u of them late\n", i, crasher.n_crashes,
+              crasher.n_arrivals, crasher.n_late);
+      if (crasher.n_late > LATE_SENDS_MAX)
+        violation (soak, "a request that had crashed three upstreams was sent on", "");
+    }
   if (soak->n_calm == 0)
     violation (soak, "nobody was served once the faults had ended", "");
   if (soak->n_calm_served * 100 < soak->n_calm * CALM_SERVED_PERCENT)
@@ -775,6 +826,14 @@
     case 't':
       soak->seconds = (uint32_t)strtoul (arg, NULL, 10);
       return 0;
+    case 'c':
+      soak->n_crashers = (uint32_t)strtoul (arg, NULL, 10);
+      if (soak->n_crashers > SOAK_CRASHERS_MAX)
+        argp_error (state, "at most %d callers that crash upstreams", SOAK_CRASHERS_MAX);
+      return 0;
+    case 'f':
+      soak->faultless = true;
+      return 0;
     case 'n':
       soak->n_instances = (uint32_t)strtoul (arg, NULL, 10);
       if (soak->n_instances < 2 || soak->n_instances > INSTANCES_MAX)
@@ -788,6 +847,8 @@
 static const struct argp_option options[] = {
   { .name = "seed", .key = 's', .arg = "N", .doc = "Faults and requests are drawn from it" },
   { .name = "seconds", .key = 't', .arg = "N", .doc = "Length, the calm end included" },
+  { .name = "crashers", .key = 'c', .arg = "N", .doc = "Callers whose request crashes upstreams" },
+  { .name = "faultless", .key = 'f', .doc = "No fault besides" },
   { .name = "instances", .key = 'n', .arg = "N", .doc = "Relay processes" },
   { 0 },
 };
@@ -822,10 +883,10 @@
   town_judge (&soak);
   town_end (&soak);
   printf ("seed %llu: %u faults, %u requests: %u whole, %u refused, %u failed, %u broken, %u left; "
-          "calm end %u of %u; %u violations; logs in %s\n",
+          "calm end %u of %u; of all but crashers %u of %u; %u violations; logs in %s\n",
           (unsigned long long)soak.seed, soak.n_faults, soak.n_sent, soak.n_whole, soak.n_refused,
           soak.n_failed, soak.n_broken, soak.n_left, soak.n_calm_served, soak.n_calm,
-          soak.n_violations, soak.directory);
+          soak.n_owed_served, soak.n_owed, soak.n_violations, soak.directory);
   /* As the test runner reads it. */
   printf (soak.n_violations == 0 ? "[       OK ] soak_%llu\n" : "[  FAILED  ] soak_%llu\n",
           (unsigned long long)soak.seed);
--- a/tests/soak/soak_upstream.c
+++ b/tests/soak/soak_upstream.c
@@ -25,6 +25,8 @@
   RunRow rows[RUNS_MAX];
   uint32_t n_rows;
   uint32_t n_wrong;
+  uint64_t grace_us;
+  SoakCrasher crashers[SOAK_CRASHERS_MAX];
 };
 
 /* One request at work. */
@@ -36,6 +38,7 @@
   ev_timer timer;
   uint32_t next_event; /* of a stream; counts from 1 */
   bool doubles;
+  SoakCrasher *crasher; /* NULL: the request does no harm */
 } Run;
 
 struct SoakUpstream
@@ -49,6 +52,10 @@
   uint64_t random;
   Run runs[ACTIVE_MAX];
   uint64_t last_arrival_us;
+  double down_s;
+  SoakDownFunc on_down;
+  void *data;
+  ev_timer back;
 };
 
 SoakLedger *
@@ -84,6 +91,34 @@
   return ledger->n_wrong;
 }
 
+SoakCrasher
+soak_ledger_crasher (const SoakLedger *ledger, uint32_t crasher)
+{
+  return ledger->crashers[crasher];
+}
+
+void
+soak_ledger_set_grace (SoakLedger *ledger, uint64_t grace_us)
+{
+  ledger->grace_us = grace_us;
+}
+
+/* Counts the arrival of a request that crashes upstreams. NULL when it is another. */
+static SoakCrasher *
+ledger_note_crasher (SoakLedger *ledger, const char *text)
+{
+  const char *body = strstr (text, "\r\n\r\n" SOAK_CRASH);
+  SoakCrasher *crasher;
+
+  if (body == NULL)
+    return NULL;
+  crasher = &ledger->crashers[(uint32_t)(body[4 + strlen (SOAK_CRASH)] - '0') % SOAK_CRASHERS_MAX];
+  crasher->n_arrivals++;
+  crasher->n_late
+      += crasher->third_us > 0 && mf_clock_now_us () > crasher->third_us + ledger->grace_us;
+  return crasher;
+}
+
 static void
 ledger_add (SoakLedger *ledger, const char *id)
 {
@@ -133,6 +168,44 @@
   return false;
 }
 
+static void
+runs_end (SoakUpstream *upstream)
+{
+  for (uint32_t i = 0; i < ACTIVE_MAX; i++)
+    {
+      FakeWireConn *conn = upstream->runs[i].conn;
+
+      if (conn == NULL)
+        continue;
+      run_end (&upstream->runs[i]);
+      fake_wire_close (conn, true);
+    }
+}
+
+static void
+on_back (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  SoakUpstream *upstream = watcher->data;
+
+  (void)loop;
+  (void)events;
+  fake_wire_open (upstream->wire);
+  upstream->on_down (upstream->data, upstream, false);
+}
+
+/* The process ends with all that it runs. */
+static void
+upstream_crash (SoakUpstream *upstream, SoakCrasher *crasher)
+{
+  if (++crasher->n_crashes == 3)
+    crasher->third_us = mf_clock_now_us ();
+  runs_end (upstream);
+  fake_wire_shut (upstream->wire);
+  ev_timer_set (&upstream->back, upstream->down_s, 0.);
+  ev_timer_start (upstream->loop, &upstream->back);
+  upstream->on_down (upstream->data, upstream, true);
+}
+
 static void
 on_timer (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -140,6 +213,11 @@
   char body[64];
 
   (void)events;
+  if (run->crasher != NULL)
+    {
+      upstream_crash (run->upstream, run->crasher);
+      return;
+    }
   if (run->upstream->role == MF_ROLE_DECODE)
     {
       if (stream_step (run))
@@ -260,6 +338,13 @@
   if (fake_wire_header (text, "X-Pin-Ms", value, sizeof value))
     upstream->ledger->n_wrong++;
   upstream->last_arrival_us = mf_clock_now_us ();
+  run->crasher = upstream->down_s > 0. ? ledger_note_crasher (upstream->ledger, text) : NULL;
+  if (run->crasher != NULL)
+    {
+      ev_timer_set (&run->timer, 0.005, 0.);
+      ev_timer_start (upstream->loop, &run->timer);
+      return;
+    }
   if (upstream->role == MF_ROLE_PREFILL)
     {
       run_begin (run, 0.005);
@@ -299,27 +384,24 @@
   snprintf (upstream->id, sizeof upstream->id, "%s", id);
   upstream->wire = fake_wire_new (loop, on_request, upstream);
   fake_wire_on_left (upstream->wire, on_left);
+  ev_init (&upstream->back, on_back);
+  upstream->back.data = upstream;
   return upstream;
 }
 
-static void
-runs_end (SoakUpstream *upstream)
+void
+soak_upstream_crashes (SoakUpstream *upstream, double down_s, SoakDownFunc func, void *data)
 {
-  for (uint32_t i = 0; i < ACTIVE_MAX; i++)
-    {
-      FakeWireConn *conn = upstream->runs[i].conn;
-
-      if (conn == NULL)
-        continue;
-      run_end (&upstream->runs[i]);
-      fake_wire_close (conn, true);
-    }
+  upstream->down_s = down_s;
+  upstream->on_down = func;
+  upstream->data = data;
 }
 
 void
 soak_upstream_free (SoakUpstream *upstream)
 {
   runs_end (upstream);
+  ev_timer_stop (upstream->loop, &upstream->back);
   fake_wire_free (upstream->wire);
   free (upstream);
 }
--- a/tests/soak/soak_upstream.h
+++ b/tests/soak/soak_upstream.h
@@ -44,4 +44,28 @@
 uint32_t soak_upstream_n_active (const SoakUpstream *upstream);
 uint64_t soak_upstream_last_arrival_us (const SoakUpstream *upstream);
 
+/* A request whose body begins with this ends each upstream that begins to run it. What follows
+ * names the request. */
+#define SOAK_CRASH "crash"
+/* Such requests are told apart by one digit after the word. */
+#define SOAK_CRASHERS_MAX 8
+
+/* The upstream has ended under a request, and listens no more; or it is back, and still has to be
+ * told its new id by soak_upstream_restart. */
+typedef void (*SoakDownFunc) (void *data, SoakUpstream *upstream, bool down);
+
+/* After a crash it is back so many seconds later; 0: such requests are treated as any other. */
+void soak_upstream_crashes (SoakUpstream *upstream, double down_s, SoakDownFunc func, void *data);
+/* What a request has done to all upstreams of a ledger. */
+typedef struct
+{
+  uint32_t n_arrivals; /* prompts that were read included */
+  uint32_t n_crashes;
+  uint64_t third_us; /* when it crashed the third */
+  uint32_t n_late;   /* arrivals later than the grace of the ledger after that */
+} SoakCrasher;
+
+SoakCrasher soak_ledger_crasher (const SoakLedger *ledger, uint32_t crasher);
+void soak_ledger_set_grace (SoakLedger *ledger, uint64_t grace_us);
+
 #endif
