Logs name the request behind its tries

Cause of the blind spot: lines named the id of a try only, so that one request which comes back under new ids could not be told from many that break beside it. request.broken and request.end have a digest of host, method, path and body now.

--- a/libmangofork/relay/caller.c
+++ b/libmangofork/relay/caller.c
@@ -11,6 +11,7 @@
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <xxhash.h>
 
 #define READ_BYTES 16384
 /* Bytes kept of requests that a caller sends before it has the answer to an earlier one. */
@@ -60,6 +61,7 @@
   MfBuffer ahead; /* read, and not yet looked at */
   MfBuffer out;
   void *job;
+  uint64_t host; /* hash of the address it comes from, without the port */
   uint64_t begun_us;
   uint64_t timer_us; /* when the timer is due */
   bool chunked;
@@ -492,8 +494,18 @@
   caller_leave (caller);
 }
 
+static uint64_t
+host_hash (const struct sockaddr_storage *from)
+{
+  const struct sockaddr_in *in4 = (const struct sockaddr_in *)from;
+  const struct sockaddr_in6 *in6 = (const struct sockaddr_in6 *)from;
+
+  return from->ss_family == AF_INET ? XXH3_64bits (&in4->sin_addr, sizeof in4->sin_addr)
+                                    : XXH3_64bits (&in6->sin6_addr, sizeof in6->sin6_addr);
+}
+
 static void
-caller_open (MfDoor *door, int fd)
+caller_open (MfDoor *door, int fd, const struct sockaddr_storage *from)
 {
   MfCaller *caller = calloc (1, sizeof *caller);
   int one = 1;
@@ -506,6 +518,7 @@
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
   caller->door = door;
   caller->fd = fd;
+  caller->host = host_hash (from);
   caller->next = door->callers;
   if (door->callers != NULL)
     door->callers->prev = caller;
@@ -531,14 +544,17 @@
   (void)events;
   for (uint32_t i = 0; i < ACCEPTS_MAX; i++)
     {
-      int fd = accept4 (door->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      struct sockaddr_storage from = { 0 };
+      socklen_t from_bytes = sizeof from;
+      int fd
+          = accept4 (door->fd, (struct sockaddr *)&from, &from_bytes, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
       if (fd < 0)
         return;
       if (door->n_callers >= door->limits.callers_max)
         close (fd);
       else
-        caller_open (door, fd);
+        caller_open (door, fd, &from);
     }
 }
 
@@ -661,6 +677,13 @@
   return caller->begun_us;
 }
 
+/* Hash of the address that the connection comes from, without its port. */
+uint64_t
+mf_caller_host (const MfCaller *caller)
+{
+  return caller->host;
+}
+
 /* What the answer will be given to: the user's own. */
 void
 mf_caller_attach (MfCaller *caller, void *job)
--- a/libmangofork/relay/caller.h
+++ b/libmangofork/relay/caller.h
@@ -44,6 +44,7 @@
 const char *mf_caller_method (const MfCaller *caller);
 const MfBuffer *mf_caller_body (const MfCaller *caller);
 uint64_t mf_caller_begun_us (const MfCaller *caller);
+uint64_t mf_caller_host (const MfCaller *caller);
 void mf_caller_attach (MfCaller *caller, void *job);
 void *mf_caller_job (const MfCaller *caller);
 
--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -131,18 +131,19 @@
     mf_relay_observe (&jobs->counters.first_event, job->first_event_us - job->begun_us);
   else if (code == MF_CODE_OK)
     mf_relay_observe (&jobs->counters.answer, took_us);
-  mf_lines_add (jobs->lines, "request.end",
-                "id=%s route=%s service=%s code=%d status=%u why=\"%s\" took_ms=%.1f "
-                "first_event_ms=%.1f waited_ms=%.1f sends=%u runs=%u prefills=%u events=%llu "
-                "last_upstream=%s left_ms=%lld config=%llu",
-                job->id, job->route->name, job->service->name, (int)code, status, why,
-                (double)took_us / 1e3,
-                job->first_event_us > 0 ? (double)(job->first_event_us - job->begun_us) / 1e3 : 0.,
-                (double)job->waited_us / 1e3, job->n_arrivals, job->n_runs, job->n_prefills,
-                (unsigned long long)job->events.n_events,
-                job->last_upstream[0] != '\0' ? job->last_upstream : "none",
-                ((long long)job->deadline_us - (long long)now_us) / 1000,
-                (unsigned long long)job->routes->version);
+  mf_lines_add (
+      jobs->lines, "request.end",
+      "id=%s digest=%016llx route=%s service=%s code=%d status=%u why=\"%s\" "
+      "took_ms=%.1f first_event_ms=%.1f waited_ms=%.1f sends=%u runs=%u prefills=%u events=%llu "
+      "last_upstream=%s left_ms=%lld config=%llu",
+      job->id, (unsigned long long)job->digest, job->route->name, job->service->name, (int)code,
+      status, why, (double)took_us / 1e3,
+      job->first_event_us > 0 ? (double)(job->first_event_us - job->begun_us) / 1e3 : 0.,
+      (double)job->waited_us / 1e3, job->n_arrivals, job->n_runs, job->n_prefills,
+      (unsigned long long)job->events.n_events,
+      job->last_upstream[0] != '\0' ? job->last_upstream : "none",
+      ((long long)job->deadline_us - (long long)now_us) / 1000,
+      (unsigned long long)job->routes->version);
 }
 
 /* Gives the caller a whole answer of an upstream. */
@@ -412,6 +413,7 @@
   job->timer.data = job;
   if (!mf_head_copy (head, MF_WORD_REQUEST_ID, job->id, sizeof job->id))
     job->id[0] = '\0';
+  job->digest = mf_job_digest (caller);
   job_read_size (job, head);
   job_read_times (job, head);
   mf_caller_attach (caller, job);
--- a/libmangofork/relay/job_answer.c
+++ b/libmangofork/relay/job_answer.c
@@ -213,8 +213,10 @@
 {
   job->jobs->counters.counts[MF_RELAY_COUNT_BROKEN]++;
   mf_target_failed (target, false, mf_clock_now_us ());
-  mf_lines_add (job->jobs->lines, "request.broken", "id=%s upstream=%s why=\"%s\" events=%llu",
-                job->id, target->info.id, why, (unsigned long long)job->events.n_events);
+  mf_lines_add (job->jobs->lines, "request.broken",
+                "id=%s digest=%016llx upstream=%s why=\"%s\" events=%llu", job->id,
+                (unsigned long long)job->digest, target->info.id, why,
+                (unsigned long long)job->events.n_events);
   if (job->caller == NULL)
     {
       mf_job_finish (job, MF_CODE_DEPARTED, why);
@@ -405,8 +407,8 @@
     {
       mf_target_failed (target, false, mf_clock_now_us ());
       mf_lines_add (job->jobs->lines, "request.broken",
-                    "id=%s upstream=%s stage=prefill status=%u why=\"%s\"", job->id,
-                    target->info.id, answer->status, why);
+                    "id=%s digest=%016llx upstream=%s stage=prefill status=%u why=\"%s\"", job->id,
+                    (unsigned long long)job->digest, target->info.id, answer->status, why);
       mf_job_avoid (job, target->id_hash);
       mf_job_repeat_or_end (job, &(MfJobDenied){
                                      .code = MF_CODE_RETRY_BUDGET,
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -48,6 +48,7 @@
   bool is_engine;
   bool is_head;
   char id[MF_JOB_ID_BYTES];
+  uint64_t digest; /* the same for each try of a request */
   uint64_t begun_us;
   uint64_t asked_us;    /* when the caller first asked, as far as its deadline shows */
   uint64_t deadline_us; /* the caller's or the route's, whichever is first */
@@ -115,6 +116,9 @@
 void mf_jobs_note_first (MfJobs *jobs, uint64_t took_us);
 void mf_jobs_note_answer (MfJobs *jobs, uint64_t tokens, uint64_t took_us);
 
+/* job_suspect.c: requests that may end the upstreams that run them. */
+uint64_t mf_job_digest (const MfCaller *caller);
+
 /* job_repeat.c: the budget for repeats. */
 MfServiceBudget *mf_jobs_budget (MfJobs *jobs, const char *service);
 bool mf_job_take_repeat (MfJob *job);
