--- a/tests/loop_pump.c
+++ b/tests/loop_pump.c
@@ -50,14 +50,16 @@
 }
 
 int
-loop_connect (uint16_t port)
+loop_connect_from (uint32_t host, uint16_t port)
 {
+  struct sockaddr_in own = { .sin_family = AF_INET, .sin_addr = { .s_addr = htonl (host) } };
   struct sockaddr_in address = { .sin_family = AF_INET,
                                  .sin_port = htons (port),
                                  .sin_addr = { .s_addr = htonl (INADDR_LOOPBACK) } };
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
-  if (connect (fd, (struct sockaddr *)&address, sizeof address) != 0)
+  if (bind (fd, (struct sockaddr *)&own, sizeof own) != 0
+      || connect (fd, (struct sockaddr *)&address, sizeof address) != 0)
     {
       close (fd);
       return -1;
@@ -66,6 +68,12 @@
   return fd;
 }
 
+int
+loop_connect (uint16_t port)
+{
+  return loop_connect_from (INADDR_LOOPBACK, port);
+}
+
 void
 loop_send (int fd, const char *data, size_t data_bytes)
 {
--- a/tests/loop_pump.h
+++ b/tests/loop_pump.h
@@ -13,6 +13,8 @@
 
 /* Connects to a port of the loopback address; the socket does not block. */
 int loop_connect (uint16_t port);
+/* The same from a loopback address, given in host byte order. */
+int loop_connect_from (uint32_t host, uint16_t port);
 /* Sends all bytes of a short text. */
 void loop_send (int fd, const char *data, size_t data_bytes);
 /* Reads until the peer closes, the text needle has arrived, or the turns are used up. Returns the
--- a/tests/test_job_room.c
+++ b/tests/test_job_room.c
@@ -1,7 +1,7 @@
 #include "libmangofork/clock.h"
 
 #include "loop_pump.h"
-#include "town.h"
+#include "town_fleet.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -12,84 +12,22 @@
 
 #include <cmocka.h>
 
-#define N 5
+#define N TOWN_FLEET_N
 #define DOOR_PORT 21781
 #define PEER_PORT 21791
 #define SLOTS 4
 #define N_WAITING 8
 #define SLACK 12
 
-/* Instances in one fleet, with engines that the first brings along. */
-typedef struct
-{
-  struct ev_loop *loop;
-  Town towns[N];
-} Fleet;
-
-static bool
-all_have_heard (void *data)
-{
-  const Fleet *fleet = data;
-
-  for (uint32_t i = 0; i < N; i++)
-    {
-      if (mf_peers_count (fleet->towns[i].jobs.peers, mf_clock_now_us ()) != N)
-        return false;
-    }
-  return true;
-}
-
-static void
-fleet_begin (Fleet *fleet, uint32_t n_engines, TownAct act)
-{
-  char seed[MF_ADDRESS_BYTES];
-
-  memset (fleet, 0, sizeof *fleet);
-  fleet->loop = ev_loop_new (0);
-  snprintf (seed, sizeof seed, "127.0.0.1:%u", PEER_PORT);
-  for (uint32_t i = 0; i < N; i++)
-    {
-      Town *town = &fleet->towns[i];
-      char address[MF_ADDRESS_BYTES];
-      MfError error = { 0 };
-
-      town_begin (town, fleet->loop, (uint16_t)(DOOR_PORT + i));
-      snprintf (address, sizeof address, "127.0.0.1:%u", PEER_PORT + i);
-      town->jobs.peers = mf_peers_new (fleet->loop, address, &mf_jobs_peers_user, &town->jobs,
-                                       town->lines, &error);
-      assert_non_null (town->jobs.peers);
-      mf_peers_seed (town->jobs.peers, seed);
-    }
-  for (uint32_t engine = 0; engine < n_engines; engine++)
-    {
-      char id[16];
-
-      town_add (&fleet->towns[0], engine, MF_ROLE_DECODE, act);
-      snprintf (id, sizeof id, "u%u", engine);
-      for (uint32_t i = 1; i < N; i++)
-        town_know (&fleet->towns[i], id, MF_ROLE_DECODE,
-                   fake_wire_address (fleet->towns[0].upstreams[engine].wire));
-    }
-  assert_true (loop_pump (fleet->loop, all_have_heard, fleet));
-}
-
 static void
-fleet_end (Fleet *fleet)
+fleet_begin (TownFleet *fleet, uint32_t n_engines, TownAct act)
 {
-  for (uint32_t i = N; i-- > 0;)
-    {
-      MfPeers *peers = fleet->towns[i].jobs.peers;
-
-      fleet->towns[i].jobs.peers = NULL;
-      mf_peers_free (peers);
-    }
-  for (uint32_t i = N; i-- > 0;)
-    town_end (&fleet->towns[i]);
-  ev_loop_destroy (fleet->loop);
+  town_fleet_begin (fleet, DOOR_PORT, PEER_PORT);
+  town_fleet_add_engines (fleet, n_engines, act);
 }
 
 static int
-call_begin (Fleet *fleet, uint32_t index)
+call_begin (TownFleet *fleet, uint32_t index)
 {
   static const char text[] = "POST /llm/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: t\r\n"
                              "X-Deadline-Ms: 3000\r\n\r\n";
@@ -103,7 +41,7 @@
 
 /* The instance that decides for all. */
 static uint32_t
-leader_find (Fleet *fleet)
+leader_find (TownFleet *fleet)
 {
   for (uint32_t i = 0; i < N; i++)
     {
@@ -120,7 +58,7 @@
 static void
 test_waiting_requests_ask_the_next_leader (void **state)
 {
-  Fleet fleet;
+  TownFleet fleet;
   uint32_t leader;
   int running[SLOTS];
   int waiting[N_WAITING];
@@ -148,7 +86,7 @@
   for (uint32_t i = 0; i < N_WAITING; i++)
     close (waiting[i]);
   loop_spin (fleet.loop, 10);
-  fleet_end (&fleet);
+  town_fleet_end (&fleet);
 }
 
 /* Sends beyond the first of each stage, for ten requests. A leader that has led for long may give
@@ -156,7 +94,7 @@
 static uint32_t
 n_repeats_of_ten (bool led_for_long, TownAct act, bool with_prefill)
 {
-  Fleet fleet;
+  TownFleet fleet;
   uint32_t leader;
   uint32_t n_sends = 0;
   int calls[10];
@@ -200,7 +138,7 @@
   for (size_t i = 0; i < MF_ARRAY_LEN (calls); i++)
     close (calls[i]);
   loop_spin (fleet.loop, 10);
-  fleet_end (&fleet);
+  town_fleet_end (&fleet);
   return n_sends - (uint32_t)MF_ARRAY_LEN (calls) * (with_prefill ? 2 : 1);
 }
 
@@ -227,7 +165,7 @@
 static void
 test_engine_that_the_asker_does_not_know_is_avoided (void **state)
 {
-  Fleet fleet;
+  TownFleet fleet;
   uint32_t leader;
   uint32_t asker;
   int running[SLOTS - 1];
@@ -250,7 +188,7 @@
     close (running[i]);
   close (asking);
   loop_spin (fleet.loop, 10);
-  fleet_end (&fleet);
+  town_fleet_end (&fleet);
 }
 
 int
