What is known of suspect requests stands in a table of its own

suspect.c was bound to the core of serve. The table, its breaks and its verdicts are plain data with given times now, for any user; suspect_core.c has what serve adds. Deaths are kept by process, and those of runs that began before the last death was known count as one event. The table has seven tests. An answer forgets what was known of a request in place of marking it cleared for ten minutes: a request that begins to end upstreams later is found out.

--- a/libmangofork/core.h
+++ b/libmangofork/core.h
@@ -54,7 +54,7 @@
 extern const MfController mf_upstream_controller; /* upstream.c: table, load reports */
 extern const MfController mf_health_controller;   /* health.c */
 extern const MfController mf_prefix_controller;   /* prefix.c */
-extern const MfController mf_suspect_controller;  /* suspect.c */
+extern const MfController mf_suspect_controller;  /* suspect_core.c */
 extern const MfController mf_debt_controller;     /* debt.c */
 extern const MfController mf_request_controller;  /* request.c: life cycle */
 extern const MfController mf_queue_controller;    /* queue.c: admission and placement */
--- a/libmangofork/health.c
+++ b/libmangofork/health.c
@@ -4,7 +4,7 @@
 #include "news.h"
 #include "prefix.h"
 #include "queue.h"
-#include "suspect.h"
+#include "suspect_core.h"
 
 #include <stdlib.h>
 
--- a/libmangofork/life.c
+++ b/libmangofork/life.c
@@ -4,7 +4,7 @@
 #include "policy.h"
 #include "queue.h"
 #include "retry.h"
-#include "suspect.h"
+#include "suspect_core.h"
 #include "window.h"
 
 /* A stream without a token for this long is taken to be broken. */
--- a/libmangofork/metrics.c
+++ b/libmangofork/metrics.c
@@ -3,7 +3,7 @@
 #include "debt.h"
 #include "member.h"
 #include "queue.h"
-#include "suspect.h"
+#include "suspect_core.h"
 
 #include <stdarg.h>
 #include <stdio.h>
--- a/libmangofork/news.c
+++ b/libmangofork/news.c
@@ -2,7 +2,7 @@
 
 #include "digest.h"
 #include "member_row.h"
-#include "suspect.h"
+#include "suspect_core.h"
 
 #include <stdlib.h>
 
--- a/libmangofork/request.c
+++ b/libmangofork/request.c
@@ -2,7 +2,7 @@
 #include "limit.h"
 #include "queue.h"
 #include "retry.h"
-#include "suspect.h"
+#include "suspect_core.h"
 
 #include <xxhash.h>
 #include <stdlib.h>
--- a/libmangofork/status.c
+++ b/libmangofork/status.c
@@ -4,7 +4,7 @@
 #include "member.h"
 #include "queue.h"
 #include "render.h"
-#include "suspect.h"
+#include "suspect_core.h"
 
 #include <stdlib.h>
 
@@ -217,15 +217,16 @@
 }
 
 static bool
-add_suspect (uint64_t digest, uint32_t n_deaths, bool convicted, uint64_t at_us, void *data)
+add_suspect (void *data, const MfSuspect *suspect)
 {
   const Listing *listing = data;
   json_object *object = json_object_new_object ();
+  bool convicted = suspect->convicted_until_us > listing->core->board.now_us;
 
-  mf_render_hex (object, "digest", digest);
-  mf_render_number (object, "deaths", n_deaths);
+  mf_render_hex (object, "digest", suspect->digest);
+  mf_render_number (object, "deaths", suspect->n_deaths);
   mf_render_text (object, "state", convicted ? "convicted" : "suspected");
-  mf_render_age (object, "age_s", listing->core, at_us);
+  mf_render_age (object, "age_s", listing->core, suspect->at_us);
   json_object_array_add (listing->list, object);
   return json_object_array_length (listing->list) < SUSPECTS_SHOWN;
 }
--- a/libmangofork/suspect.c
+++ b/libmangofork/suspect.c
@@ -1,352 +1,299 @@
 #include "suspect.h"
 
-#include "news.h"
-#include "queue.h"
+#include "table.h"
 
 #include <stdlib.h>
 
-/* Distinct deaths that convict. */
-#define DEATHS_MAX 2
-/* How long what is known of a digest is kept, and how many are. */
+/* How long what is known of a request is kept, and of how many. */
 #define KEPT_US (UINT64_C (600) * MF_US_PER_S)
 #define SUSPECTS_MAX 4096
-/* A break this long before the death of its upstream has to do with it. */
-#define BREAK_US (3 * MF_US_PER_S)
 /* Breaks waiting to be told from deaths. */
 #define BREAKS_MAX 4096
-/* An upstream that neither answers nor is found dead in this time keeps nobody waiting. */
-#define PENDING_US (1500 * MF_US_PER_MS)
+/* Deaths that convict a request that ran apart from other suspects when the last one came. */
+#define DEATHS_APART 2
 
 typedef struct
 {
-  uint64_t digest;
-  uint32_t n_deaths;
-  bool convicted;
-  bool cleared;      /* has run to its end: what dies under it now dies of something else */
-  uint32_t upstream; /* of the last death counted, and when */
-  uint64_t death_us;
-  uint64_t at_us;
+  MfSuspect suspect;
   UT_hash_handle hh;
-} Suspect;
-
-typedef struct
-{
-  uint64_t request_id;
-  uint64_t digest;
-  uint32_t upstream;
-  bool alone; /* it ran as a suspect, apart from others */
-  uint64_t at_us;
-} Break;
+} Row;
 
 struct MfSuspects
 {
-  Suspect *by_digest;
-  Break breaks[BREAKS_MAX];
+  MfSuspectTerms terms;
+  Row *rows;
+  MfSuspectBreak breaks[BREAKS_MAX];
   uint32_t n_breaks;
 };
 
-static Suspect *
-find (const MfCore *core, uint64_t digest)
+/* Begins without suspects. NULL without memory. */
+MfSuspects *
+mf_suspects_new (const MfSuspectTerms *terms)
 {
-  Suspect *suspect;
+  MfSuspects *suspects = calloc (1, sizeof *suspects);
 
-  HASH_FIND (hh, core->board.suspects->by_digest, &digest, sizeof digest, suspect);
-  if (suspect != NULL && core->board.now_us - suspect->at_us > KEPT_US)
-    return NULL;
-  return suspect;
+  if (suspects != NULL)
+    suspects->terms = *terms;
+  return suspects;
 }
 
-static Suspect *
-find_or_add (MfCore *core, uint64_t digest)
+/* Accepts NULL. */
+void
+mf_suspects_free (MfSuspects *suspects)
 {
-  MfSuspects *suspects = core->board.suspects;
-  Suspect *suspect;
+  Row *row;
+  Row *next;
 
-  HASH_FIND (hh, suspects->by_digest, &digest, sizeof digest, suspect);
-  if (suspect == NULL)
-    {
-      if (HASH_COUNT (suspects->by_digest) >= SUSPECTS_MAX)
-        {
-          Suspect *oldest = suspects->by_digest;
-
-          HASH_DEL (suspects->by_digest, oldest);
-          free (oldest);
-        }
-      suspect = calloc (1, sizeof *suspect);
-      if (suspect == NULL)
-        abort ();
-      suspect->digest = digest;
-      HASH_ADD (hh, suspects->by_digest, digest, sizeof digest, suspect);
-    }
-  suspect->at_us = core->board.now_us;
-  return suspect;
+  if (suspects == NULL)
+    return;
+  HASH_ITER (hh, suspects->rows, row, next)
+  {
+    HASH_DEL (suspects->rows, row);
+    free (row);
+  }
+  free (suspects);
 }
 
-typedef struct
+static Row *
+row_find (const MfSuspects *suspects, uint64_t digest)
 {
-  MfCore *core;
-  uint64_t digest;
-} Mark;
+  Row *row;
+
+  HASH_FIND (hh, suspects->rows, &digest, sizeof digest, row);
+  return row;
+}
 
-/* Ends the requests held that have a convicted digest, wherever they run. */
 static void
-mark_request (MfRequest *request, void *data)
+row_drop (MfSuspects *suspects, Row *row)
 {
-  const Mark *mark = data;
-
-  if (request->digest != mark->digest)
-    return;
-  mf_finish_refused (mark->core, request, MF_CODE_POISON, 0);
+  HASH_DEL (suspects->rows, row);
+  free (row);
 }
 
+/* Makes room: the row that has been there longest goes, of those without a conviction if any. */
 static void
-convict (MfCore *core, Suspect *suspect)
+rows_evict (MfSuspects *suspects, uint64_t now_us)
 {
-  Mark mark = { .core = core, .digest = suspect->digest };
+  Row *oldest = suspects->rows;
 
-  if (suspect->convicted)
-    return;
-  suspect->convicted = true;
-  mf_counter_add (&core->board.counters, MF_COUNTER_CONVICTIONS, 1);
-  mf_core_log (core, "request", "", "suspect", "convicted", mf_code_info (MF_CODE_POISON)->name);
-  mf_request_foreach (core, mark_request, &mark);
+  for (Row *row = suspects->rows; row != NULL; row = row->hh.next)
+    {
+      if (row->suspect.convicted_until_us > now_us)
+        continue;
+      oldest = row;
+      break;
+    }
+  row_drop (suspects, oldest);
 }
 
-/* What another instance saw. It is taken as it is: a conviction took two deaths. */
-void
-mf_suspect_note (MfCore *core, uint64_t digest, uint32_t n_deaths, bool convicted)
+static MfSuspect *
+find_or_add (MfSuspects *suspects, uint64_t digest, uint64_t now_us)
 {
-  Suspect *suspect = find_or_add (core, digest);
+  Row *row = row_find (suspects, digest);
 
-  if (n_deaths > suspect->n_deaths && !suspect->cleared)
-    suspect->n_deaths = n_deaths;
-  if (convicted)
-    convict (core, suspect);
+  if (row != NULL && now_us - row->suspect.at_us > KEPT_US)
+    {
+      row_drop (suspects, row);
+      row = NULL;
+    }
+  if (row == NULL)
+    {
+      if (HASH_COUNT (suspects->rows) >= SUSPECTS_MAX)
+        rows_evict (suspects, now_us);
+      row = calloc (1, sizeof *row);
+      if (row == NULL)
+        abort ();
+      row->suspect.digest = digest;
+      HASH_ADD (hh, suspects->rows, suspect.digest, sizeof row->suspect.digest, row);
+    }
+  row->suspect.at_us = now_us;
+  return &row->suspect;
 }
 
-bool
-mf_suspect_admit (MfCore *core, MfRequest *request)
+/* What is known of a request; NULL when nothing is, or nothing recent. */
+MfSuspect *
+mf_suspects_find (const MfSuspects *suspects, uint64_t digest, uint64_t now_us)
 {
-  const Suspect *suspect = request->digest == 0 ? NULL : find (core, request->digest);
+  Row *row = row_find (suspects, digest);
 
-  if (suspect == NULL)
-    return true;
-  request->n_deaths = suspect->n_deaths;
-  request->suspect = suspect->n_deaths > 0;
-  return !suspect->convicted;
+  return row == NULL || now_us - row->suspect.at_us > KEPT_US ? NULL : &row->suspect;
 }
 
-/* Whether a break of this request at this upstream already waits. */
-static bool
-has_break (const MfSuspects *suspects, uint64_t request_id, uint32_t upstream)
+/* Whether a request is to be refused. */
+bool
+mf_suspects_is_convicted (const MfSuspects *suspects, uint64_t digest, uint64_t now_us)
 {
-  for (uint32_t i = 0; i < suspects->n_breaks; i++)
-    {
-      if (suspects->breaks[i].request_id == request_id && suspects->breaks[i].upstream == upstream)
-        return true;
-    }
-  return false;
+  const MfSuspect *suspect = mf_suspects_find (suspects, digest, now_us);
+
+  return suspect != NULL && suspect->convicted_until_us > now_us;
 }
 
-/* Until it is known whether the upstream died, the request waits: were it the cause, the next
- * upstream would die before the first death was counted. A stream that breaks and then cannot be
- * resumed has met one death, not two. */
+/* Calls func for each request under which an upstream has ended, until it returns false. */
 void
-mf_suspect_broken (MfCore *core, MfRequest *request, uint32_t upstream)
+mf_suspects_foreach (const MfSuspects *suspects, uint64_t now_us, MfSuspectFunc func, void *data)
 {
-  MfSuspects *suspects = core->board.suspects;
-
-  if (core->board.options.naive || request->digest == 0
-      || has_break (suspects, request->id, upstream))
-    return;
-  if (suspects->n_breaks == BREAKS_MAX)
-    suspects->breaks[0] = suspects->breaks[--suspects->n_breaks];
-  suspects->breaks[suspects->n_breaks++] = (Break){
-    .request_id = request->id,
-    .digest = request->digest,
-    .upstream = upstream,
-    .alone = request->suspect,
-    .at_us = core->board.now_us,
-  };
-  request->suspect_pending = true;
-  request->cleared_at = request->delivered;
-  mf_request_note (core, request, MF_TRACE_SUSPECTED, upstream, MF_NONE, request->n_deaths);
+  for (const Row *row = suspects->rows; row != NULL; row = row->hh.next)
+    {
+      if (now_us - row->suspect.at_us <= KEPT_US && row->suspect.n_deaths > 0
+          && !func (data, &row->suspect))
+        return;
+    }
 }
 
-static void
-release (MfCore *core, uint64_t request_id)
+/* Refuses a request until a moment. Returns whether that is new. */
+bool
+mf_suspects_convict (MfSuspects *suspects, uint64_t digest, uint64_t until_us, uint64_t now_us)
 {
-  MfRequest *request = mf_request_find (core, request_id);
+  MfSuspect *suspect = find_or_add (suspects, digest, now_us);
+  bool is_new = suspect->convicted_until_us <= now_us;
 
-  if (request != NULL)
-    request->suspect_pending = false;
-  mf_queue_stir (core);
+  if (until_us > suspect->convicted_until_us)
+    suspect->convicted_until_us = until_us;
+  return is_new && until_us > now_us;
 }
 
-/* Whether this death is told of already, or tells nothing: many requests of one digest may run on
- * an upstream that dies; a second death counts only where the suspect ran apart from others; and
- * one that has run to its end before is no cause of deaths. */
-static bool
-is_known_death (const MfCore *core, const Suspect *suspect, const Break *broken)
+/* Another instance has counted so many deaths, without their names. */
+void
+mf_suspects_raise (MfSuspects *suspects, uint64_t digest, uint32_t n_deaths, uint64_t now_us)
 {
-  bool same = suspect->upstream == broken->upstream && suspect->death_us == core->board.now_us;
+  MfSuspect *suspect = find_or_add (suspects, digest, now_us);
 
-  return suspect->cleared || (suspect->n_deaths > 0 && (same || !broken->alone));
+  while (suspect->n_deaths < n_deaths && suspect->n_deaths < MF_SUSPECT_DEATHS_MAX)
+    suspect->deaths[suspect->n_deaths++] = (MfSuspectDeath){ .at_us = now_us };
 }
 
-static void
-count_death (MfCore *core, const Break *broken)
+/* Whether a death tells nothing new: of one process under several tries, or of several processes at
+ * once, each of which ran the request before the first was known to have ended. */
+static bool
+death_is_known (const MfSuspect *suspect, const MfSuspectDeath *death)
 {
-  Suspect *suspect = find_or_add (core, broken->digest);
-  MfRequest *request = mf_request_find (core, broken->request_id);
-
-  if (!is_known_death (core, suspect, broken))
+  for (uint32_t i = 0; i < suspect->n_deaths; i++)
     {
-      suspect->n_deaths++;
-      suspect->upstream = broken->upstream;
-      suspect->death_us = core->board.now_us;
-      mf_news_note (core, suspect->n_deaths >= DEATHS_MAX ? MF_NEWS_CONVICTED : MF_NEWS_SUSPECT,
-                    suspect->digest, suspect->n_deaths);
-    }
-  if (request != NULL)
-    {
-      request->suspect = suspect->n_deaths > 0;
-      request->n_deaths = suspect->n_deaths;
+      if (suspect->deaths[i].process == death->process && death->process != 0)
+        return true;
     }
-  if (suspect->n_deaths >= DEATHS_MAX)
-    convict (core, suspect);
+  return suspect->n_deaths > 0 && death->sent_us < suspect->deaths[suspect->n_deaths - 1].at_us;
 }
 
-/* Takes the breaks at an upstream off the list one by one. */
-static bool
-take_break (MfSuspects *suspects, uint32_t upstream, Break *broken)
+/* Counts an upstream that ended under a request; apart tells that no other suspect ran there. */
+MfSuspectVerdict
+mf_suspects_add_death (MfSuspects *suspects, uint64_t digest, const MfSuspectDeath *death,
+                       bool apart, uint64_t now_us)
 {
-  for (uint32_t i = 0; i < suspects->n_breaks; i++)
-    {
-      if (suspects->breaks[i].upstream != upstream)
-        continue;
-      *broken = suspects->breaks[i];
-      suspects->breaks[i] = suspects->breaks[--suspects->n_breaks];
-      return true;
-    }
-  return false;
+  MfSuspect *suspect = find_or_add (suspects, digest, now_us);
+  uint64_t for_us;
+
+  if (death_is_known (suspect, death))
+    return MF_SUSPECT_KNOWN;
+  if (suspect->n_deaths < MF_SUSPECT_DEATHS_MAX)
+    suspect->deaths[suspect->n_deaths++] = *death;
+  if (suspect->n_deaths < (apart ? DEATHS_APART : MF_SUSPECT_DEATHS_MAX))
+    return MF_SUSPECT_COUNTED;
+  for_us = suspect->n_deaths < MF_SUSPECT_DEATHS_MAX ? suspects->terms.two_deaths_us
+                                                     : suspects->terms.three_deaths_us;
+  return mf_suspects_convict (suspects, digest, now_us + for_us, now_us) ? MF_SUSPECT_CONVICTED
+                                                                         : MF_SUSPECT_COUNTED;
 }
 
-void
-mf_suspect_upstream_died (MfCore *core, uint32_t upstream)
+/* The request was answered: what ended under it ended of something else. Returns whether anything
+ * was known of it. */
+bool
+mf_suspects_clear (MfSuspects *suspects, uint64_t digest)
 {
-  Break broken;
+  Row *row = row_find (suspects, digest);
 
-  while (take_break (core->board.suspects, upstream, &broken))
-    {
-      release (core, broken.request_id);
-      if (core->board.now_us - broken.at_us < BREAK_US)
-        count_death (core, &broken);
-    }
+  if (row == NULL)
+    return false;
+  row_drop (suspects, row);
+  return true;
 }
 
-void
-mf_suspect_upstream_lives (MfCore *core, uint32_t upstream)
+/* Keeps a break until it is known whether the upstream ended. Returns false when that of this try
+ * there is kept already. */
+bool
+mf_suspects_add_break (MfSuspects *suspects, const MfSuspectBreak *broken)
 {
-  Break broken;
-
-  while (take_break (core->board.suspects, upstream, &broken))
-    release (core, broken.request_id);
+  for (uint32_t i = 0; i < suspects->n_breaks; i++)
+    {
+      if (suspects->breaks[i].request == broken->request
+          && suspects->breaks[i].upstream == broken->upstream)
+        return false;
+    }
+  if (suspects->n_breaks == BREAKS_MAX)
+    suspects->breaks[0] = suspects->breaks[--suspects->n_breaks];
+  suspects->breaks[suspects->n_breaks++] = *broken;
+  return true;
 }
 
-/* The request got further than where its upstream died, or was answered. */
-void
-mf_suspect_clear (MfCore *core, MfRequest *request)
+uint32_t
+mf_suspects_n_breaks (const MfSuspects *suspects)
 {
-  Suspect *suspect = find (core, request->digest);
-
-  mf_call_clear_suspect (core, request);
-  request->n_deaths = 0;
-  if (suspect == NULL || suspect->convicted)
-    return;
-  suspect->n_deaths = 0;
-  suspect->cleared = true;
+  return suspects->n_breaks;
 }
 
+/* Takes a break at an upstream off the list; 0 stands for any upstream. */
 static bool
-count_one (uint64_t digest, uint32_t n_deaths, bool convicted, uint64_t at_us, void *data)
+break_take (MfSuspects *suspects, uint64_t upstream, uint64_t before_us, MfSuspectBreak *broken)
 {
-  uint32_t *n = data;
-
-  (void)digest;
-  (void)n_deaths;
-  (void)convicted;
-  (void)at_us;
-  ++*n;
-  return true;
+  for (uint32_t i = 0; i < suspects->n_breaks; i++)
+    {
+      if ((upstream != 0 && suspects->breaks[i].upstream != upstream)
+          || suspects->breaks[i].at_us >= before_us)
+        continue;
+      *broken = suspects->breaks[i];
+      suspects->breaks[i] = suspects->breaks[--suspects->n_breaks];
+      return true;
+    }
+  return false;
 }
 
-/* Returns how many are suspected or convicted. */
-uint32_t
-mf_suspect_count (const MfCore *core)
+static uint32_t
+count_suspects_at (const MfSuspects *suspects, uint64_t upstream)
 {
   uint32_t n = 0;
 
-  mf_suspect_foreach (core, count_one, &n);
+  for (uint32_t i = 0; i < suspects->n_breaks; i++)
+    n += suspects->breaks[i].upstream == upstream && suspects->breaks[i].suspect;
   return n;
 }
 
+/* An upstream has ended: what broke there lately is suspected of it, or convicted. process names
+ * what ended, where an upstream may be started anew under its name. */
 void
-mf_suspect_foreach (const MfCore *core, MfSuspectFunc func, void *data)
+mf_suspects_end_upstream (MfSuspects *suspects, uint64_t upstream, uint64_t process,
+                          uint64_t now_us, MfSuspectBreakFunc func, void *data)
 {
-  const Suspect *suspect = core->board.suspects->by_digest;
+  uint32_t n_suspects = count_suspects_at (suspects, upstream);
+  MfSuspectBreak broken;
 
-  for (; suspect != NULL; suspect = suspect->hh.next)
+  while (break_take (suspects, upstream, UINT64_MAX, &broken))
     {
-      if (core->board.now_us - suspect->at_us <= KEPT_US && suspect->n_deaths > 0
-          && !func (suspect->digest, suspect->n_deaths, suspect->convicted, suspect->at_us, data))
-        return;
+      MfSuspectDeath death
+          = { .process = process, .sent_us = broken.sent_us, .at_us = broken.at_us };
+      MfSuspectVerdict verdict = MF_SUSPECT_RELEASED;
+
+      if (now_us - broken.at_us < suspects->terms.break_us)
+        verdict = mf_suspects_add_death (suspects, broken.digest, &death,
+                                         broken.suspect && n_suspects == 1, now_us);
+      func (data, &broken, verdict);
     }
 }
 
-/* Lets go of what has waited long enough. */
-static void
-suspect_tick (MfCore *core)
+/* An upstream has given a sign of life: what broke there before broke of something else. */
+void
+mf_suspects_release_upstream (MfSuspects *suspects, uint64_t upstream, uint64_t before_us,
+                              MfSuspectBreakFunc func, void *data)
 {
-  MfSuspects *suspects = core->board.suspects;
+  MfSuspectBreak broken;
 
-  for (uint32_t i = suspects->n_breaks; i-- > 0;)
-    {
-      if (core->board.now_us - suspects->breaks[i].at_us < PENDING_US)
-        continue;
-      release (core, suspects->breaks[i].request_id);
-      suspects->breaks[i] = suspects->breaks[--suspects->n_breaks];
-    }
+  while (break_take (suspects, upstream, before_us, &broken))
+    func (data, &broken, MF_SUSPECT_RELEASED);
 }
 
-static bool
-suspect_init (MfCore *core, MfError *error)
+/* Lets go of breaks that have waited for long. */
+void
+mf_suspects_release_before (MfSuspects *suspects, uint64_t before_us, MfSuspectBreakFunc func,
+                            void *data)
 {
-  core->board.suspects = calloc (1, sizeof *core->board.suspects);
-  if (core->board.suspects == NULL)
-    mf_error_set (error, MF_CODE_NO_MEMORY, "no memory for the suspects");
-  return core->board.suspects != NULL;
+  mf_suspects_release_upstream (suspects, 0, before_us, func, data);
 }
-
-static void
-suspect_finish (MfCore *core)
-{
-  Suspect *suspect;
-  Suspect *next;
-
-  if (core->board.suspects == NULL)
-    return;
-  HASH_ITER (hh, core->board.suspects->by_digest, suspect, next)
-  {
-    HASH_DEL (core->board.suspects->by_digest, suspect);
-    free (suspect);
-  }
-  free (core->board.suspects);
-}
-
-const MfController mf_suspect_controller = {
-  .name = "suspect",
-  .init = suspect_init,
-  .finish = suspect_finish,
-  .tick = suspect_tick,
-};
--- /dev/null
+++ b/libmangofork/suspect_core.c
@@ -0,0 +1,214 @@
+#include "suspect_core.h"
+
+#include "news.h"
+#include "queue.h"
+
+#include <xxhash.h>
+
+/* Suspects run apart here, so that two deaths say as much as three. */
+#define SENTENCE_US (UINT64_C (600) * MF_US_PER_S)
+#define BREAK_US (3 * MF_US_PER_S)
+/* An upstream that neither answers nor is found dead in this time keeps nobody waiting. */
+#define PENDING_US (1500 * MF_US_PER_MS)
+
+/* The requests that have a convicted digest. */
+typedef struct
+{
+  MfCore *core;
+  uint64_t digest;
+} Mark;
+
+/* How an upstream is named in the list of breaks. */
+static uint64_t
+upstream_name (uint32_t upstream)
+{
+  return (uint64_t)upstream + 1;
+}
+
+/* Ends the requests held that have a convicted digest, wherever they run. */
+static void
+mark_request (MfRequest *request, void *data)
+{
+  const Mark *mark = data;
+
+  if (request->digest != mark->digest)
+    return;
+  mf_finish_refused (mark->core, request, MF_CODE_POISON, 0);
+}
+
+static void
+end_convicted (MfCore *core, uint64_t digest)
+{
+  Mark mark = { .core = core, .digest = digest };
+
+  mf_counter_add (&core->board.counters, MF_COUNTER_CONVICTIONS, 1);
+  mf_core_log (core, "request", "", "suspect", "convicted", mf_code_info (MF_CODE_POISON)->name);
+  mf_request_foreach (core, mark_request, &mark);
+}
+
+/* What another instance saw. It is taken as it is: a conviction took two deaths. */
+void
+mf_suspect_note (MfCore *core, uint64_t digest, uint32_t n_deaths, bool convicted)
+{
+  uint64_t now_us = core->board.now_us;
+
+  mf_suspects_raise (core->board.suspects, digest, n_deaths, now_us);
+  if (convicted && mf_suspects_convict (core->board.suspects, digest, now_us + SENTENCE_US, now_us))
+    end_convicted (core, digest);
+}
+
+/* A request has arrived: what is known of its digest is put on it. Returns whether it may run. */
+bool
+mf_suspect_admit (MfCore *core, MfRequest *request)
+{
+  uint64_t now_us = core->board.now_us;
+  const MfSuspect *suspect = request->digest == 0
+                                 ? NULL
+                                 : mf_suspects_find (core->board.suspects, request->digest, now_us);
+
+  if (suspect == NULL)
+    return true;
+  request->n_deaths = suspect->n_deaths;
+  request->suspect = suspect->n_deaths > 0;
+  return suspect->convicted_until_us <= now_us;
+}
+
+/* A call of the request broke, as it would when its upstream died. Until it is known whether the
+ * upstream died, the request waits: were it the cause, the next upstream would die before the first
+ * death was counted. A stream that breaks and then cannot be resumed has met one death, not two. */
+void
+mf_suspect_broken (MfCore *core, MfRequest *request, uint32_t upstream)
+{
+  uint64_t now_us = core->board.now_us;
+
+  if (core->board.options.naive || request->digest == 0
+      || !mf_suspects_add_break (core->board.suspects,
+                                 &(MfSuspectBreak){
+                                     .digest = request->digest,
+                                     .request = request->id,
+                                     .upstream = upstream_name (upstream),
+                                     .suspect = request->suspect,
+                                     /* Of one that was no suspect, no earlier death was known. */
+                                     .sent_us = request->suspect ? now_us : 0,
+                                     .at_us = now_us,
+                                 }))
+    return;
+  request->suspect_pending = true;
+  request->cleared_at = request->delivered;
+  mf_request_note (core, request, MF_TRACE_SUSPECTED, upstream, MF_NONE, request->n_deaths);
+}
+
+/* What became of a break: its request goes on, or is refused. */
+static void
+on_verdict (void *data, const MfSuspectBreak *broken, MfSuspectVerdict verdict)
+{
+  MfCore *core = data;
+  MfRequest *request = mf_request_find (core, broken->request);
+  const MfSuspect *suspect
+      = mf_suspects_find (core->board.suspects, broken->digest, core->board.now_us);
+
+  if (request != NULL)
+    request->suspect_pending = false;
+  mf_queue_stir (core);
+  if (verdict == MF_SUSPECT_RELEASED || suspect == NULL)
+    return;
+  if (request != NULL)
+    {
+      request->suspect = suspect->n_deaths > 0;
+      request->n_deaths = suspect->n_deaths;
+    }
+  if (verdict == MF_SUSPECT_COUNTED)
+    mf_news_note (core, MF_NEWS_SUSPECT, suspect->digest, suspect->n_deaths);
+  if (verdict != MF_SUSPECT_CONVICTED)
+    return;
+  mf_news_note (core, MF_NEWS_CONVICTED, suspect->digest, suspect->n_deaths);
+  end_convicted (core, suspect->digest);
+}
+
+/* The upstream is known to have died: what broke there just before is suspected of it. */
+void
+mf_suspect_upstream_died (MfCore *core, uint32_t upstream)
+{
+  uint64_t life[] = { upstream_name (upstream), core->board.now_us };
+
+  mf_suspects_end_upstream (core->board.suspects, upstream_name (upstream),
+                            XXH3_64bits (life, sizeof life), core->board.now_us, on_verdict, core);
+}
+
+/* The upstream lives on: what broke there broke of something else. */
+void
+mf_suspect_upstream_lives (MfCore *core, uint32_t upstream)
+{
+  mf_suspects_release_upstream (core->board.suspects, upstream_name (upstream), UINT64_MAX,
+                                on_verdict, core);
+}
+
+/* The request got further than where its upstream died, or was answered. */
+void
+mf_suspect_clear (MfCore *core, MfRequest *request)
+{
+  mf_call_clear_suspect (core, request);
+  request->n_deaths = 0;
+  if (!mf_suspects_is_convicted (core->board.suspects, request->digest, core->board.now_us))
+    mf_suspects_clear (core->board.suspects, request->digest);
+}
+
+static bool
+count_one (void *data, const MfSuspect *suspect)
+{
+  uint32_t *n = data;
+
+  (void)suspect;
+  ++*n;
+  return true;
+}
+
+/* Returns how many are suspected or convicted. */
+uint32_t
+mf_suspect_count (const MfCore *core)
+{
+  uint32_t n = 0;
+
+  mf_suspect_foreach (core, count_one, &n);
+  return n;
+}
+
+/* Calls func for each digest that is suspected or convicted, until it returns false. */
+void
+mf_suspect_foreach (const MfCore *core, MfSuspectFunc func, void *data)
+{
+  mf_suspects_foreach (core->board.suspects, core->board.now_us, func, data);
+}
+
+/* Lets go of what has waited long enough. */
+static void
+suspect_tick (MfCore *core)
+{
+  uint64_t now_us = core->board.now_us;
+
+  if (now_us > PENDING_US)
+    mf_suspects_release_before (core->board.suspects, now_us - PENDING_US, on_verdict, core);
+}
+
+static bool
+suspect_init (MfCore *core, MfError *error)
+{
+  core->board.suspects = mf_suspects_new (&(MfSuspectTerms){
+      .break_us = BREAK_US, .two_deaths_us = SENTENCE_US, .three_deaths_us = SENTENCE_US });
+  if (core->board.suspects == NULL)
+    mf_error_set (error, MF_CODE_NO_MEMORY, "no memory for the suspects");
+  return core->board.suspects != NULL;
+}
+
+static void
+suspect_finish (MfCore *core)
+{
+  mf_suspects_free (core->board.suspects);
+}
+
+const MfController mf_suspect_controller = {
+  .name = "suspect",
+  .init = suspect_init,
+  .finish = suspect_finish,
+  .tick = suspect_tick,
+};
--- a/tests/test_news.c
+++ b/tests/test_news.c
@@ -1,6 +1,6 @@
 #include "libmangofork/member_row.h"
 #include "libmangofork/news.h"
-#include "libmangofork/suspect.h"
+#include "libmangofork/suspect_core.h"
 
 #include "fakes/cores.h"
 #include "fakes/text.h"
--- a/tests/test_suspect.c
+++ b/tests/test_suspect.c
@@ -1,128 +1,192 @@
 #include "libmangofork/suspect.h"
 
-#include "one_core.h"
-
 #include <setjmp.h>
 #include <stdarg.h>
 
 #include <cmocka.h>
 
-#define DIGEST 77
+#define DIGEST 7
+#define OTHER_DIGEST 8
+#define S MF_US_PER_S
+
+static const MfSuspectTerms terms
+    = { .break_us = 10 * S, .two_deaths_us = 30 * S, .three_deaths_us = 600 * S };
 
-/* Sends a read of that digest; returns the call it became, which has left for the upstream. */
-static uint64_t
-send_read (OneCore *one, uint64_t id)
+/* The verdicts on the breaks of one upstream, by digest. */
+typedef struct
 {
-  MfEvent event = { .type = MF_EVENT_REQUEST };
+  MfSuspectVerdict own;
+  MfSuspectVerdict other;
+  uint32_t n;
+} Seen;
 
-  event.request = (MfRequestEvent){
-    .request_id = id, .name = "read", .path = "/stock", .method = "GET", .digest = DIGEST
-  };
-  one_core_step (one, &event);
-  event = (MfEvent){ .type = MF_EVENT_CALL_SENT, .call = { .call_id = one->call_id } };
-  one_core_step (one, &event);
-  return one->call_id;
+static void
+on_verdict (void *data, const MfSuspectBreak *broken, MfSuspectVerdict verdict)
+{
+  Seen *seen = data;
+
+  seen->n++;
+  if (broken->digest == DIGEST)
+    seen->own = verdict;
+  else
+    seen->other = verdict;
 }
 
 static void
-end_call (OneCore *one, uint64_t call_id, MfEventType type)
+run_breaks (MfSuspects *suspects, uint64_t digest, uint64_t upstream, bool suspect,
+            uint64_t sent_us)
+{
+  mf_suspects_add_break (suspects, &(MfSuspectBreak){ .digest = digest,
+                                                      .request = digest * 100 + upstream,
+                                                      .upstream = upstream,
+                                                      .suspect = suspect,
+                                                      .sent_us = sent_us,
+                                                      .at_us = sent_us + S / 10 });
+}
+
+static Seen
+upstream_ends (MfSuspects *suspects, uint64_t upstream, uint64_t now_us)
 {
-  MfEvent event = { .type = type,
-                    .call = { .call_id = call_id,
-                              .sent = true,
-                              .status = 200,
-                              .content_type = "text/plain",
-                              .data = "7",
-                              .data_bytes = 1 } };
-
-  one_core_step (one, &event);
+  Seen seen = { 0 };
+
+  mf_suspects_end_upstream (suspects, upstream, upstream, now_us, on_verdict, &seen);
+  return seen;
 }
 
-/* The upstream is found dead and comes back; what waited for it is called again. Returns the call.
- */
-static uint64_t
-die (OneCore *one)
+/* Ends one upstream after the other under the digest; returns the last verdict. */
+static MfSuspectVerdict
+die_at (MfSuspects *suspects, uint64_t upstream, bool apart)
 {
-  uint32_t s1 = mf_upstream_find (one->core, mf_hash_name ("s1"));
-  MfEvent event = { .type = MF_EVENT_CALL_SENT };
-
-  mf_suspect_upstream_died (one->core, s1);
-  one_core_wait (one, MF_US_PER_S / 2);
-  event.call.call_id = one->call_id;
-  one_core_step (one, &event);
-  return one->call_id;
+  run_breaks (suspects, DIGEST, upstream, upstream > 1, upstream * S);
+  if (!apart)
+    run_breaks (suspects, OTHER_DIGEST + upstream, upstream, upstream > 1, upstream * S);
+  return upstream_ends (suspects, upstream, upstream * S + S / 5).own;
 }
 
-static uint64_t
-n_convictions (const OneCore *one)
+static void
+test_second_death_apart_from_other_suspects_convicts (void **state)
 {
-  return one->core->board.counters.values[MF_COUNTER_CONVICTIONS];
+  MfSuspects *suspects = mf_suspects_new (&terms);
+
+  (void)state;
+  assert_int_equal (die_at (suspects, 1, false), MF_SUSPECT_COUNTED);
+  assert_int_equal (die_at (suspects, 2, true), MF_SUSPECT_CONVICTED);
+  assert_true (mf_suspects_is_convicted (suspects, DIGEST, 3 * S));
+  assert_false (mf_suspects_is_convicted (suspects, OTHER_DIGEST + 1, 3 * S));
+  mf_suspects_free (suspects);
 }
 
-/* Many callers read the same while their upstream dies: that is one death. */
 static void
-test_one_death_under_many_is_one_death (void **state)
+test_third_death_convicts_in_any_company (void **state)
 {
-  OneCore *one = one_core_new ();
-  uint64_t calls[3];
+  MfSuspects *suspects = mf_suspects_new (&terms);
 
   (void)state;
-  for (uint64_t i = 0; i < 3; i++)
-    calls[i] = send_read (one, i + 1);
-  for (uint64_t i = 0; i < 3; i++)
-    end_call (one, calls[i], MF_EVENT_CALL_FAILED);
-  die (one);
-  assert_int_equal (mf_suspect_count (one->core), 1);
-  assert_int_equal (n_convictions (one), 0);
-  assert_int_equal (one->code, MF_CODE_OK);
-  one_core_free (one);
+  assert_int_equal (die_at (suspects, 1, false), MF_SUSPECT_COUNTED);
+  assert_int_equal (die_at (suspects, 2, false), MF_SUSPECT_COUNTED);
+  assert_int_equal (die_at (suspects, 3, false), MF_SUSPECT_CONVICTED);
+  mf_suspects_free (suspects);
 }
 
+/* A sentence for two deaths ends; the next death is the third, and its sentence the long one. */
 static void
-test_second_death_alone_convicts (void **state)
+test_conviction_ends_and_comes_back (void **state)
 {
-  OneCore *one = one_core_new ();
+  MfSuspects *suspects = mf_suspects_new (&terms);
 
   (void)state;
-  end_call (one, send_read (one, 1), MF_EVENT_CALL_FAILED);
-  end_call (one, die (one), MF_EVENT_CALL_FAILED);
-  die (one);
-  assert_int_equal (n_convictions (one), 1);
-  assert_int_equal (one->code, MF_CODE_POISON);
-  one->code = MF_CODE_OK;
-  send_read (one, 2);
-  assert_int_equal (one->code, MF_CODE_POISON);
-  one_core_free (one);
+  die_at (suspects, 1, true);
+  die_at (suspects, 2, true);
+  assert_true (mf_suspects_is_convicted (suspects, DIGEST, 30 * S));
+  assert_false (mf_suspects_is_convicted (suspects, DIGEST, 40 * S));
+  assert_int_equal (die_at (suspects, 40, false), MF_SUSPECT_CONVICTED);
+  assert_true (mf_suspects_is_convicted (suspects, DIGEST, 600 * S));
+  assert_null (mf_suspects_find (suspects, DIGEST, 641 * S));
+  mf_suspects_free (suspects);
 }
 
-/* What has run to its end is not blamed for later deaths. */
+/* Tries of one request at three upstreams that lose power together are one death. */
 static void
-test_innocent_stays_innocent (void **state)
+test_deaths_at_once_are_one (void **state)
 {
-  OneCore *one = one_core_new ();
+  MfSuspects *suspects = mf_suspects_new (&terms);
 
   (void)state;
-  end_call (one, send_read (one, 1), MF_EVENT_CALL_FAILED);
-  end_call (one, die (one), MF_EVENT_CALL_DONE);
-  assert_int_equal (one->n_answered, 1);
-  assert_int_equal (mf_suspect_count (one->core), 0);
-  for (uint64_t id = 2; id < 6; id++)
+  for (uint64_t upstream = 1; upstream <= 3; upstream++)
+    run_breaks (suspects, DIGEST, upstream, false, S);
+  assert_int_equal (upstream_ends (suspects, 1, 2 * S).own, MF_SUSPECT_COUNTED);
+  assert_int_equal (upstream_ends (suspects, 2, 2 * S).own, MF_SUSPECT_KNOWN);
+  assert_int_equal (upstream_ends (suspects, 3, 2 * S).own, MF_SUSPECT_KNOWN);
+  assert_int_equal (mf_suspects_find (suspects, DIGEST, 2 * S)->n_deaths, 1);
+  mf_suspects_free (suspects);
+}
+
+static void
+test_answer_clears (void **state)
+{
+  MfSuspects *suspects = mf_suspects_new (&terms);
+
+  (void)state;
+  for (uint64_t upstream = 1; upstream < 10; upstream++)
     {
-      end_call (one, send_read (one, id), MF_EVENT_CALL_FAILED);
-      end_call (one, die (one), MF_EVENT_CALL_DONE);
+      assert_int_equal (die_at (suspects, upstream, true), MF_SUSPECT_COUNTED);
+      assert_true (mf_suspects_clear (suspects, DIGEST));
+      assert_false (mf_suspects_clear (suspects, DIGEST));
     }
-  assert_int_equal (n_convictions (one), 0);
-  assert_int_equal (one->n_answered, 5);
-  one_core_free (one);
+  mf_suspects_free (suspects);
+}
+
+/* A break is not counted when the upstream has answered since, or ended long after. */
+static void
+test_breaks_at_living_upstreams_are_released (void **state)
+{
+  MfSuspects *suspects = mf_suspects_new (&terms);
+  Seen seen = { 0 };
+
+  (void)state;
+  run_breaks (suspects, DIGEST, 1, false, S);
+  mf_suspects_release_upstream (suspects, 1, S, on_verdict, &seen);
+  assert_int_equal (seen.n, 0);
+  mf_suspects_release_upstream (suspects, 1, 2 * S, on_verdict, &seen);
+  assert_int_equal (seen.n, 1);
+  assert_int_equal (upstream_ends (suspects, 1, 3 * S).n, 0);
+  run_breaks (suspects, DIGEST, 2, false, S);
+  assert_int_equal (upstream_ends (suspects, 2, 20 * S).own, MF_SUSPECT_RELEASED);
+  run_breaks (suspects, DIGEST, 3, false, S);
+  mf_suspects_release_before (suspects, 2 * S, on_verdict, &seen);
+  assert_int_equal (mf_suspects_n_breaks (suspects), 0);
+  assert_null (mf_suspects_find (suspects, DIGEST, 20 * S));
+  mf_suspects_free (suspects);
+}
+
+/* Many suspects push out those that were never convicted, and no conviction. */
+static void
+test_convictions_outlast_many_suspects (void **state)
+{
+  MfSuspects *suspects = mf_suspects_new (&terms);
+
+  (void)state;
+  die_at (suspects, 1, true);
+  die_at (suspects, 2, true);
+  for (uint64_t digest = 100; digest < 20000; digest++)
+    mf_suspects_add_death (suspects, digest, &(MfSuspectDeath){ .process = 1, .at_us = 3 * S },
+                           false, 3 * S);
+  assert_true (mf_suspects_is_convicted (suspects, DIGEST, 4 * S));
+  assert_null (mf_suspects_find (suspects, 100, 4 * S));
+  mf_suspects_free (suspects);
 }
 
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_one_death_under_many_is_one_death),
-    cmocka_unit_test (test_second_death_alone_convicts),
-    cmocka_unit_test (test_innocent_stays_innocent),
+    cmocka_unit_test (test_second_death_apart_from_other_suspects_convicts),
+    cmocka_unit_test (test_third_death_convicts_in_any_company),
+    cmocka_unit_test (test_conviction_ends_and_comes_back),
+    cmocka_unit_test (test_deaths_at_once_are_one),
+    cmocka_unit_test (test_answer_clears),
+    cmocka_unit_test (test_breaks_at_living_upstreams_are_released),
+    cmocka_unit_test (test_convictions_outlast_many_suspects),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- /dev/null
+++ b/tests/test_suspect_core.c
@@ -0,0 +1,129 @@
+#include "libmangofork/suspect_core.h"
+
+#include "one_core.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+
+#include <cmocka.h>
+
+#define DIGEST 77
+
+/* Sends a read of that digest; returns the call it became, which has left for the upstream. */
+static uint64_t
+send_read (OneCore *one, uint64_t id)
+{
+  MfEvent event = { .type = MF_EVENT_REQUEST };
+
+  event.request = (MfRequestEvent){
+    .request_id = id, .name = "read", .path = "/stock", .method = "GET", .digest = DIGEST
+  };
+  one_core_step (one, &event);
+  event = (MfEvent){ .type = MF_EVENT_CALL_SENT, .call = { .call_id = one->call_id } };
+  one_core_step (one, &event);
+  return one->call_id;
+}
+
+static void
+end_call (OneCore *one, uint64_t call_id, MfEventType type)
+{
+  MfEvent event = { .type = type,
+                    .call = { .call_id = call_id,
+                              .sent = true,
+                              .status = 200,
+                              .content_type = "text/plain",
+                              .data = "7",
+                              .data_bytes = 1 } };
+
+  one_core_step (one, &event);
+}
+
+/* The upstream is found dead and comes back; what waited for it is called again. Returns the call.
+ */
+static uint64_t
+die (OneCore *one)
+{
+  uint32_t s1 = mf_upstream_find (one->core, mf_hash_name ("s1"));
+  MfEvent event = { .type = MF_EVENT_CALL_SENT };
+
+  mf_suspect_upstream_died (one->core, s1);
+  one_core_wait (one, MF_US_PER_S / 2);
+  event.call.call_id = one->call_id;
+  one_core_step (one, &event);
+  return one->call_id;
+}
+
+static uint64_t
+n_convictions (const OneCore *one)
+{
+  return one->core->board.counters.values[MF_COUNTER_CONVICTIONS];
+}
+
+/* Many callers read the same while their upstream dies: that is one death. */
+static void
+test_one_death_under_many_is_one_death (void **state)
+{
+  OneCore *one = one_core_new ();
+  uint64_t calls[3];
+
+  (void)state;
+  for (uint64_t i = 0; i < 3; i++)
+    calls[i] = send_read (one, i + 1);
+  for (uint64_t i = 0; i < 3; i++)
+    end_call (one, calls[i], MF_EVENT_CALL_FAILED);
+  die (one);
+  assert_int_equal (mf_suspect_count (one->core), 1);
+  assert_int_equal (n_convictions (one), 0);
+  assert_int_equal (one->code, MF_CODE_OK);
+  one_core_free (one);
+}
+
+static void
+test_second_death_alone_convicts (void **state)
+{
+  OneCore *one = one_core_new ();
+
+  (void)state;
+  end_call (one, send_read (one, 1), MF_EVENT_CALL_FAILED);
+  end_call (one, die (one), MF_EVENT_CALL_FAILED);
+  die (one);
+  assert_int_equal (n_convictions (one), 1);
+  assert_int_equal (one->code, MF_CODE_POISON);
+  one->code = MF_CODE_OK;
+  send_read (one, 2);
+  assert_int_equal (one->code, MF_CODE_POISON);
+  one_core_free (one);
+}
+
+/* What has run to its end is not blamed for later deaths. */
+static void
+test_innocent_stays_innocent (void **state)
+{
+  OneCore *one = one_core_new ();
+
+  (void)state;
+  end_call (one, send_read (one, 1), MF_EVENT_CALL_FAILED);
+  end_call (one, die (one), MF_EVENT_CALL_DONE);
+  assert_int_equal (one->n_answered, 1);
+  assert_int_equal (mf_suspect_count (one->core), 0);
+  for (uint64_t id = 2; id < 6; id++)
+    {
+      end_call (one, send_read (one, id), MF_EVENT_CALL_FAILED);
+      end_call (one, die (one), MF_EVENT_CALL_DONE);
+    }
+  assert_int_equal (n_convictions (one), 0);
+  assert_int_equal (one->n_answered, 5);
+  one_core_free (one);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_one_death_under_many_is_one_death),
+    cmocka_unit_test (test_second_death_alone_convicts),
+    cmocka_unit_test (test_innocent_stays_innocent),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
