Requests under which upstreams end are refused, and others served

Class: a fault that follows the request was handled as one of the upstream. Change: breaks are kept by digest until it is known whether the upstream ended; a connection opened at once shows it. The second end in a row, apart from other suspects of any instance, refuses the request for 30 s, the third for ten minutes; all instances are told, again when they are reached anew; an answer forgets all. suspect.c decides for serve and relay. Open: after a loss of all instances nothing is known.

--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -121,6 +121,7 @@
   uint64_t now_us = mf_clock_now_us ();
   uint64_t took_us = now_us - job->begun_us;
 
+  mf_job_note_outcome (job, code == MF_CODE_OK);
   jobs->counters.by_code[mf_code_index (code)]++;
   if (job->phase == MF_JOB_WAITING && job->waiting_since_us > 0)
     job->waited_us += now_us - job->waiting_since_us;
@@ -414,6 +415,7 @@
   if (!mf_head_copy (head, MF_WORD_REQUEST_ID, job->id, sizeof job->id))
     job->id[0] = '\0';
   job->digest = mf_job_digest (caller);
+  job->number = ++jobs->n_begun;
   job_read_size (job, head);
   job_read_times (job, head);
   mf_caller_attach (caller, job);
@@ -643,6 +645,8 @@
   jobs->jobs_max = JOBS_MAX;
   jobs->answer_bytes_max = ANSWERS_BYTES_MAX;
   jobs->targets.loop = loop;
+  jobs->targets.user = &mf_job_targets_user;
+  jobs->targets.user_data = jobs;
   jobs->targets.dialect = dialect;
   if (getrandom (&jobs->random, sizeof jobs->random, 0) != sizeof jobs->random)
     jobs->random = mf_clock_now_us ();
@@ -652,6 +656,8 @@
   jobs->wake.data = jobs;
   ev_init (&jobs->wake_now, on_wake);
   jobs->wake_now.data = jobs;
+  if (!mf_jobs_init_suspects (jobs))
+    abort ();
   jobs->dispatch = mf_dispatch_new (&jobs->targets, &mf_job_dispatch_user, jobs);
 }
 
@@ -666,6 +672,7 @@
   mf_jobs_drop_orders (jobs);
   mf_dispatch_free (jobs->dispatch);
   mf_targets_clear (&jobs->targets);
+  mf_suspects_free (jobs->suspects);
   mf_routes_unref (jobs->routes);
   jobs->routes = NULL;
 }
--- a/libmangofork/relay/job.h
+++ b/libmangofork/relay/job.h
@@ -48,7 +48,9 @@
   const MfDialect *dialect;
   MfLines *lines;
   MfTargets targets;
+  MfSuspects *suspects; /* requests that may end the upstreams that run them */
   MfDispatch *dispatch;
+  uint64_t n_begun; /* requests, since the start */
   uint64_t last_ask_id;
   MfRelayMessage message; /* room for one that is sent; too large for the stack */
   MfPeers *peers;         /* NULL: this instance is alone */
@@ -96,6 +98,7 @@
 void mf_jobs_balance_stages (MfJobs *jobs, MfLead *lead, const MfRouteService *service,
                              uint64_t now_us);
 void mf_jobs_drop_orders (MfJobs *jobs);
+void mf_jobs_forget_breaks (MfJobs *jobs, uint64_t now_us);
 uint32_t mf_jobs_random (MfJobs *jobs);
 void mf_jobs_load_changed (MfJobs *jobs);
 void mf_jobs_wake_later (MfJobs *jobs);
--- a/libmangofork/relay/job_answer.c
+++ b/libmangofork/relay/job_answer.c
@@ -55,6 +55,8 @@
   MfJob *job = data;
 
   mf_target_alive (job->target, mf_clock_now_us ());
+  if (status != 421)
+    mf_job_note_alive (job);
   mf_job_answer_clear (&job->answer);
   answer_take_head (&job->answer, head, status);
 }
@@ -235,7 +237,8 @@
       job->jobs->counters.counts[MF_RELAY_COUNT_RESUMED]++;
       mf_job_wait_again (job);
     }
-  mf_job_repeat_or_end (job, &(MfJobDenied){
+  mf_job_repeat_after_break (job, target,
+                             &(MfJobDenied){
                                  .code = MF_CODE_UPSTREAM_DIED,
                                  .why = why,
                                  .may_have_run = true,
@@ -336,6 +339,8 @@
     {
       job->n_runs++;
       job->memory_used = true;
+      mf_job_note_break (job, target);
+      mf_target_look (target);
       job_broke (job, target, why);
     }
   else if (job->phase == MF_JOB_STREAMING && answer_is_good (&job->answer))
@@ -410,7 +415,13 @@
                     "id=%s digest=%016llx upstream=%s stage=prefill status=%u why=\"%s\"", job->id,
                     (unsigned long long)job->digest, target->info.id, answer->status, why);
       mf_job_avoid (job, target->id_hash);
-      mf_job_repeat_or_end (job, &(MfJobDenied){
+      if (end == MF_LINK_BROKEN)
+        {
+          mf_job_note_break (job, target);
+          mf_target_look (target);
+        }
+      mf_job_repeat_after_break (job, target,
+                                 &(MfJobDenied){
                                      .code = MF_CODE_RETRY_BUDGET,
                                      .why = "the prompt was not read",
                                  });
--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -17,6 +17,7 @@
     .tokens = role == MF_ROLE_PREFILL ? job->prompt_tokens : job->memory_tokens,
     .traits = job->service,
     .n_avoid = job->n_avoid,
+    .apart = mf_job_is_suspect (job),
     .memory_data_centre = role == MF_ROLE_DECODE && job->memory_target != NULL
                               ? job->memory_target->info.data_centre
                               : NULL,
@@ -176,6 +177,8 @@
 void
 mf_job_advance (MfJob *job)
 {
+  if (mf_job_end_convicted (job))
+    return;
   if (job->is_engine)
     job_place_engine (job);
   else
@@ -192,7 +195,9 @@
 
   if (job->phase == MF_JOB_WAITING)
     {
-      if (job->repeat_id != 0)
+      if (job->awaited != 0)
+        mf_job_verdict_due (job);
+      else if (job->repeat_id != 0)
         mf_job_repeat_denied (job);
       else if (job->ask_id != 0)
         mf_job_ask_expired (job);
@@ -220,6 +225,7 @@
                 target->info.id, (double)(mf_clock_now_us () - job->sent_us) / 1e3,
                 target->n_active);
   mf_target_failed (target, false, mf_clock_now_us ());
+  mf_job_note_break (job, target);
   mf_job_avoid (job, target->id_hash);
   /* What was sent and is given up may have run. */
   if (job->phase != MF_JOB_PREFILL && mf_link_has_sent (job->link))
--- a/libmangofork/relay/job_room.c
+++ b/libmangofork/relay/job_room.c
@@ -50,6 +50,37 @@
     }
 }
 
+/* Decode engines of the service that the ask does not name. */
+static uint32_t
+ask_n_open (const MfJob *job, const MfAsk *ask)
+{
+  uint32_t n_open = 0;
+
+  for (const MfTarget *target = job->jobs->targets.first; target != NULL; target = target->next)
+    n_open += target->info.role == MF_ROLE_DECODE && !target->info.leaving
+              && strcmp (target->info.service, job->service->name) == 0
+              && !mf_place_avoids (ask->avoid, ask->n_avoid, target);
+  return n_open;
+}
+
+/* Adds the engines where requests run under which another has ended, while one is left without. */
+static void
+ask_avoid_suspects (const MfJob *job, MfAsk *ask)
+{
+  uint32_t n_open = ask_n_open (job, ask);
+
+  for (const MfTarget *target = job->jobs->targets.first;
+       target != NULL && ask->n_avoid < MF_PLACE_AVOID_MAX && n_open > 1; target = target->next)
+    {
+      if (target->info.role != MF_ROLE_DECODE || target->n_suspects == 0
+          || strcmp (target->info.service, job->service->name) != 0
+          || mf_place_avoids (ask->avoid, ask->n_avoid, target))
+        continue;
+      ask->avoid[ask->n_avoid++] = target->id_hash;
+      n_open--;
+    }
+}
+
 /* What is asked for this request. A stream that broke off goes before those that have not begun:
  * its caller has been promised the rest. */
 static MfAsk
@@ -71,6 +102,8 @@
   memcpy (ask.data_centre, job->jobs->targets.data_centre, sizeof ask.data_centre);
   memcpy (ask.avoid, job->avoid, sizeof job->avoid);
   ask_avoid_unusable (job, &ask, now_us);
+  if (mf_job_is_suspect (job))
+    ask_avoid_suspects (job, &ask);
   return ask;
 }
 
@@ -273,6 +306,9 @@
       if (jobs->take_feed != NULL)
         jobs->take_feed (jobs->take_feed_data, peer, &message->feed);
       return;
+    case MF_RELAY_MESSAGE_SUSPECTS:
+      mf_jobs_take_suspects (jobs, &message->suspects);
+      return;
     case MF_RELAY_MESSAGE_REPEAT:
     case MF_RELAY_MESSAGE_ALLOW:
       mf_jobs_take_repeat_message (jobs, peer, message);
@@ -282,6 +318,13 @@
     }
 }
 
+/* Another instance has been reached that may have started anew. */
+static void
+on_peer_reached (void *data, uint64_t peer)
+{
+  mf_jobs_tell_suspects (data, peer);
+}
+
 /* Another instance is gone. */
 static void
 on_peer_gone (void *data, uint64_t peer)
@@ -328,5 +371,6 @@
   .fill = on_fill,
   .changed = on_changed,
   .message = on_message,
+  .reached = on_peer_reached,
   .gone = on_peer_gone,
 };
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -49,6 +49,7 @@
   bool is_head;
   char id[MF_JOB_ID_BYTES];
   uint64_t digest; /* the same for each try of a request */
+  uint64_t number; /* names this try within the instance */
   uint64_t begun_us;
   uint64_t asked_us;    /* when the caller first asked, as far as its deadline shows */
   uint64_t deadline_us; /* the caller's or the route's, whichever is first */
@@ -96,6 +97,9 @@
   MfJobDenied denied;
   uint32_t n_prepaid;  /* repeats taken from the budget and not sent yet */
   bool is_repeat;      /* the send under way is one */
+  bool was_suspect;    /* when the send under way began */
+  uint32_t n_breaks;   /* runs and prefills that broke or were given up */
+  uint64_t awaited;    /* the process of which it is to be known whether it ended; 0: none */
   uint32_t n_arrivals; /* sends of the run that reached an upstream */
   uint32_t n_runs;     /* of these, those that may have run */
   uint32_t n_unreached;
@@ -117,7 +121,18 @@
 void mf_jobs_note_answer (MfJobs *jobs, uint64_t tokens, uint64_t took_us);
 
 /* job_suspect.c: requests that may end the upstreams that run them. */
+extern const MfTargetsUser mf_job_targets_user;
+bool mf_jobs_init_suspects (MfJobs *jobs);
 uint64_t mf_job_digest (const MfCaller *caller);
+bool mf_job_is_suspect (const MfJob *job);
+bool mf_job_end_convicted (MfJob *job);
+void mf_job_note_break (MfJob *job, MfTarget *target);
+void mf_job_note_alive (const MfJob *job);
+void mf_job_note_outcome (const MfJob *job, bool answered);
+void mf_job_repeat_after_break (MfJob *job, MfTarget *target, const MfJobDenied *denied);
+void mf_job_verdict_due (MfJob *job);
+void mf_jobs_tell_suspects (MfJobs *jobs, uint64_t peer);
+void mf_jobs_take_suspects (MfJobs *jobs, const MfSuspectNews *news);
 
 /* job_repeat.c: the budget for repeats. */
 MfServiceBudget *mf_jobs_budget (MfJobs *jobs, const char *service);
--- a/libmangofork/relay/job_send.c
+++ b/libmangofork/relay/job_send.c
@@ -55,6 +55,7 @@
   if (job->target == NULL)
     return;
   mf_target_end (job->target, job->target_tokens);
+  job->target->n_suspects -= job->was_suspect;
   mf_target_unref (job->target);
   job->target = NULL;
   if (job->is_engine)
@@ -243,6 +244,8 @@
 
   job_write_head (job, target, prefill, &head);
   job->target = mf_target_ref (target);
+  job->was_suspect = mf_job_is_suspect (job);
+  target->n_suspects += job->was_suspect;
   mf_name_set (job->last_upstream, sizeof job->last_upstream, target->info.id);
   job->target_tokens = prefill ? job->prompt_tokens : job->memory_tokens;
   if (!prefill)
--- a/libmangofork/relay/link.c
+++ b/libmangofork/relay/link.c
@@ -49,8 +49,9 @@
   bool foreign;     /* the answer being read belongs to another request */
   bool was_foreign; /* some answer on this connection did */
   bool has_sent;
-  bool in_event;  /* the user is being called */
-  bool cancelled; /* by the user, while it was being called */
+  bool no_request; /* opened to see whether the peer takes it */
+  bool in_event;   /* the user is being called */
+  bool cancelled;  /* by the user, while it was being called */
   uint64_t timeout_us;
   uint64_t idle_since_us;
   uint64_t keep_us; /* how long it may be idle */
@@ -127,6 +128,29 @@
   ev_timer_start (link->pool->loop, &link->timer);
 }
 
+/* Puts a connection with nothing on it among the idle ones, for so long. */
+static void
+link_rest (MfLink *link, uint64_t keep_us)
+{
+  MfLinkPool *pool = link->pool;
+
+  mf_message_reset (&link->message);
+  mf_buffer_clear (&link->out);
+  link->state = LINK_IDLE;
+  link->user = NULL;
+  link->keep_us = keep_us;
+  link->idle_since_us = mf_clock_now_us ();
+  link->next_idle = pool->idle;
+  if (pool->idle != NULL)
+    pool->idle->prev_idle = link;
+  pool->idle = link;
+  pool->n_idle++;
+  ev_io_start (pool->loop, &link->reader);
+  ev_timer_stop (pool->loop, &link->timer);
+  ev_timer_set (&link->timer, (double)keep_us / (double)MF_US_PER_S, 0.);
+  ev_timer_start (pool->loop, &link->timer);
+}
+
 /* Keeps the connection for the next request, or closes it when that would not be safe. */
 static void
 link_keep (MfLink *link, bool surplus)
@@ -148,21 +172,7 @@
       link_free (link);
       return;
     }
-  mf_message_reset (&link->message);
-  mf_buffer_clear (&link->out);
-  link->state = LINK_IDLE;
-  link->user = NULL;
-  link->keep_us = keep_us;
-  link->idle_since_us = mf_clock_now_us ();
-  link->next_idle = pool->idle;
-  if (pool->idle != NULL)
-    pool->idle->prev_idle = link;
-  pool->idle = link;
-  pool->n_idle++;
-  ev_io_start (pool->loop, &link->reader);
-  ev_timer_stop (pool->loop, &link->timer);
-  ev_timer_set (&link->timer, (double)keep_us / (double)MF_US_PER_S, 0.);
-  ev_timer_start (pool->loop, &link->timer);
+  link_rest (link, keep_us);
 }
 
 /* The answer to this request is whole. */
@@ -326,6 +336,34 @@
   ev_timer_start (link->pool->loop, &link->timer);
 }
 
+/* The connection could not be made. */
+static void
+link_unconnected (MfLink *link, int fault)
+{
+  MfLinkPool *pool = link->pool;
+
+  if (fault == ECONNREFUSED && pool->refused != NULL)
+    pool->refused (pool->owner);
+  link_fail (link, "the connection was refused");
+}
+
+/* The peer has taken a connection without a request, which waits for the next one. */
+static void
+link_opened (MfLink *link)
+{
+  MfLinkPool *pool = link->pool;
+  const MfLinkUser *user = link->user;
+  void *data = link->data;
+
+  ev_io_stop (pool->loop, &link->writer);
+  link->no_request = false;
+  if (pool->n_idle < pool->n_idle_max && pool->idle_default_us > 0)
+    link_rest (link, pool->idle_default_us);
+  else
+    link_free (link);
+  user->end (data, MF_LINK_WHOLE, "connected");
+}
+
 static void
 on_writable (struct ev_loop *loop, ev_io *watcher, int events)
 {
@@ -339,7 +377,12 @@
     {
       if (getsockopt (link->fd, SOL_SOCKET, SO_ERROR, &fault, &fault_bytes) != 0 || fault != 0)
         {
-          link_fail (link, "the connection was refused");
+          link_unconnected (link, fault);
+          return;
+        }
+      if (link->no_request)
+        {
+          link_opened (link);
           return;
         }
       link->state = LINK_BUSY;
@@ -397,7 +440,7 @@
 
 /* Opens a connection; its failure, if at once, is reported from the loop. */
 static MfLink *
-link_open (MfLinkPool *pool)
+link_connect (MfLinkPool *pool)
 {
   MfLink *link = calloc (1, sizeof *link);
   MfError error = { 0 };
@@ -449,6 +492,21 @@
   return link;
 }
 
+/* Opens a connection without a request, to see whether the peer takes it; it is then kept for the
+ * next request. NULL without memory. */
+MfLink *
+mf_link_open (MfLinkPool *pool, const MfLinkUser *user, void *data)
+{
+  MfLink *link = link_connect (pool);
+
+  if (link == NULL)
+    return NULL;
+  link->user = user;
+  link->data = data;
+  link->no_request = true;
+  return link;
+}
+
 /* Sends a request on an idle connection or a new one. NULL without memory or descriptors. */
 MfLink *
 mf_link_start (MfLinkPool *pool, const MfLinkCall *call)
@@ -456,7 +514,7 @@
   MfLink *link = idle_take (pool, call->idle_max_us);
 
   if (link == NULL)
-    link = link_open (pool);
+    link = link_connect (pool);
   if (link == NULL)
     return NULL;
   link->user = call->user;
--- a/libmangofork/relay/link.h
+++ b/libmangofork/relay/link.h
@@ -41,6 +41,8 @@
   uint64_t n_connects;
   /* Told of the head of each answer that comes from the address, to whatever call; may be NULL. */
   void (*heard) (void *owner, const MfHead *head, uint32_t status);
+  /* Told when the host says that nothing listens at the address; may be NULL. */
+  void (*refused) (void *owner);
   void *owner;
 } MfLinkPool;
 
@@ -59,6 +61,7 @@
   uint64_t timeout_us;  /* the whole exchange, once connected; 0: its user sees to it */
 } MfLinkCall;
 
+MfLink *mf_link_open (MfLinkPool *pool, const MfLinkUser *user, void *data);
 MfLink *mf_link_start (MfLinkPool *pool, const MfLinkCall *call);
 void mf_link_cancel (MfLink *link);
 void mf_link_hold (MfLink *link, bool held);
--- a/libmangofork/relay/peers.c
+++ b/libmangofork/relay/peers.c
@@ -127,6 +127,8 @@
       peer->members_told = false;
       peer->told_us = 0;
       mf_peers_tell (peers, false);
+      if (peers->user->reached != NULL && mf_peers_introduces (peers, peer))
+        peers->user->reached (peers->data, peer->hash);
     }
   mf_peer_flush (peers, peer);
 }
@@ -290,8 +292,14 @@
   free (incoming);
 }
 
-/* Whether a connection comes from the host that its reports name: what a feed tells is acted on,
- * not only weighed. */
+/* Whether what a message tells is acted on, not only weighed. */
+static bool
+is_acted_on (MfRelayMessageKind kind)
+{
+  return kind == MF_RELAY_MESSAGE_FEED || kind == MF_RELAY_MESSAGE_SUSPECTS;
+}
+
+/* Whether a connection comes from the host that its reports name. */
 static bool
 incoming_is_from_its_address (const MfPeerIncoming *incoming)
 {
@@ -332,8 +340,7 @@
           report_take (peers, &peers->in.report);
         }
       else if (incoming->address[0] != '\0'
-               && (peers->in.kind != MF_RELAY_MESSAGE_FEED
-                   || incoming_is_from_its_address (incoming)))
+               && (!is_acted_on (peers->in.kind) || incoming_is_from_its_address (incoming)))
         peers->user->message (peers->data, mf_load_hash (incoming->address), &peers->in);
     }
   return !incoming->in.failed;
--- a/libmangofork/relay/peers.h
+++ b/libmangofork/relay/peers.h
@@ -20,6 +20,8 @@
   void (*changed) (void *data);
   /* A message other than a report has come; peers are named by the hash of their address. */
   void (*message) (void *data, uint64_t peer, const MfRelayMessage *message);
+  /* A peer has been reached that may know nothing yet of what all were told; may be NULL. */
+  void (*reached) (void *data, uint64_t peer);
   /* A peer has closed its connection or has not been heard for long. */
   void (*gone) (void *data, uint64_t peer);
 } MfPeersUser;
@@ -41,6 +43,7 @@
 void mf_peers_note_fence (MfPeers *peers, const char *service, uint64_t fence);
 void mf_peers_distrust (MfPeers *peers, uint64_t peer);
 void mf_peers_note_grant (MfPeers *peers, uint64_t peer, uint64_t grant_id);
+void mf_peers_send_all (MfPeers *peers, const MfRelayMessage *message);
 void mf_peers_send_near (MfPeers *peers, const MfRelayMessage *message);
 MfFeedStanding mf_peers_standing (const MfPeers *peers, uint64_t now_us);
 uint32_t mf_peers_known (const MfPeers *peers);
--- a/libmangofork/relay/peers_row.h
+++ b/libmangofork/relay/peers_row.h
@@ -91,6 +91,7 @@
 /* peers_tell.c: what peers are told, and when. */
 void mf_peers_tell (MfPeers *peers, bool changed);
 void mf_peer_tell (MfPeers *peers, MfPeer *peer);
+bool mf_peers_introduces (const MfPeers *peers, const MfPeer *peer);
 void mf_peers_on_tell (struct ev_loop *loop, ev_timer *watcher, int events);
 
 /* peers_lead.c: who decides for all. */
--- a/libmangofork/relay/peers_tell.c
+++ b/libmangofork/relay/peers_tell.c
@@ -110,11 +110,11 @@
          && (peers->n_peers <= SMALL_FLEET || now_us - peer->leader_us < MF_PEERS_LEADER_US);
 }
 
-/* Whether a peer is told the members when it is reached. Who starts anew learns them from a seed,
- * and is then known to all whom it reaches; a few others tell them as well, as seeds may be away.
- */
-static bool
-tells_members (const MfPeers *peers, const MfPeer *peer)
+/* Whether a peer is told the members, and what all were told before, when it is reached. Who starts
+ * anew learns them from a seed, and is then known to all whom it reaches; a few others tell them as
+ * well, as seeds may be away. */
+bool
+mf_peers_introduces (const MfPeers *peers, const MfPeer *peer)
 {
   return peers->is_seed || peers->n_peers <= MEMBERS_TOLD_BY_ALL
          || (peer->hash ^ peers->hash) % MEMBERS_TOLD_BY_PART == 0;
@@ -133,7 +133,7 @@
   for (uint32_t i = 0; i < peers->n_peers; i++)
     {
       MfPeer *peer = peers->list[i];
-      bool wants = !peer->members_told && tells_members (peers, peer);
+      bool wants = !peer->members_told && mf_peers_introduces (peers, peer);
       MfBuffer *frame = wants ? &full : &plain;
 
       if (!is_due (peers, peer, changed, now_us))
@@ -186,21 +186,36 @@
   return peer->connected;
 }
 
-/* Sends a message to all peers of the same data centre. */
-void
-mf_peers_send_near (MfPeers *peers, const MfRelayMessage *message)
+static void
+send_some (MfPeers *peers, const MfRelayMessage *message, bool near_only)
 {
   MfBuffer frame = { 0 };
 
   mf_relay_message_encode (message, &frame);
   for (uint32_t i = 0; i < peers->n_peers; i++)
     {
-      if (peers->list[i]->heard_us > 0 && peers->list[i]->data_centre == peers->data_centre)
-        peer_put (peers, peers->list[i], &frame);
+      MfPeer *peer = peers->list[i];
+
+      if (!near_only || (peer->heard_us > 0 && peer->data_centre == peers->data_centre))
+        peer_put (peers, peer, &frame);
     }
   mf_buffer_clear (&frame);
 }
 
+/* Sends a message to all peers that are connected. */
+void
+mf_peers_send_all (MfPeers *peers, const MfRelayMessage *message)
+{
+  send_some (peers, message, false);
+}
+
+/* Sends a message to all peers of the same data centre. */
+void
+mf_peers_send_near (MfPeers *peers, const MfRelayMessage *message)
+{
+  send_some (peers, message, true);
+}
+
 /* Tells one peer what this instance has now. */
 void
 mf_peer_tell (MfPeers *peers, MfPeer *peer)
--- a/libmangofork/relay/place.c
+++ b/libmangofork/relay/place.c
@@ -15,6 +15,8 @@
 #define FAR_MEMORY_SHARE 0.08
 /* Requests at one upstream that this instance sees stand for more that it does not. */
 #define UNSEEN_FACTOR 2.
+/* A request under which an upstream has ended waits so long rather than run beside another. */
+#define APART_COST_US 1e6
 /* An upstream that fails every time is this much worse than its time says. */
 #define FAILURE_FACTOR 12.
 
@@ -121,6 +123,8 @@
       cost_us = plain_cost_us (target, ask, now_us);
       break;
     }
+  if (ask->apart && target->n_suspects > 0)
+    cost_us += APART_COST_US;
   failure_share = mf_target_failure_share (target, now_us);
   if (target->others_failure_share > failure_share)
     failure_share = target->others_failure_share;
--- a/libmangofork/relay/place.h
+++ b/libmangofork/relay/place.h
@@ -18,6 +18,7 @@
   uint32_t n_avoid;
   const char *data_centre;        /* of the instance that sends the request */
   const char *memory_data_centre; /* where the engine memory lies that it goes on from, or NULL */
+  bool apart;                     /* not beside a request under which an upstream has ended */
   bool must_fit;                  /* only engines that have room for it now */
   uint32_t point;                 /* uniform; decides between equals */
 } MfPlaceAsk;
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -477,6 +477,7 @@
       if (n_dropped > 0)
         mf_lines_state (relay->lines, "upstream.expired", "upstreams=%u", n_dropped);
     }
+  mf_jobs_forget_breaks (&relay->jobs, now_us);
   settings_watch (relay, now_us);
   /* What a silent peer told ceases to hold with time. */
   relay->jobs.others_stale = true;
--- a/libmangofork/relay/relay_counters.h
+++ b/libmangofork/relay/relay_counters.h
@@ -31,6 +31,9 @@
   X (STORE_FAILURES, "platform_failures_total", "calls to the platform's store that failed")       \
   X (ORDERS, "orders_total", "orders given to engines")                                            \
   X (ORDERS_REFUSED, "orders_refused_total", "orders that engines refused")                        \
+  X (SUSPICIONS, "suspicions_total", "upstreams that ended under a request, by request")           \
+  X (CONVICTIONS, "convictions_total", "requests refused as upstreams have ended under them")      \
+  X (SUSPECTS_REFUSED, "suspects_refused_total", "tries of such requests that were refused")       \
   X (CONNECTS, "connects_total", "connections opened to upstreams")
 
 typedef enum
--- a/libmangofork/relay/relay_message.c
+++ b/libmangofork/relay/relay_message.c
@@ -16,6 +16,9 @@
 #define ALLOW_MEMBERS 3
 #define FEED_MEMBERS 7
 #define FEED_ITEM_MEMBERS 4
+#define SUSPECTS_MEMBERS 2
+#define SUSPECT_ROW_MEMBERS 4
+#define SUSPECT_DEATH_MEMBERS 3
 /* A repeat is a prompt that is read again and a run. */
 #define REPEAT_SENDS_MAX 2
 
@@ -153,6 +156,33 @@
     }
 }
 
+static void
+suspects_pack (msgpack_packer *packer, const MfRelayMessage *message)
+{
+  const MfSuspectNews *news = &message->suspects;
+
+  msgpack_pack_array (packer, SUSPECTS_MEMBERS);
+  msgpack_pack_uint32 (packer, message->kind);
+  msgpack_pack_array (packer, news->n_rows);
+  for (uint32_t i = 0; i < news->n_rows; i++)
+    {
+      const MfSuspectRow *row = &news->rows[i];
+
+      msgpack_pack_array (packer, SUSPECT_ROW_MEMBERS);
+      msgpack_pack_uint64 (packer, row->digest);
+      msgpack_pack_uint32 (packer, row->cleared);
+      msgpack_pack_uint32 (packer, row->sentence_ms);
+      msgpack_pack_array (packer, row->n_deaths);
+      for (uint32_t j = 0; j < row->n_deaths; j++)
+        {
+          msgpack_pack_array (packer, SUSPECT_DEATH_MEMBERS);
+          msgpack_pack_uint64 (packer, row->deaths[j].process);
+          msgpack_pack_uint32 (packer, row->deaths[j].sent_age_ms);
+          msgpack_pack_uint32 (packer, row->deaths[j].age_ms);
+        }
+    }
+}
+
 static bool
 read_number (const msgpack_object *object, uint64_t max, uint64_t *number)
 {
@@ -358,6 +388,56 @@
   return true;
 }
 
+static bool
+suspect_death_read (const msgpack_object *members, MfSuspectRowDeath *death)
+{
+  return members->type == MSGPACK_OBJECT_ARRAY && members->via.array.size >= SUSPECT_DEATH_MEMBERS
+         && read_number (&members->via.array.ptr[0], UINT64_MAX, &death->process)
+         && read_u32 (&members->via.array.ptr[1], &death->sent_age_ms)
+         && read_u32 (&members->via.array.ptr[2], &death->age_ms);
+}
+
+static bool
+suspect_row_read (const msgpack_object *members, MfSuspectRow *row)
+{
+  const msgpack_object *deaths;
+
+  if (members->type != MSGPACK_OBJECT_ARRAY || members->via.array.size < SUSPECT_ROW_MEMBERS)
+    return false;
+  deaths = &members->via.array.ptr[3];
+  row->n_deaths = 0;
+  if (!read_number (&members->via.array.ptr[0], UINT64_MAX, &row->digest)
+      || !read_flag (&members->via.array.ptr[1], &row->cleared)
+      || !read_u32 (&members->via.array.ptr[2], &row->sentence_ms)
+      || !read_array (deaths, MF_SUSPECT_DEATHS_MAX))
+    return false;
+  while (row->n_deaths < deaths->via.array.size)
+    {
+      if (!suspect_death_read (&deaths->via.array.ptr[row->n_deaths], &row->deaths[row->n_deaths]))
+        return false;
+      row->n_deaths++;
+    }
+  return true;
+}
+
+static bool
+suspects_read (const msgpack_object *members, MfRelayMessage *message)
+{
+  MfSuspectNews *news = &message->suspects;
+  const msgpack_object *rows = &members[1];
+
+  news->n_rows = 0;
+  if (!read_array (rows, MF_SUSPECT_ROWS_MAX))
+    return false;
+  while (news->n_rows < rows->via.array.size)
+    {
+      if (!suspect_row_read (&rows->via.array.ptr[news->n_rows], &news->rows[news->n_rows]))
+        return false;
+      news->n_rows++;
+    }
+  return true;
+}
+
 /* How one kind of message is written and read. */
 typedef struct
 {
@@ -376,6 +456,7 @@
   [MF_RELAY_MESSAGE_REPEAT] = { REPEAT_MEMBERS, repeat_pack, repeat_read },
   [MF_RELAY_MESSAGE_ALLOW] = { ALLOW_MEMBERS, allow_pack, allow_read },
   [MF_RELAY_MESSAGE_FEED] = { FEED_MEMBERS, feed_pack, feed_read },
+  [MF_RELAY_MESSAGE_SUSPECTS] = { SUSPECTS_MEMBERS, suspects_pack, suspects_read },
 };
 
 /* Adds a message as a frame: 4 bytes of length, then msgpack. */
--- a/libmangofork/relay/target.c
+++ b/libmangofork/relay/target.c
@@ -7,6 +7,7 @@
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 /* Weight of one observation in a moving average; ten requests make a new picture. */
 #define AVERAGE_WEIGHT 0.15
@@ -83,6 +84,71 @@
   return NULL;
 }
 
+/* Names the process, which a later one of the same id is not. Never 0. */
+uint64_t
+mf_target_process (const MfTarget *target)
+{
+  uint64_t parts[] = { target->id_hash, target->info.born_ms };
+  uint64_t process = XXH3_64bits (parts, sizeof parts);
+
+  return process != 0 ? process : 1;
+}
+
+static void
+target_note_end (MfTarget *target, const char *why)
+{
+  MfTargets *targets = target->targets;
+
+  target->ended_us = mf_clock_now_us ();
+  if (targets->user != NULL)
+    targets->user->ended (targets->user_data, target, why);
+}
+
+static void
+on_refused (void *owner)
+{
+  target_note_end (owner, "nothing listens at its address");
+}
+
+static void
+on_look_end (void *data, MfLinkEnd end, const char *why)
+{
+  MfTarget *target = data;
+
+  (void)why;
+  target->look = NULL;
+  if (end != MF_LINK_WHOLE)
+    mf_target_failed (target, true, mf_clock_now_us ());
+  if (target->targets->user != NULL)
+    target->targets->user->looked (target->targets->user_data, target);
+  mf_target_unref (target);
+}
+
+static const MfLinkUser look_user = {
+  .end = on_look_end,
+};
+
+/* Opens a connection to see whether the process is there. */
+void
+mf_target_look (MfTarget *target)
+{
+  if (target->look != NULL || !target->listed)
+    return;
+  target->look = mf_link_open (&target->pool, &look_user, target);
+  if (target->look != NULL)
+    mf_target_ref (target);
+}
+
+static void
+look_cancel (MfTarget *target)
+{
+  if (target->look == NULL)
+    return;
+  mf_link_cancel (target->look);
+  target->look = NULL;
+  mf_target_unref (target);
+}
+
 static void
 target_drop (MfTargets *targets, MfTarget *dropped)
 {
@@ -92,6 +158,7 @@
         continue;
       *place = dropped->next;
       targets->n_targets--;
+      look_cancel (dropped);
       mf_link_pool_close (&dropped->pool);
       dropped->pool.n_idle_max = 0;
       dropped->listed = false;
@@ -160,6 +227,7 @@
     .connect_timeout_us = CONNECT_TIMEOUT_US,
     .unacked_timeout_us = targets->unacked_timeout_us,
     .heard = on_heard,
+    .refused = on_refused,
     .owner = target,
   };
   target->targets = targets;
@@ -202,6 +270,7 @@
       && (strcmp (target->info.address, info->address) != 0 || target->info.born_ms != info->born_ms
           || strcmp (target->info.service, info->service) != 0))
     {
+      target_note_end (target, "it was started anew");
       target_drop (targets, target);
       target = NULL;
     }
@@ -405,6 +474,7 @@
   target->suspect_until_us = until_us;
   target->replaced = true;
   target->alive_us = 0;
+  target_note_end (target, "another process answers at its address");
 }
 
 /* How much an observation of this time still counts, 0 to 1. */
--- a/libmangofork/relay/target.h
+++ b/libmangofork/relay/target.h
@@ -20,9 +20,20 @@
   uint64_t born_ms; /* wall clock of its start; 0 when not told */
 } MfTargetInfo;
 
-/* One upstream process, and what this instance has seen of it. */
 typedef struct MfTarget MfTarget;
 typedef struct MfTargets MfTargets;
+
+/* What is told of upstreams. */
+typedef struct
+{
+  /* The process has ended: nothing listens at its address, or another process does. It may be told
+   * several times. */
+  void (*ended) (void *data, MfTarget *target, const char *why);
+  /* mf_target_look has found out what it could. */
+  void (*looked) (void *data, MfTarget *target);
+} MfTargetsUser;
+
+/* One upstream process, and what this instance has seen of it. */
 struct MfTarget
 {
   MfTargets *targets;
@@ -33,6 +44,7 @@
   uint64_t unlisted_us;   /* when it ceased to be listed while discovery was away; 0: it did not */
   uint32_t n_active;      /* requests of this instance there */
   uint64_t active_tokens; /* their engine memory when they end */
+  uint32_t n_suspects;    /* of these, requests under which another upstream has ended */
   uint32_t n_reserved;    /* requests of this instance that are about to come */
   uint64_t reserved_tokens;
   uint32_t n_others; /* requests of other instances, as these have told */
@@ -59,6 +71,8 @@
   uint64_t paused_until_us; /* it asked this instance for no requests until then */
   MfRole stage_ordered;     /* what it was ordered to become */
   uint64_t stage_until_us;  /* until then it takes nothing, as it changes; 0: no order */
+  MfLink *look;             /* a connection that shows whether it is there; NULL: none */
+  uint64_t ended_us;        /* when it was last found to have ended; 0: it was not */
   uint32_t n_orders_failed; /* that it has refused, or that changed nothing */
   uint32_t n_refs;
 };
@@ -80,6 +94,8 @@
   MfLines *lines; /* NULL: nothing is logged */
   struct ev_loop *loop;
   const MfDialect *dialect;
+  const MfTargetsUser *user; /* NULL: nobody is told */
+  void *user_data;
   char data_centre[MF_NAME_BYTES];
   MfTarget *first;
   uint32_t n_targets;
@@ -97,6 +113,8 @@
 void mf_targets_clear (MfTargets *targets);
 
 MfTarget *mf_target_ref (MfTarget *target);
+uint64_t mf_target_process (const MfTarget *target);
+void mf_target_look (MfTarget *target);
 void mf_target_unref (MfTarget *target);
 
 void mf_target_begin (MfTarget *target, uint64_t tokens, uint64_t now_us);
--- a/libmangofork/suspect.c
+++ b/libmangofork/suspect.c
@@ -140,6 +140,33 @@
     }
 }
 
+static uint64_t
+last_process (const MfSuspect *suspect)
+{
+  return suspect->n_deaths > 0 ? suspect->deaths[suspect->n_deaths - 1].process : 0;
+}
+
+/* Whether another suspect met its last death at the same process, maybe at another instance: either
+ * may have caused it. The other is let go as well where it was convicted by no more than that. */
+static bool
+shares_last_death (MfSuspects *suspects, const MfSuspect *suspect)
+{
+  uint64_t process = last_process (suspect);
+  bool shares = false;
+
+  for (Row *row = suspects->rows; row != NULL && process != 0; row = row->hh.next)
+    {
+      MfSuspect *other = &row->suspect;
+
+      if (other == suspect || other->n_deaths < DEATHS_APART || last_process (other) != process)
+        continue;
+      shares = true;
+      if (other->n_deaths < MF_SUSPECT_DEATHS_MAX)
+        other->convicted_until_us = 0;
+    }
+  return shares;
+}
+
 /* Refuses a request until a moment. Returns whether that is new. */
 bool
 mf_suspects_convict (MfSuspects *suspects, uint64_t digest, uint64_t until_us, uint64_t now_us)
@@ -147,6 +174,8 @@
   MfSuspect *suspect = find_or_add (suspects, digest, now_us);
   bool is_new = suspect->convicted_until_us <= now_us;
 
+  if (suspect->n_deaths < MF_SUSPECT_DEATHS_MAX && shares_last_death (suspects, suspect))
+    return false;
   if (until_us > suspect->convicted_until_us)
     suspect->convicted_until_us = until_us;
   return is_new && until_us > now_us;
--- a/tests/test_job_suspect.c
+++ b/tests/test_job_suspect.c
@@ -12,8 +12,8 @@
 
 #include <cmocka.h>
 
-#define DOOR_PORT 21821
-#define PEER_PORT 21831
+#define DOOR_PORT 21841
+#define PEER_PORT 21851
 #define N_UPSTREAMS 9
 #define DOWN_S 0.1
 #define GRACE_US (100 * MF_US_PER_MS)
@@ -179,11 +179,171 @@
     }
 }
 
+/* Makes all instances refuse one caller's order. */
+static void
+convict (Ground *ground)
+{
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      call (ground, i, CRASHER_HOST, "/order/1", SOAK_CRASH "0");
+      loop_spin (ground->fleet.loop, 100);
+    }
+  assert_int_equal (call (ground, 4, CRASHER_HOST, "/order/1", SOAK_CRASH "0"), 503);
+  assert_non_null (strstr (ground->got, "Retry-After: "));
+}
+
+static void
+test_instance_that_starts_anew_learns_of_convictions (void **state)
+{
+  Ground ground;
+  uint32_t n_crashes;
+
+  (void)state;
+  ground_begin (&ground);
+  convict (&ground);
+  n_crashes = soak_ledger_crasher (ground.ledger, 0).n_crashes;
+  for (uint32_t i = 0; i < TOWN_FLEET_N; i++)
+    {
+      town_fleet_restart (&ground.fleet, i);
+      for (uint32_t index = 0; index < N_UPSTREAMS; index++)
+        instance_learns (&ground, i, index);
+      town_fleet_meet (&ground.fleet);
+      loop_spin (ground.fleet.loop, 50);
+      assert_int_equal (call (&ground, i, CRASHER_HOST, "/order/1", SOAK_CRASH "0"), 503);
+    }
+  assert_int_equal (soak_ledger_crasher (ground.ledger, 0).n_crashes, n_crashes);
+  ground_end (&ground);
+}
+
+/* An instance without peers finds out for itself, and is told when it is back among them. */
+static void
+test_instance_that_was_alone_learns_of_convictions (void **state)
+{
+  Ground ground;
+  Town *alone = &ground.fleet.towns[3];
+  MfPeers *none;
+  MfError error = { 0 };
+  char address[MF_ADDRESS_BYTES];
+
+  (void)state;
+  ground_begin (&ground);
+  none = alone->jobs.peers;
+  alone->jobs.peers = NULL;
+  mf_peers_free (none);
+  convict (&ground);
+  snprintf (address, sizeof address, "127.0.0.1:%u", PEER_PORT + 3);
+  alone->jobs.peers = mf_peers_new (ground.fleet.loop, address, &mf_jobs_peers_user, &alone->jobs,
+                                    alone->lines, &error);
+  assert_non_null (alone->jobs.peers);
+  snprintf (address, sizeof address, "127.0.0.1:%u", PEER_PORT);
+  mf_peers_seed (alone->jobs.peers, address);
+  town_fleet_meet (&ground.fleet);
+  loop_spin (ground.fleet.loop, 50);
+  assert_int_equal (call (&ground, 3, CRASHER_HOST, "/order/1", SOAK_CRASH "0"), 503);
+  ground_end (&ground);
+}
+
+/* Another caller's request of the same content is another request, and so is another content. */
+static void
+test_others_are_served_as_before (void **state)
+{
+  Ground ground;
+
+  (void)state;
+  ground_begin (&ground);
+  convict (&ground);
+  loop_spin (ground.fleet.loop, 100);
+  for (uint32_t i = 0; i < TOWN_FLEET_N; i++)
+    {
+      assert_int_equal (call (&ground, i, CRASHER_HOST, "/order/1", "sound"), 200);
+      assert_int_equal (call (&ground, i, INNOCENT_HOST, "/order/1", "sound"), 200);
+    }
+  ground_end (&ground);
+}
+
+/* Upstreams that end under a request by themselves, with an answer between: nobody is blamed. */
+static void
+test_request_that_is_answered_between_crashes_is_not_refused (void **state)
+{
+  Ground ground;
+
+  (void)state;
+  ground_begin (&ground);
+  for (uint32_t i = 0; i < 6; i++)
+    {
+      int crasher = call_begin (&ground, i % TOWN_FLEET_N, CRASHER_HOST, "/order/2",
+                                i % 2 == 0 ? SOAK_CRASH "0" : SOAK_CRASH "1");
+      int beside = call_begin (&ground, i % TOWN_FLEET_N, INNOCENT_HOST, "/read/1", "again");
+
+      call_end (&ground, crasher);
+      assert_int_equal (call_end (&ground, beside), 200);
+      loop_spin (ground.fleet.loop, 100);
+    }
+  ground_end (&ground);
+}
+
+/* An upstream that resets connections, and is there all the while, has not ended. */
+static void
+test_resets_convict_nobody (void **state)
+{
+  Ground ground;
+
+  (void)state;
+  ground_begin (&ground);
+  for (uint32_t index = 0; index < 3; index++)
+    soak_upstream_mood (ground.upstreams[index], SOAK_RESETS);
+  for (uint32_t i = 0; i < 12; i++)
+    call (&ground, i % TOWN_FLEET_N, INNOCENT_HOST, "/order/1", "again");
+  for (uint32_t index = 0; index < 3; index++)
+    soak_upstream_mood (ground.upstreams[index], SOAK_GOOD);
+  for (uint32_t i = 0; i < TOWN_FLEET_N; i++)
+    {
+      assert_int_equal (call (&ground, i, INNOCENT_HOST, "/order/1", "again"), 200);
+      assert_int_equal (ground.fleet.towns[i].jobs.counters.counts[MF_RELAY_COUNT_SUSPICIONS], 0);
+    }
+  ground_end (&ground);
+}
+
+/* What an upstream runs as it stops in order breaks of that. */
+static void
+test_upstream_that_leaves_in_order_blames_nobody (void **state)
+{
+  Ground ground;
+  MfTarget *target;
+  uint64_t now_us = mf_clock_now_us ();
+
+  (void)state;
+  ground_begin (&ground);
+  for (uint32_t index = 0; index < 3; index++)
+    {
+      target = mf_targets_find (&ground.fleet.towns[0].jobs.targets, index == 0   ? "u0-0"
+                                                                     : index == 1 ? "u1-0"
+                                                                                  : "u2-0");
+      assert_non_null (target);
+      mf_suspects_add_break (ground.fleet.towns[0].jobs.suspects,
+                             &(MfSuspectBreak){ .digest = 5,
+                                                .request = index,
+                                                .upstream = mf_target_process (target),
+                                                .sent_us = now_us + index,
+                                                .at_us = now_us + index });
+      mf_target_says_leaving (target);
+      mf_target_replaced (target, UINT64_MAX);
+    }
+  assert_null (mf_suspects_find (ground.fleet.towns[0].jobs.suspects, 5, now_us));
+  ground_end (&ground);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_request_that_crashed_three_upstreams_is_sent_no_more),
+    cmocka_unit_test (test_instance_that_starts_anew_learns_of_convictions),
+    cmocka_unit_test (test_instance_that_was_alone_learns_of_convictions),
+    cmocka_unit_test (test_others_are_served_as_before),
+    cmocka_unit_test (test_request_that_is_answered_between_crashes_is_not_refused),
+    cmocka_unit_test (test_resets_convict_nobody),
+    cmocka_unit_test (test_upstream_that_leaves_in_order_blames_nobody),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_relay_message.c
+++ b/tests/test_relay_message.c
@@ -74,6 +74,32 @@
   assert_string_equal (got.report.members[0], "10.0.0.2:99");
 }
 
+static void
+test_suspects (void **state)
+{
+  (void)state;
+  sent = (MfRelayMessage){ .kind = MF_RELAY_MESSAGE_SUSPECTS };
+  sent.suspects.n_rows = 2;
+  sent.suspects.rows[0] = (MfSuspectRow){
+    .digest = UINT64_MAX,
+    .sentence_ms = 29000,
+    .deaths = { { UINT64_MAX, 20, 10 }, { 5, 3, 1 } },
+    .n_deaths = 2,
+  };
+  sent.suspects.rows[1] = (MfSuspectRow){ .digest = 3, .cleared = true };
+  pass ();
+  assert_int_equal (got.suspects.n_rows, 2);
+  assert_true (got.suspects.rows[0].digest == UINT64_MAX);
+  assert_int_equal (got.suspects.rows[0].sentence_ms, 29000);
+  assert_int_equal (got.suspects.rows[0].n_deaths, 2);
+  assert_int_equal (got.suspects.rows[0].deaths[1].process, 5);
+  assert_int_equal (got.suspects.rows[0].deaths[1].sent_age_ms, 3);
+  assert_int_equal (got.suspects.rows[0].deaths[1].age_ms, 1);
+  assert_false (got.suspects.rows[0].cleared);
+  assert_true (got.suspects.rows[1].cleared);
+  assert_int_equal (got.suspects.rows[1].n_deaths, 0);
+}
+
 static void
 test_ask (void **state)
 {
@@ -187,9 +213,10 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_report),    cmocka_unit_test (test_repeats),
-    cmocka_unit_test (test_ask),       cmocka_unit_test (test_grant_and_ids),
-    cmocka_unit_test (test_any_bytes), cmocka_unit_test (test_feed),
+    cmocka_unit_test (test_report),        cmocka_unit_test (test_suspects),
+    cmocka_unit_test (test_repeats),       cmocka_unit_test (test_ask),
+    cmocka_unit_test (test_grant_and_ids), cmocka_unit_test (test_any_bytes),
+    cmocka_unit_test (test_feed),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_suspect.c
+++ b/tests/test_suspect.c
@@ -88,6 +88,27 @@
   mf_suspects_free (suspects);
 }
 
+/* Two instances each had one suspect at a process that ended; what the other tells comes later. */
+static void
+test_suspects_of_two_instances_at_one_end_are_not_convicted (void **state)
+{
+  static const uint64_t processes[] = { 5, 2 };
+  MfSuspects *suspects = mf_suspects_new (&terms);
+
+  (void)state;
+  die_at (suspects, 1, false);
+  assert_int_equal (die_at (suspects, 2, true), MF_SUSPECT_CONVICTED);
+  for (size_t i = 0; i < MF_ARRAY_LEN (processes); i++)
+    mf_suspects_add_death (
+        suspects, OTHER_DIGEST,
+        &(MfSuspectDeath){ .process = processes[i], .sent_us = (3 + i) * S, .at_us = (3 + i) * S },
+        false, 5 * S);
+  assert_false (mf_suspects_convict (suspects, OTHER_DIGEST, 30 * S, 5 * S));
+  assert_false (mf_suspects_is_convicted (suspects, DIGEST, 5 * S));
+  assert_int_equal (die_at (suspects, 6, true), MF_SUSPECT_CONVICTED);
+  mf_suspects_free (suspects);
+}
+
 /* A sentence for two deaths ends; the next death is the third, and its sentence the long one. */
 static void
 test_conviction_ends_and_comes_back (void **state)
@@ -182,6 +203,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_second_death_apart_from_other_suspects_convicts),
     cmocka_unit_test (test_third_death_convicts_in_any_company),
+    cmocka_unit_test (test_suspects_of_two_instances_at_one_end_are_not_convicted),
     cmocka_unit_test (test_conviction_ends_and_comes_back),
     cmocka_unit_test (test_deaths_at_once_are_one),
     cmocka_unit_test (test_answer_clears),
