Lost prompts are read again within the budget only

Change: a prompt is read again only with a repeat in hand; without one the decode engine reads it, where the request has not run yet, and is not a send beyond the first. Test: test_prompt_is_not_read_again_beyond_the_budget, 3 readings for 2 allowed before.

--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -167,10 +167,16 @@
       return;
     }
   prefill = job_choose_prefill (job, now_us);
-  if (prefill == NULL)
+  if (prefill != NULL && mf_job_has_send (job, true))
+    mf_job_send (job, prefill, true);
+  else if (prefill == NULL || job->n_run_sends == 0)
     mf_job_send (job, decode, false);
   else
-    mf_job_send (job, prefill, true);
+    mf_job_repeat_or_end (job, &(MfJobDenied){
+                                   .code = MF_CODE_RETRY_BUDGET,
+                                   .why = "its prompt is lost, and the retry budget is spent",
+                                   .may_have_run = job->n_runs > 0,
+                               });
 }
 
 /* Decides what a request does next, and begins it. */
--- a/libmangofork/relay/job_repeat.c
+++ b/libmangofork/relay/job_repeat.c
@@ -49,6 +49,16 @@
   return allowed;
 }
 
+/* Whether the next send of the request is one that it may make: the first prefill or run, one that
+ * was given before, or one that this instance's own part still has. */
+bool
+mf_job_has_send (MfJob *job, bool prefill)
+{
+  uint32_t n_before = prefill ? job->n_prefill_sends : job->n_run_sends;
+
+  return n_before == 0 || job->n_prepaid > 0 || mf_job_take_repeat (job);
+}
+
 /* Asks the instance that leads for the repeats of a request, or tells it of them. Returns who was
  * asked; MF_DISPATCH_SELF when there is nobody to ask. */
 static uint64_t
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -137,6 +137,7 @@
 /* job_repeat.c: the budget for repeats. */
 MfServiceBudget *mf_jobs_budget (MfJobs *jobs, const char *service);
 bool mf_job_take_repeat (MfJob *job);
+bool mf_job_has_send (MfJob *job, bool prefill);
 void mf_job_note_send (MfJob *job, bool prefill);
 void mf_job_repeat_or_end (MfJob *job, const MfJobDenied *denied);
 void mf_job_repeat_denied (MfJob *job);
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -279,6 +279,29 @@
   town_done (&town);
 }
 
+/* Memory that has lapsed before a decode engine could take it costs no send beyond the budget. */
+static void
+test_prompt_is_not_read_again_beyond_the_budget (void **state)
+{
+  Town town;
+  uint32_t service;
+
+  (void)state;
+  town_begin (&town, ev_loop_new (0), PORT);
+  service = mf_routes_service (town.jobs.routes, "engines");
+  town.jobs.routes->services[service].kv_retention_us = 1;
+  town.jobs.budget_ratio = 0.;
+  town.jobs.budget_slack = 1;
+  town_add (&town, 0, MF_ROLE_PREFILL, town_prefill);
+  town_add (&town, 1, MF_ROLE_DECODE, act_stream);
+  call (&town, "POST", "/once/1");
+  assert_status (&town, "200");
+  /* The first reading, and the one repeat that there is. */
+  assert_in_range (town_n_requests (&town, 0), 1, 2);
+  assert_int_equal (town_n_requests (&town, 1), 1);
+  town_done (&town);
+}
+
 static void
 test_prompt_is_read_and_decoded_apart (void **state)
 {
@@ -727,6 +750,7 @@
     cmocka_unit_test (test_read_fails_in_the_end),
     cmocka_unit_test (test_repeats_keep_to_the_budget),
     cmocka_unit_test (test_both_sends_of_a_repeat_count),
+    cmocka_unit_test (test_prompt_is_not_read_again_beyond_the_budget),
     cmocka_unit_test (test_prompt_is_read_and_decoded_apart),
     cmocka_unit_test (test_decode_reads_the_prompt_when_no_engine_does_that_alone),
     cmocka_unit_test (test_unused_memory_is_released),
