A repeat takes all its sends from the budget, or none

Cause: a stream that goes on elsewhere is two sends, its prompt and its run, but an instance's own part was asked for one; the second was counted afterwards and held nothing back. Change: mf_budget_take takes several or none; a repeat asks for what it will send. Test: test_repeat_of_two_sends_needs_room_for_both, 4 sends for 2 allowed before.

--- a/libmangofork/relay/budget.c
+++ b/libmangofork/relay/budget.c
@@ -60,14 +60,14 @@
   return (double)(n_repeats + n_wanted) <= budget->ratio * (double)n_requests + (double)floor;
 }
 
-/* Takes one repeat; returns false, and takes none, when the window has had its share. floor repeats
- * are allowed whatever the requests. */
+/* Takes so many repeats; returns false, and takes none, when the window has no room for all. floor
+ * repeats are allowed whatever the requests. */
 bool
-mf_budget_take (MfBudget *budget, uint32_t floor, uint64_t now_us)
+mf_budget_take (MfBudget *budget, uint32_t floor, uint32_t n_wanted, uint64_t now_us)
 {
-  if (!mf_budget_has_room (budget, floor, 1, now_us))
+  if (!mf_budget_has_room (budget, floor, n_wanted, now_us))
     return false;
-  budget->n_repeats[budget->part]++;
+  budget->n_repeats[budget->part] += n_wanted;
   return true;
 }
 
--- a/libmangofork/relay/job_repeat.c
+++ b/libmangofork/relay/job_repeat.c
@@ -37,18 +37,36 @@
                           jobs->budget_window_us);
 }
 
-/* Takes a repeat of this instance's own part. */
-bool
-mf_job_take_repeat (MfJob *job)
+/* Sends beyond its first prefill and its first run that a repeat of the request takes. */
+static uint32_t
+repeat_sends (const MfJob *job)
+{
+  bool reads = job->memory_target == NULL || job->memory_used;
+  uint32_t n_sends = (reads && job->n_prefill_sends > 0) + (job->n_run_sends > 0);
+
+  return n_sends > 0 ? n_sends : 1;
+}
+
+/* Takes sends of this instance's own part: all of them, or none. */
+static bool
+take_sends (MfJob *job, uint32_t n_sends)
 {
   MfServiceBudget *budget = mf_jobs_budget (job->jobs, job->service->name);
-  bool allowed = mf_budget_take (&budget->budget, jobs_floor (job->jobs), mf_clock_now_us ());
+  bool allowed
+      = mf_budget_take (&budget->budget, jobs_floor (job->jobs), n_sends, mf_clock_now_us ());
 
-  job->n_prepaid += allowed;
+  job->n_prepaid += allowed ? n_sends : 0;
   job->jobs->counters.counts[allowed ? MF_RELAY_COUNT_REPEATS : MF_RELAY_COUNT_REPEATS_DENIED]++;
   return allowed;
 }
 
+/* Takes a repeat of this instance's own part. */
+bool
+mf_job_take_repeat (MfJob *job)
+{
+  return take_sends (job, repeat_sends (job));
+}
+
 /* Whether the next send of the request is one that it may make: the first prefill or run, one that
  * was given before, or one that this instance's own part still has. */
 bool
@@ -56,7 +74,7 @@
 {
   uint32_t n_before = prefill ? job->n_prefill_sends : job->n_run_sends;
 
-  return n_before == 0 || job->n_prepaid > 0 || mf_job_take_repeat (job);
+  return n_before == 0 || job->n_prepaid > 0 || take_sends (job, 1);
 }
 
 /* Asks the instance that leads for the repeats of a request, or tells it of them. Returns who was
@@ -133,16 +151,6 @@
   return true;
 }
 
-/* Sends beyond its first prefill and its first run that a repeat of the request takes. */
-static uint32_t
-repeat_sends (const MfJob *job)
-{
-  bool reads = job->memory_target == NULL || job->memory_used;
-  uint32_t n_sends = (reads && job->n_prefill_sends > 0) + (job->n_run_sends > 0);
-
-  return n_sends > 0 ? n_sends : 1;
-}
-
 /* Ends a request that may not be repeated. */
 void
 mf_job_repeat_denied (MfJob *job)
--- a/tests/test_budget.c
+++ b/tests/test_budget.c
@@ -40,7 +40,7 @@
               mf_budget_note_request (&budgets[i], now_us);
               requests[step]++;
               for (uint32_t tries = 0; tries < 3; tries++)
-                repeats[step] += mf_budget_take (&budgets[i], FLOOR, now_us);
+                repeats[step] += mf_budget_take (&budgets[i], FLOOR, 1, now_us);
             }
         }
     }
@@ -70,11 +70,11 @@
 
   (void)state;
   mf_budget_init (&budget, WINDOW_US, RATIO);
-  assert_true (mf_budget_take (&budget, FLOOR, MF_US_PER_S));
-  assert_true (mf_budget_take (&budget, FLOOR, MF_US_PER_S));
-  assert_false (mf_budget_take (&budget, FLOOR, MF_US_PER_S));
-  assert_false (mf_budget_take (&budget, FLOOR, MF_US_PER_S + WINDOW_US - MF_US_PER_S));
-  assert_true (mf_budget_take (&budget, FLOOR, 2 * MF_US_PER_S + WINDOW_US));
+  assert_true (mf_budget_take (&budget, FLOOR, 1, MF_US_PER_S));
+  assert_true (mf_budget_take (&budget, FLOOR, 1, MF_US_PER_S));
+  assert_false (mf_budget_take (&budget, FLOOR, 1, MF_US_PER_S));
+  assert_false (mf_budget_take (&budget, FLOOR, 1, MF_US_PER_S + WINDOW_US - MF_US_PER_S));
+  assert_true (mf_budget_take (&budget, FLOOR, 1, 2 * MF_US_PER_S + WINDOW_US));
 }
 
 /* The parts of all instances together, and of all of them started anew within a window, keep to
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -279,27 +279,80 @@
   town_done (&town);
 }
 
-/* Memory that has lapsed before a decode engine could take it costs no send beyond the budget. */
+static uint32_t n_prefills;
+static const FakeWire *full_at_first;
+
+/* Counts prompts, and not the calls that free memory. */
+static void
+act_prefill_counted (FakeWireConn *conn, const char *text, const char *id)
+{
+  n_prefills += strncmp (text, "DELETE ", 7) != 0;
+  town_prefill (conn, text, id);
+}
+
+/* Holds as many streams as an engine takes, and serves those that come later. */
+static void
+act_full_at_first (FakeWireConn *conn, const char *text, const char *id)
+{
+  if (fake_wire_n_requests (full_at_first) <= 4)
+    town_stream_hangs (conn, text, id);
+  else
+    act_stream (conn, text, id);
+}
+
+/* The engine that was to go on is not there, and the next has room after the memory has lapsed: the
+ * prompt is read there, as reading it apart once more would be a repeat. */
 static void
 test_prompt_is_not_read_again_beyond_the_budget (void **state)
 {
   Town town;
-  uint32_t service;
+  int held[4];
+
+  (void)state;
+  town_begin (&town, ev_loop_new (0), PORT);
+  town.jobs.budget_ratio = 0.;
+  town.jobs.began_us = mf_clock_now_us ();
+  town_add (&town, 0, MF_ROLE_PREFILL, act_prefill_counted);
+  town_add (&town, 1, MF_ROLE_DECODE, act_full_at_first);
+  full_at_first = town.upstreams[1].wire;
+  n_prefills = 0;
+  for (size_t i = 0; i < MF_ARRAY_LEN (held); i++)
+    {
+      static const char text[] = "POST /once/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: t\r\n\r\n";
+
+      held[i] = loop_connect (PORT);
+      loop_send (held[i], text, strlen (text));
+    }
+  loop_spin (town.loop, 50);
+  assert_int_equal (n_prefills, MF_ARRAY_LEN (held));
+  town_know (&town, "gone", MF_ROLE_DECODE, "127.0.0.1:1");
+  call (&town, "POST", "/llm/1");
+  assert_status (&town, "200");
+  assert_int_equal (n_prefills, MF_ARRAY_LEN (held) + 1);
+  for (size_t i = 0; i < MF_ARRAY_LEN (held); i++)
+    close (held[i]);
+  loop_spin (town.loop, 10);
+  town_done (&town);
+}
+
+/* A stream that goes on has its prompt read again and runs again. */
+static void
+test_repeat_of_two_sends_needs_room_for_both (void **state)
+{
+  Town town;
+  uint32_t n_sends;
 
   (void)state;
   town_begin (&town, ev_loop_new (0), PORT);
-  service = mf_routes_service (town.jobs.routes, "engines");
-  town.jobs.routes->services[service].kv_retention_us = 1;
   town.jobs.budget_ratio = 0.;
   town.jobs.budget_slack = 1;
   town_add (&town, 0, MF_ROLE_PREFILL, town_prefill);
-  town_add (&town, 1, MF_ROLE_DECODE, act_stream);
-  call (&town, "POST", "/once/1");
-  assert_status (&town, "200");
-  /* The first reading, and the one repeat that there is. */
-  assert_in_range (town_n_requests (&town, 0), 1, 2);
-  assert_int_equal (town_n_requests (&town, 1), 1);
+  town_add (&town, 1, MF_ROLE_DECODE, town_stream_breaks);
+  town_add (&town, 2, MF_ROLE_DECODE, town_stream_breaks);
+  call (&town, "POST", "/llm/1");
+  n_sends = town_n_requests (&town, 0) + town_n_requests (&town, 1) + town_n_requests (&town, 2);
   town_done (&town);
+  assert_int_equal (n_sends, 2);
 }
 
 static void
@@ -751,6 +804,7 @@
     cmocka_unit_test (test_repeats_keep_to_the_budget),
     cmocka_unit_test (test_both_sends_of_a_repeat_count),
     cmocka_unit_test (test_prompt_is_not_read_again_beyond_the_budget),
+    cmocka_unit_test (test_repeat_of_two_sends_needs_room_for_both),
     cmocka_unit_test (test_prompt_is_read_and_decoded_apart),
     cmocka_unit_test (test_decode_reads_the_prompt_when_no_engine_does_that_alone),
     cmocka_unit_test (test_unused_memory_is_released),
