serve reads names of headers and Host strictly

Callers could hide a request: 'Content-Length : 38', with a space before the colon, was no length to the library behind serve's door, and what followed ran as the next request. No Host, or two, passed as well. Change: names that RFC 9110 does not allow, and any number of Hosts but one, get a 400 of the product's own, and the connection ends, as nobody knows where the next request begins. The check of names stands in header.c, for this door and the relay's. Tests: four rows of test_malformed_requests_reach_no_core and test_nothing_is_smuggled_behind_an_unsound_header, which ran one request before.

--- /dev/null
+++ b/libmangofork/header.c
@@ -0,0 +1,24 @@
+#include "header.h"
+
+#include <string.h>
+
+/* A byte that RFC 9110 allows in the name of a header. */
+static bool
+is_token (unsigned char byte)
+{
+  return (byte >= '0' && byte <= '9') || (byte >= 'a' && byte <= 'z')
+         || (byte >= 'A' && byte <= 'Z')
+         || (byte != '\0' && strchr ("!#$%&'*+-.^_`|~", byte) != NULL);
+}
+
+/* Whether all bytes, of a name or a part of one, may stand in the name of a header. */
+bool
+mf_header_name_is_sound (const char *name, size_t name_bytes)
+{
+  for (size_t i = 0; i < name_bytes; i++)
+    {
+      if (!is_token ((unsigned char)name[i]))
+        return false;
+    }
+  return true;
+}
--- a/libmangofork/http_in.c
+++ b/libmangofork/http_in.c
@@ -1,6 +1,7 @@
 #include "http_in.h"
 
 #include "exchange.h"
+#include "header.h"
 
 #include <errno.h>
 #include <sodium.h>
@@ -66,8 +67,10 @@
   uint32_t n_lengths;
   uint32_t n_encodings;
   uint32_t n_keys;
+  uint32_t n_hosts;
   const char *length;
   bool conflict;
+  bool unsound; /* a name that no header may have */
 } Lengths;
 
 static enum MHD_Result
@@ -87,6 +90,9 @@
     lengths->n_encodings++;
   else if (strcasecmp (name, "Idempotency-Key") == 0)
     lengths->n_keys++;
+  else if (strcasecmp (name, "Host") == 0)
+    lengths->n_hosts++;
+  lengths->unsound = lengths->unsound || !mf_header_name_is_sound (name, strlen (name));
   return MHD_YES;
 }
 
@@ -102,6 +108,10 @@
   MHD_get_connection_values (exchange->connection, MHD_HEADER_KIND, lengths_read, &lengths);
   if (info != NULL && info->header_size > options->header_bytes_max)
     mf_error_set (error, MF_CODE_HEADERS_TOO_LARGE, "the headers exceed the limit");
+  else if (lengths.unsound)
+    mf_error_set (error, MF_CODE_BAD_HEADER, "the name of a header is malformed");
+  else if (lengths.n_hosts != 1)
+    mf_error_set (error, MF_CODE_BAD_HEADER, "Host is missing or given twice");
   else if (lengths.conflict || lengths.n_encodings > 1
            || (lengths.n_lengths > 0 && lengths.n_encodings > 0))
     mf_error_set (error, MF_CODE_BAD_LENGTH, "the lengths of the body conflict");
@@ -131,6 +141,9 @@
   if (headers_check (exchange, &error))
     return MHD_YES;
   mf_exchange_refuse (exchange, &error);
+  /* Where the next request begins is not known. */
+  if (exchange->response != NULL)
+    MHD_add_response_header (exchange->response, MHD_HTTP_HEADER_CONNECTION, "close");
   return mf_exchange_queue (exchange);
 }
 
--- a/libmangofork/relay/message.c
+++ b/libmangofork/relay/message.c
@@ -1,19 +1,12 @@
 #include "message.h"
 
+#include "libmangofork/header.h"
+
 #include <float.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
-/* A byte that RFC 9110 allows in the name of a header. */
-static bool
-is_token (unsigned char byte)
-{
-  return (byte >= '0' && byte <= '9') || (byte >= 'a' && byte <= 'z')
-         || (byte >= 'A' && byte <= 'Z')
-         || (byte != '\0' && strchr ("!#$%&'*+-.^_`|~", byte) != NULL);
-}
-
 static int
 message_fail (MfMessage *message, MfCode code)
 {
@@ -66,11 +59,8 @@
   MfMessage *message = parser->data;
   MfHead *head = &message->head;
 
-  for (size_t i = 0; i < n_bytes; i++)
-    {
-      if (!is_token ((unsigned char)bytes[i]))
-        return message_fail (message, MF_CODE_BAD_HEADER);
-    }
+  if (!mf_header_name_is_sound (bytes, n_bytes))
+    return message_fail (message, MF_CODE_BAD_HEADER);
   if (message->in_value || head->n_fields == 0)
     {
       field_close (message);
--- a/tests/test_http_in.c
+++ b/tests/test_http_in.c
@@ -368,6 +368,10 @@
     MF_CODE_BAD_HEADER, "400" },
   { "GET /stock HTTP/1.1\r\nHost: x\r\nIdempotency-Key: a\r\nIdempotency-Key: b\r\n\r\n", false,
     MF_CODE_KEY_BAD, "400" },
+  { HEAD "Content-Length : 3\r\n\r\n{\"a", false, MF_CODE_BAD_HEADER, "400" },
+  { HEAD "X Y: 3\r\n\r\n", false, MF_CODE_BAD_HEADER, "400" },
+  { "GET /stock HTTP/1.1\r\n\r\n", false, MF_CODE_BAD_HEADER, "400" },
+  { "GET /stock HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n", false, MF_CODE_BAD_HEADER, "400" },
 };
 
 static void
@@ -401,6 +405,25 @@
   assert_int_equal (fixture->n_refused, MF_ARRAY_LEN (malformed));
 }
 
+/* What stands where the body of a request without a sound length would be is no request. */
+static void
+test_nothing_is_smuggled_behind_an_unsound_header (void **state)
+{
+  static const char text[] = HEAD "Content-Length : 38\r\n\r\n"
+                                  "GET /stock HTTP/1.1\r\nHost: x\r\n\r\n";
+  Fixture *fixture = *state;
+  char got[4096];
+  int fd = loop_connect (mf_http_in_port (fixture->in));
+
+  loop_send (fd, text, strlen (text));
+  loop_receive (fixture->loop, fd, NULL, got, sizeof got);
+  assert_non_null (strstr (got, "HTTP/1.1 400"));
+  assert_null (strstr (got + 9, "HTTP/1.1"));
+  close (fd);
+  assert_true (loop_pump (fixture->loop, is_empty, fixture));
+  assert_int_equal (fixture->n_requests, 0);
+}
+
 /* A chunked body of a request, too large or cut off. */
 static void
 test_chunked_bodies_are_bounded (void **state)
@@ -504,6 +527,8 @@
     cmocka_unit_test_setup_teardown (test_caller_who_leaves_in_mid_stream, setup, teardown),
     cmocka_unit_test_setup_teardown (test_slow_caller_holds_only_its_own_call, setup, teardown),
     cmocka_unit_test_setup_teardown (test_malformed_requests_reach_no_core, setup, teardown),
+    cmocka_unit_test_setup_teardown (test_nothing_is_smuggled_behind_an_unsound_header, setup,
+                                     teardown),
     cmocka_unit_test_setup_teardown (test_chunked_bodies_are_bounded, setup, teardown),
     cmocka_unit_test_setup_teardown (test_large_headers_are_refused, setup, teardown),
     cmocka_unit_test_setup_teardown (test_requests_the_library_refuses, setup, teardown),
--- a/tests/test_job_suspect.c
+++ b/tests/test_job_suspect.c
@@ -12,8 +12,8 @@
 
 #include <cmocka.h>
 
-#define DOOR_PORT 21841
-#define PEER_PORT 21851
+#define DOOR_PORT 21701
+#define PEER_PORT 21711
 #define N_UPSTREAMS 9
 #define DOWN_S 0.1
 #define GRACE_US (100 * MF_US_PER_MS)
