The soak runs with up to 240 instances

INSTANCES_MAX was 16, so that no run came near what the machine bears. Large runs have a range of ports of their own.

--- a/tests/soak/relay_soak.c
+++ b/tests/soak/relay_soak.c
@@ -23,15 +23,17 @@
  * is away in every way; configurations follow each other. Callers keep their connections until they
  * break. What callers and upstreams see is held against the promises. */
 
-#define INSTANCES_MAX 16
+#define INSTANCES_MAX 240
+#define INSTANCES_SMALL 16
 #define CALLERS_MAX 256
 #define UPSTREAMS 9
 #define PROXIES (UPSTREAMS + 1)
 #define FAULTS_AT_ONCE 3
-/* Ports of one run; runs of neighbouring seeds go side by side. */
+/* Ports of one run; runs of neighbouring seeds go side by side, but for large ones. */
 #define FIRST_PORT 20000
+#define LARGE_FIRST_PORT 26000
 #define PORTS_PER_RUN 120
-#define PROXY_OFFSET 100
+#define PORTS_PER_INSTANCE 4
 #define RUNS_SIDE_BY_SIDE 50
 #define IDS_MAX 65536
 #define ID_BYTES 40
@@ -127,6 +129,7 @@
   uint64_t random;
   uint64_t seed;
   uint32_t first_port;
+  uint32_t proxy_port; /* the first; the others follow */
   uint32_t seconds;
   uint32_t n_instances;
   uint32_t n_callers;
@@ -207,7 +210,7 @@
   char path[128];
   FILE *file;
 
-  instance->port = soak->first_port + index * 4;
+  instance->port = soak->first_port + index * PORTS_PER_INSTANCE;
   snprintf (path, sizeof path, "%s/%u.conf", soak->directory, index);
   file = fopen (path, "w");
   if (file == NULL)
@@ -217,7 +220,7 @@
            "listen.control=127.0.0.1:%u\nseeds=127.0.0.1:%u,127.0.0.1:%u\n"
            "provider.address=127.0.0.1:%u\nbounds.contactMs=%u\nbounds.graceS=3\n",
            index, instance->port, instance->port + 1, instance->port + 2, soak->first_port + 2,
-           soak->first_port + 6, soak->first_port + PROXY_OFFSET + UPSTREAMS, CONTACT_MS);
+           soak->first_port + 6, soak->proxy_port + UPSTREAMS, CONTACT_MS);
   fclose (file);
 }
 
@@ -229,7 +232,7 @@
   const char *role = index < 3 ? "" : index < 5 ? "prefill" : "decode";
 
   snprintf (id, sizeof id, "u%u-%u", index, soak->lives[index]);
-  snprintf (address, sizeof address, "127.0.0.1:%u", soak->first_port + PROXY_OFFSET + index);
+  snprintf (address, sizeof address, "127.0.0.1:%u", soak->proxy_port + index);
   fake_store_put_upstream (soak->store, id, index < 3 ? "shop" : "engines", address, role, state);
 }
 
@@ -720,7 +723,7 @@
       char address[MF_ADDRESS_BYTES];
 
       snprintf (id, sizeof id, "u%u-0", i);
-      snprintf (address, sizeof address, "127.0.0.1:%u", soak->first_port + PROXY_OFFSET + i);
+      snprintf (address, sizeof address, "127.0.0.1:%u", soak->proxy_port + i);
       if (i < UPSTREAMS)
         soak->upstreams[i]
             = soak_upstream_new (soak->loop, soak->ledger, roles[i], id, soak->seed + i);
@@ -869,7 +872,10 @@
   setvbuf (stdout, NULL, _IOLBF, 0);
   /* Not the default loop, which would collect the instances that have ended. */
   soak.loop = ev_loop_new (0);
-  soak.first_port = FIRST_PORT + (uint32_t)(soak.seed % RUNS_SIDE_BY_SIDE) * PORTS_PER_RUN;
+  soak.first_port = soak.n_instances > INSTANCES_SMALL
+                        ? LARGE_FIRST_PORT
+                        : FIRST_PORT + (uint32_t)(soak.seed % RUNS_SIDE_BY_SIDE) * PORTS_PER_RUN;
+  soak.proxy_port = soak.first_port + soak.n_instances * PORTS_PER_INSTANCE;
   soak.random = soak.seed * UINT64_C (0x9e3779b97f4a7c15) + 1;
   snprintf (soak.directory, sizeof soak.directory, "/tmp/relay-soak-XXXXXX");
   if (mkdtemp (soak.directory) == NULL)
