Convictions are told before suspicions to instances that start anew

Cause: one message tells of 32 requests, in the order in which they were met, so that a conviction behind many suspicions (upstreams that end in numbers) was left out, and an instance that had started anew ran the request once more.

--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -133,10 +133,12 @@
   row_tell (jobs, &row);
 }
 
+/* The rows of one message, of those that are convicted or of the others. */
 typedef struct
 {
   MfSuspectNews *news;
   uint64_t now_us;
+  bool convicted;
 } RowList;
 
 static bool
@@ -144,19 +146,24 @@
 {
   RowList *list = data;
 
-  if (suspect->n_told > 0)
+  if (list->news->n_rows == MF_SUSPECT_ROWS_MAX)
+    return false;
+  if (suspect->n_told > 0 && list->convicted == (suspect->convicted_until_us > list->now_us))
     list->news->rows[list->news->n_rows++] = row_make (suspect, list->now_us);
-  return list->news->n_rows < MF_SUSPECT_ROWS_MAX;
+  return true;
 }
 
-/* Tells an instance that may have started anew what all were told. */
+/* Tells an instance that may have started anew what all were told, convictions first. */
 void
 mf_jobs_tell_suspects (MfJobs *jobs, uint64_t peer)
 {
-  RowList list = { .news = &jobs->message.suspects, .now_us = mf_clock_now_us () };
+  RowList list
+      = { .news = &jobs->message.suspects, .now_us = mf_clock_now_us (), .convicted = true };
 
   list.news->n_rows = 0;
   mf_suspects_foreach (jobs->suspects, list.now_us, row_add, &list);
+  list.convicted = false;
+  mf_suspects_foreach (jobs->suspects, list.now_us, row_add, &list);
   jobs->message.kind = MF_RELAY_MESSAGE_SUSPECTS;
   if (list.news->n_rows > 0)
     mf_peers_send (jobs->peers, peer, &jobs->message);
--- a/tests/test_job_suspect.c
+++ b/tests/test_job_suspect.c
@@ -215,6 +215,35 @@
   ground_end (&ground);
 }
 
+/* More suspects than one message tells of do not keep a conviction back. */
+static void
+test_convictions_are_told_before_suspicions (void **state)
+{
+  Ground ground;
+
+  (void)state;
+  ground_begin (&ground);
+  for (uint32_t i = 0; i < TOWN_FLEET_N; i++)
+    {
+      MfSuspects *suspects = ground.fleet.towns[i].jobs.suspects;
+
+      for (uint64_t digest = 1; digest <= 2 * MF_SUSPECT_ROWS_MAX; digest++)
+        {
+          mf_suspects_add_death (suspects, digest, &(MfSuspectDeath){ .process = digest }, false,
+                                 mf_clock_now_us ());
+          mf_suspects_find (suspects, digest, mf_clock_now_us ())->n_told = 1;
+        }
+    }
+  convict (&ground);
+  town_fleet_restart (&ground.fleet, 4);
+  for (uint32_t index = 0; index < N_UPSTREAMS; index++)
+    instance_learns (&ground, 4, index);
+  town_fleet_meet (&ground.fleet);
+  loop_spin (ground.fleet.loop, 50);
+  assert_int_equal (call (&ground, 4, CRASHER_HOST, "/order/1", SOAK_CRASH "0"), 503);
+  ground_end (&ground);
+}
+
 /* An instance without peers finds out for itself, and is told when it is back among them. */
 static void
 test_instance_that_was_alone_learns_of_convictions (void **state)
@@ -339,6 +368,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_request_that_crashed_three_upstreams_is_sent_no_more),
     cmocka_unit_test (test_instance_that_starts_anew_learns_of_convictions),
+    cmocka_unit_test (test_convictions_are_told_before_suspicions),
     cmocka_unit_test (test_instance_that_was_alone_learns_of_convictions),
     cmocka_unit_test (test_others_are_served_as_before),
     cmocka_unit_test (test_request_that_is_answered_between_crashes_is_not_refused),
