Requests that silence upstreams are found out by who follows there

Cause: only broken connections were taken for signs of an end. Under an order that takes its upstream's host down without a word the instance waits until the deadline, and nothing was kept of that; the next try went out again, to the next upstream. Change: a run that is given up, at its deadline or by its caller, is kept as a break too; a process that discovery names at the address for the first time shows that the one before has ended. Test: test_request_that_silences_upstreams_is_found_out, 504 after two more ends where 503 is due before.

--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -95,6 +95,8 @@
 
   ev_timer_stop (jobs->loop, &job->timer);
   mf_job_unask (job);
+  if (job->link != NULL && mf_link_has_sent (job->link))
+    mf_job_note_break (job, job->target);
   mf_job_cancel (job);
   mf_job_reserve (job, NULL);
   mf_job_release_memory (job);
--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -276,6 +276,18 @@
   upstream_ended (jobs, target);
 }
 
+/* Where a process stands now, what stood there before has ended: those that leave in order are not
+ * waited for. */
+static void
+on_added (void *data, MfTarget *target)
+{
+  MfJobs *jobs = data;
+
+  if (mf_suspects_n_breaks (jobs->suspects) > 0)
+    mf_suspects_end_place (jobs->suspects, mf_load_hash (target->info.address),
+                           mf_target_process (target), mf_clock_now_us (), on_verdict, jobs);
+}
+
 /* A request that waited for the verdict goes on. */
 void
 mf_job_verdict_due (MfJob *job)
@@ -311,20 +323,25 @@
 
 const MfTargetsUser mf_job_targets_user = {
   .ended = on_ended,
+  .added = on_added,
   .looked = on_looked,
 };
 
-/* A run at an upstream broke, or was given up: it may have ended that. */
+/* A run at an upstream broke, or was given up: it may have ended that, unless that leaves in order.
+ */
 void
 mf_job_note_break (MfJob *job, MfTarget *target)
 {
   MfJobs *jobs = job->jobs;
   uint64_t now_us = mf_clock_now_us ();
 
+  if (mf_target_is_leaving (target))
+    return;
   mf_suspects_add_break (jobs->suspects, &(MfSuspectBreak){
                                              .digest = job->digest,
                                              .request = job->number,
                                              .upstream = mf_target_process (target),
+                                             .place = mf_load_hash (target->info.address),
                                              .suspect = job->was_suspect,
                                              .sent_us = job->sent_us,
                                              .at_us = now_us,
--- a/libmangofork/relay/target.c
+++ b/libmangofork/relay/target.c
@@ -281,6 +281,8 @@
       if (target == NULL)
         return false;
       targets_replace (targets, target);
+      if (targets->user != NULL)
+        targets->user->added (targets->user_data, target);
     }
   changed = changed || target->info.leaving != info->leaving || target->info.role != info->role
             || target->unlisted_us != 0;
--- a/libmangofork/suspect.c
+++ b/libmangofork/suspect.c
@@ -308,6 +308,32 @@
     }
 }
 
+/* The upstream where a run broke that stands at a place, and is not its successor; 0: there is
+ * none.
+ */
+static uint64_t
+upstream_before (const MfSuspects *suspects, uint64_t place, uint64_t successor)
+{
+  for (uint32_t i = 0; i < suspects->n_breaks; i++)
+    {
+      if (suspects->breaks[i].place == place && suspects->breaks[i].upstream != successor)
+        return suspects->breaks[i].upstream;
+    }
+  return 0;
+}
+
+/* A process has come to a place, whatever was there before has ended. The upstream's name is that
+ * of the process there. */
+void
+mf_suspects_end_place (MfSuspects *suspects, uint64_t place, uint64_t successor, uint64_t now_us,
+                       MfSuspectBreakFunc func, void *data)
+{
+  uint64_t upstream;
+
+  while ((upstream = upstream_before (suspects, place, successor)) != 0)
+    mf_suspects_end_upstream (suspects, upstream, upstream, now_us, func, data);
+}
+
 /* An upstream has given a sign of life: what broke there before broke of something else. */
 void
 mf_suspects_release_upstream (MfSuspects *suspects, uint64_t upstream, uint64_t before_us,
--- a/libmangofork/suspect.h
+++ b/libmangofork/suspect.h
@@ -24,6 +24,7 @@
   uint64_t digest;
   uint64_t request;  /* names the try */
   uint64_t upstream; /* where it ran; not 0 */
+  uint64_t place;    /* where that stands; 0: not told */
   bool suspect;      /* it was known as a suspect when it was sent */
   uint64_t sent_us;
   uint64_t at_us;
@@ -72,6 +73,8 @@
 uint32_t mf_suspects_n_breaks (const MfSuspects *suspects);
 void mf_suspects_end_upstream (MfSuspects *suspects, uint64_t upstream, uint64_t process,
                                uint64_t now_us, MfSuspectBreakFunc func, void *data);
+void mf_suspects_end_place (MfSuspects *suspects, uint64_t place, uint64_t successor,
+                            uint64_t now_us, MfSuspectBreakFunc func, void *data);
 void mf_suspects_release_upstream (MfSuspects *suspects, uint64_t upstream, uint64_t before_us,
                                    MfSuspectBreakFunc func, void *data);
 void mf_suspects_release_before (MfSuspects *suspects, uint64_t before_us, MfSuspectBreakFunc func,
--- a/tests/soak/soak_upstream.c
+++ b/tests/soak/soak_upstream.c
@@ -350,6 +350,8 @@
       run_begin (run, 0.005);
       return;
     }
+  if (upstream->mood == SOAK_DARK)
+    return;
   if (draw (upstream, 100) < BAD_PERCENT && run_badly (upstream, run))
     return;
   ledger_add (upstream->ledger, id);
--- a/tests/soak/soak_upstream.h
+++ b/tests/soak/soak_upstream.h
@@ -23,6 +23,7 @@
   SOAK_MUTE,    /* after it has run the request */
   SOAK_DOUBLES, /* answers twice */
   SOAK_MOOD_COUNT,
+  SOAK_DARK, /* gives no sign of life; not one of those that are drawn */
 } SoakMood;
 
 SoakLedger *soak_ledger_new (void);
--- a/tests/test_job_suspect.c
+++ b/tests/test_job_suspect.c
@@ -311,6 +311,28 @@
   ground_end (&ground);
 }
 
+/* Upstreams that fall silent with all they run, and are followed by others at their addresses. */
+static void
+test_request_that_silences_upstreams_is_found_out (void **state)
+{
+  Ground ground;
+
+  (void)state;
+  ground_begin (&ground);
+  for (uint32_t index = 0; index < 3; index++)
+    soak_upstream_mood (ground.upstreams[index], SOAK_DARK);
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      assert_int_equal (call (&ground, i, CRASHER_HOST, "/order/1", "silence"), 504);
+      for (uint32_t index = 0; index < 3; index++)
+        on_down (&ground, ground.upstreams[index], false);
+      loop_spin (ground.fleet.loop, 20);
+    }
+  assert_int_equal (call (&ground, 3, CRASHER_HOST, "/order/1", "silence"), 503);
+  assert_int_equal (call (&ground, 3, INNOCENT_HOST, "/order/1", "other"), 504);
+  ground_end (&ground);
+}
+
 /* An upstream that resets connections, and is there all the while, has not ended. */
 static void
 test_resets_convict_nobody (void **state)
@@ -372,6 +394,7 @@
     cmocka_unit_test (test_instance_that_was_alone_learns_of_convictions),
     cmocka_unit_test (test_others_are_served_as_before),
     cmocka_unit_test (test_request_that_is_answered_between_crashes_is_not_refused),
+    cmocka_unit_test (test_request_that_silences_upstreams_is_found_out),
     cmocka_unit_test (test_resets_convict_nobody),
     cmocka_unit_test (test_upstream_that_leaves_in_order_blames_nobody),
   };
