--- a/libmangofork/relay/target.c
+++ b/libmangofork/relay/target.c
@@ -281,7 +281,7 @@
       if (target == NULL)
         return false;
       targets_replace (targets, target);
-      if (targets->user != NULL)
+      if (targets->user != NULL && !target->replaced)
         targets->user->added (targets->user_data, target);
     }
   changed = changed || target->info.leaving != info->leaving || target->info.role != info->role
--- a/libmangofork/relay/target.h
+++ b/libmangofork/relay/target.h
@@ -29,7 +29,7 @@
   /* The process has ended: nothing listens at its address, or another process does. It may be told
    * several times. */
   void (*ended) (void *data, MfTarget *target, const char *why);
-  /* Discovery names a process for the first time. */
+  /* Discovery names a process for the first time, and none at its address that is newer. */
   void (*added) (void *data, MfTarget *target);
   /* mf_target_look has found out what it could. */
   void (*looked) (void *data, MfTarget *target);
--- a/tests/test_job_suspect.c
+++ b/tests/test_job_suspect.c
@@ -333,6 +333,36 @@
   ground_end (&ground);
 }
 
+/* Discovery names the process before once more, which ends nothing. */
+static void
+test_late_entry_of_a_predecessor_blames_nobody (void **state)
+{
+  Ground ground;
+  MfTargets *targets = &ground.fleet.towns[0].jobs.targets;
+  MfTargetInfo info;
+  uint64_t now_us = mf_clock_now_us ();
+
+  (void)state;
+  ground_begin (&ground);
+  info = mf_targets_find (targets, "u0-0")->info;
+  mf_suspects_add_break (
+      ground.fleet.towns[0].jobs.suspects,
+      &(MfSuspectBreak){ .digest = 5,
+                         .upstream = mf_target_process (mf_targets_find (targets, "u0-0")),
+                         .place = mf_load_hash (info.address),
+                         .sent_us = now_us,
+                         .at_us = now_us });
+  mf_name_set (info.id, sizeof info.id, "before");
+  info.born_ms = 0;
+  mf_targets_update (targets, &info);
+  assert_null (mf_suspects_find (ground.fleet.towns[0].jobs.suspects, 5, mf_clock_now_us ()));
+  info.born_ms = 2;
+  mf_name_set (info.id, sizeof info.id, "after");
+  mf_targets_update (targets, &info);
+  assert_non_null (mf_suspects_find (ground.fleet.towns[0].jobs.suspects, 5, mf_clock_now_us ()));
+  ground_end (&ground);
+}
+
 /* An upstream that resets connections, and is there all the while, has not ended. */
 static void
 test_resets_convict_nobody (void **state)
@@ -380,7 +410,7 @@
       mf_target_says_leaving (target);
       mf_target_replaced (target, UINT64_MAX);
     }
-  assert_null (mf_suspects_find (ground.fleet.towns[0].jobs.suspects, 5, now_us));
+  assert_null (mf_suspects_find (ground.fleet.towns[0].jobs.suspects, 5, mf_clock_now_us ()));
   ground_end (&ground);
 }
 
@@ -395,6 +425,7 @@
     cmocka_unit_test (test_others_are_served_as_before),
     cmocka_unit_test (test_request_that_is_answered_between_crashes_is_not_refused),
     cmocka_unit_test (test_request_that_silences_upstreams_is_found_out),
+    cmocka_unit_test (test_late_entry_of_a_predecessor_blames_nobody),
     cmocka_unit_test (test_resets_convict_nobody),
     cmocka_unit_test (test_upstream_that_leaves_in_order_blames_nobody),
   };
