The soak judges an upstream that leaves by its own requests

The logs show that u8-0 began to leave at 30.5 s and was followed by u8-1 at 32.4, by another fault of the soak at the same upstream; the requests after it went to u8-1, as they should. So the case is allowed, and the check at fault: it looked at the address. It looks at the process now, at the moment at which another takes its place, which holds those that are followed early to the same bound as well.

--- a/tests/soak/relay_soak.c
+++ b/tests/soak/relay_soak.c
@@ -236,12 +236,26 @@
   fake_store_put_upstream (soak->store, id, index < 3 ? "shop" : "engines", address, role, state);
 }
 
+/* Holds the last request of an upstream that leaves against the bound. */
+static void
+drain_judge (Soak *soak, uint32_t index)
+{
+  uint64_t since_us = soak->drained_us[index];
+  uint64_t last_us = soak_upstream_last_arrival_us (soak->upstreams[index]);
+
+  soak->drained_us[index] = 0;
+  if (since_us > soak->disturbed_us + 3 * MF_US_PER_S && last_us > since_us + DRAIN_BOUND_US)
+    violation (soak, "a request reached an upstream long after it began to leave", "");
+}
+
 /* An upstream starts anew: with a new id, and its old entry gone. */
 static void
 upstream_renew (Soak *soak, uint32_t index)
 {
   char id[ID_BYTES];
 
+  if (soak->drained_us[index] > 0)
+    drain_judge (soak, index);
   snprintf (id, sizeof id, "servers/u%u-%u", index, soak->lives[index]);
   fake_store_remove (soak->store, id);
   soak->lives[index]++;
@@ -598,12 +612,10 @@
 end_drain (Soak *soak, uint32_t target)
 {
   uint32_t index = target % UPSTREAMS;
-  uint64_t since_us = soak->drained_us[index];
-  uint64_t last_us = soak_upstream_last_arrival_us (soak->upstreams[index]);
 
-  if (since_us > soak->disturbed_us + 3 * MF_US_PER_S && last_us > since_us + DRAIN_BOUND_US)
-    violation (soak, "a request reached an upstream long after it began to leave", "");
-  upstream_renew (soak, index);
+  /* Unless another fault has put a new process in its place. */
+  if (soak->drained_us[index] > 0)
+    upstream_renew (soak, index);
 }
 
 static void
