The soak signals only instances that it has started

A failed fork left -1 as the process of an instance, and one that was never started 0: soak_stop passed both to kill, which would have ended every process of the user or the soak's own group. A failed fork is a violation now and leaves the instance stopped. A failed fork itself was not provoked.

--- a/tests/soak/relay_soak.c
+++ b/tests/soak/relay_soak.c
@@ -188,18 +188,24 @@
           (double)(mf_clock_now_us () - soak->started_us) / (double)MF_US_PER_S, what, id);
 }
 
+/* Starts the process of an instance. A failed fork is a violation and leaves the instance stopped.
+ */
 static void
 instance_start (Soak *soak, uint32_t index)
 {
   Instance *instance = &soak->instances[index];
   char path[128];
   char log[128];
+  pid_t pid;
 
   snprintf (path, sizeof path, "%s/%u.conf", soak->directory, index);
   snprintf (log, sizeof log, "%s/%u.log", soak->directory, index);
   instance->paused = false;
-  instance->pid = fork ();
-  if (instance->pid != 0)
+  pid = fork ();
+  if (pid < 0)
+    report_violation (soak, "an instance could not be started", strerror (errno));
+  instance->pid = pid > 0 ? pid : 0;
+  if (pid != 0)
     return;
   dup2 (open (log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600), STDOUT_FILENO);
   execl (MANGOFORK, "mangofork", "relay", "-s", path, (char *)NULL);
@@ -685,6 +691,7 @@
           snprintf (detail, sizeof detail, "instance %u, status %x", i, (unsigned int)status);
           report_violation (soak, "an instance crashed or exited with an error", detail);
         }
+      instance->pid = 0;
       instance_start (soak, i);
     }
 }
@@ -845,6 +852,9 @@
 {
   for (uint32_t i = 0; i < soak->n_instances; i++)
     {
+      /* 0 and -1 would signal the process group, or every process. */
+      if (soak->instances[i].pid <= 0)
+        continue;
       kill (soak->instances[i].pid, SIGKILL);
       waitpid (soak->instances[i].pid, NULL, 0);
     }
