Logs name the rates that upstreams name, and calls that free memory

What is sent where does not change: the header is read and logged only.

A rate is digits with an optional fraction, of several the lowest; anything else is logged as unreadable.

--- a/libmangofork/relay/dialect.h
+++ b/libmangofork/relay/dialect.h
@@ -11,6 +11,7 @@
   MF_HEADER_RESPONSE_SEAL,   /* marks a response as written by the upstream itself */
   MF_HEADER_NOT_RUN,         /* in a response: the upstream did not run the request */
   MF_HEADER_LEAVING,         /* in a response: the upstream is shutting down, unless "0" */
+  MF_HEADER_RATE_LIMIT,      /* in a response: requests a second that the upstream takes in total */
   MF_HEADER_DEADLINE,        /* milliseconds left for the response */
   MF_HEADER_EXPECT_UPSTREAM, /* id of the upstream process that is to run the request */
   MF_HEADER_TOKEN_COUNT,     /* "PROMPT,OUTPUT": tokens of the prompt, and of the output at most */
--- a/libmangofork/relay/job_send.c
+++ b/libmangofork/relay/job_send.c
@@ -109,6 +109,9 @@
       snprintf (path, sizeof path, "%s%s", job->jobs->dialect->release_path, job->kv.handle);
       snprintf (head, sizeof head, "DELETE %s HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\n\r\n",
                 path, target->info.address);
+      mf_target_note_send (target, mf_clock_now_us ());
+      mf_relay_log_event (job->jobs->log, "memory.freed", "id=%s upstream=%s handle=%s", job->id,
+                          target->info.id, job->kv.handle);
       /* The exchange holds the reference until it ends. */
       if (mf_link_start (&target->pool,
                          &(MfLinkRequest){
@@ -259,6 +262,7 @@
   if (!prefill)
     mf_job_reserve (job, NULL);
   mf_target_begin_request (target, job->target_tokens, now_us);
+  mf_target_note_send (target, now_us);
   if (job->is_engine)
     mf_jobs_load_changed (jobs);
   job->phase = prefill ? MF_JOB_PREFILL : job->head_sent ? MF_JOB_STREAMING : MF_JOB_RUNNING;
--- a/libmangofork/relay/message.c
+++ b/libmangofork/relay/message.c
@@ -1,5 +1,6 @@
 #include "message.h"
 
+#include "libmangofork/rate.h"
 #include "libmangofork/header.h"
 
 #include <float.h>
@@ -303,6 +304,54 @@
   return *end == '\0' && *seconds <= DBL_MAX;
 }
 
+/* Reads digits with an optional fraction as millionths; the rest of the fraction is cut off. */
+static bool
+decimal_read (const char *text, uint64_t *micro)
+{
+  size_t n_digits = strspn (text, "0123456789");
+  const char *fraction = text + n_digits + (text[n_digits] == '.');
+  size_t n_fraction = strspn (fraction, "0123456789");
+  uint64_t unit = MF_RATE_MICRO;
+
+  if (n_digits == 0 || fraction[n_fraction] != '\0')
+    return false;
+  *micro = 0;
+  for (size_t i = 0; i < n_digits && *micro < MF_RATE_MAX; i++)
+    *micro = *micro * 10 + (uint64_t)(text[i] - '0');
+  *micro = (*micro < MF_RATE_MAX ? *micro : MF_RATE_MAX) * unit;
+  for (size_t i = 0; i < n_fraction && unit > 1; i++)
+    {
+      unit /= 10;
+      *micro += (uint64_t)(fraction[i] - '0') * unit;
+    }
+  return true;
+}
+
+/* Parses all headers with this id as decimal numbers of units a second. Returns the lowest in
+ * millionths, at most MF_RATE_MAX units. Returns false when none of them is a number. */
+bool
+mf_head_rate (const MfHead *head, MfHeaderId header, uint64_t *micro_per_s)
+{
+  bool found = false;
+
+  for (uint32_t i = 0; i < head->n_fields; i++)
+    {
+      const MfHeadField *field = &head->fields[i];
+      char text[32];
+      uint64_t value_micro;
+
+      if (field->header != header || field->value_bytes >= sizeof text)
+        continue;
+      memcpy (text, mf_head_text (head, field->value_at), field->value_bytes);
+      text[field->value_bytes] = '\0';
+      if (!decimal_read (text, &value_micro))
+        continue;
+      *micro_per_s = found && *micro_per_s < value_micro ? *micro_per_s : value_micro;
+      found = true;
+    }
+  return found;
+}
+
 /* Returns the number of headers with this id. */
 uint32_t
 mf_head_count (const MfHead *head, MfHeaderId header)
--- a/libmangofork/relay/message.h
+++ b/libmangofork/relay/message.h
@@ -67,6 +67,7 @@
 bool mf_head_copy (const MfHead *head, MfHeaderId header, char *dst, size_t dst_bytes);
 bool mf_head_number (const MfHead *head, MfHeaderId header, uint64_t *number);
 bool mf_head_seconds (const MfHead *head, MfHeaderId header, double *seconds);
+bool mf_head_rate (const MfHead *head, MfHeaderId header, uint64_t *micro_per_s);
 uint32_t mf_head_count (const MfHead *head, MfHeaderId header);
 const char *mf_head_text (const MfHead *head, uint32_t at);
 bool mf_head_is_hop_by_hop (const MfHead *head, const MfHeadField *field);
--- a/libmangofork/relay/target.c
+++ b/libmangofork/relay/target.c
@@ -3,6 +3,7 @@
 #include "load_report.h"
 
 #include "libmangofork/clock.h"
+#include "libmangofork/rate.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -172,6 +173,35 @@
     }
 }
 
+/* Records the rate limit that a response names, or that it names none. */
+static void
+target_record_limit (MfTarget *target, const MfHead *head, uint32_t status)
+{
+  MfRelayLog *log = target->targets->log;
+  uint32_t n_fields = mf_head_count (head, MF_HEADER_RATE_LIMIT);
+  uint64_t micro_per_s = 0;
+  char value[32] = "";
+
+  if (n_fields > 0 && !mf_head_rate (head, MF_HEADER_RATE_LIMIT, &micro_per_s))
+    {
+      mf_head_copy (head, MF_HEADER_RATE_LIMIT, value, sizeof value);
+      if (log != NULL)
+        mf_relay_log_state (log, "upstream.limit_unreadable", "upstream=%s value=\"%s\"",
+                            target->info.id, value);
+      return;
+    }
+  if ((n_fields > 0) == target->limit_named && micro_per_s == target->limit_micro_per_s)
+    return;
+  target->limit_named = n_fields > 0;
+  target->limit_micro_per_s = micro_per_s;
+  if (log != NULL)
+    mf_relay_log_state (log, "upstream.limit",
+                        "upstream=%s service=%s named=%s per_s=%.3f status=%u sends_1s=%u",
+                        target->info.id, target->info.service, target->limit_named ? "yes" : "no",
+                        (double)micro_per_s / (double)MF_RATE_MICRO, status,
+                        mf_target_n_recent_sends (target, mf_clock_now_us ()));
+}
+
 /* Applies what a response header says about the upstream itself. */
 static void
 on_answer_head (void *owner, const MfHead *head, uint32_t status)
@@ -183,6 +213,7 @@
   if (mf_head_count (head, MF_HEADER_LEAVING) > 0
       && !(mf_head_copy (head, MF_HEADER_LEAVING, value, sizeof value) && strcmp (value, "0") == 0))
     mf_target_record_leaving (target);
+  target_record_limit (target, head, status);
   if (status != 503 || mf_head_count (head, MF_HEADER_RETRY_AFTER) == 0)
     return;
   if (mf_head_seconds (head, MF_HEADER_RETRY_AFTER, &pause_s))
@@ -366,6 +397,45 @@
   target->active_tokens -= tokens;
 }
 
+static uint64_t
+send_slot (uint64_t now_us)
+{
+  return now_us / (MF_TARGET_SENDS_US / MF_TARGET_SEND_SLOTS);
+}
+
+/* Counts one HTTP request of any kind that is sent there. */
+void
+mf_target_note_send (MfTarget *target, uint64_t now_us)
+{
+  MfTargetSends *sends = &target->sends;
+  uint64_t slot = send_slot (now_us);
+
+  if (slot - sends->slot >= MF_TARGET_SEND_SLOTS)
+    memset (sends->n_sends, 0, sizeof sends->n_sends);
+  else
+    {
+      for (uint64_t passed = sends->slot + 1; passed <= slot; passed++)
+        sends->n_sends[passed % MF_TARGET_SEND_SLOTS] = 0;
+    }
+  sends->slot = slot;
+  sends->n_sends[slot % MF_TARGET_SEND_SLOTS]++;
+}
+
+/* Returns the number of requests that this instance has sent there within MF_TARGET_SENDS_US. */
+uint32_t
+mf_target_n_recent_sends (const MfTarget *target, uint64_t now_us)
+{
+  uint64_t slot = send_slot (now_us);
+  uint32_t n_sends = 0;
+
+  for (uint64_t i = 0; i < MF_TARGET_SEND_SLOTS; i++)
+    {
+      if (target->sends.slot >= i && slot - (target->sends.slot - i) < MF_TARGET_SEND_SLOTS)
+        n_sends += target->sends.n_sends[(target->sends.slot - i) % MF_TARGET_SEND_SLOTS];
+    }
+  return n_sends;
+}
+
 /* Adds to the KV use of a running request. */
 void
 mf_target_add_tokens (MfTarget *target, uint64_t tokens)
--- a/libmangofork/relay/target.h
+++ b/libmangofork/relay/target.h
@@ -20,6 +20,17 @@
   uint64_t started_ms; /* wall-clock time of its start; 0: unknown */
 } MfTargetInfo;
 
+/* Sends to an upstream are counted for this long. */
+#define MF_TARGET_SENDS_US (1 * MF_US_PER_S)
+#define MF_TARGET_SEND_SLOTS 10
+
+/* What this instance has sent to an upstream lately, whatever it was. */
+typedef struct
+{
+  uint64_t slot; /* number of the newest slot since the start of the clock */
+  uint32_t n_sends[MF_TARGET_SEND_SLOTS];
+} MfTargetSends;
+
 typedef struct MfTarget MfTarget;
 typedef struct MfTargets MfTargets;
 
@@ -71,6 +82,9 @@
   uint32_t n_declined;      /* consecutive requests declined without any load */
   bool announced_leaving;   /* a response announced that it is about to stop */
   uint64_t paused_until_us; /* it asked this instance to send no requests until then */
+  bool limit_named;         /* its last response named a rate limit */
+  uint64_t limit_micro_per_s;
+  MfTargetSends sends;
   MfRole stage_ordered;     /* the role that it was ordered to change to */
   uint64_t stage_until_us;  /* it accepts nothing before this time while it changes; 0: no order */
   MfLink *probe;            /* connection attempt that checks whether it is running; NULL: none */
@@ -121,6 +135,8 @@
 
 void mf_target_begin_request (MfTarget *target, uint64_t tokens, uint64_t now_us);
 void mf_target_end_request (MfTarget *target, uint64_t tokens);
+void mf_target_note_send (MfTarget *target, uint64_t now_us);
+uint32_t mf_target_n_recent_sends (const MfTarget *target, uint64_t now_us);
 void mf_target_add_tokens (MfTarget *target, uint64_t tokens);
 void mf_target_reserve (MfTarget *target, uint64_t tokens);
 void mf_target_unreserve (MfTarget *target, uint64_t tokens);
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -2,8 +2,11 @@
 
 #include "platform/platform.h"
 
+#include "libmangofork/rate.h"
+
 #include <setjmp.h>
 #include <stdarg.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -190,6 +193,51 @@
   reader_end (&reader);
 }
 
+static void
+test_rates_of_a_head (void **state)
+{
+  static const struct
+  {
+    const char *headers;
+    bool is_number;
+    uint64_t micro_per_s;
+  } heads[] = {
+    { "", false, 0 },
+    { "Server-Limit: 4.9\r\n", true, 4900000 },
+    { "server-limit:  12 \r\n", true, 12000000 },
+    { "Server-Limit: 0\r\n", true, 0 },
+    { "Server-Limit: 0.0000004\r\n", true, 0 },
+    { "Server-Limit: 3.\r\n", true, 3000000 },
+    { "Server-Limit: 99999999999999999999999\r\n", true, MF_RATE_MAX * MF_RATE_MICRO },
+    { "Server-Limit: 8\r\nServer-Limit: 2.5\r\n", true, 2500000 },
+    { "Server-Limit: many\r\nServer-Limit: 2.5\r\n", true, 2500000 },
+    { "Server-Limit: many\r\n", false, 0 },
+    { "Server-Limit: -1\r\n", false, 0 },
+    { "Server-Limit: 1e3\r\n", false, 0 },
+    { "Server-Limit: .5\r\n", false, 0 },
+    { "Server-Limit:\r\n", false, 0 },
+    { "Server-Limit: 111111111111111111111111111111111111111111\r\n", false, 0 },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (heads); i++)
+    {
+      Reader reader;
+      char text[256];
+      uint64_t micro_per_s = 0;
+
+      reader_begin (&reader, HTTP_RESPONSE);
+      snprintf (text, sizeof text, "HTTP/1.1 200 OK\r\n%sContent-Length: 0\r\n\r\n",
+                heads[i].headers);
+      mf_message_feed (&reader.message, text, strlen (text));
+      assert_true (reader.message.done);
+      assert_int_equal (mf_head_rate (&reader.message.head, MF_HEADER_RATE_LIMIT, &micro_per_s),
+                        heads[i].is_number);
+      assert_int_equal (micro_per_s, heads[i].micro_per_s);
+      reader_end (&reader);
+    }
+}
+
 int
 main (void)
 {
@@ -200,6 +248,7 @@
     cmocka_unit_test (test_reading_stops_at_the_end_of_a_message),
     cmocka_unit_test (test_answers),
     cmocka_unit_test (test_hop_by_hop_headers),
+    cmocka_unit_test (test_rates_of_a_head),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
