Failing test: instances together exceed the limit of an upstream

Restarts and pauses of instances excuse what these send, cuts what reaches that upstream. What came before an upstream had named its limit does not count in the soak, as its callers send many times the limits.

--- a/tests/soak/relay_soak.c
+++ b/tests/soak/relay_soak.c
@@ -51,6 +51,20 @@
 /* Percentage of the requests of the recovery phase that must be served. */
 #define RECOVERY_SERVED_MIN_PERCENT 95
 
+/* Time for which an upstream names one limit, or none. */
+#define LIMIT_MIN_MS 1500
+#define LIMIT_MAX_MS 8000
+/* A restart, pause or cut of an instance or a connection excuses this long after its end. */
+#define LIMIT_EXCUSED_US (3500 * MF_US_PER_MS)
+
+/* Upstreams in the order in which they become limited; with the first five, one of each role is
+ * not. */
+static const uint32_t limited_upstreams[N_UPSTREAMS] = { 1, 6, 4, 2, 7, 8, 0, 3, 5 };
+
+/* Thousandths of a request a second. */
+static const uint32_t soak_limits[]
+    = { SOAK_LIMIT_NONE, 0, 300, 2000, 4900, 4900, 15000, 40000, 20000000 };
+
 typedef enum
 {
   KIND_ORDER,
@@ -79,6 +93,7 @@
 {
   char id[ID_BYTES];
   RequestKind kind;
+  uint32_t instance;
   bool refused; /* answered 503, which states that it has not run */
   bool crashes; /* upstreams that run it */
 } SentRequest;
@@ -88,6 +103,7 @@
   pid_t pid; /* 0: not running */
   uint32_t port;
   bool paused;
+  uint64_t excused_until_us; /* what it sends until then does not count against limits */
 } Instance;
 
 typedef struct Soak Soak;
@@ -129,6 +145,7 @@
 {
   struct ev_loop *loop;
   uint64_t random;
+  uint64_t limits_random; /* of its own, so that limits do not change the faults of a seed */
   uint64_t seed;
   uint32_t first_port;
   uint32_t proxy_port; /* of the first proxy; the others use the next ports */
@@ -136,11 +153,15 @@
   uint32_t n_instances;
   uint32_t n_callers;
   uint32_t n_crashers;
+  uint32_t n_limited; /* upstreams that name rate limits, in the order of limited_upstreams */
   bool faultless;
   char directory[64];
   Instance instances[INSTANCES_MAX];
   SoakLedger *ledger;
   SoakUpstream *upstreams[N_UPSTREAMS];
+  SoakLimit *limits[N_UPSTREAMS];      /* NULL: it names none */
+  uint64_t next_limit_us[N_UPSTREAMS]; /* when it names another */
+  uint32_t n_excesses[N_UPSTREAMS];
   uint32_t n_restarts[N_UPSTREAMS];
   uint64_t drain_start_us[N_UPSTREAMS]; /* 0: not draining */
   FakePeerProxy *proxies;
@@ -171,13 +192,19 @@
 
 static void caller_next (Caller *caller);
 
+static uint32_t
+draw_from (uint64_t *random, uint32_t bound)
+{
+  *random ^= *random << 13;
+  *random ^= *random >> 7;
+  *random ^= *random << 17;
+  return (uint32_t)(*random >> 33) % bound;
+}
+
 static uint32_t
 draw (Soak *soak, uint32_t bound)
 {
-  soak->random ^= soak->random << 13;
-  soak->random ^= soak->random >> 7;
-  soak->random ^= soak->random << 17;
-  return (uint32_t)(soak->random >> 33) % bound;
+  return draw_from (&soak->random, bound);
 }
 
 static void
@@ -272,6 +299,8 @@
   soak->n_restarts[index]++;
   snprintf (id, sizeof id, "u%u-%u", index, soak->n_restarts[index]);
   soak_upstream_restart (soak->upstreams[index], id);
+  if (soak->limits[index] != NULL)
+    soak_limit_restart (soak->limits[index]);
   upstream_publish (soak, index, "ready");
 }
 
@@ -493,6 +522,7 @@
   caller->sent_index = soak->n_sent;
   sent = &soak->sent[soak->n_sent++];
   sent->crashes = caller->crashes;
+  sent->instance = caller->instance;
   sent->kind
       = caller->crashes ? (RequestKind)(index % KIND_COUNT) : (RequestKind)draw (soak, KIND_COUNT);
   snprintf (sent->id, sizeof sent->id, "r%u", caller->sent_index);
@@ -553,15 +583,24 @@
     kill (instance->pid, signal);
 }
 
+static void
+instance_excuse (Soak *soak, uint32_t target)
+{
+  soak->instances[target % soak->n_instances].excused_until_us
+      = mf_clock_now_us () + LIMIT_EXCUSED_US;
+}
+
 static void
 begin_kill (Soak *soak, uint32_t target)
 {
+  instance_excuse (soak, target);
   instance_signal (soak, target, SIGKILL);
 }
 
 static void
 begin_term (Soak *soak, uint32_t target)
 {
+  instance_excuse (soak, target);
   instance_signal (soak, target, SIGTERM);
 }
 
@@ -576,6 +615,7 @@
 end_pause (Soak *soak, uint32_t target)
 {
   soak->instances[target % soak->n_instances].paused = false;
+  instance_excuse (soak, target);
   instance_signal (soak, target, SIGCONT);
 }
 
@@ -602,7 +642,10 @@
 begin_link_fault (Soak *soak, uint32_t target)
 {
   static const char *const link_faults[] = { "cut", "hold-in", "hold-out" };
+  uint32_t index = target % N_PROXIES;
 
+  if (index < N_UPSTREAMS && soak->limits[index] != NULL)
+    soak_limit_excuse (soak->limits[index], UINT64_MAX);
   fake_peer_proxy_fault (soak->proxy[target % N_PROXIES],
                          link_faults[draw (soak, MF_ARRAY_LEN (link_faults))], "");
 }
@@ -610,7 +653,11 @@
 static void
 end_link_fault (Soak *soak, uint32_t target)
 {
-  fake_peer_proxy_fault (soak->proxy[target % N_PROXIES], "pass", "");
+  uint32_t index = target % N_PROXIES;
+
+  fake_peer_proxy_fault (soak->proxy[index], "pass", "");
+  if (index < N_UPSTREAMS && soak->limits[index] != NULL)
+    soak_limit_excuse (soak->limits[index], mf_clock_now_us () + LIMIT_EXCUSED_US);
 }
 
 static void
@@ -672,6 +719,59 @@
   { "config", begin_config, NULL, false },
 };
 
+/* A restart or pause of an instance excuses what it sends. */
+static bool
+on_arrival_counts (void *data, const char *id)
+{
+  Soak *soak = data;
+  uint32_t index = 0;
+  const Instance *instance;
+
+  if (sscanf (id, "r%u", &index) != 1 || index >= soak->n_sent)
+    return true;
+  instance = &soak->instances[soak->sent[index].instance];
+  return !instance->paused && mf_clock_now_us () >= instance->excused_until_us;
+}
+
+static void
+on_excess (void *data, SoakUpstream *upstream)
+{
+  Soak *soak = data;
+  uint32_t index = 0;
+  char id[ID_BYTES];
+
+  while (soak->upstreams[index] != upstream)
+    index++;
+  snprintf (id, sizeof id, "u%u", index);
+  /* One excess shows at each further arrival. */
+  if (soak->n_excesses[index]++ == 0)
+    report_violation (soak, "an upstream got more requests than the limits that it had named", id);
+}
+
+static const SoakLimitCallbacks limit_callbacks
+    = { .arrival_counts = on_arrival_counts, .excess = on_excess };
+
+/* Lets the upstreams name other limits when it is time; none in the recovery phase. */
+static void
+limits_step (Soak *soak, uint64_t now_us)
+{
+  for (uint32_t i = 0; i < N_UPSTREAMS; i++)
+    {
+      if (soak->limits[i] == NULL || now_us < soak->next_limit_us[i])
+        continue;
+      soak->next_limit_us[i]
+          = now_us
+            + (LIMIT_MIN_MS + draw_from (&soak->limits_random, LIMIT_MAX_MS - LIMIT_MIN_MS))
+                  * MF_US_PER_MS;
+      soak_limit_set (
+          soak->limits[i],
+          is_recovering (soak, 0)
+              ? SOAK_LIMIT_NONE
+              : soak_limits[draw_from (&soak->limits_random, MF_ARRAY_LEN (soak_limits))],
+          now_us);
+    }
+}
+
 /* Restarts instances that have exited. */
 static void
 instances_reap (Soak *soak)
@@ -692,6 +792,7 @@
           report_violation (soak, "an instance crashed or exited with an error", detail);
         }
       instance->pid = 0;
+      instance_excuse (soak, i);
       instance_start (soak, i);
     }
 }
@@ -738,6 +839,7 @@
 
   (void)events;
   instances_reap (soak);
+  limits_step (soak, now_us);
   if (!soak->faultless)
     faults_step (soak, now_us);
   if (now_us >= soak->started_us + soak->seconds * MF_US_PER_S)
@@ -775,9 +877,17 @@
       if (i >= N_UPSTREAMS)
         continue;
       upstream_publish (soak, i, "ready");
+      soak->next_limit_us[i] = soak->started_us + WARM_UP_US + i * 200 * MF_US_PER_MS;
       if (soak->n_crashers > 0)
         soak_upstream_enable_crashes (soak->upstreams[i], CRASH_DOWN_S, on_upstream_down, soak);
     }
+  for (uint32_t i = 0; i < soak->n_limited; i++)
+    {
+      uint32_t index = limited_upstreams[i];
+
+      soak->limits[index]
+          = soak_upstream_enable_limits (soak->upstreams[index], &limit_callbacks, soak);
+    }
   soak_ledger_set_grace (soak->ledger, CONTACT_MS * MF_US_PER_MS);
   config_publish (soak);
   for (uint32_t i = 0; i < soak->n_instances; i++)
@@ -841,6 +951,14 @@
       if (crasher.n_late_arrivals > LATE_SENDS_MAX)
         report_violation (soak, "a request that had crashed three upstreams was still sent", "");
     }
+  for (uint32_t i = 0; i < N_UPSTREAMS; i++)
+    {
+      char name[ID_BYTES];
+
+      snprintf (name, sizeof name, "u%u", i);
+      if (soak->limits[i] != NULL)
+        soak_limit_print (soak->limits[i], name, mf_clock_now_us ());
+    }
   if (soak->n_recovery == 0)
     report_violation (soak, "no request finished after the faults had ended", "");
   if (soak->n_recovery_served * 100 < soak->n_recovery * RECOVERY_SERVED_MIN_PERCENT)
@@ -878,6 +996,11 @@
       if (soak->n_crashers > SOAK_CRASHERS_MAX)
         argp_error (state, "at most %d callers that crash upstreams", SOAK_CRASHERS_MAX);
       return 0;
+    case 'l':
+      soak->n_limited = (uint32_t)strtoul (arg, NULL, 10);
+      if (soak->n_limited > N_UPSTREAMS)
+        argp_error (state, "at most %d limited upstreams", N_UPSTREAMS);
+      return 0;
     case 'f':
       soak->faultless = true;
       return 0;
@@ -901,6 +1024,10 @@
     .key = 'c',
     .arg = "N",
     .doc = "Number of callers whose request crashes upstreams" },
+  { .name = "limited",
+    .key = 'l',
+    .arg = "N",
+    .doc = "Number of upstreams that name rate limits, which change" },
   { .name = "faultless", .key = 'f', .doc = "Inject no other faults" },
   { .name = "instances", .key = 'n', .arg = "N", .doc = "Number of relay instances" },
   { 0 },
@@ -927,6 +1054,7 @@
                         : FIRST_PORT + (uint32_t)(soak.seed % CONCURRENT_RUNS_MAX) * PORTS_PER_RUN;
   soak.proxy_port = soak.first_port + soak.n_instances * PORTS_PER_INSTANCE;
   soak.random = soak.seed * UINT64_C (0x9e3779b97f4a7c15) + 1;
+  soak.limits_random = soak.random;
   snprintf (soak.directory, sizeof soak.directory, "/tmp/relay-soak-XXXXXX");
   if (mkdtemp (soak.directory) == NULL)
     return EXIT_FAILURE;
--- a/tests/soak/soak_upstream.c
+++ b/tests/soak/soak_upstream.c
@@ -52,6 +52,9 @@
   uint64_t random;
   Run runs[ACTIVE_RUNS_MAX];
   uint64_t last_arrival_us;
+  SoakLimit *limit; /* NULL: it never names one */
+  const SoakLimitCallbacks *limit_callbacks;
+  void *limit_data;
   double down_s;
   SoakDownFunc on_down;
   void *data;
@@ -139,13 +142,31 @@
   ledger->rows[ledger->n_rows++].n_runs = 1;
 }
 
+/* Writes the header that names the limit; "" if there is none. */
+static void
+limit_header (const SoakUpstream *upstream, char *header, size_t header_bytes)
+{
+  uint32_t milli_per_s
+      = upstream->limit == NULL ? SOAK_LIMIT_NONE : soak_limit_milli_per_s (upstream->limit);
+
+  header[0] = '\0';
+  if (milli_per_s == SOAK_LIMIT_NONE)
+    return;
+  snprintf (header, header_bytes, "Server-Limit: %u.%03u\r\n", milli_per_s / 1000,
+            milli_per_s % 1000);
+  soak_limit_note_answer (upstream->limit, mf_clock_now_us ());
+}
+
 static void
 send_answer (const Run *run, const char *status, const char *headers, const char *body)
 {
   char text[512];
+  char limit[48];
 
-  snprintf (text, sizeof text, "HTTP/1.1 %s\r\nX-Attempt-Id: %s\r\n%sContent-Length: %zu\r\n\r\n%s",
-            status, run->id, headers, strlen (body), body);
+  limit_header (run->upstream, limit, sizeof limit);
+  snprintf (text, sizeof text,
+            "HTTP/1.1 %s\r\nX-Attempt-Id: %s\r\n%s%sContent-Length: %zu\r\n\r\n%s", status, run->id,
+            headers, limit, strlen (body), body);
   fake_upstream_conn_send (run->conn, text);
 }
 
@@ -274,10 +295,18 @@
 static void
 run_start (Run *run, double after_s)
 {
+  char text[256];
+  char limit[48];
+
   if (run->upstream->role == MF_ROLE_DECODE)
-    fake_upstream_conn_send (
-        run->conn, "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n"
-                   "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    {
+      limit_header (run->upstream, limit, sizeof limit);
+      snprintf (text, sizeof text,
+                "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n%s"
+                "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+                limit);
+      fake_upstream_conn_send (run->conn, text);
+    }
   ev_timer_set (&run->timer, after_s, 0.);
   ev_timer_start (run->upstream->loop, &run->timer);
 }
@@ -329,6 +358,10 @@
   fake_upstream_request_header (text, "X-Expect-Instance", expected, sizeof expected);
   fake_upstream_request_header (text, "Last-Event-Id", last, sizeof last);
   run = run_new (upstream, conn, id);
+  if (upstream->limit != NULL
+      && upstream->limit_callbacks->arrival_counts (upstream->limit_data, id)
+      && soak_limit_note_arrival (upstream->limit, mf_clock_now_us ()))
+    upstream->limit_callbacks->excess (upstream->limit_data, upstream);
   if (strncmp (text, "DELETE ", 7) == 0)
     {
       send_answer (run, "200 OK", "", "");
@@ -409,10 +442,22 @@
   upstream->data = data;
 }
 
+/* See SoakLimit. */
+SoakLimit *
+soak_upstream_enable_limits (SoakUpstream *upstream, const SoakLimitCallbacks *callbacks,
+                             void *data)
+{
+  upstream->limit = soak_limit_new ();
+  upstream->limit_callbacks = callbacks;
+  upstream->limit_data = data;
+  return upstream->limit;
+}
+
 void
 soak_upstream_free (SoakUpstream *upstream)
 {
   runs_abort (upstream);
+  soak_limit_free (upstream->limit);
   ev_timer_stop (upstream->loop, &upstream->restart_timer);
   fake_upstream_free (upstream->fake);
   free (upstream);
--- a/tests/soak/soak_upstream.h
+++ b/tests/soak/soak_upstream.h
@@ -1,7 +1,7 @@
 #ifndef SOAK_UPSTREAM_H
 #define SOAK_UPSTREAM_H
 
-#include "libmangofork/types.h"
+#include "soak_limit.h"
 
 #include <ev.h>
 
@@ -42,6 +42,19 @@
 uint32_t soak_upstream_n_active (const SoakUpstream *upstream);
 uint64_t soak_upstream_last_arrival_us (const SoakUpstream *upstream);
 
+typedef struct
+{
+  /* Whether a request that has arrived, named by its id, counts against the limits. */
+  bool (*arrival_counts) (void *data, const char *id);
+  /* More requests have arrived than the limits allow. */
+  void (*excess) (void *data, SoakUpstream *upstream);
+} SoakLimitCallbacks;
+
+/* Lets the upstream name rate limits in its answers and count what arrives. Returns the limits,
+ * which the caller sets; they are freed with the upstream. */
+SoakLimit *soak_upstream_enable_limits (SoakUpstream *upstream, const SoakLimitCallbacks *callbacks,
+                                        void *data);
+
 /* A request whose body begins with this crashes each upstream that runs it. The digit that follows
  * identifies the request. */
 #define SOAK_CRASH "crash"
