A token bucket and notices of limits for rates that instances share

Part of the fix for LIMIT; nothing uses it yet. One instance keeps the bucket of a rate and grants each unit, now or within a wait; what was used without a grant is charged and made up for. Notices of a limit carry the times between which the answer was made, so that instances that hear them in any order agree: the later counts, of overlapping ones the lower. Pure code in the core, without clock or network, so that customers' quotas can use the same (issue on keys and quotas).

--- /dev/null
+++ b/libmangofork/rate.c
@@ -0,0 +1,142 @@
+#include "rate.h"
+
+/* Units that may accumulate, in milliseconds of the rate; at least one unit. */
+#define BURST_MS 500
+/* Units that were used without a grant are made up for, up to this many milliseconds of the rate;
+ * at least one unit. */
+#define OVERDRAFT_MS 3000
+/* A longer time without an update refills any bucket. */
+#define REFILL_MAX_US (60 * MF_US_PER_S)
+
+/* Returns what the rate yields in this time, at least one unit. */
+static int64_t
+yield_min_unit (uint64_t micro_per_s, uint64_t ms)
+{
+  uint64_t yield = micro_per_s * ms / 1000;
+
+  return (int64_t)(yield > MF_RATE_MICRO ? yield : MF_RATE_MICRO);
+}
+
+static void
+bucket_clamp (MfRateBucket *bucket)
+{
+  int64_t max_micro = yield_min_unit (bucket->micro_per_s, BURST_MS);
+  int64_t min_micro = -yield_min_unit (bucket->micro_per_s, OVERDRAFT_MS);
+
+  if (bucket->level_micro > max_micro)
+    bucket->level_micro = max_micro;
+  if (bucket->level_micro < min_micro)
+    bucket->level_micro = min_micro;
+}
+
+/* Adds what the rate has yielded since the last update. */
+static void
+bucket_update (MfRateBucket *bucket, uint64_t now_us)
+{
+  uint64_t passed_us = now_us > bucket->updated_us ? now_us - bucket->updated_us : 0;
+
+  if (passed_us > REFILL_MAX_US)
+    passed_us = REFILL_MAX_US;
+  bucket->level_micro += (int64_t)(bucket->micro_per_s * passed_us / MF_US_PER_S);
+  bucket->updated_us = now_us;
+  bucket_clamp (bucket);
+}
+
+/* Initialises an empty bucket: its holder does not know what was granted before. */
+void
+mf_rate_bucket_init (MfRateBucket *bucket, uint64_t micro_per_s, uint64_t now_us)
+{
+  *bucket = (MfRateBucket){ .micro_per_s = micro_per_s, .updated_us = now_us };
+}
+
+/* Changes the rate from now on. */
+void
+mf_rate_bucket_set (MfRateBucket *bucket, uint64_t micro_per_s, uint64_t now_us)
+{
+  if (bucket->micro_per_s == micro_per_s)
+    return;
+  bucket_update (bucket, now_us);
+  bucket->micro_per_s = micro_per_s;
+  bucket_clamp (bucket);
+}
+
+/* Takes units that are available now, or will be within max_wait_us. Returns whether they were
+ * taken. wait_us is set to the time until they are, or would be, available; UINT64_MAX: never. */
+bool
+mf_rate_bucket_acquire (MfRateBucket *bucket, uint32_t n_units, uint64_t max_wait_us,
+                        uint64_t now_us, uint64_t *wait_us)
+{
+  int64_t wanted_micro = (int64_t)(n_units * MF_RATE_MICRO);
+  int64_t missing_micro;
+
+  bucket_update (bucket, now_us);
+  missing_micro = wanted_micro - bucket->level_micro;
+  *wait_us = 0;
+  if (missing_micro > 0 && bucket->micro_per_s == 0)
+    *wait_us = UINT64_MAX;
+  else if (missing_micro > 0)
+    *wait_us
+        = ((uint64_t)missing_micro * MF_US_PER_S + bucket->micro_per_s - 1) / bucket->micro_per_s;
+  if (*wait_us > max_wait_us)
+    return false;
+  bucket->level_micro -= wanted_micro;
+  return true;
+}
+
+/* Counts units that were used without a grant. */
+void
+mf_rate_bucket_charge (MfRateBucket *bucket, uint32_t n_units, uint64_t now_us)
+{
+  bucket_update (bucket, now_us);
+  bucket->level_micro -= (int64_t)(n_units * MF_RATE_MICRO);
+  bucket_clamp (bucket);
+}
+
+/* Takes units back that were granted and not used. */
+void
+mf_rate_bucket_return (MfRateBucket *bucket, uint32_t n_units, uint64_t now_us)
+{
+  bucket_update (bucket, now_us);
+  bucket->level_micro += (int64_t)(n_units * MF_RATE_MICRO);
+  bucket_clamp (bucket);
+}
+
+/* Whether one notice allows less than the other. */
+static bool
+is_lower (const MfRateNotice *one, const MfRateNotice *other)
+{
+  if (one->is_limited != other->is_limited)
+    return one->is_limited;
+  return one->is_limited && one->micro_per_s < other->micro_per_s;
+}
+
+static bool
+is_same (const MfRateNotice *one, const MfRateNotice *other)
+{
+  return !is_lower (one, other) && !is_lower (other, one);
+}
+
+/* Merges an update into what is known. The later answer counts. Where the order of the two is not
+ * known, as their times overlap, the lower limit counts. Returns whether the limit has changed. */
+bool
+mf_rate_notice_merge (MfRateNotice *known, const MfRateNotice *update)
+{
+  bool same = is_same (known, update);
+  uint64_t heard_us = update->heard_us > known->heard_us ? update->heard_us : known->heard_us;
+
+  if (known->heard_us == 0 || update->asked_us >= known->heard_us)
+    {
+      *known = *update;
+      return !same;
+    }
+  if (update->heard_us <= known->asked_us)
+    return false;
+  if (same && update->asked_us > known->asked_us)
+    known->asked_us = update->asked_us;
+  else if (is_lower (update, known))
+    *known = *update;
+  else if (!same)
+    return false;
+  known->heard_us = heard_us;
+  return !same;
+}
