--- a/libmangofork/rate.c
+++ b/libmangofork/rate.c
@@ -2,27 +2,27 @@
 
 /* Units that may accumulate, in milliseconds of the rate; at least one unit. */
 #define BURST_MS 500
-/* Units that were used without a grant are made up for, up to this many milliseconds of the rate;
- * at least one unit. */
+/* Units that were used without a grant are made up for, up to this many milliseconds of the rate.
+ */
 #define OVERDRAFT_MS 3000
 /* A longer time without an update refills any bucket. */
 #define REFILL_MAX_US (60 * MF_US_PER_S)
 
-/* Returns what the rate yields in this time, at least one unit. */
+/* Returns what a rate yields in this time. */
 static int64_t
-yield_min_unit (uint64_t micro_per_s, uint64_t ms)
+rate_yield (uint64_t micro_per_s, uint64_t ms)
 {
-  uint64_t yield = micro_per_s * ms / 1000;
-
-  return (int64_t)(yield > MF_RATE_MICRO ? yield : MF_RATE_MICRO);
+  return (int64_t)(micro_per_s * ms / 1000);
 }
 
 static void
 bucket_clamp (MfRateBucket *bucket)
 {
-  int64_t max_micro = yield_min_unit (bucket->micro_per_s, BURST_MS);
-  int64_t min_micro = -yield_min_unit (bucket->micro_per_s, OVERDRAFT_MS);
+  int64_t max_micro = rate_yield (bucket->micro_per_s, BURST_MS);
+  int64_t min_micro = -rate_yield (bucket->micro_per_s, OVERDRAFT_MS);
 
+  if (max_micro < (int64_t)MF_RATE_MICRO)
+    max_micro = (int64_t)MF_RATE_MICRO;
   if (bucket->level_micro > max_micro)
     bucket->level_micro = max_micro;
   if (bucket->level_micro < min_micro)
--- a/libmangofork/relay/dispatch.c
+++ b/libmangofork/relay/dispatch.c
@@ -1,5 +1,7 @@
 #include "dispatch.h"
 
+#include "libmangofork/rate_share.h"
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -225,6 +227,8 @@
     .n_avoid = request->n_avoid,
     .data_centre = request->data_centre,
     .must_fit = role == MF_ROLE_DECODE,
+    .is_grant = true,
+    .max_wait_us = MF_DISPATCH_RATE_WAIT_US,
     .tie_break = dispatch->next_tie_break++,
   };
 
@@ -340,6 +344,20 @@
   pending_add_load (dispatch, pending);
 }
 
+/* Grants no further slot at an engine with a rate limit until that admits one more request. */
+static void
+engine_pace (const MfDispatch *dispatch, uint64_t id_hash, uint64_t now_us)
+{
+  MfTarget *target = mf_targets_by_hash (dispatch->targets, id_hash);
+  uint64_t from_us;
+
+  if (target == NULL || !mf_target_is_limited (target))
+    return;
+  from_us = target->dispatch_after_us > now_us ? target->dispatch_after_us : now_us;
+  target->dispatch_after_us
+      = from_us + MF_RATE_MICRO * MF_US_PER_S / mf_rate_effective (target->limit.micro_per_s);
+}
+
 /* Grants the slots that are free. Returns the number of requests still queued. */
 uint32_t
 mf_dispatch_run (MfDispatch *dispatch, uint64_t now_us)
@@ -369,6 +387,8 @@
           memcpy (full.services[full.n_services++], waiting->request.service, MF_NAME_BYTES);
           continue;
         }
+      engine_pace (dispatch, grant.decode, now_us);
+      engine_pace (dispatch, grant.prefill, now_us);
       pending_add (dispatch, waiting, &grant, now_us);
       waiting_remove (dispatch, link);
       dispatch->callbacks->grant (dispatch->data, requester, &grant);
--- a/libmangofork/relay/dispatch.h
+++ b/libmangofork/relay/dispatch.h
@@ -16,6 +16,9 @@
 /* Id of this instance as a requester; others have the hash of their address. */
 #define MF_DISPATCH_SELF 0
 
+/* How long a request may wait until an engine's rate limit admits it. */
+#define MF_DISPATCH_RATE_WAIT_US (250 * MF_US_PER_MS)
+
 /* A request for a slot at an engine. */
 typedef struct
 {
--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -98,6 +98,7 @@
 
   ev_timer_stop (jobs->loop, &job->timer);
   mf_job_cancel_slot_request (job);
+  mf_job_drop_rate (job);
   if (job->link != NULL && mf_link_has_sent (job->link))
     mf_job_note_failure (job, job->target);
   mf_job_cancel (job);
@@ -667,7 +668,8 @@
   jobs->dispatch_timer.data = jobs;
   ev_init (&jobs->dispatch_now_timer, on_dispatch_timer);
   jobs->dispatch_now_timer.data = jobs;
-  if (!mf_jobs_init_suspects (jobs))
+  jobs->rates = mf_rate_shares_new ();
+  if (jobs->rates == NULL || !mf_jobs_init_suspects (jobs))
     abort ();
   jobs->dispatch = mf_dispatch_new (&jobs->targets, &mf_job_dispatch_callbacks, jobs);
 }
@@ -684,6 +686,7 @@
   mf_dispatch_free (jobs->dispatch);
   mf_targets_clear (&jobs->targets);
   mf_suspects_free (jobs->suspects);
+  mf_rate_shares_free (jobs->rates);
   mf_routes_unref (jobs->routes);
   jobs->routes = NULL;
 }
--- a/libmangofork/relay/job.h
+++ b/libmangofork/relay/job.h
@@ -50,6 +50,7 @@
   const MfDialect *dialect;
   MfRelayLog *log;
   MfTargets targets;
+  MfRateShares *rates;  /* rates that this instance allocates */
   MfSuspects *suspects; /* requests that may crash the upstreams that run them */
   MfDispatch *dispatch;
   uint64_t n_started; /* requests started since the process started */
@@ -104,6 +105,7 @@
                              uint64_t now_us);
 void mf_jobs_cancel_orders (MfJobs *jobs);
 void mf_jobs_expire_failures (MfJobs *jobs, uint64_t now_us);
+void mf_jobs_charge_rate (MfJobs *jobs, MfTarget *target);
 uint32_t mf_jobs_random (MfJobs *jobs);
 void mf_jobs_load_changed (MfJobs *jobs);
 void mf_jobs_schedule_dispatch (MfJobs *jobs);
--- a/libmangofork/relay/job_answer.c
+++ b/libmangofork/relay/job_answer.c
@@ -261,6 +261,7 @@
     job->n_prefill_sends--;
   else
     job->n_run_sends--;
+  mf_job_return_rate (job, target);
   mf_target_record_failure (target, true, mf_clock_now_us ());
   mf_relay_log_state (job->jobs->log, "upstream.unreached",
                       "upstream=%s address=%s id=%s why=\"%s\" failures=%u suspect_ms=%llu",
--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -42,11 +42,11 @@
     mf_job_refuse (job, MF_CODE_NO_UPSTREAM, "service has no upstream");
 }
 
-/* Records when the first upstream of a role accepts requests again, if all of them are paused. */
+/* Records when the first upstream of a role takes requests again, if none does now. */
 static void
-job_note_pause_end (MfJob *job, MfRole role, uint64_t now_us)
+job_note_available (MfJob *job, MfRole role, uint64_t now_us)
 {
-  job->pause_end_us = mf_place_pause_end_us (&job->jobs->targets, job->service->name, role, now_us);
+  job->pause_end_us = mf_place_available_us (&job->jobs->targets, job->service->name, role, now_us);
 }
 
 static void
@@ -55,15 +55,23 @@
   MfPlaceQuery query = job_place_query (job, MF_ROLE_PLAIN);
   bool any_available = false;
   uint64_t now_us = mf_clock_now_us ();
-  MfTarget *target = mf_place_choose (&job->jobs->targets, &query, now_us, &any_available);
+  MfTarget *target = mf_job_granted_target (job, MF_ROLE_PLAIN, now_us);
 
   if (target == NULL)
+    target = mf_place_choose (&job->jobs->targets, &query, now_us, &any_available);
+  /* Waits for a rate limit only if no upstream takes the request now. */
+  if (target == NULL || mf_target_is_suspect (target, now_us))
     {
-      job_note_pause_end (job, MF_ROLE_PLAIN, now_us);
+      query.max_wait_us = mf_job_rate_wait_max_us (job, now_us);
+      target = mf_place_choose (&job->jobs->targets, &query, now_us, &any_available);
+    }
+  if (target == NULL)
+    {
+      job_note_available (job, MF_ROLE_PLAIN, now_us);
       job_end_without_upstream (job, any_available);
     }
   else
-    mf_job_send (job, target, false);
+    mf_job_send_within_limit (job, target, false, query.max_wait_us);
 }
 
 /* Releases prefilled KV that the engine no longer holds because it was used or has expired. */
@@ -86,6 +94,8 @@
   MfTarget *reserved = job->reserved_target;
 
   if (reserved != NULL && reserved->listed && mf_target_accepts (reserved, now_us)
+      && ((job->rate_granted && job->rate_target == reserved)
+          || mf_target_rate_ready (reserved, mf_job_rate_wait_max_us (job, now_us), now_us))
       && !mf_place_avoids (job->avoid, job->n_avoid, reserved))
     return reserved;
   /* The leader may not know yet that the engine is unusable: avoids being granted it again. */
@@ -102,19 +112,22 @@
   MfTargets *targets = &job->jobs->targets;
   MfPlaceQuery query = job_place_query (job, MF_ROLE_PREFILL);
   bool any_available = false;
-  MfTarget *prefill;
+  MfTarget *prefill = mf_job_granted_target (job, MF_ROLE_PREFILL, now_us);
 
+  if (prefill != NULL)
+    return prefill;
   prefill = mf_targets_by_hash (targets, job->granted_prefill);
   if (prefill != NULL && prefill->info.role == MF_ROLE_PREFILL
-      && mf_target_accepts (prefill, now_us) && prefill->suspect_until_us <= now_us
+      && mf_target_accepts (prefill, now_us) && mf_target_rate_ready (prefill, 0, now_us)
+      && prefill->suspect_until_us <= now_us
       && !mf_place_avoids (job->avoid, job->n_avoid, prefill))
     return prefill;
   prefill = mf_place_choose (targets, &query, now_us, &any_available);
   return prefill != NULL && prefill->suspect_until_us <= now_us ? prefill : NULL;
 }
 
-/* All decode engines are paused: waits for the end of the first pause, or ends the request if that
- * is too late. */
+/* All decode engines are paused or have reached their rate limits: waits for the first that takes
+ * requests again, or ends the request if that is too late. */
 static void
 job_wait_paused (MfJob *job, uint64_t now_us)
 {
@@ -147,13 +160,14 @@
   decode = job_use_reserved_target (job, now_us);
   if (decode == NULL)
     {
+      mf_job_drop_rate (job);
       /* All engines, or as many as can be listed, have declined or failed: starts over with all of
        * them. */
       if (job->n_avoid == MF_JOB_AVOID_MAX
           || !mf_place_has_role (targets, job->service->name, MF_ROLE_DECODE, job->avoid,
                                  job->n_avoid))
         job->n_avoid = 0;
-      job_note_pause_end (job, MF_ROLE_DECODE, now_us);
+      job_note_available (job, MF_ROLE_DECODE, now_us);
       if (job->pause_end_us > 0)
         job_wait_paused (job, now_us);
       else
@@ -162,20 +176,23 @@
     }
   if (job->kv_target != NULL)
     {
-      mf_job_send (job, decode, false);
+      mf_job_send_within_limit (job, decode, false, mf_job_rate_wait_max_us (job, now_us));
       return;
     }
   prefill = job_choose_prefill (job, now_us);
   if (prefill != NULL && mf_job_acquire_send (job, true))
-    mf_job_send (job, prefill, true);
+    mf_job_send_within_limit (job, prefill, true, 0);
   else if (prefill == NULL || job->n_run_sends == 0)
-    mf_job_send (job, decode, false);
+    mf_job_send_within_limit (job, decode, false, mf_job_rate_wait_max_us (job, now_us));
   else
-    mf_job_retry_or_end (job, &(MfJobDenial){
-                                  .code = MF_CODE_RETRY_BUDGET,
-                                  .why = "prefilled KV lost and retry budget exhausted",
-                                  .may_have_run = job->n_runs > 0,
-                              });
+    {
+      mf_job_drop_rate (job);
+      mf_job_retry_or_end (job, &(MfJobDenial){
+                                    .code = MF_CODE_RETRY_BUDGET,
+                                    .why = "prefilled KV lost and retry budget exhausted",
+                                    .may_have_run = job->n_runs > 0,
+                                });
+    }
 }
 
 /* Decides the next step of a request and starts it. */
@@ -200,7 +217,9 @@
 
   if (job->phase == MF_JOB_WAITING)
     {
-      if (job->awaited_process_id != 0)
+      if (job->rate_target != NULL)
+        mf_job_rate_expired (job);
+      else if (job->awaited_process_id != 0)
         mf_job_probe_done (job);
       else if (job->retry_request_id != 0)
         mf_job_retry_denied (job);
--- a/libmangofork/relay/job_room.c
+++ b/libmangofork/relay/job_room.c
@@ -43,7 +43,8 @@
        target != NULL && request->n_avoid < MF_PLACE_AVOID_MAX; target = target->next)
     {
       if (target->info.role == MF_ROLE_DECODE && !target->info.leaving
-          && !mf_target_accepts (target, now_us)
+          && (!mf_target_accepts (target, now_us)
+              || !mf_target_rate_ready (target, MF_DISPATCH_RATE_WAIT_US, now_us))
           && strcmp (target->info.service, job->service->name) == 0
           && !mf_place_avoids (request->avoid, request->n_avoid, target))
         request->avoid[request->n_avoid++] = target->id_hash;
@@ -311,6 +312,13 @@
     case MF_RELAY_MESSAGE_SUSPECTS:
       mf_jobs_handle_suspects (jobs, &message->suspects);
       return;
+    case MF_RELAY_MESSAGE_LIMITS:
+      mf_jobs_handle_limits (jobs, &message->limits);
+      return;
+    case MF_RELAY_MESSAGE_RATE_ASK:
+    case MF_RELAY_MESSAGE_RATE_GRANT:
+      mf_jobs_handle_rate (jobs, peer, message);
+      return;
     case MF_RELAY_MESSAGE_RETRY:
     case MF_RELAY_MESSAGE_RETRY_REPLY:
       mf_jobs_handle_retry_message (jobs, peer, message);
@@ -325,6 +333,7 @@
 on_peer_reached (void *data, uint64_t peer)
 {
   mf_jobs_send_suspects (data, peer);
+  mf_jobs_send_limits (data, peer);
 }
 
 /* A peer has disconnected. */
@@ -351,6 +360,7 @@
       job->slot_request_id = 0;
       mf_job_request_slot (job);
     }
+  mf_jobs_rate_peer_lost (jobs, peer);
 }
 
 static void
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -81,7 +81,8 @@
   bool kv_used;
   uint32_t n_prefills;
 
-  /* End of the first pause to end, if all upstreams are paused, or of the quarantine; 0: none. */
+  /* When the first upstream takes requests again, if none does now, or the end of the quarantine;
+   * 0: none. */
   uint64_t pause_end_us;
 
   MfTarget *reserved_target; /* decode engine with a slot reserved for this request; NULL: none */
@@ -92,6 +93,13 @@
   uint64_t granted_us;            /* when the slot was granted; 0: not granted */
   uint64_t granted_prefill;       /* hash of the engine that the grant names for the prefill */
 
+  MfTarget *rate_target;     /* its rate limit is to admit the request; NULL: none */
+  uint64_t rate_ask_id;      /* id of the ask that awaits a reply; 0: none */
+  uint64_t rate_allocator;   /* hash of the instance that was asked */
+  uint64_t rate_max_wait_us; /* of the ask */
+  bool rate_granted;         /* the unit is in hand, or will be when the step is over */
+  bool rate_is_local;        /* the unit is of this instance's local part of the rate */
+
   uint64_t avoid[MF_JOB_AVOID_MAX]; /* hashes of upstreams that declined or failed */
   uint32_t n_avoid;
   uint32_t n_prefill_sends;
@@ -147,6 +155,19 @@
 void mf_job_retry_denied (MfJob *job);
 void mf_jobs_handle_retry_message (MfJobs *jobs, uint64_t peer, const MfRelayMessage *message);
 
+/* job_rate.c: rate limits that upstreams name for all instances together. */
+void mf_job_send_within_limit (MfJob *job, MfTarget *target, bool prefill, uint64_t max_wait_us);
+MfTarget *mf_job_granted_target (MfJob *job, MfRole role, uint64_t now_us);
+uint64_t mf_job_rate_wait_max_us (const MfJob *job, uint64_t now_us);
+void mf_job_rate_expired (MfJob *job);
+void mf_job_drop_rate (MfJob *job);
+void mf_job_return_rate (MfJob *job, MfTarget *target);
+void mf_jobs_handle_rate (MfJobs *jobs, uint64_t peer, const MfRelayMessage *message);
+void mf_jobs_rate_peer_lost (MfJobs *jobs, uint64_t peer);
+void mf_jobs_limit_changed (MfJobs *jobs, MfTarget *target, bool by_answer);
+void mf_jobs_send_limits (MfJobs *jobs, uint64_t peer);
+void mf_jobs_handle_limits (MfJobs *jobs, const MfLimitUpdate *update);
+
 /* job_room.c: slot requests to the leader, or to the dispatcher of this instance. */
 void mf_job_request_slot (MfJob *job);
 void mf_job_cancel_slot_request (MfJob *job);
--- a/libmangofork/relay/job_send.c
+++ b/libmangofork/relay/job_send.c
@@ -104,6 +104,10 @@
     mf_relay_log_event (job->jobs->log, "memory.left",
                         "id=%s upstream=%s handle=%s why=\"engine requested a pause\"", job->id,
                         target->info.id, job->kv.handle);
+  else if (!job->kv_used && mf_target_is_limited (target))
+    mf_relay_log_event (job->jobs->log, "memory.left",
+                        "id=%s upstream=%s handle=%s why=\"engine limits its requests\"", job->id,
+                        target->info.id, job->kv.handle);
   else if (!job->kv_used && target->listed)
     {
       snprintf (path, sizeof path, "%s%s", job->jobs->dialect->release_path, job->kv.handle);
--- a/libmangofork/relay/job_stage.c
+++ b/libmangofork/relay/job_stage.c
@@ -237,6 +237,7 @@
   mf_peers_record_fence (jobs->peers, service->name, leadership->fence);
   leadership->ordered_us = now_us;
   mf_target_note_send (target, now_us);
+  mf_jobs_charge_rate (jobs, target);
   target->stage_ordered = role;
   target->stage_until_us = now_us + order->unavailable_us;
   order->link = mf_link_start (&target->pool, &(MfLinkRequest){
--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -330,10 +330,17 @@
     mf_job_probe_done (job);
 }
 
+static void
+on_limit_changed (void *data, MfTarget *target, bool by_answer)
+{
+  mf_jobs_limit_changed (data, target, by_answer);
+}
+
 const MfTargetsCallbacks mf_job_targets_callbacks = {
   .ended = on_upstream_ended,
   .added = on_upstream_added,
   .probed = on_upstream_probed,
+  .limit_changed = on_limit_changed,
 };
 
 /* Records a failed or abandoned send, which may have crashed its upstream unless that announced its
--- a/libmangofork/relay/link.c
+++ b/libmangofork/relay/link.c
@@ -45,6 +45,7 @@
   const MfLinkCallbacks *callbacks;
   void *data;
   char echo_id[REQUEST_ID_BYTES];
+  uint64_t started_us; /* of the request */
   bool head_only;
   bool id_mismatch;     /* the response being read belongs to another request */
   bool had_id_mismatch; /* a response on this connection belonged to another request */
@@ -192,14 +193,16 @@
 {
   MfLink *link = data;
   MfLinkPool *pool = link->pool;
-  char id[REQUEST_ID_BYTES];
+  char id[REQUEST_ID_BYTES] = "";
+  bool has_id = mf_head_copy (&message->head, MF_HEADER_REQUEST_ID, id, sizeof id) && id[0] != '\0';
+  bool is_own = has_id && strcmp (id, link->echo_id) == 0;
 
   if (pool->on_response != NULL)
-    pool->on_response (pool->owner, &message->head, message->parser.status_code);
+    pool->on_response (pool->owner, &message->head, message->parser.status_code,
+                       is_own ? link->started_us : 0);
   /* An upstream echoes the request id that it was sent. A response with another id, or with an id
    * where none was sent, is the late response to another request and is skipped. */
-  link->id_mismatch = mf_head_copy (&message->head, MF_HEADER_REQUEST_ID, id, sizeof id)
-                      && id[0] != '\0' && strcmp (id, link->echo_id) != 0;
+  link->id_mismatch = has_id && !is_own;
   if (link->id_mismatch)
     {
       link->had_id_mismatch = true;
@@ -527,6 +530,7 @@
   link->id_mismatch = false;
   link->head_only = request->head_only;
   link->timeout_us = request->timeout_us;
+  link->started_us = mf_clock_now_us ();
   link->echo_id[0] = '\0';
   if (request->echo_id != NULL && strlen (request->echo_id) < sizeof link->echo_id)
     memcpy (link->echo_id, request->echo_id, strlen (request->echo_id) + 1);
--- a/libmangofork/relay/link.h
+++ b/libmangofork/relay/link.h
@@ -42,8 +42,9 @@
   uint64_t unacked_timeout_us;
   uint64_t n_connects;
   /* Called with the head of each response from the address, also of one that belongs to another
-   * request; may be NULL. */
-  void (*on_response) (void *owner, const MfHead *head, uint32_t status);
+   * request; may be NULL. asked_us is when the request was started whose id the response repeats;
+   * 0: it repeats none, or another. */
+  void (*on_response) (void *owner, const MfHead *head, uint32_t status, uint64_t asked_us);
   /* Called when a connection is refused, as nothing listens at the address; may be NULL. */
   void (*refused) (void *owner);
   void *owner;
--- a/libmangofork/relay/peers.c
+++ b/libmangofork/relay/peers.c
@@ -299,7 +299,9 @@
 static bool
 needs_sender_check (MfRelayMessageKind kind)
 {
-  return kind == MF_RELAY_MESSAGE_FEED || kind == MF_RELAY_MESSAGE_SUSPECTS;
+  return kind == MF_RELAY_MESSAGE_FEED || kind == MF_RELAY_MESSAGE_SUSPECTS
+         || kind == MF_RELAY_MESSAGE_RATE_ASK || kind == MF_RELAY_MESSAGE_RATE_GRANT
+         || kind == MF_RELAY_MESSAGE_LIMITS;
 }
 
 /* Whether a connection comes from the host that its reports name. */
--- a/libmangofork/relay/peers_lead.c
+++ b/libmangofork/relay/peers_lead.c
@@ -17,21 +17,21 @@
   return peer->last_report_us > 0 && now_us - peer->last_report_us <= peer->report_lifetime_us;
 }
 
-/* Returns the reachable peer with the highest rank for a service (rendezvous hashing), or NULL when
- * this instance ranks highest. */
-MfPeer *
-mf_peers_find_leader (const MfPeers *peers, uint64_t service_hash, uint64_t now_us)
+/* Returns the reachable peer with the highest rank for a key (rendezvous hashing), or NULL when
+ * this instance ranks highest. Peers excluded at excluded_us are left out; UINT64_MAX: none are. */
+static MfPeer *
+find_highest (const MfPeers *peers, uint64_t key, uint64_t excluded_us, uint64_t now_us)
 {
   MfPeer *best = NULL;
-  uint64_t best_rank = (peers->hash ^ service_hash) * RANK_FACTOR;
+  uint64_t best_rank = (peers->hash ^ key) * RANK_FACTOR;
 
   for (uint32_t i = 0; i < peers->n_peers; i++)
     {
       MfPeer *peer = peers->list[i];
-      uint64_t rank = (peer->hash ^ service_hash) * RANK_FACTOR;
+      uint64_t rank = (peer->hash ^ key) * RANK_FACTOR;
 
       if (rank <= best_rank || !peer->connected || !mf_peer_is_alive (peer, now_us)
-          || peer->leader_excluded_until_us > now_us)
+          || peer->leader_excluded_until_us > excluded_us)
         continue;
       best = peer;
       best_rank = rank;
@@ -39,6 +39,13 @@
   return best;
 }
 
+/* Returns the leader of a service, or NULL when it is this instance. */
+MfPeer *
+mf_peers_find_leader (const MfPeers *peers, uint64_t service_hash, uint64_t now_us)
+{
+  return find_highest (peers, service_hash, now_us, now_us);
+}
+
 /* Adds a service to those whose leader is named in reports. */
 static void
 service_add (MfPeers *peers, uint64_t service_hash)
@@ -107,6 +114,17 @@
   return best->hash;
 }
 
+/* Returns the instance that allocates a shared rate: the hash of a peer, or MF_DISPATCH_SELF. One
+ * that does not answer stays the allocator as long as its reports are valid: two at a time would
+ * grant the rate twice. */
+uint64_t
+mf_peers_allocator (const MfPeers *peers, uint64_t key, uint64_t now_us)
+{
+  const MfPeer *best = find_highest (peers, key, UINT64_MAX, now_us);
+
+  return best != NULL ? best->hash : MF_DISPATCH_SELF;
+}
+
 /* Whether a peer votes for this instance as leader of a service. */
 static bool
 votes_for_self (const MfPeers *peers, const MfPeer *peer, uint64_t service_hash)
--- a/libmangofork/relay/place.c
+++ b/libmangofork/relay/place.c
@@ -23,6 +23,13 @@
 /* Relative cost of an upstream that fails every request. */
 #define FAILURE_COST_FACTOR 12.
 
+/* Relative cost of an upstream with a rate limit: others are used first. */
+#define LIMITED_COST_FACTOR 2.
+/* Only an answer shows that a limit has ended: an upstream whose limit no answer has confirmed for
+ * this long is preferred while this instance has no request there. */
+#define LIMIT_CONFIRMED_US (1 * MF_US_PER_S)
+#define UNCONFIRMED_COST_FACTOR 0.1
+
 /* Whether an upstream is in a list of those to avoid. */
 bool
 mf_place_avoids (const uint64_t *avoid, uint32_t n_avoid, const MfTarget *target)
@@ -108,6 +115,14 @@
   return share * (double)MF_US_PER_S;
 }
 
+static double
+limited_factor (const MfTarget *target, uint64_t now_us)
+{
+  bool is_confirmed = now_us < target->limit.heard_us + LIMIT_CONFIRMED_US;
+
+  return is_confirmed || target->n_active > 0 ? LIMITED_COST_FACTOR : UNCONFIRMED_COST_FACTOR;
+}
+
 /* Returns the expected time to the answer in microseconds, with penalties. */
 double
 mf_place_cost_us (const MfTarget *target, const MfPlaceQuery *query, uint64_t now_us)
@@ -129,6 +144,8 @@
     }
   if (query->avoid_suspects && target->n_suspects > 0)
     cost_us += SUSPECT_COST_US;
+  if (mf_target_is_limited (target))
+    cost_us *= limited_factor (target, now_us);
   failure_share = mf_target_failure_share (target, now_us);
   if (target->remote_failure_share > failure_share)
     failure_share = target->remote_failure_share;
@@ -155,6 +172,8 @@
         continue;
       *any_available = true;
       if (!mf_target_accepts (target, now_us)
+          || !mf_target_rate_ready (target, query->max_wait_us, now_us)
+          || (query->is_grant && target->dispatch_after_us > now_us)
           || mf_place_avoids (query->avoid, query->n_avoid, target)
           || (query->must_fit
               && !mf_load_fits (target, query->service_config, query->tokens, now_us)))
@@ -194,22 +213,25 @@
   return false;
 }
 
-/* Returns when the first upstream of this role ends the pause it asked for, in time of the
- * monotonic clock; 0 when one takes requests now or all are leaving. */
+/* Returns when the first upstream of this role takes requests again, after the pause that it asked
+ * for or as its rate limit admits, in time of the monotonic clock; 0 when one takes requests now or
+ * all are leaving. */
 uint64_t
-mf_place_pause_end_us (const MfTargets *targets, const char *service, MfRole role, uint64_t now_us)
+mf_place_available_us (const MfTargets *targets, const char *service, MfRole role, uint64_t now_us)
 {
-  uint64_t pause_end_us = 0;
+  uint64_t first_us = 0;
 
   for (const MfTarget *target = targets->first; target != NULL; target = target->next)
     {
+      uint64_t available_us = mf_target_available_us (target);
+
       if (target->info.role != role || mf_target_is_leaving (target)
           || strcmp (target->info.service, service) != 0)
         continue;
-      if (target->paused_until_us <= now_us)
+      if (available_us <= now_us)
         return 0;
-      if (pause_end_us == 0 || target->paused_until_us < pause_end_us)
-        pause_end_us = target->paused_until_us;
+      if (first_us == 0 || available_us < first_us)
+        first_us = available_us;
     }
-  return pause_end_us;
+  return first_us;
 }
--- a/libmangofork/relay/place.h
+++ b/libmangofork/relay/place.h
@@ -20,6 +20,8 @@
   const char *kv_data_centre; /* of the prefilled KV; NULL: none */
   bool avoid_suspects;        /* avoid upstreams that run suspect requests */
   bool must_fit;              /* only engines with free capacity */
+  bool is_grant;              /* for a request of any instance, which is granted a slot */
+  uint64_t max_wait_us;       /* how long it may wait until an upstream's rate limit admits it */
   uint32_t tie_break;         /* uniform random number; decides between equal costs */
 } MfPlaceQuery;
 
@@ -29,7 +31,7 @@
 double mf_place_cost_us (const MfTarget *target, const MfPlaceQuery *query, uint64_t now_us);
 bool mf_place_has_role (const MfTargets *targets, const char *service, MfRole role,
                         const uint64_t *avoid, uint32_t n_avoid);
-uint64_t mf_place_pause_end_us (const MfTargets *targets, const char *service, MfRole role,
+uint64_t mf_place_available_us (const MfTargets *targets, const char *service, MfRole role,
                                 uint64_t now_us);
 
 #endif
--- a/libmangofork/relay/relay_counters.h
+++ b/libmangofork/relay/relay_counters.h
@@ -34,6 +34,9 @@
   X (SUSPICIONS, "suspicions_total", "crashes of upstreams attributed to a request")               \
   X (QUARANTINES, "convictions_total", "requests quarantined because they crash upstreams")        \
   X (SUSPECTS_REFUSED, "suspects_refused_total", "refused attempts of quarantined requests")       \
+  X (RATE_ASKED, "rate_asks_total", "requests that needed a unit of an upstream's rate limit")     \
+  X (RATE_DENIED, "rate_denied_total", "of these, denied, as the limit was reached")               \
+  X (RATE_LOCAL, "rate_local_total", "of these, decided locally, as no allocator replied")         \
   X (CONNECTS, "connects_total", "connections opened to upstreams")
 
 typedef enum
--- a/libmangofork/relay/relay_message.c
+++ b/libmangofork/relay/relay_message.c
@@ -1,5 +1,6 @@
 #include "relay_message.h"
 
+#include "libmangofork/clock.h"
 #include "libmangofork/frame_table.h"
 
 #include <msgpack.h>
@@ -19,6 +20,13 @@
 #define SUSPECTS_MEMBERS 2
 #define SUSPECT_ENTRY_MEMBERS 4
 #define SUSPECT_DEATH_MEMBERS 3
+#define LIMIT_MEMBERS 4
+#define RATE_ASK_MEMBERS (7 + LIMIT_MEMBERS)
+#define RATE_GRANT_MEMBERS 6
+#define LIMITS_MEMBERS 2
+#define LIMIT_ENTRY_MEMBERS (1 + LIMIT_MEMBERS)
+/* Units of one ask; more make no sense within the bounds of a bucket. */
+#define RATE_UNITS_MAX UINT64_C (1000000000)
 /* A retry takes at most two sends: a prefill and a decode. */
 #define RETRY_SENDS_MAX 2
 
@@ -183,6 +191,68 @@
     }
 }
 
+/* Times are sent as their age: the clocks of instances have no common start. */
+static void
+pack_age (msgpack_packer *packer, uint64_t at_us)
+{
+  uint64_t now_us = mf_clock_now_us ();
+
+  msgpack_pack_uint64 (packer, now_us > at_us ? now_us - at_us : 0);
+}
+
+static void
+limit_pack (msgpack_packer *packer, const MfRateNotice *limit)
+{
+  msgpack_pack_uint32 (packer, limit->is_limited);
+  msgpack_pack_uint64 (packer, limit->micro_per_s);
+  pack_age (packer, limit->asked_us);
+  pack_age (packer, limit->heard_us);
+}
+
+static void
+rate_ask_pack (msgpack_packer *packer, const MfRelayMessage *message)
+{
+  const MfRateAsk *ask = &message->rate.ask;
+
+  msgpack_pack_array (packer, RATE_ASK_MEMBERS);
+  msgpack_pack_uint32 (packer, message->kind);
+  msgpack_pack_uint64 (packer, message->rate.id);
+  msgpack_pack_uint64 (packer, ask->key);
+  msgpack_pack_uint32 (packer, ask->n_units);
+  msgpack_pack_uint32 (packer, ask->n_charged);
+  msgpack_pack_uint32 (packer, ask->n_returned);
+  msgpack_pack_uint64 (packer, ask->max_wait_us);
+  limit_pack (packer, &ask->limit);
+}
+
+static void
+rate_grant_pack (msgpack_packer *packer, const MfRelayMessage *message)
+{
+  msgpack_pack_array (packer, RATE_GRANT_MEMBERS);
+  msgpack_pack_uint32 (packer, message->kind);
+  msgpack_pack_uint64 (packer, message->rate.id);
+  msgpack_pack_uint64 (packer, message->rate.ask.key);
+  msgpack_pack_uint32 (packer, message->rate.grant.granted);
+  msgpack_pack_uint64 (packer, message->rate.grant.wait_us);
+  msgpack_pack_uint32 (packer, message->rate.grant.redirected);
+}
+
+static void
+limits_pack (msgpack_packer *packer, const MfRelayMessage *message)
+{
+  const MfLimitUpdate *update = &message->limits;
+
+  msgpack_pack_array (packer, LIMITS_MEMBERS);
+  msgpack_pack_uint32 (packer, message->kind);
+  msgpack_pack_array (packer, update->n_entries);
+  for (uint32_t i = 0; i < update->n_entries; i++)
+    {
+      msgpack_pack_array (packer, LIMIT_ENTRY_MEMBERS);
+      msgpack_pack_uint64 (packer, update->entries[i].process);
+      limit_pack (packer, &update->entries[i].limit);
+    }
+}
+
 static bool
 read_number (const msgpack_object *object, uint64_t max, uint64_t *number)
 {
@@ -440,6 +510,83 @@
   return true;
 }
 
+static bool
+read_age (const msgpack_object *object, uint64_t *at_us)
+{
+  uint64_t now_us = mf_clock_now_us ();
+  uint64_t age_us = 0;
+
+  if (!read_number (object, UINT64_MAX, &age_us))
+    return false;
+  *at_us = now_us > age_us ? now_us - age_us : 0;
+  return true;
+}
+
+/* A notice that was heard at no time says nothing. */
+static bool
+limit_read (const msgpack_object *members, MfRateNotice *limit)
+{
+  return read_flag (&members[0], &limit->is_limited)
+         && read_number (&members[1], MF_RATE_MAX * MF_RATE_MICRO, &limit->micro_per_s)
+         && read_age (&members[2], &limit->asked_us) && read_age (&members[3], &limit->heard_us)
+         && limit->asked_us <= limit->heard_us;
+}
+
+static bool
+rate_ask_read (const msgpack_object *members, MfRelayMessage *message)
+{
+  MfRateAsk *ask = &message->rate.ask;
+  uint64_t n_units = 0;
+  uint64_t n_charged = 0;
+  uint64_t n_returned = 0;
+
+  if (!read_number (&members[1], UINT64_MAX, &message->rate.id)
+      || !read_number (&members[2], UINT64_MAX, &ask->key)
+      || !read_number (&members[3], RATE_UNITS_MAX, &n_units)
+      || !read_number (&members[4], RATE_UNITS_MAX, &n_charged)
+      || !read_number (&members[5], RATE_UNITS_MAX, &n_returned)
+      || !read_number (&members[6], UINT32_MAX, &ask->max_wait_us)
+      || !limit_read (&members[7], &ask->limit))
+    return false;
+  ask->n_units = (uint32_t)n_units;
+  ask->n_charged = (uint32_t)n_charged;
+  ask->n_returned = (uint32_t)n_returned;
+  return true;
+}
+
+static bool
+rate_grant_read (const msgpack_object *members, MfRelayMessage *message)
+{
+  return read_number (&members[1], UINT64_MAX, &message->rate.id)
+         && read_number (&members[2], UINT64_MAX, &message->rate.ask.key)
+         && read_flag (&members[3], &message->rate.grant.granted)
+         && read_number (&members[4], UINT64_MAX, &message->rate.grant.wait_us)
+         && read_flag (&members[5], &message->rate.grant.redirected);
+}
+
+static bool
+limits_read (const msgpack_object *members, MfRelayMessage *message)
+{
+  MfLimitUpdate *update = &message->limits;
+  const msgpack_object *rows = &members[1];
+
+  update->n_entries = 0;
+  if (!read_array (rows, MF_LIMIT_ENTRIES_MAX))
+    return false;
+  while (update->n_entries < rows->via.array.size)
+    {
+      const msgpack_object *row = &rows->via.array.ptr[update->n_entries];
+      MfLimitEntry *entry = &update->entries[update->n_entries];
+
+      if (row->type != MSGPACK_OBJECT_ARRAY || row->via.array.size < LIMIT_ENTRY_MEMBERS
+          || !read_number (&row->via.array.ptr[0], UINT64_MAX, &entry->process)
+          || !limit_read (&row->via.array.ptr[1], &entry->limit))
+        return false;
+      update->n_entries++;
+    }
+  return true;
+}
+
 /* Encoder and decoder of one kind of message. */
 typedef struct
 {
@@ -459,6 +606,9 @@
   [MF_RELAY_MESSAGE_RETRY_REPLY] = { RETRY_REPLY_MEMBERS, retry_reply_pack, retry_reply_read },
   [MF_RELAY_MESSAGE_FEED] = { FEED_MEMBERS, feed_pack, feed_read },
   [MF_RELAY_MESSAGE_SUSPECTS] = { SUSPECTS_MEMBERS, suspects_pack, suspects_read },
+  [MF_RELAY_MESSAGE_RATE_ASK] = { RATE_ASK_MEMBERS, rate_ask_pack, rate_ask_read },
+  [MF_RELAY_MESSAGE_RATE_GRANT] = { RATE_GRANT_MEMBERS, rate_grant_pack, rate_grant_read },
+  [MF_RELAY_MESSAGE_LIMITS] = { LIMITS_MEMBERS, limits_pack, limits_read },
 };
 
 /* Appends a message as a frame: 4 bytes of length in network byte order, then msgpack. */
--- a/libmangofork/relay/relay_message.h
+++ b/libmangofork/relay/relay_message.h
@@ -4,6 +4,7 @@
 #include "dispatch.h"
 #include "feed.h"
 
+#include "libmangofork/rate_share.h"
 #include "libmangofork/suspect.h"
 
 /* Maximum payload bytes of a frame. */
@@ -22,6 +23,9 @@
   MF_RELAY_MESSAGE_RETRY_REPLY = 8,  /* the answer to that */
   MF_RELAY_MESSAGE_FEED = 9,         /* changes that the sender has read from the platform store */
   MF_RELAY_MESSAGE_SUSPECTS = 10,    /* suspect requests */
+  MF_RELAY_MESSAGE_RATE_ASK = 11,    /* asks the allocator of a shared rate for units */
+  MF_RELAY_MESSAGE_RATE_GRANT = 12,  /* the answer to that */
+  MF_RELAY_MESSAGE_LIMITS = 13,      /* rate limits that upstreams have named, or ended */
 } MfRelayMessageKind;
 
 /* A request for permission to retry, or its answer. */
@@ -61,6 +65,29 @@
   uint32_t n_entries;
 } MfSuspectUpdate;
 
+/* A request for units of a shared rate, or its answer. Sent with the ages of the times. */
+typedef struct
+{
+  uint64_t id;       /* 0: needs no answer */
+  MfRateAsk ask;     /* RATE_GRANT: its key only */
+  MfRateGrant grant; /* RATE_GRANT only */
+} MfRateMessage;
+
+/* Maximum limits in one message. */
+#define MF_LIMIT_ENTRIES_MAX 64
+
+typedef struct
+{
+  uint64_t process; /* mf_target_process_id */
+  MfRateNotice limit;
+} MfLimitEntry;
+
+typedef struct
+{
+  MfLimitEntry entries[MF_LIMIT_ENTRIES_MAX];
+  uint32_t n_entries;
+} MfLimitUpdate;
+
 typedef struct
 {
   MfRelayMessageKind kind;
@@ -69,6 +96,8 @@
   MfRetryRequest retry;       /* RETRY, RETRY_REPLY */
   MfFeed feed;                /* FEED */
   MfSuspectUpdate suspects;   /* SUSPECTS */
+  MfRateMessage rate;         /* RATE_ASK, RATE_GRANT */
+  MfLimitUpdate limits;       /* LIMITS */
   MfGrant grant;              /* GRANT; QUEUED, CANCEL and GRANT_ACK use its id only */
 } MfRelayMessage;
 
--- a/libmangofork/relay/target.c
+++ b/libmangofork/relay/target.c
@@ -94,12 +94,62 @@
 uint64_t
 mf_target_process_id (const MfTarget *target)
 {
-  uint64_t parts[] = { target->id_hash, target->info.started_ms };
+  return target->process_id;
+}
+
+/* Returns the upstream with this process id, or NULL. */
+MfTarget *
+mf_targets_by_process (const MfTargets *targets, uint64_t process_id)
+{
+  for (MfTarget *target = targets->first; target != NULL; target = target->next)
+    {
+      if (target->process_id == process_id)
+        return target;
+    }
+  return NULL;
+}
+
+static uint64_t
+process_hash (uint64_t id_hash, uint64_t started_ms)
+{
+  uint64_t parts[] = { id_hash, started_ms };
   uint64_t process = XXH3_64bits (parts, sizeof parts);
 
   return process != 0 ? process : 1;
 }
 
+/* Returns what is known of the limit of an unlisted process, or NULL. */
+static MfRateNotice *
+unlisted_limit (MfTargets *targets, uint64_t process_id)
+{
+  for (uint32_t i = 0; i < MF_TARGETS_UNLISTED_LIMITS_MAX; i++)
+    {
+      if (targets->unlisted_limits[i].process_id == process_id)
+        return &targets->unlisted_limits[i].limit;
+    }
+  return NULL;
+}
+
+/* Merges a notice of another instance about the limit of a process, listed or not. */
+void
+mf_targets_note_limit (MfTargets *targets, uint64_t process_id, const MfRateNotice *limit)
+{
+  MfTarget *target = mf_targets_by_process (targets, process_id);
+  MfRateNotice *unlisted;
+
+  if (target != NULL)
+    {
+      mf_target_note_limit (target, limit, false);
+      return;
+    }
+  unlisted = unlisted_limit (targets, process_id);
+  if (unlisted != NULL)
+    mf_rate_notice_merge (unlisted, limit);
+  else
+    targets->unlisted_limits[targets->n_unlisted_limits++ % MF_TARGETS_UNLISTED_LIMITS_MAX]
+        = (MfUnlistedLimit){ .process_id = process_id, .limit = *limit };
+}
+
 static void
 target_record_end (MfTarget *target, const char *why)
 {
@@ -164,6 +214,9 @@
         continue;
       *link = dropped->next;
       targets->n_targets--;
+      /* Discovery may list the same process again. */
+      if (dropped->limit.is_limited)
+        mf_targets_note_limit (targets, dropped->process_id, &dropped->limit);
       probe_cancel (dropped);
       mf_link_pool_close (&dropped->pool);
       dropped->pool.n_idle_max = 0;
@@ -173,38 +226,85 @@
     }
 }
 
-/* Records the rate limit that a response names, or that it names none. */
+/* Whether it names a limit for the requests of all instances together. */
+bool
+mf_target_is_limited (const MfTarget *target)
+{
+  return target->limit.is_limited;
+}
+
+/* Whether a request to it may be granted within max_wait_us, as far as known here. */
+bool
+mf_target_rate_ready (const MfTarget *target, uint64_t max_wait_us, uint64_t now_us)
+{
+  return !target->limit.is_limited || target->rate_ready_us <= now_us + max_wait_us;
+}
+
+/* Returns the time from which on it may take requests of this instance again; 0: it does now. */
+uint64_t
+mf_target_available_us (const MfTarget *target)
+{
+  if (target->limit.is_limited && target->rate_ready_us > target->paused_until_us)
+    return target->rate_ready_us;
+  return target->paused_until_us;
+}
+
+/* Merges a notice of its limit, from one of its answers or from another instance. */
+void
+mf_target_note_limit (MfTarget *target, const MfRateNotice *limit, bool by_answer)
+{
+  MfTargets *targets = target->targets;
+  uint64_t now_us = mf_clock_now_us ();
+
+  if (!mf_rate_notice_merge (&target->limit, limit))
+    return;
+  target->rate_ready_us = 0;
+  target->dispatch_after_us = 0;
+  mf_rate_bucket_init (&target->local_rate, 0, now_us);
+  if (targets->log != NULL)
+    mf_relay_log_state (targets->log, "upstream.limit",
+                        "upstream=%s service=%s named=%s per_s=%.3f by=%s sends_1s=%u",
+                        target->info.id, target->info.service,
+                        target->limit.is_limited ? "yes" : "no",
+                        (double)target->limit.micro_per_s / (double)MF_RATE_MICRO,
+                        by_answer ? "answer" : "peer", mf_target_n_recent_sends (target, now_us));
+  if (targets->callbacks != NULL && targets->callbacks->limit_changed != NULL)
+    targets->callbacks->limit_changed (targets->user_data, target, by_answer);
+}
+
+/* Applies the rate limit that a response names, or that it names none. Only an answer to a request
+ * with an id, by the upstream itself, shows that a limit has ended: other responses may never carry
+ * one. */
 static void
-target_record_limit (MfTarget *target, const MfHead *head, uint32_t status)
+target_read_limit (MfTarget *target, const MfHead *head, uint32_t status, uint64_t asked_us)
 {
-  MfRelayLog *log = target->targets->log;
-  uint32_t n_fields = mf_head_count (head, MF_HEADER_RATE_LIMIT);
-  uint64_t micro_per_s = 0;
+  bool is_answer
+      = asked_us > 0 && (status < 300 || mf_head_count (head, MF_HEADER_RESPONSE_SEAL) > 0);
+  MfRateNotice limit = { .asked_us = asked_us, .heard_us = mf_clock_now_us () };
   char value[32] = "";
 
-  if (n_fields > 0 && !mf_head_rate (head, MF_HEADER_RATE_LIMIT, &micro_per_s))
+  /* Status 421: another process answers at the address. */
+  if (status < 200 || status == 421)
+    return;
+  if (mf_head_rate (head, MF_HEADER_RATE_LIMIT, &limit.micro_per_s))
+    {
+      limit.is_limited = limit.micro_per_s < MF_RATE_MAX * MF_RATE_MICRO;
+      mf_target_note_limit (target, &limit, true);
+    }
+  else if (mf_head_count (head, MF_HEADER_RATE_LIMIT) > 0)
     {
       mf_head_copy (head, MF_HEADER_RATE_LIMIT, value, sizeof value);
-      if (log != NULL)
-        mf_relay_log_state (log, "upstream.limit_unreadable", "upstream=%s value=\"%s\"",
-                            target->info.id, value);
-      return;
+      if (target->targets->log != NULL)
+        mf_relay_log_state (target->targets->log, "upstream.limit_unreadable",
+                            "upstream=%s value=\"%s\"", target->info.id, value);
     }
-  if ((n_fields > 0) == target->limit_named && micro_per_s == target->limit_micro_per_s)
-    return;
-  target->limit_named = n_fields > 0;
-  target->limit_micro_per_s = micro_per_s;
-  if (log != NULL)
-    mf_relay_log_state (log, "upstream.limit",
-                        "upstream=%s service=%s named=%s per_s=%.3f status=%u sends_1s=%u",
-                        target->info.id, target->info.service, target->limit_named ? "yes" : "no",
-                        (double)micro_per_s / (double)MF_RATE_MICRO, status,
-                        mf_target_n_recent_sends (target, mf_clock_now_us ()));
+  else if (is_answer)
+    mf_target_note_limit (target, &limit, true);
 }
 
 /* Applies what a response header says about the upstream itself. */
 static void
-on_answer_head (void *owner, const MfHead *head, uint32_t status)
+on_answer_head (void *owner, const MfHead *head, uint32_t status, uint64_t asked_us)
 {
   MfTarget *target = owner;
   char value[32] = "";
@@ -213,7 +313,7 @@
   if (mf_head_count (head, MF_HEADER_LEAVING) > 0
       && !(mf_head_copy (head, MF_HEADER_LEAVING, value, sizeof value) && strcmp (value, "0") == 0))
     mf_target_record_leaving (target);
-  target_record_limit (target, head, status);
+  target_read_limit (target, head, status, asked_us);
   if (status != 503 || mf_head_count (head, MF_HEADER_RETRY_AFTER) == 0)
     return;
   if (mf_head_seconds (head, MF_HEADER_RETRY_AFTER, &pause_s))
@@ -251,6 +351,7 @@
 target_add (MfTargets *targets, const MfTargetInfo *info)
 {
   MfTarget *target = calloc (1, sizeof *target);
+  const MfRateNotice *limit;
 
   if (target == NULL)
     return NULL;
@@ -269,7 +370,11 @@
   target->targets = targets;
   memcpy (target->pool.address, info->address, sizeof target->pool.address);
   target->id_hash = mf_load_hash (info->id);
+  target->process_id = process_hash (target->id_hash, info->started_ms);
   target->announced_leaving = has_departed (targets, target);
+  limit = unlisted_limit (targets, target->process_id);
+  if (limit != NULL)
+    target->limit = *limit;
   target->n_refs = 1;
   target->next = targets->first;
   targets->first = target;
--- a/libmangofork/relay/target.h
+++ b/libmangofork/relay/target.h
@@ -4,6 +4,8 @@
 #include "line.h"
 #include "link.h"
 
+#include "libmangofork/rate.h"
+
 /* Bytes of the id of an upstream, including the terminating NUL. */
 #define MF_TARGET_ID_BYTES 64
 
@@ -44,6 +46,9 @@
   void (*added) (void *data, MfTarget *target);
   /* The probe by mf_target_probe has ended. */
   void (*probed) (void *data, MfTarget *target);
+  /* Its rate limit has changed. by_answer is set when one of its own answers says so. May be NULL.
+   */
+  void (*limit_changed) (void *data, MfTarget *target, bool by_answer);
 } MfTargetsCallbacks;
 
 /* One upstream process, and what this instance has observed of it. */
@@ -68,6 +73,7 @@
   uint32_t n_remote_answering;    /* other instances that it answers */
   uint64_t remote_avoid_until_us; /* when the last of these uses it again */
   uint64_t id_hash;               /* identifies it in messages between instances */
+  uint64_t process_id;            /* the same, different from later processes with its id */
   uint64_t silent_since_us;       /* while requests run: the last sign of life */
   uint64_t alive_us;              /* last sign of life; 0: none since a connection broke */
   double answer_us;               /* moving average of response times; 0: none yet */
@@ -82,8 +88,12 @@
   uint32_t n_declined;      /* consecutive requests declined without any load */
   bool announced_leaving;   /* a response announced that it is about to stop */
   uint64_t paused_until_us; /* it asked this instance to send no requests until then */
-  bool limit_named;         /* its last response named a rate limit */
-  uint64_t limit_micro_per_s;
+  MfRateNotice limit;       /* requests a second that it takes from all instances together */
+  uint64_t rate_ready_us;   /* a request within its limit may be granted from then on */
+  uint64_t rate_unanswered_us; /* the allocator did not answer then */
+  uint64_t rate_allocator;     /* instance that was last asked for one; 0: none */
+  uint64_t dispatch_after_us;  /* this instance dispatches no request to it before */
+  MfRateBucket local_rate;     /* for when no allocator can be reached */
   MfTargetSends sends;
   MfRole stage_ordered;     /* the role that it was ordered to change to */
   uint64_t stage_until_us;  /* it accepts nothing before this time while it changes; 0: no order */
@@ -100,6 +110,17 @@
   uint64_t started_ms;
 } MfDeparture;
 
+/* The rate limit of a process that is not listed now. */
+typedef struct
+{
+  uint64_t process_id;
+  MfRateNotice limit;
+} MfUnlistedLimit;
+
+/* Limits of unlisted processes kept. Those of a service may be unlisted together when discovery has
+ * an outage. */
+#define MF_TARGETS_UNLISTED_LIMITS_MAX 256
+
 /* Departures kept. A process stops within seconds of its announcement, and the pools that are
  * replaced at one time are smaller than this. */
 #define MF_TARGETS_DEPARTURES_MAX 512
@@ -118,6 +139,8 @@
   uint64_t unacked_timeout_us;
   MfDeparture departures[MF_TARGETS_DEPARTURES_MAX]; /* the oldest one is overwritten */
   uint32_t n_departures;                             /* ever recorded */
+  MfUnlistedLimit unlisted_limits[MF_TARGETS_UNLISTED_LIMITS_MAX]; /* the oldest is overwritten */
+  uint32_t n_unlisted_limits;                                      /* ever recorded */
 };
 
 bool mf_targets_update (MfTargets *targets, const MfTargetInfo *info);
@@ -125,6 +148,8 @@
 uint32_t mf_targets_expire (MfTargets *targets, uint64_t before_us);
 MfTarget *mf_targets_find (const MfTargets *targets, const char *id);
 MfTarget *mf_targets_by_hash (const MfTargets *targets, uint64_t hash);
+MfTarget *mf_targets_by_process (const MfTargets *targets, uint64_t process_id);
+void mf_targets_note_limit (MfTargets *targets, uint64_t process_id, const MfRateNotice *limit);
 void mf_targets_begin_list (MfTargets *targets);
 void mf_targets_clear (MfTargets *targets);
 
@@ -144,6 +169,10 @@
 uint64_t mf_target_load_tokens (const MfTarget *target);
 bool mf_target_is_leaving (const MfTarget *target);
 bool mf_target_accepts (const MfTarget *target, uint64_t now_us);
+bool mf_target_is_limited (const MfTarget *target);
+bool mf_target_rate_ready (const MfTarget *target, uint64_t max_wait_us, uint64_t now_us);
+uint64_t mf_target_available_us (const MfTarget *target);
+void mf_target_note_limit (MfTarget *target, const MfRateNotice *limit, bool by_answer);
 bool mf_target_is_suspect (const MfTarget *target, uint64_t now_us);
 void mf_target_record_alive (MfTarget *target, uint64_t now_us);
 void mf_target_record_answer (MfTarget *target, uint64_t answer_us, uint64_t now_us);
--- a/tests/soak/relay_soak.c
+++ b/tests/soak/relay_soak.c
@@ -757,7 +757,7 @@
 {
   for (uint32_t i = 0; i < N_UPSTREAMS; i++)
     {
-      if (soak->limits[i] == NULL || now_us < soak->next_limit_us[i])
+      if (soak->limits[i] == NULL || (now_us < soak->next_limit_us[i] && !is_recovering (soak, 0)))
         continue;
       soak->next_limit_us[i]
           = now_us
--- a/tests/soak/soak_upstream.c
+++ b/tests/soak/soak_upstream.c
@@ -302,9 +302,9 @@
     {
       limit_header (run->upstream, limit, sizeof limit);
       snprintf (text, sizeof text,
-                "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n%s"
+                "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: s\r\n%s"
                 "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-                limit);
+                run->id, limit);
       fake_upstream_conn_send (run->conn, text);
     }
   ev_timer_set (&run->timer, after_s, 0.);
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -120,16 +120,16 @@
   fleet_make (&fleet, MF_ROLE_PLAIN);
   fleet.upstreams[1].paused_until_us = NOW_US + 2000;
   assert_int_not_equal (choose (&fleet, (MfPlaceQuery){ 0 }), 1);
-  assert_int_equal (mf_place_pause_end_us (&fleet.targets, "llm", MF_ROLE_PLAIN, NOW_US), 0);
+  assert_int_equal (mf_place_available_us (&fleet.targets, "llm", MF_ROLE_PLAIN, NOW_US), 0);
   fleet.upstreams[0].paused_until_us = NOW_US + 1000;
   fleet.upstreams[2].paused_until_us = NOW_US + 3000;
   assert_int_equal (choose (&fleet, (MfPlaceQuery){ 0 }), -1);
-  assert_int_equal (mf_place_pause_end_us (&fleet.targets, "llm", MF_ROLE_PLAIN, NOW_US),
+  assert_int_equal (mf_place_available_us (&fleet.targets, "llm", MF_ROLE_PLAIN, NOW_US),
                     NOW_US + 1000);
   fleet.upstreams[0].announced_leaving = true;
-  assert_int_equal (mf_place_pause_end_us (&fleet.targets, "llm", MF_ROLE_PLAIN, NOW_US),
+  assert_int_equal (mf_place_available_us (&fleet.targets, "llm", MF_ROLE_PLAIN, NOW_US),
                     NOW_US + 2000);
-  assert_int_equal (mf_place_pause_end_us (&fleet.targets, "none", MF_ROLE_PLAIN, NOW_US), 0);
+  assert_int_equal (mf_place_available_us (&fleet.targets, "none", MF_ROLE_PLAIN, NOW_US), 0);
 }
 
 static void
