Queued slot requests are answered while another request is granted

Instances took a healthy leader for dead: a slot request that stayed queued got no reply when another waiting one was granted in the same run, as the leader compared the lengths of its queue. The requester waited 80 ms, asked the next leader and left the true one out for 2 s, so that two instances granted the slots of one service.

--- a/libmangofork/relay/dispatch.c
+++ b/libmangofork/relay/dispatch.c
@@ -396,6 +396,18 @@
   return dispatch->n_waiting;
 }
 
+/* Whether a request of a requester is queued. */
+bool
+mf_dispatch_is_waiting (const MfDispatch *dispatch, uint64_t requester, uint64_t id)
+{
+  for (const WaitingRequest *waiting = dispatch->waiting; waiting != NULL; waiting = waiting->next)
+    {
+      if (waiting->requester == requester && waiting->request.id == id)
+        return true;
+    }
+  return false;
+}
+
 /* Returns the number of queued requests. */
 uint32_t
 mf_dispatch_n_waiting (const MfDispatch *dispatch)
--- a/libmangofork/relay/dispatch.h
+++ b/libmangofork/relay/dispatch.h
@@ -58,6 +58,7 @@
 void mf_dispatch_drop_requester (MfDispatch *dispatch, uint64_t requester);
 void mf_dispatch_ack_grants (MfDispatch *dispatch, uint64_t requester, uint64_t id);
 uint32_t mf_dispatch_run (MfDispatch *dispatch, uint64_t now_us);
+bool mf_dispatch_is_waiting (const MfDispatch *dispatch, uint64_t requester, uint64_t id);
 uint32_t mf_dispatch_n_waiting (const MfDispatch *dispatch);
 void mf_dispatch_add_pending (const MfDispatch *dispatch, uint64_t now_us);
 
--- a/libmangofork/relay/job_room.c
+++ b/libmangofork/relay/job_room.c
@@ -260,11 +260,10 @@
 request_handle (MfJobs *jobs, uint64_t peer, const MfSlotRequest *request)
 {
   uint64_t id = request->id;
-  uint32_t n_before = mf_dispatch_n_waiting (jobs->dispatch);
 
   mf_dispatch_enqueue (jobs->dispatch, peer, request, mf_clock_now_us ());
   mf_jobs_run_dispatch (jobs);
-  if (mf_dispatch_n_waiting (jobs->dispatch) <= n_before)
+  if (!mf_dispatch_is_waiting (jobs->dispatch, peer, id))
     return;
   jobs->message.kind = MF_RELAY_MESSAGE_QUEUED;
   jobs->message.grant.id = id;
--- a/tests/test_job_room.c
+++ b/tests/test_job_room.c
@@ -89,6 +89,44 @@
   relay_fleet_teardown (&fleet);
 }
 
+/* A slot request that stays queued while another one is granted gets its reply, too: without it,
+ * the requester would take the leader for dead. */
+static void
+test_queued_request_is_answered_while_another_is_granted (void **state)
+{
+  RelayFleet fleet;
+  RelayFixture *leader;
+  uint32_t requester;
+  MfTarget *engine;
+  int calls[2];
+  uint64_t now_us;
+  uint64_t leader_hash;
+
+  (void)state;
+  fleet_setup (&fleet, 1, relay_fixture_stream_hangs);
+  now_us = mf_clock_now_us ();
+  requester = (find_leader (&fleet) + 1) % N_INSTANCES;
+  leader = &fleet.instances[find_leader (&fleet)];
+  leader_hash = mf_peers_leader (fleet.instances[requester].jobs.peers, "engines", now_us);
+  engine = mf_targets_find (&leader->jobs.targets, "u0");
+  for (uint32_t i = 0; i < SLOTS; i++)
+    mf_target_begin_request (engine, 0, now_us);
+  calls[0] = start_call (&fleet, requester);
+  assert_int_equal (mf_dispatch_n_waiting (leader->jobs.dispatch), 1);
+  ev_timer_stop (fleet.loop, &leader->jobs.dispatch_timer);
+  mf_target_end_request (engine, 0);
+  calls[1] = start_call (&fleet, requester);
+  assert_int_equal (mf_dispatch_n_waiting (leader->jobs.dispatch), 1);
+  loop_spin (fleet.loop, 60);
+  assert_int_equal (
+      mf_peers_leader (fleet.instances[requester].jobs.peers, "engines", mf_clock_now_us ()),
+      leader_hash);
+  close (calls[0]);
+  close (calls[1]);
+  loop_spin (fleet.loop, 10);
+  relay_fleet_teardown (&fleet);
+}
+
 /* Returns the number of sends beyond the first of each stage for ten requests. Only a leader that
  * has led for a whole window may grant retries. */
 static uint32_t
@@ -197,6 +235,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_waiting_requests_ask_the_next_leader),
+    cmocka_unit_test (test_queued_request_is_answered_while_another_is_granted),
     cmocka_unit_test (test_leader_grants_retries_that_others_do_not_use),
     cmocka_unit_test (test_retries_of_two_sends_keep_to_the_common_budget),
     cmocka_unit_test (test_engine_that_the_requester_does_not_know_is_avoided),
