A granted request is sent, not placed anew in the same step

An instance that allocated a rate itself and had only an unreachable upstream left ended with a stack overflow: the unit was granted, the request placed anew, the unreachable upstream not taken as usable for the unit in hand, the unit returned and asked for again, without end. A unit that is granted at once is used for the upstream that the request was placed at; an ask of its own is never redirected to another allocator.

test_unreachable_upstream_with_a_limit_is_tried_once ends the test program without the change.

--- a/libmangofork/relay/job_rate.c
+++ b/libmangofork/relay/job_rate.c
@@ -45,8 +45,6 @@
   const MfTarget *target = mf_targets_by_process (&jobs->targets, ask->key);
   uint64_t now_us = mf_clock_now_us ();
 
-  if (jobs_allocator (jobs, ask->key) != MF_DISPATCH_SELF)
-    return (MfRateGrant){ .redirected = true };
   if (target != NULL && target->limit.heard_us > 0)
     mf_rate_shares_note_limit (jobs->rates, ask->key, &target->limit, now_us);
   return mf_rate_shares_ask (jobs->rates, ask, jobs_rate_percent (jobs, now_us), now_us);
@@ -142,7 +140,7 @@
 
   if (target == NULL || !job->rate_granted || target->info.role != role)
     return NULL;
-  if (target->listed && mf_target_accepts (target, now_us) && target->suspect_until_us <= now_us
+  if (target->listed && mf_target_accepts (target, now_us)
       && !mf_place_avoids (job->avoid, job->n_avoid, target))
     return target;
   mf_job_drop_rate (job);
@@ -181,8 +179,10 @@
   mf_job_advance (job);
 }
 
+/* Continues as the answer to an ask says. is_placed is set while the upstream is the one that the
+ * request would be sent to now; otherwise it is placed anew with the unit in hand. */
 static void
-job_handle_grant (MfJob *job, const MfRateGrant *grant)
+job_handle_grant (MfJob *job, const MfRateGrant *grant, bool is_placed)
 {
   uint64_t now_us = mf_clock_now_us ();
 
@@ -194,20 +194,23 @@
       return;
     }
   job->rate_granted = true;
-  if (grant->wait_us == 0)
+  if (grant->wait_us > 0)
     {
-      job->waited_us += now_us - job->waiting_since_us;
-      job->waiting_since_us = now_us;
-      mf_job_advance (job);
+      job->step_deadline_us = now_us + grant->wait_us;
+      mf_job_set_timer (job);
       return;
     }
-  job->step_deadline_us = now_us + grant->wait_us;
-  mf_job_set_timer (job);
+  job->waited_us += now_us - job->waiting_since_us;
+  job->waiting_since_us = now_us;
+  if (is_placed)
+    mf_job_send_within_limit (job, job->rate_target, job->rate_prefill, 0);
+  else
+    mf_job_advance (job);
 }
 
 /* Takes a unit of this instance's local part of the rate: no allocator has answered. */
 static void
-job_acquire_local (MfJob *job)
+job_acquire_local (MfJob *job, bool is_placed)
 {
   MfJobs *jobs = job->jobs;
   MfTarget *target = job->rate_target;
@@ -222,7 +225,7 @@
   grant.granted = mf_rate_bucket_acquire (&target->local_rate, 1, job->rate_max_wait_us, now_us,
                                           &grant.wait_us);
   job->rate_is_local = true;
-  job_handle_grant (job, &grant);
+  job_handle_grant (job, &grant, is_placed);
 }
 
 /* Asks the allocator of the upstream's rate for a unit. */
@@ -243,7 +246,7 @@
   if (allocator == MF_DISPATCH_SELF)
     {
       grant = jobs_allocate (jobs, &ask);
-      job_handle_grant (job, &grant);
+      job_handle_grant (job, &grant, true);
       return;
     }
   job->rate_ask_id = ++jobs->last_peer_request_id;
@@ -253,7 +256,7 @@
       && ask_send (jobs, allocator, &ask, job->rate_ask_id))
     mf_job_set_timer (job);
   else
-    job_acquire_local (job);
+    job_acquire_local (job, true);
 }
 
 /* Sends a prefill or a run to an upstream within its rate limit: at once, when the limit admits it,
@@ -277,6 +280,7 @@
     job->waiting_since_us = now_us;
   job->phase = MF_JOB_WAITING;
   job->rate_target = mf_target_ref (target);
+  job->rate_prefill = prefill;
   job->rate_max_wait_us = max_wait_us;
   job_ask (job);
 }
@@ -298,7 +302,8 @@
   mf_relay_log_state (jobs->log, "rate.unanswered", "id=%s upstream=%s", job->id,
                       job->rate_target->info.id);
   job->rate_target->rate_unanswered_us = now_us;
-  job_acquire_local (job);
+  job->rate_ask_id = 0;
+  job_acquire_local (job, false);
 }
 
 static MfJob *
@@ -317,15 +322,17 @@
 mf_jobs_handle_rate (MfJobs *jobs, uint64_t peer, const MfRelayMessage *message)
 {
   MfRateMessage rate = message->rate;
+  MfRateGrant grant = { .redirected = true };
   MfTarget *target;
   MfJob *job;
 
   if (message->kind == MF_RELAY_MESSAGE_RATE_ASK)
     {
+      if (jobs_allocator (jobs, rate.ask.key) == MF_DISPATCH_SELF)
+        grant = jobs_allocate (jobs, &rate.ask);
       jobs->message.kind = MF_RELAY_MESSAGE_RATE_GRANT;
-      jobs->message.rate = (MfRateMessage){ .id = rate.id,
-                                            .ask = { .key = rate.ask.key },
-                                            .grant = jobs_allocate (jobs, &rate.ask) };
+      jobs->message.rate
+          = (MfRateMessage){ .id = rate.id, .ask = { .key = rate.ask.key }, .grant = grant };
       if (rate.id != 0)
         mf_peers_send (jobs->peers, peer, &jobs->message);
       return;
@@ -333,9 +340,9 @@
   job = rate.id != 0 ? job_by_rate_ask (jobs, rate.id) : NULL;
   target = mf_targets_by_process (&jobs->targets, rate.ask.key);
   if (job != NULL && job->rate_allocator == peer && rate.grant.redirected)
-    job_acquire_local (job);
+    job_acquire_local (job, false);
   else if (job != NULL && job->rate_allocator == peer)
-    job_handle_grant (job, &rate.grant);
+    job_handle_grant (job, &rate.grant, false);
   else if (rate.grant.granted && target != NULL)
     jobs_return_rate (jobs, target);
 }
@@ -369,10 +376,15 @@
           = (MfLimitEntry){ .process = target->process_id, .limit = target->limit };
       mf_peers_send_all (jobs->peers, &jobs->message);
     }
-  if (mf_target_is_limited (target))
-    jobs_tell_allocator (jobs, target, 0, 0);
-  else
-    target->rate_allocator = 0;
+  if (!mf_target_is_limited (target))
+    {
+      target->rate_allocator = 0;
+      return;
+    }
+  jobs_tell_allocator (jobs, target, 0, 0);
+  /* The bucket fills from now on. */
+  if (jobs_allocator (jobs, target->process_id) == MF_DISPATCH_SELF)
+    jobs_allocate (jobs, &(MfRateAsk){ .key = target->process_id, .limit = target->limit });
 }
 
 /* Sends the limits of all upstreams to an instance that may have restarted. */
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -94,6 +94,7 @@
   uint64_t granted_prefill;       /* hash of the engine that the grant names for the prefill */
 
   MfTarget *rate_target;     /* its rate limit is to admit the request; NULL: none */
+  bool rate_prefill;         /* it is to be sent a prefill */
   uint64_t rate_ask_id;      /* id of the ask that awaits a reply; 0: none */
   uint64_t rate_allocator;   /* hash of the instance that was asked */
   uint64_t rate_max_wait_us; /* of the ask */
--- a/tests/test_job_rate.c
+++ b/tests/test_job_rate.c
@@ -43,36 +43,65 @@
   relay_fixture_answer (conn, id, "200 OK", RELAY_FIXTURE_SEAL, "good");
 }
 
-/* A fleet whose first upstream names a limit, and its callers. */
+/* Refuses within the upstream, without a seal; the header is that of an intermediary, if any. */
+static void
+answer_unsealed_error (FakeUpstreamConn *conn, const char *text, const char *id)
+{
+  (void)text;
+  relay_fixture_answer (conn, id, "502 Bad Gateway", "", "");
+}
+
+static void
+answer_misdirected (FakeUpstreamConn *conn, const char *text, const char *id)
+{
+  (void)text;
+  relay_fixture_answer (conn, id, "421 Misdirected Request", "Server-Limit: 1\r\n", "");
+}
+
+/* One instance or a fleet, whose first upstream names a limit, and its callers. */
 typedef struct
 {
   RelayFleet fleet;
+  bool is_fleet;
+  uint32_t n_instances;
   int calls[CALLS_MAX];
   uint32_t n_calls;
 } RateFixture;
 
-/* Adds a plain upstream of the first instance at all instances. */
+/* Adds an upstream of the first instance at all instances. */
 static void
-add_upstream (RateFixture *fixture, uint32_t index, RelayFixtureHandler handler)
+add_upstream (RateFixture *fixture, uint32_t index, MfRole role, RelayFixtureHandler handler)
 {
   RelayFixture *first = &fixture->fleet.instances[0];
   char id[16];
 
-  relay_fixture_add_upstream (first, index, MF_ROLE_PLAIN, handler);
+  relay_fixture_add_upstream (first, index, role, handler);
   snprintf (id, sizeof id, "u%u", index);
-  for (uint32_t i = 1; i < RELAY_FLEET_N_INSTANCES; i++)
-    relay_fixture_list_upstream (&fixture->fleet.instances[i], id, MF_ROLE_PLAIN,
+  for (uint32_t i = 1; i < fixture->n_instances; i++)
+    relay_fixture_list_upstream (&fixture->fleet.instances[i], id, role,
                                  fake_upstream_address (first->upstreams[index].server));
 }
 
 static void
-rate_fixture_setup (RateFixture *fixture, uint32_t n_unlimited)
+fleet_setup (RateFixture *fixture, uint32_t n_unlimited)
 {
   memset (fixture, 0, sizeof *fixture);
   relay_fleet_setup (&fixture->fleet, LISTEN_PORT, PEER_PORT);
-  add_upstream (fixture, 0, answer_limited);
+  fixture->is_fleet = true;
+  fixture->n_instances = RELAY_FLEET_N_INSTANCES;
+  add_upstream (fixture, 0, MF_ROLE_PLAIN, answer_limited);
   for (uint32_t i = 1; i <= n_unlimited; i++)
-    add_upstream (fixture, i, answer_plain);
+    add_upstream (fixture, i, MF_ROLE_PLAIN, answer_plain);
+}
+
+/* An instance without others allocates each rate itself. */
+static void
+single_setup (RateFixture *fixture)
+{
+  memset (fixture, 0, sizeof *fixture);
+  fixture->fleet.loop = ev_loop_new (0);
+  fixture->n_instances = 1;
+  relay_fixture_setup (&fixture->fleet.instances[0], fixture->fleet.loop, LISTEN_PORT);
 }
 
 static void
@@ -80,24 +109,37 @@
 {
   for (uint32_t i = 0; i < fixture->n_calls; i++)
     close (fixture->calls[i]);
-  relay_fleet_teardown (&fixture->fleet);
+  loop_spin (fixture->fleet.loop, 5);
+  if (fixture->is_fleet)
+    {
+      relay_fleet_teardown (&fixture->fleet);
+      return;
+    }
+  relay_fixture_teardown (&fixture->fleet.instances[0]);
+  ev_loop_destroy (fixture->fleet.loop);
 }
 
 static void
-call (RateFixture *fixture, uint32_t instance)
+call_path (RateFixture *fixture, uint32_t instance, const char *path)
 {
   char text[256];
   int fd = loop_connect (fixture->fleet.instances[instance].port);
 
   assert_true (fd >= 0 && fixture->n_calls < CALLS_MAX);
   snprintf (text, sizeof text,
-            "POST /order/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: t%u\r\nX-Deadline-Ms: 600\r\n"
-            "Content-Length: 0\r\n\r\n",
-            fixture->n_calls);
+            "POST %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: t%u\r\nX-Deadline-Ms: 600\r\n"
+            "X-Token-Count: 100,40\r\nContent-Length: 0\r\n\r\n",
+            path, fixture->n_calls);
   loop_send (fd, text, strlen (text));
   fixture->calls[fixture->n_calls++] = fd;
 }
 
+static void
+call (RateFixture *fixture, uint32_t instance)
+{
+  call_path (fixture, instance, "/order/1");
+}
+
 /* Lets all instances get requests for a while, n_per_round at a time at each. */
 static void
 press (RateFixture *fixture, uint64_t for_us, uint32_t n_per_round)
@@ -106,15 +148,15 @@
 
   while (mf_clock_now_us () < until_us)
     {
-      for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES * n_per_round; i++)
-        call (fixture, i % RELAY_FLEET_N_INSTANCES);
+      for (uint32_t i = 0; i < fixture->n_instances * n_per_round; i++)
+        call (fixture, i % fixture->n_instances);
       loop_spin (fixture->fleet.loop, 100);
     }
 }
 
-/* Number of calls that have been answered with this status. */
+/* Number of calls that have been answered with this status, and with this text. */
 static uint32_t
-n_with_status (RateFixture *fixture, uint32_t status)
+n_answered (RateFixture *fixture, uint32_t status, const char *needle)
 {
   uint32_t n_found = 0;
 
@@ -124,7 +166,8 @@
       uint32_t found = 0;
 
       loop_receive (fixture->fleet.loop, fixture->calls[i], "\r\n\r\n", text, sizeof text);
-      n_found += sscanf (text, "HTTP/1.1 %u", &found) == 1 && found == status;
+      n_found += sscanf (text, "HTTP/1.1 %u", &found) == 1 && found == status
+                 && strstr (text, needle) != NULL;
     }
   return n_found;
 }
@@ -135,6 +178,12 @@
   return relay_fixture_n_requests (&fixture->fleet.instances[0], 0);
 }
 
+static MfTarget *
+target (RateFixture *fixture, uint32_t instance, const char *id)
+{
+  return mf_targets_find (&fixture->fleet.instances[instance].jobs.targets, id);
+}
+
 static void
 test_instances_together_keep_to_the_limit_of_an_upstream (void **state)
 {
@@ -143,12 +192,175 @@
 
   (void)state;
   named_limit = "4.0";
-  rate_fixture_setup (&fixture, 1);
+  fleet_setup (&fixture, 1);
   press (&fixture, TOLD_US, 1);
   n_before = n_arrivals (&fixture);
   press (&fixture, BURST_US, 2);
   assert_in_range (n_arrivals (&fixture) - n_before, 1, ALLOWED);
-  assert_int_equal (n_with_status (&fixture, 200), fixture.n_calls);
+  assert_int_equal (n_answered (&fixture, 200, ""), fixture.n_calls);
+  rate_fixture_teardown (&fixture);
+}
+
+/* With no other upstream, the rate is used, and what it does not admit is refused at once with the
+ * time at which it would. */
+static void
+test_rate_of_the_only_upstream_is_used_and_the_rest_refused (void **state)
+{
+  RateFixture fixture;
+  uint32_t n_before;
+  uint32_t n_served;
+  uint32_t n_refused;
+
+  (void)state;
+  named_limit = "10";
+  single_setup (&fixture);
+  add_upstream (&fixture, 0, MF_ROLE_PLAIN, answer_limited);
+  press (&fixture, TOLD_US, 1);
+  n_before = n_arrivals (&fixture);
+  press (&fixture, BURST_US, 8);
+  assert_in_range (n_arrivals (&fixture) - n_before, 10 * 2 * 7 / 10, 10 * 2 * 3 / 2 + 5);
+  loop_spin (fixture.fleet.loop, 150);
+  n_served = n_answered (&fixture, 200, "good");
+  assert_int_equal (n_served, n_arrivals (&fixture));
+  n_refused = fixture.fleet.instances[0].jobs.counters.counts[MF_RELAY_COUNT_REFUSED];
+  assert_int_equal (n_refused, fixture.n_calls - n_served);
+  rate_fixture_teardown (&fixture);
+}
+
+static void
+test_refusals_name_when_the_rate_admits_the_next (void **state)
+{
+  RateFixture fixture;
+
+  (void)state;
+  named_limit = "0.5";
+  single_setup (&fixture);
+  add_upstream (&fixture, 0, MF_ROLE_PLAIN, answer_limited);
+  call (&fixture, 0);
+  loop_spin (fixture.fleet.loop, 20);
+  call (&fixture, 0);
+  loop_spin (fixture.fleet.loop, 20);
+  assert_int_equal (n_arrivals (&fixture), 1);
+  assert_int_equal (n_answered (&fixture, 503, "Retry-After: 0.2"), 1);
+  rate_fixture_teardown (&fixture);
+}
+
+static void
+test_end_of_a_limit_of_nothing_is_noticed (void **state)
+{
+  RateFixture fixture;
+  uint32_t n_before;
+
+  (void)state;
+  named_limit = "0";
+  single_setup (&fixture);
+  add_upstream (&fixture, 0, MF_ROLE_PLAIN, answer_limited);
+  call (&fixture, 0);
+  loop_spin (fixture.fleet.loop, 20);
+  assert_true (mf_target_is_limited (target (&fixture, 0, "u0")));
+  n_before = n_arrivals (&fixture);
+  press (&fixture, 2 * MF_US_PER_S, 1);
+  assert_int_equal (n_arrivals (&fixture), n_before);
+  named_limit = NULL;
+  press (&fixture, 6 * MF_US_PER_S, 1);
+  assert_false (mf_target_is_limited (target (&fixture, 0, "u0")));
+  rate_fixture_teardown (&fixture);
+}
+
+/* Asking and being granted must not repeat without end when the only upstream is unreachable. */
+static void
+test_unreachable_upstream_with_a_limit_is_tried_once (void **state)
+{
+  RateFixture fixture;
+  RelayFixture *first = &fixture.fleet.instances[0];
+
+  (void)state;
+  named_limit = "1000";
+  single_setup (&fixture);
+  add_upstream (&fixture, 0, MF_ROLE_PLAIN, answer_limited);
+  call (&fixture, 0);
+  loop_spin (fixture.fleet.loop, 50);
+  fake_upstream_stop (first->upstreams[0].server);
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      call (&fixture, 0);
+      loop_spin (fixture.fleet.loop, 50);
+    }
+  assert_int_equal (n_answered (&fixture, 503, ""), 3);
+  rate_fixture_teardown (&fixture);
+}
+
+/* An instance that starts later learns a limit from the others, before its first request. */
+static void
+test_restarted_instance_is_told_limits (void **state)
+{
+  RateFixture fixture;
+
+  (void)state;
+  named_limit = "4.9";
+  fleet_setup (&fixture, 0);
+  call (&fixture, 0);
+  loop_spin (fixture.fleet.loop, 50);
+  for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
+    assert_int_equal (target (&fixture, i, "u0")->limit.micro_per_s, 4900000);
+  relay_fleet_restart (&fixture.fleet, 3);
+  relay_fixture_list_upstream (
+      &fixture.fleet.instances[3], "u0", MF_ROLE_PLAIN,
+      fake_upstream_address (fixture.fleet.instances[0].upstreams[0].server));
+  relay_fleet_wait_connected (&fixture.fleet);
+  loop_spin (fixture.fleet.loop, 50);
+  assert_true (mf_target_is_limited (target (&fixture, 3, "u0")));
+  rate_fixture_teardown (&fixture);
+}
+
+static void
+test_only_answers_of_the_upstream_itself_end_its_limit (void **state)
+{
+  static const RelayFixtureHandler others[] = { answer_unsealed_error, answer_misdirected };
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (others); i++)
+    {
+      RateFixture fixture;
+      RelayFixture *first = &fixture.fleet.instances[0];
+
+      named_limit = "100";
+      single_setup (&fixture);
+      add_upstream (&fixture, 0, MF_ROLE_PLAIN, answer_limited);
+      call (&fixture, 0);
+      loop_spin (fixture.fleet.loop, 50);
+      first->upstreams[0].handler = others[i];
+      call (&fixture, 0);
+      loop_spin (fixture.fleet.loop, 50);
+      assert_int_equal (n_arrivals (&fixture), 2);
+      assert_int_equal (target (&fixture, 0, "u0")->limit.micro_per_s, 100000000);
+      rate_fixture_teardown (&fixture);
+    }
+}
+
+/* KV that is no longer needed expires by itself at an engine that limits its requests. */
+static void
+test_limited_engine_gets_no_calls_that_free_memory (void **state)
+{
+  RateFixture fixture;
+  RelayFixture *first = &fixture.fleet.instances[0];
+  MfRateNotice limit = { .is_limited = true, .micro_per_s = 100 * MF_RATE_MICRO };
+
+  (void)state;
+  single_setup (&fixture);
+  add_upstream (&fixture, 0, MF_ROLE_PREFILL, relay_fixture_prefill);
+  add_upstream (&fixture, 1, MF_ROLE_DECODE, relay_fixture_stream_hangs);
+  call_path (&fixture, 0, "/llm/1");
+  loop_spin (fixture.fleet.loop, 30);
+  assert_int_equal (n_arrivals (&fixture), 1);
+  limit.heard_us = mf_clock_now_us ();
+  limit.asked_us = limit.heard_us;
+  mf_target_note_limit (target (&fixture, 0, "u0"), &limit, true);
+  close (fixture.calls[0]);
+  fixture.n_calls = 0;
+  loop_spin (fixture.fleet.loop, 30);
+  assert_int_equal (n_arrivals (&fixture), 1);
+  assert_int_equal (first->jobs.n_jobs, 0);
   rate_fixture_teardown (&fixture);
 }
 
@@ -157,6 +369,13 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_instances_together_keep_to_the_limit_of_an_upstream),
+    cmocka_unit_test (test_rate_of_the_only_upstream_is_used_and_the_rest_refused),
+    cmocka_unit_test (test_refusals_name_when_the_rate_admits_the_next),
+    cmocka_unit_test (test_end_of_a_limit_of_nothing_is_noticed),
+    cmocka_unit_test (test_unreachable_upstream_with_a_limit_is_tried_once),
+    cmocka_unit_test (test_restarted_instance_is_told_limits),
+    cmocka_unit_test (test_only_answers_of_the_upstream_itself_end_its_limit),
+    cmocka_unit_test (test_limited_engine_gets_no_calls_that_free_memory),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
