Requests that the limits of all engines cannot admit are refused at once

Callers of a service whose decode engines all name limits waited in the leader's queue until just before they would have left, and were refused then: the queue had no bound but their patience. The leader adds up the limits and rejects what the queue ahead of it outlasts, with the time that the queue takes; the caller is refused at once with it. The first in the queue always waits, as only its answer can show that a limit has ended.

Tests for this, for the pace of grants, the order of placing, messages, and what is kept of a limit while discovery does not list its process. test_any_bytes knew kinds of messages up to 9; it checks for the last one now.

--- a/libmangofork/relay/dispatch.c
+++ b/libmangofork/relay/dispatch.c
@@ -92,6 +92,42 @@
   dispatch->n_waiting++;
 }
 
+/* Number of queued requests of a service. */
+static uint32_t
+service_n_waiting (const MfDispatch *dispatch, const char *service)
+{
+  uint32_t n_waiting = 0;
+
+  for (const WaitingRequest *waiting = dispatch->waiting; waiting != NULL; waiting = waiting->next)
+    n_waiting += strcmp (waiting->request.service, service) == 0;
+  return n_waiting;
+}
+
+/* Whether a request could be granted a slot in time if it was queued now. It cannot if the rate
+ * limits of all decode engines together admit too few: the queue is then longer than its time.
+ * wait_us is set to the time that the queue takes; 0 when it is not known. */
+bool
+mf_dispatch_can_serve (const MfDispatch *dispatch, const MfSlotRequest *request, uint64_t *wait_us)
+{
+  uint64_t micro_per_s = 0;
+
+  *wait_us = 0;
+  for (const MfTarget *target = dispatch->targets->first; target != NULL; target = target->next)
+    {
+      if (target->info.role != MF_ROLE_DECODE || mf_target_is_leaving (target)
+          || strcmp (target->info.service, request->service) != 0)
+        continue;
+      if (!mf_target_is_limited (target))
+        return true;
+      micro_per_s += mf_rate_effective (target->limit.micro_per_s);
+    }
+  if (micro_per_s == 0)
+    return true;
+  *wait_us
+      = service_n_waiting (dispatch, request->service) * MF_RATE_MICRO * MF_US_PER_S / micro_per_s;
+  return request->age_us + *wait_us <= request->max_age_us;
+}
+
 static void
 waiting_remove (MfDispatch *dispatch, WaitingRequest **link)
 {
--- a/libmangofork/relay/dispatch.h
+++ b/libmangofork/relay/dispatch.h
@@ -54,6 +54,8 @@
 void mf_dispatch_free (MfDispatch *dispatch);
 void mf_dispatch_enqueue (MfDispatch *dispatch, uint64_t requester, const MfSlotRequest *request,
                           uint64_t now_us);
+bool mf_dispatch_can_serve (const MfDispatch *dispatch, const MfSlotRequest *request,
+                            uint64_t *wait_us);
 void mf_dispatch_cancel (MfDispatch *dispatch, uint64_t requester, uint64_t id);
 void mf_dispatch_drop_requester (MfDispatch *dispatch, uint64_t requester);
 void mf_dispatch_ack_grants (MfDispatch *dispatch, uint64_t requester, uint64_t id);
--- a/libmangofork/relay/job_room.c
+++ b/libmangofork/relay/job_room.c
@@ -110,14 +110,30 @@
   return request;
 }
 
-/* Enqueues the request at the dispatcher of this instance. */
+/* Refuses a request that no slot can be granted to in time, at once instead of when it gives up. */
+static void
+job_reject (MfJob *job, uint64_t wait_us)
+{
+  job->slot_request_id = 0;
+  job->pause_end_us = mf_clock_now_us () + wait_us;
+  mf_job_refuse (job, MF_CODE_QUEUE_FULL, "rate limits of the engines admit no further request");
+}
+
+/* Enqueues the request at the dispatcher of this instance, or refuses it. It may have been freed on
+ * return. */
 static void
 request_enqueue_local (MfJob *job)
 {
   MfJobs *jobs = job->jobs;
   uint64_t now_us = mf_clock_now_us ();
   MfSlotRequest request = request_make (job, now_us);
+  uint64_t wait_us = 0;
 
+  if (!mf_dispatch_can_serve (jobs->dispatch, &request, &wait_us))
+    {
+      job_reject (job, wait_us);
+      return;
+    }
   job->slot_request_id = request.id;
   job->asked_instance = MF_DISPATCH_SELF;
   job->step_deadline_us = 0;
@@ -255,12 +271,22 @@
   .service_config = on_service_config,
 };
 
-/* Enqueues another instance's slot request, and replies "queued" if it is not granted at once. */
+/* Enqueues another instance's slot request, and replies "queued" if it is not granted at once; or
+ * rejects it. */
 static void
 request_handle (MfJobs *jobs, uint64_t peer, const MfSlotRequest *request)
 {
   uint64_t id = request->id;
+  uint64_t wait_us = 0;
 
+  if (!mf_dispatch_can_serve (jobs->dispatch, request, &wait_us))
+    {
+      jobs->message.kind = MF_RELAY_MESSAGE_REJECTED;
+      jobs->message.grant.id = id;
+      jobs->message.wait_us = wait_us;
+      mf_peers_send (jobs->peers, peer, &jobs->message);
+      return;
+    }
   mf_dispatch_enqueue (jobs->dispatch, peer, request, mf_clock_now_us ());
   mf_jobs_run_dispatch (jobs);
   if (!mf_dispatch_is_waiting (jobs->dispatch, peer, id))
@@ -296,6 +322,11 @@
       job->step_deadline_us = 0;
       mf_job_set_timer (job);
       return;
+    case MF_RELAY_MESSAGE_REJECTED:
+      job = job_by_slot_request (jobs, message->grant.id);
+      if (job != NULL && job->asked_instance == peer)
+        job_reject (job, message->wait_us);
+      return;
     case MF_RELAY_MESSAGE_GRANT:
       mf_peers_ack_grant (jobs->peers, peer, message->grant.id);
       job = job_by_slot_request (jobs, message->grant.id);
@@ -341,6 +372,7 @@
 {
   MfJobs *jobs = data;
   uint64_t now_us = mf_clock_now_us ();
+  MfJob *next;
 
   mf_dispatch_drop_requester (jobs->dispatch, peer);
   jobs->remote_load_stale = true;
@@ -352,8 +384,9 @@
       if (jobs->routes->services[i].is_engine)
         mf_peers_leader (jobs->peers, jobs->routes->services[i].name, now_us);
     }
-  for (MfJob *job = jobs->first; job != NULL; job = job->next)
+  for (MfJob *job = jobs->first; job != NULL; job = next)
     {
+      next = job->next;
       if (job->phase != MF_JOB_WAITING || job->slot_request_id == 0 || job->asked_instance != peer)
         continue;
       job->slot_request_id = 0;
--- a/libmangofork/relay/relay_message.c
+++ b/libmangofork/relay/relay_message.c
@@ -13,6 +13,7 @@
 #define SLOT_REQUEST_MEMBERS 11
 #define GRANT_MEMBERS 4
 #define ID_MEMBERS 2
+#define REJECTED_MEMBERS 3
 #define RETRY_MEMBERS 5
 #define RETRY_REPLY_MEMBERS 3
 #define FEED_MEMBERS 7
@@ -118,6 +119,15 @@
   msgpack_pack_uint64 (packer, message->grant.id);
 }
 
+static void
+rejected_pack (msgpack_packer *packer, const MfRelayMessage *message)
+{
+  msgpack_pack_array (packer, REJECTED_MEMBERS);
+  msgpack_pack_uint32 (packer, message->kind);
+  msgpack_pack_uint64 (packer, message->grant.id);
+  msgpack_pack_uint64 (packer, message->wait_us);
+}
+
 static void
 retry_pack (msgpack_packer *packer, const MfRelayMessage *message)
 {
@@ -407,6 +417,13 @@
   return read_number (&members[1], UINT64_MAX, &message->grant.id);
 }
 
+static bool
+rejected_read (const msgpack_object *members, MfRelayMessage *message)
+{
+  return read_number (&members[1], UINT64_MAX, &message->grant.id)
+         && read_number (&members[2], UINT64_MAX / 4, &message->wait_us);
+}
+
 static bool
 retry_read (const msgpack_object *members, MfRelayMessage *message)
 {
@@ -608,6 +625,7 @@
   [MF_RELAY_MESSAGE_SUSPECTS] = { SUSPECTS_MEMBERS, suspects_pack, suspects_read },
   [MF_RELAY_MESSAGE_RATE_ASK] = { RATE_ASK_MEMBERS, rate_ask_pack, rate_ask_read },
   [MF_RELAY_MESSAGE_RATE_GRANT] = { RATE_GRANT_MEMBERS, rate_grant_pack, rate_grant_read },
+  [MF_RELAY_MESSAGE_REJECTED] = { REJECTED_MEMBERS, rejected_pack, rejected_read },
   [MF_RELAY_MESSAGE_LIMITS] = { LIMITS_MEMBERS, limits_pack, limits_read },
 };
 
--- a/libmangofork/relay/relay_message.h
+++ b/libmangofork/relay/relay_message.h
@@ -26,6 +26,7 @@
   MF_RELAY_MESSAGE_RATE_ASK = 11,    /* asks the allocator of a shared rate for units */
   MF_RELAY_MESSAGE_RATE_GRANT = 12,  /* the answer to that */
   MF_RELAY_MESSAGE_LIMITS = 13,      /* rate limits that upstreams have named, or ended */
+  MF_RELAY_MESSAGE_REJECTED = 14,    /* no slot can be granted in time */
 } MfRelayMessageKind;
 
 /* A request for permission to retry, or its answer. */
@@ -98,7 +99,8 @@
   MfSuspectUpdate suspects;   /* SUSPECTS */
   MfRateMessage rate;         /* RATE_ASK, RATE_GRANT */
   MfLimitUpdate limits;       /* LIMITS */
-  MfGrant grant;              /* GRANT; QUEUED, CANCEL and GRANT_ACK use its id only */
+  MfGrant grant;              /* GRANT; QUEUED, CANCEL, GRANT_ACK, REJECTED use its id only */
+  uint64_t wait_us;           /* REJECTED: until the queue of that time is served */
 } MfRelayMessage;
 
 void mf_relay_message_encode (const MfRelayMessage *message, MfBuffer *out);
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -505,6 +505,72 @@
   assert_int_equal (mf_load_kv_tokens (5000, 0, 0, 0), 5000);
 }
 
+/* Queued requests that the rate limits of the engines together do not admit in time are not to be
+ * queued; the first always may be, as only its answer can show that a limit has ended. */
+static void
+test_queue_is_no_longer_than_the_rate_limits_admit (void **state)
+{
+  Fixture fixture;
+  uint64_t wait_us = 0;
+  uint32_t n_queued = 0;
+
+  (void)state;
+  fixture_setup (&fixture);
+  for (uint32_t i = 0; i < N_ENGINES; i++)
+    {
+      MfSlotRequest request = request_make (100 + i, 0, 8000);
+
+      assert_true (mf_dispatch_can_serve (fixture.dispatch, &request, &wait_us));
+      fixture.engines[i].limit
+          = (MfRateNotice){ .is_limited = true, .micro_per_s = MF_RATE_MICRO, .heard_us = NOW_US };
+    }
+  for (uint32_t i = 0; i < 100; i++)
+    {
+      MfSlotRequest request = request_make (i + 1, 0, 8000);
+
+      if (mf_dispatch_can_serve (fixture.dispatch, &request, &wait_us))
+        {
+          enqueue (&fixture, 9, &request);
+          n_queued++;
+        }
+    }
+  /* Four engines of one request a second, and 3.3 s. */
+  assert_int_equal (n_queued, 14);
+  assert_int_equal (wait_us, 3500000);
+  fixture_teardown (&fixture);
+}
+
+static void
+test_engine_with_a_rate_limit_is_granted_at_its_pace (void **state)
+{
+  Fixture fixture;
+  uint32_t n_granted[2] = { 0 };
+
+  (void)state;
+  fixture_setup (&fixture);
+  for (uint32_t i = 0; i < N_ENGINES; i++)
+    fixture.engines[i].limit = (MfRateNotice){ .is_limited = true,
+                                               .micro_per_s = MF_RATE_MICRO * (i + 1),
+                                               .heard_us = NOW_US };
+  for (uint32_t i = 0; i < 40; i++)
+    {
+      MfSlotRequest request = request_make (i + 1, 0, 80);
+
+      enqueue (&fixture, 9, &request);
+    }
+  for (uint32_t ms = 0; ms < 2000; ms += 20)
+    mf_dispatch_run (fixture.dispatch, NOW_US + ms * MF_US_PER_MS);
+  for (uint32_t i = 0; i < fixture.n_given; i++)
+    {
+      n_granted[0] += fixture.given[i].grant.decode == 1;
+      n_granted[1] += fixture.given[i].grant.decode == 4;
+    }
+  assert_int_equal (n_granted[0], 2);
+  assert_int_equal (n_granted[1], 8);
+  assert_int_equal (fixture.n_given, 20);
+  fixture_teardown (&fixture);
+}
+
 int
 main (void)
 {
@@ -524,6 +590,8 @@
     cmocka_unit_test (test_services_do_not_hold_up_each_other),
     cmocka_unit_test (test_burst_serves_more_in_time_when_prefill_time_counts),
     cmocka_unit_test (test_kv_estimate_is_between_hint_and_typical),
+    cmocka_unit_test (test_queue_is_no_longer_than_the_rate_limits_admit),
+    cmocka_unit_test (test_engine_with_a_rate_limit_is_granted_at_its_pace),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -198,6 +198,54 @@
   assert_int_equal (choose (&fleet, (MfPlaceQuery){ .tokens = 5000 }), 1);
 }
 
+static void
+test_upstreams_with_a_rate_limit_come_last (void **state)
+{
+  static const MfRole roles[] = { MF_ROLE_PLAIN, MF_ROLE_PREFILL, MF_ROLE_DECODE };
+  MfRateNotice limit = { .is_limited = true, .micro_per_s = MF_RATE_MICRO, .heard_us = NOW_US };
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (roles); i++)
+    {
+      Fleet fleet;
+
+      fleet_make (&fleet, roles[i]);
+      assert_int_equal (choose (&fleet, (MfPlaceQuery){ .tokens = 5000 }), 1);
+      fleet.upstreams[1].limit = limit;
+      assert_in_set (choose (&fleet, (MfPlaceQuery){ .tokens = 5000 }),
+                     ((const uintmax_t[]){ 0, 2 }), 2);
+      /* It comes first once an answer is needed to see whether the limit has ended. */
+      fleet.upstreams[1].limit.heard_us = NOW_US - 2 * MF_US_PER_S;
+      assert_int_equal (choose (&fleet, (MfPlaceQuery){ .tokens = 5000 }), 1);
+      fleet.upstreams[1].n_active = 1;
+      assert_in_set (choose (&fleet, (MfPlaceQuery){ .tokens = 5000 }),
+                     ((const uintmax_t[]){ 0, 2 }), 2);
+    }
+}
+
+static void
+test_upstream_is_used_once_its_rate_limit_admits_a_request (void **state)
+{
+  Fleet fleet;
+  MfRateNotice limit = { .is_limited = true, .micro_per_s = MF_RATE_MICRO, .heard_us = NOW_US };
+
+  (void)state;
+  fleet_make (&fleet, MF_ROLE_PLAIN);
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      fleet.upstreams[i].limit = limit;
+      fleet.upstreams[i].rate_ready_us = NOW_US + (3 - i) * 100 * MF_US_PER_MS;
+    }
+  assert_int_equal (choose (&fleet, (MfPlaceQuery){ 0 }), -1);
+  assert_int_equal (choose (&fleet, (MfPlaceQuery){ .max_wait_us = 100 * MF_US_PER_MS }), 2);
+  assert_int_equal (mf_place_available_us (&fleet.targets, "llm", MF_ROLE_PLAIN, NOW_US),
+                    NOW_US + 100 * MF_US_PER_MS);
+  fleet.upstreams[0].paused_until_us = NOW_US + 50 * MF_US_PER_MS;
+  fleet.upstreams[0].limit.is_limited = false;
+  assert_int_equal (mf_place_available_us (&fleet.targets, "llm", MF_ROLE_PLAIN, NOW_US),
+                    NOW_US + 50 * MF_US_PER_MS);
+}
+
 int
 main (void)
 {
@@ -211,6 +259,8 @@
     cmocka_unit_test (test_decodes_go_where_their_kv_is),
     cmocka_unit_test (test_prompts_go_to_the_shortest_queue),
     cmocka_unit_test (test_prompts_avoid_engines_that_declined),
+    cmocka_unit_test (test_upstreams_with_a_rate_limit_come_last),
+    cmocka_unit_test (test_upstream_is_used_once_its_rate_limit_admits_a_request),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_relay_message.c
+++ b/tests/test_relay_message.c
@@ -1,5 +1,7 @@
 #include "libmangofork/relay/relay_message.h"
 
+#include "libmangofork/clock.h"
+
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stdlib.h>
@@ -100,6 +102,80 @@
   assert_int_equal (got.suspects.entries[1].n_deaths, 0);
 }
 
+/* Asserts that a time came back as it was sent; it travels as an age. */
+static void
+assert_same_time (uint64_t got_us, uint64_t sent_us)
+{
+  assert_in_range (got_us, sent_us, sent_us + MF_US_PER_S);
+}
+
+static void
+test_rates (void **state)
+{
+  uint64_t now_us = mf_clock_now_us ();
+  MfRateNotice limit = { .is_limited = true,
+                         .micro_per_s = 4900000,
+                         .asked_us = now_us - 3000000,
+                         .heard_us = now_us - 2000000 };
+
+  (void)state;
+  sent = (MfRelayMessage){ .kind = MF_RELAY_MESSAGE_RATE_ASK,
+                           .rate = { .id = 7,
+                                     .ask = { .key = UINT64_MAX,
+                                              .n_units = 1,
+                                              .n_charged = 22,
+                                              .n_returned = 3,
+                                              .max_wait_us = 250000,
+                                              .limit = limit } } };
+  round_trip ();
+  assert_int_equal (got.rate.id, 7);
+  assert_true (got.rate.ask.key == UINT64_MAX);
+  assert_int_equal (got.rate.ask.n_units, 1);
+  assert_int_equal (got.rate.ask.n_charged, 22);
+  assert_int_equal (got.rate.ask.n_returned, 3);
+  assert_int_equal (got.rate.ask.max_wait_us, 250000);
+  assert_true (got.rate.ask.limit.is_limited);
+  assert_int_equal (got.rate.ask.limit.micro_per_s, 4900000);
+  assert_same_time (got.rate.ask.limit.asked_us, limit.asked_us);
+  assert_same_time (got.rate.ask.limit.heard_us, limit.heard_us);
+  sent = (MfRelayMessage){
+    .kind = MF_RELAY_MESSAGE_RATE_GRANT,
+    .rate = { .id = 7, .ask = { .key = 5 }, .grant = { true, true, UINT64_MAX } },
+  };
+  round_trip ();
+  assert_int_equal (got.rate.ask.key, 5);
+  assert_true (got.rate.grant.granted);
+  assert_true (got.rate.grant.redirected);
+  assert_true (got.rate.grant.wait_us == UINT64_MAX);
+  sent = (MfRelayMessage){ .kind = MF_RELAY_MESSAGE_REJECTED, .grant = { .id = 9 }, .wait_us = 8 };
+  round_trip ();
+  assert_int_equal (got.grant.id, 9);
+  assert_int_equal (got.wait_us, 8);
+}
+
+static void
+test_limits (void **state)
+{
+  uint64_t now_us = mf_clock_now_us ();
+
+  (void)state;
+  sent = (MfRelayMessage){ .kind = MF_RELAY_MESSAGE_LIMITS };
+  sent.limits.n_entries = MF_LIMIT_ENTRIES_MAX;
+  for (uint32_t i = 0; i < MF_LIMIT_ENTRIES_MAX; i++)
+    sent.limits.entries[i] = (MfLimitEntry){
+      .process = i + 1,
+      .limit = { .is_limited = i % 2 == 0, .micro_per_s = i, .heard_us = now_us - i },
+    };
+  round_trip ();
+  assert_int_equal (got.limits.n_entries, MF_LIMIT_ENTRIES_MAX);
+  assert_int_equal (got.limits.entries[7].process, 8);
+  assert_false (got.limits.entries[7].limit.is_limited);
+  assert_int_equal (got.limits.entries[8].limit.micro_per_s, 8);
+  /* An answer of unknown age is one to a request of unknown age. */
+  assert_in_range (got.limits.entries[8].limit.asked_us, 0, MF_US_PER_S);
+  assert_same_time (got.limits.entries[8].limit.heard_us, now_us - 8);
+}
+
 static void
 test_slot_request (void **state)
 {
@@ -161,7 +237,7 @@
       bytes[0] = (char)(0x90 | (random & 15));
       bytes[1] = (char)(random >> 8 & 15);
       if (mf_relay_message_decode (bytes, sizeof bytes, &got))
-        assert_in_range (got.kind, MF_RELAY_MESSAGE_REPORT, MF_RELAY_MESSAGE_FEED);
+        assert_in_range (got.kind, MF_RELAY_MESSAGE_REPORT, MF_RELAY_MESSAGE_REJECTED);
     }
   mf_feed_clear (&got.feed);
 }
@@ -215,6 +291,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_report),        cmocka_unit_test (test_suspects),
+    cmocka_unit_test (test_rates),         cmocka_unit_test (test_limits),
     cmocka_unit_test (test_retry),         cmocka_unit_test (test_slot_request),
     cmocka_unit_test (test_grant_and_ids), cmocka_unit_test (test_any_bytes),
     cmocka_unit_test (test_feed),
--- a/tests/test_target.c
+++ b/tests/test_target.c
@@ -257,6 +257,78 @@
   assert_int_equal (mf_target_load_tokens (&target), 300);
 }
 
+/* Returns a notice that the process at id takes this many requests a second. */
+static MfRateNotice
+limit_make (uint64_t per_s)
+{
+  return (MfRateNotice){
+    .is_limited = true, .micro_per_s = per_s * MF_RATE_MICRO, .asked_us = NOW_US, .heard_us = NOW_US
+  };
+}
+
+static void
+test_limit_outlasts_a_missing_entry_and_not_the_process (void **state)
+{
+  MfTargets targets = { 0 };
+  MfTargetInfo info = info_make ("u1", "127.0.0.1:1");
+  MfRateNotice limit = limit_make (5);
+
+  (void)state;
+  mf_targets_update (&targets, &info);
+  mf_target_note_limit (mf_targets_find (&targets, "u1"), &limit, true);
+  mf_targets_remove (&targets, "u1", true, NOW_US);
+  mf_targets_update (&targets, &info);
+  assert_true (mf_target_is_limited (mf_targets_find (&targets, "u1")));
+  info.started_ms = 2;
+  mf_targets_update (&targets, &info);
+  assert_false (mf_target_is_limited (mf_targets_find (&targets, "u1")));
+  mf_targets_clear (&targets);
+}
+
+/* Another instance may know a process, and its limit, before this one. */
+static void
+test_limit_of_a_process_is_kept_until_it_is_listed (void **state)
+{
+  MfTargets targets = { 0 };
+  MfTargets others = { 0 };
+  MfTargetInfo info = info_make ("u1", "127.0.0.1:1");
+  MfRateNotice limit = limit_make (5);
+  MfRateNotice end = { .asked_us = NOW_US + 1, .heard_us = NOW_US + 2 };
+  uint64_t process;
+
+  (void)state;
+  mf_targets_update (&others, &info);
+  process = mf_target_process_id (mf_targets_find (&others, "u1"));
+  mf_targets_note_limit (&targets, process, &limit);
+  mf_targets_update (&targets, &info);
+  assert_true (mf_target_is_limited (mf_targets_find (&targets, "u1")));
+  mf_targets_note_limit (&targets, process, &end);
+  assert_false (mf_target_is_limited (mf_targets_find (&targets, "u1")));
+  mf_targets_clear (&targets);
+  mf_targets_clear (&others);
+}
+
+static void
+test_sends_of_the_last_second_are_counted (void **state)
+{
+  MfTargets targets = { 0 };
+  MfTargetInfo info = info_make ("u1", "127.0.0.1:1");
+  MfTarget *target;
+
+  (void)state;
+  mf_targets_update (&targets, &info);
+  target = mf_targets_find (&targets, "u1");
+  assert_int_equal (mf_target_n_recent_sends (target, NOW_US), 0);
+  for (uint32_t i = 0; i < 30; i++)
+    mf_target_note_send (target, NOW_US + i * 50 * MF_US_PER_MS);
+  assert_in_range (mf_target_n_recent_sends (target, NOW_US + 1450 * MF_US_PER_MS), 18, 20);
+  assert_in_range (mf_target_n_recent_sends (target, NOW_US + 2000 * MF_US_PER_MS), 8, 10);
+  assert_int_equal (mf_target_n_recent_sends (target, NOW_US + 3000 * MF_US_PER_MS), 0);
+  mf_target_note_send (target, NOW_US + 9000 * MF_US_PER_MS);
+  assert_int_equal (mf_target_n_recent_sends (target, NOW_US + 9000 * MF_US_PER_MS), 1);
+  mf_targets_clear (&targets);
+}
+
 int
 main (void)
 {
@@ -272,6 +344,9 @@
     cmocka_unit_test (test_pauses_are_bounded_and_never_shortened),
     cmocka_unit_test (test_an_engine_that_declines_while_idle_is_tried_less_often),
     cmocka_unit_test (test_load_is_that_of_all_instances),
+    cmocka_unit_test (test_limit_outlasts_a_missing_entry_and_not_the_process),
+    cmocka_unit_test (test_limit_of_a_process_is_kept_until_it_is_listed),
+    cmocka_unit_test (test_sends_of_the_last_second_are_counted),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
