Shared rates played with 6, 84 and 300 instances, and fewer asks in vain

A simulation without a network: all of the rate is used and no more than the rule allows, over bursts, new allocators and steps between limits. It showed 123 of 154 units used at 84 instances and 10.3 a second: all were told to wait too long after a second with many denials.

--- a/libmangofork/rate_share.c
+++ b/libmangofork/rate_share.c
@@ -8,8 +8,8 @@
 #define EFFECTIVE_MIN_MICRO (MF_RATE_MICRO / 4)
 /* Each ask denied in the last second beyond DENIED_FREE delays the next one for this long, which
  * bounds the asks of large fleets. */
-#define DENIED_FREE 100
-#define DENIED_SPACING_US (4 * MF_US_PER_MS)
+#define DENIED_FREE 200
+#define DENIED_SPACING_US (3 * MF_US_PER_MS)
 
 typedef struct
 {
