--- a/tests/soak/soak_upstream.c
+++ b/tests/soak/soak_upstream.c
@@ -142,9 +142,10 @@
   ledger->rows[ledger->n_rows++].n_runs = 1;
 }
 
-/* Writes the header that names the limit; "" if there is none. */
+/* Writes the header that names the limit; "" if there is none. An answer that is meant for another
+ * process tells the instance nothing of this one. */
 static void
-limit_header (const SoakUpstream *upstream, char *header, size_t header_bytes)
+limit_header (const SoakUpstream *upstream, bool misdirected, char *header, size_t header_bytes)
 {
   uint32_t milli_per_s
       = upstream->limit == NULL ? SOAK_LIMIT_NONE : soak_limit_milli_per_s (upstream->limit);
@@ -154,7 +155,8 @@
     return;
   snprintf (header, header_bytes, "Server-Limit: %u.%03u\r\n", milli_per_s / 1000,
             milli_per_s % 1000);
-  soak_limit_note_answer (upstream->limit, mf_clock_now_us ());
+  if (!misdirected)
+    soak_limit_note_answer (upstream->limit, mf_clock_now_us ());
 }
 
 static void
@@ -163,7 +165,7 @@
   char text[512];
   char limit[48];
 
-  limit_header (run->upstream, limit, sizeof limit);
+  limit_header (run->upstream, strncmp (status, "421", 3) == 0, limit, sizeof limit);
   snprintf (text, sizeof text,
             "HTTP/1.1 %s\r\nX-Attempt-Id: %s\r\n%s%sContent-Length: %zu\r\n\r\n%s", status, run->id,
             headers, limit, strlen (body), body);
@@ -300,7 +302,7 @@
 
   if (run->upstream->role == MF_ROLE_DECODE)
     {
-      limit_header (run->upstream, limit, sizeof limit);
+      limit_header (run->upstream, false, limit, sizeof limit);
       snprintf (text, sizeof text,
                 "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: s\r\n%s"
                 "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
