Instances keep to their part of the connections of an upstream

The class of fault behind LIMIT, a figure for all callers together that no instance applies, has a second case: maxConnections was read and used nowhere. An upstream resets connections beyond it; 295 instances that keep up to 8 idle ones each may hold 2,360 of 1,800. An instance keeps at most half of its part idle, and goes to other upstreams first where it would have to open one beyond its part; it does so only where there is no other, as the others may not use theirs. Not reported by anyone; found by looking for the same cause. test_half_of_the_connections_of_an_upstream_are_kept_idle saw 6 idle connections for 2 before.

--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -8,6 +8,18 @@
  * transfer. */
 #define KV_USE_PERCENT 80
 
+/* Returns this instance's part of the connections that an upstream of the service accepts from all
+ * instances together, at least one; 0: not known. */
+uint32_t
+mf_job_connections_max (const MfJob *job)
+{
+  const MfPeers *peers = job->jobs->peers;
+  uint32_t n_instances = peers != NULL ? mf_peers_n_known (peers) : 1;
+  uint32_t part = job->service->connections_max / n_instances;
+
+  return part > 0 || job->service->connections_max == 0 ? part : 1;
+}
+
 /* Placement criteria of a request for an upstream of the given role. */
 static MfPlaceQuery
 job_place_query (const MfJob *job, MfRole role)
@@ -18,6 +30,7 @@
     .tokens = role == MF_ROLE_PREFILL ? job->prompt_tokens : job->kv_tokens,
     .service_config = job->service,
     .n_avoid = job->n_avoid,
+    .connections_max = mf_job_connections_max (job),
     .avoid_suspects = mf_job_is_suspect (job),
     .kv_data_centre
     = role == MF_ROLE_DECODE && job->kv_target != NULL ? job->kv_target->info.data_centre : NULL,
--- a/libmangofork/relay/place.c
+++ b/libmangofork/relay/place.c
@@ -30,6 +30,10 @@
 #define LIMIT_CONFIRMED_US (1 * MF_US_PER_S)
 #define UNCONFIRMED_COST_FACTOR 0.1
 
+/* Relative cost of an upstream at which this instance would exceed its part of the connections that
+ * the upstream accepts from all. It resets connections beyond them. */
+#define CROWDED_COST_FACTOR 4.
+
 /* Whether an upstream is in a list of those to avoid. */
 bool
 mf_place_avoids (const uint64_t *avoid, uint32_t n_avoid, const MfTarget *target)
@@ -115,6 +119,14 @@
   return share * (double)MF_US_PER_S;
 }
 
+/* Whether a request there would open a connection beyond this instance's part of them. */
+static bool
+is_crowded (const MfTarget *target, const MfPlaceQuery *query)
+{
+  return query->connections_max > 0 && target->pool.n_idle == 0
+         && target->pool.n_links >= query->connections_max;
+}
+
 static double
 limited_factor (const MfTarget *target, uint64_t now_us)
 {
@@ -146,6 +158,8 @@
     cost_us += SUSPECT_COST_US;
   if (mf_target_is_limited (target))
     cost_us *= limited_factor (target, now_us);
+  if (is_crowded (target, query))
+    cost_us *= CROWDED_COST_FACTOR;
   failure_share = mf_target_failure_share (target, now_us);
   if (target->remote_failure_share > failure_share)
     failure_share = target->remote_failure_share;
--- a/libmangofork/relay/place.h
+++ b/libmangofork/relay/place.h
@@ -18,6 +18,7 @@
   uint32_t n_avoid;
   const char *data_centre;    /* of the sending instance */
   const char *kv_data_centre; /* of the prefilled KV; NULL: none */
+  uint32_t connections_max;   /* part of this instance in an upstream's connections; 0: unknown */
   bool avoid_suspects;        /* avoid upstreams that run suspect requests */
   bool must_fit;              /* only engines with free capacity */
   bool is_grant;              /* for a request of any instance, which is granted a slot */
--- a/libmangofork/relay/target.c
+++ b/libmangofork/relay/target.c
@@ -508,6 +508,18 @@
   return now_us / (MF_TARGET_SENDS_US / MF_TARGET_SEND_SLOTS);
 }
 
+/* Keeps at most half of this many connections idle, and at most IDLE_LINKS_MAX; 0: no limit is
+ * known. */
+void
+mf_target_limit_idle (MfTarget *target, uint32_t connections_max)
+{
+  uint32_t n_idle = connections_max > 1 ? connections_max / 2 : 1;
+
+  if (target->listed)
+    target->pool.n_idle_max
+        = connections_max == 0 || n_idle > IDLE_LINKS_MAX ? IDLE_LINKS_MAX : n_idle;
+}
+
 /* Counts one HTTP request of any kind that is sent there. */
 void
 mf_target_note_send (MfTarget *target, uint64_t now_us)
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -814,6 +814,39 @@
   teardown (&fixture);
 }
 
+/* Connections that an upstream accepts from all instances are not kept idle by one. */
+static void
+test_half_of_the_connections_of_an_upstream_are_kept_idle (void **state)
+{
+  static const char request[] = "GET /read/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: t\r\n\r\n";
+  static const uint32_t most_idle[][2] = { { 0, 6 }, { 4, 2 }, { 1, 1 } };
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (most_idle); i++)
+    {
+      RelayFixture fixture;
+      int calls[6];
+      uint32_t n_closed;
+
+      relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+      relay_fixture_add_upstream (&fixture, 0, MF_ROLE_PLAIN, handle_good);
+      fixture.jobs.routes->services[0].connections_max = most_idle[i][0];
+      for (size_t j = 0; j < MF_ARRAY_LEN (calls); j++)
+        {
+          calls[j] = loop_connect (PORT);
+          loop_send (calls[j], request, strlen (request));
+        }
+      loop_spin (fixture.loop, 30);
+      assert_int_equal (relay_fixture_n_requests (&fixture, 0), MF_ARRAY_LEN (calls));
+      n_closed = fake_upstream_n_closed (fixture.upstreams[0].server);
+      assert_int_equal (fake_upstream_n_conns (fixture.upstreams[0].server) - n_closed,
+                        most_idle[i][1]);
+      for (size_t j = 0; j < MF_ARRAY_LEN (calls); j++)
+        close (calls[j]);
+      teardown (&fixture);
+    }
+}
+
 int
 main (void)
 {
@@ -846,6 +879,7 @@
     cmocka_unit_test (test_unreachable_upstream_costs_no_request),
     cmocka_unit_test (test_deadline_ends_what_does_not_answer),
     cmocka_unit_test (test_requests_wait_for_a_free_slot),
+    cmocka_unit_test (test_half_of_the_connections_of_an_upstream_are_kept_idle),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -246,6 +246,27 @@
                     NOW_US + 50 * MF_US_PER_MS);
 }
 
+/* An upstream resets connections beyond those that it accepts from all instances. */
+static void
+test_no_more_than_this_instances_part_of_connections (void **state)
+{
+  Fleet fleet;
+
+  (void)state;
+  fleet_make (&fleet, MF_ROLE_PLAIN);
+  assert_int_equal (choose (&fleet, (MfPlaceQuery){ .connections_max = 2 }), 1);
+  fleet.upstreams[1].pool.n_links = 2;
+  assert_in_set (choose (&fleet, (MfPlaceQuery){ .connections_max = 2 }),
+                 ((const uintmax_t[]){ 0, 2 }), 2);
+  assert_int_equal (choose (&fleet, (MfPlaceQuery){ 0 }), 1);
+  fleet.upstreams[1].pool.n_idle = 1;
+  assert_int_equal (choose (&fleet, (MfPlaceQuery){ .connections_max = 2 }), 1);
+  /* Where there is no other, it is used. */
+  fleet.upstreams[1].pool.n_idle = 0;
+  fleet.upstreams[0].announced_leaving = fleet.upstreams[2].announced_leaving = true;
+  assert_int_equal (choose (&fleet, (MfPlaceQuery){ .connections_max = 2 }), 1);
+}
+
 int
 main (void)
 {
@@ -261,6 +282,7 @@
     cmocka_unit_test (test_prompts_avoid_engines_that_declined),
     cmocka_unit_test (test_upstreams_with_a_rate_limit_come_last),
     cmocka_unit_test (test_upstream_is_used_once_its_rate_limit_admits_a_request),
+    cmocka_unit_test (test_no_more_than_this_instances_part_of_connections),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
