An upstream that another process has replaced is no last resort

Requests for a process that was gone went to its address as long as no other upstream took them: each was declined by the process that had followed there, and counted against the limit that this one had named. Such a request is refused at once now; it could not be served there.

--- a/libmangofork/relay/place.c
+++ b/libmangofork/relay/place.c
@@ -53,6 +53,13 @@
          && target->stage_until_us <= now_us && strcmp (target->info.service, query->service) == 0;
 }
 
+/* Whether another process answers at its address, as this instance has seen itself. */
+static bool
+is_replaced (const MfTarget *target, uint64_t now_us)
+{
+  return target->replaced && target->suspect_until_us > now_us;
+}
+
 /* Whether the upstream is in the data centre of the sending instance. */
 static bool
 is_same_data_centre (const MfTarget *target, const MfPlaceQuery *query)
@@ -194,7 +201,9 @@
         continue;
       if (mf_target_is_suspect (target, now_us))
         {
-          if (suspect == NULL || target->suspect_until_us < suspect->suspect_until_us)
+          /* Another process would only decline what is meant for this one. */
+          if (!is_replaced (target, now_us)
+              && (suspect == NULL || target->suspect_until_us < suspect->suspect_until_us))
             suspect = target;
           continue;
         }
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -267,6 +267,26 @@
   assert_int_equal (choose (&fleet, (MfPlaceQuery){ .connections_max = 2 }), 1);
 }
 
+/* What is meant for a process is declined by the next one at its address, and counts there. */
+static void
+test_replaced_upstream_is_not_used_as_a_last_resort (void **state)
+{
+  Fleet fleet;
+
+  (void)state;
+  fleet_make (&fleet, MF_ROLE_PLAIN);
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      fleet.upstreams[i].suspect_until_us = NOW_US + MF_US_PER_S;
+      fleet.upstreams[i].replaced = i > 0;
+    }
+  assert_int_equal (choose (&fleet, (MfPlaceQuery){ 0 }), 0);
+  fleet.upstreams[0].replaced = true;
+  assert_int_equal (choose (&fleet, (MfPlaceQuery){ 0 }), -1);
+  fleet.upstreams[2].suspect_until_us = NOW_US;
+  assert_int_equal (choose (&fleet, (MfPlaceQuery){ 0 }), 2);
+}
+
 int
 main (void)
 {
@@ -283,6 +303,7 @@
     cmocka_unit_test (test_upstreams_with_a_rate_limit_come_last),
     cmocka_unit_test (test_upstream_is_used_once_its_rate_limit_admits_a_request),
     cmocka_unit_test (test_no_more_than_this_instances_part_of_connections),
+    cmocka_unit_test (test_replaced_upstream_is_not_used_as_a_last_resort),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
