SIGHUP to an instance that is just starting does not end it

Signals stay pending from the first step of a start until the loop handles them. Before the program has been loaded nothing can be done, so the soak sends none in the first 50 ms; the trace has the instance's end at 03.83 s, between the exit of the one before (03.80) and the start of the next (03.83).

--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -608,11 +608,13 @@
       mf_error_set (error, MF_CODE_NO_MEMORY, "out of memory while starting the relay");
       return NULL;
     }
+  signals_block (true);
   relay->deployment = deployment;
   snprintf (relay->path, sizeof relay->path, "%s", path);
   if (!deployment->read_settings (path, &relay->settings, error))
     {
       free (relay);
+      signals_block (false);
       return NULL;
     }
   descriptor_limit_raise (&relay->settings);
--- a/tests/soak/relay_soak.c
+++ b/tests/soak/relay_soak.c
@@ -51,6 +51,8 @@
 /* Percentage of the requests of the recovery phase that must be served. */
 #define RECOVERY_SERVED_MIN_PERCENT 95
 
+/* A started program has been loaded by then. */
+#define LOADED_US (50 * MF_US_PER_MS)
 /* Time for which an upstream names one limit, or none. */
 #define LIMIT_MIN_MS 1500
 #define LIMIT_MAX_MS 8000
@@ -103,6 +105,7 @@
   pid_t pid; /* 0: not running */
   uint32_t port;
   bool paused;
+  uint64_t started_us;
   uint64_t excused_until_us; /* what it sends until then does not count against limits */
 } Instance;
 
@@ -228,6 +231,7 @@
   snprintf (path, sizeof path, "%s/%u.conf", soak->directory, index);
   snprintf (log, sizeof log, "%s/%u.log", soak->directory, index);
   instance->paused = false;
+  instance->started_us = mf_clock_now_us ();
   pid = fork ();
   if (pid < 0)
     report_violation (soak, "an instance could not be started", strerror (errno));
@@ -619,10 +623,14 @@
   instance_signal (soak, target, SIGCONT);
 }
 
+/* Until the program has been loaded, SIGHUP ends any process. */
 static void
 begin_hup (Soak *soak, uint32_t target)
 {
-  instance_signal (soak, target, SIGHUP);
+  const Instance *instance = &soak->instances[target % soak->n_instances];
+
+  if (mf_clock_now_us () > instance->started_us + LOADED_US)
+    instance_signal (soak, target, SIGHUP);
 }
 
 static void
