--- a/tests/fakes/upstream.c
+++ b/tests/fakes/upstream.c
@@ -10,6 +10,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+/* Ports below those of outgoing connections. */
+#define FIRST_PORT 28000
+#define N_PORTS 4700
+#define PORTS_PER_PROCESS 16
+
 /* Number of sends of a flood in one iteration of the event loop. */
 #define FLOOD_PIECES_PER_WRITE 16
 
@@ -187,17 +192,37 @@
   ev_io_start (loop, &conn->read_watcher);
 }
 
-static void
+/* Returns whether the address was free. */
+static bool
 upstream_listen (FakeUpstream *upstream, const char *address)
 {
   MfError error = { 0 };
 
   upstream->fd = mf_socket_listen (address, &error);
   if (upstream->fd < 0)
-    abort ();
+    return false;
   ev_io_init (&upstream->accept_watcher, on_accept, upstream->fd, EV_READ);
   upstream->accept_watcher.data = upstream;
   ev_io_start (upstream->loop, &upstream->accept_watcher);
+  return true;
+}
+
+/* Listens at a free port that the system gives to no outgoing connection: otherwise one could take
+ * it while the upstream is stopped. */
+static void
+upstream_listen_anywhere (FakeUpstream *upstream)
+{
+  static uint32_t n_tried;
+
+  for (uint32_t i = 0; i < N_PORTS; i++)
+    {
+      uint32_t port = FIRST_PORT + ((uint32_t)getpid () * PORTS_PER_PROCESS + n_tried++) % N_PORTS;
+
+      snprintf (upstream->address, sizeof upstream->address, "127.0.0.1:%u", port);
+      if (upstream_listen (upstream, upstream->address))
+        return;
+    }
+  abort ();
 }
 
 FakeUpstream *
@@ -208,9 +233,7 @@
   if (upstream == NULL)
     abort ();
   *upstream = (FakeUpstream){ .loop = loop, .on_request = on_request, .data = data };
-  upstream_listen (upstream, "127.0.0.1:0");
-  snprintf (upstream->address, sizeof upstream->address, "127.0.0.1:%u",
-            mf_socket_port (upstream->fd));
+  upstream_listen_anywhere (upstream);
   return upstream;
 }
 
@@ -229,8 +252,8 @@
 void
 fake_upstream_start (FakeUpstream *upstream)
 {
-  if (upstream->fd < 0)
-    upstream_listen (upstream, upstream->address);
+  if (upstream->fd < 0 && !upstream_listen (upstream, upstream->address))
+    abort ();
 }
 
 void
