--- a/libmangofork/relay/job_rate.c
+++ b/libmangofork/relay/job_rate.c
@@ -57,10 +57,10 @@
 {
   MfRateAsk ask = { .key = target->process_id, .limit = target->limit };
 
-  /* MF_DISPATCH_SELF is 0, which stands for no allocator in the target. */
-  if (target->rate_allocator != allocator + 1)
+  if (!target->rate_was_asked || target->rate_allocator != allocator)
     ask.n_charged = mf_target_n_recent_sends (target, mf_clock_now_us ());
-  target->rate_allocator = allocator + 1;
+  target->rate_was_asked = true;
+  target->rate_allocator = allocator;
   return ask;
 }
 
@@ -378,7 +378,7 @@
     }
   if (!mf_target_is_limited (target))
     {
-      target->rate_allocator = 0;
+      target->rate_was_asked = false;
       return;
     }
   jobs_tell_allocator (jobs, target, 0, 0);
--- a/libmangofork/relay/target.h
+++ b/libmangofork/relay/target.h
@@ -91,7 +91,8 @@
   MfRateNotice limit;       /* requests a second that it takes from all instances together */
   uint64_t rate_ready_us;   /* a request within its limit may be granted from then on */
   uint64_t rate_unanswered_us; /* the allocator did not answer then */
-  uint64_t rate_allocator;     /* instance that was last asked for one; 0: none */
+  bool rate_was_asked;         /* an allocator has been asked since the limit is known */
+  uint64_t rate_allocator;     /* hash of the one that was asked last */
   uint64_t dispatch_after_us;  /* this instance dispatches no request to it before */
   MfRateBucket local_rate;     /* for when no allocator can be reached */
   MfTargetSends sends;
