--- a/tests/test_job_rate.c
+++ b/tests/test_job_rate.c
@@ -162,8 +162,11 @@
 
   while (mf_clock_now_us () < until_us)
     {
-      for (uint32_t i = 0; i < fixture->n_instances * n_per_round; i++)
-        call (fixture, i % fixture->n_instances);
+      for (uint32_t i = 0; i < n_per_round; i++)
+        {
+          for (uint32_t j = 0; j < fixture->n_instances; j++)
+            call (fixture, j);
+        }
       loop_spin (fixture->fleet.loop, 100);
     }
 }
