Idle connections of many instances stay below what an upstream accepts

Where there are more instances than connections each kept one idle all the same: 84 of 48. Half of a part, rounded up, is none there; test_idle_connections_of_all_stay_below_ what_is_accepted.

--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -8,14 +8,19 @@
  * transfer. */
 #define KV_USE_PERCENT 80
 
+/* Returns the number of known instances, this one included. */
+uint32_t
+mf_jobs_n_instances (const MfJobs *jobs)
+{
+  return jobs->peers != NULL ? mf_peers_n_known (jobs->peers) : 1;
+}
+
 /* Returns this instance's part of the connections that an upstream of the service accepts from all
  * instances together, at least one; 0: not known. */
 uint32_t
 mf_job_connections_max (const MfJob *job)
 {
-  const MfPeers *peers = job->jobs->peers;
-  uint32_t n_instances = peers != NULL ? mf_peers_n_known (peers) : 1;
-  uint32_t part = job->service->connections_max / n_instances;
+  uint32_t part = job->service->connections_max / mf_jobs_n_instances (job->jobs);
 
   return part > 0 || job->service->connections_max == 0 ? part : 1;
 }
--- a/libmangofork/relay/job_rate.c
+++ b/libmangofork/relay/job_rate.c
@@ -215,12 +215,12 @@
   MfJobs *jobs = job->jobs;
   MfTarget *target = job->rate_target;
   uint64_t now_us = mf_clock_now_us ();
-  uint32_t n_known = jobs->peers == NULL ? 1 : mf_peers_n_known (jobs->peers);
   MfRateGrant grant = { 0 };
 
   jobs->counters.counts[MF_RELAY_COUNT_RATE_LOCAL]++;
   mf_rate_bucket_set (&target->local_rate,
-                      mf_rate_effective (target->limit.micro_per_s) * LOCAL_PERCENT / 100 / n_known,
+                      mf_rate_effective (target->limit.micro_per_s) * LOCAL_PERCENT / 100
+                          / mf_jobs_n_instances (jobs),
                       now_us);
   grant.granted = mf_rate_bucket_acquire (&target->local_rate, 1, job->rate_max_wait_us, now_us,
                                           &grant.wait_us);
--- a/libmangofork/relay/job_retry.c
+++ b/libmangofork/relay/job_retry.c
@@ -32,9 +32,7 @@
 static uint32_t
 jobs_allowance (const MfJobs *jobs)
 {
-  uint32_t n_instances = jobs->peers == NULL ? 1 : mf_peers_n_known (jobs->peers);
-
-  return mf_budget_allowance (jobs->budget_slack, n_instances,
+  return mf_budget_allowance (jobs->budget_slack, mf_jobs_n_instances (jobs),
                               mf_clock_now_us () - jobs->started_us, jobs->budget_window_us);
 }
 
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -177,6 +177,7 @@
 /* job_place.c: decides the next step of a request. */
 void mf_job_advance (MfJob *job);
 void mf_job_step_expired (MfJob *job);
+uint32_t mf_jobs_n_instances (const MfJobs *jobs);
 uint32_t mf_job_connections_max (const MfJob *job);
 
 /* job_send.c: starts and cancels exchanges with upstreams. */
--- a/libmangofork/relay/job_send.c
+++ b/libmangofork/relay/job_send.c
@@ -267,7 +267,7 @@
     mf_job_reserve (job, NULL);
   mf_target_begin_request (target, job->target_tokens, now_us);
   mf_target_note_send (target, now_us);
-  mf_target_limit_idle (target, mf_job_connections_max (job));
+  mf_target_limit_idle (target, job->service->connections_max, mf_jobs_n_instances (jobs));
   if (job->is_engine)
     mf_jobs_load_changed (jobs);
   job->phase = prefill ? MF_JOB_PREFILL : job->head_sent ? MF_JOB_STREAMING : MF_JOB_RUNNING;
--- a/libmangofork/relay/target.c
+++ b/libmangofork/relay/target.c
@@ -508,12 +508,12 @@
   return now_us / (MF_TARGET_SENDS_US / MF_TARGET_SEND_SLOTS);
 }
 
-/* Keeps at most half of this many connections idle, and at most IDLE_LINKS_MAX; 0: no limit is
- * known. */
+/* Keeps no more connections idle than half of this instance's part of those that the upstream
+ * accepts from all, rounded up, and at most IDLE_LINKS_MAX. connections_max 0: not known. */
 void
-mf_target_limit_idle (MfTarget *target, uint32_t connections_max)
+mf_target_limit_idle (MfTarget *target, uint32_t connections_max, uint32_t n_instances)
 {
-  uint32_t n_idle = connections_max > 1 ? connections_max / 2 : 1;
+  uint32_t n_idle = (connections_max / n_instances + 1) / 2;
 
   if (target->listed)
     target->pool.n_idle_max
--- a/libmangofork/relay/target.h
+++ b/libmangofork/relay/target.h
@@ -161,7 +161,7 @@
 
 void mf_target_begin_request (MfTarget *target, uint64_t tokens, uint64_t now_us);
 void mf_target_end_request (MfTarget *target, uint64_t tokens);
-void mf_target_limit_idle (MfTarget *target, uint32_t connections_max);
+void mf_target_limit_idle (MfTarget *target, uint32_t connections_max, uint32_t n_instances);
 void mf_target_note_send (MfTarget *target, uint64_t now_us);
 uint32_t mf_target_n_recent_sends (const MfTarget *target, uint64_t now_us);
 void mf_target_add_tokens (MfTarget *target, uint64_t tokens);
--- a/tests/test_target.c
+++ b/tests/test_target.c
@@ -329,6 +329,35 @@
   mf_targets_clear (&targets);
 }
 
+/* All instances together keep fewer connections idle than the upstream accepts, however many there
+ * are. */
+static void
+test_idle_connections_of_all_stay_below_what_is_accepted (void **state)
+{
+  static const uint32_t n_instances[] = { 1, 6, 84, 295, 1000 };
+  static const uint32_t connections_max[] = { 1, 6, 48, 96, 1800 };
+  MfTargets targets = { 0 };
+  MfTargetInfo info = info_make ("u1", "127.0.0.1:1");
+  MfTarget *target;
+
+  (void)state;
+  mf_targets_update (&targets, &info);
+  target = mf_targets_find (&targets, "u1");
+  for (size_t i = 0; i < MF_ARRAY_LEN (n_instances); i++)
+    {
+      for (size_t j = 0; j < MF_ARRAY_LEN (connections_max); j++)
+        {
+          mf_target_limit_idle (target, connections_max[j], n_instances[i]);
+          assert_in_range (target->pool.n_idle_max * n_instances[i], 0, connections_max[j]);
+        }
+    }
+  mf_target_limit_idle (target, 1800, 6);
+  assert_int_equal (target->pool.n_idle_max, 8);
+  mf_target_limit_idle (target, 0, 6);
+  assert_int_equal (target->pool.n_idle_max, 8);
+  mf_targets_clear (&targets);
+}
+
 int
 main (void)
 {
@@ -347,6 +376,7 @@
     cmocka_unit_test (test_limit_outlasts_a_missing_entry_and_not_the_process),
     cmocka_unit_test (test_limit_of_a_process_is_kept_until_it_is_listed),
     cmocka_unit_test (test_sends_of_the_last_second_are_counted),
+    cmocka_unit_test (test_idle_connections_of_all_stay_below_what_is_accepted),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
