A huge rate with a fraction is the largest one, no more

A limit of 10,000.5 a second was read as more than the largest rate; the notice of it was malformed for the other instances, which would have closed their links to the sender. Found by reading; test_rates_of_a_head is red without the change.

--- a/libmangofork/relay/message.c
+++ b/libmangofork/relay/message.c
@@ -324,6 +324,8 @@
       unit /= 10;
       *micro += (uint64_t)(fraction[i] - '0') * unit;
     }
+  if (*micro > MF_RATE_MAX * MF_RATE_MICRO)
+    *micro = MF_RATE_MAX * MF_RATE_MICRO;
   return true;
 }
 
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -209,6 +209,7 @@
     { "Server-Limit: 0.0000004\r\n", true, 0 },
     { "Server-Limit: 3.\r\n", true, 3000000 },
     { "Server-Limit: 99999999999999999999999\r\n", true, MF_RATE_MAX * MF_RATE_MICRO },
+    { "Server-Limit: 10000.5\r\n", true, MF_RATE_MAX * MF_RATE_MICRO },
     { "Server-Limit: 8\r\nServer-Limit: 2.5\r\n", true, 2500000 },
     { "Server-Limit: many\r\nServer-Limit: 2.5\r\n", true, 2500000 },
     { "Server-Limit: many\r\n", false, 0 },
