Notices of one moment are no malformed messages

The two times of a notice travel as ages that are taken one after the other. Where the process was interrupted between them, an answer that had come at once was older than its request for the receiver, which took the message for malformed and closed the link.

--- a/libmangofork/relay/relay_message.c
+++ b/libmangofork/relay/relay_message.c
@@ -539,14 +539,17 @@
   return true;
 }
 
-/* A notice that was heard at no time says nothing. */
 static bool
 limit_read (const msgpack_object *members, MfRateNotice *limit)
 {
-  return read_flag (&members[0], &limit->is_limited)
-         && read_number (&members[1], MF_RATE_MAX * MF_RATE_MICRO, &limit->micro_per_s)
-         && read_age (&members[2], &limit->asked_us) && read_age (&members[3], &limit->heard_us)
-         && limit->asked_us <= limit->heard_us;
+  if (!read_flag (&members[0], &limit->is_limited)
+      || !read_number (&members[1], MF_RATE_MAX * MF_RATE_MICRO, &limit->micro_per_s)
+      || !read_age (&members[2], &limit->asked_us) || !read_age (&members[3], &limit->heard_us))
+    return false;
+  /* The clock was read between the two ages, which may be close to each other. */
+  if (limit->asked_us > limit->heard_us)
+    limit->asked_us = limit->heard_us;
+  return true;
 }
 
 static bool
--- a/tests/test_relay_message.c
+++ b/tests/test_relay_message.c
@@ -174,6 +174,14 @@
   /* An answer of unknown age is one to a request of unknown age. */
   assert_in_range (got.limits.entries[8].limit.asked_us, 0, MF_US_PER_S);
   assert_same_time (got.limits.entries[8].limit.heard_us, now_us - 8);
+  /* Times of one moment keep their order. */
+  for (uint32_t i = 0; i < 1000; i++)
+    {
+      sent.limits.n_entries = 1;
+      sent.limits.entries[0].limit.asked_us = sent.limits.entries[0].limit.heard_us;
+      round_trip ();
+      assert_true (got.limits.entries[0].limit.asked_us <= got.limits.entries[0].limit.heard_us);
+    }
 }
 
 static void
