A denial does not outlast the reason for it

An instance that had used its local part of a rate once, as the allocator had not replied, went by what that part says until its next unit: 20 s at one a second among five instances, 68 s at 4.9 among 84, and for good where an allocator saw too few of its fleet to grant anything. Callers would have been refused, or sent elsewhere, long after the allocator had come back. A denial holds for five seconds at most now, one by the local part for the second after which the allocator is asked again.

--- a/libmangofork/relay/job_rate.c
+++ b/libmangofork/relay/job_rate.c
@@ -15,6 +15,9 @@
 /* Part of a rate that an allocator grants for each percent of the known instances that are alive:
  * two allocators of a partitioned fleet stay below one and a half times the rate. */
 #define ALIVE_PERCENT 125
+/* A denial holds for this long at most, and one by the local part of the rate until the allocator
+ * is asked again: the rate, its allocator and the fleet may be others by then. */
+#define DENIED_MAX_US (5 * MF_US_PER_S)
 /* Of the time that a request has left, it waits for a unit at most a part. */
 #define WAIT_LEFT_DIVISOR 2
 
@@ -163,8 +166,9 @@
   MfTarget *target = job->rate_target;
   uint64_t now_us = mf_clock_now_us ();
   bool is_decode = target->info.role == MF_ROLE_DECODE;
+  uint64_t max_us = job->rate_is_local ? UNANSWERED_US : DENIED_MAX_US;
 
-  target->rate_ready_us = wait_us < UINT64_MAX - now_us ? now_us + wait_us : UINT64_MAX;
+  target->rate_ready_us = now_us + (wait_us < max_us ? wait_us : max_us);
   job->jobs->counters.counts[MF_RELAY_COUNT_RATE_DENIED]++;
   mf_relay_log_event (job->jobs->log, "request.limited",
                       "id=%s upstream=%s per_s=%.3f max_wait_ms=%.1f wait_ms=%.1f", job->id,
--- a/tests/test_job_rate.c
+++ b/tests/test_job_rate.c
@@ -435,6 +435,33 @@
   rate_fixture_teardown (&fixture);
 }
 
+/* The local part of a rate may be a unit in minutes; the allocator is asked again long before. */
+static void
+test_allocator_that_was_silent_is_asked_again (void **state)
+{
+  RateFixture fixture;
+  uint32_t asking = 0;
+  MfTarget *limited;
+
+  (void)state;
+  named_limit = "1";
+  fleet_setup (&fixture, 0);
+  call (&fixture, 0);
+  loop_spin (fixture.fleet.loop, 50);
+  while (mf_peers_allocator (fixture.fleet.instances[asking].jobs.peers,
+                             mf_target_process_id (target (&fixture, 0, "u0")), mf_clock_now_us ())
+         == MF_DISPATCH_SELF)
+    asking++;
+  limited = target (&fixture, asking, "u0");
+  limited->rate_unanswered_us = mf_clock_now_us ();
+  call (&fixture, asking);
+  loop_spin (fixture.fleet.loop, 20);
+  assert_int_equal (n_answered (&fixture, 503, ""), 1);
+  assert_in_range (limited->rate_ready_us, limited->rate_unanswered_us,
+                   limited->rate_unanswered_us + 1100 * MF_US_PER_MS);
+  rate_fixture_teardown (&fixture);
+}
+
 int
 main (void)
 {
@@ -449,6 +476,7 @@
     cmocka_unit_test (test_limited_engine_gets_no_calls_that_free_memory),
     cmocka_unit_test (test_kinds_of_requests_share_the_rate),
     cmocka_unit_test (test_rate_is_kept_and_used_after_its_allocator_has_gone),
+    cmocka_unit_test (test_allocator_that_was_silent_is_asked_again),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
