Logs name the parts of prompts whose requests broke

request.broken told which request broke, not what it has in common with others. It names hashes of the prompt's parts now (without the last, which is the request's own), and the number of the try.

--- /dev/null
+++ b/libmangofork/part.c
@@ -0,0 +1,58 @@
+#include "part.h"
+
+#include <ctype.h>
+#include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* Bytes of an id that are hashed at most; ids are short numbers. */
+#define ID_BYTES_MAX 64
+
+/* Returns the hash of an id in hexadecimal, whatever its case and its blanks. Never 0. */
+static uint64_t
+id_hash (const char *id, size_t id_bytes)
+{
+  char text[ID_BYTES_MAX];
+  size_t n_bytes = 0;
+  uint64_t hash;
+
+  for (size_t i = 0; i < id_bytes && n_bytes < sizeof text; i++)
+    {
+      if (id[i] != ' ' && id[i] != '\t')
+        text[n_bytes++] = (char)tolower ((unsigned char)id[i]);
+    }
+  hash = XXH3_64bits (text, n_bytes);
+  return hash != 0 ? hash : 1;
+}
+
+/* Reads a list of the form "ID:TOKENS,ID:TOKENS" without its last entry. */
+void
+mf_parts_read (MfParts *parts, const char *text, size_t text_bytes)
+{
+  const char *comma;
+
+  parts->n_parts = 0;
+  while (parts->n_parts < MF_PARTS_MAX && (comma = memchr (text, ',', text_bytes)) != NULL)
+    {
+      size_t entry_bytes = (size_t)(comma - text);
+      const char *colon = memchr (text, ':', entry_bytes);
+
+      parts->hashes[parts->n_parts++]
+          = id_hash (text, colon != NULL ? (size_t)(colon - text) : entry_bytes);
+      text_bytes -= entry_bytes + 1;
+      text = comma + 1;
+    }
+}
+
+/* Writes the hashes for a log line, as far as they fit, and returns the text. */
+const char *
+mf_parts_format (const MfParts *parts, char *text, size_t text_bytes)
+{
+  size_t at = 0;
+
+  text[0] = '\0';
+  for (uint32_t i = 0; i < parts->n_parts && at + 18 <= text_bytes; i++)
+    at += (size_t)snprintf (text + at, text_bytes - at, "%s%016llx", i > 0 ? "," : "",
+                            (unsigned long long)parts->hashes[i]);
+  return parts->n_parts > 0 ? text : "none";
+}
--- a/libmangofork/relay/dialect.h
+++ b/libmangofork/relay/dialect.h
@@ -15,6 +15,7 @@
   MF_HEADER_DEADLINE,        /* milliseconds left for the response */
   MF_HEADER_EXPECT_UPSTREAM, /* id of the upstream process that is to run the request */
   MF_HEADER_TOKEN_COUNT,     /* "PROMPT,OUTPUT": tokens of the prompt, and of the output at most */
+  MF_HEADER_PROMPT_PARTS,    /* "ID:TOKENS,ID:TOKENS": the parts of the prompt in order */
   MF_HEADER_LENGTH_HINT,     /* output tokens that the caller expects */
   MF_HEADER_LAST_EVENT_ID,   /* resumes a stream after this event */
   MF_HEADER_STAGE,           /* requests a prefill only */
--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -341,6 +341,16 @@
                                       (uint64_t)job->jobs->mean_answer_tokens, job->output_tokens);
 }
 
+static void
+job_read_parts (MfJob *job, const MfHead *head)
+{
+  size_t text_bytes = 0;
+  const char *text = mf_head_value (head, MF_HEADER_PROMPT_PARTS, &text_bytes);
+
+  if (text != NULL)
+    mf_parts_read (&job->parts, text, text_bytes);
+}
+
 /* Minimum time reserved for a complete answer; 0 before the first sample. */
 static uint64_t
 job_answer_min_us (const MfJob *job)
@@ -427,6 +437,7 @@
     job->id[0] = '\0';
   job->digest = mf_job_digest (caller);
   job->try_id = ++jobs->n_started;
+  job_read_parts (job, head);
   job_read_token_counts (job, head);
   job_read_deadline (job, head);
   mf_caller_set_job (caller, job);
--- a/libmangofork/relay/job_answer.c
+++ b/libmangofork/relay/job_answer.c
@@ -217,12 +217,15 @@
 static void
 job_failed (MfJob *job, MfTarget *target, const char *why)
 {
+  char parts[MF_PARTS_TEXT_BYTES];
+
   job->jobs->counters.counts[MF_RELAY_COUNT_BROKEN]++;
   mf_target_record_failure (target, false, mf_clock_now_us ());
   mf_relay_log_event (job->jobs->log, "request.broken",
-                      "id=%s digest=%016llx upstream=%s why=\"%s\" events=%llu", job->id,
-                      (unsigned long long)job->digest, target->info.id, why,
-                      (unsigned long long)job->events.n_events);
+                      "id=%s digest=%016llx parts=%s upstream=%s why=\"%s\" events=%llu try=%u",
+                      job->id, (unsigned long long)job->digest,
+                      mf_parts_format (&job->parts, parts, sizeof parts), target->info.id, why,
+                      (unsigned long long)job->events.n_events, job->n_arrivals);
   if (job->caller == NULL)
     {
       mf_job_finish (job, MF_CODE_DEPARTED, why);
@@ -395,6 +398,7 @@
 static void
 on_prefill_end (void *data, MfLinkEnd end, const char *why)
 {
+  char parts[MF_PARTS_TEXT_BYTES];
   MfJob *job = data;
   MfTarget *target = mf_target_ref (job->target);
   MfJobAnswer *answer = &job->answer;
@@ -418,9 +422,11 @@
     {
       mf_target_record_failure (target, false, mf_clock_now_us ());
       mf_relay_log_event (job->jobs->log, "request.broken",
-                          "id=%s digest=%016llx upstream=%s stage=prefill status=%u why=\"%s\"",
-                          job->id, (unsigned long long)job->digest, target->info.id, answer->status,
-                          why);
+                          "id=%s digest=%016llx parts=%s upstream=%s stage=prefill status=%u "
+                          "why=\"%s\"",
+                          job->id, (unsigned long long)job->digest,
+                          mf_parts_format (&job->parts, parts, sizeof parts), target->info.id,
+                          answer->status, why);
       mf_job_avoid (job, target->id_hash);
       if (end == MF_LINK_BROKEN)
         {
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -3,6 +3,8 @@
 
 #include "job.h"
 
+#include "libmangofork/part.h"
+
 /* Maximum upstreams that a request avoids because they declined or failed it. Its slot requests
  * also list the upstreams that this instance cannot use. */
 #define MF_JOB_AVOID_MAX 6
@@ -49,6 +51,7 @@
   bool is_head_request;
   char id[MF_JOB_ID_BYTES];
   uint64_t digest; /* the same for all tries of a request */
+  MfParts parts;   /* of its prompt that other requests may share */
   uint64_t try_id; /* number of this try at this instance */
   uint64_t started_us;
   /* When the caller sent its first try, estimated from its deadline header. */
