--- a/tests/soak/relay_soak.c
+++ b/tests/soak/relay_soak.c
@@ -48,6 +48,15 @@
 #define CONTACT_MS 1500
 /* Maximum number of sends of a crashing request later than CONTACT_MS after its third crash. */
 #define LATE_SENDS_MAX 3
+/* The same for requests with a part that has crashed five upstreams. */
+#define LATE_PART_SENDS_MAX 3
+/* Callers that send requests with one deadly part. */
+#define CALLERS_PER_PART 3
+/* Shared parts of prompts that follow the one that all have. */
+#define N_SOUND_PARTS 8
+/* Percentage of the sound requests that must be served once the deadly parts are known, without
+ * other faults. */
+#define SOUND_SERVED_MIN_PERCENT 90
 /* Percentage of the requests of the recovery phase that must be served. */
 #define RECOVERY_SERVED_MIN_PERCENT 95
 
@@ -97,7 +106,8 @@
   RequestKind kind;
   uint32_t instance;
   bool refused; /* answered 503, which states that it has not run */
-  bool crashes; /* upstreams that run it */
+  bool crashes; /* upstreams that run it, by its content or by a part of its prompt */
+  bool deadly;  /* by a part of its prompt */
 } SentRequest;
 
 typedef struct
@@ -156,7 +166,8 @@
   uint32_t n_instances;
   uint32_t n_callers;
   uint32_t n_crashers;
-  uint32_t n_limited; /* upstreams that name rate limits, in the order of limited_upstreams */
+  uint32_t n_deadly_parts; /* of prompts; each is sent by CALLERS_PER_PART callers */
+  uint32_t n_limited;      /* upstreams that name rate limits, in the order of limited_upstreams */
   bool faultless;
   char directory[64];
   Instance instances[INSTANCES_MAX];
@@ -189,6 +200,8 @@
   uint32_t n_recovery_served;
   uint32_t n_ordinary; /* ended; no crashing ones */
   uint32_t n_ordinary_served;
+  uint32_t n_beside_parts; /* the same, sent after the bound for deadly parts */
+  uint32_t n_beside_parts_served;
   uint32_t n_violations;
   ev_timer tick;
 };
@@ -396,6 +409,22 @@
   return mf_clock_now_us () + RECOVERY_US > end_us + margin_us;
 }
 
+/* Returns whether instances have had twice the contact time since the fifth crash by each deadly
+ * part, or since its last one if there are fewer. */
+static bool
+deadly_parts_are_known (const Soak *soak)
+{
+  for (uint32_t i = 0; i < soak->n_deadly_parts; i++)
+    {
+      SoakCrasher part = soak_ledger_deadly_part (soak->ledger, i);
+      uint64_t since_us = part.last_crash_us > 0 ? part.last_crash_us : part.crashed_us;
+
+      if (since_us == 0 || mf_clock_now_us () < since_us + UINT64_C (2) * CONTACT_MS * MF_US_PER_MS)
+        return false;
+    }
+  return soak->n_deadly_parts > 0;
+}
+
 /* Counts and checks the result of a request. complete is false when the connection ended before the
  * end of the answer. */
 static void
@@ -407,6 +436,11 @@
 
   soak->n_ordinary += !sent->crashes;
   soak->n_ordinary_served += !sent->crashes && status == 200;
+  if (!sent->crashes && deadly_parts_are_known (soak))
+    {
+      soak->n_beside_parts++;
+      soak->n_beside_parts_served += status == 200;
+    }
   /* Leaves the instances three seconds to recover after the last fault. */
   if (is_recovering (soak, 3 * MF_US_PER_S) && !sent->crashes)
     {
@@ -518,6 +552,7 @@
   uint32_t index = (uint32_t)(caller - soak->callers);
   char text[512];
   char body[16];
+  char parts[64];
   SentRequest *sent;
   int n_bytes;
 
@@ -525,21 +560,33 @@
     abort ();
   caller->sent_index = soak->n_sent;
   sent = &soak->sent[soak->n_sent++];
-  sent->crashes = caller->crashes;
+  sent->deadly
+      = !caller->crashes && index < soak->n_crashers + soak->n_deadly_parts * CALLERS_PER_PART;
+  sent->crashes = caller->crashes || sent->deadly;
   sent->instance = caller->instance;
   sent->kind
       = caller->crashes ? (RequestKind)(index % KIND_COUNT) : (RequestKind)draw (soak, KIND_COUNT);
   snprintf (sent->id, sizeof sent->id, "r%u", caller->sent_index);
-  snprintf (body, sizeof body, caller->crashes ? SOAK_CRASH "%u" : "hi%u", index);
+  if (sent->deadly)
+    snprintf (body, sizeof body, "no. %u", caller->sent_index);
+  else
+    snprintf (body, sizeof body, caller->crashes ? SOAK_CRASH "%u" : "hi%u", index);
+  if (sent->deadly)
+    snprintf (parts, sizeof parts, "f0:60," SOAK_DEADLY_PART "%u:30,c%x:10",
+              (index - soak->n_crashers) / CALLERS_PER_PART, caller->sent_index);
+  else
+    snprintf (parts, sizeof parts, "f0:60,50%x:30,c%x:10", caller->sent_index % N_SOUND_PARTS,
+              caller->sent_index);
   n_bytes = snprintf (text, sizeof text,
                       "%s %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 4000\r\n"
+                      "X-Prompt-Prefix: %s\r\n"
                       "X-Token-Count: 100,80\r\nX-Pin-Ms: 7\r\nContent-Length: %zu\r\n\r\n%s",
                       request_kinds[sent->kind].method, request_kinds[sent->kind].path, sent->id,
-                      strlen (body), body);
+                      parts, strlen (body), body);
   mf_message_reset (&caller->message);
   mf_buffer_clear (&caller->body);
   caller->waiting = true;
-  caller->disconnects = draw (soak, 100) < 6 && !caller->crashes;
+  caller->disconnects = draw (soak, 100) < 6 && !sent->crashes;
   ev_timer_stop (soak->loop, &caller->timer);
   ev_timer_set (&caller->timer, caller->disconnects ? draw (soak, 200) * 0.001 : 5., 0.);
   ev_timer_start (soak->loop, &caller->timer);
@@ -886,7 +933,7 @@
         continue;
       upstream_publish (soak, i, "ready");
       soak->next_limit_us[i] = soak->started_us + WARM_UP_US + i * 200 * MF_US_PER_MS;
-      if (soak->n_crashers > 0)
+      if (soak->n_crashers + soak->n_deadly_parts > 0)
         soak_upstream_enable_crashes (soak->upstreams[i], CRASH_DOWN_S, on_upstream_down, soak);
     }
   for (uint32_t i = 0; i < soak->n_limited; i++)
@@ -897,6 +944,7 @@
           = soak_upstream_enable_limits (soak->upstreams[index], &limit_callbacks, soak);
     }
   soak_ledger_set_grace (soak->ledger, CONTACT_MS * MF_US_PER_MS);
+  soak_ledger_set_arrival_counts (soak->ledger, on_arrival_counts, soak);
   config_publish (soak);
   for (uint32_t i = 0; i < soak->n_instances; i++)
     {
@@ -918,6 +966,31 @@
     }
 }
 
+/* Checks what reached upstreams of requests with deadly parts, and how sound ones fared beside
+ * them.
+ */
+static void
+deadly_parts_check (Soak *soak)
+{
+  for (uint32_t i = 0; i < soak->n_deadly_parts; i++)
+    {
+      SoakCrasher part = soak_ledger_deadly_part (soak->ledger, i);
+
+      printf ("deadly part %u: %u crashes, %u arrivals, %u of them late\n", i, part.n_crashes,
+              part.n_arrivals, part.n_late_arrivals);
+      if (part.n_late_arrivals > LATE_PART_SENDS_MAX)
+        report_violation (soak, "requests with a part that had crashed five upstreams were sent",
+                          "");
+    }
+  if (soak->n_deadly_parts == 0)
+    return;
+  printf ("sound requests beside deadly parts: %u of %u served\n", soak->n_beside_parts_served,
+          soak->n_beside_parts);
+  if (soak->faultless
+      && soak->n_beside_parts_served * 100 < soak->n_beside_parts * SOUND_SERVED_MIN_PERCENT)
+    report_violation (soak, "too few sound requests were served beside deadly parts", "");
+}
+
 /* Disconnects the callers, waits 800 ms for the cancels to reach the upstreams, and checks the
  * ledger and the counts. */
 static void
@@ -959,6 +1032,7 @@
       if (crasher.n_late_arrivals > LATE_SENDS_MAX)
         report_violation (soak, "a request that had crashed three upstreams was still sent", "");
     }
+  deadly_parts_check (soak);
   for (uint32_t i = 0; i < N_UPSTREAMS; i++)
     {
       char name[ID_BYTES];
@@ -1004,6 +1078,11 @@
       if (soak->n_crashers > SOAK_CRASHERS_MAX)
         argp_error (state, "at most %d callers that crash upstreams", SOAK_CRASHERS_MAX);
       return 0;
+    case 'd':
+      soak->n_deadly_parts = (uint32_t)strtoul (arg, NULL, 10);
+      if (soak->n_deadly_parts > SOAK_DEADLY_PARTS_MAX)
+        argp_error (state, "at most %d deadly parts", SOAK_DEADLY_PARTS_MAX);
+      return 0;
     case 'l':
       soak->n_limited = (uint32_t)strtoul (arg, NULL, 10);
       if (soak->n_limited > N_UPSTREAMS)
@@ -1032,6 +1111,10 @@
     .key = 'c',
     .arg = "N",
     .doc = "Number of callers whose request crashes upstreams" },
+  { .name = "deadly-parts",
+    .key = 'd',
+    .arg = "N",
+    .doc = "Number of parts of prompts that crash the upstreams that begin an answer" },
   { .name = "limited",
     .key = 'l',
     .arg = "N",
--- a/tests/soak/soak_upstream.c
+++ b/tests/soak/soak_upstream.c
@@ -13,6 +13,9 @@
 #define ID_BYTES 40
 /* Percentage of the requests that an upstream in a misbehaving mode mistreats. */
 #define MISBEHAVING_PERCENT 60
+/* Crashes after which a request, or requests with a part, must not be sent any more. */
+#define CRASHES_OF_REQUEST_MAX 3
+#define CRASHES_OF_PART_MAX 5
 
 typedef struct
 {
@@ -27,6 +30,9 @@
   uint32_t n_reserved_headers;
   uint64_t grace_us;
   SoakCrasher crashers[SOAK_CRASHERS_MAX];
+  SoakCrasher deadly_parts[SOAK_DEADLY_PARTS_MAX];
+  SoakArrivalCountsFunc arrival_counts; /* for requests with deadly parts; NULL: all count */
+  void *arrival_data;
 };
 
 /* One request that runs. */
@@ -68,6 +74,10 @@
 
   if (ledger == NULL)
     abort ();
+  for (uint32_t i = 0; i < SOAK_CRASHERS_MAX; i++)
+    ledger->crashers[i].n_crashes_max = CRASHES_OF_REQUEST_MAX;
+  for (uint32_t i = 0; i < SOAK_DEADLY_PARTS_MAX; i++)
+    ledger->deadly_parts[i].n_crashes_max = CRASHES_OF_PART_MAX;
   return ledger;
 }
 
@@ -102,13 +112,36 @@
   return ledger->crashers[crasher];
 }
 
-/* Sets how long after its third crash a crashing request may still arrive without being late. */
+SoakCrasher
+soak_ledger_deadly_part (const SoakLedger *ledger, uint32_t part)
+{
+  return ledger->deadly_parts[part];
+}
+
+/* Sets the function that decides whether a late request with a deadly part counts. */
+void
+soak_ledger_set_arrival_counts (SoakLedger *ledger, SoakArrivalCountsFunc func, void *data)
+{
+  ledger->arrival_counts = func;
+  ledger->arrival_data = data;
+}
+
+/* Sets how long after the last crash that is allowed a request may still arrive without being late.
+ */
 void
 soak_ledger_set_grace (SoakLedger *ledger, uint64_t grace_us)
 {
   ledger->grace_us = grace_us;
 }
 
+static void
+crasher_count_arrival (const SoakLedger *ledger, SoakCrasher *crasher)
+{
+  crasher->n_arrivals++;
+  crasher->n_late_arrivals += crasher->last_crash_us > 0
+                              && mf_clock_now_us () > crasher->last_crash_us + ledger->grace_us;
+}
+
 /* Counts the arrival of a crashing request. Returns NULL for any other request. */
 static SoakCrasher *
 ledger_count_crasher (SoakLedger *ledger, const char *text)
@@ -119,9 +152,27 @@
   if (body == NULL)
     return NULL;
   crasher = &ledger->crashers[(uint32_t)(body[4 + strlen (SOAK_CRASH)] - '0') % SOAK_CRASHERS_MAX];
-  crasher->n_arrivals++;
-  crasher->n_late_arrivals += crasher->third_crash_us > 0
-                              && mf_clock_now_us () > crasher->third_crash_us + ledger->grace_us;
+  crasher_count_arrival (ledger, crasher);
+  return crasher;
+}
+
+/* Counts the arrival of a request with a deadly part. Returns NULL for any other request. */
+static SoakCrasher *
+ledger_count_deadly_part (SoakLedger *ledger, const char *text, const char *id)
+{
+  char parts[256];
+  const char *part;
+  SoakCrasher *crasher;
+
+  if (!fake_upstream_request_header (text, "X-Prompt-Prefix", parts, sizeof parts))
+    return NULL;
+  part = strstr (parts, SOAK_DEADLY_PART);
+  if (part == NULL)
+    return NULL;
+  crasher = &ledger->deadly_parts[(uint32_t)(part[strlen (SOAK_DEADLY_PART)] - '0')
+                                  % SOAK_DEADLY_PARTS_MAX];
+  if (ledger->arrival_counts == NULL || ledger->arrival_counts (ledger->arrival_data, id))
+    crasher_count_arrival (ledger, crasher);
   return crasher;
 }
 
@@ -195,9 +246,23 @@
   return false;
 }
 
-/* Resets the connections of all requests that run. */
+/* Begins an answer and stops inside it: a stream, which has neither a length nor chunks, inside its
+ * first event. */
+static void
+run_begin_answer (const Run *run)
+{
+  char text[256];
+
+  snprintf (
+      text, sizeof text, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: s\r\n%s", run->id,
+      run->upstream->role == MF_ROLE_DECODE ? "Content-Type: text/event-stream\r\n\r\nid: 1\nda"
+                                            : "Content-Length: 100\r\n\r\nansw");
+  fake_upstream_conn_send (run->conn, text);
+}
+
+/* Resets the connections of all requests that run, or closes them. */
 static void
-runs_abort (SoakUpstream *upstream)
+runs_abort (SoakUpstream *upstream, bool reset)
 {
   for (uint32_t i = 0; i < ACTIVE_RUNS_MAX; i++)
     {
@@ -206,7 +271,7 @@
       if (conn == NULL)
         continue;
       run_finish (&upstream->runs[i]);
-      fake_upstream_conn_close (conn, true);
+      fake_upstream_conn_close (conn, reset);
     }
 }
 
@@ -221,13 +286,15 @@
   upstream->on_down (upstream->data, upstream, false);
 }
 
-/* Acts like a crash of the process: resets all connections and refuses new ones for down_s. */
+/* Acts like a crash of the process: ends all connections and refuses new ones for down_s. The
+ * kernel of a process that had read all its input closes its connections in order. */
 static void
 upstream_crash (SoakUpstream *upstream, SoakCrasher *crasher)
 {
-  if (++crasher->n_crashes == 3)
-    crasher->third_crash_us = mf_clock_now_us ();
-  runs_abort (upstream);
+  crasher->crashed_us = mf_clock_now_us ();
+  if (++crasher->n_crashes == crasher->n_crashes_max)
+    crasher->last_crash_us = mf_clock_now_us ();
+  runs_abort (upstream, crasher->n_crashes_max != CRASHES_OF_PART_MAX);
   fake_upstream_stop (upstream->fake);
   ev_timer_set (&upstream->restart_timer, upstream->down_s, 0.);
   ev_timer_start (upstream->loop, &upstream->restart_timer);
@@ -354,6 +421,7 @@
   char last[16] = "0";
   char value[64];
   bool prefill = fake_upstream_request_header (text, "X-Stage", value, sizeof value);
+  SoakCrasher *deadly;
   Run *run;
 
   fake_upstream_request_header (text, "X-Attempt-Id", id, sizeof id);
@@ -386,11 +454,20 @@
       ev_timer_start (upstream->loop, &run->timer);
       return;
     }
+  deadly = upstream->down_s > 0. ? ledger_count_deadly_part (upstream->ledger, text, id) : NULL;
   if (upstream->role == MF_ROLE_PREFILL)
     {
       run_start (run, 0.005);
       return;
     }
+  if (deadly != NULL)
+    {
+      run->crasher = deadly;
+      run_begin_answer (run);
+      ev_timer_set (&run->timer, 0.005, 0.);
+      ev_timer_start (upstream->loop, &run->timer);
+      return;
+    }
   if (upstream->mode == SOAK_UNRESPONSIVE)
     return;
   if (draw (upstream, 100) < MISBEHAVING_PERCENT && run_misbehave (upstream, run))
@@ -458,7 +535,7 @@
 void
 soak_upstream_free (SoakUpstream *upstream)
 {
-  runs_abort (upstream);
+  runs_abort (upstream, true);
   soak_limit_free (upstream->limit);
   ev_timer_stop (upstream->loop, &upstream->restart_timer);
   fake_upstream_free (upstream->fake);
@@ -476,7 +553,7 @@
 void
 soak_upstream_restart (SoakUpstream *upstream, const char *id)
 {
-  runs_abort (upstream);
+  runs_abort (upstream, true);
   snprintf (upstream->id, sizeof upstream->id, "%s", id);
 }
 
--- a/tests/soak/soak_upstream.h
+++ b/tests/soak/soak_upstream.h
@@ -67,16 +67,28 @@
 void soak_upstream_enable_crashes (SoakUpstream *upstream, double down_s, SoakDownFunc func,
                                    void *data);
 
-/* Effects of one such request on all upstreams of a ledger. */
+/* A request with such a part in its prompt crashes each upstream that begins to answer it. The
+ * digit that follows identifies the part. */
+#define SOAK_DEADLY_PART "dead"
+#define SOAK_DEADLY_PARTS_MAX 4
+
+/* Effects of one such request, or one such part, on all upstreams of a ledger. */
 typedef struct
 {
   uint32_t n_arrivals; /* at prefill engines too */
   uint32_t n_crashes;
-  uint64_t third_crash_us;  /* time of its third crash; 0: none yet */
-  uint32_t n_late_arrivals; /* later after the third crash than the grace time of the ledger */
+  uint64_t crashed_us;      /* time of the latest crash; 0: none yet */
+  uint32_t n_crashes_max;   /* crashes after which further arrivals are late */
+  uint64_t last_crash_us;   /* time of the last of these; 0: not reached */
+  uint32_t n_late_arrivals; /* later after that than the grace time of the ledger */
 } SoakCrasher;
 
+/* Whether a late arrival, named by the id of its request, counts. */
+typedef bool (*SoakArrivalCountsFunc) (void *data, const char *id);
+
 SoakCrasher soak_ledger_crasher (const SoakLedger *ledger, uint32_t crasher);
+SoakCrasher soak_ledger_deadly_part (const SoakLedger *ledger, uint32_t part);
 void soak_ledger_set_grace (SoakLedger *ledger, uint64_t grace_us);
+void soak_ledger_set_arrival_counts (SoakLedger *ledger, SoakArrivalCountsFunc func, void *data);
 
 #endif
--- a/tests/test_job_suspect.c
+++ b/tests/test_job_suspect.c
@@ -108,8 +108,8 @@
 }
 
 static int
-start_call (CrashFixture *fixture, uint32_t instance, uint32_t host, const char *path,
-            const char *body)
+start_call_with_parts (CrashFixture *fixture, uint32_t instance, uint32_t host, const char *path,
+                       const char *body, const char *parts)
 {
   char text[512];
   int fd = loop_connect_from (host, fixture->fleet.instances[instance].port);
@@ -117,12 +117,20 @@
   assert_true (fd >= 0);
   snprintf (text, sizeof text,
             "POST %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: t%u\r\nX-Deadline-Ms: 600\r\n"
-            "X-Token-Count: 100,40\r\nConnection: close\r\nContent-Length: %zu\r\n\r\n%s",
-            path, ++fixture->n_calls, strlen (body), body);
+            "%s%s%sX-Token-Count: 100,40\r\nConnection: close\r\nContent-Length: %zu\r\n\r\n%s",
+            path, ++fixture->n_calls, parts != NULL ? "X-Prompt-Prefix: " : "",
+            parts != NULL ? parts : "", parts != NULL ? "\r\n" : "", strlen (body), body);
   loop_send (fd, text, strlen (text));
   return fd;
 }
 
+static int
+start_call (CrashFixture *fixture, uint32_t instance, uint32_t host, const char *path,
+            const char *body)
+{
+  return start_call_with_parts (fixture, instance, host, path, body, NULL);
+}
+
 /* Returns the status of the answer; 0 if there is none. */
 static uint32_t
 finish_call (CrashFixture *fixture, int fd)
@@ -140,6 +148,30 @@
   return finish_call (fixture, start_call (fixture, instance, host, path, body));
 }
 
+/* Starts a request of which no other has the same body or last part; deadly NULL: with a sound
+ * part.
+ */
+static int
+start_prompt (CrashFixture *fixture, uint32_t instance, const char *path, const char *deadly)
+{
+  char parts[96];
+  char body[24];
+  uint32_t number = fixture->n_calls + 1;
+
+  if (deadly != NULL)
+    snprintf (parts, sizeof parts, "f0:50,%s:30,c%x:20", deadly, number);
+  else
+    snprintf (parts, sizeof parts, "f0:50,5%x:30,c%x:20", number % 3, number);
+  snprintf (body, sizeof body, "prompt %u", number);
+  return start_call_with_parts (fixture, instance, INNOCENT_HOST, path, body, parts);
+}
+
+static uint32_t
+prompt (CrashFixture *fixture, uint32_t instance, const char *path, const char *deadly)
+{
+  return finish_call (fixture, start_prompt (fixture, instance, path, deadly));
+}
+
 /* Sends a caller's crashing request to one instance after the other, each time beside a request of
  * another caller. Returns how many of the latter were answered. */
 static uint32_t
@@ -182,6 +214,51 @@
     }
 }
 
+/* Sends requests with a deadly part to one instance after the other, each time beside a sound one
+ * with the same first part. Returns how many of the latter were answered. */
+static uint32_t
+n_served_beside_part (CrashFixture *fixture, const char *path, const char *deadly)
+{
+  uint32_t n_served = 0;
+
+  for (uint32_t i = 0; i < N_CALLS; i++)
+    {
+      int fd = start_prompt (fixture, i % RELAY_FLEET_N_INSTANCES, path, deadly);
+
+      n_served += prompt (fixture, (i + 1) % RELAY_FLEET_N_INSTANCES, path, NULL) == 200;
+      finish_call (fixture, fd);
+      loop_spin (fixture->fleet.loop, 30);
+    }
+  return n_served;
+}
+
+/* Requests that share a deadly part kept crashing upstreams, one after the other. */
+static void
+test_requests_with_a_part_that_crashed_upstreams_are_refused (void **state)
+{
+  static const char *const paths[] = { "/order/1", "/read/1", "/llm/1", "/once/1" };
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (paths); i++)
+    {
+      CrashFixture fixture;
+      uint32_t n_served;
+
+      crash_fixture_setup (&fixture);
+      n_served = n_served_beside_part (&fixture, paths[i], SOAK_DEADLY_PART "0");
+      assert_in_range (soak_ledger_deadly_part (fixture.ledger, 0).n_late_arrivals, 0,
+                       LATE_SENDS_MAX);
+      assert_in_range (soak_ledger_deadly_part (fixture.ledger, 0).n_crashes, 1, 5);
+      assert_in_range (n_served, N_CALLS * 8 / 10, N_CALLS);
+      for (uint32_t j = 0; j < RELAY_FLEET_N_INSTANCES; j++)
+        {
+          assert_int_equal (prompt (&fixture, j, paths[i], SOAK_DEADLY_PART "0"), 503);
+          assert_non_null (strstr (fixture.received, "Retry-After: "));
+        }
+      crash_fixture_teardown (&fixture);
+    }
+}
+
 /* Gets a request of one caller quarantined at all instances. */
 static void
 quarantine_request (CrashFixture *fixture)
@@ -438,6 +515,7 @@
     cmocka_unit_test (test_late_entry_of_a_predecessor_is_no_crash),
     cmocka_unit_test (test_resets_quarantine_no_request),
     cmocka_unit_test (test_graceful_exit_is_no_crash),
+    cmocka_unit_test (test_requests_with_a_part_that_crashed_upstreams_are_refused),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
