A stream that ends inside an event has been broken off

Callers got such a stream as a complete one: an answer without length and chunks ends with its connection, and only resumable streams were checked for an open event when it closed. Blank lines between events belong to none of them.

test_stream_closed_inside_an_event_is_broken_off fails without the change in job_answer.c and passes with it, test_end_inside_an_event_is_no_boundary is new.

--- a/libmangofork/relay/events.c
+++ b/libmangofork/relay/events.c
@@ -89,10 +89,11 @@
 {
   for (size_t i = 0; i < n_bytes; i++)
     {
-      stream->unterminated_bytes++;
       if (bytes[i] == '\r')
         continue;
-      if (bytes[i] == '\n' && stream->after_newline)
+      if (bytes[i] != '\n' || stream->unterminated_bytes > 0)
+        stream->unterminated_bytes++;
+      if (bytes[i] == '\n' && stream->after_newline && stream->unterminated_bytes > 0)
         {
           stream->n_events++;
           stream->unterminated_bytes = 0;
@@ -116,11 +117,18 @@
   stream->unterminated_bytes = 0;
 }
 
-/* Whether no event is incomplete. */
+/* Whether no event is incomplete. Blank lines between events belong to none. */
 bool
 mf_event_stream_at_boundary (const MfEventStream *stream)
 {
-  return mf_buffer_bytes (&stream->partial) == 0 && !stream->partial.failed;
+  const char *partial = mf_buffer_data (&stream->partial);
+
+  for (size_t i = 0; i < mf_buffer_bytes (&stream->partial); i++)
+    {
+      if (partial[i] != '\n' && partial[i] != '\r')
+        return false;
+    }
+  return stream->unterminated_bytes == 0 && !stream->partial.failed;
 }
 
 /* Frees the buffer of the incomplete event. */
--- a/libmangofork/relay/job_answer.c
+++ b/libmangofork/relay/job_answer.c
@@ -356,8 +356,12 @@
     {
       job->n_runs++;
       job->kv_used = true;
-      if (job->route->resumable && !mf_event_stream_at_boundary (&job->events))
-        job_failed (job, target, "stream ended inside an event");
+      if (!mf_event_stream_at_boundary (&job->events))
+        {
+          mf_job_note_failure (job, target);
+          mf_target_probe (target);
+          job_failed (job, target, "stream ended inside an event");
+        }
       else
         {
           mf_target_record_answer (target, job->first_event_us - job->sent_us, mf_clock_now_us ());
--- a/tests/test_events.c
+++ b/tests/test_events.c
@@ -1,5 +1,7 @@
 #include "libmangofork/relay/events.h"
 
+#include "libmangofork/types.h"
+
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stdlib.h>
@@ -67,6 +69,34 @@
       if (cut < sizeof text - 1)
         mf_event_stream_count (&stream, text + cut, sizeof text - 1 - cut);
       assert_int_equal (stream.n_events, 3);
+      assert_true (mf_event_stream_at_boundary (&stream));
+    }
+}
+
+/* A stream that ended inside an event looked complete. */
+static void
+test_end_inside_an_event_is_no_boundary (void **state)
+{
+  static const char *const incomplete[]
+      = { "i", "id: 1\ndata: a\n", "id: 1\n\nid: 2\nda", "id: 1\r\n\r\n:", "\n\nid: 1\n" };
+  static const char *const complete[]
+      = { "", "\n", "id: 1\n\n\n", "id: 1\r\n\r\n\r\n", "\n\n\n:\n\n" };
+
+  (void)state;
+  for (size_t i = 0; i < 2 * MF_ARRAY_LEN (complete); i++)
+    {
+      bool is_complete = i % 2 == 0;
+      const char *bytes = is_complete ? complete[i / 2] : incomplete[i / 2];
+      MfEventStream counted = { 0 };
+      MfEventStream fed = { 0 };
+      MfBuffer out = { 0 };
+
+      mf_event_stream_count (&counted, bytes, strlen (bytes));
+      mf_event_stream_feed (&fed, bytes, strlen (bytes), &out);
+      assert_int_equal (mf_event_stream_at_boundary (&counted), is_complete);
+      assert_int_equal (mf_event_stream_at_boundary (&fed), is_complete);
+      mf_event_stream_clear (&fed);
+      mf_buffer_clear (&out);
     }
 }
 
@@ -77,6 +107,7 @@
     cmocka_unit_test (test_stream_is_the_same_however_it_is_cut),
     cmocka_unit_test (test_cut_event_comes_once),
     cmocka_unit_test (test_events_are_counted_however_they_are_cut),
+    cmocka_unit_test (test_end_inside_an_event_is_no_boundary),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_job_answer.c
+++ b/tests/test_job_answer.c
@@ -241,6 +241,55 @@
   teardown (&fixture);
 }
 
+typedef struct
+{
+  const char *body; /* of a stream without length and chunks, whose connection is then closed */
+  bool reset;
+  bool complete;
+} ClosedStream;
+
+static const ClosedStream *closed_stream;
+
+static void
+handle_closed_stream (FakeUpstreamConn *conn, const char *text, const char *id)
+{
+  (void)text;
+  (void)id;
+  fake_upstream_conn_send (conn, PLAIN_HEAD "Content-Type: text/event-stream\r\n\r\n");
+  fake_upstream_conn_send (conn, closed_stream->body);
+  fake_upstream_conn_close (conn, closed_stream->reset);
+}
+
+/* A stream without a length and chunks that ended inside an event reached the caller as a complete
+ * one. */
+static void
+test_stream_closed_inside_an_event_is_broken_off (void **state)
+{
+  static const ClosedStream streams[] = {
+    { "id: 1\ndata: a\n\n", false, true },
+    { "id: 1\ndata: a\n\nid: 2\nda", false, false },
+    { "id: 1\ndata: a\n", false, false },
+    { "id: 1\ndata: a\n\nid: 2\nda", true, false },
+  };
+  static const char *const paths[] = { "/llm/1", "/once/1" };
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (streams) * MF_ARRAY_LEN (paths); i++)
+    {
+      RelayFixture fixture;
+
+      closed_stream = &streams[i / MF_ARRAY_LEN (paths)];
+      relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+      relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_closed_stream);
+      call (&fixture, "POST", paths[i % MF_ARRAY_LEN (paths)]);
+      assert_int_equal (strstr (fixture.received, "\r\n0\r\n\r\n") != NULL,
+                        closed_stream->complete);
+      assert_int_equal (fixture.jobs.counters.counts[MF_RELAY_COUNT_BROKEN] == 0,
+                        closed_stream->complete);
+      teardown (&fixture);
+    }
+}
+
 /* Discovery may drop an upstream while it still sends its last, endless answer. */
 static void
 test_endless_answer_of_a_removed_upstream (void **state)
@@ -359,6 +408,7 @@
     cmocka_unit_test (test_endless_answer_to_a_prefill_is_retried),
     cmocka_unit_test (test_endless_event_ends_the_stream),
     cmocka_unit_test (test_endless_answer_of_a_removed_upstream),
+    cmocka_unit_test (test_stream_closed_inside_an_event_is_broken_off),
     cmocka_unit_test (test_stream_that_trickles_is_resumed_elsewhere),
     cmocka_unit_test (test_endless_answer_to_a_release_times_out),
     cmocka_unit_test (test_buffered_answers_keep_to_the_memory_limit),
