--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -436,6 +436,7 @@
   if (!mf_head_copy (head, MF_HEADER_REQUEST_ID, job->id, sizeof job->id))
     job->id[0] = '\0';
   job->digest = mf_job_digest (caller);
+  job->caller_hash = mf_caller_address_hash (caller);
   job->try_id = ++jobs->n_started;
   job_read_parts (job, head);
   job_read_token_counts (job, head);
@@ -649,6 +650,14 @@
   ev_timer_start (jobs->loop, &jobs->dispatch_now_timer);
 }
 
+static void
+on_quarantine_timer (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  mf_jobs_end_quarantined (watcher->data);
+}
+
 static void
 on_dispatch_timer (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -679,6 +688,8 @@
   jobs->dispatch_timer.data = jobs;
   ev_init (&jobs->dispatch_now_timer, on_dispatch_timer);
   jobs->dispatch_now_timer.data = jobs;
+  ev_init (&jobs->quarantine_timer, on_quarantine_timer);
+  jobs->quarantine_timer.data = jobs;
   jobs->rates = mf_rate_shares_new ();
   if (jobs->rates == NULL || !mf_jobs_init_suspects (jobs))
     abort ();
@@ -691,6 +702,7 @@
 {
   ev_timer_stop (jobs->loop, &jobs->dispatch_timer);
   ev_timer_stop (jobs->loop, &jobs->dispatch_now_timer);
+  ev_timer_stop (jobs->loop, &jobs->quarantine_timer);
   while (jobs->first != NULL)
     job_free (jobs->first);
   mf_jobs_cancel_orders (jobs);
--- a/libmangofork/relay/job.h
+++ b/libmangofork/relay/job.h
@@ -88,6 +88,7 @@
   uint64_t answer_bytes_max;    /* limit of the memory taken by all buffered answers */
   ev_timer dispatch_timer;      /* runs the dispatcher periodically while requests wait */
   ev_timer dispatch_now_timer;  /* runs the dispatcher in the next iteration of the loop */
+  ev_timer quarantine_timer;    /* ends quarantined requests in the next iteration of the loop */
   uint64_t random_state;        /* state of the random number generator */
   uint64_t no_streams_after_us; /* set while draining; 0: not draining */
   uint64_t exit_by_us; /* latest time of the process's exit while draining; 0: not draining */
--- a/libmangofork/relay/job_answer.c
+++ b/libmangofork/relay/job_answer.c
@@ -17,6 +17,9 @@
 #define ANSWER_BYTES_SMALL (64 * 1024)
 /* Failed connection attempts cost only time; after more than this many the request is refused. */
 #define CONNECT_FAILURES_MAX 5
+/* An upstream that is still there after this many events has survived the beginning of its answer.
+ */
+#define BEGUN_EVENTS 2
 
 /* Stores the headers that are forwarded to the caller. */
 static void
@@ -176,6 +179,8 @@
       mf_event_stream_count (&job->events, bytes, n_bytes);
       mf_caller_write (job->caller, bytes, n_bytes);
     }
+  if (job->events.n_events >= job->n_events_before + BEGUN_EVENTS)
+    mf_job_note_sound (job);
   job_add_tokens (job);
   if (mf_event_stream_is_too_long (&job->events))
     job_abort_exchange (job, "event exceeds the size limit");
@@ -330,6 +335,19 @@
     mf_job_reply (job, answer);
 }
 
+/* A complete answer shows that the upstream has survived its beginning. One that ends with the
+ * connection does not: the upstream may have crashed. */
+static void
+job_note_complete (MfJob *job, MfTarget *target, MfLinkEnd end)
+{
+  if (job->answer.not_run)
+    return;
+  if (end == MF_LINK_COMPLETE)
+    mf_job_note_sound (job);
+  else if (!job->answer_began && job->parts.n_parts > 0)
+    mf_job_note_failure (job, target);
+}
+
 static void
 on_run_end (void *data, MfLinkEnd end, const char *why)
 {
@@ -342,6 +360,8 @@
   mf_job_release_target (job);
   if (end != MF_LINK_UNREACHED)
     job->n_arrivals++;
+  if (end == MF_LINK_COMPLETE || end == MF_LINK_CLOSED)
+    job_note_complete (job, target, end);
   if (end == MF_LINK_UNREACHED)
     job_connect_failed (job, target, why);
   else if (end == MF_LINK_BROKEN)
@@ -416,11 +436,11 @@
     job->n_prefills++;
   if (end == MF_LINK_UNREACHED)
     job_connect_failed (job, target, why);
-  else if (end == MF_LINK_COMPLETE && answer->status == 200 && !answer->not_run
+  else if (end != MF_LINK_BROKEN && answer->status == 200 && !answer->not_run
            && job->jobs->dialect->read_prefill (mf_buffer_data (&answer->body),
                                                 mf_buffer_bytes (&answer->body), &job->kv))
     job_prefilled (job, target);
-  else if (end == MF_LINK_COMPLETE && answer->not_run)
+  else if (end != MF_LINK_BROKEN && answer->not_run)
     job_declined (job, target);
   else
     {
--- a/libmangofork/relay/job_room.c
+++ b/libmangofork/relay/job_room.c
@@ -340,7 +340,7 @@
         jobs->on_feed (jobs->on_feed_data, peer, &message->feed);
       return;
     case MF_RELAY_MESSAGE_SUSPECTS:
-      mf_jobs_handle_suspects (jobs, &message->suspects);
+      mf_jobs_handle_suspects (jobs, peer, &message->suspects);
       return;
     case MF_RELAY_MESSAGE_LIMITS:
       mf_jobs_handle_limits (jobs, &message->limits);
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -114,6 +114,10 @@
   bool is_retry;             /* whether the current send is a retry */
   bool was_suspect;          /* whether the request was a suspect at the time of the current send */
   uint32_t n_failures;       /* prefills and runs that failed or were abandoned */
+  uint64_t caller_hash;      /* of the caller's host */
+  uint64_t n_events_before;  /* of its stream, at the time of the current send */
+  bool answer_began;         /* the upstream of the current send has survived its beginning */
+  bool is_trial;             /* it shows whether a quarantined part is still deadly */
   /* Process whose probe decides whether the request may be retried; 0: none. */
   uint64_t awaited_process_id;
   uint32_t n_arrivals; /* runs that reached an upstream */
@@ -145,10 +149,12 @@
 void mf_job_note_failure (MfJob *job, MfTarget *target);
 void mf_job_note_upstream_alive (const MfJob *job);
 void mf_job_note_outcome (const MfJob *job, bool answered);
+void mf_job_note_sound (MfJob *job);
 void mf_job_retry_after_failure (MfJob *job, MfTarget *target, const MfJobDenial *denial);
 void mf_job_probe_done (MfJob *job);
 void mf_jobs_send_suspects (MfJobs *jobs, uint64_t peer);
-void mf_jobs_handle_suspects (MfJobs *jobs, const MfSuspectUpdate *update);
+void mf_jobs_handle_suspects (MfJobs *jobs, uint64_t peer, const MfSuspectUpdate *update);
+void mf_jobs_end_quarantined (MfJobs *jobs);
 
 /* job_retry.c: the retry budget. */
 MfServiceBudget *mf_jobs_budget (MfJobs *jobs, const char *service);
--- a/libmangofork/relay/job_stage.c
+++ b/libmangofork/relay/job_stage.c
@@ -186,7 +186,7 @@
   MfStageOrder *order = data;
   MfTarget *target = order->target;
   bool accepted = order->status == 200 || order->status == 202;
-  bool refused = end == MF_LINK_UNREACHED || (end == MF_LINK_COMPLETE && !accepted);
+  bool refused = end == MF_LINK_UNREACHED || (end != MF_LINK_BROKEN && !accepted);
 
   if (refused)
     target->stage_until_us = 0;
--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -13,6 +13,9 @@
  * wait no longer than this anyway. */
 #define TWO_DEATHS_QUARANTINE_US (30 * MF_US_PER_S)
 #define THREE_DEATHS_QUARANTINE_US (600 * MF_US_PER_S)
+/* A part is deadly for all its requests, so few of them are worth an upstream to find out whether
+ * it still is. */
+#define TRIAL_INTERVAL_US (30 * MF_US_PER_S)
 /* A suspect request is retried only once it is known whether the last upstream crashed too, or
  * after this time: a few round trips, or the time a connection may take. */
 #define PROBE_TIMEOUT_US (300 * MF_US_PER_MS)
@@ -48,7 +51,8 @@
   jobs->suspects = mf_suspects_new (
       &(MfSuspectLimits){ .crash_window_us = CRASH_WINDOW_US,
                           .two_deaths_quarantine_us = TWO_DEATHS_QUARANTINE_US,
-                          .three_deaths_quarantine_us = THREE_DEATHS_QUARANTINE_US });
+                          .three_deaths_quarantine_us = THREE_DEATHS_QUARANTINE_US,
+                          .trial_interval_us = TRIAL_INTERVAL_US });
   return jobs->suspects != NULL;
 }
 
@@ -62,24 +66,6 @@
   return job->n_failures > 0 || (suspect != NULL && suspect->n_deaths > 0);
 }
 
-/* Ends a request that is quarantined. Returns whether it was. */
-bool
-mf_job_end_quarantined (MfJob *job)
-{
-  MfJobs *jobs = job->jobs;
-  uint64_t now_us = mf_clock_now_us ();
-
-  if (!mf_suspects_is_quarantined (jobs->suspects, job->digest, now_us))
-    return false;
-  jobs->counters.counts[MF_RELAY_COUNT_SUSPECTS_REFUSED]++;
-  job->pause_end_us = mf_suspects_find (jobs->suspects, job->digest, now_us)->quarantined_until_us;
-  if (job->n_runs > 0)
-    mf_job_finish (job, MF_CODE_UPSTREAM_DIED, "upstreams crashed while running this request");
-  else
-    mf_job_refuse (job, MF_CODE_POISON, "upstreams crashed while running this request");
-  return true;
-}
-
 static uint32_t
 age_ms (uint64_t at_us, uint64_t now_us)
 {
@@ -94,11 +80,29 @@
   return now_us > ms * MF_US_PER_MS ? now_us - ms * MF_US_PER_MS : 0;
 }
 
+static MfSuspectDeath
+death_read (const MfSuspectEntryDeath *death, uint64_t now_us)
+{
+  return (MfSuspectDeath){
+    .process_id = death->process,
+    .digest = death->digest,
+    .caller = death->caller,
+    .sent_us = time_us (death->sent_age_ms, now_us),
+    .at_us = time_us (death->age_ms, now_us),
+  };
+}
+
 static MfSuspectEntry
 entry_make (const MfSuspect *suspect, uint64_t now_us)
 {
   MfSuspectEntry entry = {
     .digest = suspect->digest,
+    .kind = suspect->kind,
+    .quarantined = suspect->part.quarantined_us > 0,
+    .was_sound = suspect->part.sound_us > 0,
+    .sound_age_ms = age_ms (suspect->part.sound_us, now_us),
+    .depth = suspect->part.depth,
+    .n_failed_trials = suspect->part.n_failed_trials,
     .quarantine_ms = age_ms (now_us, suspect->quarantined_until_us),
     .n_deaths = suspect->n_deaths,
   };
@@ -106,6 +110,8 @@
   for (uint32_t i = 0; i < suspect->n_deaths; i++)
     entry.deaths[i] = (MfSuspectEntryDeath){
       .process = suspect->deaths[i].process_id,
+      .digest = suspect->deaths[i].digest,
+      .caller = suspect->deaths[i].caller,
       .sent_age_ms = age_ms (suspect->deaths[i].sent_us, now_us),
       .age_ms = age_ms (suspect->deaths[i].at_us, now_us),
     };
@@ -138,60 +144,152 @@
   entry_send (jobs, &entry);
 }
 
-/* Arguments of entry_add, which adds either the quarantined requests to a message or the others. */
+/* Receiver of a list of suspects that stands for all peers. */
+#define TO_ALL 0
+
+/* A list of suspects for a peer, sent whenever a message is full. */
 typedef struct
 {
-  MfSuspectUpdate *update;
+  MfJobs *jobs;
+  uint64_t peer;
   uint64_t now_us;
-  bool quarantined;
+  /* Returns whether the list has the suspect. */
+  bool (*has) (const MfSuspect *suspect, uint64_t now_us);
 } EntryList;
 
+static void
+list_flush (EntryList *list)
+{
+  MfJobs *jobs = list->jobs;
+
+  jobs->message.kind = MF_RELAY_MESSAGE_SUSPECTS;
+  if (jobs->message.suspects.n_entries == 0)
+    return;
+  if (list->peer == TO_ALL)
+    mf_peers_send_all (jobs->peers, &jobs->message);
+  else
+    mf_peers_send (jobs->peers, list->peer, &jobs->message);
+  jobs->message.suspects.n_entries = 0;
+}
+
 static bool
-entry_add (void *data, const MfSuspect *suspect)
+list_add (void *data, const MfSuspect *suspect)
 {
   EntryList *list = data;
+  MfSuspectUpdate *update = &list->jobs->message.suspects;
 
-  if (list->update->n_entries == MF_SUSPECT_ENTRIES_MAX)
-    return false;
-  if (suspect->n_reported > 0
-      && list->quarantined == (suspect->quarantined_until_us > list->now_us))
-    list->update->entries[list->update->n_entries++] = entry_make (suspect, list->now_us);
+  if (!list->has (suspect, list->now_us))
+    return true;
+  update->entries[update->n_entries++] = entry_make (suspect, list->now_us);
+  if (update->n_entries == MF_SUSPECT_ENTRIES_MAX)
+    list_flush (list);
   return true;
 }
 
-/* Sends the suspects that all instances were informed of to one that may have restarted.
- * Quarantined ones come first, as a message holds only MF_SUSPECT_ENTRIES_MAX. */
+static void
+list_send (EntryList *list)
+{
+  list->jobs->message.suspects.n_entries = 0;
+  mf_suspects_foreach (list->jobs->suspects, list->now_us, list_add, list);
+  list_flush (list);
+}
+
+static bool
+is_quarantined (const MfSuspect *suspect, uint64_t now_us)
+{
+  return suspect->part.quarantined_us > 0
+         || (suspect->n_reported > 0 && suspect->quarantined_until_us > now_us);
+}
+
+static bool
+is_known_to_others (const MfSuspect *suspect, uint64_t now_us)
+{
+  return !is_quarantined (suspect, now_us)
+         && (suspect->kind == MF_SUSPECT_PART || suspect->n_reported > 0);
+}
+
+static bool
+is_unreported_part (const MfSuspect *suspect, uint64_t now_us)
+{
+  (void)now_us;
+  return suspect->part.is_unreported;
+}
+
+/* Sends the suspects that all instances were informed of to one that may have restarted,
+ * quarantined ones first. */
 void
 mf_jobs_send_suspects (MfJobs *jobs, uint64_t peer)
 {
   EntryList list
-      = { .update = &jobs->message.suspects, .now_us = mf_clock_now_us (), .quarantined = true };
+      = { .jobs = jobs, .peer = peer, .now_us = mf_clock_now_us (), .has = is_quarantined };
 
-  list.update->n_entries = 0;
-  mf_suspects_foreach (jobs->suspects, list.now_us, entry_add, &list);
-  list.quarantined = false;
-  mf_suspects_foreach (jobs->suspects, list.now_us, entry_add, &list);
-  jobs->message.kind = MF_RELAY_MESSAGE_SUSPECTS;
-  if (list.update->n_entries > 0)
-    mf_peers_send (jobs->peers, peer, &jobs->message);
+  list_send (&list);
+  list.has = is_known_to_others;
+  list_send (&list);
 }
 
+/* Ends quarantined requests in the next iteration of the loop: the one at hand may be among them.
+ */
 static void
-record_quarantine (MfJobs *jobs, uint64_t digest, const char *by)
+schedule_quarantine (MfJobs *jobs)
 {
-  const MfSuspect *suspect = mf_suspects_find (jobs->suspects, digest, mf_clock_now_us ());
+  ev_timer_stop (jobs->loop, &jobs->quarantine_timer);
+  ev_timer_set (&jobs->quarantine_timer, 0., 0.);
+  ev_timer_start (jobs->loop, &jobs->quarantine_timer);
+}
+
+static void
+record_quarantine (MfJobs *jobs, const MfSuspect *suspect, const char *by)
+{
+  uint64_t now_us = mf_clock_now_us ();
 
   jobs->counters.counts[MF_RELAY_COUNT_QUARANTINES]++;
-  mf_relay_log_state (jobs->log, "request.convicted",
-                      "digest=%016llx upstreams_ended=%u by=%s sentence_ms=%u",
-                      (unsigned long long)digest, suspect->n_deaths, by,
-                      age_ms (mf_clock_now_us (), suspect->quarantined_until_us));
+  mf_relay_log_state (
+      jobs->log, suspect->kind == MF_SUSPECT_PART ? "part.convicted" : "request.convicted",
+      "digest=%016llx upstreams_ended=%u by=%s sentence_ms=%u", (unsigned long long)suspect->digest,
+      suspect->n_deaths, by, age_ms (now_us, suspect->quarantined_until_us));
+  schedule_quarantine (jobs);
 }
 
+/* Records the quarantine of a part that has just been found. */
 static void
-entry_handle (MfJobs *jobs, const MfSuspectEntry *entry)
+part_record (MfJobs *jobs, MfSuspect *suspect, bool by_self)
+{
+  if (suspect->part.quarantined_us == 0 || suspect->part.is_recorded)
+    return;
+  suspect->part.is_recorded = true;
+  suspect->part.is_own = by_self;
+  record_quarantine (jobs, suspect, by_self ? "self" : "peer");
+}
+
+static bool
+part_settle (void *data, const MfSuspect *suspect)
+{
+  MfJobs *jobs = data;
+  MfSuspect *part = mf_suspects_find (jobs->suspects, suspect->digest, mf_clock_now_us ());
+
+  if (!suspect->part.is_unreported)
+    return true;
+  part->part.is_unreported = false;
+  part_record (jobs, part, true);
+  return true;
+}
+
+/* Sends the parts with new deaths to all instances, as each may see only one death of a part. */
+static void
+parts_send (MfJobs *jobs)
+{
+  EntryList list
+      = { .jobs = jobs, .peer = TO_ALL, .now_us = mf_clock_now_us (), .has = is_unreported_part };
+
+  if (jobs->peers != NULL)
+    list_send (&list);
+  mf_suspects_foreach (jobs->suspects, list.now_us, part_settle, jobs);
+}
+
+static void
+request_handle (MfJobs *jobs, const MfSuspectEntry *entry, uint64_t now_us)
 {
-  uint64_t now_us = mf_clock_now_us ();
   bool was_quarantined = mf_suspects_is_quarantined (jobs->suspects, entry->digest, now_us);
   MfSuspect *suspect;
 
@@ -201,13 +299,11 @@
       return;
     }
   for (uint32_t i = 0; i < entry->n_deaths; i++)
-    mf_suspects_add_death (jobs->suspects, entry->digest,
-                           &(MfSuspectDeath){
-                               .process_id = entry->deaths[i].process,
-                               .sent_us = time_us (entry->deaths[i].sent_age_ms, now_us),
-                               .at_us = time_us (entry->deaths[i].age_ms, now_us),
-                           },
-                           false, now_us);
+    {
+      MfSuspectDeath death = death_read (&entry->deaths[i], now_us);
+
+      mf_suspects_add_death (jobs->suspects, entry->digest, &death, false, now_us);
+    }
   if (entry->quarantine_ms > 0)
     mf_suspects_quarantine (jobs->suspects, entry->digest,
                             now_us + entry->quarantine_ms * MF_US_PER_MS, now_us);
@@ -215,15 +311,89 @@
   if (suspect != NULL && suspect->n_reported < entry->n_deaths)
     suspect->n_reported = entry->n_deaths;
   if (!was_quarantined && mf_suspects_is_quarantined (jobs->suspects, entry->digest, now_us))
-    record_quarantine (jobs, entry->digest, "peer");
+    record_quarantine (jobs, suspect, "peer");
+}
+
+/* Sends what is known of one part to the peers that have the wrong idea of it. */
+static void
+part_send (MfJobs *jobs, uint64_t peer, const MfSuspect *suspect, bool cleared, uint64_t now_us)
+{
+  if (jobs->peers == NULL)
+    return;
+  jobs->message.kind = MF_RELAY_MESSAGE_SUSPECTS;
+  jobs->message.suspects.n_entries = 1;
+  jobs->message.suspects.entries[0] = entry_make (suspect, now_us);
+  jobs->message.suspects.entries[0].cleared = cleared;
+  if (peer == TO_ALL)
+    mf_peers_send_all (jobs->peers, &jobs->message);
+  else
+    mf_peers_send (jobs->peers, peer, &jobs->message);
 }
 
-/* Handles suspect requests reported by another instance. */
+/* Records that an upstream has survived a part, as seen here or by a peer. The others are told if
+ * they may refuse the part, or are about to. */
+static void
+part_note_sound (MfJobs *jobs, uint64_t part, uint64_t sound_us, bool by_self, uint64_t now_us)
+{
+  MfSuspect *suspect = mf_suspects_find (jobs->suspects, part, now_us);
+  bool was_quarantined = suspect != NULL && suspect->part.quarantined_us > 0;
+
+  if (!mf_suspects_note_sound (jobs->suspects, part, sound_us, now_us))
+    return;
+  if (was_quarantined)
+    mf_relay_log_state (jobs->log, "part.cleared", "digest=%016llx by=%s", (unsigned long long)part,
+                        by_self ? "self" : "peer");
+  if (by_self || (was_quarantined && suspect->part.is_own))
+    part_send (jobs, TO_ALL, suspect, true, now_us);
+}
+
+/* Each instance judges by all deaths that it knows of. One that knows better than the sender, as
+ * upstreams have survived the part since, or as it has seen more of them die, replies. */
+static void
+part_handle (MfJobs *jobs, uint64_t peer, const MfSuspectEntry *entry, uint64_t now_us)
+{
+  MfSuspects *suspects = jobs->suspects;
+  bool was_quarantined = mf_suspects_part_is_quarantined (suspects, entry->digest, now_us);
+  MfSuspect *suspect;
+
+  if (entry->was_sound)
+    part_note_sound (jobs, entry->digest, time_us (entry->sound_age_ms, now_us), false, now_us);
+  for (uint32_t i = 0; i < entry->n_deaths; i++)
+    {
+      MfSuspectDeath death = death_read (&entry->deaths[i], now_us);
+
+      mf_suspects_add_part_death (suspects, entry->digest, entry->depth, &death, now_us);
+    }
+  suspect = mf_suspects_find (suspects, entry->digest, now_us);
+  if (suspect == NULL)
+    return;
+  suspect->part.is_unreported = false;
+  part_record (jobs, suspect, false);
+  if (suspect->part.quarantined_us > 0 && entry->quarantined)
+    mf_suspects_merge_quarantine (suspects, entry->digest,
+                                  now_us + entry->quarantine_ms * MF_US_PER_MS,
+                                  entry->n_failed_trials, now_us);
+  else if (suspect->part.quarantined_us > 0 && was_quarantined && !entry->cleared)
+    part_send (jobs, peer, suspect, false, now_us);
+  else if (suspect->part.quarantined_us == 0 && entry->quarantined && suspect->part.sound_us > 0)
+    part_send (jobs, peer, suspect, true, now_us);
+}
+
+/* Handles suspects reported by another instance. */
 void
-mf_jobs_handle_suspects (MfJobs *jobs, const MfSuspectUpdate *update)
+mf_jobs_handle_suspects (MfJobs *jobs, uint64_t peer, const MfSuspectUpdate *update)
 {
+  uint64_t now_us = mf_clock_now_us ();
+
   for (uint32_t i = 0; i < update->n_entries; i++)
-    entry_handle (jobs, &update->entries[i]);
+    {
+      const MfSuspectEntry *entry = &update->entries[i];
+
+      if (entry->kind == MF_SUSPECT_PART)
+        part_handle (jobs, peer, entry, now_us);
+      else
+        request_handle (jobs, entry, now_us);
+    }
 }
 
 /* Whether a try of the request is in progress at this instance. */
@@ -253,7 +423,7 @@
                       failure->was_suspect ? "yes" : "no",
                       age_ms (failure->failed_us, mf_clock_now_us ()));
   if (result == MF_SUSPECT_QUARANTINED)
-    record_quarantine (jobs, failure->digest, "self");
+    record_quarantine (jobs, suspect, "self");
   if (suspect->n_deaths >= REPORT_AT_ONCE_DEATHS || !has_job (jobs, failure->digest))
     suspect_send (jobs, failure->digest);
 }
@@ -270,7 +440,10 @@
   if (mf_target_is_leaving (target))
     mf_suspects_upstream_alive (jobs->suspects, process, UINT64_MAX, on_failure_result, jobs);
   else
-    mf_suspects_upstream_died (jobs->suspects, process, process, now_us, on_failure_result, jobs);
+    {
+      mf_suspects_upstream_died (jobs->suspects, process, process, now_us, on_failure_result, jobs);
+      parts_send (jobs);
+    }
 }
 
 static void
@@ -291,10 +464,12 @@
 {
   MfJobs *jobs = data;
 
-  if (mf_suspects_n_failures (jobs->suspects) > 0)
-    mf_suspects_address_reused (jobs->suspects, mf_load_hash (target->info.address),
-                                mf_target_process_id (target), mf_clock_now_us (),
-                                on_failure_result, jobs);
+  if (mf_suspects_n_failures (jobs->suspects) == 0)
+    return;
+  mf_suspects_address_reused (jobs->suspects, mf_load_hash (target->info.address),
+                              mf_target_process_id (target), mf_clock_now_us (), on_failure_result,
+                              jobs);
+  parts_send (jobs);
 }
 
 /* Continues a request that waited for a probe of its last upstream. */
@@ -350,18 +525,23 @@
 {
   MfJobs *jobs = job->jobs;
   uint64_t now_us = mf_clock_now_us ();
+  MfSuspectFailure failure = {
+    .digest = job->digest,
+    .request_id = job->try_id,
+    .upstream_id = mf_target_process_id (target),
+    .address_hash = mf_load_hash (target->info.address),
+    .caller = job->caller_hash,
+    .was_suspect = job->was_suspect,
+    .sent_us = job->sent_us,
+    .failed_us = now_us,
+  };
 
+  job->is_trial = false;
   if (mf_target_is_leaving (target))
     return;
-  mf_suspects_add_failure (jobs->suspects, &(MfSuspectFailure){
-                                               .digest = job->digest,
-                                               .request_id = job->try_id,
-                                               .upstream_id = mf_target_process_id (target),
-                                               .address_hash = mf_load_hash (target->info.address),
-                                               .was_suspect = job->was_suspect,
-                                               .sent_us = job->sent_us,
-                                               .failed_us = now_us,
-                                           });
+  if (!job->answer_began)
+    failure.parts = job->parts;
+  mf_suspects_add_failure (jobs->suspects, &failure);
   job->n_failures++;
   if (target->ended_us > 0 && now_us - target->ended_us < SAME_CRASH_US
       && job->sent_us < target->ended_us)
@@ -396,6 +576,19 @@
                                 on_failure_result, jobs);
 }
 
+/* Records that the upstream has begun an answer and survived: no part of the prompt is deadly. */
+void
+mf_job_note_sound (MfJob *job)
+{
+  uint64_t now_us = mf_clock_now_us ();
+
+  if (job->answer_began)
+    return;
+  job->answer_began = true;
+  for (uint32_t i = 0; i < job->parts.n_parts; i++)
+    part_note_sound (job->jobs, job->parts.hashes[i], now_us, true, now_us);
+}
+
 /* Records the end of the request. An answered request is no suspect any more; otherwise what is
  * known of it is sent to the other instances. */
 void
@@ -425,3 +618,74 @@
   if (now_us > CRASH_WINDOW_US)
     mf_suspects_expire_failures (jobs->suspects, now_us - CRASH_WINDOW_US, on_failure_result, jobs);
 }
+
+/* Returns the quarantined part for which the request is refused, or NULL. If a part's trial is due
+ * and this instance is the one that tries it, the request becomes the trial. */
+static const MfSuspect *
+job_refused_part (MfJob *job, uint64_t now_us)
+{
+  MfJobs *jobs = job->jobs;
+
+  for (uint32_t i = 0; i < job->parts.n_parts && !job->is_trial; i++)
+    {
+      uint64_t part = job->parts.hashes[i];
+      MfSuspectVerdict verdict
+          = mf_suspects_judge_part (jobs->suspects, part, job->caller_hash, now_us);
+      MfSuspect *suspect;
+
+      if (verdict == MF_SUSPECT_PART_ALLOWED)
+        continue;
+      suspect = mf_suspects_find (jobs->suspects, part, now_us);
+      if (verdict == MF_SUSPECT_PART_REFUSED
+          || (jobs->peers != NULL
+              && mf_peers_allocator (jobs->peers, part, now_us) != MF_DISPATCH_SELF))
+        return suspect;
+      mf_suspects_start_trial (jobs->suspects, part, now_us);
+      job->is_trial = true;
+      mf_relay_log_state (jobs->log, "part.trial", "id=%s digest=%016llx next_ms=%u", job->id,
+                          (unsigned long long)part, age_ms (now_us, suspect->quarantined_until_us));
+      part_send (jobs, TO_ALL, suspect, false, now_us);
+    }
+  return NULL;
+}
+
+/* Ends a request that is quarantined, or that has a quarantined part. Returns whether it was. */
+bool
+mf_job_end_quarantined (MfJob *job)
+{
+  MfJobs *jobs = job->jobs;
+  uint64_t now_us = mf_clock_now_us ();
+  const MfSuspect *suspect = mf_suspects_is_quarantined (jobs->suspects, job->digest, now_us)
+                                 ? mf_suspects_find (jobs->suspects, job->digest, now_us)
+                                 : job_refused_part (job, now_us);
+
+  if (suspect == NULL)
+    return false;
+  jobs->counters.counts[MF_RELAY_COUNT_SUSPECTS_REFUSED]++;
+  job->pause_end_us = suspect->quarantined_until_us;
+  if (job->n_runs > 0)
+    mf_job_finish (job, MF_CODE_UPSTREAM_DIED, "upstreams crashed while running such requests");
+  else
+    mf_job_refuse (job, MF_CODE_POISON, "upstreams crashed while running such requests");
+  return true;
+}
+
+/* Ends the requests that are quarantined now and have reached no upstream that answers them, or
+ * whose answer has not begun: cancelling may come before the crash. */
+void
+mf_jobs_end_quarantined (MfJobs *jobs)
+{
+  MfJob *next;
+
+  for (MfJob *job = jobs->first; job != NULL; job = next)
+    {
+      next = job->next;
+      if (job->caller == NULL || job->answer_began || job->is_trial)
+        continue;
+      if (job->link != NULL && job->phase != MF_JOB_PREFILL && mf_link_has_sent (job->link))
+        job->n_runs++;
+      if (!mf_job_end_quarantined (job) && job->link != NULL && job->phase != MF_JOB_PREFILL
+          && mf_link_has_sent (job->link))
+        job->n_runs--;
+    }
+}
--- a/libmangofork/relay/link.c
+++ b/libmangofork/relay/link.c
@@ -272,7 +272,7 @@
   if (link->cancelled)
     link_free (link);
   else if (complete)
-    link_end (link, MF_LINK_COMPLETE, "answered");
+    link_end (link, MF_LINK_CLOSED, "answered");
   else
     link_fail (link, clean ? "the upstream closed the connection" : "the connection was reset");
 }
--- a/libmangofork/relay/link.h
+++ b/libmangofork/relay/link.h
@@ -11,6 +11,7 @@
 typedef enum
 {
   MF_LINK_COMPLETE,  /* the response is complete */
+  MF_LINK_CLOSED,    /* the same, but its end is that of the connection, as that of a process */
   MF_LINK_UNREACHED, /* no byte of the request was sent */
   MF_LINK_BROKEN,    /* part of it was sent; the response is missing or incomplete */
 } MfLinkEnd;
--- a/libmangofork/relay/relay_message.c
+++ b/libmangofork/relay/relay_message.c
@@ -19,8 +19,8 @@
 #define FEED_MEMBERS 7
 #define FEED_ITEM_MEMBERS 4
 #define SUSPECTS_MEMBERS 2
-#define SUSPECT_ENTRY_MEMBERS 4
-#define SUSPECT_DEATH_MEMBERS 3
+#define SUSPECT_ENTRY_MEMBERS 10
+#define SUSPECT_DEATH_MEMBERS 5
 #define LIMIT_MEMBERS 4
 #define RATE_ASK_MEMBERS (7 + LIMIT_MEMBERS)
 #define RATE_GRANT_MEMBERS 6
@@ -188,13 +188,21 @@
 
       msgpack_pack_array (packer, SUSPECT_ENTRY_MEMBERS);
       msgpack_pack_uint64 (packer, entry->digest);
+      msgpack_pack_uint32 (packer, entry->kind);
       msgpack_pack_uint32 (packer, entry->cleared);
+      msgpack_pack_uint32 (packer, entry->quarantined);
+      msgpack_pack_uint32 (packer, entry->was_sound);
+      msgpack_pack_uint32 (packer, entry->sound_age_ms);
+      msgpack_pack_uint32 (packer, entry->depth);
+      msgpack_pack_uint32 (packer, entry->n_failed_trials);
       msgpack_pack_uint32 (packer, entry->quarantine_ms);
       msgpack_pack_array (packer, entry->n_deaths);
       for (uint32_t j = 0; j < entry->n_deaths; j++)
         {
           msgpack_pack_array (packer, SUSPECT_DEATH_MEMBERS);
           msgpack_pack_uint64 (packer, entry->deaths[j].process);
+          msgpack_pack_uint64 (packer, entry->deaths[j].digest);
+          msgpack_pack_uint64 (packer, entry->deaths[j].caller);
           msgpack_pack_uint32 (packer, entry->deaths[j].sent_age_ms);
           msgpack_pack_uint32 (packer, entry->deaths[j].age_ms);
         }
@@ -480,24 +488,33 @@
 {
   return members->type == MSGPACK_OBJECT_ARRAY && members->via.array.size >= SUSPECT_DEATH_MEMBERS
          && read_number (&members->via.array.ptr[0], UINT64_MAX, &death->process)
-         && read_u32 (&members->via.array.ptr[1], &death->sent_age_ms)
-         && read_u32 (&members->via.array.ptr[2], &death->age_ms);
+         && read_number (&members->via.array.ptr[1], UINT64_MAX, &death->digest)
+         && read_number (&members->via.array.ptr[2], UINT64_MAX, &death->caller)
+         && read_u32 (&members->via.array.ptr[3], &death->sent_age_ms)
+         && read_u32 (&members->via.array.ptr[4], &death->age_ms);
 }
 
 static bool
 suspect_entry_read (const msgpack_object *members, MfSuspectEntry *entry)
 {
+  const msgpack_object *fields;
   const msgpack_object *deaths;
+  uint64_t kind = 0;
 
   if (members->type != MSGPACK_OBJECT_ARRAY || members->via.array.size < SUSPECT_ENTRY_MEMBERS)
     return false;
-  deaths = &members->via.array.ptr[3];
+  fields = members->via.array.ptr;
+  deaths = &fields[SUSPECT_ENTRY_MEMBERS - 1];
   entry->n_deaths = 0;
-  if (!read_number (&members->via.array.ptr[0], UINT64_MAX, &entry->digest)
-      || !read_flag (&members->via.array.ptr[1], &entry->cleared)
-      || !read_u32 (&members->via.array.ptr[2], &entry->quarantine_ms)
+  if (!read_number (&fields[0], UINT64_MAX, &entry->digest)
+      || !read_number (&fields[1], MF_SUSPECT_PART, &kind)
+      || !read_flag (&fields[2], &entry->cleared) || !read_flag (&fields[3], &entry->quarantined)
+      || !read_flag (&fields[4], &entry->was_sound) || !read_u32 (&fields[5], &entry->sound_age_ms)
+      || !read_u32 (&fields[6], &entry->depth) || !read_u32 (&fields[7], &entry->n_failed_trials)
+      || !read_u32 (&fields[8], &entry->quarantine_ms)
       || !read_array (deaths, MF_SUSPECT_DEATHS_MAX))
     return false;
+  entry->kind = (MfSuspectKind)kind;
   while (entry->n_deaths < deaths->via.array.size)
     {
       if (!suspect_death_read (&deaths->via.array.ptr[entry->n_deaths],
--- a/libmangofork/relay/relay_message.h
+++ b/libmangofork/relay/relay_message.h
@@ -22,7 +22,7 @@
   MF_RELAY_MESSAGE_RETRY = 7,        /* asks whether a request of a service may be sent again */
   MF_RELAY_MESSAGE_RETRY_REPLY = 8,  /* the answer to that */
   MF_RELAY_MESSAGE_FEED = 9,         /* changes that the sender has read from the platform store */
-  MF_RELAY_MESSAGE_SUSPECTS = 10,    /* suspect requests */
+  MF_RELAY_MESSAGE_SUSPECTS = 10,    /* suspect requests and parts of prompts */
   MF_RELAY_MESSAGE_RATE_ASK = 11,    /* asks the allocator of a shared rate for units */
   MF_RELAY_MESSAGE_RATE_GRANT = 12,  /* the answer to that */
   MF_RELAY_MESSAGE_LIMITS = 13,      /* rate limits that upstreams have named, or ended */
@@ -46,16 +46,25 @@
 typedef struct
 {
   uint64_t process;
+  uint64_t digest; /* of parts only, as is the caller */
+  uint64_t caller;
   uint32_t sent_age_ms;
   uint32_t age_ms;
 } MfSuspectEntryDeath;
 
-/* A suspect request, which upstreams have died while running, as known to one instance. */
+/* A suspect request or part of prompts, which upstreams have died while running, as known to one
+ * instance. */
 typedef struct
 {
   uint64_t digest;
-  bool cleared;           /* answered since then */
-  uint32_t quarantine_ms; /* quarantined for this much longer; 0: it is not */
+  MfSuspectKind kind;
+  bool cleared;          /* answered since then */
+  bool quarantined;      /* of parts only, as are the following ones */
+  bool was_sound;        /* an upstream has survived it */
+  uint32_t sound_age_ms; /* since then */
+  uint32_t depth;        /* its place in prompts */
+  uint32_t n_failed_trials;
+  uint32_t quarantine_ms; /* for this much longer; 0: it is not. Of a part: until its next trial */
   MfSuspectEntryDeath deaths[MF_SUSPECT_DEATHS_MAX];
   uint32_t n_deaths;
 } MfSuspectEntry;
--- a/libmangofork/suspect.c
+++ b/libmangofork/suspect.c
@@ -1,30 +1,14 @@
-#include "suspect.h"
-
-#include "table.h"
+#include "suspect_row.h"
 
 #include <stdlib.h>
 
 /* Entries expire this long after their last update. */
 #define ENTRY_LIFE_US (UINT64_C (600) * MF_US_PER_S)
 #define SUSPECTS_MAX 4096
-/* Failed calls whose upstream may have died, at most. */
-#define FAILURES_MAX 4096
-/* Deaths after which a request is quarantined when no other suspect ran at the last upstream. */
+/* Deaths after which a request is quarantined when no other suspect ran at the last upstream, and
+ * even if others ran at all of them. */
 #define DEATHS_ISOLATED 2
-
-typedef struct
-{
-  MfSuspect suspect;
-  UT_hash_handle hh;
-} Entry;
-
-struct MfSuspects
-{
-  MfSuspectLimits limits;
-  Entry *entries;
-  MfSuspectFailure failures[FAILURES_MAX];
-  uint32_t n_failures;
-};
+#define DEATHS_CERTAIN 3
 
 /* Returns an empty table, or NULL when out of memory. */
 MfSuspects *
@@ -41,82 +25,95 @@
 void
 mf_suspects_free (MfSuspects *suspects)
 {
-  Entry *entry;
-  Entry *next;
+  MfSuspectRow *row;
+  MfSuspectRow *next;
 
   if (suspects == NULL)
     return;
-  HASH_ITER (hh, suspects->entries, entry, next)
+  HASH_ITER (hh, suspects->rows, row, next)
   {
-    HASH_DEL (suspects->entries, entry);
-    free (entry);
+    HASH_DEL (suspects->rows, row);
+    free (row);
   }
   free (suspects);
 }
 
-static Entry *
-entry_find (const MfSuspects *suspects, uint64_t digest)
+static MfSuspectRow *
+row_find (const MfSuspects *suspects, uint64_t digest)
 {
-  Entry *entry;
+  MfSuspectRow *row;
 
-  HASH_FIND (hh, suspects->entries, &digest, sizeof digest, entry);
-  return entry;
+  HASH_FIND (hh, suspects->rows, &digest, sizeof digest, row);
+  return row;
 }
 
 static void
-entry_remove (MfSuspects *suspects, Entry *entry)
+row_remove (MfSuspects *suspects, MfSuspectRow *row)
 {
-  HASH_DEL (suspects->entries, entry);
-  free (entry);
+  HASH_DEL (suspects->rows, row);
+  free (row);
 }
 
-/* Evicts the oldest entry that is not quarantined, or the oldest one when all are. */
+/* Evicts the oldest row that is not quarantined, or the oldest one when all are. */
 static void
-evict_entry (MfSuspects *suspects, uint64_t now_us)
+evict_row (MfSuspects *suspects, uint64_t now_us)
 {
-  Entry *oldest = suspects->entries;
+  MfSuspectRow *oldest = suspects->rows;
 
-  for (Entry *entry = suspects->entries; entry != NULL; entry = entry->hh.next)
+  for (MfSuspectRow *row = suspects->rows; row != NULL; row = row->hh.next)
     {
-      if (entry->suspect.quarantined_until_us > now_us)
+      if (row->suspect.quarantined_until_us > now_us || row->suspect.part.quarantined_us > 0)
         continue;
-      oldest = entry;
+      oldest = row;
       break;
     }
-  entry_remove (suspects, oldest);
+  row_remove (suspects, oldest);
 }
 
-static MfSuspect *
-find_or_add (MfSuspects *suspects, uint64_t digest, uint64_t now_us)
+/* A quarantined part is kept for as long after its next trial. */
+static bool
+row_has_expired (const MfSuspectRow *row, uint64_t now_us)
+{
+  uint64_t from_us = row->suspect.at_us;
+
+  if (row->suspect.kind == MF_SUSPECT_PART && row->suspect.quarantined_until_us > from_us)
+    from_us = row->suspect.quarantined_until_us;
+  return now_us > from_us && now_us - from_us > ENTRY_LIFE_US;
+}
+
+/* Returns the row of a suspect, which is new if there was none or it had expired. */
+MfSuspect *
+mf_suspects_find_or_add (MfSuspects *suspects, uint64_t digest, MfSuspectKind kind, uint64_t now_us)
 {
-  Entry *entry = entry_find (suspects, digest);
+  MfSuspectRow *row = row_find (suspects, digest);
 
-  if (entry != NULL && now_us - entry->suspect.at_us > ENTRY_LIFE_US)
+  if (row != NULL && row_has_expired (row, now_us))
     {
-      entry_remove (suspects, entry);
-      entry = NULL;
+      row_remove (suspects, row);
+      row = NULL;
     }
-  if (entry == NULL)
+  if (row == NULL)
     {
-      if (HASH_COUNT (suspects->entries) >= SUSPECTS_MAX)
-        evict_entry (suspects, now_us);
-      entry = calloc (1, sizeof *entry);
-      if (entry == NULL)
+      if (HASH_COUNT (suspects->rows) >= SUSPECTS_MAX)
+        evict_row (suspects, now_us);
+      row = calloc (1, sizeof *row);
+      if (row == NULL)
         abort ();
-      entry->suspect.digest = digest;
-      HASH_ADD (hh, suspects->entries, suspect.digest, sizeof entry->suspect.digest, entry);
+      row->suspect.digest = digest;
+      row->suspect.kind = kind;
+      HASH_ADD (hh, suspects->rows, suspect.digest, sizeof row->suspect.digest, row);
     }
-  entry->suspect.at_us = now_us;
-  return &entry->suspect;
+  row->suspect.at_us = now_us;
+  return &row->suspect;
 }
 
-/* Returns the entry of a request, or NULL when there is none or it has expired. */
+/* Returns the row of a suspect, or NULL when there is none or it has expired. */
 MfSuspect *
 mf_suspects_find (const MfSuspects *suspects, uint64_t digest, uint64_t now_us)
 {
-  Entry *entry = entry_find (suspects, digest);
+  MfSuspectRow *row = row_find (suspects, digest);
 
-  return entry == NULL || now_us - entry->suspect.at_us > ENTRY_LIFE_US ? NULL : &entry->suspect;
+  return row == NULL || row_has_expired (row, now_us) ? NULL : &row->suspect;
 }
 
 /* Returns whether a request is to be refused at this time. */
@@ -132,10 +129,10 @@
 void
 mf_suspects_foreach (const MfSuspects *suspects, uint64_t now_us, MfSuspectFunc func, void *data)
 {
-  for (const Entry *entry = suspects->entries; entry != NULL; entry = entry->hh.next)
+  for (const MfSuspectRow *row = suspects->rows; row != NULL; row = row->hh.next)
     {
-      if (now_us - entry->suspect.at_us <= ENTRY_LIFE_US && entry->suspect.n_deaths > 0
-          && !func (data, &entry->suspect))
+      if (!row_has_expired (row, now_us) && row->suspect.n_deaths > 0
+          && !func (data, &row->suspect))
         return;
     }
 }
@@ -148,22 +145,22 @@
 
 /* Returns whether the last death of another suspect was of the same process, possibly reported by
  * another instance: then either request may have caused it. Ends the quarantine of the other as
- * well unless it has MF_SUSPECT_DEATHS_MAX deaths. */
+ * well unless it has DEATHS_CERTAIN deaths. */
 static bool
 shares_last_death (MfSuspects *suspects, const MfSuspect *suspect)
 {
   uint64_t process_id = last_death_process (suspect);
   bool shares = false;
 
-  for (Entry *entry = suspects->entries; entry != NULL && process_id != 0; entry = entry->hh.next)
+  for (MfSuspectRow *row = suspects->rows; row != NULL && process_id != 0; row = row->hh.next)
     {
-      MfSuspect *other = &entry->suspect;
+      MfSuspect *other = &row->suspect;
 
-      if (other == suspect || other->n_deaths < DEATHS_ISOLATED
+      if (other == suspect || other->kind != MF_SUSPECT_REQUEST || other->n_deaths < DEATHS_ISOLATED
           || last_death_process (other) != process_id)
         continue;
       shares = true;
-      if (other->n_deaths < MF_SUSPECT_DEATHS_MAX)
+      if (other->n_deaths < DEATHS_CERTAIN)
         other->quarantined_until_us = 0;
     }
   return shares;
@@ -173,10 +170,10 @@
 bool
 mf_suspects_quarantine (MfSuspects *suspects, uint64_t digest, uint64_t until_us, uint64_t now_us)
 {
-  MfSuspect *suspect = find_or_add (suspects, digest, now_us);
+  MfSuspect *suspect = mf_suspects_find_or_add (suspects, digest, MF_SUSPECT_REQUEST, now_us);
   bool is_new = suspect->quarantined_until_us <= now_us;
 
-  if (suspect->n_deaths < MF_SUSPECT_DEATHS_MAX && shares_last_death (suspects, suspect))
+  if (suspect->n_deaths < DEATHS_CERTAIN && shares_last_death (suspects, suspect))
     return false;
   if (until_us > suspect->quarantined_until_us)
     suspect->quarantined_until_us = until_us;
@@ -187,9 +184,9 @@
 void
 mf_suspects_raise_deaths (MfSuspects *suspects, uint64_t digest, uint32_t n_deaths, uint64_t now_us)
 {
-  MfSuspect *suspect = find_or_add (suspects, digest, now_us);
+  MfSuspect *suspect = mf_suspects_find_or_add (suspects, digest, MF_SUSPECT_REQUEST, now_us);
 
-  while (suspect->n_deaths < n_deaths && suspect->n_deaths < MF_SUSPECT_DEATHS_MAX)
+  while (suspect->n_deaths < n_deaths && suspect->n_deaths < DEATHS_CERTAIN)
     suspect->deaths[suspect->n_deaths++] = (MfSuspectDeath){ .at_us = now_us };
 }
 
@@ -212,33 +209,32 @@
 mf_suspects_add_death (MfSuspects *suspects, uint64_t digest, const MfSuspectDeath *death,
                        bool isolated, uint64_t now_us)
 {
-  MfSuspect *suspect = find_or_add (suspects, digest, now_us);
+  MfSuspect *suspect = mf_suspects_find_or_add (suspects, digest, MF_SUSPECT_REQUEST, now_us);
   uint64_t duration_us;
 
   if (death_is_duplicate (suspect, death))
     return MF_SUSPECT_DUPLICATE;
-  if (suspect->n_deaths < MF_SUSPECT_DEATHS_MAX)
+  if (suspect->n_deaths < DEATHS_CERTAIN)
     suspect->deaths[suspect->n_deaths++] = *death;
-  if (suspect->n_deaths < (isolated ? DEATHS_ISOLATED : MF_SUSPECT_DEATHS_MAX))
+  if (suspect->n_deaths < (isolated ? DEATHS_ISOLATED : DEATHS_CERTAIN))
     return MF_SUSPECT_COUNTED;
-  duration_us = suspect->n_deaths < MF_SUSPECT_DEATHS_MAX
-                    ? suspects->limits.two_deaths_quarantine_us
-                    : suspects->limits.three_deaths_quarantine_us;
+  duration_us = suspect->n_deaths < DEATHS_CERTAIN ? suspects->limits.two_deaths_quarantine_us
+                                                   : suspects->limits.three_deaths_quarantine_us;
   return mf_suspects_quarantine (suspects, digest, now_us + duration_us, now_us)
              ? MF_SUSPECT_QUARANTINED
              : MF_SUSPECT_COUNTED;
 }
 
 /* Removes a request that was answered: its upstreams died of another cause. Returns whether it had
- * an entry. */
+ * a row. */
 bool
 mf_suspects_remove (MfSuspects *suspects, uint64_t digest)
 {
-  Entry *entry = entry_find (suspects, digest);
+  MfSuspectRow *row = row_find (suspects, digest);
 
-  if (entry == NULL)
+  if (row == NULL)
     return false;
-  entry_remove (suspects, entry);
+  row_remove (suspects, row);
   return true;
 }
 
@@ -253,7 +249,7 @@
           && suspects->failures[i].upstream_id == failure->upstream_id)
         return false;
     }
-  if (suspects->n_failures == FAILURES_MAX)
+  if (suspects->n_failures == MF_SUSPECT_FAILURES_MAX)
     suspects->failures[0] = suspects->failures[--suspects->n_failures];
   suspects->failures[suspects->n_failures++] = *failure;
   return true;
@@ -304,13 +300,19 @@
 
   while (remove_failure (suspects, upstream_id, UINT64_MAX, &failure))
     {
-      MfSuspectDeath death
-          = { .process_id = process_id, .sent_us = failure.sent_us, .at_us = failure.failed_us };
+      MfSuspectDeath death = { .process_id = process_id,
+                               .digest = failure.digest,
+                               .caller = failure.caller,
+                               .sent_us = failure.sent_us,
+                               .at_us = failure.failed_us };
       MfSuspectResult result = MF_SUSPECT_UNRELATED;
 
       if (now_us - failure.failed_us < suspects->limits.crash_window_us)
-        result = mf_suspects_add_death (suspects, failure.digest, &death,
-                                        failure.was_suspect && n_suspects == 1, now_us);
+        {
+          result = mf_suspects_add_death (suspects, failure.digest, &death,
+                                          failure.was_suspect && n_suspects == 1, now_us);
+          mf_suspects_add_part_deaths (suspects, &failure.parts, &death, now_us);
+        }
       func (data, &failure, result);
     }
 }
--- a/libmangofork/suspect.h
+++ b/libmangofork/suspect.h
@@ -1,16 +1,22 @@
 #ifndef MF_SUSPECT_H
 #define MF_SUSPECT_H
 
-#include "types.h"
+#include "part.h"
 
-/* Tracks requests that may crash the upstreams that run them ("poison" requests). A request is
- * identified by a digest that is the same for each of its attempts. A failed call is kept here
- * until it is known whether its upstream died. The caller passes in all times, read from one
- * monotonic clock. */
+/* Tracks requests, and parts of prompts, that may crash the upstreams that run them ("poison"). A
+ * request is identified by a digest that is the same for each of its attempts, a part by its hash.
+ * A failed call is kept here until it is known whether its upstream died. The caller passes in all
+ * times, read from one monotonic clock. */
 typedef struct MfSuspects MfSuspects;
 
-/* Deaths after which a request is quarantined even if other suspects ran at the same upstreams. */
-#define MF_SUSPECT_DEATHS_MAX 3
+/* Deaths kept of one suspect, the latest ones. */
+#define MF_SUSPECT_DEATHS_MAX 8
+
+typedef enum
+{
+  MF_SUSPECT_REQUEST,
+  MF_SUSPECT_PART,
+} MfSuspectKind;
 
 typedef struct
 {
@@ -18,6 +24,7 @@
   uint64_t
       two_deaths_quarantine_us; /* quarantine after two deaths, the last without other suspects */
   uint64_t three_deaths_quarantine_us; /* quarantine after three deaths */
+  uint64_t trial_interval_us;          /* from the quarantine of a part to its first trial */
 } MfSuspectLimits;
 
 /* A call that failed. */
@@ -27,6 +34,8 @@
   uint64_t request_id;   /* identifies the attempt */
   uint64_t upstream_id;  /* that ran it; not 0 */
   uint64_t address_hash; /* of the upstream; 0 when unknown */
+  uint64_t caller;       /* hash of the caller's host */
+  MfParts parts;         /* of the prompt; none once the answer has begun */
   bool was_suspect;      /* the request was already a suspect when it was sent */
   uint64_t sent_us;
   uint64_t failed_us;
@@ -36,18 +45,36 @@
 typedef struct
 {
   uint64_t process_id; /* that died; 0 when another instance reported it */
+  uint64_t digest;     /* of the request; used for parts only, as is the caller */
+  uint64_t caller;
   uint64_t sent_us;
   uint64_t at_us;
 } MfSuspectDeath;
 
+/* What is known of a part only. */
 typedef struct
 {
-  uint64_t digest;
+  uint32_t depth;           /* its place in the prompt */
+  uint64_t sound_us;        /* an upstream was last seen to survive it; 0: never */
+  uint64_t quarantined_us;  /* start of the quarantine, which only a sound answer ends; 0: none */
+  uint64_t only_caller;     /* the quarantine is for this caller only; 0: for all */
+  bool was_quarantined;     /* now or before */
+  bool is_unreported;       /* other instances do not know all deaths; reset by the caller */
+  bool is_recorded;         /* the quarantine has been logged; set by the caller */
+  bool is_own;              /* it was found here, not by a peer; likewise */
+  uint32_t n_failed_trials; /* upstreams that died under it during the quarantine */
+} MfSuspectPart;
+
+typedef struct
+{
+  uint64_t digest; /* hash of the part */
+  MfSuspectKind kind;
   MfSuspectDeath deaths[MF_SUSPECT_DEATHS_MAX]; /* oldest first */
   uint32_t n_deaths;
-  uint32_t n_reported; /* of these, reported to other instances; set by the caller */
-  uint64_t quarantined_until_us;
-  uint64_t at_us; /* last update */
+  uint32_t n_reported;           /* of these, reported to other instances; set by the caller */
+  uint64_t quarantined_until_us; /* of a part: the next trial is due then */
+  uint64_t at_us;                /* last update */
+  MfSuspectPart part;
 } MfSuspect;
 
 /* How a failed call was resolved. */
@@ -59,6 +86,13 @@
   MF_SUSPECT_QUARANTINED, /* the death was counted, and the request is refused from now on */
 } MfSuspectResult;
 
+typedef enum
+{
+  MF_SUSPECT_PART_ALLOWED,
+  MF_SUSPECT_PART_REFUSED,
+  MF_SUSPECT_PART_TRIAL_DUE, /* refused, but one request may show whether it is still deadly */
+} MfSuspectVerdict;
+
 typedef void (*MfSuspectFailureFunc) (void *data, const MfSuspectFailure *failure,
                                       MfSuspectResult result);
 typedef bool (*MfSuspectFunc) (void *data, const MfSuspect *suspect);
@@ -90,4 +124,18 @@
                              uint64_t now_us);
 bool mf_suspects_remove (MfSuspects *suspects, uint64_t digest);
 
+/* suspect_part.c: parts of prompts. */
+MfSuspectResult mf_suspects_add_part_death (MfSuspects *suspects, uint64_t part, uint32_t depth,
+                                            const MfSuspectDeath *death, uint64_t now_us);
+void mf_suspects_add_part_deaths (MfSuspects *suspects, const MfParts *parts,
+                                  const MfSuspectDeath *death, uint64_t now_us);
+bool mf_suspects_note_sound (MfSuspects *suspects, uint64_t part, uint64_t sound_us,
+                             uint64_t now_us);
+MfSuspectVerdict mf_suspects_judge_part (MfSuspects *suspects, uint64_t part, uint64_t caller,
+                                         uint64_t now_us);
+void mf_suspects_start_trial (MfSuspects *suspects, uint64_t part, uint64_t now_us);
+void mf_suspects_merge_quarantine (MfSuspects *suspects, uint64_t part, uint64_t until_us,
+                                   uint32_t n_failed_trials, uint64_t now_us);
+bool mf_suspects_part_is_quarantined (const MfSuspects *suspects, uint64_t part, uint64_t now_us);
+
 #endif
--- /dev/null
+++ b/libmangofork/suspect_part.c
@@ -0,0 +1,345 @@
+#include "suspect_row.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Deaths after which a part is quarantined: when no better suspect died with them and no upstream
+ * had lately survived the part; the same for one that was quarantined before; and in any case. */
+#define DEATHS_SOLE 3
+#define DEATHS_AGAIN 2
+#define DEATHS_ANY 5
+/* A better suspect with as many deaths explains them. */
+#define DEATHS_EXPLAINING 2
+/* An upstream that survived a part within this time before its first death speaks for it. */
+#define SOUND_WINDOW_US (60 * MF_US_PER_S)
+/* Upstreams that lose power together die within this time. */
+#define SAME_MOMENT_US (50 * MF_US_PER_MS)
+/* Each upstream that dies in a trial puts off the next one by this factor. */
+#define TRIAL_BACKOFF 6
+#define TRIAL_INTERVAL_MAX_US (UINT64_C (7200) * MF_US_PER_S)
+
+static MfSoundPart *
+sound_place (MfSuspects *suspects, uint64_t part)
+{
+  return &suspects->sound[part % MF_SUSPECT_SOUND_MAX];
+}
+
+static MfSuspect *
+part_find_or_add (MfSuspects *suspects, uint64_t part, uint32_t depth, uint64_t now_us)
+{
+  const MfSoundPart *sound = sound_place (suspects, part);
+  MfSuspect *suspect = mf_suspects_find_or_add (suspects, part, MF_SUSPECT_PART, now_us);
+
+  if (suspect->part.sound_us == 0 && sound->part == part)
+    suspect->part.sound_us = sound->at_us;
+  if (suspect->n_deaths == 0)
+    suspect->part.depth = depth;
+  return suspect;
+}
+
+static bool
+has_process (const MfSuspect *suspect, uint64_t process_id)
+{
+  for (uint32_t i = 0; i < suspect->n_deaths; i++)
+    {
+      if (suspect->deaths[i].process_id == process_id)
+        return true;
+    }
+  return false;
+}
+
+static void
+remove_death (MfSuspect *suspect, uint32_t index)
+{
+  suspect->n_deaths--;
+  memmove (&suspect->deaths[index], &suspect->deaths[index + 1],
+           (suspect->n_deaths - index) * sizeof suspect->deaths[0]);
+}
+
+/* Returns whether a death adds no evidence: it is known already, another try of the same request
+ * has died, which is then a suspect itself, or several upstreams died at one moment. */
+static bool
+death_is_duplicate (const MfSuspect *suspect, const MfSuspectDeath *death)
+{
+  for (uint32_t i = 0; i < suspect->n_deaths; i++)
+    {
+      const MfSuspectDeath *known = &suspect->deaths[i];
+      uint64_t apart_us
+          = known->at_us > death->at_us ? known->at_us - death->at_us : death->at_us - known->at_us;
+
+      if (known->process_id == death->process_id || known->digest == death->digest
+          || apart_us < SAME_MOMENT_US)
+        return true;
+    }
+  return false;
+}
+
+/* Returns whether a quarantined part explains the death of a process. */
+static bool
+is_explained (const MfSuspects *suspects, uint64_t process_id)
+{
+  for (const MfSuspectRow *row = suspects->rows; row != NULL; row = row->hh.next)
+    {
+      if (row->suspect.part.quarantined_us > 0 && has_process (&row->suspect, process_id))
+        return true;
+    }
+  return false;
+}
+
+/* Returns whether part a is more likely deadly than part b by what else is known of them: the one
+ * that upstreams have survived less recently, or the more specific one. */
+static bool
+is_better_suspect (const MfSuspect *a, const MfSuspect *b)
+{
+  if (a->part.sound_us != b->part.sound_us)
+    return a->part.sound_us < b->part.sound_us;
+  return a->part.depth > b->part.depth;
+}
+
+/* Returns the most deaths of any better suspect that died with a process; 0: there is none. */
+static uint32_t
+better_suspect_deaths (const MfSuspects *suspects, const MfSuspect *suspect, uint64_t process_id)
+{
+  uint32_t most = 0;
+
+  for (const MfSuspectRow *row = suspects->rows; row != NULL; row = row->hh.next)
+    {
+      const MfSuspect *other = &row->suspect;
+
+      if (other->kind == MF_SUSPECT_PART && other != suspect && other->n_deaths > most
+          && has_process (other, process_id) && is_better_suspect (other, suspect))
+        most = other->n_deaths;
+    }
+  return most;
+}
+
+static bool
+was_lately_sound (const MfSuspect *suspect)
+{
+  return suspect->part.sound_us > 0
+         && suspect->deaths[0].at_us < suspect->part.sound_us + SOUND_WINDOW_US;
+}
+
+/* Returns whether the deaths of a part suffice to quarantine it. */
+static bool
+is_convicted (const MfSuspects *suspects, const MfSuspect *suspect)
+{
+  uint32_t n_sole = 0;
+  uint32_t n_unexplained = 0;
+
+  if (suspect->n_deaths < DEATHS_AGAIN)
+    return false;
+  for (uint32_t i = 0; i < suspect->n_deaths; i++)
+    {
+      uint32_t n_better = better_suspect_deaths (suspects, suspect, suspect->deaths[i].process_id);
+
+      n_sole += n_better == 0;
+      n_unexplained += n_better < DEATHS_EXPLAINING;
+    }
+  if (suspect->part.was_quarantined)
+    return n_sole >= DEATHS_AGAIN;
+  return n_unexplained >= DEATHS_ANY || (n_sole >= DEATHS_SOLE && !was_lately_sound (suspect));
+}
+
+/* Takes back the deaths of other parts that a quarantined one explains. */
+static void
+withdraw_explained (MfSuspects *suspects, const MfSuspect *suspect)
+{
+  for (MfSuspectRow *row = suspects->rows; row != NULL; row = row->hh.next)
+    {
+      MfSuspect *other = &row->suspect;
+
+      if (other->kind != MF_SUSPECT_PART || other->part.quarantined_us > 0)
+        continue;
+      for (uint32_t i = other->n_deaths; i-- > 0;)
+        {
+          if (has_process (suspect, other->deaths[i].process_id))
+            remove_death (other, i);
+        }
+    }
+}
+
+/* Returns the caller of all deaths; 0: there are several. */
+static uint64_t
+only_caller (const MfSuspect *suspect)
+{
+  for (uint32_t i = 1; i < suspect->n_deaths; i++)
+    {
+      if (suspect->deaths[i].caller != suspect->deaths[0].caller)
+        return 0;
+    }
+  return suspect->n_deaths > 0 ? suspect->deaths[0].caller : 0;
+}
+
+static uint64_t
+trial_interval_us (const MfSuspects *suspects, const MfSuspect *suspect)
+{
+  uint64_t interval_us = suspects->limits.trial_interval_us;
+
+  for (uint32_t i = 0; i < suspect->part.n_failed_trials && interval_us < TRIAL_INTERVAL_MAX_US;
+       i++)
+    interval_us *= TRIAL_BACKOFF;
+  return interval_us < TRIAL_INTERVAL_MAX_US ? interval_us : TRIAL_INTERVAL_MAX_US;
+}
+
+/* Quarantines a part. One that upstreams have lately survived is refused to the only caller under
+ * whose requests they died, as that one may have sent it to make it suspect. */
+static void
+part_quarantine (MfSuspects *suspects, MfSuspect *suspect, uint64_t now_us)
+{
+  suspect->part.quarantined_us = now_us;
+  suspect->part.was_quarantined = true;
+  suspect->part.only_caller = was_lately_sound (suspect) ? only_caller (suspect) : 0;
+  suspect->quarantined_until_us = now_us + trial_interval_us (suspects, suspect);
+  withdraw_explained (suspects, suspect);
+}
+
+/* Counts a death of a part that is quarantined: the next trial is put off if it was one. */
+static void
+note_death_in_quarantine (MfSuspects *suspects, MfSuspect *suspect, const MfSuspectDeath *death,
+                          uint64_t now_us)
+{
+  if (suspect->part.only_caller != death->caller)
+    suspect->part.only_caller = 0;
+  if (death->sent_us > suspect->part.quarantined_us)
+    {
+      suspect->part.n_failed_trials++;
+      suspect->quarantined_until_us = now_us + trial_interval_us (suspects, suspect);
+    }
+  withdraw_explained (suspects, suspect);
+}
+
+/* Counts an upstream that died while it ran a request with a part, at the depth in its prompt. */
+MfSuspectResult
+mf_suspects_add_part_death (MfSuspects *suspects, uint64_t part, uint32_t depth,
+                            const MfSuspectDeath *death, uint64_t now_us)
+{
+  MfSuspect *suspect = part_find_or_add (suspects, part, depth, now_us);
+  bool is_quarantined = suspect->part.quarantined_us > 0;
+
+  if (death->at_us <= suspect->part.sound_us
+      || (is_quarantined
+              ? has_process (suspect, death->process_id)
+              : death_is_duplicate (suspect, death) || is_explained (suspects, death->process_id)))
+    return MF_SUSPECT_DUPLICATE;
+  if (suspect->n_deaths == MF_SUSPECT_DEATHS_MAX)
+    remove_death (suspect, 0);
+  suspect->deaths[suspect->n_deaths++] = *death;
+  suspect->part.is_unreported = true;
+  if (is_quarantined)
+    {
+      note_death_in_quarantine (suspects, suspect, death, now_us);
+      return MF_SUSPECT_COUNTED;
+    }
+  if (!is_convicted (suspects, suspect))
+    return MF_SUSPECT_COUNTED;
+  part_quarantine (suspects, suspect, now_us);
+  return MF_SUSPECT_QUARANTINED;
+}
+
+/* Counts an upstream that died while it ran a request with these parts. The better suspects come
+ * first, as they may explain the death. */
+void
+mf_suspects_add_part_deaths (MfSuspects *suspects, const MfParts *parts,
+                             const MfSuspectDeath *death, uint64_t now_us)
+{
+  bool done[MF_PARTS_MAX] = { false };
+
+  for (uint32_t n = 0; n < parts->n_parts; n++)
+    {
+      const MfSuspect *best = NULL;
+      uint32_t best_depth = 0;
+
+      for (uint32_t i = 0; i < parts->n_parts; i++)
+        {
+          const MfSuspect *suspect;
+
+          if (done[i])
+            continue;
+          suspect = part_find_or_add (suspects, parts->hashes[i], i, now_us);
+          if (best != NULL && !is_better_suspect (suspect, best))
+            continue;
+          best = suspect;
+          best_depth = i;
+        }
+      done[best_depth] = true;
+      mf_suspects_add_part_death (suspects, parts->hashes[best_depth], best_depth, death, now_us);
+    }
+}
+
+/* Records that an upstream has begun an answer to a request with the part, at a time, and survived:
+ * earlier deaths had another cause. Returns whether other instances may have to know. */
+bool
+mf_suspects_note_sound (MfSuspects *suspects, uint64_t part, uint64_t sound_us, uint64_t now_us)
+{
+  MfSoundPart *sound = sound_place (suspects, part);
+  MfSuspect *suspect = mf_suspects_find (suspects, part, now_us);
+  bool was_serious;
+
+  if (sound->part != part || sound->at_us < sound_us)
+    *sound = (MfSoundPart){ .part = part, .at_us = sound_us };
+  if (suspect == NULL || suspect->part.sound_us >= sound_us)
+    return false;
+  was_serious = suspect->n_deaths >= DEATHS_AGAIN || suspect->part.quarantined_us > 0;
+  suspect->part.sound_us = sound_us;
+  for (uint32_t i = suspect->n_deaths; i-- > 0;)
+    {
+      if (suspect->deaths[i].at_us <= sound_us)
+        remove_death (suspect, i);
+    }
+  if (suspect->n_deaths >= DEATHS_AGAIN)
+    return false;
+  suspect->part.quarantined_us = 0;
+  suspect->part.is_recorded = false;
+  suspect->part.n_failed_trials = 0;
+  suspect->quarantined_until_us = 0;
+  return was_serious;
+}
+
+/* Returns whether requests with the part are refused. */
+bool
+mf_suspects_part_is_quarantined (const MfSuspects *suspects, uint64_t part, uint64_t now_us)
+{
+  const MfSuspect *suspect = mf_suspects_find (suspects, part, now_us);
+
+  return suspect != NULL && suspect->part.quarantined_us > 0;
+}
+
+/* Decides about a caller's request with the part. Being asked for keeps a quarantine in force. */
+MfSuspectVerdict
+mf_suspects_judge_part (MfSuspects *suspects, uint64_t part, uint64_t caller, uint64_t now_us)
+{
+  MfSuspect *suspect = mf_suspects_find (suspects, part, now_us);
+
+  if (suspect == NULL || suspect->part.quarantined_us == 0
+      || (suspect->part.only_caller != 0 && suspect->part.only_caller != caller))
+    return MF_SUSPECT_PART_ALLOWED;
+  suspect->at_us = now_us;
+  return suspect->quarantined_until_us <= now_us ? MF_SUSPECT_PART_TRIAL_DUE
+                                                 : MF_SUSPECT_PART_REFUSED;
+}
+
+/* Puts off the next trial, as one begins. */
+void
+mf_suspects_start_trial (MfSuspects *suspects, uint64_t part, uint64_t now_us)
+{
+  MfSuspect *suspect = mf_suspects_find (suspects, part, now_us);
+
+  if (suspect != NULL)
+    suspect->quarantined_until_us = now_us + trial_interval_us (suspects, suspect);
+}
+
+/* Merges what another instance says of the quarantine of a part that is quarantined here, too. */
+void
+mf_suspects_merge_quarantine (MfSuspects *suspects, uint64_t part, uint64_t until_us,
+                              uint32_t n_failed_trials, uint64_t now_us)
+{
+  MfSuspect *suspect = mf_suspects_find (suspects, part, now_us);
+
+  if (suspect == NULL || suspect->part.quarantined_us == 0)
+    return;
+  if (until_us > suspect->quarantined_until_us)
+    suspect->quarantined_until_us = until_us;
+  if (n_failed_trials > suspect->part.n_failed_trials)
+    suspect->part.n_failed_trials = n_failed_trials;
+}
--- /dev/null
+++ b/libmangofork/suspect_row.h
@@ -0,0 +1,37 @@
+#ifndef MF_SUSPECT_ROW_H
+#define MF_SUSPECT_ROW_H
+
+#include "suspect.h"
+#include "table.h"
+
+/* Failed calls whose upstream may have died, at most. */
+#define MF_SUSPECT_FAILURES_MAX 4096
+/* Parts whose last sound use is remembered; a part replaces the one that has its place. */
+#define MF_SUSPECT_SOUND_MAX 2048
+
+/* Used only by suspect*.c. */
+typedef struct
+{
+  MfSuspect suspect;
+  UT_hash_handle hh;
+} MfSuspectRow;
+
+typedef struct
+{
+  uint64_t part;
+  uint64_t at_us;
+} MfSoundPart;
+
+struct MfSuspects
+{
+  MfSuspectLimits limits;
+  MfSuspectRow *rows;
+  MfSuspectFailure failures[MF_SUSPECT_FAILURES_MAX];
+  uint32_t n_failures;
+  MfSoundPart sound[MF_SUSPECT_SOUND_MAX];
+};
+
+MfSuspect *mf_suspects_find_or_add (MfSuspects *suspects, uint64_t digest, MfSuspectKind kind,
+                                    uint64_t now_us);
+
+#endif
--- a/tests/soak/soak_upstream.c
+++ b/tests/soak/soak_upstream.c
@@ -455,6 +455,8 @@
       return;
     }
   deadly = upstream->down_s > 0. ? ledger_count_deadly_part (upstream->ledger, text, id) : NULL;
+  if (upstream->mode == SOAK_UNRESPONSIVE)
+    return;
   if (upstream->role == MF_ROLE_PREFILL)
     {
       run_start (run, 0.005);
@@ -468,8 +470,6 @@
       ev_timer_start (upstream->loop, &run->timer);
       return;
     }
-  if (upstream->mode == SOAK_UNRESPONSIVE)
-    return;
   if (draw (upstream, 100) < MISBEHAVING_PERCENT && run_misbehave (upstream, run))
     return;
   ledger_add (upstream->ledger, id);
--- a/tests/test_job_suspect.c
+++ b/tests/test_job_suspect.c
@@ -501,6 +501,114 @@
   crash_fixture_teardown (&fixture);
 }
 
+/* Has a part quarantined at all instances. */
+static void
+quarantine_part (CrashFixture *fixture)
+{
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      prompt (fixture, i, "/llm/1", SOAK_DEADLY_PART "0");
+      loop_spin (fixture->fleet.loop, 150);
+    }
+  assert_int_equal (soak_ledger_deadly_part (fixture->ledger, 0).n_crashes, 3);
+  assert_int_equal (prompt (fixture, 4, "/llm/1", SOAK_DEADLY_PART "0"), 503);
+}
+
+static void
+test_restarted_instance_receives_quarantined_parts (void **state)
+{
+  CrashFixture fixture;
+
+  (void)state;
+  crash_fixture_setup (&fixture);
+  quarantine_part (&fixture);
+  for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
+    {
+      relay_fleet_restart (&fixture.fleet, i);
+      for (uint32_t index = 0; index < N_UPSTREAMS; index++)
+        instance_list_upstream (&fixture, i, index);
+      relay_fleet_wait_connected (&fixture.fleet);
+      loop_spin (fixture.fleet.loop, 50);
+      assert_int_equal (prompt (&fixture, i, "/llm/1", SOAK_DEADLY_PART "0"), 503);
+      assert_int_equal (prompt (&fixture, i, "/llm/1", NULL), 200);
+    }
+  assert_int_equal (soak_ledger_deadly_part (fixture.ledger, 0).n_crashes, 3);
+  crash_fixture_teardown (&fixture);
+}
+
+/* Lets the trial of the part be due at all instances. */
+static void
+trial_due (CrashFixture *fixture)
+{
+  static const char text[] = SOAK_DEADLY_PART "0,own";
+  MfParts parts;
+
+  mf_parts_read (&parts, text, strlen (text));
+  for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
+    mf_suspects_find (fixture->fleet.instances[i].jobs.suspects, parts.hashes[0],
+                      mf_clock_now_us ())
+        ->quarantined_until_us
+        = mf_clock_now_us ();
+}
+
+/* One request of all instances shows whether the part is still deadly. */
+static void
+test_quarantined_part_is_tried_by_one_request (void **state)
+{
+  CrashFixture fixture;
+  uint32_t n_served = 0;
+
+  (void)state;
+  crash_fixture_setup (&fixture);
+  quarantine_part (&fixture);
+  trial_due (&fixture);
+  for (uint32_t i = 0; i < 3 * RELAY_FLEET_N_INSTANCES; i++)
+    {
+      prompt (&fixture, i % RELAY_FLEET_N_INSTANCES, "/once/1", SOAK_DEADLY_PART "0");
+      loop_spin (fixture.fleet.loop, 20);
+    }
+  assert_int_equal (soak_ledger_deadly_part (fixture.ledger, 0).n_crashes, 4);
+  for (uint32_t index = 0; index < N_UPSTREAMS; index++)
+    soak_upstream_enable_crashes (fixture.upstreams[index], 0., on_down_changed, &fixture);
+  loop_spin (fixture.fleet.loop, 150);
+  trial_due (&fixture);
+  for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
+    {
+      n_served += prompt (&fixture, i, "/once/1", SOAK_DEADLY_PART "0") == 200;
+      loop_spin (fixture.fleet.loop, 20);
+    }
+  assert_in_range (n_served, 1, RELAY_FLEET_N_INSTANCES);
+  for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
+    assert_int_equal (prompt (&fixture, i, "/once/1", SOAK_DEADLY_PART "0"), 200);
+  crash_fixture_teardown (&fixture);
+}
+
+/* Requests whose prompts are being read when a part is found out are not sent on. */
+static void
+test_quarantine_ends_requests_in_progress (void **state)
+{
+  CrashFixture fixture;
+  int fds[RELAY_FLEET_N_INSTANCES];
+
+  (void)state;
+  crash_fixture_setup (&fixture);
+  for (uint32_t index = 3; index < 5; index++)
+    soak_upstream_set_mode (fixture.upstreams[index], SOAK_UNRESPONSIVE);
+  for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
+    fds[i] = start_prompt (&fixture, i, "/llm/1", SOAK_DEADLY_PART "0");
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      prompt (&fixture, i, "/order/1", SOAK_DEADLY_PART "0");
+      loop_spin (fixture.fleet.loop, 60);
+    }
+  for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
+    assert_null (fixture.fleet.instances[i].jobs.first);
+  for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
+    assert_int_equal (finish_call (&fixture, fds[i]), 503);
+  assert_int_equal (soak_ledger_deadly_part (fixture.ledger, 0).n_crashes, 3);
+  crash_fixture_teardown (&fixture);
+}
+
 int
 main (void)
 {
@@ -515,6 +623,9 @@
     cmocka_unit_test (test_late_entry_of_a_predecessor_is_no_crash),
     cmocka_unit_test (test_resets_quarantine_no_request),
     cmocka_unit_test (test_graceful_exit_is_no_crash),
+    cmocka_unit_test (test_restarted_instance_receives_quarantined_parts),
+    cmocka_unit_test (test_quarantined_part_is_tried_by_one_request),
+    cmocka_unit_test (test_quarantine_ends_requests_in_progress),
     cmocka_unit_test (test_requests_with_a_part_that_crashed_upstreams_are_refused),
   };
 
--- /dev/null
+++ b/tests/test_suspect_part.c
@@ -0,0 +1,237 @@
+#include "libmangofork/suspect.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdlib.h>
+
+#include <cmocka.h>
+
+#define S MF_US_PER_S
+#define FIRST 11 /* part with which all prompts begin */
+#define DEADLY 12
+#define OTHER_DEADLY 13
+#define CALLER 1
+#define OTHER_CALLER 2
+#define TRIAL_INTERVAL_US (30 * S)
+
+static const MfSuspectLimits limits
+    = { .crash_window_us = 10 * S, .trial_interval_us = TRIAL_INTERVAL_US };
+
+/* Counts an upstream that died at a time under a request of its own with FIRST and another part. */
+static void
+dies (MfSuspects *suspects, uint64_t part, uint64_t caller, uint64_t at_us)
+{
+  MfParts parts = { .hashes = { FIRST, part }, .n_parts = 2 };
+  MfSuspectDeath death = { .process_id = at_us,
+                           .digest = at_us,
+                           .caller = caller,
+                           .sent_us = at_us - S / 10,
+                           .at_us = at_us };
+
+  mf_suspects_add_part_deaths (suspects, &parts, &death, at_us);
+}
+
+/* An upstream survives a request with FIRST and another part. Returns whether others may have to
+ * know of the latter. */
+static bool
+survives (MfSuspects *suspects, uint64_t part, uint64_t at_us)
+{
+  mf_suspects_note_sound (suspects, FIRST, at_us, at_us);
+  return mf_suspects_note_sound (suspects, part, at_us, at_us);
+}
+
+static bool
+is_refused (MfSuspects *suspects, uint64_t part, uint64_t caller, uint64_t now_us)
+{
+  return mf_suspects_judge_part (suspects, part, caller, now_us) != MF_SUSPECT_PART_ALLOWED;
+}
+
+static MfSuspects *
+suspects_with_deadly (void)
+{
+  MfSuspects *suspects = mf_suspects_new (&limits);
+
+  for (uint64_t i = 1; i <= 3; i++)
+    dies (suspects, DEADLY, CALLER, i * S);
+  return suspects;
+}
+
+/* The first part, without which none of the requests came, was refused with all that begin with it.
+ */
+static void
+test_deadly_part_is_refused_and_the_first_part_is_not (void **state)
+{
+  MfSuspects *suspects = suspects_with_deadly ();
+
+  (void)state;
+  assert_true (is_refused (suspects, DEADLY, OTHER_CALLER, 4 * S));
+  assert_false (is_refused (suspects, FIRST, CALLER, 4 * S));
+  for (uint64_t i = 4; i <= 12; i++)
+    dies (suspects, DEADLY, CALLER, i * S);
+  assert_false (is_refused (suspects, FIRST, CALLER, 13 * S));
+  mf_suspects_free (suspects);
+}
+
+static void
+test_tries_of_one_request_and_deaths_of_one_moment_count_once (void **state)
+{
+  MfSuspects *suspects = mf_suspects_new (&limits);
+  MfParts parts = { .hashes = { DEADLY }, .n_parts = 1 };
+
+  (void)state;
+  for (uint64_t i = 1; i <= 9; i++)
+    {
+      MfSuspectDeath try = { .process_id = i, .digest = 5, .at_us = i * S };
+      MfSuspectDeath moment = { .process_id = i, .digest = 10 + i, .at_us = 9 * S + i };
+
+      mf_suspects_add_part_deaths (suspects, &parts, &try, i * S);
+      mf_suspects_add_part_deaths (suspects, &parts, &moment, 10 * S);
+    }
+  assert_false (is_refused (suspects, DEADLY, CALLER, 11 * S));
+  mf_suspects_free (suspects);
+}
+
+static void
+test_part_that_upstreams_survive_between_deaths_is_not_refused (void **state)
+{
+  MfSuspects *suspects = mf_suspects_new (&limits);
+
+  (void)state;
+  for (uint64_t i = 1; i <= 20; i++)
+    {
+      dies (suspects, DEADLY, CALLER, i * S);
+      if (i % 2 == 0)
+        survives (suspects, DEADLY, i * S + S / 2);
+    }
+  assert_false (is_refused (suspects, DEADLY, CALLER, 21 * S));
+  mf_suspects_free (suspects);
+}
+
+/* Several deadly parts take turns, and nothing is answered meanwhile. */
+static void
+test_deadly_parts_at_once_do_not_convict_the_first_part (void **state)
+{
+  (void)state;
+  for (uint64_t n_parts = 2; n_parts <= 4; n_parts++)
+    {
+      MfSuspects *suspects = mf_suspects_new (&limits);
+
+      for (uint64_t i = 1; i <= 5 * n_parts; i++)
+        dies (suspects, DEADLY + i % n_parts, CALLER, i * S / 4);
+      for (uint64_t i = 0; i < n_parts; i++)
+        assert_true (is_refused (suspects, DEADLY + i, CALLER, 10 * S));
+      assert_false (is_refused (suspects, FIRST, CALLER, 10 * S));
+      mf_suspects_free (suspects);
+    }
+}
+
+/* No two of the requests have another part in common. */
+static void
+test_deadly_first_part_is_refused_after_five_deaths (void **state)
+{
+  MfSuspects *suspects = mf_suspects_new (&limits);
+
+  (void)state;
+  mf_suspects_note_sound (suspects, FIRST, S / 2, S / 2);
+  for (uint64_t i = 1; i <= 5; i++)
+    {
+      assert_false (is_refused (suspects, FIRST, CALLER, i * S - 1));
+      dies (suspects, 100 + i, CALLER, i * S);
+    }
+  assert_true (is_refused (suspects, FIRST, CALLER, 6 * S));
+  assert_false (is_refused (suspects, 101, CALLER, 6 * S));
+  mf_suspects_free (suspects);
+}
+
+/* A caller cannot have a part refused that others use. */
+static void
+test_part_that_others_use_is_refused_to_the_only_caller_it_fails (void **state)
+{
+  MfSuspects *suspects = mf_suspects_new (&limits);
+
+  (void)state;
+  survives (suspects, DEADLY, S / 2);
+  for (uint64_t i = 1; i <= 6; i++)
+    dies (suspects, DEADLY, CALLER, i * S);
+  assert_true (is_refused (suspects, DEADLY, CALLER, 7 * S));
+  assert_false (is_refused (suspects, DEADLY, OTHER_CALLER, 7 * S));
+  dies (suspects, DEADLY, OTHER_CALLER, 8 * S);
+  assert_true (is_refused (suspects, DEADLY, OTHER_CALLER, 9 * S));
+  mf_suspects_free (suspects);
+}
+
+static void
+test_trials_come_less_often_until_one_is_survived (void **state)
+{
+  MfSuspects *suspects = suspects_with_deadly ();
+  uint64_t now_us = 3 * S;
+  uint64_t interval_us = TRIAL_INTERVAL_US;
+
+  (void)state;
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      assert_int_equal (mf_suspects_judge_part (suspects, DEADLY, CALLER, now_us + interval_us - 1),
+                        MF_SUSPECT_PART_REFUSED);
+      now_us += interval_us;
+      assert_int_equal (mf_suspects_judge_part (suspects, DEADLY, CALLER, now_us),
+                        MF_SUSPECT_PART_TRIAL_DUE);
+      mf_suspects_start_trial (suspects, DEADLY, now_us);
+      assert_int_equal (mf_suspects_judge_part (suspects, DEADLY, CALLER, now_us),
+                        MF_SUSPECT_PART_REFUSED);
+      dies (suspects, DEADLY, CALLER, now_us + S);
+      now_us += S;
+      interval_us *= 6;
+    }
+  assert_true (survives (suspects, DEADLY, now_us + S));
+  assert_false (is_refused (suspects, DEADLY, CALLER, now_us + S));
+  /* One that was deadly before needs less evidence. */
+  dies (suspects, DEADLY, CALLER, now_us + 2 * S);
+  assert_false (is_refused (suspects, DEADLY, CALLER, now_us + 2 * S));
+  dies (suspects, DEADLY, CALLER, now_us + 3 * S);
+  assert_true (is_refused (suspects, DEADLY, CALLER, now_us + 3 * S));
+  mf_suspects_free (suspects);
+}
+
+static void
+test_quarantine_ends_when_nobody_asks_for_the_part (void **state)
+{
+  MfSuspects *suspects = suspects_with_deadly ();
+
+  (void)state;
+  assert_true (is_refused (suspects, DEADLY, CALLER, 500 * S));
+  assert_true (is_refused (suspects, DEADLY, CALLER, 1000 * S));
+  assert_false (is_refused (suspects, DEADLY, CALLER, 1700 * S));
+  mf_suspects_free (suspects);
+}
+
+static void
+test_invented_parts_do_not_displace_a_quarantine (void **state)
+{
+  MfSuspects *suspects = suspects_with_deadly ();
+
+  (void)state;
+  for (uint64_t part = 100; part < 20000; part++)
+    dies (suspects, part, CALLER, 4 * S + part);
+  assert_true (is_refused (suspects, DEADLY, CALLER, 6 * S));
+  assert_null (mf_suspects_find (suspects, 100, 6 * S));
+  mf_suspects_free (suspects);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_deadly_part_is_refused_and_the_first_part_is_not),
+    cmocka_unit_test (test_tries_of_one_request_and_deaths_of_one_moment_count_once),
+    cmocka_unit_test (test_part_that_upstreams_survive_between_deaths_is_not_refused),
+    cmocka_unit_test (test_deadly_parts_at_once_do_not_convict_the_first_part),
+    cmocka_unit_test (test_deadly_first_part_is_refused_after_five_deaths),
+    cmocka_unit_test (test_part_that_others_use_is_refused_to_the_only_caller_it_fails),
+    cmocka_unit_test (test_trials_come_less_often_until_one_is_survived),
+    cmocka_unit_test (test_quarantine_ends_when_nobody_asks_for_the_part),
+    cmocka_unit_test (test_invented_parts_do_not_displace_a_quarantine),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
