Reports of requests without a suspect record nothing

The linter sees a suspect that may be missing where a quarantine is recorded; it cannot be, as a quarantined request has one, but the order of the checks did not say so.

--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -308,7 +308,9 @@
     mf_suspects_quarantine (jobs->suspects, entry->digest,
                             now_us + entry->quarantine_ms * MF_US_PER_MS, now_us);
   suspect = mf_suspects_find (jobs->suspects, entry->digest, now_us);
-  if (suspect != NULL && suspect->n_reported < entry->n_deaths)
+  if (suspect == NULL)
+    return;
+  if (suspect->n_reported < entry->n_deaths)
     suspect->n_reported = entry->n_deaths;
   if (!was_quarantined && mf_suspects_is_quarantined (jobs->suspects, entry->digest, now_us))
     record_quarantine (jobs, suspect, "peer");
