Parts that die together are told apart by what upstreams have survived

Deaths that no better suspect explains need not lie apart any more. - Two instances heard of the deaths of two deadly parts in another order; each took the other part for the explanation, and one went on to send. The first trial of a part comes after 3 s, and an instance that knows a part as sound says so.

--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -13,9 +13,9 @@
  * wait no longer than this anyway. */
 #define TWO_DEATHS_QUARANTINE_US (30 * MF_US_PER_S)
 #define THREE_DEATHS_QUARANTINE_US (600 * MF_US_PER_S)
-/* A part is deadly for all its requests, so few of them are worth an upstream to find out whether
- * it still is. */
-#define TRIAL_INTERVAL_US (30 * MF_US_PER_S)
+/* An innocent part is free again after this time. The next trials come later and later, as a deadly
+ * one costs an upstream each time. */
+#define TRIAL_INTERVAL_US (3 * MF_US_PER_S)
 /* A suspect request is retried only once it is known whether the last upstream crashed too, or
  * after this time: a few round trips, or the time a connection may take. */
 #define PROBE_TIMEOUT_US (300 * MF_US_PER_MS)
@@ -349,6 +349,22 @@
     part_send (jobs, TO_ALL, suspect, true, now_us);
 }
 
+static MfSuspect
+entry_read (const MfSuspectEntry *entry, uint64_t now_us)
+{
+  MfSuspect suspect = {
+    .digest = entry->digest,
+    .kind = entry->kind,
+    .quarantined_until_us = now_us + entry->quarantine_ms * MF_US_PER_MS,
+    .n_deaths = entry->n_deaths,
+    .part = { .depth = entry->depth, .n_failed_trials = entry->n_failed_trials },
+  };
+
+  for (uint32_t i = 0; i < entry->n_deaths; i++)
+    suspect.deaths[i] = death_read (&entry->deaths[i], now_us);
+  return suspect;
+}
+
 /* Each instance judges by all deaths that it knows of. One that knows better than the sender, as
  * upstreams have survived the part since, or as it has seen more of them die, replies. */
 static void
@@ -356,28 +372,23 @@
 {
   MfSuspects *suspects = jobs->suspects;
   bool was_quarantined = mf_suspects_part_is_quarantined (suspects, entry->digest, now_us);
+  MfSuspect reported = entry_read (entry, now_us);
   MfSuspect *suspect;
 
   if (entry->was_sound)
     part_note_sound (jobs, entry->digest, time_us (entry->sound_age_ms, now_us), false, now_us);
-  for (uint32_t i = 0; i < entry->n_deaths; i++)
-    {
-      MfSuspectDeath death = death_read (&entry->deaths[i], now_us);
-
-      mf_suspects_add_part_death (suspects, entry->digest, entry->depth, &death, now_us);
-    }
+  for (uint32_t i = 0; i < reported.n_deaths; i++)
+    mf_suspects_add_part_death (suspects, entry->digest, entry->depth, &reported.deaths[i], now_us);
+  if (entry->quarantined)
+    mf_suspects_adopt_quarantine (suspects, &reported, now_us);
   suspect = mf_suspects_find (suspects, entry->digest, now_us);
   if (suspect == NULL)
     return;
   suspect->part.is_unreported = false;
   part_record (jobs, suspect, false);
-  if (suspect->part.quarantined_us > 0 && entry->quarantined)
-    mf_suspects_merge_quarantine (suspects, entry->digest,
-                                  now_us + entry->quarantine_ms * MF_US_PER_MS,
-                                  entry->n_failed_trials, now_us);
-  else if (suspect->part.quarantined_us > 0 && was_quarantined && !entry->cleared)
+  if (suspect->part.quarantined_us > 0 && was_quarantined && !entry->quarantined && !entry->cleared)
     part_send (jobs, peer, suspect, false, now_us);
-  else if (suspect->part.quarantined_us == 0 && entry->quarantined && suspect->part.sound_us > 0)
+  else if (suspect->part.quarantined_us == 0 && entry->quarantined)
     part_send (jobs, peer, suspect, true, now_us);
 }
 
--- a/libmangofork/suspect.h
+++ b/libmangofork/suspect.h
@@ -58,7 +58,7 @@
   uint64_t sound_us;        /* an upstream was last seen to survive it; 0: never */
   uint64_t quarantined_us;  /* start of the quarantine, which only a sound answer ends; 0: none */
   uint64_t only_caller;     /* the quarantine is for this caller only; 0: for all */
-  bool was_quarantined;     /* now or before */
+  uint32_t n_quarantines;   /* ever, including the present one */
   bool is_unreported;       /* other instances do not know all deaths; reset by the caller */
   bool is_recorded;         /* the quarantine has been logged; set by the caller */
   bool is_own;              /* it was found here, not by a peer; likewise */
@@ -134,8 +134,8 @@
 MfSuspectVerdict mf_suspects_judge_part (MfSuspects *suspects, uint64_t part, uint64_t caller,
                                          uint64_t now_us);
 void mf_suspects_start_trial (MfSuspects *suspects, uint64_t part, uint64_t now_us);
-void mf_suspects_merge_quarantine (MfSuspects *suspects, uint64_t part, uint64_t until_us,
-                                   uint32_t n_failed_trials, uint64_t now_us);
+void mf_suspects_adopt_quarantine (MfSuspects *suspects, const MfSuspect *reported,
+                                   uint64_t now_us);
 bool mf_suspects_part_is_quarantined (const MfSuspects *suspects, uint64_t part, uint64_t now_us);
 
 #endif
--- a/libmangofork/suspect_part.c
+++ b/libmangofork/suspect_part.c
@@ -13,7 +13,7 @@
 /* An upstream that survived a part within this time before its first death speaks for it. */
 #define SOUND_WINDOW_US (60 * MF_US_PER_S)
 /* Upstreams that lose power together die within this time. */
-#define SAME_MOMENT_US (50 * MF_US_PER_MS)
+#define SAME_MOMENT_US (250 * MF_US_PER_MS)
 /* Each upstream that dies in a trial puts off the next one by this factor. */
 #define TRIAL_BACKOFF 6
 #define TRIAL_INTERVAL_MAX_US (UINT64_C (7200) * MF_US_PER_S)
@@ -56,31 +56,16 @@
            (suspect->n_deaths - index) * sizeof suspect->deaths[0]);
 }
 
-/* Returns whether a death adds no evidence: it is known already, another try of the same request
- * has died, which is then a suspect itself, or several upstreams died at one moment. */
+/* Returns whether a death adds no evidence: it is known already, or another try of the same request
+ * has died, which is then a suspect itself. */
 static bool
 death_is_duplicate (const MfSuspect *suspect, const MfSuspectDeath *death)
 {
   for (uint32_t i = 0; i < suspect->n_deaths; i++)
     {
       const MfSuspectDeath *known = &suspect->deaths[i];
-      uint64_t apart_us
-          = known->at_us > death->at_us ? known->at_us - death->at_us : death->at_us - known->at_us;
 
-      if (known->process_id == death->process_id || known->digest == death->digest
-          || apart_us < SAME_MOMENT_US)
-        return true;
-    }
-  return false;
-}
-
-/* Returns whether a quarantined part explains the death of a process. */
-static bool
-is_explained (const MfSuspects *suspects, uint64_t process_id)
-{
-  for (const MfSuspectRow *row = suspects->rows; row != NULL; row = row->hh.next)
-    {
-      if (row->suspect.part.quarantined_us > 0 && has_process (&row->suspect, process_id))
+      if (known->process_id == death->process_id || known->digest == death->digest)
         return true;
     }
   return false;
@@ -96,6 +81,19 @@
   return a->part.depth > b->part.depth;
 }
 
+/* Returns whether a quarantined part that is a better suspect explains the death of a process. */
+static bool
+is_explained (const MfSuspects *suspects, const MfSuspect *suspect, uint64_t process_id)
+{
+  for (const MfSuspectRow *row = suspects->rows; row != NULL; row = row->hh.next)
+    {
+      if (row->suspect.part.quarantined_us > 0 && has_process (&row->suspect, process_id)
+          && is_better_suspect (&row->suspect, suspect))
+        return true;
+    }
+  return false;
+}
+
 /* Returns the most deaths of any better suspect that died with a process; 0: there is none. */
 static uint32_t
 better_suspect_deaths (const MfSuspects *suspects, const MfSuspect *suspect, uint64_t process_id)
@@ -120,28 +118,51 @@
          && suspect->deaths[0].at_us < suspect->part.sound_us + SOUND_WINDOW_US;
 }
 
-/* Returns whether the deaths of a part suffice to quarantine it. */
+/* Returns the number of moments at which upstreams died, of those deaths for which n_better is at
+ * most a number: all upstreams that lose power together count once. */
+static uint32_t
+count_moments (const MfSuspect *suspect, const uint32_t *n_better, uint32_t n_better_max)
+{
+  uint64_t counted_us[MF_SUSPECT_DEATHS_MAX];
+  uint32_t n_counted = 0;
+
+  for (uint32_t i = 0; i < suspect->n_deaths; i++)
+    {
+      uint64_t at_us = suspect->deaths[i].at_us;
+      bool is_new = n_better[i] <= n_better_max;
+
+      for (uint32_t j = 0; j < n_counted; j++)
+        is_new = is_new
+                 && (at_us > counted_us[j] ? at_us - counted_us[j] : counted_us[j] - at_us)
+                        >= SAME_MOMENT_US;
+      if (is_new)
+        counted_us[n_counted++] = at_us;
+    }
+  return n_counted;
+}
+
+/* Returns whether the deaths of a part suffice to quarantine it. Those that nothing else explains
+ * need not lie apart: upstreams that lose power together seldom run the same rare part. */
 static bool
 is_convicted (const MfSuspects *suspects, const MfSuspect *suspect)
 {
+  uint32_t n_better[MF_SUSPECT_DEATHS_MAX];
   uint32_t n_sole = 0;
-  uint32_t n_unexplained = 0;
 
   if (suspect->n_deaths < DEATHS_AGAIN)
     return false;
   for (uint32_t i = 0; i < suspect->n_deaths; i++)
     {
-      uint32_t n_better = better_suspect_deaths (suspects, suspect, suspect->deaths[i].process_id);
-
-      n_sole += n_better == 0;
-      n_unexplained += n_better < DEATHS_EXPLAINING;
+      n_better[i] = better_suspect_deaths (suspects, suspect, suspect->deaths[i].process_id);
+      n_sole += n_better[i] == 0;
     }
-  if (suspect->part.was_quarantined)
-    return n_sole >= DEATHS_AGAIN;
-  return n_unexplained >= DEATHS_ANY || (n_sole >= DEATHS_SOLE && !was_lately_sound (suspect));
+  if (suspect->part.n_quarantines > (suspect->part.quarantined_us > 0))
+    return count_moments (suspect, n_better, 0) >= DEATHS_AGAIN;
+  return count_moments (suspect, n_better, DEATHS_EXPLAINING - 1) >= DEATHS_ANY
+         || (n_sole >= DEATHS_SOLE && !was_lately_sound (suspect));
 }
 
-/* Takes back the deaths of other parts that a quarantined one explains. */
+/* Takes back the deaths of worse suspects that a quarantined part explains. */
 static void
 withdraw_explained (MfSuspects *suspects, const MfSuspect *suspect)
 {
@@ -149,7 +170,8 @@
     {
       MfSuspect *other = &row->suspect;
 
-      if (other->kind != MF_SUSPECT_PART || other->part.quarantined_us > 0)
+      if (other->kind != MF_SUSPECT_PART || other->part.quarantined_us > 0
+          || !is_better_suspect (suspect, other))
         continue;
       for (uint32_t i = other->n_deaths; i-- > 0;)
         {
@@ -188,7 +210,7 @@
 part_quarantine (MfSuspects *suspects, MfSuspect *suspect, uint64_t now_us)
 {
   suspect->part.quarantined_us = now_us;
-  suspect->part.was_quarantined = true;
+  suspect->part.n_quarantines++;
   suspect->part.only_caller = was_lately_sound (suspect) ? only_caller (suspect) : 0;
   suspect->quarantined_until_us = now_us + trial_interval_us (suspects, suspect);
   withdraw_explained (suspects, suspect);
@@ -218,9 +240,9 @@
   bool is_quarantined = suspect->part.quarantined_us > 0;
 
   if (death->at_us <= suspect->part.sound_us
-      || (is_quarantined
-              ? has_process (suspect, death->process_id)
-              : death_is_duplicate (suspect, death) || is_explained (suspects, death->process_id)))
+      || (is_quarantined ? has_process (suspect, death->process_id)
+                         : death_is_duplicate (suspect, death)
+                               || is_explained (suspects, suspect, death->process_id)))
     return MF_SUSPECT_DUPLICATE;
   if (suspect->n_deaths == MF_SUSPECT_DEATHS_MAX)
     remove_death (suspect, 0);
@@ -268,7 +290,8 @@
 }
 
 /* Records that an upstream has begun an answer to a request with the part, at a time, and survived:
- * earlier deaths had another cause. Returns whether other instances may have to know. */
+ * earlier deaths had another cause, and later ones must be more. Returns whether other instances
+ * may have to know. */
 bool
 mf_suspects_note_sound (MfSuspects *suspects, uint64_t part, uint64_t sound_us, uint64_t now_us)
 {
@@ -287,7 +310,8 @@
       if (suspect->deaths[i].at_us <= sound_us)
         remove_death (suspect, i);
     }
-  if (suspect->n_deaths >= DEATHS_AGAIN)
+  if (suspect->part.quarantined_us > 0 ? is_convicted (suspects, suspect)
+                                       : suspect->n_deaths >= DEATHS_AGAIN)
     return false;
   suspect->part.quarantined_us = 0;
   suspect->part.is_recorded = false;
@@ -329,17 +353,42 @@
     suspect->quarantined_until_us = now_us + trial_interval_us (suspects, suspect);
 }
 
-/* Merges what another instance says of the quarantine of a part that is quarantined here, too. */
+/* Returns whether what is known here speaks against a quarantine for the deaths of a part: an
+ * upstream has survived it since one of them, or shortly before, and they are few. */
+static bool
+contradicts (const MfSuspect *suspect)
+{
+  static const uint32_t n_better[MF_SUSPECT_DEATHS_MAX] = { 0 };
+
+  for (uint32_t i = 0; i < suspect->n_deaths; i++)
+    {
+      if (suspect->deaths[i].at_us <= suspect->part.sound_us)
+        return true;
+    }
+  return was_lately_sound (suspect) && count_moments (suspect, n_better, 0) < DEATHS_ANY;
+}
+
+/* Takes over the quarantine of a part from another instance with the deaths that it knows, unless
+ * what is known here contradicts it. Which of two parts explains a death depends on the order in
+ * which instances hear of the deaths, so that they may judge differently. */
 void
-mf_suspects_merge_quarantine (MfSuspects *suspects, uint64_t part, uint64_t until_us,
-                              uint32_t n_failed_trials, uint64_t now_us)
+mf_suspects_adopt_quarantine (MfSuspects *suspects, const MfSuspect *reported, uint64_t now_us)
 {
-  MfSuspect *suspect = mf_suspects_find (suspects, part, now_us);
+  MfSuspect *suspect = part_find_or_add (suspects, reported->digest, reported->part.depth, now_us);
 
-  if (suspect == NULL || suspect->part.quarantined_us == 0)
-    return;
-  if (until_us > suspect->quarantined_until_us)
-    suspect->quarantined_until_us = until_us;
-  if (n_failed_trials > suspect->part.n_failed_trials)
-    suspect->part.n_failed_trials = n_failed_trials;
+  if (suspect->part.quarantined_us == 0)
+    {
+      MfSuspect adopted = *suspect;
+
+      memcpy (adopted.deaths, reported->deaths, sizeof adopted.deaths);
+      adopted.n_deaths = reported->n_deaths;
+      if (adopted.n_deaths == 0 || contradicts (&adopted))
+        return;
+      *suspect = adopted;
+      part_quarantine (suspects, suspect, now_us);
+    }
+  if (reported->quarantined_until_us > suspect->quarantined_until_us)
+    suspect->quarantined_until_us = reported->quarantined_until_us;
+  if (reported->part.n_failed_trials > suspect->part.n_failed_trials)
+    suspect->part.n_failed_trials = reported->part.n_failed_trials;
 }
--- a/tests/test_suspect_part.c
+++ b/tests/test_suspect_part.c
@@ -74,7 +74,7 @@
 }
 
 static void
-test_tries_of_one_request_and_deaths_of_one_moment_count_once (void **state)
+test_tries_of_one_request_count_once (void **state)
 {
   MfSuspects *suspects = mf_suspects_new (&limits);
   MfParts parts = { .hashes = { DEADLY }, .n_parts = 1 };
@@ -82,16 +82,67 @@
   (void)state;
   for (uint64_t i = 1; i <= 9; i++)
     {
-      MfSuspectDeath try = { .process_id = i, .digest = 5, .at_us = i * S };
-      MfSuspectDeath moment = { .process_id = i, .digest = 10 + i, .at_us = 9 * S + i };
+      MfSuspectDeath death = { .process_id = i, .digest = 5, .at_us = i * S };
 
-      mf_suspects_add_part_deaths (suspects, &parts, &try, i * S);
-      mf_suspects_add_part_deaths (suspects, &parts, &moment, 10 * S);
+      mf_suspects_add_part_deaths (suspects, &parts, &death, i * S);
     }
   assert_false (is_refused (suspects, DEADLY, CALLER, 11 * S));
   mf_suspects_free (suspects);
 }
 
+/* A rack of upstreams loses power; the first part is common to what they ran. */
+static void
+test_deaths_of_one_moment_do_not_convict_the_first_part (void **state)
+{
+  (void)state;
+  for (uint32_t was_sound = 0; was_sound < 2; was_sound++)
+    {
+      MfSuspects *suspects = mf_suspects_new (&limits);
+
+      if (was_sound > 0)
+        survives (suspects, DEADLY, S / 2);
+      for (uint64_t i = 1; i <= 20; i++)
+        dies (suspects, 100 + i, CALLER, S + i * S / 100);
+      assert_false (is_refused (suspects, FIRST, CALLER, 2 * S));
+      mf_suspects_free (suspects);
+    }
+}
+
+/* Many requests with the part were under way when the first one crashed its upstream. */
+static void
+test_part_that_kills_many_upstreams_at_once_is_refused (void **state)
+{
+  MfSuspects *suspects = mf_suspects_new (&limits);
+
+  (void)state;
+  for (uint64_t i = 1; i <= 3; i++)
+    dies (suspects, DEADLY, CALLER, S + i);
+  assert_true (is_refused (suspects, DEADLY, CALLER, 2 * S));
+  assert_false (is_refused (suspects, FIRST, CALLER, 2 * S));
+  mf_suspects_free (suspects);
+}
+
+/* Two instances hear of the deaths in another order, and the one that judges differently takes over
+ * the quarantine that the other reports, unless it knows that the part was survived since. */
+static void
+test_quarantine_of_another_instance_is_taken_over (void **state)
+{
+  (void)state;
+  for (uint32_t was_sound = 0; was_sound < 2; was_sound++)
+    {
+      MfSuspects *suspects = mf_suspects_new (&limits);
+      MfSuspects *other = suspects_with_deadly ();
+
+      if (was_sound > 0)
+        survives (suspects, DEADLY, 2 * S);
+      dies (suspects, DEADLY, CALLER, S);
+      mf_suspects_adopt_quarantine (suspects, mf_suspects_find (other, DEADLY, 3 * S), 3 * S);
+      assert_int_equal (is_refused (suspects, DEADLY, CALLER, 4 * S), was_sound == 0);
+      mf_suspects_free (suspects);
+      mf_suspects_free (other);
+    }
+}
+
 static void
 test_part_that_upstreams_survive_between_deaths_is_not_refused (void **state)
 {
@@ -223,7 +274,10 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_deadly_part_is_refused_and_the_first_part_is_not),
-    cmocka_unit_test (test_tries_of_one_request_and_deaths_of_one_moment_count_once),
+    cmocka_unit_test (test_tries_of_one_request_count_once),
+    cmocka_unit_test (test_deaths_of_one_moment_do_not_convict_the_first_part),
+    cmocka_unit_test (test_part_that_kills_many_upstreams_at_once_is_refused),
+    cmocka_unit_test (test_quarantine_of_another_instance_is_taken_over),
     cmocka_unit_test (test_part_that_upstreams_survive_between_deaths_is_not_refused),
     cmocka_unit_test (test_deadly_parts_at_once_do_not_convict_the_first_part),
     cmocka_unit_test (test_deadly_first_part_is_refused_after_five_deaths),
