Parts that were quarantined together are tried apart

In a fleet in which no part had been answered yet, nine upstreams crashed within 50 ms and all eight sound parts were quarantined with the deadly ones; their trials came at one moment, ran beside each other and failed together, so that the next came 18 s later. Trials are spread over twice the interval by the hash of the part, and a trial keeps away from upstreams that run suspects.

--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -56,14 +56,15 @@
   return jobs->suspects != NULL;
 }
 
-/* Whether an upstream has crashed, or may have crashed, while running this request. */
+/* Whether an upstream has crashed, or may have crashed, while running this request, or it is the
+ * trial of a part. */
 bool
 mf_job_is_suspect (const MfJob *job)
 {
   const MfSuspect *suspect
       = mf_suspects_find (job->jobs->suspects, job->digest, mf_clock_now_us ());
 
-  return job->n_failures > 0 || (suspect != NULL && suspect->n_deaths > 0);
+  return job->is_trial || job->n_failures > 0 || (suspect != NULL && suspect->n_deaths > 0);
 }
 
 static uint32_t
--- a/libmangofork/suspect_part.c
+++ b/libmangofork/suspect_part.c
@@ -198,6 +198,9 @@
 {
   uint64_t interval_us = suspects->limits.trial_interval_us;
 
+  /* Parts that were quarantined together are not tried together: one may crash the upstream of all.
+   */
+  interval_us += interval_us * (suspect->digest % 1024) / 1024;
   for (uint32_t i = 0; i < suspect->part.n_failed_trials && interval_us < TRIAL_INTERVAL_MAX_US;
        i++)
     interval_us *= TRIAL_BACKOFF;
