--- a/libmangofork/relay/dialect.h
+++ b/libmangofork/relay/dialect.h
@@ -22,6 +22,7 @@
   MF_HEADER_KV_SOURCE,       /* KV of a prefill that a decode continues from */
   MF_HEADER_ENGINE_PRIORITY, /* priority of the request in an engine */
   MF_HEADER_ENGINE_CONTROL,  /* any other header for engines that only a router may send */
+  MF_HEADER_STORE_ERA,       /* in a response of the store: rises when it returns from a backup */
   MF_HEADER_HOST,
   MF_HEADER_CONTENT_LENGTH,
   MF_HEADER_CONTENT_TYPE,
