A position in the store belongs to an era of the store

Cause: the position of a watch, of a list and of a feed was a revision, and revisions are given out again after a restore. A follower took a feed of the new era for known as long as its revisions were below its own, and a watch that asks when they have passed it is told nothing. Class: numbers compared outside the sequence that gives them their order.

The era is kept beside the revision and sent with feeds. The configuration in force stays until the same or a later version is written; one that is numbered as the lost one and has another text replaces it. Entries of upstreams do not go back to a lower sequence or from leaving to ready, those that the copy lacks are kept while they register again, and those that come back with it are held.

--- a/libmangofork/relay/feed.c
+++ b/libmangofork/relay/feed.c
@@ -34,11 +34,12 @@
  * feed that seems older has come from a clock that was reset. */
 #define FEED_TRANSIT_MAX_US (3 * MF_US_PER_S)
 
-/* Begins an empty feed that applies to the state at this revision. */
+/* Begins an empty feed that applies to the state at this revision of an era of the store. */
 void
-mf_feed_begin (MfFeed *feed, uint64_t from_revision)
+mf_feed_begin (MfFeed *feed, uint64_t era, uint64_t from_revision)
 {
   mf_buffer_clear (&feed->values);
+  feed->era = era;
   feed->from_revision = from_revision;
   feed->to_revision = from_revision;
   feed->n_items = 0;
--- a/libmangofork/relay/feed.h
+++ b/libmangofork/relay/feed.h
@@ -25,6 +25,7 @@
  * these items. Times are of the sender's clock, which also runs while its machine is suspended. */
 typedef struct
 {
+  uint64_t era; /* of the store; revisions of different eras cannot be compared */
   uint64_t from_revision;
   uint64_t to_revision;
   uint64_t sent_us;
@@ -35,7 +36,7 @@
   MfBuffer values;
 } MfFeed;
 
-void mf_feed_begin (MfFeed *feed, uint64_t from_revision);
+void mf_feed_begin (MfFeed *feed, uint64_t era, uint64_t from_revision);
 bool mf_feed_add (MfFeed *feed, const char *key, uint64_t revision, bool removed, const char *value,
                   size_t value_bytes);
 void mf_feed_clear (MfFeed *feed);
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -174,6 +174,16 @@
   mf_listener_set_limits (relay->listener, &limits);
 }
 
+/* Whether a configuration replaces the current one. What was lost with an era of the source may be
+ * written again under its old version. */
+static bool
+config_is_newer (const MfRoutes *routes, const MfRoutes *current)
+{
+  return current == NULL || routes->version > current->version
+         || (routes->version == current->version && routes->era > current->era
+             && routes->text_hash != current->text_hash);
+}
+
 /* Called by sources. Applies a configuration unless it is not newer than the current one. Takes
  * ownership of the reference. */
 void
@@ -181,7 +191,7 @@
 {
   uint64_t before = relay->jobs.routes != NULL ? relay->jobs.routes->version : 0;
 
-  if (relay->jobs.routes != NULL && routes->version <= before)
+  if (!config_is_newer (routes, relay->jobs.routes))
     {
       if (routes->version < before)
         mf_relay_log_state (relay->log, "config.older", "version=%llu in_force=%llu",
@@ -229,11 +239,13 @@
                         (unsigned long long)(keep ? (relay->keep_until_us - now_us) / 1000 : 0));
 }
 
-/* Called by sources before they pass on a complete list of upstreams. */
+/* Called by sources before they pass on a complete list of upstreams. is_restored is set when the
+ * list may contain entries that had been removed. */
 void
-mf_relay_list_begin (MfRelay *relay)
+mf_relay_list_begin (MfRelay *relay, bool is_restored)
 {
   mf_targets_begin_list (&relay->jobs.targets);
+  relay->jobs.targets.is_restoring = is_restored;
 }
 
 /* Called by sources after a complete list of upstreams. Removes those that were not in it. */
@@ -248,6 +260,7 @@
       if (!target->listed)
         mf_relay_remove_upstream (relay, target->info.id, "not in the list");
     }
+  relay->jobs.targets.is_restoring = false;
   relay->has_listed = true;
   ready_update (relay);
 }
@@ -271,6 +284,14 @@
   relay->source_seen_us = now_us;
 }
 
+/* Called by sources when their store has returned from an older copy. Upstreams that are missing in
+ * it write their entries again, as after an outage. */
+void
+mf_relay_source_restored (MfRelay *relay)
+{
+  relay->keep_until_us = mf_clock_now_us () + REREGISTRATION_US;
+}
+
 /* Returns whether this instance reads the source for itself, also for others, or receives what
  * others read. */
 MfFeedRole
--- a/libmangofork/relay/relay_message.c
+++ b/libmangofork/relay/relay_message.c
@@ -16,7 +16,7 @@
 #define REJECTED_MEMBERS 3
 #define RETRY_MEMBERS 5
 #define RETRY_REPLY_MEMBERS 3
-#define FEED_MEMBERS 7
+#define FEED_MEMBERS 8
 #define FEED_ITEM_MEMBERS 4
 #define SUSPECTS_MEMBERS 2
 #define SUSPECT_ENTRY_MEMBERS 10
@@ -155,6 +155,7 @@
 
   msgpack_pack_array (packer, FEED_MEMBERS);
   msgpack_pack_uint32 (packer, message->kind);
+  msgpack_pack_uint64 (packer, feed->era);
   msgpack_pack_uint64 (packer, feed->from_revision);
   msgpack_pack_uint64 (packer, feed->to_revision);
   msgpack_pack_uint64 (packer, feed->sent_us);
@@ -454,14 +455,15 @@
 feed_read (const msgpack_object *members, MfRelayMessage *message)
 {
   MfFeed *feed = &message->feed;
-  const msgpack_object *items = &members[6];
-
-  mf_feed_begin (feed, 0);
-  if (!read_number (&members[1], UINT64_MAX, &feed->from_revision)
-      || !read_number (&members[2], UINT64_MAX, &feed->to_revision)
-      || !read_number (&members[3], INT64_MAX, &feed->sent_us)
-      || !read_number (&members[4], INT64_MAX, &feed->as_of_us)
-      || !read_number (&members[5], UINT32_MAX, &feed->keep_us)
+  const msgpack_object *items = &members[7];
+
+  mf_feed_begin (feed, 0, 0);
+  if (!read_number (&members[1], UINT64_MAX, &feed->era)
+      || !read_number (&members[2], UINT64_MAX, &feed->from_revision)
+      || !read_number (&members[3], UINT64_MAX, &feed->to_revision)
+      || !read_number (&members[4], INT64_MAX, &feed->sent_us)
+      || !read_number (&members[5], INT64_MAX, &feed->as_of_us)
+      || !read_number (&members[6], UINT32_MAX, &feed->keep_us)
       || !read_array (items, MF_FEED_ITEMS_MAX))
     return false;
   for (uint32_t i = 0; i < items->via.array.size; i++)
--- a/libmangofork/relay/route.h
+++ b/libmangofork/relay/route.h
@@ -61,6 +61,8 @@
 /* One version of the operators' configuration; shared by the requests that were started with it. */
 typedef struct
 {
+  uint64_t era;       /* of the source that it was read from */
+  uint64_t text_hash; /* of the text that it was read from */
   uint64_t version;
   MfRoute *routes;
   uint32_t n_routes;
--- a/libmangofork/relay/target.c
+++ b/libmangofork/relay/target.c
@@ -32,6 +32,10 @@
  */
 #define CONNECT_TIMEOUT_US (250 * MF_US_PER_MS)
 
+/* Discovery that has returned from a copy drops the entries of processes that do not renew them
+ * within three intervals of their registration and some reserve. */
+#define HELD_US (6 * MF_US_PER_S)
+
 /* A longer pause that an upstream asks for is cut to this. */
 #define PAUSE_MAX_S 300.
 
@@ -214,6 +218,7 @@
         continue;
       *link = dropped->next;
       targets->n_targets--;
+      targets->removed[targets->n_removed++ % MF_TARGETS_REMOVED_MAX] = dropped->process_id;
       /* Discovery may list the same process again. */
       if (dropped->limit.is_limited)
         mf_targets_note_limit (targets, dropped->process_id, &dropped->limit);
@@ -347,6 +352,17 @@
   return false;
 }
 
+static bool
+was_removed (const MfTargets *targets, uint64_t process_id)
+{
+  for (uint32_t i = 0; i < MF_TARGETS_REMOVED_MAX; i++)
+    {
+      if (targets->removed[i] == process_id)
+        return true;
+    }
+  return false;
+}
+
 static MfTarget *
 target_add (MfTargets *targets, const MfTargetInfo *info)
 {
@@ -372,6 +388,8 @@
   target->id_hash = mf_load_hash (info->id);
   target->process_id = process_hash (target->id_hash, info->started_ms);
   target->announced_leaving = has_departed (targets, target);
+  if (targets->is_restoring && was_removed (targets, target->process_id))
+    target->held_until_us = mf_clock_now_us () + HELD_US;
   limit = unlisted_limit (targets, target->process_id);
   if (limit != NULL)
     target->limit = *limit;
@@ -399,6 +417,13 @@
     }
 }
 
+/* Whether an entry of a known process is older than what is known of it. */
+static bool
+entry_is_older (const MfTarget *target, const MfTargetInfo *info)
+{
+  return info->started_ms > 0 && info->sequence < target->info.sequence;
+}
+
 /* Adds an upstream or updates its entry. A process that was restarted or has moved starts with
  * empty statistics. Returns whether anything changed. */
 bool
@@ -428,7 +453,13 @@
     }
   changed = changed || target->info.leaving != info->leaving || target->info.role != info->role
             || target->unlisted_us != 0;
-  target->info = *info;
+  if (!targets->is_restoring)
+    target->held_until_us = 0;
+  if (!entry_is_older (target, info))
+    target->info = *info;
+  /* A process that has begun to leave does not return. */
+  if (target->info.leaving && info->started_ms > 0)
+    mf_target_record_leaving (target);
   target->listed = true;
   target->unlisted_us = 0;
   return changed;
@@ -601,7 +632,8 @@
 bool
 mf_target_accepts (const MfTarget *target, uint64_t now_us)
 {
-  return !mf_target_is_leaving (target) && target->paused_until_us <= now_us;
+  return !mf_target_is_leaving (target) && target->paused_until_us <= now_us
+         && target->held_until_us <= now_us;
 }
 
 /* Records that the process announced that it is about to stop. This outlasts its entry in discovery
--- a/libmangofork/relay/target.h
+++ b/libmangofork/relay/target.h
@@ -20,6 +20,7 @@
   bool leaving;
   uint32_t slots;
   uint64_t started_ms; /* wall-clock time of its start; 0: unknown */
+  uint64_t sequence;   /* does not fall from one entry of a process to the next */
 } MfTargetInfo;
 
 /* Sends to an upstream are counted for this long. */
@@ -86,7 +87,8 @@
   bool replaced;                  /* it is avoided because another process answers at its address */
   uint64_t full_until_us;   /* it declined for lack of capacity; it gets no requests until then */
   uint32_t n_declined;      /* consecutive requests declined without any load */
-  bool announced_leaving;   /* a response announced that it is about to stop */
+  bool announced_leaving;   /* a response, or an entry, announced that it is about to stop */
+  uint64_t held_until_us;   /* its entry may be a removed one, and it is not used until then */
   uint64_t paused_until_us; /* it asked this instance to send no requests until then */
   MfRateNotice limit;       /* requests a second that it takes from all instances together */
   uint64_t rate_ready_us;   /* a request within its limit may be granted from then on */
@@ -126,6 +128,10 @@
  * replaced at one time are smaller than this. */
 #define MF_TARGETS_DEPARTURES_MAX 512
 
+/* Removed processes kept: those that may have been removed between a backup of discovery and its
+ * return, some seconds later. */
+#define MF_TARGETS_REMOVED_MAX 512
+
 /* All known upstreams, in one unordered list. */
 struct MfTargets
 {
@@ -140,6 +146,9 @@
   uint64_t unacked_timeout_us;
   MfDeparture departures[MF_TARGETS_DEPARTURES_MAX]; /* the oldest one is overwritten */
   uint32_t n_departures;                             /* ever recorded */
+  bool is_restoring;                        /* the entries that are added may be removed ones */
+  uint64_t removed[MF_TARGETS_REMOVED_MAX]; /* processes; the oldest is overwritten */
+  uint32_t n_removed;                       /* ever recorded */
   MfUnlistedLimit unlisted_limits[MF_TARGETS_UNLISTED_LIMITS_MAX]; /* the oldest is overwritten */
   uint32_t n_unlisted_limits;                                      /* ever recorded */
 };
--- a/tests/fakes/store.c
+++ b/tests/fakes/store.c
@@ -40,6 +40,12 @@
   Item events[EVENTS_MAX];
   uint32_t n_events;
   uint64_t revision;
+  uint64_t era;
+  uint32_t n_registrations; /* of upstreams, which know their own number */
+  Item saved_items[KEYS_MAX];
+  uint32_t n_saved_items;
+  uint32_t n_saved_events;
+  uint64_t saved_revision;
   uint64_t dropped_revision; /* events up to this revision are no longer available */
   FakeStoreMode mode;
   Watch watches[WATCHES_MAX];
@@ -74,19 +80,23 @@
 }
 
 static void
-answer_json (FakeConn *conn, unsigned status, const MfBuffer *body)
+answer_json (const FakeStore *store, FakeConn *conn, unsigned status, const MfBuffer *body)
 {
-  fake_conn_answer (conn, status, "Content-Type: application/json\r\nKeep-Alive: timeout=20\r\n",
-                    mf_buffer_data (body), mf_buffer_bytes (body));
+  char headers[128];
+
+  snprintf (headers, sizeof headers,
+            "Content-Type: application/json\r\nKeep-Alive: timeout=20\r\nStore-Era: %llu\r\n",
+            (unsigned long long)store->era);
+  fake_conn_answer (conn, status, headers, mf_buffer_data (body), mf_buffer_bytes (body));
 }
 
 static void
-answer_status (FakeConn *conn, unsigned status)
+answer_status (const FakeStore *store, FakeConn *conn, unsigned status)
 {
   MfBuffer body = { 0 };
 
   mf_buffer_add_text (&body, "{}");
-  answer_json (conn, status, &body);
+  answer_json (store, conn, status, &body);
   mf_buffer_clear (&body);
 }
 
@@ -112,13 +122,13 @@
       body.end--;
       mf_buffer_add_text (&body, ",");
       write_as_of (store, &body);
-      answer_json (conn, 200, &body);
+      answer_json (store, conn, 200, &body);
       mf_buffer_clear (&body);
       return;
     }
   mf_buffer_add_text (&body, "{");
   write_as_of (store, &body);
-  answer_json (conn, 404, &body);
+  answer_json (store, conn, 404, &body);
   mf_buffer_clear (&body);
 }
 
@@ -155,7 +165,7 @@
     }
   mf_buffer_add_text (&body, item != NULL ? "],\"morePages\":true," : "],\"morePages\":false,");
   write_as_of (store, &body);
-  answer_json (conn, 200, &body);
+  answer_json (store, conn, 200, &body);
   mf_buffer_clear (&body);
 }
 
@@ -185,7 +195,7 @@
   if (any || force)
     {
       ev_timer_stop (store->loop, &watch->timer);
-      answer_json (watch->conn, 200, &body);
+      answer_json (store, watch->conn, 200, &body);
       watch->conn = NULL;
     }
   mf_buffer_clear (&body);
@@ -212,9 +222,10 @@
         watch = &store->watches[i];
     }
   fake_query_get (query, "after", number, sizeof number);
-  if (watch == NULL || strtoull (number, NULL, 10) < store->dropped_revision)
+  if (watch == NULL || strtoull (number, NULL, 10) < store->dropped_revision
+      || strtoull (number, NULL, 10) > store->revision)
     {
-      answer_status (conn, watch == NULL ? 429 : 410);
+      answer_status (store, conn, watch == NULL ? 429 : 410);
       return;
     }
   *watch = (Watch){ .conn = conn, .store = store, .after = strtoull (number, NULL, 10) };
@@ -238,10 +249,10 @@
   switch (store->mode)
     {
     case FAKE_STORE_BUSY:
-      answer_status (conn, 503);
+      answer_status (store, conn, 503);
       return;
     case FAKE_STORE_TOO_MANY_REQUESTS:
-      answer_status (conn, 429);
+      answer_status (store, conn, 429);
       return;
     case FAKE_STORE_RESETS:
       fake_conn_close (conn, true);
@@ -291,21 +302,38 @@
     abort ();
   store->loop = loop;
   store->revision = 100;
+  store->era = 1;
   store->http = fake_http_new (loop, "127.0.0.1:0", &callbacks, store);
   snprintf (store->address, sizeof store->address, "127.0.0.1:%u", fake_http_port (store->http));
   return store;
 }
 
+static void
+items_free (Item *items, uint32_t n_items)
+{
+  for (uint32_t i = 0; i < n_items; i++)
+    free (items[i].value);
+}
+
+static void
+items_copy (Item *to, const Item *from, uint32_t n_items)
+{
+  for (uint32_t i = 0; i < n_items; i++)
+    {
+      to[i] = from[i];
+      to[i].value = from[i].value == NULL ? NULL : strdup (from[i].value);
+    }
+}
+
 void
 fake_store_free (FakeStore *store)
 {
   for (uint32_t i = 0; i < WATCHES_MAX; i++)
     ev_timer_stop (store->loop, &store->watches[i].timer);
   fake_http_free (store->http);
-  for (uint32_t i = 0; i < store->n_items; i++)
-    free (store->items[i].value);
-  for (uint32_t i = 0; i < store->n_events; i++)
-    free (store->events[i].value);
+  items_free (store->items, store->n_items);
+  items_free (store->events, store->n_events);
+  items_free (store->saved_items, store->n_saved_items);
   free (store);
 }
 
@@ -374,7 +402,7 @@
       if (mode == FAKE_STORE_RESETS)
         fake_conn_close (watch->conn, true);
       else if (mode != FAKE_STORE_SILENT)
-        answer_status (watch->conn, mode == FAKE_STORE_BUSY ? 503 : 429);
+        answer_status (store, watch->conn, mode == FAKE_STORE_BUSY ? 503 : 429);
       watch->conn = NULL;
     }
 }
@@ -385,6 +413,35 @@
   store->dropped_revision = store->revision;
 }
 
+void
+fake_store_save (FakeStore *store)
+{
+  items_free (store->saved_items, store->n_saved_items);
+  items_copy (store->saved_items, store->items, store->n_items);
+  store->n_saved_items = store->n_items;
+  store->n_saved_events = store->n_events;
+  store->saved_revision = store->revision;
+}
+
+void
+fake_store_restore (FakeStore *store)
+{
+  FakeStoreMode mode = store->mode;
+
+  items_free (store->items, store->n_items);
+  memset (store->items, 0, sizeof store->items);
+  items_copy (store->items, store->saved_items, store->n_saved_items);
+  store->n_items = store->n_saved_items;
+  items_free (store->events + store->n_saved_events, store->n_events - store->n_saved_events);
+  store->n_events = store->n_saved_events;
+  store->revision = store->saved_revision;
+  if (store->dropped_revision > store->revision)
+    store->dropped_revision = store->revision;
+  store->era++;
+  fake_store_set_mode (store, FAKE_STORE_RESETS);
+  fake_store_set_mode (store, mode);
+}
+
 uint64_t
 fake_store_revision (const FakeStore *store)
 {
@@ -410,7 +467,7 @@
   snprintf (key, sizeof key, "servers/%s", id);
   snprintf (value, sizeof value,
             "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":6,"
-            "\"state\":\"%s\",\"coldRemainingMs\":0,\"sequence\":1%s}",
-            service, address, state, stage);
+            "\"state\":\"%s\",\"coldRemainingMs\":0,\"sequence\":%u%s,\"born\":1}",
+            service, address, state, ++store->n_registrations, stage);
   fake_store_put (store, key, value);
 }
--- a/tests/fakes/store.h
+++ b/tests/fakes/store.h
@@ -32,6 +32,11 @@
 void fake_store_set_mode (FakeStore *store, FakeStoreMode mode);
 /* Drops the history: watches from a revision before the current one get status 410. */
 void fake_store_drop_history (FakeStore *store);
+/* Keeps a copy of all items, which the store can return from. */
+void fake_store_save (FakeStore *store);
+/* Returns from the copy: later changes are gone, their revisions are given out again, and answers
+ * name the next era. Ends the waiting watches. */
+void fake_store_restore (FakeStore *store);
 uint64_t fake_store_revision (const FakeStore *store);
 uint32_t fake_store_n_calls (const FakeStore *store);
 /* Writes the entry of an upstream to the key servers/ID. role is "", "prefill" or "decode"; state
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -26,7 +26,7 @@
   MfFeed feed = { 0 };
 
   (void)state;
-  mf_feed_begin (&feed, 7);
+  mf_feed_begin (&feed, 0, 7);
   assert_true (mf_feed_add (&feed, "a", 8, false, "one", 3));
   assert_true (mf_feed_add (&feed, "b", 9, true, "", 0));
   assert_true (mf_feed_add (&feed, "c", 10, false, "three", 5));
@@ -35,7 +35,7 @@
   assert_string_equal (feed.items[2].key, "c");
   assert_memory_equal (mf_buffer_data (&feed.values) + feed.items[2].value_at, "three", 5);
   assert_int_equal (feed.items[1].value_bytes, 0);
-  mf_feed_begin (&feed, 10);
+  mf_feed_begin (&feed, 0, 10);
   assert_int_equal (feed.n_items, 0);
   mf_feed_clear (&feed);
 }
@@ -50,7 +50,7 @@
   (void)state;
   memset (key, 'k', sizeof key);
   key[MF_FEED_KEY_BYTES] = '\0';
-  mf_feed_begin (&feed, 1);
+  mf_feed_begin (&feed, 0, 1);
   assert_false (mf_feed_add (&feed, "config", 2, false, large, sizeof large));
   assert_false (mf_feed_add (&feed, key, 2, false, "", 0));
   for (uint32_t i = 0; i < MF_FEED_ITEMS_MAX; i++)
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -315,6 +315,117 @@
   fixture_end (&fixture);
 }
 
+/* Changes that were written after the store had returned from an older copy were missed: their
+ * revisions were below the one that was known. */
+static void
+test_changes_of_a_restored_store_are_applied (void **state)
+{
+  Fixture fixture;
+  uint64_t revision;
+
+  (void)state;
+  fixture_begin (&fixture);
+  upstream_put (&fixture, 0, "ready");
+  config_put (&fixture, 1, "/a/");
+  wait_for (&fixture, PORT, "/a/1", 200);
+  for (unsigned i = 0; i < 3; i++)
+    {
+      char prefix[8];
+      char path[8];
+
+      fake_store_save (fixture.store);
+      config_put (&fixture, 10 * i + 2, "/lost/");
+      upstream_put (&fixture, 0, "ready");
+      wait_for (&fixture, PORT, "/lost/1", 200);
+      revision = fake_store_revision (fixture.store);
+      fake_store_set_mode (fixture.store, FAKE_STORE_RESETS);
+      fake_store_restore (fixture.store);
+      snprintf (prefix, sizeof prefix, "/%u/", i);
+      snprintf (path, sizeof path, "/%u/x", i);
+      config_put (&fixture, 10 * i + 5, prefix);
+      /* In the second round the new revisions stay below the known one. */
+      while (i != 1 && fake_store_revision (fixture.store) <= revision + 1)
+        upstream_put (&fixture, 0, "ready");
+      fake_store_set_mode (fixture.store, FAKE_STORE_SERVES);
+      wait_for (&fixture, PORT, path, 200);
+    }
+  fixture_end (&fixture);
+}
+
+/* What was confirmed and is missing in the copy stays in force until it is written again. */
+static void
+test_confirmed_state_outlasts_a_restore (void **state)
+{
+  Fixture fixture;
+
+  (void)state;
+  fixture_begin (&fixture);
+  config_put (&fixture, 1, "/a/");
+  fake_store_save (fixture.store);
+  config_put (&fixture, 2, "/b/");
+  upstream_put (&fixture, 0, "ready");
+  wait_for (&fixture, PORT, "/b/1", 200);
+  fake_store_restore (fixture.store);
+  for (unsigned i = 0; i < 20; i++)
+    {
+      loop_spin (fixture.loop, 40);
+      assert_int_equal (status_of (&fixture, PORT, "/b/1"), 200);
+      assert_int_equal (status_of (&fixture, PORT, "/a/1"), 404);
+    }
+  upstream_put (&fixture, 0, "ready");
+  /* The operator numbers his next version as the lost one. */
+  config_put (&fixture, 2, "/c/");
+  wait_for (&fixture, PORT, "/c/1", 200);
+  loop_spin (fixture.loop, 2500);
+  assert_int_equal (status_of (&fixture, PORT, "/c/1"), 200);
+  fixture_end (&fixture);
+}
+
+/* Upstreams that were leaving, or gone, are not used because the copy lists them as ready. */
+static void
+test_upstreams_that_return_with_a_copy_get_nothing (void **state)
+{
+  static const char *const ends[] = { "draining", "removed", "both" };
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (ends); i++)
+    {
+      Fixture fixture;
+      uint32_t n_before;
+
+      fixture_begin (&fixture);
+      config_put (&fixture, 1, "/a/");
+      upstream_put (&fixture, 0, "ready");
+      upstream_put (&fixture, 1, "ready");
+      wait_for (&fixture, PORT, "/a/1", 200);
+      fake_store_save (fixture.store);
+      if (i != 1)
+        upstream_put (&fixture, 1, "draining");
+      loop_spin (fixture.loop, 300);
+      if (i != 0)
+        fake_store_remove (fixture.store, "servers/u1");
+      loop_spin (fixture.loop, 600);
+      n_before = fake_upstream_n_requests (fixture.upstreams[1]);
+      fake_store_restore (fixture.store);
+      for (unsigned j = 0; j < 20; j++)
+        {
+          loop_spin (fixture.loop, 40);
+          assert_int_equal (status_of (&fixture, PORT, "/a/1"), 200);
+        }
+      assert_int_equal (fake_upstream_n_requests (fixture.upstreams[1]), n_before);
+      fake_store_remove (fixture.store, "servers/u0");
+      /* One that was only removed is used once it has written its entry again. */
+      if (i == 1)
+        {
+          upstream_put (&fixture, 1, "ready");
+          wait_for (&fixture, PORT, "/a/1", 200);
+        }
+      else
+        wait_for (&fixture, PORT, "/a/1", 503);
+      fixture_end (&fixture);
+    }
+}
+
 /* A relay and N_PEERS other instances in its data centre. */
 typedef struct
 {
@@ -458,7 +569,7 @@
   (void)state;
   peer_fixture_begin (&peer_fixture, MF_FEED_FOLLOWER);
   revision = fake_store_revision (fixture->store);
-  mf_feed_begin (&feed, revision);
+  mf_feed_begin (&feed, 1, revision);
   /* The last watch request of the relay ends within 300 ms. */
   for (uint32_t i = 0; i < 10; i++)
     {
@@ -488,7 +599,7 @@
     loop_spin (fixture->loop, 5);
   assert_true (fake_store_n_calls (fixture->store) > n_calls);
   /* A feed that starts after a revision unknown to the relay. */
-  mf_feed_begin (&gap_feed, revision + 7);
+  mf_feed_begin (&gap_feed, 1, revision + 7);
   for (uint32_t i = 0; i < 10; i++)
     {
       feed_send (&peer_fixture, &gap_feed, revision + 8);
@@ -503,6 +614,50 @@
   peer_fixture_end (&peer_fixture);
 }
 
+/* A follower took a feed of another era for known, or applied it to the state of its own. */
+static void
+test_follower_reads_a_restored_store (void **state)
+{
+  PeerFixture peer_fixture;
+  Fixture *fixture = &peer_fixture.fixture;
+  MfFeed feed = { 0 };
+  MfFeed old_feed = { 0 };
+  static const char drained[] = "{}";
+  uint64_t revision;
+  uint64_t until_us;
+
+  (void)state;
+  peer_fixture_begin (&peer_fixture, MF_FEED_FOLLOWER);
+  fake_store_save (fixture->store);
+  upstream_put (fixture, 0, "ready");
+  loop_spin (fixture->loop, 500);
+  revision = fake_store_revision (fixture->store);
+  mf_feed_begin (&old_feed, 1, revision);
+  assert_true (
+      mf_feed_add (&old_feed, "servers/u0", revision + 9, false, drained, strlen (drained)));
+  mf_feed_begin (&feed, 1, revision);
+  until_us = mf_clock_now_us () + 500 * MF_US_PER_MS;
+  while (mf_clock_now_us () < until_us)
+    {
+      feed_send (&peer_fixture, &feed, revision);
+      loop_spin (fixture->loop, 50);
+    }
+  fake_store_set_mode (fixture->store, FAKE_STORE_SILENT);
+  fake_store_restore (fixture->store);
+  config_put (fixture, 3, "/c/");
+  fake_store_set_mode (fixture->store, FAKE_STORE_SERVES);
+  mf_feed_begin (&feed, 2, fake_store_revision (fixture->store));
+  feed_send (&peer_fixture, &feed, feed.from_revision);
+  wait_for (fixture, PORT, "/c/1", 200);
+  /* A reader that has not noticed yet. */
+  feed_send (&peer_fixture, &old_feed, revision + 9);
+  loop_spin (fixture->loop, 100);
+  assert_int_equal (status_of (fixture, PORT, "/c/1"), 200);
+  mf_feed_clear (&feed);
+  mf_feed_clear (&old_feed);
+  peer_fixture_end (&peer_fixture);
+}
+
 /* The first instances of a data centre read the store and send the changes to the others. */
 static void
 test_reader_sends_changes_to_other_instances (void **state)
@@ -621,6 +776,10 @@
     cmocka_unit_test (test_lists_have_pages),
     cmocka_unit_test (test_store_outages_of_every_kind),
     cmocka_unit_test (test_expired_entries_are_kept_for_a_while),
+    cmocka_unit_test (test_changes_of_a_restored_store_are_applied),
+    cmocka_unit_test (test_confirmed_state_outlasts_a_restore),
+    cmocka_unit_test (test_upstreams_that_return_with_a_copy_get_nothing),
+    cmocka_unit_test (test_follower_reads_a_restored_store),
     cmocka_unit_test (test_follower_does_not_read_the_store_while_it_is_fed),
     cmocka_unit_test (test_reader_sends_changes_to_other_instances),
     cmocka_unit_test (test_shutdown),
--- a/tests/test_relay_message.c
+++ b/tests/test_relay_message.c
@@ -295,7 +295,7 @@
 {
   (void)state;
   sent = (MfRelayMessage){ .kind = MF_RELAY_MESSAGE_FEED };
-  mf_feed_begin (&sent.feed, 17);
+  mf_feed_begin (&sent.feed, 0, 17);
   sent.feed.to_revision = 19;
   sent.feed.sent_us = 5000;
   sent.feed.as_of_us = 4000;
