The soak's store returns from older copies

In one half of the cases a newer configuration and all upstreams' entries are written before any instance asks, so that the new revisions reach the known ones. Callers use the route that the newest confirmed configuration has added; an instance that answers 404 after the bound is a violation.

--- a/tests/soak/relay_soak.c
+++ b/tests/soak/relay_soak.c
@@ -74,6 +74,15 @@
  * not. */
 static const uint32_t limited_upstreams[N_UPSTREAMS] = { 1, 6, 4, 2, 7, 8, 0, 3, 5 };
 
+/* Time until a configuration must be in force: the instances' bound of 2 s, and the time to reach a
+ * store that was away. */
+#define NEWEST_BOUND_US (3500 * MF_US_PER_MS)
+/* Greatest age of the copy that the store returns from, how long it is away, and when what was lost
+ * is written again. */
+#define COPY_AGE_MAX_MS 2500
+#define AWAY_MAX_MS 1500
+#define REWRITE_MAX_MS 1800
+
 /* Thousandths of a request a second. */
 static const uint32_t soak_limits[]
     = { SOAK_LIMIT_NONE, 0, 300, 2000, 4900, 20000, 15000, 40000, 20000000 };
@@ -84,6 +93,7 @@
   KIND_READ,
   KIND_ONCE,
   KIND_STREAM,
+  KIND_NEWEST, /* a read on the route that each configuration has anew */
   KIND_COUNT,
 } RequestKind;
 
@@ -96,10 +106,9 @@
 } RequestKindRow;
 
 static const RequestKindRow request_kinds[KIND_COUNT] = {
-  [KIND_ORDER] = { "POST", "/order/1", 1 },
-  [KIND_READ] = { "GET", "/read/1", 2 },
-  [KIND_ONCE] = { "POST", "/once/1", 1 },
-  [KIND_STREAM] = { "POST", "/llm/1", 2 },
+  [KIND_ORDER] = { "POST", "/order/1", 1 }, [KIND_READ] = { "GET", "/read/1", 2 },
+  [KIND_ONCE] = { "POST", "/once/1", 1 },   [KIND_STREAM] = { "POST", "/llm/1", 2 },
+  [KIND_NEWEST] = { "GET", "", 1 },
 };
 
 typedef struct
@@ -169,7 +178,15 @@
   uint32_t n_callers;
   uint32_t n_crashers;
   uint32_t n_deadly_parts; /* of prompts; each is sent by CALLERS_PER_PART callers */
-  uint32_t n_limited;      /* upstreams that name rate limits, in the order of limited_upstreams */
+  bool restores;           /* the store returns from older copies */
+  uint32_t n_restores;     /* still to come */
+  uint64_t next_restore_us;
+  uint64_t rewrite_us; /* when the operator and the upstreams write again what was lost; 0: done */
+  uint64_t saved_us;   /* when the copy was made that the store returns from; 0: there is none */
+  uint64_t config_us;  /* when the newest configuration was written */
+  bool store_is_away;
+  uint32_t n_newest;  /* requests on the route of the newest configuration */
+  uint32_t n_limited; /* upstreams that name rate limits, in the order of limited_upstreams */
   bool faultless;
   char directory[64];
   Instance instances[INSTANCES_MAX];
@@ -336,12 +353,12 @@
     upstream_restart (soak, index);
 }
 
+/* Writes the configuration of the current version. */
 static void
-config_publish (Soak *soak)
+config_write (Soak *soak)
 {
   char text[2048];
 
-  soak->version += 1 + draw (soak, 5);
   snprintf (
       text, sizeof text,
       "{\"version\":%u,\"routes\":["
@@ -364,6 +381,14 @@
   fake_store_put (soak->store, "op/config", text);
 }
 
+static void
+config_publish (Soak *soak)
+{
+  soak->version += 1 + draw (soak, 5);
+  soak->config_us = mf_clock_now_us ();
+  config_write (soak);
+}
+
 static void
 caller_disconnect (Caller *caller)
 {
@@ -392,7 +417,7 @@
   char expected[SOAK_STREAM_EVENTS * 64] = "";
   size_t n_bytes = 0;
 
-  if (sent->kind == KIND_ORDER || sent->kind == KIND_READ)
+  if (sent->kind == KIND_ORDER || sent->kind == KIND_READ || sent->kind == KIND_NEWEST)
     n_bytes = (size_t)snprintf (expected, sizeof expected, "answer to %s", sent->id);
   for (uint32_t i = 1;
        i <= SOAK_STREAM_EVENTS && (sent->kind == KIND_ONCE || sent->kind == KIND_STREAM); i++)
@@ -547,6 +572,21 @@
   return true;
 }
 
+/* Returns whether an instance must serve the route that the newest configuration has added: both
+ * have been there for long enough and nothing has kept them apart. A store that returns from an
+ * older copy is no excuse for what was confirmed before. */
+static bool
+must_have_newest (const Soak *soak, uint32_t instance)
+{
+  uint64_t now_us = mf_clock_now_us ();
+
+  return soak->restores && !soak->instances[instance].paused
+         && now_us > soak->config_us + NEWEST_BOUND_US
+         && now_us > soak->instances[instance].started_us + NEWEST_BOUND_US
+         && now_us > soak->instances[instance].excused_until_us
+         && now_us > soak->updates_delayed_until_us + NEWEST_BOUND_US;
+}
+
 static void
 caller_send (Caller *caller)
 {
@@ -555,6 +595,7 @@
   char text[512];
   char body[16];
   char parts[64];
+  char path[32];
   SentRequest *sent;
   int n_bytes;
 
@@ -567,8 +608,15 @@
                  && index < soak->n_crashers + soak->n_deadly_parts * CALLERS_PER_PART;
   sent->crashes = caller->crashes || sent->deadly;
   sent->instance = caller->instance;
-  sent->kind
-      = caller->crashes ? (RequestKind)(index % KIND_COUNT) : (RequestKind)draw (soak, KIND_COUNT);
+  sent->kind = caller->crashes ? (RequestKind)(index % KIND_NEWEST)
+                               : (RequestKind)draw (soak, KIND_NEWEST);
+  snprintf (path, sizeof path, "%s", request_kinds[sent->kind].path);
+  if (!sent->crashes && must_have_newest (soak, caller->instance) && draw (soak, 8) == 0)
+    {
+      sent->kind = KIND_NEWEST;
+      snprintf (path, sizeof path, "/n%u/x", soak->version);
+      soak->n_newest++;
+    }
   snprintf (sent->id, sizeof sent->id, "r%u", caller->sent_index);
   if (sent->deadly)
     snprintf (body, sizeof body, "no. %u", caller->sent_index);
@@ -584,8 +632,7 @@
                       "%s %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 4000\r\n"
                       "X-Prompt-Prefix: %s\r\n"
                       "X-Token-Count: 100,80\r\nX-Pin-Ms: 7\r\nContent-Length: %zu\r\n\r\n%s",
-                      request_kinds[sent->kind].method, request_kinds[sent->kind].path, sent->id,
-                      parts, strlen (body), body);
+                      request_kinds[sent->kind].method, path, sent->id, parts, strlen (body), body);
   mf_message_reset (&caller->message);
   mf_buffer_clear (&caller->body);
   caller->waiting = true;
@@ -754,7 +801,8 @@
   (void)target;
   if (draw (soak, 2) == 0)
     fake_store_drop_history (soak->store);
-  fake_store_set_mode (soak->store, FAKE_STORE_SERVES);
+  if (!soak->store_is_away)
+    fake_store_set_mode (soak->store, FAKE_STORE_SERVES);
 }
 
 static void
@@ -830,6 +878,78 @@
     }
 }
 
+/* The upstreams write their entries again. Those of processes that are gone are removed, as nobody
+ * renews them. */
+static void
+upstreams_rewrite (Soak *soak)
+{
+  soak->rewrite_us = 0;
+  for (uint32_t i = 0; i < N_UPSTREAMS; i++)
+    {
+      char id[ID_BYTES];
+
+      for (uint32_t j = 0; j < soak->n_restarts[i]; j++)
+        {
+          snprintf (id, sizeof id, "servers/u%u-%u", i, j);
+          fake_store_remove (soak->store, id);
+        }
+      upstream_publish (soak, i, soak->drain_start_us[i] > 0 ? "draining" : "ready");
+    }
+}
+
+/* The store returns from its copy. What was lost is written again later, or a newer configuration
+ * and the upstreams' entries are written before any instance asks: then the revisions reach those
+ * that the instances know. */
+static void
+store_return (Soak *soak, uint64_t now_us)
+{
+  fake_store_restore (soak->store);
+  soak->store_is_away = false;
+  soak->saved_us = 0;
+  soak->n_restores--;
+  soak->rewrite_us = now_us + draw (soak, REWRITE_MAX_MS) * MF_US_PER_MS;
+  if (draw (soak, 2) == 0)
+    {
+      config_publish (soak);
+      upstreams_rewrite (soak);
+    }
+  fake_store_set_mode (soak->store, FAKE_STORE_SERVES);
+}
+
+/* Makes a copy of the store, takes the store away some time later and lets it return from the copy,
+ * one step a call. */
+static void
+restores_step (Soak *soak, uint64_t now_us)
+{
+  if (soak->rewrite_us > 0 && now_us >= soak->rewrite_us)
+    {
+      config_write (soak);
+      upstreams_rewrite (soak);
+    }
+  if (soak->rewrite_us > 0 || soak->n_restores == 0 || now_us < soak->next_restore_us
+      || (is_recovering (soak, 0) && !soak->store_is_away))
+    return;
+  if (soak->saved_us == 0)
+    {
+      fake_store_save (soak->store);
+      soak->saved_us = now_us;
+      soak->next_restore_us = now_us + (300 + draw (soak, COPY_AGE_MAX_MS)) * MF_US_PER_MS;
+      config_publish (soak);
+      upstreams_rewrite (soak);
+    }
+  else if (!soak->store_is_away)
+    {
+      soak->store_is_away = true;
+      fake_store_set_mode (soak->store, (FakeStoreMode)(1 + draw (soak, FAKE_STORE_SILENT)));
+      soak->next_restore_us = now_us + draw (soak, AWAY_MAX_MS) * MF_US_PER_MS;
+    }
+  else
+    {
+      store_return (soak, now_us);
+      soak->next_restore_us = now_us + (500 + draw (soak, 2000)) * MF_US_PER_MS;
+    }
+}
+
 /* Restarts instances that have exited. */
 static void
 instances_reap (Soak *soak)
@@ -898,6 +1018,7 @@
   (void)events;
   instances_reap (soak);
   limits_step (soak, now_us);
+  restores_step (soak, now_us);
   if (!soak->faultless)
     faults_step (soak, now_us);
   if (now_us >= soak->started_us + soak->seconds * MF_US_PER_S)
@@ -1036,6 +1157,9 @@
         report_violation (soak, "a request that had crashed three upstreams was still sent", "");
     }
   deadly_parts_check (soak);
+  if (soak->restores)
+    printf ("requests on the newest route: %u; restores left: %u\n", soak->n_newest,
+            soak->n_restores);
   for (uint32_t i = 0; i < N_UPSTREAMS; i++)
     {
       char name[ID_BYTES];
@@ -1086,6 +1210,10 @@
       if (soak->n_deadly_parts > SOAK_DEADLY_PARTS_MAX)
         argp_error (state, "at most %d deadly parts", SOAK_DEADLY_PARTS_MAX);
       return 0;
+    case 'r':
+      soak->n_restores = (uint32_t)strtoul (arg, NULL, 10);
+      soak->restores = soak->n_restores > 0;
+      return 0;
     case 'l':
       soak->n_limited = (uint32_t)strtoul (arg, NULL, 10);
       if (soak->n_limited > N_UPSTREAMS)
@@ -1118,6 +1246,10 @@
     .key = 'd',
     .arg = "N",
     .doc = "Number of parts of prompts that crash the upstreams that begin an answer" },
+  { .name = "restores",
+    .key = 'r',
+    .arg = "N",
+    .doc = "Number of times that the store returns from an older copy" },
   { .name = "limited",
     .key = 'l',
     .arg = "N",
@@ -1153,6 +1285,7 @@
   if (mkdtemp (soak.directory) == NULL)
     return EXIT_FAILURE;
   soak.started_us = mf_clock_now_us ();
+  soak.next_restore_us = soak.started_us + WARM_UP_US;
   soak_start (&soak);
   ev_timer_init (&soak.tick, on_tick, 0.02, 0.02);
   soak.tick.data = &soak;
