Answers that something in between has written clear no part

Found by reading: a complete answer without the upstream's seal counted as a sign that it had survived a part. Requests in progress are ended by a function of its own that says which may have run.

--- a/libmangofork/relay/job_answer.c
+++ b/libmangofork/relay/job_answer.c
@@ -335,12 +335,12 @@
     mf_job_reply (job, answer);
 }
 
-/* A complete answer shows that the upstream has survived its beginning. One that ends with the
- * connection does not: the upstream may have crashed. */
+/* A complete answer of the upstream itself shows that it has survived its beginning. One that ends
+ * with the connection does not: the upstream may have crashed. */
 static void
 job_note_complete (MfJob *job, MfTarget *target, MfLinkEnd end)
 {
-  if (job->answer.not_run)
+  if (job->answer.not_run || !job->answer.sealed)
     return;
   if (end == MF_LINK_COMPLETE)
     mf_job_note_sound (job);
--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -684,8 +684,15 @@
   return true;
 }
 
-/* Ends the requests that are quarantined now and have reached no upstream that answers them, or
- * whose answer has not begun: cancelling may come before the crash. */
+/* Whether the current send may be executed by the upstream that is to answer it. */
+static bool
+job_is_at_upstream (const MfJob *job)
+{
+  return job->link != NULL && job->phase != MF_JOB_PREFILL && mf_link_has_sent (job->link);
+}
+
+/* Ends the requests that are quarantined now and whose answers have not begun, wherever they are:
+ * cancelling one may come before the crash. */
 void
 mf_jobs_end_quarantined (MfJobs *jobs)
 {
@@ -693,13 +700,14 @@
 
   for (MfJob *job = jobs->first; job != NULL; job = next)
     {
+      bool is_at_upstream = job_is_at_upstream (job);
+
       next = job->next;
       if (job->caller == NULL || job->answer_began || job->is_trial)
         continue;
-      if (job->link != NULL && job->phase != MF_JOB_PREFILL && mf_link_has_sent (job->link))
-        job->n_runs++;
-      if (!mf_job_end_quarantined (job) && job->link != NULL && job->phase != MF_JOB_PREFILL
-          && mf_link_has_sent (job->link))
-        job->n_runs--;
+      /* It is not refused as one that has not run. */
+      job->n_runs += is_at_upstream;
+      if (!mf_job_end_quarantined (job))
+        job->n_runs -= is_at_upstream;
     }
 }
