The trial of a part has no other quarantined part

Found by reading: of a request's parts, the first whose trial was due decided, and a later one that is quarantined was sent with it. test_trial_has_no_other_quarantined_part: answered 200 before, 503 now.

--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -633,33 +633,47 @@
     mf_suspects_expire_failures (jobs->suspects, now_us - CRASH_WINDOW_US, on_failure_result, jobs);
 }
 
-/* Returns the quarantined part for which the request is refused, or NULL. If a part's trial is due
- * and this instance is the one that tries it, the request becomes the trial. */
+/* Lets the request be the trial of a part. The others are told first, so that none tries it, too.
+ */
+static void
+job_start_trial (MfJob *job, uint64_t part, uint64_t now_us)
+{
+  MfJobs *jobs = job->jobs;
+  const MfSuspect *suspect;
+
+  mf_suspects_start_trial (jobs->suspects, part, now_us);
+  suspect = mf_suspects_find (jobs->suspects, part, now_us);
+  job->is_trial = true;
+  mf_relay_log_state (jobs->log, "part.trial", "id=%s digest=%016llx next_ms=%u", job->id,
+                      (unsigned long long)part, age_ms (now_us, suspect->quarantined_until_us));
+  part_send (jobs, TO_ALL, suspect, false, now_us);
+}
+
+/* Returns the quarantined part for which the request is refused, or NULL. If the trial of a part is
+ * due, this instance is the one that tries it, and no other part is refused, the request becomes
+ * the trial. */
 static const MfSuspect *
 job_refused_part (MfJob *job, uint64_t now_us)
 {
   MfJobs *jobs = job->jobs;
+  uint64_t due_part = 0;
 
   for (uint32_t i = 0; i < job->parts.n_parts && !job->is_trial; i++)
     {
       uint64_t part = job->parts.hashes[i];
       MfSuspectVerdict verdict
           = mf_suspects_judge_part (jobs->suspects, part, job->caller_hash, now_us);
-      MfSuspect *suspect;
 
-      if (verdict == MF_SUSPECT_PART_ALLOWED)
+      if (verdict == MF_SUSPECT_PART_ALLOWED || part == due_part)
         continue;
-      suspect = mf_suspects_find (jobs->suspects, part, now_us);
-      if (verdict == MF_SUSPECT_PART_REFUSED
+      if (verdict == MF_SUSPECT_PART_REFUSED || due_part != 0
           || (jobs->peers != NULL
               && mf_peers_allocator (jobs->peers, part, now_us) != MF_DISPATCH_SELF))
-        return suspect;
-      mf_suspects_start_trial (jobs->suspects, part, now_us);
-      job->is_trial = true;
-      mf_relay_log_state (jobs->log, "part.trial", "id=%s digest=%016llx next_ms=%u", job->id,
-                          (unsigned long long)part, age_ms (now_us, suspect->quarantined_until_us));
-      part_send (jobs, TO_ALL, suspect, false, now_us);
+        return mf_suspects_find (jobs->suspects, part, now_us);
+      due_part = part;
     }
+  if (due_part != 0)
+    job_start_trial (job, due_part, now_us);
   return NULL;
 }
 
--- a/tests/test_job_suspect.c
+++ b/tests/test_job_suspect.c
@@ -583,6 +583,30 @@
   crash_fixture_teardown (&fixture);
 }
 
+/* A request with a part whose trial was due was sent although another part of it was quarantined.
+ */
+static void
+test_trial_has_no_other_quarantined_part (void **state)
+{
+  CrashFixture fixture;
+
+  (void)state;
+  crash_fixture_setup (&fixture);
+  quarantine_part (&fixture);
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      prompt (&fixture, i, "/llm/1", SOAK_DEADLY_PART "1");
+      loop_spin (fixture.fleet.loop, 150);
+    }
+  assert_int_equal (soak_ledger_deadly_part (fixture.ledger, 1).n_crashes, 3);
+  trial_due (&fixture);
+  for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
+    assert_int_equal (prompt (&fixture, i, "/llm/1", SOAK_DEADLY_PART "0:10," SOAK_DEADLY_PART "1"),
+                      503);
+  assert_int_equal (soak_ledger_deadly_part (fixture.ledger, 0).n_crashes, 3);
+  crash_fixture_teardown (&fixture);
+}
+
 /* Requests whose prompts are being read when a part is found out are not sent on. */
 static void
 test_quarantine_ends_requests_in_progress (void **state)
@@ -625,6 +649,7 @@
     cmocka_unit_test (test_graceful_exit_is_no_crash),
     cmocka_unit_test (test_restarted_instance_receives_quarantined_parts),
     cmocka_unit_test (test_quarantined_part_is_tried_by_one_request),
+    cmocka_unit_test (test_trial_has_no_other_quarantined_part),
     cmocka_unit_test (test_quarantine_ends_requests_in_progress),
     cmocka_unit_test (test_requests_with_a_part_that_crashed_upstreams_are_refused),
   };
