A full table of suspects evicts no part that is in use

Found with the sanitizer by test_invented_parts_do_not_displace_a_quarantine: parts of one request were compared by pointers into the table while adding the next one could evict them (use after free, with 4,096 suspects known). They are put in order by copies.

--- a/libmangofork/suspect_part.c
+++ b/libmangofork/suspect_part.c
@@ -74,11 +74,11 @@
 /* Returns whether part a is more likely deadly than part b by what else is known of them: the one
  * that upstreams have survived less recently, or the more specific one. */
 static bool
-is_better_suspect (const MfSuspect *a, const MfSuspect *b)
+is_better_suspect (const MfSuspectPart *a, const MfSuspectPart *b)
 {
-  if (a->part.sound_us != b->part.sound_us)
-    return a->part.sound_us < b->part.sound_us;
-  return a->part.depth > b->part.depth;
+  if (a->sound_us != b->sound_us)
+    return a->sound_us < b->sound_us;
+  return a->depth > b->depth;
 }
 
 /* Returns whether a quarantined part that is a better suspect explains the death of a process. */
@@ -88,7 +88,7 @@
   for (const MfSuspectRow *row = suspects->rows; row != NULL; row = row->hh.next)
     {
       if (row->suspect.part.quarantined_us > 0 && has_process (&row->suspect, process_id)
-          && is_better_suspect (&row->suspect, suspect))
+          && is_better_suspect (&row->suspect.part, &suspect->part))
         return true;
     }
   return false;
@@ -105,7 +105,7 @@
       const MfSuspect *other = &row->suspect;
 
       if (other->kind == MF_SUSPECT_PART && other != suspect && other->n_deaths > most
-          && has_process (other, process_id) && is_better_suspect (other, suspect))
+          && has_process (other, process_id) && is_better_suspect (&other->part, &suspect->part))
         most = other->n_deaths;
     }
   return most;
@@ -171,7 +171,7 @@
       MfSuspect *other = &row->suspect;
 
       if (other->kind != MF_SUSPECT_PART || other->part.quarantined_us > 0
-          || !is_better_suspect (suspect, other))
+          || !is_better_suspect (&suspect->part, &other->part))
         continue;
       for (uint32_t i = other->n_deaths; i-- > 0;)
         {
@@ -268,28 +268,20 @@
 mf_suspects_add_part_deaths (MfSuspects *suspects, const MfParts *parts,
                              const MfSuspectDeath *death, uint64_t now_us)
 {
-  bool done[MF_PARTS_MAX] = { false };
+  MfSuspectPart known[MF_PARTS_MAX]; /* copies, as adding one part may evict another */
+  uint32_t order[MF_PARTS_MAX];
 
-  for (uint32_t n = 0; n < parts->n_parts; n++)
+  for (uint32_t i = 0; i < parts->n_parts; i++)
     {
-      const MfSuspect *best = NULL;
-      uint32_t best_depth = 0;
+      uint32_t at = i;
 
-      for (uint32_t i = 0; i < parts->n_parts; i++)
-        {
-          const MfSuspect *suspect;
-
-          if (done[i])
-            continue;
-          suspect = part_find_or_add (suspects, parts->hashes[i], i, now_us);
-          if (best != NULL && !is_better_suspect (suspect, best))
-            continue;
-          best = suspect;
-          best_depth = i;
-        }
-      done[best_depth] = true;
-      mf_suspects_add_part_death (suspects, parts->hashes[best_depth], best_depth, death, now_us);
+      known[i] = part_find_or_add (suspects, parts->hashes[i], i, now_us)->part;
+      for (; at > 0 && is_better_suspect (&known[i], &known[order[at - 1]]); at--)
+        order[at] = order[at - 1];
+      order[at] = i;
     }
+  for (uint32_t i = 0; i < parts->n_parts; i++)
+    mf_suspects_add_part_death (suspects, parts->hashes[order[i]], order[i], death, now_us);
 }
 
 /* Records that an upstream has begun an answer to a request with the part, at a time, and survived:
