Deadly parts of the soak end with its other faults

The faults had not ended, as the check says. In the recovery phase parts are deadly no more, so that the bound stays as it is and applies to a fleet without faults.

--- a/tests/soak/relay_soak.c
+++ b/tests/soak/relay_soak.c
@@ -1018,6 +1018,8 @@
   (void)events;
   instances_reap (soak);
   limits_step (soak, now_us);
+  if (is_recovering (soak, 0))
+    soak_ledger_end_deadly_parts (soak->ledger);
   restores_step (soak, now_us);
   if (!soak->faultless)
     faults_step (soak, now_us);
--- a/tests/soak/soak_upstream.c
+++ b/tests/soak/soak_upstream.c
@@ -31,6 +31,7 @@
   uint64_t grace_us;
   SoakCrasher crashers[SOAK_CRASHERS_MAX];
   SoakCrasher deadly_parts[SOAK_DEADLY_PARTS_MAX];
+  bool deadly_parts_ended;
   SoakArrivalCountsFunc arrival_counts; /* for requests with deadly parts; NULL: all count */
   void *arrival_data;
 };
@@ -118,6 +119,12 @@
   return ledger->deadly_parts[part];
 }
 
+void
+soak_ledger_end_deadly_parts (SoakLedger *ledger)
+{
+  ledger->deadly_parts_ended = true;
+}
+
 /* Sets the function that decides whether a late request with a deadly part counts. */
 void
 soak_ledger_set_arrival_counts (SoakLedger *ledger, SoakArrivalCountsFunc func, void *data)
@@ -164,7 +171,8 @@
   const char *part;
   SoakCrasher *crasher;
 
-  if (!fake_upstream_request_header (text, "X-Prompt-Prefix", parts, sizeof parts))
+  if (ledger->deadly_parts_ended
+      || !fake_upstream_request_header (text, "X-Prompt-Prefix", parts, sizeof parts))
     return NULL;
   part = strstr (parts, SOAK_DEADLY_PART);
   if (part == NULL)
--- a/tests/soak/soak_upstream.h
+++ b/tests/soak/soak_upstream.h
@@ -87,6 +87,8 @@
 typedef bool (*SoakArrivalCountsFunc) (void *data, const char *id);
 
 SoakCrasher soak_ledger_crasher (const SoakLedger *ledger, uint32_t crasher);
+/* From now on no part is deadly. */
+void soak_ledger_end_deadly_parts (SoakLedger *ledger);
 SoakCrasher soak_ledger_deadly_part (const SoakLedger *ledger, uint32_t part);
 void soak_ledger_set_grace (SoakLedger *ledger, uint64_t grace_us);
 void soak_ledger_set_arrival_counts (SoakLedger *ledger, SoakArrivalCountsFunc func, void *data);
