A feed of an era that there is not locks nobody out of the store

Found by reading: a follower took the era of a feed for known, and then refused all answers of the store as earlier ones, for ever if the feed was wrong.

--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -653,6 +653,12 @@
   feed_send (&peer_fixture, &old_feed, revision + 9);
   loop_spin (fixture->loop, 100);
   assert_int_equal (status_of (fixture, PORT, "/c/1"), 200);
+  /* A feed of an era that there is not. */
+  mf_feed_begin (&feed, UINT64_MAX, 1);
+  feed_send (&peer_fixture, &feed, 1);
+  loop_spin (fixture->loop, 1000);
+  config_put (fixture, 4, "/d/");
+  wait_for (fixture, PORT, "/d/1", 200);
   mf_feed_clear (&feed);
   mf_feed_clear (&old_feed);
   peer_fixture_end (&peer_fixture);
