The soak's streams end when they are resumed after their last event

Traced: the stream broke after its eighth and last event, its end was lost with the connection, and the stand-in that it was resumed at made a ninth event. The check stays as it is; the stand-in sends the end.

--- a/tests/soak/soak_upstream.c
+++ b/tests/soak/soak_upstream.c
@@ -245,6 +245,12 @@
   char event[64];
   char chunk[128];
 
+  /* Resumed after its last event: only its end had been lost. */
+  if (run->next_event > SOAK_STREAM_EVENTS)
+    {
+      fake_upstream_conn_send (run->conn, "0\r\n\r\n");
+      return false;
+    }
   snprintf (event, sizeof event, "id: %u\ndata: %s\n\n", run->next_event, run->id);
   snprintf (chunk, sizeof chunk, "%zx\r\n%s\r\n", strlen (event), event);
   fake_upstream_conn_send (run->conn, chunk);
