The soak terminates no instance that is just starting

Traced in its log: it had stopped in order at 5.62 s, was started again, and got the next SIGTERM within 20 ms, before its program was loaded and could handle it. That instances which have started end in order is checked as before.

--- a/tests/soak/relay_soak.c
+++ b/tests/soak/relay_soak.c
@@ -698,11 +698,22 @@
   instance_signal (soak, target, SIGKILL);
 }
 
+/* Sends a signal that an instance handles. Until the program has been loaded, it ends any process.
+ */
+static void
+instance_signal_handled (Soak *soak, uint32_t target, int signal)
+{
+  const Instance *instance = &soak->instances[target % soak->n_instances];
+
+  if (mf_clock_now_us () > instance->started_us + LOADED_US)
+    instance_signal (soak, target, signal);
+}
+
 static void
 begin_term (Soak *soak, uint32_t target)
 {
   instance_excuse (soak, target);
-  instance_signal (soak, target, SIGTERM);
+  instance_signal_handled (soak, target, SIGTERM);
 }
 
 static void
@@ -720,14 +731,10 @@
   instance_signal (soak, target, SIGCONT);
 }
 
-/* Until the program has been loaded, SIGHUP ends any process. */
 static void
 begin_hup (Soak *soak, uint32_t target)
 {
-  const Instance *instance = &soak->instances[target % soak->n_instances];
-
-  if (mf_clock_now_us () > instance->started_us + LOADED_US)
-    instance_signal (soak, target, SIGHUP);
+  instance_signal_handled (soak, target, SIGHUP);
 }
 
 static void
