Revert "Deaths that a part explains convict no request"

In a storm of crashes at a cold start a sound part was quarantined for a moment and took the deaths of the request that had caused them with it; nothing gave them back when the part was cleared. A mend has to keep the deaths and pass over the explained ones when it judges.

--- a/libmangofork/suspect.c
+++ b/libmangofork/suspect.c
@@ -212,8 +212,7 @@
   MfSuspect *suspect = mf_suspects_find_or_add (suspects, digest, MF_SUSPECT_REQUEST, now_us);
   uint64_t duration_us;
 
-  if (death_is_duplicate (suspect, death)
-      || mf_suspects_part_explains (suspects, death->process_id))
+  if (death_is_duplicate (suspect, death))
     return MF_SUSPECT_DUPLICATE;
   if (suspect->n_deaths < DEATHS_CERTAIN)
     suspect->deaths[suspect->n_deaths++] = *death;
--- a/libmangofork/suspect_part.c
+++ b/libmangofork/suspect_part.c
@@ -162,20 +162,7 @@
          || (n_sole >= DEATHS_SOLE && !was_lately_sound (suspect));
 }
 
-/* Returns whether a quarantined part explains the death of a process under any request. */
-bool
-mf_suspects_part_explains (const MfSuspects *suspects, uint64_t process_id)
-{
-  for (const MfSuspectRow *row = suspects->rows; row != NULL; row = row->hh.next)
-    {
-      if (row->suspect.part.quarantined_us > 0 && has_process (&row->suspect, process_id))
-        return true;
-    }
-  return false;
-}
-
-/* Takes back the deaths of requests and of worse suspects that a quarantined part explains. A
- * request whose deaths are explained is refused no more. */
+/* Takes back the deaths of worse suspects that a quarantined part explains. */
 static void
 withdraw_explained (MfSuspects *suspects, const MfSuspect *suspect)
 {
@@ -183,18 +170,14 @@
     {
       MfSuspect *other = &row->suspect;
 
-      if (other->kind == MF_SUSPECT_PART
-          && (other->part.quarantined_us > 0 || !is_better_suspect (&suspect->part, &other->part)))
+      if (other->kind != MF_SUSPECT_PART || other->part.quarantined_us > 0
+          || !is_better_suspect (&suspect->part, &other->part))
         continue;
       for (uint32_t i = other->n_deaths; i-- > 0;)
         {
           if (has_process (suspect, other->deaths[i].process_id))
             remove_death (other, i);
         }
-      if (other->n_reported > other->n_deaths)
-        other->n_reported = other->n_deaths;
-      if (other->kind == MF_SUSPECT_REQUEST && other->n_deaths == 0)
-        other->quarantined_until_us = 0;
     }
 }
 
