A quarantine that is taken over keeps the time of its trial

Traced: one of eight sound parts was quarantined in the storm of crashes at a cold start, and its trial never came: each instance that started took the quarantine over with a full interval of its own, which the others then took over from it. The test of a taken over quarantine compares the times now.

--- a/libmangofork/suspect_part.c
+++ b/libmangofork/suspect_part.c
@@ -381,6 +381,8 @@
         return;
       *suspect = adopted;
       part_quarantine (suspects, suspect, now_us);
+      /* An instance that has just started must not put off the trial for all. */
+      suspect->quarantined_until_us = reported->quarantined_until_us;
     }
   if (reported->quarantined_until_us > suspect->quarantined_until_us)
     suspect->quarantined_until_us = reported->quarantined_until_us;
