Requests that ran beside a deadly part are not refused for its crashes

Cause: whole requests are judged after two crashes without a look at the parts that explain them. Now deaths stay, and those that a quarantined part explains are passed over: two of them refuse nothing, a third one refuses for 30 s only. The rule that a third crash always refuses holds, and the third death is replaced by the next, which may be unexplained.

test_request_beside_a_deadly_part_is_not_refused and test_request_that_three_deaths_met_is_refused_for_a_moment failed before.

--- a/libmangofork/suspect.c
+++ b/libmangofork/suspect.c
@@ -1,6 +1,7 @@
 #include "suspect_row.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 /* Entries expire this long after their last update. */
 #define ENTRY_LIFE_US (UINT64_C (600) * MF_US_PER_S)
@@ -143,6 +144,24 @@
   return suspect->n_deaths > 0 ? suspect->deaths[suspect->n_deaths - 1].process_id : 0;
 }
 
+/* Returns whether a quarantined part explains the last death of a request. */
+static bool
+last_death_is_explained (const MfSuspects *suspects, const MfSuspect *suspect)
+{
+  uint64_t process_id = last_death_process (suspect);
+
+  return process_id != 0 && mf_suspects_part_explains (suspects, process_id);
+}
+
+/* Ends the quarantine of a request whose last death another suspect may have caused, unless it has
+ * DEATHS_CERTAIN deaths. The deaths stay, as the other may prove harmless. */
+void
+mf_suspects_release (MfSuspect *suspect)
+{
+  if (suspect->n_deaths < DEATHS_CERTAIN)
+    suspect->quarantined_until_us = 0;
+}
+
 /* Returns whether the last death of another suspect was of the same process, possibly reported by
  * another instance: then either request may have caused it. Ends the quarantine of the other as
  * well unless it has DEATHS_CERTAIN deaths. */
@@ -160,8 +179,7 @@
           || last_death_process (other) != process_id)
         continue;
       shares = true;
-      if (other->n_deaths < DEATHS_CERTAIN)
-        other->quarantined_until_us = 0;
+      mf_suspects_release (other);
     }
   return shares;
 }
@@ -173,7 +191,8 @@
   MfSuspect *suspect = mf_suspects_find_or_add (suspects, digest, MF_SUSPECT_REQUEST, now_us);
   bool is_new = suspect->quarantined_until_us <= now_us;
 
-  if (suspect->n_deaths < DEATHS_CERTAIN && shares_last_death (suspects, suspect))
+  if (suspect->n_deaths < DEATHS_CERTAIN
+      && (shares_last_death (suspects, suspect) || last_death_is_explained (suspects, suspect)))
     return false;
   if (until_us > suspect->quarantined_until_us)
     suspect->quarantined_until_us = until_us;
@@ -203,6 +222,15 @@
   return suspect->n_deaths > 0 && death->sent_us < suspect->deaths[suspect->n_deaths - 1].at_us;
 }
 
+static void
+remove_oldest_death (MfSuspect *suspect)
+{
+  suspect->n_deaths--;
+  memmove (&suspect->deaths[0], &suspect->deaths[1], suspect->n_deaths * sizeof suspect->deaths[0]);
+  if (suspect->n_reported > suspect->n_deaths)
+    suspect->n_reported = suspect->n_deaths;
+}
+
 /* Counts an upstream that died while it ran a request. isolated means that no other suspect ran
  * there. */
 MfSuspectResult
@@ -214,12 +242,14 @@
 
   if (death_is_duplicate (suspect, death))
     return MF_SUSPECT_DUPLICATE;
-  if (suspect->n_deaths < DEATHS_CERTAIN)
-    suspect->deaths[suspect->n_deaths++] = *death;
+  if (suspect->n_deaths == DEATHS_CERTAIN)
+    remove_oldest_death (suspect);
+  suspect->deaths[suspect->n_deaths++] = *death;
   if (suspect->n_deaths < (isolated ? DEATHS_ISOLATED : DEATHS_CERTAIN))
     return MF_SUSPECT_COUNTED;
-  duration_us = suspect->n_deaths < DEATHS_CERTAIN ? suspects->limits.two_deaths_quarantine_us
-                                                   : suspects->limits.three_deaths_quarantine_us;
+  duration_us = suspect->n_deaths < DEATHS_CERTAIN || last_death_is_explained (suspects, suspect)
+                    ? suspects->limits.two_deaths_quarantine_us
+                    : suspects->limits.three_deaths_quarantine_us;
   return mf_suspects_quarantine (suspects, digest, now_us + duration_us, now_us)
              ? MF_SUSPECT_QUARANTINED
              : MF_SUSPECT_COUNTED;
@@ -309,9 +339,9 @@
 
       if (now_us - failure.failed_us < suspects->limits.crash_window_us)
         {
+          mf_suspects_add_part_deaths (suspects, &failure.parts, &death, now_us);
           result = mf_suspects_add_death (suspects, failure.digest, &death,
                                           failure.was_suspect && n_suspects == 1, now_us);
-          mf_suspects_add_part_deaths (suspects, &failure.parts, &death, now_us);
         }
       func (data, &failure, result);
     }
--- a/libmangofork/suspect_part.c
+++ b/libmangofork/suspect_part.c
@@ -94,6 +94,18 @@
   return false;
 }
 
+/* Returns whether a quarantined part explains the death of a process under any request. */
+bool
+mf_suspects_part_explains (const MfSuspects *suspects, uint64_t process_id)
+{
+  for (const MfSuspectRow *row = suspects->rows; row != NULL; row = row->hh.next)
+    {
+      if (row->suspect.part.quarantined_us > 0 && has_process (&row->suspect, process_id))
+        return true;
+    }
+  return false;
+}
+
 /* Returns the most deaths of any better suspect that died with a process; 0: there is none. */
 static uint32_t
 better_suspect_deaths (const MfSuspects *suspects, const MfSuspect *suspect, uint64_t process_id)
@@ -162,7 +174,8 @@
          || (n_sole >= DEATHS_SOLE && !was_lately_sound (suspect));
 }
 
-/* Takes back the deaths of worse suspects that a quarantined part explains. */
+/* Takes back the deaths of worse suspects that a quarantined part explains, and ends the
+ * quarantines of requests that it explains. */
 static void
 withdraw_explained (MfSuspects *suspects, const MfSuspect *suspect)
 {
@@ -170,6 +183,9 @@
     {
       MfSuspect *other = &row->suspect;
 
+      if (other->kind == MF_SUSPECT_REQUEST && other->n_deaths > 0
+          && has_process (suspect, other->deaths[other->n_deaths - 1].process_id))
+        mf_suspects_release (other);
       if (other->kind != MF_SUSPECT_PART || other->part.quarantined_us > 0
           || !is_better_suspect (&suspect->part, &other->part))
         continue;
--- a/libmangofork/suspect_row.h
+++ b/libmangofork/suspect_row.h
@@ -33,5 +33,7 @@
 
 MfSuspect *mf_suspects_find_or_add (MfSuspects *suspects, uint64_t digest, MfSuspectKind kind,
                                     uint64_t now_us);
+void mf_suspects_release (MfSuspect *suspect);
+bool mf_suspects_part_explains (const MfSuspects *suspects, uint64_t process_id);
 
 #endif
--- a/tests/test_suspect_part.c
+++ b/tests/test_suspect_part.c
@@ -11,12 +11,15 @@
 #define FIRST 11 /* part with which all prompts begin */
 #define DEADLY 12
 #define OTHER_DEADLY 13
+#define BESIDE 21 /* digest of a request */
 #define CALLER 1
 #define OTHER_CALLER 2
 #define TRIAL_INTERVAL_US (30 * S)
 
-static const MfSuspectLimits limits
-    = { .crash_window_us = 10 * S, .trial_interval_us = TRIAL_INTERVAL_US };
+static const MfSuspectLimits limits = { .crash_window_us = 10 * S,
+                                        .two_deaths_quarantine_us = 30 * S,
+                                        .three_deaths_quarantine_us = 600 * S,
+                                        .trial_interval_us = TRIAL_INTERVAL_US };
 
 /* Counts an upstream that died at a time under a request of its own with FIRST and another part. */
 static void
@@ -259,6 +262,69 @@
   mf_suspects_free (suspects);
 }
 
+/* A request of its own that ran, with its answer begun, where an upstream died at a time. */
+static void
+dies_beside (MfSuspects *suspects, uint64_t digest, uint64_t at_us)
+{
+  MfSuspectDeath death
+      = { .process_id = at_us, .digest = digest, .sent_us = at_us - 1, .at_us = at_us };
+
+  mf_suspects_add_death (suspects, digest, &death, true, at_us);
+}
+
+static void
+test_request_beside_a_deadly_part_is_not_refused (void **state)
+{
+  (void)state;
+  for (uint32_t ran_late = 0; ran_late < 2; ran_late++)
+    {
+      MfSuspects *suspects = mf_suspects_new (&limits);
+
+      for (uint64_t i = 1; i <= 4; i++)
+        {
+          dies (suspects, DEADLY, CALLER, i * S);
+          if (i == 2 + ran_late || i == 3 + ran_late)
+            dies_beside (suspects, BESIDE, i * S);
+        }
+      assert_false (mf_suspects_is_quarantined (suspects, BESIDE, 5 * S));
+      mf_suspects_free (suspects);
+    }
+}
+
+/* The part was quarantined by mistake: the request is what crashes upstreams. */
+static void
+test_request_beside_a_sound_part_is_refused_after_three_deaths (void **state)
+{
+  MfSuspects *suspects = suspects_with_deadly ();
+
+  (void)state;
+  dies_beside (suspects, BESIDE, 2 * S);
+  dies_beside (suspects, BESIDE, 3 * S);
+  survives (suspects, DEADLY, 4 * S);
+  dies_beside (suspects, BESIDE, 5 * S);
+  assert_true (mf_suspects_is_quarantined (suspects, BESIDE, 500 * S));
+  mf_suspects_free (suspects);
+}
+
+/* Three deaths beside a deadly part cost a request no ten minutes, but one more without it does. */
+static void
+test_request_that_three_deaths_met_is_refused_for_a_moment (void **state)
+{
+  MfSuspects *suspects = mf_suspects_new (&limits);
+
+  (void)state;
+  for (uint64_t i = 1; i <= 3; i++)
+    {
+      dies (suspects, DEADLY, CALLER, i * S);
+      dies_beside (suspects, BESIDE, i * S);
+    }
+  assert_true (mf_suspects_is_quarantined (suspects, BESIDE, 4 * S));
+  assert_false (mf_suspects_is_quarantined (suspects, BESIDE, 34 * S));
+  dies_beside (suspects, BESIDE, 35 * S);
+  assert_true (mf_suspects_is_quarantined (suspects, BESIDE, 600 * S));
+  mf_suspects_free (suspects);
+}
+
 static void
 test_invented_parts_do_not_displace_a_quarantine (void **state)
 {
@@ -287,6 +353,9 @@
     cmocka_unit_test (test_part_that_others_use_is_refused_to_the_only_caller_it_fails),
     cmocka_unit_test (test_trials_come_less_often_until_one_is_survived),
     cmocka_unit_test (test_quarantine_ends_when_nobody_asks_for_the_part),
+    cmocka_unit_test (test_request_beside_a_deadly_part_is_not_refused),
+    cmocka_unit_test (test_request_beside_a_sound_part_is_refused_after_three_deaths),
+    cmocka_unit_test (test_request_that_three_deaths_met_is_refused_for_a_moment),
     cmocka_unit_test (test_invented_parts_do_not_displace_a_quarantine),
   };
 
