A quarantine that is convicted by a peer's report keeps the time of its trial

The logs show two instances that restarted meanwhile: each took the reported deaths one by one, convicted the part by itself as of now, and put off the trial for all.

--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -358,7 +358,9 @@
     .kind = entry->kind,
     .quarantined_until_us = now_us + entry->quarantine_ms * MF_US_PER_MS,
     .n_deaths = entry->n_deaths,
-    .part = { .depth = entry->depth, .n_failed_trials = entry->n_failed_trials },
+    .part = { .depth = entry->depth,
+              .quarantined_us = entry->quarantined ? now_us : 0,
+              .n_failed_trials = entry->n_failed_trials },
   };
 
   for (uint32_t i = 0; i < entry->n_deaths; i++)
@@ -378,10 +380,7 @@
 
   if (entry->was_sound)
     part_note_sound (jobs, entry->digest, time_us (entry->sound_age_ms, now_us), false, now_us);
-  for (uint32_t i = 0; i < reported.n_deaths; i++)
-    mf_suspects_add_part_death (suspects, entry->digest, entry->depth, &reported.deaths[i], now_us);
-  if (entry->quarantined)
-    mf_suspects_adopt_quarantine (suspects, &reported, now_us);
+  mf_suspects_merge_part (suspects, &reported, now_us);
   suspect = mf_suspects_find (suspects, entry->digest, now_us);
   if (suspect == NULL)
     return;
--- a/libmangofork/suspect.h
+++ b/libmangofork/suspect.h
@@ -134,8 +134,7 @@
 MfSuspectVerdict mf_suspects_judge_part (MfSuspects *suspects, uint64_t part, uint64_t caller,
                                          uint64_t now_us);
 void mf_suspects_start_trial (MfSuspects *suspects, uint64_t part, uint64_t now_us);
-void mf_suspects_adopt_quarantine (MfSuspects *suspects, const MfSuspect *reported,
-                                   uint64_t now_us);
+void mf_suspects_merge_part (MfSuspects *suspects, const MfSuspect *reported, uint64_t now_us);
 bool mf_suspects_part_is_quarantined (const MfSuspects *suspects, uint64_t part, uint64_t now_us);
 
 #endif
--- a/libmangofork/suspect_part.c
+++ b/libmangofork/suspect_part.c
@@ -382,25 +382,42 @@
 /* Takes over the quarantine of a part from another instance with the deaths that it knows, unless
  * what is known here contradicts it. Which of two parts explains a death depends on the order in
  * which instances hear of the deaths, so that they may judge differently. */
-void
-mf_suspects_adopt_quarantine (MfSuspects *suspects, const MfSuspect *reported, uint64_t now_us)
+static void
+adopt_quarantine (MfSuspects *suspects, MfSuspect *suspect, const MfSuspect *reported,
+                  uint64_t now_us)
 {
-  MfSuspect *suspect = part_find_or_add (suspects, reported->digest, reported->part.depth, now_us);
+  MfSuspect adopted = *suspect;
+
+  memcpy (adopted.deaths, reported->deaths, sizeof adopted.deaths);
+  adopted.n_deaths = reported->n_deaths;
+  if (adopted.n_deaths == 0 || contradicts (&adopted))
+    return;
+  *suspect = adopted;
+  part_quarantine (suspects, suspect, now_us);
+}
 
+/* Adds what another instance knows of a part: its deaths and its quarantine. */
+void
+mf_suspects_merge_part (MfSuspects *suspects, const MfSuspect *reported, uint64_t now_us)
+{
+  MfSuspect *suspect;
+  bool was_quarantined;
+
+  if (reported->n_deaths == 0)
+    return;
+  suspect = part_find_or_add (suspects, reported->digest, reported->part.depth, now_us);
+  was_quarantined = suspect->part.quarantined_us > 0;
+  for (uint32_t i = 0; i < reported->n_deaths; i++)
+    mf_suspects_add_part_death (suspects, reported->digest, reported->part.depth,
+                                &reported->deaths[i], now_us);
+  if (reported->part.quarantined_us == 0)
+    return;
   if (suspect->part.quarantined_us == 0)
-    {
-      MfSuspect adopted = *suspect;
-
-      memcpy (adopted.deaths, reported->deaths, sizeof adopted.deaths);
-      adopted.n_deaths = reported->n_deaths;
-      if (adopted.n_deaths == 0 || contradicts (&adopted))
-        return;
-      *suspect = adopted;
-      part_quarantine (suspects, suspect, now_us);
-      /* An instance that has just started must not put off the trial for all. */
-      suspect->quarantined_until_us = reported->quarantined_until_us;
-    }
-  if (reported->quarantined_until_us > suspect->quarantined_until_us)
+    adopt_quarantine (suspects, suspect, reported, now_us);
+  if (suspect->part.quarantined_us == 0)
+    return;
+  /* An instance that has just started must not put off the trial for all. */
+  if (!was_quarantined || reported->quarantined_until_us > suspect->quarantined_until_us)
     suspect->quarantined_until_us = reported->quarantined_until_us;
   if (reported->part.n_failed_trials > suspect->part.n_failed_trials)
     suspect->part.n_failed_trials = reported->part.n_failed_trials;
--- a/tests/test_suspect_part.c
+++ b/tests/test_suspect_part.c
@@ -139,7 +139,7 @@
       if (was_sound > 0)
         survives (suspects, DEADLY, 2 * S);
       dies (suspects, DEADLY, CALLER, S);
-      mf_suspects_adopt_quarantine (suspects, mf_suspects_find (other, DEADLY, 3 * S), 4 * S);
+      mf_suspects_merge_part (suspects, mf_suspects_find (other, DEADLY, 3 * S), 4 * S);
       assert_int_equal (is_refused (suspects, DEADLY, CALLER, 4 * S), was_sound == 0);
       if (was_sound == 0)
         assert_true (mf_suspects_find (suspects, DEADLY, 4 * S)->quarantined_until_us
