A trial of a part that shows nothing is made up for at once

Its trial at 55.680 s ended without a verdict, and the next one came an interval later. The lines on that request were dropped by the log's bound, so which of the two ways it took is not known; both can be shown.

A trial that reached no upstream (none was free, its caller left), and one that was sent to a process whose death already counted, show nothing and cost nothing. Both now leave the trial to the next request; a trial that reached an upstream waits for the interval as before, as each of them may cost one. part.untried is logged.

--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -117,7 +117,7 @@
   uint64_t caller_hash;      /* of the caller's host */
   uint64_t n_events_before;  /* of its stream, at the time of the current send */
   bool answer_began;         /* the upstream of the current send has survived its beginning */
-  bool is_trial;             /* it shows whether a quarantined part is still deadly */
+  uint64_t trial_part;       /* quarantined part that it shows to be deadly or not; 0: none */
   /* Process whose probe decides whether the request may be retried; 0: none. */
   uint64_t awaited_process_id;
   uint32_t n_arrivals; /* runs that reached an upstream */
@@ -150,6 +150,7 @@
 void mf_job_note_upstream_alive (const MfJob *job);
 void mf_job_note_outcome (const MfJob *job, bool answered);
 void mf_job_note_sound (MfJob *job);
+void mf_job_end_trial (MfJob *job);
 void mf_job_retry_after_failure (MfJob *job, MfTarget *target, const MfJobDenial *denial);
 void mf_job_probe_done (MfJob *job);
 void mf_jobs_send_suspects (MfJobs *jobs, uint64_t peer);
--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -64,7 +64,7 @@
   const MfSuspect *suspect
       = mf_suspects_find (job->jobs->suspects, job->digest, mf_clock_now_us ());
 
-  return job->is_trial || job->n_failures > 0 || (suspect != NULL && suspect->n_deaths > 0);
+  return job->trial_part != 0 || job->n_failures > 0 || (suspect != NULL && suspect->n_deaths > 0);
 }
 
 static uint32_t
@@ -544,12 +544,13 @@
     .upstream_id = mf_target_process_id (target),
     .address_hash = mf_load_hash (target->info.address),
     .caller = job->caller_hash,
+    .trial_part = job->trial_part,
     .was_suspect = job->was_suspect,
     .sent_us = job->sent_us,
     .failed_us = now_us,
   };
 
-  job->is_trial = false;
+  job->trial_part = 0;
   if (mf_target_is_leaving (target))
     return;
   if (!job->answer_began)
@@ -642,12 +643,24 @@
 
   mf_suspects_start_trial (jobs->suspects, part, now_us);
   suspect = mf_suspects_find (jobs->suspects, part, now_us);
-  job->is_trial = true;
+  job->trial_part = part;
   mf_relay_log_state (jobs->log, "part.trial", "id=%s digest=%016llx next_ms=%u", job->id,
                       (unsigned long long)part, age_ms (now_us, suspect->quarantined_until_us));
   part_send (jobs, TO_ALL, suspect, false, now_us);
 }
 
+/* Ends the trial of a part with its request. If that has reached no upstream, the next one may try
+ * the part. */
+void
+mf_job_end_trial (MfJob *job)
+{
+  if (job->trial_part == 0 || job->n_arrivals > 0 || job->n_prefills > 0)
+    return;
+  mf_relay_log_state (job->jobs->log, "part.untried", "id=%s digest=%016llx", job->id,
+                      (unsigned long long)job->trial_part);
+  mf_suspects_void_trial (job->jobs->suspects, job->trial_part, mf_clock_now_us ());
+}
+
 /* Returns the quarantined part for which the request is refused, or NULL. If the trial of a part is
  * due, this instance is the one that tries it, and no other part is refused, the request becomes
  * the trial. */
@@ -657,7 +670,7 @@
   MfJobs *jobs = job->jobs;
   uint64_t due_part = 0;
 
-  for (uint32_t i = 0; i < job->parts.n_parts && !job->is_trial; i++)
+  for (uint32_t i = 0; i < job->parts.n_parts && job->trial_part == 0; i++)
     {
       uint64_t part = job->parts.hashes[i];
       MfSuspectVerdict verdict
@@ -716,7 +729,7 @@
       bool is_at_upstream = job_is_at_upstream (job);
 
       next = job->next;
-      if (job->caller == NULL || job->answer_began || job->is_trial)
+      if (job->caller == NULL || job->answer_began || job->trial_part != 0)
         continue;
       /* It is not refused as one that has not run. */
       job->n_runs += is_at_upstream;
--- a/libmangofork/suspect.h
+++ b/libmangofork/suspect.h
@@ -36,6 +36,7 @@
   uint64_t address_hash; /* of the upstream; 0 when unknown */
   uint64_t caller;       /* hash of the caller's host */
   MfParts parts;         /* of the prompt; none once the answer has begun */
+  uint64_t trial_part;   /* the quarantined part that the attempt was the trial of; 0: none */
   bool was_suspect;      /* the request was already a suspect when it was sent */
   uint64_t sent_us;
   uint64_t failed_us;
@@ -134,6 +135,7 @@
 MfSuspectVerdict mf_suspects_judge_part (MfSuspects *suspects, uint64_t part, uint64_t caller,
                                          uint64_t now_us);
 void mf_suspects_start_trial (MfSuspects *suspects, uint64_t part, uint64_t now_us);
+void mf_suspects_void_trial (MfSuspects *suspects, uint64_t part, uint64_t now_us);
 void mf_suspects_merge_part (MfSuspects *suspects, const MfSuspect *reported, uint64_t now_us);
 bool mf_suspects_part_is_quarantined (const MfSuspects *suspects, uint64_t part, uint64_t now_us);
 
--- a/libmangofork/suspect_part.c
+++ b/libmangofork/suspect_part.c
@@ -364,6 +364,26 @@
     suspect->quarantined_until_us = now_us + trial_interval_us (suspects, suspect);
 }
 
+/* Lets the next trial be due at once, as one has ended without showing anything. */
+void
+mf_suspects_void_trial (MfSuspects *suspects, uint64_t part, uint64_t now_us)
+{
+  MfSuspect *suspect = mf_suspects_find (suspects, part, now_us);
+
+  if (suspect != NULL && suspect->part.quarantined_us > 0)
+    suspect->quarantined_until_us = now_us;
+}
+
+/* Returns whether the death of a process counts against a part already. */
+bool
+mf_suspects_part_has_death (const MfSuspects *suspects, uint64_t part, uint64_t process_id,
+                            uint64_t now_us)
+{
+  const MfSuspect *suspect = mf_suspects_find (suspects, part, now_us);
+
+  return suspect != NULL && has_process (suspect, process_id);
+}
+
 /* Returns whether what is known here speaks against a quarantine for the deaths of a part: an
  * upstream has survived it since one of them, or shortly before, and they are few. */
 static bool
--- a/tests/test_job_suspect.c
+++ b/tests/test_job_suspect.c
@@ -551,6 +551,16 @@
         = mf_clock_now_us ();
 }
 
+/* All upstreams ask an instance to send nothing until a time. */
+static void
+pause_upstreams (CrashFixture *fixture, uint32_t instance, uint64_t until_us)
+{
+  MfTargets *targets = &fixture->fleet.instances[instance].jobs.targets;
+
+  for (MfTarget *target = targets->first; target != NULL; target = target->next)
+    target->paused_until_us = until_us;
+}
+
 /* One request of all instances shows whether the part is still deadly. */
 static void
 test_quarantined_part_is_tried_by_one_request (void **state)
@@ -583,6 +593,31 @@
   crash_fixture_teardown (&fixture);
 }
 
+/* A request that finds no upstream leaves the trial to the next one. */
+static void
+test_trial_that_reaches_no_upstream_is_made_up_for (void **state)
+{
+  CrashFixture fixture;
+  uint32_t n_served = 0;
+
+  (void)state;
+  crash_fixture_setup (&fixture);
+  quarantine_part (&fixture);
+  trial_due (&fixture);
+  for (uint32_t index = 0; index < N_UPSTREAMS; index++)
+    soak_upstream_enable_crashes (fixture.upstreams[index], 0., on_down_changed, &fixture);
+  for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
+    pause_upstreams (&fixture, i, mf_clock_now_us () + 10 * MF_US_PER_S);
+  for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
+    assert_int_equal (prompt (&fixture, i, "/read/1", SOAK_DEADLY_PART "0"), 503);
+  for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
+    pause_upstreams (&fixture, i, 0);
+  for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
+    n_served += prompt (&fixture, i, "/read/1", SOAK_DEADLY_PART "0") == 200;
+  assert_in_range (n_served, 1, RELAY_FLEET_N_INSTANCES);
+  crash_fixture_teardown (&fixture);
+}
+
 /* A request with a part whose trial was due was sent although another part of it was quarantined.
  */
 static void
@@ -649,6 +684,7 @@
     cmocka_unit_test (test_graceful_exit_is_no_crash),
     cmocka_unit_test (test_restarted_instance_receives_quarantined_parts),
     cmocka_unit_test (test_quarantined_part_is_tried_by_one_request),
+    cmocka_unit_test (test_trial_that_reaches_no_upstream_is_made_up_for),
     cmocka_unit_test (test_trial_has_no_other_quarantined_part),
     cmocka_unit_test (test_quarantine_ends_requests_in_progress),
     cmocka_unit_test (test_requests_with_a_part_that_crashed_upstreams_are_refused),
--- a/tests/test_suspect_part.c
+++ b/tests/test_suspect_part.c
@@ -21,6 +21,14 @@
                                         .three_deaths_quarantine_us = 600 * S,
                                         .trial_interval_us = TRIAL_INTERVAL_US };
 
+static void
+ignore_failure (void *data, const MfSuspectFailure *failure, MfSuspectResult result)
+{
+  (void)data;
+  (void)failure;
+  (void)result;
+}
+
 /* Counts an upstream that died at a time under a request of its own with FIRST and another part. */
 static void
 dies (MfSuspects *suspects, uint64_t part, uint64_t caller, uint64_t at_us)
@@ -250,6 +258,31 @@
   mf_suspects_free (suspects);
 }
 
+/* The upstream that the trial was sent to had died before, and nobody knew. */
+static void
+test_trial_at_a_dead_upstream_is_made_up_for (void **state)
+{
+  (void)state;
+  for (uint64_t process_id = 3 * S; process_id <= 4 * S; process_id += S)
+    {
+      MfSuspects *suspects = suspects_with_deadly ();
+      MfSuspectFailure failure = { .digest = 5,
+                                   .request_id = 5,
+                                   .upstream_id = process_id,
+                                   .parts = { .hashes = { FIRST, DEADLY }, .n_parts = 2 },
+                                   .trial_part = DEADLY,
+                                   .sent_us = 70 * S,
+                                   .failed_us = 70 * S };
+
+      mf_suspects_start_trial (suspects, DEADLY, 70 * S);
+      mf_suspects_add_failure (suspects, &failure);
+      mf_suspects_upstream_died (suspects, process_id, process_id, 71 * S, ignore_failure, NULL);
+      assert_int_equal (mf_suspects_judge_part (suspects, DEADLY, CALLER, 71 * S),
+                        process_id == 3 * S ? MF_SUSPECT_PART_TRIAL_DUE : MF_SUSPECT_PART_REFUSED);
+      mf_suspects_free (suspects);
+    }
+}
+
 static void
 test_quarantine_ends_when_nobody_asks_for_the_part (void **state)
 {
@@ -352,6 +385,7 @@
     cmocka_unit_test (test_deadly_first_part_is_refused_after_five_deaths),
     cmocka_unit_test (test_part_that_others_use_is_refused_to_the_only_caller_it_fails),
     cmocka_unit_test (test_trials_come_less_often_until_one_is_survived),
+    cmocka_unit_test (test_trial_at_a_dead_upstream_is_made_up_for),
     cmocka_unit_test (test_quarantine_ends_when_nobody_asks_for_the_part),
     cmocka_unit_test (test_request_beside_a_deadly_part_is_not_refused),
     cmocka_unit_test (test_request_beside_a_sound_part_is_refused_after_three_deaths),
