Deaths at the beginning of a quarantine put off no trial of the part

Requests with the part that other instances had sent within the millisecond in which they heard of the quarantine died as well, and each such death counted as a failed trial.

No trial begins before the interval is over, so only requests that were sent later than half of it count as trials.

test_deaths_at_the_beginning_of_a_quarantine_put_off_no_trial failed before.

--- a/libmangofork/suspect_part.c
+++ b/libmangofork/suspect_part.c
@@ -235,14 +235,15 @@
   withdraw_explained (suspects, suspect);
 }
 
-/* Counts a death of a part that is quarantined: the next trial is put off if it was one. */
+/* Counts a death of a part that is quarantined: the next trial is put off if it was one. Instances
+ * that had not heard of the quarantine may have sent requests shortly after its beginning. */
 static void
 note_death_in_quarantine (MfSuspects *suspects, MfSuspect *suspect, const MfSuspectDeath *death,
                           uint64_t now_us)
 {
   if (suspect->part.only_caller != death->caller)
     suspect->part.only_caller = 0;
-  if (death->sent_us > suspect->part.quarantined_us)
+  if (death->sent_us > suspect->part.quarantined_us + suspects->limits.trial_interval_us / 2)
     {
       suspect->part.n_failed_trials++;
       suspect->quarantined_until_us = now_us + trial_interval_us (suspects, suspect);
--- a/tests/test_suspect_part.c
+++ b/tests/test_suspect_part.c
@@ -258,6 +258,21 @@
   mf_suspects_free (suspects);
 }
 
+/* Other instances hear of the quarantine a moment later. */
+static void
+test_deaths_at_the_beginning_of_a_quarantine_put_off_no_trial (void **state)
+{
+  MfSuspects *suspects = suspects_with_deadly ();
+  uint64_t due_us = mf_suspects_find (suspects, DEADLY, 3 * S)->quarantined_until_us;
+
+  (void)state;
+  for (uint64_t i = 1; i <= 3; i++)
+    dies (suspects, DEADLY, CALLER, 3 * S + S / 5 * i);
+  assert_int_equal (mf_suspects_judge_part (suspects, DEADLY, CALLER, due_us),
+                    MF_SUSPECT_PART_TRIAL_DUE);
+  mf_suspects_free (suspects);
+}
+
 /* The upstream that the trial was sent to had died before, and nobody knew. */
 static void
 test_trial_at_a_dead_upstream_is_made_up_for (void **state)
@@ -385,6 +400,7 @@
     cmocka_unit_test (test_deadly_first_part_is_refused_after_five_deaths),
     cmocka_unit_test (test_part_that_others_use_is_refused_to_the_only_caller_it_fails),
     cmocka_unit_test (test_trials_come_less_often_until_one_is_survived),
+    cmocka_unit_test (test_deaths_at_the_beginning_of_a_quarantine_put_off_no_trial),
     cmocka_unit_test (test_trial_at_a_dead_upstream_is_made_up_for),
     cmocka_unit_test (test_quarantine_ends_when_nobody_asks_for_the_part),
     cmocka_unit_test (test_request_beside_a_deadly_part_is_not_refused),
