Only the death of a trial's own upstream is a failed trial

Instances that restart serve requests for some 50 ms before they hear of quarantines; one of these died beside a crashing request 2.7 s into the quarantine and counted as a failed trial.

The age of the request, by which told trials from others, is no proof. The failed call now names the part that it was the trial of, so that the instance that ran the trial alone puts off the next one; the others take over number and time with its report, as before.

--- a/libmangofork/suspect.c
+++ b/libmangofork/suspect.c
@@ -339,11 +339,15 @@
 
       if (now_us - failure.failed_us < suspects->limits.crash_window_us)
         {
-          /* The trial was sent to a process that had died before. */
-          if (failure.trial_part != 0
-              && mf_suspects_part_has_death (suspects, failure.trial_part, process_id, now_us))
-            mf_suspects_void_trial (suspects, failure.trial_part, now_us);
+          /* Else the trial was sent to a process that had died before. */
+          bool trial_failed
+              = !mf_suspects_part_has_death (suspects, failure.trial_part, process_id, now_us);
+
           mf_suspects_add_part_deaths (suspects, &failure.parts, &death, now_us);
+          if (trial_failed)
+            mf_suspects_fail_trial (suspects, failure.trial_part, now_us);
+          else
+            mf_suspects_void_trial (suspects, failure.trial_part, now_us);
           result = mf_suspects_add_death (suspects, failure.digest, &death,
                                           failure.was_suspect && n_suspects == 1, now_us);
         }
--- a/libmangofork/suspect_part.c
+++ b/libmangofork/suspect_part.c
@@ -235,19 +235,13 @@
   withdraw_explained (suspects, suspect);
 }
 
-/* Counts a death of a part that is quarantined: the next trial is put off if it was one. Instances
- * that had not heard of the quarantine may have sent requests shortly after its beginning. */
+/* Counts a death of a part that is quarantined. It need not be of a trial: instances that have not
+ * heard of the quarantine yet send such requests, too. */
 static void
-note_death_in_quarantine (MfSuspects *suspects, MfSuspect *suspect, const MfSuspectDeath *death,
-                          uint64_t now_us)
+note_death_in_quarantine (MfSuspects *suspects, MfSuspect *suspect, const MfSuspectDeath *death)
 {
   if (suspect->part.only_caller != death->caller)
     suspect->part.only_caller = 0;
-  if (death->sent_us > suspect->part.quarantined_us + suspects->limits.trial_interval_us / 2)
-    {
-      suspect->part.n_failed_trials++;
-      suspect->quarantined_until_us = now_us + trial_interval_us (suspects, suspect);
-    }
   withdraw_explained (suspects, suspect);
 }
 
@@ -270,7 +264,7 @@
   suspect->part.is_unreported = true;
   if (is_quarantined)
     {
-      note_death_in_quarantine (suspects, suspect, death, now_us);
+      note_death_in_quarantine (suspects, suspect, death);
       return MF_SUSPECT_COUNTED;
     }
   if (!is_convicted (suspects, suspect))
@@ -375,6 +369,18 @@
     suspect->quarantined_until_us = now_us;
 }
 
+/* Puts off the next trial, as an upstream has died under one. */
+void
+mf_suspects_fail_trial (MfSuspects *suspects, uint64_t part, uint64_t now_us)
+{
+  MfSuspect *suspect = mf_suspects_find (suspects, part, now_us);
+
+  if (suspect == NULL || suspect->part.quarantined_us == 0)
+    return;
+  suspect->part.n_failed_trials++;
+  suspect->quarantined_until_us = now_us + trial_interval_us (suspects, suspect);
+}
+
 /* Returns whether the death of a process counts against a part already. */
 bool
 mf_suspects_part_has_death (const MfSuspects *suspects, uint64_t part, uint64_t process_id,
--- a/libmangofork/suspect_row.h
+++ b/libmangofork/suspect_row.h
@@ -35,6 +35,7 @@
                                     uint64_t now_us);
 void mf_suspects_release (MfSuspect *suspect);
 bool mf_suspects_part_explains (const MfSuspects *suspects, uint64_t process_id);
+void mf_suspects_fail_trial (MfSuspects *suspects, uint64_t part, uint64_t now_us);
 bool mf_suspects_part_has_death (const MfSuspects *suspects, uint64_t part, uint64_t process_id,
                                  uint64_t now_us);
 
--- a/tests/test_suspect_part.c
+++ b/tests/test_suspect_part.c
@@ -226,6 +226,23 @@
   mf_suspects_free (suspects);
 }
 
+/* The upstream of a trial, a process, is found to have died at a time. */
+static void
+trial_ends (MfSuspects *suspects, uint64_t process_id, uint64_t now_us)
+{
+  MfSuspectFailure failure = { .digest = now_us,
+                               .request_id = now_us,
+                               .upstream_id = process_id,
+                               .caller = CALLER,
+                               .parts = { .hashes = { FIRST, DEADLY }, .n_parts = 2 },
+                               .trial_part = DEADLY,
+                               .sent_us = now_us - S,
+                               .failed_us = now_us - S };
+
+  mf_suspects_add_failure (suspects, &failure);
+  mf_suspects_upstream_died (suspects, process_id, process_id, now_us, ignore_failure, NULL);
+}
+
 static void
 test_trials_come_less_often_until_one_is_survived (void **state)
 {
@@ -244,8 +261,8 @@
       mf_suspects_start_trial (suspects, DEADLY, now_us);
       assert_int_equal (mf_suspects_judge_part (suspects, DEADLY, CALLER, now_us),
                         MF_SUSPECT_PART_REFUSED);
-      dies (suspects, DEADLY, CALLER, now_us + S);
       now_us += S;
+      trial_ends (suspects, now_us, now_us);
       interval_us *= 6;
     }
   assert_true (survives (suspects, DEADLY, now_us + S));
@@ -258,16 +275,16 @@
   mf_suspects_free (suspects);
 }
 
-/* Other instances hear of the quarantine a moment later. */
+/* Other instances hear of the quarantine late, as they have just started. */
 static void
-test_deaths_at_the_beginning_of_a_quarantine_put_off_no_trial (void **state)
+test_deaths_of_a_quarantined_part_without_a_trial_put_off_none (void **state)
 {
   MfSuspects *suspects = suspects_with_deadly ();
   uint64_t due_us = mf_suspects_find (suspects, DEADLY, 3 * S)->quarantined_until_us;
 
   (void)state;
   for (uint64_t i = 1; i <= 3; i++)
-    dies (suspects, DEADLY, CALLER, 3 * S + S / 5 * i);
+    dies (suspects, DEADLY, CALLER, 3 * S + 9 * S * i);
   assert_int_equal (mf_suspects_judge_part (suspects, DEADLY, CALLER, due_us),
                     MF_SUSPECT_PART_TRIAL_DUE);
   mf_suspects_free (suspects);
@@ -281,17 +298,9 @@
   for (uint64_t process_id = 3 * S; process_id <= 4 * S; process_id += S)
     {
       MfSuspects *suspects = suspects_with_deadly ();
-      MfSuspectFailure failure = { .digest = 5,
-                                   .request_id = 5,
-                                   .upstream_id = process_id,
-                                   .parts = { .hashes = { FIRST, DEADLY }, .n_parts = 2 },
-                                   .trial_part = DEADLY,
-                                   .sent_us = 70 * S,
-                                   .failed_us = 70 * S };
 
       mf_suspects_start_trial (suspects, DEADLY, 70 * S);
-      mf_suspects_add_failure (suspects, &failure);
-      mf_suspects_upstream_died (suspects, process_id, process_id, 71 * S, ignore_failure, NULL);
+      trial_ends (suspects, process_id, 71 * S);
       assert_int_equal (mf_suspects_judge_part (suspects, DEADLY, CALLER, 71 * S),
                         process_id == 3 * S ? MF_SUSPECT_PART_TRIAL_DUE : MF_SUSPECT_PART_REFUSED);
       mf_suspects_free (suspects);
@@ -400,7 +409,7 @@
     cmocka_unit_test (test_deadly_first_part_is_refused_after_five_deaths),
     cmocka_unit_test (test_part_that_others_use_is_refused_to_the_only_caller_it_fails),
     cmocka_unit_test (test_trials_come_less_often_until_one_is_survived),
-    cmocka_unit_test (test_deaths_at_the_beginning_of_a_quarantine_put_off_no_trial),
+    cmocka_unit_test (test_deaths_of_a_quarantined_part_without_a_trial_put_off_none),
     cmocka_unit_test (test_trial_at_a_dead_upstream_is_made_up_for),
     cmocka_unit_test (test_quarantine_ends_when_nobody_asks_for_the_part),
     cmocka_unit_test (test_request_beside_a_deadly_part_is_not_refused),
