A restarted instance's better knowledge of a part reaches all others

An instance that had restarted served the part before it heard of the quarantine, knew better and replied to each peer that reported it. Replies to peers to which it had not connected yet were dropped; these peers passed the quarantine on to the next instance that restarted.

Such a part is now marked as disputed and is among the suspects that each peer gets when it is reached.

--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -100,6 +100,7 @@
     .digest = suspect->digest,
     .kind = suspect->kind,
     .quarantined = suspect->part.quarantined_us > 0,
+    .cleared = suspect->part.is_disputed,
     .was_sound = suspect->part.sound_us > 0,
     .sound_age_ms = age_ms (suspect->part.sound_us, now_us),
     .depth = suspect->part.depth,
@@ -389,7 +390,11 @@
   if (suspect->part.quarantined_us > 0 && was_quarantined && !entry->quarantined && !entry->cleared)
     part_send (jobs, peer, suspect, false, now_us);
   else if (suspect->part.quarantined_us == 0 && entry->quarantined)
-    part_send (jobs, peer, suspect, true, now_us);
+    {
+      /* A peer that is not connected yet is told with all suspects. */
+      suspect->part.is_disputed = true;
+      part_send (jobs, peer, suspect, true, now_us);
+    }
 }
 
 /* Handles suspects reported by another instance. */
--- a/libmangofork/suspect.c
+++ b/libmangofork/suspect.c
@@ -126,13 +126,15 @@
   return suspect != NULL && suspect->quarantined_until_us > now_us;
 }
 
-/* Calls func for each request with a counted death, until it returns false. */
+/* Calls func for each suspect with a counted death and each disputed part, until it returns false.
+ */
 void
 mf_suspects_foreach (const MfSuspects *suspects, uint64_t now_us, MfSuspectFunc func, void *data)
 {
   for (const MfSuspectRow *row = suspects->rows; row != NULL; row = row->hh.next)
     {
-      if (!row_has_expired (row, now_us) && row->suspect.n_deaths > 0
+      if (!row_has_expired (row, now_us)
+          && (row->suspect.n_deaths > 0 || row->suspect.part.is_disputed)
           && !func (data, &row->suspect))
         return;
     }
--- a/libmangofork/suspect.h
+++ b/libmangofork/suspect.h
@@ -63,6 +63,7 @@
   bool is_unreported;       /* other instances do not know all deaths; reset by the caller */
   bool is_recorded;         /* the quarantine has been logged; set by the caller */
   bool is_own;              /* it was found here, not by a peer; likewise */
+  bool is_disputed;         /* a peer refuses it, and is known to be wrong; likewise */
   uint32_t n_failed_trials; /* upstreams that died under it during the quarantine */
 } MfSuspectPart;
 
--- a/libmangofork/suspect_part.c
+++ b/libmangofork/suspect_part.c
@@ -230,6 +230,7 @@
 {
   suspect->part.quarantined_us = now_us;
   suspect->part.n_quarantines++;
+  suspect->part.is_disputed = false;
   suspect->part.only_caller = was_lately_sound (suspect) ? only_caller (suspect) : 0;
   suspect->quarantined_until_us = now_us + trial_interval_us (suspects, suspect);
   withdraw_explained (suspects, suspect);
--- a/tests/test_job_suspect.c
+++ b/tests/test_job_suspect.c
@@ -536,21 +536,48 @@
   crash_fixture_teardown (&fixture);
 }
 
-/* Lets the trial of the part be due at all instances. */
-static void
-trial_due (CrashFixture *fixture)
+static uint64_t
+deadly_part_hash (void)
 {
   static const char text[] = SOAK_DEADLY_PART "0,own";
   MfParts parts;
 
   mf_parts_read (&parts, text, strlen (text));
+  return parts.hashes[0];
+}
+
+/* Lets the trial of the part be due at all instances. */
+static void
+trial_due (CrashFixture *fixture)
+{
   for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
-    mf_suspects_find (fixture->fleet.instances[i].jobs.suspects, parts.hashes[0],
+    mf_suspects_find (fixture->fleet.instances[i].jobs.suspects, deadly_part_hash (),
                       mf_clock_now_us ())
         ->quarantined_until_us
         = mf_clock_now_us ();
 }
 
+/* The others stay wrong for long if the reply to their first message is lost. */
+static void
+test_restarted_instance_that_has_served_a_part_ends_its_quarantine (void **state)
+{
+  CrashFixture fixture;
+
+  (void)state;
+  crash_fixture_setup (&fixture);
+  quarantine_part (&fixture);
+  for (uint32_t index = 0; index < N_UPSTREAMS; index++)
+    soak_upstream_enable_crashes (fixture.upstreams[index], 0., on_down_changed, &fixture);
+  relay_fleet_restart (&fixture.fleet, 4);
+  mf_suspects_note_sound (fixture.fleet.instances[4].jobs.suspects, deadly_part_hash (),
+                          mf_clock_now_us (), mf_clock_now_us ());
+  relay_fleet_wait_connected (&fixture.fleet);
+  loop_spin (fixture.fleet.loop, 100);
+  for (uint32_t i = 0; i < 4; i++)
+    assert_int_equal (prompt (&fixture, i, "/llm/1", SOAK_DEADLY_PART "0"), 200);
+  crash_fixture_teardown (&fixture);
+}
+
 /* All upstreams ask an instance to send nothing until a time. */
 static void
 pause_upstreams (CrashFixture *fixture, uint32_t instance, uint64_t until_us)
@@ -683,6 +710,7 @@
     cmocka_unit_test (test_resets_quarantine_no_request),
     cmocka_unit_test (test_graceful_exit_is_no_crash),
     cmocka_unit_test (test_restarted_instance_receives_quarantined_parts),
+    cmocka_unit_test (test_restarted_instance_that_has_served_a_part_ends_its_quarantine),
     cmocka_unit_test (test_quarantined_part_is_tried_by_one_request),
     cmocka_unit_test (test_trial_that_reaches_no_upstream_is_made_up_for),
     cmocka_unit_test (test_trial_has_no_other_quarantined_part),
