Any instance may try a quarantined part, those of lower rank later

Only the instance of highest rank for a part tried it. Once it had heard that the part is sound, the others, whom that word had not reached, waited for a trial that nobody began. In a large fleet the one instance may not get a request with the part for minutes, either.

Each instance may now try a part, 50 ms later than the next one above it, which is long enough to hear of a trial.

test_instance_of_lowest_rank_tries_a_part_that_only_it_is_asked_for fails where only the first may try.

--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -9,13 +9,16 @@
  * connections at once, or, if it does not answer, discovery lists the next process at the
  * address. */
 #define CRASH_WINDOW_US (10 * MF_US_PER_S)
-/* Quarantine after two crashes, which may be a coincidence: an innocent request is then tried as soon
- * as an innocent part, and another crash is the certain third. */
+/* Quarantine after two crashes, which may be a coincidence: an innocent request is then tried as
+ * soon as an innocent part, and another crash is the certain third. */
 #define TWO_DEATHS_QUARANTINE_US (6 * MF_US_PER_S)
 #define THREE_DEATHS_QUARANTINE_US (600 * MF_US_PER_S)
 /* An innocent part is free again after this time. The next trials come later and later, as a deadly
  * one costs an upstream each time. */
 #define TRIAL_INTERVAL_US (3 * MF_US_PER_S)
+/* An instance tries a part whose trial is due this much later than the one of next higher rank, so
+ * that it has heard of the trial if that one has begun it. */
+#define TRIAL_STAGGER_US (50 * MF_US_PER_MS)
 /* A suspect request is retried only once it is known whether the last upstream crashed too, or
  * after this time: a few round trips, or the time a connection may take. */
 #define PROBE_TIMEOUT_US (300 * MF_US_PER_MS)
@@ -666,9 +669,19 @@
   mf_suspects_void_trial (job->jobs->suspects, job->trial_part, mf_clock_now_us ());
 }
 
+/* Returns when this instance may try a quarantined part. Instances of a lower rank for the part
+ * wait longer, but each may: few of many instances get requests with it. */
+static uint64_t
+trial_time_us (const MfJobs *jobs, const MfSuspect *suspect, uint64_t now_us)
+{
+  uint32_t n_higher
+      = jobs->peers != NULL ? mf_peers_n_higher (jobs->peers, suspect->digest, now_us) : 0;
+
+  return suspect->quarantined_until_us + n_higher * TRIAL_STAGGER_US;
+}
+
 /* Returns the quarantined part for which the request is refused, or NULL. If the trial of a part is
- * due, this instance is the one that tries it, and no other part is refused, the request becomes
- * the trial. */
+ * due at this instance, and no other part is refused, the request becomes the trial. */
 static const MfSuspect *
 job_refused_part (MfJob *job, uint64_t now_us)
 {
@@ -680,13 +693,14 @@
       uint64_t part = job->parts.hashes[i];
       MfSuspectVerdict verdict
           = mf_suspects_judge_part (jobs->suspects, part, job->caller_hash, now_us);
+      const MfSuspect *suspect;
 
       if (verdict == MF_SUSPECT_PART_ALLOWED || part == due_part)
         continue;
+      suspect = mf_suspects_find (jobs->suspects, part, now_us);
       if (verdict == MF_SUSPECT_PART_REFUSED || due_part != 0
-          || (jobs->peers != NULL
-              && mf_peers_allocator (jobs->peers, part, now_us) != MF_DISPATCH_SELF))
-        return mf_suspects_find (jobs->suspects, part, now_us);
+          || trial_time_us (jobs, suspect, now_us) > now_us)
+        return suspect;
       due_part = part;
     }
   if (due_part != 0)
--- a/libmangofork/relay/peers.h
+++ b/libmangofork/relay/peers.h
@@ -41,6 +41,7 @@
 bool mf_peers_send (MfPeers *peers, uint64_t peer, const MfRelayMessage *message);
 uint64_t mf_peers_leader (MfPeers *peers, const char *service, uint64_t now_us);
 uint64_t mf_peers_allocator (const MfPeers *peers, uint64_t key, uint64_t now_us);
+uint32_t mf_peers_n_higher (const MfPeers *peers, uint64_t key, uint64_t now_us);
 uint64_t mf_peers_report_lifetime_us (const MfPeers *peers);
 bool mf_peers_is_leader (MfPeers *peers, const char *service, uint64_t now_us);
 uint64_t mf_peers_fence (const MfPeers *peers, const char *service);
--- a/libmangofork/relay/peers_lead.c
+++ b/libmangofork/relay/peers_lead.c
@@ -17,18 +17,25 @@
   return peer->last_report_us > 0 && now_us - peer->last_report_us <= peer->report_lifetime_us;
 }
 
-/* Returns the reachable peer with the highest rank for a key (rendezvous hashing), or NULL when
- * this instance ranks highest. Peers excluded at excluded_us are left out; UINT64_MAX: none are. */
+/* Rank of an instance for a key (rendezvous hashing). */
+static uint64_t
+rank_hash (uint64_t instance, uint64_t key)
+{
+  return (instance ^ key) * RANK_FACTOR;
+}
+
+/* Returns the reachable peer with the highest rank for a key, or NULL when this instance ranks
+ * highest. Peers excluded at excluded_us are left out; UINT64_MAX: none are. */
 static MfPeer *
 find_highest (const MfPeers *peers, uint64_t key, uint64_t excluded_us, uint64_t now_us)
 {
   MfPeer *best = NULL;
-  uint64_t best_rank = (peers->hash ^ key) * RANK_FACTOR;
+  uint64_t best_rank = rank_hash (peers->hash, key);
 
   for (uint32_t i = 0; i < peers->n_peers; i++)
     {
       MfPeer *peer = peers->list[i];
-      uint64_t rank = (peer->hash ^ key) * RANK_FACTOR;
+      uint64_t rank = rank_hash (peer->hash, key);
 
       if (rank <= best_rank || !peer->connected || !mf_peer_is_alive (peer, now_us)
           || peer->leader_excluded_until_us > excluded_us)
@@ -125,6 +132,23 @@
   return best != NULL ? best->hash : MF_DISPATCH_SELF;
 }
 
+/* Returns how many reachable peers have a higher rank for a key than this instance. */
+uint32_t
+mf_peers_n_higher (const MfPeers *peers, uint64_t key, uint64_t now_us)
+{
+  uint64_t own_rank = rank_hash (peers->hash, key);
+  uint32_t n_higher = 0;
+
+  for (uint32_t i = 0; i < peers->n_peers; i++)
+    {
+      const MfPeer *peer = peers->list[i];
+
+      n_higher += peer->connected && mf_peer_is_alive (peer, now_us)
+                  && rank_hash (peer->hash, key) > own_rank;
+    }
+  return n_higher;
+}
+
 /* Whether a peer votes for this instance as leader of a service. */
 static bool
 votes_for_self (const MfPeers *peers, const MfPeer *peer, uint64_t service_hash)
--- a/tests/test_job_suspect.c
+++ b/tests/test_job_suspect.c
@@ -620,6 +620,33 @@
   crash_fixture_teardown (&fixture);
 }
 
+/* Of many instances, the one of highest rank may never get a request with the part. */
+static void
+test_instance_of_lowest_rank_tries_a_part_that_only_it_is_asked_for (void **state)
+{
+  CrashFixture fixture;
+  uint32_t n_served = 0;
+  uint32_t lowest = 0;
+
+  (void)state;
+  crash_fixture_setup (&fixture);
+  quarantine_part (&fixture);
+  for (uint32_t index = 0; index < N_UPSTREAMS; index++)
+    soak_upstream_enable_crashes (fixture.upstreams[index], 0., on_down_changed, &fixture);
+  while (mf_peers_n_higher (fixture.fleet.instances[lowest].jobs.peers, deadly_part_hash (),
+                            mf_clock_now_us ())
+         < RELAY_FLEET_N_INSTANCES - 1)
+    assert_in_range (++lowest, 1, RELAY_FLEET_N_INSTANCES - 1);
+  trial_due (&fixture);
+  for (uint32_t i = 0; i < 20 && n_served == 0; i++)
+    {
+      n_served += prompt (&fixture, lowest, "/read/1", SOAK_DEADLY_PART "0") == 200;
+      loop_spin (fixture.fleet.loop, 20);
+    }
+  assert_int_equal (n_served, 1);
+  crash_fixture_teardown (&fixture);
+}
+
 /* A request that finds no upstream leaves the trial to the next one. */
 static void
 test_trial_that_reaches_no_upstream_is_made_up_for (void **state)
@@ -712,6 +739,7 @@
     cmocka_unit_test (test_restarted_instance_receives_quarantined_parts),
     cmocka_unit_test (test_restarted_instance_that_has_served_a_part_ends_its_quarantine),
     cmocka_unit_test (test_quarantined_part_is_tried_by_one_request),
+    cmocka_unit_test (test_instance_of_lowest_rank_tries_a_part_that_only_it_is_asked_for),
     cmocka_unit_test (test_trial_that_reaches_no_upstream_is_made_up_for),
     cmocka_unit_test (test_trial_has_no_other_quarantined_part),
     cmocka_unit_test (test_quarantine_ends_requests_in_progress),
