The first failed trial of a part does not put off the next one

The trial of one was sent to an upstream that a crashing request ended 60 ms later.

One failed trial may be such a coincidence; the next now comes after the same 3 to 6 s, and the factor of six begins with the second. A part that is deadly costs its third upstream in trials after 36 s in place of 193 s, and the fourth after about 200 s in place of 1,160 s.

--- a/libmangofork/suspect_part.c
+++ b/libmangofork/suspect_part.c
@@ -14,7 +14,8 @@
 #define SOUND_WINDOW_US (60 * MF_US_PER_S)
 /* Upstreams that lose power together die within this time. */
 #define SAME_MOMENT_US (250 * MF_US_PER_MS)
-/* Each upstream that dies in a trial puts off the next one by this factor. */
+/* Each upstream that dies in a trial after the first puts off the next one by this factor. The first
+ * may have died of something else that was sent to it. */
 #define TRIAL_BACKOFF 6
 #define TRIAL_INTERVAL_MAX_US (UINT64_C (7200) * MF_US_PER_S)
 
@@ -217,7 +218,7 @@
   /* Parts that were quarantined together are not tried together: one may crash the upstream of all.
    */
   interval_us += interval_us * (suspect->digest % 1024) / 1024;
-  for (uint32_t i = 0; i < suspect->part.n_failed_trials && interval_us < TRIAL_INTERVAL_MAX_US;
+  for (uint32_t i = 1; i < suspect->part.n_failed_trials && interval_us < TRIAL_INTERVAL_MAX_US;
        i++)
     interval_us *= TRIAL_BACKOFF;
   return interval_us < TRIAL_INTERVAL_MAX_US ? interval_us : TRIAL_INTERVAL_MAX_US;
