Suspects are sent by one function, and one loop asks what a part explains

part_send, entry_send and list_flush each chose between one peer and all; is_explained and mf_suspects_part_explains each walked the table for a quarantined part with a death. Behaviour is unchanged; test_suspect, test_suspect_part, test_suspect_core and test_job_suspect pass.

--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -123,15 +123,29 @@
   return entry;
 }
 
+/* Receiver of a message that stands for all peers. */
+#define TO_ALL 0
+
+/* Sends the entries in the message, if there are any. */
 static void
-entry_send (MfJobs *jobs, const MfSuspectEntry *entry)
+entries_send (MfJobs *jobs, uint64_t peer)
 {
-  if (jobs->peers == NULL)
-    return;
   jobs->message.kind = MF_RELAY_MESSAGE_SUSPECTS;
+  if (jobs->peers == NULL || jobs->message.suspects.n_entries == 0)
+    return;
+  if (peer == TO_ALL)
+    mf_peers_send_all (jobs->peers, &jobs->message);
+  else
+    mf_peers_send (jobs->peers, peer, &jobs->message);
+  jobs->message.suspects.n_entries = 0;
+}
+
+static void
+entry_send (MfJobs *jobs, uint64_t peer, const MfSuspectEntry *entry)
+{
   jobs->message.suspects.n_entries = 1;
   jobs->message.suspects.entries[0] = *entry;
-  mf_peers_send_all (jobs->peers, &jobs->message);
+  entries_send (jobs, peer);
 }
 
 /* Sends what is known of a request to all instances, unless they have it already. */
@@ -146,12 +160,9 @@
     return;
   suspect->n_reported = suspect->n_deaths;
   entry = entry_make (suspect, now_us);
-  entry_send (jobs, &entry);
+  entry_send (jobs, TO_ALL, &entry);
 }
 
-/* Receiver of a list of suspects that stands for all peers. */
-#define TO_ALL 0
-
 /* A list of suspects for a peer, sent whenever a message is full. */
 typedef struct
 {
@@ -162,21 +173,6 @@
   bool (*has) (const MfSuspect *suspect, uint64_t now_us);
 } EntryList;
 
-static void
-list_flush (EntryList *list)
-{
-  MfJobs *jobs = list->jobs;
-
-  jobs->message.kind = MF_RELAY_MESSAGE_SUSPECTS;
-  if (jobs->message.suspects.n_entries == 0)
-    return;
-  if (list->peer == TO_ALL)
-    mf_peers_send_all (jobs->peers, &jobs->message);
-  else
-    mf_peers_send (jobs->peers, list->peer, &jobs->message);
-  jobs->message.suspects.n_entries = 0;
-}
-
 static bool
 list_add (void *data, const MfSuspect *suspect)
 {
@@ -187,7 +183,7 @@
     return true;
   update->entries[update->n_entries++] = entry_make (suspect, list->now_us);
   if (update->n_entries == MF_SUSPECT_ENTRIES_MAX)
-    list_flush (list);
+    entries_send (list->jobs, list->peer);
   return true;
 }
 
@@ -196,7 +192,7 @@
 {
   list->jobs->message.suspects.n_entries = 0;
   mf_suspects_foreach (list->jobs->suspects, list->now_us, list_add, list);
-  list_flush (list);
+  entries_send (list->jobs, list->peer);
 }
 
 static bool
@@ -325,16 +321,10 @@
 static void
 part_send (MfJobs *jobs, uint64_t peer, const MfSuspect *suspect, bool cleared, uint64_t now_us)
 {
-  if (jobs->peers == NULL)
-    return;
-  jobs->message.kind = MF_RELAY_MESSAGE_SUSPECTS;
-  jobs->message.suspects.n_entries = 1;
-  jobs->message.suspects.entries[0] = entry_make (suspect, now_us);
-  jobs->message.suspects.entries[0].cleared = cleared;
-  if (peer == TO_ALL)
-    mf_peers_send_all (jobs->peers, &jobs->message);
-  else
-    mf_peers_send (jobs->peers, peer, &jobs->message);
+  MfSuspectEntry entry = entry_make (suspect, now_us);
+
+  entry.cleared = cleared;
+  entry_send (jobs, peer, &entry);
 }
 
 /* Records that an upstream has survived a part, as seen here or by a peer. The others are told if
@@ -630,7 +620,7 @@
   was_reported = suspect->n_reported > 0;
   mf_suspects_remove (jobs->suspects, job->digest);
   if (was_reported)
-    entry_send (jobs, &(MfSuspectEntry){ .digest = job->digest, .cleared = true });
+    entry_send (jobs, TO_ALL, &(MfSuspectEntry){ .digest = job->digest, .cleared = true });
 }
 
 /* Drops failures whose upstream has shown no crash within the window. */
--- a/libmangofork/suspect.c
+++ b/libmangofork/suspect.c
@@ -152,7 +152,7 @@
 {
   uint64_t process_id = last_death_process (suspect);
 
-  return process_id != 0 && mf_suspects_part_explains (suspects, process_id);
+  return process_id != 0 && mf_suspects_part_explains (suspects, NULL, process_id);
 }
 
 /* Ends the quarantine of a request whose last death another suspect may have caused, unless it has
--- a/libmangofork/suspect_part.c
+++ b/libmangofork/suspect_part.c
@@ -14,8 +14,8 @@
 #define SOUND_WINDOW_US (60 * MF_US_PER_S)
 /* Upstreams that lose power together die within this time. */
 #define SAME_MOMENT_US (250 * MF_US_PER_MS)
-/* Each upstream that dies in a trial after the first puts off the next one by this factor. The first
- * may have died of something else that was sent to it. */
+/* Each upstream that dies in a trial puts off the next one by this factor, but the first, which may
+ * have died of something else that was sent to it. */
 #define TRIAL_BACKOFF 6
 #define TRIAL_INTERVAL_MAX_US (UINT64_C (7200) * MF_US_PER_S)
 
@@ -82,26 +82,18 @@
   return a->depth > b->depth;
 }
 
-/* Returns whether a quarantined part that is a better suspect explains the death of a process. */
-static bool
-is_explained (const MfSuspects *suspects, const MfSuspect *suspect, uint64_t process_id)
-{
-  for (const MfSuspectRow *row = suspects->rows; row != NULL; row = row->hh.next)
-    {
-      if (row->suspect.part.quarantined_us > 0 && has_process (&row->suspect, process_id)
-          && is_better_suspect (&row->suspect.part, &suspect->part))
-        return true;
-    }
-  return false;
-}
-
-/* Returns whether a quarantined part explains the death of a process under any request. */
+/* Returns whether a quarantined part explains the death of a process under a request, or under a
+ * part that is a worse suspect; worse is NULL for a request. */
 bool
-mf_suspects_part_explains (const MfSuspects *suspects, uint64_t process_id)
+mf_suspects_part_explains (const MfSuspects *suspects, const MfSuspectPart *worse,
+                           uint64_t process_id)
 {
   for (const MfSuspectRow *row = suspects->rows; row != NULL; row = row->hh.next)
     {
-      if (row->suspect.part.quarantined_us > 0 && has_process (&row->suspect, process_id))
+      const MfSuspect *part = &row->suspect;
+
+      if (part->part.quarantined_us > 0 && has_process (part, process_id)
+          && (worse == NULL || is_better_suspect (&part->part, worse)))
         return true;
     }
   return false;
@@ -256,9 +248,10 @@
   bool is_quarantined = suspect->part.quarantined_us > 0;
 
   if (death->at_us <= suspect->part.sound_us
-      || (is_quarantined ? has_process (suspect, death->process_id)
-                         : death_is_duplicate (suspect, death)
-                               || is_explained (suspects, suspect, death->process_id)))
+      || (is_quarantined
+              ? has_process (suspect, death->process_id)
+              : death_is_duplicate (suspect, death)
+                    || mf_suspects_part_explains (suspects, &suspect->part, death->process_id)))
     return MF_SUSPECT_DUPLICATE;
   if (suspect->n_deaths == MF_SUSPECT_DEATHS_MAX)
     remove_death (suspect, 0);
--- a/libmangofork/suspect_row.h
+++ b/libmangofork/suspect_row.h
@@ -34,7 +34,8 @@
 MfSuspect *mf_suspects_find_or_add (MfSuspects *suspects, uint64_t digest, MfSuspectKind kind,
                                     uint64_t now_us);
 void mf_suspects_release (MfSuspect *suspect);
-bool mf_suspects_part_explains (const MfSuspects *suspects, uint64_t process_id);
+bool mf_suspects_part_explains (const MfSuspects *suspects, const MfSuspectPart *worse,
+                                uint64_t process_id);
 void mf_suspects_fail_trial (MfSuspects *suspects, uint64_t part, uint64_t now_us);
 bool mf_suspects_part_has_death (const MfSuspects *suspects, uint64_t part, uint64_t process_id,
                                  uint64_t now_us);
