--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -9,9 +9,9 @@
  * connections at once, or, if it does not answer, discovery lists the next process at the
  * address. */
 #define CRASH_WINDOW_US (10 * MF_US_PER_S)
-/* Quarantine after two crashes, which may be a coincidence: an innocent request is then tried as
- * soon as an innocent part, and another crash is the certain third. */
-#define TWO_DEATHS_QUARANTINE_US (6 * MF_US_PER_S)
+/* Quarantine after two crashes: they may be a coincidence, and the callers of an innocent request
+ * wait no longer than this anyway. */
+#define TWO_DEATHS_QUARANTINE_US (30 * MF_US_PER_S)
 #define THREE_DEATHS_QUARANTINE_US (600 * MF_US_PER_S)
 /* An innocent part is free again after this time. The next trials come later and later, as a deadly
  * one costs an upstream each time. */
