A request that has crashed upstreams for certain explains the deaths beside it

At their second death the cause was not known: the crashing request that ran there had one or two deaths itself. Only a request whose own last death was of the same process was compared. A request with three deaths, which is certain, now explains each of them: others with two, the last of which it shares, are not quarantined, and are released when it becomes certain. Their deaths stay; a third one still refuses them.

test_request_is_not_refused_for_the_deaths_of_a_certain_one failed before.

--- a/libmangofork/suspect.c
+++ b/libmangofork/suspect.c
@@ -164,9 +164,33 @@
     suspect->quarantined_until_us = 0;
 }
 
-/* Returns whether the last death of another suspect was of the same process, possibly reported by
- * another instance: then either request may have caused it. Ends the quarantine of the other as
- * well unless it has DEATHS_CERTAIN deaths. */
+/* Returns whether the death of a process counts against a suspect. */
+bool
+mf_suspect_has_process (const MfSuspect *suspect, uint64_t process_id)
+{
+  for (uint32_t i = 0; i < suspect->n_deaths; i++)
+    {
+      if (suspect->deaths[i].process_id == process_id)
+        return true;
+    }
+  return false;
+}
+
+/* Returns whether a request may have caused the death of a process, so that it does not count
+ * against another: it was the last death of both, or the request has crashed upstreams for certain.
+ */
+static bool
+may_explain (const MfSuspect *suspect, uint64_t process_id)
+{
+  if (suspect->kind != MF_SUSPECT_REQUEST || suspect->n_deaths < DEATHS_ISOLATED)
+    return false;
+  return suspect->n_deaths < DEATHS_CERTAIN ? last_death_process (suspect) == process_id
+                                            : mf_suspect_has_process (suspect, process_id);
+}
+
+/* Returns whether another request may have caused the last death of this one, possibly as reported
+ * by another instance. Ends the quarantine of the other as well unless it has DEATHS_CERTAIN
+ * deaths. */
 static bool
 shares_last_death (MfSuspects *suspects, const MfSuspect *suspect)
 {
@@ -177,8 +201,7 @@
     {
       MfSuspect *other = &row->suspect;
 
-      if (other == suspect || other->kind != MF_SUSPECT_REQUEST || other->n_deaths < DEATHS_ISOLATED
-          || last_death_process (other) != process_id)
+      if (other == suspect || !may_explain (other, process_id))
         continue;
       shares = true;
       mf_suspects_release (other);
@@ -186,6 +209,22 @@
   return shares;
 }
 
+/* Ends the quarantines of requests that this one explains, as it has crashed upstreams for certain.
+ */
+static void
+release_explained (MfSuspects *suspects, const MfSuspect *suspect)
+{
+  for (MfSuspectRow *row = suspects->rows; row != NULL; row = row->hh.next)
+    {
+      MfSuspect *other = &row->suspect;
+      uint64_t process_id = last_death_process (other);
+
+      if (other != suspect && other->kind == MF_SUSPECT_REQUEST && process_id != 0
+          && mf_suspect_has_process (suspect, process_id))
+        mf_suspects_release (other);
+    }
+}
+
 /* Refuses a request until the given time. Returns whether it was not quarantined before. */
 bool
 mf_suspects_quarantine (MfSuspects *suspects, uint64_t digest, uint64_t until_us, uint64_t now_us)
@@ -247,6 +286,8 @@
   if (suspect->n_deaths == DEATHS_CERTAIN)
     remove_oldest_death (suspect);
   suspect->deaths[suspect->n_deaths++] = *death;
+  if (suspect->n_deaths == DEATHS_CERTAIN)
+    release_explained (suspects, suspect);
   if (suspect->n_deaths < (isolated ? DEATHS_ISOLATED : DEATHS_CERTAIN))
     return MF_SUSPECT_COUNTED;
   duration_us = suspect->n_deaths < DEATHS_CERTAIN || last_death_is_explained (suspects, suspect)
--- a/libmangofork/suspect_part.c
+++ b/libmangofork/suspect_part.c
@@ -38,17 +38,6 @@
   return suspect;
 }
 
-static bool
-has_process (const MfSuspect *suspect, uint64_t process_id)
-{
-  for (uint32_t i = 0; i < suspect->n_deaths; i++)
-    {
-      if (suspect->deaths[i].process_id == process_id)
-        return true;
-    }
-  return false;
-}
-
 static void
 remove_death (MfSuspect *suspect, uint32_t index)
 {
@@ -92,7 +81,7 @@
     {
       const MfSuspect *part = &row->suspect;
 
-      if (part->part.quarantined_us > 0 && has_process (part, process_id)
+      if (part->part.quarantined_us > 0 && mf_suspect_has_process (part, process_id)
           && (worse == NULL || is_better_suspect (&part->part, worse)))
         return true;
     }
@@ -110,7 +99,8 @@
       const MfSuspect *other = &row->suspect;
 
       if (other->kind == MF_SUSPECT_PART && other != suspect && other->n_deaths > most
-          && has_process (other, process_id) && is_better_suspect (&other->part, &suspect->part))
+          && mf_suspect_has_process (other, process_id)
+          && is_better_suspect (&other->part, &suspect->part))
         most = other->n_deaths;
     }
   return most;
@@ -177,14 +167,14 @@
       MfSuspect *other = &row->suspect;
 
       if (other->kind == MF_SUSPECT_REQUEST && other->n_deaths > 0
-          && has_process (suspect, other->deaths[other->n_deaths - 1].process_id))
+          && mf_suspect_has_process (suspect, other->deaths[other->n_deaths - 1].process_id))
         mf_suspects_release (other);
       if (other->kind != MF_SUSPECT_PART || other->part.quarantined_us > 0
           || !is_better_suspect (&suspect->part, &other->part))
         continue;
       for (uint32_t i = other->n_deaths; i-- > 0;)
         {
-          if (has_process (suspect, other->deaths[i].process_id))
+          if (mf_suspect_has_process (suspect, other->deaths[i].process_id))
             remove_death (other, i);
         }
     }
@@ -249,7 +239,7 @@
 
   if (death->at_us <= suspect->part.sound_us
       || (is_quarantined
-              ? has_process (suspect, death->process_id)
+              ? mf_suspect_has_process (suspect, death->process_id)
               : death_is_duplicate (suspect, death)
                     || mf_suspects_part_explains (suspects, &suspect->part, death->process_id)))
     return MF_SUSPECT_DUPLICATE;
@@ -383,7 +373,7 @@
 {
   const MfSuspect *suspect = mf_suspects_find (suspects, part, now_us);
 
-  return suspect != NULL && has_process (suspect, process_id);
+  return suspect != NULL && mf_suspect_has_process (suspect, process_id);
 }
 
 /* Returns whether what is known here speaks against a quarantine for the deaths of a part: an
--- a/libmangofork/suspect_row.h
+++ b/libmangofork/suspect_row.h
@@ -33,6 +33,7 @@
 
 MfSuspect *mf_suspects_find_or_add (MfSuspects *suspects, uint64_t digest, MfSuspectKind kind,
                                     uint64_t now_us);
+bool mf_suspect_has_process (const MfSuspect *suspect, uint64_t process_id);
 void mf_suspects_release (MfSuspect *suspect);
 bool mf_suspects_part_explains (const MfSuspects *suspects, const MfSuspectPart *worse,
                                 uint64_t process_id);
--- a/tests/test_suspect.c
+++ b/tests/test_suspect.c
@@ -114,6 +114,36 @@
   mf_suspects_free (suspects);
 }
 
+/* Two upstreams died under an innocent request, the second of which another request ended. */
+static void
+test_request_is_not_refused_for_the_deaths_of_a_certain_one (void **state)
+{
+  (void)state;
+  for (uint32_t is_known_before = 0; is_known_before < 2; is_known_before++)
+    {
+      MfSuspects *suspects = mf_suspects_new (&limits);
+
+      if (!is_known_before)
+        assert_int_equal (
+            (fail_and_die_at (suspects, 1, true), fail_and_die_at (suspects, 2, true)),
+            MF_SUSPECT_QUARANTINED);
+      for (uint64_t process_id = 2; process_id <= 4; process_id++)
+        mf_suspects_add_death (suspects, OTHER_DIGEST,
+                               &(MfSuspectDeath){ .process_id = process_id,
+                                                  .sent_us = process_id * S,
+                                                  .at_us = process_id * S },
+                               false, process_id * S);
+      assert_true (mf_suspects_is_quarantined (suspects, OTHER_DIGEST, 5 * S));
+      if (is_known_before)
+        assert_int_equal (
+            (fail_and_die_at (suspects, 1, true), fail_and_die_at (suspects, 2, true)),
+            MF_SUSPECT_COUNTED);
+      assert_false (mf_suspects_is_quarantined (suspects, DIGEST, 5 * S));
+      assert_int_equal (fail_and_die_at (suspects, 6, true), MF_SUSPECT_QUARANTINED);
+      mf_suspects_free (suspects);
+    }
+}
+
 /* The quarantine for two deaths expires; the next death is the third and has the long one. */
 static void
 test_quarantine_expires_and_third_death_renews_it (void **state)
@@ -209,6 +239,7 @@
     cmocka_unit_test (test_second_death_isolated_from_other_suspects_quarantines),
     cmocka_unit_test (test_third_death_quarantines_beside_other_suspects),
     cmocka_unit_test (test_suspects_of_two_instances_at_one_death_are_not_quarantined),
+    cmocka_unit_test (test_request_is_not_refused_for_the_deaths_of_a_certain_one),
     cmocka_unit_test (test_quarantine_expires_and_third_death_renews_it),
     cmocka_unit_test (test_simultaneous_deaths_count_once),
     cmocka_unit_test (test_answer_clears),
