Upstreams are kept without an entry only if the store was away for all

Traced in the logs of all instances: the store refused some machines for 9 s, among them one of a data centre's two readers (b-2). The upstream left without a notice at 11.109 s; the instances that the other reader fed dropped it at 11.2 to 11.4 s. b-2 regained the store at 11.76 s and kept what had been removed for 2.3 s, as after an outage in which entries expire, and told its followers to do so: two of them (b-1, b-3) first heard of the removal from it, at 12.17 and 12.45 s, and granted the upstream until 14.8 s.

An instance that the store alone refuses hears from others meanwhile that it is there: their feeds carry the time of their reading. Entries are now kept only if nobody has read the store for the time in which they expire; a follower takes over a reader's word on it under the same condition.

test_follower_that_was_fed_meanwhile_keeps_no_removed_upstream and test_reader_that_was_refused_alone_keeps_no_removed_upstream failed before; the latter also asks that entries are kept after an outage for all, whoever regains the store first.

--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -66,6 +66,7 @@
   bool source_is_up;
   bool has_listed;           /* the first list of upstreams is complete */
   uint64_t source_seen_us;   /* last answer of the source */
+  uint64_t others_read_us;   /* another instance last got an answer of the source */
   uint64_t keep_until_us;    /* upstreams without an entry are kept until then */
   uint64_t drain_started_us; /* 0: no shutdown */
   bool idle_closed;
@@ -265,6 +266,17 @@
   ready_update (relay);
 }
 
+/* Whether the source has been away for so long that entries may have expired. If it has refused
+ * this instance alone, others have read it meanwhile. */
+static bool
+source_was_away (const MfRelay *relay, uint64_t now_us)
+{
+  uint64_t seen_us = relay->source_seen_us > relay->others_read_us ? relay->source_seen_us
+                                                                   : relay->others_read_us;
+
+  return relay->source_seen_us > 0 && now_us - seen_us >= OUTAGE_MIN_US;
+}
+
 /* Called by sources when their store has answered. */
 void
 mf_relay_source_up (MfRelay *relay)
@@ -275,7 +287,7 @@
     {
       uint64_t outage_us = relay->source_seen_us > 0 ? now_us - relay->source_seen_us : 0;
 
-      if (outage_us >= OUTAGE_MIN_US)
+      if (source_was_away (relay, now_us))
         relay->keep_until_us = now_us + REREGISTRATION_US;
       mf_relay_log_state (relay->log, "store.regained", "away_ms=%llu",
                           (unsigned long long)outage_us / 1000);
@@ -371,8 +383,10 @@
   if (relay->source == NULL)
     return;
   if (now_us + feed->keep_us > relay->keep_until_us && feed->keep_us > 0
-      && feed->keep_us <= REREGISTRATION_US)
+      && feed->keep_us <= REREGISTRATION_US && source_was_away (relay, now_us))
     relay->keep_until_us = now_us + feed->keep_us;
+  if (as_of_us > 0)
+    relay->others_read_us = now_us - (mf_clock_boottime_us () - as_of_us);
   if (!relay->deployment->source->apply_feed (relay->source, feed) || as_of_us == 0)
     return;
   mf_feed_freshness_advance (&relay->freshness, as_of_us);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -664,6 +664,83 @@
   peer_fixture_end (&peer_fixture);
 }
 
+/* Feeds that another reader sends for a time. */
+static void
+feed_for (PeerFixture *peer_fixture, MfFeed *feed, uint64_t revision, uint64_t for_us)
+{
+  uint64_t until_us = mf_clock_now_us () + for_us;
+
+  while (mf_clock_now_us () < until_us)
+    {
+      feed_send (peer_fixture, feed, revision);
+      loop_spin (peer_fixture->fixture.loop, 50);
+    }
+}
+
+/* A reader that the store had refused sent its followers what had been removed, to be kept. */
+static void
+test_follower_that_was_fed_meanwhile_keeps_no_removed_upstream (void **state)
+{
+  PeerFixture peer_fixture;
+  Fixture *fixture = &peer_fixture.fixture;
+  MfFeed feed = { 0 };
+  uint64_t revision;
+
+  (void)state;
+  peer_fixture_begin (&peer_fixture, MF_FEED_FOLLOWER);
+  revision = fake_store_revision (fixture->store);
+  mf_feed_begin (&feed, 1, revision);
+  feed_for (&peer_fixture, &feed, revision, 500 * MF_US_PER_MS);
+  fake_store_remove (fixture->store, "servers/u0");
+  assert_true (mf_feed_add (&feed, "servers/u0", revision + 1, true, "", 0));
+  feed.keep_us = 2300 * MF_US_PER_MS;
+  feed_send (&peer_fixture, &feed, revision + 1);
+  loop_spin (fixture->loop, 300);
+  assert_int_equal (status_of (fixture, PORT, "/a/1"), 503);
+  mf_feed_clear (&feed);
+  peer_fixture_end (&peer_fixture);
+}
+
+/* Entries may have expired only if the store was away for all. */
+static void
+test_reader_that_was_refused_alone_keeps_no_removed_upstream (void **state)
+{
+  typedef enum
+  {
+    AWAY_FOR_ALL,
+    AWAY_FOR_ALL_OTHER_IS_FIRST,
+    REFUSED_ALONE,
+    OUTAGE_COUNT,
+  } Outage;
+
+  (void)state;
+  for (Outage outage = AWAY_FOR_ALL; outage < OUTAGE_COUNT; outage++)
+    {
+      PeerFixture peer_fixture;
+      Fixture *fixture = &peer_fixture.fixture;
+      MfFeed feed = { 0 };
+      uint64_t revision;
+
+      peer_fixture_begin (&peer_fixture, MF_FEED_READER);
+      revision = fake_store_revision (fixture->store);
+      mf_feed_begin (&feed, 1, revision);
+      fake_store_set_mode (fixture->store, FAKE_STORE_BUSY);
+      if (outage == REFUSED_ALONE)
+        feed_for (&peer_fixture, &feed, revision, 1800 * MF_US_PER_MS);
+      else
+        loop_spin (fixture->loop, 1800);
+      feed.keep_us = 2300 * MF_US_PER_MS;
+      if (outage == AWAY_FOR_ALL_OTHER_IS_FIRST)
+        feed_for (&peer_fixture, &feed, revision, 200 * MF_US_PER_MS);
+      fake_store_remove (fixture->store, "servers/u0");
+      fake_store_set_mode (fixture->store, FAKE_STORE_SERVES);
+      loop_spin (fixture->loop, 600);
+      assert_int_equal (status_of (fixture, PORT, "/a/1"), outage == REFUSED_ALONE ? 503 : 200);
+      mf_feed_clear (&feed);
+      peer_fixture_end (&peer_fixture);
+    }
+}
+
 /* The first instances of a data centre read the store and send the changes to the others. */
 static void
 test_reader_sends_changes_to_other_instances (void **state)
@@ -787,6 +864,8 @@
     cmocka_unit_test (test_upstreams_that_return_with_a_copy_get_nothing),
     cmocka_unit_test (test_follower_reads_a_restored_store),
     cmocka_unit_test (test_follower_does_not_read_the_store_while_it_is_fed),
+    cmocka_unit_test (test_follower_that_was_fed_meanwhile_keeps_no_removed_upstream),
+    cmocka_unit_test (test_reader_that_was_refused_alone_keeps_no_removed_upstream),
     cmocka_unit_test (test_reader_sends_changes_to_other_instances),
     cmocka_unit_test (test_shutdown),
     cmocka_unit_test (test_settings_are_read_again),
