An entry that returns with a copy of the store replaces no running process

The logs show one engine of four in use: the copy listed the removed predecessors u5-0, u6-0 and u8-1 at the addresses of u5-1, u6-1 and u8-2. Such entries are held, but where the times of start do not tell which process is the later one, they still marked the processes at their addresses as replaced, and nothing took that back.

An entry that is held says nothing about its address until it is written again; then it is compared as any other.

The stand-ins give all processes one time of start; the platform's runners each name their own. test_entry_that_returns_with_a_copy_replaces_no_process failed before.

--- a/libmangofork/relay/target.c
+++ b/libmangofork/relay/target.c
@@ -401,10 +401,12 @@
 }
 
 /* Of two processes at one address only the one that was started last is running. Discovery lists
- * the other until its entry expires. */
+ * the other until its entry expires. An entry that is held says nothing yet about its address. */
 static void
 targets_replace (MfTargets *targets, MfTarget *added)
 {
+  if (added->held_until_us > 0)
+    return;
   for (MfTarget *target = targets->first; target != NULL; target = target->next)
     {
       MfTarget *older = target;
@@ -453,8 +455,11 @@
     }
   changed = changed || target->info.leaving != info->leaving || target->info.role != info->role
             || target->unlisted_us != 0;
-  if (!targets->is_restoring)
-    target->held_until_us = 0;
+  if (!targets->is_restoring && target->held_until_us > 0)
+    {
+      target->held_until_us = 0;
+      targets_replace (targets, target);
+    }
   if (!entry_is_older (target, info))
     target->info = *info;
   /* A process that has begun to leave does not return. */
--- a/tests/test_target.c
+++ b/tests/test_target.c
@@ -63,6 +63,30 @@
   mf_targets_clear (&targets);
 }
 
+/* The entry of a removed process at the same address returned with an older copy, and the process
+ * that runs there was not used any more. */
+static void
+test_entry_that_returns_with_a_copy_replaces_no_process (void **state)
+{
+  MfTargets targets = { 0 };
+  MfTargetInfo old = info_make ("u1", "127.0.0.1:1");
+  MfTargetInfo next = info_make ("u2", "127.0.0.1:1");
+
+  (void)state;
+  mf_targets_update (&targets, &old);
+  mf_targets_remove (&targets, "u1", true, NOW_US);
+  mf_targets_update (&targets, &next);
+  mf_targets_begin_list (&targets);
+  targets.is_restoring = true;
+  mf_targets_update (&targets, &old);
+  targets.is_restoring = false;
+  assert_false (mf_target_is_suspect (mf_targets_find (&targets, "u2"), NOW_US));
+  /* It is written again: it runs there after all. */
+  mf_targets_update (&targets, &old);
+  assert_true (mf_target_is_suspect (mf_targets_find (&targets, "u2"), NOW_US));
+  mf_targets_clear (&targets);
+}
+
 static void
 test_unlisted_entries_are_kept_until_they_expire (void **state)
 {
@@ -364,6 +388,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_a_restarted_process_has_no_statistics),
     cmocka_unit_test (test_only_the_last_process_at_an_address_is_used),
+    cmocka_unit_test (test_entry_that_returns_with_a_copy_replaces_no_process),
     cmocka_unit_test (test_unlisted_entries_are_kept_until_they_expire),
     cmocka_unit_test (test_requests_outlast_their_upstream),
     cmocka_unit_test (test_failures_fade),
