Entries are kept after an outage in which they can have expired, no shorter one

Traced: the store refused both readers of a data centre for 9 s; the other instances read it for themselves every 1.2 to 1.5 s and took that for an outage of more than a second when a reader came back and told them to keep what had been removed.

Entries expire after three intervals of silence, of which one may lie before the outage. The interval is among the settings (heartbeatMs); an outage now counts from one and a half intervals on, and from 1 s as before where it is not named. test_all_keys asks for the setting.

--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -13,8 +13,11 @@
 /* Upstreams whose entries expired during an outage of the platform's store register again within
  * two seconds of its end; the other 300 ms are for latency. */
 #define REREGISTRATION_US (2300 * MF_US_PER_MS)
-/* No entry expires in a shorter outage of the store. */
+/* No entry expires in a shorter outage of the store. One is dropped after three intervals of
+ * silence, of which the last may have begun before the outage; the rest of the two others is
+ * reserve. */
 #define OUTAGE_MIN_US (1 * MF_US_PER_S)
+#define OUTAGE_MIN_PERCENT 150
 /* Interval of periodic work: expired upstreams, drain, changed settings. */
 #define TICK_S 0.1
 #define SETTINGS_CHECK_INTERVAL_US (1 * MF_US_PER_S)
@@ -273,8 +276,11 @@
 {
   uint64_t seen_us = relay->source_seen_us > relay->others_read_us ? relay->source_seen_us
                                                                    : relay->others_read_us;
+  uint64_t outage_min_us = relay->settings.registration_us * OUTAGE_MIN_PERCENT / 100;
 
-  return relay->source_seen_us > 0 && now_us - seen_us >= OUTAGE_MIN_US;
+  if (outage_min_us < OUTAGE_MIN_US)
+    outage_min_us = OUTAGE_MIN_US;
+  return relay->source_seen_us > 0 && now_us - seen_us >= outage_min_us;
 }
 
 /* Called by sources when their store has answered. */
--- a/libmangofork/relay/relay.h
+++ b/libmangofork/relay/relay.h
@@ -21,6 +21,7 @@
   uint64_t memory_bytes;            /* memory limit of the process; 0: unknown */
   uint32_t files_max;               /* file descriptors; 0: unknown */
   uint64_t change_bound_us;         /* a change at the store must take effect within this time */
+  uint64_t registration_us;         /* upstreams renew their entries at this interval; 0: unknown */
   uint64_t recovery_us;             /* normal service must be back within this time after a fault */
   uint64_t grace_us;                /* from SIGTERM to SIGKILL */
   double retry_ratio;               /* retries per request */
--- a/tests/test_platform_settings.c
+++ b/tests/test_platform_settings.c
@@ -23,7 +23,8 @@
   static const char text[] = REQUIRED
       "unknown=1\nno line\nlisten.control=10.1.0.35:8146\ninternalPorts=7660,7675\n"
       "seeds=10.1.0.35:8146,10.2.0.28:8146\nlimits.memoryMb=110\nlimits.maxFds=4100\n"
-      "bounds.contactMs=3500.5\nbounds.drainMs=2000\nbounds.configApplyMs=1500\nbounds."
+      "heartbeatMs=1200\nbounds.contactMs=3500.5\nbounds.drainMs=2000\nbounds.configApplyMs="
+      "1500\nbounds."
       "graceS=8.5\r\n"
       "bounds.retryBudgetRatio=0.25\nbounds.budgetWindowS=12\nbounds.retryBudgetSlack=52\n"
       "bounds.fenceRequired=true\nbounds.leaseMs=2500";
@@ -38,6 +39,7 @@
   assert_string_equal (settings.peers, "10.1.0.35:8146");
   assert_string_equal (settings.seeds, "10.1.0.35:8146,10.2.0.28:8146");
   assert_int_equal (settings.memory_bytes, 110 << 20);
+  assert_int_equal (settings.registration_us, 1200 * MF_US_PER_MS);
   assert_int_equal (settings.recovery_us, 3500500);
   assert_int_equal (settings.grace_us, 8500000);
   assert_int_equal (settings.change_bound_us, 1500 * MF_US_PER_MS);
