A resumed stream does not spoil its upstream's average time to begin

The time from the send to the first event of a stream was taken for the upstream that ended it; for one that was resumed there the first event had come before the send, from another upstream, and the difference wrapped. The average then takes hundreds of answers to come back, and placing avoids the upstream or ranks it last meanwhile.

For a resumed stream the average now stays as it is. test_broken_stream_is_resumed_after_its_last_event asks for an average below a second and failed before.

--- a/libmangofork/relay/job_answer.c
+++ b/libmangofork/relay/job_answer.c
@@ -348,6 +348,15 @@
     mf_job_note_failure (job, target);
 }
 
+/* Returns how long the upstream took to begin its stream. For one that was resumed there, which had
+ * begun before, this is its average. */
+static uint64_t
+job_time_to_begin_us (const MfJob *job, const MfTarget *target)
+{
+  return job->first_event_us >= job->sent_us ? job->first_event_us - job->sent_us
+                                             : (uint64_t)target->answer_us;
+}
+
 static void
 on_run_end (void *data, MfLinkEnd end, const char *why)
 {
@@ -384,7 +393,7 @@
         }
       else
         {
-          mf_target_record_answer (target, job->first_event_us - job->sent_us, mf_clock_now_us ());
+          mf_target_record_answer (target, job_time_to_begin_us (job, target), mf_clock_now_us ());
           mf_jobs_note_answer (jobs, job->events.n_events * job->service->event_tokens,
                                mf_clock_now_us () - job->sent_us);
           mf_job_finish (job, MF_CODE_OK, "answered");
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -450,6 +450,9 @@
       fake_upstream_request_header (fake_upstream_last_request (fixture.upstreams[1].server),
                                     "Last-Event-Id", value, sizeof value));
   assert_string_equal (value, "1");
+  /* The time until its first event was negative. */
+  for (const MfTarget *target = fixture.jobs.targets.first; target != NULL; target = target->next)
+    assert_true (target->answer_us < (double)MF_US_PER_S);
   teardown (&fixture);
 }
 
