A stream whose connection ends before its first event has been broken off

Callers got an empty stream as a complete one: an answer without length and chunks ends with its connection, and a crash after the head and before the first event left no event open. Of such a stream at least one event must have come, unless it takes up an earlier one, which may have no further event. Blank lines are no event in resumable streams either.

The new rows of test_stream_closed_inside_an_event_is_broken_off failed before and pass now; test_stream_closed_after_its_last_event_is_complete is new and holds the other side.

--- a/libmangofork/relay/events.c
+++ b/libmangofork/relay/events.c
@@ -50,6 +50,18 @@
   return 0;
 }
 
+/* Whether there is nothing but line ends: blank lines between events belong to none. */
+static bool
+is_blank (const char *bytes, size_t n_bytes)
+{
+  for (size_t i = 0; i < n_bytes; i++)
+    {
+      if (bytes[i] != '\n' && bytes[i] != '\r')
+        return false;
+    }
+  return true;
+}
+
 /* Reads bytes of the stream. Appends the complete events to out, without those that were passed on
  * before. */
 void
@@ -72,7 +84,7 @@
           stream->has_gap
               = stream->has_gap || (has_id && stream->has_last_id && id != stream->last_id + 1);
           mf_buffer_add (out, mf_buffer_data (&stream->partial), complete_bytes);
-          stream->n_events++;
+          stream->n_events += !is_blank (mf_buffer_data (&stream->partial), complete_bytes);
           if (has_id)
             {
               stream->last_id = id;
@@ -117,18 +129,12 @@
   stream->unterminated_bytes = 0;
 }
 
-/* Whether no event is incomplete. Blank lines between events belong to none. */
+/* Whether no event is incomplete. */
 bool
 mf_event_stream_at_boundary (const MfEventStream *stream)
 {
-  const char *partial = mf_buffer_data (&stream->partial);
-
-  for (size_t i = 0; i < mf_buffer_bytes (&stream->partial); i++)
-    {
-      if (partial[i] != '\n' && partial[i] != '\r')
-        return false;
-    }
-  return stream->unterminated_bytes == 0 && !stream->partial.failed;
+  return is_blank (mf_buffer_data (&stream->partial), mf_buffer_bytes (&stream->partial))
+         && stream->unterminated_bytes == 0 && !stream->partial.failed;
 }
 
 /* Frees the buffer of the incomplete event. */
--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -439,6 +439,7 @@
   job->digest = mf_job_digest (caller);
   job->caller_hash = mf_caller_address_hash (caller);
   job->try_id = ++jobs->n_started;
+  job->is_resumed = mf_head_count (head, MF_HEADER_LAST_EVENT_ID) > 0;
   job_read_parts (job, head);
   job_read_token_counts (job, head);
   job_read_deadline (job, head);
--- a/libmangofork/relay/job_answer.c
+++ b/libmangofork/relay/job_answer.c
@@ -357,6 +357,18 @@
                                              : (uint64_t)target->answer_us;
 }
 
+/* Returns why a stream that has ended is incomplete, or NULL. The end of its connection ends it
+ * only after an event: a new stream has one at least. */
+static const char *
+stream_defect (const MfJob *job, MfLinkEnd end)
+{
+  if (!mf_event_stream_at_boundary (&job->events))
+    return "stream ended inside an event";
+  if (end == MF_LINK_CLOSED && job->events.n_events == 0 && !job->is_resumed)
+    return "stream ended before its first event";
+  return NULL;
+}
+
 static void
 on_run_end (void *data, MfLinkEnd end, const char *why)
 {
@@ -383,13 +395,15 @@
     }
   else if (job->phase == MF_JOB_STREAMING && answer_is_good (&job->answer))
     {
+      const char *defect = stream_defect (job, end);
+
       job->n_runs++;
       job->kv_used = true;
-      if (!mf_event_stream_at_boundary (&job->events))
+      if (defect != NULL)
         {
           mf_job_note_failure (job, target);
           mf_target_probe (target);
-          job_failed (job, target, "stream ended inside an event");
+          job_failed (job, target, defect);
         }
       else
         {
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -125,6 +125,7 @@
   uint32_t n_connect_failures;
 
   bool head_sent;
+  bool is_resumed; /* the caller takes up a stream of which it has received events */
   MfEventStream events;
   uint64_t first_event_us;
 };
--- a/tests/test_job_answer.c
+++ b/tests/test_job_answer.c
@@ -270,6 +270,8 @@
     { "id: 1\ndata: a\n\nid: 2\nda", false, false },
     { "id: 1\ndata: a\n", false, false },
     { "id: 1\ndata: a\n\nid: 2\nda", true, false },
+    { "", false, false },
+    { "\n\n", false, false },
   };
   static const char *const paths[] = { "/llm/1", "/once/1" };
 
@@ -290,6 +292,29 @@
     }
 }
 
+/* A stream that is taken up after its last event has no further one. */
+static void
+test_stream_closed_after_its_last_event_is_complete (void **state)
+{
+  static const ClosedStream rest = { "", false, true };
+  static const char text[] = "POST /llm/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: t\r\n"
+                             "Last-Event-Id: 2\r\nX-Token-Count: 100,40\r\n"
+                             "Connection: close\r\nContent-Length: 0\r\n\r\n";
+  RelayFixture fixture;
+  int fd;
+
+  (void)state;
+  closed_stream = &rest;
+  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_closed_stream);
+  fd = loop_connect (PORT);
+  loop_send (fd, text, strlen (text));
+  loop_receive (fixture.loop, fd, NULL, fixture.received, sizeof fixture.received);
+  close (fd);
+  assert_non_null (strstr (fixture.received, "\r\n0\r\n\r\n"));
+  teardown (&fixture);
+}
+
 /* Discovery may drop an upstream while it still sends its last, endless answer. */
 static void
 test_endless_answer_of_a_removed_upstream (void **state)
@@ -409,6 +434,7 @@
     cmocka_unit_test (test_endless_event_ends_the_stream),
     cmocka_unit_test (test_endless_answer_of_a_removed_upstream),
     cmocka_unit_test (test_stream_closed_inside_an_event_is_broken_off),
+    cmocka_unit_test (test_stream_closed_after_its_last_event_is_complete),
     cmocka_unit_test (test_stream_that_trickles_is_resumed_elsewhere),
     cmocka_unit_test (test_endless_answer_to_a_release_times_out),
     cmocka_unit_test (test_buffered_answers_keep_to_the_memory_limit),
