Logs name the software version of upstreams and the streams that callers take up

An entry without a version, or with one that is neither text nor a number, is invalid like one without any other field; a process whose version changes is another one. Tests whose entries lacked the version have one now, so that each faulty entry is still rejected for the one field that is wrong.

--- a/libmangofork/relay/dialect.h
+++ b/libmangofork/relay/dialect.h
@@ -17,7 +17,8 @@
   MF_HEADER_TOKEN_COUNT,     /* "PROMPT,OUTPUT": tokens of the prompt, and of the output at most */
   MF_HEADER_PROMPT_PARTS,    /* "ID:TOKENS,ID:TOKENS": the parts of the prompt in order */
   MF_HEADER_LENGTH_HINT,     /* output tokens that the caller expects */
-  MF_HEADER_LAST_EVENT_ID,   /* resumes a stream after this event */
+  MF_HEADER_LAST_EVENT_ID,   /* the stream goes on after this event */
+  MF_HEADER_STREAM_BEGUN_AS, /* id of the caller's attempt that brought the stream's first event */
   MF_HEADER_STAGE,           /* requests a prefill only */
   MF_HEADER_KV_SOURCE,       /* KV of a prefill that a decode continues from */
   MF_HEADER_ENGINE_PRIORITY, /* priority of the request in an engine */
--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -352,6 +352,22 @@
     mf_parts_read (&job->parts, text, text_bytes);
 }
 
+/* Reads which stream the caller takes up, if any. */
+static void
+job_read_resumed_stream (MfJob *job, const MfHead *head)
+{
+  char last_event[24] = "";
+
+  job->is_resumed = mf_head_count (head, MF_HEADER_LAST_EVENT_ID) > 0;
+  if (!job->is_resumed)
+    return;
+  if (!mf_head_copy (head, MF_HEADER_STREAM_BEGUN_AS, job->begun_as, sizeof job->begun_as))
+    job->begun_as[0] = '\0';
+  mf_head_copy (head, MF_HEADER_LAST_EVENT_ID, last_event, sizeof last_event);
+  mf_relay_log_event (job->jobs->log, "request.resume", "id=%s begun_as=%s after_event=%s", job->id,
+                      job->begun_as, last_event);
+}
+
 /* Minimum time reserved for a complete answer; 0 before the first sample. */
 static uint64_t
 job_answer_min_us (const MfJob *job)
@@ -439,7 +455,7 @@
   job->digest = mf_job_digest (caller);
   job->caller_hash = mf_caller_address_hash (caller);
   job->try_id = ++jobs->n_started;
-  job->is_resumed = mf_head_count (head, MF_HEADER_LAST_EVENT_ID) > 0;
+  job_read_resumed_stream (job, head);
   job_read_parts (job, head);
   job_read_token_counts (job, head);
   job_read_deadline (job, head);
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -125,7 +125,8 @@
   uint32_t n_connect_failures;
 
   bool head_sent;
-  bool is_resumed; /* the caller takes up a stream of which it has received events */
+  bool is_resumed;                /* the caller takes up a stream of which it has received events */
+  char begun_as[MF_JOB_ID_BYTES]; /* the id of its attempt that brought the first of them */
   MfEventStream events;
   uint64_t first_event_us;
 };
--- a/libmangofork/relay/link.c
+++ b/libmangofork/relay/link.c
@@ -560,7 +560,7 @@
   link_detach (link);
 }
 
-/* Pauses or resumes reading the response, for a caller that reads slowly. */
+/* Pauses or continues reading the response, for a caller that reads slowly. */
 void
 mf_link_pause_reading (MfLink *link, bool paused)
 {
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -218,11 +218,12 @@
 {
   if (!mf_targets_update (&relay->jobs.targets, info))
     return;
-  mf_relay_log_state (
-      relay->log, "upstream.known",
-      "upstream=%s service=%s address=%s stage=%s data_centre=%s leaving=%s born_ms=%llu", info->id,
-      info->service, info->address, mf_role_name (info->role), info->data_centre,
-      info->leaving ? "yes" : "no", (unsigned long long)info->started_ms);
+  mf_relay_log_state (relay->log, "upstream.known",
+                      "upstream=%s service=%s version=%s address=%s stage=%s data_centre=%s "
+                      "leaving=%s born_ms=%llu",
+                      info->id, info->service, info->version, info->address,
+                      mf_role_name (info->role), info->data_centre, info->leaving ? "yes" : "no",
+                      (unsigned long long)info->started_ms);
   mf_jobs_run_dispatch (&relay->jobs);
 }
 
--- a/libmangofork/relay/target.c
+++ b/libmangofork/relay/target.c
@@ -387,6 +387,7 @@
   memcpy (target->pool.address, info->address, sizeof target->pool.address);
   target->id_hash = mf_load_hash (info->id);
   target->process_id = process_hash (target->id_hash, info->started_ms);
+  target->version = mf_load_hash (info->version);
   target->announced_leaving = has_departed (targets, target);
   if (targets->is_restoring && was_removed (targets, target->process_id))
     target->held_until_us = mf_clock_now_us () + HELD_US;
@@ -437,6 +438,7 @@
   if (target != NULL
       && (strcmp (target->info.address, info->address) != 0
           || target->info.started_ms != info->started_ms
+          || strcmp (target->info.version, info->version) != 0
           || strcmp (target->info.service, info->service) != 0))
     {
       target_record_end (target, "the process was restarted");
--- a/libmangofork/relay/target.h
+++ b/libmangofork/relay/target.h
@@ -16,6 +16,7 @@
   char service[MF_NAME_BYTES];
   char address[MF_ADDRESS_BYTES];
   char data_centre[MF_NAME_BYTES];
+  char version[MF_NAME_BYTES]; /* of its software */
   MfRole role;
   bool leaving;
   uint32_t slots;
@@ -75,6 +76,7 @@
   uint64_t remote_avoid_until_us; /* when the last of these uses it again */
   uint64_t id_hash;               /* identifies it in messages between instances */
   uint64_t process_id;            /* the same, different from later processes with its id */
+  uint64_t version;               /* hash of its software version */
   uint64_t silent_since_us;       /* while requests run: the last sign of life */
   uint64_t alive_us;              /* last sign of life; 0: none since a connection broke */
   double answer_us;               /* moving average of response times; 0: none yet */
--- a/tests/test_platform_decode.c
+++ b/tests/test_platform_decode.c
@@ -32,6 +32,7 @@
   assert_string_equal (info.service, "s");
   assert_string_equal (info.address, "10.0.0.9:80");
   assert_string_equal (info.data_centre, "z");
+  assert_string_equal (info.version, "v1");
   assert_int_equal (info.role, MF_ROLE_PLAIN);
   assert_int_equal (info.slots, 64);
   assert_int_equal (info.started_ms, 1781418871288);
@@ -57,17 +58,27 @@
     ENTRY ",\"stage\":1}",
     ENTRY ",\"born\":\"soon\"}",
     ENTRY ",\"born\":1.5}",
-    "{\"service\":1,\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":1,\"state\":\"ready\","
+    "{\"service\":1,\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":1,"
+    "\"state\":\"ready\","
     "\"sequence\":4}",
-    "{\"service\":\"s\",\"address\":\"10.0.0.9\",\"zone\":\"z\",\"slots\":1,\"state\":\"ready\","
+    "{\"service\":\"s\",\"address\":\"10.0.0.9\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":1,"
+    "\"state\":\"ready\","
     "\"sequence\":4}",
-    "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":1,\"state\":\"gone\","
+    "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":1,"
+    "\"state\":\"gone\","
     "\"sequence\":4}",
-    "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":-1,"
+    "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":-1,"
     "\"state\":\"ready\",\"sequence\":4}",
-    "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":1,"
+    "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":1,"
     "\"state\":\"ready\"}",
-    "{\"service\":\"s\\u0000t\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":1,"
+    "{\"service\":\"s\\u0000t\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"version\":\"v1\","
+    "\"slots\":1,"
+    "\"state\":\"ready\",\"sequence\":4}",
+    "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":1,"
+    "\"state\":\"ready\",\"sequence\":4}",
+    "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"version\":\"\",\"slots\":1,"
+    "\"state\":\"ready\",\"sequence\":4}",
+    "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"version\":[1],\"slots\":1,"
     "\"state\":\"ready\",\"sequence\":4}",
   };
   MfTargetInfo info;
@@ -83,9 +94,10 @@
   MfTargetInfo info;
 
   (void)state;
-  assert_true (entry_decode ("{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\","
-                             "\"slots\":1,\"state\":\"draining\",\"sequence\":4}",
-                             &info));
+  assert_true (
+      entry_decode ("{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\","
+                    "\"version\":\"v2\",\"slots\":1,\"state\":\"draining\",\"sequence\":4}",
+                    &info));
   assert_true (info.leaving);
 }
 
