--- a/tests/relay_fixture.c
+++ b/tests/relay_fixture.c
@@ -94,7 +94,7 @@
 
 static void
 list_target (RelayFixture *fixture, const char *id, MfRole role, const char *address,
-             const char *data_centre)
+             const char *data_centre, const char *version)
 {
   MfTargetInfo info = { .role = role, .slots = 4, .started_ms = 1 };
 
@@ -102,6 +102,7 @@
   mf_name_set (info.service, sizeof info.service, role == MF_ROLE_PLAIN ? "shop" : "engines");
   mf_name_set (info.address, sizeof info.address, address);
   mf_name_set (info.data_centre, sizeof info.data_centre, data_centre);
+  mf_name_set (info.version, sizeof info.version, version);
   mf_targets_update (&fixture->jobs.targets, &info);
 }
 
@@ -117,14 +118,21 @@
                                 .handler = handler };
   snprintf (id, sizeof id, "u%u", index);
   list_target (fixture, id, role, fake_upstream_address (upstream->server),
-               index == 0 || index == 2 ? "" : "far");
+               index == 0 || index == 2 ? "" : "far", "");
 }
 
 void
 relay_fixture_list_upstream (RelayFixture *fixture, const char *id, MfRole role,
                              const char *address)
 {
-  list_target (fixture, id, role, address, "");
+  list_target (fixture, id, role, address, "", "");
+}
+
+void
+relay_fixture_list_version (RelayFixture *fixture, const char *id, MfRole role, const char *address,
+                            const char *version)
+{
+  list_target (fixture, id, role, address, "", version);
 }
 
 uint32_t
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -45,6 +45,9 @@
 /* Lists an upstream that does not belong to this fixture. */
 void relay_fixture_list_upstream (RelayFixture *fixture, const char *id, MfRole role,
                                   const char *address);
+/* The same with the version of its software; other upstreams have none. */
+void relay_fixture_list_version (RelayFixture *fixture, const char *id, MfRole role,
+                                 const char *address, const char *version);
 /* Sends an answer. The functions after it are handlers for upstreams. */
 void relay_fixture_answer (FakeUpstreamConn *conn, const char *id, const char *status,
                            const char *headers, const char *body);
