A broken stream goes on at the version that began it, or not at all

Callers got one answer with events of two software versions: a stream that broke went on at any upstream with room. Its first event now binds a stream to the version of the upstream that made it, and placing, slot requests and prefills for the rest keep to that version, at this instance and at the leader. Streams that are bound go before new ones, and new ones do not take the room that becomes free at a version for whose slots bound streams wait, even if they would fit. Without an upstream of that version the answer is broken off at once.

Slot requests have a member more.

--- a/libmangofork/relay/dispatch.c
+++ b/libmangofork/relay/dispatch.c
@@ -115,6 +115,7 @@
   for (const MfTarget *target = dispatch->targets->first; target != NULL; target = target->next)
     {
       if (target->info.role != MF_ROLE_DECODE || mf_target_is_leaving (target)
+          || (request->version != 0 && target->version != request->version)
           || strcmp (target->info.service, request->service) != 0)
         continue;
       if (!mf_target_is_limited (target))
@@ -258,6 +259,7 @@
   MfPlaceQuery query = {
     .service = request->service,
     .role = role,
+    .version = request->version,
     .tokens = role == MF_ROLE_PREFILL ? request->prompt_tokens : request->kv_tokens,
     .service_config = config,
     .n_avoid = request->n_avoid,
@@ -273,7 +275,8 @@
 }
 
 /* Order of requests: first those whose prompt is prefilled, because an engine keeps its KV only for
- * a moment; then those that can still meet their objective; then the older one. */
+ * a moment; then streams that have begun, which only the engines of one version can go on with;
+ * then those that can still meet their objective; then the older one. */
 static bool
 is_served_before (const WaitingRequest *one, const WaitingRequest *other, uint64_t now_us)
 {
@@ -282,15 +285,21 @@
 
   if (one->request.is_prefilled != other->request.is_prefilled)
     return one->request.is_prefilled;
+  if ((one->request.version != 0) != (other->request.version != 0))
+    return one->request.version != 0;
   if (one_late != other_late)
     return other_late;
   return one->arrived_us < other->arrived_us;
 }
 
+/* What has been found to have no free slot in one run. */
 typedef struct
 {
   char services[FULL_SERVICES_MAX][MF_NAME_BYTES];
   uint32_t n_services;
+  /* Versions for whose slots streams wait that have begun there. */
+  uint64_t versions[MF_PLACE_KEPT_VERSIONS_MAX];
+  uint32_t n_versions;
 } FullServices;
 
 static bool
@@ -320,7 +329,8 @@
 
 /* Chooses the engines for a request. Returns false when no engine has capacity. */
 static bool
-choose_engines (MfDispatch *dispatch, const MfSlotRequest *request, MfGrant *grant, uint64_t now_us)
+choose_engines (MfDispatch *dispatch, const MfSlotRequest *request, const FullServices *full,
+                MfGrant *grant, uint64_t now_us)
 {
   const MfRouteService *config
       = dispatch->callbacks->service_config (dispatch->data, request->service);
@@ -332,6 +342,8 @@
   if (config == NULL)
     return false;
   query = place_query (dispatch, request, config, MF_ROLE_DECODE);
+  memcpy (query.kept_versions, full->versions, sizeof query.kept_versions);
+  query.n_kept_versions = full->n_versions;
   decode = mf_place_choose (dispatch->targets, &query, now_us, &any_available);
   /* No slot is granted at an engine that could not be reached. */
   if (decode == NULL || mf_target_is_suspect (decode, now_us))
@@ -357,6 +369,25 @@
          && request->kv_tokens * OVERSIZED_DIVISOR > config->kv_capacity_tokens;
 }
 
+/* Whether a request is bound to a version whose engines it could use if they had capacity. Other
+ * requests, which may need less, must not take up what becomes free there. */
+static bool
+waits_for_version (MfDispatch *dispatch, const MfSlotRequest *request, uint64_t now_us)
+{
+  const MfRouteService *config
+      = dispatch->callbacks->service_config (dispatch->data, request->service);
+  MfPlaceQuery query;
+  const MfTarget *decode;
+  bool any_available = false;
+
+  if (request->version == 0 || config == NULL || is_oversized (dispatch, request))
+    return false;
+  query = place_query (dispatch, request, config, MF_ROLE_DECODE);
+  query.must_fit = false;
+  decode = mf_place_choose (dispatch->targets, &query, now_us, &any_available);
+  return decode != NULL && !mf_target_is_suspect (decode, now_us);
+}
+
 /* Records a grant to another instance; grants to this one show in its load at once. */
 static void
 pending_add (MfDispatch *dispatch, const WaitingRequest *waiting, const MfGrant *grant,
@@ -414,11 +445,15 @@
           waiting_remove (dispatch, link);
           continue;
         }
-      if (!choose_engines (dispatch, &waiting->request, &grant, now_us))
+      if (!choose_engines (dispatch, &waiting->request, &full, &grant, now_us))
         {
           waiting->skipped_run_us = now_us;
-          /* Engines that this request avoids may have capacity for others. */
-          if (waiting->request.n_avoid > 0 || is_oversized (dispatch, &waiting->request))
+          if (full.n_versions < MF_PLACE_KEPT_VERSIONS_MAX
+              && waits_for_version (dispatch, &waiting->request, now_us))
+            full.versions[full.n_versions++] = waiting->request.version;
+          /* Engines that this request cannot use may have capacity for others. */
+          if (waiting->request.n_avoid > 0 || waiting->request.version != 0
+              || is_oversized (dispatch, &waiting->request))
             continue;
           memcpy (full.services[full.n_services++], waiting->request.service, MF_NAME_BYTES);
           continue;
--- a/libmangofork/relay/dispatch.h
+++ b/libmangofork/relay/dispatch.h
@@ -27,8 +27,9 @@
   char data_centre[MF_NAME_BYTES]; /* of the requester */
   uint64_t prompt_tokens;
   uint64_t kv_tokens;
-  bool is_prefilled;                  /* its prompt has been prefilled */
-  uint64_t age_us;                    /* time since the caller's request arrived */
+  uint64_t version;  /* hash of the software version that began the stream; 0: it has not begun */
+  bool is_prefilled; /* its prompt has been prefilled */
+  uint64_t age_us;   /* time since the caller's request arrived */
   uint64_t objective_us;              /* the objective is met if it is served before this age */
   uint64_t max_age_us;                /* it is dropped after this age */
   uint64_t avoid[MF_PLACE_AVOID_MAX]; /* hashes of upstreams that have declined or failed it */
--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -32,6 +32,7 @@
   MfPlaceQuery query = {
     .service = job->service->name,
     .role = role,
+    .version = job->version,
     .tokens = role == MF_ROLE_PREFILL ? job->prompt_tokens : job->kv_tokens,
     .service_config = job->service,
     .n_avoid = job->n_avoid,
@@ -54,6 +55,8 @@
 {
   if (job->n_runs > 0)
     mf_job_finish (job, MF_CODE_UPSTREAM_DIED, "no other upstream to try");
+  else if (!any_available && job->version != 0)
+    mf_job_refuse (job, MF_CODE_NO_UPSTREAM, "no upstream of the version that began the stream");
   else if (any_available)
     mf_job_refuse (job, MF_CODE_QUEUE_FULL, "all upstreams declined");
   else
@@ -64,7 +67,9 @@
 static void
 job_note_available (MfJob *job, MfRole role, uint64_t now_us)
 {
-  job->pause_end_us = mf_place_available_us (&job->jobs->targets, job->service->name, role, now_us);
+  MfPlaceQuery query = job_place_query (job, role);
+
+  job->pause_end_us = mf_place_available_us (&job->jobs->targets, &query, now_us);
 }
 
 static void
@@ -104,6 +109,13 @@
   mf_job_release_kv (job);
 }
 
+/* Whether the request may go to an upstream: a stream goes on only at the version that began it. */
+static bool
+job_fits_version (const MfJob *job, const MfTarget *target)
+{
+  return job->version == 0 || target->version == job->version;
+}
+
 /* Returns the engine with a slot reserved for this request, if it is still usable; otherwise gives
  * the slot back. */
 static MfTarget *
@@ -111,7 +123,8 @@
 {
   MfTarget *reserved = job->reserved_target;
 
-  if (reserved != NULL && reserved->listed && mf_target_accepts (reserved, now_us)
+  if (reserved != NULL && reserved->listed && job_fits_version (job, reserved)
+      && mf_target_accepts (reserved, now_us)
       && ((job->rate_granted && job->rate_target == reserved)
           || mf_target_rate_ready (reserved, mf_job_rate_wait_max_us (job, now_us), now_us))
       && !mf_place_avoids (job->avoid, job->n_avoid, reserved))
@@ -135,7 +148,7 @@
   if (prefill != NULL)
     return prefill;
   prefill = mf_targets_by_hash (targets, job->granted_prefill);
-  if (prefill != NULL && prefill->info.role == MF_ROLE_PREFILL
+  if (prefill != NULL && prefill->info.role == MF_ROLE_PREFILL && job_fits_version (job, prefill)
       && mf_target_accepts (prefill, now_us) && mf_target_rate_ready (prefill, 0, now_us)
       && prefill->suspect_until_us <= now_us
       && !mf_place_avoids (job->avoid, job->n_avoid, prefill))
@@ -166,10 +179,12 @@
 {
   MfTargets *targets = &job->jobs->targets;
   uint64_t now_us = mf_clock_now_us ();
+  MfPlaceQuery any = job_place_query (job, MF_ROLE_DECODE);
   MfTarget *decode;
   MfTarget *prefill;
 
-  if (!mf_place_has_role (targets, job->service->name, MF_ROLE_DECODE, NULL, 0))
+  any.n_avoid = 0;
+  if (!mf_place_has_any (targets, &any))
     {
       job_end_without_upstream (job, false);
       return;
@@ -178,12 +193,12 @@
   decode = job_use_reserved_target (job, now_us);
   if (decode == NULL)
     {
+      MfPlaceQuery others = job_place_query (job, MF_ROLE_DECODE);
+
       mf_job_drop_rate (job);
       /* All engines, or as many as can be listed, have declined or failed: starts over with all of
        * them. */
-      if (job->n_avoid == MF_JOB_AVOID_MAX
-          || !mf_place_has_role (targets, job->service->name, MF_ROLE_DECODE, job->avoid,
-                                 job->n_avoid))
+      if (job->n_avoid == MF_JOB_AVOID_MAX || !mf_place_has_any (targets, &others))
         job->n_avoid = 0;
       job_note_available (job, MF_ROLE_DECODE, now_us);
       if (job->pause_end_us > 0)
--- a/libmangofork/relay/job_room.c
+++ b/libmangofork/relay/job_room.c
@@ -59,6 +59,7 @@
 
   for (const MfTarget *target = job->jobs->targets.first; target != NULL; target = target->next)
     n_usable += target->info.role == MF_ROLE_DECODE && !target->info.leaving
+                && (request->version == 0 || target->version == request->version)
                 && strcmp (target->info.service, job->service->name) == 0
                 && !mf_place_avoids (request->avoid, request->n_avoid, target);
   return n_usable;
@@ -95,6 +96,7 @@
     .kv_tokens = job->kv_tokens,
     .is_prefilled = job->kv_target != NULL,
     .age_us = now_us - job->first_try_us,
+    .version = job->version,
     .objective_us = job->head_sent ? max_age_us : grant_objective_us (job),
     .max_age_us = max_age_us,
     .n_avoid = job->n_avoid,
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -127,6 +127,7 @@
   bool head_sent;
   bool is_resumed;                /* the caller takes up a stream of which it has received events */
   char begun_as[MF_JOB_ID_BYTES]; /* the id of its attempt that brought the first of them */
+  uint64_t version; /* hash of the software version that made its first event; 0: none has come */
   MfEventStream events;
   uint64_t first_event_us;
 };
--- a/libmangofork/relay/place.c
+++ b/libmangofork/relay/place.c
@@ -46,11 +46,13 @@
   return false;
 }
 
+/* Whether an upstream is of the kind that the request needs and is not leaving. */
 static bool
-is_candidate (const MfTarget *target, const MfPlaceQuery *query, uint64_t now_us)
+is_eligible (const MfTarget *target, const MfPlaceQuery *query)
 {
   return !mf_target_is_leaving (target) && target->info.role == query->role
-         && target->stage_until_us <= now_us && strcmp (target->info.service, query->service) == 0;
+         && (query->version == 0 || target->version == query->version)
+         && strcmp (target->info.service, query->service) == 0;
 }
 
 /* Whether another process answers at its address, as this instance has seen itself. */
@@ -173,6 +175,18 @@
   return cost_us * (1. + FAILURE_COST_FACTOR * failure_share);
 }
 
+/* Whether an upstream is kept for streams that its version has begun. */
+static bool
+is_kept (const MfTarget *target, const MfPlaceQuery *query)
+{
+  for (uint32_t i = 0; query->version == 0 && i < query->n_kept_versions; i++)
+    {
+      if (query->kept_versions[i] == target->version)
+        return true;
+    }
+  return false;
+}
+
 /* Returns the upstream that is expected to answer first. Returns NULL when none is usable;
  * any_available then says whether one of this role is known that is not leaving. */
 MfTarget *
@@ -189,13 +203,13 @@
     {
       double cost_us;
 
-      if (!is_candidate (target, query, now_us))
+      if (!is_eligible (target, query) || target->stage_until_us > now_us)
         continue;
       *any_available = true;
       if (!mf_target_accepts (target, now_us)
           || !mf_target_rate_ready (target, query->max_wait_us, now_us)
           || (query->is_grant && target->dispatch_after_us > now_us)
-          || mf_place_avoids (query->avoid, query->n_avoid, target)
+          || mf_place_avoids (query->avoid, query->n_avoid, target) || is_kept (target, query)
           || (query->must_fit
               && !mf_load_fits (target, query->service_config, query->tokens, now_us)))
         continue;
@@ -220,27 +234,23 @@
   return best != NULL ? best : suspect;
 }
 
-/* Whether the service has an upstream of this role that is neither leaving nor in the list to
- * avoid. */
+/* Whether there is an upstream for the request that is neither leaving nor in its list to avoid. */
 bool
-mf_place_has_role (const MfTargets *targets, const char *service, MfRole role,
-                   const uint64_t *avoid, uint32_t n_avoid)
+mf_place_has_any (const MfTargets *targets, const MfPlaceQuery *query)
 {
   for (const MfTarget *target = targets->first; target != NULL; target = target->next)
     {
-      if (target->info.role == role && !mf_target_is_leaving (target)
-          && strcmp (target->info.service, service) == 0
-          && !mf_place_avoids (avoid, n_avoid, target))
+      if (is_eligible (target, query) && !mf_place_avoids (query->avoid, query->n_avoid, target))
         return true;
     }
   return false;
 }
 
-/* Returns when the first upstream of this role takes requests again, after the pause that it asked
- * for or as its rate limit admits, in time of the monotonic clock; 0 when one takes requests now or
- * all are leaving. */
+/* Returns when the first upstream for the request takes requests again, after the pause that it
+ * asked for or as its rate limit admits, in time of the monotonic clock; 0 when one takes requests
+ * now or all are leaving. */
 uint64_t
-mf_place_available_us (const MfTargets *targets, const char *service, MfRole role, uint64_t now_us)
+mf_place_available_us (const MfTargets *targets, const MfPlaceQuery *query, uint64_t now_us)
 {
   uint64_t first_us = 0;
 
@@ -248,8 +258,7 @@
     {
       uint64_t available_us = mf_target_available_us (target);
 
-      if (target->info.role != role || mf_target_is_leaving (target)
-          || strcmp (target->info.service, service) != 0)
+      if (!is_eligible (target, query))
         continue;
       if (available_us <= now_us)
         return 0;
--- a/libmangofork/relay/place.h
+++ b/libmangofork/relay/place.h
@@ -7,12 +7,16 @@
 /* Maximum upstreams that one request avoids. */
 #define MF_PLACE_AVOID_MAX 16
 
+/* Versions whose upstreams are kept for streams that have begun there, at most. */
+#define MF_PLACE_KEPT_VERSIONS_MAX 8
+
 /* The request to place. */
 typedef struct
 {
   const char *service;
   MfRole role;
-  uint64_t tokens; /* prompt tokens for a prefill, total KV use for a decode */
+  uint64_t version; /* hash of the software version that the upstream must have; 0: any */
+  uint64_t tokens;  /* prompt tokens for a prefill, total KV use for a decode */
   const MfRouteService *service_config;
   uint64_t avoid[MF_PLACE_AVOID_MAX]; /* hashes of upstreams already tried */
   uint32_t n_avoid;
@@ -23,16 +27,18 @@
   bool must_fit;              /* only engines with free capacity */
   bool is_grant;              /* for a request of any instance, which is granted a slot */
   uint64_t max_wait_us;       /* how long it may wait until an upstream's rate limit admits it */
-  uint32_t tie_break;         /* uniform random number; decides between equal costs */
+  /* Versions that only a request bound to one of them may use. */
+  uint64_t kept_versions[MF_PLACE_KEPT_VERSIONS_MAX];
+  uint32_t n_kept_versions;
+  uint32_t tie_break; /* uniform random number; decides between equal costs */
 } MfPlaceQuery;
 
 bool mf_place_avoids (const uint64_t *avoid, uint32_t n_avoid, const MfTarget *target);
 MfTarget *mf_place_choose (const MfTargets *targets, const MfPlaceQuery *query, uint64_t now_us,
                            bool *any_available);
 double mf_place_cost_us (const MfTarget *target, const MfPlaceQuery *query, uint64_t now_us);
-bool mf_place_has_role (const MfTargets *targets, const char *service, MfRole role,
-                        const uint64_t *avoid, uint32_t n_avoid);
-uint64_t mf_place_available_us (const MfTargets *targets, const char *service, MfRole role,
+bool mf_place_has_any (const MfTargets *targets, const MfPlaceQuery *query);
+uint64_t mf_place_available_us (const MfTargets *targets, const MfPlaceQuery *query,
                                 uint64_t now_us);
 
 #endif
--- a/libmangofork/relay/relay_message.c
+++ b/libmangofork/relay/relay_message.c
@@ -10,7 +10,7 @@
 #define REPORT_MEMBERS 7
 #define VOTE_MEMBERS 3
 #define ENTRY_MEMBERS 6
-#define SLOT_REQUEST_MEMBERS 11
+#define SLOT_REQUEST_MEMBERS 12
 #define GRANT_MEMBERS 4
 #define ID_MEMBERS 2
 #define REJECTED_MEMBERS 3
@@ -99,6 +99,7 @@
   msgpack_pack_array (packer, request->n_avoid);
   for (uint32_t i = 0; i < request->n_avoid; i++)
     msgpack_pack_uint64 (packer, request->avoid[i]);
+  msgpack_pack_uint64 (packer, request->version);
 }
 
 static void
@@ -401,6 +402,7 @@
       || !read_number (&members[7], UINT64_MAX / 2, &request->age_us)
       || !read_number (&members[8], UINT64_MAX / 4, &request->objective_us)
       || !read_number (&members[9], UINT64_MAX / 4, &request->max_age_us)
+      || !read_number (&members[11], UINT64_MAX, &request->version)
       || !read_array (avoid, MF_PLACE_AVOID_MAX))
     return false;
   for (uint32_t i = 0; i < avoid->via.array.size; i++)
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -128,6 +128,43 @@
   fixture_teardown (&fixture);
 }
 
+/* Streams that have begun can go on at one version only: they go before new ones, and these leave
+ * them what becomes free there, also when they need less. */
+static void
+test_room_is_kept_for_streams_that_a_version_has_begun (void **state)
+{
+  Fixture fixture;
+  MfSlotRequest small = request_make (1, 0, 4000);
+  MfSlotRequest begun = request_make (2, 0, 12000);
+
+  (void)state;
+  fixture_setup (&fixture);
+  for (uint32_t i = 0; i < N_ENGINES; i++)
+    fixture.engines[i].version = i == 0 ? 7 : 8;
+  begun.version = 7;
+  enqueue (&fixture, 3, &small);
+  enqueue (&fixture, 3, &begun);
+  assert_int_equal (mf_dispatch_run (fixture.dispatch, NOW_US), 0);
+  assert_int_equal (fixture.given[0].grant.id, 2);
+  assert_int_equal (fixture.given[0].grant.decode, 1);
+  /* Half of the capacity of its only engine is used, and that of the others in full. */
+  for (uint32_t i = 0; i < N_ENGINES; i++)
+    mf_target_begin_request (&fixture.engines[i], i == 0 ? 50000 : CAPACITY_TOKENS, NOW_US);
+  fixture.n_given = 0;
+  enqueue (&fixture, 3, &small);
+  enqueue (&fixture, 3, &begun);
+  assert_int_equal (mf_dispatch_run (fixture.dispatch, NOW_US), 2);
+  mf_target_end_request (&fixture.engines[1], CAPACITY_TOKENS);
+  assert_int_equal (mf_dispatch_run (fixture.dispatch, NOW_US + 1), 1);
+  assert_int_equal (fixture.given[0].grant.id, 1);
+  assert_int_equal (fixture.given[0].grant.decode, 2);
+  mf_target_end_request (&fixture.engines[0], 50000);
+  assert_int_equal (mf_dispatch_run (fixture.dispatch, NOW_US + 2), 0);
+  assert_int_equal (fixture.given[1].grant.id, 2);
+  assert_int_equal (fixture.given[1].grant.decode, 1);
+  fixture_teardown (&fixture);
+}
+
 /* A burst of twice the capacity of the engines, from twenty instances at once, fills every engine
  * and none beyond its KV capacity. */
 static void
@@ -576,6 +613,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_requests_in_time_go_first_then_the_oldest),
+    cmocka_unit_test (test_room_is_kept_for_streams_that_a_version_has_begun),
     cmocka_unit_test (test_burst_fills_no_engine_beyond_its_kv_capacity),
     cmocka_unit_test (test_free_slot_is_granted_once),
     cmocka_unit_test (test_grants_count_until_the_requester_reports_them),
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -60,6 +60,14 @@
   return target == NULL ? -1 : (int)(target - fleet->upstreams);
 }
 
+/* Returns when the first upstream of a service takes requests again. */
+static uint64_t
+available_us (const Fleet *fleet, const char *service)
+{
+  return mf_place_available_us (
+      &fleet->targets, &(MfPlaceQuery){ .service = service, .role = MF_ROLE_PLAIN }, NOW_US);
+}
+
 static void
 test_plain_requests_stay_in_their_data_centre (void **state)
 {
@@ -109,6 +117,30 @@
   assert_int_equal (choose (&fleet, query), -1);
 }
 
+/* A stream that has begun goes on at its version or not at all. */
+static void
+test_only_upstreams_of_the_version_are_chosen (void **state)
+{
+  static const MfRole roles[] = { MF_ROLE_PLAIN, MF_ROLE_PREFILL, MF_ROLE_DECODE };
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (roles); i++)
+    {
+      Fleet fleet;
+
+      fleet_make (&fleet, roles[i]);
+      for (uint32_t j = 0; j < 3; j++)
+        fleet.upstreams[j].version = j == 2 ? 9 : 8;
+      assert_int_equal (choose (&fleet, (MfPlaceQuery){ 0 }), 1);
+      assert_int_equal (choose (&fleet, (MfPlaceQuery){ .version = 9 }), 2);
+      assert_int_equal (choose (&fleet, (MfPlaceQuery){ .version = 7 }), -1);
+      mf_target_record_failure (&fleet.upstreams[2], true, NOW_US);
+      assert_int_equal (choose (&fleet, (MfPlaceQuery){ .version = 9 }), 2);
+      fleet.upstreams[2].info.leaving = true;
+      assert_int_equal (choose (&fleet, (MfPlaceQuery){ .version = 9 }), -1);
+    }
+}
+
 /* A paused upstream is not chosen even when it is the only one: it asked for the pause because it
  * cannot take more. */
 static void
@@ -120,16 +152,14 @@
   fleet_make (&fleet, MF_ROLE_PLAIN);
   fleet.upstreams[1].paused_until_us = NOW_US + 2000;
   assert_int_not_equal (choose (&fleet, (MfPlaceQuery){ 0 }), 1);
-  assert_int_equal (mf_place_available_us (&fleet.targets, "llm", MF_ROLE_PLAIN, NOW_US), 0);
+  assert_int_equal (available_us (&fleet, "llm"), 0);
   fleet.upstreams[0].paused_until_us = NOW_US + 1000;
   fleet.upstreams[2].paused_until_us = NOW_US + 3000;
   assert_int_equal (choose (&fleet, (MfPlaceQuery){ 0 }), -1);
-  assert_int_equal (mf_place_available_us (&fleet.targets, "llm", MF_ROLE_PLAIN, NOW_US),
-                    NOW_US + 1000);
+  assert_int_equal (available_us (&fleet, "llm"), NOW_US + 1000);
   fleet.upstreams[0].announced_leaving = true;
-  assert_int_equal (mf_place_available_us (&fleet.targets, "llm", MF_ROLE_PLAIN, NOW_US),
-                    NOW_US + 2000);
-  assert_int_equal (mf_place_available_us (&fleet.targets, "none", MF_ROLE_PLAIN, NOW_US), 0);
+  assert_int_equal (available_us (&fleet, "llm"), NOW_US + 2000);
+  assert_int_equal (available_us (&fleet, "none"), 0);
 }
 
 static void
@@ -238,12 +268,10 @@
     }
   assert_int_equal (choose (&fleet, (MfPlaceQuery){ 0 }), -1);
   assert_int_equal (choose (&fleet, (MfPlaceQuery){ .max_wait_us = 100 * MF_US_PER_MS }), 2);
-  assert_int_equal (mf_place_available_us (&fleet.targets, "llm", MF_ROLE_PLAIN, NOW_US),
-                    NOW_US + 100 * MF_US_PER_MS);
+  assert_int_equal (available_us (&fleet, "llm"), NOW_US + 100 * MF_US_PER_MS);
   fleet.upstreams[0].paused_until_us = NOW_US + 50 * MF_US_PER_MS;
   fleet.upstreams[0].limit.is_limited = false;
-  assert_int_equal (mf_place_available_us (&fleet.targets, "llm", MF_ROLE_PLAIN, NOW_US),
-                    NOW_US + 50 * MF_US_PER_MS);
+  assert_int_equal (available_us (&fleet, "llm"), NOW_US + 50 * MF_US_PER_MS);
 }
 
 /* An upstream resets connections beyond those that it accepts from all instances. */
@@ -294,6 +322,7 @@
     cmocka_unit_test (test_plain_requests_stay_in_their_data_centre),
     cmocka_unit_test (test_slow_failing_and_silent_upstreams_are_avoided),
     cmocka_unit_test (test_leaving_and_tried_upstreams_are_not_chosen),
+    cmocka_unit_test (test_only_upstreams_of_the_version_are_chosen),
     cmocka_unit_test (test_paused_upstreams_are_not_chosen),
     cmocka_unit_test (test_suspects_only_when_there_is_no_other),
     cmocka_unit_test (test_decodes_go_where_kv_is_free),
--- a/tests/test_relay_message.c
+++ b/tests/test_relay_message.c
@@ -216,7 +216,7 @@
     .slot_request = {
       .id = 7, .service = "llm", .data_centre = "a", .prompt_tokens = 5000, .kv_tokens = 7400,
       .is_prefilled = true, .age_us = 12, .objective_us = 900000, .max_age_us = 3300000,
-      .avoid = { 5, 6 }, .n_avoid = 2,
+      .version = UINT64_MAX - 1, .avoid = { 5, 6 }, .n_avoid = 2,
     },
   };
   round_trip ();
@@ -226,6 +226,7 @@
   assert_true (got.slot_request.is_prefilled);
   assert_int_equal (got.slot_request.max_age_us, 3300000);
   assert_int_equal (got.slot_request.n_avoid, 2);
+  assert_true (got.slot_request.version == UINT64_MAX - 1);
 }
 
 static void
