--- a/libmangofork/part.c
+++ b/libmangofork/part.c
@@ -2,6 +2,7 @@
 
 #include <ctype.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -9,8 +10,8 @@
 #define ID_BYTES_MAX 64
 
 /* Returns the hash of an id in hexadecimal, whatever its case and its blanks. Never 0. */
-static uint64_t
-id_hash (const char *id, size_t id_bytes)
+uint64_t
+mf_part_hash (const char *id, size_t id_bytes)
 {
   char text[ID_BYTES_MAX];
   size_t n_bytes = 0;
@@ -25,23 +26,33 @@
   return hash != 0 ? hash : 1;
 }
 
-/* Reads a list of the form "ID:TOKENS,ID:TOKENS" without its last entry. */
+/* Reads a list of the form "ID:TOKENS,ID:TOKENS". */
 void
 mf_parts_read (MfParts *parts, const char *text, size_t text_bytes)
 {
   const char *comma;
+  const char *own_colon;
+  char tokens[24] = "";
 
-  parts->n_parts = 0;
+  *parts = (MfParts){ 0 };
   while (parts->n_parts < MF_PARTS_MAX && (comma = memchr (text, ',', text_bytes)) != NULL)
     {
       size_t entry_bytes = (size_t)(comma - text);
       const char *colon = memchr (text, ':', entry_bytes);
 
       parts->hashes[parts->n_parts++]
-          = id_hash (text, colon != NULL ? (size_t)(colon - text) : entry_bytes);
+          = mf_part_hash (text, colon != NULL ? (size_t)(colon - text) : entry_bytes);
       text_bytes -= entry_bytes + 1;
       text = comma + 1;
     }
+  own_colon = memchr (text, ':', text_bytes);
+  if (own_colon == NULL || memchr (text, ',', text_bytes) != NULL)
+    return;
+  parts->own_hash = mf_part_hash (text, (size_t)(own_colon - text));
+  text_bytes -= (size_t)(own_colon + 1 - text);
+  if (text_bytes < sizeof tokens)
+    memcpy (tokens, own_colon + 1, text_bytes);
+  parts->own_tokens = strtoull (tokens, NULL, 10);
 }
 
 /* Writes the hashes for a log line, as far as they fit, and returns the text. */
--- a/libmangofork/part.h
+++ b/libmangofork/part.h
@@ -14,8 +14,12 @@
 {
   uint64_t hashes[MF_PARTS_MAX];
   uint32_t n_parts;
+  uint64_t own_hash; /* of the last part; 0: there is none */
+  uint64_t own_tokens;
 } MfParts;
 
+uint64_t mf_part_hash (const char *id, size_t id_bytes);
+
 void mf_parts_read (MfParts *parts, const char *text, size_t text_bytes);
 const char *mf_parts_format (const MfParts *parts, char *text, size_t text_bytes);
 
--- a/libmangofork/relay/dialect.h
+++ b/libmangofork/relay/dialect.h
@@ -58,6 +58,11 @@
   const char *release_path;  /* DELETE of this path plus a KV handle frees the KV */
   /* Parses an engine's response to a prefill. Returns false when it has no handle. */
   bool (*read_prefill) (const char *body, size_t body_bytes, MfPrefillAnswer *answer);
+  const char *held_parts_path; /* GET of this path tells which parts of prompts an engine holds */
+  /* Parses the answer to that, and calls func with the hash of each part and the tokens held of it.
+   * Returns false when it is malformed. */
+  bool (*read_held_parts) (const char *body, size_t body_bytes,
+                           void (*func) (void *data, uint64_t part, uint64_t tokens), void *data);
   const char *order_path; /* orders to an engine are sent here by POST */
   /* Writes the body of an order to change to the prefill or decode role. An engine that checks
    * fences rejects an order whose fence is lower than that of an earlier one. */
--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -236,6 +236,7 @@
       mf_job_reply (job, &job->fallback_answer);
       return;
     }
+  job->jobs->counters.counts[MF_RELAY_COUNT_NO_VERSION] += code == MF_CODE_NO_VERSION;
   job->jobs->counters.counts[MF_RELAY_COUNT_REFUSED]++;
   job_record_end (job, code, 503, why);
   job_reply_error (job, 503, code, true);
@@ -356,16 +357,11 @@
 static void
 job_read_resumed_stream (MfJob *job, const MfHead *head)
 {
-  char last_event[24] = "";
-
-  job->is_resumed = mf_head_count (head, MF_HEADER_LAST_EVENT_ID) > 0;
-  if (!job->is_resumed)
-    return;
-  if (!mf_head_copy (head, MF_HEADER_STREAM_BEGUN_AS, job->begun_as, sizeof job->begun_as))
+  job->is_resumed
+      = job->route->kind == MF_ROUTE_STREAMING && mf_head_count (head, MF_HEADER_LAST_EVENT_ID) > 0;
+  if (job->is_resumed
+      && !mf_head_copy (head, MF_HEADER_STREAM_BEGUN_AS, job->begun_as, sizeof job->begun_as))
     job->begun_as[0] = '\0';
-  mf_head_copy (head, MF_HEADER_LAST_EVENT_ID, last_event, sizeof last_event);
-  mf_relay_log_event (job->jobs->log, "request.resume", "id=%s begun_as=%s after_event=%s", job->id,
-                      job->begun_as, last_event);
 }
 
 /* Minimum time reserved for a complete answer; 0 before the first sample. */
@@ -567,6 +563,13 @@
       mf_job_refuse (job, MF_CODE_QUEUE_FULL, "not enough time left for a complete answer");
       return;
     }
+  if (job->is_resumed)
+    {
+      if (!mf_job_find_origin (job))
+        return;
+    }
+  else
+    mf_job_name_stream (job);
   mf_job_advance (job);
 }
 
@@ -709,7 +712,11 @@
   ev_init (&jobs->quarantine_timer, on_quarantine_timer);
   jobs->quarantine_timer.data = jobs;
   jobs->rates = mf_rate_shares_new ();
-  if (jobs->rates == NULL || !mf_jobs_init_suspects (jobs))
+  jobs->origins = mf_origins_new ();
+  jobs->held_parts = mf_held_parts_new (&jobs->targets, &mf_jobs_held_callbacks, jobs);
+  mf_version_log_init (&jobs->targets.versions);
+  if (jobs->rates == NULL || jobs->origins == NULL || jobs->held_parts == NULL
+      || !mf_jobs_init_suspects (jobs))
     abort ();
   jobs->dispatch = mf_dispatch_new (&jobs->targets, &mf_job_dispatch_callbacks, jobs);
 }
@@ -724,9 +731,11 @@
   while (jobs->first != NULL)
     job_free (jobs->first);
   mf_jobs_cancel_orders (jobs);
+  mf_held_parts_free (jobs->held_parts);
   mf_dispatch_free (jobs->dispatch);
   mf_targets_clear (&jobs->targets);
   mf_suspects_free (jobs->suspects);
+  mf_origins_free (jobs->origins);
   mf_rate_shares_free (jobs->rates);
   mf_routes_unref (jobs->routes);
   jobs->routes = NULL;
--- a/libmangofork/relay/job.h
+++ b/libmangofork/relay/job.h
@@ -4,6 +4,8 @@
 #include "budget.h"
 #include "caller.h"
 #include "events.h"
+#include "held.h"
+#include "origin.h"
 #include "peers.h"
 #include "place.h"
 #include "relay_counters.h"
@@ -52,6 +54,12 @@
   MfTargets targets;
   MfRateShares *rates;  /* rates that this instance allocates */
   MfSuspects *suspects; /* requests that may crash the upstreams that run them */
+  MfOrigins *origins;   /* which versions began the latest streams */
+  MfHeldParts *held_parts;
+  /* All changes of discovery made before this time are known, on a clock that counts time spent
+   * suspended; what is older than the age says nothing about the versions that are in use. */
+  uint64_t upstreams_as_of_us;
+  uint64_t upstreams_age_max_us;
   MfDispatch *dispatch;
   uint64_t n_started; /* requests started since the process started */
   uint64_t last_peer_request_id;
@@ -113,6 +121,9 @@
 
 extern const MfDispatchCallbacks mf_job_dispatch_callbacks;
 
+/* Callbacks for the MfHeldParts of an MfJobs, which is their data. */
+extern const MfHeldCallbacks mf_jobs_held_callbacks;
+
 /* Callbacks for the MfPeers of an MfJobs, which is their data. */
 extern const MfPeersCallbacks mf_jobs_peers_callbacks;
 
--- a/libmangofork/relay/job_answer.c
+++ b/libmangofork/relay/job_answer.c
@@ -145,14 +145,6 @@
   job->target_tokens = tokens;
 }
 
-/* Binds a stream whose first event has come to the version that made it. */
-static void
-job_note_begun (MfJob *job)
-{
-  if (job->version == 0 && job->events.n_events > 0)
-    job->version = job->target->version;
-}
-
 /* Forwards a part of a stream to the caller. */
 static void
 on_run_body (void *data, const char *bytes, size_t n_bytes)
@@ -179,7 +171,8 @@
       /* Bytes that complete no event do not count as progress. */
       if (mf_buffer_bytes (&complete) > 0)
         job->step_deadline_us = now_us + job->route->target_gap_us * STALL_GAPS;
-      job_note_begun (job);
+      if (job->events.n_events > 0 && !job->origin_noted)
+        mf_job_note_begun (job);
       mf_caller_write (job->caller, mf_buffer_data (&complete), mf_buffer_bytes (&complete));
       mf_buffer_clear (&complete);
     }
--- /dev/null
+++ b/libmangofork/relay/job_origin.c
@@ -0,0 +1,359 @@
+#include "job_row.h"
+
+#include "libmangofork/clock.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* Instances that are told which version began a stream, besides the one where it began: enough for
+ * some of them to survive the loss of most instances. */
+#define HOLDERS 4
+/* Instances that are asked. Instances that have returned meanwhile may rank above the holders. */
+#define ASKED 8
+/* The others reply within a few round trips between data centres and loop iterations of a small
+ * instance. */
+#define REPLY_TIMEOUT_US (100 * MF_US_PER_MS)
+/* The same for engines, which are asked when no instance knows. */
+#define ENGINES_TIMEOUT_US (250 * MF_US_PER_MS)
+/* A stream begins this much before its caller's deadline tells, at most: for the network and for
+ * rounding. */
+#define AGE_MARGIN_US (500 * MF_US_PER_MS)
+
+/* Returns a hash that identifies a stream: by the id of the attempt that began it and the target of
+ * the request, which all attempts have in common. Never 0. */
+static uint64_t
+stream_hash (const MfJob *job, const char *id)
+{
+  const MfHead *head = mf_caller_head (job->caller);
+  uint64_t parts[] = {
+    XXH3_64bits (id, strlen (id)),
+    XXH3_64bits (mf_head_text (head, 0), head->target_bytes),
+  };
+  uint64_t hash = XXH3_64bits (parts, sizeof parts);
+
+  return hash != 0 ? hash : 1;
+}
+
+/* Returns the time before which the stream that the caller takes up has not begun. Its caller waits
+ * for no longer than a route's timeout, and its deadline tells how much of that has passed; the
+ * longest one of the configuration counts, as the route's may have been longer. */
+static uint64_t
+stream_begun_us (const MfJob *job)
+{
+  uint64_t timeout_us = 0;
+  uint64_t left_us = job->deadline_us - job->started_us;
+  uint64_t age_us;
+
+  for (uint32_t i = 0; i < job->routes->n_routes; i++)
+    {
+      const MfRoute *route = &job->routes->routes[i];
+
+      if (route->kind == MF_ROUTE_STREAMING && route->timeout_us > timeout_us)
+        timeout_us = route->timeout_us;
+    }
+  age_us = timeout_us - left_us + AGE_MARGIN_US;
+  return job->started_us > age_us ? job->started_us - age_us : 0;
+}
+
+/* Returns the only version at which a stream may have begun since a time, as far as this instance
+ * knows; 0: it does not. */
+static uint64_t
+jobs_infer_version (const MfJobs *jobs, const char *service, uint64_t begun_us)
+{
+  uint64_t boottime_us = mf_clock_boottime_us ();
+
+  if (boottime_us > jobs->upstreams_as_of_us + jobs->upstreams_age_max_us)
+    return 0;
+  return mf_targets_sole_version (&jobs->targets, service, begun_us);
+}
+
+/* Tells the holders, and records here, that a version has made events of a stream. */
+static void
+jobs_note_origin (MfJobs *jobs, uint64_t stream, uint64_t version)
+{
+  mf_origins_note (jobs->origins, stream, version);
+  if (jobs->peers == NULL)
+    return;
+  jobs->message.kind = MF_RELAY_MESSAGE_ORIGIN;
+  jobs->message.origin = (MfOriginMessage){ .stream = stream, .version = version };
+  mf_peers_send_ranked (jobs->peers, stream, HOLDERS, &jobs->message);
+}
+
+/* The first event of the answer has come and is not passed on yet: binds the stream to the version
+ * that has made it. */
+void
+mf_job_note_begun (MfJob *job)
+{
+  job->version = job->target->version;
+  job->origin_noted = true;
+  if (job->route->resumable && job->stream != 0)
+    jobs_note_origin (job->jobs, job->stream, job->version);
+}
+
+static void
+job_log_origin (const MfJob *job, const char *known_by)
+{
+  mf_relay_log_event (job->jobs->log, "request.resume",
+                      "id=%s begun_as=%s known_by=%s version=%016llx waited_ms=%.1f", job->id,
+                      job->begun_as, known_by, (unsigned long long)job->version,
+                      (double)(mf_clock_now_us () - job->started_us) / 1e3);
+}
+
+/* Refuses to go on with a stream whose version no instance knows. */
+static void
+job_refuse_unknown (MfJob *job, const char *why)
+{
+  job_log_origin (job, "nobody");
+  mf_job_refuse (job, MF_CODE_NO_VERSION, why);
+}
+
+/* Binds the stream that the caller takes up to the version that began it. */
+static void
+job_bind (MfJob *job, uint64_t version, const char *known_by)
+{
+  job->version = version;
+  job->origin_ask_id = 0;
+  job->step_deadline_us = 0;
+  job->waiting_since_us = 0;
+  job_log_origin (job, known_by);
+}
+
+/* Looks for the version at the engines: the one that began the stream still holds its prompt,
+ * unless it has evicted or lost it. Returns whether the request may go on now; else it waits for
+ * the engines, or has been refused and freed. */
+static bool
+job_find_at_engines (MfJob *job, bool may_ask)
+{
+  MfJobs *jobs = job->jobs;
+  uint64_t version = 0;
+
+  switch (mf_held_parts_find (jobs->held_parts, job->service->name, job->parts.own_hash,
+                              job->parts.own_tokens, &version))
+    {
+    case MF_HELD_AT_ONE_VERSION:
+      job_bind (job, version, "engines");
+      return true;
+    case MF_HELD_AT_SEVERAL:
+      job_refuse_unknown (job, "engines of several versions hold the prompt of the stream");
+      return false;
+    default:
+      break;
+    }
+  if (!may_ask || !job->is_engine || job->parts.own_hash == 0
+      || !mf_held_parts_ask (jobs->held_parts, job->service->name))
+    {
+      job_refuse_unknown (job, "the version that began the stream is not known");
+      return false;
+    }
+  job->awaits_engines = true;
+  job->phase = MF_JOB_WAITING;
+  if (job->waiting_since_us == 0)
+    job->waiting_since_us = mf_clock_now_us ();
+  job->step_deadline_us = mf_clock_now_us () + ENGINES_TIMEOUT_US;
+  mf_job_set_timer (job);
+  return false;
+}
+
+static MfJob *
+job_awaiting_engines (const MfJobs *jobs, const char *service)
+{
+  for (MfJob *job = jobs->first; job != NULL; job = job->next)
+    {
+      if (job->awaits_engines && strcmp (job->service->name, service) == 0)
+        return job;
+    }
+  return NULL;
+}
+
+/* Decides on a request after the engines have been asked. */
+static void
+job_engines_answered (MfJob *job)
+{
+  job->awaits_engines = false;
+  if (job_find_at_engines (job, false))
+    mf_job_advance (job);
+}
+
+static void
+on_engines_answered (void *data, const char *service)
+{
+  MfJobs *jobs = data;
+  MfJob *job;
+
+  while ((job = job_awaiting_engines (jobs, service)) != NULL)
+    job_engines_answered (job);
+}
+
+const MfHeldCallbacks mf_jobs_held_callbacks = {
+  .answered = on_engines_answered,
+};
+
+/* Asks the instances that may know the version. Returns false when none can be reached. */
+static bool
+job_ask_origin (MfJob *job)
+{
+  MfJobs *jobs = job->jobs;
+
+  if (jobs->peers == NULL || job->stream == 0)
+    return false;
+  job->origin_ask_id = ++jobs->last_peer_request_id;
+  jobs->message.kind = MF_RELAY_MESSAGE_ORIGIN_ASK;
+  jobs->message.origin = (MfOriginMessage){
+    .id = job->origin_ask_id,
+    .stream = job->stream,
+    .begun_us = stream_begun_us (job),
+  };
+  mf_name_set (jobs->message.origin.service, sizeof jobs->message.origin.service,
+               job->service->name);
+  job->n_origin_replies_due
+      = mf_peers_send_ranked (jobs->peers, job->stream, ASKED, &jobs->message);
+  if (job->n_origin_replies_due == 0)
+    {
+      job->origin_ask_id = 0;
+      return false;
+    }
+  job->phase = MF_JOB_WAITING;
+  job->waiting_since_us = mf_clock_now_us ();
+  job->step_deadline_us = job->waiting_since_us + REPLY_TIMEOUT_US;
+  mf_job_set_timer (job);
+  return true;
+}
+
+/* Finds out which version began the stream that the caller takes up. Returns whether the request
+ * may go on now; else it waits for other instances, or has been refused and freed. */
+bool
+mf_job_find_origin (MfJob *job)
+{
+  MfJobs *jobs = job->jobs;
+  MfOriginState state = MF_ORIGIN_UNKNOWN;
+  uint64_t version = 0;
+
+  jobs->counters.counts[MF_RELAY_COUNT_TAKEN_UP]++;
+  if (job->begun_as[0] != '\0')
+    {
+      job->stream = stream_hash (job, job->begun_as);
+      state = mf_origins_find (jobs->origins, job->stream, &version);
+    }
+  if (state == MF_ORIGIN_AMBIGUOUS)
+    {
+      job_refuse_unknown (job, "streams of two versions have this name");
+      return false;
+    }
+  if (state == MF_ORIGIN_KNOWN)
+    {
+      job_bind (job, version, "self");
+      return true;
+    }
+  version = jobs_infer_version (jobs, job->service->name, stream_begun_us (job));
+  if (version != 0)
+    {
+      job_bind (job, version, "sole");
+      return true;
+    }
+  return !job_ask_origin (job) && job_find_at_engines (job, true);
+}
+
+/* All replies have come, or the time for them is over. */
+void
+mf_job_origin_expired (MfJob *job)
+{
+  if (job->awaits_engines)
+    {
+      job_engines_answered (job);
+      return;
+    }
+  job->origin_ask_id = 0;
+  if (job->inferred_version != 0)
+    job_bind (job, job->inferred_version, "peer-sole");
+  else if (!job_find_at_engines (job, true))
+    return;
+  mf_job_advance (job);
+}
+
+/* Whether a request waits to learn which version began its stream. */
+bool
+mf_job_awaits_origin (const MfJob *job)
+{
+  return job->origin_ask_id != 0 || job->awaits_engines;
+}
+
+/* Sets the name by which the stream of a new request can be taken up. */
+void
+mf_job_name_stream (MfJob *job)
+{
+  if (job->id[0] != '\0')
+    job->stream = stream_hash (job, job->id);
+}
+
+static MfJob *
+job_by_origin_ask (const MfJobs *jobs, uint64_t id)
+{
+  for (MfJob *job = jobs->first; job != NULL; job = job->next)
+    {
+      if (job->origin_ask_id == id && job->phase == MF_JOB_WAITING)
+        return job;
+    }
+  return NULL;
+}
+
+/* Answers another instance's question. */
+static void
+origin_ask_handle (MfJobs *jobs, uint64_t peer, const MfOriginMessage *ask)
+{
+  MfOriginMessage reply = { .id = ask->id };
+  MfOriginState state = mf_origins_find (jobs->origins, ask->stream, &reply.version);
+
+  if (state == MF_ORIGIN_UNKNOWN)
+    {
+      reply.is_inferred = true;
+      reply.version = jobs_infer_version (jobs, ask->service, ask->begun_us);
+    }
+  jobs->message.kind = MF_RELAY_MESSAGE_ORIGIN_REPLY;
+  jobs->message.origin = reply;
+  mf_peers_send (jobs->peers, peer, &jobs->message);
+}
+
+/* Handles the reply to a question of this instance. What was recorded counts at once, what is
+ * inferred after all have replied. */
+static void
+origin_reply_handle (MfJobs *jobs, const MfOriginMessage *reply)
+{
+  MfJob *job = reply->id != 0 ? job_by_origin_ask (jobs, reply->id) : NULL;
+
+  if (job == NULL)
+    return;
+  if (job->n_origin_replies_due > 0)
+    job->n_origin_replies_due--;
+  if (reply->version != 0 && !reply->is_inferred)
+    {
+      job_bind (job, reply->version, "peer");
+      mf_job_advance (job);
+      return;
+    }
+  if (reply->version != 0)
+    job->inferred_version = reply->version;
+  if (job->n_origin_replies_due == 0)
+    mf_job_origin_expired (job);
+}
+
+/* Handles a message of another instance about the version that began a stream. */
+void
+mf_jobs_handle_origin (MfJobs *jobs, uint64_t peer, const MfRelayMessage *message)
+{
+  MfOriginMessage origin = message->origin;
+
+  switch (message->kind)
+    {
+    case MF_RELAY_MESSAGE_ORIGIN:
+      if (origin.stream != 0 && origin.version != 0)
+        mf_origins_note (jobs->origins, origin.stream, origin.version);
+      return;
+    case MF_RELAY_MESSAGE_ORIGIN_ASK:
+      origin_ask_handle (jobs, peer, &origin);
+      return;
+    default:
+      origin_reply_handle (jobs, &origin);
+      return;
+    }
+}
--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -56,7 +56,7 @@
   if (job->n_runs > 0)
     mf_job_finish (job, MF_CODE_UPSTREAM_DIED, "no other upstream to try");
   else if (!any_available && job->version != 0)
-    mf_job_refuse (job, MF_CODE_NO_UPSTREAM, "no upstream of the version that began the stream");
+    mf_job_refuse (job, MF_CODE_NO_VERSION, "no upstream of the version that began the stream");
   else if (any_available)
     mf_job_refuse (job, MF_CODE_QUEUE_FULL, "all upstreams declined");
   else
@@ -250,7 +250,9 @@
 
   if (job->phase == MF_JOB_WAITING)
     {
-      if (job->rate_target != NULL)
+      if (mf_job_awaits_origin (job))
+        mf_job_origin_expired (job);
+      else if (job->rate_target != NULL)
         mf_job_rate_expired (job);
       else if (job->awaited_process_id != 0)
         mf_job_probe_done (job);
--- a/libmangofork/relay/job_room.c
+++ b/libmangofork/relay/job_room.c
@@ -351,6 +351,11 @@
     case MF_RELAY_MESSAGE_RATE_GRANT:
       mf_jobs_handle_rate (jobs, peer, message);
       return;
+    case MF_RELAY_MESSAGE_ORIGIN:
+    case MF_RELAY_MESSAGE_ORIGIN_ASK:
+    case MF_RELAY_MESSAGE_ORIGIN_REPLY:
+      mf_jobs_handle_origin (jobs, peer, message);
+      return;
     case MF_RELAY_MESSAGE_RETRY:
     case MF_RELAY_MESSAGE_RETRY_REPLY:
       mf_jobs_handle_retry_message (jobs, peer, message);
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -127,7 +127,13 @@
   bool head_sent;
   bool is_resumed;                /* the caller takes up a stream of which it has received events */
   char begun_as[MF_JOB_ID_BYTES]; /* the id of its attempt that brought the first of them */
-  uint64_t version; /* hash of the software version that made its first event; 0: none has come */
+  uint64_t stream;                /* hash that identifies the stream; 0: it has no name */
+  uint64_t version;       /* hash of the software version that began the stream; 0: none has yet */
+  bool origin_noted;      /* the holders have been told of the version */
+  uint64_t origin_ask_id; /* id of the question for the version that awaits replies; 0: none */
+  uint32_t n_origin_replies_due;
+  bool awaits_engines;       /* they have been asked whether they hold its prompt */
+  uint64_t inferred_version; /* by other instances, in their replies; 0: none */
   MfEventStream events;
   uint64_t first_event_us;
 };
@@ -182,6 +188,14 @@
 void mf_jobs_send_limits (MfJobs *jobs, uint64_t peer);
 void mf_jobs_handle_limits (MfJobs *jobs, const MfLimitUpdate *update);
 
+/* job_origin.c: the software version that began a stream. */
+void mf_job_name_stream (MfJob *job);
+bool mf_job_find_origin (MfJob *job);
+bool mf_job_awaits_origin (const MfJob *job);
+void mf_job_origin_expired (MfJob *job);
+void mf_job_note_begun (MfJob *job);
+void mf_jobs_handle_origin (MfJobs *jobs, uint64_t peer, const MfRelayMessage *message);
+
 /* job_room.c: slot requests to the leader, or to the dispatcher of this instance. */
 void mf_job_request_slot (MfJob *job);
 void mf_job_cancel_slot_request (MfJob *job);
--- a/libmangofork/relay/peers.c
+++ b/libmangofork/relay/peers.c
@@ -301,7 +301,9 @@
 {
   return kind == MF_RELAY_MESSAGE_FEED || kind == MF_RELAY_MESSAGE_SUSPECTS
          || kind == MF_RELAY_MESSAGE_RATE_ASK || kind == MF_RELAY_MESSAGE_RATE_GRANT
-         || kind == MF_RELAY_MESSAGE_LIMITS || kind == MF_RELAY_MESSAGE_REJECTED;
+         || kind == MF_RELAY_MESSAGE_LIMITS || kind == MF_RELAY_MESSAGE_REJECTED
+         || kind == MF_RELAY_MESSAGE_ORIGIN || kind == MF_RELAY_MESSAGE_ORIGIN_ASK
+         || kind == MF_RELAY_MESSAGE_ORIGIN_REPLY;
 }
 
 /* Whether a connection comes from the host that its reports name. */
--- a/libmangofork/relay/peers.h
+++ b/libmangofork/relay/peers.h
@@ -13,6 +13,9 @@
  * became leader, followed by this number of low bits that identify the instance. */
 #define MF_FENCE_OWN_BITS 10
 
+/* Maximum peers that one message is sent to by their rank for a key. */
+#define MF_PEERS_RANKED_MAX 16
+
 typedef struct
 {
   /* Fills the entries of a report with the current load of this instance. */
@@ -49,6 +52,8 @@
 void mf_peers_exclude_leader (MfPeers *peers, uint64_t peer);
 void mf_peers_ack_grant (MfPeers *peers, uint64_t peer, uint64_t grant_id);
 void mf_peers_send_all (MfPeers *peers, const MfRelayMessage *message);
+uint32_t mf_peers_send_ranked (MfPeers *peers, uint64_t key, uint32_t n_peers,
+                               const MfRelayMessage *message);
 void mf_peers_send_local (MfPeers *peers, const MfRelayMessage *message);
 MfFeedRank mf_peers_feed_rank (const MfPeers *peers, uint64_t now_us);
 uint32_t mf_peers_n_known (const MfPeers *peers);
--- a/libmangofork/relay/peers_lead.c
+++ b/libmangofork/relay/peers_lead.c
@@ -149,6 +149,33 @@
   return n_higher;
 }
 
+/* Fills ranked with the reachable peers of the highest ranks for a key, the highest first. Returns
+ * their number. */
+uint32_t
+mf_peers_find_ranked (const MfPeers *peers, uint64_t key, MfPeer **ranked, uint32_t n_max,
+                      uint64_t now_us)
+{
+  uint32_t n_ranked = 0;
+
+  for (uint32_t i = 0; i < peers->n_peers; i++)
+    {
+      MfPeer *peer = peers->list[i];
+      uint32_t at = n_ranked;
+
+      if (!peer->connected || !mf_peer_is_alive (peer, now_us))
+        continue;
+      while (at > 0 && rank_hash (ranked[at - 1]->hash, key) < rank_hash (peer->hash, key))
+        at--;
+      if (at == n_max)
+        continue;
+      n_ranked += n_ranked < n_max;
+      for (uint32_t j = n_ranked - 1; j > at; j--)
+        ranked[j] = ranked[j - 1];
+      ranked[at] = peer;
+    }
+  return n_ranked;
+}
+
 /* Whether a peer votes for this instance as leader of a service. */
 static bool
 votes_for_self (const MfPeers *peers, const MfPeer *peer, uint64_t service_hash)
--- a/libmangofork/relay/peers_row.h
+++ b/libmangofork/relay/peers_row.h
@@ -84,6 +84,10 @@
   uint32_t n_services;
 };
 
+/* peers_lead.c: the ranks of instances for a key. */
+uint32_t mf_peers_find_ranked (const MfPeers *peers, uint64_t key, MfPeer **ranked, uint32_t n_max,
+                               uint64_t now_us);
+
 /* peers.c: the list of peers and their connections. */
 MfPeer *mf_peers_by_hash (const MfPeers *peers, uint64_t hash);
 void mf_peer_disconnect (MfPeers *peers, MfPeer *peer);
--- a/libmangofork/relay/peers_tell.c
+++ b/libmangofork/relay/peers_tell.c
@@ -212,6 +212,25 @@
   send_to_peers (peers, message, false);
 }
 
+/* Sends a message to the n_peers reachable peers that rank highest for a key, at most
+ * MF_PEERS_RANKED_MAX. Returns their number. */
+uint32_t
+mf_peers_send_ranked (MfPeers *peers, uint64_t key, uint32_t n_peers, const MfRelayMessage *message)
+{
+  MfPeer *ranked[MF_PEERS_RANKED_MAX];
+  uint32_t n_max = n_peers < MF_PEERS_RANKED_MAX ? n_peers : MF_PEERS_RANKED_MAX;
+  uint32_t n_ranked = mf_peers_find_ranked (peers, key, ranked, n_max, mf_clock_now_us ());
+  MfBuffer frame = { 0 };
+
+  if (n_ranked == 0)
+    return 0;
+  mf_relay_message_encode (message, &frame);
+  for (uint32_t i = 0; i < n_ranked; i++)
+    peer_queue_frames (peers, ranked[i], &frame);
+  mf_buffer_clear (&frame);
+  return n_ranked;
+}
+
 /* Sends a message to all connected peers in the data centre of this instance. */
 void
 mf_peers_send_local (MfPeers *peers, const MfRelayMessage *message)
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -266,6 +266,8 @@
         mf_relay_remove_upstream (relay, target->info.id, "not in the list");
     }
   relay->jobs.targets.is_restoring = false;
+  /* What was in use between two lists is not known. */
+  relay->jobs.targets.versions.complete_since_us = mf_clock_now_us ();
   relay->has_listed = true;
   ready_update (relay);
 }
@@ -357,6 +359,14 @@
   return max_us * (uint64_t)mf_jobs_random (&relay->jobs) >> 32;
 }
 
+/* All changes made before this time are known. */
+static void
+freshness_advance (MfRelay *relay, uint64_t as_of_us)
+{
+  mf_feed_freshness_advance (&relay->freshness, as_of_us);
+  relay->jobs.upstreams_as_of_us = relay->freshness.as_of_us;
+}
+
 /* Called by sources after a watch request that took took_us and waited for changes for wait_us at
  * most. Sends the changes to the other instances where this one reads for them. */
 void
@@ -368,7 +378,7 @@
   feed->sent_us = mf_clock_boottime_us ();
   feed->as_of_us = feed->sent_us - mf_feed_answer_age_us (took_us, wait_us);
   feed->keep_us = relay->keep_until_us > now_us ? relay->keep_until_us - now_us : 0;
-  mf_feed_freshness_advance (&relay->freshness, feed->as_of_us);
+  freshness_advance (relay, feed->as_of_us);
   if (relay->jobs.peers == NULL || mf_relay_feed_role (relay) != MF_FEED_READER)
     return;
   message->kind = MF_RELAY_MESSAGE_FEED;
@@ -396,7 +406,7 @@
     relay->others_read_us = now_us - (mf_clock_boottime_us () - as_of_us);
   if (!relay->deployment->source->apply_feed (relay->source, feed) || as_of_us == 0)
     return;
-  mf_feed_freshness_advance (&relay->freshness, as_of_us);
+  freshness_advance (relay, as_of_us);
   mf_relay_source_up (relay);
 }
 
@@ -435,6 +445,7 @@
   relay->jobs.orders_fenced = relay->settings.orders_fenced;
   relay->jobs.order_interval_us = relay->settings.order_interval_us;
   relay->freshness.staleness_max_us = relay->settings.change_bound_us;
+  relay->jobs.upstreams_age_max_us = relay->settings.change_bound_us;
   if (relay->settings.memory_bytes > 0)
     relay->jobs.answer_bytes_max = relay->settings.memory_bytes / ANSWERS_MEMORY_DIVISOR;
   if (relay->listener != NULL)
--- a/libmangofork/relay/relay_counters.h
+++ b/libmangofork/relay/relay_counters.h
@@ -25,6 +25,8 @@
   X (PREFILLS, "prefills_total", "prefills completed at prefill engines")                          \
   X (PREFILLS_WASTED, "prefills_wasted_total", "prefills whose KV was not used")                   \
   X (RESUMED, "streams_resumed_total", "streams resumed at another upstream")                      \
+  X (TAKEN_UP, "streams_taken_up_total", "streams that callers took up again")                     \
+  X (NO_VERSION, "streams_refused_total", "of these, refused, as no upstream can go on with them") \
   X (WAITED, "waited_total", "requests that waited for capacity")                                  \
   X (MISDIRECTED, "misdirected_total", "requests that reached another upstream than intended")     \
   X (STORE_CALLS, "platform_calls_total", "requests to the platform's store")                      \
--- a/libmangofork/relay/relay_message.c
+++ b/libmangofork/relay/relay_message.c
@@ -25,6 +25,9 @@
 #define RATE_ASK_MEMBERS (7 + LIMIT_MEMBERS)
 #define RATE_GRANT_MEMBERS 6
 #define LIMITS_MEMBERS 2
+#define ORIGIN_MEMBERS 3
+#define ORIGIN_ASK_MEMBERS 5
+#define ORIGIN_REPLY_MEMBERS 4
 #define LIMIT_ENTRY_MEMBERS (1 + LIMIT_MEMBERS)
 /* Units of one ask; more make no sense within the bounds of a bucket. */
 #define RATE_UNITS_MAX UINT64_C (1000000000)
@@ -273,6 +276,36 @@
     }
 }
 
+static void
+origin_pack (msgpack_packer *packer, const MfRelayMessage *message)
+{
+  msgpack_pack_array (packer, ORIGIN_MEMBERS);
+  msgpack_pack_uint32 (packer, message->kind);
+  msgpack_pack_uint64 (packer, message->origin.stream);
+  msgpack_pack_uint64 (packer, message->origin.version);
+}
+
+static void
+origin_ask_pack (msgpack_packer *packer, const MfRelayMessage *message)
+{
+  msgpack_pack_array (packer, ORIGIN_ASK_MEMBERS);
+  msgpack_pack_uint32 (packer, message->kind);
+  msgpack_pack_uint64 (packer, message->origin.id);
+  msgpack_pack_uint64 (packer, message->origin.stream);
+  pack_text (packer, message->origin.service);
+  pack_age (packer, message->origin.begun_us);
+}
+
+static void
+origin_reply_pack (msgpack_packer *packer, const MfRelayMessage *message)
+{
+  msgpack_pack_array (packer, ORIGIN_REPLY_MEMBERS);
+  msgpack_pack_uint32 (packer, message->kind);
+  msgpack_pack_uint64 (packer, message->origin.id);
+  msgpack_pack_uint64 (packer, message->origin.version);
+  msgpack_pack_uint32 (packer, message->origin.is_inferred);
+}
+
 static bool
 read_number (const msgpack_object *object, uint64_t max, uint64_t *number)
 {
@@ -628,6 +661,30 @@
   return true;
 }
 
+static bool
+origin_read (const msgpack_object *members, MfRelayMessage *message)
+{
+  return read_number (&members[1], UINT64_MAX, &message->origin.stream)
+         && read_number (&members[2], UINT64_MAX, &message->origin.version);
+}
+
+static bool
+origin_ask_read (const msgpack_object *members, MfRelayMessage *message)
+{
+  return read_number (&members[1], UINT64_MAX, &message->origin.id)
+         && read_number (&members[2], UINT64_MAX, &message->origin.stream)
+         && read_text (&members[3], message->origin.service, sizeof message->origin.service)
+         && read_age (&members[4], &message->origin.begun_us);
+}
+
+static bool
+origin_reply_read (const msgpack_object *members, MfRelayMessage *message)
+{
+  return read_number (&members[1], UINT64_MAX, &message->origin.id)
+         && read_number (&members[2], UINT64_MAX, &message->origin.version)
+         && read_flag (&members[3], &message->origin.is_inferred);
+}
+
 /* Encoder and decoder of one kind of message. */
 typedef struct
 {
@@ -651,6 +708,9 @@
   [MF_RELAY_MESSAGE_RATE_GRANT] = { RATE_GRANT_MEMBERS, rate_grant_pack, rate_grant_read },
   [MF_RELAY_MESSAGE_REJECTED] = { REJECTED_MEMBERS, rejected_pack, rejected_read },
   [MF_RELAY_MESSAGE_LIMITS] = { LIMITS_MEMBERS, limits_pack, limits_read },
+  [MF_RELAY_MESSAGE_ORIGIN] = { ORIGIN_MEMBERS, origin_pack, origin_read },
+  [MF_RELAY_MESSAGE_ORIGIN_ASK] = { ORIGIN_ASK_MEMBERS, origin_ask_pack, origin_ask_read },
+  [MF_RELAY_MESSAGE_ORIGIN_REPLY] = { ORIGIN_REPLY_MEMBERS, origin_reply_pack, origin_reply_read },
 };
 
 /* Appends a message as a frame: 4 bytes of length in network byte order, then msgpack. */
--- a/libmangofork/relay/relay_message.h
+++ b/libmangofork/relay/relay_message.h
@@ -13,20 +13,23 @@
 /* Kinds of messages between instances. */
 typedef enum
 {
-  MF_RELAY_MESSAGE_REPORT = 1,       /* load of the sender at the engines */
-  MF_RELAY_MESSAGE_SLOT_REQUEST = 2, /* for a slot at an engine */
-  MF_RELAY_MESSAGE_GRANT = 3,        /* of a slot */
-  MF_RELAY_MESSAGE_QUEUED = 4,       /* no slot is free; the request stays queued */
-  MF_RELAY_MESSAGE_CANCEL = 5,       /* of a slot request */
-  MF_RELAY_MESSAGE_GRANT_ACK = 6,    /* the next report includes this and all earlier grants */
-  MF_RELAY_MESSAGE_RETRY = 7,        /* asks whether a request of a service may be sent again */
-  MF_RELAY_MESSAGE_RETRY_REPLY = 8,  /* the answer to that */
-  MF_RELAY_MESSAGE_FEED = 9,         /* changes that the sender has read from the platform store */
-  MF_RELAY_MESSAGE_SUSPECTS = 10,    /* suspect requests and parts of prompts */
-  MF_RELAY_MESSAGE_RATE_ASK = 11,    /* asks the allocator of a shared rate for units */
-  MF_RELAY_MESSAGE_RATE_GRANT = 12,  /* the answer to that */
-  MF_RELAY_MESSAGE_LIMITS = 13,      /* rate limits that upstreams have named, or ended */
-  MF_RELAY_MESSAGE_REJECTED = 14,    /* no slot can be granted in time */
+  MF_RELAY_MESSAGE_REPORT = 1,        /* load of the sender at the engines */
+  MF_RELAY_MESSAGE_SLOT_REQUEST = 2,  /* for a slot at an engine */
+  MF_RELAY_MESSAGE_GRANT = 3,         /* of a slot */
+  MF_RELAY_MESSAGE_QUEUED = 4,        /* no slot is free; the request stays queued */
+  MF_RELAY_MESSAGE_CANCEL = 5,        /* of a slot request */
+  MF_RELAY_MESSAGE_GRANT_ACK = 6,     /* the next report includes this and all earlier grants */
+  MF_RELAY_MESSAGE_RETRY = 7,         /* asks whether a request of a service may be sent again */
+  MF_RELAY_MESSAGE_RETRY_REPLY = 8,   /* the answer to that */
+  MF_RELAY_MESSAGE_FEED = 9,          /* changes that the sender has read from the platform store */
+  MF_RELAY_MESSAGE_SUSPECTS = 10,     /* suspect requests and parts of prompts */
+  MF_RELAY_MESSAGE_RATE_ASK = 11,     /* asks the allocator of a shared rate for units */
+  MF_RELAY_MESSAGE_RATE_GRANT = 12,   /* the answer to that */
+  MF_RELAY_MESSAGE_LIMITS = 13,       /* rate limits that upstreams have named, or ended */
+  MF_RELAY_MESSAGE_REJECTED = 14,     /* no slot can be granted in time */
+  MF_RELAY_MESSAGE_ORIGIN = 15,       /* which version has begun a stream */
+  MF_RELAY_MESSAGE_ORIGIN_ASK = 16,   /* asks which version has begun a stream */
+  MF_RELAY_MESSAGE_ORIGIN_REPLY = 17, /* the answer to that */
 } MfRelayMessageKind;
 
 /* A request for permission to retry, or its answer. */
@@ -98,6 +101,17 @@
   uint32_t n_entries;
 } MfLimitUpdate;
 
+/* The software version that has begun a stream. */
+typedef struct
+{
+  uint64_t id;                 /* ORIGIN_ASK, ORIGIN_REPLY */
+  uint64_t stream;             /* ORIGIN, ORIGIN_ASK: hash that identifies it */
+  char service[MF_NAME_BYTES]; /* ORIGIN_ASK */
+  uint64_t begun_us;           /* ORIGIN_ASK: it has not begun before; sent as its age */
+  uint64_t version;            /* ORIGIN, ORIGIN_REPLY: hash; 0: not known */
+  bool is_inferred; /* ORIGIN_REPLY: no other version was in use then, as far as the sender knows */
+} MfOriginMessage;
+
 typedef struct
 {
   MfRelayMessageKind kind;
@@ -108,6 +122,7 @@
   MfSuspectUpdate suspects;   /* SUSPECTS */
   MfRateMessage rate;         /* RATE_ASK, RATE_GRANT */
   MfLimitUpdate limits;       /* LIMITS */
+  MfOriginMessage origin;     /* ORIGIN, ORIGIN_ASK, ORIGIN_REPLY */
   MfGrant grant;              /* GRANT; QUEUED, CANCEL, GRANT_ACK, REJECTED use its id only */
   uint64_t wait_us;           /* REJECTED: until the queue of that time is served */
 } MfRelayMessage;
--- a/libmangofork/relay/target.c
+++ b/libmangofork/relay/target.c
@@ -209,6 +209,14 @@
   mf_target_unref (target);
 }
 
+/* Streams may have begun at an upstream until now, but do not from now on. */
+static void
+target_note_last_use (MfTarget *target)
+{
+  mf_version_log_note (&target->targets->versions, target->service, target->version,
+                       mf_clock_now_us ());
+}
+
 static void
 target_drop (MfTargets *targets, MfTarget *dropped)
 {
@@ -218,6 +226,8 @@
         continue;
       *link = dropped->next;
       targets->n_targets--;
+      if (!mf_target_is_leaving (dropped))
+        target_note_last_use (dropped);
       targets->removed[targets->n_removed++ % MF_TARGETS_REMOVED_MAX] = dropped->process_id;
       /* Discovery may list the same process again. */
       if (dropped->limit.is_limited)
@@ -387,6 +397,7 @@
   memcpy (target->pool.address, info->address, sizeof target->pool.address);
   target->id_hash = mf_load_hash (info->id);
   target->process_id = process_hash (target->id_hash, info->started_ms);
+  target->service = mf_load_hash (info->service);
   target->version = mf_load_hash (info->version);
   target->announced_leaving = has_departed (targets, target);
   if (targets->is_restoring && was_removed (targets, target->process_id))
@@ -462,6 +473,8 @@
       target->held_until_us = 0;
       targets_replace (targets, target);
     }
+  if (info->leaving && !mf_target_is_leaving (target))
+    target_note_last_use (target);
   if (!entry_is_older (target, info))
     target->info = *info;
   /* A process that has begun to leave does not return. */
@@ -515,6 +528,30 @@
     target->listed = false;
 }
 
+/* Returns the only software version of a service at which any instance may have begun a stream
+ * since a time, as a hash; 0 when there were several, none, or not all of them are known. */
+uint64_t
+mf_targets_sole_version (const MfTargets *targets, const char *service, uint64_t since_us)
+{
+  uint64_t service_hash = mf_load_hash (service);
+  uint64_t version = 0;
+
+  if (!mf_version_log_is_complete (&targets->versions, since_us))
+    return 0;
+  for (const MfTarget *target = targets->first; target != NULL; target = target->next)
+    {
+      if (target->service != service_hash || mf_target_is_leaving (target))
+        continue;
+      if (version != 0 && target->version != version)
+        return 0;
+      version = target->version;
+    }
+  if (version == 0
+      || mf_version_log_has_other (&targets->versions, service_hash, version, since_us))
+    return 0;
+  return version;
+}
+
 /* Drops all upstreams; those in use stay in memory until they are released. */
 void
 mf_targets_clear (MfTargets *targets)
@@ -652,6 +689,7 @@
 
   if (target->announced_leaving)
     return;
+  target_note_last_use (target);
   target->announced_leaving = true;
   targets->departures[targets->n_departures++ % MF_TARGETS_DEPARTURES_MAX]
       = (MfDeparture){ .id_hash = target->id_hash, .started_ms = target->info.started_ms };
--- a/libmangofork/relay/target.h
+++ b/libmangofork/relay/target.h
@@ -3,6 +3,7 @@
 
 #include "line.h"
 #include "link.h"
+#include "version.h"
 
 #include "libmangofork/rate.h"
 
@@ -76,6 +77,7 @@
   uint64_t remote_avoid_until_us; /* when the last of these uses it again */
   uint64_t id_hash;               /* identifies it in messages between instances */
   uint64_t process_id;            /* the same, different from later processes with its id */
+  uint64_t service;               /* hash of its service */
   uint64_t version;               /* hash of its software version */
   uint64_t silent_since_us;       /* while requests run: the last sign of life */
   uint64_t alive_us;              /* last sign of life; 0: none since a connection broke */
@@ -153,6 +155,7 @@
   uint32_t n_removed;                       /* ever recorded */
   MfUnlistedLimit unlisted_limits[MF_TARGETS_UNLISTED_LIMITS_MAX]; /* the oldest is overwritten */
   uint32_t n_unlisted_limits;                                      /* ever recorded */
+  MfVersionLog versions; /* that upstreams had which are leaving or not listed any more */
 };
 
 bool mf_targets_update (MfTargets *targets, const MfTargetInfo *info);
@@ -163,6 +166,7 @@
 MfTarget *mf_targets_by_process (const MfTargets *targets, uint64_t process_id);
 void mf_targets_note_limit (MfTargets *targets, uint64_t process_id, const MfRateNotice *limit);
 void mf_targets_begin_list (MfTargets *targets);
+uint64_t mf_targets_sole_version (const MfTargets *targets, const char *service, uint64_t since_us);
 void mf_targets_clear (MfTargets *targets);
 
 MfTarget *mf_target_ref (MfTarget *target);
--- a/tests/relay_fixture.c
+++ b/tests/relay_fixture.c
@@ -65,6 +65,9 @@
   fixture->jobs.budget_slack = 2;
   /* Makes the uptime exceed the budget's window. */
   fixture->jobs.started_us = 0;
+  /* All upstreams that there ever were are known. */
+  fixture->jobs.targets.versions.complete_since_us = 0;
+  fixture->jobs.upstreams_as_of_us = UINT64_MAX / 2;
   mf_jobs_configure (&fixture->jobs, make_routes ());
   fixture->listener = mf_listener_new (fixture->loop, address, &platform_dialect,
                                        &mf_job_listener_callbacks, &fixture->jobs, &error);
--- a/tests/test_job_origin.c
+++ b/tests/test_job_origin.c
@@ -33,6 +33,23 @@
   fake_upstream_conn_close (conn, true);
 }
 
+/* Rows of the parts that the engines of each version say they hold. */
+static const char *held_old;
+static const char *held_new;
+
+/* Answers a question for the parts that an engine holds. Returns whether it was one. */
+static bool
+answer_held (FakeUpstreamConn *conn, const char *text, const char *rows)
+{
+  char body[256];
+
+  if (strncmp (text, "GET /kv-list ", 13) != 0)
+    return false;
+  snprintf (body, sizeof body, "{\"epoch\":1,\"next\":9,\"held\":[%s]}", rows != NULL ? rows : "");
+  relay_fixture_answer (conn, "", "200 OK", "", body);
+  return true;
+}
+
 /* Sends the rest after event 1, or both events. */
 static void
 answer_version (FakeUpstreamConn *conn, const char *text, const char *id, char version)
@@ -56,13 +73,15 @@
 static void
 answer_old (FakeUpstreamConn *conn, const char *text, const char *id)
 {
-  answer_version (conn, text, id, 'o');
+  if (!answer_held (conn, text, held_old))
+    answer_version (conn, text, id, 'o');
 }
 
 static void
 answer_new (FakeUpstreamConn *conn, const char *text, const char *id)
 {
-  answer_version (conn, text, id, 'n');
+  if (!answer_held (conn, text, held_new))
+    answer_version (conn, text, id, 'n');
 }
 
 /* Lists an upstream of the first instance at one instance. */
@@ -111,7 +130,8 @@
               begun_as[0] != '\0' ? "Resumes: " : "", begun_as, begun_as[0] != '\0' ? "\r\n" : "");
   snprintf (text, sizeof text,
             "POST /llm/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\n%sX-Deadline-Ms: 3000\r\n"
-            "X-Token-Count: 100,40\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi",
+            "X-Token-Count: 100,40\r\nX-Prompt-Prefix: a1:20,0b2:80\r\nConnection: close\r\n"
+            "Content-Length: 2\r\n\r\nhi",
             id, resumes);
   loop_send (fd, text, strlen (text));
   loop_receive (fleet->loop, fd, NULL, fixture->received, sizeof fixture->received);
@@ -187,12 +207,154 @@
   relay_fleet_teardown (&fleet);
 }
 
+/* Restarts all instances at once. The engines belong to the first one, and go on. */
+static void
+restart_all (RelayFleet *fleet)
+{
+  RelayFixtureUpstream upstreams[RELAY_FIXTURE_N_UPSTREAMS];
+
+  memcpy (upstreams, fleet->instances[0].upstreams, sizeof upstreams);
+  memset (fleet->instances[0].upstreams, 0, sizeof upstreams);
+  for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
+    relay_fleet_restart (fleet, i);
+  relay_fleet_wait_connected (fleet);
+  for (uint32_t i = 0; i < RELAY_FIXTURE_N_UPSTREAMS; i++)
+    fleet->instances[0].upstreams[i] = upstreams[i];
+}
+
+/* Begins a stream at version v1, which breaks off, and replaces its engine by one of each version.
+ */
+static void
+begin_old_stream (RelayFleet *fleet, const char *id)
+{
+  held_old = NULL;
+  held_new = NULL;
+  relay_fleet_setup (fleet, LISTEN_PORT, PEER_PORT);
+  add_engine (fleet, OLD, "v1", begin_and_break);
+  assert_true (has_event_of (call (fleet, 0, id, NULL), 'o'));
+  remove_engine (fleet, OLD);
+  add_engine (fleet, NEW, "v2", answer_new);
+  add_engine (fleet, OTHER_OLD, "v1", answer_old);
+}
+
+/* The instance that began the stream is gone: others have been told of it. */
+static void
+test_others_know_what_a_lost_instance_began (void **state)
+{
+  RelayFleet fleet;
+  uint32_t n_runs = 0;
+
+  (void)state;
+  begin_old_stream (&fleet, "a1");
+  for (uint32_t lost = 1; lost < RELAY_FLEET_N_INSTANCES - 1; lost++)
+    {
+      relay_fleet_restart (&fleet, lost);
+      relay_fleet_wait_connected (&fleet);
+      list_engine (&fleet, lost, NEW, "v2");
+      list_engine (&fleet, lost, OTHER_OLD, "v1");
+      fleet.instances[lost].jobs.upstreams_as_of_us = 0;
+      assert_true (has_event_of (call (&fleet, lost, "a2", "a1"), 'o'));
+      n_runs++;
+    }
+  assert_int_equal (relay_fixture_n_requests (&fleet.instances[0], OTHER_OLD), n_runs);
+  assert_int_equal (relay_fixture_n_requests (&fleet.instances[0], NEW), 0);
+  relay_fleet_teardown (&fleet);
+}
+
+typedef struct
+{
+  const char *held_old;
+  const char *held_new;
+  bool goes_on;
+} AfterLoss;
+
+/* Nobody knows of the stream, but the engine that began it holds its prompt. */
+static void
+test_engines_know_what_lost_instances_began (void **state)
+{
+  static const AfterLoss cases[] = {
+    { "[\"\",\"a1\",20,\"m\"],[\"\",\"0b2\",144,\"m\"]", "[\"\",\"a1\",20,\"m\"]", true },
+    { "[\"\",\"0b2\",79,\"m\"]", "[\"\",\"0b2\",40,\"m\"]", true },
+    { "[\"\",\"a1\",20,\"m\"]", "[\"\",\"a1\",20,\"m\"]", false },
+    { "[\"\",\"0b2\",144,\"m\"]", "[\"\",\"0b2\",144,\"m\"]", false },
+    { "[\"\",\"0b2\",40,\"m\"]", "[7,[\"\",\"0b2\"],\"0b2\"]", false },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (cases); i++)
+    {
+      RelayFleet fleet;
+      const char *answer;
+
+      begin_old_stream (&fleet, "a1");
+      restart_all (&fleet);
+      held_old = cases[i].held_old;
+      held_new = cases[i].held_new;
+      for (uint32_t j = 0; j < RELAY_FLEET_N_INSTANCES; j++)
+        {
+          list_engine (&fleet, j, NEW, "v2");
+          list_engine (&fleet, j, OTHER_OLD, "v1");
+          answer = call (&fleet, j, "a2", "a1");
+          assert_int_equal (has_event_of (answer, 'o'), cases[i].goes_on);
+          assert_int_equal (strncmp (answer, "HTTP/1.1 503", 12) == 0, !cases[i].goes_on);
+          assert_false (has_event_of (answer, 'n'));
+        }
+      relay_fleet_teardown (&fleet);
+    }
+}
+
+/* The only version that serves is not the one that began the stream, which has just left. */
+static void
+test_version_that_serves_alone_may_not_have_begun_the_stream (void **state)
+{
+  RelayFleet fleet;
+  MfJobs *jobs = &fleet.instances[1].jobs;
+
+  (void)state;
+  begin_old_stream (&fleet, "a1");
+  remove_engine (&fleet, OTHER_OLD);
+  /* An unknown name, a forged one and none. */
+  assert_memory_equal (call (&fleet, 1, "a2", "a9"), "HTTP/1.1 503", 12);
+  assert_memory_equal (call (&fleet, 1, "a2", ""), "HTTP/1.1 503", 12);
+  /* The old version left long ago. */
+  jobs->targets.versions.uses[0].last_us -= 60 * MF_US_PER_S;
+  assert_true (has_event_of (call (&fleet, 1, "a2", "a9"), 'n'));
+  assert_true (has_event_of (call (&fleet, 1, "a2", ""), 'n'));
+  /* The list may be old, or does not reach back far enough. */
+  jobs->upstreams_as_of_us = 1;
+  assert_memory_equal (call (&fleet, 1, "a2", ""), "HTTP/1.1 503", 12);
+  jobs->upstreams_as_of_us = UINT64_MAX / 2;
+  jobs->targets.versions.complete_since_us = mf_clock_now_us ();
+  assert_memory_equal (call (&fleet, 1, "a2", ""), "HTTP/1.1 503", 12);
+  relay_fleet_teardown (&fleet);
+}
+
+/* An id that two streams have used names neither of them. */
+static void
+test_stream_whose_id_was_used_again_does_not_go_on (void **state)
+{
+  RelayFleet fleet;
+
+  (void)state;
+  begin_old_stream (&fleet, "a1");
+  remove_engine (&fleet, OTHER_OLD);
+  assert_true (has_event_of (call (&fleet, 0, "a1", NULL), 'n'));
+  add_engine (&fleet, OTHER_OLD, "v1", answer_old);
+  for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
+    assert_memory_equal (call (&fleet, i, "a2", "a1"), "HTTP/1.1 503", 12);
+  relay_fleet_teardown (&fleet);
+}
+
 int
 main (void)
 {
   static const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_broken_stream_goes_on_at_the_version_that_began_it),
     cmocka_unit_test (test_stream_is_taken_up_at_the_version_that_began_it),
+    cmocka_unit_test (test_others_know_what_a_lost_instance_began),
+    cmocka_unit_test (test_engines_know_what_lost_instances_began),
+    cmocka_unit_test (test_version_that_serves_alone_may_not_have_begun_the_stream),
+    cmocka_unit_test (test_stream_whose_id_was_used_again_does_not_go_on),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_part.c
+++ b/tests/test_part.c
@@ -31,6 +31,10 @@
   assert_true (other.hashes[1] == parts.hashes[1]);
   assert_int_equal (read_parts ("5c1e07a2:800").n_parts, 0);
   assert_int_equal (read_parts ("").n_parts, 0);
+  assert_true (parts.own_hash == mf_part_hash ("E4402B7D", 8));
+  assert_int_equal (parts.own_tokens, 250);
+  assert_true (read_parts ("5c1e07a2:800").own_hash == parts.hashes[0]);
+  assert_int_equal (read_parts ("").own_hash, 0);
 }
 
 static void
@@ -46,7 +50,9 @@
   parts = read_parts (text);
   assert_int_equal (parts.n_parts, MF_PARTS_MAX);
   assert_int_equal (strlen (mf_parts_format (&parts, line, sizeof line)), sizeof line - 2);
+  assert_int_equal (parts.own_hash, 0);
   parts = read_parts (",,::,:");
+  assert_int_equal (parts.own_tokens, 0);
   assert_int_equal (parts.n_parts, 3);
   assert_true (parts.hashes[0] != 0);
   memset (text, 'a', sizeof text - 1);
--- a/tests/test_relay_message.c
+++ b/tests/test_relay_message.c
@@ -247,6 +247,33 @@
     }
 }
 
+static void
+test_origins (void **state)
+{
+  (void)state;
+  sent = (MfRelayMessage){ .kind = MF_RELAY_MESSAGE_ORIGIN,
+                           .origin = { .stream = UINT64_MAX, .version = UINT64_MAX - 1 } };
+  round_trip ();
+  assert_true (got.origin.stream == UINT64_MAX);
+  assert_true (got.origin.version == UINT64_MAX - 1);
+  sent = (MfRelayMessage){
+    .kind = MF_RELAY_MESSAGE_ORIGIN_ASK,
+    .origin
+    = { .id = 7, .stream = 8, .service = "llm", .begun_us = mf_clock_now_us () - 5 * MF_US_PER_S }
+  };
+  round_trip ();
+  assert_int_equal (got.origin.id, 7);
+  assert_int_equal (got.origin.stream, 8);
+  assert_string_equal (got.origin.service, "llm");
+  assert_in_range (got.origin.begun_us, sent.origin.begun_us, sent.origin.begun_us + MF_US_PER_S);
+  sent = (MfRelayMessage){ .kind = MF_RELAY_MESSAGE_ORIGIN_REPLY,
+                           .origin = { .id = 7, .version = 9, .is_inferred = true } };
+  round_trip ();
+  assert_int_equal (got.origin.id, 7);
+  assert_int_equal (got.origin.version, 9);
+  assert_true (got.origin.is_inferred);
+}
+
 /* Random bytes are either rejected or decoded, without memory errors. */
 static void
 test_any_bytes (void **state)
@@ -267,9 +294,9 @@
         }
       /* Most of them begin like a message, so that the decoders of members are reached. */
       bytes[0] = (char)(0x90 | (random & 15));
-      bytes[1] = (char)(random >> 8 & 15);
+      bytes[1] = (char)((random >> 8) % (MF_RELAY_MESSAGE_ORIGIN_REPLY + 1));
       if (mf_relay_message_decode (bytes, sizeof bytes, &got))
-        assert_in_range (got.kind, MF_RELAY_MESSAGE_REPORT, MF_RELAY_MESSAGE_REJECTED);
+        assert_in_range (got.kind, MF_RELAY_MESSAGE_REPORT, MF_RELAY_MESSAGE_ORIGIN_REPLY);
     }
   mf_feed_clear (&got.feed);
 }
@@ -326,7 +353,7 @@
     cmocka_unit_test (test_rates),         cmocka_unit_test (test_limits),
     cmocka_unit_test (test_retry),         cmocka_unit_test (test_slot_request),
     cmocka_unit_test (test_grant_and_ids), cmocka_unit_test (test_any_bytes),
-    cmocka_unit_test (test_feed),
+    cmocka_unit_test (test_feed),          cmocka_unit_test (test_origins),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
