--- a/tests/fakes/store.h
+++ b/tests/fakes/store.h
@@ -43,5 +43,9 @@
  * is "ready" or "draining". */
 void fake_store_put_upstream (FakeStore *store, const char *id, const char *service,
                               const char *address, const char *role, const char *state);
+/* The same with the version of its software, which is "v1" otherwise. */
+void fake_store_put_upstream_version (FakeStore *store, const char *id, const char *service,
+                                      const char *address, const char *role, const char *state,
+                                      const char *version);
 
 #endif
--- a/tests/soak/soak_upstream.h
+++ b/tests/soak/soak_upstream.h
@@ -38,6 +38,8 @@
 void soak_upstream_free (SoakUpstream *upstream);
 const char *soak_upstream_address (const SoakUpstream *upstream);
 void soak_upstream_restart (SoakUpstream *upstream, const char *id);
+/* Lets its events name the version of its software; 0: they name none. */
+void soak_upstream_set_version (SoakUpstream *upstream, uint32_t version);
 void soak_upstream_set_mode (SoakUpstream *upstream, SoakMode mode);
 uint32_t soak_upstream_n_active (const SoakUpstream *upstream);
 uint64_t soak_upstream_last_arrival_us (const SoakUpstream *upstream);
