Streams of two services are not taken for one, even if their versions have one name

A stream is bound to the version of a service: a route with two services, or one that has been moved to another service since, could lead the rest of a stream to the other one, whose version has the same text. Versions are compared together with their service, the service of a stream that is taken up is the one that began it if the route leads there, and the only version of a service says nothing about streams that may have begun before the route led to it. test_route_that_has_moved_says_nothing_about_earlier_streams and test_routes_that_lead_elsewhere_have_changed are new.

--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -745,6 +745,7 @@
 void
 mf_jobs_configure (MfJobs *jobs, MfRoutes *routes)
 {
+  mf_routes_note_changes (routes, jobs->routes, mf_clock_now_us ());
   mf_routes_unref (jobs->routes);
   jobs->routes = routes;
 }
--- a/libmangofork/relay/job_origin.c
+++ b/libmangofork/relay/job_origin.c
@@ -68,6 +68,16 @@
   return mf_targets_sole_version (&jobs->targets, service, begun_us);
 }
 
+/* Whether the stream that the caller takes up can only have begun at the request's service, as the
+ * route has led to no other since. */
+static bool
+job_service_is_certain (const MfJob *job)
+{
+  return job->route->n_shares == 1
+         && (job->route->changed_us == 0
+             || stream_begun_us (job) > job->route->changed_us + MF_VERSION_LAG_US);
+}
+
 /* Tells the holders, and records here, that a version has made events of a stream. */
 static void
 jobs_note_origin (MfJobs *jobs, uint64_t stream, uint64_t version)
@@ -108,11 +118,30 @@
   mf_job_refuse (job, MF_CODE_NO_VERSION, why);
 }
 
+/* Chooses the service of the version that began the stream, if the route leads there. */
+static void
+job_choose_service (MfJob *job)
+{
+  const MfTarget *target = mf_targets_by_version (&job->jobs->targets, job->version);
+
+  for (uint32_t i = 0; target != NULL && i < job->route->n_shares; i++)
+    {
+      const MfRouteService *service = &job->routes->services[job->route->shares[i].service];
+
+      if (strcmp (service->name, target->info.service) != 0)
+        continue;
+      job->service = service;
+      job->is_engine = service->is_engine;
+      return;
+    }
+}
+
 /* Binds the stream that the caller takes up to the version that began it. */
 static void
 job_bind (MfJob *job, uint64_t version, const char *known_by)
 {
   job->version = version;
+  job_choose_service (job);
   job->origin_ask_id = 0;
   job->step_deadline_us = 0;
   job->waiting_since_us = 0;
@@ -245,7 +274,8 @@
       job_bind (job, version, "self");
       return true;
     }
-  version = jobs_infer_version (jobs, job->service->name, stream_begun_us (job));
+  if (job_service_is_certain (job))
+    version = jobs_infer_version (jobs, job->service->name, stream_begun_us (job));
   if (version != 0)
     {
       job_bind (job, version, "sole");
@@ -331,7 +361,7 @@
       mf_job_advance (job);
       return;
     }
-  if (reply->version != 0)
+  if (reply->version != 0 && job_service_is_certain (job))
     job->inferred_version = reply->version;
   if (job->n_origin_replies_due == 0)
     mf_job_origin_expired (job);
--- a/libmangofork/relay/route.c
+++ b/libmangofork/relay/route.c
@@ -91,6 +91,42 @@
   return best;
 }
 
+/* Whether two routes have the same host and path prefix, and lead to the same services. */
+static bool
+leads_to_the_same (const MfRoutes *routes, const MfRoute *route, const MfRoutes *other_routes,
+                   const MfRoute *other)
+{
+  if (route->n_shares != other->n_shares || strcmp (route->path_prefix, other->path_prefix) != 0
+      || strcasecmp (route->host, other->host) != 0)
+    return false;
+  for (uint32_t i = 0; i < route->n_shares; i++)
+    {
+      if (strcmp (routes->services[route->shares[i].service].name,
+                  other_routes->services[other->shares[i].service].name)
+          != 0)
+        return false;
+    }
+  return true;
+}
+
+/* Sets since when each route leads to its services, from the configuration before; NULL: there was
+ * none. */
+void
+mf_routes_note_changes (MfRoutes *routes, const MfRoutes *before, uint64_t now_us)
+{
+  for (uint32_t i = 0; before != NULL && i < routes->n_routes; i++)
+    {
+      MfRoute *route = &routes->routes[i];
+
+      route->changed_us = now_us;
+      for (uint32_t j = 0; j < before->n_routes && route->changed_us == now_us; j++)
+        {
+          if (leads_to_the_same (routes, route, before, &before->routes[j]))
+            route->changed_us = before->routes[j].changed_us;
+        }
+    }
+}
+
 /* Returns the service for one request; random is uniform and selects by weight. */
 uint32_t
 mf_route_choose (const MfRoute *route, uint32_t random)
--- a/libmangofork/relay/route.h
+++ b/libmangofork/relay/route.h
@@ -34,6 +34,7 @@
   bool resumable;
   MfRouteShare *shares;
   uint32_t n_shares;
+  uint64_t changed_us; /* since then it leads to these services; 0: since it is known here */
 } MfRoute;
 
 /* A configured service. engine_slots is 0 for a plain service. */
@@ -78,6 +79,7 @@
 uint32_t mf_routes_service (const MfRoutes *routes, const char *name);
 const MfRoute *mf_routes_find (const MfRoutes *routes, const char *host, size_t host_bytes,
                                const char *path, size_t path_bytes);
+void mf_routes_note_changes (MfRoutes *routes, const MfRoutes *before, uint64_t now_us);
 uint32_t mf_route_choose (const MfRoute *route, uint32_t random);
 
 #endif
--- a/libmangofork/relay/target.c
+++ b/libmangofork/relay/target.c
@@ -113,6 +113,18 @@
   return NULL;
 }
 
+/* Returns an upstream of this version, or NULL. */
+const MfTarget *
+mf_targets_by_version (const MfTargets *targets, uint64_t version)
+{
+  for (const MfTarget *target = targets->first; target != NULL; target = target->next)
+    {
+      if (target->version == version)
+        return target;
+    }
+  return NULL;
+}
+
 static uint64_t
 process_hash (uint64_t id_hash, uint64_t started_ms)
 {
@@ -122,6 +134,16 @@
   return process != 0 ? process : 1;
 }
 
+/* Returns a hash that identifies the software version of a service, never 0. */
+static uint64_t
+version_hash (uint64_t service, const char *version)
+{
+  uint64_t parts[] = { service, mf_load_hash (version) };
+  uint64_t hash = XXH3_64bits (parts, sizeof parts);
+
+  return hash != 0 ? hash : 1;
+}
+
 /* Returns what is known of the limit of an unlisted process, or NULL. */
 static MfRateNotice *
 unlisted_limit (MfTargets *targets, uint64_t process_id)
@@ -398,7 +420,7 @@
   target->id_hash = mf_load_hash (info->id);
   target->process_id = process_hash (target->id_hash, info->started_ms);
   target->service = mf_load_hash (info->service);
-  target->version = mf_load_hash (info->version);
+  target->version = version_hash (target->service, info->version);
   target->announced_leaving = has_departed (targets, target);
   if (targets->is_restoring && was_removed (targets, target->process_id))
     target->held_until_us = mf_clock_now_us () + HELD_US;
--- a/libmangofork/relay/target.h
+++ b/libmangofork/relay/target.h
@@ -78,7 +78,7 @@
   uint64_t id_hash;               /* identifies it in messages between instances */
   uint64_t process_id;            /* the same, different from later processes with its id */
   uint64_t service;               /* hash of its service */
-  uint64_t version;               /* hash of its software version */
+  uint64_t version;               /* hash of its service and its software version */
   uint64_t silent_since_us;       /* while requests run: the last sign of life */
   uint64_t alive_us;              /* last sign of life; 0: none since a connection broke */
   double answer_us;               /* moving average of response times; 0: none yet */
@@ -163,6 +163,7 @@
 uint32_t mf_targets_expire (MfTargets *targets, uint64_t before_us);
 MfTarget *mf_targets_find (const MfTargets *targets, const char *id);
 MfTarget *mf_targets_by_hash (const MfTargets *targets, uint64_t hash);
+const MfTarget *mf_targets_by_version (const MfTargets *targets, uint64_t version);
 MfTarget *mf_targets_by_process (const MfTargets *targets, uint64_t process_id);
 void mf_targets_note_limit (MfTargets *targets, uint64_t process_id, const MfRateNotice *limit);
 void mf_targets_begin_list (MfTargets *targets);
--- a/tests/test_job_origin.c
+++ b/tests/test_job_origin.c
@@ -329,6 +329,26 @@
   relay_fleet_teardown (&fleet);
 }
 
+/* The route led to another service, or may lead to two: the only version of one says nothing. */
+static void
+test_route_that_has_moved_says_nothing_about_earlier_streams (void **state)
+{
+  RelayFleet fleet;
+  MfJobs *jobs = &fleet.instances[1].jobs;
+  MfRoute *route;
+
+  (void)state;
+  relay_fleet_setup (&fleet, LISTEN_PORT, PEER_PORT);
+  add_engine (&fleet, NEW, "v2", answer_new);
+  route = &jobs->routes->routes[0];
+  while (strcmp (route->name, "llm") != 0)
+    route++;
+  assert_true (has_event_of (call (&fleet, 1, "a2", "a9"), 'n'));
+  route->changed_us = mf_clock_now_us ();
+  assert_memory_equal (call (&fleet, 1, "a2", "a8"), "HTTP/1.1 503", 12);
+  relay_fleet_teardown (&fleet);
+}
+
 /* An id that two streams have used names neither of them. */
 static void
 test_stream_whose_id_was_used_again_does_not_go_on (void **state)
@@ -354,6 +374,7 @@
     cmocka_unit_test (test_others_know_what_a_lost_instance_began),
     cmocka_unit_test (test_engines_know_what_lost_instances_began),
     cmocka_unit_test (test_version_that_serves_alone_may_not_have_begun_the_stream),
+    cmocka_unit_test (test_route_that_has_moved_says_nothing_about_earlier_streams),
     cmocka_unit_test (test_stream_whose_id_was_used_again_does_not_go_on),
   };
 
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -73,6 +73,32 @@
   assert_int_equal (mf_route_choose (&route, 7), MF_NONE);
 }
 
+static void
+test_routes_that_lead_elsewhere_have_changed (void **state)
+{
+  MfRoutes *before = routes_new ();
+  MfRoutes *after = routes_new ();
+
+  (void)state;
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      before->routes[i].shares = calloc (1, sizeof (MfRouteShare));
+      after->routes[i].shares = calloc (1, sizeof (MfRouteShare));
+      before->routes[i].n_shares = 1;
+      after->routes[i].n_shares = 1;
+    }
+  mf_routes_note_changes (before, NULL, 100);
+  assert_int_equal (before->routes[0].changed_us, 0);
+  before->routes[0].changed_us = 7;
+  after->routes[1].shares[0].service = 1;
+  mf_routes_note_changes (after, before, 200);
+  assert_int_equal (after->routes[0].changed_us, 7);
+  assert_int_equal (after->routes[1].changed_us, 200);
+  assert_int_equal (after->routes[2].changed_us, 0);
+  mf_routes_unref (before);
+  mf_routes_unref (after);
+}
+
 static void
 test_a_version_lasts_as_long_as_its_requests (void **state)
 {
@@ -92,6 +118,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_longest_prefix_of_the_host),
     cmocka_unit_test (test_weights),
+    cmocka_unit_test (test_routes_that_lead_elsewhere_have_changed),
     cmocka_unit_test (test_a_version_lasts_as_long_as_its_requests),
   };
 
