A response without an id on a used connection is not believed

Reported: a faulty upstream wrote an earlier refusal once more on a kept connection. Copies with an id were passed over, but one without an id was taken for the answer to the next request: callers were told that an order had not run which was running, or it was sent to a second upstream. Upstreams echo the id of each request; where it is missing, the response belongs for certain to the request only on a connection that has carried no other. Elsewhere the exchange now counts as broken: it may have run.

test_answer_without_an_id_on_a_used_connection_is_not_believed and test_refusal_that_is_written_again_refuses_no_other_request failed before.

--- a/libmangofork/relay/link.c
+++ b/libmangofork/relay/link.c
@@ -49,6 +49,8 @@
   bool head_only;
   bool id_mismatch;     /* the response being read belongs to another request */
   bool had_id_mismatch; /* a response on this connection belonged to another request */
+  bool id_missing;      /* the response being read may belong to an earlier request */
+  uint32_t n_requests;  /* sent on this connection */
   bool has_sent;
   bool no_request;  /* opened by mf_link_open */
   bool in_callback; /* a callback is running */
@@ -208,6 +210,10 @@
       link->had_id_mismatch = true;
       return true;
     }
+  link->id_missing = !has_id && link->echo_id[0] != '\0' && link->n_requests > 1
+                     && message->parser.status_code >= 200;
+  if (link->id_missing)
+    return true;
   if (link->callbacks->head != NULL)
     link->callbacks->head (link->data, &message->head, message->parser.status_code);
   return !link->head_only;
@@ -219,7 +225,7 @@
   MfLink *link = data;
 
   (void)message;
-  if (!link->id_mismatch && !link->cancelled && link->callbacks->body != NULL)
+  if (!link->id_mismatch && !link->id_missing && !link->cancelled && link->callbacks->body != NULL)
     link->callbacks->body (link->data, bytes, n_bytes);
 }
 
@@ -246,6 +252,11 @@
           link_fail (link, "malformed HTTP response");
           return false;
         }
+      if (link->id_missing)
+        {
+          link_fail (link, "response without an id on a used connection");
+          return false;
+        }
       if (!link->message.done)
         return true;
       if (link->id_mismatch)
@@ -531,6 +542,7 @@
   link->head_only = request->head_only;
   link->timeout_us = request->timeout_us;
   link->started_us = mf_clock_now_us ();
+  link->n_requests++;
   link->echo_id[0] = '\0';
   if (request->echo_id != NULL && strlen (request->echo_id) < sizeof link->echo_id)
     memcpy (link->echo_id, request->echo_id, strlen (request->echo_id) + 1);
--- a/tests/test_job_answer.c
+++ b/tests/test_job_answer.c
@@ -315,6 +315,48 @@
   teardown (&fixture);
 }
 
+/* Refuses the first request, answers the second one and runs the third, before whose answer it
+ * writes its refusal once more, without its id. */
+static void
+handle_repeated_refusal (FakeUpstreamConn *conn, const char *text, const char *id)
+{
+  static const char refusal[]
+      = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nKeep-Alive: timeout=5\r\n"
+        "Content-Length: 0\r\n\r\n";
+  static uint32_t n_requests;
+
+  (void)text;
+  n_requests++;
+  if (n_requests != 2)
+    fake_upstream_conn_send (conn, refusal);
+  else
+    relay_fixture_answer (conn, id, "200 OK", RELAY_FIXTURE_SEAL "Keep-Alive: timeout=5\r\n",
+                          "good");
+  if (n_requests == 3)
+    relay_fixture_answer (conn, id, "200 OK", RELAY_FIXTURE_SEAL, "good");
+}
+
+/* Callers were told that an order had not run, which ran. */
+static void
+test_refusal_that_is_written_again_refuses_no_other_request (void **state)
+{
+  RelayFixture fixture;
+
+  (void)state;
+  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_add_upstream (&fixture, 0, MF_ROLE_PLAIN, handle_repeated_refusal);
+  call (&fixture, "POST", "/order/1");
+  assert_memory_equal (fixture.received, "HTTP/1.1 503", 12);
+  for (MfTarget *target = fixture.jobs.targets.first; target != NULL; target = target->next)
+    target->full_until_us = 0;
+  call (&fixture, "POST", "/order/2");
+  assert_memory_equal (fixture.received, "HTTP/1.1 200", 12);
+  call (&fixture, "POST", "/order/3");
+  assert_memory_equal (fixture.received, "HTTP/1.1 502", 12);
+  assert_int_equal (relay_fixture_n_requests (&fixture, 0), 3);
+  teardown (&fixture);
+}
+
 /* Discovery may drop an upstream while it still sends its last, endless answer. */
 static void
 test_endless_answer_of_a_removed_upstream (void **state)
@@ -435,6 +477,7 @@
     cmocka_unit_test (test_endless_answer_of_a_removed_upstream),
     cmocka_unit_test (test_stream_closed_inside_an_event_is_broken_off),
     cmocka_unit_test (test_stream_closed_after_its_last_event_is_complete),
+    cmocka_unit_test (test_refusal_that_is_written_again_refuses_no_other_request),
     cmocka_unit_test (test_stream_that_trickles_is_resumed_elsewhere),
     cmocka_unit_test (test_endless_answer_to_a_release_times_out),
     cmocka_unit_test (test_buffered_answers_keep_to_the_memory_limit),
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -144,12 +144,39 @@
   assert_int_equal (exchange.end, MF_LINK_COMPLETE);
   assert_string_equal (exchange.body, "ok");
   assert_int_equal (exchange.pool.n_idle, 1);
-  run (&exchange, "mine");
+  exchange.responses = RESPONSE ("next", "ok");
+  run (&exchange, "next");
+  assert_int_equal (exchange.end, MF_LINK_COMPLETE);
+  assert_string_equal (exchange.body, "ok");
   assert_int_equal (fake_upstream_n_conns (exchange.upstream), 1);
   assert_int_equal (fake_upstream_n_requests (exchange.upstream), 2);
   exchange_end (&exchange);
 }
 
+/* Without an id, an answer on a connection that was used before may be the copy of an earlier one.
+ */
+static void
+test_answer_without_an_id_on_a_used_connection_is_not_believed (void **state)
+{
+  static const char refusal[] = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+                                "Keep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n";
+  Exchange exchange;
+
+  (void)state;
+  exchange_begin (&exchange, RESPONSE ("mine", "ok"));
+  run (&exchange, "mine");
+  exchange.responses = refusal;
+  run (&exchange, "next");
+  assert_int_equal (exchange.end, MF_LINK_BROKEN);
+  assert_int_equal (exchange.n_heads, 0);
+  assert_int_equal (exchange.pool.n_idle, 0);
+  /* On a new connection there is no earlier one. */
+  run (&exchange, "last");
+  assert_int_equal (exchange.end, MF_LINK_COMPLETE);
+  assert_int_equal (exchange.status, 503);
+  exchange_end (&exchange);
+}
+
 /* The late response to an earlier request arrives before the right one. */
 static void
 test_answer_to_another_request_is_passed_over (void **state)
@@ -192,7 +219,8 @@
   fake_upstream_conn_send (fake_upstream_last_conn (exchange.upstream), RESPONSE ("mine", "no"));
   loop_spin (exchange.loop, 20);
   assert_int_equal (exchange.pool.n_idle, 0);
-  run (&exchange, "mine");
+  exchange.responses = RESPONSE ("next", "ok");
+  run (&exchange, "next");
   assert_string_equal (exchange.body, "ok");
   assert_int_equal (fake_upstream_n_conns (exchange.upstream), 2);
   exchange_end (&exchange);
@@ -299,6 +327,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_kept_connection_is_used_again),
+    cmocka_unit_test (test_answer_without_an_id_on_a_used_connection_is_not_believed),
     cmocka_unit_test (test_answer_to_another_request_is_passed_over),
     cmocka_unit_test (test_surplus_answer_closes_the_connection),
     cmocka_unit_test (test_bytes_on_an_idle_connection_close_it),
