A request that is sent again to an upstream takes another connection

A refusal that is written once more has the id of the request that it refused. When that request came back to the same upstream on the same kept connection, after all others had declined it, the copy was taken for its answer while it ran: the caller was told that it had not run, or it ran at a second upstream. A connection remembers the last 32 ids that it has carried and is not used again for one of them.

test_request_that_is_sent_again_takes_another_connection failed before.

--- a/libmangofork/relay/link.c
+++ b/libmangofork/relay/link.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
+#include <xxhash.h>
 
 /* Bytes read from a connection at a time; the events of an engine's stream are below 3 KB. */
 #define READ_BYTES 16384
@@ -17,6 +18,8 @@
 /* Part of the peer's Keep-Alive timeout for which an idle connection is reused. The margin keeps a
  * request from being sent while the peer closes the connection. */
 #define KEEP_ALIVE_PERCENT 60
+/* Request ids that a connection remembers; one is sent again soon or never. */
+#define CARRIED_IDS_MAX 32
 /* TCP keep-alive: a peer that has vanished is detected within four seconds. */
 #define PROBE_IDLE_S 1
 #define PROBE_INTERVAL_S 1
@@ -51,6 +54,7 @@
   bool had_id_mismatch; /* a response on this connection belonged to another request */
   bool id_missing;      /* the response being read may belong to an earlier request */
   uint32_t n_requests;  /* sent on this connection */
+  uint64_t carried_ids[CARRIED_IDS_MAX]; /* hashes of their ids; the oldest is overwritten */
   bool has_sent;
   bool no_request;  /* opened by mf_link_open */
   bool in_callback; /* a callback is running */
@@ -490,13 +494,33 @@
   return link;
 }
 
-/* Returns the most recently used idle connection, or NULL when it has been idle for too long. */
+static uint64_t
+id_hash (const char *id)
+{
+  return id != NULL ? XXH3_64bits (id, strlen (id)) : 0;
+}
+
+static bool
+link_has_carried (const MfLink *link, uint64_t id)
+{
+  for (uint32_t i = 0; i < CARRIED_IDS_MAX && id != 0; i++)
+    {
+      if (link->carried_ids[i] == id)
+        return true;
+    }
+  return false;
+}
+
+/* Returns the most recently used idle connection that has not carried this id, or NULL when it has
+ * been idle for too long. A copy of an earlier answer would have the id as well. */
 static MfLink *
-idle_take (MfLinkPool *pool, uint64_t idle_max_us)
+idle_take (MfLinkPool *pool, uint64_t id, uint64_t idle_max_us)
 {
   MfLink *link = pool->idle;
   uint64_t now_us;
 
+  while (link != NULL && link_has_carried (link, id))
+    link = link->next_idle;
   if (link == NULL)
     return NULL;
   now_us = mf_clock_now_us ();
@@ -529,7 +553,8 @@
 MfLink *
 mf_link_start (MfLinkPool *pool, const MfLinkRequest *request)
 {
-  MfLink *link = idle_take (pool, request->idle_max_us);
+  uint64_t id = id_hash (request->echo_id);
+  MfLink *link = idle_take (pool, id, request->idle_max_us);
 
   if (link == NULL)
     link = link_connect (pool);
@@ -542,7 +567,7 @@
   link->head_only = request->head_only;
   link->timeout_us = request->timeout_us;
   link->started_us = mf_clock_now_us ();
-  link->n_requests++;
+  link->carried_ids[link->n_requests++ % CARRIED_IDS_MAX] = id;
   link->echo_id[0] = '\0';
   if (request->echo_id != NULL && strlen (request->echo_id) < sizeof link->echo_id)
     memcpy (link->echo_id, request->echo_id, strlen (request->echo_id) + 1);
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -153,6 +153,27 @@
   exchange_end (&exchange);
 }
 
+/* An earlier refusal that is written once more has the id of the same request, which was sent
+ * again.
+ */
+static void
+test_request_that_is_sent_again_takes_another_connection (void **state)
+{
+  Exchange exchange;
+
+  (void)state;
+  exchange_begin (&exchange, RESPONSE ("mine", "no"));
+  run (&exchange, "mine");
+  exchange.responses = RESPONSE ("next", "ok");
+  run (&exchange, "next");
+  assert_int_equal (fake_upstream_n_conns (exchange.upstream), 1);
+  exchange.responses = RESPONSE ("mine", "ok");
+  run (&exchange, "mine");
+  assert_int_equal (fake_upstream_n_conns (exchange.upstream), 2);
+  assert_int_equal (exchange.pool.n_idle, 2);
+  exchange_end (&exchange);
+}
+
 /* Without an id, an answer on a connection that was used before may be the copy of an earlier one.
  */
 static void
@@ -327,6 +348,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_kept_connection_is_used_again),
+    cmocka_unit_test (test_request_that_is_sent_again_takes_another_connection),
     cmocka_unit_test (test_answer_without_an_id_on_a_used_connection_is_not_believed),
     cmocka_unit_test (test_answer_to_another_request_is_passed_over),
     cmocka_unit_test (test_surplus_answer_closes_the_connection),
