Odd keys among the upstreams' entries end no list

Reported: machines that read a list with one odd entry stopped following it. Here an odd key at the end of a page did that: it went into the query of the next page as it was, so that the store continued from another place, entries behind it were taken for removed, or each read failed. Values that are nested deeply, numbers that are too large and bytes that are no JSON did no harm: they stay within their entry.

test_odd_entries_hide_no_other failed before. The stand-in of the store decodes queries.

--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -237,7 +237,8 @@
   char name[MF_TARGET_ID_BYTES];
 
   /* id may point into the upstream that is removed. */
-  mf_name_set (name, sizeof name, id);
+  if (!mf_name_set (name, sizeof name, id))
+    return;
   if (mf_targets_remove (&relay->jobs.targets, name, !keep, now_us))
     mf_relay_log_state (relay->log, "upstream.gone", "upstream=%s why=\"%s\" kept_ms=%llu", name,
                         why,
--- a/tests/fakes/http.c
+++ b/tests/fakes/http.c
@@ -183,6 +183,23 @@
     }
 }
 
+/* Replaces each %XX by its byte. */
+static void
+percent_decode (char *text)
+{
+  char *to = text;
+
+  for (const char *from = text; *from != '\0'; from++)
+    {
+      unsigned byte = (unsigned char)*from;
+
+      if (*from == '%' && sscanf (from + 1, "%2x", &byte) == 1)
+        from += 2;
+      *to++ = (char)byte;
+    }
+  *to = '\0';
+}
+
 void
 fake_query_get (const char *query, const char *key, char *value, size_t value_bytes)
 {
@@ -199,6 +216,7 @@
           n = n < value_bytes ? n : value_bytes - 1;
           memcpy (value, query + key_bytes + 1, n);
           value[n] = '\0';
+          percent_decode (value);
           return;
         }
       query += n;
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -256,6 +256,47 @@
   fixture_end (&fixture);
 }
 
+/* Entries of another writer: the others hold, and the list is read to its end and followed. */
+static void
+test_odd_entries_hide_no_other (void **state)
+{
+  /* The last one of each page is where the next one begins; decoded, %7a sorts after all others. */
+  static const char *const ids[]
+      = { "#1", "$2", "%7a", "&after=z", "+", "? #", "a b", "zz", "zzz" };
+  static const char *const values[] = {
+    "{\"service\":\"s\",\"address\":\"127.0.0.1:99999\",\"zone\":\"z\",\"version\":\"v1\","
+    "\"slots\":6,"
+    "\"state\":\"ready\",\"sequence\":1,\"born\":1}",
+    "{\"slots\":1e999,\"sequence\":99999999999999999999999999999999999999999999}",
+    "not JSON",
+  };
+  static char deep[100000];
+  Fixture fixture;
+  char key[256];
+
+  (void)state;
+  fixture_begin (&fixture);
+  memset (deep, '{', sizeof deep - 1);
+  for (size_t i = 0; i < MF_ARRAY_LEN (ids); i++)
+    {
+      snprintf (key, sizeof key, "servers/%s", ids[i]);
+      fake_store_put (fixture.store, key, values[i % MF_ARRAY_LEN (values)]);
+    }
+  fake_store_put (fixture.store, "servers/deep", deep);
+  memset (key, 'l', 199);
+  memcpy (key, "servers/", 8);
+  key[199] = '\0';
+  fake_store_put (fixture.store, key, values[0]);
+  upstream_put (&fixture, 1, "ready");
+  config_put (&fixture, 1, "/a/");
+  wait_for (&fixture, PORT, "/a/1", 200);
+  assert_int_equal (status_of (&fixture, PORT, "/a/1"), 200);
+  fake_store_put (fixture.store, "servers/later", deep);
+  config_put (&fixture, 2, "/b/");
+  wait_for (&fixture, PORT, "/b/1", 200);
+  fixture_end (&fixture);
+}
+
 static void
 test_store_outages_of_every_kind (void **state)
 {
@@ -857,6 +898,7 @@
     cmocka_unit_test (test_newer_versions_replace_older_ones_only),
     cmocka_unit_test (test_leaving_upstreams_get_nothing),
     cmocka_unit_test (test_lists_have_pages),
+    cmocka_unit_test (test_odd_entries_hide_no_other),
     cmocka_unit_test (test_store_outages_of_every_kind),
     cmocka_unit_test (test_expired_entries_are_kept_for_a_while),
     cmocka_unit_test (test_changes_of_a_restored_store_are_applied),
