An entry with an odd address, start or id names no upstream to use

Another writer's entries were used with any address that had a colon, so that each request placed there found no connection; with a start far in the future, which made an older process at the same address count as replaced for good, or so large that it was read as unknown; and with ids, and handles of engines, that could end a line in the head of a request. Such entries, and answers to a prefill, are invalid like others with a faulty field.

--- a/tests/test_platform_decode.c
+++ b/tests/test_platform_decode.c
@@ -88,6 +88,74 @@
     assert_false (entry_decode (texts[i], &info));
 }
 
+/* Another writer's odd values: each made the upstream usable, or was cut to another number. */
+static void
+test_entries_with_odd_values (void **state)
+{
+  static const char *const addresses[] = {
+    "10.0.0.9:0",  "10.0.0.9:65536", "10.0.0.9:99999999999999999999",
+    "10.0.0.9:-1", "10.0.0.9:80x",   "10.0.0.9:",
+    "host:80",     "10.0.0.9.1:80",  "10.0.0.9:80\\r\\nX: y",
+  };
+  static const char *const numbers[] = {
+    "\"slots\":1e999",
+    "\"slots\":4294967296",
+    "\"slots\":NaN",
+    "\"slots\":99999999999999999999999999999999999999999999999999",
+    "\"slots\":1,\"born\":1e400",
+    "\"slots\":1,\"born\":99999999999999999999",
+    "\"slots\":1,\"born\":9223372036854775807",
+    "\"slots\":1,\"born\":999999999999999",
+    "\"slots\":1,\"born\":-1",
+    "\"slots\":1,\"sequence\":1e19",
+  };
+  static char deep[200000];
+  char text[512];
+  MfTargetInfo info;
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (addresses); i++)
+    {
+      snprintf (text, sizeof text,
+                "{\"service\":\"s\",\"address\":\"%s\",\"zone\":\"z\",\"version\":\"v1\","
+                "\"slots\":1,\"state\":\"ready\",\"sequence\":4}",
+                addresses[i]);
+      assert_false (entry_decode (text, &info));
+    }
+  for (size_t i = 0; i < MF_ARRAY_LEN (numbers); i++)
+    {
+      snprintf (text, sizeof text,
+                "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"version\":\"v1\","
+                "\"state\":\"ready\",\"sequence\":4,%s}",
+                numbers[i]);
+      assert_false (entry_decode (text, &info));
+    }
+  memset (deep, '[', sizeof deep - 1);
+  memcpy (deep, "{\"service\":", 11);
+  assert_false (entry_decode (deep, &info));
+}
+
+/* An id goes into the heads of requests and into paths. */
+static void
+test_ids_that_cannot_be_sent (void **state)
+{
+  static const char *const ids[]
+      = { "",
+          "a b",
+          "a\r\nX-Deadline-Ms: 1",
+          "a\tb",
+          "a\x7f",
+          "\xc3\xa4",
+          "a\"b",
+          "1234567890123456789012345678901234567890123456789012345678901234" };
+  MfTargetInfo info;
+  MfError error = { 0 };
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (ids); i++)
+    assert_false (platform_decode_upstream (ids[i], ENTRY "}", strlen (ENTRY "}"), &info, &error));
+}
+
 static void
 test_leaving (void **state)
 {
@@ -192,6 +260,7 @@
   assert_int_equal (answer.tokens, 1460);
   assert_false (platform_dialect.read_prefill (good, strlen (good) - 1, &answer));
   assert_false (platform_dialect.read_prefill ("{\"kvHandle\":7}", 14, &answer));
+  assert_false (platform_dialect.read_prefill ("{\"kvHandle\":\"a\\r\\nX: y\"}", 23, &answer));
   assert_false (platform_dialect.read_prefill ("", 0, &answer));
 }
 
@@ -201,6 +270,8 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_entry),
     cmocka_unit_test (test_entries_that_cannot_be_used),
+    cmocka_unit_test (test_entries_with_odd_values),
+    cmocka_unit_test (test_ids_that_cannot_be_sent),
     cmocka_unit_test (test_leaving),
     cmocka_unit_test (test_config),
     cmocka_unit_test (test_config_with_faults),
