A stream that is taken up needs the time of its rest, not of its whole answer

Late take-ups were refused at once for the time that a whole answer takes, though most of it had been received. The events that the caller has are taken off the expected answer. test_rest_of_a_stream_takes_the_time_of_the_rest failed before.

--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -323,6 +323,19 @@
   mf_job_set_timer (job);
 }
 
+/* Of a stream that is taken up, only the rest is expected. */
+static void
+job_subtract_received (MfJob *job, const MfHead *head)
+{
+  uint64_t last_event = 0;
+  uint64_t received;
+
+  if (!job->is_resumed || !mf_head_number (head, MF_HEADER_LAST_EVENT_ID, &last_event))
+    return;
+  received = last_event < UINT32_MAX ? last_event * job->service->event_tokens : UINT64_MAX;
+  job->expected_tokens = job->expected_tokens > received ? job->expected_tokens - received : 0;
+}
+
 /* Parses a header of the form "prompt,output" with token counts. */
 static void
 job_read_token_counts (MfJob *job, const MfHead *head)
@@ -341,6 +354,7 @@
       hint_tokens, (uint64_t)job->jobs->mean_answer_tokens, job->output_tokens);
   job->kv_tokens = mf_load_kv_tokens (job->prompt_tokens, hint_tokens,
                                       (uint64_t)job->jobs->mean_answer_tokens, job->output_tokens);
+  job_subtract_received (job, head);
 }
 
 static void
--- a/tests/test_job_origin.c
+++ b/tests/test_job_origin.c
@@ -349,6 +349,25 @@
   relay_fleet_teardown (&fleet);
 }
 
+/* A stream that is taken up was refused for the time that its whole answer takes. */
+static void
+test_rest_of_a_stream_takes_the_time_of_the_rest (void **state)
+{
+  RelayFleet fleet;
+  MfJobs *jobs = &fleet.instances[0].jobs;
+
+  (void)state;
+  relay_fleet_setup (&fleet, LISTEN_PORT, PEER_PORT);
+  add_engine (&fleet, NEW, "v2", answer_new);
+  /* Half of the time is needed at least: 3.6 s of the 3 s that there are, and 2.7 s for the rest.
+   */
+  jobs->mean_answer_tokens = 40.;
+  jobs->mean_token_us = 180. * (double)MF_US_PER_MS;
+  assert_memory_equal (call (&fleet, 0, "a1", NULL), "HTTP/1.1 503", 12);
+  assert_true (has_event_of (call (&fleet, 0, "a2", "a1"), 'n'));
+  relay_fleet_teardown (&fleet);
+}
+
 /* An id that two streams have used names neither of them. */
 static void
 test_stream_whose_id_was_used_again_does_not_go_on (void **state)
@@ -375,6 +394,7 @@
     cmocka_unit_test (test_engines_know_what_lost_instances_began),
     cmocka_unit_test (test_version_that_serves_alone_may_not_have_begun_the_stream),
     cmocka_unit_test (test_route_that_has_moved_says_nothing_about_earlier_streams),
+    cmocka_unit_test (test_rest_of_a_stream_takes_the_time_of_the_rest),
     cmocka_unit_test (test_stream_whose_id_was_used_again_does_not_go_on),
   };
 
