No stream goes on at an upstream that has ended until its successor is listed

A process may start again under its id, with another version, and take requests for some time before the list names the other one.

--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -111,9 +111,10 @@
 
 /* Whether the request may go to an upstream: a stream goes on only at the version that began it. */
 static bool
-job_fits_version (const MfJob *job, const MfTarget *target)
+job_fits_version (const MfJob *job, const MfTarget *target, uint64_t now_us)
 {
-  return job->version == 0 || target->version == job->version;
+  return job->version == 0
+         || (target->version == job->version && !mf_target_may_be_another (target, now_us));
 }
 
 /* Returns the engine with a slot reserved for this request, if it is still usable; otherwise gives
@@ -123,7 +124,7 @@
 {
   MfTarget *reserved = job->reserved_target;
 
-  if (reserved != NULL && reserved->listed && job_fits_version (job, reserved)
+  if (reserved != NULL && reserved->listed && job_fits_version (job, reserved, now_us)
       && mf_target_accepts (reserved, now_us)
       && ((job->rate_granted && job->rate_target == reserved)
           || mf_target_rate_ready (reserved, mf_job_rate_wait_max_us (job, now_us), now_us))
@@ -148,9 +149,9 @@
   if (prefill != NULL)
     return prefill;
   prefill = mf_targets_by_hash (targets, job->granted_prefill);
-  if (prefill != NULL && prefill->info.role == MF_ROLE_PREFILL && job_fits_version (job, prefill)
-      && mf_target_accepts (prefill, now_us) && mf_target_rate_ready (prefill, 0, now_us)
-      && prefill->suspect_until_us <= now_us
+  if (prefill != NULL && prefill->info.role == MF_ROLE_PREFILL
+      && job_fits_version (job, prefill, now_us) && mf_target_accepts (prefill, now_us)
+      && mf_target_rate_ready (prefill, 0, now_us) && prefill->suspect_until_us <= now_us
       && !mf_place_avoids (job->avoid, job->n_avoid, prefill))
     return prefill;
   prefill = mf_place_choose (targets, &query, now_us, &any_available);
@@ -184,7 +185,7 @@
   MfTarget *prefill;
 
   any.n_avoid = 0;
-  if (!mf_place_has_any (targets, &any))
+  if (!mf_place_has_any (targets, &any, now_us))
     {
       job_end_without_upstream (job, false);
       return;
@@ -198,7 +199,7 @@
       mf_job_drop_rate (job);
       /* All engines, or as many as can be listed, have declined or failed: starts over with all of
        * them. */
-      if (job->n_avoid == MF_JOB_AVOID_MAX || !mf_place_has_any (targets, &others))
+      if (job->n_avoid == MF_JOB_AVOID_MAX || !mf_place_has_any (targets, &others, now_us))
         job->n_avoid = 0;
       job_note_available (job, MF_ROLE_DECODE, now_us);
       if (job->pause_end_us > 0)
--- a/libmangofork/relay/place.c
+++ b/libmangofork/relay/place.c
@@ -46,12 +46,20 @@
   return false;
 }
 
+/* Whether an upstream is of the version that the request is bound to, if it is. */
+static bool
+is_of_version (const MfTarget *target, const MfPlaceQuery *query, uint64_t now_us)
+{
+  return query->version == 0
+         || (target->version == query->version && !mf_target_may_be_another (target, now_us));
+}
+
 /* Whether an upstream is of the kind that the request needs and is not leaving. */
 static bool
-is_eligible (const MfTarget *target, const MfPlaceQuery *query)
+is_eligible (const MfTarget *target, const MfPlaceQuery *query, uint64_t now_us)
 {
   return !mf_target_is_leaving (target) && target->info.role == query->role
-         && (query->version == 0 || target->version == query->version)
+         && is_of_version (target, query, now_us)
          && strcmp (target->info.service, query->service) == 0;
 }
 
@@ -203,7 +211,7 @@
     {
       double cost_us;
 
-      if (!is_eligible (target, query) || target->stage_until_us > now_us)
+      if (!is_eligible (target, query, now_us) || target->stage_until_us > now_us)
         continue;
       *any_available = true;
       if (!mf_target_accepts (target, now_us)
@@ -236,11 +244,12 @@
 
 /* Whether there is an upstream for the request that is neither leaving nor in its list to avoid. */
 bool
-mf_place_has_any (const MfTargets *targets, const MfPlaceQuery *query)
+mf_place_has_any (const MfTargets *targets, const MfPlaceQuery *query, uint64_t now_us)
 {
   for (const MfTarget *target = targets->first; target != NULL; target = target->next)
     {
-      if (is_eligible (target, query) && !mf_place_avoids (query->avoid, query->n_avoid, target))
+      if (is_eligible (target, query, now_us)
+          && !mf_place_avoids (query->avoid, query->n_avoid, target))
         return true;
     }
   return false;
@@ -258,7 +267,7 @@
     {
       uint64_t available_us = mf_target_available_us (target);
 
-      if (!is_eligible (target, query))
+      if (!is_eligible (target, query, now_us))
         continue;
       if (available_us <= now_us)
         return 0;
--- a/libmangofork/relay/place.h
+++ b/libmangofork/relay/place.h
@@ -37,7 +37,7 @@
 MfTarget *mf_place_choose (const MfTargets *targets, const MfPlaceQuery *query, uint64_t now_us,
                            bool *any_available);
 double mf_place_cost_us (const MfTarget *target, const MfPlaceQuery *query, uint64_t now_us);
-bool mf_place_has_any (const MfTargets *targets, const MfPlaceQuery *query);
+bool mf_place_has_any (const MfTargets *targets, const MfPlaceQuery *query, uint64_t now_us);
 uint64_t mf_place_available_us (const MfTargets *targets, const MfPlaceQuery *query,
                                 uint64_t now_us);
 
--- a/libmangofork/relay/target.c
+++ b/libmangofork/relay/target.c
@@ -36,6 +36,10 @@
  * within three intervals of their registration and some reserve. */
 #define HELD_US (6 * MF_US_PER_S)
 
+/* A process that has taken the place of another, under its id, is listed within this time after the
+ * other was last found to have ended. */
+#define SUCCESSOR_LISTED_US (5 * MF_US_PER_S)
+
 /* A longer pause that an upstream asks for is cut to this. */
 #define PAUSE_MAX_S 300.
 
@@ -739,6 +743,14 @@
                         target->n_active);
 }
 
+/* Whether another process, with its id and perhaps of another version, may have taken its place:
+ * discovery lists that one some time after its start. */
+bool
+mf_target_may_be_another (const MfTarget *target, uint64_t now_us)
+{
+  return target->ended_us > 0 && now_us < target->ended_us + SUCCESSOR_LISTED_US;
+}
+
 /* Whether requests should avoid it: this instance avoids it, another instance found a different
  * process at its address, or SUSPECT_QUORUM others cannot reach it and fewer get answers. */
 bool
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -141,6 +141,23 @@
     }
 }
 
+/* An id that is used again may belong to a process of another version, which is not listed yet. */
+static void
+test_stream_does_not_go_on_at_an_upstream_that_has_ended (void **state)
+{
+  Fleet fleet;
+
+  (void)state;
+  fleet_make (&fleet, MF_ROLE_DECODE);
+  for (uint32_t i = 0; i < 3; i++)
+    fleet.upstreams[i].version = 9;
+  fleet.upstreams[1].ended_us = NOW_US - 2 * MF_US_PER_S;
+  assert_int_equal (choose (&fleet, (MfPlaceQuery){ 0 }), 1);
+  assert_int_not_equal (choose (&fleet, (MfPlaceQuery){ .version = 9 }), 1);
+  fleet.upstreams[1].ended_us = NOW_US - 6 * MF_US_PER_S;
+  assert_int_equal (choose (&fleet, (MfPlaceQuery){ .version = 9 }), 1);
+}
+
 /* A paused upstream is not chosen even when it is the only one: it asked for the pause because it
  * cannot take more. */
 static void
@@ -323,6 +340,7 @@
     cmocka_unit_test (test_slow_failing_and_silent_upstreams_are_avoided),
     cmocka_unit_test (test_leaving_and_tried_upstreams_are_not_chosen),
     cmocka_unit_test (test_only_upstreams_of_the_version_are_chosen),
+    cmocka_unit_test (test_stream_does_not_go_on_at_an_upstream_that_has_ended),
     cmocka_unit_test (test_paused_upstreams_are_not_chosen),
     cmocka_unit_test (test_suspects_only_when_there_is_no_other),
     cmocka_unit_test (test_decodes_go_where_kv_is_free),
--- a/tests/test_target.c
+++ b/tests/test_target.c
@@ -43,6 +43,41 @@
 
 /* After a crash, the next process at an address is listed beside the last one for a while. A late
  * entry of the last one changes nothing. */
+/* An id and an address may be used again by another version. */
+static void
+test_versions_in_use_are_known (void **state)
+{
+  MfTargets targets = { 0 };
+  MfTargetInfo info = info_make ("u1", "127.0.0.1:1");
+  MfTargetInfo other = info_make ("u2", "127.0.0.1:2");
+  uint64_t now_us = mf_clock_now_us ();
+  uint64_t old_version;
+
+  (void)state;
+  mf_name_set (info.version, sizeof info.version, "v1");
+  mf_name_set (other.version, sizeof other.version, "v1");
+  mf_targets_update (&targets, &info);
+  mf_targets_update (&targets, &other);
+  old_version = mf_targets_find (&targets, "u1")->version;
+  assert_true (mf_targets_sole_version (&targets, info.service, now_us) == old_version);
+  assert_int_equal (mf_targets_sole_version (&targets, "none", now_us), 0);
+  mf_name_set (info.version, sizeof info.version, "v2");
+  assert_true (mf_targets_update (&targets, &info));
+  assert_true (mf_targets_find (&targets, "u1")->version != old_version);
+  assert_int_equal (mf_targets_sole_version (&targets, info.service, now_us), 0);
+  other.leaving = true;
+  mf_targets_update (&targets, &other);
+  assert_int_equal (mf_targets_sole_version (&targets, info.service, now_us), 0);
+  mf_targets_remove (&targets, "u2", true, now_us);
+  assert_int_equal (mf_targets_sole_version (&targets, info.service, now_us), 0);
+  assert_true (mf_targets_sole_version (&targets, info.service, now_us + 2 * MF_VERSION_LAG_US)
+               == mf_targets_find (&targets, "u1")->version);
+  targets.versions.complete_since_us = now_us + MF_VERSION_LAG_US;
+  assert_int_equal (mf_targets_sole_version (&targets, info.service, now_us + MF_VERSION_LAG_US),
+                    0);
+  mf_targets_clear (&targets);
+}
+
 static void
 test_only_the_last_process_at_an_address_is_used (void **state)
 {
@@ -387,6 +422,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_a_restarted_process_has_no_statistics),
+    cmocka_unit_test (test_versions_in_use_are_known),
     cmocka_unit_test (test_only_the_last_process_at_an_address_is_used),
     cmocka_unit_test (test_entry_that_returns_with_a_copy_replaces_no_process),
     cmocka_unit_test (test_unlisted_entries_are_kept_until_they_expire),
