--- a/tests/test_target.c
+++ b/tests/test_target.c
@@ -1,5 +1,7 @@
 #include "libmangofork/relay/target.h"
 
+#include "libmangofork/clock.h"
+
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stdio.h>
