What engines have held lately tells which version began a stream, too

An engine is asked for the last 500 changes of what it holds as well; the round is not repeated for 2 s, as it can only learn less.

Two cases of test_engines_know_what_lost_instances_began are new.

--- a/libmangofork/relay/dialect.h
+++ b/libmangofork/relay/dialect.h
@@ -49,6 +49,9 @@
   uint32_t tokens;
 } MfPrefillAnswer;
 
+/* Called with the hash of a part of prompts and the tokens that an engine holds of it. */
+typedef void (*MfHeldPartFunc) (void *data, uint64_t part, uint64_t tokens);
+
 /* The wire format of one deployment: header names and the requests that engines accept. */
 typedef struct
 {
@@ -60,9 +63,13 @@
   bool (*read_prefill) (const char *body, size_t body_bytes, MfPrefillAnswer *answer);
   const char *held_parts_path; /* GET of this path tells which parts of prompts an engine holds */
   /* Parses the answer to that, and calls func with the hash of each part and the tokens held of it.
-   * Returns false when it is malformed. */
-  bool (*read_held_parts) (const char *body, size_t body_bytes,
-                           void (*func) (void *data, uint64_t part, uint64_t tokens), void *data);
+   * n_changes is set to the number of changes of what it holds since its start. Returns false when
+   * it is malformed. */
+  bool (*read_held_parts) (const char *body, size_t body_bytes, MfHeldPartFunc func, void *data,
+                           uint64_t *n_changes);
+  const char *held_changes_path; /* the same, plus a number, for the changes after that one */
+  /* Calls func with each part that was added. */
+  bool (*read_held_changes) (const char *body, size_t body_bytes, MfHeldPartFunc func, void *data);
   const char *order_path; /* orders to an engine are sent here by POST */
   /* Writes the body of an order to change to the prefill or decode role. An engine that checks
    * fences rejects an order whose fence is lower than that of an earlier one. */
--- a/libmangofork/relay/held.c
+++ b/libmangofork/relay/held.c
@@ -14,7 +14,9 @@
 #define SET_PARTS 4
 /* The engines of a service are not asked again within this time: what they hold of earlier streams
  * becomes less only. */
-#define ROUND_INTERVAL_US (500 * MF_US_PER_MS)
+#define ROUND_INTERVAL_US (2 * MF_US_PER_S)
+/* Of the changes, the last ones are asked for: an engine sends no more than these at once. */
+#define CHANGES_MAX 500
 /* Engines asked in one round at most. */
 #define ENGINES_MAX 64
 /* An engine answers within a few round trips. */
@@ -39,7 +41,7 @@
   uint32_t n_open;
 } Round;
 
-/* A question to one engine. */
+/* A question to one engine: first what it holds, then what it has held lately. */
 typedef struct Question Question;
 struct Question
 {
@@ -48,6 +50,7 @@
   Round *round;
   MfTarget *target;
   MfLink *link;
+  bool asks_changes;
   uint32_t status;
   MfBuffer body;
 };
@@ -178,24 +181,55 @@
   held_note (question->held, held_key (part, target->service, target->version), tokens);
 }
 
+static bool question_send (Question *question, const char *path);
+
+/* Reads the answer. Returns the number of changes of what the engine holds; 0: there is no answer,
+ * or they have been read. */
+static uint64_t
+question_read (Question *question, bool *is_good)
+{
+  const MfDialect *dialect = question->held->targets->dialect;
+  const char *body = mf_buffer_data (&question->body);
+  size_t body_bytes = mf_buffer_bytes (&question->body);
+  uint64_t n_changes = 0;
+
+  *is_good = question->status == 200 && !question->body.failed;
+  if (*is_good && question->asks_changes)
+    *is_good = dialect->read_held_changes (body, body_bytes, on_held_part, question);
+  else if (*is_good)
+    *is_good = dialect->read_held_parts (body, body_bytes, on_held_part, question, &n_changes);
+  return *is_good ? n_changes : 0;
+}
+
+/* Asks for the last of the changes. Returns whether the answer is awaited. */
+static bool
+question_ask_changes (Question *question, uint64_t n_changes)
+{
+  char path[64];
+
+  question->asks_changes = true;
+  snprintf (path, sizeof path, "%s%llu", question->held->targets->dialect->held_changes_path,
+            (unsigned long long)(n_changes > CHANGES_MAX ? n_changes - CHANGES_MAX : 0));
+  return question_send (question, path);
+}
+
 static void
 on_end (void *data, MfLinkEnd end, const char *why)
 {
   Question *question = data;
   MfHeldParts *held = question->held;
   Round *round = question->round;
-  const MfDialect *dialect = held->targets->dialect;
-  bool is_good
-      = end == MF_LINK_COMPLETE && question->status == 200 && !question->body.failed
-        && dialect->read_held_parts (mf_buffer_data (&question->body),
-                                     mf_buffer_bytes (&question->body), on_held_part, question);
+  bool is_good = false;
+  uint64_t n_changes = end == MF_LINK_COMPLETE ? question_read (question, &is_good) : 0;
 
   if (held->targets->log != NULL)
     mf_relay_log_state (held->targets->log, "upstream.held_parts",
-                        "upstream=%s version=%s read=%s status=%u bytes=%zu why=\"%s\"",
+                        "upstream=%s version=%s changes=%s read=%s status=%u bytes=%zu why=\"%s\"",
                         question->target->info.id, question->target->info.version,
-                        is_good ? "yes" : "no", question->status, mf_buffer_bytes (&question->body),
-                        why);
+                        question->asks_changes ? "yes" : "no", is_good ? "yes" : "no",
+                        question->status, mf_buffer_bytes (&question->body), why);
+  if (n_changes > 0 && question_ask_changes (question, n_changes))
+    return;
   question_free (question);
   if (--round->n_open == 0)
     held->callbacks->answered (held->data, round->service);
@@ -207,13 +241,35 @@
   .end = on_end,
 };
 
+/* Sends the question. Returns false when memory runs out. */
+static bool
+question_send (Question *question, const char *path)
+{
+  const MfTarget *target = question->target;
+  const MfDialect *dialect = question->held->targets->dialect;
+  char head[320];
+
+  question->status = 0;
+  mf_buffer_clear (&question->body);
+  snprintf (head, sizeof head, "GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n\r\n", path,
+            target->info.address, mf_dialect_header_name (dialect, MF_HEADER_EXPECT_UPSTREAM),
+            target->info.id);
+  mf_target_note_send (question->target, mf_clock_now_us ());
+  question->link = mf_link_start (&question->target->pool, &(MfLinkRequest){
+                                                               .callbacks = &question_callbacks,
+                                                               .data = question,
+                                                               .head = head,
+                                                               .head_bytes = strlen (head),
+                                                               .timeout_us = ANSWER_TIMEOUT_US,
+                                                           });
+  return question->link != NULL;
+}
+
 /* Asks one engine. Returns whether its answer is awaited. */
 static bool
-engine_ask (MfHeldParts *held, Round *round, MfTarget *target, uint64_t now_us)
+engine_ask (MfHeldParts *held, Round *round, MfTarget *target)
 {
-  const MfDialect *dialect = held->targets->dialect;
   Question *question = calloc (1, sizeof *question);
-  char head[320];
 
   if (question == NULL)
     return false;
@@ -224,18 +280,7 @@
     .target = mf_target_ref (target),
   };
   held->questions = question;
-  snprintf (head, sizeof head, "GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n\r\n",
-            dialect->held_parts_path, target->info.address,
-            mf_dialect_header_name (dialect, MF_HEADER_EXPECT_UPSTREAM), target->info.id);
-  mf_target_note_send (target, now_us);
-  question->link = mf_link_start (&target->pool, &(MfLinkRequest){
-                                                     .callbacks = &question_callbacks,
-                                                     .data = question,
-                                                     .head = head,
-                                                     .head_bytes = strlen (head),
-                                                     .timeout_us = ANSWER_TIMEOUT_US,
-                                                 });
-  if (question->link != NULL)
+  if (question_send (question, held->targets->dialect->held_parts_path))
     return true;
   question_free (question);
   return false;
@@ -272,7 +317,7 @@
     {
       if (target->info.role == MF_ROLE_DECODE && mf_target_accepts (target, now_us)
           && !mf_target_is_limited (target) && strcmp (target->info.service, service) == 0)
-        round->n_open += engine_ask (held, round, target, now_us);
+        round->n_open += engine_ask (held, round, target);
     }
   return round->n_open > 0;
 }
--- a/tests/soak/soak_upstream.c
+++ b/tests/soak/soak_upstream.c
@@ -456,7 +456,7 @@
 {
   uint32_t n_held
       = upstream->n_held_parts < HELD_PARTS_MAX ? upstream->n_held_parts : HELD_PARTS_MAX;
-  char body[HELD_PARTS_MAX * (HELD_PART_BYTES + 16) + 64] = "{\"epoch\":1,\"next\":1,\"held\":[";
+  char body[HELD_PARTS_MAX * (HELD_PART_BYTES + 16) + 64] = "{\"epoch\":1,\"next\":0,\"held\":[";
   char text[sizeof body + 128];
   size_t at = strlen (body);
 
--- a/tests/test_job_origin.c
+++ b/tests/test_job_origin.c
@@ -37,15 +37,25 @@
 static const char *held_old;
 static const char *held_new;
 
-/* Answers a question for the parts that an engine holds. Returns whether it was one. */
+/* Rows of the changes of these parts. */
+static const char *changes_old;
+
+/* Answers a question for the parts that an engine holds, or for their changes. Returns whether it
+ * was one. */
 static bool
-answer_held (FakeUpstreamConn *conn, const char *text, const char *rows)
+answer_held (FakeUpstreamConn *conn, const char *text, const char *rows, const char *changes)
 {
+  bool asks_changes = strncmp (text, "GET /kv-events?since=", 21) == 0;
   char body[256];
 
-  if (strncmp (text, "GET /kv-list ", 13) != 0)
+  if (!asks_changes && strncmp (text, "GET /kv-list ", 13) != 0)
     return false;
-  snprintf (body, sizeof body, "{\"epoch\":1,\"next\":9,\"held\":[%s]}", rows != NULL ? rows : "");
+  if (asks_changes)
+    snprintf (body, sizeof body, "{\"epoch\":1,\"next\":9,\"lost\":false,\"events\":[%s]}",
+              changes != NULL ? changes : "");
+  else
+    snprintf (body, sizeof body, "{\"epoch\":1,\"next\":9,\"held\":[%s]}",
+              rows != NULL ? rows : "");
   relay_fixture_answer (conn, "", "200 OK", "", body);
   return true;
 }
@@ -73,14 +83,14 @@
 static void
 answer_old (FakeUpstreamConn *conn, const char *text, const char *id)
 {
-  if (!answer_held (conn, text, held_old))
+  if (!answer_held (conn, text, held_old, changes_old))
     answer_version (conn, text, id, 'o');
 }
 
 static void
 answer_new (FakeUpstreamConn *conn, const char *text, const char *id)
 {
-  if (!answer_held (conn, text, held_new))
+  if (!answer_held (conn, text, held_new, NULL))
     answer_version (conn, text, id, 'n');
 }
 
@@ -229,6 +239,7 @@
 {
   held_old = NULL;
   held_new = NULL;
+  changes_old = NULL;
   relay_fleet_setup (fleet, LISTEN_PORT, PEER_PORT);
   add_engine (fleet, OLD, "v1", begin_and_break);
   assert_true (has_event_of (call (fleet, 0, id, NULL), 'o'));
@@ -266,6 +277,7 @@
   const char *held_old;
   const char *held_new;
   bool goes_on;
+  const char *changes_old;
 } AfterLoss;
 
 /* Nobody knows of the stream, but the engine that began it holds its prompt. */
@@ -273,11 +285,14 @@
 test_engines_know_what_lost_instances_began (void **state)
 {
   static const AfterLoss cases[] = {
-    { "[\"\",\"a1\",20,\"m\"],[\"\",\"0b2\",144,\"m\"]", "[\"\",\"a1\",20,\"m\"]", true },
-    { "[\"\",\"0b2\",79,\"m\"]", "[\"\",\"0b2\",40,\"m\"]", true },
-    { "[\"\",\"a1\",20,\"m\"]", "[\"\",\"a1\",20,\"m\"]", false },
-    { "[\"\",\"0b2\",144,\"m\"]", "[\"\",\"0b2\",144,\"m\"]", false },
-    { "[\"\",\"0b2\",40,\"m\"]", "[7,[\"\",\"0b2\"],\"0b2\"]", false },
+    { "[\"\",\"a1\",20,\"m\"],[\"\",\"0b2\",144,\"m\"]", "[\"\",\"a1\",20,\"m\"]", true, NULL },
+    { "[\"\",\"0b2\",79,\"m\"]", "[\"\",\"0b2\",40,\"m\"]", true, NULL },
+    { "[\"\",\"a1\",20,\"m\"]", "[\"\",\"a1\",20,\"m\"]", false, NULL },
+    { "[\"\",\"0b2\",144,\"m\"]", "[\"\",\"0b2\",144,\"m\"]", false, NULL },
+    { "[\"\",\"0b2\",40,\"m\"]", "[7,[\"\",\"0b2\"],\"0b2\"]", false, NULL },
+    /* It has been evicted since. */
+    { NULL, NULL, true, "[7,\"+\",\"\",\"0b2\",80,\"m\"],[8,\"-\",\"\",\"0b2\",0,\"m\"]" },
+    { NULL, NULL, false, "[7,\"-\",\"\",\"0b2\",80,\"m\"],[8],7,[9,1,\"\",\"0b2\",80,\"m\"]" },
   };
 
   (void)state;
@@ -290,6 +305,7 @@
       restart_all (&fleet);
       held_old = cases[i].held_old;
       held_new = cases[i].held_new;
+      changes_old = cases[i].changes_old;
       for (uint32_t j = 0; j < RELAY_FLEET_N_INSTANCES; j++)
         {
           list_engine (&fleet, j, NEW, "v2");
