--- a/tests/test_platform_decode.c
+++ b/tests/test_platform_decode.c
@@ -109,7 +109,7 @@
     "\"slots\":1,\"born\":-1",
     "\"slots\":1,\"sequence\":1e19",
   };
-  static char deep[200000];
+  static char deep[200000] = "{\"service\":";
   char text[512];
   MfTargetInfo info;
 
@@ -130,8 +130,7 @@
                 numbers[i]);
       assert_false (entry_decode (text, &info));
     }
-  memset (deep, '[', sizeof deep - 1);
-  memcpy (deep, "{\"service\":", 11);
+  memset (deep + strlen (deep), '[', sizeof deep - 1 - strlen (deep));
   assert_false (entry_decode (deep, &info));
 }
 
