--- a/tests/test_job_origin.c
+++ b/tests/test_job_origin.c
@@ -394,7 +394,8 @@
   begin_old_stream (&fleet, "a1");
   remove_engine (&fleet, OTHER_OLD);
   assert_true (has_event_of (call (&fleet, 0, "a1", NULL), 'n'));
-  add_engine (&fleet, OTHER_OLD, "v1", answer_old);
+  for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
+    list_engine (&fleet, i, OTHER_OLD, "v1");
   for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
     assert_memory_equal (call (&fleet, i, "a2", "a1"), "HTTP/1.1 503", 12);
   relay_fleet_teardown (&fleet);
