One instance asks the engines for all, and does so soon after the start

The instance of highest rank for a key of the service, which is not the leader's, asks the engines 0.4 s after its start, as long as there is no new traffic, and again on demand for itself and the others, which ask it.

--- a/libmangofork/relay/held.c
+++ b/libmangofork/relay/held.c
@@ -19,8 +19,8 @@
 #define CHANGES_MAX 500
 /* Engines asked in one round at most. */
 #define ENGINES_MAX 64
-/* An engine answers within a few round trips. */
-#define ANSWER_TIMEOUT_US (200 * MF_US_PER_MS)
+/* An engine answers within a few round trips, but the answers of all come at once. */
+#define ANSWER_TIMEOUT_US (400 * MF_US_PER_MS)
 /* Bytes of one answer at most; a row has less than 50. */
 #define ANSWER_BYTES_MAX (256 * 1024)
 /* An engine holds whole blocks of tokens only, and less of a part when it has begun to evict it. */
@@ -37,7 +37,8 @@
 typedef struct
 {
   char service[MF_NAME_BYTES];
-  uint64_t started_us;
+  uint64_t started_us; /* of the last one that asked for changes; 0: none has */
+  bool with_changes;
   uint32_t n_open;
 } Round;
 
@@ -228,7 +229,7 @@
                         question->target->info.id, question->target->info.version,
                         question->asks_changes ? "yes" : "no", is_good ? "yes" : "no",
                         question->status, mf_buffer_bytes (&question->body), why);
-  if (n_changes > 0 && question_ask_changes (question, n_changes))
+  if (round->with_changes && n_changes > 0 && question_ask_changes (question, n_changes))
     return;
   question_free (question);
   if (--round->n_open == 0)
@@ -300,10 +301,11 @@
   return &held->rounds[held->n_rounds++];
 }
 
-/* Asks the decode engines of a service what they hold, unless that has been done lately. Engines
- * that take no requests now are left out. Returns whether answers are awaited. */
+/* Asks the decode engines of a service what they hold, with_changes also what they have held
+ * lately, unless that has been done a moment ago. Engines that take no requests now are left out.
+ * Returns whether answers are awaited. */
 bool
-mf_held_parts_ask (MfHeldParts *held, const char *service)
+mf_held_parts_ask (MfHeldParts *held, const char *service, bool with_changes)
 {
   Round *round = round_get (held, service);
   uint64_t now_us = mf_clock_now_us ();
@@ -311,7 +313,8 @@
   if (round == NULL || round->n_open > 0
       || (round->started_us > 0 && now_us - round->started_us < ROUND_INTERVAL_US))
     return round != NULL && round->n_open > 0;
-  round->started_us = now_us;
+  round->with_changes = with_changes;
+  round->started_us = with_changes ? now_us : round->started_us;
   for (MfTarget *target = held->targets->first; target != NULL && round->n_open < ENGINES_MAX;
        target = target->next)
     {
--- a/libmangofork/relay/job.h
+++ b/libmangofork/relay/job.h
@@ -45,6 +45,19 @@
 /* A stage change order that is in flight to an engine. */
 typedef struct MfStageOrder MfStageOrder;
 
+/* Questions of other instances that await the engines' answers, at most. */
+#define MF_JOBS_ENGINE_ASKS_MAX 256
+
+/* Another instance's question which engines hold a part of prompts. */
+typedef struct
+{
+  uint64_t peer;
+  uint64_t id;
+  char service[MF_NAME_BYTES];
+  uint64_t part;
+  uint64_t tokens;
+} MfEngineAsk;
+
 /* State shared by all requests of one instance. */
 typedef struct
 {
@@ -56,6 +69,8 @@
   MfSuspects *suspects; /* requests that may crash the upstreams that run them */
   MfOrigins *origins;   /* which versions began the latest streams */
   MfHeldParts *held_parts;
+  MfEngineAsk engine_asks[MF_JOBS_ENGINE_ASKS_MAX]; /* of other instances */
+  uint32_t n_engine_asks;
   /* All changes of discovery made before this time are known, on a clock that counts time spent
    * suspended; what is older than the age says nothing about the versions that are in use. */
   uint64_t upstreams_as_of_us;
@@ -116,6 +131,7 @@
 void mf_jobs_expire_failures (MfJobs *jobs, uint64_t now_us);
 void mf_jobs_charge_rate (MfJobs *jobs, MfTarget *target);
 uint32_t mf_jobs_random (MfJobs *jobs);
+void mf_jobs_ask_engines (MfJobs *jobs);
 void mf_jobs_load_changed (MfJobs *jobs);
 void mf_jobs_schedule_dispatch (MfJobs *jobs);
 
--- a/libmangofork/relay/job_origin.c
+++ b/libmangofork/relay/job_origin.c
@@ -14,8 +14,10 @@
 /* The others reply within a few round trips between data centres and loop iterations of a small
  * instance. */
 #define REPLY_TIMEOUT_US (100 * MF_US_PER_MS)
-/* The same for engines, which are asked when no instance knows. */
-#define ENGINES_TIMEOUT_US (250 * MF_US_PER_MS)
+/* The same for engines, which are asked twice in turn when no instance knows, and for the instance
+ * that asks them. */
+#define ENGINES_TIMEOUT_US (850 * MF_US_PER_MS)
+#define ENGINES_REPLY_TIMEOUT_US (950 * MF_US_PER_MS)
 /* A stream begins this much before its caller's deadline tells, at most: for the network and for
  * rounding. */
 #define AGE_MARGIN_US (500 * MF_US_PER_MS)
@@ -148,14 +150,88 @@
   job_log_origin (job, known_by);
 }
 
+/* Lets a request wait for replies that tell its version. */
+static void
+job_wait (MfJob *job, uint64_t timeout_us)
+{
+  uint64_t now_us = mf_clock_now_us ();
+
+  job->phase = MF_JOB_WAITING;
+  if (job->waiting_since_us == 0)
+    job->waiting_since_us = now_us;
+  job->step_deadline_us = now_us + timeout_us;
+  mf_job_set_timer (job);
+}
+
+static MfOriginMessage
+origin_ask_make (MfJob *job, bool asks_engines)
+{
+  MfOriginMessage ask = {
+    .id = ++job->jobs->last_peer_request_id,
+    .stream = job->stream,
+    .begun_us = stream_begun_us (job),
+    .part = job->parts.own_hash,
+    .tokens = job->parts.own_tokens,
+    .asks_engines = asks_engines,
+  };
+
+  mf_name_set (ask.service, sizeof ask.service, job->service->name);
+  return ask;
+}
+
+/* Returns the instance that asks the engines of a service for all: that of highest rank for a key
+ * which differs from the leader's, as the leader is busy. */
+static uint64_t
+jobs_engine_asker (const MfJobs *jobs, const char *service)
+{
+  return jobs->peers == NULL
+             ? MF_DISPATCH_SELF
+             : mf_peers_allocator (jobs->peers, ~mf_load_hash (service), mf_clock_now_us ());
+}
+
+/* Asks what the engines hold, where this instance does so for all. To be called some time after the
+ * start, when the others are connected: if all instances were lost, the engines hold the prompts of
+ * broken streams until there is new traffic. */
+void
+mf_jobs_ask_engines (MfJobs *jobs)
+{
+  for (uint32_t i = 0; jobs->routes != NULL && i < jobs->routes->n_services; i++)
+    {
+      const MfRouteService *service = &jobs->routes->services[i];
+
+      if (service->is_engine && jobs_engine_asker (jobs, service->name) == MF_DISPATCH_SELF)
+        mf_held_parts_ask (jobs->held_parts, service->name, false);
+    }
+}
+
+/* Has one instance ask the engines. Returns false when it is this one or cannot be reached. */
+static bool
+job_ask_for_engines (MfJob *job)
+{
+  MfJobs *jobs = job->jobs;
+  uint64_t asker = jobs_engine_asker (jobs, job->service->name);
+
+  if (asker == MF_DISPATCH_SELF)
+    return false;
+  jobs->message.kind = MF_RELAY_MESSAGE_ORIGIN_ASK;
+  jobs->message.origin = origin_ask_make (job, true);
+  job->origin_ask_id = jobs->message.origin.id;
+  job->n_origin_replies_due = 1;
+  if (mf_peers_send (jobs->peers, asker, &jobs->message))
+    return true;
+  job->origin_ask_id = 0;
+  return false;
+}
+
 /* Looks for the version at the engines: the one that began the stream still holds its prompt,
  * unless it has evicted or lost it. Returns whether the request may go on now; else it waits for
  * the engines, or has been refused and freed. */
 static bool
-job_find_at_engines (MfJob *job, bool may_ask)
+job_find_at_engines (MfJob *job)
 {
   MfJobs *jobs = job->jobs;
   uint64_t version = 0;
+  bool may_ask = job->is_engine && job->parts.own_hash != 0;
 
   switch (mf_held_parts_find (jobs->held_parts, job->service->name, job->parts.own_hash,
                               job->parts.own_tokens, &version))
@@ -169,18 +245,26 @@
     default:
       break;
     }
-  if (!may_ask || !job->is_engine || job->parts.own_hash == 0
-      || !mf_held_parts_ask (jobs->held_parts, job->service->name))
+  if (may_ask && job->n_engine_asks == 0)
     {
-      job_refuse_unknown (job, "the version that began the stream is not known");
-      return false;
+      job->n_engine_asks = 1;
+      if (job_ask_for_engines (job))
+        {
+          job_wait (job, ENGINES_REPLY_TIMEOUT_US);
+          return false;
+        }
     }
-  job->awaits_engines = true;
-  job->phase = MF_JOB_WAITING;
-  if (job->waiting_since_us == 0)
-    job->waiting_since_us = mf_clock_now_us ();
-  job->step_deadline_us = mf_clock_now_us () + ENGINES_TIMEOUT_US;
-  mf_job_set_timer (job);
+  if (may_ask && job->n_engine_asks == 1)
+    {
+      job->n_engine_asks = 2;
+      job->awaits_engines = mf_held_parts_ask (jobs->held_parts, job->service->name, true);
+      if (job->awaits_engines)
+        {
+          job_wait (job, ENGINES_TIMEOUT_US);
+          return false;
+        }
+    }
+  job_refuse_unknown (job, "the version that began the stream is not known");
   return false;
 }
 
@@ -200,16 +284,66 @@
 job_engines_answered (MfJob *job)
 {
   job->awaits_engines = false;
-  if (job_find_at_engines (job, false))
+  if (job_find_at_engines (job))
     mf_job_advance (job);
 }
 
+/* Replies to another instance what is known of the engines that hold a part. */
+static void
+engine_ask_reply (MfJobs *jobs, const MfEngineAsk *ask)
+{
+  MfOriginMessage reply = { .id = ask->id };
+  uint64_t version = 0;
+
+  if (mf_held_parts_find (jobs->held_parts, ask->service, ask->part, ask->tokens, &version)
+      == MF_HELD_AT_ONE_VERSION)
+    reply.version = version;
+  jobs->message.kind = MF_RELAY_MESSAGE_ORIGIN_REPLY;
+  jobs->message.origin = reply;
+  mf_peers_send (jobs->peers, ask->peer, &jobs->message);
+}
+
+/* Asks the engines for another instance, unless their answers are known. */
+static void
+engine_ask_handle (MfJobs *jobs, uint64_t peer, const MfOriginMessage *origin)
+{
+  MfEngineAsk ask
+      = { .peer = peer, .id = origin->id, .part = origin->part, .tokens = origin->tokens };
+  uint64_t version = 0;
+
+  mf_name_set (ask.service, sizeof ask.service, origin->service);
+  if (mf_held_parts_find (jobs->held_parts, ask.service, ask.part, ask.tokens, &version)
+          == MF_HELD_NOWHERE
+      && jobs->n_engine_asks < MF_JOBS_ENGINE_ASKS_MAX
+      && mf_held_parts_ask (jobs->held_parts, ask.service, true))
+    jobs->engine_asks[jobs->n_engine_asks++] = ask;
+  else
+    engine_ask_reply (jobs, &ask);
+}
+
+/* Replies to the instances that have asked for the engines of a service. */
+static void
+engine_asks_reply (MfJobs *jobs, const char *service)
+{
+  uint32_t n_kept = 0;
+
+  for (uint32_t i = 0; i < jobs->n_engine_asks; i++)
+    {
+      if (strcmp (jobs->engine_asks[i].service, service) == 0)
+        engine_ask_reply (jobs, &jobs->engine_asks[i]);
+      else
+        jobs->engine_asks[n_kept++] = jobs->engine_asks[i];
+    }
+  jobs->n_engine_asks = n_kept;
+}
+
 static void
 on_engines_answered (void *data, const char *service)
 {
   MfJobs *jobs = data;
   MfJob *job;
 
+  engine_asks_reply (jobs, service);
   while ((job = job_awaiting_engines (jobs, service)) != NULL)
     job_engines_answered (job);
 }
@@ -226,15 +360,9 @@
 
   if (jobs->peers == NULL || job->stream == 0)
     return false;
-  job->origin_ask_id = ++jobs->last_peer_request_id;
   jobs->message.kind = MF_RELAY_MESSAGE_ORIGIN_ASK;
-  jobs->message.origin = (MfOriginMessage){
-    .id = job->origin_ask_id,
-    .stream = job->stream,
-    .begun_us = stream_begun_us (job),
-  };
-  mf_name_set (jobs->message.origin.service, sizeof jobs->message.origin.service,
-               job->service->name);
+  jobs->message.origin = origin_ask_make (job, false);
+  job->origin_ask_id = jobs->message.origin.id;
   job->n_origin_replies_due
       = mf_peers_send_ranked (jobs->peers, job->stream, ASKED, &jobs->message);
   if (job->n_origin_replies_due == 0)
@@ -242,10 +370,7 @@
       job->origin_ask_id = 0;
       return false;
     }
-  job->phase = MF_JOB_WAITING;
-  job->waiting_since_us = mf_clock_now_us ();
-  job->step_deadline_us = job->waiting_since_us + REPLY_TIMEOUT_US;
-  mf_job_set_timer (job);
+  job_wait (job, REPLY_TIMEOUT_US);
   return true;
 }
 
@@ -281,7 +406,7 @@
       job_bind (job, version, "sole");
       return true;
     }
-  return !job_ask_origin (job) && job_find_at_engines (job, true);
+  return !job_ask_origin (job) && job_find_at_engines (job);
 }
 
 /* All replies have come, or the time for them is over. */
@@ -296,7 +421,7 @@
   job->origin_ask_id = 0;
   if (job->inferred_version != 0)
     job_bind (job, job->inferred_version, "peer-sole");
-  else if (!job_find_at_engines (job, true))
+  else if (!job_find_at_engines (job))
     return;
   mf_job_advance (job);
 }
@@ -357,14 +482,18 @@
     job->n_origin_replies_due--;
   if (reply->version != 0 && !reply->is_inferred)
     {
-      job_bind (job, reply->version, "peer");
+      job_bind (job, reply->version, job->n_engine_asks > 0 ? "engines" : "peer");
       mf_job_advance (job);
       return;
     }
   if (reply->version != 0 && job_service_is_certain (job))
     job->inferred_version = reply->version;
-  if (job->n_origin_replies_due == 0)
-    mf_job_origin_expired (job);
+  if (job->n_origin_replies_due > 0)
+    return;
+  /* The engines have been asked, and need not be again. */
+  if (job->n_engine_asks == 1)
+    job->n_engine_asks = 2;
+  mf_job_origin_expired (job);
 }
 
 /* Handles a message of another instance about the version that began a stream. */
@@ -380,7 +509,10 @@
         mf_origins_note (jobs->origins, origin.stream, origin.version);
       return;
     case MF_RELAY_MESSAGE_ORIGIN_ASK:
-      origin_ask_handle (jobs, peer, &origin);
+      if (origin.asks_engines)
+        engine_ask_handle (jobs, peer, &origin);
+      else
+        origin_ask_handle (jobs, peer, &origin);
       return;
     default:
       origin_reply_handle (jobs, &origin);
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -21,6 +21,8 @@
 /* Interval of periodic work: expired upstreams, drain, changed settings. */
 #define TICK_S 0.1
 #define SETTINGS_CHECK_INTERVAL_US (1 * MF_US_PER_S)
+/* Instances that have started at the same time are connected to each other by then. */
+#define ASK_ENGINES_AFTER_US (400 * MF_US_PER_MS)
 /* File descriptors that are not available to callers: files, listeners, upstreams. */
 #define DESCRIPTORS_RESERVED 700
 /* Memory of one caller: its buffers and its request. */
@@ -67,6 +69,7 @@
   ev_timer tick;
   bool is_ready;
   bool source_is_up;
+  uint64_t ask_engines_us;   /* when the engines are asked what they hold; 0: they have been */
   bool has_listed;           /* the first list of upstreams is complete */
   uint64_t source_seen_us;   /* last answer of the source */
   uint64_t others_read_us;   /* another instance last got an answer of the source */
@@ -269,6 +272,8 @@
   relay->jobs.targets.is_restoring = false;
   /* What was in use between two lists is not known. */
   relay->jobs.targets.versions.complete_since_us = mf_clock_now_us ();
+  if (!relay->has_listed)
+    relay->ask_engines_us = mf_clock_now_us () + ASK_ENGINES_AFTER_US;
   relay->has_listed = true;
   ready_update (relay);
 }
@@ -539,6 +544,11 @@
       if (n_expired > 0)
         mf_relay_log_state (relay->log, "upstream.expired", "upstreams=%u", n_expired);
     }
+  if (relay->ask_engines_us > 0 && now_us >= relay->ask_engines_us)
+    {
+      relay->ask_engines_us = 0;
+      mf_jobs_ask_engines (&relay->jobs);
+    }
   mf_jobs_expire_failures (&relay->jobs, now_us);
   settings_watch (relay, now_us);
   /* Reports of a peer that has become silent expire. */
--- a/libmangofork/relay/relay_message.c
+++ b/libmangofork/relay/relay_message.c
@@ -26,7 +26,7 @@
 #define RATE_GRANT_MEMBERS 6
 #define LIMITS_MEMBERS 2
 #define ORIGIN_MEMBERS 3
-#define ORIGIN_ASK_MEMBERS 5
+#define ORIGIN_ASK_MEMBERS 8
 #define ORIGIN_REPLY_MEMBERS 4
 #define LIMIT_ENTRY_MEMBERS (1 + LIMIT_MEMBERS)
 /* Units of one ask; more make no sense within the bounds of a bucket. */
@@ -294,6 +294,9 @@
   msgpack_pack_uint64 (packer, message->origin.stream);
   pack_text (packer, message->origin.service);
   pack_age (packer, message->origin.begun_us);
+  msgpack_pack_uint64 (packer, message->origin.part);
+  msgpack_pack_uint64 (packer, message->origin.tokens);
+  msgpack_pack_uint32 (packer, message->origin.asks_engines);
 }
 
 static void
@@ -674,7 +677,10 @@
   return read_number (&members[1], UINT64_MAX, &message->origin.id)
          && read_number (&members[2], UINT64_MAX, &message->origin.stream)
          && read_text (&members[3], message->origin.service, sizeof message->origin.service)
-         && read_age (&members[4], &message->origin.begun_us);
+         && read_age (&members[4], &message->origin.begun_us)
+         && read_number (&members[5], UINT64_MAX, &message->origin.part)
+         && read_number (&members[6], UINT32_MAX, &message->origin.tokens)
+         && read_flag (&members[7], &message->origin.asks_engines);
 }
 
 static bool
--- a/libmangofork/relay/relay_message.h
+++ b/libmangofork/relay/relay_message.h
@@ -108,7 +108,12 @@
   uint64_t stream;             /* ORIGIN, ORIGIN_ASK: hash that identifies it */
   char service[MF_NAME_BYTES]; /* ORIGIN_ASK */
   uint64_t begun_us;           /* ORIGIN_ASK: it has not begun before; sent as its age */
-  uint64_t version;            /* ORIGIN, ORIGIN_REPLY: hash; 0: not known */
+  /* ORIGIN_ASK: its own part of the prompt, a hash, and the part's tokens. With asks_engines, the
+   * receiver is to ask the engines which of them hold it. */
+  uint64_t part;
+  uint64_t tokens;
+  bool asks_engines;
+  uint64_t version; /* ORIGIN, ORIGIN_REPLY: hash; 0: not known */
   bool is_inferred; /* ORIGIN_REPLY: no other version was in use then, as far as the sender knows */
 } MfOriginMessage;
 
