--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -239,7 +239,8 @@
   job->jobs->counters.counts[MF_RELAY_COUNT_NO_VERSION] += code == MF_CODE_NO_VERSION;
   job->jobs->counters.counts[MF_RELAY_COUNT_REFUSED]++;
   job_record_end (job, code, 503, why);
-  job_reply_error (job, 503, code, true);
+  /* A stream that cannot go on now cannot later: its caller begins anew. */
+  job_reply_error (job, 503, code, code != MF_CODE_NO_VERSION);
   job_free (job);
 }
 
--- a/libmangofork/relay/refuse.c
+++ b/libmangofork/relay/refuse.c
@@ -15,10 +15,6 @@
  * available. */
 #define OBJECTIVE_DIVISOR 4
 
-/* The stream's version may be back when an upstream has restarted or another instance, which knows
- * it, can be reached again. */
-#define NO_VERSION_RETRY_US (2 * MF_US_PER_S)
-
 static uint64_t
 base_delay_us (const MfRefusal *refusal)
 {
@@ -30,8 +26,6 @@
       return 0; /* another instance can take it at once */
     case MF_CODE_NO_UPSTREAM:
       return NO_UPSTREAM_RETRY_US;
-    case MF_CODE_NO_VERSION:
-      return NO_VERSION_RETRY_US;
     default:
       return refusal->available_us > 0 ? refusal->available_us
                                        : refusal->objective_us / OBJECTIVE_DIVISOR;
--- a/tests/test_job_origin.c
+++ b/tests/test_job_origin.c
@@ -329,8 +329,9 @@
   (void)state;
   begin_old_stream (&fleet, "a1");
   remove_engine (&fleet, OTHER_OLD);
-  /* An unknown name, a forged one and none. */
+  /* An unknown name, a forged one and none. No later request would do better. */
   assert_memory_equal (call (&fleet, 1, "a2", "a9"), "HTTP/1.1 503", 12);
+  assert_null (strstr (call (&fleet, 1, "a2", "a9"), "Retry-After"));
   assert_memory_equal (call (&fleet, 1, "a2", ""), "HTTP/1.1 503", 12);
   /* The old version left long ago. */
   jobs->targets.versions.uses[0].last_us -= 60 * MF_US_PER_S;
