The tokens of a prompt's own part fit into messages between instances

A caller could name more tokens than the message to other instances holds, which then closed its sender's connection as faulty. They are bounded when they are read. test_last_part_is_the_requests_own shows it.

--- a/libmangofork/part.c
+++ b/libmangofork/part.c
@@ -53,6 +53,8 @@
   if (text_bytes < sizeof tokens)
     memcpy (tokens, own_colon + 1, text_bytes);
   parts->own_tokens = strtoull (tokens, NULL, 10);
+  if (parts->own_tokens > MF_PART_TOKENS_MAX)
+    parts->own_tokens = MF_PART_TOKENS_MAX;
 }
 
 /* Writes the hashes for a log line, as far as they fit, and returns the text. */
--- a/libmangofork/part.h
+++ b/libmangofork/part.h
@@ -5,6 +5,8 @@
 
 /* Parts of a prompt kept at most; the longest known prompts have fewer than ten. */
 #define MF_PARTS_MAX 32
+/* Tokens of a part at most; messages between instances hold no more. */
+#define MF_PART_TOKENS_MAX UINT32_MAX
 /* Bytes of a formatted list, including the terminating NUL; it shows the first eight parts. */
 #define MF_PARTS_TEXT_BYTES (8 * 17 + 1)
 
--- a/libmangofork/relay/relay_message.c
+++ b/libmangofork/relay/relay_message.c
@@ -2,6 +2,7 @@
 
 #include "libmangofork/clock.h"
 #include "libmangofork/frame_table.h"
+#include "libmangofork/part.h"
 
 #include <msgpack.h>
 #include <string.h>
@@ -679,7 +680,7 @@
          && read_text (&members[3], message->origin.service, sizeof message->origin.service)
          && read_age (&members[4], &message->origin.begun_us)
          && read_number (&members[5], UINT64_MAX, &message->origin.part)
-         && read_number (&members[6], UINT32_MAX, &message->origin.tokens)
+         && read_number (&members[6], MF_PART_TOKENS_MAX, &message->origin.tokens)
          && read_flag (&members[7], &message->origin.asks_engines);
 }
 
--- a/tests/test_part.c
+++ b/tests/test_part.c
@@ -35,6 +35,7 @@
   assert_int_equal (parts.own_tokens, 250);
   assert_true (read_parts ("5c1e07a2:800").own_hash == parts.hashes[0]);
   assert_int_equal (read_parts ("").own_hash, 0);
+  assert_int_equal (read_parts ("ff:99999999999999").own_tokens, MF_PART_TOKENS_MAX);
 }
 
 static void
