One rule for which upstreams serve the version of a stream

Cause: place.c and job_place.c each held the rule, with the same logic: the version matches and no other process may have taken the upstream's place.

Change: mf_target_serves_version holds it and both call it; the second half is now private to target.c. Behaviour is unchanged and no test was touched.

--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -109,14 +109,6 @@
   mf_job_release_kv (job);
 }
 
-/* Whether the request may go to an upstream: a stream goes on only at the version that began it. */
-static bool
-job_fits_version (const MfJob *job, const MfTarget *target, uint64_t now_us)
-{
-  return job->version == 0
-         || (target->version == job->version && !mf_target_may_be_another (target, now_us));
-}
-
 /* Returns the engine with a slot reserved for this request, if it is still usable; otherwise gives
  * the slot back. */
 static MfTarget *
@@ -124,7 +116,8 @@
 {
   MfTarget *reserved = job->reserved_target;
 
-  if (reserved != NULL && reserved->listed && job_fits_version (job, reserved, now_us)
+  if (reserved != NULL && reserved->listed
+      && mf_target_serves_version (reserved, job->version, now_us)
       && mf_target_accepts (reserved, now_us)
       && ((job->rate_granted && job->rate_target == reserved)
           || mf_target_rate_ready (reserved, mf_job_rate_wait_max_us (job, now_us), now_us))
@@ -150,8 +143,9 @@
     return prefill;
   prefill = mf_targets_by_hash (targets, job->granted_prefill);
   if (prefill != NULL && prefill->info.role == MF_ROLE_PREFILL
-      && job_fits_version (job, prefill, now_us) && mf_target_accepts (prefill, now_us)
-      && mf_target_rate_ready (prefill, 0, now_us) && prefill->suspect_until_us <= now_us
+      && mf_target_serves_version (prefill, job->version, now_us)
+      && mf_target_accepts (prefill, now_us) && mf_target_rate_ready (prefill, 0, now_us)
+      && prefill->suspect_until_us <= now_us
       && !mf_place_avoids (job->avoid, job->n_avoid, prefill))
     return prefill;
   prefill = mf_place_choose (targets, &query, now_us, &any_available);
--- a/libmangofork/relay/place.c
+++ b/libmangofork/relay/place.c
@@ -46,20 +46,12 @@
   return false;
 }
 
-/* Whether an upstream is of the version that the request is bound to, if it is. */
-static bool
-is_of_version (const MfTarget *target, const MfPlaceQuery *query, uint64_t now_us)
-{
-  return query->version == 0
-         || (target->version == query->version && !mf_target_may_be_another (target, now_us));
-}
-
 /* Whether an upstream is of the kind that the request needs and is not leaving. */
 static bool
 is_eligible (const MfTarget *target, const MfPlaceQuery *query, uint64_t now_us)
 {
   return !mf_target_is_leaving (target) && target->info.role == query->role
-         && is_of_version (target, query, now_us)
+         && mf_target_serves_version (target, query->version, now_us)
          && strcmp (target->info.service, query->service) == 0;
 }
 
--- a/libmangofork/relay/target.c
+++ b/libmangofork/relay/target.c
@@ -745,12 +745,19 @@
 
 /* Whether another process, with its id and perhaps of another version, may have taken its place:
  * discovery lists that one some time after its start. */
-bool
-mf_target_may_be_another (const MfTarget *target, uint64_t now_us)
+static bool
+may_be_another (const MfTarget *target, uint64_t now_us)
 {
   return target->ended_us > 0 && now_us < target->ended_us + SUCCESSOR_LISTED_US;
 }
 
+/* Whether it serves the version that a stream needs, 0 if any will do. */
+bool
+mf_target_serves_version (const MfTarget *target, uint64_t version, uint64_t now_us)
+{
+  return version == 0 || (target->version == version && !may_be_another (target, now_us));
+}
+
 /* Whether requests should avoid it: this instance avoids it, another instance found a different
  * process at its address, or SUSPECT_QUORUM others cannot reach it and fewer get answers. */
 bool
--- a/libmangofork/relay/target.h
+++ b/libmangofork/relay/target.h
@@ -191,7 +191,7 @@
 bool mf_target_rate_ready (const MfTarget *target, uint64_t max_wait_us, uint64_t now_us);
 uint64_t mf_target_available_us (const MfTarget *target);
 void mf_target_note_limit (MfTarget *target, const MfRateNotice *limit, bool by_answer);
-bool mf_target_may_be_another (const MfTarget *target, uint64_t now_us);
+bool mf_target_serves_version (const MfTarget *target, uint64_t version, uint64_t now_us);
 bool mf_target_is_suspect (const MfTarget *target, uint64_t now_us);
 void mf_target_record_alive (MfTarget *target, uint64_t now_us);
 void mf_target_record_answer (MfTarget *target, uint64_t answer_us, uint64_t now_us);
