Stand-ins of two test programs do not take each other's ports

Cause: a stand-in for an upstream that crashes closes its port and listens again 0.1 s later. Its port came from a range in which the programs of one run begin 16 ports apart, while a program uses hundreds, so another one could take the port meanwhile; fake_upstream_start then aborted without a word. The fleets of the process tests chose from the same range.

Change: a process claims a block of ports by listening on the block's first one until it ends. A port belongs to its upstream until that is freed, and an upstream that cannot listen says why. Fleets have blocks of their own.

--- a/tests/fakes/upstream.c
+++ b/tests/fakes/upstream.c
@@ -1,5 +1,7 @@
 #include "upstream.h"
 
+#include "ports.h"
+
 #include "libmangofork/socket.h"
 
 #include <errno.h>
@@ -10,10 +12,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-/* Ports below those of outgoing connections. */
-#define FIRST_PORT 28000
-#define N_PORTS 4700
-#define PORTS_PER_PROCESS 16
+/* Maximum number of upstreams of a process at a time. */
+#define N_PORTS 93
 
 /* Number of sends of a flood in one iteration of the event loop. */
 #define FLOOD_PIECES_PER_WRITE 16
@@ -31,6 +31,11 @@
   char bytes[FAKE_UPSTREAM_REQUEST_BYTES_MAX];
 };
 
+static const FakePortRange port_range
+    = { .first_port = 28000, .n_blocks = 50, .block_ports = N_PORTS };
+/* Ports of the process's block that belong to an upstream, also while it is stopped. */
+static bool port_taken[N_PORTS];
+
 struct FakeUpstream
 {
   struct ev_loop *loop;
@@ -39,6 +44,7 @@
   void *data;
   int fd;
   ev_io accept_watcher;
+  uint32_t port_index;
   char address[MF_ADDRESS_BYTES];
   FakeUpstreamConn *conns;
   FakeUpstreamConn *last_conn;
@@ -207,21 +213,28 @@
   return true;
 }
 
-/* Listens at a free port that the system gives to no outgoing connection: otherwise one could take
- * it while the upstream is stopped. */
+/* Listens at a port that neither an outgoing connection nor another process can take while the
+ * upstream is stopped. */
 static void
 upstream_listen_anywhere (FakeUpstream *upstream)
 {
+  static uint16_t first_port;
   static uint32_t n_tried;
 
-  for (uint32_t i = 0; i < N_PORTS; i++)
+  if (first_port == 0)
+    first_port = fake_ports_claim (&port_range);
+  for (uint32_t i = 0; i < N_PORTS && first_port != 0; i++)
     {
-      uint32_t port = FIRST_PORT + ((uint32_t)getpid () * PORTS_PER_PROCESS + n_tried++) % N_PORTS;
+      uint32_t index = n_tried++ % N_PORTS;
 
-      snprintf (upstream->address, sizeof upstream->address, "127.0.0.1:%u", port);
-      if (upstream_listen (upstream, upstream->address))
-        return;
+      snprintf (upstream->address, sizeof upstream->address, "127.0.0.1:%u", first_port + index);
+      if (port_taken[index] || !upstream_listen (upstream, upstream->address))
+        continue;
+      upstream->port_index = index;
+      port_taken[index] = true;
+      return;
     }
+  fprintf (stderr, "fake upstream: no free port\n");
   abort ();
 }
 
@@ -253,7 +266,10 @@
 fake_upstream_start (FakeUpstream *upstream)
 {
   if (upstream->fd < 0 && !upstream_listen (upstream, upstream->address))
-    abort ();
+    {
+      fprintf (stderr, "fake upstream: %s is taken\n", upstream->address);
+      abort ();
+    }
 }
 
 void
@@ -273,6 +289,7 @@
       ev_io_stop (upstream->loop, &upstream->accept_watcher);
       close (upstream->fd);
     }
+  port_taken[upstream->port_index] = false;
   free (upstream);
 }
 
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -1,5 +1,7 @@
 #include "fleet.h"
 
+#include "fakes/ports.h"
+
 #include "libmangofork/buffer.h"
 #include "libmangofork/clock.h"
 
@@ -7,23 +9,17 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <cmocka.h>
-#include <arpa/inet.h>
 #include <curl/curl.h>
 #include <errno.h>
-#include <netinet/in.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
-#include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
-#define PORTS_PER_FLEET 40
-#define PORT_MIN 20000
-#define PORT_MAX 32000
 #define POLL_MS 10
 /* A wait that takes longer than this fails the test. */
 #define WAIT_MAX_US (60 * MF_US_PER_S)
@@ -31,6 +27,8 @@
 #define TAG_BYTES 32
 #define TAIL_BYTES 400
 
+static const FakePortRange port_range = { .first_port = 27000, .n_blocks = 24, .block_ports = 40 };
+
 /* Port numbers, relative to the first port of the fleet. */
 enum
 {
@@ -70,42 +68,17 @@
   Caller *callers;
 };
 
-static bool
-port_is_free (unsigned port)
-{
-  struct sockaddr_in address = { .sin_family = AF_INET,
-                                 .sin_port = htons ((uint16_t)port),
-                                 .sin_addr = { .s_addr = htonl (INADDR_LOOPBACK) } };
-  int one = 1;
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-  bool ok;
-
-  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
-  ok = bind (fd, (struct sockaddr *)&address, sizeof address) == 0;
-  close (fd);
-  return ok;
-}
-
-/* Finds a block of free ports. The search starts at a position that depends on the process ID, so
- * that tests running in parallel rarely choose the same block. */
+/* Returns the first port of the process's fleets, which do not run at the same time. */
 static unsigned
 find_ports (void)
 {
-  unsigned n_blocks = (PORT_MAX - PORT_MIN) / PORTS_PER_FLEET;
-  unsigned block = (unsigned)getpid () % n_blocks;
-
-  for (unsigned i = 0; i < n_blocks; i++, block = (block + 1) % n_blocks)
-    {
-      unsigned port = PORT_MIN + block * PORTS_PER_FLEET;
-      unsigned n = 0;
+  static unsigned port;
 
-      while (n < PORTS_PER_FLEET && port_is_free (port + n))
-        n++;
-      if (n == PORTS_PER_FLEET)
-        return port;
-    }
-  fail_msg ("no block of 40 free ports between 20000 and 32000");
-  return 0;
+  if (port == 0)
+    port = fake_ports_claim (&port_range);
+  if (port == 0)
+    fail_msg ("no block of ports is free");
+  return port;
 }
 
 static FILE *
