The test of quarantined parts at restarted instances lets no trial come due

test_restarted_instance_receives_quarantined_parts took 6.6 s, and the trial of its part came due 5.2 s after the quarantine: before the last of its five restarts had ended. With the ports that it has, that instance is of low rank and leaves the trial to the others for 0.2 s, so it passed; with ports 4,000 above, 3 of 3 runs failed (200, a trial, in place of 503). The test now puts the trial off at all instances first. It checks as much as before: each restarted instance refuses what only the others can have reported. 1 run passed with its own ports and one each with two of the other layouts.

--- a/tests/test_job_suspect.c
+++ b/tests/test_job_suspect.c
@@ -514,6 +514,27 @@
   assert_int_equal (prompt (fixture, 4, "/llm/1", SOAK_DEADLY_PART "0"), 503);
 }
 
+static uint64_t
+deadly_part_hash (void)
+{
+  static const char text[] = SOAK_DEADLY_PART "0,own";
+  MfParts parts;
+
+  mf_parts_read (&parts, text, strlen (text));
+  return parts.hashes[0];
+}
+
+/* Sets the time of the part's next trial at all instances. */
+static void
+set_trial (CrashFixture *fixture, uint64_t at_us)
+{
+  for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
+    mf_suspects_find (fixture->fleet.instances[i].jobs.suspects, deadly_part_hash (),
+                      mf_clock_now_us ())
+        ->quarantined_until_us
+        = at_us;
+}
+
 static void
 test_restarted_instance_receives_quarantined_parts (void **state)
 {
@@ -522,6 +543,7 @@
   (void)state;
   crash_fixture_setup (&fixture);
   quarantine_part (&fixture);
+  set_trial (&fixture, mf_clock_now_us () + 60 * MF_US_PER_S);
   for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
     {
       relay_fleet_restart (&fixture.fleet, i);
@@ -536,27 +558,6 @@
   crash_fixture_teardown (&fixture);
 }
 
-static uint64_t
-deadly_part_hash (void)
-{
-  static const char text[] = SOAK_DEADLY_PART "0,own";
-  MfParts parts;
-
-  mf_parts_read (&parts, text, strlen (text));
-  return parts.hashes[0];
-}
-
-/* Lets the trial of the part be due at all instances. */
-static void
-trial_due (CrashFixture *fixture)
-{
-  for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
-    mf_suspects_find (fixture->fleet.instances[i].jobs.suspects, deadly_part_hash (),
-                      mf_clock_now_us ())
-        ->quarantined_until_us
-        = mf_clock_now_us ();
-}
-
 /* The others stay wrong for long if the reply to their first message is lost. */
 static void
 test_restarted_instance_that_has_served_a_part_ends_its_quarantine (void **state)
@@ -598,7 +599,7 @@
   (void)state;
   crash_fixture_setup (&fixture);
   quarantine_part (&fixture);
-  trial_due (&fixture);
+  set_trial (&fixture, mf_clock_now_us ());
   for (uint32_t i = 0; i < 3 * RELAY_FLEET_N_INSTANCES; i++)
     {
       prompt (&fixture, i % RELAY_FLEET_N_INSTANCES, "/once/1", SOAK_DEADLY_PART "0");
@@ -608,7 +609,7 @@
   for (uint32_t index = 0; index < N_UPSTREAMS; index++)
     soak_upstream_enable_crashes (fixture.upstreams[index], 0., on_down_changed, &fixture);
   loop_spin (fixture.fleet.loop, 150);
-  trial_due (&fixture);
+  set_trial (&fixture, mf_clock_now_us ());
   for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
     {
       n_served += prompt (&fixture, i, "/once/1", SOAK_DEADLY_PART "0") == 200;
@@ -637,7 +638,7 @@
                             mf_clock_now_us ())
          < RELAY_FLEET_N_INSTANCES - 1)
     assert_in_range (++lowest, 1, RELAY_FLEET_N_INSTANCES - 1);
-  trial_due (&fixture);
+  set_trial (&fixture, mf_clock_now_us ());
   for (uint32_t i = 0; i < 20 && n_served == 0; i++)
     {
       n_served += prompt (&fixture, lowest, "/read/1", SOAK_DEADLY_PART "0") == 200;
@@ -657,7 +658,7 @@
   (void)state;
   crash_fixture_setup (&fixture);
   quarantine_part (&fixture);
-  trial_due (&fixture);
+  set_trial (&fixture, mf_clock_now_us ());
   for (uint32_t index = 0; index < N_UPSTREAMS; index++)
     soak_upstream_enable_crashes (fixture.upstreams[index], 0., on_down_changed, &fixture);
   for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
@@ -688,7 +689,7 @@
       loop_spin (fixture.fleet.loop, 150);
     }
   assert_int_equal (soak_ledger_deadly_part (fixture.ledger, 1).n_crashes, 3);
-  trial_due (&fixture);
+  set_trial (&fixture, mf_clock_now_us ());
   for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
     assert_int_equal (prompt (&fixture, i, "/llm/1", SOAK_DEADLY_PART "0:10," SOAK_DEADLY_PART "1"),
                       503);
