Tests of relay and job_origin have ports of their own

test_relay tries ports from 21821 on until its instances have the roles that it needs and then listens at up to 21847; test_job_origin listened at 21831 to 21845. It listens at 21871 and 21881 now.

test_engines_know_what_lost_instances_began lists the engines at all instances before its first request: at the new ports another instance is the leader, which listed none yet and granted no slot.

--- a/tests/test_job_origin.c
+++ b/tests/test_job_origin.c
@@ -11,8 +11,8 @@
 
 #include <cmocka.h>
 
-#define LISTEN_PORT 21831
-#define PEER_PORT 21841
+#define LISTEN_PORT 21871
+#define PEER_PORT 21881
 #define OLD 0
 #define NEW 1
 #define OTHER_OLD 2
@@ -310,6 +310,9 @@
         {
           list_engine (&fleet, j, NEW, "v2");
           list_engine (&fleet, j, OTHER_OLD, "v1");
+        }
+      for (uint32_t j = 0; j < RELAY_FLEET_N_INSTANCES; j++)
+        {
           answer = call (&fleet, j, "a2", "a1");
           assert_int_equal (has_event_of (answer, 'o'), cases[i].goes_on);
           assert_int_equal (strncmp (answer, "HTTP/1.1 503", 12) == 0, !cases[i].goes_on);
