An instance without a list of upstreams says so when others have it query the engines

After the loss of all instances, one of them queries the engines for all which version began a stream. One that had just started and had not read the list of upstreams replied at once that no engine holds the prompt, and the others refused streams that could go on (503, 3007); it also counted the empty round as done and queried nothing for 2 s.

Change: the reply says that no engines have been queried, and the instance that has the request queries them itself. A round that queries no engine does not count.

test_engines_are_queried_by_an_instance_that_lists_them failed before (503 in place of the rest of the stream).

--- a/libmangofork/relay/held.c
+++ b/libmangofork/relay/held.c
@@ -314,7 +314,6 @@
       || (round->started_us > 0 && now_us - round->started_us < ROUND_INTERVAL_US))
     return round != NULL && round->n_open > 0;
   round->with_changes = with_changes;
-  round->started_us = with_changes ? now_us : round->started_us;
   for (MfTarget *target = held->targets->first; target != NULL && round->n_open < ENGINES_MAX;
        target = target->next)
     {
@@ -322,9 +321,27 @@
           && !mf_target_is_limited (target) && strcmp (target->info.service, service) == 0)
         round->n_open += engine_ask (held, round, target);
     }
+  if (with_changes && round->n_open > 0)
+    round->started_us = now_us;
   return round->n_open > 0;
 }
 
+/* Returns whether the engines of a service have answered a moment ago what they hold and have held
+ * lately. An instance that has not read the list of upstreams yet has none to query. */
+bool
+mf_held_parts_are_current (const MfHeldParts *held, const char *service)
+{
+  for (uint32_t i = 0; i < held->n_rounds; i++)
+    {
+      const Round *round = &held->rounds[i];
+
+      if (strcmp (round->service, service) == 0)
+        return round->n_open == 0 && round->started_us > 0
+               && mf_clock_now_us () - round->started_us < ROUND_INTERVAL_US;
+    }
+  return false;
+}
+
 /* Finds the version whose engines hold a part of this many tokens, as far as they have answered.
  * version is set only if it is the only one. */
 MfHeldState
--- a/libmangofork/relay/held.h
+++ b/libmangofork/relay/held.h
@@ -25,6 +25,7 @@
 MfHeldParts *mf_held_parts_new (MfTargets *targets, const MfHeldCallbacks *callbacks, void *data);
 void mf_held_parts_free (MfHeldParts *held);
 bool mf_held_parts_ask (MfHeldParts *held, const char *service, bool with_changes);
+bool mf_held_parts_are_current (const MfHeldParts *held, const char *service);
 MfHeldState mf_held_parts_find (const MfHeldParts *held, const char *service, uint64_t part,
                                 uint64_t tokens, uint64_t *version);
 
--- a/libmangofork/relay/job_origin.c
+++ b/libmangofork/relay/job_origin.c
@@ -295,9 +295,17 @@
   MfOriginMessage reply = { .id = ask->id };
   uint64_t version = 0;
 
-  if (mf_held_parts_find (jobs->held_parts, ask->service, ask->part, ask->tokens, &version)
-      == MF_HELD_AT_ONE_VERSION)
-    reply.version = version;
+  switch (mf_held_parts_find (jobs->held_parts, ask->service, ask->part, ask->tokens, &version))
+    {
+    case MF_HELD_AT_ONE_VERSION:
+      reply.version = version;
+      break;
+    case MF_HELD_NOWHERE:
+      reply.is_inferred = !mf_held_parts_are_current (jobs->held_parts, ask->service);
+      break;
+    default:
+      break;
+    }
   jobs->message.kind = MF_RELAY_MESSAGE_ORIGIN_REPLY;
   jobs->message.origin = reply;
   mf_peers_send (jobs->peers, ask->peer, &jobs->message);
@@ -491,7 +499,7 @@
   if (job->n_origin_replies_due > 0)
     return;
   /* The engines have been asked, and need not be again. */
-  if (job->n_engine_asks == 1)
+  if (job->n_engine_asks == 1 && !reply->is_inferred)
     job->n_engine_asks = 2;
   mf_job_origin_expired (job);
 }
--- a/libmangofork/relay/relay_message.h
+++ b/libmangofork/relay/relay_message.h
@@ -114,7 +114,9 @@
   uint64_t tokens;
   bool asks_engines;
   uint64_t version; /* ORIGIN, ORIGIN_REPLY: hash; 0: not known */
-  bool is_inferred; /* ORIGIN_REPLY: no other version was in use then, as far as the sender knows */
+  /* ORIGIN_REPLY: no other version was in use then, as far as the sender knows; without a version,
+   * the sender has queried no engines. */
+  bool is_inferred;
 } MfOriginMessage;
 
 typedef struct
--- a/tests/test_job_origin.c
+++ b/tests/test_job_origin.c
@@ -322,6 +322,45 @@
     }
 }
 
+/* Whether an instance queries the engines for all others. */
+static bool
+queries_engines (const RelayFleet *fleet, uint32_t instance)
+{
+  return mf_peers_allocator (fleet->instances[instance].jobs.peers, ~mf_load_hash ("engines"),
+                             mf_clock_now_us ())
+         == MF_DISPATCH_SELF;
+}
+
+/* The instance that queries the engines for all lists none, as it has just started. */
+static void
+test_engines_are_queried_by_an_instance_that_lists_them (void **state)
+{
+  RelayFleet fleet;
+  uint32_t n_without_list = 0;
+
+  (void)state;
+  begin_old_stream (&fleet, "a1");
+  restart_all (&fleet);
+  held_old = "[\"\",\"0b2\",80,\"m\"]";
+  for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
+    {
+      if (queries_engines (&fleet, i))
+        {
+          n_without_list++;
+          continue;
+        }
+      list_engine (&fleet, i, NEW, "v2");
+      list_engine (&fleet, i, OTHER_OLD, "v1");
+    }
+  assert_int_equal (n_without_list, 1);
+  for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
+    {
+      if (!queries_engines (&fleet, i))
+        assert_true (has_event_of (call (&fleet, i, "a2", "a1"), 'o'));
+    }
+  relay_fleet_teardown (&fleet);
+}
+
 /* The only version that serves is not the one that began the stream, which has just left. */
 static void
 test_version_that_serves_alone_may_not_have_begun_the_stream (void **state)
@@ -413,6 +452,7 @@
     cmocka_unit_test (test_stream_is_taken_up_at_the_version_that_began_it),
     cmocka_unit_test (test_others_know_what_a_lost_instance_began),
     cmocka_unit_test (test_engines_know_what_lost_instances_began),
+    cmocka_unit_test (test_engines_are_queried_by_an_instance_that_lists_them),
     cmocka_unit_test (test_version_that_serves_alone_may_not_have_begun_the_stream),
     cmocka_unit_test (test_route_that_has_moved_says_nothing_about_earlier_streams),
     cmocka_unit_test (test_rest_of_a_stream_takes_the_time_of_the_rest),
