Engines are queried for what they have held lately, also while another query is in progress

0.4 s after its start an instance queries the engines for what they hold now. A take-up that came meanwhile waited for that query and was refused after it (503, 3007), although the engine that had begun the stream could tell: it had evicted the prompt a moment ago.

Change: when a query for what they hold now ends and somebody waits, the one for what they have held lately follows.

test_query_after_the_start_is_followed_by_one_for_changes failed before (503 in place of the rest of the stream).

--- a/libmangofork/relay/job_origin.c
+++ b/libmangofork/relay/job_origin.c
@@ -345,12 +345,28 @@
   jobs->n_engine_asks = n_kept;
 }
 
+/* Whether this instance or another waits for what the engines of a service hold. */
+static bool
+engines_are_awaited (const MfJobs *jobs, const char *service)
+{
+  for (uint32_t i = 0; i < jobs->n_engine_asks; i++)
+    {
+      if (strcmp (jobs->engine_asks[i].service, service) == 0)
+        return true;
+    }
+  return job_awaiting_engines (jobs, service) != NULL;
+}
+
 static void
 on_engines_answered (void *data, const char *service)
 {
   MfJobs *jobs = data;
   MfJob *job;
 
+  /* The query was for what they hold now, and has to be made for what they have held lately. */
+  if (engines_are_awaited (jobs, service) && !mf_held_parts_are_current (jobs->held_parts, service)
+      && mf_held_parts_ask (jobs->held_parts, service, true))
+    return;
   engine_asks_reply (jobs, service);
   while ((job = job_awaiting_engines (jobs, service)) != NULL)
     job_engines_answered (job);
--- a/tests/test_job_origin.c
+++ b/tests/test_job_origin.c
@@ -80,9 +80,17 @@
   fake_upstream_conn_send (conn, bytes);
 }
 
+/* Queries that the engine of the old version does not answer. */
+static uint32_t n_unanswered;
+
 static void
 answer_old (FakeUpstreamConn *conn, const char *text, const char *id)
 {
+  if (n_unanswered > 0)
+    {
+      n_unanswered--;
+      return;
+    }
   if (!answer_held (conn, text, held_old, changes_old))
     answer_version (conn, text, id, 'o');
 }
@@ -361,6 +369,32 @@
   relay_fleet_teardown (&fleet);
 }
 
+/* A query for what the engines hold now, as after a start, was taken for one of what they have held
+ * lately. */
+static void
+test_query_after_the_start_is_followed_by_one_for_changes (void **state)
+{
+  RelayFleet fleet;
+  uint32_t i = 0;
+
+  (void)state;
+  begin_old_stream (&fleet, "a1");
+  restart_all (&fleet);
+  changes_old = "[7,\"+\",\"\",\"0b2\",80,\"m\"],[8,\"-\",\"\",\"0b2\",0,\"m\"]";
+  for (uint32_t j = 0; j < RELAY_FLEET_N_INSTANCES; j++)
+    {
+      list_engine (&fleet, j, NEW, "v2");
+      list_engine (&fleet, j, OTHER_OLD, "v1");
+    }
+  while (!queries_engines (&fleet, i))
+    i++;
+  n_unanswered = 1;
+  mf_jobs_ask_engines (&fleet.instances[i].jobs);
+  assert_true (has_event_of (call (&fleet, i, "a2", "a1"), 'o'));
+  assert_int_equal (n_unanswered, 0);
+  relay_fleet_teardown (&fleet);
+}
+
 /* The only version that serves is not the one that began the stream, which has just left. */
 static void
 test_version_that_serves_alone_may_not_have_begun_the_stream (void **state)
@@ -453,6 +487,7 @@
     cmocka_unit_test (test_others_know_what_a_lost_instance_began),
     cmocka_unit_test (test_engines_know_what_lost_instances_began),
     cmocka_unit_test (test_engines_are_queried_by_an_instance_that_lists_them),
+    cmocka_unit_test (test_query_after_the_start_is_followed_by_one_for_changes),
     cmocka_unit_test (test_version_that_serves_alone_may_not_have_begun_the_stream),
     cmocka_unit_test (test_route_that_has_moved_says_nothing_about_earlier_streams),
     cmocka_unit_test (test_rest_of_a_stream_takes_the_time_of_the_rest),
