The deadline of a caller who waits for longer than all timeouts tells no age of its stream

Streams held events of two versions: a caller that waits for longer than the longest timeout, or names no deadline, took a stream up, and the only version of the last seconds went on with it, although the one that began it had left before.

Cause: the age of a stream was taken from what is left of the deadline after it had been cut to the route's timeout, so that such a stream counted as 0.5 s old. The timeouts were those of the present configuration, which may be shorter than those under which the stream began.

Change: without a deadline, or with one beyond the longest timeout of any configuration so far, the stream may have begun at any time; instances say so to each other. The longest timeout is found once for each configuration.

test_deadline_beyond_all_timeouts_tells_no_age_of_a_stream failed before (200 with events of the other version).

--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -760,7 +760,11 @@
 void
 mf_jobs_configure (MfJobs *jobs, MfRoutes *routes)
 {
+  uint64_t stream_timeout_us = mf_routes_stream_timeout_us (routes);
+
   mf_routes_note_changes (routes, jobs->routes, mf_clock_now_us ());
+  if (stream_timeout_us > jobs->stream_timeout_us)
+    jobs->stream_timeout_us = stream_timeout_us;
   mf_routes_unref (jobs->routes);
   jobs->routes = routes;
 }
--- a/libmangofork/relay/job.h
+++ b/libmangofork/relay/job.h
@@ -75,6 +75,7 @@
    * suspended; what is older than the age says nothing about the versions that are in use. */
   uint64_t upstreams_as_of_us;
   uint64_t upstreams_age_max_us;
+  uint64_t stream_timeout_us; /* longest timeout of a stream in any configuration so far */
   MfDispatch *dispatch;
   uint64_t n_started; /* requests started since the process started */
   uint64_t last_peer_request_id;
--- a/libmangofork/relay/job_origin.c
+++ b/libmangofork/relay/job_origin.c
@@ -37,24 +37,20 @@
   return hash != 0 ? hash : 1;
 }
 
-/* Returns the time before which the stream that the caller takes up has not begun. Its caller waits
- * for no longer than a route's timeout, and its deadline tells how much of that has passed; the
- * longest one of the configuration counts, as the route's may have been longer. */
+/* Returns the time before which the stream that the caller takes up has not begun; 0: it may have
+ * begun at any time. Callers wait for no longer than the longest timeout, and the deadline tells
+ * how much of that has passed, unless it shows that this one waits for longer. */
 static uint64_t
 stream_begun_us (const MfJob *job)
 {
-  uint64_t timeout_us = 0;
-  uint64_t left_us = job->deadline_us - job->started_us;
+  uint64_t timeout_us = job->jobs->stream_timeout_us;
+  uint64_t left_ms = 0;
   uint64_t age_us;
 
-  for (uint32_t i = 0; i < job->routes->n_routes; i++)
-    {
-      const MfRoute *route = &job->routes->routes[i];
-
-      if (route->kind == MF_ROUTE_STREAMING && route->timeout_us > timeout_us)
-        timeout_us = route->timeout_us;
-    }
-  age_us = timeout_us - left_us + AGE_MARGIN_US;
+  if (!mf_head_number (mf_caller_head (job->caller), MF_HEADER_DEADLINE, &left_ms)
+      || left_ms > timeout_us / MF_US_PER_MS)
+    return 0;
+  age_us = timeout_us - left_ms * MF_US_PER_MS + AGE_MARGIN_US;
   return job->started_us > age_us ? job->started_us - age_us : 0;
 }
 
--- a/libmangofork/relay/relay_message.c
+++ b/libmangofork/relay/relay_message.c
@@ -215,13 +215,17 @@
     }
 }
 
-/* Times are sent as their age: the clocks of instances have no common start. */
+/* Times are sent as their age: the clocks of instances have no common start. 0, any time, stays so.
+ */
 static void
 pack_age (msgpack_packer *packer, uint64_t at_us)
 {
   uint64_t now_us = mf_clock_now_us ();
 
-  msgpack_pack_uint64 (packer, now_us > at_us ? now_us - at_us : 0);
+  if (at_us == 0)
+    msgpack_pack_uint64 (packer, UINT64_MAX);
+  else
+    msgpack_pack_uint64 (packer, now_us > at_us ? now_us - at_us : 0);
 }
 
 static void
--- a/libmangofork/relay/route.c
+++ b/libmangofork/relay/route.c
@@ -127,6 +127,22 @@
     }
 }
 
+/* Returns the longest timeout of the routes of streams; 0 when there are none. */
+uint64_t
+mf_routes_stream_timeout_us (const MfRoutes *routes)
+{
+  uint64_t longest_us = 0;
+
+  for (uint32_t i = 0; i < routes->n_routes; i++)
+    {
+      const MfRoute *route = &routes->routes[i];
+
+      if (route->kind == MF_ROUTE_STREAMING && route->timeout_us > longest_us)
+        longest_us = route->timeout_us;
+    }
+  return longest_us;
+}
+
 /* Returns the service for one request; random is uniform and selects by weight. */
 uint32_t
 mf_route_choose (const MfRoute *route, uint32_t random)
--- a/libmangofork/relay/route.h
+++ b/libmangofork/relay/route.h
@@ -79,6 +79,7 @@
 uint32_t mf_routes_service (const MfRoutes *routes, const char *name);
 const MfRoute *mf_routes_find (const MfRoutes *routes, const char *host, size_t host_bytes,
                                const char *path, size_t path_bytes);
+uint64_t mf_routes_stream_timeout_us (const MfRoutes *routes);
 void mf_routes_note_changes (MfRoutes *routes, const MfRoutes *before, uint64_t now_us);
 uint32_t mf_route_choose (const MfRoute *route, uint32_t random);
 
--- a/tests/test_job_origin.c
+++ b/tests/test_job_origin.c
@@ -133,9 +133,10 @@
 }
 
 /* Sends a request for a stream and reads its answer. begun_as is the attempt whose stream is taken
- * up after event 1; "": an unnamed one; NULL: a new stream. */
+ * up after event 1; "": an unnamed one; NULL: a new stream. deadline is a header line; "": none. */
 static const char *
-call (RelayFleet *fleet, uint32_t instance, const char *id, const char *begun_as)
+call_with_deadline (RelayFleet *fleet, uint32_t instance, const char *id, const char *begun_as,
+                    const char *deadline)
 {
   RelayFixture *fixture = &fleet->instances[instance];
   char resumes[96] = "";
@@ -147,16 +148,22 @@
     snprintf (resumes, sizeof resumes, "Last-Event-Id: 1\r\n%s%s%s",
               begun_as[0] != '\0' ? "Resumes: " : "", begun_as, begun_as[0] != '\0' ? "\r\n" : "");
   snprintf (text, sizeof text,
-            "POST /llm/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\n%sX-Deadline-Ms: 3000\r\n"
+            "POST /llm/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\n%s%s"
             "X-Token-Count: 100,40\r\nX-Prompt-Prefix: a1:20,0b2:80\r\nConnection: close\r\n"
             "Content-Length: 2\r\n\r\nhi",
-            id, resumes);
+            id, resumes, deadline);
   loop_send (fd, text, strlen (text));
   loop_receive (fleet->loop, fd, NULL, fixture->received, sizeof fixture->received);
   close (fd);
   return fixture->received;
 }
 
+static const char *
+call (RelayFleet *fleet, uint32_t instance, const char *id, const char *begun_as)
+{
+  return call_with_deadline (fleet, instance, id, begun_as, "X-Deadline-Ms: 3000\r\n");
+}
+
 static bool
 has_event_of (const char *answer, char version)
 {
@@ -422,6 +429,28 @@
   relay_fleet_teardown (&fleet);
 }
 
+/* A caller that waits for longer than any route's timeout may take up a stream of any age. */
+static void
+test_deadline_beyond_all_timeouts_tells_no_age_of_a_stream (void **state)
+{
+  RelayFleet fleet;
+  MfJobs *jobs = &fleet.instances[1].jobs;
+
+  (void)state;
+  begin_old_stream (&fleet, "a1");
+  remove_engine (&fleet, OTHER_OLD);
+  jobs->targets.versions.uses[0].last_us -= 4 * MF_US_PER_S;
+  assert_true (has_event_of (call (&fleet, 1, "a2", "a9"), 'n'));
+  assert_memory_equal (call_with_deadline (&fleet, 1, "a2", "a8", "X-Deadline-Ms: 9000\r\n"),
+                       "HTTP/1.1 503", 12);
+  assert_memory_equal (call_with_deadline (&fleet, 1, "a2", "a7", ""), "HTTP/1.1 503", 12);
+  /* An earlier configuration let callers wait for longer. */
+  assert_int_equal (jobs->stream_timeout_us, 3 * MF_US_PER_S);
+  jobs->stream_timeout_us = 8 * MF_US_PER_S;
+  assert_memory_equal (call (&fleet, 1, "a2", "a6"), "HTTP/1.1 503", 12);
+  relay_fleet_teardown (&fleet);
+}
+
 /* The route led to another service, or may lead to two: the only version of one says nothing. */
 static void
 test_route_that_has_moved_says_nothing_about_earlier_streams (void **state)
@@ -489,6 +518,7 @@
     cmocka_unit_test (test_engines_are_queried_by_an_instance_that_lists_them),
     cmocka_unit_test (test_query_after_the_start_is_followed_by_one_for_changes),
     cmocka_unit_test (test_version_that_serves_alone_may_not_have_begun_the_stream),
+    cmocka_unit_test (test_deadline_beyond_all_timeouts_tells_no_age_of_a_stream),
     cmocka_unit_test (test_route_that_has_moved_says_nothing_about_earlier_streams),
     cmocka_unit_test (test_rest_of_a_stream_takes_the_time_of_the_rest),
     cmocka_unit_test (test_stream_whose_id_was_used_again_does_not_go_on),
--- a/tests/test_relay_message.c
+++ b/tests/test_relay_message.c
@@ -272,6 +272,9 @@
   assert_int_equal (got.origin.tokens, 6);
   assert_true (got.origin.asks_engines);
   assert_in_range (got.origin.begun_us, sent.origin.begun_us, sent.origin.begun_us + MF_US_PER_S);
+  sent.origin.begun_us = 0;
+  round_trip ();
+  assert_int_equal (got.origin.begun_us, 0);
   sent = (MfRelayMessage){ .kind = MF_RELAY_MESSAGE_ORIGIN_REPLY,
                            .origin = { .id = 7, .version = 9, .is_inferred = true } };
   round_trip ();
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -99,6 +99,21 @@
   mf_routes_unref (after);
 }
 
+static void
+test_longest_timeout_of_streams (void **state)
+{
+  MfRoutes *routes = routes_new ();
+
+  (void)state;
+  for (uint32_t i = 0; i < 3; i++)
+    routes->routes[i].timeout_us = 100 - i;
+  routes->routes[0].kind = MF_ROUTE_IDEMPOTENT;
+  routes->routes[1].kind = MF_ROUTE_STREAMING;
+  routes->routes[2].kind = MF_ROUTE_STREAMING;
+  assert_int_equal (mf_routes_stream_timeout_us (routes), 99);
+  mf_routes_unref (routes);
+}
+
 static void
 test_a_version_lasts_as_long_as_its_requests (void **state)
 {
@@ -119,6 +134,7 @@
     cmocka_unit_test (test_longest_prefix_of_the_host),
     cmocka_unit_test (test_weights),
     cmocka_unit_test (test_routes_that_lead_elsewhere_have_changed),
+    cmocka_unit_test (test_longest_timeout_of_streams),
     cmocka_unit_test (test_a_version_lasts_as_long_as_its_requests),
   };
 
