What another instance has recorded of a stream counts before the only version

Streams held events of two versions where the instance at which one was taken up had just started, or had not used the old version for a while, while others had recorded which version began the stream.

Cause: an instance without a record first inferred the version from those that it knew to be in use, and asked the others only if that failed.

Change: the others are asked first, which takes a round trip; the inference counts when none of them has a record.

test_record_of_another_instance_counts_before_the_only_version failed before (200 with events of the other version).

--- a/libmangofork/relay/job_origin.c
+++ b/libmangofork/relay/job_origin.c
@@ -394,6 +394,23 @@
   return true;
 }
 
+/* Looks for the version after no instance has been found that has recorded it. Returns like
+ * job_find_at_engines. */
+static bool
+job_find_without_record (MfJob *job)
+{
+  MfJobs *jobs = job->jobs;
+  uint64_t version = 0;
+
+  if (job->n_engine_asks == 0 && job_service_is_certain (job))
+    version = jobs_infer_version (jobs, job->service->name, stream_begun_us (job));
+  if (version == 0 && job->inferred_version == 0)
+    return job_find_at_engines (job);
+  job_bind (job, version != 0 ? version : job->inferred_version,
+            version != 0 ? "sole" : "peer-sole");
+  return true;
+}
+
 /* Finds out which version began the stream that the caller takes up. Returns whether the request
  * may go on now; else it waits for other instances, or has been refused and freed. */
 bool
@@ -419,14 +436,8 @@
       job_bind (job, version, "self");
       return true;
     }
-  if (job_service_is_certain (job))
-    version = jobs_infer_version (jobs, job->service->name, stream_begun_us (job));
-  if (version != 0)
-    {
-      job_bind (job, version, "sole");
-      return true;
-    }
-  return !job_ask_origin (job) && job_find_at_engines (job);
+  /* What is recorded elsewhere counts for more than what can be inferred here. */
+  return !job_ask_origin (job) && job_find_without_record (job);
 }
 
 /* All replies have come, or the time for them is over. */
@@ -439,11 +450,8 @@
       return;
     }
   job->origin_ask_id = 0;
-  if (job->inferred_version != 0)
-    job_bind (job, job->inferred_version, "peer-sole");
-  else if (!job_find_at_engines (job))
-    return;
-  mf_job_advance (job);
+  if (job_find_without_record (job))
+    mf_job_advance (job);
 }
 
 /* Whether a request waits to learn which version began its stream. */
--- a/tests/test_job_origin.c
+++ b/tests/test_job_origin.c
@@ -429,6 +429,26 @@
   relay_fleet_teardown (&fleet);
 }
 
+/* An instance that knows of one version only does not know of the stream, but others do. */
+static void
+test_record_of_another_instance_counts_before_the_only_version (void **state)
+{
+  RelayFleet fleet;
+
+  (void)state;
+  begin_old_stream (&fleet, "a1");
+  remove_engine (&fleet, OTHER_OLD);
+  for (uint32_t i = 1; i < RELAY_FLEET_N_INSTANCES - 1; i++)
+    {
+      relay_fleet_restart (&fleet, i);
+      relay_fleet_wait_connected (&fleet);
+      list_engine (&fleet, i, NEW, "v2");
+      assert_memory_equal (call (&fleet, i, "a2", "a1"), "HTTP/1.1 503", 12);
+    }
+  assert_int_equal (relay_fixture_n_requests (&fleet.instances[0], NEW), 0);
+  relay_fleet_teardown (&fleet);
+}
+
 /* A caller that waits for longer than any route's timeout may take up a stream of any age. */
 static void
 test_deadline_beyond_all_timeouts_tells_no_age_of_a_stream (void **state)
@@ -518,6 +538,7 @@
     cmocka_unit_test (test_engines_are_queried_by_an_instance_that_lists_them),
     cmocka_unit_test (test_query_after_the_start_is_followed_by_one_for_changes),
     cmocka_unit_test (test_version_that_serves_alone_may_not_have_begun_the_stream),
+    cmocka_unit_test (test_record_of_another_instance_counts_before_the_only_version),
     cmocka_unit_test (test_deadline_beyond_all_timeouts_tells_no_age_of_a_stream),
     cmocka_unit_test (test_route_that_has_moved_says_nothing_about_earlier_streams),
     cmocka_unit_test (test_rest_of_a_stream_takes_the_time_of_the_rest),
