An id that two streams have used names neither, wherever that is known

An instance that knew of one version only went on with a stream although another had recorded that two versions have begun streams under its id: the reply was taken for one that knows nothing.

Change: such a reply refuses the take-up at once.

test_stream_whose_id_was_used_again_does_not_go_on, with instances that have restarted, failed before (200 with events of the only version that they knew).

--- a/libmangofork/relay/job_origin.c
+++ b/libmangofork/relay/job_origin.c
@@ -116,6 +116,12 @@
   mf_job_refuse (job, MF_CODE_NO_VERSION, why);
 }
 
+static void
+job_refuse_ambiguous (MfJob *job)
+{
+  job_refuse_unknown (job, "streams of two versions have this name");
+}
+
 /* Chooses the service of the version that began the stream, if the route leads there. */
 static void
 job_choose_service (MfJob *job)
@@ -428,7 +434,7 @@
     }
   if (state == MF_ORIGIN_AMBIGUOUS)
     {
-      job_refuse_unknown (job, "streams of two versions have this name");
+      job_refuse_ambiguous (job);
       return false;
     }
   if (state == MF_ORIGIN_KNOWN)
@@ -514,6 +520,12 @@
       mf_job_advance (job);
       return;
     }
+  /* It has recorded two versions. */
+  if (reply->version == 0 && !reply->is_inferred && job->n_engine_asks == 0)
+    {
+      job_refuse_ambiguous (job);
+      return;
+    }
   if (reply->version != 0 && job_service_is_certain (job))
     job->inferred_version = reply->version;
   if (job->n_origin_replies_due > 0)
--- a/tests/test_job_origin.c
+++ b/tests/test_job_origin.c
@@ -524,6 +524,13 @@
     list_engine (&fleet, i, OTHER_OLD, "v1");
   for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
     assert_memory_equal (call (&fleet, i, "a2", "a1"), "HTTP/1.1 503", 12);
+  for (uint32_t i = 1; i < RELAY_FLEET_N_INSTANCES - 1; i++)
+    {
+      relay_fleet_restart (&fleet, i);
+      relay_fleet_wait_connected (&fleet);
+      list_engine (&fleet, i, NEW, "v2");
+      assert_memory_equal (call (&fleet, i, "a2", "a1"), "HTTP/1.1 503", 12);
+    }
   relay_fleet_teardown (&fleet);
 }
 
