Engines that are leaving are queried for what they hold

After the loss of all instances, streams of engines that were about to leave were refused although others of their version served: only engines that take requests were queried which streams they had begun.

Change: any decode engine that is listed is queried, but for limited ones and those that have asked for a pause. A query runs nothing.

test_engine_that_is_leaving_knows_what_it_began failed before (503 in place of the rest of the stream).

--- a/libmangofork/relay/held.c
+++ b/libmangofork/relay/held.c
@@ -301,9 +301,17 @@
   return &held->rounds[held->n_rounds++];
 }
 
+/* Whether an engine can be queried. Queries are no requests of callers, so that one that is leaving
+ * can be; one that is limited or has asked for a pause is left out. */
+static bool
+may_query (const MfTarget *target, uint64_t now_us)
+{
+  return target->info.role == MF_ROLE_DECODE && target->paused_until_us <= now_us
+         && target->held_until_us <= now_us && !mf_target_is_limited (target);
+}
+
 /* Asks the decode engines of a service what they hold, with_changes also what they have held
- * lately, unless that has been done a moment ago. Engines that take no requests now are left out.
- * Returns whether answers are awaited. */
+ * lately, unless that has been done a moment ago. Returns whether answers are awaited. */
 bool
 mf_held_parts_ask (MfHeldParts *held, const char *service, bool with_changes)
 {
@@ -317,8 +325,7 @@
   for (MfTarget *target = held->targets->first; target != NULL && round->n_open < ENGINES_MAX;
        target = target->next)
     {
-      if (target->info.role == MF_ROLE_DECODE && mf_target_accepts (target, now_us)
-          && !mf_target_is_limited (target) && strcmp (target->info.service, service) == 0)
+      if (may_query (target, now_us) && strcmp (target->info.service, service) == 0)
         round->n_open += engine_ask (held, round, target);
     }
   if (with_changes && round->n_open > 0)
--- a/tests/test_job_origin.c
+++ b/tests/test_job_origin.c
@@ -16,6 +16,7 @@
 #define OLD 0
 #define NEW 1
 #define OTHER_OLD 2
+#define LEAVING 3
 
 /* Sends event 1 of its version and breaks off. */
 static void
@@ -102,6 +103,14 @@
     answer_version (conn, text, id, 'n');
 }
 
+/* Holds the prompt of the stream, and runs nothing any more. */
+static void
+answer_leaving (FakeUpstreamConn *conn, const char *text, const char *id)
+{
+  if (!answer_held (conn, text, "[\"\",\"0b2\",80,\"m\"]", NULL))
+    relay_fixture_answer (conn, id, "503 Service Unavailable", "X-Not-Executed: 1\r\n", "");
+}
+
 /* Lists an upstream of the first instance at one instance. */
 static void
 list_engine (RelayFleet *fleet, uint32_t instance, uint32_t engine, const char *version)
@@ -402,6 +411,29 @@
   relay_fleet_teardown (&fleet);
 }
 
+/* The engine that began the stream is leaving, and another of its version serves. */
+static void
+test_engine_that_is_leaving_knows_what_it_began (void **state)
+{
+  RelayFleet fleet;
+
+  (void)state;
+  begin_old_stream (&fleet, "a1");
+  relay_fixture_add_upstream (&fleet.instances[0], LEAVING, MF_ROLE_DECODE, answer_leaving);
+  restart_all (&fleet);
+  for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
+    {
+      list_engine (&fleet, i, NEW, "v2");
+      list_engine (&fleet, i, OTHER_OLD, "v1");
+      list_engine (&fleet, i, LEAVING, "v1");
+      mf_target_record_leaving (
+          mf_targets_by_hash (&fleet.instances[i].jobs.targets, mf_load_hash ("u3")));
+    }
+  for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
+    assert_true (has_event_of (call (&fleet, i, "a2", "a1"), 'o'));
+  relay_fleet_teardown (&fleet);
+}
+
 /* The only version that serves is not the one that began the stream, which has just left. */
 static void
 test_version_that_serves_alone_may_not_have_begun_the_stream (void **state)
@@ -544,6 +576,7 @@
     cmocka_unit_test (test_engines_know_what_lost_instances_began),
     cmocka_unit_test (test_engines_are_queried_by_an_instance_that_lists_them),
     cmocka_unit_test (test_query_after_the_start_is_followed_by_one_for_changes),
+    cmocka_unit_test (test_engine_that_is_leaving_knows_what_it_began),
     cmocka_unit_test (test_version_that_serves_alone_may_not_have_begun_the_stream),
     cmocka_unit_test (test_record_of_another_instance_counts_before_the_only_version),
     cmocka_unit_test (test_deadline_beyond_all_timeouts_tells_no_age_of_a_stream),
