--- a/tests/test_job_origin.c
+++ b/tests/test_job_origin.c
@@ -123,6 +123,21 @@
                               version);
 }
 
+/* Lists an engine of each version at one instance. */
+static void
+list_both (RelayFleet *fleet, uint32_t instance)
+{
+  list_engine (fleet, instance, NEW, "v2");
+  list_engine (fleet, instance, OTHER_OLD, "v1");
+}
+
+static void
+list_both_everywhere (RelayFleet *fleet)
+{
+  for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
+    list_both (fleet, i);
+}
+
 static void
 add_engine (RelayFleet *fleet, uint32_t engine, const char *version, RelayFixtureHandler handler)
 {
@@ -285,8 +300,7 @@
     {
       relay_fleet_restart (&fleet, lost);
       relay_fleet_wait_connected (&fleet);
-      list_engine (&fleet, lost, NEW, "v2");
-      list_engine (&fleet, lost, OTHER_OLD, "v1");
+      list_both (&fleet, lost);
       fleet.instances[lost].jobs.upstreams_as_of_us = 0;
       assert_true (has_event_of (call (&fleet, lost, "a2", "a1"), 'o'));
       n_runs++;
@@ -330,11 +344,7 @@
       held_old = cases[i].held_old;
       held_new = cases[i].held_new;
       changes_old = cases[i].changes_old;
-      for (uint32_t j = 0; j < RELAY_FLEET_N_INSTANCES; j++)
-        {
-          list_engine (&fleet, j, NEW, "v2");
-          list_engine (&fleet, j, OTHER_OLD, "v1");
-        }
+      list_both_everywhere (&fleet);
       for (uint32_t j = 0; j < RELAY_FLEET_N_INSTANCES; j++)
         {
           answer = call (&fleet, j, "a2", "a1");
@@ -373,8 +383,7 @@
           n_without_list++;
           continue;
         }
-      list_engine (&fleet, i, NEW, "v2");
-      list_engine (&fleet, i, OTHER_OLD, "v1");
+      list_both (&fleet, i);
     }
   assert_int_equal (n_without_list, 1);
   for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
@@ -397,11 +406,7 @@
   begin_old_stream (&fleet, "a1");
   restart_all (&fleet);
   changes_old = "[7,\"+\",\"\",\"0b2\",80,\"m\"],[8,\"-\",\"\",\"0b2\",0,\"m\"]";
-  for (uint32_t j = 0; j < RELAY_FLEET_N_INSTANCES; j++)
-    {
-      list_engine (&fleet, j, NEW, "v2");
-      list_engine (&fleet, j, OTHER_OLD, "v1");
-    }
+  list_both_everywhere (&fleet);
   while (!queries_engines (&fleet, i))
     i++;
   n_unanswered = 1;
@@ -423,8 +428,7 @@
   restart_all (&fleet);
   for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
     {
-      list_engine (&fleet, i, NEW, "v2");
-      list_engine (&fleet, i, OTHER_OLD, "v1");
+      list_both (&fleet, i);
       list_engine (&fleet, i, LEAVING, "v1");
       mf_target_record_leaving (
           mf_targets_by_hash (&fleet.instances[i].jobs.targets, mf_load_hash ("u3")));
