--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -304,8 +304,12 @@
 
       if (source_was_away (relay, now_us))
         relay->keep_until_us = now_us + REREGISTRATION_US;
-      mf_relay_log_state (relay->log, "store.regained", "away_ms=%llu",
-                          (unsigned long long)outage_us / 1000);
+      mf_relay_log_state (
+          relay->log, "store.regained", "away_ms=%llu others_read_ms=%lld keep_ms=%llu",
+          (unsigned long long)outage_us / 1000,
+          relay->others_read_us > 0 ? (long long)(now_us - relay->others_read_us) / 1000 : -1LL,
+          (unsigned long long)(now_us < relay->keep_until_us ? relay->keep_until_us - now_us : 0)
+              / 1000);
     }
   relay->source_is_up = true;
   relay->source_seen_us = now_us;
