Instances inform each other of upstreams that were removed or are leaving

Callers saw nothing; two requests reached an upstream 12 s after the store had acknowledged its removal (DRAIN). Cause: what an instance has read of a removal ended with it. One that had lost its path to the store went on using the upstream, although five of seven had dropped it, and after its return kept it for 2.3 s, as if the store had been away for all: others' reads are known from feeds only, which small data centres don't send.

A removal, a return and an announced exit now go to all instances at once, and to those that connect, with their position (era and revision) in the store's history; the later position counts, an exit is final. Instances that read for a data centre or for themselves send, followers don't. A withdrawn upstream gets nothing and is dropped or used again by what the instance reads itself. listing.c replaces the table of removed processes of target.c.

--- a/libmangofork/relay/dispatch.c
+++ b/libmangofork/relay/dispatch.c
@@ -114,7 +114,7 @@
   *wait_us = 0;
   for (const MfTarget *target = dispatch->targets->first; target != NULL; target = target->next)
     {
-      if (target->info.role != MF_ROLE_DECODE || mf_target_is_leaving (target)
+      if (target->info.role != MF_ROLE_DECODE || mf_target_has_left (target)
           || (request->version != 0 && target->version != request->version)
           || strcmp (target->info.service, request->service) != 0)
         continue;
--- a/libmangofork/relay/job_room.c
+++ b/libmangofork/relay/job_room.c
@@ -347,6 +347,9 @@
     case MF_RELAY_MESSAGE_LIMITS:
       mf_jobs_handle_limits (jobs, &message->limits);
       return;
+    case MF_RELAY_MESSAGE_LISTINGS:
+      mf_jobs_handle_listings (jobs, &message->listings);
+      return;
     case MF_RELAY_MESSAGE_RATE_ASK:
     case MF_RELAY_MESSAGE_RATE_GRANT:
       mf_jobs_handle_rate (jobs, peer, message);
@@ -371,6 +374,7 @@
 {
   mf_jobs_send_suspects (data, peer);
   mf_jobs_send_limits (data, peer);
+  mf_jobs_send_listings (data, peer);
 }
 
 /* A peer has disconnected. */
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -189,6 +189,11 @@
 void mf_jobs_send_limits (MfJobs *jobs, uint64_t peer);
 void mf_jobs_handle_limits (MfJobs *jobs, const MfLimitUpdate *update);
 
+/* job_listing.c: what instances read of upstreams that leave. */
+void mf_jobs_listing_changed (MfJobs *jobs, const MfListing *listing);
+void mf_jobs_send_listings (MfJobs *jobs, uint64_t peer);
+void mf_jobs_handle_listings (MfJobs *jobs, const MfListingUpdate *update);
+
 /* job_origin.c: the software version that began a stream. */
 void mf_job_name_stream (MfJob *job);
 bool mf_job_find_origin (MfJob *job);
--- a/libmangofork/relay/job_stage.c
+++ b/libmangofork/relay/job_stage.c
@@ -65,7 +65,7 @@
 static bool
 is_engine_of (const MfTarget *target, const MfRouteService *service)
 {
-  return !mf_target_is_leaving (target) && target->info.role != MF_ROLE_PLAIN
+  return !mf_target_has_left (target) && target->info.role != MF_ROLE_PLAIN
          && strcmp (target->info.service, service->name) == 0;
 }
 
--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -522,11 +522,18 @@
   mf_jobs_limit_changed (data, target, by_answer);
 }
 
+static void
+on_listing_changed (void *data, const MfListing *listing)
+{
+  mf_jobs_listing_changed (data, listing);
+}
+
 const MfTargetsCallbacks mf_job_targets_callbacks = {
   .ended = on_upstream_ended,
   .added = on_upstream_added,
   .probed = on_upstream_probed,
   .limit_changed = on_limit_changed,
+  .listing_changed = on_listing_changed,
 };
 
 /* Records a failed or abandoned send, which may have crashed its upstream unless that announced its
--- a/libmangofork/relay/place.c
+++ b/libmangofork/relay/place.c
@@ -46,11 +46,11 @@
   return false;
 }
 
-/* Whether an upstream is of the kind that the request needs and is not leaving. */
+/* Whether an upstream is of the kind that the request needs and has not left. */
 static bool
 is_eligible (const MfTarget *target, const MfPlaceQuery *query, uint64_t now_us)
 {
-  return !mf_target_is_leaving (target) && target->info.role == query->role
+  return !mf_target_has_left (target) && target->info.role == query->role
          && mf_target_serves_version (target, query->version, now_us)
          && strcmp (target->info.service, query->service) == 0;
 }
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -215,6 +215,14 @@
   ready_update (relay);
 }
 
+/* Called by sources before they pass on entries and removals, with their position in the source's
+ * history; before the end of a list, with the one as of which it is complete. */
+void
+mf_relay_source_position (MfRelay *relay, const MfPosition *position)
+{
+  relay->jobs.targets.position = *position;
+}
+
 /* Called by sources. Adds or updates an upstream. */
 void
 mf_relay_update_upstream (MfRelay *relay, const MfTargetInfo *info)
--- a/libmangofork/relay/relay_message.c
+++ b/libmangofork/relay/relay_message.c
@@ -30,6 +30,8 @@
 #define ORIGIN_ASK_MEMBERS 8
 #define ORIGIN_REPLY_MEMBERS 4
 #define LIMIT_ENTRY_MEMBERS (1 + LIMIT_MEMBERS)
+#define LISTINGS_MEMBERS 2
+#define LISTING_MEMBERS 4
 /* Units of one ask; more make no sense within the bounds of a bucket. */
 #define RATE_UNITS_MAX UINT64_C (1000000000)
 /* A retry takes at most two sends: a prefill and a decode. */
@@ -314,6 +316,26 @@
   msgpack_pack_uint32 (packer, message->origin.is_inferred);
 }
 
+static void
+listings_pack (msgpack_packer *packer, const MfRelayMessage *message)
+{
+  const MfListingUpdate *update = &message->listings;
+
+  msgpack_pack_array (packer, LISTINGS_MEMBERS);
+  msgpack_pack_uint32 (packer, message->kind);
+  msgpack_pack_array (packer, update->n_rows);
+  for (uint32_t i = 0; i < update->n_rows; i++)
+    {
+      const MfListing *listing = &update->rows[i];
+
+      msgpack_pack_array (packer, LISTING_MEMBERS);
+      msgpack_pack_uint64 (packer, listing->process);
+      msgpack_pack_uint32 (packer, listing->state);
+      msgpack_pack_uint64 (packer, listing->position.era);
+      msgpack_pack_uint64 (packer, listing->position.revision);
+    }
+}
+
 static bool
 read_number (const msgpack_object *object, uint64_t max, uint64_t *number)
 {
@@ -696,6 +718,39 @@
          && read_flag (&members[3], &message->origin.is_inferred);
 }
 
+static bool
+listing_read (const msgpack_object *row, MfListing *listing)
+{
+  uint64_t state = 0;
+
+  if (row->type != MSGPACK_OBJECT_ARRAY || row->via.array.size < LISTING_MEMBERS
+      || !read_number (&row->via.array.ptr[0], UINT64_MAX, &listing->process)
+      || !read_number (&row->via.array.ptr[1], MF_LISTING_STATE_LAST, &state)
+      || !read_number (&row->via.array.ptr[2], UINT64_MAX, &listing->position.era)
+      || !read_number (&row->via.array.ptr[3], UINT64_MAX, &listing->position.revision))
+    return false;
+  listing->state = (MfListingState)state;
+  return true;
+}
+
+static bool
+listings_read (const msgpack_object *members, MfRelayMessage *message)
+{
+  MfListingUpdate *update = &message->listings;
+  const msgpack_object *rows = &members[1];
+
+  update->n_rows = 0;
+  if (!read_array (rows, MF_LISTING_ROWS_MAX))
+    return false;
+  while (update->n_rows < rows->via.array.size)
+    {
+      if (!listing_read (&rows->via.array.ptr[update->n_rows], &update->rows[update->n_rows]))
+        return false;
+      update->n_rows++;
+    }
+  return true;
+}
+
 /* Encoder and decoder of one kind of message. */
 typedef struct
 {
@@ -722,6 +777,7 @@
   [MF_RELAY_MESSAGE_ORIGIN] = { ORIGIN_MEMBERS, origin_pack, origin_read },
   [MF_RELAY_MESSAGE_ORIGIN_ASK] = { ORIGIN_ASK_MEMBERS, origin_ask_pack, origin_ask_read },
   [MF_RELAY_MESSAGE_ORIGIN_REPLY] = { ORIGIN_REPLY_MEMBERS, origin_reply_pack, origin_reply_read },
+  [MF_RELAY_MESSAGE_LISTINGS] = { LISTINGS_MEMBERS, listings_pack, listings_read },
 };
 
 /* Appends a message as a frame: 4 bytes of length in network byte order, then msgpack. */
--- a/libmangofork/relay/relay_message.h
+++ b/libmangofork/relay/relay_message.h
@@ -3,6 +3,7 @@
 
 #include "dispatch.h"
 #include "feed.h"
+#include "listing.h"
 
 #include "libmangofork/rate_share.h"
 #include "libmangofork/suspect.h"
@@ -30,6 +31,7 @@
   MF_RELAY_MESSAGE_ORIGIN = 15,       /* which version has begun a stream */
   MF_RELAY_MESSAGE_ORIGIN_ASK = 16,   /* asks which version has begun a stream */
   MF_RELAY_MESSAGE_ORIGIN_REPLY = 17, /* the answer to that */
+  MF_RELAY_MESSAGE_LISTINGS = 18,     /* upstreams that were removed or are leaving */
 } MfRelayMessageKind;
 
 /* A request for permission to retry, or its answer. */
@@ -101,6 +103,15 @@
   uint32_t n_entries;
 } MfLimitUpdate;
 
+/* Maximum listings in one message. */
+#define MF_LISTING_ROWS_MAX 64
+
+typedef struct
+{
+  MfListing rows[MF_LISTING_ROWS_MAX];
+  uint32_t n_rows;
+} MfListingUpdate;
+
 /* The software version that has begun a stream. */
 typedef struct
 {
@@ -130,6 +141,7 @@
   MfRateMessage rate;         /* RATE_ASK, RATE_GRANT */
   MfLimitUpdate limits;       /* LIMITS */
   MfOriginMessage origin;     /* ORIGIN, ORIGIN_ASK, ORIGIN_REPLY */
+  MfListingUpdate listings;   /* LISTINGS */
   MfGrant grant;              /* GRANT; QUEUED, CANCEL, GRANT_ACK, REJECTED use its id only */
   uint64_t wait_us;           /* REJECTED: until the queue of that time is served */
 } MfRelayMessage;
--- a/libmangofork/relay/target.c
+++ b/libmangofork/relay/target.c
@@ -243,6 +243,18 @@
                        mf_clock_now_us ());
 }
 
+/* Records what this instance has read of a process, and reports it unless it was known. */
+static void
+targets_note_own (MfTargets *targets, uint64_t process_id, MfListingState state,
+                  const MfPosition *position)
+{
+  MfListing listing = { .process = process_id, .state = state, .position = *position };
+
+  if (mf_listings_note (&targets->listings, &listing) && targets->callbacks != NULL
+      && targets->callbacks->listing_changed != NULL)
+    targets->callbacks->listing_changed (targets->user_data, &listing);
+}
+
 static void
 target_drop (MfTargets *targets, MfTarget *dropped)
 {
@@ -254,7 +266,6 @@
       targets->n_targets--;
       if (!mf_target_is_leaving (dropped))
         target_note_last_use (dropped);
-      targets->removed[targets->n_removed++ % MF_TARGETS_REMOVED_MAX] = dropped->process_id;
       /* Discovery may list the same process again. */
       if (dropped->limit.is_limited)
         mf_targets_note_limit (targets, dropped->process_id, &dropped->limit);
@@ -388,15 +399,46 @@
   return false;
 }
 
+/* Compares the entry of an upstream with what any instance has read of it later. */
+static void
+target_check_listing (MfTarget *target)
+{
+  const MfListing *listing = mf_listings_find (&target->targets->listings, target->process_id);
+  bool was_withdrawn = target->is_withdrawn;
+
+  target->is_withdrawn = listing != NULL && listing->state == MF_LISTING_REMOVED
+                         && mf_position_is_later (&listing->position, &target->position);
+  if (target->is_withdrawn != was_withdrawn && target->targets->log != NULL)
+    mf_relay_log_state (target->targets->log, "upstream.withdrawn",
+                        "upstream=%s service=%s withdrawn=%s revision=%llu in_flight=%u",
+                        target->info.id, target->info.service, target->is_withdrawn ? "yes" : "no",
+                        (unsigned long long)(listing != NULL ? listing->position.revision : 0),
+                        target->n_active);
+}
+
+/* Merges what another instance has read of a process. */
+void
+mf_targets_note_listing (MfTargets *targets, const MfListing *listing)
+{
+  MfTarget *target;
+
+  if (!mf_listings_note (&targets->listings, listing))
+    return;
+  target = mf_targets_by_process (targets, listing->process);
+  if (target == NULL)
+    return;
+  if (listing->state == MF_LISTING_LEAVING)
+    mf_target_record_leaving (target);
+  else
+    target_check_listing (target);
+}
+
 static bool
-was_removed (const MfTargets *targets, uint64_t process_id)
+is_known_to_leave (const MfTargets *targets, uint64_t process_id)
 {
-  for (uint32_t i = 0; i < MF_TARGETS_REMOVED_MAX; i++)
-    {
-      if (targets->removed[i] == process_id)
-        return true;
-    }
-  return false;
+  const MfListing *listing = mf_listings_find (&targets->listings, process_id);
+
+  return listing != NULL && listing->state == MF_LISTING_LEAVING;
 }
 
 static MfTarget *
@@ -425,8 +467,9 @@
   target->process_id = process_hash (target->id_hash, info->started_ms);
   target->service = mf_load_hash (info->service);
   target->version = version_hash (target->service, info->version);
-  target->announced_leaving = has_departed (targets, target);
-  if (targets->is_restoring && was_removed (targets, target->process_id))
+  target->announced_leaving
+      = has_departed (targets, target) || is_known_to_leave (targets, target->process_id);
+  if (targets->is_restoring && mf_listings_find (&targets->listings, target->process_id) != NULL)
     target->held_until_us = mf_clock_now_us () + HELD_US;
   limit = unlisted_limit (targets, target->process_id);
   if (limit != NULL)
@@ -479,6 +522,7 @@
           || strcmp (target->info.service, info->service) != 0))
     {
       target_record_end (target, "the process was restarted");
+      targets_note_own (targets, target->process_id, MF_LISTING_REMOVED, &targets->position);
       target_drop (targets, target);
       target = NULL;
     }
@@ -508,6 +552,10 @@
     mf_target_record_leaving (target);
   target->listed = true;
   target->unlisted_us = 0;
+  target->position = targets->position;
+  if (mf_listings_find (&targets->listings, target->process_id) != NULL)
+    targets_note_own (targets, target->process_id, MF_LISTING_LISTED, &target->position);
+  target_check_listing (target);
   return changed;
 }
 
@@ -520,11 +568,15 @@
   if (target == NULL)
     return false;
   if (at_once)
-    target_drop (targets, target);
-  else if (target->unlisted_us == 0)
-    target->unlisted_us = now_us;
-  else
+    {
+      targets_note_own (targets, target->process_id, MF_LISTING_REMOVED, &targets->position);
+      target_drop (targets, target);
+      return true;
+    }
+  if (target->unlisted_us > 0)
     return false;
+  target->unlisted_us = now_us;
+  target->position = targets->position;
   return true;
 }
 
@@ -540,6 +592,7 @@
       next = target->next;
       if (target->unlisted_us == 0 || target->unlisted_us > before_us)
         continue;
+      targets_note_own (targets, target->process_id, MF_LISTING_REMOVED, &target->position);
       target_drop (targets, target);
       n_dropped++;
     }
@@ -698,11 +751,18 @@
   return target->info.leaving || target->announced_leaving;
 }
 
-/* Whether it accepts requests of this instance: it is not leaving and has not asked for a pause. */
+/* Whether it is about to stop, or some instance has read that it has no entry any more. */
+bool
+mf_target_has_left (const MfTarget *target)
+{
+  return mf_target_is_leaving (target) || target->is_withdrawn;
+}
+
+/* Whether it accepts requests of this instance: it has not left and has not asked for a pause. */
 bool
 mf_target_accepts (const MfTarget *target, uint64_t now_us)
 {
-  return !mf_target_is_leaving (target) && target->paused_until_us <= now_us
+  return !mf_target_has_left (target) && target->paused_until_us <= now_us
          && target->held_until_us <= now_us;
 }
 
@@ -719,6 +779,9 @@
   target->announced_leaving = true;
   targets->departures[targets->n_departures++ % MF_TARGETS_DEPARTURES_MAX]
       = (MfDeparture){ .id_hash = target->id_hash, .started_ms = target->info.started_ms };
+  /* A process without a start time has the identity of the next one with its id. */
+  if (target->info.started_ms > 0)
+    targets_note_own (targets, target->process_id, MF_LISTING_LEAVING, &targets->position);
   if (targets->log != NULL)
     mf_relay_log_state (targets->log, "upstream.leaving",
                         "upstream=%s service=%s listed_leaving=%s in_flight=%u", target->info.id,
--- a/libmangofork/relay/target.h
+++ b/libmangofork/relay/target.h
@@ -3,6 +3,7 @@
 
 #include "line.h"
 #include "link.h"
+#include "listing.h"
 #include "version.h"
 
 #include "libmangofork/rate.h"
@@ -52,6 +53,9 @@
   /* Its rate limit has changed. by_answer is set when one of its own answers says so. May be NULL.
    */
   void (*limit_changed) (void *data, MfTarget *target, bool by_answer);
+  /* A process was removed, is listed again or is leaving, as this instance has read. May be NULL.
+   */
+  void (*listing_changed) (void *data, const MfListing *listing);
 } MfTargetsCallbacks;
 
 /* One upstream process, and what this instance has observed of it. */
@@ -63,6 +67,8 @@
   MfTarget *next;
   bool listed;            /* listed by discovery */
   uint64_t unlisted_us;   /* when it was unlisted while discovery was unreachable; 0: it was not */
+  MfPosition position;    /* of its entry, or of its removal while it is kept */
+  bool is_withdrawn;      /* another instance has read a later removal of its entry */
   uint32_t n_active;      /* running requests of this instance */
   uint64_t active_tokens; /* their KV use when they end */
   uint32_t n_suspects;    /* of these, suspect requests */
@@ -132,10 +138,6 @@
  * replaced at one time are smaller than this. */
 #define MF_TARGETS_DEPARTURES_MAX 512
 
-/* Removed processes kept: those that may have been removed between a backup of discovery and its
- * return, some seconds later. */
-#define MF_TARGETS_REMOVED_MAX 512
-
 /* All known upstreams, in one unordered list. */
 struct MfTargets
 {
@@ -150,9 +152,9 @@
   uint64_t unacked_timeout_us;
   MfDeparture departures[MF_TARGETS_DEPARTURES_MAX]; /* the oldest one is overwritten */
   uint32_t n_departures;                             /* ever recorded */
-  bool is_restoring;                        /* the entries that are added may be removed ones */
-  uint64_t removed[MF_TARGETS_REMOVED_MAX]; /* processes; the oldest is overwritten */
-  uint32_t n_removed;                       /* ever recorded */
+  bool is_restoring;   /* the entries that are added may be removed ones */
+  MfPosition position; /* of the change that is being applied */
+  MfListings listings; /* processes that were removed or are leaving, as read by any instance */
   MfUnlistedLimit unlisted_limits[MF_TARGETS_UNLISTED_LIMITS_MAX]; /* the oldest is overwritten */
   uint32_t n_unlisted_limits;                                      /* ever recorded */
   MfVersionLog versions; /* that upstreams had which are leaving or not listed any more */
@@ -166,6 +168,7 @@
 const MfTarget *mf_targets_by_version (const MfTargets *targets, uint64_t version);
 MfTarget *mf_targets_by_process (const MfTargets *targets, uint64_t process_id);
 void mf_targets_note_limit (MfTargets *targets, uint64_t process_id, const MfRateNotice *limit);
+void mf_targets_note_listing (MfTargets *targets, const MfListing *listing);
 void mf_targets_begin_list (MfTargets *targets);
 uint64_t mf_targets_sole_version (const MfTargets *targets, const char *service, uint64_t since_us);
 void mf_targets_clear (MfTargets *targets);
@@ -186,6 +189,7 @@
 uint32_t mf_target_load (const MfTarget *target);
 uint64_t mf_target_load_tokens (const MfTarget *target);
 bool mf_target_is_leaving (const MfTarget *target);
+bool mf_target_has_left (const MfTarget *target);
 bool mf_target_accepts (const MfTarget *target, uint64_t now_us);
 bool mf_target_is_limited (const MfTarget *target);
 bool mf_target_rate_ready (const MfTarget *target, uint64_t max_wait_us, uint64_t now_us);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -28,6 +28,10 @@
 /* The factor with which the relay ranks the instances of a data centre. */
 #define RANK_FACTOR UINT64_C (0x9e3779b97f4a7c15)
 #define SETTINGS "relay-test.conf"
+/* The second relay of a pair; the next two ports are its own as well. */
+#define OTHER_PORT 21765
+#define OTHER_SETTINGS "relay-test-other.conf"
+#define PAIR_PEERS "127.0.0.1:21768"
 
 /* A relay with its store and two upstreams of a plain service, on one event loop. */
 typedef struct
@@ -796,6 +800,116 @@
   peer_fixture_end (&peer_fixture);
 }
 
+/* A relay and another one whose path to the store can be lost alone: it has a store of its own, in
+ * which the same is written. */
+typedef struct
+{
+  Fixture fixture;
+  FakeStore *store;
+  MfRelay *relay;
+} PairFixture;
+
+static void
+pair_fixture_begin (PairFixture *pair)
+{
+  Fixture *fixture = &pair->fixture;
+  MfError error = { 0 };
+  FILE *file;
+
+  fixture_begin_with (fixture, PAIR_PEERS);
+  pair->store = fake_store_new (fixture->loop);
+  file = fopen (OTHER_SETTINGS, "w");
+  assert_non_null (file);
+  fprintf (file,
+           "node=n2\nzone=z\nlisten.front=127.0.0.1:%d\nlisten.readiness=127.0.0.1:%d\n"
+           "provider.address=%s\nbounds.contactMs=400\nbounds.graceS=3\nbounds.drainMs=%d\n"
+           "heartbeatMs=200\nlisten.control=127.0.0.1:%d\nseeds=" PAIR_PEERS "\n",
+           OTHER_PORT, OTHER_PORT + 1, fake_store_address (pair->store), CHANGE_MS, OTHER_PORT + 2);
+  fclose (file);
+  pair->relay = mf_relay_new (&platform_deployment, OTHER_SETTINGS, &error);
+  assert_non_null (pair->relay);
+}
+
+static void
+pair_fixture_end (PairFixture *pair)
+{
+  mf_relay_free (pair->relay);
+  fake_store_free (pair->store);
+  unlink (OTHER_SETTINGS);
+  fixture_end (&pair->fixture);
+}
+
+/* Writes the entry of the first upstream in both stores, or removes it. */
+static void
+pair_fixture_list (PairFixture *pair, bool listed)
+{
+  FakeStore *stores[] = { pair->fixture.store, pair->store };
+
+  for (size_t i = 0; i < MF_ARRAY_LEN (stores); i++)
+    {
+      if (listed)
+        fake_store_put_upstream (stores[i], "u0", "s",
+                                 fake_upstream_address (pair->fixture.upstreams[0]), "", "ready");
+      else
+        fake_store_remove (stores[i], "servers/u0");
+    }
+}
+
+/* Lists the upstream at both relays, which are connected then, and cuts off the second one. */
+static void
+pair_fixture_cut (PairFixture *pair)
+{
+  Fixture other = { .store = pair->store };
+
+  config_put (&pair->fixture, 1, "/a/");
+  config_put (&other, 1, "/a/");
+  pair_fixture_list (pair, true);
+  wait_for (&pair->fixture, PORT, "/a/1", 200);
+  wait_for (&pair->fixture, OTHER_PORT, "/a/1", 200);
+  loop_spin (pair->fixture.loop, 300);
+  fake_store_set_mode (pair->store, FAKE_STORE_SILENT);
+}
+
+/* An instance that had lost its path to the store used an upstream that the others had seen leave,
+ * and kept it after its return, as if the store had been away for all. */
+static void
+test_instance_without_the_store_uses_no_upstream_that_others_saw_leave (void **state)
+{
+  PairFixture pair;
+  Fixture *fixture = &pair.fixture;
+
+  (void)state;
+  pair_fixture_begin (&pair);
+  pair_fixture_cut (&pair);
+  loop_spin (fixture->loop, 1100);
+  pair_fixture_list (&pair, false);
+  wait_for (fixture, PORT, "/a/1", 503);
+  loop_spin (fixture->loop, 100);
+  assert_int_equal (status_of (fixture, OTHER_PORT, "/a/1"), 503);
+  fake_store_set_mode (pair.store, FAKE_STORE_SERVES);
+  for (uint32_t i = 0; i < 20; i++)
+    {
+      assert_int_equal (status_of (fixture, OTHER_PORT, "/a/1"), 503);
+      loop_spin (fixture->loop, 100);
+    }
+  pair_fixture_end (&pair);
+}
+
+static void
+test_instance_without_the_store_uses_upstreams_that_others_saw_return (void **state)
+{
+  PairFixture pair;
+
+  (void)state;
+  pair_fixture_begin (&pair);
+  pair_fixture_cut (&pair);
+  pair_fixture_list (&pair, false);
+  wait_for (&pair.fixture, OTHER_PORT, "/a/1", 503);
+  pair_fixture_list (&pair, true);
+  wait_for (&pair.fixture, OTHER_PORT, "/a/1", 200);
+  pair_fixture_end (&pair);
+}
+
 static bool
 cannot_connect (void *data)
 {
@@ -909,6 +1023,8 @@
     cmocka_unit_test (test_follower_that_was_fed_meanwhile_keeps_no_removed_upstream),
     cmocka_unit_test (test_reader_that_was_refused_alone_keeps_no_removed_upstream),
     cmocka_unit_test (test_reader_sends_changes_to_other_instances),
+    cmocka_unit_test (test_instance_without_the_store_uses_no_upstream_that_others_saw_leave),
+    cmocka_unit_test (test_instance_without_the_store_uses_upstreams_that_others_saw_return),
     cmocka_unit_test (test_shutdown),
     cmocka_unit_test (test_settings_are_read_again),
   };
--- a/tests/test_relay_message.c
+++ b/tests/test_relay_message.c
@@ -283,6 +283,26 @@
   assert_true (got.origin.is_inferred);
 }
 
+static void
+test_listings (void **state)
+{
+  (void)state;
+  sent = (MfRelayMessage){ .kind = MF_RELAY_MESSAGE_LISTINGS };
+  sent.listings.n_rows = MF_LISTING_ROWS_MAX;
+  for (uint32_t i = 0; i < MF_LISTING_ROWS_MAX; i++)
+    sent.listings.rows[i] = (MfListing){
+      .process = UINT64_MAX - i,
+      .state = (MfListingState)(i % (MF_LISTING_STATE_LAST + 1)),
+      .position = { .era = i, .revision = UINT64_MAX - 2 * i },
+    };
+  round_trip ();
+  assert_int_equal (got.listings.n_rows, MF_LISTING_ROWS_MAX);
+  assert_int_equal (got.listings.rows[5].process, UINT64_MAX - 5);
+  assert_int_equal (got.listings.rows[5].state, MF_LISTING_LEAVING);
+  assert_int_equal (got.listings.rows[5].position.era, 5);
+  assert_int_equal (got.listings.rows[5].position.revision, UINT64_MAX - 10);
+}
+
 /* Random bytes are either rejected or decoded, without memory errors. */
 static void
 test_any_bytes (void **state)
@@ -303,9 +323,9 @@
         }
       /* Most of them begin like a message, so that the decoders of members are reached. */
       bytes[0] = (char)(0x90 | (random & 15));
-      bytes[1] = (char)((random >> 8) % (MF_RELAY_MESSAGE_ORIGIN_REPLY + 1));
+      bytes[1] = (char)((random >> 8) % (MF_RELAY_MESSAGE_LISTINGS + 1));
       if (mf_relay_message_decode (bytes, sizeof bytes, &got))
-        assert_in_range (got.kind, MF_RELAY_MESSAGE_REPORT, MF_RELAY_MESSAGE_ORIGIN_REPLY);
+        assert_in_range (got.kind, MF_RELAY_MESSAGE_REPORT, MF_RELAY_MESSAGE_LISTINGS);
     }
   mf_feed_clear (&got.feed);
 }
@@ -363,6 +383,7 @@
     cmocka_unit_test (test_retry),         cmocka_unit_test (test_slot_request),
     cmocka_unit_test (test_grant_and_ids), cmocka_unit_test (test_any_bytes),
     cmocka_unit_test (test_feed),          cmocka_unit_test (test_origins),
+    cmocka_unit_test (test_listings),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_target.c
+++ b/tests/test_target.c
@@ -226,6 +226,60 @@
   mf_targets_clear (&targets);
 }
 
+static void
+on_listing_changed (void *data, const MfListing *listing)
+{
+  *(MfListing *)data = *listing;
+}
+
+/* An instance without a path to discovery knows what others have read there. */
+static void
+test_what_another_instance_has_read_of_a_process_counts (void **state)
+{
+  static const MfTargetsCallbacks callbacks = { .listing_changed = on_listing_changed };
+  MfTargets targets = { 0 };
+  MfTargetInfo info = info_make ("u1", "127.0.0.1:1");
+  MfListing reported = { 0 };
+  MfTarget *target;
+  MfListing listing;
+
+  (void)state;
+  targets.user_data = &reported;
+  targets.position = (MfPosition){ 1, 10 };
+  assert_true (mf_targets_update (&targets, &info));
+  targets.callbacks = &callbacks;
+  target = mf_targets_find (&targets, "u1");
+  listing = (MfListing){ mf_target_process_id (target), MF_LISTING_REMOVED, { 1, 9 } };
+  mf_targets_note_listing (&targets, &listing);
+  assert_true (mf_target_accepts (target, NOW_US));
+  listing.position.revision = 12;
+  mf_targets_note_listing (&targets, &listing);
+  assert_false (mf_target_accepts (target, NOW_US));
+  assert_false (mf_target_is_leaving (target));
+  /* An older list has it still. */
+  mf_targets_update (&targets, &info);
+  assert_false (mf_target_accepts (target, NOW_US));
+  assert_int_equal (reported.process, 0);
+  targets.position.revision = 13;
+  mf_targets_update (&targets, &info);
+  assert_true (mf_target_accepts (target, NOW_US));
+  assert_int_equal (reported.state, MF_LISTING_LISTED);
+  /* What is kept for a while was removed when it was read to be. */
+  targets.position.revision = 15;
+  mf_targets_remove (&targets, "u1", false, NOW_US);
+  targets.position.revision = 18;
+  assert_int_equal (mf_targets_expire (&targets, NOW_US), 1);
+  assert_int_equal (reported.state, MF_LISTING_REMOVED);
+  assert_int_equal (reported.position.revision, 15);
+  /* The exit of an unlisted process is known when it is listed. */
+  targets.callbacks = NULL;
+  listing.state = MF_LISTING_LEAVING;
+  mf_targets_note_listing (&targets, &listing);
+  mf_targets_update (&targets, &info);
+  assert_true (mf_target_is_leaving (mf_targets_find (&targets, "u1")));
+  mf_targets_clear (&targets);
+}
+
 /* With more departures than are kept, only the oldest are dropped. */
 static void
 test_departures_are_bounded (void **state)
@@ -432,6 +486,7 @@
     cmocka_unit_test (test_failures_fade),
     cmocka_unit_test (test_suspicion_grows_to_a_bound_and_ends_with_a_sign_of_life),
     cmocka_unit_test (test_a_process_that_said_it_leaves_is_not_used_again),
+    cmocka_unit_test (test_what_another_instance_has_read_of_a_process_counts),
     cmocka_unit_test (test_departures_are_bounded),
     cmocka_unit_test (test_pauses_are_bounded_and_never_shortened),
     cmocka_unit_test (test_an_engine_that_declines_while_idle_is_tried_less_often),
