A store that was silent is noticed soon after its return

Cause: a watch call may wait for changes for three quarters of contactMs, also while the store does not answer. The call that is in progress when the path returns gets no answer and ends by its timeout; in the incident on DRAIN an instance so read the store 0.98 s after it could, up to 2.75 s are possible, and it must act on changes within 3 s of the return. While the store is lost, calls wait for 100 ms now, so that each ends after 0.6 s at most.

test_return_of_a_silent_store_is_noticed_soon fails without the change (200 instead of 503, 1.2 s after the return).

--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -18,6 +18,9 @@
  * reserve. */
 #define OUTAGE_MIN_US (1 * MF_US_PER_S)
 #define OUTAGE_MIN_PERCENT 150
+/* While the source does not answer, calls to it wait for changes no longer than this, so that its
+ * return is noticed: a call that is in progress then may get no answer. */
+#define LOST_SOURCE_WAIT_US (100 * MF_US_PER_MS)
 /* Interval of periodic work: expired upstreams, drain, changed settings. */
 #define TICK_S 0.1
 #define SETTINGS_CHECK_INTERVAL_US (1 * MF_US_PER_S)
@@ -357,7 +360,9 @@
 uint64_t
 mf_relay_watch_timeout_us (const MfRelay *relay, MfFeedRole role, uint64_t standalone_us)
 {
-  return mf_feed_freshness_watch_timeout_us (&relay->freshness, role, standalone_us);
+  uint64_t wait_us = mf_feed_freshness_watch_timeout_us (&relay->freshness, role, standalone_us);
+
+  return relay->source_is_up || wait_us < LOST_SOURCE_WAIT_US ? wait_us : LOST_SOURCE_WAIT_US;
 }
 
 /* Returns the delay after a failed request to the source; last_us is the previous one. is_known
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -25,6 +25,7 @@
 #define PEER_PORT 21821
 #define N_PEERS 8
 #define CHANGE_MS 1000
+#define CONTACT_MS 400
 /* The factor with which the relay ranks the instances of a data centre. */
 #define RANK_FACTOR UINT64_C (0x9e3779b97f4a7c15)
 #define SETTINGS "relay-test.conf"
@@ -85,7 +86,7 @@
 
 /* peers is the address for other instances; empty: none. */
 static void
-fixture_begin_with (Fixture *fixture, const char *peers)
+fixture_begin_with (Fixture *fixture, const char *peers, unsigned contact_ms)
 {
   MfError error = { 0 };
   FILE *file = fopen (SETTINGS, "w");
@@ -96,10 +97,10 @@
   assert_non_null (file);
   fprintf (file,
            "node=n1\nzone=z\nlisten.front=127.0.0.1:%d\nlisten.readiness=127.0.0.1:%d\n"
-           "internalPorts=%d,%d\nprovider.address=%s\nbounds.contactMs=400\nbounds.graceS=3\n"
+           "internalPorts=%d,%d\nprovider.address=%s\nbounds.contactMs=%u\nbounds.graceS=3\n"
            "bounds.drainMs=%d\nlisten.control=%s\n",
            PORT, READY_PORT, METRICS_PORT, METRICS_PORT + 1, fake_store_address (fixture->store),
-           CHANGE_MS, peers);
+           contact_ms, CHANGE_MS, peers);
   fclose (file);
   for (unsigned i = 0; i < 2; i++)
     fixture->upstreams[i] = fake_upstream_new (fixture->loop, on_upstream, fixture);
@@ -111,7 +112,7 @@
 static void
 fixture_begin (Fixture *fixture)
 {
-  fixture_begin_with (fixture, "");
+  fixture_begin_with (fixture, "", CONTACT_MS);
 }
 
 static void
@@ -332,6 +333,36 @@
   fixture_end (&fixture);
 }
 
+static void
+run_for (Fixture *fixture, uint64_t for_us)
+{
+  uint64_t until_us = mf_clock_now_us () + for_us;
+
+  while (mf_clock_now_us () < until_us)
+    loop_spin (fixture->loop, 5);
+}
+
+/* A call that was in progress when the path to the store returned kept an instance from noticing
+ * for as long as a call may wait for changes. */
+static void
+test_return_of_a_silent_store_is_noticed_soon (void **state)
+{
+  Fixture fixture;
+
+  (void)state;
+  fixture_begin_with (&fixture, "", 3000);
+  config_put (&fixture, 1, "/a/");
+  upstream_put (&fixture, 0, "ready");
+  wait_for (&fixture, PORT, "/a/1", 200);
+  fake_store_set_mode (fixture.store, FAKE_STORE_SILENT);
+  run_for (&fixture, 3400 * MF_US_PER_MS);
+  upstream_put (&fixture, 0, "draining");
+  fake_store_set_mode (fixture.store, FAKE_STORE_SERVES);
+  run_for (&fixture, 1200 * MF_US_PER_MS);
+  assert_int_equal (status_of (&fixture, PORT, "/a/1"), 503);
+  fixture_end (&fixture);
+}
+
 /* An upstream whose entry expired during an outage of the store stays in use for a while, and is
  * removed when it has not registered again by then. */
 static void
@@ -555,7 +586,7 @@
         }
       peer_fixture->role = mf_feed_role (&(MfFeedRank){ .n_instances = N_PEERS + 1, .rank = rank });
     }
-  fixture_begin_with (&peer_fixture->fixture, seed);
+  fixture_begin_with (&peer_fixture->fixture, seed, CONTACT_MS);
   for (int i = 0; i < N_PEERS; i++)
     {
       char address[MF_ADDRESS_BYTES];
@@ -816,7 +847,7 @@
   MfError error = { 0 };
   FILE *file;
 
-  fixture_begin_with (fixture, PAIR_PEERS);
+  fixture_begin_with (fixture, PAIR_PEERS, CONTACT_MS);
   pair->store = fake_store_new (fixture->loop);
   file = fopen (OTHER_SETTINGS, "w");
   assert_non_null (file);
@@ -1014,6 +1045,7 @@
     cmocka_unit_test (test_lists_have_pages),
     cmocka_unit_test (test_odd_entries_hide_no_other),
     cmocka_unit_test (test_store_outages_of_every_kind),
+    cmocka_unit_test (test_return_of_a_silent_store_is_noticed_soon),
     cmocka_unit_test (test_expired_entries_are_kept_for_a_while),
     cmocka_unit_test (test_changes_of_a_restored_store_are_applied),
     cmocka_unit_test (test_confirmed_state_outlasts_a_restore),
