Sends name the digest of their request; the soak names the instance of each late send

An instance that is killed writes no request.end, so that its sends could not be tied to the request that crashed upstreams, and the count of late sends did not say whether an instance had just started. No behaviour changes.

--- a/libmangofork/relay/job_send.c
+++ b/libmangofork/relay/job_send.c
@@ -293,11 +293,13 @@
   mf_buffer_clear (&head);
   jobs->counters.counts[MF_RELAY_COUNT_SENDS]++;
   mf_relay_log_event (jobs->log, "request.send",
-                      "id=%s upstream=%s version=%s stage=%s try=%u after_event=%lld memory=%s "
+                      "id=%s digest=%016llx upstream=%s version=%s stage=%s try=%u "
+                      "after_event=%lld memory=%s "
                       "in_flight=%u tokens=%llu "
                       "answer_ms=%.1f failure_share=%.2f seen_ms=%.0f left_ms=%lld",
-                      job->id, target->info.id, target->info.version,
-                      prefill ? "prefill" : mf_role_name (target->info.role), job->n_arrivals + 1,
+                      job->id, (unsigned long long)job->digest, target->info.id,
+                      target->info.version, prefill ? "prefill" : mf_role_name (target->info.role),
+                      job->n_arrivals + 1,
                       job->events.has_last_id ? (long long)job->events.last_id : -1LL,
                       job->kv_target != NULL ? job->kv.handle : "none", target->n_active,
                       (unsigned long long)target->active_tokens, target->answer_us / 1e3,
--- a/tests/soak/relay_soak.c
+++ b/tests/soak/relay_soak.c
@@ -969,6 +969,25 @@
   return !instance->paused && mf_clock_now_us () >= instance->excused_until_us;
 }
 
+/* Prints which instance has sent a request that crashes upstreams once more, and for how long it
+ * has been running. */
+static void
+on_late_arrival (void *data, const char *id)
+{
+  const Soak *soak = data;
+  uint64_t now_us = mf_clock_now_us ();
+  uint32_t index = 0;
+  const Instance *instance;
+
+  if (sscanf (id, "r%u", &index) != 1 || index >= soak->n_sent)
+    return;
+  instance = &soak->instances[soak->sent[index].instance];
+  printf ("late send at %.3f s: %s by instance %u, started %.3f s before%s\n",
+          (double)(now_us - soak->started_us) / (double)MF_US_PER_S, id, soak->sent[index].instance,
+          (double)(now_us - instance->started_us) / (double)MF_US_PER_S,
+          instance->paused ? ", paused" : "");
+}
+
 static void
 on_excess (void *data, SoakUpstream *upstream)
 {
@@ -1224,6 +1243,7 @@
     }
   soak_ledger_set_grace (soak->ledger, CONTACT_MS * MF_US_PER_MS);
   soak_ledger_set_arrival_counts (soak->ledger, on_arrival_counts, soak);
+  soak_ledger_set_late_arrival (soak->ledger, on_late_arrival, soak);
   config_publish (soak);
   for (uint32_t i = 0; i < soak->n_instances; i++)
     {
--- a/tests/soak/soak_upstream.c
+++ b/tests/soak/soak_upstream.c
@@ -37,6 +37,8 @@
   bool deadly_parts_ended;
   SoakArrivalCountsFunc arrival_counts; /* for requests with deadly parts; NULL: all count */
   void *arrival_data;
+  SoakLateArrivalFunc late_arrival; /* may be NULL */
+  void *late_data;
 };
 
 /* One request that runs. */
@@ -139,6 +141,14 @@
   ledger->arrival_data = data;
 }
 
+/* Sets the function that is called for each late arrival of a request that crashes upstreams. */
+void
+soak_ledger_set_late_arrival (SoakLedger *ledger, SoakLateArrivalFunc func, void *data)
+{
+  ledger->late_arrival = func;
+  ledger->late_data = data;
+}
+
 /* Sets how long after the last crash that is allowed a request may still arrive without being late.
  */
 void
@@ -148,16 +158,20 @@
 }
 
 static void
-crasher_count_arrival (const SoakLedger *ledger, SoakCrasher *crasher)
+crasher_count_arrival (const SoakLedger *ledger, SoakCrasher *crasher, const char *id)
 {
   crasher->n_arrivals++;
-  crasher->n_late_arrivals += crasher->last_crash_us > 0
-                              && mf_clock_now_us () > crasher->last_crash_us + ledger->grace_us;
+  if (crasher->last_crash_us == 0
+      || mf_clock_now_us () <= crasher->last_crash_us + ledger->grace_us)
+    return;
+  crasher->n_late_arrivals++;
+  if (ledger->late_arrival != NULL)
+    ledger->late_arrival (ledger->late_data, id);
 }
 
 /* Counts the arrival of a crashing request. Returns NULL for any other request. */
 static SoakCrasher *
-ledger_count_crasher (SoakLedger *ledger, const char *text)
+ledger_count_crasher (SoakLedger *ledger, const char *text, const char *id)
 {
   const char *body = strstr (text, "\r\n\r\n" SOAK_CRASH);
   SoakCrasher *crasher;
@@ -165,7 +179,7 @@
   if (body == NULL)
     return NULL;
   crasher = &ledger->crashers[(uint32_t)(body[4 + strlen (SOAK_CRASH)] - '0') % SOAK_CRASHERS_MAX];
-  crasher_count_arrival (ledger, crasher);
+  crasher_count_arrival (ledger, crasher, id);
   return crasher;
 }
 
@@ -186,7 +200,7 @@
   crasher = &ledger->deadly_parts[(uint32_t)(part[strlen (SOAK_DEADLY_PART)] - '0')
                                   % SOAK_DEADLY_PARTS_MAX];
   if (ledger->arrival_counts == NULL || ledger->arrival_counts (ledger->arrival_data, id))
-    crasher_count_arrival (ledger, crasher);
+    crasher_count_arrival (ledger, crasher, id);
   return crasher;
 }
 
@@ -515,7 +529,8 @@
   if (fake_upstream_request_header (text, "X-Pin-Ms", value, sizeof value))
     upstream->ledger->n_reserved_headers++;
   upstream->last_arrival_us = mf_clock_now_us ();
-  run->crasher = upstream->down_s > 0. ? ledger_count_crasher (upstream->ledger, text) : NULL;
+  run->crasher
+      = upstream->down_s > 0. ? ledger_count_crasher (upstream->ledger, text, run->id) : NULL;
   if (run->crasher != NULL)
     {
       ev_timer_set (&run->timer, 0.005, 0.);
--- a/tests/soak/soak_upstream.h
+++ b/tests/soak/soak_upstream.h
@@ -88,11 +88,15 @@
 /* Whether a late arrival, named by the id of its request, counts. */
 typedef bool (*SoakArrivalCountsFunc) (void *data, const char *id);
 
+/* Called for each late arrival of a request that crashes upstreams, named by its id. */
+typedef void (*SoakLateArrivalFunc) (void *data, const char *id);
+
 SoakCrasher soak_ledger_crasher (const SoakLedger *ledger, uint32_t crasher);
 /* From now on no part is deadly. */
 void soak_ledger_end_deadly_parts (SoakLedger *ledger);
 SoakCrasher soak_ledger_deadly_part (const SoakLedger *ledger, uint32_t part);
 void soak_ledger_set_grace (SoakLedger *ledger, uint64_t grace_us);
 void soak_ledger_set_arrival_counts (SoakLedger *ledger, SoakArrivalCountsFunc func, void *data);
+void soak_ledger_set_late_arrival (SoakLedger *ledger, SoakLateArrivalFunc func, void *data);
 
 #endif
