After a loss of all instances one crash quarantines a request

Cause: what is known of crashes ends with the instances that know it.

Each instance now knows since when it knows of crashes: since its start, or for as long as one that has sent it all suspects. It is retried only after a probe, and a request that some instance has seen answered since is not.

--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -100,7 +100,7 @@
   mf_job_cancel_slot_request (job);
   mf_job_drop_rate (job);
   if (job->link != NULL && mf_link_has_sent (job->link))
-    mf_job_note_failure (job, job->target);
+    mf_job_note_failure (job, job->target, false);
   mf_job_end_trial (job);
   mf_job_cancel (job);
   mf_job_reserve (job, NULL);
--- a/libmangofork/relay/job_answer.c
+++ b/libmangofork/relay/job_answer.c
@@ -347,7 +347,7 @@
   if (end == MF_LINK_COMPLETE)
     mf_job_note_sound (job);
   else if (!job->answer_began && job->parts.n_parts > 0)
-    mf_job_note_failure (job, target);
+    mf_job_note_failure (job, target, false);
 }
 
 /* Returns how long the upstream took to begin its stream. For one that was resumed there, which had
@@ -391,7 +391,7 @@
     {
       job->n_runs++;
       job->kv_used = true;
-      mf_job_note_failure (job, target);
+      mf_job_note_failure (job, target, true);
       mf_target_probe (target);
       job_failed (job, target, why);
     }
@@ -403,7 +403,7 @@
       job->kv_used = true;
       if (defect != NULL)
         {
-          mf_job_note_failure (job, target);
+          mf_job_note_failure (job, target, true);
           mf_target_probe (target);
           job_failed (job, target, defect);
         }
@@ -479,7 +479,7 @@
       mf_job_avoid (job, target->id_hash);
       if (end == MF_LINK_BROKEN)
         {
-          mf_job_note_failure (job, target);
+          mf_job_note_failure (job, target, true);
           mf_target_probe (target);
         }
       mf_job_retry_after_failure (job, target,
--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -279,7 +279,7 @@
                       target->info.id, (double)(mf_clock_now_us () - job->sent_us) / 1e3,
                       target->n_active);
   mf_target_record_failure (target, false, mf_clock_now_us ());
-  mf_job_note_failure (job, target);
+  mf_job_note_failure (job, target, false);
   mf_job_avoid (job, target->id_hash);
   /* The abandoned attempt may have been executed. */
   if (job->phase != MF_JOB_PREFILL && mf_link_has_sent (job->link))
--- a/libmangofork/relay/job_room.c
+++ b/libmangofork/relay/job_room.c
@@ -347,6 +347,9 @@
     case MF_RELAY_MESSAGE_LIMITS:
       mf_jobs_handle_limits (jobs, &message->limits);
       return;
+    case MF_RELAY_MESSAGE_HISTORY:
+      mf_jobs_handle_history (jobs, message->history_since_us);
+      return;
     case MF_RELAY_MESSAGE_LISTINGS:
       mf_jobs_handle_listings (jobs, &message->listings);
       return;
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -156,7 +156,7 @@
 uint64_t mf_job_digest (const MfCaller *caller);
 bool mf_job_is_suspect (const MfJob *job);
 bool mf_job_end_quarantined (MfJob *job);
-void mf_job_note_failure (MfJob *job, MfTarget *target);
+void mf_job_note_failure (MfJob *job, MfTarget *target, bool is_broken);
 void mf_job_note_upstream_alive (const MfJob *job);
 void mf_job_note_outcome (const MfJob *job, bool answered);
 void mf_job_note_sound (MfJob *job);
@@ -189,6 +189,11 @@
 void mf_jobs_send_limits (MfJobs *jobs, uint64_t peer);
 void mf_jobs_handle_limits (MfJobs *jobs, const MfLimitUpdate *update);
 
+/* job_history.c: since when crashes are known. */
+bool mf_jobs_history_is_lost (const MfJobs *jobs, uint64_t lifetime_us, uint64_t now_us);
+void mf_jobs_send_history (MfJobs *jobs, uint64_t peer);
+void mf_jobs_handle_history (MfJobs *jobs, uint64_t since_us);
+
 /* job_listing.c: what instances read of upstreams that leave. */
 void mf_jobs_listing_changed (MfJobs *jobs, const MfListing *listing);
 void mf_jobs_send_listings (MfJobs *jobs, uint64_t peer);
--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -51,6 +51,7 @@
 bool
 mf_jobs_init_suspects (MfJobs *jobs)
 {
+  jobs->history_since_us = mf_clock_now_us ();
   jobs->suspects = mf_suspects_new (
       &(MfSuspectLimits){ .crash_window_us = CRASH_WINDOW_US,
                           .two_deaths_quarantine_us = TWO_DEATHS_QUARANTINE_US,
@@ -227,6 +228,7 @@
   list_send (&list);
   list.has = is_known_to_others;
   list_send (&list);
+  mf_jobs_send_history (jobs, peer);
 }
 
 /* Ends quarantined requests in the next iteration of the loop: the one at hand may be among them.
@@ -299,6 +301,12 @@
       mf_suspects_remove (jobs->suspects, entry->digest);
       return;
     }
+  if (entry->n_deaths == 1 && entry->quarantine_ms > 0
+      && mf_suspects_was_answered (jobs->suspects, entry->digest))
+    {
+      entry_send (jobs, TO_ALL, &(MfSuspectEntry){ .digest = entry->digest, .cleared = true });
+      return;
+    }
   for (uint32_t i = 0; i < entry->n_deaths; i++)
     {
       MfSuspectDeath death = death_read (&entry->deaths[i], now_us);
@@ -435,7 +443,8 @@
                       age_ms (failure->failed_us, mf_clock_now_us ()));
   if (result == MF_SUSPECT_QUARANTINED)
     record_quarantine (jobs, suspect, "self");
-  if (suspect->n_deaths >= REPORT_AT_ONCE_DEATHS || !has_job (jobs, failure->digest))
+  if (result == MF_SUSPECT_QUARANTINED || suspect->n_deaths >= REPORT_AT_ONCE_DEATHS
+      || !has_job (jobs, failure->digest))
     suspect_send (jobs, failure->digest);
 }
 
@@ -536,10 +545,22 @@
   .listing_changed = on_listing_changed,
 };
 
-/* Records a failed or abandoned send, which may have crashed its upstream unless that announced its
- * exit. */
+/* Whether one crash is enough to quarantine the request, as all instances that knew of earlier ones
+ * may have ended: it has crashed the upstream before its answer began, and none has survived it. */
+static bool
+job_has_lost_history (const MfJob *job)
+{
+  const MfJobs *jobs = job->jobs;
+
+  return !job->answer_began && !job->head_sent
+         && !mf_suspects_was_answered (jobs->suspects, job->digest)
+         && mf_jobs_history_is_lost (jobs, THREE_DEATHS_QUARANTINE_US, mf_clock_now_us ());
+}
+
+/* Records a failed send, which may have crashed its upstream unless that announced its exit.
+ * is_broken is set when the upstream has ended the exchange, and not this instance. */
 void
-mf_job_note_failure (MfJob *job, MfTarget *target)
+mf_job_note_failure (MfJob *job, MfTarget *target, bool is_broken)
 {
   MfJobs *jobs = job->jobs;
   uint64_t now_us = mf_clock_now_us ();
@@ -551,6 +572,7 @@
     .caller = job->caller_hash,
     .trial_part = job->trial_part,
     .was_suspect = job->was_suspect,
+    .is_sufficient = is_broken && job_has_lost_history (job),
     .sent_us = job->sent_us,
     .failed_us = now_us,
   };
@@ -567,12 +589,12 @@
     upstream_died (jobs, target);
 }
 
-/* Retries a request after a failure, or ends it. A suspect waits until a probe has shown whether
- * this upstream has crashed as well. */
+/* Retries a request after a failure, or ends it. A suspect, or a request that one crash makes one,
+ * waits until a probe has shown whether this upstream has crashed as well. */
 void
 mf_job_retry_after_failure (MfJob *job, MfTarget *target, const MfJobDenial *denial)
 {
-  if (!job->was_suspect || target->probe == NULL)
+  if (target->probe == NULL || (!job->was_suspect && !job_has_lost_history (job)))
     {
       mf_job_retry_or_end (job, denial);
       return;
@@ -617,6 +639,8 @@
   const MfSuspect *suspect = mf_suspects_find (jobs->suspects, job->digest, mf_clock_now_us ());
   bool was_reported;
 
+  if (answered)
+    mf_suspects_note_answered (jobs->suspects, job->digest);
   if (suspect == NULL)
     return;
   if (!answered)
--- a/libmangofork/relay/peers.c
+++ b/libmangofork/relay/peers.c
@@ -303,7 +303,8 @@
          || kind == MF_RELAY_MESSAGE_RATE_ASK || kind == MF_RELAY_MESSAGE_RATE_GRANT
          || kind == MF_RELAY_MESSAGE_LIMITS || kind == MF_RELAY_MESSAGE_REJECTED
          || kind == MF_RELAY_MESSAGE_ORIGIN || kind == MF_RELAY_MESSAGE_ORIGIN_ASK
-         || kind == MF_RELAY_MESSAGE_ORIGIN_REPLY || kind == MF_RELAY_MESSAGE_LISTINGS;
+         || kind == MF_RELAY_MESSAGE_ORIGIN_REPLY || kind == MF_RELAY_MESSAGE_LISTINGS
+         || kind == MF_RELAY_MESSAGE_HISTORY;
 }
 
 /* Whether a connection comes from the host that its reports name. */
--- a/libmangofork/relay/relay_message.c
+++ b/libmangofork/relay/relay_message.c
@@ -32,6 +32,7 @@
 #define LIMIT_ENTRY_MEMBERS (1 + LIMIT_MEMBERS)
 #define LISTINGS_MEMBERS 2
 #define LISTING_MEMBERS 4
+#define HISTORY_MEMBERS 2
 /* Units of one ask; more make no sense within the bounds of a bucket. */
 #define RATE_UNITS_MAX UINT64_C (1000000000)
 /* A retry takes at most two sends: a prefill and a decode. */
@@ -336,6 +337,14 @@
     }
 }
 
+static void
+history_pack (msgpack_packer *packer, const MfRelayMessage *message)
+{
+  msgpack_pack_array (packer, HISTORY_MEMBERS);
+  msgpack_pack_uint32 (packer, message->kind);
+  pack_age (packer, message->history_since_us);
+}
+
 static bool
 read_number (const msgpack_object *object, uint64_t max, uint64_t *number)
 {
@@ -751,6 +760,12 @@
   return true;
 }
 
+static bool
+history_read (const msgpack_object *members, MfRelayMessage *message)
+{
+  return read_age (&members[1], &message->history_since_us);
+}
+
 /* Encoder and decoder of one kind of message. */
 typedef struct
 {
@@ -778,6 +793,7 @@
   [MF_RELAY_MESSAGE_ORIGIN_ASK] = { ORIGIN_ASK_MEMBERS, origin_ask_pack, origin_ask_read },
   [MF_RELAY_MESSAGE_ORIGIN_REPLY] = { ORIGIN_REPLY_MEMBERS, origin_reply_pack, origin_reply_read },
   [MF_RELAY_MESSAGE_LISTINGS] = { LISTINGS_MEMBERS, listings_pack, listings_read },
+  [MF_RELAY_MESSAGE_HISTORY] = { HISTORY_MEMBERS, history_pack, history_read },
 };
 
 /* Appends a message as a frame: 4 bytes of length in network byte order, then msgpack. */
--- a/libmangofork/relay/relay_message.h
+++ b/libmangofork/relay/relay_message.h
@@ -32,6 +32,7 @@
   MF_RELAY_MESSAGE_ORIGIN_ASK = 16,   /* asks which version has begun a stream */
   MF_RELAY_MESSAGE_ORIGIN_REPLY = 17, /* the answer to that */
   MF_RELAY_MESSAGE_LISTINGS = 18,     /* upstreams that were removed or are leaving */
+  MF_RELAY_MESSAGE_HISTORY = 19,      /* follows all that the sender knows of crashes */
 } MfRelayMessageKind;
 
 /* A request for permission to retry, or its answer. */
@@ -142,6 +143,7 @@
   MfLimitUpdate limits;       /* LIMITS */
   MfOriginMessage origin;     /* ORIGIN, ORIGIN_ASK, ORIGIN_REPLY */
   MfListingUpdate listings;   /* LISTINGS */
+  uint64_t history_since_us;  /* HISTORY: earlier crashes may be unknown; sent as its age */
   MfGrant grant;              /* GRANT; QUEUED, CANCEL, GRANT_ACK, REJECTED use its id only */
   uint64_t wait_us;           /* REJECTED: until the queue of that time is served */
 } MfRelayMessage;
--- a/libmangofork/suspect.c
+++ b/libmangofork/suspect.c
@@ -272,11 +272,10 @@
     suspect->n_reported = suspect->n_deaths;
 }
 
-/* Counts an upstream that died while it ran a request. isolated means that no other suspect ran
- * there. */
-MfSuspectResult
-mf_suspects_add_death (MfSuspects *suspects, uint64_t digest, const MfSuspectDeath *death,
-                       bool isolated, uint64_t now_us)
+/* Counts a death, which quarantines the request if it has n_needed with it. */
+static MfSuspectResult
+add_death (MfSuspects *suspects, uint64_t digest, const MfSuspectDeath *death, uint32_t n_needed,
+           uint64_t now_us)
 {
   MfSuspect *suspect = mf_suspects_find_or_add (suspects, digest, MF_SUSPECT_REQUEST, now_us);
   uint64_t duration_us;
@@ -288,7 +287,7 @@
   suspect->deaths[suspect->n_deaths++] = *death;
   if (suspect->n_deaths == DEATHS_CERTAIN)
     release_explained (suspects, suspect);
-  if (suspect->n_deaths < (isolated ? DEATHS_ISOLATED : DEATHS_CERTAIN))
+  if (suspect->n_deaths < n_needed)
     return MF_SUSPECT_COUNTED;
   duration_us = suspect->n_deaths < DEATHS_CERTAIN || last_death_is_explained (suspects, suspect)
                     ? suspects->limits.two_deaths_quarantine_us
@@ -298,6 +297,29 @@
              : MF_SUSPECT_COUNTED;
 }
 
+/* Counts an upstream that died while it ran a request. isolated means that no other suspect ran
+ * there. */
+MfSuspectResult
+mf_suspects_add_death (MfSuspects *suspects, uint64_t digest, const MfSuspectDeath *death,
+                       bool isolated, uint64_t now_us)
+{
+  return add_death (suspects, digest, death, isolated ? DEATHS_ISOLATED : DEATHS_CERTAIN, now_us);
+}
+
+/* Remembers that an upstream has survived a request. */
+void
+mf_suspects_note_answered (MfSuspects *suspects, uint64_t digest)
+{
+  suspects->answered[digest % MF_SUSPECT_ANSWERED_MAX] = digest;
+}
+
+/* Whether an upstream is known to have survived the request. */
+bool
+mf_suspects_was_answered (const MfSuspects *suspects, uint64_t digest)
+{
+  return suspects->answered[digest % MF_SUSPECT_ANSWERED_MAX] == digest;
+}
+
 /* Removes a request that was answered: its upstreams died of another cause. Returns whether it had
  * a row. */
 bool
@@ -361,6 +383,17 @@
   return n;
 }
 
+/* Returns the number of deaths, with the one of a failure, from which on its request is
+ * quarantined.
+ */
+static uint32_t
+deaths_needed (const MfSuspects *suspects, const MfSuspectFailure *failure, uint32_t n_suspects)
+{
+  if (failure->is_sufficient && !mf_suspects_was_answered (suspects, failure->digest))
+    return 1;
+  return failure->was_suspect && n_suspects == 1 ? DEATHS_ISOLATED : DEATHS_CERTAIN;
+}
+
 /* Handles the death of an upstream: counts it against the requests whose calls failed there within
  * the crash window. process identifies the incarnation that died, since an upstream may restart
  * under the same id. */
@@ -391,8 +424,8 @@
             mf_suspects_fail_trial (suspects, failure.trial_part, now_us);
           else
             mf_suspects_void_trial (suspects, failure.trial_part, now_us);
-          result = mf_suspects_add_death (suspects, failure.digest, &death,
-                                          failure.was_suspect && n_suspects == 1, now_us);
+          result = add_death (suspects, failure.digest, &death,
+                              deaths_needed (suspects, &failure, n_suspects), now_us);
         }
       func (data, &failure, result);
     }
--- a/libmangofork/suspect.h
+++ b/libmangofork/suspect.h
@@ -38,6 +38,7 @@
   MfParts parts;         /* of the prompt; none once the answer has begun */
   uint64_t trial_part;   /* the quarantined part that the attempt was the trial of; 0: none */
   bool was_suspect;      /* the request was already a suspect when it was sent */
+  bool is_sufficient;    /* one crash is enough: earlier ones may have been lost */
   uint64_t sent_us;
   uint64_t failed_us;
 } MfSuspectFailure;
@@ -125,6 +126,8 @@
 bool mf_suspects_quarantine (MfSuspects *suspects, uint64_t digest, uint64_t until_us,
                              uint64_t now_us);
 bool mf_suspects_remove (MfSuspects *suspects, uint64_t digest);
+void mf_suspects_note_answered (MfSuspects *suspects, uint64_t digest);
+bool mf_suspects_was_answered (const MfSuspects *suspects, uint64_t digest);
 
 /* suspect_part.c: parts of prompts. */
 MfSuspectResult mf_suspects_add_part_death (MfSuspects *suspects, uint64_t part, uint32_t depth,
--- a/libmangofork/suspect_row.h
+++ b/libmangofork/suspect_row.h
@@ -9,6 +9,9 @@
 /* Parts whose last sound use is remembered; a part replaces the one that has its place. */
 #define MF_SUSPECT_SOUND_MAX 2048
 
+/* Answered requests that are remembered; one replaces the one that has its place. */
+#define MF_SUSPECT_ANSWERED_MAX 2048
+
 /* Used only by suspect*.c. */
 typedef struct
 {
@@ -29,6 +32,7 @@
   MfSuspectFailure failures[MF_SUSPECT_FAILURES_MAX];
   uint32_t n_failures;
   MfSoundPart sound[MF_SUSPECT_SOUND_MAX];
+  uint64_t answered[MF_SUSPECT_ANSWERED_MAX]; /* digests */
 };
 
 MfSuspect *mf_suspects_find_or_add (MfSuspects *suspects, uint64_t digest, MfSuspectKind kind,
--- a/tests/fakes/store.c
+++ b/tests/fakes/store.c
@@ -3,6 +3,7 @@
 #include "http.h"
 
 #include "libmangofork/buffer.h"
+#include "libmangofork/clock.h"
 
 #include <sodium.h>
 #include <stdio.h>
@@ -30,6 +31,9 @@
   FakeStore *store;
 } Watch;
 
+/* Start of all upstreams, the same in all stores: that of the first one. */
+static uint64_t started_ms;
+
 struct FakeStore
 {
   struct ev_loop *loop;
@@ -300,6 +304,8 @@
 
   if (store == NULL)
     abort ();
+  if (started_ms == 0)
+    started_ms = mf_clock_wall_ms ();
   store->loop = loop;
   store->revision = 100;
   store->era = 1;
@@ -468,8 +474,9 @@
   snprintf (key, sizeof key, "servers/%s", id);
   snprintf (value, sizeof value,
             "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z\",\"version\":\"%s\",\"slots\":6,"
-            "\"state\":\"%s\",\"coldRemainingMs\":0,\"sequence\":%u%s,\"born\":1}",
-            service, address, version, state, ++store->n_registrations, stage);
+            "\"state\":\"%s\",\"coldRemainingMs\":0,\"sequence\":%u%s,\"born\":%llu}",
+            service, address, version, state, ++store->n_registrations, stage,
+            (unsigned long long)started_ms);
   fake_store_put (store, key, value);
 }
 
--- a/tests/relay_fixture.c
+++ b/tests/relay_fixture.c
@@ -95,11 +95,19 @@
   close (fixture->log_fd);
 }
 
+static uint64_t started_ms = RELAY_FIXTURE_STARTED_LAST_MS;
+
+void
+relay_fixture_set_started (uint64_t ms)
+{
+  started_ms = ms;
+}
+
 static void
 list_target (RelayFixture *fixture, const char *id, MfRole role, const char *address,
              const char *data_centre, const char *version)
 {
-  MfTargetInfo info = { .role = role, .slots = 4, .started_ms = 1 };
+  MfTargetInfo info = { .role = role, .slots = 4, .started_ms = started_ms };
 
   mf_name_set (info.id, sizeof info.id, id);
   mf_name_set (info.service, sizeof info.service, role == MF_ROLE_PLAIN ? "shop" : "engines");
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -11,6 +11,10 @@
   "HTTP/1.1 200 OK\r\nX-Attempt-Id: t\r\n" RELAY_FIXTURE_SEAL                                      \
   "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 
+/* Start of an upstream before or after all instances. */
+#define RELAY_FIXTURE_STARTED_FIRST_MS 1
+#define RELAY_FIXTURE_STARTED_LAST_MS UINT64_C (4102444800000)
+
 /* Handles a request at an upstream. */
 typedef void (*RelayFixtureHandler) (FakeUpstreamConn *conn, const char *text, const char *id);
 
@@ -48,6 +52,9 @@
 /* The same with the version of its software; other upstreams have none. */
 void relay_fixture_list_version (RelayFixture *fixture, const char *id, MfRole role,
                                  const char *address, const char *version);
+/* Sets the start of the upstreams that are listed from now on: RELAY_FIXTURE_STARTED_FIRST_MS, or
+ * RELAY_FIXTURE_STARTED_LAST_MS, which is the default. */
+void relay_fixture_set_started (uint64_t ms);
 /* Sends an answer. The functions after it are handlers for upstreams. */
 void relay_fixture_answer (FakeUpstreamConn *conn, const char *id, const char *status,
                            const char *headers, const char *body);
--- a/tests/test_job_suspect.c
+++ b/tests/test_job_suspect.c
@@ -353,6 +353,90 @@
   crash_fixture_teardown (&fixture);
 }
 
+/* Lets a crash be found out by the instances, and its upstream return. */
+static void
+await_upstreams (CrashFixture *fixture)
+{
+  loop_spin (fixture->fleet.loop, 150);
+}
+
+/* All instances had been killed, and a request crashed two upstreams or three before it was refused
+ * again. */
+static void
+test_request_crashes_one_upstream_after_the_loss_of_all_instances (void **state)
+{
+  static const char *const paths[] = { "/order/1", "/read/1", "/llm/1", "/once/1" };
+
+  (void)state;
+  relay_fixture_set_started (RELAY_FIXTURE_STARTED_FIRST_MS);
+  for (size_t i = 0; i < MF_ARRAY_LEN (paths); i++)
+    {
+      CrashFixture fixture;
+
+      crash_fixture_setup (&fixture);
+      call (&fixture, 0, CRASHER_HOST, paths[i], SOAK_CRASH "0");
+      await_upstreams (&fixture);
+      for (uint32_t j = 0; j < RELAY_FLEET_N_INSTANCES; j++)
+        assert_int_equal (call (&fixture, j, CRASHER_HOST, paths[i], SOAK_CRASH "0"), 503);
+      assert_int_equal (soak_ledger_crasher (fixture.ledger, 0).n_crashes, 1);
+      crash_fixture_teardown (&fixture);
+    }
+  relay_fixture_set_started (RELAY_FIXTURE_STARTED_LAST_MS);
+}
+
+/* An instance that has restarted alone knows what the others have seen. */
+static void
+test_restarted_instance_needs_two_crashes_like_the_others (void **state)
+{
+  CrashFixture fixture;
+
+  (void)state;
+  relay_fixture_set_started (RELAY_FIXTURE_STARTED_FIRST_MS);
+  crash_fixture_setup (&fixture);
+  for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
+    fixture.fleet.instances[i].jobs.history_since_us -= 1000 * MF_US_PER_S;
+  relay_fleet_restart (&fixture.fleet, 4);
+  for (uint32_t index = 0; index < N_UPSTREAMS; index++)
+    instance_list_upstream (&fixture, 4, index);
+  relay_fleet_wait_connected (&fixture.fleet);
+  await_upstreams (&fixture);
+  call (&fixture, 4, CRASHER_HOST, "/order/1", SOAK_CRASH "0");
+  await_upstreams (&fixture);
+  call (&fixture, 4, CRASHER_HOST, "/order/1", SOAK_CRASH "0");
+  assert_int_equal (soak_ledger_crasher (fixture.ledger, 0).n_crashes, 2);
+  crash_fixture_teardown (&fixture);
+  relay_fixture_set_started (RELAY_FIXTURE_STARTED_LAST_MS);
+}
+
+/* A request that has been answered at any instance since is not refused for one crash. */
+static void
+test_answered_request_is_not_refused_for_one_crash (void **state)
+{
+  (void)state;
+  for (uint32_t answering = 0; answering < 2; answering++)
+    {
+      CrashFixture fixture;
+      int crasher;
+      int beside;
+
+      relay_fixture_set_started (RELAY_FIXTURE_STARTED_FIRST_MS);
+      crash_fixture_setup (&fixture);
+      /* One upstream is left, so that both run there. */
+      for (uint32_t index = 1; index < 3; index++)
+        soak_upstream_set_mode (fixture.upstreams[index], SOAK_DECLINES);
+      assert_int_equal (call (&fixture, answering, INNOCENT_HOST, "/order/1", "sound"), 200);
+      crasher = start_call (&fixture, 0, CRASHER_HOST, "/order/1", SOAK_CRASH "0");
+      beside = start_call (&fixture, 0, INNOCENT_HOST, "/order/1", "sound");
+      finish_call (&fixture, crasher);
+      finish_call (&fixture, beside);
+      await_upstreams (&fixture);
+      assert_int_equal (call (&fixture, 0, INNOCENT_HOST, "/order/1", "sound"), 200);
+      assert_int_equal (call (&fixture, 1, CRASHER_HOST, "/order/1", SOAK_CRASH "0"), 503);
+      crash_fixture_teardown (&fixture);
+    }
+  relay_fixture_set_started (RELAY_FIXTURE_STARTED_LAST_MS);
+}
+
 /* The same content from another caller, or other content from the same caller, is another
  * request. */
 static void
@@ -441,7 +525,7 @@
   info.started_ms = 0;
   mf_targets_update (targets, &info);
   assert_null (mf_suspects_find (fixture.fleet.instances[0].jobs.suspects, 5, mf_clock_now_us ()));
-  info.started_ms = 2;
+  info.started_ms = RELAY_FIXTURE_STARTED_LAST_MS + 1;
   mf_name_set (info.id, sizeof info.id, "after");
   mf_targets_update (targets, &info);
   assert_non_null (
@@ -731,6 +815,9 @@
     cmocka_unit_test (test_restarted_instance_receives_quarantines),
     cmocka_unit_test (test_quarantines_are_sent_before_suspicions),
     cmocka_unit_test (test_isolated_instance_receives_quarantines),
+    cmocka_unit_test (test_request_crashes_one_upstream_after_the_loss_of_all_instances),
+    cmocka_unit_test (test_restarted_instance_needs_two_crashes_like_the_others),
+    cmocka_unit_test (test_answered_request_is_not_refused_for_one_crash),
     cmocka_unit_test (test_other_requests_are_served),
     cmocka_unit_test (test_request_that_is_answered_between_crashes_is_not_refused),
     cmocka_unit_test (test_request_that_silences_upstreams_is_found_out),
--- a/tests/test_relay_message.c
+++ b/tests/test_relay_message.c
@@ -303,6 +303,17 @@
   assert_int_equal (got.listings.rows[5].position.revision, UINT64_MAX - 10);
 }
 
+static void
+test_history (void **state)
+{
+  uint64_t now_us = mf_clock_now_us ();
+
+  (void)state;
+  sent = (MfRelayMessage){ .kind = MF_RELAY_MESSAGE_HISTORY, .history_since_us = now_us - 7000000 };
+  round_trip ();
+  assert_same_time (got.history_since_us, now_us - 7000000);
+}
+
 /* Random bytes are either rejected or decoded, without memory errors. */
 static void
 test_any_bytes (void **state)
@@ -323,9 +334,9 @@
         }
       /* Most of them begin like a message, so that the decoders of members are reached. */
       bytes[0] = (char)(0x90 | (random & 15));
-      bytes[1] = (char)((random >> 8) % (MF_RELAY_MESSAGE_LISTINGS + 1));
+      bytes[1] = (char)((random >> 8) % (MF_RELAY_MESSAGE_HISTORY + 1));
       if (mf_relay_message_decode (bytes, sizeof bytes, &got))
-        assert_in_range (got.kind, MF_RELAY_MESSAGE_REPORT, MF_RELAY_MESSAGE_LISTINGS);
+        assert_in_range (got.kind, MF_RELAY_MESSAGE_REPORT, MF_RELAY_MESSAGE_HISTORY);
     }
   mf_feed_clear (&got.feed);
 }
@@ -383,7 +394,7 @@
     cmocka_unit_test (test_retry),         cmocka_unit_test (test_slot_request),
     cmocka_unit_test (test_grant_and_ids), cmocka_unit_test (test_any_bytes),
     cmocka_unit_test (test_feed),          cmocka_unit_test (test_origins),
-    cmocka_unit_test (test_listings),
+    cmocka_unit_test (test_listings),      cmocka_unit_test (test_history),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
