An instance that is cut off from the others takes no version for the only one

What this instance infers from its own list counts now only if another instance has replied, or none is known; for a stream without a name, if reports of others are valid. Else the engines are queried, as before.

test_instance_that_is_cut_off_takes_no_version_for_the_only_one fails without the change (200 from the other version).

--- a/libmangofork/relay/job_origin.c
+++ b/libmangofork/relay/job_origin.c
@@ -400,6 +400,21 @@
   return true;
 }
 
+/* Whether this instance may conclude from its own list which version began the stream: one that is
+ * cut off from the others may not have read yet what they use. */
+static bool
+job_may_infer (const MfJob *job)
+{
+  const MfPeers *peers = job->jobs->peers;
+
+  if (job->n_engine_asks > 0 || !job_service_is_certain (job))
+    return false;
+  if (peers == NULL || mf_peers_n_known (peers) == 1 || job->origin_was_answered)
+    return true;
+  /* Without a name of the stream, the others have not been queried. */
+  return job->stream == 0 && mf_peers_n_alive (peers, mf_clock_now_us ()) > 1;
+}
+
 /* Looks for the version after no instance has been found that has recorded it. Returns like
  * job_find_at_engines. */
 static bool
@@ -408,7 +423,7 @@
   MfJobs *jobs = job->jobs;
   uint64_t version = 0;
 
-  if (job->n_engine_asks == 0 && job_service_is_certain (job))
+  if (job_may_infer (job))
     version = jobs_infer_version (jobs, job->service->name, stream_begun_us (job));
   if (version == 0 && job->inferred_version == 0)
     return job_find_at_engines (job);
@@ -512,6 +527,7 @@
 
   if (job == NULL)
     return;
+  job->origin_was_answered = true;
   if (job->n_origin_replies_due > 0)
     job->n_origin_replies_due--;
   if (reply->version != 0 && !reply->is_inferred)
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -132,6 +132,7 @@
   bool origin_noted;      /* the holders have been told of the version */
   uint64_t origin_ask_id; /* id of the question for the version that awaits replies; 0: none */
   uint32_t n_origin_replies_due;
+  bool origin_was_answered;  /* another instance has replied to that question */
   uint32_t n_engine_asks;    /* 1: another instance was to ask the engines; 2: this one has */
   bool awaits_engines;       /* they have been asked whether they hold its prompt */
   uint64_t inferred_version; /* by other instances, in their replies; 0: none */
--- a/tests/test_job_origin.c
+++ b/tests/test_job_origin.c
@@ -485,6 +485,41 @@
   relay_fleet_teardown (&fleet);
 }
 
+/* During a release, an instance that was cut off from the others knew of one version only, and took
+ * it for the one that had begun a stream elsewhere. */
+static void
+test_instance_that_is_cut_off_takes_no_version_for_the_only_one (void **state)
+{
+  RelayFleet fleet;
+  RelayFixture *isolated = &fleet.instances[4];
+  MfError error = { 0 };
+  char address[MF_ADDRESS_BYTES];
+  MfPeers *peers;
+
+  (void)state;
+  held_old = NULL;
+  relay_fleet_setup (&fleet, LISTEN_PORT, PEER_PORT);
+  add_engine (&fleet, OTHER_OLD, "v1", answer_old);
+  peers = isolated->jobs.peers;
+  isolated->jobs.peers = NULL;
+  mf_peers_free (peers);
+  snprintf (address, sizeof address, "127.0.0.1:%u", PEER_PORT + 4);
+  isolated->jobs.peers = mf_peers_new (fleet.loop, address, &mf_jobs_peers_callbacks,
+                                       &isolated->jobs, isolated->log, &error);
+  assert_non_null (isolated->jobs.peers);
+  mf_peers_add_seeds (isolated->jobs.peers, "127.0.0.1:1");
+  relay_fixture_add_upstream (&fleet.instances[0], NEW, MF_ROLE_DECODE, begin_and_break);
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      list_engine (&fleet, i, NEW, "v2");
+      mf_targets_remove (&fleet.instances[i].jobs.targets, "u2", true, mf_clock_now_us ());
+    }
+  assert_true (has_event_of (call (&fleet, 0, "a1", NULL), 'o'));
+  assert_memory_equal (call (&fleet, 4, "a2", "a1"), "HTTP/1.1 503", 12);
+  assert_memory_equal (call (&fleet, 4, "a3", ""), "HTTP/1.1 503", 12);
+  relay_fleet_teardown (&fleet);
+}
+
 /* A caller that waits for longer than any route's timeout may take up a stream of any age. */
 static void
 test_deadline_beyond_all_timeouts_tells_no_age_of_a_stream (void **state)
@@ -583,6 +618,7 @@
     cmocka_unit_test (test_engine_that_is_leaving_knows_what_it_began),
     cmocka_unit_test (test_version_that_serves_alone_may_not_have_begun_the_stream),
     cmocka_unit_test (test_record_of_another_instance_counts_before_the_only_version),
+    cmocka_unit_test (test_instance_that_is_cut_off_takes_no_version_for_the_only_one),
     cmocka_unit_test (test_deadline_beyond_all_timeouts_tells_no_age_of_a_stream),
     cmocka_unit_test (test_route_that_has_moved_says_nothing_about_earlier_streams),
     cmocka_unit_test (test_rest_of_a_stream_takes_the_time_of_the_rest),
