What is no stream does not go on with one

A stream had begun and broken off, and the next upstream answered with a sealed success of another content type: its text was passed on within the stream (ORDER, MIXED). Cause: the rest of a stream was taken from any success, without a look at what its body is said to be. Such an answer fails now like an unsealed one: the stream goes on elsewhere or is broken off. Errors by status, with and without a seal or a length, refusals and bytes that are no HTTP were kept out before.

test_error_of_the_next_upstream_is_no_part_of_a_stream fails without the change, in 2 of its 9 cases (application/json with a length, text/plain that ends with the connection).

--- a/libmangofork/relay/job_answer.c
+++ b/libmangofork/relay/job_answer.c
@@ -2,6 +2,9 @@
 
 #include "libmangofork/clock.h"
 
+#include <string.h>
+#include <strings.h>
+
 /* A resumable stream is moved to another upstream after a pause of this many times the route's
  * maximum gap between events. */
 #define STALL_GAPS 3
@@ -51,7 +54,28 @@
 answer_is_good (const MfJobAnswer *answer)
 {
   return answer->status >= 200 && answer->status < 300 && answer->sealed && !answer->encoded
-         && !answer->not_run;
+         && !answer->not_run && !answer->is_no_stream;
+}
+
+/* Whether the body is said to be something else than events. */
+static bool
+head_is_no_stream (const MfHead *head)
+{
+  static const char type[] = "text/event-stream";
+  size_t n_bytes = 0;
+  const char *value = mf_head_value (head, MF_HEADER_CONTENT_TYPE, &n_bytes);
+
+  return value != NULL
+         && (n_bytes < strlen (type) || strncasecmp (value, type, strlen (type)) != 0);
+}
+
+/* Returns why a complete success is not passed on. */
+static const char *
+answer_defect (const MfJobAnswer *answer)
+{
+  if (answer->is_no_stream)
+    return "answer to the rest of a stream is no stream";
+  return answer->encoded ? "answer has a content encoding" : "answer has no seal header";
 }
 
 static void
@@ -64,6 +88,7 @@
     mf_job_note_upstream_alive (job);
   mf_job_answer_clear (&job->answer);
   answer_set_head (&job->answer, head, status);
+  job->answer.is_no_stream = job->head_sent && head_is_no_stream (head);
 }
 
 static void
@@ -315,8 +340,7 @@
     }
   if (answer->status < 300)
     {
-      job_failed (job, target,
-                  answer->encoded ? "answer has a content encoding" : "answer has no seal header");
+      job_failed (job, target, answer_defect (answer));
       return;
     }
   if (answer->status >= 500)
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -26,6 +26,7 @@
   MfBuffer body;
   bool sealed;
   bool not_run;
+  bool is_no_stream; /* and is to go on with one */
   bool encoded;
 } MfJobAnswer;
 
--- a/tests/test_job_answer.c
+++ b/tests/test_job_answer.c
@@ -292,6 +292,72 @@
     }
 }
 
+/* Sends event 1 and breaks off. */
+static void
+handle_stream_begin (FakeUpstreamConn *conn, const char *text, const char *id)
+{
+  (void)text;
+  (void)id;
+  fake_upstream_conn_send (conn, RELAY_FIXTURE_STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n");
+  fake_upstream_conn_close (conn, false);
+}
+
+static const char *error_answer;
+
+static void
+handle_error (FakeUpstreamConn *conn, const char *text, const char *id)
+{
+  char last[16] = "";
+
+  (void)id;
+  if (!fake_upstream_request_header (text, "Last-Event-Id", last, sizeof last))
+    {
+      handle_stream_begin (conn, text, id);
+      return;
+    }
+  fake_upstream_conn_send (conn, error_answer);
+  fake_upstream_conn_close (conn, false);
+}
+
+/* After a stream had broken off, the next upstream answered with an error, whose text reached the
+ * caller within the stream, or the stream looked complete. */
+static void
+test_error_of_the_next_upstream_is_no_part_of_a_stream (void **state)
+{
+#define ERROR_ID "\r\nX-Attempt-Id: t\r\n"
+  static const char *const answers[] = {
+    "HTTP/1.1 500 Boom" ERROR_ID RELAY_FIXTURE_SEAL "Content-Length: 6\r\n\r\nboom\n\n",
+    "HTTP/1.1 500 Boom" ERROR_ID RELAY_FIXTURE_SEAL
+    "Transfer-Encoding: chunked\r\n\r\n6\r\nboom\n\n\r\n0\r\n\r\n",
+    "HTTP/1.1 500 Boom" ERROR_ID RELAY_FIXTURE_SEAL
+    "Content-Type: text/event-stream\r\n\r\nid: 2\ndata: boom\n\n",
+    "HTTP/1.1 404 Boom" ERROR_ID "Content-Length: 6\r\n\r\nboom\n\n",
+    "HTTP/1.1 503 Boom" ERROR_ID "X-Not-Executed: 1\r\nContent-Length: 6\r\n\r\nboom\n\n",
+    "HTTP/1.1 200 OK" ERROR_ID "Content-Type: text/event-stream\r\n\r\nid: 2\ndata: boom\n\n",
+    "HTTP/1.1 200 OK" ERROR_ID RELAY_FIXTURE_SEAL
+    "Content-Type: application/json\r\nContent-Length: 6\r\n\r\nboom\n\n",
+    "HTTP/1.1 200 OK" ERROR_ID RELAY_FIXTURE_SEAL "Content-Type: text/plain\r\n\r\nboom\n\n",
+    "boom\n\nboom\n\n",
+  };
+#undef ERROR_ID
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (answers); i++)
+    {
+      RelayFixture fixture;
+
+      error_answer = answers[i];
+      relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+      relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_error);
+      relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_error);
+      call (&fixture, "POST", "/llm/1");
+      assert_non_null (strstr (fixture.received, "id: 1\ndata: a\n"));
+      assert_null (strstr (fixture.received, "oom"));
+      assert_null (strstr (fixture.received, "\r\n0\r\n\r\n"));
+      teardown (&fixture);
+    }
+}
+
 /* A stream that is taken up after its last event has no further one. */
 static void
 test_stream_closed_after_its_last_event_is_complete (void **state)
@@ -491,6 +557,7 @@
     cmocka_unit_test (test_endless_event_ends_the_stream),
     cmocka_unit_test (test_endless_answer_of_a_removed_upstream),
     cmocka_unit_test (test_stream_closed_inside_an_event_is_broken_off),
+    cmocka_unit_test (test_error_of_the_next_upstream_is_no_part_of_a_stream),
     cmocka_unit_test (test_stream_closed_after_its_last_event_is_complete),
     cmocka_unit_test (test_refusal_that_is_written_again_refuses_no_other_request),
     cmocka_unit_test (test_stream_that_trickles_is_resumed_elsewhere),
