A test of heads that break off

An operator of a similar system reported answers with status 200 and an empty or short body, framed as whole, after upstreams had stopped within the head of their answer. It cannot happen here: the parser reports the end of the connection within a head, and an answer is framed only when it is complete. test_head_that_breaks_off_is_no_answer ends the connection at 13 places, in order and by a reset, on four kinds of route (104 answers): none reached the caller as a success that looks complete. No product code changes.

--- a/tests/test_job_answer.c
+++ b/tests/test_job_answer.c
@@ -358,6 +358,64 @@
     }
 }
 
+static const char *partial_head;
+static bool partial_head_resets;
+
+static void
+handle_partial_head (FakeUpstreamConn *conn, const char *text, const char *id)
+{
+  (void)text;
+  (void)id;
+  fake_upstream_conn_send (conn, partial_head);
+  fake_upstream_conn_close (conn, partial_head_resets);
+}
+
+/* An upstream stopped within the head of its answer, which reached the caller as a complete one
+ * with an empty body. */
+static void
+test_head_that_breaks_off_is_no_answer (void **state)
+{
+  static const char *const heads[] = {
+    "",
+    "HTTP/1.1 200",
+    "HTTP/1.1 200 OK\r\n",
+    "HTTP/1.1 200 OK\r\nX-Attempt-Id: t\r\n",
+    PLAIN_HEAD,
+    PLAIN_HEAD "Content-Le",
+    PLAIN_HEAD "Content-Length: 1",
+    PLAIN_HEAD "Content-Length: 0\r\n",
+    PLAIN_HEAD "Transfer-Encoding: chunked\r\n",
+    PLAIN_HEAD "Content-Type: text/event-stream\r\n\r",
+    PLAIN_HEAD "Content-Length: 4\r\n\r\n",
+    PLAIN_HEAD "Content-Length: 4\r\n\r\ngoo",
+    PLAIN_HEAD "Transfer-Encoding: chunked\r\n\r\n",
+  };
+  static const char *const paths[] = { "/read/1", "/order/1", "/llm/1", "/once/1" };
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (heads) * MF_ARRAY_LEN (paths) * 2; i++)
+    {
+      const char *path = paths[i / 2 % MF_ARRAY_LEN (paths)];
+      bool is_stream = path[1] == 'l' || path[2] == 'n';
+      RelayFixture fixture;
+
+      partial_head = heads[i / 2 / MF_ARRAY_LEN (paths)];
+      partial_head_resets = i % 2 == 1;
+      relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+      for (uint32_t j = 0; j < 2; j++)
+        relay_fixture_add_upstream (&fixture, j, is_stream ? MF_ROLE_DECODE : MF_ROLE_PLAIN,
+                                    handle_partial_head);
+      call (&fixture, "POST", path);
+      if (strncmp (fixture.received, "HTTP/1.1 200", 12) == 0)
+        {
+          assert_true (is_stream && strstr (partial_head, "\r\n\r\n") != NULL);
+          assert_null (strstr (fixture.received, "\r\n0\r\n\r\n"));
+          assert_null (strstr (fixture.received, "Content-Length: "));
+        }
+      teardown (&fixture);
+    }
+}
+
 /* A stream that is taken up after its last event has no further one. */
 static void
 test_stream_closed_after_its_last_event_is_complete (void **state)
@@ -558,6 +616,7 @@
     cmocka_unit_test (test_endless_answer_of_a_removed_upstream),
     cmocka_unit_test (test_stream_closed_inside_an_event_is_broken_off),
     cmocka_unit_test (test_error_of_the_next_upstream_is_no_part_of_a_stream),
+    cmocka_unit_test (test_head_that_breaks_off_is_no_answer),
     cmocka_unit_test (test_stream_closed_after_its_last_event_is_complete),
     cmocka_unit_test (test_refusal_that_is_written_again_refuses_no_other_request),
     cmocka_unit_test (test_stream_that_trickles_is_resumed_elsewhere),
