One crash quarantines only the request that was sent last

After a loss of all instances, every request that had broken at an upstream's crash before its answer began was refused for 30 s, so that innocent ones were refused with the one that caused it. A request crashes an upstream as that begins to run it: of those that broke together, the one sent last stays refused, here or at the instance that has sent it, and the others are suspects as before.

test_one_crash_quarantines_the_request_that_was_sent_last fails without the change.

--- a/libmangofork/suspect.c
+++ b/libmangofork/suspect.c
@@ -209,6 +209,32 @@
   return shares;
 }
 
+/* Returns whether another request that is quarantined for one crash was sent to the same process
+ * after this one. Ends the quarantines of those that were sent before: a request crashes an
+ * upstream as that begins to run it. */
+static bool
+was_sent_before_another (MfSuspects *suspects, const MfSuspect *suspect, uint64_t now_us)
+{
+  const MfSuspectDeath *death = &suspect->deaths[0];
+  bool is_before = false;
+
+  for (MfSuspectRow *row = suspects->rows; row != NULL && death->process_id != 0;
+       row = row->hh.next)
+    {
+      MfSuspect *other = &row->suspect;
+
+      if (other == suspect || other->kind != MF_SUSPECT_REQUEST || other->n_deaths != 1
+          || other->quarantined_until_us <= now_us
+          || other->deaths[0].process_id != death->process_id)
+        continue;
+      if (other->deaths[0].sent_us > death->sent_us)
+        is_before = true;
+      else
+        mf_suspects_release (other);
+    }
+  return is_before;
+}
+
 /* Ends the quarantines of requests that this one explains, as it has crashed upstreams for certain.
  */
 static void
@@ -235,6 +261,8 @@
   if (suspect->n_deaths < DEATHS_CERTAIN
       && (shares_last_death (suspects, suspect) || last_death_is_explained (suspects, suspect)))
     return false;
+  if (suspect->n_deaths == 1 && was_sent_before_another (suspects, suspect, now_us))
+    return false;
   if (until_us > suspect->quarantined_until_us)
     suspect->quarantined_until_us = until_us;
   return is_new && until_us > now_us;
