--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -13,6 +13,9 @@
  * wait no longer than this anyway. */
 #define TWO_DEATHS_QUARANTINE_US (30 * MF_US_PER_S)
 #define THREE_DEATHS_QUARANTINE_US (600 * MF_US_PER_S)
+/* Requests that broke beside the one that is quarantined for one crash are free again after this
+ * time. */
+#define BESIDE_QUARANTINE_US (3 * MF_US_PER_S)
 /* An innocent part is free again after this time. The next trials come later and later, as a deadly
  * one costs an upstream each time. */
 #define TRIAL_INTERVAL_US (3 * MF_US_PER_S)
@@ -56,6 +59,7 @@
       &(MfSuspectLimits){ .crash_window_us = CRASH_WINDOW_US,
                           .two_deaths_quarantine_us = TWO_DEATHS_QUARANTINE_US,
                           .three_deaths_quarantine_us = THREE_DEATHS_QUARANTINE_US,
+                          .beside_quarantine_us = BESIDE_QUARANTINE_US,
                           .trial_interval_us = TRIAL_INTERVAL_US });
   return jobs->suspects != NULL;
 }
--- a/libmangofork/suspect.c
+++ b/libmangofork/suspect.c
@@ -203,19 +203,22 @@
 
       if (other == suspect || !may_explain (other, process_id))
         continue;
-      shares = true;
+      /* Where one death is enough, only a request that was sent later explains it. */
+      shares = shares || suspect->n_deaths > 1
+               || other->deaths[other->n_deaths - 1].sent_us > suspect->deaths[0].sent_us;
       mf_suspects_release (other);
     }
   return shares;
 }
 
 /* Returns whether another request that is quarantined for one crash was sent to the same process
- * after this one. Ends the quarantines of those that were sent before: a request crashes an
+ * after this one. Shortens the quarantines of those that were sent before: a request crashes an
  * upstream as that begins to run it. */
 static bool
 was_sent_before_another (MfSuspects *suspects, const MfSuspect *suspect, uint64_t now_us)
 {
   const MfSuspectDeath *death = &suspect->deaths[0];
+  uint64_t short_until_us = now_us + suspects->limits.beside_quarantine_us;
   bool is_before = false;
 
   for (MfSuspectRow *row = suspects->rows; row != NULL && death->process_id != 0;
@@ -229,8 +232,8 @@
         continue;
       if (other->deaths[0].sent_us > death->sent_us)
         is_before = true;
-      else
-        mf_suspects_release (other);
+      else if (other->quarantined_until_us > short_until_us)
+        other->quarantined_until_us = short_until_us;
     }
   return is_before;
 }
@@ -261,8 +264,9 @@
   if (suspect->n_deaths < DEATHS_CERTAIN
       && (shares_last_death (suspects, suspect) || last_death_is_explained (suspects, suspect)))
     return false;
-  if (suspect->n_deaths == 1 && was_sent_before_another (suspects, suspect, now_us))
-    return false;
+  if (suspect->n_deaths == 1 && was_sent_before_another (suspects, suspect, now_us)
+      && until_us > now_us + suspects->limits.beside_quarantine_us)
+    until_us = now_us + suspects->limits.beside_quarantine_us;
   if (until_us > suspect->quarantined_until_us)
     suspect->quarantined_until_us = until_us;
   return is_new && until_us > now_us;
--- a/tests/test_suspect.c
+++ b/tests/test_suspect.c
@@ -11,7 +11,8 @@
 
 static const MfSuspectLimits limits = { .crash_window_us = 10 * S,
                                         .two_deaths_quarantine_us = 30 * S,
-                                        .three_deaths_quarantine_us = 600 * S };
+                                        .three_deaths_quarantine_us = 600 * S,
+                                        .beside_quarantine_us = 3 * S };
 
 /* The results for the failures at one upstream, by digest. */
 typedef struct
@@ -243,10 +244,10 @@
                                                           .failed_us = 5 * S });
 }
 
-/* Where one crash is enough, all requests that had run beside the one that caused it were refused.
- */
+/* Where one crash is enough, all requests that had run beside the one that caused it were refused
+ * for as long. */
 static void
-test_one_crash_quarantines_the_request_that_was_sent_last (void **state)
+test_one_crash_quarantines_the_request_sent_last_for_longer (void **state)
 {
   static const MfSuspectDeath reported = { .process_id = 1, .sent_us = 4 * S, .at_us = 5 * S };
   MfSuspects *suspects = mf_suspects_new (&limits);
@@ -259,15 +260,19 @@
   add_sufficient_failure (suspects, 13, 4 * S);
   upstream_dies (suspects, 1, 6 * S);
   for (uint64_t digest = 10; digest <= 13; digest++)
-    assert_int_equal (mf_suspects_is_quarantined (suspects, digest, 6 * S), digest == 11);
+    {
+      assert_int_equal (mf_suspects_is_quarantined (suspects, digest, 8 * S), digest != 13);
+      assert_int_equal (mf_suspects_is_quarantined (suspects, digest, 10 * S), digest == 11);
+    }
   /* Another instance has sent one later, and a third one one before. */
   mf_suspects_add_death (suspects, 14, &reported, false, 6 * S);
   assert_true (mf_suspects_quarantine (suspects, 14, 36 * S, 6 * S));
-  assert_false (mf_suspects_is_quarantined (suspects, 11, 6 * S));
+  assert_false (mf_suspects_is_quarantined (suspects, 11, 10 * S));
   mf_suspects_add_death (suspects, 15, &(MfSuspectDeath){ .process_id = 1, .at_us = 5 * S }, false,
                          6 * S);
-  assert_false (mf_suspects_quarantine (suspects, 15, 36 * S, 6 * S));
-  assert_true (mf_suspects_is_quarantined (suspects, 14, 6 * S));
+  assert_true (mf_suspects_quarantine (suspects, 15, 36 * S, 6 * S));
+  assert_false (mf_suspects_is_quarantined (suspects, 15, 10 * S));
+  assert_true (mf_suspects_is_quarantined (suspects, 14, 35 * S));
   mf_suspects_free (suspects);
 }
 
@@ -284,7 +289,7 @@
     cmocka_unit_test (test_answer_clears),
     cmocka_unit_test (test_failures_at_living_upstreams_are_not_counted),
     cmocka_unit_test (test_quarantines_survive_eviction),
-    cmocka_unit_test (test_one_crash_quarantines_the_request_that_was_sent_last),
+    cmocka_unit_test (test_one_crash_quarantines_the_request_sent_last_for_longer),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
