The soak lets upstreams leave while some instances have no path to the store

--leaves: every third instance has a path of its own to the store, which is cut; an upstream is removed without a notice up to 1.6 s later, and stops 3 s after that.

--- a/tests/soak/relay_soak.c
+++ b/tests/soak/relay_soak.c
@@ -62,6 +62,11 @@
 /* With several versions: the engines are replaced in turn, and all instances are killed at once. */
 #define VERSIONS_REPLACE_MS 900
 #define VERSIONS_KILL_MS 4000
+/* With upstreams that leave: every third instance loses its path to the store, an upstream is
+ * removed without a notice some time later, and it stops and the path returns after that. */
+#define LEAVE_PAUSE_MS 800
+#define LEAVE_DELAY_MAX_MS 1500
+#define LEAVE_STOP_MS 3000
 /* Callers break off this percentage of their streams and take them up again, at most so often. */
 #define BREAK_OFF_PERCENT 30
 #define TAKE_UPS_MAX 3
@@ -190,6 +195,11 @@
   uint32_t n_callers;
   uint32_t n_crashers;
   uint32_t n_deadly_parts; /* of prompts; each is sent by CALLERS_PER_PART callers */
+  bool leaves;             /* upstreams leave while some instances have no path to the store */
+  uint64_t leaves_random;  /* of its own, like limits_random */
+  uint64_t next_leave_us;  /* next step of the one that leaves */
+  uint32_t n_left;         /* ever */
+  bool path_is_lost;       /* of every third instance to the store */
   bool restores;           /* the store returns from older copies */
   uint32_t n_restores;     /* still to come */
   uint64_t next_restore_us;
@@ -220,6 +230,7 @@
   uint64_t drain_start_us[N_UPSTREAMS]; /* 0: not draining */
   FakePeerProxy *proxies;
   FakePeerProxy *proxy[N_PROXIES]; /* in front of each upstream; the last: of the store */
+  FakePeerProxy *store_path;       /* of every third instance, with upstreams that leave */
   FakeStore *store;
   uint32_t version;
   Caller callers[CALLERS_MAX];
@@ -300,6 +311,8 @@
 settings_write (Soak *soak, uint32_t index)
 {
   Instance *instance = &soak->instances[index];
+  uint32_t store_port
+      = soak->proxy_port + N_UPSTREAMS + (soak->store_path != NULL && index % 3 == 1);
   char path[128];
   FILE *file;
 
@@ -313,7 +326,7 @@
            "listen.control=127.0.0.1:%u\nseeds=127.0.0.1:%u,127.0.0.1:%u\n"
            "provider.address=127.0.0.1:%u\nbounds.contactMs=%u\nbounds.graceS=3\n",
            index, instance->port, instance->port + 1, instance->port + 2, soak->first_port + 2,
-           soak->first_port + 6, soak->proxy_port + N_UPSTREAMS, CONTACT_MS);
+           soak->first_port + 6, store_port, CONTACT_MS);
   fclose (file);
 }
 
@@ -1180,6 +1193,49 @@
   soak->next_kill_us = now_us + (VERSIONS_KILL_MS + draw (soak, 2000)) * MF_US_PER_MS;
 }
 
+/* Returns the upstream that leaves now: the plain ones and the decode engines in turn. */
+static uint32_t
+leaving_upstream (const Soak *soak)
+{
+  static const uint32_t upstreams[] = { 0, 5, 1, 6, 2, 7 };
+
+  return upstreams[soak->n_left % MF_ARRAY_LEN (upstreams)];
+}
+
+/* Lets an upstream leave while some instances have no path to the store, one step a call. */
+static void
+leaves_step (Soak *soak, uint64_t now_us)
+{
+  uint32_t index = leaving_upstream (soak);
+  char id[ID_BYTES];
+
+  if (!soak->leaves || now_us < soak->next_leave_us
+      || (is_recovering (soak, 0) && !soak->path_is_lost))
+    return;
+  if (!soak->path_is_lost)
+    {
+      soak->path_is_lost = true;
+      fake_peer_proxy_fault (soak->store_path, "cut", "");
+      soak->next_leave_us
+          = now_us + (100 + draw_from (&soak->leaves_random, LEAVE_DELAY_MAX_MS)) * MF_US_PER_MS;
+    }
+  else if (soak->drain_start_us[index] == 0)
+    {
+      soak->drain_start_us[index] = now_us;
+      snprintf (id, sizeof id, "servers/u%u-%u", index, soak->n_restarts[index]);
+      fake_store_remove (soak->store, id);
+      soak->next_leave_us = now_us + LEAVE_STOP_MS * MF_US_PER_MS;
+    }
+  else
+    {
+      upstream_restart (soak, index);
+      fake_peer_proxy_fault (soak->store_path, "pass", "");
+      soak->path_is_lost = false;
+      soak->n_left++;
+      soak->next_leave_us = now_us + LEAVE_PAUSE_MS * MF_US_PER_MS;
+    }
+}
+
 static void
 on_tick (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -1193,12 +1249,29 @@
     soak_ledger_end_deadly_parts (soak->ledger);
   restores_step (soak, now_us);
   versions_step (soak, now_us);
+  leaves_step (soak, now_us);
   if (!soak->faultless)
     faults_step (soak, now_us);
   if (now_us >= soak->started_us + soak->seconds * MF_US_PER_S)
     ev_break (loop, EVBREAK_ALL);
 }
 
+static FakePeerProxy *
+store_path_new (Soak *soak)
+{
+  json_object *settings = json_object_new_object ();
+  char address[MF_ADDRESS_BYTES];
+  FakePeerProxy *proxy;
+
+  snprintf (address, sizeof address, "127.0.0.1:%u", soak->proxy_port + N_PROXIES);
+  json_object_object_add (settings, "address", json_object_new_string (address));
+  json_object_object_add (settings, "to",
+                          json_object_new_string (fake_store_address (soak->store)));
+  proxy = fake_peer_proxy_new (soak->loop, &soak->proxies, settings);
+  json_object_put (settings);
+  return proxy;
+}
+
 /* Starts the upstreams, the store, their proxies, the instances and the callers. */
 static void
 soak_start (Soak *soak)
@@ -1209,6 +1282,8 @@
 
   soak->ledger = soak_ledger_new ();
   soak->store = fake_store_new (soak->loop);
+  if (soak->leaves)
+    soak->store_path = store_path_new (soak);
   for (uint32_t i = 0; i < N_PROXIES; i++)
     {
       json_object *settings = json_object_new_object ();
@@ -1337,6 +1412,8 @@
         "streams of %u versions: %u mixed, %u of %u taken up went on, %u of %u new ones began\n",
         soak->n_versions, soak->n_streams_mixed, soak->n_went_on, soak->n_taken_up,
         soak->n_streams_begun, soak->n_streams_new);
+  if (soak->leaves)
+    printf ("upstreams that left: %u\n", soak->n_left);
   if (soak->restores)
     printf ("requests on the newest route: %u; restores left: %u\n", soak->n_newest,
             soak->n_restores);
@@ -1402,6 +1479,9 @@
     case 'v':
       soak->n_versions = (uint32_t)strtoul (arg, NULL, 10);
       return 0;
+    case 'e':
+      soak->leaves = true;
+      return 0;
     case 'f':
       soak->faultless = true;
       return 0;
@@ -1441,6 +1521,9 @@
     .key = 'v',
     .arg = "N",
     .doc = "Number of software versions of the engines; streams are taken up again" },
+  { .name = "leaves",
+    .key = 'e',
+    .doc = "Upstreams leave without a notice while some instances have no path to the store" },
   { .name = "faultless", .key = 'f', .doc = "Inject no other faults" },
   { .name = "instances", .key = 'n', .arg = "N", .doc = "Number of relay instances" },
   { 0 },
@@ -1468,11 +1551,13 @@
   soak.proxy_port = soak.first_port + soak.n_instances * PORTS_PER_INSTANCE;
   soak.random = soak.seed * UINT64_C (0x9e3779b97f4a7c15) + 1;
   soak.limits_random = soak.random;
+  soak.leaves_random = soak.random;
   snprintf (soak.directory, sizeof soak.directory, "/tmp/relay-soak-XXXXXX");
   if (mkdtemp (soak.directory) == NULL)
     return EXIT_FAILURE;
   soak.started_us = mf_clock_now_us ();
   soak.next_restore_us = soak.started_us + WARM_UP_US;
+  soak.next_leave_us = soak.started_us + WARM_UP_US;
   soak_start (&soak);
   ev_timer_init (&soak.tick, on_tick, 0.02, 0.02);
   soak.tick.data = &soak;
