--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -15,7 +15,7 @@
 #define THREE_DEATHS_QUARANTINE_US (600 * MF_US_PER_S)
 /* Requests that broke beside the one that is quarantined for one crash are free again after this
  * time. */
-#define BESIDE_QUARANTINE_US (3 * MF_US_PER_S)
+#define BESIDE_QUARANTINE_US (6 * MF_US_PER_S)
 /* An innocent part is free again after this time. The next trials come later and later, as a deadly
  * one costs an upstream each time. */
 #define TRIAL_INTERVAL_US (3 * MF_US_PER_S)
