--- a/libmangofork/relay/listing.c
+++ b/libmangofork/relay/listing.c
@@ -15,8 +15,9 @@
   return listings->n_rows < MF_LISTINGS_MAX ? listings->n_rows : MF_LISTINGS_MAX;
 }
 
-static MfListing *
-row_find (MfListings *listings, uint64_t process)
+/* Returns what is recorded of a process, or NULL when it was never removed. */
+const MfListing *
+mf_listings_find (const MfListings *listings, uint64_t process)
 {
   uint32_t n_kept = mf_listings_n_kept (listings);
 
@@ -28,13 +29,6 @@
   return NULL;
 }
 
-/* Returns what is recorded of a process, or NULL when it was never removed. */
-const MfListing *
-mf_listings_find (const MfListings *listings, uint64_t process)
-{
-  return row_find ((MfListings *)listings, process);
-}
-
 /* Whether a listing says more than the recorded one. */
 static bool
 is_newer (const MfListing *listing, const MfListing *row)
@@ -49,12 +43,13 @@
 bool
 mf_listings_note (MfListings *listings, const MfListing *listing)
 {
-  MfListing *row = row_find (listings, listing->process);
+  const MfListing *row = mf_listings_find (listings, listing->process);
 
   if (row != NULL && !is_newer (listing, row))
     return false;
-  if (row == NULL)
-    row = &listings->rows[listings->n_rows++ % MF_LISTINGS_MAX];
-  *row = *listing;
+  if (row != NULL)
+    listings->rows[row - listings->rows] = *listing;
+  else
+    listings->rows[listings->n_rows++ % MF_LISTINGS_MAX] = *listing;
   return true;
 }
