--- a/libmangofork/relay/job_history.c
+++ b/libmangofork/relay/job_history.c
@@ -24,7 +24,7 @@
   return false;
 }
 
-/* Tells an instance that has been sent all suspects since when they are known. */
+/* Informs an instance that has been sent all suspects since when they are known. */
 void
 mf_jobs_send_history (MfJobs *jobs, uint64_t peer)
 {
--- a/libmangofork/suspect.c
+++ b/libmangofork/suspect.c
@@ -203,7 +203,7 @@
 
       if (other == suspect || !may_explain (other, process_id))
         continue;
-      /* Where one death is enough, only a request that was sent later explains it. */
+      /* Where one crash is enough, only a request that was sent later explains it. */
       shares = shares || suspect->n_deaths > 1
                || other->deaths[other->n_deaths - 1].sent_us > suspect->deaths[0].sent_us;
       mf_suspects_release (other);
--- a/libmangofork/suspect.h
+++ b/libmangofork/suspect.h
@@ -24,7 +24,7 @@
   uint64_t
       two_deaths_quarantine_us; /* quarantine after two deaths, the last without other suspects */
   uint64_t three_deaths_quarantine_us; /* quarantine after three deaths */
-  /* Quarantine after one sufficient death, if another request was sent to the upstream later. */
+  /* Quarantine after one sufficient crash, if another request was sent to the upstream later. */
   uint64_t beside_quarantine_us;
   uint64_t trial_interval_us; /* from the quarantine of a part to its first trial */
 } MfSuspectLimits;
--- a/tests/soak/relay_soak.c
+++ b/tests/soak/relay_soak.c
@@ -1207,10 +1207,11 @@
 leaves_step (Soak *soak, uint64_t now_us)
 {
   uint32_t index = leaving_upstream (soak);
+  bool has_ended = is_recovering (soak, 0);
   char id[ID_BYTES];
 
-  if (!soak->leaves || now_us < soak->next_leave_us
-      || (is_recovering (soak, 0) && !soak->path_is_lost))
+  if (!soak->leaves || (now_us < soak->next_leave_us && !has_ended)
+      || (has_ended && !soak->path_is_lost))
     return;
   if (!soak->path_is_lost)
     {
@@ -1219,7 +1220,7 @@
       soak->next_leave_us
           = now_us + (100 + draw_from (&soak->leaves_random, LEAVE_DELAY_MAX_MS)) * MF_US_PER_MS;
     }
-  else if (soak->drain_start_us[index] == 0)
+  else if (soak->drain_start_us[index] == 0 && !has_ended)
     {
       soak->drain_start_us[index] = now_us;
       snprintf (id, sizeof id, "servers/u%u-%u", index, soak->n_restarts[index]);
@@ -1228,7 +1229,8 @@
     }
   else
     {
-      upstream_restart (soak, index);
+      if (soak->drain_start_us[index] > 0)
+        upstream_restart (soak, index);
       fake_peer_proxy_fault (soak->store_path, "pass", "");
       soak->path_is_lost = false;
       soak->n_left++;
