A list that is being read takes no upstream out of use

Cause: while a list of upstreams is read, and for entries that are kept after an outage, an upstream has no mark of the list, and a request took that for an upstream that is gone: it gave the slot back and requested another. Where this instance leads and has no other engine, its dispatcher granted the same slot again within one run, without end. Traced from the logs, which end at the store's return, and by reading; the new test hung in mf_dispatch_run, under job_place_engine, by a backtrace.

An upstream that has been dropped has a mark of its own now. test_stream_begins_while_a_list_of_upstreams_is_read does not end without the change.

--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -116,7 +116,7 @@
 {
   MfTarget *reserved = job->reserved_target;
 
-  if (reserved != NULL && reserved->listed
+  if (reserved != NULL && !reserved->is_dropped
       && mf_target_serves_version (reserved, job->version, now_us)
       && mf_target_accepts (reserved, now_us)
       && ((job->rate_granted && job->rate_target == reserved)
--- a/libmangofork/relay/job_rate.c
+++ b/libmangofork/relay/job_rate.c
@@ -143,7 +143,7 @@
 
   if (target == NULL || !job->rate_granted || target->info.role != role)
     return NULL;
-  if (target->listed && mf_target_accepts (target, now_us)
+  if (!target->is_dropped && mf_target_accepts (target, now_us)
       && !mf_place_avoids (job->avoid, job->n_avoid, target))
     return target;
   mf_job_drop_rate (job);
--- a/libmangofork/relay/job_send.c
+++ b/libmangofork/relay/job_send.c
@@ -108,7 +108,7 @@
     mf_relay_log_event (job->jobs->log, "memory.left",
                         "id=%s upstream=%s handle=%s why=\"engine limits its requests\"", job->id,
                         target->info.id, job->kv.handle);
-  else if (!job->kv_used && target->listed)
+  else if (!job->kv_used && !target->is_dropped)
     {
       snprintf (path, sizeof path, "%s%s", job->jobs->dialect->release_path, job->kv.handle);
       snprintf (head, sizeof head, "DELETE %s HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\n\r\n",
--- a/libmangofork/relay/target.c
+++ b/libmangofork/relay/target.c
@@ -218,7 +218,7 @@
 void
 mf_target_probe (MfTarget *target)
 {
-  if (target->probe != NULL || !target->listed)
+  if (target->probe != NULL || target->is_dropped)
     return;
   target->probe = mf_link_open (&target->pool, &probe_callbacks, target);
   if (target->probe != NULL)
@@ -273,6 +273,7 @@
       mf_link_pool_close (&dropped->pool);
       dropped->pool.n_idle_max = 0;
       dropped->listed = false;
+      dropped->is_dropped = true;
       mf_target_unref (dropped);
       return;
     }
@@ -669,7 +670,7 @@
 {
   uint32_t n_idle = (connections_max / n_instances + 1) / 2;
 
-  if (target->listed)
+  if (!target->is_dropped)
     target->pool.n_idle_max
         = connections_max == 0 || n_idle > IDLE_LINKS_MAX ? IDLE_LINKS_MAX : n_idle;
 }
--- a/libmangofork/relay/target.h
+++ b/libmangofork/relay/target.h
@@ -65,7 +65,8 @@
   MfTargetInfo info;
   MfLinkPool pool;
   MfTarget *next;
-  bool listed;            /* listed by discovery */
+  bool listed;            /* in the list of discovery that is being read, or was read last */
+  bool is_dropped;        /* no upstream any more; in memory until it is released */
   uint64_t unlisted_us;   /* when it was unlisted while discovery was unreachable; 0: it was not */
   MfPosition position;    /* of its entry, or of its removal while it is kept */
   bool is_withdrawn;      /* another instance has read a later removal of its entry */
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -292,6 +292,22 @@
   teardown (&fixture);
 }
 
+/* While a list of upstreams was being read, or after an outage of discovery, the instance granted
+ * the same slot to the same request without end, and answered nothing any more. */
+static void
+test_stream_begins_while_a_list_of_upstreams_is_read (void **state)
+{
+  RelayFixture fixture;
+
+  (void)state;
+  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_stream);
+  mf_targets_begin_list (&fixture.jobs.targets);
+  call (&fixture, "POST", "/llm/1");
+  assert_status (&fixture, "200");
+  teardown (&fixture);
+}
+
 static uint32_t n_prefills;
 static const FakeUpstream *full_engine;
 
@@ -866,6 +882,7 @@
     cmocka_unit_test (test_prompt_is_not_prefilled_again_beyond_the_budget),
     cmocka_unit_test (test_retry_of_two_sends_needs_budget_for_both),
     cmocka_unit_test (test_prefill_and_decode_run_at_separate_engines),
+    cmocka_unit_test (test_stream_begins_while_a_list_of_upstreams_is_read),
     cmocka_unit_test (test_decode_engine_prefills_when_no_prefill_engine_exists),
     cmocka_unit_test (test_unused_kv_is_released),
     cmocka_unit_test (test_broken_stream_is_resumed_after_its_last_event),
