--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -221,9 +221,9 @@
 /* Called by sources before they pass on entries and removals, with their position in the source's
  * history; before the end of a list, with the one as of which it is complete. */
 void
-mf_relay_source_position (MfRelay *relay, const MfPosition *position)
+mf_relay_source_position (MfRelay *relay, uint64_t era, uint64_t revision)
 {
-  relay->jobs.targets.position = *position;
+  relay->jobs.targets.position = (MfPosition){ .era = era, .revision = revision };
 }
 
 /* Called by sources. Adds or updates an upstream. */
--- a/libmangofork/relay/relay.h
+++ b/libmangofork/relay/relay.h
@@ -61,7 +61,7 @@
 void mf_relay_free (MfRelay *relay);
 
 void mf_relay_configure (MfRelay *relay, MfRoutes *routes);
-void mf_relay_source_position (MfRelay *relay, const MfPosition *position);
+void mf_relay_source_position (MfRelay *relay, uint64_t era, uint64_t revision);
 void mf_relay_update_upstream (MfRelay *relay, const MfTargetInfo *info);
 void mf_relay_remove_upstream (MfRelay *relay, const char *id, const char *why);
 void mf_relay_list_begin (MfRelay *relay, bool is_restored);
