One crash of a request does not release one that has crashed two upstreams

Cause: where one crash is enough, since earlier ones may be unknown, the report of a request with one crash ended the quarantine of another that had crashed two upstreams, if both had last run at the same process. The crashing request was sent once more, 24 ms after it had been refused; with two such requests three upstreams of one service were down at once.

Change: only a request with as many crashes ends the quarantine of another. test_one_crash_does_not_release_a_request_with_two failed before.

--- a/libmangofork/suspect.c
+++ b/libmangofork/suspect.c
@@ -190,7 +190,7 @@
 
 /* Returns whether another request may have caused the last death of this one, possibly as reported
  * by another instance. Ends the quarantine of the other as well unless it has DEATHS_CERTAIN
- * deaths. */
+ * deaths, or this one has fewer. */
 static bool
 shares_last_death (MfSuspects *suspects, const MfSuspect *suspect)
 {
@@ -206,7 +206,8 @@
       /* Where one crash is enough, only a request that was sent later explains it. */
       shares = shares || suspect->n_deaths > 1
                || other->deaths[other->n_deaths - 1].sent_us > suspect->deaths[0].sent_us;
-      mf_suspects_release (other);
+      if (suspect->n_deaths > 1)
+        mf_suspects_release (other);
     }
   return shares;
 }
--- a/tests/test_suspect.c
+++ b/tests/test_suspect.c
@@ -276,6 +276,25 @@
   mf_suspects_free (suspects);
 }
 
+/* A request that had crashed two upstreams was sent again at once, as another instance reported one
+ * crash of a request that had been sent to the second of them later. */
+static void
+test_one_crash_does_not_release_a_request_with_two (void **state)
+{
+  static const MfSuspectDeath reported = { .process_id = 2, .sent_us = 3 * S, .at_us = 4 * S };
+  MfSuspects *suspects = mf_suspects_new (&limits);
+
+  (void)state;
+  add_failure (suspects, DIGEST, 1, false, S);
+  upstream_dies (suspects, 1, 2 * S);
+  add_failure (suspects, DIGEST, 2, true, 5 * S / 2);
+  assert_int_equal (upstream_dies (suspects, 2, 4 * S).own, MF_SUSPECT_QUARANTINED);
+  mf_suspects_add_death (suspects, OTHER_DIGEST, &reported, false, 4 * S);
+  mf_suspects_quarantine (suspects, OTHER_DIGEST, 34 * S, 4 * S);
+  assert_true (mf_suspects_is_quarantined (suspects, DIGEST, 33 * S));
+  mf_suspects_free (suspects);
+}
+
 int
 main (void)
 {
@@ -290,6 +309,7 @@
     cmocka_unit_test (test_failures_at_living_upstreams_are_not_counted),
     cmocka_unit_test (test_quarantines_survive_eviction),
     cmocka_unit_test (test_one_crash_quarantines_the_request_sent_last_for_longer),
+    cmocka_unit_test (test_one_crash_does_not_release_a_request_with_two),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
