What others know of crashes may reach back before the machine's start

Cause: the time since when crashes are known was a time of the monotonic clock, which begins with the machine. An instance on a machine that had been running for less than the age that another reported set it to 0, so that for ten minutes one crash quarantined a request though all others knew better. test_restarted_instance_needs_two_crashes_like_the_others, which sets that age to 1000 s, failed on a machine that had been running for 440 s.

Change: the time is signed, and its age is sent as it is. The test sets a time before the start of the clock, whatever the machine's age.

--- a/libmangofork/relay/job.h
+++ b/libmangofork/relay/job.h
@@ -67,8 +67,9 @@
   MfTargets targets;
   MfRateShares *rates;  /* rates that this instance allocates */
   MfSuspects *suspects; /* requests that may crash the upstreams that run them */
-  /* Crashes since then are known here, from this instance or from others that have been running. */
-  uint64_t history_since_us;
+  /* Crashes since then are known here, from this instance or from others that have been running; it
+   * may lie before the start of the clock. */
+  int64_t history_since_us;
   MfOrigins *origins; /* which versions began the latest streams */
   MfHeldParts *held_parts;
   MfEngineAsk engine_asks[MF_JOBS_ENGINE_ASKS_MAX]; /* of other instances */
--- a/libmangofork/relay/job_history.c
+++ b/libmangofork/relay/job_history.c
@@ -6,12 +6,18 @@
  * clocks: an upstream that has started this much earlier was there before. */
 #define STARTED_BEFORE_MS 3000
 
+static uint64_t
+history_age_us (const MfJobs *jobs, uint64_t now_us)
+{
+  return (uint64_t)((int64_t)now_us - jobs->history_since_us);
+}
+
 /* Whether crashes within lifetime_us may be unknown because all instances that knew of them have
  * ended. Where no upstream has been running for longer than the instances, there were none. */
 bool
 mf_jobs_history_is_lost (const MfJobs *jobs, uint64_t lifetime_us, uint64_t now_us)
 {
-  uint64_t age_us = now_us - jobs->history_since_us;
+  uint64_t age_us = history_age_us (jobs, now_us);
   uint64_t since_ms = mf_clock_wall_ms () - age_us / MF_US_PER_MS;
 
   if (age_us >= lifetime_us)
@@ -29,19 +35,21 @@
 mf_jobs_send_history (MfJobs *jobs, uint64_t peer)
 {
   jobs->message.kind = MF_RELAY_MESSAGE_HISTORY;
-  jobs->message.history_since_us = jobs->history_since_us;
+  jobs->message.history_age_us = history_age_us (jobs, mf_clock_now_us ());
   mf_peers_send (jobs->peers, peer, &jobs->message);
 }
 
 /* Takes over what another instance has seen for longer than this one. */
 void
-mf_jobs_handle_history (MfJobs *jobs, uint64_t since_us)
+mf_jobs_handle_history (MfJobs *jobs, uint64_t age_us)
 {
-  if (since_us >= jobs->history_since_us)
+  uint64_t now_us = mf_clock_now_us ();
+  uint64_t own_age_us = history_age_us (jobs, now_us);
+
+  if (age_us <= own_age_us)
     return;
   mf_relay_log_state (jobs->log, "suspects.history", "since_ms=%llu before_ms=%llu",
-                      (unsigned long long)(mf_clock_now_us () - since_us) / MF_US_PER_MS,
-                      (unsigned long long)(mf_clock_now_us () - jobs->history_since_us)
-                          / MF_US_PER_MS);
-  jobs->history_since_us = since_us;
+                      (unsigned long long)age_us / MF_US_PER_MS,
+                      (unsigned long long)own_age_us / MF_US_PER_MS);
+  jobs->history_since_us = (int64_t)now_us - (int64_t)age_us;
 }
--- a/libmangofork/relay/job_room.c
+++ b/libmangofork/relay/job_room.c
@@ -348,7 +348,7 @@
       mf_jobs_handle_limits (jobs, &message->limits);
       return;
     case MF_RELAY_MESSAGE_HISTORY:
-      mf_jobs_handle_history (jobs, message->history_since_us);
+      mf_jobs_handle_history (jobs, message->history_age_us);
       return;
     case MF_RELAY_MESSAGE_LISTINGS:
       mf_jobs_handle_listings (jobs, &message->listings);
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -194,7 +194,7 @@
 /* job_history.c: since when crashes are known. */
 bool mf_jobs_history_is_lost (const MfJobs *jobs, uint64_t lifetime_us, uint64_t now_us);
 void mf_jobs_send_history (MfJobs *jobs, uint64_t peer);
-void mf_jobs_handle_history (MfJobs *jobs, uint64_t since_us);
+void mf_jobs_handle_history (MfJobs *jobs, uint64_t age_us);
 
 /* job_listing.c: what instances read of upstreams that leave. */
 void mf_jobs_listing_changed (MfJobs *jobs, const MfListing *listing);
--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -54,7 +54,7 @@
 bool
 mf_jobs_init_suspects (MfJobs *jobs)
 {
-  jobs->history_since_us = mf_clock_now_us ();
+  jobs->history_since_us = (int64_t)mf_clock_now_us ();
   jobs->suspects = mf_suspects_new (
       &(MfSuspectLimits){ .crash_window_us = CRASH_WINDOW_US,
                           .two_deaths_quarantine_us = TWO_DEATHS_QUARANTINE_US,
--- a/libmangofork/relay/relay_message.c
+++ b/libmangofork/relay/relay_message.c
@@ -342,7 +342,7 @@
 {
   msgpack_pack_array (packer, HISTORY_MEMBERS);
   msgpack_pack_uint32 (packer, message->kind);
-  pack_age (packer, message->history_since_us);
+  msgpack_pack_uint64 (packer, message->history_age_us);
 }
 
 static bool
@@ -763,7 +763,7 @@
 static bool
 history_read (const msgpack_object *members, MfRelayMessage *message)
 {
-  return read_age (&members[1], &message->history_since_us);
+  return read_number (&members[1], INT64_MAX, &message->history_age_us);
 }
 
 /* Encoder and decoder of one kind of message. */
--- a/libmangofork/relay/relay_message.h
+++ b/libmangofork/relay/relay_message.h
@@ -143,7 +143,7 @@
   MfLimitUpdate limits;       /* LIMITS */
   MfOriginMessage origin;     /* ORIGIN, ORIGIN_ASK, ORIGIN_REPLY */
   MfListingUpdate listings;   /* LISTINGS */
-  uint64_t history_since_us;  /* HISTORY: earlier crashes may be unknown; sent as its age */
+  uint64_t history_age_us;    /* HISTORY: earlier crashes may be unknown */
   MfGrant grant;              /* GRANT; QUEUED, CANCEL, GRANT_ACK, REJECTED use its id only */
   uint64_t wait_us;           /* REJECTED: until the queue of that time is served */
 } MfRelayMessage;
--- a/tests/test_job_suspect.c
+++ b/tests/test_job_suspect.c
@@ -384,7 +384,8 @@
   relay_fixture_set_started (RELAY_FIXTURE_STARTED_LAST_MS);
 }
 
-/* An instance that has restarted alone knows what the others have seen. */
+/* An instance that has restarted alone knows what the others have seen, also before its machine
+ * started. */
 static void
 test_restarted_instance_needs_two_crashes_like_the_others (void **state)
 {
@@ -394,7 +395,7 @@
   relay_fixture_set_started (RELAY_FIXTURE_STARTED_FIRST_MS);
   crash_fixture_setup (&fixture);
   for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
-    fixture.fleet.instances[i].jobs.history_since_us -= 1000 * MF_US_PER_S;
+    fixture.fleet.instances[i].jobs.history_since_us = -(int64_t)(1000 * MF_US_PER_S);
   relay_fleet_restart (&fixture.fleet, 4);
   for (uint32_t index = 0; index < N_UPSTREAMS; index++)
     instance_list_upstream (&fixture, 4, index);
--- a/tests/test_relay_message.c
+++ b/tests/test_relay_message.c
@@ -306,12 +306,10 @@
 static void
 test_history (void **state)
 {
-  uint64_t now_us = mf_clock_now_us ();
-
   (void)state;
-  sent = (MfRelayMessage){ .kind = MF_RELAY_MESSAGE_HISTORY, .history_since_us = now_us - 7000000 };
+  sent = (MfRelayMessage){ .kind = MF_RELAY_MESSAGE_HISTORY, .history_age_us = 7000000 };
   round_trip ();
-  assert_same_time (got.history_since_us, now_us - 7000000);
+  assert_int_equal (got.history_age_us, 7000000);
 }
 
 /* Random bytes are either rejected or decoded, without memory errors. */
