After a loss of all instances one crash quarantines a part

Cause: what is known of parts that crash upstreams ends with the instances that know it, as it does for requests. After each loss of all a part was found again by three to five crashes and two trials. A stream that was closed in order inside its first event was noted as one that this instance had ended, so that its crash could not count alone.

Change: while earlier crashes may be unknown, one crash quarantines the best suspect among the parts of the request, unless an upstream is known to have survived it, or it is the first part. It explains no other death until it has two; the second trial comes as after two deaths.

Three tests of suspect_part and test_part_crashes_one_upstream_after_the_loss_of_all_instances failed before.

--- a/libmangofork/relay/job_answer.c
+++ b/libmangofork/relay/job_answer.c
@@ -361,19 +361,6 @@
     mf_job_reply (job, answer);
 }
 
-/* A complete answer of the upstream itself shows that it has survived its beginning. One that ends
- * with the connection does not: the upstream may have crashed. */
-static void
-job_note_complete (MfJob *job, MfTarget *target, MfLinkEnd end)
-{
-  if (job->answer.not_run || !job->answer.sealed)
-    return;
-  if (end == MF_LINK_COMPLETE)
-    mf_job_note_sound (job);
-  else if (!job->answer_began && job->parts.n_parts > 0)
-    mf_job_note_failure (job, target, false);
-}
-
 /* Returns how long the upstream took to begin its stream. For one that was resumed there, which had
  * begun before, this is its average. */
 static uint64_t
@@ -395,6 +382,20 @@
   return NULL;
 }
 
+/* A complete answer of the upstream itself shows that it has survived its beginning. One that ends
+ * with the connection does not: the upstream may have crashed. */
+static void
+job_note_complete (MfJob *job, MfTarget *target, MfLinkEnd end)
+{
+  if (job->answer.not_run || !job->answer.sealed)
+    return;
+  if (end == MF_LINK_COMPLETE)
+    mf_job_note_sound (job);
+  else if (!job->answer_began && job->parts.n_parts > 0)
+    mf_job_note_failure (job, target,
+                         job->phase == MF_JOB_STREAMING && stream_defect (job, end) != NULL);
+}
+
 static void
 on_run_end (void *data, MfLinkEnd end, const char *why)
 {
--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -549,6 +549,12 @@
   .listing_changed = on_listing_changed,
 };
 
+static bool
+jobs_have_lost_history (const MfJobs *jobs)
+{
+  return mf_jobs_history_is_lost (jobs, THREE_DEATHS_QUARANTINE_US, mf_clock_now_us ());
+}
+
 /* Whether one crash is enough to quarantine the request, as all instances that knew of earlier ones
  * may have ended: it has crashed the upstream before its answer began, and none has survived it. */
 static bool
@@ -558,7 +564,7 @@
 
   return !job->answer_began && !job->head_sent
          && !mf_suspects_was_answered (jobs->suspects, job->digest)
-         && mf_jobs_history_is_lost (jobs, THREE_DEATHS_QUARANTINE_US, mf_clock_now_us ());
+         && jobs_have_lost_history (jobs);
 }
 
 /* Records a failed send, which may have crashed its upstream unless that announced its exit.
@@ -577,6 +583,7 @@
     .trial_part = job->trial_part,
     .was_suspect = job->was_suspect,
     .is_sufficient = is_broken && job_has_lost_history (job),
+    .is_sufficient_for_parts = is_broken && jobs_have_lost_history (jobs),
     .sent_us = job->sent_us,
     .failed_us = now_us,
   };
--- a/libmangofork/suspect.c
+++ b/libmangofork/suspect.c
@@ -452,7 +452,8 @@
           bool trial_failed
               = !mf_suspects_part_has_death (suspects, failure.trial_part, process_id, now_us);
 
-          mf_suspects_add_part_deaths (suspects, &failure.parts, &death, now_us);
+          mf_suspects_add_part_deaths (suspects, &failure.parts, &death,
+                                       failure.is_sufficient_for_parts, now_us);
           if (trial_failed)
             mf_suspects_fail_trial (suspects, failure.trial_part, now_us);
           else
--- a/libmangofork/suspect.h
+++ b/libmangofork/suspect.h
@@ -41,6 +41,7 @@
   uint64_t trial_part;   /* the quarantined part that the attempt was the trial of; 0: none */
   bool was_suspect;      /* the request was already a suspect when it was sent */
   bool is_sufficient;    /* one crash is enough: earlier ones may have been lost */
+  bool is_sufficient_for_parts; /* the same for the best suspect among the parts */
   uint64_t sent_us;
   uint64_t failed_us;
 } MfSuspectFailure;
@@ -135,7 +136,7 @@
 MfSuspectResult mf_suspects_add_part_death (MfSuspects *suspects, uint64_t part, uint32_t depth,
                                             const MfSuspectDeath *death, uint64_t now_us);
 void mf_suspects_add_part_deaths (MfSuspects *suspects, const MfParts *parts,
-                                  const MfSuspectDeath *death, uint64_t now_us);
+                                  const MfSuspectDeath *death, bool is_sufficient, uint64_t now_us);
 bool mf_suspects_note_sound (MfSuspects *suspects, uint64_t part, uint64_t sound_us,
                              uint64_t now_us);
 MfSuspectVerdict mf_suspects_judge_part (MfSuspects *suspects, uint64_t part, uint64_t caller,
--- a/libmangofork/suspect_part.c
+++ b/libmangofork/suspect_part.c
@@ -72,7 +72,7 @@
 }
 
 /* Returns whether a quarantined part explains the death of a process under a request, or under a
- * part that is a worse suspect; worse is NULL for a request. */
+ * part that is a worse suspect; worse is NULL for a request. One death alone explains nothing. */
 bool
 mf_suspects_part_explains (const MfSuspects *suspects, const MfSuspectPart *worse,
                            uint64_t process_id)
@@ -81,7 +81,8 @@
     {
       const MfSuspect *part = &row->suspect;
 
-      if (part->part.quarantined_us > 0 && mf_suspect_has_process (part, process_id)
+      if (part->part.quarantined_us > 0 && part->n_deaths >= DEATHS_EXPLAINING
+          && mf_suspect_has_process (part, process_id)
           && (worse == NULL || is_better_suspect (&part->part, worse)))
         return true;
     }
@@ -162,6 +163,8 @@
 static void
 withdraw_explained (MfSuspects *suspects, const MfSuspect *suspect)
 {
+  if (suspect->n_deaths < DEATHS_EXPLAINING)
+    return;
   for (MfSuspectRow *row = suspects->rows; row != NULL; row = row->hh.next)
     {
       MfSuspect *other = &row->suspect;
@@ -258,11 +261,27 @@
   return MF_SUSPECT_QUARANTINED;
 }
 
+/* Quarantines a part for one death, as earlier ones may be unknown, unless an upstream is known to
+ * have survived it. The first part of a prompt is left out: nearly all may have it. If an upstream
+ * dies in the first trial, the next one is put off as after two. */
+static void
+quarantine_for_one_death (MfSuspects *suspects, uint64_t part, uint64_t now_us)
+{
+  MfSuspect *suspect = mf_suspects_find (suspects, part, now_us);
+
+  if (suspect == NULL || suspect->n_deaths == 0 || suspect->part.depth == 0
+      || suspect->part.sound_us > 0 || suspect->part.quarantined_us > 0)
+    return;
+  suspect->part.n_failed_trials = 1;
+  part_quarantine (suspects, suspect, now_us);
+}
+
 /* Counts an upstream that died while it ran a request with these parts. The better suspects come
- * first, as they may explain the death. */
+ * first, as they may explain the death. is_sufficient means that earlier deaths may be unknown: the
+ * best suspect is quarantined. */
 void
 mf_suspects_add_part_deaths (MfSuspects *suspects, const MfParts *parts,
-                             const MfSuspectDeath *death, uint64_t now_us)
+                             const MfSuspectDeath *death, bool is_sufficient, uint64_t now_us)
 {
   MfSuspectPart known[MF_PARTS_MAX]; /* copies, as adding one part may evict another */
   uint32_t order[MF_PARTS_MAX];
@@ -278,6 +297,8 @@
     }
   for (uint32_t i = 0; i < parts->n_parts; i++)
     mf_suspects_add_part_death (suspects, parts->hashes[order[i]], order[i], death, now_us);
+  if (is_sufficient && parts->n_parts > 0)
+    quarantine_for_one_death (suspects, parts->hashes[order[0]], now_us);
 }
 
 /* Records that an upstream has begun an answer to a request with the part, at a time, and survived:
--- a/tests/test_job_suspect.c
+++ b/tests/test_job_suspect.c
@@ -384,6 +384,34 @@
   relay_fixture_set_started (RELAY_FIXTURE_STARTED_LAST_MS);
 }
 
+/* All instances had been killed, and requests with one part crashed three upstreams or five before
+ * they were refused again. */
+static void
+test_part_crashes_one_upstream_after_the_loss_of_all_instances (void **state)
+{
+  static const char *const paths[] = { "/order/1", "/read/1", "/llm/1", "/once/1" };
+
+  (void)state;
+  relay_fixture_set_started (RELAY_FIXTURE_STARTED_FIRST_MS);
+  for (size_t i = 0; i < MF_ARRAY_LEN (paths); i++)
+    {
+      CrashFixture fixture;
+
+      crash_fixture_setup (&fixture);
+      prompt (&fixture, 0, paths[i], NULL);
+      prompt (&fixture, 0, paths[i], SOAK_DEADLY_PART "0");
+      await_upstreams (&fixture);
+      for (uint32_t j = 0; j < RELAY_FLEET_N_INSTANCES; j++)
+        {
+          assert_int_equal (prompt (&fixture, j, paths[i], SOAK_DEADLY_PART "0"), 503);
+          assert_int_equal (prompt (&fixture, j, paths[i], NULL), 200);
+        }
+      assert_int_equal (soak_ledger_deadly_part (fixture.ledger, 0).n_crashes, 1);
+      crash_fixture_teardown (&fixture);
+    }
+  relay_fixture_set_started (RELAY_FIXTURE_STARTED_LAST_MS);
+}
+
 /* An instance that has restarted alone knows what the others have seen, also before its machine
  * started. */
 static void
@@ -817,6 +845,7 @@
     cmocka_unit_test (test_quarantines_are_sent_before_suspicions),
     cmocka_unit_test (test_isolated_instance_receives_quarantines),
     cmocka_unit_test (test_request_crashes_one_upstream_after_the_loss_of_all_instances),
+    cmocka_unit_test (test_part_crashes_one_upstream_after_the_loss_of_all_instances),
     cmocka_unit_test (test_restarted_instance_needs_two_crashes_like_the_others),
     cmocka_unit_test (test_answered_request_is_not_refused_for_one_crash),
     cmocka_unit_test (test_other_requests_are_served),
--- a/tests/test_suspect_part.c
+++ b/tests/test_suspect_part.c
@@ -29,9 +29,11 @@
   (void)result;
 }
 
-/* Counts an upstream that died at a time under a request of its own with FIRST and another part. */
+/* Counts an upstream that died at a time under a request of its own with FIRST and another part.
+ * is_sufficient means that earlier deaths may be unknown. */
 static void
-dies (MfSuspects *suspects, uint64_t part, uint64_t caller, uint64_t at_us)
+dies_sufficiently (MfSuspects *suspects, uint64_t part, uint64_t caller, bool is_sufficient,
+                   uint64_t at_us)
 {
   MfParts parts = { .hashes = { FIRST, part }, .n_parts = 2 };
   MfSuspectDeath death = { .process_id = at_us,
@@ -40,7 +42,13 @@
                            .sent_us = at_us - S / 10,
                            .at_us = at_us };
 
-  mf_suspects_add_part_deaths (suspects, &parts, &death, at_us);
+  mf_suspects_add_part_deaths (suspects, &parts, &death, is_sufficient, at_us);
+}
+
+static void
+dies (MfSuspects *suspects, uint64_t part, uint64_t caller, uint64_t at_us)
+{
+  dies_sufficiently (suspects, part, caller, false, at_us);
 }
 
 /* An upstream survives a request with FIRST and another part. Returns whether others may have to
@@ -95,7 +103,7 @@
     {
       MfSuspectDeath death = { .process_id = i, .digest = 5, .at_us = i * S };
 
-      mf_suspects_add_part_deaths (suspects, &parts, &death, i * S);
+      mf_suspects_add_part_deaths (suspects, &parts, &death, false, i * S);
     }
   assert_false (is_refused (suspects, DEADLY, CALLER, 11 * S));
   mf_suspects_free (suspects);
@@ -395,6 +403,85 @@
   mf_suspects_free (suspects);
 }
 
+/* After the loss of all instances a part crashed three upstreams or five before it was refused
+ * again.
+ */
+static void
+test_one_death_is_enough_where_earlier_ones_may_be_unknown (void **state)
+{
+  MfSuspects *suspects = mf_suspects_new (&limits);
+
+  (void)state;
+  survives (suspects, OTHER_DEADLY, S);
+  dies_sufficiently (suspects, OTHER_DEADLY, CALLER, true, 2 * S);
+  assert_false (is_refused (suspects, OTHER_DEADLY, CALLER, 3 * S));
+  dies_sufficiently (suspects, DEADLY, CALLER, true, 3 * S);
+  assert_true (is_refused (suspects, DEADLY, OTHER_CALLER, 4 * S));
+  assert_false (is_refused (suspects, FIRST, CALLER, 4 * S));
+  survives (suspects, DEADLY, 4 * S);
+  assert_false (is_refused (suspects, DEADLY, CALLER, 4 * S));
+  mf_suspects_free (suspects);
+}
+
+/* Nearly all prompts begin with the first part, so that an upstream soon shows that it is sound. */
+static void
+test_one_death_does_not_convict_the_first_part (void **state)
+{
+  MfSuspects *suspects = mf_suspects_new (&limits);
+  MfParts parts = { .hashes = { FIRST }, .n_parts = 1 };
+  MfSuspectDeath death = { .process_id = 1, .digest = 5, .at_us = S };
+
+  (void)state;
+  mf_suspects_add_part_deaths (suspects, &parts, &death, true, S);
+  assert_false (is_refused (suspects, FIRST, CALLER, 2 * S));
+  mf_suspects_free (suspects);
+}
+
+/* A part that is refused for one death is tried soon, as it may be innocent, and not soon again. */
+static void
+test_second_trial_after_one_death_comes_late (void **state)
+{
+  MfSuspects *suspects = mf_suspects_new (&limits);
+  uint64_t trial_us;
+  uint64_t next_us;
+
+  (void)state;
+  dies_sufficiently (suspects, DEADLY, CALLER, true, S);
+  trial_us = mf_suspects_find (suspects, DEADLY, S)->quarantined_until_us;
+  assert_in_range (trial_us, S + TRIAL_INTERVAL_US, S + 2 * TRIAL_INTERVAL_US);
+  mf_suspects_start_trial (suspects, DEADLY, trial_us);
+  mf_suspects_add_failure (suspects, &(MfSuspectFailure){ .digest = 5,
+                                                          .upstream_id = 9,
+                                                          .parts = { { FIRST, DEADLY }, 2 },
+                                                          .trial_part = DEADLY,
+                                                          .sent_us = trial_us,
+                                                          .failed_us = trial_us + 1 });
+  mf_suspects_upstream_died (suspects, 9, 9, trial_us + 2, ignore_failure, NULL);
+  next_us = mf_suspects_find (suspects, DEADLY, trial_us)->quarantined_until_us;
+  assert_in_range (next_us, trial_us + 6 * TRIAL_INTERVAL_US, trial_us + 13 * TRIAL_INTERVAL_US);
+  mf_suspects_free (suspects);
+}
+
+/* The request and the part are both suspects: the next request may come with other parts. */
+static void
+test_part_with_one_death_does_not_explain_a_request (void **state)
+{
+  MfSuspects *suspects = mf_suspects_new (&limits);
+
+  (void)state;
+  mf_suspects_add_failure (suspects, &(MfSuspectFailure){ .digest = BESIDE,
+                                                          .upstream_id = 1,
+                                                          .parts = { { FIRST, DEADLY }, 2 },
+                                                          .is_sufficient = true,
+                                                          .is_sufficient_for_parts = true,
+                                                          .sent_us = S,
+                                                          .failed_us = S });
+  mf_suspects_upstream_died (suspects, 1, 1, S + 1, ignore_failure, NULL);
+  assert_true (is_refused (suspects, DEADLY, CALLER, 2 * S));
+  assert_true (mf_suspects_is_quarantined (suspects, BESIDE, 2 * S));
+  mf_suspects_free (suspects);
+}
+
 int
 main (void)
 {
@@ -416,6 +503,10 @@
     cmocka_unit_test (test_request_beside_a_sound_part_is_refused_after_three_deaths),
     cmocka_unit_test (test_request_that_three_deaths_met_is_refused_for_a_moment),
     cmocka_unit_test (test_invented_parts_do_not_displace_a_quarantine),
+    cmocka_unit_test (test_one_death_is_enough_where_earlier_ones_may_be_unknown),
+    cmocka_unit_test (test_one_death_does_not_convict_the_first_part),
+    cmocka_unit_test (test_second_trial_after_one_death_comes_late),
+    cmocka_unit_test (test_part_with_one_death_does_not_explain_a_request),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
