One crash convicts no part where more than two requests broke

Change: where more than two requests with parts that no upstream is known to have survived broke at a process, as seen here or by others, its crash convicts none of them by itself, and ends such quarantines (part.released). Tried before: no such conviction in the first second.

--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -269,6 +269,21 @@
   record_quarantine (jobs, suspect, by_self ? "self" : "peer");
 }
 
+static bool
+part_record_release (void *data, const MfSuspect *suspect)
+{
+  MfJobs *jobs = data;
+  MfSuspect *part;
+
+  if (!suspect->part.is_recorded || suspect->part.quarantined_us > 0)
+    return true;
+  part = mf_suspects_find (jobs->suspects, suspect->digest, mf_clock_now_us ());
+  part->part.is_recorded = false;
+  mf_relay_log_state (jobs->log, "part.released", "digest=%016llx upstreams_ended=%u",
+                      (unsigned long long)part->digest, part->n_deaths);
+  return true;
+}
+
 static bool
 part_settle (void *data, const MfSuspect *suspect)
 {
@@ -292,6 +307,7 @@
   if (jobs->peers != NULL)
     list_send (&list);
   mf_suspects_foreach (jobs->suspects, list.now_us, part_settle, jobs);
+  mf_suspects_foreach (jobs->suspects, list.now_us, part_record_release, jobs);
 }
 
 static void
@@ -417,6 +433,7 @@
       else
         request_handle (jobs, entry, now_us);
     }
+  mf_suspects_foreach (jobs->suspects, now_us, part_record_release, jobs);
 }
 
 /* Whether a try of the request is in progress at this instance. */
--- a/libmangofork/suspect_part.c
+++ b/libmangofork/suspect_part.c
@@ -10,6 +10,10 @@
 #define DEATHS_ANY 5
 /* A better suspect with as many deaths explains them. */
 #define DEATHS_EXPLAINING 2
+/* One death is enough only where no more requests than these ran beside it. */
+#define PROVISIONAL_REQUESTS_MAX 2
+/* A part that is quarantined for one death is tried sooner by this factor. */
+#define PROVISIONAL_TRIAL_FACTOR 3
 /* An upstream that survived a part within this time before its first death speaks for it. */
 #define SOUND_WINDOW_US (60 * MF_US_PER_S)
 /* Upstreams that lose power together die within this time. */
@@ -195,11 +199,20 @@
   return suspect->n_deaths > 0 ? suspect->deaths[0].caller : 0;
 }
 
+/* Returns whether a part is quarantined for one death, as earlier ones may be unknown. */
+static bool
+is_provisional (const MfSuspect *suspect)
+{
+  return suspect->part.quarantined_us > 0 && suspect->n_deaths == 1;
+}
+
 static uint64_t
 trial_interval_us (const MfSuspects *suspects, const MfSuspect *suspect)
 {
   uint64_t interval_us = suspects->limits.trial_interval_us;
 
+  if (is_provisional (suspect))
+    interval_us /= PROVISIONAL_TRIAL_FACTOR;
   /* Parts that were quarantined together are not tried together: one may crash the upstream of all.
    */
   interval_us += interval_us * (suspect->digest % 1024) / 1024;
@@ -261,16 +274,65 @@
   return MF_SUSPECT_QUARANTINED;
 }
 
+/* Returns whether more than a few requests with parts that no upstream is known to have survived
+ * ran at a process that died. */
+static bool
+death_is_ambiguous (const MfSuspects *suspects, uint64_t process_id)
+{
+  uint64_t digests[PROVISIONAL_REQUESTS_MAX];
+  uint32_t n_digests = 0;
+
+  for (const MfSuspectRow *row = suspects->rows; row != NULL; row = row->hh.next)
+    {
+      const MfSuspect *part = &row->suspect;
+
+      if (part->kind != MF_SUSPECT_PART || part->part.depth == 0 || part->part.sound_us > 0)
+        continue;
+      for (uint32_t i = 0; i < part->n_deaths; i++)
+        {
+          bool is_new = part->deaths[i].process_id == process_id;
+
+          for (uint32_t j = 0; j < n_digests; j++)
+            is_new = is_new && part->deaths[i].digest != digests[j];
+          if (is_new && n_digests == PROVISIONAL_REQUESTS_MAX)
+            return true;
+          if (is_new)
+            digests[n_digests++] = part->deaths[i].digest;
+        }
+    }
+  return false;
+}
+
+/* Ends the quarantines for the death of one process that has become ambiguous. */
+static void
+release_ambiguous (MfSuspects *suspects, uint64_t process_id)
+{
+  if (!death_is_ambiguous (suspects, process_id))
+    return;
+  for (MfSuspectRow *row = suspects->rows; row != NULL; row = row->hh.next)
+    {
+      MfSuspect *part = &row->suspect;
+
+      if (part->kind != MF_SUSPECT_PART || !is_provisional (part)
+          || part->deaths[0].process_id != process_id)
+        continue;
+      part->part.quarantined_us = 0;
+      part->part.n_failed_trials = 0;
+      part->quarantined_until_us = 0;
+    }
+}
+
 /* Quarantines a part for one death, as earlier ones may be unknown, unless an upstream is known to
- * have survived it. The first part of a prompt is left out: nearly all may have it. If an upstream
- * dies in the first trial, the next one is put off as after two. */
+ * have survived it, or the death is ambiguous. The first part of a prompt is left out: nearly all
+ * may have it. If an upstream dies in the first trial, the next one is put off as after two. */
 static void
-quarantine_for_one_death (MfSuspects *suspects, uint64_t part, uint64_t now_us)
+quarantine_for_one_death (MfSuspects *suspects, uint64_t part, uint64_t process_id, uint64_t now_us)
 {
   MfSuspect *suspect = mf_suspects_find (suspects, part, now_us);
 
   if (suspect == NULL || suspect->n_deaths == 0 || suspect->part.depth == 0
-      || suspect->part.sound_us > 0 || suspect->part.quarantined_us > 0)
+      || suspect->part.sound_us > 0 || suspect->part.quarantined_us > 0
+      || death_is_ambiguous (suspects, process_id))
     return;
   suspect->part.n_failed_trials = 1;
   part_quarantine (suspects, suspect, now_us);
@@ -298,7 +360,8 @@
   for (uint32_t i = 0; i < parts->n_parts; i++)
     mf_suspects_add_part_death (suspects, parts->hashes[order[i]], order[i], death, now_us);
   if (is_sufficient && parts->n_parts > 0)
-    quarantine_for_one_death (suspects, parts->hashes[order[0]], now_us);
+    quarantine_for_one_death (suspects, parts->hashes[order[0]], death->process_id, now_us);
+  release_ambiguous (suspects, death->process_id);
 }
 
 /* Records that an upstream has begun an answer to a request with the part, at a time, and survived:
@@ -423,7 +486,8 @@
 
   memcpy (adopted.deaths, reported->deaths, sizeof adopted.deaths);
   adopted.n_deaths = reported->n_deaths;
-  if (adopted.n_deaths == 0 || contradicts (&adopted))
+  if (adopted.n_deaths == 0 || contradicts (&adopted)
+      || (adopted.n_deaths == 1 && death_is_ambiguous (suspects, adopted.deaths[0].process_id)))
     return;
   *suspect = adopted;
   part_quarantine (suspects, suspect, now_us);
@@ -443,6 +507,7 @@
   for (uint32_t i = 0; i < reported->n_deaths; i++)
     mf_suspects_add_part_death (suspects, reported->digest, reported->part.depth,
                                 &reported->deaths[i], now_us);
+  release_ambiguous (suspects, reported->deaths[reported->n_deaths - 1].process_id);
   if (reported->part.quarantined_us == 0)
     return;
   if (suspect->part.quarantined_us == 0)
