Messages of a newer release are passed over

Cause: a message of a kind that an instance does not know was taken for malformed and ended its connection. While a release with new kinds is rolled out, each older instance would end the connections of newer ones again and again, and with them lose reports, removals and quarantines.

Change: such a message is decoded as unknown and ignored; other malformed ones end the connection as before. test_messages_of_a_newer_release_are_passed_over failed before: the connection was closed.

--- a/libmangofork/relay/peers.c
+++ b/libmangofork/relay/peers.c
@@ -347,7 +347,7 @@
           memcpy (incoming->address, peers->in.report.address, sizeof incoming->address);
           report_apply (peers, &peers->in.report);
         }
-      else if (incoming->address[0] != '\0'
+      else if (peers->in.kind != MF_RELAY_MESSAGE_UNKNOWN && incoming->address[0] != '\0'
                && (!needs_sender_check (peers->in.kind) || incoming_matches_address (incoming)))
         peers->callbacks->message (peers->data, mf_load_hash (incoming->address), &peers->in);
     }
--- a/libmangofork/relay/relay_message.c
+++ b/libmangofork/relay/relay_message.c
@@ -823,15 +823,22 @@
   uint64_t kind = 0;
 
   if (object->type != MSGPACK_OBJECT_ARRAY || object->via.array.size == 0
-      || !read_number (&object->via.array.ptr[0], MF_ARRAY_LEN (codecs) - 1, &kind)
-      || codecs[kind].read == NULL || object->via.array.size < codecs[kind].n_members)
+      || !read_number (&object->via.array.ptr[0], UINT64_MAX, &kind)
+      || kind == MF_RELAY_MESSAGE_UNKNOWN)
+    return false;
+  if (kind >= MF_ARRAY_LEN (codecs))
+    {
+      message->kind = MF_RELAY_MESSAGE_UNKNOWN;
+      return true;
+    }
+  if (object->via.array.size < codecs[kind].n_members)
     return false;
   message->kind = (MfRelayMessageKind)kind;
   return codecs[kind].read (object->via.array.ptr, message);
 }
 
-/* Decodes the payload of a frame; members beyond the known ones are ignored. Returns false when it
- * is malformed. */
+/* Decodes the payload of a frame; members beyond the known ones are ignored, and of a message of a
+ * newer release all. Returns false when it is malformed. */
 bool
 mf_relay_message_decode (const char *payload, size_t payload_bytes, MfRelayMessage *message)
 {
--- a/libmangofork/relay/relay_message.h
+++ b/libmangofork/relay/relay_message.h
@@ -14,6 +14,7 @@
 /* Kinds of messages between instances. */
 typedef enum
 {
+  MF_RELAY_MESSAGE_UNKNOWN = 0,       /* of a newer release */
   MF_RELAY_MESSAGE_REPORT = 1,        /* load of the sender at the engines */
   MF_RELAY_MESSAGE_SLOT_REQUEST = 2,  /* for a slot at an engine */
   MF_RELAY_MESSAGE_GRANT = 3,         /* of a slot */
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -4,6 +4,7 @@
 
 #include "loop_pump.h"
 
+#include <errno.h>
 #include <fcntl.h>
 #include <setjmp.h>
 #include <stdarg.h>
@@ -334,6 +335,28 @@
   fleet_end (&fleet);
 }
 
+/* Instances of an older release ended the connection of a newer one at each message that they did
+ * not know, and with it the reports that it brings. */
+static void
+test_messages_of_a_newer_release_are_passed_over (void **state)
+{
+  static const char frames[] = "\0\0\0\3\x92\x63\1\0\0\0\5\x92\xcd\x27\x10\1";
+  Fleet fleet;
+  char got[16];
+  int fd;
+
+  (void)state;
+  fleet_begin (&fleet);
+  assert_true (loop_pump (fleet.loop, all_have_reports, &fleet));
+  fd = loop_connect (FIRST_PORT);
+  loop_send (fd, frames, sizeof frames - 1);
+  loop_spin (fleet.loop, 50);
+  assert_int_equal (recv (fd, got, sizeof got, MSG_DONTWAIT), -1);
+  assert_int_equal (errno, EAGAIN);
+  close (fd);
+  fleet_end (&fleet);
+}
+
 int
 main (void)
 {
@@ -344,6 +367,7 @@
     cmocka_unit_test (test_messages_name_their_sender),
     cmocka_unit_test (test_an_instance_ends_and_comes_back),
     cmocka_unit_test (test_foreign_bytes),
+    cmocka_unit_test (test_messages_of_a_newer_release_are_passed_over),
     cmocka_unit_test (test_fences_are_told_to_all),
   };
 
--- a/tests/test_relay_message.c
+++ b/tests/test_relay_message.c
@@ -339,6 +339,19 @@
   mf_feed_clear (&got.feed);
 }
 
+static void
+test_unknown_kinds (void **state)
+{
+  (void)state;
+  assert_true (mf_relay_message_decode ("\x92\x63\1", 3, &got));
+  assert_int_equal (got.kind, MF_RELAY_MESSAGE_UNKNOWN);
+  /* Malformed: no kind, 0, a text, cut. */
+  assert_false (mf_relay_message_decode ("\x90", 1, &got));
+  assert_false (mf_relay_message_decode ("\x92\0\1", 3, &got));
+  assert_false (mf_relay_message_decode ("\x92\xa1x\1", 4, &got));
+  assert_false (mf_relay_message_decode ("\x92\x63", 2, &got));
+}
+
 static void
 test_retry (void **state)
 {
@@ -391,8 +404,9 @@
     cmocka_unit_test (test_rates),         cmocka_unit_test (test_limits),
     cmocka_unit_test (test_retry),         cmocka_unit_test (test_slot_request),
     cmocka_unit_test (test_grant_and_ids), cmocka_unit_test (test_any_bytes),
-    cmocka_unit_test (test_feed),          cmocka_unit_test (test_origins),
-    cmocka_unit_test (test_listings),      cmocka_unit_test (test_history),
+    cmocka_unit_test (test_unknown_kinds), cmocka_unit_test (test_feed),
+    cmocka_unit_test (test_origins),       cmocka_unit_test (test_listings),
+    cmocka_unit_test (test_history),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
