--- a/libmangofork/health.c
+++ b/libmangofork/health.c
@@ -473,7 +473,7 @@
       row->call_failed = false;
       mf_prefix_clear (core, i);
       mf_request_upstream_died (core, i);
-      mf_suspect_upstream_died (core, i);
+      mf_suspect_upstream_crashed (core, i);
     }
 }
 
--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -11,8 +11,8 @@
 #define CRASH_WINDOW_US (10 * MF_US_PER_S)
 /* Quarantine after two crashes: they may be a coincidence, and the callers of an innocent request
  * wait no longer than this anyway. */
-#define TWO_DEATHS_QUARANTINE_US (30 * MF_US_PER_S)
-#define THREE_DEATHS_QUARANTINE_US (600 * MF_US_PER_S)
+#define TWO_CRASHES_QUARANTINE_US (30 * MF_US_PER_S)
+#define THREE_CRASHES_QUARANTINE_US (600 * MF_US_PER_S)
 /* Requests that broke beside the one that is quarantined for one crash are free again after this
  * time. */
 #define BESIDE_QUARANTINE_US (6 * MF_US_PER_S)
@@ -27,9 +27,9 @@
 #define PROBE_TIMEOUT_US (300 * MF_US_PER_MS)
 /* Failures on the connections of a crashed process are seen within this time of each other. */
 #define SAME_CRASH_US (1 * MF_US_PER_S)
-/* From this number of deaths on, all instances are informed at once; before, when the request
+/* From this number of crashes on, all instances are informed at once; before, when the request
  * ends. */
-#define REPORT_AT_ONCE_DEATHS 2
+#define REPORT_AT_ONCE_CRASHES 2
 
 /* Hash of what identifies a caller's request across tries: host, method, target and body. Never
  * 0. */
@@ -57,8 +57,8 @@
   jobs->history_since_us = (int64_t)mf_clock_now_us ();
   jobs->suspects = mf_suspects_new (
       &(MfSuspectLimits){ .crash_window_us = CRASH_WINDOW_US,
-                          .two_deaths_quarantine_us = TWO_DEATHS_QUARANTINE_US,
-                          .three_deaths_quarantine_us = THREE_DEATHS_QUARANTINE_US,
+                          .two_crashes_quarantine_us = TWO_CRASHES_QUARANTINE_US,
+                          .three_crashes_quarantine_us = THREE_CRASHES_QUARANTINE_US,
                           .beside_quarantine_us = BESIDE_QUARANTINE_US,
                           .trial_interval_us = TRIAL_INTERVAL_US });
   return jobs->suspects != NULL;
@@ -72,7 +72,7 @@
   const MfSuspect *suspect
       = mf_suspects_find (job->jobs->suspects, job->digest, mf_clock_now_us ());
 
-  return job->trial_part != 0 || job->n_failures > 0 || (suspect != NULL && suspect->n_deaths > 0);
+  return job->trial_part != 0 || job->n_failures > 0 || (suspect != NULL && suspect->n_crashes > 0);
 }
 
 static uint32_t
@@ -89,15 +89,15 @@
   return now_us > ms * MF_US_PER_MS ? now_us - ms * MF_US_PER_MS : 0;
 }
 
-static MfSuspectDeath
-death_read (const MfSuspectEntryDeath *death, uint64_t now_us)
+static MfSuspectCrash
+crash_read (const MfSuspectEntryCrash *crash, uint64_t now_us)
 {
-  return (MfSuspectDeath){
-    .process_id = death->process,
-    .digest = death->digest,
-    .caller = death->caller,
-    .sent_us = time_us (death->sent_age_ms, now_us),
-    .at_us = time_us (death->age_ms, now_us),
+  return (MfSuspectCrash){
+    .process_id = crash->process,
+    .digest = crash->digest,
+    .caller = crash->caller,
+    .sent_us = time_us (crash->sent_age_ms, now_us),
+    .at_us = time_us (crash->age_ms, now_us),
   };
 }
 
@@ -114,16 +114,16 @@
     .depth = suspect->part.depth,
     .n_failed_trials = suspect->part.n_failed_trials,
     .quarantine_ms = age_ms (now_us, suspect->quarantined_until_us),
-    .n_deaths = suspect->n_deaths,
+    .n_crashes = suspect->n_crashes,
   };
 
-  for (uint32_t i = 0; i < suspect->n_deaths; i++)
-    entry.deaths[i] = (MfSuspectEntryDeath){
-      .process = suspect->deaths[i].process_id,
-      .digest = suspect->deaths[i].digest,
-      .caller = suspect->deaths[i].caller,
-      .sent_age_ms = age_ms (suspect->deaths[i].sent_us, now_us),
-      .age_ms = age_ms (suspect->deaths[i].at_us, now_us),
+  for (uint32_t i = 0; i < suspect->n_crashes; i++)
+    entry.crashes[i] = (MfSuspectEntryCrash){
+      .process = suspect->crashes[i].process_id,
+      .digest = suspect->crashes[i].digest,
+      .caller = suspect->crashes[i].caller,
+      .sent_age_ms = age_ms (suspect->crashes[i].sent_us, now_us),
+      .age_ms = age_ms (suspect->crashes[i].at_us, now_us),
     };
   return entry;
 }
@@ -161,9 +161,9 @@
   MfSuspect *suspect = mf_suspects_find (jobs->suspects, digest, now_us);
   MfSuspectEntry entry;
 
-  if (suspect == NULL || suspect->n_reported >= suspect->n_deaths)
+  if (suspect == NULL || suspect->n_reported >= suspect->n_crashes)
     return;
-  suspect->n_reported = suspect->n_deaths;
+  suspect->n_reported = suspect->n_crashes;
   entry = entry_make (suspect, now_us);
   entry_send (jobs, TO_ALL, &entry);
 }
@@ -254,7 +254,7 @@
   mf_relay_log_state (
       jobs->log, suspect->kind == MF_SUSPECT_PART ? "part.convicted" : "request.convicted",
       "digest=%016llx upstreams_ended=%u by=%s sentence_ms=%u", (unsigned long long)suspect->digest,
-      suspect->n_deaths, by, age_ms (now_us, suspect->quarantined_until_us));
+      suspect->n_crashes, by, age_ms (now_us, suspect->quarantined_until_us));
   schedule_quarantine (jobs);
 }
 
@@ -280,7 +280,7 @@
   part = mf_suspects_find (jobs->suspects, suspect->digest, mf_clock_now_us ());
   part->part.is_recorded = false;
   mf_relay_log_state (jobs->log, "part.released", "digest=%016llx upstreams_ended=%u",
-                      (unsigned long long)part->digest, part->n_deaths);
+                      (unsigned long long)part->digest, part->n_crashes);
   return true;
 }
 
@@ -297,7 +297,7 @@
   return true;
 }
 
-/* Sends the parts with new deaths to all instances, as each may see only one death of a part. */
+/* Sends the parts with new crashes to all instances, as each may see only one crash of a part. */
 static void
 parts_send (MfJobs *jobs)
 {
@@ -321,17 +321,17 @@
       mf_suspects_remove (jobs->suspects, entry->digest);
       return;
     }
-  if (entry->n_deaths == 1 && entry->quarantine_ms > 0
+  if (entry->n_crashes == 1 && entry->quarantine_ms > 0
       && mf_suspects_was_answered (jobs->suspects, entry->digest))
     {
       entry_send (jobs, TO_ALL, &(MfSuspectEntry){ .digest = entry->digest, .cleared = true });
       return;
     }
-  for (uint32_t i = 0; i < entry->n_deaths; i++)
+  for (uint32_t i = 0; i < entry->n_crashes; i++)
     {
-      MfSuspectDeath death = death_read (&entry->deaths[i], now_us);
+      MfSuspectCrash crash = crash_read (&entry->crashes[i], now_us);
 
-      mf_suspects_add_death (jobs->suspects, entry->digest, &death, false, now_us);
+      mf_suspects_add_crash (jobs->suspects, entry->digest, &crash, false, now_us);
     }
   if (entry->quarantine_ms > 0)
     mf_suspects_quarantine (jobs->suspects, entry->digest,
@@ -339,8 +339,8 @@
   suspect = mf_suspects_find (jobs->suspects, entry->digest, now_us);
   if (suspect == NULL)
     return;
-  if (suspect->n_reported < entry->n_deaths)
-    suspect->n_reported = entry->n_deaths;
+  if (suspect->n_reported < entry->n_crashes)
+    suspect->n_reported = entry->n_crashes;
   if (!was_quarantined && mf_suspects_is_quarantined (jobs->suspects, entry->digest, now_us))
     record_quarantine (jobs, suspect, "peer");
 }
@@ -379,19 +379,19 @@
     .digest = entry->digest,
     .kind = entry->kind,
     .quarantined_until_us = now_us + entry->quarantine_ms * MF_US_PER_MS,
-    .n_deaths = entry->n_deaths,
+    .n_crashes = entry->n_crashes,
     .part = { .depth = entry->depth,
               .quarantined_us = entry->quarantined ? now_us : 0,
               .n_failed_trials = entry->n_failed_trials },
   };
 
-  for (uint32_t i = 0; i < entry->n_deaths; i++)
-    suspect.deaths[i] = death_read (&entry->deaths[i], now_us);
+  for (uint32_t i = 0; i < entry->n_crashes; i++)
+    suspect.crashes[i] = crash_read (&entry->crashes[i], now_us);
   return suspect;
 }
 
-/* Each instance judges by all deaths that it knows of. One that knows better than the sender, as
- * upstreams have survived the part since, or as it has seen more of them die, replies. */
+/* Each instance judges by all crashes that it knows of. One that knows better than the sender, as
+ * upstreams have survived the part since, or as it has seen more of them crash, replies. */
 static void
 part_handle (MfJobs *jobs, uint64_t peer, const MfSuspectEntry *entry, uint64_t now_us)
 {
@@ -459,19 +459,19 @@
   jobs->counters.counts[MF_RELAY_COUNT_SUSPICIONS]++;
   mf_relay_log_event (jobs->log, "request.suspected",
                       "digest=%016llx upstreams_ended=%u was_suspect=%s break_age_ms=%u",
-                      (unsigned long long)failure->digest, suspect->n_deaths,
+                      (unsigned long long)failure->digest, suspect->n_crashes,
                       failure->was_suspect ? "yes" : "no",
                       age_ms (failure->failed_us, mf_clock_now_us ()));
   if (result == MF_SUSPECT_QUARANTINED)
     record_quarantine (jobs, suspect, "self");
-  if (result == MF_SUSPECT_QUARANTINED || suspect->n_deaths >= REPORT_AT_ONCE_DEATHS
+  if (result == MF_SUSPECT_QUARANTINED || suspect->n_crashes >= REPORT_AT_ONCE_CRASHES
       || !has_job (jobs, failure->digest))
     suspect_send (jobs, failure->digest);
 }
 
 /* Failures at an upstream that announced its exit are attributed to the exit, not to requests. */
 static void
-upstream_died (MfJobs *jobs, MfTarget *target)
+upstream_crashed (MfJobs *jobs, MfTarget *target)
 {
   uint64_t process = mf_target_process_id (target);
   uint64_t now_us = mf_clock_now_us ();
@@ -482,7 +482,8 @@
     mf_suspects_upstream_alive (jobs->suspects, process, UINT64_MAX, on_failure_result, jobs);
   else
     {
-      mf_suspects_upstream_died (jobs->suspects, process, process, now_us, on_failure_result, jobs);
+      mf_suspects_upstream_crashed (jobs->suspects, process, process, now_us, on_failure_result,
+                                    jobs);
       parts_send (jobs);
     }
 }
@@ -495,7 +496,7 @@
   if (mf_suspects_n_failures (jobs->suspects) > 0)
     mf_relay_log_state (jobs->log, "upstream.ended", "upstream=%s why=\"%s\" leaving=%s",
                         target->info.id, why, mf_target_is_leaving (target) ? "yes" : "no");
-  upstream_died (jobs, target);
+  upstream_crashed (jobs, target);
 }
 
 /* A new process at an address means that the previous one has ended. Processes that announced their
@@ -569,7 +570,7 @@
 static bool
 jobs_have_lost_history (const MfJobs *jobs)
 {
-  return mf_jobs_history_is_lost (jobs, THREE_DEATHS_QUARANTINE_US, mf_clock_now_us ());
+  return mf_jobs_history_is_lost (jobs, THREE_CRASHES_QUARANTINE_US, mf_clock_now_us ());
 }
 
 /* Whether one crash is enough to quarantine the request, as all instances that knew of earlier ones
@@ -614,7 +615,7 @@
   job->n_failures++;
   if (target->ended_us > 0 && now_us - target->ended_us < SAME_CRASH_US
       && job->sent_us < target->ended_us)
-    upstream_died (jobs, target);
+    upstream_crashed (jobs, target);
 }
 
 /* Retries a request after a failure, or ends it. A suspect, or a request that one crash makes one,
--- a/libmangofork/relay/relay_message.c
+++ b/libmangofork/relay/relay_message.c
@@ -21,7 +21,7 @@
 #define FEED_ITEM_MEMBERS 4
 #define SUSPECTS_MEMBERS 2
 #define SUSPECT_ENTRY_MEMBERS 10
-#define SUSPECT_DEATH_MEMBERS 5
+#define SUSPECT_CRASH_MEMBERS 5
 #define LIMIT_MEMBERS 4
 #define RATE_ASK_MEMBERS (7 + LIMIT_MEMBERS)
 #define RATE_GRANT_MEMBERS 6
@@ -205,15 +205,15 @@
       msgpack_pack_uint32 (packer, entry->depth);
       msgpack_pack_uint32 (packer, entry->n_failed_trials);
       msgpack_pack_uint32 (packer, entry->quarantine_ms);
-      msgpack_pack_array (packer, entry->n_deaths);
-      for (uint32_t j = 0; j < entry->n_deaths; j++)
+      msgpack_pack_array (packer, entry->n_crashes);
+      for (uint32_t j = 0; j < entry->n_crashes; j++)
         {
-          msgpack_pack_array (packer, SUSPECT_DEATH_MEMBERS);
-          msgpack_pack_uint64 (packer, entry->deaths[j].process);
-          msgpack_pack_uint64 (packer, entry->deaths[j].digest);
-          msgpack_pack_uint64 (packer, entry->deaths[j].caller);
-          msgpack_pack_uint32 (packer, entry->deaths[j].sent_age_ms);
-          msgpack_pack_uint32 (packer, entry->deaths[j].age_ms);
+          msgpack_pack_array (packer, SUSPECT_CRASH_MEMBERS);
+          msgpack_pack_uint64 (packer, entry->crashes[j].process);
+          msgpack_pack_uint64 (packer, entry->crashes[j].digest);
+          msgpack_pack_uint64 (packer, entry->crashes[j].caller);
+          msgpack_pack_uint32 (packer, entry->crashes[j].sent_age_ms);
+          msgpack_pack_uint32 (packer, entry->crashes[j].age_ms);
         }
     }
 }
@@ -560,43 +560,43 @@
 }
 
 static bool
-suspect_death_read (const msgpack_object *members, MfSuspectEntryDeath *death)
+suspect_crash_read (const msgpack_object *members, MfSuspectEntryCrash *crash)
 {
-  return members->type == MSGPACK_OBJECT_ARRAY && members->via.array.size >= SUSPECT_DEATH_MEMBERS
-         && read_number (&members->via.array.ptr[0], UINT64_MAX, &death->process)
-         && read_number (&members->via.array.ptr[1], UINT64_MAX, &death->digest)
-         && read_number (&members->via.array.ptr[2], UINT64_MAX, &death->caller)
-         && read_u32 (&members->via.array.ptr[3], &death->sent_age_ms)
-         && read_u32 (&members->via.array.ptr[4], &death->age_ms);
+  return members->type == MSGPACK_OBJECT_ARRAY && members->via.array.size >= SUSPECT_CRASH_MEMBERS
+         && read_number (&members->via.array.ptr[0], UINT64_MAX, &crash->process)
+         && read_number (&members->via.array.ptr[1], UINT64_MAX, &crash->digest)
+         && read_number (&members->via.array.ptr[2], UINT64_MAX, &crash->caller)
+         && read_u32 (&members->via.array.ptr[3], &crash->sent_age_ms)
+         && read_u32 (&members->via.array.ptr[4], &crash->age_ms);
 }
 
 static bool
 suspect_entry_read (const msgpack_object *members, MfSuspectEntry *entry)
 {
   const msgpack_object *fields;
-  const msgpack_object *deaths;
+  const msgpack_object *crashes;
   uint64_t kind = 0;
 
   if (members->type != MSGPACK_OBJECT_ARRAY || members->via.array.size < SUSPECT_ENTRY_MEMBERS)
     return false;
   fields = members->via.array.ptr;
-  deaths = &fields[SUSPECT_ENTRY_MEMBERS - 1];
-  entry->n_deaths = 0;
+  crashes = &fields[SUSPECT_ENTRY_MEMBERS - 1];
+  entry->n_crashes = 0;
   if (!read_number (&fields[0], UINT64_MAX, &entry->digest)
       || !read_number (&fields[1], MF_SUSPECT_PART, &kind)
       || !read_flag (&fields[2], &entry->cleared) || !read_flag (&fields[3], &entry->quarantined)
       || !read_flag (&fields[4], &entry->was_sound) || !read_u32 (&fields[5], &entry->sound_age_ms)
       || !read_u32 (&fields[6], &entry->depth) || !read_u32 (&fields[7], &entry->n_failed_trials)
       || !read_u32 (&fields[8], &entry->quarantine_ms)
-      || !read_array (deaths, MF_SUSPECT_DEATHS_MAX))
+      || !read_array (crashes, MF_SUSPECT_CRASHES_MAX))
     return false;
   entry->kind = (MfSuspectKind)kind;
-  while (entry->n_deaths < deaths->via.array.size)
+  while (entry->n_crashes < crashes->via.array.size)
     {
-      if (!suspect_death_read (&deaths->via.array.ptr[entry->n_deaths],
-                               &entry->deaths[entry->n_deaths]))
+      if (!suspect_crash_read (&crashes->via.array.ptr[entry->n_crashes],
+                               &entry->crashes[entry->n_crashes]))
         return false;
-      entry->n_deaths++;
+      entry->n_crashes++;
     }
   return true;
 }
--- a/libmangofork/relay/relay_message.h
+++ b/libmangofork/relay/relay_message.h
@@ -49,7 +49,7 @@
 /* Maximum suspect requests in one message. */
 #define MF_SUSPECT_ENTRIES_MAX 32
 
-/* An upstream that died while it ran a request. Ages are relative to the time of sending. */
+/* An upstream that crashed while it ran a request. Ages are relative to the time of sending. */
 typedef struct
 {
   uint64_t process;
@@ -57,9 +57,9 @@
   uint64_t caller;
   uint32_t sent_age_ms;
   uint32_t age_ms;
-} MfSuspectEntryDeath;
+} MfSuspectEntryCrash;
 
-/* A suspect request or part of prompts, which upstreams have died while running, as known to one
+/* A suspect request or part of prompts, which upstreams have crashed while running, as known to one
  * instance. */
 typedef struct
 {
@@ -72,8 +72,8 @@
   uint32_t depth;        /* its place in prompts */
   uint32_t n_failed_trials;
   uint32_t quarantine_ms; /* for this much longer; 0: it is not. Of a part: until its next trial */
-  MfSuspectEntryDeath deaths[MF_SUSPECT_DEATHS_MAX];
-  uint32_t n_deaths;
+  MfSuspectEntryCrash crashes[MF_SUSPECT_CRASHES_MAX];
+  uint32_t n_crashes;
 } MfSuspectEntry;
 
 typedef struct
--- a/libmangofork/request.h
+++ b/libmangofork/request.h
@@ -123,7 +123,7 @@
   uint32_t delivered;
   uint32_t attempt;
   uint32_t n_retries;
-  uint32_t n_deaths; /* upstreams that died while they ran it */
+  uint32_t n_crashes; /* upstreams that crashed while they ran it */
   bool suspect;
   bool suspect_pending; /* whether its upstream died is not known yet */
   uint8_t n_claims;
--- a/libmangofork/status.c
+++ b/libmangofork/status.c
@@ -224,7 +224,7 @@
   bool quarantined = suspect->quarantined_until_us > listing->core->board.now_us;
 
   mf_render_hex (object, "digest", suspect->digest);
-  mf_render_number (object, "deaths", suspect->n_deaths);
+  mf_render_number (object, "deaths", suspect->n_crashes);
   mf_render_text (object, "state", quarantined ? "convicted" : "suspected");
   mf_render_age (object, "age_s", listing->core, suspect->at_us);
   json_object_array_add (listing->list, object);
--- a/libmangofork/suspect.c
+++ b/libmangofork/suspect.c
@@ -6,10 +6,10 @@
 /* Entries expire this long after their last update. */
 #define ENTRY_LIFE_US (UINT64_C (600) * MF_US_PER_S)
 #define SUSPECTS_MAX 4096
-/* Deaths after which a request is quarantined when no other suspect ran at the last upstream, and
+/* Crashes after which a request is quarantined when no other suspect ran at the last upstream, and
  * even if others ran at all of them. */
-#define DEATHS_ISOLATED 2
-#define DEATHS_CERTAIN 3
+#define CRASHES_ISOLATED 2
+#define CRASHES_CERTAIN 3
 
 /* Returns an empty table, or NULL when out of memory. */
 MfSuspects *
@@ -126,7 +126,7 @@
   return suspect != NULL && suspect->quarantined_until_us > now_us;
 }
 
-/* Calls func for each suspect with a counted death and each disputed part, until it returns false.
+/* Calls func for each suspect with a counted crash and each disputed part, until it returns false.
  */
 void
 mf_suspects_foreach (const MfSuspects *suspects, uint64_t now_us, MfSuspectFunc func, void *data)
@@ -134,67 +134,67 @@
   for (const MfSuspectRow *row = suspects->rows; row != NULL; row = row->hh.next)
     {
       if (!row_has_expired (row, now_us)
-          && (row->suspect.n_deaths > 0 || row->suspect.part.is_disputed)
+          && (row->suspect.n_crashes > 0 || row->suspect.part.is_disputed)
           && !func (data, &row->suspect))
         return;
     }
 }
 
 static uint64_t
-last_death_process (const MfSuspect *suspect)
+last_crash_process (const MfSuspect *suspect)
 {
-  return suspect->n_deaths > 0 ? suspect->deaths[suspect->n_deaths - 1].process_id : 0;
+  return suspect->n_crashes > 0 ? suspect->crashes[suspect->n_crashes - 1].process_id : 0;
 }
 
-/* Returns whether a quarantined part explains the last death of a request. */
+/* Returns whether a quarantined part explains the last crash of a request. */
 static bool
-last_death_is_explained (const MfSuspects *suspects, const MfSuspect *suspect)
+last_crash_is_explained (const MfSuspects *suspects, const MfSuspect *suspect)
 {
-  uint64_t process_id = last_death_process (suspect);
+  uint64_t process_id = last_crash_process (suspect);
 
   return process_id != 0 && mf_suspects_part_explains (suspects, NULL, process_id);
 }
 
-/* Ends the quarantine of a request whose last death another suspect may have caused, unless it has
- * DEATHS_CERTAIN deaths. The deaths stay, as the other may prove harmless. */
+/* Ends the quarantine of a request whose last crash another suspect may have caused, unless it has
+ * CRASHES_CERTAIN crashes. The crashes stay, as the other may prove harmless. */
 void
 mf_suspects_release (MfSuspect *suspect)
 {
-  if (suspect->n_deaths < DEATHS_CERTAIN)
+  if (suspect->n_crashes < CRASHES_CERTAIN)
     suspect->quarantined_until_us = 0;
 }
 
-/* Returns whether the death of a process counts against a suspect. */
+/* Returns whether the crash of a process counts against a suspect. */
 bool
 mf_suspect_has_process (const MfSuspect *suspect, uint64_t process_id)
 {
-  for (uint32_t i = 0; i < suspect->n_deaths; i++)
+  for (uint32_t i = 0; i < suspect->n_crashes; i++)
     {
-      if (suspect->deaths[i].process_id == process_id)
+      if (suspect->crashes[i].process_id == process_id)
         return true;
     }
   return false;
 }
 
-/* Returns whether a request may have caused the death of a process, so that it does not count
- * against another: it was the last death of both, or the request has crashed upstreams for certain.
+/* Returns whether a request may have caused the crash of a process, so that it does not count
+ * against another: it was the last crash of both, or the request has crashed upstreams for certain.
  */
 static bool
 may_explain (const MfSuspect *suspect, uint64_t process_id)
 {
-  if (suspect->kind != MF_SUSPECT_REQUEST || suspect->n_deaths < DEATHS_ISOLATED)
+  if (suspect->kind != MF_SUSPECT_REQUEST || suspect->n_crashes < CRASHES_ISOLATED)
     return false;
-  return suspect->n_deaths < DEATHS_CERTAIN ? last_death_process (suspect) == process_id
-                                            : mf_suspect_has_process (suspect, process_id);
+  return suspect->n_crashes < CRASHES_CERTAIN ? last_crash_process (suspect) == process_id
+                                              : mf_suspect_has_process (suspect, process_id);
 }
 
-/* Returns whether another request may have caused the last death of this one, possibly as reported
- * by another instance. Ends the quarantine of the other as well unless it has DEATHS_CERTAIN
- * deaths, or this one has fewer. */
+/* Returns whether another request may have caused the last crash of this one, possibly as reported
+ * by another instance. Ends the quarantine of the other as well unless it has CRASHES_CERTAIN
+ * crashes, or this one has fewer. */
 static bool
-shares_last_death (MfSuspects *suspects, const MfSuspect *suspect)
+shares_last_crash (MfSuspects *suspects, const MfSuspect *suspect)
 {
-  uint64_t process_id = last_death_process (suspect);
+  uint64_t process_id = last_crash_process (suspect);
   bool shares = false;
 
   for (MfSuspectRow *row = suspects->rows; row != NULL && process_id != 0; row = row->hh.next)
@@ -204,9 +204,9 @@
       if (other == suspect || !may_explain (other, process_id))
         continue;
       /* Where one crash is enough, only a request that was sent later explains it. */
-      shares = shares || suspect->n_deaths > 1
-               || other->deaths[other->n_deaths - 1].sent_us > suspect->deaths[0].sent_us;
-      if (suspect->n_deaths > 1)
+      shares = shares || suspect->n_crashes > 1
+               || other->crashes[other->n_crashes - 1].sent_us > suspect->crashes[0].sent_us;
+      if (suspect->n_crashes > 1)
         mf_suspects_release (other);
     }
   return shares;
@@ -218,20 +218,20 @@
 static bool
 was_sent_before_another (MfSuspects *suspects, const MfSuspect *suspect, uint64_t now_us)
 {
-  const MfSuspectDeath *death = &suspect->deaths[0];
+  const MfSuspectCrash *crash = &suspect->crashes[0];
   uint64_t short_until_us = now_us + suspects->limits.beside_quarantine_us;
   bool is_before = false;
 
-  for (MfSuspectRow *row = suspects->rows; row != NULL && death->process_id != 0;
+  for (MfSuspectRow *row = suspects->rows; row != NULL && crash->process_id != 0;
        row = row->hh.next)
     {
       MfSuspect *other = &row->suspect;
 
-      if (other == suspect || other->kind != MF_SUSPECT_REQUEST || other->n_deaths != 1
+      if (other == suspect || other->kind != MF_SUSPECT_REQUEST || other->n_crashes != 1
           || other->quarantined_until_us <= now_us
-          || other->deaths[0].process_id != death->process_id)
+          || other->crashes[0].process_id != crash->process_id)
         continue;
-      if (other->deaths[0].sent_us > death->sent_us)
+      if (other->crashes[0].sent_us > crash->sent_us)
         is_before = true;
       else if (other->quarantined_until_us > short_until_us)
         other->quarantined_until_us = short_until_us;
@@ -247,7 +247,7 @@
   for (MfSuspectRow *row = suspects->rows; row != NULL; row = row->hh.next)
     {
       MfSuspect *other = &row->suspect;
-      uint64_t process_id = last_death_process (other);
+      uint64_t process_id = last_crash_process (other);
 
       if (other != suspect && other->kind == MF_SUSPECT_REQUEST && process_id != 0
           && mf_suspect_has_process (suspect, process_id))
@@ -262,10 +262,10 @@
   MfSuspect *suspect = mf_suspects_find_or_add (suspects, digest, MF_SUSPECT_REQUEST, now_us);
   bool is_new = suspect->quarantined_until_us <= now_us;
 
-  if (suspect->n_deaths < DEATHS_CERTAIN
-      && (shares_last_death (suspects, suspect) || last_death_is_explained (suspects, suspect)))
+  if (suspect->n_crashes < CRASHES_CERTAIN
+      && (shares_last_crash (suspects, suspect) || last_crash_is_explained (suspects, suspect)))
     return false;
-  if (suspect->n_deaths == 1 && was_sent_before_another (suspects, suspect, now_us)
+  if (suspect->n_crashes == 1 && was_sent_before_another (suspects, suspect, now_us)
       && until_us > now_us + suspects->limits.beside_quarantine_us)
     until_us = now_us + suspects->limits.beside_quarantine_us;
   if (until_us > suspect->quarantined_until_us)
@@ -273,70 +273,72 @@
   return is_new && until_us > now_us;
 }
 
-/* Raises the number of deaths to what another instance has counted; the processes are unknown. */
+/* Raises the number of crashes to what another instance has counted; the processes are unknown. */
 void
-mf_suspects_raise_deaths (MfSuspects *suspects, uint64_t digest, uint32_t n_deaths, uint64_t now_us)
+mf_suspects_raise_crashes (MfSuspects *suspects, uint64_t digest, uint32_t n_crashes,
+                           uint64_t now_us)
 {
   MfSuspect *suspect = mf_suspects_find_or_add (suspects, digest, MF_SUSPECT_REQUEST, now_us);
 
-  while (suspect->n_deaths < n_deaths && suspect->n_deaths < DEATHS_CERTAIN)
-    suspect->deaths[suspect->n_deaths++] = (MfSuspectDeath){ .at_us = now_us };
+  while (suspect->n_crashes < n_crashes && suspect->n_crashes < CRASHES_CERTAIN)
+    suspect->crashes[suspect->n_crashes++] = (MfSuspectCrash){ .at_us = now_us };
 }
 
-/* Returns whether a death adds no evidence: several attempts ran at one process, or the request was
- * sent to several processes before the first was known to have died. */
+/* Returns whether a crash adds no evidence: several attempts ran at one process, or the request was
+ * sent to several processes before the first was known to have crashed. */
 static bool
-death_is_duplicate (const MfSuspect *suspect, const MfSuspectDeath *death)
+crash_is_duplicate (const MfSuspect *suspect, const MfSuspectCrash *crash)
 {
-  for (uint32_t i = 0; i < suspect->n_deaths; i++)
+  for (uint32_t i = 0; i < suspect->n_crashes; i++)
     {
-      if (suspect->deaths[i].process_id == death->process_id && death->process_id != 0)
+      if (suspect->crashes[i].process_id == crash->process_id && crash->process_id != 0)
         return true;
     }
-  return suspect->n_deaths > 0 && death->sent_us < suspect->deaths[suspect->n_deaths - 1].at_us;
+  return suspect->n_crashes > 0 && crash->sent_us < suspect->crashes[suspect->n_crashes - 1].at_us;
 }
 
 static void
-remove_oldest_death (MfSuspect *suspect)
+remove_oldest_crash (MfSuspect *suspect)
 {
-  suspect->n_deaths--;
-  memmove (&suspect->deaths[0], &suspect->deaths[1], suspect->n_deaths * sizeof suspect->deaths[0]);
-  if (suspect->n_reported > suspect->n_deaths)
-    suspect->n_reported = suspect->n_deaths;
+  suspect->n_crashes--;
+  memmove (&suspect->crashes[0], &suspect->crashes[1],
+           suspect->n_crashes * sizeof suspect->crashes[0]);
+  if (suspect->n_reported > suspect->n_crashes)
+    suspect->n_reported = suspect->n_crashes;
 }
 
-/* Counts a death, which quarantines the request if it has n_needed with it. */
+/* Counts a crash, which quarantines the request if it has n_needed with it. */
 static MfSuspectResult
-add_death (MfSuspects *suspects, uint64_t digest, const MfSuspectDeath *death, uint32_t n_needed,
+add_crash (MfSuspects *suspects, uint64_t digest, const MfSuspectCrash *crash, uint32_t n_needed,
            uint64_t now_us)
 {
   MfSuspect *suspect = mf_suspects_find_or_add (suspects, digest, MF_SUSPECT_REQUEST, now_us);
   uint64_t duration_us;
 
-  if (death_is_duplicate (suspect, death))
+  if (crash_is_duplicate (suspect, crash))
     return MF_SUSPECT_DUPLICATE;
-  if (suspect->n_deaths == DEATHS_CERTAIN)
-    remove_oldest_death (suspect);
-  suspect->deaths[suspect->n_deaths++] = *death;
-  if (suspect->n_deaths == DEATHS_CERTAIN)
+  if (suspect->n_crashes == CRASHES_CERTAIN)
+    remove_oldest_crash (suspect);
+  suspect->crashes[suspect->n_crashes++] = *crash;
+  if (suspect->n_crashes == CRASHES_CERTAIN)
     release_explained (suspects, suspect);
-  if (suspect->n_deaths < n_needed)
+  if (suspect->n_crashes < n_needed)
     return MF_SUSPECT_COUNTED;
-  duration_us = suspect->n_deaths < DEATHS_CERTAIN || last_death_is_explained (suspects, suspect)
-                    ? suspects->limits.two_deaths_quarantine_us
-                    : suspects->limits.three_deaths_quarantine_us;
+  duration_us = suspect->n_crashes < CRASHES_CERTAIN || last_crash_is_explained (suspects, suspect)
+                    ? suspects->limits.two_crashes_quarantine_us
+                    : suspects->limits.three_crashes_quarantine_us;
   return mf_suspects_quarantine (suspects, digest, now_us + duration_us, now_us)
              ? MF_SUSPECT_QUARANTINED
              : MF_SUSPECT_COUNTED;
 }
 
-/* Counts an upstream that died while it ran a request. isolated means that no other suspect ran
+/* Counts an upstream that crashed while it ran a request. isolated means that no other suspect ran
  * there. */
 MfSuspectResult
-mf_suspects_add_death (MfSuspects *suspects, uint64_t digest, const MfSuspectDeath *death,
+mf_suspects_add_crash (MfSuspects *suspects, uint64_t digest, const MfSuspectCrash *crash,
                        bool isolated, uint64_t now_us)
 {
-  return add_death (suspects, digest, death, isolated ? DEATHS_ISOLATED : DEATHS_CERTAIN, now_us);
+  return add_crash (suspects, digest, crash, isolated ? CRASHES_ISOLATED : CRASHES_CERTAIN, now_us);
 }
 
 /* Remembers that an upstream has survived a request. */
@@ -353,8 +355,8 @@
   return suspects->answered[digest % MF_SUSPECT_ANSWERED_MAX] == digest;
 }
 
-/* Removes a request that was answered: its upstreams died of another cause. Returns whether it had
- * a row. */
+/* Removes a request that was answered: its upstreams crashed of another cause. Returns whether it
+ * had a row. */
 bool
 mf_suspects_remove (MfSuspects *suspects, uint64_t digest)
 {
@@ -366,8 +368,8 @@
   return true;
 }
 
-/* Keeps a failed call until it is known whether its upstream died. Returns false when a failure of
- * this attempt at this upstream is kept already. */
+/* Keeps a failed call until it is known whether its upstream crashed. Returns false when a failure
+ * of this attempt at this upstream is kept already. */
 bool
 mf_suspects_add_failure (MfSuspects *suspects, const MfSuspectFailure *failure)
 {
@@ -416,30 +418,30 @@
   return n;
 }
 
-/* Returns the number of deaths, with the one of a failure, from which on its request is
+/* Returns the number of crashes, with the one of a failure, from which on its request is
  * quarantined.
  */
 static uint32_t
-deaths_needed (const MfSuspects *suspects, const MfSuspectFailure *failure, uint32_t n_suspects)
+crashes_needed (const MfSuspects *suspects, const MfSuspectFailure *failure, uint32_t n_suspects)
 {
   if (failure->is_sufficient && !mf_suspects_was_answered (suspects, failure->digest))
     return 1;
-  return failure->was_suspect && n_suspects == 1 ? DEATHS_ISOLATED : DEATHS_CERTAIN;
+  return failure->was_suspect && n_suspects == 1 ? CRASHES_ISOLATED : CRASHES_CERTAIN;
 }
 
-/* Handles the death of an upstream: counts it against the requests whose calls failed there within
- * the crash window. process identifies the incarnation that died, since an upstream may restart
+/* Handles the crash of an upstream: counts it against the requests whose calls failed there within
+ * the crash window. process identifies the incarnation that crashed, since an upstream may restart
  * under the same id. */
 void
-mf_suspects_upstream_died (MfSuspects *suspects, uint64_t upstream_id, uint64_t process_id,
-                           uint64_t now_us, MfSuspectFailureFunc func, void *data)
+mf_suspects_upstream_crashed (MfSuspects *suspects, uint64_t upstream_id, uint64_t process_id,
+                              uint64_t now_us, MfSuspectFailureFunc func, void *data)
 {
   uint32_t n_suspects = count_suspects_at (suspects, upstream_id);
   MfSuspectFailure failure;
 
   while (remove_failure (suspects, upstream_id, UINT64_MAX, &failure))
     {
-      MfSuspectDeath death = { .process_id = process_id,
+      MfSuspectCrash crash = { .process_id = process_id,
                                .digest = failure.digest,
                                .caller = failure.caller,
                                .sent_us = failure.sent_us,
@@ -448,18 +450,18 @@
 
       if (now_us - failure.failed_us < suspects->limits.crash_window_us)
         {
-          /* Else the trial was sent to a process that had died before. */
+          /* Else the trial was sent to a process that had crashed before. */
           bool trial_failed
-              = !mf_suspects_part_has_death (suspects, failure.trial_part, process_id, now_us);
+              = !mf_suspects_part_has_crash (suspects, failure.trial_part, process_id, now_us);
 
-          mf_suspects_add_part_deaths (suspects, &failure.parts, &death,
-                                       failure.is_sufficient_for_parts, now_us);
+          mf_suspects_add_part_crashes (suspects, &failure.parts, &crash,
+                                        failure.is_sufficient_for_parts, now_us);
           if (trial_failed)
             mf_suspects_fail_trial (suspects, failure.trial_part, now_us);
           else
             mf_suspects_void_trial (suspects, failure.trial_part, now_us);
-          result = add_death (suspects, failure.digest, &death,
-                              deaths_needed (suspects, &failure, n_suspects), now_us);
+          result = add_crash (suspects, failure.digest, &crash,
+                              crashes_needed (suspects, &failure, n_suspects), now_us);
         }
       func (data, &failure, result);
     }
@@ -479,8 +481,8 @@
   return 0;
 }
 
-/* Handles a new process at an address: any other process that had the address has died. Here the id
- * of an upstream is the id of its process. */
+/* Handles a new process at an address: any other process that had the address has crashed. Here the
+ * id of an upstream is the id of its process. */
 void
 mf_suspects_address_reused (MfSuspects *suspects, uint64_t address_hash, uint64_t successor,
                             uint64_t now_us, MfSuspectFailureFunc func, void *data)
@@ -488,7 +490,7 @@
   uint64_t upstream_id;
 
   while ((upstream_id = find_predecessor (suspects, address_hash, successor)) != 0)
-    mf_suspects_upstream_died (suspects, upstream_id, upstream_id, now_us, func, data);
+    mf_suspects_upstream_crashed (suspects, upstream_id, upstream_id, now_us, func, data);
 }
 
 /* Handles evidence that an upstream is alive: calls that failed there earlier had another cause. */
@@ -502,7 +504,7 @@
     func (data, &failure, MF_SUSPECT_UNRELATED);
 }
 
-/* Resolves failures older than before_us as unrelated to any death. */
+/* Resolves failures older than before_us as unrelated to any crash. */
 void
 mf_suspects_expire_failures (MfSuspects *suspects, uint64_t before_us, MfSuspectFailureFunc func,
                              void *data)
--- a/libmangofork/suspect.h
+++ b/libmangofork/suspect.h
@@ -5,12 +5,12 @@
 
 /* Tracks requests, and parts of prompts, that may crash the upstreams that run them ("poison"). A
  * request is identified by a digest that is the same for each of its attempts, a part by its hash.
- * A failed call is kept here until it is known whether its upstream died. The caller passes in all
- * times, read from one monotonic clock. */
+ * A failed call is kept here until it is known whether its upstream crashed. The caller passes in
+ * all times, read from one monotonic clock. */
 typedef struct MfSuspects MfSuspects;
 
-/* Deaths kept of one suspect, the latest ones. */
-#define MF_SUSPECT_DEATHS_MAX 8
+/* Crashes kept of one suspect, the latest ones. */
+#define MF_SUSPECT_CRASHES_MAX 8
 
 typedef enum
 {
@@ -20,10 +20,10 @@
 
 typedef struct
 {
-  uint64_t crash_window_us; /* a failure counts as caused by a death at most this long after it */
+  uint64_t crash_window_us; /* a failure counts as caused by a crash at most this long after it */
   uint64_t
-      two_deaths_quarantine_us; /* quarantine after two deaths, the last without other suspects */
-  uint64_t three_deaths_quarantine_us; /* quarantine after three deaths */
+      two_crashes_quarantine_us; /* quarantine after two crashes, the last without other suspects */
+  uint64_t three_crashes_quarantine_us; /* quarantine after three crashes */
   /* Quarantine after one sufficient crash, if another request was sent to the upstream later. */
   uint64_t beside_quarantine_us;
   uint64_t trial_interval_us; /* from the quarantine of a part to its first trial */
@@ -46,15 +46,15 @@
   uint64_t failed_us;
 } MfSuspectFailure;
 
-/* An upstream that died while it ran a request. */
+/* An upstream that crashed while it ran a request. */
 typedef struct
 {
-  uint64_t process_id; /* that died; 0 when another instance reported it */
+  uint64_t process_id; /* that crashed; 0 when another instance reported it */
   uint64_t digest;     /* of the request; used for parts only, as is the caller */
   uint64_t caller;
   uint64_t sent_us;
   uint64_t at_us;
-} MfSuspectDeath;
+} MfSuspectCrash;
 
 /* What is known of a part only. */
 typedef struct
@@ -64,19 +64,19 @@
   uint64_t quarantined_us;  /* start of the quarantine, which only a sound answer ends; 0: none */
   uint64_t only_caller;     /* the quarantine is for this caller only; 0: for all */
   uint32_t n_quarantines;   /* ever, including the present one */
-  bool is_unreported;       /* other instances do not know all deaths; reset by the caller */
+  bool is_unreported;       /* other instances do not know all crashes; reset by the caller */
   bool is_recorded;         /* the quarantine has been logged; set by the caller */
   bool is_own;              /* it was found here, not by a peer; likewise */
   bool is_disputed;         /* a peer refuses it, and is known to be wrong; likewise */
-  uint32_t n_failed_trials; /* upstreams that died under it during the quarantine */
+  uint32_t n_failed_trials; /* upstreams that crashed under it during the quarantine */
 } MfSuspectPart;
 
 typedef struct
 {
   uint64_t digest; /* hash of the part */
   MfSuspectKind kind;
-  MfSuspectDeath deaths[MF_SUSPECT_DEATHS_MAX]; /* oldest first */
-  uint32_t n_deaths;
+  MfSuspectCrash crashes[MF_SUSPECT_CRASHES_MAX]; /* oldest first */
+  uint32_t n_crashes;
   uint32_t n_reported;           /* of these, reported to other instances; set by the caller */
   uint64_t quarantined_until_us; /* of a part: the next trial is due then */
   uint64_t at_us;                /* last update */
@@ -87,9 +87,9 @@
 typedef enum
 {
   MF_SUSPECT_UNRELATED,   /* the upstream is alive, or its state stayed unknown */
-  MF_SUSPECT_DUPLICATE,   /* the upstream died, but that death adds no evidence */
-  MF_SUSPECT_COUNTED,     /* the upstream died, and the death was counted */
-  MF_SUSPECT_QUARANTINED, /* the death was counted, and the request is refused from now on */
+  MF_SUSPECT_DUPLICATE,   /* the upstream crashed, but that crash adds no evidence */
+  MF_SUSPECT_COUNTED,     /* the upstream crashed, and the crash was counted */
+  MF_SUSPECT_QUARANTINED, /* the crash was counted, and the request is refused from now on */
 } MfSuspectResult;
 
 typedef enum
@@ -113,8 +113,8 @@
 
 bool mf_suspects_add_failure (MfSuspects *suspects, const MfSuspectFailure *failure);
 uint32_t mf_suspects_n_failures (const MfSuspects *suspects);
-void mf_suspects_upstream_died (MfSuspects *suspects, uint64_t upstream_id, uint64_t process_id,
-                                uint64_t now_us, MfSuspectFailureFunc func, void *data);
+void mf_suspects_upstream_crashed (MfSuspects *suspects, uint64_t upstream_id, uint64_t process_id,
+                                   uint64_t now_us, MfSuspectFailureFunc func, void *data);
 void mf_suspects_address_reused (MfSuspects *suspects, uint64_t address_hash, uint64_t successor,
                                  uint64_t now_us, MfSuspectFailureFunc func, void *data);
 void mf_suspects_upstream_alive (MfSuspects *suspects, uint64_t upstream_id, uint64_t before_us,
@@ -122,10 +122,10 @@
 void mf_suspects_expire_failures (MfSuspects *suspects, uint64_t before_us,
                                   MfSuspectFailureFunc func, void *data);
 
-MfSuspectResult mf_suspects_add_death (MfSuspects *suspects, uint64_t digest,
-                                       const MfSuspectDeath *death, bool isolated, uint64_t now_us);
-void mf_suspects_raise_deaths (MfSuspects *suspects, uint64_t digest, uint32_t n_deaths,
-                               uint64_t now_us);
+MfSuspectResult mf_suspects_add_crash (MfSuspects *suspects, uint64_t digest,
+                                       const MfSuspectCrash *crash, bool isolated, uint64_t now_us);
+void mf_suspects_raise_crashes (MfSuspects *suspects, uint64_t digest, uint32_t n_crashes,
+                                uint64_t now_us);
 bool mf_suspects_quarantine (MfSuspects *suspects, uint64_t digest, uint64_t until_us,
                              uint64_t now_us);
 bool mf_suspects_remove (MfSuspects *suspects, uint64_t digest);
@@ -133,10 +133,11 @@
 bool mf_suspects_was_answered (const MfSuspects *suspects, uint64_t digest);
 
 /* suspect_part.c: parts of prompts. */
-MfSuspectResult mf_suspects_add_part_death (MfSuspects *suspects, uint64_t part, uint32_t depth,
-                                            const MfSuspectDeath *death, uint64_t now_us);
-void mf_suspects_add_part_deaths (MfSuspects *suspects, const MfParts *parts,
-                                  const MfSuspectDeath *death, bool is_sufficient, uint64_t now_us);
+MfSuspectResult mf_suspects_add_part_crash (MfSuspects *suspects, uint64_t part, uint32_t depth,
+                                            const MfSuspectCrash *crash, uint64_t now_us);
+void mf_suspects_add_part_crashes (MfSuspects *suspects, const MfParts *parts,
+                                   const MfSuspectCrash *crash, bool is_sufficient,
+                                   uint64_t now_us);
 bool mf_suspects_note_sound (MfSuspects *suspects, uint64_t part, uint64_t sound_us,
                              uint64_t now_us);
 MfSuspectVerdict mf_suspects_judge_part (MfSuspects *suspects, uint64_t part, uint64_t caller,
--- a/libmangofork/suspect_core.c
+++ b/libmangofork/suspect_core.c
@@ -5,12 +5,12 @@
 
 #include <xxhash.h>
 
-/* The quarantine is the same after two and after three deaths: each suspect runs without other
- * suspects at its upstream, so that two deaths are as strong evidence as three. */
+/* The quarantine is the same after two and after three crashes: each suspect runs without other
+ * suspects at its upstream, so that two crashes are as strong evidence as three. */
 #define QUARANTINE_US (UINT64_C (600) * MF_US_PER_S)
 #define CRASH_WINDOW_US (3 * MF_US_PER_S)
-/* A request stops waiting for an upstream that has neither answered nor been declared dead within
- * this time. */
+/* A request stops waiting for an upstream that has neither answered nor been declared crashed
+ * within this time. */
 #define FAILURE_TIMEOUT_US (1500 * MF_US_PER_MS)
 
 /* Argument of refuse_matching. */
@@ -49,19 +49,19 @@
 }
 
 /* Applies what another instance reports. A reported quarantine is accepted without own evidence, as
- * it took two deaths. */
+ * it took two crashes. */
 void
-mf_suspect_apply_report (MfCore *core, uint64_t digest, uint32_t n_deaths, bool quarantined)
+mf_suspect_apply_report (MfCore *core, uint64_t digest, uint32_t n_crashes, bool quarantined)
 {
   uint64_t now_us = core->board.now_us;
 
-  mf_suspects_raise_deaths (core->board.suspects, digest, n_deaths, now_us);
+  mf_suspects_raise_crashes (core->board.suspects, digest, n_crashes, now_us);
   if (quarantined
       && mf_suspects_quarantine (core->board.suspects, digest, now_us + QUARANTINE_US, now_us))
     refuse_quarantined (core, digest);
 }
 
-/* Marks a new request with the deaths known for its digest. Returns false when it is quarantined.
+/* Marks a new request with the crashes known for its digest. Returns false when it is quarantined.
  */
 bool
 mf_suspect_admit (MfCore *core, MfRequest *request)
@@ -73,14 +73,15 @@
 
   if (suspect == NULL)
     return true;
-  request->n_deaths = suspect->n_deaths;
-  request->suspect = suspect->n_deaths > 0;
+  request->n_crashes = suspect->n_crashes;
+  request->suspect = suspect->n_crashes > 0;
   return suspect->quarantined_until_us <= now_us;
 }
 
-/* Handles a call that failed as it would when its upstream died. The request waits until it is
- * known whether the upstream died: if the request was the cause, the next upstream would die before
- * the first death was counted. A stream that fails and then cannot be resumed counts as one death.
+/* Handles a call that failed as it would when its upstream crashed. The request waits until it is
+ * known whether the upstream crashed: if the request was the cause, the next upstream would crash
+ * before the first crash was counted. A stream that fails and then cannot be resumed counts as one
+ * crash.
  */
 void
 mf_suspect_call_failed (MfCore *core, MfRequest *request, uint32_t upstream)
@@ -94,14 +95,14 @@
                                     .request_id = request->id,
                                     .upstream_id = upstream_id (upstream),
                                     .was_suspect = request->suspect,
-                                    /* No earlier death is known of a request that is no suspect. */
+                                    /* No earlier crash is known of a request that is no suspect. */
                                     .sent_us = request->suspect ? now_us : 0,
                                     .failed_us = now_us,
                                 }))
     return;
   request->suspect_pending = true;
   request->suspected_at_token = request->delivered;
-  mf_request_trace (core, request, MF_TRACE_SUSPECTED, upstream, MF_NONE, request->n_deaths);
+  mf_request_trace (core, request, MF_TRACE_SUSPECTED, upstream, MF_NONE, request->n_crashes);
 }
 
 /* Continues or refuses the request of a resolved failure. */
@@ -120,27 +121,27 @@
     return;
   if (request != NULL)
     {
-      request->suspect = suspect->n_deaths > 0;
-      request->n_deaths = suspect->n_deaths;
+      request->suspect = suspect->n_crashes > 0;
+      request->n_crashes = suspect->n_crashes;
     }
   if (result == MF_SUSPECT_COUNTED)
-    mf_gossip_publish (core, MF_GOSSIP_REQUEST_SUSPECT, suspect->digest, suspect->n_deaths);
+    mf_gossip_publish (core, MF_GOSSIP_REQUEST_SUSPECT, suspect->digest, suspect->n_crashes);
   if (result != MF_SUSPECT_QUARANTINED)
     return;
-  mf_gossip_publish (core, MF_GOSSIP_REQUEST_QUARANTINED, suspect->digest, suspect->n_deaths);
+  mf_gossip_publish (core, MF_GOSSIP_REQUEST_QUARANTINED, suspect->digest, suspect->n_crashes);
   refuse_quarantined (core, suspect->digest);
 }
 
-/* Handles the death of an upstream: requests whose calls failed there shortly before are suspected
+/* Handles the crash of an upstream: requests whose calls failed there shortly before are suspected
  * of it. */
 void
-mf_suspect_upstream_died (MfCore *core, uint32_t upstream)
+mf_suspect_upstream_crashed (MfCore *core, uint32_t upstream)
 {
   uint64_t process[] = { upstream_id (upstream), core->board.now_us };
 
-  mf_suspects_upstream_died (core->board.suspects, upstream_id (upstream),
-                             XXH3_64bits (process, sizeof process), core->board.now_us,
-                             on_failure_resolved, core);
+  mf_suspects_upstream_crashed (core->board.suspects, upstream_id (upstream),
+                                XXH3_64bits (process, sizeof process), core->board.now_us,
+                                on_failure_resolved, core);
 }
 
 /* Handles an upstream that proved to be alive: calls that failed there had another cause. */
@@ -151,13 +152,13 @@
                               on_failure_resolved, core);
 }
 
-/* Removes the suspicion of a request that got past the point where its upstream died, or that was
- * answered. */
+/* Removes the suspicion of a request that got past the point where its upstream crashed, or that
+ * was answered. */
 void
 mf_suspect_clear (MfCore *core, MfRequest *request)
 {
   mf_call_clear_suspect (core, request);
-  request->n_deaths = 0;
+  request->n_crashes = 0;
   if (!mf_suspects_is_quarantined (core->board.suspects, request->digest, core->board.now_us))
     mf_suspects_remove (core->board.suspects, request->digest);
 }
@@ -189,7 +190,7 @@
   mf_suspects_foreach (core->board.suspects, core->board.now_us, func, data);
 }
 
-/* Resolves failures whose upstream has neither answered nor been declared dead in time. */
+/* Resolves failures whose upstream has neither answered nor been declared crashed in time. */
 static void
 suspect_tick (MfCore *core)
 {
@@ -205,8 +206,8 @@
 {
   core->board.suspects
       = mf_suspects_new (&(MfSuspectLimits){ .crash_window_us = CRASH_WINDOW_US,
-                                             .two_deaths_quarantine_us = QUARANTINE_US,
-                                             .three_deaths_quarantine_us = QUARANTINE_US });
+                                             .two_crashes_quarantine_us = QUARANTINE_US,
+                                             .three_crashes_quarantine_us = QUARANTINE_US });
   if (core->board.suspects == NULL)
     mf_error_set (error, MF_CODE_NO_MEMORY,
                   "out of memory while creating the table of suspect requests");
--- a/libmangofork/suspect_part.c
+++ b/libmangofork/suspect_part.c
@@ -3,23 +3,24 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Deaths after which a part is quarantined: when no better suspect died with them and no upstream
- * had lately survived the part; the same for one that was quarantined before; and in any case. */
-#define DEATHS_SOLE 3
-#define DEATHS_AGAIN 2
-#define DEATHS_ANY 5
-/* A better suspect with as many deaths explains them. */
-#define DEATHS_EXPLAINING 2
-/* One death is enough only where no more requests than these ran beside it. */
+/* Crashes after which a part is quarantined: when no better suspect crashed with them and no
+ * upstream had lately survived the part; the same for one that was quarantined before; and in any
+ * case. */
+#define CRASHES_SOLE 3
+#define CRASHES_AGAIN 2
+#define CRASHES_ANY 5
+/* A better suspect with as many crashes explains them. */
+#define CRASHES_EXPLAINING 2
+/* One crash is enough only where no more requests than these ran beside it. */
 #define PROVISIONAL_REQUESTS_MAX 2
-/* A part that is quarantined for one death is tried sooner by this factor. */
+/* A part that is quarantined for one crash is tried sooner by this factor. */
 #define PROVISIONAL_TRIAL_FACTOR 3
-/* An upstream that survived a part within this time before its first death speaks for it. */
+/* An upstream that survived a part within this time before its first crash speaks for it. */
 #define SOUND_WINDOW_US (60 * MF_US_PER_S)
-/* Upstreams that lose power together die within this time. */
+/* Upstreams that lose power together crash within this time. */
 #define SAME_MOMENT_US (250 * MF_US_PER_MS)
-/* Each upstream that dies in a trial puts off the next one by this factor, but the first, which may
- * have died of something else that was sent to it. */
+/* Each upstream that crashes in a trial puts off the next one by this factor, but the first, which
+ * something else that was sent to it may have crashed. */
 #define TRIAL_BACKOFF 6
 #define TRIAL_INTERVAL_MAX_US (UINT64_C (7200) * MF_US_PER_S)
 
@@ -37,29 +38,29 @@
 
   if (suspect->part.sound_us == 0 && sound->part == part)
     suspect->part.sound_us = sound->at_us;
-  if (suspect->n_deaths == 0)
+  if (suspect->n_crashes == 0)
     suspect->part.depth = depth;
   return suspect;
 }
 
 static void
-remove_death (MfSuspect *suspect, uint32_t index)
+remove_crash (MfSuspect *suspect, uint32_t index)
 {
-  suspect->n_deaths--;
-  memmove (&suspect->deaths[index], &suspect->deaths[index + 1],
-           (suspect->n_deaths - index) * sizeof suspect->deaths[0]);
+  suspect->n_crashes--;
+  memmove (&suspect->crashes[index], &suspect->crashes[index + 1],
+           (suspect->n_crashes - index) * sizeof suspect->crashes[0]);
 }
 
-/* Returns whether a death adds no evidence: it is known already, or another try of the same request
- * has died, which is then a suspect itself. */
+/* Returns whether a crash adds no evidence: it is known already, or it is of another try of the
+ * same request, which is then a suspect itself. */
 static bool
-death_is_duplicate (const MfSuspect *suspect, const MfSuspectDeath *death)
+crash_is_duplicate (const MfSuspect *suspect, const MfSuspectCrash *crash)
 {
-  for (uint32_t i = 0; i < suspect->n_deaths; i++)
+  for (uint32_t i = 0; i < suspect->n_crashes; i++)
     {
-      const MfSuspectDeath *known = &suspect->deaths[i];
+      const MfSuspectCrash *known = &suspect->crashes[i];
 
-      if (known->process_id == death->process_id || known->digest == death->digest)
+      if (known->process_id == crash->process_id || known->digest == crash->digest)
         return true;
     }
   return false;
@@ -75,8 +76,8 @@
   return a->depth > b->depth;
 }
 
-/* Returns whether a quarantined part explains the death of a process under a request, or under a
- * part that is a worse suspect; worse is NULL for a request. One death alone explains nothing. */
+/* Returns whether a quarantined part explains the crash of a process under a request, or under a
+ * part that is a worse suspect; worse is NULL for a request. One crash alone explains nothing. */
 bool
 mf_suspects_part_explains (const MfSuspects *suspects, const MfSuspectPart *worse,
                            uint64_t process_id)
@@ -85,7 +86,7 @@
     {
       const MfSuspect *part = &row->suspect;
 
-      if (part->part.quarantined_us > 0 && part->n_deaths >= DEATHS_EXPLAINING
+      if (part->part.quarantined_us > 0 && part->n_crashes >= CRASHES_EXPLAINING
           && mf_suspect_has_process (part, process_id)
           && (worse == NULL || is_better_suspect (&part->part, worse)))
         return true;
@@ -93,9 +94,9 @@
   return false;
 }
 
-/* Returns the most deaths of any better suspect that died with a process; 0: there is none. */
+/* Returns the most crashes of any better suspect that crashed with a process; 0: there is none. */
 static uint32_t
-better_suspect_deaths (const MfSuspects *suspects, const MfSuspect *suspect, uint64_t process_id)
+better_suspect_crashes (const MfSuspects *suspects, const MfSuspect *suspect, uint64_t process_id)
 {
   uint32_t most = 0;
 
@@ -103,10 +104,10 @@
     {
       const MfSuspect *other = &row->suspect;
 
-      if (other->kind == MF_SUSPECT_PART && other != suspect && other->n_deaths > most
+      if (other->kind == MF_SUSPECT_PART && other != suspect && other->n_crashes > most
           && mf_suspect_has_process (other, process_id)
           && is_better_suspect (&other->part, &suspect->part))
-        most = other->n_deaths;
+        most = other->n_crashes;
     }
   return most;
 }
@@ -115,20 +116,20 @@
 was_lately_sound (const MfSuspect *suspect)
 {
   return suspect->part.sound_us > 0
-         && suspect->deaths[0].at_us < suspect->part.sound_us + SOUND_WINDOW_US;
+         && suspect->crashes[0].at_us < suspect->part.sound_us + SOUND_WINDOW_US;
 }
 
-/* Returns the number of moments at which upstreams died, of those deaths for which n_better is at
- * most a number: all upstreams that lose power together count once. */
+/* Returns the number of moments at which upstreams crashed, of those crashes for which n_better is
+ * at most a number: all upstreams that lose power together count once. */
 static uint32_t
 count_moments (const MfSuspect *suspect, const uint32_t *n_better, uint32_t n_better_max)
 {
-  uint64_t counted_us[MF_SUSPECT_DEATHS_MAX];
+  uint64_t counted_us[MF_SUSPECT_CRASHES_MAX];
   uint32_t n_counted = 0;
 
-  for (uint32_t i = 0; i < suspect->n_deaths; i++)
+  for (uint32_t i = 0; i < suspect->n_crashes; i++)
     {
-      uint64_t at_us = suspect->deaths[i].at_us;
+      uint64_t at_us = suspect->crashes[i].at_us;
       bool is_new = n_better[i] <= n_better_max;
 
       for (uint32_t j = 0; j < n_counted; j++)
@@ -141,69 +142,69 @@
   return n_counted;
 }
 
-/* Returns whether the deaths of a part suffice to quarantine it. Those that nothing else explains
+/* Returns whether the crashes of a part suffice to quarantine it. Those that nothing else explains
  * need not lie apart: upstreams that lose power together seldom run the same rare part. */
 static bool
 is_convicted (const MfSuspects *suspects, const MfSuspect *suspect)
 {
-  uint32_t n_better[MF_SUSPECT_DEATHS_MAX];
+  uint32_t n_better[MF_SUSPECT_CRASHES_MAX];
   uint32_t n_sole = 0;
 
-  if (suspect->n_deaths < DEATHS_AGAIN)
+  if (suspect->n_crashes < CRASHES_AGAIN)
     return false;
-  for (uint32_t i = 0; i < suspect->n_deaths; i++)
+  for (uint32_t i = 0; i < suspect->n_crashes; i++)
     {
-      n_better[i] = better_suspect_deaths (suspects, suspect, suspect->deaths[i].process_id);
+      n_better[i] = better_suspect_crashes (suspects, suspect, suspect->crashes[i].process_id);
       n_sole += n_better[i] == 0;
     }
   if (suspect->part.n_quarantines > (suspect->part.quarantined_us > 0))
-    return count_moments (suspect, n_better, 0) >= DEATHS_AGAIN;
-  return count_moments (suspect, n_better, DEATHS_EXPLAINING - 1) >= DEATHS_ANY
-         || (n_sole >= DEATHS_SOLE && !was_lately_sound (suspect));
+    return count_moments (suspect, n_better, 0) >= CRASHES_AGAIN;
+  return count_moments (suspect, n_better, CRASHES_EXPLAINING - 1) >= CRASHES_ANY
+         || (n_sole >= CRASHES_SOLE && !was_lately_sound (suspect));
 }
 
-/* Takes back the deaths of worse suspects that a quarantined part explains, and ends the
+/* Takes back the crashes of worse suspects that a quarantined part explains, and ends the
  * quarantines of requests that it explains. */
 static void
 withdraw_explained (MfSuspects *suspects, const MfSuspect *suspect)
 {
-  if (suspect->n_deaths < DEATHS_EXPLAINING)
+  if (suspect->n_crashes < CRASHES_EXPLAINING)
     return;
   for (MfSuspectRow *row = suspects->rows; row != NULL; row = row->hh.next)
     {
       MfSuspect *other = &row->suspect;
 
-      if (other->kind == MF_SUSPECT_REQUEST && other->n_deaths > 0
-          && mf_suspect_has_process (suspect, other->deaths[other->n_deaths - 1].process_id))
+      if (other->kind == MF_SUSPECT_REQUEST && other->n_crashes > 0
+          && mf_suspect_has_process (suspect, other->crashes[other->n_crashes - 1].process_id))
         mf_suspects_release (other);
       if (other->kind != MF_SUSPECT_PART || other->part.quarantined_us > 0
           || !is_better_suspect (&suspect->part, &other->part))
         continue;
-      for (uint32_t i = other->n_deaths; i-- > 0;)
+      for (uint32_t i = other->n_crashes; i-- > 0;)
         {
-          if (mf_suspect_has_process (suspect, other->deaths[i].process_id))
-            remove_death (other, i);
+          if (mf_suspect_has_process (suspect, other->crashes[i].process_id))
+            remove_crash (other, i);
         }
     }
 }
 
-/* Returns the caller of all deaths; 0: there are several. */
+/* Returns the caller of all crashes; 0: there are several. */
 static uint64_t
 only_caller (const MfSuspect *suspect)
 {
-  for (uint32_t i = 1; i < suspect->n_deaths; i++)
+  for (uint32_t i = 1; i < suspect->n_crashes; i++)
     {
-      if (suspect->deaths[i].caller != suspect->deaths[0].caller)
+      if (suspect->crashes[i].caller != suspect->crashes[0].caller)
         return 0;
     }
-  return suspect->n_deaths > 0 ? suspect->deaths[0].caller : 0;
+  return suspect->n_crashes > 0 ? suspect->crashes[0].caller : 0;
 }
 
-/* Returns whether a part is quarantined for one death, as earlier ones may be unknown. */
+/* Returns whether a part is quarantined for one crash, as earlier ones may be unknown. */
 static bool
 is_provisional (const MfSuspect *suspect)
 {
-  return suspect->part.quarantined_us > 0 && suspect->n_deaths == 1;
+  return suspect->part.quarantined_us > 0 && suspect->n_crashes == 1;
 }
 
 static uint64_t
@@ -223,7 +224,7 @@
 }
 
 /* Quarantines a part. One that upstreams have lately survived is refused to the only caller under
- * whose requests they died, as that one may have sent it to make it suspect. */
+ * whose requests they crashed, as that one may have sent it to make it suspect. */
 static void
 part_quarantine (MfSuspects *suspects, MfSuspect *suspect, uint64_t now_us)
 {
@@ -235,37 +236,38 @@
   withdraw_explained (suspects, suspect);
 }
 
-/* Counts a death of a part that is quarantined. It need not be of a trial: instances that have not
+/* Counts a crash of a part that is quarantined. It need not be of a trial: instances that have not
  * heard of the quarantine yet send such requests, too. */
 static void
-note_death_in_quarantine (MfSuspects *suspects, MfSuspect *suspect, const MfSuspectDeath *death)
+note_crash_in_quarantine (MfSuspects *suspects, MfSuspect *suspect, const MfSuspectCrash *crash)
 {
-  if (suspect->part.only_caller != death->caller)
+  if (suspect->part.only_caller != crash->caller)
     suspect->part.only_caller = 0;
   withdraw_explained (suspects, suspect);
 }
 
-/* Counts an upstream that died while it ran a request with a part, at the depth in its prompt. */
+/* Counts an upstream that crashed while it ran a request with a part, at the depth in its prompt.
+ */
 MfSuspectResult
-mf_suspects_add_part_death (MfSuspects *suspects, uint64_t part, uint32_t depth,
-                            const MfSuspectDeath *death, uint64_t now_us)
+mf_suspects_add_part_crash (MfSuspects *suspects, uint64_t part, uint32_t depth,
+                            const MfSuspectCrash *crash, uint64_t now_us)
 {
   MfSuspect *suspect = part_find_or_add (suspects, part, depth, now_us);
   bool is_quarantined = suspect->part.quarantined_us > 0;
 
-  if (death->at_us <= suspect->part.sound_us
+  if (crash->at_us <= suspect->part.sound_us
       || (is_quarantined
-              ? mf_suspect_has_process (suspect, death->process_id)
-              : death_is_duplicate (suspect, death)
-                    || mf_suspects_part_explains (suspects, &suspect->part, death->process_id)))
+              ? mf_suspect_has_process (suspect, crash->process_id)
+              : crash_is_duplicate (suspect, crash)
+                    || mf_suspects_part_explains (suspects, &suspect->part, crash->process_id)))
     return MF_SUSPECT_DUPLICATE;
-  if (suspect->n_deaths == MF_SUSPECT_DEATHS_MAX)
-    remove_death (suspect, 0);
-  suspect->deaths[suspect->n_deaths++] = *death;
+  if (suspect->n_crashes == MF_SUSPECT_CRASHES_MAX)
+    remove_crash (suspect, 0);
+  suspect->crashes[suspect->n_crashes++] = *crash;
   suspect->part.is_unreported = true;
   if (is_quarantined)
     {
-      note_death_in_quarantine (suspects, suspect, death);
+      note_crash_in_quarantine (suspects, suspect, crash);
       return MF_SUSPECT_COUNTED;
     }
   if (!is_convicted (suspects, suspect))
@@ -275,9 +277,9 @@
 }
 
 /* Returns whether more than a few requests with parts that no upstream is known to have survived
- * ran at a process that died. */
+ * ran at a process that crashed. */
 static bool
-death_is_ambiguous (const MfSuspects *suspects, uint64_t process_id)
+crash_is_ambiguous (const MfSuspects *suspects, uint64_t process_id)
 {
   uint64_t digests[PROVISIONAL_REQUESTS_MAX];
   uint32_t n_digests = 0;
@@ -288,33 +290,33 @@
 
       if (part->kind != MF_SUSPECT_PART || part->part.depth == 0 || part->part.sound_us > 0)
         continue;
-      for (uint32_t i = 0; i < part->n_deaths; i++)
+      for (uint32_t i = 0; i < part->n_crashes; i++)
         {
-          bool is_new = part->deaths[i].process_id == process_id;
+          bool is_new = part->crashes[i].process_id == process_id;
 
           for (uint32_t j = 0; j < n_digests; j++)
-            is_new = is_new && part->deaths[i].digest != digests[j];
+            is_new = is_new && part->crashes[i].digest != digests[j];
           if (is_new && n_digests == PROVISIONAL_REQUESTS_MAX)
             return true;
           if (is_new)
-            digests[n_digests++] = part->deaths[i].digest;
+            digests[n_digests++] = part->crashes[i].digest;
         }
     }
   return false;
 }
 
-/* Ends the quarantines for the death of one process that has become ambiguous. */
+/* Ends the quarantines for the crash of one process that has become ambiguous. */
 static void
 release_ambiguous (MfSuspects *suspects, uint64_t process_id)
 {
-  if (!death_is_ambiguous (suspects, process_id))
+  if (!crash_is_ambiguous (suspects, process_id))
     return;
   for (MfSuspectRow *row = suspects->rows; row != NULL; row = row->hh.next)
     {
       MfSuspect *part = &row->suspect;
 
       if (part->kind != MF_SUSPECT_PART || !is_provisional (part)
-          || part->deaths[0].process_id != process_id)
+          || part->crashes[0].process_id != process_id)
         continue;
       part->part.quarantined_us = 0;
       part->part.n_failed_trials = 0;
@@ -322,28 +324,28 @@
     }
 }
 
-/* Quarantines a part for one death, as earlier ones may be unknown, unless an upstream is known to
- * have survived it, or the death is ambiguous. The first part of a prompt is left out: nearly all
- * may have it. If an upstream dies in the first trial, the next one is put off as after two. */
+/* Quarantines a part for one crash, as earlier ones may be unknown, unless an upstream is known to
+ * have survived it, or the crash is ambiguous. The first part of a prompt is left out: nearly all
+ * may have it. If an upstream crashes in the first trial, the next one is put off as after two. */
 static void
-quarantine_for_one_death (MfSuspects *suspects, uint64_t part, uint64_t process_id, uint64_t now_us)
+quarantine_for_one_crash (MfSuspects *suspects, uint64_t part, uint64_t process_id, uint64_t now_us)
 {
   MfSuspect *suspect = mf_suspects_find (suspects, part, now_us);
 
-  if (suspect == NULL || suspect->n_deaths == 0 || suspect->part.depth == 0
+  if (suspect == NULL || suspect->n_crashes == 0 || suspect->part.depth == 0
       || suspect->part.sound_us > 0 || suspect->part.quarantined_us > 0
-      || death_is_ambiguous (suspects, process_id))
+      || crash_is_ambiguous (suspects, process_id))
     return;
   suspect->part.n_failed_trials = 1;
   part_quarantine (suspects, suspect, now_us);
 }
 
-/* Counts an upstream that died while it ran a request with these parts. The better suspects come
- * first, as they may explain the death. is_sufficient means that earlier deaths may be unknown: the
- * best suspect is quarantined. */
+/* Counts an upstream that crashed while it ran a request with these parts. The better suspects come
+ * first, as they may explain the crash. is_sufficient means that earlier crashes may be unknown:
+ * the best suspect is quarantined. */
 void
-mf_suspects_add_part_deaths (MfSuspects *suspects, const MfParts *parts,
-                             const MfSuspectDeath *death, bool is_sufficient, uint64_t now_us)
+mf_suspects_add_part_crashes (MfSuspects *suspects, const MfParts *parts,
+                              const MfSuspectCrash *crash, bool is_sufficient, uint64_t now_us)
 {
   MfSuspectPart known[MF_PARTS_MAX]; /* copies, as adding one part may evict another */
   uint32_t order[MF_PARTS_MAX];
@@ -358,14 +360,14 @@
       order[at] = i;
     }
   for (uint32_t i = 0; i < parts->n_parts; i++)
-    mf_suspects_add_part_death (suspects, parts->hashes[order[i]], order[i], death, now_us);
+    mf_suspects_add_part_crash (suspects, parts->hashes[order[i]], order[i], crash, now_us);
   if (is_sufficient && parts->n_parts > 0)
-    quarantine_for_one_death (suspects, parts->hashes[order[0]], death->process_id, now_us);
-  release_ambiguous (suspects, death->process_id);
+    quarantine_for_one_crash (suspects, parts->hashes[order[0]], crash->process_id, now_us);
+  release_ambiguous (suspects, crash->process_id);
 }
 
 /* Records that an upstream has begun an answer to a request with the part, at a time, and survived:
- * earlier deaths had another cause, and later ones must be more. Returns whether other instances
+ * earlier crashes had another cause, and later ones must be more. Returns whether other instances
  * may have to know. */
 bool
 mf_suspects_note_sound (MfSuspects *suspects, uint64_t part, uint64_t sound_us, uint64_t now_us)
@@ -378,15 +380,15 @@
     *sound = (MfSoundPart){ .part = part, .at_us = sound_us };
   if (suspect == NULL || suspect->part.sound_us >= sound_us)
     return false;
-  was_serious = suspect->n_deaths >= DEATHS_AGAIN || suspect->part.quarantined_us > 0;
+  was_serious = suspect->n_crashes >= CRASHES_AGAIN || suspect->part.quarantined_us > 0;
   suspect->part.sound_us = sound_us;
-  for (uint32_t i = suspect->n_deaths; i-- > 0;)
+  for (uint32_t i = suspect->n_crashes; i-- > 0;)
     {
-      if (suspect->deaths[i].at_us <= sound_us)
-        remove_death (suspect, i);
+      if (suspect->crashes[i].at_us <= sound_us)
+        remove_crash (suspect, i);
     }
   if (suspect->part.quarantined_us > 0 ? is_convicted (suspects, suspect)
-                                       : suspect->n_deaths >= DEATHS_AGAIN)
+                                       : suspect->n_crashes >= CRASHES_AGAIN)
     return false;
   suspect->part.quarantined_us = 0;
   suspect->part.is_recorded = false;
@@ -438,7 +440,7 @@
     suspect->quarantined_until_us = now_us;
 }
 
-/* Puts off the next trial, as an upstream has died under one. */
+/* Puts off the next trial, as an upstream has crashed under one. */
 void
 mf_suspects_fail_trial (MfSuspects *suspects, uint64_t part, uint64_t now_us)
 {
@@ -450,9 +452,9 @@
   suspect->quarantined_until_us = now_us + trial_interval_us (suspects, suspect);
 }
 
-/* Returns whether the death of a process counts against a part already. */
+/* Returns whether the crash of a process counts against a part already. */
 bool
-mf_suspects_part_has_death (const MfSuspects *suspects, uint64_t part, uint64_t process_id,
+mf_suspects_part_has_crash (const MfSuspects *suspects, uint64_t part, uint64_t process_id,
                             uint64_t now_us)
 {
   const MfSuspect *suspect = mf_suspects_find (suspects, part, now_us);
@@ -460,54 +462,54 @@
   return suspect != NULL && mf_suspect_has_process (suspect, process_id);
 }
 
-/* Returns whether what is known here speaks against a quarantine for the deaths of a part: an
+/* Returns whether what is known here speaks against a quarantine for the crashes of a part: an
  * upstream has survived it since one of them, or shortly before, and they are few. */
 static bool
 contradicts (const MfSuspect *suspect)
 {
-  static const uint32_t n_better[MF_SUSPECT_DEATHS_MAX] = { 0 };
+  static const uint32_t n_better[MF_SUSPECT_CRASHES_MAX] = { 0 };
 
-  for (uint32_t i = 0; i < suspect->n_deaths; i++)
+  for (uint32_t i = 0; i < suspect->n_crashes; i++)
     {
-      if (suspect->deaths[i].at_us <= suspect->part.sound_us)
+      if (suspect->crashes[i].at_us <= suspect->part.sound_us)
         return true;
     }
-  return was_lately_sound (suspect) && count_moments (suspect, n_better, 0) < DEATHS_ANY;
+  return was_lately_sound (suspect) && count_moments (suspect, n_better, 0) < CRASHES_ANY;
 }
 
-/* Takes over the quarantine of a part from another instance with the deaths that it knows, unless
- * what is known here contradicts it. Which of two parts explains a death depends on the order in
- * which instances hear of the deaths, so that they may judge differently. */
+/* Takes over the quarantine of a part from another instance with the crashes that it knows, unless
+ * what is known here contradicts it. Which of two parts explains a crash depends on the order in
+ * which instances hear of the crashes, so that they may judge differently. */
 static void
 adopt_quarantine (MfSuspects *suspects, MfSuspect *suspect, const MfSuspect *reported,
                   uint64_t now_us)
 {
   MfSuspect adopted = *suspect;
 
-  memcpy (adopted.deaths, reported->deaths, sizeof adopted.deaths);
-  adopted.n_deaths = reported->n_deaths;
-  if (adopted.n_deaths == 0 || contradicts (&adopted)
-      || (adopted.n_deaths == 1 && death_is_ambiguous (suspects, adopted.deaths[0].process_id)))
+  memcpy (adopted.crashes, reported->crashes, sizeof adopted.crashes);
+  adopted.n_crashes = reported->n_crashes;
+  if (adopted.n_crashes == 0 || contradicts (&adopted)
+      || (adopted.n_crashes == 1 && crash_is_ambiguous (suspects, adopted.crashes[0].process_id)))
     return;
   *suspect = adopted;
   part_quarantine (suspects, suspect, now_us);
 }
 
-/* Adds what another instance knows of a part: its deaths and its quarantine. */
+/* Adds what another instance knows of a part: its crashes and its quarantine. */
 void
 mf_suspects_merge_part (MfSuspects *suspects, const MfSuspect *reported, uint64_t now_us)
 {
   MfSuspect *suspect;
   bool was_quarantined;
 
-  if (reported->n_deaths == 0)
+  if (reported->n_crashes == 0)
     return;
   suspect = part_find_or_add (suspects, reported->digest, reported->part.depth, now_us);
   was_quarantined = suspect->part.quarantined_us > 0;
-  for (uint32_t i = 0; i < reported->n_deaths; i++)
-    mf_suspects_add_part_death (suspects, reported->digest, reported->part.depth,
-                                &reported->deaths[i], now_us);
-  release_ambiguous (suspects, reported->deaths[reported->n_deaths - 1].process_id);
+  for (uint32_t i = 0; i < reported->n_crashes; i++)
+    mf_suspects_add_part_crash (suspects, reported->digest, reported->part.depth,
+                                &reported->crashes[i], now_us);
+  release_ambiguous (suspects, reported->crashes[reported->n_crashes - 1].process_id);
   if (reported->part.quarantined_us == 0)
     return;
   if (suspect->part.quarantined_us == 0)
--- a/libmangofork/suspect_row.h
+++ b/libmangofork/suspect_row.h
@@ -4,7 +4,7 @@
 #include "suspect.h"
 #include "table.h"
 
-/* Failed calls whose upstream may have died, at most. */
+/* Failed calls whose upstream may have crashed, at most. */
 #define MF_SUSPECT_FAILURES_MAX 4096
 /* Parts whose last sound use is remembered; a part replaces the one that has its place. */
 #define MF_SUSPECT_SOUND_MAX 2048
@@ -42,7 +42,7 @@
 bool mf_suspects_part_explains (const MfSuspects *suspects, const MfSuspectPart *worse,
                                 uint64_t process_id);
 void mf_suspects_fail_trial (MfSuspects *suspects, uint64_t part, uint64_t now_us);
-bool mf_suspects_part_has_death (const MfSuspects *suspects, uint64_t part, uint64_t process_id,
+bool mf_suspects_part_has_crash (const MfSuspects *suspects, uint64_t part, uint64_t process_id,
                                  uint64_t now_us);
 
 #endif
--- a/tests/test_job_suspect.c
+++ b/tests/test_job_suspect.c
@@ -309,7 +309,7 @@
 
       for (uint64_t digest = 1; digest <= 2 * MF_SUSPECT_ENTRIES_MAX; digest++)
         {
-          mf_suspects_add_death (suspects, digest, &(MfSuspectDeath){ .process_id = digest }, false,
+          mf_suspects_add_crash (suspects, digest, &(MfSuspectCrash){ .process_id = digest }, false,
                                  mf_clock_now_us ());
           mf_suspects_find (suspects, digest, mf_clock_now_us ())->n_reported = 1;
         }
--- a/tests/test_relay_message.c
+++ b/tests/test_relay_message.c
@@ -84,9 +84,9 @@
   sent.suspects.entries[0] = (MfSuspectEntry){
     .digest = UINT64_MAX,
     .quarantine_ms = 29000,
-    .deaths = { { .process = UINT64_MAX, .sent_age_ms = 20, .age_ms = 10 },
-                { .process = 5, .sent_age_ms = 3, .age_ms = 1 } },
-    .n_deaths = 2,
+    .crashes = { { .process = UINT64_MAX, .sent_age_ms = 20, .age_ms = 10 },
+                 { .process = 5, .sent_age_ms = 3, .age_ms = 1 } },
+    .n_crashes = 2,
   };
   sent.suspects.entries[1] = (MfSuspectEntry){ .digest = 3, .cleared = true };
   sent.suspects.entries[2] = (MfSuspectEntry){
@@ -97,8 +97,8 @@
     .sound_age_ms = 70000,
     .depth = MF_PARTS_MAX - 1,
     .n_failed_trials = 2,
-    .deaths = { { .process = 5, .digest = UINT64_MAX, .caller = 6 } },
-    .n_deaths = 1,
+    .crashes = { { .process = 5, .digest = UINT64_MAX, .caller = 6 } },
+    .n_crashes = 1,
   };
   sent.suspects.n_entries = 3;
   round_trip ();
@@ -110,19 +110,19 @@
   assert_int_equal (got.suspects.entries[2].sound_age_ms, 70000);
   assert_int_equal (got.suspects.entries[2].depth, MF_PARTS_MAX - 1);
   assert_int_equal (got.suspects.entries[2].n_failed_trials, 2);
-  assert_true (got.suspects.entries[2].deaths[0].digest == UINT64_MAX);
-  assert_int_equal (got.suspects.entries[2].deaths[0].caller, 6);
+  assert_true (got.suspects.entries[2].crashes[0].digest == UINT64_MAX);
+  assert_int_equal (got.suspects.entries[2].crashes[0].caller, 6);
   assert_int_equal (got.suspects.entries[0].kind, MF_SUSPECT_REQUEST);
   assert_false (got.suspects.entries[0].quarantined);
   assert_true (got.suspects.entries[0].digest == UINT64_MAX);
   assert_int_equal (got.suspects.entries[0].quarantine_ms, 29000);
-  assert_int_equal (got.suspects.entries[0].n_deaths, 2);
-  assert_int_equal (got.suspects.entries[0].deaths[1].process, 5);
-  assert_int_equal (got.suspects.entries[0].deaths[1].sent_age_ms, 3);
-  assert_int_equal (got.suspects.entries[0].deaths[1].age_ms, 1);
+  assert_int_equal (got.suspects.entries[0].n_crashes, 2);
+  assert_int_equal (got.suspects.entries[0].crashes[1].process, 5);
+  assert_int_equal (got.suspects.entries[0].crashes[1].sent_age_ms, 3);
+  assert_int_equal (got.suspects.entries[0].crashes[1].age_ms, 1);
   assert_false (got.suspects.entries[0].cleared);
   assert_true (got.suspects.entries[1].cleared);
-  assert_int_equal (got.suspects.entries[1].n_deaths, 0);
+  assert_int_equal (got.suspects.entries[1].n_crashes, 0);
 }
 
 /* Asserts that a time came back as it was sent; it travels as an age. */
--- a/tests/test_suspect.c
+++ b/tests/test_suspect.c
@@ -10,8 +10,8 @@
 #define S MF_US_PER_S
 
 static const MfSuspectLimits limits = { .crash_window_us = 10 * S,
-                                        .two_deaths_quarantine_us = 30 * S,
-                                        .three_deaths_quarantine_us = 600 * S,
+                                        .two_crashes_quarantine_us = 30 * S,
+                                        .three_crashes_quarantine_us = 600 * S,
                                         .beside_quarantine_us = 3 * S };
 
 /* The results for the failures at one upstream, by digest. */
@@ -47,77 +47,77 @@
 }
 
 static Results
-upstream_dies (MfSuspects *suspects, uint64_t upstream_id, uint64_t now_us)
+upstream_crashes (MfSuspects *suspects, uint64_t upstream_id, uint64_t now_us)
 {
   Results results = { 0 };
 
-  mf_suspects_upstream_died (suspects, upstream_id, upstream_id, now_us, on_result, &results);
+  mf_suspects_upstream_crashed (suspects, upstream_id, upstream_id, now_us, on_result, &results);
   return results;
 }
 
-/* Fails a call of DIGEST at an upstream that then dies; without isolation another suspect runs
+/* Fails a call of DIGEST at an upstream that then crashes; without isolation another suspect runs
  * there as well. Returns the result for DIGEST. */
 static MfSuspectResult
-fail_and_die_at (MfSuspects *suspects, uint64_t upstream_id, bool isolated)
+fail_and_crash_at (MfSuspects *suspects, uint64_t upstream_id, bool isolated)
 {
   add_failure (suspects, DIGEST, upstream_id, upstream_id > 1, upstream_id * S);
   if (!isolated)
     add_failure (suspects, OTHER_DIGEST + upstream_id, upstream_id, upstream_id > 1,
                  upstream_id * S);
-  return upstream_dies (suspects, upstream_id, upstream_id * S + S / 5).own;
+  return upstream_crashes (suspects, upstream_id, upstream_id * S + S / 5).own;
 }
 
 static void
-test_second_death_isolated_from_other_suspects_quarantines (void **state)
+test_second_crash_isolated_from_other_suspects_quarantines (void **state)
 {
   MfSuspects *suspects = mf_suspects_new (&limits);
 
   (void)state;
-  assert_int_equal (fail_and_die_at (suspects, 1, false), MF_SUSPECT_COUNTED);
-  assert_int_equal (fail_and_die_at (suspects, 2, true), MF_SUSPECT_QUARANTINED);
+  assert_int_equal (fail_and_crash_at (suspects, 1, false), MF_SUSPECT_COUNTED);
+  assert_int_equal (fail_and_crash_at (suspects, 2, true), MF_SUSPECT_QUARANTINED);
   assert_true (mf_suspects_is_quarantined (suspects, DIGEST, 3 * S));
   assert_false (mf_suspects_is_quarantined (suspects, OTHER_DIGEST + 1, 3 * S));
   mf_suspects_free (suspects);
 }
 
 static void
-test_third_death_quarantines_beside_other_suspects (void **state)
+test_third_crash_quarantines_beside_other_suspects (void **state)
 {
   MfSuspects *suspects = mf_suspects_new (&limits);
 
   (void)state;
-  assert_int_equal (fail_and_die_at (suspects, 1, false), MF_SUSPECT_COUNTED);
-  assert_int_equal (fail_and_die_at (suspects, 2, false), MF_SUSPECT_COUNTED);
-  assert_int_equal (fail_and_die_at (suspects, 3, false), MF_SUSPECT_QUARANTINED);
+  assert_int_equal (fail_and_crash_at (suspects, 1, false), MF_SUSPECT_COUNTED);
+  assert_int_equal (fail_and_crash_at (suspects, 2, false), MF_SUSPECT_COUNTED);
+  assert_int_equal (fail_and_crash_at (suspects, 3, false), MF_SUSPECT_QUARANTINED);
   mf_suspects_free (suspects);
 }
 
-/* Two instances each had one suspect at a process that died, and the other instance's report
+/* Two instances each had one suspect at a process that crashed, and the other instance's report
  * arrives after the quarantine: either request may be the cause, so neither is quarantined. */
 static void
-test_suspects_of_two_instances_at_one_death_are_not_quarantined (void **state)
+test_suspects_of_two_instances_at_one_crash_are_not_quarantined (void **state)
 {
   static const uint64_t processes[] = { 5, 2 };
   MfSuspects *suspects = mf_suspects_new (&limits);
 
   (void)state;
-  fail_and_die_at (suspects, 1, false);
-  assert_int_equal (fail_and_die_at (suspects, 2, true), MF_SUSPECT_QUARANTINED);
+  fail_and_crash_at (suspects, 1, false);
+  assert_int_equal (fail_and_crash_at (suspects, 2, true), MF_SUSPECT_QUARANTINED);
   for (size_t i = 0; i < MF_ARRAY_LEN (processes); i++)
-    mf_suspects_add_death (suspects, OTHER_DIGEST,
-                           &(MfSuspectDeath){ .process_id = processes[i],
+    mf_suspects_add_crash (suspects, OTHER_DIGEST,
+                           &(MfSuspectCrash){ .process_id = processes[i],
                                               .sent_us = (3 + i) * S,
                                               .at_us = (3 + i) * S },
                            false, 5 * S);
   assert_false (mf_suspects_quarantine (suspects, OTHER_DIGEST, 30 * S, 5 * S));
   assert_false (mf_suspects_is_quarantined (suspects, DIGEST, 5 * S));
-  assert_int_equal (fail_and_die_at (suspects, 6, true), MF_SUSPECT_QUARANTINED);
+  assert_int_equal (fail_and_crash_at (suspects, 6, true), MF_SUSPECT_QUARANTINED);
   mf_suspects_free (suspects);
 }
 
-/* Two upstreams died under an innocent request, the second of which another request ended. */
+/* Two upstreams crashed under an innocent request, the second of which another request ended. */
 static void
-test_request_is_not_refused_for_the_deaths_of_a_certain_one (void **state)
+test_request_is_not_refused_for_the_crashes_of_a_certain_one (void **state)
 {
   (void)state;
   for (uint32_t is_known_before = 0; is_known_before < 2; is_known_before++)
@@ -126,55 +126,55 @@
 
       if (!is_known_before)
         assert_int_equal (
-            (fail_and_die_at (suspects, 1, true), fail_and_die_at (suspects, 2, true)),
+            (fail_and_crash_at (suspects, 1, true), fail_and_crash_at (suspects, 2, true)),
             MF_SUSPECT_QUARANTINED);
       for (uint64_t process_id = 2; process_id <= 4; process_id++)
-        mf_suspects_add_death (suspects, OTHER_DIGEST,
-                               &(MfSuspectDeath){ .process_id = process_id,
+        mf_suspects_add_crash (suspects, OTHER_DIGEST,
+                               &(MfSuspectCrash){ .process_id = process_id,
                                                   .sent_us = process_id * S,
                                                   .at_us = process_id * S },
                                false, process_id * S);
       assert_true (mf_suspects_is_quarantined (suspects, OTHER_DIGEST, 5 * S));
       if (is_known_before)
         assert_int_equal (
-            (fail_and_die_at (suspects, 1, true), fail_and_die_at (suspects, 2, true)),
+            (fail_and_crash_at (suspects, 1, true), fail_and_crash_at (suspects, 2, true)),
             MF_SUSPECT_COUNTED);
       assert_false (mf_suspects_is_quarantined (suspects, DIGEST, 5 * S));
-      assert_int_equal (fail_and_die_at (suspects, 6, true), MF_SUSPECT_QUARANTINED);
+      assert_int_equal (fail_and_crash_at (suspects, 6, true), MF_SUSPECT_QUARANTINED);
       mf_suspects_free (suspects);
     }
 }
 
-/* The quarantine for two deaths expires; the next death is the third and has the long one. */
+/* The quarantine for two crashes expires; the next crash is the third and has the long one. */
 static void
-test_quarantine_expires_and_third_death_renews_it (void **state)
+test_quarantine_expires_and_third_crash_renews_it (void **state)
 {
   MfSuspects *suspects = mf_suspects_new (&limits);
 
   (void)state;
-  fail_and_die_at (suspects, 1, true);
-  fail_and_die_at (suspects, 2, true);
+  fail_and_crash_at (suspects, 1, true);
+  fail_and_crash_at (suspects, 2, true);
   assert_true (mf_suspects_is_quarantined (suspects, DIGEST, 30 * S));
   assert_false (mf_suspects_is_quarantined (suspects, DIGEST, 40 * S));
-  assert_int_equal (fail_and_die_at (suspects, 40, false), MF_SUSPECT_QUARANTINED);
+  assert_int_equal (fail_and_crash_at (suspects, 40, false), MF_SUSPECT_QUARANTINED);
   assert_true (mf_suspects_is_quarantined (suspects, DIGEST, 600 * S));
   assert_null (mf_suspects_find (suspects, DIGEST, 641 * S));
   mf_suspects_free (suspects);
 }
 
-/* Attempts of one request at three upstreams that lose power together count as one death. */
+/* Attempts of one request at three upstreams that lose power together count as one crash. */
 static void
-test_simultaneous_deaths_count_once (void **state)
+test_simultaneous_crashes_count_once (void **state)
 {
   MfSuspects *suspects = mf_suspects_new (&limits);
 
   (void)state;
   for (uint64_t upstream_id = 1; upstream_id <= 3; upstream_id++)
     add_failure (suspects, DIGEST, upstream_id, false, S);
-  assert_int_equal (upstream_dies (suspects, 1, 2 * S).own, MF_SUSPECT_COUNTED);
-  assert_int_equal (upstream_dies (suspects, 2, 2 * S).own, MF_SUSPECT_DUPLICATE);
-  assert_int_equal (upstream_dies (suspects, 3, 2 * S).own, MF_SUSPECT_DUPLICATE);
-  assert_int_equal (mf_suspects_find (suspects, DIGEST, 2 * S)->n_deaths, 1);
+  assert_int_equal (upstream_crashes (suspects, 1, 2 * S).own, MF_SUSPECT_COUNTED);
+  assert_int_equal (upstream_crashes (suspects, 2, 2 * S).own, MF_SUSPECT_DUPLICATE);
+  assert_int_equal (upstream_crashes (suspects, 3, 2 * S).own, MF_SUSPECT_DUPLICATE);
+  assert_int_equal (mf_suspects_find (suspects, DIGEST, 2 * S)->n_crashes, 1);
   mf_suspects_free (suspects);
 }
 
@@ -186,14 +186,14 @@
   (void)state;
   for (uint64_t upstream_id = 1; upstream_id < 10; upstream_id++)
     {
-      assert_int_equal (fail_and_die_at (suspects, upstream_id, true), MF_SUSPECT_COUNTED);
+      assert_int_equal (fail_and_crash_at (suspects, upstream_id, true), MF_SUSPECT_COUNTED);
       assert_true (mf_suspects_remove (suspects, DIGEST));
       assert_false (mf_suspects_remove (suspects, DIGEST));
     }
   mf_suspects_free (suspects);
 }
 
-/* A failure is not counted when the upstream answered later, or died long after. */
+/* A failure is not counted when the upstream answered later, or crashed long after. */
 static void
 test_failures_at_living_upstreams_are_not_counted (void **state)
 {
@@ -206,9 +206,9 @@
   assert_int_equal (results.n, 0);
   mf_suspects_upstream_alive (suspects, 1, 2 * S, on_result, &results);
   assert_int_equal (results.n, 1);
-  assert_int_equal (upstream_dies (suspects, 1, 3 * S).n, 0);
+  assert_int_equal (upstream_crashes (suspects, 1, 3 * S).n, 0);
   add_failure (suspects, DIGEST, 2, false, S);
-  assert_int_equal (upstream_dies (suspects, 2, 20 * S).own, MF_SUSPECT_UNRELATED);
+  assert_int_equal (upstream_crashes (suspects, 2, 20 * S).own, MF_SUSPECT_UNRELATED);
   add_failure (suspects, DIGEST, 3, false, S);
   mf_suspects_expire_failures (suspects, 2 * S, on_result, &results);
   assert_int_equal (mf_suspects_n_failures (suspects), 0);
@@ -223,10 +223,10 @@
   MfSuspects *suspects = mf_suspects_new (&limits);
 
   (void)state;
-  fail_and_die_at (suspects, 1, true);
-  fail_and_die_at (suspects, 2, true);
+  fail_and_crash_at (suspects, 1, true);
+  fail_and_crash_at (suspects, 2, true);
   for (uint64_t digest = 100; digest < 20000; digest++)
-    mf_suspects_add_death (suspects, digest, &(MfSuspectDeath){ .process_id = 1, .at_us = 3 * S },
+    mf_suspects_add_crash (suspects, digest, &(MfSuspectCrash){ .process_id = 1, .at_us = 3 * S },
                            false, 3 * S);
   assert_true (mf_suspects_is_quarantined (suspects, DIGEST, 4 * S));
   assert_null (mf_suspects_find (suspects, 100, 4 * S));
@@ -249,7 +249,7 @@
 static void
 test_one_crash_quarantines_the_request_sent_last_for_longer (void **state)
 {
-  static const MfSuspectDeath reported = { .process_id = 1, .sent_us = 4 * S, .at_us = 5 * S };
+  static const MfSuspectCrash reported = { .process_id = 1, .sent_us = 4 * S, .at_us = 5 * S };
   MfSuspects *suspects = mf_suspects_new (&limits);
 
   (void)state;
@@ -258,17 +258,17 @@
   add_sufficient_failure (suspects, 11, 3 * S);
   add_sufficient_failure (suspects, 12, 2 * S);
   add_sufficient_failure (suspects, 13, 4 * S);
-  upstream_dies (suspects, 1, 6 * S);
+  upstream_crashes (suspects, 1, 6 * S);
   for (uint64_t digest = 10; digest <= 13; digest++)
     {
       assert_int_equal (mf_suspects_is_quarantined (suspects, digest, 8 * S), digest != 13);
       assert_int_equal (mf_suspects_is_quarantined (suspects, digest, 10 * S), digest == 11);
     }
   /* Another instance has sent one later, and a third one one before. */
-  mf_suspects_add_death (suspects, 14, &reported, false, 6 * S);
+  mf_suspects_add_crash (suspects, 14, &reported, false, 6 * S);
   assert_true (mf_suspects_quarantine (suspects, 14, 36 * S, 6 * S));
   assert_false (mf_suspects_is_quarantined (suspects, 11, 10 * S));
-  mf_suspects_add_death (suspects, 15, &(MfSuspectDeath){ .process_id = 1, .at_us = 5 * S }, false,
+  mf_suspects_add_crash (suspects, 15, &(MfSuspectCrash){ .process_id = 1, .at_us = 5 * S }, false,
                          6 * S);
   assert_true (mf_suspects_quarantine (suspects, 15, 36 * S, 6 * S));
   assert_false (mf_suspects_is_quarantined (suspects, 15, 10 * S));
@@ -281,15 +281,15 @@
 static void
 test_one_crash_does_not_release_a_request_with_two (void **state)
 {
-  static const MfSuspectDeath reported = { .process_id = 2, .sent_us = 3 * S, .at_us = 4 * S };
+  static const MfSuspectCrash reported = { .process_id = 2, .sent_us = 3 * S, .at_us = 4 * S };
   MfSuspects *suspects = mf_suspects_new (&limits);
 
   (void)state;
   add_failure (suspects, DIGEST, 1, false, S);
-  upstream_dies (suspects, 1, 2 * S);
+  upstream_crashes (suspects, 1, 2 * S);
   add_failure (suspects, DIGEST, 2, true, 5 * S / 2);
-  assert_int_equal (upstream_dies (suspects, 2, 4 * S).own, MF_SUSPECT_QUARANTINED);
-  mf_suspects_add_death (suspects, OTHER_DIGEST, &reported, false, 4 * S);
+  assert_int_equal (upstream_crashes (suspects, 2, 4 * S).own, MF_SUSPECT_QUARANTINED);
+  mf_suspects_add_crash (suspects, OTHER_DIGEST, &reported, false, 4 * S);
   mf_suspects_quarantine (suspects, OTHER_DIGEST, 34 * S, 4 * S);
   assert_true (mf_suspects_is_quarantined (suspects, DIGEST, 33 * S));
   mf_suspects_free (suspects);
@@ -299,12 +299,12 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_second_death_isolated_from_other_suspects_quarantines),
-    cmocka_unit_test (test_third_death_quarantines_beside_other_suspects),
-    cmocka_unit_test (test_suspects_of_two_instances_at_one_death_are_not_quarantined),
-    cmocka_unit_test (test_request_is_not_refused_for_the_deaths_of_a_certain_one),
-    cmocka_unit_test (test_quarantine_expires_and_third_death_renews_it),
-    cmocka_unit_test (test_simultaneous_deaths_count_once),
+    cmocka_unit_test (test_second_crash_isolated_from_other_suspects_quarantines),
+    cmocka_unit_test (test_third_crash_quarantines_beside_other_suspects),
+    cmocka_unit_test (test_suspects_of_two_instances_at_one_crash_are_not_quarantined),
+    cmocka_unit_test (test_request_is_not_refused_for_the_crashes_of_a_certain_one),
+    cmocka_unit_test (test_quarantine_expires_and_third_crash_renews_it),
+    cmocka_unit_test (test_simultaneous_crashes_count_once),
     cmocka_unit_test (test_answer_clears),
     cmocka_unit_test (test_failures_at_living_upstreams_are_not_counted),
     cmocka_unit_test (test_quarantines_survive_eviction),
--- a/tests/test_suspect_core.c
+++ b/tests/test_suspect_core.c
@@ -38,15 +38,15 @@
   one_core_step (one, &event);
 }
 
-/* Declares the upstream dead and lets it return; the waiting request is sent again. Returns the id
- * of its call. */
+/* Declares the upstream crashed and lets it return; the waiting request is sent again. Returns the
+ * id of its call. */
 static uint64_t
 restart_upstream (OneCore *one)
 {
   uint32_t s1 = mf_upstream_find (one->core, mf_hash_name ("s1"));
   MfEvent event = { .type = MF_EVENT_CALL_SENT };
 
-  mf_suspect_upstream_died (one->core, s1);
+  mf_suspect_upstream_crashed (one->core, s1);
   one_core_wait (one, MF_US_PER_S / 2);
   event.call.call_id = one->call_id;
   one_core_step (one, &event);
@@ -59,9 +59,9 @@
   return one->core->board.counters.values[MF_COUNTER_QUARANTINES];
 }
 
-/* The upstream dies while several callers read the same: that counts as one death. */
+/* The upstream crashes while several callers read the same: that counts as one crash. */
 static void
-test_one_death_under_many_is_one_death (void **state)
+test_one_crash_under_many_is_one_crash (void **state)
 {
   OneCore *one = one_core_new ();
   uint64_t calls[3];
@@ -79,7 +79,7 @@
 }
 
 static void
-test_second_isolated_death_quarantines (void **state)
+test_second_isolated_crash_quarantines (void **state)
 {
   OneCore *one = one_core_new ();
 
@@ -95,7 +95,8 @@
   one_core_free (one);
 }
 
-/* A request that was answered is not suspected, however often its upstream dies before a retry. */
+/* A request that was answered is not suspected, however often its upstream crashes before a retry.
+ */
 static void
 test_answered_request_is_no_suspect (void **state)
 {
@@ -120,8 +121,8 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_one_death_under_many_is_one_death),
-    cmocka_unit_test (test_second_isolated_death_quarantines),
+    cmocka_unit_test (test_one_crash_under_many_is_one_crash),
+    cmocka_unit_test (test_second_isolated_crash_quarantines),
     cmocka_unit_test (test_answered_request_is_no_suspect),
   };
 
--- a/tests/test_suspect_part.c
+++ b/tests/test_suspect_part.c
@@ -17,8 +17,8 @@
 #define TRIAL_INTERVAL_US (30 * S)
 
 static const MfSuspectLimits limits = { .crash_window_us = 10 * S,
-                                        .two_deaths_quarantine_us = 30 * S,
-                                        .three_deaths_quarantine_us = 600 * S,
+                                        .two_crashes_quarantine_us = 30 * S,
+                                        .three_crashes_quarantine_us = 600 * S,
                                         .trial_interval_us = TRIAL_INTERVAL_US };
 
 static void
@@ -29,26 +29,26 @@
   (void)result;
 }
 
-/* Counts an upstream that died at a time under a request of its own with FIRST and another part.
- * is_sufficient means that earlier deaths may be unknown. */
+/* Counts an upstream that crashed at a time under a request of its own with FIRST and another part.
+ * is_sufficient means that earlier crashes may be unknown. */
 static void
-dies_sufficiently (MfSuspects *suspects, uint64_t part, uint64_t caller, bool is_sufficient,
-                   uint64_t at_us)
+crashes_sufficiently (MfSuspects *suspects, uint64_t part, uint64_t caller, bool is_sufficient,
+                      uint64_t at_us)
 {
   MfParts parts = { .hashes = { FIRST, part }, .n_parts = 2 };
-  MfSuspectDeath death = { .process_id = at_us,
+  MfSuspectCrash crash = { .process_id = at_us,
                            .digest = at_us,
                            .caller = caller,
                            .sent_us = at_us - S / 10,
                            .at_us = at_us };
 
-  mf_suspects_add_part_deaths (suspects, &parts, &death, is_sufficient, at_us);
+  mf_suspects_add_part_crashes (suspects, &parts, &crash, is_sufficient, at_us);
 }
 
 static void
-dies (MfSuspects *suspects, uint64_t part, uint64_t caller, uint64_t at_us)
+crashes (MfSuspects *suspects, uint64_t part, uint64_t caller, uint64_t at_us)
 {
-  dies_sufficiently (suspects, part, caller, false, at_us);
+  crashes_sufficiently (suspects, part, caller, false, at_us);
 }
 
 /* An upstream survives a request with FIRST and another part. Returns whether others may have to
@@ -72,7 +72,7 @@
   MfSuspects *suspects = mf_suspects_new (&limits);
 
   for (uint64_t i = 1; i <= 3; i++)
-    dies (suspects, DEADLY, CALLER, i * S);
+    crashes (suspects, DEADLY, CALLER, i * S);
   return suspects;
 }
 
@@ -87,7 +87,7 @@
   assert_true (is_refused (suspects, DEADLY, OTHER_CALLER, 4 * S));
   assert_false (is_refused (suspects, FIRST, CALLER, 4 * S));
   for (uint64_t i = 4; i <= 12; i++)
-    dies (suspects, DEADLY, CALLER, i * S);
+    crashes (suspects, DEADLY, CALLER, i * S);
   assert_false (is_refused (suspects, FIRST, CALLER, 13 * S));
   mf_suspects_free (suspects);
 }
@@ -101,9 +101,9 @@
   (void)state;
   for (uint64_t i = 1; i <= 9; i++)
     {
-      MfSuspectDeath death = { .process_id = i, .digest = 5, .at_us = i * S };
+      MfSuspectCrash crash = { .process_id = i, .digest = 5, .at_us = i * S };
 
-      mf_suspects_add_part_deaths (suspects, &parts, &death, false, i * S);
+      mf_suspects_add_part_crashes (suspects, &parts, &crash, false, i * S);
     }
   assert_false (is_refused (suspects, DEADLY, CALLER, 11 * S));
   mf_suspects_free (suspects);
@@ -111,7 +111,7 @@
 
 /* A rack of upstreams loses power; the first part is common to what they ran. */
 static void
-test_deaths_of_one_moment_do_not_convict_the_first_part (void **state)
+test_crashes_of_one_moment_do_not_convict_the_first_part (void **state)
 {
   (void)state;
   for (uint32_t was_sound = 0; was_sound < 2; was_sound++)
@@ -121,7 +121,7 @@
       if (was_sound > 0)
         survives (suspects, DEADLY, S / 2);
       for (uint64_t i = 1; i <= 20; i++)
-        dies (suspects, 100 + i, CALLER, S + i * S / 100);
+        crashes (suspects, 100 + i, CALLER, S + i * S / 100);
       assert_false (is_refused (suspects, FIRST, CALLER, 2 * S));
       mf_suspects_free (suspects);
     }
@@ -135,14 +135,14 @@
 
   (void)state;
   for (uint64_t i = 1; i <= 3; i++)
-    dies (suspects, DEADLY, CALLER, S + i);
+    crashes (suspects, DEADLY, CALLER, S + i);
   assert_true (is_refused (suspects, DEADLY, CALLER, 2 * S));
   assert_false (is_refused (suspects, FIRST, CALLER, 2 * S));
   mf_suspects_free (suspects);
 }
 
-/* Two instances hear of the deaths in another order, and the one that judges differently takes over
- * the quarantine that the other reports, unless it knows that the part was survived since. */
+/* Two instances hear of the crashes in another order, and the one that judges differently takes
+ * over the quarantine that the other reports, unless it knows that the part was survived since. */
 static void
 test_quarantine_of_another_instance_is_taken_over (void **state)
 {
@@ -154,7 +154,7 @@
 
       if (was_sound > 0)
         survives (suspects, DEADLY, 2 * S);
-      dies (suspects, DEADLY, CALLER, S);
+      crashes (suspects, DEADLY, CALLER, S);
       mf_suspects_merge_part (suspects, mf_suspects_find (other, DEADLY, 3 * S), 4 * S);
       assert_int_equal (is_refused (suspects, DEADLY, CALLER, 4 * S), was_sound == 0);
       if (was_sound == 0)
@@ -166,14 +166,14 @@
 }
 
 static void
-test_part_that_upstreams_survive_between_deaths_is_not_refused (void **state)
+test_part_that_upstreams_survive_between_crashes_is_not_refused (void **state)
 {
   MfSuspects *suspects = mf_suspects_new (&limits);
 
   (void)state;
   for (uint64_t i = 1; i <= 20; i++)
     {
-      dies (suspects, DEADLY, CALLER, i * S);
+      crashes (suspects, DEADLY, CALLER, i * S);
       if (i % 2 == 0)
         survives (suspects, DEADLY, i * S + S / 2);
     }
@@ -191,7 +191,7 @@
       MfSuspects *suspects = mf_suspects_new (&limits);
 
       for (uint64_t i = 1; i <= 5 * n_parts; i++)
-        dies (suspects, DEADLY + i % n_parts, CALLER, i * S / 4);
+        crashes (suspects, DEADLY + i % n_parts, CALLER, i * S / 4);
       for (uint64_t i = 0; i < n_parts; i++)
         assert_true (is_refused (suspects, DEADLY + i, CALLER, 10 * S));
       assert_false (is_refused (suspects, FIRST, CALLER, 10 * S));
@@ -201,7 +201,7 @@
 
 /* No two of the requests have another part in common. */
 static void
-test_deadly_first_part_is_refused_after_five_deaths (void **state)
+test_deadly_first_part_is_refused_after_five_crashes (void **state)
 {
   MfSuspects *suspects = mf_suspects_new (&limits);
 
@@ -210,7 +210,7 @@
   for (uint64_t i = 1; i <= 5; i++)
     {
       assert_false (is_refused (suspects, FIRST, CALLER, i * S - 1));
-      dies (suspects, 100 + i, CALLER, i * S);
+      crashes (suspects, 100 + i, CALLER, i * S);
     }
   assert_true (is_refused (suspects, FIRST, CALLER, 6 * S));
   assert_false (is_refused (suspects, 101, CALLER, 6 * S));
@@ -226,15 +226,15 @@
   (void)state;
   survives (suspects, DEADLY, S / 2);
   for (uint64_t i = 1; i <= 6; i++)
-    dies (suspects, DEADLY, CALLER, i * S);
+    crashes (suspects, DEADLY, CALLER, i * S);
   assert_true (is_refused (suspects, DEADLY, CALLER, 7 * S));
   assert_false (is_refused (suspects, DEADLY, OTHER_CALLER, 7 * S));
-  dies (suspects, DEADLY, OTHER_CALLER, 8 * S);
+  crashes (suspects, DEADLY, OTHER_CALLER, 8 * S);
   assert_true (is_refused (suspects, DEADLY, OTHER_CALLER, 9 * S));
   mf_suspects_free (suspects);
 }
 
-/* The upstream of a trial, a process, is found to have died at a time. */
+/* The upstream of a trial, a process, is found to have crashed at a time. */
 static void
 trial_ends (MfSuspects *suspects, uint64_t process_id, uint64_t now_us)
 {
@@ -248,7 +248,7 @@
                                .failed_us = now_us - S };
 
   mf_suspects_add_failure (suspects, &failure);
-  mf_suspects_upstream_died (suspects, process_id, process_id, now_us, ignore_failure, NULL);
+  mf_suspects_upstream_crashed (suspects, process_id, process_id, now_us, ignore_failure, NULL);
 }
 
 static void
@@ -276,31 +276,31 @@
   assert_true (survives (suspects, DEADLY, now_us + S));
   assert_false (is_refused (suspects, DEADLY, CALLER, now_us + S));
   /* One that was deadly before needs less evidence. */
-  dies (suspects, DEADLY, CALLER, now_us + 2 * S);
+  crashes (suspects, DEADLY, CALLER, now_us + 2 * S);
   assert_false (is_refused (suspects, DEADLY, CALLER, now_us + 2 * S));
-  dies (suspects, DEADLY, CALLER, now_us + 3 * S);
+  crashes (suspects, DEADLY, CALLER, now_us + 3 * S);
   assert_true (is_refused (suspects, DEADLY, CALLER, now_us + 3 * S));
   mf_suspects_free (suspects);
 }
 
 /* Other instances hear of the quarantine late, as they have just started. */
 static void
-test_deaths_of_a_quarantined_part_without_a_trial_put_off_none (void **state)
+test_crashes_of_a_quarantined_part_without_a_trial_put_off_none (void **state)
 {
   MfSuspects *suspects = suspects_with_deadly ();
   uint64_t due_us = mf_suspects_find (suspects, DEADLY, 3 * S)->quarantined_until_us;
 
   (void)state;
   for (uint64_t i = 1; i <= 3; i++)
-    dies (suspects, DEADLY, CALLER, 3 * S + 9 * S * i);
+    crashes (suspects, DEADLY, CALLER, 3 * S + 9 * S * i);
   assert_int_equal (mf_suspects_judge_part (suspects, DEADLY, CALLER, due_us),
                     MF_SUSPECT_PART_TRIAL_DUE);
   mf_suspects_free (suspects);
 }
 
-/* The upstream that the trial was sent to had died before, and nobody knew. */
+/* The upstream that the trial was sent to had crashed before, and nobody knew. */
 static void
-test_trial_at_a_dead_upstream_is_made_up_for (void **state)
+test_trial_at_a_crashed_upstream_is_made_up_for (void **state)
 {
   (void)state;
   for (uint64_t process_id = 3 * S; process_id <= 4 * S; process_id += S)
@@ -327,14 +327,14 @@
   mf_suspects_free (suspects);
 }
 
-/* A request of its own that ran, with its answer begun, where an upstream died at a time. */
+/* A request of its own that ran, with its answer begun, where an upstream crashed at a time. */
 static void
-dies_beside (MfSuspects *suspects, uint64_t digest, uint64_t at_us)
+crashes_beside (MfSuspects *suspects, uint64_t digest, uint64_t at_us)
 {
-  MfSuspectDeath death
+  MfSuspectCrash crash
       = { .process_id = at_us, .digest = digest, .sent_us = at_us - 1, .at_us = at_us };
 
-  mf_suspects_add_death (suspects, digest, &death, true, at_us);
+  mf_suspects_add_crash (suspects, digest, &crash, true, at_us);
 }
 
 static void
@@ -347,9 +347,9 @@
 
       for (uint64_t i = 1; i <= 4; i++)
         {
-          dies (suspects, DEADLY, CALLER, i * S);
+          crashes (suspects, DEADLY, CALLER, i * S);
           if (i == 2 + ran_late || i == 3 + ran_late)
-            dies_beside (suspects, BESIDE, i * S);
+            crashes_beside (suspects, BESIDE, i * S);
         }
       assert_false (mf_suspects_is_quarantined (suspects, BESIDE, 5 * S));
       mf_suspects_free (suspects);
@@ -358,34 +358,35 @@
 
 /* The part was quarantined by mistake: the request is what crashes upstreams. */
 static void
-test_request_beside_a_sound_part_is_refused_after_three_deaths (void **state)
+test_request_beside_a_sound_part_is_refused_after_three_crashes (void **state)
 {
   MfSuspects *suspects = suspects_with_deadly ();
 
   (void)state;
-  dies_beside (suspects, BESIDE, 2 * S);
-  dies_beside (suspects, BESIDE, 3 * S);
+  crashes_beside (suspects, BESIDE, 2 * S);
+  crashes_beside (suspects, BESIDE, 3 * S);
   survives (suspects, DEADLY, 4 * S);
-  dies_beside (suspects, BESIDE, 5 * S);
+  crashes_beside (suspects, BESIDE, 5 * S);
   assert_true (mf_suspects_is_quarantined (suspects, BESIDE, 500 * S));
   mf_suspects_free (suspects);
 }
 
-/* Three deaths beside a deadly part cost a request no ten minutes, but one more without it does. */
+/* Three crashes beside a deadly part cost a request no ten minutes, but one more without it does.
+ */
 static void
-test_request_that_three_deaths_met_is_refused_for_a_moment (void **state)
+test_request_that_three_crashes_met_is_refused_for_a_moment (void **state)
 {
   MfSuspects *suspects = mf_suspects_new (&limits);
 
   (void)state;
   for (uint64_t i = 1; i <= 3; i++)
     {
-      dies (suspects, DEADLY, CALLER, i * S);
-      dies_beside (suspects, BESIDE, i * S);
+      crashes (suspects, DEADLY, CALLER, i * S);
+      crashes_beside (suspects, BESIDE, i * S);
     }
   assert_true (mf_suspects_is_quarantined (suspects, BESIDE, 4 * S));
   assert_false (mf_suspects_is_quarantined (suspects, BESIDE, 34 * S));
-  dies_beside (suspects, BESIDE, 35 * S);
+  crashes_beside (suspects, BESIDE, 35 * S);
   assert_true (mf_suspects_is_quarantined (suspects, BESIDE, 600 * S));
   mf_suspects_free (suspects);
 }
@@ -397,7 +398,7 @@
 
   (void)state;
   for (uint64_t part = 100; part < 20000; part++)
-    dies (suspects, part, CALLER, 4 * S + part);
+    crashes (suspects, part, CALLER, 4 * S + part);
   assert_true (is_refused (suspects, DEADLY, CALLER, 6 * S));
   assert_null (mf_suspects_find (suspects, 100, 6 * S));
   mf_suspects_free (suspects);
@@ -407,15 +408,15 @@
  * again.
  */
 static void
-test_one_death_is_enough_where_earlier_ones_may_be_unknown (void **state)
+test_one_crash_is_enough_where_earlier_ones_may_be_unknown (void **state)
 {
   MfSuspects *suspects = mf_suspects_new (&limits);
 
   (void)state;
   survives (suspects, OTHER_DEADLY, S);
-  dies_sufficiently (suspects, OTHER_DEADLY, CALLER, true, 2 * S);
+  crashes_sufficiently (suspects, OTHER_DEADLY, CALLER, true, 2 * S);
   assert_false (is_refused (suspects, OTHER_DEADLY, CALLER, 3 * S));
-  dies_sufficiently (suspects, DEADLY, CALLER, true, 3 * S);
+  crashes_sufficiently (suspects, DEADLY, CALLER, true, 3 * S);
   assert_true (is_refused (suspects, DEADLY, OTHER_CALLER, 4 * S));
   assert_false (is_refused (suspects, FIRST, CALLER, 4 * S));
   survives (suspects, DEADLY, 4 * S);
@@ -426,21 +427,21 @@
 /* Of many requests that were sent right after the loss none had been answered, and the parts of all
  * were refused. */
 static void
-test_one_death_under_many_requests_convicts_none (void **state)
+test_one_crash_under_many_requests_convicts_none (void **state)
 {
   MfSuspects *suspects = mf_suspects_new (&limits);
-  MfSuspect reported = { .digest = 32, .kind = MF_SUSPECT_PART, .n_deaths = 1, .part.depth = 1 };
+  MfSuspect reported = { .digest = 32, .kind = MF_SUSPECT_PART, .n_crashes = 1, .part.depth = 1 };
 
   (void)state;
   for (uint64_t i = 0; i < 2; i++)
     {
       MfParts parts = { .hashes = { FIRST, 30 + i }, .n_parts = 2 };
-      MfSuspectDeath death = { .process_id = 7, .digest = 40 + i, .at_us = S };
+      MfSuspectCrash crash = { .process_id = 7, .digest = 40 + i, .at_us = S };
 
-      mf_suspects_add_part_deaths (suspects, &parts, &death, true, S);
+      mf_suspects_add_part_crashes (suspects, &parts, &crash, true, S);
       assert_true (is_refused (suspects, 30 + i, CALLER, S));
     }
-  reported.deaths[0] = (MfSuspectDeath){ .process_id = 7, .digest = 42, .at_us = S };
+  reported.crashes[0] = (MfSuspectCrash){ .process_id = 7, .digest = 42, .at_us = S };
   reported.part.quarantined_us = S;
   mf_suspects_merge_part (suspects, &reported, S);
   for (uint64_t part = 30; part <= 32; part++)
@@ -450,28 +451,28 @@
 
 /* Nearly all prompts begin with the first part, so that an upstream soon shows that it is sound. */
 static void
-test_one_death_does_not_convict_the_first_part (void **state)
+test_one_crash_does_not_convict_the_first_part (void **state)
 {
   MfSuspects *suspects = mf_suspects_new (&limits);
   MfParts parts = { .hashes = { FIRST }, .n_parts = 1 };
-  MfSuspectDeath death = { .process_id = 1, .digest = 5, .at_us = S };
+  MfSuspectCrash crash = { .process_id = 1, .digest = 5, .at_us = S };
 
   (void)state;
-  mf_suspects_add_part_deaths (suspects, &parts, &death, true, S);
+  mf_suspects_add_part_crashes (suspects, &parts, &crash, true, S);
   assert_false (is_refused (suspects, FIRST, CALLER, 2 * S));
   mf_suspects_free (suspects);
 }
 
-/* A part that is refused for one death is tried soon, as it may be innocent, and not soon again. */
+/* A part that is refused for one crash is tried soon, as it may be innocent, and not soon again. */
 static void
-test_second_trial_after_one_death_comes_late (void **state)
+test_second_trial_after_one_crash_comes_late (void **state)
 {
   MfSuspects *suspects = mf_suspects_new (&limits);
   uint64_t trial_us;
   uint64_t next_us;
 
   (void)state;
-  dies_sufficiently (suspects, DEADLY, CALLER, true, S);
+  crashes_sufficiently (suspects, DEADLY, CALLER, true, S);
   trial_us = mf_suspects_find (suspects, DEADLY, S)->quarantined_until_us;
   assert_in_range (trial_us, S + TRIAL_INTERVAL_US / 3, S + TRIAL_INTERVAL_US);
   mf_suspects_start_trial (suspects, DEADLY, trial_us);
@@ -481,7 +482,7 @@
                                                           .trial_part = DEADLY,
                                                           .sent_us = trial_us,
                                                           .failed_us = trial_us + 1 });
-  mf_suspects_upstream_died (suspects, 9, 9, trial_us + 2, ignore_failure, NULL);
+  mf_suspects_upstream_crashed (suspects, 9, 9, trial_us + 2, ignore_failure, NULL);
   next_us = mf_suspects_find (suspects, DEADLY, trial_us)->quarantined_until_us;
   assert_in_range (next_us, trial_us + 6 * TRIAL_INTERVAL_US, trial_us + 13 * TRIAL_INTERVAL_US);
   mf_suspects_free (suspects);
@@ -489,7 +490,7 @@
 
 /* The request and the part are both suspects: the next request may come with other parts. */
 static void
-test_part_with_one_death_does_not_explain_a_request (void **state)
+test_part_with_one_crash_does_not_explain_a_request (void **state)
 {
   MfSuspects *suspects = mf_suspects_new (&limits);
 
@@ -501,7 +502,7 @@
                                                           .is_sufficient_for_parts = true,
                                                           .sent_us = S,
                                                           .failed_us = S });
-  mf_suspects_upstream_died (suspects, 1, 1, S + 1, ignore_failure, NULL);
+  mf_suspects_upstream_crashed (suspects, 1, 1, S + 1, ignore_failure, NULL);
   assert_true (is_refused (suspects, DEADLY, CALLER, 2 * S));
   assert_true (mf_suspects_is_quarantined (suspects, BESIDE, 2 * S));
   mf_suspects_free (suspects);
@@ -513,26 +514,26 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_deadly_part_is_refused_and_the_first_part_is_not),
     cmocka_unit_test (test_tries_of_one_request_count_once),
-    cmocka_unit_test (test_deaths_of_one_moment_do_not_convict_the_first_part),
+    cmocka_unit_test (test_crashes_of_one_moment_do_not_convict_the_first_part),
     cmocka_unit_test (test_part_that_kills_many_upstreams_at_once_is_refused),
     cmocka_unit_test (test_quarantine_of_another_instance_is_taken_over),
-    cmocka_unit_test (test_part_that_upstreams_survive_between_deaths_is_not_refused),
+    cmocka_unit_test (test_part_that_upstreams_survive_between_crashes_is_not_refused),
     cmocka_unit_test (test_deadly_parts_at_once_do_not_convict_the_first_part),
-    cmocka_unit_test (test_deadly_first_part_is_refused_after_five_deaths),
+    cmocka_unit_test (test_deadly_first_part_is_refused_after_five_crashes),
     cmocka_unit_test (test_part_that_others_use_is_refused_to_the_only_caller_it_fails),
     cmocka_unit_test (test_trials_come_less_often_until_one_is_survived),
-    cmocka_unit_test (test_deaths_of_a_quarantined_part_without_a_trial_put_off_none),
-    cmocka_unit_test (test_trial_at_a_dead_upstream_is_made_up_for),
+    cmocka_unit_test (test_crashes_of_a_quarantined_part_without_a_trial_put_off_none),
+    cmocka_unit_test (test_trial_at_a_crashed_upstream_is_made_up_for),
     cmocka_unit_test (test_quarantine_ends_when_nobody_asks_for_the_part),
     cmocka_unit_test (test_request_beside_a_deadly_part_is_not_refused),
-    cmocka_unit_test (test_request_beside_a_sound_part_is_refused_after_three_deaths),
-    cmocka_unit_test (test_request_that_three_deaths_met_is_refused_for_a_moment),
+    cmocka_unit_test (test_request_beside_a_sound_part_is_refused_after_three_crashes),
+    cmocka_unit_test (test_request_that_three_crashes_met_is_refused_for_a_moment),
     cmocka_unit_test (test_invented_parts_do_not_displace_a_quarantine),
-    cmocka_unit_test (test_one_death_is_enough_where_earlier_ones_may_be_unknown),
-    cmocka_unit_test (test_one_death_under_many_requests_convicts_none),
-    cmocka_unit_test (test_one_death_does_not_convict_the_first_part),
-    cmocka_unit_test (test_second_trial_after_one_death_comes_late),
-    cmocka_unit_test (test_part_with_one_death_does_not_explain_a_request),
+    cmocka_unit_test (test_one_crash_is_enough_where_earlier_ones_may_be_unknown),
+    cmocka_unit_test (test_one_crash_under_many_requests_convicts_none),
+    cmocka_unit_test (test_one_crash_does_not_convict_the_first_part),
+    cmocka_unit_test (test_second_trial_after_one_crash_comes_late),
+    cmocka_unit_test (test_part_with_one_crash_does_not_explain_a_request),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
