A part that is quarantined before the usual number of crashes explains none

Cause: a part that was quarantined for one crash, since earlier ones may be unknown, explained the crashes of requests from its second on, and ended their quarantines, though two crashes do not show which of the two it was.

Change: such a quarantine is provisional until the part has the usual evidence. It explains nothing and is not counted among its quarantines.

--- a/libmangofork/suspect.h
+++ b/libmangofork/suspect.h
@@ -63,7 +63,8 @@
   uint64_t sound_us;        /* an upstream was last seen to survive it; 0: never */
   uint64_t quarantined_us;  /* start of the quarantine, which only a sound answer ends; 0: none */
   uint64_t only_caller;     /* the quarantine is for this caller only; 0: for all */
-  uint32_t n_quarantines;   /* ever, including the present one */
+  uint32_t n_quarantines;   /* ever, including the present one, without provisional ones */
+  bool is_provisional;      /* quarantined for fewer crashes, as earlier ones may be unknown */
   bool is_unreported;       /* other instances do not know all crashes; reset by the caller */
   bool is_recorded;         /* the quarantine has been logged; set by the caller */
   bool is_own;              /* it was found here, not by a peer; likewise */
--- a/libmangofork/suspect_part.c
+++ b/libmangofork/suspect_part.c
@@ -77,7 +77,8 @@
 }
 
 /* Returns whether a quarantined part explains the crash of a process under a request, or under a
- * part that is a worse suspect; worse is NULL for a request. One crash alone explains nothing. */
+ * part that is a worse suspect; worse is NULL for a request. A provisional quarantine explains
+ * nothing. */
 bool
 mf_suspects_part_explains (const MfSuspects *suspects, const MfSuspectPart *worse,
                            uint64_t process_id)
@@ -86,7 +87,7 @@
     {
       const MfSuspect *part = &row->suspect;
 
-      if (part->part.quarantined_us > 0 && part->n_crashes >= CRASHES_EXPLAINING
+      if (part->part.quarantined_us > 0 && !part->part.is_provisional
           && mf_suspect_has_process (part, process_id)
           && (worse == NULL || is_better_suspect (&part->part, worse)))
         return true;
@@ -157,7 +158,8 @@
       n_better[i] = better_suspect_crashes (suspects, suspect, suspect->crashes[i].process_id);
       n_sole += n_better[i] == 0;
     }
-  if (suspect->part.n_quarantines > (suspect->part.quarantined_us > 0))
+  if (suspect->part.n_quarantines
+      > (suspect->part.quarantined_us > 0 && !suspect->part.is_provisional))
     return count_moments (suspect, n_better, 0) >= CRASHES_AGAIN;
   return count_moments (suspect, n_better, CRASHES_EXPLAINING - 1) >= CRASHES_ANY
          || (n_sole >= CRASHES_SOLE && !was_lately_sound (suspect));
@@ -168,7 +170,7 @@
 static void
 withdraw_explained (MfSuspects *suspects, const MfSuspect *suspect)
 {
-  if (suspect->n_crashes < CRASHES_EXPLAINING)
+  if (suspect->part.is_provisional)
     return;
   for (MfSuspectRow *row = suspects->rows; row != NULL; row = row->hh.next)
     {
@@ -202,9 +204,9 @@
 
 /* Returns whether a part is quarantined for one crash, as earlier ones may be unknown. */
 static bool
-is_provisional (const MfSuspect *suspect)
+is_quarantined_for_one (const MfSuspect *suspect)
 {
-  return suspect->part.quarantined_us > 0 && suspect->n_crashes == 1;
+  return suspect->part.is_provisional && suspect->n_crashes == 1;
 }
 
 static uint64_t
@@ -212,7 +214,7 @@
 {
   uint64_t interval_us = suspects->limits.trial_interval_us;
 
-  if (is_provisional (suspect))
+  if (is_quarantined_for_one (suspect))
     interval_us /= PROVISIONAL_TRIAL_FACTOR;
   /* Parts that were quarantined together are not tried together: one may crash the upstream of all.
    */
@@ -226,10 +228,11 @@
 /* Quarantines a part. One that upstreams have lately survived is refused to the only caller under
  * whose requests they crashed, as that one may have sent it to make it suspect. */
 static void
-part_quarantine (MfSuspects *suspects, MfSuspect *suspect, uint64_t now_us)
+part_quarantine (MfSuspects *suspects, MfSuspect *suspect, bool is_provisional, uint64_t now_us)
 {
   suspect->part.quarantined_us = now_us;
-  suspect->part.n_quarantines++;
+  suspect->part.is_provisional = is_provisional;
+  suspect->part.n_quarantines += !is_provisional;
   suspect->part.is_disputed = false;
   suspect->part.only_caller = was_lately_sound (suspect) ? only_caller (suspect) : 0;
   suspect->quarantined_until_us = now_us + trial_interval_us (suspects, suspect);
@@ -243,6 +246,11 @@
 {
   if (suspect->part.only_caller != crash->caller)
     suspect->part.only_caller = 0;
+  if (suspect->part.is_provisional && is_convicted (suspects, suspect))
+    {
+      suspect->part.is_provisional = false;
+      suspect->part.n_quarantines++;
+    }
   withdraw_explained (suspects, suspect);
 }
 
@@ -272,7 +280,7 @@
     }
   if (!is_convicted (suspects, suspect))
     return MF_SUSPECT_COUNTED;
-  part_quarantine (suspects, suspect, now_us);
+  part_quarantine (suspects, suspect, false, now_us);
   return MF_SUSPECT_QUARANTINED;
 }
 
@@ -315,10 +323,11 @@
     {
       MfSuspect *part = &row->suspect;
 
-      if (part->kind != MF_SUSPECT_PART || !is_provisional (part)
+      if (part->kind != MF_SUSPECT_PART || !is_quarantined_for_one (part)
           || part->crashes[0].process_id != process_id)
         continue;
       part->part.quarantined_us = 0;
+      part->part.is_provisional = false;
       part->part.n_failed_trials = 0;
       part->quarantined_until_us = 0;
     }
@@ -337,7 +346,7 @@
       || crash_is_ambiguous (suspects, process_id))
     return;
   suspect->part.n_failed_trials = 1;
-  part_quarantine (suspects, suspect, now_us);
+  part_quarantine (suspects, suspect, true, now_us);
 }
 
 /* Counts an upstream that crashed while it ran a request with these parts. The better suspects come
@@ -391,6 +400,7 @@
                                        : suspect->n_crashes >= CRASHES_AGAIN)
     return false;
   suspect->part.quarantined_us = 0;
+  suspect->part.is_provisional = false;
   suspect->part.is_recorded = false;
   suspect->part.n_failed_trials = 0;
   suspect->quarantined_until_us = 0;
@@ -492,7 +502,8 @@
       || (adopted.n_crashes == 1 && crash_is_ambiguous (suspects, adopted.crashes[0].process_id)))
     return;
   *suspect = adopted;
-  part_quarantine (suspects, suspect, now_us);
+  part_quarantine (suspects, suspect,
+                   suspect->n_crashes < CRASHES_SOLE && !is_convicted (suspects, suspect), now_us);
 }
 
 /* Adds what another instance knows of a part: its crashes and its quarantine. */
--- a/tests/test_suspect_part.c
+++ b/tests/test_suspect_part.c
@@ -508,6 +508,27 @@
   mf_suspects_free (suspects);
 }
 
+/* A request that crashed upstreams was let through as the part that it had had twice explained it.
+ */
+static void
+test_part_with_two_crashes_does_not_explain_a_request_where_one_is_enough (void **state)
+{
+  MfSuspects *suspects = mf_suspects_new (&limits);
+
+  (void)state;
+  crashes_sufficiently (suspects, DEADLY, CALLER, true, S);
+  mf_suspects_add_failure (suspects, &(MfSuspectFailure){ .digest = BESIDE,
+                                                          .upstream_id = 2,
+                                                          .parts = { { FIRST, DEADLY }, 2 },
+                                                          .is_sufficient = true,
+                                                          .is_sufficient_for_parts = true,
+                                                          .sent_us = 2 * S,
+                                                          .failed_us = 2 * S });
+  mf_suspects_upstream_crashed (suspects, 2, 2, 2 * S, ignore_failure, NULL);
+  assert_true (mf_suspects_is_quarantined (suspects, BESIDE, 3 * S));
+  mf_suspects_free (suspects);
+}
+
 int
 main (void)
 {
@@ -534,6 +555,7 @@
     cmocka_unit_test (test_one_crash_does_not_convict_the_first_part),
     cmocka_unit_test (test_second_trial_after_one_crash_comes_late),
     cmocka_unit_test (test_part_with_one_crash_does_not_explain_a_request),
+    cmocka_unit_test (test_part_with_two_crashes_does_not_explain_a_request_where_one_is_enough),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
