Soak: signals to an instance that is being loaded wait for its handlers

Cause: the soak took a program for loaded after 50 ms and sent it SIGTERM or SIGHUP, which end a process that has no handlers yet.

--- a/tests/soak/relay_soak.c
+++ b/tests/soak/relay_soak.c
@@ -73,8 +73,6 @@
 /* Percentage of the requests of the recovery phase that must be served. */
 #define RECOVERY_SERVED_MIN_PERCENT 95
 
-/* A started program has been loaded by then. */
-#define LOADED_US (50 * MF_US_PER_MS)
 /* Time for which an upstream names one limit, or none. */
 #define LIMIT_MIN_MS 1500
 #define LIMIT_MAX_MS 8000
@@ -283,13 +281,14 @@
 }
 
 /* Starts the process of an instance. A failed fork is a violation and leaves the instance stopped.
- */
+ * Signals that the program handles are pending until it has installed its handlers. */
 static void
 instance_start (Soak *soak, uint32_t index)
 {
   Instance *instance = &soak->instances[index];
   char path[128];
   char log[128];
+  sigset_t handled;
   pid_t pid;
 
   snprintf (path, sizeof path, "%s/%u.conf", soak->directory, index);
@@ -302,6 +301,10 @@
   instance->pid = pid > 0 ? pid : 0;
   if (pid != 0)
     return;
+  sigemptyset (&handled);
+  sigaddset (&handled, SIGTERM);
+  sigaddset (&handled, SIGHUP);
+  sigprocmask (SIG_BLOCK, &handled, NULL);
   dup2 (open (log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600), STDOUT_FILENO);
   execl (MANGOFORK, "mangofork", "relay", "-s", path, (char *)NULL);
   _exit (127);
@@ -834,22 +837,11 @@
   instance_signal (soak, target, SIGKILL);
 }
 
-/* Sends a signal that an instance handles. Until the program has been loaded, it ends any process.
- */
-static void
-instance_signal_handled (Soak *soak, uint32_t target, int signal)
-{
-  const Instance *instance = &soak->instances[target % soak->n_instances];
-
-  if (mf_clock_now_us () > instance->started_us + LOADED_US)
-    instance_signal (soak, target, signal);
-}
-
 static void
 begin_term (Soak *soak, uint32_t target)
 {
   instance_excuse (soak, target);
-  instance_signal_handled (soak, target, SIGTERM);
+  instance_signal (soak, target, SIGTERM);
 }
 
 static void
@@ -870,7 +862,7 @@
 static void
 begin_hup (Soak *soak, uint32_t target)
 {
-  instance_signal_handled (soak, target, SIGHUP);
+  instance_signal (soak, target, SIGHUP);
 }
 
 static void
