Test: the first trial of the part does not come while its refusal is looked at

The first trial of a part that is quarantined for one crash comes after 1 to 2 s. On a slow machine it could come within test_part_crashes_one_upstream_after_the_loss_of_all_instances, which asks for one crash. The test puts it off, as others do.

--- a/tests/test_job_suspect.c
+++ b/tests/test_job_suspect.c
@@ -384,6 +384,27 @@
   relay_fixture_set_started (RELAY_FIXTURE_STARTED_LAST_MS);
 }
 
+static uint64_t
+deadly_part_hash (void)
+{
+  static const char text[] = SOAK_DEADLY_PART "0,own";
+  MfParts parts;
+
+  mf_parts_read (&parts, text, strlen (text));
+  return parts.hashes[0];
+}
+
+/* Sets the time of the part's next trial at all instances. */
+static void
+set_trial (CrashFixture *fixture, uint64_t at_us)
+{
+  for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
+    mf_suspects_find (fixture->fleet.instances[i].jobs.suspects, deadly_part_hash (),
+                      mf_clock_now_us ())
+        ->quarantined_until_us
+        = at_us;
+}
+
 /* All instances had been killed, and requests with one part crashed three upstreams or five before
  * they were refused again. */
 static void
@@ -401,6 +422,7 @@
       prompt (&fixture, 0, paths[i], NULL);
       prompt (&fixture, 0, paths[i], SOAK_DEADLY_PART "0");
       await_upstreams (&fixture);
+      set_trial (&fixture, UINT64_MAX);
       for (uint32_t j = 0; j < RELAY_FLEET_N_INSTANCES; j++)
         {
           assert_int_equal (prompt (&fixture, j, paths[i], SOAK_DEADLY_PART "0"), 503);
@@ -627,27 +649,6 @@
   assert_int_equal (prompt (fixture, 4, "/llm/1", SOAK_DEADLY_PART "0"), 503);
 }
 
-static uint64_t
-deadly_part_hash (void)
-{
-  static const char text[] = SOAK_DEADLY_PART "0,own";
-  MfParts parts;
-
-  mf_parts_read (&parts, text, strlen (text));
-  return parts.hashes[0];
-}
-
-/* Sets the time of the part's next trial at all instances. */
-static void
-set_trial (CrashFixture *fixture, uint64_t at_us)
-{
-  for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
-    mf_suspects_find (fixture->fleet.instances[i].jobs.suspects, deadly_part_hash (),
-                      mf_clock_now_us ())
-        ->quarantined_until_us
-        = at_us;
-}
-
 static void
 test_restarted_instance_receives_quarantined_parts (void **state)
 {
