The end of an exchange is judged once

What is wrong with a stream that has ended was found twice, once to record whether the upstream had survived its beginning and once to retry it, and its failure was noted twice, the second time as a duplicate. A broken link and an incomplete stream are handled alike, in two copies.

job_defect says why an answer is incomplete, and one branch handles it.

--- a/libmangofork/relay/job_answer.c
+++ b/libmangofork/relay/job_answer.c
@@ -57,6 +57,13 @@
          && !answer->not_run && !answer->is_no_stream;
 }
 
+/* Whether the answer is a stream that is passed on while it comes. */
+static bool
+job_has_stream (const MfJob *job)
+{
+  return job->phase == MF_JOB_STREAMING && answer_is_good (&job->answer);
+}
+
 /* Whether the body is said to be something else than events. */
 static bool
 head_is_no_stream (const MfHead *head)
@@ -178,7 +185,7 @@
   uint64_t now_us = mf_clock_now_us ();
   MfBuffer complete = { 0 };
 
-  if (job->phase != MF_JOB_STREAMING || !answer_is_good (&job->answer))
+  if (!job_has_stream (job))
     {
       on_answer_body (data, bytes, n_bytes);
       return;
@@ -382,6 +389,15 @@
   return NULL;
 }
 
+/* Returns why the upstream has left its answer incomplete, or NULL; why is that of the link. */
+static const char *
+job_defect (const MfJob *job, MfLinkEnd end, const char *why)
+{
+  if (end == MF_LINK_BROKEN)
+    return why;
+  return job_has_stream (job) ? stream_defect (job, end) : NULL;
+}
+
 /* A complete answer of the upstream itself shows that it has survived its beginning. One that ends
  * with the connection does not: the upstream may have crashed. */
 static void
@@ -392,8 +408,7 @@
   if (end == MF_LINK_COMPLETE)
     mf_job_note_sound (job);
   else if (!job->answer_began && job->parts.n_parts > 0)
-    mf_job_note_failure (job, target,
-                         job->phase == MF_JOB_STREAMING && stream_defect (job, end) != NULL);
+    mf_job_note_failure (job, target, false);
 }
 
 static void
@@ -402,43 +417,33 @@
   MfJob *job = data;
   MfTarget *target = mf_target_ref (job->target);
   MfJobs *jobs = job->jobs;
+  const char *defect = job_defect (job, end, why);
 
   job->link = NULL;
   job->step_deadline_us = 0;
   mf_job_release_target (job);
   if (end != MF_LINK_UNREACHED)
     job->n_arrivals++;
-  if (end == MF_LINK_COMPLETE || end == MF_LINK_CLOSED)
+  if (end == MF_LINK_COMPLETE || (end == MF_LINK_CLOSED && defect == NULL))
     job_note_complete (job, target, end);
   if (end == MF_LINK_UNREACHED)
     job_connect_failed (job, target, why);
-  else if (end == MF_LINK_BROKEN)
+  else if (defect != NULL)
     {
       job->n_runs++;
       job->kv_used = true;
       mf_job_note_failure (job, target, true);
       mf_target_probe (target);
-      job_failed (job, target, why);
+      job_failed (job, target, defect);
     }
-  else if (job->phase == MF_JOB_STREAMING && answer_is_good (&job->answer))
+  else if (job_has_stream (job))
     {
-      const char *defect = stream_defect (job, end);
-
       job->n_runs++;
       job->kv_used = true;
-      if (defect != NULL)
-        {
-          mf_job_note_failure (job, target, true);
-          mf_target_probe (target);
-          job_failed (job, target, defect);
-        }
-      else
-        {
-          mf_target_record_answer (target, job_time_to_begin_us (job, target), mf_clock_now_us ());
-          mf_jobs_note_answer (jobs, job->events.n_events * job->service->event_tokens,
-                               mf_clock_now_us () - job->sent_us);
-          mf_job_finish (job, MF_CODE_OK, "answered");
-        }
+      mf_target_record_answer (target, job_time_to_begin_us (job, target), mf_clock_now_us ());
+      mf_jobs_note_answer (jobs, job->events.n_events * job->service->event_tokens,
+                           mf_clock_now_us () - job->sent_us);
+      mf_job_finish (job, MF_CODE_OK, "answered");
     }
   else
     {
