What is known of an upstream's listing is looked up once

For each entry that is read, mf_targets_update searched the table of 1,024 listings twice, and once more where a listing was known; merging one from another instance searched for the row that had just been written. The row is passed on instead: one search for an entry without a listing. Behaviour is unchanged; test_target, test_listing and test_relay pass.

--- a/libmangofork/relay/target.c
+++ b/libmangofork/relay/target.c
@@ -400,11 +400,10 @@
   return false;
 }
 
-/* Compares the entry of an upstream with what any instance has read of it later. */
+/* Compares the entry of an upstream with what any instance has read of it later; NULL: nothing. */
 static void
-target_check_listing (MfTarget *target)
+target_check_listing (MfTarget *target, const MfListing *listing)
 {
-  const MfListing *listing = mf_listings_find (&target->targets->listings, target->process_id);
   bool was_withdrawn = target->is_withdrawn;
 
   target->is_withdrawn = listing != NULL && listing->state == MF_LISTING_REMOVED
@@ -431,7 +430,7 @@
   if (listing->state == MF_LISTING_LEAVING)
     mf_target_record_leaving (target);
   else
-    target_check_listing (target);
+    target_check_listing (target, listing);
 }
 
 static bool
@@ -514,6 +513,7 @@
 mf_targets_update (MfTargets *targets, const MfTargetInfo *info)
 {
   MfTarget *target = mf_targets_find (targets, info->id);
+  const MfListing *listing;
   bool changed;
 
   if (target != NULL
@@ -554,9 +554,10 @@
   target->listed = true;
   target->unlisted_us = 0;
   target->position = targets->position;
-  if (mf_listings_find (&targets->listings, target->process_id) != NULL)
+  listing = mf_listings_find (&targets->listings, target->process_id);
+  if (listing != NULL)
     targets_note_own (targets, target->process_id, MF_LISTING_LISTED, &target->position);
-  target_check_listing (target);
+  target_check_listing (target, listing);
   return changed;
 }
 
