Whether crashes may be unknown is found once for each failure

For each failed exchange two functions with nearly the same name went through all upstreams, one for the request and one for its parts. The first is split into what it says of the request; the other is called once. Behaviour is unchanged; test_job_suspect and test_job_answer pass.

--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -567,22 +567,21 @@
   .listing_changed = on_listing_changed,
 };
 
+/* Whether one crash may be enough for a quarantine, as all instances that had recorded earlier ones
+ * may have ended. */
 static bool
 jobs_have_lost_history (const MfJobs *jobs)
 {
   return mf_jobs_history_is_lost (jobs, THREE_CRASHES_QUARANTINE_US, mf_clock_now_us ());
 }
 
-/* Whether one crash is enough to quarantine the request, as all instances that knew of earlier ones
- * may have ended: it has crashed the upstream before its answer began, and none has survived it. */
+/* Whether no upstream has survived the request: its answer has not begun, here or at an earlier
+ * try. */
 static bool
-job_has_lost_history (const MfJob *job)
+job_is_unanswered (const MfJob *job)
 {
-  const MfJobs *jobs = job->jobs;
-
   return !job->answer_began && !job->head_sent
-         && !mf_suspects_was_answered (jobs->suspects, job->digest)
-         && jobs_have_lost_history (jobs);
+         && !mf_suspects_was_answered (job->jobs->suspects, job->digest);
 }
 
 /* Records a failed send, which may have crashed its upstream unless that announced its exit.
@@ -592,6 +591,7 @@
 {
   MfJobs *jobs = job->jobs;
   uint64_t now_us = mf_clock_now_us ();
+  bool is_sufficient = is_broken && jobs_have_lost_history (jobs);
   MfSuspectFailure failure = {
     .digest = job->digest,
     .request_id = job->try_id,
@@ -600,8 +600,8 @@
     .caller = job->caller_hash,
     .trial_part = job->trial_part,
     .was_suspect = job->was_suspect,
-    .is_sufficient = is_broken && job_has_lost_history (job),
-    .is_sufficient_for_parts = is_broken && jobs_have_lost_history (jobs),
+    .is_sufficient = is_sufficient && job_is_unanswered (job),
+    .is_sufficient_for_parts = is_sufficient,
     .sent_us = job->sent_us,
     .failed_us = now_us,
   };
@@ -623,7 +623,9 @@
 void
 mf_job_retry_after_failure (MfJob *job, MfTarget *target, const MfJobDenial *denial)
 {
-  if (target->probe == NULL || (!job->was_suspect && !job_has_lost_history (job)))
+  bool is_sufficient = jobs_have_lost_history (job->jobs) && job_is_unanswered (job);
+
+  if (target->probe == NULL || (!job->was_suspect && !is_sufficient))
     {
       mf_job_retry_or_end (job, denial);
       return;
