Provisional quarantines are looked for before their crash is judged

Each report of a crash went through the crashes of all parts to find whether it is ambiguous, though that matters only where a part is quarantined for it alone. Behaviour is unchanged; test_suspect_part and test_job_suspect pass.

--- a/libmangofork/suspect_part.c
+++ b/libmangofork/suspect_part.c
@@ -317,14 +317,13 @@
 static void
 release_ambiguous (MfSuspects *suspects, uint64_t process_id)
 {
-  if (!crash_is_ambiguous (suspects, process_id))
-    return;
   for (MfSuspectRow *row = suspects->rows; row != NULL; row = row->hh.next)
     {
       MfSuspect *part = &row->suspect;
 
       if (part->kind != MF_SUSPECT_PART || !is_quarantined_for_one (part)
-          || part->crashes[0].process_id != process_id)
+          || part->crashes[0].process_id != process_id
+          || !crash_is_ambiguous (suspects, process_id))
         continue;
       part->part.quarantined_us = 0;
       part->part.is_provisional = false;
