Tests of crashes over all kinds of routes share their loop

Four tests had a copy of the paths and of the loop that gives each path a fleet of its own. check_each_path has it; each test's assertions stay as they were. test_job_suspect passes.

--- a/tests/test_job_suspect.c
+++ b/tests/test_job_suspect.c
@@ -107,6 +107,22 @@
   relay_fleet_teardown (&fixture->fleet);
 }
 
+/* Runs a check with a fleet of its own for one path of each kind of route. */
+static void
+check_each_path (void (*check) (CrashFixture *fixture, const char *path))
+{
+  static const char *const paths[] = { "/order/1", "/read/1", "/llm/1", "/once/1" };
+
+  for (size_t i = 0; i < MF_ARRAY_LEN (paths); i++)
+    {
+      CrashFixture fixture;
+
+      crash_fixture_setup (&fixture);
+      check (&fixture, paths[i]);
+      crash_fixture_teardown (&fixture);
+    }
+}
+
 static int
 start_call_with_parts (CrashFixture *fixture, uint32_t instance, uint32_t host, const char *path,
                        const char *body, const char *parts)
@@ -195,23 +211,20 @@
 }
 
 static void
-test_request_that_crashed_three_upstreams_is_sent_no_more (void **state)
+check_request_that_crashed_three_upstreams_is_sent_no_more (CrashFixture *fixture, const char *path)
 {
-  static const char *const paths[] = { "/order/1", "/read/1", "/llm/1", "/once/1" };
+  uint32_t n_served = n_served_beside_crasher (fixture, path);
 
-  (void)state;
-  for (size_t i = 0; i < MF_ARRAY_LEN (paths); i++)
-    {
-      CrashFixture fixture;
-      uint32_t n_served;
+  assert_in_range (soak_ledger_crasher (fixture->ledger, 0).n_late_arrivals, 0, LATE_SENDS_MAX);
+  assert_in_range (soak_ledger_crasher (fixture->ledger, 0).n_crashes, 1, 3);
+  assert_in_range (n_served, N_CALLS * 9 / 10, N_CALLS);
+}
 
-      crash_fixture_setup (&fixture);
-      n_served = n_served_beside_crasher (&fixture, paths[i]);
-      assert_in_range (soak_ledger_crasher (fixture.ledger, 0).n_late_arrivals, 0, LATE_SENDS_MAX);
-      assert_in_range (soak_ledger_crasher (fixture.ledger, 0).n_crashes, 1, 3);
-      assert_in_range (n_served, N_CALLS * 9 / 10, N_CALLS);
-      crash_fixture_teardown (&fixture);
-    }
+static void
+test_request_that_crashed_three_upstreams_is_sent_no_more (void **state)
+{
+  (void)state;
+  check_each_path (check_request_that_crashed_three_upstreams_is_sent_no_more);
 }
 
 /* Sends requests with a deadly part to one instance after the other, each time beside a sound one
@@ -232,33 +245,30 @@
   return n_served;
 }
 
-/* Requests that share a deadly part kept crashing upstreams, one after the other. */
 static void
-test_requests_with_a_part_that_crashed_upstreams_are_refused (void **state)
+check_requests_with_a_part_that_crashed_upstreams_are_refused (CrashFixture *fixture,
+                                                               const char *path)
 {
-  static const char *const paths[] = { "/order/1", "/read/1", "/llm/1", "/once/1" };
+  uint32_t n_served = n_served_beside_part (fixture, path, SOAK_DEADLY_PART "0");
 
-  (void)state;
-  for (size_t i = 0; i < MF_ARRAY_LEN (paths); i++)
+  assert_in_range (soak_ledger_deadly_part (fixture->ledger, 0).n_late_arrivals, 0, LATE_SENDS_MAX);
+  assert_in_range (soak_ledger_deadly_part (fixture->ledger, 0).n_crashes, 1, 5);
+  assert_in_range (n_served, N_CALLS * 8 / 10, N_CALLS);
+  for (uint32_t j = 0; j < RELAY_FLEET_N_INSTANCES; j++)
     {
-      CrashFixture fixture;
-      uint32_t n_served;
-
-      crash_fixture_setup (&fixture);
-      n_served = n_served_beside_part (&fixture, paths[i], SOAK_DEADLY_PART "0");
-      assert_in_range (soak_ledger_deadly_part (fixture.ledger, 0).n_late_arrivals, 0,
-                       LATE_SENDS_MAX);
-      assert_in_range (soak_ledger_deadly_part (fixture.ledger, 0).n_crashes, 1, 5);
-      assert_in_range (n_served, N_CALLS * 8 / 10, N_CALLS);
-      for (uint32_t j = 0; j < RELAY_FLEET_N_INSTANCES; j++)
-        {
-          assert_int_equal (prompt (&fixture, j, paths[i], SOAK_DEADLY_PART "0"), 503);
-          assert_non_null (strstr (fixture.received, "Retry-After: "));
-        }
-      crash_fixture_teardown (&fixture);
+      assert_int_equal (prompt (fixture, j, path, SOAK_DEADLY_PART "0"), 503);
+      assert_non_null (strstr (fixture->received, "Retry-After: "));
     }
 }
 
+/* Requests that share a deadly part kept crashing upstreams, one after the other. */
+static void
+test_requests_with_a_part_that_crashed_upstreams_are_refused (void **state)
+{
+  (void)state;
+  check_each_path (check_requests_with_a_part_that_crashed_upstreams_are_refused);
+}
+
 /* Gets a request of one caller quarantined at all instances. */
 static void
 quarantine_request (CrashFixture *fixture)
@@ -360,27 +370,25 @@
   loop_spin (fixture->fleet.loop, 150);
 }
 
+static void
+check_request_crashes_one_upstream_after_the_loss_of_all_instances (CrashFixture *fixture,
+                                                                    const char *path)
+{
+  call (fixture, 0, CRASHER_HOST, path, SOAK_CRASH "0");
+  await_upstreams (fixture);
+  for (uint32_t j = 0; j < RELAY_FLEET_N_INSTANCES; j++)
+    assert_int_equal (call (fixture, j, CRASHER_HOST, path, SOAK_CRASH "0"), 503);
+  assert_int_equal (soak_ledger_crasher (fixture->ledger, 0).n_crashes, 1);
+}
+
 /* All instances had been killed, and a request crashed two upstreams or three before it was refused
  * again. */
 static void
 test_request_crashes_one_upstream_after_the_loss_of_all_instances (void **state)
 {
-  static const char *const paths[] = { "/order/1", "/read/1", "/llm/1", "/once/1" };
-
   (void)state;
   relay_fixture_set_started (RELAY_FIXTURE_STARTED_FIRST_MS);
-  for (size_t i = 0; i < MF_ARRAY_LEN (paths); i++)
-    {
-      CrashFixture fixture;
-
-      crash_fixture_setup (&fixture);
-      call (&fixture, 0, CRASHER_HOST, paths[i], SOAK_CRASH "0");
-      await_upstreams (&fixture);
-      for (uint32_t j = 0; j < RELAY_FLEET_N_INSTANCES; j++)
-        assert_int_equal (call (&fixture, j, CRASHER_HOST, paths[i], SOAK_CRASH "0"), 503);
-      assert_int_equal (soak_ledger_crasher (fixture.ledger, 0).n_crashes, 1);
-      crash_fixture_teardown (&fixture);
-    }
+  check_each_path (check_request_crashes_one_upstream_after_the_loss_of_all_instances);
   relay_fixture_set_started (RELAY_FIXTURE_STARTED_LAST_MS);
 }
 
@@ -405,32 +413,30 @@
         = at_us;
 }
 
+static void
+check_part_crashes_one_upstream_after_the_loss_of_all_instances (CrashFixture *fixture,
+                                                                 const char *path)
+{
+  prompt (fixture, 0, path, NULL);
+  prompt (fixture, 0, path, SOAK_DEADLY_PART "0");
+  await_upstreams (fixture);
+  set_trial (fixture, UINT64_MAX);
+  for (uint32_t j = 0; j < RELAY_FLEET_N_INSTANCES; j++)
+    {
+      assert_int_equal (prompt (fixture, j, path, SOAK_DEADLY_PART "0"), 503);
+      assert_int_equal (prompt (fixture, j, path, NULL), 200);
+    }
+  assert_int_equal (soak_ledger_deadly_part (fixture->ledger, 0).n_crashes, 1);
+}
+
 /* All instances had been killed, and requests with one part crashed three upstreams or five before
  * they were refused again. */
 static void
 test_part_crashes_one_upstream_after_the_loss_of_all_instances (void **state)
 {
-  static const char *const paths[] = { "/order/1", "/read/1", "/llm/1", "/once/1" };
-
   (void)state;
   relay_fixture_set_started (RELAY_FIXTURE_STARTED_FIRST_MS);
-  for (size_t i = 0; i < MF_ARRAY_LEN (paths); i++)
-    {
-      CrashFixture fixture;
-
-      crash_fixture_setup (&fixture);
-      prompt (&fixture, 0, paths[i], NULL);
-      prompt (&fixture, 0, paths[i], SOAK_DEADLY_PART "0");
-      await_upstreams (&fixture);
-      set_trial (&fixture, UINT64_MAX);
-      for (uint32_t j = 0; j < RELAY_FLEET_N_INSTANCES; j++)
-        {
-          assert_int_equal (prompt (&fixture, j, paths[i], SOAK_DEADLY_PART "0"), 503);
-          assert_int_equal (prompt (&fixture, j, paths[i], NULL), 200);
-        }
-      assert_int_equal (soak_ledger_deadly_part (fixture.ledger, 0).n_crashes, 1);
-      crash_fixture_teardown (&fixture);
-    }
+  check_each_path (check_part_crashes_one_upstream_after_the_loss_of_all_instances);
   relay_fixture_set_started (RELAY_FIXTURE_STARTED_LAST_MS);
 }
 
