--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -316,6 +316,19 @@
   fleet_end (&fleet);
 }
 
+/* Lets the fleet connect, and sends bytes to its first node on a connection, which is returned. */
+static int
+fleet_begin_with_bytes (Fleet *fleet, const char *bytes, size_t n_bytes)
+{
+  int fd;
+
+  fleet_begin (fleet);
+  assert_true (loop_pump (fleet->loop, all_have_reports, fleet));
+  fd = loop_connect (FIRST_PORT);
+  loop_send (fd, bytes, n_bytes);
+  return fd;
+}
+
 /* Malformed bytes close their own connection and change nothing else. */
 static void
 test_foreign_bytes (void **state)
@@ -325,10 +338,7 @@
   int fd;
 
   (void)state;
-  fleet_begin (&fleet);
-  assert_true (loop_pump (fleet.loop, all_have_reports, &fleet));
-  fd = loop_connect (FIRST_PORT);
-  loop_send (fd, "GET / HTTP/1.1\r\n\r\n", 18);
+  fd = fleet_begin_with_bytes (&fleet, "GET / HTTP/1.1\r\n\r\n", 18);
   assert_int_equal (loop_receive (fleet.loop, fd, NULL, got, sizeof got), 0);
   close (fd);
   assert_true (all_have_reports (&fleet));
@@ -346,10 +356,7 @@
   int fd;
 
   (void)state;
-  fleet_begin (&fleet);
-  assert_true (loop_pump (fleet.loop, all_have_reports, &fleet));
-  fd = loop_connect (FIRST_PORT);
-  loop_send (fd, frames, sizeof frames - 1);
+  fd = fleet_begin_with_bytes (&fleet, frames, sizeof frames - 1);
   loop_spin (fleet.loop, 50);
   assert_int_equal (recv (fd, got, sizeof got, MSG_DONTWAIT), -1);
   assert_int_equal (errno, EAGAIN);
