--- a/tests/test_suspect_part.c
+++ b/tests/test_suspect_part.c
@@ -488,6 +488,22 @@
   mf_suspects_free (suspects);
 }
 
+/* An upstream crashes under the request BESIDE, which has FIRST and DEADLY, where one crash is
+ * enough. */
+static void
+crashes_with_deadly (MfSuspects *suspects, uint64_t upstream_id, uint64_t at_us)
+{
+  mf_suspects_add_failure (suspects, &(MfSuspectFailure){ .digest = BESIDE,
+                                                          .upstream_id = upstream_id,
+                                                          .parts = { { FIRST, DEADLY }, 2 },
+                                                          .is_sufficient = true,
+                                                          .is_sufficient_for_parts = true,
+                                                          .sent_us = at_us,
+                                                          .failed_us = at_us });
+  mf_suspects_upstream_crashed (suspects, upstream_id, upstream_id, at_us + 1, ignore_failure,
+                                NULL);
+}
+
 /* The request and the part are both suspects: the next request may come with other parts. */
 static void
 test_part_with_one_crash_does_not_explain_a_request (void **state)
@@ -495,14 +511,7 @@
   MfSuspects *suspects = mf_suspects_new (&limits);
 
   (void)state;
-  mf_suspects_add_failure (suspects, &(MfSuspectFailure){ .digest = BESIDE,
-                                                          .upstream_id = 1,
-                                                          .parts = { { FIRST, DEADLY }, 2 },
-                                                          .is_sufficient = true,
-                                                          .is_sufficient_for_parts = true,
-                                                          .sent_us = S,
-                                                          .failed_us = S });
-  mf_suspects_upstream_crashed (suspects, 1, 1, S + 1, ignore_failure, NULL);
+  crashes_with_deadly (suspects, 1, S);
   assert_true (is_refused (suspects, DEADLY, CALLER, 2 * S));
   assert_true (mf_suspects_is_quarantined (suspects, BESIDE, 2 * S));
   mf_suspects_free (suspects);
@@ -517,14 +526,7 @@
 
   (void)state;
   crashes_sufficiently (suspects, DEADLY, CALLER, true, S);
-  mf_suspects_add_failure (suspects, &(MfSuspectFailure){ .digest = BESIDE,
-                                                          .upstream_id = 2,
-                                                          .parts = { { FIRST, DEADLY }, 2 },
-                                                          .is_sufficient = true,
-                                                          .is_sufficient_for_parts = true,
-                                                          .sent_us = 2 * S,
-                                                          .failed_us = 2 * S });
-  mf_suspects_upstream_crashed (suspects, 2, 2, 2 * S, ignore_failure, NULL);
+  crashes_with_deadly (suspects, 2, 2 * S);
   assert_true (mf_suspects_is_quarantined (suspects, BESIDE, 3 * S));
   mf_suspects_free (suspects);
 }
