Names and comments on suspects say what is done

was_sent_before_another also shortened quarantines; it is shorten_earlier. Comments say receive and record for hear, know and remember.

--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -390,8 +390,8 @@
   return suspect;
 }
 
-/* Each instance judges by all crashes that it knows of. One that knows better than the sender, as
- * upstreams have survived the part since, or as it has seen more of them crash, replies. */
+/* Each instance judges by all crashes that it has recorded. One that has more than the sender, or
+ * has recorded since that an upstream survived the part, replies. */
 static void
 part_handle (MfJobs *jobs, uint64_t peer, const MfSuspectEntry *entry, uint64_t now_us)
 {
--- a/libmangofork/relay/relay_message.h
+++ b/libmangofork/relay/relay_message.h
@@ -33,7 +33,7 @@
   MF_RELAY_MESSAGE_ORIGIN_ASK = 16,   /* asks which version has begun a stream */
   MF_RELAY_MESSAGE_ORIGIN_REPLY = 17, /* the answer to that */
   MF_RELAY_MESSAGE_LISTINGS = 18,     /* upstreams that were removed or are leaving */
-  MF_RELAY_MESSAGE_HISTORY = 19,      /* follows all that the sender knows of crashes */
+  MF_RELAY_MESSAGE_HISTORY = 19,      /* follows all suspects of the sender */
 } MfRelayMessageKind;
 
 /* A request for permission to retry, or its answer. */
--- a/libmangofork/suspect.c
+++ b/libmangofork/suspect.c
@@ -212,15 +212,15 @@
   return shares;
 }
 
-/* Returns whether another request that is quarantined for one crash was sent to the same process
- * after this one. Shortens the quarantines of those that were sent before: a request crashes an
- * upstream as that begins to run it. */
+/* Shortens the quarantines for one crash of requests that were sent to the same process before this
+ * one: a request crashes an upstream as that begins to run it. Returns whether one was sent after
+ * it. */
 static bool
-was_sent_before_another (MfSuspects *suspects, const MfSuspect *suspect, uint64_t now_us)
+shorten_earlier (MfSuspects *suspects, const MfSuspect *suspect, uint64_t now_us)
 {
   const MfSuspectCrash *crash = &suspect->crashes[0];
   uint64_t short_until_us = now_us + suspects->limits.beside_quarantine_us;
-  bool is_before = false;
+  bool has_later = false;
 
   for (MfSuspectRow *row = suspects->rows; row != NULL && crash->process_id != 0;
        row = row->hh.next)
@@ -232,11 +232,11 @@
           || other->crashes[0].process_id != crash->process_id)
         continue;
       if (other->crashes[0].sent_us > crash->sent_us)
-        is_before = true;
+        has_later = true;
       else if (other->quarantined_until_us > short_until_us)
         other->quarantined_until_us = short_until_us;
     }
-  return is_before;
+  return has_later;
 }
 
 /* Ends the quarantines of requests that this one explains, as it has crashed upstreams for certain.
@@ -265,7 +265,7 @@
   if (suspect->n_crashes < CRASHES_CERTAIN
       && (shares_last_crash (suspects, suspect) || last_crash_is_explained (suspects, suspect)))
     return false;
-  if (suspect->n_crashes == 1 && was_sent_before_another (suspects, suspect, now_us)
+  if (suspect->n_crashes == 1 && shorten_earlier (suspects, suspect, now_us)
       && until_us > now_us + suspects->limits.beside_quarantine_us)
     until_us = now_us + suspects->limits.beside_quarantine_us;
   if (until_us > suspect->quarantined_until_us)
--- a/libmangofork/suspect_part.c
+++ b/libmangofork/suspect_part.c
@@ -488,7 +488,7 @@
 
 /* Takes over the quarantine of a part from another instance with the crashes that it knows, unless
  * what is known here contradicts it. Which of two parts explains a crash depends on the order in
- * which instances hear of the crashes, so that they may judge differently. */
+ * which instances receive the crashes, so that they may judge differently. */
 static void
 adopt_quarantine (MfSuspects *suspects, MfSuspect *suspect, const MfSuspect *reported,
                   uint64_t now_us)
--- a/libmangofork/suspect_row.h
+++ b/libmangofork/suspect_row.h
@@ -9,7 +9,7 @@
 /* Parts whose last sound use is remembered; a part replaces the one that has its place. */
 #define MF_SUSPECT_SOUND_MAX 2048
 
-/* Answered requests that are remembered; one replaces the one that has its place. */
+/* Answered requests that are recorded; one replaces the one that has its place. */
 #define MF_SUSPECT_ANSWERED_MAX 2048
 
 /* Used only by suspect*.c. */
