review: record nothing after the result of a run

Threads of stand-ins could still write to record.txt after the line with the result, so that the last line was not the result. stand_exit() now takes the lock of the record and keeps it. No check changes.

--- a/review/stand/stand.c
+++ b/review/stand/stand.c
@@ -87,6 +87,8 @@
 {
   char path[400];
 
+  /* Nothing is recorded after the result. */
+  pthread_mutex_lock (&record_lock);
   for (unsigned i = 0; i < n_daemon_pids; i++)
     {
       if (daemon_pids[i] <= 0)
