--- a/review/1/case.c
+++ b/review/1/case.c
@@ -131,6 +131,7 @@
 {
   unsigned client = *(const unsigned *)data;
   int fd = client_connect (router.front);
+  unsigned n_sent = 0;
 
   for (unsigned round = 0; fd >= 0 && now_s () < END_S; round++)
     {
@@ -138,6 +139,7 @@
       bool is_cut;
 
       has_arrived[client] = false;
+      n_sent++;
       send_text (fd,
                  "POST /reserve/%u-%u HTTP/1.1\r\nHost: till.example\r\nX-Attempt-Id: order-%u-%u"
                  "\r\nX-Deadline-Ms: 600\r\nContent-Length: 5\r\n\r\norder",
@@ -159,6 +161,7 @@
         }
       message_free (&response);
     }
+  record ("client: order-%u-0 and those after it: %u sent", client, n_sent);
   if (fd >= 0)
     close (fd);
   return NULL;
@@ -179,6 +182,7 @@
       record ("client: summary-%u finds no daemon", client);
       return NULL;
     }
+  record ("client: sends summary-%u", client);
   send_text (fd,
              "POST /summary/%u HTTP/1.1\r\nHost: till.example\r\nX-Attempt-Id: summary-%u\r\n"
              "X-Model: m\r\nX-Token-Count: 5000,70\r\nX-Prompt-Prefix: 5c1e07a2:200,91bd3f%02x:4800"
--- a/review/2/case.c
+++ b/review/2/case.c
@@ -152,6 +152,8 @@
       n_whole += is_success && is_whole;
       message_free (&response);
     }
+  record ("%u requests were sent, %u of %u bytes, the others of %u; %u got the whole answer",
+          REQUESTS, REQUESTS / LONG_EACH, LONG_BYTES, SHORT_BYTES, n_whole);
   if (!has_trouble () && n_whole != REQUESTS)
     {
       record ("without the disruption %u of %d answers are whole", n_whole, REQUESTS);
