--- a/review/1/case.c
+++ b/review/1/case.c
@@ -119,7 +119,12 @@
         {
           record ("runner: runs %s", id);
           sleep_s (DECODE_S);
-          answer_send (fd, id, "X-Response-Seal: 1.07.5a2.2.0.c9f2a4d1\r\n", "{}");
+          send_text (fd,
+                     "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: "
+                     "1.07.5a2.2.0.c9f2a4d1\r\nX-Weight-Versions: 1\r\nContent-Type: "
+                     "text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+                     "10\r\nid: 1\ndata: aa\n\n\r\n10\r\nid: 2\ndata: bb\n\n\r\n0\r\n\r\n",
+                     id);
         }
       message_free (&request);
     }
@@ -257,7 +262,7 @@
     pthread_join (summaries[i], NULL);
   for (unsigned i = 0; i < ORDER_CLIENTS; i++)
     pthread_join (orders[i], NULL);
-  has_ended = waitpid (router.pid, &status, WNOHANG) == router.pid;
+  has_ended = daemon_has_ended (&router, &status);
   if (has_ended && WIFSIGNALED (status))
     record ("platform: the daemon has ended by itself, by signal %d (%s)", WTERMSIG (status),
             strsignal (WTERMSIG (status)));
--- a/review/stand/stand.c
+++ b/review/stand/stand.c
@@ -13,6 +13,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -829,6 +830,8 @@
     {
       FILE *log = freopen (daemon->log, "a", stdout);
 
+      /* It ends with this program, however that ends. */
+      prctl (PR_SET_PDEATHSIG, SIGKILL);
       setenv ("MANGOFORK_SETTINGS", daemon->settings, 1);
       if (log != NULL)
         execl ("target/mangofork", "target/mangofork", "relay", (char *)NULL);
@@ -840,6 +843,20 @@
   daemon_pids[n_daemon_pids++] = pid;
 }
 
+bool
+daemon_has_ended (Daemon *daemon, int *status)
+{
+  if (daemon->pid <= 0 || waitpid (daemon->pid, status, WNOHANG) != daemon->pid)
+    return false;
+  for (unsigned i = 0; i < n_daemon_pids; i++)
+    {
+      if (daemon_pids[i] == daemon->pid)
+        daemon_pids[i] = 0;
+    }
+  daemon->pid = 0;
+  return true;
+}
+
 void
 daemon_wait_ready (const Daemon *daemon)
 {
@@ -875,7 +892,7 @@
   snprintf (path, sizeof path, "/proc/%d/status", (int)daemon->pid);
   file = fopen (path, "r");
   while (file != NULL && fgets (line, sizeof line, file) != NULL)
-    sscanf (line, "VmRSS: %ld kB", &kb);
+    sscanf (line, "RssAnon: %ld kB", &kb);
   if (file != NULL)
     fclose (file);
   return kb;
--- a/review/stand/stand.h
+++ b/review/stand/stand.h
@@ -78,8 +78,11 @@
 unsigned free_port (void);
 void daemon_prepare (Daemon *daemons, unsigned n_daemons, unsigned store);
 void daemon_start (Daemon *daemon);
+/* Whether the daemon has ended; status is then that of waitpid. Its id isn't used any more. */
+bool daemon_has_ended (Daemon *daemon, int *status);
 void daemon_wait_ready (const Daemon *daemon);
-/* Returns the process's state of memory in kilobytes: resident now. */
+/* Returns the memory of its own that the process has resident, in kilobytes: without its program,
+ * libraries and files. */
 long daemon_resident_kb (const Daemon *daemon);
 
 #endif
