review/4: streams no longer than their requests say

With a stride of 58 tokens the 130 events of a stream were more than the 130 tokens that the request names; the stride is 1 now.

Disruption: one SIGTERM.

--- a/review/4/case.c
+++ b/review/4/case.c
@@ -33,7 +33,7 @@
       "\"resumable\":false,\"targetGapMs\":300}],\"services\":[{\"name\":\"asystent\","
       "\"healthPath\":\"/health\",\"maxConnections\":360,\"protocol\":\"h1\",\"tls\":false,"
       "\"engine\":{\"slots\":64,\"kvCapacityTokens\":100125,\"kvTokenBytes\":18432,"
-      "\"linkMbps\":2900000.0,\"moves\":true,\"backups\":true,\"stride\":58,\"most\":12,"
+      "\"linkMbps\":2900000.0,\"moves\":true,\"backups\":true,\"stride\":1,\"most\":12,"
       "\"kvRetentionS\":0.5,\"roleSwitchS\":6.0,\"pinMs\":4000.0,\"holdMs\":2000.0,"
       "\"models\":[{\"name\":\"m\"}]}}],\"limits\":{\"maxHeaderBytes\":16384,"
       "\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}";
@@ -168,6 +168,7 @@
   Store *store;
   char entry[512];
   pthread_t threads[CLIENTS];
+  int status = 0;
 
   for (unsigned i = 0; i < sizeof indexes / sizeof indexes[0]; i++)
     indexes[i] = i;
@@ -206,7 +207,7 @@
       record ("without the disruption %u of %u streams are whole", n_whole, 2 * CLIENTS);
       stand_exit (1);
     }
-  if (has_trouble () && waitpid (router.pid, NULL, WNOHANG) == router.pid)
+  if (has_trouble () && daemon_has_ended (&router, &status))
     record ("platform: the daemon had ended by itself");
   record ("%s: %u requests that were sent later than 3 s after SIGTERM were passed on and cut off",
           n_lost > 0 ? "LOST broken" : "LOST held", n_lost);
