A caller's departure during a prefill cancels the request

Cause: on_departed() kept every non-idempotent request alive of which a byte had been sent, and took the link of a prefill for that of an execution. The prefill's end went on to the decode, whose head and body are read from the caller that was NULL.

Change: only an execution outlives its caller, and mf_job_advance(), through which every next step goes, ends a request without a caller. A prefill has executed nothing, so cancelling it loses nothing.

test_caller_departs_in_each_step plays 27 pairs of route and step, those that go on with four ends each.

--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -588,7 +588,16 @@
   mf_job_advance (job);
 }
 
-/* The caller has disconnected. A non-idempotent request already sent to an upstream is left to
+/* Whether an upstream is executing a request that cannot be repeated. A prefill executes nothing.
+ */
+static bool
+job_is_executing_once (const MfJob *job)
+{
+  return job->route->kind == MF_ROUTE_NON_IDEMPOTENT && job->phase == MF_JOB_RUNNING
+         && job->link != NULL && mf_link_has_sent (job->link);
+}
+
+/* The caller has disconnected. A non-idempotent request that an upstream is executing is left to
  * finish, as aborting it halfway gains nothing; everything else is cancelled. */
 static void
 on_departed (void *data, MfCaller *caller)
@@ -600,8 +609,7 @@
     return;
   jobs->counters.counts[MF_RELAY_COUNT_DEPARTED]++;
   job->caller = NULL;
-  if (job->route->kind == MF_ROUTE_NON_IDEMPOTENT && job->link != NULL
-      && mf_link_has_sent (job->link))
+  if (job_is_executing_once (job))
     return;
   job_record_end (job, MF_CODE_DEPARTED, 0, "caller disconnected");
   job_free (job);
--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -223,10 +223,16 @@
     }
 }
 
-/* Decides the next step of a request and starts it. */
+/* Decides the next step of a request and starts it. A request without a caller has no next step:
+ * its head and body are the caller's. */
 void
 mf_job_advance (MfJob *job)
 {
+  if (job->caller == NULL)
+    {
+      mf_job_finish (job, MF_CODE_DEPARTED, "caller disconnected");
+      return;
+    }
   if (mf_job_end_quarantined (job))
     return;
   if (job->is_engine)
--- a/tests/relay_fixture.c
+++ b/tests/relay_fixture.c
@@ -35,7 +35,12 @@
         "\"maxAttempts\":2,\"resumable\":true},"
         "{\"name\":\"once\",\"host\":\"h\",\"pathPrefix\":\"/once/\",\"kind\":\"streaming\","
         "\"timeoutMs\":600,\"targetLatencyMs\":300,\"targetGapMs\":100,\"service\":\"engines\","
-        "\"maxAttempts\":1}],\"services\":[{\"name\":\"shop\"},{\"name\":\"engines\",\"engine\":{"
+        "\"maxAttempts\":1},"
+        "{\"name\":\"buy\",\"host\":\"h\",\"pathPrefix\":\"/buy/\",\"kind\":\"non_idempotent\","
+        "\"timeoutMs\":3000,\"targetLatencyMs\":300,\"service\":\"engines\",\"maxAttempts\":1},"
+        "{\"name\":\"ask\",\"host\":\"h\",\"pathPrefix\":\"/ask/\",\"kind\":\"idempotent\","
+        "\"timeoutMs\":3000,\"targetLatencyMs\":900,\"service\":\"engines\",\"maxAttempts\":2}],"
+        "\"services\":[{\"name\":\"shop\"},{\"name\":\"engines\",\"engine\":{"
         "\"slots\":4,\"kvCapacityTokens\":100000,\"kvRetentionS\":0.5,\"roleSwitchS\":6,\"stride\":"
         "10}}],"
         "\"limits\":{}}";
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -38,8 +38,8 @@
 } RelayFixture;
 
 /* Listens at a port of the loopback address. Routes by path prefix: /read/ (idempotent) and /order/
- * (non-idempotent) to the plain service "shop", /llm/ and /once/ to the service "engines"; only
- * /llm/ is resumable. */
+ * (non-idempotent) to the plain service "shop"; to the service "engines" the streams /llm/
+ * (resumable) and /once/, and without streams /ask/ (idempotent) and /buy/ (non-idempotent). */
 void relay_fixture_setup (RelayFixture *fixture, struct ev_loop *loop, uint16_t port);
 /* Does not free the loop. */
 void relay_fixture_teardown (RelayFixture *fixture);
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -1,3 +1,5 @@
+#include "libmangofork/relay/job_row.h"
+
 #include "libmangofork/clock.h"
 
 #include "loop_pump.h"
@@ -866,6 +868,229 @@
     }
 }
 
+/* The step of a request during which its caller leaves. */
+typedef enum
+{
+  DEPARTS_QUEUED,    /* it waits for a slot of an engine */
+  DEPARTS_QUERYING,  /* engines are queried for the version that began its stream */
+  DEPARTS_PREFILL,   /* an engine prefills its prompt */
+  DEPARTS_BETWEEN,   /* its prompt is prefilled, and the decode engine has requested a pause */
+  DEPARTS_RUNNING,   /* an upstream executes it */
+  DEPARTS_STREAMING, /* a part of its stream has been passed on */
+  DEPARTS_RETRIED,   /* one upstream has declined it, and another one executes it */
+} DepartureStep;
+
+/* A departure. outlives: the request is not cancelled. frees_kv: its prefilled KV is freed. */
+typedef struct
+{
+  const char *path;
+  DepartureStep step;
+  bool outlives;
+  bool frees_kv;
+} Departure;
+
+static const Departure departures[] = {
+  { "/read/1", DEPARTS_RUNNING, false, false }, { "/read/1", DEPARTS_RETRIED, false, false },
+  { "/order/1", DEPARTS_RUNNING, true, false }, { "/order/1", DEPARTS_RETRIED, true, false },
+  { "/llm/1", DEPARTS_QUEUED, false, false },   { "/llm/1", DEPARTS_QUERYING, false, false },
+  { "/llm/1", DEPARTS_PREFILL, false, false },  { "/llm/1", DEPARTS_BETWEEN, false, true },
+  { "/llm/1", DEPARTS_RUNNING, false, true },   { "/llm/1", DEPARTS_STREAMING, false, true },
+  { "/llm/1", DEPARTS_RETRIED, false, true },   { "/once/1", DEPARTS_QUEUED, false, false },
+  { "/once/1", DEPARTS_PREFILL, false, false }, { "/once/1", DEPARTS_BETWEEN, false, true },
+  { "/once/1", DEPARTS_RUNNING, false, true },  { "/once/1", DEPARTS_STREAMING, false, true },
+  { "/once/1", DEPARTS_RETRIED, false, true },  { "/ask/1", DEPARTS_QUEUED, false, false },
+  { "/ask/1", DEPARTS_PREFILL, false, false },  { "/ask/1", DEPARTS_BETWEEN, false, true },
+  { "/ask/1", DEPARTS_RUNNING, false, true },   { "/ask/1", DEPARTS_RETRIED, false, true },
+  { "/buy/1", DEPARTS_QUEUED, false, false },   { "/buy/1", DEPARTS_PREFILL, false, false },
+  { "/buy/1", DEPARTS_BETWEEN, false, true },   { "/buy/1", DEPARTS_RUNNING, true, false },
+  { "/buy/1", DEPARTS_RETRIED, true, false },
+};
+
+static const Departure *departure;
+static uint32_t n_kv_freed;
+
+static bool
+departure_is_plain (void)
+{
+  return strncmp (departure->path, "/read/", 6) == 0
+         || strncmp (departure->path, "/order/", 7) == 0;
+}
+
+/* The upstream that receives the request last. */
+static uint32_t
+departure_upstream (void)
+{
+  bool is_plain = departure_is_plain ();
+
+  if (departure->step == DEPARTS_RETRIED)
+    return is_plain ? 1 : 3;
+  return is_plain || departure->step == DEPARTS_PREFILL ? 0 : 2;
+}
+
+static void
+handle_departure_prefill (FakeUpstreamConn *conn, const char *text, const char *id)
+{
+  n_kv_freed += strncmp (text, "DELETE ", 7) == 0;
+  if (departure->step != DEPARTS_PREFILL)
+    relay_fixture_prefill (conn, text, id);
+}
+
+static void
+handle_departure_first (FakeUpstreamConn *conn, const char *text, const char *id)
+{
+  if (departure->step == DEPARTS_RETRIED)
+    relay_fixture_decline (conn, text, id);
+  else if (departure->step == DEPARTS_BETWEEN)
+    handle_pause (conn, text, id);
+  else if (departure->step == DEPARTS_STREAMING)
+    relay_fixture_stream_hangs (conn, text, id);
+}
+
+static bool
+has_reached_step (void *data)
+{
+  const RelayFixture *fixture = data;
+  const MfJob *job = fixture->jobs.first;
+
+  if (job == NULL)
+    return false;
+  switch (departure->step)
+    {
+    case DEPARTS_QUEUED:
+      return job->phase == MF_JOB_WAITING && job->slot_request_id != 0;
+    case DEPARTS_QUERYING:
+      return job->awaits_engines;
+    case DEPARTS_PREFILL:
+      return job->phase == MF_JOB_PREFILL && relay_fixture_n_requests (fixture, 0) > 0;
+    case DEPARTS_BETWEEN:
+      return job->phase == MF_JOB_WAITING && job->kv_target != NULL && job->n_arrivals > 0;
+    case DEPARTS_STREAMING:
+      return job->events.n_events > 0;
+    default:
+      return job->phase == MF_JOB_RUNNING
+             && relay_fixture_n_requests (fixture, departure_upstream ()) > 0;
+    }
+}
+
+/* Brings a request of the departure's route to its step. Returns the caller's socket. */
+static int
+departure_begin (RelayFixture *fixture)
+{
+  bool is_plain = departure_is_plain ();
+  char text[320];
+  int fd;
+
+  n_kv_freed = 0;
+  relay_fixture_setup (fixture, ev_loop_new (0), PORT);
+  relay_fixture_add_upstream (fixture, 0, is_plain ? MF_ROLE_PLAIN : MF_ROLE_PREFILL,
+                              is_plain ? handle_departure_first : handle_departure_prefill);
+  if (is_plain && departure->step == DEPARTS_RETRIED)
+    relay_fixture_add_upstream (fixture, 1, MF_ROLE_PLAIN, handle_no_answer);
+  if (!is_plain)
+    relay_fixture_add_upstream (fixture, 2, MF_ROLE_DECODE, handle_departure_first);
+  if (!is_plain && departure->step == DEPARTS_QUEUED)
+    {
+      MfTarget *decode = mf_targets_by_hash (&fixture->jobs.targets, mf_load_hash ("u2"));
+
+      for (uint32_t i = 0; i < decode->info.slots; i++)
+        mf_target_reserve (decode, 1);
+    }
+  if (departure->step == DEPARTS_QUERYING)
+    fixture->jobs.upstreams_as_of_us = 0;
+  if (!is_plain && departure->step == DEPARTS_RETRIED)
+    relay_fixture_add_upstream (fixture, 3, MF_ROLE_DECODE, handle_no_answer);
+  fd = loop_connect (PORT);
+  assert_true (fd >= 0);
+  snprintf (text, sizeof text,
+            "POST %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: t\r\nX-Deadline-Ms: 3000\r\n"
+            "X-Token-Count: 100,40\r\nX-Prompt-Prefix: a1:100\r\n%sContent-Length: 2\r\n\r\nhi",
+            departure->path, departure->step == DEPARTS_QUERYING ? "Last-Event-Id: 3\r\n" : "");
+  loop_send (fd, text, strlen (text));
+  assert_true (loop_pump (fixture->loop, has_reached_step, fixture));
+  /* Queries of engines arrive as well. */
+  loop_spin (fixture->loop, 3);
+  return fd;
+}
+
+static bool
+has_no_jobs (void *data)
+{
+  return ((RelayFixture *)data)->jobs.n_jobs == 0;
+}
+
+static bool
+has_freed_kv (void *data)
+{
+  (void)data;
+  return n_kv_freed > 0;
+}
+
+static uint32_t
+n_all_requests (const RelayFixture *fixture)
+{
+  uint32_t n_requests = 0;
+
+  for (uint32_t i = 0; i < RELAY_FIXTURE_N_UPSTREAMS; i++)
+    n_requests += fixture->upstreams[i].server != NULL ? relay_fixture_n_requests (fixture, i) : 0;
+  return n_requests;
+}
+
+static bool
+has_closed (void *data)
+{
+  const RelayFixture *fixture = data;
+
+  return fake_upstream_n_closed (fixture->upstreams[departure_upstream ()].server) > 0;
+}
+
+/* How the upstream ends a request that outlives its caller. */
+static const RelayFixtureHandler departure_ends[]
+    = { handle_good, handle_fail, relay_fixture_decline, handle_reset };
+
+static void
+departure_check (RelayFixtureHandler end)
+{
+  RelayFixture fixture;
+  int fd = departure_begin (&fixture);
+  uint32_t n_requests = n_all_requests (&fixture);
+  FakeUpstreamConn *conn;
+
+  close (fd);
+  loop_spin (fixture.loop, 5);
+  assert_int_equal (fixture.jobs.n_jobs, departure->outlives);
+  if (departure->step == DEPARTS_PREFILL || departure->step == DEPARTS_RUNNING
+      || departure->step == DEPARTS_STREAMING || departure->step == DEPARTS_RETRIED)
+    assert_int_equal (has_closed (&fixture), !departure->outlives);
+  /* The answer comes after the departure. */
+  conn = fake_upstream_last_conn (fixture.upstreams[departure_upstream ()].server);
+  if (departure->outlives)
+    end (conn, "", "t");
+  assert_true (loop_pump (fixture.loop, has_no_jobs, &fixture));
+  if (departure->frees_kv)
+    assert_true (loop_pump (fixture.loop, has_freed_kv, &fixture));
+  loop_spin (fixture.loop, 5);
+  /* KV of an execution that an upstream declines is unused. */
+  if (!departure->outlives)
+    assert_int_equal (n_kv_freed, departure->frees_kv);
+  assert_int_equal (n_all_requests (&fixture) - n_requests, n_kv_freed);
+  teardown (&fixture);
+}
+
+/* A caller that left during the prefill of a non-idempotent request crashed the instance, which
+ * went on with the decode. Whatever the step: an execution that must not be repeated ends as its
+ * upstream ends it, everything else is cancelled with its KV, and nothing is sent any more. */
+static void
+test_caller_departs_in_each_step (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (departures); i++)
+    {
+      departure = &departures[i];
+      for (size_t end = 0; end < (departure->outlives ? MF_ARRAY_LEN (departure_ends) : 1); end++)
+        departure_check (departure_ends[end]);
+    }
+}
+
 int
 main (void)
 {
@@ -891,6 +1116,7 @@
     cmocka_unit_test (test_broken_stream_that_cannot_be_resumed_does_not_look_complete),
     cmocka_unit_test (test_stream_without_time_is_refused_at_once),
     cmocka_unit_test (test_departed_caller_stops_its_work),
+    cmocka_unit_test (test_caller_departs_in_each_step),
     cmocka_unit_test (test_upstream_that_says_it_leaves_gets_no_more),
     cmocka_unit_test (test_engine_that_says_it_leaves_gets_no_more),
     cmocka_unit_test (test_upstream_that_asks_for_a_pause_gets_it),
