A reset that a write has taken does not end an answer

Cause: a socket reports its error once. link_flush() got ECONNRESET, ignored it and left the judgement to the reader, whose read() then returned 0: an orderly end, which completes an answer without a length.

Change: the link records that a write has failed and does not take the end of the connection for an orderly one after that. A first EPIPE is left out: the kernel reports a reset after the peer's orderly end so, and that answer is whole. Nothing is written after a failed write.

test_reset_that_a_write_has_seen_is_no_end plays ten answers with and without an unsent rest, read before the end and with it. It failed before: the end was MF_LINK_CLOSED where MF_LINK_BROKEN is due.

--- a/libmangofork/relay/link.c
+++ b/libmangofork/relay/link.c
@@ -56,6 +56,9 @@
   uint32_t n_requests;  /* sent on this connection */
   uint64_t carried_ids[CARRIED_IDS_MAX]; /* hashes of their ids; the oldest is overwritten */
   bool has_sent;
+  /* A write has failed as the connection was reset or timed out. The write has taken the error from
+   * the socket, and reads report an orderly end after it. */
+  bool write_broken;
   bool no_request;  /* opened by mf_link_open */
   bool in_callback; /* a callback is running */
   bool cancelled;   /* from within a callback */
@@ -275,10 +278,13 @@
   return true;
 }
 
-/* Handles a connection that the peer has closed (clean), or that has failed. */
+/* Handles the end of a connection. at_end is set when the last read has reported the peer's orderly
+ * end, which proves that all bytes of a response without a length have come, unless a write has
+ * failed before. */
 static void
-link_closed (MfLink *link, bool clean)
+link_closed (MfLink *link, bool at_end)
 {
+  bool clean = at_end && !link->write_broken;
   bool complete;
 
   link->in_callback = true;
@@ -319,7 +325,9 @@
 }
 
 /* Sends the rest of the request, as far as the socket takes it. Returns false on a failed
- * connection. */
+ * connection, after which nothing more is sent. The first write reports EPIPE only when the reset
+ * has followed the peer's orderly end: a peer may respond and close before it has read the complete
+ * request, and its response is whole. */
 static bool
 link_flush (MfLink *link)
 {
@@ -336,7 +344,11 @@
           return true;
         }
       if (n_sent < 0)
-        return false;
+        {
+          link->write_broken = errno != EPIPE;
+          ev_io_stop (link->pool->loop, &link->writer);
+          return false;
+        }
       link->has_sent = true;
       mf_buffer_consume (&link->out, (size_t)n_sent);
     }
@@ -411,12 +423,8 @@
     }
   /* A peer may respond and close before it has read the complete request; its response is read
    * first. */
-  if (!link_flush (link))
-    {
-      ev_io_stop (link->pool->loop, &link->writer);
-      if (!link->has_sent)
-        link_fail (link, "the connection was reset");
-    }
+  if (!link_flush (link) && !link->has_sent)
+    link_fail (link, "the connection was reset");
 }
 
 static void
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -11,6 +11,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <cmocka.h>
 
 #define REQUEST "POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: mine\r\nContent-Length: 2\r\n\r\n"
@@ -343,6 +348,140 @@
   exchange_end (&exchange);
 }
 
+/* More than the buffers of a connection hold, so that a part of the request stays unsent. */
+#define LONG_BODY_BYTES (32 * 1024 * 1024)
+
+/* How a connection ends after its response. */
+typedef enum
+{
+  CLOSE_ORDERLY,
+  CLOSE_RESET,
+  CLOSE_ORDERLY_THEN_RESET, /* as of a peer that has not read the complete request */
+} CloseKind;
+
+typedef struct
+{
+  const char *response;
+  CloseKind close;
+  MfLinkEnd end;
+} ClosedResponse;
+
+#define UNFRAMED "HTTP/1.1 200 OK\r\nX-Attempt-Id: mine\r\n\r\nwhole"
+#define WITH_LENGTH "HTTP/1.1 200 OK\r\nX-Attempt-Id: mine\r\nContent-Length: 5\r\n\r\nwhole"
+#define IN_CHUNKS                                                                                  \
+  "HTTP/1.1 200 OK\r\nX-Attempt-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n"      \
+  "0\r\n\r\n"
+
+static const ClosedResponse closed_responses[] = {
+  { UNFRAMED, CLOSE_ORDERLY, MF_LINK_CLOSED },
+  { UNFRAMED, CLOSE_RESET, MF_LINK_BROKEN },
+  { UNFRAMED, CLOSE_ORDERLY_THEN_RESET, MF_LINK_CLOSED },
+  { WITH_LENGTH, CLOSE_ORDERLY, MF_LINK_COMPLETE },
+  { WITH_LENGTH, CLOSE_RESET, MF_LINK_COMPLETE },
+  { WITH_LENGTH, CLOSE_ORDERLY_THEN_RESET, MF_LINK_COMPLETE },
+  { IN_CHUNKS, CLOSE_ORDERLY, MF_LINK_COMPLETE },
+  { IN_CHUNKS, CLOSE_RESET, MF_LINK_COMPLETE },
+  { IN_CHUNKS, CLOSE_ORDERLY_THEN_RESET, MF_LINK_COMPLETE },
+  { "HTTP/1.1 200 OK\r\nX-Attempt-Id: mine\r\nContent-Length: 6\r\n\r\nwhole", CLOSE_ORDERLY,
+    MF_LINK_BROKEN },
+};
+
+static int
+listen_anywhere (char address[MF_ADDRESS_BYTES])
+{
+  struct sockaddr_in own
+      = { .sin_family = AF_INET, .sin_addr = { .s_addr = htonl (INADDR_LOOPBACK) } };
+  socklen_t own_bytes = sizeof own;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  assert_true (fd >= 0);
+  assert_int_equal (bind (fd, (struct sockaddr *)&own, sizeof own), 0);
+  assert_int_equal (listen (fd, 4), 0);
+  assert_int_equal (getsockname (fd, (struct sockaddr *)&own, &own_bytes), 0);
+  snprintf (address, MF_ADDRESS_BYTES, "127.0.0.1:%u", ntohs (own.sin_port));
+  return fd;
+}
+
+/* Ends a connection. An orderly end leaves the socket open for reading. */
+static void
+connection_close (int fd, CloseKind how)
+{
+  struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+
+  if (how != CLOSE_RESET)
+    shutdown (fd, SHUT_WR);
+  if (how != CLOSE_ORDERLY)
+    {
+      setsockopt (fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+      close (fd);
+    }
+}
+
+/* Plays one response. unsent: a part of the request is still to be sent when the connection ends,
+ * so that a write sees the reset first. read_before: the response has been read by then. */
+static void
+closed_response_check (const ClosedResponse *closed, const char *body, bool unsent,
+                       bool read_before)
+{
+  Exchange exchange;
+  char address[MF_ADDRESS_BYTES];
+  int listener = listen_anywhere (address);
+  bool is_open = true;
+  MfLink *link;
+  int fd;
+
+  exchange_begin (&exchange, NULL);
+  mf_name_set (exchange.pool.address, sizeof exchange.pool.address, address);
+  link = mf_link_start (&exchange.pool, &(MfLinkRequest){
+                                            .callbacks = &callbacks,
+                                            .data = &exchange,
+                                            .head = REQUEST,
+                                            .head_bytes = strlen (REQUEST),
+                                            .body = body,
+                                            .body_bytes = unsent ? LONG_BODY_BYTES : 2,
+                                            .echo_id = "mine",
+                                        });
+  assert_non_null (link);
+  fd = accept (listener, NULL, NULL);
+  assert_true (fd >= 0);
+  loop_spin (exchange.loop, 5);
+  assert_true (mf_link_has_sent (link));
+  assert_true (send (fd, closed->response, strlen (closed->response), MSG_NOSIGNAL) > 0);
+  if (read_before)
+    loop_spin (exchange.loop, 3);
+  if (exchange.n_ends == 0)
+    {
+      connection_close (fd, closed->close);
+      is_open = closed->close == CLOSE_ORDERLY;
+    }
+  assert_true (loop_pump (exchange.loop, has_ended, &exchange));
+  assert_int_equal (exchange.end, closed->end);
+  assert_string_equal (exchange.body, "whole");
+  if (is_open)
+    close (fd);
+  close (listener);
+  exchange_end (&exchange);
+}
+
+/* A reset that a write of the request has seen left a response without a length complete: the write
+ * takes the error from the socket, and the next read reports an orderly end. */
+static void
+test_reset_that_a_write_has_seen_is_no_end (void **state)
+{
+  char *body = calloc (1, LONG_BODY_BYTES);
+
+  (void)state;
+  assert_non_null (body);
+  for (size_t i = 0; i < MF_ARRAY_LEN (closed_responses); i++)
+    {
+      closed_response_check (&closed_responses[i], body, true, true);
+      closed_response_check (&closed_responses[i], body, true, false);
+      closed_response_check (&closed_responses[i], body, false, true);
+      closed_response_check (&closed_responses[i], body, false, false);
+    }
+  free (body);
+}
+
 int
 main (void)
 {
@@ -355,6 +494,7 @@
     cmocka_unit_test (test_bytes_on_an_idle_connection_close_it),
     cmocka_unit_test (test_broken_answers),
     cmocka_unit_test (test_answer_without_length),
+    cmocka_unit_test (test_reset_that_a_write_has_seen_is_no_end),
     cmocka_unit_test (test_nobody_listens),
     cmocka_unit_test (test_cancel_closes_the_connection),
     cmocka_unit_test (test_answer_with_an_id_to_a_call_without_one_is_passed_over),
