Nothing is sent that might be cut off by the exit

Cause: the end of a request was judged once, at its arrival, and for streams by 40 in 100 of the grace period, which says nothing of the stream. Second stages, retries, resumed streams and waiting requests were not judged at all, and at the exit connections were closed without an answer.

Waiting requests that are not admitted are refused at SIGTERM, and what is left at the exit is answered. So every accepted request has its answer, or can be continued elsewhere.

--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -91,6 +91,14 @@
          || (job->route->kind == MF_ROUTE_STREAMING && job->route->resumable);
 }
 
+/* Whether the current send may be executed by the upstream that is to answer it; a prefill executes
+ * nothing. */
+bool
+mf_job_is_at_upstream (const MfJob *job)
+{
+  return job->link != NULL && job->phase != MF_JOB_PREFILL && mf_link_has_sent (job->link);
+}
+
 static void
 job_free (MfJob *job)
 {
@@ -509,19 +517,6 @@
   mf_buffer_clear (&headers);
 }
 
-/* Whether this process may exit before it could answer a request that starts now. */
-static bool
-exits_too_soon (const MfJobs *jobs, const MfRoute *route)
-{
-  uint64_t now_us = mf_clock_now_us ();
-
-  if (jobs->exit_by_us == 0)
-    return false;
-  if (route->kind == MF_ROUTE_STREAMING)
-    return now_us >= jobs->no_streams_after_us;
-  return now_us + route->timeout_us > jobs->exit_by_us;
-}
-
 static void
 on_request (void *data, MfCaller *caller)
 {
@@ -568,11 +563,8 @@
       return;
     }
   mf_budget_note_request (&mf_jobs_budget (jobs, job->service->name)->budget, mf_clock_now_us ());
-  if (exits_too_soon (jobs, route))
-    {
-      mf_job_refuse (job, MF_CODE_DRAINING, "instance exits before the answer could be complete");
-      return;
-    }
+  if (mf_job_end_unfinishable (job, false))
+    return;
   if (job->is_engine && job->give_up_us <= job->started_us)
     {
       mf_job_refuse (job, MF_CODE_QUEUE_FULL, "not enough time left for a complete answer");
@@ -588,15 +580,6 @@
   mf_job_advance (job);
 }
 
-/* Whether an upstream is executing a request that cannot be repeated. A prefill executes nothing.
- */
-static bool
-job_is_executing_once (const MfJob *job)
-{
-  return job->route->kind == MF_ROUTE_NON_IDEMPOTENT && job->phase == MF_JOB_RUNNING
-         && job->link != NULL && mf_link_has_sent (job->link);
-}
-
 /* The caller has disconnected. A non-idempotent request that an upstream is executing is left to
  * finish, as aborting it halfway gains nothing; everything else is cancelled. */
 static void
@@ -609,7 +592,7 @@
     return;
   jobs->counters.counts[MF_RELAY_COUNT_DEPARTED]++;
   job->caller = NULL;
-  if (job_is_executing_once (job))
+  if (job->route->kind == MF_ROUTE_NON_IDEMPOTENT && mf_job_is_at_upstream (job))
     return;
   job_record_end (job, MF_CODE_DEPARTED, 0, "caller disconnected");
   job_free (job);
--- a/libmangofork/relay/job.h
+++ b/libmangofork/relay/job.h
@@ -9,6 +9,7 @@
 #include "peers.h"
 #include "place.h"
 #include "relay_counters.h"
+#include "shutdown.h"
 #include "stage.h"
 
 /* Bytes of a request id, including the terminating NUL. */
@@ -112,19 +113,20 @@
   uint32_t n_jobs;
   uint64_t n_ended; /* requests ended since the process started */
   uint32_t jobs_max;
-  uint64_t answer_bytes_max;    /* limit of the memory taken by all buffered answers */
-  ev_timer dispatch_timer;      /* runs the dispatcher periodically while requests wait */
-  ev_timer dispatch_now_timer;  /* runs the dispatcher in the next iteration of the loop */
-  ev_timer quarantine_timer;    /* ends quarantined requests in the next iteration of the loop */
-  uint64_t random_state;        /* state of the random number generator */
-  uint64_t no_streams_after_us; /* set while draining; 0: not draining */
-  uint64_t exit_by_us; /* latest time of the process's exit while draining; 0: not draining */
+  uint64_t answer_bytes_max;   /* limit of the memory taken by all buffered answers */
+  ev_timer dispatch_timer;     /* runs the dispatcher periodically while requests wait */
+  ev_timer dispatch_now_timer; /* runs the dispatcher in the next iteration of the loop */
+  ev_timer quarantine_timer;   /* ends quarantined requests in the next iteration of the loop */
+  uint64_t random_state;       /* state of the random number generator */
+  MfShutdown shutdown;
   MfRelayCounters counters;
 } MfJobs;
 
 void mf_jobs_init (MfJobs *jobs, struct ev_loop *loop, const MfDialect *dialect, MfRelayLog *log);
 void mf_jobs_clear (MfJobs *jobs);
 void mf_jobs_configure (MfJobs *jobs, MfRoutes *routes);
+void mf_jobs_shut_down (MfJobs *jobs, const MfShutdown *shutdown);
+void mf_jobs_end_all (MfJobs *jobs);
 void mf_jobs_run_dispatch (MfJobs *jobs);
 void mf_jobs_refresh_remote_load (MfJobs *jobs, uint64_t now_us);
 void mf_jobs_tick_leadership (MfJobs *jobs, uint64_t now_us, uint64_t boottime_us);
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -149,6 +149,7 @@
 void mf_job_reset_give_up (MfJob *job);
 void mf_job_answer_clear (MfJobAnswer *answer);
 bool mf_job_may_retry (const MfJob *job);
+bool mf_job_is_at_upstream (const MfJob *job);
 void mf_jobs_note_first_event (MfJobs *jobs, uint64_t took_us);
 void mf_jobs_note_answer (MfJobs *jobs, uint64_t tokens, uint64_t took_us);
 
@@ -220,6 +221,9 @@
 uint32_t mf_jobs_n_instances (const MfJobs *jobs);
 uint32_t mf_job_connections_max (const MfJob *job);
 
+/* job_shutdown.c: planned stops of this process. */
+bool mf_job_end_unfinishable (MfJob *job, bool is_accepted);
+
 /* job_send.c: starts and cancels exchanges with upstreams. */
 bool mf_job_send (MfJob *job, MfTarget *target, bool prefill);
 void mf_job_cancel (MfJob *job);
--- a/libmangofork/relay/job_send.c
+++ b/libmangofork/relay/job_send.c
@@ -246,8 +246,8 @@
   return 0;
 }
 
-/* Sends a prefill or a run to an upstream. Returns false if the request has ended because memory
- * ran out. */
+/* Sends a prefill or a run to an upstream. Returns false if the request has ended: memory has run
+ * out, or this process might exit before the answer is complete. */
 bool
 mf_job_send (MfJob *job, MfTarget *target, bool prefill)
 {
@@ -257,6 +257,8 @@
   bool run_once = !prefill && !mf_job_may_retry (job);
   MfBuffer head = { 0 };
 
+  if (mf_job_end_unfinishable (job, true))
+    return false;
   job_write_head (job, target, prefill, &head);
   job->target = mf_target_ref (target);
   job->was_suspect = mf_job_is_suspect (job);
--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -781,13 +781,6 @@
   return true;
 }
 
-/* Whether the current send may be executed by the upstream that is to answer it. */
-static bool
-job_is_at_upstream (const MfJob *job)
-{
-  return job->link != NULL && job->phase != MF_JOB_PREFILL && mf_link_has_sent (job->link);
-}
-
 /* Ends the requests that are quarantined now and whose answers have not begun, wherever they are:
  * cancelling one may come before the crash. */
 void
@@ -797,7 +790,7 @@
 
   for (MfJob *job = jobs->first; job != NULL; job = next)
     {
-      bool is_at_upstream = job_is_at_upstream (job);
+      bool is_at_upstream = mf_job_is_at_upstream (job);
 
       next = job->next;
       if (job->caller == NULL || job->answer_began || job->trial_part != 0)
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -35,15 +35,10 @@
 /* During shutdown, idle connections are closed when the load balancer has had time to stop using
  * this instance: it checks readiness every second and acts on the second failure. */
 #define DRAIN_CLOSE_IDLE_US (2500 * MF_US_PER_MS)
-/* Part of the grace period after which no stream is started any more: the longest streams need the
- * rest of it. */
-#define DRAIN_STREAMS_PERCENT 40
 /* Part of the grace period after which no connection is accepted any more. By then the load
  * balancer opens only connections for its checks, and a later request might be cut off by the end
  * of the process. */
 #define DRAIN_ACCEPT_PERCENT 70
-/* The process exits this long before it would be killed. */
-#define EXIT_MARGIN_US (250 * MF_US_PER_MS)
 
 /* Limits of a listener unless the configuration sets others. */
 static const MfListenerLimits default_limits = {
@@ -72,22 +67,28 @@
   ev_timer tick;
   bool is_ready;
   bool source_is_up;
-  uint64_t ask_engines_us;   /* when the engines are asked what they hold; 0: they have been */
-  bool has_listed;           /* the first list of upstreams is complete */
-  uint64_t source_seen_us;   /* last answer of the source */
-  uint64_t others_read_us;   /* another instance last got an answer of the source */
-  uint64_t keep_until_us;    /* upstreams without an entry are kept until then */
-  uint64_t drain_started_us; /* 0: no shutdown */
+  uint64_t ask_engines_us; /* when the engines are asked what they hold; 0: they have been */
+  bool has_listed;         /* the first list of upstreams is complete */
+  uint64_t source_seen_us; /* last answer of the source */
+  uint64_t others_read_us; /* another instance last got an answer of the source */
+  uint64_t keep_until_us;  /* upstreams without an entry are kept until then */
   bool idle_closed;
   MfFeedFreshness freshness;
   uint64_t settings_checked_us; /* last check of the settings file */
   struct timespec settings_mtime;
 };
 
+/* Whether SIGTERM has come. */
+static bool
+relay_is_stopping (const MfRelay *relay)
+{
+  return relay->jobs.shutdown.started_us > 0;
+}
+
 static void
 ready_update (MfRelay *relay)
 {
-  bool is_ready = relay->jobs.routes != NULL && relay->has_listed && relay->drain_started_us == 0;
+  bool is_ready = relay->jobs.routes != NULL && relay->has_listed && !relay_is_stopping (relay);
 
   if (is_ready == relay->is_ready)
     return;
@@ -95,7 +96,7 @@
   mf_relay_log_state (
       relay->log, "ready", "ready=%s config=%llu upstreams=%u draining=%s", is_ready ? "yes" : "no",
       (unsigned long long)(relay->jobs.routes != NULL ? relay->jobs.routes->version : 0),
-      relay->jobs.targets.n_targets, relay->drain_started_us > 0 ? "yes" : "no");
+      relay->jobs.targets.n_targets, relay_is_stopping (relay) ? "yes" : "no");
 }
 
 static void
@@ -526,8 +527,9 @@
 static void
 drain_step (MfRelay *relay)
 {
-  uint64_t elapsed_us = mf_clock_now_us () - relay->drain_started_us;
-  uint64_t limit_us = relay->settings.grace_us - EXIT_MARGIN_US;
+  const MfShutdown *shutdown = &relay->jobs.shutdown;
+  uint64_t now_us = mf_clock_now_us ();
+  uint64_t elapsed_us = now_us - shutdown->started_us;
 
   if (elapsed_us >= DRAIN_CLOSE_IDLE_US)
     {
@@ -537,11 +539,17 @@
       relay->idle_closed = true;
       mf_listener_close_idle (relay->listener);
     }
-  if (elapsed_us >= relay->settings.grace_us * DRAIN_ACCEPT_PERCENT / 100)
+  if (elapsed_us >= shutdown->grace_us * DRAIN_ACCEPT_PERCENT / 100)
     mf_listener_stop_accepting (relay->listener);
-  if ((relay->idle_closed && relay->jobs.n_jobs == 0
-       && mf_listener_n_callers (relay->listener) == 0)
-      || elapsed_us >= limit_us)
+  if (now_us >= mf_shutdown_exit_by_us (shutdown))
+    {
+      mf_relay_log_state (relay->log, "drain.over", "requests=%u callers=%u", relay->jobs.n_jobs,
+                          mf_listener_n_callers (relay->listener));
+      mf_jobs_end_all (&relay->jobs);
+      ev_break (relay->loop, EVBREAK_ALL);
+    }
+  else if (relay->idle_closed && relay->jobs.n_jobs == 0
+           && mf_listener_n_callers (relay->listener) == 0)
     ev_break (relay->loop, EVBREAK_ALL);
 }
 
@@ -570,7 +578,7 @@
   settings_watch (relay, now_us);
   /* Reports of a peer that has become silent expire. */
   relay->jobs.remote_load_stale = true;
-  if (relay->drain_started_us > 0)
+  if (relay_is_stopping (relay))
     drain_step (relay);
   else
     mf_jobs_tick_leadership (&relay->jobs, now_us, mf_clock_boottime_us ());
@@ -583,15 +591,13 @@
 
   (void)loop;
   (void)events;
-  if (relay->drain_started_us > 0)
+  if (relay_is_stopping (relay))
     return;
-  relay->drain_started_us = mf_clock_now_us ();
-  relay->jobs.no_streams_after_us
-      = relay->drain_started_us + relay->settings.grace_us * DRAIN_STREAMS_PERCENT / 100;
-  relay->jobs.exit_by_us = relay->drain_started_us + relay->settings.grace_us - EXIT_MARGIN_US;
   mf_relay_log_state (relay->log, "stop", "signal=%d requests=%u callers=%u", watcher->signum,
                       relay->jobs.n_jobs, mf_listener_n_callers (relay->listener));
   mf_listener_end_keep_alive (relay->listener);
+  mf_jobs_shut_down (&relay->jobs, &(MfShutdown){ .started_us = mf_clock_now_us (),
+                                                  .grace_us = relay->settings.grace_us });
   ready_update (relay);
 }
 
