--- a/libmangofork/relay/job_answer.c
+++ b/libmangofork/relay/job_answer.c
@@ -271,7 +271,6 @@
       return;
     }
   mf_job_avoid (job, target->id_hash);
-  mf_event_stream_discard_partial (&job->events);
   if (!mf_job_may_retry (job) || (job->head_sent && !job->events.has_last_id)
       || job->n_runs >= job->route->attempts_max)
     {
--- a/tests/test_job_answer.c
+++ b/tests/test_job_answer.c
@@ -302,6 +302,49 @@
   fake_upstream_conn_close (conn, false);
 }
 
+/* Sends event 1 and a part of event 2, and stalls. */
+static void
+handle_stream_stalls_inside (FakeUpstreamConn *conn, const char *text, const char *id)
+{
+  (void)text;
+  (void)id;
+  fake_upstream_conn_send (conn, RELAY_FIXTURE_STREAM_HEAD
+                           "f\r\nid: 1\ndata: a\n\n\r\n8\r\nid: 2\nda\r\n");
+}
+
+/* Sends events 2 and 3 to a caller that has the first. */
+static void
+handle_stream_rest (FakeUpstreamConn *conn, const char *text, const char *id)
+{
+  char last[16] = "";
+
+  (void)id;
+  fake_upstream_request_header (text, "Last-Event-Id", last, sizeof last);
+  assert_string_equal (last, "1");
+  fake_upstream_conn_send (conn, RELAY_FIXTURE_STREAM_HEAD
+                           "f\r\nid: 2\ndata: b\n\n\r\nf\r\nid: 3\ndata: c\n\n\r\n0\r\n\r\n");
+}
+
+#define WHOLE_STREAM                                                                               \
+  "\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\nf\r\nid: 3\ndata: "               \
+  "c\n\n\r\n0\r\n\r\n"
+
+/* A stream that stalled inside an event was resumed at another upstream, and the beginning of that
+ * event was joined to the other upstream's events. */
+static void
+test_event_that_stalled_is_not_joined_to_the_next_run (void **state)
+{
+  RelayFixture fixture;
+
+  (void)state;
+  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_stream_stalls_inside);
+  relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_stream_rest);
+  call (&fixture, "POST", "/llm/1");
+  assert_string_equal (strstr (fixture.received, "\r\n\r\n"), WHOLE_STREAM);
+  teardown (&fixture);
+}
+
 static const char *error_answer;
 
 static void
@@ -615,6 +658,7 @@
     cmocka_unit_test (test_endless_event_ends_the_stream),
     cmocka_unit_test (test_endless_answer_of_a_removed_upstream),
     cmocka_unit_test (test_stream_closed_inside_an_event_is_broken_off),
+    cmocka_unit_test (test_event_that_stalled_is_not_joined_to_the_next_run),
     cmocka_unit_test (test_error_of_the_next_upstream_is_no_part_of_a_stream),
     cmocka_unit_test (test_head_that_breaks_off_is_no_answer),
     cmocka_unit_test (test_stream_closed_after_its_last_event_is_complete),
