What follows an invalid event of a stream is not passed on

Cause: mf_event_stream_feed() passed on every event without an id, and read "12xyz" as 12; streams that cannot be resumed were passed on unread.

Change: an event has lines with a field each and one id, a decimal number that is greater than the one before in its run. At the first event that is not so the exchange ends as broken: a resumable stream goes on at another upstream after its last sound event, any other one is broken off. Blank lines and comments between events are passed on as before.

--- a/libmangofork/relay/events.c
+++ b/libmangofork/relay/events.c
@@ -6,32 +6,91 @@
 /* Bytes of one event at most; an engine's events are below 3 KB. */
 #define EVENT_BYTES_MAX 262144
 
-/* Reads the id of an event. Returns false when it has none or the id is not a number. */
-static bool
-event_id (const char *event, size_t event_bytes, uint64_t *id)
+/* Digits of an event id at most, so that it fits into 64 bits. */
+#define ID_DIGITS_MAX 19
+
+/* What a part of a stream between two blank lines is. */
+typedef enum
 {
-  size_t at = 0;
+  EVENT_BLANK,   /* line ends only; they belong to no event */
+  EVENT_COMMENT, /* lines that begin with a colon */
+  EVENT_NUMBERED,
+  EVENT_INVALID,
+} EventKind;
 
-  while (at < event_bytes)
+/* Reads an event id, a decimal number. Returns false when the text is something else. */
+bool
+mf_event_id_read (const char *text, size_t text_bytes, uint64_t *id)
+{
+  uint64_t number = 0;
+
+  if (text_bytes == 0 || text_bytes > ID_DIGITS_MAX)
+    return false;
+  for (size_t i = 0; i < text_bytes; i++)
+    {
+      if (text[i] < '0' || text[i] > '9')
+        return false;
+      number = number * 10 + (uint64_t)(text[i] - '0');
+    }
+  *id = number;
+  return true;
+}
+
+/* Returns the size of the name of the field in a line of an event, 0 when the line has none. */
+static size_t
+field_name_bytes (const char *line, size_t line_bytes)
+{
+  for (size_t i = 0; i < line_bytes; i++)
+    {
+      char c = line[i];
+
+      if (c == ':')
+        return i;
+      if ((c < 'a' || c > 'z') && (c < 'A' || c > 'Z') && (c < '0' || c > '9') && c != '-'
+          && c != '_')
+        return 0;
+    }
+  return 0;
+}
+
+/* Reads an event: lines with a field each, one of them its id. */
+static EventKind
+event_read (const char *event, size_t event_bytes, uint64_t *id)
+{
+  EventKind kind = EVENT_BLANK;
+
+  for (size_t at = 0; at < event_bytes;)
     {
       const char *line = event + at;
       const char *newline = memchr (line, '\n', event_bytes - at);
       size_t line_bytes = newline == NULL ? event_bytes - at : (size_t)(newline - line);
+      size_t name_bytes;
 
-      if (line_bytes > 3 && memcmp (line, "id:", 3) == 0)
+      at += line_bytes + 1;
+      if (line_bytes > 0 && line[line_bytes - 1] == '\r')
+        line_bytes--;
+      if (line_bytes == 0)
+        continue;
+      if (line[0] == ':')
         {
-          char number[24] = { 0 };
-          size_t skip = line[3] == ' ' ? 4 : 3;
-
-          if (line_bytes - skip >= sizeof number || line[skip] < '0' || line[skip] > '9')
-            return false;
-          memcpy (number, line + skip, line_bytes - skip);
-          *id = strtoull (number, NULL, 10);
-          return true;
+          kind = kind == EVENT_BLANK ? EVENT_COMMENT : kind;
+          continue;
         }
-      at += line_bytes + 1;
+      name_bytes = field_name_bytes (line, line_bytes);
+      if (name_bytes == 0)
+        return EVENT_INVALID;
+      if (name_bytes == 2 && memcmp (line, "id", 2) == 0)
+        {
+          size_t skip = line_bytes > 3 && line[3] == ' ' ? 4 : 3;
+
+          if (kind == EVENT_NUMBERED || !mf_event_id_read (line + skip, line_bytes - skip, id))
+            return EVENT_INVALID;
+          kind = EVENT_NUMBERED;
+        }
+      else if (kind != EVENT_NUMBERED)
+        kind = EVENT_INVALID;
     }
-  return false;
+  return kind;
 }
 
 /* Returns the size of the first event, its blank line included; 0 when it is incomplete. */
@@ -62,79 +121,84 @@
   return true;
 }
 
-/* Reads bytes of the stream. Appends the complete events to out, without those that were passed on
- * before. */
-void
-mf_event_stream_feed (MfEventStream *stream, const char *bytes, size_t n_bytes, MfBuffer *out)
+/* Ends what is passed on of the current run. */
+static void
+stream_reject (MfEventStream *stream, const char *why)
 {
-  size_t complete_bytes;
+  stream->defect = why;
+  mf_buffer_clear (&stream->partial);
+}
 
-  mf_buffer_add (&stream->partial, bytes, n_bytes);
-  if (mf_buffer_bytes (&stream->partial) > EVENT_BYTES_MAX)
-    stream->partial.failed = true;
-  while ((complete_bytes = first_event_bytes (mf_buffer_data (&stream->partial),
-                                              mf_buffer_bytes (&stream->partial)))
-         > 0)
-    {
-      uint64_t id = 0;
-      bool has_id = event_id (mf_buffer_data (&stream->partial), complete_bytes, &id);
+/* Handles a complete event: appends it to out, unless it was passed on before. */
+static void
+stream_add_event (MfEventStream *stream, const char *event, size_t event_bytes, MfBuffer *out)
+{
+  uint64_t id = 0;
+  EventKind kind = event_read (event, event_bytes, &id);
 
-      if (!has_id || !stream->has_last_id || id > stream->last_id)
+  if (kind == EVENT_INVALID)
+    {
+      stream_reject (stream, "event without a numeric id");
+      return;
+    }
+  if (kind == EVENT_NUMBERED)
+    {
+      if (stream->run_has_id && id <= stream->run_last_id)
         {
-          stream->has_gap
-              = stream->has_gap || (has_id && stream->has_last_id && id != stream->last_id + 1);
-          mf_buffer_add (out, mf_buffer_data (&stream->partial), complete_bytes);
-          stream->n_events += !is_blank (mf_buffer_data (&stream->partial), complete_bytes);
-          if (has_id)
-            {
-              stream->last_id = id;
-              stream->has_last_id = true;
-            }
+          stream_reject (stream, "event ids do not increase");
+          return;
         }
-      mf_buffer_consume (&stream->partial, complete_bytes);
+      stream->run_has_id = true;
+      stream->run_last_id = id;
+      if (stream->has_last_id && id <= stream->last_id)
+        return;
+      stream->has_gap = stream->has_gap || (stream->has_last_id && id != stream->last_id + 1);
+      stream->has_last_id = true;
+      stream->last_id = id;
+      stream->n_events++;
     }
+  mf_buffer_add (out, event, event_bytes);
 }
 
-/* Counts the events in bytes that are passed on unchanged. */
+/* Reads bytes of the current run. Appends the complete events to out, without those that were
+ * passed on before. What follows an event that is not as it should be is dropped, and defect is
+ * set. */
 void
-mf_event_stream_count (MfEventStream *stream, const char *bytes, size_t n_bytes)
+mf_event_stream_feed (MfEventStream *stream, const char *bytes, size_t n_bytes, MfBuffer *out)
 {
-  for (size_t i = 0; i < n_bytes; i++)
+  size_t event_bytes;
+
+  if (stream->defect != NULL)
+    return;
+  mf_buffer_add (&stream->partial, bytes, n_bytes);
+  while (stream->defect == NULL
+         && (event_bytes = first_event_bytes (mf_buffer_data (&stream->partial),
+                                              mf_buffer_bytes (&stream->partial)))
+                > 0)
     {
-      if (bytes[i] == '\r')
-        continue;
-      if (bytes[i] != '\n' || stream->unterminated_bytes > 0)
-        stream->unterminated_bytes++;
-      if (bytes[i] == '\n' && stream->after_newline && stream->unterminated_bytes > 0)
-        {
-          stream->n_events++;
-          stream->unterminated_bytes = 0;
-        }
-      stream->after_newline = bytes[i] == '\n' && !stream->after_newline;
+      stream_add_event (stream, mf_buffer_data (&stream->partial), event_bytes, out);
+      if (stream->defect == NULL)
+        mf_buffer_consume (&stream->partial, event_bytes);
     }
+  if (mf_buffer_bytes (&stream->partial) > EVENT_BYTES_MAX || stream->partial.failed)
+    stream_reject (stream, "event exceeds the size limit");
 }
 
-/* Whether an event is longer than EVENT_BYTES_MAX. */
-bool
-mf_event_stream_is_too_long (const MfEventStream *stream)
-{
-  return stream->partial.failed || stream->unterminated_bytes > EVENT_BYTES_MAX;
-}
-
-/* Discards the incomplete event, before the stream is resumed at another upstream. */
+/* Begins a run, the first one or another that goes on after the last event. */
 void
-mf_event_stream_discard_partial (MfEventStream *stream)
+mf_event_stream_begin_run (MfEventStream *stream)
 {
   mf_buffer_clear (&stream->partial);
-  stream->unterminated_bytes = 0;
+  stream->run_has_id = false;
+  stream->defect = NULL;
 }
 
-/* Whether no event is incomplete. */
+/* Whether the run could end here: no event is incomplete or invalid. */
 bool
 mf_event_stream_at_boundary (const MfEventStream *stream)
 {
-  return is_blank (mf_buffer_data (&stream->partial), mf_buffer_bytes (&stream->partial))
-         && stream->unterminated_bytes == 0 && !stream->partial.failed;
+  return stream->defect == NULL
+         && is_blank (mf_buffer_data (&stream->partial), mf_buffer_bytes (&stream->partial));
 }
 
 /* Frees the buffer of the incomplete event. */
--- a/libmangofork/relay/job_answer.c
+++ b/libmangofork/relay/job_answer.c
@@ -197,27 +197,25 @@
       if (job->granted_us > 0)
         mf_jobs_note_first_event (job->jobs, now_us - job->granted_us);
     }
-  if (job->route->resumable)
+  mf_event_stream_feed (&job->events, bytes, n_bytes, &complete);
+  /* Bytes that complete no event do not count as progress. */
+  if (job->route->resumable && mf_buffer_bytes (&complete) > 0)
+    job->step_deadline_us = now_us + job->route->target_gap_us * STALL_GAPS;
+  if (job->route->resumable && job->events.n_events > 0 && !job->origin_noted)
+    mf_job_note_begun (job);
+  if (complete.failed)
     {
-      mf_event_stream_feed (&job->events, bytes, n_bytes, &complete);
-      /* Bytes that complete no event do not count as progress. */
-      if (mf_buffer_bytes (&complete) > 0)
-        job->step_deadline_us = now_us + job->route->target_gap_us * STALL_GAPS;
-      if (job->events.n_events > 0 && !job->origin_noted)
-        mf_job_note_begun (job);
-      mf_caller_write (job->caller, mf_buffer_data (&complete), mf_buffer_bytes (&complete));
       mf_buffer_clear (&complete);
+      mf_job_finish (job, MF_CODE_NO_MEMORY, "out of memory while passing on events");
+      return;
     }
-  else
-    {
-      mf_event_stream_count (&job->events, bytes, n_bytes);
-      mf_caller_write (job->caller, bytes, n_bytes);
-    }
+  mf_caller_write (job->caller, mf_buffer_data (&complete), mf_buffer_bytes (&complete));
+  mf_buffer_clear (&complete);
   if (job->events.n_events >= job->n_events_before + BEGUN_EVENTS)
     mf_job_note_sound (job);
   job_add_tokens (job);
-  if (mf_event_stream_is_too_long (&job->events))
-    job_abort_exchange (job, "event exceeds the size limit");
+  if (job->events.defect != NULL)
+    job_abort_exchange (job, job->events.defect);
 }
 
 /* The upstream declined the request without executing it. */
--- a/tests/test_job_answer.c
+++ b/tests/test_job_answer.c
@@ -345,6 +345,61 @@
   teardown (&fixture);
 }
 
+static const char *garbage;
+
+/* Sends event 1 and then garbage in place of an event, followed by the rest of the stream. */
+static void
+handle_stream_garbled (FakeUpstreamConn *conn, const char *text, const char *id)
+{
+  char chunk[128];
+
+  (void)text;
+  (void)id;
+  fake_upstream_conn_send (conn, RELAY_FIXTURE_STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n");
+  snprintf (chunk, sizeof chunk, "%zx\r\n%s\r\n", strlen (garbage), garbage);
+  fake_upstream_conn_send (conn, chunk);
+  fake_upstream_conn_send (conn, "f\r\nid: 2\ndata: x\n\n\r\n0\r\n\r\n");
+}
+
+/* Events without an id, or with one that was no number, were passed on from a server that sent
+ * garbage, after such with ids: a piece that no run had made. The stream goes on at another
+ * upstream after its last sound event; one that cannot be resumed is broken off. */
+static void
+test_garbage_in_a_stream_is_not_passed_on (void **state)
+{
+  static const char *const pieces[] = {
+    "zzzz\n\n",
+    "data: z\n\n",
+    "id: \ndata: z\n\n",
+    "id: 2xyz\ndata: z\n\n",
+    "id: 1\ndata: z\n\n",
+    "id: 0\ndata: z\n\n",
+    "zzzz",
+    "zzzz\n",
+  };
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (pieces); i++)
+    {
+      RelayFixture fixture;
+
+      garbage = pieces[i];
+      relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+      relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_stream_garbled);
+      relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_stream_rest);
+      call (&fixture, "POST", "/llm/1");
+      assert_string_equal (strstr (fixture.received, "\r\n\r\n"), WHOLE_STREAM);
+      assert_true (loop_pump (fixture.loop, has_disconnected, &fixture));
+      teardown (&fixture);
+      relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+      relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_stream_garbled);
+      call (&fixture, "POST", "/once/1");
+      assert_string_equal (strstr (fixture.received, "\r\n\r\n"),
+                           "\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n");
+      teardown (&fixture);
+    }
+}
+
 static const char *error_answer;
 
 static void
@@ -658,6 +713,7 @@
     cmocka_unit_test (test_endless_event_ends_the_stream),
     cmocka_unit_test (test_endless_answer_of_a_removed_upstream),
     cmocka_unit_test (test_stream_closed_inside_an_event_is_broken_off),
+    cmocka_unit_test (test_garbage_in_a_stream_is_not_passed_on),
     cmocka_unit_test (test_event_that_stalled_is_not_joined_to_the_next_run),
     cmocka_unit_test (test_error_of_the_next_upstream_is_no_part_of_a_stream),
     cmocka_unit_test (test_head_that_breaks_off_is_no_answer),
