A gap in a stream's ids ends the run

Cause: an id that is greater than the last one was passed on, whatever it skipped.

Change: the exchange ends as broken, and a resumable stream goes on at another upstream after the last event before the gap. The platform promises ids that increase, not ids without gaps; so a gap is passed on if another upstream goes on with the same event, or where the ids of the service are known to skip some (no 256 successors in a row for each skip). Then only the first stream of such a service is in doubt.

test_stream_goes_on_before_a_gap failed before: events 1 and 3 looked like a whole stream. test_gap_needs_a_second_upstream and test_service_whose_ids_have_gaps_is_served play the decision.

--- a/libmangofork/relay/events.c
+++ b/libmangofork/relay/events.c
@@ -2,10 +2,14 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 /* Bytes of one event at most; an engine's events are below 3 KB. */
 #define EVENT_BYTES_MAX 262144
 
+/* Ids of a service are taken to have no gaps if at least this many events in a row follow each one
+ * that skipped some: a garbled stream is rarer. */
+#define SUCCESSORS_PER_SKIP 256
 /* Digits of an event id at most, so that it fits into 64 bits. */
 #define ID_DIGITS_MAX 19
 
@@ -129,6 +133,30 @@
   mf_buffer_clear (&stream->partial);
 }
 
+/* Whether the ids of the stream skip the ones between the last event and this one, and no event is
+ * missing: those of the service usually do, or another upstream has gone on with the same event. */
+static bool
+stream_may_skip_to (MfEventStream *stream, uint64_t id)
+{
+  MfEventNumbering *numbering = stream->numbering;
+  uint64_t parts[] = { stream->name, stream->last_id, id };
+  uint64_t gap = XXH3_64bits (parts, sizeof parts);
+
+  if (numbering == NULL)
+    return false;
+  if (numbering->n_successors < numbering->n_skips * SUCCESSORS_PER_SKIP
+      || (numbering->doubted_gap == gap && numbering->doubted_source != stream->source))
+    {
+      numbering->n_skips++;
+      return true;
+    }
+  numbering->doubted_gap = gap;
+  numbering->doubted_source = stream->source;
+  /* Without any successor so far, that may be how the service numbers its events. */
+  numbering->n_skips += numbering->n_successors == 0;
+  return false;
+}
+
 /* Handles a complete event: appends it to out, unless it was passed on before. */
 static void
 stream_add_event (MfEventStream *stream, const char *event, size_t event_bytes, MfBuffer *out)
@@ -152,7 +180,13 @@
       stream->run_last_id = id;
       if (stream->has_last_id && id <= stream->last_id)
         return;
-      stream->has_gap = stream->has_gap || (stream->has_last_id && id != stream->last_id + 1);
+      if (stream->has_last_id && id == stream->last_id + 1 && stream->numbering != NULL)
+        stream->numbering->n_successors++;
+      else if (stream->has_last_id && id != stream->last_id + 1 && !stream_may_skip_to (stream, id))
+        {
+          stream_reject (stream, "events are missing");
+          return;
+        }
       stream->has_last_id = true;
       stream->last_id = id;
       stream->n_events++;
@@ -184,10 +218,12 @@
     stream_reject (stream, "event exceeds the size limit");
 }
 
-/* Begins a run, the first one or another that goes on after the last event. */
+/* Begins a run at the upstream that source identifies: the first one, or another one that goes on
+ * after the last event. */
 void
-mf_event_stream_begin_run (MfEventStream *stream)
+mf_event_stream_begin_run (MfEventStream *stream, uint64_t source)
 {
+  stream->source = source;
   mf_buffer_clear (&stream->partial);
   stream->run_has_id = false;
   stream->defect = NULL;
--- a/libmangofork/relay/events.h
+++ b/libmangofork/relay/events.h
@@ -3,6 +3,15 @@
 
 #include "libmangofork/buffer.h"
 
+/* How the upstreams of a service number the events of its streams. */
+typedef struct
+{
+  uint64_t n_successors; /* events whose id was the successor of the one before */
+  uint64_t n_skips;      /* events that were passed on although it was not */
+  uint64_t doubted_gap;  /* identifies the last gap that has ended a run */
+  uint64_t doubted_source;
+} MfEventNumbering;
+
 /* Reads a text/event-stream whose events have increasing numbers as ids. Complete events are passed
  * on, each once, and the id of the last one is kept, so that a broken stream can be resumed after
  * it. */
@@ -11,15 +20,17 @@
   MfBuffer partial; /* an incomplete event */
   uint64_t last_id; /* of the last event passed on */
   bool has_last_id;
-  bool has_gap;         /* an id was not the successor of the one before */
   uint64_t run_last_id; /* of the last event of the current run */
   bool run_has_id;
   const char *defect; /* why the rest of the current run is not passed on; NULL: it is */
   uint64_t n_events;
+  uint64_t source;             /* identifies the upstream of the current run */
+  uint64_t name;               /* identifies the request, also when its caller sends it again */
+  MfEventNumbering *numbering; /* NULL: ids have no gaps */
 } MfEventStream;
 
 bool mf_event_id_read (const char *text, size_t text_bytes, uint64_t *id);
-void mf_event_stream_begin_run (MfEventStream *stream);
+void mf_event_stream_begin_run (MfEventStream *stream, uint64_t source);
 void mf_event_stream_feed (MfEventStream *stream, const char *bytes, size_t n_bytes, MfBuffer *out);
 bool mf_event_stream_at_boundary (const MfEventStream *stream);
 void mf_event_stream_clear (MfEventStream *stream);
--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -472,6 +472,8 @@
   if (!mf_head_copy (head, MF_HEADER_REQUEST_ID, job->id, sizeof job->id))
     job->id[0] = '\0';
   job->digest = mf_job_digest (caller);
+  job->events.name = job->digest;
+  job->events.numbering = &mf_jobs_service (jobs, job->service->name)->numbering;
   job->caller_hash = mf_caller_address_hash (caller);
   job->try_id = ++jobs->n_started;
   job_read_resumed_stream (job, head);
@@ -562,7 +564,7 @@
       caller_reply_code (jobs, caller, MF_CODE_NO_MEMORY, true);
       return;
     }
-  mf_budget_note_request (&mf_jobs_budget (jobs, job->service->name)->budget, mf_clock_now_us ());
+  mf_budget_note_request (&mf_jobs_service (jobs, job->service->name)->budget, mf_clock_now_us ());
   if (mf_job_end_unfinishable (job, false))
     return;
   if (job->is_engine && job->give_up_us <= job->started_us)
--- a/libmangofork/relay/job.h
+++ b/libmangofork/relay/job.h
@@ -17,16 +17,16 @@
 
 typedef struct MfJob MfJob;
 
-/* Maximum number of services with a retry budget of their own. Further services share the last
- * one. */
+/* Maximum number of services with a state of their own. Further services share the last one. */
 #define MF_JOBS_SERVICES_MAX 64
 
-/* Retry budget of one service. */
+/* State of one service. */
 typedef struct
 {
   char service[MF_NAME_BYTES];
-  MfBudget budget;
-} MfServiceBudget;
+  MfBudget budget;            /* of retries */
+  MfEventNumbering numbering; /* of its streams */
+} MfServiceState;
 
 /* Maximum number of engine services that this instance leads: a load report carries that many
  * votes. */
@@ -94,8 +94,8 @@
   double mean_first_event_us;
   double mean_answer_tokens; /* moving average of the answer length of engines; 0: no sample yet */
   MfRoutes *routes;          /* configuration in force; NULL: none yet */
-  MfServiceBudget budgets[MF_JOBS_SERVICES_MAX];
-  uint32_t n_budgets;
+  MfServiceState services[MF_JOBS_SERVICES_MAX];
+  uint32_t n_services;
   uint64_t budget_window_us;
   double budget_ratio;
   /* Retries that all instances together may send regardless of their request counts. */
--- a/libmangofork/relay/job_retry.c
+++ b/libmangofork/relay/job_retry.c
@@ -8,23 +8,23 @@
  * instance. */
 #define REPLY_TIMEOUT_US (80 * MF_US_PER_MS)
 
-/* Returns the retry budget of a service, and creates it at the first call. */
-MfServiceBudget *
-mf_jobs_budget (MfJobs *jobs, const char *service)
+/* Returns the state of a service, and creates it at the first call. */
+MfServiceState *
+mf_jobs_service (MfJobs *jobs, const char *service)
 {
-  MfServiceBudget *budget;
+  MfServiceState *state;
 
-  for (uint32_t i = 0; i < jobs->n_budgets; i++)
+  for (uint32_t i = 0; i < jobs->n_services; i++)
     {
-      if (strcmp (jobs->budgets[i].service, service) == 0)
-        return &jobs->budgets[i];
+      if (strcmp (jobs->services[i].service, service) == 0)
+        return &jobs->services[i];
     }
-  if (jobs->n_budgets == MF_JOBS_SERVICES_MAX)
-    return &jobs->budgets[MF_JOBS_SERVICES_MAX - 1];
-  budget = &jobs->budgets[jobs->n_budgets++];
-  mf_name_set (budget->service, sizeof budget->service, service);
-  mf_budget_init (&budget->budget, jobs->budget_window_us, jobs->budget_ratio);
-  return budget;
+  if (jobs->n_services == MF_JOBS_SERVICES_MAX)
+    return &jobs->services[MF_JOBS_SERVICES_MAX - 1];
+  state = &jobs->services[jobs->n_services++];
+  mf_name_set (state->service, sizeof state->service, service);
+  mf_budget_init (&state->budget, jobs->budget_window_us, jobs->budget_ratio);
+  return state;
 }
 
 /* Retries that this instance may send regardless of its request count: its part of the slack that
@@ -50,9 +50,9 @@
 static bool
 acquire_sends (MfJob *job, uint32_t n_sends)
 {
-  MfServiceBudget *budget = mf_jobs_budget (job->jobs, job->service->name);
-  bool allowed = mf_budget_acquire (&budget->budget, jobs_allowance (job->jobs), n_sends,
-                                    mf_clock_now_us ());
+  MfBudget *budget = &mf_jobs_service (job->jobs, job->service->name)->budget;
+  bool allowed
+      = mf_budget_acquire (budget, jobs_allowance (job->jobs), n_sends, mf_clock_now_us ());
 
   job->n_reserved_sends += allowed ? n_sends : 0;
   job->jobs->counters.counts[allowed ? MF_RELAY_COUNT_RETRIES : MF_RELAY_COUNT_RETRIES_DENIED]++;
@@ -122,7 +122,7 @@
       job->n_reserved_sends--;
       return;
     }
-  budget = &mf_jobs_budget (jobs, job->service->name)->budget;
+  budget = &mf_jobs_service (jobs, job->service->name)->budget;
   mf_budget_charge (budget, 1, now_us);
   if (!job->is_engine || mf_budget_allows (budget, jobs_allowance (jobs), 0, now_us))
     return;
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -171,7 +171,7 @@
 void mf_jobs_end_quarantined (MfJobs *jobs);
 
 /* job_retry.c: the retry budget. */
-MfServiceBudget *mf_jobs_budget (MfJobs *jobs, const char *service);
+MfServiceState *mf_jobs_service (MfJobs *jobs, const char *service);
 bool mf_job_acquire_retry (MfJob *job);
 bool mf_job_acquire_send (MfJob *job, bool prefill);
 void mf_job_note_send (MfJob *job, bool prefill);
--- a/libmangofork/relay/job_send.c
+++ b/libmangofork/relay/job_send.c
@@ -264,7 +264,7 @@
   job->was_suspect = mf_job_is_suspect (job);
   target->n_suspects += job->was_suspect;
   job->answer_began = false;
-  mf_event_stream_begin_run (&job->events);
+  mf_event_stream_begin_run (&job->events, target->id_hash);
   job->n_events_before = job->events.n_events;
   mf_name_set (job->last_upstream, sizeof job->last_upstream, target->info.id);
   job->target_tokens = prefill ? job->prompt_tokens : job->kv_tokens;
--- a/tests/test_events.c
+++ b/tests/test_events.c
@@ -4,6 +4,7 @@
 
 #include <setjmp.h>
 #include <stdarg.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -45,14 +46,16 @@
   (void)state;
   mf_event_stream_feed (&stream, before, sizeof before - 1, &out);
   assert_false (mf_event_stream_at_boundary (&stream));
-  mf_event_stream_begin_run (&stream);
+  mf_event_stream_begin_run (&stream, 2);
   assert_true (mf_event_stream_at_boundary (&stream));
   mf_event_stream_feed (&stream, after, sizeof after - 1, &out);
   assert_int_equal (mf_buffer_bytes (&out), 2 * strlen ("id: 1\ndata: a\n\n"));
   assert_int_equal (stream.last_id, 2);
-  assert_false (stream.has_gap);
+  assert_null (stream.defect);
   mf_event_stream_feed (&stream, "id: 9\n\n", 7, &out);
-  assert_true (stream.has_gap);
+  assert_non_null (stream.defect);
+  assert_int_equal (mf_buffer_bytes (&out), 2 * strlen ("id: 1\ndata: a\n\n"));
+  assert_int_equal (stream.last_id, 2);
   mf_event_stream_clear (&stream);
   mf_buffer_clear (&out);
 }
@@ -105,7 +108,7 @@
           assert_memory_equal (mf_buffer_data (&out), good, sizeof good - 1);
           assert_int_equal (stream.last_id, 2);
           /* The next run goes on, also when it repeats what has been passed on. */
-          mf_event_stream_begin_run (&stream);
+          mf_event_stream_begin_run (&stream, 2);
           mf_event_stream_feed (&stream, text, sizeof text - 1, &out);
           assert_null (stream.defect);
           assert_int_equal (mf_buffer_bytes (&out), sizeof good - 1 + strlen ("id:3\ndata: c\n\n"));
@@ -116,6 +119,66 @@
     }
 }
 
+/* Feeds one event to a stream, in a new run if source is not 0. Returns whether it is passed on. */
+static bool
+event_is_passed_on (MfEventStream *stream, uint64_t source, uint64_t id)
+{
+  MfBuffer out = { 0 };
+  char event[40];
+  bool is_passed_on;
+
+  if (source != 0)
+    mf_event_stream_begin_run (stream, source);
+  snprintf (event, sizeof event, "id: %llu\n\n", (unsigned long long)id);
+  mf_event_stream_feed (stream, event, strlen (event), &out);
+  is_passed_on = mf_buffer_bytes (&out) > 0;
+  assert_int_equal (is_passed_on, stream->defect == NULL);
+  mf_buffer_clear (&out);
+  return is_passed_on;
+}
+
+/* A missing event was not noticed. A gap ends the run unless a second upstream goes on with the
+ * same event, for the same request. */
+static void
+test_gap_needs_a_second_upstream (void **state)
+{
+  MfEventNumbering numbering = { 0 };
+  MfEventStream stream = { .numbering = &numbering, .name = 7 };
+  MfEventStream other = { .numbering = &numbering, .name = 8 };
+
+  (void)state;
+  assert_true (event_is_passed_on (&stream, 1, 4));
+  assert_true (event_is_passed_on (&stream, 0, 5));
+  assert_false (event_is_passed_on (&stream, 0, 7));
+  /* The same upstream again, another event, the same gap of another request. */
+  assert_false (event_is_passed_on (&stream, 1, 7));
+  assert_false (event_is_passed_on (&stream, 2, 8));
+  assert_true (event_is_passed_on (&other, 3, 5));
+  assert_false (event_is_passed_on (&other, 3, 8));
+  assert_false (event_is_passed_on (&stream, 1, 7));
+  assert_true (event_is_passed_on (&stream, 2, 7));
+  mf_event_stream_clear (&stream);
+  mf_event_stream_clear (&other);
+}
+
+/* Where the ids of a service always skip some, only its first stream is in doubt. */
+static void
+test_service_whose_ids_have_gaps_is_served (void **state)
+{
+  MfEventNumbering numbering = { 0 };
+
+  (void)state;
+  for (uint64_t name = 1; name < 20; name++)
+    {
+      MfEventStream stream = { .numbering = &numbering, .name = name };
+
+      assert_true (event_is_passed_on (&stream, 1, 10));
+      assert_int_equal (event_is_passed_on (&stream, 0, 20), name > 1);
+      assert_true (event_is_passed_on (&stream, 2, 30));
+      mf_event_stream_clear (&stream);
+    }
+}
+
 /* A stream that ended inside an event looked complete. */
 static void
 test_end_inside_an_event_is_no_boundary (void **state)
@@ -147,6 +210,8 @@
     cmocka_unit_test (test_stream_is_the_same_however_it_is_cut),
     cmocka_unit_test (test_cut_event_comes_once),
     cmocka_unit_test (test_nothing_after_an_invalid_event_is_passed_on),
+    cmocka_unit_test (test_gap_needs_a_second_upstream),
+    cmocka_unit_test (test_service_whose_ids_have_gaps_is_served),
     cmocka_unit_test (test_end_inside_an_event_is_no_boundary),
   };
 
--- a/tests/test_job_answer.c
+++ b/tests/test_job_answer.c
@@ -400,6 +400,32 @@
     }
 }
 
+/* Leaves out event 2. */
+static void
+handle_stream_gap (FakeUpstreamConn *conn, const char *text, const char *id)
+{
+  (void)text;
+  (void)id;
+  fake_upstream_conn_send (conn, RELAY_FIXTURE_STREAM_HEAD
+                           "f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 3\ndata: c\n\n\r\n0\r\n\r\n");
+}
+
+/* A stream with a missing event looked complete. It goes on at another upstream after the last
+ * event before the gap. */
+static void
+test_stream_goes_on_before_a_gap (void **state)
+{
+  RelayFixture fixture;
+
+  (void)state;
+  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_stream_gap);
+  relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_stream_rest);
+  call (&fixture, "POST", "/llm/1");
+  assert_string_equal (strstr (fixture.received, "\r\n\r\n"), WHOLE_STREAM);
+  teardown (&fixture);
+}
+
 static const char *error_answer;
 
 static void
@@ -714,6 +740,7 @@
     cmocka_unit_test (test_endless_answer_of_a_removed_upstream),
     cmocka_unit_test (test_stream_closed_inside_an_event_is_broken_off),
     cmocka_unit_test (test_garbage_in_a_stream_is_not_passed_on),
+    cmocka_unit_test (test_stream_goes_on_before_a_gap),
     cmocka_unit_test (test_event_that_stalled_is_not_joined_to_the_next_run),
     cmocka_unit_test (test_error_of_the_next_upstream_is_no_part_of_a_stream),
     cmocka_unit_test (test_head_that_breaks_off_is_no_answer),
