A caller gets no event before the one that it names

Cause: the events that a caller has, by its Last-Event-Id, were not known to the code that leaves out events which have been passed on; it knew only those of this instance's answer.

Change: a stream that is taken up counts as passed on up to that event, and so it can go on at another upstream before its first event here.

test_caller_gets_no_event_before_the_one_it_names failed before: event 1 came again.

--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -376,15 +376,20 @@
     mf_parts_read (&job->parts, text, text_bytes);
 }
 
-/* Reads which stream the caller takes up, if any. */
+/* Reads which stream the caller takes up, if any, and after which event. */
 static void
 job_read_resumed_stream (MfJob *job, const MfHead *head)
 {
+  size_t id_bytes = 0;
+  const char *id = mf_head_value (head, MF_HEADER_LAST_EVENT_ID, &id_bytes);
+
   job->is_resumed
       = job->route->kind == MF_ROUTE_STREAMING && mf_head_count (head, MF_HEADER_LAST_EVENT_ID) > 0;
   if (job->is_resumed
       && !mf_head_copy (head, MF_HEADER_STREAM_BEGUN_AS, job->begun_as, sizeof job->begun_as))
     job->begun_as[0] = '\0';
+  job->events.has_last_id
+      = job->is_resumed && mf_event_id_read (id, id_bytes, &job->events.last_id);
 }
 
 /* Minimum time reserved for a complete answer; 0 before the first sample. */
--- a/tests/test_job_answer.c
+++ b/tests/test_job_answer.c
@@ -426,6 +426,38 @@
   teardown (&fixture);
 }
 
+/* Begins again with the first event, whatever the caller has. */
+static void
+handle_stream_from_the_start (FakeUpstreamConn *conn, const char *text, const char *id)
+{
+  (void)text;
+  (void)id;
+  fake_upstream_conn_send (conn, RELAY_FIXTURE_STREAM_HEAD
+                           "f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n");
+}
+
+/* A stream that its caller had taken up after event 1 went back to it. */
+static void
+test_caller_gets_no_event_before_the_one_it_names (void **state)
+{
+  static const char text[] = "POST /llm/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: t\r\n"
+                             "Last-Event-Id: 1\r\nX-Token-Count: 100,40\r\nConnection: close\r\n"
+                             "Content-Length: 2\r\n\r\nhi";
+  RelayFixture fixture;
+  int fd;
+
+  (void)state;
+  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_stream_from_the_start);
+  fd = loop_connect (PORT);
+  loop_send (fd, text, strlen (text));
+  loop_receive (fixture.loop, fd, NULL, fixture.received, sizeof fixture.received);
+  close (fd);
+  assert_string_equal (strstr (fixture.received, "\r\n\r\n"),
+                       "\r\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n");
+  teardown (&fixture);
+}
+
 static const char *error_answer;
 
 static void
@@ -741,6 +773,7 @@
     cmocka_unit_test (test_stream_closed_inside_an_event_is_broken_off),
     cmocka_unit_test (test_garbage_in_a_stream_is_not_passed_on),
     cmocka_unit_test (test_stream_goes_on_before_a_gap),
+    cmocka_unit_test (test_caller_gets_no_event_before_the_one_it_names),
     cmocka_unit_test (test_event_that_stalled_is_not_joined_to_the_next_run),
     cmocka_unit_test (test_error_of_the_next_upstream_is_no_part_of_a_stream),
     cmocka_unit_test (test_head_that_breaks_off_is_no_answer),
