Large bodies keep to the memory of the process

Cause: each body was in memory twice, at its caller and in the buffer of the connection to the upstream, and nothing bounded the sum.

Change: a connection sends the body from its caller's buffer; it copies the rest only where the caller leaves and the request goes on. Buffers count their memory together, and while they would exceed half of the process's memory, a request with a body over 64 KB is refused at its head (503, nothing has run). A body whose length is known counts whole from its head on. Large blocks are returned to the system when they are freed.

--- a/libmangofork/buffer.c
+++ b/libmangofork/buffer.c
@@ -1,11 +1,15 @@
 #include "buffer.h"
 
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define BUFFER_BYTES_MIN 256
 
+/* Memory of all buffers of the process, in bytes. */
+static atomic_size_t total_bytes;
+
 /* Reserves space at the end: moves the content to the front if that is enough and the regions do
  * not overlap, else grows the memory. */
 static bool
@@ -31,15 +35,30 @@
   memory = realloc (buffer->memory, capacity);
   if (memory == NULL)
     return false;
+  atomic_fetch_add_explicit (&total_bytes, capacity - buffer->capacity, memory_order_relaxed);
   buffer->memory = memory;
   buffer->capacity = capacity;
   return true;
 }
 
+size_t
+mf_buffers_bytes (void)
+{
+  return atomic_load_explicit (&total_bytes, memory_order_relaxed);
+}
+
+void
+mf_buffer_prepare (MfBuffer *buffer, size_t n_bytes)
+{
+  if (!buffer->failed && !buffer_reserve (buffer, n_bytes))
+    buffer->failed = true;
+}
+
 /* Frees the memory and leaves an empty buffer. */
 void
 mf_buffer_clear (MfBuffer *buffer)
 {
+  atomic_fetch_sub_explicit (&total_bytes, buffer->capacity, memory_order_relaxed);
   free (buffer->memory);
   *buffer = (MfBuffer){ 0 };
 }
--- a/libmangofork/buffer.h
+++ b/libmangofork/buffer.h
@@ -27,6 +27,10 @@
   return buffer->end - buffer->start;
 }
 
+/* Returns the memory of all buffers of the process. */
+size_t mf_buffers_bytes (void);
+/* Takes the memory for a number of bytes at once. Sets failed when it runs out. */
+void mf_buffer_prepare (MfBuffer *buffer, size_t n_bytes);
 void mf_buffer_clear (MfBuffer *buffer);
 void mf_buffer_add (MfBuffer *buffer, const void *data, size_t data_bytes);
 void mf_buffer_add_text (MfBuffer *buffer, const char *text);
--- a/libmangofork/relay/caller.c
+++ b/libmangofork/relay/caller.c
@@ -19,6 +19,10 @@
 #define PIPELINED_BYTES_MAX 65536
 /* A streamed response is paused while more than this is buffered for a slow caller. */
 #define UNSENT_BYTES_MAX 262144
+/* The number of callers bounds the memory of bodies up to this size. */
+#define BODY_BYTES_SMALL 65536
+/* Bodies that take the memory are answered within about this time. */
+#define MEMORY_RETRY_S "0.5"
 /* Connections accepted in one iteration of the event loop. */
 #define ACCEPTS_MAX 64
 /* After the last response on a connection, input is read and discarded for this long. Closing a
@@ -333,16 +337,32 @@
   caller_release (caller);
 }
 
-/* Rejects a malformed request. What follows on the connection is discarded. */
+/* Whether a body of this size, of which a part may be in memory, exceeds the memory for bodies. */
+static bool
+body_is_over_memory (const MfCaller *caller, uint64_t body_bytes)
+{
+  uint64_t max_bytes = caller->listener->limits.buffers_bytes_max;
+
+  return max_bytes > 0 && body_bytes > BODY_BYTES_SMALL
+         && mf_buffers_bytes () - caller->body.capacity + body_bytes > max_bytes;
+}
+
+/* Rejects a malformed request, or one that there is no memory for. What follows on the connection
+ * is discarded. */
 static void
 caller_reject (MfCaller *caller, MfCode code)
 {
   const MfCodeInfo *info = mf_code_info (code);
+  MfBuffer headers = { 0 };
 
   caller->listener->callbacks->refused (caller->listener->data, code);
   caller->closing = true;
   mf_buffer_clear (&caller->in);
-  mf_caller_reply (caller, info->http_status, NULL, info->summary, strlen (info->summary));
+  mf_buffer_clear (&caller->body);
+  if (info->http_status == 503)
+    mf_buffer_add_text (&headers, "Retry-After: " MEMORY_RETRY_S "\r\n");
+  mf_caller_reply (caller, info->http_status, &headers, info->summary, strlen (info->summary));
+  mf_buffer_clear (&headers);
 }
 
 static bool
@@ -358,6 +378,14 @@
       message->error_code = MF_CODE_BODY_TOO_LARGE;
       return true;
     }
+  if (length != UINT64_MAX && body_is_over_memory (caller, length))
+    {
+      message->error_code = MF_CODE_NO_MEMORY;
+      return true;
+    }
+  /* Bodies that are read at the same time count whole from here on. */
+  if (length != UINT64_MAX && length > BODY_BYTES_SMALL)
+    mf_buffer_prepare (&caller->body, length);
   if (mf_head_count (&message->head, MF_HEADER_EXPECT_CONTINUE) > 0
       && message->parser.http_minor > 0)
     mf_buffer_add (&caller->out, continue_line, sizeof continue_line - 1);
@@ -375,6 +403,9 @@
   else if (caller->listener->limits.body_bytes_max > 0
            && mf_buffer_bytes (&caller->body) > caller->listener->limits.body_bytes_max)
     message->error_code = MF_CODE_BODY_TOO_LARGE;
+  else if ((message->parser.flags & F_CHUNKED) != 0
+           && body_is_over_memory (caller, caller->body.capacity))
+    message->error_code = MF_CODE_NO_MEMORY;
 }
 
 static const MfMessageCallbacks message_events = { .head = on_head, .body = on_body };
--- a/libmangofork/relay/caller.h
+++ b/libmangofork/relay/caller.h
@@ -31,6 +31,9 @@
   uint64_t header_timeout_us;
   uint64_t idle_timeout_us;
   uint32_t callers_max;
+  /* While all buffers of the process together would exceed this, requests with large bodies are
+   * refused; 0: no limit. */
+  uint64_t buffers_bytes_max;
 } MfListenerLimits;
 
 MfListener *mf_listener_new (struct ev_loop *loop, const char *address, const MfDialect *dialect,
--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -599,7 +599,8 @@
     return;
   jobs->counters.counts[MF_RELAY_COUNT_DEPARTED]++;
   job->caller = NULL;
-  if (job->route->kind == MF_ROUTE_NON_IDEMPOTENT && mf_job_is_at_upstream (job))
+  if (job->route->kind == MF_ROUTE_NON_IDEMPOTENT && mf_job_is_at_upstream (job)
+      && mf_link_copy_body (job->link))
     return;
   job_record_end (job, MF_CODE_DEPARTED, 0, "caller disconnected");
   job_free (job);
--- a/libmangofork/relay/job_send.c
+++ b/libmangofork/relay/job_send.c
@@ -289,6 +289,7 @@
                          .head_bytes = mf_buffer_bytes (&head),
                          .body = mf_buffer_data (body),
                          .body_bytes = mf_buffer_bytes (body),
+                         .body_is_kept = true,
                          .echo_id = job->id[0] != '\0' ? job->id : NULL,
                          .idle_max_us = run_once ? RUN_ONCE_IDLE_MAX_US : 0,
                          .head_only = job->is_head_request,
--- a/libmangofork/relay/link.c
+++ b/libmangofork/relay/link.c
@@ -8,6 +8,8 @@
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
 #include <unistd.h>
 #include <xxhash.h>
 
@@ -45,6 +47,8 @@
   ev_timer timer; /* connecting and busy: timeout; idle: close; ending: due at once */
   MfMessage message;
   MfBuffer out;
+  const char *body; /* what is to be sent after out; not owned */
+  size_t body_bytes;
   const MfLinkCallbacks *callbacks;
   void *data;
   char echo_id[REQUEST_ID_BYTES];
@@ -138,6 +142,12 @@
   ev_timer_start (link->pool->loop, &link->timer);
 }
 
+static size_t
+link_unsent_bytes (const MfLink *link)
+{
+  return mf_buffer_bytes (&link->out) + link->body_bytes;
+}
+
 /* Adds the connection to the idle ones, for idle_timeout_us at most. */
 static void
 link_make_idle (MfLink *link, uint64_t idle_timeout_us)
@@ -177,9 +187,8 @@
       if (timeout != NULL)
         idle_timeout_us = strtoull (timeout + 8, NULL, 10) * MF_US_PER_S * KEEP_ALIVE_PERCENT / 100;
     }
-  if (has_surplus || link->had_id_mismatch || mf_buffer_bytes (&link->out) > 0
-      || idle_timeout_us == 0 || !http_should_keep_alive (&link->message.parser)
-      || pool->n_idle >= pool->n_idle_max)
+  if (has_surplus || link->had_id_mismatch || link_unsent_bytes (link) > 0 || idle_timeout_us == 0
+      || !http_should_keep_alive (&link->message.parser) || pool->n_idle >= pool->n_idle_max)
     {
       link_free (link);
       return;
@@ -324,6 +333,34 @@
   link_feed (link, bytes, (size_t)n_read);
 }
 
+/* Sends a part of the request. Returns as send() does. */
+static ssize_t
+link_send (const MfLink *link)
+{
+  struct iovec parts[] = {
+    { .iov_base = (void *)mf_buffer_data (&link->out), .iov_len = mf_buffer_bytes (&link->out) },
+    { .iov_base = (void *)link->body, .iov_len = link->body_bytes },
+  };
+  struct msghdr message = { .msg_iov = parts, .msg_iovlen = MF_ARRAY_LEN (parts) };
+
+  return sendmsg (link->fd, &message, MSG_NOSIGNAL);
+}
+
+static void
+link_consume (MfLink *link, size_t n_bytes)
+{
+  size_t out_bytes = mf_buffer_bytes (&link->out);
+
+  if (n_bytes < out_bytes)
+    {
+      mf_buffer_consume (&link->out, n_bytes);
+      return;
+    }
+  mf_buffer_clear (&link->out);
+  link->body += n_bytes - out_bytes;
+  link->body_bytes -= n_bytes - out_bytes;
+}
+
 /* Sends the rest of the request, as far as the socket takes it. Returns false on a failed
  * connection, after which nothing more is sent. The first write reports EPIPE only when the reset
  * has followed the peer's orderly end: a peer may respond and close before it has read the complete
@@ -331,10 +368,9 @@
 static bool
 link_flush (MfLink *link)
 {
-  while (mf_buffer_bytes (&link->out) > 0)
+  while (link_unsent_bytes (link) > 0)
     {
-      ssize_t n_sent = send (link->fd, mf_buffer_data (&link->out), mf_buffer_bytes (&link->out),
-                             MSG_NOSIGNAL);
+      ssize_t n_sent = link_send (link);
 
       if (n_sent < 0 && errno == EINTR)
         continue;
@@ -350,7 +386,7 @@
           return false;
         }
       link->has_sent = true;
-      mf_buffer_consume (&link->out, (size_t)n_sent);
+      link_consume (link, (size_t)n_sent);
     }
   ev_io_stop (link->pool->loop, &link->writer);
   return true;
@@ -556,6 +592,16 @@
   return link;
 }
 
+/* Copies what is unsent of a body whose owner does not keep it any longer. Returns false when
+ * memory runs out. */
+bool
+mf_link_copy_body (MfLink *link)
+{
+  mf_buffer_add (&link->out, link->body, link->body_bytes);
+  link->body_bytes = 0;
+  return !link->out.failed;
+}
+
 /* Sends a request on an idle connection or a new one. Returns NULL when memory runs out; all other
  * failures are reported to the end callback. */
 MfLink *
@@ -580,7 +626,10 @@
   if (request->echo_id != NULL && strlen (request->echo_id) < sizeof link->echo_id)
     memcpy (link->echo_id, request->echo_id, strlen (request->echo_id) + 1);
   mf_buffer_add (&link->out, request->head, request->head_bytes);
-  mf_buffer_add (&link->out, request->body, request->body_bytes);
+  link->body = request->body;
+  link->body_bytes = request->body_bytes;
+  if (!request->body_is_kept)
+    mf_link_copy_body (link);
   if (link->out.failed)
     link_fail_later (link, "out of memory while sending a request");
   else if (link->state == LINK_BUSY)
--- a/libmangofork/relay/link.h
+++ b/libmangofork/relay/link.h
@@ -51,7 +51,7 @@
   void *owner;
 } MfLinkPool;
 
-/* A request to send. The head, the body and the id are copied. */
+/* A request to send. The head and the id are copied, and the body unless it is kept. */
 typedef struct
 {
   const MfLinkCallbacks *callbacks;
@@ -60,6 +60,7 @@
   size_t head_bytes;
   const char *body;
   size_t body_bytes;
+  bool body_is_kept;    /* the body stays as it is until the exchange has ended */
   const char *echo_id;  /* its request id, which the response repeats; NULL: none */
   uint64_t idle_max_us; /* a connection that was idle for longer is not reused; 0: any is */
   bool head_only;       /* a HEAD request, whose response has no body */
@@ -68,6 +69,7 @@
 
 MfLink *mf_link_open (MfLinkPool *pool, const MfLinkCallbacks *callbacks, void *data);
 MfLink *mf_link_start (MfLinkPool *pool, const MfLinkRequest *request);
+bool mf_link_copy_body (MfLink *link);
 void mf_link_cancel (MfLink *link);
 void mf_link_pause_reading (MfLink *link, bool paused);
 bool mf_link_has_sent (const MfLink *link);
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -2,6 +2,7 @@
 
 #include "libmangofork/clock.h"
 
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -26,10 +27,14 @@
 #define SETTINGS_CHECK_INTERVAL_US (1 * MF_US_PER_S)
 /* Instances that have started at the same time are connected to each other by then. */
 #define ASK_ENGINES_AFTER_US (400 * MF_US_PER_MS)
+#define LARGE_BUFFER_BYTES 131072
 /* File descriptors that are not available to callers: files, listeners, upstreams. */
 #define DESCRIPTORS_RESERVED 700
 /* Memory of one caller: its buffers and its request. */
 #define BYTES_PER_CALLER 100000
+/* Requests with large bodies are refused while all buffers use this percentage of the process's
+ * memory; the rest is for answers, small requests and everything else. */
+#define BODIES_MEMORY_PERCENT 50
 /* All buffered answers together may use this part (one in) of the process's memory. */
 #define ANSWERS_MEMORY_DIVISOR 4
 /* During shutdown, idle connections are closed when the load balancer has had time to stop using
@@ -182,6 +187,7 @@
     limits.callers_max = settings->files_max - DESCRIPTORS_RESERVED;
   if (settings->memory_bytes > 0 && limits.callers_max > settings->memory_bytes / BYTES_PER_CALLER)
     limits.callers_max = (uint32_t)(settings->memory_bytes / BYTES_PER_CALLER);
+  limits.buffers_bytes_max = settings->memory_bytes * BODIES_MEMORY_PERCENT / 100;
   mf_listener_set_limits (relay->listener, &limits);
 }
 
@@ -695,6 +701,8 @@
       mf_error_set (error, MF_CODE_NO_MEMORY, "out of memory while starting the relay");
       return NULL;
     }
+  /* Large buffers are returned to the system when they are freed. */
+  mallopt (M_MMAP_THRESHOLD, LARGE_BUFFER_BYTES);
   signals_block (true);
   relay->deployment = deployment;
   snprintf (relay->path, sizeof relay->path, "%s", path);
--- a/tests/test_caller.c
+++ b/tests/test_caller.c
@@ -340,6 +340,75 @@
   fixture_end (&fixture);
 }
 
+#define LARGE_BYTES 200000
+
+/* Begins a request with a large body, by its length or in chunks; the body is not complete. */
+static int
+large_body_begin (Fixture *fixture, bool chunked)
+{
+  static char body[LARGE_BYTES / 2];
+  char text[160];
+  int fd = loop_connect (PORT);
+
+  assert_true (fd >= 0);
+  snprintf (text, sizeof text, "POST /a HTTP/1.1\r\nHost: h\r\n%s%d\r\n%s",
+            chunked ? "Transfer-Encoding: chunked\r\nX-Size: " : "Content-Length: ", LARGE_BYTES,
+            chunked ? "\r\nf4240\r\n" : "\r\n");
+  loop_send (fd, text, strlen (text));
+  for (size_t i = 0; i < 4; i++)
+    {
+      loop_send (fd, body, sizeof body / 4);
+      loop_spin (fixture->loop, 4);
+    }
+  return fd;
+}
+
+/* Large bodies at once took an instance over its memory, which ended all its requests. While the
+ * memory is taken further ones are refused, before they have come; small ones are not. */
+static void
+test_large_bodies_keep_to_the_memory_limit (void **state)
+{
+  (void)state;
+  for (int i = 0; i < 2; i++)
+    {
+      bool chunked = i == 1;
+      Fixture fixture;
+      int large_fd;
+      int fd;
+
+      fixture_begin (&fixture, true);
+      mf_listener_set_limits (fixture.listener, &(MfListenerLimits){
+                                                    .header_bytes_max = 1024,
+                                                    .body_bytes_max = 4 * LARGE_BYTES,
+                                                    .header_timeout_us = 5 * MF_US_PER_S,
+                                                    .idle_timeout_us = 5 * MF_US_PER_S,
+                                                    .callers_max = 9,
+                                                    .buffers_bytes_max = LARGE_BYTES * 3 / 2,
+                                                });
+      large_fd = large_body_begin (&fixture, false);
+      assert_int_equal (fixture.n_refused, 0);
+      fd = large_body_begin (&fixture, chunked);
+      loop_receive (fixture.loop, fd, "memory", fixture.received, sizeof fixture.received);
+      assert_memory_equal (fixture.received, "HTTP/1.1 503", 12);
+      assert_non_null (strstr (fixture.received, "Retry-After: "));
+      assert_int_equal (fixture.refused_code, MF_CODE_NO_MEMORY);
+      assert_true (mf_buffers_bytes () < LARGE_BYTES * 3 / 2 + 65536);
+      close (fd);
+      fd = send_and_receive (&fixture, "GET /b HTTP/1.1\r\nHost: h\r\n\r\n", "[]");
+      assert_int_equal (fixture.n_requests, 1);
+      close (fd);
+      /* The memory is free again when the first body is gone. */
+      close (large_fd);
+      loop_spin (fixture.loop, 10);
+      fd = large_body_begin (&fixture, false);
+      assert_int_equal (fixture.n_refused, 1);
+      close (fd);
+      loop_spin (fixture.loop, 10);
+      fixture_end (&fixture);
+    }
+  assert_int_equal (mf_buffers_bytes (), 0);
+}
+
 int
 main (void)
 {
@@ -347,6 +416,7 @@
     cmocka_unit_test (test_requests_one_after_the_other),
     cmocka_unit_test (test_smuggled_requests_are_not_read),
     cmocka_unit_test (test_limits),
+    cmocka_unit_test (test_large_bodies_keep_to_the_memory_limit),
     cmocka_unit_test (test_idle_connections_close_in_time),
     cmocka_unit_test (test_no_more_callers_than_allowed),
     cmocka_unit_test (test_caller_who_leaves_while_its_request_waits),
