Trailers of a chunked message change no header

Cause: the parser reports trailers as it does headers, and message.c added them to the head that was complete.

Change: what comes after the head is checked and left out.

--- a/libmangofork/relay/message.c
+++ b/libmangofork/relay/message.c
@@ -62,6 +62,8 @@
 
   if (!mf_header_name_is_valid (bytes, n_bytes))
     return message_fail (message, MF_CODE_BAD_HEADER);
+  if (message->head_done)
+    return 0;
   if (message->in_value || head->n_fields == 0)
     {
       field_finish (message);
@@ -82,6 +84,8 @@
   MfHead *head = &message->head;
   MfHeadField *field;
 
+  if (message->head_done)
+    return 0;
   if (head->n_fields == 0)
     return message_fail (message, MF_CODE_BAD_HEADER);
   field = &head->fields[head->n_fields - 1];
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -239,10 +239,39 @@
     }
 }
 
+/* A trailer of a chunked request replaced the last header of its head. */
+static void
+test_trailers_change_no_header (void **state)
+{
+  static const char text[]
+      = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nX-Prompt-Prefix: a1:10\r\n"
+        "\r\n2\r\nhi\r\n0\r\nX-Model: other\r\nX-Digest: 123\r\n\r\n";
+
+  (void)state;
+  for (size_t cut = 0; cut < sizeof text; cut++)
+    {
+      Reader reader;
+      char value[32];
+
+      reader_begin (&reader, HTTP_REQUEST);
+      mf_message_feed (&reader.message, text, cut);
+      mf_message_feed (&reader.message, text + cut, sizeof text - 1 - cut);
+      assert_true (reader.message.done);
+      assert_int_equal (reader.message.error_code, MF_CODE_OK);
+      assert_int_equal (reader.message.head.n_fields, 3);
+      assert_true (
+          mf_head_copy (&reader.message.head, MF_HEADER_PROMPT_PARTS, value, sizeof value));
+      assert_string_equal (value, "a1:10");
+      assert_int_equal (mf_buffer_bytes (&reader.body), 2);
+      reader_end (&reader);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_trailers_change_no_header),
     cmocka_unit_test (test_heads_that_hide_a_second_request),
     cmocka_unit_test (test_head_too_large),
     cmocka_unit_test (test_request_is_the_same_however_it_is_cut),
