Endless answers keep to the memory of the process together

What operators reported: upstreams that send bytes without end, in a head or a body, took the instance that had called them out of memory.

Cause: limits were kept for single answers. Below 64 KB they were not counted, and heads (80 KB each) and incomplete events (256 KB each) were not either.

Change: above three quarters of the process's memory in all buffers, new requests are refused and the largest answer that is being received is given up; heads of upstreams have 16 KB at most, as those of callers; streams to slow callers are paused earlier while memory is scarce.

test_endless_answers_at_once_keep_to_the_memory_limit plays 80 requests at once with seven kinds of endless answers.

--- a/libmangofork/relay/caller.c
+++ b/libmangofork/relay/caller.c
@@ -23,6 +23,8 @@
 #define BODY_BYTES_SMALL 65536
 /* Bodies that take the memory are answered within about this time. */
 #define MEMORY_RETRY_S "0.5"
+/* The same while the buffers of the process exceed the memory for bodies. */
+#define UNSENT_BYTES_SCARCE 16384
 /* Connections accepted in one iteration of the event loop. */
 #define ACCEPTS_MAX 64
 /* After the last response on a connection, input is read and discarded for this long. Closing a
@@ -279,6 +281,15 @@
   caller_release (caller);
 }
 
+/* Returns how much of a streamed response is buffered before it is paused. */
+static size_t
+unsent_bytes_max (const MfCaller *caller)
+{
+  uint64_t max_bytes = caller->listener->limits.buffers_bytes_max;
+
+  return max_bytes > 0 && mf_buffers_bytes () > max_bytes ? UNSENT_BYTES_SCARCE : UNSENT_BYTES_MAX;
+}
+
 /* Sends the next bytes of a streamed response. */
 void
 mf_caller_write (MfCaller *caller, const char *bytes, size_t n_bytes)
@@ -297,7 +308,8 @@
   if (caller->chunked)
     mf_buffer_add_text (&caller->out, "\r\n");
   out_flush (caller);
-  if (caller->fd >= 0 && mf_buffer_bytes (&caller->out) > UNSENT_BYTES_MAX && !caller->write_paused)
+  if (caller->fd >= 0 && mf_buffer_bytes (&caller->out) > unsent_bytes_max (caller)
+      && !caller->write_paused)
     {
       caller->write_paused = true;
       if (caller->listener->callbacks->writable != NULL)
--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -83,6 +83,13 @@
   *answer = (MfJobAnswer){ 0 };
 }
 
+/* Whether all buffers of the process together exceed their limit. */
+bool
+mf_jobs_are_over_memory (const MfJobs *jobs)
+{
+  return jobs->buffers_bytes_max > 0 && mf_buffers_bytes () > jobs->buffers_bytes_max;
+}
+
 /* Whether the request may be executed more than once. */
 bool
 mf_job_may_retry (const MfJob *job)
@@ -558,7 +565,7 @@
       caller_reply_code (jobs, caller, MF_CODE_NO_UPSTREAM, true);
       return;
     }
-  if (jobs->n_jobs >= jobs->jobs_max)
+  if (jobs->n_jobs >= jobs->jobs_max || mf_jobs_are_over_memory (jobs))
     {
       caller_reply_code (jobs, caller, MF_CODE_OVER_LIMIT, true);
       return;
--- a/libmangofork/relay/job.h
+++ b/libmangofork/relay/job.h
@@ -113,6 +113,7 @@
   uint32_t n_jobs;
   uint64_t n_ended; /* requests ended since the process started */
   uint32_t jobs_max;
+  uint64_t buffers_bytes_max;  /* limit of the memory of all buffers of the process; 0: none */
   uint64_t answer_bytes_max;   /* limit of the memory taken by all buffered answers */
   ev_timer dispatch_timer;     /* runs the dispatcher periodically while requests wait */
   ev_timer dispatch_now_timer; /* runs the dispatcher in the next iteration of the loop */
--- a/libmangofork/relay/job_answer.c
+++ b/libmangofork/relay/job_answer.c
@@ -16,8 +16,10 @@
 /* The same for an answer to a prefill, which contains only the KV handle. */
 #define PREFILL_BYTES_MAX (64 * 1024)
 /* Answers smaller than this are not checked against the limit for all buffered answers
- * (MfJobs.answer_bytes_max); the number of callers bounds their sum. */
+ * (MfJobs.answer_bytes_max) unless all buffers together exceed theirs. */
 #define ANSWER_BYTES_SMALL (64 * 1024)
+/* Giving up an answer smaller than this would free nothing worth mentioning. */
+#define ANSWER_BYTES_TINY 8192
 /* Failed connection attempts cost only time; after more than this many the request is refused. */
 #define CONNECT_FAILURES_MAX 5
 /* An upstream that is still there after this many events has survived the beginning of its answer.
@@ -124,24 +126,53 @@
   callbacks->end (job, MF_LINK_BROKEN, why);
 }
 
-/* Returns the request with the largest answer being received if all buffered answers together
- * exceed their limit, else NULL. */
+/* Memory of what has been received of the request's answer and not been passed on. */
+static size_t
+job_answer_bytes (const MfJob *job)
+{
+  return job->answer.headers.capacity + job->answer.body.capacity + job->events.partial.capacity;
+}
+
+/* Returns the request with the largest answer being received. */
 static MfJob *
 jobs_find_largest_answer (const MfJobs *jobs)
 {
   MfJob *largest = NULL;
-  uint64_t total_bytes = 0;
 
   for (MfJob *job = jobs->first; job != NULL; job = job->next)
     {
-      size_t n_bytes = mf_buffer_bytes (&job->answer.body);
-
-      total_bytes += n_bytes + mf_buffer_bytes (&job->fallback_answer.body);
       if (job->link != NULL
-          && (largest == NULL || n_bytes > mf_buffer_bytes (&largest->answer.body)))
+          && (largest == NULL || job_answer_bytes (job) > job_answer_bytes (largest)))
         largest = job;
     }
-  return total_bytes > jobs->answer_bytes_max ? largest : NULL;
+  return largest;
+}
+
+/* Whether all buffered answers together exceed their limit. */
+static bool
+jobs_answers_are_over_memory (const MfJobs *jobs)
+{
+  uint64_t total_bytes = 0;
+
+  for (const MfJob *job = jobs->first; job != NULL; job = job->next)
+    total_bytes += job_answer_bytes (job) + job->fallback_answer.body.capacity;
+  return total_bytes > jobs->answer_bytes_max;
+}
+
+/* Gives up the largest answer being received if the answers, or all buffers, exceed their limit.
+ * job, whose answer has grown, may have been freed on return. */
+static void
+job_check_memory (const MfJob *job)
+{
+  const MfJobs *jobs = job->jobs;
+  MfJob *largest;
+
+  if (!mf_jobs_are_over_memory (jobs)
+      && (job_answer_bytes (job) < ANSWER_BYTES_SMALL || !jobs_answers_are_over_memory (jobs)))
+    return;
+  largest = jobs_find_largest_answer (jobs);
+  if (largest != NULL && job_answer_bytes (largest) >= ANSWER_BYTES_TINY)
+    job_abort_exchange (largest, "answers exceed the memory limit");
 }
 
 static void
@@ -150,7 +181,6 @@
   MfJob *job = data;
   MfBuffer *body = &job->answer.body;
   size_t limit_bytes = job->phase == MF_JOB_PREFILL ? PREFILL_BYTES_MAX : ANSWER_BYTES_MAX;
-  MfJob *largest;
 
   if (mf_buffer_bytes (body) + n_bytes > limit_bytes)
     {
@@ -158,11 +188,7 @@
       return;
     }
   mf_buffer_add (body, bytes, n_bytes);
-  if (mf_buffer_bytes (body) < ANSWER_BYTES_SMALL)
-    return;
-  largest = jobs_find_largest_answer (job->jobs);
-  if (largest != NULL)
-    job_abort_exchange (largest, "buffered answers of all requests exceed the memory limit");
+  job_check_memory (job);
 }
 
 /* Accounts for an answer that has become longer than expected. */
@@ -216,6 +242,8 @@
   job_add_tokens (job);
   if (job->events.defect != NULL)
     job_abort_exchange (job, job->events.defect);
+  else
+    job_check_memory (job);
 }
 
 /* The upstream declined the request without executing it. */
--- a/libmangofork/relay/link.c
+++ b/libmangofork/relay/link.c
@@ -15,6 +15,8 @@
 
 /* Bytes read from a connection at a time; the events of an engine's stream are below 3 KB. */
 #define READ_BYTES 16384
+/* Bytes of a response head at most; those of the known upstreams are below 1 KB. */
+#define HEAD_BYTES_MAX 16384
 /* Bytes of a request id, including the terminating NUL. */
 #define REQUEST_ID_BYTES 128
 /* Part of the peer's Keep-Alive timeout for which an idle connection is reused. The margin keeps a
@@ -518,6 +520,7 @@
   pool->n_links++;
   pool->n_connects++;
   mf_message_init (&link->message, HTTP_RESPONSE, pool->dialect, &message_events, link);
+  link->message.head_bytes_max = HEAD_BYTES_MAX;
   ev_timer_init (&link->timer, on_timer, (double)pool->connect_timeout_us / (double)MF_US_PER_S,
                  0.);
   link->timer.data = link;
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -35,6 +35,9 @@
 /* Requests with large bodies are refused while all buffers use this percentage of the process's
  * memory; the rest is for answers, small requests and everything else. */
 #define BODIES_MEMORY_PERCENT 50
+/* Above this percentage of the process's memory in all buffers, requests are refused and the
+ * largest answers are given up. */
+#define BUFFERS_MEMORY_PERCENT 75
 /* All buffered answers together may use this part (one in) of the process's memory. */
 #define ANSWERS_MEMORY_DIVISOR 4
 /* During shutdown, idle connections are closed when the load balancer has had time to stop using
@@ -478,6 +481,7 @@
   relay->jobs.upstreams_age_max_us = relay->settings.change_bound_us;
   if (relay->settings.memory_bytes > 0)
     relay->jobs.answer_bytes_max = relay->settings.memory_bytes / ANSWERS_MEMORY_DIVISOR;
+  relay->jobs.buffers_bytes_max = relay->settings.memory_bytes * BUFFERS_MEMORY_PERCENT / 100;
   if (relay->listener != NULL)
     limits_apply (relay);
 }
--- a/tests/test_job_answer.c
+++ b/tests/test_job_answer.c
@@ -761,6 +761,77 @@
   teardown (&fixture);
 }
 
+#define N_FLOODED 80
+
+/* An endless answer to a request of a path. */
+typedef struct
+{
+  const char *path;
+  MfRole role;
+  Flood flood;
+} EndlessAnswer;
+
+/* Endless heads and bodies of many upstreams at once are held within the memory of the process, the
+ * requests end, and the instance goes on to serve others. Only single ones had been played. */
+static void
+test_endless_answers_at_once_keep_to_the_memory_limit (void **state)
+{
+  static const EndlessAnswer answers[] = {
+    { "/order/1", MF_ROLE_PLAIN, { "HTTP/1.1 200 OK\r\nX-A: ", JUNK } },
+    { "/order/1", MF_ROLE_PLAIN, { "HTTP/1.1 200 OK\r\n", "X-A: b\r\n" } },
+    { "/order/1", MF_ROLE_PLAIN, { PLAIN_HEAD "\r\n", JUNK } },
+    { "/order/1",
+      MF_ROLE_PLAIN,
+      { PLAIN_HEAD "Transfer-Encoding: chunked\r\n\r\n", "1\r\nz\r\n" } },
+    { "/order/1",
+      MF_ROLE_PLAIN,
+      { PLAIN_HEAD "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n" } },
+    { "/buy/1", MF_ROLE_PREFILL, { "HTTP/1.1 200 OK\r\nX-Attempt-Id: t\r\n\r\n", JUNK } },
+    { "/once/1", MF_ROLE_DECODE, { RELAY_FIXTURE_STREAM_HEAD, "c8\r\n" JUNK "\r\n" } },
+  };
+  static const uint64_t limit_bytes = 512 * 1024;
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (answers); i++)
+    {
+      RelayFixture fixture;
+      int fds[N_FLOODED];
+      uint64_t until_us = mf_clock_now_us () + 8 * MF_US_PER_S;
+      uint64_t most_bytes = 0;
+
+      flood = &answers[i].flood;
+      relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+      fixture.jobs.buffers_bytes_max = limit_bytes;
+      fixture.jobs.answer_bytes_max = limit_bytes;
+      relay_fixture_add_upstream (&fixture, 0, answers[i].role, handle_flood);
+      relay_fixture_add_upstream (
+          &fixture, 1, answers[i].role == MF_ROLE_PLAIN ? MF_ROLE_PREFILL : MF_ROLE_PLAIN,
+          answers[i].role == MF_ROLE_PLAIN ? relay_fixture_prefill : handle_good);
+      if (answers[i].role == MF_ROLE_PREFILL)
+        relay_fixture_add_upstream (&fixture, 2, MF_ROLE_DECODE, handle_stream);
+      for (MfTarget *target = fixture.jobs.targets.first; target != NULL; target = target->next)
+        target->info.slots = N_FLOODED;
+      for (uint32_t n = 0; n < N_FLOODED; n++)
+        fds[n] = call_begin (&fixture, "POST", answers[i].path);
+      while (!no_jobs_left (&fixture) && mf_clock_now_us () < until_us)
+        {
+          loop_spin (fixture.loop, 1);
+          most_bytes = mf_buffers_bytes () > most_bytes ? mf_buffers_bytes () : most_bytes;
+        }
+      assert_int_equal (fixture.jobs.n_jobs, 0);
+      assert_in_range (most_bytes, 1, limit_bytes + 131072);
+      for (uint32_t n = 0; n < N_FLOODED; n++)
+        close (fds[n]);
+      loop_spin (fixture.loop, 5);
+      if (answers[i].role != MF_ROLE_PLAIN)
+        {
+          call (&fixture, "POST", "/order/1");
+          assert_memory_equal (fixture.received, "HTTP/1.1 200", 12);
+        }
+      teardown (&fixture);
+    }
+}
+
 int
 main (void)
 {
@@ -782,6 +853,7 @@
     cmocka_unit_test (test_stream_that_trickles_is_resumed_elsewhere),
     cmocka_unit_test (test_endless_answer_to_a_release_times_out),
     cmocka_unit_test (test_buffered_answers_keep_to_the_memory_limit),
+    cmocka_unit_test (test_endless_answers_at_once_keep_to_the_memory_limit),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
