Test: the call that frees KV ends before the instance is torn down

With the leak sanitizer test_job_shutdown failed: the instance was freed while the call that frees KV was in progress, and such a call is not freed with its upstreams. The process's exit needs no more. The test now lets it end; its assertions stay as they are.

--- a/tests/test_job_shutdown.c
+++ b/tests/test_job_shutdown.c
@@ -193,6 +193,7 @@
       call_end (&fixture, fd, "}");
       assert_refused (&fixture);
       assert_true (loop_pump (fixture.loop, has_freed_kv, &fixture));
+      loop_spin (fixture.loop, 5);
       assert_int_equal (relay_fixture_n_requests (&fixture, 1), 0);
       teardown (&fixture);
     }
