An event that comes byte by byte is searched once

Found by reading what endless answers cost: an upstream that sends an event in many small chunks kept the instance busy, for 25 s of processor time with an event of 250,000 bytes; other callers waited meanwhile.

Cause: for each piece the incomplete event was searched for its end from the start.

Change: the part that has been searched is remembered.

test_event_of_many_pieces_is_read_in_linear_time failed before (25.1 s, 2 s allowed); it takes 7 ms now.

--- a/libmangofork/relay/events.c
+++ b/libmangofork/relay/events.c
@@ -97,11 +97,12 @@
   return kind;
 }
 
-/* Returns the size of the first event, its blank line included; 0 when it is incomplete. */
+/* Returns the size of the first event, its blank line included; 0 when it is incomplete. Its end
+ * does not begin within the first searched_bytes. */
 static size_t
-first_event_bytes (const char *bytes, size_t n_bytes)
+first_event_bytes (const char *bytes, size_t n_bytes, size_t searched_bytes)
 {
-  for (size_t i = 0; i + 1 < n_bytes; i++)
+  for (size_t i = searched_bytes; i + 1 < n_bytes; i++)
     {
       if (bytes[i] != '\n')
         continue;
@@ -130,6 +131,7 @@
 stream_reject (MfEventStream *stream, const char *why)
 {
   stream->defect = why;
+  stream->searched_bytes = 0;
   mf_buffer_clear (&stream->partial);
 }
 
@@ -201,19 +203,25 @@
 mf_event_stream_feed (MfEventStream *stream, const char *bytes, size_t n_bytes, MfBuffer *out)
 {
   size_t event_bytes;
+  size_t n_partial_bytes;
 
   if (stream->defect != NULL)
     return;
   mf_buffer_add (&stream->partial, bytes, n_bytes);
   while (stream->defect == NULL
-         && (event_bytes = first_event_bytes (mf_buffer_data (&stream->partial),
-                                              mf_buffer_bytes (&stream->partial)))
+         && (event_bytes
+             = first_event_bytes (mf_buffer_data (&stream->partial),
+                                  mf_buffer_bytes (&stream->partial), stream->searched_bytes))
                 > 0)
     {
+      stream->searched_bytes = 0;
       stream_add_event (stream, mf_buffer_data (&stream->partial), event_bytes, out);
       if (stream->defect == NULL)
         mf_buffer_consume (&stream->partial, event_bytes);
     }
+  /* The end of an event has up to three bytes. */
+  n_partial_bytes = mf_buffer_bytes (&stream->partial);
+  stream->searched_bytes = n_partial_bytes > 2 ? n_partial_bytes - 2 : 0;
   if (mf_buffer_bytes (&stream->partial) > EVENT_BYTES_MAX || stream->partial.failed)
     stream_reject (stream, "event exceeds the size limit");
 }
@@ -224,6 +232,7 @@
 mf_event_stream_begin_run (MfEventStream *stream, uint64_t source)
 {
   stream->source = source;
+  stream->searched_bytes = 0;
   mf_buffer_clear (&stream->partial);
   stream->run_has_id = false;
   stream->defect = NULL;
--- a/libmangofork/relay/events.h
+++ b/libmangofork/relay/events.h
@@ -17,8 +17,9 @@
  * it. */
 typedef struct
 {
-  MfBuffer partial; /* an incomplete event */
-  uint64_t last_id; /* of the last event passed on */
+  MfBuffer partial;      /* an incomplete event */
+  size_t searched_bytes; /* of it, that contain no end of an event */
+  uint64_t last_id;      /* of the last event passed on */
   bool has_last_id;
   uint64_t run_last_id; /* of the last event of the current run */
   bool run_has_id;
--- a/tests/test_events.c
+++ b/tests/test_events.c
@@ -7,9 +7,12 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include <cmocka.h>
 
+#define LONG_EVENT_BYTES 250000
+
 static const char text[] = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid:3\ndata: c\n\n";
 
 static void
@@ -203,6 +206,29 @@
     }
 }
 
+/* An event that came byte by byte was searched from its start for each of them, which kept an
+ * instance from its other requests for seconds. */
+static void
+test_event_of_many_pieces_is_read_in_linear_time (void **state)
+{
+  MfEventStream stream = { 0 };
+  MfBuffer out = { 0 };
+  clock_t started = clock ();
+
+  (void)state;
+  mf_event_stream_feed (&stream, "id: 1\ndata: ", 12, &out);
+  for (uint32_t i = 0; i < LONG_EVENT_BYTES; i++)
+    mf_event_stream_feed (&stream, "z", 1, &out);
+  assert_null (stream.defect);
+  mf_event_stream_feed (&stream, "\n", 1, &out);
+  mf_event_stream_feed (&stream, "\n", 1, &out);
+  assert_int_equal (stream.n_events, 1);
+  assert_int_equal (mf_buffer_bytes (&out), 12 + LONG_EVENT_BYTES + 2);
+  assert_true (clock () - started < 2 * CLOCKS_PER_SEC);
+  mf_event_stream_clear (&stream);
+  mf_buffer_clear (&out);
+}
+
 int
 main (void)
 {
@@ -212,6 +238,7 @@
     cmocka_unit_test (test_nothing_after_an_invalid_event_is_passed_on),
     cmocka_unit_test (test_gap_needs_a_second_upstream),
     cmocka_unit_test (test_service_whose_ids_have_gaps_is_served),
+    cmocka_unit_test (test_event_of_many_pieces_is_read_in_linear_time),
     cmocka_unit_test (test_end_inside_an_event_is_no_boundary),
   };
 
