--- a/libmangofork/relay/link.c
+++ b/libmangofork/relay/link.c
@@ -49,7 +49,7 @@
   ev_timer timer; /* connecting and busy: timeout; idle: close; ending: due at once */
   MfMessage message;
   MfBuffer out;
-  const char *body; /* what is to be sent after out; not owned */
+  const char *body; /* what is to be sent after out; owned by the user of the link */
   size_t body_bytes;
   const MfLinkCallbacks *callbacks;
   void *data;
@@ -144,6 +144,7 @@
   ev_timer_start (link->pool->loop, &link->timer);
 }
 
+/* Size of the part of the request that is still to be sent. */
 static size_t
 link_unsent_bytes (const MfLink *link)
 {
@@ -348,12 +349,13 @@
   return sendmsg (link->fd, &message, MSG_NOSIGNAL);
 }
 
+/* Removes bytes that have been sent: first of the head, then of the body. */
 static void
 link_consume (MfLink *link, size_t n_bytes)
 {
   size_t out_bytes = mf_buffer_bytes (&link->out);
 
-  if (n_bytes < out_bytes)
+  if (n_bytes <= out_bytes)
     {
       mf_buffer_consume (&link->out, n_bytes);
       return;
