The soak blocks signals before it starts a program

Cause: SIGTERM and SIGHUP were blocked in the child after fork(); one that came between ended it by the default action, which the soak reported as an instance that "crashed or exited with an error (status f)".

Change: the mask is set before fork() and the child inherits it; the parent restores its own. No check is changed.

--- a/tests/soak/relay_soak.c
+++ b/tests/soak/relay_soak.c
@@ -289,22 +289,27 @@
   char path[128];
   char log[128];
   sigset_t handled;
+  sigset_t before;
   pid_t pid;
 
   snprintf (path, sizeof path, "%s/%u.conf", soak->directory, index);
   snprintf (log, sizeof log, "%s/%u.log", soak->directory, index);
   instance->paused = false;
   instance->started_us = mf_clock_now_us ();
+  /* The child inherits the mask, so that no signal can end it before its handlers are installed. */
+  sigemptyset (&handled);
+  sigaddset (&handled, SIGTERM);
+  sigaddset (&handled, SIGHUP);
+  sigprocmask (SIG_BLOCK, &handled, &before);
   pid = fork ();
   if (pid < 0)
     report_violation (soak, "an instance could not be started", strerror (errno));
   instance->pid = pid > 0 ? pid : 0;
   if (pid != 0)
-    return;
-  sigemptyset (&handled);
-  sigaddset (&handled, SIGTERM);
-  sigaddset (&handled, SIGHUP);
-  sigprocmask (SIG_BLOCK, &handled, NULL);
+    {
+      sigprocmask (SIG_SETMASK, &before, NULL);
+      return;
+    }
   dup2 (open (log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600), STDOUT_FILENO);
   execl (MANGOFORK, "mangofork", "relay", "-s", path, (char *)NULL);
   _exit (127);
