Ends of requests name the time since SIGTERM

What callers saw: streams that a stop ended. The log had one text for arrivals that are refused and for further sends that are, and the time since SIGTERM had to be looked up in another line.

Change: request.end names stop_ms, a refusal at a further send has a text of its own, and answers that the instance cut off after they had begun are counted (answers_cut_off_total).

--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -158,7 +158,7 @@
       jobs->log, "request.end",
       "id=%s digest=%016llx route=%s service=%s code=%d status=%u why=\"%s\" "
       "took_ms=%.1f first_event_ms=%.1f waited_ms=%.1f sends=%u runs=%u prefills=%u events=%llu "
-      "last_upstream=%s left_ms=%lld config=%llu",
+      "last_upstream=%s left_ms=%lld stop_ms=%lld config=%llu",
       job->id, (unsigned long long)job->digest, job->route->name, job->service->name, (int)code,
       status, why, (double)took_us / 1e3,
       job->first_event_us > 0 ? (double)(job->first_event_us - job->started_us) / 1e3 : 0.,
@@ -166,6 +166,7 @@
       (unsigned long long)job->events.n_events,
       job->last_upstream[0] != '\0' ? job->last_upstream : "none",
       ((long long)job->deadline_us - (long long)now_us) / 1000,
+      jobs->shutdown.started_us > 0 ? (long long)(now_us - jobs->shutdown.started_us) / 1000 : -1LL,
       (unsigned long long)job->routes->version);
 }
 
@@ -279,6 +280,7 @@
   if (status == 503)
     status = 502;
   job->jobs->counters.counts[MF_RELAY_COUNT_FAILED]++;
+  job->jobs->counters.counts[MF_RELAY_COUNT_CUT_OFF] += job->head_sent && job->caller != NULL;
   job_record_end (job, code, job->head_sent ? 0 : status, why);
   if (job->head_sent && job->caller != NULL)
     {
--- a/libmangofork/relay/job_shutdown.c
+++ b/libmangofork/relay/job_shutdown.c
@@ -20,7 +20,9 @@
           },
           mf_clock_now_us ()))
     return false;
-  mf_job_refuse (job, MF_CODE_DRAINING, "instance exits before the answer could be complete");
+  mf_job_refuse (job, MF_CODE_DRAINING,
+                 is_accepted ? "instance exits before the rest of the answer could be complete"
+                             : "instance exits before the answer could be complete");
   return true;
 }
 
--- a/tests/test_job_shutdown.c
+++ b/tests/test_job_shutdown.c
@@ -308,6 +308,8 @@
       shut_down (&fixture, GRACE_US);
       mf_jobs_end_all (&fixture.jobs);
       assert_int_equal (fixture.jobs.n_jobs, 0);
+      assert_int_equal (fixture.jobs.counters.counts[MF_RELAY_COUNT_CUT_OFF],
+                        calls[i].status == NULL);
       call_end (&fixture, fd, "}");
       assert_memory_equal (fixture.received, "HTTP/1.1 ", 9);
       assert_memory_equal (fixture.received + 9, calls[i].status != NULL ? calls[i].status : "200",
