Test: streams that a stop ends are reproduced

What callers saw: streams around SIGTERM ended without a complete answer.

The stand-in answers with one event and is then silent. In the first test this is during a stop, at three times; in the second the stream is being moved when the stop begins.

--- /dev/null
+++ b/tests/test_job_stall.c
@@ -0,0 +1,199 @@
+#include "libmangofork/relay/job_row.h"
+
+#include "libmangofork/clock.h"
+
+#include "loop_pump.h"
+#include "relay_fixture.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#define PORT 21911
+#define GRACE_US (8 * MF_US_PER_S)
+/* Iterations that take longer than three of the longest pauses of the route /llm/. */
+#define STALL_ITERATIONS 250
+/* Those that take half of the latency objective of that route. */
+#define LATE_ITERATIONS 75
+#define REST "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n"
+#define WHOLE "\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n" REST
+
+static FakeUpstreamConn *silent;  /* the run that has stalled */
+static FakeUpstreamConn *prefill; /* the last prefill that has no answer */
+static uint32_t n_prefills;
+
+/* Sends event 1; the rest is up to the test. */
+static void
+handle_silent (FakeUpstreamConn *conn, const char *text, const char *id)
+{
+  relay_fixture_stream_hangs (conn, text, id);
+  silent = conn;
+}
+
+/* Sends nothing yet. */
+static void
+handle_late (FakeUpstreamConn *conn, const char *text, const char *id)
+{
+  (void)text;
+  (void)id;
+  silent = conn;
+}
+
+/* Goes on after event 1. */
+static void
+handle_rest (FakeUpstreamConn *conn, const char *text, const char *id)
+{
+  char last[16] = "";
+
+  (void)id;
+  fake_upstream_request_header (text, "Last-Event-Id", last, sizeof last);
+  assert_string_equal (last, "1");
+  fake_upstream_conn_send (conn, RELAY_FIXTURE_STREAM_HEAD REST);
+}
+
+static void
+prefill_answer (FakeUpstreamConn *conn)
+{
+  relay_fixture_answer (conn, "t", "200 OK", "",
+                        "{\"kvHandle\":\"h1\",\"tokens\":10,\"version\":1}");
+}
+
+/* Answers the first prefill and leaves the second without an answer. */
+static void
+handle_prefill_once (FakeUpstreamConn *conn, const char *text, const char *id)
+{
+  if (strncmp (text, "DELETE ", 7) == 0 || n_prefills++ == 0)
+    relay_fixture_prefill (conn, text, id);
+  else
+    prefill = conn;
+}
+
+static void
+setup (RelayFixture *fixture)
+{
+  silent = NULL;
+  prefill = NULL;
+  n_prefills = 0;
+  relay_fixture_setup (fixture, ev_loop_new (0), PORT);
+  fixture->jobs.mean_token_us = 100. * (double)MF_US_PER_MS;
+}
+
+static void
+teardown (RelayFixture *fixture)
+{
+  struct ev_loop *loop = fixture->loop;
+
+  relay_fixture_teardown (fixture);
+  ev_loop_destroy (loop);
+}
+
+static void
+shut_down (RelayFixture *fixture, uint64_t elapsed_us)
+{
+  mf_jobs_shut_down (&fixture->jobs, &(MfShutdown){ .started_us = mf_clock_now_us () - elapsed_us,
+                                                    .grace_us = GRACE_US });
+}
+
+static int
+call_begin (void)
+{
+  static const char text[]
+      = "POST /llm/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: t\r\nX-Token-Count: 100,40\r\n"
+        "Content-Length: 2\r\n\r\nhi";
+  int fd = loop_connect (PORT);
+
+  assert_true (fd >= 0);
+  loop_send (fd, text, sizeof text - 1);
+  return fd;
+}
+
+static void
+assert_whole (RelayFixture *fixture, int fd)
+{
+  loop_receive (fixture->loop, fd, "\r\n0\r\n\r\n", fixture->received, sizeof fixture->received);
+  assert_non_null (strstr (fixture->received, "\r\n\r\n"));
+  assert_string_equal (strstr (fixture->received, "\r\n\r\n"), WHOLE);
+  close (fd);
+}
+
+static bool
+is_silent (void *data)
+{
+  (void)data;
+  return silent != NULL;
+}
+
+static bool
+is_prefilling (void *data)
+{
+  (void)data;
+  return prefill != NULL;
+}
+
+/* Streams whose engine was silent during a planned stop were moved, and ended in place of the send
+ * to another engine. */
+static void
+test_stop_does_not_end_a_silent_stream (void **state)
+{
+  static const uint32_t elapsed_ms[] = { 4800, 6000, 7000 };
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (elapsed_ms); i++)
+    {
+      RelayFixture fixture;
+      int fd;
+
+      setup (&fixture);
+      relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_silent);
+      relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_rest);
+      fd = call_begin ();
+      assert_true (loop_pump (fixture.loop, is_silent, NULL));
+      shut_down (&fixture, elapsed_ms[i] * MF_US_PER_MS);
+      loop_spin (fixture.loop, STALL_ITERATIONS);
+      assert_int_equal (fixture.jobs.n_jobs, 1);
+      fake_upstream_conn_send (silent, REST);
+      assert_whole (&fixture, fd);
+      teardown (&fixture);
+    }
+}
+
+/* A stream that was being moved when a stop began was ended after its second prefill. */
+static void
+test_stop_does_not_end_a_stream_after_its_second_prefill (void **state)
+{
+  RelayFixture fixture;
+  int fd;
+
+  (void)state;
+  setup (&fixture);
+  relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_late);
+  relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_rest);
+  relay_fixture_add_upstream (&fixture, 2, MF_ROLE_PREFILL, handle_prefill_once);
+  fd = call_begin ();
+  assert_true (loop_pump (fixture.loop, is_silent, NULL));
+  /* When the stream stalls, the KV of the first prefill has expired. */
+  loop_spin (fixture.loop, LATE_ITERATIONS);
+  relay_fixture_stream_hangs (silent, "", "t");
+  assert_true (loop_pump (fixture.loop, is_prefilling, NULL));
+  shut_down (&fixture, 6 * MF_US_PER_S);
+  prefill_answer (prefill);
+  assert_whole (&fixture, fd);
+  assert_int_equal (relay_fixture_n_requests (&fixture, 1), 1);
+  teardown (&fixture);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_stop_does_not_end_a_silent_stream),
+    cmocka_unit_test (test_stop_does_not_end_a_stream_after_its_second_prefill),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
