A planned stop ends no stream that has begun

What callers saw: streams whose engine was silent, or had broken off, during a planned stop ended without a complete answer, seconds before the exit (LOST).

Cause: whether a request can be complete before the exit was decided at each of its sends. For an arrival the result is a refusal; for a stream that has begun there is no refusal, so it was cut off, with the time to go on left.

Change: an answer that has begun goes on until the exit, whatever step it needs. A run whose engine is silent is given up for another one only if that is likely to be complete before the exit.

--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -269,7 +269,8 @@
   if (job->n_avoid < MF_PLACE_AVOID_MAX)
     query.avoid[query.n_avoid++] = target->id_hash;
   if (job->phase != MF_JOB_PREFILL
-      && (!mf_job_may_retry (job) || job->n_runs + 1 >= job->route->attempts_max))
+      && (!mf_job_may_retry (job) || job->n_runs + 1 >= job->route->attempts_max
+          || !mf_job_may_move (job)))
     {
       mf_job_set_timer (job);
       return;
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -224,6 +224,7 @@
 
 /* job_shutdown.c: planned stops of this process. */
 bool mf_job_end_unfinishable (MfJob *job, bool is_accepted);
+bool mf_job_may_move (const MfJob *job);
 
 /* job_send.c: starts and cancels exchanges with upstreams. */
 bool mf_job_send (MfJob *job, MfTarget *target, bool prefill);
--- a/libmangofork/relay/job_shutdown.c
+++ b/libmangofork/relay/job_shutdown.c
@@ -2,23 +2,39 @@
 
 #include "libmangofork/clock.h"
 
+/* Whether what is left of the answer may be expected to end before the exit of this process. */
+static bool
+job_is_finishable (const MfJob *job, bool is_accepted)
+{
+  const MfJobs *jobs = job->jobs;
+  uint64_t n_received = job->events.n_events * job->service->event_tokens;
+  uint64_t n_left = job->output_tokens > n_received ? job->output_tokens - n_received : 0;
+
+  return mf_shutdown_admits (
+      &jobs->shutdown,
+      &(MfShutdownRequest){
+          .deadline_us = job->deadline_us,
+          .longest_us = (uint64_t)((double)n_left * jobs->mean_token_us),
+          .can_be_resumed = job->route->kind == MF_ROUTE_STREAMING && job->route->resumable,
+          .is_accepted = is_accepted,
+      },
+      mf_clock_now_us ());
+}
+
+/* Whether a run whose upstream is silent may be given up for one that would begin now. */
+bool
+mf_job_may_move (const MfJob *job)
+{
+  return job_is_finishable (job, true);
+}
+
 /* Refuses a request that might be cut off by the exit of this process. is_accepted is set for one
- * that has passed this check at its arrival. Returns whether the request has ended. */
+ * that has passed this check at its arrival. An answer that has begun cannot be refused, and goes
+ * on until the exit. Returns whether the request was refused. */
 bool
 mf_job_end_unfinishable (MfJob *job, bool is_accepted)
 {
-  MfJobs *jobs = job->jobs;
-  uint64_t longest_us = (uint64_t)((double)job->output_tokens * jobs->mean_token_us);
-
-  if (mf_shutdown_admits (
-          &jobs->shutdown,
-          &(MfShutdownRequest){
-              .deadline_us = job->deadline_us,
-              .longest_us = longest_us,
-              .can_be_resumed = job->route->kind == MF_ROUTE_STREAMING && job->route->resumable,
-              .is_accepted = is_accepted,
-          },
-          mf_clock_now_us ()))
+  if (job->head_sent || job_is_finishable (job, is_accepted))
     return false;
   mf_job_refuse (job, MF_CODE_DRAINING,
                  is_accepted ? "instance exits before the rest of the answer could be complete"
