A silent run is kept until another one takes its place

What callers could get: a stream whose engine was silent for three of the longest pauses ended although the engine was about to go on.

Cause: the run was cancelled first, and another engine was looked for after that. Whatever ended the search (no slot before the caller leaves, a rate limit, a prefill that failed, no retry left, no upstream of the version, a quarantine) ended the stream. Class: giving up what one has before its replacement is certain.

Change: the exchange is set aside (job_stall.c) and ends when the request is sent to the next upstream. It goes on if it completes an event meanwhile, or if the search fails; only the deadline, the caller's departure, a quarantine before its first events, and the exit end both. A request of which the caller has nothing is still refused shortly before the caller would leave. The KV of an answer that has begun counts as used, so that its handle is not sent a second time.

--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -98,12 +98,12 @@
          || (job->route->kind == MF_ROUTE_STREAMING && job->route->resumable);
 }
 
-/* Whether the current send may be executed by the upstream that is to answer it; a prefill executes
- * nothing. */
+/* Whether an upstream may be executing the request; a prefill executes nothing. */
 bool
 mf_job_is_at_upstream (const MfJob *job)
 {
-  return job->link != NULL && job->phase != MF_JOB_PREFILL && mf_link_has_sent (job->link);
+  return job->stalled.link != NULL
+         || (job->link != NULL && job->phase != MF_JOB_PREFILL && mf_link_has_sent (job->link));
 }
 
 static void
@@ -117,6 +117,7 @@
   if (job->link != NULL && mf_link_has_sent (job->link))
     mf_job_note_failure (job, job->target, false);
   mf_job_end_trial (job);
+  mf_job_drop_stalled (job);
   mf_job_cancel (job);
   mf_job_reserve (job, NULL);
   mf_job_release_kv (job);
@@ -238,10 +239,12 @@
 }
 
 /* Refuses a request that has not been executed and will not be, so that the caller may safely retry
- * it. */
+ * it. While an upstream that was silent may be executing it, the request goes on there. */
 void
 mf_job_refuse (MfJob *job, MfCode code, const char *why)
 {
+  if (mf_job_keep_stalled (job, code, why))
+    return;
   if (job->head_sent || (job->n_runs > 0 && !mf_job_may_retry (job)))
     {
       mf_job_finish (job, code, why);
@@ -260,12 +263,15 @@
   job_free (job);
 }
 
-/* Ends a request that may have been executed and has no complete answer. */
+/* Ends a request that may have been executed and has no complete answer. It goes on while an
+ * upstream that was silent may be executing it, except after its deadline. */
 void
 mf_job_finish (MfJob *job, MfCode code, const char *why)
 {
   uint32_t status = mf_code_info (code)->http_status;
 
+  if (mf_job_keep_stalled (job, code, why))
+    return;
   if (code == MF_CODE_OK)
     {
       job_end_stream (job);
@@ -329,6 +335,9 @@
     }
   if (job->phase == MF_JOB_WAITING && now_us >= job->give_up_us)
     {
+      /* A caller that has no part of the answer is about to disconnect. */
+      if (!job->head_sent)
+        mf_job_drop_stalled (job);
       mf_job_refuse (job, MF_CODE_QUEUE_FULL, "no engine slot became free in time");
       return;
     }
@@ -621,6 +630,8 @@
   MfJob *job = mf_caller_job (caller);
 
   (void)data;
+  if (job != NULL && job->stalled.link != NULL)
+    mf_link_pause_reading (job->stalled.link, !can_write);
   if (job == NULL || job->link == NULL)
     return;
   mf_link_pause_reading (job->link, !can_write);
--- a/libmangofork/relay/job_answer.c
+++ b/libmangofork/relay/job_answer.c
@@ -5,9 +5,6 @@
 #include <string.h>
 #include <strings.h>
 
-/* A resumable stream is moved to another upstream after a pause of this many times the route's
- * maximum gap between events. */
-#define STALL_GAPS 3
 /* Another upstream answers at the address, so the intended one is gone. Discovery reports that
  * within this time. */
 #define MISDIRECTED_AVOID_US (3 * MF_US_PER_S)
@@ -203,7 +200,33 @@
   job->target_tokens = tokens;
 }
 
-/* Forwards a part of a stream to the caller. */
+/* Sends the events that a stream's bytes have completed to the caller, and clears them. The request
+ * may have been freed on return. */
+void
+mf_job_pass_on (MfJob *job, MfBuffer *events)
+{
+  /* Bytes that complete no event do not count as progress. */
+  if (job->route->resumable && mf_buffer_bytes (events) > 0)
+    job->step_deadline_us = mf_clock_now_us () + mf_job_stall_us (job);
+  if (job->route->resumable && job->events.n_events > 0 && !job->origin_noted)
+    mf_job_note_begun (job);
+  if (events->failed)
+    {
+      mf_buffer_clear (events);
+      mf_job_finish (job, MF_CODE_NO_MEMORY, "out of memory while passing on events");
+      return;
+    }
+  mf_caller_write (job->caller, mf_buffer_data (events), mf_buffer_bytes (events));
+  mf_buffer_clear (events);
+  if (job->events.n_events >= job->n_events_before + BEGUN_EVENTS)
+    mf_job_note_sound (job);
+  job_add_tokens (job);
+  if (job->events.defect != NULL)
+    job_abort_exchange (job, job->events.defect);
+  else
+    job_check_memory (job);
+}
+
 static void
 on_run_body (void *data, const char *bytes, size_t n_bytes)
 {
@@ -224,26 +247,7 @@
         mf_jobs_note_first_event (job->jobs, now_us - job->granted_us);
     }
   mf_event_stream_feed (&job->events, bytes, n_bytes, &complete);
-  /* Bytes that complete no event do not count as progress. */
-  if (job->route->resumable && mf_buffer_bytes (&complete) > 0)
-    job->step_deadline_us = now_us + job->route->target_gap_us * STALL_GAPS;
-  if (job->route->resumable && job->events.n_events > 0 && !job->origin_noted)
-    mf_job_note_begun (job);
-  if (complete.failed)
-    {
-      mf_buffer_clear (&complete);
-      mf_job_finish (job, MF_CODE_NO_MEMORY, "out of memory while passing on events");
-      return;
-    }
-  mf_caller_write (job->caller, mf_buffer_data (&complete), mf_buffer_bytes (&complete));
-  mf_buffer_clear (&complete);
-  if (job->events.n_events >= job->n_events_before + BEGUN_EVENTS)
-    mf_job_note_sound (job);
-  job_add_tokens (job);
-  if (job->events.defect != NULL)
-    job_abort_exchange (job, job->events.defect);
-  else
-    job_check_memory (job);
+  mf_job_pass_on (job, &complete);
 }
 
 /* The upstream declined the request without executing it. */
--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -276,25 +276,18 @@
       return;
     }
   if (mf_place_choose (&job->jobs->targets, &query, mf_clock_now_us (), &any_available) == NULL
-      || !mf_job_acquire_retry (job))
+      || !mf_job_acquire_move (job))
     {
       mf_job_set_timer (job);
       return;
     }
-  mf_relay_log_event (job->jobs->log, "request.moved",
-                      "id=%s from=%s why=\"answer timed out\" waited_ms=%.1f in_flight=%u", job->id,
-                      target->info.id, (double)(mf_clock_now_us () - job->sent_us) / 1e3,
-                      target->n_active);
   mf_target_record_failure (target, false, mf_clock_now_us ());
   mf_job_note_failure (job, target, false);
   mf_job_avoid (job, target->id_hash);
-  /* The abandoned attempt may have been executed. */
   if (job->phase != MF_JOB_PREFILL && mf_link_has_sent (job->link))
-    {
-      job->n_arrivals++;
-      job->n_runs++;
-    }
-  mf_job_cancel (job);
+    mf_job_stall (job);
+  else
+    mf_job_cancel (job);
   if (job->head_sent)
     mf_job_reset_give_up (job);
   mf_job_advance (job);
--- a/libmangofork/relay/job_retry.c
+++ b/libmangofork/relay/job_retry.c
@@ -66,6 +66,14 @@
   return acquire_sends (job, retry_n_sends (job));
 }
 
+/* The same for a request that is to be moved, unless what it acquired for an earlier attempt is
+ * left. */
+bool
+mf_job_acquire_move (MfJob *job)
+{
+  return job->n_reserved_sends >= retry_n_sends (job) || mf_job_acquire_retry (job);
+}
+
 /* Whether the next send is allowed: it is the first prefill or run, it was reserved before, or the
  * instance's own budget has one left. */
 bool
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -9,6 +9,10 @@
  * also list the upstreams that this instance cannot use. */
 #define MF_JOB_AVOID_MAX 6
 
+/* A resumable stream is moved to another upstream after a pause of this many times the route's
+ * maximum gap between events. */
+#define MF_JOB_STALL_GAPS 3
+
 /* State of a request. */
 typedef enum
 {
@@ -30,6 +34,24 @@
   bool encoded;
 } MfJobAnswer;
 
+/* A run whose upstream has been silent for too long. It goes on until the request is sent to
+ * another upstream. */
+typedef struct
+{
+  MfLink *link; /* NULL: there is no such run */
+  MfTarget *target;
+  uint64_t target_tokens;
+  MfJobPhase phase;
+  MfJobAnswer answer; /* what has been received and not been passed on */
+  uint64_t since_us;
+  uint64_t sent_us;
+  uint64_t n_events_before;
+  uint32_t n_prefills; /* of the request, until then */
+  bool answer_began;
+  bool was_suspect;
+  bool is_retry;
+} MfStalledRun;
+
 /* How a request ends if its retry is denied. */
 typedef struct
 {
@@ -75,6 +97,7 @@
   uint64_t target_tokens;
   char last_upstream[MF_TARGET_ID_BYTES]; /* for the log */
   uint64_t sent_us;
+  MfStalledRun stalled;
   MfJobAnswer answer; /* of the current exchange */
   /* Error answer of an upstream, sent if no further attempt succeeds. */
   MfJobAnswer fallback_answer;
@@ -176,6 +199,7 @@
 bool mf_job_acquire_retry (MfJob *job);
 bool mf_job_acquire_send (MfJob *job, bool prefill);
 void mf_job_note_send (MfJob *job, bool prefill);
+bool mf_job_acquire_move (MfJob *job);
 void mf_job_retry_or_end (MfJob *job, const MfJobDenial *denial);
 void mf_job_retry_denied (MfJob *job);
 void mf_jobs_handle_retry_message (MfJobs *jobs, uint64_t peer, const MfRelayMessage *message);
@@ -226,6 +250,13 @@
 bool mf_job_end_unfinishable (MfJob *job, bool is_accepted);
 bool mf_job_may_move (const MfJob *job);
 
+/* job_stall.c: runs whose upstreams are silent. */
+uint64_t mf_job_stall_us (const MfJob *job);
+void mf_job_stall (MfJob *job);
+void mf_job_move (MfJob *job);
+void mf_job_drop_stalled (MfJob *job);
+bool mf_job_keep_stalled (MfJob *job, MfCode code, const char *why);
+
 /* job_send.c: starts and cancels exchanges with upstreams. */
 bool mf_job_send (MfJob *job, MfTarget *target, bool prefill);
 void mf_job_cancel (MfJob *job);
@@ -237,5 +268,6 @@
 /* job_answer.c: handles upstreams' answers to prefills and runs. */
 extern const MfLinkCallbacks mf_job_prefill_callbacks;
 extern const MfLinkCallbacks mf_job_run_callbacks;
+void mf_job_pass_on (MfJob *job, MfBuffer *events);
 
 #endif
--- a/libmangofork/relay/job_send.c
+++ b/libmangofork/relay/job_send.c
@@ -246,8 +246,8 @@
   return 0;
 }
 
-/* Sends a prefill or a run to an upstream. Returns false if the request has ended: memory has run
- * out, or this process might exit before the answer is complete. */
+/* Sends a prefill or a run to an upstream. Returns false if it was not sent: memory has run out, or
+ * this process might exit before the answer is complete. The request may have ended then. */
 bool
 mf_job_send (MfJob *job, MfTarget *target, bool prefill)
 {
@@ -259,12 +259,15 @@
 
   if (mf_job_end_unfinishable (job, true))
     return false;
+  if (!prefill)
+    mf_job_move (job);
   job_write_head (job, target, prefill, &head);
   job->target = mf_target_ref (target);
   job->was_suspect = mf_job_is_suspect (job);
   target->n_suspects += job->was_suspect;
   job->answer_began = false;
-  mf_event_stream_begin_run (&job->events, target->id_hash);
+  if (!prefill)
+    mf_event_stream_begin_run (&job->events, target->id_hash);
   job->n_events_before = job->events.n_events;
   mf_name_set (job->last_upstream, sizeof job->last_upstream, target->info.id);
   job->target_tokens = prefill ? job->prompt_tokens : job->kv_tokens;
--- a/libmangofork/relay/job_shutdown.c
+++ b/libmangofork/relay/job_shutdown.c
@@ -68,7 +68,10 @@
     {
       MfJob *job = jobs->first;
 
-      if (mf_job_is_at_upstream (job))
+      bool is_at_upstream = mf_job_is_at_upstream (job);
+
+      mf_job_drop_stalled (job);
+      if (is_at_upstream)
         mf_job_finish (job, MF_CODE_DRAINING, "instance exits");
       else
         mf_job_refuse (job, MF_CODE_DRAINING, "instance exits");
--- /dev/null
+++ b/libmangofork/relay/job_stall.c
@@ -0,0 +1,205 @@
+#include "job_row.h"
+
+#include "libmangofork/clock.h"
+
+/* Ends the accounting of the stalled run. */
+static void
+stalled_release (MfJob *job)
+{
+  MfStalledRun *stalled = &job->stalled;
+
+  mf_target_end_request (stalled->target, stalled->target_tokens);
+  stalled->target->n_suspects -= stalled->was_suspect;
+  mf_target_unref (stalled->target);
+  mf_job_answer_clear (&stalled->answer);
+  *stalled = (MfStalledRun){ 0 };
+  if (job->is_engine)
+    mf_jobs_load_changed (job->jobs);
+}
+
+/* Cancels what was begun to send the request to another upstream. */
+static void
+job_cancel_search (MfJob *job)
+{
+  mf_job_cancel_slot_request (job);
+  job->retry_request_id = 0;
+  job->awaited_process_id = 0;
+  mf_job_drop_rate (job);
+  mf_job_cancel (job);
+  mf_job_reserve (job, NULL);
+  if (job->n_prefills > job->stalled.n_prefills)
+    mf_job_release_kv (job);
+  mf_job_answer_clear (&job->answer);
+  if (job->waiting_since_us > 0)
+    job->waited_us += mf_clock_now_us () - job->waiting_since_us;
+  job->waiting_since_us = 0;
+}
+
+/* Continues with the stalled run; why is the cause, for the log. */
+static void
+job_keep_run (MfJob *job, const char *why)
+{
+  MfStalledRun stalled = job->stalled;
+  uint64_t now_us = mf_clock_now_us ();
+
+  mf_relay_log_event (job->jobs->log, "request.kept",
+                      "id=%s upstream=%s why=\"%s\" searched_ms=%.1f events=%llu", job->id,
+                      stalled.target->info.id, why, (double)(now_us - stalled.since_us) / 1e3,
+                      (unsigned long long)job->events.n_events);
+  job->jobs->counters.counts[MF_RELAY_COUNT_KEPT]++;
+  job_cancel_search (job);
+  job->stalled = (MfStalledRun){ 0 };
+  job->link = stalled.link;
+  job->target = stalled.target;
+  job->target_tokens = stalled.target_tokens;
+  job->phase = stalled.phase;
+  job->answer = stalled.answer;
+  job->sent_us = stalled.sent_us;
+  job->n_events_before = stalled.n_events_before;
+  job->answer_began = stalled.answer_began;
+  job->was_suspect = stalled.was_suspect;
+  job->is_retry = stalled.is_retry;
+  job->n_arrivals--;
+  job->n_runs--;
+  job->step_deadline_us = now_us + mf_job_stall_us (job);
+  mf_job_set_timer (job);
+}
+
+/* The stalled run has delivered something. */
+static void
+job_resume_run (MfJob *job)
+{
+  job_keep_run (job, "upstream goes on");
+  mf_link_set_callbacks (job->link, &mf_job_run_callbacks);
+  mf_job_note_upstream_alive (job);
+}
+
+static void
+on_stalled_head (void *data, const MfHead *head, uint32_t status)
+{
+  MfJob *job = data;
+
+  job_resume_run (job);
+  mf_job_run_callbacks.head (job, head, status);
+}
+
+static void
+on_stalled_body (void *data, const char *bytes, size_t n_bytes)
+{
+  MfJob *job = data;
+  MfBuffer complete = { 0 };
+
+  mf_target_record_alive (job->stalled.target, mf_clock_now_us ());
+  if (job->stalled.phase != MF_JOB_STREAMING)
+    {
+      job_resume_run (job);
+      mf_job_run_callbacks.body (job, bytes, n_bytes);
+      return;
+    }
+  mf_event_stream_feed (&job->events, bytes, n_bytes, &complete);
+  /* Bytes that complete no event do not count as progress. */
+  if (mf_buffer_bytes (&complete) == 0 && !complete.failed && job->events.defect == NULL)
+    return;
+  job_resume_run (job);
+  mf_job_pass_on (job, &complete);
+}
+
+static void
+on_stalled_end (void *data, MfLinkEnd end, const char *why)
+{
+  MfJob *job = data;
+  MfTarget *target = job->stalled.target;
+
+  if (end == MF_LINK_COMPLETE || end == MF_LINK_CLOSED)
+    {
+      job_keep_run (job, "upstream goes on");
+      mf_job_run_callbacks.end (job, end, why);
+      return;
+    }
+  mf_target_probe (target);
+  stalled_release (job);
+}
+
+static const MfLinkCallbacks stalled_callbacks = {
+  .head = on_stalled_head,
+  .body = on_stalled_body,
+  .end = on_stalled_end,
+};
+
+/* Returns after which silence of the upstream the request is sent to another one. */
+uint64_t
+mf_job_stall_us (const MfJob *job)
+{
+  return job->phase == MF_JOB_STREAMING ? job->route->target_gap_us * MF_JOB_STALL_GAPS
+                                        : job->route->target_latency_us;
+}
+
+/* Sets the current run aside until the request is sent to another upstream, which may not happen:
+ * then the run goes on. */
+void
+mf_job_stall (MfJob *job)
+{
+  job->stalled = (MfStalledRun){
+    .link = job->link,
+    .target = job->target,
+    .target_tokens = job->target_tokens,
+    .phase = job->phase,
+    .answer = job->answer,
+    .since_us = mf_clock_now_us (),
+    .sent_us = job->sent_us,
+    .n_events_before = job->n_events_before,
+    .n_prefills = job->n_prefills,
+    .answer_began = job->answer_began,
+    .was_suspect = job->was_suspect,
+    .is_retry = job->is_retry,
+  };
+  mf_link_set_callbacks (job->link, &stalled_callbacks);
+  job->kv_used |= job->answer.status != 0;
+  job->link = NULL;
+  job->target = NULL;
+  job->answer = (MfJobAnswer){ 0 };
+  job->phase = MF_JOB_WAITING;
+  job->waiting_since_us = 0;
+  /* It may have been executed. */
+  job->n_arrivals++;
+  job->n_runs++;
+}
+
+/* Cancels the stalled run, if any. */
+void
+mf_job_drop_stalled (MfJob *job)
+{
+  if (job->stalled.link == NULL)
+    return;
+  mf_link_cancel (job->stalled.link);
+  stalled_release (job);
+}
+
+/* The request is about to be sent to another upstream: cancels the stalled run, if any. */
+void
+mf_job_move (MfJob *job)
+{
+  const MfStalledRun *stalled = &job->stalled;
+  uint64_t now_us = mf_clock_now_us ();
+
+  if (stalled->link == NULL)
+    return;
+  mf_relay_log_event (
+      job->jobs->log, "request.moved",
+      "id=%s from=%s why=\"answer timed out\" waited_ms=%.1f searched_ms=%.1f in_flight=%u",
+      job->id, stalled->target->info.id, (double)(now_us - stalled->sent_us) / 1e3,
+      (double)(now_us - stalled->since_us) / 1e3, stalled->target->n_active);
+  mf_job_drop_stalled (job);
+}
+
+/* Continues with the stalled run, if any, in place of an end of the request that only concerns the
+ * search for another upstream. Returns whether it does. */
+bool
+mf_job_keep_stalled (MfJob *job, MfCode code, const char *why)
+{
+  if (job->stalled.link == NULL || job->caller == NULL || code == MF_CODE_DEADLINE)
+    return false;
+  mf_link_set_callbacks (job->stalled.link, &mf_job_run_callbacks);
+  job_keep_run (job, why);
+  return true;
+}
--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -774,6 +774,8 @@
     return false;
   jobs->counters.counts[MF_RELAY_COUNT_SUSPECTS_REFUSED]++;
   job->pause_end_us = suspect->quarantined_until_us;
+  if (!job->stalled.answer_began)
+    mf_job_drop_stalled (job);
   if (job->n_runs > 0)
     mf_job_finish (job, MF_CODE_UPSTREAM_DIED, "upstreams crashed while running such requests");
   else
@@ -793,7 +795,8 @@
       bool is_at_upstream = mf_job_is_at_upstream (job);
 
       next = job->next;
-      if (job->caller == NULL || job->answer_began || job->trial_part != 0)
+      if (job->caller == NULL || job->answer_began || job->stalled.answer_began
+          || job->trial_part != 0)
         continue;
       /* It is not refused as one that has not run. */
       job->n_runs += is_at_upstream;
--- a/libmangofork/relay/link.c
+++ b/libmangofork/relay/link.c
@@ -659,6 +659,13 @@
   link_detach (link);
 }
 
+/* Replaces the callbacks of an exchange; their data stays. */
+void
+mf_link_set_callbacks (MfLink *link, const MfLinkCallbacks *callbacks)
+{
+  link->callbacks = callbacks;
+}
+
 /* Pauses or continues reading the response, for a caller that reads slowly. */
 void
 mf_link_pause_reading (MfLink *link, bool paused)
--- a/libmangofork/relay/link.h
+++ b/libmangofork/relay/link.h
@@ -71,6 +71,7 @@
 MfLink *mf_link_start (MfLinkPool *pool, const MfLinkRequest *request);
 bool mf_link_copy_body (MfLink *link);
 void mf_link_cancel (MfLink *link);
+void mf_link_set_callbacks (MfLink *link, const MfLinkCallbacks *callbacks);
 void mf_link_pause_reading (MfLink *link, bool paused);
 bool mf_link_has_sent (const MfLink *link);
 void mf_link_pool_close (MfLinkPool *pool);
--- a/libmangofork/relay/relay_counters.h
+++ b/libmangofork/relay/relay_counters.h
@@ -26,6 +26,8 @@
   X (PREFILLS, "prefills_total", "prefills completed at prefill engines")                          \
   X (PREFILLS_WASTED, "prefills_wasted_total", "prefills whose KV was not used")                   \
   X (RESUMED, "streams_resumed_total", "streams resumed at another upstream")                      \
+  X (KEPT, "runs_kept_total",                                                                      \
+     "silent runs that were kept, as no other upstream was found in time")                         \
   X (TAKEN_UP, "streams_taken_up_total", "streams that callers took up again")                     \
   X (NO_VERSION, "streams_refused_total", "of these, refused, as no upstream can go on with them") \
   X (WAITED, "waited_total", "requests that waited for capacity")                                  \
--- a/tests/test_job_stall.c
+++ b/tests/test_job_stall.c
@@ -128,6 +128,12 @@
   return silent != NULL;
 }
 
+static bool
+has_no_jobs (void *data)
+{
+  return ((RelayFixture *)data)->jobs.n_jobs == 0;
+}
+
 static bool
 is_prefilling (void *data)
 {
@@ -187,12 +193,271 @@
   teardown (&fixture);
 }
 
+static MfTarget *
+target_of (RelayFixture *fixture, const char *id)
+{
+  return mf_targets_by_hash (&fixture->jobs.targets, mf_load_hash (id));
+}
+
+/* Takes all slots of an engine, or gives them back. */
+static void
+fill (RelayFixture *fixture, const char *id, bool is_full)
+{
+  MfTarget *target = target_of (fixture, id);
+
+  for (uint32_t i = 0; i < target->info.slots; i++)
+    {
+      if (is_full)
+        mf_target_reserve (target, 1);
+      else
+        mf_target_unreserve (target, 1);
+    }
+}
+
+/* Nothing is counted for requests that have ended. */
+static void
+assert_no_load (RelayFixture *fixture, const char *id)
+{
+  const MfTarget *target = target_of (fixture, id);
+
+  assert_int_equal (target->n_active, 0);
+  assert_int_equal (target->n_reserved, 0);
+  assert_int_equal (target->n_suspects, 0);
+  assert_int_equal (target->active_tokens, 0);
+}
+
+/* Begins a stream of which event 1 arrives, and waits until it has stalled. */
+static int
+stream_stall (RelayFixture *fixture)
+{
+  int fd = call_begin ();
+
+  assert_true (loop_pump (fixture->loop, is_silent, NULL));
+  loop_spin (fixture->loop, STALL_ITERATIONS);
+  return fd;
+}
+
+/* A silent run was cancelled before another engine had a slot, and the stream ended when none came
+ * in time. */
+static void
+test_silent_run_is_kept_while_no_other_engine_has_a_slot (void **state)
+{
+  RelayFixture fixture;
+  int fd;
+
+  (void)state;
+  setup (&fixture);
+  relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_silent);
+  relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_rest);
+  fill (&fixture, "u1", true);
+  fd = stream_stall (&fixture);
+  assert_int_equal (target_of (&fixture, "u0")->n_active, 1);
+  fake_upstream_conn_send (silent, REST);
+  assert_whole (&fixture, fd);
+  fill (&fixture, "u1", false);
+  assert_int_equal (fixture.jobs.counters.counts[MF_RELAY_COUNT_KEPT], 1);
+  assert_int_equal (relay_fixture_n_requests (&fixture, 1), 0);
+  assert_no_load (&fixture, "u0");
+  assert_no_load (&fixture, "u1");
+  teardown (&fixture);
+}
+
+/* What comes after the search for a slot has been given up is passed on as well. */
+static void
+test_search_that_fails_ends_no_silent_run (void **state)
+{
+  RelayFixture fixture;
+  int fd;
+
+  (void)state;
+  setup (&fixture);
+  relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_silent);
+  relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_rest);
+  fill (&fixture, "u1", true);
+  fd = stream_stall (&fixture);
+  mf_job_refuse (fixture.jobs.first, MF_CODE_QUEUE_FULL, "no engine slot became free in time");
+  assert_int_equal (fixture.jobs.n_jobs, 1);
+  fake_upstream_conn_send (silent, REST);
+  assert_whole (&fixture, fd);
+  fill (&fixture, "u1", false);
+  assert_no_load (&fixture, "u0");
+  assert_no_load (&fixture, "u1");
+  teardown (&fixture);
+}
+
+/* The run is cancelled when the next one is sent, and not before. */
+static void
+test_silent_run_ends_when_the_next_is_sent (void **state)
+{
+  RelayFixture fixture;
+  int fd;
+
+  (void)state;
+  setup (&fixture);
+  relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_silent);
+  relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_rest);
+  fill (&fixture, "u1", true);
+  fd = stream_stall (&fixture);
+  assert_int_equal (fake_upstream_n_closed (fixture.upstreams[0].server), 0);
+  fill (&fixture, "u1", false);
+  assert_whole (&fixture, fd);
+  loop_spin (fixture.loop, 5);
+  assert_int_equal (fake_upstream_n_closed (fixture.upstreams[0].server), 1);
+  assert_int_equal (relay_fixture_n_requests (&fixture, 1), 1);
+  assert_no_load (&fixture, "u0");
+  assert_no_load (&fixture, "u1");
+  teardown (&fixture);
+}
+
+/* A part of an event does not keep the run, and is not joined to the events of the next one. */
+static void
+test_part_of_an_event_keeps_no_run (void **state)
+{
+  RelayFixture fixture;
+  int fd;
+
+  (void)state;
+  setup (&fixture);
+  relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_silent);
+  relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_rest);
+  fill (&fixture, "u1", true);
+  fd = stream_stall (&fixture);
+  fake_upstream_conn_send (silent, "8\r\nid: 2\nda\r\n");
+  loop_spin (fixture.loop, 5);
+  assert_int_equal (fixture.jobs.counters.counts[MF_RELAY_COUNT_KEPT], 0);
+  fill (&fixture, "u1", false);
+  assert_whole (&fixture, fd);
+  assert_no_load (&fixture, "u0");
+  teardown (&fixture);
+}
+
+/* Prompts were prefilled a second time for streams whose engine went on meanwhile. */
+static void
+test_run_that_goes_on_cancels_the_second_prefill (void **state)
+{
+  RelayFixture fixture;
+  int fd;
+
+  (void)state;
+  setup (&fixture);
+  relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_silent);
+  relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_rest);
+  relay_fixture_add_upstream (&fixture, 2, MF_ROLE_PREFILL, handle_prefill_once);
+  fd = call_begin ();
+  assert_true (loop_pump (fixture.loop, is_prefilling, NULL));
+  fake_upstream_conn_send (silent, REST);
+  assert_whole (&fixture, fd);
+  loop_spin (fixture.loop, 5);
+  assert_int_equal (fake_upstream_n_closed (fixture.upstreams[2].server), 1);
+  assert_int_equal (relay_fixture_n_requests (&fixture, 1), 0);
+  assert_no_load (&fixture, "u0");
+  assert_no_load (&fixture, "u1");
+  assert_no_load (&fixture, "u2");
+  teardown (&fixture);
+}
+
+/* A prefill that failed, with no retry left, ended the stream. */
+static void
+test_failed_second_prefill_ends_no_silent_run (void **state)
+{
+  RelayFixture fixture;
+  int fd;
+
+  (void)state;
+  setup (&fixture);
+  relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_silent);
+  relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_rest);
+  relay_fixture_add_upstream (&fixture, 2, MF_ROLE_PREFILL, handle_prefill_once);
+  fd = call_begin ();
+  assert_true (loop_pump (fixture.loop, is_prefilling, NULL));
+  fake_upstream_conn_close (prefill, true);
+  loop_spin (fixture.loop, 20);
+  assert_int_equal (fixture.jobs.counters.counts[MF_RELAY_COUNT_KEPT], 1);
+  fake_upstream_conn_send (silent, REST);
+  assert_whole (&fixture, fd);
+  assert_int_equal (relay_fixture_n_requests (&fixture, 1), 0);
+  assert_no_load (&fixture, "u0");
+  assert_no_load (&fixture, "u1");
+  assert_no_load (&fixture, "u2");
+  teardown (&fixture);
+}
+
+/* A run that breaks while another engine is sought is one that broke. */
+static void
+test_silent_run_that_breaks_goes_on_elsewhere (void **state)
+{
+  RelayFixture fixture;
+  int fd;
+
+  (void)state;
+  setup (&fixture);
+  relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_silent);
+  relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_rest);
+  fill (&fixture, "u1", true);
+  fd = stream_stall (&fixture);
+  fake_upstream_conn_close (silent, true);
+  loop_spin (fixture.loop, 5);
+  assert_int_equal (target_of (&fixture, "u0")->n_active, 0);
+  fill (&fixture, "u1", false);
+  assert_whole (&fixture, fd);
+  assert_no_load (&fixture, "u0");
+  assert_no_load (&fixture, "u1");
+  teardown (&fixture);
+}
+
+/* Whoever ends the request while another engine is sought ends the run as well. */
+static void
+test_end_during_the_search_leaves_nothing (void **state)
+{
+  static const char *const ends[] = { "departure", "deadline", "exit" };
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (ends); i++)
+    {
+      RelayFixture fixture;
+      int fd;
+
+      setup (&fixture);
+      relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_silent);
+      relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_rest);
+      fill (&fixture, "u1", true);
+      fd = stream_stall (&fixture);
+      if (i == 0)
+        close (fd);
+      else if (i == 1)
+        mf_job_finish (fixture.jobs.first, MF_CODE_DEADLINE, "deadline exceeded");
+      else
+        mf_jobs_end_all (&fixture.jobs);
+      assert_true (loop_pump (fixture.loop, has_no_jobs, &fixture));
+      loop_spin (fixture.loop, 5);
+      assert_int_equal (fake_upstream_n_closed (fixture.upstreams[0].server), 1);
+      if (i != 0)
+        {
+          loop_receive (fixture.loop, fd, "\r\n0\r\n", fixture.received, sizeof fixture.received);
+          assert_null (strstr (fixture.received, "\r\n0\r\n"));
+          close (fd);
+        }
+      fill (&fixture, "u1", false);
+      assert_no_load (&fixture, "u0");
+      assert_no_load (&fixture, "u1");
+      teardown (&fixture);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_stop_does_not_end_a_silent_stream),
     cmocka_unit_test (test_stop_does_not_end_a_stream_after_its_second_prefill),
+    cmocka_unit_test (test_silent_run_is_kept_while_no_other_engine_has_a_slot),
+    cmocka_unit_test (test_search_that_fails_ends_no_silent_run),
+    cmocka_unit_test (test_silent_run_ends_when_the_next_is_sent),
+    cmocka_unit_test (test_part_of_an_event_keeps_no_run),
+    cmocka_unit_test (test_run_that_goes_on_cancels_the_second_prefill),
+    cmocka_unit_test (test_failed_second_prefill_ends_no_silent_run),
+    cmocka_unit_test (test_silent_run_that_breaks_goes_on_elsewhere),
+    cmocka_unit_test (test_end_during_the_search_leaves_nothing),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
