Streams are accepted in a stop while there is time for them

What callers saw: in a planned stop of all instances in turn, streams that cannot be resumed were refused from the first moment, came back at another instance that was stopping, and were refused for good.

Cause: admitted such a stream only if its deadline is before the exit, 14 s against 8 s; and resumable ones only if the longest answer, and half of it more, would end.

Change: in the time in which the load balancer still sends requests (2.5 s), a stream is sent if the time is left before the exit that must be left before a deadline as well (mf_job_answer_min_us). Later, and for what is no stream, the deadline must be before the exit, as before.

--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -411,8 +411,8 @@
 }
 
 /* Minimum time reserved for a complete answer; 0 before the first sample. */
-static uint64_t
-job_answer_min_us (const MfJob *job)
+uint64_t
+mf_job_answer_min_us (const MfJob *job)
 {
   return (uint64_t)((double)job->expected_tokens * job->jobs->mean_token_us
                     * ANSWER_TIME_MIN_SHARE);
@@ -459,9 +459,9 @@
   job->give_up_us = job->deadline_us;
   if (route->kind == MF_ROUTE_STREAMING && job->started_us + abandon_us < job->deadline_us)
     job->give_up_us = job->started_us + abandon_us;
-  if (job->is_engine && job->started_us + job_answer_min_us (job) < job->deadline_us)
+  if (job->is_engine && job->started_us + mf_job_answer_min_us (job) < job->deadline_us)
     {
-      uint64_t latest_us = job->deadline_us - job_answer_min_us (job);
+      uint64_t latest_us = job->deadline_us - mf_job_answer_min_us (job);
 
       job->give_up_us = latest_us < job->give_up_us ? latest_us : job->give_up_us;
     }
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -170,6 +170,7 @@
 void mf_job_reply (MfJob *job, MfJobAnswer *answer);
 void mf_job_set_timer (MfJob *job);
 void mf_job_reset_give_up (MfJob *job);
+uint64_t mf_job_answer_min_us (const MfJob *job);
 bool mf_jobs_are_over_memory (const MfJobs *jobs);
 void mf_job_answer_clear (MfJobAnswer *answer);
 bool mf_job_may_retry (const MfJob *job);
--- a/libmangofork/relay/job_shutdown.c
+++ b/libmangofork/relay/job_shutdown.c
@@ -2,30 +2,29 @@
 
 #include "libmangofork/clock.h"
 
-/* Whether what is left of the answer may be expected to end before the exit of this process. */
+/* Whether the request may be sent now, if answer_us must be left before the exit. */
 static bool
-job_is_finishable (const MfJob *job, bool is_accepted)
+job_is_admitted (const MfJob *job, uint64_t answer_us, bool is_accepted)
 {
-  const MfJobs *jobs = job->jobs;
-  uint64_t n_received = job->events.n_events * job->service->event_tokens;
-  uint64_t n_left = job->output_tokens > n_received ? job->output_tokens - n_received : 0;
-
-  return mf_shutdown_admits (
-      &jobs->shutdown,
-      &(MfShutdownRequest){
-          .deadline_us = job->deadline_us,
-          .longest_us = (uint64_t)((double)n_left * jobs->mean_token_us),
-          .can_be_resumed = job->route->kind == MF_ROUTE_STREAMING && job->route->resumable,
-          .is_accepted = is_accepted,
-      },
-      mf_clock_now_us ());
+  return mf_shutdown_admits (&job->jobs->shutdown,
+                             &(MfShutdownRequest){
+                                 .deadline_us = job->deadline_us,
+                                 .answer_us = answer_us,
+                                 .is_stream = job->route->kind == MF_ROUTE_STREAMING,
+                                 .is_accepted = is_accepted,
+                             },
+                             mf_clock_now_us ());
 }
 
-/* Whether a run whose upstream is silent may be given up for one that would begin now. */
+/* Whether a run whose upstream is silent may be given up for one that would begin now: there must
+ * be time for the longest rest of the answer. */
 bool
 mf_job_may_move (const MfJob *job)
 {
-  return job_is_finishable (job, true);
+  uint64_t n_received = job->events.n_events * job->service->event_tokens;
+  uint64_t n_left = job->output_tokens > n_received ? job->output_tokens - n_received : 0;
+
+  return job_is_admitted (job, (uint64_t)((double)n_left * job->jobs->mean_token_us), true);
 }
 
 /* Refuses a request that might be cut off by the exit of this process. is_accepted is set for one
@@ -34,7 +33,7 @@
 bool
 mf_job_end_unfinishable (MfJob *job, bool is_accepted)
 {
-  if (job->head_sent || job_is_finishable (job, is_accepted))
+  if (job->head_sent || job_is_admitted (job, mf_job_answer_min_us (job), is_accepted))
     return false;
   mf_job_refuse (job, MF_CODE_DRAINING,
                  is_accepted ? "instance exits before the rest of the answer could be complete"
--- a/libmangofork/relay/shutdown.h
+++ b/libmangofork/relay/shutdown.h
@@ -14,9 +14,9 @@
 typedef struct
 {
   uint64_t deadline_us; /* it has its final answer by then */
-  uint64_t longest_us;  /* estimate of the longest time that its answer takes; 0: none */
-  bool can_be_resumed;  /* its caller can have a broken answer continued elsewhere */
-  bool is_accepted;     /* it was admitted before and has a further step */
+  uint64_t answer_us;   /* time that must be left for a complete answer; 0: not known */
+  bool is_stream;
+  bool is_accepted; /* it was admitted before and has a further step */
 } MfShutdownRequest;
 
 uint64_t mf_shutdown_exit_by_us (const MfShutdown *shutdown);
