--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -287,7 +287,7 @@
   if (job->phase != MF_JOB_PREFILL && mf_link_has_sent (job->link))
     mf_job_stall (job);
   else
-    mf_job_cancel (job);
+    mf_job_move_at_once (job);
   if (job->head_sent)
     mf_job_reset_give_up (job);
   mf_job_advance (job);
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -255,6 +255,7 @@
 uint64_t mf_job_stall_us (const MfJob *job);
 void mf_job_stall (MfJob *job);
 void mf_job_move (MfJob *job);
+void mf_job_move_at_once (MfJob *job);
 void mf_job_drop_stalled (MfJob *job);
 bool mf_job_keep_stalled (MfJob *job, MfCode code, const char *why);
 
--- a/libmangofork/relay/job_stall.c
+++ b/libmangofork/relay/job_stall.c
@@ -175,23 +175,37 @@
   stalled_release (job);
 }
 
-/* The request is about to be sent to another upstream: cancels the stalled run, if any. */
-void
-mf_job_move (MfJob *job)
+/* Logs that an exchange with a silent upstream ends; since_us is when it was found silent. */
+static void
+log_moved (const MfJob *job, const MfTarget *from, uint64_t sent_us, uint64_t since_us)
 {
-  const MfStalledRun *stalled = &job->stalled;
   uint64_t now_us = mf_clock_now_us ();
 
-  if (stalled->link == NULL)
-    return;
   mf_relay_log_event (
       job->jobs->log, "request.moved",
       "id=%s from=%s why=\"answer timed out\" waited_ms=%.1f searched_ms=%.1f in_flight=%u",
-      job->id, stalled->target->info.id, (double)(now_us - stalled->sent_us) / 1e3,
-      (double)(now_us - stalled->since_us) / 1e3, stalled->target->n_active);
+      job->id, from->info.id, (double)(now_us - sent_us) / 1e3, (double)(now_us - since_us) / 1e3,
+      from->n_active);
+}
+
+/* The request is about to be sent to another upstream: cancels the stalled run, if any. */
+void
+mf_job_move (MfJob *job)
+{
+  if (job->stalled.link == NULL)
+    return;
+  log_moved (job, job->stalled.target, job->stalled.sent_us, job->stalled.since_us);
   mf_job_drop_stalled (job);
 }
 
+/* Cancels the current exchange, which no upstream executes, as its upstream is silent. */
+void
+mf_job_move_at_once (MfJob *job)
+{
+  log_moved (job, job->target, job->sent_us, mf_clock_now_us ());
+  mf_job_cancel (job);
+}
+
 /* Continues with the stalled run, if any, in place of an end of the request that only concerns the
  * search for another upstream. Returns whether it does. */
 bool
