Idle connections close only when nothing has arrived on them

What callers could see: 2.5 s after SIGTERM, a reset in place of an answer to a request that had arrived whole.

Cause: connections on which no request had started were closed, also those whose request was in the socket and had not been read yet. The timer of the stop and the socket can be due in the same iteration of the loop, and on a busy machine an iteration may come late. Closing a socket with unread input sends a reset.

Change: mf_listener_close_idle looks for unread input first. What is there is read in the next iteration and answered with Connection: close; the function is called again at each step of the stop, so a connection that stays idle still closes.

--- a/libmangofork/relay/caller.c
+++ b/libmangofork/relay/caller.c
@@ -671,7 +671,16 @@
   listener->keep_alive_ended = true;
 }
 
-/* Closes the connections on which no request has started. */
+/* Whether the caller has sent something that has not been read yet. */
+static bool
+caller_has_unread (const MfCaller *caller)
+{
+  char byte;
+
+  return recv (caller->fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/* Closes the connections on which no request has started or has arrived. */
 void
 mf_listener_close_idle (MfListener *listener)
 {
@@ -680,7 +689,7 @@
   for (MfCaller *caller = listener->callers; caller != NULL; caller = next)
     {
       next = caller->next;
-      if (caller->state != CALLER_READING || caller->message.started)
+      if (caller->state != CALLER_READING || caller->message.started || caller_has_unread (caller))
         continue;
       caller_hold (caller);
       caller_close (caller);
--- a/tests/test_caller.c
+++ b/tests/test_caller.c
@@ -322,6 +322,28 @@
   fixture_end (&fixture);
 }
 
+static const char one_text[] = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\none";
+
+/* A request that arrived at the same moment as the close of idle connections was dropped unread. */
+static void
+test_request_that_has_arrived_is_not_closed_as_idle (void **state)
+{
+  Fixture fixture;
+  int fd;
+
+  (void)state;
+  fixture_begin (&fixture, true);
+  fd = send_and_receive (&fixture, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", "[]");
+  loop_send (fd, one_text, sizeof one_text - 1);
+  mf_listener_end_keep_alive (fixture.listener);
+  mf_listener_close_idle (fixture.listener);
+  loop_receive (fixture.loop, fd, NULL, fixture.received, sizeof fixture.received);
+  assert_non_null (strstr (fixture.received, "[one]"));
+  assert_non_null (strstr (fixture.received, "Connection: close"));
+  close (fd);
+  fixture_end (&fixture);
+}
+
 static void
 test_continue_is_answered (void **state)
 {
@@ -423,6 +445,7 @@
     cmocka_unit_test (test_aborted_stream_is_not_complete),
     cmocka_unit_test (test_stream_that_ends_goes_on_to_the_next_request),
     cmocka_unit_test (test_connections_close_after_the_response_once_keep_alive_ended),
+    cmocka_unit_test (test_request_that_has_arrived_is_not_closed_as_idle),
     cmocka_unit_test (test_continue_is_answered),
   };
 
