Connections that wait in the accept queue are opened before the listener closes

What callers could see: a reset of a connection that was made, and on which a request was sent, just before 70 of 100 parts of the grace period or just before an exit without requests.

Cause: closing a listening socket resets the connections that the kernel has accepted and the process has not.

Evidence: test_connections_in_the_accept_queue_are_served fails on the commit before.

Change: mf_listener_stop_accepting opens what waits, and then closes the socket. The exit that comes as soon as nothing is left stops accepting first, and waits for what that has opened. Connections without a request close at the next step.

--- a/libmangofork/relay/caller.c
+++ b/libmangofork/relay/caller.c
@@ -582,14 +582,11 @@
   timer_set (caller, listener->limits.idle_timeout_us);
 }
 
+/* Opens at most so many of the connections that wait. */
 static void
-on_acceptable (struct ev_loop *loop, ev_io *watcher, int events)
+listener_accept (MfListener *listener, uint32_t n_max)
 {
-  MfListener *listener = watcher->data;
-
-  (void)loop;
-  (void)events;
-  for (uint32_t i = 0; i < ACCEPTS_MAX; i++)
+  for (uint32_t i = 0; i < n_max; i++)
     {
       struct sockaddr_storage from = { 0 };
       socklen_t from_bytes = sizeof from;
@@ -605,6 +602,14 @@
     }
 }
 
+static void
+on_acceptable (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  listener_accept (watcher->data, ACCEPTS_MAX);
+}
+
 /* Listens at an address. The callbacks and their data are borrowed. Returns NULL with error set on
  * failure. */
 MfListener *
@@ -697,12 +702,14 @@
     }
 }
 
-/* Closes the listening socket; open connections stay. */
+/* Closes the listening socket; open connections stay. Those that the kernel has accepted are opened
+ * first: closing the socket would reset them. */
 void
 mf_listener_stop_accepting (MfListener *listener)
 {
   if (listener->fd < 0)
     return;
+  listener_accept (listener, SOMAXCONN);
   ev_io_stop (listener->loop, &listener->acceptor);
   close (listener->fd);
   listener->fd = -1;
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -560,7 +560,12 @@
     }
   else if (relay->idle_closed && relay->jobs.n_jobs == 0
            && mf_listener_n_callers (relay->listener) == 0)
-    ev_break (relay->loop, EVBREAK_ALL);
+    {
+      /* Opens connections that have been made meanwhile. */
+      mf_listener_stop_accepting (relay->listener);
+      if (mf_listener_n_callers (relay->listener) == 0)
+        ev_break (relay->loop, EVBREAK_ALL);
+    }
 }
 
 static void
--- a/tests/test_caller.c
+++ b/tests/test_caller.c
@@ -344,6 +344,34 @@
   fixture_end (&fixture);
 }
 
+/* Connections that the kernel had accepted, with their requests, were reset when the listener
+ * closed. */
+static void
+test_connections_in_the_accept_queue_are_served (void **state)
+{
+  Fixture fixture;
+  int idle;
+  int fd;
+
+  (void)state;
+  fixture_begin (&fixture, true);
+  idle = loop_connect (PORT);
+  fd = loop_connect (PORT);
+  loop_send (fd, one_text, sizeof one_text - 1);
+  mf_listener_end_keep_alive (fixture.listener);
+  mf_listener_stop_accepting (fixture.listener);
+  mf_listener_close_idle (fixture.listener);
+  assert_int_equal (mf_listener_n_callers (fixture.listener), 1);
+  loop_receive (fixture.loop, fd, NULL, fixture.received, sizeof fixture.received);
+  assert_non_null (strstr (fixture.received, "[one]"));
+  loop_receive (fixture.loop, idle, NULL, fixture.received, sizeof fixture.received);
+  assert_string_equal (fixture.received, "");
+  assert_int_equal (loop_connect (PORT), -1);
+  close (idle);
+  close (fd);
+  fixture_end (&fixture);
+}
+
 static void
 test_continue_is_answered (void **state)
 {
@@ -446,6 +474,7 @@
     cmocka_unit_test (test_stream_that_ends_goes_on_to_the_next_request),
     cmocka_unit_test (test_connections_close_after_the_response_once_keep_alive_ended),
     cmocka_unit_test (test_request_that_has_arrived_is_not_closed_as_idle),
+    cmocka_unit_test (test_connections_in_the_accept_queue_are_served),
     cmocka_unit_test (test_continue_is_answered),
   };
 
