A failure to go on with a stream leaves its other tries

What callers could see: a stream that had broken off, and that the next upstream answered with a 5xx, ended without a complete answer although its route allowed a further try and the retry budget had one.

Cause: job_answered retried a 5xx only while the head had not been sent. After that, the error of one upstream was the end of the stream, while a broken connection, a missing seal or another content type led to the next try.

Evidence: test_failure_to_go_on_leaves_the_other_tries (maxAttempts 3, budget left) fails on the commit before: one upstream is asked to go on, and the stream is cut. test_error_of_the_next_upstream_is_no_part_of_a_stream holds what must not change.

Change: the request goes on as after a broken run: within maxAttempts and the retry budget, not at the upstream that failed. Other errors (4xx) still end it.

--- a/libmangofork/relay/job_answer.c
+++ b/libmangofork/relay/job_answer.c
@@ -350,6 +350,26 @@
     mf_job_advance (job);
 }
 
+/* An upstream has answered with an error where it was to go on with a stream. */
+static void
+job_failed_to_resume (MfJob *job, MfTarget *target)
+{
+  const MfJobDenial denial = {
+    .code = MF_CODE_UPSTREAM_ERROR,
+    .why = "upstream failed to resume the stream",
+    .may_have_run = true,
+  };
+
+  if (job->answer.status < 500 || job->caller == NULL || !mf_job_may_retry (job)
+      || job->n_runs >= job->route->attempts_max)
+    {
+      mf_job_finish (job, denial.code, denial.why);
+      return;
+    }
+  mf_job_avoid (job, target->id_hash);
+  mf_job_retry_or_end (job, &denial);
+}
+
 /* A complete answer has arrived. */
 static void
 job_answered (MfJob *job, MfTarget *target)
@@ -392,7 +412,7 @@
       return;
     }
   if (job->head_sent)
-    mf_job_finish (job, MF_CODE_UPSTREAM_ERROR, "upstream failed to resume the stream");
+    job_failed_to_resume (job, target);
   else
     mf_job_reply (job, answer);
 }
