A silent run is kept as long as its caller waits

What callers could see: a refusal in place of an answer that an engine was about to give, on idempotent routes whose answer comes as a whole, and on streams with a short deadline: the silent run was cancelled and the request refused when it was too late to begin an answer elsewhere.

Cause: when no slot comes by give_up_us, the silent run is dropped because the caller is about to disconnect. That is what give_up_us stands for on streams without events; elsewhere it is the deadline less the time of an answer, and the caller waits until its deadline.

Change: the run is dropped only when the caller of a stream would leave, as long after the arrival as the platform's documentation says. Otherwise the search ends there, and the run goes on until the deadline.

--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -316,6 +316,29 @@
   ev_timer_start (job->jobs->loop, &job->timer);
 }
 
+/* Time after which a stream without events is refused: shortly before its caller would
+ * disconnect. */
+static uint64_t
+abandon_timeout_us (const MfRoute *route)
+{
+  uint64_t abandon_us = ABANDON_MIN_US;
+
+  if (route->target_latency_us * ABANDON_OBJECTIVES > abandon_us)
+    abandon_us = route->target_latency_us * ABANDON_OBJECTIVES;
+  if (route->target_gap_us * ABANDON_GAPS > abandon_us)
+    abandon_us = route->target_gap_us * ABANDON_GAPS;
+  return abandon_us - ABANDON_MARGIN_US;
+}
+
+/* Whether the caller would soon disconnect because it has got no part of the answer. Callers of
+ * answers that come as a whole wait until their deadline. */
+static bool
+job_is_about_to_be_abandoned (const MfJob *job, uint64_t now_us)
+{
+  return job->route->kind == MF_ROUTE_STREAMING && !job->head_sent
+         && now_us >= job->started_us + abandon_timeout_us (job->route);
+}
+
 static void
 on_timer (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -335,8 +358,7 @@
     }
   if (job->phase == MF_JOB_WAITING && now_us >= job->give_up_us)
     {
-      /* A caller that has no part of the answer is about to disconnect. */
-      if (!job->head_sent)
+      if (job_is_about_to_be_abandoned (job, now_us))
         mf_job_drop_stalled (job);
       mf_job_refuse (job, MF_CODE_QUEUE_FULL, "no engine slot became free in time");
       return;
@@ -418,20 +440,6 @@
                     * ANSWER_TIME_MIN_SHARE);
 }
 
-/* Time after which a stream without events is refused: shortly before its caller would
- * disconnect. */
-static uint64_t
-abandon_timeout_us (const MfRoute *route)
-{
-  uint64_t abandon_us = ABANDON_MIN_US;
-
-  if (route->target_latency_us * ABANDON_OBJECTIVES > abandon_us)
-    abandon_us = route->target_latency_us * ABANDON_OBJECTIVES;
-  if (route->target_gap_us * ABANDON_GAPS > abandon_us)
-    abandon_us = route->target_gap_us * ABANDON_GAPS;
-  return abandon_us - ABANDON_MARGIN_US;
-}
-
 /* Restarts the time after which the request is given up, as a part of the stream has been
  * delivered. */
 void
--- a/tests/test_job_stall.c
+++ b/tests/test_job_stall.c
@@ -100,18 +100,27 @@
 }
 
 static int
-call_begin (void)
+call_begin_at (const char *path)
 {
-  static const char text[]
-      = "POST /llm/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: t\r\nX-Token-Count: 100,40\r\n"
-        "Content-Length: 2\r\n\r\nhi";
+  char text[320];
   int fd = loop_connect (PORT);
+  int n_bytes;
 
   assert_true (fd >= 0);
-  loop_send (fd, text, sizeof text - 1);
+  n_bytes = snprintf (text, sizeof text,
+                      "POST %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: t\r\nX-Token-Count: 100,40\r\n"
+                      "Content-Length: 2\r\n\r\nhi",
+                      path);
+  loop_send (fd, text, (size_t)n_bytes);
   return fd;
 }
 
+static int
+call_begin (void)
+{
+  return call_begin_at ("/llm/1");
+}
+
 static void
 assert_whole (RelayFixture *fixture, int fd)
 {
@@ -309,6 +318,36 @@
   teardown (&fixture);
 }
 
+/* A run whose answer comes as a whole was cancelled, and its request refused, when it was too late
+ * for another engine to begin. Its caller waits until the deadline. */
+static void
+test_silent_run_is_kept_while_its_caller_waits (void **state)
+{
+  RelayFixture fixture;
+  int fd;
+
+  (void)state;
+  setup (&fixture);
+  relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_late);
+  relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_rest);
+  fill (&fixture, "u1", true);
+  fd = call_begin_at ("/ask/1");
+  assert_true (loop_pump (fixture.loop, is_silent, NULL));
+  while (fixture.jobs.first != NULL && mf_clock_now_us () < fixture.jobs.first->give_up_us)
+    loop_spin (fixture.loop, 1);
+  loop_spin (fixture.loop, 5);
+  assert_int_equal (fixture.jobs.n_jobs, 1);
+  assert_int_equal (fixture.jobs.counters.counts[MF_RELAY_COUNT_KEPT], 1);
+  relay_fixture_answer (silent, "t", "200 OK", RELAY_FIXTURE_SEAL, "good");
+  loop_receive (fixture.loop, fd, "good", fixture.received, sizeof fixture.received);
+  assert_memory_equal (fixture.received, "HTTP/1.1 200", 12);
+  close (fd);
+  fill (&fixture, "u1", false);
+  assert_no_load (&fixture, "u0");
+  assert_no_load (&fixture, "u1");
+  teardown (&fixture);
+}
+
 /* A part of an event does not keep the run, and is not joined to the events of the next one. */
 static void
 test_part_of_an_event_keeps_no_run (void **state)
@@ -453,6 +492,7 @@
     cmocka_unit_test (test_silent_run_is_kept_while_no_other_engine_has_a_slot),
     cmocka_unit_test (test_search_that_fails_ends_no_silent_run),
     cmocka_unit_test (test_silent_run_ends_when_the_next_is_sent),
+    cmocka_unit_test (test_silent_run_is_kept_while_its_caller_waits),
     cmocka_unit_test (test_part_of_an_event_keeps_no_run),
     cmocka_unit_test (test_run_that_goes_on_cancels_the_second_prefill),
     cmocka_unit_test (test_failed_second_prefill_ends_no_silent_run),
