An answer without a length that is cut off by the exit does not look complete

What callers could see: a part of a stream as a whole one (MIXED), if they speak HTTP/1.0 and read slowly: the rest of a stream that had ended was not written when the process exited, and the connection was closed in order. The end of the connection is the end of such an answer.

Cause: only mf_caller_abort, for streams that have not ended, resets connections whose answer has neither length nor chunks. What is buffered for a slow caller after the stream has ended was closed like a complete answer.

Change: each close of a connection resets it while such an answer is incomplete or not written.

--- a/libmangofork/relay/caller.c
+++ b/libmangofork/relay/caller.c
@@ -72,7 +72,8 @@
   uint64_t started_us;
   uint64_t timer_us;
   bool chunked;
-  bool closing; /* the connection closes after the response */
+  bool closing;              /* the connection closes after the response */
+  bool ends_with_connection; /* the response has neither a length nor chunks */
   bool write_paused;
   bool write_failed; /* the caller is disconnected from the event loop */
   bool closed;       /* freed when the outermost function that holds it returns */
@@ -81,11 +82,24 @@
 
 static void caller_advance (MfCaller *caller);
 
+/* Whether the caller would take a response that is cut off now for complete. */
+static bool
+response_would_look_complete (const MfCaller *caller)
+{
+  return caller->ends_with_connection
+         && (caller->state == CALLER_WAITING || mf_buffer_bytes (&caller->out) > 0);
+}
+
+/* Closes the connection, with a reset where an end would be misunderstood. */
 static void
 caller_close (MfCaller *caller)
 {
+  struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+
   if (caller->fd < 0)
     return;
+  if (response_would_look_complete (caller))
+    setsockopt (caller->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
   ev_io_stop (caller->listener->loop, &caller->reader);
   ev_io_stop (caller->listener->loop, &caller->writer);
   ev_timer_stop (caller->listener->loop, &caller->timer);
@@ -271,6 +285,7 @@
 {
   caller_hold (caller);
   caller->chunked = caller->message.parser.http_minor > 0;
+  caller->ends_with_connection = !caller->chunked;
   if (!caller->chunked)
     caller->closing = true;
   response_head_write (caller, status, headers);
@@ -338,14 +353,10 @@
 void
 mf_caller_abort (MfCaller *caller)
 {
-  struct linger reset = { .l_onoff = 1, .l_linger = 0 };
-
   caller_hold (caller);
   caller->job = NULL;
-  caller->state = CALLER_RESPONDING;
-  if (caller->fd >= 0 && !caller->chunked)
-    setsockopt (caller->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
   caller_close (caller);
+  caller->state = CALLER_RESPONDING;
   caller_release (caller);
 }
 
--- a/tests/test_caller.c
+++ b/tests/test_caller.c
@@ -5,6 +5,8 @@
 #include "loop_pump.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -372,6 +374,82 @@
   fixture_end (&fixture);
 }
 
+/* Fills the buffers of a connection whose caller reads nothing yet. */
+static void
+write_much (MfCaller *caller)
+{
+  static char bytes[1 << 20];
+
+  memset (bytes, 'x', sizeof bytes);
+  for (size_t i = 0; i < 16; i++)
+    mf_caller_write (caller, bytes, sizeof bytes);
+}
+
+/* Reads all that comes, and returns whether the connection was reset. */
+static bool
+is_reset_in_the_end (int fd)
+{
+  static char bytes[1 << 20];
+  ssize_t n;
+
+  fcntl (fd, F_SETFL, 0);
+  do
+    n = recv (fd, bytes, sizeof bytes, 0);
+  while (n > 0);
+  return n < 0 && errno == ECONNRESET;
+}
+
+/* The end of the process closed a connection whose stream had ended and was not written yet. The
+ * caller of an answer without chunks took what it had for the whole. */
+static void
+test_unwritten_rest_does_not_look_complete (void **state)
+{
+  Fixture fixture;
+  int fd;
+
+  (void)state;
+  fixture_begin (&fixture, false);
+  fd = loop_connect (PORT);
+  loop_send (fd, "GET / HTTP/1.0\r\nHost: h\r\n\r\n", 27);
+  loop_spin (fixture.loop, 10);
+  mf_caller_begin (fixture.waiting, 200, NULL);
+  write_much (fixture.waiting);
+  mf_caller_end (fixture.waiting);
+  assert_int_equal (mf_listener_n_callers (fixture.listener), 1);
+  fixture_end (&fixture);
+  assert_true (is_reset_in_the_end (fd));
+  close (fd);
+}
+
+/* The rest of an answer is written to a slow caller as long as the process runs. */
+static void
+test_slow_caller_gets_its_whole_answer (void **state)
+{
+  Fixture fixture;
+  size_t n_received = 0;
+  int fd;
+
+  (void)state;
+  fixture_begin (&fixture, false);
+  fd = loop_connect (PORT);
+  loop_send (fd, "GET / HTTP/1.0\r\nHost: h\r\n\r\n", 27);
+  loop_spin (fixture.loop, 10);
+  mf_listener_end_keep_alive (fixture.listener);
+  mf_caller_begin (fixture.waiting, 200, NULL);
+  write_much (fixture.waiting);
+  mf_caller_end (fixture.waiting);
+  loop_spin (fixture.loop, 150);
+  mf_listener_stop_accepting (fixture.listener);
+  mf_listener_close_idle (fixture.listener);
+  for (size_t n = 1; n > 0; n_received += n)
+    n = loop_receive (fixture.loop, fd, NULL, fixture.received, sizeof fixture.received);
+  assert_true (n_received > 16 << 20);
+  close (fd);
+  loop_spin (fixture.loop, 5);
+  assert_int_equal (mf_listener_n_callers (fixture.listener), 0);
+  fixture_end (&fixture);
+}
+
 static void
 test_continue_is_answered (void **state)
 {
@@ -475,6 +553,8 @@
     cmocka_unit_test (test_connections_close_after_the_response_once_keep_alive_ended),
     cmocka_unit_test (test_request_that_has_arrived_is_not_closed_as_idle),
     cmocka_unit_test (test_connections_in_the_accept_queue_are_served),
+    cmocka_unit_test (test_unwritten_rest_does_not_look_complete),
+    cmocka_unit_test (test_slow_caller_gets_its_whole_answer),
     cmocka_unit_test (test_continue_is_answered),
   };
 
