serve: a silent stream is kept when the service has no retry left

What callers could see, at instances of mangofork serve: a stream whose engine was silent for a while ended with a 504 or without its rest, though the engine was about to go on, when the retry budget of the service was used up.

Evidence: test_silent_stream_is_kept_without_a_retry fails on the commit before. Not measured on a load.

Change: the retry is taken from the budget first. Without one the run is kept and looked at again after the same time, until it goes on, breaks, a retry has been earned, or the deadline comes. The engine is ejected at each look, as before.

--- a/libmangofork/life.c
+++ b/libmangofork/life.c
@@ -110,6 +110,19 @@
   request->n_refused = 0;
 }
 
+/* Queues the request again for a retry that the policy has allowed. */
+static void
+retry_after (MfCore *core, MfRequest *request, uint64_t delay_us)
+{
+  request->n_retries++;
+  request->not_before_us = core->board.now_us + delay_us;
+  mf_counter_add (&core->board.counters, MF_COUNTER_RETRIES, 1);
+  mf_request_trace (core, request, MF_TRACE_RETRIED, request->last_upstream, MF_NONE,
+                    request->delivered);
+  mf_request_set_phase (request, MF_PHASE_QUEUED);
+  mf_queue_requeue (core, request);
+}
+
 /* Queues the request again for a retry. Refuses it if its deadline has passed, or with code if the
  * policy allows no further retry. */
 static void
@@ -128,13 +141,7 @@
       mf_finish_refused (core, request, code, mf_queue_retry_after_ms (core, request->service));
       return;
     }
-  request->n_retries++;
-  request->not_before_us = core->board.now_us + delay_us;
-  mf_counter_add (&core->board.counters, MF_COUNTER_RETRIES, 1);
-  mf_request_trace (core, request, MF_TRACE_RETRIED, request->last_upstream, MF_NONE,
-                    request->delivered);
-  mf_request_set_phase (request, MF_PHASE_QUEUED);
-  mf_queue_requeue (core, request);
+  retry_after (core, request, delay_us);
 }
 
 /* Queues the request again after an upstream refused it for lack of capacity and ran none of it.
@@ -703,6 +710,7 @@
 {
   MfRequest *request = step->request;
   const MfCall *call = decode_call (request);
+  uint64_t delay_us;
 
   if (now_us (step) >= request->deadline_us)
     {
@@ -711,14 +719,23 @@
     }
   if (extend_after_pause (step))
     return;
-  if (call != NULL)
+  if (call == NULL)
+    {
+      retry_or_refuse (step->core, request, MF_CODE_UPSTREAM_STALLED);
+      return;
+    }
+  request->last_upstream = call->upstream;
+  mf_health_note_stall (step->core, call->upstream);
+  /* Without a retry, the engine may still go on. */
+  if (!mf_policy (step->core)->may_retry (step->core, request, &delay_us))
     {
-      request->last_upstream = call->upstream;
-      mf_health_note_stall (step->core, call->upstream);
+      mf_request_check_at (step->core, request, now_us (step) + stall_us (step->core, request));
+      return;
     }
   mf_request_trace (step->core, request, MF_TRACE_CALL_FAILED, request->last_upstream, MF_NONE,
                     request->delivered);
-  retry_or_refuse (step->core, request, MF_CODE_UPSTREAM_STALLED);
+  release_resources (step->core, request);
+  retry_after (step->core, request, delay_us);
 }
 
 static void
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -309,6 +309,44 @@
   mf_core_free (fixture.core);
 }
 
+/* A stream whose engine was silent was cancelled and ended when the service had no retry left. The
+ * engine may go on. */
+static void
+test_silent_stream_is_kept_without_a_retry (void **state)
+{
+  MfCallEvent token = { .n_tokens = 1, .data = "a", .data_bytes = 1 };
+  MfEvent tick = { .type = MF_EVENT_TICK };
+  MfBudget *budget;
+  MfRequest *found;
+  Fixture fixture;
+
+  (void)state;
+  fixture_init (&fixture);
+  advance_to (&fixture, MF_PHASE_DECODING);
+  found = mf_request_find (fixture.core, 1);
+  budget = &fixture.core->board.services.rows[found->service].retry;
+  for (uint32_t i = 0; i < 30; i++)
+    {
+      budget->tokens_milli = 0;
+      budget->refilled_us = fixture.now_us;
+      fixture.now_us += 100 * MF_US_PER_MS;
+      step (&fixture, &tick);
+    }
+  assert_int_equal (fixture.n_terminal, 0);
+  assert_int_equal (found->phase, MF_PHASE_DECODING);
+  call_step (&fixture, MF_EVENT_CALL_TOKENS, MF_CALL_DECODE, token);
+  assert_int_equal (fixture.n_tokens, 1);
+  /* It is sent elsewhere as soon as the service has a retry again. */
+  for (uint32_t i = 0; i < 30; i++)
+    {
+      fixture.now_us += 100 * MF_US_PER_MS;
+      step (&fixture, &tick);
+    }
+  assert_true (found->phase != MF_PHASE_DECODING);
+  assert_int_equal (fixture.n_terminal, 0);
+  mf_core_free (fixture.core);
+}
+
 /* Guards against KV left at an engine: after a stream breaks, its engine holds the KV even if the
  * resume was never sent, and must be sent a cancel. */
 static void
@@ -339,6 +377,7 @@
     cmocka_unit_test (test_cancel_is_repeated_until_confirmed),
     cmocka_unit_test (test_order_is_sent_again_only_when_nothing_left),
     cmocka_unit_test (test_pause_blames_no_upstream),
+    cmocka_unit_test (test_silent_stream_is_kept_without_a_retry),
     cmocka_unit_test (test_resume_that_never_left_is_owed_a_cancel),
   };
 
