A silent run is not cancelled for a new one at the same engine

What callers could see: a stream at a slow engine, with the others full, began anew at the same engine from time to time: a wasted run and a new prefill, of the retry budget, and a longer pause.

Cause: each time a run stalls, its engine joins the engines that the request avoids, again and again, and the list has six places. When it is full, or no other engine can be used, the search starts over with all engines. Since the run is kept during the search, that includes the engine where it still runs.

Evidence: test_silent_run_is_not_moved_to_its_own_engine fails on the commit before: the seventh stall sends the stream to its own engine.

Change: an engine is listed once, and the one of the stalled run is avoided as long as that run is kept.

--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -46,6 +46,8 @@
 
   for (uint32_t i = 0; i < job->n_avoid; i++)
     query.avoid[i] = job->avoid[i];
+  if (job->stalled.target != NULL)
+    query.avoid[query.n_avoid++] = job->stalled.target->id_hash;
   return query;
 }
 
@@ -152,6 +154,15 @@
   return prefill != NULL && prefill->suspect_until_us <= now_us ? prefill : NULL;
 }
 
+/* Starts over with all engines, except one that still runs the request. */
+static void
+job_forget_avoided (MfJob *job)
+{
+  job->n_avoid = 0;
+  if (job->stalled.target != NULL)
+    mf_job_avoid (job, job->stalled.target->id_hash);
+}
+
 /* All decode engines are paused or have reached their rate limits: waits for the first that takes
  * requests again, or ends the request if that is too late. */
 static void
@@ -194,7 +205,7 @@
       /* All engines, or as many as can be listed, have declined or failed: starts over with all of
        * them. */
       if (job->n_avoid == MF_JOB_AVOID_MAX || !mf_place_has_any (targets, &others, now_us))
-        job->n_avoid = 0;
+        job_forget_avoided (job);
       job_note_available (job, MF_ROLE_DECODE, now_us);
       if (job->pause_end_us > 0)
         job_wait_paused (job, now_us);
--- a/libmangofork/relay/job_send.c
+++ b/libmangofork/relay/job_send.c
@@ -31,6 +31,11 @@
 void
 mf_job_avoid (MfJob *job, uint64_t id_hash)
 {
+  for (uint32_t i = 0; i < job->n_avoid; i++)
+    {
+      if (job->avoid[i] == id_hash)
+        return;
+    }
   if (job->n_avoid < MF_JOB_AVOID_MAX)
     job->avoid[job->n_avoid++] = id_hash;
 }
--- a/tests/test_job_stall.c
+++ b/tests/test_job_stall.c
@@ -348,6 +348,45 @@
   teardown (&fixture);
 }
 
+/* A stream that was kept again and again was moved in the end to the engine where it ran, which
+ * cancelled the run. */
+static void
+test_silent_run_is_not_moved_to_its_own_engine (void **state)
+{
+  RelayFixture fixture;
+  char event[64];
+  MfJob *job;
+  int fd;
+
+  (void)state;
+  setup (&fixture);
+  relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_silent);
+  relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_rest);
+  fill (&fixture, "u1", true);
+  fd = call_begin ();
+  assert_true (loop_pump (fixture.loop, is_silent, NULL));
+  loop_spin (fixture.loop, 5);
+  job = fixture.jobs.first;
+  for (int i = 0; i < MF_JOB_AVOID_MAX + 2; i++)
+    {
+      mf_job_step_expired (job);
+      loop_spin (fixture.loop, 2);
+      snprintf (event, sizeof event, "10\r\nid: %02d\ndata: a\n\n\r\n", i + 2);
+      fake_upstream_conn_send (silent, event);
+      loop_spin (fixture.loop, 2);
+      assert_int_equal (relay_fixture_n_requests (&fixture, 0), 1);
+      assert_int_equal (fixture.jobs.n_jobs, 1);
+    }
+  fake_upstream_conn_send (silent, "0\r\n\r\n");
+  loop_receive (fixture.loop, fd, "\r\n0\r\n\r\n", fixture.received, sizeof fixture.received);
+  assert_non_null (strstr (fixture.received, "\r\n0\r\n\r\n"));
+  close (fd);
+  fill (&fixture, "u1", false);
+  assert_no_load (&fixture, "u0");
+  assert_no_load (&fixture, "u1");
+  teardown (&fixture);
+}
+
 /* A part of an event does not keep the run, and is not joined to the events of the next one. */
 static void
 test_part_of_an_event_keeps_no_run (void **state)
@@ -493,6 +532,7 @@
     cmocka_unit_test (test_search_that_fails_ends_no_silent_run),
     cmocka_unit_test (test_silent_run_ends_when_the_next_is_sent),
     cmocka_unit_test (test_silent_run_is_kept_while_its_caller_waits),
+    cmocka_unit_test (test_silent_run_is_not_moved_to_its_own_engine),
     cmocka_unit_test (test_part_of_an_event_keeps_no_run),
     cmocka_unit_test (test_run_that_goes_on_cancels_the_second_prefill),
     cmocka_unit_test (test_failed_second_prefill_ends_no_silent_run),
