Soak: planned stops beside slow and silent engines

What callers saw: streams that an instance ended seconds before the exit of a planned stop (incident of 2026-12-05).

Cause: no soak had planned stops while engines were silent within streams, with deadlines later than the exit.

Instances get SIGTERM in series and overlapping, some with SIGHUP up to 0.3 s before or after, and start again. Engines change between usual, slow, silent for a while and silent for good; streams are resumable and not; requests and streams have a length or chunks. An answer that has begun must not be closed, nor end with status=0 in the log, before the exit, except at its deadline or after the caller left; a request that was read has an answer; log and caller agree; 503 and 429 have not run; what came of a stream is in order. No upstream breaks off an answer, so that this excuses nothing. The log leaves out lines above 120 a second: as many ends may be absent.

--- a/tests/soak/relay_soak.c
+++ b/tests/soak/relay_soak.c
@@ -1,3 +1,4 @@
+#include "soak_stop.h"
 #include "soak_upstream.h"
 
 #include "platform/platform.h"
@@ -73,6 +74,19 @@
 /* Percentage of the requests of the recovery phase that must be served. */
 #define RECOVERY_SERVED_MIN_PERCENT 95
 
+/* The instances' grace period. */
+#define GRACE_S 3
+/* Deadline of requests, longer with planned stops: it must be later than the exit of an instance
+ * that begins its stop some time after the request came. */
+#define DEADLINE_MS 4000
+#define STOPS_DEADLINE_MS 6000
+/* Callers with planned stops, and the longest pause between their requests: with more, the
+ * instances' logs would leave out lines. */
+#define STOPS_CALLERS 36
+#define STOPS_PAUSE_MS 1000
+/* With planned stops: the last ones begin this long before the recovery phase. */
+#define STOPS_END_US (3 * MF_US_PER_S)
+
 /* Time for which an upstream names one limit, or none. */
 #define LIMIT_MIN_MS 1500
 #define LIMIT_MAX_MS 8000
@@ -120,6 +134,10 @@
   [KIND_NEWEST] = { "GET", "", 1 },
 };
 
+/* With planned stops, requests are drawn from these. */
+static const RequestKind stop_kinds[]
+    = { KIND_ORDER, KIND_READ, KIND_ONCE, KIND_ONCE, KIND_STREAM, KIND_STREAM, KIND_STREAM };
+
 typedef struct
 {
   char id[ID_BYTES];
@@ -146,6 +164,7 @@
   Soak *soak;
   int fd; /* -1: not connected */
   uint32_t instance;
+  uint32_t process; /* of the instance, with planned stops */
   ev_io io;
   ev_timer timer;   /* next request; while waiting: disconnect or time-out */
   bool waiting;     /* for an answer */
@@ -216,6 +235,8 @@
   uint32_t n_went_on;
   uint32_t n_newest;  /* requests on the route of the newest configuration */
   uint32_t n_limited; /* upstreams that name rate limits, in the order of limited_upstreams */
+  uint32_t n_stops;   /* planned stops of instances */
+  SoakStop *stop;     /* NULL: none */
   bool faultless;
   char directory[64];
   Instance instances[INSTANCES_MAX];
@@ -305,6 +326,8 @@
   if (pid < 0)
     report_violation (soak, "an instance could not be started", strerror (errno));
   instance->pid = pid > 0 ? pid : 0;
+  if (soak->stop != NULL && pid > 0)
+    soak_stop_note_start (soak->stop, index);
   if (pid != 0)
     {
       sigprocmask (SIG_SETMASK, &before, NULL);
@@ -332,9 +355,9 @@
   fprintf (file,
            "node=i%u\nzone=z\nlisten.front=127.0.0.1:%u\nlisten.readiness=127.0.0.1:%u\n"
            "listen.control=127.0.0.1:%u\nseeds=127.0.0.1:%u,127.0.0.1:%u\n"
-           "provider.address=127.0.0.1:%u\nbounds.contactMs=%u\nbounds.graceS=3\n",
+           "provider.address=127.0.0.1:%u\nbounds.contactMs=%u\nbounds.graceS=%u\n",
            index, instance->port, instance->port + 1, instance->port + 2, soak->first_port + 2,
-           soak->first_port + 6, store_port, CONTACT_MS);
+           soak->first_port + 6, store_port, CONTACT_MS, GRACE_S);
   fclose (file);
 }
 
@@ -413,6 +436,8 @@
 config_write (Soak *soak)
 {
   char text[2048];
+  uint32_t llm_ms = soak->stop != NULL ? STOPS_DEADLINE_MS : DEADLINE_MS;
+  uint32_t once_ms = soak->stop != NULL ? STOPS_DEADLINE_MS : 2000;
 
   snprintf (
       text, sizeof text,
@@ -422,17 +447,17 @@
       "{\"name\":\"order\",\"host\":\"h\",\"pathPrefix\":\"/order/\",\"kind\":\"non_idempotent\","
       "\"timeoutMs\":1000,\"targetLatencyMs\":200,\"service\":\"shop\",\"maxAttempts\":1},"
       "{\"name\":\"llm\",\"host\":\"h\",\"pathPrefix\":\"/llm/\",\"kind\":\"streaming\","
-      "\"timeoutMs\":4000,\"targetLatencyMs\":500,\"targetGapMs\":200,\"service\":\"engines\","
+      "\"timeoutMs\":%u,\"targetLatencyMs\":500,\"targetGapMs\":200,\"service\":\"engines\","
       "\"maxAttempts\":2,\"resumable\":true},"
       "{\"name\":\"once\",\"host\":\"h\",\"pathPrefix\":\"/once/\",\"kind\":\"streaming\","
-      "\"timeoutMs\":2000,\"targetLatencyMs\":500,\"targetGapMs\":200,\"service\":\"engines\","
+      "\"timeoutMs\":%u,\"targetLatencyMs\":500,\"targetGapMs\":200,\"service\":\"engines\","
       "\"maxAttempts\":1},"
       "{\"name\":\"n%u\",\"host\":\"h\",\"pathPrefix\":\"/n%u/\",\"kind\":\"idempotent\","
       "\"timeoutMs\":1000,\"service\":\"shop\",\"maxAttempts\":1}],"
       "\"services\":[{\"name\":\"shop\"},{\"name\":\"engines\",\"engine\":{\"slots\":6,"
       "\"kvCapacityTokens\":100000,\"kvRetentionS\":0.5,\"stride\":10}}],"
       "\"limits\":{\"idleTimeoutMs\":5000,\"headerTimeoutMs\":2000}}",
-      soak->version, soak->version, soak->version);
+      soak->version, llm_ms, once_ms, soak->version, soak->version);
   fake_store_put (soak->store, "op/config", text);
 }
 
@@ -454,13 +479,15 @@
   caller->fd = -1;
 }
 
-/* Schedules the caller's next request in 10 to 130 ms. */
+/* Schedules the caller's next request in 10 to 130 ms, or later with planned stops. */
 static void
 caller_schedule_next (Caller *caller)
 {
+  uint32_t spread_ms = caller->soak->stop != NULL ? STOPS_PAUSE_MS : 120;
+
   caller->waiting = false;
   ev_timer_stop (caller->soak->loop, &caller->timer);
-  ev_timer_set (&caller->timer, 0.01 + draw (caller->soak, 120) * 0.001, 0.);
+  ev_timer_set (&caller->timer, 0.01 + draw (caller->soak, spread_ms) * 0.001, 0.);
   ev_timer_start (caller->soak->loop, &caller->timer);
 }
 
@@ -538,9 +565,10 @@
   caller->stream_version = 0;
 }
 
-/* Returns whether the body of a complete answer is the one that belongs to the request. */
+/* Returns whether the body of an answer is the one that belongs to the request; of one that is not
+ * complete, whether it begins so. */
 static bool
-body_matches_request (const Caller *caller)
+body_matches_request (const Caller *caller, bool complete)
 {
   const SentRequest *sent = &caller->soak->sent[caller->sent_index];
   char expected[SOAK_STREAM_EVENTS * 64] = "";
@@ -552,8 +580,10 @@
        i <= SOAK_STREAM_EVENTS && (sent->kind == KIND_ONCE || sent->kind == KIND_STREAM); i++)
     n_bytes += (size_t)snprintf (expected + n_bytes, sizeof expected - n_bytes,
                                  "id: %u\ndata: %s\n\n", i, sent->id);
+  if (!complete && mf_buffer_bytes (&caller->body) < n_bytes)
+    n_bytes = mf_buffer_bytes (&caller->body);
   return mf_buffer_bytes (&caller->body) == n_bytes
-         && memcmp (mf_buffer_data (&caller->body), expected, n_bytes) == 0;
+         && (n_bytes == 0 || memcmp (mf_buffer_data (&caller->body), expected, n_bytes) == 0);
 }
 
 /* Returns whether the recovery phase began at least margin_us ago. */
@@ -581,6 +611,25 @@
   return soak->n_deadly_parts > 0;
 }
 
+/* With planned stops, notes how the caller's request ended. */
+static void
+caller_note_end (const Caller *caller, bool complete, bool has_left)
+{
+  uint32_t status = caller->message.parser.status_code;
+
+  if (caller->soak->stop == NULL || !caller->waiting)
+    return;
+  soak_stop_note_end (
+      caller->soak->stop, caller->sent_index,
+      &(SoakStopEnd){
+          .is_complete = complete,
+          .has_head = caller->message.head_done,
+          .has_left = has_left,
+          .is_in_order = complete || status != 200 || body_matches_request (caller, false),
+          .status = status,
+      });
+}
+
 /* Counts and checks the result of a request. complete is false when the connection ended before the
  * end of the answer. */
 static void
@@ -590,6 +639,7 @@
   SentRequest *sent = &soak->sent[caller->sent_index];
   uint32_t status = complete ? caller->message.parser.status_code : 0;
 
+  caller_note_end (caller, complete, false);
   soak->n_ordinary += !sent->crashes;
   soak->n_ordinary_served += !sent->crashes && status == 200;
   if (!sent->crashes && deadly_parts_are_known (soak))
@@ -609,7 +659,7 @@
     {
       soak->n_served++;
       if ((soak->n_versions == 0 || sent->kind < KIND_ONCE || sent->kind > KIND_STREAM)
-          && !body_matches_request (caller))
+          && !body_matches_request (caller, true))
         report_violation (soak, "the body of an answer does not belong to its request", sent->id);
     }
   else if (status == 503)
@@ -687,6 +737,8 @@
   /* Instances tell callers apart by address, so each caller has its own. */
   source.sin_addr.s_addr = htonl (INADDR_LOOPBACK + 1 + (uint32_t)(caller - soak->callers));
   caller->instance = draw (soak, soak->n_instances);
+  if (soak->stop != NULL)
+    caller->process = soak_stop_process (soak->stop, caller->instance);
   address.sin_port = htons ((uint16_t)soak->instances[caller->instance].port);
   caller->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   if (bind (caller->fd, (struct sockaddr *)&source, sizeof source) != 0
@@ -725,10 +777,12 @@
   uint32_t index = (uint32_t)(caller - soak->callers);
   char text[512];
   char body[16];
+  char framed[96]; /* the body after the header that names its framing */
   char parts[64];
   char path[32];
   char resumed[96] = "";
   uint32_t prompt;
+  uint32_t deadline_ms = soak->stop != NULL ? STOPS_DEADLINE_MS : DEADLINE_MS;
   SentRequest *sent;
   int n_bytes;
 
@@ -743,6 +797,8 @@
   sent->instance = caller->instance;
   sent->kind = caller->crashes ? (RequestKind)(index % KIND_NEWEST)
                                : (RequestKind)draw (soak, KIND_NEWEST);
+  if (soak->stop != NULL)
+    sent->kind = stop_kinds[draw (soak, MF_ARRAY_LEN (stop_kinds))];
   if (caller->takes_up)
     {
       sent->kind = KIND_STREAM;
@@ -768,12 +824,17 @@
               (index - soak->n_crashers) / CALLERS_PER_PART, caller->sent_index);
   else
     snprintf (parts, sizeof parts, "f0:60,50%x:30,c%x:10", prompt % N_SOUND_PARTS, prompt);
+  if (soak->stop != NULL && sent->kind != KIND_READ && draw (soak, 2) == 0)
+    snprintf (framed, sizeof framed, "Transfer-Encoding: chunked\r\n\r\n%zx\r\n%s\r\n0\r\n\r\n",
+              strlen (body), body);
+  else
+    snprintf (framed, sizeof framed, "Content-Length: %zu\r\n\r\n%s", strlen (body), body);
   n_bytes = snprintf (text, sizeof text,
-                      "%s %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 4000\r\n"
+                      "%s %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %u\r\n"
                       "X-Prompt-Prefix: %s\r\n%s"
-                      "X-Token-Count: 100,80\r\nX-Pin-Ms: 7\r\nContent-Length: %zu\r\n\r\n%s",
-                      request_kinds[sent->kind].method, path, sent->id, parts, resumed,
-                      strlen (body), body);
+                      "X-Token-Count: 100,80\r\nX-Pin-Ms: 7\r\n%s",
+                      request_kinds[sent->kind].method, path, sent->id, deadline_ms, parts, resumed,
+                      framed);
   mf_message_reset (&caller->message);
   mf_buffer_clear (&caller->body);
   caller->waiting = true;
@@ -781,8 +842,11 @@
   if (soak->n_versions > 0 && sent->kind == KIND_STREAM)
     caller->disconnects = draw (soak, 100) < BREAK_OFF_PERCENT;
   ev_timer_stop (soak->loop, &caller->timer);
-  ev_timer_set (&caller->timer, caller->disconnects ? draw (soak, 200) * 0.001 : 5., 0.);
+  ev_timer_set (&caller->timer,
+                caller->disconnects ? draw (soak, 200) * 0.001 : deadline_ms * 0.001 + 1., 0.);
   ev_timer_start (soak->loop, &caller->timer);
+  if (soak->stop != NULL)
+    soak_stop_note_send (soak->stop, caller->sent_index, caller->instance, caller->process);
   if (send (caller->fd, text, (size_t)n_bytes, MSG_NOSIGNAL) != n_bytes)
     caller_finish (caller, false);
 }
@@ -810,10 +874,11 @@
       return;
     }
   if (!caller->disconnects && !caller->soak->instances[caller->instance].paused
-      && is_recovering (caller->soak, 0))
-    report_violation (caller->soak, "no answer within 5 s",
+      && (caller->soak->stop != NULL || is_recovering (caller->soak, 0)))
+    report_violation (caller->soak, "no answer within the deadline and 1 s",
                       caller->soak->sent[caller->sent_index].id);
   caller->soak->n_abandoned++;
+  caller_note_end (caller, false, true);
   caller_disconnect (caller);
   stream_end_try (caller, false, 0);
   caller_schedule_next (caller);
@@ -1129,6 +1194,8 @@
           report_violation (soak, "an instance crashed or exited with an error", detail);
         }
       instance->pid = 0;
+      if (soak->stop != NULL)
+        soak_stop_note_exit (soak->stop, i, mf_clock_now_us ());
       instance_excuse (soak, i);
       instance_start (soak, i);
     }
@@ -1249,6 +1316,10 @@
   restores_step (soak, now_us);
   versions_step (soak, now_us);
   leaves_step (soak, now_us);
+  if (soak->stop != NULL && now_us >= soak->started_us + WARM_UP_US)
+    soak_stop_step (soak->stop, now_us,
+                    now_us + RECOVERY_US + STOPS_END_US
+                        >= soak->started_us + soak->seconds * MF_US_PER_S);
   if (!soak->faultless)
     faults_step (soak, now_us);
   if (now_us >= soak->started_us + soak->seconds * MF_US_PER_S)
@@ -1271,6 +1342,60 @@
   return proxy;
 }
 
+static void
+on_stop_signal (void *data, uint32_t instance, int signal)
+{
+  instance_signal (data, instance, signal);
+}
+
+static void
+on_stop_violation (void *data, const char *what, const char *id)
+{
+  report_violation (data, what, id);
+}
+
+static uint32_t
+on_stop_count_runs (void *data, const char *id)
+{
+  const Soak *soak = data;
+
+  return soak_ledger_n_runs (soak->ledger, id);
+}
+
+static const SoakStopCallbacks stop_callbacks = {
+  .signal = on_stop_signal,
+  .violation = on_stop_violation,
+  .count_runs = on_stop_count_runs,
+};
+
+static SoakStop *
+planned_stops_new (Soak *soak)
+{
+  return soak_stop_new (
+      &(SoakStopSettings){
+          .seed = soak->seed,
+          .n_instances = soak->n_instances,
+          .n_stops = soak->n_stops,
+          .grace_us = GRACE_S * MF_US_PER_S,
+          .deadline_us = STOPS_DEADLINE_MS * MF_US_PER_MS,
+      },
+      &stop_callbacks, soak);
+}
+
+/* Checks the logs of the instances with planned stops. */
+static void
+planned_stops_check (Soak *soak)
+{
+  char path[128];
+
+  for (uint32_t i = 0; i < soak->n_instances; i++)
+    {
+      snprintf (path, sizeof path, "%s/%u.log", soak->directory, i);
+      soak_stop_check_log (soak->stop, i, path);
+    }
+  soak_stop_check (soak->stop);
+}
+
 /* Starts the upstreams, the store, their proxies, the instances and the callers. */
 static void
 soak_start (Soak *soak)
@@ -1283,6 +1408,8 @@
   soak->store = fake_store_new (soak->loop);
   if (soak->leaves)
     soak->store_path = store_path_new (soak);
+  if (soak->n_stops > 0)
+    soak->stop = planned_stops_new (soak);
   for (uint32_t i = 0; i < N_PROXIES; i++)
     {
       json_object *settings = json_object_new_object ();
@@ -1304,6 +1431,8 @@
       if (i >= N_UPSTREAMS)
         continue;
       upstream_publish (soak, i, "ready");
+      if (soak->stop != NULL)
+        soak_upstream_set_pause (soak->upstreams[i], soak_stop_pause_s, soak->stop);
       soak->next_limit_us[i] = soak->started_us + WARM_UP_US + i * 200 * MF_US_PER_MS;
       if (soak->n_crashers + soak->n_deadly_parts > 0)
         soak_upstream_enable_crashes (soak->upstreams[i], CRASH_DOWN_S, on_upstream_down, soak);
@@ -1374,6 +1503,7 @@
   for (uint32_t i = 0; i < soak->n_callers; i++)
     {
       ev_timer_stop (soak->loop, &soak->callers[i].timer);
+      caller_note_end (&soak->callers[i], false, true);
       caller_disconnect (&soak->callers[i]);
     }
   while (mf_clock_now_us () < until_us)
@@ -1406,6 +1536,8 @@
         report_violation (soak, "a request that had crashed three upstreams was still sent", "");
     }
   deadly_parts_check (soak);
+  if (soak->stop != NULL)
+    planned_stops_check (soak);
   if (soak->n_versions > 0)
     printf (
         "streams of %u versions: %u mixed, %u of %u taken up went on, %u of %u new ones began\n",
@@ -1478,6 +1610,11 @@
     case 'v':
       soak->n_versions = (uint32_t)strtoul (arg, NULL, 10);
       return 0;
+    case 'p':
+      soak->n_stops = (uint32_t)strtoul (arg, NULL, 10);
+      soak->faultless |= soak->n_stops > 0;
+      soak->n_callers = soak->n_stops > 0 ? STOPS_CALLERS : soak->n_callers;
+      return 0;
     case 'e':
       soak->leaves = true;
       return 0;
@@ -1523,6 +1660,11 @@
   { .name = "leaves",
     .key = 'e',
     .doc = "Upstreams leave without a notice while some instances have no path to the store" },
+  { .name = "stops",
+    .key = 'p',
+    .arg = "N",
+    .doc = "Number of planned stops of instances beside slow and silent engines, without other "
+           "faults" },
   { .name = "faultless", .key = 'f', .doc = "Inject no other faults" },
   { .name = "instances", .key = 'n', .arg = "N", .doc = "Number of relay instances" },
   { 0 },
--- a/tests/soak/soak_upstream.c
+++ b/tests/soak/soak_upstream.c
@@ -50,6 +50,7 @@
   ev_timer timer;
   uint32_t next_event; /* of a stream; the first is 1 */
   bool answers_twice;
+  bool has_length;      /* a stream whose head names its length; the others are in chunks */
   SoakCrasher *crasher; /* NULL: the request crashes nothing */
 } Run;
 
@@ -70,6 +71,8 @@
   SoakLimit *limit; /* NULL: it never names one */
   const SoakLimitCallbacks *limit_callbacks;
   void *limit_data;
+  SoakPauseFunc pause; /* NULL: events follow each other at once */
+  void *pause_data;
   double down_s;
   SoakDownFunc on_down;
   void *data;
@@ -258,29 +261,37 @@
   run->conn = NULL;
 }
 
+/* Writes an event of a stream. Returns its size. */
+static size_t
+event_format (const Run *run, uint32_t number, char *event, size_t event_bytes)
+{
+  if (run->upstream->version > 0)
+    return (size_t)snprintf (event, event_bytes, "id: %u\ndata: %s v%u\n\n", number, run->id,
+                             run->upstream->version);
+  return (size_t)snprintf (event, event_bytes, "id: %u\ndata: %s\n\n", number, run->id);
+}
+
 /* Sends the next event of a stream. Returns false after the last one. */
 static bool
 stream_step (Run *run)
 {
+  const char *end = run->has_length ? "" : "0\r\n\r\n";
   char event[96];
   char chunk[128];
+  size_t n_bytes;
 
   /* Resumed after its last event: only its end had been lost. */
   if (run->next_event > SOAK_STREAM_EVENTS)
     {
-      fake_upstream_conn_send (run->conn, "0\r\n\r\n");
+      fake_upstream_conn_send (run->conn, end);
       return false;
     }
-  if (run->upstream->version > 0)
-    snprintf (event, sizeof event, "id: %u\ndata: %s v%u\n\n", run->next_event, run->id,
-              run->upstream->version);
-  else
-    snprintf (event, sizeof event, "id: %u\ndata: %s\n\n", run->next_event, run->id);
-  snprintf (chunk, sizeof chunk, "%zx\r\n%s\r\n", strlen (event), event);
-  fake_upstream_conn_send (run->conn, chunk);
+  n_bytes = event_format (run, run->next_event, event, sizeof event);
+  snprintf (chunk, sizeof chunk, "%zx\r\n%s\r\n", n_bytes, event);
+  fake_upstream_conn_send (run->conn, run->has_length ? event : chunk);
   if (run->next_event++ < SOAK_STREAM_EVENTS)
     return true;
-  fake_upstream_conn_send (run->conn, "0\r\n\r\n");
+  fake_upstream_conn_send (run->conn, end);
   return false;
 }
 
@@ -355,8 +366,13 @@
     {
       if (stream_step (run))
         {
-          ev_timer_set (&run->timer, 0.02, 0.);
-          ev_timer_start (loop, &run->timer);
+          double pause_s = run->upstream->pause == NULL
+                               ? 0.02
+                               : run->upstream->pause (run->upstream->pause_data, run->upstream);
+
+          ev_timer_set (&run->timer, pause_s, 0.);
+          if (pause_s >= 0.)
+            ev_timer_start (loop, &run->timer);
           return;
         }
     }
@@ -404,14 +420,21 @@
 {
   char text[256];
   char limit[48];
+  char event[96];
+  char framing[48] = "Transfer-Encoding: chunked";
+  size_t n_bytes = 0;
 
   if (run->upstream->role == MF_ROLE_DECODE)
     {
       limit_header (run->upstream, false, limit, sizeof limit);
+      for (uint32_t i = run->next_event; i <= SOAK_STREAM_EVENTS; i++)
+        n_bytes += event_format (run, i, event, sizeof event);
+      if (run->has_length)
+        snprintf (framing, sizeof framing, "Content-Length: %zu", n_bytes);
       snprintf (text, sizeof text,
                 "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: s\r\n%s"
-                "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-                run->id, limit);
+                "Content-Type: text/event-stream\r\n%s\r\n\r\n",
+                run->id, limit, framing);
       fake_upstream_conn_send (run->conn, text);
     }
   ev_timer_set (&run->timer, after_s, 0.);
@@ -559,6 +582,7 @@
   if (upstream->role == MF_ROLE_DECODE)
     held_parts_add (upstream, text);
   run->next_event = (uint32_t)strtoul (last, NULL, 10) + 1;
+  run->has_length = upstream->pause != NULL && draw (upstream, 2) == 0;
   run_start (run, upstream->mode == SOAK_SLOW ? 0.15 : 0.003 + draw (upstream, 8) * 0.001);
 }
 
@@ -655,6 +679,13 @@
   upstream->mode = mode;
 }
 
+void
+soak_upstream_set_pause (SoakUpstream *upstream, SoakPauseFunc func, void *data)
+{
+  upstream->pause = func;
+  upstream->pause_data = data;
+}
+
 /* Returns the number of requests that run now. */
 uint32_t
 soak_upstream_n_active (const SoakUpstream *upstream)
--- a/tests/soak/soak_upstream.h
+++ b/tests/soak/soak_upstream.h
@@ -41,6 +41,12 @@
 /* Lets its events name the version of its software; 0: they name none. */
 void soak_upstream_set_version (SoakUpstream *upstream, uint32_t version);
 void soak_upstream_set_mode (SoakUpstream *upstream, SoakMode mode);
+
+/* Returns the time in seconds until the next event of a stream; below 0: it never comes. */
+typedef double (*SoakPauseFunc) (void *data, const SoakUpstream *upstream);
+
+/* Lets the function name the pauses within streams. Half of the streams then name their length. */
+void soak_upstream_set_pause (SoakUpstream *upstream, SoakPauseFunc func, void *data);
 uint32_t soak_upstream_n_active (const SoakUpstream *upstream);
 uint64_t soak_upstream_last_arrival_us (const SoakUpstream *upstream);
 
