--- /dev/null
+++ b/tests/test_job_give_up.c
@@ -0,0 +1,168 @@
+#include "libmangofork/relay/job_row.h"
+
+#include "libmangofork/clock.h"
+
+#include "loop_pump.h"
+#include "relay_fixture.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#define PORT 21899
+#define REST "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n"
+
+static FakeUpstreamConn *silent; /* the run that has stalled */
+
+/* Sends nothing yet. */
+static void
+handle_late (FakeUpstreamConn *conn, const char *text, const char *id)
+{
+  (void)text;
+  (void)id;
+  silent = conn;
+}
+
+static void
+handle_good (FakeUpstreamConn *conn, const char *text, const char *id)
+{
+  (void)text;
+  relay_fixture_answer (conn, id, "200 OK", RELAY_FIXTURE_SEAL, "other");
+}
+
+static void
+setup (RelayFixture *fixture)
+{
+  silent = NULL;
+  relay_fixture_setup (fixture, ev_loop_new (0), PORT);
+}
+
+static void
+teardown (RelayFixture *fixture)
+{
+  struct ev_loop *loop = fixture->loop;
+
+  relay_fixture_teardown (fixture);
+  ev_loop_destroy (loop);
+}
+
+static int
+call_begin (const char *path)
+{
+  char text[256];
+  int fd = loop_connect (PORT);
+
+  assert_true (fd >= 0);
+  snprintf (text, sizeof text,
+            "POST %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: t\r\nX-Token-Count: 100,40\r\n"
+            "Content-Length: 2\r\n\r\nhi",
+            path);
+  loop_send (fd, text, strlen (text));
+  return fd;
+}
+
+static bool
+is_silent (void *data)
+{
+  (void)data;
+  return silent != NULL;
+}
+
+static bool
+has_stalled (void *data)
+{
+  const MfJob *job = ((RelayFixture *)data)->jobs.first;
+
+  return job == NULL || job->stalled.link != NULL;
+}
+
+/* The search has ended, with the request or without. */
+static bool
+has_no_search (void *data)
+{
+  const MfJob *job = ((RelayFixture *)data)->jobs.first;
+
+  return job == NULL || job->stalled.link == NULL;
+}
+
+static void
+fill (RelayFixture *fixture, const char *id, bool is_full)
+{
+  MfTarget *target = mf_targets_by_hash (&fixture->jobs.targets, mf_load_hash (id));
+
+  for (uint32_t i = 0; i < target->info.slots; i++)
+    {
+      if (is_full)
+        mf_target_reserve (target, 1);
+      else
+        mf_target_unreserve (target, 1);
+    }
+}
+
+static void
+assert_no_load (RelayFixture *fixture, const char *id)
+{
+  const MfTarget *target = mf_targets_by_hash (&fixture->jobs.targets, mf_load_hash (id));
+
+  assert_int_equal (target->n_active, 0);
+  assert_int_equal (target->n_reserved, 0);
+}
+
+/* When there was no time left for another run, the one in progress was cancelled long before its
+ * caller would have left. */
+static void
+test_end_of_the_search_keeps_a_run_whose_caller_still_waits (void **state)
+{
+  static const struct
+  {
+    const char *path;
+    const char *answer;
+  } calls[] = {
+    { "/ask/1",
+      "HTTP/1.1 200 OK\r\nX-Attempt-Id: t\r\n" RELAY_FIXTURE_SEAL "Content-Length: 4\r\n\r\nmine" },
+    { "/llm/1", RELAY_FIXTURE_STREAM_HEAD "f\r\nid: 1\ndata: a\n\n\r\n" REST },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (calls); i++)
+    {
+      RelayFixture fixture;
+      int fd;
+
+      setup (&fixture);
+      /* Half of the 3 s is needed for an answer. */
+      fixture.jobs.mean_token_us = 150. * (double)MF_US_PER_MS;
+      relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_late);
+      relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_good);
+      fill (&fixture, "u1", true);
+      fd = call_begin (calls[i].path);
+      assert_true (loop_pump (fixture.loop, is_silent, NULL));
+      assert_true (loop_pump (fixture.loop, has_stalled, &fixture));
+      assert_true (loop_pump (fixture.loop, has_no_search, &fixture));
+      assert_int_equal (fixture.jobs.n_jobs, 1);
+      fake_upstream_conn_send (silent, calls[i].answer);
+      loop_receive (fixture.loop, fd, i == 0 ? "mine" : "\r\n0\r\n\r\n", fixture.received,
+                    sizeof fixture.received);
+      assert_memory_equal (fixture.received, "HTTP/1.1 200", 12);
+      close (fd);
+      fill (&fixture, "u1", false);
+      assert_no_load (&fixture, "u0");
+      assert_no_load (&fixture, "u1");
+      teardown (&fixture);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_end_of_the_search_keeps_a_run_whose_caller_still_waits),
+  };
+
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
