Test: a send that is declined ends a silent run

What callers see: a stream whose engine was silent for three of the longest pauses ends (code 2004, status 0), although that engine is about to go on.

Cause: the silent run is cancelled when the request is sent to the next upstream (mf_job_send), before that one has accepted it. If it declines (503 with X-Not-Executed) and no retry is left, the stream has neither run.

Evidence: the test has one retry and a second engine that declines.

--- a/tests/test_job_give_up.c
+++ b/tests/test_job_give_up.c
@@ -35,6 +35,14 @@
   relay_fixture_answer (conn, id, "200 OK", RELAY_FIXTURE_SEAL, "other");
 }
 
+/* Sends event 1; the rest is up to the test. */
+static void
+handle_silent (FakeUpstreamConn *conn, const char *text, const char *id)
+{
+  relay_fixture_stream_hangs (conn, text, id);
+  silent = conn;
+}
+
 static void
 setup (RelayFixture *fixture)
 {
@@ -157,11 +165,37 @@
     }
 }
 
+/* A silent run was cancelled for a send that was declined, and the stream ended as there was no
+ * other retry. */
+static void
+test_send_that_is_declined_ends_no_silent_run (void **state)
+{
+  RelayFixture fixture;
+  int fd;
+
+  (void)state;
+  setup (&fixture);
+  fixture.jobs.budget_slack = 1;
+  relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_silent);
+  relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, relay_fixture_decline);
+  fd = call_begin ("/llm/1");
+  assert_true (loop_pump (fixture.loop, is_silent, NULL));
+  loop_spin (fixture.loop, 250);
+  assert_int_equal (relay_fixture_n_requests (&fixture, 1), 1);
+  assert_int_equal (fixture.jobs.n_jobs, 1);
+  fake_upstream_conn_send (silent, REST);
+  loop_receive (fixture.loop, fd, "\r\n0\r\n\r\n", fixture.received, sizeof fixture.received);
+  assert_non_null (strstr (fixture.received, "\r\n0\r\n\r\n"));
+  close (fd);
+  teardown (&fixture);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_end_of_the_search_keeps_a_run_whose_caller_still_waits),
+    cmocka_unit_test (test_send_that_is_declined_ends_no_silent_run),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
