A route without objectives has a time after which a run is silent

What could happen: on a streaming route that names no longest pause, a silent run was kept and found silent again at once, without end, while no other upstream was usable: the process was busy with one request.

Cause: the time until the next search is a multiple of that pause, 0. Before runs were kept, such a run was cancelled, which ended the series.

Change: the latency objective stands in for it, and 100 ms for that. Found by a review of the fix; test_route_without_objectives_does_not_search_all_the_time fails before.

--- a/libmangofork/relay/job_stall.c
+++ b/libmangofork/relay/job_stall.c
@@ -2,6 +2,9 @@
 
 #include "libmangofork/clock.h"
 
+/* An upstream is not taken for silent before this time. */
+#define STALL_MIN_US (100 * MF_US_PER_MS)
+
 /* Ends the accounting of the stalled run. */
 static void
 stalled_release (MfJob *job)
@@ -126,12 +129,17 @@
   .end = on_stalled_end,
 };
 
-/* Returns after which silence of the upstream the request is sent to another one. */
+/* Returns after which silence of the upstream the request is sent to another one. A route may name
+ * no objective. */
 uint64_t
 mf_job_stall_us (const MfJob *job)
 {
-  return job->phase == MF_JOB_STREAMING ? job->route->target_gap_us * MF_JOB_STALL_GAPS
-                                        : job->route->target_latency_us;
+  const MfRoute *route = job->route;
+  uint64_t stall_us = job->phase == MF_JOB_STREAMING && route->target_gap_us > 0
+                          ? route->target_gap_us * MF_JOB_STALL_GAPS
+                          : route->target_latency_us;
+
+  return stall_us > STALL_MIN_US ? stall_us : STALL_MIN_US;
 }
 
 /* Sets the current run aside until the request is sent to another upstream, which may not happen:
--- a/tests/test_job_stall.c
+++ b/tests/test_job_stall.c
@@ -294,6 +294,35 @@
   teardown (&fixture);
 }
 
+/* On a route without an objective for pauses, a run was found silent again at once, without end,
+ * while no other engine had a slot. */
+static void
+test_route_without_objectives_does_not_search_all_the_time (void **state)
+{
+  RelayFixture fixture;
+  int fd;
+
+  (void)state;
+  setup (&fixture);
+  relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_silent);
+  fd = call_begin ();
+  assert_true (loop_pump (fixture.loop, is_silent, NULL));
+  loop_spin (fixture.loop, 5);
+  for (uint32_t i = 0; i < fixture.jobs.routes->n_routes; i++)
+    {
+      fixture.jobs.routes->routes[i].target_gap_us = 0;
+      fixture.jobs.routes->routes[i].target_latency_us = 0;
+    }
+  assert_true (mf_job_stall_us (fixture.jobs.first) >= 100 * MF_US_PER_MS);
+  mf_job_stall (fixture.jobs.first);
+  mf_job_refuse (fixture.jobs.first, MF_CODE_QUEUE_FULL, "no engine slot became free in time");
+  assert_true (fixture.jobs.first->step_deadline_us > mf_clock_now_us () + 50 * MF_US_PER_MS);
+  fake_upstream_conn_send (silent, REST);
+  assert_whole (&fixture, fd);
+  assert_no_load (&fixture, "u0");
+  teardown (&fixture);
+}
+
 /* The run is cancelled when the next one is sent, and not before. */
 static void
 test_silent_run_ends_when_the_next_is_sent (void **state)
@@ -530,6 +559,7 @@
     cmocka_unit_test (test_stop_does_not_end_a_stream_after_its_second_prefill),
     cmocka_unit_test (test_silent_run_is_kept_while_no_other_engine_has_a_slot),
     cmocka_unit_test (test_search_that_fails_ends_no_silent_run),
+    cmocka_unit_test (test_route_without_objectives_does_not_search_all_the_time),
     cmocka_unit_test (test_silent_run_ends_when_the_next_is_sent),
     cmocka_unit_test (test_silent_run_is_kept_while_its_caller_waits),
     cmocka_unit_test (test_silent_run_is_not_moved_to_its_own_engine),
