A silent run is cancelled when another one has taken its place

Callers saw: a resumable stream whose engine was silent ended when the engine to which it was sent next declined it and no retry was left.

Cause: the silent run was cancelled at the send. A send is no successor yet: it can be declined, or answered with an error.

Change: the silent run goes on until the other upstream has accepted the stream, or for 200 ms from when it has received it, which is below the 400 ms for which two upstreams may work at a request. What fails before that leaves the silent run, as other ends of a search do. If the silent run delivers something first, the other one is cancelled and accounted for: as a run and a possible crash, or as a send that has not arrived. If the silent run fails, or what it delivers is no whole answer, the other one goes on. An answer that comes as a whole and has begun is slow and not silent: it is given up at the send as before, since more bytes of it show nothing. An upstream's error is kept as the answer for the case that the other one fails; a status below 500 is answered at once. A quarantine cancels the successor.

test_silent_stream_is_resumed_elsewhere looks for the closed connection after five iterations, as its neighbours do: the first engine is told when the second has begun to answer, no longer before.

--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -645,7 +645,8 @@
   mf_link_pause_reading (job->link, !can_write);
   /* The stream may pause because its caller reads slowly, so the upstream does not time out until
    * its next event. */
-  job->step_deadline_us = 0;
+  if (!mf_job_has_successor (job))
+    job->step_deadline_us = 0;
 }
 
 static void
--- a/libmangofork/relay/job_answer.c
+++ b/libmangofork/relay/job_answer.c
@@ -105,6 +105,8 @@
   on_answer_head (data, head, status);
   if (job->route->kind != MF_ROUTE_STREAMING || !answer_is_good (&job->answer))
     return;
+  if (mf_job_has_successor (job))
+    mf_job_take_over (job);
   job->phase = MF_JOB_STREAMING;
   if (job->head_sent)
     return;
@@ -325,14 +327,7 @@
 job_connect_failed (MfJob *job, MfTarget *target, const char *why)
 {
   job->jobs->counters.counts[MF_RELAY_COUNT_UNREACHED]++;
-  /* The request did not arrive, so the send is returned to the budget. */
-  if (job->is_retry)
-    job->n_reserved_sends++;
-  else if (target->info.role == MF_ROLE_PREFILL)
-    job->n_prefill_sends--;
-  else
-    job->n_run_sends--;
-  mf_job_return_rate (job, target);
+  mf_job_return_send (job, target);
   mf_target_record_failure (target, true, mf_clock_now_us ());
   mf_relay_log_state (job->jobs->log, "upstream.unreached",
                       "upstream=%s address=%s id=%s why=\"%s\" failures=%u suspect_ms=%llu",
@@ -370,6 +365,15 @@
   mf_job_retry_or_end (job, &denial);
 }
 
+/* Keeps the error answer of an upstream. */
+static void
+job_set_fallback (MfJob *job)
+{
+  mf_job_answer_clear (&job->fallback_answer);
+  job->fallback_answer = job->answer;
+  job->answer = (MfJobAnswer){ 0 };
+}
+
 /* A complete answer has arrived. */
 static void
 job_answered (MfJob *job, MfTarget *target)
@@ -391,6 +395,7 @@
   if (answer_is_good (answer))
     {
       mf_target_record_answer (target, now_us - job->sent_us, now_us);
+      mf_job_move (job);
       mf_job_reply (job, answer);
       return;
     }
@@ -404,17 +409,23 @@
   if (answer->status >= 500 && job->caller != NULL && !job->head_sent && mf_job_may_retry (job)
       && job->n_runs < job->route->attempts_max && mf_job_acquire_retry (job))
     {
-      mf_job_answer_clear (&job->fallback_answer);
-      job->fallback_answer = *answer;
-      *answer = (MfJobAnswer){ 0 };
+      job_set_fallback (job);
       mf_job_avoid (job, target->id_hash);
       mf_job_advance (job);
       return;
     }
   if (job->head_sent)
-    job_failed_to_resume (job, target);
-  else
-    mf_job_reply (job, answer);
+    {
+      job_failed_to_resume (job, target);
+      return;
+    }
+  if (answer->status >= 500 && job->stalled.link != NULL)
+    {
+      job_set_fallback (job);
+      mf_job_refuse (job, MF_CODE_UPSTREAM_ERROR, "another upstream failed");
+      return;
+    }
+  mf_job_reply (job, answer);
 }
 
 /* Returns how long the upstream took to begin its stream. For one that was resumed there, which had
@@ -428,8 +439,8 @@
 
 /* Returns why a stream that has ended is incomplete, or NULL. The end of its connection ends it
  * only after an event: a new stream has one at least. */
-static const char *
-stream_defect (const MfJob *job, MfLinkEnd end)
+const char *
+mf_job_stream_defect (const MfJob *job, MfLinkEnd end)
 {
   if (!mf_event_stream_at_boundary (&job->events))
     return "stream ended inside an event";
@@ -444,7 +455,7 @@
 {
   if (end == MF_LINK_BROKEN)
     return why;
-  return job_has_stream (job) ? stream_defect (job, end) : NULL;
+  return job_has_stream (job) ? mf_job_stream_defect (job, end) : NULL;
 }
 
 /* A complete answer of the upstream itself shows that it has survived its beginning. One that ends
--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -276,6 +276,11 @@
         mf_job_advance (job);
       return;
     }
+  if (mf_job_has_successor (job))
+    {
+      mf_job_successor_expired (job);
+      return;
+    }
   query = job_place_query (job, target->info.role);
   if (job->n_avoid < MF_PLACE_AVOID_MAX)
     query.avoid[query.n_avoid++] = target->id_hash;
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -34,8 +34,8 @@
   bool encoded;
 } MfJobAnswer;
 
-/* A run whose upstream has been silent for too long. It goes on until the request is sent to
- * another upstream. */
+/* A run whose upstream has been silent for too long. It goes on until another one takes its place.
+ */
 typedef struct
 {
   MfLink *link; /* NULL: there is no such run */
@@ -254,13 +254,20 @@
 /* job_stall.c: runs whose upstreams are silent. */
 uint64_t mf_job_stall_us (const MfJob *job);
 void mf_job_stall (MfJob *job);
+bool mf_job_has_successor (const MfJob *job);
 void mf_job_move (MfJob *job);
+void mf_job_move_if_slow (MfJob *job);
+void mf_job_take_over (MfJob *job);
+void mf_job_await_successor (MfJob *job);
+void mf_job_successor_expired (MfJob *job);
 void mf_job_move_at_once (MfJob *job);
 void mf_job_drop_stalled (MfJob *job);
 bool mf_job_keep_stalled (MfJob *job, MfCode code, const char *why);
 
 /* job_send.c: starts and cancels exchanges with upstreams. */
 bool mf_job_send (MfJob *job, MfTarget *target, bool prefill);
+void mf_job_set_send_deadline (MfJob *job);
+void mf_job_return_send (MfJob *job, MfTarget *target);
 void mf_job_cancel (MfJob *job);
 void mf_job_release_kv (MfJob *job);
 void mf_job_reserve (MfJob *job, MfTarget *target);
@@ -271,5 +278,6 @@
 extern const MfLinkCallbacks mf_job_prefill_callbacks;
 extern const MfLinkCallbacks mf_job_run_callbacks;
 void mf_job_pass_on (MfJob *job, MfBuffer *events);
+const char *mf_job_stream_defect (const MfJob *job, MfLinkEnd end);
 
 #endif
--- a/libmangofork/relay/job_send.c
+++ b/libmangofork/relay/job_send.c
@@ -222,9 +222,9 @@
   mf_buffer_add_text (out, "\r\n");
 }
 
-/* When the attempt is abandoned for another upstream; 0: never. */
+/* Returns after which time an attempt is abandoned for another upstream; 0: never. */
 static uint64_t
-job_send_deadline_us (const MfJob *job, const MfTarget *target, bool prefill, uint64_t now_us)
+job_send_timeout_us (const MfJob *job, const MfTarget *target, bool prefill)
 {
   const MfRoute *route = job->route;
   double expected_us;
@@ -235,22 +235,43 @@
       expected_us = (target->us_per_token > 0. ? target->us_per_token : DEFAULT_US_PER_TOKEN)
                     * (double)target->active_tokens;
       limit_us = expected_us * PREFILL_FACTOR;
-      return now_us
-             + (limit_us > (double)PREFILL_TIMEOUT_MIN_US ? (uint64_t)limit_us
-                                                          : PREFILL_TIMEOUT_MIN_US);
+      return limit_us > (double)PREFILL_TIMEOUT_MIN_US ? (uint64_t)limit_us
+                                                       : PREFILL_TIMEOUT_MIN_US;
     }
   if (route->kind == MF_ROUTE_IDEMPOTENT)
     {
       limit_us = (double)route->target_latency_us * RETRY_OBJECTIVE_PERCENT / 100.;
-      expected_us = mf_target_answer_us (target, limit_us / RETRY_ANSWER_FACTOR, now_us)
+      expected_us = mf_target_answer_us (target, limit_us / RETRY_ANSWER_FACTOR, mf_clock_now_us ())
                     * RETRY_ANSWER_FACTOR;
-      return now_us + (uint64_t)(expected_us > limit_us ? expected_us : limit_us);
+      return (uint64_t)(expected_us > limit_us ? expected_us : limit_us);
     }
   if (route->kind == MF_ROUTE_STREAMING && route->resumable)
-    return now_us + route->target_latency_us * FIRST_EVENT_OBJECTIVES;
+    return route->target_latency_us * FIRST_EVENT_OBJECTIVES;
   return 0;
 }
 
+/* Sets when the current attempt is abandoned for another upstream. */
+void
+mf_job_set_send_deadline (MfJob *job)
+{
+  uint64_t timeout_us = job_send_timeout_us (job, job->target, job->phase == MF_JOB_PREFILL);
+
+  job->step_deadline_us = timeout_us > 0 ? job->sent_us + timeout_us : 0;
+}
+
+/* Returns a send that has not arrived to the retry budget, and its unit to the rate limit. */
+void
+mf_job_return_send (MfJob *job, MfTarget *target)
+{
+  if (job->is_retry)
+    job->n_reserved_sends++;
+  else if (target->info.role == MF_ROLE_PREFILL)
+    job->n_prefill_sends--;
+  else
+    job->n_run_sends--;
+  mf_job_return_rate (job, target);
+}
+
 /* Sends a prefill or a run to an upstream. Returns false if it was not sent: memory has run out, or
  * this process might exit before the answer is complete. The request may have ended then. */
 bool
@@ -265,13 +286,13 @@
   if (mf_job_end_unfinishable (job, true))
     return false;
   if (!prefill)
-    mf_job_move (job);
+    mf_job_move_if_slow (job);
   job_write_head (job, target, prefill, &head);
   job->target = mf_target_ref (target);
   job->was_suspect = mf_job_is_suspect (job);
   target->n_suspects += job->was_suspect;
   job->answer_began = false;
-  if (!prefill)
+  if (!prefill && job->stalled.link == NULL)
     mf_event_stream_begin_run (&job->events, target->id_hash);
   job->n_events_before = job->events.n_events;
   mf_name_set (job->last_upstream, sizeof job->last_upstream, target->info.id);
@@ -287,7 +308,10 @@
   job->waiting_since_us = 0;
   mf_job_note_send (job, prefill);
   job->sent_us = now_us;
-  job->step_deadline_us = job_send_deadline_us (job, target, prefill, now_us);
+  if (!prefill && job->stalled.link != NULL)
+    mf_job_await_successor (job);
+  else
+    mf_job_set_send_deadline (job);
   mf_job_answer_clear (&job->answer);
   job->link = mf_link_start (
       &target->pool, &(MfLinkRequest){
--- a/libmangofork/relay/job_stall.c
+++ b/libmangofork/relay/job_stall.c
@@ -5,6 +5,10 @@
 /* An upstream is not taken for silent before this time. */
 #define STALL_MIN_US (100 * MF_US_PER_MS)
 
+/* A run that is sent while another one is silent takes its place after this time, if its upstream
+ * has not accepted or declined it before. Two upstreams may work at a request for 400 ms. */
+#define SUCCESSOR_MAX_US (200 * MF_US_PER_MS)
+
 /* Ends the accounting of the stalled run. */
 static void
 stalled_release (MfJob *job)
@@ -20,10 +24,36 @@
     mf_jobs_load_changed (job->jobs);
 }
 
+/* Whether the request has been sent to another upstream while the stalled run goes on. */
+bool
+mf_job_has_successor (const MfJob *job)
+{
+  return job->stalled.link != NULL && job->link != NULL && job->phase != MF_JOB_PREFILL;
+}
+
+/* Accounts for an exchange with another upstream that is cancelled: it may have been executed, and
+ * have crashed that upstream, or has not arrived. */
+static void
+job_note_cancelled (MfJob *job)
+{
+  bool is_run = job->phase != MF_JOB_PREFILL;
+
+  if (!mf_link_has_sent (job->link))
+    {
+      mf_job_return_send (job, job->target);
+      return;
+    }
+  mf_job_note_failure (job, job->target, false);
+  job->n_arrivals += is_run;
+  job->n_runs += is_run;
+}
+
 /* Cancels what was begun to send the request to another upstream. */
 static void
 job_cancel_search (MfJob *job)
 {
+  if (job->link != NULL)
+    job_note_cancelled (job);
   mf_job_cancel_slot_request (job);
   job->retry_request_id = 0;
   job->awaited_process_id = 0;
@@ -77,11 +107,96 @@
   mf_job_note_upstream_alive (job);
 }
 
+/* Cancels the stalled run, if any. */
+void
+mf_job_drop_stalled (MfJob *job)
+{
+  if (job->stalled.link == NULL)
+    return;
+  mf_link_cancel (job->stalled.link);
+  stalled_release (job);
+}
+
+/* Logs that an exchange with a silent upstream ends; since_us is when it was found silent. */
+static void
+log_moved (const MfJob *job, const MfTarget *from, uint64_t sent_us, uint64_t since_us)
+{
+  uint64_t now_us = mf_clock_now_us ();
+
+  mf_relay_log_event (
+      job->jobs->log, "request.moved",
+      "id=%s from=%s why=\"answer timed out\" waited_ms=%.1f searched_ms=%.1f in_flight=%u",
+      job->id, from->info.id, (double)(now_us - sent_us) / 1e3, (double)(now_us - since_us) / 1e3,
+      from->n_active);
+}
+
+/* Cancels the stalled run, if any, as another upstream has the request. */
+void
+mf_job_move (MfJob *job)
+{
+  if (job->stalled.link == NULL)
+    return;
+  log_moved (job, job->stalled.target, job->stalled.sent_us, job->stalled.since_us);
+  mf_job_drop_stalled (job);
+}
+
+/* The same for a run that has begun an answer which is buffered. It is slow and not silent: more
+ * bytes would not show that the answer will be complete. */
+void
+mf_job_move_if_slow (MfJob *job)
+{
+  if (job->stalled.phase != MF_JOB_STREAMING && job->stalled.answer.status != 0)
+    mf_job_move (job);
+}
+
+/* The successor of a stalled run is now the only one. */
+static void
+successor_begin (MfJob *job)
+{
+  mf_event_stream_begin_run (&job->events, job->target->id_hash);
+  mf_job_set_send_deadline (job);
+  mf_job_set_timer (job);
+}
+
+/* The run that was sent while another one was silent takes its place. */
+void
+mf_job_take_over (MfJob *job)
+{
+  mf_job_move (job);
+  successor_begin (job);
+}
+
+/* The request has been sent to another upstream: the stalled run ends when that one has accepted
+ * it, or soon. */
+void
+mf_job_await_successor (MfJob *job)
+{
+  job->step_deadline_us = mf_clock_now_us () + SUCCESSOR_MAX_US;
+}
+
+/* The other upstream has neither accepted nor declined the request in time. */
+void
+mf_job_successor_expired (MfJob *job)
+{
+  if (mf_link_has_sent (job->link))
+    {
+      mf_job_take_over (job);
+      return;
+    }
+  mf_job_await_successor (job);
+  mf_job_set_timer (job);
+}
+
 static void
 on_stalled_head (void *data, const MfHead *head, uint32_t status)
 {
   MfJob *job = data;
 
+  if (mf_job_has_successor (job) && (status < 200 || status >= 300))
+    {
+      mf_job_take_over (job);
+      return;
+    }
   job_resume_run (job);
   mf_job_run_callbacks.head (job, head, status);
 }
@@ -103,6 +218,12 @@
   /* Bytes that complete no event do not count as progress. */
   if (mf_buffer_bytes (&complete) == 0 && !complete.failed && job->events.defect == NULL)
     return;
+  if (mf_buffer_bytes (&complete) == 0 && mf_job_has_successor (job))
+    {
+      mf_buffer_clear (&complete);
+      mf_job_take_over (job);
+      return;
+    }
   job_resume_run (job);
   mf_job_pass_on (job, &complete);
 }
@@ -112,8 +233,10 @@
 {
   MfJob *job = data;
   MfTarget *target = job->stalled.target;
+  bool has_successor = mf_job_has_successor (job);
+  bool is_defective = has_successor && mf_job_stream_defect (job, end) != NULL;
 
-  if (end == MF_LINK_COMPLETE || end == MF_LINK_CLOSED)
+  if ((end == MF_LINK_COMPLETE || end == MF_LINK_CLOSED) && !is_defective)
     {
       job_keep_run (job, "upstream goes on");
       mf_job_run_callbacks.end (job, end, why);
@@ -121,6 +244,8 @@
     }
   mf_target_probe (target);
   stalled_release (job);
+  if (has_successor)
+    successor_begin (job);
 }
 
 static const MfLinkCallbacks stalled_callbacks = {
@@ -142,8 +267,8 @@
   return stall_us > STALL_MIN_US ? stall_us : STALL_MIN_US;
 }
 
-/* Sets the current run aside until the request is sent to another upstream, which may not happen:
- * then the run goes on. */
+/* Sets the current run aside until another one takes its place, which may not happen: then the run
+ * goes on. */
 void
 mf_job_stall (MfJob *job)
 {
@@ -173,39 +298,6 @@
   job->n_runs++;
 }
 
-/* Cancels the stalled run, if any. */
-void
-mf_job_drop_stalled (MfJob *job)
-{
-  if (job->stalled.link == NULL)
-    return;
-  mf_link_cancel (job->stalled.link);
-  stalled_release (job);
-}
-
-/* Logs that an exchange with a silent upstream ends; since_us is when it was found silent. */
-static void
-log_moved (const MfJob *job, const MfTarget *from, uint64_t sent_us, uint64_t since_us)
-{
-  uint64_t now_us = mf_clock_now_us ();
-
-  mf_relay_log_event (
-      job->jobs->log, "request.moved",
-      "id=%s from=%s why=\"answer timed out\" waited_ms=%.1f searched_ms=%.1f in_flight=%u",
-      job->id, from->info.id, (double)(now_us - sent_us) / 1e3, (double)(now_us - since_us) / 1e3,
-      from->n_active);
-}
-
-/* The request is about to be sent to another upstream: cancels the stalled run, if any. */
-void
-mf_job_move (MfJob *job)
-{
-  if (job->stalled.link == NULL)
-    return;
-  log_moved (job, job->stalled.target, job->stalled.sent_us, job->stalled.since_us);
-  mf_job_drop_stalled (job);
-}
-
 /* Cancels the current exchange, which no upstream executes, as its upstream is silent. */
 void
 mf_job_move_at_once (MfJob *job)
--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -792,15 +792,15 @@
 
   for (MfJob *job = jobs->first; job != NULL; job = next)
     {
-      bool is_at_upstream = mf_job_is_at_upstream (job);
+      /* It is not refused as one that has not run. */
+      bool is_first_run = mf_job_is_at_upstream (job) && job->n_runs == 0;
 
       next = job->next;
-      if (job->caller == NULL || job->answer_began || job->stalled.answer_began
-          || job->trial_part != 0)
+      if (job->caller == NULL || job->answer_began
+          || (job->stalled.answer_began && !mf_job_has_successor (job)) || job->trial_part != 0)
         continue;
-      /* It is not refused as one that has not run. */
-      job->n_runs += is_at_upstream;
+      job->n_runs += is_first_run;
       if (!mf_job_end_quarantined (job))
-        job->n_runs -= is_at_upstream;
+        job->n_runs -= is_first_run;
     }
 }
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -486,6 +486,7 @@
   call (&fixture, "POST", "/llm/1");
   assert_status (&fixture, "200");
   assert_non_null (strstr (fixture.received, "id: 2\ndata: b\n\n"));
+  loop_spin (fixture.loop, 5);
   assert_int_equal (fake_upstream_n_closed (fixture.upstreams[0].server), 1);
   teardown (&fixture);
 }
--- a/tests/test_job_give_up.c
+++ b/tests/test_job_give_up.c
@@ -17,7 +17,8 @@
 #define PORT 21899
 #define REST "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n"
 
-static FakeUpstreamConn *silent; /* the run that has stalled */
+static FakeUpstreamConn *silent;    /* the run that has stalled */
+static FakeUpstreamConn *successor; /* the run that is to take its place */
 
 /* Sends nothing yet. */
 static void
@@ -43,10 +44,20 @@
   silent = conn;
 }
 
+/* Sends nothing yet. */
+static void
+handle_successor (FakeUpstreamConn *conn, const char *text, const char *id)
+{
+  (void)text;
+  (void)id;
+  successor = conn;
+}
+
 static void
 setup (RelayFixture *fixture)
 {
   silent = NULL;
+  successor = NULL;
   relay_fixture_setup (fixture, ev_loop_new (0), PORT);
 }
 
@@ -81,6 +92,13 @@
   return silent != NULL;
 }
 
+static bool
+has_successor (void *data)
+{
+  (void)data;
+  return successor != NULL;
+}
+
 static bool
 has_stalled (void *data)
 {
@@ -190,12 +208,135 @@
   teardown (&fixture);
 }
 
+static void
+assert_whole (RelayFixture *fixture, int fd)
+{
+  loop_receive (fixture->loop, fd, "\r\n0\r\n\r\n", fixture->received, sizeof fixture->received);
+  assert_non_null (strstr (fixture->received, "\r\n\r\n"));
+  assert_string_equal (strstr (fixture->received, "\r\n\r\n"),
+                       "\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n" REST);
+  close (fd);
+}
+
+/* A silent run and the one that was sent for it: the first that shows that it goes on delivers the
+ * rest, and the other one is cancelled. */
+static void
+test_silent_run_ends_when_another_has_taken_its_place (void **state)
+{
+  static const struct
+  {
+    const char *first;        /* what the successor sends first */
+    const char *silent_sends; /* meanwhile */
+    bool silent_breaks;
+    bool successor_is_late;
+    bool silent_goes_on;
+  } cases[] = {
+    { .silent_sends = REST, .silent_goes_on = true },
+    { .first = RELAY_FIXTURE_STREAM_HEAD },
+    { .silent_breaks = true },
+    { .silent_sends = "f\r\nid: 9\ndata: z\n\n\r\n" },
+    { .silent_sends = "0\r\n\r\n", .silent_goes_on = true },
+    { .silent_sends = "7\r\nid: 2\nd\r\n0\r\n\r\n" },
+    { .successor_is_late = true },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (cases); i++)
+    {
+      RelayFixture fixture;
+      uint64_t until_us;
+      int fd;
+
+      setup (&fixture);
+      relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_silent);
+      relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_successor);
+      fd = call_begin ("/llm/1");
+      assert_true (loop_pump (fixture.loop, has_successor, NULL));
+      until_us = mf_clock_now_us () + 210 * MF_US_PER_MS;
+      assert_int_equal (fake_upstream_n_closed (fixture.upstreams[0].server), 0);
+      if (cases[i].first != NULL)
+        fake_upstream_conn_send (successor, cases[i].first);
+      if (cases[i].silent_sends != NULL)
+        fake_upstream_conn_send (silent, cases[i].silent_sends);
+      if (cases[i].silent_breaks)
+        fake_upstream_conn_close (silent, true);
+      loop_spin (fixture.loop, 10);
+      while (cases[i].successor_is_late && mf_clock_now_us () < until_us)
+        loop_spin (fixture.loop, 1);
+      if (cases[i].silent_goes_on)
+        {
+          loop_receive (fixture.loop, fd, "\r\n0\r\n\r\n", fixture.received,
+                        sizeof fixture.received);
+          close (fd);
+          assert_int_equal (fake_upstream_n_closed (fixture.upstreams[1].server), 1);
+        }
+      else
+        {
+          fake_upstream_conn_send (successor,
+                                   cases[i].first != NULL ? REST : RELAY_FIXTURE_STREAM_HEAD REST);
+          assert_whole (&fixture, fd);
+        }
+      loop_spin (fixture.loop, 5);
+      assert_no_load (&fixture, "u0");
+      assert_no_load (&fixture, "u1");
+      teardown (&fixture);
+    }
+}
+
+/* An error of either of two upstreams ends the request, unless the other one may still answer it.
+ * What no other upstream would answer differently is answered at once. */
+static void
+test_error_of_one_upstream_leaves_the_other (void **state)
+{
+  static const struct
+  {
+    const char *successor_status; /* of its answer, which comes first */
+    const char *silent_status;
+    const char *expected;
+  } cases[] = {
+    { "500 No", "200 OK", "HTTP/1.1 200" },
+    { "500 No", "502 No", "HTTP/1.1 50" },
+    { "404 No", NULL, "HTTP/1.1 404" },
+    { NULL, "500 No", "HTTP/1.1 200" },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (cases); i++)
+    {
+      RelayFixture fixture;
+      int fd;
+
+      setup (&fixture);
+      relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_late);
+      relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_successor);
+      fd = call_begin ("/ask/1");
+      assert_true (loop_pump (fixture.loop, has_successor, NULL));
+      if (cases[i].successor_status != NULL)
+        relay_fixture_answer (successor, "t", cases[i].successor_status, RELAY_FIXTURE_SEAL, "it");
+      loop_spin (fixture.loop, 5);
+      if (cases[i].silent_status != NULL)
+        relay_fixture_answer (silent, "t", cases[i].silent_status, RELAY_FIXTURE_SEAL, "it");
+      loop_spin (fixture.loop, 5);
+      if (cases[i].successor_status == NULL)
+        relay_fixture_answer (successor, "t", "200 OK", RELAY_FIXTURE_SEAL, "it");
+      loop_receive (fixture.loop, fd, "\r\n\r\nit", fixture.received, sizeof fixture.received);
+      assert_memory_equal (fixture.received, cases[i].expected, strlen (cases[i].expected));
+      close (fd);
+      loop_spin (fixture.loop, 5);
+      assert_no_load (&fixture, "u0");
+      assert_no_load (&fixture, "u1");
+      teardown (&fixture);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_end_of_the_search_keeps_a_run_whose_caller_still_waits),
     cmocka_unit_test (test_send_that_is_declined_ends_no_silent_run),
+    cmocka_unit_test (test_silent_run_ends_when_another_has_taken_its_place),
+    cmocka_unit_test (test_error_of_one_upstream_leaves_the_other),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_job_stall.c
+++ b/tests/test_job_stall.c
@@ -323,9 +323,9 @@
   teardown (&fixture);
 }
 
-/* The run is cancelled when the next one is sent, and not before. */
+/* The run is cancelled when another engine has accepted the stream, and not before. */
 static void
-test_silent_run_ends_when_the_next_is_sent (void **state)
+test_silent_run_ends_when_the_next_has_begun (void **state)
 {
   RelayFixture fixture;
   int fd;
@@ -560,7 +560,7 @@
     cmocka_unit_test (test_silent_run_is_kept_while_no_other_engine_has_a_slot),
     cmocka_unit_test (test_search_that_fails_ends_no_silent_run),
     cmocka_unit_test (test_route_without_objectives_does_not_search_all_the_time),
-    cmocka_unit_test (test_silent_run_ends_when_the_next_is_sent),
+    cmocka_unit_test (test_silent_run_ends_when_the_next_has_begun),
     cmocka_unit_test (test_silent_run_is_kept_while_its_caller_waits),
     cmocka_unit_test (test_silent_run_is_not_moved_to_its_own_engine),
     cmocka_unit_test (test_part_of_an_event_keeps_no_run),
