A trial that is lost with its instance is made up for

Cause: the instance that begins the trial of a quarantined part tells the others, which put off the next one by a whole interval.

Change: each instance notes which peer has put off a trial, and lets another one be due when it loses that peer, by rank as always. At most one further upstream crashes for each such loss.

test_trial_of_an_instance_that_has_crashed_is_made_up_for failed before, as the others' next trial stayed due later.

--- a/libmangofork/relay/job_room.c
+++ b/libmangofork/relay/job_room.c
@@ -407,6 +407,7 @@
       mf_job_request_slot (job);
     }
   mf_jobs_rate_peer_lost (jobs, peer);
+  mf_jobs_suspects_peer_lost (jobs, peer);
 }
 
 static void
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -193,6 +193,7 @@
 void mf_job_probe_done (MfJob *job);
 void mf_jobs_send_suspects (MfJobs *jobs, uint64_t peer);
 void mf_jobs_handle_suspects (MfJobs *jobs, uint64_t peer, const MfSuspectUpdate *update);
+void mf_jobs_suspects_peer_lost (MfJobs *jobs, uint64_t peer);
 void mf_jobs_end_quarantined (MfJobs *jobs);
 
 /* job_retry.c: the retry budget. */
--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -22,6 +22,8 @@
 /* An instance tries a part whose trial is due this much later than the one of next higher rank, so
  * that it has heard of the trial if that one has begun it. */
 #define TRIAL_STAGGER_US (50 * MF_US_PER_MS)
+/* Times of trials that differ by less are the same, as messages have them in milliseconds. */
+#define TRIAL_ROUNDING_US (250 * MF_US_PER_MS)
 /* A suspect request is retried only once it is known whether the last upstream crashed too, or
  * after this time: a few round trips, or the time a connection may take. */
 #define PROBE_TIMEOUT_US (300 * MF_US_PER_MS)
@@ -390,6 +392,19 @@
   return suspect;
 }
 
+/* Notes which peer has begun a trial of the part: it has put off the next one, and not because an
+ * upstream has crashed. */
+static void
+part_note_trial (MfSuspect *suspect, uint64_t peer, const MfSuspect *before)
+{
+  if (suspect->part.quarantined_us == 0
+      || suspect->part.n_failed_trials != before->part.n_failed_trials)
+    suspect->part.tried_by = 0;
+  else if (before->part.quarantined_us > 0
+           && suspect->quarantined_until_us > before->quarantined_until_us + TRIAL_ROUNDING_US)
+    suspect->part.tried_by = peer;
+}
+
 /* Each instance judges by all crashes that it has recorded. One that has more than the sender, or
  * has recorded since that an upstream survived the part, replies. */
 static void
@@ -398,7 +413,8 @@
   MfSuspects *suspects = jobs->suspects;
   bool was_quarantined = mf_suspects_part_is_quarantined (suspects, entry->digest, now_us);
   MfSuspect reported = entry_read (entry, now_us);
-  MfSuspect *suspect;
+  MfSuspect *suspect = mf_suspects_find (suspects, entry->digest, now_us);
+  MfSuspect before = suspect != NULL ? *suspect : (MfSuspect){ 0 };
 
   if (entry->was_sound)
     part_note_sound (jobs, entry->digest, time_us (entry->sound_age_ms, now_us), false, now_us);
@@ -406,6 +422,7 @@
   suspect = mf_suspects_find (suspects, entry->digest, now_us);
   if (suspect == NULL)
     return;
+  part_note_trial (suspect, peer, &before);
   suspect->part.is_unreported = false;
   part_record (jobs, suspect, false);
   if (suspect->part.quarantined_us > 0 && was_quarantined && !entry->quarantined && !entry->cleared)
@@ -721,6 +738,38 @@
   mf_suspects_void_trial (job->jobs->suspects, job->trial_part, mf_clock_now_us ());
 }
 
+typedef struct
+{
+  MfJobs *jobs;
+  uint64_t peer;
+  uint64_t now_us;
+} LostTrials;
+
+static bool
+part_void_trial (void *data, const MfSuspect *part)
+{
+  const LostTrials *lost = data;
+  MfSuspect *suspect;
+
+  if (part->kind != MF_SUSPECT_PART || part->part.tried_by != lost->peer)
+    return true;
+  suspect = mf_suspects_find (lost->jobs->suspects, part->digest, lost->now_us);
+  suspect->part.tried_by = 0;
+  mf_suspects_void_trial (lost->jobs->suspects, part->digest, lost->now_us);
+  mf_relay_log_state (lost->jobs->log, "part.untried", "id=none digest=%016llx",
+                      (unsigned long long)part->digest);
+  return true;
+}
+
+/* A peer has disconnected: nobody would report the results of the trials that it has begun. */
+void
+mf_jobs_suspects_peer_lost (MfJobs *jobs, uint64_t peer)
+{
+  LostTrials lost = { .jobs = jobs, .peer = peer, .now_us = mf_clock_now_us () };
+
+  mf_suspects_foreach (jobs->suspects, lost.now_us, part_void_trial, &lost);
+}
+
 /* Returns when this instance may try a quarantined part. Instances of a lower rank for the part
  * wait longer, but each may: few of many instances get requests with it. */
 static uint64_t
--- a/libmangofork/suspect.h
+++ b/libmangofork/suspect.h
@@ -70,6 +70,7 @@
   bool is_own;              /* it was found here, not by a peer; likewise */
   bool is_disputed;         /* a peer refuses it, and is known to be wrong; likewise */
   uint32_t n_failed_trials; /* upstreams that crashed under it during the quarantine */
+  uint64_t tried_by;        /* peer that has begun a trial; 0: none known; set by the caller */
 } MfSuspectPart;
 
 typedef struct
--- a/libmangofork/suspect_part.c
+++ b/libmangofork/suspect_part.c
@@ -435,8 +435,10 @@
 {
   MfSuspect *suspect = mf_suspects_find (suspects, part, now_us);
 
-  if (suspect != NULL)
-    suspect->quarantined_until_us = now_us + trial_interval_us (suspects, suspect);
+  if (suspect == NULL)
+    return;
+  suspect->part.tried_by = 0;
+  suspect->quarantined_until_us = now_us + trial_interval_us (suspects, suspect);
 }
 
 /* Lets the next trial be due at once, as one has ended without showing anything. */
--- a/tests/test_job_suspect.c
+++ b/tests/test_job_suspect.c
@@ -793,6 +793,44 @@
   crash_fixture_teardown (&fixture);
 }
 
+/* Returns when the next trial of the part is due at an instance. */
+static uint64_t
+next_trial_us (const CrashFixture *fixture, uint32_t instance)
+{
+  return mf_suspects_find (fixture->fleet.instances[instance].jobs.suspects, deadly_part_hash (),
+                           mf_clock_now_us ())
+      ->quarantined_until_us;
+}
+
+/* A part was refused for as long again when the instance that tried it had crashed meanwhile. */
+static void
+test_trial_of_an_instance_that_has_crashed_is_made_up_for (void **state)
+{
+  CrashFixture fixture;
+  int fd;
+
+  (void)state;
+  crash_fixture_setup (&fixture);
+  quarantine_part (&fixture);
+  for (uint32_t index = 0; index < N_UPSTREAMS; index++)
+    {
+      soak_upstream_enable_crashes (fixture.upstreams[index], 0., on_down_changed, &fixture);
+      soak_upstream_set_mode (fixture.upstreams[index], SOAK_UNRESPONSIVE);
+    }
+  set_trial (&fixture, mf_clock_now_us () - MF_US_PER_S);
+  fd = start_prompt (&fixture, 4, "/once/1", SOAK_DEADLY_PART "0");
+  loop_spin (fixture.fleet.loop, 20);
+  assert_true (next_trial_us (&fixture, 0) > mf_clock_now_us () + MF_US_PER_S);
+  relay_fleet_restart (&fixture.fleet, 4);
+  close (fd);
+  for (uint32_t index = 0; index < N_UPSTREAMS; index++)
+    soak_upstream_set_mode (fixture.upstreams[index], SOAK_SERVES);
+  assert_true (next_trial_us (&fixture, 0) <= mf_clock_now_us ());
+  loop_spin (fixture.fleet.loop, 100);
+  assert_int_equal (prompt (&fixture, 0, "/once/1", SOAK_DEADLY_PART "0"), 200);
+  crash_fixture_teardown (&fixture);
+}
+
 /* A request with a part whose trial was due was sent although another part of it was quarantined.
  */
 static void
@@ -866,6 +904,7 @@
     cmocka_unit_test (test_quarantined_part_is_tried_by_one_request),
     cmocka_unit_test (test_instance_of_lowest_rank_tries_a_part_that_only_it_is_asked_for),
     cmocka_unit_test (test_trial_that_reaches_no_upstream_is_made_up_for),
+    cmocka_unit_test (test_trial_of_an_instance_that_has_crashed_is_made_up_for),
     cmocka_unit_test (test_trial_has_no_other_quarantined_part),
     cmocka_unit_test (test_quarantine_ends_requests_in_progress),
     cmocka_unit_test (test_requests_with_a_part_that_crashed_upstreams_are_refused),
