An answer without a seal is not passed on after a silence

Callers could see: the rest of a stream from an upstream whose answer has no seal header, which may be an intermediary's (rule MIXED). Only on routes with three attempts or more: a stream breaks, the next upstream answers 200 without a seal, is silent for the latency objective, and goes on.

Cause: a run that had been silent was taken for a stream by the phase of the request. That is set when the caller has the head, whatever this upstream has answered.

Change: whether the answer is a stream that is passed on is kept with the silent run.

test_silent_answer_without_a_seal_is_not_passed_on failed before: event 2 of the unsealed answer reached the caller.

--- a/libmangofork/relay/job_answer.c
+++ b/libmangofork/relay/job_answer.c
@@ -57,8 +57,8 @@
 }
 
 /* Whether the answer is a stream that is passed on while it comes. */
-static bool
-job_has_stream (const MfJob *job)
+bool
+mf_job_has_stream (const MfJob *job)
 {
   return job->phase == MF_JOB_STREAMING && answer_is_good (&job->answer);
 }
@@ -236,7 +236,7 @@
   uint64_t now_us = mf_clock_now_us ();
   MfBuffer complete = { 0 };
 
-  if (!job_has_stream (job))
+  if (!mf_job_has_stream (job))
     {
       on_answer_body (data, bytes, n_bytes);
       return;
@@ -455,7 +455,7 @@
 {
   if (end == MF_LINK_BROKEN)
     return why;
-  return job_has_stream (job) ? mf_job_stream_defect (job, end) : NULL;
+  return mf_job_has_stream (job) ? mf_job_stream_defect (job, end) : NULL;
 }
 
 /* A complete answer of the upstream itself shows that it has survived its beginning. One that ends
@@ -496,7 +496,7 @@
       mf_target_probe (target);
       job_failed (job, target, defect);
     }
-  else if (job_has_stream (job))
+  else if (mf_job_has_stream (job))
     {
       job->n_runs++;
       job->kv_used = true;
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -47,6 +47,7 @@
   uint64_t sent_us;
   uint64_t n_events_before;
   uint32_t n_prefills; /* of the request, until then */
+  bool has_stream;     /* which is passed on while it comes */
   bool answer_began;
   bool was_suspect;
   bool is_retry;
@@ -278,6 +279,7 @@
 /* job_answer.c: handles upstreams' answers to prefills and runs. */
 extern const MfLinkCallbacks mf_job_prefill_callbacks;
 extern const MfLinkCallbacks mf_job_run_callbacks;
+bool mf_job_has_stream (const MfJob *job);
 void mf_job_pass_on (MfJob *job, MfBuffer *events);
 const char *mf_job_stream_defect (const MfJob *job, MfLinkEnd end);
 
--- a/libmangofork/relay/job_stall.c
+++ b/libmangofork/relay/job_stall.c
@@ -145,7 +145,7 @@
 void
 mf_job_move_if_slow (MfJob *job)
 {
-  if (job->stalled.phase != MF_JOB_STREAMING && job->stalled.answer.status != 0)
+  if (job->stalled.link != NULL && !job->stalled.has_stream && job->stalled.answer.status != 0)
     mf_job_move (job);
 }
 
@@ -208,7 +208,7 @@
   MfBuffer complete = { 0 };
 
   mf_target_record_alive (job->stalled.target, mf_clock_now_us ());
-  if (job->stalled.phase != MF_JOB_STREAMING)
+  if (!job->stalled.has_stream)
     {
       job_resume_run (job);
       mf_job_run_callbacks.body (job, bytes, n_bytes);
@@ -282,6 +282,7 @@
     .sent_us = job->sent_us,
     .n_events_before = job->n_events_before,
     .n_prefills = job->n_prefills,
+    .has_stream = mf_job_has_stream (job),
     .answer_began = job->answer_began,
     .was_suspect = job->was_suspect,
     .is_retry = job->is_retry,
--- a/tests/test_job_give_up.c
+++ b/tests/test_job_give_up.c
@@ -329,6 +329,56 @@
     }
 }
 
+/* Breaks off a stream after event 1. */
+static void
+handle_break (FakeUpstreamConn *conn, const char *text, const char *id)
+{
+  relay_fixture_stream_breaks (conn, text, id);
+}
+
+/* Sends the head of an answer that an intermediary may have written, as it has no seal. */
+static void
+handle_unsealed (FakeUpstreamConn *conn, const char *text, const char *id)
+{
+  (void)text;
+  (void)id;
+  silent = conn;
+  fake_upstream_conn_send (conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: t\r\n"
+                                 "Content-Type: text/event-stream\r\n"
+                                 "Transfer-Encoding: chunked\r\n\r\n");
+}
+
+/* An answer without a seal to the rest of a stream was passed on once it had been silent. */
+static void
+test_silent_answer_without_a_seal_is_not_passed_on (void **state)
+{
+  RelayFixture fixture;
+  int fd;
+
+  (void)state;
+  setup (&fixture);
+  for (uint32_t i = 0; i < fixture.jobs.routes->n_routes; i++)
+    fixture.jobs.routes->routes[i].attempts_max = 4;
+  fixture.jobs.budget_slack = 100;
+  relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_break);
+  relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_unsealed);
+  relay_fixture_add_upstream (&fixture, 2, MF_ROLE_DECODE, relay_fixture_decline);
+  fill (&fixture, "u1", true);
+  fill (&fixture, "u2", true);
+  fd = call_begin ("/llm/1");
+  loop_spin (fixture.loop, 5);
+  fill (&fixture, "u1", false);
+  assert_true (loop_pump (fixture.loop, is_silent, NULL));
+  assert_true (loop_pump (fixture.loop, has_stalled, &fixture));
+  fake_upstream_conn_send (silent, REST);
+  loop_receive (fixture.loop, fd, NULL, fixture.received, sizeof fixture.received);
+  assert_non_null (strstr (fixture.received, "id: 1\n"));
+  assert_null (strstr (fixture.received, "id: 2\n"));
+  close (fd);
+  fill (&fixture, "u2", false);
+  teardown (&fixture);
+}
+
 int
 main (void)
 {
@@ -337,6 +387,7 @@
     cmocka_unit_test (test_send_that_is_declined_ends_no_silent_run),
     cmocka_unit_test (test_silent_run_ends_when_another_has_taken_its_place),
     cmocka_unit_test (test_error_of_one_upstream_leaves_the_other),
+    cmocka_unit_test (test_silent_answer_without_a_seal_is_not_passed_on),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
