Ends of requests name the kind of route and the place on the connection

Cause: what a planned stop costs could not be told from the logs. `request.end` named the time since SIGTERM, but not whether the request could have been repeated or taken up elsewhere, nor whether its caller had opened a connection to an instance that was stopping or had kept one.

Change: `request.end` has `kind` (idempotent, non-idempotent, resumable, streaming) and `on_connection`, the number of the request on its connection. When the request arrived follows from `stop_ms` less `took_ms`.

--- a/libmangofork/relay/caller.c
+++ b/libmangofork/relay/caller.c
@@ -71,6 +71,7 @@
   uint64_t address_hash; /* of the peer's IP address, without the port */
   uint64_t started_us;
   uint64_t timer_us;
+  uint32_t n_requests; /* complete ones that have been read on this connection */
   bool chunked;
   bool closing;              /* the connection closes after the response */
   bool ends_with_connection; /* the response has neither a length nor chunks */
@@ -483,6 +484,7 @@
       caller->state = CALLER_WAITING;
       caller->chunked = false;
       caller->write_paused = false;
+      caller->n_requests++;
       caller->listener->callbacks->request (caller->listener->data, caller);
     }
 }
@@ -752,6 +754,14 @@
   return caller->started_us;
 }
 
+/* Returns the number of complete requests that have been read on this connection, the one that is
+ * being served included. */
+uint32_t
+mf_caller_n_requests (const MfCaller *caller)
+{
+  return caller->n_requests;
+}
+
 /* Returns a hash of the peer's IP address, without the port. */
 uint64_t
 mf_caller_address_hash (const MfCaller *caller)
--- a/libmangofork/relay/caller.h
+++ b/libmangofork/relay/caller.h
@@ -49,6 +49,7 @@
 const char *mf_caller_method (const MfCaller *caller);
 const MfBuffer *mf_caller_body (const MfCaller *caller);
 uint64_t mf_caller_started_us (const MfCaller *caller);
+uint32_t mf_caller_n_requests (const MfCaller *caller);
 uint64_t mf_caller_address_hash (const MfCaller *caller);
 void mf_caller_set_job (MfCaller *caller, void *job);
 void *mf_caller_job (const MfCaller *caller);
--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -136,6 +136,22 @@
   free (job);
 }
 
+/* Returns the kind of a route for the log. */
+static const char *
+route_kind_name (const MfRoute *route)
+{
+  switch (route->kind)
+    {
+    case MF_ROUTE_IDEMPOTENT:
+      return "idempotent";
+    case MF_ROUTE_NON_IDEMPOTENT:
+      return "non-idempotent";
+    case MF_ROUTE_STREAMING:
+      return route->resumable ? "resumable" : "streaming";
+    }
+  return "unknown";
+}
+
 /* Counts and logs the end of a request. */
 static void
 job_record_end (MfJob *job, MfCode code, uint32_t status, const char *why)
@@ -157,11 +173,11 @@
     mf_relay_histogram_observe (&jobs->counters.answer, took_us);
   mf_relay_log_event (
       jobs->log, "request.end",
-      "id=%s digest=%016llx route=%s service=%s code=%d status=%u why=\"%s\" "
-      "took_ms=%.1f first_event_ms=%.1f waited_ms=%.1f sends=%u runs=%u prefills=%u events=%llu "
-      "last_upstream=%s left_ms=%lld stop_ms=%lld config=%llu",
-      job->id, (unsigned long long)job->digest, job->route->name, job->service->name, (int)code,
-      status, why, (double)took_us / 1e3,
+      "id=%s digest=%016llx route=%s kind=%s on_connection=%u service=%s code=%d status=%u "
+      "why=\"%s\" took_ms=%.1f first_event_ms=%.1f waited_ms=%.1f sends=%u runs=%u prefills=%u "
+      "events=%llu last_upstream=%s left_ms=%lld stop_ms=%lld config=%llu",
+      job->id, (unsigned long long)job->digest, job->route->name, route_kind_name (job->route),
+      job->on_connection, job->service->name, (int)code, status, why, (double)took_us / 1e3,
       job->first_event_us > 0 ? (double)(job->first_event_us - job->started_us) / 1e3 : 0.,
       (double)job->waited_us / 1e3, job->n_arrivals, job->n_runs, job->n_prefills,
       (unsigned long long)job->events.n_events,
@@ -507,6 +523,7 @@
   job->events.numbering = &mf_jobs_service (jobs, job->service->name)->numbering;
   job->caller_hash = mf_caller_address_hash (caller);
   job->try_id = ++jobs->n_started;
+  job->on_connection = mf_caller_n_requests (caller);
   job_read_resumed_stream (job, head);
   job_read_parts (job, head);
   job_read_token_counts (job, head);
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -74,9 +74,10 @@
   bool is_engine;
   bool is_head_request;
   char id[MF_JOB_ID_BYTES];
-  uint64_t digest; /* the same for all tries of a request */
-  MfParts parts;   /* of its prompt that other requests may share */
-  uint64_t try_id; /* number of this try at this instance */
+  uint64_t digest;        /* the same for all tries of a request */
+  MfParts parts;          /* of its prompt that other requests may share */
+  uint64_t try_id;        /* number of this try at this instance */
+  uint32_t on_connection; /* number of this request on the caller's connection, from 1 */
   uint64_t started_us;
   /* When the caller sent its first try, estimated from its deadline header. */
   uint64_t first_try_us;
--- a/tests/test_caller.c
+++ b/tests/test_caller.c
@@ -28,6 +28,7 @@
   bool replies_at_once; /* each request is answered at once with its own body */
   MfCaller *waiting;    /* the caller of the last request */
   uint32_t n_requests;
+  uint32_t on_connection; /* number of the last request on its connection */
   uint32_t n_departed;
   uint32_t n_refused;
   MfCode refused_code;
@@ -44,6 +45,7 @@
       = snprintf (copy, sizeof copy, "[%.*s]", (int)mf_buffer_bytes (body), mf_buffer_data (body));
 
   fixture->n_requests++;
+  fixture->on_connection = mf_caller_n_requests (caller);
   fixture->waiting = caller;
   if (fixture->replies_at_once)
     mf_caller_reply (caller, 200, NULL, copy, (size_t)n_bytes);
@@ -143,6 +145,29 @@
   fixture_end (&fixture);
 }
 
+/* The requests of each connection are numbered from 1. */
+static void
+test_requests_are_numbered_on_their_connection (void **state)
+{
+  static const char request[] = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+  Fixture fixture;
+  int fds[2];
+
+  (void)state;
+  fixture_begin (&fixture, true);
+  fds[0] = send_and_receive (&fixture, request, "[]");
+  assert_int_equal (fixture.on_connection, 1);
+  loop_send (fds[0], request, strlen (request));
+  loop_receive (fixture.loop, fds[0], "[]", fixture.received, sizeof fixture.received);
+  assert_int_equal (fixture.on_connection, 2);
+  fds[1] = send_and_receive (&fixture, request, "[]");
+  assert_int_equal (fixture.on_connection, 1);
+  assert_int_equal (fixture.n_requests, 3);
+  close (fds[0]);
+  close (fds[1]);
+  fixture_end (&fixture);
+}
+
 /* Requests with ambiguous framing could smuggle a second request past the router. They get 400, and
  * nothing after them is parsed. */
 static void
@@ -542,6 +567,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_requests_one_after_the_other),
+    cmocka_unit_test (test_requests_are_numbered_on_their_connection),
     cmocka_unit_test (test_smuggled_requests_are_not_read),
     cmocka_unit_test (test_limits),
     cmocka_unit_test (test_large_bodies_keep_to_the_memory_limit),
