The log names the upstream that answers after a search was in vain

Operators saw: `last_upstream` in `request.end` of a request that had gone on at its first upstream was the one that had declined it meanwhile.

Cause: the name is set at each send, and was not set back when the silent run was kept.

test_send_that_is_declined_ends_no_silent_run now looks at the name as well, and failed before ("u1").

--- a/libmangofork/relay/job_stall.c
+++ b/libmangofork/relay/job_stall.c
@@ -85,6 +85,7 @@
   job->link = stalled.link;
   job->target = stalled.target;
   job->target_tokens = stalled.target_tokens;
+  mf_name_set (job->last_upstream, sizeof job->last_upstream, stalled.target->info.id);
   job->phase = stalled.phase;
   job->answer = stalled.answer;
   job->sent_us = stalled.sent_us;
--- a/tests/test_job_give_up.c
+++ b/tests/test_job_give_up.c
@@ -201,6 +201,8 @@
   loop_spin (fixture.loop, 250);
   assert_int_equal (relay_fixture_n_requests (&fixture, 1), 1);
   assert_int_equal (fixture.jobs.n_jobs, 1);
+  /* The log names the upstream that answers. */
+  assert_string_equal (fixture.jobs.first->last_upstream, "u0");
   fake_upstream_conn_send (silent, REST);
   loop_receive (fixture.loop, fd, "\r\n0\r\n\r\n", fixture.received, sizeof fixture.received);
   assert_non_null (strstr (fixture.received, "\r\n0\r\n\r\n"));
