A suspect whose answer has begun makes room for another

Callers saw: streams that they had taken up after the crash of an engine were refused after 3.3 s ("no engine slot became free in time"), while new streams were sent to engines.

Cause: requests that were at an upstream when it crashed are kept apart, one at an engine, so that the next crash shows which it was. A stream kept the others out until its end, seconds after its engine had survived it.

Change: a request is no suspect of its upstream any more when that has sent the beginning of the answer.

test_suspect_that_has_begun_to_be_answered_makes_room_for_another failed before.

--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -665,7 +665,8 @@
                                 on_failure_result, jobs);
 }
 
-/* Records that the upstream has begun an answer and survived: no part of the prompt is deadly. */
+/* Records that the upstream has begun an answer and survived: no part of the prompt is deadly, and
+ * another suspect may run beside this one. */
 void
 mf_job_note_sound (MfJob *job)
 {
@@ -674,6 +675,9 @@
   if (job->answer_began)
     return;
   job->answer_began = true;
+  if (job->target != NULL)
+    job->target->n_suspects -= job->was_suspect;
+  job->was_suspect = false;
   for (uint32_t i = 0; i < job->parts.n_parts; i++)
     part_note_sound (job->jobs, job->parts.hashes[i], now_us, true, now_us);
 }
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -491,6 +491,45 @@
   teardown (&fixture);
 }
 
+/* Goes on after event 1 with two more, and sends no end. */
+static void
+handle_two_events (FakeUpstreamConn *conn, const char *text, const char *id)
+{
+  (void)text;
+  (void)id;
+  fake_upstream_conn_send (conn, RELAY_FIXTURE_STREAM_HEAD "f\r\nid: 2\ndata: b\n\n\r\n"
+                                                           "f\r\nid: 3\ndata: c\n\n\r\n");
+}
+
+/* Suspects run at different engines. One kept the others out until its stream had ended, though its
+ * engine had survived it. */
+static void
+test_suspect_that_has_begun_to_be_answered_makes_room_for_another (void **state)
+{
+  static const char text[] = "POST /llm/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: t\r\n"
+                             "Connection: close\r\n\r\n";
+  RelayFixture fixture;
+  const MfTarget *target;
+  int fd;
+
+  (void)state;
+  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, relay_fixture_stream_breaks);
+  relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_two_events);
+  fd = loop_connect (PORT);
+  loop_send (fd, text, strlen (text));
+  loop_receive (fixture.loop, fd, "id: 3", fixture.received, sizeof fixture.received);
+  target = mf_targets_by_hash (&fixture.jobs.targets, mf_load_hash ("u1"));
+  assert_int_equal (target->n_active, 1);
+  assert_true (fixture.jobs.first->n_failures > 0);
+  assert_int_equal (target->n_suspects, 0);
+  close (fd);
+  loop_spin (fixture.loop, 5);
+  assert_int_equal (target->n_active, 0);
+  assert_int_equal (target->n_suspects, 0);
+  teardown (&fixture);
+}
+
 /* A stream that fails later than its caller would have waited for its first event is still resumed:
  * the caller's time limit starts again with each event. */
 static void
@@ -1113,6 +1152,7 @@
     cmocka_unit_test (test_unused_kv_is_released),
     cmocka_unit_test (test_broken_stream_is_resumed_after_its_last_event),
     cmocka_unit_test (test_silent_stream_is_resumed_elsewhere),
+    cmocka_unit_test (test_suspect_that_has_begun_to_be_answered_makes_room_for_another),
     cmocka_unit_test (test_stream_that_breaks_late_is_resumed),
     cmocka_unit_test (test_broken_stream_that_cannot_be_resumed_does_not_look_complete),
     cmocka_unit_test (test_stream_without_time_is_refused_at_once),
