An upstream that has ended gets no request for three seconds

Callers saw: streams that they had taken up after the crash of an engine were refused after 3.3 s, or went on late, while new ones began.

Cause: a connection that is refused shows that the process has ended, but its entry was used again after 300 ms, as after a timeout, until discovery had removed it (2.6 s in the trace).

Change: such an upstream is avoided for three seconds, which is the time after which one whose address another process has taken is avoided, too. A sign of life ends that. The process that takes its place has an entry of its own.

test_upstream_that_has_ended_gets_no_request_for_three_seconds failed before.

--- a/libmangofork/relay/target.c
+++ b/libmangofork/relay/target.c
@@ -19,6 +19,9 @@
 #define SUSPECT_FIRST_US (300 * MF_US_PER_MS)
 #define SUSPECT_MAX_US (2400 * MF_US_PER_MS)
 #define SUSPECT_DOUBLINGS 3
+/* One whose process has ended is avoided for this long. Discovery removes it within this time; a
+ * process that takes its place has an entry of its own. */
+#define ENDED_AVOID_US (3 * MF_US_PER_S)
 /* A single instance may be partitioned; the reports of this many instances that cannot reach an
  * upstream count for the others. */
 #define SUSPECT_QUORUM 2
@@ -193,7 +196,12 @@
 static void
 on_refused (void *owner)
 {
-  target_record_end (owner, "nothing listens at its address");
+  MfTarget *target = owner;
+  uint64_t until_us = mf_clock_now_us () + ENDED_AVOID_US;
+
+  if (until_us > target->suspect_until_us)
+    target->suspect_until_us = until_us;
+  target_record_end (target, "nothing listens at its address");
 }
 
 static void
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -829,6 +829,32 @@
   teardown (&fixture);
 }
 
+/* An engine that had crashed got slots granted again after 300 ms, and looked idle. */
+static void
+test_upstream_that_has_ended_gets_no_request_for_three_seconds (void **state)
+{
+  RelayFixture fixture;
+  MfTarget *target;
+  uint64_t failed_us;
+
+  (void)state;
+  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_add_upstream (&fixture, 0, MF_ROLE_PLAIN, handle_good);
+  relay_fixture_add_upstream (&fixture, 1, MF_ROLE_PLAIN, handle_good);
+  fake_upstream_free (fixture.upstreams[0].server);
+  fixture.upstreams[0].server = NULL;
+  target = mf_targets_by_hash (&fixture.jobs.targets, mf_load_hash ("u0"));
+  mf_target_probe (target);
+  loop_spin (fixture.loop, 5);
+  failed_us = target->failed_us;
+  assert_true (failed_us > 0);
+  assert_true (mf_target_is_suspect (target, failed_us + 2900 * MF_US_PER_MS));
+  assert_false (mf_target_is_suspect (target, failed_us + 3100 * MF_US_PER_MS));
+  mf_target_record_alive (target, failed_us);
+  assert_false (mf_target_is_suspect (target, failed_us));
+  teardown (&fixture);
+}
+
 static void
 test_deadline_ends_what_does_not_answer (void **state)
 {
@@ -1164,6 +1190,7 @@
     cmocka_unit_test (test_streams_wait_for_the_end_of_a_pause),
     cmocka_unit_test (test_invalid_pauses_are_ignored),
     cmocka_unit_test (test_unreachable_upstream_costs_no_request),
+    cmocka_unit_test (test_upstream_that_has_ended_gets_no_request_for_three_seconds),
     cmocka_unit_test (test_deadline_ends_what_does_not_answer),
     cmocka_unit_test (test_requests_wait_for_a_free_slot),
     cmocka_unit_test (test_half_of_the_connections_of_an_upstream_are_kept_idle),
