--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -71,6 +71,7 @@
   MfRoutes *routes; /* the configuration in force when the request arrived */
   const MfRoute *route;
   const MfRouteService *service;
+  const MfCustomerInfo *customer; /* of the configuration in routes; NULL: none */
   bool is_engine;
   bool is_head_request;
   char id[MF_JOB_ID_BYTES];
--- a/libmangofork/relay/route.c
+++ b/libmangofork/relay/route.c
@@ -48,6 +48,7 @@
     }
   for (uint32_t i = 0; routes->services != NULL && i < routes->n_services; i++)
     free (routes->services[i].name);
+  mf_customers_free (routes->customers);
   free (routes->routes);
   free (routes->services);
   free (routes);
--- a/libmangofork/relay/route.h
+++ b/libmangofork/relay/route.h
@@ -1,6 +1,7 @@
 #ifndef MF_RELAY_ROUTE_H
 #define MF_RELAY_ROUTE_H
 
+#include "libmangofork/customer.h"
 #include "libmangofork/types.h"
 
 /* How often requests of a route may run. */
@@ -32,6 +33,7 @@
   uint32_t priority;          /* 0 is the most urgent */
   uint32_t attempts_max;      /* maximum upstreams that one request may run on */
   bool resumable;
+  bool is_exempt; /* needs no key of a customer */
   MfRouteShare *shares;
   uint32_t n_shares;
   uint64_t changed_us; /* since then it leads to these services; 0: since it is known here */
@@ -70,6 +72,7 @@
   MfRouteService *services;
   uint32_t n_services;
   MfCallerLimits limits;
+  MfCustomers *customers; /* NULL: callers have no keys */
   uint32_t n_refs;
 } MfRoutes;
 
