Crashes: the log names the content of a request beside its digest

A digest has the caller's address, so the log could not tell one request that ten callers send from ten requests. request.broken and request.suspected name the hash of host, method, target and body now, and the latter the caller.

--- a/libmangofork/relay/job_answer.c
+++ b/libmangofork/relay/job_answer.c
@@ -292,11 +292,12 @@
 
   job->jobs->counters.counts[MF_RELAY_COUNT_BROKEN]++;
   mf_target_record_failure (target, false, mf_clock_now_us ());
-  mf_relay_log_event (job->jobs->log, "request.broken",
-                      "id=%s digest=%016llx parts=%s upstream=%s why=\"%s\" events=%llu try=%u",
-                      job->id, (unsigned long long)job->digest,
-                      mf_parts_format (&job->parts, parts, sizeof parts), target->info.id, why,
-                      (unsigned long long)job->events.n_events, job->n_arrivals);
+  mf_relay_log_event (
+      job->jobs->log, "request.broken",
+      "id=%s digest=%016llx content=%016llx parts=%s upstream=%s why=\"%s\" events=%llu try=%u",
+      job->id, (unsigned long long)job->digest, (unsigned long long)job->content,
+      mf_parts_format (&job->parts, parts, sizeof parts), target->info.id, why,
+      (unsigned long long)job->events.n_events, job->n_arrivals);
   if (job->caller == NULL)
     {
       mf_job_finish (job, MF_CODE_DEPARTED, why);
@@ -560,12 +561,12 @@
   else
     {
       mf_target_record_failure (target, false, mf_clock_now_us ());
-      mf_relay_log_event (job->jobs->log, "request.broken",
-                          "id=%s digest=%016llx parts=%s upstream=%s stage=prefill status=%u "
-                          "why=\"%s\"",
-                          job->id, (unsigned long long)job->digest,
-                          mf_parts_format (&job->parts, parts, sizeof parts), target->info.id,
-                          answer->status, why);
+      mf_relay_log_event (
+          job->jobs->log, "request.broken",
+          "id=%s digest=%016llx content=%016llx parts=%s upstream=%s stage=prefill status=%u "
+          "why=\"%s\"",
+          job->id, (unsigned long long)job->digest, (unsigned long long)job->content,
+          mf_parts_format (&job->parts, parts, sizeof parts), target->info.id, answer->status, why);
       mf_job_avoid (job, target->id_hash);
       if (end == MF_LINK_BROKEN)
         {
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -76,6 +76,7 @@
   bool is_head_request;
   char id[MF_JOB_ID_BYTES];
   uint64_t digest;        /* the same for all tries of a request */
+  uint64_t content;       /* the same for all callers that send it */
   MfParts parts;          /* of its prompt that other requests may share */
   uint64_t try_id;        /* number of this try at this instance */
   uint32_t on_connection; /* number of this request on the caller's connection, from 1 */
@@ -184,7 +185,8 @@
 /* job_suspect.c: requests that may crash the upstreams that run them. */
 extern const MfTargetsCallbacks mf_job_targets_callbacks;
 bool mf_jobs_init_suspects (MfJobs *jobs);
-uint64_t mf_job_digest (const MfCaller *caller);
+uint64_t mf_job_content (const MfCaller *caller);
+uint64_t mf_job_digest (const MfCaller *caller, uint64_t content);
 bool mf_job_is_suspect (const MfJob *job);
 bool mf_job_end_quarantined (MfJob *job);
 void mf_job_note_failure (MfJob *job, MfTarget *target, bool is_broken);
--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -33,20 +33,32 @@
  * ends. */
 #define REPORT_AT_ONCE_CRASHES 2
 
-/* Hash of what identifies a caller's request across tries: host, method, target and body. Never
- * 0. */
+/* Hash of what a request does, whoever sends it: host, method, target and body. Never 0. */
 uint64_t
-mf_job_digest (const MfCaller *caller)
+mf_job_content (const MfCaller *caller)
 {
   const MfHead *head = mf_caller_head (caller);
   const char *method = mf_caller_method (caller);
   const MfBuffer *body = mf_caller_body (caller);
+  size_t host_bytes = 0;
+  const char *host = mf_head_value (head, MF_HEADER_HOST, &host_bytes);
   uint64_t parts[] = {
-    mf_caller_address_hash (caller),
+    XXH3_64bits (host != NULL ? host : "", host_bytes),
     XXH3_64bits (method, strlen (method)),
     XXH3_64bits (mf_head_text (head, 0), head->target_bytes),
     XXH3_64bits (mf_buffer_data (body), mf_buffer_bytes (body)),
   };
+  uint64_t content = XXH3_64bits (parts, sizeof parts);
+
+  return content != 0 ? content : 1;
+}
+
+/* Hash of what identifies a caller's request across tries: the caller's address and the content.
+ * Never 0. */
+uint64_t
+mf_job_digest (const MfCaller *caller, uint64_t content)
+{
+  uint64_t parts[] = { mf_caller_address_hash (caller), content };
   uint64_t digest = XXH3_64bits (parts, sizeof parts);
 
   return digest != 0 ? digest : 1;
@@ -475,8 +487,10 @@
     return;
   jobs->counters.counts[MF_RELAY_COUNT_SUSPICIONS]++;
   mf_relay_log_event (jobs->log, "request.suspected",
-                      "digest=%016llx upstreams_ended=%u was_suspect=%s break_age_ms=%u",
-                      (unsigned long long)failure->digest, suspect->n_crashes,
+                      "digest=%016llx content=%016llx caller=%016llx upstreams_ended=%u "
+                      "was_suspect=%s break_age_ms=%u",
+                      (unsigned long long)failure->digest, (unsigned long long)failure->content,
+                      (unsigned long long)failure->caller, suspect->n_crashes,
                       failure->was_suspect ? "yes" : "no",
                       age_ms (failure->failed_us, mf_clock_now_us ()));
   if (result == MF_SUSPECT_QUARANTINED)
@@ -615,6 +629,7 @@
     .upstream_id = mf_target_process_id (target),
     .address_hash = mf_load_hash (target->info.address),
     .caller = job->caller_hash,
+    .content = job->content,
     .trial_part = job->trial_part,
     .was_suspect = job->was_suspect,
     .is_sufficient = is_sufficient && job_is_unanswered (job),
--- a/libmangofork/suspect.h
+++ b/libmangofork/suspect.h
@@ -37,6 +37,7 @@
   uint64_t upstream_id;  /* that ran it; not 0 */
   uint64_t address_hash; /* of the upstream; 0 when unknown */
   uint64_t caller;       /* hash of the caller's host */
+  uint64_t content;      /* hash of the request whoever sends it; 0: not tracked */
   MfParts parts;         /* of the prompt; none once the answer has begun */
   uint64_t trial_part;   /* the quarantined part that the attempt was the trial of; 0: none */
   bool was_suspect;      /* the request was already a suspect when it was sent */
