--- a/tests/soak/relay_soak.c
+++ b/tests/soak/relay_soak.c
@@ -213,14 +213,15 @@
   uint32_t n_instances;
   uint32_t n_callers;
   uint32_t n_crashers;
-  uint32_t n_deadly_parts; /* of prompts; each is sent by CALLERS_PER_PART callers */
-  bool leaves;             /* upstreams leave while some instances have no path to the store */
-  uint64_t leaves_random;  /* of its own, like limits_random */
-  uint64_t next_leave_us;  /* next step of the one that leaves */
-  uint32_t n_left;         /* ever */
-  bool path_is_lost;       /* of every third instance to the store */
-  bool restores;           /* the store returns from older copies */
-  uint32_t n_restores;     /* still to come */
+  uint32_t n_crash_requests; /* different ones that the crashers send; 0: one each */
+  uint32_t n_deadly_parts;   /* of prompts; each is sent by CALLERS_PER_PART callers */
+  bool leaves;               /* upstreams leave while some instances have no path to the store */
+  uint64_t leaves_random;    /* of its own, like limits_random */
+  uint64_t next_leave_us;    /* next step of the one that leaves */
+  uint32_t n_left;           /* ever */
+  bool path_is_lost;         /* of every third instance to the store */
+  bool restores;             /* the store returns from older copies */
+  uint32_t n_restores;       /* still to come */
   uint64_t next_restore_us;
   uint64_t rewrite_us; /* when the operator and the upstreams write again what was lost; 0: done */
   uint64_t saved_us;   /* when the copy was made that the store returns from; 0: there is none */
@@ -796,6 +797,8 @@
 {
   Soak *soak = caller->soak;
   uint32_t index = (uint32_t)(caller - soak->callers);
+  uint32_t content
+      = caller->crashes && soak->n_crash_requests > 0 ? index % soak->n_crash_requests : index;
   char text[512];
   char body[16];
   char framed[96]; /* the body after the header that names its framing */
@@ -816,7 +819,7 @@
                  && index < soak->n_crashers + soak->n_deadly_parts * CALLERS_PER_PART;
   sent->crashes = caller->crashes || sent->deadly;
   sent->instance = caller->instance;
-  sent->kind = caller->crashes ? (RequestKind)(index % KIND_NEWEST)
+  sent->kind = caller->crashes ? (RequestKind)(content % KIND_NEWEST)
                                : (RequestKind)draw (soak, KIND_NEWEST);
   if (soak->stop != NULL)
     sent->kind = stop_kinds[draw (soak, MF_ARRAY_LEN (stop_kinds))];
@@ -839,7 +842,7 @@
   if (sent->deadly)
     snprintf (body, sizeof body, "no. %u", caller->sent_index);
   else
-    snprintf (body, sizeof body, caller->crashes ? SOAK_CRASH "%u" : "hi%u", index);
+    snprintf (body, sizeof body, caller->crashes ? SOAK_CRASH "%u" : "hi%u", content);
   if (sent->deadly)
     snprintf (parts, sizeof parts, "f0:60," SOAK_DEADLY_PART "%u:30,c%x:10",
               (index - soak->n_crashers) / CALLERS_PER_PART, caller->sent_index);
@@ -1614,6 +1617,9 @@
       if (soak->n_crashers > SOAK_CRASHERS_MAX)
         argp_error (state, "at most %d callers that crash upstreams", SOAK_CRASHERS_MAX);
       return 0;
+    case 'q':
+      soak->n_crash_requests = (uint32_t)strtoul (arg, NULL, 10);
+      return 0;
     case 'd':
       soak->n_deadly_parts = (uint32_t)strtoul (arg, NULL, 10);
       if (soak->n_deadly_parts > SOAK_DEADLY_PARTS_MAX)
@@ -1662,6 +1668,10 @@
     .key = 'c',
     .arg = "N",
     .doc = "Number of callers whose request crashes upstreams" },
+  { .name = "crash-requests",
+    .key = 'q',
+    .arg = "N",
+    .doc = "Number of different requests that these callers send; without it, one each" },
   { .name = "deadly-parts",
     .key = 'd',
     .arg = "N",
