A request that crashes upstreams is one suspect, whoever sends it

Cause: crashes were kept by the digest of a request, which has the caller's address. Evidence was kept under an identity that is narrower than the cause: callers that send the same request crashed two upstreams or three each.

The content (host, method, target, body) is tracked like a part of prompts: by crashes from any caller, reported by all instances, released by an upstream that survives it, tried again from time to time. Three crashes quarantine it, or two if the last upstream ran no other suspect; five at different moments where an upstream has survived it within the last minute, so that a look-up that thousands share is not refused for crashes beside it. It explains no crash of a part. Instances tell each other in a message of a kind of its own, which those of an older release pass over.

--- a/libmangofork/relay/job_room.c
+++ b/libmangofork/relay/job_room.c
@@ -342,6 +342,7 @@
         jobs->on_feed (jobs->on_feed_data, peer, &message->feed);
       return;
     case MF_RELAY_MESSAGE_SUSPECTS:
+    case MF_RELAY_MESSAGE_CONTENTS:
       mf_jobs_handle_suspects (jobs, peer, &message->suspects);
       return;
     case MF_RELAY_MESSAGE_LIMITS:
--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -86,7 +86,8 @@
   const MfSuspect *suspect
       = mf_suspects_find (job->jobs->suspects, job->digest, mf_clock_now_us ());
 
-  return job->trial_part != 0 || job->n_failures > 0 || (suspect != NULL && suspect->n_crashes > 0);
+  return job->trial_part != 0 || job->n_failures > 0 || (suspect != NULL && suspect->n_crashes > 0)
+         || mf_suspects_is_suspect_content (job->jobs->suspects, job->content, mf_clock_now_us ());
 }
 
 static uint32_t
@@ -145,13 +146,16 @@
 /* Receiver of a message that stands for all peers. */
 #define TO_ALL 0
 
-/* Sends the entries in the message, if there are any. */
+/* Sends the entries in the message, if there are any. All are contents, or none is: a peer of an
+ * older release passes over a message of contents only. */
 static void
 entries_send (MfJobs *jobs, uint64_t peer)
 {
-  jobs->message.kind = MF_RELAY_MESSAGE_SUSPECTS;
   if (jobs->peers == NULL || jobs->message.suspects.n_entries == 0)
     return;
+  jobs->message.kind = jobs->message.suspects.entries[0].kind == MF_SUSPECT_CONTENT
+                           ? MF_RELAY_MESSAGE_CONTENTS
+                           : MF_RELAY_MESSAGE_SUSPECTS;
   if (peer == TO_ALL)
     mf_peers_send_all (jobs->peers, &jobs->message);
   else
@@ -190,6 +194,7 @@
   uint64_t now_us;
   /* Returns whether the list has the suspect. */
   bool (*has) (const MfSuspect *suspect, uint64_t now_us);
+  bool contents; /* it has contents, or what is none */
 } EntryList;
 
 static bool
@@ -198,7 +203,7 @@
   EntryList *list = data;
   MfSuspectUpdate *update = &list->jobs->message.suspects;
 
-  if (!list->has (suspect, list->now_us))
+  if (!list->has (suspect, list->now_us) || (suspect->kind == MF_SUSPECT_CONTENT) != list->contents)
     return true;
   update->entries[update->n_entries++] = entry_make (suspect, list->now_us);
   if (update->n_entries == MF_SUSPECT_ENTRIES_MAX)
@@ -210,8 +215,12 @@
 list_send (EntryList *list)
 {
   list->jobs->message.suspects.n_entries = 0;
-  mf_suspects_foreach (list->jobs->suspects, list->now_us, list_add, list);
-  entries_send (list->jobs, list->peer);
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      list->contents = i == 1;
+      mf_suspects_foreach (list->jobs->suspects, list->now_us, list_add, list);
+      entries_send (list->jobs, list->peer);
+    }
 }
 
 static bool
@@ -225,7 +234,7 @@
 is_known_to_others (const MfSuspect *suspect, uint64_t now_us)
 {
   return !is_quarantined (suspect, now_us)
-         && (suspect->kind == MF_SUSPECT_PART || suspect->n_reported > 0);
+         && (suspect->kind != MF_SUSPECT_REQUEST || suspect->n_reported > 0);
 }
 
 static bool
@@ -262,13 +271,18 @@
 static void
 record_quarantine (MfJobs *jobs, const MfSuspect *suspect, const char *by)
 {
+  static const char *const events[] = {
+    [MF_SUSPECT_REQUEST] = "request.convicted",
+    [MF_SUSPECT_PART] = "part.convicted",
+    [MF_SUSPECT_CONTENT] = "content.convicted",
+  };
   uint64_t now_us = mf_clock_now_us ();
 
   jobs->counters.counts[MF_RELAY_COUNT_QUARANTINES]++;
-  mf_relay_log_state (
-      jobs->log, suspect->kind == MF_SUSPECT_PART ? "part.convicted" : "request.convicted",
-      "digest=%016llx upstreams_ended=%u by=%s sentence_ms=%u", (unsigned long long)suspect->digest,
-      suspect->n_crashes, by, age_ms (now_us, suspect->quarantined_until_us));
+  mf_relay_log_state (jobs->log, events[suspect->kind],
+                      "digest=%016llx upstreams_ended=%u by=%s sentence_ms=%u",
+                      (unsigned long long)suspect->digest, suspect->n_crashes, by,
+                      age_ms (now_us, suspect->quarantined_until_us));
   schedule_quarantine (jobs);
 }
 
@@ -311,7 +325,8 @@
   return true;
 }
 
-/* Sends the parts with new crashes to all instances, as each may see only one crash of a part. */
+/* Sends the parts and contents with new crashes to all instances, as each may see only one crash of
+ * one. */
 static void
 parts_send (MfJobs *jobs)
 {
@@ -372,12 +387,13 @@
 /* Records that an upstream has survived a part, as seen here or by a peer. The others are told if
  * they may refuse the part, or are about to. */
 static void
-part_note_sound (MfJobs *jobs, uint64_t part, uint64_t sound_us, bool by_self, uint64_t now_us)
+part_note_sound (MfJobs *jobs, MfSuspectKind kind, uint64_t part, uint64_t sound_us, bool by_self,
+                 uint64_t now_us)
 {
   MfSuspect *suspect = mf_suspects_find (jobs->suspects, part, now_us);
   bool was_quarantined = suspect != NULL && suspect->part.quarantined_us > 0;
 
-  if (!mf_suspects_note_sound (jobs->suspects, part, sound_us, now_us))
+  if (!mf_suspects_note_sound (jobs->suspects, kind, part, sound_us, now_us))
     return;
   if (was_quarantined)
     mf_relay_log_state (jobs->log, "part.cleared", "digest=%016llx by=%s", (unsigned long long)part,
@@ -429,7 +445,8 @@
   MfSuspect before = suspect != NULL ? *suspect : (MfSuspect){ 0 };
 
   if (entry->was_sound)
-    part_note_sound (jobs, entry->digest, time_us (entry->sound_age_ms, now_us), false, now_us);
+    part_note_sound (jobs, entry->kind, entry->digest, time_us (entry->sound_age_ms, now_us), false,
+                     now_us);
   mf_suspects_merge_part (suspects, &reported, now_us);
   suspect = mf_suspects_find (suspects, entry->digest, now_us);
   if (suspect == NULL)
@@ -457,7 +474,7 @@
     {
       const MfSuspectEntry *entry = &update->entries[i];
 
-      if (entry->kind == MF_SUSPECT_PART)
+      if (entry->kind != MF_SUSPECT_REQUEST)
         part_handle (jobs, peer, entry, now_us);
       else
         request_handle (jobs, entry, now_us);
@@ -629,7 +646,6 @@
     .upstream_id = mf_target_process_id (target),
     .address_hash = mf_load_hash (target->info.address),
     .caller = job->caller_hash,
-    .content = job->content,
     .trial_part = job->trial_part,
     .was_suspect = job->was_suspect,
     .is_sufficient = is_sufficient && job_is_unanswered (job),
@@ -642,7 +658,10 @@
   if (mf_target_is_leaving (target))
     return;
   if (!job->answer_began)
-    failure.parts = job->parts;
+    {
+      failure.parts = job->parts;
+      failure.content = job->content;
+    }
   mf_suspects_add_failure (jobs->suspects, &failure);
   job->n_failures++;
   if (target->ended_us > 0 && now_us - target->ended_us < SAME_CRASH_US
@@ -680,8 +699,8 @@
                                 on_failure_result, jobs);
 }
 
-/* Records that the upstream has begun an answer and survived: no part of the prompt is deadly, and
- * another suspect may run beside this one. */
+/* Records that the upstream has begun an answer and survived: neither a part of the prompt nor the
+ * content is deadly, and another suspect may run beside this one. */
 void
 mf_job_note_sound (MfJob *job)
 {
@@ -694,7 +713,8 @@
     job->target->n_suspects -= job->was_suspect;
   job->was_suspect = false;
   for (uint32_t i = 0; i < job->parts.n_parts; i++)
-    part_note_sound (job->jobs, job->parts.hashes[i], now_us, true, now_us);
+    part_note_sound (job->jobs, MF_SUSPECT_PART, job->parts.hashes[i], now_us, true, now_us);
+  part_note_sound (job->jobs, MF_SUSPECT_CONTENT, job->content, now_us, true, now_us);
 }
 
 /* Records the end of the request. An answered request is no suspect any more; otherwise what is
@@ -770,7 +790,7 @@
   const LostTrials *lost = data;
   MfSuspect *suspect;
 
-  if (part->kind != MF_SUSPECT_PART || part->part.tried_by != lost->peer)
+  if (part->kind == MF_SUSPECT_REQUEST || part->part.tried_by != lost->peer)
     return true;
   suspect = mf_suspects_find (lost->jobs->suspects, part->digest, lost->now_us);
   suspect->part.tried_by = 0;
@@ -800,17 +820,17 @@
   return suspect->quarantined_until_us + n_higher * TRIAL_STAGGER_US;
 }
 
-/* Returns the quarantined part for which the request is refused, or NULL. If the trial of a part is
- * due at this instance, and no other part is refused, the request becomes the trial. */
+/* Returns the quarantined part, or the content, for which the request is refused, or NULL. If a
+ * trial is due at this instance, and nothing else is refused, the request becomes the trial. */
 static const MfSuspect *
 job_refused_part (MfJob *job, uint64_t now_us)
 {
   MfJobs *jobs = job->jobs;
   uint64_t due_part = 0;
 
-  for (uint32_t i = 0; i < job->parts.n_parts && job->trial_part == 0; i++)
+  for (uint32_t i = 0; i <= job->parts.n_parts && job->trial_part == 0; i++)
     {
-      uint64_t part = job->parts.hashes[i];
+      uint64_t part = i < job->parts.n_parts ? job->parts.hashes[i] : job->content;
       MfSuspectVerdict verdict
           = mf_suspects_judge_part (jobs->suspects, part, job->caller_hash, now_us);
       const MfSuspect *suspect;
--- a/libmangofork/relay/relay_message.c
+++ b/libmangofork/relay/relay_message.c
@@ -583,7 +583,7 @@
   crashes = &fields[SUSPECT_ENTRY_MEMBERS - 1];
   entry->n_crashes = 0;
   if (!read_number (&fields[0], UINT64_MAX, &entry->digest)
-      || !read_number (&fields[1], MF_SUSPECT_PART, &kind)
+      || !read_number (&fields[1], MF_SUSPECT_CONTENT, &kind)
       || !read_flag (&fields[2], &entry->cleared) || !read_flag (&fields[3], &entry->quarantined)
       || !read_flag (&fields[4], &entry->was_sound) || !read_u32 (&fields[5], &entry->sound_age_ms)
       || !read_u32 (&fields[6], &entry->depth) || !read_u32 (&fields[7], &entry->n_failed_trials)
@@ -785,6 +785,7 @@
   [MF_RELAY_MESSAGE_RETRY_REPLY] = { RETRY_REPLY_MEMBERS, retry_reply_pack, retry_reply_read },
   [MF_RELAY_MESSAGE_FEED] = { FEED_MEMBERS, feed_pack, feed_read },
   [MF_RELAY_MESSAGE_SUSPECTS] = { SUSPECTS_MEMBERS, suspects_pack, suspects_read },
+  [MF_RELAY_MESSAGE_CONTENTS] = { SUSPECTS_MEMBERS, suspects_pack, suspects_read },
   [MF_RELAY_MESSAGE_RATE_ASK] = { RATE_ASK_MEMBERS, rate_ask_pack, rate_ask_read },
   [MF_RELAY_MESSAGE_RATE_GRANT] = { RATE_GRANT_MEMBERS, rate_grant_pack, rate_grant_read },
   [MF_RELAY_MESSAGE_REJECTED] = { REJECTED_MEMBERS, rejected_pack, rejected_read },
--- a/libmangofork/relay/relay_message.h
+++ b/libmangofork/relay/relay_message.h
@@ -34,6 +34,7 @@
   MF_RELAY_MESSAGE_ORIGIN_REPLY = 17, /* the answer to that */
   MF_RELAY_MESSAGE_LISTINGS = 18,     /* upstreams that were removed or are leaving */
   MF_RELAY_MESSAGE_HISTORY = 19,      /* follows all suspects of the sender */
+  MF_RELAY_MESSAGE_CONTENTS = 20,     /* suspect contents of requests */
 } MfRelayMessageKind;
 
 /* A request for permission to retry, or its answer. */
@@ -139,7 +140,7 @@
   MfSlotRequest slot_request; /* SLOT_REQUEST */
   MfRetryRequest retry;       /* RETRY, RETRY_REPLY */
   MfFeed feed;                /* FEED */
-  MfSuspectUpdate suspects;   /* SUSPECTS */
+  MfSuspectUpdate suspects;   /* SUSPECTS, CONTENTS */
   MfRateMessage rate;         /* RATE_ASK, RATE_GRANT */
   MfLimitUpdate limits;       /* LIMITS */
   MfOriginMessage origin;     /* ORIGIN, ORIGIN_ASK, ORIGIN_REPLY */
--- a/libmangofork/suspect.c
+++ b/libmangofork/suspect.c
@@ -71,13 +71,13 @@
   row_remove (suspects, oldest);
 }
 
-/* A quarantined part is kept for as long after its next trial. */
+/* A quarantined part or content is kept for as long after its next trial. */
 static bool
 row_has_expired (const MfSuspectRow *row, uint64_t now_us)
 {
   uint64_t from_us = row->suspect.at_us;
 
-  if (row->suspect.kind == MF_SUSPECT_PART && row->suspect.quarantined_until_us > from_us)
+  if (row->suspect.kind != MF_SUSPECT_REQUEST && row->suspect.quarantined_until_us > from_us)
     from_us = row->suspect.quarantined_until_us;
   return now_us > from_us && now_us - from_us > ENTRY_LIFE_US;
 }
@@ -456,6 +456,10 @@
 
           mf_suspects_add_part_crashes (suspects, &failure.parts, &crash,
                                         failure.is_sufficient_for_parts, now_us);
+          if (failure.content != 0)
+            mf_suspects_add_content_crash (suspects, failure.content, &crash,
+                                           failure.was_suspect && n_suspects == 1,
+                                           failure.is_sufficient, now_us);
           if (trial_failed)
             mf_suspects_fail_trial (suspects, failure.trial_part, now_us);
           else
--- a/libmangofork/suspect.h
+++ b/libmangofork/suspect.h
@@ -5,6 +5,8 @@
 
 /* Tracks requests, and parts of prompts, that may crash the upstreams that run them ("poison"). A
  * request is identified by a digest that is the same for each of its attempts, a part by its hash.
+ * The content of a request is tracked as well, as many callers may send the same one: like a part
+ * it is released by an upstream that survives it, and is tried again from time to time.
  * A failed call is kept here until it is known whether its upstream crashed. The caller passes in
  * all times, read from one monotonic clock. */
 typedef struct MfSuspects MfSuspects;
@@ -14,8 +16,9 @@
 
 typedef enum
 {
-  MF_SUSPECT_REQUEST,
-  MF_SUSPECT_PART,
+  MF_SUSPECT_REQUEST, /* of one caller */
+  MF_SUSPECT_PART,    /* of prompts */
+  MF_SUSPECT_CONTENT, /* a request, whoever sends it; tracked like a part */
 } MfSuspectKind;
 
 typedef struct
@@ -57,7 +60,7 @@
   uint64_t at_us;
 } MfSuspectCrash;
 
-/* What is known of a part only. */
+/* What is known of a part or a content only. */
 typedef struct
 {
   uint32_t depth;           /* its place in the prompt */
@@ -135,14 +138,18 @@
 void mf_suspects_note_answered (MfSuspects *suspects, uint64_t digest);
 bool mf_suspects_was_answered (const MfSuspects *suspects, uint64_t digest);
 
-/* suspect_part.c: parts of prompts. */
+/* suspect_part.c: parts of prompts and contents of requests. */
 MfSuspectResult mf_suspects_add_part_crash (MfSuspects *suspects, uint64_t part, uint32_t depth,
                                             const MfSuspectCrash *crash, uint64_t now_us);
 void mf_suspects_add_part_crashes (MfSuspects *suspects, const MfParts *parts,
                                    const MfSuspectCrash *crash, bool is_sufficient,
                                    uint64_t now_us);
-bool mf_suspects_note_sound (MfSuspects *suspects, uint64_t part, uint64_t sound_us,
-                             uint64_t now_us);
+MfSuspectResult mf_suspects_add_content_crash (MfSuspects *suspects, uint64_t content,
+                                               const MfSuspectCrash *crash, bool is_isolated,
+                                               bool is_sufficient, uint64_t now_us);
+bool mf_suspects_is_suspect_content (const MfSuspects *suspects, uint64_t content, uint64_t now_us);
+bool mf_suspects_note_sound (MfSuspects *suspects, MfSuspectKind kind, uint64_t part,
+                             uint64_t sound_us, uint64_t now_us);
 MfSuspectVerdict mf_suspects_judge_part (MfSuspects *suspects, uint64_t part, uint64_t caller,
                                          uint64_t now_us);
 void mf_suspects_start_trial (MfSuspects *suspects, uint64_t part, uint64_t now_us);
--- a/libmangofork/suspect_part.c
+++ b/libmangofork/suspect_part.c
@@ -9,6 +9,9 @@
 #define CRASHES_SOLE 3
 #define CRASHES_AGAIN 2
 #define CRASHES_ANY 5
+/* Crashes after which a content is quarantined that no upstream has lately survived, if the last
+ * upstream ran no other suspect. */
+#define CRASHES_ISOLATED 2
 /* A better suspect with as many crashes explains them. */
 #define CRASHES_EXPLAINING 2
 /* One crash is enough only where no more requests than these ran beside it. */
@@ -19,22 +22,26 @@
 #define SOUND_WINDOW_US (60 * MF_US_PER_S)
 /* Upstreams that lose power together crash within this time. */
 #define SAME_MOMENT_US (250 * MF_US_PER_MS)
-/* Each upstream that crashes in a trial puts off the next one by this factor, but the first, which
- * something else that was sent to it may have crashed. */
+/* Each upstream that crashes in a trial puts off the next one by this factor, but the first one of
+ * a part, which something else that was sent to it may have crashed. */
 #define TRIAL_BACKOFF 6
 #define TRIAL_INTERVAL_MAX_US (UINT64_C (7200) * MF_US_PER_S)
 
 static MfSoundPart *
-sound_place (MfSuspects *suspects, uint64_t part)
+sound_place (MfSuspects *suspects, MfSuspectKind kind, uint64_t part)
 {
-  return &suspects->sound[part % MF_SUSPECT_SOUND_MAX];
+  MfSoundPart *places
+      = kind == MF_SUSPECT_CONTENT ? suspects->sound_contents : suspects->sound_parts;
+
+  return &places[part % MF_SUSPECT_SOUND_MAX];
 }
 
 static MfSuspect *
-part_find_or_add (MfSuspects *suspects, uint64_t part, uint32_t depth, uint64_t now_us)
+part_find_or_add (MfSuspects *suspects, MfSuspectKind kind, uint64_t part, uint32_t depth,
+                  uint64_t now_us)
 {
-  const MfSoundPart *sound = sound_place (suspects, part);
-  MfSuspect *suspect = mf_suspects_find_or_add (suspects, part, MF_SUSPECT_PART, now_us);
+  const MfSoundPart *sound = sound_place (suspects, kind, part);
+  MfSuspect *suspect = mf_suspects_find_or_add (suspects, part, kind, now_us);
 
   if (suspect->part.sound_us == 0 && sound->part == part)
     suspect->part.sound_us = sound->at_us;
@@ -51,8 +58,8 @@
            (suspect->n_crashes - index) * sizeof suspect->crashes[0]);
 }
 
-/* Returns whether a crash adds no evidence: it is known already, or it is of another try of the
- * same request, which is then a suspect itself. */
+/* Returns whether a crash adds no evidence: it is known already, or, of a part, it is of another
+ * try of the same request, which is then a suspect itself. */
 static bool
 crash_is_duplicate (const MfSuspect *suspect, const MfSuspectCrash *crash)
 {
@@ -60,7 +67,8 @@
     {
       const MfSuspectCrash *known = &suspect->crashes[i];
 
-      if (known->process_id == crash->process_id || known->digest == crash->digest)
+      if (known->process_id == crash->process_id
+          || (suspect->kind == MF_SUSPECT_PART && known->digest == crash->digest))
         return true;
     }
   return false;
@@ -87,8 +95,8 @@
     {
       const MfSuspect *part = &row->suspect;
 
-      if (part->part.quarantined_us > 0 && !part->part.is_provisional
-          && mf_suspect_has_process (part, process_id)
+      if (part->kind == MF_SUSPECT_PART && part->part.quarantined_us > 0
+          && !part->part.is_provisional && mf_suspect_has_process (part, process_id)
           && (worse == NULL || is_better_suspect (&part->part, worse)))
         return true;
     }
@@ -143,6 +151,23 @@
   return n_counted;
 }
 
+/* Returns whether the crashes of a content suffice to quarantine it. If it was quarantined before,
+ * or an upstream has lately survived it, they must lie apart: callers may have sent the same
+ * request to all upstreams that lose power together. */
+static bool
+content_is_convicted (const MfSuspect *suspect)
+{
+  static const uint32_t n_better[MF_SUSPECT_CRASHES_MAX] = { 0 };
+
+  if (suspect->n_crashes < CRASHES_AGAIN)
+    return false;
+  if (suspect->part.n_quarantines
+      > (suspect->part.quarantined_us > 0 && !suspect->part.is_provisional))
+    return count_moments (suspect, n_better, 0) >= CRASHES_AGAIN;
+  return was_lately_sound (suspect) ? count_moments (suspect, n_better, 0) >= CRASHES_ANY
+                                    : suspect->n_crashes >= CRASHES_SOLE;
+}
+
 /* Returns whether the crashes of a part suffice to quarantine it. Those that nothing else explains
  * need not lie apart: upstreams that lose power together seldom run the same rare part. */
 static bool
@@ -151,6 +176,8 @@
   uint32_t n_better[MF_SUSPECT_CRASHES_MAX];
   uint32_t n_sole = 0;
 
+  if (suspect->kind == MF_SUSPECT_CONTENT)
+    return content_is_convicted (suspect);
   if (suspect->n_crashes < CRASHES_AGAIN)
     return false;
   for (uint32_t i = 0; i < suspect->n_crashes; i++)
@@ -166,11 +193,12 @@
 }
 
 /* Takes back the crashes of worse suspects that a quarantined part explains, and ends the
- * quarantines of requests that it explains. */
+ * quarantines of requests that it explains. A content explains nothing: the parts of its prompt
+ * crashed the same upstreams. */
 static void
 withdraw_explained (MfSuspects *suspects, const MfSuspect *suspect)
 {
-  if (suspect->part.is_provisional)
+  if (suspect->part.is_provisional || suspect->kind == MF_SUSPECT_CONTENT)
     return;
   for (MfSuspectRow *row = suspects->rows; row != NULL; row = row->hh.next)
     {
@@ -219,8 +247,8 @@
   /* Parts that were quarantined together are not tried together: one may crash the upstream of all.
    */
   interval_us += interval_us * (suspect->digest % 1024) / 1024;
-  for (uint32_t i = 1; i < suspect->part.n_failed_trials && interval_us < TRIAL_INTERVAL_MAX_US;
-       i++)
+  for (uint32_t i = suspect->kind == MF_SUSPECT_CONTENT ? 0 : 1;
+       i < suspect->part.n_failed_trials && interval_us < TRIAL_INTERVAL_MAX_US; i++)
     interval_us *= TRIAL_BACKOFF;
   return interval_us < TRIAL_INTERVAL_MAX_US ? interval_us : TRIAL_INTERVAL_MAX_US;
 }
@@ -254,20 +282,24 @@
   withdraw_explained (suspects, suspect);
 }
 
-/* Counts an upstream that crashed while it ran a request with a part, at the depth in its prompt.
- */
-MfSuspectResult
-mf_suspects_add_part_crash (MfSuspects *suspects, uint64_t part, uint32_t depth,
-                            const MfSuspectCrash *crash, uint64_t now_us)
+/* Returns whether a quarantined part explains the crash of a process under a part that is a worse
+ * suspect, or under a content. */
+static bool
+is_explained (const MfSuspects *suspects, const MfSuspect *suspect, uint64_t process_id)
+{
+  return mf_suspects_part_explains (
+      suspects, suspect->kind == MF_SUSPECT_PART ? &suspect->part : NULL, process_id);
+}
+
+static MfSuspectResult
+add_crash (MfSuspects *suspects, MfSuspect *suspect, const MfSuspectCrash *crash, uint64_t now_us)
 {
-  MfSuspect *suspect = part_find_or_add (suspects, part, depth, now_us);
   bool is_quarantined = suspect->part.quarantined_us > 0;
 
   if (crash->at_us <= suspect->part.sound_us
-      || (is_quarantined
-              ? mf_suspect_has_process (suspect, crash->process_id)
-              : crash_is_duplicate (suspect, crash)
-                    || mf_suspects_part_explains (suspects, &suspect->part, crash->process_id)))
+      || (is_quarantined ? mf_suspect_has_process (suspect, crash->process_id)
+                         : crash_is_duplicate (suspect, crash)
+                               || is_explained (suspects, suspect, crash->process_id)))
     return MF_SUSPECT_DUPLICATE;
   if (suspect->n_crashes == MF_SUSPECT_CRASHES_MAX)
     remove_crash (suspect, 0);
@@ -284,10 +316,20 @@
   return MF_SUSPECT_QUARANTINED;
 }
 
-/* Returns whether more than a few requests with parts that no upstream is known to have survived
- * ran at a process that crashed. */
+/* Counts an upstream that crashed while it ran a request with a part, at the depth in its prompt.
+ */
+MfSuspectResult
+mf_suspects_add_part_crash (MfSuspects *suspects, uint64_t part, uint32_t depth,
+                            const MfSuspectCrash *crash, uint64_t now_us)
+{
+  return add_crash (suspects, part_find_or_add (suspects, MF_SUSPECT_PART, part, depth, now_us),
+                    crash, now_us);
+}
+
+/* Returns whether more than a few requests with parts, or contents, that no upstream is known to
+ * have survived ran at a process that crashed. */
 static bool
-crash_is_ambiguous (const MfSuspects *suspects, uint64_t process_id)
+crash_is_ambiguous (const MfSuspects *suspects, MfSuspectKind kind, uint64_t process_id)
 {
   uint64_t digests[PROVISIONAL_REQUESTS_MAX];
   uint32_t n_digests = 0;
@@ -296,7 +338,8 @@
     {
       const MfSuspect *part = &row->suspect;
 
-      if (part->kind != MF_SUSPECT_PART || part->part.depth == 0 || part->part.sound_us > 0)
+      if (part->kind != kind || (kind == MF_SUSPECT_PART && part->part.depth == 0)
+          || part->part.sound_us > 0)
         continue;
       for (uint32_t i = 0; i < part->n_crashes; i++)
         {
@@ -321,9 +364,9 @@
     {
       MfSuspect *part = &row->suspect;
 
-      if (part->kind != MF_SUSPECT_PART || !is_quarantined_for_one (part)
+      if (part->kind == MF_SUSPECT_REQUEST || !is_quarantined_for_one (part)
           || part->crashes[0].process_id != process_id
-          || !crash_is_ambiguous (suspects, process_id))
+          || !crash_is_ambiguous (suspects, part->kind, process_id))
         continue;
       part->part.quarantined_us = 0;
       part->part.is_provisional = false;
@@ -340,9 +383,10 @@
 {
   MfSuspect *suspect = mf_suspects_find (suspects, part, now_us);
 
-  if (suspect == NULL || suspect->n_crashes == 0 || suspect->part.depth == 0
+  if (suspect == NULL || suspect->n_crashes == 0
+      || (suspect->kind == MF_SUSPECT_PART && suspect->part.depth == 0)
       || suspect->part.sound_us > 0 || suspect->part.quarantined_us > 0
-      || crash_is_ambiguous (suspects, process_id))
+      || crash_is_ambiguous (suspects, suspect->kind, process_id))
     return;
   suspect->part.n_failed_trials = 1;
   part_quarantine (suspects, suspect, true, now_us);
@@ -362,7 +406,7 @@
     {
       uint32_t at = i;
 
-      known[i] = part_find_or_add (suspects, parts->hashes[i], i, now_us)->part;
+      known[i] = part_find_or_add (suspects, MF_SUSPECT_PART, parts->hashes[i], i, now_us)->part;
       for (; at > 0 && is_better_suspect (&known[i], &known[order[at - 1]]); at--)
         order[at] = order[at - 1];
       order[at] = i;
@@ -374,13 +418,45 @@
   release_ambiguous (suspects, crash->process_id);
 }
 
-/* Records that an upstream has begun an answer to a request with the part, at a time, and survived:
- * earlier crashes had another cause, and later ones must be more. Returns whether other instances
- * may have to know. */
+/* Counts an upstream that crashed while it ran a request with a content. is_isolated means that the
+ * request was known as a suspect when it was sent there, and was the only one; is_sufficient that
+ * earlier crashes may be unknown. */
+MfSuspectResult
+mf_suspects_add_content_crash (MfSuspects *suspects, uint64_t content, const MfSuspectCrash *crash,
+                               bool is_isolated, bool is_sufficient, uint64_t now_us)
+{
+  MfSuspect *suspect = part_find_or_add (suspects, MF_SUSPECT_CONTENT, content, 0, now_us);
+  MfSuspectResult result = add_crash (suspects, suspect, crash, now_us);
+
+  if (result == MF_SUSPECT_COUNTED && is_isolated && suspect->part.quarantined_us == 0
+      && suspect->n_crashes >= CRASHES_ISOLATED && !was_lately_sound (suspect))
+    {
+      part_quarantine (suspects, suspect, true, now_us);
+      result = MF_SUSPECT_QUARANTINED;
+    }
+  if (is_sufficient)
+    quarantine_for_one_crash (suspects, content, crash->process_id, now_us);
+  release_ambiguous (suspects, crash->process_id);
+  return result;
+}
+
+/* Returns whether upstreams have crashed while they ran a content that none has lately survived. */
+bool
+mf_suspects_is_suspect_content (const MfSuspects *suspects, uint64_t content, uint64_t now_us)
+{
+  const MfSuspect *suspect = mf_suspects_find (suspects, content, now_us);
+
+  return suspect != NULL && suspect->n_crashes > 0 && !was_lately_sound (suspect);
+}
+
+/* Records that an upstream has begun an answer to a request with the part or content, at a time,
+ * and survived: earlier crashes had another cause, and later ones must be more. Returns whether
+ * other instances may have to know. */
 bool
-mf_suspects_note_sound (MfSuspects *suspects, uint64_t part, uint64_t sound_us, uint64_t now_us)
+mf_suspects_note_sound (MfSuspects *suspects, MfSuspectKind kind, uint64_t part, uint64_t sound_us,
+                        uint64_t now_us)
 {
-  MfSoundPart *sound = sound_place (suspects, part);
+  MfSoundPart *sound = sound_place (suspects, kind, part);
   MfSuspect *suspect = mf_suspects_find (suspects, part, now_us);
   bool was_serious;
 
@@ -500,7 +576,8 @@
   memcpy (adopted.crashes, reported->crashes, sizeof adopted.crashes);
   adopted.n_crashes = reported->n_crashes;
   if (adopted.n_crashes == 0 || contradicts (&adopted)
-      || (adopted.n_crashes == 1 && crash_is_ambiguous (suspects, adopted.crashes[0].process_id)))
+      || (adopted.n_crashes == 1
+          && crash_is_ambiguous (suspects, adopted.kind, adopted.crashes[0].process_id)))
     return;
   *suspect = adopted;
   part_quarantine (suspects, suspect,
@@ -516,11 +593,11 @@
 
   if (reported->n_crashes == 0)
     return;
-  suspect = part_find_or_add (suspects, reported->digest, reported->part.depth, now_us);
+  suspect
+      = part_find_or_add (suspects, reported->kind, reported->digest, reported->part.depth, now_us);
   was_quarantined = suspect->part.quarantined_us > 0;
   for (uint32_t i = 0; i < reported->n_crashes; i++)
-    mf_suspects_add_part_crash (suspects, reported->digest, reported->part.depth,
-                                &reported->crashes[i], now_us);
+    add_crash (suspects, suspect, &reported->crashes[i], now_us);
   release_ambiguous (suspects, reported->crashes[reported->n_crashes - 1].process_id);
   if (reported->part.quarantined_us == 0)
     return;
--- a/libmangofork/suspect_row.h
+++ b/libmangofork/suspect_row.h
@@ -6,7 +6,8 @@
 
 /* Failed calls whose upstream may have crashed, at most. */
 #define MF_SUSPECT_FAILURES_MAX 4096
-/* Parts whose last sound use is remembered; a part replaces the one that has its place. */
+/* Parts whose last sound use is remembered, and contents likewise; one replaces the one that has
+ * its place. */
 #define MF_SUSPECT_SOUND_MAX 2048
 
 /* Answered requests that are recorded; one replaces the one that has its place. */
@@ -31,7 +32,8 @@
   MfSuspectRow *rows;
   MfSuspectFailure failures[MF_SUSPECT_FAILURES_MAX];
   uint32_t n_failures;
-  MfSoundPart sound[MF_SUSPECT_SOUND_MAX];
+  MfSoundPart sound_parts[MF_SUSPECT_SOUND_MAX];
+  MfSoundPart sound_contents[MF_SUSPECT_SOUND_MAX];
   uint64_t answered[MF_SUSPECT_ANSWERED_MAX]; /* digests */
 };
 
--- a/tests/test_job_suspect.c
+++ b/tests/test_job_suspect.c
@@ -20,6 +20,7 @@
 #define N_CALLS 20
 #define CRASHER_HOST 0x7f000002
 #define INNOCENT_HOST 0x7f000003
+#define FIRST_OF_MANY_HOSTS 0x7f000104
 /* Maximum number of sends of a crashing request later than the grace time after its third crash. */
 #define LATE_SENDS_MAX 3
 
@@ -227,6 +228,59 @@
   check_each_path (check_request_that_crashed_three_upstreams_is_sent_no_more);
 }
 
+static void
+check_request_of_many_callers_is_one_suspect (CrashFixture *fixture, const char *path)
+{
+  for (uint32_t i = 0; i < N_CALLS; i++)
+    {
+      call (fixture, i % RELAY_FLEET_N_INSTANCES, FIRST_OF_MANY_HOSTS + i, path, SOAK_CRASH "0");
+      loop_spin (fixture->fleet.loop, 30);
+    }
+  assert_in_range (soak_ledger_crasher (fixture->ledger, 0).n_late_arrivals, 0, LATE_SENDS_MAX);
+  assert_in_range (soak_ledger_crasher (fixture->ledger, 0).n_crashes, 1, 3);
+}
+
+/* A request that each of many callers sent crashed two upstreams or three for each of them. */
+static void
+test_request_of_many_callers_is_one_suspect (void **state)
+{
+  (void)state;
+  check_each_path (check_request_of_many_callers_is_one_suspect);
+}
+
+static void
+check_shared_request_survives_coincident_crashes (CrashFixture *fixture, const char *path)
+{
+  uint32_t n_served = 0;
+
+  for (uint32_t i = 0; i < N_CALLS; i++)
+    {
+      char deadly[16];
+      int crasher;
+
+      n_served
+          += call (fixture, i % RELAY_FLEET_N_INSTANCES, FIRST_OF_MANY_HOSTS + i, path, "shared")
+             == 200;
+      snprintf (deadly, sizeof deadly, SOAK_CRASH "%u", i % SOAK_CRASHERS_MAX);
+      crasher = start_call (fixture, i % RELAY_FLEET_N_INSTANCES, CRASHER_HOST, path, deadly);
+      call (fixture, (i + 1) % RELAY_FLEET_N_INSTANCES, FIRST_OF_MANY_HOSTS + i, path, "shared");
+      finish_call (fixture, crasher);
+      loop_spin (fixture->fleet.loop, 150);
+    }
+  assert_in_range (n_served, N_CALLS * 9 / 10, N_CALLS);
+  for (uint32_t j = 0; j < RELAY_FLEET_N_INSTANCES; j++)
+    assert_int_equal (call (fixture, j, FIRST_OF_MANY_HOSTS + j, path, "shared"), 200);
+}
+
+/* A request that thousands of callers share, such as a look-up, would be refused to all of them
+ * after crashes that happened beside it. */
+static void
+test_shared_request_survives_coincident_crashes (void **state)
+{
+  (void)state;
+  check_each_path (check_shared_request_survives_coincident_crashes);
+}
+
 /* Sends requests with a deadly part to one instance after the other, each time beside a sound one
  * with the same first part. Returns how many of the latter were answered. */
 static uint32_t
@@ -690,8 +744,8 @@
   for (uint32_t index = 0; index < N_UPSTREAMS; index++)
     soak_upstream_enable_crashes (fixture.upstreams[index], 0., on_down_changed, &fixture);
   relay_fleet_restart (&fixture.fleet, 4);
-  mf_suspects_note_sound (fixture.fleet.instances[4].jobs.suspects, deadly_part_hash (),
-                          mf_clock_now_us (), mf_clock_now_us ());
+  mf_suspects_note_sound (fixture.fleet.instances[4].jobs.suspects, MF_SUSPECT_PART,
+                          deadly_part_hash (), mf_clock_now_us (), mf_clock_now_us ());
   relay_fleet_wait_connected (&fixture.fleet);
   loop_spin (fixture.fleet.loop, 100);
   for (uint32_t i = 0; i < 4; i++)
@@ -886,6 +940,8 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_request_that_crashed_three_upstreams_is_sent_no_more),
+    cmocka_unit_test (test_request_of_many_callers_is_one_suspect),
+    cmocka_unit_test (test_shared_request_survives_coincident_crashes),
     cmocka_unit_test (test_restarted_instance_receives_quarantines),
     cmocka_unit_test (test_quarantines_are_sent_before_suspicions),
     cmocka_unit_test (test_isolated_instance_receives_quarantines),
--- a/tests/test_suspect_part.c
+++ b/tests/test_suspect_part.c
@@ -56,8 +56,8 @@
 static bool
 survives (MfSuspects *suspects, uint64_t part, uint64_t at_us)
 {
-  mf_suspects_note_sound (suspects, FIRST, at_us, at_us);
-  return mf_suspects_note_sound (suspects, part, at_us, at_us);
+  mf_suspects_note_sound (suspects, MF_SUSPECT_PART, FIRST, at_us, at_us);
+  return mf_suspects_note_sound (suspects, MF_SUSPECT_PART, part, at_us, at_us);
 }
 
 static bool
@@ -76,6 +76,93 @@
   return suspects;
 }
 
+/* Counts an upstream that crashed at a time under a caller's request with the content DEADLY.
+ * is_isolated means that it was the only suspect there. */
+static MfSuspectResult
+content_crashes (MfSuspects *suspects, uint64_t caller, bool is_isolated, uint64_t at_us)
+{
+  MfSuspectCrash crash = { .process_id = at_us,
+                           .digest = caller,
+                           .caller = caller,
+                           .sent_us = at_us - S / 10,
+                           .at_us = at_us };
+
+  return mf_suspects_add_content_crash (suspects, DEADLY, &crash, is_isolated, false, at_us);
+}
+
+/* The crashes of a request that several callers sent were not added up. */
+static void
+test_content_is_quarantined_for_all_callers (void **state)
+{
+  MfSuspects *suspects = mf_suspects_new (&limits);
+  uint64_t trial_us;
+
+  (void)state;
+  for (uint64_t caller = 1; caller <= 3; caller++)
+    {
+      assert_false (is_refused (suspects, DEADLY, CALLER, caller * S));
+      content_crashes (suspects, caller, false, caller * S);
+    }
+  assert_true (is_refused (suspects, DEADLY, 99, 3 * S));
+  trial_us = mf_suspects_find (suspects, DEADLY, 3 * S)->quarantined_until_us;
+  assert_int_equal (mf_suspects_judge_part (suspects, DEADLY, 99, trial_us),
+                    MF_SUSPECT_PART_TRIAL_DUE);
+  assert_true (mf_suspects_note_sound (suspects, MF_SUSPECT_CONTENT, DEADLY, trial_us, trial_us));
+  assert_false (is_refused (suspects, DEADLY, 99, trial_us));
+  mf_suspects_free (suspects);
+}
+
+/* One more upstream than necessary crashed where the request had been the only suspect. */
+static void
+test_content_is_quarantined_after_two_isolated_crashes (void **state)
+{
+  MfSuspects *suspects = mf_suspects_new (&limits);
+
+  (void)state;
+  assert_int_equal (content_crashes (suspects, CALLER, false, S), MF_SUSPECT_COUNTED);
+  assert_true (mf_suspects_is_suspect_content (suspects, DEADLY, S));
+  assert_int_equal (content_crashes (suspects, OTHER_CALLER, true, 2 * S), MF_SUSPECT_QUARANTINED);
+  mf_suspects_free (suspects);
+}
+
+/* Three upstreams that crashed beside a look-up made it refused to thousands of callers. */
+static void
+test_content_that_upstreams_survive_is_not_quarantined (void **state)
+{
+  MfSuspects *suspects = mf_suspects_new (&limits);
+
+  (void)state;
+  mf_suspects_note_sound (suspects, MF_SUSPECT_CONTENT, DEADLY, S, S);
+  for (uint64_t i = 2; i <= 4; i++)
+    content_crashes (suspects, i, true, i * S);
+  for (uint64_t i = 0; i < 3; i++)
+    content_crashes (suspects, i, true, 5 * S + i * MF_US_PER_MS);
+  assert_false (is_refused (suspects, DEADLY, CALLER, 6 * S));
+  assert_false (mf_suspects_is_suspect_content (suspects, DEADLY, 6 * S));
+  content_crashes (suspects, CALLER, true, 7 * S);
+  assert_true (is_refused (suspects, DEADLY, CALLER, 7 * S));
+  mf_suspects_free (suspects);
+}
+
+/* A content took over the crashes of a deadly part, which was found later. */
+static void
+test_content_explains_no_crash_of_a_part (void **state)
+{
+  MfSuspects *suspects = mf_suspects_new (&limits);
+
+  (void)state;
+  for (uint64_t i = 1; i <= 3; i++)
+    {
+      MfParts parts = { .hashes = { FIRST, OTHER_DEADLY }, .n_parts = 2 };
+      MfSuspectCrash crash = { .process_id = i * S, .digest = i, .at_us = i * S };
+
+      mf_suspects_add_content_crash (suspects, DEADLY, &crash, true, false, i * S);
+      mf_suspects_add_part_crashes (suspects, &parts, &crash, false, i * S);
+    }
+  assert_true (is_refused (suspects, OTHER_DEADLY, CALLER, 3 * S));
+  mf_suspects_free (suspects);
+}
+
 /* The first part, without which none of the requests came, was refused with all that begin with it.
  */
 static void
@@ -206,7 +293,7 @@
   MfSuspects *suspects = mf_suspects_new (&limits);
 
   (void)state;
-  mf_suspects_note_sound (suspects, FIRST, S / 2, S / 2);
+  mf_suspects_note_sound (suspects, MF_SUSPECT_PART, FIRST, S / 2, S / 2);
   for (uint64_t i = 1; i <= 5; i++)
     {
       assert_false (is_refused (suspects, FIRST, CALLER, i * S - 1));
@@ -535,6 +622,10 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_content_is_quarantined_for_all_callers),
+    cmocka_unit_test (test_content_is_quarantined_after_two_isolated_crashes),
+    cmocka_unit_test (test_content_that_upstreams_survive_is_not_quarantined),
+    cmocka_unit_test (test_content_explains_no_crash_of_a_part),
     cmocka_unit_test (test_deadly_part_is_refused_and_the_first_part_is_not),
     cmocka_unit_test (test_tries_of_one_request_count_once),
     cmocka_unit_test (test_crashes_of_one_moment_do_not_convict_the_first_part),
