A quarantined part no longer takes over the crashes of a content

Cause: three upstreams crashed within 30 ms, and a sound part that ran at each was quarantined first. The third crash then counted as explained by the part, so the content stayed at two and was sent again when the upstreams were back.

--- a/libmangofork/suspect_part.c
+++ b/libmangofork/suspect_part.c
@@ -283,12 +283,12 @@
 }
 
 /* Returns whether a quarantined part explains the crash of a process under a part that is a worse
- * suspect, or under a content. */
+ * suspect. It explains none of a content: the part may be innocent and the content deadly. */
 static bool
 is_explained (const MfSuspects *suspects, const MfSuspect *suspect, uint64_t process_id)
 {
-  return mf_suspects_part_explains (
-      suspects, suspect->kind == MF_SUSPECT_PART ? &suspect->part : NULL, process_id);
+  return suspect->kind == MF_SUSPECT_PART
+         && mf_suspects_part_explains (suspects, &suspect->part, process_id);
 }
 
 static MfSuspectResult
--- a/tests/test_suspect_part.c
+++ b/tests/test_suspect_part.c
@@ -163,6 +163,26 @@
   mf_suspects_free (suspects);
 }
 
+/* A sound part that was quarantined first took over the crashes of a deadly content, so that this
+ * was sent to further upstreams. */
+static void
+test_quarantined_part_explains_no_crash_of_a_content (void **state)
+{
+  MfSuspects *suspects = mf_suspects_new (&limits);
+
+  (void)state;
+  for (uint64_t i = 1; i <= 3; i++)
+    {
+      MfSuspectCrash crash = { .process_id = i * S, .digest = i, .at_us = i * S };
+
+      crashes (suspects, OTHER_DEADLY, i, i * S);
+      mf_suspects_add_content_crash (suspects, DEADLY, &crash, false, false, i * S);
+    }
+  assert_true (is_refused (suspects, OTHER_DEADLY, CALLER, 3 * S));
+  assert_true (is_refused (suspects, DEADLY, CALLER, 3 * S));
+  mf_suspects_free (suspects);
+}
+
 /* The first part, without which none of the requests came, was refused with all that begin with it.
  */
 static void
@@ -626,6 +646,7 @@
     cmocka_unit_test (test_content_is_quarantined_after_two_isolated_crashes),
     cmocka_unit_test (test_content_that_upstreams_survive_is_not_quarantined),
     cmocka_unit_test (test_content_explains_no_crash_of_a_part),
+    cmocka_unit_test (test_quarantined_part_explains_no_crash_of_a_content),
     cmocka_unit_test (test_deadly_part_is_refused_and_the_first_part_is_not),
     cmocka_unit_test (test_tries_of_one_request_count_once),
     cmocka_unit_test (test_crashes_of_one_moment_do_not_convict_the_first_part),
