--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -161,6 +161,11 @@
   uint64_t took_us = now_us - job->started_us;
 
   mf_job_note_outcome (job, code == MF_CODE_OK);
+  if (code != MF_CODE_OK
+      && (job->phase == MF_JOB_PREFILL || (job->kv_target != NULL && !job->kv_used)))
+    jobs->counters.counts[code == MF_CODE_DEPARTED ? MF_RELAY_COUNT_UNUSED_DEPARTED
+                                                   : MF_RELAY_COUNT_UNUSED_ENDED]
+        += job->prompt_tokens;
   jobs->counters.by_code[mf_code_index (code)]++;
   if (job->phase == MF_JOB_WAITING && job->waiting_since_us > 0)
     job->waited_us += now_us - job->waiting_since_us;
--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -108,6 +108,8 @@
   if (job->kv_target == NULL || (!job->kv_used && now_us - job->prefilled_us <= retention_us))
     return;
   job->jobs->counters.counts[MF_RELAY_COUNT_PREFILLS_WASTED] += !job->kv_used;
+  if (!job->kv_used)
+    job->reread_counter = MF_RELAY_COUNT_REREAD_LAPSED;
   mf_job_release_kv (job);
 }
 
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -111,6 +111,8 @@
   uint64_t prefilled_us; /* when the prefill finished */
   bool kv_used;
   uint32_t n_prefills;
+  uint32_t n_prompt_sends;       /* of prefills */
+  MfRelayCounter reread_counter; /* why a further prefill is needed, if it is */
 
   /* When the first upstream takes requests again, if none does now, or the end of the quarantine;
    * 0: none. */
--- a/libmangofork/relay/job_send.c
+++ b/libmangofork/relay/job_send.c
@@ -307,6 +307,10 @@
   job->phase = prefill ? MF_JOB_PREFILL : job->head_sent ? MF_JOB_STREAMING : MF_JOB_RUNNING;
   job->waiting_since_us = 0;
   mf_job_note_send (job, prefill);
+  if (prefill && job->n_prompt_sends++ > 0)
+    jobs->counters.counts[job->reread_counter] += job->prompt_tokens;
+  if (prefill)
+    job->reread_counter = MF_RELAY_COUNT_REREAD_BROKEN;
   job->sent_us = now_us;
   if (!prefill && job->stalled.link != NULL)
     mf_job_await_successor (job);
--- a/libmangofork/relay/job_stall.c
+++ b/libmangofork/relay/job_stall.c
@@ -289,6 +289,7 @@
     .is_retry = job->is_retry,
   };
   mf_link_set_callbacks (job->link, &stalled_callbacks);
+  job->reread_counter = MF_RELAY_COUNT_REREAD_MOVED;
   job->kv_used |= job->answer.status != 0;
   job->link = NULL;
   job->target = NULL;
@@ -305,6 +306,7 @@
 mf_job_move_at_once (MfJob *job)
 {
   log_moved (job, job->target, job->sent_us, mf_clock_now_us ());
+  job->reread_counter = MF_RELAY_COUNT_REREAD_MOVED;
   mf_job_cancel (job);
 }
 
--- a/libmangofork/relay/relay_counters.h
+++ b/libmangofork/relay/relay_counters.h
@@ -25,6 +25,16 @@
   X (UNREACHED, "unreached_total", "failed connection attempts to upstreams")                      \
   X (PREFILLS, "prefills_total", "prefills completed at prefill engines")                          \
   X (PREFILLS_WASTED, "prefills_wasted_total", "prefills whose KV was not used")                   \
+  X (REREAD_MOVED, "prompt_tokens_reread_moved_total",                                             \
+     "tokens of prompts sent to a further engine, as the one before was silent")                   \
+  X (REREAD_BROKEN, "prompt_tokens_reread_broken_total",                                           \
+     "tokens of prompts prefilled again, as the prefill or the run before broke")                  \
+  X (REREAD_LAPSED, "prompt_tokens_reread_lapsed_total",                                           \
+     "tokens of prompts prefilled again, as no decode could use the KV in time")                   \
+  X (UNUSED_DEPARTED, "prompt_tokens_unused_departed_total",                                       \
+     "tokens of prompts prefilled for callers that disconnected before a run")                     \
+  X (UNUSED_ENDED, "prompt_tokens_unused_ended_total",                                             \
+     "tokens of prompts prefilled for requests that ended otherwise before a run")                 \
   X (RESUMED, "streams_resumed_total", "streams resumed at another upstream")                      \
   X (KEPT, "runs_kept_total",                                                                      \
      "silent runs that were kept, as no other upstream was found in time")                         \
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -443,6 +443,8 @@
   loop_spin (fixture.loop, 20);
   assert_memory_equal (fake_upstream_last_request (fixture.upstreams[0].server),
                        "DELETE /kv-handle/h1 ", 21);
+  assert_int_not_equal (fixture.jobs.counters.counts[MF_RELAY_COUNT_UNUSED_ENDED], 0);
+  assert_int_equal (fixture.jobs.counters.counts[MF_RELAY_COUNT_UNUSED_DEPARTED], 0);
   teardown (&fixture);
 }
 
