Contents: trials beside parts, hosts as routed, shorter trials, eviction

- Trials of a content were up to two hours apart, so a look-up beside upstreams that crash for minutes stayed refused to all for as long again and more.
- Rows of suspects were evicted in the order in which they were added, so that a content that crashes upstreams again and again was lost among 2,000 others before its third crash.
The one unchanged for longest goes first now.
- Several callers of one content at an upstream are one suspect there.

--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -523,8 +523,8 @@
   job->timer.data = job;
   if (!mf_head_copy (head, MF_HEADER_REQUEST_ID, job->id, sizeof job->id))
     job->id[0] = '\0';
-  job->content = mf_job_content (caller);
-  job->digest = mf_job_digest (caller, job->content);
+  job->content = mf_job_content (caller, route);
+  job->digest = mf_job_digest (caller);
   job->events.name = job->digest;
   job->events.numbering = &mf_jobs_service (jobs, job->service->name)->numbering;
   job->caller_hash = mf_caller_address_hash (caller);
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -148,6 +148,7 @@
   uint64_t n_events_before;  /* of its stream, at the time of the current send */
   bool answer_began;         /* the upstream of the current send has survived its beginning */
   uint64_t trial_part;       /* quarantined part that it shows to be deadly or not; 0: none */
+  uint64_t trial_content;    /* its content, if it shows that likewise; 0: it does not */
   /* Process whose probe decides whether the request may be retried; 0: none. */
   uint64_t awaited_process_id;
   uint32_t n_arrivals; /* runs that reached an upstream */
@@ -187,8 +188,8 @@
 /* job_suspect.c: requests that may crash the upstreams that run them. */
 extern const MfTargetsCallbacks mf_job_targets_callbacks;
 bool mf_jobs_init_suspects (MfJobs *jobs);
-uint64_t mf_job_content (const MfCaller *caller);
-uint64_t mf_job_digest (const MfCaller *caller, uint64_t content);
+uint64_t mf_job_content (const MfCaller *caller, const MfRoute *route);
+uint64_t mf_job_digest (const MfCaller *caller);
 bool mf_job_is_suspect (const MfJob *job);
 bool mf_job_end_quarantined (MfJob *job);
 void mf_job_note_failure (MfJob *job, MfTarget *target, bool is_broken);
--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -33,35 +33,37 @@
  * ends. */
 #define REPORT_AT_ONCE_CRASHES 2
 
-/* Hash of what a request does, whoever sends it: host, method, target and body. Never 0. */
-uint64_t
-mf_job_content (const MfCaller *caller)
+static uint64_t
+caller_hash_request (const MfCaller *caller, uint64_t first)
 {
   const MfHead *head = mf_caller_head (caller);
   const char *method = mf_caller_method (caller);
   const MfBuffer *body = mf_caller_body (caller);
-  size_t host_bytes = 0;
-  const char *host = mf_head_value (head, MF_HEADER_HOST, &host_bytes);
   uint64_t parts[] = {
-    XXH3_64bits (host != NULL ? host : "", host_bytes),
+    first,
     XXH3_64bits (method, strlen (method)),
     XXH3_64bits (mf_head_text (head, 0), head->target_bytes),
     XXH3_64bits (mf_buffer_data (body), mf_buffer_bytes (body)),
   };
-  uint64_t content = XXH3_64bits (parts, sizeof parts);
+  uint64_t hash = XXH3_64bits (parts, sizeof parts);
 
-  return content != 0 ? content : 1;
+  return hash != 0 ? hash : 1;
 }
 
-/* Hash of what identifies a caller's request across tries: the caller's address and the content.
- * Never 0. */
+/* Hash of what a request does, whoever sends it: host, method, target and body. Never 0. The host
+ * is that of its route, as callers may write it in several ways. */
 uint64_t
-mf_job_digest (const MfCaller *caller, uint64_t content)
+mf_job_content (const MfCaller *caller, const MfRoute *route)
 {
-  uint64_t parts[] = { mf_caller_address_hash (caller), content };
-  uint64_t digest = XXH3_64bits (parts, sizeof parts);
+  return caller_hash_request (caller, XXH3_64bits (route->host, route->host_bytes));
+}
 
-  return digest != 0 ? digest : 1;
+/* Hash of what identifies a caller's request across tries: the caller's address, method, target and
+ * body. Never 0. */
+uint64_t
+mf_job_digest (const MfCaller *caller)
+{
+  return caller_hash_request (caller, mf_caller_address_hash (caller));
 }
 
 /* Returns false if memory ran out. */
@@ -86,7 +88,8 @@
   const MfSuspect *suspect
       = mf_suspects_find (job->jobs->suspects, job->digest, mf_clock_now_us ());
 
-  return job->trial_part != 0 || job->n_failures > 0 || (suspect != NULL && suspect->n_crashes > 0)
+  return job->trial_part != 0 || job->trial_content != 0 || job->n_failures > 0
+         || (suspect != NULL && suspect->n_crashes > 0)
          || mf_suspects_is_suspect_content (job->jobs->suspects, job->content, mf_clock_now_us ());
 }
 
@@ -647,6 +650,7 @@
     .address_hash = mf_load_hash (target->info.address),
     .caller = job->caller_hash,
     .trial_part = job->trial_part,
+    .trial_content = job->trial_content,
     .was_suspect = job->was_suspect,
     .is_sufficient = is_sufficient && job_is_unanswered (job),
     .is_sufficient_for_parts = is_sufficient,
@@ -655,6 +659,7 @@
   };
 
   job->trial_part = 0;
+  job->trial_content = 0;
   if (mf_target_is_leaving (target))
     return;
   if (!job->answer_began)
@@ -749,8 +754,8 @@
     mf_suspects_expire_failures (jobs->suspects, now_us - CRASH_WINDOW_US, on_failure_result, jobs);
 }
 
-/* Lets the request be the trial of a part. The others are told first, so that none tries it, too.
- */
+/* Lets the request be the trial of a part or content. The others are told first, so that none tries
+ * it, too. */
 static void
 job_start_trial (MfJob *job, uint64_t part, uint64_t now_us)
 {
@@ -759,22 +764,31 @@
 
   mf_suspects_start_trial (jobs->suspects, part, now_us);
   suspect = mf_suspects_find (jobs->suspects, part, now_us);
-  job->trial_part = part;
+  *(suspect->kind == MF_SUSPECT_CONTENT ? &job->trial_content : &job->trial_part) = part;
   mf_relay_log_state (jobs->log, "part.trial", "id=%s digest=%016llx next_ms=%u", job->id,
                       (unsigned long long)part, age_ms (now_us, suspect->quarantined_until_us));
   part_send (jobs, TO_ALL, suspect, false, now_us);
 }
 
-/* Ends the trial of a part with its request. If that has reached no upstream, the next one may try
- * the part. */
+static void
+job_void_trial (MfJob *job, uint64_t part)
+{
+  if (part == 0)
+    return;
+  mf_relay_log_state (job->jobs->log, "part.untried", "id=%s digest=%016llx", job->id,
+                      (unsigned long long)part);
+  mf_suspects_void_trial (job->jobs->suspects, part, mf_clock_now_us ());
+}
+
+/* Ends the trials of a part and of a content with their request. If that has reached no upstream,
+ * the next one may try them. */
 void
 mf_job_end_trial (MfJob *job)
 {
-  if (job->trial_part == 0 || job->n_arrivals > 0 || job->n_prefills > 0)
+  if (job->n_arrivals > 0 || job->n_prefills > 0)
     return;
-  mf_relay_log_state (job->jobs->log, "part.untried", "id=%s digest=%016llx", job->id,
-                      (unsigned long long)job->trial_part);
-  mf_suspects_void_trial (job->jobs->suspects, job->trial_part, mf_clock_now_us ());
+  job_void_trial (job, job->trial_part);
+  job_void_trial (job, job->trial_content);
 }
 
 typedef struct
@@ -821,16 +835,22 @@
 }
 
 /* Returns the quarantined part, or the content, for which the request is refused, or NULL. If a
- * trial is due at this instance, and nothing else is refused, the request becomes the trial. */
+ * trial is due at this instance, and nothing else is refused, the request becomes the trial. One
+ * request tries a part and its content at once, as no other request may have either; but not two
+ * parts, of which one may be sound. */
 static const MfSuspect *
 job_refused_part (MfJob *job, uint64_t now_us)
 {
   MfJobs *jobs = job->jobs;
   uint64_t due_part = 0;
+  uint64_t due_content = 0;
 
-  for (uint32_t i = 0; i <= job->parts.n_parts && job->trial_part == 0; i++)
+  if (job->trial_part != 0 || job->trial_content != 0)
+    return NULL;
+  for (uint32_t i = 0; i <= job->parts.n_parts; i++)
     {
-      uint64_t part = i < job->parts.n_parts ? job->parts.hashes[i] : job->content;
+      bool is_content = i == job->parts.n_parts;
+      uint64_t part = is_content ? job->content : job->parts.hashes[i];
       MfSuspectVerdict verdict
           = mf_suspects_judge_part (jobs->suspects, part, job->caller_hash, now_us);
       const MfSuspect *suspect;
@@ -838,13 +858,15 @@
       if (verdict == MF_SUSPECT_PART_ALLOWED || part == due_part)
         continue;
       suspect = mf_suspects_find (jobs->suspects, part, now_us);
-      if (verdict == MF_SUSPECT_PART_REFUSED || due_part != 0
+      if (verdict == MF_SUSPECT_PART_REFUSED || (!is_content && due_part != 0)
           || trial_time_us (jobs, suspect, now_us) > now_us)
         return suspect;
-      due_part = part;
+      *(is_content ? &due_content : &due_part) = part;
     }
   if (due_part != 0)
     job_start_trial (job, due_part, now_us);
+  if (due_content != 0)
+    job_start_trial (job, due_content, now_us);
   return NULL;
 }
 
@@ -885,7 +907,8 @@
 
       next = job->next;
       if (job->caller == NULL || job->answer_began
-          || (job->stalled.answer_began && !mf_job_has_successor (job)) || job->trial_part != 0)
+          || (job->stalled.answer_began && !mf_job_has_successor (job)) || job->trial_part != 0
+          || job->trial_content != 0)
         continue;
       job->n_runs += is_first_run;
       if (!mf_job_end_quarantined (job))
--- a/libmangofork/suspect.c
+++ b/libmangofork/suspect.c
@@ -102,8 +102,10 @@
         abort ();
       row->suspect.digest = digest;
       row->suspect.kind = kind;
-      HASH_ADD (hh, suspects->rows, suspect.digest, sizeof row->suspect.digest, row);
     }
+  else
+    HASH_DEL (suspects->rows, row); /* to be added as the newest one */
+  HASH_ADD (hh, suspects->rows, suspect.digest, sizeof row->suspect.digest, row);
   row->suspect.at_us = now_us;
   return &row->suspect;
 }
@@ -408,6 +410,25 @@
   return false;
 }
 
+/* Returns the content of all suspects that failed at an upstream; 0: there are several, or none. */
+static uint64_t
+sole_suspect_content (const MfSuspects *suspects, uint64_t upstream_id)
+{
+  uint64_t content = 0;
+
+  for (uint32_t i = 0; i < suspects->n_failures; i++)
+    {
+      const MfSuspectFailure *failure = &suspects->failures[i];
+
+      if (failure->upstream_id != upstream_id || !failure->was_suspect)
+        continue;
+      if (content != 0 && failure->content != content)
+        return 0;
+      content = failure->content;
+    }
+  return content;
+}
+
 static uint32_t
 count_suspects_at (const MfSuspects *suspects, uint64_t upstream_id)
 {
@@ -429,6 +450,23 @@
   return failure->was_suspect && n_suspects == 1 ? CRASHES_ISOLATED : CRASHES_CERTAIN;
 }
 
+/* Returns whether the crash of a process is the result of a trial. Otherwise the trial was sent to
+ * a process that had crashed before. */
+static bool
+trial_failed (const MfSuspects *suspects, uint64_t part, uint64_t process_id, uint64_t now_us)
+{
+  return !mf_suspects_part_has_crash (suspects, part, process_id, now_us);
+}
+
+static void
+end_trial (MfSuspects *suspects, uint64_t part, bool has_failed, uint64_t now_us)
+{
+  if (has_failed)
+    mf_suspects_fail_trial (suspects, part, now_us);
+  else
+    mf_suspects_void_trial (suspects, part, now_us);
+}
+
 /* Handles the crash of an upstream: counts it against the requests whose calls failed there within
  * the crash window. process identifies the incarnation that crashed, since an upstream may restart
  * under the same id. */
@@ -437,6 +475,7 @@
                               uint64_t now_us, MfSuspectFailureFunc func, void *data)
 {
   uint32_t n_suspects = count_suspects_at (suspects, upstream_id);
+  uint64_t sole_content = sole_suspect_content (suspects, upstream_id);
   MfSuspectFailure failure;
 
   while (remove_failure (suspects, upstream_id, UINT64_MAX, &failure))
@@ -450,20 +489,17 @@
 
       if (now_us - failure.failed_us < suspects->limits.crash_window_us)
         {
-          /* Else the trial was sent to a process that had crashed before. */
-          bool trial_failed
-              = !mf_suspects_part_has_crash (suspects, failure.trial_part, process_id, now_us);
+          bool part_failed = trial_failed (suspects, failure.trial_part, process_id, now_us);
+          bool content_failed = trial_failed (suspects, failure.trial_content, process_id, now_us);
 
           mf_suspects_add_part_crashes (suspects, &failure.parts, &crash,
                                         failure.is_sufficient_for_parts, now_us);
           if (failure.content != 0)
             mf_suspects_add_content_crash (suspects, failure.content, &crash,
-                                           failure.was_suspect && n_suspects == 1,
+                                           failure.was_suspect && failure.content == sole_content,
                                            failure.is_sufficient, now_us);
-          if (trial_failed)
-            mf_suspects_fail_trial (suspects, failure.trial_part, now_us);
-          else
-            mf_suspects_void_trial (suspects, failure.trial_part, now_us);
+          end_trial (suspects, failure.trial_part, part_failed, now_us);
+          end_trial (suspects, failure.trial_content, content_failed, now_us);
           result = add_crash (suspects, failure.digest, &crash,
                               crashes_needed (suspects, &failure, n_suspects), now_us);
         }
--- a/libmangofork/suspect.h
+++ b/libmangofork/suspect.h
@@ -36,15 +36,16 @@
 typedef struct
 {
   uint64_t digest;
-  uint64_t request_id;   /* identifies the attempt */
-  uint64_t upstream_id;  /* that ran it; not 0 */
-  uint64_t address_hash; /* of the upstream; 0 when unknown */
-  uint64_t caller;       /* hash of the caller's host */
-  uint64_t content;      /* hash of the request whoever sends it; 0: not tracked */
-  MfParts parts;         /* of the prompt; none once the answer has begun */
-  uint64_t trial_part;   /* the quarantined part that the attempt was the trial of; 0: none */
-  bool was_suspect;      /* the request was already a suspect when it was sent */
-  bool is_sufficient;    /* one crash is enough: earlier ones may have been lost */
+  uint64_t request_id;    /* identifies the attempt */
+  uint64_t upstream_id;   /* that ran it; not 0 */
+  uint64_t address_hash;  /* of the upstream; 0 when unknown */
+  uint64_t caller;        /* hash of the caller's host */
+  uint64_t content;       /* hash of the request whoever sends it; 0: not tracked */
+  MfParts parts;          /* of the prompt; none once the answer has begun */
+  uint64_t trial_part;    /* the quarantined part that the attempt was the trial of; 0: none */
+  uint64_t trial_content; /* the content likewise; 0: none */
+  bool was_suspect;       /* the request was already a suspect when it was sent */
+  bool is_sufficient;     /* one crash is enough: earlier ones may have been lost */
   bool is_sufficient_for_parts; /* the same for the best suspect among the parts */
   uint64_t sent_us;
   uint64_t failed_us;
--- a/libmangofork/suspect_part.c
+++ b/libmangofork/suspect_part.c
@@ -26,6 +26,9 @@
  * a part, which something else that was sent to it may have crashed. */
 #define TRIAL_BACKOFF 6
 #define TRIAL_INTERVAL_MAX_US (UINT64_C (7200) * MF_US_PER_S)
+/* Of a content, which many callers may share: upstreams that crashed in its trials for another
+ * reason may be sound again. */
+#define CONTENT_TRIAL_INTERVAL_MAX_US (UINT64_C (120) * MF_US_PER_S)
 
 static MfSoundPart *
 sound_place (MfSuspects *suspects, MfSuspectKind kind, uint64_t part)
@@ -240,17 +243,20 @@
 static uint64_t
 trial_interval_us (const MfSuspects *suspects, const MfSuspect *suspect)
 {
+  bool is_content = suspect->kind == MF_SUSPECT_CONTENT;
+  bool is_for_one = is_quarantined_for_one (suspect);
   uint64_t interval_us = suspects->limits.trial_interval_us;
+  uint64_t max_us = is_content ? CONTENT_TRIAL_INTERVAL_MAX_US : TRIAL_INTERVAL_MAX_US;
 
-  if (is_quarantined_for_one (suspect))
+  if (is_for_one)
     interval_us /= PROVISIONAL_TRIAL_FACTOR;
   /* Parts that were quarantined together are not tried together: one may crash the upstream of all.
    */
   interval_us += interval_us * (suspect->digest % 1024) / 1024;
-  for (uint32_t i = suspect->kind == MF_SUSPECT_CONTENT ? 0 : 1;
-       i < suspect->part.n_failed_trials && interval_us < TRIAL_INTERVAL_MAX_US; i++)
+  for (uint32_t i = is_content && !is_for_one ? 0 : 1;
+       i < suspect->part.n_failed_trials && interval_us < max_us; i++)
     interval_us *= TRIAL_BACKOFF;
-  return interval_us < TRIAL_INTERVAL_MAX_US ? interval_us : TRIAL_INTERVAL_MAX_US;
+  return interval_us < max_us ? interval_us : max_us;
 }
 
 /* Quarantines a part. One that upstreams have lately survived is refused to the only caller under
--- a/tests/test_job_suspect.c
+++ b/tests/test_job_suspect.c
@@ -32,6 +32,7 @@
   SoakUpstream *upstreams[N_UPSTREAMS];
   uint32_t n_restarts[N_UPSTREAMS];
   uint32_t n_calls;
+  const char *host; /* that callers write; NULL: "h" */
   char received[2048];
 } CrashFixture;
 
@@ -133,10 +134,11 @@
 
   assert_true (fd >= 0);
   snprintf (text, sizeof text,
-            "POST %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: t%u\r\nX-Deadline-Ms: 600\r\n"
+            "POST %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: t%u\r\nX-Deadline-Ms: 600\r\n"
             "%s%s%sX-Token-Count: 100,40\r\nConnection: close\r\nContent-Length: %zu\r\n\r\n%s",
-            path, ++fixture->n_calls, parts != NULL ? "X-Prompt-Prefix: " : "",
-            parts != NULL ? parts : "", parts != NULL ? "\r\n" : "", strlen (body), body);
+            path, fixture->host != NULL ? fixture->host : "h", ++fixture->n_calls,
+            parts != NULL ? "X-Prompt-Prefix: " : "", parts != NULL ? parts : "",
+            parts != NULL ? "\r\n" : "", strlen (body), body);
   loop_send (fd, text, strlen (text));
   return fd;
 }
@@ -248,6 +250,74 @@
   check_each_path (check_request_of_many_callers_is_one_suspect);
 }
 
+static void
+check_request_to_hosts_written_differently_is_one_suspect (CrashFixture *fixture, const char *path)
+{
+  static const char *const hosts[] = { "h", "H", "h:8001", "h:8002", "H:8003" };
+
+  for (uint32_t i = 0; i < N_CALLS; i++)
+    {
+      fixture->host = hosts[i % MF_ARRAY_LEN (hosts)];
+      call (fixture, i % RELAY_FLEET_N_INSTANCES, FIRST_OF_MANY_HOSTS + i, path, SOAK_CRASH "0");
+      loop_spin (fixture->fleet.loop, 30);
+    }
+  assert_in_range (soak_ledger_crasher (fixture->ledger, 0).n_late_arrivals, 0, LATE_SENDS_MAX);
+  assert_in_range (soak_ledger_crasher (fixture->ledger, 0).n_crashes, 1, 3);
+}
+
+/* A request crashed two upstreams for each way in which callers write its host. */
+static void
+test_request_to_hosts_written_differently_is_one_suspect (void **state)
+{
+  (void)state;
+  check_each_path (check_request_to_hosts_written_differently_is_one_suspect);
+}
+
+static bool
+make_trial_due (void *data, const MfSuspect *suspect)
+{
+  MfSuspects *suspects = data;
+
+  mf_suspects_find (suspects, suspect->digest, mf_clock_now_us ())->quarantined_until_us = 0;
+  return true;
+}
+
+static void
+check_part_and_content_are_tried_together (CrashFixture *fixture, const char *path)
+{
+  uint32_t status = 0;
+
+  for (uint32_t i = 0; i < 6; i++)
+    {
+      finish_call (fixture, start_call_with_parts (fixture, i % RELAY_FLEET_N_INSTANCES,
+                                                   FIRST_OF_MANY_HOSTS + i, path, SOAK_CRASH "0",
+                                                   "f0:50,dd:30,cc:20"));
+      loop_spin (fixture->fleet.loop, 150);
+    }
+  assert_in_range (soak_ledger_crasher (fixture->ledger, 0).n_crashes, 2, 5);
+  for (uint32_t index = 0; index < N_UPSTREAMS; index++)
+    soak_upstream_enable_crashes (fixture->upstreams[index], 0., NULL, NULL);
+  for (uint32_t i = 0; i < 10 && status != 200; i++)
+    {
+      for (uint32_t j = 0; j < RELAY_FLEET_N_INSTANCES; j++)
+        mf_suspects_foreach (fixture->fleet.instances[j].jobs.suspects, mf_clock_now_us (),
+                             make_trial_due, fixture->fleet.instances[j].jobs.suspects);
+      status = finish_call (fixture, start_call_with_parts (fixture, i % RELAY_FLEET_N_INSTANCES,
+                                                            FIRST_OF_MANY_HOSTS + 20 + i, path,
+                                                            SOAK_CRASH "0", "f0:50,dd:30,cc:20"));
+      loop_spin (fixture->fleet.loop, 60);
+    }
+  assert_int_equal (status, 200);
+}
+
+/* A content and its part, both quarantined, each refused the trial of the other, for ever. */
+static void
+test_part_and_content_are_tried_together (void **state)
+{
+  (void)state;
+  check_each_path (check_part_and_content_are_tried_together);
+}
+
 static void
 check_shared_request_survives_coincident_crashes (CrashFixture *fixture, const char *path)
 {
@@ -942,6 +1012,8 @@
     cmocka_unit_test (test_request_that_crashed_three_upstreams_is_sent_no_more),
     cmocka_unit_test (test_request_of_many_callers_is_one_suspect),
     cmocka_unit_test (test_shared_request_survives_coincident_crashes),
+    cmocka_unit_test (test_request_to_hosts_written_differently_is_one_suspect),
+    cmocka_unit_test (test_part_and_content_are_tried_together),
     cmocka_unit_test (test_restarted_instance_receives_quarantines),
     cmocka_unit_test (test_quarantines_are_sent_before_suspicions),
     cmocka_unit_test (test_isolated_instance_receives_quarantines),
--- a/tests/test_suspect_part.c
+++ b/tests/test_suspect_part.c
@@ -183,6 +183,57 @@
   mf_suspects_free (suspects);
 }
 
+/* Upstreams that crashed in trials of a shared look-up, for another reason, kept it refused for
+ * hours after they were sound. */
+static void
+test_trials_of_a_content_are_minutes_apart_at_most (void **state)
+{
+  MfSuspects *suspects = mf_suspects_new (&limits);
+  uint64_t now_us = 3 * S;
+
+  (void)state;
+  for (uint64_t caller = 1; caller <= 3; caller++)
+    content_crashes (suspects, caller, false, caller * S);
+  for (uint32_t i = 0; i < 8; i++)
+    {
+      uint64_t due_us = mf_suspects_find (suspects, DEADLY, now_us)->quarantined_until_us;
+
+      assert_in_range (due_us, now_us, now_us + 240 * S);
+      now_us = due_us;
+      mf_suspects_start_trial (suspects, DEADLY, now_us);
+      mf_suspects_add_failure (suspects, &(MfSuspectFailure){ .digest = CALLER,
+                                                              .request_id = i,
+                                                              .upstream_id = 100 + i,
+                                                              .content = DEADLY,
+                                                              .trial_content = DEADLY,
+                                                              .sent_us = now_us,
+                                                              .failed_us = now_us + 1 });
+      mf_suspects_upstream_crashed (suspects, 100 + i, 100 + i, now_us + 1, ignore_failure, NULL);
+    }
+  mf_suspects_free (suspects);
+}
+
+/* A deadly content that crashed upstreams again and again was evicted before those that had crashed
+ * one since, so that its crashes never added up. */
+static void
+test_content_with_recent_crashes_is_not_evicted (void **state)
+{
+  MfSuspects *suspects = mf_suspects_new (&limits);
+
+  (void)state;
+  for (uint64_t i = 1; i <= 3; i++)
+    {
+      content_crashes (suspects, i, false, i * S);
+      for (uint64_t j = 0; j < 2000; j++)
+        mf_suspects_add_content_crash (
+            suspects, 1000 * S * i + j,
+            &(MfSuspectCrash){ .process_id = j + 1, .digest = j, .at_us = i * S }, false, false,
+            i * S);
+    }
+  assert_true (is_refused (suspects, DEADLY, CALLER, 4 * S));
+  mf_suspects_free (suspects);
+}
+
 /* The first part, without which none of the requests came, was refused with all that begin with it.
  */
 static void
@@ -646,6 +697,8 @@
     cmocka_unit_test (test_content_is_quarantined_after_two_isolated_crashes),
     cmocka_unit_test (test_content_that_upstreams_survive_is_not_quarantined),
     cmocka_unit_test (test_content_explains_no_crash_of_a_part),
+    cmocka_unit_test (test_trials_of_a_content_are_minutes_apart_at_most),
+    cmocka_unit_test (test_content_with_recent_crashes_is_not_evicted),
     cmocka_unit_test (test_quarantined_part_explains_no_crash_of_a_content),
     cmocka_unit_test (test_deadly_part_is_refused_and_the_first_part_is_not),
     cmocka_unit_test (test_tries_of_one_request_count_once),
