Customers: keys find the customer of a request at the relay

A configuration with a list of customers requires a key on every route that is not exempt: 401 for a key that is unknown, missing or given more than once, 503 while the configuration may be out of date. Both headers of the caller are removed from calls to upstreams, which carry the customer's name instead. Without the list, headers are passed on as before.

--- a/libmangofork/code.h
+++ b/libmangofork/code.h
@@ -33,6 +33,7 @@
   X (DRAINING, 2006, 503, NOT_RUN, "draining", "this instance is shutting down")                   \
   X (DEPENDENCY_DOWN, 2007, 503, NOT_RUN, "dependency-down", "a dependency has no live upstream")  \
   X (OVER_LIMIT, 2008, 503, NOT_RUN, "over-limit", "this instance holds too many requests")        \
+  X (CONFIG_STALE, 2009, 503, NOT_RUN, "config-stale", "the configuration may be out of date")     \
   X (NO_UPSTREAM, 3001, 503, NOT_RUN, "no-upstream", "the service has no live upstream")           \
   X (UPSTREAM_DIED, 3002, 502, UNKNOWN, "upstream-died", "the upstream died before its answer")    \
   X (UPSTREAM_ERROR, 3003, 502, RAN, "upstream-error", "the upstream answered with an error")      \
--- a/libmangofork/customer.c
+++ b/libmangofork/customer.c
@@ -75,45 +75,56 @@
   return info->name != NULL;
 }
 
-static void
-key_digest (const char *key, size_t key_bytes, uint8_t digest[MF_DIGEST_BYTES])
+/* Computes the BLAKE2b-256 digest of a key. Returns false when the key is empty or too long. */
+bool
+mf_customer_key_digest (const char *key, size_t key_bytes, uint8_t digest[MF_DIGEST_BYTES])
 {
+  if (key_bytes == 0 || key_bytes > MF_CUSTOMER_KEY_BYTES_MAX)
+    return false;
   crypto_generichash (digest, MF_DIGEST_BYTES, (const unsigned char *)key, key_bytes, NULL, 0);
+  return true;
 }
 
 /* Adds a key of a customer. Returns false when it is empty or too long, or memory ran out. */
 bool
 mf_customers_add_key (MfCustomers *customers, uint32_t index, const char *key, size_t key_bytes)
 {
+  CustomerKey row = { .customer = index };
   CustomerKey *keys;
 
-  if (key_bytes == 0 || key_bytes > MF_CUSTOMER_KEY_BYTES_MAX)
+  if (!mf_customer_key_digest (key, key_bytes, row.digest))
     return false;
   keys = realloc (customers->keys, (customers->n_keys + 1) * sizeof *keys);
   if (keys == NULL)
     return false;
   customers->keys = keys;
-  key_digest (key, key_bytes, keys[customers->n_keys].digest);
-  keys[customers->n_keys++].customer = index;
+  keys[customers->n_keys++] = row;
   return true;
 }
 
-/* Returns the customer that has a key, or MF_NONE. The time taken does not depend on which keys
- * exist. */
+/* Returns the customer that has the key with a digest, or MF_NONE. The time taken does not depend
+ * on which keys exist. */
 uint32_t
-mf_customers_find (const MfCustomers *customers, const char *key, size_t key_bytes)
+mf_customers_find_digest (const MfCustomers *customers, const uint8_t digest[MF_DIGEST_BYTES])
 {
-  uint8_t digest[MF_DIGEST_BYTES];
   uint32_t found = MF_NONE;
 
-  if (key_bytes == 0 || key_bytes > MF_CUSTOMER_KEY_BYTES_MAX)
-    return MF_NONE;
-  key_digest (key, key_bytes, digest);
   for (uint32_t i = 0; i < customers->n_keys; i++)
     {
-      bool is_equal = sodium_memcmp (digest, customers->keys[i].digest, sizeof digest) == 0;
+      bool is_equal = sodium_memcmp (digest, customers->keys[i].digest, MF_DIGEST_BYTES) == 0;
 
       found = is_equal ? customers->keys[i].customer : found;
     }
   return found;
 }
+
+/* Returns the customer that has a key, or MF_NONE. */
+uint32_t
+mf_customers_find (const MfCustomers *customers, const char *key, size_t key_bytes)
+{
+  uint8_t digest[MF_DIGEST_BYTES];
+
+  if (!mf_customer_key_digest (key, key_bytes, digest))
+    return MF_NONE;
+  return mf_customers_find_digest (customers, digest);
+}
--- a/libmangofork/customer.h
+++ b/libmangofork/customer.h
@@ -29,6 +29,9 @@
 bool mf_customers_set_name (MfCustomers *customers, uint32_t index, const char *name);
 bool mf_customers_add_key (MfCustomers *customers, uint32_t index, const char *key,
                            size_t key_bytes);
+bool mf_customer_key_digest (const char *key, size_t key_bytes, uint8_t digest[MF_DIGEST_BYTES]);
+uint32_t mf_customers_find_digest (const MfCustomers *customers,
+                                   const uint8_t digest[MF_DIGEST_BYTES]);
 uint32_t mf_customers_find (const MfCustomers *customers, const char *key, size_t key_bytes);
 
 #endif
--- a/libmangofork/relay/dialect.h
+++ b/libmangofork/relay/dialect.h
@@ -23,6 +23,8 @@
   MF_HEADER_KV_SOURCE,       /* KV of a prefill that a decode continues from */
   MF_HEADER_ENGINE_PRIORITY, /* priority of the request in an engine */
   MF_HEADER_ENGINE_CONTROL,  /* any other header for engines that only a router may send */
+  MF_HEADER_API_KEY,         /* key of a customer; never forwarded */
+  MF_HEADER_CUSTOMER,        /* name of the customer, written by the relay only */
   MF_HEADER_STORE_ERA,       /* in a response of the store: rises when it returns from a backup */
   MF_HEADER_HOST,
   MF_HEADER_CONTENT_LENGTH,
--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -494,7 +494,8 @@
 }
 
 static MfJob *
-job_new (MfJobs *jobs, MfCaller *caller, const MfRoute *route, uint32_t service)
+job_new (MfJobs *jobs, MfCaller *caller, const MfRoute *route, uint32_t service,
+         const MfKeyOwner *owner)
 {
   const MfHead *head = mf_caller_head (caller);
   MfJob *job = calloc (1, sizeof *job);
@@ -505,6 +506,7 @@
   job->caller = caller;
   job->routes = mf_routes_ref (jobs->routes);
   job->route = route;
+  job->customer = owner->customer;
   job->service = &jobs->routes->services[service];
   job->is_engine = job->service->is_engine;
   job->is_head_request = strcmp (mf_caller_method (caller), "HEAD") == 0;
@@ -579,6 +581,8 @@
   const char *target = mf_head_text (head, 0);
   size_t path_bytes = head->target_bytes;
   const char *query = memchr (target, '?', path_bytes);
+  MfKeyOwner owner;
+  MfCode code;
   uint32_t service;
   MfJob *job;
 
@@ -596,6 +600,12 @@
       caller_reply_code (jobs, caller, MF_CODE_NO_SERVICE, false);
       return;
     }
+  code = mf_jobs_find_customer (jobs, caller, route, &owner);
+  if (code != MF_CODE_OK)
+    {
+      caller_reply_code (jobs, caller, code, code == MF_CODE_CONFIG_STALE);
+      return;
+    }
   service = mf_route_choose (route, mf_jobs_random (jobs));
   if (service == MF_NONE)
     {
@@ -607,7 +617,7 @@
       caller_reply_code (jobs, caller, MF_CODE_OVER_LIMIT, true);
       return;
     }
-  job = job_new (jobs, caller, route, service);
+  job = job_new (jobs, caller, route, service, &owner);
   if (job == NULL)
     {
       caller_reply_code (jobs, caller, MF_CODE_NO_MEMORY, true);
@@ -808,6 +818,7 @@
 {
   uint64_t stream_timeout_us = mf_routes_stream_timeout_us (routes);
 
+  jobs->configured_us = mf_clock_boottime_us ();
   mf_routes_note_changes (routes, jobs->routes, mf_clock_now_us ());
   if (stream_timeout_us > jobs->stream_timeout_us)
     jobs->stream_timeout_us = stream_timeout_us;
--- a/libmangofork/relay/job.h
+++ b/libmangofork/relay/job.h
@@ -59,6 +59,14 @@
   uint64_t tokens;
 } MfEngineAsk;
 
+/* The key that a request presents and its customer. */
+typedef struct
+{
+  bool has_key; /* exactly one key of an allowed length */
+  uint8_t digest[MF_DIGEST_BYTES];
+  const MfCustomerInfo *customer; /* NULL: none */
+} MfKeyOwner;
+
 /* State shared by all requests of one instance. */
 typedef struct
 {
@@ -79,6 +87,8 @@
    * suspended; what is older than the age says nothing about the versions that are in use. */
   uint64_t upstreams_as_of_us;
   uint64_t upstreams_age_max_us;
+  uint64_t configured_us;     /* when the configuration was applied, on the same clock */
+  uint64_t config_apply_us;   /* a configuration must be in force within this time; 0: no bound */
   uint64_t stream_timeout_us; /* longest timeout of a stream in any configuration so far */
   MfDispatch *dispatch;
   uint64_t n_started; /* requests started since the process started */
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -270,6 +270,11 @@
 void mf_job_drop_stalled (MfJob *job);
 bool mf_job_keep_stalled (MfJob *job, MfCode code, const char *why);
 
+/* job_customer.c: customers and their keys. */
+MfCode mf_jobs_find_customer (const MfJobs *jobs, const MfCaller *caller, const MfRoute *route,
+                              MfKeyOwner *owner);
+uint32_t mf_job_priority (const MfJob *job);
+
 /* job_send.c: starts and cancels exchanges with upstreams. */
 bool mf_job_send (MfJob *job, MfTarget *target, bool prefill);
 void mf_job_set_send_deadline (MfJob *job);
--- a/libmangofork/relay/job_send.c
+++ b/libmangofork/relay/job_send.c
@@ -141,6 +141,7 @@
 head_add_caller_fields (const MfJob *job, MfBuffer *out)
 {
   const MfHead *head = mf_caller_head (job->caller);
+  bool has_customers = job->routes->customers != NULL;
 
   for (uint32_t i = 0; i < head->n_fields; i++)
     {
@@ -160,6 +161,11 @@
         case MF_HEADER_ENGINE_PRIORITY:
         case MF_HEADER_ENGINE_CONTROL:
           continue;
+        case MF_HEADER_API_KEY:
+        case MF_HEADER_CUSTOMER:
+          if (has_customers || mf_head_is_hop_by_hop (head, field))
+            continue;
+          break;
         case MF_HEADER_LAST_EVENT_ID:
           if (job->events.has_last_id)
             continue;
@@ -201,6 +207,8 @@
   snprintf (value, sizeof value, "%llu", (unsigned long long)(left_us / MF_US_PER_MS + 1));
   head_add (job, out, MF_HEADER_DEADLINE, value);
   head_add (job, out, MF_HEADER_EXPECT_UPSTREAM, target->info.id);
+  if (job->customer != NULL)
+    head_add (job, out, MF_HEADER_CUSTOMER, job->customer->name);
   if (prefill)
     head_add (job, out, MF_HEADER_STAGE, job->jobs->dialect->stage_prefill);
   else if (job->kv_target != NULL)
--- a/libmangofork/relay/refuse.c
+++ b/libmangofork/relay/refuse.c
@@ -22,6 +22,8 @@
     {
     case MF_CODE_NO_CONFIG:
       return refusal->uptime_us < STARTUP_US ? STARTUP_RETRY_US : STORE_RETRY_US;
+    case MF_CODE_CONFIG_STALE:
+      return STORE_RETRY_US;
     case MF_CODE_DRAINING:
       return 0; /* another instance can take it at once */
     case MF_CODE_NO_UPSTREAM:
