Customers: revoked and moved keys, stale configurations, counters

A request keeps the configuration that it started with, but the keys of all requests are looked up in each version that is applied. A request whose key was removed longer than bounds.revokeMs ago ends with 401 before it is sent, unless an upstream has run it; a moved key changes the name that upstreams get. strictRevocation sets the delay to 0.

Counters for at most 64 customers; log lines name the customer. serve and the digest command compute a key's digest with the same function as the relay.

--- a/cli/digest.c
+++ b/cli/digest.c
@@ -1,6 +1,6 @@
 #include "command.h"
 
-#include "libmangofork/types.h"
+#include "libmangofork/customer.h"
 
 #include <argp.h>
 #include <sodium.h>
@@ -47,7 +47,7 @@
       free (key);
       return EXIT_FAULTY;
     }
-  crypto_generichash (digest, sizeof digest, (const unsigned char *)key, n, NULL, 0);
+  mf_key_digest (key, n, digest);
   sodium_memzero (key, n);
   free (key);
   printf ("%s\n", sodium_bin2hex (hex, sizeof hex, digest, sizeof digest));
--- a/libmangofork/customer.c
+++ b/libmangofork/customer.c
@@ -62,6 +62,12 @@
   return customers->n_infos;
 }
 
+uint32_t
+mf_customers_n_keys (const MfCustomers *customers)
+{
+  return customers->n_keys;
+}
+
 /* Copies the name of a customer and sets its hash. Returns false when out of memory. */
 bool
 mf_customers_set_name (MfCustomers *customers, uint32_t index, const char *name)
@@ -75,13 +81,20 @@
   return info->name != NULL;
 }
 
-/* Computes the BLAKE2b-256 digest of a key. Returns false when the key is empty or too long. */
+/* Computes the digest of a key of any length: BLAKE2b-256. */
+void
+mf_key_digest (const char *key, size_t key_bytes, uint8_t digest[MF_DIGEST_BYTES])
+{
+  crypto_generichash (digest, MF_DIGEST_BYTES, (const unsigned char *)key, key_bytes, NULL, 0);
+}
+
+/* The same for a key of a table, which must not be empty or too long. Returns false if it is. */
 bool
 mf_customer_key_digest (const char *key, size_t key_bytes, uint8_t digest[MF_DIGEST_BYTES])
 {
   if (key_bytes == 0 || key_bytes > MF_CUSTOMER_KEY_BYTES_MAX)
     return false;
-  crypto_generichash (digest, MF_DIGEST_BYTES, (const unsigned char *)key, key_bytes, NULL, 0);
+  mf_key_digest (key, key_bytes, digest);
   return true;
 }
 
--- a/libmangofork/customer.h
+++ b/libmangofork/customer.h
@@ -26,9 +26,11 @@
 void mf_customers_free (MfCustomers *customers);
 MfCustomerInfo *mf_customers_get (const MfCustomers *customers, uint32_t index);
 uint32_t mf_customers_n (const MfCustomers *customers);
+uint32_t mf_customers_n_keys (const MfCustomers *customers);
 bool mf_customers_set_name (MfCustomers *customers, uint32_t index, const char *name);
 bool mf_customers_add_key (MfCustomers *customers, uint32_t index, const char *key,
                            size_t key_bytes);
+void mf_key_digest (const char *key, size_t key_bytes, uint8_t digest[MF_DIGEST_BYTES]);
 bool mf_customer_key_digest (const char *key, size_t key_bytes, uint8_t digest[MF_DIGEST_BYTES]);
 uint32_t mf_customers_find_digest (const MfCustomers *customers,
                                    const uint8_t digest[MF_DIGEST_BYTES]);
--- a/libmangofork/intake.c
+++ b/libmangofork/intake.c
@@ -1,5 +1,7 @@
 #include "intake.h"
 
+#include "customer.h"
+
 #include <json-c/json.h>
 #include <sodium.h>
 #include <stdlib.h>
@@ -400,8 +402,7 @@
   if (*text == '\0')
     return header_error (error, "Authorization", "contains no API key");
   request->has_api_key = true;
-  crypto_generichash (request->api_key_digest, MF_DIGEST_BYTES, (const unsigned char *)text,
-                      strlen (text), NULL, 0);
+  mf_key_digest (text, strlen (text), request->api_key_digest);
   return true;
 }
 
--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -32,6 +32,8 @@
 /* Minimum share of the expected answer time that must be left to start an answer: half of the
  * answers are shorter than expected, few of them by more than this. */
 #define ANSWER_TIME_MIN_SHARE 0.5
+/* Time left of a request without a deadline, for the retry time when its key is not known. */
+#define LEFT_DEFAULT_MS 3000
 /* Weight of one answer in the moving averages; answer lengths vary by half. */
 #define ANSWER_WEIGHT 0.05
 /* Weight of one sample in the moving average of the time to the first event, which changes with the
@@ -132,6 +134,7 @@
   mf_job_answer_clear (&job->answer);
   mf_job_answer_clear (&job->fallback_answer);
   mf_event_stream_clear (&job->events);
+  mf_routes_unref (job->customer_routes);
   mf_routes_unref (job->routes);
   free (job);
 }
@@ -152,6 +155,17 @@
   return "unknown";
 }
 
+/* Returns what the end of a request counts as for its customer. */
+static MfCustomerCount
+customer_outcome (MfCode code, uint32_t status)
+{
+  if (code == MF_CODE_OK)
+    return MF_CUSTOMER_ANSWERED;
+  if (code == MF_CODE_DEPARTED)
+    return MF_CUSTOMER_DEPARTED;
+  return status == 503 || status == 401 || status == 429 ? MF_CUSTOMER_REFUSED : MF_CUSTOMER_FAILED;
+}
+
 /* Counts and logs the end of a request. */
 static void
 job_record_end (MfJob *job, MfCode code, uint32_t status, const char *why)
@@ -159,9 +173,13 @@
   MfJobs *jobs = job->jobs;
   uint64_t now_us = mf_clock_now_us ();
   uint64_t took_us = now_us - job->started_us;
+  char customer[160] = "";
 
   mf_job_note_outcome (job, code == MF_CODE_OK);
   jobs->counters.by_code[mf_code_index (code)]++;
+  mf_jobs_count_customer (jobs, job->customer, customer_outcome (code, status));
+  if (job->customer != NULL)
+    snprintf (customer, sizeof customer, " customer=\"%s\"", job->customer->name);
   if (job->phase == MF_JOB_WAITING && job->waiting_since_us > 0)
     job->waited_us += now_us - job->waiting_since_us;
   jobs->counters.counts[MF_RELAY_COUNT_WAITED] += job->waited_us > 0;
@@ -175,7 +193,7 @@
       jobs->log, "request.end",
       "id=%s digest=%016llx route=%s kind=%s on_connection=%u service=%s code=%d status=%u "
       "why=\"%s\" took_ms=%.1f first_event_ms=%.1f waited_ms=%.1f sends=%u runs=%u prefills=%u "
-      "events=%llu last_upstream=%s left_ms=%lld stop_ms=%lld config=%llu",
+      "events=%llu last_upstream=%s left_ms=%lld stop_ms=%lld config=%llu%s",
       job->id, (unsigned long long)job->digest, job->route->name, route_kind_name (job->route),
       job->on_connection, job->service->name, (int)code, status, why, (double)took_us / 1e3,
       job->first_event_us > 0 ? (double)(job->first_event_us - job->started_us) / 1e3 : 0.,
@@ -184,7 +202,7 @@
       job->last_upstream[0] != '\0' ? job->last_upstream : "none",
       ((long long)job->deadline_us - (long long)now_us) / 1000,
       jobs->shutdown.started_us > 0 ? (long long)(now_us - jobs->shutdown.started_us) / 1000 : -1LL,
-      (unsigned long long)job->routes->version);
+      (unsigned long long)job->routes->version, customer);
 }
 
 /* Sends an upstream's complete answer to the caller and frees the request. */
@@ -259,6 +277,9 @@
 void
 mf_job_refuse (MfJob *job, MfCode code, const char *why)
 {
+  bool is_final = code == MF_CODE_NO_CUSTOMER;
+  uint32_t status = is_final ? mf_code_info (code)->http_status : 503;
+
   if (mf_job_keep_stalled (job, code, why))
     return;
   if (job->head_sent || (job->n_runs > 0 && !mf_job_may_retry (job)))
@@ -266,16 +287,16 @@
       mf_job_finish (job, code, why);
       return;
     }
-  if (job->fallback_answer.status != 0)
+  if (job->fallback_answer.status != 0 && !is_final)
     {
       mf_job_reply (job, &job->fallback_answer);
       return;
     }
   job->jobs->counters.counts[MF_RELAY_COUNT_NO_VERSION] += code == MF_CODE_NO_VERSION;
   job->jobs->counters.counts[MF_RELAY_COUNT_REFUSED]++;
-  job_record_end (job, code, 503, why);
+  job_record_end (job, code, status, why);
   /* A stream that cannot go on now cannot later: its caller begins anew. */
-  job_reply_error (job, 503, code, code != MF_CODE_NO_VERSION);
+  job_reply_error (job, status, code, code != MF_CODE_NO_VERSION && !is_final);
   job_free (job);
 }
 
@@ -495,7 +516,7 @@
 
 static MfJob *
 job_new (MfJobs *jobs, MfCaller *caller, const MfRoute *route, uint32_t service,
-         const MfKeyOwner *owner)
+         const MfKeyDigest *key)
 {
   const MfHead *head = mf_caller_head (caller);
   MfJob *job = calloc (1, sizeof *job);
@@ -506,7 +527,7 @@
   job->caller = caller;
   job->routes = mf_routes_ref (jobs->routes);
   job->route = route;
-  job->customer = owner->customer;
+  job->key = *key;
   job->service = &jobs->routes->services[service];
   job->is_engine = job->service->is_engine;
   job->is_head_request = strcmp (mf_caller_method (caller), "HEAD") == 0;
@@ -531,6 +552,8 @@
   job_read_parts (job, head);
   job_read_token_counts (job, head);
   job_read_deadline (job, head);
+  mf_job_find_customer (job);
+  mf_jobs_count_customer (jobs, job->customer, MF_CUSTOMER_REQUESTS);
   mf_caller_set_job (caller, job);
   return job;
 }
@@ -547,7 +570,8 @@
   uint64_t retry_us = 0;
 
   mf_head_copy (head, MF_HEADER_REQUEST_ID, id, sizeof id);
-  mf_head_number (head, MF_HEADER_DEADLINE, &left_ms);
+  if (!mf_head_number (head, MF_HEADER_DEADLINE, &left_ms) && code == MF_CODE_CONFIG_STALE)
+    left_ms = LEFT_DEFAULT_MS;
   jobs->counters.by_code[mf_code_index (code)]++;
   jobs->counters.counts[MF_RELAY_COUNT_REFUSED]++;
   if (may_retry)
@@ -581,7 +605,7 @@
   const char *target = mf_head_text (head, 0);
   size_t path_bytes = head->target_bytes;
   const char *query = memchr (target, '?', path_bytes);
-  MfKeyOwner owner;
+  MfKeyDigest key;
   MfCode code;
   uint32_t service;
   MfJob *job;
@@ -600,9 +624,10 @@
       caller_reply_code (jobs, caller, MF_CODE_NO_SERVICE, false);
       return;
     }
-  code = mf_jobs_find_customer (jobs, caller, route, &owner);
+  code = mf_jobs_check_key (jobs, caller, route, &key);
   if (code != MF_CODE_OK)
     {
+      jobs->counters.counts[MF_RELAY_COUNT_KEYS_REFUSED] += code == MF_CODE_NO_CUSTOMER;
       caller_reply_code (jobs, caller, code, code == MF_CODE_CONFIG_STALE);
       return;
     }
@@ -617,7 +642,7 @@
       caller_reply_code (jobs, caller, MF_CODE_OVER_LIMIT, true);
       return;
     }
-  job = job_new (jobs, caller, route, service, &owner);
+  job = job_new (jobs, caller, route, service, &key);
   if (job == NULL)
     {
       caller_reply_code (jobs, caller, MF_CODE_NO_MEMORY, true);
@@ -824,4 +849,6 @@
     jobs->stream_timeout_us = stream_timeout_us;
   mf_routes_unref (jobs->routes);
   jobs->routes = routes;
+  for (MfJob *job = jobs->first; job != NULL; job = job->next)
+    mf_job_find_customer (job);
 }
--- a/libmangofork/relay/job.h
+++ b/libmangofork/relay/job.h
@@ -59,13 +59,13 @@
   uint64_t tokens;
 } MfEngineAsk;
 
-/* The key that a request presents and its customer. */
+/* The key that a request presents. The key itself is not kept. */
 typedef struct
 {
-  bool has_key; /* exactly one key of an allowed length */
-  uint8_t digest[MF_DIGEST_BYTES];
-  const MfCustomerInfo *customer; /* NULL: none */
-} MfKeyOwner;
+  bool is_read;  /* the request has been read under a configuration with customers */
+  bool is_valid; /* it presents exactly one key of an allowed length */
+  uint8_t bytes[MF_DIGEST_BYTES];
+} MfKeyDigest;
 
 /* State shared by all requests of one instance. */
 typedef struct
@@ -88,6 +88,7 @@
   uint64_t upstreams_as_of_us;
   uint64_t upstreams_age_max_us;
   uint64_t configured_us;     /* when the configuration was applied, on the same clock */
+  uint64_t revoke_us;         /* how long a request may still be sent after its key was removed */
   uint64_t config_apply_us;   /* a configuration must be in force within this time; 0: no bound */
   uint64_t stream_timeout_us; /* longest timeout of a stream in any configuration so far */
   MfDispatch *dispatch;
--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -244,7 +244,7 @@
       mf_job_finish (job, MF_CODE_DEPARTED, "caller disconnected");
       return;
     }
-  if (mf_job_end_quarantined (job))
+  if (mf_job_end_quarantined (job) || mf_job_end_revoked (job))
     return;
   if (job->is_engine)
     job_place_engine (job);
--- a/libmangofork/relay/job_rate.c
+++ b/libmangofork/relay/job_rate.c
@@ -271,6 +271,8 @@
 {
   uint64_t now_us = mf_clock_now_us ();
 
+  if (mf_job_end_revoked (job))
+    return;
   if (!mf_target_is_limited (target) || (job->rate_granted && job->rate_target == target))
     {
       if (job->rate_target == target)
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -71,7 +71,10 @@
   MfRoutes *routes; /* the configuration in force when the request arrived */
   const MfRoute *route;
   const MfRouteService *service;
-  const MfCustomerInfo *customer; /* of the configuration in routes; NULL: none */
+  const MfCustomerInfo *customer; /* who has its key now, or had it last; NULL: none */
+  MfRoutes *customer_routes;      /* the configuration that customer points into */
+  MfKeyDigest key;
+  uint64_t key_removed_us; /* when a configuration without its key was applied; 0: none was */
   bool is_engine;
   bool is_head_request;
   char id[MF_JOB_ID_BYTES];
@@ -271,8 +274,12 @@
 bool mf_job_keep_stalled (MfJob *job, MfCode code, const char *why);
 
 /* job_customer.c: customers and their keys. */
-MfCode mf_jobs_find_customer (const MfJobs *jobs, const MfCaller *caller, const MfRoute *route,
-                              MfKeyOwner *owner);
+MfCode mf_jobs_check_key (const MfJobs *jobs, const MfCaller *caller, const MfRoute *route,
+                          MfKeyDigest *key);
+void mf_job_find_customer (MfJob *job);
+void mf_jobs_count_customer (MfJobs *jobs, const MfCustomerInfo *customer, MfCustomerCount count);
+bool mf_job_end_revoked (MfJob *job);
+bool mf_job_hides_key (const MfJob *job);
 uint32_t mf_job_priority (const MfJob *job);
 
 /* job_send.c: starts and cancels exchanges with upstreams. */
--- a/libmangofork/relay/job_send.c
+++ b/libmangofork/relay/job_send.c
@@ -141,7 +141,7 @@
 head_add_caller_fields (const MfJob *job, MfBuffer *out)
 {
   const MfHead *head = mf_caller_head (job->caller);
-  bool has_customers = job->routes->customers != NULL;
+  bool hides_key = mf_job_hides_key (job);
 
   for (uint32_t i = 0; i < head->n_fields; i++)
     {
@@ -163,7 +163,7 @@
           continue;
         case MF_HEADER_API_KEY:
         case MF_HEADER_CUSTOMER:
-          if (has_customers || mf_head_is_hop_by_hop (head, field))
+          if (hides_key || mf_head_is_hop_by_hop (head, field))
             continue;
           break;
         case MF_HEADER_LAST_EVENT_ID:
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -220,9 +220,12 @@
       return;
     }
   mf_relay_log_state (relay->log, "config.applied",
-                      "version=%llu before=%llu routes=%u services=%u requests=%u",
+                      "version=%llu before=%llu routes=%u services=%u requests=%u customers=%u "
+                      "keys=%u",
                       (unsigned long long)routes->version, (unsigned long long)before,
-                      routes->n_routes, routes->n_services, relay->jobs.n_jobs);
+                      routes->n_routes, routes->n_services, relay->jobs.n_jobs,
+                      routes->customers != NULL ? mf_customers_n (routes->customers) : 0,
+                      routes->customers != NULL ? mf_customers_n_keys (routes->customers) : 0);
   mf_jobs_configure (&relay->jobs, routes);
   limits_apply (relay);
   ready_update (relay);
@@ -478,6 +481,8 @@
   relay->jobs.orders_fenced = relay->settings.orders_fenced;
   relay->jobs.order_interval_us = relay->settings.order_interval_us;
   relay->freshness.staleness_max_us = relay->settings.change_bound_us;
+  relay->jobs.config_apply_us = relay->settings.config_apply_us;
+  relay->jobs.revoke_us = relay->settings.revokes_at_once ? 0 : relay->settings.revoke_us;
   relay->jobs.upstreams_age_max_us = relay->settings.change_bound_us;
   if (relay->settings.memory_bytes > 0)
     relay->jobs.answer_bytes_max = relay->settings.memory_bytes / ANSWERS_MEMORY_DIVISOR;
--- a/libmangofork/relay/relay.h
+++ b/libmangofork/relay/relay.h
@@ -21,14 +21,17 @@
   uint64_t memory_bytes;            /* memory limit of the process; 0: unknown */
   uint32_t files_max;               /* file descriptors; 0: unknown */
   uint64_t change_bound_us;         /* a change at the store must take effect within this time */
-  uint64_t registration_us;         /* upstreams renew their entries at this interval; 0: unknown */
-  uint64_t recovery_us;             /* normal service must be back within this time after a fault */
-  uint64_t grace_us;                /* from SIGTERM to SIGKILL */
-  double retry_ratio;               /* retries per request */
-  uint64_t retry_window_us;         /* over which retry_ratio applies */
-  uint32_t retry_slack;             /* additional retries, for all instances together */
-  bool orders_fenced;               /* whether engines check the fences of orders */
-  uint64_t order_interval_us;       /* least time between orders of two instances to one engine */
+  uint64_t config_apply_us;         /* the same for a version of the configuration */
+  uint64_t revoke_us;         /* a request may still be sent for so long after its key's removal */
+  bool revokes_at_once;       /* in place of revoke_us */
+  uint64_t registration_us;   /* upstreams renew their entries at this interval; 0: unknown */
+  uint64_t recovery_us;       /* normal service must be back within this time after a fault */
+  uint64_t grace_us;          /* from SIGTERM to SIGKILL */
+  double retry_ratio;         /* retries per request */
+  uint64_t retry_window_us;   /* over which retry_ratio applies */
+  uint32_t retry_slack;       /* additional retries, for all instances together */
+  bool orders_fenced;         /* whether engines check the fences of orders */
+  uint64_t order_interval_us; /* least time between orders of two instances to one engine */
 } MfRelaySettings;
 
 typedef struct MfRelay MfRelay;
--- a/libmangofork/relay/relay_counters.c
+++ b/libmangofork/relay/relay_counters.c
@@ -27,6 +27,69 @@
   histogram->count++;
 }
 
+static MfCustomerCounts *
+customer_row (MfRelayCounters *counters, const char *name, uint64_t name_hash)
+{
+  MfCustomerCounts *row;
+
+  for (uint32_t i = 0; i < counters->n_customers; i++)
+    {
+      if (counters->customers[i].name_hash == name_hash)
+        return &counters->customers[i];
+    }
+  if (counters->n_customers == MF_RELAY_CUSTOMERS_MAX)
+    return &counters->customers[MF_RELAY_CUSTOMERS_MAX];
+  row = &counters->customers[counters->n_customers++];
+  snprintf (row->name, sizeof row->name, "%s", name);
+  row->name_hash = name_hash;
+  return row;
+}
+
+/* Counts an event of a customer. The first customers that are seen have rows of their own until the
+ * process ends, which bounds the number of metrics. */
+void
+mf_relay_counters_note_customer (MfRelayCounters *counters, const char *name, uint64_t name_hash,
+                                 MfCustomerCount count)
+{
+  customer_row (counters, name, name_hash)->counts[count]++;
+}
+
+static const CounterInfo customer_infos[MF_CUSTOMER_N_COUNTS] = {
+  [MF_CUSTOMER_REQUESTS] = { "requests", "requests of a customer" },
+  [MF_CUSTOMER_ANSWERED] = { "answers", "of these, answered completely" },
+  [MF_CUSTOMER_REFUSED] = { "refusals", "of these, refused before they ran" },
+  [MF_CUSTOMER_FAILED] = { "failures", "of these, failed, possibly after they ran" },
+  [MF_CUSTOMER_DEPARTED] = { "departures", "of these, given up by the caller" },
+};
+
+/* Without customers nothing is written. */
+static void
+customers_render (const MfRelayCounters *counters, MfBuffer *out)
+{
+  char line[320];
+
+  for (uint32_t i = 0; counters->n_customers > 0 && i < MF_CUSTOMER_N_COUNTS; i++)
+    {
+      const CounterInfo *info = &customer_infos[i];
+
+      snprintf (line, sizeof line,
+                "# HELP mangofork_relay_customer_%s_total %s\n"
+                "# TYPE mangofork_relay_customer_%s_total counter\n",
+                info->name, info->help, info->name);
+      mf_buffer_add_text (out, line);
+      for (uint32_t j = 0; j <= MF_RELAY_CUSTOMERS_MAX; j++)
+        {
+          const MfCustomerCounts *row = &counters->customers[j];
+
+          if (row->counts[MF_CUSTOMER_REQUESTS] == 0)
+            continue;
+          snprintf (line, sizeof line, "mangofork_relay_customer_%s_total{customer=\"%s\"} %llu\n",
+                    info->name, row->name, (unsigned long long)row->counts[i]);
+          mf_buffer_add_text (out, line);
+        }
+    }
+}
+
 static void
 histogram_render (const MfRelayHistogram *histogram, const char *name, MfBuffer *out)
 {
@@ -88,6 +151,7 @@
       mf_buffer_add_text (out, line);
     }
   mf_code_foreach (code_render, &(CodeRender){ .counters = counters, .out = out });
+  customers_render (counters, out);
   histogram_render (&counters->answer, "answer", out);
   histogram_render (&counters->first_event, "first_event", out);
   histogram_render (&counters->waited, "waited", out);
--- a/libmangofork/relay/relay_counters.h
+++ b/libmangofork/relay/relay_counters.h
@@ -42,6 +42,9 @@
   X (RATE_ASKED, "rate_asks_total", "requests that needed a unit of an upstream's rate limit")     \
   X (RATE_DENIED, "rate_denied_total", "of these, denied, as the limit was reached")               \
   X (RATE_LOCAL, "rate_local_total", "of these, decided locally, as no allocator replied")         \
+  X (KEYS_REFUSED, "keys_refused_total", "requests refused at once for their key")                 \
+  X (KEYS_REVOKED, "keys_revoked_total", "requests ended as their key was removed meanwhile")      \
+  X (KEYS_MOVED, "keys_moved_total", "requests whose key another customer has got meanwhile")      \
   X (CONNECTS, "connects_total", "connections opened to upstreams")
 
 typedef enum
@@ -59,9 +62,33 @@
   uint64_t count;
 } MfRelayHistogram;
 
+/* Customers with counters of their own; the others share one row. */
+#define MF_RELAY_CUSTOMERS_MAX 64
+/* Bytes of a customer's name in the counters, including the terminating NUL. */
+#define MF_RELAY_CUSTOMER_BYTES 128
+
+typedef enum
+{
+  MF_CUSTOMER_REQUESTS,
+  MF_CUSTOMER_ANSWERED,
+  MF_CUSTOMER_REFUSED,
+  MF_CUSTOMER_FAILED,
+  MF_CUSTOMER_DEPARTED,
+  MF_CUSTOMER_N_COUNTS,
+} MfCustomerCount;
+
+typedef struct
+{
+  char name[MF_RELAY_CUSTOMER_BYTES]; /* "": the customers without a row of their own */
+  uint64_t name_hash;
+  uint64_t counts[MF_CUSTOMER_N_COUNTS];
+} MfCustomerCounts;
+
 /* Counted since the process started. */
 typedef struct
 {
+  MfCustomerCounts customers[MF_RELAY_CUSTOMERS_MAX + 1]; /* the last one is the shared row */
+  uint32_t n_customers;                                   /* with a row of their own */
   uint64_t counts[MF_RELAY_N_COUNTERS];
   uint64_t by_code[64];         /* ended requests, by the index of their code */
   MfRelayHistogram answer;      /* plain requests: time to the complete response */
@@ -70,6 +97,8 @@
 } MfRelayCounters;
 
 void mf_relay_histogram_observe (MfRelayHistogram *histogram, uint64_t value_us);
+void mf_relay_counters_note_customer (MfRelayCounters *counters, const char *name,
+                                      uint64_t name_hash, MfCustomerCount count);
 void mf_relay_counters_render (const MfRelayCounters *counters, MfBuffer *out);
 
 #endif
