--- a/tests/test_platform_decode.c
+++ b/tests/test_platform_decode.c
@@ -263,6 +263,90 @@
   assert_false (platform_dialect.read_prefill ("", 0, &answer));
 }
 
+static MfRoutes *
+decode_customers (const char *customers, MfError *error)
+{
+  char text[2048];
+
+  *error = (MfError){ 0 };
+  snprintf (text, sizeof text,
+            "{\"version\":3,\"tenants\":%s,\"services\":[{\"name\":\"s\"}],\"routes\":[{\"name\":"
+            "\"r\",\"host\":\"h\",\"pathPrefix\":\"/\",\"kind\":\"idempotent\",\"service\":\"s\","
+            "\"authExempt\":true}]}",
+            customers);
+  return platform_decode_config (text, strlen (text), error);
+}
+
+static void
+test_customers (void **state)
+{
+  MfError error;
+  MfRoutes *routes
+      = decode_customers ("[{\"name\":\"a b\",\"apiKeys\":[\"k1\",\"k2\",\"k1\"],\"priority\":0,"
+                          "\"unit\":\"token_stream\",\"plainTokens\":200,\"ratePerS\":0.4,"
+                          "\"burst\":315000},{\"name\":\"c\",\"unit\":\"x\"}]",
+                          &error);
+  const MfCustomerInfo *info;
+
+  (void)state;
+  assert_non_null (routes);
+  assert_true (routes->routes[0].is_exempt);
+  assert_int_equal (mf_customers_n_keys (routes->customers), 2);
+  assert_int_equal (mf_customers_find (routes->customers, "k2", 2), 0);
+  assert_int_equal (mf_customers_find (routes->customers, "k", 1), MF_NONE);
+  info = mf_customers_get (routes->customers, 0);
+  assert_string_equal (info->name, "a b");
+  assert_true (info->has_priority && info->counts_tokens);
+  /* A rate below one is not 0, which would be no limit. */
+  assert_int_equal (info->per_s, 1);
+  assert_int_equal (info->burst, 315000);
+  assert_int_equal (info->plain_tokens, 200);
+  info = mf_customers_get (routes->customers, 1);
+  assert_false (info->has_priority || info->counts_tokens);
+  assert_int_equal (info->per_s, 0);
+  mf_routes_unref (routes);
+  /* An empty list is a list. */
+  routes = decode_customers ("[]", &error);
+  assert_non_null (routes);
+  assert_non_null (routes->customers);
+  mf_routes_unref (routes);
+}
+
+/* A faulty list refuses the version, and the error contains no key. */
+static void
+test_faulty_customers (void **state)
+{
+  static const struct
+  {
+    const char *text;
+    const char *why;
+  } rows[] = {
+    { "{}", "not a list" },
+    { "null", "not a list" },
+    { "[7]", "customer 1" },
+    { "[{\"name\":\"\"}]", "customer 1" },
+    { "[{\"name\":\"a\\r\\nX: y\"}]", "customer 1" },
+    { "[{\"name\":\"a\"},{\"name\":\"a\"}]", "two customers" },
+    { "[{\"name\":\"a\",\"apiKeys\":\"secret\"}]", "\"a\": \"apiKeys\"" },
+    { "[{\"name\":\"a\",\"apiKeys\":[\"secret\",\"\"]}]", "key 2" },
+    { "[{\"name\":\"a\",\"apiKeys\":[7]}]", "key 1" },
+    { "[{\"name\":\"a\",\"apiKeys\":[\"secret\"]},{\"name\":\"b\",\"apiKeys\":[\"secret\"]}]",
+      "\"b\": key 1 is also a key of customer \"a\"" },
+    { "[{\"name\":\"a\",\"ratePerS\":-1}]", "\"ratePerS\"" },
+    { "[{\"name\":\"a\",\"burst\":\"9\"}]", "\"burst\"" },
+    { "[{\"name\":\"a\",\"priority\":null}]", "\"priority\"" },
+  };
+  MfError error;
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (rows); i++)
+    {
+      assert_null (decode_customers (rows[i].text, &error));
+      assert_non_null (strstr (error.text, rows[i].why));
+      assert_null (strstr (error.text, "secret"));
+    }
+}
+
 int
 main (void)
 {
@@ -275,6 +359,8 @@
     cmocka_unit_test (test_config),
     cmocka_unit_test (test_config_with_faults),
     cmocka_unit_test (test_prefill_answer),
+    cmocka_unit_test (test_customers),
+    cmocka_unit_test (test_faulty_customers),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_platform_settings.c
+++ b/tests/test_platform_settings.c
@@ -27,7 +27,8 @@
       "1500\nbounds."
       "graceS=8.5\r\n"
       "bounds.retryBudgetRatio=0.25\nbounds.budgetWindowS=12\nbounds.retryBudgetSlack=52\n"
-      "bounds.fenceRequired=true\nbounds.leaseMs=2500";
+      "bounds.revokeMs=400\nbounds.strictRevocation=true\nbounds.fenceRequired=true\nbounds."
+      "leaseMs=2500";
   MfRelaySettings settings;
   MfError error;
 
@@ -43,6 +44,10 @@
   assert_int_equal (settings.recovery_us, 3500500);
   assert_int_equal (settings.grace_us, 8500000);
   assert_int_equal (settings.change_bound_us, 1500 * MF_US_PER_MS);
+  /* A key with two rows sets both. */
+  assert_int_equal (settings.config_apply_us, 1500 * MF_US_PER_MS);
+  assert_int_equal (settings.revoke_us, 400 * MF_US_PER_MS);
+  assert_true (settings.revokes_at_once);
   assert_true (settings.orders_fenced);
   assert_int_equal (settings.order_interval_us, 2500000);
   assert_int_equal (settings.retry_window_us, 12 * MF_US_PER_S);
@@ -64,6 +69,8 @@
   assert_true (parse (REQUIRED, &settings, &error));
   assert_int_equal (settings.recovery_us, 3 * MF_US_PER_S);
   assert_int_equal (settings.change_bound_us, 2 * MF_US_PER_S);
+  assert_int_equal (settings.config_apply_us, 2 * MF_US_PER_S);
+  assert_int_equal (settings.revoke_us, 0);
   assert_string_equal (settings.peers, "");
   assert_string_equal (settings.metrics, "");
 }
