Dispatch grants slots by priority and customer

Slot requests carry the hash of the customer's name and the priority as trailing members, which read as 0 where an older release does not send them. Requests whose turn comes too late at the customer's recent rate of grants are refused at once. Grants, waits and refusals are counted by customer.

--- a/libmangofork/relay/dispatch.c
+++ b/libmangofork/relay/dispatch.c
@@ -1,5 +1,6 @@
 #include "dispatch.h"
 
+#include "libmangofork/fair.h"
 #include "libmangofork/rate_share.h"
 
 #include <stdlib.h>
@@ -14,6 +15,16 @@
 /* A request whose KV use exceeds 1/OVERSIZED_DIVISOR of the capacity of an engine does not block
  * those behind it. */
 #define OVERSIZED_DIVISOR 2
+/* Services with fair queueing of their own, at most: as many as an instance leads. Further ones
+ * share the last. */
+#define QUEUES_MAX MF_LOAD_VOTES_MAX
+
+/* The fair queueing of one service. */
+typedef struct
+{
+  char service[MF_NAME_BYTES];
+  MfFair *fair;
+} ServiceQueue;
 
 typedef struct WaitingRequest WaitingRequest;
 struct WaitingRequest
@@ -23,6 +34,10 @@
   MfSlotRequest request;
   uint64_t arrived_us;     /* arrival of the caller's request, by the clock of this instance */
   uint64_t skipped_run_us; /* time of the last run in which no engine had capacity for it */
+  MfFair *fair;            /* of its service */
+  uint32_t flow;           /* of its customer in fair */
+  uint64_t queued_us;
+  bool is_counted; /* as one that waits */
 };
 
 /* A grant to another instance that is not included in its load reports yet. */
@@ -46,6 +61,11 @@
   uint32_t n_waiting;
   PendingGrant *pending;
   uint32_t next_tie_break;
+  uint64_t now_us; /* of the last request or run */
+  ServiceQueue queues[QUEUES_MAX];
+  uint32_t n_queues;
+  MfDispatchCustomer customers[MF_DISPATCH_CUSTOMERS_MAX];
+  uint32_t n_customers;
 };
 
 /* The targets, the callbacks and their data are borrowed. Returns NULL when out of memory. */
@@ -70,20 +90,98 @@
     mf_dispatch_drop_requester (dispatch, dispatch->waiting->requester);
   while (dispatch->pending != NULL)
     mf_dispatch_drop_requester (dispatch, dispatch->pending->requester);
+  for (uint32_t i = 0; i < dispatch->n_queues; i++)
+    mf_fair_free (dispatch->queues[i].fair);
   free (dispatch);
 }
 
+/* Returns the fair queueing of a service, or NULL when out of memory. */
+static MfFair *
+service_fair (MfDispatch *dispatch, const char *service)
+{
+  ServiceQueue *queue;
+
+  for (uint32_t i = 0; i < dispatch->n_queues; i++)
+    {
+      if (strcmp (dispatch->queues[i].service, service) == 0)
+        return dispatch->queues[i].fair;
+    }
+  if (dispatch->n_queues == QUEUES_MAX)
+    return dispatch->queues[QUEUES_MAX - 1].fair;
+  queue = &dispatch->queues[dispatch->n_queues];
+  queue->fair = mf_fair_new ();
+  if (queue->fair == NULL)
+    return NULL;
+  mf_name_set (queue->service, sizeof queue->service, service);
+  dispatch->n_queues++;
+  return queue->fair;
+}
+
+/* Returns the counters of a request's customer, or NULL as long as no request has had a customer.
+ */
+static MfDispatchCustomer *
+customer_counters (MfDispatch *dispatch, uint64_t customer)
+{
+  for (uint32_t i = 0; i < dispatch->n_customers; i++)
+    {
+      if (dispatch->customers[i].customer == customer)
+        return &dispatch->customers[i];
+    }
+  if (customer == 0 && dispatch->n_customers == 0)
+    return NULL;
+  if (dispatch->n_customers == MF_DISPATCH_CUSTOMERS_MAX)
+    return &dispatch->customers[MF_DISPATCH_CUSTOMERS_MAX - 1];
+  if (dispatch->n_customers == MF_DISPATCH_CUSTOMERS_MAX - 1)
+    customer = MF_DISPATCH_OTHER_CUSTOMERS;
+  dispatch->customers[dispatch->n_customers] = (MfDispatchCustomer){ .customer = customer };
+  return &dispatch->customers[dispatch->n_customers++];
+}
+
+static void
+waiting_remove (MfDispatch *dispatch, WaitingRequest **link)
+{
+  WaitingRequest *waiting = *link;
+
+  *link = waiting->next;
+  dispatch->n_waiting--;
+  free (waiting);
+}
+
+/* Returns the link to a queued request, or NULL. */
+static WaitingRequest **
+waiting_find (MfDispatch *dispatch, uint64_t requester, uint64_t id)
+{
+  for (WaitingRequest **link = &dispatch->waiting; *link != NULL; link = &(*link)->next)
+    {
+      if ((*link)->requester == requester && (*link)->request.id == id)
+        return link;
+    }
+  return NULL;
+}
+
 /* Queues a request; slots are granted only by mf_dispatch_run. */
 void
 mf_dispatch_enqueue (MfDispatch *dispatch, uint64_t requester, const MfSlotRequest *request,
                      uint64_t now_us)
 {
-  WaitingRequest *waiting;
+  WaitingRequest **known = waiting_find (dispatch, requester, request->id);
+  WaitingRequest *waiting = calloc (1, sizeof *waiting);
+  MfFair *fair = service_fair (dispatch, request->service);
 
-  mf_dispatch_cancel (dispatch, requester, request->id);
-  waiting = calloc (1, sizeof *waiting);
-  if (waiting == NULL)
-    return;
+  dispatch->now_us = now_us;
+  if (known != NULL)
+    {
+      mf_fair_leave ((*known)->fair, (*known)->flow);
+      waiting_remove (dispatch, known);
+    }
+  if (waiting == NULL || fair == NULL)
+    {
+      free (waiting);
+      return;
+    }
+  waiting->fair = fair;
+  waiting->flow = mf_fair_start (fair, request->customer, request->priority, now_us);
+  waiting->queued_us = now_us;
   waiting->requester = requester;
   waiting->request = *request;
   waiting->arrived_us = now_us > request->age_us ? now_us - request->age_us : 0;
@@ -129,27 +227,16 @@
   return request->age_us + *wait_us <= request->max_age_us;
 }
 
-static void
-waiting_remove (MfDispatch *dispatch, WaitingRequest **link)
-{
-  WaitingRequest *waiting = *link;
-
-  *link = waiting->next;
-  dispatch->n_waiting--;
-  free (waiting);
-}
-
 /* Removes a request of a requester if it is still queued. */
 void
 mf_dispatch_cancel (MfDispatch *dispatch, uint64_t requester, uint64_t id)
 {
-  for (WaitingRequest **link = &dispatch->waiting; *link != NULL; link = &(*link)->next)
-    {
-      if ((*link)->requester != requester || (*link)->request.id != id)
-        continue;
-      waiting_remove (dispatch, link);
-      return;
-    }
+  WaitingRequest **link = waiting_find (dispatch, requester, id);
+
+  if (link == NULL)
+    return;
+  mf_fair_fail ((*link)->fair, (*link)->flow, dispatch->now_us);
+  waiting_remove (dispatch, link);
 }
 
 /* Removes the requests of a requester whose connection was lost, and the grants to it. */
@@ -161,10 +248,13 @@
 
   while (*waiting != NULL)
     {
-      if ((*waiting)->requester == requester)
-        waiting_remove (dispatch, waiting);
-      else
-        waiting = &(*waiting)->next;
+      if ((*waiting)->requester != requester)
+        {
+          waiting = &(*waiting)->next;
+          continue;
+        }
+      mf_fair_leave ((*waiting)->fair, (*waiting)->flow);
+      waiting_remove (dispatch, waiting);
     }
   while (*pending != NULL)
     {
@@ -274,9 +364,9 @@
   return query;
 }
 
-/* Order of requests: first those whose prompt is prefilled, because an engine keeps its KV only for
- * a moment; then streams that have begun, which only the engines of one version can go on with;
- * then those that can still meet their objective; then the older one. */
+/* Order of requests of one customer: first those whose prompt is prefilled, because an engine keeps
+ * its KV only for a moment; then streams that have begun, which only the engines of one version can
+ * go on with; then those that can still meet their objective; then the older one. */
 static bool
 is_served_before (const WaitingRequest *one, const WaitingRequest *other, uint64_t now_us)
 {
@@ -317,12 +407,22 @@
 waiting_next (MfDispatch *dispatch, const FullServices *full, uint64_t now_us)
 {
   WaitingRequest **best = NULL;
+  MfFairRank best_rank = { 0 };
 
   for (WaitingRequest **link = &dispatch->waiting; *link != NULL; link = &(*link)->next)
     {
-      if ((*link)->skipped_run_us != now_us && !is_full (full, (*link)->request.service)
-          && (best == NULL || is_served_before (*link, *best, now_us)))
-        best = link;
+      WaitingRequest *waiting = *link;
+      MfFairRank rank;
+      int order;
+
+      if (waiting->skipped_run_us == now_us || is_full (full, waiting->request.service))
+        continue;
+      rank = mf_fair_rank (waiting->fair, waiting->flow);
+      order = best == NULL ? -1 : mf_fair_compare (&rank, &best_rank);
+      if (order > 0 || (order == 0 && !is_served_before (waiting, *best, now_us)))
+        continue;
+      best = link;
+      best_rank = rank;
     }
   return best;
 }
@@ -425,6 +525,42 @@
       = from_us + MF_RATE_MICRO * MF_US_PER_S / mf_rate_effective (target->limit.micro_per_s);
 }
 
+static void
+customers_note_grant (MfDispatch *dispatch, const WaitingRequest *waiting, uint64_t now_us)
+{
+  MfDispatchCustomer *counters = customer_counters (dispatch, waiting->request.customer);
+
+  if (counters == NULL)
+    return;
+  counters->n_granted++;
+  counters->waited_us += now_us - waiting->queued_us;
+}
+
+/* Counts the requests that were queued since the last run and have got no slot. The list begins
+ * with the latest. */
+static void
+customers_note_waits (MfDispatch *dispatch)
+{
+  for (WaitingRequest *waiting = dispatch->waiting; waiting != NULL && !waiting->is_counted;
+       waiting = waiting->next)
+    {
+      MfDispatchCustomer *counters = customer_counters (dispatch, waiting->request.customer);
+
+      waiting->is_counted = true;
+      if (counters != NULL)
+        counters->n_waited++;
+    }
+}
+
+/* Returns the counters of customers, and their number: none as long as no request has had a
+ * customer. */
+const MfDispatchCustomer *
+mf_dispatch_customers (const MfDispatch *dispatch, uint32_t *n_customers)
+{
+  *n_customers = dispatch->n_customers;
+  return dispatch->customers;
+}
+
 /* Grants the slots that are free. Returns the number of requests still queued. */
 uint32_t
 mf_dispatch_run (MfDispatch *dispatch, uint64_t now_us)
@@ -432,6 +568,7 @@
   FullServices full = { 0 };
   WaitingRequest **link;
 
+  dispatch->now_us = now_us;
   pending_expire (dispatch, now_us);
   while (full.n_services < FULL_SERVICES_MAX
          && (link = waiting_next (dispatch, &full, now_us)) != NULL)
@@ -442,6 +579,7 @@
 
       if (now_us > waiting->arrived_us + waiting->request.max_age_us)
         {
+          mf_fair_fail (waiting->fair, waiting->flow, now_us);
           waiting_remove (dispatch, link);
           continue;
         }
@@ -461,9 +599,12 @@
       engine_pace (dispatch, grant.decode, now_us);
       engine_pace (dispatch, grant.prefill, now_us);
       pending_add (dispatch, waiting, &grant, now_us);
+      mf_fair_finish (waiting->fair, waiting->flow, waiting->request.kv_tokens, now_us);
+      customers_note_grant (dispatch, waiting, now_us);
       waiting_remove (dispatch, link);
       dispatch->callbacks->grant (dispatch->data, requester, &grant);
     }
+  customers_note_waits (dispatch);
   return dispatch->n_waiting;
 }
 
@@ -479,6 +620,51 @@
   return false;
 }
 
+/* Whether the requests of its customer that go before a request leave it a slot in time, at the
+ * rate at which the customer was granted slots lately. */
+static bool
+fits_rate (MfDispatch *dispatch, const MfSlotRequest *request, uint64_t now_us, uint64_t *wait_us)
+{
+  WaitingRequest candidate = { .request = *request };
+  MfFair *fair = service_fair (dispatch, request->service);
+  uint32_t flow
+      = fair == NULL ? MF_NONE : mf_fair_find (fair, request->customer, request->priority);
+  uint64_t left_us
+      = request->max_age_us > request->age_us ? request->max_age_us - request->age_us : 0;
+  uint32_t n_before = 0;
+
+  if (flow == MF_NONE)
+    return true;
+  candidate.arrived_us = now_us > request->age_us ? now_us - request->age_us : 0;
+  for (const WaitingRequest *waiting = dispatch->waiting; waiting != NULL; waiting = waiting->next)
+    n_before += waiting->fair == fair && waiting->flow == flow
+                && is_served_before (waiting, &candidate, now_us);
+  return mf_fair_can_serve (fair, flow, n_before, left_us, now_us, wait_us);
+}
+
+/* Whether a request is to be queued. Otherwise no slot can be granted to it in time, it counts as
+ * refused, and wait_us is set to the time that the queue takes; 0 when it is not known. Without a
+ * customer and a priority, only rate limits of engines are a reason. */
+bool
+mf_dispatch_admit (MfDispatch *dispatch, const MfSlotRequest *request, uint64_t now_us,
+                   uint64_t *wait_us)
+{
+  MfDispatchCustomer *counters;
+  MfFair *fair;
+
+  if (mf_dispatch_can_serve (dispatch, request, wait_us)
+      && ((request->customer == 0 && request->priority == 0)
+          || fits_rate (dispatch, request, now_us, wait_us)))
+    return true;
+  counters = customer_counters (dispatch, request->customer);
+  if (counters != NULL)
+    counters->n_refused++;
+  fair = service_fair (dispatch, request->service);
+  if (fair != NULL)
+    mf_fair_refuse (fair, request->customer, request->priority, now_us);
+  return false;
+}
+
 /* Returns the number of queued requests. */
 uint32_t
 mf_dispatch_n_waiting (const MfDispatch *dispatch)
--- a/libmangofork/relay/job.h
+++ b/libmangofork/relay/job.h
@@ -141,6 +141,9 @@
 void mf_jobs_ask_engines (MfJobs *jobs);
 void mf_jobs_load_changed (MfJobs *jobs);
 void mf_jobs_schedule_dispatch (MfJobs *jobs);
+const char *mf_jobs_customer_name (const MfJobs *jobs, uint64_t customer, char *text,
+                                   size_t text_bytes);
+void mf_jobs_render_customers (const MfJobs *jobs, MfBuffer *out);
 
 extern const MfDispatchCallbacks mf_job_dispatch_callbacks;
 
--- a/libmangofork/relay/job_room.c
+++ b/libmangofork/relay/job_room.c
@@ -1,6 +1,7 @@
 #include "job_row.h"
 
 #include "libmangofork/clock.h"
+#include "libmangofork/fair.h"
 
 #include <string.h>
 
@@ -84,6 +85,19 @@
     }
 }
 
+/* Returns the priority of a request's customer, else of its route; 0 without customers. */
+static uint32_t
+job_priority (const MfJob *job)
+{
+  uint32_t priority = job->route->priority;
+
+  if (job->routes->customers == NULL)
+    return 0;
+  if (job->customer != NULL && job->customer->has_priority)
+    priority = job->customer->priority;
+  return priority < MF_FAIR_PRIORITY_MAX ? priority : MF_FAIR_PRIORITY_MAX;
+}
+
 /* Builds a slot request. An interrupted stream takes precedence over streams that have not started,
  * as its caller has received a part of it. */
 static MfSlotRequest
@@ -100,6 +114,8 @@
     .objective_us = job->head_sent ? max_age_us : grant_objective_us (job),
     .max_age_us = max_age_us,
     .n_avoid = job->n_avoid,
+    .customer = job->customer != NULL ? job->customer->name_hash : 0,
+    .priority = job_priority (job),
   };
 
   memcpy (request.service, job->service->name,
@@ -118,7 +134,24 @@
 {
   job->slot_request_id = 0;
   job->pause_end_us = mf_clock_now_us () + wait_us;
-  mf_job_refuse (job, MF_CODE_QUEUE_FULL, "rate limits of the engines admit no further request");
+  mf_job_refuse (job, MF_CODE_QUEUE_FULL,
+                 "the queue for engine slots is longer than the time left");
+}
+
+/* Whether a slot request is to be queued at the dispatcher of this instance. Logs it if not. */
+static bool
+admit (MfJobs *jobs, const MfSlotRequest *request, uint64_t now_us, uint64_t *wait_us)
+{
+  char name[MF_NAME_BYTES];
+
+  if (mf_dispatch_admit (jobs->dispatch, request, now_us, wait_us))
+    return true;
+  mf_relay_log_state (jobs->log, "dispatch.refused",
+                      "customer=\"%s\" priority=%u service=%s waiting=%u wait_ms=%.1f",
+                      mf_jobs_customer_name (jobs, request->customer, name, sizeof name),
+                      request->priority, request->service, mf_dispatch_n_waiting (jobs->dispatch),
+                      (double)*wait_us / 1e3);
+  return false;
 }
 
 /* Enqueues the request at the dispatcher of this instance, or refuses it. It may have been freed on
@@ -131,7 +164,7 @@
   MfSlotRequest request = request_make (job, now_us);
   uint64_t wait_us = 0;
 
-  if (!mf_dispatch_can_serve (jobs->dispatch, &request, &wait_us))
+  if (!admit (jobs, &request, now_us, &wait_us))
     {
       job_reject (job, wait_us);
       return;
@@ -281,7 +314,7 @@
   uint64_t id = request->id;
   uint64_t wait_us = 0;
 
-  if (!mf_dispatch_can_serve (jobs->dispatch, request, &wait_us))
+  if (!admit (jobs, request, mf_clock_now_us (), &wait_us))
     {
       jobs->message.kind = MF_RELAY_MESSAGE_REJECTED;
       jobs->message.grant.id = id;
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -131,6 +131,7 @@
   counters->counts[MF_RELAY_COUNT_CONNECTS] = n_connects;
   mf_buffer_add_text (&headers, "Content-Type: text/plain; version=0.0.4\r\n");
   mf_relay_counters_render (counters, &text);
+  mf_jobs_render_customers (&relay->jobs, &text);
   snprintf (line, sizeof line,
             "mangofork_relay_requests_in_flight %u\nmangofork_relay_callers %u\n"
             "mangofork_relay_instances %u\n"
--- a/libmangofork/relay/relay_message.c
+++ b/libmangofork/relay/relay_message.c
@@ -1,6 +1,7 @@
 #include "relay_message.h"
 
 #include "libmangofork/clock.h"
+#include "libmangofork/fair.h"
 #include "libmangofork/frame_table.h"
 #include "libmangofork/part.h"
 
@@ -11,7 +12,9 @@
 #define REPORT_MEMBERS 7
 #define VOTE_MEMBERS 3
 #define ENTRY_MEMBERS 6
-#define SLOT_REQUEST_MEMBERS 12
+/* Older releases send no customer and no priority: the last two members. */
+#define SLOT_REQUEST_MEMBERS_MIN 12
+#define SLOT_REQUEST_MEMBERS 14
 #define GRANT_MEMBERS 4
 #define ID_MEMBERS 2
 #define REJECTED_MEMBERS 3
@@ -107,6 +110,8 @@
   for (uint32_t i = 0; i < request->n_avoid; i++)
     msgpack_pack_uint64 (packer, request->avoid[i]);
   msgpack_pack_uint64 (packer, request->version);
+  msgpack_pack_uint64 (packer, request->customer);
+  msgpack_pack_uint32 (packer, request->priority);
 }
 
 static void
@@ -465,6 +470,8 @@
   const msgpack_object *avoid = &members[10];
 
   request->n_avoid = 0;
+  request->customer = 0;
+  request->priority = 0;
   if (!read_number (&members[1], UINT64_MAX, &request->id)
       || !read_text (&members[2], request->service, sizeof request->service)
       || !read_text (&members[3], request->data_centre, sizeof request->data_centre)
@@ -486,6 +493,22 @@
   return true;
 }
 
+/* Reads the members that older releases do not send. */
+static bool
+slot_request_read_optional (const msgpack_object_array *members, MfRelayMessage *message)
+{
+  MfSlotRequest *request = &message->slot_request;
+  uint64_t priority = 0;
+
+  if (members->size < SLOT_REQUEST_MEMBERS)
+    return true;
+  if (!read_number (&members->ptr[12], UINT64_MAX, &request->customer)
+      || !read_number (&members->ptr[13], MF_FAIR_PRIORITY_MAX, &priority))
+    return false;
+  request->priority = (uint32_t)priority;
+  return true;
+}
+
 static bool
 grant_read (const msgpack_object *members, MfRelayMessage *message)
 {
@@ -772,11 +795,14 @@
   uint32_t n_members;
   void (*pack) (msgpack_packer *packer, const MfRelayMessage *message);
   bool (*read) (const msgpack_object *members, MfRelayMessage *message);
+  /* Reads members that the message may lack; NULL: there are none. */
+  bool (*read_optional) (const msgpack_object_array *members, MfRelayMessage *message);
 } MessageCodec;
 
 static const MessageCodec codecs[] = {
   [MF_RELAY_MESSAGE_REPORT] = { REPORT_MEMBERS, report_pack, report_read },
-  [MF_RELAY_MESSAGE_SLOT_REQUEST] = { SLOT_REQUEST_MEMBERS, slot_request_pack, slot_request_read },
+  [MF_RELAY_MESSAGE_SLOT_REQUEST]
+  = { SLOT_REQUEST_MEMBERS_MIN, slot_request_pack, slot_request_read, slot_request_read_optional },
   [MF_RELAY_MESSAGE_GRANT] = { GRANT_MEMBERS, grant_pack, grant_read },
   [MF_RELAY_MESSAGE_QUEUED] = { ID_MEMBERS, id_pack, id_read },
   [MF_RELAY_MESSAGE_CANCEL] = { ID_MEMBERS, id_pack, id_read },
@@ -835,7 +861,9 @@
   if (object->via.array.size < codecs[kind].n_members)
     return false;
   message->kind = (MfRelayMessageKind)kind;
-  return codecs[kind].read (object->via.array.ptr, message);
+  return codecs[kind].read (object->via.array.ptr, message)
+         && (codecs[kind].read_optional == NULL
+             || codecs[kind].read_optional (&object->via.array, message));
 }
 
 /* Decodes the payload of a frame; members beyond the known ones are ignored, and of a message of a
