--- a/libmangofork/relay/job_room.c
+++ b/libmangofork/relay/job_room.c
@@ -85,16 +85,12 @@
     }
 }
 
-/* Returns the priority of a request's customer, else of its route; 0 without customers. */
+/* Priority of a slot request; 0 without customers. */
 static uint32_t
-job_priority (const MfJob *job)
+slot_priority (const MfJob *job)
 {
-  uint32_t priority = job->route->priority;
+  uint32_t priority = job->routes->customers != NULL ? mf_job_priority (job) : 0;
 
-  if (job->routes->customers == NULL)
-    return 0;
-  if (job->customer != NULL && job->customer->has_priority)
-    priority = job->customer->priority;
   return priority < MF_FAIR_PRIORITY_MAX ? priority : MF_FAIR_PRIORITY_MAX;
 }
 
@@ -115,7 +111,7 @@
     .max_age_us = max_age_us,
     .n_avoid = job->n_avoid,
     .customer = job->customer != NULL ? job->customer->name_hash : 0,
-    .priority = job_priority (job),
+    .priority = slot_priority (job),
   };
 
   memcpy (request.service, job->service->name,
