Fair: what exceeds usual load and equal share comes after the others

Each customer now has an allowance of its usual load or its equal share, whichever is more; what exceeds it comes last in its priority.

--- a/libmangofork/fair.c
+++ b/libmangofork/fair.c
@@ -13,11 +13,27 @@
 /* One grant in this many goes to a starved flow. All of them together need 25.5 % of the grants at
  * most. */
 #define STARVED_ONE_IN 3
-/* The share of requests served is averaged over about SHARE_PERIOD_US / (1 - SHARE_KEPT): 10 s. */
-#define SHARE_PERIOD_US MF_US_PER_S
+/* Averages are brought up to date in periods of a second. */
+#define PERIOD_US MF_US_PER_S
+/* Periods without an event that are counted, at most: they make all loads small. */
+#define PERIODS_MAX 1200
+/* The share of requests served is averaged over about PERIOD_US / (1 - SHARE_KEPT): 10 s. */
 #define SHARE_KEPT 0.9
-/* Periods after which nothing is left of an average. */
-#define SHARE_PERIODS_MAX 200
+/* The usual load is averaged over this many periods, and known after USUAL_PERIODS_MIN. Longer than
+ * most bursts; a load that stays high for longer becomes usual. */
+#define USUAL_PERIODS 600
+#define USUAL_PERIODS_MIN 60
+/* A period counts for at most this multiple of the usual load, and one request, so that a burst
+ * does not become usual within minutes. */
+#define USUAL_GROWTH_MAX 2.
+/* A load is within the usual up to this multiple of it. */
+#define USUAL_MARGIN 1.25
+/* And a burst of it of this many seconds, and one request. */
+#define USUAL_BURST_S 5.
+/* Weight of a period in the rate of grants of a level. */
+#define LEVEL_RATE_WEIGHT 0.2
+/* A flow with fewer requests a second than this counts as idle. */
+#define ACTIVE_PER_S_MIN 0.05
 /* Period in which the rate of a flow's grants is measured. */
 #define RATE_PERIOD_US MF_US_PER_S
 /* A flow may get this many times its measured rate of grants before a refusal is wrong. */
@@ -42,6 +58,11 @@
   uint64_t rate_period_us;   /* start of the period of n_granted */
   uint32_t n_granted;        /* in this period and the one before */
   uint32_t n_granted_before;
+  uint32_t n_arrived; /* in this period of the averages */
+  uint32_t n_periods; /* since it is known here, up to USUAL_PERIODS */
+  double usual_per_s; /* requests */
+  double allowance;   /* requests that are within the usual load or the equal share */
+  double allowance_per_s;
 } Flow;
 
 /* State of one priority. */
@@ -50,6 +71,10 @@
   uint64_t virtual_time; /* tokens */
   uint64_t last_finish;  /* highest finish tag */
   uint32_t n_waiting;
+  uint32_t n_flows_waiting;
+  uint32_t n_granted; /* in this period of the averages */
+  double per_s;       /* moving average of the grants */
+  uint32_t n_flows;   /* that are not idle */
 } Level;
 
 struct MfFair
@@ -65,6 +90,8 @@
   uint64_t first_start[MF_FAIR_PRIORITY_MAX + 1];
   bool is_starved[MF_FAIR_FLOWS_MAX];
   bool ranks_valid;
+  uint64_t now_us;      /* of the last event */
+  uint64_t refilled_us; /* the allowances are of that time */
 };
 
 /* Returns NULL when out of memory. */
@@ -88,21 +115,65 @@
   share->n_granted *= kept;
 }
 
-/* Lets past requests count less. */
+/* Adds a period to the usual load of a flow. */
 static void
-decay (MfFair *fair, uint64_t now_us)
+usual_note (Flow *flow)
+{
+  double n_arrived = flow->n_arrived;
+
+  if (flow->n_periods >= USUAL_PERIODS_MIN && n_arrived > flow->usual_per_s * USUAL_GROWTH_MAX + 1.)
+    n_arrived = flow->usual_per_s * USUAL_GROWTH_MAX + 1.;
+  if (flow->n_periods < USUAL_PERIODS)
+    flow->n_periods++;
+  flow->usual_per_s += (n_arrived - flow->usual_per_s) / flow->n_periods;
+  flow->n_arrived = 0;
+}
+
+/* Ends a period of the averages. */
+static void
+period_end (MfFair *fair)
 {
-  uint64_t n_periods = (now_us - fair->decayed_us) / SHARE_PERIOD_US;
-  double kept = 1.;
-
-  if (now_us < fair->decayed_us || n_periods == 0)
-    return;
-  fair->decayed_us += n_periods * SHARE_PERIOD_US;
-  for (uint64_t i = 0; i < n_periods && i < SHARE_PERIODS_MAX; i++)
-    kept *= SHARE_KEPT;
-  share_decay (&fair->all, kept);
+  share_decay (&fair->all, SHARE_KEPT);
+  for (uint32_t i = 0; i <= MF_FAIR_PRIORITY_MAX; i++)
+    {
+      Level *level = &fair->levels[i];
+
+      level->per_s += (level->n_granted - level->per_s) * LEVEL_RATE_WEIGHT;
+      level->n_granted = 0;
+      level->n_flows = 0;
+    }
   for (uint32_t i = 0; i < fair->n_flows; i++)
-    share_decay (&fair->flows[i].share, kept);
+    {
+      Flow *flow = &fair->flows[i];
+
+      share_decay (&flow->share, SHARE_KEPT);
+      usual_note (flow);
+      fair->levels[flow->priority].n_flows
+          += flow->n_waiting > 0 || flow->usual_per_s >= ACTIVE_PER_S_MIN;
+    }
+  for (uint32_t i = 0; i < fair->n_flows; i++)
+    {
+      Flow *flow = &fair->flows[i];
+      const Level *level = &fair->levels[flow->priority];
+      double equal_per_s = level->n_flows > 0 ? level->per_s / level->n_flows : level->per_s;
+
+      flow->allowance_per_s = flow->usual_per_s * USUAL_MARGIN;
+      if (flow->allowance_per_s < equal_per_s)
+        flow->allowance_per_s = equal_per_s;
+    }
+}
+
+/* Ends the periods of the averages that are over. */
+static void
+decay (MfFair *fair, uint64_t now_us)
+{
+  if (fair->decayed_us == 0)
+    fair->decayed_us = fair->refilled_us = now_us;
+  fair->now_us = now_us;
+  if (now_us >= fair->decayed_us + PERIODS_MAX * PERIOD_US)
+    fair->decayed_us = now_us - PERIODS_MAX * PERIOD_US;
+  for (; now_us >= fair->decayed_us + PERIOD_US; fair->decayed_us += PERIOD_US)
+    period_end (fair);
 }
 
 /* Counts a request that has ended. */
@@ -197,12 +268,15 @@
   Flow *flow = &fair->flows[index];
   Level *level = &fair->levels[flow->priority];
 
+  decay (fair, now_us);
+  flow->n_arrived++;
   /* When nothing waits, nobody is owed anything. */
   if (level->n_waiting == 0 && level->last_finish > level->virtual_time)
     level->virtual_time = level->last_finish;
   if (flow->n_waiting == 0)
     {
       flow->waiting_since_us = now_us;
+      level->n_flows_waiting++;
       if (flow->start < level->virtual_time)
         flow->start = level->virtual_time;
     }
@@ -216,8 +290,10 @@
 void
 mf_fair_leave (MfFair *fair, uint32_t flow)
 {
-  fair->flows[flow].n_waiting--;
-  fair->levels[fair->flows[flow].priority].n_waiting--;
+  Level *level = &fair->levels[fair->flows[flow].priority];
+
+  level->n_waiting--;
+  level->n_flows_waiting -= --fair->flows[flow].n_waiting == 0;
   fair->ranks_valid = false;
 }
 
@@ -236,6 +312,7 @@
   uint32_t flow = flow_get (fair, customer, clamp_priority (priority), now_us);
 
   note_end (fair, &fair->flows[flow], false, now_us);
+  fair->flows[flow].n_arrived++;
 }
 
 /* Counts a grant in the rate of a flow. */
@@ -278,6 +355,8 @@
     fair->n_until_starved = STARVED_ONE_IN - 1;
   else if (fair->n_until_starved > 0)
     fair->n_until_starved--;
+  flow->allowance -= 1.;
+  level->n_granted++;
   rate_note (flow, now_us);
   note_end (fair, flow, true, now_us);
 }
@@ -290,9 +369,40 @@
          < flow->share.n_ended * fair->all.n_granted * STARVED_PER_MILLE;
 }
 
+/* Brings the allowances up to date. They are hardly ever negative: what a flow got beyond them
+ * while nobody else wanted it is not held against it. */
+static void
+allowances_refill (MfFair *fair)
+{
+  double passed_s = (double)(fair->now_us - fair->refilled_us) / (double)MF_US_PER_S;
+
+  fair->refilled_us = fair->now_us;
+  for (uint32_t i = 0; i < fair->n_flows; i++)
+    {
+      Flow *flow = &fair->flows[i];
+      double burst = flow->allowance_per_s * USUAL_BURST_S + 1.;
+
+      flow->allowance += flow->allowance_per_s * passed_s;
+      if (flow->allowance > burst)
+        flow->allowance = burst;
+      if (flow->allowance < -1.)
+        flow->allowance = -1.;
+    }
+}
+
+/* Whether the next request of a flow exceeds both its usual load and its equal share, while others
+ * of its priority wait. */
+static bool
+flow_is_excess (const MfFair *fair, const Flow *flow)
+{
+  return flow->n_periods >= USUAL_PERIODS_MIN && flow->allowance < 1.
+         && fair->levels[flow->priority].n_flows_waiting > 1;
+}
+
 static void
 ranks_compute (MfFair *fair)
 {
+  allowances_refill (fair);
   for (uint32_t i = 0; i < fair->n_flows; i++)
     fair->first_start[fair->flows[i].priority] = UINT64_MAX;
   for (uint32_t i = 0; i < fair->n_flows; i++)
@@ -318,6 +428,7 @@
   return (MfFairRank){
     .is_starved = fair->is_starved[index],
     .priority = flow->priority,
+    .is_excess = flow_is_excess (fair, flow),
     .lead = flow->start - fair->first_start[flow->priority],
   };
 }
@@ -330,6 +441,8 @@
     return one->is_starved ? -1 : 1;
   if (one->priority != other->priority)
     return one->priority < other->priority ? -1 : 1;
+  if (one->is_excess != other->is_excess)
+    return one->is_excess ? 1 : -1;
   return (one->lead > other->lead) - (one->lead < other->lead);
 }
 
--- a/libmangofork/fair.h
+++ b/libmangofork/fair.h
@@ -18,7 +18,8 @@
 {
   bool is_starved; /* and this grant goes to a starved flow */
   uint32_t priority;
-  uint64_t lead; /* tokens from the start tag of the first flow of its priority */
+  bool is_excess; /* its customer has had its usual load and its equal share */
+  uint64_t lead;  /* tokens from the start tag of the first flow of its priority */
 } MfFairRank;
 
 MfFair *mf_fair_new (void);
