Fair: a request costs at least the KV of one slot

A request without a token count cost nothing, so its customer's start tag never advanced and its older requests came first. An engine is also full when its slots are.

--- a/libmangofork/relay/dispatch.c
+++ b/libmangofork/relay/dispatch.c
@@ -469,6 +469,21 @@
          && request->kv_tokens * OVERSIZED_DIVISOR > config->kv_capacity_tokens;
 }
 
+/* Cost of a request in fair queueing: its KV tokens, or the part of the KV capacity that belongs to
+ * a slot if that is more, as an engine is also full when its slots are. */
+static uint64_t
+request_cost (const MfDispatch *dispatch, const MfSlotRequest *request)
+{
+  const MfRouteService *config
+      = dispatch->callbacks->service_config (dispatch->data, request->service);
+  uint64_t slot_tokens = 1;
+
+  if (config != NULL && config->engine_slots > 0
+      && config->kv_capacity_tokens > config->engine_slots)
+    slot_tokens = config->kv_capacity_tokens / config->engine_slots;
+  return request->kv_tokens > slot_tokens ? request->kv_tokens : slot_tokens;
+}
+
 /* Whether a request is bound to a version whose engines it could use if they had capacity. Other
  * requests, which may need less, must not take up what becomes free there. */
 static bool
@@ -599,7 +614,8 @@
       engine_pace (dispatch, grant.decode, now_us);
       engine_pace (dispatch, grant.prefill, now_us);
       pending_add (dispatch, waiting, &grant, now_us);
-      mf_fair_finish (waiting->fair, waiting->flow, waiting->request.kv_tokens, now_us);
+      mf_fair_finish (waiting->fair, waiting->flow, request_cost (dispatch, &waiting->request),
+                      now_us);
       customers_note_grant (dispatch, waiting, now_us);
       waiting_remove (dispatch, link);
       dispatch->callbacks->grant (dispatch->data, requester, &grant);
