--- a/tests/test_job_room.c
+++ b/tests/test_job_room.c
@@ -230,12 +230,92 @@
   relay_fleet_teardown (&fleet);
 }
 
+/* Adds two customers, whose names are also their keys, to the configuration of an instance. */
+static void
+customers_add (RelayFixture *instance)
+{
+  static const char *const names[] = { "large", "small" };
+  MfCustomers *customers = mf_customers_new (2);
+
+  assert_non_null (customers);
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      assert_true (mf_customers_set_name (customers, i, names[i]));
+      assert_true (mf_customers_add_key (customers, i, names[i], strlen (names[i])));
+    }
+  instance->jobs.routes->customers = customers;
+}
+
+static int
+start_customer_call (RelayFleet *fleet, uint32_t index, const char *key)
+{
+  char text[256];
+  int fd = loop_connect (fleet->instances[index].port);
+
+  assert_true (fd >= 0);
+  snprintf (text, sizeof text,
+            "POST /llm/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: t\r\nX-Deadline-Ms: 3000\r\n"
+            "X-Api-Key: %s\r\n\r\n",
+            key);
+  loop_send (fd, text, strlen (text));
+  loop_spin (fleet->loop, 10);
+  return fd;
+}
+
+/* Guards against slot requests that do not name the customer to the leader: of two slots that
+ * become free, one goes to the customer with one request, though those of the other are older. */
+static void
+test_leader_grants_slots_by_customer (void **state)
+{
+  RelayFleet fleet;
+  RelayFixture *leader;
+  uint32_t requester;
+  int running[SLOTS];
+  int waiting[N_WAITING];
+  const MfDispatchCustomer *rows;
+  uint32_t n_rows;
+  MfBuffer text = { 0 };
+
+  (void)state;
+  fleet_setup (&fleet, 1, relay_fixture_stream_hangs);
+  for (uint32_t i = 0; i < N_INSTANCES; i++)
+    customers_add (&fleet.instances[i]);
+  requester = (find_leader (&fleet) + 1) % N_INSTANCES;
+  leader = &fleet.instances[find_leader (&fleet)];
+  for (uint32_t i = 0; i < SLOTS; i++)
+    running[i] = start_customer_call (&fleet, requester, "large");
+  for (uint32_t i = 0; i < N_WAITING; i++)
+    waiting[i] = start_customer_call (&fleet, (requester + i) % N_INSTANCES,
+                                      i + 1 < N_WAITING ? "large" : "small");
+  close (running[0]);
+  close (running[1]);
+  loop_spin (fleet.loop, 60);
+  rows = mf_dispatch_customers (leader->jobs.dispatch, &n_rows);
+  assert_int_equal (n_rows, 2);
+  assert_true (rows[1].customer == mf_customers_get (leader->jobs.routes->customers, 1)->name_hash);
+  assert_int_equal (rows[0].n_waited, N_WAITING - 1);
+  assert_int_equal (rows[0].n_granted, SLOTS + 1);
+  assert_int_equal (rows[1].n_granted, 1);
+  mf_jobs_render_customers (&leader->jobs, &text);
+  mf_buffer_add (&text, "", 1);
+  assert_non_null (strstr (mf_buffer_data (&text),
+                           "mangofork_relay_customer_grants_total{customer=\"small\"} 1\n"));
+  mf_buffer_clear (&text);
+  for (uint32_t i = 2; i < SLOTS; i++)
+    close (running[i]);
+  for (uint32_t i = 0; i < N_WAITING; i++)
+    close (waiting[i]);
+  loop_spin (fleet.loop, 10);
+  relay_fleet_teardown (&fleet);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_waiting_requests_ask_the_next_leader),
     cmocka_unit_test (test_queued_request_is_answered_while_another_is_granted),
+    cmocka_unit_test (test_leader_grants_slots_by_customer),
     cmocka_unit_test (test_leader_grants_retries_that_others_do_not_use),
     cmocka_unit_test (test_retries_of_two_sends_keep_to_the_common_budget),
     cmocka_unit_test (test_engine_that_the_requester_does_not_know_is_avoided),
