Placement takes the cost of other data centres from spillover where that is on

Engine slots are granted centrally and take the crossing alone; a prefill counts the KV that goes to the engine that decodes. Counters by service and reason, a log line per change of a share.

Core: at most 0.9 leave, and the share falls where the times here have not been seen for 8 s, as all could leave and never learn that upstreams here have recovered. A request larger than the average pays for the rest.

test_place compares costs without spillover with an independent computation, bit by bit: 3 roles, 9 loads, 3 upstreams.

--- a/libmangofork/relay/dispatch.c
+++ b/libmangofork/relay/dispatch.c
@@ -264,6 +264,7 @@
     .service_config = config,
     .n_avoid = request->n_avoid,
     .data_centre = request->data_centre,
+    .spillover = dispatch->targets->spillover,
     .must_fit = role == MF_ROLE_DECODE,
     .is_grant = true,
     .max_wait_us = MF_DISPATCH_RATE_WAIT_US,
@@ -352,6 +353,7 @@
   if (request->is_prefilled)
     return true;
   query = place_query (dispatch, request, config, MF_ROLE_PREFILL);
+  query.decode_data_centre = decode->info.data_centre;
   prefill = mf_place_choose (dispatch->targets, &query, now_us, &any_available);
   if (prefill != NULL && !mf_target_is_suspect (prefill, now_us))
     grant->prefill = prefill->id_hash;
--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -758,6 +758,7 @@
   jobs->log = log;
   jobs->jobs_max = JOBS_MAX;
   jobs->answer_bytes_max = ANSWERS_BYTES_MAX;
+  jobs->spillover_us_per_kb = MF_SPILLOVER_US_PER_KB_DEFAULT;
   jobs->targets.loop = loop;
   jobs->targets.callbacks = &mf_job_targets_callbacks;
   jobs->targets.user_data = jobs;
@@ -798,6 +799,7 @@
   mf_suspects_free (jobs->suspects);
   mf_origins_free (jobs->origins);
   mf_rate_shares_free (jobs->rates);
+  mf_spillover_free (jobs->spillover);
   mf_routes_unref (jobs->routes);
   jobs->routes = NULL;
 }
--- a/libmangofork/relay/job.h
+++ b/libmangofork/relay/job.h
@@ -59,6 +59,14 @@
   uint64_t tokens;
 } MfEngineAsk;
 
+/* When requests leave their data centre by observed times instead of constant costs. */
+typedef enum
+{
+  MF_SPILLOVER_AUTO, /* where the configuration has customers */
+  MF_SPILLOVER_ON,
+  MF_SPILLOVER_OFF,
+} MfSpilloverMode;
+
 /* State shared by all requests of one instance. */
 typedef struct
 {
@@ -120,6 +128,9 @@
   ev_timer quarantine_timer;   /* ends quarantined requests in the next iteration of the loop */
   uint64_t random_state;       /* state of the random number generator */
   MfShutdown shutdown;
+  MfSpilloverMode spillover_mode;
+  double spillover_us_per_kb;
+  MfSpillover *spillover; /* NULL: it has not been on; in use while targets refers to it */
   MfRelayCounters counters;
 } MfJobs;
 
@@ -141,6 +152,8 @@
 void mf_jobs_ask_engines (MfJobs *jobs);
 void mf_jobs_load_changed (MfJobs *jobs);
 void mf_jobs_schedule_dispatch (MfJobs *jobs);
+void mf_jobs_tick_spillover (MfJobs *jobs, uint64_t now_us);
+void mf_jobs_render_spillover (const MfJobs *jobs, MfBuffer *out);
 
 extern const MfDispatchCallbacks mf_job_dispatch_callbacks;
 
--- a/libmangofork/relay/job_answer.c
+++ b/libmangofork/relay/job_answer.c
@@ -248,6 +248,7 @@
       if (job->granted_us > 0)
         mf_jobs_note_first_event (job->jobs, now_us - job->granted_us);
     }
+  job->stream_bytes += n_bytes;
   mf_event_stream_feed (&job->events, bytes, n_bytes, &complete);
   mf_job_pass_on (job, &complete);
 }
@@ -396,6 +397,7 @@
   if (answer_is_good (answer))
     {
       mf_target_record_answer (target, now_us - job->sent_us, now_us);
+      mf_job_note_answer_bytes (job, target->info.role, mf_buffer_bytes (&answer->body));
       mf_job_move (job);
       mf_job_reply (job, answer);
       return;
@@ -504,6 +506,7 @@
       mf_target_record_answer (target, job_time_to_begin_us (job, target), mf_clock_now_us ());
       mf_jobs_note_answer (jobs, job->events.n_events * job->service->event_tokens,
                            mf_clock_now_us () - job->sent_us);
+      mf_job_note_answer_bytes (job, target->info.role, job->stream_bytes);
       mf_job_finish (job, MF_CODE_OK, "answered");
     }
   else
@@ -528,6 +531,7 @@
   uint64_t now_us = mf_clock_now_us ();
 
   mf_target_record_prefill (target, job->prompt_tokens, now_us - job->sent_us, now_us);
+  mf_job_note_answer_bytes (job, target->info.role, mf_buffer_bytes (&job->answer.body));
   job->kv_target = mf_target_ref (target);
   job->prefilled_us = now_us;
   job->kv_used = false;
--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -40,7 +40,11 @@
     .avoid_suspects = mf_job_is_suspect (job),
     .kv_data_centre
     = role == MF_ROLE_DECODE && job->kv_target != NULL ? job->kv_target->info.data_centre : NULL,
+    .decode_data_centre
+    = job->reserved_target != NULL ? job->reserved_target->info.data_centre : NULL,
     .data_centre = job->jobs->targets.data_centre,
+    .spillover = job->jobs->targets.spillover,
+    .request_bytes = mf_job_request_bytes (job),
     .tie_break = mf_jobs_random (job->jobs),
   };
 
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -166,6 +166,7 @@
   uint64_t inferred_version; /* by other instances, in their replies; 0: none */
   MfEventStream events;
   uint64_t first_event_us;
+  uint64_t stream_bytes; /* received of its stream */
 };
 
 /* job.c */
@@ -253,6 +254,11 @@
 uint32_t mf_jobs_n_instances (const MfJobs *jobs);
 uint32_t mf_job_connections_max (const MfJob *job);
 
+/* job_spillover.c: requests that leave their data centre. */
+uint64_t mf_job_request_bytes (const MfJob *job);
+void mf_job_note_spillover (const MfJob *job, const MfTarget *target, bool prefill);
+void mf_job_note_answer_bytes (const MfJob *job, MfRole role, uint64_t answer_bytes);
+
 /* job_shutdown.c: planned stops of this process. */
 bool mf_job_end_unfinishable (MfJob *job, bool is_accepted);
 bool mf_job_may_move (const MfJob *job);
--- a/libmangofork/relay/job_send.c
+++ b/libmangofork/relay/job_send.c
@@ -301,6 +301,7 @@
     mf_job_reserve (job, NULL);
   mf_target_begin_request (target, job->target_tokens, now_us);
   mf_target_note_send (target, now_us);
+  mf_job_note_spillover (job, target, prefill);
   mf_target_limit_idle (target, job->service->connections_max, mf_jobs_n_instances (jobs));
   if (job->is_engine)
     mf_jobs_load_changed (jobs);
--- a/libmangofork/relay/place.c
+++ b/libmangofork/relay/place.c
@@ -15,6 +15,8 @@
 /* Transferring KV to another data centre takes twice the link time; avoiding it is worth this share
  * of additional load. */
 #define CROSS_DATA_CENTRE_KV_SHARE 0.08
+/* Least relative cost of an upstream in another data centre for a request that is to leave. */
+#define LEAVING_COST_MIN 0.5
 /* Weight of the requests of this instance at an upstream: they stand for those of other instances
  * as well, whose load at plain services is unknown. */
 #define OTHER_INSTANCES_FACTOR 2.
@@ -69,6 +71,44 @@
   return strcmp (target->info.data_centre, query->data_centre) == 0;
 }
 
+/* Whether KV has to be moved to or from another data centre if the upstream is chosen. */
+static bool
+moves_kv (const MfTarget *target, const MfPlaceQuery *query)
+{
+  const char *other_end
+      = query->role == MF_ROLE_DECODE ? query->kv_data_centre : query->decode_data_centre;
+
+  return query->role != MF_ROLE_PLAIN
+         && (other_end != NULL ? strcmp (other_end, target->info.data_centre) != 0
+                               : !is_same_data_centre (target, query));
+}
+
+/* Adds to the cost of an upstream what spillover says of its data centre. An upstream of the
+ * sender's data centre costs more only if KV has to come from another one, or go there. */
+static double
+spillover_cost_us (double cost_us, const MfTarget *target, const MfPlaceQuery *query,
+                   uint64_t now_us)
+{
+  uint64_t kv_tokens = moves_kv (target, query) ? query->tokens : 0;
+  double crossed_us;
+
+  if (is_same_data_centre (target, query))
+    return cost_us + mf_spillover_kv_us (query->spillover, kv_tokens);
+  crossed_us = cost_us
+               + mf_spillover_cost_us (query->spillover,
+                                       &(MfSpilloverQuery){
+                                           .service = query->service,
+                                           .role = query->role,
+                                           .data_centre = target->info.data_centre,
+                                           .request_bytes = query->request_bytes,
+                                           .kv_moved_tokens = kv_tokens,
+                                           .is_central = query->is_grant,
+                                           .draw = query->tie_break,
+                                       },
+                                       now_us);
+  return crossed_us > cost_us * LEAVING_COST_MIN ? crossed_us : cost_us * LEAVING_COST_MIN;
+}
+
 /* Time since the last sign of life of an upstream with running requests. */
 static double
 silence_us (const MfTarget *target, uint64_t now_us)
@@ -85,8 +125,10 @@
 
   if (silent_us > answer_us)
     answer_us = silent_us;
-  return answer_us * (1. + OTHER_INSTANCES_FACTOR * target->n_active / slots)
-         + (is_same_data_centre (target, query) ? 0. : CROSS_DATA_CENTRE_COST_US);
+  answer_us *= 1. + OTHER_INSTANCES_FACTOR * target->n_active / slots;
+  if (query->spillover != NULL)
+    return spillover_cost_us (answer_us, target, query, now_us);
+  return answer_us + (is_same_data_centre (target, query) ? 0. : CROSS_DATA_CENTRE_COST_US);
 }
 
 static double
@@ -99,8 +141,11 @@
   /* The engine declines prompts for now. When all do, the one that may accept first is chosen. */
   if (target->full_until_us > now_us)
     cost_us += (double)MF_US_PER_S + (double)(target->full_until_us - now_us);
-  return (silent_us > cost_us ? silent_us : cost_us)
-         + (is_same_data_centre (target, query) ? 0. : CROSS_DATA_CENTRE_COST_US);
+  if (silent_us > cost_us)
+    cost_us = silent_us;
+  if (query->spillover != NULL)
+    return spillover_cost_us (cost_us, target, query, now_us);
+  return cost_us + (is_same_data_centre (target, query) ? 0. : CROSS_DATA_CENTRE_COST_US);
 }
 
 /* Cost of a decode: how full the engine is, as a share of its slots or its KV capacity, whichever
@@ -117,15 +162,15 @@
     kv_share = (double)(mf_target_load_tokens (target) + query->tokens)
                / (double)query->service_config->kv_capacity_tokens;
   share = slot_share > kv_share ? slot_share : kv_share;
-  if (query->kv_data_centre != NULL ? strcmp (query->kv_data_centre, target->info.data_centre) != 0
-                                    : !is_same_data_centre (target, query))
+  if (query->spillover == NULL && moves_kv (target, query))
     share += CROSS_DATA_CENTRE_KV_SHARE;
   if (target->full_until_us > now_us)
     share += 1.;
   /* With running streams, a second without an event is too long for a normal pause. */
   if (silence_us (target, now_us) > (double)MF_US_PER_S)
     share += 2.;
-  return share * (double)MF_US_PER_S;
+  share *= (double)MF_US_PER_S;
+  return query->spillover != NULL ? spillover_cost_us (share, target, query, now_us) : share;
 }
 
 /* Whether a request there would open a connection beyond this instance's part of them. */
--- a/libmangofork/relay/place.h
+++ b/libmangofork/relay/place.h
@@ -4,6 +4,8 @@
 #include "route.h"
 #include "target.h"
 
+#include "libmangofork/spillover.h"
+
 /* Maximum upstreams that one request avoids. */
 #define MF_PLACE_AVOID_MAX 16
 
@@ -22,15 +24,20 @@
   uint32_t n_avoid;
   const char *data_centre;    /* of the sending instance */
   const char *kv_data_centre; /* of the prefilled KV; NULL: none */
-  uint32_t connections_max;   /* part of this instance in an upstream's connections; 0: unknown */
-  bool avoid_suspects;        /* avoid upstreams that run suspect requests */
-  bool must_fit;              /* only engines with free capacity */
-  bool is_grant;              /* for a request of any instance, which is granted a slot */
-  uint64_t max_wait_us;       /* how long it may wait until an upstream's rate limit admits it */
+  /* For a prefill: of the engine that decodes; NULL: taken to be that of the sending instance. */
+  const char *decode_data_centre;
+  const MfSpillover *spillover; /* decides what another data centre costs; NULL: constants */
+  uint64_t request_bytes;       /* of head and body; 0: unknown */
+  uint32_t connections_max;     /* part of this instance in an upstream's connections; 0: unknown */
+  bool avoid_suspects;          /* avoid upstreams that run suspect requests */
+  bool must_fit;                /* only engines with free capacity */
+  bool is_grant;                /* for a request of any instance, which is granted a slot */
+  uint64_t max_wait_us;         /* how long it may wait until an upstream's rate limit admits it */
   /* Versions that only a request bound to one of them may use. */
   uint64_t kept_versions[MF_PLACE_KEPT_VERSIONS_MAX];
   uint32_t n_kept_versions;
-  uint32_t tie_break; /* uniform random number; decides between equal costs */
+  uint32_t tie_break; /* uniform random number; decides between equal costs, and
+                         whether the request is in the share that may leave its data centre */
 } MfPlaceQuery;
 
 bool mf_place_avoids (const uint64_t *avoid, uint32_t n_avoid, const MfTarget *target);
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -131,6 +131,7 @@
   counters->counts[MF_RELAY_COUNT_CONNECTS] = n_connects;
   mf_buffer_add_text (&headers, "Content-Type: text/plain; version=0.0.4\r\n");
   mf_relay_counters_render (counters, &text);
+  mf_jobs_render_spillover (&relay->jobs, &text);
   snprintf (line, sizeof line,
             "mangofork_relay_requests_in_flight %u\nmangofork_relay_callers %u\n"
             "mangofork_relay_instances %u\n"
@@ -591,6 +592,7 @@
     }
   mf_jobs_expire_failures (&relay->jobs, now_us);
   settings_watch (relay, now_us);
+  mf_jobs_tick_spillover (&relay->jobs, now_us);
   /* Reports of a peer that has become silent expire. */
   relay->jobs.remote_load_stale = true;
   if (relay_is_stopping (relay))
@@ -752,6 +754,15 @@
   return relay;
 }
 
+/* Sets when requests leave their data centre by observed times, and the time that a caller must
+ * gain for each kilobyte that is sent to another one. Before mf_relay_run only. */
+void
+mf_relay_set_spillover (MfRelay *relay, MfSpilloverMode mode, double us_per_kb)
+{
+  relay->jobs.spillover_mode = mode;
+  relay->jobs.spillover_us_per_kb = us_per_kb;
+}
+
 /* Serves until SIGTERM or SIGINT, and then until its requests have ended or the grace period is
  * over. */
 void
--- a/libmangofork/relay/relay.h
+++ b/libmangofork/relay/relay.h
@@ -57,6 +57,7 @@
 } MfRelayDeployment;
 
 MfRelay *mf_relay_new (const MfRelayDeployment *deployment, const char *path, MfError *error);
+void mf_relay_set_spillover (MfRelay *relay, MfSpilloverMode mode, double us_per_kb);
 void mf_relay_run (MfRelay *relay);
 void mf_relay_free (MfRelay *relay);
 
--- a/libmangofork/relay/target.h
+++ b/libmangofork/relay/target.h
@@ -7,6 +7,7 @@
 #include "version.h"
 
 #include "libmangofork/rate.h"
+#include "libmangofork/spillover.h"
 
 /* Bytes of the id of an upstream, including the terminating NUL. */
 #define MF_TARGET_ID_BYTES 64
@@ -148,6 +149,7 @@
   const MfTargetsCallbacks *callbacks; /* may be NULL */
   void *user_data;
   char data_centre[MF_NAME_BYTES];
+  MfSpillover *spillover; /* decides what leaves the data centre; NULL: constant costs do */
   MfTarget *first;
   uint32_t n_targets;
   uint64_t unacked_timeout_us;
--- a/libmangofork/spillover.c
+++ b/libmangofork/spillover.c
@@ -67,6 +67,10 @@
 #define PROBE_PART 0.1
 /* From this share on, the next probe may follow after the first interval again. */
 #define PROBE_RESET_SHARE 0.05
+/* Some requests stay, so that the times here are seen. Where they have not been seen for
+ * UNSEEN_HERE_US, the share falls. */
+#define SHARE_MAX 0.9
+#define UNSEEN_HERE_US (8 * MF_US_PER_S)
 /* Least change of a share that is reported, and least interval of reports. */
 #define REPORT_CHANGE 0.05
 #define REPORT_US (2 * MF_US_PER_S)
@@ -102,7 +106,6 @@
   double request_bytes; /* moving averages */
   double answer_bytes;
   double tokens;
-  double kv_tokens; /* moved by a request that crosses */
   uint64_t counts[MF_SPILLOVER_N_REASONS];
   uint64_t left_bytes;
 } Row;
@@ -283,11 +286,15 @@
   return row != NULL ? (uint64_t)row->tokens : 0;
 }
 
+/* Bytes that a request and its answer send to another data centre and back, without KV. */
 static double
 query_bytes (const Row *row, const MfSpilloverQuery *query)
 {
-  return (query->request_bytes > 0 ? (double)query->request_bytes : row->request_bytes)
-         + row->answer_bytes + (double)query->kv_moved_tokens * KV_PRICED_BYTES;
+  double request_bytes = row != NULL ? row->request_bytes : DEFAULT_BYTES;
+
+  if (query->request_bytes > 0)
+    request_bytes = (double)query->request_bytes;
+  return request_bytes + (row != NULL ? row->answer_bytes : DEFAULT_BYTES);
 }
 
 /* Records that a request was sent, where and why. data_centre is NULL if it has stayed. */
@@ -303,11 +310,10 @@
   row->counts[reason]++;
   if (query->request_bytes > 0)
     average_add (&row->request_bytes, (double)query->request_bytes, BYTES_WEIGHT);
-  if (query->kv_moved_tokens > 0)
-    average_add (&row->kv_tokens, (double)query->kv_moved_tokens, BYTES_WEIGHT);
   if (reason == MF_SPILLOVER_STAYED || query->data_centre == NULL)
     return;
-  row->left_bytes += (uint64_t)query_bytes (row, query);
+  row->left_bytes
+      += (uint64_t)(query_bytes (row, query) + (double)query->kv_moved_tokens * KV_PRICED_BYTES);
   centre = (Centre *)centre_find (row, query->data_centre);
   if (centre == NULL)
     return;
@@ -319,12 +325,25 @@
     }
 }
 
-/* Time that the way to a data centre and its price add to a request. */
+/* Returns the price of moving KV between data centres and the time that it takes, in microseconds.
+ */
+double
+mf_spillover_kv_us (const MfSpillover *spillover, uint64_t kv_tokens)
+{
+  double tokens = (double)kv_tokens;
+
+  return spillover->us_per_kb * tokens * KV_PRICED_BYTES / 1024. + tokens * KV_EXTRA_US_PER_TOKEN;
+}
+
+/* Time that the way to a data centre and its price add to a request. weight is that of the observed
+ * times; those of plain services include the network. */
 static double
-crossing_us (const MfSpillover *spillover, double bytes, double kv_tokens, double weight)
+crossing_us (const MfSpillover *spillover, MfRole role, double bytes, double kv_tokens,
+             double weight)
 {
-  return ROUND_TRIP_US * (1. - weight) + spillover->us_per_kb * bytes / 1024.
-         + kv_tokens * KV_EXTRA_US_PER_TOKEN;
+  return ROUND_TRIP_US * (role == MF_ROLE_PLAIN ? 1. - weight : 1.)
+         + spillover->us_per_kb * bytes / 1024.
+         + mf_spillover_kv_us (spillover, (uint64_t)kv_tokens);
 }
 
 static bool
@@ -350,13 +369,14 @@
   return centre->time_us * weight + row->here.time_us * (1. - weight);
 }
 
+/* The same for an average request of the row. KV of all of its tokens moves. */
 static double
 row_crossing_us (const MfSpillover *spillover, const Row *row, const Centre *centre,
                  uint64_t now_us)
 {
-  return crossing_us (spillover,
-                      row->request_bytes + row->answer_bytes + row->kv_tokens * KV_PRICED_BYTES,
-                      row->kv_tokens, centre_weight (centre, now_us));
+  return crossing_us (spillover, row->role, row->request_bytes + row->answer_bytes,
+                      row->role == MF_ROLE_PLAIN ? 0. : row->tokens,
+                      centre_weight (centre, now_us));
 }
 
 /* Returns the other data centre with the least expected time; NULL: none is usable
@@ -413,6 +433,11 @@
   int indication = row_indication (spillover, row, now_us, &gain_us);
   double news = 1. - pow (1. - NEWS_WEIGHT, row->here.n_news);
 
+  if (now_us - row->here.seen_us > UNSEEN_HERE_US)
+    {
+      indication = -1;
+      news = NEWS_MAX;
+    }
   if (news > NEWS_MAX)
     news = NEWS_MAX;
   row->here.n_news = 0;
@@ -439,7 +464,7 @@
 
       row->share -= news * (step > STEP_DOWN_MIN ? step : STEP_DOWN_MIN);
     }
-  row->share = row->share < 0. ? 0. : row->share > 1. ? 1. : row->share;
+  row->share = row->share < 0. ? 0. : row->share > SHARE_MAX ? SHARE_MAX : row->share;
 }
 
 static MfSpilloverReason
@@ -544,18 +569,24 @@
   const Row *row = row_find (spillover, query->service, query->role);
   const Centre *centre = row != NULL ? centre_find (row, query->data_centre) : NULL;
   double draw = (double)query->draw / 4294967296.;
+  double more_us;
   double cost_us;
 
-  if (centre == NULL)
-    return HOLD_US;
-  cost_us = crossing_us (spillover, query_bytes (row, query), (double)query->kv_moved_tokens,
-                         centre_weight (centre, now_us));
+  /* The instance that decides for all may itself be in the data centre of the upstream, or in a
+   * third one. */
+  cost_us = crossing_us (spillover, query->role, query_bytes (row, query),
+                         (double)query->kv_moved_tokens,
+                         centre != NULL ? centre_weight (centre, now_us) : 0.);
   if (query->is_central)
     return cost_us;
-  if (!centre_is_usable (centre, now_us))
+  if (centre == NULL || !centre_is_usable (centre, now_us))
     return cost_us + HOLD_US;
   if (draw < row->share && centre_is_known (centre, now_us))
-    return -LEAVE_PART * row->here.time_us;
+    {
+      /* The share has taken an average crossing into account; a larger request pays the rest. */
+      more_us = cost_us - row_crossing_us (spillover, row, centre, now_us);
+      return (more_us > 0. ? more_us : 0.) - LEAVE_PART * row->here.time_us;
+    }
   return draw < PROBE_PART && centre_needs_probe (spillover, row, centre, now_us)
              ? cost_us
              : cost_us + HOLD_US;
--- a/libmangofork/spillover.h
+++ b/libmangofork/spillover.h
@@ -86,6 +86,7 @@
                           void *data);
 double mf_spillover_cost_us (const MfSpillover *spillover, const MfSpilloverQuery *query,
                              uint64_t now_us);
+double mf_spillover_kv_us (const MfSpillover *spillover, uint64_t kv_tokens);
 MfSpilloverReason mf_spillover_reason (const MfSpillover *spillover, const char *service,
                                        MfRole role);
 const char *mf_spillover_reason_name (MfSpilloverReason reason);
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -332,6 +332,142 @@
   assert_int_equal (choose (&fleet, (MfPlaceQuery){ 0 }), 2);
 }
 
+/* Cost of an upstream without spillover, as documented: the time there, and a constant for another
+ * data centre. */
+static double
+constant_cost_us (const MfTarget *target, const MfPlaceQuery *query)
+{
+  bool is_other = strcmp (target->info.data_centre, query->data_centre) != 0;
+  double slots = target->info.slots;
+  double slot_share = (mf_target_load (target) + 1.) / slots;
+  double kv_share = (double)(mf_target_load_tokens (target) + query->tokens) / 100000.;
+
+  switch (query->role)
+    {
+    case MF_ROLE_PREFILL:
+      return 18. * (double)(mf_target_load_tokens (target) + query->tokens)
+             + (is_other ? 4000. : 0.);
+    case MF_ROLE_DECODE:
+      return ((slot_share > kv_share ? slot_share : kv_share) + (is_other ? 0.08 : 0.)) * 1e6;
+    default:
+      return 15000. * (1. + 2. * target->n_active / slots) + (is_other ? 4000. : 0.);
+    }
+}
+
+/* Guards against other placement where spillover is off. */
+static void
+test_constant_costs_without_spillover (void **state)
+{
+  static const MfRole roles[] = { MF_ROLE_PLAIN, MF_ROLE_PREFILL, MF_ROLE_DECODE };
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (roles); i++)
+    {
+      MfPlaceQuery query = {
+        .service = "llm",
+        .role = roles[i],
+        .tokens = 5000,
+        .service_config = &engine,
+        .data_centre = "b",
+        .decode_data_centre = "c",
+        .request_bytes = 100000,
+      };
+      Fleet fleet;
+
+      fleet_make (&fleet, roles[i]);
+      for (uint32_t n = 0; n < 9; n++)
+        {
+          MfTarget *loaded = &fleet.upstreams[n % 3];
+
+          for (uint32_t j = 0; j < 3; j++)
+            {
+              const MfTarget *target = &fleet.upstreams[j];
+              double cost_us = mf_place_cost_us (target, &query, NOW_US);
+
+              assert_true (cost_us == constant_cost_us (target, &query));
+            }
+          mf_target_begin_request (loaded, 700 * n, NOW_US);
+        }
+    }
+}
+
+/* Notes the same times for some seconds: here of "b", there of the others. */
+static MfSpillover *
+spillover_make (MfRole role, double here_us, double there_us)
+{
+  static const char *const centres[] = { "a", "b", "c" };
+  MfSpillover *spillover = mf_spillover_new (MF_SPILLOVER_US_PER_KB_DEFAULT, 0);
+
+  assert_non_null (spillover);
+  for (uint64_t now_us = NOW_US - 30 * MF_US_PER_S; now_us <= NOW_US; now_us += 100 * MF_US_PER_MS)
+    {
+      for (uint32_t i = 0; i < 3; i++)
+        mf_spillover_note (spillover,
+                           &(MfSpilloverNote){
+                               .service = "llm",
+                               .role = role,
+                               .data_centre = centres[i],
+                               .is_here = i == 1,
+                               .n_usable = 1,
+                               .time_us = i == 1 ? here_us : there_us,
+                               .time_seen_us = now_us,
+                           },
+                           now_us);
+      mf_spillover_update (spillover, now_us, NULL, NULL);
+    }
+  return spillover;
+}
+
+/* Guards against leaving without need, and against staying where nothing is usable. */
+static void
+test_share_decides_what_leaves (void **state)
+{
+  MfSpillover *idle = spillover_make (MF_ROLE_PLAIN, 15e3, 15e3);
+  MfSpillover *slow = spillover_make (MF_ROLE_PLAIN, 80e3, 15e3);
+  MfPlaceQuery query = { .spillover = idle, .request_bytes = 1024 };
+  Fleet fleet;
+
+  (void)state;
+  fleet_make (&fleet, MF_ROLE_PLAIN);
+  mf_target_begin_request (&fleet.upstreams[1], 0, NOW_US);
+  assert_int_equal (choose (&fleet, query), 1);
+  query.spillover = slow;
+  assert_int_not_equal (choose (&fleet, query), 1);
+  query.tie_break = UINT32_MAX;
+  assert_int_equal (choose (&fleet, query), 1);
+  /* A long request pays for its bytes. */
+  query.tie_break = 0;
+  query.request_bytes = 1024 * 1024;
+  assert_int_equal (choose (&fleet, query), 1);
+  query.tie_break = UINT32_MAX;
+  fleet.upstreams[1].suspect_until_us = NOW_US + 1;
+  assert_int_not_equal (choose (&fleet, query), 1);
+  mf_spillover_free (idle);
+  mf_spillover_free (slow);
+}
+
+/* The instance that grants slots for all has no share, and decides for other data centres too. */
+static void
+test_grants_add_the_crossing_alone (void **state)
+{
+  MfSpillover *spillover = mf_spillover_new (MF_SPILLOVER_US_PER_KB_DEFAULT, 0);
+  MfPlaceQuery query = { .spillover = spillover, .tokens = 5200, .is_grant = true };
+  Fleet fleet;
+
+  (void)state;
+  assert_non_null (spillover);
+  fleet_make (&fleet, MF_ROLE_DECODE);
+  assert_int_equal (choose (&fleet, query), 1);
+  fleet.upstreams[1].n_remote = 2;
+  assert_int_not_equal (choose (&fleet, query), 1);
+  /* The KV of a prefill has to come to the engine that decodes. */
+  fleet_make (&fleet, MF_ROLE_PREFILL);
+  assert_int_equal (choose (&fleet, query), 1);
+  query.decode_data_centre = "c";
+  assert_int_equal (choose (&fleet, query), 2);
+  mf_spillover_free (spillover);
+}
+
 int
 main (void)
 {
@@ -351,6 +487,9 @@
     cmocka_unit_test (test_upstream_is_used_once_its_rate_limit_admits_a_request),
     cmocka_unit_test (test_no_more_than_this_instances_part_of_connections),
     cmocka_unit_test (test_replaced_upstream_is_not_used_as_a_last_resort),
+    cmocka_unit_test (test_constant_costs_without_spillover),
+    cmocka_unit_test (test_share_decides_what_leaves),
+    cmocka_unit_test (test_grants_add_the_crossing_alone),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_spillover.c
+++ b/tests/test_spillover.c
@@ -455,12 +455,11 @@
              uint32_t old_s)
 {
   MfSpillover *spillover = mf_spillover_new (MF_SPILLOVER_US_PER_KB_DEFAULT, 0);
-  MfSpilloverQuery query = { .service = "llm", .role = role, .kv_moved_tokens = kv_tokens };
   uint64_t there_seen_us = 0;
   double share;
 
   assert_non_null (spillover);
-  mf_spillover_note_send (spillover, &query, MF_SPILLOVER_STAYED, 1);
+  mf_spillover_note_tokens (spillover, "llm", role, kv_tokens);
   for (uint64_t now_us = MF_US_PER_S; now_us < (seconds + 1) * MF_US_PER_S; now_us += NOTE_US)
     {
       MfSpilloverNote here = note_make (role, true, here_us, now_us);
