--- a/cli/relay.c
+++ b/cli/relay.c
@@ -5,25 +5,73 @@
 #include <argp.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 /* Environment variable with the path of the settings file, unless -s names it. */
 #define SETTINGS_VARIABLE "MANGOFORK_SETTINGS"
+/* At ten seconds a kilobyte, nothing leaves. */
+#define US_PER_KB_MAX 1e7
 
 typedef struct
 {
   const char *path;
   bool check_only;
+  MfSpilloverMode spillover;
+  double spillover_us_per_kb;
 } RelayArguments;
 
+/* Keys of options without a letter. */
+#define KEY_SPILLOVER 256
+#define KEY_SPILLOVER_US_PER_KB 257
+
+static const char *const spillover_names[] = {
+  [MF_SPILLOVER_AUTO] = "auto",
+  [MF_SPILLOVER_ON] = "on",
+  [MF_SPILLOVER_OFF] = "off",
+};
+
 static const struct argp_option options[] = {
   { .name = "settings",
     .key = 's',
     .arg = "FILE",
     .doc = "Settings file; default: $" SETTINGS_VARIABLE },
   { .name = "check", .key = 'n', .doc = "Check the settings and exit" },
+  { .name = "spillover",
+    .key = KEY_SPILLOVER,
+    .arg = "WHEN",
+    .doc = "Send requests to other data centres by observed times: auto (where the configuration "
+           "has customers; the default), on or off" },
+  { .name = "spillover-us-per-kb",
+    .key = KEY_SPILLOVER_US_PER_KB,
+    .arg = "US",
+    .doc = "Time that a caller must gain for each kilobyte sent to another data centre; default: "
+           "2000" },
   { 0 },
 };
 
+static MfSpilloverMode
+parse_spillover (const char *arg, const struct argp_state *state)
+{
+  for (size_t i = 0; i < MF_ARRAY_LEN (spillover_names); i++)
+    {
+      if (strcmp (arg, spillover_names[i]) == 0)
+        return (MfSpilloverMode)i;
+    }
+  argp_error (state, "--spillover takes auto, on or off");
+  return MF_SPILLOVER_AUTO;
+}
+
+static double
+parse_us_per_kb (const char *arg, const struct argp_state *state)
+{
+  char *end;
+  double us_per_kb = strtod (arg, &end);
+
+  if (end == arg || *end != '\0' || !(us_per_kb >= 0. && us_per_kb <= US_PER_KB_MAX))
+    argp_error (state, "--spillover-us-per-kb takes a number from 0 to %.0f", US_PER_KB_MAX);
+  return us_per_kb;
+}
+
 static error_t
 parse_option (int key, char *arg, struct argp_state *state)
 {
@@ -37,6 +85,12 @@
     case 'n':
       arguments->check_only = true;
       return 0;
+    case KEY_SPILLOVER:
+      arguments->spillover = parse_spillover (arg, state);
+      return 0;
+    case KEY_SPILLOVER_US_PER_KB:
+      arguments->spillover_us_per_kb = parse_us_per_kb (arg, state);
+      return 0;
     case ARGP_KEY_END:
       if (arguments->path == NULL)
         argp_error (state, "relay needs -s FILE or $" SETTINGS_VARIABLE);
@@ -56,7 +110,10 @@
 int
 command_relay (int argc, char **argv)
 {
-  RelayArguments arguments = { .path = getenv (SETTINGS_VARIABLE) };
+  RelayArguments arguments = {
+    .path = getenv (SETTINGS_VARIABLE),
+    .spillover_us_per_kb = MF_SPILLOVER_US_PER_KB_DEFAULT,
+  };
   MfRelaySettings settings = { 0 };
   MfError error = { 0 };
   MfRelay *relay;
@@ -75,6 +132,7 @@
       fprintf (stderr, "mangofork: %d: %s\n", (int)error.code, error.text);
       return EXIT_FAULTY;
     }
+  mf_relay_set_spillover (relay, arguments.spillover, arguments.spillover_us_per_kb);
   mf_relay_run (relay);
   mf_relay_free (relay);
   return EXIT_SUCCESS;
--- a/tests/test_cli.c
+++ b/tests/test_cli.c
@@ -67,9 +67,16 @@
 static void
 test_wrong_command_lines (void **state)
 {
-  static const char *const lines[] = {
-    "", "bake", "check", "check a b", "serve", "status", "explain 127.0.0.1:1", "digest key"
-  };
+  static const char *const lines[] = { "",
+                                       "bake",
+                                       "check",
+                                       "check a b",
+                                       "serve",
+                                       "status",
+                                       "explain 127.0.0.1:1",
+                                       "digest key",
+                                       "relay -s x --spillover=perhaps",
+                                       "relay -s x --spillover-us-per-kb=-1" };
   Output output;
 
   (void)state;
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -190,6 +190,37 @@
   fixture_end (&fixture);
 }
 
+/* Operators see where requests went and why; nothing of it is shown where spillover is off. */
+static void
+test_spillover_is_counted (void **state)
+{
+  Fixture fixture;
+
+  (void)state;
+  fixture_begin (&fixture);
+  mf_relay_set_spillover (fixture.relay, MF_SPILLOVER_ON, 2000.);
+  config_put (&fixture, 1, "/a/");
+  upstream_put (&fixture, 0, "ready");
+  wait_for (&fixture, READY_PORT, "/ready", 200);
+  wait_for (&fixture, PORT, "/a/1", 200);
+  loop_spin (fixture.loop, 250);
+  assert_int_equal (status_of (&fixture, PORT, "/a/1"), 200);
+  status_of (&fixture, METRICS_PORT, "/metrics");
+  assert_non_null (strstr (fixture.received, "mangofork_relay_spillover_requests_total{service="
+                                             "\"s\",role=\"plain\",reason=\"stayed\"} 1\n"));
+  assert_non_null (strstr (fixture.received, "mangofork_relay_spillover_share{service=\"s\""));
+  fixture_end (&fixture);
+  /* Without customers in the configuration, it is off by default. */
+  fixture_begin (&fixture);
+  config_put (&fixture, 1, "/a/");
+  upstream_put (&fixture, 0, "ready");
+  wait_for (&fixture, PORT, "/a/1", 200);
+  loop_spin (fixture.loop, 250);
+  status_of (&fixture, METRICS_PORT, "/metrics");
+  assert_null (strstr (fixture.received, "spillover"));
+  fixture_end (&fixture);
+}
+
 static void
 test_newer_versions_replace_older_ones_only (void **state)
 {
@@ -1040,6 +1071,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_nothing_is_known_at_first),
+    cmocka_unit_test (test_spillover_is_counted),
     cmocka_unit_test (test_newer_versions_replace_older_ones_only),
     cmocka_unit_test (test_leaving_upstreams_get_nothing),
     cmocka_unit_test (test_lists_have_pages),
