Spillover: all leave where upstreams here fail, and grants avoid a cut link

Requests outside of the share stayed with upstreams of which every one fails: the failure factor makes them 0.2 s dear at most, and leaving 1 s. An upstream that fails a third of its requests does not count as usable now, and with none usable here nothing is added for staying. The leader left a cut data centre out of the share only, not of its grants.

--- a/libmangofork/relay/job_spillover.c
+++ b/libmangofork/relay/job_spillover.c
@@ -15,6 +15,9 @@
 /* Time of a plain upstream before any was observed, as in placement. */
 #define DEFAULT_ANSWER_US 15000.
 
+/* An upstream that fails this share of its requests does not count as usable: three failures in a
+ * row among answers. */
+#define FAILING_SHARE 0.35
 /* One request without a sign of life for this long shows as much as two. */
 #define ALONE_SILENT_US 1e6
 
@@ -48,11 +51,14 @@
   return &groups[(*n_groups)++];
 }
 
+/* Whether it takes requests and answers most of them. */
 static bool
 target_is_usable (const MfTarget *target, uint64_t now_us)
 {
   return mf_target_accepts (target, now_us) && mf_target_rate_ready (target, 0, now_us)
-         && target->stage_until_us <= now_us && !mf_target_is_suspect (target, now_us);
+         && target->stage_until_us <= now_us && !mf_target_is_suspect (target, now_us)
+         && mf_target_failure_share (target, now_us) < FAILING_SHARE
+         && target->remote_failure_share < FAILING_SHARE;
 }
 
 static double
@@ -140,6 +146,8 @@
 on_changed (void *data, const MfSpilloverInfo *info)
 {
   const MfJobs *jobs = data;
+  uint64_t n_left = info->counts[MF_SPILLOVER_QUEUEING] + info->counts[MF_SPILLOVER_SLOWER]
+                    + info->counts[MF_SPILLOVER_UNUSABLE];
 
   mf_relay_log_state (jobs->log, "spillover.share",
                       "service=%s stage=%s share=%.3f before=%.3f why=%s here_ms=%.1f there=%s "
@@ -148,9 +156,7 @@
                       mf_spillover_reason_name (info->reason), info->here_us / 1e3,
                       info->there[0] != '\0' ? info->there : "none", info->there_us / 1e3,
                       (unsigned long long)info->there_age_us / 1000, info->crossing_us / 1e3,
-                      (unsigned long long)(info->counts[MF_SPILLOVER_QUEUEING]
-                                           + info->counts[MF_SPILLOVER_SLOWER]
-                                           + info->counts[MF_SPILLOVER_UNUSABLE]));
+                      (unsigned long long)n_left);
 }
 
 static bool
--- a/libmangofork/spillover.c
+++ b/libmangofork/spillover.c
@@ -78,6 +78,7 @@
 typedef struct
 {
   char name[MF_NAME_BYTES];
+  bool is_noted;
   uint32_t n_usable;
   double time_us;  /* moving average; 0: none yet */
   double base_us;  /* without queues */
@@ -237,6 +238,7 @@
 
   if (centre == NULL)
     return;
+  centre->is_noted = true;
   centre->n_usable = note->n_usable;
   centre->prior_us = note->time_us;
   if (!note->is_here && note->silent_us > SILENT_MIN_US
@@ -577,9 +579,12 @@
   cost_us = crossing_us (spillover, query->role, query_bytes (row, query),
                          (double)query->kv_moved_tokens,
                          centre != NULL ? centre_weight (centre, now_us) : 0.);
-  if (query->is_central)
+  if (centre != NULL && !centre_is_usable (centre, now_us))
+    return cost_us + HOLD_US;
+  /* Upstreams here may be failing without being left out by placement. */
+  if (query->is_central || (row != NULL && row->here.is_noted && row->here.n_usable == 0))
     return cost_us;
-  if (centre == NULL || !centre_is_usable (centre, now_us))
+  if (centre == NULL)
     return cost_us + HOLD_US;
   if (draw < row->share && centre_is_known (centre, now_us))
     {
--- a/tests/test_spillover.c
+++ b/tests/test_spillover.c
@@ -269,7 +269,9 @@
           double per_tick
               = load * scenario->slots[home] / scenario->service_us[home] * (double)TICK_US;
 
-          for (per_tick += draw_unit (world) - 1.; per_tick > 0.; per_tick -= 1.)
+          uint32_t n_requests = (uint32_t)(per_tick + draw_unit (world));
+
+          for (uint32_t i = 0; i < n_requests; i++)
             {
               uint32_t n_home = (scenario->n_instances + 1 - home) / 2;
               double time_us;
@@ -510,6 +512,32 @@
   assert_true (slow > 0.3);
 }
 
+/* Guards against requests that stay with upstreams of which none answers. */
+static void
+test_all_leave_when_none_here_is_usable (void **state)
+{
+  MfSpillover *spillover = mf_spillover_new (MF_SPILLOVER_US_PER_KB_DEFAULT, 0);
+  MfSpilloverNote here = note_make (MF_ROLE_PLAIN, true, 20e3, MF_US_PER_S);
+  MfSpilloverNote there = note_make (MF_ROLE_PLAIN, false, 20e3, MF_US_PER_S);
+  MfSpilloverQuery query
+      = { .service = "llm", .role = MF_ROLE_PLAIN, .data_centre = "b", .draw = UINT32_MAX };
+
+  (void)state;
+  assert_non_null (spillover);
+  mf_spillover_note (spillover, &here, MF_US_PER_S);
+  mf_spillover_note (spillover, &there, MF_US_PER_S);
+  assert_true (mf_spillover_cost_us (spillover, &query, MF_US_PER_S) > 1e6);
+  here.n_usable = 0;
+  mf_spillover_note (spillover, &here, MF_US_PER_S);
+  assert_true (mf_spillover_cost_us (spillover, &query, MF_US_PER_S) < 10e3);
+  /* Not to where none is usable either, even for the one that decides for all. */
+  there.n_usable = 0;
+  mf_spillover_note (spillover, &there, MF_US_PER_S);
+  query.is_central = true;
+  assert_true (mf_spillover_cost_us (spillover, &query, MF_US_PER_S) > 1e6);
+  mf_spillover_free (spillover);
+}
+
 /* Guards against leaving for a gain that callers would not pay for: 4 ms for 1 KB. */
 static void
 test_price_of_bytes (void **state)
@@ -529,6 +557,7 @@
     cmocka_unit_test (test_slower_upstreams_are_left),
     cmocka_unit_test (test_old_information_is_not_used),
     cmocka_unit_test (test_prefills_count_the_kv_to_move),
+    cmocka_unit_test (test_all_leave_when_none_here_is_usable),
     cmocka_unit_test (test_price_of_bytes),
   };
 
