mangofork place: where a request would go now, and why

Asks a running relay over its metrics listener (GET /place). The instance answers with mf_place_choose, the cost of each candidate and the reason that leaves it out; the latter is mf_place_obstacle, which mf_place_choose now uses itself. Nothing is sent or counted: test_relay compares the sends before and after.

--- a/cli/command.h
+++ b/cli/command.h
@@ -16,6 +16,7 @@
 int command_status (int argc, char **argv);
 int command_report (int argc, char **argv);
 int command_explain (int argc, char **argv);
+int command_place (int argc, char **argv);
 int command_relay (int argc, char **argv);
 
 /* Reads a file or, for "-", standard input, to its end. Prints a message and returns NULL on
--- a/cli/main.c
+++ b/cli/main.c
@@ -15,7 +15,7 @@
 static const Command commands[] = {
   { "serve", command_serve },   { "check", command_check },     { "status", command_status },
   { "report", command_report }, { "explain", command_explain }, { "digest", command_digest },
-  { "relay", command_relay },
+  { "relay", command_relay },   { "place", command_place },
 };
 
 /* The selected command and its arguments. */
@@ -73,6 +73,7 @@
          "  status URL       show the state of an instance\n"
          "  report URL       report service-level burn rates\n"
          "  explain URL ID   show the steps of one request\n"
+         "  place URL        show where a request to the relay would go now\n"
          "  digest           print the digest of the API key on standard input\n"
          "\n"
          "Each command takes --help. Exit codes: 0 success, 1 failure, 2 invalid command line.",
--- a/libmangofork/relay/job.h
+++ b/libmangofork/relay/job.h
@@ -153,6 +153,8 @@
 void mf_jobs_load_changed (MfJobs *jobs);
 void mf_jobs_schedule_dispatch (MfJobs *jobs);
 void mf_jobs_tick_spillover (MfJobs *jobs, uint64_t now_us);
+uint32_t mf_jobs_render_placement (MfJobs *jobs, const char *query, size_t query_bytes,
+                                   MfBuffer *out);
 void mf_jobs_render_spillover (const MfJobs *jobs, MfBuffer *out);
 
 extern const MfDispatchCallbacks mf_job_dispatch_callbacks;
--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -18,11 +18,18 @@
 /* Returns this instance's part of the connections that an upstream of the service accepts from all
  * instances together, at least one; 0: not known. */
 uint32_t
-mf_job_connections_max (const MfJob *job)
+mf_jobs_connections_max (const MfJobs *jobs, const MfRouteService *service)
 {
-  uint32_t part = job->service->connections_max / mf_jobs_n_instances (job->jobs);
+  uint32_t part = service->connections_max / mf_jobs_n_instances (jobs);
+
+  return part > 0 || service->connections_max == 0 ? part : 1;
+}
 
-  return part > 0 || job->service->connections_max == 0 ? part : 1;
+/* The same for the service of a request. */
+uint32_t
+mf_job_connections_max (const MfJob *job)
+{
+  return mf_jobs_connections_max (job->jobs, job->service);
 }
 
 /* Placement criteria of a request for an upstream of the given role. */
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -252,6 +252,7 @@
 void mf_job_advance (MfJob *job);
 void mf_job_step_expired (MfJob *job);
 uint32_t mf_jobs_n_instances (const MfJobs *jobs);
+uint32_t mf_jobs_connections_max (const MfJobs *jobs, const MfRouteService *service);
 uint32_t mf_job_connections_max (const MfJob *job);
 
 /* job_spillover.c: requests that leave their data centre. */
--- a/libmangofork/relay/place.c
+++ b/libmangofork/relay/place.c
@@ -232,6 +232,53 @@
   return false;
 }
 
+static const char *const obstacle_names[] = {
+  [MF_PLACE_NO_OBSTACLE] = "",
+  [MF_PLACE_SUSPECT] = "cannot be reached; used only if there is no other",
+  [MF_PLACE_NOT_ELIGIBLE] = "has left, or has another role, service or version",
+  [MF_PLACE_CHANGING] = "changes its stage",
+  [MF_PLACE_PAUSED] = "has asked for a pause, or is held back",
+  [MF_PLACE_LIMITED] = "its rate limit is reached",
+  [MF_PLACE_PACED] = "its rate limit admits no further grant yet",
+  [MF_PLACE_AVOIDED] = "has declined or failed the request",
+  [MF_PLACE_KEPT] = "is kept for streams of its version",
+  [MF_PLACE_FULL] = "has no free capacity",
+  [MF_PLACE_REPLACED] = "another process answers at its address",
+};
+
+/* Returns an obstacle in words; "" for none. */
+const char *
+mf_place_obstacle_text (MfPlaceObstacle obstacle)
+{
+  return obstacle_names[obstacle];
+}
+
+/* Returns why an upstream is not to be chosen for the request. */
+MfPlaceObstacle
+mf_place_obstacle (const MfTarget *target, const MfPlaceQuery *query, uint64_t now_us)
+{
+  if (!is_eligible (target, query, now_us))
+    return MF_PLACE_NOT_ELIGIBLE;
+  if (target->stage_until_us > now_us)
+    return MF_PLACE_CHANGING;
+  if (!mf_target_accepts (target, now_us))
+    return MF_PLACE_PAUSED;
+  if (!mf_target_rate_ready (target, query->max_wait_us, now_us))
+    return MF_PLACE_LIMITED;
+  if (query->is_grant && target->dispatch_after_us > now_us)
+    return MF_PLACE_PACED;
+  if (mf_place_avoids (query->avoid, query->n_avoid, target))
+    return MF_PLACE_AVOIDED;
+  if (is_kept (target, query))
+    return MF_PLACE_KEPT;
+  if (query->must_fit && !mf_load_fits (target, query->service_config, query->tokens, now_us))
+    return MF_PLACE_FULL;
+  if (!mf_target_is_suspect (target, now_us))
+    return MF_PLACE_NO_OBSTACLE;
+  /* Another process would only decline what is meant for this one. */
+  return is_replaced (target, now_us) ? MF_PLACE_REPLACED : MF_PLACE_SUSPECT;
+}
+
 /* Returns the upstream that is expected to answer first. Returns NULL when none is usable;
  * any_available then says whether one of this role is known that is not leaving. */
 MfTarget *
@@ -246,26 +293,17 @@
   *any_available = false;
   for (MfTarget *target = targets->first; target != NULL; target = target->next)
     {
+      MfPlaceObstacle obstacle = mf_place_obstacle (target, query, now_us);
       double cost_us;
 
-      if (!is_eligible (target, query, now_us) || target->stage_until_us > now_us)
+      if (obstacle == MF_PLACE_NOT_ELIGIBLE || obstacle == MF_PLACE_CHANGING)
         continue;
       *any_available = true;
-      if (!mf_target_accepts (target, now_us)
-          || !mf_target_rate_ready (target, query->max_wait_us, now_us)
-          || (query->is_grant && target->dispatch_after_us > now_us)
-          || mf_place_avoids (query->avoid, query->n_avoid, target) || is_kept (target, query)
-          || (query->must_fit
-              && !mf_load_fits (target, query->service_config, query->tokens, now_us)))
+      if (obstacle == MF_PLACE_SUSPECT
+          && (suspect == NULL || target->suspect_until_us < suspect->suspect_until_us))
+        suspect = target;
+      if (obstacle != MF_PLACE_NO_OBSTACLE)
         continue;
-      if (mf_target_is_suspect (target, now_us))
-        {
-          /* Another process would only decline what is meant for this one. */
-          if (!is_replaced (target, now_us)
-              && (suspect == NULL || target->suspect_until_us < suspect->suspect_until_us))
-            suspect = target;
-          continue;
-        }
       cost_us = mf_place_cost_us (target, query, now_us);
       if (best == NULL || cost_us < best_us * 0.999)
         {
--- a/libmangofork/relay/place.h
+++ b/libmangofork/relay/place.h
@@ -40,6 +40,25 @@
                          whether the request is in the share that may leave its data centre */
 } MfPlaceQuery;
 
+/* Why an upstream is not chosen. */
+typedef enum
+{
+  MF_PLACE_NO_OBSTACLE,
+  MF_PLACE_SUSPECT, /* it is chosen only if there is no other */
+  MF_PLACE_NOT_ELIGIBLE,
+  MF_PLACE_CHANGING,
+  MF_PLACE_PAUSED,
+  MF_PLACE_LIMITED,
+  MF_PLACE_PACED,
+  MF_PLACE_AVOIDED,
+  MF_PLACE_KEPT,
+  MF_PLACE_FULL,
+  MF_PLACE_REPLACED,
+} MfPlaceObstacle;
+
+MfPlaceObstacle mf_place_obstacle (const MfTarget *target, const MfPlaceQuery *query,
+                                   uint64_t now_us);
+const char *mf_place_obstacle_text (MfPlaceObstacle obstacle);
 bool mf_place_avoids (const uint64_t *avoid, uint32_t n_avoid, const MfTarget *target);
 MfTarget *mf_place_choose (const MfTargets *targets, const MfPlaceQuery *query, uint64_t now_us,
                            bool *any_available);
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -48,6 +48,9 @@
  * of the process. */
 #define DRAIN_ACCEPT_PERCENT 70
 
+/* Path of the question where a request would go. */
+#define PLACEMENT_PATH "/place"
+
 /* Limits of a listener unless the configuration sets others. */
 static const MfListenerLimits default_limits = {
   .header_bytes_max = 16384,
@@ -149,6 +152,32 @@
   mf_buffer_clear (&text);
 }
 
+/* Answers where a request would go now, or the metrics for any other path. */
+static void
+on_admin_request (void *data, MfCaller *caller)
+{
+  static const char path[] = PLACEMENT_PATH "?";
+  MfRelay *relay = data;
+  const MfHead *head = mf_caller_head (caller);
+  const char *target = mf_head_text (head, 0);
+  size_t path_bytes = strlen (path);
+  MfBuffer headers = { 0 };
+  MfBuffer text = { 0 };
+  uint32_t status;
+
+  if (head->target_bytes < path_bytes || memcmp (target, path, path_bytes) != 0)
+    {
+      on_metrics_request (data, caller);
+      return;
+    }
+  status = mf_jobs_render_placement (&relay->jobs, target + path_bytes,
+                                     head->target_bytes - path_bytes, &text);
+  mf_buffer_add_text (&headers, "Content-Type: application/json\r\n");
+  mf_caller_reply (caller, status, &headers, mf_buffer_data (&text), mf_buffer_bytes (&text));
+  mf_buffer_clear (&headers);
+  mf_buffer_clear (&text);
+}
+
 static void
 on_refused (void *data, MfCode code)
 {
@@ -163,7 +192,7 @@
 };
 
 static const MfListenerCallbacks metrics_callbacks = {
-  .request = on_metrics_request,
+  .request = on_admin_request,
   .refused = on_refused,
 };
 
--- a/tests/test_cli.c
+++ b/tests/test_cli.c
@@ -4,7 +4,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
@@ -75,6 +78,7 @@
                                        "status",
                                        "explain 127.0.0.1:1",
                                        "digest key",
+                                       "place 127.0.0.1:1 --host h",
                                        "relay -s x --spillover=perhaps",
                                        "relay -s x --spillover-us-per-kb=-1" };
   Output output;
@@ -112,10 +116,72 @@
   (void)state;
   run ("", "status 127.0.0.1:1", &output);
   assert_int_equal (output.code, 1);
+  run ("", "place 127.0.0.1:1 --host h --path /a", &output);
+  assert_int_equal (output.code, 1);
   run ("", "explain 127.0.0.1:1 some-request", &output);
   assert_int_equal (output.code, 1);
 }
 
+/* Answers one request on a loopback port with a page, in a child process. Returns the port. */
+static unsigned
+serve_page (const char *page, pid_t *child)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t address_bytes = sizeof address;
+  int listener = socket (AF_INET, SOCK_STREAM, 0);
+  char text[4096];
+
+  assert_true (listener >= 0);
+  assert_int_equal (bind (listener, (struct sockaddr *)&address, sizeof address), 0);
+  assert_int_equal (listen (listener, 1), 0);
+  assert_int_equal (getsockname (listener, (struct sockaddr *)&address, &address_bytes), 0);
+  *child = fork ();
+  assert_true (*child >= 0);
+  if (*child == 0)
+    {
+      int fd = accept (listener, NULL, NULL);
+      int n = snprintf (text, sizeof text, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
+                        strlen (page), page);
+      char request[2048];
+
+      _exit (fd >= 0 && read (fd, request, sizeof request) > 0 && write (fd, text, (size_t)n) == n
+                 ? 0
+                 : 1);
+    }
+  close (listener);
+  return ntohs (address.sin_port);
+}
+
+/* The table names the choice, each candidate's cost and why it is left out. */
+static void
+test_place_prints_a_table (void **state)
+{
+  static const char page[]
+      = "{\"instance\":\"n1\",\"data_centre\":\"a\",\"spillover\":true,\"config\":7,"
+        "\"route\":\"r\",\"services\":[{\"service\":\"s\",\"weight\":3,\"roles\":[{"
+        "\"role\":\"plain\",\"chosen\":\"u1\",\"any_available\":true,\"share\":0.25,"
+        "\"chosen_in_share\":\"u2\",\"candidates\":[{\"upstream\":\"u1\",\"data_centre\":\"a\","
+        "\"cost_ms\":15.5,\"load\":2,\"load_tokens\":0,\"failure_share\":0.1,\"left_out\":\"\"},"
+        "{\"upstream\":\"u3\",\"data_centre\":\"a\",\"cost_ms\":20,\"left_out\":\"paused\"}]}]}]}";
+  char arguments[128];
+  Output output;
+  pid_t child;
+  int status;
+
+  (void)state;
+  snprintf (arguments, sizeof arguments, "place 127.0.0.1:%u --host h --path /a",
+            serve_page (page, &child));
+  run ("", arguments, &output);
+  assert_int_equal (waitpid (child, &status, 0), child);
+  assert_int_equal (status, 0);
+  assert_int_equal (output.code, 0);
+  assert_non_null (strstr (output.text, "plain: u1\n"));
+  assert_non_null (strstr (output.text, "0.250, to u2\n"));
+  assert_non_null (strstr (output.text, "15.5 ms"));
+  assert_non_null (strstr (output.text, "  paused\n"));
+}
+
 int
 main (void)
 {
@@ -125,6 +191,7 @@
     cmocka_unit_test (test_wrong_command_lines),
     cmocka_unit_test (test_digest_ignores_trailing_newline),
     cmocka_unit_test (test_unreachable_instance_fails),
+    cmocka_unit_test (test_place_prints_a_table),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -190,6 +190,47 @@
   fixture_end (&fixture);
 }
 
+static uint64_t
+n_sends (const Fixture *fixture)
+{
+  const char *line = strstr (fixture->received, "\nmangofork_relay_sends_total ");
+
+  assert_non_null (line);
+  return strtoull (line + strlen ("\nmangofork_relay_sends_total "), NULL, 10);
+}
+
+/* Guards against an answer that differs from what placement does, and against one that sends. */
+static void
+test_placement_is_shown_and_not_done (void **state)
+{
+  Fixture fixture;
+  uint64_t n_before;
+
+  (void)state;
+  fixture_begin (&fixture);
+  assert_int_equal (status_of (&fixture, METRICS_PORT, "/place?host=h&path=/a/1"), 503);
+  config_put (&fixture, 1, "/a/");
+  upstream_put (&fixture, 0, "ready");
+  upstream_put (&fixture, 1, "draining");
+  wait_for (&fixture, READY_PORT, "/ready", 200);
+  wait_for (&fixture, PORT, "/a/1", 200);
+  status_of (&fixture, METRICS_PORT, "/metrics");
+  n_before = n_sends (&fixture);
+  assert_int_equal (
+      status_of (&fixture, METRICS_PORT, "/place?method=GET&host=h&path=%2Fa%2F1&tokens=10,20"),
+      200);
+  assert_non_null (strstr (fixture.received, "\"chosen\":\"u0\""));
+  assert_non_null (strstr (fixture.received, "\"left_out\":\"\""));
+  assert_non_null (strstr (fixture.received, "\"left_out\":\"has left"));
+  assert_int_equal (status_of (&fixture, METRICS_PORT, "/place?host=h&path=/b/1"), 404);
+  assert_int_equal (status_of (&fixture, METRICS_PORT, "/place?host=h"), 400);
+  assert_int_equal (status_of (&fixture, METRICS_PORT, "/place?host=h&path=%2"), 400);
+  assert_int_equal (status_of (&fixture, METRICS_PORT, "/place?host=h&path=/a&tokens=1"), 400);
+  status_of (&fixture, METRICS_PORT, "/metrics");
+  assert_int_equal (n_sends (&fixture), n_before);
+  fixture_end (&fixture);
+}
+
 /* Operators see where requests went and why; nothing of it is shown where spillover is off. */
 static void
 test_spillover_is_counted (void **state)
@@ -1071,6 +1112,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_nothing_is_known_at_first),
+    cmocka_unit_test (test_placement_is_shown_and_not_done),
     cmocka_unit_test (test_spillover_is_counted),
     cmocka_unit_test (test_newer_versions_replace_older_ones_only),
     cmocka_unit_test (test_leaving_upstreams_get_nothing),
