--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -236,6 +236,7 @@
 test_spillover_is_counted (void **state)
 {
   Fixture fixture;
+  char text[256];
 
   (void)state;
   fixture_begin (&fixture);
@@ -250,6 +251,20 @@
   assert_non_null (strstr (fixture.received, "mangofork_relay_spillover_requests_total{service="
                                              "\"s\",role=\"plain\",reason=\"stayed\"} 1\n"));
   assert_non_null (strstr (fixture.received, "mangofork_relay_spillover_share{service=\"s\""));
+  assert_non_null (strstr (fixture.received, "reason=\"unusable\"} 0\n"));
+  snprintf (text, sizeof text,
+            "{\"service\":\"s\",\"address\":\"%s\",\"zone\":\"y\",\"version\":\"v1\",\"slots\":6,"
+            "\"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":9,\"born\":1}",
+            fake_upstream_address (fixture.upstreams[1]));
+  fake_store_put (fixture.store, "servers/u1", text);
+  upstream_put (&fixture, 0, "draining");
+  loop_spin (fixture.loop, 400);
+  assert_int_equal (status_of (&fixture, PORT, "/a/1"), 200);
+  status_of (&fixture, METRICS_PORT, "/metrics");
+  assert_non_null (strstr (fixture.received, "reason=\"stayed\"} 1\n"));
+  assert_non_null (strstr (fixture.received, "reason=\"unusable\"} 1\n"));
+  assert_null (
+      strstr (fixture.received, "spillover_bytes_total{service=\"s\",role=\"plain\"} 0\n"));
   fixture_end (&fixture);
   /* Without customers in the configuration, it is off by default. */
   fixture_begin (&fixture);
