--- a/libmangofork/relay/job.h
+++ b/libmangofork/relay/job.h
@@ -66,6 +66,13 @@
   bool is_valid; /* it presents exactly one key of an allowed length */
   uint8_t bytes[MF_DIGEST_BYTES];
 } MfKeyDigest;
+/* When requests leave their data centre by observed times instead of constant costs. */
+typedef enum
+{
+  MF_SPILLOVER_AUTO, /* where the configuration has customers */
+  MF_SPILLOVER_ON,
+  MF_SPILLOVER_OFF,
+} MfSpilloverMode;
 
 /* State shared by all requests of one instance. */
 typedef struct
@@ -131,6 +138,9 @@
   ev_timer quarantine_timer;   /* ends quarantined requests in the next iteration of the loop */
   uint64_t random_state;       /* state of the random number generator */
   MfShutdown shutdown;
+  MfSpilloverMode spillover_mode;
+  double spillover_us_per_kb;
+  MfSpillover *spillover; /* NULL: it has not been on; in use while targets refers to it */
   MfRelayCounters counters;
 } MfJobs;
 
@@ -155,6 +165,10 @@
 const char *mf_jobs_customer_name (const MfJobs *jobs, uint64_t customer, char *text,
                                    size_t text_bytes);
 void mf_jobs_render_customers (const MfJobs *jobs, MfBuffer *out);
+void mf_jobs_tick_spillover (MfJobs *jobs, uint64_t now_us);
+uint32_t mf_jobs_render_placement (MfJobs *jobs, const char *query, size_t query_bytes,
+                                   MfBuffer *out);
+void mf_jobs_render_spillover (const MfJobs *jobs, MfBuffer *out);
 
 extern const MfDispatchCallbacks mf_job_dispatch_callbacks;
 
--- a/libmangofork/relay/place.c
+++ b/libmangofork/relay/place.c
@@ -15,6 +15,8 @@
 /* Transferring KV to another data centre takes twice the link time; avoiding it is worth this share
  * of additional load. */
 #define CROSS_DATA_CENTRE_KV_SHARE 0.08
+/* Least relative cost of an upstream in another data centre for a request that is to leave. */
+#define LEAVING_COST_MIN 0.5
 /* Weight of the requests of this instance at an upstream: they stand for those of other instances
  * as well, whose load at plain services is unknown. */
 #define OTHER_INSTANCES_FACTOR 2.
@@ -69,6 +71,44 @@
   return strcmp (target->info.data_centre, query->data_centre) == 0;
 }
 
+/* Whether KV has to be moved to or from another data centre if the upstream is chosen. */
+static bool
+moves_kv (const MfTarget *target, const MfPlaceQuery *query)
+{
+  const char *other_end
+      = query->role == MF_ROLE_DECODE ? query->kv_data_centre : query->decode_data_centre;
+
+  return query->role != MF_ROLE_PLAIN
+         && (other_end != NULL ? strcmp (other_end, target->info.data_centre) != 0
+                               : !is_same_data_centre (target, query));
+}
+
+/* Adds to the cost of an upstream what spillover says of its data centre. An upstream of the
+ * sender's data centre costs more only if KV has to come from another one, or go there. */
+static double
+spillover_cost_us (double cost_us, const MfTarget *target, const MfPlaceQuery *query,
+                   uint64_t now_us)
+{
+  uint64_t kv_tokens = moves_kv (target, query) ? query->tokens : 0;
+  double crossed_us;
+
+  if (is_same_data_centre (target, query))
+    return cost_us + mf_spillover_kv_us (query->spillover, kv_tokens);
+  crossed_us = cost_us
+               + mf_spillover_cost_us (query->spillover,
+                                       &(MfSpilloverQuery){
+                                           .service = query->service,
+                                           .role = query->role,
+                                           .data_centre = target->info.data_centre,
+                                           .request_bytes = query->request_bytes,
+                                           .kv_moved_tokens = kv_tokens,
+                                           .is_central = query->is_grant,
+                                           .draw = query->tie_break,
+                                       },
+                                       now_us);
+  return crossed_us > cost_us * LEAVING_COST_MIN ? crossed_us : cost_us * LEAVING_COST_MIN;
+}
+
 /* Time since the last sign of life of an upstream with running requests. */
 static double
 silence_us (const MfTarget *target, uint64_t now_us)
@@ -85,8 +125,10 @@
 
   if (silent_us > answer_us)
     answer_us = silent_us;
-  return answer_us * (1. + OTHER_INSTANCES_FACTOR * target->n_active / slots)
-         + (is_same_data_centre (target, query) ? 0. : CROSS_DATA_CENTRE_COST_US);
+  answer_us *= 1. + OTHER_INSTANCES_FACTOR * target->n_active / slots;
+  if (query->spillover != NULL)
+    return spillover_cost_us (answer_us, target, query, now_us);
+  return answer_us + (is_same_data_centre (target, query) ? 0. : CROSS_DATA_CENTRE_COST_US);
 }
 
 static double
@@ -99,8 +141,11 @@
   /* The engine declines prompts for now. When all do, the one that may accept first is chosen. */
   if (target->full_until_us > now_us)
     cost_us += (double)MF_US_PER_S + (double)(target->full_until_us - now_us);
-  return (silent_us > cost_us ? silent_us : cost_us)
-         + (is_same_data_centre (target, query) ? 0. : CROSS_DATA_CENTRE_COST_US);
+  if (silent_us > cost_us)
+    cost_us = silent_us;
+  if (query->spillover != NULL)
+    return spillover_cost_us (cost_us, target, query, now_us);
+  return cost_us + (is_same_data_centre (target, query) ? 0. : CROSS_DATA_CENTRE_COST_US);
 }
 
 /* Cost of a decode: how full the engine is, as a share of its slots or its KV capacity, whichever
@@ -117,15 +162,15 @@
     kv_share = (double)(mf_target_load_tokens (target) + query->tokens)
                / (double)query->service_config->kv_capacity_tokens;
   share = slot_share > kv_share ? slot_share : kv_share;
-  if (query->kv_data_centre != NULL ? strcmp (query->kv_data_centre, target->info.data_centre) != 0
-                                    : !is_same_data_centre (target, query))
+  if (query->spillover == NULL && moves_kv (target, query))
     share += CROSS_DATA_CENTRE_KV_SHARE;
   if (target->full_until_us > now_us)
     share += 1.;
   /* With running streams, a second without an event is too long for a normal pause. */
   if (silence_us (target, now_us) > (double)MF_US_PER_S)
     share += 2.;
-  return share * (double)MF_US_PER_S;
+  share *= (double)MF_US_PER_S;
+  return query->spillover != NULL ? spillover_cost_us (share, target, query, now_us) : share;
 }
 
 /* Whether a request there would open a connection beyond this instance's part of them. */
@@ -187,6 +232,53 @@
   return false;
 }
 
+static const char *const obstacle_names[] = {
+  [MF_PLACE_NO_OBSTACLE] = "",
+  [MF_PLACE_SUSPECT] = "cannot be reached; used only if there is no other",
+  [MF_PLACE_NOT_ELIGIBLE] = "has left, or has another role, service or version",
+  [MF_PLACE_CHANGING] = "changes its stage",
+  [MF_PLACE_PAUSED] = "has asked for a pause, or is held back",
+  [MF_PLACE_LIMITED] = "its rate limit is reached",
+  [MF_PLACE_PACED] = "its rate limit admits no further grant yet",
+  [MF_PLACE_AVOIDED] = "has declined or failed the request",
+  [MF_PLACE_KEPT] = "is kept for streams of its version",
+  [MF_PLACE_FULL] = "has no free capacity",
+  [MF_PLACE_REPLACED] = "another process answers at its address",
+};
+
+/* Returns an obstacle in words; "" for none. */
+const char *
+mf_place_obstacle_text (MfPlaceObstacle obstacle)
+{
+  return obstacle_names[obstacle];
+}
+
+/* Returns why an upstream is not to be chosen for the request. */
+MfPlaceObstacle
+mf_place_obstacle (const MfTarget *target, const MfPlaceQuery *query, uint64_t now_us)
+{
+  if (!is_eligible (target, query, now_us))
+    return MF_PLACE_NOT_ELIGIBLE;
+  if (target->stage_until_us > now_us)
+    return MF_PLACE_CHANGING;
+  if (!mf_target_accepts (target, now_us))
+    return MF_PLACE_PAUSED;
+  if (!mf_target_rate_ready (target, query->max_wait_us, now_us))
+    return MF_PLACE_LIMITED;
+  if (query->is_grant && target->dispatch_after_us > now_us)
+    return MF_PLACE_PACED;
+  if (mf_place_avoids (query->avoid, query->n_avoid, target))
+    return MF_PLACE_AVOIDED;
+  if (is_kept (target, query))
+    return MF_PLACE_KEPT;
+  if (query->must_fit && !mf_load_fits (target, query->service_config, query->tokens, now_us))
+    return MF_PLACE_FULL;
+  if (!mf_target_is_suspect (target, now_us))
+    return MF_PLACE_NO_OBSTACLE;
+  /* Another process would only decline what is meant for this one. */
+  return is_replaced (target, now_us) ? MF_PLACE_REPLACED : MF_PLACE_SUSPECT;
+}
+
 /* Returns the upstream that is expected to answer first. Returns NULL when none is usable;
  * any_available then says whether one of this role is known that is not leaving. */
 MfTarget *
@@ -201,26 +293,17 @@
   *any_available = false;
   for (MfTarget *target = targets->first; target != NULL; target = target->next)
     {
+      MfPlaceObstacle obstacle = mf_place_obstacle (target, query, now_us);
       double cost_us;
 
-      if (!is_eligible (target, query, now_us) || target->stage_until_us > now_us)
+      if (obstacle == MF_PLACE_NOT_ELIGIBLE || obstacle == MF_PLACE_CHANGING)
         continue;
       *any_available = true;
-      if (!mf_target_accepts (target, now_us)
-          || !mf_target_rate_ready (target, query->max_wait_us, now_us)
-          || (query->is_grant && target->dispatch_after_us > now_us)
-          || mf_place_avoids (query->avoid, query->n_avoid, target) || is_kept (target, query)
-          || (query->must_fit
-              && !mf_load_fits (target, query->service_config, query->tokens, now_us)))
+      if (obstacle == MF_PLACE_SUSPECT
+          && (suspect == NULL || target->suspect_until_us < suspect->suspect_until_us))
+        suspect = target;
+      if (obstacle != MF_PLACE_NO_OBSTACLE)
         continue;
-      if (mf_target_is_suspect (target, now_us))
-        {
-          /* Another process would only decline what is meant for this one. */
-          if (!is_replaced (target, now_us)
-              && (suspect == NULL || target->suspect_until_us < suspect->suspect_until_us))
-            suspect = target;
-          continue;
-        }
       cost_us = mf_place_cost_us (target, query, now_us);
       if (best == NULL || cost_us < best_us * 0.999)
         {
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -48,6 +48,9 @@
  * of the process. */
 #define DRAIN_ACCEPT_PERCENT 70
 
+/* Path of the question where a request would go. */
+#define PLACEMENT_PATH "/place"
+
 /* Limits of a listener unless the configuration sets others. */
 static const MfListenerLimits default_limits = {
   .header_bytes_max = 16384,
@@ -132,6 +135,7 @@
   mf_buffer_add_text (&headers, "Content-Type: text/plain; version=0.0.4\r\n");
   mf_relay_counters_render (counters, &text);
   mf_jobs_render_customers (&relay->jobs, &text);
+  mf_jobs_render_spillover (&relay->jobs, &text);
   snprintf (line, sizeof line,
             "mangofork_relay_requests_in_flight %u\nmangofork_relay_callers %u\n"
             "mangofork_relay_instances %u\n"
@@ -149,6 +153,32 @@
   mf_buffer_clear (&text);
 }
 
+/* Answers where a request would go now, or the metrics for any other path. */
+static void
+on_admin_request (void *data, MfCaller *caller)
+{
+  static const char path[] = PLACEMENT_PATH "?";
+  MfRelay *relay = data;
+  const MfHead *head = mf_caller_head (caller);
+  const char *target = mf_head_text (head, 0);
+  size_t path_bytes = strlen (path);
+  MfBuffer headers = { 0 };
+  MfBuffer text = { 0 };
+  uint32_t status;
+
+  if (head->target_bytes < path_bytes || memcmp (target, path, path_bytes) != 0)
+    {
+      on_metrics_request (data, caller);
+      return;
+    }
+  status = mf_jobs_render_placement (&relay->jobs, target + path_bytes,
+                                     head->target_bytes - path_bytes, &text);
+  mf_buffer_add_text (&headers, "Content-Type: application/json\r\n");
+  mf_caller_reply (caller, status, &headers, mf_buffer_data (&text), mf_buffer_bytes (&text));
+  mf_buffer_clear (&headers);
+  mf_buffer_clear (&text);
+}
+
 static void
 on_refused (void *data, MfCode code)
 {
@@ -163,7 +193,7 @@
 };
 
 static const MfListenerCallbacks metrics_callbacks = {
-  .request = on_metrics_request,
+  .request = on_admin_request,
   .refused = on_refused,
 };
 
@@ -597,6 +627,7 @@
     }
   mf_jobs_expire_failures (&relay->jobs, now_us);
   settings_watch (relay, now_us);
+  mf_jobs_tick_spillover (&relay->jobs, now_us);
   /* Reports of a peer that has become silent expire. */
   relay->jobs.remote_load_stale = true;
   if (relay_is_stopping (relay))
@@ -758,6 +789,15 @@
   return relay;
 }
 
+/* Sets when requests leave their data centre by observed times, and the time that a caller must
+ * gain for each kilobyte that is sent to another one. Before mf_relay_run only. */
+void
+mf_relay_set_spillover (MfRelay *relay, MfSpilloverMode mode, double us_per_kb)
+{
+  relay->jobs.spillover_mode = mode;
+  relay->jobs.spillover_us_per_kb = us_per_kb;
+}
+
 /* Serves until SIGTERM or SIGINT, and then until its requests have ended or the grace period is
  * over. */
 void
