--- a/libmangofork/customer_read.c
+++ b/libmangofork/customer_read.c
@@ -12,7 +12,7 @@
 static bool
 customer_name_is_usable (const char *name)
 {
-  size_t n_bytes = name == NULL ? 0 : strlen (name);
+  size_t n_bytes = strlen (name);
 
   if (n_bytes == 0 || n_bytes > NAME_BYTES_MAX || name[0] == ' ' || name[n_bytes - 1] == ' ')
     return false;
@@ -99,7 +99,7 @@
   const char *unit;
   uint64_t priority = 0;
 
-  if (!customer_name_is_usable (name))
+  if (name == NULL || !customer_name_is_usable (name))
     {
       mf_error_set (error, MF_CODE_TEXT_RANGE,
                     "customer %u has no name, or one that is too long or not plain text",
--- a/tests/test_job_customer.c
+++ b/tests/test_job_customer.c
@@ -275,7 +275,7 @@
   assert_int_equal (call (&fixture, "/read/1", KEY_HEADER_A KEY_HEADER_A), 401);
   assert_int_equal (call (&fixture, "/read/1", "X-Api-Key: " KEY_A ", " KEY_B "\r\n"), 401);
   memset (headers + 11, 'k', 8192);
-  strcat (headers, "\r\n");
+  snprintf (headers + 11 + 8192, sizeof headers - 11 - 8192, "\r\n");
   assert_int_equal (call (&fixture, "/read/1", headers), 401);
   assert_int_equal (relay_fixture_n_requests (&fixture, 0), 0);
   assert_int_equal (fixture.jobs.counters.counts[MF_RELAY_COUNT_KEYS_REFUSED], 6);
