--- a/libmangofork/fair.c
+++ b/libmangofork/fair.c
@@ -169,6 +169,9 @@
 {
   if (fair->decayed_us == 0)
     fair->decayed_us = fair->refilled_us = now_us;
+  /* The end of a request may be noted with the time of an earlier event. */
+  if (now_us < fair->now_us)
+    return;
   fair->now_us = now_us;
   if (now_us >= fair->decayed_us + PERIODS_MAX * PERIOD_US)
     fair->decayed_us = now_us - PERIODS_MAX * PERIOD_US;
