--- a/libmangofork/rate.c
+++ b/libmangofork/rate.c
@@ -15,14 +15,23 @@
   return (int64_t)(micro_per_s * ms / 1000);
 }
 
+/* Returns the units that may accumulate. */
+static int64_t
+bucket_max_micro (const MfRateBucket *bucket)
+{
+  int64_t max_micro = bucket->burst_micro > 0 ? (int64_t)bucket->burst_micro
+                                              : rate_yield (bucket->micro_per_s, BURST_MS);
+
+  return max_micro > (int64_t)MF_RATE_MICRO ? max_micro : (int64_t)MF_RATE_MICRO;
+}
+
 static void
 bucket_clamp (MfRateBucket *bucket)
 {
-  int64_t max_micro = rate_yield (bucket->micro_per_s, BURST_MS);
-  int64_t min_micro = -rate_yield (bucket->micro_per_s, OVERDRAFT_MS);
+  int64_t max_micro = bucket_max_micro (bucket);
+  int64_t min_micro = bucket->debt_micro > 0 ? -(int64_t)bucket->debt_micro
+                                             : -rate_yield (bucket->micro_per_s, OVERDRAFT_MS);
 
-  if (max_micro < (int64_t)MF_RATE_MICRO)
-    max_micro = (int64_t)MF_RATE_MICRO;
   if (bucket->level_micro > max_micro)
     bucket->level_micro = max_micro;
   if (bucket->level_micro < min_micro)
@@ -37,7 +46,9 @@
 
   if (passed_us > REFILL_MAX_US)
     passed_us = REFILL_MAX_US;
-  bucket->level_micro += (int64_t)(bucket->micro_per_s * passed_us / MF_US_PER_S);
+  /* Whole seconds apart: the product of a minute and a high rate exceeds 64 bits. */
+  bucket->level_micro += (int64_t)(bucket->micro_per_s * (passed_us / MF_US_PER_S)
+                                   + bucket->micro_per_s * (passed_us % MF_US_PER_S) / MF_US_PER_S);
   bucket->updated_us = now_us;
   bucket_clamp (bucket);
 }
@@ -60,6 +71,39 @@
   bucket_clamp (bucket);
 }
 
+/* Sets the units that may accumulate, and those that may be overdrawn, from now on, in place of
+ * parts of the rate; 0: the part of the rate. With a burst, more units than it can hold are granted
+ * once the bucket is full, and overdraw it. */
+void
+mf_rate_bucket_set_bounds (MfRateBucket *bucket, uint64_t burst_micro, uint64_t debt_micro,
+                           uint64_t now_us)
+{
+  if (bucket->burst_micro == burst_micro && bucket->debt_micro == debt_micro)
+    return;
+  bucket_update (bucket, now_us);
+  bucket->burst_micro = burst_micro;
+  bucket->debt_micro = debt_micro;
+  bucket_clamp (bucket);
+}
+
+/* Returns the units that are available now, at least 0. */
+uint64_t
+mf_rate_bucket_n_available (MfRateBucket *bucket, uint64_t now_us)
+{
+  bucket_update (bucket, now_us);
+  return bucket->level_micro > 0 ? (uint64_t)bucket->level_micro / MF_RATE_MICRO : 0;
+}
+
+/* Returns the time in microseconds in which a rate that is not 0 yields these units. */
+static uint64_t
+yield_time_us (uint64_t micro_per_s, uint64_t micro)
+{
+  uint64_t rest_micro = micro % micro_per_s;
+
+  return micro / micro_per_s * MF_US_PER_S
+         + (rest_micro * MF_US_PER_S + micro_per_s - 1) / micro_per_s;
+}
+
 /* Takes units that are available now, or will be within max_wait_us. Returns whether they were
  * taken. wait_us is set to the time until they are, or would be, available; UINT64_MAX: never. */
 bool
@@ -71,12 +115,13 @@
 
   bucket_update (bucket, now_us);
   missing_micro = wanted_micro - bucket->level_micro;
+  if (bucket->burst_micro > 0 && wanted_micro > bucket_max_micro (bucket))
+    missing_micro = bucket_max_micro (bucket) - bucket->level_micro;
   *wait_us = 0;
   if (missing_micro > 0 && bucket->micro_per_s == 0)
     *wait_us = UINT64_MAX;
   else if (missing_micro > 0)
-    *wait_us
-        = ((uint64_t)missing_micro * MF_US_PER_S + bucket->micro_per_s - 1) / bucket->micro_per_s;
+    *wait_us = yield_time_us (bucket->micro_per_s, (uint64_t)missing_micro);
   if (*wait_us > max_wait_us)
     return false;
   bucket->level_micro -= wanted_micro;
--- a/libmangofork/rate.h
+++ b/libmangofork/rate.h
@@ -16,6 +16,8 @@
   uint64_t micro_per_s;
   int64_t level_micro; /* units available; below zero: granted in advance, or overdrawn */
   uint64_t updated_us;
+  uint64_t burst_micro; /* units that may accumulate; 0: a part of the rate */
+  uint64_t debt_micro;  /* units that may be overdrawn; 0: a part of the rate */
 } MfRateBucket;
 
 /* What is known of a limit, from answers of whoever names it. The answer was made between the two
@@ -30,6 +32,9 @@
 
 void mf_rate_bucket_init (MfRateBucket *bucket, uint64_t micro_per_s, uint64_t now_us);
 void mf_rate_bucket_set (MfRateBucket *bucket, uint64_t micro_per_s, uint64_t now_us);
+void mf_rate_bucket_set_bounds (MfRateBucket *bucket, uint64_t burst_micro, uint64_t debt_micro,
+                                uint64_t now_us);
+uint64_t mf_rate_bucket_n_available (MfRateBucket *bucket, uint64_t now_us);
 bool mf_rate_bucket_acquire (MfRateBucket *bucket, uint32_t n_units, uint64_t max_wait_us,
                              uint64_t now_us, uint64_t *wait_us);
 void mf_rate_bucket_charge (MfRateBucket *bucket, uint32_t n_units, uint64_t now_us);
