--- a/libmangofork/quota.c
+++ b/libmangofork/quota.c
@@ -49,6 +49,8 @@
   uint32_t n_denied_before;
   uint64_t denied_units; /* denied by anyone, in that second */
   uint64_t denied_units_before;
+  uint32_t largest_denied; /* units of one ask, in that second */
+  uint32_t largest_denied_before;
   uint64_t denied_us; /* the last time */
   bool is_limited;
   bool was_limited; /* as last returned by mf_quotas_next_change */
@@ -158,28 +160,68 @@
 
       quota->n_denied_before = is_next ? quota->n_denied : 0;
       quota->denied_units_before = is_next ? quota->denied_units : 0;
+      quota->largest_denied_before = is_next ? quota->largest_denied : 0;
       quota->n_denied = 0;
       quota->denied_units = 0;
+      quota->largest_denied = 0;
       quota->denied_second = second;
     }
   quota->n_denied += n_asks;
   quota->denied_units += n_units;
+  if (n_asks > 0 && n_units > quota->largest_denied)
+    quota->largest_denied = n_units;
   quota->denied_us = now_us;
   quota->is_limited = true;
 }
 
+/* Takes units if the bucket could also admit the largest request denied in the last second.
+ * Otherwise small requests would take each unit before there are enough for a large one. */
+static bool
+quota_acquire (Quota *quota, uint32_t n_units, uint64_t now_us, uint64_t *wait_us)
+{
+  bool is_recent = now_us < quota->denied_us + RECENT_US;
+  uint32_t largest = quota->largest_denied > quota->largest_denied_before
+                         ? quota->largest_denied
+                         : quota->largest_denied_before;
+  uint32_t n_needed = is_recent && largest > n_units ? largest : n_units;
+
+  if (!mf_rate_bucket_acquire (&quota->bucket, n_needed, 0, now_us, wait_us))
+    return false;
+  mf_rate_bucket_return (&quota->bucket, n_needed - n_units, now_us);
+  return true;
+}
+
+/* Returns a count of the last second, from those of the current second and the one before it. */
+static uint64_t
+sliding_count (uint64_t current, uint64_t before, uint64_t now_us)
+{
+  return current + before * (MF_US_PER_S - now_us % MF_US_PER_S) / MF_US_PER_S;
+}
+
 /* Returns the time that the rate takes to serve what was refused in the last second. */
 static uint64_t
-quota_spread_us (const Quota *quota)
+quota_spread_us (const Quota *quota, uint64_t now_us)
 {
-  uint64_t n_units = quota->denied_units > quota->denied_units_before ? quota->denied_units
-                                                                      : quota->denied_units_before;
+  uint64_t n_units = sliding_count (quota->denied_units, quota->denied_units_before, now_us);
   uint64_t per_s = quota->bucket.micro_per_s / MF_RATE_MICRO;
   uint64_t spread_us = per_s > 0 ? n_units * MF_US_PER_S / per_s : SPREAD_MAX_US;
 
   return spread_us < SPREAD_MAX_US ? spread_us : SPREAD_MAX_US;
 }
 
+/* Returns the time that a denial lasts beyond the wait for the bucket. It ends before the bucket is
+ * full, as what the rate yields then is lost. */
+static uint64_t
+quota_spacing_us (const Quota *quota, uint64_t now_us)
+{
+  uint64_t n_denied = sliding_count (quota->n_denied, quota->n_denied_before, now_us);
+  uint64_t spacing_us = n_denied > DENIED_FREE ? (n_denied - DENIED_FREE) * DENIED_SPACING_US : 0;
+  uint64_t max_us = quota->bucket.burst_micro / (quota->bucket.micro_per_s / MF_US_PER_S + 1) / 2;
+
+  max_us = max_us < DENIED_MAX_US ? max_us : DENIED_MAX_US;
+  return spacing_us < max_us ? spacing_us : max_us;
+}
+
 /* Takes a lease out of the bucket; half of what it can hold stays in it. */
 static uint32_t
 quota_lease (Quota *quota, uint32_t n_wanted, uint64_t now_us)
@@ -213,19 +255,15 @@
     quota_note_denied (quota, 0, ask->n_denied, now_us);
   if (ask->n_units == 0)
     return grant;
-  grant.granted = mf_rate_bucket_acquire (&quota->bucket, ask->n_units, 0, now_us, &grant.wait_us);
+  grant.granted = quota_acquire (quota, ask->n_units, now_us, &grant.wait_us);
   if (grant.granted)
     {
       grant.n_leased = quota_lease (quota, ask->n_wanted, now_us);
       return grant;
     }
   quota_note_denied (quota, 1, ask->n_units, now_us);
-  grant.spread_us = quota_spread_us (quota);
-  if (quota->n_denied_before > DENIED_FREE && grant.wait_us < DENIED_MAX_US)
-    {
-      grant.wait_us += (quota->n_denied_before - DENIED_FREE) * DENIED_SPACING_US;
-      grant.wait_us = grant.wait_us < DENIED_MAX_US ? grant.wait_us : DENIED_MAX_US;
-    }
+  grant.spread_us = quota_spread_us (quota, now_us);
+  grant.wait_us += quota_spacing_us (quota, now_us);
   return grant;
 }
 
--- a/libmangofork/rate.c
+++ b/libmangofork/rate.c
@@ -72,8 +72,8 @@
 }
 
 /* Sets the units that may accumulate, and those that may be overdrawn, from now on, in place of
- * parts of the rate; 0: the part of the rate. With a burst, more units than it can hold are granted
- * once the bucket is full, and overdraw it. */
+ * parts of the rate; 0: the part of the rate. With a burst, more units than half of it are
+ * granted once the bucket is half full, and may overdraw it: a full one is rare under load. */
 void
 mf_rate_bucket_set_bounds (MfRateBucket *bucket, uint64_t burst_micro, uint64_t debt_micro,
                            uint64_t now_us)
@@ -115,8 +115,8 @@
 
   bucket_update (bucket, now_us);
   missing_micro = wanted_micro - bucket->level_micro;
-  if (bucket->burst_micro > 0 && wanted_micro > bucket_max_micro (bucket))
-    missing_micro = bucket_max_micro (bucket) - bucket->level_micro;
+  if (bucket->burst_micro > 0 && wanted_micro > bucket_max_micro (bucket) / 2)
+    missing_micro = bucket_max_micro (bucket) / 2 - bucket->level_micro;
   *wait_us = 0;
   if (missing_micro > 0 && bucket->micro_per_s == 0)
     *wait_us = UINT64_MAX;
