Quotas: the relay admits requests within the quotas of customers

Beyond the quota it gets 429 with the time at which there is capacity. Messages QUOTA_ASK and QUOTA_GRANT; settings bounds.quotaWindowS, bounds.quotaOverage and bounds.quotaSlack.

--- a/libmangofork/quota.c
+++ b/libmangofork/quota.c
@@ -25,6 +25,8 @@
 #define DENIED_MAX_US (1 * MF_US_PER_S)
 /* Callers that are refused are spread over this time at most. */
 #define SPREAD_MAX_US (10 * MF_US_PER_S)
+/* A denial names no longer wait: the limit may be another by then. */
+#define WAIT_MAX_US (3600 * MF_US_PER_S)
 /* A customer without a denial for this time is not limited any more. */
 #define LIMITED_US (5 * MF_US_PER_S)
 /* An allocator that did not reply is asked again after this time. */
@@ -263,6 +265,8 @@
     }
   quota_note_denied (quota, 1, ask->n_units, now_us);
   grant.spread_us = quota_spread_us (quota, now_us);
+  if (grant.wait_us > WAIT_MAX_US)
+    grant.wait_us = WAIT_MAX_US;
   grant.wait_us += quota_spacing_us (quota, now_us);
   return grant;
 }
@@ -394,6 +398,14 @@
   return slot;
 }
 
+static void
+units_add (uint32_t *n_units, uint64_t n_more)
+{
+  uint64_t sum = *n_units + n_more;
+
+  *n_units = (uint32_t)(sum < MF_QUOTA_ASK_UNITS_MAX ? sum : MF_QUOTA_ASK_UNITS_MAX);
+}
+
 /* Returns the units used in the last second. */
 static uint32_t
 row_n_recent (const AskerRow *row, uint64_t now_us)
@@ -401,7 +413,7 @@
   uint32_t n = 0;
 
   for (uint32_t i = 0; i < N_SLOTS; i++)
-    n += row->slots[i].number + N_SLOTS > now_us / SLOT_US ? row->slots[i].n_used : 0;
+    units_add (&n, row->slots[i].number + N_SLOTS > now_us / SLOT_US ? row->slots[i].n_used : 0);
   return n;
 }
 
@@ -412,7 +424,8 @@
   uint32_t n = 0;
 
   for (uint32_t i = 0; i < N_SLOTS; i++)
-    n += row->slots[i].number + LEASE_SLOTS > now_us / SLOT_US ? row->slots[i].n_demanded : 0;
+    units_add (&n, row->slots[i].number + LEASE_SLOTS > now_us / SLOT_US ? row->slots[i].n_demanded
+                                                                         : 0);
   return n;
 }
 
@@ -429,7 +442,7 @@
 {
   if (row->n_leased == 0 || now_us < row->lease_until_us)
     return;
-  row->n_returned += row->n_leased;
+  units_add (&row->n_returned, row->n_leased);
   row->n_leased = 0;
 }
 
@@ -496,16 +509,16 @@
 
   row_set_limit (row, request, now_us);
   row_expire_lease (row, now_us);
-  row_slot (row, now_us)->n_demanded += request->n_units;
+  units_add (&row_slot (row, now_us)->n_demanded, request->n_units);
   if (row->n_leased >= request->n_units)
     {
       row->n_leased -= request->n_units;
-      row_slot (row, now_us)->n_used += request->n_units;
+      units_add (&row_slot (row, now_us)->n_used, request->n_units);
       return MF_QUOTA_ADMIT;
     }
   if (now_us < row->denied_until_us)
     {
-      row->n_denied += request->n_units;
+      units_add (&row->n_denied, request->n_units);
       *retry_us = retry_time_us (row->denied_until_us - now_us, row->spread_us, request->random);
       return MF_QUOTA_DENY;
     }
@@ -529,10 +542,10 @@
   row->unanswered_us = 0;
   if (grant->granted)
     {
-      row_slot (row, now_us)->n_used += request->n_units;
+      units_add (&row_slot (row, now_us)->n_used, request->n_units);
       if (grant->n_leased > 0)
         {
-          row->n_leased += grant->n_leased;
+          units_add (&row->n_leased, grant->n_leased);
           row->lease_until_us = now_us + LEASE_US;
           row->report_us = row->lease_until_us;
         }
@@ -563,12 +576,12 @@
   mf_rate_bucket_charge (&row->local, (uint32_t)n_taken, now_us);
   if (admitted)
     {
-      row_slot (row, now_us)->n_used += request->n_units;
-      row->n_charged += request->n_units;
+      units_add (&row_slot (row, now_us)->n_used, request->n_units);
+      units_add (&row->n_charged, request->n_units);
       row_report_by (row, now_us + LEASE_US);
       return true;
     }
-  row->n_denied += request->n_units;
+  units_add (&row->n_denied, request->n_units);
   /* The time in which the bucket, now empty, yields the units; the allocator may be back before. */
   wait_us = request->n_units * MF_RATE_MICRO / (row->local.micro_per_s / 1000 + 1) * 1000;
   wait_us = wait_us < UNANSWERED_US ? wait_us : UNANSWERED_US;
@@ -607,7 +620,7 @@
   n_uncharged = row->n_charged < n_units ? row->n_charged : n_units;
   if (was_used)
     row->n_charged -= n_uncharged;
-  row->n_returned += was_used ? n_units - n_uncharged : n_units;
+  units_add (&row->n_returned, was_used ? n_units - n_uncharged : n_units);
   row_report_by (row, now_us + LEASE_US);
 }
 
--- a/libmangofork/quota.h
+++ b/libmangofork/quota.h
@@ -10,6 +10,9 @@
 /* A higher rate or burst counts as this. */
 #define MF_QUOTA_UNITS_MAX UINT64_C (10000000)
 
+/* Units of each kind in one ask; more count as this. */
+#define MF_QUOTA_ASK_UNITS_MAX UINT64_C (1000000000)
+
 /* What the settings permit above the limits, in any window. */
 typedef struct
 {
--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -239,7 +239,9 @@
     return;
   job->caller = NULL;
   mf_buffer_add_text (&headers, "Content-Type: application/json\r\n");
-  if (may_retry && job->deadline_us > now_us)
+  if (job->quota_retry_us > 0)
+    headers_add_retry_after (&headers, job->quota_retry_us);
+  else if (may_retry && job->deadline_us > now_us)
     headers_add_retry_after (
         &headers, mf_refuse_retry_after_us (&(MfRefusal){
                       .code = code,
@@ -271,6 +273,7 @@
       mf_job_reply (job, &job->fallback_answer);
       return;
     }
+  mf_job_return_quota (job);
   job->jobs->counters.counts[MF_RELAY_COUNT_NO_VERSION] += code == MF_CODE_NO_VERSION;
   job->jobs->counters.counts[MF_RELAY_COUNT_REFUSED]++;
   job_record_end (job, code, 503, why);
@@ -279,6 +282,18 @@
   job_free (job);
 }
 
+/* Refuses a request that the quota of its customer does not admit until then. Unlike other refusals
+ * it names a time beyond the caller's deadline, as an earlier try would be refused as well. */
+void
+mf_job_refuse_over_quota (MfJob *job, uint64_t retry_us)
+{
+  job->quota_retry_us = retry_us > 0 ? retry_us : 1;
+  job->jobs->counters.counts[MF_RELAY_COUNT_REFUSED]++;
+  job_record_end (job, MF_CODE_CUSTOMER_LIMIT, 429, "over the customer's quota");
+  job_reply_error (job, 429, MF_CODE_CUSTOMER_LIMIT, true);
+  job_free (job);
+}
+
 /* Ends a request that may have been executed and has no complete answer. It goes on while an
  * upstream that was silent may be executing it, except after its deadline. */
 void
@@ -656,6 +671,7 @@
   if (job->route->kind == MF_ROUTE_NON_IDEMPOTENT && mf_job_is_at_upstream (job)
       && mf_link_copy_body (job->link))
     return;
+  mf_job_return_quota (job);
   job_record_end (job, MF_CODE_DEPARTED, 0, "caller disconnected");
   job_free (job);
 }
@@ -787,7 +803,7 @@
   jobs->held_parts = mf_held_parts_new (&jobs->targets, &mf_jobs_held_callbacks, jobs);
   mf_version_log_init (&jobs->targets.versions);
   if (jobs->rates == NULL || jobs->origins == NULL || jobs->held_parts == NULL
-      || !mf_jobs_init_suspects (jobs))
+      || !mf_jobs_init_suspects (jobs) || !mf_jobs_init_quotas (jobs))
     abort ();
   jobs->dispatch = mf_dispatch_new (&jobs->targets, &mf_job_dispatch_callbacks, jobs);
 }
@@ -808,6 +824,7 @@
   mf_suspects_free (jobs->suspects);
   mf_origins_free (jobs->origins);
   mf_rate_shares_free (jobs->rates);
+  mf_jobs_clear_quotas (jobs);
   mf_routes_unref (jobs->routes);
   jobs->routes = NULL;
 }
--- a/libmangofork/relay/job.h
+++ b/libmangofork/relay/job.h
@@ -67,6 +67,18 @@
   const MfCustomerInfo *customer; /* NULL: none */
 } MfKeyOwner;
 
+/* Customers whose units are counted apart; further ones are counted together. */
+#define MF_QUOTA_USES_MAX 64
+
+/* Units of a customer's requests since the process started. */
+typedef struct
+{
+  uint64_t key;
+  char name[MF_NAME_BYTES];
+  uint64_t n_admitted;
+  uint64_t n_denied;
+} MfQuotaUse;
+
 /* State shared by all requests of one instance. */
 typedef struct
 {
@@ -74,7 +86,13 @@
   const MfDialect *dialect;
   MfRelayLog *log;
   MfTargets targets;
-  MfRateShares *rates;  /* rates that this instance allocates */
+  MfRateShares *rates; /* rates that this instance allocates */
+  MfQuotas *quotas;    /* quotas that this instance allocates */
+  MfQuotaAsker *quota_asker;
+  MfQuotaBounds quota_bounds;
+  MfQuotaUse quota_uses[MF_QUOTA_USES_MAX];
+  uint32_t n_quota_uses;
+  ev_timer quota_timer; /* active while reports or changes of state are due */
   MfSuspects *suspects; /* requests that may crash the upstreams that run them */
   /* Crashes since then are known here, from this instance or from others that have been running; it
    * may lie before the start of the clock. */
@@ -146,6 +164,7 @@
                              uint64_t now_us);
 void mf_jobs_cancel_orders (MfJobs *jobs);
 void mf_jobs_expire_failures (MfJobs *jobs, uint64_t now_us);
+void mf_jobs_quota_render (const MfJobs *jobs, MfBuffer *out);
 void mf_jobs_charge_rate (MfJobs *jobs, MfTarget *target);
 uint32_t mf_jobs_random (MfJobs *jobs);
 void mf_jobs_ask_engines (MfJobs *jobs);
--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -244,7 +244,7 @@
       mf_job_finish (job, MF_CODE_DEPARTED, "caller disconnected");
       return;
     }
-  if (mf_job_end_quarantined (job))
+  if (mf_job_end_quarantined (job) || !mf_job_admit (job))
     return;
   if (job->is_engine)
     job_place_engine (job);
@@ -262,7 +262,9 @@
 
   if (job->phase == MF_JOB_WAITING)
     {
-      if (mf_job_awaits_origin (job))
+      if (job->quota_ask_id != 0)
+        mf_job_quota_expired (job);
+      else if (mf_job_awaits_origin (job))
         mf_job_origin_expired (job);
       else if (job->rate_target != NULL)
         mf_job_rate_expired (job);
--- a/libmangofork/relay/job_room.c
+++ b/libmangofork/relay/job_room.c
@@ -358,6 +358,10 @@
     case MF_RELAY_MESSAGE_RATE_GRANT:
       mf_jobs_handle_rate (jobs, peer, message);
       return;
+    case MF_RELAY_MESSAGE_QUOTA_ASK:
+    case MF_RELAY_MESSAGE_QUOTA_GRANT:
+      mf_jobs_handle_quota (jobs, peer, message);
+      return;
     case MF_RELAY_MESSAGE_ORIGIN:
     case MF_RELAY_MESSAGE_ORIGIN_ASK:
     case MF_RELAY_MESSAGE_ORIGIN_REPLY:
@@ -408,6 +412,7 @@
       mf_job_request_slot (job);
     }
   mf_jobs_rate_peer_lost (jobs, peer);
+  mf_jobs_quota_peer_lost (jobs, peer);
   mf_jobs_suspects_peer_lost (jobs, peer);
 }
 
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -22,6 +22,14 @@
   MF_JOB_STREAMING, /* the head of the answer has been sent to the caller */
 } MfJobPhase;
 
+/* Whether the quota of its customer admits a request. */
+typedef enum
+{
+  MF_JOB_QUOTA_NONE,     /* not asked for yet, or not needed */
+  MF_JOB_QUOTA_ASKED,    /* the allocator's reply is awaited */
+  MF_JOB_QUOTA_ADMITTED, /* and its units are charged */
+} MfJobQuotaState;
+
 /* A buffered answer of an upstream. */
 typedef struct
 {
@@ -132,6 +140,13 @@
   bool rate_granted;         /* the unit is in hand, or will be when the step is over */
   bool rate_is_local;        /* the unit is of this instance's local part of the rate */
 
+  MfJobQuotaState quota_state;
+  uint32_t quota_units;     /* what it counts against the quota */
+  uint64_t quota_ask_id;    /* id of the ask that awaits a reply; 0: none */
+  uint64_t quota_allocator; /* hash of the instance that was asked */
+  uint64_t
+      quota_retry_us; /* when its caller may return, as the quota does not admit it; 0: it does */
+
   uint64_t avoid[MF_JOB_AVOID_MAX]; /* hashes of upstreams that declined or failed */
   uint32_t n_avoid;
   uint32_t n_prefill_sends;
@@ -171,6 +186,7 @@
 /* job.c */
 void mf_job_finish (MfJob *job, MfCode code, const char *why);
 void mf_job_refuse (MfJob *job, MfCode code, const char *why);
+void mf_job_refuse_over_quota (MfJob *job, uint64_t retry_us);
 void mf_job_reply (MfJob *job, MfJobAnswer *answer);
 void mf_job_set_timer (MfJob *job);
 void mf_job_reset_give_up (MfJob *job);
@@ -224,6 +240,16 @@
 void mf_jobs_send_limits (MfJobs *jobs, uint64_t peer);
 void mf_jobs_handle_limits (MfJobs *jobs, const MfLimitUpdate *update);
 
+/* job_quota.c: quotas of customers over all instances. */
+bool mf_jobs_init_quotas (MfJobs *jobs);
+void mf_jobs_clear_quotas (MfJobs *jobs);
+void mf_jobs_quota_tick (struct ev_loop *loop, ev_timer *watcher, int events);
+bool mf_job_admit (MfJob *job);
+void mf_job_return_quota (MfJob *job);
+void mf_job_quota_expired (MfJob *job);
+void mf_jobs_handle_quota (MfJobs *jobs, uint64_t peer, const MfRelayMessage *message);
+void mf_jobs_quota_peer_lost (MfJobs *jobs, uint64_t peer);
+
 /* job_history.c: since when crashes are known. */
 bool mf_jobs_history_is_lost (const MfJobs *jobs, uint64_t lifetime_us, uint64_t now_us);
 void mf_jobs_send_history (MfJobs *jobs, uint64_t peer);
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -131,6 +131,7 @@
   counters->counts[MF_RELAY_COUNT_CONNECTS] = n_connects;
   mf_buffer_add_text (&headers, "Content-Type: text/plain; version=0.0.4\r\n");
   mf_relay_counters_render (counters, &text);
+  mf_jobs_quota_render (&relay->jobs, &text);
   snprintf (line, sizeof line,
             "mangofork_relay_requests_in_flight %u\nmangofork_relay_callers %u\n"
             "mangofork_relay_instances %u\n"
@@ -475,6 +476,9 @@
   relay->jobs.budget_window_us = relay->settings.retry_window_us;
   relay->jobs.budget_ratio = relay->settings.retry_ratio;
   relay->jobs.budget_slack = relay->settings.retry_slack;
+  relay->jobs.quota_bounds = (MfQuotaBounds){ .window_us = relay->settings.quota_window_us,
+                                              .overage = relay->settings.quota_overage,
+                                              .slack = relay->settings.quota_slack };
   relay->jobs.orders_fenced = relay->settings.orders_fenced;
   relay->jobs.order_interval_us = relay->settings.order_interval_us;
   relay->freshness.staleness_max_us = relay->settings.change_bound_us;
--- a/libmangofork/relay/relay.h
+++ b/libmangofork/relay/relay.h
@@ -29,6 +29,9 @@
   uint32_t retry_slack;             /* additional retries, for all instances together */
   bool orders_fenced;               /* whether engines check the fences of orders */
   uint64_t order_interval_us;       /* least time between orders of two instances to one engine */
+  uint64_t quota_window_us;         /* over which the bound of a quota applies */
+  double quota_overage;             /* permitted above a quota, as a part of it */
+  uint64_t quota_slack;             /* units permitted beyond that */
 } MfRelaySettings;
 
 typedef struct MfRelay MfRelay;
--- a/libmangofork/relay/relay_counters.h
+++ b/libmangofork/relay/relay_counters.h
@@ -42,6 +42,10 @@
   X (RATE_ASKED, "rate_asks_total", "requests that needed a unit of an upstream's rate limit")     \
   X (RATE_DENIED, "rate_denied_total", "of these, denied, as the limit was reached")               \
   X (RATE_LOCAL, "rate_local_total", "of these, decided locally, as no allocator replied")         \
+  X (QUOTA_ASKED, "quota_asks_total", "requests that asked the allocator of a customer's quota")   \
+  X (QUOTA_GRANTED, "quota_granted_total", "of these, admitted by the allocator")                  \
+  X (QUOTA_DENIED, "quota_denied_total", "requests refused over the quota of their customer")      \
+  X (QUOTA_LOCAL, "quota_local_total", "requests decided locally, as no allocator replied")        \
   X (CONNECTS, "connects_total", "connections opened to upstreams")
 
 typedef enum
--- a/libmangofork/relay/relay_message.c
+++ b/libmangofork/relay/relay_message.c
@@ -33,6 +33,8 @@
 #define LISTINGS_MEMBERS 2
 #define LISTING_MEMBERS 4
 #define HISTORY_MEMBERS 2
+#define QUOTA_ASK_MEMBERS 10
+#define QUOTA_GRANT_MEMBERS 9
 /* Units of one ask; more make no sense within the bounds of a bucket. */
 #define RATE_UNITS_MAX UINT64_C (1000000000)
 /* A retry takes at most two sends: a prefill and a decode. */
@@ -345,6 +347,41 @@
   msgpack_pack_uint64 (packer, message->history_age_us);
 }
 
+static void
+quota_ask_pack (msgpack_packer *packer, const MfRelayMessage *message)
+{
+  const MfQuotaAsk *ask = &message->quota.ask;
+
+  msgpack_pack_array (packer, QUOTA_ASK_MEMBERS);
+  msgpack_pack_uint32 (packer, message->kind);
+  msgpack_pack_uint64 (packer, message->quota.id);
+  msgpack_pack_uint64 (packer, ask->key);
+  msgpack_pack_uint32 (packer, ask->n_units);
+  msgpack_pack_uint32 (packer, ask->n_charged);
+  msgpack_pack_uint32 (packer, ask->n_returned);
+  msgpack_pack_uint32 (packer, ask->n_wanted);
+  msgpack_pack_uint32 (packer, ask->n_denied);
+  msgpack_pack_uint64 (packer, ask->limit.per_s);
+  msgpack_pack_uint64 (packer, ask->limit.burst);
+}
+
+static void
+quota_grant_pack (msgpack_packer *packer, const MfRelayMessage *message)
+{
+  const MfQuotaGrant *grant = &message->quota.grant;
+
+  msgpack_pack_array (packer, QUOTA_GRANT_MEMBERS);
+  msgpack_pack_uint32 (packer, message->kind);
+  msgpack_pack_uint64 (packer, message->quota.id);
+  msgpack_pack_uint64 (packer, message->quota.ask.key);
+  msgpack_pack_uint32 (packer, message->quota.ask.n_units);
+  msgpack_pack_uint32 (packer, grant->granted);
+  msgpack_pack_uint32 (packer, grant->redirected);
+  msgpack_pack_uint64 (packer, grant->wait_us);
+  msgpack_pack_uint64 (packer, grant->spread_us);
+  msgpack_pack_uint32 (packer, grant->n_leased);
+}
+
 static bool
 read_number (const msgpack_object *object, uint64_t max, uint64_t *number)
 {
@@ -766,6 +803,45 @@
   return read_number (&members[1], INT64_MAX, &message->history_age_us);
 }
 
+static bool
+read_units (const msgpack_object *object, uint32_t *n_units)
+{
+  uint64_t number = 0;
+
+  if (!read_number (object, MF_QUOTA_ASK_UNITS_MAX, &number))
+    return false;
+  *n_units = (uint32_t)number;
+  return true;
+}
+
+static bool
+quota_ask_read (const msgpack_object *members, MfRelayMessage *message)
+{
+  MfQuotaAsk *ask = &message->quota.ask;
+
+  return read_number (&members[1], UINT64_MAX, &message->quota.id)
+         && read_number (&members[2], UINT64_MAX, &ask->key)
+         && read_units (&members[3], &ask->n_units) && read_units (&members[4], &ask->n_charged)
+         && read_units (&members[5], &ask->n_returned) && read_units (&members[6], &ask->n_wanted)
+         && read_units (&members[7], &ask->n_denied)
+         && read_number (&members[8], UINT64_MAX, &ask->limit.per_s)
+         && read_number (&members[9], UINT64_MAX, &ask->limit.burst);
+}
+
+static bool
+quota_grant_read (const msgpack_object *members, MfRelayMessage *message)
+{
+  MfQuotaGrant *grant = &message->quota.grant;
+
+  return read_number (&members[1], UINT64_MAX, &message->quota.id)
+         && read_number (&members[2], UINT64_MAX, &message->quota.ask.key)
+         && read_units (&members[3], &message->quota.ask.n_units)
+         && read_flag (&members[4], &grant->granted) && read_flag (&members[5], &grant->redirected)
+         && read_number (&members[6], UINT32_MAX, &grant->wait_us)
+         && read_number (&members[7], UINT32_MAX, &grant->spread_us)
+         && read_units (&members[8], &grant->n_leased);
+}
+
 /* Encoder and decoder of one kind of message. */
 typedef struct
 {
@@ -795,6 +871,8 @@
   [MF_RELAY_MESSAGE_ORIGIN_REPLY] = { ORIGIN_REPLY_MEMBERS, origin_reply_pack, origin_reply_read },
   [MF_RELAY_MESSAGE_LISTINGS] = { LISTINGS_MEMBERS, listings_pack, listings_read },
   [MF_RELAY_MESSAGE_HISTORY] = { HISTORY_MEMBERS, history_pack, history_read },
+  [MF_RELAY_MESSAGE_QUOTA_ASK] = { QUOTA_ASK_MEMBERS, quota_ask_pack, quota_ask_read },
+  [MF_RELAY_MESSAGE_QUOTA_GRANT] = { QUOTA_GRANT_MEMBERS, quota_grant_pack, quota_grant_read },
 };
 
 /* Appends a message as a frame: 4 bytes of length in network byte order, then msgpack. */
--- a/libmangofork/relay/relay_message.h
+++ b/libmangofork/relay/relay_message.h
@@ -5,6 +5,7 @@
 #include "feed.h"
 #include "listing.h"
 
+#include "libmangofork/quota.h"
 #include "libmangofork/rate_share.h"
 #include "libmangofork/suspect.h"
 
@@ -35,6 +36,8 @@
   MF_RELAY_MESSAGE_LISTINGS = 18,     /* upstreams that were removed or are leaving */
   MF_RELAY_MESSAGE_HISTORY = 19,      /* follows all suspects of the sender */
   MF_RELAY_MESSAGE_CONTENTS = 20,     /* suspect contents of requests */
+  MF_RELAY_MESSAGE_QUOTA_ASK = 21,    /* asks the allocator of a customer's quota for units */
+  MF_RELAY_MESSAGE_QUOTA_GRANT = 22,  /* the answer to that */
 } MfRelayMessageKind;
 
 /* A request for permission to retry, or its answer. */
@@ -91,6 +94,14 @@
   MfRateGrant grant; /* RATE_GRANT only */
 } MfRateMessage;
 
+/* A request for units of a customer's quota, or its answer. */
+typedef struct
+{
+  uint64_t id;        /* 0: needs no answer */
+  MfQuotaAsk ask;     /* QUOTA_GRANT: its key and units only */
+  MfQuotaGrant grant; /* QUOTA_GRANT only */
+} MfQuotaMessage;
+
 /* Maximum limits in one message. */
 #define MF_LIMIT_ENTRIES_MAX 64
 
@@ -142,6 +153,7 @@
   MfFeed feed;                /* FEED */
   MfSuspectUpdate suspects;   /* SUSPECTS, CONTENTS */
   MfRateMessage rate;         /* RATE_ASK, RATE_GRANT */
+  MfQuotaMessage quota;       /* QUOTA_ASK, QUOTA_GRANT */
   MfLimitUpdate limits;       /* LIMITS */
   MfOriginMessage origin;     /* ORIGIN, ORIGIN_ASK, ORIGIN_REPLY */
   MfListingUpdate listings;   /* LISTINGS */
--- a/tests/test_platform_settings.c
+++ b/tests/test_platform_settings.c
@@ -27,7 +27,8 @@
       "1500\nbounds."
       "graceS=8.5\r\n"
       "bounds.retryBudgetRatio=0.25\nbounds.budgetWindowS=12\nbounds.retryBudgetSlack=52\n"
-      "bounds.fenceRequired=true\nbounds.leaseMs=2500";
+      "bounds.fenceRequired=true\nbounds.leaseMs=2500\n"
+      "bounds.quotaWindowS=7\nbounds.quotaOverage=0.5\nbounds.quotaSlack=90000";
   MfRelaySettings settings;
   MfError error;
 
@@ -45,6 +46,9 @@
   assert_int_equal (settings.change_bound_us, 1500 * MF_US_PER_MS);
   assert_true (settings.orders_fenced);
   assert_int_equal (settings.order_interval_us, 2500000);
+  assert_int_equal (settings.quota_window_us, 7 * MF_US_PER_S);
+  assert_true (settings.quota_overage > 0.49 && settings.quota_overage < 0.51);
+  assert_int_equal (settings.quota_slack, 90000);
   assert_int_equal (settings.retry_window_us, 12 * MF_US_PER_S);
   assert_int_equal (settings.retry_slack, 52);
   assert_true (settings.retry_ratio > 0.249 && settings.retry_ratio < 0.251);
