--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -57,9 +57,19 @@
   MfQuotaView view;
   bool is_frozen;
   bool is_dead;
-  uint64_t answered[64]; /* ids of asks that need no further end */
+  MfRateBucket share; /* of the rate, where these are compared */
+  double demand;      /* units in the current second */
 } Instance;
 
+/* Ways to divide a quota. Shares follow demand with full knowledge of the last second. */
+typedef enum
+{
+  BY_ALLOCATOR,
+  BY_EQUAL_SHARES,
+  BY_DEMAND,
+  BY_NOTICE, /* each instance admits until the allocator, told afterwards, denies */
+} Policy;
+
 /* A fleet on a virtual clock. */
 typedef struct
 {
@@ -71,6 +81,7 @@
   uint64_t last_id;
   uint64_t random;
   MfQuotaLimit limit;
+  Policy policy;
   double load;           /* units asked for a second */
   double plain_share;    /* of the units, the part that plain requests ask for */
   double asked_units[2]; /* of plain requests and of streams */
@@ -184,6 +195,26 @@
             mf_quota_asker_local (fleet.instances[i].asker, &request, fleet.now_us, &retry_us));
 }
 
+/* Sets the instance's part of the rate and of the burst. */
+static void
+share_set (uint32_t i, double part)
+{
+  uint64_t micro = (uint64_t)(PER_S * 13. / 12. * part * 1e6) + 1;
+
+  mf_rate_bucket_set (&fleet.instances[i].share, micro, fleet.now_us);
+  mf_rate_bucket_set_bounds (&fleet.instances[i].share, micro, 0, fleet.now_us);
+}
+
+static bool
+share_admits (uint32_t i, uint32_t n_units)
+{
+  bool has = mf_rate_bucket_n_available (&fleet.instances[i].share, fleet.now_us) >= n_units;
+
+  if (has)
+    mf_rate_bucket_charge (&fleet.instances[i].share, n_units, fleet.now_us);
+  return has;
+}
+
 static void
 arrive (uint32_t i, uint32_t n_units)
 {
@@ -194,6 +225,12 @@
   Flight *flight;
 
   fleet.n_requests++;
+  instance->demand += n_units;
+  if (fleet.policy == BY_EQUAL_SHARES || fleet.policy == BY_DEMAND)
+    {
+      note_end (n_units, share_admits (i, n_units));
+      return;
+    }
   switch (mf_quota_asker_begin (instance->asker, &request, fleet.now_us, &ask, &retry_us))
     {
     case MF_QUOTA_ADMIT:
@@ -223,6 +260,14 @@
   fleet.is_pending[fleet.last_id] = true;
   flight = flight_new (FLIGHT_ASK, i, instance->allocator, fleet.last_id, latency_us ());
   flight->ask = ask;
+  if (fleet.policy == BY_NOTICE)
+    {
+      note_end (n_units, true);
+      flight->ask.n_charged += n_units;
+      flight->ask.n_units = 1;
+      flight->ask.n_wanted = 0;
+      return;
+    }
   flight_new (FLIGHT_TIMEOUT, i, instance->allocator, fleet.last_id, TIMEOUT_US)->n_units = n_units;
 }
 
@@ -250,6 +295,11 @@
   MfQuotaAsker *asker = fleet.instances[flight->to].asker;
   uint64_t retry_us = 0;
 
+  if (fleet.policy == BY_NOTICE)
+    {
+      mf_quota_asker_handle_grant (asker, &request, &flight->grant, fleet.now_us, &retry_us);
+      return;
+    }
   if (!fleet.is_pending[flight->id])
     {
       if (flight->grant.granted)
@@ -317,6 +367,20 @@
              : quarter + (uint32_t)(random_01 () * (fleet.n_instances - quarter));
 }
 
+static void
+shares_follow_demand (void)
+{
+  double sum = 1.;
+
+  for (uint32_t i = 0; i < fleet.n_instances; i++)
+    sum += fleet.instances[i].demand;
+  for (uint32_t i = 0; i < fleet.n_instances; i++)
+    {
+      share_set (i, fleet.instances[i].demand / sum);
+      fleet.instances[i].demand = 0;
+    }
+}
+
 /* Runs the fleet for a time. Arrivals are a Poisson process. */
 static void
 run (uint64_t for_ms)
@@ -338,6 +402,8 @@
           if (!fleet.instances[i].is_dead && !fleet.instances[i].is_frozen)
             send_reports (i);
         }
+      if (fleet.policy == BY_DEMAND && fleet.now_us % MF_US_PER_S == 0)
+        shares_follow_demand ();
       /* At most some arrivals a step: two coin flips each half approximate the process. */
       for (uint32_t flip = 0; flip < 4; flip++)
         {
@@ -390,7 +456,7 @@
           (double)fleet.n_requests / seconds, (double)fleet.n_denied / (double)fleet.n_requests,
           (double)fleet.n_messages / seconds, fleet.admitted_units[0] / (fleet.asked_units[0] + 1),
           fleet.admitted_units[1] / (fleet.asked_units[1] + 1));
-  assert_true (most < UPPER);
+  assert_true (most < UPPER || fleet.policy != BY_ALLOCATOR);
   assert_true (least > lower);
 }
 
@@ -449,8 +515,44 @@
       fleet.plain_share = 0.;
       run (20000);
       check ("streams only", 0, LOWER);
+      assert_true (fleet.n_messages < fleet.n_requests * 5 / 4);
+      teardown ();
+    }
+}
+
+/* The figures of other ways to divide a quota, for the design note: shares refuse below the limit,
+ * and notices after the fact exceed the bound. Above the limit, only streams are sent. */
+static void
+test_other_ways_are_worse (void **state)
+{
+  static const char *const names[] = { "allocator", "equal shares", "shares by demand", "notices" };
+  double refused[4];
+  double most[4];
+
+  (void)state;
+  for (uint32_t j = 0; j < 2 * MF_ARRAY_LEN (names); j++)
+    {
+      bool is_above = j % 2 == 1;
+
+      setup (300, (is_above ? 9. : 0.5) * PER_S);
+      fleet.policy = (Policy)(j / 2);
+      fleet.plain_share = is_above ? 0. : 0.2;
+      for (uint32_t i = 0; i < fleet.n_instances; i++)
+        {
+          share_set (i, 1. / fleet.n_instances);
+          mf_rate_bucket_return (&fleet.instances[i].share, BURST, fleet.now_us);
+        }
+      run (20000);
+      check (names[j / 2], 0, -1.);
+      if (is_above)
+        most[j / 2] = window_units (0, now_ms (), WINDOW_MS, true);
+      else
+        refused[j / 2] = (double)fleet.n_denied / (double)fleet.n_requests;
       teardown ();
     }
+  assert_true (refused[BY_ALLOCATOR] < 1e-9);
+  assert_true (refused[BY_EQUAL_SHARES] > 0.05 && refused[BY_DEMAND] > 0.05);
+  assert_true (most[BY_NOTICE] > UPPER);
 }
 
 /* The first instance allocates and ends; its requests are timed out or go on, and half a second
@@ -641,6 +743,7 @@
     cmocka_unit_test (test_half_of_the_limit_is_never_refused),
     cmocka_unit_test (test_nine_times_the_limit_gets_the_limit),
     cmocka_unit_test (test_denials_cost_few_messages),
+    cmocka_unit_test (test_other_ways_are_worse),
     cmocka_unit_test (test_allocator_is_lost),
     cmocka_unit_test (test_partition_in_two_halves),
     cmocka_unit_test (test_frozen_instances_exceed_nothing),
--- a/tests/test_relay_message.c
+++ b/tests/test_relay_message.c
@@ -396,17 +396,53 @@
   mf_feed_clear (&sent.feed);
 }
 
+static void
+test_quota_messages (void **state)
+{
+  const MfQuotaAsk ask = { .key = UINT64_MAX,
+                           .n_units = 5269,
+                           .n_charged = MF_QUOTA_ASK_UNITS_MAX,
+                           .n_returned = 3,
+                           .n_wanted = 4,
+                           .n_denied = 5,
+                           .limit = { .per_s = 315000, .burst = 6 } };
+  const MfQuotaGrant grant = { .granted = true, .wait_us = 7, .spread_us = 8, .n_leased = 9 };
+
+  (void)state;
+  sent = (MfRelayMessage){ .kind = MF_RELAY_MESSAGE_QUOTA_ASK, .quota = { .id = 1, .ask = ask } };
+  round_trip ();
+  assert_true (got.quota.ask.key == ask.key);
+  assert_int_equal (got.quota.ask.n_units, ask.n_units);
+  assert_int_equal (got.quota.ask.n_charged, ask.n_charged);
+  assert_int_equal (got.quota.ask.n_returned, ask.n_returned);
+  assert_int_equal (got.quota.ask.n_wanted, ask.n_wanted);
+  assert_int_equal (got.quota.ask.n_denied, ask.n_denied);
+  assert_int_equal (got.quota.ask.limit.per_s, ask.limit.per_s);
+  assert_int_equal (got.quota.ask.limit.burst, ask.limit.burst);
+  sent
+      = (MfRelayMessage){ .kind = MF_RELAY_MESSAGE_QUOTA_GRANT,
+                          .quota = { .id = 1, .ask = { .key = 2, .n_units = 3 }, .grant = grant } };
+  round_trip ();
+  assert_int_equal (got.quota.id, 1);
+  assert_int_equal (got.quota.ask.key, 2);
+  assert_int_equal (got.quota.ask.n_units, 3);
+  assert_true (got.quota.grant.granted && !got.quota.grant.redirected);
+  assert_int_equal (got.quota.grant.wait_us, 7);
+  assert_int_equal (got.quota.grant.spread_us, 8);
+  assert_int_equal (got.quota.grant.n_leased, 9);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_report),        cmocka_unit_test (test_suspects),
-    cmocka_unit_test (test_rates),         cmocka_unit_test (test_limits),
-    cmocka_unit_test (test_retry),         cmocka_unit_test (test_slot_request),
-    cmocka_unit_test (test_grant_and_ids), cmocka_unit_test (test_any_bytes),
-    cmocka_unit_test (test_unknown_kinds), cmocka_unit_test (test_feed),
-    cmocka_unit_test (test_origins),       cmocka_unit_test (test_listings),
-    cmocka_unit_test (test_history),
+    cmocka_unit_test (test_quota_messages), cmocka_unit_test (test_report),
+    cmocka_unit_test (test_suspects),       cmocka_unit_test (test_rates),
+    cmocka_unit_test (test_limits),         cmocka_unit_test (test_retry),
+    cmocka_unit_test (test_slot_request),   cmocka_unit_test (test_grant_and_ids),
+    cmocka_unit_test (test_any_bytes),      cmocka_unit_test (test_unknown_kinds),
+    cmocka_unit_test (test_feed),           cmocka_unit_test (test_origins),
+    cmocka_unit_test (test_listings),       cmocka_unit_test (test_history),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
