Quotas: long partitions, and those in many sides

An instance forgets a silent peer after 30 s, after which both sides of a partition would have allocated the whole limit each: quotas count the most instances known in the last five minutes. A side of less than an eighth of the instances uses local buckets, as each allocator may let one request overdraw its bucket.

--- a/libmangofork/quota.c
+++ b/libmangofork/quota.c
@@ -14,6 +14,10 @@
 /* The part of the permitted overage, in percent, that is allocated by all sides of a partitioned
  * fleet together. */
 #define PARTITION_PERCENT 80
+/* An allocator that reaches less than one in this many of the instances allocates nothing: its
+ * instances use their local buckets. Each allocator may let one request overdraw its bucket, which
+ * in a fleet of isolated instances would exceed the bound. */
+#define SIDES_MAX 8
 /* A bucket of unknown history starts with what the rate yields in this time, and an instance names
  * what it has used in this time to an allocator that it asks for the first time. */
 #define RECENT_US (1 * MF_US_PER_S)
@@ -249,6 +253,8 @@
 
   if (known->per_s == 0)
     return (MfQuotaGrant){ .granted = true };
+  if (view.n_alive * SIDES_MAX < view.n_known)
+    return (MfQuotaGrant){ .redirected = true };
   quota = quota_get (quotas, ask->key, now_us);
   quota_set_limit (quota, known, bounds, view, now_us);
   mf_rate_bucket_charge (&quota->bucket, ask->n_charged, now_us);
--- a/libmangofork/quota.h
+++ b/libmangofork/quota.h
@@ -49,7 +49,7 @@
 typedef struct
 {
   bool granted;
-  bool redirected;    /* another instance allocates */
+  bool redirected;    /* this instance does not allocate: the asking one uses its local bucket */
   uint64_t wait_us;   /* denied: until the bucket can admit the request */
   uint64_t spread_us; /* denied: callers are to return within this time after the wait */
   uint32_t n_leased;  /* granted: units that may be used beyond those asked for */
--- a/libmangofork/relay/job.h
+++ b/libmangofork/relay/job.h
@@ -92,6 +92,9 @@
   MfQuotaBounds quota_bounds;
   MfQuotaUse quota_uses[MF_QUOTA_USES_MAX];
   uint32_t n_quota_uses;
+  /* The most instances known lately, and when there were as many. */
+  uint32_t n_quota_instances;
+  uint64_t quota_instances_us;
   ev_timer quota_timer; /* active while reports or changes of state are due */
   MfSuspects *suspects; /* requests that may crash the upstreams that run them */
   /* Crashes since then are known here, from this instance or from others that have been running; it
@@ -164,6 +167,7 @@
                              uint64_t now_us);
 void mf_jobs_cancel_orders (MfJobs *jobs);
 void mf_jobs_expire_failures (MfJobs *jobs, uint64_t now_us);
+void mf_jobs_note_instances (MfJobs *jobs, uint64_t now_us);
 void mf_jobs_quota_render (const MfJobs *jobs, MfBuffer *out);
 void mf_jobs_charge_rate (MfJobs *jobs, MfTarget *target);
 uint32_t mf_jobs_random (MfJobs *jobs);
--- a/libmangofork/relay/job_quota.c
+++ b/libmangofork/relay/job_quota.c
@@ -8,6 +8,9 @@
 /* An allocator replies within a few round trips between data centres and loop iterations of a small
  * instance. */
 #define REPLY_TIMEOUT_US (80 * MF_US_PER_MS)
+/* Instances that are not reachable count for this long: an instance forgets a peer after 30 s, and
+ * both sides of a longer partition would each allocate the whole limit. */
+#define INSTANCES_KEPT_US (300 * MF_US_PER_S)
 /* Reports that are due are sent, and changes of state are logged, at this interval. */
 #define REPORT_INTERVAL_S 0.1
 /* Returns the instance that allocates a quota. */
@@ -96,6 +99,18 @@
     }
 }
 
+/* Records how many instances are known. */
+void
+mf_jobs_note_instances (MfJobs *jobs, uint64_t now_us)
+{
+  uint32_t n_known = mf_jobs_n_instances (jobs);
+
+  if (n_known < jobs->n_quota_instances && now_us < jobs->quota_instances_us + INSTANCES_KEPT_US)
+    return;
+  jobs->n_quota_instances = n_known;
+  jobs->quota_instances_us = now_us;
+}
+
 /* Admits a request of this instance or of another one, or denies it. */
 static MfQuotaGrant
 jobs_allocate (MfJobs *jobs, const MfQuotaAsk *ask)
@@ -105,9 +120,10 @@
   MfQuotaView view = { .n_alive = 1, .n_known = 1 };
   MfQuotaLimit limit = { 0 };
 
+  mf_jobs_note_instances (jobs, now_us);
   if (jobs->peers != NULL)
     view = (MfQuotaView){ .n_alive = mf_peers_n_alive (jobs->peers, now_us),
-                          .n_known = mf_peers_n_known (jobs->peers) };
+                          .n_known = jobs->n_quota_instances };
   if (customer != NULL)
     limit = customer_limit (customer);
   if (!ev_is_active (&jobs->quota_timer))
@@ -296,7 +312,7 @@
   if (job->quota_allocator == MF_DISPATCH_SELF)
     {
       grant = jobs_allocate (jobs, ask);
-      return job_handle_grant (job, &grant);
+      return grant.redirected ? job_admit_local (job) : job_handle_grant (job, &grant);
     }
   job->quota_state = MF_JOB_QUOTA_ASKED;
   job->quota_ask_id = ++jobs->last_peer_request_id;
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -594,6 +594,7 @@
       mf_jobs_ask_engines (&relay->jobs);
     }
   mf_jobs_expire_failures (&relay->jobs, now_us);
+  mf_jobs_note_instances (&relay->jobs, now_us);
   settings_watch (relay, now_us);
   /* Reports of a peer that has become silent expire. */
   relay->jobs.remote_load_stale = true;
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -251,8 +251,11 @@
       MfQuotaGrant grant = mf_quotas_ask (instance->quotas, &ask, &fleet.limit, &bounds,
                                           instance->view, fleet.now_us);
 
-      note_end (n_units, mf_quota_asker_handle_grant (instance->asker, &request, &grant,
-                                                      fleet.now_us, &retry_us));
+      if (grant.redirected)
+        decide_locally (i, n_units);
+      else
+        note_end (n_units, mf_quota_asker_handle_grant (instance->asker, &request, &grant,
+                                                        fleet.now_us, &retry_us));
       return;
     }
   fleet.last_id++;
@@ -604,6 +607,32 @@
     }
 }
 
+/* Sides of any size, down to one instance each, stay below the bound together. */
+static void
+test_partition_in_many_sides (void **state)
+{
+  static const uint32_t n_sides[] = { 4, 6, 300 };
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (n_sides); i++)
+    {
+      uint32_t n = 300 / n_sides[i];
+
+      setup (300, 9. * PER_S);
+      fleet.plain_share = 0.;
+      run (5000);
+      for (uint32_t j = 0; j < 300; j++)
+        {
+          fleet.instances[j].side = j / n;
+          fleet.instances[j].allocator = j / n * n;
+          fleet.instances[j].view = (MfQuotaView){ n, 300 };
+        }
+      run (20000);
+      check ("many sides", 0, -1.);
+      teardown ();
+    }
+}
+
 /* Instances with leases freeze, the allocator for a shorter time than its reports are valid. */
 static void
 test_frozen_instances_exceed_nothing (void **state)
@@ -746,6 +775,7 @@
     cmocka_unit_test (test_other_ways_are_worse),
     cmocka_unit_test (test_allocator_is_lost),
     cmocka_unit_test (test_partition_in_two_halves),
+    cmocka_unit_test (test_partition_in_many_sides),
     cmocka_unit_test (test_frozen_instances_exceed_nothing),
     cmocka_unit_test (test_lowered_limit_takes_effect_at_once),
     cmocka_unit_test (test_demand_that_jumps_is_not_refused),
