--- a/libmangofork/relay/job.h
+++ b/libmangofork/relay/job.h
@@ -59,25 +59,13 @@
   uint64_t tokens;
 } MfEngineAsk;
 
-/* The key that a request presents and its customer. */
+/* The key that a request presents. The key itself is not kept. */
 typedef struct
 {
-  bool has_key; /* exactly one key of an allowed length */
-  uint8_t digest[MF_DIGEST_BYTES];
-  const MfCustomerInfo *customer; /* NULL: none */
-} MfKeyOwner;
-
-/* Customers whose units are counted apart; further ones are counted together. */
-#define MF_QUOTA_USES_MAX 64
-
-/* Units of a customer's requests since the process started. */
-typedef struct
-{
-  uint64_t key;
-  char name[MF_NAME_BYTES];
-  uint64_t n_admitted;
-  uint64_t n_denied;
-} MfQuotaUse;
+  bool is_read;  /* the request has been read under a configuration with customers */
+  bool is_valid; /* it presents exactly one key of an allowed length */
+  uint8_t bytes[MF_DIGEST_BYTES];
+} MfKeyDigest;
 
 /* State shared by all requests of one instance. */
 typedef struct
@@ -90,8 +78,6 @@
   MfQuotas *quotas;    /* quotas that this instance allocates */
   MfQuotaAsker *quota_asker;
   MfQuotaBounds quota_bounds;
-  MfQuotaUse quota_uses[MF_QUOTA_USES_MAX];
-  uint32_t n_quota_uses;
   /* The most instances known lately, and when there were as many. */
   uint32_t n_quota_instances;
   uint64_t quota_instances_us;
@@ -109,6 +95,7 @@
   uint64_t upstreams_as_of_us;
   uint64_t upstreams_age_max_us;
   uint64_t configured_us;     /* when the configuration was applied, on the same clock */
+  uint64_t revoke_us;         /* how long a request may still be sent after its key was removed */
   uint64_t config_apply_us;   /* a configuration must be in force within this time; 0: no bound */
   uint64_t stream_timeout_us; /* longest timeout of a stream in any configuration so far */
   MfDispatch *dispatch;
@@ -168,7 +155,6 @@
 void mf_jobs_cancel_orders (MfJobs *jobs);
 void mf_jobs_expire_failures (MfJobs *jobs, uint64_t now_us);
 void mf_jobs_note_instances (MfJobs *jobs, uint64_t now_us);
-void mf_jobs_quota_render (const MfJobs *jobs, MfBuffer *out);
 void mf_jobs_charge_rate (MfJobs *jobs, MfTarget *target);
 uint32_t mf_jobs_random (MfJobs *jobs);
 void mf_jobs_ask_engines (MfJobs *jobs);
--- a/libmangofork/relay/job_quota.c
+++ b/libmangofork/relay/job_quota.c
@@ -2,9 +2,6 @@
 
 #include "libmangofork/clock.h"
 
-#include <stdio.h>
-#include <string.h>
-
 /* An allocator replies within a few round trips between data centres and loop iterations of a small
  * instance. */
 #define REPLY_TIMEOUT_US (80 * MF_US_PER_MS)
@@ -43,60 +40,12 @@
   return (MfQuotaLimit){ .per_s = customer->per_s, .burst = customer->burst };
 }
 
-/* Returns the counts of a customer. Customers beyond the last row share it. */
-static MfQuotaUse *
-jobs_use (MfJobs *jobs, const MfCustomerInfo *customer)
-{
-  MfQuotaUse *use;
-
-  for (uint32_t i = 0; i < jobs->n_quota_uses; i++)
-    {
-      if (jobs->quota_uses[i].key == customer->name_hash)
-        return &jobs->quota_uses[i];
-    }
-  if (jobs->n_quota_uses == MF_QUOTA_USES_MAX)
-    return &jobs->quota_uses[MF_QUOTA_USES_MAX - 1];
-  use = &jobs->quota_uses[jobs->n_quota_uses++];
-  *use = (MfQuotaUse){ .key = customer->name_hash };
-  if (jobs->n_quota_uses == MF_QUOTA_USES_MAX)
-    *use = (MfQuotaUse){ .name = "others" };
-  else
-    snprintf (use->name, sizeof use->name, "%.*s", (int)sizeof use->name - 1, customer->name);
-  return use;
-}
-
-/* Writes a name as the value of a label. */
+/* Counts units of the request's customer. The name is needed the first time only. */
 static void
-label_escape (const char *name, char *dst, size_t dst_bytes)
-{
-  size_t n = 0;
-
-  for (; *name != '\0' && n + 3 < dst_bytes; name++)
-    {
-      if (*name == '"' || *name == '\\')
-        dst[n++] = '\\';
-      dst[n++] = (unsigned char)*name < ' ' ? ' ' : *name;
-    }
-  dst[n] = '\0';
-}
-
-/* Appends the units of each customer in the Prometheus text format. */
-void
-mf_jobs_quota_render (const MfJobs *jobs, MfBuffer *out)
+job_count_units (const MfJob *job, const char *name, MfCustomerCount count)
 {
-  for (uint32_t i = 0; i < jobs->n_quota_uses; i++)
-    {
-      const MfQuotaUse *use = &jobs->quota_uses[i];
-      char name[2 * MF_NAME_BYTES + 4];
-      char text[2 * sizeof name + 256];
-
-      label_escape (use->name, name, sizeof name);
-      snprintf (text, sizeof text,
-                "mangofork_relay_quota_units_total{customer=\"%s\"} %llu\n"
-                "mangofork_relay_quota_denied_units_total{customer=\"%s\"} %llu\n",
-                name, (unsigned long long)use->n_admitted, name, (unsigned long long)use->n_denied);
-      mf_buffer_add_text (out, text);
-    }
+  mf_relay_counters_note_customer (&job->jobs->counters, name, job->quota_key, count,
+                                   job->quota_units);
 }
 
 /* Records how many instances are known. */
@@ -152,7 +101,7 @@
       const MfCustomerInfo *customer = jobs_customer (jobs, key);
 
       mf_relay_log_state (jobs->log, is_limited ? "quota.limited" : "quota.unlimited",
-                          "customer=%s hash=%016llx per_s=%llu burst=%llu",
+                          "customer=\"%s\" hash=%016llx per_s=%llu burst=%llu",
                           customer != NULL ? customer->name : "unknown", (unsigned long long)key,
                           (unsigned long long)(customer != NULL ? customer->per_s : 0),
                           (unsigned long long)(customer != NULL ? customer->burst : 0));
@@ -222,9 +171,9 @@
 job_quota_request (const MfJob *job)
 {
   return (MfQuotaRequest){
-    .key = job->customer->name_hash,
+    .key = job->quota_key,
     .n_units = job->quota_units,
-    .limit = customer_limit (job->customer),
+    .limit = job->quota_limit,
     .allocator = job->quota_allocator,
     .n_instances = mf_jobs_n_instances (job->jobs),
     .random = mf_jobs_random (job->jobs),
@@ -236,14 +185,14 @@
 job_note_admitted (MfJob *job)
 {
   job->quota_state = MF_JOB_QUOTA_ADMITTED;
-  jobs_use (job->jobs, job->customer)->n_admitted += job->quota_units;
+  job_count_units (job, job->customer != NULL ? job->customer->name : "", MF_CUSTOMER_UNITS);
 }
 
 static void
 job_deny (MfJob *job, uint64_t retry_us)
 {
   job->jobs->counters.counts[MF_RELAY_COUNT_QUOTA_DENIED]++;
-  jobs_use (job->jobs, job->customer)->n_denied += job->quota_units;
+  job_count_units (job, job->customer != NULL ? job->customer->name : "", MF_CUSTOMER_UNITS_DENIED);
   mf_job_refuse_over_quota (job, retry_us);
 }
 
@@ -340,8 +289,10 @@
     return job->quota_state == MF_JOB_QUOTA_ADMITTED;
   if (job->customer == NULL || job->customer->per_s == 0)
     return true;
+  job->quota_key = job->customer->name_hash;
+  job->quota_limit = customer_limit (job->customer);
   job->quota_units = job_units (job);
-  job->quota_allocator = jobs_allocator (jobs, job->customer->name_hash);
+  job->quota_allocator = jobs_allocator (jobs, job->quota_key);
   if (!ev_is_active (&jobs->quota_timer))
     ev_timer_again (jobs->loop, &jobs->quota_timer);
   request = job_quota_request (job);
@@ -370,8 +321,8 @@
       || job->stalled.link != NULL || (job->link != NULL && mf_link_has_sent (job->link)))
     return;
   job->quota_state = MF_JOB_QUOTA_NONE;
-  jobs_use (job->jobs, job->customer)->n_admitted -= job->quota_units;
-  mf_quota_asker_return (job->jobs->quota_asker, job->customer->name_hash, job->quota_units, true,
+  job_count_units (job, "", MF_CUSTOMER_UNITS_RETURNED);
+  mf_quota_asker_return (job->jobs->quota_asker, job->quota_key, job->quota_units, true,
                          mf_clock_now_us ());
   if (!ev_is_active (&job->jobs->quota_timer))
     ev_timer_again (job->jobs->loop, &job->jobs->quota_timer);
@@ -383,9 +334,10 @@
 {
   MfJobs *jobs = job->jobs;
 
-  mf_relay_log_state (jobs->log, "quota.unanswered", "id=%s customer=%s", job->id,
-                      job->customer->name);
-  mf_quota_asker_note_unanswered (jobs->quota_asker, job->customer->name_hash, job->quota_allocator,
+  mf_relay_log_state (jobs->log, "quota.unanswered", "id=%s customer=\"%s\" hash=%016llx", job->id,
+                      job->customer != NULL ? job->customer->name : "",
+                      (unsigned long long)job->quota_key);
+  mf_quota_asker_note_unanswered (jobs->quota_asker, job->quota_key, job->quota_allocator,
                                   mf_clock_now_us ());
   if (job_admit_local (job))
     job_continue (job);
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -79,7 +79,10 @@
   MfRoutes *routes; /* the configuration in force when the request arrived */
   const MfRoute *route;
   const MfRouteService *service;
-  const MfCustomerInfo *customer; /* of the configuration in routes; NULL: none */
+  const MfCustomerInfo *customer; /* who has its key now, or had it last; NULL: none */
+  MfRoutes *customer_routes;      /* the configuration that customer points into */
+  MfKeyDigest key;
+  uint64_t key_removed_us; /* when a configuration without its key was applied; 0: none was */
   bool is_engine;
   bool is_head_request;
   char id[MF_JOB_ID_BYTES];
@@ -141,6 +144,8 @@
   bool rate_is_local;        /* the unit is of this instance's local part of the rate */
 
   MfJobQuotaState quota_state;
+  uint64_t quota_key;       /* the customer that is charged, also if the key has moved since */
+  MfQuotaLimit quota_limit; /* of that customer */
   uint32_t quota_units;     /* what it counts against the quota */
   uint64_t quota_ask_id;    /* id of the ask that awaits a reply; 0: none */
   uint64_t quota_allocator; /* hash of the instance that was asked */
@@ -297,8 +302,12 @@
 bool mf_job_keep_stalled (MfJob *job, MfCode code, const char *why);
 
 /* job_customer.c: customers and their keys. */
-MfCode mf_jobs_find_customer (const MfJobs *jobs, const MfCaller *caller, const MfRoute *route,
-                              MfKeyOwner *owner);
+MfCode mf_jobs_check_key (const MfJobs *jobs, const MfCaller *caller, const MfRoute *route,
+                          MfKeyDigest *key);
+void mf_job_find_customer (MfJob *job);
+void mf_jobs_count_customer (MfJobs *jobs, const MfCustomerInfo *customer, MfCustomerCount count);
+bool mf_job_end_revoked (MfJob *job);
+bool mf_job_hides_key (const MfJob *job);
 uint32_t mf_job_priority (const MfJob *job);
 
 /* job_send.c: starts and cancels exchanges with upstreams. */
--- a/tests/test_job_quota.c
+++ b/tests/test_job_quota.c
@@ -117,6 +117,16 @@
   return sum;
 }
 
+static uint64_t
+n_units (MfCustomerCount of)
+{
+  uint64_t sum = 0;
+
+  for (uint32_t i = 0; i < N; i++)
+    sum += fleet.instances[i].jobs.counters.customers[0].counts[of];
+  return sum;
+}
+
 static uint32_t
 allocator_index (void)
 {
@@ -196,8 +206,8 @@
   (void)state;
   setup (",\"ratePerS\":10,\"burst\":10", false);
   press (6, 700 * MF_US_PER_MS, 2);
-  for (uint32_t i = 0; i < N; i++)
-    assert_int_equal (fleet.instances[i].jobs.quota_uses[0].n_admitted, 0);
+  assert_int_equal (n_units (MF_CUSTOMER_UNITS), n_calls);
+  assert_int_equal (n_units (MF_CUSTOMER_UNITS_RETURNED), n_calls);
   assert_int_equal (n_answered (503, ""), n_calls);
   teardown ();
 }
@@ -244,17 +254,13 @@
 static void
 test_units_of_a_request (void **state)
 {
-  uint64_t n_units = 0;
-
   (void)state;
   setup (",\"unit\":\"token_stream\",\"plainTokens\":200,\"ratePerS\":10000,\"burst\":10000", true);
   call (0, "X-Token-Count: 5200,69\r\n");
   call (1, "");
   loop_spin (fleet.loop, 100);
   assert_int_equal (n_answered (200, ""), 2);
-  for (uint32_t i = 0; i < N; i++)
-    n_units += fleet.instances[i].jobs.quota_uses[0].n_admitted;
-  assert_int_equal (n_units, 5269 + 200);
+  assert_int_equal (n_units (MF_CUSTOMER_UNITS), 5269 + 200);
   teardown ();
 }
 
