--- a/libmangofork/relay/job_customer.c
+++ b/libmangofork/relay/job_customer.c
@@ -140,5 +140,6 @@
 mf_jobs_count_customer (MfJobs *jobs, const MfCustomerInfo *customer, MfCustomerCount count)
 {
   if (customer != NULL)
-    mf_relay_counters_note_customer (&jobs->counters, customer->name, customer->name_hash, count);
+    mf_relay_counters_note_customer (&jobs->counters, customer->name, customer->name_hash, count,
+                                     1);
 }
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -509,6 +509,9 @@
   relay->jobs.budget_window_us = relay->settings.retry_window_us;
   relay->jobs.budget_ratio = relay->settings.retry_ratio;
   relay->jobs.budget_slack = relay->settings.retry_slack;
+  relay->jobs.quota_bounds = (MfQuotaBounds){ .window_us = relay->settings.quota_window_us,
+                                              .overage = relay->settings.quota_overage,
+                                              .slack = relay->settings.quota_slack };
   relay->jobs.orders_fenced = relay->settings.orders_fenced;
   relay->jobs.order_interval_us = relay->settings.order_interval_us;
   relay->freshness.staleness_max_us = relay->settings.change_bound_us;
@@ -626,6 +629,7 @@
       mf_jobs_ask_engines (&relay->jobs);
     }
   mf_jobs_expire_failures (&relay->jobs, now_us);
+  mf_jobs_note_instances (&relay->jobs, now_us);
   settings_watch (relay, now_us);
   mf_jobs_tick_spillover (&relay->jobs, now_us);
   /* Reports of a peer that has become silent expire. */
--- a/libmangofork/relay/relay_counters.c
+++ b/libmangofork/relay/relay_counters.c
@@ -45,13 +45,13 @@
   return row;
 }
 
-/* Counts an event of a customer. The first customers that are seen have rows of their own until the
- * process ends, which bounds the number of metrics. */
+/* Counts events or units of a customer. The first customers that are seen have rows of their own
+ * until the process ends, which bounds the number of metrics. */
 void
 mf_relay_counters_note_customer (MfRelayCounters *counters, const char *name, uint64_t name_hash,
-                                 MfCustomerCount count)
+                                 MfCustomerCount count, uint64_t n)
 {
-  customer_row (counters, name, name_hash)->counts[count]++;
+  customer_row (counters, name, name_hash)->counts[count] += n;
 }
 
 static const CounterInfo customer_infos[MF_CUSTOMER_N_COUNTS] = {
@@ -60,6 +60,9 @@
   [MF_CUSTOMER_REFUSED] = { "refusals", "of these, refused before they ran" },
   [MF_CUSTOMER_FAILED] = { "failures", "of these, failed, possibly after they ran" },
   [MF_CUSTOMER_DEPARTED] = { "departures", "of these, given up by the caller" },
+  [MF_CUSTOMER_UNITS] = { "quota_units", "units of a customer that its quota has admitted" },
+  [MF_CUSTOMER_UNITS_DENIED] = { "quota_denied_units", "units denied over the quota" },
+  [MF_CUSTOMER_UNITS_RETURNED] = { "quota_returned_units", "units admitted and not used" },
 };
 
 /* Without customers nothing is written. */
--- a/libmangofork/relay/relay_counters.h
+++ b/libmangofork/relay/relay_counters.h
@@ -52,6 +52,10 @@
   X (RATE_ASKED, "rate_asks_total", "requests that needed a unit of an upstream's rate limit")     \
   X (RATE_DENIED, "rate_denied_total", "of these, denied, as the limit was reached")               \
   X (RATE_LOCAL, "rate_local_total", "of these, decided locally, as no allocator replied")         \
+  X (QUOTA_ASKED, "quota_asks_total", "requests that asked the allocator of a customer's quota")   \
+  X (QUOTA_GRANTED, "quota_granted_total", "of these, admitted by the allocator")                  \
+  X (QUOTA_DENIED, "quota_denied_total", "requests refused over the quota of their customer")      \
+  X (QUOTA_LOCAL, "quota_local_total", "requests decided locally, as no allocator replied")        \
   X (KEYS_REFUSED, "keys_refused_total", "requests refused at once for their key")                 \
   X (KEYS_REVOKED, "keys_revoked_total", "requests ended as their key was removed meanwhile")      \
   X (KEYS_MOVED, "keys_moved_total", "requests whose key another customer has got meanwhile")      \
@@ -84,6 +88,9 @@
   MF_CUSTOMER_REFUSED,
   MF_CUSTOMER_FAILED,
   MF_CUSTOMER_DEPARTED,
+  MF_CUSTOMER_UNITS,
+  MF_CUSTOMER_UNITS_DENIED,
+  MF_CUSTOMER_UNITS_RETURNED,
   MF_CUSTOMER_N_COUNTS,
 } MfCustomerCount;
 
@@ -108,7 +115,7 @@
 
 void mf_relay_histogram_observe (MfRelayHistogram *histogram, uint64_t value_us);
 void mf_relay_counters_note_customer (MfRelayCounters *counters, const char *name,
-                                      uint64_t name_hash, MfCustomerCount count);
+                                      uint64_t name_hash, MfCustomerCount count, uint64_t n);
 void mf_relay_counters_render (const MfRelayCounters *counters, MfBuffer *out);
 
 #endif
--- a/tests/test_platform_settings.c
+++ b/tests/test_platform_settings.c
@@ -28,7 +28,8 @@
       "graceS=8.5\r\n"
       "bounds.retryBudgetRatio=0.25\nbounds.budgetWindowS=12\nbounds.retryBudgetSlack=52\n"
       "bounds.revokeMs=400\nbounds.strictRevocation=true\nbounds.fenceRequired=true\nbounds."
-      "leaseMs=2500";
+      "leaseMs=2500\n"
+      "bounds.quotaWindowS=7\nbounds.quotaOverage=0.5\nbounds.quotaSlack=90000";
   MfRelaySettings settings;
   MfError error;
 
@@ -50,6 +51,9 @@
   assert_true (settings.revokes_at_once);
   assert_true (settings.orders_fenced);
   assert_int_equal (settings.order_interval_us, 2500000);
+  assert_int_equal (settings.quota_window_us, 7 * MF_US_PER_S);
+  assert_true (settings.quota_overage > 0.49 && settings.quota_overage < 0.51);
+  assert_int_equal (settings.quota_slack, 90000);
   assert_int_equal (settings.retry_window_us, 12 * MF_US_PER_S);
   assert_int_equal (settings.retry_slack, 52);
   assert_true (settings.retry_ratio > 0.249 && settings.retry_ratio < 0.251);
