--- a/libmangofork/relay/job_quota.c
+++ b/libmangofork/relay/job_quota.c
@@ -101,10 +101,13 @@
       const MfCustomerInfo *customer = jobs_customer (jobs, key);
 
       mf_relay_log_state (jobs->log, is_limited ? "quota.limited" : "quota.unlimited",
-                          "customer=\"%s\" hash=%016llx per_s=%llu burst=%llu",
+                          "customer=\"%s\" hash=%016llx per_s=%llu burst=%llu "
+                          "instances_alive=%u instances_known=%u",
                           customer != NULL ? customer->name : "unknown", (unsigned long long)key,
                           (unsigned long long)(customer != NULL ? customer->per_s : 0),
-                          (unsigned long long)(customer != NULL ? customer->burst : 0));
+                          (unsigned long long)(customer != NULL ? customer->burst : 0),
+                          jobs->peers != NULL ? mf_peers_n_alive (jobs->peers, now_us) : 1,
+                          jobs->n_quota_instances);
     }
 }
 
