--- a/tests/test_job_quota.c
+++ b/tests/test_job_quota.c
@@ -12,8 +12,8 @@
 
 #include <cmocka.h>
 
-#define LISTEN_PORT 21771
-#define PEER_PORT 21781
+#define LISTEN_PORT 21841
+#define PEER_PORT 21851
 #define CALLS_MAX 450
 #define N RELAY_FLEET_N_INSTANCES
 #define OVERAGE 0.25
