--- a/review/7/case.c
+++ b/review/7/case.c
@@ -209,6 +209,7 @@
   sleep_s (STREAMS_AT_S + client * 0.01 - now_s ());
   fd = client_connect (router.front);
   snprintf (id, sizeof id, "a%u", client);
+  record ("client %u: sends %s", client, id);
   stream_send (fd, id, client);
   read_raw (fd, bytes, 6.);
   close (fd);
@@ -242,6 +243,7 @@
       ssize_t n;
 
       snprintf (id, sizeof id, "b%u", i);
+      record ("tenant: sends %s", id);
       stream_send (fd, id, CLIENTS + i);
       n = recv (fd, bytes, sizeof bytes - 1, 0);
       bytes[n > 0 ? n : 0] = '\0';
