Quotas: decided at the arrival, and one place that responds to callers

Reads were refused as not run while an upstream ran them.

Cause: mf_job_admit() runs at each step of a request and left no mark for a customer without a quota, so the step that moves a stream asked again under the configuration in force by then. mf_job_refuse_over_quota(), one of four functions that respond to a caller, did not look at what the caller had got. Evidence: each 429 has a request.end with the id of the stream itself, and only streams of the slow engine got one.

--- a/libmangofork/relay/caller.c
+++ b/libmangofork/relay/caller.c
@@ -72,6 +72,7 @@
   uint64_t started_us;
   uint64_t timer_us;
   uint32_t n_requests; /* complete ones that have been read on this connection */
+  bool response_begun; /* its head has been sent, and its end has not */
   bool chunked;
   bool closing;              /* the connection closes after the response */
   bool ends_with_connection; /* the response has neither a length nor chunks */
@@ -253,14 +254,21 @@
     mf_buffer_add_text (&caller->out, "Connection: close\r\n");
 }
 
-/* Sends a complete response. headers holds complete header lines, or is NULL. */
-void
+/* Sends a complete response. headers holds complete header lines, or is NULL. Where a response has
+ * been sent, or has begun, the caller would read a second head as a part of it: returns false and
+ * closes the connection as mf_caller_abort does. */
+bool
 mf_caller_reply (MfCaller *caller, uint32_t status, const MfBuffer *headers, const char *body,
                  size_t body_bytes)
 {
   char line[64];
   bool is_head = caller->message.parser.method == HTTP_HEAD;
 
+  if (caller->response_begun || caller->state > CALLER_WAITING)
+    {
+      mf_caller_abort (caller);
+      return false;
+    }
   caller_hold (caller);
   response_head_write (caller, status, headers);
   /* The length of the body that a response to HEAD leaves out is not known here. */
@@ -278,13 +286,18 @@
   response_finish (caller);
   caller_advance (caller);
   caller_release (caller);
+  return true;
 }
 
-/* Begins a streamed response. mf_caller_end completes it; mf_caller_abort cuts it off. */
+/* Begins a streamed response, unless one has begun. mf_caller_end completes it; mf_caller_abort
+ * cuts it off. */
 void
 mf_caller_begin (MfCaller *caller, uint32_t status, const MfBuffer *headers)
 {
+  if (caller->response_begun)
+    return;
   caller_hold (caller);
+  caller->response_begun = true;
   caller->chunked = caller->message.parser.http_minor > 0;
   caller->ends_with_connection = !caller->chunked;
   if (!caller->chunked)
@@ -341,6 +354,7 @@
   caller_hold (caller);
   if (caller->chunked)
     mf_buffer_add_text (&caller->out, "0\r\n\r\n");
+  caller->response_begun = false;
   caller->state = CALLER_RESPONDING;
   caller->job = NULL;
   out_flush (caller);
@@ -482,6 +496,7 @@
         }
       timer_set (caller, 0);
       caller->state = CALLER_WAITING;
+      caller->response_begun = false;
       caller->chunked = false;
       caller->write_paused = false;
       caller->n_requests++;
--- a/libmangofork/relay/caller.h
+++ b/libmangofork/relay/caller.h
@@ -54,7 +54,7 @@
 void mf_caller_set_job (MfCaller *caller, void *job);
 void *mf_caller_job (const MfCaller *caller);
 
-void mf_caller_reply (MfCaller *caller, uint32_t status, const MfBuffer *headers, const char *body,
+bool mf_caller_reply (MfCaller *caller, uint32_t status, const MfBuffer *headers, const char *body,
                       size_t body_bytes);
 void mf_caller_begin (MfCaller *caller, uint32_t status, const MfBuffer *headers);
 void mf_caller_write (MfCaller *caller, const char *bytes, size_t n_bytes);
--- a/libmangofork/relay/job_quota.c
+++ b/libmangofork/relay/job_quota.c
@@ -196,7 +196,10 @@
 {
   job->jobs->counters.counts[MF_RELAY_COUNT_QUOTA_DENIED]++;
   job_count_units (job, job->customer != NULL ? job->customer->name : "", MF_CUSTOMER_UNITS_DENIED);
-  mf_job_refuse_over_quota (job, retry_us);
+  /* Unlike other refusals it names a time beyond the caller's deadline, as an earlier try would be
+   * refused as well. */
+  job->quota_retry_us = retry_us > 0 ? retry_us : 1;
+  mf_job_refuse (job, MF_CODE_CUSTOMER_LIMIT, "over the customer's quota");
 }
 
 /* Decides with the bucket of this instance, as the allocator does not answer. Returns whether the
@@ -278,8 +281,9 @@
   return false;
 }
 
-/* Admits a request within the quota of its customer, once. Returns whether it may go on; otherwise
- * it waits for a reply of the allocator, or has been refused and freed. */
+/* Admits a request within the quota of its customer at its arrival, before anything is sent for it.
+ * Returns whether it may go on; otherwise it waits for a reply of the allocator, or has been
+ * refused and freed. */
 bool
 mf_job_admit (MfJob *job)
 {
@@ -288,10 +292,13 @@
   MfQuotaAsk ask;
   uint64_t retry_us = 0;
 
-  if (job->quota_state != MF_JOB_QUOTA_NONE)
-    return job->quota_state == MF_JOB_QUOTA_ADMITTED;
+  if (job->quota_state != MF_JOB_QUOTA_UNDECIDED)
+    return job->quota_state != MF_JOB_QUOTA_ASKED;
   if (job->customer == NULL || job->customer->per_s == 0)
-    return true;
+    {
+      job->quota_state = MF_JOB_QUOTA_EXEMPT;
+      return true;
+    }
   job->quota_key = job->customer->name_hash;
   job->quota_limit = customer_limit (job->customer);
   job->quota_units = job_units (job);
@@ -323,7 +330,7 @@
   if (job->quota_state != MF_JOB_QUOTA_ADMITTED || job->n_runs > 0 || job->n_prefills > 0
       || job->stalled.link != NULL || (job->link != NULL && mf_link_has_sent (job->link)))
     return;
-  job->quota_state = MF_JOB_QUOTA_NONE;
+  job->quota_state = MF_JOB_QUOTA_EXEMPT;
   job_count_units (job, "", MF_CUSTOMER_UNITS_RETURNED);
   mf_quota_asker_return (job->jobs->quota_asker, job->quota_key, job->quota_units, true,
                          mf_clock_now_us ());
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -22,12 +22,14 @@
   MF_JOB_STREAMING, /* the head of the answer has been sent to the caller */
 } MfJobPhase;
 
-/* Whether the quota of its customer admits a request. */
+/* Whether the quota of its customer admits a request. That is decided at its arrival, and not again
+ * when a later configuration has another quota. */
 typedef enum
 {
-  MF_JOB_QUOTA_NONE,     /* not asked for yet, or not needed */
+  MF_JOB_QUOTA_UNDECIDED,
   MF_JOB_QUOTA_ASKED,    /* the allocator's reply is awaited */
   MF_JOB_QUOTA_ADMITTED, /* and its units are charged */
+  MF_JOB_QUOTA_EXEMPT,   /* there was none */
 } MfJobQuotaState;
 
 /* A buffered answer of an upstream. */
@@ -195,8 +197,7 @@
 /* job.c */
 void mf_job_finish (MfJob *job, MfCode code, const char *why);
 void mf_job_refuse (MfJob *job, MfCode code, const char *why);
-void mf_job_refuse_over_quota (MfJob *job, uint64_t retry_us);
-void mf_job_reply (MfJob *job, MfJobAnswer *answer);
+void mf_job_reply (MfJob *job, const MfJobAnswer *answer);
 void mf_job_set_timer (MfJob *job);
 void mf_job_reset_give_up (MfJob *job);
 uint64_t mf_job_answer_min_us (const MfJob *job);
--- a/libmangofork/relay/relay_counters.h
+++ b/libmangofork/relay/relay_counters.h
@@ -14,6 +14,8 @@
   X (REFUSED, "refusals_total", "requests refused before they ran")                                \
   X (FAILED, "failures_total", "requests that may have run and failed")                            \
   X (CUT_OFF, "answers_cut_off_total", "of these, answers that had begun")                         \
+  X (SECOND_HEADS, "second_heads_total",                                                           \
+     "responses cut off in place of a second head, an internal error")                             \
   X (DEPARTED, "departures_total", "callers that disconnected before their response")              \
   X (UNREADABLE, "unreadable_total", "requests refused because they could not be read")            \
   X (SENDS, "sends_total", "requests sent to upstreams, retries included")                         \
--- a/tests/test_caller.c
+++ b/tests/test_caller.c
@@ -306,6 +306,53 @@
   fixture_end (&fixture);
 }
 
+/* A second head would be read as a part of the response that has begun. */
+static void
+test_response_that_has_begun_gets_no_second_head (void **state)
+{
+  Fixture fixture;
+  int fd;
+
+  (void)state;
+  fixture_begin (&fixture, false);
+  fd = loop_connect (PORT);
+  loop_send (fd, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", 27);
+  loop_spin (fixture.loop, 10);
+  mf_caller_begin (fixture.waiting, 200, NULL);
+  mf_caller_write (fixture.waiting, "some", 4);
+  mf_caller_begin (fixture.waiting, 500, NULL);
+  mf_caller_write (fixture.waiting, "more", 4);
+  assert_false (mf_caller_reply (fixture.waiting, 429, NULL, "no", 2));
+  loop_receive (fixture.loop, fd, NULL, fixture.received, sizeof fixture.received);
+  assert_memory_equal (fixture.received, "HTTP/1.1 200", 12);
+  assert_null (strstr (fixture.received + 1, "HTTP/1.1"));
+  assert_non_null (strstr (fixture.received, "4\r\nsome\r\n4\r\nmore\r\n"));
+  assert_null (strstr (fixture.received, "0\r\n\r\n"));
+  assert_int_equal (fixture.n_departed, 0);
+  close (fd);
+  fixture_end (&fixture);
+}
+
+/* A request that cannot be read is rejected, also after a streamed response. */
+static void
+test_bad_request_after_a_stream_is_rejected (void **state)
+{
+  Fixture fixture;
+  int fd;
+
+  (void)state;
+  fixture_begin (&fixture, false);
+  fd = loop_connect (PORT);
+  loop_send (fd, "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET nowhere HTTP/1.1\r\n\r\n", 52);
+  loop_spin (fixture.loop, 10);
+  mf_caller_begin (fixture.waiting, 200, NULL);
+  mf_caller_end (fixture.waiting);
+  loop_receive (fixture.loop, fd, NULL, fixture.received, sizeof fixture.received);
+  assert_non_null (strstr (fixture.received, "0\r\n\r\nHTTP/1.1 400"));
+  close (fd);
+  fixture_end (&fixture);
+}
+
 static void
 test_stream_that_ends_goes_on_to_the_next_request (void **state)
 {
@@ -575,6 +622,8 @@
     cmocka_unit_test (test_no_more_callers_than_allowed),
     cmocka_unit_test (test_caller_who_leaves_while_its_request_waits),
     cmocka_unit_test (test_aborted_stream_is_not_complete),
+    cmocka_unit_test (test_response_that_has_begun_gets_no_second_head),
+    cmocka_unit_test (test_bad_request_after_a_stream_is_rejected),
     cmocka_unit_test (test_stream_that_ends_goes_on_to_the_next_request),
     cmocka_unit_test (test_connections_close_after_the_response_once_keep_alive_ended),
     cmocka_unit_test (test_request_that_has_arrived_is_not_closed_as_idle),
