Responses: a status below 100, above 599 or 101 breaks the exchange at once

An upstream in trouble that answered with a status of 000 kept each caller until its deadline (504 after 8 s on a plain service, 2 s lost on a stream) with its body in memory, so that later callers were refused; 600 was passed on. In `serve` such a call had no end at all once its first byte had come.

Cause: message.c, and libcurl in `serve`, take every status below 200 for that of an interim response and wait for another; nothing checked the other end of the range. 101 was waited for as well.

Change: mf_status_is_valid() decides when the head is complete, in the one parser that runs, prefills, look-ups, orders, releases of KV and the store have in common, and in the header callback of `serve`. So no status of 0 reaches the fields that use it for "none yet".

--- a/libmangofork/code.h
+++ b/libmangofork/code.h
@@ -41,6 +41,7 @@
   X (POISON, 3005, 422, RAN, "poison", "this request has crashed upstreams and is not run again")  \
   X (ANSWER_TOO_LARGE, 3006, 502, RAN, "answer-too-large", "the upstream's answer is too large")   \
   X (NO_VERSION, 3007, 503, NOT_RUN, "no-version", "no upstream can go on with this stream")       \
+  X (BAD_STATUS, 3008, 0, UNKNOWN, "bad-status", "the upstream's answer has no valid status")      \
   X (KEY_UNKNOWN, 4001, 409, UNKNOWN, "key-unknown", "the outcome of this key's call is unknown")  \
   X (KEY_NO_QUORUM, 4002, 503, UNKNOWN, "key-no-quorum", "too few instances answered for the key") \
   X (KEY_BODY_DIFFERS, 4003, 422, NOT_RUN, "key-body-differs",                                     \
--- a/libmangofork/header.c
+++ b/libmangofork/header.c
@@ -22,3 +22,10 @@
     }
   return true;
 }
+
+/* 1xx are interim responses; 101 accepts a change of the protocol, which is never requested. */
+bool
+mf_status_is_valid (uint32_t status)
+{
+  return status >= 100 && status <= 599 && status != 101;
+}
--- a/libmangofork/http_out.c
+++ b/libmangofork/http_out.c
@@ -1,6 +1,7 @@
 #include "http_out.h"
 
 #include "clock.h"
+#include "header.h"
 #include "multi.h"
 
 #include <stdlib.h>
@@ -323,6 +324,9 @@
       ev_timer_stop (call->out->loop, &call->first_byte_timer);
     }
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+  /* Ends the call. libcurl takes a status below 200 for an interim one and waits for another. */
+  if (header_is (line, line_bytes, "HTTP/") && !mf_status_is_valid ((uint32_t)status))
+    return 0;
   call->status = (uint16_t)status;
   if (header_is (line, line_bytes, "Mangofork-Ran: no"))
     call->refused = true;
--- a/libmangofork/relay/link.c
+++ b/libmangofork/relay/link.c
@@ -268,7 +268,9 @@
         }
       if (link->message.error_code != MF_CODE_OK)
         {
-          link_fail (link, "malformed HTTP response");
+          link_fail (link, link->message.error_code == MF_CODE_BAD_STATUS
+                               ? mf_code_info (MF_CODE_BAD_STATUS)->summary
+                               : "malformed HTTP response");
           return false;
         }
       if (link->id_missing)
--- a/libmangofork/relay/message.c
+++ b/libmangofork/relay/message.c
@@ -103,6 +103,8 @@
 
   if (message->head_done) /* trailers */
     return 0;
+  if (parser->type == HTTP_RESPONSE && !mf_status_is_valid (parser->status_code))
+    return message_fail (message, MF_CODE_BAD_STATUS);
   field_finish (message);
   message->head_done = true;
   if (parser->type == HTTP_RESPONSE && parser->status_code < 200)
--- a/tests/test_http_out.c
+++ b/tests/test_http_out.c
@@ -33,6 +33,7 @@
   SERVER_SENDS_LARGE_BODY, /* answers with BODY_BYTES */
   SERVER_NEVER_ANSWERS,
   SERVER_STREAMS,
+  SERVER_SENDS_RAW, /* raw, and keeps the connection open */
 } Behaviour;
 
 typedef struct
@@ -42,6 +43,7 @@
   MfHttpOut *out;
   char address[MF_ADDRESS_BYTES];
   Behaviour behaviour;
+  const char *raw;
   uint32_t n_arrived;
   FakeConn *conn; /* of the running stream */
   MfEvent events[EVENTS_MAX];
@@ -85,6 +87,9 @@
       fake_conn_begin (conn);
       fixture->conn = conn;
       break;
+    case SERVER_SENDS_RAW:
+      fake_conn_send_raw (conn, fixture->raw, strlen (fixture->raw));
+      break;
     case SERVER_NEVER_ANSWERS:
       break;
     }
@@ -402,6 +407,33 @@
   assert_true (last (fixture)->sent);
 }
 
+/* A status that is no final one of HTTP was passed on, or waited for until the time-out. */
+static void
+test_answer_without_a_status_fails (void **state)
+{
+  static const char *const texts[] = {
+    "HTTP/1.1 000 Zero\r\nX-Request-Id: r-1\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 000 Zero\r\nX-Request-Id: r-1\r\n\r\nok",
+    "HTTP/1.1 099 Below\r\nX-Request-Id: r-1\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Zero\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 600 Above\r\nX-Request-Id: r-1\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 999 Above\r\nX-Request-Id: r-1\r\nContent-Length: 2\r\n\r\nok",
+  };
+  Fixture *fixture = *state;
+
+  fixture->behaviour = SERVER_SENDS_RAW;
+  for (size_t i = 0; i < MF_ARRAY_LEN (texts); i++)
+    {
+      fixture->raw = texts[i];
+      run_plain (fixture, i + 1, "POST", true);
+      if (has_event (fixture, MF_EVENT_CALL_DONE) || last (fixture)->timed_out)
+        fail_msg ("%s: status %u", texts[i], last (fixture)->status);
+      assert_int_equal (fixture->events[fixture->n_events - 1].type, MF_EVENT_CALL_FAILED);
+      assert_true (last (fixture)->sent);
+    }
+}
+
 static void
 test_call_that_cannot_be_built_fails_later (void **state)
 {
@@ -524,6 +556,7 @@
     FIXTURE_TEST (test_redirect_is_not_followed),
     FIXTURE_TEST (test_answer_is_bounded),
     FIXTURE_TEST (test_no_answer_times_out),
+    FIXTURE_TEST (test_answer_without_a_status_fails),
     FIXTURE_TEST (test_call_that_cannot_be_built_fails_later),
     FIXTURE_TEST (test_stream_reset_midway_fails),
     FIXTURE_TEST (test_reset_that_a_write_has_seen_is_no_end),
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -278,6 +278,39 @@
   exchange_end (&exchange);
 }
 
+/* A response with a status that is no final one of HTTP was waited for until the time-out, or
+ * passed on; its end must not depend on that of the connection. */
+static void
+test_answer_without_a_status_is_broken (void **state)
+{
+  static const char *const texts[] = {
+    "HTTP/1.1 000 Zero\r\nX-Attempt-Id: mine\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 000\r\nX-Attempt-Id: mine\r\n\r\nok",
+    "HTTP/1.1 099 Below\r\nX-Attempt-Id: mine\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
+    "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nmore",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Zero\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 600 Above\r\nX-Attempt-Id: mine\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 999 Above\r\nX-Attempt-Id: mine\r\n\r\nok",
+    "HTTP/1.1 1000 Above\r\nX-Attempt-Id: mine\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 20 Short\r\nX-Attempt-Id: mine\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 -01 Sign\r\nX-Attempt-Id: mine\r\nContent-Length: 2\r\n\r\nok",
+  };
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (texts); i++)
+    {
+      Exchange exchange;
+
+      exchange_begin (&exchange, texts[i]);
+      run (&exchange, "mine");
+      assert_int_equal (exchange.end, MF_LINK_BROKEN);
+      assert_int_equal (exchange.n_heads, 0);
+      assert_string_equal (exchange.body, "");
+      exchange_end (&exchange);
+    }
+}
+
 /* A response without a length ends when the connection closes; a reset leaves it incomplete. */
 static void
 test_answer_without_length (void **state)
@@ -493,6 +526,7 @@
     cmocka_unit_test (test_surplus_answer_closes_the_connection),
     cmocka_unit_test (test_bytes_on_an_idle_connection_close_it),
     cmocka_unit_test (test_broken_answers),
+    cmocka_unit_test (test_answer_without_a_status_is_broken),
     cmocka_unit_test (test_answer_without_length),
     cmocka_unit_test (test_reset_that_a_write_has_seen_is_no_end),
     cmocka_unit_test (test_nobody_listens),
