--- a/tests/loop_pump.c
+++ b/tests/loop_pump.c
@@ -4,6 +4,8 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -112,3 +114,32 @@
     }
   return n_received;
 }
+
+int
+loop_listen (char *address, size_t address_bytes)
+{
+  struct sockaddr_in own
+      = { .sin_family = AF_INET, .sin_addr = { .s_addr = htonl (INADDR_LOOPBACK) } };
+  socklen_t own_bytes = sizeof own;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  if (fd < 0 || bind (fd, (struct sockaddr *)&own, sizeof own) != 0 || listen (fd, 4) != 0
+      || getsockname (fd, (struct sockaddr *)&own, &own_bytes) != 0)
+    abort ();
+  snprintf (address, address_bytes, "127.0.0.1:%u", ntohs (own.sin_port));
+  return fd;
+}
+
+void
+loop_close (int fd, LoopClose how)
+{
+  struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+
+  if (how != LOOP_CLOSE_RESET)
+    shutdown (fd, SHUT_WR);
+  if (how != LOOP_CLOSE_ORDERLY)
+    {
+      setsockopt (fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+      close (fd);
+    }
+}
--- a/tests/loop_pump.h
+++ b/tests/loop_pump.h
@@ -21,4 +21,17 @@
  * iterations is over. Returns the number of bytes read; dst is NUL-terminated. */
 size_t loop_receive (struct ev_loop *loop, int fd, const char *needle, char *dst, size_t dst_bytes);
 
+/* How a peer ends a connection. */
+typedef enum
+{
+  LOOP_CLOSE_ORDERLY,
+  LOOP_CLOSE_RESET,
+  LOOP_CLOSE_ORDERLY_THEN_RESET, /* as of a peer that has not read all that was sent to it */
+} LoopClose;
+
+/* Listens on a free port of the loopback address, with a blocking socket. */
+int loop_listen (char *address, size_t address_bytes);
+/* Ends a connection. An orderly end leaves the socket open for reading. */
+void loop_close (int fd, LoopClose how);
+
 #endif
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -11,8 +11,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -384,18 +382,10 @@
 /* More than the buffers of a connection hold, so that a part of the request stays unsent. */
 #define LONG_BODY_BYTES (32 * 1024 * 1024)
 
-/* How a connection ends after its response. */
-typedef enum
-{
-  CLOSE_ORDERLY,
-  CLOSE_RESET,
-  CLOSE_ORDERLY_THEN_RESET, /* as of a peer that has not read the complete request */
-} CloseKind;
-
 typedef struct
 {
   const char *response;
-  CloseKind close;
+  LoopClose close;
   MfLinkEnd end;
 } ClosedResponse;
 
@@ -406,50 +396,19 @@
   "0\r\n\r\n"
 
 static const ClosedResponse closed_responses[] = {
-  { UNFRAMED, CLOSE_ORDERLY, MF_LINK_CLOSED },
-  { UNFRAMED, CLOSE_RESET, MF_LINK_BROKEN },
-  { UNFRAMED, CLOSE_ORDERLY_THEN_RESET, MF_LINK_CLOSED },
-  { WITH_LENGTH, CLOSE_ORDERLY, MF_LINK_COMPLETE },
-  { WITH_LENGTH, CLOSE_RESET, MF_LINK_COMPLETE },
-  { WITH_LENGTH, CLOSE_ORDERLY_THEN_RESET, MF_LINK_COMPLETE },
-  { IN_CHUNKS, CLOSE_ORDERLY, MF_LINK_COMPLETE },
-  { IN_CHUNKS, CLOSE_RESET, MF_LINK_COMPLETE },
-  { IN_CHUNKS, CLOSE_ORDERLY_THEN_RESET, MF_LINK_COMPLETE },
-  { "HTTP/1.1 200 OK\r\nX-Attempt-Id: mine\r\nContent-Length: 6\r\n\r\nwhole", CLOSE_ORDERLY,
+  { UNFRAMED, LOOP_CLOSE_ORDERLY, MF_LINK_CLOSED },
+  { UNFRAMED, LOOP_CLOSE_RESET, MF_LINK_BROKEN },
+  { UNFRAMED, LOOP_CLOSE_ORDERLY_THEN_RESET, MF_LINK_CLOSED },
+  { WITH_LENGTH, LOOP_CLOSE_ORDERLY, MF_LINK_COMPLETE },
+  { WITH_LENGTH, LOOP_CLOSE_RESET, MF_LINK_COMPLETE },
+  { WITH_LENGTH, LOOP_CLOSE_ORDERLY_THEN_RESET, MF_LINK_COMPLETE },
+  { IN_CHUNKS, LOOP_CLOSE_ORDERLY, MF_LINK_COMPLETE },
+  { IN_CHUNKS, LOOP_CLOSE_RESET, MF_LINK_COMPLETE },
+  { IN_CHUNKS, LOOP_CLOSE_ORDERLY_THEN_RESET, MF_LINK_COMPLETE },
+  { "HTTP/1.1 200 OK\r\nX-Attempt-Id: mine\r\nContent-Length: 6\r\n\r\nwhole", LOOP_CLOSE_ORDERLY,
     MF_LINK_BROKEN },
 };
 
-static int
-listen_anywhere (char address[MF_ADDRESS_BYTES])
-{
-  struct sockaddr_in own
-      = { .sin_family = AF_INET, .sin_addr = { .s_addr = htonl (INADDR_LOOPBACK) } };
-  socklen_t own_bytes = sizeof own;
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-  assert_true (fd >= 0);
-  assert_int_equal (bind (fd, (struct sockaddr *)&own, sizeof own), 0);
-  assert_int_equal (listen (fd, 4), 0);
-  assert_int_equal (getsockname (fd, (struct sockaddr *)&own, &own_bytes), 0);
-  snprintf (address, MF_ADDRESS_BYTES, "127.0.0.1:%u", ntohs (own.sin_port));
-  return fd;
-}
-
-/* Ends a connection. An orderly end leaves the socket open for reading. */
-static void
-connection_close (int fd, CloseKind how)
-{
-  struct linger reset = { .l_onoff = 1, .l_linger = 0 };
-
-  if (how != CLOSE_RESET)
-    shutdown (fd, SHUT_WR);
-  if (how != CLOSE_ORDERLY)
-    {
-      setsockopt (fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
-      close (fd);
-    }
-}
-
 /* Plays one response. unsent: a part of the request is still to be sent when the connection ends,
  * so that a write sees the reset first. read_before: the response has been read by then. */
 static void
@@ -458,7 +417,7 @@
 {
   Exchange exchange;
   char address[MF_ADDRESS_BYTES];
-  int listener = listen_anywhere (address);
+  int listener = loop_listen (address, sizeof address);
   bool is_open = true;
   MfLink *link;
   int fd;
@@ -484,8 +443,8 @@
     loop_spin (exchange.loop, 3);
   if (exchange.n_ends == 0)
     {
-      connection_close (fd, closed->close);
-      is_open = closed->close == CLOSE_ORDERLY;
+      loop_close (fd, closed->close);
+      is_open = closed->close == LOOP_CLOSE_ORDERLY;
     }
   assert_true (loop_pump (exchange.loop, has_ended, &exchange));
   assert_int_equal (exchange.end, closed->end);
