Queries: one owner of what a request waits for, and no send beside a run

A request that waited for a reply kept that in seven sets of fields, and each place that ends a request, takes a silent run back or loses an instance named the kinds one by one.

MfJob.query is the one open query; job_query.c opens, matches, expires, cancels and loses it by a table of kinds. mf_job_advance() and mf_job_send() end a request whose link is in use in place of a second run. A reply that no request waits for is counted and logged, and what it grants is returned as before.

--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -113,8 +113,8 @@
 {
   MfJobs *jobs = job->jobs;
 
+  mf_job_cancel_query (job);
   ev_timer_stop (jobs->loop, &job->timer);
-  mf_job_cancel_slot_request (job);
   mf_job_drop_rate (job);
   if (job->link != NULL && mf_link_has_sent (job->link))
     mf_job_note_failure (job, job->target, false);
@@ -380,6 +380,21 @@
   job_end (job, &(MfJobEnd){ .code = code, .status = status, .why = why });
 }
 
+/* Ends a request that is about to be sent although an exchange of it goes on, which would be a
+ * second run beside one that is not cancelled. Returns false if there is no such exchange, which is
+ * so unless this program has an error. */
+bool
+mf_job_end_busy (MfJob *job)
+{
+  if (job->link == NULL)
+    return false;
+  job->jobs->counters.counts[MF_RELAY_COUNT_SECOND_SENDS]++;
+  mf_relay_log_state (job->jobs->log, "internal.second_send", "id=%s phase=%d upstream=%s", job->id,
+                      (int)job->phase, job->target != NULL ? job->target->info.id : "none");
+  mf_job_finish (job, MF_CODE_INTERNAL, "the request was to be sent while an upstream had it");
+  return true;
+}
+
 /* Arms the timer for the earliest timeout. */
 void
 mf_job_set_timer (MfJob *job)
--- a/libmangofork/relay/job_origin.c
+++ b/libmangofork/relay/job_origin.c
@@ -146,25 +146,11 @@
 {
   job->version = version;
   job_choose_service (job);
-  job->origin_ask_id = 0;
-  job->step_deadline_us = 0;
+  mf_job_close_query (job);
   job->waiting_since_us = 0;
   job_log_origin (job, known_by);
 }
 
-/* Lets a request wait for replies that tell its version. */
-static void
-job_wait (MfJob *job, uint64_t timeout_us)
-{
-  uint64_t now_us = mf_clock_now_us ();
-
-  job->phase = MF_JOB_WAITING;
-  if (job->waiting_since_us == 0)
-    job->waiting_since_us = now_us;
-  job->step_deadline_us = now_us + timeout_us;
-  mf_job_set_timer (job);
-}
-
 static MfOriginMessage
 origin_ask_make (MfJob *job, bool asks_engines)
 {
@@ -212,17 +198,18 @@
 {
   MfJobs *jobs = job->jobs;
   uint64_t asker = jobs_engine_asker (jobs, job->service->name);
+  uint64_t id;
 
   if (asker == MF_DISPATCH_SELF)
     return false;
   jobs->message.kind = MF_RELAY_MESSAGE_ORIGIN_ASK;
   jobs->message.origin = origin_ask_make (job, true);
-  job->origin_ask_id = jobs->message.origin.id;
+  id = jobs->message.origin.id;
+  if (!mf_peers_send (jobs->peers, asker, &jobs->message))
+    return false;
   job->n_origin_replies_due = 1;
-  if (mf_peers_send (jobs->peers, asker, &jobs->message))
-    return true;
-  job->origin_ask_id = 0;
-  return false;
+  mf_job_open_query (job, MF_JOB_QUERY_ORIGIN, id, asker, ENGINES_REPLY_TIMEOUT_US);
+  return true;
 }
 
 /* Looks for the version at the engines: the one that began the stream still holds its prompt,
@@ -251,18 +238,15 @@
     {
       job->n_engine_asks = 1;
       if (job_ask_for_engines (job))
-        {
-          job_wait (job, ENGINES_REPLY_TIMEOUT_US);
-          return false;
-        }
+        return false;
     }
   if (may_ask && job->n_engine_asks == 1)
     {
       job->n_engine_asks = 2;
-      job->awaits_engines = mf_held_parts_ask (jobs->held_parts, job->service->name, true);
-      if (job->awaits_engines)
+      if (mf_held_parts_ask (jobs->held_parts, job->service->name, true))
         {
-          job_wait (job, ENGINES_TIMEOUT_US);
+          mf_job_open_query (job, MF_JOB_QUERY_ENGINES, ++jobs->last_peer_request_id, 0,
+                             ENGINES_TIMEOUT_US);
           return false;
         }
     }
@@ -275,7 +259,7 @@
 {
   for (MfJob *job = jobs->first; job != NULL; job = job->next)
     {
-      if (job->awaits_engines && strcmp (job->service->name, service) == 0)
+      if (job->query.kind == MF_JOB_QUERY_ENGINES && strcmp (job->service->name, service) == 0)
         return job;
     }
   return NULL;
@@ -285,7 +269,7 @@
 static void
 job_engines_answered (MfJob *job)
 {
-  job->awaits_engines = false;
+  mf_job_close_query (job);
   if (job_find_at_engines (job))
     mf_job_advance (job);
 }
@@ -383,20 +367,18 @@
 job_ask_origin (MfJob *job)
 {
   MfJobs *jobs = job->jobs;
+  uint64_t id;
 
   if (jobs->peers == NULL || job->stream == 0)
     return false;
   jobs->message.kind = MF_RELAY_MESSAGE_ORIGIN_ASK;
   jobs->message.origin = origin_ask_make (job, false);
-  job->origin_ask_id = jobs->message.origin.id;
+  id = jobs->message.origin.id;
   job->n_origin_replies_due
       = mf_peers_send_ranked (jobs->peers, job->stream, ASKED, &jobs->message);
   if (job->n_origin_replies_due == 0)
-    {
-      job->origin_ask_id = 0;
-      return false;
-    }
-  job_wait (job, REPLY_TIMEOUT_US);
+    return false;
+  mf_job_open_query (job, MF_JOB_QUERY_ORIGIN, id, 0, REPLY_TIMEOUT_US);
   return true;
 }
 
@@ -465,23 +447,16 @@
 void
 mf_job_origin_expired (MfJob *job)
 {
-  if (job->awaits_engines)
+  if (job->query.kind == MF_JOB_QUERY_ENGINES)
     {
       job_engines_answered (job);
       return;
     }
-  job->origin_ask_id = 0;
+  mf_job_close_query (job);
   if (job_find_without_record (job))
     mf_job_advance (job);
 }
 
-/* Whether a request waits to learn which version began its stream. */
-bool
-mf_job_awaits_origin (const MfJob *job)
-{
-  return job->origin_ask_id != 0 || job->awaits_engines;
-}
-
 /* Sets the name by which the stream of a new request can be taken up. */
 void
 mf_job_name_stream (MfJob *job)
@@ -490,17 +465,6 @@
     job->stream = stream_hash (job, job->id);
 }
 
-static MfJob *
-job_by_origin_ask (const MfJobs *jobs, uint64_t id)
-{
-  for (MfJob *job = jobs->first; job != NULL; job = job->next)
-    {
-      if (job->origin_ask_id == id && job->phase == MF_JOB_WAITING)
-        return job;
-    }
-  return NULL;
-}
-
 /* Answers another instance's question. */
 static void
 origin_ask_handle (MfJobs *jobs, uint64_t peer, const MfOriginMessage *ask)
@@ -521,9 +485,9 @@
 /* Handles the reply to a question of this instance. What was recorded counts at once, what is
  * inferred after all have replied. */
 static void
-origin_reply_handle (MfJobs *jobs, const MfOriginMessage *reply)
+origin_reply_handle (MfJobs *jobs, uint64_t peer, const MfOriginMessage *reply)
 {
-  MfJob *job = reply->id != 0 ? job_by_origin_ask (jobs, reply->id) : NULL;
+  MfJob *job = mf_jobs_match_reply (jobs, MF_JOB_QUERY_ORIGIN, reply->id, peer);
 
   if (job == NULL)
     return;
@@ -571,7 +535,7 @@
         origin_ask_handle (jobs, peer, &origin);
       return;
     default:
-      origin_reply_handle (jobs, &origin);
+      origin_reply_handle (jobs, peer, &origin);
       return;
     }
 }
--- a/libmangofork/relay/job_place.c
+++ b/libmangofork/relay/job_place.c
@@ -247,11 +247,14 @@
     }
 }
 
-/* Decides the next step of a request and starts it. A request without a caller has no next step:
- * its head and body are the caller's. */
+/* Decides the next step of a request and starts it; a query that is still open is cancelled. A
+ * request without a caller has no next step: its head and body are the caller's. */
 void
 mf_job_advance (MfJob *job)
 {
+  if (mf_job_end_busy (job))
+    return;
+  mf_job_cancel_query (job);
   if (job->caller == NULL)
     {
       mf_job_finish (job, MF_CODE_DEPARTED, "caller disconnected");
@@ -275,19 +278,8 @@
 
   if (job->phase == MF_JOB_WAITING)
     {
-      if (job->quota_ask_id != 0)
-        mf_job_quota_expired (job);
-      else if (mf_job_awaits_origin (job))
-        mf_job_origin_expired (job);
-      else if (job->rate_target != NULL)
-        mf_job_rate_expired (job);
-      else if (job->awaited_process_id != 0)
-        mf_job_probe_done (job);
-      else if (job->retry_request_id != 0)
-        mf_job_retry_denied (job);
-      else if (job->slot_request_id != 0)
-        mf_job_slot_request_expired (job);
-      else
+      /* Without a query, the wait for a unit of a rate that was granted, or a pause, is over. */
+      if (!mf_job_query_expired (job))
         mf_job_advance (job);
       return;
     }
--- a/libmangofork/relay/job_quota.c
+++ b/libmangofork/relay/job_quota.c
@@ -211,7 +211,7 @@
   MfQuotaRequest request = job_quota_request (job);
   uint64_t retry_us = 0;
 
-  job->quota_ask_id = 0;
+  mf_job_close_query (job);
   jobs->counters.counts[MF_RELAY_COUNT_QUOTA_LOCAL]++;
   if (!mf_quota_asker_local (jobs->quota_asker, &request, mf_clock_now_us (), &retry_us))
     {
@@ -230,7 +230,7 @@
   MfQuotaRequest request = job_quota_request (job);
   uint64_t retry_us = 0;
 
-  job->quota_ask_id = 0;
+  mf_job_close_query (job);
   if (!mf_quota_asker_handle_grant (jobs->quota_asker, &request, grant, mf_clock_now_us (),
                                     &retry_us))
     {
@@ -248,7 +248,6 @@
 {
   uint64_t now_us = mf_clock_now_us ();
 
-  job->step_deadline_us = 0;
   job->waited_us += now_us - job->waiting_since_us;
   job->waiting_since_us = now_us;
   mf_job_advance (job);
@@ -260,7 +259,7 @@
 job_ask (MfJob *job, const MfQuotaAsk *ask)
 {
   MfJobs *jobs = job->jobs;
-  uint64_t now_us = mf_clock_now_us ();
+  uint64_t id = ++jobs->last_peer_request_id;
   MfQuotaGrant grant;
 
   jobs->counters.counts[MF_RELAY_COUNT_QUOTA_ASKED]++;
@@ -269,18 +268,20 @@
       grant = jobs_allocate (jobs, ask);
       return grant.redirected ? job_admit_local (job) : job_handle_grant (job, &grant);
     }
-  job->quota_state = MF_JOB_QUOTA_ASKED;
-  job->quota_ask_id = ++jobs->last_peer_request_id;
-  if (!ask_send (jobs, job->quota_allocator, ask, job->quota_ask_id))
+  if (!ask_send (jobs, job->quota_allocator, ask, id))
     return job_admit_local (job);
-  job->phase = MF_JOB_WAITING;
-  if (job->waiting_since_us == 0)
-    job->waiting_since_us = now_us;
-  job->step_deadline_us = now_us + REPLY_TIMEOUT_US;
-  mf_job_set_timer (job);
+  mf_job_open_query (job, MF_JOB_QUERY_QUOTA, id, job->quota_allocator, REPLY_TIMEOUT_US);
+  job->quota_state = MF_JOB_QUOTA_ASKED;
   return false;
 }
 
+/* The request does not wait for the allocator's reply any more: nothing has been decided. */
+void
+mf_job_quota_cancelled (MfJob *job)
+{
+  job->quota_state = MF_JOB_QUOTA_UNDECIDED;
+}
+
 /* Admits a request within the quota of its customer at its arrival, before anything is sent for it.
  * Returns whether it may go on; otherwise it waits for a reply of the allocator, or has been
  * refused and freed. */
@@ -353,17 +354,6 @@
     job_continue (job);
 }
 
-static MfJob *
-job_by_quota_ask (const MfJobs *jobs, uint64_t id)
-{
-  for (MfJob *job = jobs->first; job != NULL; job = job->next)
-    {
-      if (job->quota_ask_id == id)
-        return job;
-    }
-  return NULL;
-}
-
 /* Handles an ask of another instance. */
 static void
 handle_ask (MfJobs *jobs, uint64_t peer, const MfQuotaMessage *quota)
@@ -393,8 +383,8 @@
       handle_ask (jobs, peer, &quota);
       return;
     }
-  job = quota.id != 0 ? job_by_quota_ask (jobs, quota.id) : NULL;
-  if (job == NULL || job->quota_allocator != peer)
+  job = mf_jobs_match_reply (jobs, MF_JOB_QUERY_QUOTA, quota.id, peer);
+  if (job == NULL)
     {
       if (quota.grant.granted)
         mf_quota_asker_return (jobs->quota_asker, quota.ask.key,
@@ -405,16 +395,10 @@
     job_continue (job);
 }
 
-/* The requests that wait for a reply of a peer that was lost go on with the local bucket. */
+/* The allocator that is to reply was lost: goes on with the local bucket. */
 void
-mf_jobs_quota_peer_lost (MfJobs *jobs, uint64_t peer)
+mf_job_quota_peer_lost (MfJob *job)
 {
-  MfJob *next;
-
-  for (MfJob *job = jobs->first; job != NULL; job = next)
-    {
-      next = job->next;
-      if (job->quota_ask_id != 0 && job->quota_allocator == peer && job_admit_local (job))
-        job_continue (job);
-    }
+  if (job_admit_local (job))
+    job_continue (job);
 }
--- a/libmangofork/relay/job_rate.c
+++ b/libmangofork/relay/job_rate.c
@@ -128,7 +128,8 @@
     return;
   job->rate_target = NULL;
   /* The reply to an ask in flight finds no request and returns the unit. */
-  job->rate_ask_id = 0;
+  if (job->query.kind == MF_JOB_QUERY_RATE)
+    mf_job_close_query (job);
   if (job->rate_granted)
     mf_job_return_rate (job, target);
   job->rate_granted = false;
@@ -190,7 +191,7 @@
 {
   uint64_t now_us = mf_clock_now_us ();
 
-  job->rate_ask_id = 0;
+  mf_job_close_query (job);
   job->step_deadline_us = 0;
   if (!grant->granted)
     {
@@ -241,6 +242,7 @@
   uint64_t allocator = jobs_allocator (jobs, target->process_id);
   MfRateAsk ask = ask_make (target, allocator);
   uint64_t now_us = mf_clock_now_us ();
+  uint64_t id;
   MfRateGrant grant;
 
   ask.n_units = 1;
@@ -253,12 +255,9 @@
       job_handle_grant (job, &grant, true);
       return;
     }
-  job->rate_ask_id = ++jobs->last_peer_request_id;
-  job->rate_allocator = allocator;
-  job->step_deadline_us = now_us + REPLY_TIMEOUT_US;
-  if (now_us >= target->rate_unanswered_us + UNANSWERED_US
-      && ask_send (jobs, allocator, &ask, job->rate_ask_id))
-    mf_job_set_timer (job);
+  id = ++jobs->last_peer_request_id;
+  if (now_us >= target->rate_unanswered_us + UNANSWERED_US && ask_send (jobs, allocator, &ask, id))
+    mf_job_open_query (job, MF_JOB_QUERY_RATE, id, allocator, REPLY_TIMEOUT_US);
   else
     job_acquire_local (job, true);
 }
@@ -291,38 +290,19 @@
   job_ask (job);
 }
 
-/* The wait for a granted unit is over, or the allocator has not replied. */
+/* The allocator has not replied. */
 void
 mf_job_rate_expired (MfJob *job)
 {
   MfJobs *jobs = job->jobs;
   uint64_t now_us = mf_clock_now_us ();
 
-  if (job->rate_granted)
-    {
-      job->waited_us += now_us - job->waiting_since_us;
-      job->waiting_since_us = now_us;
-      mf_job_advance (job);
-      return;
-    }
   mf_relay_log_state (jobs->log, "rate.unanswered", "id=%s upstream=%s", job->id,
                       job->rate_target->info.id);
   job->rate_target->rate_unanswered_us = now_us;
-  job->rate_ask_id = 0;
   job_acquire_local (job, false);
 }
 
-static MfJob *
-job_by_rate_ask (const MfJobs *jobs, uint64_t id)
-{
-  for (MfJob *job = jobs->first; job != NULL; job = job->next)
-    {
-      if (job->rate_ask_id == id)
-        return job;
-    }
-  return NULL;
-}
-
 /* Handles an ask of another instance, or the reply to one of this instance. */
 void
 mf_jobs_handle_rate (MfJobs *jobs, uint64_t peer, const MfRelayMessage *message)
@@ -343,30 +323,21 @@
         mf_peers_send (jobs->peers, peer, &jobs->message);
       return;
     }
-  job = rate.id != 0 ? job_by_rate_ask (jobs, rate.id) : NULL;
+  job = mf_jobs_match_reply (jobs, MF_JOB_QUERY_RATE, rate.id, peer);
   target = mf_targets_by_process (&jobs->targets, rate.ask.key);
-  if (job != NULL && job->rate_allocator == peer && rate.grant.redirected)
+  if (job != NULL && rate.grant.redirected)
     job_acquire_local (job, false);
-  else if (job != NULL && job->rate_allocator == peer)
+  else if (job != NULL)
     job_handle_grant (job, &rate.grant, false);
   else if (rate.grant.granted && target != NULL)
     jobs_return_rate (jobs, target);
 }
 
-/* The requests that wait for a reply of a peer that was lost ask the next allocator. */
+/* The allocator that is to reply was lost: asks the next one. */
 void
-mf_jobs_rate_peer_lost (MfJobs *jobs, uint64_t peer)
+mf_job_rate_peer_lost (MfJob *job)
 {
-  MfJob *next;
-
-  for (MfJob *job = jobs->first; job != NULL; job = next)
-    {
-      next = job->next;
-      if (job->rate_ask_id == 0 || job->rate_allocator != peer)
-        continue;
-      job->rate_ask_id = 0;
-      job_ask (job);
-    }
+  job_ask (job);
 }
 
 /* Informs the others of a limit that an answer has changed, and the allocator of what this instance
--- a/libmangofork/relay/job_retry.c
+++ b/libmangofork/relay/job_retry.c
@@ -165,7 +165,7 @@
 {
   MfJobDenial denial = job->denial;
 
-  job->retry_request_id = 0;
+  mf_job_close_query (job);
   if (denial.may_have_run)
     mf_job_finish (job, denial.code, denial.why);
   else
@@ -176,8 +176,7 @@
 static void
 job_retry_granted (MfJob *job)
 {
-  job->retry_request_id = 0;
-  job->step_deadline_us = 0;
+  mf_job_close_query (job);
   job->n_reserved_sends += retry_n_sends (job);
   job->jobs->counters.counts[MF_RELAY_COUNT_RETRIES_GRANTED]++;
   mf_job_advance (job);
@@ -194,11 +193,7 @@
 
   if (leader == MF_DISPATCH_SELF)
     return false;
-  job->phase = MF_JOB_WAITING;
-  job->retry_request_id = id;
-  job->asked_instance = leader;
-  job->step_deadline_us = mf_clock_now_us () + REPLY_TIMEOUT_US;
-  mf_job_set_timer (job);
+  mf_job_open_query (job, MF_JOB_QUERY_RETRY, id, leader, REPLY_TIMEOUT_US);
   return true;
 }
 
@@ -220,6 +215,7 @@
 mf_jobs_handle_retry_message (MfJobs *jobs, uint64_t peer, const MfRelayMessage *message)
 {
   MfRetryRequest retry = message->retry;
+  MfJob *job;
 
   if (message->kind == MF_RELAY_MESSAGE_RETRY && retry.is_done)
     {
@@ -235,15 +231,11 @@
       mf_peers_send (jobs->peers, peer, &jobs->message);
       return;
     }
-  for (MfJob *job = jobs->first; job != NULL; job = job->next)
-    {
-      if (job->retry_request_id == 0 || job->retry_request_id != retry.id
-          || job->asked_instance != peer)
-        continue;
-      if (retry.allowed)
-        job_retry_granted (job);
-      else
-        mf_job_retry_denied (job);
-      return;
-    }
+  job = mf_jobs_match_reply (jobs, MF_JOB_QUERY_RETRY, retry.id, peer);
+  if (job == NULL)
+    return;
+  if (retry.allowed)
+    job_retry_granted (job);
+  else
+    mf_job_retry_denied (job);
 }
--- a/libmangofork/relay/job_room.c
+++ b/libmangofork/relay/job_room.c
@@ -14,17 +14,6 @@
 /* Most first events arrive within this multiple of the average time. */
 #define FIRST_EVENT_FACTOR 1.4
 
-static MfJob *
-job_by_slot_request (const MfJobs *jobs, uint64_t slot_request_id)
-{
-  for (MfJob *job = jobs->first; job != NULL; job = job->next)
-    {
-      if (job->slot_request_id == slot_request_id && job->phase == MF_JOB_WAITING)
-        return job;
-    }
-  return NULL;
-}
-
 /* Maximum age at which a grant still lets the first event meet the objective. */
 static uint64_t
 grant_objective_us (const MfJob *job)
@@ -128,7 +117,7 @@
 static void
 job_reject (MfJob *job, uint64_t wait_us)
 {
-  job->slot_request_id = 0;
+  mf_job_close_query (job);
   job->pause_end_us = mf_clock_now_us () + wait_us;
   mf_job_refuse (job, MF_CODE_QUEUE_FULL,
                  "the queue for engine slots is longer than the time left");
@@ -165,31 +154,25 @@
       job_reject (job, wait_us);
       return;
     }
-  job->slot_request_id = request.id;
-  job->asked_instance = MF_DISPATCH_SELF;
-  job->step_deadline_us = 0;
+  mf_job_open_query (job, MF_JOB_QUERY_SLOT, request.id, MF_DISPATCH_SELF, 0);
   mf_dispatch_enqueue (jobs->dispatch, MF_DISPATCH_SELF, &request, now_us);
-  mf_job_set_timer (job);
   mf_jobs_schedule_dispatch (jobs);
 }
 
-/* Cancels a slot request that has not been granted. */
+/* Takes a slot request that has not been granted out of the queue. */
 void
-mf_job_cancel_slot_request (MfJob *job)
+mf_job_withdraw_slot_request (MfJob *job)
 {
   MfJobs *jobs = job->jobs;
 
-  if (job->slot_request_id == 0)
-    return;
-  if (job->asked_instance == MF_DISPATCH_SELF)
-    mf_dispatch_cancel (jobs->dispatch, MF_DISPATCH_SELF, job->slot_request_id);
+  if (job->query.peer == MF_DISPATCH_SELF)
+    mf_dispatch_cancel (jobs->dispatch, MF_DISPATCH_SELF, job->query.id);
   else
     {
       jobs->message.kind = MF_RELAY_MESSAGE_CANCEL;
-      jobs->message.grant.id = job->slot_request_id;
-      mf_peers_send (jobs->peers, job->asked_instance, &jobs->message);
+      jobs->message.grant.id = job->query.id;
+      mf_peers_send (jobs->peers, job->query.peer, &jobs->message);
     }
-  job->slot_request_id = 0;
 }
 
 /* Requests a slot from the leader, or from the dispatcher of this instance. */
@@ -200,8 +183,9 @@
   uint64_t now_us = mf_clock_now_us ();
   uint64_t leader = jobs->peers == NULL ? MF_DISPATCH_SELF
                                         : mf_peers_leader (jobs->peers, job->service->name, now_us);
+  uint64_t id;
 
-  mf_job_cancel_slot_request (job);
+  mf_job_cancel_query (job);
   if (job->phase != MF_JOB_WAITING || job->waiting_since_us == 0)
     {
       job->phase = MF_JOB_WAITING;
@@ -214,11 +198,9 @@
     }
   jobs->message.kind = MF_RELAY_MESSAGE_SLOT_REQUEST;
   jobs->message.slot_request = request_make (job, now_us);
-  job->slot_request_id = jobs->message.slot_request.id;
-  job->asked_instance = leader;
-  job->step_deadline_us = now_us + REPLY_TIMEOUT_US;
+  id = jobs->message.slot_request.id;
   if (mf_peers_send (jobs->peers, leader, &jobs->message))
-    mf_job_set_timer (job);
+    mf_job_open_query (job, MF_JOB_QUERY_SLOT, id, leader, REPLY_TIMEOUT_US);
   else
     request_enqueue_local (job);
 }
@@ -232,8 +214,8 @@
 
   mf_relay_log_state (jobs->log, "dispatch.unanswered", "id=%s waited_ms=%.1f", job->id,
                       (double)(mf_clock_now_us () - job->waiting_since_us) / 1e3);
-  mf_peers_exclude_leader (jobs->peers, job->asked_instance);
-  mf_job_cancel_slot_request (job);
+  mf_peers_exclude_leader (jobs->peers, job->query.peer);
+  mf_job_cancel_query (job);
   if (++job->n_unanswered_requests < UNANSWERED_MAX)
     mf_job_request_slot (job);
   else
@@ -251,14 +233,13 @@
   mf_relay_log_event (job->jobs->log, "request.granted",
                       "id=%s decode=%s by=%s waited_ms=%.1f load=%u load_tokens=%llu tokens=%llu",
                       job->id, decode != NULL ? decode->info.id : "unknown",
-                      job->asked_instance == MF_DISPATCH_SELF ? "self" : "peer",
+                      job->query.peer == MF_DISPATCH_SELF ? "self" : "peer",
                       (double)(now_us - job->waiting_since_us) / 1e3,
                       decode != NULL ? mf_target_load (decode) : 0,
                       (unsigned long long)(decode != NULL ? mf_target_load_tokens (decode) : 0),
                       (unsigned long long)job->kv_tokens);
-  job->slot_request_id = 0;
+  mf_job_close_query (job);
   job->n_unanswered_requests = 0;
-  job->step_deadline_us = 0;
   job->waited_us += now_us - job->waiting_since_us;
   job->waiting_since_us = now_us;
   job->granted_prefill = grant->prefill;
@@ -283,7 +264,7 @@
       mf_peers_send (jobs->peers, requester, &jobs->message);
       return;
     }
-  job = job_by_slot_request (jobs, grant->id);
+  job = mf_jobs_find_query (jobs, MF_JOB_QUERY_SLOT, grant->id);
   if (job != NULL)
     job_granted (job, grant);
 }
@@ -347,21 +328,21 @@
       jobs->remote_load_stale = true;
       return;
     case MF_RELAY_MESSAGE_QUEUED:
-      job = job_by_slot_request (jobs, message->grant.id);
-      if (job == NULL || job->asked_instance != peer)
+      job = mf_jobs_match_reply (jobs, MF_JOB_QUERY_SLOT, message->grant.id, peer);
+      if (job == NULL)
         return;
       job->step_deadline_us = 0;
       mf_job_set_timer (job);
       return;
     case MF_RELAY_MESSAGE_REJECTED:
-      job = job_by_slot_request (jobs, message->grant.id);
-      if (job != NULL && job->asked_instance == peer)
+      job = mf_jobs_match_reply (jobs, MF_JOB_QUERY_SLOT, message->grant.id, peer);
+      if (job != NULL)
         job_reject (job, message->wait_us);
       return;
     case MF_RELAY_MESSAGE_GRANT:
       mf_peers_ack_grant (jobs->peers, peer, message->grant.id);
-      job = job_by_slot_request (jobs, message->grant.id);
-      if (job != NULL && job->asked_instance == peer)
+      job = mf_jobs_match_reply (jobs, MF_JOB_QUERY_SLOT, message->grant.id, peer);
+      if (job != NULL)
         job_granted (job, &message->grant);
       /* The slot now shows in this instance's load, or is free again. */
       mf_jobs_load_changed (jobs);
@@ -420,7 +401,6 @@
 {
   MfJobs *jobs = data;
   uint64_t now_us = mf_clock_now_us ();
-  MfJob *next;
 
   mf_dispatch_drop_requester (jobs->dispatch, peer);
   jobs->remote_load_stale = true;
@@ -432,16 +412,7 @@
       if (jobs->routes->services[i].is_engine)
         mf_peers_leader (jobs->peers, jobs->routes->services[i].name, now_us);
     }
-  for (MfJob *job = jobs->first; job != NULL; job = next)
-    {
-      next = job->next;
-      if (job->phase != MF_JOB_WAITING || job->slot_request_id == 0 || job->asked_instance != peer)
-        continue;
-      job->slot_request_id = 0;
-      mf_job_request_slot (job);
-    }
-  mf_jobs_rate_peer_lost (jobs, peer);
-  mf_jobs_quota_peer_lost (jobs, peer);
+  mf_jobs_queries_peer_lost (jobs, peer);
   mf_jobs_suspects_peer_lost (jobs, peer);
 }
 
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -32,6 +32,29 @@
   MF_JOB_QUOTA_EXEMPT,   /* there was none */
 } MfJobQuotaState;
 
+/* What a request waits for. */
+typedef enum
+{
+  MF_JOB_QUERY_NONE,
+  MF_JOB_QUERY_QUOTA,   /* the allocator of its customer's quota is to admit it */
+  MF_JOB_QUERY_ORIGIN,  /* other instances are to name the version that began its stream */
+  MF_JOB_QUERY_ENGINES, /* this instance has asked the engines which of them holds its prompt */
+  MF_JOB_QUERY_RATE,    /* the allocator of an upstream's rate is to admit it */
+  MF_JOB_QUERY_PROCESS, /* a probe is to show whether its last upstream crashed */
+  MF_JOB_QUERY_RETRY,   /* the leader is to grant a retry */
+  MF_JOB_QUERY_SLOT,    /* the leader is to grant an engine slot */
+  MF_JOB_N_QUERIES,
+} MfJobQueryKind;
+
+/* The open query of a request, of which it has one at most. */
+typedef struct
+{
+  MfJobQueryKind kind;
+  uint64_t id; /* unique among the queries of this instance; of MF_JOB_QUERY_PROCESS: the process */
+  uint64_t
+      peer; /* hash of the instance that is to reply, or MF_DISPATCH_SELF; 0: several, or none */
+} MfJobQuery;
+
 /* A buffered answer of an upstream. */
 typedef struct
 {
@@ -133,16 +156,13 @@
 
   MfTarget *reserved_target; /* decode engine with a slot reserved for this request; NULL: none */
 
-  uint64_t slot_request_id; /* id of the slot request that awaits a reply; 0: none */
-  uint64_t asked_instance;  /* hash of the instance that the slot or retry request was sent to */
+  MfJobQuery query;
   uint32_t n_unanswered_requests; /* consecutive slot requests without a reply */
   uint64_t granted_us;            /* when the slot was granted; 0: not granted */
   uint64_t granted_prefill;       /* hash of the engine that the grant names for the prefill */
 
   MfTarget *rate_target;     /* its rate limit is to admit the request; NULL: none */
   bool rate_prefill;         /* it is to be sent a prefill */
-  uint64_t rate_ask_id;      /* id of the ask that awaits a reply; 0: none */
-  uint64_t rate_allocator;   /* hash of the instance that was asked */
   uint64_t rate_max_wait_us; /* of the ask */
   bool rate_granted;         /* the unit is in hand, or will be when the step is over */
   bool rate_is_local;        /* the unit is of this instance's local part of the rate */
@@ -151,7 +171,6 @@
   uint64_t quota_key;       /* the customer that is charged, also if the key has moved since */
   MfQuotaLimit quota_limit; /* of that customer */
   uint32_t quota_units;     /* what it counts against the quota */
-  uint64_t quota_ask_id;    /* id of the ask that awaits a reply; 0: none */
   uint64_t quota_allocator; /* hash of the instance that was asked */
   uint64_t
       quota_retry_us; /* when its caller may return, as the quota does not admit it; 0: it does */
@@ -160,7 +179,6 @@
   uint32_t n_avoid;
   uint32_t n_prefill_sends;
   uint32_t n_run_sends;
-  uint64_t retry_request_id; /* id of the retry request that awaits a reply; 0: none */
   MfJobDenial denial;
   uint32_t n_reserved_sends; /* sends acquired from the budget but not made yet */
   bool is_retry;             /* whether the current send is a retry */
@@ -171,23 +189,19 @@
   bool answer_began;         /* the upstream of the current send has survived its beginning */
   uint64_t trial_part;       /* quarantined part that it shows to be deadly or not; 0: none */
   uint64_t trial_content;    /* its content, if it shows that likewise; 0: it does not */
-  /* Process whose probe decides whether the request may be retried; 0: none. */
-  uint64_t awaited_process_id;
-  uint32_t n_arrivals; /* runs that reached an upstream */
-  uint32_t n_runs;     /* those of them that may have been executed */
+  uint32_t n_arrivals;       /* runs that reached an upstream */
+  uint32_t n_runs;           /* those of them that may have been executed */
   uint32_t n_connect_failures;
 
   bool head_sent;
   bool is_resumed;                /* the caller takes up a stream of which it has received events */
   char begun_as[MF_JOB_ID_BYTES]; /* the id of its attempt that brought the first of them */
   uint64_t stream;                /* hash that identifies the stream; 0: it has no name */
-  uint64_t version;       /* hash of the software version that began the stream; 0: none has yet */
-  bool origin_noted;      /* the holders have been told of the version */
-  uint64_t origin_ask_id; /* id of the question for the version that awaits replies; 0: none */
+  uint64_t version;  /* hash of the software version that began the stream; 0: none has yet */
+  bool origin_noted; /* the holders have been told of the version */
   uint32_t n_origin_replies_due;
   bool origin_was_answered;  /* another instance has replied to that question */
   uint32_t n_engine_asks;    /* 1: another instance was to ask the engines; 2: this one has */
-  bool awaits_engines;       /* they have been asked whether they hold its prompt */
   uint64_t inferred_version; /* by other instances, in their replies; 0: none */
   MfEventStream events;
   uint64_t first_event_us;
@@ -198,6 +212,7 @@
 void mf_job_finish (MfJob *job, MfCode code, const char *why);
 void mf_job_refuse (MfJob *job, MfCode code, const char *why);
 void mf_job_reply (MfJob *job, const MfJobAnswer *answer);
+bool mf_job_end_busy (MfJob *job);
 void mf_job_set_timer (MfJob *job);
 void mf_job_reset_give_up (MfJob *job);
 uint64_t mf_job_answer_min_us (const MfJob *job);
@@ -208,6 +223,16 @@
 void mf_jobs_note_first_event (MfJobs *jobs, uint64_t took_us);
 void mf_jobs_note_answer (MfJobs *jobs, uint64_t tokens, uint64_t took_us);
 
+/* job_query.c: what requests wait for. */
+void mf_job_open_query (MfJob *job, MfJobQueryKind kind, uint64_t id, uint64_t peer,
+                        uint64_t timeout_us);
+void mf_job_close_query (MfJob *job);
+void mf_job_cancel_query (MfJob *job);
+bool mf_job_query_expired (MfJob *job);
+MfJob *mf_jobs_find_query (const MfJobs *jobs, MfJobQueryKind kind, uint64_t id);
+MfJob *mf_jobs_match_reply (MfJobs *jobs, MfJobQueryKind kind, uint64_t id, uint64_t peer);
+void mf_jobs_queries_peer_lost (MfJobs *jobs, uint64_t peer);
+
 /* job_suspect.c: requests that may crash the upstreams that run them. */
 extern const MfTargetsCallbacks mf_job_targets_callbacks;
 bool mf_jobs_init_suspects (MfJobs *jobs);
@@ -245,7 +270,7 @@
 void mf_job_drop_rate (MfJob *job);
 void mf_job_return_rate (MfJob *job, MfTarget *target);
 void mf_jobs_handle_rate (MfJobs *jobs, uint64_t peer, const MfRelayMessage *message);
-void mf_jobs_rate_peer_lost (MfJobs *jobs, uint64_t peer);
+void mf_job_rate_peer_lost (MfJob *job);
 void mf_jobs_limit_changed (MfJobs *jobs, MfTarget *target, bool by_answer);
 void mf_jobs_send_limits (MfJobs *jobs, uint64_t peer);
 void mf_jobs_handle_limits (MfJobs *jobs, const MfLimitUpdate *update);
@@ -258,7 +283,8 @@
 void mf_job_return_quota (MfJob *job);
 void mf_job_quota_expired (MfJob *job);
 void mf_jobs_handle_quota (MfJobs *jobs, uint64_t peer, const MfRelayMessage *message);
-void mf_jobs_quota_peer_lost (MfJobs *jobs, uint64_t peer);
+void mf_job_quota_cancelled (MfJob *job);
+void mf_job_quota_peer_lost (MfJob *job);
 
 /* job_history.c: since when crashes are known. */
 bool mf_jobs_history_is_lost (const MfJobs *jobs, uint64_t lifetime_us, uint64_t now_us);
@@ -273,14 +299,13 @@
 /* job_origin.c: the software version that began a stream. */
 void mf_job_name_stream (MfJob *job);
 bool mf_job_find_origin (MfJob *job);
-bool mf_job_awaits_origin (const MfJob *job);
 void mf_job_origin_expired (MfJob *job);
 void mf_job_note_begun (MfJob *job);
 void mf_jobs_handle_origin (MfJobs *jobs, uint64_t peer, const MfRelayMessage *message);
 
 /* job_room.c: slot requests to the leader, or to the dispatcher of this instance. */
 void mf_job_request_slot (MfJob *job);
-void mf_job_cancel_slot_request (MfJob *job);
+void mf_job_withdraw_slot_request (MfJob *job);
 void mf_job_slot_request_expired (MfJob *job);
 
 /* job_place.c: decides the next step of a request. */
--- a/libmangofork/relay/job_send.c
+++ b/libmangofork/relay/job_send.c
@@ -280,8 +280,9 @@
   mf_job_return_rate (job, target);
 }
 
-/* Sends a prefill or a run to an upstream. Returns false if it was not sent: memory has run out, or
- * this process might exit before the answer is complete. The request may have ended then. */
+/* Sends a prefill or a run to an upstream. Returns false if it was not sent: an upstream has it,
+ * memory has run out, or this process might exit before the answer is complete. The request may
+ * have ended then. */
 bool
 mf_job_send (MfJob *job, MfTarget *target, bool prefill)
 {
@@ -291,7 +292,7 @@
   bool run_once = !prefill && !mf_job_may_retry (job);
   MfBuffer head = { 0 };
 
-  if (mf_job_end_unfinishable (job, true))
+  if (mf_job_end_busy (job) || mf_job_end_unfinishable (job, true))
     return false;
   if (!prefill)
     mf_job_move_if_slow (job);
--- a/libmangofork/relay/job_stall.c
+++ b/libmangofork/relay/job_stall.c
@@ -54,9 +54,7 @@
 {
   if (job->link != NULL)
     job_note_cancelled (job);
-  mf_job_cancel_slot_request (job);
-  job->retry_request_id = 0;
-  job->awaited_process_id = 0;
+  mf_job_cancel_query (job);
   mf_job_drop_rate (job);
   mf_job_cancel (job);
   mf_job_reserve (job, NULL);
--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -571,22 +571,10 @@
 {
   MfJobDenial denial = job->denial;
 
-  job->awaited_process_id = 0;
-  job->step_deadline_us = 0;
+  mf_job_close_query (job);
   mf_job_retry_or_end (job, &denial);
 }
 
-static MfJob *
-find_awaiting (const MfJobs *jobs, uint64_t process)
-{
-  for (MfJob *job = jobs->first; job != NULL; job = job->next)
-    {
-      if (job->awaited_process_id == process)
-        return job;
-    }
-  return NULL;
-}
-
 static void
 on_upstream_probed (void *data, MfTarget *target)
 {
@@ -594,7 +582,7 @@
   uint64_t process = mf_target_process_id (target);
   MfJob *job;
 
-  while ((job = find_awaiting (jobs, process)) != NULL)
+  while ((job = mf_jobs_find_query (jobs, MF_JOB_QUERY_PROCESS, process)) != NULL)
     mf_job_probe_done (job);
 }
 
@@ -687,10 +675,7 @@
       return;
     }
   job->denial = *denial;
-  job->phase = MF_JOB_WAITING;
-  job->awaited_process_id = mf_target_process_id (target);
-  job->step_deadline_us = mf_clock_now_us () + PROBE_TIMEOUT_US;
-  mf_job_set_timer (job);
+  mf_job_open_query (job, MF_JOB_QUERY_PROCESS, mf_target_process_id (target), 0, PROBE_TIMEOUT_US);
 }
 
 /* An answer shows that the upstream has survived failures before that send. */
--- a/libmangofork/relay/relay_counters.h
+++ b/libmangofork/relay/relay_counters.h
@@ -16,6 +16,10 @@
   X (CUT_OFF, "answers_cut_off_total", "of these, answers that had begun")                         \
   X (SECOND_HEADS, "second_heads_total",                                                           \
      "responses cut off in place of a second head, an internal error")                             \
+  X (SECOND_SENDS, "second_sends_total",                                                           \
+     "requests that were ended in place of a second run beside one, an internal error")            \
+  X (LATE_REPLIES, "late_replies_total",                                                           \
+     "replies of other instances that no request waited for any more")                             \
   X (DEPARTED, "departures_total", "callers that disconnected before their response")              \
   X (UNREADABLE, "unreadable_total", "requests refused because they could not be read")            \
   X (SENDS, "sends_total", "requests sent to upstreams, retries included")                         \
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -1025,9 +1025,9 @@
   switch (departure->step)
     {
     case DEPARTS_QUEUED:
-      return job->phase == MF_JOB_WAITING && job->slot_request_id != 0;
+      return job->phase == MF_JOB_WAITING && job->query.kind == MF_JOB_QUERY_SLOT;
     case DEPARTS_QUERYING:
-      return job->awaits_engines;
+      return job->query.kind == MF_JOB_QUERY_ENGINES;
     case DEPARTS_PREFILL:
       return job->phase == MF_JOB_PREFILL && relay_fixture_n_requests (fixture, 0) > 0;
     case DEPARTS_BETWEEN:
