--- a/tests/fakes/http.c
+++ b/tests/fakes/http.c
@@ -15,12 +15,15 @@
 
 #define READ_BYTES 65536
 #define HEADER_VALUE_BYTES 256
+/* Interval at which a connection with a limited rate sends. */
+#define PACE_S 0.01
 
 struct FakeConn
 {
   FakeHttp *http;
   ev_io read_watcher;
   ev_io write_watcher;
+  ev_timer pace_timer; /* active while the rate does not admit the next bytes */
   MfBuffer in;
   MfBuffer out;
   bool answering; /* a request has been passed on and its answer has not ended */
@@ -39,6 +42,7 @@
   ev_io accept_watcher;
   int fd; /* -1 while stopped */
   uint16_t port;
+  uint64_t bytes_per_s; /* that each connection sends at most; 0: no limit */
   FakeConn *conns;
 };
 
@@ -51,6 +55,7 @@
 
   ev_io_stop (http->loop, &conn->read_watcher);
   ev_io_stop (http->loop, &conn->write_watcher);
+  ev_timer_stop (http->loop, &conn->pace_timer);
   if (conn->next != NULL)
     conn->next->previous = conn->previous;
   if (conn->previous != NULL)
@@ -73,20 +78,33 @@
   conn_free (conn, reset);
 }
 
-/* Sends as much as the socket accepts, and the rest when it is writable. */
+/* Sends as much as the socket and the rate accept, and the rest later. */
 static void
 conn_flush (FakeConn *conn)
 {
-  while (mf_buffer_bytes (&conn->out) > 0)
+  uint64_t bytes_per_s = conn->http->bytes_per_s;
+  size_t left_bytes = bytes_per_s > 0 ? (size_t)((double)bytes_per_s * PACE_S) : SIZE_MAX;
+
+  if (ev_is_active (&conn->pace_timer))
+    return;
+  while (mf_buffer_bytes (&conn->out) > 0 && left_bytes > 0)
     {
+      size_t n_bytes = mf_buffer_bytes (&conn->out);
       ssize_t n = send (conn->read_watcher.fd, mf_buffer_data (&conn->out),
-                        mf_buffer_bytes (&conn->out), MSG_NOSIGNAL | MSG_DONTWAIT);
+                        n_bytes < left_bytes ? n_bytes : left_bytes, MSG_NOSIGNAL | MSG_DONTWAIT);
 
       if (n <= 0)
         break;
+      left_bytes -= (size_t)n;
       mf_buffer_consume (&conn->out, (size_t)n);
     }
-  if (mf_buffer_bytes (&conn->out) > 0)
+  if (left_bytes == 0)
+    {
+      ev_io_stop (conn->http->loop, &conn->write_watcher);
+      ev_timer_set (&conn->pace_timer, PACE_S, 0.);
+      ev_timer_start (conn->http->loop, &conn->pace_timer);
+    }
+  else if (mf_buffer_bytes (&conn->out) > 0)
     ev_io_start (conn->http->loop, &conn->write_watcher);
   else
     ev_io_stop (conn->http->loop, &conn->write_watcher);
@@ -321,6 +339,14 @@
   conn_flush (io->data);
 }
 
+static void
+on_pace (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void)loop;
+  (void)events;
+  conn_flush (timer->data);
+}
+
 static void
 on_accept (struct ev_loop *loop, ev_io *io, int events)
 {
@@ -345,6 +371,8 @@
   ev_io_init (&conn->write_watcher, on_writable, fd, EV_WRITE);
   conn->read_watcher.data = conn;
   conn->write_watcher.data = conn;
+  ev_init (&conn->pace_timer, on_pace);
+  conn->pace_timer.data = conn;
   ev_io_start (loop, &conn->read_watcher);
 }
 
@@ -385,6 +413,12 @@
     }
 }
 
+void
+fake_http_set_rate (FakeHttp *http, uint64_t bytes_per_s)
+{
+  http->bytes_per_s = bytes_per_s;
+}
+
 uint16_t
 fake_http_port (const FakeHttp *http)
 {
--- a/tests/fakes/http.h
+++ b/tests/fakes/http.h
@@ -37,6 +37,8 @@
 /* Closes the port and resets every connection. */
 void fake_http_stop (FakeHttp *http);
 void fake_http_start (FakeHttp *http);
+/* Limits what each connection sends, as a slow link does; 0: no limit. */
+void fake_http_set_rate (FakeHttp *http, uint64_t bytes_per_s);
 uint16_t fake_http_port (const FakeHttp *http);
 
 void fake_conn_answer (FakeConn *conn, unsigned status, const char *headers, const char *body,
--- a/tests/fakes/store.c
+++ b/tests/fakes/store.c
@@ -413,6 +413,12 @@
     }
 }
 
+void
+fake_store_set_rate (FakeStore *store, uint64_t bytes_per_s)
+{
+  fake_http_set_rate (store->http, bytes_per_s);
+}
+
 void
 fake_store_drop_history (FakeStore *store)
 {
--- a/tests/fakes/store.h
+++ b/tests/fakes/store.h
@@ -30,6 +30,8 @@
 void fake_store_remove (FakeStore *store, const char *key);
 /* Any mode but FAKE_STORE_SERVES also ends the waiting watches. */
 void fake_store_set_mode (FakeStore *store, FakeStoreMode mode);
+/* Limits what each connection sends, as a slow link does; 0: no limit. */
+void fake_store_set_rate (FakeStore *store, uint64_t bytes_per_s);
 /* Drops the history: watches from a revision before the current one get status 410. */
 void fake_store_drop_history (FakeStore *store);
 /* Keeps a copy of all items, which the store can return from. */
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -26,6 +26,8 @@
 #define N_PEERS 8
 #define CHANGE_MS 1000
 #define CONTACT_MS 400
+/* 10 Mbit/s. */
+#define SLOW_LINK_BYTES_PER_S 1250000
 /* The factor with which the relay ranks the instances of a data centre. */
 #define RANK_FACTOR UINT64_C (0x9e3779b97f4a7c15)
 #define SETTINGS "relay-test.conf"
@@ -74,6 +76,36 @@
   fake_store_put (fixture->store, "op/config", text);
 }
 
+/* A configuration with n_routes further routes of some 250 bytes. */
+static void
+config_put_large (Fixture *fixture, unsigned version, const char *prefix, unsigned n_routes)
+{
+  MfBuffer text = { 0 };
+  char route[512];
+
+  for (unsigned i = 0; i <= n_routes; i++)
+    {
+      snprintf (route, sizeof route,
+                "%s{\"name\":\"%s%u\",\"host\":\"h\",\"pathPrefix\":\"%s%u/\",\"kind\":"
+                "\"non_idempotent\",\"timeoutMs\":600,\"targetLatencyMs\":100,\"service\":\"s\","
+                "\"maxAttempts\":1}",
+                i == 0 ? "" : ",",
+                "a-route-of-a-customer-with-a-long-name-that-says-what-it-is-for-", i, prefix, i);
+      if (i == 0)
+        {
+          char head[64];
+
+          snprintf (head, sizeof head, "{\"version\":%u,\"routes\":[", version);
+          mf_buffer_add_text (&text, head);
+        }
+      mf_buffer_add_text (&text, route);
+    }
+  mf_buffer_add_text (&text, "],\"services\":[{\"name\":\"s\"}],\"limits\":{}}");
+  mf_buffer_add (&text, "", 1);
+  fake_store_put (fixture->store, "op/config", mf_buffer_data (&text));
+  mf_buffer_clear (&text);
+}
+
 static void
 upstream_put (Fixture *fixture, unsigned index, const char *state)
 {
@@ -420,6 +452,33 @@
   fixture_end (&fixture);
 }
 
+/* The answer to a watch had a fixed time, in which large configurations that were missed cannot
+ * arrive over a slow link: each try began anew, and the instance kept its old configuration. */
+static void
+test_large_configurations_arrive_over_a_slow_link (void **state)
+{
+  Fixture fixture;
+  uint64_t served_us;
+
+  (void)state;
+  fixture_begin (&fixture);
+  config_put (&fixture, 1, "/a/");
+  upstream_put (&fixture, 0, "ready");
+  wait_for (&fixture, PORT, "/a/1", 200);
+  fake_store_set_rate (fixture.store, SLOW_LINK_BYTES_PER_S);
+  fake_store_set_mode (fixture.store, FAKE_STORE_BUSY);
+  loop_spin (fixture.loop, 100);
+  config_put_large (&fixture, 2, "/b/", 3600);
+  config_put_large (&fixture, 3, "/c/", 3600);
+  served_us = mf_clock_now_us ();
+  fake_store_set_mode (fixture.store, FAKE_STORE_SERVES);
+  /* Both versions take 1.7 s. */
+  wait_for (&fixture, PORT, "/c/3600/x", 200);
+  assert_true (mf_clock_now_us () < served_us + 3 * MF_US_PER_S);
+  assert_int_equal (status_of (&fixture, PORT, "/a/1"), 404);
+  fixture_end (&fixture);
+}
+
 static void
 run_for (Fixture *fixture, uint64_t for_us)
 {
@@ -1134,6 +1193,7 @@
     cmocka_unit_test (test_lists_have_pages),
     cmocka_unit_test (test_odd_entries_hide_no_other),
     cmocka_unit_test (test_store_outages_of_every_kind),
+    cmocka_unit_test (test_large_configurations_arrive_over_a_slow_link),
     cmocka_unit_test (test_return_of_a_silent_store_is_noticed_soon),
     cmocka_unit_test (test_expired_entries_are_kept_for_a_while),
     cmocka_unit_test (test_changes_of_a_restored_store_are_applied),
