--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -479,6 +479,42 @@
   fixture_end (&fixture);
 }
 
+/* An instance that was away read each version that it had missed, one after the other. */
+static void
+test_latest_configuration_is_read_in_place_of_missed_ones (void **state)
+{
+  Fixture fixture;
+  uint64_t served_us;
+
+  (void)state;
+  fixture_begin (&fixture);
+  config_put_large (&fixture, 1, "/a/", 3600);
+  upstream_put (&fixture, 0, "ready");
+  wait_for (&fixture, PORT, "/a/1/x", 200);
+  fake_store_set_rate (fixture.store, SLOW_LINK_BYTES_PER_S);
+  fake_store_set_mode (fixture.store, FAKE_STORE_BUSY);
+  loop_spin (fixture.loop, 100);
+  for (unsigned i = 2; i <= 7; i++)
+    {
+      char prefix[8];
+
+      snprintf (prefix, sizeof prefix, "/b%u/", i);
+      config_put_large (&fixture, i, prefix, 3600);
+    }
+  upstream_put (&fixture, 0, "draining");
+  upstream_put (&fixture, 1, "ready");
+  served_us = mf_clock_now_us ();
+  fake_store_set_mode (fixture.store, FAKE_STORE_SERVES);
+  /* One version takes 0.9 s, and six of them 5 s. */
+  wait_for (&fixture, PORT, "/b7/1/x", 200);
+  assert_true (mf_clock_now_us () < served_us + 2 * MF_US_PER_S);
+  assert_int_equal (fake_upstream_n_requests (fixture.upstreams[1]), 1);
+  /* The next change comes as usual. */
+  config_put (&fixture, 20, "/z/");
+  wait_for (&fixture, PORT, "/z/1", 200);
+  fixture_end (&fixture);
+}
+
 static void
 run_for (Fixture *fixture, uint64_t for_us)
 {
@@ -1194,6 +1230,7 @@
     cmocka_unit_test (test_odd_entries_hide_no_other),
     cmocka_unit_test (test_store_outages_of_every_kind),
     cmocka_unit_test (test_large_configurations_arrive_over_a_slow_link),
+    cmocka_unit_test (test_latest_configuration_is_read_in_place_of_missed_ones),
     cmocka_unit_test (test_return_of_a_silent_store_is_noticed_soon),
     cmocka_unit_test (test_expired_entries_are_kept_for_a_while),
     cmocka_unit_test (test_changes_of_a_restored_store_are_applied),
