Soak: a customer whose quota changes, and each byte of answers that broke off

--customers gives all requests a customer whose quota comes, goes, falls far below what is sent or moves with the key to another customer, every 0.4 to 1.5 s beside all other faults; when the faults have ended there is none. A 429 states that a request has not run, as a 503 does. What has come of an answer that broke off must be the beginning of its own.

--- a/tests/soak/relay_soak.c
+++ b/tests/soak/relay_soak.c
@@ -145,7 +145,7 @@
   char id[ID_BYTES];
   RequestKind kind;
   uint32_t instance;
-  bool refused; /* answered 503, which states that it has not run */
+  bool refused; /* answered 503 or 429, which state that it has not run */
   bool crashes; /* upstreams that run it, by its content or by a part of its prompt */
   bool deadly;  /* by a part of its prompt */
 } SentRequest;
@@ -215,13 +215,18 @@
   uint32_t n_crashers;
   uint32_t n_crash_requests; /* different ones that the crashers send; 0: one each */
   uint32_t n_deadly_parts;   /* of prompts; each is sent by CALLERS_PER_PART callers */
-  bool leaves;               /* upstreams leave while some instances have no path to the store */
-  uint64_t leaves_random;    /* of its own, like limits_random */
-  uint64_t next_leave_us;    /* next step of the one that leaves */
-  uint32_t n_left;           /* ever */
-  bool path_is_lost;         /* of every third instance to the store */
-  bool restores;             /* the store returns from older copies */
-  uint32_t n_restores;       /* still to come */
+  bool customers;            /* requests have a customer whose quota changes */
+  uint32_t customer_text;    /* index in customer_texts */
+  uint64_t customers_random; /* of its own, like limits_random */
+  uint64_t next_customer_us;
+  uint32_t n_over_quota;  /* requests that were answered 429 */
+  bool leaves;            /* upstreams leave while some instances have no path to the store */
+  uint64_t leaves_random; /* of its own, like limits_random */
+  uint64_t next_leave_us; /* next step of the one that leaves */
+  uint32_t n_left;        /* ever */
+  bool path_is_lost;      /* of every third instance to the store */
+  bool restores;          /* the store returns from older copies */
+  uint32_t n_restores;    /* still to come */
   uint64_t next_restore_us;
   uint64_t rewrite_us; /* when the operator and the upstreams write again what was lost; 0: done */
   uint64_t saved_us;   /* when the copy was made that the store returns from; 0: there is none */
@@ -437,17 +442,30 @@
     upstream_restart (soak, index);
 }
 
+/* What the configurations say of the customer of all requests, in tokens a second; the first one
+ * limits nothing. The callers together send some 60,000. */
+static const char *const customer_texts[] = {
+  "\"tenants\":[{\"name\":\"a\",\"apiKeys\":[\"k\"],\"unit\":\"token_stream\"}],",
+  "\"tenants\":[{\"name\":\"a\",\"apiKeys\":[\"k\"],\"unit\":\"token_stream\","
+  "\"ratePerS\":1000000,\"burst\":1000000}],",
+  "\"tenants\":[{\"name\":\"a\",\"apiKeys\":[\"k\"],\"unit\":\"token_stream\","
+  "\"ratePerS\":15000,\"burst\":15000}],",
+  "\"tenants\":[{\"name\":\"b\",\"apiKeys\":[\"l\"]},{\"name\":\"c\",\"apiKeys\":[\"k\"],"
+  "\"ratePerS\":50,\"burst\":50}],",
+  "",
+};
+
 /* Writes the configuration of the current version. */
 static void
 config_write (Soak *soak)
 {
-  char text[2048];
+  char text[2560];
   uint32_t llm_ms = soak->stop != NULL ? STOPS_DEADLINE_MS : DEADLINE_MS;
   uint32_t once_ms = soak->stop != NULL ? STOPS_DEADLINE_MS : 2000;
 
   snprintf (
       text, sizeof text,
-      "{\"version\":%u,\"routes\":["
+      "{\"version\":%u,%s\"routes\":["
       "{\"name\":\"read\",\"host\":\"h\",\"pathPrefix\":\"/read/\",\"kind\":\"idempotent\","
       "\"timeoutMs\":1000,\"targetLatencyMs\":200,\"service\":\"shop\",\"maxAttempts\":2},"
       "{\"name\":\"order\",\"host\":\"h\",\"pathPrefix\":\"/order/\",\"kind\":\"non_idempotent\","
@@ -463,7 +481,8 @@
       "\"services\":[{\"name\":\"shop\"},{\"name\":\"engines\",\"engine\":{\"slots\":6,"
       "\"kvCapacityTokens\":100000,\"kvRetentionS\":0.5,\"stride\":10}}],"
       "\"limits\":{\"idleTimeoutMs\":5000,\"headerTimeoutMs\":2000}}",
-      soak->version, llm_ms, once_ms, soak->version, soak->version);
+      soak->version, soak->customers ? customer_texts[soak->customer_text] : "", llm_ms, once_ms,
+      soak->version, soak->version);
   fake_store_put (soak->store, "op/config", text);
 }
 
@@ -676,7 +695,12 @@
       soak->n_recovery_served += status == 200;
     }
   if (!complete)
-    soak->n_incomplete++;
+    {
+      soak->n_incomplete++;
+      if (soak->n_versions == 0 && caller->message.parser.status_code == 200
+          && !body_matches_request (caller, false))
+        report_violation (soak, "a part of an answer does not belong to its request", sent->id);
+    }
   else if (status == 200)
     {
       soak->n_served++;
@@ -689,6 +713,11 @@
       soak->n_refused++;
       sent->refused = true;
     }
+  else if (status == 429 && soak->customers)
+    {
+      soak->n_over_quota++;
+      sent->refused = true;
+    }
   else if (status >= 400 && status < 500)
     report_violation (soak, "a valid request got a 4xx answer", sent->id);
   else
@@ -855,7 +884,7 @@
     snprintf (framed, sizeof framed, "Content-Length: %zu\r\n\r\n%s", strlen (body), body);
   n_bytes = snprintf (text, sizeof text,
                       "%s %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %u\r\n"
-                      "X-Prompt-Prefix: %s\r\n%s"
+                      "X-Api-Key: k\r\nX-Prompt-Prefix: %s\r\n%s"
                       "X-Token-Count: 100,80\r\nX-Pin-Ms: 7\r\n%s",
                       request_kinds[sent->kind].method, path, sent->id, deadline_ms, parts, resumed,
                       framed);
@@ -1290,6 +1319,24 @@
   return upstreams[soak->n_left % MF_ARRAY_LEN (upstreams)];
 }
 
+/* With customers, gives the customer another quota, or another customer the key; when the faults
+ * have ended there is no quota. */
+static void
+customers_step (Soak *soak, uint64_t now_us)
+{
+  if (!soak->customers || now_us < soak->next_customer_us)
+    return;
+  soak->next_customer_us
+      = now_us + (400 + draw_from (&soak->customers_random, 1100)) * MF_US_PER_MS;
+  if (is_recovering (soak, 0) && soak->customer_text == 0)
+    return;
+  soak->customer_text
+      = is_recovering (soak, 0)
+            ? 0
+            : draw_from (&soak->customers_random, (uint32_t)MF_ARRAY_LEN (customer_texts));
+  config_publish (soak);
+}
+
 /* Lets an upstream leave while some instances have no path to the store, one step a call. */
 static void
 leaves_step (Soak *soak, uint64_t now_us)
@@ -1340,6 +1387,7 @@
   restores_step (soak, now_us);
   versions_step (soak, now_us);
   leaves_step (soak, now_us);
+  customers_step (soak, now_us);
   if (soak->stop != NULL && now_us >= soak->started_us + WARM_UP_US)
     soak_stop_step (soak->stop, now_us,
                     now_us + RECOVERY_US + STOPS_END_US
@@ -1548,7 +1596,7 @@
       if (n_runs > request_kinds[sent->kind].runs_max)
         report_violation (soak, "a request ran more often than allowed", sent->id);
       if (sent->refused && n_runs > 0 && request_kinds[sent->kind].runs_max == 1)
-        report_violation (soak, "a request answered with 503 has run", sent->id);
+        report_violation (soak, "a request that was refused has run", sent->id);
     }
   for (uint32_t i = 0; i < soak->n_crashers; i++)
     {
@@ -1567,6 +1615,8 @@
         "streams of %u versions: %u mixed, %u of %u taken up went on, %u of %u new ones began\n",
         soak->n_versions, soak->n_streams_mixed, soak->n_went_on, soak->n_taken_up,
         soak->n_streams_begun, soak->n_streams_new);
+  if (soak->customers)
+    printf ("requests over the quota: %u\n", soak->n_over_quota);
   if (soak->leaves)
     printf ("upstreams that left: %u\n", soak->n_left);
   if (soak->restores)
@@ -1645,6 +1695,9 @@
     case 'e':
       soak->leaves = true;
       return 0;
+    case 'u':
+      soak->customers = true;
+      return 0;
     case 'f':
       soak->faultless = true;
       return 0;
@@ -1696,6 +1749,7 @@
     .arg = "N",
     .doc = "Number of planned stops of instances beside slow and silent engines, without other "
            "faults" },
+  { .name = "customers", .key = 'u', .doc = "Requests have a customer whose quota changes" },
   { .name = "faultless", .key = 'f', .doc = "Inject no other faults" },
   { .name = "instances", .key = 'n', .arg = "N", .doc = "Number of relay instances" },
   { 0 },
@@ -1724,12 +1778,14 @@
   soak.random = soak.seed * UINT64_C (0x9e3779b97f4a7c15) + 1;
   soak.limits_random = soak.random;
   soak.leaves_random = soak.random;
+  soak.customers_random = soak.random;
   snprintf (soak.directory, sizeof soak.directory, "/tmp/relay-soak-XXXXXX");
   if (mkdtemp (soak.directory) == NULL)
     return EXIT_FAILURE;
   soak.started_us = mf_clock_now_us ();
   soak.next_restore_us = soak.started_us + WARM_UP_US;
   soak.next_leave_us = soak.started_us + WARM_UP_US;
+  soak.next_customer_us = soak.started_us + WARM_UP_US;
   soak_start (&soak);
   ev_timer_init (&soak.tick, on_tick, 0.02, 0.02);
   soak.tick.data = &soak;
