--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -321,8 +321,7 @@
                 });
 }
 
-/* Returns the status of a refusal. All but those that concern the caller's key say that others may
- * be served. */
+/* Returns the status of a refusal: 503, unless it is for the customer of the caller's key. */
 static uint32_t
 refusal_status (MfCode code)
 {
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -50,9 +50,8 @@
 typedef struct
 {
   MfJobQueryKind kind;
-  uint64_t id; /* unique among the queries of this instance; of MF_JOB_QUERY_PROCESS: the process */
-  uint64_t
-      peer; /* hash of the instance that is to reply, or MF_DISPATCH_SELF; 0: several, or none */
+  uint64_t id;   /* number of the message; of MF_JOB_QUERY_PROCESS the process */
+  uint64_t peer; /* hash of the instance that is to reply; 0: several, or this one */
 } MfJobQuery;
 
 /* A buffered answer of an upstream. */
