--- a/tests/fakes/offline.c
+++ b/tests/fakes/offline.c
@@ -373,6 +373,9 @@
       query.key = message->quota.ask.key;
       query.n_units = message->quota.ask.n_units;
       break;
+    case MF_RELAY_MESSAGE_CANCEL:
+      peers->n_withdrawn++;
+      break;
     default:
       break;
     }
--- a/tests/fakes/offline.h
+++ b/tests/fakes/offline.h
@@ -64,7 +64,8 @@
   uint64_t allocator;
   bool is_cut; /* messages cannot be sent */
   OfflineQuery queries[OFFLINE_QUERIES_MAX];
-  uint32_t n_queries; /* made since the start */
+  uint32_t n_queries;   /* made since the start */
+  uint32_t n_withdrawn; /* slot requests that were taken back */
 };
 
 void offline_begin (void);
--- a/tests/test_job_explore.c
+++ b/tests/test_job_explore.c
@@ -686,8 +686,11 @@
 static void
 event_reply_of_another (Explorer *explorer, MfJob *job, const OfflineQuery *query)
 {
-  (void)job;
+  MfJobQuery open = job->query;
+
   reply (explorer, query, 3);
+  expect (explorer, open.peer == 0 || (has_job (explorer, job) && job->query.id == open.id),
+          "a reply of an instance that was not asked changes nothing");
 }
 
 /* The instance that was asked is lost, and then replies after all. */
@@ -998,6 +1001,30 @@
     }
 }
 
+/* Guards against replies to a step that the request has left: the query of that step was forgotten
+ * without being withdrawn, and its reply still found the request. */
+static void
+test_next_step_withdraws_the_open_query (void **state)
+{
+  Explorer explorer;
+  OfflineQuery query;
+  MfJob *job;
+  uint64_t n_late;
+
+  (void)state;
+  job = silent_stream (&explorer, &query);
+  n_late = explorer.jobs.counters.counts[MF_RELAY_COUNT_LATE_REPLIES];
+  explorer.peers.n_withdrawn = 0;
+  mf_job_advance (job);
+  assert_int_equal (explorer.peers.n_withdrawn, 1);
+  assert_int_not_equal (job->query.id, query.id);
+  reply (&explorer, &query, query.peer);
+  assert_int_equal (explorer.jobs.counters.counts[MF_RELAY_COUNT_LATE_REPLIES], n_late + 1);
+  finish (&explorer);
+  assert_null (explorer.wrong);
+  teardown (&explorer);
+}
+
 int
 main (void)
 {
@@ -1006,6 +1033,7 @@
     cmocka_unit_test (test_each_query_survives_each_event),
     cmocka_unit_test (test_late_quota_reply_sends_no_stream_twice),
     cmocka_unit_test (test_no_step_overwrites_a_run_in_use),
+    cmocka_unit_test (test_next_step_withdraws_the_open_query),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
