Log: request.stalled, and what a search waited for when its run went on

Nothing at all was written when a run was set aside.

request.stalled marks the beginning of the search, and request.kept names the kind of query that was open (awaiting).

--- a/libmangofork/relay/job_query.c
+++ b/libmangofork/relay/job_query.c
@@ -38,6 +38,13 @@
   },
 };
 
+/* Returns what a request waits for, for the log. */
+const char *
+mf_job_query_name (const MfJob *job)
+{
+  return job->query.kind == MF_JOB_QUERY_NONE ? "none" : kinds[job->query.kind].name;
+}
+
 /* Lets a request wait for a reply, for timeout_us at most unless that is 0. id identifies the
  * reply; peer is the instance that is to send it, or 0. The query that was open until now is
  * cancelled, so that a request never acts on two replies. */
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -223,6 +223,7 @@
 void mf_jobs_note_answer (MfJobs *jobs, uint64_t tokens, uint64_t took_us);
 
 /* job_query.c: what requests wait for. */
+const char *mf_job_query_name (const MfJob *job);
 void mf_job_open_query (MfJob *job, MfJobQueryKind kind, uint64_t id, uint64_t peer,
                         uint64_t timeout_us);
 void mf_job_close_query (MfJob *job);
--- a/libmangofork/relay/job_stall.c
+++ b/libmangofork/relay/job_stall.c
@@ -74,9 +74,10 @@
   uint64_t now_us = mf_clock_now_us ();
 
   mf_relay_log_event (job->jobs->log, "request.kept",
-                      "id=%s upstream=%s why=\"%s\" searched_ms=%.1f events=%llu", job->id,
-                      stalled.target->info.id, why, (double)(now_us - stalled.since_us) / 1e3,
-                      (unsigned long long)job->events.n_events);
+                      "id=%s upstream=%s why=\"%s\" searched_ms=%.1f events=%llu awaiting=%s",
+                      job->id, stalled.target->info.id, why,
+                      (double)(now_us - stalled.since_us) / 1e3,
+                      (unsigned long long)job->events.n_events, mf_job_query_name (job));
   job->jobs->counters.counts[MF_RELAY_COUNT_KEPT]++;
   job_cancel_search (job);
   job->stalled = (MfStalledRun){ 0 };
@@ -297,6 +298,11 @@
   /* It may have been executed. */
   job->n_arrivals++;
   job->n_runs++;
+  mf_relay_log_event (job->jobs->log, "request.stalled",
+                      "id=%s upstream=%s waited_ms=%.1f events=%llu", job->id,
+                      job->stalled.target->info.id,
+                      (double)(job->stalled.since_us - job->stalled.sent_us) / 1e3,
+                      (unsigned long long)job->events.n_events);
 }
 
 /* Cancels the current exchange, which no upstream executes, as its upstream is silent. */
