Routes: what may have been added is refused with 503, not 404

Cause: only unknown keys were compared with the age of what is known; routes were not, and nothing used that a later version is known to exist as soon as its first bytes have come.

Change: mf_jobs_config_may_be_stale() decides for routes and keys.

--- a/libmangofork/relay/job.c
+++ b/libmangofork/relay/job.c
@@ -678,7 +678,10 @@
   route = mf_routes_find (jobs->routes, host == NULL ? "" : host, host_bytes, target, path_bytes);
   if (route == NULL)
     {
-      caller_reply_code (jobs, caller, MF_CODE_NO_SERVICE, false);
+      bool may_be_added = mf_jobs_config_may_be_stale (jobs);
+
+      caller_reply_code (jobs, caller, may_be_added ? MF_CODE_CONFIG_STALE : MF_CODE_NO_SERVICE,
+                         may_be_added);
       return;
     }
   code = mf_jobs_check_key (jobs, caller, route, &key);
--- a/libmangofork/relay/job.h
+++ b/libmangofork/relay/job.h
@@ -101,6 +101,7 @@
    * suspended; what is older than the age says nothing about the versions that are in use. */
   uint64_t upstreams_as_of_us;
   uint64_t upstreams_age_max_us;
+  bool config_is_pending;     /* a later configuration is known to exist, and not read yet */
   uint64_t configured_us;     /* when the configuration was applied, on the same clock */
   uint64_t revoke_us;         /* how long a request may still be sent after its key was removed */
   uint64_t config_apply_us;   /* a configuration must be in force within this time; 0: no bound */
--- a/libmangofork/relay/job_customer.c
+++ b/libmangofork/relay/job_customer.c
@@ -26,14 +26,17 @@
   return index != MF_NONE ? mf_customers_get (customers, index) : NULL;
 }
 
-/* Whether a key that is not known here may have been added to the configuration meanwhile, because
- * this instance has had no contact with the store's data for longer than the bound. Answers of the
- * store that carry no data, such as errors, do not count as contact. */
-static bool
-config_may_be_stale (const MfJobs *jobs)
+/* Whether a route or key that is not known here may have been added to the configuration meanwhile,
+ * because a later one is being read, or this instance has had no contact with the store's data for
+ * longer than the bound. Answers of the store that carry no data, such as errors, do not count as
+ * contact. */
+bool
+mf_jobs_config_may_be_stale (const MfJobs *jobs)
 {
   uint64_t as_of_us = jobs->upstreams_as_of_us;
 
+  if (jobs->config_is_pending)
+    return true;
   /* The first watch request has not been answered yet. */
   if (as_of_us == 0)
     as_of_us = jobs->configured_us;
@@ -52,7 +55,8 @@
   key_read (key, mf_caller_head (caller));
   if (route->is_exempt || key_owner (jobs, key) != NULL)
     return MF_CODE_OK;
-  return key->is_valid && config_may_be_stale (jobs) ? MF_CODE_CONFIG_STALE : MF_CODE_NO_CUSTOMER;
+  return key->is_valid && mf_jobs_config_may_be_stale (jobs) ? MF_CODE_CONFIG_STALE
+                                                             : MF_CODE_NO_CUSTOMER;
 }
 
 static void
--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -338,6 +338,7 @@
 bool mf_job_keep_stalled (MfJob *job, MfCode code, const char *why);
 
 /* job_customer.c: customers and their keys. */
+bool mf_jobs_config_may_be_stale (const MfJobs *jobs);
 MfCode mf_jobs_check_key (const MfJobs *jobs, const MfCaller *caller, const MfRoute *route,
                           MfKeyDigest *key);
 void mf_job_find_customer (MfJob *job);
--- a/libmangofork/relay/job_stall.c
+++ b/libmangofork/relay/job_stall.c
@@ -298,11 +298,10 @@
   /* It may have been executed. */
   job->n_arrivals++;
   job->n_runs++;
-  mf_relay_log_event (job->jobs->log, "request.stalled",
-                      "id=%s upstream=%s waited_ms=%.1f events=%llu", job->id,
-                      job->stalled.target->info.id,
-                      (double)(job->stalled.since_us - job->stalled.sent_us) / 1e3,
-                      (unsigned long long)job->events.n_events);
+  mf_relay_log_event (
+      job->jobs->log, "request.stalled", "id=%s upstream=%s waited_ms=%.1f events=%llu", job->id,
+      job->stalled.target->info.id, (double)(job->stalled.since_us - job->stalled.sent_us) / 1e3,
+      (unsigned long long)job->events.n_events);
 }
 
 /* Cancels the current exchange, which no upstream executes, as its upstream is silent. */
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -262,6 +262,20 @@
   ready_update (relay);
 }
 
+/* Called by sources when they have found that there is a later configuration, which they are going
+ * to read, and when they know the latest one again. */
+void
+mf_relay_config_pending (MfRelay *relay, bool is_pending)
+{
+  if (relay->jobs.config_is_pending == is_pending)
+    return;
+  relay->jobs.config_is_pending = is_pending;
+  mf_relay_log_state (
+      relay->log, is_pending ? "config.pending" : "config.current", "version=%llu requests=%u",
+      (unsigned long long)(relay->jobs.routes != NULL ? relay->jobs.routes->version : 0),
+      relay->jobs.n_jobs);
+}
+
 /* Called by sources before they pass on entries and removals, with their position in the source's
  * history; before the end of a list, with the one as of which it is complete. */
 void
--- a/libmangofork/relay/relay.h
+++ b/libmangofork/relay/relay.h
@@ -68,6 +68,7 @@
 void mf_relay_free (MfRelay *relay);
 
 void mf_relay_configure (MfRelay *relay, MfRoutes *routes);
+void mf_relay_config_pending (MfRelay *relay, bool is_pending);
 void mf_relay_source_position (MfRelay *relay, uint64_t era, uint64_t revision);
 void mf_relay_update_upstream (MfRelay *relay, const MfTargetInfo *info);
 void mf_relay_remove_upstream (MfRelay *relay, const char *id, const char *why);
--- a/tests/test_job_customer.c
+++ b/tests/test_job_customer.c
@@ -448,7 +448,14 @@
   assert_null (strstr (fixture.received, "Retry-After: 0.000"));
   assert_int_equal (call (&fixture, "/read/1", ""), 401);
   assert_int_equal (call (&fixture, "/read/1", KEY_HEADER_A), 200);
+  /* A route may have been added as well. */
+  assert_int_equal (call (&fixture, "/nowhere/1", KEY_HEADER_A), 503);
   fixture.jobs.upstreams_as_of_us = now_us;
+  assert_int_equal (call (&fixture, "/nowhere/1", KEY_HEADER_A), 404);
+  fixture.jobs.config_is_pending = true;
+  assert_int_equal (call (&fixture, "/nowhere/1", KEY_HEADER_A), 503);
+  assert_int_equal (call (&fixture, "/read/1", "X-Api-Key: secret-key-x\r\n"), 503);
+  fixture.jobs.config_is_pending = false;
   assert_int_equal (call (&fixture, "/read/1", "X-Api-Key: secret-key-x\r\n"), 401);
   /* The first watch request has not been answered, and the configuration has just been read. */
   fixture.jobs.upstreams_as_of_us = 0;
