Retries: a late grant goes back to its pool

A retry that the leader granted after its request had ended, or gone on with its silent run, was only counted. The pool kept it charged for the whole window, 10 s by default, so that other instances' requests were refused for want of a budget that nobody used: three late grants use up the pool of three instances (slack 12).

Cause: of the replies that grant something, that to a retry was the only one without a way back; it does not name the service or the number of sends.

Change: the reply names service, sends and time of the grant on the leader's clock, and an instance that has no use for it sends them back (RETRY_RETURN). mf_budget_return() takes them out of the part of the window that they were charged in. A grant that cannot be sent is taken back at once. Instances of an older release ignore both; their replies name no sends and are only counted.

--- a/libmangofork/relay/budget.c
+++ b/libmangofork/relay/budget.c
@@ -80,6 +80,26 @@
   budget->n_retries[budget->bucket] += n_retries;
 }
 
+/* Returns retries that were charged at charged_us and will not be sent, unless the window has
+ * passed them. */
+void
+mf_budget_return (MfBudget *budget, uint32_t n_retries, uint64_t charged_us, uint64_t now_us)
+{
+  uint64_t bucket_us = budget->window_us / MF_BUDGET_BUCKETS;
+  uint64_t n_back = 0;
+  uint32_t *n_charged;
+
+  budget_advance (budget, now_us);
+  if (bucket_us == 0)
+    return;
+  if (charged_us < budget->bucket_started_us)
+    n_back = (budget->bucket_started_us - charged_us + bucket_us - 1) / bucket_us;
+  if (n_back >= MF_BUDGET_BUCKETS)
+    return;
+  n_charged = &budget->n_retries[(budget->bucket + MF_BUDGET_BUCKETS - n_back) % MF_BUDGET_BUCKETS];
+  *n_charged -= n_retries < *n_charged ? n_retries : *n_charged;
+}
+
 /* This instance's allowance of the slack, the retries that all instances together may send
  * regardless of their request counts. An instance that has run for less than a window does not know
  * what it sent before a restart, and has none. */
--- a/libmangofork/relay/budget.h
+++ b/libmangofork/relay/budget.h
@@ -23,6 +23,7 @@
 bool mf_budget_allows (MfBudget *budget, uint32_t allowance, uint32_t n_wanted, uint64_t now_us);
 bool mf_budget_acquire (MfBudget *budget, uint32_t allowance, uint32_t n_wanted, uint64_t now_us);
 void mf_budget_charge (MfBudget *budget, uint32_t n_retries, uint64_t now_us);
+void mf_budget_return (MfBudget *budget, uint32_t n_retries, uint64_t charged_us, uint64_t now_us);
 uint32_t mf_budget_allowance (uint32_t slack, uint32_t n_instances, uint64_t uptime_us,
                               uint64_t window_us);
 uint32_t mf_budget_pool (uint32_t slack, uint32_t n_instances, uint64_t window_us);
--- a/libmangofork/relay/job_retry.c
+++ b/libmangofork/relay/job_retry.c
@@ -159,6 +159,18 @@
   return true;
 }
 
+/* Returns sends to the pool that they were granted from. That of a later leadership is not charged
+ * with anything as old. */
+static void
+pool_return (MfJobs *jobs, const MfRetryRequest *retry)
+{
+  MfLeadership *leadership = mf_jobs_find_leadership (jobs, retry->service);
+
+  if (leadership != NULL && leadership->led_since_us > 0)
+    mf_budget_return (&leadership->retry_pool, retry->n_sends, retry->granted_us,
+                      mf_clock_now_us ());
+}
+
 /* Ends a request whose retry was denied. */
 void
 mf_job_retry_denied (MfJob *job)
@@ -210,32 +222,51 @@
     mf_job_retry_denied (job);
 }
 
-/* Handles a retry request of another instance, or the reply to one of this instance. */
+/* Replies to a retry request of another instance. A grant that cannot be sent is taken back. */
+static void
+retry_handle (MfJobs *jobs, uint64_t peer, const MfRetryRequest *retry)
+{
+  MfRetryRequest reply = *retry;
+
+  reply.allowed = pool_acquire (jobs, retry->service, retry->n_sends);
+  reply.granted_us = mf_clock_now_us ();
+  jobs->message.kind = MF_RELAY_MESSAGE_RETRY_REPLY;
+  jobs->message.retry = reply;
+  if (!mf_peers_send (jobs->peers, peer, &jobs->message) && reply.allowed)
+    pool_return (jobs, &reply);
+}
+
+/* Handles the reply to a retry request of this instance. A grant that no request waits for any more
+ * is returned. */
+static void
+reply_handle (MfJobs *jobs, uint64_t peer, const MfRetryRequest *retry)
+{
+  MfJob *job = mf_jobs_match_reply (jobs, MF_JOB_QUERY_RETRY, retry->id, peer);
+
+  if (job != NULL && retry->allowed)
+    job_retry_granted (job);
+  else if (job != NULL)
+    mf_job_retry_denied (job);
+  else if (retry->allowed && retry->n_sends > 0)
+    {
+      jobs->message.kind = MF_RELAY_MESSAGE_RETRY_RETURN;
+      jobs->message.retry = *retry;
+      mf_peers_send (jobs->peers, peer, &jobs->message);
+    }
+}
+
+/* Handles a message of another instance about a retry. */
 void
 mf_jobs_handle_retry_message (MfJobs *jobs, uint64_t peer, const MfRelayMessage *message)
 {
   MfRetryRequest retry = message->retry;
-  MfJob *job;
 
   if (message->kind == MF_RELAY_MESSAGE_RETRY && retry.is_done)
-    {
-      pool_charge (jobs, retry.service, retry.n_sends);
-      return;
-    }
-  if (message->kind == MF_RELAY_MESSAGE_RETRY)
-    {
-      jobs->message.kind = MF_RELAY_MESSAGE_RETRY_REPLY;
-      jobs->message.retry
-          = (MfRetryRequest){ .id = retry.id,
-                              .allowed = pool_acquire (jobs, retry.service, retry.n_sends) };
-      mf_peers_send (jobs->peers, peer, &jobs->message);
-      return;
-    }
-  job = mf_jobs_match_reply (jobs, MF_JOB_QUERY_RETRY, retry.id, peer);
-  if (job == NULL)
-    return;
-  if (retry.allowed)
-    job_retry_granted (job);
+    pool_charge (jobs, retry.service, retry.n_sends);
+  else if (message->kind == MF_RELAY_MESSAGE_RETRY)
+    retry_handle (jobs, peer, &retry);
+  else if (message->kind == MF_RELAY_MESSAGE_RETRY_RETURN)
+    pool_return (jobs, &retry);
   else
-    mf_job_retry_denied (job);
+    reply_handle (jobs, peer, &retry);
 }
--- a/libmangofork/relay/job_room.c
+++ b/libmangofork/relay/job_room.c
@@ -379,6 +379,7 @@
       return;
     case MF_RELAY_MESSAGE_RETRY:
     case MF_RELAY_MESSAGE_RETRY_REPLY:
+    case MF_RELAY_MESSAGE_RETRY_RETURN:
       mf_jobs_handle_retry_message (jobs, peer, message);
       return;
     default:
--- a/libmangofork/relay/relay_message.c
+++ b/libmangofork/relay/relay_message.c
@@ -19,7 +19,9 @@
 #define ID_MEMBERS 2
 #define REJECTED_MEMBERS 3
 #define RETRY_MEMBERS 5
-#define RETRY_REPLY_MEMBERS 3
+#define RETRY_REPLY_MEMBERS_MIN 3
+#define RETRY_REPLY_MEMBERS 6
+#define RETRY_RETURN_MEMBERS 4
 #define FEED_MEMBERS 8
 #define FEED_ITEM_MEMBERS 4
 #define SUSPECTS_MEMBERS 2
@@ -161,6 +163,19 @@
   msgpack_pack_uint32 (packer, message->kind);
   msgpack_pack_uint64 (packer, message->retry.id);
   msgpack_pack_uint32 (packer, message->retry.allowed);
+  pack_text (packer, message->retry.service);
+  msgpack_pack_uint32 (packer, message->retry.n_sends);
+  msgpack_pack_uint64 (packer, message->retry.granted_us);
+}
+
+static void
+retry_return_pack (msgpack_packer *packer, const MfRelayMessage *message)
+{
+  msgpack_pack_array (packer, RETRY_RETURN_MEMBERS);
+  msgpack_pack_uint32 (packer, message->kind);
+  pack_text (packer, message->retry.service);
+  msgpack_pack_uint32 (packer, message->retry.n_sends);
+  msgpack_pack_uint64 (packer, message->retry.granted_us);
 }
 
 static void
@@ -578,13 +593,38 @@
          && read_flag (&members[4], &retry->is_done);
 }
 
+/* Reads the service, the sends and the time of a grant. */
+static bool
+retry_grant_read (const msgpack_object *members, MfRetryRequest *retry)
+{
+  return read_text (&members[0], retry->service, sizeof retry->service)
+         && read_u32 (&members[1], &retry->n_sends) && retry->n_sends <= RETRY_SENDS_MAX
+         && read_number (&members[2], UINT64_MAX, &retry->granted_us);
+}
+
 static bool
 retry_reply_read (const msgpack_object *members, MfRelayMessage *message)
 {
+  message->retry = (MfRetryRequest){ 0 };
   return read_number (&members[1], UINT64_MAX, &message->retry.id)
          && read_flag (&members[2], &message->retry.allowed);
 }
 
+/* Older releases do not say what they grant. */
+static bool
+retry_reply_read_optional (const msgpack_object_array *members, MfRelayMessage *message)
+{
+  return members->size < RETRY_REPLY_MEMBERS
+         || retry_grant_read (&members->ptr[RETRY_REPLY_MEMBERS_MIN], &message->retry);
+}
+
+static bool
+retry_return_read (const msgpack_object *members, MfRelayMessage *message)
+{
+  message->retry = (MfRetryRequest){ 0 };
+  return retry_grant_read (&members[1], &message->retry);
+}
+
 static bool
 feed_read (const msgpack_object *members, MfRelayMessage *message)
 {
@@ -884,7 +924,9 @@
   [MF_RELAY_MESSAGE_CANCEL] = { ID_MEMBERS, id_pack, id_read },
   [MF_RELAY_MESSAGE_GRANT_ACK] = { ID_MEMBERS, id_pack, id_read },
   [MF_RELAY_MESSAGE_RETRY] = { RETRY_MEMBERS, retry_pack, retry_read },
-  [MF_RELAY_MESSAGE_RETRY_REPLY] = { RETRY_REPLY_MEMBERS, retry_reply_pack, retry_reply_read },
+  [MF_RELAY_MESSAGE_RETRY_REPLY]
+  = { RETRY_REPLY_MEMBERS_MIN, retry_reply_pack, retry_reply_read, retry_reply_read_optional },
+  [MF_RELAY_MESSAGE_RETRY_RETURN] = { RETRY_RETURN_MEMBERS, retry_return_pack, retry_return_read },
   [MF_RELAY_MESSAGE_FEED] = { FEED_MEMBERS, feed_pack, feed_read },
   [MF_RELAY_MESSAGE_SUSPECTS] = { SUSPECTS_MEMBERS, suspects_pack, suspects_read },
   [MF_RELAY_MESSAGE_CONTENTS] = { SUSPECTS_MEMBERS, suspects_pack, suspects_read },
--- a/libmangofork/relay/relay_message.h
+++ b/libmangofork/relay/relay_message.h
@@ -38,16 +38,18 @@
   MF_RELAY_MESSAGE_CONTENTS = 20,     /* suspect contents of requests */
   MF_RELAY_MESSAGE_QUOTA_ASK = 21,    /* asks the allocator of a customer's quota for units */
   MF_RELAY_MESSAGE_QUOTA_GRANT = 22,  /* the answer to that */
+  MF_RELAY_MESSAGE_RETRY_RETURN = 23, /* a granted retry that no request uses */
 } MfRelayMessageKind;
 
-/* A request for permission to retry, or its answer. */
+/* A request for permission to retry, its answer, or what is returned of that. */
 typedef struct
 {
-  uint64_t id;
-  char service[MF_NAME_BYTES]; /* RETRY only */
-  uint32_t n_sends;            /* RETRY only: sends that the retry takes */
-  bool is_done;                /* RETRY only: already sent; they are only counted */
-  bool allowed;                /* RETRY_REPLY only */
+  uint64_t id; /* not of RETRY_RETURN */
+  char service[MF_NAME_BYTES];
+  uint32_t n_sends;    /* sends that the retry takes */
+  bool is_done;        /* RETRY only: already sent; they are only counted */
+  bool allowed;        /* RETRY_REPLY only */
+  uint64_t granted_us; /* RETRY_REPLY, RETRY_RETURN: when, on the leader's clock; 0: not known */
 } MfRetryRequest;
 
 /* Maximum suspect requests in one message. */
--- a/tests/fakes/offline.c
+++ b/tests/fakes/offline.c
@@ -361,6 +361,13 @@
     case MF_RELAY_MESSAGE_SLOT_REQUEST:
       query.id = message->slot_request.id;
       break;
+    case MF_RELAY_MESSAGE_RETRY_RETURN:
+      peers->n_returned++;
+      peers->retry = message->retry;
+      break;
+    case MF_RELAY_MESSAGE_RETRY_REPLY:
+      peers->retry = message->retry;
+      break;
     case MF_RELAY_MESSAGE_RETRY:
       query.id = message->retry.is_done ? 0 : message->retry.id;
       break;
--- a/tests/fakes/offline.h
+++ b/tests/fakes/offline.h
@@ -66,6 +66,8 @@
   OfflineQuery queries[OFFLINE_QUERIES_MAX];
   uint32_t n_queries;   /* made since the start */
   uint32_t n_withdrawn; /* slot requests that were taken back */
+  uint32_t n_returned;  /* retries that were returned */
+  MfRetryRequest retry; /* of the latest message about a retry */
 };
 
 void offline_begin (void);
--- a/tests/test_budget.c
+++ b/tests/test_budget.c
@@ -106,6 +106,30 @@
                <= 52);
 }
 
+/* A retry that is returned is free again, once, and not after the window has passed it. */
+static void
+test_returned_retries_are_free_again (void **state)
+{
+  MfBudget budget;
+  uint64_t now_us = 100 * MF_US_PER_S;
+
+  (void)state;
+  mf_budget_init (&budget, 10 * MF_US_PER_S, 0.);
+  assert_true (mf_budget_acquire (&budget, 4, 2, now_us));
+  assert_true (mf_budget_acquire (&budget, 4, 2, now_us + 3 * MF_US_PER_S));
+  assert_false (mf_budget_allows (&budget, 4, 1, now_us + 3 * MF_US_PER_S));
+  mf_budget_return (&budget, 2, now_us, now_us + 4 * MF_US_PER_S);
+  assert_true (mf_budget_allows (&budget, 4, 2, now_us + 4 * MF_US_PER_S));
+  assert_false (mf_budget_allows (&budget, 4, 3, now_us + 4 * MF_US_PER_S));
+  mf_budget_return (&budget, 2, now_us, now_us + 4 * MF_US_PER_S);
+  assert_false (mf_budget_allows (&budget, 4, 3, now_us + 4 * MF_US_PER_S));
+  /* What was charged at 103 s stays charged. */
+  mf_budget_return (&budget, 2, now_us, now_us + 12 * MF_US_PER_S);
+  assert_false (mf_budget_allows (&budget, 4, 3, now_us + 12 * MF_US_PER_S));
+  mf_budget_return (&budget, UINT32_MAX, now_us + 3 * MF_US_PER_S, now_us + 12 * MF_US_PER_S);
+  assert_true (mf_budget_allows (&budget, 4, 4, now_us + 12 * MF_US_PER_S));
+}
+
 int
 main (void)
 {
@@ -113,6 +137,7 @@
     cmocka_unit_test (test_any_window_of_any_instances_keeps_to_the_ratio),
     cmocka_unit_test (test_allowance_without_requests),
     cmocka_unit_test (test_allowances_keep_to_the_slack),
+    cmocka_unit_test (test_returned_retries_are_free_again),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_relay_message.c
+++ b/tests/test_relay_message.c
@@ -376,17 +376,36 @@
 test_retry (void **state)
 {
   (void)state;
-  sent = (MfRelayMessage){ .kind = MF_RELAY_MESSAGE_RETRY, .retry = { 9, "llm", 2, true, false } };
+  sent = (MfRelayMessage){
+    .kind = MF_RELAY_MESSAGE_RETRY,
+    .retry = { .id = 9, .service = "llm", .n_sends = 2, .is_done = true },
+  };
   round_trip ();
   assert_int_equal (got.retry.id, 9);
   assert_string_equal (got.retry.service, "llm");
   assert_int_equal (got.retry.n_sends, 2);
   assert_true (got.retry.is_done);
-  sent = (MfRelayMessage){ .kind = MF_RELAY_MESSAGE_RETRY_REPLY,
-                           .retry = { 9, "", 0, false, true } };
+  sent.kind = MF_RELAY_MESSAGE_RETRY_REPLY;
+  sent.retry.allowed = true;
+  sent.retry.granted_us = UINT64_MAX;
   round_trip ();
   assert_int_equal (got.retry.id, 9);
   assert_true (got.retry.allowed);
+  assert_string_equal (got.retry.service, "llm");
+  assert_int_equal (got.retry.n_sends, 2);
+  assert_true (got.retry.granted_us == UINT64_MAX);
+  sent.kind = MF_RELAY_MESSAGE_RETRY_RETURN;
+  round_trip ();
+  assert_string_equal (got.retry.service, "llm");
+  assert_int_equal (got.retry.n_sends, 2);
+  assert_true (got.retry.granted_us == UINT64_MAX);
+  /* The reply of an older release, and faulty ones. */
+  assert_true (mf_relay_message_decode ("\x93\x08\x09\x01", 4, &got));
+  assert_true (got.retry.allowed);
+  assert_int_equal (got.retry.n_sends, 0);
+  assert_false (mf_relay_message_decode ("\x96\x08\x09\x01\xa1x\x03\x01", 8, &got));
+  assert_false (mf_relay_message_decode ("\x94\x17\xa1x\x03\x01", 6, &got));
+  assert_false (mf_relay_message_decode ("\x93\x17\xa1x\x02", 5, &got));
 }
 
 static void
