--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -475,8 +475,8 @@
   /* Both versions take 1.7 s. */
   wait_for (&fixture, PORT, "/c/3600/x", 200);
   assert_true (mf_clock_now_us () < served_us + 3 * MF_US_PER_S);
-  /* The dropped route runs no more. What is known is older than the bound for changes until the next
-   * answer of the store, so that a route may have been added meanwhile. */
+  /* The dropped route runs no more. What is known is older than the bound for changes until the
+   * next answer of the store, so that a route may have been added meanwhile. */
   assert_int_not_equal (status_of (&fixture, PORT, "/a/1"), 200);
   wait_for (&fixture, PORT, "/a/1", 404);
   fixture_end (&fixture);
