Store: a series of large configurations is not read one by one

Cause: an answer to a watch has all versions since a revision, 20 of them take 18 s on 10 Mbit/s. What reads the latest one in their place began only after a failure, a gap or a slow answer, and only beside a large configuration that is known; an instance that has just read a list, or knows a small one, got the whole series in one answer. The log showed it: config.pending, then nothing for 7.4 s.

--- a/tests/soak/relay_soak.c
+++ b/tests/soak/relay_soak.c
@@ -102,6 +102,10 @@
 /* Time until a configuration must be in force: the instances' bound of 2 s, and the time to reach a
  * store that was away. */
 #define NEWEST_BOUND_US (3500 * MF_US_PER_MS)
+/* With large configurations: what the link of an instance carries from the store, 10 Mbit/s, and
+ * how many versions are written in a row at most. */
+#define LINK_BYTES_PER_S 1250000
+#define CONFIGS_IN_A_ROW_MAX 20
 /* Greatest age of the copy that the store returns from, how long it is away, and when what was lost
  * is written again. */
 #define COPY_AGE_MAX_MS 2500
@@ -225,6 +229,7 @@
   uint64_t next_leave_us; /* next step of the one that leaves */
   uint32_t n_left;        /* ever */
   bool path_is_lost;      /* of every third instance to the store */
+  uint32_t n_routes;      /* further ones of each configuration, which arrives over a slow link */
   bool restores;          /* the store returns from older copies */
   uint32_t n_restores;    /* still to come */
   uint64_t next_restore_us;
@@ -455,17 +460,39 @@
   "",
 };
 
+/* Adds the further routes of a large configuration. */
+static void
+routes_write (const Soak *soak, MfBuffer *config)
+{
+  char route[320];
+
+  for (uint32_t i = 0; i < soak->n_routes; i++)
+    {
+      snprintf (route, sizeof route,
+                "{\"name\":\"route-%u-of-a-customer-with-a-long-name-that-says-what-it-is-for\","
+                "\"host\":\"large\",\"pathPrefix\":\"/v%u/route/%u/\",\"kind\":\"non_idempotent\","
+                "\"timeoutMs\":1000,\"targetLatencyMs\":200,\"service\":\"shop\","
+                "\"maxAttempts\":1},",
+                i, soak->version, i);
+      mf_buffer_add_text (config, route);
+    }
+}
+
 /* Writes the configuration of the current version. */
 static void
 config_write (Soak *soak)
 {
+  MfBuffer config = { 0 };
   char text[2560];
   uint32_t llm_ms = soak->stop != NULL ? STOPS_DEADLINE_MS : DEADLINE_MS;
   uint32_t once_ms = soak->stop != NULL ? STOPS_DEADLINE_MS : 2000;
 
+  snprintf (text, sizeof text, "{\"version\":%u,%s\"routes\":[", soak->version,
+            soak->customers ? customer_texts[soak->customer_text] : "");
+  mf_buffer_add_text (&config, text);
+  routes_write (soak, &config);
   snprintf (
       text, sizeof text,
-      "{\"version\":%u,%s\"routes\":["
       "{\"name\":\"read\",\"host\":\"h\",\"pathPrefix\":\"/read/\",\"kind\":\"idempotent\","
       "\"timeoutMs\":1000,\"targetLatencyMs\":200,\"service\":\"shop\",\"maxAttempts\":2},"
       "{\"name\":\"order\",\"host\":\"h\",\"pathPrefix\":\"/order/\",\"kind\":\"non_idempotent\","
@@ -481,9 +508,11 @@
       "\"services\":[{\"name\":\"shop\"},{\"name\":\"engines\",\"engine\":{\"slots\":6,"
       "\"kvCapacityTokens\":100000,\"kvRetentionS\":0.5,\"stride\":10}}],"
       "\"limits\":{\"idleTimeoutMs\":5000,\"headerTimeoutMs\":2000}}",
-      soak->version, soak->customers ? customer_texts[soak->customer_text] : "", llm_ms, once_ms,
-      soak->version, soak->version);
-  fake_store_put (soak->store, "op/config", text);
+      llm_ms, once_ms, soak->version, soak->version);
+  mf_buffer_add_text (&config, text);
+  mf_buffer_add (&config, "", 1);
+  fake_store_put (soak->store, "op/config", mf_buffer_data (&config));
+  mf_buffer_clear (&config);
 }
 
 static void
@@ -712,6 +741,11 @@
     {
       soak->n_refused++;
       sent->refused = true;
+      mf_buffer_add (&caller->body, "", 1);
+      if (sent->kind == KIND_NEWEST
+          && strstr (mf_buffer_data (&caller->body), mf_code_info (MF_CODE_CONFIG_STALE)->summary)
+                 != NULL)
+        report_violation (soak, "an instance has had no newest configuration in time", sent->id);
     }
   else if (status == 429 && soak->customers)
     {
@@ -814,7 +848,7 @@
 {
   uint64_t now_us = mf_clock_now_us ();
 
-  return soak->restores && !soak->instances[instance].paused
+  return (soak->restores || soak->n_routes > 0) && !soak->instances[instance].paused
          && now_us > soak->config_us + NEWEST_BOUND_US
          && now_us > soak->instances[instance].started_us + NEWEST_BOUND_US
          && now_us > soak->instances[instance].excused_until_us
@@ -1067,6 +1101,8 @@
 begin_config (Soak *soak, uint32_t target)
 {
   (void)target;
+  for (uint32_t i = soak->n_routes > 0 ? draw (soak, CONFIGS_IN_A_ROW_MAX) : 0; i > 0; i--)
+    config_publish (soak);
   config_publish (soak);
 }
 
@@ -1520,6 +1556,8 @@
   soak_ledger_set_arrival_counts (soak->ledger, on_arrival_counts, soak);
   soak_ledger_set_late_arrival (soak->ledger, on_late_arrival, soak);
   config_publish (soak);
+  if (soak->n_routes > 0)
+    fake_store_set_rate (soak->store, LINK_BYTES_PER_S);
   for (uint32_t i = 0; i < soak->n_instances; i++)
     {
       settings_write (soak, i);
@@ -1619,7 +1657,7 @@
     printf ("requests over the quota: %u\n", soak->n_over_quota);
   if (soak->leaves)
     printf ("upstreams that left: %u\n", soak->n_left);
-  if (soak->restores)
+  if (soak->restores || soak->n_routes > 0)
     printf ("requests on the newest route: %u; restores left: %u\n", soak->n_newest,
             soak->n_restores);
   for (uint32_t i = 0; i < N_UPSTREAMS; i++)
@@ -1684,6 +1722,9 @@
       if (soak->n_limited > N_UPSTREAMS)
         argp_error (state, "at most %d limited upstreams", N_UPSTREAMS);
       return 0;
+    case 'o':
+      soak->n_routes = (uint32_t)strtoul (arg, NULL, 10);
+      return 0;
     case 'v':
       soak->n_versions = (uint32_t)strtoul (arg, NULL, 10);
       return 0;
@@ -1733,6 +1774,10 @@
     .key = 'r',
     .arg = "N",
     .doc = "Number of times that the store returns from an older copy" },
+  { .name = "routes",
+    .key = 'o',
+    .arg = "N",
+    .doc = "Number of further routes of the configurations, which arrive over links of 10 Mbit/s" },
   { .name = "limited",
     .key = 'l',
     .arg = "N",
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -529,6 +529,55 @@
 
 /* A call that was in progress when the path to the store returned kept an instance from noticing
  * for as long as a call may wait for changes. */
+static void
+configs_put_large (Fixture *fixture, unsigned first, unsigned last)
+{
+  char prefix[8];
+
+  for (unsigned i = first; i <= last; i++)
+    {
+      snprintf (prefix, sizeof prefix, "/b%u/", i);
+      config_put_large (fixture, i, prefix, 3600);
+    }
+}
+
+/* One answer to a watch had all versions of a series, 18 s on a slow link, where the instance had
+ * just read a list or knew a small configuration: it kept its old one for as long. */
+static void
+test_series_of_large_configurations_is_not_read_one_by_one (void **state)
+{
+  Fixture fixture;
+  uint64_t written_us;
+
+  (void)state;
+  fixture_begin (&fixture);
+  config_put (&fixture, 1, "/a/");
+  upstream_put (&fixture, 0, "ready");
+  wait_for (&fixture, PORT, "/a/1", 200);
+  fake_store_set_rate (fixture.store, SLOW_LINK_BYTES_PER_S);
+  fake_store_set_mode (fixture.store, FAKE_STORE_BUSY);
+  loop_spin (fixture.loop, 100);
+  configs_put_large (&fixture, 2, 21);
+  written_us = mf_clock_now_us ();
+  fake_store_set_mode (fixture.store, FAKE_STORE_SERVES);
+  wait_for (&fixture, PORT, "/b21/1/x", 200);
+  assert_true (mf_clock_now_us () < written_us + 3 * MF_US_PER_S);
+  /* The key is read anew, which takes 0.9 s, and the watch goes on from then. */
+  fake_store_set_mode (fixture.store, FAKE_STORE_BUSY);
+  loop_spin (fixture.loop, 100);
+  config_put_large (&fixture, 22, "/c/", 3600);
+  fake_store_drop_history (fixture.store);
+  fake_store_set_mode (fixture.store, FAKE_STORE_SERVES);
+  loop_spin (fixture.loop, 500);
+  configs_put_large (&fixture, 23, 42);
+  written_us = mf_clock_now_us ();
+  wait_for (&fixture, PORT, "/b42/1/x", 200);
+  assert_true (mf_clock_now_us () < written_us + 3 * MF_US_PER_S);
+  config_put (&fixture, 50, "/z/");
+  wait_for (&fixture, PORT, "/z/1", 200);
+  fixture_end (&fixture);
+}
+
 /* While a later configuration arrived over a slow link, requests for its new routes got 404, which
  * callers do not try again. */
 static void
@@ -1259,6 +1308,7 @@
     cmocka_unit_test (test_store_outages_of_every_kind),
     cmocka_unit_test (test_large_configurations_arrive_over_a_slow_link),
     cmocka_unit_test (test_latest_configuration_is_read_in_place_of_missed_ones),
+    cmocka_unit_test (test_series_of_large_configurations_is_not_read_one_by_one),
     cmocka_unit_test (test_route_that_may_have_been_added_is_not_unknown),
     cmocka_unit_test (test_return_of_a_silent_store_is_noticed_soon),
     cmocka_unit_test (test_expired_entries_are_kept_for_a_while),
