--- a/libmangofork/relay/feed.c
+++ b/libmangofork/relay/feed.c
@@ -33,10 +33,6 @@
 /* Upper bound of the transit time of a feed: connections between instances are closed sooner. A
  * feed that seems older has come from a clock that was reset. */
 #define FEED_TRANSIT_MAX_US (3 * MF_US_PER_S)
-/* Several versions of a configuration of this size take longer than the bound on slow links. */
-#define LARGE_CONFIG_BYTES 65536
-/* Further versions may have been written while an answer was received for this long. */
-#define SLOW_ANSWER_US (250 * MF_US_PER_MS)
 
 /* Begins an empty feed that applies to the state at this revision of an era of the store. */
 void
@@ -195,17 +191,3 @@
 
   return role == MF_FEED_READER && wait_us < default_us ? wait_us : default_us;
 }
-
-/* Records that all changes up to an answer are known, which took took_us to be received. */
-void
-mf_feed_backlog_note_answer (MfFeedBacklog *backlog, uint64_t took_us)
-{
-  backlog->is_behind = took_us > SLOW_ANSWER_US;
-}
-
-/* Whether the latest configuration is to be read in place of the versions that were missed. */
-bool
-mf_feed_backlog_is_large (const MfFeedBacklog *backlog)
-{
-  return backlog->is_behind && backlog->config_bytes >= LARGE_CONFIG_BYTES;
-}
--- a/libmangofork/relay/feed.h
+++ b/libmangofork/relay/feed.h
@@ -42,17 +42,6 @@
 void mf_feed_clear (MfFeed *feed);
 uint64_t mf_feed_answer_age_us (uint64_t took_us, uint64_t wait_us);
 
-/* Whether an instance may have missed versions of a large configuration. It then reads the latest
- * one in place of each of them. */
-typedef struct
-{
-  size_t config_bytes; /* of the latest configuration that it knows */
-  bool is_behind;      /* changes may have been made that it has not read */
-} MfFeedBacklog;
-
-void mf_feed_backlog_note_answer (MfFeedBacklog *backlog, uint64_t took_us);
-bool mf_feed_backlog_is_large (const MfFeedBacklog *backlog);
-
 /* Rank of an instance among those of its data centre. */
 typedef struct
 {
--- a/tests/test_feed.c
+++ b/tests/test_feed.c
@@ -305,27 +305,10 @@
   assert_true (data_centre.oldest_us < STALENESS_MAX_US);
 }
 
-/* The latest configuration is read in place of those that were missed only if it is large. */
-static void
-test_backlog_of_a_large_configuration (void **state)
-{
-  MfFeedBacklog backlog = { .config_bytes = 500000 };
-
-  (void)state;
-  assert_false (mf_feed_backlog_is_large (&backlog));
-  mf_feed_backlog_note_answer (&backlog, 900 * MF_US_PER_MS);
-  assert_true (mf_feed_backlog_is_large (&backlog));
-  mf_feed_backlog_note_answer (&backlog, 20 * MF_US_PER_MS);
-  assert_false (mf_feed_backlog_is_large (&backlog));
-  backlog = (MfFeedBacklog){ .config_bytes = 9000, .is_behind = true };
-  assert_false (mf_feed_backlog_is_large (&backlog));
-}
-
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_backlog_of_a_large_configuration),
     cmocka_unit_test (test_items_come_back_as_they_were_added),
     cmocka_unit_test (test_feeds_are_bounded),
     cmocka_unit_test (test_large_data_centres_have_few_readers),
