--- a/libmangofork/relay/job_retry.c
+++ b/libmangofork/relay/job_retry.c
@@ -159,8 +159,8 @@
   return true;
 }
 
-/* Returns sends to the pool that they were granted from. That of a later leadership is not charged
- * with anything as old. */
+/* Returns sends to the pool that they were granted from. The pool of a later leadership grants
+ * nothing for a window, and has no charges as old. */
 static void
 pool_return (MfJobs *jobs, const MfRetryRequest *retry)
 {
