--- a/review/stand-3/stand.py
+++ b/review/stand-3/stand.py
@@ -9,6 +9,7 @@
 import base64
 import json
 import os
+import random
 import signal
 import socket
 import tempfile
@@ -39,13 +40,17 @@
 
 
 def free_ports(count):
-    """Returns ports that are free on the loopback address now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    """Returns ports that are free now, below those that outgoing connections take."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(20000, 32000)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
