--- a/review/12/play.py
+++ b/review/12/play.py
@@ -41,9 +41,7 @@
         else:
             raise stand.CannotRun(f"relay {relay.name} runs and does not become ready")
         code = await relay.wait_ended()
-        with open(relay.log, encoding="utf-8") as log:
-            record.write(f"relay {relay.name} ended by itself with {code}: "
-                         + log.readlines()[-1].strip())
+        record.write(f"relay {relay.name} ended by itself with {code}: {relay.last_line()}")
         await asyncio.sleep(RESTART_DELAY_S)
     return RESTARTS
 
--- a/review/stand-3/stand.py
+++ b/review/stand-3/stand.py
@@ -325,7 +325,13 @@
                 self.record.write(f"relay {self.name} is ready")
                 return
             await asyncio.sleep(0.05)
-        raise CannotRun(f"relay {self.name} did not become ready")
+        raise CannotRun(f"relay {self.name} did not become ready: {self.last_line()}")
+
+    def last_line(self):
+        """Returns the last line of the relay's log."""
+        with open(self.log, encoding="utf-8", errors="replace") as log:
+            lines = log.readlines()
+        return lines[-1].strip() if lines else "its log is empty"
 
     def signal(self, number):
         self.record.write(f"relay {self.name} gets {signal.Signals(number).name}")
