review: take out three cases, and check the bounds of LOST

The two that stay are 11 and 12 now.

Case 12 checks the time of the rule, its excuses and the deadline.

--- a/review/11/play.py
+++ b/review/11/play.py
@@ -1,88 +1,85 @@
-"""A runner fails part of the orders that it has run and says so with status 503."""
+"""The settings files of two machines change: keys of matters that are not open come, and are empty.
+Each of these machines is then stopped and started as on any day."""
 
 import asyncio
 import os
-import random
+import signal
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "stand-3"))
 import stand
 
-PROMISES = (408, 421, 429, 503)
-N_RUNNERS = 7
-FAILED_SHARE = 0.4
-FAILING_S = 6.5
-N_CLIENTS = 8
+N_RELAYS = 7
+N_CHANGED = 2
+RESTARTS = 3
+RESTART_DELAY_S = 0.5
+EMPTY_KEYS = ("bounds.strictRevocation", "bounds.revokeMs", "bounds.quotaWindowS",
+              "bounds.quotaOverage", "bounds.quotaSlack")
 
 
 class Desk(stand.Runner):
-    """Runs each order it is sent. While it fails, it finds out after a part of the runs that it
-    cannot finish its answer. It has run them, so that it never says X-Not-Executed."""
-
-    def __init__(self, *arguments):
-        super().__init__(*arguments)
-        self.fails = False
-        self.placed = []
-
     async def run(self, request, writer):
         self.begin(request)
-        self.placed.append((request.get("X-Attempt-Id"), request.body.decode()))
         await asyncio.sleep(0.015)
-        if self.fails and random.random() < FAILED_SHARE:
-            self.record.write(f"runner {self.id} fails {request.get('X-Attempt-Id')}: 503")
-            writer.write(stand.answer_bytes(503, self.sealed(request), b"store away"))
-        else:
-            writer.write(stand.answer_bytes(200, self.sealed(request), b"placed"))
+        writer.write(stand.answer_bytes(200, self.sealed(request), b"placed"))
         await writer.drain()
         return True
 
 
-async def order(client, number, answers):
-    """Places an order as the pages say of clients: once more, on a new connection, only after an
-    answer that promises that it has not run."""
-    for attempt in (f"{number:08x}a", f"{number:08x}b"):
-        answer = await client.send(attempt, "POST", "/order/1", f"order {number}".encode())
-        answers[attempt] = answer.status
-        if answer.status not in PROMISES:
-            return
-        client.close()
+async def run_on(record, relay):
+    """Starts a relay as the platform does: again after a short delay when it ends by itself. Returns
+    how often it did."""
+    for n_ends in range(RESTARTS):
+        await relay.start()
+        for _ in range(60):
+            if await relay.is_ready():
+                record.write(f"relay {relay.name} is ready")
+                return n_ends
+            if relay.process.returncode is not None:
+                break
+            await asyncio.sleep(0.05)
+        else:
+            raise stand.CannotRun(f"relay {relay.name} runs and does not become ready")
+        code = await relay.wait_ended()
+        if "cannot listen" in relay.last_line():
+            raise stand.CannotRun(f"relay {relay.name}: {relay.last_line()}")
+        record.write(f"relay {relay.name} ended by itself with {code}: {relay.last_line()}")
+        await asyncio.sleep(RESTART_DELAY_S)
+    return RESTARTS
 
 
 async def play(record, folder, trouble):
-    deployment = stand.Deployment(record, folder, 2)
-    answers = {}
+    deployment = stand.Deployment(record, folder, N_RELAYS)
+    ends = {}
     try:
-        ports = stand.free_ports(N_RUNNERS)
-        runners = [await deployment.add(Desk(record, f"i-{i}", "desk", ports[i]))
-                   for i in range(N_RUNNERS)]
+        ports = stand.free_ports(3)
+        for i in range(3):
+            await deployment.add(Desk(record, f"i-{i}", "desk", ports[i]))
         await deployment.start([stand.route("orders", "/order/", "non_idempotent", "desk")],
                                [stand.service("desk")])
-        runners[0].fails = trouble
-        end = record.now() + FAILING_S
-
-        async def orders(first):
-            client = stand.Client(record, deployment.relays[first % 2].front)
-            number = first
-            while record.now() < end:
-                await order(client, number, answers)
-                number += N_CLIENTS
-                await asyncio.sleep(0.1)
+        for relay in deployment.relays:
+            client = stand.Client(record, relay.front)
+            await client.send(f"before-{relay.name}", "POST", "/order/1", b"order")
+            client.close()
+        changed = deployment.relays[:N_CHANGED]
+        for relay in changed:
+            if trouble:
+                with open(relay.path, "a", encoding="utf-8") as file:
+                    file.writelines(f"{key}=\n" for key in EMPTY_KEYS)
+                record.write(f"relay {relay.name}: empty keys come: {', '.join(EMPTY_KEYS)}")
+            relay.signal(signal.SIGHUP)
+        await asyncio.sleep(2)
+        for relay in changed:
+            relay.signal(signal.SIGTERM)
+            await relay.wait_ended()
+            ends[relay.name] = await run_on(record, relay)
+            client = stand.Client(record, relay.front)
+            await client.send(f"after-{relay.name}", "POST", "/order/1", b"order")
             client.close()
-
-        await asyncio.gather(*(orders(i) for i in range(N_CLIENTS)))
     finally:
         await deployment.stop()
-    placed = [row for runner in runners for row in runner.placed]
-    ran = {attempt for attempt, _ in placed}
-    refused = sorted(a for a, status in answers.items() if status in PROMISES and a in ran)
-    bodies = [body for _, body in placed]
-    twice = sorted({body for body in bodies if bodies.count(body) > 1})
-    record.write(f"{len(answers)} requests, {len(placed)} runs")
-    broken = [f"REFUSED: {a} was answered {answers[a]} and has run" for a in refused]
-    if refused:
-        record.write(f"{len(twice)} orders were placed twice, as their clients believed the answer: "
-                     + ", ".join(twice))
-    return broken
+    return [f"Fault: relay {name} did not start; it ended by itself {count} times"
+            for name, count in ends.items() if count >= RESTARTS]
 
 
 sys.exit(stand.main(os.path.dirname(os.path.abspath(__file__)), play))
--- a/review/12/play.py
+++ b/review/12/play.py
@@ -1,5 +1,4 @@
-"""The settings files of two machines change: keys of matters that are not open come, and are empty.
-Each of these machines is then stopped and started as on any day."""
+"""A machine is stopped and started. The runners number the events of their streams in tens."""
 
 import asyncio
 import os
@@ -9,77 +8,106 @@
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "stand-3"))
 import stand
 
-N_RELAYS = 7
-N_CHANGED = 2
-RESTARTS = 3
-RESTART_DELAY_S = 0.5
-EMPTY_KEYS = ("bounds.strictRevocation", "bounds.revokeMs", "bounds.quotaWindowS",
-              "bounds.quotaOverage", "bounds.quotaSlack")
+N_RELAYS = 2
+N_EVENTS = 12
+ID_STEP = 10
+PROMPT = {"X-Model": "m", "X-Token-Count": "1460,80"}
+GRACE_S = 8
+# LOST looks at requests until this long after the grace period.
+AFTER_GRACE_S = 1
+# A runner at work in the last sixth of the grace period excuses requests sent no later than this.
+EXCUSED_S = 3
+DEADLINE_MS = 14000
 
 
-class Desk(stand.Runner):
+class Engine(stand.Runner):
+    """Streams events with increasing ids. It breaks nothing off."""
+
+    unsound = set()
+
     async def run(self, request, writer):
         self.begin(request)
-        await asyncio.sleep(0.015)
-        writer.write(stand.answer_bytes(200, self.sealed(request), b"placed"))
-        await writer.drain()
+        attempt = request.get("X-Attempt-Id")
+        self.unsound.add(attempt)  # until it has ended the stream or has been cut off itself
+        after = int(request.get("Last-Event-Id", "0"))
+        head = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+        head += [f"{name}: {value}" for name, value in self.sealed(request).items()]
+        writer.write("\r\n".join(head).encode() + b"\r\n\r\n")
+        try:
+            for number in range(ID_STEP, N_EVENTS * ID_STEP + 1, ID_STEP):
+                if number <= after:
+                    continue
+                event = f"id: {number}\ndata: {attempt} {number}\n\n".encode()
+                writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+                await writer.drain()
+                await asyncio.sleep(0.03)
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+        except ConnectionError:
+            self.record.write(f"runner {self.id} is cut off in the stream of {attempt}")
+            self.unsound.discard(attempt)
+            raise
+        self.record.write(f"runner {self.id} has ended the stream of {attempt}")
+        self.unsound.discard(attempt)
         return True
 
 
-async def run_on(record, relay):
-    """Starts a relay as the platform does: again after a short delay when it ends by itself. Returns
-    how often it did."""
-    for n_ends in range(RESTARTS):
-        await relay.start()
-        for _ in range(60):
-            if await relay.is_ready():
-                record.write(f"relay {relay.name} is ready")
-                return n_ends
-            if relay.process.returncode is not None:
-                break
-            await asyncio.sleep(0.05)
-        else:
-            raise stand.CannotRun(f"relay {relay.name} runs and does not become ready")
-        code = await relay.wait_ended()
-        if "cannot listen" in relay.last_line():
-            raise stand.CannotRun(f"relay {relay.name}: {relay.last_line()}")
-        record.write(f"relay {relay.name} ended by itself with {code}: {relay.last_line()}")
-        await asyncio.sleep(RESTART_DELAY_S)
-    return RESTARTS
+def is_whole(answer):
+    return answer.status == 200 and answer.complete and answer.body.count(b"id: ") == N_EVENTS
 
 
 async def play(record, folder, trouble):
     deployment = stand.Deployment(record, folder, N_RELAYS)
-    ends = {}
+    broken = []
     try:
-        ports = stand.free_ports(3)
-        for i in range(3):
-            await deployment.add(Desk(record, f"i-{i}", "desk", ports[i]))
-        await deployment.start([stand.route("orders", "/order/", "non_idempotent", "desk")],
-                               [stand.service("desk")])
-        for relay in deployment.relays:
-            client = stand.Client(record, relay.front)
-            await client.send(f"before-{relay.name}", "POST", "/order/1", b"order")
-            client.close()
-        changed = deployment.relays[:N_CHANGED]
-        for relay in changed:
-            if trouble:
-                with open(relay.path, "a", encoding="utf-8") as file:
-                    file.writelines(f"{key}=\n" for key in EMPTY_KEYS)
-                record.write(f"relay {relay.name}: empty keys come: {', '.join(EMPTY_KEYS)}")
-            relay.signal(signal.SIGHUP)
-        await asyncio.sleep(2)
-        for relay in changed:
+        ports = stand.free_ports(6)
+        for i in range(6):
+            await deployment.add(Engine(record, f"i-{i}", "model", ports[i], 12,
+                                        "prefill" if i < 2 else "decode"))
+        await deployment.start(
+            [stand.route("brief", "/brief/", "streaming", "model"),
+             stand.route("report", "/report/", "streaming", "model", resumable=True,
+                         maxAttempts=2)],
+            [stand.service("model", engine=True)])
+        relay = deployment.relays[0]
+        client = stand.Client(record, relay.front)
+        # Calm traffic, before anything is judged.
+        for i in range(4):
+            await client.send(f"calm-{i}", "POST", "/report/1", b"prompt", 14000, PROMPT)
+        for i in range(4):
+            answer = await client.send(f"calm-{i + 4}", "POST", "/brief/1", b"prompt", 14000, PROMPT)
+            if not is_whole(answer):
+                raise stand.CannotRun("a stream was cut off in calm traffic")
+        client.close()
+        stopped = None
+        if trouble:
+            stopped = record.now()
             relay.signal(signal.SIGTERM)
             await relay.wait_ended()
-            ends[relay.name] = await run_on(record, relay)
-            client = stand.Client(record, relay.front)
-            await client.send(f"after-{relay.name}", "POST", "/order/1", b"order")
-            client.close()
+            await relay.start()
+            await relay.wait_ready()
+            await asyncio.sleep(1.5)
+        for i in range(3):
+            sent = record.now()
+            answer = await client.send(f"late-{i}", "POST", "/brief/1", b"prompt", DEADLINE_MS,
+                                       PROMPT)
+            ended = record.now()
+            if is_whole(answer):
+                continue
+            await asyncio.sleep(1)  # the runner notices
+            if f"late-{i}" in Engine.unsound:
+                raise stand.CannotRun(f"the runner did not end the stream of late-{i}")
+            if ended - sent > DEADLINE_MS / 1000 or answer.error == "TimeoutError":
+                raise stand.CannotRun(f"late-{i} met its deadline")
+            if stopped is not None and not (stopped + EXCUSED_S < sent
+                                            and ended < stopped + GRACE_S + AFTER_GRACE_S):
+                raise stand.CannotRun(f"late-{i} was not sent and cut in the time of the rule")
+            broken.append(f"LOST: late-{i} was passed on and its answer ended early: {answer}"
+                          + (f", {ended - stopped:.1f} s after SIGTERM" if trouble else ""))
+        client.close()
     finally:
         await deployment.stop()
-    return [f"Fault: relay {name} did not start; it ended by itself {count} times"
-            for name, count in ends.items() if count >= RESTARTS]
+    return broken
 
 
 sys.exit(stand.main(os.path.dirname(os.path.abspath(__file__)), play))
