Settings: a value that is empty or cannot be used no longer discards the rest

Instances that are restarted end with status 1 at each start, and their addresses refuse callers. A running instance rejects the reload with all other keys in it.

Cause: an empty value was read like any other, so that each known number or flag failed on it, and one such key failed the whole file.

Change: the reader of lines is a module of its own (setting.c), platform/ keeps the table of keys. An empty value counts as absent, on start and reload alike. An optional value that cannot be used is reported with its key, its default applies, and so does the rest. A required key without a usable value fails the file; the message names file, key and value, and a reload keeps what is in force.

--- a/cli/relay.c
+++ b/cli/relay.c
@@ -107,6 +107,12 @@
          "reloads the settings.",
 };
 
+static void
+print_error (const MfError *error)
+{
+  fprintf (stderr, "mangofork: %d: %s\n", (int)error->code, error->text);
+}
+
 int
 command_relay (int argc, char **argv)
 {
@@ -115,21 +121,26 @@
     .spillover_us_per_kb = MF_SPILLOVER_US_PER_KB_DEFAULT,
   };
   MfRelaySettings settings = { 0 };
+  MfSettingFaults faults = { 0 };
   MfError error = { 0 };
   MfRelay *relay;
 
   argp_parse (&parser, argc, argv, 0, NULL, &arguments);
   if (arguments.check_only)
     {
-      if (platform_deployment.read_settings (arguments.path, &settings, &error))
-        return EXIT_SUCCESS;
-      fprintf (stderr, "mangofork: %d: %s\n", (int)error.code, error.text);
-      return EXIT_FAULTY;
+      bool is_usable
+          = platform_deployment.read_settings (arguments.path, &settings, &faults, &error);
+
+      for (uint32_t i = 0; i < mf_setting_faults_kept (&faults); i++)
+        print_error (&faults.faults[i]);
+      if (!is_usable)
+        print_error (&error);
+      return is_usable && faults.n_faults == 0 ? EXIT_SUCCESS : EXIT_FAULTY;
     }
   relay = mf_relay_new (&platform_deployment, arguments.path, &error);
   if (relay == NULL)
     {
-      fprintf (stderr, "mangofork: %d: %s\n", (int)error.code, error.text);
+      print_error (&error);
       return EXIT_FAULTY;
     }
   mf_relay_set_spillover (relay, arguments.spillover, arguments.spillover_us_per_kb);
--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -539,24 +539,49 @@
     limits_apply (relay);
 }
 
+/* Logs the values of the settings that are not used. */
+static void
+settings_log_faults (MfRelay *relay, const MfSettingFaults *faults)
+{
+  for (uint32_t i = 0; i < mf_setting_faults_kept (faults); i++)
+    mf_relay_log_state (relay->log, "settings.unusable", "code=%d why=\"%s\" faults=%u",
+                        (int)faults->faults[i].code, faults->faults[i].text, faults->n_faults);
+}
+
+/* Whether settings that only apply to a new process differ. */
+static bool
+settings_need_restart (const MfRelaySettings *before, const MfRelaySettings *now)
+{
+  return strcmp (before->name, now->name) != 0
+         || strcmp (before->data_centre, now->data_centre) != 0
+         || strcmp (before->listen, now->listen) != 0
+         || strcmp (before->readiness, now->readiness) != 0
+         || strcmp (before->metrics, now->metrics) != 0 || strcmp (before->peers, now->peers) != 0;
+}
+
 static void
 settings_reread (MfRelay *relay)
 {
   MfRelaySettings settings = { 0 };
+  MfSettingFaults faults = { 0 };
   MfError error = { 0 };
+  bool needs_restart;
 
-  if (!relay->deployment->read_settings (relay->path, &settings, &error))
+  if (!relay->deployment->read_settings (relay->path, &settings, &faults, &error))
     {
       mf_relay_log_state (relay->log, "settings.faulty", "code=%d why=\"%s\"", (int)error.code,
                           error.text);
       return;
     }
+  needs_restart = settings_need_restart (&relay->settings, &settings);
   relay->settings = settings;
   settings_apply (relay);
   if (relay->jobs.peers != NULL)
     mf_peers_add_seeds (relay->jobs.peers, settings.seeds);
   relay->deployment->source->update_settings (relay->source, &relay->settings);
-  mf_relay_log_state (relay->log, "settings.applied", "store=%s", settings.store);
+  settings_log_faults (relay, &faults);
+  mf_relay_log_state (relay->log, "settings.applied", "store=%s unusable=%u needs_restart=%s",
+                      settings.store, faults.n_faults, needs_restart ? "yes" : "no");
 }
 
 static void
@@ -759,6 +784,7 @@
 mf_relay_new (const MfRelayDeployment *deployment, const char *path, MfError *error)
 {
   MfRelay *relay = calloc (1, sizeof *relay);
+  MfSettingFaults faults = { 0 };
 
   if (relay == NULL)
     {
@@ -770,7 +796,7 @@
   signals_block (true);
   relay->deployment = deployment;
   snprintf (relay->path, sizeof relay->path, "%s", path);
-  if (!deployment->read_settings (path, &relay->settings, error))
+  if (!deployment->read_settings (path, &relay->settings, &faults, error))
     {
       free (relay);
       signals_block (false);
@@ -804,6 +830,7 @@
                       (unsigned long long)relay->settings.memory_bytes >> 20,
                       relay->settings.files_max,
                       (unsigned long long)relay->settings.grace_us / 1000);
+  settings_log_faults (relay, &faults);
   return relay;
 }
 
--- a/libmangofork/relay/relay.h
+++ b/libmangofork/relay/relay.h
@@ -3,6 +3,7 @@
 
 #include "feed.h"
 #include "job.h"
+#include "setting.h"
 
 /* Bytes of a path, including the terminating NUL. */
 #define MF_RELAY_PATH_BYTES 256
@@ -59,7 +60,10 @@
 {
   const MfDialect *dialect;
   const MfRelaySource *source;
-  bool (*read_settings) (const char *path, MfRelaySettings *settings, MfError *error);
+  /* Reads the settings. Values in faults are not used. Returns false with error set, and the
+   * settings as they were, when what is required is missing. */
+  bool (*read_settings) (const char *path, MfRelaySettings *settings, MfSettingFaults *faults,
+                         MfError *error);
 } MfRelayDeployment;
 
 MfRelay *mf_relay_new (const MfRelayDeployment *deployment, const char *path, MfError *error);
