Settings: a file is read when it has ceased to change

A SIGHUP while the file is being written made the instance read what there was of it. Where all required keys stood in that part, the defaults applied in place of the rest, until the next check of the file, which compared its time with that of the last check and not of the last read.

Change: SIGHUP and a changed file mark the settings as due. They are read at the first check, every 0.1 s, that finds time, size and inode as the check before had. The file is first looked at before the start reads it, so that a change just after is seen.

test_half_written_settings_are_not_applied failed before.

--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -24,7 +24,7 @@
 #define LOST_SOURCE_WAIT_US (100 * MF_US_PER_MS)
 /* Interval of periodic work: expired upstreams, drain, changed settings. */
 #define TICK_S 0.1
-#define SETTINGS_CHECK_INTERVAL_US (1 * MF_US_PER_S)
+#define SETTINGS_CHECK_INTERVAL_US (500 * MF_US_PER_MS)
 /* Instances that have started at the same time are connected to each other by then. */
 #define ASK_ENGINES_AFTER_US (400 * MF_US_PER_MS)
 #define LARGE_BUFFER_BYTES 131072
@@ -86,7 +86,8 @@
   bool idle_closed;
   MfFeedFreshness freshness;
   uint64_t settings_checked_us; /* last check of the settings file */
-  struct timespec settings_mtime;
+  struct stat settings_status;  /* of the settings file, when it was last checked */
+  bool settings_due;            /* it is to be read when it has ceased to change */
 };
 
 /* Whether SIGTERM has come. */
@@ -587,27 +588,45 @@
 static void
 on_hup (struct ev_loop *loop, ev_signal *watcher, int events)
 {
+  MfRelay *relay = watcher->data;
+
   (void)loop;
   (void)events;
-  settings_reread (watcher->data);
+  relay->settings_due = true;
 }
 
-/* Reloads the settings file when it has changed without a signal. */
+/* Notes the state of the settings file. Returns whether it has changed since the last time. */
+static bool
+settings_status_update (MfRelay *relay)
+{
+  struct stat before = relay->settings_status;
+  struct stat now = { 0 };
+
+  if (stat (relay->path, &now) != 0)
+    now = (struct stat){ 0 };
+  relay->settings_status = now;
+  return now.st_mtim.tv_sec != before.st_mtim.tv_sec
+         || now.st_mtim.tv_nsec != before.st_mtim.tv_nsec || now.st_size != before.st_size
+         || now.st_ino != before.st_ino;
+}
+
+/* Reloads the settings file on SIGHUP or when it has changed without a signal, once it is the same
+ * as at the check before: its writer may not have finished. */
 static void
 settings_watch (MfRelay *relay, uint64_t now_us)
 {
-  struct stat status;
-
-  if (now_us - relay->settings_checked_us < SETTINGS_CHECK_INTERVAL_US)
+  if (!relay->settings_due && now_us - relay->settings_checked_us < SETTINGS_CHECK_INTERVAL_US)
     return;
   relay->settings_checked_us = now_us;
-  if (stat (relay->path, &status) != 0
-      || (status.st_mtim.tv_sec == relay->settings_mtime.tv_sec
-          && status.st_mtim.tv_nsec == relay->settings_mtime.tv_nsec))
+  if (settings_status_update (relay))
+    {
+      relay->settings_due = true;
+      return;
+    }
+  if (!relay->settings_due)
     return;
-  if (relay->settings_mtime.tv_sec != 0)
-    settings_reread (relay);
-  relay->settings_mtime = status.st_mtim;
+  relay->settings_due = false;
+  settings_reread (relay);
 }
 
 /* One step of the shutdown. First the readiness check fails, then idle connections are closed, then
@@ -796,6 +815,7 @@
   signals_block (true);
   relay->deployment = deployment;
   snprintf (relay->path, sizeof relay->path, "%s", path);
+  settings_status_update (relay);
   if (!deployment->read_settings (path, &relay->settings, &faults, error))
     {
       free (relay);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -1329,6 +1329,42 @@
     }
 }
 
+/* A file was read while it was being written, and the defaults applied in place of what was still
+ * to come. */
+static void
+test_half_written_settings_are_not_applied (void **state)
+{
+  Fixture fixture;
+  FakeStore *other;
+  FILE *file;
+
+  (void)state;
+  fixture_begin (&fixture);
+  config_put (&fixture, 1, "/a/");
+  upstream_put (&fixture, 0, "ready");
+  wait_for (&fixture, PORT, "/a/1", 200);
+  other = fake_store_new (fixture.loop);
+  file = fopen (SETTINGS, "w");
+  assert_non_null (file);
+  fprintf (file,
+           "node=n1\nzone=z\nlisten.front=127.0.0.1:%d\nlisten.readiness=127.0.0.1:%d\n"
+           "provider.address=%s\n",
+           PORT, READY_PORT, fake_store_address (other));
+  raise (SIGHUP);
+  for (uint32_t i = 0; i < 40; i++)
+    {
+      fprintf (file, "unknown.%u=1\n", i);
+      fflush (file);
+      loop_spin (fixture.loop, 20);
+    }
+  assert_int_equal (fake_store_n_calls (other), 0);
+  fclose (file);
+  loop_spin (fixture.loop, 400);
+  assert_true (fake_store_n_calls (other) > 0);
+  fixture_end (&fixture);
+  fake_store_free (other);
+}
+
 int
 main (void)
 {
@@ -1360,6 +1396,7 @@
     cmocka_unit_test (test_shutdown),
     cmocka_unit_test (test_settings_are_read_again),
     cmocka_unit_test (test_reload_applies_what_can_be_used),
+    cmocka_unit_test (test_half_written_settings_are_not_applied),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
