Events: a gap within one run is no lost event

The first stream of any new process and of a new service ends so, where ids do not count by one.

Cause: a gap between two ids ended the run until the process had learned how the service numbers its events. A run is one answer on one connection, whole and in order, so that a gap within it shows how its upstream numbers, and no loss.

Change: only the first event of a run after those passed on before can be in doubt, as events may be missing between the runs of two upstreams. It is, if the ids of the stream, or where it is short those of its service, have had one step throughout and the gap is larger. A second upstream confirms it. The new line request.gap names the ids; the old log did not.

--- a/libmangofork/relay/events.c
+++ b/libmangofork/relay/events.c
@@ -7,9 +7,12 @@
 /* Bytes of one event at most; an engine's events are below 3 KB. */
 #define EVENT_BYTES_MAX 262144
 
-/* Ids of a service are taken to have no gaps if at least this many events in a row follow each one
- * that skipped some: a garbled stream is rarer. */
-#define SUCCESSORS_PER_SKIP 256
+/* The ids of a stream are taken to have the same step throughout after this many equal ones without
+ * another: ids that count tokens vary sooner. */
+#define STREAM_STEPS_MIN 8
+/* The ids of a service are taken to have the same step throughout if there are this many equal ones
+ * for each other one: a garbled stream is rarer. */
+#define SERVICE_STEPS_MIN 256
 /* Digits of an event id at most, so that it fits into 64 bits. */
 #define ID_DIGITS_MAX 19
 
@@ -135,28 +138,69 @@
   mf_buffer_clear (&stream->partial);
 }
 
-/* Whether the ids of the stream skip the ones between the last event and this one, and no event is
- * missing: those of the service usually do, or another upstream has gone on with the same event. */
+/* Counts the difference between two consecutive ids. */
+static void
+steps_add (MfEventSteps *steps, uint64_t step)
+{
+  if (steps->n_steps == 0)
+    steps->step = step;
+  if (steps->step == step)
+    steps->n_steps++;
+  else
+    steps->n_others++;
+}
+
+/* Returns the step that the ids of a stream have throughout, 0 if none is known. What the stream
+ * itself has shown counts more than other streams of its service. */
+static uint64_t
+stream_step (const MfEventStream *stream)
+{
+  const MfEventSteps *own = &stream->steps;
+  const MfEventSteps *usual = stream->numbering == NULL ? own : &stream->numbering->steps;
+
+  if (own->n_others > 0)
+    return 0;
+  if (own->n_steps >= STREAM_STEPS_MIN)
+    return own->step;
+  return usual->n_steps >= SERVICE_STEPS_MIN * (usual->n_others + 1) ? usual->step : 0;
+}
+
+/* Whether a run may go on with the event of this id: none between the last event passed on and this
+ * one is known to be missing, or another upstream has gone on with the same event. */
 static bool
-stream_may_skip_to (MfEventStream *stream, uint64_t id)
+stream_may_go_on_at (MfEventStream *stream, uint64_t id)
 {
   MfEventNumbering *numbering = stream->numbering;
   uint64_t parts[] = { stream->name, stream->last_id, id };
   uint64_t gap = XXH3_64bits (parts, sizeof parts);
+  uint64_t step = stream_step (stream);
 
+  if (step == 0 || id - stream->last_id <= step)
+    return true;
+  stream->seam = (MfEventSeam){ .after = stream->last_id, .first = id, .step = step };
   if (numbering == NULL)
     return false;
-  if (numbering->n_successors < numbering->n_skips * SUCCESSORS_PER_SKIP
-      || (numbering->doubted_gap == gap && numbering->doubted_source != stream->source))
-    {
-      numbering->n_skips++;
-      return true;
-    }
+  stream->seam.is_confirmed
+      = numbering->doubted_gap == gap && numbering->doubted_source != stream->source;
   numbering->doubted_gap = gap;
   numbering->doubted_source = stream->source;
-  /* Without any successor so far, that may be how the service numbers its events. */
-  numbering->n_skips += numbering->n_successors == 0;
-  return false;
+  return stream->seam.is_confirmed;
+}
+
+/* Counts a step for the stream and for its service. */
+static void
+stream_note_step (MfEventStream *stream, uint64_t step)
+{
+  MfEventSteps *usual;
+
+  steps_add (&stream->steps, step);
+  if (stream->numbering == NULL)
+    return;
+  usual = &stream->numbering->steps;
+  steps_add (usual, step);
+  /* Another step may have become the usual one. */
+  if (usual->n_others > usual->n_steps)
+    *usual = (MfEventSteps){ 0 };
 }
 
 /* Handles a complete event: appends it to out, unless it was passed on before. */
@@ -173,22 +217,26 @@
     }
   if (kind == EVENT_NUMBERED)
     {
+      /* A run that has made the last event passed on has made what follows it as well. */
+      bool is_seam = stream->has_last_id && id > stream->last_id
+                     && !(stream->run_has_id && stream->run_last_id >= stream->last_id);
+
       if (stream->run_has_id && id <= stream->run_last_id)
         {
           stream_reject (stream, "event ids do not increase");
           return;
         }
-      stream->run_has_id = true;
-      stream->run_last_id = id;
-      if (stream->has_last_id && id <= stream->last_id)
-        return;
-      if (stream->has_last_id && id == stream->last_id + 1 && stream->numbering != NULL)
-        stream->numbering->n_successors++;
-      else if (stream->has_last_id && id != stream->last_id + 1 && !stream_may_skip_to (stream, id))
+      if (is_seam && !stream_may_go_on_at (stream, id))
         {
           stream_reject (stream, "events are missing");
           return;
         }
+      if (stream->run_has_id)
+        stream_note_step (stream, id - stream->run_last_id);
+      stream->run_has_id = true;
+      stream->run_last_id = id;
+      if (stream->has_last_id && id <= stream->last_id)
+        return;
       stream->has_last_id = true;
       stream->last_id = id;
       stream->n_events++;
@@ -236,6 +284,7 @@
   mf_buffer_clear (&stream->partial);
   stream->run_has_id = false;
   stream->defect = NULL;
+  stream->seam = (MfEventSeam){ 0 };
 }
 
 /* Whether the run could end here: no event is incomplete or invalid. */
--- a/libmangofork/relay/events.h
+++ b/libmangofork/relay/events.h
@@ -3,15 +3,33 @@
 
 #include "libmangofork/buffer.h"
 
-/* How the upstreams of a service number the events of its streams. */
+/* The differences between the ids of consecutive events. Only differences within a run are counted:
+ * what an upstream sends on one connection arrives whole and in order, so that its gaps are its way
+ * to number events. */
 typedef struct
 {
-  uint64_t n_successors; /* events whose id was the successor of the one before */
-  uint64_t n_skips;      /* events that were passed on although it was not */
-  uint64_t doubted_gap;  /* identifies the last gap that has ended a run */
+  uint64_t step; /* the usual difference */
+  uint64_t n_steps;
+  uint64_t n_others; /* differences that are not the usual one */
+} MfEventSteps;
+
+/* How the upstreams of a service number the events of its streams, as observed by this process. */
+typedef struct
+{
+  MfEventSteps steps;
+  uint64_t doubted_gap; /* identifies the last gap that has ended a run */
   uint64_t doubted_source;
 } MfEventNumbering;
 
+/* Where a run went on with a stream, if it did so in doubt. */
+typedef struct
+{
+  uint64_t after;    /* id of the last event passed on before */
+  uint64_t first;    /* of the run's first event after it; 0: there was no doubt */
+  uint64_t step;     /* the difference that was expected */
+  bool is_confirmed; /* a second upstream has gone on with the same event */
+} MfEventSeam;
+
 /* Reads a text/event-stream whose events have increasing numbers as ids. Complete events are passed
  * on, each once, and the id of the last one is kept, so that a broken stream can be resumed after
  * it. */
@@ -27,7 +45,9 @@
   uint64_t n_events;
   uint64_t source;             /* identifies the upstream of the current run */
   uint64_t name;               /* identifies the request, also when its caller sends it again */
-  MfEventNumbering *numbering; /* NULL: ids have no gaps */
+  MfEventSteps steps;          /* of all runs of this stream */
+  MfEventNumbering *numbering; /* of the service; NULL: nothing is known of it */
+  MfEventSeam seam;            /* of the current run */
 } MfEventStream;
 
 bool mf_event_id_read (const char *text, size_t text_bytes, uint64_t *id);
--- a/libmangofork/relay/job_answer.c
+++ b/libmangofork/relay/job_answer.c
@@ -202,11 +202,28 @@
   job->target_tokens = tokens;
 }
 
+/* Logs that a run has gone on with a stream after a gap, where no gap was expected. */
+static void
+job_log_seam (MfJob *job)
+{
+  MfEventSeam seam = job->events.seam;
+
+  if (seam.first == 0)
+    return;
+  job->events.seam = (MfEventSeam){ 0 };
+  mf_relay_log_event (job->jobs->log, "request.gap",
+                      "id=%s upstream=%s after=%llu first=%llu step=%llu confirmed=%s", job->id,
+                      job->target->info.id, (unsigned long long)seam.after,
+                      (unsigned long long)seam.first, (unsigned long long)seam.step,
+                      seam.is_confirmed ? "yes" : "no");
+}
+
 /* Sends the events that a stream's bytes have completed to the caller, and clears them. The request
  * may have been freed on return. */
 void
 mf_job_pass_on (MfJob *job, MfBuffer *events)
 {
+  job_log_seam (job);
   /* Bytes that complete no event do not count as progress. */
   if (job->route->resumable && mf_buffer_bytes (events) > 0)
     job->step_deadline_us = mf_clock_now_us () + mf_job_stall_us (job);
--- a/tests/soak/soak_upstream.h
+++ b/tests/soak/soak_upstream.h
@@ -28,6 +28,12 @@
   SOAK_UNRESPONSIVE, /* never answers and runs nothing; the soak does not draw it */
 } SoakMode;
 
+/* How the upstreams of a ledger number the events of a stream: from 1, in tens, or with steps that
+ * grow. Which of these decides the remainder of the value that is set. */
+void soak_ledger_set_numbering (SoakLedger *ledger, uint64_t numbering);
+/* Returns the id of the event of this number, counted from 1; 0 for 0. */
+uint32_t soak_ledger_event_id (const SoakLedger *ledger, uint32_t number);
+
 SoakLedger *soak_ledger_new (void);
 void soak_ledger_free (SoakLedger *ledger);
 uint32_t soak_ledger_n_runs (const SoakLedger *ledger, const char *id);
