Shutdown: a process that has seen no answer moves no silent stream

The time that the rest of a stream needs is its tokens times the mean of answers seen, which is 0 before the first one. A stream whose engine is silent during a planned stop was then moved however late, and cut off by the exit.

Change: during a stop, nothing is moved while that mean is not known.

test_stop_does_not_end_a_silent_stream_of_a_new_process failed before.

--- a/libmangofork/relay/job_shutdown.c
+++ b/libmangofork/relay/job_shutdown.c
@@ -17,13 +17,16 @@
 }
 
 /* Whether a run whose upstream is silent may be given up for one that would begin now: there must
- * be time for the longest rest of the answer. */
+ * be time for the longest rest of the answer. During a stop, a process that has seen no answer does
+ * not know that time. */
 bool
 mf_job_may_move (const MfJob *job)
 {
   uint64_t n_received = job->events.n_events * job->service->event_tokens;
   uint64_t n_left = job->output_tokens > n_received ? job->output_tokens - n_received : 0;
 
+  if (job->jobs->shutdown.started_us > 0 && job->jobs->mean_token_us <= 0. && n_left > 0)
+    return false;
   return job_is_admitted (job, (uint64_t)((double)n_left * job->jobs->mean_token_us), true);
 }
 
--- a/tests/test_job_stall.c
+++ b/tests/test_job_stall.c
@@ -177,6 +177,29 @@
     }
 }
 
+/* A process that has seen no answer took the rest of a stream for one that needs no time, and moved
+ * it away from a silent engine just before its exit. */
+static void
+test_stop_does_not_end_a_silent_stream_of_a_new_process (void **state)
+{
+  RelayFixture fixture;
+  int fd;
+
+  (void)state;
+  setup (&fixture);
+  fixture.jobs.mean_token_us = 0.;
+  relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_silent);
+  relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_rest);
+  fd = call_begin ();
+  assert_true (loop_pump (fixture.loop, is_silent, NULL));
+  shut_down (&fixture, 6000 * MF_US_PER_MS);
+  loop_spin (fixture.loop, STALL_ITERATIONS);
+  assert_int_equal (relay_fixture_n_requests (&fixture, 1), 0);
+  fake_upstream_conn_send (silent, REST);
+  assert_whole (&fixture, fd);
+  teardown (&fixture);
+}
+
 /* A stream that was being moved when a stop began was ended after its second prefill. */
 static void
 test_stop_does_not_end_a_stream_after_its_second_prefill (void **state)
@@ -556,6 +579,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_stop_does_not_end_a_silent_stream),
+    cmocka_unit_test (test_stop_does_not_end_a_silent_stream_of_a_new_process),
     cmocka_unit_test (test_stop_does_not_end_a_stream_after_its_second_prefill),
     cmocka_unit_test (test_silent_run_is_kept_while_no_other_engine_has_a_slot),
     cmocka_unit_test (test_search_that_fails_ends_no_silent_run),
