--- a/tests/fakes/ports.h
+++ b/tests/fakes/ports.h
@@ -16,4 +16,9 @@
  * block_ports - 1 others follow; 0: all blocks are taken. */
 uint16_t fake_ports_claim (const FakePortRange *range);
 
+/* Returns a port of the loopback address that the kernel has chosen, and that no other process and
+ * no outgoing connection gets until this process ends. This process can listen on it, also again
+ * after it has stopped. */
+uint16_t fake_ports_reserve (void);
+
 #endif
--- a/tests/relay_fixture.c
+++ b/tests/relay_fixture.c
@@ -2,6 +2,8 @@
 
 #include "platform/platform.h"
 
+#include "fakes/ports.h"
+
 #include <fcntl.h>
 #include <setjmp.h>
 #include <stdarg.h>
@@ -51,16 +53,24 @@
   return routes;
 }
 
+static uint16_t last_port;
+
+uint16_t
+relay_fixture_port (void)
+{
+  return last_port;
+}
+
 void
-relay_fixture_setup (RelayFixture *fixture, struct ev_loop *loop, uint16_t port)
+relay_fixture_setup (RelayFixture *fixture, struct ev_loop *loop)
 {
   char address[MF_ADDRESS_BYTES];
   MfError error = { 0 };
 
   memset (fixture, 0, sizeof *fixture);
   fixture->loop = loop;
-  fixture->port = port;
-  snprintf (address, sizeof address, "127.0.0.1:%u", port);
+  fixture->port = last_port = fake_ports_reserve ();
+  snprintf (address, sizeof address, "127.0.0.1:%u", fixture->port);
   fixture->log_fd = open ("/dev/null", O_WRONLY);
   fixture->log = mf_relay_log_new (fixture->loop, "t", fixture->log_fd, &error);
   assert_non_null (fixture->log);
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -37,10 +37,13 @@
   char received[8192];
 } RelayFixture;
 
-/* Listens at a port of the loopback address. Routes by path prefix: /read/ (idempotent) and /order/
+/* Listens at a port of its own on the loopback address, which no test that has failed can have left
+ * open. Routes by path prefix: /read/ (idempotent) and /order/
  * (non-idempotent) to the plain service "shop"; to the service "engines" the streams /llm/
  * (resumable) and /once/, and without streams /ask/ (idempotent) and /buy/ (non-idempotent). */
-void relay_fixture_setup (RelayFixture *fixture, struct ev_loop *loop, uint16_t port);
+void relay_fixture_setup (RelayFixture *fixture, struct ev_loop *loop);
+/* Returns the port of the fixture that was set up last. */
+uint16_t relay_fixture_port (void);
 /* Does not free the loop. */
 void relay_fixture_teardown (RelayFixture *fixture);
 /* Adds an upstream. Numbers 0 and 2 are in the instance's data centre and therefore preferred. */
--- a/tests/relay_fleet.c
+++ b/tests/relay_fleet.c
@@ -2,6 +2,7 @@
 
 #include "libmangofork/clock.h"
 
+#include "fakes/ports.h"
 #include "loop_pump.h"
 
 #include <setjmp.h>
@@ -33,9 +34,10 @@
   char seed[MF_ADDRESS_BYTES];
   MfError error = { 0 };
 
-  relay_fixture_setup (fixture, fleet->loop, (uint16_t)(fleet->listen_port + index));
-  snprintf (address, sizeof address, "127.0.0.1:%u", fleet->peer_port + index);
-  snprintf (seed, sizeof seed, "127.0.0.1:%u,127.0.0.1:%u", fleet->peer_port, fleet->peer_port + 1);
+  relay_fixture_setup (fixture, fleet->loop);
+  snprintf (address, sizeof address, "127.0.0.1:%u", fleet->peer_ports[index]);
+  snprintf (seed, sizeof seed, "127.0.0.1:%u,127.0.0.1:%u", fleet->peer_ports[0],
+            fleet->peer_ports[1]);
   fixture->jobs.peers = mf_peers_new (fleet->loop, address, &mf_jobs_peers_callbacks,
                                       &fixture->jobs, fixture->log, &error);
   assert_non_null (fixture->jobs.peers);
@@ -58,12 +60,12 @@
 }
 
 void
-relay_fleet_setup (RelayFleet *fleet, uint16_t listen_port, uint16_t peer_port)
+relay_fleet_setup (RelayFleet *fleet)
 {
   memset (fleet, 0, sizeof *fleet);
   fleet->loop = ev_loop_new (0);
-  fleet->listen_port = listen_port;
-  fleet->peer_port = peer_port;
+  for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
+    fleet->peer_ports[i] = fake_ports_reserve ();
   for (uint32_t i = 0; i < RELAY_FLEET_N_INSTANCES; i++)
     instance_start (fleet, i);
   relay_fleet_wait_connected (fleet);
--- a/tests/relay_fleet.h
+++ b/tests/relay_fleet.h
@@ -9,13 +9,12 @@
 typedef struct
 {
   struct ev_loop *loop;
-  uint16_t listen_port; /* port of the first instance; the others follow */
-  uint16_t peer_port;
+  uint16_t peer_ports[RELAY_FLEET_N_INSTANCES];
   RelayFixture instances[RELAY_FLEET_N_INSTANCES];
 } RelayFleet;
 
 /* Starts instances without upstreams and waits until they are connected to each other. */
-void relay_fleet_setup (RelayFleet *fleet, uint16_t listen_port, uint16_t peer_port);
+void relay_fleet_setup (RelayFleet *fleet);
 void relay_fleet_teardown (RelayFleet *fleet);
 /* Stops one instance and starts it again without its state. */
 void relay_fleet_restart (RelayFleet *fleet, uint32_t index);
--- a/tests/test_caller.c
+++ b/tests/test_caller.c
@@ -2,6 +2,7 @@
 
 #include "platform/platform.h"
 
+#include "fakes/ports.h"
 #include "loop_pump.h"
 
 #include <arpa/inet.h>
@@ -17,8 +18,8 @@
 
 #include <cmocka.h>
 
-#define PORT 21731
-#define ADDRESS "127.0.0.1:21731"
+/* Where the listener of the current test listens. */
+static uint16_t port;
 
 /* A listener, and what its callbacks have recorded. */
 typedef struct
@@ -88,10 +89,13 @@
 fixture_begin (Fixture *fixture, bool replies_at_once)
 {
   MfError error = { 0 };
+  char address[MF_ADDRESS_BYTES];
 
   *fixture = (Fixture){ .loop = ev_loop_new (0), .replies_at_once = replies_at_once };
+  port = fake_ports_reserve ();
+  snprintf (address, sizeof address, "127.0.0.1:%u", port);
   fixture->listener
-      = mf_listener_new (fixture->loop, ADDRESS, &platform_dialect, &callbacks, fixture, &error);
+      = mf_listener_new (fixture->loop, address, &platform_dialect, &callbacks, fixture, &error);
   assert_non_null (fixture->listener);
   mf_listener_set_limits (fixture->listener, &(MfListenerLimits){
                                                  .header_bytes_max = 1024,
@@ -113,7 +117,7 @@
 static int
 send_and_receive (Fixture *fixture, const char *text, const char *needle)
 {
-  int fd = loop_connect (PORT);
+  int fd = loop_connect (port);
 
   assert_true (fd >= 0);
   loop_send (fd, text, strlen (text));
@@ -251,7 +255,7 @@
   (void)state;
   fixture_begin (&fixture, true);
   for (size_t i = 0; i < 4; i++)
-    fds[i] = loop_connect (PORT);
+    fds[i] = loop_connect (port);
   loop_spin (fixture.loop, 10);
   assert_int_equal (mf_listener_n_callers (fixture.listener), 3);
   for (size_t i = 0; i < 4; i++)
@@ -273,7 +277,7 @@
 
   (void)state;
   fixture_begin (&fixture, false);
-  fd = loop_connect (PORT);
+  fd = loop_connect (port);
   loop_send (fd, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", 27);
   loop_spin (fixture.loop, 10);
   assert_int_equal (fixture.n_requests, 1);
@@ -292,7 +296,7 @@
 
   (void)state;
   fixture_begin (&fixture, false);
-  fd = loop_connect (PORT);
+  fd = loop_connect (port);
   loop_send (fd, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", 27);
   loop_spin (fixture.loop, 10);
   mf_caller_begin (fixture.waiting, 200, NULL);
@@ -315,7 +319,7 @@
 
   (void)state;
   fixture_begin (&fixture, false);
-  fd = loop_connect (PORT);
+  fd = loop_connect (port);
   loop_send (fd, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", 27);
   loop_spin (fixture.loop, 10);
   mf_caller_begin (fixture.waiting, 200, NULL);
@@ -342,7 +346,7 @@
 
   (void)state;
   fixture_begin (&fixture, false);
-  fd = loop_connect (PORT);
+  fd = loop_connect (port);
   loop_send (fd, "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET nowhere HTTP/1.1\r\n\r\n", 52);
   loop_spin (fixture.loop, 10);
   mf_caller_begin (fixture.waiting, 200, NULL);
@@ -361,7 +365,7 @@
 
   (void)state;
   fixture_begin (&fixture, false);
-  fd = loop_connect (PORT);
+  fd = loop_connect (port);
   loop_send (fd, "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n", 56);
   loop_spin (fixture.loop, 10);
   assert_int_equal (fixture.n_requests, 1);
@@ -429,8 +433,8 @@
 
   (void)state;
   fixture_begin (&fixture, true);
-  idle = loop_connect (PORT);
-  fd = loop_connect (PORT);
+  idle = loop_connect (port);
+  fd = loop_connect (port);
   loop_send (fd, one_text, sizeof one_text - 1);
   mf_listener_end_keep_alive (fixture.listener);
   mf_listener_stop_accepting (fixture.listener);
@@ -440,7 +444,7 @@
   assert_non_null (strstr (fixture.received, "[one]"));
   loop_receive (fixture.loop, idle, NULL, fixture.received, sizeof fixture.received);
   assert_string_equal (fixture.received, "");
-  assert_int_equal (loop_connect (PORT), -1);
+  assert_int_equal (loop_connect (port), -1);
   close (idle);
   close (fd);
   fixture_end (&fixture);
@@ -481,7 +485,7 @@
 
   (void)state;
   fixture_begin (&fixture, false);
-  fd = loop_connect (PORT);
+  fd = loop_connect (port);
   loop_send (fd, "GET / HTTP/1.0\r\nHost: h\r\n\r\n", 27);
   loop_spin (fixture.loop, 10);
   mf_caller_begin (fixture.waiting, 200, NULL);
@@ -503,7 +507,7 @@
 
   (void)state;
   fixture_begin (&fixture, false);
-  fd = loop_connect (PORT);
+  fd = loop_connect (port);
   loop_send (fd, "GET / HTTP/1.0\r\nHost: h\r\n\r\n", 27);
   loop_spin (fixture.loop, 10);
   mf_listener_end_keep_alive (fixture.listener);
@@ -548,7 +552,7 @@
 {
   static char body[LARGE_BYTES / 2];
   char text[160];
-  int fd = loop_connect (PORT);
+  int fd = loop_connect (port);
 
   assert_true (fd >= 0);
   snprintf (text, sizeof text, "POST /a HTTP/1.1\r\nHost: h\r\n%s%d\r\n%s",
--- a/tests/test_house_libraries.c
+++ b/tests/test_house_libraries.c
@@ -1,3 +1,4 @@
+#include "fakes/ports.h"
 #include "fakes/upstream.h"
 #include "loop_pump.h"
 
@@ -17,8 +18,6 @@
  * this behaviour. When one fails with a newer version of a library, the choice, which
  * docs/DESIGN.md describes, can be reconsidered. */
 
-#define MHD_TEST_PORT 21771
-
 typedef struct
 {
   unsigned n_requests;
@@ -64,14 +63,15 @@
                              "GET /hidden HTTP/1.1\r\nHost: hid\r\n\r\n";
   struct ev_loop *loop = ev_loop_new (0);
   Daemon daemon = { 0 };
-  struct MHD_Daemon *mhd = MHD_start_daemon (MHD_USE_INTERNAL_POLLING_THREAD, MHD_TEST_PORT, NULL,
-                                             NULL, on_mhd_request, &daemon, MHD_OPTION_END);
+  uint16_t port = fake_ports_reserve ();
+  struct MHD_Daemon *mhd = MHD_start_daemon (MHD_USE_INTERNAL_POLLING_THREAD, port, NULL, NULL,
+                                             on_mhd_request, &daemon, MHD_OPTION_END);
   char received[4096];
   int fd;
 
   (void)state;
   assert_non_null (mhd);
-  fd = loop_connect (MHD_TEST_PORT);
+  fd = loop_connect (port);
   assert_true (fd >= 0);
   loop_send (fd, text, strlen (text));
   loop_receive (loop, fd, "ok", received, sizeof received);
--- a/tests/test_job.c
+++ b/tests/test_job.c
@@ -14,8 +14,6 @@
 
 #include <cmocka.h>
 
-#define PORT 21741
-
 static void
 handle_good (FakeUpstreamConn *conn, const char *text, const char *id)
 {
@@ -87,7 +85,7 @@
 call (RelayFixture *fixture, const char *method, const char *path)
 {
   char text[512];
-  int fd = loop_connect (PORT);
+  int fd = loop_connect (relay_fixture_port ());
 
   assert_true (fd >= 0);
   snprintf (text, sizeof text,
@@ -114,7 +112,7 @@
   char value[64];
 
   (void)state;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_PLAIN, handle_good);
   call (&fixture, "POST", "/order/1?q=2");
   assert_status (&fixture, "200");
@@ -152,7 +150,7 @@
     {
       RelayFixture fixture;
 
-      relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+      relay_fixture_setup (&fixture, ev_loop_new (0));
       relay_fixture_add_upstream (&fixture, 0, MF_ROLE_PLAIN, handlers[i]);
       relay_fixture_add_upstream (&fixture, 1, MF_ROLE_PLAIN, handle_good);
       call (&fixture, "POST", "/order/1");
@@ -170,7 +168,7 @@
   RelayFixture fixture;
 
   (void)state;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_PLAIN, relay_fixture_decline);
   relay_fixture_add_upstream (&fixture, 1, MF_ROLE_PLAIN, handle_good);
   call (&fixture, "POST", "/order/1");
@@ -186,7 +184,7 @@
   RelayFixture fixture;
 
   (void)state;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_PLAIN, relay_fixture_decline);
   call (&fixture, "POST", "/order/1");
   assert_status (&fixture, "503");
@@ -200,7 +198,7 @@
   RelayFixture fixture;
 
   (void)state;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   call (&fixture, "POST", "/order/1");
   assert_status (&fixture, "503");
   call (&fixture, "POST", "/nothing/1");
@@ -224,7 +222,7 @@
     {
       RelayFixture fixture;
 
-      relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+      relay_fixture_setup (&fixture, ev_loop_new (0));
       relay_fixture_add_upstream (&fixture, 0, MF_ROLE_PLAIN, handlers[i]);
       relay_fixture_add_upstream (&fixture, 1, MF_ROLE_PLAIN, handle_good);
       call (&fixture, "GET", "/read/1");
@@ -241,7 +239,7 @@
   RelayFixture fixture;
 
   (void)state;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_PLAIN, handle_fail);
   relay_fixture_add_upstream (&fixture, 1, MF_ROLE_PLAIN, handle_fail);
   relay_fixture_add_upstream (&fixture, 2, MF_ROLE_PLAIN, handle_fail);
@@ -260,7 +258,7 @@
   RelayFixture fixture;
 
   (void)state;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_PLAIN, handle_fail);
   relay_fixture_add_upstream (&fixture, 1, MF_ROLE_PLAIN, handle_fail);
   for (uint32_t i = 0; i < 20; i++)
@@ -278,7 +276,7 @@
   uint32_t n_sends;
 
   (void)state;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   fixture.jobs.budget_slack = 6;
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_PREFILL, relay_fixture_prefill);
   relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, relay_fixture_stream_breaks);
@@ -302,7 +300,7 @@
   RelayFixture fixture;
 
   (void)state;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_stream);
   mf_targets_begin_list (&fixture.jobs.targets);
   call (&fixture, "POST", "/llm/1");
@@ -340,7 +338,7 @@
   int fds[4];
 
   (void)state;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   fixture.jobs.budget_ratio = 0.;
   fixture.jobs.started_us = mf_clock_now_us ();
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_PREFILL, handle_prefill_counted);
@@ -351,7 +349,7 @@
     {
       static const char text[] = "POST /once/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: t\r\n\r\n";
 
-      fds[i] = loop_connect (PORT);
+      fds[i] = loop_connect (relay_fixture_port ());
       loop_send (fds[i], text, strlen (text));
     }
   loop_spin (fixture.loop, 50);
@@ -374,7 +372,7 @@
   uint32_t n_sends;
 
   (void)state;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   fixture.jobs.budget_ratio = 0.;
   fixture.jobs.budget_slack = 1;
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_PREFILL, relay_fixture_prefill);
@@ -395,7 +393,7 @@
   char expected[128];
 
   (void)state;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_PREFILL, relay_fixture_prefill);
   relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_stream);
   call (&fixture, "POST", "/once/1");
@@ -420,7 +418,7 @@
   RelayFixture fixture;
 
   (void)state;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_stream);
   call (&fixture, "POST", "/once/1");
   assert_status (&fixture, "200");
@@ -435,7 +433,7 @@
   RelayFixture fixture;
 
   (void)state;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_PREFILL, relay_fixture_prefill);
   relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, relay_fixture_decline);
   call (&fixture, "POST", "/once/1");
@@ -456,7 +454,7 @@
   const char *first;
 
   (void)state;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, relay_fixture_stream_breaks);
   relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_stream);
   call (&fixture, "POST", "/llm/1");
@@ -482,7 +480,7 @@
   RelayFixture fixture;
 
   (void)state;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, relay_fixture_stream_hangs);
   relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_stream);
   call (&fixture, "POST", "/llm/1");
@@ -515,10 +513,10 @@
   int fd;
 
   (void)state;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, relay_fixture_stream_breaks);
   relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_two_events);
-  fd = loop_connect (PORT);
+  fd = loop_connect (relay_fixture_port ());
   loop_send (fd, text, strlen (text));
   loop_receive (fixture.loop, fd, "id: 3", fixture.received, sizeof fixture.received);
   target = mf_targets_by_hash (&fixture.jobs.targets, mf_load_hash ("u1"));
@@ -544,9 +542,9 @@
   int fd;
 
   (void)state;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, relay_fixture_stream_hangs);
-  fd = loop_connect (PORT);
+  fd = loop_connect (relay_fixture_port ());
   loop_send (fd, text, strlen (text));
   until_us = mf_clock_now_us () + 1900 * MF_US_PER_MS;
   while (mf_clock_now_us () < until_us)
@@ -572,7 +570,7 @@
   RelayFixture fixture;
 
   (void)state;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, relay_fixture_stream_breaks);
   relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_stream);
   call (&fixture, "POST", "/once/1");
@@ -590,7 +588,7 @@
   RelayFixture fixture;
 
   (void)state;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_stream);
   fixture.jobs.mean_answer_tokens = 40.;
   fixture.jobs.mean_token_us = 200. * (double)MF_US_PER_MS;
@@ -623,9 +621,9 @@
       RelayFixture fixture;
       int fd;
 
-      relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+      relay_fixture_setup (&fixture, ev_loop_new (0));
       relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handlers[i]);
-      fd = loop_connect (PORT);
+      fd = loop_connect (relay_fixture_port ());
       loop_send (fd, text, strlen (text));
       loop_spin (fixture.loop, 20);
       assert_int_equal (relay_fixture_n_requests (&fixture, 0), 1);
@@ -684,7 +682,7 @@
     {
       RelayFixture fixture;
 
-      relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+      relay_fixture_setup (&fixture, ev_loop_new (0));
       relay_fixture_add_upstream (&fixture, 0, MF_ROLE_PLAIN, handlers[i]);
       relay_fixture_add_upstream (&fixture, 1, MF_ROLE_PLAIN, handle_good);
       for (uint32_t n = 0; n < 5; n++)
@@ -717,7 +715,7 @@
   RelayFixture fixture;
 
   (void)state;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_PREFILL, handle_prefill_leaving);
   relay_fixture_add_upstream (&fixture, 1, MF_ROLE_PREFILL, relay_fixture_prefill);
   relay_fixture_add_upstream (&fixture, 2, MF_ROLE_DECODE, handle_stream);
@@ -740,7 +738,7 @@
   const char *retry_after;
 
   (void)state;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   fixture.jobs.budget_slack = 20;
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_PLAIN, handle_pause);
   call (&fixture, "POST", "/order/1");
@@ -772,7 +770,7 @@
   uint32_t n_before;
 
   (void)state;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_pause);
   call (&fixture, "POST", "/llm/1");
   assert_status (&fixture, "503");
@@ -802,7 +800,7 @@
     {
       RelayFixture fixture;
 
-      relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+      relay_fixture_setup (&fixture, ev_loop_new (0));
       relay_fixture_add_upstream (&fixture, 0, MF_ROLE_PLAIN, handle_pause_with_value);
       pause_value = values[i];
       call (&fixture, "POST", "/order/1");
@@ -820,7 +818,7 @@
   RelayFixture fixture;
 
   (void)state;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_PLAIN, handle_good);
   relay_fixture_add_upstream (&fixture, 1, MF_ROLE_PLAIN, handle_good);
   fake_upstream_free (fixture.upstreams[0].server);
@@ -840,7 +838,7 @@
   uint64_t failed_us;
 
   (void)state;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_PLAIN, handle_good);
   relay_fixture_add_upstream (&fixture, 1, MF_ROLE_PLAIN, handle_good);
   fake_upstream_free (fixture.upstreams[0].server);
@@ -863,7 +861,7 @@
   RelayFixture fixture;
 
   (void)state;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_no_answer);
   call (&fixture, "POST", "/once/1");
   assert_status (&fixture, "504");
@@ -880,11 +878,11 @@
   int fds[10];
 
   (void)state;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, relay_fixture_stream_hangs);
   for (size_t i = 0; i < MF_ARRAY_LEN (fds); i++)
     {
-      fds[i] = loop_connect (PORT);
+      fds[i] = loop_connect (relay_fixture_port ());
       loop_send (fds[i], text, strlen (text));
       loop_spin (fixture.loop, 5);
     }
@@ -917,12 +915,12 @@
       int calls[6];
       uint32_t n_closed;
 
-      relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+      relay_fixture_setup (&fixture, ev_loop_new (0));
       relay_fixture_add_upstream (&fixture, 0, MF_ROLE_PLAIN, handle_good);
       fixture.jobs.routes->services[0].connections_max = most_idle[i][0];
       for (size_t j = 0; j < MF_ARRAY_LEN (calls); j++)
         {
-          calls[j] = loop_connect (PORT);
+          calls[j] = loop_connect (relay_fixture_port ());
           loop_send (calls[j], request, strlen (request));
         }
       loop_spin (fixture.loop, 30);
@@ -1049,7 +1047,7 @@
   int fd;
 
   n_kv_freed = 0;
-  relay_fixture_setup (fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (fixture, ev_loop_new (0));
   relay_fixture_add_upstream (fixture, 0, is_plain ? MF_ROLE_PLAIN : MF_ROLE_PREFILL,
                               is_plain ? handle_departure_first : handle_departure_prefill);
   if (is_plain && departure->step == DEPARTS_RETRIED)
@@ -1067,7 +1065,7 @@
     fixture->jobs.upstreams_as_of_us = 0;
   if (!is_plain && departure->step == DEPARTS_RETRIED)
     relay_fixture_add_upstream (fixture, 3, MF_ROLE_DECODE, handle_no_answer);
-  fd = loop_connect (PORT);
+  fd = loop_connect (relay_fixture_port ());
   assert_true (fd >= 0);
   snprintf (text, sizeof text,
             "POST %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: t\r\nX-Deadline-Ms: 3000\r\n"
--- a/tests/test_job_answer.c
+++ b/tests/test_job_answer.c
@@ -14,7 +14,6 @@
 
 #include <cmocka.h>
 
-#define PORT 21811
 #define N_CALLERS 20
 /* The longest timeout of a route is 3 s. */
 #define ANSWER_TIMEOUT_US (4 * MF_US_PER_S)
@@ -93,7 +92,7 @@
 call_begin (const RelayFixture *fixture, const char *method, const char *path)
 {
   char text[256];
-  int fd = loop_connect (PORT);
+  int fd = loop_connect (relay_fixture_port ());
 
   assert_true (fd >= 0);
   snprintf (text, sizeof text,
@@ -157,7 +156,7 @@
       RelayFixture fixture;
 
       flood = &floods[i];
-      relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+      relay_fixture_setup (&fixture, ev_loop_new (0));
       relay_fixture_add_upstream (&fixture, 0, MF_ROLE_PLAIN, handle_flood);
       relay_fixture_add_upstream (&fixture, 1, MF_ROLE_PLAIN, handle_good);
       call (&fixture, "POST", "/order/1");
@@ -179,7 +178,7 @@
       RelayFixture fixture;
 
       flood = &floods[i];
-      relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+      relay_fixture_setup (&fixture, ev_loop_new (0));
       relay_fixture_add_upstream (&fixture, 0, MF_ROLE_PLAIN, handle_flood);
       relay_fixture_add_upstream (&fixture, 1, MF_ROLE_PLAIN, handle_good);
       call (&fixture, "GET", "/read/1");
@@ -199,7 +198,7 @@
       RelayFixture fixture;
 
       flood = &floods[i];
-      relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+      relay_fixture_setup (&fixture, ev_loop_new (0));
       relay_fixture_add_upstream (&fixture, 0, MF_ROLE_PREFILL, handle_flood);
       relay_fixture_add_upstream (&fixture, 1, MF_ROLE_PREFILL, relay_fixture_prefill);
       relay_fixture_add_upstream (&fixture, 2, MF_ROLE_DECODE, handle_stream);
@@ -221,7 +220,7 @@
 
   (void)state;
   flood = &endless;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_flood);
   relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_stream);
   /* No event has arrived, so the stream cannot be resumed. */
@@ -281,7 +280,7 @@
       RelayFixture fixture;
 
       closed_stream = &streams[i / MF_ARRAY_LEN (paths)];
-      relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+      relay_fixture_setup (&fixture, ev_loop_new (0));
       relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_closed_stream);
       call (&fixture, "POST", paths[i % MF_ARRAY_LEN (paths)]);
       assert_int_equal (strstr (fixture.received, "\r\n0\r\n\r\n") != NULL,
@@ -337,7 +336,7 @@
   RelayFixture fixture;
 
   (void)state;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_stream_stalls_inside);
   relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_stream_rest);
   call (&fixture, "POST", "/llm/1");
@@ -384,14 +383,14 @@
       RelayFixture fixture;
 
       garbage = pieces[i];
-      relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+      relay_fixture_setup (&fixture, ev_loop_new (0));
       relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_stream_garbled);
       relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_stream_rest);
       call (&fixture, "POST", "/llm/1");
       assert_string_equal (strstr (fixture.received, "\r\n\r\n"), WHOLE_STREAM);
       assert_true (loop_pump (fixture.loop, has_disconnected, &fixture));
       teardown (&fixture);
-      relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+      relay_fixture_setup (&fixture, ev_loop_new (0));
       relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_stream_garbled);
       call (&fixture, "POST", "/once/1");
       assert_string_equal (strstr (fixture.received, "\r\n\r\n"),
@@ -501,7 +500,7 @@
       RelayFixture fixture;
 
       numbers = numberings[i / MF_ARRAY_LEN (paths)];
-      relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+      relay_fixture_setup (&fixture, ev_loop_new (0));
       relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_numbers);
       call (&fixture, "POST", paths[i % MF_ARRAY_LEN (paths)]);
       assert_events_received (&fixture, 12);
@@ -523,7 +522,7 @@
       RelayFixture fixture;
 
       numbers = numberings[i / 2];
-      relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+      relay_fixture_setup (&fixture, ev_loop_new (0));
       fixture.jobs.budget_slack = 20;
       for (uint32_t j = 0; j < fixture.jobs.routes->n_routes; j++)
         fixture.jobs.routes->routes[j].attempts_max += may_go_on;
@@ -547,7 +546,7 @@
       RelayFixture fixture;
 
       numbers = numberings[2];
-      relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+      relay_fixture_setup (&fixture, ev_loop_new (0));
       relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_numbers_break);
       relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_numbers);
       call (&fixture, "POST", "/llm/1");
@@ -578,9 +577,9 @@
   int fd;
 
   (void)state;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_stream_from_the_start);
-  fd = loop_connect (PORT);
+  fd = loop_connect (relay_fixture_port ());
   loop_send (fd, text, strlen (text));
   loop_receive (fixture.loop, fd, NULL, fixture.received, sizeof fixture.received);
   close (fd);
@@ -634,7 +633,7 @@
       RelayFixture fixture;
 
       error_answer = answers[i];
-      relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+      relay_fixture_setup (&fixture, ev_loop_new (0));
       relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_error);
       relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_error);
       call (&fixture, "POST", "/llm/1");
@@ -688,7 +687,7 @@
 
       partial_head = heads[i / 2 / MF_ARRAY_LEN (paths)];
       partial_head_resets = i % 2 == 1;
-      relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+      relay_fixture_setup (&fixture, ev_loop_new (0));
       for (uint32_t j = 0; j < 2; j++)
         relay_fixture_add_upstream (&fixture, j, is_stream ? MF_ROLE_DECODE : MF_ROLE_PLAIN,
                                     handle_partial_head);
@@ -716,9 +715,9 @@
 
   (void)state;
   closed_stream = &rest;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_closed_stream);
-  fd = loop_connect (PORT);
+  fd = loop_connect (relay_fixture_port ());
   loop_send (fd, text, strlen (text));
   loop_receive (fixture.loop, fd, NULL, fixture.received, sizeof fixture.received);
   close (fd);
@@ -751,7 +750,7 @@
 call_order (RelayFixture *fixture, const char *id)
 {
   char text[192];
-  int fd = loop_connect (PORT);
+  int fd = loop_connect (relay_fixture_port ());
 
   snprintf (text, sizeof text,
             "POST /order/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nConnection: close\r\n"
@@ -769,7 +768,7 @@
   RelayFixture fixture;
 
   (void)state;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_PLAIN, handle_repeated_refusal);
   call_order (&fixture, "o1");
   assert_memory_equal (fixture.received, "HTTP/1.1 503", 12);
@@ -793,7 +792,7 @@
 
   (void)state;
   flood = &endless;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_flood);
   fd = call_begin (&fixture, "POST", "/llm/1");
   while (relay_fixture_n_requests (&fixture, 0) == 0)
@@ -816,10 +815,10 @@
   int fd;
 
   (void)state;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, relay_fixture_stream_hangs);
   relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_stream);
-  fd = loop_connect (PORT);
+  fd = loop_connect (relay_fixture_port ());
   loop_send (fd, text, strlen (text));
   until_us = mf_clock_now_us () + STALL_TIMEOUT_US;
   while (mf_clock_now_us () < until_us && relay_fixture_n_requests (&fixture, 1) == 0)
@@ -846,7 +845,7 @@
 
   (void)state;
   flood = &interim;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_PREFILL, handle_flood_on_release);
   relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, relay_fixture_decline);
   call (&fixture, "POST", "/once/1");
@@ -869,7 +868,7 @@
 
   (void)state;
   flood = &body;
-  relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture, ev_loop_new (0));
   fixture.jobs.answer_bytes_max = limit_bytes;
   relay_fixture_add_upstream (&fixture, 0, MF_ROLE_PLAIN, handle_flood);
   for (uint32_t i = 0; i < N_CALLERS; i++)
@@ -931,7 +930,7 @@
       uint64_t most_bytes = 0;
 
       flood = &answers[i].flood;
-      relay_fixture_setup (&fixture, ev_loop_new (0), PORT);
+      relay_fixture_setup (&fixture, ev_loop_new (0));
       fixture.jobs.buffers_bytes_max = limit_bytes;
       fixture.jobs.answer_bytes_max = limit_bytes;
       relay_fixture_add_upstream (&fixture, 0, answers[i].role, handle_flood);
--- a/tests/test_job_begun.c
+++ b/tests/test_job_begun.c
@@ -17,7 +17,6 @@
 /* What is decided about a stream whose head its caller has: each decision that an instance can make
  * while the stream is moved, broken off or resumed, by the phase that it falls into. */
 
-#define PORT 21927
 #define N_UPSTREAMS 3
 /* The silence after which a stream of the route is moved, and some reserve. */
 #define STALL_US (130 * MF_US_PER_MS)
@@ -242,7 +241,7 @@
 begin (Phase phase, const char *customers)
 {
   memset (&fixture, 0, sizeof fixture);
-  relay_fixture_setup (&fixture.relay, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture.relay, ev_loop_new (0));
   fixture.phase = phase;
   fixture.version = 1;
   fixture.relay.jobs.budget_slack = 8;
@@ -255,7 +254,7 @@
 {
   char text[320];
 
-  fixture.caller = loop_connect (PORT);
+  fixture.caller = loop_connect (relay_fixture_port ());
   assert_true (fixture.caller >= 0);
   snprintf (text, sizeof text,
             "POST %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: t\r\nX-Api-Key: k\r\n"
--- a/tests/test_job_customer.c
+++ b/tests/test_job_customer.c
@@ -16,7 +16,6 @@
 
 #include <cmocka.h>
 
-#define PORT 21747
 #define KEY_A "secret-key-of-alpha"
 #define KEY_B "secret-key-of-beta"
 #define KEY_HEADER_A "X-Api-Key: " KEY_A "\r\n"
@@ -124,7 +123,7 @@
 
   seen[0] = '\0';
   n_breaks = 0;
-  relay_fixture_setup (fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (fixture, ev_loop_new (0));
   /* A resumed stream costs a prefill and a run. */
   fixture->jobs.budget_slack = 6;
   mf_relay_log_free (fixture->log);
@@ -165,7 +164,7 @@
 start (const char *path, const char *headers)
 {
   char text[12288];
-  int fd = loop_connect (PORT);
+  int fd = loop_connect (relay_fixture_port ());
 
   assert_true (fd >= 0);
   snprintf (text, sizeof text,
--- a/tests/test_job_early.c
+++ b/tests/test_job_early.c
@@ -19,7 +19,6 @@
 /* Upstreams that answer before they have read a long request, with real sockets: each framing of
  * the answer, each end of the connection, by how much of the request has been read. */
 
-#define PORT 21961
 /* More than the buffers of a connection hold, so that a part of the request stays unsent. */
 #define BODY_BYTES (8 * 1024 * 1024)
 #define RECEIVE_BUFFER_BYTES (64 * 1024)
@@ -100,7 +99,7 @@
   int buffer_bytes = RECEIVE_BUFFER_BYTES;
 
   memset (&fixture, 0, sizeof fixture);
-  relay_fixture_setup (&fixture.relay, ev_loop_new (0), PORT);
+  relay_fixture_setup (&fixture.relay, ev_loop_new (0));
   mf_listener_set_limits (fixture.relay.listener, &(MfListenerLimits){
                                                       .header_bytes_max = 16384,
                                                       .header_timeout_us = 5 * MF_US_PER_S,
@@ -112,7 +111,7 @@
   relay_fixture_list_upstream (&fixture.relay, "early", role, address);
   if (role == MF_ROLE_PREFILL)
     relay_fixture_add_upstream (&fixture.relay, 1, MF_ROLE_DECODE, handle_stream);
-  fixture.caller = loop_connect (PORT);
+  fixture.caller = loop_connect (relay_fixture_port ());
   assert_true (fixture.caller >= 0);
   snprintf (head, sizeof head,
             "POST %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: t\r\nX-Token-Count: 100,40\r\n"
--- a/tests/test_job_end.c
+++ b/tests/test_job_end.c
@@ -16,7 +16,6 @@
 
 #include <cmocka.h>
 
-#define PORT 21891
 #define REST "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n"
 #define WHOLE "\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n" REST
 
@@ -70,7 +69,7 @@
   held = NULL;
   n_held = 0;
   n_rests = 0;
-  relay_fixture_setup (fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (fixture, ev_loop_new (0));
 }
 
 static void
@@ -86,7 +85,7 @@
 call_begin (const char *path)
 {
   char text[320];
-  int fd = loop_connect (PORT);
+  int fd = loop_connect (relay_fixture_port ());
   int n_bytes;
 
   assert_true (fd >= 0);
@@ -284,7 +283,7 @@
 
       setup (&fixture);
       relay_fixture_add_upstream (&fixture, 0, MF_ROLE_PLAIN, handle_good);
-      fd = loop_connect (PORT);
+      fd = loop_connect (relay_fixture_port ());
       loop_send (fd, head, sizeof head - 1);
       loop_spin (fixture.loop, 5);
       shut_down (&fixture, i == 0 ? 2500 * MF_US_PER_MS : 7600 * MF_US_PER_MS);
@@ -318,7 +317,7 @@
   assert_true (loop_pump (fixture.loop, is_held, NULL));
   first = held;
   n_held = 0;
-  second_fd = loop_connect (PORT);
+  second_fd = loop_connect (relay_fixture_port ());
   loop_send (second_fd, text, sizeof text - 1);
   assert_true (loop_pump (fixture.loop, is_held, NULL));
   assert_int_equal (fixture.jobs.n_jobs, 2);
--- a/tests/test_job_give_up.c
+++ b/tests/test_job_give_up.c
@@ -14,7 +14,6 @@
 
 #include <cmocka.h>
 
-#define PORT 21899
 #define REST "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n"
 
 static FakeUpstreamConn *silent;    /* the run that has stalled */
@@ -58,7 +57,7 @@
 {
   silent = NULL;
   successor = NULL;
-  relay_fixture_setup (fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (fixture, ev_loop_new (0));
 }
 
 static void
@@ -74,7 +73,7 @@
 call_begin (const char *path)
 {
   char text[256];
-  int fd = loop_connect (PORT);
+  int fd = loop_connect (relay_fixture_port ());
 
   assert_true (fd >= 0);
   snprintf (text, sizeof text,
--- a/tests/test_job_origin.c
+++ b/tests/test_job_origin.c
@@ -11,8 +11,6 @@
 
 #include <cmocka.h>
 
-#define LISTEN_PORT 21871
-#define PEER_PORT 21881
 #define OLD 0
 #define NEW 1
 #define OTHER_OLD 2
@@ -206,7 +204,7 @@
   uint32_t n_begun_old = 0;
 
   (void)state;
-  relay_fleet_setup (&fleet, LISTEN_PORT, PEER_PORT);
+  relay_fleet_setup (&fleet);
   add_engine (&fleet, OLD, "v1", begin_and_break);
   add_engine (&fleet, NEW, "v2", answer_new);
   for (uint32_t i = 0; i < 12; i++)
@@ -234,7 +232,7 @@
   const char *answer;
 
   (void)state;
-  relay_fleet_setup (&fleet, LISTEN_PORT, PEER_PORT);
+  relay_fleet_setup (&fleet);
   add_engine (&fleet, OLD, "v1", begin_and_break);
   answer = call (&fleet, 0, "a1", NULL);
   assert_true (has_event_of (answer, 'o'));
@@ -279,7 +277,7 @@
   held_old = NULL;
   held_new = NULL;
   changes_old = NULL;
-  relay_fleet_setup (fleet, LISTEN_PORT, PEER_PORT);
+  relay_fleet_setup (fleet);
   add_engine (fleet, OLD, "v1", begin_and_break);
   assert_true (has_event_of (call (fleet, 0, id, NULL), 'o'));
   remove_engine (fleet, OLD);
@@ -498,12 +496,12 @@
 
   (void)state;
   held_old = NULL;
-  relay_fleet_setup (&fleet, LISTEN_PORT, PEER_PORT);
+  relay_fleet_setup (&fleet);
   add_engine (&fleet, OTHER_OLD, "v1", answer_old);
   peers = isolated->jobs.peers;
   isolated->jobs.peers = NULL;
   mf_peers_free (peers);
-  snprintf (address, sizeof address, "127.0.0.1:%u", PEER_PORT + 4);
+  snprintf (address, sizeof address, "127.0.0.1:%u", fleet.peer_ports[4]);
   isolated->jobs.peers = mf_peers_new (fleet.loop, address, &mf_jobs_peers_callbacks,
                                        &isolated->jobs, isolated->log, &error);
   assert_non_null (isolated->jobs.peers);
@@ -551,7 +549,7 @@
   MfRoute *route;
 
   (void)state;
-  relay_fleet_setup (&fleet, LISTEN_PORT, PEER_PORT);
+  relay_fleet_setup (&fleet);
   add_engine (&fleet, NEW, "v2", answer_new);
   route = &jobs->routes->routes[0];
   while (strcmp (route->name, "llm") != 0)
@@ -570,7 +568,7 @@
   MfJobs *jobs = &fleet.instances[0].jobs;
 
   (void)state;
-  relay_fleet_setup (&fleet, LISTEN_PORT, PEER_PORT);
+  relay_fleet_setup (&fleet);
   add_engine (&fleet, NEW, "v2", answer_new);
   /* Half of the time is needed at least: 3.6 s of the 3 s that there are, and 2.7 s for the rest.
    */
--- a/tests/test_job_quota.c
+++ b/tests/test_job_quota.c
@@ -12,8 +12,6 @@
 
 #include <cmocka.h>
 
-#define LISTEN_PORT 21841
-#define PEER_PORT 21851
 #define CALLS_MAX 450
 #define N RELAY_FLEET_N_INSTANCES
 #define OVERAGE 0.25
@@ -57,7 +55,7 @@
 setup (const char *limits, bool has_upstream)
 {
   n_calls = 0;
-  relay_fleet_setup (&fleet, LISTEN_PORT, PEER_PORT);
+  relay_fleet_setup (&fleet);
   configure (2, limits);
   if (!has_upstream)
     return;
--- a/tests/test_job_rate.c
+++ b/tests/test_job_rate.c
@@ -11,8 +11,6 @@
 
 #include <cmocka.h>
 
-#define LISTEN_PORT 21671
-#define PEER_PORT 21681
 #define LIMIT_PER_S 4
 #define CALLS_MAX 512
 /* The rule LIMIT over the time of a burst, and the time after which an upstream has named its
@@ -100,7 +98,7 @@
 fleet_setup (RateFixture *fixture, uint32_t n_unlimited)
 {
   memset (fixture, 0, sizeof *fixture);
-  relay_fleet_setup (&fixture->fleet, LISTEN_PORT, PEER_PORT);
+  relay_fleet_setup (&fixture->fleet);
   fixture->is_fleet = true;
   fixture->n_instances = RELAY_FLEET_N_INSTANCES;
   add_upstream (fixture, 0, MF_ROLE_PLAIN, answer_limited);
@@ -115,7 +113,7 @@
   memset (fixture, 0, sizeof *fixture);
   fixture->fleet.loop = ev_loop_new (0);
   fixture->n_instances = 1;
-  relay_fixture_setup (&fixture->fleet.instances[0], fixture->fleet.loop, LISTEN_PORT);
+  relay_fixture_setup (&fixture->fleet.instances[0], fixture->fleet.loop);
 }
 
 static void
--- a/tests/test_job_room.c
+++ b/tests/test_job_room.c
@@ -13,8 +13,6 @@
 #include <cmocka.h>
 
 #define N_INSTANCES RELAY_FLEET_N_INSTANCES
-#define LISTEN_PORT 21781
-#define PEER_PORT 21791
 #define SLOTS 4
 #define N_WAITING 8
 #define SLACK 12
@@ -22,7 +20,7 @@
 static void
 fleet_setup (RelayFleet *fleet, uint32_t n_engines, RelayFixtureHandler handler)
 {
-  relay_fleet_setup (fleet, LISTEN_PORT, PEER_PORT);
+  relay_fleet_setup (fleet);
   relay_fleet_add_engines (fleet, n_engines, handler);
 }
 
--- a/tests/test_job_shutdown.c
+++ b/tests/test_job_shutdown.c
@@ -14,7 +14,6 @@
 
 #include <cmocka.h>
 
-#define PORT 21921
 #define GRACE_US (8 * MF_US_PER_S)
 
 static uint32_t n_kv_freed;
@@ -59,7 +58,7 @@
 {
   n_kv_freed = 0;
   held = NULL;
-  relay_fixture_setup (fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (fixture, ev_loop_new (0));
 }
 
 static void
@@ -81,7 +80,7 @@
 call_begin (const char *path, size_t n_body_bytes)
 {
   char text[320];
-  int fd = loop_connect (PORT);
+  int fd = loop_connect (relay_fixture_port ());
   int n_bytes;
 
   assert_true (fd >= 0);
--- a/tests/test_job_stage.c
+++ b/tests/test_job_stage.c
@@ -11,7 +11,6 @@
 
 #include <cmocka.h>
 
-#define LISTEN_PORT 21801
 #define PEER_ADDRESS "127.0.0.1:21802"
 #define STEP_US (100 * MF_US_PER_MS)
 
@@ -64,7 +63,7 @@
   MfError error = { 0 };
   RelayFixture *relay = &fixture->relay;
 
-  relay_fixture_setup (relay, ev_loop_new (0), LISTEN_PORT);
+  relay_fixture_setup (relay, ev_loop_new (0));
   relay->jobs.peers
       = mf_peers_new (relay->loop, PEER_ADDRESS, &callbacks, relay, relay->log, &error);
   assert_non_null (relay->jobs.peers);
--- a/tests/test_job_stall.c
+++ b/tests/test_job_stall.c
@@ -14,7 +14,6 @@
 
 #include <cmocka.h>
 
-#define PORT 21911
 #define GRACE_US (8 * MF_US_PER_S)
 /* Iterations that take longer than three of the longest pauses of the route /llm/. */
 #define STALL_ITERATIONS 250
@@ -79,7 +78,7 @@
   silent = NULL;
   prefill = NULL;
   n_prefills = 0;
-  relay_fixture_setup (fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (fixture, ev_loop_new (0));
   fixture->jobs.mean_token_us = 100. * (double)MF_US_PER_MS;
 }
 
@@ -103,7 +102,7 @@
 call_begin_at (const char *path)
 {
   char text[320];
-  int fd = loop_connect (PORT);
+  int fd = loop_connect (relay_fixture_port ());
   int n_bytes;
 
   assert_true (fd >= 0);
--- a/tests/test_job_status.c
+++ b/tests/test_job_status.c
@@ -16,7 +16,6 @@
 /* Answers whose status is no final status of HTTP, in each call that is made for a request. The
  * upstream keeps its connection open. */
 
-#define PORT 21943
 /* No timeout of the routes passes within this time, nor one after which a stream or a prefill is
  * moved. */
 #define AT_ONCE_US (150 * MF_US_PER_MS)
@@ -118,7 +117,7 @@
 call (const char *path)
 {
   char text[256];
-  int fd = loop_connect (PORT);
+  int fd = loop_connect (relay_fixture_port ());
 
   assert_true (fd >= 0);
   snprintf (text, sizeof text,
@@ -134,7 +133,7 @@
 {
   broken_us = 0;
   silent = NULL;
-  relay_fixture_setup (fixture, ev_loop_new (0), PORT);
+  relay_fixture_setup (fixture, ev_loop_new (0));
   fixture->jobs.budget_slack = 8;
 }
 
--- a/tests/test_job_suspect.c
+++ b/tests/test_job_suspect.c
@@ -12,8 +12,6 @@
 
 #include <cmocka.h>
 
-#define LISTEN_PORT 21701
-#define PEER_PORT 21711
 #define N_UPSTREAMS 9
 #define DOWN_S 0.1
 #define GRACE_US (100 * MF_US_PER_MS)
@@ -84,7 +82,7 @@
 crash_fixture_setup (CrashFixture *fixture)
 {
   memset (fixture, 0, sizeof *fixture);
-  relay_fleet_setup (&fixture->fleet, LISTEN_PORT, PEER_PORT);
+  relay_fleet_setup (&fixture->fleet);
   fixture->ledger = soak_ledger_new ();
   soak_ledger_set_grace (fixture->ledger, GRACE_US);
   for (uint32_t index = 0; index < N_UPSTREAMS; index++)
@@ -481,11 +479,11 @@
   isolated->jobs.peers = NULL;
   mf_peers_free (peers);
   quarantine_request (&fixture);
-  snprintf (address, sizeof address, "127.0.0.1:%u", PEER_PORT + 3);
+  snprintf (address, sizeof address, "127.0.0.1:%u", fixture.fleet.peer_ports[3]);
   isolated->jobs.peers = mf_peers_new (fixture.fleet.loop, address, &mf_jobs_peers_callbacks,
                                        &isolated->jobs, isolated->log, &error);
   assert_non_null (isolated->jobs.peers);
-  snprintf (address, sizeof address, "127.0.0.1:%u", PEER_PORT);
+  snprintf (address, sizeof address, "127.0.0.1:%u", fixture.fleet.peer_ports[0]);
   mf_peers_add_seeds (isolated->jobs.peers, address);
   relay_fleet_wait_connected (&fixture.fleet);
   loop_spin (fixture.fleet.loop, 50);
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -2,6 +2,7 @@
 
 #include "libmangofork/clock.h"
 
+#include "fakes/ports.h"
 #include "loop_pump.h"
 
 #include <errno.h>
@@ -17,7 +18,6 @@
 #include <cmocka.h>
 
 #define N 4
-#define FIRST_PORT 21751
 #define FENCE 4711
 
 typedef struct
@@ -37,6 +37,7 @@
   MfRelayLog *log;
   int log_fd;
   Node nodes[N];
+  uint16_t ports[N];
 } Fleet;
 
 static void
@@ -86,7 +87,7 @@
   MfError error = { 0 };
 
   node->n_active = index + 1;
-  snprintf (node->address, sizeof node->address, "127.0.0.1:%u", FIRST_PORT + index);
+  snprintf (node->address, sizeof node->address, "127.0.0.1:%u", fleet->ports[index]);
   node->peers = mf_peers_new (fleet->loop, node->address, &callbacks, node, fleet->log, &error);
   assert_non_null (node->peers);
   mf_peers_add_seeds (node->peers, fleet->nodes[0].address);
@@ -102,6 +103,8 @@
   fleet->log_fd = open ("/dev/null", O_WRONLY);
   fleet->log = mf_relay_log_new (fleet->loop, "t", fleet->log_fd, &error);
   assert_non_null (fleet->log);
+  for (uint32_t i = 0; i < N; i++)
+    fleet->ports[i] = fake_ports_reserve ();
   for (uint32_t i = 0; i < N; i++)
     node_begin (fleet, i);
 }
@@ -324,7 +327,7 @@
 
   fleet_begin (fleet);
   assert_true (loop_pump (fleet->loop, all_have_reports, fleet));
-  fd = loop_connect (FIRST_PORT);
+  fd = loop_connect (fleet->ports[0]);
   loop_send (fd, bytes, n_bytes);
   return fd;
 }
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -3,6 +3,7 @@
 #include "libmangofork/clock.h"
 #include "platform/platform.h"
 
+#include "fakes/ports.h"
 #include "fakes/store.h"
 #include "fakes/upstream.h"
 #include "loop_pump.h"
@@ -18,11 +19,6 @@
 
 #include <cmocka.h>
 
-#define PORT 21761
-#define READY_PORT 21762
-#define METRICS_PORT 21763
-/* The first port that is tried for instances. */
-#define PEER_PORT 21821
 #define N_PEERS 8
 #define CHANGE_MS 1000
 #define CONTACT_MS 400
@@ -31,10 +27,15 @@
 /* The factor with which the relay ranks the instances of a data centre. */
 #define RANK_FACTOR UINT64_C (0x9e3779b97f4a7c15)
 #define SETTINGS "relay-test.conf"
-/* The second relay of a pair; the next two ports are its own as well. */
-#define OTHER_PORT 21765
+/* The second relay of a pair. */
 #define OTHER_SETTINGS "relay-test-other.conf"
-#define PAIR_PEERS "127.0.0.1:21768"
+
+/* Where the relay of the current test listens. */
+static uint16_t front_port;
+static uint16_t ready_port;
+static uint16_t metrics_port;
+/* The same of the second relay of a pair. */
+static uint16_t other_port;
 
 /* A relay with its store and two upstreams of a plain service, on one event loop. */
 typedef struct
@@ -124,6 +125,9 @@
   FILE *file = fopen (SETTINGS, "w");
 
   memset (fixture, 0, sizeof *fixture);
+  front_port = fake_ports_reserve ();
+  ready_port = fake_ports_reserve ();
+  metrics_port = fake_ports_reserve ();
   fixture->loop = ev_default_loop (0);
   fixture->store = fake_store_new (fixture->loop);
   assert_non_null (file);
@@ -131,7 +135,7 @@
            "node=n1\nzone=z\nlisten.front=127.0.0.1:%d\nlisten.readiness=127.0.0.1:%d\n"
            "internalPorts=%d,%d\nprovider.address=%s\nbounds.contactMs=%u\nbounds.graceS=3\n"
            "bounds.drainMs=%d\nlisten.control=%s\n",
-           PORT, READY_PORT, METRICS_PORT, METRICS_PORT + 1, fake_store_address (fixture->store),
+           front_port, ready_port, metrics_port, metrics_port, fake_store_address (fixture->store),
            contact_ms, CHANGE_MS, peers);
   fclose (file);
   for (unsigned i = 0; i < 2; i++)
@@ -208,16 +212,16 @@
 
   (void)state;
   fixture_begin (&fixture);
-  assert_int_equal (status_of (&fixture, READY_PORT, "/ready"), 503);
+  assert_int_equal (status_of (&fixture, ready_port, "/ready"), 503);
   /* Not 404, since the configuration that is not read yet may have the route. */
-  assert_int_equal (status_of (&fixture, PORT, "/a/1"), 503);
+  assert_int_equal (status_of (&fixture, front_port, "/a/1"), 503);
   assert_non_null (strstr (fixture.received, "Retry-After"));
   config_put (&fixture, 1, "/a/");
   upstream_put (&fixture, 0, "ready");
-  wait_for (&fixture, READY_PORT, "/ready", 200);
-  wait_for (&fixture, PORT, "/a/1", 200);
-  assert_int_equal (status_of (&fixture, PORT, "/b/1"), 404);
-  assert_int_equal (status_of (&fixture, METRICS_PORT, "/metrics"), 200);
+  wait_for (&fixture, ready_port, "/ready", 200);
+  wait_for (&fixture, front_port, "/a/1", 200);
+  assert_int_equal (status_of (&fixture, front_port, "/b/1"), 404);
+  assert_int_equal (status_of (&fixture, metrics_port, "/metrics"), 200);
   assert_non_null (strstr (fixture.received, "mangofork_relay_requests_total"));
   fixture_end (&fixture);
 }
@@ -240,25 +244,25 @@
 
   (void)state;
   fixture_begin (&fixture);
-  assert_int_equal (status_of (&fixture, METRICS_PORT, "/place?host=h&path=/a/1"), 503);
+  assert_int_equal (status_of (&fixture, metrics_port, "/place?host=h&path=/a/1"), 503);
   config_put (&fixture, 1, "/a/");
   upstream_put (&fixture, 0, "ready");
   upstream_put (&fixture, 1, "draining");
-  wait_for (&fixture, READY_PORT, "/ready", 200);
-  wait_for (&fixture, PORT, "/a/1", 200);
-  status_of (&fixture, METRICS_PORT, "/metrics");
+  wait_for (&fixture, ready_port, "/ready", 200);
+  wait_for (&fixture, front_port, "/a/1", 200);
+  status_of (&fixture, metrics_port, "/metrics");
   n_before = n_sends (&fixture);
   assert_int_equal (
-      status_of (&fixture, METRICS_PORT, "/place?method=GET&host=h&path=%2Fa%2F1&tokens=10,20"),
+      status_of (&fixture, metrics_port, "/place?method=GET&host=h&path=%2Fa%2F1&tokens=10,20"),
       200);
   assert_non_null (strstr (fixture.received, "\"chosen\":\"u0\""));
   assert_non_null (strstr (fixture.received, "\"left_out\":\"\""));
   assert_non_null (strstr (fixture.received, "\"left_out\":\"has left"));
-  assert_int_equal (status_of (&fixture, METRICS_PORT, "/place?host=h&path=/b/1"), 404);
-  assert_int_equal (status_of (&fixture, METRICS_PORT, "/place?host=h"), 400);
-  assert_int_equal (status_of (&fixture, METRICS_PORT, "/place?host=h&path=%2"), 400);
-  assert_int_equal (status_of (&fixture, METRICS_PORT, "/place?host=h&path=/a&tokens=1"), 400);
-  status_of (&fixture, METRICS_PORT, "/metrics");
+  assert_int_equal (status_of (&fixture, metrics_port, "/place?host=h&path=/b/1"), 404);
+  assert_int_equal (status_of (&fixture, metrics_port, "/place?host=h"), 400);
+  assert_int_equal (status_of (&fixture, metrics_port, "/place?host=h&path=%2"), 400);
+  assert_int_equal (status_of (&fixture, metrics_port, "/place?host=h&path=/a&tokens=1"), 400);
+  status_of (&fixture, metrics_port, "/metrics");
   assert_int_equal (n_sends (&fixture), n_before);
   fixture_end (&fixture);
 }
@@ -275,11 +279,11 @@
   mf_relay_set_spillover (fixture.relay, MF_SPILLOVER_ON, 2000.);
   config_put (&fixture, 1, "/a/");
   upstream_put (&fixture, 0, "ready");
-  wait_for (&fixture, READY_PORT, "/ready", 200);
-  wait_for (&fixture, PORT, "/a/1", 200);
+  wait_for (&fixture, ready_port, "/ready", 200);
+  wait_for (&fixture, front_port, "/a/1", 200);
   loop_spin (fixture.loop, 250);
-  assert_int_equal (status_of (&fixture, PORT, "/a/1"), 200);
-  status_of (&fixture, METRICS_PORT, "/metrics");
+  assert_int_equal (status_of (&fixture, front_port, "/a/1"), 200);
+  status_of (&fixture, metrics_port, "/metrics");
   assert_non_null (strstr (fixture.received, "mangofork_relay_spillover_requests_total{service="
                                              "\"s\",role=\"plain\",reason=\"stayed\"} 1\n"));
   assert_non_null (strstr (fixture.received, "mangofork_relay_spillover_share{service=\"s\""));
@@ -291,8 +295,8 @@
   fake_store_put (fixture.store, "servers/u1", text);
   upstream_put (&fixture, 0, "draining");
   loop_spin (fixture.loop, 400);
-  assert_int_equal (status_of (&fixture, PORT, "/a/1"), 200);
-  status_of (&fixture, METRICS_PORT, "/metrics");
+  assert_int_equal (status_of (&fixture, front_port, "/a/1"), 200);
+  status_of (&fixture, metrics_port, "/metrics");
   assert_non_null (strstr (fixture.received, "reason=\"stayed\"} 1\n"));
   assert_non_null (strstr (fixture.received, "reason=\"unusable\"} 1\n"));
   assert_null (
@@ -302,9 +306,9 @@
   fixture_begin (&fixture);
   config_put (&fixture, 1, "/a/");
   upstream_put (&fixture, 0, "ready");
-  wait_for (&fixture, PORT, "/a/1", 200);
+  wait_for (&fixture, front_port, "/a/1", 200);
   loop_spin (fixture.loop, 250);
-  status_of (&fixture, METRICS_PORT, "/metrics");
+  status_of (&fixture, metrics_port, "/metrics");
   assert_null (strstr (fixture.received, "spillover"));
   fixture_end (&fixture);
 }
@@ -318,15 +322,15 @@
   fixture_begin (&fixture);
   upstream_put (&fixture, 0, "ready");
   config_put (&fixture, 5, "/a/");
-  wait_for (&fixture, PORT, "/a/1", 200);
+  wait_for (&fixture, front_port, "/a/1", 200);
   config_put (&fixture, 9, "/b/");
-  wait_for (&fixture, PORT, "/b/1", 200);
-  assert_int_equal (status_of (&fixture, PORT, "/a/1"), 404);
+  wait_for (&fixture, front_port, "/b/1", 200);
+  assert_int_equal (status_of (&fixture, front_port, "/a/1"), 404);
   config_put (&fixture, 7, "/c/");
   fake_store_put (fixture.store, "op/config", "{\"version\":11,\"routes\":7}");
   loop_spin (fixture.loop, 200);
-  assert_int_equal (status_of (&fixture, PORT, "/b/1"), 200);
-  assert_int_equal (status_of (&fixture, PORT, "/c/1"), 404);
+  assert_int_equal (status_of (&fixture, front_port, "/b/1"), 200);
+  assert_int_equal (status_of (&fixture, front_port, "/c/1"), 404);
   fixture_end (&fixture);
 }
 
@@ -340,22 +344,22 @@
   fixture_begin (&fixture);
   config_put (&fixture, 1, "/a/");
   upstream_put (&fixture, 0, "ready");
-  wait_for (&fixture, PORT, "/a/1", 200);
+  wait_for (&fixture, front_port, "/a/1", 200);
   upstream_put (&fixture, 1, "ready");
   upstream_put (&fixture, 0, "draining");
   loop_spin (fixture.loop, 400);
   n_before = fake_upstream_n_requests (fixture.upstreams[0]);
   for (unsigned i = 0; i < 10; i++)
-    assert_int_equal (status_of (&fixture, PORT, "/a/1"), 200);
+    assert_int_equal (status_of (&fixture, front_port, "/a/1"), 200);
   assert_int_equal (fake_upstream_n_requests (fixture.upstreams[0]), n_before);
   assert_true (fake_upstream_n_requests (fixture.upstreams[1]) >= 10);
   /* An entry that is removed without a drain, and an invalid entry. */
   fake_store_remove (fixture.store, "servers/u1");
-  wait_for (&fixture, PORT, "/a/1", 503);
+  wait_for (&fixture, front_port, "/a/1", 503);
   upstream_put (&fixture, 1, "ready");
-  wait_for (&fixture, PORT, "/a/1", 200);
+  wait_for (&fixture, front_port, "/a/1", 200);
   fake_store_put (fixture.store, "servers/u1", "{\"service\":");
-  wait_for (&fixture, PORT, "/a/1", 503);
+  wait_for (&fixture, front_port, "/a/1", 503);
   fixture_end (&fixture);
 }
 
@@ -376,7 +380,7 @@
     }
   upstream_put (&fixture, 1, "ready");
   config_put (&fixture, 1, "/a/");
-  wait_for (&fixture, PORT, "/a/1", 200);
+  wait_for (&fixture, front_port, "/a/1", 200);
   fixture_end (&fixture);
 }
 
@@ -413,11 +417,11 @@
   fake_store_put (fixture.store, key, values[0]);
   upstream_put (&fixture, 1, "ready");
   config_put (&fixture, 1, "/a/");
-  wait_for (&fixture, PORT, "/a/1", 200);
-  assert_int_equal (status_of (&fixture, PORT, "/a/1"), 200);
+  wait_for (&fixture, front_port, "/a/1", 200);
+  assert_int_equal (status_of (&fixture, front_port, "/a/1"), 200);
   fake_store_put (fixture.store, "servers/later", deep);
   config_put (&fixture, 2, "/b/");
-  wait_for (&fixture, PORT, "/b/1", 200);
+  wait_for (&fixture, front_port, "/b/1", 200);
   fixture_end (&fixture);
 }
 
@@ -432,7 +436,7 @@
   fixture_begin (&fixture);
   config_put (&fixture, 1, "/a/");
   upstream_put (&fixture, 0, "ready");
-  wait_for (&fixture, PORT, "/a/1", 200);
+  wait_for (&fixture, front_port, "/a/1", 200);
   for (unsigned i = 0; i < MF_ARRAY_LEN (states); i++)
     {
       char prefix[8];
@@ -442,12 +446,12 @@
       snprintf (path, sizeof path, "/%u/x", i);
       fake_store_set_mode (fixture.store, states[i]);
       loop_spin (fixture.loop, 100);
-      assert_int_equal (status_of (&fixture, READY_PORT, "/ready"), 200);
+      assert_int_equal (status_of (&fixture, ready_port, "/ready"), 200);
       config_put (&fixture, i + 2, prefix);
       /* After the outage the history of changes is not available. */
       fake_store_drop_history (fixture.store);
       fake_store_set_mode (fixture.store, FAKE_STORE_SERVES);
-      wait_for (&fixture, PORT, path, 200);
+      wait_for (&fixture, front_port, path, 200);
     }
   fixture_end (&fixture);
 }
@@ -464,7 +468,7 @@
   fixture_begin (&fixture);
   config_put (&fixture, 1, "/a/");
   upstream_put (&fixture, 0, "ready");
-  wait_for (&fixture, PORT, "/a/1", 200);
+  wait_for (&fixture, front_port, "/a/1", 200);
   fake_store_set_rate (fixture.store, SLOW_LINK_BYTES_PER_S);
   fake_store_set_mode (fixture.store, FAKE_STORE_BUSY);
   loop_spin (fixture.loop, 100);
@@ -473,12 +477,12 @@
   served_us = mf_clock_now_us ();
   fake_store_set_mode (fixture.store, FAKE_STORE_SERVES);
   /* Both versions take 1.7 s. */
-  wait_for (&fixture, PORT, "/c/3600/x", 200);
+  wait_for (&fixture, front_port, "/c/3600/x", 200);
   assert_true (mf_clock_now_us () < served_us + 3 * MF_US_PER_S);
   /* The dropped route runs no more. What is known is older than the bound for changes until the
    * next answer of the store, so that a route may have been added meanwhile. */
-  assert_int_not_equal (status_of (&fixture, PORT, "/a/1"), 200);
-  wait_for (&fixture, PORT, "/a/1", 404);
+  assert_int_not_equal (status_of (&fixture, front_port, "/a/1"), 200);
+  wait_for (&fixture, front_port, "/a/1", 404);
   fixture_end (&fixture);
 }
 
@@ -493,7 +497,7 @@
   fixture_begin (&fixture);
   config_put_large (&fixture, 1, "/a/", 3600);
   upstream_put (&fixture, 0, "ready");
-  wait_for (&fixture, PORT, "/a/1/x", 200);
+  wait_for (&fixture, front_port, "/a/1/x", 200);
   fake_store_set_rate (fixture.store, SLOW_LINK_BYTES_PER_S);
   fake_store_set_mode (fixture.store, FAKE_STORE_BUSY);
   loop_spin (fixture.loop, 100);
@@ -509,12 +513,12 @@
   served_us = mf_clock_now_us ();
   fake_store_set_mode (fixture.store, FAKE_STORE_SERVES);
   /* One version takes 0.9 s, and six of them 5 s. */
-  wait_for (&fixture, PORT, "/b7/1/x", 200);
+  wait_for (&fixture, front_port, "/b7/1/x", 200);
   assert_true (mf_clock_now_us () < served_us + 2 * MF_US_PER_S);
   assert_int_equal (fake_upstream_n_requests (fixture.upstreams[1]), 1);
   /* The next change comes as usual. */
   config_put (&fixture, 20, "/z/");
-  wait_for (&fixture, PORT, "/z/1", 200);
+  wait_for (&fixture, front_port, "/z/1", 200);
   fixture_end (&fixture);
 }
 
@@ -553,14 +557,14 @@
   fixture_begin (&fixture);
   config_put (&fixture, 1, "/a/");
   upstream_put (&fixture, 0, "ready");
-  wait_for (&fixture, PORT, "/a/1", 200);
+  wait_for (&fixture, front_port, "/a/1", 200);
   fake_store_set_rate (fixture.store, SLOW_LINK_BYTES_PER_S);
   fake_store_set_mode (fixture.store, FAKE_STORE_BUSY);
   loop_spin (fixture.loop, 100);
   configs_put_large (&fixture, 2, 21);
   written_us = mf_clock_now_us ();
   fake_store_set_mode (fixture.store, FAKE_STORE_SERVES);
-  wait_for (&fixture, PORT, "/b21/1/x", 200);
+  wait_for (&fixture, front_port, "/b21/1/x", 200);
   assert_true (mf_clock_now_us () < written_us + 3 * MF_US_PER_S);
   /* The key is read anew, which takes 0.9 s, and the watch goes on from then. */
   fake_store_set_mode (fixture.store, FAKE_STORE_BUSY);
@@ -571,10 +575,10 @@
   loop_spin (fixture.loop, 500);
   configs_put_large (&fixture, 23, 42);
   written_us = mf_clock_now_us ();
-  wait_for (&fixture, PORT, "/b42/1/x", 200);
+  wait_for (&fixture, front_port, "/b42/1/x", 200);
   assert_true (mf_clock_now_us () < written_us + 3 * MF_US_PER_S);
   config_put (&fixture, 50, "/z/");
-  wait_for (&fixture, PORT, "/z/1", 200);
+  wait_for (&fixture, front_port, "/z/1", 200);
   fixture_end (&fixture);
 }
 
@@ -589,17 +593,17 @@
   fixture_begin (&fixture);
   config_put (&fixture, 1, "/a/");
   upstream_put (&fixture, 0, "ready");
-  wait_for (&fixture, PORT, "/a/1", 200);
-  assert_int_equal (status_of (&fixture, PORT, "/b/1/x"), 404);
+  wait_for (&fixture, front_port, "/a/1", 200);
+  assert_int_equal (status_of (&fixture, front_port, "/b/1/x"), 404);
   fake_store_set_rate (fixture.store, SLOW_LINK_BYTES_PER_S);
   config_put_large (&fixture, 2, "/b/", 3600);
   /* It takes 0.9 s. */
   loop_spin (fixture.loop, 400);
-  assert_int_equal (status_of (&fixture, PORT, "/b/1/x"), 503);
+  assert_int_equal (status_of (&fixture, front_port, "/b/1/x"), 503);
   assert_non_null (strstr (fixture.received, "Retry-After"));
-  assert_int_equal (status_of (&fixture, PORT, "/a/1"), 200);
-  wait_for (&fixture, PORT, "/b/1/x", 200);
-  wait_for (&fixture, PORT, "/a/1", 404);
+  assert_int_equal (status_of (&fixture, front_port, "/a/1"), 200);
+  wait_for (&fixture, front_port, "/b/1/x", 200);
+  wait_for (&fixture, front_port, "/a/1", 404);
   fixture_end (&fixture);
 }
 
@@ -612,13 +616,13 @@
   fixture_begin_with (&fixture, "", 3000);
   config_put (&fixture, 1, "/a/");
   upstream_put (&fixture, 0, "ready");
-  wait_for (&fixture, PORT, "/a/1", 200);
+  wait_for (&fixture, front_port, "/a/1", 200);
   fake_store_set_mode (fixture.store, FAKE_STORE_SILENT);
   run_for (&fixture, 3400 * MF_US_PER_MS);
   upstream_put (&fixture, 0, "draining");
   fake_store_set_mode (fixture.store, FAKE_STORE_SERVES);
   run_for (&fixture, 1200 * MF_US_PER_MS);
-  assert_int_equal (status_of (&fixture, PORT, "/a/1"), 503);
+  assert_int_equal (status_of (&fixture, front_port, "/a/1"), 503);
   fixture_end (&fixture);
 }
 
@@ -634,19 +638,19 @@
   config_put (&fixture, 1, "/a/");
   upstream_put (&fixture, 0, "ready");
   upstream_put (&fixture, 1, "ready");
-  wait_for (&fixture, PORT, "/a/1", 200);
+  wait_for (&fixture, front_port, "/a/1", 200);
   fake_store_set_mode (fixture.store, FAKE_STORE_BUSY);
   loop_spin (fixture.loop, 600);
   fake_store_remove (fixture.store, "servers/u0");
   fake_store_remove (fixture.store, "servers/u1");
   fake_store_set_mode (fixture.store, FAKE_STORE_SERVES);
   loop_spin (fixture.loop, 300);
-  assert_int_equal (status_of (&fixture, PORT, "/a/1"), 200);
+  assert_int_equal (status_of (&fixture, front_port, "/a/1"), 200);
   upstream_put (&fixture, 1, "ready");
   loop_spin (fixture.loop, 1300);
-  assert_int_equal (status_of (&fixture, PORT, "/a/1"), 200);
+  assert_int_equal (status_of (&fixture, front_port, "/a/1"), 200);
   fake_store_remove (fixture.store, "servers/u1");
-  wait_for (&fixture, PORT, "/a/1", 503);
+  wait_for (&fixture, front_port, "/a/1", 503);
   fixture_end (&fixture);
 }
 
@@ -662,7 +666,7 @@
   fixture_begin (&fixture);
   upstream_put (&fixture, 0, "ready");
   config_put (&fixture, 1, "/a/");
-  wait_for (&fixture, PORT, "/a/1", 200);
+  wait_for (&fixture, front_port, "/a/1", 200);
   for (unsigned i = 0; i < 3; i++)
     {
       char prefix[8];
@@ -671,7 +675,7 @@
       fake_store_save (fixture.store);
       config_put (&fixture, 10 * i + 2, "/lost/");
       upstream_put (&fixture, 0, "ready");
-      wait_for (&fixture, PORT, "/lost/1", 200);
+      wait_for (&fixture, front_port, "/lost/1", 200);
       revision = fake_store_revision (fixture.store);
       fake_store_set_mode (fixture.store, FAKE_STORE_RESETS);
       fake_store_restore (fixture.store);
@@ -682,7 +686,7 @@
       while (i != 1 && fake_store_revision (fixture.store) <= revision + 1)
         upstream_put (&fixture, 0, "ready");
       fake_store_set_mode (fixture.store, FAKE_STORE_SERVES);
-      wait_for (&fixture, PORT, path, 200);
+      wait_for (&fixture, front_port, path, 200);
     }
   fixture_end (&fixture);
 }
@@ -699,20 +703,20 @@
   fake_store_save (fixture.store);
   config_put (&fixture, 2, "/b/");
   upstream_put (&fixture, 0, "ready");
-  wait_for (&fixture, PORT, "/b/1", 200);
+  wait_for (&fixture, front_port, "/b/1", 200);
   fake_store_restore (fixture.store);
   for (unsigned i = 0; i < 20; i++)
     {
       loop_spin (fixture.loop, 40);
-      assert_int_equal (status_of (&fixture, PORT, "/b/1"), 200);
-      assert_int_equal (status_of (&fixture, PORT, "/a/1"), 404);
+      assert_int_equal (status_of (&fixture, front_port, "/b/1"), 200);
+      assert_int_equal (status_of (&fixture, front_port, "/a/1"), 404);
     }
   upstream_put (&fixture, 0, "ready");
   /* The operator numbers his next version as the lost one. */
   config_put (&fixture, 2, "/c/");
-  wait_for (&fixture, PORT, "/c/1", 200);
+  wait_for (&fixture, front_port, "/c/1", 200);
   loop_spin (fixture.loop, 2500);
-  assert_int_equal (status_of (&fixture, PORT, "/c/1"), 200);
+  assert_int_equal (status_of (&fixture, front_port, "/c/1"), 200);
   fixture_end (&fixture);
 }
 
@@ -732,7 +736,7 @@
       config_put (&fixture, 1, "/a/");
       upstream_put (&fixture, 0, "ready");
       upstream_put (&fixture, 1, "ready");
-      wait_for (&fixture, PORT, "/a/1", 200);
+      wait_for (&fixture, front_port, "/a/1", 200);
       fake_store_save (fixture.store);
       if (i != 1)
         upstream_put (&fixture, 1, "draining");
@@ -745,7 +749,7 @@
       for (unsigned j = 0; j < 20; j++)
         {
           loop_spin (fixture.loop, 40);
-          assert_int_equal (status_of (&fixture, PORT, "/a/1"), 200);
+          assert_int_equal (status_of (&fixture, front_port, "/a/1"), 200);
         }
       assert_int_equal (fake_upstream_n_requests (fixture.upstreams[1]), n_before);
       fake_store_remove (fixture.store, "servers/u0");
@@ -753,10 +757,10 @@
       if (i == 1)
         {
           upstream_put (&fixture, 1, "ready");
-          wait_for (&fixture, PORT, "/a/1", 200);
+          wait_for (&fixture, front_port, "/a/1", 200);
         }
       else
-        wait_for (&fixture, PORT, "/a/1", 503);
+        wait_for (&fixture, front_port, "/a/1", 503);
       fixture_end (&fixture);
     }
 }
@@ -827,20 +831,23 @@
 {
   MfError error = { 0 };
   char seed[MF_ADDRESS_BYTES];
+  uint16_t peer_ports[N_PEERS];
 
   memset (peer_fixture, 0, sizeof *peer_fixture);
-  for (int port = PEER_PORT; peer_fixture->role != role; port += N_PEERS + 1)
+  for (uint32_t i = 0; i < N_PEERS; i++)
+    peer_ports[i] = fake_ports_reserve ();
+  while (peer_fixture->role != role)
     {
       uint32_t rank = 0;
       uint64_t own;
 
-      snprintf (seed, sizeof seed, "127.0.0.1:%d", port);
+      snprintf (seed, sizeof seed, "127.0.0.1:%d", fake_ports_reserve ());
       own = mf_load_hash (seed) * RANK_FACTOR;
-      for (int i = 1; i <= N_PEERS; i++)
+      for (uint32_t i = 0; i < N_PEERS; i++)
         {
           char other[MF_ADDRESS_BYTES];
 
-          snprintf (other, sizeof other, "127.0.0.1:%d", port + i);
+          snprintf (other, sizeof other, "127.0.0.1:%d", peer_ports[i]);
           rank += mf_load_hash (other) * RANK_FACTOR > own;
         }
       peer_fixture->role = mf_feed_role (&(MfFeedRank){ .n_instances = N_PEERS + 1, .rank = rank });
@@ -850,7 +857,7 @@
     {
       char address[MF_ADDRESS_BYTES];
 
-      snprintf (address, sizeof address, "127.0.0.1:%d", atoi (strchr (seed, ':') + 1) + i + 1);
+      snprintf (address, sizeof address, "127.0.0.1:%d", peer_ports[i]);
       peer_fixture->peers[i]
           = mf_peers_new (peer_fixture->fixture.loop, address, &peers_callbacks, peer_fixture,
                           mf_relay_log (peer_fixture->fixture.relay), &error);
@@ -861,7 +868,7 @@
   peer_fixture->role = MF_FEED_STANDALONE;
   config_put (&peer_fixture->fixture, 1, "/a/");
   upstream_put (&peer_fixture->fixture, 0, "ready");
-  wait_for (&peer_fixture->fixture, PORT, "/a/1", 200);
+  wait_for (&peer_fixture->fixture, front_port, "/a/1", 200);
   assert_true (loop_pump (peer_fixture->fixture.loop, all_are_connected, peer_fixture));
 }
 
@@ -919,14 +926,14 @@
       loop_spin (fixture->loop, 50);
     }
   assert_int_equal (fake_store_n_calls (fixture->store), n_calls);
-  assert_int_equal (status_of (fixture, PORT, "/a/1"), 200);
+  assert_int_equal (status_of (fixture, front_port, "/a/1"), 200);
   snprintf (value, sizeof value,
             "{\"service\":\"s\",\"address\":\"%s\",\"zone\":\"z\",\"version\":1,\"slots\":4,"
             "\"state\":\"draining\",\"coldRemainingMs\":0,\"sequence\":2}",
             fake_upstream_address (fixture->upstreams[0]));
   assert_true (mf_feed_add (&feed, "servers/u0", revision + 1, false, value, strlen (value)));
   feed_send (&peer_fixture, &feed, revision + 1);
-  wait_for (fixture, PORT, "/a/1", 503);
+  wait_for (fixture, front_port, "/a/1", 503);
   assert_int_equal (fake_store_n_calls (fixture->store), n_calls);
   /* No more feeds arrive. */
   until_us = mf_clock_now_us () + CHANGE_MS * MF_US_PER_MS;
@@ -943,7 +950,7 @@
   /* The store now has the change of the first feed, and one that the relay has to read. */
   upstream_put (fixture, 0, "draining");
   upstream_put (fixture, 1, "ready");
-  wait_for (fixture, PORT, "/a/1", 200);
+  wait_for (fixture, front_port, "/a/1", 200);
   mf_feed_clear (&feed);
   mf_feed_clear (&gap_feed);
   peer_fixture_end (&peer_fixture);
@@ -983,17 +990,17 @@
   fake_store_set_mode (fixture->store, FAKE_STORE_SERVES);
   mf_feed_begin (&feed, 2, fake_store_revision (fixture->store));
   feed_send (&peer_fixture, &feed, feed.from_revision);
-  wait_for (fixture, PORT, "/c/1", 200);
+  wait_for (fixture, front_port, "/c/1", 200);
   /* A reader that has not noticed yet. */
   feed_send (&peer_fixture, &old_feed, revision + 9);
   loop_spin (fixture->loop, 100);
-  assert_int_equal (status_of (fixture, PORT, "/c/1"), 200);
+  assert_int_equal (status_of (fixture, front_port, "/c/1"), 200);
   /* A feed of an era that there is not. */
   mf_feed_begin (&feed, UINT64_MAX, 1);
   feed_send (&peer_fixture, &feed, 1);
   loop_spin (fixture->loop, 1000);
   config_put (fixture, 4, "/d/");
-  wait_for (fixture, PORT, "/d/1", 200);
+  wait_for (fixture, front_port, "/d/1", 200);
   mf_feed_clear (&feed);
   mf_feed_clear (&old_feed);
   peer_fixture_end (&peer_fixture);
@@ -1031,7 +1038,7 @@
   feed.keep_us = 2300 * MF_US_PER_MS;
   feed_send (&peer_fixture, &feed, revision + 1);
   loop_spin (fixture->loop, 300);
-  assert_int_equal (status_of (fixture, PORT, "/a/1"), 503);
+  assert_int_equal (status_of (fixture, front_port, "/a/1"), 503);
   mf_feed_clear (&feed);
   peer_fixture_end (&peer_fixture);
 }
@@ -1070,7 +1077,8 @@
       fake_store_remove (fixture->store, "servers/u0");
       fake_store_set_mode (fixture->store, FAKE_STORE_SERVES);
       loop_spin (fixture->loop, 600);
-      assert_int_equal (status_of (fixture, PORT, "/a/1"), outage == REFUSED_ALONE ? 503 : 200);
+      assert_int_equal (status_of (fixture, front_port, "/a/1"),
+                        outage == REFUSED_ALONE ? 503 : 200);
       mf_feed_clear (&feed);
       peer_fixture_end (&peer_fixture);
     }
@@ -1103,18 +1111,22 @@
 pair_fixture_begin (PairFixture *pair)
 {
   Fixture *fixture = &pair->fixture;
+  char pair_peers[MF_ADDRESS_BYTES];
   MfError error = { 0 };
   FILE *file;
 
-  fixture_begin_with (fixture, PAIR_PEERS, CONTACT_MS);
+  snprintf (pair_peers, sizeof pair_peers, "127.0.0.1:%d", fake_ports_reserve ());
+  other_port = fake_ports_reserve ();
+  fixture_begin_with (fixture, pair_peers, CONTACT_MS);
   pair->store = fake_store_new (fixture->loop);
   file = fopen (OTHER_SETTINGS, "w");
   assert_non_null (file);
   fprintf (file,
            "node=n2\nzone=z\nlisten.front=127.0.0.1:%d\nlisten.readiness=127.0.0.1:%d\n"
            "provider.address=%s\nbounds.contactMs=400\nbounds.graceS=3\nbounds.drainMs=%d\n"
-           "heartbeatMs=200\nlisten.control=127.0.0.1:%d\nseeds=" PAIR_PEERS "\n",
-           OTHER_PORT, OTHER_PORT + 1, fake_store_address (pair->store), CHANGE_MS, OTHER_PORT + 2);
+           "heartbeatMs=200\nlisten.control=127.0.0.1:%d\nseeds=%s\n",
+           other_port, fake_ports_reserve (), fake_store_address (pair->store), CHANGE_MS,
+           fake_ports_reserve (), pair_peers);
   fclose (file);
   pair->relay = mf_relay_new (&platform_deployment, OTHER_SETTINGS, &error);
   assert_non_null (pair->relay);
@@ -1154,8 +1166,8 @@
   config_put (&pair->fixture, 1, "/a/");
   config_put (&other, 1, "/a/");
   pair_fixture_list (pair, true);
-  wait_for (&pair->fixture, PORT, "/a/1", 200);
-  wait_for (&pair->fixture, OTHER_PORT, "/a/1", 200);
+  wait_for (&pair->fixture, front_port, "/a/1", 200);
+  wait_for (&pair->fixture, other_port, "/a/1", 200);
   loop_spin (pair->fixture.loop, 300);
   fake_store_set_mode (pair->store, FAKE_STORE_SILENT);
 }
@@ -1173,13 +1185,13 @@
   pair_fixture_cut (&pair);
   loop_spin (fixture->loop, 1100);
   pair_fixture_list (&pair, false);
-  wait_for (fixture, PORT, "/a/1", 503);
+  wait_for (fixture, front_port, "/a/1", 503);
   loop_spin (fixture->loop, 100);
-  assert_int_equal (status_of (fixture, OTHER_PORT, "/a/1"), 503);
+  assert_int_equal (status_of (fixture, other_port, "/a/1"), 503);
   fake_store_set_mode (pair.store, FAKE_STORE_SERVES);
   for (uint32_t i = 0; i < 20; i++)
     {
-      assert_int_equal (status_of (fixture, OTHER_PORT, "/a/1"), 503);
+      assert_int_equal (status_of (fixture, other_port, "/a/1"), 503);
       loop_spin (fixture->loop, 100);
     }
   pair_fixture_end (&pair);
@@ -1194,9 +1206,9 @@
   pair_fixture_begin (&pair);
   pair_fixture_cut (&pair);
   pair_fixture_list (&pair, false);
-  wait_for (&pair.fixture, OTHER_PORT, "/a/1", 503);
+  wait_for (&pair.fixture, other_port, "/a/1", 503);
   pair_fixture_list (&pair, true);
-  wait_for (&pair.fixture, OTHER_PORT, "/a/1", 200);
+  wait_for (&pair.fixture, other_port, "/a/1", 200);
   pair_fixture_end (&pair);
 }
 
@@ -1207,7 +1219,7 @@
   int fd;
 
   loop_spin (fixture->loop, 2);
-  fd = loop_connect (PORT);
+  fd = loop_connect (front_port);
   if (fd >= 0)
     close (fd);
   return fd < 0;
@@ -1227,14 +1239,14 @@
   fixture_begin (&fixture);
   config_put (&fixture, 1, "/a/");
   upstream_put (&fixture, 0, "ready");
-  wait_for (&fixture, PORT, "/a/1", 200);
+  wait_for (&fixture, front_port, "/a/1", 200);
   raise (SIGTERM);
-  wait_for (&fixture, READY_PORT, "/ready", 503);
-  assert_int_equal (status_of (&fixture, PORT, "/a/1"), 200);
+  wait_for (&fixture, ready_port, "/ready", 503);
+  assert_int_equal (status_of (&fixture, front_port, "/a/1"), 200);
   assert_non_null (strstr (fixture.received, "Connection: close"));
-  open_fd = loop_connect (PORT);
+  open_fd = loop_connect (front_port);
   assert_true (loop_pump (fixture.loop, cannot_connect, &fixture));
-  assert_int_equal (status_of (&fixture, READY_PORT, "/ready"), 503);
+  assert_int_equal (status_of (&fixture, ready_port, "/ready"), 503);
   /* Before this, a response could still be complete before the exit. */
   loop_spin (fixture.loop, 100);
   loop_send (open_fd, request, strlen (request));
@@ -1260,14 +1272,14 @@
   fixture_begin (&fixture);
   config_put (&fixture, 1, "/a/");
   upstream_put (&fixture, 0, "ready");
-  wait_for (&fixture, PORT, "/a/1", 200);
+  wait_for (&fixture, front_port, "/a/1", 200);
   other = fake_store_new (fixture.loop);
   file = fopen (SETTINGS, "w");
   assert_non_null (file);
   fprintf (file,
            "node=n1\nzone=z\nlisten.front=127.0.0.1:%d\nlisten.readiness=127.0.0.1:%d\n"
            "provider.address=%s\nbounds.contactMs=400\n",
-           PORT, READY_PORT, fake_store_address (other));
+           front_port, ready_port, fake_store_address (other));
   fclose (file);
   raise (SIGHUP);
   loop_spin (fixture.loop, 300);
@@ -1278,7 +1290,7 @@
   fprintf (file,
            "node=n1\nzone=z\nlisten.front=127.0.0.1:%d\nlisten.readiness=127.0.0.1:%d\n"
            "provider.address=%s\nbounds.contactMs=400\n",
-           PORT, READY_PORT, fake_store_address (fixture.store));
+           front_port, ready_port, fake_store_address (fixture.store));
   fclose (file);
   n_before = fake_store_n_calls (fixture.store);
   loop_spin (fixture.loop, 900);
@@ -1289,7 +1301,7 @@
   fclose (file);
   raise (SIGHUP);
   loop_spin (fixture.loop, 400);
-  assert_int_equal (status_of (&fixture, READY_PORT, "/ready"), 200);
+  assert_int_equal (status_of (&fixture, ready_port, "/ready"), 200);
   fixture_end (&fixture);
   fake_store_free (other);
 }
@@ -1311,19 +1323,19 @@
       fixture_begin (&fixture);
       config_put (&fixture, 1, "/a/");
       upstream_put (&fixture, 0, "ready");
-      wait_for (&fixture, PORT, "/a/1", 200);
+      wait_for (&fixture, front_port, "/a/1", 200);
       other = fake_store_new (fixture.loop);
       file = fopen (SETTINGS, "w");
       assert_non_null (file);
       fprintf (file,
                "%snode=n1\nzone=z\nlisten.front=127.0.0.1:%d\nlisten.readiness=127.0.0.1:%d\n"
                "provider.address=%s\nbounds.contactMs=400\n",
-               lines[i], PORT, READY_PORT, fake_store_address (other));
+               lines[i], front_port, ready_port, fake_store_address (other));
       fclose (file);
       raise (SIGHUP);
       loop_spin (fixture.loop, 400);
       assert_true (fake_store_n_calls (other) > 0);
-      assert_int_equal (status_of (&fixture, READY_PORT, "/ready"), 200);
+      assert_int_equal (status_of (&fixture, ready_port, "/ready"), 200);
       fixture_end (&fixture);
       fake_store_free (other);
     }
@@ -1342,14 +1354,14 @@
   fixture_begin (&fixture);
   config_put (&fixture, 1, "/a/");
   upstream_put (&fixture, 0, "ready");
-  wait_for (&fixture, PORT, "/a/1", 200);
+  wait_for (&fixture, front_port, "/a/1", 200);
   other = fake_store_new (fixture.loop);
   file = fopen (SETTINGS, "w");
   assert_non_null (file);
   fprintf (file,
            "node=n1\nzone=z\nlisten.front=127.0.0.1:%d\nlisten.readiness=127.0.0.1:%d\n"
            "provider.address=%s\n",
-           PORT, READY_PORT, fake_store_address (other));
+           front_port, ready_port, fake_store_address (other));
   raise (SIGHUP);
   for (uint32_t i = 0; i < 40; i++)
     {
