Suspects: an answer takes back failures that are not yet counted

Cause: the failures of the stall and of the cancelled copy were kept, and counted as crashes when the upstreams ended. A run that goes on took back only failures from before it was sent, and an answer only crashes that had been counted.

Change: a silent run that goes on takes back its own failure; an answer drops those of its request.

test_crashes_after_the_answer_of_a_silent_run_are_not_charged_to_it failed before.

--- a/libmangofork/relay/job_row.h
+++ b/libmangofork/relay/job_row.h
@@ -241,6 +241,7 @@
 bool mf_job_is_suspect (const MfJob *job);
 bool mf_job_end_quarantined (MfJob *job);
 void mf_job_note_failure (MfJob *job, MfTarget *target, bool is_broken);
+void mf_job_withdraw_failure (MfJob *job);
 void mf_job_note_upstream_alive (const MfJob *job);
 void mf_job_note_outcome (const MfJob *job, bool answered);
 void mf_job_note_sound (MfJob *job);
--- a/libmangofork/relay/job_stall.c
+++ b/libmangofork/relay/job_stall.c
@@ -94,6 +94,7 @@
   job->is_retry = stalled.is_retry;
   job->n_arrivals--;
   job->n_runs--;
+  mf_job_withdraw_failure (job);
   job->step_deadline_us = now_us + mf_job_stall_us (job);
   mf_job_set_timer (job);
 }
--- a/libmangofork/relay/job_suspect.c
+++ b/libmangofork/relay/job_suspect.c
@@ -662,6 +662,21 @@
     upstream_crashed (jobs, target);
 }
 
+/* Takes back the failure of a silent run that goes on: if its upstream has crashed, the run fails
+ * again. */
+void
+mf_job_withdraw_failure (MfJob *job)
+{
+  MfSuspectFailure failure;
+
+  if (!mf_suspects_withdraw_failure (job->jobs->suspects, job->try_id,
+                                     mf_target_process_id (job->target), &failure))
+    return;
+  job->n_failures--;
+  job->trial_part = failure.trial_part;
+  job->trial_content = failure.trial_content;
+}
+
 /* Retries a request after a failure, or ends it. A suspect, or a request that one crash makes one,
  * waits until a probe has shown whether this upstream has crashed as well. */
 void
--- a/libmangofork/suspect.c
+++ b/libmangofork/suspect.c
@@ -343,11 +343,17 @@
   return add_crash (suspects, digest, crash, isolated ? CRASHES_ISOLATED : CRASHES_CERTAIN, now_us);
 }
 
-/* Remembers that an upstream has survived a request. */
+/* Remembers that an upstream has survived a request. Failures of it that are still kept had another
+ * cause: what their upstreams do now does not concern it. */
 void
 mf_suspects_note_answered (MfSuspects *suspects, uint64_t digest)
 {
   suspects->answered[digest % MF_SUSPECT_ANSWERED_MAX] = digest;
+  for (uint32_t i = suspects->n_failures; i-- > 0;)
+    {
+      if (suspects->failures[i].digest == digest)
+        suspects->failures[i] = suspects->failures[--suspects->n_failures];
+    }
 }
 
 /* Whether an upstream is known to have survived the request. */
@@ -410,6 +416,24 @@
   return false;
 }
 
+/* Withdraws the failure of an attempt at an upstream, as the attempt goes on there. Returns whether
+ * there was one. */
+bool
+mf_suspects_withdraw_failure (MfSuspects *suspects, uint64_t request_id, uint64_t upstream_id,
+                              MfSuspectFailure *failure)
+{
+  for (uint32_t i = 0; i < suspects->n_failures; i++)
+    {
+      if (suspects->failures[i].request_id != request_id
+          || suspects->failures[i].upstream_id != upstream_id)
+        continue;
+      *failure = suspects->failures[i];
+      suspects->failures[i] = suspects->failures[--suspects->n_failures];
+      return true;
+    }
+  return false;
+}
+
 /* Returns the content of all suspects that failed at an upstream; 0: there are several, or none. */
 static uint64_t
 sole_suspect_content (const MfSuspects *suspects, uint64_t upstream_id)
--- a/libmangofork/suspect.h
+++ b/libmangofork/suspect.h
@@ -119,6 +119,8 @@
                           void *data);
 
 bool mf_suspects_add_failure (MfSuspects *suspects, const MfSuspectFailure *failure);
+bool mf_suspects_withdraw_failure (MfSuspects *suspects, uint64_t request_id, uint64_t upstream_id,
+                                   MfSuspectFailure *failure);
 uint32_t mf_suspects_n_failures (const MfSuspects *suspects);
 void mf_suspects_upstream_crashed (MfSuspects *suspects, uint64_t upstream_id, uint64_t process_id,
                                    uint64_t now_us, MfSuspectFailureFunc func, void *data);
--- a/tests/test_job_stall.c
+++ b/tests/test_job_stall.c
@@ -573,6 +573,95 @@
     }
 }
 
+static FakeUpstreamConn *copy; /* the run that was sent for the silent one */
+
+/* Sends nothing. */
+static void
+handle_copy (FakeUpstreamConn *conn, const char *text, const char *id)
+{
+  (void)text;
+  (void)id;
+  copy = conn;
+}
+
+static bool
+has_copy (void *data)
+{
+  (void)data;
+  return copy != NULL;
+}
+
+static bool
+has_resumed (void *data)
+{
+  const MfJob *job = ((RelayFixture *)data)->jobs.first;
+
+  return job == NULL || job->stalled.link == NULL;
+}
+
+/* Lists a new process at the address of an upstream, which has crashed then. */
+static void
+replace_upstream (RelayFixture *fixture, uint32_t index, const char *id)
+{
+  relay_fixture_list_upstream (fixture, id, MF_ROLE_DECODE,
+                               fake_upstream_address (fixture->upstreams[index].server));
+}
+
+/* A request was refused for the crashes of two upstreams, though it had been answered: by the one
+ * that had been silent, while its copy at the other was cancelled. Both kept its failure. */
+static void
+test_crashes_after_the_answer_of_a_silent_run_are_not_charged_to_it (void **state)
+{
+  RelayFixture fixture;
+  int fd;
+
+  (void)state;
+  setup (&fixture);
+  copy = NULL;
+  relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_silent);
+  relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_copy);
+  fd = call_begin ();
+  assert_true (loop_pump (fixture.loop, is_silent, NULL));
+  assert_true (loop_pump (fixture.loop, has_copy, NULL));
+  assert_int_equal (mf_suspects_n_failures (fixture.jobs.suspects), 1);
+  fake_upstream_conn_send (silent, "f\r\nid: 2\ndata: b\n\n\r\n");
+  assert_true (loop_pump (fixture.loop, has_resumed, &fixture));
+  /* The one of the copy, as its upstream may still have it. */
+  assert_int_equal (mf_suspects_n_failures (fixture.jobs.suspects), 1);
+  fake_upstream_conn_send (silent, "0\r\n\r\n");
+  assert_whole (&fixture, fd);
+  assert_int_equal (mf_suspects_n_failures (fixture.jobs.suspects), 0);
+  replace_upstream (&fixture, 0, "v0");
+  replace_upstream (&fixture, 1, "v1");
+  assert_int_equal (fixture.jobs.counters.counts[MF_RELAY_COUNT_SUSPICIONS], 0);
+  teardown (&fixture);
+}
+
+/* Its own failure is noted again when a silent run that has gone on breaks off. */
+static void
+test_silent_run_that_goes_on_and_breaks_is_a_suspect (void **state)
+{
+  RelayFixture fixture;
+  int fd;
+
+  (void)state;
+  setup (&fixture);
+  copy = NULL;
+  relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_silent);
+  relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_copy);
+  fd = call_begin ();
+  assert_true (loop_pump (fixture.loop, is_silent, NULL));
+  assert_true (loop_pump (fixture.loop, has_copy, NULL));
+  fake_upstream_conn_send (silent, "f\r\nid: 2\ndata: b\n\n\r\n");
+  assert_true (loop_pump (fixture.loop, has_resumed, &fixture));
+  fake_upstream_conn_close (silent, true);
+  loop_receive (fixture.loop, fd, NULL, fixture.received, sizeof fixture.received);
+  close (fd);
+  replace_upstream (&fixture, 0, "v0");
+  assert_true (fixture.jobs.counters.counts[MF_RELAY_COUNT_SUSPICIONS] > 0);
+  teardown (&fixture);
+}
+
 int
 main (void)
 {
@@ -591,6 +680,8 @@
     cmocka_unit_test (test_failed_second_prefill_ends_no_silent_run),
     cmocka_unit_test (test_silent_run_that_breaks_goes_on_elsewhere),
     cmocka_unit_test (test_end_during_the_search_leaves_nothing),
+    cmocka_unit_test (test_crashes_after_the_answer_of_a_silent_run_are_not_charged_to_it),
+    cmocka_unit_test (test_silent_run_that_goes_on_and_breaks_is_a_suspect),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/tests/test_suspect.c
+++ b/tests/test_suspect.c
@@ -295,6 +295,46 @@
   mf_suspects_free (suspects);
 }
 
+/* Crashes that were noticed after a request had been answered were charged to it, because of copies
+ * that had been sent to these upstreams before. */
+static void
+test_answered_request_is_charged_with_no_later_crash (void **state)
+{
+  MfSuspects *suspects = mf_suspects_new (&limits);
+
+  (void)state;
+  add_failure (suspects, DIGEST, 1, false, S);
+  add_failure (suspects, OTHER_DIGEST, 1, false, S);
+  add_failure (suspects, DIGEST, 2, false, S);
+  mf_suspects_note_answered (suspects, DIGEST);
+  assert_int_equal (mf_suspects_n_failures (suspects), 1);
+  upstream_crashes (suspects, 1, 2 * S);
+  upstream_crashes (suspects, 2, 2 * S);
+  assert_null (mf_suspects_find (suspects, DIGEST, 2 * S));
+  assert_non_null (mf_suspects_find (suspects, OTHER_DIGEST, 2 * S));
+  mf_suspects_free (suspects);
+}
+
+static void
+test_failure_of_an_attempt_that_goes_on_is_withdrawn (void **state)
+{
+  MfSuspects *suspects = mf_suspects_new (&limits);
+  MfSuspectFailure failure
+      = { .digest = DIGEST, .request_id = 7, .upstream_id = 1, .failed_us = S };
+  MfSuspectFailure withdrawn;
+
+  (void)state;
+  mf_suspects_add_failure (suspects, &failure);
+  failure.upstream_id = 2;
+  mf_suspects_add_failure (suspects, &failure);
+  assert_false (mf_suspects_withdraw_failure (suspects, 8, 1, &withdrawn));
+  assert_true (mf_suspects_withdraw_failure (suspects, 7, 1, &withdrawn));
+  assert_int_equal (withdrawn.upstream_id, 1);
+  assert_false (mf_suspects_withdraw_failure (suspects, 7, 1, &withdrawn));
+  assert_int_equal (mf_suspects_n_failures (suspects), 1);
+  mf_suspects_free (suspects);
+}
+
 int
 main (void)
 {
@@ -310,6 +350,8 @@
     cmocka_unit_test (test_quarantines_survive_eviction),
     cmocka_unit_test (test_one_crash_quarantines_the_request_sent_last_for_longer),
     cmocka_unit_test (test_one_crash_does_not_release_a_request_with_two),
+    cmocka_unit_test (test_answered_request_is_charged_with_no_later_crash),
+    cmocka_unit_test (test_failure_of_an_attempt_that_goes_on_is_withdrawn),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
