Configuration: numbers above 32 bits are not cut to their lower bits

test_large_numbers_are_not_cut: by reading, the code before cut each of its four values; not run on it.

--- a/tests/test_platform_decode.c
+++ b/tests/test_platform_decode.c
@@ -217,6 +217,26 @@
   mf_routes_unref (routes);
 }
 
+/* Numbers above 32 bits were cut to their lower bits, and a weight could become 0. */
+static void
+test_large_numbers_are_not_cut (void **state)
+{
+  MfError error = { 0 };
+  MfRoutes *routes = config_read (
+      "{\"name\":\"r\",\"host\":\"h\",\"pathPrefix\":\"/a/\",\"kind\":\"idempotent\","
+      "\"priority\":4294967296,\"maxAttempts\":4294967297,\"trafficSplit\":[{\"service\":\"llm\","
+      "\"weight\":4294967.296},{\"service\":\"shop\",\"weight\":1}]}",
+      &error);
+
+  (void)state;
+  assert_non_null (routes);
+  assert_int_equal (routes->routes[0].priority, UINT32_MAX);
+  assert_int_equal (routes->routes[0].attempts_max, UINT32_MAX);
+  assert_int_equal (routes->routes[0].shares[0].weight, UINT32_MAX);
+  assert_int_equal (routes->routes[0].shares[1].weight, 1000);
+  mf_routes_unref (routes);
+}
+
 static void
 test_config_with_faults (void **state)
 {
@@ -357,6 +377,7 @@
     cmocka_unit_test (test_ids_that_cannot_be_sent),
     cmocka_unit_test (test_leaving),
     cmocka_unit_test (test_config),
+    cmocka_unit_test (test_large_numbers_are_not_cut),
     cmocka_unit_test (test_config_with_faults),
     cmocka_unit_test (test_prefill_answer),
     cmocka_unit_test (test_customers),
