--- a/tests/fakes/store.c
+++ b/tests/fakes/store.c
@@ -94,6 +94,19 @@
   fake_conn_answer (conn, status, headers, mf_buffer_data (body), mf_buffer_bytes (body));
 }
 
+/* Answers with the revision of the store and nothing else. */
+static void
+answer_revision (const FakeStore *store, FakeConn *conn)
+{
+  MfBuffer body = { 0 };
+  char text[64];
+
+  snprintf (text, sizeof text, "{\"asOf\":%llu}", (unsigned long long)store->revision);
+  mf_buffer_add_text (&body, text);
+  answer_json (store, conn, 200, &body);
+  mf_buffer_clear (&body);
+}
+
 static void
 answer_status (const FakeStore *store, FakeConn *conn, unsigned status)
 {
@@ -263,6 +276,17 @@
       return;
     case FAKE_STORE_SILENT:
       return;
+    case FAKE_STORE_EMPTY:
+      answer_status (store, conn, 200);
+      return;
+    case FAKE_STORE_EMPTY_LISTS:
+      if (strcmp (request->path, "/kv-key") == 0)
+        break;
+      if (strcmp (request->path, "/kv-range") == 0)
+        answer_revision (store, conn);
+      else
+        answer_status (store, conn, 410);
+      return;
     default:
       break;
     }
--- a/tests/fakes/store.h
+++ b/tests/fakes/store.h
@@ -17,6 +17,8 @@
   FAKE_STORE_TOO_MANY_REQUESTS, /* 429 */
   FAKE_STORE_RESETS,            /* connections are reset */
   FAKE_STORE_SILENT,            /* no answer */
+  FAKE_STORE_EMPTY,             /* answers without members */
+  FAKE_STORE_EMPTY_LISTS,       /* no history, and lists without members */
 } FakeStoreMode;
 
 /* Number of items in a page of a range. */
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -456,6 +456,40 @@
   fixture_end (&fixture);
 }
 
+/* An answer without members was taken for one with no items: the list of upstreams became empty,
+ * and the calls to the store followed each other without a pause. */
+static void
+test_answers_of_the_store_without_members_change_nothing (void **state)
+{
+  static const FakeStoreMode modes[] = { FAKE_STORE_EMPTY, FAKE_STORE_EMPTY_LISTS };
+  Fixture fixture;
+
+  (void)state;
+  fixture_begin (&fixture);
+  config_put (&fixture, 1, "/a/");
+  upstream_put (&fixture, 0, "ready");
+  wait_for (&fixture, front_port, "/a/1", 200);
+  for (unsigned i = 0; i < MF_ARRAY_LEN (modes); i++)
+    {
+      uint32_t n_calls = fake_store_n_calls (fixture.store);
+
+      /* Ends the watch that waits. */
+      fake_store_set_mode (fixture.store, FAKE_STORE_RESETS);
+      fake_store_set_mode (fixture.store, modes[i]);
+      for (unsigned j = 0; j < 10; j++)
+        {
+          loop_spin (fixture.loop, 30);
+          assert_int_equal (status_of (&fixture, front_port, "/a/1"), 200);
+        }
+      assert_in_range (fake_store_n_calls (fixture.store) - n_calls, 2, 40);
+      config_put (&fixture, i + 2, "/a/");
+      fake_store_set_mode (fixture.store, FAKE_STORE_SERVES);
+      loop_spin (fixture.loop, 200);
+      wait_for (&fixture, front_port, "/a/1", 200);
+    }
+  fixture_end (&fixture);
+}
+
 /* The answer to a watch had a fixed time, in which large configurations that were missed cannot
  * arrive over a slow link: each try began anew, and the instance kept its old configuration. */
 static void
@@ -1389,6 +1423,7 @@
     cmocka_unit_test (test_lists_have_pages),
     cmocka_unit_test (test_odd_entries_hide_no_other),
     cmocka_unit_test (test_store_outages_of_every_kind),
+    cmocka_unit_test (test_answers_of_the_store_without_members_change_nothing),
     cmocka_unit_test (test_large_configurations_arrive_over_a_slow_link),
     cmocka_unit_test (test_latest_configuration_is_read_in_place_of_missed_ones),
     cmocka_unit_test (test_series_of_large_configurations_is_not_read_one_by_one),
