--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -111,12 +111,45 @@
   run (fuzz_text, text, n_bytes);
 }
 
+static void
+run_text (FuzzFunc func, const char *text)
+{
+  run (func, (const uint8_t *)text, strlen (text));
+}
+
+/* Each reader of what the platform, upstreams and operators write. */
+static void
+test_mutated_inputs_of_the_relay_break_nothing (void **state)
+{
+  (void)state;
+  run_text (fuzz_settings,
+            "node=front-1\nzone=z-a\nlisten.front=10.1.0.35:8144\nlisten.readiness=10.1.0.35:8140\n"
+            "provider.address=10.200.1.7:8142\nlisten.control=\ninternalPorts=7660,7675\r\n"
+            "bounds.graceS=8\nbounds.contactMs=3000\nbounds.strictRevocation=\n"
+            "bounds.retryBudgetRatio=0.2\nbounds.quotaSlack=1e3\n");
+  run_text (fuzz_entry,
+            "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"version\":\"v1\","
+            "\"slots\":64,\"state\":\"ready\",\"sequence\":4,\"born\":1781418871288,"
+            "\"stage\":\"decode\"}");
+  run_text (
+      fuzz_routes,
+      "{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"pathPrefix\":\"/a/\","
+      "\"kind\":\"streaming\",\"timeoutMs\":600,\"trafficSplit\":[{\"service\":\"e\","
+      "\"weight\":9e6},{\"service\":\"s\",\"weight\":1}],\"maxAttempts\":2}],"
+      "\"services\":[{\"name\":\"e\",\"engine\":{\"slots\":4}},{\"name\":\"s\"}],"
+      "\"limits\":{\"maxBodyBytes\":4096},\"tenants\":[{\"name\":\"t\",\"apiKeys\":[\"k\"]}]}");
+  run_text (fuzz_stream,
+            "id: 10\ndata: a\n\n:\n\nid:20\r\ndata: b\r\n\r\nx-v: 2\nid: 31\ndata: c\n\n"
+            "id: 32\n\nid: 40\ndata: d\n\n");
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_mutated_frames_break_nothing),
     cmocka_unit_test (test_mutated_texts_break_nothing),
+    cmocka_unit_test (test_mutated_inputs_of_the_relay_break_nothing),
   };
 
   return cmocka_run_group_tests (tests, NULL, NULL);
