Log: a relay that cannot start says so on standard output

An engineer on call who read the log of a process that ended at each start found no line: the message went to standard error only. start.failed has code, file and key, or the address that is taken.

test_failed_start_of_the_relay_is_logged failed before by reading: the code had no such line.

--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -797,6 +797,20 @@
   setrlimit (RLIMIT_NOFILE, &limit);
 }
 
+/* Logs why the process ends before it has served anything; its name may not be known. */
+static void
+log_failed_start (MfRelay *relay, const MfError *error)
+{
+  const char *name = relay->settings.name[0] == '\0' ? "unknown" : relay->settings.name;
+  MfError ignored = { 0 };
+
+  if (relay->log == NULL)
+    relay->log = mf_relay_log_new (relay->loop, name, STDOUT_FILENO, &ignored);
+  if (relay->log != NULL)
+    mf_relay_log_state (relay->log, "start.failed", "code=%d why=\"%s\"", (int)error->code,
+                        error->text);
+}
+
 /* Starts a relay. path names its settings, which are reloaded on SIGHUP. Returns NULL with error
  * set on failure. */
 MfRelay *
@@ -815,15 +829,17 @@
   signals_block (true);
   relay->deployment = deployment;
   snprintf (relay->path, sizeof relay->path, "%s", path);
+  relay->loop = ev_default_loop (EVFLAG_NOENV);
   settings_status_update (relay);
   if (!deployment->read_settings (path, &relay->settings, &faults, error))
     {
+      log_failed_start (relay, error);
+      mf_relay_log_free (relay->log);
       free (relay);
       signals_block (false);
       return NULL;
     }
   descriptor_limit_raise (&relay->settings);
-  relay->loop = ev_default_loop (EVFLAG_NOENV);
   relay->log = mf_relay_log_new (relay->loop, relay->settings.name, STDOUT_FILENO, error);
   mf_jobs_init (&relay->jobs, relay->loop, deployment->dialect, relay->log);
   mf_name_set (relay->jobs.targets.data_centre, sizeof relay->jobs.targets.data_centre,
@@ -834,6 +850,7 @@
   settings_apply (relay);
   if (relay->log == NULL || !listeners_open (relay, error))
     {
+      log_failed_start (relay, error);
       mf_relay_free (relay);
       return NULL;
     }
--- a/tests/test_cli.c
+++ b/tests/test_cli.c
@@ -108,6 +108,38 @@
   assert_int_equal (bare.code, 1);
 }
 
+/* The log on standard output had no line for a start that failed. */
+static void
+test_failed_start_of_the_relay_is_logged (void **state)
+{
+  static const struct
+  {
+    const char *text; /* of the settings */
+    const char *why;
+  } rows[] = {
+    { "node=n1\\nzone=\\nlisten.front=127.0.0.1:1\\n", "zone is missing or has no value" },
+    { "node=n1\\nzone=z\\nlisten.front=here\\n", "listen.front is not a numeric address" },
+    { "node=n1\\nzone=z\\nlisten.front=192.0.2.1:1\\nlisten.readiness=192.0.2.1:2\\n"
+      "provider.address=127.0.0.1:1\\n",
+      "cannot listen on 192.0.2.1:2" },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      char settings[512];
+      Output output;
+
+      snprintf (settings, sizeof settings, "printf '%s' >cli-test.conf && ", rows[i].text);
+      run (settings, "relay -s cli-test.conf 2>/dev/null", &output);
+      unlink ("cli-test.conf");
+      assert_int_equal (output.code, 1);
+      assert_non_null (strstr (output.text, "event=start.failed code="));
+      assert_non_null (strstr (output.text, rows[i].why));
+      assert_true (i == 2 || strstr (output.text, "cli-test.conf") != NULL);
+    }
+}
+
 static void
 test_unreachable_instance_fails (void **state)
 {
@@ -190,6 +222,7 @@
     cmocka_unit_test (test_check_locates_each_fault),
     cmocka_unit_test (test_wrong_command_lines),
     cmocka_unit_test (test_digest_ignores_trailing_newline),
+    cmocka_unit_test (test_failed_start_of_the_relay_is_logged),
     cmocka_unit_test (test_unreachable_instance_fails),
     cmocka_unit_test (test_place_prints_a_table),
   };
