--- a/tests/test_job_stall.c
+++ b/tests/test_job_stall.c
@@ -607,6 +607,31 @@
                                fake_upstream_address (fixture->upstreams[index].server));
 }
 
+/* Begins a stream whose first upstream is silent after event 1, and waits until the second one has
+ * a copy of its request. Returns the caller's connection. */
+static int
+stall_with_copy (RelayFixture *fixture)
+{
+  int fd;
+
+  setup (fixture);
+  copy = NULL;
+  relay_fixture_add_upstream (fixture, 0, MF_ROLE_DECODE, handle_silent);
+  relay_fixture_add_upstream (fixture, 1, MF_ROLE_DECODE, handle_copy);
+  fd = call_begin ();
+  assert_true (loop_pump (fixture->loop, is_silent, NULL));
+  assert_true (loop_pump (fixture->loop, has_copy, NULL));
+  return fd;
+}
+
+/* Lets the silent upstream send event 2. */
+static void
+resume_silent (RelayFixture *fixture)
+{
+  fake_upstream_conn_send (silent, "f\r\nid: 2\ndata: b\n\n\r\n");
+  assert_true (loop_pump (fixture->loop, has_resumed, fixture));
+}
+
 /* A request was refused for the crashes of two upstreams, though it had been answered: by the one
  * that had been silent, while its copy at the other was cancelled. Both kept its failure. */
 static void
@@ -616,16 +641,9 @@
   int fd;
 
   (void)state;
-  setup (&fixture);
-  copy = NULL;
-  relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_silent);
-  relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_copy);
-  fd = call_begin ();
-  assert_true (loop_pump (fixture.loop, is_silent, NULL));
-  assert_true (loop_pump (fixture.loop, has_copy, NULL));
+  fd = stall_with_copy (&fixture);
   assert_int_equal (mf_suspects_n_failures (fixture.jobs.suspects), 1);
-  fake_upstream_conn_send (silent, "f\r\nid: 2\ndata: b\n\n\r\n");
-  assert_true (loop_pump (fixture.loop, has_resumed, &fixture));
+  resume_silent (&fixture);
   /* The one of the copy, as its upstream may still have it. */
   assert_int_equal (mf_suspects_n_failures (fixture.jobs.suspects), 1);
   fake_upstream_conn_send (silent, "0\r\n\r\n");
@@ -645,15 +663,8 @@
   int fd;
 
   (void)state;
-  setup (&fixture);
-  copy = NULL;
-  relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_silent);
-  relay_fixture_add_upstream (&fixture, 1, MF_ROLE_DECODE, handle_copy);
-  fd = call_begin ();
-  assert_true (loop_pump (fixture.loop, is_silent, NULL));
-  assert_true (loop_pump (fixture.loop, has_copy, NULL));
-  fake_upstream_conn_send (silent, "f\r\nid: 2\ndata: b\n\n\r\n");
-  assert_true (loop_pump (fixture.loop, has_resumed, &fixture));
+  fd = stall_with_copy (&fixture);
+  resume_silent (&fixture);
   fake_upstream_conn_close (silent, true);
   loop_receive (fixture.loop, fd, NULL, fixture.received, sizeof fixture.received);
   close (fd);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -1294,6 +1294,20 @@
   signal (SIGTERM, SIG_IGN);
 }
 
+/* Begins to write new settings that lead to a store, some lines before the rest. */
+static FILE *
+settings_begin (const char *lines, const FakeStore *store)
+{
+  FILE *file = fopen (SETTINGS, "w");
+
+  assert_non_null (file);
+  fprintf (file,
+           "%snode=n1\nzone=z\nlisten.front=127.0.0.1:%d\nlisten.readiness=127.0.0.1:%d\n"
+           "provider.address=%s\nbounds.contactMs=400\n",
+           lines, front_port, ready_port, fake_store_address (store));
+  return file;
+}
+
 static void
 test_settings_are_read_again (void **state)
 {
@@ -1308,23 +1322,13 @@
   upstream_put (&fixture, 0, "ready");
   wait_for (&fixture, front_port, "/a/1", 200);
   other = fake_store_new (fixture.loop);
-  file = fopen (SETTINGS, "w");
-  assert_non_null (file);
-  fprintf (file,
-           "node=n1\nzone=z\nlisten.front=127.0.0.1:%d\nlisten.readiness=127.0.0.1:%d\n"
-           "provider.address=%s\nbounds.contactMs=400\n",
-           front_port, ready_port, fake_store_address (other));
+  file = settings_begin ("", other);
   fclose (file);
   raise (SIGHUP);
   loop_spin (fixture.loop, 300);
   assert_true (fake_store_n_calls (other) > 0);
   /* A changed file is noticed without a signal. */
-  file = fopen (SETTINGS, "w");
-  assert_non_null (file);
-  fprintf (file,
-           "node=n1\nzone=z\nlisten.front=127.0.0.1:%d\nlisten.readiness=127.0.0.1:%d\n"
-           "provider.address=%s\nbounds.contactMs=400\n",
-           front_port, ready_port, fake_store_address (fixture.store));
+  file = settings_begin ("", fixture.store);
   fclose (file);
   n_before = fake_store_n_calls (fixture.store);
   loop_spin (fixture.loop, 900);
@@ -1359,12 +1363,7 @@
       upstream_put (&fixture, 0, "ready");
       wait_for (&fixture, front_port, "/a/1", 200);
       other = fake_store_new (fixture.loop);
-      file = fopen (SETTINGS, "w");
-      assert_non_null (file);
-      fprintf (file,
-               "%snode=n1\nzone=z\nlisten.front=127.0.0.1:%d\nlisten.readiness=127.0.0.1:%d\n"
-               "provider.address=%s\nbounds.contactMs=400\n",
-               lines[i], front_port, ready_port, fake_store_address (other));
+      file = settings_begin (lines[i], other);
       fclose (file);
       raise (SIGHUP);
       loop_spin (fixture.loop, 400);
@@ -1390,12 +1389,7 @@
   upstream_put (&fixture, 0, "ready");
   wait_for (&fixture, front_port, "/a/1", 200);
   other = fake_store_new (fixture.loop);
-  file = fopen (SETTINGS, "w");
-  assert_non_null (file);
-  fprintf (file,
-           "node=n1\nzone=z\nlisten.front=127.0.0.1:%d\nlisten.readiness=127.0.0.1:%d\n"
-           "provider.address=%s\n",
-           front_port, ready_port, fake_store_address (other));
+  file = settings_begin ("", other);
   raise (SIGHUP);
   for (uint32_t i = 0; i < 40; i++)
     {
