--- a/libmangofork/relay/events.c
+++ b/libmangofork/relay/events.c
@@ -172,19 +172,19 @@
 {
   MfEventNumbering *numbering = stream->numbering;
   uint64_t parts[] = { stream->name, stream->last_id, id };
-  uint64_t gap = XXH3_64bits (parts, sizeof parts);
+  uint64_t gap_hash = XXH3_64bits (parts, sizeof parts);
   uint64_t step = stream_step (stream);
 
   if (step == 0 || id - stream->last_id <= step)
     return true;
-  stream->seam = (MfEventSeam){ .after = stream->last_id, .first = id, .step = step };
+  stream->gap = (MfEventGap){ .after = stream->last_id, .first = id, .step = step };
   if (numbering == NULL)
     return false;
-  stream->seam.is_confirmed
-      = numbering->doubted_gap == gap && numbering->doubted_source != stream->source;
-  numbering->doubted_gap = gap;
+  stream->gap.is_confirmed
+      = numbering->doubted_gap == gap_hash && numbering->doubted_source != stream->source;
+  numbering->doubted_gap = gap_hash;
   numbering->doubted_source = stream->source;
-  return stream->seam.is_confirmed;
+  return stream->gap.is_confirmed;
 }
 
 /* Counts a step for the stream and for its service. */
@@ -217,16 +217,17 @@
     }
   if (kind == EVENT_NUMBERED)
     {
-      /* A run that has made the last event passed on has made what follows it as well. */
-      bool is_seam = stream->has_last_id && id > stream->last_id
-                     && !(stream->run_has_id && stream->run_last_id >= stream->last_id);
+      /* The first event of the run after those passed on before. A run that has made the last one
+       * of these has made what follows it as well. */
+      bool is_first_new = stream->has_last_id && id > stream->last_id
+                          && !(stream->run_has_id && stream->run_last_id >= stream->last_id);
 
       if (stream->run_has_id && id <= stream->run_last_id)
         {
           stream_reject (stream, "event ids do not increase");
           return;
         }
-      if (is_seam && !stream_may_go_on_at (stream, id))
+      if (is_first_new && !stream_may_go_on_at (stream, id))
         {
           stream_reject (stream, "events are missing");
           return;
@@ -284,7 +285,7 @@
   mf_buffer_clear (&stream->partial);
   stream->run_has_id = false;
   stream->defect = NULL;
-  stream->seam = (MfEventSeam){ 0 };
+  stream->gap = (MfEventGap){ 0 };
 }
 
 /* Whether the run could end here: no event is incomplete or invalid. */
--- a/libmangofork/relay/events.h
+++ b/libmangofork/relay/events.h
@@ -21,14 +21,15 @@
   uint64_t doubted_source;
 } MfEventNumbering;
 
-/* Where a run went on with a stream, if it did so in doubt. */
+/* A gap between the last event passed on and the first one of a run, larger than the ids of the
+ * stream let expect: events may be missing. */
 typedef struct
 {
   uint64_t after;    /* id of the last event passed on before */
-  uint64_t first;    /* of the run's first event after it; 0: there was no doubt */
+  uint64_t first;    /* of the run's first event after it; 0: there is no such gap */
   uint64_t step;     /* the difference that was expected */
   bool is_confirmed; /* a second upstream has gone on with the same event */
-} MfEventSeam;
+} MfEventGap;
 
 /* Reads a text/event-stream whose events have increasing numbers as ids. Complete events are passed
  * on, each once, and the id of the last one is kept, so that a broken stream can be resumed after
@@ -47,7 +48,7 @@
   uint64_t name;               /* identifies the request, also when its caller sends it again */
   MfEventSteps steps;          /* of all runs of this stream */
   MfEventNumbering *numbering; /* of the service; NULL: nothing is known of it */
-  MfEventSeam seam;            /* of the current run */
+  MfEventGap gap;              /* of the current run */
 } MfEventStream;
 
 bool mf_event_id_read (const char *text, size_t text_bytes, uint64_t *id);
--- a/libmangofork/relay/job_answer.c
+++ b/libmangofork/relay/job_answer.c
@@ -204,18 +204,18 @@
 
 /* Logs that a run has gone on with a stream after a gap, where no gap was expected. */
 static void
-job_log_seam (MfJob *job)
+job_log_gap (MfJob *job)
 {
-  MfEventSeam seam = job->events.seam;
+  MfEventGap gap = job->events.gap;
 
-  if (seam.first == 0)
+  if (gap.first == 0)
     return;
-  job->events.seam = (MfEventSeam){ 0 };
+  job->events.gap = (MfEventGap){ 0 };
   mf_relay_log_event (job->jobs->log, "request.gap",
                       "id=%s upstream=%s after=%llu first=%llu step=%llu confirmed=%s", job->id,
-                      job->target->info.id, (unsigned long long)seam.after,
-                      (unsigned long long)seam.first, (unsigned long long)seam.step,
-                      seam.is_confirmed ? "yes" : "no");
+                      job->target->info.id, (unsigned long long)gap.after,
+                      (unsigned long long)gap.first, (unsigned long long)gap.step,
+                      gap.is_confirmed ? "yes" : "no");
 }
 
 /* Sends the events that a stream's bytes have completed to the caller, and clears them. The request
@@ -223,7 +223,7 @@
 void
 mf_job_pass_on (MfJob *job, MfBuffer *events)
 {
-  job_log_seam (job);
+  job_log_gap (job);
   /* Bytes that complete no event do not count as progress. */
   if (job->route->resumable && mf_buffer_bytes (events) > 0)
     job->step_deadline_us = mf_clock_now_us () + mf_job_stall_us (job);
--- a/tests/test_events.c
+++ b/tests/test_events.c
@@ -195,10 +195,10 @@
 
       run_events (&stream, 1, step, step, 20);
       assert_false (event_is_passed_on (&stream, 2, 22 * step));
-      assert_int_equal (stream.seam.after, 20 * step);
-      assert_int_equal (stream.seam.first, 22 * step);
-      assert_int_equal (stream.seam.step, step);
-      assert_false (stream.seam.is_confirmed);
+      assert_int_equal (stream.gap.after, 20 * step);
+      assert_int_equal (stream.gap.first, 22 * step);
+      assert_int_equal (stream.gap.step, step);
+      assert_false (stream.gap.is_confirmed);
       /* The same upstream again, another event, the same gap of another request. */
       assert_false (event_is_passed_on (&stream, 2, 22 * step));
       assert_false (event_is_passed_on (&stream, 3, 23 * step));
@@ -206,10 +206,10 @@
       assert_false (event_is_passed_on (&other, 5, 22 * step));
       assert_false (event_is_passed_on (&stream, 2, 22 * step));
       assert_true (event_is_passed_on (&stream, 3, 22 * step));
-      assert_true (stream.seam.is_confirmed);
+      assert_true (stream.gap.is_confirmed);
       /* Right after it, nothing is in doubt. */
       assert_true (event_is_passed_on (&stream, 6, 23 * step));
-      assert_int_equal (stream.seam.first, 0);
+      assert_int_equal (stream.gap.first, 0);
       mf_event_stream_clear (&stream);
       mf_event_stream_clear (&other);
     }
