Events: blank lines after the last event are passed on

Cause: what completes no event is kept until more comes, and was dropped at the end of the run.

Change: it is appended when the stream ends complete.

test_all_bytes_of_a_complete_stream_are_passed_on failed before.

--- a/libmangofork/relay/events.h
+++ b/libmangofork/relay/events.h
@@ -54,6 +54,7 @@
 bool mf_event_id_read (const char *text, size_t text_bytes, uint64_t *id);
 void mf_event_stream_begin_run (MfEventStream *stream, uint64_t source);
 void mf_event_stream_feed (MfEventStream *stream, const char *bytes, size_t n_bytes, MfBuffer *out);
+void mf_event_stream_end_run (MfEventStream *stream, MfBuffer *out);
 bool mf_event_stream_at_boundary (const MfEventStream *stream);
 void mf_event_stream_clear (MfEventStream *stream);
 
--- a/libmangofork/relay/job_answer.c
+++ b/libmangofork/relay/job_answer.c
@@ -478,6 +478,19 @@
   return mf_job_has_stream (job) ? mf_job_stream_defect (job, end) : NULL;
 }
 
+/* Sends what follows the last event of a complete stream: the caller gets all bytes of the
+ * upstream's answer. */
+static void
+job_pass_on_end (MfJob *job)
+{
+  MfBuffer end = { 0 };
+
+  mf_event_stream_end_run (&job->events, &end);
+  if (job->caller != NULL && mf_buffer_bytes (&end) > 0)
+    mf_caller_write (job->caller, mf_buffer_data (&end), mf_buffer_bytes (&end));
+  mf_buffer_clear (&end);
+}
+
 /* A complete answer of the upstream itself shows that it has survived its beginning. One that ends
  * with the connection does not: the upstream may have crashed. */
 static void
@@ -524,6 +537,7 @@
       mf_jobs_note_answer (jobs, job->events.n_events * job->service->event_tokens,
                            mf_clock_now_us () - job->sent_us);
       mf_job_note_answer_bytes (job, target->info.role, job->stream_bytes);
+      job_pass_on_end (job);
       mf_job_finish (job, MF_CODE_OK, "answered");
     }
   else
--- a/tests/fuzz/stream.c
+++ b/tests/fuzz/stream.c
@@ -22,7 +22,7 @@
 }
 
 /* A stream is the same however it is cut. What is passed on of one run is its beginning, and where
- * all of it is sound, all complete events. Another run that repeats it adds nothing. */
+ * it ends between two events, all of it. Another run that repeats it adds nothing. */
 int
 fuzz_stream (const uint8_t *data, size_t n_bytes)
 {
@@ -35,12 +35,21 @@
       || (mf_buffer_bytes (&expected) > 0
           && memcmp (mf_buffer_data (&expected), data, mf_buffer_bytes (&expected)) != 0))
     abort ();
+  if (mf_event_stream_at_boundary (&whole))
+    {
+      mf_event_stream_end_run (&whole, &expected);
+      if (mf_buffer_bytes (&expected) != n_bytes
+          || (n_bytes > 0 && memcmp (mf_buffer_data (&expected), data, n_bytes) != 0))
+        abort ();
+    }
   for (size_t i = 0; i < sizeof piece_bytes / sizeof piece_bytes[0]; i++)
     {
       MfEventStream stream = { 0 };
       MfBuffer out = { 0 };
 
       read_stream (data, n_bytes, piece_bytes[i], &stream, &out);
+      if (mf_event_stream_at_boundary (&stream))
+        mf_event_stream_end_run (&stream, &out);
       if (mf_buffer_bytes (&out) != mf_buffer_bytes (&expected) || stream.last_id != whole.last_id
           || (stream.defect == NULL) != (whole.defect == NULL)
           || mf_event_stream_at_boundary (&stream) != mf_event_stream_at_boundary (&whole))
--- a/tests/test_job_answer.c
+++ b/tests/test_job_answer.c
@@ -556,6 +556,55 @@
     }
 }
 
+/* Sends a stream of three events with blank lines and comments between them and at its end. */
+#define STREAM_WITH_BLANKS                                                                         \
+  "id: 1\ndata: a\n\n\n: x\n\nid: 2\r\ndata: b\r\n\r\n\r\n\nid: 3\ndata: c\n\n:\n\n\n"
+
+static void
+handle_stream_with_blanks (FakeUpstreamConn *conn, const char *text, const char *id)
+{
+  char chunk[256];
+
+  (void)text;
+  (void)id;
+  snprintf (chunk, sizeof chunk, "%zx\r\n" STREAM_WITH_BLANKS "\r\n0\r\n\r\n",
+            strlen (STREAM_WITH_BLANKS));
+  fake_upstream_conn_send (conn, RELAY_FIXTURE_STREAM_HEAD);
+  fake_upstream_conn_send (conn, chunk);
+}
+
+/* Blank lines after the last event of a stream were left out. */
+static void
+test_all_bytes_of_a_complete_stream_are_passed_on (void **state)
+{
+  static const char *const paths[] = { "/once/1", "/llm/1" };
+
+  (void)state;
+  for (size_t i = 0; i < MF_ARRAY_LEN (paths); i++)
+    {
+      RelayFixture fixture;
+      char body[256] = "";
+      const char *at;
+
+      relay_fixture_setup (&fixture, ev_loop_new (0));
+      relay_fixture_add_upstream (&fixture, 0, MF_ROLE_DECODE, handle_stream_with_blanks);
+      call (&fixture, "POST", paths[i]);
+      at = strstr (fixture.received, "\r\n\r\n");
+      assert_non_null (at);
+      for (at += 4; strtoul (at, NULL, 16) > 0;)
+        {
+          size_t n_bytes = strtoul (at, NULL, 16);
+
+          at = strchr (at, '\n') + 1;
+          strncat (body, at, n_bytes);
+          at += n_bytes + 2;
+        }
+      assert_string_equal (body, STREAM_WITH_BLANKS);
+      assert_string_equal (at, "0\r\n\r\n");
+      teardown (&fixture);
+    }
+}
+
 /* Begins again with the first event, whatever the caller has. */
 static void
 handle_stream_from_the_start (FakeUpstreamConn *conn, const char *text, const char *id)
@@ -976,6 +1025,7 @@
     cmocka_unit_test (test_streams_of_a_new_process_are_whole_however_ids_increase),
     cmocka_unit_test (test_stream_that_goes_on_too_late_is_not_passed_on),
     cmocka_unit_test (test_resumed_stream_is_whole_where_ids_vary),
+    cmocka_unit_test (test_all_bytes_of_a_complete_stream_are_passed_on),
     cmocka_unit_test (test_caller_gets_no_event_before_the_one_it_names),
     cmocka_unit_test (test_event_that_stalled_is_not_joined_to_the_next_run),
     cmocka_unit_test (test_error_of_the_next_upstream_is_no_part_of_a_stream),
