--- a/libmangofork/suspect.c
+++ b/libmangofork/suspect.c
@@ -343,6 +343,16 @@
   return add_crash (suspects, digest, crash, isolated ? CRASHES_ISOLATED : CRASHES_CERTAIN, now_us);
 }
 
+/* Removes a failure; the last one takes its place. */
+static MfSuspectFailure
+failure_take (MfSuspects *suspects, uint32_t index)
+{
+  MfSuspectFailure failure = suspects->failures[index];
+
+  suspects->failures[index] = suspects->failures[--suspects->n_failures];
+  return failure;
+}
+
 /* Remembers that an upstream has survived a request. Failures of it that are still kept had another
  * cause: what their upstreams do now does not concern it. */
 void
@@ -352,7 +362,7 @@
   for (uint32_t i = suspects->n_failures; i-- > 0;)
     {
       if (suspects->failures[i].digest == digest)
-        suspects->failures[i] = suspects->failures[--suspects->n_failures];
+        failure_take (suspects, i);
     }
 }
 
@@ -388,7 +398,7 @@
         return false;
     }
   if (suspects->n_failures == MF_SUSPECT_FAILURES_MAX)
-    suspects->failures[0] = suspects->failures[--suspects->n_failures];
+    failure_take (suspects, 0);
   suspects->failures[suspects->n_failures++] = *failure;
   return true;
 }
@@ -409,8 +419,7 @@
       if ((upstream_id != 0 && suspects->failures[i].upstream_id != upstream_id)
           || suspects->failures[i].failed_us >= before_us)
         continue;
-      *failure = suspects->failures[i];
-      suspects->failures[i] = suspects->failures[--suspects->n_failures];
+      *failure = failure_take (suspects, i);
       return true;
     }
   return false;
@@ -427,8 +436,7 @@
       if (suspects->failures[i].request_id != request_id
           || suspects->failures[i].upstream_id != upstream_id)
         continue;
-      *failure = suspects->failures[i];
-      suspects->failures[i] = suspects->failures[--suspects->n_failures];
+      *failure = failure_take (suspects, i);
       return true;
     }
   return false;
