--- a/tests/fuzz/entry.c
+++ b/tests/fuzz/entry.c
@@ -19,11 +19,3 @@
     abort ();
   return 0;
 }
-
-#ifdef FUZZ_ENTRY
-int
-LLVMFuzzerTestOneInput (const uint8_t *data, size_t n_bytes)
-{
-  return fuzz_entry (data, n_bytes);
-}
-#endif
--- a/tests/fuzz/frame.c
+++ b/tests/fuzz/frame.c
@@ -30,11 +30,3 @@
   mf_frame_clear (&frame);
   return 0;
 }
-
-#ifdef FUZZ_FRAME
-int
-LLVMFuzzerTestOneInput (const uint8_t *data, size_t n_bytes)
-{
-  return fuzz_frame (data, n_bytes);
-}
-#endif
--- a/tests/fuzz/routes.c
+++ b/tests/fuzz/routes.c
@@ -28,11 +28,3 @@
   mf_routes_unref (routes);
   return 0;
 }
-
-#ifdef FUZZ_ROUTES
-int
-LLVMFuzzerTestOneInput (const uint8_t *data, size_t n_bytes)
-{
-  return fuzz_routes (data, n_bytes);
-}
-#endif
--- a/tests/fuzz/settings.c
+++ b/tests/fuzz/settings.c
@@ -60,11 +60,3 @@
     abort ();
   return 0;
 }
-
-#ifdef FUZZ_SETTINGS
-int
-LLVMFuzzerTestOneInput (const uint8_t *data, size_t n_bytes)
-{
-  return fuzz_settings (data, n_bytes);
-}
-#endif
--- a/tests/fuzz/stream.c
+++ b/tests/fuzz/stream.c
@@ -65,11 +65,3 @@
   mf_buffer_clear (&expected);
   return 0;
 }
-
-#ifdef FUZZ_STREAM
-int
-LLVMFuzzerTestOneInput (const uint8_t *data, size_t n_bytes)
-{
-  return fuzz_stream (data, n_bytes);
-}
-#endif
--- a/tests/fuzz/text.c
+++ b/tests/fuzz/text.c
@@ -25,11 +25,3 @@
   mf_config_free (config);
   return 0;
 }
-
-#ifdef FUZZ_TEXT
-int
-LLVMFuzzerTestOneInput (const uint8_t *data, size_t n_bytes)
-{
-  return fuzz_text (data, n_bytes);
-}
-#endif
