Log: one place for each failed start after the settings are read

log_failed_start() was called at two of three ends of mf_relay_new(): a source that does not start ended the process without a line. The two ends that free the whole relay are one now. test_cli passes.

--- a/libmangofork/relay/relay.c
+++ b/libmangofork/relay/relay.c
@@ -848,16 +848,14 @@
   relay->jobs.targets.log = relay->log;
   relay->jobs.targets.unacked_timeout_us = relay->settings.recovery_us;
   settings_apply (relay);
-  if (relay->log == NULL || !listeners_open (relay, error))
+  if (relay->log != NULL && listeners_open (relay, error))
     {
-      log_failed_start (relay, error);
-      mf_relay_free (relay);
-      return NULL;
+      signals_start (relay);
+      relay->source = deployment->source->start (relay, relay->loop, &relay->settings, error);
     }
-  signals_start (relay);
-  relay->source = deployment->source->start (relay, relay->loop, &relay->settings, error);
   if (relay->source == NULL)
     {
+      log_failed_start (relay, error);
       mf_relay_free (relay);
       return NULL;
     }
