--- a/libmangofork/relay/setting.c
+++ b/libmangofork/relay/setting.c
@@ -173,8 +173,8 @@
  * faults says why. Returns false with error set when a required key is not set; the structure may
  * have been changed by then. */
 bool
-mf_settings_read_lines (const MfSettingRow *rows, uint32_t n_rows, const char *text,
-                        size_t text_bytes, void *settings, MfSettingFaults *faults, MfError *error)
+mf_setting_read_lines (const MfSettingRow *rows, uint32_t n_rows, const char *text,
+                       size_t text_bytes, void *settings, MfSettingFaults *faults, MfError *error)
 {
   char *line = malloc (text_bytes + 1);
   uint64_t is_set = 0;
@@ -220,7 +220,7 @@
 
 /* Reads a file of one megabyte at most to its end. Returns NULL with error set on failure. */
 char *
-mf_settings_read_file (const char *path, size_t *text_bytes, MfError *error)
+mf_setting_read_file (const char *path, size_t *text_bytes, MfError *error)
 {
   FILE *file = fopen (path, "r");
   char *text = malloc (FILE_BYTES_MAX + 1);
--- a/libmangofork/relay/setting.h
+++ b/libmangofork/relay/setting.h
@@ -6,7 +6,7 @@
 /* Faults of one file that are kept; further ones are only counted. */
 #define MF_SETTING_FAULTS_MAX 8
 
-/* How the text of a value is read. The type of the member that it sets stands in parentheses. */
+/* How the text of a value is read. The type of the member that it sets is in parentheses. */
 typedef enum
 {
   MF_SETTING_TEXT,       /* (char array) */
@@ -39,10 +39,10 @@
   uint32_t n_faults; /* also those that are not kept */
 } MfSettingFaults;
 
-bool mf_settings_read_lines (const MfSettingRow *rows, uint32_t n_rows, const char *text,
-                             size_t text_bytes, void *settings, MfSettingFaults *faults,
-                             MfError *error);
-char *mf_settings_read_file (const char *path, size_t *text_bytes, MfError *error);
+bool mf_setting_read_lines (const MfSettingRow *rows, uint32_t n_rows, const char *text,
+                            size_t text_bytes, void *settings, MfSettingFaults *faults,
+                            MfError *error);
+char *mf_setting_read_file (const char *path, size_t *text_bytes, MfError *error);
 uint32_t mf_setting_faults_kept (const MfSettingFaults *faults);
 
 #endif
