Events: the blank lines after the last event are sent from where they are

They were copied into a buffer of their own by a function that the stream needed for nothing else, and a copy that ran out of memory would have left them out. The request sends them from the stream's buffer.

--- a/libmangofork/relay/events.c
+++ b/libmangofork/relay/events.c
@@ -296,15 +296,6 @@
          && is_blank (mf_buffer_data (&stream->partial), mf_buffer_bytes (&stream->partial));
 }
 
-/* Ends a run at a boundary: appends the blank lines after its last event to out. */
-void
-mf_event_stream_end_run (MfEventStream *stream, MfBuffer *out)
-{
-  mf_buffer_add (out, mf_buffer_data (&stream->partial), mf_buffer_bytes (&stream->partial));
-  mf_buffer_clear (&stream->partial);
-  stream->searched_bytes = 0;
-}
-
 /* Frees the buffer of the incomplete event. */
 void
 mf_event_stream_clear (MfEventStream *stream)
--- a/libmangofork/relay/events.h
+++ b/libmangofork/relay/events.h
@@ -36,7 +36,7 @@
  * it. */
 typedef struct
 {
-  MfBuffer partial;      /* an incomplete event */
+  MfBuffer partial;      /* an incomplete event, or blank lines after the last one */
   size_t searched_bytes; /* of it, that contain no end of an event */
   uint64_t last_id;      /* of the last event passed on */
   bool has_last_id;
@@ -54,7 +54,6 @@
 bool mf_event_id_read (const char *text, size_t text_bytes, uint64_t *id);
 void mf_event_stream_begin_run (MfEventStream *stream, uint64_t source);
 void mf_event_stream_feed (MfEventStream *stream, const char *bytes, size_t n_bytes, MfBuffer *out);
-void mf_event_stream_end_run (MfEventStream *stream, MfBuffer *out);
 bool mf_event_stream_at_boundary (const MfEventStream *stream);
 void mf_event_stream_clear (MfEventStream *stream);
 
--- a/libmangofork/relay/job_answer.c
+++ b/libmangofork/relay/job_answer.c
@@ -478,17 +478,15 @@
   return mf_job_has_stream (job) ? mf_job_stream_defect (job, end) : NULL;
 }
 
-/* Sends what follows the last event of a complete stream: the caller gets all bytes of the
+/* Sends the blank lines after the last event of a complete stream: the caller gets all bytes of the
  * upstream's answer. */
 static void
 job_pass_on_end (MfJob *job)
 {
-  MfBuffer end = { 0 };
+  const MfBuffer *end = &job->events.partial;
 
-  mf_event_stream_end_run (&job->events, &end);
-  if (job->caller != NULL && mf_buffer_bytes (&end) > 0)
-    mf_caller_write (job->caller, mf_buffer_data (&end), mf_buffer_bytes (&end));
-  mf_buffer_clear (&end);
+  if (job->caller != NULL && mf_buffer_bytes (end) > 0)
+    mf_caller_write (job->caller, mf_buffer_data (end), mf_buffer_bytes (end));
 }
 
 /* A complete answer of the upstream itself shows that it has survived its beginning. One that ends
--- a/tests/fuzz/stream.c
+++ b/tests/fuzz/stream.c
@@ -21,6 +21,13 @@
     }
 }
 
+/* Appends what follows the last event of a stream that ends. */
+static void
+add_end (const MfEventStream *stream, MfBuffer *out)
+{
+  mf_buffer_add (out, mf_buffer_data (&stream->partial), mf_buffer_bytes (&stream->partial));
+}
+
 /* A stream is the same however it is cut. What is passed on of one run is its beginning, and where
  * it ends between two events, all of it. Another run that repeats it adds nothing. */
 int
@@ -37,7 +44,7 @@
     abort ();
   if (mf_event_stream_at_boundary (&whole))
     {
-      mf_event_stream_end_run (&whole, &expected);
+      add_end (&whole, &expected);
       if (mf_buffer_bytes (&expected) != n_bytes
           || (n_bytes > 0 && memcmp (mf_buffer_data (&expected), data, n_bytes) != 0))
         abort ();
@@ -49,7 +56,7 @@
 
       read_stream (data, n_bytes, piece_bytes[i], &stream, &out);
       if (mf_event_stream_at_boundary (&stream))
-        mf_event_stream_end_run (&stream, &out);
+        add_end (&stream, &out);
       if (mf_buffer_bytes (&out) != mf_buffer_bytes (&expected) || stream.last_id != whole.last_id
           || (stream.defect == NULL) != (whole.defect == NULL)
           || mf_event_stream_at_boundary (&stream) != mf_event_stream_at_boundary (&whole))
