--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -205,6 +205,16 @@
   assert_true (loop_pump (fixture->loop, has_status, &wait));
 }
 
+/* Begins with a route, /a/, that the first upstream serves. */
+static void
+fixture_begin_serving (Fixture *fixture)
+{
+  fixture_begin (fixture);
+  config_put (fixture, 1, "/a/");
+  upstream_put (fixture, 0, "ready");
+  wait_for (fixture, front_port, "/a/1", 200);
+}
+
 static void
 test_nothing_is_known_at_first (void **state)
 {
@@ -303,10 +313,7 @@
       strstr (fixture.received, "spillover_bytes_total{service=\"s\",role=\"plain\"} 0\n"));
   fixture_end (&fixture);
   /* Without customers in the configuration, it is off by default. */
-  fixture_begin (&fixture);
-  config_put (&fixture, 1, "/a/");
-  upstream_put (&fixture, 0, "ready");
-  wait_for (&fixture, front_port, "/a/1", 200);
+  fixture_begin_serving (&fixture);
   loop_spin (fixture.loop, 250);
   status_of (&fixture, metrics_port, "/metrics");
   assert_null (strstr (fixture.received, "spillover"));
@@ -341,10 +348,7 @@
   uint32_t n_before;
 
   (void)state;
-  fixture_begin (&fixture);
-  config_put (&fixture, 1, "/a/");
-  upstream_put (&fixture, 0, "ready");
-  wait_for (&fixture, front_port, "/a/1", 200);
+  fixture_begin_serving (&fixture);
   upstream_put (&fixture, 1, "ready");
   upstream_put (&fixture, 0, "draining");
   loop_spin (fixture.loop, 400);
@@ -433,10 +437,7 @@
   Fixture fixture;
 
   (void)state;
-  fixture_begin (&fixture);
-  config_put (&fixture, 1, "/a/");
-  upstream_put (&fixture, 0, "ready");
-  wait_for (&fixture, front_port, "/a/1", 200);
+  fixture_begin_serving (&fixture);
   for (unsigned i = 0; i < MF_ARRAY_LEN (states); i++)
     {
       char prefix[8];
@@ -465,10 +466,7 @@
   Fixture fixture;
 
   (void)state;
-  fixture_begin (&fixture);
-  config_put (&fixture, 1, "/a/");
-  upstream_put (&fixture, 0, "ready");
-  wait_for (&fixture, front_port, "/a/1", 200);
+  fixture_begin_serving (&fixture);
   for (unsigned i = 0; i < MF_ARRAY_LEN (modes); i++)
     {
       uint32_t n_calls = fake_store_n_calls (fixture.store);
@@ -499,10 +497,7 @@
   uint64_t served_us;
 
   (void)state;
-  fixture_begin (&fixture);
-  config_put (&fixture, 1, "/a/");
-  upstream_put (&fixture, 0, "ready");
-  wait_for (&fixture, front_port, "/a/1", 200);
+  fixture_begin_serving (&fixture);
   fake_store_set_rate (fixture.store, SLOW_LINK_BYTES_PER_S);
   fake_store_set_mode (fixture.store, FAKE_STORE_BUSY);
   loop_spin (fixture.loop, 100);
@@ -588,10 +583,7 @@
   uint64_t written_us;
 
   (void)state;
-  fixture_begin (&fixture);
-  config_put (&fixture, 1, "/a/");
-  upstream_put (&fixture, 0, "ready");
-  wait_for (&fixture, front_port, "/a/1", 200);
+  fixture_begin_serving (&fixture);
   fake_store_set_rate (fixture.store, SLOW_LINK_BYTES_PER_S);
   fake_store_set_mode (fixture.store, FAKE_STORE_BUSY);
   loop_spin (fixture.loop, 100);
@@ -624,10 +616,7 @@
   Fixture fixture;
 
   (void)state;
-  fixture_begin (&fixture);
-  config_put (&fixture, 1, "/a/");
-  upstream_put (&fixture, 0, "ready");
-  wait_for (&fixture, front_port, "/a/1", 200);
+  fixture_begin_serving (&fixture);
   assert_int_equal (status_of (&fixture, front_port, "/b/1/x"), 404);
   fake_store_set_rate (fixture.store, SLOW_LINK_BYTES_PER_S);
   config_put_large (&fixture, 2, "/b/", 3600);
@@ -1270,10 +1259,7 @@
   int open_fd;
 
   (void)state;
-  fixture_begin (&fixture);
-  config_put (&fixture, 1, "/a/");
-  upstream_put (&fixture, 0, "ready");
-  wait_for (&fixture, front_port, "/a/1", 200);
+  fixture_begin_serving (&fixture);
   raise (SIGTERM);
   wait_for (&fixture, ready_port, "/ready", 503);
   assert_int_equal (status_of (&fixture, front_port, "/a/1"), 200);
@@ -1317,10 +1303,7 @@
   FILE *file;
 
   (void)state;
-  fixture_begin (&fixture);
-  config_put (&fixture, 1, "/a/");
-  upstream_put (&fixture, 0, "ready");
-  wait_for (&fixture, front_port, "/a/1", 200);
+  fixture_begin_serving (&fixture);
   other = fake_store_new (fixture.loop);
   file = settings_begin ("", other);
   fclose (file);
@@ -1358,10 +1341,7 @@
       FakeStore *other;
       FILE *file;
 
-      fixture_begin (&fixture);
-      config_put (&fixture, 1, "/a/");
-      upstream_put (&fixture, 0, "ready");
-      wait_for (&fixture, front_port, "/a/1", 200);
+      fixture_begin_serving (&fixture);
       other = fake_store_new (fixture.loop);
       file = settings_begin (lines[i], other);
       fclose (file);
@@ -1384,10 +1364,7 @@
   FILE *file;
 
   (void)state;
-  fixture_begin (&fixture);
-  config_put (&fixture, 1, "/a/");
-  upstream_put (&fixture, 0, "ready");
-  wait_for (&fixture, front_port, "/a/1", 200);
+  fixture_begin_serving (&fixture);
   other = fake_store_new (fixture.loop);
   file = settings_begin ("", other);
   raise (SIGHUP);
