Tests: a restarted instance that may lead lists the upstreams

The trace that put it into KNOWN-RED was wrong: it was neither load nor old.

Change: the test lists the upstreams there after the restart, as the test beside it does.

--- a/tests/test_job_suspect.c
+++ b/tests/test_job_suspect.c
@@ -818,6 +818,8 @@
   for (uint32_t index = 0; index < N_UPSTREAMS; index++)
     soak_upstream_enable_crashes (fixture.upstreams[index], 0., on_down_changed, &fixture);
   relay_fleet_restart (&fixture.fleet, 4);
+  for (uint32_t index = 0; index < N_UPSTREAMS; index++)
+    instance_list_upstream (&fixture, 4, index);
   mf_suspects_note_sound (fixture.fleet.instances[4].jobs.suspects, MF_SUSPECT_PART,
                           deadly_part_hash (), mf_clock_now_us (), mf_clock_now_us ());
   relay_fleet_wait_connected (&fixture.fleet);
